--- a/src/bin/sablefork-wirehost.rs
+++ b/src/bin/quartzcleat-drill.rs
@@ -1,20 +1,20 @@
 //! Hosts gateway instances on the wire: reads batches, hands events to the module, flushes replies.
 #![forbid(unsafe_code)]
 
-use sablefork::api::Nanos;
-use sablefork::choice::Gateway;
-use sablefork::wire::{self, Decoder, Line};
+use quartzcleat::api::Nanos;
+use quartzcleat::choice::Gateway;
+use quartzcleat::wire::{self, Decoder, Line};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    std::panic::set_hook(Box::new(|info| eprintln!("sablefork-wirehost: {info}")));
+    std::panic::set_hook(Box::new(|info| eprintln!("quartzcleat-drill: {info}")));
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("sablefork-wirehost: {message}");
+            eprintln!("quartzcleat-drill: {message}");
             ExitCode::FAILURE
         }
     }
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,6 +1,6 @@
 //! The codec: each kind of malformed line, and round values.
 
-use sablefork::wire::{Decoder, Line};
+use quartzcleat::wire::{Decoder, Line};
 
 fn error(lines: &[&str]) -> String {
     let mut decoder = Decoder::new();
@@ -46,7 +46,7 @@
 
 #[test]
 fn actions_are_written_as_the_wire_has_them() {
-    use sablefork::api::*;
+    use quartzcleat::api::*;
     let mut out = String::new();
     let (id, host) = (RequestId(0x218516d35d3a91c4), HostId(51530247));
     for action in [
@@ -56,7 +56,7 @@
         Action::Count { name: "q5.1".into(), amount: -1.5, keep_for: 7 },
         Action::Log { text: "two\tservers\nknown".into() },
     ] {
-        sablefork::wire::encode(&action, &mut out);
+        quartzcleat::wire::encode(&action, &mut out);
     }
     let lines = [
         "ISSUE\t218516d35d3a91c4\t51530247\t80000000",
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A hand-driven gateway with small settings, for the tests.
 #![allow(dead_code)]
 
-use sablefork::api::*;
-use sablefork::choice::Gateway;
+use quartzcleat::api::*;
+use quartzcleat::choice::Gateway;
 
 pub const MS: u64 = 1_000_000;
 pub const S: u64 = 1_000 * MS;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -5,7 +5,7 @@
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use sablefork::api::*;
+use quartzcleat::api::*;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug)]
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use sablefork::api::*;
+use quartzcleat::api::*;
 
 #[test]
 fn the_add_comes_before_the_verdict() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sablefork::api::*;
+use quartzcleat::api::*;
 
 #[test]
 fn a_request_is_answered_before_its_time_is_up() {
