--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,254 @@
+//! The one place where environment and configuration are read, checked and given defaults.
+
+use crate::api::Settings;
+use crate::wire;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+/// Every size, count and time that the program is held to, filled at start and handed down.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// The longest value, in bytes.
+    pub value_bytes: usize,
+    /// The longest message of a client or a host, in bytes.
+    pub frame_bytes: usize,
+    /// The most words of a command, and members of an array.
+    pub words: usize,
+    /// Bytes by which a read buffer grows at a time.
+    pub read_bytes: usize,
+    /// Requests and answers held, in bytes, past which new requests get a back-off answer.
+    pub held_bytes: usize,
+    /// Connections on the north side past which a further one gets only back-off answers.
+    pub north_connections: usize,
+    /// Requests of one connection that are not answered yet, past which it is not read.
+    pub north_pipeline: usize,
+    /// Bytes that a client has not taken yet, past which its connection is not read.
+    pub north_unsent: usize,
+    /// Open requests, past which new ones get a back-off answer.
+    pub max_open: usize,
+    /// Attempts of one request.
+    pub max_attempts: u32,
+    /// What a client is told to wait where the limiter itself has no room.
+    pub back_off: Duration,
+    /// How long before its deadline a request that nothing has answered is failed.
+    pub last_moment: Duration,
+    /// Connections to all hosts together.
+    pub south_connections: usize,
+    /// How long a connection to a host is kept idle.
+    pub south_idle: Duration,
+    /// How long a connection to a host may take to come up.
+    pub connect: Duration,
+    /// How long after the word of its drain a host may be sent what was decided before.
+    pub drain: Duration,
+    /// Connections to the counter.
+    pub counter_links: usize,
+    /// How long a call to the counter may take.
+    pub counter_call: Duration,
+    /// Calls held on one connection to the counter.
+    pub counter_calls: usize,
+    /// How long a connection to the counter with calls on it may stay silent.
+    pub counter_silence: Duration,
+    /// How long a connection to the counter is kept idle.
+    pub counter_idle: Duration,
+    /// The longest answer of discovery, in bytes.
+    pub list_bytes: usize,
+    /// How long discovery is asked to wait for news.
+    pub watch: Duration,
+    /// How much later its answer may come.
+    pub watch_slack: Duration,
+    /// The pause before a connection that failed is made again.
+    pub again: Duration,
+    /// How long after SIGTERM all goes on as before.
+    pub linger: Duration,
+    /// How long after SIGTERM new requests get only back-off answers.
+    pub last_call: Duration,
+    /// How long after SIGTERM the program ends whatever is left.
+    pub end: Duration,
+}
+
+impl Limits {
+    fn new(settings: &Settings, sockets: usize, memory: usize, idle: Duration) -> Self {
+        let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let time = |nanos: u64, default: u64| Duration::from_nanos(if nanos > 0 { nanos } else { default });
+        let value_bytes = 64 << 10;
+        Limits {
+            value_bytes,
+            frame_bytes: value_bytes + (8 << 10),
+            words: 16,
+            read_bytes: 4 << 10,
+            held_bytes: memory / 4,
+            north_connections: sockets * 11 / 20,
+            north_pipeline: 1024,
+            north_unsent: 256 << 10,
+            max_open: if settings.max_open > 0 { settings.max_open as usize } else { 20_000 },
+            max_attempts: settings.max_attempts.max(1),
+            back_off: time(settings.longest_retry_after, 1_000_000_000),
+            last_moment: Duration::from_millis(2),
+            south_connections: sockets * 7 / 20,
+            // Half of what the host grants: a request written to one that it just closed ends as a reset.
+            south_idle: idle / 2,
+            connect: time(settings.connect_timeout, 250_000_000),
+            drain: time(settings.drain_grace, 1_000_000_000) / 2,
+            counter_links: 8,
+            counter_call: time(settings.counter_timeout, 30_000_000),
+            counter_calls: 4096,
+            counter_silence: Duration::from_millis(500),
+            counter_idle: Duration::from_secs(3),
+            list_bytes: 4 << 20,
+            watch: Duration::from_secs(20),
+            watch_slack: Duration::from_secs(2),
+            again: Duration::from_millis(100),
+            linger: Duration::from_millis(600),
+            last_call: Duration::from_secs(2),
+            end: Duration::from_nanos(longest.max(3_000_000_000)) + Duration::from_millis(600),
+        }
+    }
+}
+
+/// What a limiter is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// Where the counter listens, where there is one.
+    pub counter: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// The inventory as this limiter had it last, in discovery's form.
+    pub known: Value,
+    /// What the decision module is told.
+    pub settings: Settings,
+    /// The names of the zones, in the order of their numbers.
+    pub zones: Vec<String>,
+    /// The names of the machine kinds, in the order of their numbers.
+    pub kinds: Vec<String>,
+    /// What the program is held to.
+    pub limits: Limits,
+}
+
+/// Reads the configuration that the environment names.
+pub fn from_environment() -> Result<Config, String> {
+    let variable = |name: &str| std::env::var(name).ok();
+    let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: not set")?;
+    let text =
+        std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: cannot read {path}: {e}"))?;
+    read(&text, variable)
+}
+
+/// Reads a configuration; what a variable of the environment says goes before what the file says.
+pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let file: Value = serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
+    let told = |key: &str, name: &str| {
+        let written = file.get(key).and_then(Value::as_str).map(str::to_owned);
+        variable(name).or(written).ok_or_else(|| format!("{key}: missing"))
+    };
+    let address = |key: &str, text: &str| {
+        text.parse::<SocketAddr>().map_err(|_| format!("{key}: {text:?} is not an address with a port"))
+    };
+    let count = |path: &str, default: u64| match file.pointer(path) {
+        None | Some(Value::Null) => Ok(default),
+        Some(value) => {
+            value.as_u64().ok_or_else(|| format!("{}: {value} is not a count", path[1..].replace('/', ".")))
+        }
+    };
+    let inner = file.get("settings").ok_or("settings: missing")?;
+    let mut pairs = BTreeMap::new();
+    flatten("", inner, &mut pairs)?;
+    let pairs: BTreeMap<&str, &str> = pairs.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
+    let names = |key: &str| match inner.get(key) {
+        None => Ok(Vec::new()),
+        Some(Value::Array(names)) => names
+            .iter()
+            .map(|name| {
+                name.as_str()
+                    .map(str::to_owned)
+                    .ok_or_else(|| format!("settings.{key}: {name} is not a name"))
+            })
+            .collect(),
+        Some(other) => Err(format!("settings.{key}: {other} is not a list of names")),
+    };
+    let (zones, kinds) = (names("zones")?, names("kinds")?);
+    let idle = match pairs.get("limits.connIdleNs") {
+        None => 30_000_000_000,
+        Some(text) => {
+            text.parse().map_err(|_| format!("settings.limits.connIdleNs: cannot read {text:?}"))?
+        }
+    };
+    let settings = wire::decode_pairs(pairs)
+        .map_err(|e| format!("settings.{}: {}", e.field.trim_end_matches(" of profileData"), e.problem))?;
+    let counter = match told("counter", "BALANCER_COUNTER") {
+        Ok(text) => Some(address("counter", &text)?),
+        Err(missing) if settings.counter => return Err(missing),
+        Err(_) => None,
+    };
+    let seed = match file.get("seed") {
+        None => SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_nanos() as u64),
+        Some(Value::String(text)) => u64::from_str_radix(text, 16)
+            .map_err(|_| format!("seed: {text:?} is not a hexadecimal number"))?,
+        Some(other) => return Err(format!("seed: {other} is not a text of hexadecimal digits")),
+    };
+    let (sockets, memory) =
+        (count("/limits/sockets", 1024)? as usize, count("/limits/memory_mb", 192)? as usize);
+    if sockets < 64 {
+        return Err(format!("limits.sockets: {sockets} is too few, 64 are needed"));
+    }
+    let limits = Limits::new(&settings, sockets, memory << 20, Duration::from_nanos(idle));
+    Ok(Config {
+        name: told("name", "BALANCER_NAME").unwrap_or_else(|_| "limiter".to_owned()),
+        listen: address("listen", &told("listen", "BALANCER_LISTEN")?)?,
+        discovery: address("discovery", &told("discovery", "BALANCER_DISCOVERY")?)?,
+        counter,
+        seed,
+        known: file.get("known").cloned().unwrap_or(Value::Null),
+        settings,
+        zones,
+        kinds,
+        limits,
+    })
+}
+
+/// Lays nested JSON out as the path=value pairs that the simulator's first message has.
+fn flatten(path: &str, value: &Value, pairs: &mut BTreeMap<String, String>) -> Result<(), String> {
+    let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(members) => {
+            members.iter().try_for_each(|(name, value)| flatten(&below(name), value, pairs))
+        }
+        Value::Array(list) if list.iter().any(Value::is_object) => {
+            pairs.insert(below("count"), list.len().to_string());
+            list.iter().enumerate().try_for_each(|(i, value)| flatten(&below(&i.to_string()), value, pairs))
+        }
+        Value::Array(list) => {
+            let texts: Result<Vec<_>, _> = list.iter().map(|value| plain(path, value)).collect();
+            pairs.insert(path.to_owned(), texts?.join(","));
+            Ok(())
+        }
+        _ if path.is_empty() => Err("settings: not an object".to_owned()),
+        _ => {
+            pairs.insert(path.to_owned(), plain(path, value)?);
+            Ok(())
+        }
+    }
+}
+
+fn plain(path: &str, value: &Value) -> Result<String, String> {
+    Ok(match value {
+        Value::Null => "-".to_owned(),
+        Value::Bool(flag) => flag.to_string(),
+        Value::String(text) => text.clone(),
+        // A whole number may be written as 3.0 or 5e9, and is still one.
+        Value::Number(number) => match number.as_f64() {
+            Some(real) if number.is_f64() && real.fract() == 0.0 && real.abs() < 9e15 => {
+                (real as i64).to_string()
+            }
+            _ => number.to_string(),
+        },
+        _ => return Err(format!("settings.{path}: lists within lists are not known here")),
+    })
+}
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,272 @@
+//! The decision module at work: its clock, the requests that are open, events in and actions out. Knows no
+//! protocol: a front hands it a [`Request`] and gets one [`Answer`].
+
+use super::config::Limits;
+use crate::api::*;
+use crate::choice::Gateway;
+use std::cell::Cell;
+use std::collections::{HashMap, VecDeque};
+use std::ops::Range;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The clock that all limiters share: Unix time in nanoseconds, read once and advanced by the monotonic clock.
+/// Guards against windows cut at other moments than the other limiters cut theirs, and against leaps.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Nanos,
+}
+
+impl Clock {
+    /// A clock read off the system's.
+    pub fn new() -> Self {
+        let unix = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_nanos() as Nanos);
+        Clock { start: Instant::now(), unix }
+    }
+
+    /// What it shows at a moment.
+    pub fn at(&self, moment: Instant) -> Nanos {
+        self.unix + moment.saturating_duration_since(self.start).as_nanos() as Nanos
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Where a request came from, and where its one answer goes.
+pub trait Front {
+    /// Gives the answer to the request that has this place.
+    fn answer(&self, place: u64, answer: Answer);
+}
+
+/// The one final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Served, with the value as a host gave it.
+    Served(Vec<u8>),
+    /// The back-off answer: a new try is harmless, after this time.
+    BackOff(Duration),
+    /// Failed.
+    Failed,
+}
+
+/// What a host is to get: words that are passed on as they came, but for the wait that one of them tells.
+#[derive(Clone, Debug)]
+pub struct Payload {
+    /// The words, one behind another.
+    pub bytes: Vec<u8>,
+    /// Where in `bytes` each of them stands.
+    pub words: Vec<Range<usize>>,
+    /// Where in `bytes` the wait stands, in milliseconds.
+    pub wait: Range<usize>,
+}
+
+/// A request as a front hands it in.
+#[derive(Clone)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Its class's number; past the last one where it is not known.
+    pub class: u32,
+    /// Its plan's number; past the last one where it is not known.
+    pub plan: u32,
+    /// Its customer.
+    pub customer: CustomerId,
+    /// The units that it takes from the quota.
+    pub units: f64,
+    /// How many limiters its customer's requests may arrive through.
+    pub spread: u32,
+    /// The first of these.
+    pub first: u32,
+    /// Flags as told.
+    pub flags: u64,
+    /// How long the client waits.
+    pub wait: Duration,
+    /// What goes to a host.
+    pub payload: Payload,
+}
+
+/// A request taken and not yet answered.
+struct Open {
+    front: Rc<dyn Front>,
+    place: u64,
+    payload: Rc<Payload>,
+    deadline: Instant,
+    attempts: u32,
+}
+
+/// What a relay takes to its host.
+pub enum Errand {
+    /// An attempt of a request.
+    Attempt {
+        /// The request.
+        id: RequestId,
+        /// The attempt's number.
+        attempt: u32,
+        /// What the host gets.
+        payload: Rc<Payload>,
+    },
+    /// A probe.
+    Probe,
+}
+
+/// One relay: an attempt or probe that the module ordered, on its way to its host and back.
+pub struct Relay {
+    /// What it takes there.
+    pub errand: Errand,
+    /// The host.
+    pub host: HostId,
+    /// When the module ordered it.
+    pub began: Instant,
+    /// When it is given up.
+    pub until: Instant,
+    /// Told when the module takes it back.
+    pub cancel: Rc<Notify>,
+}
+
+/// The module, what it is to be told, and what is open.
+pub struct Core {
+    gateway: Gateway,
+    clock: Clock,
+    told: VecDeque<Event>,
+    open: HashMap<RequestId, Open>,
+    /// The relays that are out.
+    out: HashMap<(RequestId, u32), Rc<Notify>>,
+    /// Bytes of requests held, and of answers that clients have not taken.
+    held: Rc<Cell<usize>>,
+    max_open: usize,
+    max_held: usize,
+    max_attempts: u32,
+}
+
+impl Core {
+    /// A core that has been told nothing yet.
+    pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Self {
+        let clock = Clock::new();
+        Core {
+            gateway: Gateway::new(settings, seed, clock.at(Instant::now())),
+            clock,
+            told: VecDeque::new(),
+            open: HashMap::new(),
+            out: HashMap::new(),
+            held: Rc::default(),
+            max_open: limits.max_open,
+            max_held: limits.held_bytes,
+            max_attempts: limits.max_attempts,
+        }
+    }
+
+    /// Puts an event behind those that the module has yet to take.
+    pub fn tell(&mut self, event: Event) {
+        self.told.push_back(event);
+    }
+
+    /// Lets the module take the next event and appends its actions; false where there is none.
+    pub fn step(&mut self, actions: &mut Vec<Action>) -> bool {
+        let Some(mut event) = self.told.pop_front() else { return false };
+        if let Event::AttemptDone { id, over, .. } = &mut event {
+            // Whether the request is over is a matter of this moment: what was told before may have ended it.
+            *over |= !self.open.contains_key(id);
+        }
+        let now = self.clock.at(Instant::now());
+        let gateway = &mut self.gateway;
+        // Guards against a fault of the module on one event ending all that is open: each request has its last
+        // moment, at which it is failed whatever the module says.
+        if catch_unwind(AssertUnwindSafe(|| gateway.handle(now, event, actions))).is_err() {
+            eprintln!("quartzcleat: the decision module failed on an event");
+        }
+        true
+    }
+
+    /// Whether a request may be taken: there is room, and its id is not in use.
+    pub fn has_room(&self) -> bool {
+        self.open.len() < self.max_open && self.held.get() < self.max_held
+    }
+
+    /// Whether a request of this id is open or still out at a host.
+    pub fn knows(&self, id: RequestId) -> bool {
+        self.open.contains_key(&id) || (0..self.max_attempts).any(|n| self.out.contains_key(&(id, n)))
+    }
+
+    /// The tally of bytes held, to which fronts add what their clients have not taken.
+    pub fn held(&self) -> Rc<Cell<usize>> {
+        self.held.clone()
+    }
+
+    /// Holds a request until it is answered; returns its deadline.
+    pub fn open(
+        &mut self, front: Rc<dyn Front>, place: u64, request: &mut Request, came: Instant,
+    ) -> Instant {
+        let payload = std::mem::replace(
+            &mut request.payload,
+            Payload { bytes: Vec::new(), words: Vec::new(), wait: 0..0 },
+        );
+        let deadline = came + request.wait;
+        self.held.set(self.held.get() + payload.bytes.len());
+        self.open.insert(request.id, Open { front, place, payload: Rc::new(payload), deadline, attempts: 0 });
+        deadline
+    }
+
+    /// Ends a request; where its answer goes, if it was open.
+    pub fn close(&mut self, id: RequestId) -> Option<(Rc<dyn Front>, u64)> {
+        let open = self.open.remove(&id)?;
+        self.held.set(self.held.get() - open.payload.bytes.len());
+        Some((open.front, open.place))
+    }
+
+    /// How many requests are open.
+    pub fn count_open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Begins an attempt. `Err` is its number where it must not be made: the request is over, its time is, or
+    /// it had all its attempts.
+    pub fn begin(&mut self, id: RequestId, host: HostId, timeout: Nanos, now: Instant) -> Result<Relay, u32> {
+        let Some(open) = self.open.get_mut(&id) else { return Err(0) };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        if attempt >= self.max_attempts || now >= open.deadline {
+            return Err(attempt);
+        }
+        let until = match timeout {
+            0 => open.deadline,
+            _ => open.deadline.min(now + Duration::from_nanos(timeout)),
+        };
+        let cancel = Rc::new(Notify::new());
+        self.out.insert((id, attempt), cancel.clone());
+        let errand = Errand::Attempt { id, attempt, payload: open.payload.clone() };
+        Ok(Relay { errand, host, began: now, until, cancel })
+    }
+
+    /// Takes an attempt back, if it is out.
+    pub fn cancel(&self, id: RequestId, attempt: u32) {
+        if let Some(cancel) = self.out.get(&(id, attempt)) {
+            cancel.notify_one();
+        }
+    }
+
+    /// Marks an attempt as no longer out.
+    pub fn end(&mut self, id: RequestId, attempt: u32) {
+        self.out.remove(&(id, attempt));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_clocks_agree_and_never_go_back() {
+        let (one, two, now) = (Clock::new(), Clock::new(), Instant::now());
+        assert!(one.at(now).abs_diff(two.at(now)) < 50_000_000);
+        assert!(one.at(now + Duration::from_millis(3)) >= one.at(now) + 3_000_000);
+        assert!(one.at(now) > 1_700_000_000_000_000_000, "Unix time, not time since the start");
+    }
+}
--- /dev/null
+++ b/src/net/inventory.rs
@@ -0,0 +1,252 @@
+//! The inventory: discovery's list of hosts, watched without a gap.
+
+use super::config::Limits;
+use super::Node;
+use crate::api::{Event, HostEntry, HostId, HostState, ListMode};
+use serde_json::Value;
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// A list of hosts as discovery gave it.
+struct List {
+    version: u64,
+    whole: bool,
+    entries: Vec<(HostEntry, SocketAddr)>,
+}
+
+/// A whole answer of HTTP/1.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Response {
+    /// Its status.
+    pub status: u16,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Bytes it takes in the buffer.
+    pub length: usize,
+    /// Whether the connection lasts.
+    pub lasts: bool,
+}
+
+/// Names as discovery gives them, and the numbers that the module knows them by.
+pub struct Inventory {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    ids: HashMap<String, HostId>,
+    taken: HashSet<HostId>,
+    /// The version of the list held.
+    version: u64,
+}
+
+impl Inventory {
+    /// An inventory that lists nothing.
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
+        Inventory { zones, kinds, ids: HashMap::new(), taken: HashSet::new(), version: 0 }
+    }
+
+    /// Takes the list that the configuration holds, the first thing the module is told.
+    pub fn restore(&mut self, node: &Rc<Node>, known: &Value) -> Result<(), String> {
+        let list = match known {
+            Value::Null => List { version: 0, whole: true, entries: Vec::new() },
+            known => self.read(known).map_err(|e| format!("known.{e}"))?,
+        };
+        self.apply(node, list, ListMode::Restored);
+        Ok(())
+    }
+
+    fn read(&mut self, list: &Value) -> Result<List, String> {
+        let version = list.get("generation").and_then(Value::as_u64).ok_or("generation: not a number")?;
+        let whole = list.get("reset").and_then(Value::as_bool).ok_or("reset: neither true nor false")?;
+        let entries = list.get("instances").and_then(Value::as_array).ok_or("instances: not a list")?;
+        let entries: Result<_, _> = entries.iter().map(|entry| self.entry(entry)).collect();
+        Ok(List { version, whole, entries: entries? })
+    }
+
+    fn entry(&mut self, entry: &Value) -> Result<(HostEntry, SocketAddr), String> {
+        let text = |key: &str| {
+            let text = entry.get(key).and_then(Value::as_str);
+            text.ok_or_else(|| format!("instances: {key} is missing or no text in {entry}"))
+        };
+        let count = |key: &str| entry.get(key).and_then(Value::as_u64).unwrap_or(0);
+        let address =
+            text("hostPort")?.parse().map_err(|_| format!("instances: hostPort is no address in {entry}"))?;
+        let state = match text("lifecycle")? {
+            "SERVING" => HostState::Ready,
+            "DELETED" => HostState::Gone,
+            // Whatever else there may be one day, it is not serving.
+            _ => HostState::Draining,
+        };
+        let host = self.id(text("instanceId")?);
+        let weight = entry.get("weight").and_then(Value::as_f64).unwrap_or(0.0);
+        let (zone, kind) =
+            (index(&mut self.zones, text("zone")?), index(&mut self.kinds, text("machineType")?));
+        let (cell, started) = (count("cell") as u32, count("startedAtMs").saturating_mul(1_000_000));
+        Ok((HostEntry { host, state, cell, zone, kind, started, weight }, address))
+    }
+
+    /// The number of a host: a hash of its name, the same at every limiter and after a restart; where two names
+    /// share one, the later takes the next that is free.
+    fn id(&mut self, name: &str) -> HostId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let hash = name
+            .bytes()
+            .fold(0x811c_9dc5_u32, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193));
+        let mut id = HostId(hash);
+        while !self.taken.insert(id) {
+            id = HostId(id.0.wrapping_add(1));
+        }
+        self.ids.insert(name.to_owned(), id);
+        id
+    }
+
+    fn apply(&mut self, node: &Rc<Node>, list: List, mode: ListMode) {
+        let List { version, entries, .. } = list;
+        self.version = version;
+        entries.iter().for_each(|(entry, address)| node.south.learn(entry, *address));
+        let entries: Vec<_> = entries.into_iter().map(|(entry, _)| entry).collect();
+        if mode != ListMode::Update {
+            node.south.keep_only(&entries);
+        }
+        node.tell(Event::Hosts { version, mode, entries });
+    }
+}
+
+/// The number of a name; one that is not known gets the next.
+fn index(names: &mut Vec<String>, name: &str) -> u32 {
+    let known = names.iter().position(|known| known == name);
+    known.unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    }) as u32
+}
+
+/// Follows discovery for good. Each call comes at once behind the answer before it, so that the watch goes on;
+/// after a failure the whole list is asked for.
+pub async fn follow(node: Rc<Node>, mut inventory: Inventory, address: SocketAddr) {
+    loop {
+        if let Err(problem) = watch(&node, &mut inventory, address).await {
+            eprintln!("quartzcleat: inventory: {problem}");
+        }
+        sleep(node.limits.again).await;
+    }
+}
+
+async fn watch(node: &Rc<Node>, inventory: &mut Inventory, address: SocketAddr) -> Result<(), String> {
+    let limits = &node.limits;
+    let connect = timeout(limits.connect, TcpStream::connect(address)).await;
+    let mut stream = connect.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let (mut input, mut path, mut patience) = (Vec::new(), "/discovery/hosts".to_owned(), limits.watch_slack);
+    loop {
+        let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
+        let (body, lasts) =
+            answer(&mut stream, &mut input, patience, limits).await.map_err(|e| e.to_string())?;
+        let list: Value = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+        let list = inventory.read(&list)?;
+        let mode = if list.whole { ListMode::Replace } else { ListMode::Update };
+        inventory.apply(node, list, mode);
+        if !lasts {
+            return Ok(());
+        }
+        path = format!("/discovery/hosts?index={}&wait={}", inventory.version, limits.watch.as_millis());
+        patience = limits.watch + limits.watch_slack;
+    }
+}
+
+/// Reads one answer; its body, and whether the connection lasts.
+async fn answer(
+    stream: &mut TcpStream, input: &mut Vec<u8>, patience: Duration, limits: &Limits,
+) -> io::Result<(Vec<u8>, bool)> {
+    let whole = async {
+        loop {
+            if let Some(Response { status, body, length, lasts }) = response(input, limits.list_bytes)? {
+                input.drain(..length);
+                return match status {
+                    200 => Ok((body, lasts)),
+                    _ => Err(io::Error::other(format!("discovery answers with status {status}"))),
+                };
+            }
+            if stream.read_buf(input).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    };
+    timeout(patience, whole).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// The answer at the start of `bytes`, if it is whole: its status, body and length, and whether the connection
+/// lasts. Knows bodies with a length and chunked ones.
+pub fn response(bytes: &[u8], most: usize) -> io::Result<Option<Response>> {
+    let bad = |what: &str| Err(io::Error::new(io::ErrorKind::InvalidData, what.to_owned()));
+    let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
+        return if bytes.len() > 16 << 10 {
+            bad("discovery's answer has no end to its head")
+        } else {
+            Ok(None)
+        };
+    };
+    let Ok(head) = std::str::from_utf8(&bytes[..end]) else {
+        return bad("discovery's answer is no text");
+    };
+    let mut lines = head.split("\r\n");
+    let status = lines.next().and_then(|line| line.strip_prefix("HTTP/1.")).and_then(|line| line.get(2..5));
+    let Some(status) = status.and_then(|code| code.parse().ok()) else {
+        return bad("discovery speaks no HTTP/1");
+    };
+    let (mut length, mut chunked, mut lasts) = (None, false, true);
+    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+        let value = value.trim();
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => length = value.parse::<usize>().ok(),
+            "transfer-encoding" => chunked = value.eq_ignore_ascii_case("chunked"),
+            "connection" => lasts = !value.eq_ignore_ascii_case("close"),
+            _ => {}
+        }
+    }
+    let start = end + 4;
+    if !chunked {
+        return match length {
+            None => bad("discovery's answer tells no length"),
+            Some(length) if length > most => bad("discovery's answer is too long"),
+            Some(length) if bytes.len() - start < length => Ok(None),
+            Some(length) => Ok(Some(Response {
+                status,
+                body: bytes[start..start + length].to_vec(),
+                length: start + length,
+                lasts,
+            })),
+        };
+    }
+    let (mut body, mut at) = (Vec::new(), start);
+    loop {
+        let Some(line) = bytes[at..].windows(2).position(|two| two == b"\r\n") else {
+            return if bytes.len() - at > 64 { bad("a chunk has no length") } else { Ok(None) };
+        };
+        let text = std::str::from_utf8(&bytes[at..at + line]).unwrap_or_default();
+        let size = usize::from_str_radix(text.split(';').next().unwrap_or_default().trim(), 16);
+        let Ok(size) = size else { return bad("a chunk has no length") };
+        if size > most || body.len() + size > most {
+            return bad("discovery's answer is too long");
+        }
+        at += line + 2;
+        if bytes.len() < at + size + 2 {
+            return Ok(None);
+        }
+        body.extend_from_slice(&bytes[at..at + size]);
+        if &bytes[at + size..at + size + 2] != b"\r\n" {
+            return bad("a chunk does not end where it should");
+        }
+        at += size + 2;
+        if size == 0 {
+            return Ok(Some(Response { status, body, length: at, lasts }));
+        }
+    }
+}
--- /dev/null
+++ b/src/net/platform/mod.rs
@@ -0,0 +1,5 @@
+//! The platform's protocol, RESP2: the north side that clients speak to and the hosts on the south side.
+
+pub mod north;
+pub mod resp;
+pub mod south;
--- /dev/null
+++ b/src/net/platform/south.rs
@@ -0,0 +1,236 @@
+//! The south side: hosts, the connections to them, and what is written and read there.
+//!
+//! One relay at a time has a connection: behind another it would wait for that one's answer, and would be lost
+//! with it when the other is given up.
+
+use super::resp::{self, Reply};
+use crate::api::{HostEntry, HostId, HostState, Load, Outcome, ReportSource};
+use crate::net::config::Limits;
+use crate::net::core::{Errand, Relay};
+use crate::net::stages::book::End;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A connection that waits for its next relay.
+struct Idle {
+    serial: u64,
+    next: oneshot::Sender<Relay>,
+}
+
+struct Host {
+    address: SocketAddr,
+    started: u64,
+    /// When it was first told that the host wants nothing new.
+    left: Option<Instant>,
+    /// The latest used last.
+    idle: Vec<Idle>,
+}
+
+/// All hosts, and the connections to them.
+pub struct South {
+    hosts: RefCell<HashMap<HostId, Host>>,
+    links: Rc<Cell<usize>>,
+    serial: Cell<u64>,
+    reports: ReportSource,
+}
+
+/// A connection's count among all; ends with it.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A connection and its buffers.
+pub struct Link {
+    /// The socket.
+    pub stream: TcpStream,
+    /// What was read and not understood yet.
+    pub input: Vec<u8>,
+    /// What is to be written.
+    pub output: Vec<u8>,
+    /// Whether all of it has been.
+    pub written: bool,
+}
+
+impl Link {
+    /// A link on a fresh connection.
+    pub fn new(stream: TcpStream) -> Self {
+        Link { stream, input: Vec::new(), output: Vec::new(), written: false }
+    }
+
+    /// Whether nothing came on an idle connection, not even its end.
+    pub fn quiet(&mut self, limits: &Limits) -> bool {
+        resp::take(&self.stream, &mut self.input, limits.read_bytes).unwrap_or(false) && self.input.is_empty()
+    }
+}
+
+impl South {
+    /// No hosts yet.
+    pub fn new(reports: ReportSource) -> Self {
+        South { hosts: RefCell::default(), links: Rc::default(), serial: Cell::default(), reports }
+    }
+
+    /// Takes in what the inventory says of a host, which is told at this moment.
+    pub fn learn(&self, entry: &HostEntry, address: SocketAddr) {
+        let mut hosts = self.hosts.borrow_mut();
+        let fresh = || Host { address, started: entry.started, left: None, idle: Vec::new() };
+        let host = hosts.entry(entry.host).or_insert_with(fresh);
+        if host.address != address || host.started != entry.started {
+            *host = fresh();
+        }
+        host.mark(entry.state == HostState::Ready);
+    }
+
+    /// A whole list came: what it does not hold is gone.
+    pub fn keep_only(&self, listed: &[HostEntry]) {
+        for (id, host) in self.hosts.borrow_mut().iter_mut() {
+            if !listed.iter().any(|entry| entry.host == *id) {
+                host.mark(false);
+            }
+        }
+    }
+
+    /// Where a host listens; `None` once it may be sent nothing any more. Guards against a send that was decided
+    /// before the word of a drain, and whose connection comes up long after it.
+    pub fn address(&self, id: HostId, limits: &Limits) -> Option<SocketAddr> {
+        let hosts = self.hosts.borrow();
+        let host = hosts.get(&id)?;
+        let late = host.left.is_some_and(|told| told.elapsed() >= limits.drain);
+        (!late).then_some(host.address)
+    }
+
+    /// Hands a relay to the host's connection that was used last; gives it back where none waits.
+    pub fn hand_over(&self, mut relay: Relay) -> Result<(), Relay> {
+        let mut hosts = self.hosts.borrow_mut();
+        let Some(host) = hosts.get_mut(&relay.host) else { return Err(relay) };
+        while let Some(idle) = host.idle.pop() {
+            match idle.next.send(relay) {
+                Ok(()) => return Ok(()),
+                Err(back) => relay = back,
+            }
+        }
+        Err(relay)
+    }
+
+    /// Lets a connection wait for its next relay, if its host still wants one.
+    pub fn park(&self, id: HostId, peer: Option<SocketAddr>) -> Option<(u64, oneshot::Receiver<Relay>)> {
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.get_mut(&id).filter(|host| host.left.is_none() && Some(host.address) == peer)?;
+        let (next, relay) = oneshot::channel();
+        let serial = self.serial.get();
+        self.serial.set(serial + 1);
+        host.idle.push(Idle { serial, next });
+        Some((serial, relay))
+    }
+
+    /// Takes a connection out of those that wait.
+    pub fn unpark(&self, id: HostId, serial: u64) {
+        if let Some(host) = self.hosts.borrow_mut().get_mut(&id) {
+            host.idle.retain(|idle| idle.serial != serial);
+        }
+    }
+
+    /// Closes the connections to a host that wait.
+    pub fn close_idle(&self, id: HostId) {
+        if let Some(host) = self.hosts.borrow_mut().get_mut(&id) {
+            host.idle.clear();
+        }
+    }
+
+    /// Room for one more connection, if need be in the place of the one that has waited longest.
+    pub fn count(&self, limits: &Limits) -> Option<Counted> {
+        if self.links.get() >= limits.south_connections {
+            let mut hosts = self.hosts.borrow_mut();
+            let oldest = |host: &&mut Host| host.idle.first().map_or(u64::MAX, |idle| idle.serial);
+            let host = hosts.values_mut().min_by_key(oldest).filter(|host| !host.idle.is_empty())?;
+            drop(host.idle.remove(0));
+        }
+        self.links.set(self.links.get() + 1);
+        Some(Counted(self.links.clone()))
+    }
+
+    /// What a reply to a relay means.
+    pub fn end(&self, reply: &Reply, bytes: &[u8], errand: &Errand) -> End {
+        let text = |place: &std::ops::Range<usize>| bytes[place.clone()].to_vec();
+        let load_of = |member: &Reply| match member {
+            Reply::Bulk(Some(place)) => load(&bytes[place.clone()]),
+            _ => None,
+        };
+        let end = match (reply, errand) {
+            (Reply::Error(place), _) => {
+                let line = &bytes[place.clone()];
+                let busy = line.starts_with(b"BUSY") && line.get(4).is_none_or(|byte| *byte == b' ');
+                let last = line.rsplit(|byte| *byte == b' ').next().unwrap_or_default();
+                let outcome = if busy { Outcome::Full } else { Outcome::Error };
+                End { load: load(last).unwrap_or_default(), ..outcome.into() }
+            }
+            (Reply::Bulk(Some(_)), Errand::Probe) => match load_of(reply) {
+                Some(load) => End { load, ..Outcome::Good.into() },
+                None => Outcome::Error.into(),
+            },
+            (Reply::Array(Some(members)), Errand::Attempt { .. }) => match members.as_slice() {
+                // The value, the figures on use or null, the load report or null.
+                [Reply::Bulk(Some(value)), Reply::Bulk(_), report @ Reply::Bulk(_)] => End {
+                    value: text(value),
+                    load: load_of(report).unwrap_or_default(),
+                    ..Outcome::Good.into()
+                },
+                _ => Outcome::Error.into(),
+            },
+            _ => Outcome::Error.into(),
+        };
+        let told = matches!(errand, Errand::Probe) || self.reports == ReportSource::Answers;
+        End { load: if told { end.load } else { Load::new() }, ..end }
+    }
+}
+
+impl Host {
+    fn mark(&mut self, ready: bool) {
+        if ready {
+            self.left = None;
+        } else {
+            self.left.get_or_insert_with(Instant::now);
+            self.idle.clear();
+        }
+    }
+}
+
+/// A load report: `inflight=7,queue=2`.
+fn load(bytes: &[u8]) -> Option<Load> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let pair = |pair: &str| {
+        let (name, value) = pair.split_once('=')?;
+        let value: f64 = value.parse().ok()?;
+        value.is_finite().then(|| (name.to_owned(), value))
+    };
+    text.split(',').map(pair).collect()
+}
+
+/// Writes the command that a relay takes to its host. The words go on byte for byte; the wait is what is left.
+pub fn write(relay: &Relay, now: Instant, out: &mut Vec<u8>) {
+    let Errand::Attempt { payload, .. } = &relay.errand else {
+        return resp::write_command(&[b"INFO", b"load"], out);
+    };
+    let left = relay.until.saturating_duration_since(now).as_millis().max(1).to_string();
+    resp::write_head('*', payload.words.len(), out);
+    for word in &payload.words {
+        let wait = &payload.wait;
+        if word.start <= wait.start && wait.end <= word.end && !wait.is_empty() {
+            resp::write_head('$', word.len() - wait.len() + left.len(), out);
+            out.extend_from_slice(&payload.bytes[word.start..wait.start]);
+            out.extend_from_slice(left.as_bytes());
+            out.extend_from_slice(&payload.bytes[wait.end..word.end]);
+            out.extend_from_slice(b"\r\n");
+        } else {
+            resp::write_bulk(&payload.bytes[word.clone()], out);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/stages/book.rs
@@ -0,0 +1,67 @@
+//! Last stage: how things ended is told to the module and, where that ends the request, to its client.
+
+use crate::api::{Event, HostId, Load, Nanos, Outcome, RequestId};
+use crate::net::core::{Answer, Errand, Relay};
+use crate::net::Node;
+use std::rc::Rc;
+
+/// How a relay ended: its outcome, the value of a good one, and the load report that came along.
+pub struct End {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The load report.
+    pub load: Load,
+}
+
+impl From<Outcome> for End {
+    fn from(outcome: Outcome) -> Self {
+        End { outcome, value: Vec::new(), load: Load::new() }
+    }
+}
+
+/// Gives a request its final answer, if it is still open.
+pub fn answer(node: &Rc<Node>, id: RequestId, answer: Answer) -> bool {
+    let open = node.core.borrow_mut().close(id);
+    if let Some((front, place)) = &open {
+        front.answer(*place, answer);
+    }
+    open.is_some()
+}
+
+/// The client of a request went away: nothing is owed any more.
+pub fn abandon(node: &Rc<Node>, id: RequestId) {
+    let open = node.core.borrow_mut().close(id);
+    if open.is_some() {
+        node.tell(Event::Abandoned { id });
+    }
+}
+
+/// Fails a request that nothing has answered, and lets the module know.
+pub fn give_up(node: &Rc<Node>, id: RequestId) {
+    if answer(node, id, Answer::Failed) {
+        node.tell(Event::Abandoned { id });
+    }
+}
+
+/// Books the end of a relay. The first good one answers the client by itself.
+pub fn done(node: &Rc<Node>, relay: &Relay, end: End) {
+    let (host, outcome, took) = (relay.host, end.outcome, relay.began.elapsed().as_nanos() as Nanos);
+    let Errand::Attempt { id, attempt, .. } = relay.errand else {
+        return node.tell(Event::ProbeDone { host, outcome, took, load: end.load });
+    };
+    node.core.borrow_mut().end(id, attempt);
+    if outcome == Outcome::Good {
+        answer(node, id, Answer::Served(end.value));
+    }
+    tell_done(node, (id, attempt, host), outcome, took, end.load);
+}
+
+/// Tells the module of the end of an attempt. Whether the request is over is filled in when it takes the event.
+pub fn tell_done(
+    node: &Rc<Node>, (id, attempt, host): (RequestId, u32, HostId), outcome: Outcome, took: Nanos, load: Load,
+) {
+    let (over, metered_use, true_units) = (false, 0, 0.0);
+    node.tell(Event::AttemptDone { id, attempt, host, outcome, took, over, metered_use, true_units, load });
+}
--- /dev/null
+++ b/src/net/stages/mod.rs
@@ -0,0 +1,8 @@
+//! The stages that a request passes, one after another.
+
+pub mod admit;
+pub mod book;
+pub mod relay;
+pub mod route;
+pub mod send;
+pub mod take_in;
--- /dev/null
+++ b/src/net/stages/send.rs
@@ -0,0 +1,87 @@
+//! Fourth stage: a relay gets a connection, the host's latest idle one or a new one.
+
+use super::{book, relay};
+use crate::api::{HostId, Outcome};
+use crate::net::core::{Errand, Relay};
+use crate::net::platform::south::Link;
+use crate::net::{spawn, Node};
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, Notify};
+use tokio::time::{sleep_until, timeout_at, Instant};
+
+/// Sends a relay on its way.
+pub fn send(node: &Rc<Node>, relay: Relay) {
+    if let Err(relay) = node.south.hand_over(relay) {
+        spawn(serve(node.clone(), relay));
+    }
+}
+
+/// Sends a probe on its way.
+pub fn probe(node: &Rc<Node>, host: HostId) {
+    let now = Instant::now();
+    let cancel = Rc::new(Notify::new());
+    send(node, Relay { errand: Errand::Probe, host, began: now, until: now + node.limits.connect, cancel });
+}
+
+/// A connection's life: opened for one relay, it takes others as long as it is sound.
+async fn serve(node: Rc<Node>, mut relay: Relay) {
+    let Some(_counted) = node.south.count(&node.limits) else {
+        return book::done(&node, &relay, Outcome::ConnectFailed.into());
+    };
+    let mut link = match connect(&node, &relay).await {
+        Ok(stream) => Link::new(stream),
+        Err(outcome) => return book::done(&node, &relay, outcome.into()),
+    };
+    loop {
+        let (end, sound) = relay::relay(&node, &mut link, &relay).await;
+        // Waits already when the module is told, so that what it sends on next finds this connection.
+        let peer = link.stream.peer_addr().ok();
+        let parked = if sound { node.south.park(relay.host, peer) } else { None };
+        book::done(&node, &relay, end);
+        let Some((serial, next)) = parked else { return };
+        let host = relay.host;
+        match wait(&node, &mut link, next).await {
+            // What came while it was idle, or its end: nothing has been written, so another one is taken.
+            Some(relay) if !link.quiet(&node.limits) => return send(&node, relay),
+            Some(next) => relay = next,
+            None => return node.south.unpark(host, serial),
+        }
+    }
+}
+
+async fn connect(node: &Rc<Node>, relay: &Relay) -> Result<TcpStream, Outcome> {
+    let address = node.south.address(relay.host, &node.limits).ok_or(Outcome::ConnectFailed)?;
+    let by = relay.until.min(Instant::now() + node.limits.connect);
+    tokio::select! {
+        biased;
+        () = relay.cancel.notified() => Err(Outcome::Cancelled),
+        opened = timeout_at(by, TcpStream::connect(address)) => match opened {
+            Ok(Ok(stream)) => {
+                let _ = stream.set_nodelay(true);
+                Ok(stream)
+            }
+            _ => Err(Outcome::ConnectFailed),
+        },
+    }
+}
+
+/// Waits for a connection's next relay; `None` when it has been idle for too long, or anything came on it. The
+/// relay is looked at first in each turn, so that none is lost to another cause.
+async fn wait(node: &Rc<Node>, link: &mut Link, mut next: oneshot::Receiver<Relay>) -> Option<Relay> {
+    let until = Instant::now() + node.limits.south_idle;
+    let idle = sleep_until(until);
+    tokio::pin!(idle);
+    loop {
+        tokio::select! {
+            biased;
+            relay = &mut next => return relay.ok(),
+            _ = link.stream.readable() => {
+                if !link.quiet(&node.limits) {
+                    return None;
+                }
+            }
+            () = &mut idle => return None,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/stages/take_in.rs
@@ -0,0 +1,22 @@
+//! First stage: a request from a front is held until it is answered, or sent back where there is no room.
+
+use super::admit;
+use crate::net::core::{Answer, Front, Request};
+use crate::net::shutdown::Phase;
+use crate::net::Node;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Takes a request in. Past the limits of what the program holds it gets a back-off answer at once.
+pub fn take_in(node: &Rc<Node>, front: Rc<dyn Front>, place: u64, mut request: Request) {
+    let came = Instant::now();
+    if !node.core.borrow().has_room() || node.shutdown.phase() >= Phase::LastCall {
+        return front.answer(place, Answer::BackOff(node.limits.back_off));
+    }
+    // An id that is still in use would make two requests one.
+    if node.core.borrow().knows(request.id) {
+        return front.answer(place, Answer::Failed);
+    }
+    let deadline = node.core.borrow_mut().open(front, place, &mut request, came);
+    admit::admit(node, request, deadline);
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -334,6 +334,15 @@
             None => return Err(p.error(part, "is not a path=value pair")),
         };
     }
+    settings_of(p)
+}
+
+/// Settings from path=value pairs that did not come on the wire; an error's field names the path.
+pub fn decode_pairs(pairs: BTreeMap<&str, &str>) -> Result<Settings, WireError> {
+    settings_of(Pairs { line: 0, pairs })
+}
+
+fn settings_of(p: Pairs) -> Parsed<Settings> {
     let mut classes = Vec::new();
     for i in 0..p.get::<u32>("categories.count")? {
         let key = |name: &str| format!("categories.{i}.{name}");
