--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -103,6 +103,7 @@
 }
 
 /// What a relay takes to its host.
+#[derive(Debug)]
 pub enum Errand {
     /// An attempt of a request.
     Attempt {
@@ -118,6 +119,7 @@
 }
 
 /// One relay: an attempt or probe that the module ordered, on its way to its host and back.
+#[derive(Debug)]
 pub struct Relay {
     /// What it takes there.
     pub errand: Errand,
@@ -185,6 +187,12 @@
         true
     }
 
+    /// The next event that the module has yet to take, for tests.
+    #[cfg(test)]
+    pub(crate) fn untold(&mut self) -> Option<Event> {
+        self.told.pop_front()
+    }
+
     /// Whether a request may be taken: there is room, and its id is not in use.
     pub fn has_room(&self) -> bool {
         self.open.len() < self.max_open && self.held.get() < self.max_held
@@ -259,8 +267,26 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
+    use super::super::tests::with_node;
     use super::*;
+    use std::cell::RefCell;
+
+    /// A front that keeps what it is given.
+    #[derive(Default)]
+    pub(crate) struct Kept(pub RefCell<Vec<(u64, Answer)>>);
+
+    impl Front for Kept {
+        fn answer(&self, place: u64, answer: Answer) {
+            self.0.borrow_mut().push((place, answer));
+        }
+    }
+
+    pub(crate) fn request(id: u64) -> Request {
+        let payload = Payload { bytes: b"Q.ASKd=900,c=x".to_vec(), words: vec![0..5, 5..14], wait: 7..10 };
+        let (id, customer, wait) = (RequestId(id), CustomerId(7), Duration::from_millis(900));
+        Request { id, class: 0, plan: 1, customer, units: 1.0, spread: 1, first: 0, flags: 0, wait, payload }
+    }
 
     #[test]
     fn two_clocks_agree_and_never_go_back() {
@@ -269,4 +295,28 @@
         assert!(one.at(now + Duration::from_millis(3)) >= one.at(now) + 3_000_000);
         assert!(one.at(now) > 1_700_000_000_000_000_000, "Unix time, not time since the start");
     }
+
+    /// Numbers follow the orders, time-outs are cut to the deadline, and what must not be sent is not.
+    #[test]
+    fn attempts_keep_to_cap_and_deadline() {
+        with_node(&[], |node| async move {
+            let (mut core, now) = (node.core.borrow_mut(), Instant::now());
+            let deadline = core.open(Rc::new(Kept::default()), 0, &mut request(1), now);
+            let host = HostId(5);
+            for timeout in [0, 5_000_000_000, 1_000_000, 0] {
+                let relay = core.begin(RequestId(1), host, timeout, now).expect("within the cap");
+                let until = if timeout == 1_000_000 { now + Duration::from_millis(1) } else { deadline };
+                assert_eq!(relay.until, until);
+            }
+            assert_eq!(core.begin(RequestId(1), host, 0, now).err(), Some(4));
+            core.open(Rc::new(Kept::default()), 0, &mut request(2), now);
+            assert_eq!(core.begin(RequestId(2), host, 0, deadline).err(), Some(0));
+            assert_eq!(core.begin(RequestId(3), host, 0, now).err(), Some(0));
+            // An id is in use until its last attempt has ended.
+            core.close(RequestId(1));
+            assert!(core.knows(RequestId(1)));
+            (0..4).for_each(|attempt| core.end(RequestId(1), attempt));
+            assert!(!core.knows(RequestId(1)));
+        });
+    }
 }
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -254,3 +254,83 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::tests::{next, with_node};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    async fn counted(node: &Rc<Node>) -> (Outcome, f64) {
+        match next(node).await {
+            Event::Counted { outcome, total, .. } => (outcome, total),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Reads until as many calls have come.
+    async fn calls(stream: &mut TcpStream, count: usize) {
+        let mut bytes = Vec::new();
+        while bytes.windows(6).filter(|six| six == b"ADDGET").count() < count || !bytes.ends_with(b"4000\r\n")
+        {
+            assert!(stream.read_buf(&mut bytes).await.expect("the limiter writes") > 0);
+        }
+    }
+
+    fn call(node: &Rc<Node>, amount: f64) {
+        node.counter.call(node, "q7.1".to_owned(), amount, 4_000_000_000);
+    }
+
+    /// Answers that come late belong to the calls they were late for, not to those that wait now.
+    #[test]
+    fn late_answers_are_dropped_by_their_place() {
+        let changes = [
+            ("127.0.0.1:7002", "127.77.0.20:7002"),
+            ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 200000000"),
+        ];
+        with_node(&changes, |node| async move {
+            let listener = TcpListener::bind("127.77.0.20:7002").await.expect("the address is free");
+            // Made before there is a connection; of the others' connections none comes into it.
+            call(&node, 1.0);
+            call(&node, -2.5);
+            let line =
+                node.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            spawn(keep(node.clone(), line.clone(), node.counter.address.expect("told")));
+            let (mut stream, _) = listener.accept().await.expect("the limiter connects");
+            calls(&mut stream, 2).await;
+            assert_eq!(counted(&node).await.0, Outcome::Timeout);
+            assert_eq!(counted(&node).await.0, Outcome::Timeout);
+            call(&node, 3.0);
+            calls(&mut stream, 1).await;
+            stream.write_all(b"$1\r\n1\r\n$4\r\n-1.5\r\n$3\r\n1.5\r\n").await.expect("the limiter reads");
+            assert_eq!(counted(&node).await, (Outcome::Good, 1.5));
+            // A connection that ends takes with it what may have been added.
+            call(&node, 4.0);
+            calls(&mut stream, 1).await;
+            drop(stream);
+            assert_eq!(counted(&node).await.0, Outcome::Timeout);
+            // Its successor serves on, also where the counter turns a call away.
+            let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
+            call(&node, 5.0);
+            call(&node, 6.0);
+            calls(&mut stream, 2).await;
+            stream.write_all(b"-BUSY\r\n$1\r\n6\r\n").await.expect("the limiter reads");
+            assert_eq!(counted(&node).await.0, Outcome::Full);
+            assert_eq!(counted(&node).await, (Outcome::Good, 6.0));
+        });
+    }
+
+    /// What was never on its way was not added, and is told so, in time.
+    #[test]
+    fn without_a_connection_nothing_is_added() {
+        with_node(&[("127.0.0.1:7002", "127.77.0.21:7002")], |node| async move {
+            start(&node);
+            call(&node, 1.0);
+            call(&node, 2.0);
+            assert_eq!(counted(&node).await.0, Outcome::ConnectFailed);
+            assert_eq!(counted(&node).await.0, Outcome::ConnectFailed);
+            assert!(node.counter.lines.iter().all(|line| line.calls.borrow().is_empty()));
+        });
+    }
+}
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -250,3 +250,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The same number for a name at every limiter, and never one for two names.
+    #[test]
+    fn hosts_keep_their_numbers_and_share_none() {
+        let (mut one, mut two) = (Inventory::new(vec![], vec![]), Inventory::new(vec![], vec![]));
+        assert_eq!(one.id("s-5be2a07c"), two.id("s-5be2a07c"));
+        let taken = two.id("s-1");
+        let mut three = Inventory::new(vec![], vec![]);
+        three.taken.insert(taken);
+        assert_eq!(three.id("s-1"), HostId(taken.0.wrapping_add(1)));
+        assert_eq!(three.id("s-1"), HostId(taken.0.wrapping_add(1)));
+    }
+
+    #[test]
+    fn entries_are_read_and_faulty_ones_named() {
+        let mut inventory = Inventory::new(vec!["a".into()], vec!["m1".into()]);
+        let text = r#"{"generation":4,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:5",
+            "zone":"b","machineType":"m1","cell":3,"lifecycle":"DRAINING","weight":1.5,"startedAtMs":1700000000000}]}"#;
+        let list = inventory.read(&serde_json::from_str(text).expect("JSON")).expect("a list");
+        let entry = &list.entries[0].0;
+        assert_eq!(
+            (list.version, list.whole, entry.state, entry.zone, entry.kind),
+            (4, false, HostState::Draining, 1, 0)
+        );
+        assert_eq!((entry.cell, entry.started, entry.weight), (3, 1_700_000_000_000_000_000, 1.5));
+        let faulty = text.replace("127.0.0.1:5", "nowhere");
+        let problem = inventory.read(&serde_json::from_str(&faulty).expect("JSON")).err().expect("a fault");
+        assert!(problem.starts_with("instances: hostPort"), "{problem}");
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -41,6 +41,21 @@
 }
 
 impl Node {
+    /// A limiter that has been told nothing and is connected to nothing yet.
+    pub fn new(config: Config) -> Rc<Self> {
+        let Config { settings, counter: address, seed, limits, .. } = config;
+        Rc::new(Node {
+            south: South::new(settings.reports),
+            counter: counter::Counter::new(address, &limits),
+            shutdown: shutdown::Shutdown::default(),
+            names: north::Names::of(&settings),
+            core: RefCell::new(Core::new(settings, seed, &limits)),
+            limits,
+            telling: Cell::default(),
+            actions: Cell::default(),
+        })
+    }
+
     /// Tells the module what happened and carries out what it orders. What that causes in turn waits until all
     /// its actions are done: the module is never called from within its own actions.
     pub fn tell(self: &Rc<Self>, event: Event) {
@@ -76,28 +91,50 @@
 }
 
 async fn run(config: Config) -> Result<(), String> {
-    let Config { listen, discovery, counter: address, seed, known, settings, zones, kinds, limits, .. } =
-        config;
-    let names = north::Names::of(&settings);
-    let reports = settings.reports;
-    let node = Rc::new(Node {
-        core: RefCell::new(Core::new(settings, seed, &limits)),
-        south: South::new(reports),
-        counter: counter::Counter::new(address, &limits),
-        shutdown: shutdown::Shutdown::default(),
-        names,
-        limits,
-        telling: Cell::default(),
-        actions: Cell::default(),
-    });
+    let (listen, discovery, known) = (config.listen, config.discovery, config.known.clone());
+    let mut inventory = Inventory::new(config.zones.clone(), config.kinds.clone());
+    let node = Node::new(config);
     shutdown::watch(&node)?;
-    let mut inventory = Inventory::new(zones, kinds);
     inventory.restore(&node, &known)?;
     counter::start(&node);
     spawn(inventory::follow(node.clone(), inventory, discovery));
-    let listener =
-        TcpListener::bind(listen).await.map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
+    let listener = TcpListener::bind(listen).await;
+    let listener = listener.map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
     north::accept(&node, listener).await;
     shutdown::finish(&node).await;
     Ok(())
 }
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    /// A limiter of the example's settings with some of the text changed, on a thread of its own. What the
+    /// module would be told stays in the queue, for the test to look at.
+    pub(crate) fn with_node<F: Future<Output = ()>>(
+        changes: &[(&str, &str)], test: impl FnOnce(Rc<Node>) -> F,
+    ) {
+        let text = include_str!("../../examples/toy.json").to_owned();
+        let text = changes.iter().fold(text, |text, (from, to)| {
+            assert!(text.contains(from), "the example holds {from}");
+            text.replace(from, to)
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        LocalSet::new().block_on(&runtime.expect("a runtime starts"), async {
+            let node = Node::new(config::read(&text, |_| None).expect("the configuration is sound"));
+            node.telling.set(true);
+            test(node).await;
+        });
+    }
+
+    /// Waits for the next event that the module would be told.
+    pub(crate) async fn next(node: &Rc<Node>) -> Event {
+        loop {
+            let event = node.core.borrow_mut().untold();
+            if let Some(event) = event {
+                return event;
+            }
+            tokio::time::sleep(node.limits.last_moment).await;
+        }
+    }
+}
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -234,3 +234,82 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::core::tests::{request, Kept};
+    use crate::net::tests::with_node;
+
+    /// The words go on as they came, the wait apart, whose length may change.
+    #[test]
+    fn only_the_wait_is_rewritten() {
+        with_node(&[], |node| async move {
+            let (mut core, now) = (node.core.borrow_mut(), Instant::now());
+            core.open(Rc::new(Kept::default()), 0, &mut request(1), now);
+            for (timeout, expected) in
+                [(0, "$9\r\nd=900,c=x"), (42_000_000, "$8\r\nd=42,c=x"), (10, "$7\r\nd=1,c=x")]
+            {
+                let relay =
+                    core.begin(crate::api::RequestId(1), HostId(5), timeout, now).expect("within the cap");
+                let mut out = Vec::new();
+                write(&relay, now, &mut out);
+                assert_eq!(String::from_utf8_lossy(&out), format!("*2\r\n$5\r\nQ.ASK\r\n{expected}\r\n"));
+            }
+        });
+    }
+
+    #[test]
+    fn only_a_whole_right_formed_value_is_good() {
+        let attempt = Errand::Attempt {
+            id: crate::api::RequestId(1),
+            attempt: 0,
+            payload: Rc::new(request(1).payload),
+        };
+        with_node(&[], |node| async move {
+            let south = South::new(ReportSource::Answers);
+            for (bytes, outcome, inflight) in [
+                ("*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n", Outcome::Good, Some(7.0)),
+                ("*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome::Error, None),
+                ("*2\r\n$3\r\nbed\r\n$-1\r\n", Outcome::Error, None),
+                ("$3\r\nbed\r\n", Outcome::Error, None),
+                ("+OK\r\n", Outcome::Error, None),
+                ("-BUSY\r\n", Outcome::Full, None),
+                ("-BUSY inflight=9\r\n", Outcome::Full, Some(9.0)),
+                ("-BUSYBODY\r\n", Outcome::Error, None),
+                ("-ERR failed inflight=3,queue=0\r\n", Outcome::Error, Some(3.0)),
+            ] {
+                let (reply, _) =
+                    resp::reply(bytes.as_bytes(), &node.limits).expect("well-formed").expect("whole");
+                let end = south.end(&reply, bytes.as_bytes(), &attempt);
+                assert_eq!(
+                    (end.outcome, end.load.first().map(|(_, value)| *value)),
+                    (outcome, inflight),
+                    "{bytes:?}"
+                );
+                assert_eq!(end.value, if outcome == Outcome::Good { b"bed".to_vec() } else { Vec::new() });
+            }
+        });
+    }
+
+    /// A send that was decided before the word of a drain goes out for a while only.
+    #[test]
+    fn a_host_that_drains_is_soon_sent_nothing() {
+        with_node(&[], |node| async move {
+            let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
+            let entry = |state| HostEntry { host: HostId(5), state, ..HostEntry::default() };
+            let drained = Limits { drain: std::time::Duration::ZERO, ..node.limits.clone() };
+            south.learn(&entry(HostState::Ready), address);
+            assert_eq!(south.address(HostId(5), &drained), Some(address));
+            let parked = south.park(HostId(5), Some(address)).expect("it may wait");
+            south.keep_only(&[]);
+            assert_eq!(south.address(HostId(5), &node.limits), Some(address));
+            assert_eq!(south.address(HostId(5), &drained), None);
+            // Its idle connections are let go, and it gets no new ones.
+            assert!(parked.1.await.is_err());
+            assert!(south.park(HostId(5), Some(address)).is_none());
+            south.learn(&entry(HostState::Ready), address);
+            assert_eq!(south.address(HostId(5), &drained), Some(address));
+        });
+    }
+}
--- a/src/net/stages/book.rs
+++ b/src/net/stages/book.rs
@@ -65,3 +65,35 @@
     let (over, metered_use, true_units) = (false, 0, 0.0);
     node.tell(Event::AttemptDone { id, attempt, host, outcome, took, over, metered_use, true_units, load });
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::core::tests::{request, Kept};
+    use crate::net::tests::{next, with_node};
+    use tokio::time::Instant;
+
+    /// The first good attempt answers by itself; whatever comes later is told to the module and to nobody else.
+    #[test]
+    fn one_answer_whatever_comes() {
+        with_node(&[], |node| async move {
+            let (front, now) = (Rc::new(Kept::default()), Instant::now());
+            node.core.borrow_mut().open(front.clone(), 9, &mut request(1), now);
+            let begin =
+                || node.core.borrow_mut().begin(RequestId(1), HostId(5), 0, now).expect("within the cap");
+            let (first, second) = (begin(), begin());
+            done(&node, &first, End { value: b"bed".to_vec(), ..Outcome::Good.into() });
+            done(&node, &second, End { value: b"other".to_vec(), ..Outcome::Good.into() });
+            give_up(&node, RequestId(1));
+            assert!(!answer(&node, RequestId(1), Answer::Failed));
+            assert_eq!(*front.0.borrow(), [(9, Answer::Served(b"bed".to_vec()))]);
+            for number in 0..2 {
+                let event = next(&node).await;
+                assert!(
+                    matches!(event, Event::AttemptDone { attempt, .. } if attempt == number),
+                    "{event:?}"
+                );
+            }
+        });
+    }
+}
--- /dev/null
+++ b/tests/limiter.rs
@@ -0,0 +1,204 @@
+//! The program as a process, spoken to over sockets, beside the toy platform of the examples.
+
+#[path = "../examples/toy.rs"]
+mod toy;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, ExitStatus};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+struct Limiter {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Drop for Limiter {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts a limiter at an address of its own, beside a toy platform, or one whose counter never answers.
+fn start(number: u8, silent_counter: bool, change: impl Fn(String) -> String) -> Limiter {
+    let (tell, told) = mpsc::channel();
+    std::thread::spawn(move || {
+        toy::run(async move {
+            let bind = || TcpListener::bind("127.0.0.1:0");
+            let (discovery, counter, silent, hosts) =
+                (bind().await?, bind().await?, bind().await?, bind().await?);
+            let called = if silent_counter { silent.local_addr()? } else { counter.local_addr()? };
+            tell.send((discovery.local_addr()?, called)).map_err(std::io::Error::other)?;
+            let config = quartzcleat::net::config::read(include_str!("../examples/toy.json"), |_| None);
+            let limits = config.map_err(std::io::Error::other)?.limits;
+            toy::Toy { discovery, counter, hosts: vec![hosts], limits }.serve().await?;
+            drop(silent);
+            Ok(())
+        })
+        .expect("the toy serves");
+    });
+    let (discovery, counter): (SocketAddr, SocketAddr) = told.recv().expect("the toy is up");
+    // Nobody else has this port at this address.
+    let address = SocketAddr::from(([127, 77, 0, number], discovery.port()));
+    let text = change(include_str!("../examples/toy.json").to_owned());
+    let text = text.replace("127.0.0.1:7002", &counter.to_string());
+    let path = std::env::temp_dir().join(format!("quartzcleat-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).expect("the configuration is written");
+    let child = Command::new(env!("CARGO_BIN_EXE_quartzcleat"))
+        .env("BALANCER_CONFIG", &path)
+        .env("BALANCER_LISTEN", address.to_string())
+        .env("BALANCER_DISCOVERY", discovery.to_string())
+        .spawn()
+        .expect("the limiter starts");
+    let limiter = Limiter { child, address };
+    assert_eq!(ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1), "+PONG\r\n");
+    limiter
+}
+
+impl Limiter {
+    fn connect(&self) -> TcpStream {
+        let since = Instant::now();
+        loop {
+            match TcpStream::connect(self.address) {
+                Ok(stream) => {
+                    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out is set");
+                    return stream;
+                }
+                Err(e) if since.elapsed() > Duration::from_secs(20) => panic!("the limiter is not up: {e}"),
+                Err(_) => std::thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    fn terminate(&mut self) -> ExitStatus {
+        let id = self.child.id().to_string();
+        assert!(Command::new("sh")
+            .args(["-c", &format!("kill -TERM {id}")])
+            .status()
+            .expect("kill runs")
+            .success());
+        self.child.wait().expect("the limiter ends")
+    }
+}
+
+/// Writes, and reads so many answers, or fewer at the end of the connection.
+fn ask(stream: &mut TcpStream, bytes: &str, count: usize) -> String {
+    stream.write_all(bytes.as_bytes()).expect("the limiter reads");
+    let (mut answers, mut reader) = (String::new(), BufReader::with_capacity(1, stream));
+    for _ in 0..count {
+        let start = answers.len();
+        reader.read_line(&mut answers).expect("the limiter answers");
+        if answers[start..].starts_with('$') {
+            reader.read_line(&mut answers).expect("the value is whole");
+        }
+    }
+    answers
+}
+
+fn request(verb: &str, id: u64, facts: &str, body: &str) -> String {
+    let (customer, id) = (format!("{:016x}", 77), format!("{id:016x}"));
+    let words = [verb, &customer, &id, facts, body];
+    let words = if body.is_empty() { &words[..4] } else { &words[..] };
+    let bulks: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
+    format!("*{}\r\n{bulks}", words.len())
+}
+
+const CHECK: &str = "c=bed-check,t=operator,d=900,units=1,spread=1,first=0";
+const HOLD: &str = "c=bed-hold,t=operator,d=900,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0";
+
+fn served(id: u64) -> String {
+    format!("$16\r\n{id:016x}\r\n")
+}
+
+#[test]
+fn pipelined_requests_are_served_in_order_and_malformed_ones_do_not_end_them() {
+    let limiter = start(1, false, |text| text);
+    let mut client = limiter.connect();
+    let broken = request("Q.ASK", 3, "c=bed-check,t=operator", "");
+    let unknown = "*1\r\n$5\r\nHELLO\r\n";
+    let bytes = request("Q.ASK", 1, CHECK, "")
+        + unknown
+        + &request("Q.DO", 2, HOLD, "a bed")
+        + &broken
+        + &request("Q.ASK", 4, CHECK, "x");
+    let expected =
+        served(1) + "-ERR unknown command\r\n" + &served(2) + "-ERR the list holds no d\r\n" + &served(4);
+    assert_eq!(ask(&mut client, &bytes, 5), expected);
+    // What cannot be read any further is answered and ends the connection, after all that came before it.
+    let expected = served(5) + "-ERR a command is an array of bulk strings\r\n";
+    assert_eq!(ask(&mut client, &(request("Q.ASK", 5, CHECK, "") + "PING\r\n"), 3), expected);
+}
+
+#[test]
+fn every_failure_of_a_host_ends_in_one_answer_before_the_deadline() {
+    let limiter = start(2, false, |text| text);
+    for (body, id) in [("error", 1), ("cut", 2), ("silent", 3)] {
+        let (mut client, began) = (limiter.connect(), Instant::now());
+        let answer = ask(&mut client, &request("Q.DO", id, HOLD, body), 1);
+        assert!(answer.starts_with('-') && answer.ends_with("\r\n"), "{body}: {answer:?}");
+        assert!(began.elapsed() < Duration::from_millis(950), "{body}: after {:?}", began.elapsed());
+    }
+    assert_eq!(ask(&mut limiter.connect(), &request("Q.DO", 9, HOLD, "fine"), 1), served(9));
+}
+
+/// The design lets requests pass while the counter is silent, after a short wait.
+#[test]
+fn a_silent_counter_holds_nobody_up() {
+    let limiter = start(3, true, |text| text);
+    let (mut client, began) = (limiter.connect(), Instant::now());
+    for id in 1..=5 {
+        assert_eq!(ask(&mut client, &request("Q.ASK", id, CHECK, ""), 1), served(id));
+    }
+    assert!(began.elapsed() < Duration::from_millis(900), "after {:?}", began.elapsed());
+}
+
+#[test]
+fn beyond_the_quota_and_past_the_open_cap_the_answer_is_a_back_off_one() {
+    let limiter = start(4, false, |text| text.replace("\"openCap\": 20000", "\"openCap\": 1"));
+    let mut client = limiter.connect();
+    // The open cap: the second finds the first still out.
+    let both = request("Q.DO", 1, HOLD, "silent") + &request("Q.ASK", 2, CHECK, "");
+    let answers = ask(&mut client, &both, 2);
+    assert!(answers.starts_with('-') && answers.ends_with("\r\n-BUSY 1000\r\n"), "{answers}");
+    // The quota: guide has a window of 9 s for 18 units, and asks for 30 within it.
+    let mut client = limiter.connect();
+    let facts = "c=bed-check,t=guide,d=900,units=6,spread=1,first=0";
+    let answers: Vec<_> = (3..13).map(|id| ask(&mut client, &request("Q.ASK", id, facts, ""), 1)).collect();
+    assert!(answers.iter().any(|answer| answer.starts_with("-BUSY")), "{answers:?}");
+}
+
+/// At a planned end, connections are served on, and one that waits for an answer gets it.
+#[test]
+fn at_sigterm_what_was_taken_is_answered_and_the_program_ends_well() {
+    let mut limiter = start(5, false, |text| text);
+    let (mut idle, mut busy) = (limiter.connect(), limiter.connect());
+    busy.write_all(request("Q.DO", 1, HOLD, "silent").as_bytes()).expect("the limiter reads");
+    let waiting = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(200));
+        let late = ask(&mut idle, &request("Q.ASK", 2, CHECK, ""), 1);
+        (late, ask(&mut busy, "", 1))
+    });
+    assert!(limiter.terminate().success());
+    let (late, answer) = waiting.join().expect("the clients end");
+    assert_eq!(late, served(2));
+    assert!(answer.starts_with('-') && answer.ends_with("\r\n"), "{answer:?}");
+}
+
+#[test]
+fn a_faulty_configuration_is_named_by_its_key() {
+    for (from, to, message) in [
+        ("\"127.0.0.1:7001\"", "\"nowhere\"", "discovery: \"nowhere\" is not an address"),
+        ("\"sendCap\": 4", "\"sendCap\": \"four\"", "settings.limits.sendCap: cannot read"),
+        ("\"sockets\": 1024", "\"sockets\": -1", "limits.sockets: -1 is not a count"),
+        ("\"dedup\"", "\"dedupe\"", "settings.categories.1.effect: unknown word"),
+        ("\"counter\": \"127.0.0.1:7002\",", "", "counter: missing"),
+        ("\"8c1f30d27a5be964\"", "7", "seed: 7 is not a text"),
+    ] {
+        let text = include_str!("../examples/toy.json").replacen(from, to, 1);
+        let problem = quartzcleat::net::config::read(&text, |_| None).expect_err(to);
+        assert!(problem.starts_with(message), "{problem}");
+    }
+}
