Sockets: read without the call that only tells there is no more; no address asked of each relay

Seen: reading by readable() and try_read() leaves the socket marked as ready, so that each message cost one more call, which found nothing; and each relay asked the kernel for its peer's address. Ruled out: timers, as their number is the same. At fault: resp::take() and the peer_addr() in send::serve(). Reads now go through the library's own, which clears the mark after a read that did not fill the buffer.

--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -90,13 +90,13 @@
                 () = line.news.notified() => {}
             }
         };
-        let Some(stream) = stream else {
+        let Some(mut stream) = stream else {
             line.pause(&node).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
         let flushed = Cell::new(0);
-        let idle = line.converse(&node, &stream, &flushed).await;
+        let idle = line.converse(&node, &mut stream, &flushed).await;
         drop(stream);
         line.broken(&node, flushed.get());
         if !idle {
@@ -185,7 +185,8 @@
     }
 
     /// Serves a connection until it breaks, stays silent, or has nothing to do for long; true for the last.
-    async fn converse(&self, node: &Rc<Node>, stream: &TcpStream, flushed: &Cell<u64>) -> bool {
+    async fn converse(&self, node: &Rc<Node>, stream: &mut TcpStream, flushed: &Cell<u64>) -> bool {
+        let (mut reader, writer) = stream.split();
         let limits = &node.limits;
         let (mut input, mut out) = (Vec::new(), Vec::new());
         let mut heard = Instant::now();
@@ -193,7 +194,7 @@
             // `flushed` bytes are written; `out` holds what follows them.
             self.write(&mut out, flushed.get());
             while !out.is_empty() {
-                match stream.try_write(&out) {
+                match writer.try_write(&out) {
                     Ok(count) => {
                         flushed.set(flushed.get() + count as u64);
                         resp::consume(&mut out, count, limits.read_bytes);
@@ -205,8 +206,7 @@
             let waiting = !self.calls.borrow().is_empty();
             let patience = if waiting { limits.counter_silence } else { limits.counter_idle };
             tokio::select! {
-                ready = stream.readable() => {
-                    let more = ready.and_then(|()| resp::take(stream, &mut input, limits.read_bytes));
+                more = resp::more(&mut reader, &mut input, limits.read_bytes) => {
                     if !more.unwrap_or(false) {
                         return false;
                     }
@@ -215,7 +215,7 @@
                     }
                     heard = Instant::now();
                 }
-                _ = stream.writable(), if !out.is_empty() => {}
+                _ = writer.writable(), if !out.is_empty() => {}
                 () = self.overdue(limits) => self.expire(node),
                 () = self.news.notified() => {
                     if !waiting {
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -223,7 +223,7 @@
     }
 }
 
-async fn serve(node: &Rc<Node>, stream: TcpStream, crowded: bool) {
+async fn serve(node: &Rc<Node>, mut stream: TcpStream, crowded: bool) {
     let held = node.core.borrow().held();
     let owed = Rc::new(Owed {
         slots: RefCell::default(),
@@ -231,7 +231,7 @@
         ready: Notify::new(),
         held: held.clone(),
     });
-    let lost = converse(node, &stream, &owed, crowded).await;
+    let lost = converse(node, &mut stream, &owed, crowded).await;
     // A client that went away is owed nothing; what was ready and not taken is held no longer.
     drop(stream);
     let slots = std::mem::take(&mut *owed.slots.borrow_mut());
@@ -245,8 +245,9 @@
 }
 
 /// Serves a connection to its end; returns how many bytes of answers were left unsent.
-async fn converse(node: &Rc<Node>, stream: &TcpStream, owed: &Rc<Owed>, crowded: bool) -> usize {
+async fn converse(node: &Rc<Node>, stream: &mut TcpStream, owed: &Rc<Owed>, crowded: bool) -> usize {
     let limits = &node.limits;
+    let (mut reader, writer) = stream.split();
     let (mut input, mut out, mut sent, mut sound) = (Vec::new(), Vec::new(), 0, true);
     let mut phase = node.shutdown.changes();
     loop {
@@ -272,7 +273,7 @@
         resp::consume(&mut input, done, limits.read_bytes);
         owed.collect(&mut out);
         if sent < out.len() {
-            match stream.try_write(&out[sent..]) {
+            match writer.try_write(&out[sent..]) {
                 Ok(count) => sent += count,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return out.len(),
@@ -292,13 +293,12 @@
         }
         let read = sound && owed.waiting() < limits.north_pipeline && out.len() < limits.north_unsent;
         tokio::select! {
-            ready = stream.readable(), if read => {
-                let more = ready.and_then(|()| resp::take(stream, &mut input, limits.read_bytes));
+            more = resp::more(&mut reader, &mut input, limits.read_bytes), if read => {
                 if !more.unwrap_or(false) {
                     return out.len();
                 }
             }
-            _ = stream.writable(), if sent < out.len() => {}
+            _ = writer.writable(), if sent < out.len() => {}
             _ = owed.ready.notified() => {}
             _ = phase.changed(), if !closing => {}
         }
--- a/src/net/platform/resp.rs
+++ b/src/net/platform/resp.rs
@@ -7,7 +7,7 @@
 use std::fmt::Write as _;
 use std::io;
 use std::ops::Range;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt};
 
 /// Why bytes are no message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -209,14 +209,13 @@
     words.iter().for_each(|word| write_bulk(word, out));
 }
 
-/// Reads what has come, without waiting. `Ok(false)` at the end of the stream; `WouldBlock` is no error.
-pub fn take(stream: &TcpStream, buffer: &mut Vec<u8>, step: usize) -> io::Result<bool> {
+/// Waits for more to read; `Ok(false)` at the end of the stream. Given up while it waits, it has taken nothing.
+/// A read that does not fill the buffer spares the call that would only tell that there is no more.
+pub async fn more(
+    stream: &mut (impl AsyncRead + Unpin), buffer: &mut Vec<u8>, step: usize,
+) -> io::Result<bool> {
     buffer.reserve(step);
-    match stream.try_read_buf(buffer) {
-        Ok(count) => Ok(count > 0),
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(true),
-        Err(e) => Err(e),
-    }
+    Ok(stream.read_buf(buffer).await? > 0)
 }
 
 /// Takes the first bytes off a buffer, and lets go of the memory that a long message needed.
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -10,6 +10,7 @@
 use crate::net::stages::book::End;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -52,6 +53,8 @@
 pub struct Link {
     /// The socket.
     pub stream: TcpStream,
+    /// Where it leads.
+    pub peer: SocketAddr,
     /// What was read and not understood yet.
     pub input: Vec<u8>,
     /// What is to be written.
@@ -62,13 +65,14 @@
 
 impl Link {
     /// A link on a fresh connection.
-    pub fn new(stream: TcpStream) -> Self {
-        Link { stream, input: Vec::new(), output: Vec::new(), written: false }
+    pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
+        Link { stream, peer, input: Vec::new(), output: Vec::new(), written: false }
     }
 
-    /// Whether nothing came on an idle connection, not even its end.
-    pub fn quiet(&mut self, limits: &Limits) -> bool {
-        resp::take(&self.stream, &mut self.input, limits.read_bytes).unwrap_or(false) && self.input.is_empty()
+    /// Whether an idle connection has not come to its end.
+    pub fn quiet(&self) -> bool {
+        let read = self.stream.try_read(&mut [0]);
+        read.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
@@ -121,9 +125,9 @@
     }
 
     /// Lets a connection wait for its next relay, if its host still wants one.
-    pub fn park(&self, id: HostId, peer: Option<SocketAddr>) -> Option<(u64, oneshot::Receiver<Relay>)> {
+    pub fn park(&self, id: HostId, peer: SocketAddr) -> Option<(u64, oneshot::Receiver<Relay>)> {
         let mut hosts = self.hosts.borrow_mut();
-        let host = hosts.get_mut(&id).filter(|host| host.left.is_none() && Some(host.address) == peer)?;
+        let host = hosts.get_mut(&id).filter(|host| host.left.is_none() && host.address == peer)?;
         let (next, relay) = oneshot::channel();
         let serial = self.serial.get();
         self.serial.set(serial + 1);
@@ -301,13 +305,13 @@
             let drained = Limits { drain: std::time::Duration::ZERO, ..node.limits.clone() };
             south.learn(&entry(HostState::Ready), address);
             assert_eq!(south.address(HostId(5), &drained), Some(address));
-            let parked = south.park(HostId(5), Some(address)).expect("it may wait");
+            let parked = south.park(HostId(5), address).expect("it may wait");
             south.keep_only(&[]);
             assert_eq!(south.address(HostId(5), &node.limits), Some(address));
             assert_eq!(south.address(HostId(5), &drained), None);
             // Its idle connections are let go, and it gets no new ones.
             assert!(parked.1.await.is_err());
-            assert!(south.park(HostId(5), Some(address)).is_none());
+            assert!(south.park(HostId(5), address).is_none());
             south.learn(&entry(HostState::Ready), address);
             assert_eq!(south.address(HostId(5), &drained), Some(address));
         });
--- a/src/net/stages/relay.rs
+++ b/src/net/stages/relay.rs
@@ -57,10 +57,7 @@
             Ok(None) => {}
             Err(_) => return (Outcome::Error.into(), false),
         }
-        let more = match link.stream.readable().await {
-            Ok(()) => resp::take(&link.stream, &mut link.input, node.limits.read_bytes),
-            Err(e) => Err(e),
-        };
+        let more = resp::more(&mut link.stream, &mut link.input, node.limits.read_bytes).await;
         if !more.unwrap_or(false) {
             return (Outcome::Reset.into(), false);
         }
--- a/src/net/stages/send.rs
+++ b/src/net/stages/send.rs
@@ -3,12 +3,12 @@
 use super::{book, relay};
 use crate::api::{HostId, Outcome};
 use crate::net::core::{Errand, Relay};
-use crate::net::platform::south::Link;
+use crate::net::platform::{resp, south::Link};
 use crate::net::{spawn, Node};
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Sends a relay on its way.
 pub fn send(node: &Rc<Node>, relay: Relay) {
@@ -30,27 +30,26 @@
         return book::done(&node, &relay, Outcome::ConnectFailed.into());
     };
     let mut link = match connect(&node, &relay).await {
-        Ok(stream) => Link::new(stream),
+        Ok(link) => link,
         Err(outcome) => return book::done(&node, &relay, outcome.into()),
     };
     loop {
         let (end, sound) = relay::relay(&node, &mut link, &relay).await;
         // Waits already when the module is told, so that what it sends on next finds this connection.
-        let peer = link.stream.peer_addr().ok();
-        let parked = if sound { node.south.park(relay.host, peer) } else { None };
+        let parked = if sound { node.south.park(relay.host, link.peer) } else { None };
         book::done(&node, &relay, end);
         let Some((serial, next)) = parked else { return };
         let host = relay.host;
         match wait(&node, &mut link, next).await {
-            // What came while it was idle, or its end: nothing has been written, so another one is taken.
-            Some(relay) if !link.quiet(&node.limits) => return send(&node, relay),
+            // It came to its end meanwhile: nothing has been written, so another one is taken.
+            Some(relay) if !link.quiet() => return send(&node, relay),
             Some(next) => relay = next,
             None => return node.south.unpark(host, serial),
         }
     }
 }
 
-async fn connect(node: &Rc<Node>, relay: &Relay) -> Result<TcpStream, Outcome> {
+async fn connect(node: &Rc<Node>, relay: &Relay) -> Result<Link, Outcome> {
     let address = node.south.address(relay.host, &node.limits).ok_or(Outcome::ConnectFailed)?;
     let by = relay.until.min(Instant::now() + node.limits.connect);
     tokio::select! {
@@ -59,7 +58,7 @@
         opened = timeout_at(by, TcpStream::connect(address)) => match opened {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
-                Ok(stream)
+                Ok(Link::new(stream, address))
             }
             _ => Err(Outcome::ConnectFailed),
         },
@@ -69,19 +68,11 @@
 /// Waits for a connection's next relay; `None` when it has been idle for too long, or anything came on it. The
 /// relay is looked at first in each turn, so that none is lost to another cause.
 async fn wait(node: &Rc<Node>, link: &mut Link, mut next: oneshot::Receiver<Relay>) -> Option<Relay> {
-    let until = Instant::now() + node.limits.south_idle;
-    let idle = sleep_until(until);
-    tokio::pin!(idle);
-    loop {
-        tokio::select! {
-            biased;
-            relay = &mut next => return relay.ok(),
-            _ = link.stream.readable() => {
-                if !link.quiet(&node.limits) {
-                    return None;
-                }
-            }
-            () = &mut idle => return None,
-        }
+    let idle = node.limits.south_idle;
+    tokio::select! {
+        biased;
+        relay = &mut next => relay.ok(),
+        _ = resp::more(&mut link.stream, &mut link.input, node.limits.read_bytes) => None,
+        () = sleep(idle) => None,
     }
 }
