North: a connection past the limit answers all it has read before it closes

Seen in review: it was let go after its first command, so that commands which had come with it were lost, and a request that a limiter took and ended without an answer is a broken rule. At fault: the early end of the loop in converse(). Now it closes between requests, as at the program's end; the new test sends two commands at once past the limit.

--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -258,9 +258,6 @@
                 Ok(Some(command)) => {
                     take(node, owed, &input[done..], &command, crowded);
                     done += command.length;
-                    if crowded {
-                        sound = false;
-                    }
                 }
                 Err(malformed) => {
                     let mut text = Vec::new();
@@ -288,7 +285,10 @@
         // end a connection closes between requests only.
         let between = out.is_empty() && owed.waiting() == 0;
         let closing = phase.borrow_and_update().ge(&Phase::Closing);
-        if between && (!sound || closing && input.is_empty()) {
+        // Guards against losing commands that came together on a connection past the limit: it closes once all
+        // that was read of it is answered, and not before its first command.
+        let leaving = closing || crowded && owed.first.get() > 0;
+        if between && (!sound || leaving && input.is_empty()) {
             return 0;
         }
         let read = sound && owed.waiting() < limits.north_pipeline && out.len() < limits.north_unsent;
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -170,6 +170,28 @@
     assert!(answers.iter().any(|answer| answer.starts_with("-BUSY")), "{answers:?}");
 }
 
+/// Past the limit on connections each command still gets its answer, and the connection is let go.
+#[test]
+fn a_connection_past_the_limit_is_told_to_back_off() {
+    let limiter = start(6, false, |text| text.replace("\"sockets\": 1024", "\"sockets\": 128"));
+    let ping = "*1\r\n$4\r\nPING\r\n";
+    // One after another: by its answer all that ended before a connection came is counted out.
+    let open = |_| {
+        let mut client = limiter.connect();
+        assert_eq!(ask(&mut client, ping, 1), "+PONG\r\n");
+        client
+    };
+    let mut held: Vec<_> = (0..64).map(open).collect();
+    let two = request("Q.ASK", 1, CHECK, "") + &request("Q.ASK", 2, CHECK, "");
+    assert_eq!(ask(&mut limiter.connect(), &two, 3), "-BUSY 1000\r\n-BUSY 1000\r\n");
+    // Those within it go on, and make room as they leave.
+    assert_eq!(ask(&mut held[0], &request("Q.ASK", 3, CHECK, ""), 1), served(3));
+    held.clear();
+    let since = Instant::now();
+    let again = |id| ask(&mut limiter.connect(), &request("Q.ASK", id, CHECK, ""), 1) == served(id);
+    assert!((4..).take_while(|_| since.elapsed() < Duration::from_secs(20)).any(again));
+}
+
 /// At a planned end, connections are served on, and one that waits for an answer gets it.
 #[test]
 fn at_sigterm_what_was_taken_is_answered_and_the_program_ends_well() {
