SIGHUP: the file is read again, and discovery and counter move to where it says

Checked: no other crash in the log; exit 129 is the signal's default action, since no handler was installed anywhere. Ruled out: the file itself (it is read well at start). In reading, a second fault would have followed: config.rs takes BALANCER_DISCOVERY and BALANCER_COUNTER before the file, so a second reading would have kept the old addresses. At fault: src/net/mod.rs (no handler), config.rs `told`, counter.rs and inventory.rs (addresses fixed at start).

The counter's lines now tell calls in their order whichever connection each was written to, so that the old connection can finish its calls while new ones go to the new address.

--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -136,13 +136,13 @@
 fn main() -> io::Result<()> {
     run(async {
         let config = config::read(include_str!("toy.json"), |_| None).map_err(io::Error::other)?;
-        let counter = config.counter.ok_or(io::ErrorKind::NotFound)?;
+        let counter = config.addresses.counter.ok_or(io::ErrorKind::NotFound)?;
         let mut hosts = Vec::new();
         for port in [7003, 7004] {
             hosts.push(TcpListener::bind(("127.0.0.1", port)).await?);
         }
         let (discovery, counter) =
-            (TcpListener::bind(config.discovery).await?, TcpListener::bind(counter).await?);
+            (TcpListener::bind(config.addresses.discovery).await?, TcpListener::bind(counter).await?);
         println!("The toy platform is up. Start the limiter: BALANCER_CONFIG=examples/toy.json cargo run");
         Toy { discovery, counter, hosts, limits: config.limits }.serve().await
     })
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -109,6 +109,15 @@
     }
 }
 
+/// Where the services listen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The counter, where there is one.
+    pub counter: Option<SocketAddr>,
+}
+
 /// What a limiter is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -116,10 +125,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery listens.
-    pub discovery: SocketAddr,
-    /// Where the counter listens, where there is one.
-    pub counter: Option<SocketAddr>,
+    /// Where the services listen.
+    pub addresses: Addresses,
     /// For random numbers.
     pub seed: u64,
     /// The inventory as this limiter had it last, in discovery's form.
@@ -134,13 +141,35 @@
     pub limits: Limits,
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+/// The text of the file that the environment names.
+fn file() -> Result<String, String> {
+    let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: not set")?;
+    std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: cannot read {path}: {e}"))
+}
+
 /// Reads the configuration that the environment names.
 pub fn from_environment() -> Result<Config, String> {
-    let variable = |name: &str| std::env::var(name).ok();
-    let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: not set")?;
-    let text =
-        std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: cannot read {path}: {e}"))?;
-    read(&text, variable)
+    read(&file()?, variable)
+}
+
+/// Reads it again while the program runs.
+pub fn again() -> Result<Config, String> {
+    reread(&file()?, variable)
+}
+
+/// Reads a configuration that was replaced while the program runs. Guards against the environment, which is as
+/// old as the program, keeping addresses that the services have left: for these the file goes first.
+pub fn reread(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let file: Value = serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
+    read(text, |name| match name {
+        "BALANCER_DISCOVERY" if file.get("discovery").is_some() => None,
+        "BALANCER_COUNTER" if file.get("counter").is_some() => None,
+        _ => variable(name),
+    })
 }
 
 /// Reads a configuration; what a variable of the environment says goes before what the file says.
@@ -204,8 +233,10 @@
     Ok(Config {
         name: told("name", "BALANCER_NAME").unwrap_or_else(|_| "limiter".to_owned()),
         listen: address("listen", &told("listen", "BALANCER_LISTEN")?)?,
-        discovery: address("discovery", &told("discovery", "BALANCER_DISCOVERY")?)?,
-        counter,
+        addresses: Addresses {
+            discovery: address("discovery", &told("discovery", "BALANCER_DISCOVERY")?)?,
+            counter,
+        },
         seed,
         known: file.get("known").cloned().unwrap_or(Value::Null),
         settings,
@@ -282,4 +313,21 @@
             assert!(all + 8 < sockets, "{all} of {sockets}");
         }
     }
+
+    /// At the start the environment goes first; once the file is replaced, its addresses do.
+    #[test]
+    fn a_replaced_file_goes_before_the_environment() {
+        let (text, told) = (include_str!("../../examples/toy.json"), "127.0.0.9:9");
+        let variable = |name: &str| name.starts_with("BALANCER_").then(|| told.to_owned());
+        let (old, new) = (read(text, variable).expect("sound"), reread(text, variable).expect("sound"));
+        let address = |text: &str| text.parse().expect("an address");
+        let (discovery, counter) = (address(told), Some(address(told)));
+        assert_eq!(old.addresses, Addresses { discovery, counter });
+        let (discovery, counter) = (address("127.0.0.1:7001"), Some(address("127.0.0.1:7002")));
+        assert_eq!(new.addresses, Addresses { discovery, counter });
+        assert_eq!(new.listen, address(told), "all else stays as the environment has it");
+        let silent = text.replace("\"discovery\"", "\"elsewhere\"");
+        assert_eq!(reread(&silent, variable).expect("sound").addresses.discovery, address(told));
+        assert!(reread("{", variable).is_err());
+    }
 }
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -1,7 +1,7 @@
 //! The counter service: a few lasting connections with calls written one behind another. A name always goes to
-//! the same connection, and what becomes of its calls is told in their order.
+//! the same line, whose calls are told in their order, whichever connection each of them was written to.
 
-use super::config::Limits;
+use super::config::{Addresses, Limits};
 use super::platform::resp::{self, Reply};
 use super::{spawn, Node};
 use crate::api::{Event, Nanos, Outcome};
@@ -9,77 +9,104 @@
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// One call.
+/// One call that nothing has been told of yet.
 struct Call {
     name: String,
-    /// What is to be written; empty where it never will be.
+    /// What is to be written; empty once it is on its way, or where it never will be.
     command: Vec<u8>,
     began: Instant,
-    /// Where in the connection's stream its last byte stands, once it is on its way.
-    end: Option<u64>,
-    /// What became of it has been told.
-    told: bool,
+    /// It is on its way, or was.
+    sent: bool,
+    /// What became of it, once that is known.
+    end: Option<(Outcome, f64)>,
 }
 
-/// The calls of one connection, in their order.
+/// Calls in their order, and the connection that they are written to. One that moves to another address leaves
+/// its old connection behind, to end by itself.
 struct Line {
     calls: RefCell<VecDeque<Call>>,
+    /// How many calls were told of: the number of the first that is held.
+    told: Cell<u64>,
     news: Notify,
 }
 
+/// A connection, and the calls whose answers are still to come on it.
+struct Link {
+    stream: TcpStream,
+    input: Vec<u8>,
+    /// What follows the first `flushed` bytes of its stream.
+    out: Vec<u8>,
+    flushed: u64,
+    /// The number of each call, told of or not, and where in the stream its last byte stands.
+    written: VecDeque<(u64, u64)>,
+}
+
+/// Why a connection is no longer served.
+#[derive(PartialEq)]
+enum Over {
+    /// It had nothing to do for long.
+    Idle,
+    /// It broke, or is of no more use.
+    Broken,
+    /// The counter has another address now.
+    Moved,
+}
+
 /// The connections to the counter.
 pub struct Counter {
-    address: Option<SocketAddr>,
     lines: Vec<Rc<Line>>,
 }
 
 impl Counter {
     /// No connection yet.
-    pub fn new(address: Option<SocketAddr>, limits: &Limits) -> Self {
-        let line = || Rc::new(Line { calls: RefCell::default(), news: Notify::new() });
-        Counter { address, lines: (0..limits.counter_links).map(|_| line()).collect() }
+    pub fn new(limits: &Limits) -> Self {
+        let line = || Line { calls: RefCell::default(), told: Cell::default(), news: Notify::new() };
+        Counter { lines: (0..limits.counter_links).map(|_| Rc::new(line())).collect() }
     }
 
     /// Calls the counter; exactly one `Counted` event follows.
     pub fn call(&self, node: &Rc<Node>, name: String, amount: f64, keep_for: Nanos) {
+        if node.addresses.borrow().counter.is_none() {
+            return node.tell(Event::Counted { name, outcome: Outcome::ConnectFailed, total: 0.0, took: 0 });
+        }
         let mut hasher = DefaultHasher::new();
         name.hash(&mut hasher);
         let line = &self.lines[hasher.finish() as usize % self.lines.len()];
-        let mut calls = line.calls.borrow_mut();
-        if self.address.is_none() {
-            drop(calls);
-            return node.tell(Event::Counted { name, outcome: Outcome::ConnectFailed, total: 0.0, took: 0 });
-        }
         // Past the limit a call is not made, but keeps its place: what becomes of it is told behind the others.
-        let mut command = Vec::new();
+        let mut calls = line.calls.borrow_mut();
+        let (mut command, mut end) = (Vec::new(), Some((Outcome::ConnectFailed, 0.0)));
         if calls.len() < node.limits.counter_calls {
             let (amount, life) =
                 (amount.to_string(), keep_for.div_ceil(1_000_000).clamp(1, 60_000).to_string());
             let words = [b"ADDGET", name.as_bytes(), amount.as_bytes(), life.as_bytes()];
             resp::write_command(&words, &mut command);
+            end = None;
         }
-        calls.push_back(Call { name, command, began: Instant::now(), end: None, told: false });
+        calls.push_back(Call { name, command, began: Instant::now(), sent: false, end });
         line.news.notify_one();
     }
 }
 
 /// Starts the connections.
 pub fn start(node: &Rc<Node>) {
-    let Some(address) = node.counter.address else { return };
     for line in &node.counter.lines {
-        spawn(keep(node.clone(), line.clone(), address));
+        spawn(keep(node.clone(), line.clone()));
     }
 }
 
 /// Keeps one connection up, and its calls told in time while it is not.
-async fn keep(node: Rc<Node>, line: Rc<Line>, address: SocketAddr) {
+async fn keep(node: Rc<Node>, line: Rc<Line>) {
+    let mut addresses = node.addresses.subscribe();
     loop {
+        let Some(address) = addresses.borrow_and_update().counter else {
+            let _ = addresses.changed().await;
+            continue;
+        };
         let by = Instant::now() + node.limits.connect;
         let connect = timeout_at(by, TcpStream::connect(address));
         tokio::pin!(connect);
@@ -88,170 +115,218 @@
                 opened = &mut connect => break opened.ok().and_then(Result::ok),
                 () = line.overdue(&node.limits) => line.expire(&node),
                 () = line.news.notified() => {}
+                _ = addresses.changed() => {
+                    addresses.mark_changed();
+                    break None;
+                }
             }
         };
-        let Some(mut stream) = stream else {
-            line.pause(&node).await;
+        let Some(stream) = stream else {
+            line.pause(&node, &mut addresses).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let flushed = Cell::new(0);
-        let idle = line.converse(&node, &mut stream, &flushed).await;
-        drop(stream);
-        line.broken(&node, flushed.get());
-        if !idle {
-            line.pause(&node).await;
+        let mut link = Link::new(stream);
+        match line.converse(&node, &mut link, &mut addresses).await {
+            Over::Idle => line.broken(&node, link),
+            Over::Moved => spawn(line.clone().leave(node.clone(), link)),
+            Over::Broken => {
+                line.broken(&node, link);
+                line.pause(&node, &mut addresses).await;
+            }
+        }
+    }
+}
+
+impl Link {
+    fn new(stream: TcpStream) -> Self {
+        Link { stream, input: Vec::new(), out: Vec::new(), flushed: 0, written: VecDeque::new() }
+    }
+
+    /// Writes as much as the connection takes; false where it is broken.
+    fn flush(&mut self, limits: &Limits) -> bool {
+        while !self.out.is_empty() {
+            match self.stream.try_write(&self.out) {
+                Ok(count) => {
+                    self.flushed += count as u64;
+                    resp::consume(&mut self.out, count, limits.read_bytes);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => return false,
+            }
         }
+        true
     }
 }
 
 impl Line {
-    /// Waits until the first call that nothing has been told of is past its time.
+    /// Waits until the first call is past its time.
     async fn overdue(&self, limits: &Limits) {
-        let first = self.calls.borrow().iter().find(|call| !call.told).map(|call| call.began);
+        let first = self.calls.borrow().front().map(|call| call.began);
         match first {
             Some(began) => sleep_until(began + limits.counter_call).await,
             None => std::future::pending().await,
         }
     }
 
-    /// The pause before a new connection, in which calls run out of time as ever.
-    async fn pause(&self, node: &Rc<Node>) {
+    /// The pause before a new connection, in which calls run out of time as ever. A new address ends it.
+    async fn pause(&self, node: &Rc<Node>, addresses: &mut watch::Receiver<Addresses>) {
         let until = Instant::now() + node.limits.again;
-        while Instant::now() < until {
+        while Instant::now() < until && !addresses.has_changed().unwrap_or(false) {
             tokio::select! {
                 () = sleep_until(until) => {}
                 () = self.overdue(&node.limits) => self.expire(node),
                 () = self.news.notified() => {}
+                _ = addresses.changed() => addresses.mark_changed(),
             }
         }
     }
 
-    fn tell(node: &Rc<Node>, name: String, outcome: Outcome, total: f64, began: Instant) {
-        let took = began.elapsed().as_nanos() as Nanos;
-        node.tell(Event::Counted { name, outcome, total, took });
+    /// Tells of the first calls, as far as it is known what became of them. Guards against a line that moved to
+    /// another connection telling of later calls before earlier ones: the module knows them by their order.
+    fn settle(&self, node: &Rc<Node>) {
+        loop {
+            let mut calls = self.calls.borrow_mut();
+            let Some((outcome, total)) = calls.front().and_then(|call| call.end) else { return };
+            let Some(Call { name, began, .. }) = calls.pop_front() else { return };
+            drop(calls);
+            self.told.set(self.told.get() + 1);
+            let took = began.elapsed().as_nanos() as Nanos;
+            node.tell(Event::Counted { name, outcome, total, took });
+        }
     }
 
-    /// Tells of the calls whose time is over. One that was never on its way was not added and leaves the line;
-    /// any other may be, and keeps its place for the answer that may yet come.
+    /// Notes what became of a call, if nothing has been told of it.
+    fn note(&self, number: u64, end: (Outcome, f64)) {
+        let Some(index) = number.checked_sub(self.told.get()) else { return };
+        if let Some(call) = self.calls.borrow_mut().get_mut(index as usize) {
+            call.end.get_or_insert(end);
+        }
+    }
+
+    /// Tells of the calls whose time is over. One that was never on its way was not added; any other may be.
     fn expire(&self, node: &Rc<Node>) {
         let now = Instant::now();
-        loop {
-            let mut calls = self.calls.borrow_mut();
-            let Some(index) = calls.iter().position(|call| !call.told) else { return };
-            let call = &mut calls[index];
+        for call in self.calls.borrow_mut().iter_mut() {
             if call.began + node.limits.counter_call > now {
-                return;
-            }
-            let (name, began) = (std::mem::take(&mut call.name), call.began);
-            call.told = true;
-            let outcome = if call.end.is_some() { Outcome::Timeout } else { Outcome::ConnectFailed };
-            if call.end.is_none() {
-                calls.remove(index);
+                break;
             }
-            drop(calls);
-            Self::tell(node, name, outcome, 0.0, began);
+            let outcome = if call.sent { Outcome::Timeout } else { Outcome::ConnectFailed };
+            call.end.get_or_insert((outcome, 0.0));
         }
+        self.settle(node);
     }
 
     /// Tells of the calls that were on a connection that ended. Those whose last byte was never written were not
     /// added; of the others nobody knows, which is the same as no answer in time.
-    fn broken(&self, node: &Rc<Node>, flushed: u64) {
-        loop {
-            // Those not yet on their way wait for the next connection.
-            let Some(call) = self.take_first() else { return };
-            if !call.told {
-                let written = call.end.is_some_and(|end| end <= flushed);
-                let outcome = if written { Outcome::Timeout } else { Outcome::ConnectFailed };
-                Self::tell(node, call.name, outcome, 0.0, call.began);
-            }
+    fn broken(&self, node: &Rc<Node>, link: Link) {
+        for (number, end) in link.written {
+            let outcome = if end <= link.flushed { Outcome::Timeout } else { Outcome::ConnectFailed };
+            self.note(number, (outcome, 0.0));
         }
+        drop(link.stream);
+        self.settle(node);
     }
 
-    /// Puts all calls that wait on their way, behind `out`, which follows the first `flushed` bytes.
-    fn write(&self, out: &mut Vec<u8>, flushed: u64) {
-        let waits = |call: &&mut Call| call.end.is_none() && !call.command.is_empty();
-        for call in self.calls.borrow_mut().iter_mut().filter(waits) {
-            out.append(&mut call.command);
-            call.end = Some(flushed + out.len() as u64);
+    /// Puts all calls that wait on their way.
+    fn write(&self, link: &mut Link) {
+        let first = self.told.get();
+        for (number, call) in (first..).zip(self.calls.borrow_mut().iter_mut()) {
+            if !call.sent && call.end.is_none() {
+                call.sent = true;
+                link.out.append(&mut call.command);
+                link.written.push_back((number, link.flushed + link.out.len() as u64));
+            }
         }
     }
 
-    /// Takes the first call that is on its way out of the line.
-    fn take_first(&self) -> Option<Call> {
-        let mut calls = self.calls.borrow_mut();
-        let index = calls.iter().position(|call| call.end.is_some())?;
-        calls.remove(index)
-    }
-
-    /// Serves a connection until it breaks, stays silent, or has nothing to do for long; true for the last.
-    async fn converse(&self, node: &Rc<Node>, stream: &mut TcpStream, flushed: &Cell<u64>) -> bool {
-        let (mut reader, writer) = stream.split();
+    /// Serves a connection until it breaks, stays silent, has nothing to do for long, or is to be left.
+    async fn converse(
+        &self, node: &Rc<Node>, link: &mut Link, addresses: &mut watch::Receiver<Addresses>,
+    ) -> Over {
         let limits = &node.limits;
-        let (mut input, mut out) = (Vec::new(), Vec::new());
         let mut heard = Instant::now();
         loop {
-            // `flushed` bytes are written; `out` holds what follows them.
-            self.write(&mut out, flushed.get());
-            while !out.is_empty() {
-                match writer.try_write(&out) {
-                    Ok(count) => {
-                        flushed.set(flushed.get() + count as u64);
-                        resp::consume(&mut out, count, limits.read_bytes);
-                    }
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                    Err(_) => return false,
-                }
+            if addresses.has_changed().unwrap_or(false) {
+                return Over::Moved;
             }
-            let waiting = !self.calls.borrow().is_empty();
+            self.write(link);
+            if !link.flush(limits) {
+                return Over::Broken;
+            }
+            let waiting = !link.written.is_empty();
             let patience = if waiting { limits.counter_silence } else { limits.counter_idle };
+            let (mut reader, writer) = link.stream.split();
             tokio::select! {
-                more = resp::more(&mut reader, &mut input, limits.read_bytes) => {
-                    if !more.unwrap_or(false) {
-                        return false;
-                    }
-                    if !self.read(node, &mut input) {
-                        return false;
+                more = resp::more(&mut reader, &mut link.input, limits.read_bytes) => {
+                    if !more.unwrap_or(false) || !self.read(node, link) {
+                        return Over::Broken;
                     }
                     heard = Instant::now();
                 }
-                _ = writer.writable(), if !out.is_empty() => {}
+                _ = writer.writable(), if !link.out.is_empty() => {}
                 () = self.overdue(limits) => self.expire(node),
                 () = self.news.notified() => {
                     if !waiting {
                         heard = Instant::now();
                     }
                 }
-                () = sleep_until(heard + patience) => return !waiting,
+                () = sleep_until(heard + patience) => {
+                    return if waiting { Over::Broken } else { Over::Idle };
+                }
+                _ = addresses.changed() => addresses.mark_changed(),
             }
         }
     }
 
-    /// Takes the answers that have come; each belongs to the first call still in line. False where one belongs
-    /// to none, or is malformed.
-    fn read(&self, node: &Rc<Node>, input: &mut Vec<u8>) -> bool {
-        loop {
-            let (outcome, total, length) = match resp::reply(input, &node.limits) {
-                Ok(None) => return true,
+    /// Serves a connection to an address that is no longer the counter's until all that was written to it has
+    /// had its time.
+    async fn leave(self: Rc<Self>, node: Rc<Node>, mut link: Link) {
+        let limits = &node.limits;
+        let rest = async {
+            while link.flush(limits) && !link.written.is_empty() {
+                let (mut reader, writer) = link.stream.split();
+                tokio::select! {
+                    more = resp::more(&mut reader, &mut link.input, limits.read_bytes) => {
+                        if !more.unwrap_or(false) || !self.read(&node, &mut link) {
+                            return;
+                        }
+                    }
+                    _ = writer.writable(), if !link.out.is_empty() => {}
+                }
+            }
+        };
+        let _ = timeout(limits.counter_call, rest).await;
+        self.broken(&node, link);
+    }
+
+    /// Takes the answers that have come; each belongs to the first call that waits for one. False where one
+    /// belongs to none, or is malformed.
+    fn read(&self, node: &Rc<Node>, link: &mut Link) -> bool {
+        let mut sound = true;
+        while sound {
+            let (end, length) = match resp::reply(&link.input, &node.limits) {
+                Ok(None) => break,
                 Err(_) => return false,
                 Ok(Some((Reply::Bulk(Some(place)), length))) => {
-                    let text = std::str::from_utf8(&input[place]).ok();
+                    let text = std::str::from_utf8(&link.input[place]).ok();
                     match text.and_then(|text| text.parse::<f64>().ok()).filter(|total| total.is_finite()) {
-                        Some(total) => (Outcome::Good, total, length),
+                        Some(total) => ((Outcome::Good, total), length),
                         None => return false,
                     }
                 }
-                Ok(Some((Reply::Error(_), length))) => (Outcome::Full, 0.0, length),
+                Ok(Some((Reply::Error(_), length))) => ((Outcome::Full, 0.0), length),
                 Ok(Some(_)) => return false,
             };
-            resp::consume(input, length, node.limits.read_bytes);
-            match self.take_first() {
-                None => return false,
-                Some(call) if !call.told => Self::tell(node, call.name, outcome, total, call.began),
-                // Late: what became of it has been told.
-                Some(_) => {}
+            resp::consume(&mut link.input, length, node.limits.read_bytes);
+            // One that comes late finds its call told of.
+            match link.written.pop_front() {
+                Some((number, _)) => self.note(number, end),
+                None => sound = false,
             }
         }
+        self.settle(node);
+        sound
     }
 }
 
@@ -296,7 +371,7 @@
             call(&node, -2.5);
             let line =
                 node.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
-            spawn(keep(node.clone(), line.clone(), node.counter.address.expect("told")));
+            spawn(keep(node.clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 2).await;
             assert_eq!(counted(&node).await.0, Outcome::Timeout);
@@ -333,4 +408,35 @@
             assert!(node.counter.lines.iter().all(|line| line.calls.borrow().is_empty()));
         });
     }
+
+    /// Calls written to a counter that has moved are waited for there, and told before those made after them.
+    #[test]
+    fn a_move_keeps_the_order_and_loses_no_call() {
+        let changes = [
+            ("127.0.0.1:7002", "127.77.0.22:7002"),
+            ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 2000000000"),
+        ];
+        with_node(&changes, |node| async move {
+            let old = TcpListener::bind("127.77.0.22:7002").await.expect("the address is free");
+            let new = TcpListener::bind("127.77.0.22:7003").await.expect("the address is free");
+            call(&node, 1.0);
+            let line =
+                node.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            spawn(keep(node.clone(), line.clone()));
+            let (mut before, _) = old.accept().await.expect("the limiter connects");
+            calls(&mut before, 1).await;
+            node.addresses.send_modify(|held| held.counter = new.local_addr().ok());
+            call(&node, 2.0);
+            let (mut after, _) = new.accept().await.expect("the limiter connects to the new address");
+            calls(&mut after, 1).await;
+            after.write_all(b"$1\r\n3\r\n").await.expect("the limiter reads");
+            tokio::time::sleep(node.limits.again).await;
+            assert_eq!(node.core.borrow_mut().untold(), None, "the first call has no answer yet");
+            before.write_all(b"$1\r\n1\r\n").await.expect("the limiter reads on the old connection");
+            assert_eq!(counted(&node).await, (Outcome::Good, 1.0));
+            assert_eq!(counted(&node).await, (Outcome::Good, 3.0));
+            // The old connection ends once nothing is awaited on it.
+            assert_eq!(before.read(&mut [0]).await.expect("an end"), 0);
+        });
+    }
 }
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -128,13 +128,22 @@
 }
 
 /// Follows discovery for good. Each call comes at once behind the answer before it, so that the watch goes on;
-/// after a failure the whole list is asked for.
-pub async fn follow(node: Rc<Node>, mut inventory: Inventory, address: SocketAddr) {
+/// after a failure, and at a new address, the whole list is asked for.
+pub async fn follow(node: Rc<Node>, mut inventory: Inventory) {
+    let mut addresses = node.addresses.subscribe();
     loop {
-        if let Err(problem) = watch(&node, &mut inventory, address).await {
-            eprintln!("quartzcleat: inventory: {problem}");
+        let address = addresses.borrow_and_update().discovery;
+        let watched = async {
+            if let Err(problem) = watch(&node, &mut inventory, address).await {
+                eprintln!("quartzcleat: inventory: {problem}");
+            }
+            sleep(node.limits.again).await;
+        };
+        // Guards against a watch that goes on at an address that discovery has left.
+        tokio::select! {
+            () = watched => {}
+            _ = addresses.changed() => {}
         }
-        sleep(node.limits.again).await;
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,10 +8,11 @@
 pub mod counter;
 pub mod inventory;
 pub mod platform;
+pub mod reload;
 pub mod shutdown;
 pub mod stages;
 
-use self::config::{Config, Limits};
+use self::config::{Addresses, Config, Limits};
 use self::core::Core;
 use self::inventory::Inventory;
 use self::platform::{north, south::South};
@@ -20,6 +21,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 /// All parts of one limiter. One thread runs them; nothing is borrowed across a wait.
@@ -28,6 +30,8 @@
     pub limits: Limits,
     /// The module and what is open.
     pub core: RefCell<Core>,
+    /// Where the services listen, for those who follow their moves.
+    pub addresses: watch::Sender<Addresses>,
     /// Hosts and the connections to them.
     pub south: South,
     /// The counter service.
@@ -43,10 +47,11 @@
 impl Node {
     /// A limiter that has been told nothing and is connected to nothing yet.
     pub fn new(config: Config) -> Rc<Self> {
-        let Config { settings, counter: address, seed, limits, .. } = config;
+        let Config { settings, addresses, seed, limits, .. } = config;
         Rc::new(Node {
             south: South::new(settings.reports),
-            counter: counter::Counter::new(address, &limits),
+            addresses: watch::Sender::new(addresses),
+            counter: counter::Counter::new(&limits),
             shutdown: shutdown::Shutdown::default(),
             names: north::Names::of(&settings),
             core: RefCell::new(Core::new(settings, seed, &limits)),
@@ -91,13 +96,15 @@
 }
 
 async fn run(config: Config) -> Result<(), String> {
-    let (listen, discovery, known) = (config.listen, config.discovery, config.known.clone());
+    let (listen, known) = (config.listen, config.known.clone());
     let mut inventory = Inventory::new(config.zones.clone(), config.kinds.clone());
     let node = Node::new(config);
+    // Before anything is answered, so that no signal finds the program without a handler.
     shutdown::watch(&node)?;
+    reload::watch(&node)?;
     inventory.restore(&node, &known)?;
     counter::start(&node);
-    spawn(inventory::follow(node.clone(), inventory, discovery));
+    spawn(inventory::follow(node.clone(), inventory));
     let listener = TcpListener::bind(listen).await;
     let listener = listener.map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
     north::accept(&node, listener).await;
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -5,6 +5,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 struct Limiter {
     child: Child,
     address: SocketAddr,
+    path: PathBuf,
 }
 
 impl Drop for Limiter {
@@ -53,7 +55,7 @@
         .env("BALANCER_DISCOVERY", discovery.to_string())
         .spawn()
         .expect("the limiter starts");
-    let limiter = Limiter { child, address };
+    let limiter = Limiter { child, address, path };
     assert_eq!(ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1), "+PONG\r\n");
     limiter
 }
@@ -73,13 +75,13 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill runs").success());
+    }
+
     fn terminate(&mut self) -> ExitStatus {
-        let id = self.child.id().to_string();
-        assert!(Command::new("sh")
-            .args(["-c", &format!("kill -TERM {id}")])
-            .status()
-            .expect("kill runs")
-            .success());
+        self.signal("TERM");
         self.child.wait().expect("the limiter ends")
     }
 }
@@ -209,6 +211,28 @@
     assert!(answer.starts_with('-') && answer.ends_with("\r\n"), "{answer:?}");
 }
 
+/// SIGHUP moves the limiter to the services that the file names by then; a faulty file moves nothing.
+#[test]
+fn at_sighup_discovery_and_counter_are_called_where_the_file_says() {
+    let mut limiter = start(7, false, |text| text);
+    let mut client = limiter.connect();
+    std::fs::write(&limiter.path, "{").expect("the file is replaced");
+    limiter.signal("HUP");
+    assert_eq!(ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1), served(1));
+    let services = [std::net::TcpListener::bind("127.0.0.1:0"), std::net::TcpListener::bind("127.0.0.1:0")];
+    let services = services.map(|bound| bound.expect("a port is free"));
+    let [discovery, counter] =
+        [0, 1].map(|i: usize| services[i].local_addr().expect("it has an address").to_string());
+    let text = include_str!("../examples/toy.json").replace("127.0.0.1:7001", &discovery);
+    std::fs::write(&limiter.path, text.replace("127.0.0.1:7002", &counter)).expect("the file is replaced");
+    limiter.signal("HUP");
+    let called = services.each_ref().map(|service| service.accept().expect("the limiter connects"));
+    // The list held stays valid while the new address tells nothing, and a silent counter holds nobody up.
+    assert_eq!(ask(&mut client, &request("Q.ASK", 2, CHECK, ""), 1), served(2));
+    assert!(limiter.terminate().success());
+    drop(called);
+}
+
 #[test]
 fn a_faulty_configuration_is_named_by_its_key() {
     for (from, to, message) in [
