North: requests that no host could use are turned away before the module sees them

At fault: north.rs `understand` let through unknown classes and plans, a missing t, units, spread or first, any range, a missing k, and a verb that does not fit the class; a deadline had no upper bound.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -40,8 +40,8 @@
     pub shutdown: shutdown::Shutdown,
     /// Clients' connections that are idle.
     pub idle: north::Idle,
-    /// Names of classes and plans, by their numbers.
-    pub names: north::Names,
+    /// What a request may ask for.
+    pub terms: north::Terms,
     telling: Cell<bool>,
     actions: Cell<Vec<Action>>,
 }
@@ -56,7 +56,7 @@
             counter: counter::Counter::new(&limits),
             shutdown: shutdown::Shutdown::default(),
             idle: north::Idle::default(),
-            names: north::Names::of(&settings),
+            terms: north::Terms::of(&settings),
             core: RefCell::new(Core::new(settings, seed, &limits)),
             limits,
             telling: Cell::default(),
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -2,7 +2,7 @@
 //! answers go out in the order in which they came.
 
 use super::resp::{self, Command, Text};
-use crate::api::{CustomerId, RequestId, Settings};
+use crate::api::{Class, CustomerId, Effect, RequestId, Settings};
 use crate::net::config::Limits;
 use crate::net::core::{Answer, Front, Payload, Request};
 use crate::net::shutdown::Phase;
@@ -19,24 +19,31 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// Names of classes and plans, by their numbers. The number past the last stands for a name that is not known.
-pub struct Names {
-    classes: Vec<String>,
+/// What a request may ask for, by the settings.
+pub struct Terms {
+    /// The classes, by their numbers.
+    classes: Vec<Class>,
+    /// The plans' names, by their numbers.
     plans: Vec<String>,
+    /// How many limiters there are.
+    limiters: u32,
+    /// The most units that one request counts.
+    most_units: f64,
 }
 
-impl Names {
-    /// The names in the settings.
+impl Terms {
+    /// The terms in the settings.
     pub fn of(settings: &Settings) -> Self {
-        let classes = settings.classes.iter().map(|class| class.name.clone()).collect();
-        Names { classes, plans: settings.plans.iter().map(|plan| plan.name.clone()).collect() }
+        let most = settings.largest_request;
+        Terms {
+            classes: settings.classes.clone(),
+            plans: settings.plans.iter().map(|plan| plan.name.clone()).collect(),
+            limiters: settings.gateways.max(1),
+            most_units: if most > 0.0 { most } else { f64::MAX },
+        }
     }
 }
 
-fn number(names: &[String], name: &str) -> u32 {
-    names.iter().position(|known| known == name).unwrap_or(names.len()) as u32
-}
-
 /// What a client's command asks for.
 enum Asked {
     /// A request for a host.
@@ -50,8 +57,13 @@
     u64::from_str_radix(text, 16).ok()
 }
 
-/// Reads a whole command. `Err` says what is wrong with it.
-fn understand(bytes: &[u8], command: &Command, names: &Names) -> Result<Asked, &'static str> {
+/// Customers' numbers stay below this one.
+const CUSTOMERS: u64 = 1 << 33;
+
+/// Reads a whole command. `Err` says what is wrong with it. Guards against anything that no host could use, or
+/// that would count in a customer's name what it never asked for, getting as far as the module: a fact that
+/// every request has must be there and within its range.
+fn understand(bytes: &[u8], command: &Command, terms: &Terms) -> Result<Asked, &'static str> {
     let words: Option<Vec<Range<usize>>> = command.words.iter().cloned().collect();
     let words = words.filter(|words| !words.is_empty()).ok_or("a command is an array of bulk strings")?;
     let verb = &bytes[words[0].clone()];
@@ -64,35 +76,51 @@
             _ => Err("unknown command"),
         };
     }
-    if words.len() < 4 {
+    if !(4..=5).contains(&words.len()) {
         return Err("wrong number of words");
     }
-    let customer = hex(&bytes[words[1].clone()]).ok_or("the customer is not 16 hex digits")?;
+    let customer = hex(&bytes[words[1].clone()]).filter(|customer| *customer < CUSTOMERS);
+    let customer = customer.ok_or("the customer is no number of 16 hex digits below 2^33")?;
     let id = RequestId(hex(&bytes[words[2].clone()]).ok_or("the id is not 16 hex digits")?);
     let facts = std::str::from_utf8(&bytes[words[3].clone()]).map_err(|_| "the list is not text")?;
-    let (mut class, mut plan, mut wait) = (None, names.plans.len() as u32, None);
-    let (mut units, mut spread, mut first, mut flags) = (1.0, 1, 0, if write { 4 } else { 0 });
+    let (mut class, mut plan, mut wait, mut keyed, mut flags) = (None, None, None, false, 0);
+    let (mut units, mut spread, mut first) = (None, None, None);
     let mut at = words[3].start;
     for fact in facts.split(',') {
         let (name, value) = fact.split_once('=').ok_or("the list holds no name=value")?;
         let place = at + name.len() + 1..at + fact.len();
         at += fact.len() + 1;
-        let whole = || value.parse::<u32>().map_err(|_| "the list holds no number where one belongs");
+        let whole = || value.parse::<u32>().ok();
         match name {
-            "c" => class = Some(number(&names.classes, value)),
-            "t" => plan = number(&names.plans, value),
-            "d" => wait = Some((Duration::from_millis(whole()?.into()), place)),
-            "units" => {
-                units = value.parse().ok().filter(|u: &f64| u.is_finite()).ok_or("units is no number")?
-            }
-            "spread" => spread = whole()?,
-            "first" => first = whole()?,
+            "c" => class = terms.classes.iter().position(|known| known.name == value),
+            "t" => plan = terms.plans.iter().position(|known| known == value),
+            "d" => wait = whole().filter(|wait| *wait > 0).map(|wait| (wait, place)),
+            "k" => keyed = !value.is_empty(),
+            "units" => units = value.parse().ok().filter(|u: &f64| *u > 0.0 && *u <= terms.most_units),
+            "spread" => spread = whole().filter(|spread| (1..=terms.limiters).contains(spread)),
+            "first" => first = whole().filter(|first| *first < terms.limiters),
             "r" if value == "1" => flags |= 2,
             _ => {}
         }
     }
-    let (wait, place) = wait.ok_or("the list holds no d")?;
-    let class = class.ok_or("the list holds no c")?;
+    let number = class.ok_or("the list holds no c that is known")?;
+    let plan = plan.ok_or("the list holds no t that is known")? as u32;
+    let (wait, place) = wait.ok_or("the list holds no d that is a time")?;
+    let units = units.ok_or("the list holds no units within their range")?;
+    let spread = spread.ok_or("the list holds no spread within its range")?;
+    let first = first.ok_or("the list holds no first within its range")?;
+    let class = &terms.classes[number];
+    match (write, class.effect) {
+        (false, Effect::Retryable) | (true, Effect::Unsafe) => {}
+        (true, Effect::Keyed) if keyed => {}
+        (true, Effect::Keyed) => return Err("the list holds no k"),
+        _ => return Err("this command does not serve this class"),
+    }
+    flags |= if write { 4 } else { 0 };
+    // Guards against being held for ever: no client waits for longer than its class does.
+    let wait = Duration::from_millis(wait.into());
+    let wait = if class.deadline > 0 { wait.min(Duration::from_nanos(class.deadline)) } else { wait };
+    let class = number as u32;
     // The words alone, one behind another: their places move up by what stood between them.
     let mut payload = Payload { bytes: Vec::with_capacity(command.length), words: Vec::new(), wait: 0..0 };
     for (i, word) in words.iter().enumerate() {
@@ -421,7 +449,7 @@
 }
 
 fn take(node: &Rc<Node>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
-    match understand(bytes, command, &node.names) {
+    match understand(bytes, command, &node.terms) {
         Ok(Asked::Request(request)) => {
             let place = owed.push(Slot::Open(request.id));
             if crowded {
@@ -438,3 +466,75 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::tests::with_node;
+
+    fn asked(
+        node: &Node, verb: &str, customer: &str, id: &str, facts: &str,
+    ) -> Result<Duration, &'static str> {
+        let mut bytes = Vec::new();
+        resp::write_command(&[verb, customer, id, facts].map(str::as_bytes), &mut bytes);
+        let command = resp::command(&bytes, &node.limits).expect("well-formed").expect("whole");
+        understand(&bytes, &command, &node.terms).map(|asked| match asked {
+            Asked::Request(request) => request.wait,
+            Asked::Here(_) => panic!("{verb} is for a host"),
+        })
+    }
+
+    /// Whatever no host could use is turned away; every form that the protocol has is let through.
+    #[test]
+    fn only_usable_requests_are_taken() {
+        with_node(&[("\"balancers\": 1", "\"balancers\": 3")], |node| async move {
+            let (one, id) = ("00000001ffffffff", "9b1f03aa5c7e2d41");
+            let check = "c=bed-check,t=guide,d=900,units=6,spread=3,first=2";
+            let hold = "c=bed-hold,t=operator,d=900,k=5c0f6e1a2b3d4c59,r=1,units=0.25,spread=1,first=0";
+            let ms = Duration::from_millis;
+            assert_eq!(asked(&node, "Q.ASK", one, id, check), Ok(ms(900)));
+            assert_eq!(asked(&node, "Q.DO", one, id, hold), Ok(ms(900)));
+            // Nobody waits for longer than the class.
+            assert_eq!(asked(&node, "Q.DO", one, id, &hold.replace("900", "999999")), Ok(ms(4000)));
+            for (verb, customer, id) in [
+                ("Q.DO", one, id),
+                ("Q.ASK", "0000000200000000", id),
+                ("Q.ASK", "+000000000000007", id),
+                ("Q.ASK", "", id),
+                ("Q.ASK", one, ""),
+                ("Q.ASK", one, "9b1f03aa5c7e2d4"),
+            ] {
+                assert!(asked(&node, verb, customer, id, check).is_err(), "{verb} {customer} {id}");
+            }
+            assert!(asked(&node, "Q.ASK", one, id, hold).is_err(), "a keyed class is not safe to repeat");
+            assert!(asked(&node, "Q.DO", one, id, &hold.replace(",k=5c0f6e1a2b3d4c59", "")).is_err());
+            for (from, to) in [
+                ("c=bed-check,", ""),
+                ("bed-check", "bed-chec"),
+                ("t=guide,", ""),
+                ("guide", "guides"),
+                ("d=900,", ""),
+                ("900", "0"),
+                ("900", "soon"),
+                ("900", "-1"),
+                ("units=6,", ""),
+                ("units=6", "units=0"),
+                ("units=6", "units=-1"),
+                ("units=6", "units=6.5"),
+                ("units=6", "units=1e300"),
+                ("units=6", "units=NaN"),
+                ("units=6", "units=inf"),
+                ("spread=3,", ""),
+                ("spread=3", "spread=0"),
+                ("spread=3", "spread=4"),
+                (",first=2", ""),
+                ("first=2", "first=3"),
+                ("first=2", "first=-1"),
+                ("spread=3,", "spread,"),
+            ] {
+                assert!(check.contains(from));
+                assert!(asked(&node, "Q.ASK", one, id, &check.replace(from, to)).is_err(), "{from} as {to}");
+            }
+        });
+    }
+}
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -126,8 +126,11 @@
         + &request("Q.DO", 2, HOLD, "a bed")
         + &broken
         + &request("Q.ASK", 4, CHECK, "x");
-    let expected =
-        served(1) + "-ERR unknown command\r\n" + &served(2) + "-ERR the list holds no d\r\n" + &served(4);
+    let expected = served(1)
+        + "-ERR unknown command\r\n"
+        + &served(2)
+        + "-ERR the list holds no d that is a time\r\n"
+        + &served(4);
     assert_eq!(ask(&mut client, &bytes, 5), expected);
     // What cannot be read any further is answered and ends the connection, after all that came before it.
     let expected = served(5) + "-ERR a command is an array of bulk strings\r\n";
