South: spoilt answers are told at once and end their connection, which rests after a good one

"*3 *3 *3" is well-formed so far, so it was waited for until the request's time was up; ":5" was an error, and its connection went on in use. Checked: copies and noise behind a good answer came in the same read in all cases of the probe, where the length gives them away; a value tells nothing of the request that it belongs to, so a copy read later could not be told from the next answer, and `Link::quiet` asks tokio, which knows no more than its last poll. Ruled out: wrong values so far. At fault: relay.rs `exchange` (waits for any end, keeps the connection after any parsed reply), south.rs `end` (asks for strings as figures and report, though the value is good without), `hand_over` (takes a connection microseconds after its answer).

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -46,6 +46,10 @@
     pub south_connections: usize,
     /// How long a connection to a host is kept idle.
     pub south_idle: Duration,
+    /// How long a connection to a host takes no relay after an answer.
+    pub south_rest: Duration,
+    /// How long an answer of a host may take from its first byte to its last.
+    pub south_answer: Duration,
     /// How long a connection to a host may take to come up.
     pub connect: Duration,
     /// How long after the word of its drain a host may be sent what was decided before.
@@ -101,6 +105,8 @@
             south_connections: sockets * 3 / 10,
             // Half of what the host grants: a request written to one that it just closed ends as a reset.
             south_idle: idle / 2,
+            south_rest: Duration::from_millis(2),
+            south_answer: Duration::from_millis(250),
             connect: time(settings.connect_timeout, 250_000_000),
             drain: time(settings.drain_grace, 1_000_000_000) / 2,
             counter_links: 4,
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -21,6 +21,7 @@
 struct Idle {
     serial: u64,
     next: oneshot::Sender<Relay>,
+    since: Instant,
 }
 
 struct Host {
@@ -111,12 +112,15 @@
         (!late).then_some(host.address)
     }
 
-    /// Hands a relay to the host's connection that was used last; gives it back where none waits.
-    pub fn hand_over(&self, mut relay: Relay) -> Result<(), Relay> {
+    /// Hands a relay to the host's connection that was used last; gives it back where none waits. Guards against
+    /// taking what still follows an answer, a copy of it above all, for the answer to the next relay: for a
+    /// moment after an answer the connection takes none.
+    pub fn hand_over(&self, mut relay: Relay, limits: &Limits) -> Result<(), Relay> {
         let mut hosts = self.hosts.borrow_mut();
         let Some(host) = hosts.get_mut(&relay.host) else { return Err(relay) };
-        while let Some(idle) = host.idle.pop() {
-            match idle.next.send(relay) {
+        let rested = |idle: &Idle| idle.since.elapsed() >= limits.south_rest;
+        while let Some(last) = host.idle.iter().rposition(rested) {
+            match host.idle.remove(last).next.send(relay) {
                 Ok(()) => return Ok(()),
                 Err(back) => relay = back,
             }
@@ -131,7 +135,7 @@
         let (next, relay) = oneshot::channel();
         let serial = self.serial.get();
         self.serial.set(serial + 1);
-        host.idle.push(Idle { serial, next });
+        host.idle.push(Idle { serial, next, since: Instant::now() });
         Some((serial, relay))
     }
 
@@ -161,38 +165,45 @@
         Some(Counted(self.links.clone()))
     }
 
-    /// What a reply to a relay means.
-    pub fn end(&self, reply: &Reply, bytes: &[u8], errand: &Errand) -> End {
+    /// What a reply to a relay means, and whether it is one of the protocol's forms: after any other the
+    /// connection is of no more use.
+    pub fn end(&self, reply: &Reply, bytes: &[u8], errand: &Errand) -> (End, bool) {
         let text = |place: &std::ops::Range<usize>| bytes[place.clone()].to_vec();
         let load_of = |member: &Reply| match member {
             Reply::Bulk(Some(place)) => load(&bytes[place.clone()]),
             _ => None,
         };
-        let end = match (reply, errand) {
+        let (end, known) = match (reply, errand) {
             (Reply::Error(place), _) => {
                 let line = &bytes[place.clone()];
-                let busy = line.starts_with(b"BUSY") && line.get(4).is_none_or(|byte| *byte == b' ');
-                let last = line.rsplit(|byte| *byte == b' ').next().unwrap_or_default();
-                let outcome = if busy { Outcome::Full } else { Outcome::Error };
-                End { load: load(last).unwrap_or_default(), ..outcome.into() }
+                let mut words = line.split(|byte| *byte == b' ');
+                let (outcome, known) = match words.next() {
+                    Some(b"BUSY") => (Outcome::Full, true),
+                    first => (Outcome::Error, first == Some(b"ERR")),
+                };
+                (End { load: words.next_back().and_then(load).unwrap_or_default(), ..outcome.into() }, known)
             }
             (Reply::Bulk(Some(_)), Errand::Probe) => match load_of(reply) {
-                Some(load) => End { load, ..Outcome::Good.into() },
-                None => Outcome::Error.into(),
+                Some(load) => (End { load, ..Outcome::Good.into() }, true),
+                None => (Outcome::Error.into(), true),
             },
             (Reply::Array(Some(members)), Errand::Attempt { .. }) => match members.as_slice() {
-                // The value, the figures on use or null, the load report or null.
-                [Reply::Bulk(Some(value)), Reply::Bulk(_), report @ Reply::Bulk(_)] => End {
-                    value: text(value),
-                    load: load_of(report).unwrap_or_default(),
-                    ..Outcome::Good.into()
-                },
-                _ => Outcome::Error.into(),
+                // The value, the figures on use or null, the load report or null. The value is good even where
+                // the others cannot be read.
+                [Reply::Bulk(Some(value)), _, report] => (
+                    End {
+                        value: text(value),
+                        load: load_of(report).unwrap_or_default(),
+                        ..Outcome::Good.into()
+                    },
+                    true,
+                ),
+                _ => (Outcome::Error.into(), false),
             },
-            _ => Outcome::Error.into(),
+            _ => (Outcome::Error.into(), false),
         };
         let told = matches!(errand, Errand::Probe) || self.reports == ReportSource::Answers;
-        End { load: if told { end.load } else { Load::new() }, ..end }
+        (End { load: if told { end.load } else { Load::new() }, ..end }, known)
     }
 }
 
@@ -207,6 +218,13 @@
     }
 }
 
+/// Whether what has come of a reply may yet become one. Guards against waiting for the end of what is well-formed
+/// so far and is no reply to this errand.
+pub fn promising(input: &[u8], errand: &Errand) -> bool {
+    let begins = |form: &[u8]| input.iter().zip(form).all(|(one, other)| one == other);
+    begins(b"-") || begins(if matches!(errand, Errand::Probe) { b"$" } else { b"*3\r\n$" })
+}
+
 /// A load report: `inflight=7,queue=2`.
 fn load(bytes: &[u8]) -> Option<Load> {
     let text = std::str::from_utf8(bytes).ok()?;
@@ -263,6 +281,7 @@
         });
     }
 
+    /// What is good, and after what the connection may be used again.
     #[test]
     fn only_a_whole_right_formed_value_is_good() {
         let attempt = Errand::Attempt {
@@ -272,27 +291,55 @@
         };
         with_node(&[], |node| async move {
             let south = South::new(ReportSource::Answers);
-            for (bytes, outcome, inflight) in [
-                ("*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n", Outcome::Good, Some(7.0)),
-                ("*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome::Error, None),
-                ("*2\r\n$3\r\nbed\r\n$-1\r\n", Outcome::Error, None),
-                ("$3\r\nbed\r\n", Outcome::Error, None),
-                ("+OK\r\n", Outcome::Error, None),
-                ("-BUSY\r\n", Outcome::Full, None),
-                ("-BUSY inflight=9\r\n", Outcome::Full, Some(9.0)),
-                ("-BUSYBODY\r\n", Outcome::Error, None),
-                ("-ERR failed inflight=3,queue=0\r\n", Outcome::Error, Some(3.0)),
+            for (bytes, outcome, inflight, known) in [
+                ("*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n", Outcome::Good, Some(7.0), true),
+                ("*3\r\n$3\r\nbed\r\n$-1\r\n$3\r\n=,=\r\n", Outcome::Good, None, true),
+                ("*3\r\n$3\r\nbed\r\n:-7\r\n+?\r\n", Outcome::Good, None, true),
+                ("*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome::Error, None, false),
+                ("*2\r\n$3\r\nbed\r\n$-1\r\n", Outcome::Error, None, false),
+                ("$3\r\nbed\r\n", Outcome::Error, None, false),
+                ("+OK\r\n", Outcome::Error, None, false),
+                (":5\r\n", Outcome::Error, None, false),
+                ("-BUSY\r\n", Outcome::Full, None, true),
+                ("-BUSY inflight=9\r\n", Outcome::Full, Some(9.0), true),
+                ("-BUSYBODY\r\n", Outcome::Error, None, false),
+                ("-ERR failed inflight=3,queue=0\r\n", Outcome::Error, Some(3.0), true),
             ] {
                 let (reply, _) =
                     resp::reply(bytes.as_bytes(), &node.limits).expect("well-formed").expect("whole");
-                let end = south.end(&reply, bytes.as_bytes(), &attempt);
+                let (end, usable) = south.end(&reply, bytes.as_bytes(), &attempt);
                 assert_eq!(
-                    (end.outcome, end.load.first().map(|(_, value)| *value)),
-                    (outcome, inflight),
+                    (end.outcome, end.load.first().map(|(_, value)| *value), usable),
+                    (outcome, inflight, known),
                     "{bytes:?}"
                 );
                 assert_eq!(end.value, if outcome == Outcome::Good { b"bed".to_vec() } else { Vec::new() });
             }
+            for (bytes, may) in [("", true), ("*3\r", true), ("*3\r\n$9", true), ("-E", true)] {
+                assert_eq!(promising(bytes.as_bytes(), &attempt), may, "{bytes:?}");
+            }
+            for bytes in ["*3\r\n*3\r\n*3\r\n", "*30", "$3", ":5\r\n", "HTTP"] {
+                assert!(!promising(bytes.as_bytes(), &attempt), "{bytes:?}");
+            }
+        });
+    }
+
+    /// For a moment after its answer a connection is not used again: more may follow.
+    #[test]
+    fn a_connection_rests_after_an_answer() {
+        with_node(&[], |node| async move {
+            let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
+            let state = HostState::Ready;
+            south.learn(&HostEntry { host: HostId(5), state, ..HostEntry::default() }, address);
+            let now = Instant::now();
+            node.core.borrow_mut().open(Rc::new(Kept::default()), 0, &mut request(1), now);
+            let relay = node.core.borrow_mut().begin(crate::api::RequestId(1), HostId(5), 0, now);
+            let mut parked = south.park(HostId(5), address).expect("it may wait").1;
+            let back = south.hand_over(relay.expect("within the cap"), &node.limits);
+            let relay = back.expect_err("it answered just now");
+            tokio::time::sleep(node.limits.south_rest).await;
+            assert!(south.hand_over(relay, &node.limits).is_ok());
+            assert!(parked.try_recv().is_ok());
         });
     }
 
--- a/src/net/stages/send.rs
+++ b/src/net/stages/send.rs
@@ -12,7 +12,7 @@
 
 /// Sends a relay on its way.
 pub fn send(node: &Rc<Node>, relay: Relay) {
-    if let Err(relay) = node.south.hand_over(relay) {
+    if let Err(relay) = node.south.hand_over(relay, &node.limits) {
         spawn(serve(node.clone(), relay));
     }
 }
