Counter: only BUSY and ERR add nothing; a spoilt answer ends its connection at once

At fault: counter.rs `read` took any error line for "nothing added" and waited for the end of "*2"; `keep` paused for 100 ms after each break, though the counter was at work.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -60,6 +60,8 @@
     pub counter_call: Duration,
     /// Calls held on one connection to the counter.
     pub counter_calls: usize,
+    /// The longest answer of the counter, in bytes.
+    pub counter_answer: usize,
     /// How long a connection to the counter with calls on it may stay silent.
     pub counter_silence: Duration,
     /// How long a connection to the counter is kept idle.
@@ -112,6 +114,7 @@
             counter_links: 4,
             counter_call: time(settings.counter_timeout, 30_000_000),
             counter_calls: 4096,
+            counter_answer: 256,
             // Guards against a counter that hangs and still counts the connections given up: its longest
             // outage must not use up the 32 that it holds.
             counter_silence: Duration::from_secs(2),
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -42,6 +42,8 @@
     /// What follows the first `flushed` bytes of its stream.
     out: Vec<u8>,
     flushed: u64,
+    /// It has answered a call.
+    answered: bool,
     /// The number of each call, told of or not, and where in the stream its last byte stands.
     written: VecDeque<(u64, u64)>,
 }
@@ -131,8 +133,12 @@
             Over::Idle => line.broken(&node, link),
             Over::Moved => spawn(line.clone().leave(node.clone(), link)),
             Over::Broken => {
+                let answered = link.answered;
                 line.broken(&node, link);
-                line.pause(&node, &mut addresses).await;
+                // Where the counter is at work only this connection was at fault.
+                if !answered {
+                    line.pause(&node, &mut addresses).await;
+                }
             }
         }
     }
@@ -140,7 +146,8 @@
 
 impl Link {
     fn new(stream: TcpStream) -> Self {
-        Link { stream, input: Vec::new(), out: Vec::new(), flushed: 0, written: VecDeque::new() }
+        let (input, out, written) = (Vec::new(), Vec::new(), VecDeque::new());
+        Link { stream, input, out, flushed: 0, answered: false, written }
     }
 
     /// Writes as much as the connection takes; false where it is broken.
@@ -245,8 +252,11 @@
         &self, node: &Rc<Node>, link: &mut Link, addresses: &mut watch::Receiver<Addresses>,
     ) -> Over {
         let limits = &node.limits;
-        let mut heard = Instant::now();
+        let (mut heard, mut began) = (Instant::now(), None);
         loop {
+            // Guards against an answer that begins and has no end, or has one that is long in coming.
+            let begun = !link.input.is_empty();
+            began = began.filter(|_| begun).or_else(|| begun.then(Instant::now));
             if addresses.has_changed().unwrap_or(false) {
                 return Over::Moved;
             }
@@ -256,6 +266,7 @@
             }
             let waiting = !link.written.is_empty();
             let patience = if waiting { limits.counter_silence } else { limits.counter_idle };
+            let until = began.map_or(heard + patience, |began| began + limits.counter_call);
             let (mut reader, writer) = link.stream.split();
             tokio::select! {
                 more = resp::more(&mut reader, &mut link.input, limits.read_bytes) => {
@@ -271,8 +282,8 @@
                         heard = Instant::now();
                     }
                 }
-                () = sleep_until(heard + patience) => {
-                    return if waiting { Over::Broken } else { Over::Idle };
+                () = sleep_until(until) => {
+                    return if waiting || begun { Over::Broken } else { Over::Idle };
                 }
                 _ = addresses.changed() => addresses.mark_changed(),
             }
@@ -301,24 +312,20 @@
     }
 
     /// Takes the answers that have come; each belongs to the first call that waits for one. False where one
-    /// belongs to none, or is malformed.
+    /// belongs to none, or tells nothing: its call may have been added, and the connection is of no more use.
     fn read(&self, node: &Rc<Node>, link: &mut Link) -> bool {
         let mut sound = true;
         while sound {
-            let (end, length) = match resp::reply(&link.input, &node.limits) {
+            let (end, length) = match understand(&link.input, &node.limits) {
                 Ok(None) => break,
-                Err(_) => return false,
-                Ok(Some((Reply::Bulk(Some(place)), length))) => {
-                    let text = std::str::from_utf8(&link.input[place]).ok();
-                    match text.and_then(|text| text.parse::<f64>().ok()).filter(|total| total.is_finite()) {
-                        Some(total) => ((Outcome::Good, total), length),
-                        None => return false,
-                    }
+                Ok(Some(answer)) => answer,
+                Err(Spoilt) => {
+                    sound = false;
+                    break;
                 }
-                Ok(Some((Reply::Error(_), length))) => ((Outcome::Full, 0.0), length),
-                Ok(Some(_)) => return false,
             };
             resp::consume(&mut link.input, length, node.limits.read_bytes);
+            link.answered = true;
             // One that comes late finds its call told of.
             match link.written.pop_front() {
                 Some((number, _)) => self.note(number, end),
@@ -330,6 +337,36 @@
     }
 }
 
+/// What became of a call, and how long the answer is that tells it.
+type Answer = ((Outcome, f64), usize);
+
+/// What came is no answer of the counter's.
+#[derive(Debug)]
+struct Spoilt;
+
+/// The answer at the start of `input`, once it is whole. Guards against
+/// taking any line for a refusal, which adds nothing, and against waiting for the end of what is no answer.
+fn understand(input: &[u8], limits: &Limits) -> Result<Option<Answer>, Spoilt> {
+    if input.first().is_some_and(|first| !b"$-".contains(first)) {
+        return Err(Spoilt);
+    }
+    match resp::reply(input, limits) {
+        // No total and no refusal is as long.
+        Ok(None) if input.len() > limits.counter_answer => Err(Spoilt),
+        Ok(None) => Ok(None),
+        Ok(Some((Reply::Bulk(Some(place)), length))) => {
+            let text = std::str::from_utf8(&input[place]).ok();
+            let total = text.and_then(|text| text.parse::<f64>().ok()).filter(|total| total.is_finite());
+            total.map(|total| Some(((Outcome::Good, total), length))).ok_or(Spoilt)
+        }
+        Ok(Some((Reply::Error(place), length))) => match input[place].split(|byte| *byte == b' ').next() {
+            Some(b"BUSY" | b"ERR") => Ok(Some(((Outcome::Full, 0.0), length))),
+            _ => Err(Spoilt),
+        },
+        _ => Err(Spoilt),
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -439,4 +476,62 @@
             assert_eq!(before.read(&mut [0]).await.expect("an end"), 0);
         });
     }
+
+    /// Only a refusal that the counter words proves that nothing was added.
+    #[test]
+    fn what_tells_nothing_may_have_been_added() {
+        with_node(&[], |node| async move {
+            let read = |bytes: &str| understand(bytes.as_bytes(), &node.limits);
+            let whole = |bytes: &str| read(bytes).expect("sound").expect("whole").0;
+            assert_eq!(whole("$4\r\n-1.5\r\n$1\r\n2\r\n"), (Outcome::Good, -1.5));
+            assert_eq!(whole("-BUSY\r\n"), (Outcome::Full, 0.0));
+            assert_eq!(whole("-ERR no such call\r\n"), (Outcome::Full, 0.0));
+            for part in ["", "$", "$4\r\n-1", "-BU"] {
+                assert!(read(part).expect("sound").is_none(), "{part:?}");
+            }
+            let long = "-".to_owned() + &"x".repeat(node.limits.counter_answer);
+            for spoilt in [
+                "*2\r\n",
+                ":5\r\n",
+                "+OK\r\n",
+                "$-1\r\n",
+                "$0\r\n\r\n",
+                "$3\r\nNaN\r\n",
+                "-BUSYBODY\r\n",
+                &long,
+            ] {
+                assert!(read(spoilt).is_err(), "{spoilt:?}");
+            }
+        });
+    }
+
+    /// A spoilt answer ends its connection at once: its call and those behind it are each told once, and the
+    /// next call goes to a new connection without a pause.
+    #[test]
+    fn a_spoilt_answer_ends_the_connection_and_not_the_line() {
+        let changes = [
+            ("127.0.0.1:7002", "127.77.0.23:7002"),
+            ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 1000000000"),
+        ];
+        with_node(&changes, |node| async move {
+            let listener = TcpListener::bind("127.77.0.23:7002").await.expect("the address is free");
+            (0..3).for_each(|_| call(&node, 1.0));
+            let line =
+                node.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            spawn(keep(node.clone(), line.clone()));
+            let (mut stream, _) = listener.accept().await.expect("the limiter connects");
+            calls(&mut stream, 3).await;
+            let began = Instant::now();
+            stream.write_all(b"$1\r\n1\r\n*2\r\n").await.expect("the limiter reads");
+            assert_eq!(counted(&node).await, (Outcome::Good, 1.0));
+            assert_eq!(counted(&node).await.0, Outcome::Timeout);
+            assert_eq!(counted(&node).await.0, Outcome::Timeout);
+            assert!(began.elapsed() < node.limits.counter_call, "told before their time was over");
+            call(&node, 4.0);
+            let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
+            calls(&mut stream, 1).await;
+            stream.write_all(b"$1\r\n7\r\n").await.expect("the limiter reads");
+            assert_eq!(counted(&node).await, (Outcome::Good, 7.0));
+        });
+    }
 }
