Counter: while it is crowded, who asks is drawn by need and judged on most of the limit

At fault: choice.rs `on_request` drew who asks without regard to what the totals would miss, `judge` halved the limit for those who asked (LIMIT_LEAST 0.5), and COUNTER_TARGET 0.5 left half of the counter idle.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,12 +15,12 @@
 /// A request waits for the counter at most this part of its aim.
 const WAIT_PART_OF_AIM: f64 = 0.1;
 /// Share of the counter's time-out that its answers may take; the part of the requests that ask follows it.
-const COUNTER_TARGET: f64 = 0.5;
+const COUNTER_TARGET: f64 = 0.65;
 const ASK_GAIN: f64 = 0.5;
 /// However poorly the counter answers, this part of the requests still asks, so that its return is noticed.
 const ASK_LEAST: f64 = 0.1;
 /// However few ask, they share this part of the limit: less is too coarse for the largest requests.
-const LIMIT_LEAST: f64 = 0.5;
+const LIMIT_LEAST: f64 = 0.8;
 /// Further attempts of what may have run that a first attempt earns, and the most saved by all gateways.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_SAVED: f64 = 20.0;
@@ -166,6 +166,8 @@
     /// The part of the requests that ask the counter.
     ask: f64,
     counter_trouble: bool,
+    /// The mean part of its limit that a request brings along for the counter.
+    need: f64,
     hosts: BTreeMap<HostId, Host>,
     /// Mean answer time of each class in seconds, and of how many answers.
     class_took: Vec<(f64, f64)>,
@@ -214,6 +216,7 @@
             calls: BTreeMap::new(),
             ask: 1.0,
             counter_trouble: false,
+            need: 0.0,
             hosts: BTreeMap::new(),
             zone_slowness: BTreeMap::new(),
             retry_tokens: 1.0,
@@ -373,8 +376,13 @@
         let (length, limit) = self.window(plan);
         let now = self.now;
         // Guards against a counter that is slow, silent or crowded: calls beyond what it answers in time only
-        // lengthen its line, so a part of the requests goes unasked.
-        let crowded = self.rng.f64() >= self.ask;
+        // lengthen its line, so a part of the requests goes unasked. It is drawn by the part of its limit that a
+        // request brings along, with what went unasked before: the totals are wrong by what is left out of them.
+        let draw = self.rng.f64();
+        let owed = self.quota(customer, length).owed;
+        let need = (units + owed).max(0.0) / limit;
+        self.need += SMOOTHING * (need - self.need);
+        let crowded = self.ask < 1.0 && draw >= self.ask * need / self.need.max(1e-9);
         let q = self.quota(customer, length);
         let over = estimate(q.previous, q.known + q.owed, now, length) > limit;
         // A customer whose total shows it to be over costs no more calls until the estimate has fallen.
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -180,3 +180,38 @@
         "{passed} requests of 4 units: half of 60 units at least, all at most"
     );
 }
+
+#[test]
+fn a_crowded_counter_is_asked_by_those_who_bring_most_of_their_limit() {
+    let mut rig = Rig::new(settings(), 2);
+    asked(&mut rig, 100, Outcome::Timeout);
+    let (mut small, mut large) = (0, 0);
+    for customer in 0..400 {
+        for (units, asks) in [(0.5, &mut small), (4.0, &mut large)] {
+            let (_, actions) = rig.request(0, 5000 + 10 * customer + units as u64, units);
+            if let Some((name, _)) = count(&actions) {
+                *asks += 1;
+                rig.counted(&name, Outcome::Timeout, 0.0);
+            }
+        }
+    }
+    assert!(
+        small > 0 && large > 3 * small,
+        "{large} of 400 requests of 4 units, {small} of 400 of half a unit"
+    );
+}
+
+#[test]
+fn who_asks_a_crowded_counter_is_judged_on_most_of_the_limit() {
+    let mut rig = Rig::new(settings(), 2);
+    asked(&mut rig, 100, Outcome::Timeout);
+    // At the window's end the one before weighs next to nothing; of the limit of 60 units 47 are taken.
+    rig.now += 3_999 * MS;
+    let passed = (0..400).find_map(|customer| {
+        let (id, actions) = rig.request(0, 5000 + customer, 4.0);
+        let (name, _) = count(&actions)?;
+        let actions = rig.counted(&name, Outcome::Good, 47.0);
+        Some(refused(&actions, id).is_none())
+    });
+    assert_eq!(passed, Some(true));
+}
