Customers, hosts and their names are forgotten once they are gone

A host is forgotten once it is gone and nothing may be sent there any more, its name with it; a customer once its windows are over and its stores are full, by the plans.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -311,8 +311,10 @@
             }
             ("watch", None, _) => out.push(Action::Watch { on: true }),
             ("sweep", None, _) => {
-                let oldest = self.now.saturating_sub(60 * SECOND as Nanos);
-                self.quotas.retain(|_, q| q.open > 0 || q.ceiling_at > 0 || q.last_seen >= oldest);
+                // Guards against growing with customers that come once and hosts that are replaced by others.
+                let oldest = self.now.saturating_sub(self.remembered());
+                self.quotas.retain(|_, q| q.open > 0 || q.last_seen >= oldest);
+                self.hosts.retain(|_, h| h.entry.state != HostState::Gone || !h.out.is_empty());
                 self.timer("sweep", None, SECOND as Nanos, out);
             }
             _ => {}
@@ -334,6 +336,16 @@
         (nanos(length), (plan.rate * length).max(burst))
     }
 
+    /// After so long without a request nothing that is known of a customer tells any more: its windows are over
+    /// and its stores are full.
+    fn remembered(&self) -> Nanos {
+        let with_rate = (0..self.set.plans.len()).filter(|&plan| self.set.plans[plan].rate > 0.0);
+        let windows = with_rate.map(|plan| 2 * self.window(plan).0).max().unwrap_or(0);
+        let full = |plan: &Plan| nanos(plan.ceiling_burst / plan.ceiling_rate);
+        let capped = self.set.plans.iter().filter(|plan| plan.ceiling_rate > 0.0);
+        capped.map(full).max().unwrap_or(0).max(windows).max(SECOND as Nanos)
+    }
+
     /// The customer's record, rolled on to the window of this moment.
     fn quota(&mut self, customer: CustomerId, length: Nanos) -> &mut Quota {
         let (now, window) = (self.now, self.now / length.max(1));
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -115,6 +115,9 @@
             node.south.keep_only(&entries);
         }
         node.tell(Event::Hosts { version, mode, entries });
+        node.south.forget(&node.limits);
+        self.ids.retain(|_, id| node.south.knows(*id));
+        self.taken.retain(|id| node.south.knows(*id));
     }
 }
 
@@ -292,4 +295,30 @@
         let problem = inventory.read(&serde_json::from_str(&faulty).expect("JSON")).err().expect("a fault");
         assert!(problem.starts_with("instances: hostPort"), "{problem}");
     }
+
+    /// However many hosts come and go, no more is held than those that are listed or have left just now.
+    #[test]
+    fn names_that_are_gone_are_forgotten() {
+        crate::net::tests::with_node(&[], |node| async move {
+            let mut inventory = Inventory::new(vec![], vec![]);
+            let list = |version: u64, name: u64, state: &str| {
+                format!(
+                    r#"{{"generation":{version},"reset":false,"instances":[{{"instanceId":"s-{name}","zone":"a",
+                    "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
+                )
+            };
+            for name in 0..50 {
+                for state in ["SERVING", "DRAINING", "DELETED"] {
+                    let text = list(3 * name, name, state);
+                    let list = inventory.read(&serde_json::from_str(&text).expect("JSON")).expect("a list");
+                    inventory.apply(&node, list, ListMode::Update);
+                }
+            }
+            sleep(node.limits.drain).await;
+            let text = list(200, 50, "SERVING");
+            let list = inventory.read(&serde_json::from_str(&text).expect("JSON")).expect("a list");
+            inventory.apply(&node, list, ListMode::Update);
+            assert_eq!((inventory.ids.len(), inventory.taken.len()), (1, 1));
+        });
+    }
 }
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -29,6 +29,8 @@
     started: u64,
     /// When it was first told that the host wants nothing new.
     left: Option<Instant>,
+    /// It is on the list no more.
+    gone: bool,
     /// The latest used last.
     idle: Vec<Idle>,
 }
@@ -86,12 +88,25 @@
     /// Takes in what the inventory says of a host, which is told at this moment.
     pub fn learn(&self, entry: &HostEntry, address: SocketAddr) {
         let mut hosts = self.hosts.borrow_mut();
-        let fresh = || Host { address, started: entry.started, left: None, idle: Vec::new() };
+        let fresh = || Host { address, started: entry.started, left: None, gone: false, idle: Vec::new() };
         let host = hosts.entry(entry.host).or_insert_with(fresh);
         if host.address != address || host.started != entry.started {
             *host = fresh();
         }
         host.mark(entry.state == HostState::Ready);
+        host.gone = entry.state == HostState::Gone;
+    }
+
+    /// Whether anything is held of a host.
+    pub fn knows(&self, id: HostId) -> bool {
+        self.hosts.borrow().contains_key(&id)
+    }
+
+    /// Forgets the hosts that are gone and may be sent nothing any more. Guards against growing with each host
+    /// that is replaced by one of another name.
+    pub fn forget(&self, limits: &Limits) {
+        let over = |host: &Host| host.gone && host.left.is_some_and(|left| left.elapsed() >= limits.drain);
+        self.hosts.borrow_mut().retain(|_, host| !over(host));
     }
 
     /// A whole list came: what it does not hold is gone.
@@ -99,6 +114,7 @@
         for (id, host) in self.hosts.borrow_mut().iter_mut() {
             if !listed.iter().any(|entry| entry.host == *id) {
                 host.mark(false);
+                host.gone = true;
             }
         }
     }
@@ -363,4 +379,24 @@
             assert_eq!(south.address(HostId(5), &drained), Some(address));
         });
     }
+
+    /// What is gone is forgotten once nothing may be sent there; what drains is not.
+    #[test]
+    fn hosts_that_are_gone_are_forgotten() {
+        with_node(&[], |node| async move {
+            let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
+            let entry = |id, state| HostEntry { host: HostId(id), state, ..HostEntry::default() };
+            let over = Limits { drain: std::time::Duration::ZERO, ..node.limits.clone() };
+            (1..5).for_each(|id| south.learn(&entry(id, HostState::Ready), address));
+            south.learn(&entry(2, HostState::Gone), address);
+            south.learn(&entry(3, HostState::Draining), address);
+            south.forget(&node.limits);
+            assert!((1..5).all(|id| south.knows(HostId(id))), "what was decided before may still go out");
+            south.forget(&over);
+            assert_eq!([1, 2, 3, 4].map(|id| south.knows(HostId(id))), [true, false, true, true]);
+            south.keep_only(&[entry(1, HostState::Ready)]);
+            south.forget(&over);
+            assert_eq!([1, 2, 3, 4].map(|id| south.knows(HostId(id))), [true, false, false, false]);
+        });
+    }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -597,3 +597,22 @@
         assert_eq!(sent_again, again, "{outcome:?}: five attempts at most");
     }
 }
+
+/// Customers and hosts that are gone leave nothing behind, as long as the day may be.
+#[test]
+fn what_is_gone_is_forgotten() {
+    let mut rig = Rig::new(settings(), 4);
+    for round in 0..50 {
+        let (id, host) = rig.passed(0, 1000 + round);
+        rig.done(id, 0, host, Outcome::Good, true);
+        let entry = HostEntry { state: HostState::Gone, ..paired(100 + round as u32) };
+        rig.hosts(ListMode::Update, vec![paired(100 + round as u32)]);
+        rig.hosts(ListMode::Update, vec![entry]);
+        rig.now += S;
+        rig.timer("sweep");
+    }
+    let held = format!("{:?}", rig.gateway);
+    // Two windows of 4 s, and the four hosts that are still there.
+    assert!(held.matches("last_seen").count() <= 10, "{held}");
+    assert_eq!(held.matches("evidence").count(), 4);
+}
