--- a/src/choice.rs
+++ b/src/choice.rs
@@ -336,8 +336,8 @@
         (nanos(length), (plan.rate * length).max(burst))
     }
 
-    /// After so long without a request nothing that is known of a customer tells any more: its windows are over
-    /// and its stores are full.
+    /// After so long without a request nothing that is known of a customer tells any more: its windows are
+    /// over and its stores are full.
     fn remembered(&self) -> Nanos {
         let with_rate = (0..self.set.plans.len()).filter(|&plan| self.set.plans[plan].rate > 0.0);
         let windows = with_rate.map(|plan| 2 * self.window(plan).0).max().unwrap_or(0);
@@ -388,8 +388,8 @@
         let (length, limit) = self.window(plan);
         let now = self.now;
         // Guards against a counter that is slow, silent or crowded: calls beyond what it answers in time only
-        // lengthen its line, so a part of the requests goes unasked. It is drawn by the part of its limit that a
-        // request brings along, with what went unasked before: the totals are wrong by what is left out of them.
+        // lengthen its line, so a part of the requests goes unasked. Who asks is drawn by the part of its
+        // limit that it brings along, with what went unasked before: totals are wrong by what they lack.
         let draw = self.rng.f64();
         let owed = self.quota(customer, length).owed;
         let need = (units + owed).max(0.0) / limit;
