Workspace: the decision module in a crate of its own, three files named for its matters

Need: every subsystem that follows is to use the decisions without the sockets round them, and each of the three matters is to be read by itself.

--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,12 @@
+//! The decisions of one gateway, without I/O and without a clock: it is told [`api::Event`]s with their times and
+//! orders [`api::Action`]s. Three files hold its three matters, `quota`, `life` and `hosts`; `docs/design.md` gives
+//! their reasons and the conditions under which each exception acts.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod api;
+mod hosts;
+mod life;
+mod quota;
+
+pub use life::Gateway;
--- /dev/null
+++ b/crates/decision/src/quota.rs
@@ -0,0 +1,337 @@
+//! Quota: each customer's two-window count over all gateways, and the verdict on it.
+
+use crate::api::*;
+use crate::hosts::{Host, SMOOTHING};
+use crate::life::{nanos, seconds, Actions, Gateway, Job, Stage, SECOND};
+
+/// Window length in bursts: its head start (limit less burst) about makes up for what its edge withholds.
+const WINDOW_BURSTS: f64 = 1.5;
+/// A request waits for the counter at most this part of its aim.
+const WAIT_PART_OF_AIM: f64 = 0.1;
+/// Share of the counter's time-out that its answers may take; the part of the requests that ask follows it.
+const COUNTER_TARGET: f64 = 0.65;
+const ASK_GAIN: f64 = 0.5;
+/// However poorly the counter answers, this part of the requests still asks, so that its return is noticed.
+const ASK_LEAST: f64 = 0.1;
+/// However few ask, they share this part of the limit: less is too coarse for the largest requests.
+const LIMIT_LEAST: f64 = 0.8;
+
+/// A call to the counter: a request's add, a correction, or, adding nought, a read of the window before.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) customer: CustomerId,
+    pub(crate) window: u64,
+    pub(crate) amount: f64,
+    pub(crate) job: Option<RequestId>,
+}
+
+/// What this gateway knows of one customer's two counts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Quota {
+    pub(crate) window: u64,
+    /// Latest total of the current window, with what a lost counter forgot.
+    pub(crate) known: f64,
+    /// Own adds still on their way.
+    pub(crate) pending: f64,
+    /// Own adds that never got on the counter; the next add takes them along.
+    pub(crate) owed: f64,
+    /// Own adds that the counter confirmed; a total below it proves that the counter lost the name.
+    pub(crate) confirmed: f64,
+    pub(crate) lost: f64,
+    /// Own adds that are or may be in `known`, and those of the previous window.
+    pub(crate) own: f64,
+    pub(crate) own_previous: f64,
+    pub(crate) answered: bool,
+    pub(crate) previous: f64,
+    pub(crate) previous_read: bool,
+    pub(crate) reading: bool,
+    pub(crate) waiting: Vec<RequestId>,
+    /// Local share of the hard ceiling: units in store and when that was reckoned.
+    pub(crate) ceiling: f64,
+    pub(crate) ceiling_at: Nanos,
+    /// This gateway's share of the quota, for requests that nobody else's count is known for.
+    pub(crate) store: f64,
+    pub(crate) stored_at: Nanos,
+    pub(crate) open: u32,
+    pub(crate) last_seen: Nanos,
+}
+
+impl Gateway {
+    /// Window length in nanoseconds and the limit over it, from the plan's rate and burst.
+    fn window(&self, plan: usize) -> (Nanos, f64) {
+        let plan = &self.set.plans[plan];
+        let burst = plan.burst.max(self.set.largest_request);
+        // A name lives for 60 s at most and must outlast two windows.
+        let length = (WINDOW_BURSTS * burst / plan.rate).clamp(0.1, 25.0);
+        (nanos(length), (plan.rate * length).max(burst))
+    }
+
+    /// After so long without a request nothing that is known of a customer tells any more: its windows are
+    /// over and its stores are full.
+    pub(crate) fn remembered(&self) -> Nanos {
+        let with_rate = (0..self.set.plans.len()).filter(|&plan| self.set.plans[plan].rate > 0.0);
+        let windows = with_rate.map(|plan| 2 * self.window(plan).0).max().unwrap_or(0);
+        let full = |plan: &Plan| nanos(plan.ceiling_burst / plan.ceiling_rate);
+        let capped = self.set.plans.iter().filter(|plan| plan.ceiling_rate > 0.0);
+        capped.map(full).max().unwrap_or(0).max(windows).max(SECOND as Nanos)
+    }
+
+    /// The customer's record, rolled on to the window of this moment.
+    fn quota(&mut self, customer: CustomerId, length: Nanos) -> &mut Quota {
+        let (now, window) = (self.now, self.now / length.max(1));
+        let q = self.quotas.entry(customer).or_default();
+        q.last_seen = now;
+        if q.window != window {
+            // What was last seen of a window is a lower bound on it until it has been read.
+            let follows = q.window + 1 == window;
+            q.previous = if follows { q.known + q.pending + q.owed } else { 0.0 };
+            q.own_previous = if follows { q.own } else { 0.0 };
+            q.own = 0.0;
+            q.window = window;
+            (q.known, q.pending, q.owed, q.confirmed, q.lost) = (0.0, 0.0, 0.0, 0.0, 0.0);
+            (q.previous_read, q.reading, q.answered) = (false, false, false);
+        }
+        q
+    }
+
+    pub(crate) fn on_request(&mut self, id: RequestId, job: Job, budget: Nanos, out: &mut Actions) {
+        let (customer, units, plan) = (job.customer, job.units, job.plan);
+        let aim = self.aim_of(&job) - self.now;
+        // One tick early: timers come late, never early.
+        let last = budget.saturating_sub(self.set.tick);
+        self.timer("late", Some(id), aim.min(last), out);
+        self.timer("deadline", Some(id), last, out);
+        let work = seconds(self.expected(job.class)).max(0.001);
+        let density = (self.class(&job).worth * self.set.plans[plan].worth_factor / work).max(1e-9);
+        self.density += SMOOTHING * (density - self.density);
+        self.jobs.insert(id, job);
+        if self.let_in < 1.0 && self.rng.f64() >= self.let_in.powf(self.density / density) {
+            return self.finish(id, out);
+        }
+        if self.set.plans[plan].rate <= 0.0 {
+            return self.admit(id, out);
+        }
+        if !self.set.counter {
+            // Each gateway then holds its customers to its share by what it sends itself.
+            return self.judge_locally(id, out);
+        }
+        let (length, limit) = self.window(plan);
+        let now = self.now;
+        // Guards against a counter that is slow, silent or crowded: calls beyond what it answers in time only
+        // lengthen its line, so a part of the requests goes unasked. Who asks is drawn by the part of its
+        // limit that it brings along, with what went unasked before: totals are wrong by what they lack.
+        let draw = self.rng.f64();
+        let owed = self.quota(customer, length).owed;
+        let need = (units + owed).max(0.0) / limit;
+        self.need += SMOOTHING * (need - self.need);
+        let crowded = self.ask < 1.0 && draw >= self.ask * need / self.need.max(1e-9);
+        let q = self.quota(customer, length);
+        let over = estimate(q.previous, q.known + q.owed, now, length) > limit;
+        // A customer whose total shows it to be over costs no more calls until the estimate has fallen.
+        if over && q.answered {
+            return self.refuse(id, true, out);
+        }
+        if crowded {
+            return self.judge_locally(id, out);
+        }
+        let amount = units + q.owed;
+        q.owed = 0.0;
+        q.pending += amount;
+        let window = q.window;
+        self.jobs.entry(id).and_modify(|job| job.charged = Some(window));
+        self.call(Call { customer, window, amount, job: Some(id) }, length, out);
+        self.timer("wait", Some(id), (aim as f64 * WAIT_PART_OF_AIM) as Nanos, out);
+    }
+
+    fn call(&mut self, call: Call, length: Nanos, out: &mut Actions) {
+        let name = format!("q{:x}.{}", call.customer.0, call.window);
+        // Kept to the end of the window after it.
+        let keep_for = (call.window + 2).saturating_mul(length).saturating_sub(self.now).max(length);
+        out.push(Action::Count { name: name.clone(), amount: call.amount, keep_for });
+        self.calls.entry(name).or_default().push_back(call);
+    }
+
+    pub(crate) fn adjust(
+        &mut self, customer: CustomerId, window: u64, amount: f64, plan: usize, out: &mut Actions,
+    ) {
+        let (length, _) = self.window(plan);
+        let q = self.quota(customer, length);
+        q.pending += if q.window == window { amount } else { 0.0 };
+        self.call(Call { customer, window, amount, job: None }, length, out);
+    }
+
+    /// The part of the requests that ask, by what the calls meet: less as answers near the time-out or fail.
+    fn learn_of_counter(&mut self, outcome: Outcome, took: Nanos, out: &mut Actions) {
+        let good = outcome == Outcome::Good;
+        let delay = if good { took as f64 / self.set.counter_timeout.max(1) as f64 } else { 1.0 };
+        self.ask = (self.ask * (ASK_GAIN * (COUNTER_TARGET - delay)).exp()).clamp(ASK_LEAST, 1.0);
+        let trouble = self.ask <= ASK_LEAST * if self.counter_trouble { 4.0 } else { 2.0 };
+        if trouble != self.counter_trouble {
+            self.counter_trouble = trouble;
+            let text = if trouble {
+                "counter in trouble: judging on what is known"
+            } else {
+                "counter answers again"
+            };
+            out.push(Action::Log { text: text.to_owned() });
+        }
+    }
+
+    pub(crate) fn on_counted(
+        &mut self, name: &str, outcome: Outcome, total: f64, took: Nanos, out: &mut Actions,
+    ) {
+        // Answers for a name come in the order of the calls.
+        let Some(calls) = self.calls.get_mut(name) else { return };
+        let Some(call) = calls.pop_front() else { return };
+        if calls.is_empty() {
+            self.calls.remove(name);
+        }
+        let good = outcome == Outcome::Good;
+        self.learn_of_counter(outcome, took, out);
+        let q = self.quotas.entry(call.customer).or_default();
+        if call.job.is_none() && call.amount == 0.0 {
+            if q.window == call.window + 1 {
+                if good {
+                    q.previous = q.previous.max(total);
+                }
+                (q.previous_read, q.reading) = (good, false);
+            }
+            for id in std::mem::take(&mut q.waiting) {
+                self.judge(id, out);
+            }
+            return;
+        }
+        if q.window == call.window {
+            q.pending -= call.amount;
+            match outcome {
+                Outcome::Good => {
+                    // A name that holds less than this gateway put there was forgotten: what was known stays.
+                    let before = total - call.amount;
+                    if before < q.confirmed - 0.01 * q.confirmed.max(1.0) {
+                        q.lost += (q.known - q.lost - before).max(0.0);
+                        q.confirmed = before;
+                    }
+                    q.confirmed += call.amount;
+                    q.own += call.amount;
+                    q.known = total + q.lost;
+                    q.answered = true;
+                }
+                // It may have been added.
+                Outcome::Timeout => {
+                    q.known += call.amount;
+                    q.own += call.amount;
+                }
+                _ => q.owed += call.amount,
+            }
+        }
+        if let Some(job) = call.job {
+            if good {
+                self.judge(job, out);
+            } else {
+                self.judge_locally(job, out);
+            }
+        }
+    }
+
+    /// The verdict on the weighted two-window estimate. The previous window is read once, and only where the
+    /// verdict hangs on it.
+    fn judge(&mut self, id: RequestId, out: &mut Actions) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Counting) else { return };
+        let (customer, charged, (length, limit)) = (job.customer, job.charged, self.window(job.plan));
+        let limit = limit * self.ask.max(LIMIT_LEAST);
+        let (now, crowded) = (self.now, self.rng.f64() >= self.ask);
+        let q = self.quota(customer, length);
+        if charged != Some(q.window) {
+            return self.judge_locally(id, out);
+        }
+        if estimate(q.previous, q.known, now, length) > limit {
+            return self.refuse(id, true, out);
+        }
+        if q.previous_read || estimate(q.previous.max(limit), q.known, now, length) <= limit {
+            return self.admit(id, out);
+        }
+        if crowded && !q.reading {
+            return self.judge_locally(id, out);
+        }
+        q.waiting.push(id);
+        if !q.reading {
+            q.reading = true;
+            let window = q.window.saturating_sub(1);
+            self.call(Call { customer, window, amount: 0.0, job: None }, length, out);
+        }
+    }
+
+    /// The verdict while the counter is silent: the last totals and this gateway's own adds. Whoever is not
+    /// known to be over the limit passes.
+    pub(crate) fn judge_locally(&mut self, id: RequestId, out: &mut Actions) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Counting) else { return };
+        let (customer, charged, units, spread) = (job.customer, job.charged, job.units, job.spread);
+        let (rate, (length, limit)) = (self.set.plans[job.plan].rate, self.window(job.plan));
+        let (now, part) = (self.now, if self.set.counter { 1.0 - self.ask } else { 1.0 });
+        let q = self.quota(customer, length);
+        let unasked = if charged == Some(q.window) { 0.0 } else { units };
+        let share = q.share(spread, limit);
+        let gained = seconds(now - q.stored_at) * rate * share * part;
+        q.store = (q.store + gained).min((limit * share).max(units));
+        q.stored_at = now;
+        let mine = (q.pending + q.owed + unasked) / share;
+        let known_over = estimate(q.previous, q.known, now, length) > limit;
+        if known_over || q.store < units && estimate(q.previous, q.known + mine, now, length) > limit {
+            return self.refuse(id, known_over, out);
+        }
+        q.store -= units;
+        q.owed += unasked;
+        self.admit(id, out);
+    }
+
+    /// Refuses a request on its quota and takes its add back. Who is not known to be over it, but only beyond
+    /// this gateway's share, may come again in time: by then, or elsewhere, more may be known.
+    fn refuse(&mut self, id: RequestId, known_over: bool, out: &mut Actions) {
+        let Some(job) = self.jobs.get(&id).cloned() else { return };
+        self.take_back(&job, out);
+        let (plan, (length, _)) = (&self.set.plans[job.plan], self.window(job.plan));
+        // Where use beyond the quota pays it goes on while a host stands idle, charged to no count.
+        let idle = |h: &Host| h.ready() && h.out.is_empty();
+        if plan.extra_worth > plan.overrun_cost && self.held.is_empty() && self.hosts.values().any(idle) {
+            self.jobs.entry(id).and_modify(|job| job.charged = None);
+            return self.admit(id, out);
+        }
+        let retry_after = if known_over { length - self.now % length } else { self.come_back(&job) };
+        out.push(Action::Refuse { id, retry_after });
+        self.jobs.remove(&id);
+    }
+
+    /// Takes the add of a request off the count that it stands on: what is never sent on uses nothing.
+    pub(crate) fn take_back(&mut self, job: &Job, out: &mut Actions) {
+        if let Some(window) = job.charged {
+            self.adjust(job.customer, window, -job.units, job.plan, out);
+        }
+    }
+
+    /// What is left of this gateway's share of the hard ceiling. It starts empty: it may have been spent.
+    pub(crate) fn ceiling_left(&mut self, plan: usize, customer: CustomerId, spread: u32) -> f64 {
+        let (now, born, share) = (self.now, self.born, 1.0 / f64::from(spread));
+        let plan = &self.set.plans[plan];
+        let q = self.quotas.entry(customer).or_default();
+        if q.ceiling_at == 0 {
+            q.ceiling_at = born;
+        }
+        let gained = seconds(now - q.ceiling_at) * plan.ceiling_rate * share;
+        q.ceiling = (q.ceiling + gained).min(plan.ceiling_burst * share);
+        q.ceiling_at = now;
+        q.ceiling
+    }
+}
+
+impl Quota {
+    /// Which part of the customer's use comes through this gateway: an even one, and by the totals as seen.
+    pub(crate) fn share(&self, spread: u32, limit: f64) -> f64 {
+        let (own, all) = (self.own + self.own_previous, self.known + self.previous);
+        ((own + limit / f64::from(spread)) / (all.max(own) + limit)).min(1.0)
+    }
+}
+
+/// The weighted two-window estimate at the time `now`, from the previous and the current window's counts.
+fn estimate(previous: f64, current: f64, now: Nanos, length: Nanos) -> f64 {
+    previous * (1.0 - (now % length) as f64 / length as f64) + current
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod api;
-pub mod choice;
+/// The decision module, by the name that its tests know it by.
+pub use quartzcleat_decision as choice;
+pub use quartzcleat_decision::api;
+
 pub mod net;
 pub mod wire;
 
