--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,7 +1,7 @@
 //! The one place where environment and configuration are read, checked and given defaults.
 
 use crate::api::Settings;
-use crate::wire;
+use quartzcleat_settings::platform;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -210,8 +210,7 @@
         }
     };
     let inner = file.get("settings").ok_or("settings: missing")?;
-    let mut pairs = BTreeMap::new();
-    flatten("", inner, &mut pairs)?;
+    let pairs = platform::flatten(inner)?;
     let pairs: BTreeMap<&str, &str> = pairs.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
     let names = |key: &str| match inner.get(key) {
         None => Ok(Vec::new()),
@@ -232,8 +231,11 @@
             text.parse().map_err(|_| format!("settings.limits.connIdleNs: cannot read {text:?}"))?
         }
     };
-    let settings = wire::decode_pairs(pairs)
-        .map_err(|e| format!("settings.{}: {}", e.field.trim_end_matches(" of profileData"), e.problem))?;
+    let settings = platform::decode(pairs).map_err(|faults| {
+        let lines: Vec<_> =
+            faults.iter().map(|fault| format!("settings.{}: {}", fault.path, fault.problem)).collect();
+        lines.join("; ")
+    })?;
     let counter = match told("counter", "BALANCER_COUNTER") {
         Ok(text) => Some(address("counter", &text)?),
         Err(missing) if settings.counter => return Err(missing),
@@ -267,46 +269,6 @@
     })
 }
 
-/// Lays nested JSON out as the path=value pairs that the simulator's first message has.
-fn flatten(path: &str, value: &Value, pairs: &mut BTreeMap<String, String>) -> Result<(), String> {
-    let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
-    match value {
-        Value::Object(members) => {
-            members.iter().try_for_each(|(name, value)| flatten(&below(name), value, pairs))
-        }
-        Value::Array(list) if list.iter().any(Value::is_object) => {
-            pairs.insert(below("count"), list.len().to_string());
-            list.iter().enumerate().try_for_each(|(i, value)| flatten(&below(&i.to_string()), value, pairs))
-        }
-        Value::Array(list) => {
-            let texts: Result<Vec<_>, _> = list.iter().map(|value| plain(path, value)).collect();
-            pairs.insert(path.to_owned(), texts?.join(","));
-            Ok(())
-        }
-        _ if path.is_empty() => Err("settings: not an object".to_owned()),
-        _ => {
-            pairs.insert(path.to_owned(), plain(path, value)?);
-            Ok(())
-        }
-    }
-}
-
-fn plain(path: &str, value: &Value) -> Result<String, String> {
-    Ok(match value {
-        Value::Null => "-".to_owned(),
-        Value::Bool(flag) => flag.to_string(),
-        Value::String(text) => text.clone(),
-        // A whole number may be written as 3.0 or 5e9, and is still one.
-        Value::Number(number) => match number.as_f64() {
-            Some(real) if number.is_f64() && real.fract() == 0.0 && real.abs() < 9e15 => {
-                (real as i64).to_string()
-            }
-            _ => number.to_string(),
-        },
-        _ => return Err(format!("settings.{path}: lists within lists are not known here")),
-    })
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use base64::{engine::general_purpose::STANDARD as BASE64, Engine};
+use quartzcleat_settings::platform;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
@@ -283,139 +284,21 @@
     })
 }
 
-struct Pairs<'a> {
-    line: u64,
-    pairs: BTreeMap<&'a str, &'a str>,
-}
-
-impl Pairs<'_> {
-    /// The value of a key, its type's empty value where the key is absent.
-    fn get<T: std::str::FromStr + Default>(&self, key: &str) -> Parsed<T> {
-        match self.pairs.get(key) {
-            None | Some(&"-") | Some(&"") => Ok(T::default()),
-            Some(text) => text.parse().map_err(|_| self.error(key, format!("cannot read {text:?}"))),
-        }
-    }
-
-    fn error(&self, key: &str, problem: impl Into<String>) -> WireError {
-        WireError { line: self.line, field: format!("{key} of profileData"), problem: problem.into() }
-    }
-
-    fn real(&self, key: &str) -> Parsed<f64> {
-        let value: f64 = self.get(key)?;
-        if value.is_finite() {
-            Ok(value)
-        } else {
-            Err(self.error(key, "not a finite number"))
-        }
-    }
-
-    fn text(&self, key: &str) -> String {
-        self.pairs.get(key).map(|t| (*t).to_owned()).unwrap_or_default()
-    }
-
-    fn word<T: Copy + Default>(&self, key: &str, words: &[(&str, T)]) -> Parsed<T> {
-        match self.pairs.get(key) {
-            None | Some(&"-") | Some(&"") => Ok(T::default()),
-            Some(text) => match words.iter().find(|(word, _)| word == text) {
-                Some((_, value)) => Ok(*value),
-                None => Err(self.error(key, format!("unknown word {text:?}"))),
-            },
-        }
-    }
-}
-
 fn decode_settings(f: Fields) -> Parsed<Settings> {
-    let mut p = Pairs { line: f.line, pairs: BTreeMap::new() };
+    let line = f.line;
+    let fault =
+        |path: &str, problem: String| WireError { line, field: format!("{path} of profileData"), problem };
+    let mut pairs = BTreeMap::new();
     for part in f.parts {
         match part.split_once('=') {
-            Some((key, value)) => p.pairs.insert(key, value),
-            None if part.is_empty() => continue,
-            None => return Err(p.error(part, "is not a path=value pair")),
+            Some((key, value)) => drop(pairs.insert(key, value)),
+            None if part.is_empty() => {}
+            None => return Err(fault(part, "is not a path=value pair".to_owned())),
         };
     }
-    settings_of(p)
-}
-
-/// Settings from path=value pairs that did not come on the wire; an error's field names the path.
-pub fn decode_pairs(pairs: BTreeMap<&str, &str>) -> Result<Settings, WireError> {
-    settings_of(Pairs { line: 0, pairs })
-}
-
-fn settings_of(p: Pairs) -> Parsed<Settings> {
-    let mut classes = Vec::new();
-    for i in 0..p.get::<u32>("categories.count")? {
-        let key = |name: &str| format!("categories.{i}.{name}");
-        let effects =
-            [("retryable", Effect::Retryable), ("dedup", Effect::Keyed), ("fragile", Effect::Unsafe)];
-        classes.push(Class {
-            name: p.text(&key("name")),
-            effect: p.word(&key("effect"), &effects)?,
-            group: p
-                .word(&key("group"), &[("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)])?,
-            dedup_window: p.get(&key("dedupWindowNs"))?,
-            aim: p.get(&key("onTimeNs"))?,
-            aim_stretch: p.real(&key("aimStretch"))?,
-            deadline: p.get(&key("hardLimitNs"))?,
-            worth: p.real(&key("importance"))?,
-            late_worth: p.real(&key("lateWorth"))?,
-            stream: p.get(&key("stream"))?,
-        });
-    }
-    let mut plans = Vec::new();
-    for i in 0..p.get::<u32>("contracts.count")? {
-        let key = |name: &str| format!("contracts.{i}.{name}");
-        plans.push(Plan {
-            name: p.text(&key("name")),
-            rate: p.real(&key("refill"))?,
-            burst: p.real(&key("peakUnits"))?,
-            open: p.real(&key("concurrency"))? as u32,
-            worth_factor: p.real(&key("worthFactor"))?,
-            extra_worth: p.real(&key("extraWorth"))?,
-            overrun_cost: p.real(&key("overrunCost"))?,
-            ceiling_rate: p.real(&key("ceilingRate"))?,
-            ceiling_burst: p.real(&key("capDepth"))?,
-            ceiling_slack: p.real(&key("capSlack"))?,
-        });
-    }
-    let reports = [
-        ("answers", ReportSource::Answers),
-        ("probe", ReportSource::Probes),
-        ("none", ReportSource::Nowhere),
-    ];
-    Ok(Settings {
-        classes,
-        plans,
-        gateways: p.get("balancers")?,
-        me: p.get("me")?,
-        zone: p.get("zone")?,
-        tick: p.get("quantumNs")?,
-        discovery_by_asking: p.word("registryMode", &[("push", false), ("ask", true)])?,
-        reports: p.word("stats.how", &reports)?,
-        counter: p.get("familyInfo.counter")?,
-        counter_timeout: p.get("familyInfo.counterTimeoutNs")?,
-        counter_price: p.real("familyInfo.callPrice")?,
-        settled_later: p.get("familyInfo.costAfter")?,
-        largest_request: p.real("familyInfo.unitsTop")?,
-        may_cancel: p.get("limits.mayCancel")?,
-        may_probe: p.get("limits.probing")?,
-        may_tell_peers: p.get("limits.peers")?,
-        second_copies: p.get("limits.secondCopies")?,
-        retry_after: p.get("limits.retryAfter")?,
-        longest_retry_after: p.get("limits.maxRetryAfterNs")?,
-        max_attempts: p.get("limits.sendCap")?,
-        max_open: p.get("limits.openCap")?,
-        connect_timeout: p.get("limits.connectTimeoutNs")?,
-        answer_grace: p.get("safety.graceToAnswerNs")?,
-        drain_grace: p.get("safety.drainGraceNs")?,
-        cold_from: p.real("safety.coldFrom")?,
-        warm_after: p.get("safety.warmAfterNs")?,
-        overload_factor: p.real("safety.overloadFactor")?,
-        tip_after: p.get("safety.tipAfterNs")?,
-        price_cross_zone: p.real("charges.crossZone")?,
-        price_waste: p.real("charges.waste")?,
-        price_late_fail: p.real("charges.lateFail")?,
-        price_probe: p.real("charges.probe")?,
+    platform::decode(pairs).map_err(|mut faults| {
+        let first = faults.swap_remove(0);
+        fault(&first.path, first.problem)
     })
 }
 
