Expectations: read, compiled, explored, judged and blamed; command line on clap, logs on tracing

Need: operators write what they expect of routing, quotas and retries beside the configuration and have it checked without traffic.

--- /dev/null
+++ b/crates/expect/src/run.rs
@@ -0,0 +1,475 @@
+//! A run: all expectations of some files, on one day or several, each explored, judged, and asked whether it says
+//! anything at all.
+
+use crate::blame::{self, Blame};
+use crate::compile::{compile, varied, Compiled, Vary};
+use crate::explore::{explore, Budget, Explored, Failure};
+use crate::file::{self, Expectation, Suite};
+use quartzcleat_rules::story;
+use quartzcleat_settings::day::Change;
+use quartzcleat_settings::reader::list;
+use quartzcleat_settings::tree::Content;
+use quartzcleat_settings::{Day, Faults};
+use quartzcleat_world::scenario::{Fate, Happening};
+use rayon::prelude::*;
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::time::Instant;
+
+/// What is to be run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Files of expectations, and folders of them.
+    pub paths: Vec<PathBuf>,
+    /// Another day's settings than the files name.
+    pub settings: Option<PathBuf>,
+    /// Settings to compare verdicts with.
+    pub against: Option<PathBuf>,
+    /// Figures that take several values, by name: every combination is a day of its own.
+    pub ranges: Vec<(String, Vec<f64>)>,
+    /// Only expectations whose name holds this.
+    pub only: Option<String>,
+    /// How much each is explored.
+    pub budget: Budget,
+    /// Whether the lines behind a failure are looked for.
+    pub blame: bool,
+    /// Whether expectations that hold are asked if they say anything.
+    pub vary: bool,
+    /// How many are explored at once; 0 for one a core.
+    pub jobs: usize,
+    /// Plays this path of choices alone.
+    pub replay: Option<Vec<usize>>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            paths: vec![PathBuf::from("deploy/expectations")],
+            settings: None,
+            against: None,
+            ranges: Vec::new(),
+            only: None,
+            budget: Budget::default(),
+            blame: true,
+            vary: true,
+            jobs: 0,
+            replay: None,
+        }
+    }
+}
+
+/// The verdict on one expectation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// It holds in all that was played, and was put to the test.
+    Held,
+    /// It does not hold.
+    Failed,
+    /// No play put one of its demands to the test.
+    Untested,
+    /// One of its demands holds whatever is changed of what it names.
+    SaysNothing,
+    /// It cannot be used.
+    Faulty,
+}
+
+/// How a failure is told.
+#[derive(Clone, Debug, Serialize)]
+pub struct Told {
+    /// What happened.
+    pub how: String,
+    /// The line of the demand, or of the expectation where a rule is broken.
+    pub line: u32,
+    /// The path of choices, to replay it.
+    pub path: Vec<usize>,
+    /// How many choices the play had that was first found to fail.
+    pub choices: usize,
+    /// The story.
+    pub story: Vec<String>,
+    /// The lines of configuration behind it.
+    pub behind: Blame,
+}
+
+/// The result for one expectation on one day.
+#[derive(Clone, Debug, Serialize)]
+pub struct Result {
+    /// The file.
+    pub file: String,
+    /// The line.
+    pub line: u32,
+    /// The expectation's name.
+    pub name: String,
+    /// The day's settings, with what a range made of them.
+    pub day: String,
+    /// The verdict.
+    pub verdict: Verdict,
+    /// What is to be known of it: faults, or demands that were not tested or say nothing.
+    pub notes: Vec<String>,
+    /// How it fails.
+    pub failure: Option<Told>,
+    /// The verdict under the settings compared with, where it differs, and the changed lines that do it.
+    pub differs: Option<(Verdict, Blame)>,
+    /// Plays, events and different states.
+    pub explored: Counts,
+    /// Seconds it took.
+    pub seconds: f64,
+}
+
+/// How much was explored.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Counts {
+    /// Plays.
+    pub plays: u64,
+    /// Events.
+    pub events: u64,
+    /// Different states at choices.
+    pub states: u64,
+    /// Plays ended where their state had been met.
+    pub met: u64,
+    /// Random walks.
+    pub walks: u64,
+    /// All ways to so many choices.
+    pub depth: usize,
+    /// All ways to the end.
+    pub complete: bool,
+    /// How often the demand that was tested least was put to the test.
+    pub tested: u64,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Outcome {
+    /// Each expectation's result, in the order of the files.
+    pub results: Vec<Result>,
+    /// Faults of the files, one line each.
+    pub faults: Vec<String>,
+    /// Seconds it all took.
+    pub seconds: f64,
+}
+
+impl Outcome {
+    /// The exit code: 0 all held, 1 one does not, 2 something cannot be told.
+    pub fn code(&self) -> u8 {
+        let bad =
+            |verdict: Verdict| matches!(verdict, Verdict::Failed | Verdict::Untested | Verdict::SaysNothing);
+        if self.results.iter().any(|result| bad(result.verdict)) {
+            1
+        } else if !self.faults.is_empty() || self.results.iter().any(|r| r.verdict == Verdict::Faulty) {
+            2
+        } else {
+            u8::from(self.results.is_empty()) * 2
+        }
+    }
+}
+
+/// Reads the settings of a day from a file.
+///
+/// # Errors
+/// All its faults.
+pub fn read_day(path: &Path) -> std::result::Result<Day, Faults> {
+    let name = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Day::read(&name, &text),
+        Err(e) => {
+            let mut faults = Faults::default();
+            faults.add(
+                &name.into(),
+                quartzcleat_settings::tree::Place::default(),
+                "",
+                format!("cannot read: {e}"),
+            );
+            Err(faults)
+        }
+    }
+}
+
+/// Runs expectations.
+pub fn run(options: &Options) -> Outcome {
+    let (began, mut faults) = (Instant::now(), Faults::default());
+    let files = file::find(&options.paths);
+    if files.is_empty() {
+        let named: Vec<_> = options.paths.iter().map(|path| path.display().to_string()).collect();
+        let text = format!("{}: no file of expectations", named.join(", "));
+        return Outcome { faults: vec![text], ..Outcome::default() };
+    }
+    let suites: Vec<Suite> = files.iter().filter_map(|path| file::read(path, &mut faults)).collect();
+    let mut work: Vec<(&Suite, &Expectation, Day, String)> = Vec::new();
+    let mut against = None;
+    if let Some(path) = &options.against {
+        match read_day(path) {
+            Ok(day) => against = Some(day),
+            Err(found) => faults.0.extend(found.0),
+        }
+    }
+    for suite in &suites {
+        let path = options.settings.as_ref().unwrap_or(&suite.settings);
+        let day = match read_day(path) {
+            Ok(day) => day,
+            Err(found) => {
+                faults.0.extend(
+                    found.0.into_iter().filter(|fault| !faults.0.contains(fault)).collect::<Vec<_>>(),
+                );
+                continue;
+            }
+        };
+        let wanted =
+            |e: &&Expectation| options.only.as_ref().is_none_or(|only| e.name.contains(only.as_str()));
+        for expectation in suite.expectations.iter().filter(wanted) {
+            match days(expectation, &day, &options.ranges) {
+                Ok(days) => work.extend(days.into_iter().map(|(day, name)| (suite, expectation, day, name))),
+                Err(found) => faults.0.extend(found.0),
+            }
+        }
+    }
+    let one = |(suite, expectation, day, name): &(&Suite, &Expectation, Day, String)| {
+        check(suite, expectation, day, name, against.as_ref(), options)
+    };
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(options.jobs).build();
+    let results = match pool {
+        Ok(pool) => pool.install(|| work.par_iter().with_max_len(1).map(one).collect()),
+        Err(_) => work.iter().map(one).collect(),
+    };
+    let faults = faults.0.iter().map(ToString::to_string).collect();
+    Outcome { results, faults, seconds: began.elapsed().as_secs_f64() }
+}
+
+/// More days than this one expectation is not checked on.
+const MOST_DAYS: usize = 64;
+
+/// The days that ranges make of one: those of the command line and the expectation's own.
+fn days(
+    expectation: &Expectation, day: &Day, ranges: &[(String, Vec<f64>)],
+) -> std::result::Result<Vec<(Day, String)>, Faults> {
+    let mut faults = Faults::default();
+    let mut ranges = ranges.to_vec();
+    if let Some(Content::Map(members)) = expectation.given.get("range").map(|node| &node.content) {
+        for (name, place, node) in members {
+            let values: Option<Vec<f64>> = list(node)
+                .iter()
+                .map(|node| if let Content::Number(value) = node.content { Some(value) } else { None })
+                .collect();
+            match values.filter(|values| !values.is_empty()) {
+                Some(values) => ranges.push((name.clone(), values)),
+                None => faults.add(
+                    &expectation.file,
+                    *place,
+                    format!("given.range.{name}"),
+                    "not a list of numbers",
+                ),
+            }
+        }
+    }
+    let mut days = vec![(Vec::<Change>::new(), String::new())];
+    for (name, values) in &ranges {
+        let key = match day.look(name) {
+            Ok(named) => named.key,
+            Err(problem) => {
+                faults.add(&expectation.file, expectation.given.place, "given.range", problem);
+                continue;
+            }
+        };
+        let with = |(changes, label): &(Vec<Change>, String), value: &f64| {
+            let mut changes = changes.clone();
+            changes.push((key.clone(), Some(Content::Number(*value))));
+            (changes, format!("{label} {name}={value}"))
+        };
+        days = days
+            .iter()
+            .flat_map(|day| values.iter().map(|value| with(day, value)).collect::<Vec<_>>())
+            .collect();
+        if days.len() > MOST_DAYS {
+            let problem = format!("{} days; {MOST_DAYS} at most", days.len());
+            faults.add(&expectation.file, expectation.given.place, "given.range", problem);
+            return Err(faults);
+        }
+    }
+    let mut made = Vec::new();
+    for (changes, label) in days {
+        match day.with(&changes) {
+            Ok(other) => made.push((other, format!("{}{label}", day.file))),
+            Err(found) => faults.0.extend(found.0),
+        }
+    }
+    faults.or(made)
+}
+
+fn check(
+    suite: &Suite, expectation: &Expectation, day: &Day, label: &str, against: Option<&Day>,
+    options: &Options,
+) -> Result {
+    let began = Instant::now();
+    let mut result = Result {
+        file: expectation.file.to_string(),
+        line: expectation.line,
+        name: expectation.name.clone(),
+        day: label.to_owned(),
+        verdict: Verdict::Faulty,
+        notes: Vec::new(),
+        failure: None,
+        differs: None,
+        explored: Counts::default(),
+        seconds: 0.0,
+    };
+    let compiled = match compile(suite, expectation, day) {
+        Ok(compiled) => compiled,
+        Err(faults) => {
+            result.notes = faults.0.iter().map(ToString::to_string).collect();
+            return result;
+        }
+    };
+    if let Some(path) = &options.replay {
+        let (records, failure) = crate::explore::follow(&compiled, path);
+        result.verdict = if failure.is_some() { Verdict::Failed } else { Verdict::Held };
+        let failure = failure.unwrap_or_else(|| Failure {
+            path: path.clone(),
+            choices: path.len(),
+            must: None,
+            at: 0,
+            request: None,
+            how: "nothing fails on this path".to_owned(),
+            records,
+        });
+        result.failure = Some(told(&compiled, expectation, &failure, Blame::default()));
+        return result;
+    }
+    let explored = explore(&compiled, &options.budget);
+    result.verdict = verdict(&compiled, &explored, &mut result.notes);
+    if result.verdict == Verdict::Held && options.vary {
+        says_nothing(suite, expectation, day, &compiled, &explored, &mut result);
+    }
+    if let Some(failure) = &explored.failure {
+        let behind = match (options.blame, against) {
+            (false, _) => Blame::default(),
+            (true, Some(old)) if !blame::changes(old, day).is_empty() => {
+                blame::between(suite, expectation, old, day, false, &options.budget)
+            }
+            (true, _) => blame::behind(suite, expectation, day, &options.budget),
+        };
+        result.failure = Some(told(&compiled, expectation, failure, behind));
+    }
+    if let Some(old) = against {
+        let before = compile(suite, expectation, old).ok().map(|compiled| {
+            let explored = explore(&compiled, &options.budget);
+            verdict(&compiled, &explored, &mut Vec::new())
+        });
+        let held = |verdict: Verdict| matches!(verdict, Verdict::Held | Verdict::SaysNothing);
+        if let Some(before) = before.filter(|before| held(*before) != held(result.verdict)) {
+            let turned = match &result.failure {
+                Some(failure) if !failure.behind.sets.is_empty() => failure.behind.clone(),
+                _ => blame::between(suite, expectation, old, day, held(result.verdict), &options.budget),
+            };
+            result.differs = Some((before, turned));
+        }
+    }
+    result.explored = Counts {
+        plays: explored.plays,
+        events: explored.events,
+        states: explored.states,
+        met: explored.met,
+        walks: explored.walks,
+        depth: explored.depth,
+        complete: explored.complete,
+        tested: explored.judged.iter().map(|(tested, _)| *tested).min().unwrap_or(0),
+    };
+    result.seconds = began.elapsed().as_secs_f64();
+    result
+}
+
+fn verdict(compiled: &Compiled, explored: &Explored, notes: &mut Vec<String>) -> Verdict {
+    if explored.failure.is_some() {
+        return Verdict::Failed;
+    }
+    let untested: Vec<u32> = compiled
+        .musts
+        .iter()
+        .zip(&explored.judged)
+        .filter(|(_, (tested, _))| *tested == 0)
+        .map(|(must, _)| must.line)
+        .collect();
+    notes.extend(untested.iter().map(|line| format!("line {line}: no play put this to the test")));
+    if untested.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Untested
+    }
+}
+
+/// Varies what an expectation names, and sees whether any of its demands is left untouched by all of it.
+fn says_nothing(
+    suite: &Suite, expectation: &Expectation, day: &Day, compiled: &Compiled, explored: &Explored,
+    result: &mut Result,
+) {
+    let budget = Budget { plays: 60, events: 60_000, depth: 8, seed: 1 };
+    let mut moved = vec![false; compiled.musts.len()];
+    let mut see = |other: &Compiled| {
+        let found = explore(other, &budget);
+        for (number, moved) in moved.iter_mut().enumerate() {
+            let failed = found.failure.as_ref().is_some_and(|f| f.must == Some(number) || f.must.is_none());
+            let now = found.judged.get(number).copied().unwrap_or_default();
+            let figure = explored.judged[number].1;
+            // A never-event's figure is how often it happened: 0 while it holds, whatever else changes.
+            *moved |= failed || now.0 == 0 || (now.1 - figure).abs() > 0.02 * figure.abs();
+        }
+        moved.iter().all(|moved| *moved)
+    };
+    let mut ways: Vec<Compiled> = Vec::new();
+    let steps = compiled.scenario.steps.iter().enumerate();
+    let others: Vec<usize> =
+        steps.filter(|(_, step)| !matches!(step.what, Happening::Ask(_))).map(|(index, _)| index).collect();
+    ways.extend(others.iter().take(6).map(|index| varied(compiled, &Vary::Without(*index))));
+    ways.push(varied(compiled, &Vary::Requests(4.0)));
+    ways.push(varied(compiled, &Vary::Requests(0.4)));
+    for fate in [Fate::ResetRan, Fate::Normal, Fate::SilentLost] {
+        if compiled.scenario.fates != [fate] {
+            let mut other = compiled.clone();
+            other.scenario.fates = vec![fate];
+            ways.push(other);
+        }
+    }
+    for key in &compiled.names {
+        for factor in [0.5, 2.0] {
+            let Some(node) = day.tree.at(key) else { continue };
+            let now = match &node.content {
+                Content::Number(value) => *value,
+                _ => quantity_of(node),
+            };
+            let value = if now.fract() == 0.0 { (now * factor).round() } else { now * factor };
+            let other = day.with(&[(key.clone(), Some(Content::Number(value)))]).ok();
+            ways.extend(other.and_then(|day| compile(suite, expectation, &day).ok()));
+        }
+    }
+    if ways.iter().any(&mut see) {
+        return;
+    }
+    result.verdict = Verdict::SaysNothing;
+    for (must, _) in compiled.musts.iter().zip(&moved).filter(|(_, moved)| !**moved) {
+        result
+            .notes
+            .push(format!("line {}: holds whatever is changed of what the expectation names", must.line));
+    }
+}
+
+fn quantity_of(node: &quartzcleat_settings::Node) -> f64 {
+    quartzcleat_settings::quantity::time(node).map_or(0.0, |nanos| nanos as f64)
+}
+
+/// Lines of a story beyond which the middle is left out.
+const STORY: usize = 60;
+
+fn told(compiled: &Compiled, expectation: &Expectation, failure: &Failure, behind: Blame) -> Told {
+    let until: Vec<_> =
+        failure.records.iter().filter(|record| failure.at == 0 || record.at <= failure.at).cloned().collect();
+    let mut story = story::tell(&compiled.scenario.cast, &until);
+    if story.len() > STORY {
+        let left = story.len() - STORY;
+        let end = story.split_off(story.len() - STORY / 2);
+        story.truncate(STORY / 2);
+        story.push(format!("{:>12}  ({left} lines left out)", "..."));
+        story.extend(end);
+    }
+    let line =
+        failure.must.and_then(|must| compiled.musts.get(must)).map_or(expectation.line, |must| must.line);
+    let (how, path, choices) = (failure.how.clone(), failure.path.clone(), failure.choices);
+    Told { how, line, path, choices, story, behind }
+}
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -7,13 +7,13 @@
 use crate::quantity;
 use crate::tree::{self, Content, Node, Place};
 use quartzcleat_decision::api::{Effect, Settings};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// A day's settings, read and checked.
 #[derive(Clone, Debug)]
 pub struct Day {
     /// The file's name, as it was given.
-    pub file: Rc<str>,
+    pub file: Arc<str>,
     /// The settings as a tree with places, below `settings` where the file is a limiter's whole configuration.
     pub tree: Node,
     /// What the decision module is told; `me` and `zone` are each limiter's own.
@@ -31,7 +31,7 @@
     /// # Errors
     /// All faults of the file.
     pub fn read(file: &str, text: &str) -> Result<Day, Faults> {
-        let file: Rc<str> = file.into();
+        let file: Arc<str> = file.into();
         let tree = tree::parse(&file, text)?;
         let tree = tree.get("settings").cloned().unwrap_or(tree);
         Day::of(file, tree)
@@ -41,7 +41,7 @@
     ///
     /// # Errors
     /// All faults of the tree.
-    pub fn of(file: Rc<str>, tree: Node) -> Result<Day, Faults> {
+    pub fn of(file: Arc<str>, tree: Node) -> Result<Day, Faults> {
         let mut faults = Faults::default();
         if !matches!(tree.content, Content::Map(_)) {
             faults.add(&file, tree.place, "", "not a map of settings");
@@ -258,7 +258,7 @@
 
 /// A key that is not read is a fault only where it looks like one that is read and missing: the platform's
 /// settings hold more than this program reads.
-fn suspect(file: &Rc<str>, path: &str, place: Place, tree: &Node, faults: &mut Faults) {
+fn suspect(file: &Arc<str>, path: &str, place: Place, tree: &Node, faults: &mut Faults) {
     let (above, name) = path.rsplit_once('.').unwrap_or(("", path));
     let under = |(known, ..): &&'static (&'static str, Kind, &'static str)| {
         let (known_above, _) = known.rsplit_once('.').unwrap_or(("", known));
--- a/crates/settings/src/fault.rs
+++ b/crates/settings/src/fault.rs
@@ -2,13 +2,13 @@
 
 use crate::tree::Place;
 use std::fmt;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// One fault of a file.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub struct Fault {
     /// The file's name, as it was given.
-    pub file: Rc<str>,
+    pub file: Arc<str>,
     /// Where in it.
     pub place: Place,
     /// The key, with those above it.
@@ -33,7 +33,7 @@
 
 impl Faults {
     /// Adds one at a node's place.
-    pub fn add(&mut self, file: &Rc<str>, place: Place, key: impl Into<String>, problem: impl Into<String>) {
+    pub fn add(&mut self, file: &Arc<str>, place: Place, key: impl Into<String>, problem: impl Into<String>) {
         self.0.push(Fault { file: file.clone(), place, key: key.into(), problem: problem.into() });
     }
 
--- a/crates/settings/src/product.rs
+++ b/crates/settings/src/product.rs
@@ -4,7 +4,7 @@
 use crate::fault::Faults;
 use crate::reader::{one_of, text, Reader};
 use crate::{quantity, tree};
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How log lines are written.
@@ -51,7 +51,7 @@
     /// # Errors
     /// All its faults.
     pub fn read(file: &str, text: &str) -> Result<Product, Faults> {
-        let file: Rc<str> = file.into();
+        let file: Arc<str> = file.into();
         let tree = tree::parse(&file, text)?;
         let mut faults = Faults::default();
         let mut top = Reader::new(&file, "", &tree, &mut faults);
@@ -61,7 +61,7 @@
     }
 }
 
-fn log(file: &Rc<str>, node: &tree::Node, faults: &mut Faults) -> Log {
+fn log(file: &Arc<str>, node: &tree::Node, faults: &mut Faults) -> Log {
     let default = Log::default();
     let mut map = Reader::new(file, "log", node, faults);
     let filter = map.take("filter", faults, |node| {
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -2,11 +2,11 @@
 
 use crate::fault::{nearest, Faults};
 use crate::tree::{Content, Node, Place};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Reads one map. Every accessor notes its fault and goes on with a default.
 pub struct Reader<'a> {
-    file: &'a Rc<str>,
+    file: &'a Arc<str>,
     path: String,
     place: Place,
     members: &'a [(String, Place, Node)],
@@ -15,7 +15,7 @@
 
 impl<'a> Reader<'a> {
     /// A reader of a node that is to be a map; null counts as an empty one.
-    pub fn new(file: &'a Rc<str>, path: &str, node: &'a Node, faults: &mut Faults) -> Self {
+    pub fn new(file: &'a Arc<str>, path: &str, node: &'a Node, faults: &mut Faults) -> Self {
         let members: &[_] = match &node.content {
             Content::Map(members) => members,
             Content::Null => &[],
@@ -42,7 +42,7 @@
     }
 
     /// The file's name.
-    pub fn file(&self) -> &'a Rc<str> {
+    pub fn file(&self) -> &'a Arc<str> {
         self.file
     }
 
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -3,7 +3,7 @@
 use crate::fault::{Fault, Faults};
 use saphyr::{LoadableYamlNode, MarkedYaml, Marker, Scalar, YamlData};
 use serde_json::Value;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// A place in a file: line and column from one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,7 +53,7 @@
 ///
 /// # Errors
 /// What is no YAML, holds another number of documents than one, or nests too deeply.
-pub fn parse(file: &Rc<str>, text: &str) -> Result<Node, Faults> {
+pub fn parse(file: &Arc<str>, text: &str) -> Result<Node, Faults> {
     let fault = |place: Place, problem: String| {
         Faults(vec![Fault { file: file.clone(), place, key: String::new(), problem }])
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,9 @@
 pub use quartzcleat_decision as choice;
 pub use quartzcleat_decision::api;
 
+pub mod cli;
 pub mod net;
+pub mod telling;
 pub mod wire;
 
 /// The examples of the README, compiled and run with the tests.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,16 +1,10 @@
-//! One real limiter: reads its configuration and serves until it is told to end.
+//! The program: one real limiter, which is what it is without arguments, and the commands of operators beside it.
 #![forbid(unsafe_code)]
 
-use quartzcleat::net::{self, config};
+use clap::Parser;
+use quartzcleat::cli::Cli;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let served = config::from_environment().and_then(net::serve);
-    match served {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("quartzcleat: {message}");
-            ExitCode::FAILURE
-        }
-    }
+    Cli::parse().run()
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -182,7 +182,7 @@
         // Guards against a fault of the module on one event ending all that is open: each request has its last
         // moment, at which it is failed whatever the module says.
         if catch_unwind(AssertUnwindSafe(|| gateway.handle(now, event, actions))).is_err() {
-            eprintln!("quartzcleat: the decision module failed on an event");
+            tracing::error!("the decision module failed on an event");
         }
         true
     }
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -138,7 +138,7 @@
         let address = addresses.borrow_and_update().discovery;
         let watched = async {
             if let Err(problem) = watch(&node, &mut inventory, address).await {
-                eprintln!("quartzcleat: inventory: {problem}");
+                tracing::warn!("inventory: {problem}");
             }
             sleep(node.limits.again).await;
         };
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -343,7 +343,7 @@
                 let _ = count.wait_for(|count| *count < most + most / 16).await;
             }
             Err(e) => {
-                eprintln!("quartzcleat: cannot accept: {e}");
+                tracing::warn!("cannot accept: {e}");
                 sleep(node.limits.again).await;
             }
         }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -21,7 +21,7 @@
 /// Goes over to a new configuration. Guards against a faulty one: it is reported, and the old one holds.
 fn apply(node: &Node, read: Result<Config, String>) {
     match read {
-        Err(problem) => eprintln!("quartzcleat: the configuration stays as it was: {problem}"),
+        Err(problem) => tracing::warn!("the configuration stays as it was: {problem}"),
         Ok(Config { addresses, .. }) => {
             node.addresses.send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
         }
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -39,7 +39,7 @@
         Action::Count { name, amount, keep_for } => node.counter.call(node, name, amount, keep_for),
         Action::Probe { host } => send::probe(node, host),
         Action::CloseIdle { host } => node.south.close_idle(host),
-        Action::Log { text } => eprintln!("quartzcleat: {text}"),
+        Action::Log { text } => tracing::info!("{text}"),
         // The inventory is watched all the time, and its whole list is asked for after each gap.
         Action::Watch { .. } | Action::FetchHosts => {}
         // Limiters here have no way to each other.
