--- a/crates/expect/src/run.rs
+++ b/crates/expect/src/run.rs
@@ -5,12 +5,13 @@
 use crate::compile::{compile, varied, Compiled, Vary};
 use crate::explore::{explore, Budget, Explored, Failure};
 use crate::file::{self, Expectation, Suite};
-use quartzcleat_rules::story;
+use quartzcleat_decision::api::HostState;
+use quartzcleat_rules::{story, Record, What};
 use quartzcleat_settings::day::Change;
 use quartzcleat_settings::reader::list;
 use quartzcleat_settings::tree::Content;
 use quartzcleat_settings::{Day, Faults};
-use quartzcleat_world::scenario::{Fate, Happening};
+use quartzcleat_world::scenario::{CallFate, CounterMode, Fate, Happening, Scenario};
 use rayon::prelude::*;
 use serde::Serialize;
 use std::path::{Path, PathBuf};
@@ -427,18 +428,32 @@
             ways.push(other);
         }
     }
+    ways.extend(upheavals(compiled));
+    let scaled = |key: &str, factor: f64| {
+        let node = day.tree.at(key)?;
+        let now = if let Content::Number(value) = node.content { value } else { quantity_of(node) };
+        let value = if now.fract() == 0.0 { (now * factor).round() } else { now * factor };
+        Some((key.to_owned(), Some(Content::Number(value))))
+    };
+    let mut changes: Vec<Vec<Change>> = Vec::new();
     for key in &compiled.names {
-        for factor in [0.5, 2.0] {
-            let Some(node) = day.tree.at(key) else { continue };
-            let now = match &node.content {
-                Content::Number(value) => *value,
-                _ => quantity_of(node),
-            };
-            let value = if now.fract() == 0.0 { (now * factor).round() } else { now * factor };
-            let other = day.with(&[(key.clone(), Some(Content::Number(value)))]).ok();
-            ways.extend(other.and_then(|day| compile(suite, expectation, &day).ok()));
+        changes.extend([0.5, 2.0].iter().filter_map(|factor| Some(vec![scaled(key, *factor)?])));
+    }
+    let plan = |step: &quartzcleat_world::scenario::Step| match &step.what {
+        Happening::Ask(ask) => Some(ask.plan),
+        _ => None,
+    };
+    let plans: std::collections::BTreeSet<u32> = compiled.scenario.steps.iter().filter_map(plan).collect();
+    for plan in plans {
+        for factor in [0.25, 16.0] {
+            let figures =
+                ["refill", "peakUnits"].map(|figure| scaled(&format!("contracts.{plan}.{figure}"), factor));
+            changes.push(figures.into_iter().flatten().collect());
         }
     }
+    let made =
+        changes.iter().filter_map(|changes| compile(suite, expectation, &day.with(changes).ok()?).ok());
+    ways.extend(made);
     if ways.iter().any(&mut see) {
         return;
     }
@@ -450,6 +465,30 @@
     }
 }
 
+/// Worlds in which something that expectations rest on is quite different.
+fn upheavals(compiled: &Compiled) -> Vec<Compiled> {
+    let with = |change: &dyn Fn(&mut Scenario)| {
+        let mut other = compiled.clone();
+        change(&mut other.scenario);
+        other
+    };
+    vec![
+        with(&|s| s.nodes.iter_mut().for_each(|node| node.absent = true)),
+        with(&|s| s.nodes.iter_mut().for_each(|node| node.speed *= 0.03)),
+        with(&|s| s.nodes.iter_mut().for_each(|node| node.age = None)),
+        with(&|s| s.nodes.iter_mut().for_each(|node| node.age = Some(0))),
+        with(&|s| s.counter.mode = CounterMode::Silent),
+        with(&|s| s.counter.fates = vec![CallFate::Lost]),
+        with(&|s| s.settings.max_attempts = 1),
+        with(&|s| s.settings.max_attempts = 12),
+        with(&|s| s.settings.retry_after = false),
+        with(&|s| s.settings.longest_retry_after *= 20),
+        with(&|s| s.truth.classes.iter_mut().for_each(|class| class.dedup_window = 1)),
+        with(&|s| s.cast.hosts.iter_mut().for_each(|host| host.room += 1)),
+        with(&|s| s.cast.hosts.iter_mut().for_each(|host| host.room = 0)),
+    ]
+}
+
 fn quantity_of(node: &quartzcleat_settings::Node) -> f64 {
     quartzcleat_settings::quantity::time(node).map_or(0.0, |nanos| nanos as f64)
 }
@@ -458,8 +497,13 @@
 const STORY: usize = 60;
 
 fn told(compiled: &Compiled, expectation: &Expectation, failure: &Failure, behind: Blame) -> Told {
-    let until: Vec<_> =
-        failure.records.iter().filter(|record| failure.at == 0 || record.at <= failure.at).cloned().collect();
+    // What every limiter is told at its start goes without saying.
+    let begin = failure.records.first().map_or(0, |record| record.at);
+    let usual = |record: &Record| {
+        record.at == begin && matches!(record.what, What::Told { state: HostState::Ready, .. })
+    };
+    let told = failure.records.iter().filter(|record| failure.at == 0 || record.at <= failure.at);
+    let until: Vec<_> = told.filter(|record| !usual(record)).cloned().collect();
     let mut story = story::tell(&compiled.scenario.cast, &until);
     if story.len() > STORY {
         let left = story.len() - STORY;
--- a/crates/world/src/play.rs
+++ b/crates/world/src/play.rs
@@ -112,6 +112,8 @@
     facts: DefaultHasher,
     events: u64,
     seed: u64,
+    /// Choices since the last event was met, which the state may not show yet.
+    chosen: Vec<usize>,
 }
 
 /// The oracle ended the play.
@@ -141,6 +143,7 @@
         facts: DefaultHasher::new(),
         events: 0,
         seed: 0,
+        chosen: Vec::new(),
     };
     let whole = play.run().is_ok();
     Played { records: play.records, whole, events: play.events, end: play.now }
@@ -157,6 +160,7 @@
             }
             self.now = due.at;
             self.events += 1;
+            self.chosen.clear();
             self.meet(due.what)?;
             if self.over() {
                 break;
@@ -183,19 +187,21 @@
         }
         let (oracle, due, now) = (&mut *self.oracle, &self.due, self.now);
         let (limiters, nodes, counter, facts) = (&self.limiters, &self.nodes, &self.counter, &self.facts);
-        let keys = &self.keys;
+        let (keys, chosen) = (&self.keys, &self.chosen);
         let print = || {
             let mut facts = facts.clone();
             let mut writer = Hashed(&mut facts);
             let mut order: Vec<_> = due.iter().collect();
             order.sort_unstable_by_key(|Reverse(due)| (due.at, due.serial));
-            let _ = write!(writer, "{now} {limiters:?} {nodes:?} {counter:?} {keys:?}");
+            let _ = write!(writer, "{now} {chosen:?} {limiters:?} {nodes:?} {counter:?} {keys:?}");
             for Reverse(due) in order {
                 let _ = write!(writer, " {} {:?}", due.at, due.what);
             }
             facts.finish()
         };
-        oracle.choose(point, options, &print).map(|choice| choice.min(options - 1)).ok_or(Ended)
+        let choice = oracle.choose(point, options, &print).ok_or(Ended)?.min(options - 1);
+        self.chosen.push(choice);
+        Ok(choice)
     }
 
     fn note(&mut self, what: What) {
