Live: stories on loopback with real limiters before stand-ins, and a demo in one command

Need: what the world says of an expectation must be what limiters on sockets do, and a newcomer needs one command that shows the program at work.

The toy platform moves to the tests that use it.

--- a/crates/expect/src/compile.rs
+++ b/crates/expect/src/compile.rs
@@ -119,6 +119,7 @@
         steps: Vec::new(),
         retry: None,
         end: END,
+        variant: None,
     };
     ground.take_given(&mut given, &mut scenario, &mut faults);
     // Read with the days, before anything is compiled.
--- a/crates/expect/src/file.rs
+++ b/crates/expect/src/file.rs
@@ -4,6 +4,7 @@
 use quartzcleat_settings::reader::{list, text};
 use quartzcleat_settings::tree::{self, Content, Node};
 use quartzcleat_settings::{Faults, Reader};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -43,7 +44,17 @@
 /// # Errors
 /// Where nothing of the file can be used.
 pub fn read(path: &Path, faults: &mut Faults) -> Option<Suite> {
-    let (file, tree) = load(path, faults)?;
+    read_with(path, &|path| std::fs::read_to_string(path), faults)
+}
+
+/// As [`read`], with files that come from elsewhere than the file system.
+///
+/// # Errors
+/// Where nothing of the file can be used.
+pub fn read_with(
+    path: &Path, from: &dyn Fn(&Path) -> io::Result<String>, faults: &mut Faults,
+) -> Option<Suite> {
+    let (file, tree) = load(path, from, faults)?;
     let mut top = Reader::new(&file, "", &tree, faults);
     let beside = |name: &str| path.parent().unwrap_or(Path::new(".")).join(name);
     let settings = top.need("settings", faults, text).map(|name| beside(&name));
@@ -53,7 +64,7 @@
         top.fault("expectations", "none; write a list of them", faults);
     }
     top.end(faults);
-    let installation = load(&installation?, faults)?;
+    let installation = load(&installation?, from, faults)?;
     let mut expectations: Vec<Expectation> = Vec::new();
     for (index, node) in nodes.iter().enumerate() {
         let empty = Node { place: node.place, content: Content::Null };
@@ -92,9 +103,11 @@
 }
 
 /// Reads a YAML file.
-fn load(path: &Path, faults: &mut Faults) -> Option<(Arc<str>, Node)> {
+fn load(
+    path: &Path, from: &dyn Fn(&Path) -> io::Result<String>, faults: &mut Faults,
+) -> Option<(Arc<str>, Node)> {
     let file: Arc<str> = path.display().to_string().into();
-    let text = match std::fs::read_to_string(path) {
+    let text = match from(path) {
         Ok(text) => text,
         Err(e) => {
             faults.add(&file, tree::Place::default(), "", format!("cannot read: {e}"));
--- a/crates/expect/src/run.rs
+++ b/crates/expect/src/run.rs
@@ -15,6 +15,7 @@
 use rayon::prelude::*;
 use serde::Serialize;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Instant;
 
 /// What is to be run.
@@ -185,24 +186,29 @@
     }
 }
 
-/// Runs expectations.
-pub fn run(options: &Options) -> Outcome {
-    let (began, mut faults) = (Instant::now(), Faults::default());
+/// One expectation on one day, to be checked.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The file's givens.
+    pub suite: Arc<Suite>,
+    /// The expectation.
+    pub expectation: Expectation,
+    /// The day.
+    pub day: Day,
+    /// The day's name, with what a range made of it.
+    pub label: String,
+}
+
+/// What options name: each expectation on each day, beside the faults of the others.
+pub fn gather(options: &Options, faults: &mut Faults) -> Vec<Work> {
     let files = file::find(&options.paths);
     if files.is_empty() {
         let named: Vec<_> = options.paths.iter().map(|path| path.display().to_string()).collect();
-        let text = format!("{}: no file of expectations", named.join(", "));
-        return Outcome { faults: vec![text], ..Outcome::default() };
-    }
-    let suites: Vec<Suite> = files.iter().filter_map(|path| file::read(path, &mut faults)).collect();
-    let mut work: Vec<(&Suite, &Expectation, Day, String)> = Vec::new();
-    let mut against = None;
-    if let Some(path) = &options.against {
-        match read_day(path) {
-            Ok(day) => against = Some(day),
-            Err(found) => faults.0.extend(found.0),
-        }
+        let nowhere = quartzcleat_settings::tree::Place::default();
+        faults.add(&named.join(", ").into(), nowhere, "", "no file of expectations");
     }
+    let suites = files.iter().filter_map(|path| file::read(path, faults)).map(Arc::new).collect::<Vec<_>>();
+    let mut work = Vec::new();
     for suite in &suites {
         let path = options.settings.as_ref().unwrap_or(&suite.settings);
         let day = match read_day(path) {
@@ -218,13 +224,32 @@
             |e: &&Expectation| options.only.as_ref().is_none_or(|only| e.name.contains(only.as_str()));
         for expectation in suite.expectations.iter().filter(wanted) {
             match days(expectation, &day, &options.ranges) {
-                Ok(days) => work.extend(days.into_iter().map(|(day, name)| (suite, expectation, day, name))),
+                Ok(days) => work.extend(days.into_iter().map(|(day, label)| Work {
+                    suite: suite.clone(),
+                    expectation: expectation.clone(),
+                    day,
+                    label,
+                })),
                 Err(found) => faults.0.extend(found.0),
             }
         }
     }
-    let one = |(suite, expectation, day, name): &(&Suite, &Expectation, Day, String)| {
-        check(suite, expectation, day, name, against.as_ref(), options)
+    work
+}
+
+/// Runs expectations.
+pub fn run(options: &Options) -> Outcome {
+    let (began, mut faults) = (Instant::now(), Faults::default());
+    let work = gather(options, &mut faults);
+    let mut against = None;
+    if let Some(path) = &options.against {
+        match read_day(path) {
+            Ok(day) => against = Some(day),
+            Err(found) => faults.0.extend(found.0),
+        }
+    }
+    let one = |work: &Work| {
+        check(&work.suite, &work.expectation, &work.day, &work.label, against.as_ref(), options)
     };
     let pool = rayon::ThreadPoolBuilder::new().num_threads(options.jobs).build();
     let results = match pool {
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's settings, as path=value pairs or as nested JSON, to what the decision module is told.
 
 use quartzcleat_decision::api::*;
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
@@ -242,6 +242,87 @@
     }
 }
 
+/// Settings as the platform's nested JSON, the reverse of [`flatten`] and [`decode`].
+pub fn encode(settings: &Settings, rooms: &[String]) -> Value {
+    let word = |words: &'static [&'static str], index: usize| words[index];
+    let class = |class: &Class| {
+        json!({
+            "name": class.name,
+            "effect": word(EFFECTS, match class.effect { Effect::Unsafe => 0, Effect::Retryable => 1, Effect::Keyed => 2 }),
+            "group": word(GROUPS, match class.group { Group::Cell => 0, Group::All => 1, Group::Zone => 2 }),
+            "dedupWindowNs": class.dedup_window,
+            "onTimeNs": class.aim,
+            "aimStretch": class.aim_stretch,
+            "hardLimitNs": class.deadline,
+            "importance": class.worth,
+            "lateWorth": class.late_worth,
+            "stream": class.stream,
+        })
+    };
+    let plan = |plan: &Plan| {
+        json!({
+            "name": plan.name,
+            "refill": plan.rate,
+            "peakUnits": plan.burst,
+            "concurrency": plan.open,
+            "worthFactor": plan.worth_factor,
+            "extraWorth": plan.extra_worth,
+            "overrunCost": plan.overrun_cost,
+            "ceilingRate": plan.ceiling_rate,
+            "capDepth": plan.ceiling_burst,
+            "capSlack": plan.ceiling_slack,
+        })
+    };
+    let reports = match settings.reports {
+        ReportSource::Nowhere => 0,
+        ReportSource::Answers => 1,
+        ReportSource::Probes => 2,
+    };
+    json!({
+        "categories": settings.classes.iter().map(class).collect::<Vec<_>>(),
+        "contracts": settings.plans.iter().map(plan).collect::<Vec<_>>(),
+        "balancers": settings.gateways,
+        "me": settings.me,
+        "zone": settings.zone,
+        "zones": rooms,
+        "quantumNs": settings.tick,
+        "registryMode": word(REGISTRY, usize::from(settings.discovery_by_asking)),
+        "stats": { "how": word(REPORTS, reports) },
+        "familyInfo": {
+            "counter": settings.counter,
+            "counterTimeoutNs": settings.counter_timeout,
+            "callPrice": settings.counter_price,
+            "costAfter": settings.settled_later,
+            "unitsTop": settings.largest_request,
+        },
+        "limits": {
+            "mayCancel": settings.may_cancel,
+            "probing": settings.may_probe,
+            "peers": settings.may_tell_peers,
+            "secondCopies": settings.second_copies,
+            "retryAfter": settings.retry_after,
+            "maxRetryAfterNs": settings.longest_retry_after,
+            "sendCap": settings.max_attempts,
+            "openCap": settings.max_open,
+            "connectTimeoutNs": settings.connect_timeout,
+        },
+        "safety": {
+            "graceToAnswerNs": settings.answer_grace,
+            "drainGraceNs": settings.drain_grace,
+            "coldFrom": settings.cold_from,
+            "warmAfterNs": settings.warm_after,
+            "overloadFactor": settings.overload_factor,
+            "tipAfterNs": settings.tip_after,
+        },
+        "charges": {
+            "crossZone": settings.price_cross_zone,
+            "waste": settings.price_waste,
+            "lateFail": settings.price_late_fail,
+            "probe": settings.price_probe,
+        },
+    })
+}
+
 /// Lays nested JSON out as path=value pairs.
 ///
 /// # Errors
@@ -323,7 +404,12 @@
                 Kind::Word(words) => words[1],
                 Kind::Name => "x",
             };
-            assert_ne!(told(other), silent, "{path} is read");
+            let other = told(other);
+            assert_ne!(other, silent, "{path} is read");
+            // What is encoded is read back as it was.
+            let pairs = flatten(&encode(&other, &[])).expect("it has a flat form");
+            let again = decode(pairs.iter().map(|(key, value)| (key.as_str(), value.as_str())).collect());
+            assert_eq!(again, Ok(other), "{path} is written");
         }
     }
 }
--- /dev/null
+++ b/crates/standins/src/client.rs
@@ -0,0 +1,149 @@
+//! Clients: each request on a connection of its own, its one answer awaited, and a retry where the scenario has one.
+
+use crate::resp::{self, Reply};
+use crate::stage::{Asked, Stage};
+use quartzcleat_decision::api::{Effect, Nanos, RequestId};
+use quartzcleat_rules::{Answered, What};
+use quartzcleat_world::scenario::Ask;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// Asks whether a limiter is ready.
+pub(crate) async fn ping(address: SocketAddr) -> io::Result<()> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(&resp::write(&["PING"])).await?;
+    match answer(&mut stream).await? {
+        Some(Reply::Line(line)) if line == "+PONG" => Ok(()),
+        other => Err(io::Error::other(format!("{other:?}"))),
+    }
+}
+
+async fn answer(stream: &mut TcpStream) -> io::Result<Option<Reply>> {
+    let mut input = Vec::new();
+    loop {
+        if let Some((reply, _)) = resp::reply(&input)? {
+            return Ok(Some(reply));
+        }
+        if !resp::more(stream, &mut input).await? {
+            return Ok(None);
+        }
+    }
+}
+
+/// A client.
+pub(crate) struct Client {
+    stage: Rc<Stage>,
+}
+
+impl Client {
+    pub(crate) fn new(stage: Rc<Stage>) -> Self {
+        Client { stage }
+    }
+
+    /// Asks, and retries once where the scenario's clients do.
+    pub(crate) async fn run(&self, ask: Ask) {
+        if ask.retry {
+            // A retry waits for the answer of the try before it.
+            let known = |mark: u64| self.stage.errands.borrow().get(&mark).copied();
+            while known(ask.mark) == Some(None) {
+                sleep(Duration::from_millis(1)).await;
+            }
+            if known(ask.mark) == Some(Some(Answered::Served)) {
+                return;
+            }
+        }
+        let Some(first) = self.ask(&ask).await else { return };
+        let Some(retry) = self.stage.scenario.retry.clone() else { return };
+        if first == Answered::Served || ask.retry {
+            return;
+        }
+        let told = if let Answered::Refused(after) = first { after } else { 0 };
+        sleep(Duration::from_nanos(retry.after.max(told))).await;
+        let mut again = Ask { retry: true, ..ask.clone() };
+        if retry.elsewhere && ask.spread.0 > 1 {
+            let limiters = self.stage.scenario.cast.limiters.len();
+            let (count, first) = (ask.spread.0 as usize, ask.spread.1 as usize);
+            let place = (ask.through + limiters - first) % limiters;
+            again.through = (first + (place + 1) % count) % limiters;
+        }
+        self.ask(&again).await;
+    }
+
+    /// One try: its answer, or `None` where no limiter took it.
+    async fn ask(&self, ask: &Ask) -> Option<Answered> {
+        let stage = &self.stage;
+        let Some(address) = stage.limiter(ask.through) else {
+            stage.note(What::Noted(format!(
+                "{} takes no connection",
+                stage.scenario.cast.limiter(ask.through)
+            )));
+            return None;
+        };
+        let id = stage.request();
+        let class = &stage.scenario.settings.classes[ask.class];
+        let plan = stage.scenario.settings.plans.get(ask.plan as usize).map_or("", |plan| plan.name.as_str());
+        let mut facts = format!("c={},t={plan},d={}", class.name, ask.wait.div_ceil(1_000_000));
+        if class.effect == Effect::Keyed {
+            facts.push_str(&format!(",k={:016x}", ask.mark));
+        }
+        facts.push_str(&format!(",units={},spread={},first={}", ask.units, ask.spread.0, ask.spread.1));
+        let verb = if class.effect == Effect::Retryable { "Q.ASK" } else { "Q.DO" };
+        let (customer, number) = (format!("{:016x}", ask.partner + 1), format!("{:016x}", id.0));
+        let command = resp::write(&[verb, &customer, &number, &facts]);
+        stage.errands.borrow_mut().insert(ask.mark, None);
+        stage.asked.borrow_mut().insert(id, Asked { class: ask.class, errand: ask.mark, attempts: 0 });
+        let answered = self.exchange(address, &command, id, ask).await;
+        let answer = match answered {
+            Ok(answer) => answer,
+            Err(_) => {
+                // A limiter that died took its connections along; one that lives and closes without an answer
+                // leaves the request unanswered in the records.
+                if stage.limiter(ask.through).is_none() {
+                    stage.note(What::Left { request: id });
+                }
+                None
+            }
+        };
+        stage.errands.borrow_mut().insert(ask.mark, answer.or(Some(Answered::Failed)));
+        answer
+    }
+
+    async fn exchange(
+        &self, address: SocketAddr, command: &[u8], id: RequestId, ask: &Ask,
+    ) -> io::Result<Option<Answered>> {
+        let stage = &self.stage;
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let deadline: Nanos = stage.now() + ask.wait;
+        // Noted before it is written: the limiter may act on it before this task goes on.
+        stage.note(What::Asked {
+            request: id,
+            limiter: ask.through,
+            errand: ask.mark,
+            class: ask.class,
+            partner: ask.partner,
+            units: ask.units,
+            deadline,
+        });
+        stream.write_all(command).await?;
+        // A while longer than it would wait, so that a late answer is seen to be late.
+        let patience = Duration::from_nanos(ask.wait) + Duration::from_millis(500);
+        let reply = timeout(patience, answer(&mut stream)).await;
+        let Ok(reply) = reply else { return Ok(None) };
+        let answer = match reply? {
+            Some(Reply::Bulk(value)) if value == format!("{:016x}", id.0) => Answered::Served,
+            Some(Reply::Bulk(_)) | None => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Some(Reply::Line(line)) => match line.strip_prefix("-BUSY") {
+                Some(after) => Answered::Refused(after.trim().parse::<u64>().unwrap_or(0) * 1_000_000),
+                None => Answered::Failed,
+            },
+        };
+        stage.note(What::Answered { request: id, answer });
+        Ok(Some(answer))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/limiter.rs
@@ -0,0 +1,71 @@
+//! A limiter's process: started with a configuration of its own, killed at the latest when the stage is gone.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use tokio::process::{Child, Command};
+
+/// One limiter's process, or what is needed to start it.
+pub(crate) struct Process {
+    program: PathBuf,
+    config: PathBuf,
+    pub(crate) listen: SocketAddr,
+    pub(crate) discovery: SocketAddr,
+    pub(crate) counter: SocketAddr,
+    child: Option<Child>,
+}
+
+impl Process {
+    pub(crate) fn new(
+        program: &Path, config: PathBuf, listen: SocketAddr, discovery: SocketAddr, counter: SocketAddr,
+    ) -> Self {
+        Process { program: program.to_owned(), config, listen, discovery, counter, child: None }
+    }
+
+    pub(crate) fn start(&mut self, config: &serde_json::Value) -> io::Result<()> {
+        std::fs::write(&self.config, config.to_string())?;
+        let mut command = Command::new(&self.program);
+        for name in [
+            "BALANCER_NAME",
+            "BALANCER_LISTEN",
+            "BALANCER_DISCOVERY",
+            "BALANCER_COUNTER",
+            "QUARTZCLEAT_CONFIG",
+        ] {
+            command.env_remove(name);
+        }
+        command
+            .env("BALANCER_CONFIG", &self.config)
+            .kill_on_drop(true)
+            .stdin(Stdio::null())
+            .stderr(Stdio::null());
+        self.child = Some(command.spawn()?);
+        Ok(())
+    }
+
+    pub(crate) fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// The process itself, leaving what is needed to start another.
+    pub(crate) fn take(&mut self) -> Process {
+        let child = self.child.take();
+        let (program, config) = (self.program.clone(), self.config.clone());
+        Process {
+            program,
+            config,
+            listen: self.listen,
+            discovery: self.discovery,
+            counter: self.counter,
+            child,
+        }
+    }
+
+    /// Kills the process, as a machine that is lost would.
+    pub(crate) async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill().await;
+        }
+    }
+}
--- a/crates/world/src/counter.rs
+++ b/crates/world/src/counter.rs
@@ -13,8 +13,9 @@
 
 /// The counter as it stands.
 #[derive(Clone, Debug)]
-pub(crate) struct Counter {
-    pub(crate) mode: CounterMode,
+pub struct Counter {
+    /// What it does.
+    pub mode: CounterMode,
     service: Nanos,
     /// When each part has done all that waits there.
     parts: Vec<Nanos>,
@@ -25,17 +26,19 @@
 const LONGEST_LIFE: Nanos = 60_000_000_000;
 
 impl Counter {
-    pub(crate) fn new(setup: &CounterSetup) -> Self {
+    /// A counter that holds nothing.
+    pub fn new(setup: &CounterSetup) -> Self {
         let parts = vec![0; setup.parts.max(1) as usize];
         Counter { mode: setup.mode, service: setup.service, parts, totals: BTreeMap::new() }
     }
 
-    pub(crate) fn empty(&mut self) {
+    /// Forgets all totals.
+    pub fn empty(&mut self) {
         self.totals.clear();
     }
 
     /// A call has arrived: when it is done, or `None` where nothing ever comes of it.
-    pub(crate) fn arrive(&mut self, name: &str, now: Nanos) -> Option<Nanos> {
+    pub fn arrive(&mut self, name: &str, now: Nanos) -> Option<Nanos> {
         let factor = match self.mode {
             CounterMode::Silent => return None,
             CounterMode::Refusing => return Some(now),
@@ -51,7 +54,7 @@
     }
 
     /// A call has had its turn.
-    pub(crate) fn add(&mut self, name: &str, amount: f64, life: Nanos, now: Nanos) -> (Outcome, f64) {
+    pub fn add(&mut self, name: &str, amount: f64, life: Nanos, now: Nanos) -> (Outcome, f64) {
         match self.mode {
             CounterMode::Silent => return (Outcome::Timeout, 0.0),
             CounterMode::Refusing => return (Outcome::Full, 0.0),
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -10,9 +10,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod counter;
+pub mod counter;
 mod limiter;
-mod node;
+pub mod node;
 pub mod oracle;
 mod play;
 pub mod scenario;
--- a/crates/world/src/node.rs
+++ b/crates/world/src/node.rs
@@ -6,14 +6,19 @@
 
 /// One attempt as a host sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(crate) struct Job {
-    pub(crate) limiter: usize,
-    pub(crate) request: RequestId,
-    pub(crate) attempt: u32,
+pub struct Job {
+    /// The limiter it comes from.
+    pub limiter: usize,
+    /// The request.
+    pub request: RequestId,
+    /// The attempt's number.
+    pub attempt: u32,
 }
 
+/// Whether a host's process runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Life {
+pub enum Life {
+    /// It runs.
     Up,
     /// Its process is dead: connections are refused.
     Dead,
@@ -23,7 +28,7 @@
 
 /// What becomes of a job that reaches a host.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Reached {
+pub enum Reached {
     /// It is begun.
     Begun,
     /// It waits.
@@ -38,13 +43,17 @@
     Tips,
 }
 
+/// A host as it stands.
 #[derive(Clone, Debug)]
-pub(crate) struct Node {
-    pub(crate) life: Life,
-    pub(crate) draining: bool,
+pub struct Node {
+    /// Whether it runs.
+    pub life: Life,
+    /// It finishes what it has and turns new work away.
+    pub draining: bool,
     /// When the process started; zero for long ago.
-    pub(crate) started: Nanos,
-    pub(crate) speed: f64,
+    pub started: Nanos,
+    /// How fast each core goes; 1 is the yardstick.
+    pub speed: f64,
     cores: u32,
     slots: usize,
     running: u32,
@@ -54,7 +63,8 @@
 }
 
 impl Node {
-    pub(crate) fn new(setup: &NodeSetup, start: Nanos) -> Self {
+    /// A host at the beginning of a play.
+    pub fn new(setup: &NodeSetup, start: Nanos) -> Self {
         Node {
             life: if setup.absent { Life::Dead } else { Life::Up },
             draining: setup.state == quartzcleat_decision::api::HostState::Draining,
@@ -69,7 +79,7 @@
     }
 
     /// The part of its capacity that it has.
-    pub(crate) fn warmth(&self, settings: &Settings, now: Nanos) -> f64 {
+    pub fn warmth(&self, settings: &Settings, now: Nanos) -> f64 {
         let age = now.saturating_sub(self.started);
         if self.started == 0 || settings.warm_after == 0 || age >= settings.warm_after {
             return 1.0;
@@ -78,12 +88,12 @@
     }
 
     /// How long a job of so much work takes from its beginning.
-    pub(crate) fn takes(&self, work: Nanos, settings: &Settings, now: Nanos) -> Nanos {
+    pub fn takes(&self, work: Nanos, settings: &Settings, now: Nanos) -> Nanos {
         (work as f64 / (self.speed * self.warmth(settings, now)).max(1e-3)) as Nanos
     }
 
     /// A job of so much work arrives.
-    pub(crate) fn reach(&mut self, job: Job, work: Nanos, settings: &Settings, now: Nanos) -> Reached {
+    pub fn reach(&mut self, job: Job, work: Nanos, settings: &Settings, now: Nanos) -> Reached {
         match self.life {
             Life::Dead => return Reached::Refused,
             Life::Vanished => return Reached::Nothing,
@@ -118,7 +128,7 @@
     }
 
     /// A job has come to its end; the next that is begun.
-    pub(crate) fn next(&mut self) -> Option<Job> {
+    pub fn proceed(&mut self) -> Option<Job> {
         if self.life != Life::Up {
             return None;
         }
@@ -130,19 +140,19 @@
     }
 
     /// A waiting job is dropped; one that runs goes on.
-    pub(crate) fn give_up(&mut self, job: Job) {
+    pub fn give_up(&mut self, job: Job) {
         self.line.retain(|waiting| *waiting != job);
     }
 
     /// Its process ends.
-    pub(crate) fn end(&mut self, life: Life) {
+    pub fn end(&mut self, life: Life) {
         (self.life, self.running) = (life, 0);
         self.line.clear();
         self.recent.clear();
     }
 
     /// A process starts, cold.
-    pub(crate) fn start(&mut self, now: Nanos) {
+    pub fn start(&mut self, now: Nanos) {
         self.end(Life::Up);
         (self.started, self.draining) = (now, false);
     }
@@ -169,7 +179,7 @@
         let (mut node, set) = (Node::new(&setup, MS), settings());
         let ends: Vec<_> = (0..3).map(|n| node.reach(job(n), 100 * MS, &set, MS)).collect();
         assert_eq!(ends, [Reached::Begun, Reached::Waits, Reached::Busy]);
-        assert_eq!((node.next(), node.next()), (Some(job(1)), None));
+        assert_eq!((node.proceed(), node.proceed()), (Some(job(1)), None));
         node.end(Life::Dead);
         assert_eq!(node.reach(job(5), MS, &set, MS), Reached::Refused);
     }
--- a/crates/world/src/play.rs
+++ b/crates/world/src/play.rs
@@ -4,7 +4,7 @@
 use crate::limiter::{Limiter, Open};
 use crate::node::{Job, Life, Node, Reached};
 use crate::oracle::{Oracle, Point};
-use crate::scenario::{Ask, CallFate, Fate, Happening, Scenario};
+use crate::scenario::{option, Ask, CallFate, Fate, Happening, Scenario};
 use quartzcleat_decision::api::*;
 use quartzcleat_rules::{Answered, Record, What};
 use rand::SeedableRng;
@@ -182,6 +182,13 @@
     }
 
     fn choose(&mut self, point: Point, options: usize) -> Result<usize, Ended> {
+        self.choose_for(point, 0, options)
+    }
+
+    fn choose_for(&mut self, point: Point, number: usize, options: usize) -> Result<usize, Ended> {
+        if let Some(variant) = self.scenario.variant {
+            return Ok(option(variant, point, number, options));
+        }
         if options < 2 {
             return Ok(0);
         }
@@ -339,7 +346,8 @@
             Action::Count { name, amount, keep_for } => {
                 let call = self.limiters[number].call(&name, self.now);
                 let timeout = self.scenario.settings.counter_timeout.max(1);
-                let choice = self.choose(Point::Call, self.scenario.counter.fates.len())?;
+                let choice =
+                    self.choose_for(Point::Call, call as usize - 1, self.scenario.counter.fates.len())?;
                 let fate = self.scenario.counter.fates.get(choice).copied().unwrap_or(CallFate::Normal);
                 let there = self.delay(self.scenario.net.counter);
                 self.after(timeout, Pending::CallEnds(number, epoch, call, Outcome::Timeout, 0.0));
@@ -396,7 +404,7 @@
         let cold = self.nodes[node].warmth(&self.scenario.truth, now) < 1.0;
         self.note(What::Sent { limiter: number, request: id, attempt, host: node, cold });
         let until = if timeout == 0 { open.deadline } else { open.deadline.min(now + timeout) };
-        let choice = self.choose(Point::Attempt, self.scenario.fates.len())?;
+        let choice = self.choose_for(Point::Attempt, attempt as usize, self.scenario.fates.len())?;
         let fate = self.scenario.fates.get(choice).copied().unwrap_or(Fate::Normal);
         let job = Job { limiter: number, request: id, attempt };
         self.after(until - now, Pending::End(job, Outcome::Timeout));
@@ -637,7 +645,7 @@
         if self.nodes[node].started != started || self.nodes[node].life != Life::Up {
             return;
         }
-        if let Some(next) = self.nodes[node].next() {
+        if let Some(next) = self.nodes[node].proceed() {
             self.run_job(next, node, Fate::Normal);
         }
     }
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -1,5 +1,6 @@
 //! A scenario: who plays, what is given, and what happens when. Plain data.
 
+use crate::oracle::Point;
 use quartzcleat_decision::api::{HostState, Nanos, Settings};
 use quartzcleat_rules::{record::Index, Cast};
 
@@ -229,4 +230,17 @@
     pub retry: Option<Retry>,
     /// The play ends so long after its beginning at the latest.
     pub end: Nanos,
+    /// Where this is told nothing is open: the variant of this number is played, the same in the world and on
+    /// sockets, by [`option`].
+    pub variant: Option<usize>,
+}
+
+/// The option that a variant takes. `number` is an attempt's or a call's own, 0 elsewhere: a variant has its own
+/// option for first attempts and the first one for further ones, and goes through those of calls in turn.
+pub fn option(variant: usize, point: Point, number: usize, options: usize) -> usize {
+    match (point, number) {
+        (Point::Moment | Point::Lag, _) | (Point::Attempt, 0) => variant % options.max(1),
+        (Point::Call, number) => (variant + number) % options.max(1),
+        (Point::Seed | Point::Phase | Point::Order | Point::Attempt, _) => 0,
+    }
 }
--- a/crates/world/tests/play.rs
+++ b/crates/world/tests/play.rs
@@ -79,6 +79,7 @@
         steps,
         retry: None,
         end: 20 * S,
+        variant: None,
     }
 }
 
--- a/src/cli/expect.rs
+++ b/src/cli/expect.rs
@@ -48,6 +48,9 @@
     /// Expectations explored at once; 0 for one a core.
     #[arg(long, value_name = "N", default_value_t = 0)]
     jobs: usize,
+    /// Play the stories on loopback too, with real limiters before stand-ins, and compare the verdicts.
+    #[arg(long)]
+    live: bool,
     /// Play this path of choices alone and tell its story: 0,2,1.
     #[arg(long, value_name = "CHOICES", value_delimiter = ',')]
     path: Option<Vec<usize>>,
@@ -97,6 +100,9 @@
             jobs: self.jobs,
             replay: self.path,
         };
+        if self.live {
+            return super::live::run(&options, options.jobs, format, verbose);
+        }
         let outcome = run(&options);
         print(&match format {
             Format::Human => report::human(&outcome, verbose),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,7 +1,9 @@
 //! The command line. Without a command it serves, as the platform starts it.
 
 pub mod check;
+pub mod demo;
 pub mod expect;
+pub mod live;
 pub mod serve;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -32,7 +34,9 @@
     /// Read settings and say all that is wrong with them.
     Check(check::Check),
     /// Check expectations of routing, quotas and retries without traffic.
-    Expect(expect::Expect),
+    Expect(Box<expect::Expect>),
+    /// Start limiters before stand-ins on loopback, play a short load and show what happened.
+    Demo(demo::Demo),
 }
 
 /// The form of a report.
@@ -54,6 +58,7 @@
             None | Some(Command::Serve) => serve::run(self.config.as_deref()),
             Some(Command::Check(check)) => check.run(self.config.as_deref()),
             Some(Command::Expect(expect)) => expect.run(),
+            Some(Command::Demo(demo)) => demo.run(),
         }
     }
 }
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -1,6 +1,5 @@
-//! The program as a process, spoken to over sockets, beside the toy platform of the examples.
+//! The program as a process, spoken to over sockets, beside a toy platform.
 
-#[path = "../examples/toy.rs"]
 mod toy;
 
 use std::io::{BufRead, BufReader, Read, Write};
--- a/examples/toy.rs
+++ b/tests/toy/mod.rs
@@ -1,9 +1,9 @@
-//! A toy platform to try a limiter on: discovery, the counter and two hosts on loopback, in one program.
+//! A toy platform for tests of one limiter: discovery, the counter and hosts on loopback.
 //!
 //! A host answers a request with its id. Words in the body change that: `error` gets the error line, `cut` ends
 //! the connection, `silent` gets nothing.
 
-use quartzcleat::net::config::{self, Limits};
+use quartzcleat::net::config::Limits;
 use quartzcleat::net::platform::resp;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -131,19 +131,3 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, task)
 }
-
-#[allow(dead_code)]
-fn main() -> io::Result<()> {
-    run(async {
-        let config = config::read(include_str!("toy.json"), |_| None).map_err(io::Error::other)?;
-        let counter = config.addresses.counter.ok_or(io::ErrorKind::NotFound)?;
-        let mut hosts = Vec::new();
-        for port in [7003, 7004] {
-            hosts.push(TcpListener::bind(("127.0.0.1", port)).await?);
-        }
-        let (discovery, counter) =
-            (TcpListener::bind(config.addresses.discovery).await?, TcpListener::bind(counter).await?);
-        println!("The toy platform is up. Start the limiter: BALANCER_CONFIG=examples/toy.json cargo run");
-        Toy { discovery, counter, hosts, limits: config.limits }.serve().await
-    })
-}
