Fronts: one entry that takes a request and answers once; the north side knows no stage

Need: a second front (gRPC, devices) must go through the same decisions without knowing the stages or the other parts of a limiter; the north side reached all of them through Node.

Change: net/front.rs has the entry and what a front is given (limits, end of the program, tally of bytes); the north side is a type of its own with its idle connections and terms; tasks are started in net/task.rs.

--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -3,7 +3,8 @@
 
 use super::config::{Addresses, Limits};
 use super::platform::resp::{self, Reply};
-use super::{spawn, Node};
+use super::task::spawn;
+use super::Node;
 use crate::api::{Event, Nanos, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,19 +6,21 @@
 pub mod config;
 pub mod core;
 pub mod counter;
+pub mod front;
 pub mod inventory;
 pub mod platform;
 pub mod reload;
 pub mod shutdown;
 pub mod stages;
+pub mod task;
 
 use self::config::{Addresses, Config, Limits};
 use self::core::Core;
 use self::inventory::Inventory;
-use self::platform::{north, south::South};
+use self::platform::north::{self, North};
+use self::platform::south::South;
 use crate::api::{Action, Event};
 use std::cell::{Cell, RefCell};
-use std::future::Future;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -27,7 +29,7 @@
 /// All parts of one limiter. One thread runs them; nothing is borrowed across a wait.
 pub struct Node {
     /// Sizes, counts and times.
-    pub limits: Limits,
+    pub limits: Rc<Limits>,
     /// The module and what is open.
     pub core: RefCell<Core>,
     /// Where the services listen, for those who follow their moves.
@@ -37,11 +39,7 @@
     /// The counter service.
     pub counter: counter::Counter,
     /// How far the end of the program has come.
-    pub shutdown: shutdown::Shutdown,
-    /// Clients' connections that are idle.
-    pub idle: north::Idle,
-    /// What a request may ask for.
-    pub terms: north::Terms,
+    pub shutdown: Rc<shutdown::Shutdown>,
     telling: Cell<bool>,
     actions: Cell<Vec<Action>>,
 }
@@ -54,11 +52,9 @@
             south: South::new(settings.reports),
             addresses: watch::Sender::new(addresses),
             counter: counter::Counter::new(&limits),
-            shutdown: shutdown::Shutdown::default(),
-            idle: north::Idle::default(),
-            terms: north::Terms::of(&settings),
+            shutdown: Rc::default(),
             core: RefCell::new(Core::new(settings, seed, &limits)),
-            limits,
+            limits: Rc::new(limits),
             telling: Cell::default(),
             actions: Cell::default(),
         })
@@ -86,11 +82,6 @@
     }
 }
 
-/// Starts a task on the one thread there is.
-pub fn spawn(task: impl Future<Output = ()> + 'static) {
-    drop(tokio::task::spawn_local(task));
-}
-
 /// Serves until told to end.
 pub fn serve(config: Config) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -100,6 +91,7 @@
 
 async fn run(config: Config) -> Result<(), String> {
     let (listen, known) = (config.listen, config.known.clone());
+    let terms = north::Terms::of(&config.settings);
     let mut inventory = Inventory::new(config.zones.clone(), config.kinds.clone());
     let node = Node::new(config);
     // Before anything is answered, so that no signal finds the program without a handler.
@@ -107,10 +99,10 @@
     reload::watch(&node)?;
     inventory.restore(&node, &known)?;
     counter::start(&node);
-    spawn(inventory::follow(node.clone(), inventory));
+    task::spawn(inventory::follow(node.clone(), inventory));
     let listener = TcpListener::bind(listen).await;
     let listener = listener.map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
-    north::accept(&node, listener).await;
+    north::accept(&Rc::new(North::new(stages::take_in::desk(&node), terms)), listener).await;
     shutdown::finish(&node).await;
     Ok(())
 }
@@ -118,6 +110,7 @@
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
+    use std::future::Future;
 
     /// A limiter of the example's settings with some of the text changed, on a thread of its own. What the
     /// module would be told stays in the queue, for the test to look at.
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -5,9 +5,9 @@
 use crate::api::{Class, CustomerId, Effect, RequestId, Settings};
 use crate::net::config::Limits;
 use crate::net::core::{Answer, Front, Payload, Request};
+use crate::net::front::Desk;
 use crate::net::shutdown::Phase;
-use crate::net::stages::{book, take_in};
-use crate::net::{spawn, Node};
+use crate::net::task::spawn;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write as _;
@@ -44,6 +44,20 @@
     }
 }
 
+/// The north side: what it was given, what a request may ask for, and the connections that are idle.
+pub struct North {
+    desk: Desk,
+    terms: Terms,
+    idle: Idle,
+}
+
+impl North {
+    /// A north side without connections.
+    pub fn new(desk: Desk, terms: Terms) -> Self {
+        North { desk, terms, idle: Idle::default() }
+    }
+}
+
 /// What a client's command asks for.
 enum Asked {
     /// A request for a host.
@@ -225,7 +239,7 @@
 
 /// The connections that wait for a command, the one that is to make room first in front.
 #[derive(Default)]
-pub struct Idle {
+struct Idle {
     waiting: RefCell<BTreeMap<Turn, Rc<Notify>>>,
     serial: Cell<u64>,
 }
@@ -278,7 +292,7 @@
     }
 
     /// Keeps up with the connection; `stranger` until its first whole command.
-    fn update(&mut self, node: &Node, pause: Pause, stranger: bool) {
+    fn update(&mut self, north: &North, pause: Pause, stranger: bool) {
         if pause == self.pause && stranger == self.stranger {
             return;
         }
@@ -287,18 +301,18 @@
             self.since = Instant::now();
         }
         (self.pause, self.stranger) = (pause, stranger);
-        self.end(node);
+        self.end(north);
         if pause != Pause::Busy {
-            let ahead = if stranger { node.limits.north_stranger } else { Duration::ZERO };
+            let ahead = if stranger { north.desk.limits.north_stranger } else { Duration::ZERO };
             let since = self.since.checked_sub(ahead).unwrap_or(self.since);
-            self.turn = Some(node.idle.enter(since, &self.leave));
+            self.turn = Some(north.idle.enter(since, &self.leave));
         }
     }
 
     /// The connection no longer waits among the idle ones.
-    fn end(&mut self, node: &Node) {
+    fn end(&mut self, north: &North) {
         if let Some(turn) = self.turn.take() {
-            node.idle.remove(turn);
+            north.idle.remove(turn);
         }
     }
 
@@ -318,8 +332,8 @@
 }
 
 /// Accepts connections until they close at the program's end.
-pub async fn accept(node: &Rc<Node>, listener: TcpListener) {
-    let mut phase = node.shutdown.changes();
+pub async fn accept(north: &Rc<North>, listener: TcpListener) {
+    let mut phase = north.desk.shutdown.changes();
     loop {
         let taken = tokio::select! {
             taken = listener.accept() => taken,
@@ -330,28 +344,28 @@
                 // Guards against running out of descriptors: past the limit the longest idle connection makes
                 // room, where there is none a further one is only told to back off, and far past it the program
                 // waits for others to close.
-                let most = node.limits.north_connections;
-                let crowded = node.shutdown.connections() >= most && !node.idle.make_room();
-                node.shutdown.count(1);
-                let task = node.clone();
+                let most = north.desk.limits.north_connections;
+                let crowded = north.desk.shutdown.connections() >= most && !north.idle.make_room();
+                north.desk.shutdown.count(1);
+                let task = north.clone();
                 spawn(async move {
                     let _ = stream.set_nodelay(true);
                     serve(&task, stream, crowded).await;
-                    task.shutdown.count(-1);
+                    task.desk.shutdown.count(-1);
                 });
-                let mut count = node.shutdown.connection_changes();
+                let mut count = north.desk.shutdown.connection_changes();
                 let _ = count.wait_for(|count| *count < most + most / 16).await;
             }
             Err(e) => {
                 tracing::warn!("cannot accept: {e}");
-                sleep(node.limits.again).await;
+                sleep(north.desk.limits.again).await;
             }
         }
     }
 }
 
-async fn serve(node: &Rc<Node>, mut stream: TcpStream, crowded: bool) {
-    let held = node.core.borrow().held();
+async fn serve(north: &Rc<North>, mut stream: TcpStream, crowded: bool) {
+    let held = north.desk.held.clone();
     let owed = Rc::new(Owed {
         slots: RefCell::default(),
         first: Cell::default(),
@@ -359,15 +373,15 @@
         held: held.clone(),
     });
     let mut rest = Rest::new();
-    let lost = converse(node, &mut stream, &owed, &mut rest, crowded).await;
-    rest.end(node);
+    let lost = converse(north, &mut stream, &owed, &mut rest, crowded).await;
+    rest.end(north);
     // A client that went away is owed nothing; what was ready and not taken is held no longer.
     drop(stream);
     let slots = std::mem::take(&mut *owed.slots.borrow_mut());
     held.set(held.get() - lost);
     for slot in slots {
         match slot {
-            Slot::Open(id) => book::abandon(node, id),
+            Slot::Open(id) => north.desk.entry.leave(id),
             Slot::Ready(bytes) => held.set(held.get() - bytes.len()),
         }
     }
@@ -375,19 +389,19 @@
 
 /// Serves a connection to its end; returns how many bytes of answers were left unsent.
 async fn converse(
-    node: &Rc<Node>, stream: &mut TcpStream, owed: &Rc<Owed>, rest: &mut Rest, crowded: bool,
+    north: &Rc<North>, stream: &mut TcpStream, owed: &Rc<Owed>, rest: &mut Rest, crowded: bool,
 ) -> usize {
-    let limits = &node.limits;
+    let limits = &north.desk.limits;
     let (mut reader, writer) = stream.split();
     let (mut input, mut out, mut sent, mut sound) = (Vec::new(), Vec::new(), 0, true);
-    let mut phase = node.shutdown.changes();
+    let mut phase = north.desk.shutdown.changes();
     loop {
         let mut done = 0;
         while sound && owed.waiting() < limits.north_pipeline && out.len() < limits.north_unsent {
             match resp::command(&input[done..], limits) {
                 Ok(None) => break,
                 Ok(Some(command)) => {
-                    take(node, owed, &input[done..], &command, crowded);
+                    take(north, owed, &input[done..], &command, crowded);
                     done += command.length;
                 }
                 Err(malformed) => {
@@ -423,7 +437,7 @@
             return 0;
         }
         rest.update(
-            node,
+            north,
             match (between, input.is_empty()) {
                 (false, _) => Pause::Busy,
                 (true, true) => Pause::Empty,
@@ -448,14 +462,14 @@
     }
 }
 
-fn take(node: &Rc<Node>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
-    match understand(bytes, command, &node.terms) {
+fn take(north: &Rc<North>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
+    match understand(bytes, command, &north.terms) {
         Ok(Asked::Request(request)) => {
             let place = owed.push(Slot::Open(request.id));
             if crowded {
-                owed.answer(place, Answer::BackOff(node.limits.back_off));
+                owed.answer(place, Answer::BackOff(north.desk.limits.back_off));
             } else {
-                take_in::take_in(node, owed.clone(), place, *request);
+                north.desk.entry.ask(owed.clone(), place, *request);
             }
         }
         Ok(Asked::Here(answer)) => drop(owed.push(Slot::Ready(answer))),
@@ -470,15 +484,31 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::tests::with_node;
+    use crate::net::config;
+    use crate::net::front::Entry;
+
+    /// Nobody to hand requests to: what is read here never gets so far.
+    struct Nowhere;
+
+    impl Entry for Nowhere {
+        fn ask(&self, _: Rc<dyn Front>, _: u64, _: Request) {}
+        fn leave(&self, _: RequestId) {}
+    }
+
+    fn north(text: &str) -> North {
+        let config = config::read(text, |_| None).expect("the configuration is sound");
+        let (terms, limits) = (Terms::of(&config.settings), Rc::new(config.limits));
+        let (shutdown, held) = (Rc::default(), Rc::default());
+        North::new(Desk { entry: Rc::new(Nowhere), limits, shutdown, held }, terms)
+    }
 
     fn asked(
-        node: &Node, verb: &str, customer: &str, id: &str, facts: &str,
+        north: &North, verb: &str, customer: &str, id: &str, facts: &str,
     ) -> Result<Duration, &'static str> {
         let mut bytes = Vec::new();
         resp::write_command(&[verb, customer, id, facts].map(str::as_bytes), &mut bytes);
-        let command = resp::command(&bytes, &node.limits).expect("well-formed").expect("whole");
-        understand(&bytes, &command, &node.terms).map(|asked| match asked {
+        let command = resp::command(&bytes, &north.desk.limits).expect("well-formed").expect("whole");
+        understand(&bytes, &command, &north.terms).map(|asked| match asked {
             Asked::Request(request) => request.wait,
             Asked::Here(_) => panic!("{verb} is for a host"),
         })
@@ -487,54 +517,54 @@
     /// Whatever no host could use is turned away; every form that the protocol has is let through.
     #[test]
     fn only_usable_requests_are_taken() {
-        with_node(&[("\"balancers\": 1", "\"balancers\": 3")], |node| async move {
-            let (one, id) = ("00000001ffffffff", "9b1f03aa5c7e2d41");
-            let check = "c=bed-check,t=guide,d=900,units=6,spread=3,first=2";
-            let hold = "c=bed-hold,t=operator,d=900,k=5c0f6e1a2b3d4c59,r=1,units=0.25,spread=1,first=0";
-            let ms = Duration::from_millis;
-            assert_eq!(asked(&node, "Q.ASK", one, id, check), Ok(ms(900)));
-            assert_eq!(asked(&node, "Q.DO", one, id, hold), Ok(ms(900)));
-            // Nobody waits for longer than the class.
-            assert_eq!(asked(&node, "Q.DO", one, id, &hold.replace("900", "999999")), Ok(ms(4000)));
-            for (verb, customer, id) in [
-                ("Q.DO", one, id),
-                ("Q.ASK", "0000000200000000", id),
-                ("Q.ASK", "+000000000000007", id),
-                ("Q.ASK", "", id),
-                ("Q.ASK", one, ""),
-                ("Q.ASK", one, "9b1f03aa5c7e2d4"),
-            ] {
-                assert!(asked(&node, verb, customer, id, check).is_err(), "{verb} {customer} {id}");
-            }
-            assert!(asked(&node, "Q.ASK", one, id, hold).is_err(), "a keyed class is not safe to repeat");
-            assert!(asked(&node, "Q.DO", one, id, &hold.replace(",k=5c0f6e1a2b3d4c59", "")).is_err());
-            for (from, to) in [
-                ("c=bed-check,", ""),
-                ("bed-check", "bed-chec"),
-                ("t=guide,", ""),
-                ("guide", "guides"),
-                ("d=900,", ""),
-                ("900", "0"),
-                ("900", "soon"),
-                ("900", "-1"),
-                ("units=6,", ""),
-                ("units=6", "units=0"),
-                ("units=6", "units=-1"),
-                ("units=6", "units=6.5"),
-                ("units=6", "units=1e300"),
-                ("units=6", "units=NaN"),
-                ("units=6", "units=inf"),
-                ("spread=3,", ""),
-                ("spread=3", "spread=0"),
-                ("spread=3", "spread=4"),
-                (",first=2", ""),
-                ("first=2", "first=3"),
-                ("first=2", "first=-1"),
-                ("spread=3,", "spread,"),
-            ] {
-                assert!(check.contains(from));
-                assert!(asked(&node, "Q.ASK", one, id, &check.replace(from, to)).is_err(), "{from} as {to}");
-            }
-        });
+        let text = include_str!("../../../examples/toy.json").replace("\"balancers\": 1", "\"balancers\": 3");
+        let north = north(&text);
+        let (one, id) = ("00000001ffffffff", "9b1f03aa5c7e2d41");
+        let check = "c=bed-check,t=guide,d=900,units=6,spread=3,first=2";
+        let hold = "c=bed-hold,t=operator,d=900,k=5c0f6e1a2b3d4c59,r=1,units=0.25,spread=1,first=0";
+        let ms = Duration::from_millis;
+        assert_eq!(asked(&north, "Q.ASK", one, id, check), Ok(ms(900)));
+        assert_eq!(asked(&north, "Q.DO", one, id, hold), Ok(ms(900)));
+        // Nobody waits for longer than the class.
+        assert_eq!(asked(&north, "Q.DO", one, id, &hold.replace("900", "999999")), Ok(ms(4000)));
+        for (verb, customer, id) in [
+            ("Q.DO", one, id),
+            ("Q.ASK", "0000000200000000", id),
+            ("Q.ASK", "+000000000000007", id),
+            ("Q.ASK", "", id),
+            ("Q.ASK", one, ""),
+            ("Q.ASK", one, "9b1f03aa5c7e2d4"),
+        ] {
+            assert!(asked(&north, verb, customer, id, check).is_err(), "{verb} {customer} {id}");
+        }
+        assert!(asked(&north, "Q.ASK", one, id, hold).is_err(), "a keyed class is not safe to repeat");
+        assert!(asked(&north, "Q.DO", one, id, &hold.replace(",k=5c0f6e1a2b3d4c59", "")).is_err());
+        for (from, to) in [
+            ("c=bed-check,", ""),
+            ("bed-check", "bed-chec"),
+            ("t=guide,", ""),
+            ("guide", "guides"),
+            ("d=900,", ""),
+            ("900", "0"),
+            ("900", "soon"),
+            ("900", "-1"),
+            ("units=6,", ""),
+            ("units=6", "units=0"),
+            ("units=6", "units=-1"),
+            ("units=6", "units=6.5"),
+            ("units=6", "units=1e300"),
+            ("units=6", "units=NaN"),
+            ("units=6", "units=inf"),
+            ("spread=3,", ""),
+            ("spread=3", "spread=0"),
+            ("spread=3", "spread=4"),
+            (",first=2", ""),
+            ("first=2", "first=3"),
+            ("first=2", "first=-1"),
+            ("spread=3,", "spread,"),
+        ] {
+            assert!(check.contains(from));
+            assert!(asked(&north, "Q.ASK", one, id, &check.replace(from, to)).is_err(), "{from} as {to}");
+        }
     }
 }
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -365,7 +365,7 @@
         with_node(&[], |node| async move {
             let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
             let entry = |state| HostEntry { host: HostId(5), state, ..HostEntry::default() };
-            let drained = Limits { drain: std::time::Duration::ZERO, ..node.limits.clone() };
+            let drained = Limits { drain: std::time::Duration::ZERO, ..(*node.limits).clone() };
             south.learn(&entry(HostState::Ready), address);
             assert_eq!(south.address(HostId(5), &drained), Some(address));
             let parked = south.park(HostId(5), address).expect("it may wait");
@@ -386,7 +386,7 @@
         with_node(&[], |node| async move {
             let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
             let entry = |id, state| HostEntry { host: HostId(id), state, ..HostEntry::default() };
-            let over = Limits { drain: std::time::Duration::ZERO, ..node.limits.clone() };
+            let over = Limits { drain: std::time::Duration::ZERO, ..(*node.limits).clone() };
             (1..5).for_each(|id| south.learn(&entry(id, HostState::Ready), address));
             south.learn(&entry(2, HostState::Gone), address);
             south.learn(&entry(3, HostState::Draining), address);
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -2,7 +2,8 @@
 //! then on; all else holds until the next start.
 
 use super::config::{self, Config};
-use super::{spawn, Node};
+use super::task::spawn;
+use super::Node;
 use std::rc::Rc;
 use tokio::signal::unix::{signal, SignalKind};
 
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -1,7 +1,8 @@
 //! The planned end: all goes on while the front still sends, then connections close between requests, and the
 //! program ends once all that was taken is answered.
 
-use super::{spawn, Node};
+use super::task::spawn;
+use super::Node;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::signal::unix::{signal, SignalKind};
--- a/src/net/stages/admit.rs
+++ b/src/net/stages/admit.rs
@@ -3,7 +3,8 @@
 use super::book;
 use crate::api::Event;
 use crate::net::core::Request;
-use crate::net::{spawn, Node};
+use crate::net::task::spawn;
+use crate::net::Node;
 use std::rc::Rc;
 use tokio::time::{sleep_until, Instant};
 
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -3,7 +3,8 @@
 use super::{book, send};
 use crate::api::{Action, Event, Outcome};
 use crate::net::core::Answer;
-use crate::net::{spawn, Node};
+use crate::net::task::spawn;
+use crate::net::Node;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
