--- /dev/null
+++ b/crates/lab/src/module.rs
@@ -0,0 +1,216 @@
+//! Seeded damage to the decision module: a copy of the workspace is patched, built, and its expectations run.
+
+use clap::Args;
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// Seeded damage to the decision module, built from patched copies: which expectation catches it.
+#[derive(Debug, Args)]
+pub struct Module {
+    /// The workspace.
+    #[arg(long, default_value = ".")]
+    root: PathBuf,
+    /// Where copies are built.
+    #[arg(long)]
+    folder: Option<PathBuf>,
+}
+
+/// The damage: a file of the module, what stands there, what stands there then, and what is wrong with it.
+const DAMAGE: &[(&str, &str, &str, &str)] = &[
+    (
+        "hosts.rs",
+        "self.entry.state == HostState::Ready",
+        "self.entry.state != HostState::Gone",
+        "drains are not kept",
+    ),
+    (
+        "hosts.rs",
+        "self.entry.state == HostState::Ready",
+        "self.entry.state != HostState::Draining",
+        "lost nodes are not noticed",
+    ),
+    ("hosts.rs", "h.entry.cell == cell", "h.entry.cell == cell || true", "keyed repeats leave their cell"),
+    ("hosts.rs", "h.entry.zone == zone,", "h.entry.zone == zone || true,", "keyed repeats leave their room"),
+    (
+        "hosts.rs",
+        "let crossing = if h.entry.zone == self.set.zone { 0.0 } else { unseen };",
+        "let crossing = 0.0 * unseen;",
+        "rooms count for nothing",
+    ),
+    (
+        "hosts.rs",
+        "let margin = 1.0 - 1.0 / self.set.overload_factor.max(1.0);",
+        "let margin = 40.0;",
+        "cold nodes are drawn too often",
+    ),
+    (
+        "hosts.rs",
+        "self.set.cold_from + (1.0 - self.set.cold_from) * part",
+        "1.0 - 0.001 * part",
+        "cold nodes are taken for warm",
+    ),
+    ("life.rs", "&& job.attempts < self.set.max_attempts.max(1)", "", "attempts without a cap"),
+    (
+        "life.rs",
+        "(Some(_), Effect::Unsafe) => false,",
+        "(Some(_), Effect::Unsafe) => true,",
+        "what must not run twice goes again",
+    ),
+    (
+        "life.rs",
+        "self.now < at.saturating_add(class.dedup_window)",
+        "self.now < at.saturating_add(100 * class.dedup_window)",
+        "keys outlive their window",
+    ),
+    (
+        "life.rs",
+        "self.may_repeat(job)\n",
+        "(self.may_repeat(job) || job.ran.is_some())\n",
+        "what may have run is tried again",
+    ),
+    (
+        "life.rs",
+        "Effect::Keyed => job.ran.is_none() || class.group == Group::All,",
+        "Effect::Keyed => true,",
+        "refused as harmless though it may have run",
+    ),
+    (
+        "life.rs",
+        "self.set.longest_retry_after\n",
+        "10 * self.set.longest_retry_after\n",
+        "told to come back too late",
+    ),
+    (
+        "life.rs",
+        "out.push(Action::Refuse { id, retry_after: self.come_back(&job) });",
+        "out.push(Action::Refuse { id, retry_after: 0 });",
+        "refused untold",
+    ),
+    (
+        "life.rs",
+        "if job.attempts == 0 {\n                self.take_back(&job, out);\n            }",
+        "self.take_back(&job, out);",
+        "units come back though they were sent on",
+    ),
+    (
+        "life.rs",
+        "(job.avoid, job.stage, job.draw) = (Some(sent.host), Stage::Held, draw);",
+        "(job.avoid, job.stage, job.draw) = (None, Stage::Out, draw);",
+        "a further attempt is lost sight of",
+    ),
+    (
+        "life.rs",
+        "(\"deadline\", Some(id), Some(stage)) if stage != Stage::Streaming => self.finish(id, out),",
+        "(\"deadline\", Some(_), Some(stage)) if stage != Stage::Streaming => {}",
+        "deadlines pass",
+    ),
+    (
+        "quota.rs",
+        "(plan.rate * length).max(burst)",
+        "(3.0 * plan.rate * length).max(burst)",
+        "three times the limit",
+    ),
+    ("quota.rs", "let amount = units + q.owed;", "let amount = q.owed;", "adds leave out the request"),
+    ("quota.rs", "q.known = total + q.lost;", "q.known = call.amount;", "others' adds are not seen"),
+    ("quota.rs", "q.lost += (q.known - q.lost - before).max(0.0);", "", "a counter that forgot is believed"),
+    (
+        "quota.rs",
+        "previous * (1.0 - (now % length) as f64 / length as f64) + current",
+        "current",
+        "the window before counts for nothing",
+    ),
+    (
+        "quota.rs",
+        "Outcome::Timeout => {\n                    q.known += call.amount;",
+        "Outcome::Timeout => {\n                    q.known -= call.amount;",
+        "adds that may be lost come back",
+    ),
+    (
+        "quota.rs",
+        "let share = q.share(spread, limit);",
+        "let share = 1.0;",
+        "each limiter takes the whole quota for its own",
+    ),
+    (
+        "quota.rs",
+        "if q.previous_read || estimate(",
+        "if true || estimate(",
+        "the window before is never read",
+    ),
+    (
+        "quota.rs",
+        "let retry_after = if known_over { length - self.now % length } else { self.come_back(&job) };",
+        "let retry_after = if known_over { 0 } else { self.come_back(&job) };",
+        "over its quota and untold",
+    ),
+];
+
+impl Module {
+    /// Patches, builds and checks.
+    pub fn run(self) -> Result<String, String> {
+        let folder = self.folder.unwrap_or_else(|| std::env::temp_dir().join("quartzcleat-module"));
+        let source = self.root.join("crates/decision/src");
+        let mut out = String::from("| damage | file | caught by |\n| --- | --- | --- |\n");
+        let (mut made, mut caught) = (0, 0);
+        copy(&self.root, &folder)?;
+        let target = folder.join("crates/decision/src");
+        for (file, from, to, why) in DAMAGE {
+            let text = std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
+            if text.matches(from).count() == 0 {
+                return Err(format!("{file}: {from:?} stands there no more"));
+            }
+            std::fs::write(target.join(file), text.replacen(from, to, 1)).map_err(|e| e.to_string())?;
+            let by = check(&folder)?;
+            std::fs::write(target.join(file), &text).map_err(|e| e.to_string())?;
+            (made, caught) = (made + 1, caught + usize::from(!by.is_empty()));
+            let first = by.first().map_or_else(
+                || "**nothing**".to_owned(),
+                |name| {
+                    if by.len() > 1 {
+                        format!("{name} and {} more", by.len() - 1)
+                    } else {
+                        name.clone()
+                    }
+                },
+            );
+            let _ = writeln!(out, "| {why} | {file} | {first} |");
+        }
+        let _ = writeln!(out, "\n{made} single changes to the module: {caught} caught");
+        Ok(out)
+    }
+}
+
+/// Copies what builds the workspace.
+fn copy(root: &Path, folder: &Path) -> Result<(), String> {
+    std::fs::create_dir_all(folder).map_err(|e| e.to_string())?;
+    for part in ["Cargo.toml", "Cargo.lock", "README.md", "src", "crates", "deploy", "tests", "examples"] {
+        let copied = Command::new("cp").arg("-rp").arg(root.join(part)).arg(folder).status();
+        if !copied.is_ok_and(|status| status.success()) {
+            return Err(format!("cannot copy {part}"));
+        }
+    }
+    Ok(())
+}
+
+/// The expectations that do not hold with the module as it is in a copy.
+fn check(folder: &Path) -> Result<Vec<String>, String> {
+    let built = Command::new("cargo")
+        .args(["build", "--quiet", "--offline", "--bin", "quartzcleat"])
+        .current_dir(folder)
+        .env("CARGO_PROFILE_DEV_OPT_LEVEL", "1")
+        .output()
+        .map_err(|e| e.to_string())?;
+    if !built.status.success() {
+        return Err(format!("does not build: {}", String::from_utf8_lossy(&built.stderr)));
+    }
+    let ran = Command::new(folder.join("target/debug/quartzcleat"))
+        .args(["expect", "--no-blame", "--no-vary", "--format", "json"])
+        .current_dir(folder)
+        .output()
+        .map_err(|e| e.to_string())?;
+    let told: serde_json::Value = serde_json::from_slice(&ran.stdout).map_err(|e| e.to_string())?;
+    let results = told["results"].as_array().ok_or("no results")?;
+    let failed = results.iter().filter(|result| result["verdict"] != "held");
+    Ok(failed.filter_map(|result| result["name"].as_str().map(str::to_owned)).collect())
+}
--- a/crates/standins/src/limiter.rs
+++ b/crates/standins/src/limiter.rs
@@ -1,5 +1,6 @@
 //! A limiter's process: started with a configuration of its own, killed at the latest when the stage is gone.
 
+use crate::stage::Usage;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -44,6 +45,18 @@
         Ok(())
     }
 
+    /// What the process used so far, as the kernel tells.
+    pub(crate) fn usage(&self) -> Usage {
+        let Some(id) = self.child.as_ref().and_then(Child::id) else { return Usage::default() };
+        let read = |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
+        let cpu_ns =
+            read("schedstat").split_whitespace().next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        let status = read("status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or_default();
+        let peak_kb = peak.split_whitespace().next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        Usage { cpu_ns, peak_kb }
+    }
+
     pub(crate) fn runs(&self) -> bool {
         self.child.is_some()
     }
--- a/crates/standins/src/stage.rs
+++ b/crates/standins/src/stage.rs
@@ -78,12 +78,38 @@
 /// # Errors
 /// Where loopback or the processes fail; what limiters do wrong is in the records.
 pub fn play(scenario: &Scenario, program: &Path, folder: &Path) -> io::Result<Vec<Record>> {
+    perform(scenario, program, folder).map(|performed| performed.records)
+}
+
+/// What a limiter's process used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// CPU time in nanoseconds.
+    pub cpu_ns: u64,
+    /// Its largest resident set in kilobytes.
+    pub peak_kb: u64,
+}
+
+/// A play on sockets and what its limiters used.
+#[derive(Clone, Debug, Default)]
+pub struct Performed {
+    /// What was seen.
+    pub records: Vec<Record>,
+    /// What each limiter that ran to the end used.
+    pub usage: Vec<Usage>,
+}
+
+/// As [`play`], with what the limiters used.
+///
+/// # Errors
+/// As there.
+pub fn perform(scenario: &Scenario, program: &Path, folder: &Path) -> io::Result<Performed> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let (scenario, program, folder) = (scenario.clone(), program.to_owned(), folder.to_owned());
     LocalSet::new().block_on(&runtime, async move { run(scenario, &program, folder).await })
 }
 
-async fn run(scenario: Scenario, program: &Path, folder: PathBuf) -> io::Result<Vec<Record>> {
+async fn run(scenario: Scenario, program: &Path, folder: PathBuf) -> io::Result<Performed> {
     let stage = Stage::prepare(scenario, program, folder).await?;
     let began = stage.begin().await?;
     let (variant, steps) = (stage.scenario.variant.unwrap_or(0), stage.scenario.steps.len());
@@ -106,11 +132,12 @@
     }
     sleep(Duration::from_millis(60)).await;
     let mut processes = std::mem::take(&mut *stage.limiters.borrow_mut());
+    let usage = processes.iter().map(Process::usage).collect();
     for process in &mut processes {
         process.kill().await;
     }
     let records = std::mem::take(&mut *stage.records.borrow_mut());
-    Ok(records)
+    Ok(Performed { records, usage })
 }
 
 impl Stage {
