--- a/crates/expect/src/blame.rs
+++ b/crates/expect/src/blame.rs
@@ -48,7 +48,7 @@
 }
 
 /// What a key could say instead: its default, then its neighbours.
-fn others(path: &str, node: &Node) -> Vec<Content> {
+fn others(day: &Day, path: &str, node: &Node) -> Vec<Content> {
     let Some((_, kind, default)) = key_of(path) else { return Vec::new() };
     let number = |value: f64| Content::Number(value);
     let mut others = Vec::new();
@@ -71,6 +71,15 @@
                 _ => 0.0,
             };
             others.extend(default.parse().ok().filter(|default: &f64| *default != now).map(number));
+            // What stands there in the other members of its list.
+            if let [list, number, key] = path.split('.').collect::<Vec<_>>().as_slice() {
+                let members = (0..16).filter(|other| other.to_string() != *number);
+                let values = members.filter_map(|other| day.tree.at(&format!("{list}.{other}.{key}")));
+                others.extend(values.map(|node| node.content.clone()));
+            }
+            if now == 0.0 {
+                others.extend([1.0, 10.0].map(number));
+            }
             let whole = *kind == Kind::Time || now.fract() == 0.0 && now >= 8.0;
             for factor in [0.5, 2.0, 0.125, 8.0] {
                 let value = now * factor;
@@ -112,7 +121,7 @@
     let mut sets = Vec::new();
     for (path, node) in &keys {
         let turned =
-            others(path, node).into_iter().find(|other| turns(&[(path.clone(), Some(other.clone()))]));
+            others(day, path, node).into_iter().find(|other| turns(&[(path.clone(), Some(other.clone()))]));
         if let Some(other) = turned {
             sets.push(vec![line(day, path, &show(path, &other))]);
         }
@@ -130,7 +139,7 @@
                 let changes: Vec<Change> = members
                     .iter()
                     .filter_map(|(path, node)| {
-                        Some((path.clone(), Some(others(path, node).get(place)?.clone())))
+                        Some((path.clone(), Some(others(day, path, node).get(place)?.clone())))
                     })
                     .collect();
                 if changes.len() > 1 && turns(&changes) {
--- a/crates/expect/src/compile.rs
+++ b/crates/expect/src/compile.rs
@@ -644,7 +644,7 @@
             let units: Vec<f64> =
                 list(node).iter().map(|node| self.number(node)).collect::<Result<_, _>>()?;
             match units.iter().find(|units| !(**units > 0.0 && **units <= top)) {
-                Some(wrong) => Err(format!("{wrong} is not above 0 and up to {top}")),
+                Some(wrong) => Err(format!("{wrong} is not above 0 and up to {top} (familyInfo.unitsTop)")),
                 None => Ok(units),
             }
         });
@@ -732,6 +732,7 @@
             "always",
             "attempts",
             "runs",
+            "open",
             "units",
             "sent",
             "served",
@@ -777,6 +778,7 @@
                 let sum = match kind {
                     "attempts" => Sum::Attempts,
                     "runs" => Sum::Runs,
+                    "open" => Sum::Open,
                     "units" => Sum::Units,
                     "sent" => Sum::Sent,
                     "served" => Sum::Served,
@@ -875,7 +877,7 @@
 }
 
 fn kind_name(kind: &str) -> &'static str {
-    ["attempts", "runs", "units", "sent", "served", "refused", "failed", "crossings", "share"]
+    ["attempts", "runs", "open", "units", "sent", "served", "refused", "failed", "crossings", "share"]
         .into_iter()
         .find(|name| *name == kind)
         .unwrap_or("share")
--- a/crates/expect/src/must.rs
+++ b/crates/expect/src/must.rs
@@ -54,6 +54,8 @@
     Attempts,
     /// Runs that were no dropped repeats, of each errand.
     Runs,
+    /// Attempts out at one moment.
+    Open,
     /// Units sent on.
     Units,
     /// Requests sent on.
@@ -131,6 +133,8 @@
     sends: Vec<Send>,
     bad_end: bool,
     answer: Option<(Answered, Nanos)>,
+    /// When its attempts ended.
+    ends: Vec<Nanos>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -183,6 +187,7 @@
                         sends: Vec::new(),
                         bad_end: false,
                         answer: None,
+                        ends: Vec::new(),
                     });
                 }
                 What::Told { limiter, host, state } => {
@@ -228,8 +233,9 @@
                     }
                 }
                 What::Ended { request, outcome, .. } => {
-                    if let Some(place) = places.get(request).filter(|_| *outcome != Outcome::Good) {
-                        requests[*place].bad_end = true;
+                    if let Some(place) = places.get(request) {
+                        requests[*place].bad_end |= *outcome != Outcome::Good;
+                        requests[*place].ends.push(at);
                     }
                 }
                 What::Answered { request, answer } => {
@@ -412,6 +418,23 @@
                 });
                 Judged { tested, ..self.each(each, bounds, "runs:", false) }
             }
+            Sum::Open => {
+                let mut changes: Vec<(Nanos, i32, &Request)> = Vec::new();
+                for request in self.meant(filter) {
+                    changes.extend(request.ends.iter().map(|at| (*at, -1, request)));
+                    changes.extend(request.sends.iter().map(|send| (send.at, 1, request)));
+                }
+                changes.sort_by_key(|(at, change, _)| (*at, *change));
+                let mut now = 0;
+                let each = changes.into_iter().map(|(_, change, request)| {
+                    now += change;
+                    (f64::from(now), request)
+                });
+                // Where no more were asked for than may be out at once, nothing was held back.
+                let asked = self.meant(filter).count() as f64;
+                let tested = u64::from(bounds.most.is_none_or(|most| asked > most));
+                Judged { tested, ..self.each(each, bounds, "attempts out at once:", false) }
+            }
             Sum::Units
             | Sum::Sent
             | Sum::Served
@@ -438,7 +461,7 @@
                 Sum::Share(host) => {
                     (request.sends.iter().filter(|send| send.host == host).count() as f64, sends)
                 }
-                Sum::Attempts | Sum::Runs => (0.0, 0.0),
+                Sum::Attempts | Sum::Runs | Sum::Open => (0.0, 0.0),
             };
             total += mine;
             all += of;
@@ -459,7 +482,7 @@
             Sum::Failed => "failed:".to_owned(),
             Sum::Crossings => "attempts to another room:".to_owned(),
             Sum::Share(host) => format!("part of the attempts that went to {}:", cast.host(host)),
-            Sum::Attempts | Sum::Runs => String::new(),
+            Sum::Attempts | Sum::Runs | Sum::Open => String::new(),
         };
         let failed = bounds.broken(figure, false).map(|how| {
             let (at, request) = last.map_or((self.begin, None), |(at, request)| (at, Some(request)));
--- a/crates/expect/src/report.rs
+++ b/crates/expect/src/report.rs
@@ -81,6 +81,10 @@
                 lines(&failure.behind, &mut out);
             }
         }
+        if let Some(behind) = &result.behind {
+            let _ = writeln!(out, "    behind it:");
+            lines(behind, &mut out);
+        }
         if let Some((before, blame)) = &result.differs {
             let _ =
                 writeln!(out, "    under the other settings: {}; the change that does it:", word(*before));
--- a/crates/expect/src/run.rs
+++ b/crates/expect/src/run.rs
@@ -110,6 +110,8 @@
     pub notes: Vec<String>,
     /// How it fails.
     pub failure: Option<Told>,
+    /// The lines behind it, where nothing tested it.
+    pub behind: Option<Blame>,
     /// The verdict under the settings compared with, where it differs, and the changed lines that do it.
     pub differs: Option<(Verdict, Blame)>,
     /// Plays, events and different states.
@@ -333,6 +335,7 @@
         verdict: Verdict::Faulty,
         notes: Vec::new(),
         failure: None,
+        behind: None,
         differs: None,
         explored: Counts::default(),
         seconds: 0.0,
@@ -364,14 +367,17 @@
     if result.verdict == Verdict::Held && options.vary {
         says_nothing(suite, expectation, day, &compiled, &explored, &mut result);
     }
+    let behind = || match against {
+        Some(old) if !blame::changes(old, day).is_empty() => {
+            blame::between(suite, expectation, old, day, false, &options.budget)
+        }
+        _ => blame::behind(suite, expectation, day, &options.budget),
+    };
+    if result.verdict == Verdict::Untested && options.blame {
+        result.behind = Some(behind());
+    }
     if let Some(failure) = &explored.failure {
-        let behind = match (options.blame, against) {
-            (false, _) => Blame::default(),
-            (true, Some(old)) if !blame::changes(old, day).is_empty() => {
-                blame::between(suite, expectation, old, day, false, &options.budget)
-            }
-            (true, _) => blame::behind(suite, expectation, day, &options.budget),
-        };
+        let behind = if options.blame { behind() } else { Blame::default() };
         result.failure = Some(told(&compiled, expectation, failure, behind));
     }
     if let Some(old) = against {
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -233,6 +233,8 @@
             if plan.rate > 0.0 && plan.burst < set.largest_request {
                 let (burst, top) = (plan.burst, set.largest_request);
                 fault(key("peakUnits"), format!("{burst} is less than one request may count, {top}"));
+                let problem = format!("{top} is more than the burst of {}, {burst}", plan.name);
+                fault("familyInfo.unitsTop".into(), problem);
             }
         }
         if set.max_attempts == 0 {
