--- /dev/null
+++ b/crates/expect/src/installation.rs
@@ -0,0 +1,200 @@
+//! What an installation gives: rooms, limiters, delays, nodes and the facts that no setting changes.
+
+use quartzcleat_decision::api::{Effect, Group, HostState, Nanos, Settings};
+use quartzcleat_rules::record::Player;
+use quartzcleat_rules::Cast;
+use quartzcleat_settings::fault::nearest;
+use quartzcleat_settings::reader::{flag, list, text};
+use quartzcleat_settings::tree::{Content, Node, Place};
+use quartzcleat_settings::{quantity, Faults, Reader};
+use quartzcleat_world::scenario::{Net, NodeSetup};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+pub(crate) fn names_of(reader: &mut Reader<'_>, key: &'static str, faults: &mut Faults) -> Vec<String> {
+    let Some(node) = reader.node(key) else { return Vec::new() };
+    let mut names = Vec::new();
+    for member in list(node) {
+        match member.text() {
+            Some(name) => names.push(name),
+            None => reader.fault(key, "not a list of names", faults),
+        }
+    }
+    names
+}
+
+pub(crate) fn members<'a>(
+    node: &'a Node, file: &Arc<str>, key: &str, faults: &mut Faults,
+) -> &'a [(String, Place, Node)] {
+    match &node.content {
+        Content::Map(members) => members,
+        Content::Null => &[],
+        _ => {
+            faults.add(file, node.place, key, "not a map of names");
+            &[]
+        }
+    }
+}
+
+pub(crate) fn place_of(name: &str, names: &[String], what: &str) -> Result<usize, String> {
+    names.iter().position(|known| known == name).ok_or_else(|| {
+        match nearest(name, names.iter().map(String::as_str)) {
+            Some(near) => format!("no {what} {name:?}; did you mean {near}?"),
+            None => format!("no {what} {name:?}; known: {}", names.join(", ")),
+        }
+    })
+}
+
+pub(crate) fn player(players: &[Player], name: &str, what: &str) -> Result<usize, String> {
+    let names: Vec<String> = players.iter().map(|player| player.name.clone()).collect();
+    place_of(name, &names, what)
+}
+
+pub(crate) fn limiters(
+    node: Option<&Node>, file: &Arc<str>, rooms: &[String], faults: &mut Faults,
+) -> Vec<Player> {
+    let mut limiters = Vec::new();
+    let Some(node) = node else {
+        faults.add(file, Place { line: 1, column: 1 }, "limiters", "missing; write name: room lines");
+        return limiters;
+    };
+    for (name, place, room) in members(node, file, "limiters", faults) {
+        match text(room).and_then(|room| place_of(&room, rooms, "room")) {
+            Ok(room) => limiters.push(Player { name: name.clone(), room: room as u32, cell: 0 }),
+            Err(problem) => faults.add(file, *place, format!("limiters.{name}"), problem),
+        }
+    }
+    limiters
+}
+
+pub(crate) fn net(node: Option<&Node>, file: &Arc<str>, faults: &mut Faults) -> Net {
+    let default = Net::default();
+    let Some(node) = node else { return default };
+    let mut map = Reader::new(file, "net", node, faults);
+    let same = map.take("same", faults, quantity::time);
+    let cross = map.take("cross", faults, quantity::time);
+    let counter = map.take("counter", faults, quantity::time);
+    map.end(faults);
+    Net {
+        same: same.unwrap_or(default.same),
+        cross: cross.unwrap_or(default.cross),
+        counter: counter.unwrap_or(default.counter),
+    }
+}
+
+/// Facts of the installation: what is so, whatever a day's settings say.
+pub(crate) fn facts(
+    node: Option<&Node>, file: &Arc<str>, truth: &mut Settings, work: &mut [Nanos], faults: &mut Faults,
+) {
+    let Some(node) = node else { return };
+    let mut map = Reader::new(file, "facts", node, faults);
+    let set = |value: Option<u64>, to: &mut Nanos| *to = value.unwrap_or(*to);
+    set(map.take("drain", faults, quantity::time), &mut truth.drain_grace);
+    if let Some(most) = map.take("attempts", faults, |node| quantity::count(node, 1..=100)) {
+        truth.max_attempts = most as u32;
+    }
+    if let Some(cold) = map.node("cold") {
+        let mut cold = Reader::new(file, "facts.cold", cold, faults);
+        if let Some(from) = cold.take("from", faults, quantity::share) {
+            truth.cold_from = from;
+        }
+        set(cold.take("warm", faults, quantity::time), &mut truth.warm_after);
+        set(cold.take("tip", faults, quantity::time), &mut truth.tip_after);
+        if let Some(factor) = cold.take("overload", faults, quantity::number) {
+            truth.overload_factor = factor;
+        }
+        cold.end(faults);
+    }
+    if let Some(node) = map.node("classes") {
+        let names: Vec<String> = truth.classes.iter().map(|class| class.name.clone()).collect();
+        for (name, place, node) in members(node, file, "facts.classes", faults) {
+            let index = match place_of(name, &names, "class") {
+                Ok(index) => index,
+                Err(problem) => {
+                    faults.add(file, *place, format!("facts.classes.{name}"), problem);
+                    continue;
+                }
+            };
+            let mut one = Reader::new(file, &format!("facts.classes.{name}"), node, faults);
+            let class = &mut truth.classes[index];
+            let words = [
+                ("safe", (Effect::Retryable, Group::All)),
+                ("never", (Effect::Unsafe, Group::Cell)),
+                ("dropped by all", (Effect::Keyed, Group::All)),
+                ("dropped by the room", (Effect::Keyed, Group::Zone)),
+                ("dropped by the cell", (Effect::Keyed, Group::Cell)),
+            ];
+            if let Some((effect, group)) = one.word("repeats", &words, faults) {
+                (class.effect, class.group) = (effect, group);
+            }
+            set(one.take("window", faults, quantity::time), &mut class.dedup_window);
+            set(one.take("work", faults, quantity::time), &mut work[index]);
+            one.end(faults);
+        }
+    }
+    map.end(faults);
+}
+
+/// Nodes: a map of names with what differs from a usual node, or a list of the names that are there at all.
+pub(crate) fn nodes(
+    node: &Node, file: &Arc<str>, cast: &mut Cast, nodes: &mut Vec<NodeSetup>, faults: &mut Faults,
+) {
+    if let Content::List(names) = &node.content {
+        let mut kept = BTreeSet::new();
+        for name in names {
+            match text(name).and_then(|name| player(&cast.hosts, &name, "node")) {
+                Ok(index) => drop(kept.insert(index)),
+                Err(problem) => faults.add(file, name.place, "nodes", problem),
+            }
+        }
+        let keep = |index: usize| kept.contains(&index);
+        let hosts = std::mem::take(&mut cast.hosts);
+        cast.hosts = hosts.into_iter().enumerate().filter(|(i, _)| keep(*i)).map(|(_, host)| host).collect();
+        let setups = std::mem::take(nodes);
+        *nodes = setups.into_iter().enumerate().filter(|(i, _)| keep(*i)).map(|(_, setup)| setup).collect();
+        return;
+    }
+    for (name, _, node) in members(node, file, "nodes", faults) {
+        let index = cast.hosts.iter().position(|host| host.name == *name).unwrap_or_else(|| {
+            cast.hosts.push(Player { name: name.clone(), ..Player::default() });
+            nodes.push(NodeSetup::default());
+            cast.hosts.len() - 1
+        });
+        let mut one = Reader::new(file, &format!("nodes.{name}"), node, faults);
+        let rooms = cast.rooms.clone();
+        if let Some(room) = one.take("room", faults, |node| place_of(&text(node)?, &rooms, "room")) {
+            cast.hosts[index].room = room as u32;
+        }
+        if let Some(cell) = one.take("cell", faults, |node| quantity::count(node, 0..=1_000_000)) {
+            cast.hosts[index].cell = cell as u32;
+        }
+        let setup = &mut nodes[index];
+        let states = [("serving", HostState::Ready), ("draining", HostState::Draining)];
+        if let Some(state) = one.word("state", &states, faults) {
+            setup.state = state;
+        }
+        if let Some(age) = one.take("age", faults, quantity::time) {
+            setup.age = Some(age);
+        }
+        if let Some(cores) = one.take("cores", faults, |node| quantity::count(node, 1..=1024)) {
+            setup.cores = cores as u32;
+        }
+        if let Some(slots) = one.take("slots", faults, |node| quantity::count(node, 0..=1_000_000)) {
+            setup.slots = slots as usize;
+        }
+        if let Some(speed) = one.take("speed", faults, quantity::number) {
+            if speed > 0.0 {
+                setup.speed = speed;
+            } else {
+                one.fault("speed", "0; a node that does nothing is one that dies", faults);
+            }
+        }
+        if let Some(weight) = one.take("weight", faults, quantity::number) {
+            setup.weight = weight;
+        }
+        if let Some(absent) = one.take("absent", faults, flag) {
+            setup.absent = absent;
+        }
+        one.end(faults);
+    }
+}
--- a/crates/expect/src/lib.rs
+++ b/crates/expect/src/lib.rs
@@ -8,11 +8,16 @@
 
 pub mod blame;
 pub mod compile;
+mod demands;
 pub mod explore;
 pub mod file;
+mod given;
+mod installation;
 pub mod must;
 pub mod report;
 pub mod run;
+mod steps;
+mod vary;
 
 pub use compile::{compile, Compiled};
 pub use explore::{Budget, Explored};
--- a/crates/expect/src/run.rs
+++ b/crates/expect/src/run.rs
@@ -2,9 +2,10 @@
 //! anything at all.
 
 use crate::blame::{self, Blame};
-use crate::compile::{compile, varied, Compiled, Vary};
+use crate::compile::{compile, Compiled};
 use crate::explore::{explore, Budget, Explored, Failure};
 use crate::file::{self, Expectation, Suite};
+use crate::vary::{varied, Vary};
 use quartzcleat_decision::api::HostState;
 use quartzcleat_rules::{story, Record, What};
 use quartzcleat_settings::day::Change;
--- /dev/null
+++ b/crates/expect/src/vary.rs
@@ -0,0 +1,49 @@
+//! An expectation with something varied, to see whether its verdict depends on it.
+
+use crate::compile::Compiled;
+use quartzcleat_world::scenario::{Ask, Happening, Step};
+
+/// Something about an expectation that is varied, to see whether its verdict depends on it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Vary {
+    /// Without this step.
+    Without(usize),
+    /// With so many times the requests.
+    Requests(f64),
+}
+
+/// The same expectation with something varied.
+pub fn varied(compiled: &Compiled, vary: &Vary) -> Compiled {
+    let mut compiled = compiled.clone();
+    match vary {
+        Vary::Without(index) => drop(compiled.scenario.steps.remove(*index)),
+        Vary::Requests(factor) if *factor >= 1.0 => {
+            // Each request is followed by further ones of other errands, a little later.
+            let asks: Vec<Step> = compiled.scenario.steps.clone();
+            let mut mark = 1_000_000;
+            for step in asks {
+                let Happening::Ask(ask) = &step.what else { continue };
+                for number in 1..*factor as u64 {
+                    mark += 1;
+                    let ask = Ask { mark, ..ask.clone() };
+                    let at = step.at.iter().map(|at| at + number * 1_000_000).collect();
+                    compiled.scenario.steps.push(Step { at, what: Happening::Ask(ask), free: None });
+                }
+            }
+            compiled.scenario.steps.sort_by_key(|step| step.at.first().copied().unwrap_or(0));
+        }
+        Vary::Requests(factor) => {
+            let (mut seen, mut kept) = (0.0, 0.0);
+            compiled.scenario.steps.retain(|step| {
+                if !matches!(step.what, Happening::Ask(_)) {
+                    return true;
+                }
+                seen += 1.0;
+                let keep = kept < seen * factor;
+                kept += f64::from(u8::from(keep));
+                keep
+            });
+        }
+    }
+    compiled
+}
