--- a/crates/lab/src/module.rs
+++ b/crates/lab/src/module.rs
@@ -14,6 +14,9 @@
     /// Where copies are built.
     #[arg(long)]
     folder: Option<PathBuf>,
+    /// Only damage whose description holds this.
+    #[arg(long, default_value = "")]
+    only: String,
 }
 
 /// The damage: a file of the module, what stands there, what stands there then, and what is wrong with it.
@@ -155,7 +158,7 @@
         let (mut made, mut caught) = (0, 0);
         copy(&self.root, &folder)?;
         let target = folder.join("crates/decision/src");
-        for (file, from, to, why) in DAMAGE {
+        for (file, from, to, why) in DAMAGE.iter().filter(|(.., why)| why.contains(&self.only)) {
             let text = std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
             if text.matches(from).count() == 0 {
                 return Err(format!("{file}: {from:?} stands there no more"));
