Expectations: a broken rule no longer makes a demand seem to say something

Cause: while asking whether a demand moves under change, any rule that broke (the cap on attempts lifted) counted for every demand, so one that can never fail passed for held.

--- a/crates/expect/src/run.rs
+++ b/crates/expect/src/run.rs
@@ -438,7 +438,8 @@
     let mut see = |other: &Compiled| {
         let found = explore(other, &budget);
         for (number, moved) in moved.iter_mut().enumerate() {
-            let failed = found.failure.as_ref().is_some_and(|f| f.must == Some(number) || f.must.is_none());
+            // A rule that breaks says nothing of the demand.
+            let failed = found.failure.as_ref().is_some_and(|f| f.must == Some(number));
             let now = found.judged.get(number).copied().unwrap_or_default();
             let figure = explored.judged[number].1;
             // A never-event's figure is how often it happened: 0 while it holds, whatever else changes.
--- a/crates/expect/tests/expect.rs
+++ b/crates/expect/tests/expect.rs
@@ -143,6 +143,19 @@
         |_| {},
     );
     assert_eq!((verdicts(&outcome), outcome.code()), (vec![Verdict::SaysNothing], 1));
+    // A rule that breaks when the cap on attempts is lifted does not make the demand say anything.
+    let outcome = folder.run(
+        "
+  - name: a bed-check that no node takes never fails
+    given: {attempts: refused, nodes: [n1, n2]}
+    when:
+      - {at: 0ms, request: bed-check, from: Azib}
+    must:
+      - {never: fails}
+",
+        |_| {},
+    );
+    assert_eq!(verdicts(&outcome), [Verdict::SaysNothing]);
 }
 
 #[test]
--- a/crates/world/src/counter.rs
+++ b/crates/world/src/counter.rs
@@ -64,7 +64,6 @@
         let until = now + life.clamp(1_000_000, LONGEST_LIFE);
         let total = self.totals.entry(name.to_owned()).or_insert(Total { value: 0.0, until });
         total.value += amount;
-        // Totals are exact to seven digits.
         (Outcome::Good, total.value)
     }
 }
--- a/crates/world/src/play.rs
+++ b/crates/world/src/play.rs
@@ -30,7 +30,7 @@
 
 /// A limiter fails what nothing has answered so long before its deadline.
 const LAST_MOMENT: Nanos = 2_000_000;
-/// How long after it stopped a limiter's connection to a host tells that it broke.
+/// A host answers a repeat that it drops after this time.
 const REPEAT_ANSWER: Nanos = 1_000_000;
 
 #[derive(Clone, Debug)]
