--- a/crates/expect/src/blame.rs
+++ b/crates/expect/src/blame.rs
@@ -78,10 +78,11 @@
                 others.extend(values.map(|node| node.content.clone()));
             }
             if now == 0.0 {
-                others.extend([1.0, 10.0].map(number));
+                let unit = if *kind == Kind::Time { 1e9 } else { 1.0 };
+                others.extend([unit, 10.0 * unit, 100.0 * unit].map(number));
             }
             let whole = *kind == Kind::Time || now.fract() == 0.0 && now >= 8.0;
-            for factor in [0.5, 2.0, 0.125, 8.0] {
+            for factor in [0.5, 2.0, 0.125, 8.0, 1.0 / 64.0, 64.0] {
                 let value = now * factor;
                 others.push(number(if whole { value.round() } else { value }));
                 if !whole && value.fract() != 0.0 {
