Console, servers out of service, draining, and a second process beside the first

Change: console.rs reads one call a connection; bans are judged where lists are taken in; doors drive PING, closing and the end; twin.rs tells the other process through TMPDIR; steer.rs gives new connections to the second before the first closes its queue.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -42,6 +42,18 @@
     pub back_off: Duration,
     /// How long before its deadline a request that nothing has answered is failed.
     pub last_moment: Duration,
+    /// Callers of the console at once, past which the oldest makes room.
+    pub callers: usize,
+    /// How long a caller may take for its call.
+    pub caller_time: Duration,
+    /// The longest call, in bytes.
+    pub call_bytes: usize,
+    /// How often it is looked for a second process of this limiter, where there is a console.
+    pub look: Duration,
+    /// How long a second process waits for discovery before it takes clients.
+    pub catch_up: Duration,
+    /// How long the last connections may take to come up once others are steered to another process.
+    pub steered: Duration,
     /// Connections to all hosts together.
     pub south_connections: usize,
     /// How long a connection to a host is kept idle.
@@ -110,6 +122,12 @@
             max_attempts: settings.max_attempts.max(1),
             back_off: time(settings.longest_retry_after, 1_000_000_000),
             last_moment: Duration::from_millis(2),
+            callers: (sockets / 32).clamp(4, 32),
+            caller_time: Duration::from_secs(5),
+            call_bytes: 8 << 10,
+            look: Duration::from_millis(50),
+            catch_up: Duration::from_secs(1),
+            steered: Duration::from_millis(100),
             south_connections: sockets * 3 / 10,
             // Half of what the host grants: a request written to one that it just closed ends as a reset.
             south_idle: idle / 2,
@@ -157,6 +175,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where staff call, if anywhere.
+    pub console: Option<SocketAddr>,
     /// Where the services listen.
     pub addresses: Addresses,
     /// For random numbers.
@@ -254,6 +274,10 @@
         Err(missing) if settings.counter => return Err(missing),
         Err(_) => None,
     };
+    let console = match told("console", "BALANCER_CONSOLE") {
+        Ok(text) => Some(address("console", &text)?),
+        Err(_) => None,
+    };
     let seed = match file.get("seed") {
         None => SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_nanos() as u64),
         Some(Value::String(text)) => u64::from_str_radix(text, 16)
@@ -269,6 +293,7 @@
     Ok(Config {
         name: told("name", "BALANCER_NAME").unwrap_or_else(|_| "limiter".to_owned()),
         listen: address("listen", &told("listen", "BALANCER_LISTEN")?)?,
+        console,
         addresses: Addresses {
             discovery: address("discovery", &told("discovery", "BALANCER_DISCOVERY")?)?,
             counter,
@@ -306,8 +331,8 @@
         for sockets in [128, 1024, 4096] {
             let limits = example("1024", &sockets.to_string());
             let crowd = limits.north_connections + limits.north_connections / 16 + 1;
-            let all = crowd + limits.south_connections + 1 + limits.counter_links;
-            assert!(all + 8 < sockets, "{all} of {sockets}");
+            let all = crowd + limits.south_connections + 1 + limits.counter_links + limits.callers + 1;
+            assert!(all + 6 < sockets, "{all} of {sockets}");
         }
     }
 
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -5,7 +5,7 @@
 use super::Node;
 use crate::api::{Event, HostEntry, HostId, HostState, ListMode};
 use serde_json::Value;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,7 +18,7 @@
 struct List {
     version: u64,
     whole: bool,
-    entries: Vec<(HostEntry, SocketAddr)>,
+    entries: Vec<(String, HostEntry, SocketAddr)>,
 }
 
 /// A whole answer of HTTP/1.
@@ -42,22 +42,24 @@
     taken: HashSet<HostId>,
     /// The version of the list held.
     version: u64,
+    /// Each server as discovery told it last.
+    told: BTreeMap<String, (HostEntry, SocketAddr)>,
+    /// Some list was taken.
+    answered: bool,
 }
 
 impl Inventory {
     /// An inventory that lists nothing.
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
-        Inventory { zones, kinds, ids: HashMap::new(), taken: HashSet::new(), version: 0 }
-    }
-
-    /// Takes the list that the configuration holds, the first thing the module is told.
-    pub fn restore(&mut self, node: &Rc<Node>, known: &Value) -> Result<(), String> {
-        let list = match known {
-            Value::Null => List { version: 0, whole: true, entries: Vec::new() },
-            known => self.read(known).map_err(|e| format!("known.{e}"))?,
-        };
-        self.apply(node, list, ListMode::Restored);
-        Ok(())
+        Inventory {
+            zones,
+            kinds,
+            ids: HashMap::new(),
+            taken: HashSet::new(),
+            version: 0,
+            told: BTreeMap::new(),
+            answered: false,
+        }
     }
 
     fn read(&mut self, list: &Value) -> Result<List, String> {
@@ -68,7 +70,7 @@
         Ok(List { version, whole, entries: entries? })
     }
 
-    fn entry(&mut self, entry: &Value) -> Result<(HostEntry, SocketAddr), String> {
+    fn entry(&mut self, entry: &Value) -> Result<(String, HostEntry, SocketAddr), String> {
         let text = |key: &str| {
             let text = entry.get(key).and_then(Value::as_str);
             text.ok_or_else(|| format!("instances: {key} is missing or no text in {entry}"))
@@ -82,12 +84,13 @@
             // Whatever else there may be one day, it is not serving.
             _ => HostState::Draining,
         };
-        let host = self.id(text("instanceId")?);
+        let name = text("instanceId")?;
+        let host = self.id(name);
         let weight = entry.get("weight").and_then(Value::as_f64).unwrap_or(0.0);
         let (zone, kind) =
             (index(&mut self.zones, text("zone")?), index(&mut self.kinds, text("machineType")?));
         let (cell, started) = (count("cell") as u32, count("startedAtMs").saturating_mul(1_000_000));
-        Ok((HostEntry { host, state, cell, zone, kind, started, weight }, address))
+        Ok((name.to_owned(), HostEntry { host, state, cell, zone, kind, started, weight }, address))
     }
 
     /// The number of a host: a hash of its name, the same at every limiter and after a restart; where two names
@@ -107,18 +110,71 @@
         id
     }
 
-    fn apply(&mut self, node: &Rc<Node>, list: List, mode: ListMode) {
-        let List { version, entries, .. } = list;
-        self.version = version;
-        entries.iter().for_each(|(entry, address)| node.south.learn(entry, *address));
-        let entries: Vec<_> = entries.into_iter().map(|(entry, _)| entry).collect();
-        if mode != ListMode::Update {
-            node.south.keep_only(&entries);
-        }
-        node.tell(Event::Hosts { version, mode, entries });
-        node.south.forget(&node.limits);
-        self.ids.retain(|_, id| node.south.knows(*id));
-        self.taken.retain(|id| node.south.knows(*id));
+    /// Whether discovery has told of hosts since the start.
+    pub fn answered(&self) -> bool {
+        self.answered
+    }
+}
+
+/// Takes the list that the configuration holds, the first thing the module is told.
+pub fn restore(node: &Rc<Node>, known: &Value) -> Result<(), String> {
+    let list = match known {
+        Value::Null => List { version: 0, whole: true, entries: Vec::new() },
+        known => node.inventory.borrow_mut().read(known).map_err(|e| format!("known.{e}"))?,
+    };
+    apply(node, list, ListMode::Restored);
+    Ok(())
+}
+
+/// Takes a list in. What staff said of a server goes before what it says, here and nowhere else.
+fn apply(node: &Rc<Node>, list: List, mode: ListMode) {
+    let List { version, entries, .. } = list;
+    let mut inventory = node.inventory.borrow_mut();
+    inventory.version = version;
+    inventory.answered |= mode != ListMode::Restored;
+    if mode != ListMode::Update {
+        inventory.told.clear();
+    }
+    for (name, entry, address) in &entries {
+        inventory.told.insert(name.clone(), (entry.clone(), *address));
+    }
+    drop(inventory);
+    let mut bans = node.bans.borrow_mut();
+    let entries: Vec<_> = entries
+        .into_iter()
+        .map(|(name, entry, address)| {
+            if node.twin.shared() {
+                bans.list(&name);
+            }
+            (bans.judge(&name, &entry), address)
+        })
+        .collect();
+    drop(bans);
+    tell(node, version, mode, entries);
+    let mut inventory = node.inventory.borrow_mut();
+    inventory.ids.retain(|_, id| node.south.knows(*id));
+    inventory.taken.retain(|id| node.south.knows(*id));
+    inventory.told.retain(|_, (entry, _)| node.south.knows(entry.host));
+}
+
+fn tell(node: &Rc<Node>, version: u64, mode: ListMode, entries: Vec<(HostEntry, SocketAddr)>) {
+    entries.iter().for_each(|(entry, address)| node.south.learn(entry, *address));
+    let entries: Vec<_> = entries.into_iter().map(|(entry, _)| entry).collect();
+    if mode != ListMode::Update {
+        node.south.keep_only(&entries);
+    }
+    node.tell(Event::Hosts { version, mode, entries });
+    node.south.forget(&node.limits);
+}
+
+/// Staff said something of a server: what is believed of it is told anew.
+pub fn judge_again(node: &Rc<Node>, name: &str) {
+    let inventory = node.inventory.borrow();
+    let (version, told) = (inventory.version, inventory.told.get(name).cloned());
+    drop(inventory);
+    if let Some((entry, address)) = told {
+        let entry = node.bans.borrow().judge(name, &entry);
+        tell(node, version, ListMode::Update, vec![(entry, address)]);
     }
 }
 
@@ -133,7 +189,7 @@
 
 /// Follows discovery for good. Each call comes at once behind the answer before it, so that the watch goes on;
 /// after a failure, and at a new address, it begins anew.
-pub async fn follow(node: Rc<Node>, mut inventory: Inventory, mut pauses: Pauses) {
+pub async fn follow(node: Rc<Node>, mut pauses: Pauses) {
     let mut addresses = node.addresses.subscribe();
     if node.limits.list_by_asking {
         sleep(pauses.first()).await;
@@ -141,7 +197,7 @@
     loop {
         let address = addresses.borrow_and_update().discovery;
         let watched = async {
-            if let Err(problem) = watch(&node, &mut inventory, address, &mut pauses).await {
+            if let Err(problem) = watch(&node, address, &mut pauses).await {
                 tracing::warn!("inventory: {problem}");
                 if let Some((_, tally)) = &node.tally {
                     tally.borrow_mut().list_failed();
@@ -157,9 +213,7 @@
     }
 }
 
-async fn watch(
-    node: &Rc<Node>, inventory: &mut Inventory, address: SocketAddr, pauses: &mut Pauses,
-) -> Result<(), String> {
+async fn watch(node: &Rc<Node>, address: SocketAddr, pauses: &mut Pauses) -> Result<(), String> {
     let limits = &node.limits;
     let connect = timeout(limits.connect, TcpStream::connect(address)).await;
     let mut stream = connect.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
@@ -169,7 +223,7 @@
     // Where discovery is to be asked, the whole list is dear, and given to nobody while many ask: the watch begins
     // with what changed since the list held.
     let (mut path, mut patience) = if limits.list_by_asking {
-        (news(inventory.version), limits.watch + limits.watch_slack)
+        (news(node.inventory.borrow().version), limits.watch + limits.watch_slack)
     } else {
         ("/discovery/hosts".to_owned(), limits.watch_slack)
     };
@@ -179,14 +233,14 @@
         let (body, lasts) =
             answer(&mut stream, &mut input, patience, limits).await.map_err(|e| e.to_string())?;
         let list: Value = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
-        let list = inventory.read(&list)?;
+        let list = node.inventory.borrow_mut().read(&list)?;
         let mode = if list.whole { ListMode::Replace } else { ListMode::Update };
-        inventory.apply(node, list, mode);
+        apply(node, list, mode);
         pauses.answered();
         if !lasts {
             return Ok(());
         }
-        path = news(inventory.version);
+        path = news(node.inventory.borrow().version);
         patience = limits.watch + limits.watch_slack;
     }
 }
@@ -303,7 +357,7 @@
         let text = r#"{"generation":4,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:5",
             "zone":"b","machineType":"m1","cell":3,"lifecycle":"DRAINING","weight":1.5,"startedAtMs":1700000000000}]}"#;
         let list = inventory.read(&serde_json::from_str(text).expect("JSON")).expect("a list");
-        let entry = &list.entries[0].0;
+        let entry = &list.entries[0].1;
         assert_eq!(
             (list.version, list.whole, entry.state, entry.zone, entry.kind),
             (4, false, HostState::Draining, 1, 0)
@@ -318,7 +372,6 @@
     #[test]
     fn names_that_are_gone_are_forgotten() {
         crate::net::tests::with_node(&[], |node| async move {
-            let mut inventory = Inventory::new(vec![], vec![]);
             let list = |version: u64, name: u64, state: &str| {
                 format!(
                     r#"{{"generation":{version},"reset":false,"instances":[{{"instanceId":"s-{name}","zone":"a",
@@ -328,15 +381,16 @@
             for name in 0..50 {
                 for state in ["SERVING", "DRAINING", "DELETED"] {
                     let text = list(3 * name, name, state);
-                    let list = inventory.read(&serde_json::from_str(&text).expect("JSON")).expect("a list");
-                    inventory.apply(&node, list, ListMode::Update);
+                    let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+                    apply(&node, list.expect("a list"), ListMode::Update);
                 }
             }
             sleep(node.limits.drain).await;
             let text = list(200, 50, "SERVING");
-            let list = inventory.read(&serde_json::from_str(&text).expect("JSON")).expect("a list");
-            inventory.apply(&node, list, ListMode::Update);
-            assert_eq!((inventory.ids.len(), inventory.taken.len()), (1, 1));
+            let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+            apply(&node, list.expect("a list"), ListMode::Update);
+            let inventory = node.inventory.borrow();
+            assert_eq!((inventory.ids.len(), inventory.taken.len(), inventory.told.len()), (1, 1, 1));
         });
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 //! platform's protocol to clients (north) and hosts (south), [`counter`] and [`inventory`] to the services.
 
 pub mod config;
+pub mod console;
 pub mod core;
 pub mod counter;
 pub mod front;
@@ -13,8 +14,10 @@
 pub mod reload;
 pub mod shutdown;
 pub mod stages;
+pub mod steer;
 pub mod tally;
 pub mod task;
+pub mod twin;
 
 use self::config::{Addresses, Config, Limits};
 use self::core::Core;
@@ -23,11 +26,13 @@
 use self::platform::north::{self, North};
 use self::platform::south::South;
 use self::tally::Tally;
+use self::twin::Twin;
 use crate::api::{Action, Event};
+use quartzcleat_operations::Bans;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -45,6 +50,12 @@
     pub counter: counter::Counter,
     /// How far the end of the program has come.
     pub shutdown: Rc<shutdown::Shutdown>,
+    /// Discovery's list as last told.
+    pub inventory: RefCell<Inventory>,
+    /// Servers that staff took out of service.
+    pub bans: RefCell<Bans>,
+    /// The other process of this limiter, while a new version takes over.
+    pub twin: Twin,
     /// What is counted for those who watch, and how often it is told; nothing where nobody asked.
     pub tally: Option<(Duration, RefCell<Tally>)>,
     telling: Cell<bool>,
@@ -54,12 +65,17 @@
 impl Node {
     /// A limiter that has been told nothing and is connected to nothing yet.
     pub fn new(config: Config) -> Rc<Self> {
-        let Config { name, settings, addresses, seed, limits, tally, .. } = config;
+        let Config { name, listen, console, settings, addresses, seed, limits, tally, zones, kinds, .. } =
+            config;
+        let twin = Twin::new(&name, listen, console.is_some());
         Rc::new(Node {
             south: South::new(settings.reports),
             addresses: watch::Sender::new(addresses),
             counter: counter::Counter::new(&limits),
-            shutdown: Rc::default(),
+            shutdown: Rc::new(shutdown::Shutdown::new(&limits)),
+            inventory: RefCell::new(Inventory::new(zones, kinds)),
+            bans: RefCell::default(),
+            twin,
             core: RefCell::new(Core::new(settings, seed, &limits)),
             tally: tally.map(|every| (every, RefCell::new(Tally::new(name)))),
             limits: Rc::new(limits),
@@ -105,25 +121,54 @@
 }
 
 async fn run(config: Config) -> Result<(), String> {
-    let (listen, known) = (config.listen, config.known.clone());
+    let (listen, console, known) = (config.listen, config.console, config.known.clone());
     let terms = north::Terms::of(&config.settings);
-    let mut inventory = Inventory::new(config.zones.clone(), config.kinds.clone());
     let pauses = Pauses::of(&config.limits, config.seed);
     let node = Node::new(config);
     // Before anything is answered, so that no signal finds the program without a handler.
     shutdown::watch(&node)?;
     reload::watch(&node)?;
-    inventory.restore(&node, &known)?;
+    // What another process knows goes before the first list is believed.
+    twin::look(&node);
+    inventory::restore(&node, &known)?;
     counter::start(&node);
     tally::start(&node);
-    task::spawn(inventory::follow(node.clone(), inventory, pauses));
-    let listener = TcpListener::bind(listen).await;
-    let listener = listener.map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
+    task::spawn(inventory::follow(node.clone(), pauses));
+    let staff = match console {
+        None => None,
+        Some(at) => {
+            let bound = TcpListener::bind(at).await;
+            Some(bound.map_err(|e| format!("console: cannot listen on {at}: {e}"))?)
+        }
+    };
+    // Guards against clients that are refused for want of hosts while the process before this one still serves them.
+    let until = tokio::time::Instant::now() + node.limits.catch_up;
+    while node.twin.beside() && !node.inventory.borrow().answered() && tokio::time::Instant::now() < until {
+        tokio::time::sleep(node.limits.last_moment).await;
+    }
+    let listener = open(listen).map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
+    if let Some(staff) = staff {
+        node.twin.serving();
+        twin::start(&node);
+        task::spawn(console::accept(node.clone(), staff));
+    }
     north::accept(&Rc::new(North::new(stages::take_in::desk(&node), terms)), listener).await;
     shutdown::finish(&node).await;
     Ok(())
 }
 
+/// Listens for clients, beside another process of this limiter if there is one.
+fn open(listen: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Where this is not to be had, no other process can listen there, and this one still can.
+    if let Err(e) = socket.set_reuseport(true) {
+        tracing::info!("no second process can listen beside this one: {e}");
+    }
+    socket.bind(listen)?;
+    socket.listen(1024)
+}
+
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -7,6 +7,7 @@
 use crate::net::core::{Answer, Front, Payload, Request};
 use crate::net::front::Desk;
 use crate::net::shutdown::Phase;
+use crate::net::steer;
 use crate::net::task::spawn;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -77,7 +78,7 @@
 /// Reads a whole command. `Err` says what is wrong with it. Guards against anything that no host could use, or
 /// that would count in a customer's name what it never asked for, getting as far as the module: a fact that
 /// every request has must be there and within its range.
-fn understand(bytes: &[u8], command: &Command, terms: &Terms) -> Result<Asked, &'static str> {
+fn understand(bytes: &[u8], command: &Command, terms: &Terms, welcome: bool) -> Result<Asked, &'static str> {
     let words: Option<Vec<Range<usize>>> = command.words.iter().cloned().collect();
     let words = words.filter(|words| !words.is_empty()).ok_or("a command is an array of bulk strings")?;
     let verb = &bytes[words[0].clone()];
@@ -85,7 +86,8 @@
     let write = is("Q.DO");
     if !write && !is("Q.ASK") {
         return match (is("PING"), is("CLIENT") || is("SELECT")) {
-            (true, _) => Ok(Asked::Here(b"+PONG\r\n".to_vec())),
+            (true, _) if welcome => Ok(Asked::Here(b"+PONG\r\n".to_vec())),
+            (true, _) => Err("draining"),
             (_, true) => Ok(Asked::Here(b"+OK\r\n".to_vec())),
             _ => Err("unknown command"),
         };
@@ -333,11 +335,22 @@
 
 /// Accepts connections until they close at the program's end.
 pub async fn accept(north: &Rc<North>, listener: TcpListener) {
-    let mut phase = north.desk.shutdown.changes();
+    let mut end = north.desk.shutdown.end();
+    let mut last = None;
     loop {
         let taken = tokio::select! {
+            biased;
             taken = listener.accept() => taken,
-            _ = phase.wait_for(|phase| *phase >= Phase::Closing) => return,
+            _ = end.wait_for(|end| *end), if last.is_none() => {
+                if north.desk.shutdown.relieved() {
+                    if let Err(e) = steer::to_the_second(&listener) {
+                        tracing::info!("connections still come to either process: {e}");
+                    }
+                }
+                last = Some(Instant::now() + north.desk.limits.steered);
+                continue;
+            }
+            () = sleep_until(last.unwrap_or_else(Instant::now)), if last.is_some() => break,
         };
         match taken {
             Ok((stream, _)) => {
@@ -346,13 +359,7 @@
                 // waits for others to close.
                 let most = north.desk.limits.north_connections;
                 let crowded = north.desk.shutdown.connections() >= most && !north.idle.make_room();
-                north.desk.shutdown.count(1);
-                let task = north.clone();
-                spawn(async move {
-                    let _ = stream.set_nodelay(true);
-                    serve(&task, stream, crowded).await;
-                    task.desk.shutdown.count(-1);
-                });
+                welcome(north, stream, crowded);
                 let mut count = north.desk.shutdown.connection_changes();
                 let _ = count.wait_for(|count| *count < most + most / 16).await;
             }
@@ -362,6 +369,30 @@
             }
         }
     }
+    last_ones(north, listener);
+}
+
+fn welcome(north: &Rc<North>, stream: TcpStream, crowded: bool) {
+    north.desk.shutdown.count(1);
+    let task = north.clone();
+    spawn(async move {
+        let _ = stream.set_nodelay(true);
+        serve(&task, stream, crowded).await;
+        task.desk.shutdown.count(-1);
+    });
+}
+
+/// Takes what waits in the queue, and closes it. Guards against the connections there: a queue that is closed resets
+/// all that nobody has accepted.
+fn last_ones(north: &Rc<North>, listener: TcpListener) {
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        match taken {
+            Ok(stream) => welcome(north, stream, false),
+            Err(e) => tracing::warn!("cannot take a connection: {e}"),
+        }
+    }
 }
 
 async fn serve(north: &Rc<North>, mut stream: TcpStream, crowded: bool) {
@@ -395,6 +426,8 @@
     let (mut reader, writer) = stream.split();
     let (mut input, mut out, mut sent, mut sound) = (Vec::new(), Vec::new(), 0, true);
     let mut phase = north.desk.shutdown.changes();
+    // Guards against closing on a connection that came while clients are sent away, before it was heard.
+    let fresh = *phase.borrow() >= Phase::Closing;
     loop {
         let mut done = 0;
         while sound && owed.waiting() < limits.north_pipeline && out.len() < limits.north_unsent {
@@ -432,7 +465,7 @@
         let closing = phase.borrow_and_update().ge(&Phase::Closing);
         // Guards against losing commands that came together on a connection past the limit: it closes once all
         // that was read of it is answered, and not before its first command.
-        let leaving = closing || crowded && owed.first.get() > 0;
+        let leaving = (closing && (owed.first.get() > 0 || !fresh)) || crowded && owed.first.get() > 0;
         if between && (!sound || leaving && input.is_empty()) {
             return 0;
         }
@@ -463,7 +496,7 @@
 }
 
 fn take(north: &Rc<North>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
-    match understand(bytes, command, &north.terms) {
+    match understand(bytes, command, &north.terms, north.desk.shutdown.welcome()) {
         Ok(Asked::Request(request)) => {
             let place = owed.push(Slot::Open(request.id));
             if crowded {
@@ -486,6 +519,7 @@
     use super::*;
     use crate::net::config;
     use crate::net::front::Entry;
+    use crate::net::shutdown::Shutdown;
 
     /// Nobody to hand requests to: what is read here never gets so far.
     struct Nowhere;
@@ -498,7 +532,7 @@
     fn north(text: &str) -> North {
         let config = config::read(text, |_| None).expect("the configuration is sound");
         let (terms, limits) = (Terms::of(&config.settings), Rc::new(config.limits));
-        let (shutdown, held) = (Rc::default(), Rc::default());
+        let (shutdown, held) = (Rc::new(Shutdown::new(&limits)), Rc::default());
         North::new(Desk { entry: Rc::new(Nowhere), limits, shutdown, held }, terms)
     }
 
@@ -508,7 +542,7 @@
         let mut bytes = Vec::new();
         resp::write_command(&[verb, customer, id, facts].map(str::as_bytes), &mut bytes);
         let command = resp::command(&bytes, &north.desk.limits).expect("well-formed").expect("whole");
-        understand(&bytes, &command, &north.terms).map(|asked| match asked {
+        understand(&bytes, &command, &north.terms, true).map(|asked| match asked {
             Asked::Request(request) => request.wait,
             Asked::Here(_) => panic!("{verb} is for a host"),
         })
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -1,41 +1,53 @@
-//! The planned end: all goes on while the front still sends, then connections close between requests, and the
-//! program ends once all that was taken is answered.
+//! Sending clients away, at staff's word or at the program's planned end: the doors decide how far that has come, and
+//! here their phases are told to those who wait for them. At the end all goes on while the front still sends, then
+//! connections close between requests, and the program ends once all that was taken is answered.
 
+use super::config::Limits;
 use super::task::spawn;
-use super::Node;
-use std::cell::Cell;
+use super::{twin, Node};
+use crate::api::Nanos;
+use quartzcleat_operations::{Doors, Switch, Times};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::SystemTime;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
-
-/// How far the end of the program has come.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Serving.
-    #[default]
-    Serving,
-    /// Connections close between requests.
-    Closing,
-    /// New requests get back-off answers.
-    LastCall,
-}
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+pub use quartzcleat_operations::Phase;
 
-/// The phase, for those who wait for its change, and the number of clients' connections.
+/// The doors, their phase for those who wait for its change, and the number of clients' connections.
 pub struct Shutdown {
+    doors: RefCell<Doors>,
+    news: Notify,
     phase: watch::Sender<Phase>,
+    ending: watch::Sender<bool>,
     asked: Cell<Option<Instant>>,
     connections: watch::Sender<usize>,
 }
 
-impl Default for Shutdown {
-    fn default() -> Self {
-        let (phase, connections) = (watch::Sender::new(Phase::Serving), watch::Sender::new(0));
-        Shutdown { phase, asked: Cell::default(), connections }
-    }
+/// Unix time by the system's clock, which two processes on one machine share.
+pub fn unix() -> Nanos {
+    SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_nanos() as Nanos)
 }
 
 impl Shutdown {
+    /// Open doors.
+    pub fn new(limits: &Limits) -> Self {
+        let times = Times {
+            linger: limits.linger.as_nanos() as Nanos,
+            last_call: limits.last_call.as_nanos() as Nanos,
+        };
+        Shutdown {
+            doors: RefCell::new(Doors::new(times)),
+            news: Notify::new(),
+            phase: watch::Sender::default(),
+            ending: watch::Sender::default(),
+            asked: Cell::default(),
+            connections: watch::Sender::default(),
+        }
+    }
+
     /// The phase.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
@@ -46,6 +58,44 @@
         self.phase.subscribe()
     }
 
+    /// A handle that tells when no further clients are to be taken, for good.
+    pub fn end(&self) -> watch::Receiver<bool> {
+        self.ending.subscribe()
+    }
+
+    /// Whether the front is told that clients are welcome.
+    pub fn welcome(&self) -> bool {
+        self.doors.borrow().welcome()
+    }
+
+    /// Whether another process takes the clients, now that this one is to end.
+    pub fn relieved(&self) -> bool {
+        self.doors.borrow().relieved()
+    }
+
+    /// The latest word of staff on draining.
+    pub fn switch(&self) -> Switch {
+        self.doors.borrow().switch()
+    }
+
+    /// Says a word to the doors; what it returns.
+    pub fn say<T>(&self, word: impl FnOnce(&mut Doors) -> T) -> T {
+        let said = word(&mut self.doors.borrow_mut());
+        self.step();
+        self.news.notify_one();
+        said
+    }
+
+    /// Tells of the phase of this moment; when the next one begins, from now.
+    fn step(&self) -> Option<Nanos> {
+        let now = unix();
+        let (phase, next) = self.doors.borrow().phase(now);
+        self.phase.send_if_modified(|held| std::mem::replace(held, phase) != phase);
+        let over = phase >= Phase::Closing && self.doors.borrow().ending();
+        self.ending.send_if_modified(|held| std::mem::replace(held, over) != over);
+        next.map(|next| next.saturating_sub(now))
+    }
+
     /// Counts a client's connection in or out.
     pub fn count(&self, change: isize) {
         self.connections.send_modify(|count| *count = count.saturating_add_signed(change));
@@ -62,18 +112,31 @@
     }
 }
 
-/// Waits for SIGTERM and goes through the phases.
+/// Goes through the phases, and waits for SIGTERM.
 pub fn watch(node: &Rc<Node>) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
-    let node = node.clone();
+    let (phases, ended) = (node.clone(), node.clone());
+    spawn(async move {
+        let shutdown = &phases.shutdown;
+        loop {
+            match shutdown.step() {
+                None => shutdown.news.notified().await,
+                // A little later than it is due: a step that comes too early would find nothing changed.
+                Some(next) => {
+                    let pause = std::time::Duration::from_nanos(next + 1_000_000);
+                    drop(timeout(pause, shutdown.news.notified()).await);
+                }
+            }
+        }
+    });
     spawn(async move {
         term.recv().await;
-        let (limits, asked) = (&node.limits, Instant::now());
-        node.shutdown.asked.set(Some(asked));
-        sleep_until(asked + limits.linger).await;
-        node.shutdown.phase.send_replace(Phase::Closing);
-        sleep_until(asked + limits.last_call).await;
-        node.shutdown.phase.send_replace(Phase::LastCall);
+        ended.shutdown.asked.set(Some(Instant::now()));
+        // Another process may have come a moment ago.
+        twin::look(&ended);
+        let relieved = ended.twin.relieved();
+        tracing::info!(relieved, "asked to end");
+        ended.shutdown.say(|doors| doors.end(unix(), relieved));
     });
     Ok(())
 }
--- /dev/null
+++ b/src/net/twin.rs
@@ -0,0 +1,190 @@
+//! The other process of this limiter, while a new version takes over. Each process that has a console keeps one file
+//! in `$TMPDIR` with what it tells ([`State`]), written whole and then renamed, and holds a lock beside it for as long
+//! as it lives. Both look for the other's now and then; the later word on each matter holds for both.
+
+use super::shutdown::unix;
+use super::task::spawn;
+use super::{inventory, Node};
+use crate::api::Nanos;
+use quartzcleat_operations::{State, Switch, VERSION};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fs::{self, File, TryLockError};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use tokio::time::sleep;
+
+const PREFIX: &str = "quartzcleat-";
+
+/// What is held of the other process, and of what it is told.
+pub struct Twin {
+    name: String,
+    listen: String,
+    born: Nanos,
+    folder: Option<PathBuf>,
+    own: String,
+    /// Held locked while this process lives.
+    lock: RefCell<Option<File>>,
+    serving: Cell<bool>,
+    published: Cell<Option<(u64, Switch, bool)>>,
+    /// Files of processes that have ended, to be taken away once their words stand in the own one.
+    ended: RefCell<Vec<PathBuf>>,
+    /// What was read last of each file.
+    seen: RefCell<HashMap<String, String>>,
+    /// A living process of this limiter that takes clients, and when it started.
+    other: Cell<Option<Nanos>>,
+}
+
+impl Twin {
+    /// Nothing known of another process. Without a console there is none.
+    pub fn new(name: &str, listen: SocketAddr, shared: bool) -> Self {
+        let born = unix();
+        Twin {
+            name: name.to_owned(),
+            listen: listen.to_string(),
+            born,
+            folder: shared.then(std::env::temp_dir),
+            own: format!("{PREFIX}{:x}-{:x}", born, std::process::id()),
+            lock: RefCell::default(),
+            serving: Cell::default(),
+            published: Cell::default(),
+            ended: RefCell::default(),
+            seen: RefCell::default(),
+            other: Cell::default(),
+        }
+    }
+
+    /// Whether there may be another process.
+    pub fn shared(&self) -> bool {
+        self.folder.is_some()
+    }
+
+    /// Whether another process of this limiter takes clients.
+    pub fn beside(&self) -> bool {
+        self.other.get().is_some()
+    }
+
+    /// This process takes clients from now on.
+    pub fn serving(&self) {
+        self.serving.set(true);
+    }
+
+    /// Whether another process takes the clients that come.
+    pub fn relieved(&self) -> bool {
+        self.other.get().is_some_and(|born| born > self.born)
+    }
+
+    fn state(&self, node: &Node) -> State {
+        let bans = node.bans.borrow();
+        State {
+            version: VERSION,
+            name: self.name.clone(),
+            listen: self.listen.clone(),
+            born: self.born,
+            serving: self.serving.get(),
+            drain: node.shutdown.switch(),
+            words: bans.words().clone(),
+            listed: bans.names().cloned().collect(),
+        }
+    }
+}
+
+/// Writes what this process tells, if it has changed.
+pub fn publish(node: &Rc<Node>) {
+    let twin = &node.twin;
+    let Some(folder) = &twin.folder else { return };
+    let told = Some((node.bans.borrow().revision(), node.shutdown.switch(), twin.serving.get()));
+    if twin.published.get() == told {
+        return;
+    }
+    let text = twin.state(node).write();
+    let write = || {
+        if twin.lock.borrow().is_none() {
+            let lock = File::create(folder.join(format!("{}.lock", twin.own)))?;
+            lock.try_lock().map_err(std::io::Error::from)?;
+            *twin.lock.borrow_mut() = Some(lock);
+        }
+        let draft = folder.join(format!("{}.new", twin.own));
+        fs::write(&draft, &text)?;
+        fs::rename(&draft, folder.join(format!("{}.json", twin.own)))
+    };
+    match write() {
+        Ok(()) => {
+            twin.published.set(told);
+            twin.ended.take().iter().for_each(|file| drop(fs::remove_file(file)));
+        }
+        Err(e) => tracing::warn!("cannot tell a second process of this limiter in {}: {e}", folder.display()),
+    }
+}
+
+/// Whether the process that keeps a lock lives.
+fn lives(lock: &Path) -> bool {
+    File::open(lock).is_ok_and(|file| matches!(file.try_lock(), Err(TryLockError::WouldBlock)))
+}
+
+/// Takes in what other processes of this limiter tell; the word of one that has ended holds too.
+pub fn look(node: &Rc<Node>) {
+    let twin = &node.twin;
+    let Some(folder) = &twin.folder else { return };
+    let mut other = None;
+    let Ok(files) = fs::read_dir(folder) else { return };
+    for file in files.flatten() {
+        let file = file.file_name().to_string_lossy().into_owned();
+        let Some(stem) = file.strip_suffix(".json").filter(|stem| stem.starts_with(PREFIX)) else {
+            continue;
+        };
+        if stem == twin.own {
+            continue;
+        }
+        let Ok(text) = fs::read_to_string(folder.join(&file)) else { continue };
+        let state = match State::read(&text, &twin.name, &twin.listen) {
+            Ok(state) => state,
+            Err(problem) => {
+                if twin.seen.borrow_mut().insert(file.clone(), text).is_none() {
+                    tracing::warn!("{file} is left alone: {problem}");
+                }
+                continue;
+            }
+        };
+        let alive = lives(&folder.join(format!("{stem}.lock")));
+        if alive && state.serving {
+            other = other.max(Some(state.born));
+        }
+        let known = twin.seen.borrow_mut().insert(file.clone(), text.clone()) == Some(text);
+        if !known {
+            take(node, &state);
+        }
+        if !alive {
+            // Its words are told anew by this process first.
+            twin.published.set(None);
+            let files = [folder.join(&file), folder.join(format!("{stem}.lock"))];
+            twin.ended.borrow_mut().extend(files);
+        }
+    }
+    if twin.other.replace(other).is_some() != other.is_some() {
+        tracing::info!(beside = other.is_some(), "another process of this limiter");
+    }
+}
+
+fn take(node: &Rc<Node>, state: &State) {
+    let mut bans = node.bans.borrow_mut();
+    state.listed.iter().for_each(|name| bans.list(name));
+    let changed = bans.merge(&state.words);
+    drop(bans);
+    changed.iter().for_each(|name| inventory::judge_again(node, name));
+    node.shutdown.say(|doors| doors.merge(state.drain));
+}
+
+/// Tells and looks now and then.
+pub fn start(node: &Rc<Node>) {
+    publish(node);
+    let node = node.clone();
+    spawn(async move {
+        loop {
+            sleep(node.limits.look).await;
+            look(&node);
+            publish(&node);
+        }
+    });
+}
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,187 @@
+//! What on-call staff do to a running limiter: the console, servers out of service, draining, a new version.
+
+mod process;
+mod toy;
+
+use process::{ask, request, served, start, CHECK};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const PING: &str = "*1\r\n$4\r\nPING\r\n";
+const TOY: &str = "{\"host\":\"toy-0\"}";
+
+/// Callers that finish no call hold nobody up, and no bad call changes anything.
+#[test]
+fn the_console_answers_while_callers_stall_and_bad_calls_change_nothing() {
+    let limiter = start(20, false, |text| text);
+    let stalled: Vec<_> = (0..50)
+        .map(|n| {
+            let mut caller = TcpStream::connect(limiter.console).expect("the console listens");
+            caller.write_all(&b"PUT /drain HTTP/1.1\r\n"[..n % 20]).expect("the console reads");
+            caller
+        })
+        .collect();
+    let began = Instant::now();
+    for (method, path, body, status) in [
+        ("GET", "/ready", "", 200),
+        ("GET", "/drain", "", 405),
+        ("PUT", "/ready", "", 405),
+        ("PUT", "/", "", 404),
+        ("PUT", "/servers/disable", "", 400),
+        ("PUT", "/servers/disable", "{\"host\":1}", 422),
+        ("PUT", "/servers/disable", "{\"host\":\"toy-9\"}", 404),
+        ("PUT", "/servers/enable", "{\"host\":\"toy-9\"}", 404),
+    ] {
+        assert_eq!(limiter.call(method, path, body), status, "{method} {path} {body}");
+    }
+    assert!(began.elapsed() < Duration::from_secs(1), "after {:?}", began.elapsed());
+    assert_eq!(
+        ask(&mut limiter.connect(), &(request("Q.ASK", 1, CHECK, "") + PING), 2),
+        served(1) + "+PONG\r\n"
+    );
+    drop(stalled);
+}
+
+/// From the yes on nothing goes to the server, however often it is said; one call back ends it.
+#[test]
+fn a_server_out_of_service_gets_nothing_until_one_call_back() {
+    let limiter = start(21, false, |text| text);
+    let mut client = limiter.connect();
+    assert_eq!(ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1), served(1));
+    assert_eq!(
+        (limiter.call("PUT", "/servers/disable", TOY), limiter.call("PUT", "/servers/disable", TOY)),
+        (200, 200)
+    );
+    let answer = ask(&mut client, &request("Q.ASK", 2, CHECK, ""), 1);
+    assert!(answer.starts_with("-BUSY"), "{answer}");
+    assert_eq!(limiter.call("PUT", "/servers/enable", TOY), 200);
+    served_again(&limiter);
+}
+
+/// A server that is back counts as cold, so not every request is given to it; the first ones soon are.
+fn served_again(limiter: &process::Limiter) {
+    let began = Instant::now();
+    let few = CHECK.replace("units=1", "units=0.01");
+    let mut ids = 100..;
+    while !ask(&mut limiter.connect(), &request("Q.ASK", ids.next().unwrap_or(0), &few, ""), 1)
+        .starts_with('$')
+    {
+        assert!(began.elapsed() < Duration::from_secs(5), "not used after {:?}", began.elapsed());
+    }
+}
+
+/// Drained, it says no at once, serves who still comes, lets kept connections go, and is back at a word.
+#[test]
+fn a_drain_sends_clients_away_between_requests_and_ends_at_a_word() {
+    let limiter = start(22, false, |text| text);
+    let mut kept = limiter.connect();
+    assert_eq!(ask(&mut kept, &request("Q.ASK", 1, CHECK, ""), 1), served(1));
+    let began = Instant::now();
+    assert_eq!(limiter.call("PUT", "/drain", ""), 200);
+    assert_eq!(
+        (ask(&mut kept, PING, 1).as_str(), limiter.call("GET", "/ready", "")),
+        ("-ERR draining\r\n", 503)
+    );
+    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1), served(2));
+    assert_eq!(kept.read(&mut [0]).expect("an end"), 0);
+    assert!(began.elapsed() < Duration::from_secs(2), "after {:?}", began.elapsed());
+    // Who comes all the same is heard once, and let go.
+    let mut late = limiter.connect();
+    assert_eq!(ask(&mut late, PING, 1), "-ERR draining\r\n");
+    assert_eq!(late.read(&mut [0]).expect("an end"), 0);
+    assert_eq!(limiter.call("PUT", "/undrain", ""), 200);
+    let mut back = limiter.connect();
+    assert_eq!(
+        ask(&mut back, &(PING.to_owned() + &request("Q.ASK", 3, CHECK, "")), 2),
+        "+PONG\r\n".to_owned() + &served(3)
+    );
+    assert_eq!(limiter.call("GET", "/ready", ""), 200);
+}
+
+/// Whether the other end has not closed a connection, as a client looks before it uses one again.
+fn open(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("it is set");
+    let seen = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("it is set");
+    seen.is_err()
+}
+
+/// Twenty new versions one after another, under load on new and on kept connections: none is refused, cut off or
+/// failed. Staff's words hold over them, whichever process they were said to.
+#[test]
+fn new_versions_take_over_without_a_request_lost() {
+    let mut limiter = start(23, false, |text| text);
+    let (over, address) = (AtomicBool::new(false), limiter.address);
+    let facts = CHECK.replace("units=1", "units=0.001");
+    std::thread::scope(|scope| {
+        let client = |number: u64, keep: bool| {
+            let (over, facts) = (&over, &facts);
+            move || {
+                let (mut id, mut kept, mut cut) = (number << 32, None, 0);
+                while !over.load(Ordering::Relaxed) {
+                    id += 1;
+                    let mut stream: TcpStream = kept
+                        .take()
+                        .filter(open)
+                        .unwrap_or_else(|| TcpStream::connect(address).expect("somebody listens"));
+                    stream.write_all(request("Q.ASK", id, facts, "").as_bytes()).unwrap_or_default();
+                    let mut answer = [0; 23];
+                    match stream.read_exact(&mut answer) {
+                        Ok(()) => {
+                            assert_eq!(String::from_utf8_lossy(&answer), served(id));
+                            kept = keep.then_some(stream);
+                        }
+                        // A kept connection may end as the request is on its way; a fresh one may not.
+                        Err(e) => {
+                            assert!(keep, "a new connection ends unheard: {e}");
+                            cut += 1;
+                        }
+                    }
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                (id - (number << 32), cut)
+            }
+        };
+        let clients: Vec<_> = (1..=4).map(|number| scope.spawn(client(number, number > 2))).collect();
+        for number in 0..20 {
+            let mut first = limiter.upgrade(number);
+            let disabled = number % 2 == 0;
+            if number < 2 {
+                // Said to the one, held by the other.
+                let told = if disabled { "/servers/disable" } else { "/servers/enable" };
+                assert_eq!(limiter.call("PUT", told, "{\"host\":\"toy-9\"}"), 404);
+            }
+            let term = format!("kill -TERM {}", first.id());
+            assert!(std::process::Command::new("sh")
+                .args(["-c", &term])
+                .status()
+                .expect("kill runs")
+                .success());
+            assert!(first.wait().expect("it ends").success());
+        }
+        over.store(true, Ordering::Relaxed);
+        let (mut asked, mut cut) = (0, 0);
+        for client in clients {
+            let (of_client, cut_off) = client.join().expect("every request was served");
+            (asked, cut) = (asked + of_client, cut + cut_off);
+        }
+        assert!(asked > 200 && cut <= 20, "{asked} asked, {cut} cut off");
+    });
+}
+
+/// A ban said to the old process holds at the new one, and the call back to the new one frees it there.
+#[test]
+fn staffs_words_hold_over_a_new_version() {
+    let mut limiter = start(24, false, |text| text);
+    assert_eq!(limiter.call("PUT", "/servers/disable", TOY), 200);
+    let mut first = limiter.upgrade(60);
+    first.kill().expect("it is killed");
+    first.wait().expect("it ends");
+    let mut client = limiter.connect();
+    let answer = ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1);
+    assert!(answer.starts_with("-BUSY"), "{answer}");
+    assert_eq!(limiter.call("PUT", "/servers/enable", TOY), 200);
+    served_again(&limiter);
+}
--- /dev/null
+++ b/tests/process/mod.rs
@@ -0,0 +1,160 @@
+//! A limiter's process beside a toy platform, and the words to speak to it.
+#![allow(dead_code)]
+
+use crate::toy;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+pub struct Limiter {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub path: PathBuf,
+    pub discovery: SocketAddr,
+    pub console: SocketAddr,
+    /// `$TMPDIR`, which all processes of this limiter share.
+    pub folder: PathBuf,
+}
+
+impl Drop for Limiter {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Starts a limiter at an address of its own, beside a toy platform, or one whose counter never answers.
+pub fn start(number: u8, silent_counter: bool, change: impl Fn(String) -> String) -> Limiter {
+    let (tell, told) = mpsc::channel();
+    std::thread::spawn(move || {
+        toy::run(async move {
+            let bind = || TcpListener::bind("127.0.0.1:0");
+            let (discovery, counter, silent, hosts) =
+                (bind().await?, bind().await?, bind().await?, bind().await?);
+            let called = if silent_counter { silent.local_addr()? } else { counter.local_addr()? };
+            tell.send((discovery.local_addr()?, called)).map_err(std::io::Error::other)?;
+            let config = quartzcleat::net::config::read(include_str!("../../examples/toy.json"), |_| None);
+            let limits = config.map_err(std::io::Error::other)?.limits;
+            toy::Toy { discovery, counter, hosts: vec![hosts], limits }.serve().await?;
+            drop(silent);
+            Ok(())
+        })
+        .expect("the toy serves");
+    });
+    let (discovery, counter): (SocketAddr, SocketAddr) = told.recv().expect("the toy is up");
+    // Nobody else has this port at this address.
+    let address = SocketAddr::from(([127, 77, 0, number], discovery.port()));
+    let text = change(include_str!("../../examples/toy.json").to_owned());
+    let text = text.replace("127.0.0.1:7002", &counter.to_string());
+    let path = std::env::temp_dir().join(format!("quartzcleat-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).expect("the configuration is written");
+    let folder = std::env::temp_dir().join(format!("quartzcleat-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder is made");
+    let console = SocketAddr::from(([127, 78, 0, number], discovery.port()));
+    let child = spawn(&path, address, discovery, console, &folder);
+    let limiter = Limiter { child, address, path, discovery, console, folder };
+    assert_eq!(ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1), "+PONG\r\n");
+    limiter
+}
+
+fn spawn(
+    path: &Path, listen: SocketAddr, discovery: SocketAddr, console: SocketAddr, folder: &Path,
+) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_quartzcleat"))
+        .env("BALANCER_CONFIG", path)
+        .env("BALANCER_LISTEN", listen.to_string())
+        .env("BALANCER_DISCOVERY", discovery.to_string())
+        .env("BALANCER_CONSOLE", console.to_string())
+        .env("TMPDIR", folder)
+        .spawn()
+        .expect("the limiter starts")
+}
+
+/// One call to the console; its status.
+pub fn call(console: SocketAddr, method: &str, path: &str, body: &str) -> u16 {
+    let length = body.len();
+    let text = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}");
+    let mut stream = TcpStream::connect(console).expect("the console listens");
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out is set");
+    stream.write_all(text.as_bytes()).expect("the console reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("the console answers");
+    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+}
+
+impl Limiter {
+    pub fn connect(&self) -> TcpStream {
+        let since = Instant::now();
+        loop {
+            match TcpStream::connect(self.address) {
+                Ok(stream) => {
+                    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out is set");
+                    return stream;
+                }
+                Err(e) if since.elapsed() > Duration::from_secs(20) => panic!("the limiter is not up: {e}"),
+                Err(_) => std::thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill runs").success());
+    }
+
+    pub fn call(&self, method: &str, path: &str, body: &str) -> u16 {
+        call(self.console, method, path, body)
+    }
+
+    /// Starts a second process beside this one, and waits until it says that it takes clients; the first one.
+    pub fn upgrade(&mut self, number: u8) -> Child {
+        let console = SocketAddr::from(([127, 78, 1, number], self.console.port()));
+        let child = spawn(&self.path, self.address, self.discovery, console, &self.folder);
+        let since = Instant::now();
+        while TcpStream::connect(console).is_err() || call(console, "GET", "/ready", "") != 200 {
+            assert!(since.elapsed() < Duration::from_secs(20), "the second process is not up");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        self.console = console;
+        std::mem::replace(&mut self.child, child)
+    }
+
+    pub fn terminate(&mut self) -> ExitStatus {
+        self.signal("TERM");
+        self.child.wait().expect("the limiter ends")
+    }
+}
+
+/// Writes, and reads so many answers, or fewer at the end of the connection.
+pub fn ask(stream: &mut TcpStream, bytes: &str, count: usize) -> String {
+    stream.write_all(bytes.as_bytes()).expect("the limiter reads");
+    let (mut answers, mut reader) = (String::new(), BufReader::with_capacity(1, stream));
+    for _ in 0..count {
+        let start = answers.len();
+        reader.read_line(&mut answers).expect("the limiter answers");
+        if answers[start..].starts_with('$') {
+            reader.read_line(&mut answers).expect("the value is whole");
+        }
+    }
+    answers
+}
+
+pub fn request(verb: &str, id: u64, facts: &str, body: &str) -> String {
+    let (customer, id) = (format!("{:016x}", 77), format!("{id:016x}"));
+    let words = [verb, &customer, &id, facts, body];
+    let words = if body.is_empty() { &words[..4] } else { &words[..] };
+    let bulks: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
+    format!("*{}\r\n{bulks}", words.len())
+}
+
+pub const CHECK: &str = "c=bed-check,t=operator,d=900,units=1,spread=1,first=0";
+pub const HOLD: &str = "c=bed-hold,t=operator,d=900,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0";
+
+pub fn served(id: u64) -> String {
+    format!("$16\r\n{id:016x}\r\n")
+}
