--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -333,6 +333,11 @@
         /// The host's load report, if one came along.
         load: Load,
     },
+    /// New settings, which hold from now on. Classes and plans keep the numbers that requests may have.
+    Retuned {
+        /// Them.
+        settings: Box<Settings>,
+    },
     /// A message from another gateway.
     Peer {
         /// The sender's number.
--- a/crates/decision/src/life.rs
+++ b/crates/decision/src/life.rs
@@ -106,13 +106,18 @@
     (s.max(0.0) * SECOND) as Nanos
 }
 
+/// The last class and plan stand for any that was not told: unsafe to repeat, without a quota.
+fn completed(mut settings: Settings) -> Settings {
+    settings.classes.push(Class { aim: Nanos::MAX, worth: 1.0, ..Class::default() });
+    settings.plans.push(Plan { worth_factor: 1.0, ..Plan::default() });
+    settings.gateways = settings.gateways.max(1);
+    settings
+}
+
 impl Gateway {
     /// A gateway that knows nothing but its settings.
-    pub fn new(mut settings: Settings, seed: u64, now: Nanos) -> Self {
-        // The last class and plan stand for any that was not told: unsafe to repeat, without a quota.
-        settings.classes.push(Class { aim: Nanos::MAX, worth: 1.0, ..Class::default() });
-        settings.plans.push(Plan { worth_factor: 1.0, ..Plan::default() });
-        settings.gateways = settings.gateways.max(1);
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
+        let settings = completed(settings);
         Gateway {
             class_took: vec![(0.0, 0.0); settings.classes.len()],
             room: HOST_ROOM_AT_START / f64::from(settings.gateways),
@@ -184,10 +189,22 @@
             Event::Counted { name, outcome, total, took } => {
                 self.on_counted(&name, outcome, total, took, out)
             }
+            Event::Retuned { settings } => self.retune(*settings),
             Event::ProbeDone { .. } | Event::Peer { .. } => {}
         }
     }
 
+    /// Goes over to new settings. What was learned of a class goes on under its name.
+    fn retune(&mut self, settings: Settings) {
+        let held = std::mem::replace(&mut self.set, completed(settings));
+        let took = |(number, class): (usize, &Class)| {
+            let same = |number: &usize| held.classes.get(*number).is_some_and(|old| old.name == class.name);
+            let learned = Some(number).filter(same).or_else(|| (0..held.classes.len()).rfind(same));
+            learned.map_or((0.0, 0.0), |number| self.class_took[number])
+        };
+        self.class_took = self.set.classes.iter().enumerate().map(took).collect();
+    }
+
     pub(crate) fn timer(&self, kind: &str, id: Option<RequestId>, after: Nanos, out: &mut Actions) {
         let tag = id.map_or(kind.to_owned(), |id| format!("{kind}:{:x}", id.0));
         out.push(Action::SetTimer { tag, after });
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -7,9 +7,11 @@
 mod bans;
 mod calls;
 mod doors;
+mod retune;
 mod state;
 
 pub use bans::{Bans, Unknown, Word};
 pub use calls::{understand, Call, Wrong};
 pub use doors::{Doors, Phase, Times};
+pub use retune::Numbers;
 pub use state::{State, Switch, VERSION};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod complete;
 pub mod day;
 pub mod fault;
 pub mod figure;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,8 +1,10 @@
 //! The one place where environment and configuration are read, checked and given defaults.
 
 use crate::api::Settings;
+use quartzcleat_settings::complete;
 use quartzcleat_settings::platform;
 use serde_json::Value;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
@@ -38,8 +40,10 @@
     pub max_open: usize,
     /// Attempts of one request.
     pub max_attempts: u32,
+    /// Whether clients are told when to come back.
+    pub tells_when: Cell<bool>,
     /// What a client is told to wait where the limiter itself has no room.
-    pub back_off: Duration,
+    pub back_off: Cell<Duration>,
     /// How long before its deadline a request that nothing has answered is failed.
     pub last_moment: Duration,
     /// Callers of the console at once, past which the oldest makes room.
@@ -63,13 +67,13 @@
     /// How long an answer of a host may take from its first byte to its last.
     pub south_answer: Duration,
     /// How long a connection to a host may take to come up.
-    pub connect: Duration,
+    pub connect: Cell<Duration>,
     /// How long after the word of its drain a host may be sent what was decided before.
-    pub drain: Duration,
+    pub drain: Cell<Duration>,
     /// Connections to the counter.
     pub counter_links: usize,
     /// How long a call to the counter may take.
-    pub counter_call: Duration,
+    pub counter_call: Cell<Duration>,
     /// Calls held on one connection to the counter.
     pub counter_calls: usize,
     /// The longest answer of the counter, in bytes.
@@ -97,7 +101,7 @@
     /// How long after SIGTERM new requests get only back-off answers.
     pub last_call: Duration,
     /// How long after SIGTERM the program ends whatever is left.
-    pub end: Duration,
+    pub end: Cell<Duration>,
 }
 
 impl Limits {
@@ -120,7 +124,11 @@
             north_unsent: 256 << 10,
             max_open: if settings.max_open > 0 { settings.max_open as usize } else { 20_000 },
             max_attempts: settings.max_attempts.max(1),
-            back_off: time(settings.longest_retry_after, 1_000_000_000),
+            tells_when: Cell::new(settings.retry_after),
+            back_off: Cell::new(match settings.retry_after {
+                true => time(settings.longest_retry_after, 1_000_000_000),
+                false => Duration::ZERO,
+            }),
             last_moment: Duration::from_millis(2),
             callers: (sockets / 32).clamp(4, 32),
             caller_time: Duration::from_secs(5),
@@ -133,10 +141,10 @@
             south_idle: idle / 2,
             south_rest: Duration::from_millis(2),
             south_answer: Duration::from_millis(250),
-            connect: time(settings.connect_timeout, 250_000_000),
-            drain: time(settings.drain_grace, 1_000_000_000) / 2,
+            connect: Cell::new(time(settings.connect_timeout, 250_000_000)),
+            drain: Cell::new(time(settings.drain_grace, 1_000_000_000) / 2),
             counter_links: 4,
-            counter_call: time(settings.counter_timeout, 30_000_000),
+            counter_call: Cell::new(time(settings.counter_timeout, 30_000_000)),
             counter_calls: 4096,
             counter_answer: 256,
             // Guards against a counter that hangs and still counts the connections given up: its longest
@@ -154,11 +162,23 @@
             list_most: Duration::from_secs(8),
             linger: Duration::from_millis(600),
             last_call: Duration::from_secs(2),
-            end: Duration::from_nanos(longest.max(3_000_000_000)) + Duration::from_millis(600),
+            end: Cell::new(Duration::from_nanos(longest.max(3_000_000_000)) + Duration::from_millis(600)),
         }
     }
 }
 
+impl Limits {
+    /// Takes over the times that follow from the settings; a process's size holds until its next start.
+    pub fn retune(&self, new: &Limits) {
+        self.tells_when.set(new.tells_when.get());
+        self.back_off.set(new.back_off.get());
+        self.connect.set(new.connect.get());
+        self.drain.set(new.drain.get());
+        self.counter_call.set(new.counter_call.get());
+        self.end.set(self.end.get().max(new.end.get()));
+    }
+}
+
 /// Where the services listen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Addresses {
@@ -191,6 +211,8 @@
     pub kinds: Vec<String>,
     /// What the program is held to.
     pub limits: Limits,
+    /// The file as it was read, without the list.
+    pub file: Value,
     /// How often the tally is told, from our own file; not at all without.
     pub tally: Option<Duration>,
 }
@@ -211,14 +233,19 @@
 }
 
 /// Reads it again while the program runs.
-pub fn again() -> Result<Config, String> {
-    reread(&file()?, variable)
+pub fn again(held: &Value) -> Result<Config, String> {
+    reread(held, &file()?, variable)
 }
 
 /// Reads a configuration that was replaced while the program runs. Guards against the environment, which is as
-/// old as the program, keeping addresses that the services have left: for these the file goes first.
-pub fn reread(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+/// old as the program, keeping addresses that the services have left: for these the file goes first; and against a
+/// file that lost something of the one in force, `held`.
+pub fn reread(held: &Value, text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let file: Value = serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
+    let faults = complete::faults(held, &file);
+    if !faults.is_empty() {
+        return Err(faults.join("; "));
+    }
     read(text, |name| match name {
         "BALANCER_DISCOVERY" if file.get("discovery").is_some() => None,
         "BALANCER_COUNTER" if file.get("counter").is_some() => None,
@@ -228,7 +255,8 @@
 
 /// Reads a configuration; what a variable of the environment says goes before what the file says.
 pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let file: Value = serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
+    let mut file: Value = serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
+    let known = file.as_object_mut().and_then(|file| file.remove("known")).unwrap_or(Value::Null);
     let told = |key: &str, name: &str| {
         let written = file.get(key).and_then(Value::as_str).map(str::to_owned);
         variable(name).or(written).ok_or_else(|| format!("{key}: missing"))
@@ -299,11 +327,12 @@
             counter,
         },
         seed,
-        known: file.get("known").cloned().unwrap_or(Value::Null),
+        known,
         settings,
         zones,
         kinds,
         limits,
+        file,
         tally: None,
     })
 }
@@ -317,6 +346,10 @@
         read(&text, |_| None).expect("the example is sound").limits
     }
 
+    fn json(text: &str) -> Value {
+        serde_json::from_str(text).expect("JSON")
+    }
+
     /// Connections made over an outage of 12 s, if none that was given up is let go.
     #[test]
     fn a_hanging_counter_holds_fewer_connections_than_it_may() {
@@ -341,7 +374,8 @@
     fn a_replaced_file_goes_before_the_environment() {
         let (text, told) = (include_str!("../../examples/toy.json"), "127.0.0.9:9");
         let variable = |name: &str| name.starts_with("BALANCER_").then(|| told.to_owned());
-        let (old, new) = (read(text, variable).expect("sound"), reread(text, variable).expect("sound"));
+        let (old, new) =
+            (read(text, variable).expect("sound"), reread(&json(text), text, variable).expect("sound"));
         let address = |text: &str| text.parse().expect("an address");
         let (discovery, counter) = (address(told), Some(address(told)));
         assert_eq!(old.addresses, Addresses { discovery, counter });
@@ -349,7 +383,10 @@
         assert_eq!(new.addresses, Addresses { discovery, counter });
         assert_eq!(new.listen, address(told), "all else stays as the environment has it");
         let silent = text.replace("\"discovery\"", "\"elsewhere\"");
-        assert_eq!(reread(&silent, variable).expect("sound").addresses.discovery, address(told));
-        assert!(reread("{", variable).is_err());
+        assert_eq!(
+            reread(&json(&silent), &silent, variable).expect("sound").addresses.discovery,
+            address(told)
+        );
+        assert!(reread(&json(text), "{", variable).is_err());
     }
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -146,6 +146,8 @@
     max_open: usize,
     max_held: usize,
     max_attempts: u32,
+    /// The most attempts that a request of any settings so far may have had.
+    most_attempts: u32,
 }
 
 impl Core {
@@ -162,9 +164,16 @@
             max_open: limits.max_open,
             max_held: limits.held_bytes,
             max_attempts: limits.max_attempts,
+            most_attempts: limits.max_attempts,
         }
     }
 
+    /// Keeps to other limits from now on.
+    pub fn retune(&mut self, limits: &Limits) {
+        (self.max_open, self.max_attempts) = (limits.max_open, limits.max_attempts);
+        self.most_attempts = self.most_attempts.max(limits.max_attempts);
+    }
+
     /// Puts an event behind those that the module has yet to take.
     pub fn tell(&mut self, event: Event) {
         self.told.push_back(event);
@@ -210,7 +219,7 @@
 
     /// Whether a request of this id is open or still out at a host.
     pub fn knows(&self, id: RequestId) -> bool {
-        self.open.contains_key(&id) || (0..self.max_attempts).any(|n| self.out.contains_key(&(id, n)))
+        self.open.contains_key(&id) || (0..self.most_attempts).any(|n| self.out.contains_key(&(id, n)))
     }
 
     /// The tally of bytes held, to which fronts add what their clients have not taken.
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -110,7 +110,7 @@
             let _ = addresses.changed().await;
             continue;
         };
-        let by = Instant::now() + node.limits.connect;
+        let by = Instant::now() + node.limits.connect.get();
         let connect = timeout_at(by, TcpStream::connect(address));
         tokio::pin!(connect);
         let stream = loop {
@@ -172,7 +172,7 @@
     async fn overdue(&self, limits: &Limits) {
         let first = self.calls.borrow().front().map(|call| call.began);
         match first {
-            Some(began) => sleep_until(began + limits.counter_call).await,
+            Some(began) => sleep_until(began + limits.counter_call.get()).await,
             None => std::future::pending().await,
         }
     }
@@ -216,7 +216,7 @@
     fn expire(&self, node: &Rc<Node>) {
         let now = Instant::now();
         for call in self.calls.borrow_mut().iter_mut() {
-            if call.began + node.limits.counter_call > now {
+            if call.began + node.limits.counter_call.get() > now {
                 break;
             }
             let outcome = if call.sent { Outcome::Timeout } else { Outcome::ConnectFailed };
@@ -267,7 +267,7 @@
             }
             let waiting = !link.written.is_empty();
             let patience = if waiting { limits.counter_silence } else { limits.counter_idle };
-            let until = began.map_or(heard + patience, |began| began + limits.counter_call);
+            let until = began.map_or(heard + patience, |began| began + limits.counter_call.get());
             let (mut reader, writer) = link.stream.split();
             tokio::select! {
                 more = resp::more(&mut reader, &mut link.input, limits.read_bytes) => {
@@ -308,7 +308,7 @@
                 }
             }
         };
-        let _ = timeout(limits.counter_call, rest).await;
+        let _ = timeout(limits.counter_call.get(), rest).await;
         self.broken(&node, link);
     }
 
@@ -527,7 +527,7 @@
             assert_eq!(counted(&node).await, (Outcome::Good, 1.0));
             assert_eq!(counted(&node).await.0, Outcome::Timeout);
             assert_eq!(counted(&node).await.0, Outcome::Timeout);
-            assert!(began.elapsed() < node.limits.counter_call, "told before their time was over");
+            assert!(began.elapsed() < node.limits.counter_call.get(), "told before their time was over");
             call(&node, 4.0);
             let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
             calls(&mut stream, 1).await;
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -110,6 +110,11 @@
         id
     }
 
+    /// The number by which the module knows a zone that new settings number in an order of their own.
+    pub fn zone(&mut self, names: &[String], number: u32) -> u32 {
+        names.get(number as usize).map_or(number, |name| index(&mut self.zones, name))
+    }
+
     /// Whether discovery has told of hosts since the start.
     pub fn answered(&self) -> bool {
         self.answered
@@ -215,7 +220,7 @@
 
 async fn watch(node: &Rc<Node>, address: SocketAddr, pauses: &mut Pauses) -> Result<(), String> {
     let limits = &node.limits;
-    let connect = timeout(limits.connect, TcpStream::connect(address)).await;
+    let connect = timeout(limits.connect.get(), TcpStream::connect(address)).await;
     let mut stream = connect.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
     let mut input = Vec::new();
@@ -385,7 +390,7 @@
                     apply(&node, list.expect("a list"), ListMode::Update);
                 }
             }
-            sleep(node.limits.drain).await;
+            sleep(node.limits.drain.get()).await;
             let text = list(200, 50, "SERVING");
             let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
             apply(&node, list.expect("a list"), ListMode::Update);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,12 +23,13 @@
 use self::core::Core;
 use self::inventory::Inventory;
 use self::pauses::Pauses;
-use self::platform::north::{self, North};
+use self::platform::north::{self, North, Terms};
 use self::platform::south::South;
 use self::tally::Tally;
 use self::twin::Twin;
 use crate::api::{Action, Event};
-use quartzcleat_operations::Bans;
+use quartzcleat_operations::{Bans, Numbers};
+use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -52,6 +53,12 @@
     pub shutdown: Rc<shutdown::Shutdown>,
     /// Discovery's list as last told.
     pub inventory: RefCell<Inventory>,
+    /// The numbers of classes and plans.
+    pub numbers: RefCell<Numbers>,
+    /// What a request may ask for.
+    pub terms: Rc<RefCell<Terms>>,
+    /// The configuration in force, as it was read.
+    pub file: RefCell<Value>,
     /// Servers that staff took out of service.
     pub bans: RefCell<Bans>,
     /// The other process of this limiter, while a new version takes over.
@@ -65,8 +72,21 @@
 impl Node {
     /// A limiter that has been told nothing and is connected to nothing yet.
     pub fn new(config: Config) -> Rc<Self> {
-        let Config { name, listen, console, settings, addresses, seed, limits, tally, zones, kinds, .. } =
-            config;
+        let Config {
+            name,
+            listen,
+            console,
+            settings,
+            addresses,
+            seed,
+            limits,
+            tally,
+            zones,
+            kinds,
+            file,
+            ..
+        } = config;
+        let numbers = Numbers::new(&settings);
         let twin = Twin::new(&name, listen, console.is_some());
         Rc::new(Node {
             south: South::new(settings.reports),
@@ -76,6 +96,9 @@
             inventory: RefCell::new(Inventory::new(zones, kinds)),
             bans: RefCell::default(),
             twin,
+            terms: Rc::new(RefCell::new(Terms::of(&settings, numbers.heard(0)))),
+            numbers: RefCell::new(numbers),
+            file: RefCell::new(file),
             core: RefCell::new(Core::new(settings, seed, &limits)),
             tally: tally.map(|every| (every, RefCell::new(Tally::new(name)))),
             limits: Rc::new(limits),
@@ -122,7 +145,6 @@
 
 async fn run(config: Config) -> Result<(), String> {
     let (listen, console, known) = (config.listen, config.console, config.known.clone());
-    let terms = north::Terms::of(&config.settings);
     let pauses = Pauses::of(&config.limits, config.seed);
     let node = Node::new(config);
     // Before anything is answered, so that no signal finds the program without a handler.
@@ -152,7 +174,7 @@
         twin::start(&node);
         task::spawn(console::accept(node.clone(), staff));
     }
-    north::accept(&Rc::new(North::new(stages::take_in::desk(&node), terms)), listener).await;
+    north::accept(&Rc::new(North::new(stages::take_in::desk(&node), node.terms.clone())), listener).await;
     shutdown::finish(&node).await;
     Ok(())
 }
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -22,10 +22,10 @@
 
 /// What a request may ask for, by the settings.
 pub struct Terms {
-    /// The classes, by their numbers.
-    classes: Vec<Class>,
-    /// The plans' names, by their numbers.
-    plans: Vec<String>,
+    /// The classes and their numbers.
+    classes: Vec<(u32, Class)>,
+    /// The plans' names and their numbers.
+    plans: Vec<(u32, String)>,
     /// How many limiters there are.
     limiters: u32,
     /// The most units that one request counts.
@@ -33,28 +33,43 @@
 }
 
 impl Terms {
-    /// The terms in the settings.
-    pub fn of(settings: &Settings) -> Self {
+    /// The terms in the settings, of which these classes and plans are heard.
+    pub fn of(settings: &Settings, (classes, plans): (Vec<u32>, Vec<u32>)) -> Self {
         let most = settings.largest_request;
         Terms {
-            classes: settings.classes.clone(),
-            plans: settings.plans.iter().map(|plan| plan.name.clone()).collect(),
+            classes: classes.into_iter().map(|i| (i, settings.classes[i as usize].clone())).collect(),
+            plans: plans.into_iter().map(|i| (i, settings.plans[i as usize].name.clone())).collect(),
             limiters: settings.gateways.max(1),
             most_units: if most > 0.0 { most } else { f64::MAX },
         }
     }
+
+    /// The same terms, of which only these classes and plans are still heard.
+    pub fn heard_again(&self, (classes, plans): (Vec<u32>, Vec<u32>)) -> Self {
+        Terms {
+            classes: self.classes.iter().filter(|(i, _)| classes.contains(i)).cloned().collect(),
+            plans: self.plans.iter().filter(|(i, _)| plans.contains(i)).cloned().collect(),
+            ..*self
+        }
+    }
+
+    /// The number of a class by its name.
+    #[cfg(test)]
+    pub fn class(&self, name: &str) -> Option<u32> {
+        self.classes.iter().find(|(_, known)| known.name == name).map(|(number, _)| *number)
+    }
 }
 
 /// The north side: what it was given, what a request may ask for, and the connections that are idle.
 pub struct North {
     desk: Desk,
-    terms: Terms,
+    terms: Rc<RefCell<Terms>>,
     idle: Idle,
 }
 
 impl North {
     /// A north side without connections.
-    pub fn new(desk: Desk, terms: Terms) -> Self {
+    pub fn new(desk: Desk, terms: Rc<RefCell<Terms>>) -> Self {
         North { desk, terms, idle: Idle::default() }
     }
 }
@@ -108,8 +123,8 @@
         at += fact.len() + 1;
         let whole = || value.parse::<u32>().ok();
         match name {
-            "c" => class = terms.classes.iter().position(|known| known.name == value),
-            "t" => plan = terms.plans.iter().position(|known| known == value),
+            "c" => class = terms.classes.iter().find(|(_, known)| known.name == value),
+            "t" => plan = terms.plans.iter().find(|(_, known)| known == value),
             "d" => wait = whole().filter(|wait| *wait > 0).map(|wait| (wait, place)),
             "k" => keyed = !value.is_empty(),
             "units" => units = value.parse().ok().filter(|u: &f64| *u > 0.0 && *u <= terms.most_units),
@@ -119,13 +134,12 @@
             _ => {}
         }
     }
-    let number = class.ok_or("the list holds no c that is known")?;
-    let plan = plan.ok_or("the list holds no t that is known")? as u32;
+    let (number, class) = class.ok_or("the list holds no c that is known")?;
+    let (plan, _) = *plan.ok_or("the list holds no t that is known")?;
     let (wait, place) = wait.ok_or("the list holds no d that is a time")?;
     let units = units.ok_or("the list holds no units within their range")?;
     let spread = spread.ok_or("the list holds no spread within its range")?;
     let first = first.ok_or("the list holds no first within its range")?;
-    let class = &terms.classes[number];
     match (write, class.effect) {
         (false, Effect::Retryable) | (true, Effect::Unsafe) => {}
         (true, Effect::Keyed) if keyed => {}
@@ -136,7 +150,7 @@
     // Guards against being held for ever: no client waits for longer than its class does.
     let wait = Duration::from_millis(wait.into());
     let wait = if class.deadline > 0 { wait.min(Duration::from_nanos(class.deadline)) } else { wait };
-    let class = number as u32;
+    let class = *number;
     // The words alone, one behind another: their places move up by what stood between them.
     let mut payload = Payload { bytes: Vec::with_capacity(command.length), words: Vec::new(), wait: 0..0 };
     for (i, word) in words.iter().enumerate() {
@@ -496,11 +510,11 @@
 }
 
 fn take(north: &Rc<North>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
-    match understand(bytes, command, &north.terms, north.desk.shutdown.welcome()) {
+    match understand(bytes, command, &north.terms.borrow(), north.desk.shutdown.welcome()) {
         Ok(Asked::Request(request)) => {
             let place = owed.push(Slot::Open(request.id));
             if crowded {
-                owed.answer(place, Answer::BackOff(north.desk.limits.back_off));
+                owed.answer(place, Answer::BackOff(north.desk.limits.back_off.get()));
             } else {
                 north.desk.entry.ask(owed.clone(), place, *request);
             }
@@ -520,6 +534,7 @@
     use crate::net::config;
     use crate::net::front::Entry;
     use crate::net::shutdown::Shutdown;
+    use quartzcleat_operations::Numbers;
 
     /// Nobody to hand requests to: what is read here never gets so far.
     struct Nowhere;
@@ -531,7 +546,9 @@
 
     fn north(text: &str) -> North {
         let config = config::read(text, |_| None).expect("the configuration is sound");
-        let (terms, limits) = (Terms::of(&config.settings), Rc::new(config.limits));
+        let numbers = Numbers::new(&config.settings);
+        let terms = Rc::new(RefCell::new(Terms::of(&config.settings, numbers.heard(0))));
+        let limits = Rc::new(config.limits);
         let (shutdown, held) = (Rc::new(Shutdown::new(&limits)), Rc::default());
         North::new(Desk { entry: Rc::new(Nowhere), limits, shutdown, held }, terms)
     }
@@ -542,7 +559,7 @@
         let mut bytes = Vec::new();
         resp::write_command(&[verb, customer, id, facts].map(str::as_bytes), &mut bytes);
         let command = resp::command(&bytes, &north.desk.limits).expect("well-formed").expect("whole");
-        understand(&bytes, &command, &north.terms, true).map(|asked| match asked {
+        understand(&bytes, &command, &north.terms.borrow(), true).map(|asked| match asked {
             Asked::Request(request) => request.wait,
             Asked::Here(_) => panic!("{verb} is for a host"),
         })
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -112,7 +112,8 @@
     /// Forgets the hosts that are gone and may be sent nothing any more. Guards against growing with each host
     /// that is replaced by one of another name.
     pub fn forget(&self, limits: &Limits) {
-        let over = |host: &Host| host.gone && host.left.is_some_and(|left| left.elapsed() >= limits.drain);
+        let over =
+            |host: &Host| host.gone && host.left.is_some_and(|left| left.elapsed() >= limits.drain.get());
         self.hosts.borrow_mut().retain(|_, host| !over(host));
         let hosts = self.hosts.borrow();
         self.by_host.borrow_mut().retain(|id, count| count.get() > 0 || hosts.contains_key(id));
@@ -133,7 +134,7 @@
     pub fn address(&self, id: HostId, limits: &Limits) -> Option<SocketAddr> {
         let hosts = self.hosts.borrow();
         let host = hosts.get(&id)?;
-        let late = host.left.is_some_and(|told| told.elapsed() >= limits.drain);
+        let late = host.left.is_some_and(|told| told.elapsed() >= limits.drain.get());
         (!late).then_some(host.address)
     }
 
@@ -381,7 +382,7 @@
         with_node(&[], |node| async move {
             let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
             let entry = |state| HostEntry { host: HostId(5), state, ..HostEntry::default() };
-            let drained = Limits { drain: std::time::Duration::ZERO, ..(*node.limits).clone() };
+            let drained = Limits { drain: std::time::Duration::ZERO.into(), ..(*node.limits).clone() };
             south.learn(&entry(HostState::Ready), address);
             assert_eq!(south.address(HostId(5), &drained), Some(address));
             let parked = south.park(HostId(5), address).expect("it may wait");
@@ -402,7 +403,7 @@
         with_node(&[], |node| async move {
             let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
             let entry = |id, state| HostEntry { host: HostId(id), state, ..HostEntry::default() };
-            let over = Limits { drain: std::time::Duration::ZERO, ..(*node.limits).clone() };
+            let over = Limits { drain: std::time::Duration::ZERO.into(), ..(*node.limits).clone() };
             (1..5).for_each(|id| south.learn(&entry(id, HostState::Ready), address));
             south.learn(&entry(2, HostState::Gone), address);
             south.learn(&entry(3, HostState::Draining), address);
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,11 +1,18 @@
-//! SIGHUP: the configuration is read again. The addresses of discovery and the counter that it names hold from
-//! then on; all else holds until the next start.
+//! SIGHUP: the configuration is read again. A sound file holds from then on, its addresses and its settings; of a
+//! broken one nothing does, and the log names all its faults. What follows from descriptors and memory, and whether
+//! discovery is asked, holds until the next start.
 
 use super::config::{self, Config};
+use super::platform::north::Terms;
+use super::shutdown::unix;
 use super::task::spawn;
 use super::Node;
+use crate::api::Event;
+use quartzcleat_operations::Numbers;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::sleep;
 
 /// Waits for SIGHUP, each time it comes.
 pub fn watch(node: &Rc<Node>) -> Result<(), String> {
@@ -13,18 +20,106 @@
     let node = node.clone();
     spawn(async move {
         while hangup.recv().await.is_some() {
-            apply(&node, config::again());
+            let read = config::again(&node.file.borrow());
+            apply(&node, read);
         }
     });
     Ok(())
 }
 
 /// Goes over to a new configuration. Guards against a faulty one: it is reported, and the old one holds.
-fn apply(node: &Node, read: Result<Config, String>) {
-    match read {
-        Err(problem) => tracing::warn!("the configuration stays as it was: {problem}"),
-        Ok(Config { addresses, .. }) => {
-            node.addresses.send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
+fn apply(node: &Rc<Node>, read: Result<Config, String>) {
+    let config = match read {
+        Err(problem) => return tracing::warn!("the configuration stays as it was: {problem}"),
+        Ok(config) => config,
+    };
+    let Config { addresses, mut settings, limits, zones, file, .. } = config;
+    node.file.replace(file);
+    node.addresses.send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
+    node.limits.retune(&limits);
+    // Zones keep their numbers too.
+    settings.zone = node.inventory.borrow_mut().zone(&zones, settings.zone);
+    let table = node.numbers.borrow_mut().take(&settings, unix());
+    node.core.borrow_mut().retune(&limits);
+    hear(node, &table);
+    tracing::info!(
+        classes = settings.classes.len(),
+        plans = settings.plans.len(),
+        "new settings are in force"
+    );
+    node.tell(Event::Retuned { settings: Box::new(table) });
+    // What vanished is heard a little longer.
+    let node = node.clone();
+    spawn(async move {
+        sleep(Duration::from_nanos(Numbers::heard_for())).await;
+        let terms = node.terms.borrow().heard_again(node.numbers.borrow().heard(unix()));
+        node.terms.replace(terms);
+    });
+}
+
+fn hear(node: &Rc<Node>, table: &crate::api::Settings) {
+    let heard = node.numbers.borrow().heard(unix());
+    node.terms.replace(Terms::of(table, heard));
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::tests::with_node;
+    use proptest::prelude::*;
+
+    const TOY: &str = include_str!("../../examples/toy.json");
+
+    fn again(node: &Node, text: &str) -> Result<Config, String> {
+        config::reread(&node.file.borrow(), text, |_| None)
+    }
+
+    /// A sound file is taken whole; requests of a class that is gone are heard for a moment, then no more.
+    #[test]
+    fn classes_and_attempts_change_while_the_program_runs() {
+        with_node(&[], |node| async move {
+            let text =
+                TOY.replace("\"bed-hold\", \"effect\": \"dedup\"", "\"hut-hold\", \"effect\": \"fragile\"");
+            let text = text.replace("\"sendCap\": 4", "\"sendCap\": 2");
+            apply(&node, again(&node, &text));
+            let Event::Retuned { settings } = crate::net::tests::next(&node).await else {
+                panic!("not told")
+            };
+            let names: Vec<_> = settings.classes.iter().map(|class| class.name.as_str()).collect();
+            assert_eq!((names, settings.max_attempts), (vec!["bed-check", "bed-hold", "hut-hold"], 2));
+            let number = |name: &str| node.terms.borrow().class(name);
+            assert_eq!((number("bed-hold"), number("hut-hold")), (Some(1), Some(2)));
+            let later = node.numbers.borrow().heard(unix() + Numbers::heard_for());
+            let terms = node.terms.borrow().heard_again(later);
+            assert_eq!((terms.class("bed-hold"), terms.class("hut-hold")), (None, Some(2)));
+        });
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever is cut off, whichever line is lost and whatever number turns to nought: nothing of it is taken.
+        #[test]
+        fn a_broken_file_changes_nothing(end in 0..TOY.len() - 3, line in 1..TOY.lines().count() - 1, what in 0..3) {
+            let broken = match what {
+                0 => TOY[..end].to_owned(),
+                1 => TOY.lines().enumerate().filter(|(i, _)| *i != line).map(|(_, text)| text.to_owned() + "\n").collect(),
+                _ => TOY.replacen("\"hardLimitNs\": ", "\"hardLimitNs\": -", 1 + end % 2),
+            };
+            // Lines that a file may lose leave it whole; one is a whole plan, which may vanish.
+            let gone = TOY.lines().nth(line).unwrap_or_default();
+            let may = ["\"seed\"", "\"known\"", "\"guide\""].iter().any(|key| gone.contains(key));
+            with_node(&[], |node| async move {
+                let before = (*node.addresses.borrow(), node.file.borrow().clone());
+                let read = again(&node, &broken);
+                assert!(read.is_err() || (what == 1 && may), "{broken}");
+                if read.is_ok() {
+                    return;
+                }
+                apply(&node, read);
+                assert_eq!((*node.addresses.borrow(), node.file.borrow().clone()), before);
+                assert!(node.core.borrow_mut().untold().is_none());
+            });
         }
     }
 }
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -143,7 +143,7 @@
 
 /// Waits until every connection is closed and every request answered, or the time is up.
 pub async fn finish(node: &Rc<Node>) {
-    let end = node.shutdown.asked.get().unwrap_or_else(Instant::now) + node.limits.end;
+    let end = node.shutdown.asked.get().unwrap_or_else(Instant::now) + node.limits.end.get();
     let mut connections = node.shutdown.connection_changes();
     let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
     // A client that went away leaves its relays to end by themselves; nothing is owed for them.
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -25,7 +25,8 @@
         }
         Action::CancelAttempt { id, attempt } => node.core.borrow().cancel(id, attempt),
         Action::Refuse { id, retry_after } => {
-            book::answer(node, id, Answer::BackOff(Duration::from_nanos(retry_after)));
+            let wait = if node.limits.tells_when.get() { retry_after } else { 0 };
+            book::answer(node, id, Answer::BackOff(Duration::from_nanos(wait)));
         }
         Action::Fail { id } => {
             book::answer(node, id, Answer::Failed);
--- a/src/net/stages/send.rs
+++ b/src/net/stages/send.rs
@@ -22,7 +22,10 @@
 pub fn probe(node: &Rc<Node>, host: HostId) {
     let now = Instant::now();
     let cancel = Rc::new(Notify::new());
-    send(node, Relay { errand: Errand::Probe, host, began: now, until: now + node.limits.connect, cancel });
+    send(
+        node,
+        Relay { errand: Errand::Probe, host, began: now, until: now + node.limits.connect.get(), cancel },
+    );
 }
 
 /// A connection's life: opened for one relay, it takes others as long as it is sound.
@@ -56,7 +59,7 @@
 
 async fn connect(node: &Rc<Node>, relay: &Relay) -> Result<Link, Outcome> {
     let address = node.south.address(relay.host, &node.limits).ok_or(Outcome::ConnectFailed)?;
-    let by = relay.until.min(Instant::now() + node.limits.connect);
+    let by = relay.until.min(Instant::now() + node.limits.connect.get());
     tokio::select! {
         biased;
         () = relay.cancel.notified() => Err(Outcome::Cancelled),
--- a/src/net/stages/take_in.rs
+++ b/src/net/stages/take_in.rs
@@ -31,7 +31,7 @@
 pub fn take_in(node: &Rc<Node>, front: Rc<dyn Front>, place: u64, mut request: Request) {
     let came = Instant::now();
     if !node.core.borrow().has_room() || node.shutdown.phase() >= Phase::LastCall {
-        return front.answer(place, Answer::BackOff(node.limits.back_off));
+        return front.answer(place, Answer::BackOff(node.limits.back_off.get()));
     }
     // An id that is still in use would make two requests one.
     if node.core.borrow().knows(request.id) {
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -67,6 +67,21 @@
     assert!(answers.iter().any(|answer| answer.starts_with("-BUSY")), "{answers:?}");
 }
 
+/// Where the settings do not allow to tell clients when to come back, no answer does.
+#[test]
+fn no_time_is_told_where_the_settings_forbid_it() {
+    let limiter = start(10, false, |text| {
+        text.replace("\"retryAfter\": true", "\"retryAfter\": false")
+            .replace("\"openCap\": 20000", "\"openCap\": 1")
+    });
+    let facts = "c=bed-check,t=guide,d=900,units=6,spread=1,first=0";
+    let answers: Vec<_> =
+        (1..11).map(|id| ask(&mut limiter.connect(), &request("Q.ASK", id, facts, ""), 1)).collect();
+    assert!(answers.iter().any(|answer| answer == "-BUSY\r\n"), "{answers:?}");
+    let both = request("Q.DO", 20, HOLD, "silent") + &request("Q.ASK", 21, CHECK, "");
+    assert!(ask(&mut limiter.connect(), &both, 2).ends_with("\r\n-BUSY\r\n"));
+}
+
 /// Where every connection is owed something, one past the limit gets back-off answers and is let go.
 #[test]
 fn a_connection_past_the_limit_is_told_to_back_off() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -45,6 +45,25 @@
     assert_eq!((attempt(&actions), failed(&actions, id)), (None, true));
 }
 
+/// A class that gets stricter has a number of its own; who was taken before keeps the old one, and the fewer attempts
+/// that are allowed from then on hold for all.
+#[test]
+fn new_settings_hold_for_what_comes_after_them() {
+    let mut rig = Rig::new(settings(), 4);
+    let (under_way, host) = rig.passed(0, 5);
+    let strict = Class { effect: Effect::Unsafe, ..settings().classes[0].clone() };
+    let mut new = Settings { max_attempts: 2, ..settings() };
+    new.classes.push(strict);
+    assert!(rig.event(Event::Retuned { settings: Box::new(new) }).is_empty());
+    let actions = rig.done(under_way, 0, host, Outcome::Reset, false);
+    let (_, again) = attempt(&actions).expect("its class is safe to repeat");
+    let actions = rig.done(under_way, 1, again, Outcome::Full, false);
+    assert_eq!(attempt(&actions), None, "two attempts at most");
+    let (after, host) = rig.passed(4, 6);
+    let actions = rig.done(after, 0, host, Outcome::Reset, false);
+    assert_eq!((attempt(&actions), failed(&actions, after)), (None, true));
+}
+
 #[test]
 fn one_attempt_at_a_time() {
     let mut rig = Rig::new(settings(), 4);
