Large values are passed on as they come, through a pipe of 32 KiB each

Short answers may pause 250 ms between pieces instead of having 250 ms in all; a head may take 2.6 s.

--- a/crates/decision/src/life.rs
+++ b/crates/decision/src/life.rs
@@ -72,6 +72,8 @@
     pub(crate) started: bool,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     pub(crate) sent: BTreeMap<(RequestId, u32), Sent>,
+    /// Attempts whose answer has begun, with their customers.
+    pub(crate) streams: BTreeMap<(RequestId, u32), CustomerId>,
     pub(crate) held: VecDeque<RequestId>,
     pub(crate) held_timer: bool,
     pub(crate) quotas: BTreeMap<CustomerId, Quota>,
@@ -128,6 +130,7 @@
             started: false,
             jobs: BTreeMap::new(),
             sent: BTreeMap::new(),
+            streams: BTreeMap::new(),
             held: VecDeque::new(),
             held_timer: false,
             quotas: BTreeMap::new(),
@@ -176,11 +179,7 @@
                 };
                 self.on_request(id, job, budget, out);
             }
-            Event::StreamStarted { id, .. } => {
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    job.stage = Stage::Streaming;
-                }
-            }
+            Event::StreamStarted { id, attempt, took, .. } => self.on_stream((id, attempt), took, out),
             Event::AttemptDone { id, attempt, outcome, took, over, true_units, .. } => {
                 self.on_done((id, attempt), (outcome, took), over, true_units, out)
             }
@@ -368,14 +367,31 @@
         Dispatch::Sent
     }
 
+    /// The host has answered, whatever time its client takes for it; its customer's open cap counts on.
+    fn on_stream(&mut self, key: (RequestId, u32), took: Nanos, out: &mut Actions) {
+        self.jobs.entry(key.0).and_modify(|job| job.stage = Stage::Streaming);
+        if let Some(sent) = self.sent.remove(&key) {
+            self.learn(key.0, &sent, Outcome::Good, took, out);
+            self.streams.insert(key, sent.customer);
+            self.release_held(out);
+        }
+    }
+
     fn on_done(
         &mut self, key: (RequestId, u32), end: (Outcome, Nanos), over: bool, units: f64, out: &mut Actions,
     ) {
         let ((id, attempt), (end, took)) = (key, end);
-        let Some(sent) = self.sent.remove(&key) else { return };
-        if let Some(q) = self.quotas.get_mut(&sent.customer) {
+        let sent = self.sent.remove(&key);
+        let customer = self.streams.remove(&key).or_else(|| sent.as_ref().map(|sent| sent.customer));
+        if let Some(q) = customer.and_then(|customer| self.quotas.get_mut(&customer)) {
             q.open = q.open.saturating_sub(1);
         }
+        let Some(sent) = sent else {
+            if over && customer.is_some() {
+                self.jobs.remove(&id);
+            }
+            return;
+        };
         self.learn(id, &sent, end, took, out);
         // Whatever is proven not to have run binds nothing.
         if let Some(job) = self.jobs.get_mut(&id) {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -14,6 +14,14 @@
 pub struct Limits {
     /// The longest value, in bytes.
     pub value_bytes: usize,
+    /// The longest value that is passed on as it comes, in bytes.
+    pub bulk_bytes: usize,
+    /// What may lie between host and client of such a value, in bytes, and as much again unsent.
+    pub window: usize,
+    /// How long a host may be silent within such a value.
+    pub bulk_silence: Duration,
+    /// How long a client may take nothing of what is there for it.
+    pub north_stall: Duration,
     /// The longest message of a client or a host, in bytes.
     pub frame_bytes: usize,
     /// The most words of a command, and members of an array.
@@ -64,7 +72,7 @@
     pub south_idle: Duration,
     /// How long a connection to a host takes no relay after an answer.
     pub south_rest: Duration,
-    /// How long an answer of a host may take from its first byte to its last.
+    /// How long a host may pause within an answer that is taken whole.
     pub south_answer: Duration,
     /// How long a connection to a host may take to come up.
     pub connect: Cell<Duration>,
@@ -111,13 +119,17 @@
         let value_bytes = 64 << 10;
         Limits {
             value_bytes,
+            bulk_bytes: 4 << 20,
+            window: 32 << 10,
+            bulk_silence: Duration::from_secs(10),
+            north_stall: Duration::from_secs(20),
             frame_bytes: value_bytes + (8 << 10),
             words: 16,
             read_bytes: 4 << 10,
             held_bytes: memory / 4,
             // Clients hold at most a third of the descriptors for requests; the rest is for those that idle.
             north_connections: sockets / 2,
-            north_command: Duration::from_secs(2),
+            north_command: Duration::from_millis(2_600),
             north_idle: Duration::from_secs(5),
             north_stranger: Duration::from_secs(1),
             north_pipeline: 1024,
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -2,6 +2,7 @@
 //! protocol: a front hands it a [`Request`] and gets one [`Answer`].
 
 use super::config::Limits;
+use super::pipe::Pipe;
 use crate::api::*;
 use crate::choice::{Gateway, View};
 use std::cell::Cell;
@@ -51,6 +52,8 @@
 pub enum Answer {
     /// Served, with the value as a host gave it.
     Served(Vec<u8>),
+    /// Served, with a long value that comes bit by bit.
+    Begun(Rc<Pipe>),
     /// The back-off answer: a new try is harmless, after this time.
     BackOff(Duration),
     /// Failed.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod inventory;
 pub mod pauses;
+pub mod pipe;
 pub mod platform;
 pub mod reload;
 pub mod shutdown;
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -6,6 +6,7 @@
 use crate::net::config::Limits;
 use crate::net::core::{Answer, Front, Payload, Request};
 use crate::net::front::Desk;
+use crate::net::pipe::{Found, Pipe};
 use crate::net::shutdown::Phase;
 use crate::net::steer;
 use crate::net::task::spawn;
@@ -184,6 +185,8 @@
         Answer::BackOff(wait) => {
             let _ = write!(Text(out), "-BUSY {}\r\n", wait.as_nanos().div_ceil(1_000_000));
         }
+        // Its head; the value follows through the pipe.
+        Answer::Begun(pipe) => resp::write_head('$', pipe.length(), out),
         Answer::Failed => out.extend_from_slice(b"-ERR failed\r\n"),
     }
 }
@@ -192,6 +195,8 @@
 enum Slot {
     Open(RequestId),
     Ready(Vec<u8>),
+    /// A long value: its head, until that is on its way, and what follows.
+    Long(Vec<u8>, Rc<Pipe>),
 }
 
 /// What a connection owes, in the order of its commands.
@@ -209,16 +214,24 @@
     fn answer(&self, place: u64, answer: Answer) {
         let mut bytes = Vec::new();
         write_answer(&answer, &mut bytes);
-        self.put(place, bytes);
+        self.put(
+            place,
+            match answer {
+                Answer::Begun(pipe) => Slot::Long(bytes, pipe),
+                _ => Slot::Ready(bytes),
+            },
+        );
     }
 }
 
 impl Owed {
-    fn put(&self, place: u64, bytes: Vec<u8>) {
+    fn put(&self, place: u64, answer: Slot) {
         let index = (place - self.first.get()) as usize;
         if let Some(slot) = self.slots.borrow_mut().get_mut(index) {
-            self.held.set(self.held.get() + bytes.len());
-            *slot = Slot::Ready(bytes);
+            if let Slot::Ready(bytes) = &answer {
+                self.held.set(self.held.get() + bytes.len());
+            }
+            *slot = answer;
         }
         if index == 0 {
             self.ready.notify_one();
@@ -235,16 +248,39 @@
         self.first.get() + slots.len() as u64 - 1
     }
 
-    /// Moves the answers whose turn it is to `out`.
-    fn collect(&self, out: &mut Vec<u8>) {
-        let mut slots = self.slots.borrow_mut();
-        while let Some(Slot::Ready(bytes)) = slots.front() {
-            out.extend_from_slice(bytes);
+    /// Moves the answers whose turn it is to `out`; how many bytes of that count as held. False where one of them
+    /// will never be whole.
+    fn collect(&self, out: &mut Vec<u8>) -> (usize, bool) {
+        let (mut slots, mut counted) = (self.slots.borrow_mut(), 0);
+        loop {
+            match slots.front_mut() {
+                Some(Slot::Ready(bytes)) => {
+                    out.extend_from_slice(bytes);
+                    counted += bytes.len();
+                }
+                Some(Slot::Long(head, pipe)) => {
+                    out.append(head);
+                    match pipe.take(out) {
+                        Found::More => return (counted, true),
+                        Found::Broken => return (counted, false),
+                        Found::Whole => out.extend_from_slice(b"\r\n"),
+                    }
+                }
+                _ => return (counted, true),
+            }
             slots.pop_front();
             self.first.set(self.first.get() + 1);
         }
     }
 
+    /// The long value whose turn it is.
+    fn flowing(&self) -> Option<Rc<Pipe>> {
+        match self.slots.borrow().front() {
+            Some(Slot::Long(_, pipe)) => Some(pipe.clone()),
+            _ => None,
+        }
+    }
+
     fn waiting(&self) -> usize {
         self.slots.borrow().len()
     }
@@ -428,6 +464,7 @@
         match slot {
             Slot::Open(id) => north.desk.entry.leave(id),
             Slot::Ready(bytes) => held.set(held.get() - bytes.len()),
+            Slot::Long(_, pipe) => pipe.leave(),
         }
     }
 }
@@ -439,6 +476,8 @@
     let limits = &north.desk.limits;
     let (mut reader, writer) = stream.split();
     let (mut input, mut out, mut sent, mut sound) = (Vec::new(), Vec::new(), 0, true);
+    // Of what is unsent, how much counts as held, and when the client last took some.
+    let (mut counted, mut moved) = (0, Instant::now());
     let mut phase = north.desk.shutdown.changes();
     // Guards against closing on a connection that came while clients are sent away, before it was heard.
     let fresh = *phase.borrow() >= Phase::Closing;
@@ -460,19 +499,27 @@
             }
         }
         resp::consume(&mut input, done, limits.read_bytes);
-        owed.collect(&mut out);
+        let (more, whole) = owed.collect(&mut out);
+        counted += more;
         if sent < out.len() {
             match writer.try_write(&out[sent..]) {
-                Ok(count) => sent += count,
+                Ok(count) => (sent, moved) = (sent + count, Instant::now()),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return out.len(),
+                Err(_) => return counted,
             }
+        } else {
+            moved = Instant::now();
         }
         if sent == out.len() && sent > 0 {
-            owed.held.set(owed.held.get() - sent);
+            owed.held.set(owed.held.get() - counted);
             resp::consume(&mut out, sent, limits.read_bytes);
-            sent = 0;
+            (sent, counted) = (0, 0);
         }
+        // The client can tell by the early end that a value is not whole.
+        if !whole && out.is_empty() {
+            return counted;
+        }
+        let flowing = owed.flowing().filter(|_| whole);
         // What follows malformed bytes cannot be read; what came before them is answered first. At the program's
         // end a connection closes between requests only.
         let between = out.is_empty() && owed.waiting() == 0;
@@ -498,17 +545,27 @@
             biased;
             more = resp::more(&mut reader, &mut input, limits.read_bytes), if read => {
                 if !more.unwrap_or(false) {
-                    return out.len();
+                    return counted;
                 }
             }
             _ = writer.writable(), if sent < out.len() => {}
             _ = owed.ready.notified() => {}
+            () = wait_for(flowing.as_deref()), if out.is_empty() => {}
+            () = sleep_until(moved + limits.north_stall), if sent < out.len() => return counted,
             _ = phase.changed(), if !closing => {}
             () = rest.over(limits) => return 0,
         }
     }
 }
 
+/// Waits until there may be more of a value.
+async fn wait_for(flowing: Option<&Pipe>) {
+    match flowing {
+        Some(pipe) => pipe.filled().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn take(north: &Rc<North>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
     match understand(bytes, command, &north.terms.borrow(), north.desk.shutdown.welcome()) {
         Ok(Asked::Request(request)) => {
--- a/src/net/platform/resp.rs
+++ b/src/net/platform/resp.rs
@@ -181,6 +181,18 @@
     Ok(reply.map(|reply| (reply, cursor.at)))
 }
 
+/// Where the value of a served answer begins in `bytes`, and how long it is, once that can be told.
+pub fn value_head(bytes: &[u8]) -> Option<(usize, usize)> {
+    let rest = bytes.strip_prefix(b"*3\r\n$")?;
+    let end = rest.iter().take(10).position(|byte| *byte == b'\r')?;
+    let digits = &rest[..end];
+    if digits.is_empty() || rest.get(end + 1) != Some(&b'\n') || !digits.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    let length = digits.iter().fold(0, |sum, digit| sum * 10 + usize::from(digit - b'0'));
+    Some((5 + end + 2, length))
+}
+
 /// Text appended to bytes.
 pub struct Text<'a>(pub &'a mut Vec<u8>);
 
--- a/src/net/stages/book.rs
+++ b/src/net/stages/book.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Event, HostId, Load, Nanos, Outcome, RequestId};
 use crate::net::core::{Answer, Errand, Relay};
+use crate::net::pipe::Pipe;
 use crate::net::Node;
 use std::rc::Rc;
 
@@ -45,6 +46,17 @@
     }
 }
 
+/// The answer of a request begins: a long value, which comes through the pipe. False where nobody waits for it.
+pub fn begin(node: &Rc<Node>, relay: &Relay, pipe: &Rc<Pipe>) -> bool {
+    let Errand::Attempt { id, attempt, .. } = relay.errand else { return false };
+    let begun = answer(node, id, Answer::Begun(pipe.clone()));
+    if begun {
+        let (host, took) = (relay.host, relay.began.elapsed().as_nanos() as Nanos);
+        node.tell(Event::StreamStarted { id, attempt, host, took });
+    }
+    begun
+}
+
 /// Books the end of a relay. The first good one answers the client by itself.
 pub fn done(node: &Rc<Node>, relay: &Relay, end: End) {
     let (host, outcome, took) = (relay.host, end.outcome, relay.began.elapsed().as_nanos() as Nanos);
@@ -53,6 +65,7 @@
     };
     node.core.borrow_mut().end(id, attempt);
     if outcome == Outcome::Good {
+        // One that has begun already is open no more.
         answer(node, id, Answer::Served(end.value));
     }
     tell_done(node, (id, attempt, host), outcome, took, end.load);
--- a/src/net/stages/relay.rs
+++ b/src/net/stages/relay.rs
@@ -1,8 +1,10 @@
 //! Fifth stage: a relay is written to its host, and its answer awaited.
 
-use super::book::End;
+use super::book::{self, End};
 use crate::api::Outcome;
+use crate::net::config::Limits;
 use crate::net::core::Relay;
+use crate::net::pipe::Pipe;
 use crate::net::platform::{
     resp,
     south::{self, Link},
@@ -10,7 +12,7 @@
 use crate::net::Node;
 use std::io;
 use std::rc::Rc;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// Takes a relay to its host and back; how it ended, and whether the connection can take another. One that is
 /// cancelled or timed out leaves its answer unread, so its connection ends with it.
@@ -19,7 +21,10 @@
     let outcome = tokio::select! {
         biased;
         () = relay.cancel.notified() => Outcome::Cancelled,
-        end = exchange(node, link, relay) => return end,
+        came = exchange(node, link, relay) => match came {
+            Came::End(end, sound) => return (end, sound),
+            Came::Long { head, length } => return pass_on(node, link, relay, head, length).await,
+        },
         () = sleep_until(relay.until) => Outcome::Timeout,
     };
     // A command that is not whole is never begun.
@@ -27,9 +32,23 @@
     (if never { Outcome::ConnectFailed } else { outcome }.into(), false)
 }
 
-async fn exchange(node: &Rc<Node>, link: &mut Link, relay: &Relay) -> (End, bool) {
+/// What came of an exchange.
+enum Came {
+    /// Its end, and whether the connection can take another relay.
+    End(End, bool),
+    /// The head of a value that is passed on as it comes: the head's length and the value's.
+    Long { head: usize, length: usize },
+}
+
+impl From<Outcome> for Came {
+    fn from(outcome: Outcome) -> Self {
+        Came::End(outcome.into(), false)
+    }
+}
+
+async fn exchange(node: &Rc<Node>, link: &mut Link, relay: &Relay) -> Came {
     if node.south.address(relay.host, &node.limits).is_none() {
-        return (Outcome::ConnectFailed.into(), false);
+        return Outcome::ConnectFailed.into();
     }
     south::write(relay, Instant::now(), &mut link.output);
     let mut sent = 0;
@@ -38,19 +57,22 @@
             Ok(count) => sent += count,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                 if link.stream.writable().await.is_err() {
-                    return (Outcome::ConnectFailed.into(), false);
+                    return Outcome::ConnectFailed.into();
                 }
             }
-            Err(_) => return (Outcome::ConnectFailed.into(), false),
+            Err(_) => return Outcome::ConnectFailed.into(),
         }
     }
     link.written = true;
     resp::consume(&mut link.output, sent, node.limits.read_bytes);
-    // Guards against an answer that begins and has no end: what is not whole in time is spoilt, and may have run.
-    let mut by = None;
     loop {
         if !south::promising(&link.input, &relay.errand) {
-            return (Outcome::Error.into(), false);
+            return Outcome::Error.into();
+        }
+        if let Some((head, length)) = resp::value_head(&link.input) {
+            if (node.limits.value_bytes + 1..=node.limits.bulk_bytes).contains(&length) {
+                return Came::Long { head, length };
+            }
         }
         match resp::reply(&link.input, &node.limits) {
             Ok(Some((reply, length))) => {
@@ -58,23 +80,93 @@
                 // Whatever follows belongs to no relay.
                 let sound = known && length == link.input.len();
                 resp::consume(&mut link.input, length, node.limits.read_bytes);
-                return (end, sound);
+                return Came::End(end, sound);
             }
             Ok(None) => {}
-            Err(_) => return (Outcome::Error.into(), false),
-        }
-        if !link.input.is_empty() {
-            by.get_or_insert_with(|| Instant::now() + node.limits.south_answer);
+            Err(_) => return Outcome::Error.into(),
         }
+        // Guards against an answer that begins and has no end: one that pauses for long is spoilt, and may have run.
+        let pause = (!link.input.is_empty()).then_some(node.limits.south_answer);
         let more = resp::more(&mut link.stream, &mut link.input, node.limits.read_bytes);
-        let more = match by {
+        let more = match pause {
             None => Ok(more.await),
-            Some(by) => timeout_at(by, more).await,
+            Some(pause) => timeout(pause, more).await,
         };
         match more {
             Ok(Ok(true)) => {}
-            Ok(_) => return (Outcome::Reset.into(), false),
-            Err(_) => return (Outcome::Error.into(), false),
+            Ok(_) => return Outcome::Reset.into(),
+            Err(_) => return Outcome::Error.into(),
+        }
+    }
+}
+
+/// Passes a long value on as it comes; no deadline of ours cuts it off. Guards against a client that takes a spoilt
+/// value for whole: its last byte is kept until the host has ended it as it should.
+async fn pass_on(node: &Rc<Node>, link: &mut Link, relay: &Relay, head: usize, length: usize) -> (End, bool) {
+    let limits = &node.limits;
+    resp::consume(&mut link.input, head, limits.window);
+    let pipe = Pipe::new(length, limits.window, node.core.borrow().held());
+    if !book::begin(node, relay, &pipe) {
+        return (Outcome::Cancelled.into(), false);
+    }
+    let whole = flow(link, &pipe, limits).await;
+    pipe.end(whole.is_ok());
+    if let Err(outcome) = whole {
+        return (outcome.into(), false);
+    }
+    // The figures on use and the load report; the value is good whatever they are.
+    for _ in 0..2 {
+        loop {
+            match resp::reply(&link.input, limits) {
+                Ok(Some((_, length))) => {
+                    resp::consume(&mut link.input, length, limits.read_bytes);
+                    break;
+                }
+                Ok(None) => {}
+                Err(_) => return (Outcome::Good.into(), false),
+            }
+            let more = resp::more(&mut link.stream, &mut link.input, limits.read_bytes);
+            if !matches!(timeout(limits.south_answer, more).await, Ok(Ok(true))) {
+                return (Outcome::Good.into(), false);
+            }
+        }
+    }
+    let sound = link.input.is_empty();
+    (Outcome::Good.into(), sound)
+}
+
+/// Moves a value from its host into the pipe, to its end.
+async fn flow(link: &mut Link, pipe: &Pipe, limits: &Limits) -> Result<(), Outcome> {
+    let mut left = pipe.length();
+    loop {
+        if pipe.left() {
+            return Err(Outcome::Cancelled);
+        }
+        let count = pipe.room().min(link.input.len()).min(left - 1);
+        if count > 0 {
+            pipe.put(&link.input[..count]);
+            link.input.drain(..count);
+            left -= count;
+        }
+        if left == 1 && link.input.len() >= 3 && pipe.room() > 0 {
+            if &link.input[1..3] != b"\r\n" {
+                return Err(Outcome::Error);
+            }
+            pipe.put(&link.input[..1]);
+            resp::consume(&mut link.input, 3, limits.read_bytes);
+            return Ok(());
+        }
+        if pipe.room() == 0 {
+            pipe.drained().await;
+            continue;
+        }
+        tokio::select! {
+            more = timeout(limits.bulk_silence, resp::more(&mut link.stream, &mut link.input, limits.window / 2)) => {
+                if !matches!(more, Ok(Ok(true))) {
+                    return Err(Outcome::Reset);
+                }
+            }
+            () = pipe.drained() => {}
         }
     }
 }
--- a/tests/toy/mod.rs
+++ b/tests/toy/mod.rs
@@ -1,7 +1,7 @@
 //! A toy platform for tests of one limiter: discovery, the counter and hosts on loopback.
 //!
 //! A host answers a request with its id. Words in the body change that: `error` gets the error line, `cut` ends
-//! the connection, `silent` gets nothing.
+//! the connection, `silent` gets nothing, `long` a long value, `short` and `over` one that is not as long as it says.
 
 use quartzcleat::net::config::Limits;
 use quartzcleat::net::platform::resp;
@@ -14,6 +14,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
 
+/// The length of a long value.
+pub const LONG: usize = 4 << 20;
+
 /// What the toy listens on.
 pub struct Toy {
     pub discovery: TcpListener,
@@ -56,6 +59,18 @@
     match words.as_slice() {
         [_, _, _, _, "cut"] => return None,
         [_, _, _, _, "silent"] => {}
+        // A long value, whole or spoilt: shorter than it says, or longer.
+        [_, _, id, _, body @ ("long" | "short" | "over")] => {
+            let told = match *body {
+                "short" => LONG - 9,
+                "over" => LONG - 99,
+                _ => LONG,
+            };
+            resp::write_head('*', 3, &mut out);
+            resp::write_head('$', told, &mut out);
+            out.extend(id.bytes().cycle().take(if *body == "short" { LONG / 2 } else { LONG }));
+            out.extend_from_slice(b"\r\n$-1\r\n$-1\r\n");
+        }
         [_, _, _, _, "error"] => out.extend_from_slice(b"-ERR failed\r\n"),
         ["Q.ASK" | "Q.DO", _, id, ..] => {
             resp::write_head('*', 3, &mut out);
