--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -66,6 +66,8 @@
     pub catch_up: Duration,
     /// How long the last connections may take to come up once others are steered to another process.
     pub steered: Duration,
+    /// How many processes of this limiter share what it may hold.
+    pub sharers: Cell<usize>,
     /// Connections to all hosts together.
     pub south_connections: usize,
     /// How long a connection to a host is kept idle.
@@ -147,6 +149,7 @@
             call_bytes: 8 << 10,
             look: Duration::from_millis(50),
             catch_up: Duration::from_secs(1),
+            sharers: Cell::new(1),
             steered: Duration::from_millis(100),
             south_connections: sockets * 3 / 10,
             // Half of what the host grants: a request written to one that it just closed ends as a reset.
@@ -180,6 +183,16 @@
 }
 
 impl Limits {
+    /// Connections on the north side that this process may hold, beside another or alone.
+    pub fn north_share(&self) -> usize {
+        self.north_connections / self.sharers.get()
+    }
+
+    /// Connections to hosts that this process may hold.
+    pub fn south_share(&self) -> usize {
+        self.south_connections / self.sharers.get()
+    }
+
     /// Takes over the times that follow from the settings; a process's size holds until its next start.
     pub fn retune(&self, new: &Limits) {
         self.tells_when.set(new.tells_when.get());
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -373,6 +373,45 @@
         assert!(problem.starts_with("instances: hostPort"), "{problem}");
     }
 
+    /// Two hundred times out and back, while discovery goes on saying the opposite: told as draining at once and for as
+    /// long as it is out, on changes, whole lists and silence alike, and as ready at the call back.
+    #[test]
+    fn staffs_word_goes_before_discovery_s() {
+        crate::net::tests::with_node(&[], |node| async move {
+            let list = |version: u64, state: &str, whole: bool| {
+                let text = format!(
+                    r#"{{"generation":{version},"reset":{whole},"instances":[{{"instanceId":"s-1","zone":"a",
+                    "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
+                );
+                let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+                apply(&node, list.expect("a list"), if whole { ListMode::Replace } else { ListMode::Update });
+            };
+            let told = || {
+                let event = node.core.borrow_mut().untold();
+                match event {
+                    Some(Event::Hosts { entries, .. }) => entries[0].state,
+                    other => panic!("{other:?}"),
+                }
+            };
+            list(0, "SERVING", true);
+            assert_eq!(told(), HostState::Ready);
+            node.bans.borrow_mut().list("s-1");
+            for round in 0..200 {
+                let now = 1_000 * round;
+                assert_eq!(node.bans.borrow_mut().disable("s-1", now), Ok(true));
+                judge_again(&node, "s-1");
+                assert_eq!(told(), HostState::Draining, "at the call itself");
+                for (state, whole) in [("SERVING", false), ("DRAINING", false), ("SERVING", true)] {
+                    list(round, state, whole);
+                    assert_eq!(told(), HostState::Draining);
+                }
+                assert_eq!(node.bans.borrow_mut().enable("s-1", now + 500), Ok(true));
+                judge_again(&node, "s-1");
+                assert_eq!(told(), HostState::Ready);
+            }
+        });
+    }
+
     /// However many hosts come and go, no more is held than those that are listed or have left just now.
     #[test]
     fn names_that_are_gone_are_forgotten() {
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -407,7 +407,7 @@
                 // Guards against running out of descriptors: past the limit the longest idle connection makes
                 // room, where there is none a further one is only told to back off, and far past it the program
                 // waits for others to close.
-                let most = north.desk.limits.north_connections;
+                let most = north.desk.limits.north_share();
                 let crowded = north.desk.shutdown.connections() >= most && !north.idle.make_room();
                 welcome(north, stream, crowded);
                 let mut count = north.desk.shutdown.connection_changes();
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -181,7 +181,7 @@
 
     /// Room for one more connection, if need be in the place of the one that has waited longest.
     pub fn count(&self, id: HostId, limits: &Limits) -> Option<Counted> {
-        if self.links.get() >= limits.south_connections {
+        if self.links.get() >= limits.south_share() {
             let mut hosts = self.hosts.borrow_mut();
             let oldest = |host: &&mut Host| host.idle.first().map_or(u64::MAX, |idle| idle.serial);
             let host = hosts.values_mut().min_by_key(oldest).filter(|host| !host.idle.is_empty())?;
--- a/src/net/twin.rs
+++ b/src/net/twin.rs
@@ -162,6 +162,8 @@
             twin.ended.borrow_mut().extend(files);
         }
     }
+    // Guards against two processes that hold together more than one may.
+    node.limits.sharers.set(1 + usize::from(other.is_some()));
     if twin.other.replace(other).is_some() != other.is_some() {
         tracing::info!(beside = other.is_some(), "another process of this limiter");
     }
