A crowded process hands over too: who waits before it is heard as it ends

Need: with its share halved beside a second process, the first may hold more than it may take, and its accept loop then waits for connections to close without seeing its end, so nothing is steered and its queue stays unheard.

--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -411,7 +411,12 @@
                 let crowded = north.desk.shutdown.connections() >= most && !north.idle.make_room();
                 welcome(north, stream, crowded);
                 let mut count = north.desk.shutdown.connection_changes();
-                let _ = count.wait_for(|count| *count < most + most / 16).await;
+                // Guards against waiting there while the end comes, with others left in the queue.
+                tokio::select! {
+                    _ = count.wait_for(|count| *count < most + most / 16) => {}
+                    _ = end.wait_for(|end| *end), if last.is_none() => {}
+                    () = sleep_until(last.unwrap_or_else(Instant::now)), if last.is_some() => {}
+                }
             }
             Err(e) => {
                 tracing::warn!("cannot accept: {e}");
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -204,6 +204,48 @@
     assert!(first.wait().expect("it ends").success());
 }
 
+/// A first process that holds more than its half when the second comes, and takes no more for now, still hands over:
+/// what waits in its queue is heard as it ends.
+#[test]
+fn who_waits_before_a_crowded_process_is_heard_as_it_ends() {
+    let long = "\"onTimeNs\": 60000000000, \"hardLimitNs\": 60000000000";
+    let mut limiter = start(29, false, |text| {
+        let text = text.replace("\"sockets\": 1024", "\"sockets\": 128");
+        text.replace("\"onTimeNs\": 2000000000, \"hardLimitNs\": 7500000000", long)
+    });
+    let facts = "c=bed-check,t=operator,d=50000,units=0.1,spread=1,first=0";
+    let busy: Vec<_> = (100..140)
+        .map(|id| {
+            let mut client = limiter.connect();
+            let both = PING.to_owned() + &request("Q.ASK", id, facts, "silent");
+            assert_eq!(ask(&mut client, &both, 1), "+PONG\r\n");
+            client
+        })
+        .collect();
+    let old_console = limiter.console;
+    let first = limiter.upgrade(71);
+    // By the time that a word has come over, the first knows of the second, and keeps to its half.
+    for (word, status) in [("/drain", 503), ("/undrain", 200)] {
+        assert_eq!(limiter.call("PUT", word, ""), 200);
+        while process::call(old_console, "GET", "/ready", "") != status {}
+    }
+    std::thread::scope(|scope| {
+        let began = Instant::now();
+        let waiting: Vec<_> = (0..20).map(|_| scope.spawn(|| ask(&mut limiter.connect(), PING, 1))).collect();
+        // Some have been heard by the second by now; the others wait before the first.
+        let term = format!("kill -TERM {}", first.id());
+        assert!(std::process::Command::new("sh").args(["-c", &term]).status().expect("kill runs").success());
+        for client in waiting {
+            assert_eq!(client.join().expect("it is heard"), "+PONG\r\n");
+        }
+        assert!(began.elapsed() < Duration::from_secs(3), "after {:?}", began.elapsed());
+    });
+    drop(busy);
+    let mut first = first;
+    first.kill().expect("it is killed");
+    first.wait().expect("it ends");
+}
+
 /// The console answers within its second however busy the limiter is, while fifty callers stall.
 #[test]
 fn the_console_answers_while_the_limiter_is_saturated() {
