Console: a call about a server waits for discovery's first list before it says no

The call out came before discovery's first list had been read, so the server counted as never listed (console.rs, carry_out; bans.rs, disable).

Change: such a call waits for the first list, 0.6 s at most of the caller's 1 s; without a list it gets 503, not 404.

Ruled out: the second process, which takes no part up to there (the call comes before it starts).

--- a/crates/operations/src/bans.rs
+++ b/crates/operations/src/bans.rs
@@ -47,12 +47,18 @@
         }
     }
 
+    /// Whether a server was listed at some time, or staff spoke of it.
+    #[must_use]
+    pub fn knows(&self, name: &str) -> bool {
+        self.listed.contains(name) || self.words.contains_key(name)
+    }
+
     /// Takes a server out of service; whether that changed anything.
     ///
     /// # Errors
     /// It was never listed.
     pub fn disable(&mut self, name: &str, now: Nanos) -> Result<bool, Unknown> {
-        if !self.listed.contains(name) && !self.words.contains_key(name) {
+        if !self.knows(name) {
             return Err(Unknown);
         }
         if self.is_out(name) {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -62,6 +62,8 @@
     pub call_bytes: usize,
     /// How often it is looked for a second process of this limiter, where there is a console.
     pub look: Duration,
+    /// How long a call about a server not heard of waits for discovery's first list; its caller waits 1 s.
+    pub first_list: Duration,
     /// How long a second process waits for discovery before it takes clients.
     pub catch_up: Duration,
     /// How long the last connections may take to come up once others are steered to another process.
@@ -148,6 +150,7 @@
             caller_time: Duration::from_secs(5),
             call_bytes: 8 << 10,
             look: Duration::from_millis(50),
+            first_list: Duration::from_millis(600),
             catch_up: Duration::from_secs(1),
             sharers: Cell::new(1),
             steered: Duration::from_millis(100),
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -41,7 +41,10 @@
         // It went away, or never sent a whole call.
         Ok(None) => return,
         Ok(Some(Err(wrong))) => (wrong.status, wrong.advice.to_owned()),
-        Ok(Some(Ok(call))) => carry_out(&node, call),
+        Ok(Some(Ok(call))) => {
+            listed(&node, &call).await;
+            carry_out(&node, call)
+        }
     };
     let body = serde_json::json!({ "ok": status < 300, "text": text }).to_string();
     let answer = format!(
@@ -59,6 +62,19 @@
     .await;
 }
 
+/// Waits for discovery's first list where a call names a server not heard of yet. Guards against a no to staff who
+/// are quicker than that list: a server that is on it was listed.
+async fn listed(node: &Rc<Node>, call: &Call) {
+    let (Call::Disable(name) | Call::Enable(name)) = call else { return };
+    let known = || node.bans.borrow().knows(name) || node.inventory.borrow().answered();
+    let first = async {
+        while !known() {
+            sleep(node.limits.last_moment).await;
+        }
+    };
+    let _ = timeout(node.limits.first_list, first).await;
+}
+
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
@@ -119,7 +135,10 @@
 
 /// Does what a call asks for; the status and a sentence.
 fn carry_out(node: &Rc<Node>, call: Call) -> (u16, String) {
-    let unknown = (404, "no server of this id was ever listed; use discovery's instanceId".to_owned());
+    let unknown = match node.inventory.borrow().answered() {
+        true => (404, "no server of this id was ever listed; use discovery's instanceId".to_owned()),
+        false => (503, "discovery has not told of any server yet; call again".to_owned()),
+    };
     match call {
         Call::Ready if !node.shutdown.welcome() => (503, "draining: clients are sent away".to_owned()),
         Call::Ready if *node.shutdown.end().borrow() => (503, "ending".to_owned()),
@@ -171,6 +190,28 @@
 mod tests {
     use super::*;
 
+    /// A server that is on discovery's first list was listed, however early staff name it; of one that is not, nothing
+    /// is known until that list is there.
+    #[test]
+    fn a_call_that_comes_before_the_first_list_waits_for_it() {
+        let console = [("\"listen\"", "\"console\": \"127.0.0.1:9\", \"listen\"")];
+        crate::net::tests::with_node(&console, |node| async move {
+            let call = Call::Disable("s-1".to_owned());
+            let began = tokio::time::Instant::now();
+            listed(&node, &call).await;
+            assert!(began.elapsed() >= node.limits.first_list);
+            assert_eq!(carry_out(&node, call.clone()).0, 503, "no list has come");
+            let told = node.clone();
+            tokio::task::spawn_local(async move {
+                sleep(told.limits.last_moment).await;
+                inventory::tests::told(&told, "s-1");
+            });
+            listed(&node, &call).await;
+            assert_eq!(carry_out(&node, call).0, 200);
+            assert_eq!(carry_out(&node, Call::Enable("s-2".to_owned())).0, 404);
+        });
+    }
+
     fn status(text: &str) -> Option<u16> {
         read(text.as_bytes(), 8192).map(|read| read.map_or_else(|wrong| wrong.status, |_| 200))
     }
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -341,9 +341,19 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
 
+    /// Takes a whole list of one server, that serves.
+    pub(crate) fn told(node: &Rc<Node>, name: &str) {
+        let text = format!(
+            r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"{name}","zone":"a",
+            "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"SERVING"}}]}}"#
+        );
+        let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+        apply(node, list.expect("a list"), ListMode::Replace);
+    }
+
     /// The same number for a name at every limiter, and never one for two names.
     #[test]
     fn hosts_keep_their_numbers_and_share_none() {
