A new version goes on from the list, counts and rooms of the process before it

Change: the first process writes once, under the newcomer's name in TMPDIR, the list held and what its module has learned (learned.rs, a copy of figures beside the policy files); the newcomer takes it as one event before it listens.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -338,6 +338,11 @@
         /// Them.
         settings: Box<Settings>,
     },
+    /// What the gateway had learned in whose place this one is; nothing was requested of this one yet.
+    TakenOver {
+        /// That.
+        learned: Box<crate::Learned>,
+    },
     /// A message from another gateway.
     Peer {
         /// The sender's number.
--- a/crates/decision/src/hosts.rs
+++ b/crates/decision/src/hosts.rs
@@ -11,7 +11,7 @@
 /// An answer later than this part of its aim tells of a line at the host.
 pub(crate) const PROMPT_PART_OF_AIM: f64 = 0.3;
 /// The least part of the requests let in, and the longest pause that one answer stands for, in seconds.
-const LET_IN_LEAST: f64 = 0.05;
+pub(crate) const LET_IN_LEAST: f64 = 0.05;
 const LONGEST_PAUSE: f64 = 5.0;
 /// After so many failures in a row a host is reported.
 const FAILING_AFTER: u32 = 3;
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod api;
 mod hosts;
+mod learned;
 mod life;
 mod quota;
 mod view;
 
+pub use learned::{Learned, LearnedCustomer, LearnedHost};
 pub use life::Gateway;
 pub use view::View;
--- a/crates/decision/src/life.rs
+++ b/crates/decision/src/life.rs
@@ -190,6 +190,7 @@
                 self.on_counted(&name, outcome, total, took, out)
             }
             Event::Retuned { settings } => self.retune(*settings),
+            Event::TakenOver { learned } => self.take_over(&learned),
             Event::ProbeDone { .. } | Event::Peer { .. } => {}
         }
     }
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -12,7 +12,7 @@
 const COUNTER_TARGET: f64 = 0.65;
 const ASK_GAIN: f64 = 0.5;
 /// However poorly the counter answers, this part of the requests still asks, so that its return is noticed.
-const ASK_LEAST: f64 = 0.1;
+pub(crate) const ASK_LEAST: f64 = 0.1;
 /// However few ask, they share this part of the limit: less is too coarse for the largest requests.
 const LIMIT_LEAST: f64 = 0.8;
 /// Before anything is seen of a customer it is held to use such a part of its quota, which counts as so many
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -7,11 +7,13 @@
 mod bans;
 mod calls;
 mod doors;
+mod heritage;
 mod retune;
 mod state;
 
 pub use bans::{Bans, Unknown, Word};
 pub use calls::{understand, Call, Wrong};
 pub use doors::{Doors, Phase, Times};
+pub use heritage::Heritage;
 pub use retune::Numbers;
 pub use state::{State, Switch, VERSION};
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -64,6 +64,8 @@
     pub look: Duration,
     /// How long a call about a server not heard of waits for discovery's first list; its caller waits 1 s.
     pub first_list: Duration,
+    /// How long a second process waits for what the first one knows: it is looked for every `look`.
+    pub inherit: Duration,
     /// How long a second process waits for discovery before it takes clients.
     pub catch_up: Duration,
     /// How long the last connections may take to come up once others are steered to another process.
@@ -152,6 +154,7 @@
             look: Duration::from_millis(50),
             first_list: Duration::from_millis(600),
             catch_up: Duration::from_secs(1),
+            inherit: Duration::from_millis(250),
             sharers: Cell::new(1),
             steered: Duration::from_millis(100),
             south_connections: sockets * 3 / 10,
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -4,7 +4,7 @@
 use super::config::Limits;
 use super::pipe::Pipe;
 use crate::api::*;
-use crate::choice::{Gateway, View};
+use crate::choice::{Gateway, Learned, View};
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::ops::Range;
@@ -209,6 +209,11 @@
         (self.clock.at(Instant::now()), self.gateway.view())
     }
 
+    /// What the module has learned.
+    pub fn learned(&self) -> Learned {
+        self.gateway.learned()
+    }
+
     /// The next event that the module has yet to take, for tests.
     #[cfg(test)]
     pub(crate) fn untold(&mut self) -> Option<Event> {
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -4,7 +4,7 @@
 use super::pauses::Pauses;
 use super::Node;
 use crate::api::{Event, HostEntry, HostId, HostState, ListMode};
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
@@ -115,6 +115,29 @@
         names.get(number as usize).map_or(number, |name| index(&mut self.zones, name))
     }
 
+    /// The names of zones, by their numbers.
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
+    /// The list held, in discovery's form.
+    pub fn list(&self) -> Value {
+        let name = |names: &[String], number: u32| names.get(number as usize).cloned().unwrap_or_default();
+        let entries = self.told.iter().map(|(id, (entry, address))| {
+            let state = match entry.state {
+                HostState::Ready => "SERVING",
+                HostState::Draining => "DRAINING",
+                HostState::Gone => "DELETED",
+            };
+            json!({
+                "instanceId": id, "hostPort": address.to_string(), "zone": name(&self.zones, entry.zone),
+                "machineType": name(&self.kinds, entry.kind), "cell": entry.cell, "lifecycle": state,
+                "weight": entry.weight, "startedAtMs": entry.started / 1_000_000,
+            })
+        });
+        json!({ "generation": self.version, "reset": true, "instances": entries.collect::<Vec<_>>() })
+    }
+
     /// Whether discovery has told of hosts since the start.
     pub fn answered(&self) -> bool {
         self.answered
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -37,6 +37,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
+use tokio::time::{sleep, Instant};
 
 /// All parts of one limiter. One thread runs them; nothing is borrowed across a wait.
 pub struct Node {
@@ -165,9 +166,16 @@
         }
     };
     // Guards against clients that are refused for want of hosts while the process before this one still serves them.
-    let until = tokio::time::Instant::now() + node.limits.catch_up;
-    while node.twin.beside() && !node.inventory.borrow().answered() && tokio::time::Instant::now() < until {
-        tokio::time::sleep(node.limits.last_moment).await;
+    if node.twin.beside() {
+        twin::publish(&node);
+        let until = Instant::now() + node.limits.catch_up;
+        while !node.inventory.borrow().answered() && Instant::now() < until {
+            sleep(node.limits.last_moment).await;
+        }
+        let until = Instant::now() + node.limits.inherit;
+        while !twin::inherit(&node) && Instant::now() < until {
+            sleep(node.limits.last_moment).await;
+        }
     }
     let listener = open(listen).map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
     if let Some(staff) = staff {
--- a/src/net/twin.rs
+++ b/src/net/twin.rs
@@ -5,10 +5,10 @@
 use super::shutdown::unix;
 use super::task::spawn;
 use super::{inventory, Node};
-use crate::api::Nanos;
-use quartzcleat_operations::{State, Switch, VERSION};
+use crate::api::{Event, Nanos};
+use quartzcleat_operations::{Heritage, State, Switch, VERSION};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fs::{self, File, TryLockError};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -16,6 +16,8 @@
 use tokio::time::sleep;
 
 const PREFIX: &str = "quartzcleat-";
+/// The end of the name of what is handed to the process whose name comes before it.
+const HERITAGE: &str = "heritage";
 
 /// What is held of the other process, and of what it is told.
 pub struct Twin {
@@ -34,6 +36,8 @@
     seen: RefCell<HashMap<String, String>>,
     /// A living process of this limiter that takes clients, and when it started.
     other: Cell<Option<Nanos>>,
+    /// Later processes to which was handed over what this one knows.
+    heirs: RefCell<HashSet<String>>,
 }
 
 impl Twin {
@@ -52,6 +56,7 @@
             ended: RefCell::default(),
             seen: RefCell::default(),
             other: Cell::default(),
+            heirs: RefCell::default(),
         }
     }
 
@@ -151,6 +156,9 @@
         if alive && state.serving {
             other = other.max(Some(state.born));
         }
+        if alive && !state.serving && state.born > twin.born && twin.serving.get() {
+            hand_over(node, folder, stem);
+        }
         let known = twin.seen.borrow_mut().insert(file.clone(), text.clone()) == Some(text);
         if !known {
             take(node, &state);
@@ -158,7 +166,7 @@
         if !alive {
             // Its words are told anew by this process first.
             twin.published.set(None);
-            let files = [folder.join(&file), folder.join(format!("{stem}.lock"))];
+            let files = ["json", "lock", HERITAGE].map(|end| folder.join(format!("{stem}.{end}")));
             twin.ended.borrow_mut().extend(files);
         }
     }
@@ -178,6 +186,56 @@
     node.shutdown.say(|doors| doors.merge(state.drain));
 }
 
+/// Hands over what this process knows to a later one that is about to take clients, once.
+fn hand_over(node: &Rc<Node>, folder: &Path, heir: &str) {
+    let twin = &node.twin;
+    if !twin.heirs.borrow_mut().insert(heir.to_owned()) {
+        return;
+    }
+    let (inventory, learned) = (node.inventory.borrow(), node.core.borrow().learned());
+    let told = Heritage::new(&twin.name, &twin.listen, inventory.zones().to_vec(), inventory.list(), learned);
+    let draft = folder.join(format!("{heir}.draft"));
+    let written = fs::write(&draft, told.write())
+        .and_then(|()| fs::rename(&draft, folder.join(format!("{heir}.{HERITAGE}"))));
+    match written {
+        Ok(()) => tracing::info!("a later process of this limiter is told what this one knows"),
+        Err(e) => tracing::warn!("a later process of this limiter starts without what this one knows: {e}"),
+    }
+}
+
+/// Takes what another process handed over, if it has; whether nothing more is to be waited for.
+pub fn inherit(node: &Rc<Node>) -> bool {
+    let twin = &node.twin;
+    let Some(folder) = &twin.folder else { return true };
+    let file = folder.join(format!("{}.{HERITAGE}", twin.own));
+    let Ok(text) = fs::read_to_string(&file) else { return false };
+    drop(fs::remove_file(&file));
+    let mut told = match Heritage::read(&text, &twin.name, &twin.listen) {
+        Ok(told) => told,
+        Err(problem) => {
+            tracing::warn!("what another process handed over is left alone: {problem}");
+            return true;
+        }
+    };
+    if !node.inventory.borrow().answered() {
+        if let Err(problem) = inventory::restore(node, &told.list) {
+            tracing::warn!("the list that another process handed over is left alone: {problem}");
+        }
+    }
+    let mut inventory = node.inventory.borrow_mut();
+    for (zone, ..) in &mut told.learned.zones {
+        *zone = inventory.zone(&told.zones, *zone);
+    }
+    drop(inventory);
+    tracing::info!(
+        hosts = told.learned.hosts.len(),
+        customers = told.learned.customers.len(),
+        "goes on from what the process before it knew"
+    );
+    node.tell(Event::TakenOver { learned: Box::new(told.learned) });
+    true
+}
+
 /// Tells and looks now and then.
 pub fn start(node: &Rc<Node>) {
     publish(node);
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -293,6 +293,23 @@
     served_again(&limiter);
 }
 
+/// A version that starts while discovery is silent has the list that the first one holds, and serves by it.
+#[test]
+fn a_new_version_serves_by_the_list_handed_over() {
+    let mut limiter = start(39, false, |text| text);
+    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 1, CHECK, ""), 1), served(1));
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("an address");
+    limiter.discovery = silent.local_addr().expect("an address");
+    let mut first = limiter.upgrade(72);
+    first.kill().expect("it is killed");
+    first.wait().expect("it ends");
+    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1), served(2));
+    let left = std::fs::read_dir(&limiter.folder).expect("it is there").flatten();
+    let left =
+        left.filter(|file| file.path().extension().is_some_and(|end| end == "heritage" || end == "draft"));
+    assert_eq!(left.count(), 0, "what was handed over is taken away");
+}
+
 /// The length of the value that an answer announces.
 fn announced(client: &mut TcpStream) -> usize {
     let (mut head, mut byte) = (String::new(), [0]);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use quartzcleat::api::*;
+use quartzcleat::choice::Learned;
 
 #[test]
 fn a_request_is_answered_before_its_time_is_up() {
@@ -88,6 +89,48 @@
     assert!(slow < least && well > 1.2 * slow && well < 1.25 * least, "{slow} {well}");
 }
 
+/// A gateway in another's place goes on from what that one had learned; of a host that is another process now, of
+/// requests under way, and of what is out of range, nothing holds.
+#[test]
+fn what_was_learned_holds_in_the_next_one_s_hands() {
+    let mut named = settings();
+    named.classes.iter_mut().zip(["a", "b", "c", "d"]).for_each(|(class, name)| class.name = name.into());
+    let mut first = Rig::new(named.clone(), 3);
+    for customer in 0..30 {
+        let (id, host) = first.passed(0, customer);
+        let took = if host == HostId(2) { 400 * MS } else { 20 * MS };
+        first.ended(id, host, Ended { took, ..Ended::default() });
+    }
+    first.passed(0, 99);
+    let told = first.gateway.learned();
+    let slowness = |rig: &Rig, host: usize| rig.gateway.learned().hosts[host - 1].slowness.0;
+    assert!(slowness(&first, 2) > 2.0 && told.customers.len() == 31);
+    let second = |told: &Learned, later: u64| {
+        let mut rig = Rig::new(named.clone(), 3);
+        rig.hosts(ListMode::Update, vec![HostEntry { started: rig.now, ..paired(1) }]);
+        rig.now += later;
+        assert!(rig.event(Event::TakenOver { learned: Box::new(told.clone()) }).is_empty());
+        rig
+    };
+    let heir = second(&told, 0);
+    assert_eq!(slowness(&heir, 2), slowness(&first, 2));
+    assert_eq!(slowness(&heir, 1), 1.0, "it has started anew");
+    let now = heir.gateway.learned();
+    assert_eq!((&now.classes, &now.customers, now.room), (&told.classes, &told.customers, told.room));
+    assert_eq!(now.classes.len(), settings().classes.len() + 1);
+    assert_eq!(heir.gateway.view().out, 0, "what is out stays with the first");
+    assert_eq!(second(&told, 11 * S).gateway.learned().customers, [], "too old");
+    let mut broken = Learned { ask: (f64::NAN, -1.0), let_in: (9.0, f64::INFINITY, u64::MAX, -1.0), ..told };
+    broken.room = f64::NAN;
+    broken.hosts.iter_mut().for_each(|host| (host.slowness, host.room) = ((-5.0, 1e300, u64::MAX), 0.0));
+    broken.customers.iter_mut().for_each(|seen| (seen.totals.0, seen.seen) = (f64::NAN, (1e300, u64::MAX)));
+    let (mut rig, fresh) = (second(&broken, 0), Rig::new(named.clone(), 3).gateway.learned());
+    let now = rig.gateway.learned();
+    assert_eq!((now.ask.0, now.let_in.0, now.room), (fresh.ask.0, 1.0, fresh.room));
+    let (id, host) = rig.passed(0, 5);
+    rig.done(id, 0, host, Outcome::Good, true);
+}
+
 /// Where hosts are short, what is worth more for its work goes first, though it came later.
 #[test]
 fn who_waits_goes_by_worth_for_work() {
