Discovery: the whole list is asked for each second, so that a lost watch is noticed

A release replaced nine hosts unseen: 246 attempts in a second to one dead host.

Change: where discovery pushes, the whole list is asked for each second beside the watch, 0.5 s at most; a newer one holds. One more descriptor.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -102,6 +102,10 @@
     pub watch: Duration,
     /// How much later its answer may come.
     pub watch_slack: Duration,
+    /// How often the whole list is asked for beside the watch, where that costs nothing.
+    pub check: Duration,
+    /// How long that may take.
+    pub check_time: Duration,
     /// The pause before a connection that failed is made again.
     pub again: Duration,
     /// Whether discovery is one service of fixed capacity that all limiters ask in turn.
@@ -175,6 +179,8 @@
             list_bytes: 4 << 20,
             watch: Duration::from_secs(20),
             watch_slack: Duration::from_secs(2),
+            check: Duration::from_secs(1),
+            check_time: Duration::from_millis(500),
             again: Duration::from_millis(100),
             list_by_asking: settings.discovery_by_asking,
             // 25 calls a second by all limiters, however many: of 100 made at once 60 waited 2 s in vain, of 100 spread
@@ -395,7 +401,7 @@
         for sockets in [128, 1024, 4096] {
             let limits = example("1024", &sockets.to_string());
             let crowd = limits.north_connections + limits.north_connections / 16 + 1;
-            let all = crowd + limits.south_connections + 1 + limits.counter_links + limits.callers + 1;
+            let all = crowd + limits.south_connections + 2 + limits.counter_links + limits.callers + 1;
             assert!(all + 6 < sockets, "{all} of {sockets}");
         }
     }
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -241,6 +241,36 @@
     }
 }
 
+/// Asks for the whole list now and then, beside the watch. Guards against a watch whose answer is lost: until its wait
+/// is over it looks the same as one that has nothing to tell, and hosts come and go unseen.
+pub async fn check(node: Rc<Node>) {
+    loop {
+        sleep(node.limits.check).await;
+        let address = node.addresses.borrow().discovery;
+        // Whatever fails here the watch meets too, and tells.
+        if let Ok(Ok(list)) = timeout(node.limits.check_time, whole_list(&node, address)).await {
+            if list.whole && list.version > node.inventory.borrow().version {
+                tracing::info!(
+                    held = node.inventory.borrow().version,
+                    version = list.version,
+                    "the watch is behind"
+                );
+                apply(&node, list, ListMode::Replace);
+            }
+        }
+    }
+}
+
+async fn whole_list(node: &Rc<Node>, address: SocketAddr) -> Result<List, String> {
+    let mut stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let call = format!("GET /discovery/hosts HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
+    let limits = &node.limits;
+    let answer = answer(&mut stream, &mut Vec::new(), limits.check_time, limits).await;
+    let list = serde_json::from_slice(&answer.map_err(|e| e.to_string())?.0).map_err(|e| e.to_string())?;
+    node.inventory.borrow_mut().read(&list)
+}
+
 async fn watch(node: &Rc<Node>, address: SocketAddr, pauses: &mut Pauses) -> Result<(), String> {
     let limits = &node.limits;
     let connect = timeout(limits.connect.get(), TcpStream::connect(address)).await;
@@ -366,6 +396,8 @@
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
+    use crate::net::task::spawn;
+    use tokio::net::TcpListener;
 
     /// Takes a whole list of one server, that serves.
     pub(crate) fn told(node: &Rc<Node>, name: &str) {
@@ -406,6 +438,45 @@
         assert!(problem.starts_with("instances: hostPort"), "{problem}");
     }
 
+    /// A watch whose answer is lost: what changed is known by the next look at the whole list, and a list that is no
+    /// newer than the one held changes nothing.
+    #[test]
+    fn a_watch_that_is_lost_is_made_up_for() {
+        let text = |version: u64, state: &str| {
+            let body = format!(
+                r#"{{"generation":{version},"reset":true,"instances":[{{"instanceId":"s-1","zone":"a",
+                "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
+            );
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        };
+        crate::net::tests::with_node(&[("127.0.0.1:7001", "127.77.0.24:7001")], |node| async move {
+            let discovery = TcpListener::bind("127.77.0.24:7001").await.expect("the address is free");
+            spawn(follow(node.clone(), Pauses::of(&node.limits, 1)));
+            spawn(check(node.clone()));
+            let mut watches = Vec::new();
+            let mut told = Vec::new();
+            // The first list, two that are no newer, and a newer one; the watch is never answered.
+            let answers = [(4, "SERVING"), (4, "DRAINING"), (3, "DRAINING"), (5, "DRAINING")];
+            for (version, state) in answers {
+                let (mut stream, _) = discovery.accept().await.expect("the limiter asks");
+                let mut call = vec![0; 512];
+                let count = stream.read(&mut call).await.expect("it asks");
+                assert!(call[..count].starts_with(b"GET /discovery/hosts HTTP"), "the whole list");
+                stream.write_all(text(version, state).as_bytes()).await.expect("the limiter reads");
+                watches.push(stream);
+            }
+            while told.len() < 2 {
+                match crate::net::tests::next(&node).await {
+                    Event::Hosts { version, mode: ListMode::Replace, entries } => {
+                        told.push((version, entries[0].state));
+                    }
+                    other => panic!("{other:?}"),
+                }
+            }
+            assert_eq!(told, [(4, HostState::Ready), (5, HostState::Draining)]);
+        });
+    }
+
     /// Two hundred times out and back, while discovery goes on saying the opposite: told as draining at once and for as
     /// long as it is out, on changes, whole lists and silence alike, and as ready at the call back.
     #[test]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -158,6 +158,9 @@
     counter::start(&node);
     tally::start(&node);
     task::spawn(inventory::follow(node.clone(), pauses));
+    if !node.limits.list_by_asking {
+        task::spawn(inventory::check(node.clone()));
+    }
     let staff = match console {
         None => None,
         Some(at) => {
