--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -131,6 +131,28 @@
     rig.done(id, 0, host, Outcome::Good, true);
 }
 
+/// With every host out of service a request is refused at the next look, and told when to come; where none was ever
+/// listed it waits for a list.
+#[test]
+fn where_no_listed_host_serves_nobody_waits_for_one() {
+    let answer = |hosts: u32| {
+        let mut rig = Rig::new(settings(), hosts);
+        rig.spread = 1;
+        let out = |id| HostEntry { state: HostState::Draining, ..paired(id) };
+        rig.hosts(ListMode::Update, (1..=hosts).map(out).collect());
+        let (id, add) = rig.request(0, 5, 0.1);
+        let (name, amount) = count(&add).expect("an add before the verdict");
+        let mut actions = rig.counted(&name, Outcome::Good, amount);
+        if let Some((previous, _)) = count(&actions) {
+            actions = rig.counted(&previous, Outcome::Good, 0.0);
+        }
+        actions.extend(rig.timer("held"));
+        refused(&actions, id)
+    };
+    assert!(answer(3).is_some_and(|wait| wait > 0), "refused at once");
+    assert_eq!(answer(0), None, "it waits");
+}
+
 /// Where hosts are short, what is worth more for its work goes first, though it came later.
 #[test]
 fn who_waits_goes_by_worth_for_work() {
