Quota: a shorter window with a head start refuses fewer customers inside their quotas

A window of 1.5 bursts without a head start grants 1.5 bursts at once (half of one too many) and after that withholds a burst from who keeps near its rate, for as long as it does: its bucket would be full while the estimate stands at the limit. Lines: WINDOW_BURSTS and window() in quota.rs, and judge_locally(), which granted the same limit on own adds alone.

--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -4,8 +4,10 @@
 use crate::hosts::{Host, SMOOTHING};
 use crate::life::{nanos, seconds, Actions, Gateway, Job, Stage, SECOND};
 
-/// Window length in bursts: its head start (limit less burst) about makes up for what its edge withholds.
-const WINDOW_BURSTS: f64 = 1.5;
+/// Window length, and how far known totals may pass its rate, in bursts: by tries on two deployments. Guards
+/// against refusing who has hardly used its burst. A longer window grants more at once than there is.
+const WINDOW_BURSTS: f64 = 0.9;
+const HEAD_START: f64 = 0.3;
 /// A request waits for the counter at most this part of its aim.
 const WAIT_PART_OF_AIM: f64 = 0.1;
 /// Share of the counter's time-out that its answers may take; the part of the requests that ask follows it.
@@ -76,7 +78,7 @@
         let burst = plan.burst.max(self.set.largest_request);
         // A name lives for 60 s at most and must outlast two windows.
         let length = (WINDOW_BURSTS * burst / plan.rate).clamp(0.1, 25.0);
-        (nanos(length), (plan.rate * length).max(burst))
+        (nanos(length), (plan.rate * length + HEAD_START * burst).max(burst))
     }
 
     /// After so long without a request nothing that is known of a customer tells any more: its windows are
@@ -188,15 +190,14 @@
 
     /// The part of the requests that ask, by what the calls meet: less as answers near the time-out or fail.
     fn learn_of_counter(&mut self, outcome: Outcome, took: Nanos, out: &mut Actions) {
-        let good = outcome == Outcome::Good;
-        let delay = if good { took as f64 / self.set.counter_timeout.max(1) as f64 } else { 1.0 };
+        let part = took as f64 / self.set.counter_timeout.max(1) as f64;
+        let delay = if outcome == Outcome::Good { part } else { 1.0 };
         self.ask = (self.ask * (ASK_GAIN * (COUNTER_TARGET - delay)).exp()).clamp(ASK_LEAST, 1.0);
         let trouble = self.ask <= ASK_LEAST * if self.counter_trouble { 4.0 } else { 2.0 };
         if trouble != self.counter_trouble {
             self.counter_trouble = trouble;
-            let text = ["counter answers again", "counter in trouble: judging on what is known"]
-                [usize::from(trouble)];
-            out.push(Action::Log { text: text.to_owned() });
+            let text = ["counter answers again", "counter in trouble: judging on what is known"];
+            out.push(Action::Log { text: text[usize::from(trouble)].to_owned() });
         }
     }
 
@@ -214,9 +215,7 @@
         let q = self.quotas.entry(call.customer).or_default();
         if call.job.is_none() && call.amount == 0.0 {
             if q.window == call.window + 1 {
-                if good {
-                    q.previous = q.previous.max(total);
-                }
+                q.previous = if good { q.previous.max(total) } else { q.previous };
                 (q.previous_read, q.reading) = (good, false);
             }
             for id in std::mem::take(&mut q.waiting) {
@@ -287,21 +286,22 @@
         }
     }
 
-    /// The verdict while the counter is silent: the last totals and this gateway's own adds. Whoever is not
-    /// known to be over the limit passes.
+    /// The verdict while the counter is silent: by last totals and own adds. Who is not known to be over passes.
     pub(crate) fn judge_locally(&mut self, id: RequestId, out: &mut Actions) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Counting) else { return };
         let (customer, charged, units, spread) = (job.customer, job.charged, job.units, job.spread);
         let (rate, (length, limit)) = (self.set.plans[job.plan].rate, self.window(job.plan));
-        let many = self.many(limit, spread);
+        // Guards against every gateway granting the head start on what it cannot see.
+        let seen = if self.set.counter { rate * seconds(length) } else { limit };
+        let many = self.many(seen, spread);
         let (now, part) = (self.now, if self.set.counter { 1.0 - self.ask } else { 1.0 });
         let q = self.quota(customer, length);
         let weight = charged.filter(|(window, _)| *window == q.window).map(|(_, weight)| weight);
         let unasked = if weight.is_some() { 0.0 } else { units };
         let known = q.known - weight.map_or(0.0, |weight| (weight - 1.0) * units);
-        let share = q.share(spread, limit);
+        let share = q.share(spread, seen);
         let gained = seconds(now - q.stored_at) * rate * share * part;
-        q.store = (q.store + gained).min((limit * share).max(units));
+        q.store = (q.store + gained).min((seen * share).max(units));
         q.stored_at = now;
         let mine = (q.pending + q.owed + unasked) / share;
         let known_over = estimate(q.previous, known, now, length) > limit;
@@ -309,7 +309,7 @@
         // Where its share is too small to tell, what comes here still tells of a customer far over.
         let used =
             (q.seen + USE_BEFORE * UNITS_BEFORE) / (rate * SEEN_FADES / f64::from(spread) + UNITS_BEFORE);
-        let beyond = if many { q.store < units && by_share > limit } else { used > USED_AT_MOST };
+        let beyond = if many { q.store < units && by_share > seen } else { used > USED_AT_MOST };
         if known_over || beyond {
             return self.refuse(id, known_over, out);
         }
