--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod module;
 mod pair;
 mod speed;
+mod trial;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -27,6 +28,8 @@
     Module(module::Module),
     /// Time of a run of expectations against cores and their number.
     Speed(speed::Speed),
+    /// A story played with many seeds before real processes, with faults between them.
+    Trial(trial::Trial),
 }
 
 fn main() -> ExitCode {
@@ -35,6 +38,7 @@
         Command::Damage(damage) => damage.run(),
         Command::Module(module) => module.run(),
         Command::Speed(speed) => speed.run(),
+        Command::Trial(trial) => trial.run(),
     };
     match told {
         Ok(text) => {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod day;
 pub mod fault;
 pub mod figure;
+pub mod lease;
 pub mod platform;
 pub mod product;
 pub mod quantity;
--- a/crates/settings/src/product.rs
+++ b/crates/settings/src/product.rs
@@ -2,6 +2,7 @@
 //! defaults here hold, and nothing that the platform does not allow is on.
 
 use crate::fault::Faults;
+use crate::lease::{self, Lease};
 use crate::reader::{one_of, text, Reader};
 use crate::{quantity, tree};
 use std::sync::Arc;
@@ -45,6 +46,8 @@
     pub log: Log,
     /// How often the tally of what was done and is believed is logged; never without.
     pub tally: Option<Duration>,
+    /// Leases for fleet-wide tasks; none without.
+    pub lease: Option<Lease>,
 }
 
 impl Product {
@@ -62,8 +65,9 @@
         if tally == Some(Duration::ZERO) {
             top.fault("tally", "0; leave it out to have none, or write a time such as 1s", &mut faults);
         }
+        let lease = top.node("lease").and_then(|node| lease::read(&file, node, &mut faults));
         top.end(&mut faults);
-        faults.or(Product { log, tally })
+        faults.or(Product { log, tally, lease })
     }
 }
 
--- /dev/null
+++ b/crates/trials/src/target.rs
@@ -0,0 +1,99 @@
+//! The target of acts: checks tokens as any target should, and writes the truth with one clock.
+
+use quartzcleat_lease::{Highest, Token};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout, Instant};
+
+/// An act as the target saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// When its line was whole, and when it was answered.
+    pub from: Duration,
+    /// See `from`.
+    pub to: Duration,
+    /// What it carried.
+    pub token: Token,
+    /// Whether it was let in.
+    pub accepted: bool,
+}
+
+/// The target.
+pub struct Target {
+    began: Instant,
+    highest: Cell<Highest>,
+    /// Whether tokens are checked; without, the trial shows what the check is for.
+    checks: bool,
+    /// How long an act takes here.
+    takes: Duration,
+    /// All acts, in the order in which they were let in or refused.
+    pub seen: RefCell<Vec<Seen>>,
+}
+
+impl Target {
+    /// A target that has seen nothing.
+    pub fn new(checks: bool, takes: Duration) -> Rc<Self> {
+        let (highest, seen) = (Cell::default(), RefCell::default());
+        Rc::new(Target { began: Instant::now(), highest, checks, takes, seen })
+    }
+
+    /// Time since the target began.
+    pub fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// The limiter whose act was let in last.
+    pub fn holder(&self) -> Option<usize> {
+        let seen = self.seen.borrow();
+        seen.iter().rev().find(|act| act.accepted).map(|act| act.token.bidder as usize)
+    }
+
+    /// Serves acts.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let target = self.clone();
+            tokio::task::spawn_local(async move {
+                // A caller that was paused may take long to write its line.
+                let _ = timeout(Duration::from_secs(30), target.hear(stream)).await;
+            });
+        }
+    }
+
+    async fn hear(&self, stream: TcpStream) -> std::io::Result<()> {
+        let (reader, mut writer) = stream.into_split();
+        let mut line = String::new();
+        BufReader::new(reader.take(256)).read_line(&mut line).await?;
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let number = |index: usize| words.get(index).and_then(|word| word.parse::<u64>().ok());
+        let (Some("ACT"), Some(round), Some(bidder), Some(boot)) =
+            (words.first().copied(), number(2), number(3), number(4))
+        else {
+            return writer.write_all(b"ERR no act\n").await;
+        };
+        let token = Token { round, bidder: bidder as u32, boot: boot as u32 };
+        let from = self.now();
+        let mut highest = self.highest.get();
+        let admitted = highest.admit(token);
+        let accepted = admitted.is_ok() || !self.checks;
+        self.highest.set(highest);
+        let index = self.seen.borrow().len();
+        self.seen.borrow_mut().push(Seen { from, to: from, token, accepted });
+        let answer = match admitted {
+            Err(outdated) if !accepted => {
+                let Token { round, bidder, boot } = outdated.seen;
+                format!("OUTDATED {round} {bidder} {boot}\n")
+            }
+            _ => {
+                sleep(self.takes).await;
+                "OK\n".to_owned()
+            }
+        };
+        let to = self.now();
+        self.seen.borrow_mut()[index].to = to;
+        writer.write_all(answer.as_bytes()).await
+    }
+}
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -22,7 +22,7 @@
     let served = product(config).and_then(|product| {
         telling::begin(&product.log)?;
         let config = config::from_environment()?;
-        net::serve(config::Config { tally: product.tally, ..config })
+        net::serve(config::Config { tally: product.tally, lease: product.lease, ..config })
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -252,6 +252,8 @@
     pub file: Value,
     /// How often the tally is told, from our own file; not at all without.
     pub tally: Option<Duration>,
+    /// Leases for fleet-wide tasks, from our own file; not at all without.
+    pub lease: Option<quartzcleat_settings::lease::Lease>,
 }
 
 fn variable(name: &str) -> Option<String> {
@@ -371,6 +373,7 @@
         limits,
         file,
         tally: None,
+        lease: None,
     })
 }
 
--- /dev/null
+++ b/src/net/leases.rs
@@ -0,0 +1,265 @@
+//! Leases at work: the votes and bids of `quartzcleat_lease` on datagrams, and the tasks of whoever holds one. Off
+//! without a section `lease` in our own file. Decides nothing itself.
+
+use super::peers::{Peers, LEASES};
+use super::shutdown::{unix, Phase, Shutdown};
+use super::task::spawn;
+use quartzcleat_lease::{turn, Act, Bidder, Body, Key, Message, Nanos, Terms, Token, Voter, MOST_BYTES};
+use quartzcleat_settings::lease::{Lease, Task};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+
+/// The longest answer of a target, in bytes.
+const ANSWER: u64 = 128;
+/// The longest time until bids are looked at again.
+const LOOK: Nanos = 1_000_000_000;
+/// How often the own address is tried again while the process before this one still has it.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Votes, bids and acts of this process.
+struct Leases {
+    began: Instant,
+    peers: Peers,
+    me: u32,
+    voters: Vec<u32>,
+    voter: RefCell<Voter>,
+    bids: RefCell<Vec<Bidder>>,
+    /// Whether each task's lease was held when last looked.
+    held: RefCell<Vec<Option<Token>>>,
+    /// Acts under way.
+    acting: Cell<usize>,
+    news: Notify,
+}
+
+/// Starts voting, bidding and acting; once the process before this one has left its address, if there is one. Two
+/// processes of one limiter are one voter: the later one is quiet as after any start.
+///
+/// # Errors
+/// Where the key cannot be read or the own address is not to be had; what to do about it.
+pub async fn start(lease: Lease, shutdown: &Shutdown) -> Result<(), String> {
+    let secret = std::fs::read(&lease.key);
+    let secret = secret.map_err(|e| format!("lease.key: cannot read {}: {e}", lease.key.display()))?;
+    if secret.is_empty() {
+        return Err(format!("lease.key: {} is empty; put some random bytes there", lease.key.display()));
+    }
+    let key = Key::new(&secret);
+    let mut phases = shutdown.changes();
+    let me = lease.limiters.keys().position(|name| *name == lease.me).unwrap_or_default() as u32;
+    let addresses: Vec<_> = lease.limiters.values().copied().collect();
+    match Peers::listen(key.clone(), me, addresses.clone()).await {
+        Ok(peers) => begin(lease, peers, me, phases),
+        Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => {
+            tracing::info!("leases wait until {} is free", addresses[me as usize]);
+            spawn(async move {
+                while *phases.borrow_and_update() == Phase::Serving {
+                    sleep(AGAIN).await;
+                    if let Ok(peers) = Peers::listen(key.clone(), me, addresses.clone()).await {
+                        return begin(lease, peers, me, phases);
+                    }
+                }
+            });
+        }
+        Err(e) => {
+            return Err(format!(
+                "lease.limiters.{}: cannot listen on {}: {e}",
+                lease.me, addresses[me as usize]
+            ))
+        }
+    }
+    Ok(())
+}
+
+fn begin(lease: Lease, peers: Peers, me: u32, mut phases: watch::Receiver<Phase>) {
+    let names: Vec<String> = lease.limiters.keys().cloned().collect();
+    let number = |name: &String| names.iter().position(|other| other == name).unwrap_or_default() as u32;
+    let terms = Terms { length: lease.length.as_nanos() as Nanos, drift: lease.drift };
+    let round = unix() / 1_000_000;
+    // Another for each process of this limiter.
+    let boot = (unix() >> 10) as u32 ^ std::process::id().rotate_left(16);
+    let bid = |task: &Task| {
+        let mut bidder = Bidder::new(terms, &task.name, me, boot, lease.voters.len(), round, 0);
+        // All ranks have had their turn within a lease.
+        bidder.wait_turn(0, turn(&task.name, &lease.me, &names, terms.length / 32));
+        bidder
+    };
+    let leases = Rc::new(Leases {
+        began: Instant::now(),
+        peers,
+        me,
+        voters: lease.voters.iter().map(number).collect(),
+        voter: RefCell::new(Voter::new(terms, 0)),
+        bids: RefCell::new(lease.tasks.iter().map(bid).collect()),
+        held: RefCell::new(vec![None; lease.tasks.len()]),
+        acting: Cell::default(),
+        news: Notify::new(),
+    });
+    for (index, task) in lease.tasks.into_iter().enumerate() {
+        spawn(leases.clone().work(index, task));
+    }
+    spawn(leases.clone().listen());
+    spawn(leases.clone().bid());
+    spawn(async move {
+        if phases.wait_for(|phase| *phase != Phase::Serving).await.is_ok() {
+            leases.give_up().await;
+        }
+    });
+}
+
+impl Leases {
+    fn now(&self) -> Nanos {
+        self.began.elapsed().as_nanos() as Nanos
+    }
+
+    async fn listen(self: Rc<Self>) {
+        loop {
+            let (kind, sender, bytes) = self.peers.next().await;
+            let message = Message::read(&bytes).ok().filter(|_| kind == LEASES && bytes.len() <= MOST_BYTES);
+            match message {
+                Some(message) => self.hear(sender, &message),
+                None => self.peers.drop(|count| count.torn += 1),
+            }
+        }
+    }
+
+    /// Takes a message of another limiter's or the own one's.
+    fn hear(self: &Rc<Self>, sender: u32, message: &Message) {
+        match message.body {
+            // Nobody bids in another's name.
+            Body::Prepare | Body::Propose | Body::GivenUp if message.ballot.bidder != sender => {
+                self.peers.drop(|count| count.stranger += 1);
+            }
+            Body::Prepare | Body::Propose | Body::GivenUp => {
+                if !self.voters.contains(&self.me) {
+                    return;
+                }
+                let answer = self.voter.borrow_mut().handle(self.now(), message);
+                if let Some(body) = answer {
+                    self.say(sender, &Message { body, ..message.clone() });
+                }
+            }
+            Body::Free | Body::Refused { .. } | Body::Voted if self.voters.contains(&sender) => {
+                let now = self.now();
+                let more: Vec<Message> = {
+                    let mut bids = self.bids.borrow_mut();
+                    bids.iter_mut().filter_map(|bid| bid.handle(now, sender, message)).collect()
+                };
+                more.iter().for_each(|message| self.ask(message));
+                self.look();
+                self.news.notify_one();
+            }
+            _ => self.peers.drop(|count| count.stranger += 1),
+        }
+    }
+
+    fn say(self: &Rc<Self>, to: u32, message: &Message) {
+        if to == self.me {
+            return self.hear(to, message);
+        }
+        let mut bytes = Vec::with_capacity(MOST_BYTES);
+        message.write(&mut bytes);
+        self.peers.tell(to, LEASES, &bytes);
+    }
+
+    /// Sends a message to all voters.
+    fn ask(self: &Rc<Self>, message: &Message) {
+        for voter in &self.voters {
+            self.say(*voter, message);
+        }
+    }
+
+    /// Bids where that is due.
+    async fn bid(self: Rc<Self>) {
+        loop {
+            let now = self.now();
+            let asked: Vec<Message> =
+                self.bids.borrow_mut().iter_mut().filter_map(|bid| bid.tick(now)).collect();
+            asked.iter().for_each(|message| self.ask(message));
+            self.look();
+            let due = self.bids.borrow().iter().map(Bidder::due).min().unwrap_or(Nanos::MAX);
+            // Some of it may be due already: its answers have to be heard first.
+            let until = due.clamp(now + 1_000_000, now + LOOK);
+            tokio::select! {
+                () = sleep_until(self.began + Duration::from_nanos(until)) => {}
+                () = self.news.notified() => {}
+            }
+        }
+    }
+
+    /// Tells the log what has changed hands.
+    fn look(&self) {
+        let now = self.now();
+        for (held, bid) in self.held.borrow_mut().iter_mut().zip(self.bids.borrow().iter()) {
+            let token = bid.held(now).map(|guard| guard.token());
+            if *held != token {
+                let (task, round) = (bid.task(), token.map(|token| token.round));
+                tracing::info!(task, round, "lease {}", if round.is_some() { "taken" } else { "over" });
+                *held = token;
+            }
+        }
+    }
+
+    /// Acts for the fleet, while the lease is held.
+    async fn work(self: Rc<Self>, index: usize, task: Task) {
+        let mut number = 0u64;
+        loop {
+            sleep(task.every).await;
+            let now = self.now();
+            let guard = self.bids.borrow()[index].held(now);
+            let Some(act) = guard.and_then(|guard| guard.begin(now, task.longest.as_nanos() as Nanos)) else {
+                continue;
+            };
+            number += 1;
+            self.acting.set(self.acting.get() + 1);
+            let by = self.began + Duration::from_nanos(act.by);
+            let done = timeout_at(by, beat(&task, act, number)).await;
+            self.acting.set(self.acting.get() - 1);
+            self.news.notify_one();
+            match done {
+                Ok(Ok(None)) => {}
+                Ok(Ok(Some(seen))) => {
+                    tracing::warn!(task = task.name, "a later holder has acted: the lease is dropped");
+                    self.bids.borrow_mut()[index].outdated(self.now(), seen);
+                }
+                Ok(Err(e)) => tracing::warn!(task = task.name, "the target does not answer: {e}"),
+                Err(_) => tracing::warn!(task = task.name, "an act did not end in time"),
+            }
+        }
+    }
+
+    /// Gives all leases up, once the acts under way are over: nothing new is begun meanwhile.
+    async fn give_up(self: Rc<Self>) {
+        let now = self.now();
+        let given: Vec<Message> =
+            self.bids.borrow_mut().iter_mut().filter_map(|bid| bid.give_up(now)).collect();
+        while self.acting.get() > 0 {
+            self.news.notified().await;
+        }
+        given.iter().for_each(|message| self.ask(message));
+        self.look();
+    }
+}
+
+/// One act: a line with the token, which the target checks. What it has seen where that is greater.
+async fn beat(task: &Task, act: Act, number: u64) -> std::io::Result<Option<Token>> {
+    let Token { round, bidder, boot } = act.token;
+    let mut stream = BufReader::new(TcpStream::connect(task.target).await?);
+    let line = format!("ACT {} {round} {bidder} {boot} {number}\n", task.name);
+    stream.write_all(line.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.take(ANSWER).read_line(&mut answer).await?;
+    let words: Vec<&str> = answer.split_whitespace().collect();
+    let spoilt = || std::io::Error::other(format!("{answer:?} is neither OK nor OUTDATED with a token"));
+    match words.as_slice() {
+        ["OK"] => Ok(None),
+        ["OUTDATED", round, bidder, boot] => match (round.parse(), bidder.parse(), boot.parse()) {
+            (Ok(round), Ok(bidder), Ok(boot)) => Ok(Some(Token { round, bidder, boot })),
+            _ => Err(spoilt()),
+        },
+        _ => Err(spoilt()),
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,7 +9,9 @@
 pub mod counter;
 pub mod front;
 pub mod inventory;
+pub mod leases;
 pub mod pauses;
+pub mod peers;
 pub mod pipe;
 pub mod platform;
 pub mod reload;
@@ -147,11 +149,15 @@
 
 async fn run(config: Config) -> Result<(), String> {
     let (listen, console, known) = (config.listen, config.console, config.known.clone());
+    let lease = config.lease.clone();
     let pauses = Pauses::of(&config.limits, config.seed);
     let node = Node::new(config);
     // Before anything is answered, so that no signal finds the program without a handler.
     shutdown::watch(&node)?;
     reload::watch(&node)?;
+    if let Some(lease) = lease {
+        leases::start(lease, &node.shutdown).await?;
+    }
     // What another process knows goes before the first list is believed.
     twin::look(&node);
     inventory::restore(&node, &known)?;
