--- a/src/net/leases.rs
+++ b/src/net/leases.rs
@@ -21,6 +21,9 @@
 /// How often the own address is tried again while the process before this one still has it.
 const AGAIN: Duration = Duration::from_millis(200);
 
+/// How often it is looked whether the last act is over, before a lease is given up.
+const ACTS_END: Duration = Duration::from_millis(2);
+
 /// Votes, bids and acts of this process.
 struct Leases {
     began: Instant,
@@ -218,7 +221,6 @@
             let by = self.began + Duration::from_nanos(act.by);
             let done = timeout_at(by, beat(&task, act, number)).await;
             self.acting.set(self.acting.get() - 1);
-            self.news.notify_one();
             match done {
                 Ok(Ok(None)) => {}
                 Ok(Ok(Some(seen))) => {
@@ -237,7 +239,7 @@
         let given: Vec<Message> =
             self.bids.borrow_mut().iter_mut().filter_map(|bid| bid.give_up(now)).collect();
         while self.acting.get() > 0 {
-            self.news.notified().await;
+            sleep(ACTS_END).await;
         }
         given.iter().for_each(|message| self.ask(message));
         self.look();
