Leases: a voter promises nothing to whom it refuses, so that a holder can renew among many

Cause, by reading: a refused Prepare raised the promise all the same, so that of 300 bidders each could outbid the holder's renewal. Lines: Voter::handle. With a test that fails without it.

--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -45,14 +45,12 @@
         };
         match message.body {
             // Strictly greater: two processes of one bidder that came to one number are told apart.
-            Body::Prepare if ballot <= vote.promised => refused(vote),
+            // Who is refused is promised nothing: guards against many bidders that raise the ballot past a holder that
+            // would renew.
+            Body::Prepare if ballot <= vote.promised || other.is_some() => refused(vote),
             Body::Prepare => {
                 vote.promised = ballot;
-                if other.is_some() {
-                    refused(vote)
-                } else {
-                    Some(Body::Free)
-                }
+                Some(Body::Free)
             }
             Body::Propose if ballot < vote.promised || other.is_some() => refused(vote),
             Body::Propose => {
@@ -72,3 +70,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn message(round: u64, bidder: u32, body: Body) -> Message {
+        Message { task: "t".into(), ballot: Ballot { round, bidder, boot: 1 }, body }
+    }
+
+    #[test]
+    fn a_bidder_that_is_refused_does_not_outbid_the_holder_that_renews() {
+        let terms = Terms { length: 1_000, drift: 10 };
+        let mut voter = Voter::new(terms, 0);
+        assert_eq!(voter.handle(0, &message(1, 0, Body::Prepare)), None, "quiet after its start");
+        let now = terms.quiet();
+        assert_eq!(voter.handle(now, &message(1, 0, Body::Prepare)), Some(Body::Free));
+        assert_eq!(voter.handle(now, &message(1, 0, Body::Propose)), Some(Body::Voted));
+        let refused = voter.handle(now, &message(9, 1, Body::Prepare));
+        assert!(matches!(refused, Some(Body::Refused { left: 1_000, .. })), "{refused:?}");
+        assert_eq!(voter.handle(now, &message(2, 0, Body::Prepare)), Some(Body::Free), "the holder renews");
+    }
+}
--- a/crates/lease/tests/small.rs
+++ b/crates/lease/tests/small.rs
@@ -286,6 +286,12 @@
         for taken in 0..60 {
             let mut steps = Vec::new();
             small.actions(&world, &mut steps);
+            // Every other walk is without restarts and handing over, so that it comes to what time alone does.
+            if seed % 2 == 1 {
+                steps.retain(|step| {
+                    !matches!(step, Step::RestartVoter(_) | Step::RestartBidder(_) | Step::GiveUp(_))
+                });
+            }
             // The latest question goes on half of the time: without that walks hardly ever come to a lease.
             let latest = world.asked.last();
             let goes_on = |step: &&Step| matches!(step, Step::Ask(_, asked, true) if Some(asked) == latest);
@@ -321,7 +327,7 @@
         assert!(found.is_some(), "{damage:?} was not found");
     }
     let mut changed = 0;
-    assert_eq!(walk(Damage::None, 20_000, &mut changed), None);
-    println!("{changed} of 20000 walks changed hands");
-    assert!(changed >= 50, "only {changed} of 20,000 walks came to a change of hands after an act");
+    assert_eq!(walk(Damage::None, 40_000, &mut changed), None);
+    println!("{changed} of 40000 walks changed hands");
+    assert!(changed >= 50, "only {changed} of 40,000 walks came to a change of hands after an act");
 }
