--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -91,17 +91,20 @@
         for (seed, row) in rows {
             let played = row.map_err(|problem| format!("seed {seed}: {problem}"))?;
             let verdict = judge(&played.seen, &played.marks);
+            let mut upto = None;
             if verdict.changes < story.changes {
                 empty += 1;
-                let _ = writeln!(
-                    broken,
-                    "seed {seed}: empty, {} changes of holder, {} acts",
-                    verdict.changes, verdict.accepted
-                );
+                let (changes, acts) = (verdict.changes, verdict.accepted);
+                let _ = writeln!(broken, "seed {seed}: empty, {changes} changes of holder, {acts} acts");
+                upto = Some(played.lasted);
             }
             if let Some((before, act)) = verdict.shown {
-                let _ = writeln!(broken, "seed {seed}: {:?}\n  then {:?}", before, act);
-                for mark in played.marks.iter().filter(|mark| mark.at <= act.to) {
+                let _ = writeln!(broken, "seed {seed}: {before:?}\n  then {act:?}");
+                upto = Some(act.to);
+            }
+            // What is broken is told with the faults before it and the command that plays it again.
+            if let Some(upto) = upto {
+                for mark in played.marks.iter().filter(|mark| mark.at <= upto) {
                     let _ = writeln!(broken, "  {:?} {} of limiter {:?}", mark.at, mark.what, mark.limiter);
                 }
                 let _ = writeln!(
