Settings: faulty addresses of a lease section do not make everybody missing

Seen: the section's own test failed (a wrong line in its expectation, and five faults told for one). Membership is checked only where the addresses could be read. With the test that failed.

--- a/crates/settings/src/lease.rs
+++ b/crates/settings/src/lease.rs
@@ -56,7 +56,7 @@
     let key = map.need("key", faults, text);
     let length = map.take("length", faults, span).unwrap_or(Duration::from_secs(3));
     let drift = map.take("drift", faults, quantity::share).unwrap_or(0.01);
-    let limiters = map.need("limiters", faults, addresses).unwrap_or_default();
+    let limiters = map.need("limiters", faults, addresses);
     let voters =
         map.need("voters", faults, |node| list(node).iter().map(text).collect::<Result<Vec<_>, _>>());
     let tasks = map.node("tasks").map(list).unwrap_or_default();
@@ -73,7 +73,9 @@
             faults,
         );
     }
-    if let Some(me) = me.as_ref().filter(|me| !limiters.contains_key(*me)) {
+    // Where the addresses are faulty, that is told, and not that everybody is missing.
+    let known = |name: &String| limiters.as_ref().is_none_or(|limiters| limiters.contains_key(name));
+    if let Some(me) = me.as_ref().filter(|me| !known(me)) {
         map.fault("me", format!("{me:?} is not one of lease.limiters"), faults);
     }
     let voters = voters.unwrap_or_default();
@@ -86,7 +88,7 @@
         if voters[..index].contains(voter) {
             map.fault("voters", format!("{voter:?} is named twice"), faults);
         }
-        if !limiters.contains_key(voter) {
+        if !known(voter) {
             map.fault("voters", format!("{voter:?} is not one of lease.limiters"), faults);
         }
     }
@@ -101,7 +103,7 @@
     }
     map.end(faults);
     let drift = (drift * 1_000.0).ceil() as u64;
-    Some(Lease { me: me?, key: key?.into(), length, drift, limiters, voters, tasks })
+    Some(Lease { me: me?, key: key?.into(), length, drift, limiters: limiters?, voters, tasks })
 }
 
 fn span(node: &Node) -> Result<Duration, String> {
@@ -168,7 +170,7 @@
             ("me: a", "me: z", "q.yaml:2: lease.me: \"z\" is not one of lease.limiters"),
             ("2s", "20ms", "q.yaml:4: lease.length: a lease lasts from 100ms"),
             ("1%", "30%", "q.yaml:5: lease.drift: clocks that may run apart"),
-            ("0.1:2", "0.1:1", "q.yaml:6: lease.limiters: b (line 8): 127.0.0.1:1 is another limiter's too"),
+            ("0.1:2", "0.1:1", "q.yaml:7: lease.limiters: b (line 8): 127.0.0.1:1 is another limiter's too"),
             ("0.1:9", "0.1", "q.yaml:13: lease.tasks.target: \"127.0.0.1\" is no address"),
             ("me: a", "mee: a", "q.yaml:2: lease.mee: unknown key; did you mean me?"),
         ] {
