Attempts: one not yet written is taken back once nobody waits for its request

Followed in core.rs (close told nobody), send.rs (connect waits for the cancel alone) and relay.rs (exchange writes whatever). Ruled out: requests that wait for counter, room or a retry (the module forgets them at once, begin refuses what is not open). Now close tells every attempt of the request that is not wholly written.

Two tests force it with a host whose line of connections is full: both fail without the loop in close (no end of the attempt within 5 s), pass with it.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -136,8 +136,17 @@
     pub began: Instant,
     /// When it is given up.
     pub until: Instant,
-    /// Told when the module takes it back.
-    pub cancel: Rc<Notify>,
+    /// Told when the module takes it back, or when nobody waits for it before it is written.
+    pub cancel: Rc<Cancel>,
+}
+
+/// How a relay is taken back, and whether its host has all of it.
+#[derive(Debug, Default)]
+pub struct Cancel {
+    /// Told when it is taken back.
+    pub asked: Notify,
+    /// Its last byte has been written: the host may begin it.
+    pub written: Cell<bool>,
 }
 
 /// The module, what it is to be told, and what is open.
@@ -147,7 +156,7 @@
     told: VecDeque<Event>,
     open: HashMap<RequestId, Open>,
     /// The relays that are out.
-    out: HashMap<(RequestId, u32), Rc<Notify>>,
+    out: HashMap<(RequestId, u32), Rc<Cancel>>,
     /// Bytes of requests held, and of answers that clients have not taken.
     held: Rc<Cell<usize>>,
     max_open: usize,
@@ -255,9 +264,15 @@
         deadline
     }
 
-    /// Ends a request; where its answer goes, if it was open.
+    /// Ends a request; where its answer goes, if it was open. Guards against an attempt that begins once nobody waits
+    /// for it (its connection comes up late, its host is slow to take it): one that is not written is taken back.
     pub fn close(&mut self, id: RequestId) -> Option<(Rc<dyn Front>, u64)> {
         let open = self.open.remove(&id)?;
+        for attempt in 0..open.attempts {
+            if let Some(cancel) = self.out.get(&(id, attempt)).filter(|cancel| !cancel.written.get()) {
+                cancel.asked.notify_one();
+            }
+        }
         self.held.set(self.held.get() - open.payload.bytes.len());
         Some((open.front, open.place))
     }
@@ -280,7 +295,7 @@
             0 => open.deadline,
             _ => open.deadline.min(now + Duration::from_nanos(timeout)),
         };
-        let cancel = Rc::new(Notify::new());
+        let cancel = Rc::new(Cancel::default());
         self.out.insert((id, attempt), cancel.clone());
         let used = (open.customer, open.units);
         let errand = Errand::Attempt { id, attempt, payload: open.payload.clone(), used };
@@ -290,7 +305,7 @@
     /// Takes an attempt back, if it is out.
     pub fn cancel(&self, id: RequestId, attempt: u32) {
         if let Some(cancel) = self.out.get(&(id, attempt)) {
-            cancel.notify_one();
+            cancel.asked.notify_one();
         }
     }
 
--- a/src/net/stages/mod.rs
+++ b/src/net/stages/mod.rs
@@ -6,3 +6,6 @@
 pub mod route;
 pub mod send;
 pub mod take_in;
+
+#[cfg(test)]
+mod tests;
--- a/src/net/stages/relay.rs
+++ b/src/net/stages/relay.rs
@@ -31,7 +31,7 @@
     link.written = false;
     let outcome = tokio::select! {
         biased;
-        () = relay.cancel.notified() => Outcome::Cancelled,
+        () = relay.cancel.asked.notified() => Outcome::Cancelled,
         came = exchange(node, link, relay) => match came {
             Came::End(end, sound) => return (end, sound),
             Came::Long { head, length } => return pass_on(node, link, relay, head, length).await,
@@ -75,6 +75,7 @@
         }
     }
     link.written = true;
+    relay.cancel.written.set(true);
     resp::consume(&mut link.output, sent, node.limits.read_bytes);
     loop {
         if !south::promising(&link.input, &relay.errand) {
--- a/src/net/stages/send.rs
+++ b/src/net/stages/send.rs
@@ -2,13 +2,13 @@
 
 use super::{book, relay};
 use crate::api::{HostId, Outcome};
-use crate::net::core::{Errand, Relay};
+use crate::net::core::{Cancel, Errand, Relay};
 use crate::net::platform::{resp, south::Link};
 use crate::net::task::spawn;
 use crate::net::Node;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout_at, Instant};
 
 /// Sends a relay on its way.
@@ -21,7 +21,7 @@
 /// Sends a probe on its way.
 pub fn probe(node: &Rc<Node>, host: HostId) {
     let now = Instant::now();
-    let cancel = Rc::new(Notify::new());
+    let cancel = Rc::new(Cancel::default());
     send(
         node,
         Relay { errand: Errand::Probe, host, began: now, until: now + node.limits.connect.get(), cancel },
@@ -62,7 +62,7 @@
     let by = relay.until.min(Instant::now() + node.limits.connect.get());
     tokio::select! {
         biased;
-        () = relay.cancel.notified() => Err(Outcome::Cancelled),
+        () = relay.cancel.asked.notified() => Err(Outcome::Cancelled),
         opened = timeout_at(by, TcpStream::connect(address)) => match opened {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
--- /dev/null
+++ b/src/net/stages/tests.rs
@@ -0,0 +1,95 @@
+//! Crossings of a request's stages, forced on real sockets.
+
+use super::{book, send};
+use crate::api::{Event, HostEntry, HostId, HostState, Outcome, RequestId};
+use crate::net::core::tests::{request, Kept};
+use crate::net::core::Answer;
+use crate::net::tests::{next, with_node};
+use crate::net::Node;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::yield_now;
+use tokio::time::{timeout, Instant};
+
+const HOST: HostId = HostId(5);
+
+/// A host whose line of connections is full: a further one does not come up until those before it are taken.
+struct Slow {
+    listener: TcpListener,
+    address: SocketAddr,
+    before: Vec<TcpStream>,
+}
+
+async fn slow_host(node: &Rc<Node>) -> Slow {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port is free");
+    let listener = socket.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("it has an address");
+    // A line of nought takes one, and is full from then on.
+    let before = vec![TcpStream::connect(address).await.expect("there is room for one")];
+    let entry = HostEntry { host: HOST, state: HostState::Ready, ..HostEntry::default() };
+    node.south.learn(&entry, address);
+    Slow { listener, address, before }
+}
+
+/// Sends a request's attempt on its way to a host whose connection does not come up, however long it may take.
+async fn connecting(node: &Rc<Node>) -> (Slow, Rc<Kept>) {
+    node.limits.connect.set(Duration::from_secs(30));
+    let (host, front) = (slow_host(node).await, Rc::new(Kept::default()));
+    let mut asked = request(1);
+    asked.wait = Duration::from_secs(30);
+    node.core.borrow_mut().open(front.clone(), 0, &mut asked, Instant::now());
+    let relay = node.core.borrow_mut().begin(RequestId(1), HOST, 0, Instant::now()).expect("within the cap");
+    send::send(node, relay);
+    yield_now().await;
+    assert_eq!(node.south.links().get(&HOST), Some(&1), "it is on its way");
+    (host, front)
+}
+
+/// The attempt has ended without a connection, and the host, which now takes all that come, gets nothing of it.
+async fn nothing_goes_out(node: &Rc<Node>, mut host: Slow) {
+    let ended = async {
+        loop {
+            if let Event::AttemptDone { outcome, .. } = next(node).await {
+                return outcome;
+            }
+        }
+    };
+    let outcome = timeout(Duration::from_secs(5), ended).await.expect("it ends long before its time is up");
+    assert_eq!(outcome, Outcome::Cancelled);
+    while node.south.links().contains_key(&HOST) {
+        yield_now().await;
+    }
+    // Whatever comes up behind the one that filled the line is not the attempt's.
+    let (mut first, _) = host.listener.accept().await.expect("the one before");
+    host.before.clear();
+    assert_eq!(first.read(&mut [0]).await.expect("its end"), 0);
+    let (connected, accepted) = tokio::join!(TcpStream::connect(host.address), host.listener.accept());
+    let (own, (_, from)) = (connected.expect("there is room again"), accepted.expect("it comes"));
+    assert_eq!(own.local_addr().expect("an address"), from, "nobody else came meanwhile");
+}
+
+/// A client that goes while its request's connection is on its way: no attempt begins for it.
+#[test]
+fn nothing_is_sent_for_a_client_that_went_while_a_connection_came_up() {
+    with_node(&[], |node| async move {
+        let (host, front) = connecting(&node).await;
+        book::abandon(&node, RequestId(1));
+        nothing_goes_out(&node, host).await;
+        assert_eq!(*front.0.borrow(), []);
+    });
+}
+
+/// The same where the request was answered meanwhile: what it got is final.
+#[test]
+fn nothing_is_sent_for_a_request_that_was_answered_while_a_connection_came_up() {
+    with_node(&[], |node| async move {
+        let (host, front) = connecting(&node).await;
+        assert!(book::answer(&node, RequestId(1), Answer::Failed));
+        nothing_goes_out(&node, host).await;
+        assert_eq!(*front.0.borrow(), [(0, Answer::Failed)]);
+    });
+}
