Clients' connections: one that goes behind unread bytes is noticed

A connection was not read from behind malformed bytes, behind 1,024 requests that wait, and while its client takes no answers; a client that left meanwhile was not noticed until its requests' time was up, and they were sent on (the terms allow 0.1 s). The end of a connection stands behind all that is unread, so that it can only be seen by reading: what follows malformed bytes is now dropped, requests past 1,024 are told to back off at once, and behind 4,096 commands the connection is read no more but for its end. While a client takes no answers the runtime's word of the end is asked each 50 ms.

Two tests on the program's sockets; without each of these changes the connection stays for the time of its requests (5 s waited for of 50 s), with them it ends at once.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -42,8 +42,13 @@
     pub north_stranger: Duration,
     /// How long a connection that was ended here is kept for its client to end it too.
     pub north_linger: Duration,
-    /// Requests of one connection that are not answered yet, past which it is not read.
+    /// How often it is looked whether a client has gone whose connection is not read from.
+    pub north_look: Duration,
+    /// Requests of one connection that are not answered yet, past which further ones are told to back off.
     pub north_pipeline: usize,
+    /// Commands of one connection that may wait for their turn, those past the limit on requests included; what follows
+    /// them is not read any more.
+    pub north_waiting: usize,
     /// Bytes that a client has not taken yet, past which its connection is not read.
     pub north_unsent: usize,
     /// Open requests, past which new ones get a back-off answer.
@@ -145,7 +150,9 @@
             north_idle: Duration::from_secs(5),
             north_stranger: Duration::from_secs(1),
             north_linger: Duration::from_millis(500),
+            north_look: Duration::from_millis(50),
             north_pipeline: 1024,
+            north_waiting: 4096,
             north_unsent: 256 << 10,
             max_open: if settings.max_open > 0 { settings.max_open as usize } else { 20_000 },
             max_attempts: settings.max_attempts.max(1),
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -18,6 +18,8 @@
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, Interest};
+use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant};
@@ -500,20 +502,22 @@
     let fresh = *phase.borrow() >= Phase::Closing;
     loop {
         let mut done = 0;
-        while sound && owed.waiting() < limits.north_pipeline && out.len() < limits.north_unsent {
-            match resp::command(&input[done..], limits) {
+        while sound && out.len() < limits.north_unsent {
+            let waiting = owed.waiting();
+            let problem = match resp::command(&input[done..], limits) {
                 Ok(None) => break,
-                Ok(Some(command)) => {
-                    take(north, owed, &input[done..], &command, crowded);
+                Ok(Some(command)) if waiting < limits.north_waiting => {
+                    take(north, owed, &input[done..], &command, crowded || waiting >= limits.north_pipeline);
                     done += command.length;
+                    continue;
                 }
-                Err(malformed) => {
-                    let mut text = Vec::new();
-                    let _ = write!(Text(&mut text), "-ERR {}\r\n", malformed.0);
-                    owed.push(Slot::Ready(text));
-                    sound = false;
-                }
-            }
+                Ok(Some(_)) => "too many commands wait on this connection",
+                Err(malformed) => malformed.0,
+            };
+            let mut text = Vec::new();
+            let _ = write!(Text(&mut text), "-ERR {problem}\r\n");
+            owed.push(Slot::Ready(text));
+            sound = false;
         }
         resp::consume(&mut input, done, limits.read_bytes);
         let (more, whole) = owed.collect(&mut out);
@@ -562,12 +566,12 @@
             },
             rest.stranger && owed.first.get() == 0 && between,
         );
-        let read = sound && owed.waiting() < limits.north_pipeline && out.len() < limits.north_unsent;
+        let read = sound && out.len() < limits.north_unsent;
         tokio::select! {
             // What has come goes first: a connection is not closed on a command that is there to be read.
             biased;
-            more = resp::more(&mut reader, &mut input, limits.read_bytes), if read => {
-                if !more.unwrap_or(false) {
+            there = hear(&mut reader, &mut input, (read, sound), limits) => {
+                if !there {
                     return Over::Lost(counted);
                 }
             }
@@ -598,6 +602,27 @@
     }
 }
 
+/// Waits until more has come; false once the client has gone. While nothing is to be read, what follows malformed bytes
+/// is dropped, and what comes beyond the limits waits where it is. Guards against requests that are sent on long after
+/// their client left.
+async fn hear(
+    reader: &mut ReadHalf<'_>, input: &mut Vec<u8>, (read, sound): (bool, bool), limits: &Limits,
+) -> bool {
+    if read {
+        return resp::more(reader, input, limits.read_bytes).await.unwrap_or(false);
+    }
+    if !sound {
+        let mut dropped = [0; 4096];
+        while reader.read(&mut dropped).await.is_ok_and(|count| count > 0) {}
+        return false;
+    }
+    // The end is told ahead of what has not been read.
+    while !reader.ready(Interest::READABLE).await.is_ok_and(|ready| ready.is_read_closed()) {
+        sleep(limits.north_look).await;
+    }
+    false
+}
+
 /// Waits until there may be more of a value.
 async fn wait_for(flowing: Option<&Pipe>) {
     match flowing {
@@ -606,6 +631,8 @@
     }
 }
 
+/// Takes a command in; past a limit a request is only told to back off. Guards against a client that goes unseen behind
+/// commands that nobody reads.
 fn take(north: &Rc<North>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
     match understand(bytes, command, &north.terms.borrow(), north.desk.shutdown.welcome()) {
         Ok(Asked::Request(request)) => {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,9 +3,10 @@
 mod process;
 mod toy;
 
-use process::{request, served, start, CHECK};
+use process::{ask, request, served, start, CHECK};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
 
 /// Reads to the end of a connection; what came, or how it ended instead.
 fn rest(client: &mut TcpStream) -> Result<String, ErrorKind> {
@@ -25,3 +26,42 @@
     let expected = served(1) + "-ERR a command is an array of bulk strings\r\n";
     assert_eq!(rest(&mut client), Ok(expected));
 }
+
+/// The settings of the toy with much time for its first class, so that nothing but its client's end ends a request.
+fn long_time(text: String) -> String {
+    let long = "\"onTimeNs\": 60000000000, \"hardLimitNs\": 60000000000";
+    text.replace("\"onTimeNs\": 2000000000, \"hardLimitNs\": 7500000000", long)
+}
+
+/// Sends commands, goes, and waits for the limiter to let the connection go, long before any request's time is up.
+fn is_let_go(client: &mut TcpStream, commands: &str) {
+    client.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out is set");
+    client.write_all(commands.as_bytes()).expect("the limiter reads, or holds it unread");
+    client.shutdown(Shutdown::Write).expect("it goes");
+    // Nothing, or the reset of a connection of which not all was read.
+    let end = rest(client);
+    assert!(matches!(end, Ok(_) | Err(ErrorKind::ConnectionReset)), "{end:?}");
+}
+
+const WAITS: &str = "c=bed-check,t=operator,d=50000,units=0.001,spread=1,first=0";
+
+/// A client that goes behind bytes that cannot be read is gone for its earlier requests too.
+#[test]
+fn a_client_that_goes_behind_malformed_bytes_is_gone() {
+    let limiter = start(61, false, |text| long_time(text).replace("\"openCap\": 20000", "\"openCap\": 1"));
+    let mut client = limiter.connect();
+    is_let_go(&mut client, &(request("Q.ASK", 1, WAITS, "silent") + "PING\r\n"));
+    // Its place is free again.
+    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1), served(2));
+}
+
+/// The same behind more requests than are taken at once, and behind more than are read at all.
+#[test]
+fn a_client_that_goes_behind_more_than_is_taken_at_once_is_gone() {
+    let limiter = start(62, false, long_time);
+    for count in [2_000, 20_000] {
+        let many: String = (1..count).map(|id| request("Q.ASK", id, WAITS, "silent")).collect();
+        is_let_go(&mut limiter.connect(), &many);
+    }
+    assert_eq!(ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1), "+PONG\r\n");
+}
