Repeats: a further attempt begins within its window or not at all

The module asked whether the window was open when it ordered the attempt (may_repeat, life.rs); the attempt began when its connection was up and its last byte written, up to the connect time-out (250 ms) later, and nobody looked again. Ruled out by reading: the group (all hosts there), the time the window counts from (the order of the first attempt, earlier than its send), a cleared mark of what may have run.

Now the module says within what time an attempt must begin, and the network gives it up at that time while it connects or is written: it surely never ran. Three tests: the module's word, a connection that comes up late, one that stands ready; without the bound in send.rs or relay.rs the last two fail.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -383,6 +383,8 @@
         host: HostId,
         /// Give up waiting after this time.
         timeout: Nanos,
+        /// It must have begun within this time, or not at all.
+        begins_within: Nanos,
     },
     /// Stop waiting for an attempt.
     CancelAttempt {
--- a/crates/decision/src/life.rs
+++ b/crates/decision/src/life.rs
@@ -319,7 +319,8 @@
         let first = job.attempts == 0;
         let capped = first && self.set.plans[job.claim.plan].ceiling_rate > 0.0;
         let no_room = capped && self.quotas.ceiling_left(&job.claim) < job.claim.units;
-        if no_room || !self.may_repeat(&job) || first && !self.quotas.open_left(&job.claim) {
+        let begins_within = self.begins_within(&job);
+        if no_room || begins_within == 0 || first && !self.quotas.open_left(&job.claim) {
             return Dispatch::NotThis;
         }
         if self.fleet.full() {
@@ -344,7 +345,7 @@
         }
         let saved = (RETRY_SAVED / f64::from(self.set.gateways)).max(1.0);
         self.retry_tokens = (self.retry_tokens + if first { RETRY_SHARE } else { 0.0 }).min(saved);
-        out.push(Action::Attempt { id, host, timeout: job.deadline.saturating_sub(now) });
+        out.push(Action::Attempt { id, host, timeout: job.deadline.saturating_sub(now), begins_within });
         Dispatch::Sent
     }
 
@@ -397,18 +398,18 @@
         self.release_held(out);
     }
 
-    /// Whether what may already have run allows a further attempt at this moment.
-    fn may_repeat(&self, job: &Job) -> bool {
+    /// How soon what may already have run allows a further attempt to begin; nought: not at all.
+    fn begins_within(&self, job: &Job) -> Nanos {
         let class = self.class(job);
         match (job.ran, class.effect) {
-            (None, _) | (_, Effect::Retryable) => true,
-            (Some(_), Effect::Unsafe) => false,
-            (Some((.., at)), Effect::Keyed) => self.now < at.saturating_add(class.dedup_window),
+            (None, _) | (_, Effect::Retryable) => Nanos::MAX,
+            (Some(_), Effect::Unsafe) => 0,
+            (Some((.., at)), Effect::Keyed) => at.saturating_add(class.dedup_window).saturating_sub(self.now),
         }
     }
 
     fn may_try_again(&self, job: &Job, outcome: Outcome) -> bool {
-        self.may_repeat(job)
+        self.begins_within(job) > 0
             && outcome != Outcome::NeverSent
             && job.attempts < self.set.max_attempts.max(1)
             && (self.retry_tokens >= 1.0 || outcome.never_ran())
--- a/crates/world/src/play.rs
+++ b/crates/world/src/play.rs
@@ -332,7 +332,7 @@
     ) -> Result<(), Ended> {
         let epoch = self.limiters[number].epoch;
         match action {
-            Action::Attempt { id, host, timeout } => self.attempt(number, id, host, timeout, events)?,
+            Action::Attempt { id, host, timeout, .. } => self.attempt(number, id, host, timeout, events)?,
             Action::CancelAttempt { id, attempt } => {
                 let job = Job { limiter: number, request: id, attempt };
                 if let Some(out) = self.limiters[number].out.get(&(id, attempt)).copied() {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -134,6 +134,8 @@
     pub host: HostId,
     /// When the module ordered it.
     pub began: Instant,
+    /// When the host must have all of it, or never gets it.
+    pub begin_by: Instant,
     /// When it is given up.
     pub until: Instant,
     /// Told when the module takes it back, or when nobody waits for it before it is written.
@@ -284,7 +286,9 @@
 
     /// Begins an attempt. `Err` is its number where it must not be made: the request is over, its time is, or
     /// it had all its attempts.
-    pub fn begin(&mut self, id: RequestId, host: HostId, timeout: Nanos, now: Instant) -> Result<Relay, u32> {
+    pub fn begin(
+        &mut self, id: RequestId, host: HostId, (timeout, begins_within): (Nanos, Nanos), now: Instant,
+    ) -> Result<Relay, u32> {
         let Some(open) = self.open.get_mut(&id) else { return Err(0) };
         let attempt = open.attempts;
         open.attempts += 1;
@@ -295,11 +299,12 @@
             0 => open.deadline,
             _ => open.deadline.min(now + Duration::from_nanos(timeout)),
         };
+        let begin_by = until.min(now.checked_add(Duration::from_nanos(begins_within)).unwrap_or(until));
         let cancel = Rc::new(Cancel::default());
         self.out.insert((id, attempt), cancel.clone());
         let used = (open.customer, open.units);
         let errand = Errand::Attempt { id, attempt, payload: open.payload.clone(), used };
-        Ok(Relay { errand, host, began: now, until, cancel })
+        Ok(Relay { errand, host, began: now, begin_by, until, cancel })
     }
 
     /// Takes an attempt back, if it is out.
@@ -353,14 +358,15 @@
             let deadline = core.open(Rc::new(Kept::default()), 0, &mut request(1), now);
             let host = HostId(5);
             for timeout in [0, 5_000_000_000, 1_000_000, 0] {
-                let relay = core.begin(RequestId(1), host, timeout, now).expect("within the cap");
+                let relay =
+                    core.begin(RequestId(1), host, (timeout, Nanos::MAX), now).expect("within the cap");
                 let until = if timeout == 1_000_000 { now + Duration::from_millis(1) } else { deadline };
                 assert_eq!(relay.until, until);
             }
-            assert_eq!(core.begin(RequestId(1), host, 0, now).err(), Some(4));
+            assert_eq!(core.begin(RequestId(1), host, (0, 1), now).err(), Some(4));
             core.open(Rc::new(Kept::default()), 0, &mut request(2), now);
-            assert_eq!(core.begin(RequestId(2), host, 0, deadline).err(), Some(0));
-            assert_eq!(core.begin(RequestId(3), host, 0, now).err(), Some(0));
+            assert_eq!(core.begin(RequestId(2), host, (0, 1), deadline).err(), Some(0));
+            assert_eq!(core.begin(RequestId(3), host, (0, 1), now).err(), Some(0));
             // An id is in use until its last attempt has ended.
             core.close(RequestId(1));
             assert!(core.knows(RequestId(1)));
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -323,8 +323,9 @@
             for (timeout, expected) in
                 [(0, "$9\r\nd=900,c=x"), (42_000_000, "$8\r\nd=42,c=x"), (10, "$7\r\nd=1,c=x")]
             {
-                let relay =
-                    core.begin(crate::api::RequestId(1), HostId(5), timeout, now).expect("within the cap");
+                let relay = core
+                    .begin(crate::api::RequestId(1), HostId(5), (timeout, u64::MAX), now)
+                    .expect("within the cap");
                 let mut out = Vec::new();
                 write(&relay, now, &mut out);
                 assert_eq!(String::from_utf8_lossy(&out), format!("*2\r\n$5\r\nQ.ASK\r\n{expected}\r\n"));
@@ -418,7 +419,7 @@
             south.learn(&HostEntry { host: HostId(5), state, ..HostEntry::default() }, address);
             let now = Instant::now();
             node.core.borrow_mut().open(Rc::new(Kept::default()), 0, &mut request(1), now);
-            let relay = node.core.borrow_mut().begin(crate::api::RequestId(1), HostId(5), 0, now);
+            let relay = node.core.borrow_mut().begin(crate::api::RequestId(1), HostId(5), (0, u64::MAX), now);
             let mut parked = south.park(HostId(5), address).expect("it may wait").1;
             let back = south.hand_over(relay.expect("within the cap"), &node.limits);
             let relay = back.expect_err("it answered just now");
--- a/src/net/stages/book.rs
+++ b/src/net/stages/book.rs
@@ -104,8 +104,12 @@
         with_node(&[], |node| async move {
             let (front, now) = (Rc::new(Kept::default()), Instant::now());
             node.core.borrow_mut().open(front.clone(), 9, &mut request(1), now);
-            let begin =
-                || node.core.borrow_mut().begin(RequestId(1), HostId(5), 0, now).expect("within the cap");
+            let begin = || {
+                node.core
+                    .borrow_mut()
+                    .begin(RequestId(1), HostId(5), (0, u64::MAX), now)
+                    .expect("within the cap")
+            };
             let (first, second) = (begin(), begin());
             let used = Used { metered: 37, units: 2.5 };
             done(&node, &first, End { value: b"bed".to_vec(), used, ..Outcome::Good.into() });
--- a/src/net/stages/relay.rs
+++ b/src/net/stages/relay.rs
@@ -12,7 +12,7 @@
 use crate::net::Node;
 use std::io;
 use std::rc::Rc;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// Takes a relay to its host and back; how it ended, and whether the connection can take another. One that is
 /// cancelled or timed out leaves its answer unread, so its connection ends with it.
@@ -64,10 +64,14 @@
     south::write(relay, Instant::now(), &mut link.output);
     let mut sent = 0;
     while sent < link.output.len() {
+        // Guards against an attempt that begins when what ran before it is no longer known to the hosts.
+        if Instant::now() >= relay.begin_by {
+            return Outcome::ConnectFailed.into();
+        }
         match link.stream.try_write(&link.output[sent..]) {
             Ok(count) => sent += count,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                if link.stream.writable().await.is_err() {
+                if !matches!(timeout_at(relay.begin_by, link.stream.writable()).await, Ok(Ok(()))) {
                     return Outcome::ConnectFailed.into();
                 }
             }
@@ -214,7 +218,11 @@
             ] {
                 let (now, front) = (Instant::now(), Rc::new(Kept::default()));
                 node.core.borrow_mut().open(front, 0, &mut request(id), now);
-                let sent = node.core.borrow_mut().begin(RequestId(id), host, 0, now).expect("within the cap");
+                let sent = node
+                    .core
+                    .borrow_mut()
+                    .begin(RequestId(id), host, (0, u64::MAX), now)
+                    .expect("within the cap");
                 let (stream, (mut peer, _)) =
                     tokio::try_join!(TcpStream::connect(address), listener.accept()).expect("they connect");
                 peer.write_all(answer.as_bytes()).await.expect("the limiter reads");
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -13,8 +13,8 @@
 pub fn carry_out(node: &Rc<Node>, action: Action) {
     let now = Instant::now();
     match action {
-        Action::Attempt { id, host, timeout } => {
-            let relay = node.core.borrow_mut().begin(id, host, timeout, now);
+        Action::Attempt { id, host, timeout, begins_within } => {
+            let relay = node.core.borrow_mut().begin(id, host, (timeout, begins_within), now);
             match relay {
                 Ok(relay) => send::send(node, relay),
                 Err(attempt) => {
--- a/src/net/stages/send.rs
+++ b/src/net/stages/send.rs
@@ -21,11 +21,8 @@
 /// Sends a probe on its way.
 pub fn probe(node: &Rc<Node>, host: HostId) {
     let now = Instant::now();
-    let cancel = Rc::new(Cancel::default());
-    send(
-        node,
-        Relay { errand: Errand::Probe, host, began: now, until: now + node.limits.connect.get(), cancel },
-    );
+    let (until, cancel) = (now + node.limits.connect.get(), Rc::new(Cancel::default()));
+    send(node, Relay { errand: Errand::Probe, host, began: now, begin_by: until, until, cancel });
 }
 
 /// A connection's life: opened for one relay, it takes others as long as it is sound.
@@ -59,7 +56,7 @@
 
 async fn connect(node: &Rc<Node>, relay: &Relay) -> Result<Link, Outcome> {
     let address = node.south.address(relay.host, &node.limits).ok_or(Outcome::ConnectFailed)?;
-    let by = relay.until.min(Instant::now() + node.limits.connect.get());
+    let by = relay.begin_by.min(Instant::now() + node.limits.connect.get());
     tokio::select! {
         biased;
         () = relay.cancel.asked.notified() => Err(Outcome::Cancelled),
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -1,9 +1,10 @@
 //! Crossings of a request's stages, forced on real sockets.
 
-use super::{book, send};
-use crate::api::{Event, HostEntry, HostId, HostState, Outcome, RequestId};
+use super::{book, relay, send};
+use crate::api::{Event, HostEntry, HostId, HostState, Nanos, Outcome, RequestId};
 use crate::net::core::tests::{request, Kept};
 use crate::net::core::Answer;
+use crate::net::platform::south::Link;
 use crate::net::tests::{next, with_node};
 use crate::net::Node;
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 use tokio::time::{timeout, Instant};
 
 const HOST: HostId = HostId(5);
+const LONG: Duration = Duration::from_secs(30);
 
 /// A host whose line of connections is full: a further one does not come up until those before it are taken.
 struct Slow {
@@ -36,13 +38,15 @@
 }
 
 /// Sends a request's attempt on its way to a host whose connection does not come up, however long it may take.
-async fn connecting(node: &Rc<Node>) -> (Slow, Rc<Kept>) {
-    node.limits.connect.set(Duration::from_secs(30));
+async fn connecting(node: &Rc<Node>, begins_within: Duration) -> (Slow, Rc<Kept>) {
+    node.limits.connect.set(LONG);
     let (host, front) = (slow_host(node).await, Rc::new(Kept::default()));
     let mut asked = request(1);
-    asked.wait = Duration::from_secs(30);
+    asked.wait = LONG;
     node.core.borrow_mut().open(front.clone(), 0, &mut asked, Instant::now());
-    let relay = node.core.borrow_mut().begin(RequestId(1), HOST, 0, Instant::now()).expect("within the cap");
+    let bounds = (0, begins_within.as_nanos() as Nanos);
+    let relay = node.core.borrow_mut().begin(RequestId(1), HOST, bounds, Instant::now());
+    let relay = relay.expect("within the cap");
     send::send(node, relay);
     yield_now().await;
     assert_eq!(node.south.links().get(&HOST), Some(&1), "it is on its way");
@@ -50,7 +54,7 @@
 }
 
 /// The attempt has ended without a connection, and the host, which now takes all that come, gets nothing of it.
-async fn nothing_goes_out(node: &Rc<Node>, mut host: Slow) {
+async fn nothing_goes_out(node: &Rc<Node>, mut host: Slow, expected: Outcome) {
     let ended = async {
         loop {
             if let Event::AttemptDone { outcome, .. } = next(node).await {
@@ -59,7 +63,7 @@
         }
     };
     let outcome = timeout(Duration::from_secs(5), ended).await.expect("it ends long before its time is up");
-    assert_eq!(outcome, Outcome::Cancelled);
+    assert_eq!(outcome, expected);
     while node.south.links().contains_key(&HOST) {
         yield_now().await;
     }
@@ -76,9 +80,9 @@
 #[test]
 fn nothing_is_sent_for_a_client_that_went_while_a_connection_came_up() {
     with_node(&[], |node| async move {
-        let (host, front) = connecting(&node).await;
+        let (host, front) = connecting(&node, LONG).await;
         book::abandon(&node, RequestId(1));
-        nothing_goes_out(&node, host).await;
+        nothing_goes_out(&node, host, Outcome::Cancelled).await;
         assert_eq!(*front.0.borrow(), []);
     });
 }
@@ -87,9 +91,41 @@
 #[test]
 fn nothing_is_sent_for_a_request_that_was_answered_while_a_connection_came_up() {
     with_node(&[], |node| async move {
-        let (host, front) = connecting(&node).await;
+        let (host, front) = connecting(&node, LONG).await;
         assert!(book::answer(&node, RequestId(1), Answer::Failed));
-        nothing_goes_out(&node, host).await;
+        nothing_goes_out(&node, host, Outcome::Cancelled).await;
         assert_eq!(*front.0.borrow(), [(0, Answer::Failed)]);
     });
 }
+
+/// A further attempt whose connection is still on its way as the window for repeats closes: it surely never ran.
+#[test]
+fn no_attempt_begins_once_its_window_is_over_while_a_connection_came_up() {
+    with_node(&[], |node| async move {
+        let (host, front) = connecting(&node, Duration::from_millis(20)).await;
+        nothing_goes_out(&node, host, Outcome::ConnectFailed).await;
+        assert_eq!(*front.0.borrow(), [], "whether it is repeated is for the module to say");
+    });
+}
+
+/// The same on a connection that stood ready: nothing is written.
+#[test]
+fn no_attempt_is_written_once_its_window_is_over() {
+    with_node(&[], |node| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it has an address");
+        let entry = HostEntry { host: HOST, state: HostState::Ready, ..HostEntry::default() };
+        node.south.learn(&entry, address);
+        let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
+        let (mut link, (mut peer, _)) =
+            (Link::new(stream.expect("it connects"), address), accepted.expect("it comes"));
+        let now = Instant::now();
+        node.core.borrow_mut().open(Rc::new(Kept::default()), 0, &mut request(1), now);
+        let sent = node.core.borrow_mut().begin(RequestId(1), HOST, (0, 1), now).expect("within the cap");
+        while Instant::now() < sent.begin_by {}
+        let (end, sound) = relay::relay(&node, &mut link, &sent).await;
+        assert_eq!((end.outcome, sound, link.written), (Outcome::ConnectFailed, false, false));
+        drop(link);
+        assert_eq!(peer.read(&mut [0]).await.expect("its end"), 0, "nothing was written");
+    });
+}
--- a/src/net/tally.rs
+++ b/src/net/tally.rs
@@ -238,7 +238,7 @@
         };
         let cause = tally.told(&done(Outcome::Full));
         assert_eq!(cause, Cause::Attempt);
-        let again = Action::Attempt { id, host, timeout: 0 };
+        let again = Action::Attempt { id, host, timeout: 0, begins_within: 1 };
         tally.ordered(cause, &[again, Action::Refuse { id, retry_after: 0 }]);
         let cause = tally.told(&Event::Timer { tag: "late:1".into() });
         tally.ordered(cause, &[Action::Refuse { id, retry_after: 0 }]);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -325,7 +325,7 @@
 /// Appends one action's line.
 pub fn encode(action: &Action, out: &mut String) {
     let _ = match action {
-        Action::Attempt { id, host, timeout } => {
+        Action::Attempt { id, host, timeout, .. } => {
             writeln!(out, "ISSUE\t{:016x}\t{}\t{}", id.0, host.0, timeout)
         }
         Action::CancelAttempt { id, attempt } => writeln!(out, "STOP_ATTEMPT\t{:016x}\t{}", id.0, attempt),
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -50,7 +50,7 @@
     let mut out = String::new();
     let (id, host) = (RequestId(0x218516d35d3a91c4), HostId(51530247));
     for action in [
-        Action::Attempt { id, host, timeout: 80_000_000 },
+        Action::Attempt { id, host, timeout: 80_000_000, begins_within: u64::MAX },
         Action::CancelAttempt { id, attempt: 1 },
         Action::TellPeers { to: Peers::All, bytes: b"hi 7".to_vec() },
         Action::Count { name: "q5.1".into(), amount: -1.5, keep_for: 7 },
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -39,6 +39,20 @@
     let actions = rig.done(id, 0, host, Outcome::Reset, false);
     let (_, again) = attempt(&actions).expect("a further attempt");
     assert_eq!(again.0.div_ceil(2), host.0.div_ceil(2), "same cell");
+    // Only as long as its group knows the attempt before; a first attempt may begin whenever it does.
+    let within = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Attempt { begins_within, .. } => Some(*begins_within),
+            _ => None,
+        })
+    };
+    let mut rig = Rig::new(settings(), 4);
+    let (id, host) = rig.passed(1, 5);
+    rig.now += S / 2;
+    assert_eq!(within(&rig.done(id, 0, host, Outcome::Reset, false)), Some(3 * S / 2));
+    let (id, host) = rig.passed(1, 6);
+    rig.now += S / 4;
+    assert_eq!(within(&rig.done(id, 0, host, Outcome::ConnectFailed, false)), Some(u64::MAX));
     let mut rig = Rig::new(settings(), 4);
     let (id, host) = rig.passed(1, 5);
     rig.now += 2 * S + MS;
