Quota: what never ran is taken off the count, whoever ended its request

Read line by line: a request whose client went while it waited for the counter or for room left its units on the count for a window (Abandoned dropped the job), and so did one that was refused after none of its attempts got a connection (finish asked for attempts, not for what may have run). The protocol counts units from the first attempt that came whole to a server. Both ends now go through one function. Test of four ways to end: on the code before it fails at the first of them.

--- a/crates/decision/src/life.rs
+++ b/crates/decision/src/life.rs
@@ -123,7 +123,7 @@
             Event::AttemptDone { id, attempt, outcome, took, over, true_units, .. } => {
                 self.on_done((id, attempt), (outcome, took), over, true_units, out)
             }
-            Event::Abandoned { id } => drop(self.jobs.remove(&id)),
+            Event::Abandoned { id } => drop(self.close(id, out)),
             Event::Timer { tag } => self.on_timer(&tag, out),
             Event::Counted { name, outcome, total, took } => {
                 let (asked, by_count) = self.quotas.counted(&name, outcome, total, took, out);
@@ -174,10 +174,9 @@
     /// The verdict on a request that waits for the counter, by its count or by what is known.
     fn judge(&mut self, id: RequestId, by_count: bool, out: &mut Actions) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Counting) else { return };
-        let verdict = if by_count {
-            self.quotas.judge(id, &job.claim, self.rng.f64(), out)
-        } else {
-            self.quotas.judge_locally(&job.claim)
+        let verdict = match by_count {
+            true => self.quotas.judge(id, &job.claim, self.rng.f64(), out),
+            false => self.quotas.judge_locally(&job.claim),
         };
         self.follow(id, verdict, out);
     }
@@ -418,21 +417,23 @@
 
     /// The final answer of a request that no host answered: a refusal where that is true, else a failure.
     pub(crate) fn finish(&mut self, id: RequestId, out: &mut Actions) {
-        let Some(job) = self.jobs.get(&id).cloned() else { return };
+        let Some(job) = self.close(id, out) else { return };
         let class = self.class(&job);
         let dropped = class.effect == Effect::Keyed && class.group == Group::All;
         let harmless = job.ran.is_none() || class.effect == Effect::Retryable || dropped;
         if job.stage == Stage::Out && self.set.may_cancel {
             out.push(Action::CancelAttempt { id, attempt: job.attempts - 1 });
         }
-        if harmless {
-            if job.attempts == 0 {
-                self.quotas.adjust(&job.claim, -job.claim.units, false, out);
-            }
-            out.push(Action::Refuse { id, retry_after: self.come_back(&job) });
-        } else {
-            out.push(Action::Fail { id });
+        let retry_after = self.come_back(&job);
+        out.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
+    }
+
+    /// Ends a request's life. What surely never ran is taken off its customer's count, whoever ended it.
+    fn close(&mut self, id: RequestId, out: &mut Actions) -> Option<Job> {
+        let job = self.jobs.remove(&id)?;
+        if job.ran.is_none() {
+            self.quotas.adjust(&job.claim, -job.claim.units, false, out);
         }
-        self.jobs.remove(&id);
+        Some(job)
     }
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -362,3 +362,34 @@
     }
     assert!((18.0..=27.0).contains(&passed), "{passed} units let through");
 }
+
+/// What surely never ran is taken off the count, whoever ended it: its client, while it waited for the counter or for
+/// room, or the gateway, when no connection came up. What may have run stays on it.
+#[test]
+fn what_never_ran_is_taken_off_the_count_when_it_ends() {
+    let taken = |actions: &[Action]| count(actions);
+    let mut rig = Rig::new(settings(), 2);
+    let (id, actions) = rig.request(0, 5, 3.0);
+    let (name, _) = count(&actions).expect("an add before the verdict");
+    assert_eq!(taken(&rig.event(Event::Abandoned { id })), Some((name.clone(), -3.0)), "before the verdict");
+    assert_eq!(rig.counted(&name, Outcome::Good, 3.0), [], "nobody is left to judge");
+    assert_eq!(rig.counted(&name, Outcome::Good, 0.0), []);
+    let mut rig = Rig::new(settings(), 0);
+    let (id, _) = rig.request(0, 5, 3.0);
+    assert_eq!(attempt(&rig.counted(&name, Outcome::Good, 3.0)), None, "there is no host");
+    assert_eq!(
+        taken(&rig.event(Event::Abandoned { id })),
+        Some((name.clone(), -3.0)),
+        "while it waits for room"
+    );
+    assert_eq!(rig.event(Event::Abandoned { id }), [], "once");
+    let mut rig = Rig::new(settings(), 2);
+    let (id, host) = rig.passed(0, 5);
+    assert_eq!(taken(&rig.event(Event::Abandoned { id })), None, "it may run");
+    assert_eq!(taken(&rig.done(id, 0, host, Outcome::Reset, true)), None);
+    let mut rig = Rig::new(Settings { max_attempts: 1, ..settings() }, 2);
+    let (id, host) = rig.passed(3, 5);
+    let actions = rig.done(id, 0, host, Outcome::ConnectFailed, false);
+    assert!(refused(&actions, id).is_some());
+    assert_eq!(taken(&actions), Some((name, -1.0)), "no connection came up");
+}
