--- a/src/net/stages/book.rs
+++ b/src/net/stages/book.rs
@@ -36,6 +36,7 @@
 /// Gives a request its final answer, if it is still open.
 pub fn answer(node: &Rc<Node>, id: RequestId, answer: Answer) -> bool {
     let open = node.core.borrow_mut().close(id);
+    tracing::debug!(request = format_args!("{:016x}", id.0), open = open.is_some(), "answered");
     if let Some((front, place)) = &open {
         front.answer(*place, answer);
     }
@@ -45,6 +46,7 @@
 /// The client of a request went away: nothing is owed any more.
 pub fn abandon(node: &Rc<Node>, id: RequestId) {
     let open = node.core.borrow_mut().close(id);
+    tracing::debug!(request = format_args!("{:016x}", id.0), open = open.is_some(), "its client went away");
     if open.is_some() {
         node.tell(Event::Abandoned { id });
     }
@@ -74,6 +76,14 @@
     let Errand::Attempt { id, attempt, .. } = relay.errand else {
         return node.tell(Event::ProbeDone { host, outcome, took, load: end.load });
     };
+    tracing::debug!(
+        request = format_args!("{:016x}", id.0),
+        attempt,
+        host = host.0,
+        ?outcome,
+        after = ?relay.began.elapsed(),
+        "attempt ended"
+    );
     node.core.borrow_mut().end(id, attempt);
     if outcome == Outcome::Good {
         // One that has begun already is open no more.
--- a/src/net/stages/relay.rs
+++ b/src/net/stages/relay.rs
@@ -80,6 +80,15 @@
     }
     link.written = true;
     relay.cancel.written.set(true);
+    if let Errand::Attempt { id, attempt, .. } = &relay.errand {
+        tracing::debug!(
+            request = format_args!("{:016x}", id.0),
+            attempt,
+            host = relay.host.0,
+            after = ?relay.began.elapsed(),
+            "written"
+        );
+    }
     resp::consume(&mut link.output, sent, node.limits.read_bytes);
     loop {
         if !south::promising(&link.input, &relay.errand) {
