Shutdown: whatever is open is answered before the program ends

Read line by line: a request taken 0.6 to 2 s after SIGTERM with the longest deadline was open past the program's end (the longest deadline, 3 s at least, and 0.6 s after SIGTERM), and was lost with the process if its host hung for so long (shutdown::finish cut it off). Now its time is cut to what the program lives, and 0.1 s before the end whatever is open is failed and its answer goes out.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -127,6 +127,8 @@
     pub last_call: Duration,
     /// How long after SIGTERM the program ends whatever is left.
     pub end: Cell<Duration>,
+    /// How long before that its last answers are given.
+    pub last_answers: Duration,
 }
 
 impl Limits {
@@ -200,6 +202,7 @@
             linger: Duration::from_millis(600),
             last_call: Duration::from_secs(2),
             end: Cell::new(Duration::from_nanos(longest.max(3_000_000_000)) + Duration::from_millis(600)),
+            last_answers: Duration::from_millis(100),
         }
     }
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -279,6 +279,11 @@
         Some((open.front, open.place))
     }
 
+    /// The requests that are open.
+    pub fn open_ids(&self) -> Vec<RequestId> {
+        self.open.keys().copied().collect()
+    }
+
     /// How many requests are open.
     pub fn count_open(&self) -> usize {
         self.open.len()
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -3,6 +3,7 @@
 //! connections close between requests, and the program ends once all that was taken is answered.
 
 use super::config::Limits;
+use super::stages::book;
 use super::task::spawn;
 use super::{twin, Node};
 use crate::api::Nanos;
@@ -96,6 +97,11 @@
         next.map(|next| next.saturating_sub(now))
     }
 
+    /// When the last answers are given, once the end was asked for.
+    pub fn last_answers(&self, limits: &Limits) -> Option<Instant> {
+        self.asked.get().map(|asked| asked + limits.end.get() - limits.last_answers)
+    }
+
     /// Counts a client's connection in or out.
     pub fn count(&self, change: isize) {
         self.connections.send_modify(|count| *count = count.saturating_add_signed(change));
@@ -141,13 +147,21 @@
     Ok(())
 }
 
-/// Waits until every connection is closed and every request answered, or the time is up.
+/// Waits until every connection is closed and every request answered. Shortly before the time is up, whatever is still
+/// open is failed. Guards against requests that go unanswered with the program.
 pub async fn finish(node: &Rc<Node>) {
-    let end = node.shutdown.asked.get().unwrap_or_else(Instant::now) + node.limits.end.get();
+    let last = node.shutdown.last_answers(&node.limits).unwrap_or_else(Instant::now);
     let mut connections = node.shutdown.connection_changes();
-    let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
+    let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
     // A client that went away leaves its relays to end by themselves; nothing is owed for them.
-    while node.core.borrow().count_open() > 0 && Instant::now() < end {
+    while node.core.borrow().count_open() > 0 && Instant::now() < last {
         sleep(node.limits.last_moment).await;
     }
+    let open = node.core.borrow().open_ids();
+    open.into_iter().for_each(|id| book::give_up(node, id));
+    let end = last + node.limits.last_answers;
+    let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/shutdown/tests.rs
@@ -0,0 +1,63 @@
+//! Requests under way while the program ends.
+
+use super::*;
+use crate::api::{Event, RequestId};
+use crate::net::core::tests::{request, Kept};
+use crate::net::core::Answer;
+use crate::net::stages::take_in;
+use crate::net::tests::{next, with_node};
+use std::time::Duration;
+
+const LONG: Duration = Duration::from_secs(60);
+
+/// The end was asked for just now, and comes in a moment.
+fn asked(node: &Rc<Node>, end: Duration) {
+    node.limits.end.set(end);
+    node.shutdown.asked.set(Some(Instant::now()));
+}
+
+/// A request that is taken after SIGTERM and may wait for longer than the program lives has its answer before.
+#[test]
+fn what_is_taken_after_sigterm_is_answered_while_the_program_lives() {
+    with_node(&[], |node| async move {
+        let (front, mut asks) = (Rc::new(Kept::default()), request(1));
+        asks.wait = LONG;
+        asked(&node, Duration::from_secs(3));
+        take_in::take_in(&node, front.clone(), 0, asks);
+        let last = node.shutdown.last_answers(&node.limits).expect("the end was asked for");
+        match next(&node).await {
+            Event::Request { budget, .. } => {
+                assert!(budget > 2_000_000_000, "it has its time up to then");
+                assert!(Instant::now() + Duration::from_nanos(budget) <= last + node.limits.last_moment);
+            }
+            other => panic!("{other:?}"),
+        }
+    });
+}
+
+/// Whatever was taken before and is open as the program ends is answered, with time left for the answer to go out.
+#[test]
+fn what_is_open_as_the_program_ends_is_answered_first() {
+    with_node(&[], |node| async move {
+        let (front, mut asks) = (Rc::new(Kept::default()), request(1));
+        asks.wait = LONG;
+        take_in::take_in(&node, front.clone(), 9, asks);
+        assert!(matches!(next(&node).await, Event::Request { .. }));
+        asked(&node, Duration::from_millis(300));
+        let end = node.shutdown.asked.get().expect("it was asked for") + node.limits.end.get();
+        node.shutdown.count(1);
+        let (closing, answered) = (node.clone(), front.clone());
+        // The client's connection ends as it has its answer.
+        spawn(async move {
+            while answered.0.borrow().is_empty() {
+                sleep(closing.limits.last_moment).await;
+            }
+            assert!(Instant::now() < end, "before the end");
+            closing.shutdown.count(-1);
+        });
+        finish(&node).await;
+        assert_eq!(*front.0.borrow(), [(9, Answer::Failed)]);
+        assert_eq!(node.shutdown.connections(), 0, "not cut off");
+        assert!(matches!(next(&node).await, Event::Abandoned { id: RequestId(1) }));
+    });
+}
--- a/src/net/stages/take_in.rs
+++ b/src/net/stages/take_in.rs
@@ -37,6 +37,10 @@
     if node.core.borrow().knows(request.id) {
         return front.answer(place, Answer::Failed);
     }
+    // Guards against a request that would still be open when the program has to be gone.
+    if let Some(last) = node.shutdown.last_answers(&node.limits) {
+        request.wait = request.wait.min(last.saturating_duration_since(came));
+    }
     let deadline = node.core.borrow_mut().open(front, place, &mut request, came);
     admit::admit(node, request, deadline);
 }
