SIGHUP: how long connections to hosts rest, and where hosts tell their load, follow the file

Read line by line: both were taken from the settings at the start alone, so that those of the file before outlived a reload (limits.connIdleNs in Limits::south_idle, stats.how in South). Tests: both follow; classes that change places in the file move nothing under another's index, and come back to their numbers. Not run on a damaged copy for the second test: it holds what held before.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -82,7 +82,7 @@
     /// Connections to all hosts together.
     pub south_connections: usize,
     /// How long a connection to a host is kept idle.
-    pub south_idle: Duration,
+    pub south_idle: Cell<Duration>,
     /// How long a connection to a host takes no relay after an answer.
     pub south_rest: Duration,
     /// How long a host may pause within an answer that is taken whole.
@@ -178,7 +178,7 @@
             steered: Duration::from_millis(100),
             south_connections: sockets * 3 / 10,
             // Half of what the host grants: a request written to one that it just closed ends as a reset.
-            south_idle: idle / 2,
+            south_idle: Cell::new(idle / 2),
             south_rest: Duration::from_millis(2),
             south_answer: Duration::from_millis(250),
             connect: Cell::new(time(settings.connect_timeout, 250_000_000)),
@@ -231,6 +231,7 @@
         self.back_off.set(new.back_off.get());
         self.connect.set(new.connect.get());
         self.drain.set(new.drain.get());
+        self.south_idle.set(new.south_idle.get());
         self.counter_call.set(new.counter_call.get());
         self.end.set(self.end.get().max(new.end.get()));
     }
--- a/src/net/platform/south.rs
+++ b/src/net/platform/south.rs
@@ -41,7 +41,8 @@
     links: Rc<Cell<usize>>,
     by_host: RefCell<BTreeMap<HostId, Rc<Cell<usize>>>>,
     serial: Cell<u64>,
-    reports: ReportSource,
+    /// Where hosts tell their load.
+    pub reports: Cell<ReportSource>,
 }
 
 /// A connection's count among all; ends with it.
@@ -87,7 +88,7 @@
             links: Rc::default(),
             by_host: RefCell::default(),
             serial: Cell::default(),
-            reports,
+            reports: Cell::new(reports),
         }
     }
 
@@ -235,7 +236,7 @@
             },
             _ => (Outcome::Error.into(), false),
         };
-        let told = matches!(errand, Errand::Probe) || self.reports == ReportSource::Answers;
+        let told = matches!(errand, Errand::Probe) || self.reports.get() == ReportSource::Answers;
         (End { load: if told { end.load } else { Load::new() }, ..end }, known)
     }
 }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -37,6 +37,7 @@
     node.file.replace(file);
     node.addresses.send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
     node.limits.retune(&limits);
+    node.south.reports.set(settings.reports);
     // Zones keep their numbers too.
     settings.zone = node.inventory.borrow_mut().zone(&zones, settings.zone);
     let table = node.numbers.borrow_mut().take(&settings, unix());
@@ -62,6 +63,9 @@
     node.terms.replace(Terms::of(table, heard));
 }
 
+#[cfg(test)]
+mod crossings;
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/net/stages/send.rs
+++ b/src/net/stages/send.rs
@@ -73,7 +73,7 @@
 /// Waits for a connection's next relay; `None` when it has been idle for too long, or anything came on it. The
 /// relay is looked at first in each turn, so that none is lost to another cause.
 async fn wait(node: &Rc<Node>, link: &mut Link, mut next: oneshot::Receiver<Relay>) -> Option<Relay> {
-    let idle = node.limits.south_idle;
+    let idle = node.limits.south_idle.get();
     tokio::select! {
         biased;
         relay = &mut next => relay.ok(),
