Connections to hosts rest 20 ms after an answer, in place of 2 ms

The terms let a second answer come some milliseconds behind the first; nothing tells it from the answer to the next request but the time. A limiter sends to one host a few times a second, so that a longer rest takes hardly more connections.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -179,7 +179,8 @@
             south_connections: sockets * 3 / 10,
             // Half of what the host grants: a request written to one that it just closed ends as a reset.
             south_idle: Cell::new(idle / 2),
-            south_rest: Duration::from_millis(2),
+            // A second answer may come some milliseconds behind the first; hardly more connections are needed for it.
+            south_rest: Duration::from_millis(20),
             south_answer: Duration::from_millis(250),
             connect: Cell::new(time(settings.connect_timeout, 250_000_000)),
             drain: Cell::new(time(settings.drain_grace, 1_000_000_000) / 2),
