Clients' connections: where there is no room they close at once, and new clients come in

Two tests more: a process is ready while discovery and the counter are silent; descriptors. The stand-in platform can be silent until it is woken.

--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -474,7 +474,9 @@
             Slot::Long(_, pipe) => pipe.leave(),
         }
     }
-    if over == Over::Ours {
+    // Guards against idle clients that hold their descriptors a little longer each while others wait for one: where there
+    // is no room, a connection on which nothing lay unread a moment ago closes at once.
+    if over == Over::Ours && north.desk.shutdown.connections() < north.desk.limits.north_share() {
         close::in_order(stream, north.desk.limits.north_linger).await;
     }
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,10 +3,10 @@
 mod process;
 mod toy;
 
-use process::{ask, request, served, start, CHECK};
+use process::{ask, request, served, start, start_beside_a_silent_platform, CHECK};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Reads to the end of a connection; what came, or how it ended instead.
 fn rest(client: &mut TcpStream) -> Result<String, ErrorKind> {
@@ -65,3 +65,34 @@
     }
     assert_eq!(ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1), "+PONG\r\n");
 }
+
+/// Discovery and the counter take connections and say nothing: a process is ready all the same, and nobody waits for them
+/// until their time is up.
+#[test]
+fn a_process_is_ready_while_discovery_and_the_counter_are_silent() {
+    let began = Instant::now();
+    let (limiter, _silent) = start_beside_a_silent_platform(63, true, |text| text);
+    assert!(began.elapsed() < Duration::from_secs(10), "ready after {:?}", began.elapsed());
+    let asked = Instant::now();
+    let answer = ask(&mut limiter.connect(), &request("Q.ASK", 1, CHECK, ""), 1);
+    assert!(answer.starts_with("-BUSY"), "it knows of no host: {answer}");
+    assert!(asked.elapsed() < Duration::from_secs(1), "after {:?}", asked.elapsed());
+}
+
+/// Clients that ask for nothing fill the descriptors while discovery is silent: its return is learned, hosts are reached, and
+/// new clients are taken.
+#[test]
+fn idle_clients_keep_no_descriptor_from_discovery_hosts_and_new_clients() {
+    let small = |text: String| text.replace("\"sockets\": 1024", "\"sockets\": 128");
+    let (limiter, wake) = start_beside_a_silent_platform(64, true, small);
+    // Twice as many as it may hold at all; those that made room for later ones have ended, which is theirs to find out.
+    let crowd: Vec<_> = (0..256).map(|_| limiter.connect()).collect();
+    let open = std::fs::read_dir(format!("/proc/{}/fd", limiter.child.id())).expect("it runs").count();
+    assert!((64..128).contains(&open), "{open} descriptors of 128, most of them clients'");
+    wake.send(()).expect("the toy serves from now on");
+    let since = Instant::now();
+    let answers = (1..).map(|id| ask(&mut limiter.connect(), &request("Q.ASK", id, CHECK, ""), 1));
+    let first = answers.take_while(|answer| answer.starts_with("-BUSY")).count();
+    assert!(since.elapsed() < Duration::from_secs(6), "{first} refusals, {:?}", since.elapsed());
+    drop(crowd);
+}
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -30,7 +30,17 @@
 
 /// Starts a limiter at an address of its own, beside a toy platform, or one whose counter never answers.
 pub fn start(number: u8, silent_counter: bool, change: impl Fn(String) -> String) -> Limiter {
+    let (limiter, wake) = start_beside_a_silent_platform(number, silent_counter, change);
+    wake.send(()).expect("the toy serves from now on");
+    limiter
+}
+
+/// The same beside a platform that takes connections and says nothing until it is woken; the limiter is ready by then.
+pub fn start_beside_a_silent_platform(
+    number: u8, silent_counter: bool, change: impl Fn(String) -> String,
+) -> (Limiter, mpsc::Sender<()>) {
     let (tell, told) = mpsc::channel();
+    let (wake, woken) = mpsc::channel();
     std::thread::spawn(move || {
         toy::run(async move {
             let bind = || TcpListener::bind("127.0.0.1:0");
@@ -40,6 +50,7 @@
             tell.send((discovery.local_addr()?, called)).map_err(std::io::Error::other)?;
             let config = quartzcleat::net::config::read(include_str!("../../examples/toy.json"), |_| None);
             let limits = config.map_err(std::io::Error::other)?.limits;
+            woken.recv().map_err(std::io::Error::other)?;
             toy::Toy { discovery, counter, hosts: vec![hosts], limits }.serve().await?;
             drop(silent);
             Ok(())
@@ -59,7 +70,7 @@
     let child = spawn(&path, address, discovery, console, &folder);
     let limiter = Limiter { child, address, path, discovery, console, folder };
     assert_eq!(ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1), "+PONG\r\n");
-    limiter
+    (limiter, wake)
 }
 
 fn spawn(
