--- a/src/net/pauses.rs
+++ b/src/net/backoff.rs
@@ -8,23 +8,23 @@
 /// ("full jitter"). Guards against limiters that all failed at one moment and ask again in step, for good: a service
 /// that turns most of them away then serves nobody.
 #[derive(Clone, Debug)]
-pub struct Pauses {
+pub struct Backoff {
     least: Duration,
     most: Duration,
     bound: Duration,
     rng: fastrand::Rng,
 }
 
-impl Pauses {
+impl Backoff {
     /// Pauses whose bound grows from `least` to `most`.
     pub fn new(least: Duration, most: Duration, seed: u64) -> Self {
-        Pauses { least, most: most.max(least), bound: least, rng: fastrand::Rng::with_seed(seed) }
+        Backoff { least, most: most.max(least), bound: least, rng: fastrand::Rng::with_seed(seed) }
     }
 
-    /// The pauses of a limiter.
+    /// A limiter's.
     pub fn of(limits: &Limits, seed: u64) -> Self {
         let least = if limits.list_by_asking { limits.list_turn.max(limits.again) } else { limits.again };
-        Pauses::new(least, limits.list_most, seed)
+        Backoff::new(least, limits.list_most, seed)
     }
 
     /// The pause before the first call, where all limiters may have started at one moment.
@@ -57,10 +57,10 @@
         let herd = |least: u64, most: u64, spread: bool| {
             let time = Duration::from_millis;
             let mut limiters: Vec<_> =
-                (0..100).map(|seed| Pauses::new(time(least), time(most), seed)).collect();
+                (0..100).map(|seed| Backoff::new(time(least), time(most), seed)).collect();
             let mut due: Vec<_> = limiters
                 .iter_mut()
-                .map(|pauses| Some(if spread { pauses.first() } else { Duration::ZERO }))
+                .map(|backoff| Some(if spread { backoff.first() } else { Duration::ZERO }))
                 .collect();
             let (mut free, mut failed) = (Duration::ZERO, 0);
             // Until 30 s are over, the next call to come is answered in its turn or fails.
@@ -90,9 +90,9 @@
 
     #[test]
     fn an_answer_makes_the_next_failure_a_first_one() {
-        let mut pauses = Pauses::new(Duration::from_millis(100), Duration::from_secs(5), 1);
-        (0..20).for_each(|_| assert!(pauses.after_failure() <= Duration::from_secs(5)));
-        pauses.answered();
-        assert!(pauses.after_failure() <= Duration::from_millis(100));
+        let mut backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(5), 1);
+        (0..20).for_each(|_| assert!(backoff.after_failure() <= Duration::from_secs(5)));
+        backoff.answered();
+        assert!(backoff.after_failure() <= Duration::from_millis(100));
     }
 }
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -1,7 +1,7 @@
 //! The inventory: discovery's list of hosts, watched without a gap.
 
+use super::backoff::Backoff;
 use super::config::Limits;
-use super::pauses::Pauses;
 use super::Node;
 use crate::api::{Event, HostEntry, HostId, HostState, ListMode};
 use serde_json::{json, Value};
@@ -239,15 +239,15 @@
 
 /// Follows discovery for good. Each call comes at once behind the answer before it, so that the watch goes on;
 /// after a failure, and at a new address, it begins anew.
-pub async fn follow(node: Rc<Node>, mut pauses: Pauses) {
+pub async fn follow(node: Rc<Node>, mut backoff: Backoff) {
     let mut addresses = node.addresses.subscribe();
     if node.limits.list_by_asking {
-        sleep(pauses.first()).await;
+        sleep(backoff.first()).await;
     }
     loop {
         let address = addresses.borrow_and_update().discovery;
         let watched = async {
-            if let Err(problem) = watch(&node, address, &mut pauses).await {
+            if let Err(problem) = watch(&node, address, &mut backoff).await {
                 tracing::warn!("inventory: {}", problem.text);
                 if let Some((_, tally)) = &node.tally {
                     tally.borrow_mut().list_failed();
@@ -257,7 +257,7 @@
                     return;
                 }
             }
-            sleep(pauses.after_failure()).await;
+            sleep(backoff.after_failure()).await;
         };
         // Guards against a watch that goes on at an address that discovery has left, or without a word while there is
         // news.
@@ -319,7 +319,7 @@
     node.inventory.borrow_mut().read(&list)
 }
 
-async fn watch(node: &Rc<Node>, address: SocketAddr, pauses: &mut Pauses) -> Result<(), Lost> {
+async fn watch(node: &Rc<Node>, address: SocketAddr, backoff: &mut Backoff) -> Result<(), Lost> {
     let limits = &node.limits;
     let connect = timeout(limits.connect.get(), TcpStream::connect(address)).await;
     let mut stream = connect.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
@@ -360,7 +360,7 @@
             );
             (path, patience) = whole();
         }
-        pauses.answered();
+        backoff.answered();
         answered = true;
         if !lasts {
             return Ok(());
@@ -519,7 +519,7 @@
         };
         crate::net::tests::with_node(&[("127.0.0.1:7001", "127.77.0.24:7001")], |node| async move {
             let discovery = TcpListener::bind("127.77.0.24:7001").await.expect("the address is free");
-            spawn(follow(node.clone(), Pauses::of(&node.limits, 1)));
+            spawn(follow(node.clone(), Backoff::of(&node.limits, 1)));
             spawn(check(node.clone()));
             let mut watches = Vec::new();
             let mut told = Vec::new();
--- a/src/net/inventory/told.rs
+++ b/src/net/inventory/told.rs
@@ -57,7 +57,7 @@
 }
 
 fn follows(node: &Rc<Node>) {
-    spawn(follow(node.clone(), Pauses::of(&node.limits, 1)));
+    spawn(follow(node.clone(), Backoff::of(&node.limits, 1)));
     if !node.limits.list_by_asking {
         spawn(check(node.clone()));
     }
@@ -75,9 +75,9 @@
         let text = text.replace("\"balancers\": 1", &format!("\"balancers\": {limiters}"));
         let limits = read(&text, |_| None).expect("sound").limits;
         assert_eq!(limits.list_by_asking, mode == "ask");
-        let (mut pauses, mut longest) = (Pauses::of(&limits, 7), Duration::ZERO);
+        let (mut backoff, mut longest) = (Backoff::of(&limits, 7), Duration::ZERO);
         for _ in 0..1_000 {
-            longest = longest.max(pauses.after_failure());
+            longest = longest.max(backoff.after_failure());
         }
         assert!(longest > Duration::from_secs(2), "it was drawn from the widest bound");
         assert!(
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! A request passes the [`stages`] in turn: take in, admit, route, send, relay, book. [`platform`] speaks the
 //! platform's protocol to clients (north) and hosts (south), [`counter`] and [`inventory`] to the services.
 
+pub mod backoff;
 pub mod config;
 pub mod console;
 pub mod core;
@@ -11,7 +12,6 @@
 pub mod front;
 pub mod inventory;
 pub mod leases;
-pub mod pauses;
 pub mod peers;
 pub mod pipe;
 pub mod platform;
@@ -23,10 +23,10 @@
 pub mod task;
 pub mod twin;
 
+use self::backoff::Backoff;
 use self::config::{Addresses, Config, Limits};
 use self::core::Core;
 use self::inventory::Inventory;
-use self::pauses::Pauses;
 use self::platform::north::{self, North, Terms};
 use self::platform::south::South;
 use self::tally::Tally;
@@ -157,7 +157,7 @@
 async fn run(config: Config) -> Result<(), String> {
     let (listen, console, known) = (config.listen, config.console, config.known.clone());
     let lease = config.lease.clone();
-    let pauses = Pauses::of(&config.limits, config.seed);
+    let backoff = Backoff::of(&config.limits, config.seed);
     let node = Node::new(config);
     // Before anything is answered, so that no signal finds the program without a handler.
     shutdown::watch(&node)?;
@@ -173,7 +173,7 @@
     inventory::restore(&node, &known)?;
     counter::start(&node);
     tally::start(&node);
-    task::spawn(inventory::follow(node.clone(), pauses));
+    task::spawn(inventory::follow(node.clone(), backoff));
     if !node.limits.list_by_asking {
         task::spawn(inventory::check(node.clone()));
     }
