Lab: the damage to the module follows its text

Five entries named lines that the repeats' window and the taking back of units changed; the same damage is done to the new lines.

--- a/crates/lab/src/module.rs
+++ b/crates/lab/src/module.rs
@@ -56,20 +56,20 @@
     ("life.rs", "&& job.attempts < self.set.max_attempts.max(1)", "", "attempts without a cap"),
     (
         "life.rs",
-        "(Some(_), Effect::Unsafe) => false,",
-        "(Some(_), Effect::Unsafe) => true,",
+        "(Some(_), Effect::Unsafe) => 0,",
+        "(Some(_), Effect::Unsafe) => Nanos::MAX,",
         "what must not run twice goes again",
     ),
     (
         "life.rs",
-        "self.now < at.saturating_add(class.dedup_window)",
-        "self.now < at.saturating_add(100 * class.dedup_window)",
+        "at.saturating_add(class.dedup_window)",
+        "at.saturating_add(100 * class.dedup_window)",
         "keys outlive their window",
     ),
     (
         "life.rs",
-        "self.may_repeat(job)\n",
-        "(self.may_repeat(job) || job.ran.is_some())\n",
+        "self.begins_within(job) > 0\n",
+        "(self.begins_within(job) > 0 || job.ran.is_some())\n",
         "what may have run is tried again",
     ),
     (
@@ -86,13 +86,13 @@
     ),
     (
         "life.rs",
-        "out.push(Action::Refuse { id, retry_after: self.come_back(&job) });",
-        "out.push(Action::Refuse { id, retry_after: 0 });",
+        "Action::Refuse { id, retry_after } } else {",
+        "Action::Refuse { id, retry_after: 0 * retry_after } } else {",
         "refused untold",
     ),
     (
         "life.rs",
-        "if job.attempts == 0 {\n                self.quotas.adjust(&job.claim, -job.claim.units, false, out);\n            }",
+        "if job.ran.is_none() {\n            self.quotas.adjust(&job.claim, -job.claim.units, false, out);\n        }",
         "self.quotas.adjust(&job.claim, -job.claim.units, false, out);",
         "units come back though they were sent on",
     ),
