--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -128,7 +128,7 @@
     /// How long after SIGTERM the program ends whatever is left.
     pub end: Cell<Duration>,
     /// How long before that its last answers are given.
-    pub last_answers: Duration,
+    pub last_answers: Cell<Duration>,
 }
 
 impl Limits {
@@ -210,7 +210,7 @@
             linger: Duration::from_millis(600),
             last_call: Duration::from_secs(2),
             end: Cell::new(Duration::from_nanos(longest.max(3_000_000_000)) + Duration::from_millis(600)),
-            last_answers: Duration::from_millis(100),
+            last_answers: Cell::new(Duration::from_millis(100)),
         }
     }
 }
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -99,7 +99,7 @@
 
     /// When the last answers are given, once the end was asked for.
     pub fn last_answers(&self, limits: &Limits) -> Option<Instant> {
-        self.asked.get().map(|asked| asked + limits.end.get() - limits.last_answers)
+        self.asked.get().map(|asked| asked + limits.end.get() - limits.last_answers.get())
     }
 
     /// Counts a client's connection in or out.
@@ -159,7 +159,7 @@
     }
     let open = node.core.borrow().open_ids();
     open.into_iter().for_each(|id| book::give_up(node, id));
-    let end = last + node.limits.last_answers;
+    let end = last + node.limits.last_answers.get();
     let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
 }
 
