--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -345,10 +345,12 @@
             answer(&mut stream, &mut input, patience, limits).await.map_err(|e| lost(e.to_string()))?;
         let list: Value = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
         let list = node.inventory.borrow_mut().read(&list)?;
-        (path, patience) = (news(list.version), limits.watch + limits.watch_slack);
+        let asked = std::mem::replace(&mut path, news(list.version));
+        patience = limits.watch + limits.watch_slack;
         let mut inventory = node.inventory.borrow_mut();
         let (is_news, older) = (inventory.is_news(&list, taken_in), list.version < inventory.version);
         drop(inventory);
+        let list_is_whole = list.whole;
         if is_news {
             let mode = if list.whole { ListMode::Replace } else { ListMode::Update };
             apply(node, list, mode);
@@ -359,6 +361,12 @@
                 "an answer that is older than the list held is left alone"
             );
             (path, patience) = whole();
+            // Guards against asking without a pause a discovery that answers the call for all with old changes.
+            if asked == path && !list_is_whole {
+                return Err("the call for the whole list is answered with changes that are old"
+                    .to_owned()
+                    .into());
+            }
         }
         backoff.answered();
         answered = true;
--- a/src/net/inventory/told.rs
+++ b/src/net/inventory/told.rs
@@ -188,3 +188,24 @@
         assert!(watch.path.contains("index=7"), "{}", watch.path);
     });
 }
+
+/// A discovery that answers the call for the whole list with old changes is asked again on another connection, after a
+/// pause, and not for ever on this one.
+#[test]
+fn a_discovery_that_never_tells_the_whole_list_is_not_asked_without_a_pause() {
+    with_node(&[("127.0.0.1:7001", "127.77.0.44:7001"), ("\"push\"", "\"ask\"")], |node| async move {
+        let discovery = TcpListener::bind("127.77.0.44:7001").await.expect("the address is free");
+        follows(&node);
+        let watch =
+            call(accept(&discovery).await.answer(4, true, "SERVING").await).await.expect("it goes on");
+        let whole = call(watch.answer(3, false, "DRAINING").await).await.expect("it goes on");
+        let ended = call(whole.answer(3, false, "DRAINING").await);
+        assert!(
+            timeout(TOLD, ended).await.expect("it does not wait").is_none(),
+            "no further call on this one"
+        );
+        assert!(timeout(TOLD, accept(&discovery)).await.expect("it comes again").is_watch());
+        assert_eq!(told(&node).await, (4, HostState::Ready));
+        assert!(node.core.borrow_mut().untold().is_none());
+    });
+}
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -475,7 +475,7 @@
         }
     }
     // Guards against idle clients that hold their descriptors a little longer each while others wait for one: where there
-    // is no room, a connection on which nothing lay unread a moment ago closes at once.
+    // is no room it closes at once. Could hurt behind malformed bytes, where a reset may take the last answer along.
     if over == Over::Ours && north.desk.shutdown.connections() < north.desk.limits.north_share() {
         close::in_order(stream, north.desk.limits.north_linger).await;
     }
