--- a/crates/lab/src/damage.rs
+++ b/crates/bench/src/damage.rs
@@ -1,10 +1,10 @@
 //! Seeded damage to a day's settings, one key at a time: what the expectations make of it.
 
 use clap::Args;
-use quartzcleat_expect::run::read_day;
-use quartzcleat_expect::{run, Options, Verdict};
-use quartzcleat_settings::tree::Content;
-use quartzcleat_settings::Day;
+use quartzcleat_config::tree::Content;
+use quartzcleat_config::Day;
+use quartzcleat_expectations::run::read_day;
+use quartzcleat_expectations::{run, Options, Verdict};
 use std::fmt::Write as _;
 use std::path::PathBuf;
 
@@ -104,11 +104,12 @@
                 continue;
             }
             let by: Vec<_> = outcome.results.iter().filter(|r| r.verdict != Verdict::Held).collect();
-            let names = |outcome: &quartzcleat_expect::Outcome| {
+            let names = |outcome: &quartzcleat_expectations::Outcome| {
                 let of_failure = outcome.results.iter().filter_map(|r| r.failure.as_ref()).map(|f| &f.behind);
                 let of_change = outcome.results.iter().filter_map(|r| r.differs.as_ref()).map(|d| &d.1);
-                let noted =
-                    |r: &quartzcleat_expect::Result| r.notes.iter().any(|note| note.contains(key.as_str()));
+                let noted = |r: &quartzcleat_expectations::Result| {
+                    r.notes.iter().any(|note| note.contains(key.as_str()))
+                };
                 if outcome.results.iter().any(noted) {
                     return true;
                 }
--- a/crates/lab/src/deployments/draw.rs
+++ b/crates/bench/src/deployments/draw.rs
@@ -1,8 +1,8 @@
 //! Draws a whole deployment from a seed, over ranges far wider than those of the deployments that are known.
 
 use quartzcleat_decision::api::{Class, Effect, Group, Nanos, Plan, Settings};
-use quartzcleat_rules::{Cast, Player};
-use quartzcleat_world::scenario::{
+use quartzcleat_invariants::{Cast, Player};
+use quartzcleat_simulation::scenario::{
     Ask, CallFate, CounterMode, CounterSetup, Fate, Happening, Net, NodeSetup, Retry, Scenario, Step,
 };
 use rand::{RngExt, SeedableRng};
--- a/crates/lab/src/deployments/mod.rs
+++ b/crates/bench/src/deployments/mod.rs
@@ -7,8 +7,8 @@
 use draw::{draw, Drawn};
 use hdrhistogram::Histogram;
 use quartzcleat_decision::api::RequestId;
-use quartzcleat_rules::{check, Answered, Terms, What};
-use quartzcleat_world::{oracle::First, play, Played};
+use quartzcleat_invariants::{check, Answered, Terms, What};
+use quartzcleat_simulation::{oracle::First, play, Played};
 use sight::{worth, Quotas};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
@@ -146,9 +146,9 @@
     (served - beyond, beyond, unsent.map(|errand| worth(set, errand.class, errand.plan, 0)).sum())
 }
 
-fn plan_of(step: &quartzcleat_world::scenario::Step) -> Option<(u64, u32)> {
+fn plan_of(step: &quartzcleat_simulation::scenario::Step) -> Option<(u64, u32)> {
     match &step.what {
-        quartzcleat_world::scenario::Happening::Ask(ask) => Some((ask.mark, ask.plan)),
+        quartzcleat_simulation::scenario::Happening::Ask(ask) => Some((ask.mark, ask.plan)),
         _ => None,
     }
 }
--- a/crates/lab/src/deployments/sight.rs
+++ b/crates/bench/src/deployments/sight.rs
@@ -1,7 +1,7 @@
 //! What a deployment would have served under full sight: one queue, exact quotas, hosts as they are and will be.
 
 use quartzcleat_decision::api::{Nanos, Settings};
-use quartzcleat_world::scenario::{Ask, Happening, Scenario};
+use quartzcleat_simulation::scenario::{Ask, Happening, Scenario};
 use std::collections::BTreeMap;
 
 /// An exact quota: it refills at the plan's rate and holds its burst.
--- a/crates/lab/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,4 +1,4 @@
-//! `quartzcleat-lab`: each figure in the docs is made by one of these commands, which stands beside it there.
+//! `quartzcleat-bench`: each figure in the docs is made by one of these commands, which stands beside it there.
 #![forbid(unsafe_code)]
 
 mod damage;
@@ -50,7 +50,7 @@
             ExitCode::SUCCESS
         }
         Err(problem) => {
-            eprintln!("quartzcleat-lab: {problem}");
+            eprintln!("quartzcleat-bench: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/crates/lab/src/pair.rs
+++ b/crates/bench/src/pair.rs
@@ -2,11 +2,11 @@
 
 use crate::spread;
 use clap::Args;
+use quartzcleat_config::Day;
 use quartzcleat_decision::api::{HostState, Settings};
-use quartzcleat_rules::{record::Player, Answered, Cast, What};
-use quartzcleat_settings::Day;
-use quartzcleat_standins::stage::{perform, Usage};
-use quartzcleat_world::scenario::{Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step};
+use quartzcleat_fakes::stage::{perform, Usage};
+use quartzcleat_invariants::{record::Player, Answered, Cast, What};
+use quartzcleat_simulation::scenario::{Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step};
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 use std::time::Instant;
--- a/crates/lab/src/speed.rs
+++ b/crates/bench/src/speed.rs
@@ -2,7 +2,7 @@
 
 use crate::spread;
 use clap::Args;
-use quartzcleat_expect::{run, Budget, Options};
+use quartzcleat_expectations::{run, Budget, Options};
 use std::fmt::Write as _;
 use std::path::PathBuf;
 
@@ -36,7 +36,7 @@
             };
             let outcomes: Vec<_> = (0..self.runs.max(1)).map(|_| run(&options)).collect();
             let last = outcomes.last().ok_or("no run")?;
-            let sum = |figure: fn(&quartzcleat_expect::run::Counts) -> u64| -> u64 {
+            let sum = |figure: fn(&quartzcleat_expectations::run::Counts) -> u64| -> u64 {
                 last.results.iter().map(|result| figure(&result.explored)).sum()
             };
             let (played, states) = (sum(|counts| counts.plays), sum(|counts| counts.states));
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/bench/src/trial/mod.rs
@@ -4,7 +4,7 @@
 mod report;
 
 use clap::{Args, ValueEnum};
-use quartzcleat_trials::{play, shrink, Ground, Row, Story};
+use quartzcleat_fault_injection::{play, shrink, Ground, Row, Story};
 use serde::{Deserialize, Serialize};
 use std::fs::{File, OpenOptions};
 use std::io::Write as _;
--- a/crates/lab/src/trial/plot.rs
+++ b/crates/bench/src/trial/plot.rs
@@ -2,7 +2,7 @@
 //! that struck it over their time.
 
 use plotters::prelude::*;
-use quartzcleat_trials::{Played, Story};
+use quartzcleat_fault_injection::{Played, Story};
 use std::error::Error;
 use std::path::Path;
 use std::time::Duration;
@@ -111,7 +111,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use quartzcleat_trials::verdict::Mark;
+    use quartzcleat_fault_injection::verdict::Mark;
 
     #[test]
     fn faults_have_their_ends_and_a_picture_tells_them() {
--- a/crates/lab/src/trial/report.rs
+++ b/crates/bench/src/trial/report.rs
@@ -1,8 +1,8 @@
 //! A run of trials told: for people, as JSON, or as JUnit's XML for build servers.
 
 use hdrhistogram::Histogram;
-use quartzcleat_expect::report::{case, suite};
-use quartzcleat_trials::{Row, Story};
+use quartzcleat_expectations::report::{case, suite};
+use quartzcleat_fault_injection::{Row, Story};
 use serde_json::json;
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -38,7 +38,7 @@
     }
 
     fn again(&self, seed: u64) -> String {
-        format!("quartzcleat-lab trial {} --seeds {seed}..{seed}", self.file)
+        format!("quartzcleat-bench trial {} --seeds {seed}..{seed}", self.file)
     }
 
     /// For people.
--- a/crates/expect/src/blame.rs
+++ b/crates/expectations/src/blame.rs
@@ -4,11 +4,11 @@
 use crate::compile::compile;
 use crate::explore::{explore, Budget};
 use crate::file::{Expectation, Suite};
-use quartzcleat_settings::day::Change;
-use quartzcleat_settings::platform::{key_of, Kind};
-use quartzcleat_settings::quantity;
-use quartzcleat_settings::tree::{Content, Node};
-use quartzcleat_settings::Day;
+use quartzcleat_config::day::Change;
+use quartzcleat_config::platform::{key_of, Kind};
+use quartzcleat_config::quantity;
+use quartzcleat_config::tree::{Content, Node};
+use quartzcleat_config::Day;
 use serde::Serialize;
 
 /// One line that a verdict hangs on.
--- a/crates/expect/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -4,12 +4,12 @@
 use crate::file::{Expectation, Suite};
 use crate::installation::{self, facts, limiters, names_of, net};
 use crate::must::Must;
+use quartzcleat_config::reader::list;
+use quartzcleat_config::tree::Content;
+use quartzcleat_config::{Day, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_rules::{Cast, Terms};
-use quartzcleat_settings::reader::list;
-use quartzcleat_settings::tree::Content;
-use quartzcleat_settings::{Day, Faults, Reader};
-use quartzcleat_world::scenario::{CounterSetup, Fate, NodeSetup, Scenario};
+use quartzcleat_invariants::{Cast, Terms};
+use quartzcleat_simulation::scenario::{CounterSetup, Fate, NodeSetup, Scenario};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An expectation in the terms of a day.
@@ -139,7 +139,7 @@
     let mut changes = Vec::new();
     if let Content::Map(members) = &node.content {
         for (key, place, value) in members {
-            if quartzcleat_settings::platform::key_of(key).is_none() {
+            if quartzcleat_config::platform::key_of(key).is_none() {
                 faults.add(
                     given.file(),
                     *place,
--- a/crates/expect/src/demands.rs
+++ b/crates/expectations/src/demands.rs
@@ -3,10 +3,10 @@
 use crate::compile::Ground;
 use crate::installation::{place_of, player};
 use crate::must::{Bounds, Demand, Event, Filter, Must, Sum};
+use quartzcleat_config::reader::{list, one_of, text};
+use quartzcleat_config::tree::{Content, Node};
+use quartzcleat_config::{quantity, Faults, Reader};
 use quartzcleat_decision::api::{HostState, Nanos};
-use quartzcleat_settings::reader::{list, one_of, text};
-use quartzcleat_settings::tree::{Content, Node};
-use quartzcleat_settings::{quantity, Faults, Reader};
 use std::sync::Arc;
 
 impl Ground<'_> {
--- a/crates/expect/src/explore.rs
+++ b/crates/expectations/src/explore.rs
@@ -4,9 +4,9 @@
 use crate::compile::Compiled;
 use crate::must::{Facts, Judged};
 use quartzcleat_decision::api::{Nanos, RequestId};
-use quartzcleat_rules::{check, Record};
-use quartzcleat_world::oracle::Path;
-use quartzcleat_world::{play, Oracle, Point};
+use quartzcleat_invariants::{check, Record};
+use quartzcleat_simulation::oracle::Path;
+use quartzcleat_simulation::{play, Oracle, Point};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
@@ -137,7 +137,7 @@
             Some((Some(number), at, request, how))
         })
         .collect();
-    let terms = quartzcleat_rules::Terms { slack, ..compiled.terms.clone() };
+    let terms = quartzcleat_invariants::Terms { slack, ..compiled.terms.clone() };
     failed.extend(check(cast, &terms, records).into_iter().map(|broken| {
         (None, broken.at, broken.request, format!("rule broken ({}): {}", broken.rule.name(), broken.how))
     }));
--- a/crates/expect/src/file.rs
+++ b/crates/expectations/src/file.rs
@@ -1,9 +1,9 @@
 //! Files of expectations, read as far as they can be without a day's settings: names, places and the parts that
 //! [`crate::compile`] makes sense of.
 
-use quartzcleat_settings::reader::{list, text};
-use quartzcleat_settings::tree::{self, Content, Node};
-use quartzcleat_settings::{Faults, Reader};
+use quartzcleat_config::reader::{list, text};
+use quartzcleat_config::tree::{self, Content, Node};
+use quartzcleat_config::{Faults, Reader};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
--- a/crates/expect/src/given.rs
+++ b/crates/expectations/src/given.rs
@@ -2,11 +2,11 @@
 
 use crate::compile::{Ground, Partner};
 use crate::installation::{members, place_of, player};
+use quartzcleat_config::reader::{flag, list, one_of, text};
+use quartzcleat_config::tree::{Content, Node};
+use quartzcleat_config::{figure, quantity, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_settings::reader::{flag, list, one_of, text};
-use quartzcleat_settings::tree::{Content, Node};
-use quartzcleat_settings::{figure, quantity, Faults, Reader};
-use quartzcleat_world::scenario::{CallFate, CounterMode, CounterSetup, Fate, Retry, Scenario};
+use quartzcleat_simulation::scenario::{CallFate, CounterMode, CounterSetup, Fate, Retry, Scenario};
 use std::sync::Arc;
 
 const FATES: [(&str, Fate); 9] = [
--- a/crates/expect/src/installation.rs
+++ b/crates/expectations/src/installation.rs
@@ -1,13 +1,13 @@
 //! What an installation gives: rooms, limiters, delays, nodes and the facts that no setting changes.
 
+use quartzcleat_config::fault::nearest;
+use quartzcleat_config::reader::{flag, list, text};
+use quartzcleat_config::tree::{Content, Node, Place};
+use quartzcleat_config::{quantity, Faults, Reader};
 use quartzcleat_decision::api::{Effect, Group, HostState, Nanos, Settings};
-use quartzcleat_rules::record::Player;
-use quartzcleat_rules::Cast;
-use quartzcleat_settings::fault::nearest;
-use quartzcleat_settings::reader::{flag, list, text};
-use quartzcleat_settings::tree::{Content, Node, Place};
-use quartzcleat_settings::{quantity, Faults, Reader};
-use quartzcleat_world::scenario::{Net, NodeSetup};
+use quartzcleat_invariants::record::Player;
+use quartzcleat_invariants::Cast;
+use quartzcleat_simulation::scenario::{Net, NodeSetup};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
--- a/crates/expect/src/must.rs
+++ b/crates/expectations/src/must.rs
@@ -2,7 +2,7 @@
 //! matter to the test, and the figure it came to, so that what was never tested is not taken for what holds.
 
 use quartzcleat_decision::api::{HostState, Nanos, Outcome, RequestId};
-use quartzcleat_rules::{Answered, Cast, Record, What};
+use quartzcleat_invariants::{Answered, Cast, Record, What};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Which requests are meant; what is not told means all.
@@ -502,7 +502,7 @@
     fn broken(&self, figure: f64, time: bool) -> Option<String> {
         let show = |value: f64| {
             if time {
-                quartzcleat_settings::quantity::show_time(value.max(0.0) as u64)
+                quartzcleat_config::quantity::show_time(value.max(0.0) as u64)
             } else {
                 format!("{}", (value * 1e4).round() / 1e4)
             }
@@ -527,7 +527,7 @@
         Answered::Failed => "failed".to_owned(),
         Answered::Refused(0) => "refused".to_owned(),
         Answered::Refused(after) => {
-            format!("refused, to come back after {}", quartzcleat_settings::quantity::show_time(after))
+            format!("refused, to come back after {}", quartzcleat_config::quantity::show_time(after))
         }
     }
 }
--- a/crates/expect/src/run.rs
+++ b/crates/expectations/src/run.rs
@@ -6,13 +6,13 @@
 use crate::explore::{explore, Budget, Explored, Failure};
 use crate::file::{self, Expectation, Suite};
 use crate::vary::{varied, Vary};
+use quartzcleat_config::day::Change;
+use quartzcleat_config::reader::list;
+use quartzcleat_config::tree::Content;
+use quartzcleat_config::{Day, Faults};
 use quartzcleat_decision::api::HostState;
-use quartzcleat_rules::{story, Record, What};
-use quartzcleat_settings::day::Change;
-use quartzcleat_settings::reader::list;
-use quartzcleat_settings::tree::Content;
-use quartzcleat_settings::{Day, Faults};
-use quartzcleat_world::scenario::{CallFate, CounterMode, Fate, Happening, Scenario};
+use quartzcleat_invariants::{story, Record, What};
+use quartzcleat_simulation::scenario::{CallFate, CounterMode, Fate, Happening, Scenario};
 use rayon::prelude::*;
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -184,7 +184,7 @@
             let mut faults = Faults::default();
             faults.add(
                 &name.into(),
-                quartzcleat_settings::tree::Place::default(),
+                quartzcleat_config::tree::Place::default(),
                 "",
                 format!("cannot read: {e}"),
             );
@@ -211,7 +211,7 @@
     let files = file::find(&options.paths);
     if files.is_empty() {
         let named: Vec<_> = options.paths.iter().map(|path| path.display().to_string()).collect();
-        let nowhere = quartzcleat_settings::tree::Place::default();
+        let nowhere = quartzcleat_config::tree::Place::default();
         faults.add(&named.join(", ").into(), nowhere, "", "no file of expectations");
     }
     let suites = files.iter().filter_map(|path| file::read(path, faults));
@@ -223,7 +223,7 @@
         if suites.is_empty() {
             let known: Vec<_> = known.into_iter().collect();
             let problem = format!("no expectations of a deployment {name:?}; known: {}", known.join(", "));
-            faults.add(&Arc::from(""), quartzcleat_settings::tree::Place::default(), "--deployment", problem);
+            faults.add(&Arc::from(""), quartzcleat_config::tree::Place::default(), "--deployment", problem);
         }
     }
     let mut work = Vec::new();
@@ -487,7 +487,7 @@
     for key in &compiled.names {
         changes.extend([0.5, 2.0].iter().filter_map(|factor| Some(vec![scaled(key, *factor)?])));
     }
-    let plan = |step: &quartzcleat_world::scenario::Step| match &step.what {
+    let plan = |step: &quartzcleat_simulation::scenario::Step| match &step.what {
         Happening::Ask(ask) => Some(ask.plan),
         _ => None,
     };
@@ -537,8 +537,8 @@
     ]
 }
 
-fn quantity_of(node: &quartzcleat_settings::Node) -> f64 {
-    quartzcleat_settings::quantity::time(node).map_or(0.0, |nanos| nanos as f64)
+fn quantity_of(node: &quartzcleat_config::Node) -> f64 {
+    quartzcleat_config::quantity::time(node).map_or(0.0, |nanos| nanos as f64)
 }
 
 /// Lines of a story beyond which the middle is left out.
--- a/crates/expect/src/steps.rs
+++ b/crates/expectations/src/steps.rs
@@ -3,11 +3,11 @@
 use crate::compile::{Ground, MOST_REQUESTS};
 use crate::given::mode;
 use crate::installation::{place_of, player};
+use quartzcleat_config::reader::{list, text};
+use quartzcleat_config::tree::Node;
+use quartzcleat_config::{quantity, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_settings::reader::{list, text};
-use quartzcleat_settings::tree::Node;
-use quartzcleat_settings::{quantity, Faults, Reader};
-use quartzcleat_world::scenario::{Ask, Happening, Step};
+use quartzcleat_simulation::scenario::{Ask, Happening, Step};
 use std::sync::Arc;
 
 impl Ground<'_> {
--- a/crates/expect/src/vary.rs
+++ b/crates/expectations/src/vary.rs
@@ -1,7 +1,7 @@
 //! An expectation with something varied, to see whether its verdict depends on it.
 
 use crate::compile::Compiled;
-use quartzcleat_world::scenario::{Ask, Happening, Step};
+use quartzcleat_simulation::scenario::{Ask, Happening, Step};
 
 /// Something about an expectation that is varied, to see whether its verdict depends on it.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/expect/tests/expect.rs
+++ b/crates/expectations/tests/expect.rs
@@ -1,6 +1,6 @@
 //! Expectations from their text to their verdicts, and what is said of them.
 
-use quartzcleat_expect::{report, run, Options, Outcome, Verdict};
+use quartzcleat_expectations::{report, run, Options, Outcome, Verdict};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -254,7 +254,7 @@
 #[test]
 fn the_expectations_of_both_deployments_hold() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/expectations");
-    let budget = quartzcleat_expect::Budget { plays: 300, events: 100_000, ..Default::default() };
+    let budget = quartzcleat_expectations::Budget { plays: 300, events: 100_000, ..Default::default() };
     for (deployment, least) in [("imlil-main", 60), ("reykjavik-auth", 25)] {
         let (paths, deployment) = (vec![path.clone()], Some(deployment.to_owned()));
         let outcome = run(&Options { paths, deployment, budget, ..Options::default() });
--- a/crates/standins/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -3,8 +3,8 @@
 use crate::resp::{self, Reply};
 use crate::stage::{Asked, Stage};
 use quartzcleat_decision::api::{Effect, Nanos, RequestId};
-use quartzcleat_rules::{Answered, What};
-use quartzcleat_world::scenario::Ask;
+use quartzcleat_invariants::{Answered, What};
+use quartzcleat_simulation::scenario::Ask;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/standins/src/counter.rs
+++ b/crates/fakes/src/counter.rs
@@ -3,9 +3,9 @@
 use crate::resp;
 use crate::stage::{spawn, Stage};
 use quartzcleat_decision::api::{Nanos, Outcome};
-use quartzcleat_world::counter::Counter;
-use quartzcleat_world::oracle::Point;
-use quartzcleat_world::scenario::{option, CallFate, CounterSetup};
+use quartzcleat_simulation::counter::Counter;
+use quartzcleat_simulation::oracle::Point;
+use quartzcleat_simulation::scenario::{option, CallFate, CounterSetup};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/standins/src/discovery.rs
+++ b/crates/fakes/src/discovery.rs
@@ -2,7 +2,7 @@
 //! what is told is noted with whom it was told to.
 
 use crate::stage::{spawn, Stage};
-use quartzcleat_rules::What;
+use quartzcleat_invariants::What;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/standins/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins on loopback: nodes, the counter, discovery and clients, that play a [`quartzcleat_world::Scenario`]
+//! Stand-ins on loopback: nodes, the counter, discovery and clients, that play a [`quartzcleat_simulation::Scenario`]
 //! before real limiter processes and record what an observer outside them sees, for the same rules that judge the
 //! world. Written from the platform's protocol; the capacity of nodes and the totals of the counter are the world's
 //! own models, so that both stages tell one story.
--- a/crates/standins/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -3,10 +3,10 @@
 use crate::resp;
 use crate::stage::{spawn, Stage};
 use quartzcleat_decision::api::{Effect, Group, Nanos, Outcome, RequestId};
-use quartzcleat_rules::What;
-use quartzcleat_world::node::{Job, Life, Node, Reached};
-use quartzcleat_world::oracle::Point;
-use quartzcleat_world::scenario::{option, Fate, Happening, NodeSetup, Scenario};
+use quartzcleat_invariants::What;
+use quartzcleat_simulation::node::{Job, Life, Node, Reached};
+use quartzcleat_simulation::oracle::Point;
+use quartzcleat_simulation::scenario::{option, Fate, Happening, NodeSetup, Scenario};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/standins/src/stage.rs
+++ b/crates/fakes/src/stage.rs
@@ -6,10 +6,10 @@
 use crate::limiter::Process;
 use crate::node::{self, NodeDesk};
 use quartzcleat_decision::api::{HostEntry, HostId, HostState, Nanos, RequestId};
-use quartzcleat_rules::{Answered, Record, What};
-use quartzcleat_world::node::Life;
-use quartzcleat_world::oracle::Point;
-use quartzcleat_world::scenario::{option, Happening, Scenario};
+use quartzcleat_invariants::{Answered, Record, What};
+use quartzcleat_simulation::node::Life;
+use quartzcleat_simulation::oracle::Point;
+use quartzcleat_simulation::scenario::{option, Happening, Scenario};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -260,7 +260,7 @@
             "seed": format!("{:016x}", 0x9e37_79b9 + number as u64),
             "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 512 },
             "known": self.list(number, true, &held),
-            "settings": quartzcleat_settings::platform::encode(&settings, &self.scenario.cast.rooms),
+            "settings": quartzcleat_config::platform::encode(&settings, &self.scenario.cast.rooms),
         })
     }
 
--- a/crates/trials/src/story.rs
+++ b/crates/fault-injection/src/story.rs
@@ -1,9 +1,9 @@
 //! A story in YAML: how many limiters, how leases are set, how links behave, and which faults come when. What the file
 //! does not name is drawn from the seed, so that a seed says all.
 
-use quartzcleat_settings::quantity::{self, show_time};
-use quartzcleat_settings::reader::{list, one_of, text, Reader};
-use quartzcleat_settings::{fault::Faults, tree, Node};
+use quartzcleat_config::quantity::{self, show_time};
+use quartzcleat_config::reader::{list, one_of, text, Reader};
+use quartzcleat_config::{fault::Faults, tree, Node};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/world/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -6,7 +6,7 @@
 use crate::oracle::{Oracle, Point};
 use crate::scenario::{option, Ask, CallFate, Fate, Happening, Scenario};
 use quartzcleat_decision::api::*;
-use quartzcleat_rules::{Answered, Record, What};
+use quartzcleat_invariants::{Answered, Record, What};
 use rand::SeedableRng;
 use rand_distr::{Distribution, LogNormal};
 use rand_pcg::Pcg64Mcg;
--- a/crates/world/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use crate::oracle::Point;
 use quartzcleat_decision::api::{HostState, Nanos, Settings};
-use quartzcleat_rules::{record::Index, Cast};
+use quartzcleat_invariants::{record::Index, Cast};
 
 /// How an attempt fares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/world/tests/play.rs
+++ b/crates/simulation/tests/play.rs
@@ -1,10 +1,10 @@
 //! Plays of the world: what happens in them is what the scenario says, the same each time, within the rules.
 
 use quartzcleat_decision::api::*;
-use quartzcleat_rules::{check, record::Player, Answered, Cast, Record, Terms, What};
-use quartzcleat_world::oracle::{First, Path};
-use quartzcleat_world::scenario::*;
-use quartzcleat_world::{play, Oracle, Point};
+use quartzcleat_invariants::{check, record::Player, Answered, Cast, Record, Terms, What};
+use quartzcleat_simulation::oracle::{First, Path};
+use quartzcleat_simulation::scenario::*;
+use quartzcleat_simulation::{play, Oracle, Point};
 
 const MS: Nanos = 1_000_000;
 const S: Nanos = 1_000 * MS;
--- a/src/bin/quartzcleat-drill.rs
+++ b/src/bin/quartzcleat-sim.rs
@@ -3,18 +3,18 @@
 
 use quartzcleat::api::Nanos;
 use quartzcleat::choice::Gateway;
-use quartzcleat::wire::{self, Decoder, Line};
+use quartzcleat::simulator::{self, Decoder, Line};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    std::panic::set_hook(Box::new(|info| eprintln!("quartzcleat-drill: {info}")));
+    std::panic::set_hook(Box::new(|info| eprintln!("quartzcleat-sim: {info}")));
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("quartzcleat-drill: {message}");
+            eprintln!("quartzcleat-sim: {message}");
             ExitCode::FAILURE
         }
     }
@@ -55,7 +55,7 @@
                 let name = current.clone().ok_or_else(outside)?;
                 match catch_unwind(AssertUnwindSafe(|| Gateway::new(*settings, seed, now))) {
                     Ok(gateway) => drop(gateways.insert(name, gateway)),
-                    Err(panic) => wire::encode_bug(&panic_text(&*panic), &mut reply),
+                    Err(panic) => simulator::encode_bug(&panic_text(&*panic), &mut reply),
                 }
             }
             Line::Stop => drop(gateways.remove(current.as_deref().ok_or_else(outside)?)),
@@ -65,16 +65,16 @@
                 actions.clear();
                 let outcome = catch_unwind(AssertUnwindSafe(|| gateway.handle(now, event, &mut actions)));
                 if (outcome.is_err() || !actions.is_empty()) && speaker.as_deref() != Some(name) {
-                    wire::encode_by(name, &mut reply);
+                    simulator::encode_by(name, &mut reply);
                     speaker = Some(name.to_owned());
                 }
-                actions.iter().for_each(|action| wire::encode(action, &mut reply));
+                actions.iter().for_each(|action| simulator::encode(action, &mut reply));
                 if let Err(panic) = outcome {
-                    wire::encode_bug(&panic_text(&*panic), &mut reply);
+                    simulator::encode_bug(&panic_text(&*panic), &mut reply);
                 }
             }
             Line::EndOfBatch => {
-                wire::encode_end(&mut reply);
+                simulator::encode_end(&mut reply);
                 let sent = output.write_all(reply.as_bytes()).and_then(|()| output.flush());
                 sent.map_err(|e| format!("cannot write: {e}"))?;
                 reply.clear();
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -3,7 +3,7 @@
 use super::{print, serve, Format};
 use crate::net::config;
 use clap::Args;
-use quartzcleat_expect::run::read_day;
+use quartzcleat_expectations::run::read_day;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -79,7 +79,7 @@
             format!("{}\n", serde_json::Value::from(files))
         }
         Format::Junit => {
-            use quartzcleat_expect::report::{case, suite};
+            use quartzcleat_expectations::report::{case, suite};
             let cases: Vec<_> =
                 told.iter().map(|(file, faults)| case(file, "check", &faults.join("\n"))).collect();
             suite("check", &cases)
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -2,10 +2,10 @@
 //! lost node in it, and a table of what happened.
 
 use clap::Args;
-use quartzcleat_expect::explore::judge;
-use quartzcleat_expect::{compile, file, Compiled};
-use quartzcleat_rules::{Answered, Record, What};
-use quartzcleat_settings::{Day, Faults};
+use quartzcleat_config::{Day, Faults};
+use quartzcleat_expectations::explore::judge;
+use quartzcleat_expectations::{compile, file, Compiled};
+use quartzcleat_invariants::{Answered, Record, What};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
@@ -45,7 +45,7 @@
             let folder = super::live::folder();
             let played = std::env::current_exe().and_then(|program| {
                 std::fs::create_dir_all(&folder)?;
-                quartzcleat_standins::play(&compiled.scenario, &program, &folder)
+                quartzcleat_fakes::play(&compiled.scenario, &program, &folder)
             });
             let _ = std::fs::remove_dir_all(&folder);
             played.map(|records| (compiled, records)).map_err(|e| e.to_string())
@@ -153,7 +153,8 @@
     fn the_story_is_sound_and_holds_in_the_world() {
         let mut compiled = story().unwrap_or_else(|faults| panic!("{faults}"));
         compiled.scenario.variant = Some(0);
-        let played = quartzcleat_world::play(&compiled.scenario, &mut quartzcleat_world::oracle::First);
+        let played =
+            quartzcleat_simulation::play(&compiled.scenario, &mut quartzcleat_simulation::oracle::First);
         let (judged, failed) = judge(&compiled, &played.records, played.whole, 0);
         assert_eq!(failed, None);
         assert!(judged.iter().all(|judged| judged.tested > 0), "{judged:?}");
--- a/src/cli/expect.rs
+++ b/src/cli/expect.rs
@@ -2,7 +2,7 @@
 
 use super::{print, Format};
 use clap::Args;
-use quartzcleat_expect::{report, run, Budget, Options};
+use quartzcleat_expectations::{report, run, Budget, Options};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
--- a/src/cli/live.rs
+++ b/src/cli/live.rs
@@ -2,12 +2,12 @@
 //! what the world plays of them. Timing may differ, verdicts may not.
 
 use crate::cli::Format;
-use quartzcleat_expect::explore::judge;
-use quartzcleat_expect::run::{gather, Work};
-use quartzcleat_expect::{compile, Compiled, Options};
-use quartzcleat_rules::{story, Answered, Record, What};
-use quartzcleat_settings::Faults;
-use quartzcleat_world::oracle::First;
+use quartzcleat_config::Faults;
+use quartzcleat_expectations::explore::judge;
+use quartzcleat_expectations::run::{gather, Work};
+use quartzcleat_expectations::{compile, Compiled, Options};
+use quartzcleat_invariants::{story, Answered, Record, What};
+use quartzcleat_simulation::oracle::First;
 use rayon::prelude::*;
 use serde::Serialize;
 use std::fmt::Write as _;
@@ -79,11 +79,11 @@
 fn compare(work: &Work, compiled: &Compiled, variant: usize, program: &Path, folder: &Path) -> Compared {
     let mut compiled = compiled.clone();
     compiled.scenario.variant = Some(variant);
-    let world = quartzcleat_world::play(&compiled.scenario, &mut First);
+    let world = quartzcleat_simulation::play(&compiled.scenario, &mut First);
     let (_, world_fails) = judge(&compiled, &world.records, true, 0);
     let folder = folder.join(format!("{}-{variant}", work.expectation.line));
     let live = std::fs::create_dir_all(&folder)
-        .and_then(|()| quartzcleat_standins::play(&compiled.scenario, program, &folder));
+        .and_then(|()| quartzcleat_fakes::play(&compiled.scenario, program, &folder));
     let mut compared = Compared {
         file: work.expectation.file.to_string(),
         line: work.expectation.line,
@@ -205,7 +205,7 @@
 }
 
 fn junit(compared: &[Compared], faults: &[String]) -> String {
-    use quartzcleat_expect::report::{case, suite};
+    use quartzcleat_expectations::report::{case, suite};
     let mut cases: Vec<String> = faults.iter().map(|fault| case("files", "live", fault)).collect();
     for one in compared {
         let differs = format!("world {:?}, live {:?}, {:?}", one.world_fails, one.live_fails, one.fault);
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::net::{self, config};
 use crate::telling;
-use quartzcleat_settings::Product;
+use quartzcleat_config::Product;
 use std::path::Path;
 use std::process::ExitCode;
 
--- a/src/cli/used.rs
+++ b/src/cli/used.rs
@@ -3,7 +3,7 @@
 use super::{print, Format};
 use crate::net::export::{read_sink, read_spools};
 use clap::Args;
-use quartzcleat_export::Report;
+use quartzcleat_usage_export::Report;
 use std::fmt::Write as _;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -81,7 +81,7 @@
             "attempts": used.runs,
         })
     });
-    let batches = |found: &[(quartzcleat_export::Source, u64)]| -> Vec<_> {
+    let batches = |found: &[(quartzcleat_usage_export::Source, u64)]| -> Vec<_> {
         found.iter().map(|(source, number)| serde_json::json!([source.name, source.epoch, number])).collect()
     };
     let told = serde_json::json!({
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,8 +9,8 @@
 
 pub mod cli;
 pub mod net;
+pub mod simulator;
 pub mod telling;
-pub mod wire;
 
 /// The examples of the README, compiled and run with the tests.
 #[doc = include_str!("../README.md")]
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,8 +1,8 @@
 //! The one place where environment and configuration are read, checked and given defaults.
 
 use crate::api::Settings;
-use quartzcleat_settings::complete;
-use quartzcleat_settings::platform;
+use quartzcleat_config::complete;
+use quartzcleat_config::platform;
 use serde_json::Value;
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -275,7 +275,7 @@
     /// How often the tally is told, from our own file; not at all without.
     pub tally: Option<Duration>,
     /// Leases for fleet-wide tasks, from our own file; not at all without.
-    pub lease: Option<quartzcleat_settings::lease::Lease>,
+    pub lease: Option<quartzcleat_config::lease::Lease>,
 }
 
 fn variable(name: &str) -> Option<String> {
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -1,9 +1,9 @@
 //! The console: HTTP/1.1, one call to a connection, for on-call staff and what starts the program. Knows sockets only;
-//! a call is read and typed by `quartzcleat-operations`, and what it means is carried out here in one place.
+//! a call is read and typed by `quartzcleat-admin`, and what it means is carried out here in one place.
 
 use super::shutdown::unix;
 use super::{inventory, twin, Node};
-use quartzcleat_operations::{understand, Call, Wrong};
+use quartzcleat_admin::{understand, Call, Wrong};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/src/net/export.rs
+++ b/src/net/export.rs
@@ -1,13 +1,13 @@
 //! Export of use at work. Every limiter keeps a spool in a folder of its own ([`Ledger`]); who holds the task's lease
 //! fetches batches from all and appends them to its tenure's file in the sink ([`Exporter`]). What is written, and in
-//! which order, `quartzcleat_export` says. A process ends between any two of these steps without a batch lost or doubled.
+//! which order, `quartzcleat_usage_export` says. A process ends between any two of these steps without a batch lost or doubled.
 
 use super::shutdown::unix;
 use super::stages::book::End;
 use crate::api::{Nanos, Outcome};
-use quartzcleat_export::{Fate, Message, Sink, Source, Spool, Written};
+use quartzcleat_config::lease::Point;
 use quartzcleat_lease::{Act, Token};
-use quartzcleat_settings::lease::Point;
+use quartzcleat_usage_export::{Fate, Message, Sink, Source, Spool, Written};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
--- a/src/net/leases.rs
+++ b/src/net/leases.rs
@@ -5,9 +5,9 @@
 use super::peers::{Peers, LEASES, USE};
 use super::shutdown::{unix, Phase, Shutdown};
 use super::task::spawn;
-use quartzcleat_export::Message as Told;
+use quartzcleat_config::lease::{Clock, Does, Lease, Task};
 use quartzcleat_lease::{turn, Act, Bidder, Body, Key, Message, Nanos, Terms, Token, Voter, MOST_BYTES};
-use quartzcleat_settings::lease::{Clock, Does, Lease, Task};
+use quartzcleat_usage_export::Message as Told;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -310,7 +310,7 @@
     }
 
     /// Writes a batch to the sink, where the guard allows it.
-    fn write(&self, written: &quartzcleat_export::Written) -> bool {
+    fn write(&self, written: &quartzcleat_usage_export::Written) -> bool {
         let Some((index, task, exporter, ledger)) = &self.export else { return false };
         let now = self.now();
         let guard = self.bids.borrow()[*index].held(now);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -32,7 +32,7 @@
 use self::tally::Tally;
 use self::twin::Twin;
 use crate::api::{Action, Event};
-use quartzcleat_operations::{Bans, Numbers};
+use quartzcleat_admin::{Bans, Numbers};
 use serde_json::Value;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
--- a/src/net/platform/north.rs
+++ b/src/net/platform/north.rs
@@ -660,7 +660,7 @@
     use crate::net::config;
     use crate::net::front::Entry;
     use crate::net::shutdown::Shutdown;
-    use quartzcleat_operations::Numbers;
+    use quartzcleat_admin::Numbers;
 
     /// Nobody to hand requests to: what is read here never gets so far.
     struct Nowhere;
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -8,7 +8,7 @@
 use super::task::spawn;
 use super::Node;
 use crate::api::Event;
-use quartzcleat_operations::Numbers;
+use quartzcleat_admin::Numbers;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -7,7 +7,7 @@
 use super::task::spawn;
 use super::{twin, Node};
 use crate::api::Nanos;
-use quartzcleat_operations::{Doors, Switch, Times};
+use quartzcleat_admin::{Doors, Switch, Times};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::SystemTime;
@@ -15,7 +15,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-pub use quartzcleat_operations::Phase;
+pub use quartzcleat_admin::Phase;
 
 /// The doors, their phase for those who wait for its change, and the number of clients' connections.
 pub struct Shutdown {
--- a/src/net/twin.rs
+++ b/src/net/twin.rs
@@ -6,7 +6,7 @@
 use super::task::spawn;
 use super::{inventory, Node};
 use crate::api::{Event, Nanos};
-use quartzcleat_operations::{Heritage, State, Switch, VERSION};
+use quartzcleat_admin::{Heritage, State, Switch, VERSION};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::fs::{self, File, TryLockError};
--- a/src/wire.rs
+++ b/src/simulator/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::api::*;
 use base64::{engine::general_purpose::STANDARD as BASE64, Engine};
-use quartzcleat_settings::platform;
+use quartzcleat_config::platform;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
--- a/src/telling.rs
+++ b/src/telling.rs
@@ -2,7 +2,7 @@
 //! for each place that logs, so that a fault that repeats does not fill what the platform keeps.
 
 use crate::net::tally;
-use quartzcleat_settings::product::{Form, Log};
+use quartzcleat_config::product::{Form, Log};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_quartzcleat-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_quartzcleat-sim"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,6 +1,6 @@
 //! The codec: each kind of malformed line, and round values.
 
-use quartzcleat::wire::{Decoder, Line};
+use quartzcleat::simulator::{Decoder, Line};
 
 fn error(lines: &[&str]) -> String {
     let mut decoder = Decoder::new();
@@ -56,7 +56,7 @@
         Action::Count { name: "q5.1".into(), amount: -1.5, keep_for: 7 },
         Action::Log { text: "two\tservers\nknown".into() },
     ] {
-        quartzcleat::wire::encode(&action, &mut out);
+        quartzcleat::simulator::encode(&action, &mut out);
     }
     let lines = [
         "ISSUE\t218516d35d3a91c4\t51530247\t80000000",
--- a/tests/export.rs
+++ b/tests/export.rs
@@ -1,11 +1,11 @@
 //! Export of use: three limiters before stand-ins, each killed at a named point and again from outside while clients ask.
 //! What the sink and the spools hold in the end is held against what the nodes ran.
 
+use quartzcleat_config::{lease::POINTS, Day};
 use quartzcleat_decision::api::{HostState, RequestId};
-use quartzcleat_rules::{record::Player, Cast, Record, What};
-use quartzcleat_settings::{lease::POINTS, Day};
-use quartzcleat_standins::stage::perform_with;
-use quartzcleat_world::scenario::{Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step};
+use quartzcleat_fakes::stage::perform_with;
+use quartzcleat_invariants::{record::Player, Cast, Record, What};
+use quartzcleat_simulation::scenario::{Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -117,7 +117,7 @@
 /// Plays it with each limiter killed at a point of the export first.
 fn killed_at(point: &'static str, seed: u8) {
     let folder: PathBuf =
-        std::env::temp_dir().join(format!("quartzcleat-export-{}-{point}", std::process::id()));
+        std::env::temp_dir().join(format!("quartzcleat-usage-export-{}-{point}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder is made");
     std::fs::write(folder.join("key"), point).expect("the key is written");
     let own = |number: u8| Ipv4Addr::new(127, 200, 1 + seed, 1 + number);
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -1,6 +1,6 @@
 //! Leases at work: three processes of the program on links with faults, one history, one verdict.
 
-use quartzcleat_trials::{judge, play, Ground, Story, Verdict};
+use quartzcleat_fault_injection::{judge, play, Ground, Story, Verdict};
 use std::path::PathBuf;
 
 /// Plays a story with one seed; the program is this build's.
