--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -1,7 +1,7 @@
 //! Serving: settings are read, logging begins, and the limiter runs until it is told to end.
 
+use crate::logging;
 use crate::net::{self, config};
-use crate::telling;
 use quartzcleat_config::Product;
 use std::path::Path;
 use std::process::ExitCode;
@@ -20,9 +20,9 @@
 /// Serves.
 pub fn run(config: Option<&Path>) -> ExitCode {
     let served = product(config).and_then(|product| {
-        telling::begin(&product.log)?;
+        logging::begin(&product.log)?;
         let config = config::from_environment()?;
-        net::serve(config::Config { tally: product.tally, lease: product.lease, ..config })
+        net::serve(config::Config { metrics: product.tally, lease: product.lease, ..config })
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/cli/used.rs
+++ b/src/cli/used.rs
@@ -1,7 +1,7 @@
 //! `quartzcleat use`: what each customer used, as a sink holds it.
 
 use super::{print, Format};
-use crate::net::export::{read_sink, read_spools};
+use crate::net::usage_export::{read_sink, read_spools};
 use clap::Args;
 use quartzcleat_usage_export::Report;
 use std::fmt::Write as _;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,9 +8,9 @@
 pub use quartzcleat_decision::api;
 
 pub mod cli;
+pub mod logging;
 pub mod net;
 pub mod simulator;
-pub mod telling;
 
 /// The examples of the README, compiled and run with the tests.
 #[doc = include_str!("../README.md")]
--- a/src/telling.rs
+++ b/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logging, on tracing: lines for people or JSON to standard error, filtered by level and target, and rate-limited
 //! for each place that logs, so that a fault that repeats does not fill what the platform keeps.
 
-use crate::net::tally;
+use crate::net::metrics;
 use quartzcleat_config::product::{Form, Log};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -77,7 +77,7 @@
 
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
         // The tally keeps to a time of its own.
-        if event.metadata().target() == tally::TARGET {
+        if event.metadata().target() == metrics::TARGET {
             return true;
         }
         self.0.allows(self.0.slot(event.metadata()), self.0.start.elapsed().as_millis() as u64)
--- a/src/net/console.rs
+++ b/src/net/admin.rs
@@ -2,7 +2,7 @@
 //! a call is read and typed by `quartzcleat-admin`, and what it means is carried out here in one place.
 
 use super::shutdown::unix;
-use super::{inventory, twin, Node};
+use super::{discovery, hot_restart, Limiter};
 use quartzcleat_admin::{understand, Call, Wrong};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -15,35 +15,35 @@
 const HEADERS: usize = 64;
 
 /// Takes callers in for good. Guards against callers that finish no call: past the limit the oldest is let go.
-pub async fn accept(node: Rc<Node>, listener: TcpListener) {
+pub async fn accept(limiter: Rc<Limiter>, listener: TcpListener) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 callers.retain(|caller| !caller.is_finished());
-                while callers.len() >= node.limits.callers {
+                while callers.len() >= limiter.limits.callers {
                     callers.pop_front().inspect(JoinHandle::abort);
                 }
-                callers.push_back(tokio::task::spawn_local(serve(node.clone(), stream)));
+                callers.push_back(tokio::task::spawn_local(serve(limiter.clone(), stream)));
             }
             Err(e) => {
                 tracing::warn!("console: cannot accept: {e}");
-                sleep(node.limits.again).await;
+                sleep(limiter.limits.again).await;
             }
         }
     }
 }
 
-async fn serve(node: Rc<Node>, mut stream: TcpStream) {
-    let call = timeout(node.limits.caller_time, call(&mut stream, node.limits.call_bytes)).await;
+async fn serve(limiter: Rc<Limiter>, mut stream: TcpStream) {
+    let call = timeout(limiter.limits.caller_time, call(&mut stream, limiter.limits.call_bytes)).await;
     let (status, text) = match call {
         Err(_) => (408, "the call did not end in time; send it at once".to_owned()),
         // It went away, or never sent a whole call.
         Ok(None) => return,
         Ok(Some(Err(wrong))) => (wrong.status, wrong.advice.to_owned()),
         Ok(Some(Ok(call))) => {
-            listed(&node, &call).await;
-            carry_out(&node, call)
+            listed(&limiter, &call).await;
+            carry_out(&limiter, call)
         }
     };
     let body = serde_json::json!({ "ok": status < 300, "text": text }).to_string();
@@ -52,7 +52,7 @@
         reason(status),
         body.len()
     );
-    let _ = timeout(node.limits.caller_time, async {
+    let _ = timeout(limiter.limits.caller_time, async {
         let _ = stream.write_all(answer.as_bytes()).await;
         let _ = stream.shutdown().await;
         // Guards against a reset that overtakes the answer where something of the call was left unread.
@@ -64,15 +64,15 @@
 
 /// Waits for discovery's first list where a call names a server not heard of yet. Guards against a no to staff who
 /// are quicker than that list: a server that is on it was listed.
-async fn listed(node: &Rc<Node>, call: &Call) {
+async fn listed(limiter: &Rc<Limiter>, call: &Call) {
     let (Call::Disable(name) | Call::Enable(name)) = call else { return };
-    let known = || node.bans.borrow().knows(name) || node.inventory.borrow().answered();
+    let known = || limiter.bans.borrow().knows(name) || limiter.endpoints.borrow().answered();
     let first = async {
         while !known() {
-            sleep(node.limits.last_moment).await;
+            sleep(limiter.limits.last_moment).await;
         }
     };
-    let _ = timeout(node.limits.first_list, first).await;
+    let _ = timeout(limiter.limits.first_list, first).await;
 }
 
 fn reason(status: u16) -> &'static str {
@@ -134,53 +134,53 @@
 }
 
 /// Does what a call asks for; the status and a sentence.
-fn carry_out(node: &Rc<Node>, call: Call) -> (u16, String) {
-    let unknown = match node.inventory.borrow().answered() {
+fn carry_out(limiter: &Rc<Limiter>, call: Call) -> (u16, String) {
+    let unknown = match limiter.endpoints.borrow().answered() {
         true => (404, "no server of this id was ever listed; use discovery's instanceId".to_owned()),
         false => (503, "discovery has not told of any server yet; call again".to_owned()),
     };
     match call {
-        Call::Ready if !node.shutdown.welcome() => (503, "draining: clients are sent away".to_owned()),
-        Call::Ready if *node.shutdown.end().borrow() => (503, "ending".to_owned()),
+        Call::Ready if !limiter.shutdown.welcome() => (503, "draining: clients are sent away".to_owned()),
+        Call::Ready if *limiter.shutdown.end().borrow() => (503, "ending".to_owned()),
         Call::Ready => (200, "taking clients".to_owned()),
         Call::Disable(name) => {
-            let said = node.bans.borrow_mut().disable(&name, unix());
+            let said = limiter.bans.borrow_mut().disable(&name, unix());
             match said {
                 Err(_) => unknown,
                 Ok(changed) => {
                     if changed {
                         tracing::info!("server {name} is out of service by staff's word");
-                        inventory::judge_again(node, &name);
-                        twin::publish(node);
+                        discovery::judge_again(limiter, &name);
+                        hot_restart::publish(limiter);
                     }
                     (200, format!("{name} gets nothing new until it is enabled"))
                 }
             }
         }
         Call::Enable(name) => {
-            let said = node.bans.borrow_mut().enable(&name, unix());
+            let said = limiter.bans.borrow_mut().enable(&name, unix());
             match said {
                 Err(_) => unknown,
                 Ok(changed) => {
                     if changed {
                         tracing::info!("server {name} may serve again by staff's word");
-                        inventory::judge_again(node, &name);
-                        twin::publish(node);
+                        discovery::judge_again(limiter, &name);
+                        hot_restart::publish(limiter);
                     }
                     (200, format!("{name} may serve"))
                 }
             }
         }
         Call::Drain => {
-            node.shutdown.say(|doors| doors.drain(unix()));
+            limiter.shutdown.say(|doors| doors.drain(unix()));
             tracing::info!("draining by staff's word");
-            twin::publish(node);
+            hot_restart::publish(limiter);
             (200, "clients are sent away".to_owned())
         }
         Call::Undrain => {
-            node.shutdown.say(|doors| doors.undrain(unix()));
+            limiter.shutdown.say(|doors| doors.undrain(unix()));
             tracing::info!("back to work by staff's word");
-            twin::publish(node);
+            hot_restart::publish(limiter);
             (200, "clients are taken".to_owned())
         }
     }
@@ -195,20 +195,20 @@
     #[test]
     fn a_call_that_comes_before_the_first_list_waits_for_it() {
         let console = [("\"listen\"", "\"console\": \"127.0.0.1:9\", \"listen\"")];
-        crate::net::tests::with_node(&console, |node| async move {
+        crate::net::tests::with_limiter(&console, |limiter| async move {
             let call = Call::Disable("s-1".to_owned());
             let began = tokio::time::Instant::now();
-            listed(&node, &call).await;
-            assert!(began.elapsed() >= node.limits.first_list);
-            assert_eq!(carry_out(&node, call.clone()).0, 503, "no list has come");
-            let told = node.clone();
+            listed(&limiter, &call).await;
+            assert!(began.elapsed() >= limiter.limits.first_list);
+            assert_eq!(carry_out(&limiter, call.clone()).0, 503, "no list has come");
+            let told = limiter.clone();
             tokio::task::spawn_local(async move {
                 sleep(told.limits.last_moment).await;
-                inventory::tests::told(&told, "s-1");
+                discovery::tests::told(&told, "s-1");
             });
-            listed(&node, &call).await;
-            assert_eq!(carry_out(&node, call).0, 200);
-            assert_eq!(carry_out(&node, Call::Enable("s-2".to_owned())).0, 404);
+            listed(&limiter, &call).await;
+            assert_eq!(carry_out(&limiter, call).0, 200);
+            assert_eq!(carry_out(&limiter, Call::Enable("s-2".to_owned())).0, 404);
         });
     }
 
--- a/src/net/config.rs
+++ b/src/net/config/mod.rs
@@ -273,7 +273,7 @@
     /// The file as it was read, without the list.
     pub file: Value,
     /// How often the tally is told, from our own file; not at all without.
-    pub tally: Option<Duration>,
+    pub metrics: Option<Duration>,
     /// Leases for fleet-wide tasks, from our own file; not at all without.
     pub lease: Option<quartzcleat_config::lease::Lease>,
 }
@@ -394,7 +394,7 @@
         kinds,
         limits,
         file,
-        tally: None,
+        metrics: None,
         lease: None,
     })
 }
@@ -404,7 +404,7 @@
     use super::*;
 
     fn example(from: &str, to: &str) -> Limits {
-        let text = include_str!("../../examples/toy.json").replace(from, to);
+        let text = include_str!("../../../examples/toy.json").replace(from, to);
         read(&text, |_| None).expect("the example is sound").limits
     }
 
@@ -434,7 +434,7 @@
     /// At the start the environment goes first; once the file is replaced, its addresses do.
     #[test]
     fn a_replaced_file_goes_before_the_environment() {
-        let (text, told) = (include_str!("../../examples/toy.json"), "127.0.0.9:9");
+        let (text, told) = (include_str!("../../../examples/toy.json"), "127.0.0.9:9");
         let variable = |name: &str| name.starts_with("BALANCER_").then(|| told.to_owned());
         let (old, new) =
             (read(text, variable).expect("sound"), reread(&json(text), text, variable).expect("sound"));
--- a/src/net/counter.rs
+++ b/src/net/counter/mod.rs
@@ -2,9 +2,9 @@
 //! the same line, whose calls are told in their order, whichever connection each of them was written to.
 
 use super::config::{Addresses, Limits};
-use super::platform::resp::{self, Reply};
+use super::resp::codec::{self, Reply};
 use super::task::spawn;
-use super::Node;
+use super::Limiter;
 use crate::api::{Event, Nanos, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -39,7 +39,7 @@
 }
 
 /// A connection, and the calls whose answers are still to come on it.
-struct Link {
+struct UpstreamConnection {
     stream: TcpStream,
     input: Vec<u8>,
     /// What follows the first `flushed` bytes of its stream.
@@ -80,10 +80,15 @@
         Counter { lines: (0..limits.counter_links).map(|_| Rc::new(line())).collect() }
     }
 
-    /// Calls the counter; exactly one `Counted` event follows.
-    pub fn call(&self, node: &Rc<Node>, name: String, amount: f64, keep_for: Nanos) {
-        if node.addresses.borrow().counter.is_none() {
-            return node.tell(Event::Counted { name, outcome: Outcome::ConnectFailed, total: 0.0, took: 0 });
+    /// Calls the counter; exactly one `ConnectionPermit` event follows.
+    pub fn call(&self, limiter: &Rc<Limiter>, name: String, amount: f64, keep_for: Nanos) {
+        if limiter.addresses.borrow().counter.is_none() {
+            return limiter.tell(Event::Counted {
+                name,
+                outcome: Outcome::ConnectFailed,
+                total: 0.0,
+                took: 0,
+            });
         }
         let mut hasher = DefaultHasher::new();
         name.hash(&mut hasher);
@@ -91,11 +96,11 @@
         // Past the limit a call is not made, but keeps its place: what becomes of it is told behind the others.
         let mut calls = line.calls.borrow_mut();
         let (mut command, mut end) = (Vec::new(), Some((Outcome::ConnectFailed, 0.0)));
-        if calls.len() < node.limits.counter_calls {
+        if calls.len() < limiter.limits.counter_calls {
             let (amount, life) =
                 (amount.to_string(), keep_for.div_ceil(1_000_000).clamp(1, 60_000).to_string());
             let words = [b"ADDGET", name.as_bytes(), amount.as_bytes(), life.as_bytes()];
-            resp::write_command(&words, &mut command);
+            codec::write_command(&words, &mut command);
             end = None;
         }
         calls.push_back(Call { name, command, began: Instant::now(), sent: false, end });
@@ -104,27 +109,27 @@
 }
 
 /// Starts the connections.
-pub fn start(node: &Rc<Node>) {
-    for line in &node.counter.lines {
-        spawn(keep(node.clone(), line.clone()));
+pub fn start(limiter: &Rc<Limiter>) {
+    for line in &limiter.counter.lines {
+        spawn(keep(limiter.clone(), line.clone()));
     }
 }
 
 /// Keeps one connection up, and its calls told in time while it is not.
-async fn keep(node: Rc<Node>, line: Rc<Line>) {
-    let mut addresses = node.addresses.subscribe();
+async fn keep(limiter: Rc<Limiter>, line: Rc<Line>) {
+    let mut addresses = limiter.addresses.subscribe();
     loop {
         let Some(address) = addresses.borrow_and_update().counter else {
             let _ = addresses.changed().await;
             continue;
         };
-        let by = Instant::now() + node.limits.connect.get();
+        let by = Instant::now() + limiter.limits.connect.get();
         let connect = timeout_at(by, TcpStream::connect(address));
         tokio::pin!(connect);
         let stream = loop {
             tokio::select! {
                 opened = &mut connect => break opened.ok().and_then(Result::ok),
-                () = line.overdue(&node.limits) => line.expire(&node),
+                () = line.overdue(&limiter.limits) => line.expire(&limiter),
                 () = line.news.notified() => {}
                 _ = addresses.changed() => {
                     addresses.mark_changed();
@@ -133,30 +138,30 @@
             }
         };
         let Some(stream) = stream else {
-            line.pause(&node, &mut addresses).await;
+            line.pause(&limiter, &mut addresses).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let mut link = Link::new(stream);
-        match line.converse(&node, &mut link, &mut addresses).await {
-            Over::Idle => line.broken(&node, link),
-            Over::Moved => spawn(line.clone().leave(node.clone(), link)),
+        let mut link = UpstreamConnection::new(stream);
+        match line.converse(&limiter, &mut link, &mut addresses).await {
+            Over::Idle => line.broken(&limiter, link),
+            Over::Moved => spawn(line.clone().leave(limiter.clone(), link)),
             Over::Broken => {
                 let answered = link.answered;
-                line.broken(&node, link);
+                line.broken(&limiter, link);
                 // Where the counter is at work only this connection was at fault.
                 if !answered {
-                    line.pause(&node, &mut addresses).await;
+                    line.pause(&limiter, &mut addresses).await;
                 }
             }
         }
     }
 }
 
-impl Link {
+impl UpstreamConnection {
     fn new(stream: TcpStream) -> Self {
         let (input, out, written) = (Vec::new(), Vec::new(), VecDeque::new());
-        Link { stream, input, out, flushed: 0, answered: false, written }
+        UpstreamConnection { stream, input, out, flushed: 0, answered: false, written }
     }
 
     /// Writes as much as the connection takes; false where it is broken.
@@ -165,7 +170,7 @@
             match self.stream.try_write(&self.out) {
                 Ok(count) => {
                     self.flushed += count as u64;
-                    resp::consume(&mut self.out, count, limits.read_bytes);
+                    codec::consume(&mut self.out, count, limits.read_bytes);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(_) => return false,
@@ -186,12 +191,12 @@
     }
 
     /// The pause before a new connection, in which calls run out of time as ever. A new address ends it.
-    async fn pause(&self, node: &Rc<Node>, addresses: &mut watch::Receiver<Addresses>) {
-        let until = Instant::now() + node.limits.again;
+    async fn pause(&self, limiter: &Rc<Limiter>, addresses: &mut watch::Receiver<Addresses>) {
+        let until = Instant::now() + limiter.limits.again;
         while Instant::now() < until && !addresses.has_changed().unwrap_or(false) {
             tokio::select! {
                 () = sleep_until(until) => {}
-                () = self.overdue(&node.limits) => self.expire(node),
+                () = self.overdue(&limiter.limits) => self.expire(limiter),
                 () = self.news.notified() => {}
                 _ = addresses.changed() => addresses.mark_changed(),
             }
@@ -200,7 +205,7 @@
 
     /// Tells of the first calls, as far as it is known what became of them. Guards against a line that moved to
     /// another connection telling of later calls before earlier ones: the module knows them by their order.
-    fn settle(&self, node: &Rc<Node>) {
+    fn settle(&self, limiter: &Rc<Limiter>) {
         loop {
             let mut calls = self.calls.borrow_mut();
             let Some((outcome, total)) = calls.front().and_then(|call| call.end) else { return };
@@ -208,7 +213,7 @@
             drop(calls);
             self.told.set(self.told.get() + 1);
             let took = began.elapsed().as_nanos() as Nanos;
-            node.tell(Event::Counted { name, outcome, total, took });
+            limiter.tell(Event::Counted { name, outcome, total, took });
         }
     }
 
@@ -221,31 +226,31 @@
     }
 
     /// Tells of the calls whose time is over. One that was never on its way was not added; any other may be.
-    fn expire(&self, node: &Rc<Node>) {
+    fn expire(&self, limiter: &Rc<Limiter>) {
         let now = Instant::now();
         for call in self.calls.borrow_mut().iter_mut() {
-            if call.began + node.limits.counter_call.get() > now {
+            if call.began + limiter.limits.counter_call.get() > now {
                 break;
             }
             let outcome = if call.sent { Outcome::Timeout } else { Outcome::ConnectFailed };
             call.end.get_or_insert((outcome, 0.0));
         }
-        self.settle(node);
+        self.settle(limiter);
     }
 
     /// Tells of the calls that were on a connection that ended. Those whose last byte was never written were not
     /// added; of the others nobody knows, which is the same as no answer in time.
-    fn broken(&self, node: &Rc<Node>, link: Link) {
+    fn broken(&self, limiter: &Rc<Limiter>, link: UpstreamConnection) {
         for (number, end) in link.written {
             let outcome = if end <= link.flushed { Outcome::Timeout } else { Outcome::ConnectFailed };
             self.note(number, (outcome, 0.0));
         }
         drop(link.stream);
-        self.settle(node);
+        self.settle(limiter);
     }
 
     /// Puts all calls that wait on their way.
-    fn write(&self, link: &mut Link) {
+    fn write(&self, link: &mut UpstreamConnection) {
         let first = self.told.get();
         for (number, call) in (first..).zip(self.calls.borrow_mut().iter_mut()) {
             if !call.sent && call.end.is_none() {
@@ -258,9 +263,10 @@
 
     /// Serves a connection until it breaks, stays silent, has nothing to do for long, or is to be left.
     async fn converse(
-        &self, node: &Rc<Node>, link: &mut Link, addresses: &mut watch::Receiver<Addresses>,
+        &self, limiter: &Rc<Limiter>, link: &mut UpstreamConnection,
+        addresses: &mut watch::Receiver<Addresses>,
     ) -> Over {
-        let limits = &node.limits;
+        let limits = &limiter.limits;
         let (mut heard, mut began) = (Instant::now(), None);
         loop {
             // Guards against an answer that begins and has no end, or has one that is long in coming.
@@ -290,21 +296,21 @@
                     _ => return Over::Broken,
                 }
                 heard = Instant::now();
-                if !self.read(node, link) {
+                if !self.read(limiter, link) {
                     return Over::Broken;
                 }
                 continue;
             }
             let (mut reader, writer) = link.stream.split();
             tokio::select! {
-                more = resp::more(&mut reader, &mut link.input, limits.read_bytes) => {
-                    if !more.unwrap_or(false) || !self.read(node, link) {
+                more = codec::more(&mut reader, &mut link.input, limits.read_bytes) => {
+                    if !more.unwrap_or(false) || !self.read(limiter, link) {
                         return Over::Broken;
                     }
                     heard = Instant::now();
                 }
                 _ = writer.writable(), if !link.out.is_empty() => {}
-                () = self.overdue(limits) => self.expire(node),
+                () = self.overdue(limits) => self.expire(limiter),
                 () = self.news.notified() => {
                     if !waiting {
                         heard = Instant::now();
@@ -329,14 +335,14 @@
 
     /// Serves a connection to an address that is no longer the counter's until all that was written to it has
     /// had its time.
-    async fn leave(self: Rc<Self>, node: Rc<Node>, mut link: Link) {
-        let limits = &node.limits;
+    async fn leave(self: Rc<Self>, limiter: Rc<Limiter>, mut link: UpstreamConnection) {
+        let limits = &limiter.limits;
         let rest = async {
             while link.flush(limits) && !link.written.is_empty() {
                 let (mut reader, writer) = link.stream.split();
                 tokio::select! {
-                    more = resp::more(&mut reader, &mut link.input, limits.read_bytes) => {
-                        if !more.unwrap_or(false) || !self.read(&node, &mut link) {
+                    more = codec::more(&mut reader, &mut link.input, limits.read_bytes) => {
+                        if !more.unwrap_or(false) || !self.read(&limiter, &mut link) {
                             return;
                         }
                     }
@@ -345,15 +351,15 @@
             }
         };
         let _ = timeout(limits.counter_call.get(), rest).await;
-        self.broken(&node, link);
+        self.broken(&limiter, link);
     }
 
     /// Takes the answers that have come; each belongs to the first call that waits for one. False where one
     /// belongs to none, or tells nothing: its call may have been added, and the connection is of no more use.
-    fn read(&self, node: &Rc<Node>, link: &mut Link) -> bool {
+    fn read(&self, limiter: &Rc<Limiter>, link: &mut UpstreamConnection) -> bool {
         let mut sound = true;
         while sound {
-            let (end, length) = match understand(&link.input, &node.limits) {
+            let (end, length) = match understand(&link.input, &limiter.limits) {
                 Ok(None) => break,
                 Ok(Some(answer)) => answer,
                 Err(Spoilt) => {
@@ -361,7 +367,7 @@
                     break;
                 }
             };
-            resp::consume(&mut link.input, length, node.limits.read_bytes);
+            codec::consume(&mut link.input, length, limiter.limits.read_bytes);
             link.answered = true;
             self.answered.set(Some(Instant::now()));
             // One that comes late finds its call told of.
@@ -370,7 +376,7 @@
                 None => sound = false,
             }
         }
-        self.settle(node);
+        self.settle(limiter);
         sound
     }
 }
@@ -388,7 +394,7 @@
     if input.first().is_some_and(|first| !b"$-".contains(first)) {
         return Err(Spoilt);
     }
-    match resp::reply(input, limits) {
+    match codec::reply(input, limits) {
         // No total and no refusal is as long.
         Ok(None) if input.len() > limits.counter_answer => Err(Spoilt),
         Ok(None) => Ok(None),
@@ -408,12 +414,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::tests::{next, with_node};
+    use crate::net::tests::{next, with_limiter};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
 
-    async fn counted(node: &Rc<Node>) -> (Outcome, f64) {
-        match next(node).await {
+    async fn counted(limiter: &Rc<Limiter>) -> (Outcome, f64) {
+        match next(limiter).await {
             Event::Counted { outcome, total, .. } => (outcome, total),
             other => panic!("{other:?}"),
         }
@@ -428,8 +434,8 @@
         }
     }
 
-    fn call(node: &Rc<Node>, amount: f64) {
-        node.counter.call(node, "q7.1".to_owned(), amount, 4_000_000_000);
+    fn call(limiter: &Rc<Limiter>, amount: f64) {
+        limiter.counter.call(limiter, "q7.1".to_owned(), amount, 4_000_000_000);
     }
 
     /// Answers that come late belong to the calls they were late for, not to those that wait now.
@@ -439,48 +445,48 @@
             ("127.0.0.1:7002", "127.77.0.20:7002"),
             ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 200000000"),
         ];
-        with_node(&changes, |node| async move {
+        with_limiter(&changes, |limiter| async move {
             let listener = TcpListener::bind("127.77.0.20:7002").await.expect("the address is free");
             // Made before there is a connection; of the others' connections none comes into it.
-            call(&node, 1.0);
-            call(&node, -2.5);
+            call(&limiter, 1.0);
+            call(&limiter, -2.5);
             let line =
-                node.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
-            spawn(keep(node.clone(), line.clone()));
+                limiter.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            spawn(keep(limiter.clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 2).await;
-            assert_eq!(counted(&node).await.0, Outcome::Timeout);
-            assert_eq!(counted(&node).await.0, Outcome::Timeout);
-            call(&node, 3.0);
+            assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
+            assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
+            call(&limiter, 3.0);
             calls(&mut stream, 1).await;
             stream.write_all(b"$1\r\n1\r\n$4\r\n-1.5\r\n$3\r\n1.5\r\n").await.expect("the limiter reads");
-            assert_eq!(counted(&node).await, (Outcome::Good, 1.5));
+            assert_eq!(counted(&limiter).await, (Outcome::Good, 1.5));
             // A connection that ends takes with it what may have been added.
-            call(&node, 4.0);
+            call(&limiter, 4.0);
             calls(&mut stream, 1).await;
             drop(stream);
-            assert_eq!(counted(&node).await.0, Outcome::Timeout);
+            assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
             // Its successor serves on, also where the counter turns a call away.
             let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
-            call(&node, 5.0);
-            call(&node, 6.0);
+            call(&limiter, 5.0);
+            call(&limiter, 6.0);
             calls(&mut stream, 2).await;
             stream.write_all(b"-BUSY\r\n$1\r\n6\r\n").await.expect("the limiter reads");
-            assert_eq!(counted(&node).await.0, Outcome::Full);
-            assert_eq!(counted(&node).await, (Outcome::Good, 6.0));
+            assert_eq!(counted(&limiter).await.0, Outcome::Full);
+            assert_eq!(counted(&limiter).await, (Outcome::Good, 6.0));
         });
     }
 
     /// What was never on its way was not added, and is told so, in time.
     #[test]
     fn without_a_connection_nothing_is_added() {
-        with_node(&[("127.0.0.1:7002", "127.77.0.21:7002")], |node| async move {
-            start(&node);
-            call(&node, 1.0);
-            call(&node, 2.0);
-            assert_eq!(counted(&node).await.0, Outcome::ConnectFailed);
-            assert_eq!(counted(&node).await.0, Outcome::ConnectFailed);
-            assert!(node.counter.lines.iter().all(|line| line.calls.borrow().is_empty()));
+        with_limiter(&[("127.0.0.1:7002", "127.77.0.21:7002")], |limiter| async move {
+            start(&limiter);
+            call(&limiter, 1.0);
+            call(&limiter, 2.0);
+            assert_eq!(counted(&limiter).await.0, Outcome::ConnectFailed);
+            assert_eq!(counted(&limiter).await.0, Outcome::ConnectFailed);
+            assert!(limiter.counter.lines.iter().all(|line| line.calls.borrow().is_empty()));
         });
     }
 
@@ -491,25 +497,25 @@
             ("127.0.0.1:7002", "127.77.0.22:7002"),
             ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 2000000000"),
         ];
-        with_node(&changes, |node| async move {
+        with_limiter(&changes, |limiter| async move {
             let old = TcpListener::bind("127.77.0.22:7002").await.expect("the address is free");
             let new = TcpListener::bind("127.77.0.22:7003").await.expect("the address is free");
-            call(&node, 1.0);
+            call(&limiter, 1.0);
             let line =
-                node.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
-            spawn(keep(node.clone(), line.clone()));
+                limiter.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            spawn(keep(limiter.clone(), line.clone()));
             let (mut before, _) = old.accept().await.expect("the limiter connects");
             calls(&mut before, 1).await;
-            node.addresses.send_modify(|held| held.counter = new.local_addr().ok());
-            call(&node, 2.0);
+            limiter.addresses.send_modify(|held| held.counter = new.local_addr().ok());
+            call(&limiter, 2.0);
             let (mut after, _) = new.accept().await.expect("the limiter connects to the new address");
             calls(&mut after, 1).await;
             after.write_all(b"$1\r\n3\r\n").await.expect("the limiter reads");
-            tokio::time::sleep(node.limits.again).await;
-            assert_eq!(node.core.borrow_mut().untold(), None, "the first call has no answer yet");
+            tokio::time::sleep(limiter.limits.again).await;
+            assert_eq!(limiter.engine.borrow_mut().untold(), None, "the first call has no answer yet");
             before.write_all(b"$1\r\n1\r\n").await.expect("the limiter reads on the old connection");
-            assert_eq!(counted(&node).await, (Outcome::Good, 1.0));
-            assert_eq!(counted(&node).await, (Outcome::Good, 3.0));
+            assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
+            assert_eq!(counted(&limiter).await, (Outcome::Good, 3.0));
             // The old connection ends once nothing is awaited on it.
             assert_eq!(before.read(&mut [0]).await.expect("an end"), 0);
         });
@@ -518,8 +524,8 @@
     /// Only a refusal that the counter words proves that nothing was added.
     #[test]
     fn what_tells_nothing_may_have_been_added() {
-        with_node(&[], |node| async move {
-            let read = |bytes: &str| understand(bytes.as_bytes(), &node.limits);
+        with_limiter(&[], |limiter| async move {
+            let read = |bytes: &str| understand(bytes.as_bytes(), &limiter.limits);
             let whole = |bytes: &str| read(bytes).expect("sound").expect("whole").0;
             assert_eq!(whole("$4\r\n-1.5\r\n$1\r\n2\r\n"), (Outcome::Good, -1.5));
             assert_eq!(whole("-BUSY\r\n"), (Outcome::Full, 0.0));
@@ -527,7 +533,7 @@
             for part in ["", "$", "$4\r\n-1", "-BU"] {
                 assert!(read(part).expect("sound").is_none(), "{part:?}");
             }
-            let long = "-".to_owned() + &"x".repeat(node.limits.counter_answer);
+            let long = "-".to_owned() + &"x".repeat(limiter.limits.counter_answer);
             for spoilt in [
                 "*2\r\n",
                 ":5\r\n",
@@ -551,33 +557,33 @@
             ("127.0.0.1:7002", "127.77.0.24:7002"),
             ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 50000000"),
         ];
-        with_node(&changes, |node| async move {
+        with_limiter(&changes, |limiter| async move {
             let listener = TcpListener::bind("127.77.0.24:7002").await.expect("the address is free");
-            call(&node, 1.0);
+            call(&limiter, 1.0);
             let line =
-                node.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
-            spawn(keep(node.clone(), line.clone()));
+                limiter.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            spawn(keep(limiter.clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 1).await;
             stream.write_all(b"$1\r\n1\r\n").await.expect("the limiter reads");
-            assert_eq!(counted(&node).await, (Outcome::Good, 1.0));
+            assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
             // Nobody is answered: the counter may be at fault, and the connection is kept.
-            call(&node, 1.0);
+            call(&limiter, 1.0);
             calls(&mut stream, 1).await;
-            assert_eq!(counted(&node).await.0, Outcome::Timeout);
-            let kept = timeout(4 * node.limits.counter_call.get(), listener.accept()).await;
+            assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
+            let kept = timeout(4 * limiter.limits.counter_call.get(), listener.accept()).await;
             assert!(kept.is_err(), "no second connection while no other is answered");
             // Another line's answer comes in: this one alone is at fault.
             line.answered.set(Some(Instant::now()));
-            call(&node, 1.0);
+            call(&limiter, 1.0);
             let began = Instant::now();
             let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
-            assert!(began.elapsed() < node.limits.counter_silence / 2);
+            assert!(began.elapsed() < limiter.limits.counter_silence / 2);
             // Never answered: the new one has its whole patience, whoever else is answered.
-            call(&node, 1.0);
+            call(&limiter, 1.0);
             calls(&mut stream, 1).await;
-            line.answered.set(Some(Instant::now() + node.limits.counter_silence));
-            let kept = timeout(node.limits.counter_silence / 2, listener.accept()).await;
+            line.answered.set(Some(Instant::now() + limiter.limits.counter_silence));
+            let kept = timeout(limiter.limits.counter_silence / 2, listener.accept()).await;
             assert!(kept.is_err(), "a counter that never answers is not asked for ever more connections");
         });
     }
@@ -590,25 +596,25 @@
             ("127.0.0.1:7002", "127.77.0.23:7002"),
             ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 1000000000"),
         ];
-        with_node(&changes, |node| async move {
+        with_limiter(&changes, |limiter| async move {
             let listener = TcpListener::bind("127.77.0.23:7002").await.expect("the address is free");
-            (0..3).for_each(|_| call(&node, 1.0));
+            (0..3).for_each(|_| call(&limiter, 1.0));
             let line =
-                node.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
-            spawn(keep(node.clone(), line.clone()));
+                limiter.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            spawn(keep(limiter.clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 3).await;
             let began = Instant::now();
             stream.write_all(b"$1\r\n1\r\n*2\r\n").await.expect("the limiter reads");
-            assert_eq!(counted(&node).await, (Outcome::Good, 1.0));
-            assert_eq!(counted(&node).await.0, Outcome::Timeout);
-            assert_eq!(counted(&node).await.0, Outcome::Timeout);
-            assert!(began.elapsed() < node.limits.counter_call.get(), "told before their time was over");
-            call(&node, 4.0);
+            assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
+            assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
+            assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
+            assert!(began.elapsed() < limiter.limits.counter_call.get(), "told before their time was over");
+            call(&limiter, 4.0);
             let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
             calls(&mut stream, 1).await;
             stream.write_all(b"$1\r\n7\r\n").await.expect("the limiter reads");
-            assert_eq!(counted(&node).await, (Outcome::Good, 7.0));
+            assert_eq!(counted(&limiter).await, (Outcome::Good, 7.0));
         });
     }
 }
--- a/src/net/backoff.rs
+++ b/src/net/discovery/backoff.rs
@@ -1,7 +1,7 @@
 //! How long to wait before discovery is asked, for the first time and after a failure. Decides without clock or
 //! socket.
 
-use super::config::Limits;
+use crate::net::config::Limits;
 use std::time::Duration;
 
 /// Pauses between calls that fail: each is drawn anew between nothing and a bound that doubles with every failure
--- a/src/net/inventory/told.rs
+++ b/src/net/discovery/crossings.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::net::config::read;
 use crate::net::task::spawn;
-use crate::net::tests::{next, with_node};
+use crate::net::tests::{next, with_limiter};
 use tokio::net::TcpListener;
 
 /// One call of the limiter's, not answered yet.
@@ -49,17 +49,17 @@
 }
 
 /// The next list that the module would be told.
-async fn told(node: &Rc<Node>) -> (u64, HostState) {
-    match next(node).await {
+async fn told(limiter: &Rc<Limiter>) -> (u64, HostState) {
+    match next(limiter).await {
         Event::Hosts { version, entries, .. } => (version, entries[0].state),
         other => panic!("{other:?}"),
     }
 }
 
-fn follows(node: &Rc<Node>) {
-    spawn(follow(node.clone(), Backoff::of(&node.limits, 1)));
-    if !node.limits.list_by_asking {
-        spawn(check(node.clone()));
+fn follows(limiter: &Rc<Limiter>) {
+    spawn(follow(limiter.clone(), Backoff::of(&limiter.limits, 1)));
+    if !limiter.limits.list_by_asking {
+        spawn(check(limiter.clone()));
     }
 }
 
@@ -98,16 +98,16 @@
 /// opened anew.
 #[test]
 fn a_silent_watch_is_opened_anew_once_it_is_found_behind() {
-    with_node(&[("127.0.0.1:7001", "127.77.0.40:7001")], |node| async move {
+    with_limiter(&[("127.0.0.1:7001", "127.77.0.40:7001")], |limiter| async move {
         let discovery = TcpListener::bind("127.77.0.40:7001").await.expect("the address is free");
-        follows(&node);
+        follows(&limiter);
         let first = accept(&discovery).await.answer(4, true, "SERVING").await;
         let watch = call(first).await.expect("the watch goes on");
         assert!(watch.path.contains("index=4"), "{}", watch.path);
-        assert_eq!(told(&node).await, (4, HostState::Ready));
+        assert_eq!(told(&limiter).await, (4, HostState::Ready));
         let changed = Instant::now();
         drop(accept(&discovery).await.answer(5, true, "DRAINING").await);
-        assert_eq!(told(&node).await, (5, HostState::Draining));
+        assert_eq!(told(&limiter).await, (5, HostState::Draining));
         assert!(changed.elapsed() < TOLD);
         // The next connections are a check or the new watch, whichever comes first; the watch goes on from there.
         let again = loop {
@@ -127,9 +127,9 @@
 /// without a pause, and asks from the list held.
 #[test]
 fn where_discovery_is_asked_a_silent_watch_is_opened_anew_in_time() {
-    with_node(&[("127.0.0.1:7001", "127.77.0.41:7001"), ("\"push\"", "\"ask\"")], |node| async move {
+    with_limiter(&[("127.0.0.1:7001", "127.77.0.41:7001"), ("\"push\"", "\"ask\"")], |limiter| async move {
         let discovery = TcpListener::bind("127.77.0.41:7001").await.expect("the address is free");
-        follows(&node);
+        follows(&limiter);
         let first = accept(&discovery).await;
         assert!(first.is_watch(), "{}", first.path);
         let silent = call(first.answer(4, true, "SERVING").await).await.expect("the watch goes on");
@@ -137,10 +137,10 @@
         let again = accept(&discovery).await;
         assert!(again.path.contains("index=4"), "{}", again.path);
         drop(again.answer(5, false, "DRAINING").await);
-        assert_eq!(told(&node).await, (4, HostState::Ready));
-        assert_eq!(told(&node).await, (5, HostState::Draining));
+        assert_eq!(told(&limiter).await, (4, HostState::Ready));
+        assert_eq!(told(&limiter).await, (5, HostState::Draining));
         assert!(began.elapsed() < TOLD, "after {:?}", began.elapsed());
-        assert!(began.elapsed() >= node.limits.watch, "it had its wait");
+        assert!(began.elapsed() >= limiter.limits.watch, "it had its wait");
         drop(silent);
     });
 }
@@ -149,25 +149,28 @@
 /// back for good it has begun anew, and what it says then holds.
 #[test]
 fn an_old_answer_undoes_nothing_and_a_new_beginning_is_understood() {
-    with_node(&[("127.0.0.1:7001", "127.77.0.42:7001")], |node| async move {
+    with_limiter(&[("127.0.0.1:7001", "127.77.0.42:7001")], |limiter| async move {
         let discovery = TcpListener::bind("127.77.0.42:7001").await.expect("the address is free");
-        follows(&node);
+        follows(&limiter);
         let watch =
             call(accept(&discovery).await.answer(4, true, "SERVING").await).await.expect("it goes on");
-        assert_eq!(told(&node).await, (4, HostState::Ready));
+        assert_eq!(told(&limiter).await, (4, HostState::Ready));
         let look = accept(&discovery).await;
         assert!(!look.is_watch());
         let watch = call(watch.answer(6, false, "DRAINING").await).await.expect("it goes on");
-        assert_eq!(told(&node).await, (6, HostState::Draining));
+        assert_eq!(told(&limiter).await, (6, HostState::Draining));
         // Asked for before the newer one came: it says nothing of what discovery holds now.
         drop(look.answer(2, true, "SERVING").await);
         for version in [2, 6, 2] {
             drop(accept(&discovery).await.answer(version, true, "SERVING").await);
         }
         let last = accept(&discovery).await;
-        assert!(node.core.borrow_mut().untold().is_none(), "nothing yet: no two answers in a row went back");
+        assert!(
+            limiter.engine.borrow_mut().untold().is_none(),
+            "nothing yet: no two answers in a row went back"
+        );
         drop(last.answer(2, true, "SERVING").await);
-        assert_eq!(told(&node).await, (2, HostState::Ready));
+        assert_eq!(told(&limiter).await, (2, HostState::Ready));
         drop(watch);
     });
 }
@@ -175,16 +178,16 @@
 /// Changes that are older than the list held change nothing; the whole list is asked for.
 #[test]
 fn changes_to_a_list_that_is_not_held_are_left_alone() {
-    with_node(&[("127.0.0.1:7001", "127.77.0.43:7001"), ("\"push\"", "\"ask\"")], |node| async move {
+    with_limiter(&[("127.0.0.1:7001", "127.77.0.43:7001"), ("\"push\"", "\"ask\"")], |limiter| async move {
         let discovery = TcpListener::bind("127.77.0.43:7001").await.expect("the address is free");
-        follows(&node);
+        follows(&limiter);
         let watch =
             call(accept(&discovery).await.answer(4, true, "SERVING").await).await.expect("it goes on");
-        assert_eq!(told(&node).await, (4, HostState::Ready));
+        assert_eq!(told(&limiter).await, (4, HostState::Ready));
         let whole = call(watch.answer(3, false, "DRAINING").await).await.expect("it goes on");
         assert_eq!(whole.path, "/discovery/hosts");
         let watch = call(whole.answer(7, true, "SERVING").await).await.expect("it goes on");
-        assert_eq!(told(&node).await, (7, HostState::Ready));
+        assert_eq!(told(&limiter).await, (7, HostState::Ready));
         assert!(watch.path.contains("index=7"), "{}", watch.path);
     });
 }
@@ -193,9 +196,9 @@
 /// pause, and not for ever on this one.
 #[test]
 fn a_discovery_that_never_tells_the_whole_list_is_not_asked_without_a_pause() {
-    with_node(&[("127.0.0.1:7001", "127.77.0.44:7001"), ("\"push\"", "\"ask\"")], |node| async move {
+    with_limiter(&[("127.0.0.1:7001", "127.77.0.44:7001"), ("\"push\"", "\"ask\"")], |limiter| async move {
         let discovery = TcpListener::bind("127.77.0.44:7001").await.expect("the address is free");
-        follows(&node);
+        follows(&limiter);
         let watch =
             call(accept(&discovery).await.answer(4, true, "SERVING").await).await.expect("it goes on");
         let whole = call(watch.answer(3, false, "DRAINING").await).await.expect("it goes on");
@@ -205,7 +208,7 @@
             "no further call on this one"
         );
         assert!(timeout(TOLD, accept(&discovery)).await.expect("it comes again").is_watch());
-        assert_eq!(told(&node).await, (4, HostState::Ready));
-        assert!(node.core.borrow_mut().untold().is_none());
+        assert_eq!(told(&limiter).await, (4, HostState::Ready));
+        assert!(limiter.engine.borrow_mut().untold().is_none());
     });
 }
--- a/src/net/inventory.rs
+++ b/src/net/discovery/mod.rs
@@ -1,8 +1,10 @@
 //! The inventory: discovery's list of hosts, watched without a gap.
 
-use super::backoff::Backoff;
+pub mod backoff;
+
 use super::config::Limits;
-use super::Node;
+use super::discovery::backoff::Backoff;
+use super::Limiter;
 use crate::api::{Event, HostEntry, HostId, HostState, ListMode};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -35,7 +37,7 @@
 }
 
 /// Names as discovery gives them, and the numbers that the module knows them by.
-pub struct Inventory {
+pub struct EndpointList {
     zones: Vec<String>,
     kinds: Vec<String>,
     ids: HashMap<String, HostId>,
@@ -52,10 +54,10 @@
     doubted: Option<u64>,
 }
 
-impl Inventory {
+impl EndpointList {
     /// An inventory that lists nothing.
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
-        Inventory {
+        EndpointList {
             zones,
             kinds,
             ids: HashMap::new(),
@@ -165,66 +167,66 @@
 }
 
 /// Takes the list that the configuration holds, the first thing the module is told.
-pub fn restore(node: &Rc<Node>, known: &Value) -> Result<(), String> {
+pub fn restore(limiter: &Rc<Limiter>, known: &Value) -> Result<(), String> {
     let list = match known {
         Value::Null => List { version: 0, whole: true, entries: Vec::new() },
-        known => node.inventory.borrow_mut().read(known).map_err(|e| format!("known.{e}"))?,
+        known => limiter.endpoints.borrow_mut().read(known).map_err(|e| format!("known.{e}"))?,
     };
-    apply(node, list, ListMode::Restored);
+    apply(limiter, list, ListMode::Restored);
     Ok(())
 }
 
 /// Takes a list in. What staff said of a server goes before what it says, here and nowhere else.
-fn apply(node: &Rc<Node>, list: List, mode: ListMode) {
+fn apply(limiter: &Rc<Limiter>, list: List, mode: ListMode) {
     let List { version, entries, .. } = list;
-    let mut inventory = node.inventory.borrow_mut();
-    inventory.version = version;
-    inventory.answered |= mode != ListMode::Restored;
-    inventory.taken_in += u64::from(mode != ListMode::Restored);
-    inventory.doubted = None;
+    let mut endpoints = limiter.endpoints.borrow_mut();
+    endpoints.version = version;
+    endpoints.answered |= mode != ListMode::Restored;
+    endpoints.taken_in += u64::from(mode != ListMode::Restored);
+    endpoints.doubted = None;
     if mode != ListMode::Update {
-        inventory.told.clear();
+        endpoints.told.clear();
     }
     for (name, entry, address) in &entries {
-        inventory.told.insert(name.clone(), (entry.clone(), *address));
+        endpoints.told.insert(name.clone(), (entry.clone(), *address));
     }
-    drop(inventory);
-    let mut bans = node.bans.borrow_mut();
+    drop(endpoints);
+    let mut bans = limiter.bans.borrow_mut();
     let entries: Vec<_> = entries
         .into_iter()
         .map(|(name, entry, address)| {
-            if node.twin.shared() {
+            if limiter.hot_restart.shared() {
                 bans.list(&name);
             }
             (bans.judge(&name, &entry), address)
         })
         .collect();
     drop(bans);
-    tell(node, version, mode, entries);
-    let mut inventory = node.inventory.borrow_mut();
-    inventory.ids.retain(|_, id| node.south.knows(*id));
-    inventory.taken.retain(|id| node.south.knows(*id));
-    inventory.told.retain(|_, (entry, _)| node.south.knows(entry.host));
+    tell(limiter, version, mode, entries);
+    let mut endpoints = limiter.endpoints.borrow_mut();
+    endpoints.ids.retain(|_, id| limiter.upstream.knows(*id));
+    endpoints.taken.retain(|id| limiter.upstream.knows(*id));
+    endpoints.told.retain(|_, (entry, _)| limiter.upstream.knows(entry.host));
 }
 
-fn tell(node: &Rc<Node>, version: u64, mode: ListMode, entries: Vec<(HostEntry, SocketAddr)>) {
-    entries.iter().for_each(|(entry, address)| node.south.learn(entry, *address));
+fn tell(limiter: &Rc<Limiter>, version: u64, mode: ListMode, entries: Vec<(HostEntry, SocketAddr)>) {
+    entries.iter().for_each(|(entry, address)| limiter.upstream.learn(entry, *address));
     let entries: Vec<_> = entries.into_iter().map(|(entry, _)| entry).collect();
     if mode != ListMode::Update {
-        node.south.keep_only(&entries);
+        limiter.upstream.keep_only(&entries);
     }
-    node.tell(Event::Hosts { version, mode, entries });
-    node.south.forget(&node.limits);
+    limiter.tell(Event::Hosts { version, mode, entries });
+    limiter.upstream.forget(&limiter.limits);
 }
 
 /// Staff said something of a server: what is believed of it is told anew.
-pub fn judge_again(node: &Rc<Node>, name: &str) {
-    let inventory = node.inventory.borrow();
-    let (version, told) = (inventory.version, inventory.told.get(name).cloned());
-    drop(inventory);
+pub fn judge_again(limiter: &Rc<Limiter>, name: &str) {
+    let endpoints = limiter.endpoints.borrow();
+    let (version, told) = (endpoints.version, endpoints.told.get(name).cloned());
+    drop(endpoints);
     if let Some((entry, address)) = told {
-        let entry = node.bans.borrow().judge(name, &entry);
-        tell(node, version, ListMode::Update, vec![(entry, address)]);
+        let entry = limiter.bans.borrow().judge(name, &entry);
+        tell(limiter, version, ListMode::Update, vec![(entry, address)]);
     }
 }
 
@@ -239,18 +241,18 @@
 
 /// Follows discovery for good. Each call comes at once behind the answer before it, so that the watch goes on;
 /// after a failure, and at a new address, it begins anew.
-pub async fn follow(node: Rc<Node>, mut backoff: Backoff) {
-    let mut addresses = node.addresses.subscribe();
-    if node.limits.list_by_asking {
+pub async fn follow(limiter: Rc<Limiter>, mut backoff: Backoff) {
+    let mut addresses = limiter.addresses.subscribe();
+    if limiter.limits.list_by_asking {
         sleep(backoff.first()).await;
     }
     loop {
         let address = addresses.borrow_and_update().discovery;
         let watched = async {
-            if let Err(problem) = watch(&node, address, &mut backoff).await {
+            if let Err(problem) = watch(&limiter, address, &mut backoff).await {
                 tracing::warn!("inventory: {}", problem.text);
-                if let Some((_, tally)) = &node.tally {
-                    tally.borrow_mut().list_failed();
+                if let Some((_, metrics)) = &limiter.metrics {
+                    metrics.borrow_mut().list_failed();
                 }
                 // Only this watch is known to be at fault, which was answered before.
                 if problem.alone {
@@ -264,7 +266,7 @@
         tokio::select! {
             () = watched => {}
             _ = addresses.changed() => {}
-            () = node.watch_anew.notified() => {}
+            () = limiter.reopen_watch.notified() => {}
         }
     }
 }
@@ -272,25 +274,25 @@
 /// Asks for the whole list now and then, beside the watch. Guards against a watch whose answer is lost: until its wait
 /// is over it looks the same as one that has nothing to tell, and hosts come and go unseen. A watch that is found to be
 /// behind is broken, and opened anew.
-pub async fn check(node: Rc<Node>) {
+pub async fn check(limiter: Rc<Limiter>) {
     loop {
-        sleep(node.limits.check).await;
-        let (address, taken_in) = (node.addresses.borrow().discovery, node.inventory.borrow().taken_in);
+        sleep(limiter.limits.check).await;
+        let (address, taken_in) = (limiter.addresses.borrow().discovery, limiter.endpoints.borrow().taken_in);
         // Whatever fails here the watch meets too, and tells.
-        if let Ok(Ok(list)) = timeout(node.limits.check_time, whole_list(&node, address)).await {
-            let moved = node.addresses.borrow().discovery != address;
-            let mut inventory = node.inventory.borrow_mut();
-            let news = !moved && list.whole && inventory.is_news(&list, taken_in);
-            let news = news && list.version != inventory.version;
-            drop(inventory);
+        if let Ok(Ok(list)) = timeout(limiter.limits.check_time, whole_list(&limiter, address)).await {
+            let moved = limiter.addresses.borrow().discovery != address;
+            let mut endpoints = limiter.endpoints.borrow_mut();
+            let news = !moved && list.whole && endpoints.is_news(&list, taken_in);
+            let news = news && list.version != endpoints.version;
+            drop(endpoints);
             if news {
                 tracing::info!(
-                    held = node.inventory.borrow().version,
+                    held = limiter.endpoints.borrow().version,
                     version = list.version,
                     "the watch is behind"
                 );
-                apply(&node, list, ListMode::Replace);
-                node.watch_anew.notify_one();
+                apply(&limiter, list, ListMode::Replace);
+                limiter.reopen_watch.notify_one();
             }
         }
     }
@@ -309,18 +311,18 @@
     }
 }
 
-async fn whole_list(node: &Rc<Node>, address: SocketAddr) -> Result<List, String> {
+async fn whole_list(limiter: &Rc<Limiter>, address: SocketAddr) -> Result<List, String> {
     let mut stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
     let call = format!("GET /discovery/hosts HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
-    let limits = &node.limits;
+    let limits = &limiter.limits;
     let answer = answer(&mut stream, &mut Vec::new(), limits.check_time, limits).await;
     let list = serde_json::from_slice(&answer.map_err(|e| e.to_string())?.0).map_err(|e| e.to_string())?;
-    node.inventory.borrow_mut().read(&list)
+    limiter.endpoints.borrow_mut().read(&list)
 }
 
-async fn watch(node: &Rc<Node>, address: SocketAddr, backoff: &mut Backoff) -> Result<(), Lost> {
-    let limits = &node.limits;
+async fn watch(limiter: &Rc<Limiter>, address: SocketAddr, backoff: &mut Backoff) -> Result<(), Lost> {
+    let limits = &limiter.limits;
     let connect = timeout(limits.connect.get(), TcpStream::connect(address)).await;
     let mut stream = connect.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
@@ -330,13 +332,13 @@
     // Where discovery is to be asked, the whole list is dear, and given to nobody while many ask: the watch begins
     // with what changed since the list held.
     let (mut path, mut patience) = if limits.list_by_asking {
-        (news(node.inventory.borrow().version), limits.watch + limits.watch_slack)
+        (news(limiter.endpoints.borrow().version), limits.watch + limits.watch_slack)
     } else {
         whole()
     };
     let (began, mut answered) = (Instant::now(), false);
     loop {
-        let taken_in = node.inventory.borrow().taken_in;
+        let taken_in = limiter.endpoints.borrow().taken_in;
         let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         // Guards against asking without a pause where each connection is lost right after its first answer.
         let lost = |text: String| Lost { text, alone: answered && began.elapsed() >= limits.check };
@@ -344,16 +346,16 @@
         let (body, lasts) =
             answer(&mut stream, &mut input, patience, limits).await.map_err(|e| lost(e.to_string()))?;
         let list: Value = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
-        let list = node.inventory.borrow_mut().read(&list)?;
+        let list = limiter.endpoints.borrow_mut().read(&list)?;
         let asked = std::mem::replace(&mut path, news(list.version));
         patience = limits.watch + limits.watch_slack;
-        let mut inventory = node.inventory.borrow_mut();
-        let (is_news, older) = (inventory.is_news(&list, taken_in), list.version < inventory.version);
-        drop(inventory);
+        let mut endpoints = limiter.endpoints.borrow_mut();
+        let (is_news, older) = (endpoints.is_news(&list, taken_in), list.version < endpoints.version);
+        drop(endpoints);
         let list_is_whole = list.whole;
         if is_news {
             let mode = if list.whole { ListMode::Replace } else { ListMode::Update };
-            apply(node, list, mode);
+            apply(limiter, list, mode);
         } else if older {
             // Changes to a list that is not held: the whole one is asked for.
             tracing::info!(
@@ -467,7 +469,7 @@
 }
 
 #[cfg(test)]
-mod told;
+mod crossings;
 
 #[cfg(test)]
 pub(crate) mod tests {
@@ -476,22 +478,22 @@
     use tokio::net::TcpListener;
 
     /// Takes a whole list of one server, that serves.
-    pub(crate) fn told(node: &Rc<Node>, name: &str) {
+    pub(crate) fn told(limiter: &Rc<Limiter>, name: &str) {
         let text = format!(
             r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"{name}","zone":"a",
             "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"SERVING"}}]}}"#
         );
-        let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
-        apply(node, list.expect("a list"), ListMode::Replace);
+        let list = limiter.endpoints.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+        apply(limiter, list.expect("a list"), ListMode::Replace);
     }
 
     /// The same number for a name at every limiter, and never one for two names.
     #[test]
     fn hosts_keep_their_numbers_and_share_none() {
-        let (mut one, mut two) = (Inventory::new(vec![], vec![]), Inventory::new(vec![], vec![]));
+        let (mut one, mut two) = (EndpointList::new(vec![], vec![]), EndpointList::new(vec![], vec![]));
         assert_eq!(one.id("s-5be2a07c"), two.id("s-5be2a07c"));
         let taken = two.id("s-1");
-        let mut three = Inventory::new(vec![], vec![]);
+        let mut three = EndpointList::new(vec![], vec![]);
         three.taken.insert(taken);
         assert_eq!(three.id("s-1"), HostId(taken.0.wrapping_add(1)));
         assert_eq!(three.id("s-1"), HostId(taken.0.wrapping_add(1)));
@@ -499,10 +501,10 @@
 
     #[test]
     fn entries_are_read_and_faulty_ones_named() {
-        let mut inventory = Inventory::new(vec!["a".into()], vec!["m1".into()]);
+        let mut endpoints = EndpointList::new(vec!["a".into()], vec!["m1".into()]);
         let text = r#"{"generation":4,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:5",
             "zone":"b","machineType":"m1","cell":3,"lifecycle":"DRAINING","weight":1.5,"startedAtMs":1700000000000}]}"#;
-        let list = inventory.read(&serde_json::from_str(text).expect("JSON")).expect("a list");
+        let list = endpoints.read(&serde_json::from_str(text).expect("JSON")).expect("a list");
         let entry = &list.entries[0].1;
         assert_eq!(
             (list.version, list.whole, entry.state, entry.zone, entry.kind),
@@ -510,7 +512,7 @@
         );
         assert_eq!((entry.cell, entry.started, entry.weight), (3, 1_700_000_000_000_000_000, 1.5));
         let faulty = text.replace("127.0.0.1:5", "nowhere");
-        let problem = inventory.read(&serde_json::from_str(&faulty).expect("JSON")).err().expect("a fault");
+        let problem = endpoints.read(&serde_json::from_str(&faulty).expect("JSON")).err().expect("a fault");
         assert!(problem.starts_with("instances: hostPort"), "{problem}");
     }
 
@@ -525,10 +527,10 @@
             );
             format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
         };
-        crate::net::tests::with_node(&[("127.0.0.1:7001", "127.77.0.24:7001")], |node| async move {
+        crate::net::tests::with_limiter(&[("127.0.0.1:7001", "127.77.0.24:7001")], |limiter| async move {
             let discovery = TcpListener::bind("127.77.0.24:7001").await.expect("the address is free");
-            spawn(follow(node.clone(), Backoff::of(&node.limits, 1)));
-            spawn(check(node.clone()));
+            spawn(follow(limiter.clone(), Backoff::of(&limiter.limits, 1)));
+            spawn(check(limiter.clone()));
             let mut watches = Vec::new();
             let mut told = Vec::new();
             // The first list, two that are no newer, and a newer one; the watch is never answered.
@@ -542,7 +544,7 @@
                 watches.push(stream);
             }
             while told.len() < 2 {
-                match crate::net::tests::next(&node).await {
+                match crate::net::tests::next(&limiter).await {
                     Event::Hosts { version, mode: ListMode::Replace, entries } => {
                         told.push((version, entries[0].state));
                     }
@@ -557,17 +559,21 @@
     /// long as it is out, on changes, whole lists and silence alike, and as ready at the call back.
     #[test]
     fn staffs_word_goes_before_discovery_s() {
-        crate::net::tests::with_node(&[], |node| async move {
+        crate::net::tests::with_limiter(&[], |limiter| async move {
             let list = |version: u64, state: &str, whole: bool| {
                 let text = format!(
                     r#"{{"generation":{version},"reset":{whole},"instances":[{{"instanceId":"s-1","zone":"a",
                     "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
                 );
-                let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
-                apply(&node, list.expect("a list"), if whole { ListMode::Replace } else { ListMode::Update });
+                let list = limiter.endpoints.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+                apply(
+                    &limiter,
+                    list.expect("a list"),
+                    if whole { ListMode::Replace } else { ListMode::Update },
+                );
             };
             let told = || {
-                let event = node.core.borrow_mut().untold();
+                let event = limiter.engine.borrow_mut().untold();
                 match event {
                     Some(Event::Hosts { entries, .. }) => entries[0].state,
                     other => panic!("{other:?}"),
@@ -575,18 +581,18 @@
             };
             list(0, "SERVING", true);
             assert_eq!(told(), HostState::Ready);
-            node.bans.borrow_mut().list("s-1");
+            limiter.bans.borrow_mut().list("s-1");
             for round in 0..200 {
                 let now = 1_000 * round;
-                assert_eq!(node.bans.borrow_mut().disable("s-1", now), Ok(true));
-                judge_again(&node, "s-1");
+                assert_eq!(limiter.bans.borrow_mut().disable("s-1", now), Ok(true));
+                judge_again(&limiter, "s-1");
                 assert_eq!(told(), HostState::Draining, "at the call itself");
                 for (state, whole) in [("SERVING", false), ("DRAINING", false), ("SERVING", true)] {
                     list(round, state, whole);
                     assert_eq!(told(), HostState::Draining);
                 }
-                assert_eq!(node.bans.borrow_mut().enable("s-1", now + 500), Ok(true));
-                judge_again(&node, "s-1");
+                assert_eq!(limiter.bans.borrow_mut().enable("s-1", now + 500), Ok(true));
+                judge_again(&limiter, "s-1");
                 assert_eq!(told(), HostState::Ready);
             }
         });
@@ -595,7 +601,7 @@
     /// However many hosts come and go, no more is held than those that are listed or have left just now.
     #[test]
     fn names_that_are_gone_are_forgotten() {
-        crate::net::tests::with_node(&[], |node| async move {
+        crate::net::tests::with_limiter(&[], |limiter| async move {
             let list = |version: u64, name: u64, state: &str| {
                 format!(
                     r#"{{"generation":{version},"reset":false,"instances":[{{"instanceId":"s-{name}","zone":"a",
@@ -605,16 +611,17 @@
             for name in 0..50 {
                 for state in ["SERVING", "DRAINING", "DELETED"] {
                     let text = list(3 * name, name, state);
-                    let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
-                    apply(&node, list.expect("a list"), ListMode::Update);
+                    let list =
+                        limiter.endpoints.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+                    apply(&limiter, list.expect("a list"), ListMode::Update);
                 }
             }
-            sleep(node.limits.drain.get()).await;
+            sleep(limiter.limits.drain.get()).await;
             let text = list(200, 50, "SERVING");
-            let list = node.inventory.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
-            apply(&node, list.expect("a list"), ListMode::Update);
-            let inventory = node.inventory.borrow();
-            assert_eq!((inventory.ids.len(), inventory.taken.len(), inventory.told.len()), (1, 1, 1));
+            let list = limiter.endpoints.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+            apply(&limiter, list.expect("a list"), ListMode::Update);
+            let endpoints = limiter.endpoints.borrow();
+            assert_eq!((endpoints.ids.len(), endpoints.taken.len(), endpoints.told.len()), (1, 1, 1));
         });
     }
 }
--- a/src/net/core.rs
+++ b/src/net/engine.rs
@@ -2,7 +2,7 @@
 //! protocol: a front hands it a [`Request`] and gets one [`Answer`].
 
 use super::config::Limits;
-use super::pipe::Pipe;
+use super::streaming_body::Pipe;
 use crate::api::*;
 use crate::choice::{Gateway, Learned, View};
 use std::cell::Cell;
@@ -42,7 +42,7 @@
 }
 
 /// Where a request came from, and where its one answer goes.
-pub trait Front {
+pub trait Frontend {
     /// Gives the answer to the request that has this place.
     fn answer(&self, place: u64, answer: Answer);
 }
@@ -98,7 +98,7 @@
 
 /// A request taken and not yet answered.
 struct Open {
-    front: Rc<dyn Front>,
+    front: Rc<dyn Frontend>,
     place: u64,
     payload: Rc<Payload>,
     customer: CustomerId,
@@ -109,7 +109,7 @@
 
 /// What a relay takes to its host.
 #[derive(Debug)]
-pub enum Errand {
+pub enum HostCommand {
     /// An attempt of a request.
     Attempt {
         /// The request.
@@ -127,9 +127,9 @@
 
 /// One relay: an attempt or probe that the module ordered, on its way to its host and back.
 #[derive(Debug)]
-pub struct Relay {
+pub struct HostCall {
     /// What it takes there.
-    pub errand: Errand,
+    pub command: HostCommand,
     /// The host.
     pub host: HostId,
     /// When the module ordered it.
@@ -139,12 +139,12 @@
     /// When it is given up.
     pub until: Instant,
     /// Told when the module takes it back, or when nobody waits for it before it is written.
-    pub cancel: Rc<Cancel>,
+    pub cancel: Rc<Cancellation>,
 }
 
 /// How a relay is taken back, and whether its host has all of it.
 #[derive(Debug, Default)]
-pub struct Cancel {
+pub struct Cancellation {
     /// Told when it is taken back.
     pub asked: Notify,
     /// Its last byte has been written: the host may begin it.
@@ -152,13 +152,13 @@
 }
 
 /// The module, what it is to be told, and what is open.
-pub struct Core {
+pub struct Engine {
     gateway: Gateway,
     clock: Clock,
     told: VecDeque<Event>,
     open: HashMap<RequestId, Open>,
     /// The relays that are out.
-    out: HashMap<(RequestId, u32), Rc<Cancel>>,
+    out: HashMap<(RequestId, u32), Rc<Cancellation>>,
     /// Bytes of requests held, and of answers that clients have not taken.
     held: Rc<Cell<usize>>,
     max_open: usize,
@@ -168,11 +168,11 @@
     most_attempts: u32,
 }
 
-impl Core {
+impl Engine {
     /// A core that has been told nothing yet.
     pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Self {
         let clock = Clock::new();
-        Core {
+        Engine {
             gateway: Gateway::new(settings, seed, clock.at(Instant::now())),
             clock,
             told: VecDeque::new(),
@@ -252,7 +252,7 @@
 
     /// Holds a request until it is answered; returns its deadline.
     pub fn open(
-        &mut self, front: Rc<dyn Front>, place: u64, request: &mut Request, came: Instant,
+        &mut self, front: Rc<dyn Frontend>, place: u64, request: &mut Request, came: Instant,
     ) -> Instant {
         let payload = std::mem::replace(
             &mut request.payload,
@@ -268,7 +268,7 @@
 
     /// Ends a request; where its answer goes, if it was open. Guards against an attempt that begins once nobody waits
     /// for it (its connection comes up late, its host is slow to take it): one that is not written is taken back.
-    pub fn close(&mut self, id: RequestId) -> Option<(Rc<dyn Front>, u64)> {
+    pub fn close(&mut self, id: RequestId) -> Option<(Rc<dyn Frontend>, u64)> {
         let open = self.open.remove(&id)?;
         for attempt in 0..open.attempts {
             if let Some(cancel) = self.out.get(&(id, attempt)).filter(|cancel| !cancel.written.get()) {
@@ -293,7 +293,7 @@
     /// it had all its attempts.
     pub fn begin(
         &mut self, id: RequestId, host: HostId, (timeout, begins_within): (Nanos, Nanos), now: Instant,
-    ) -> Result<Relay, u32> {
+    ) -> Result<HostCall, u32> {
         let Some(open) = self.open.get_mut(&id) else { return Err(0) };
         let attempt = open.attempts;
         open.attempts += 1;
@@ -305,11 +305,11 @@
             _ => open.deadline.min(now + Duration::from_nanos(timeout)),
         };
         let begin_by = until.min(now.checked_add(Duration::from_nanos(begins_within)).unwrap_or(until));
-        let cancel = Rc::new(Cancel::default());
+        let cancel = Rc::new(Cancellation::default());
         self.out.insert((id, attempt), cancel.clone());
         let used = (open.customer, open.units);
-        let errand = Errand::Attempt { id, attempt, payload: open.payload.clone(), used };
-        Ok(Relay { errand, host, began: now, begin_by, until, cancel })
+        let command = HostCommand::Attempt { id, attempt, payload: open.payload.clone(), used };
+        Ok(HostCall { command, host, began: now, begin_by, until, cancel })
     }
 
     /// Takes an attempt back, if it is out.
@@ -327,15 +327,15 @@
 
 #[cfg(test)]
 pub(crate) mod tests {
-    use super::super::tests::with_node;
+    use super::super::tests::with_limiter;
     use super::*;
     use std::cell::RefCell;
 
     /// A front that keeps what it is given.
     #[derive(Default)]
-    pub(crate) struct Kept(pub RefCell<Vec<(u64, Answer)>>);
+    pub(crate) struct RecordingFrontend(pub RefCell<Vec<(u64, Answer)>>);
 
-    impl Front for Kept {
+    impl Frontend for RecordingFrontend {
         fn answer(&self, place: u64, answer: Answer) {
             self.0.borrow_mut().push((place, answer));
         }
@@ -358,25 +358,25 @@
     /// Numbers follow the orders, time-outs are cut to the deadline, and what must not be sent is not.
     #[test]
     fn attempts_keep_to_cap_and_deadline() {
-        with_node(&[], |node| async move {
-            let (mut core, now) = (node.core.borrow_mut(), Instant::now());
-            let deadline = core.open(Rc::new(Kept::default()), 0, &mut request(1), now);
+        with_limiter(&[], |limiter| async move {
+            let (mut engine, now) = (limiter.engine.borrow_mut(), Instant::now());
+            let deadline = engine.open(Rc::new(RecordingFrontend::default()), 0, &mut request(1), now);
             let host = HostId(5);
             for timeout in [0, 5_000_000_000, 1_000_000, 0] {
                 let relay =
-                    core.begin(RequestId(1), host, (timeout, Nanos::MAX), now).expect("within the cap");
+                    engine.begin(RequestId(1), host, (timeout, Nanos::MAX), now).expect("within the cap");
                 let until = if timeout == 1_000_000 { now + Duration::from_millis(1) } else { deadline };
                 assert_eq!(relay.until, until);
             }
-            assert_eq!(core.begin(RequestId(1), host, (0, 1), now).err(), Some(4));
-            core.open(Rc::new(Kept::default()), 0, &mut request(2), now);
-            assert_eq!(core.begin(RequestId(2), host, (0, 1), deadline).err(), Some(0));
-            assert_eq!(core.begin(RequestId(3), host, (0, 1), now).err(), Some(0));
+            assert_eq!(engine.begin(RequestId(1), host, (0, 1), now).err(), Some(4));
+            engine.open(Rc::new(RecordingFrontend::default()), 0, &mut request(2), now);
+            assert_eq!(engine.begin(RequestId(2), host, (0, 1), deadline).err(), Some(0));
+            assert_eq!(engine.begin(RequestId(3), host, (0, 1), now).err(), Some(0));
             // An id is in use until its last attempt has ended.
-            core.close(RequestId(1));
-            assert!(core.knows(RequestId(1)));
-            (0..4).for_each(|attempt| core.end(RequestId(1), attempt));
-            assert!(!core.knows(RequestId(1)));
+            engine.close(RequestId(1));
+            assert!(engine.knows(RequestId(1)));
+            (0..4).for_each(|attempt| engine.end(RequestId(1), attempt));
+            assert!(!engine.knows(RequestId(1)));
         });
     }
 }
--- a/src/net/twin.rs
+++ b/src/net/hot_restart/mod.rs
@@ -2,9 +2,11 @@
 //! in `$TMPDIR` with what it tells ([`State`]), written whole and then renamed, and holds a lock beside it for as long
 //! as it lives. Both look for the other's now and then; the later word on each matter holds for both.
 
+pub mod listener_handover;
+
 use super::shutdown::unix;
 use super::task::spawn;
-use super::{inventory, Node};
+use super::{discovery, Limiter};
 use crate::api::{Event, Nanos};
 use quartzcleat_admin::{Heritage, State, Switch, VERSION};
 use std::cell::{Cell, RefCell};
@@ -20,7 +22,7 @@
 const HERITAGE: &str = "heritage";
 
 /// What is held of the other process, and of what it is told.
-pub struct Twin {
+pub struct HotRestart {
     name: String,
     listen: String,
     born: Nanos,
@@ -40,11 +42,11 @@
     heirs: RefCell<HashSet<String>>,
 }
 
-impl Twin {
+impl HotRestart {
     /// Nothing known of another process. Without a console there is none.
     pub fn new(name: &str, listen: SocketAddr, shared: bool) -> Self {
         let born = unix();
-        Twin {
+        HotRestart {
             name: name.to_owned(),
             listen: listen.to_string(),
             born,
@@ -80,15 +82,15 @@
         self.other.get().is_some_and(|born| born > self.born)
     }
 
-    fn state(&self, node: &Node) -> State {
-        let bans = node.bans.borrow();
+    fn state(&self, limiter: &Limiter) -> State {
+        let bans = limiter.bans.borrow();
         State {
             version: VERSION,
             name: self.name.clone(),
             listen: self.listen.clone(),
             born: self.born,
             serving: self.serving.get(),
-            drain: node.shutdown.switch(),
+            drain: limiter.shutdown.switch(),
             words: bans.words().clone(),
             listed: bans.names().cloned().collect(),
         }
@@ -96,28 +98,28 @@
 }
 
 /// Writes what this process tells, if it has changed.
-pub fn publish(node: &Rc<Node>) {
-    let twin = &node.twin;
-    let Some(folder) = &twin.folder else { return };
-    let told = Some((node.bans.borrow().revision(), node.shutdown.switch(), twin.serving.get()));
-    if twin.published.get() == told {
+pub fn publish(limiter: &Rc<Limiter>) {
+    let hot_restart = &limiter.hot_restart;
+    let Some(folder) = &hot_restart.folder else { return };
+    let told = Some((limiter.bans.borrow().revision(), limiter.shutdown.switch(), hot_restart.serving.get()));
+    if hot_restart.published.get() == told {
         return;
     }
-    let text = twin.state(node).write();
+    let text = hot_restart.state(limiter).write();
     let write = || {
-        if twin.lock.borrow().is_none() {
-            let lock = File::create(folder.join(format!("{}.lock", twin.own)))?;
+        if hot_restart.lock.borrow().is_none() {
+            let lock = File::create(folder.join(format!("{}.lock", hot_restart.own)))?;
             lock.try_lock().map_err(std::io::Error::from)?;
-            *twin.lock.borrow_mut() = Some(lock);
+            *hot_restart.lock.borrow_mut() = Some(lock);
         }
-        let draft = folder.join(format!("{}.new", twin.own));
+        let draft = folder.join(format!("{}.new", hot_restart.own));
         fs::write(&draft, &text)?;
-        fs::rename(&draft, folder.join(format!("{}.json", twin.own)))
+        fs::rename(&draft, folder.join(format!("{}.json", hot_restart.own)))
     };
     match write() {
         Ok(()) => {
-            twin.published.set(told);
-            twin.ended.take().iter().for_each(|file| drop(fs::remove_file(file)));
+            hot_restart.published.set(told);
+            hot_restart.ended.take().iter().for_each(|file| drop(fs::remove_file(file)));
         }
         Err(e) => tracing::warn!("cannot tell a second process of this limiter in {}: {e}", folder.display()),
     }
@@ -129,9 +131,9 @@
 }
 
 /// Takes in what other processes of this limiter tell; the word of one that has ended holds too.
-pub fn look(node: &Rc<Node>) {
-    let twin = &node.twin;
-    let Some(folder) = &twin.folder else { return };
+pub fn look(limiter: &Rc<Limiter>) {
+    let hot_restart = &limiter.hot_restart;
+    let Some(folder) = &hot_restart.folder else { return };
     let mut other = None;
     let Ok(files) = fs::read_dir(folder) else { return };
     for file in files.flatten() {
@@ -139,14 +141,14 @@
         let Some(stem) = file.strip_suffix(".json").filter(|stem| stem.starts_with(PREFIX)) else {
             continue;
         };
-        if stem == twin.own {
+        if stem == hot_restart.own {
             continue;
         }
         let Ok(text) = fs::read_to_string(folder.join(&file)) else { continue };
-        let state = match State::read(&text, &twin.name, &twin.listen) {
+        let state = match State::read(&text, &hot_restart.name, &hot_restart.listen) {
             Ok(state) => state,
             Err(problem) => {
-                if twin.seen.borrow_mut().insert(file.clone(), text).is_none() {
+                if hot_restart.seen.borrow_mut().insert(file.clone(), text).is_none() {
                     tracing::warn!("{file} is left alone: {problem}");
                 }
                 continue;
@@ -156,44 +158,50 @@
         if alive && state.serving {
             other = other.max(Some(state.born));
         }
-        if alive && !state.serving && state.born > twin.born && twin.serving.get() {
-            hand_over(node, folder, stem);
+        if alive && !state.serving && state.born > hot_restart.born && hot_restart.serving.get() {
+            hand_over(limiter, folder, stem);
         }
-        let known = twin.seen.borrow_mut().insert(file.clone(), text.clone()) == Some(text);
+        let known = hot_restart.seen.borrow_mut().insert(file.clone(), text.clone()) == Some(text);
         if !known {
-            take(node, &state);
+            take(limiter, &state);
         }
         if !alive {
             // Its words are told anew by this process first.
-            twin.published.set(None);
+            hot_restart.published.set(None);
             let files = ["json", "lock", HERITAGE].map(|end| folder.join(format!("{stem}.{end}")));
-            twin.ended.borrow_mut().extend(files);
+            hot_restart.ended.borrow_mut().extend(files);
         }
     }
     // Guards against two processes that hold together more than one may.
-    node.limits.sharers.set(1 + usize::from(other.is_some()));
-    if twin.other.replace(other).is_some() != other.is_some() {
+    limiter.limits.sharers.set(1 + usize::from(other.is_some()));
+    if hot_restart.other.replace(other).is_some() != other.is_some() {
         tracing::info!(beside = other.is_some(), "another process of this limiter");
     }
 }
 
-fn take(node: &Rc<Node>, state: &State) {
-    let mut bans = node.bans.borrow_mut();
+fn take(limiter: &Rc<Limiter>, state: &State) {
+    let mut bans = limiter.bans.borrow_mut();
     state.listed.iter().for_each(|name| bans.list(name));
     let changed = bans.merge(&state.words);
     drop(bans);
-    changed.iter().for_each(|name| inventory::judge_again(node, name));
-    node.shutdown.say(|doors| doors.merge(state.drain));
+    changed.iter().for_each(|name| discovery::judge_again(limiter, name));
+    limiter.shutdown.say(|doors| doors.merge(state.drain));
 }
 
 /// Hands over what this process knows to a later one that is about to take clients, once.
-fn hand_over(node: &Rc<Node>, folder: &Path, heir: &str) {
-    let twin = &node.twin;
-    if !twin.heirs.borrow_mut().insert(heir.to_owned()) {
+fn hand_over(limiter: &Rc<Limiter>, folder: &Path, heir: &str) {
+    let hot_restart = &limiter.hot_restart;
+    if !hot_restart.heirs.borrow_mut().insert(heir.to_owned()) {
         return;
     }
-    let (inventory, learned) = (node.inventory.borrow(), node.core.borrow().learned());
-    let told = Heritage::new(&twin.name, &twin.listen, inventory.zones().to_vec(), inventory.list(), learned);
+    let (endpoints, learned) = (limiter.endpoints.borrow(), limiter.engine.borrow().learned());
+    let told = Heritage::new(
+        &hot_restart.name,
+        &hot_restart.listen,
+        endpoints.zones().to_vec(),
+        endpoints.list(),
+        learned,
+    );
     let draft = folder.join(format!("{heir}.draft"));
     let written = fs::write(&draft, told.write())
         .and_then(|()| fs::rename(&draft, folder.join(format!("{heir}.{HERITAGE}"))));
@@ -204,47 +212,47 @@
 }
 
 /// Takes what another process handed over, if it has; whether nothing more is to be waited for.
-pub fn inherit(node: &Rc<Node>) -> bool {
-    let twin = &node.twin;
-    let Some(folder) = &twin.folder else { return true };
-    let file = folder.join(format!("{}.{HERITAGE}", twin.own));
+pub fn inherit(limiter: &Rc<Limiter>) -> bool {
+    let hot_restart = &limiter.hot_restart;
+    let Some(folder) = &hot_restart.folder else { return true };
+    let file = folder.join(format!("{}.{HERITAGE}", hot_restart.own));
     let Ok(text) = fs::read_to_string(&file) else { return false };
     drop(fs::remove_file(&file));
-    let mut told = match Heritage::read(&text, &twin.name, &twin.listen) {
+    let mut told = match Heritage::read(&text, &hot_restart.name, &hot_restart.listen) {
         Ok(told) => told,
         Err(problem) => {
             tracing::warn!("what another process handed over is left alone: {problem}");
             return true;
         }
     };
-    if !node.inventory.borrow().answered() {
-        if let Err(problem) = inventory::restore(node, &told.list) {
+    if !limiter.endpoints.borrow().answered() {
+        if let Err(problem) = discovery::restore(limiter, &told.list) {
             tracing::warn!("the list that another process handed over is left alone: {problem}");
         }
     }
-    let mut inventory = node.inventory.borrow_mut();
+    let mut endpoints = limiter.endpoints.borrow_mut();
     for (zone, ..) in &mut told.learned.zones {
-        *zone = inventory.zone(&told.zones, *zone);
+        *zone = endpoints.zone(&told.zones, *zone);
     }
-    drop(inventory);
+    drop(endpoints);
     tracing::info!(
         hosts = told.learned.hosts.len(),
         customers = told.learned.customers.len(),
         "goes on from what the process before it knew"
     );
-    node.tell(Event::TakenOver { learned: Box::new(told.learned) });
+    limiter.tell(Event::TakenOver { learned: Box::new(told.learned) });
     true
 }
 
 /// Tells and looks now and then.
-pub fn start(node: &Rc<Node>) {
-    publish(node);
-    let node = node.clone();
+pub fn start(limiter: &Rc<Limiter>) {
+    publish(limiter);
+    let limiter = limiter.clone();
     spawn(async move {
         loop {
-            sleep(node.limits.look).await;
-            look(&node);
-            publish(&node);
+            sleep(limiter.limits.look).await;
+            look(&limiter);
+            publish(&limiter);
         }
     });
 }
--- a/src/net/leases.rs
+++ b/src/net/leases.rs
@@ -1,10 +1,10 @@
 //! Leases at work: the votes and bids of `quartzcleat_lease` on datagrams, and the tasks of whoever holds one. Off
 //! without a section `lease` in our own file. Decides nothing itself.
 
-use super::export::{self, Exporter, Heard, Ledger, MOST_AT_ONCE};
 use super::peers::{Peers, LEASES, USE};
 use super::shutdown::{unix, Phase, Shutdown};
 use super::task::spawn;
+use super::usage_export::{self, Exporter, Heard, UsageRecorder, MOST_AT_ONCE};
 use quartzcleat_config::lease::{Clock, Does, Lease, Task};
 use quartzcleat_lease::{turn, Act, Bidder, Body, Key, Message, Nanos, Terms, Token, Voter, MOST_BYTES};
 use quartzcleat_usage_export::Message as Told;
@@ -65,19 +65,19 @@
     news: Notify,
     names: Vec<String>,
     /// The export of use: its task, and what is held of the sink and of the own use.
-    export: Option<(usize, Task, Exporter, Rc<Ledger>)>,
+    export: Option<(usize, Task, Exporter, Rc<UsageRecorder>)>,
 }
 
 /// The spool of this limiter, where use is exported.
 ///
 /// # Errors
 /// Where it cannot be written.
-pub fn ledger(lease: &Lease) -> Result<Option<Rc<Ledger>>, String> {
+pub fn usage_recorder(lease: &Lease) -> Result<Option<Rc<UsageRecorder>>, String> {
     let spool = lease.tasks.iter().find_map(|task| match &task.does {
         Does::Export { spool, .. } => Some(spool),
         Does::Beat(_) => None,
     });
-    spool.map(|spool| Ledger::open(&lease.me, spool, lease.die).map(Rc::new)).transpose()
+    spool.map(|spool| UsageRecorder::open(&lease.me, spool, lease.die).map(Rc::new)).transpose()
 }
 
 /// Starts voting, bidding and acting; once the process before this one has left its address, if there is one. Two
@@ -85,7 +85,9 @@
 ///
 /// # Errors
 /// Where the key cannot be read or the own address is not to be had; what to do about it.
-pub async fn start(lease: Lease, shutdown: &Shutdown, ledger: Option<Rc<Ledger>>) -> Result<(), String> {
+pub async fn start(
+    lease: Lease, shutdown: &Shutdown, usage_recorder: Option<Rc<UsageRecorder>>,
+) -> Result<(), String> {
     let secret = std::fs::read(&lease.key);
     let secret = secret.map_err(|e| format!("lease.key: cannot read {}: {e}", lease.key.display()))?;
     if secret.is_empty() {
@@ -96,14 +98,14 @@
     let me = lease.limiters.keys().position(|name| *name == lease.me).unwrap_or_default() as u32;
     let addresses: Vec<_> = lease.limiters.values().copied().collect();
     match Peers::listen(key.clone(), me, addresses.clone()).await {
-        Ok(peers) => begin(lease, peers, me, phases, ledger),
+        Ok(peers) => begin(lease, peers, me, phases, usage_recorder),
         Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => {
             tracing::info!("leases wait until {} is free", addresses[me as usize]);
             spawn(async move {
                 while *phases.borrow_and_update() == Phase::Serving {
                     sleep(AGAIN).await;
                     if let Ok(peers) = Peers::listen(key.clone(), me, addresses.clone()).await {
-                        return begin(lease, peers, me, phases, ledger);
+                        return begin(lease, peers, me, phases, usage_recorder);
                     }
                 }
             });
@@ -119,7 +121,8 @@
 }
 
 fn begin(
-    lease: Lease, peers: Peers, me: u32, mut phases: watch::Receiver<Phase>, ledger: Option<Rc<Ledger>>,
+    lease: Lease, peers: Peers, me: u32, mut phases: watch::Receiver<Phase>,
+    usage_recorder: Option<Rc<UsageRecorder>>,
 ) {
     let names: Vec<String> = lease.limiters.keys().cloned().collect();
     let number = |name: &String| names.iter().position(|other| other == name).unwrap_or_default() as u32;
@@ -136,9 +139,9 @@
         bidder.wait_turn(0, turn(&task.name, &lease.me, &names, terms.length / 32));
         bidder
     };
-    let exports = |(index, task): (usize, &Task)| match (&task.does, &ledger) {
-        (Does::Export { sink, .. }, Some(ledger)) => {
-            Some((index, task.clone(), Exporter::new(sink), ledger.clone()))
+    let exports = |(index, task): (usize, &Task)| match (&task.does, &usage_recorder) {
+        (Does::Export { sink, .. }, Some(usage_recorder)) => {
+            Some((index, task.clone(), Exporter::new(sink), usage_recorder.clone()))
         }
         _ => None,
     };
@@ -279,16 +282,16 @@
 
     /// Cuts batches of the own use, and fetches all limiters' while the lease of the export is held.
     async fn export(self: Rc<Self>) {
-        let Some((index, task, exporter, ledger)) = &self.export else { return };
+        let Some((index, task, exporter, usage_recorder)) = &self.export else { return };
         let mut looked = 0;
         loop {
             sleep(task.every).await;
             let now = self.now();
-            if now >= looked + export::LOOK {
+            if now >= looked + usage_export::LOOK {
                 looked = now;
-                ledger.adopt();
+                usage_recorder.adopt();
             }
-            ledger.cut();
+            usage_recorder.cut();
             let guard = self.bids.borrow()[*index].held(now);
             let Some(token) = guard.map(|guard| guard.token()) else { continue };
             if let Err(e) = exporter.begin(token) {
@@ -296,12 +299,12 @@
                 continue;
             }
             for _ in 0..MOST_AT_ONCE {
-                let Some(written) = ledger.first() else { break };
+                let Some(written) = usage_recorder.first() else { break };
                 let (epoch, number) = (written.source.epoch, written.batch.number);
                 if !self.write(&written) {
                     break;
                 }
-                ledger.exported(epoch, number);
+                usage_recorder.exported(epoch, number);
             }
             for limiter in (0..self.limiters).filter(|limiter| *limiter != self.me) {
                 self.peers.tell(limiter, USE, &Told::Want.write());
@@ -311,12 +314,12 @@
 
     /// Writes a batch to the sink, where the guard allows it.
     fn write(&self, written: &quartzcleat_usage_export::Written) -> bool {
-        let Some((index, task, exporter, ledger)) = &self.export else { return false };
+        let Some((index, task, exporter, usage_recorder)) = &self.export else { return false };
         let now = self.now();
         let guard = self.bids.borrow()[*index].held(now);
         let act = guard.and_then(|guard| guard.begin(now, task.longest.as_nanos() as Nanos));
         let Some(act) = act else { return false };
-        match exporter.write(act, written, ledger) {
+        match exporter.write(act, written, usage_recorder) {
             Ok(()) => true,
             Err(e) => {
                 tracing::warn!(task = task.name, "a batch cannot be written to the sink: {e}");
@@ -327,8 +330,8 @@
 
     /// Takes a message of the export.
     fn hear_of_use(&self, sender: u32, name: &str, told: Told) {
-        let Some((.., ledger)) = &self.export else { return };
-        match export::hear(ledger, name, told) {
+        let Some((.., usage_recorder)) = &self.export else { return };
+        match usage_export::hear(usage_recorder, name, told) {
             Heard::Answer(answer) => self.peers.tell(sender, USE, &answer.write()),
             Heard::Batch(written) => {
                 let (epoch, number) = (written.source.epoch, written.batch.number);
--- a/src/net/tally.rs
+++ b/src/net/metrics.rs
@@ -3,7 +3,7 @@
 //! decides nothing, and nothing that decides looks at it.
 
 use super::task::spawn;
-use super::Node;
+use super::Limiter;
 use crate::api::{Action, Event, HostId, Nanos, Outcome};
 use quartzcleat_decision::View;
 use std::collections::BTreeMap;
@@ -27,7 +27,7 @@
 
 /// What was counted since the last line.
 #[derive(Clone, Debug, Default)]
-pub struct Tally {
+pub struct Metrics {
     name: String,
     taken: u32,
     /// Refused by what was told when it was: at once, after the counter's answer, at a time limit, after an attempt.
@@ -62,10 +62,10 @@
     }
 }
 
-impl Tally {
+impl Metrics {
     /// Nothing counted yet.
     pub fn new(name: String) -> Self {
-        Tally { name, ..Tally::default() }
+        Metrics { name, ..Metrics::default() }
     }
 
     /// Counts what the module is told.
@@ -128,7 +128,7 @@
 
     /// Writes the line and begins anew. `held` tells the connections that are up, by host.
     pub fn tell(&mut self, at: Nanos, view: &View, held: &BTreeMap<HostId, usize>) {
-        let fresh = Tally::new(self.name.clone());
+        let fresh = Metrics::new(self.name.clone());
         let (counted, at_ms) = (std::mem::replace(self, fresh), at / 1_000_000);
         let mut hosts = String::new();
         let ids: std::collections::BTreeSet<_> = counted.hosts.keys().chain(held.keys()).collect();
@@ -199,18 +199,18 @@
 }
 
 /// Tells the tally as often as our own file asks for it.
-pub fn start(node: &Rc<Node>) {
-    if node.tally.is_none() {
+pub fn start(limiter: &Rc<Limiter>) {
+    if limiter.metrics.is_none() {
         return;
     }
-    let node = node.clone();
+    let limiter = limiter.clone();
     spawn(async move {
-        let Some((every, tally)) = &node.tally else { return };
+        let Some((every, metrics)) = &limiter.metrics else { return };
         let mut due = interval(*every);
         loop {
             due.tick().await;
-            let (now, view) = node.core.borrow().view();
-            tally.borrow_mut().tell(now, &view, &node.south.links());
+            let (now, view) = limiter.engine.borrow().view();
+            metrics.borrow_mut().tell(now, &view, &limiter.upstream.links());
         }
     });
 }
@@ -223,7 +223,7 @@
     /// Orders are counted by what they follow from, ends by host and outcome.
     #[test]
     fn what_is_told_and_ordered_is_counted_by_cause_and_host() {
-        let mut tally = Tally::new("one".into());
+        let mut metrics = Metrics::new("one".into());
         let (id, host) = (RequestId(1), HostId(5));
         let done = |outcome| Event::AttemptDone {
             id,
@@ -236,16 +236,16 @@
             true_units: 0.0,
             load: Vec::new(),
         };
-        let cause = tally.told(&done(Outcome::Full));
+        let cause = metrics.told(&done(Outcome::Full));
         assert_eq!(cause, Cause::Attempt);
         let again = Action::Attempt { id, host, timeout: 0, begins_within: 1 };
-        tally.ordered(cause, &[again, Action::Refuse { id, retry_after: 0 }]);
-        let cause = tally.told(&Event::Timer { tag: "late:1".into() });
-        tally.ordered(cause, &[Action::Refuse { id, retry_after: 0 }]);
-        tally.told(&done(Outcome::Good));
-        tally.connected(host, false);
-        let of_host = tally.hosts[&host];
+        metrics.ordered(cause, &[again, Action::Refuse { id, retry_after: 0 }]);
+        let cause = metrics.told(&Event::Timer { tag: "late:1".into() });
+        metrics.ordered(cause, &[Action::Refuse { id, retry_after: 0 }]);
+        metrics.told(&done(Outcome::Good));
+        metrics.connected(host, false);
+        let of_host = metrics.hosts[&host];
         assert_eq!((of_host.attempts, of_host.good, of_host.full, of_host.refused), (1, 1, 1, 1));
-        assert_eq!((tally.refused_after_attempt, tally.refused_by_time, tally.served), (1, 1, 1));
+        assert_eq!((metrics.refused_after_attempt, metrics.refused_by_time, metrics.served), (1, 1, 1));
     }
 }
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -2,50 +2,50 @@
 
 use super::*;
 use crate::api::{Outcome, ReportSource, RequestId};
-use crate::net::core::tests::{request, Kept};
-use crate::net::core::{Errand, Relay};
-use crate::net::platform::resp;
-use crate::net::tests::{next, with_node};
+use crate::net::engine::tests::{request, RecordingFrontend};
+use crate::net::engine::{HostCall, HostCommand};
+use crate::net::resp::codec;
+use crate::net::tests::{next, with_limiter};
 use std::time::Duration;
 use tokio::time::Instant;
 
 const TOY: &str = include_str!("../../../examples/toy.json");
 
 /// Takes a file in, which is sound.
-fn take(node: &Rc<Node>, text: &str) {
-    let read = config::reread(&node.file.borrow(), text, |_| None);
+fn take(limiter: &Rc<Limiter>, text: &str) {
+    let read = config::reread(&limiter.file.borrow(), text, |_| None);
     assert!(read.is_ok(), "{:?}", read.err());
-    apply(node, read);
+    apply(limiter, read);
 }
 
 /// An attempt of a request that is under way.
-fn under_way(node: &Rc<Node>, id: u64) -> Relay {
+fn under_way(limiter: &Rc<Limiter>, id: u64) -> HostCall {
     let now = Instant::now();
-    let mut core = node.core.borrow_mut();
-    core.open(Rc::new(Kept::default()), 0, &mut request(id), now);
-    core.begin(RequestId(id), crate::api::HostId(5), (0, u64::MAX), now).expect("within the cap")
+    let mut engine = limiter.engine.borrow_mut();
+    engine.open(Rc::new(RecordingFrontend::default()), 0, &mut request(id), now);
+    engine.begin(RequestId(id), crate::api::HostId(5), (0, u64::MAX), now).expect("within the cap")
 }
 
 /// How long pooled connections are kept, and where hosts tell their load, follow the new file; requests under way end by
 /// it too.
 #[test]
 fn what_holds_for_hosts_follows_the_new_settings() {
-    with_node(&[], |node| async move {
-        let relay = under_way(&node, 1);
-        assert!(matches!(relay.errand, Errand::Attempt { .. }));
+    with_limiter(&[], |limiter| async move {
+        let relay = under_way(&limiter, 1);
+        assert!(matches!(relay.command, HostCommand::Attempt { .. }));
         let answer = b"*3\r\n$3\r\nbed\r\n$-1\r\n$10\r\ninflight=7\r\n";
         let load = || {
-            let (reply, _) = resp::reply(answer, &node.limits).expect("sound").expect("whole");
-            let (end, _) = node.south.end(&reply, answer, &relay.errand, relay.host);
+            let (reply, _) = codec::reply(answer, &limiter.limits).expect("sound").expect("whole");
+            let (end, _) = limiter.upstream.end(&reply, answer, &relay.command, relay.host);
             assert_eq!(end.outcome, Outcome::Good);
             end.load.len()
         };
-        let idle = || node.limits.south_idle.get();
+        let idle = || limiter.limits.south_idle.get();
         assert_eq!((load(), idle()), (0, Duration::from_secs(15)));
         let new = TOY.replace("\"how\": \"none\"", "\"how\": \"answers\"");
-        take(&node, &new.replace("\"connIdleNs\": 30000000000", "\"connIdleNs\": 4000000000"));
-        assert!(matches!(next(&node).await, Event::Retuned { .. }), "the file is sound");
-        assert_eq!(node.south.reports.get(), ReportSource::Answers);
+        take(&limiter, &new.replace("\"connIdleNs\": 30000000000", "\"connIdleNs\": 4000000000"));
+        assert!(matches!(next(&limiter).await, Event::Retuned { .. }), "the file is sound");
+        assert_eq!(limiter.upstream.reports.get(), ReportSource::Answers);
         assert_eq!((load(), idle()), (1, Duration::from_secs(2)));
     });
 }
@@ -54,14 +54,14 @@
 /// with its deadline and effect, and each name for what the new file says.
 #[test]
 fn a_file_in_another_order_moves_nothing_under_another_s_index() {
-    with_node(&[], |node| async move {
-        let named = |name: &str| node.terms.borrow().class(name);
+    with_limiter(&[], |limiter| async move {
+        let named = |name: &str| limiter.terms.borrow().class(name);
         assert_eq!((named("bed-check"), named("bed-hold")), (Some(0), Some(1)));
         // The names change places: what was safe to repeat is now called as what was not.
         let new =
             TOY.replace("bed-check", "x").replace("bed-hold", "bed-check").replace("\"x\"", "\"bed-hold\"");
-        take(&node, &new);
-        let Event::Retuned { settings } = next(&node).await else { panic!("not told") };
+        take(&limiter, &new);
+        let Event::Retuned { settings } = next(&limiter).await else { panic!("not told") };
         let old = config::read(TOY, |_| None).expect("sound").settings;
         assert_eq!(
             settings.classes[..2],
@@ -74,8 +74,8 @@
         assert_eq!((check.effect, check.deadline), (old.classes[1].effect, old.classes[1].deadline));
         assert_eq!((hold.effect, hold.deadline), (old.classes[0].effect, old.classes[0].deadline));
         // And back: the numbers of the first file are had again.
-        take(&node, TOY);
-        let Event::Retuned { settings } = next(&node).await else { panic!("not told") };
+        take(&limiter, TOY);
+        let Event::Retuned { settings } = next(&limiter).await else { panic!("not told") };
         assert_eq!(settings.classes[..2], old.classes[..]);
         assert_eq!((named("bed-check"), named("bed-hold")), (Some(0), Some(1)));
     });
--- a/src/net/platform/north.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -1,15 +1,17 @@
 //! The north side: clients' connections. Commands of one connection are handled at once, side by side; their
 //! answers go out in the order in which they came.
 
-use super::close::{self, Now};
-use super::resp::{self, Command, Text};
+pub mod close;
+
+use self::close::Now;
+use super::codec::{self, Command, Text};
 use crate::api::{Class, CustomerId, Effect, RequestId, Settings};
 use crate::net::config::Limits;
-use crate::net::core::{Answer, Front, Payload, Request};
-use crate::net::front::Desk;
-use crate::net::pipe::{Found, Pipe};
+use crate::net::engine::{Answer, Frontend, Payload, Request};
+use crate::net::frontend::FrontendContext;
+use crate::net::hot_restart::listener_handover;
 use crate::net::shutdown::Phase;
-use crate::net::steer;
+use crate::net::streaming_body::{Found, Pipe};
 use crate::net::task::spawn;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -25,7 +27,7 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// What a request may ask for, by the settings.
-pub struct Terms {
+pub struct RequestCatalog {
     /// The classes and their numbers.
     classes: Vec<(u32, Class)>,
     /// The plans' names and their numbers.
@@ -36,11 +38,11 @@
     most_units: f64,
 }
 
-impl Terms {
+impl RequestCatalog {
     /// The terms in the settings, of which these classes and plans are heard.
     pub fn of(settings: &Settings, (classes, plans): (Vec<u32>, Vec<u32>)) -> Self {
         let most = settings.largest_request;
-        Terms {
+        RequestCatalog {
             classes: classes.into_iter().map(|i| (i, settings.classes[i as usize].clone())).collect(),
             plans: plans.into_iter().map(|i| (i, settings.plans[i as usize].name.clone())).collect(),
             limiters: settings.gateways.max(1),
@@ -50,7 +52,7 @@
 
     /// The same terms, of which only these classes and plans are still heard.
     pub fn heard_again(&self, (classes, plans): (Vec<u32>, Vec<u32>)) -> Self {
-        Terms {
+        RequestCatalog {
             classes: self.classes.iter().filter(|(i, _)| classes.contains(i)).cloned().collect(),
             plans: self.plans.iter().filter(|(i, _)| plans.contains(i)).cloned().collect(),
             ..*self
@@ -65,16 +67,16 @@
 }
 
 /// The north side: what it was given, what a request may ask for, and the connections that are idle.
-pub struct North {
-    desk: Desk,
-    terms: Rc<RefCell<Terms>>,
+pub struct Downstream {
+    frontend_context: FrontendContext,
+    terms: Rc<RefCell<RequestCatalog>>,
     idle: Idle,
 }
 
-impl North {
+impl Downstream {
     /// A north side without connections.
-    pub fn new(desk: Desk, terms: Rc<RefCell<Terms>>) -> Self {
-        North { desk, terms, idle: Idle::default() }
+    pub fn new(frontend_context: FrontendContext, terms: Rc<RefCell<RequestCatalog>>) -> Self {
+        Downstream { frontend_context, terms, idle: Idle::default() }
     }
 }
 
@@ -97,7 +99,9 @@
 /// Reads a whole command. `Err` says what is wrong with it. Guards against anything that no host could use, or
 /// that would count in a customer's name what it never asked for, getting as far as the module: a fact that
 /// every request has must be there and within its range.
-fn understand(bytes: &[u8], command: &Command, terms: &Terms, welcome: bool) -> Result<Asked, &'static str> {
+fn understand(
+    bytes: &[u8], command: &Command, terms: &RequestCatalog, welcome: bool,
+) -> Result<Asked, &'static str> {
     let words: Option<Vec<Range<usize>>> = command.words.iter().cloned().collect();
     let words = words.filter(|words| !words.is_empty()).ok_or("a command is an array of bulk strings")?;
     let verb = &bytes[words[0].clone()];
@@ -183,13 +187,13 @@
 /// Appends the answer as a client gets it.
 fn write_answer(answer: &Answer, out: &mut Vec<u8>) {
     match answer {
-        Answer::Served(value) => resp::write_bulk(value, out),
+        Answer::Served(value) => codec::write_bulk(value, out),
         Answer::BackOff(Duration::ZERO) => out.extend_from_slice(b"-BUSY\r\n"),
         Answer::BackOff(wait) => {
             let _ = write!(Text(out), "-BUSY {}\r\n", wait.as_nanos().div_ceil(1_000_000));
         }
         // Its head; the value follows through the pipe.
-        Answer::Begun(pipe) => resp::write_head('$', pipe.length(), out),
+        Answer::Begun(pipe) => codec::write_head('$', pipe.length(), out),
         Answer::Failed => out.extend_from_slice(b"-ERR failed\r\n"),
     }
 }
@@ -213,7 +217,7 @@
     held: Rc<Cell<usize>>,
 }
 
-impl Front for Owed {
+impl Frontend for Owed {
     fn answer(&self, place: u64, answer: Answer) {
         let mut bytes = Vec::new();
         write_answer(&answer, &mut bytes);
@@ -347,7 +351,7 @@
     }
 
     /// Keeps up with the connection; `stranger` until its first whole command.
-    fn update(&mut self, north: &North, pause: Pause, stranger: bool) {
+    fn update(&mut self, north: &Downstream, pause: Pause, stranger: bool) {
         if pause == self.pause && stranger == self.stranger {
             return;
         }
@@ -358,14 +362,14 @@
         (self.pause, self.stranger) = (pause, stranger);
         self.end(north);
         if pause != Pause::Busy {
-            let ahead = if stranger { north.desk.limits.north_stranger } else { Duration::ZERO };
+            let ahead = if stranger { north.frontend_context.limits.north_stranger } else { Duration::ZERO };
             let since = self.since.checked_sub(ahead).unwrap_or(self.since);
             self.turn = Some(north.idle.enter(since, &self.leave));
         }
     }
 
     /// The connection no longer waits among the idle ones.
-    fn end(&mut self, north: &North) {
+    fn end(&mut self, north: &Downstream) {
         if let Some(turn) = self.turn.take() {
             north.idle.remove(turn);
         }
@@ -387,20 +391,20 @@
 }
 
 /// Accepts connections until they close at the program's end.
-pub async fn accept(north: &Rc<North>, listener: TcpListener) {
-    let mut end = north.desk.shutdown.end();
+pub async fn accept(north: &Rc<Downstream>, listener: TcpListener) {
+    let mut end = north.frontend_context.shutdown.end();
     let mut last = None;
     loop {
         let taken = tokio::select! {
             biased;
             taken = listener.accept() => taken,
             _ = end.wait_for(|end| *end), if last.is_none() => {
-                if north.desk.shutdown.relieved() {
-                    if let Err(e) = steer::to_the_second(&listener) {
+                if north.frontend_context.shutdown.relieved() {
+                    if let Err(e) = listener_handover::to_the_second(&listener) {
                         tracing::info!("connections still come to either process: {e}");
                     }
                 }
-                last = Some(Instant::now() + north.desk.limits.steered);
+                last = Some(Instant::now() + north.frontend_context.limits.steered);
                 continue;
             }
             () = sleep_until(last.unwrap_or_else(Instant::now)), if last.is_some() => break,
@@ -410,10 +414,11 @@
                 // Guards against running out of descriptors: past the limit the longest idle connection makes
                 // room, where there is none a further one is only told to back off, and far past it the program
                 // waits for others to close.
-                let most = north.desk.limits.north_share();
-                let crowded = north.desk.shutdown.connections() >= most && !north.idle.make_room();
+                let most = north.frontend_context.limits.north_share();
+                let crowded =
+                    north.frontend_context.shutdown.connections() >= most && !north.idle.make_room();
                 welcome(north, stream, crowded);
-                let mut count = north.desk.shutdown.connection_changes();
+                let mut count = north.frontend_context.shutdown.connection_changes();
                 // Guards against waiting there while the end comes, with others left in the queue.
                 tokio::select! {
                     _ = count.wait_for(|count| *count < most + most / 16) => {}
@@ -423,26 +428,26 @@
             }
             Err(e) => {
                 tracing::warn!("cannot accept: {e}");
-                sleep(north.desk.limits.again).await;
+                sleep(north.frontend_context.limits.again).await;
             }
         }
     }
     last_ones(north, listener);
 }
 
-fn welcome(north: &Rc<North>, stream: TcpStream, crowded: bool) {
-    north.desk.shutdown.count(1);
+fn welcome(north: &Rc<Downstream>, stream: TcpStream, crowded: bool) {
+    north.frontend_context.shutdown.count(1);
     let task = north.clone();
     spawn(async move {
         let _ = stream.set_nodelay(true);
         serve(&task, stream, crowded).await;
-        task.desk.shutdown.count(-1);
+        task.frontend_context.shutdown.count(-1);
     });
 }
 
 /// Takes what waits in the queue, and closes it. Guards against the connections there: a queue that is closed resets
 /// all that nobody has accepted.
-fn last_ones(north: &Rc<North>, listener: TcpListener) {
+fn last_ones(north: &Rc<Downstream>, listener: TcpListener) {
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
         let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
@@ -453,8 +458,8 @@
     }
 }
 
-async fn serve(north: &Rc<North>, mut stream: TcpStream, crowded: bool) {
-    let held = north.desk.held.clone();
+async fn serve(north: &Rc<Downstream>, mut stream: TcpStream, crowded: bool) {
+    let held = north.frontend_context.held.clone();
     let owed = Rc::new(Owed {
         slots: RefCell::default(),
         first: Cell::default(),
@@ -469,15 +474,17 @@
     held.set(held.get() - if let Over::Lost(lost) = over { lost } else { 0 });
     for slot in slots {
         match slot {
-            Slot::Open(id) => north.desk.entry.leave(id),
+            Slot::Open(id) => north.frontend_context.entry.leave(id),
             Slot::Ready(bytes) => held.set(held.get() - bytes.len()),
             Slot::Long(_, pipe) => pipe.leave(),
         }
     }
     // Guards against idle clients that hold their descriptors a little longer each while others wait for one: where there
     // is no room it closes at once. Could hurt behind malformed bytes, where a reset may take the last answer along.
-    if over == Over::Ours && north.desk.shutdown.connections() < north.desk.limits.north_share() {
-        close::in_order(stream, north.desk.limits.north_linger).await;
+    if over == Over::Ours
+        && north.frontend_context.shutdown.connections() < north.frontend_context.limits.north_share()
+    {
+        close::in_order(stream, north.frontend_context.limits.north_linger).await;
     }
 }
 
@@ -492,21 +499,21 @@
 
 /// Serves a connection to its end.
 async fn converse(
-    north: &Rc<North>, stream: &mut TcpStream, owed: &Rc<Owed>, rest: &mut Rest, crowded: bool,
+    north: &Rc<Downstream>, stream: &mut TcpStream, owed: &Rc<Owed>, rest: &mut Rest, crowded: bool,
 ) -> Over {
-    let limits = &north.desk.limits;
+    let limits = &north.frontend_context.limits;
     let (mut reader, writer) = stream.split();
     let (mut input, mut out, mut sent, mut sound) = (Vec::new(), Vec::new(), 0, true);
     // Of what is unsent, how much counts as held, and when the client last took some.
     let (mut counted, mut moved) = (0, Instant::now());
-    let mut phase = north.desk.shutdown.changes();
+    let mut phase = north.frontend_context.shutdown.changes();
     // Guards against closing on a connection that came while clients are sent away, before it was heard.
     let fresh = *phase.borrow() >= Phase::Closing;
     loop {
         let mut done = 0;
         while sound && out.len() < limits.north_unsent {
             let waiting = owed.waiting();
-            let problem = match resp::command(&input[done..], limits) {
+            let problem = match codec::command(&input[done..], limits) {
                 Ok(None) => break,
                 Ok(Some(command)) if waiting < limits.north_waiting => {
                     take(north, owed, &input[done..], &command, crowded || waiting >= limits.north_pipeline);
@@ -521,7 +528,7 @@
             owed.push(Slot::Ready(text));
             sound = false;
         }
-        resp::consume(&mut input, done, limits.read_bytes);
+        codec::consume(&mut input, done, limits.read_bytes);
         let (more, whole) = owed.collect(&mut out);
         counted += more;
         if sent < out.len() {
@@ -535,7 +542,7 @@
         }
         if sent == out.len() && sent > 0 {
             owed.held.set(owed.held.get() - counted);
-            resp::consume(&mut out, sent, limits.read_bytes);
+            codec::consume(&mut out, sent, limits.read_bytes);
             (sent, counted) = (0, 0);
         }
         // The client can tell by the early end that a value is not whole.
@@ -600,7 +607,7 @@
             None
         }
         Now::Nothing => Some(Over::Ours),
-        Now::End => Some(Over::Lost(0)),
+        Now::CallResult => Some(Over::Lost(0)),
     }
 }
 
@@ -611,7 +618,7 @@
     reader: &mut ReadHalf<'_>, input: &mut Vec<u8>, (read, sound): (bool, bool), limits: &Limits,
 ) -> bool {
     if read {
-        return resp::more(reader, input, limits.read_bytes).await.unwrap_or(false);
+        return codec::more(reader, input, limits.read_bytes).await.unwrap_or(false);
     }
     if !sound {
         let mut dropped = [0; 4096];
@@ -635,14 +642,14 @@
 
 /// Takes a command in; past a limit a request is only told to back off. Guards against a client that goes unseen behind
 /// commands that nobody reads.
-fn take(north: &Rc<North>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
-    match understand(bytes, command, &north.terms.borrow(), north.desk.shutdown.welcome()) {
+fn take(north: &Rc<Downstream>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
+    match understand(bytes, command, &north.terms.borrow(), north.frontend_context.shutdown.welcome()) {
         Ok(Asked::Request(request)) => {
             let place = owed.push(Slot::Open(request.id));
             if crowded {
-                owed.answer(place, Answer::BackOff(north.desk.limits.back_off.get()));
+                owed.answer(place, Answer::BackOff(north.frontend_context.limits.back_off.get()));
             } else {
-                north.desk.entry.ask(owed.clone(), place, *request);
+                north.frontend_context.entry.ask(owed.clone(), place, *request);
             }
         }
         Ok(Asked::Here(answer)) => drop(owed.push(Slot::Ready(answer))),
@@ -658,33 +665,34 @@
 mod tests {
     use super::*;
     use crate::net::config;
-    use crate::net::front::Entry;
+    use crate::net::frontend::RequestHandler;
     use crate::net::shutdown::Shutdown;
     use quartzcleat_admin::Numbers;
 
     /// Nobody to hand requests to: what is read here never gets so far.
     struct Nowhere;
 
-    impl Entry for Nowhere {
-        fn ask(&self, _: Rc<dyn Front>, _: u64, _: Request) {}
+    impl RequestHandler for Nowhere {
+        fn ask(&self, _: Rc<dyn Frontend>, _: u64, _: Request) {}
         fn leave(&self, _: RequestId) {}
     }
 
-    fn north(text: &str) -> North {
+    fn north(text: &str) -> Downstream {
         let config = config::read(text, |_| None).expect("the configuration is sound");
         let numbers = Numbers::new(&config.settings);
-        let terms = Rc::new(RefCell::new(Terms::of(&config.settings, numbers.heard(0))));
+        let terms = Rc::new(RefCell::new(RequestCatalog::of(&config.settings, numbers.heard(0))));
         let limits = Rc::new(config.limits);
         let (shutdown, held) = (Rc::new(Shutdown::new(&limits)), Rc::default());
-        North::new(Desk { entry: Rc::new(Nowhere), limits, shutdown, held }, terms)
+        Downstream::new(FrontendContext { entry: Rc::new(Nowhere), limits, shutdown, held }, terms)
     }
 
     fn asked(
-        north: &North, verb: &str, customer: &str, id: &str, facts: &str,
+        north: &Downstream, verb: &str, customer: &str, id: &str, facts: &str,
     ) -> Result<Duration, &'static str> {
         let mut bytes = Vec::new();
-        resp::write_command(&[verb, customer, id, facts].map(str::as_bytes), &mut bytes);
-        let command = resp::command(&bytes, &north.desk.limits).expect("well-formed").expect("whole");
+        codec::write_command(&[verb, customer, id, facts].map(str::as_bytes), &mut bytes);
+        let command =
+            codec::command(&bytes, &north.frontend_context.limits).expect("well-formed").expect("whole");
         understand(&bytes, &command, &north.terms.borrow(), true).map(|asked| match asked {
             Asked::Request(request) => request.wait,
             Asked::Here(_) => panic!("{verb} is for a host"),
@@ -694,7 +702,8 @@
     /// Whatever no host could use is turned away; every form that the protocol has is let through.
     #[test]
     fn only_usable_requests_are_taken() {
-        let text = include_str!("../../../examples/toy.json").replace("\"balancers\": 1", "\"balancers\": 3");
+        let text =
+            include_str!("../../../../examples/toy.json").replace("\"balancers\": 1", "\"balancers\": 3");
         let north = north(&text);
         let (one, id) = ("00000001ffffffff", "9b1f03aa5c7e2d41");
         let check = "c=bed-check,t=guide,d=900,units=6,spread=3,first=2";
--- /dev/null
+++ b/src/net/resp/mod.rs
@@ -0,0 +1,8 @@
+//! RESP2, the protocol of both sides: its codec, the connections of clients (downstream) and those to hosts (upstream).
+
+pub mod codec;
+pub mod downstream;
+pub mod upstream;
+
+#[cfg(test)]
+mod tests;
--- a/src/net/platform/tests.rs
+++ b/src/net/resp/tests.rs
@@ -1,7 +1,7 @@
 //! What the runtime has not been told of a socket yet, forced: bytes come while its one thread does something else.
 
-use super::close::{in_order, read_now, Now};
-use super::south::Link;
+use super::downstream::close::{in_order, read_now, Now};
+use super::upstream::UpstreamConnection;
 use std::io::{Read, Write};
 use std::net::TcpStream as Blocking;
 use std::time::Duration;
@@ -45,7 +45,7 @@
         assert_eq!((read_now(&stream, &mut bytes), &bytes[..4]), (Now::Bytes(4), &b"PING"[..]));
         drop(peer);
         has_come(&stream);
-        assert_eq!(read_now(&stream, &mut bytes), Now::End);
+        assert_eq!(read_now(&stream, &mut bytes), Now::CallResult);
     });
 }
 
@@ -55,7 +55,7 @@
     run(async {
         let (stream, peer) = pair().await;
         let address = stream.peer_addr().expect("an address");
-        let link = Link::new(stream, address);
+        let link = UpstreamConnection::new(stream, address);
         assert!(link.quiet());
         drop(peer);
         has_come(&link.stream);
--- a/src/net/platform/south.rs
+++ b/src/net/resp/upstream/mod.rs
@@ -3,12 +3,12 @@
 //! One relay at a time has a connection: behind another it would wait for that one's answer, and would be lost
 //! with it when the other is given up.
 
-use super::close::{self, Now};
-use super::resp::{self, Reply};
+use super::codec::{self, Reply};
+use super::downstream::close::{self, Now};
 use crate::api::{HostEntry, HostId, HostState, Load, Outcome, ReportSource};
 use crate::net::config::Limits;
-use crate::net::core::{Errand, Relay};
-use crate::net::stages::book::{End, Used};
+use crate::net::engine::{HostCall, HostCommand};
+use crate::net::stages::complete::{CallResult, UsageFigures};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 /// A connection that waits for its next relay.
 struct Idle {
     serial: u64,
-    next: oneshot::Sender<Relay>,
+    next: oneshot::Sender<HostCall>,
     since: Instant,
 }
 
@@ -36,7 +36,7 @@
 }
 
 /// All hosts, and the connections to them.
-pub struct South {
+pub struct Upstream {
     hosts: RefCell<HashMap<HostId, Host>>,
     links: Rc<Cell<usize>>,
     by_host: RefCell<BTreeMap<HostId, Rc<Cell<usize>>>>,
@@ -46,16 +46,16 @@
 }
 
 /// A connection's count among all; ends with it.
-pub struct Counted([Rc<Cell<usize>>; 2]);
+pub struct ConnectionPermit([Rc<Cell<usize>>; 2]);
 
-impl Drop for Counted {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         self.0.iter().for_each(|count| count.set(count.get() - 1));
     }
 }
 
 /// A connection and its buffers.
-pub struct Link {
+pub struct UpstreamConnection {
     /// The socket.
     pub stream: TcpStream,
     /// Where it leads.
@@ -68,10 +68,10 @@
     pub written: bool,
 }
 
-impl Link {
+impl UpstreamConnection {
     /// A link on a fresh connection.
     pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
-        Link { stream, peer, input: Vec::new(), output: Vec::new(), written: false }
+        UpstreamConnection { stream, peer, input: Vec::new(), output: Vec::new(), written: false }
     }
 
     /// Whether an idle connection has not come to its end, and nothing stands on it that belongs to no relay.
@@ -80,10 +80,10 @@
     }
 }
 
-impl South {
+impl Upstream {
     /// No hosts yet.
     pub fn new(reports: ReportSource) -> Self {
-        South {
+        Upstream {
             hosts: RefCell::default(),
             links: Rc::default(),
             by_host: RefCell::default(),
@@ -141,7 +141,7 @@
     /// Hands a relay to the host's connection that was used last; gives it back where none waits. Guards against
     /// taking what still follows an answer, a copy of it above all, for the answer to the next relay: for a
     /// moment after an answer the connection takes none.
-    pub fn hand_over(&self, mut relay: Relay, limits: &Limits) -> Result<(), Relay> {
+    pub fn hand_over(&self, mut relay: HostCall, limits: &Limits) -> Result<(), HostCall> {
         let mut hosts = self.hosts.borrow_mut();
         let Some(host) = hosts.get_mut(&relay.host) else { return Err(relay) };
         let rested = |idle: &Idle| idle.since.elapsed() >= limits.south_rest;
@@ -155,7 +155,7 @@
     }
 
     /// Lets a connection wait for its next relay, if its host still wants one.
-    pub fn park(&self, id: HostId, peer: SocketAddr) -> Option<(u64, oneshot::Receiver<Relay>)> {
+    pub fn park(&self, id: HostId, peer: SocketAddr) -> Option<(u64, oneshot::Receiver<HostCall>)> {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.get_mut(&id).filter(|host| host.left.is_none() && host.address == peer)?;
         let (next, relay) = oneshot::channel();
@@ -180,7 +180,7 @@
     }
 
     /// Room for one more connection, if need be in the place of the one that has waited longest.
-    pub fn count(&self, id: HostId, limits: &Limits) -> Option<Counted> {
+    pub fn count(&self, id: HostId, limits: &Limits) -> Option<ConnectionPermit> {
         if self.links.get() >= limits.south_share() {
             let mut hosts = self.hosts.borrow_mut();
             let oldest = |host: &&mut Host| host.idle.first().map_or(u64::MAX, |idle| idle.serial);
@@ -189,7 +189,7 @@
         }
         let counts = [self.links.clone(), self.by_host.borrow_mut().entry(id).or_default().clone()];
         counts.iter().for_each(|count| count.set(count.get() + 1));
-        Some(Counted(counts))
+        Some(ConnectionPermit(counts))
     }
 
     /// The connections that are up or on their way, by host.
@@ -200,13 +200,15 @@
 
     /// What a reply to a relay means, and whether it is one of the protocol's forms: after any other the
     /// connection is of no more use.
-    pub fn end(&self, reply: &Reply, bytes: &[u8], errand: &Errand, host: HostId) -> (End, bool) {
+    pub fn end(
+        &self, reply: &Reply, bytes: &[u8], command: &HostCommand, host: HostId,
+    ) -> (CallResult, bool) {
         let text = |place: &std::ops::Range<usize>| bytes[place.clone()].to_vec();
         let load_of = |member: &Reply| match member {
             Reply::Bulk(Some(place)) => load(&bytes[place.clone()]),
             _ => None,
         };
-        let (end, known) = match (reply, errand) {
+        let (end, known) = match (reply, command) {
             (Reply::Error(place), _) => {
                 let line = &bytes[place.clone()];
                 let mut words = line.split(|byte| *byte == b' ');
@@ -214,17 +216,23 @@
                     Some(b"BUSY") => (Outcome::Full, true),
                     first => (Outcome::Error, first == Some(b"ERR")),
                 };
-                (End { load: words.next_back().and_then(load).unwrap_or_default(), ..outcome.into() }, known)
+                (
+                    CallResult {
+                        load: words.next_back().and_then(load).unwrap_or_default(),
+                        ..outcome.into()
+                    },
+                    known,
+                )
             }
-            (Reply::Bulk(Some(_)), Errand::Probe) => match load_of(reply) {
-                Some(load) => (End { load, ..Outcome::Good.into() }, true),
+            (Reply::Bulk(Some(_)), HostCommand::Probe) => match load_of(reply) {
+                Some(load) => (CallResult { load, ..Outcome::Good.into() }, true),
                 None => (Outcome::Error.into(), true),
             },
-            (Reply::Array(Some(members)), Errand::Attempt { .. }) => match members.as_slice() {
+            (Reply::Array(Some(members)), HostCommand::Attempt { .. }) => match members.as_slice() {
                 // The value, the figures on use or null, the load report or null. The value is good even where
                 // the others cannot be read.
                 [Reply::Bulk(Some(value)), figures, report] => (
-                    End {
+                    CallResult {
                         value: text(value),
                         load: load_of(report).unwrap_or_default(),
                         used: used(figures, bytes, host),
@@ -236,8 +244,8 @@
             },
             _ => (Outcome::Error.into(), false),
         };
-        let told = matches!(errand, Errand::Probe) || self.reports.get() == ReportSource::Answers;
-        (End { load: if told { end.load } else { Load::new() }, ..end }, known)
+        let told = matches!(command, HostCommand::Probe) || self.reports.get() == ReportSource::Answers;
+        (CallResult { load: if told { end.load } else { Load::new() }, ..end }, known)
     }
 }
 
@@ -254,9 +262,9 @@
 
 /// Whether what has come of a reply may yet become one. Guards against waiting for the end of what is well-formed
 /// so far and is no reply to this errand.
-pub fn promising(input: &[u8], errand: &Errand) -> bool {
+pub fn promising(input: &[u8], command: &HostCommand) -> bool {
     let begins = |form: &[u8]| input.iter().zip(form).all(|(one, other)| one == other);
-    begins(b"-") || begins(if matches!(errand, Errand::Probe) { b"$" } else { b"*3\r\n$" })
+    begins(b"-") || begins(if matches!(command, HostCommand::Probe) { b"$" } else { b"*3\r\n$" })
 }
 
 /// A load report: `inflight=7,queue=2`.
@@ -272,9 +280,9 @@
 
 /// The figures on use: `used=37,cost=4`, or null. Guards against what cannot be read, or cannot be so, entering a
 /// count: it is as if it had not come, and is logged.
-pub fn used(figures: &Reply, bytes: &[u8], host: HostId) -> Used {
+pub fn used(figures: &Reply, bytes: &[u8], host: HostId) -> UsageFigures {
     let pairs = match figures {
-        Reply::Bulk(None) => return Used::default(),
+        Reply::Bulk(None) => return UsageFigures::default(),
         Reply::Bulk(Some(place)) => load(&bytes[place.clone()]),
         _ => None,
     };
@@ -284,26 +292,26 @@
     if pairs.is_none() || metered < 0.0 || units < 0.0 {
         tracing::warn!("server {}: figures on use that cannot be read are left out", host.0);
     }
-    Used { metered: metered.max(0.0) as u64, units: units.max(0.0) }
+    UsageFigures { metered: metered.max(0.0) as u64, units: units.max(0.0) }
 }
 
 /// Writes the command that a relay takes to its host. The words go on byte for byte; the wait is what is left.
-pub fn write(relay: &Relay, now: Instant, out: &mut Vec<u8>) {
-    let Errand::Attempt { payload, .. } = &relay.errand else {
-        return resp::write_command(&[b"INFO", b"load"], out);
+pub fn write(relay: &HostCall, now: Instant, out: &mut Vec<u8>) {
+    let HostCommand::Attempt { payload, .. } = &relay.command else {
+        return codec::write_command(&[b"INFO", b"load"], out);
     };
     let left = relay.until.saturating_duration_since(now).as_millis().max(1).to_string();
-    resp::write_head('*', payload.words.len(), out);
+    codec::write_head('*', payload.words.len(), out);
     for word in &payload.words {
         let wait = &payload.wait;
         if word.start <= wait.start && wait.end <= word.end && !wait.is_empty() {
-            resp::write_head('$', word.len() - wait.len() + left.len(), out);
+            codec::write_head('$', word.len() - wait.len() + left.len(), out);
             out.extend_from_slice(&payload.bytes[word.start..wait.start]);
             out.extend_from_slice(left.as_bytes());
             out.extend_from_slice(&payload.bytes[wait.end..word.end]);
             out.extend_from_slice(b"\r\n");
         } else {
-            resp::write_bulk(&payload.bytes[word.clone()], out);
+            codec::write_bulk(&payload.bytes[word.clone()], out);
         }
     }
 }
@@ -312,19 +320,19 @@
 mod tests {
     use super::*;
     use crate::api::CustomerId;
-    use crate::net::core::tests::{request, Kept};
-    use crate::net::tests::with_node;
+    use crate::net::engine::tests::{request, RecordingFrontend};
+    use crate::net::tests::with_limiter;
 
     /// The words go on as they came, the wait apart, whose length may change.
     #[test]
     fn only_the_wait_is_rewritten() {
-        with_node(&[], |node| async move {
-            let (mut core, now) = (node.core.borrow_mut(), Instant::now());
-            core.open(Rc::new(Kept::default()), 0, &mut request(1), now);
+        with_limiter(&[], |limiter| async move {
+            let (mut engine, now) = (limiter.engine.borrow_mut(), Instant::now());
+            engine.open(Rc::new(RecordingFrontend::default()), 0, &mut request(1), now);
             for (timeout, expected) in
                 [(0, "$9\r\nd=900,c=x"), (42_000_000, "$8\r\nd=42,c=x"), (10, "$7\r\nd=1,c=x")]
             {
-                let relay = core
+                let relay = engine
                     .begin(crate::api::RequestId(1), HostId(5), (timeout, u64::MAX), now)
                     .expect("within the cap");
                 let mut out = Vec::new();
@@ -337,14 +345,14 @@
     /// What is good, and after what the connection may be used again.
     #[test]
     fn only_a_whole_right_formed_value_is_good() {
-        let attempt = Errand::Attempt {
+        let attempt = HostCommand::Attempt {
             used: (CustomerId(7), 1.0),
             id: crate::api::RequestId(1),
             attempt: 0,
             payload: Rc::new(request(1).payload),
         };
-        with_node(&[], |node| async move {
-            let south = South::new(ReportSource::Answers);
+        with_limiter(&[], |limiter| async move {
+            let upstream = Upstream::new(ReportSource::Answers);
             for (bytes, outcome, inflight, known) in [
                 ("*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n", Outcome::Good, Some(7.0), true),
                 ("*3\r\n$3\r\nbed\r\n$-1\r\n$3\r\n=,=\r\n", Outcome::Good, None, true),
@@ -360,8 +368,8 @@
                 ("-ERR failed inflight=3,queue=0\r\n", Outcome::Error, Some(3.0), true),
             ] {
                 let (reply, _) =
-                    resp::reply(bytes.as_bytes(), &node.limits).expect("well-formed").expect("whole");
-                let (end, usable) = south.end(&reply, bytes.as_bytes(), &attempt, HostId(5));
+                    codec::reply(bytes.as_bytes(), &limiter.limits).expect("well-formed").expect("whole");
+                let (end, usable) = upstream.end(&reply, bytes.as_bytes(), &attempt, HostId(5));
                 assert_eq!(
                     (end.outcome, end.load.first().map(|(_, value)| *value), usable),
                     (outcome, inflight, known),
@@ -381,14 +389,14 @@
     /// What an answer tells of use is read whatever the load report is; what cannot be so is as if it had not come.
     #[test]
     fn figures_on_use_are_read_from_answers() {
-        let attempt = Errand::Attempt {
+        let attempt = HostCommand::Attempt {
             used: (CustomerId(7), 1.0),
             id: crate::api::RequestId(1),
             attempt: 0,
             payload: Rc::new(request(1).payload),
         };
-        with_node(&[], |node| async move {
-            let south = South::new(ReportSource::Nowhere);
+        with_limiter(&[], |limiter| async move {
+            let upstream = Upstream::new(ReportSource::Nowhere);
             for (members, metered, units) in [
                 ("$14\r\nused=37,cost=4\r\n$-1\r\n", 37, 4.0),
                 ("$8\r\ncost=0.5\r\n$9\r\nqueue=2,=\r\n", 0, 0.5),
@@ -400,11 +408,11 @@
             ] {
                 let bytes = format!("*3\r\n$3\r\nbed\r\n{members}");
                 let (reply, _) =
-                    resp::reply(bytes.as_bytes(), &node.limits).expect("well-formed").expect("whole");
-                let (end, usable) = south.end(&reply, bytes.as_bytes(), &attempt, HostId(5));
+                    codec::reply(bytes.as_bytes(), &limiter.limits).expect("well-formed").expect("whole");
+                let (end, usable) = upstream.end(&reply, bytes.as_bytes(), &attempt, HostId(5));
                 assert_eq!(
                     (end.outcome, end.used, usable),
-                    (Outcome::Good, Used { metered, units }, true),
+                    (Outcome::Good, UsageFigures { metered, units }, true),
                     "{members:?}"
                 );
             }
@@ -414,18 +422,19 @@
     /// For a moment after its answer a connection is not used again: more may follow.
     #[test]
     fn a_connection_rests_after_an_answer() {
-        with_node(&[], |node| async move {
-            let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
+        with_limiter(&[], |limiter| async move {
+            let (upstream, address) = (&limiter.upstream, "127.0.0.1:9".parse().expect("an address"));
             let state = HostState::Ready;
-            south.learn(&HostEntry { host: HostId(5), state, ..HostEntry::default() }, address);
+            upstream.learn(&HostEntry { host: HostId(5), state, ..HostEntry::default() }, address);
             let now = Instant::now();
-            node.core.borrow_mut().open(Rc::new(Kept::default()), 0, &mut request(1), now);
-            let relay = node.core.borrow_mut().begin(crate::api::RequestId(1), HostId(5), (0, u64::MAX), now);
-            let mut parked = south.park(HostId(5), address).expect("it may wait").1;
-            let back = south.hand_over(relay.expect("within the cap"), &node.limits);
+            limiter.engine.borrow_mut().open(Rc::new(RecordingFrontend::default()), 0, &mut request(1), now);
+            let relay =
+                limiter.engine.borrow_mut().begin(crate::api::RequestId(1), HostId(5), (0, u64::MAX), now);
+            let mut parked = upstream.park(HostId(5), address).expect("it may wait").1;
+            let back = upstream.hand_over(relay.expect("within the cap"), &limiter.limits);
             let relay = back.expect_err("it answered just now");
-            tokio::time::sleep(node.limits.south_rest).await;
-            assert!(south.hand_over(relay, &node.limits).is_ok());
+            tokio::time::sleep(limiter.limits.south_rest).await;
+            assert!(upstream.hand_over(relay, &limiter.limits).is_ok());
             assert!(parked.try_recv().is_ok());
         });
     }
@@ -433,41 +442,41 @@
     /// A send that was decided before the word of a drain goes out for a while only.
     #[test]
     fn a_host_that_drains_is_soon_sent_nothing() {
-        with_node(&[], |node| async move {
-            let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
+        with_limiter(&[], |limiter| async move {
+            let (upstream, address) = (&limiter.upstream, "127.0.0.1:9".parse().expect("an address"));
             let entry = |state| HostEntry { host: HostId(5), state, ..HostEntry::default() };
-            let drained = Limits { drain: std::time::Duration::ZERO.into(), ..(*node.limits).clone() };
-            south.learn(&entry(HostState::Ready), address);
-            assert_eq!(south.address(HostId(5), &drained), Some(address));
-            let parked = south.park(HostId(5), address).expect("it may wait");
-            south.keep_only(&[]);
-            assert_eq!(south.address(HostId(5), &node.limits), Some(address));
-            assert_eq!(south.address(HostId(5), &drained), None);
+            let drained = Limits { drain: std::time::Duration::ZERO.into(), ..(*limiter.limits).clone() };
+            upstream.learn(&entry(HostState::Ready), address);
+            assert_eq!(upstream.address(HostId(5), &drained), Some(address));
+            let parked = upstream.park(HostId(5), address).expect("it may wait");
+            upstream.keep_only(&[]);
+            assert_eq!(upstream.address(HostId(5), &limiter.limits), Some(address));
+            assert_eq!(upstream.address(HostId(5), &drained), None);
             // Its idle connections are let go, and it gets no new ones.
             assert!(parked.1.await.is_err());
-            assert!(south.park(HostId(5), address).is_none());
-            south.learn(&entry(HostState::Ready), address);
-            assert_eq!(south.address(HostId(5), &drained), Some(address));
+            assert!(upstream.park(HostId(5), address).is_none());
+            upstream.learn(&entry(HostState::Ready), address);
+            assert_eq!(upstream.address(HostId(5), &drained), Some(address));
         });
     }
 
     /// What is gone is forgotten once nothing may be sent there; what drains is not.
     #[test]
     fn hosts_that_are_gone_are_forgotten() {
-        with_node(&[], |node| async move {
-            let (south, address) = (&node.south, "127.0.0.1:9".parse().expect("an address"));
+        with_limiter(&[], |limiter| async move {
+            let (upstream, address) = (&limiter.upstream, "127.0.0.1:9".parse().expect("an address"));
             let entry = |id, state| HostEntry { host: HostId(id), state, ..HostEntry::default() };
-            let over = Limits { drain: std::time::Duration::ZERO.into(), ..(*node.limits).clone() };
-            (1..5).for_each(|id| south.learn(&entry(id, HostState::Ready), address));
-            south.learn(&entry(2, HostState::Gone), address);
-            south.learn(&entry(3, HostState::Draining), address);
-            south.forget(&node.limits);
-            assert!((1..5).all(|id| south.knows(HostId(id))), "what was decided before may still go out");
-            south.forget(&over);
-            assert_eq!([1, 2, 3, 4].map(|id| south.knows(HostId(id))), [true, false, true, true]);
-            south.keep_only(&[entry(1, HostState::Ready)]);
-            south.forget(&over);
-            assert_eq!([1, 2, 3, 4].map(|id| south.knows(HostId(id))), [true, false, false, false]);
+            let over = Limits { drain: std::time::Duration::ZERO.into(), ..(*limiter.limits).clone() };
+            (1..5).for_each(|id| upstream.learn(&entry(id, HostState::Ready), address));
+            upstream.learn(&entry(2, HostState::Gone), address);
+            upstream.learn(&entry(3, HostState::Draining), address);
+            upstream.forget(&limiter.limits);
+            assert!((1..5).all(|id| upstream.knows(HostId(id))), "what was decided before may still go out");
+            upstream.forget(&over);
+            assert_eq!([1, 2, 3, 4].map(|id| upstream.knows(HostId(id))), [true, false, true, true]);
+            upstream.keep_only(&[entry(1, HostState::Ready)]);
+            upstream.forget(&over);
+            assert_eq!([1, 2, 3, 4].map(|id| upstream.knows(HostId(id))), [true, false, false, false]);
         });
     }
 }
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -3,9 +3,9 @@
 //! connections close between requests, and the program ends once all that was taken is answered.
 
 use super::config::Limits;
-use super::stages::book;
+use super::stages::complete;
 use super::task::spawn;
-use super::{twin, Node};
+use super::{hot_restart, Limiter};
 use crate::api::Nanos;
 use quartzcleat_admin::{Doors, Switch, Times};
 use std::cell::{Cell, RefCell};
@@ -119,9 +119,9 @@
 }
 
 /// Goes through the phases, and waits for SIGTERM.
-pub fn watch(node: &Rc<Node>) -> Result<(), String> {
+pub fn watch(limiter: &Rc<Limiter>) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
-    let (phases, ended) = (node.clone(), node.clone());
+    let (phases, ended) = (limiter.clone(), limiter.clone());
     spawn(async move {
         let shutdown = &phases.shutdown;
         loop {
@@ -139,8 +139,8 @@
         term.recv().await;
         ended.shutdown.asked.set(Some(Instant::now()));
         // Another process may have come a moment ago.
-        twin::look(&ended);
-        let relieved = ended.twin.relieved();
+        hot_restart::look(&ended);
+        let relieved = ended.hot_restart.relieved();
         tracing::info!(relieved, "asked to end");
         ended.shutdown.say(|doors| doors.end(unix(), relieved));
     });
@@ -149,17 +149,17 @@
 
 /// Waits until every connection is closed and every request answered. Shortly before the time is up, whatever is still
 /// open is failed. Guards against requests that go unanswered with the program.
-pub async fn finish(node: &Rc<Node>) {
-    let last = node.shutdown.last_answers(&node.limits).unwrap_or_else(Instant::now);
-    let mut connections = node.shutdown.connection_changes();
+pub async fn finish(limiter: &Rc<Limiter>) {
+    let last = limiter.shutdown.last_answers(&limiter.limits).unwrap_or_else(Instant::now);
+    let mut connections = limiter.shutdown.connection_changes();
     let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
     // A client that went away leaves its relays to end by themselves; nothing is owed for them.
-    while node.core.borrow().count_open() > 0 && Instant::now() < last {
-        sleep(node.limits.last_moment).await;
+    while limiter.engine.borrow().count_open() > 0 && Instant::now() < last {
+        sleep(limiter.limits.last_moment).await;
     }
-    let open = node.core.borrow().open_ids();
-    open.into_iter().for_each(|id| book::give_up(node, id));
-    let end = last + node.limits.last_answers.get();
+    let open = limiter.engine.borrow().open_ids();
+    open.into_iter().for_each(|id| complete::give_up(limiter, id));
+    let end = last + limiter.limits.last_answers.get();
     let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
 }
 
--- a/src/net/shutdown/tests.rs
+++ b/src/net/shutdown/tests.rs
@@ -2,31 +2,31 @@
 
 use super::*;
 use crate::api::{Event, RequestId};
-use crate::net::core::tests::{request, Kept};
-use crate::net::core::Answer;
-use crate::net::stages::take_in;
-use crate::net::tests::{next, with_node};
+use crate::net::engine::tests::{request, RecordingFrontend};
+use crate::net::engine::Answer;
+use crate::net::stages::accept;
+use crate::net::tests::{next, with_limiter};
 use std::time::Duration;
 
 const LONG: Duration = Duration::from_secs(60);
 
 /// The end was asked for just now, and comes in a moment.
-fn asked(node: &Rc<Node>, end: Duration) {
-    node.limits.end.set(end);
-    node.shutdown.asked.set(Some(Instant::now()));
+fn asked(limiter: &Rc<Limiter>, end: Duration) {
+    limiter.limits.end.set(end);
+    limiter.shutdown.asked.set(Some(Instant::now()));
 }
 
 /// A request that is taken after SIGTERM and may wait for longer than the program lives has its answer before.
 #[test]
 fn what_is_taken_after_sigterm_is_answered_while_the_program_lives() {
-    with_node(&[], |node| async move {
-        let (front, mut asks) = (Rc::new(Kept::default()), request(1));
+    with_limiter(&[], |limiter| async move {
+        let (front, mut asks) = (Rc::new(RecordingFrontend::default()), request(1));
         asks.wait = LONG;
-        asked(&node, Duration::from_secs(3));
+        asked(&limiter, Duration::from_secs(3));
         let before = Instant::now();
-        take_in::take_in(&node, front.clone(), 0, asks);
-        let last = node.shutdown.last_answers(&node.limits).expect("the end was asked for");
-        match next(&node).await {
+        accept::take_in(&limiter, front.clone(), 0, asks);
+        let last = limiter.shutdown.last_answers(&limiter.limits).expect("the end was asked for");
+        match next(&limiter).await {
             Event::Request { budget, .. } => {
                 assert!(budget > 2_000_000_000, "it has its time up to then");
                 assert!(before + Duration::from_nanos(budget) <= last, "and no more, whenever it came");
@@ -39,16 +39,16 @@
 /// Whatever was taken before and is open as the program ends is answered, with time left for the answer to go out.
 #[test]
 fn what_is_open_as_the_program_ends_is_answered_first() {
-    with_node(&[], |node| async move {
-        let (front, mut asks) = (Rc::new(Kept::default()), request(1));
+    with_limiter(&[], |limiter| async move {
+        let (front, mut asks) = (Rc::new(RecordingFrontend::default()), request(1));
         asks.wait = LONG;
-        take_in::take_in(&node, front.clone(), 9, asks);
-        assert!(matches!(next(&node).await, Event::Request { .. }));
+        accept::take_in(&limiter, front.clone(), 9, asks);
+        assert!(matches!(next(&limiter).await, Event::Request { .. }));
         // Much time for the answer to go out, on however busy a machine.
-        node.limits.last_answers.set(LONG);
-        asked(&node, LONG + Duration::from_millis(200));
-        node.shutdown.count(1);
-        let (closing, answered) = (node.clone(), front.clone());
+        limiter.limits.last_answers.set(LONG);
+        asked(&limiter, LONG + Duration::from_millis(200));
+        limiter.shutdown.count(1);
+        let (closing, answered) = (limiter.clone(), front.clone());
         // The client's connection ends as it has its answer.
         spawn(async move {
             while answered.0.borrow().is_empty() {
@@ -56,9 +56,9 @@
             }
             closing.shutdown.count(-1);
         });
-        finish(&node).await;
+        finish(&limiter).await;
         assert_eq!(*front.0.borrow(), [(9, Answer::Failed)]);
-        assert_eq!(node.shutdown.connections(), 0, "not cut off");
-        assert!(matches!(next(&node).await, Event::Abandoned { id: RequestId(1) }));
+        assert_eq!(limiter.shutdown.connections(), 0, "not cut off");
+        assert!(matches!(next(&limiter).await, Event::Abandoned { id: RequestId(1) }));
     });
 }
--- a/src/net/stages/admit.rs
+++ b/src/net/stages/admit.rs
@@ -1,17 +1,17 @@
 //! Second stage: the module is told of the request and decides whether it goes on.
 
-use super::book;
+use super::complete;
 use crate::api::Event;
-use crate::net::core::Request;
+use crate::net::engine::Request;
 use crate::net::task::spawn;
-use crate::net::Node;
+use crate::net::Limiter;
 use std::rc::Rc;
 use tokio::time::{sleep_until, Instant};
 
 /// Puts a request to the module, and sees to it that it is answered whatever becomes of it.
-pub fn admit(node: &Rc<Node>, request: Request, deadline: Instant) {
+pub fn admit(limiter: &Rc<Limiter>, request: Request, deadline: Instant) {
     let Request { id, class, plan, customer, units, spread, first, flags, wait, .. } = request;
-    node.tell(Event::Request {
+    limiter.tell(Event::Request {
         id,
         class,
         plan,
@@ -23,10 +23,10 @@
         flags,
     });
     // Guards against a request that the module forgets: it is failed at the last moment.
-    let last = deadline.checked_sub(node.limits.last_moment).unwrap_or(deadline);
-    let node = node.clone();
+    let last = deadline.checked_sub(limiter.limits.last_moment).unwrap_or(deadline);
+    let limiter = limiter.clone();
     spawn(async move {
         sleep_until(last).await;
-        book::give_up(&node, id);
+        complete::give_up(&limiter, id);
     });
 }
--- a/src/net/stages/mod.rs
+++ b/src/net/stages/mod.rs
@@ -1,11 +1,11 @@
 //! The stages that a request passes, one after another.
 
+pub mod accept;
 pub mod admit;
-pub mod book;
-pub mod relay;
+pub mod attempt;
+pub mod complete;
+pub mod dispatch;
 pub mod route;
-pub mod send;
-pub mod take_in;
 
 #[cfg(test)]
 mod tests;
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -1,12 +1,12 @@
 //! Crossings of a request's stages, forced on real sockets.
 
-use super::{book, relay, send};
+use super::{attempt, complete, dispatch};
 use crate::api::{Event, HostEntry, HostId, HostState, Nanos, Outcome, RequestId};
-use crate::net::core::tests::{request, Kept};
-use crate::net::core::Answer;
-use crate::net::platform::south::Link;
-use crate::net::tests::{next, with_node};
-use crate::net::Node;
+use crate::net::engine::tests::{request, RecordingFrontend};
+use crate::net::engine::Answer;
+use crate::net::resp::upstream::UpstreamConnection;
+use crate::net::tests::{next, with_limiter};
+use crate::net::Limiter;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,7 +25,7 @@
     before: Vec<TcpStream>,
 }
 
-async fn slow_host(node: &Rc<Node>) -> Slow {
+async fn slow_host(limiter: &Rc<Limiter>) -> Slow {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port is free");
     let listener = socket.listen(0).expect("it listens");
@@ -33,38 +33,38 @@
     // A line of nought takes one, and is full from then on.
     let before = vec![TcpStream::connect(address).await.expect("there is room for one")];
     let entry = HostEntry { host: HOST, state: HostState::Ready, ..HostEntry::default() };
-    node.south.learn(&entry, address);
+    limiter.upstream.learn(&entry, address);
     Slow { listener, address, before }
 }
 
 /// Sends a request's attempt on its way to a host whose connection does not come up, however long it may take.
-async fn connecting(node: &Rc<Node>, begins_within: Duration) -> (Slow, Rc<Kept>) {
-    node.limits.connect.set(LONG);
-    let (host, front) = (slow_host(node).await, Rc::new(Kept::default()));
+async fn connecting(limiter: &Rc<Limiter>, begins_within: Duration) -> (Slow, Rc<RecordingFrontend>) {
+    limiter.limits.connect.set(LONG);
+    let (host, front) = (slow_host(limiter).await, Rc::new(RecordingFrontend::default()));
     let mut asked = request(1);
     asked.wait = LONG;
-    node.core.borrow_mut().open(front.clone(), 0, &mut asked, Instant::now());
+    limiter.engine.borrow_mut().open(front.clone(), 0, &mut asked, Instant::now());
     let bounds = (0, begins_within.as_nanos() as Nanos);
-    let relay = node.core.borrow_mut().begin(RequestId(1), HOST, bounds, Instant::now());
+    let relay = limiter.engine.borrow_mut().begin(RequestId(1), HOST, bounds, Instant::now());
     let relay = relay.expect("within the cap");
-    send::send(node, relay);
+    dispatch::send(limiter, relay);
     yield_now().await;
-    assert_eq!(node.south.links().get(&HOST), Some(&1), "it is on its way");
+    assert_eq!(limiter.upstream.links().get(&HOST), Some(&1), "it is on its way");
     (host, front)
 }
 
 /// The attempt has ended without a connection, and the host, which now takes all that come, gets nothing of it.
-async fn nothing_goes_out(node: &Rc<Node>, mut host: Slow, expected: Outcome) {
+async fn nothing_goes_out(limiter: &Rc<Limiter>, mut host: Slow, expected: Outcome) {
     let ended = async {
         loop {
-            if let Event::AttemptDone { outcome, .. } = next(node).await {
+            if let Event::AttemptDone { outcome, .. } = next(limiter).await {
                 return outcome;
             }
         }
     };
     let outcome = timeout(Duration::from_secs(5), ended).await.expect("it ends long before its time is up");
     assert_eq!(outcome, expected);
-    while node.south.links().contains_key(&HOST) {
+    while limiter.upstream.links().contains_key(&HOST) {
         yield_now().await;
     }
     // Whatever comes up behind the one that filled the line is not the attempt's.
@@ -79,10 +79,10 @@
 /// A client that goes while its request's connection is on its way: no attempt begins for it.
 #[test]
 fn nothing_is_sent_for_a_client_that_went_while_a_connection_came_up() {
-    with_node(&[], |node| async move {
-        let (host, front) = connecting(&node, LONG).await;
-        book::abandon(&node, RequestId(1));
-        nothing_goes_out(&node, host, Outcome::Cancelled).await;
+    with_limiter(&[], |limiter| async move {
+        let (host, front) = connecting(&limiter, LONG).await;
+        complete::abandon(&limiter, RequestId(1));
+        nothing_goes_out(&limiter, host, Outcome::Cancelled).await;
         assert_eq!(*front.0.borrow(), []);
     });
 }
@@ -90,10 +90,10 @@
 /// The same where the request was answered meanwhile: what it got is final.
 #[test]
 fn nothing_is_sent_for_a_request_that_was_answered_while_a_connection_came_up() {
-    with_node(&[], |node| async move {
-        let (host, front) = connecting(&node, LONG).await;
-        assert!(book::answer(&node, RequestId(1), Answer::Failed));
-        nothing_goes_out(&node, host, Outcome::Cancelled).await;
+    with_limiter(&[], |limiter| async move {
+        let (host, front) = connecting(&limiter, LONG).await;
+        assert!(complete::answer(&limiter, RequestId(1), Answer::Failed));
+        nothing_goes_out(&limiter, host, Outcome::Cancelled).await;
         assert_eq!(*front.0.borrow(), [(0, Answer::Failed)]);
     });
 }
@@ -101,9 +101,9 @@
 /// A further attempt whose connection is still on its way as the window for repeats closes: it surely never ran.
 #[test]
 fn no_attempt_begins_once_its_window_is_over_while_a_connection_came_up() {
-    with_node(&[], |node| async move {
-        let (host, front) = connecting(&node, Duration::from_millis(20)).await;
-        nothing_goes_out(&node, host, Outcome::ConnectFailed).await;
+    with_limiter(&[], |limiter| async move {
+        let (host, front) = connecting(&limiter, Duration::from_millis(20)).await;
+        nothing_goes_out(&limiter, host, Outcome::ConnectFailed).await;
         assert_eq!(*front.0.borrow(), [], "whether it is repeated is for the module to say");
     });
 }
@@ -111,19 +111,20 @@
 /// The same on a connection that stood ready: nothing is written.
 #[test]
 fn no_attempt_is_written_once_its_window_is_over() {
-    with_node(&[], |node| async move {
+    with_limiter(&[], |limiter| async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("it has an address");
         let entry = HostEntry { host: HOST, state: HostState::Ready, ..HostEntry::default() };
-        node.south.learn(&entry, address);
+        limiter.upstream.learn(&entry, address);
         let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
         let (mut link, (mut peer, _)) =
-            (Link::new(stream.expect("it connects"), address), accepted.expect("it comes"));
+            (UpstreamConnection::new(stream.expect("it connects"), address), accepted.expect("it comes"));
         let now = Instant::now();
-        node.core.borrow_mut().open(Rc::new(Kept::default()), 0, &mut request(1), now);
-        let sent = node.core.borrow_mut().begin(RequestId(1), HOST, (0, 1), now).expect("within the cap");
+        limiter.engine.borrow_mut().open(Rc::new(RecordingFrontend::default()), 0, &mut request(1), now);
+        let sent =
+            limiter.engine.borrow_mut().begin(RequestId(1), HOST, (0, 1), now).expect("within the cap");
         while Instant::now() < sent.begin_by {}
-        let (end, sound) = relay::relay(&node, &mut link, &sent).await;
+        let (end, sound) = attempt::relay(&limiter, &mut link, &sent).await;
         assert_eq!((end.outcome, sound, link.written), (Outcome::ConnectFailed, false, false));
         drop(link);
         assert_eq!(peer.read(&mut [0]).await.expect("its end"), 0, "nothing was written");
--- a/src/net/export.rs
+++ b/src/net/usage_export.rs
@@ -1,9 +1,9 @@
-//! Export of use at work. Every limiter keeps a spool in a folder of its own ([`Ledger`]); who holds the task's lease
+//! Export of use at work. Every limiter keeps a spool in a folder of its own ([`UsageRecorder`]); who holds the task's lease
 //! fetches batches from all and appends them to its tenure's file in the sink ([`Exporter`]). What is written, and in
 //! which order, `quartzcleat_usage_export` says. A process ends between any two of these steps without a batch lost or doubled.
 
 use super::shutdown::unix;
-use super::stages::book::End;
+use super::stages::complete::CallResult;
 use crate::api::{Nanos, Outcome};
 use quartzcleat_config::lease::Point;
 use quartzcleat_lease::{Act, Token};
@@ -39,12 +39,12 @@
 }
 
 /// A spool and its file, which is locked for as long as its process lives.
-struct Kept {
+struct RecordingFrontend {
     spool: RefCell<Spool>,
     lines: Lines,
 }
 
-impl Kept {
+impl RecordingFrontend {
     fn append(&self, line: &str) {
         if let Err(e) = self.lines.append(line) {
             tracing::warn!("use cannot be written down in {}: {e}", self.lines.path.display());
@@ -53,21 +53,21 @@
 }
 
 /// This limiter's spools: the own one, and those that its earlier processes left behind.
-pub struct Ledger {
+pub struct UsageRecorder {
     name: String,
     folder: PathBuf,
-    own: Kept,
-    left: RefCell<BTreeMap<PathBuf, Kept>>,
+    own: RecordingFrontend,
+    left: RefCell<BTreeMap<PathBuf, RecordingFrontend>>,
     /// Where a trial ends this process.
     die: Cell<Option<(Point, u64)>>,
 }
 
-impl Ledger {
+impl UsageRecorder {
     /// Begins a spool of this process in a folder.
     ///
     /// # Errors
     /// Where the folder or the file cannot be written.
-    pub fn open(name: &str, folder: &Path, die: Option<(Point, u64)>) -> Result<Ledger, String> {
+    pub fn open(name: &str, folder: &Path, die: Option<(Point, u64)>) -> Result<UsageRecorder, String> {
         let told = |e: io::Error| format!("lease.tasks.export.spool: {}: {e}", folder.display());
         fs::create_dir_all(folder).map_err(told)?;
         let (spool, head) = Spool::new(Source { name: name.to_owned(), epoch: unix() });
@@ -76,11 +76,12 @@
         file.try_lock().map_err(io::Error::from).map_err(told)?;
         let lines = Lines { path, file: RefCell::new(file), torn: Cell::new(false) };
         lines.append(&head).map_err(told)?;
-        let own = Kept { spool: RefCell::new(spool), lines };
+        let own = RecordingFrontend { spool: RefCell::new(spool), lines };
         let (name, folder) = (name.to_owned(), folder.to_owned());
-        let ledger = Ledger { name, folder, own, left: RefCell::default(), die: Cell::new(die) };
-        ledger.adopt();
-        Ok(ledger)
+        let usage_recorder =
+            UsageRecorder { name, folder, own, left: RefCell::default(), die: Cell::new(die) };
+        usage_recorder.adopt();
+        Ok(usage_recorder)
     }
 
     /// Ends this process, where a trial wants that here.
@@ -104,7 +105,7 @@
     }
 
     /// How an attempt ended; `written` says whether its last byte has left. `guess` are the units it came with.
-    pub fn end(&self, attempt: u64, end: &End, written: bool, guess: f64) {
+    pub fn end(&self, attempt: u64, end: &CallResult, written: bool, guess: f64) {
         self.point(Point::AttemptEnded);
         let fate = match end.outcome {
             Outcome::Good => Fate::Ran(if end.used.units > 0.0 { end.used.units } else { guess }),
@@ -135,7 +136,7 @@
             };
             tracing::info!(spoilt = taken.spoilt, unended = taken.unended, "a spool left behind is exported");
             let lines = Lines { path: path.clone(), file: RefCell::new(file), torn: Cell::new(false) };
-            let kept = Kept { spool: RefCell::new(spool), lines };
+            let kept = RecordingFrontend { spool: RefCell::new(spool), lines };
             kept.append(&taken.lines);
             self.left.borrow_mut().insert(path, kept);
         }
@@ -244,17 +245,17 @@
     ///
     /// # Errors
     /// Where the sink cannot be written, or the act is of another tenure.
-    pub fn write(&self, act: Act, written: &Written, ledger: &Ledger) -> io::Result<()> {
+    pub fn write(&self, act: Act, written: &Written, usage_recorder: &UsageRecorder) -> io::Result<()> {
         let mut tenure = self.tenure.borrow_mut();
         let Some((_, lines, sink)) = tenure.as_mut().filter(|(token, ..)| *token == act.token) else {
             return Err(io::Error::other("the lease has changed hands meanwhile"));
         };
-        ledger.point(Point::BatchHeard);
+        usage_recorder.point(Point::BatchHeard);
         if !sink.holds(&written.source, written.batch.number) {
             lines.append(&written.line())?;
             sink.take(written.clone());
         }
-        ledger.point(Point::BatchWritten);
+        usage_recorder.point(Point::BatchWritten);
         Ok(())
     }
 }
@@ -302,16 +303,16 @@
 }
 
 /// Takes a message of a limiter of this name.
-pub fn hear(ledger: &Ledger, sender: &str, message: Message) -> Heard {
+pub fn hear(usage_recorder: &UsageRecorder, sender: &str, message: Message) -> Heard {
     match message {
-        Message::Want => ledger.first().map_or(Heard::Nothing, |Written { source, batch }| {
+        Message::Want => usage_recorder.first().map_or(Heard::Nothing, |Written { source, batch }| {
             Heard::Answer(Message::Batch { source, batch })
         }),
         // Nobody tells of another's use.
         Message::Batch { source, batch } if source.name == sender => Heard::Batch(Written { source, batch }),
         Message::Batch { .. } => Heard::Nothing,
         Message::Have { epoch, number } => {
-            ledger.exported(epoch, number);
+            usage_recorder.exported(epoch, number);
             Heard::Nothing
         }
     }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -1,8 +1,8 @@
 //! The parsers against random cuts of valid messages, random damage and random garbage, from fixed seeds.
 
 use quartzcleat::net::config::{self, Limits};
-use quartzcleat::net::inventory::response;
-use quartzcleat::net::platform::resp::{self, Reply};
+use quartzcleat::net::discovery::response;
+use quartzcleat::net::resp::codec::{self, Reply};
 use quickcheck::{Gen, QuickCheck, Testable};
 
 fn limits() -> Limits {
@@ -25,9 +25,9 @@
     fn cut(words: Vec<Vec<u8>>) -> bool {
         let (limits, mut message) = (limits(), Vec::new());
         let words: Vec<&[u8]> = words.iter().take(limits.words).map(Vec::as_slice).collect();
-        resp::write_command(&words, &mut message);
+        codec::write_command(&words, &mut message);
         let read = whole(&message, |bytes| {
-            let command = resp::command(bytes, &limits).expect("no cut is malformed")?;
+            let command = codec::command(bytes, &limits).expect("no cut is malformed")?;
             let word = |place: std::ops::Range<usize>| bytes[place].to_vec();
             Some((command.words.into_iter().flatten().map(word).collect::<Vec<_>>(), command.length))
         });
@@ -40,13 +40,13 @@
 fn replies_survive_any_cut() {
     fn cut(value: Vec<u8>, number: i64, report: Option<Vec<u8>>) -> bool {
         let (limits, mut message) = (limits(), b"*4\r\n".to_vec());
-        resp::write_bulk(&value, &mut message);
+        codec::write_bulk(&value, &mut message);
         message.extend_from_slice(format!(":{number}\r\n*1\r\n-ERR failed\r\n").as_bytes());
         match &report {
-            Some(report) => resp::write_bulk(report, &mut message),
+            Some(report) => codec::write_bulk(report, &mut message),
             None => message.extend_from_slice(b"$-1\r\n"),
         }
-        let read = whole(&message, |bytes| resp::reply(bytes, &limits).expect("no cut is malformed"));
+        let read = whole(&message, |bytes| codec::reply(bytes, &limits).expect("no cut is malformed"));
         let Some(Reply::Array(Some(members))) = read else { return false };
         let [Reply::Bulk(Some(first)), Reply::Integer(second), Reply::Array(Some(third)), Reply::Bulk(last)] =
             members.as_slice()
@@ -90,8 +90,8 @@
 /// Whatever comes, what a parser says it read lies within it.
 fn stays_within(bytes: &[u8]) -> bool {
     let limits = limits();
-    let command = resp::command(bytes, &limits).ok().flatten();
-    let reply = resp::reply(bytes, &limits).ok().flatten();
+    let command = codec::command(bytes, &limits).ok().flatten();
+    let reply = codec::reply(bytes, &limits).ok().flatten();
     let list = response(bytes, 1 << 10).ok().flatten();
     command.is_none_or(|c| c.length <= bytes.len() && c.words.iter().flatten().all(|w| w.end <= c.length))
         && reply.is_none_or(|(_, length)| length <= bytes.len())
@@ -114,7 +114,7 @@
 fn damage_is_survived() {
     fn damaged(words: Vec<Vec<u8>>, place: usize, byte: u8) -> bool {
         let mut message = Vec::new();
-        resp::write_command(&words.iter().map(Vec::as_slice).collect::<Vec<_>>(), &mut message);
+        codec::write_command(&words.iter().map(Vec::as_slice).collect::<Vec<_>>(), &mut message);
         let place = place % message.len();
         message[place] = byte;
         stays_within(&message)
@@ -128,14 +128,14 @@
     let limits = limits();
     for bytes in ["*17\r\n", "*2\r\n$65537\r\n", "*1\r\n$-2\r\n", "*1\r\n:1\r\n", "PING\r\n", "*1\r\n$+1\r\n"]
     {
-        assert!(resp::command(bytes.as_bytes(), &limits).is_err(), "{bytes:?}");
+        assert!(codec::command(bytes.as_bytes(), &limits).is_err(), "{bytes:?}");
     }
     for bytes in
         ["$65537\r\n", "*17\r\n", "*4\r\n*4\r\n*4\r\n*4\r\n*4\r\n", "*16\r\n*16\r\n", "?\r\n", "+a\nb"]
     {
-        assert!(resp::reply(bytes.as_bytes(), &limits).is_err(), "{bytes:?}");
+        assert!(codec::reply(bytes.as_bytes(), &limits).is_err(), "{bytes:?}");
     }
     let long = vec![b'+'; 2000];
-    assert!(resp::reply(&long, &limits).is_err());
+    assert!(codec::reply(&long, &limits).is_err());
     assert!(response(b"HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\n", 100).is_err());
 }
--- a/tests/toy/mod.rs
+++ b/tests/toy/mod.rs
@@ -4,7 +4,7 @@
 //! the connection, `silent` gets nothing, `long` a long value, `short` and `over` one that is not as long as it says.
 
 use quartzcleat::net::config::Limits;
-use quartzcleat::net::platform::resp;
+use quartzcleat::net::resp::codec;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
@@ -41,7 +41,7 @@
 ) -> io::Result<()> {
     let mut input = Vec::new();
     loop {
-        while let Some(command) = resp::command(&input, &limits).map_err(|e| io::Error::other(e.0))? {
+        while let Some(command) = codec::command(&input, &limits).map_err(|e| io::Error::other(e.0))? {
             let texts = command.words.iter().flatten().map(|w| std::str::from_utf8(&input[w.clone()]));
             let words = texts.collect::<Result<_, _>>().map_err(io::Error::other)?;
             let Some(bytes) = answer(words) else { return Ok(()) };
@@ -66,15 +66,15 @@
                 "over" => LONG - 99,
                 _ => LONG,
             };
-            resp::write_head('*', 3, &mut out);
-            resp::write_head('$', told, &mut out);
+            codec::write_head('*', 3, &mut out);
+            codec::write_head('$', told, &mut out);
             out.extend(id.bytes().cycle().take(if *body == "short" { LONG / 2 } else { LONG }));
             out.extend_from_slice(b"\r\n$-1\r\n$-1\r\n");
         }
         [_, _, _, _, "error"] => out.extend_from_slice(b"-ERR failed\r\n"),
         ["Q.ASK" | "Q.DO", _, id, ..] => {
-            resp::write_head('*', 3, &mut out);
-            resp::write_bulk(id.as_bytes(), &mut out);
+            codec::write_head('*', 3, &mut out);
+            codec::write_bulk(id.as_bytes(), &mut out);
             out.extend_from_slice(b"$-1\r\n$-1\r\n");
         }
         _ => out.extend_from_slice(b"-SYNTAX\r\n"),
@@ -90,7 +90,7 @@
             let mut totals = totals.borrow_mut();
             let total = totals.entry((*name).to_owned()).or_default();
             *total += amount.parse::<f64>().ok()?;
-            resp::write_bulk(total.to_string().as_bytes(), &mut out);
+            codec::write_bulk(total.to_string().as_bytes(), &mut out);
         }
         _ => out.extend_from_slice(b"-ERR no such call\r\n"),
     }
