--- a/crates/admin/src/heritage.rs
+++ b/crates/admin/src/heritage.rs
@@ -1,7 +1,7 @@
 //! What the first process of a limiter hands to one that starts beside it: the list of hosts it holds, in discovery's
 //! form, and what its module has learned. Versioned text, read once; what cannot be read is left alone.
 
-use quartzcleat_decision::Learned;
+use quartzcleat_decision::EngineSnapshot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -19,13 +19,13 @@
     /// The list of hosts.
     pub list: Value,
     /// What the module has learned.
-    pub learned: Learned,
+    pub learned: EngineSnapshot,
 }
 
 impl Heritage {
     /// What a limiter of this name and address hands over.
     #[must_use]
-    pub fn new(name: &str, listen: &str, zones: Vec<String>, list: Value, learned: Learned) -> Self {
+    pub fn new(name: &str, listen: &str, zones: Vec<String>, list: Value, learned: EngineSnapshot) -> Self {
         Heritage { version: VERSION, name: name.to_owned(), listen: listen.to_owned(), zones, list, learned }
     }
 
@@ -54,12 +54,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use quartzcleat_decision::LearnedHost;
+    use quartzcleat_decision::HostSnapshot;
 
     #[test]
     fn a_heritage_is_read_whole_or_not_at_all() {
-        let host = LearnedHost { host: 7, started: 3, slowness: (1.25, 4.0, 9), room: 2.5 };
-        let learned = Learned { at: 9, hosts: vec![host], ..Learned::default() };
+        let host = HostSnapshot { host: 7, started: 3, slowness: (1.25, 4.0, 9), room: 2.5 };
+        let learned = EngineSnapshot { at: 9, hosts: vec![host], ..EngineSnapshot::default() };
         let told = Heritage::new("n1", "a", vec!["z".into()], serde_json::json!({"generation": 4}), learned);
         let text = told.write();
         assert_eq!(Heritage::read(&text, "n1", "a"), Ok(told));
--- a/crates/bench/src/deployments/draw.rs
+++ b/crates/bench/src/deployments/draw.rs
@@ -60,16 +60,16 @@
     let classes = (0..dice.count(1, 4)).map(|number| {
         let seconds = dice.log(0.004, 0.4);
         work.push(nanos(seconds));
-        let aim = nanos(seconds * dice.log(3.0, 30.0)).max(30 * MS);
+        let latency_objective = nanos(seconds * dice.log(3.0, 30.0)).max(30 * MS);
         Class {
             name: format!("class-{number}"),
             effect: dice.one(&[Effect::Retryable, Effect::Keyed, Effect::Unsafe]),
             group: dice.one(&[Group::All, Group::Zone, Group::Cell]),
             dedup_window: nanos(dice.log(1.0, 20.0)),
-            aim,
-            deadline: (aim as f64 * dice.log(1.5, 6.0)) as Nanos,
-            worth: dice.log(0.5, 8.0),
-            late_worth: dice.one(&[0.0, 0.2, 0.5]),
+            latency_objective,
+            deadline: (latency_objective as f64 * dice.log(1.5, 6.0)) as Nanos,
+            priority_weight: dice.log(0.5, 8.0),
+            late_weight: dice.one(&[0.0, 0.2, 0.5]),
             ..Class::default()
         }
     });
@@ -83,9 +83,9 @@
             name: format!("plan-{number}"),
             rate,
             burst: (rate * dice.log(0.6, 10.0)).max(2.0),
-            worth_factor: dice.from(0.5, 2.0),
-            extra_worth: dice.one(&[0.0, 0.0, 0.3]),
-            overrun_cost: dice.one(&[0.0, 0.6, 1.2]),
+            weight_factor: dice.from(0.5, 2.0),
+            over_quota_weight: dice.one(&[0.0, 0.0, 0.3]),
+            over_quota_cost: dice.one(&[0.0, 0.6, 1.2]),
             ..Plan::default()
         }
     };
@@ -97,7 +97,7 @@
     let mut dice = Dice(Pcg64Mcg::seed_from_u64(seed));
     let (classes, work) = classes(&mut dice);
     let plans = plans(&mut dice);
-    let (rooms, gateways, hosts) = (dice.count(1, 4), dice.count(1, 12), dice.count(3, 40));
+    let (rooms, limiter_count, hosts) = (dice.count(1, 4), dice.count(1, 12), dice.count(3, 40));
     let cores = dice.count(1, 8);
     let player = |name: &str, number: u32| Player {
         name: format!("{name}{number}"),
@@ -112,7 +112,7 @@
     };
     let settings = Settings {
         plans,
-        gateways,
+        limiter_count,
         tick: dice.one(&[1, 2, 4]) * MS,
         counter: dice.chance(0.9),
         counter_timeout: nanos(dice.log(0.02, 0.1)),
@@ -125,10 +125,10 @@
         connect_timeout: 250 * MS,
         answer_grace: 16 * MS,
         drain_grace: 1000 * MS,
-        cold_from: dice.from(0.1, 0.6),
-        warm_after: nanos(dice.log(3.0, 25.0)),
+        slow_start_floor: dice.from(0.1, 0.6),
+        slow_start_duration: nanos(dice.log(3.0, 25.0)),
         overload_factor: 3.0,
-        tip_after: 1500 * MS,
+        overload_duration: 1500 * MS,
         classes,
         ..Settings::default()
     };
@@ -147,9 +147,9 @@
     for (at, ask) in asks {
         steps.push(Step { at: vec![at], what: Happening::Ask(ask), free: None });
     }
-    let trouble = go_wrong(&mut dice, hosts as usize, gateways as usize, &mut steps);
+    let trouble = go_wrong(&mut dice, hosts as usize, limiter_count as usize, &mut steps);
     let words = format!(
-        "{gateways} limiters, {hosts} hosts of {cores}, load {load}, {} classes, {} plans, {partners} partners, {trouble}",
+        "{limiter_count} limiters, {hosts} hosts of {cores}, load {load}, {} classes, {} plans, {partners} partners, {trouble}",
         work.len(),
         settings.plans.len()
     );
@@ -157,7 +157,7 @@
         truth: settings.clone(),
         cast: Cast {
             rooms: (0..rooms).map(|room| format!("room-{room}")).collect(),
-            limiters: (0..gateways).map(|number| player("limiter-", number)).collect(),
+            limiters: (0..limiter_count).map(|number| player("limiter-", number)).collect(),
             hosts: (0..hosts).map(|number| player("n", number)).collect(),
             partners: (0..partners).map(|number| format!("p{number}")).collect(),
             classes: settings.classes.iter().map(|class| class.name.clone()).collect(),
@@ -188,8 +188,8 @@
     while filled < cores && asks.len() < ERRANDS {
         let plan = dice.0.random_range(0..set.plans.len());
         let rate = set.plans[plan].rate;
-        let spread = dice.count(1, set.gateways);
-        let first = dice.0.random_range(0..set.gateways);
+        let spread = dice.count(1, set.limiter_count);
+        let first = dice.0.random_range(0..set.limiter_count);
         // Most keep well inside, some keep over, some come in bursts.
         let (usage, bursts) = match dice.from(0.0, 1.0) {
             part if part < 0.15 => (dice.from(1.5, 4.0), false),
@@ -209,7 +209,7 @@
             }
             let class = dice.0.random_range(0..work.len());
             let units: f64 = LogNormal::new(-0.125, 0.5).map_or(1.0, |law| law.sample(&mut dice.0));
-            let through = (first + dice.0.random_range(0..spread)) % set.gateways;
+            let through = (first + dice.0.random_range(0..spread)) % set.limiter_count;
             let ask = Ask {
                 mark: asks.len() as u64 + 1,
                 class,
@@ -232,7 +232,7 @@
 }
 
 /// What goes wrong, as steps.
-fn go_wrong(dice: &mut Dice, hosts: usize, gateways: usize, steps: &mut Vec<Step>) -> &'static str {
+fn go_wrong(dice: &mut Dice, hosts: usize, limiter_count: usize, steps: &mut Vec<Step>) -> &'static str {
     let begin = nanos(dice.from(4.0, 9.0));
     let end = begin + nanos(dice.log(1.0, 8.0));
     let some = (hosts as f64 * dice.from(0.1, 0.5)).max(1.0) as usize;
@@ -277,7 +277,7 @@
         "counter slow" => at(begin, Happening::Counter(CounterMode::Slow(10.0))),
         "counter empty" => at(begin, Happening::Empty),
         "limiters restart" => {
-            for limiter in 0..gateways.div_ceil(2) {
+            for limiter in 0..limiter_count.div_ceil(2) {
                 at(begin + limiter as Nanos * 700 * MS, Happening::LimiterDies(limiter));
                 at(begin + limiter as Nanos * 700 * MS + 500 * MS, Happening::LimiterStarts(limiter));
             }
--- a/crates/bench/src/deployments/mod.rs
+++ b/crates/bench/src/deployments/mod.rs
@@ -9,7 +9,7 @@
 use quartzcleat_decision::api::RequestId;
 use quartzcleat_invariants::{check, Answered, Terms, What};
 use quartzcleat_simulation::{oracle::First, play, Played};
-use sight::{worth, Quotas};
+use sight::{priority_weight, Quotas};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -125,7 +125,7 @@
                 sent.insert(*request, inside);
                 if !inside {
                     let plan = &set.plans[errand.plan as usize];
-                    beyond += worth(set, errand.class, errand.plan, 0) * plan.overrun_cost;
+                    beyond += priority_weight(set, errand.class, errand.plan, 0) * plan.over_quota_cost;
                 }
             }
             What::Answered { request, answer: Answered::Served } => {
@@ -133,9 +133,9 @@
                 else {
                     continue;
                 };
-                let whole = worth(set, errand.class, errand.plan, record.at - errand.begun);
+                let whole = priority_weight(set, errand.class, errand.plan, record.at - errand.begun);
                 let inside = sent.get(request).copied().unwrap_or(true);
-                let part = if inside { 1.0 } else { set.plans[errand.plan as usize].extra_worth };
+                let part = if inside { 1.0 } else { set.plans[errand.plan as usize].over_quota_weight };
                 served += if errand.done { 0.0 } else { whole * part };
                 errand.done = true;
             }
@@ -143,7 +143,7 @@
         }
     }
     let unsent = errands.values().filter(|errand| errand.inside && !errand.sent);
-    (served - beyond, beyond, unsent.map(|errand| worth(set, errand.class, errand.plan, 0)).sum())
+    (served - beyond, beyond, unsent.map(|errand| priority_weight(set, errand.class, errand.plan, 0)).sum())
 }
 
 fn plan_of(step: &quartzcleat_simulation::scenario::Step) -> Option<(u64, u32)> {
--- a/crates/bench/src/deployments/sight.rs
+++ b/crates/bench/src/deployments/sight.rs
@@ -29,10 +29,10 @@
 }
 
 /// What an answer is worth.
-pub fn worth(set: &Settings, class: usize, plan: u32, took: Nanos) -> f64 {
+pub fn priority_weight(set: &Settings, class: usize, plan: u32, elapsed: Nanos) -> f64 {
     let (class, plan) = (&set.classes[class], &set.plans[plan as usize]);
-    let in_time = if took <= class.aim { 1.0 } else { class.late_worth };
-    class.worth * plan.worth_factor * in_time
+    let in_time = if elapsed <= class.latency_objective { 1.0 } else { class.late_weight };
+    class.priority_weight * plan.weight_factor * in_time
 }
 
 /// When a host is up and how fast it goes then: from, to, speed, start of its process (0: long ago).
@@ -77,8 +77,9 @@
             _ => None,
         })
         .collect();
-    let density =
-        |ask: &Ask| worth(&scenario.truth, ask.class, ask.plan, 0) / scenario.work[ask.class] as f64;
+    let density = |ask: &Ask| {
+        priority_weight(&scenario.truth, ask.class, ask.plan, 0) / scenario.work[ask.class] as f64
+    };
     let mut densities: Vec<f64> = asks.iter().map(|(_, ask)| density(ask)).collect();
     densities.sort_by(f64::total_cmp);
     let at = |part: usize| densities.get(densities.len() * part / 8).copied().unwrap_or(0.0);
@@ -97,9 +98,10 @@
             let Some((core, idle)) = cores.iter().enumerate().min_by_key(|(_, at)| **at) else { continue };
             for (from, to, speed, started) in &spells[host] {
                 let begin = (*idle).max(*now).max(*from);
-                let age = (begin - (*started).min(begin)) as f64 / set.warm_after.max(1) as f64;
+                let age = (begin - (*started).min(begin)) as f64 / set.slow_start_duration.max(1) as f64;
                 let cold = *started > 0 && age < 1.0;
-                let warmth = if cold { set.cold_from + (1.0 - set.cold_from) * age } else { 1.0 };
+                let warmth =
+                    if cold { set.slow_start_floor + (1.0 - set.slow_start_floor) * age } else { 1.0 };
                 let end = begin + (scenario.work[ask.class] as f64 / (speed * warmth)) as Nanos;
                 if end < *to && best.is_none_or(|(least, ..)| end < least) {
                     best = Some((end, host, core));
@@ -107,15 +109,15 @@
             }
         }
         let Some((end, host, core)) = best else { continue };
-        let worth = worth(set, ask.class, ask.plan, end - now);
-        if end - now > ask.wait || worth <= 0.0 {
+        let priority_weight = priority_weight(set, ask.class, ask.plan, end - now);
+        if end - now > ask.wait || priority_weight <= 0.0 {
             continue;
         }
         let plan = &set.plans[ask.plan as usize];
         let inside = quotas.take(set, (ask.partner, ask.plan), ask.units, *now);
-        let part = if inside { 1.0 } else { plan.extra_worth - plan.overrun_cost };
+        let part = if inside { 1.0 } else { plan.over_quota_weight - plan.over_quota_cost };
         if part > 0.0 {
-            sum += worth * part;
+            sum += priority_weight * part;
             free[host][core] = end;
         }
     }
@@ -149,7 +151,7 @@
                 .steps
                 .iter()
                 .filter_map(|step| match &step.what {
-                    Happening::Ask(ask) => Some(worth(&scenario.truth, ask.class, ask.plan, 0)),
+                    Happening::Ask(ask) => Some(priority_weight(&scenario.truth, ask.class, ask.plan, 0)),
                     _ => None,
                 })
                 .sum();
--- a/crates/bench/src/trial/mod.rs
+++ b/crates/bench/src/trial/mod.rs
@@ -147,7 +147,7 @@
             let small = shrink(story.spelled(seed), fails).write();
             std::fs::write(file, small).map_err(|e| format!("{}: {e}", file.display()))?;
         }
-        let told = report::Told { file: &name, story: &story, rows: &rows, took: began.elapsed() };
+        let told = report::Told { file: &name, story: &story, rows: &rows, elapsed: began.elapsed() };
         let text = match self.format {
             Format::Text => told.text()?,
             Format::Json => told.json()?,
--- a/crates/bench/src/trial/report.rs
+++ b/crates/bench/src/trial/report.rs
@@ -16,7 +16,7 @@
     /// A row for each seed.
     pub rows: &'a [Row],
     /// How long it took here.
-    pub took: Duration,
+    pub elapsed: Duration,
 }
 
 impl Told<'_> {
@@ -53,7 +53,7 @@
             self.rows.len(),
             self.story.limiters,
             self.story.voters,
-            self.took.as_secs_f64(),
+            self.elapsed.as_secs_f64(),
             self.sum(|row| row.accepted),
             self.sum(|row| row.refused),
             self.sum(|row| row.changes),
@@ -114,7 +114,7 @@
         let broken =
             Row { seed: 2, old_tokens: 1, broken: "an old token was let in\n".into(), ..Row::default() };
         let rows = [sound, broken];
-        let told = Told { file: "s.yaml", story: &story, rows: &rows, took: Duration::from_secs(1) };
+        let told = Told { file: "s.yaml", story: &story, rows: &rows, elapsed: Duration::from_secs(1) };
         let (text, json, junit) = (told.text().expect("told"), told.json().expect("told"), told.junit());
         for part in
             ["old tokens let in 1", "p50 1, p90 3", "an old token was let in", "trial s.yaml --seeds 2..2"]
--- a/crates/config/src/day.rs
+++ b/crates/config/src/day.rs
@@ -145,9 +145,9 @@
                     "rate" => named(plan.rate, false, key("refill")),
                     "burst" => named(plan.burst, false, key("peakUnits")),
                     "open" => named(f64::from(plan.open), false, key("concurrency")),
-                    "worth" => named(plan.worth_factor, false, key("worthFactor")),
-                    "overrun" => named(plan.overrun_cost, false, key("overrunCost")),
-                    "extra" => named(plan.extra_worth, false, key("extraWorth")),
+                    "worth" => named(plan.weight_factor, false, key("worthFactor")),
+                    "overrun" => named(plan.over_quota_cost, false, key("overrunCost")),
+                    "extra" => named(plan.over_quota_weight, false, key("extraWorth")),
                     other => unknown(other, &["rate", "burst", "open", "worth", "overrun", "extra"]),
                 }
             }
@@ -159,11 +159,11 @@
                 let class = &self.settings.classes[index];
                 let key = |key: &str| format!("categories.{index}.{key}");
                 match *figure {
-                    "aim" => named(class.aim as f64, true, key("onTimeNs")),
+                    "aim" => named(class.latency_objective as f64, true, key("onTimeNs")),
                     "deadline" => named(class.deadline as f64, true, key("hardLimitNs")),
                     "window" => named(class.dedup_window as f64, true, key("dedupWindowNs")),
-                    "worth" => named(class.worth, false, key("importance")),
-                    "late" => named(class.late_worth, false, key("lateWorth")),
+                    "worth" => named(class.priority_weight, false, key("importance")),
+                    "late" => named(class.late_weight, false, key("lateWorth")),
                     other => unknown(other, &["aim", "deadline", "window", "worth", "late"]),
                 }
             }
@@ -180,9 +180,9 @@
             },
             ["safety", figure] => match *figure {
                 "drain" => named(self.settings.drain_grace as f64, true, "safety.drainGraceNs".into()),
-                "warm" => named(self.settings.warm_after as f64, true, "safety.warmAfterNs".into()),
-                "tip" => named(self.settings.tip_after as f64, true, "safety.tipAfterNs".into()),
-                "cold" => named(self.settings.cold_from, false, "safety.coldFrom".into()),
+                "warm" => named(self.settings.slow_start_duration as f64, true, "safety.warmAfterNs".into()),
+                "tip" => named(self.settings.overload_duration as f64, true, "safety.tipAfterNs".into()),
+                "cold" => named(self.settings.slow_start_floor, false, "safety.coldFrom".into()),
                 "overload" => named(self.settings.overload_factor, false, "safety.overloadFactor".into()),
                 other => unknown(other, &["drain", "warm", "tip", "cold", "overload"]),
             },
@@ -191,7 +191,7 @@
                 named(timeout, true, "familyInfo.counterTimeoutNs".into())
             }
             ["units", "top"] => named(self.settings.largest_request, false, "familyInfo.unitsTop".into()),
-            ["limiters"] => named(f64::from(self.settings.gateways), false, "balancers".into()),
+            ["limiters"] => named(f64::from(self.settings.limiter_count), false, "balancers".into()),
             [first, ..] => {
                 unknown(first, &["plans", "classes", "limits", "safety", "counter", "units", "limiters"])
             }
@@ -211,9 +211,10 @@
             if class.name.is_empty() {
                 fault(key("name"), "missing; requests name their class".into());
             }
-            if class.deadline == 0 || class.aim > class.deadline {
-                let (aim, deadline) = (quantity::show_time(class.aim), quantity::show_time(class.deadline));
-                fault(key("hardLimitNs"), format!("{deadline} is not after the aim, {aim}"));
+            if class.deadline == 0 || class.latency_objective > class.deadline {
+                let (latency_objective, deadline) =
+                    (quantity::show_time(class.latency_objective), quantity::show_time(class.deadline));
+                fault(key("hardLimitNs"), format!("{deadline} is not after the aim, {latency_objective}"));
             }
             if class.effect == Effect::Keyed && class.dedup_window == 0 {
                 fault(
@@ -249,11 +250,14 @@
                 "missing, where clients are told when to come back".into(),
             );
         }
-        if !(0.0..=1.0).contains(&set.cold_from) {
-            fault("safety.coldFrom".into(), format!("{} is not a part from 0 to 1", set.cold_from));
+        if !(0.0..=1.0).contains(&set.slow_start_floor) {
+            fault("safety.coldFrom".into(), format!("{} is not a part from 0 to 1", set.slow_start_floor));
         }
-        if set.gateways > 0 && set.me >= set.gateways {
-            fault("me".into(), format!("{} is not below the number of limiters, {}", set.me, set.gateways));
+        if set.limiter_count > 0 && set.me >= set.limiter_count {
+            fault(
+                "me".into(),
+                format!("{} is not below the number of limiters, {}", set.me, set.limiter_count),
+            );
         }
     }
 }
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -53,15 +53,15 @@
     /// For a keyed class: how long they do, from sending the first attempt that may have run.
     pub dedup_window: Nanos,
     /// An answer within this time earns its full worth.
-    pub aim: Nanos,
+    pub latency_objective: Nanos,
     /// The aim is longer by this multiple of the request's own work.
-    pub aim_stretch: f64,
+    pub latency_objective_stretch: f64,
     /// How long a client waits in all, over its tries.
     pub deadline: Nanos,
     /// What an answer is worth.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// The part of the worth that an answer past the aim still earns.
-    pub late_worth: f64,
+    pub late_weight: f64,
     /// The answer is streamed.
     pub stream: bool,
 }
@@ -78,11 +78,11 @@
     /// The most attempts out at once; zero: no such quota.
     pub open: u32,
     /// Multiplies the worth of its requests.
-    pub worth_factor: f64,
+    pub weight_factor: f64,
     /// The part of its worth that a request sent on beyond the quota earns.
-    pub extra_worth: f64,
+    pub over_quota_weight: f64,
     /// The part of its worth that such a request costs.
-    pub overrun_cost: f64,
+    pub over_quota_cost: f64,
     /// Units a second at which the hard ceiling refills; zero: no ceiling.
     pub ceiling_rate: f64,
     /// The most units the ceiling holds.
@@ -111,7 +111,7 @@
     /// The plans, by their numbers.
     pub plans: Vec<Plan>,
     /// How many gateways there are.
-    pub gateways: u32,
+    pub limiter_count: u32,
     /// This gateway's number among them, from zero.
     pub me: u32,
     /// The zone this gateway is in.
@@ -119,7 +119,7 @@
     /// The shortest gap between two batches of events.
     pub tick: Nanos,
     /// The host list comes only to those who ask.
-    pub discovery_by_asking: bool,
+    pub discovery_by_polling: bool,
     /// Where load reports come from.
     pub reports: ReportSource,
     /// There is a counter service.
@@ -135,11 +135,11 @@
     /// Attempts may be cancelled.
     pub may_cancel: bool,
     /// Hosts may be probed.
-    pub may_probe: bool,
+    pub may_health_check: bool,
     /// Messages to peers may be sent.
-    pub may_tell_peers: bool,
+    pub may_message_peers: bool,
     /// A request may have two attempts out at once.
-    pub second_copies: bool,
+    pub hedged_requests: bool,
     /// Clients are told how long to stay away.
     pub retry_after: bool,
     /// The longest such time that clients follow.
@@ -155,21 +155,21 @@
     /// Nothing new may go to a draining host later than this.
     pub drain_grace: Nanos,
     /// A host starts with this part of its capacity at least.
-    pub cold_from: f64,
+    pub slow_start_floor: f64,
     /// It is warm after this time at the latest.
-    pub warm_after: Nanos,
+    pub slow_start_duration: Nanos,
     /// A cold host tips when sent this multiple of what it can do ...
     pub overload_factor: f64,
     /// ... for this long.
-    pub tip_after: Nanos,
+    pub overload_duration: Nanos,
     /// Price of one attempt across zones for each request.
-    pub price_cross_zone: f64,
+    pub cross_zone_price: f64,
     /// Price of as much work wasted as was asked for.
-    pub price_waste: f64,
+    pub waste_price: f64,
     /// Price of all failing only after the aim.
-    pub price_late_fail: f64,
+    pub late_failure_price: f64,
     /// Price of one probe for each request.
-    pub price_probe: f64,
+    pub health_check_price: f64,
 }
 
 /// What discovery says of a host's process.
@@ -224,7 +224,7 @@
     /// The host answered with an error; it may have run.
     Error,
     /// Turned away without being looked at.
-    Full,
+    Rejected,
     /// No answer in time; it may have run.
     Timeout,
     /// No connection came about.
@@ -240,7 +240,7 @@
 impl Outcome {
     /// Whether this outcome proves that the attempt had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent)
+        matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NeverSent)
     }
 }
 
@@ -276,7 +276,7 @@
         /// How many gateways this customer's requests may arrive through.
         spread: u32,
         /// The number of the first of these.
-        first_gateway: u32,
+        first_limiter: u32,
         /// Flags as told; they decide nothing.
         flags: u64,
     },
@@ -289,7 +289,7 @@
         /// The host.
         host: HostId,
         /// How long it took.
-        took: Nanos,
+        elapsed: Nanos,
     },
     /// An attempt ended; each gets exactly one of these.
     AttemptDone {
@@ -302,7 +302,7 @@
         /// How it ended.
         outcome: Outcome,
         /// How long it took.
-        took: Nanos,
+        elapsed: Nanos,
         /// The request is finished, by this outcome or before it.
         over: bool,
         /// The customer's use as the meter tells it; zero: not told.
@@ -322,26 +322,26 @@
         /// The timer's tag.
         tag: String,
     },
-    /// The result of an [`Action::Probe`].
-    ProbeDone {
+    /// The result of an [`Action::HealthCheck`].
+    HealthCheckDone {
         /// The host.
         host: HostId,
         /// How it ended.
         outcome: Outcome,
         /// How long it took.
-        took: Nanos,
+        elapsed: Nanos,
         /// The host's load report, if one came along.
         load: Load,
     },
     /// New settings, which hold from now on. Classes and plans keep the numbers that requests may have.
-    Retuned {
+    SettingsChanged {
         /// Them.
         settings: Box<Settings>,
     },
     /// What the gateway had learned in whose place this one is; nothing was requested of this one yet.
-    TakenOver {
+    SnapshotInherited {
         /// That.
-        learned: Box<crate::Learned>,
+        learned: Box<crate::EngineSnapshot>,
     },
     /// A message from another gateway.
     Peer {
@@ -351,7 +351,7 @@
         bytes: Vec<u8>,
     },
     /// The answer to one [`Action::Count`]; for a name they come in the order of the calls.
-    Counted {
+    CounterReplied {
         /// The count's name.
         name: String,
         /// How it ended.
@@ -359,7 +359,7 @@
         /// Its total after the call, valid with [`Outcome::Good`].
         total: f64,
         /// How long it took.
-        took: Nanos,
+        elapsed: Nanos,
     },
 }
 
@@ -394,7 +394,7 @@
         attempt: u32,
     },
     /// Final answer: refused; trying again is harmless.
-    Refuse {
+    Reject {
         /// The request.
         id: RequestId,
         /// How long the client should stay away; zero: no advice.
@@ -413,7 +413,7 @@
         after: Nanos,
     },
     /// Ask a host how it is.
-    Probe {
+    HealthCheck {
         /// The host.
         host: HostId,
     },
@@ -423,7 +423,7 @@
         host: HostId,
     },
     /// Send a message to other gateways.
-    TellPeers {
+    MessagePeers {
         /// Which of them.
         to: Peers,
         /// The message.
--- a/crates/decision/src/hosts.rs
+++ b/crates/decision/src/host_selection.rs
@@ -67,14 +67,14 @@
 
 impl Fleet {
     pub(crate) fn on_hosts(&mut self, mode: ListMode, entries: Vec<HostEntry>, out: &mut Actions) {
-        if mode == ListMode::Unavailable && self.set.discovery_by_asking {
+        if mode == ListMode::Unavailable && self.set.discovery_by_polling {
             timer("watch", None, SECOND as Nanos, out);
         }
         if matches!(mode, ListMode::Replace | ListMode::Restored) {
             self.hosts.values_mut().for_each(|h| h.entry.state = HostState::Gone);
         }
         for entry in entries {
-            let room = (HOST_ROOM_AT_START / f64::from(self.set.gateways)).clamp(1.0, 2.0);
+            let room = (HOST_ROOM_AT_START / f64::from(self.set.limiter_count)).clamp(1.0, 2.0);
             let fresh = Host { slowness: 1.0, measured: self.now, room, ..Host::default() };
             let host = self.hosts.entry(entry.host).or_insert(Host { entry: entry.clone(), ..fresh.clone() });
             if entry.started != host.entry.started {
@@ -88,11 +88,11 @@
     /// The part of its capacity that a host has at least, by the time since its start.
     fn warmth(&self, h: &Host) -> f64 {
         let age = self.now.saturating_sub(h.entry.started);
-        if h.entry.started == 0 || age >= self.set.warm_after || self.set.warm_after == 0 {
+        if h.entry.started == 0 || age >= self.set.slow_start_duration || self.set.slow_start_duration == 0 {
             return 1.0;
         }
-        let by_age =
-            self.set.cold_from + (1.0 - self.set.cold_from) * age as f64 / self.set.warm_after as f64;
+        let by_age = self.set.slow_start_floor
+            + (1.0 - self.set.slow_start_floor) * age as f64 / self.set.slow_start_duration as f64;
         // Guards against hosts that warm by requests and stay cold for want of them: their answers count.
         let seen = h.evidence * self.faded(h.measured) >= EVIDENCE_OF_ZONE;
         (by_age * if seen { (SHOWN_AT / h.slowness).clamp(1.0, SHOWN_MOST) } else { 1.0 }).min(1.0)
@@ -139,7 +139,7 @@
         let cold = ready.iter().find(drawn).map(|(h, ..)| h.entry.host);
         // Guards against gateways that all find the same host best: what the others have there is unseen and
         // drawn at random, which with nothing seen spreads the sends by what the hosts can do.
-        let unseen = 1.0 - 1.0 / f64::from(self.set.gateways);
+        let unseen = 1.0 - 1.0 / f64::from(self.set.limiter_count);
         let mut best: Option<(f64, HostId)> = None;
         for &(h, warmth, weight) in &ready {
             let in_group = match (want.ran, effect, group) {
@@ -190,28 +190,28 @@
 
     /// What an outcome tells of its host.
     pub(crate) fn learn(
-        &mut self, id: RequestId, sent: &Sent, outcome: Outcome, took: Nanos, out: &mut Actions,
+        &mut self, id: RequestId, sent: &Sent, outcome: Outcome, elapsed: Nanos, out: &mut Actions,
     ) {
         self.hosts.entry(sent.host).and_modify(|h| _ = h.out.remove(&(sent.at, id)));
         self.out = self.out.saturating_sub(1);
         if matches!(outcome, Outcome::Cancelled | Outcome::NeverSent) {
             return;
         }
-        let aim = seconds(self.set.classes[sent.class].aim);
-        let part = if outcome == Outcome::Full { 1.0 } else { seconds(took) / aim };
-        if matches!(outcome, Outcome::Full | Outcome::Good) && part <= 1.0 {
+        let latency_objective = seconds(self.set.classes[sent.class].latency_objective);
+        let part = if outcome == Outcome::Rejected { 1.0 } else { seconds(elapsed) / latency_objective };
+        if matches!(outcome, Outcome::Rejected | Outcome::Good) && part <= 1.0 {
             self.learn_of_lateness(part);
         }
-        self.learn_of_host(sent, took, outcome != Outcome::Good);
-        let took = seconds(took);
+        self.learn_of_host(sent, elapsed, outcome != Outcome::Good);
+        let elapsed = seconds(elapsed);
         let Some(h) = self.hosts.get_mut(&sent.host) else { return };
         let in_use = h.out.len() as f64 + 1.0 >= h.room / 2.0;
-        if outcome == Outcome::Good && took <= aim * PROMPT_PART_OF_AIM {
+        if outcome == Outcome::Good && elapsed <= latency_objective * PROMPT_PART_OF_AIM {
             // All gateways feel their way at once, and the answers that would warn them come late.
-            h.room += if in_use { 1.0 / h.room / f64::from(self.set.gateways) } else { 0.0 };
+            h.room += if in_use { 1.0 / h.room / f64::from(self.set.limiter_count) } else { 0.0 };
         } else {
             // Past the aim all it holds is lost; an overdriven host recovers only when it is let drain.
-            let part = if took > aim { 0.25 } else { 0.7 };
+            let part = if elapsed > latency_objective { 0.25 } else { 0.7 };
             h.room = (h.room * part).max(1.0);
         }
         if outcome == Outcome::Good {
@@ -219,8 +219,8 @@
             self.answered += SMOOTHING * (part.min(1.0) - self.answered);
             let (mean, count) = &mut self.class_took[sent.class];
             *count = (*count + 1.0).min(ANSWERS_IN_MEAN);
-            *mean += (took - *mean) / *count;
-        } else if outcome != Outcome::Full {
+            *mean += (elapsed - *mean) / *count;
+        } else if outcome != Outcome::Rejected {
             h.failures += 1;
             if h.failures == FAILING_AFTER {
                 let text = format!("host {} failing: {} failures in a row", sent.host.0, h.failures);
@@ -241,12 +241,12 @@
 
     /// What an answer, or none by the aim, tells of a host's speed. Guards against hosts that answer nothing,
     /// or turn work away at once, and so look idle: a failure counts as slow, at its host and its zone.
-    pub(crate) fn learn_of_host(&mut self, sent: &Sent, took: Nanos, failed: bool) {
+    pub(crate) fn learn_of_host(&mut self, sent: &Sent, elapsed: Nanos, failed: bool) {
         let (now, mean) = (self.now, self.class_took[sent.class].0);
         let Some(h) = self.hosts.get(&sent.host) else { return };
         let (faded, zone) = (self.faded(h.measured), h.entry.zone);
         let of_zone = self.slowness_of(zone);
-        let slow = (seconds(took) / mean).max(if failed { FAILURE_AS_SLOW } else { 0.0 });
+        let slow = (seconds(elapsed) / mean).max(if failed { FAILURE_AS_SLOW } else { 0.0 });
         let slow = slow.min(2.0 * FAILURE_AS_SLOW);
         if let Some(h) = self.hosts.get_mut(&sent.host).filter(|_| mean > 0.0) {
             h.evidence = (h.evidence * faded + 1.0).min(1.0 / SMOOTHING);
--- a/crates/decision/src/life.rs
+++ b/crates/decision/src/lifecycle.rs
@@ -2,7 +2,7 @@
 //! that calls quotas and hosts, which know neither it nor each other. Knows neither sockets nor clocks.
 
 use crate::api::*;
-use crate::hosts::{Fleet, Host, HOST_ROOM_AT_START, PROMPT_PART_OF_AIM};
+use crate::host_selection::{Fleet, Host, HOST_ROOM_AT_START, PROMPT_PART_OF_AIM};
 use crate::quota::{Quotas, WAIT_PART_OF_AIM};
 use crate::terms::*;
 use std::cmp::Reverse;
@@ -48,7 +48,7 @@
 
 /// One gateway's decisions. Nothing is shared between instances.
 #[derive(Debug, Default)]
-pub struct Gateway {
+pub struct DecisionEngine {
     pub(crate) set: Arc<Settings>,
     pub(crate) rng: fastrand::Rng,
     pub(crate) now: Nanos,
@@ -65,13 +65,13 @@
 
 /// The last class and plan stand for any that was not told: unsafe to repeat, without a quota.
 fn completed(mut settings: Settings) -> Arc<Settings> {
-    settings.classes.push(Class { aim: Nanos::MAX, worth: 1.0, ..Class::default() });
-    settings.plans.push(Plan { worth_factor: 1.0, ..Plan::default() });
-    settings.gateways = settings.gateways.max(1);
+    settings.classes.push(Class { latency_objective: Nanos::MAX, priority_weight: 1.0, ..Class::default() });
+    settings.plans.push(Plan { weight_factor: 1.0, ..Plan::default() });
+    settings.limiter_count = settings.limiter_count.max(1);
     Arc::new(settings)
 }
 
-impl Gateway {
+impl DecisionEngine {
     /// A gateway that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
         let set = completed(settings);
@@ -81,11 +81,11 @@
             class_took: vec![(0.0, 0.0); set.classes.len()],
             let_in: 1.0,
             lateness_at: now,
-            room: HOST_ROOM_AT_START / f64::from(set.gateways),
+            room: HOST_ROOM_AT_START / f64::from(set.limiter_count),
             ..Fleet::default()
         };
         let rng = fastrand::Rng::with_seed(seed);
-        Gateway { set, rng, now, quotas, fleet, retry_tokens: 1.0, ..Gateway::default() }
+        DecisionEngine { set, rng, now, quotas, fleet, retry_tokens: 1.0, ..DecisionEngine::default() }
     }
 
     /// Takes one event at the time `now` and appends what is to be done.
@@ -95,7 +95,7 @@
         if !self.started {
             self.started = true;
             timer("sweep", None, SECOND as Nanos, out);
-            if self.set.discovery_by_asking {
+            if self.set.discovery_by_polling {
                 out.push(Action::Watch { on: true });
             }
         }
@@ -106,7 +106,7 @@
             }
             Event::Request { id, class, plan, customer, budget, units, spread, .. } => {
                 let (plan, units) = ((plan as usize).min(self.set.plans.len() - 1), units.max(0.0));
-                let spread = spread.clamp(1, self.set.gateways);
+                let spread = spread.clamp(1, self.set.limiter_count);
                 let class = (class as usize).min(self.set.classes.len() - 1);
                 let job = Job {
                     claim: Claim { customer, plan, units, spread, charged: None },
@@ -119,38 +119,38 @@
                 };
                 self.on_request(id, job, budget, out);
             }
-            Event::StreamStarted { id, attempt, took, .. } => self.on_stream((id, attempt), took, out),
-            Event::AttemptDone { id, attempt, outcome, took, over, true_units, .. } => {
-                self.on_done((id, attempt), (outcome, took), over, true_units, out)
+            Event::StreamStarted { id, attempt, elapsed, .. } => self.on_stream((id, attempt), elapsed, out),
+            Event::AttemptDone { id, attempt, outcome, elapsed, over, true_units, .. } => {
+                self.on_done((id, attempt), (outcome, elapsed), over, true_units, out)
             }
             Event::Abandoned { id } => drop(self.close(id, out)),
             Event::Timer { tag } => self.on_timer(&tag, out),
-            Event::Counted { name, outcome, total, took } => {
-                let (asked, by_count) = self.quotas.counted(&name, outcome, total, took, out);
+            Event::CounterReplied { name, outcome, total, elapsed } => {
+                let (asked, by_count) = self.quotas.counted(&name, outcome, total, elapsed, out);
                 asked.into_iter().for_each(|id| self.judge(id, by_count, out));
             }
-            Event::Retuned { settings } => self.retune(*settings),
-            Event::TakenOver { learned } => self.take_over(&learned),
-            Event::ProbeDone { .. } | Event::Peer { .. } => {}
+            Event::SettingsChanged { settings } => self.retune(*settings),
+            Event::SnapshotInherited { learned } => self.take_over(&learned),
+            Event::HealthCheckDone { .. } | Event::Peer { .. } => {}
         }
     }
 
     /// Goes over to new settings. What was learned of a class goes on under its name.
     fn retune(&mut self, settings: Settings) {
         let held = std::mem::replace(&mut self.set, completed(settings));
-        let took = |class: &Class| {
+        let elapsed = |class: &Class| {
             let learned = held.classes.iter().rposition(|old| old.name == class.name);
             learned.map_or((0.0, 0.0), |number| self.fleet.class_took[number])
         };
-        self.fleet.class_took = self.set.classes.iter().map(took).collect();
+        self.fleet.class_took = self.set.classes.iter().map(elapsed).collect();
         (self.quotas.set, self.fleet.set) = (self.set.clone(), self.set.clone());
     }
 
     fn on_request(&mut self, id: RequestId, mut job: Job, budget: Nanos, out: &mut Actions) {
-        let aim = self.aim_of(&job) - self.now;
+        let latency_objective = self.aim_of(&job) - self.now;
         // One tick early: timers come late, never early.
         let last = budget.saturating_sub(self.set.tick);
-        timer("late", Some(id), aim.min(last), out);
+        timer("late", Some(id), latency_objective.min(last), out);
         timer("deadline", Some(id), last, out);
         let density = self.density_of(&job);
         self.density += SMOOTHING * (density - self.density);
@@ -162,7 +162,7 @@
         let verdict = if self.set.plans[job.claim.plan].rate <= 0.0 {
             Verdict::Pass
         } else if self.set.counter {
-            let wait = (aim as f64 * WAIT_PART_OF_AIM) as Nanos;
+            let wait = (latency_objective as f64 * WAIT_PART_OF_AIM) as Nanos;
             self.quotas.claim(id, &mut job.claim, (wait, self.rng.f64()), out)
         } else {
             self.quotas.judge_locally(&job.claim)
@@ -191,14 +191,14 @@
         let plan = &self.set.plans[job.claim.plan];
         // Where use beyond the quota pays it goes on while a host stands idle, charged to no count.
         let idle = |h: &Host| h.ready() && h.out.is_empty();
-        if plan.extra_worth > plan.overrun_cost && self.held.is_empty() && self.fleet.hosts.values().any(idle)
-        {
+        let pays = plan.over_quota_weight > plan.over_quota_cost;
+        if pays && self.held.is_empty() && self.fleet.hosts.values().any(idle) {
             self.jobs.entry(id).and_modify(|job| job.claim.charged = None);
             return self.admit(id, out);
         }
         let over = verdict == Verdict::Over;
         let retry_after = if over { self.quotas.next_window(&job.claim) } else { self.come_back(&job) };
-        out.push(Action::Refuse { id, retry_after });
+        out.push(Action::Reject { id, retry_after });
         self.jobs.remove(&id);
     }
 
@@ -215,7 +215,7 @@
                 // A gateway that stood still sees this late: it must not blame hosts for its own pause.
                 let in_step = self.now <= self.aim_of(job) + 2 * self.set.tick;
                 // An answer worth nothing is not waited for: whoever is given up on is told so at once.
-                let given_up = self.class(job).late_worth <= 0.0;
+                let given_up = self.class(job).late_weight <= 0.0;
                 let sent = self.sent.get(&(id, job.attempts - 1)).cloned();
                 if let Some(sent) = sent.filter(|_| in_step) {
                     // Guards against shedding that cures nothing (answers lost, a few dead hosts): where the
@@ -288,7 +288,7 @@
     /// Worth for each second of work. Guards against a shortage that falls on the worthiest: it waits least.
     pub(crate) fn density_of(&self, job: &Job) -> f64 {
         let work = seconds(self.expected(job.want.class)).max(0.001);
-        (self.class(job).worth * self.set.plans[job.claim.plan].worth_factor / work).max(1e-9)
+        (self.class(job).priority_weight * self.set.plans[job.claim.plan].weight_factor / work).max(1e-9)
     }
 
     /// How long a request waits here at most for room.
@@ -305,7 +305,7 @@
     }
 
     pub(crate) fn aim_of(&self, job: &Job) -> Nanos {
-        job.arrived.saturating_add(self.class(job).aim).min(job.deadline)
+        job.arrived.saturating_add(self.class(job).latency_objective).min(job.deadline)
     }
 
     pub(crate) fn expected(&self, class: usize) -> Nanos {
@@ -342,31 +342,31 @@
             // Until its outcome proves otherwise, this attempt is the one that may have run first.
             job.ran = job.ran.or(cell_zone.map(|(cell, zone)| (attempt, cell, zone, now)));
         }
-        let saved = (RETRY_SAVED / f64::from(self.set.gateways)).max(1.0);
+        let saved = (RETRY_SAVED / f64::from(self.set.limiter_count)).max(1.0);
         self.retry_tokens = (self.retry_tokens + if first { RETRY_SHARE } else { 0.0 }).min(saved);
         out.push(Action::Attempt { id, host, timeout: job.deadline.saturating_sub(now), begins_within });
         Dispatch::Sent
     }
 
     /// The host has answered, whatever time its client takes for it; its customer's open cap counts on.
-    fn on_stream(&mut self, key: (RequestId, u32), took: Nanos, out: &mut Actions) {
+    fn on_stream(&mut self, key: (RequestId, u32), elapsed: Nanos, out: &mut Actions) {
         self.jobs.entry(key.0).and_modify(|job| job.stage = Stage::Streaming);
         let Some(sent) = self.sent.get_mut(&key).filter(|sent| !sent.begun) else { return };
         sent.begun = true;
-        self.fleet.learn(key.0, sent, Outcome::Good, took, out);
+        self.fleet.learn(key.0, sent, Outcome::Good, elapsed, out);
         self.release_held(out);
     }
 
     fn on_done(
         &mut self, key: (RequestId, u32), end: (Outcome, Nanos), over: bool, units: f64, out: &mut Actions,
     ) {
-        let ((id, attempt), (end, took)) = (key, end);
+        let ((id, attempt), (end, elapsed)) = (key, end);
         let Some(sent) = self.sent.remove(&key) else { return };
         if let Some(q) = self.quotas.of.get_mut(&sent.customer) {
             q.open = q.open.saturating_sub(1);
         }
         if !sent.begun {
-            self.fleet.learn(id, &sent, end, took, out);
+            self.fleet.learn(id, &sent, end, elapsed, out);
         }
         // Whatever is proven not to have run binds nothing.
         if end.never_ran() {
@@ -425,7 +425,7 @@
             out.push(Action::CancelAttempt { id, attempt: job.attempts - 1 });
         }
         let retry_after = self.come_back(&job);
-        out.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
+        out.push(if harmless { Action::Reject { id, retry_after } } else { Action::Fail { id } });
     }
 
     /// Ends a request's life. What surely never ran is taken off its customer's count, whoever ended it.
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -214,8 +214,8 @@
     }
 
     /// The part of the requests that ask, by what the calls meet: less as answers near the time-out or fail.
-    fn learn_of_counter(&mut self, outcome: Outcome, took: Nanos, out: &mut Actions) {
-        let part = took as f64 / self.set.counter_timeout.max(1) as f64;
+    fn learn_of_counter(&mut self, outcome: Outcome, elapsed: Nanos, out: &mut Actions) {
+        let part = elapsed as f64 / self.set.counter_timeout.max(1) as f64;
         let delay = if outcome == Outcome::Good { part } else { 1.0 };
         self.ask = (self.ask * (ASK_GAIN * (COUNTER_TARGET - delay)).exp()).clamp(ASK_LEAST, 1.0);
         let trouble = self.ask <= ASK_LEAST * if self.counter_trouble { 4.0 } else { 2.0 };
@@ -227,13 +227,13 @@
 
     /// Books an answer of the counter. Returns the requests to be judged, and whether by the count.
     pub(crate) fn counted(
-        &mut self, name: &str, outcome: Outcome, total: f64, took: Nanos, out: &mut Actions,
+        &mut self, name: &str, outcome: Outcome, total: f64, elapsed: Nanos, out: &mut Actions,
     ) -> (Vec<RequestId>, bool) {
         // Answers for a name come in the order of the calls.
         let first = self.calls.get_mut(name).and_then(VecDeque::pop_front);
         let Some(call) = first else { return (Vec::new(), false) };
         let good = outcome == Outcome::Good;
-        self.learn_of_counter(outcome, took, out);
+        self.learn_of_counter(outcome, elapsed, out);
         let q = self.of.entry(call.customer).or_default();
         if call.job.is_none() && call.amount == 0.0 {
             if q.window == call.window + 1 {
--- a/crates/decision/src/learned.rs
+++ b/crates/decision/src/snapshot.rs
@@ -2,8 +2,8 @@
 //! there; requests, attempts and what may be granted once only stay with the one that has them.
 
 use crate::api::{CustomerId, HostId, Nanos};
-use crate::hosts::LET_IN_LEAST;
-use crate::life::Gateway;
+use crate::host_selection::LET_IN_LEAST;
+use crate::lifecycle::DecisionEngine;
 use crate::quota::{Quota, ASK_LEAST};
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +14,7 @@
 
 /// What a gateway has learned by a moment.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Learned {
+pub struct EngineSnapshot {
     /// When.
     pub at: Nanos,
     /// The part of the requests that ask the counter, and the mean part of its limit that one brings along.
@@ -28,16 +28,16 @@
     /// Classes by name: mean answer time in seconds, and over how many answers.
     pub classes: Vec<(String, f64, f64)>,
     /// Hosts.
-    pub hosts: Vec<LearnedHost>,
+    pub hosts: Vec<HostSnapshot>,
     /// Zones by number: slowness, and when it was last told.
     pub zones: Vec<(u32, f64, Nanos)>,
     /// Customers seen last.
-    pub customers: Vec<LearnedCustomer>,
+    pub customers: Vec<CustomerSnapshot>,
 }
 
 /// What was learned of one process of a host.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct LearnedHost {
+pub struct HostSnapshot {
     /// Its number.
     pub host: u32,
     /// When it started; of another process this tells nothing.
@@ -50,7 +50,7 @@
 
 /// What was seen of one customer's counts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct LearnedCustomer {
+pub struct CustomerSnapshot {
     /// Its number.
     pub customer: u64,
     /// The window that the totals are of.
@@ -78,12 +78,12 @@
     }
 }
 
-impl Gateway {
+impl DecisionEngine {
     /// What has been learned by now.
     #[must_use]
-    pub fn learned(&self) -> Learned {
+    pub fn learned(&self) -> EngineSnapshot {
         let classes = self.set.classes.iter().zip(&self.fleet.class_took);
-        let hosts = self.fleet.hosts.iter().map(|(id, host)| LearnedHost {
+        let hosts = self.fleet.hosts.iter().map(|(id, host)| HostSnapshot {
             host: id.0,
             started: host.entry.started,
             slowness: (host.slowness, host.evidence, host.measured),
@@ -91,7 +91,7 @@
         });
         let mut seen: Vec<_> = self.quotas.of.iter().collect();
         seen.sort_by_key(|(_, quota)| std::cmp::Reverse(quota.last_seen));
-        let customers = seen.into_iter().take(CUSTOMERS).map(|(id, quota)| LearnedCustomer {
+        let customers = seen.into_iter().take(CUSTOMERS).map(|(id, quota)| CustomerSnapshot {
             customer: id.0,
             window: quota.window,
             totals: (quota.known, quota.previous, quota.answered, quota.previous_read),
@@ -101,13 +101,15 @@
             store_before: quota.store_before,
             seen: (quota.seen, quota.last_seen),
         });
-        Learned {
+        EngineSnapshot {
             at: self.now,
             ask: (self.quotas.ask, self.quotas.need),
             let_in: (self.fleet.let_in, self.fleet.lateness, self.fleet.lateness_at, self.fleet.answered),
             density: self.density,
             room: self.fleet.room,
-            classes: classes.map(|(class, (took, count))| (class.name.clone(), *took, *count)).collect(),
+            classes: classes
+                .map(|(class, (elapsed, count))| (class.name.clone(), *elapsed, *count))
+                .collect(),
             hosts: hosts.collect(),
             zones: self.fleet.zone_slowness.iter().map(|(zone, (slow, at))| (*zone, *slow, *at)).collect(),
             customers: customers.collect(),
@@ -115,7 +117,7 @@
     }
 
     /// Goes on from what another gateway in the same place had learned. What this one has seen itself stays.
-    pub(crate) fn take_over(&mut self, learned: &Learned) {
+    pub(crate) fn take_over(&mut self, learned: &EngineSnapshot) {
         if self.now.saturating_sub(learned.at) > HOLDS {
             return;
         }
@@ -128,12 +130,12 @@
         self.fleet.answered = sound(learned.let_in.3, 0.0, 1.0, self.fleet.answered);
         self.density = sound(learned.density, 0.0, 1e9, self.density);
         self.fleet.room = sound(learned.room, 0.1, 1e3, self.fleet.room);
-        for (name, took, count) in &learned.classes {
+        for (name, elapsed, count) in &learned.classes {
             let number = self.set.classes.iter().rposition(|class| class.name == *name);
             if let Some(held) =
                 number.map(|number| &mut self.fleet.class_took[number]).filter(|held| held.1 == 0.0)
             {
-                *held = (sound(*took, 0.0, 1e3, 0.0), sound(*count, 0.0, 100.0, 0.0));
+                *held = (sound(*elapsed, 0.0, 1e3, 0.0), sound(*count, 0.0, 100.0, 0.0));
             }
         }
         for told in &learned.hosts {
--- a/crates/decision/src/view.rs
+++ b/crates/decision/src/status.rs
@@ -1,10 +1,10 @@
 //! What a gateway believes at a moment, for those who count and watch; nothing here decides.
 
-use crate::life::Gateway;
+use crate::lifecycle::DecisionEngine;
 
 /// What a gateway believes at a moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct View {
+pub struct EngineStatus {
     /// Hosts listed as ready.
     pub listed: usize,
     /// Those of them that it does not hold for slow: measured, or by their zone, at less than twice the mean.
@@ -21,12 +21,12 @@
     pub held: usize,
 }
 
-impl Gateway {
+impl DecisionEngine {
     /// What is believed now.
     #[must_use]
-    pub fn view(&self) -> View {
+    pub fn view(&self) -> EngineStatus {
         let ready = || self.fleet.hosts.values().filter(|host| host.ready());
-        View {
+        EngineStatus {
             listed: ready().count(),
             believed_good: ready().filter(|host| host.slowness < 2.0).count(),
             let_in: self.fleet.let_in,
--- a/crates/expectations/src/installation.rs
+++ b/crates/expectations/src/installation.rs
@@ -96,10 +96,10 @@
     if let Some(cold) = map.node("cold") {
         let mut cold = Reader::new(file, "facts.cold", cold, faults);
         if let Some(from) = cold.take("from", faults, quantity::share) {
-            truth.cold_from = from;
+            truth.slow_start_floor = from;
         }
-        set(cold.take("warm", faults, quantity::time), &mut truth.warm_after);
-        set(cold.take("tip", faults, quantity::time), &mut truth.tip_after);
+        set(cold.take("warm", faults, quantity::time), &mut truth.slow_start_duration);
+        set(cold.take("tip", faults, quantity::time), &mut truth.overload_duration);
         if let Some(factor) = cold.take("overload", faults, quantity::number) {
             truth.overload_factor = factor;
         }
--- a/crates/expectations/src/must.rs
+++ b/crates/expectations/src/must.rs
@@ -274,11 +274,11 @@
             Demand::Always(event) => self.always(&must.filter, event),
             Demand::Figure(sum, bounds) => self.figure(cast, &must.filter, *sum, *bounds),
             Demand::Within(time) => {
-                let took = self
+                let elapsed = self
                     .meant(&must.filter)
                     .filter_map(|r| r.answer.map(|(_, at)| ((at - r.asked) as f64, r)));
                 let bounds = Bounds { most: Some((*time + self.slack) as f64), ..Bounds::default() };
-                self.each(took, bounds, "answered after", true)
+                self.each(elapsed, bounds, "answered after", true)
             }
             Demand::Told(bounds) => {
                 let told = self.meant(&must.filter).filter_map(|r| match r.answer {
--- a/crates/fakes/src/counter.rs
+++ b/crates/fakes/src/counter.rs
@@ -100,7 +100,7 @@
             let text = total.to_string();
             Some(format!("${}\r\n{text}\r\n", text.len()))
         }
-        Outcome::Full => Some("-BUSY\r\n".to_owned()),
+        Outcome::Rejected => Some("-BUSY\r\n".to_owned()),
         _ => None,
     }
 }
--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -196,7 +196,7 @@
             }
             (Outcome::Good, format!("*3\r\n$16\r\n{:016x}\r\n{figures}\r\n$-1\r\n", id.0))
         }
-        Given::Busy => (Outcome::Full, "-BUSY\r\n".to_owned()),
+        Given::Busy => (Outcome::Rejected, "-BUSY\r\n".to_owned()),
         Given::Error => (Outcome::Error, "-ERR failed\r\n".to_owned()),
         Given::Break => {
             stage.note(What::Ended { request: id, attempt: number, outcome: Outcome::Reset });
@@ -304,8 +304,8 @@
     }
     let _ = told.await;
     if fate == Fate::Late {
-        let aim = truth.classes.get(class).map_or(0, |class| class.aim);
-        sleep(Duration::from_nanos(aim)).await;
+        let latency_objective = truth.classes.get(class).map_or(0, |class| class.latency_objective);
+        sleep(Duration::from_nanos(latency_objective)).await;
     }
     if stage.nodes.borrow()[node].model.life == Life::Vanished {
         return Given::Nothing;
--- a/crates/fakes/src/stage.rs
+++ b/crates/fakes/src/stage.rs
@@ -247,7 +247,7 @@
     fn config(&self, number: usize) -> serde_json::Value {
         let mut settings = self.scenario.settings.clone();
         settings.me = number as u32;
-        settings.gateways = self.scenario.cast.limiters.len() as u32;
+        settings.limiter_count = self.scenario.cast.limiters.len() as u32;
         settings.zone = self.scenario.cast.limiters[number].room;
         let limiters = self.limiters.borrow();
         let process = &limiters[number];
--- a/crates/invariants/src/checker.rs
+++ b/crates/invariants/src/checker.rs
@@ -298,7 +298,7 @@
         let play = [
             asked(),
             sent(1, 0, 0),
-            ended(2, 0, Outcome::Full),
+            ended(2, 0, Outcome::Rejected),
             sent(3, 1, 1),
             ran(4),
             ended(5, 1, Outcome::Good),
@@ -329,7 +329,7 @@
         let mut five = vec![asked()];
         for attempt in 0..5 {
             five.push(sent(u64::from(attempt) * 2, attempt, 0));
-            five.push(ended(u64::from(attempt) * 2 + 1, attempt, Outcome::Full));
+            five.push(ended(u64::from(attempt) * 2 + 1, attempt, Outcome::Rejected));
         }
         five.push(answer(20, Answered::Failed));
         assert_eq!(broken(Effect::Retryable, Group::All, &five), [Rule::Attempts]);
@@ -344,7 +344,7 @@
                 sent(1, 0, 0),
                 first,
                 sent(second, 1, host),
-                ended(second, 1, Outcome::Full),
+                ended(second, 1, Outcome::Rejected),
                 answer(899, Answered::Failed),
             ]
         };
@@ -362,7 +362,7 @@
     fn a_drain_has_its_grace_and_no_new_one() {
         let told = |at: Nanos| (at * MS, What::Told { limiter: 0, host: 0, state: HostState::Draining });
         let play = |at: Nanos| {
-            let end = [sent(at, 0, 0), ended(at, 0, Outcome::Full), answer(at, Answered::Refused(0))];
+            let end = [sent(at, 0, 0), ended(at, 0, Outcome::Rejected), answer(at, Answered::Refused(0))];
             let mut play = vec![told(0), told(900)];
             play.push((
                 800 * MS,
--- a/crates/invariants/src/story.rs
+++ b/crates/invariants/src/story.rs
@@ -82,7 +82,7 @@
     match outcome {
         Outcome::Good => "done",
         Outcome::Error => "an error; it may have run",
-        Outcome::Full => "turned away",
+        Outcome::Rejected => "turned away",
         Outcome::Timeout => "no answer in time; it may have run",
         Outcome::ConnectFailed => "no connection",
         Outcome::Reset => "the connection broke; it may have run",
--- a/crates/simulation/src/counter.rs
+++ b/crates/simulation/src/counter.rs
@@ -57,7 +57,7 @@
     pub fn add(&mut self, name: &str, amount: f64, life: Nanos, now: Nanos) -> (Outcome, f64) {
         match self.mode {
             CounterMode::Silent => return (Outcome::Timeout, 0.0),
-            CounterMode::Refusing => return (Outcome::Full, 0.0),
+            CounterMode::Refusing => return (Outcome::Rejected, 0.0),
             CounterMode::Normal | CounterMode::Slow(_) => {}
         }
         self.totals.retain(|_, total| total.until > now);
--- a/crates/simulation/src/limiter.rs
+++ b/crates/simulation/src/limiter.rs
@@ -2,7 +2,7 @@
 //! out, and the order of the counter's answers.
 
 use quartzcleat_decision::api::*;
-use quartzcleat_decision::Gateway;
+use quartzcleat_decision::DecisionEngine;
 use std::collections::{BTreeMap, VecDeque};
 
 #[derive(Clone, Debug)]
@@ -31,7 +31,7 @@
 
 #[derive(Debug)]
 pub(crate) struct Limiter {
-    pub(crate) gateway: Gateway,
+    pub(crate) gateway: DecisionEngine,
     pub(crate) up: bool,
     /// Which start this is: what belongs to an earlier one is void.
     pub(crate) epoch: u32,
@@ -44,7 +44,7 @@
 impl Limiter {
     pub(crate) fn new(settings: Settings, seed: u64, now: Nanos, epoch: u32) -> Self {
         Limiter {
-            gateway: Gateway::new(settings, seed, now),
+            gateway: DecisionEngine::new(settings, seed, now),
             up: true,
             epoch,
             open: BTreeMap::new(),
@@ -67,9 +67,9 @@
             call.end.get_or_insert((outcome, total, now - call.began));
         }
         let mut events = Vec::new();
-        while let Some((outcome, total, took)) = self.calls.front().and_then(|call| call.end) {
+        while let Some((outcome, total, elapsed)) = self.calls.front().and_then(|call| call.end) {
             if let Some(call) = self.calls.pop_front() {
-                events.push(Event::Counted { name: call.name, outcome, total, took });
+                events.push(Event::CounterReplied { name: call.name, outcome, total, elapsed });
             }
         }
         events
@@ -104,7 +104,7 @@
         let names: Vec<_> = told
             .iter()
             .map(|event| match event {
-                Event::Counted { name, outcome, took, .. } => (name.as_str(), *outcome, *took),
+                Event::CounterReplied { name, outcome, elapsed, .. } => (name.as_str(), *outcome, *elapsed),
                 _ => ("", Outcome::Error, 0),
             })
             .collect();
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -81,10 +81,11 @@
     /// The part of its capacity that it has.
     pub fn warmth(&self, settings: &Settings, now: Nanos) -> f64 {
         let age = now.saturating_sub(self.started);
-        if self.started == 0 || settings.warm_after == 0 || age >= settings.warm_after {
+        if self.started == 0 || settings.slow_start_duration == 0 || age >= settings.slow_start_duration {
             return 1.0;
         }
-        settings.cold_from + (1.0 - settings.cold_from) * age as f64 / settings.warm_after as f64
+        settings.slow_start_floor
+            + (1.0 - settings.slow_start_floor) * age as f64 / settings.slow_start_duration as f64
     }
 
     /// How long a job of so much work takes from its beginning.
@@ -103,13 +104,13 @@
             return Reached::Busy;
         }
         let warmth = self.warmth(settings, now);
-        if warmth < 1.0 && settings.overload_factor > 0.0 && settings.tip_after > 0 {
+        if warmth < 1.0 && settings.overload_factor > 0.0 && settings.overload_duration > 0 {
             self.recent.push_back((now, work as f64 / 1e9 / self.speed));
-            while self.recent.front().is_some_and(|(at, _)| at + settings.tip_after <= now) {
+            while self.recent.front().is_some_and(|(at, _)| at + settings.overload_duration <= now) {
                 self.recent.pop_front();
             }
             let sent: f64 = self.recent.iter().map(|(_, work)| work).sum();
-            let able = f64::from(self.cores) * warmth * settings.tip_after as f64 / 1e9;
+            let able = f64::from(self.cores) * warmth * settings.overload_duration as f64 / 1e9;
             if sent > settings.overload_factor * able {
                 return Reached::Tips;
             }
@@ -165,8 +166,15 @@
     const MS: Nanos = 1_000_000;
 
     fn settings() -> Settings {
-        let (cold_from, warm_after, overload_factor, tip_after) = (0.15, 18_000 * MS, 3.0, 1_500 * MS);
-        Settings { cold_from, warm_after, overload_factor, tip_after, ..Settings::default() }
+        let (slow_start_floor, slow_start_duration, overload_factor, overload_duration) =
+            (0.15, 18_000 * MS, 3.0, 1_500 * MS);
+        Settings {
+            slow_start_floor,
+            slow_start_duration,
+            overload_factor,
+            overload_duration,
+            ..Settings::default()
+        }
     }
 
     fn job(number: u64) -> Job {
--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -277,7 +277,7 @@
         let cast = &self.scenario.cast;
         let mut settings = self.scenario.settings.clone();
         settings.me = number as u32;
-        settings.gateways = cast.limiters.len() as u32;
+        settings.limiter_count = cast.limiters.len() as u32;
         settings.zone = cast.limiters[number].room;
         let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(number as u64 * 7919 + u64::from(epoch));
         Limiter::new(settings, seed, self.now, epoch)
@@ -340,7 +340,7 @@
                     self.after(0, Pending::End(job, Outcome::Cancelled));
                 }
             }
-            Action::Refuse { id, retry_after } => self.answer(number, id, Answered::Refused(retry_after)),
+            Action::Reject { id, retry_after } => self.answer(number, id, Answered::Refused(retry_after)),
             Action::Fail { id } => self.answer(number, id, Answered::Failed),
             Action::SetTimer { tag, after } => self.after(after, Pending::Timer(number, epoch, tag)),
             Action::Count { name, amount, keep_for } => {
@@ -356,9 +356,9 @@
                         self.after(there, Pending::CallArrives(number, epoch, call, name, amount, keep_for));
                     }
                     CallFate::Lost => {}
-                    CallFate::AnswerLost => drop(self.counter.add(&name, amount, keep_for, self.now)),
+                    CallFate::AnswerLost => _ = self.counter.add(&name, amount, keep_for, self.now),
                     CallFate::Refused => {
-                        self.after(2 * there, Pending::CallEnds(number, epoch, call, Outcome::Full, 0.0));
+                        self.after(2 * there, Pending::CallEnds(number, epoch, call, Outcome::Rejected, 0.0));
                     }
                 }
             }
@@ -366,9 +366,9 @@
                 let text = format!("{} logs: {text}", self.scenario.cast.limiter(number));
                 self.note(What::Noted(text));
             }
-            Action::Probe { .. }
+            Action::HealthCheck { .. }
             | Action::CloseIdle { .. }
-            | Action::TellPeers { .. }
+            | Action::MessagePeers { .. }
             | Action::Watch { .. }
             | Action::FetchHosts => {}
         }
@@ -384,14 +384,14 @@
         let (attempt, open): (u32, Open) = match begun {
             Ok(begun) if node < self.nodes.len() => begun,
             Ok((attempt, _)) | Err(attempt) => {
-                let (outcome, took, over) = (Outcome::NeverSent, 0, false);
+                let (outcome, elapsed, over) = (Outcome::NeverSent, 0, false);
                 let (metered_use, true_units, load) = (0, 0.0, Load::new());
                 let done = Event::AttemptDone {
                     id,
                     attempt,
                     host,
                     outcome,
-                    took,
+                    elapsed,
                     over,
                     metered_use,
                     true_units,
@@ -411,7 +411,7 @@
         let there = self.way(number, node);
         match fate {
             Fate::Refused => self.after(2 * there, Pending::End(job, Outcome::ConnectFailed)),
-            Fate::Busy => self.after(2 * there, Pending::End(job, Outcome::Full)),
+            Fate::Busy => self.after(2 * there, Pending::End(job, Outcome::Rejected)),
             Fate::ResetLost => self.after(2 * there, Pending::End(job, Outcome::Reset)),
             Fate::SilentLost => {}
             Fate::Normal | Fate::Error | Fate::ResetRan | Fate::SilentRan | Fate::Late => {
@@ -564,7 +564,7 @@
                 budget: ask.wait,
                 units,
                 spread: spread.0,
-                first_gateway: spread.1,
+                first_limiter: spread.1,
                 flags: 0,
             },
         )
@@ -582,7 +582,7 @@
         match reached {
             Reached::Begun => self.run_job(job, node, fate),
             Reached::Waits | Reached::Nothing => {}
-            Reached::Busy => self.after(back, Pending::End(job, Outcome::Full)),
+            Reached::Busy => self.after(back, Pending::End(job, Outcome::Rejected)),
             Reached::Refused => self.after(back, Pending::End(job, Outcome::ConnectFailed)),
             Reached::Tips => {
                 self.note(What::Tipped { host: node });
@@ -602,7 +602,7 @@
         let class = out.map_or(0, |out| out.class);
         let dropped = self.is_repeat(class, mark, node);
         self.note(What::Ran { host: node, request: job.request, dropped });
-        let took = if dropped {
+        let elapsed = if dropped {
             REPEAT_ANSWER
         } else {
             let work = (self.work(class) as f64 * self.factor()) as Nanos;
@@ -610,15 +610,16 @@
         };
         let back = self.way(job.limiter, node);
         let started = self.nodes[node].started;
-        let aim = self.scenario.truth.classes.get(class).map_or(0, |class| class.aim);
+        let latency_objective =
+            self.scenario.truth.classes.get(class).map_or(0, |class| class.latency_objective);
         match fate {
             Fate::Error => self.after(back, Pending::End(job, Outcome::Error)),
             Fate::ResetRan => self.after(back, Pending::End(job, Outcome::Reset)),
-            Fate::Late => self.after(took + aim + back, Pending::End(job, Outcome::Good)),
+            Fate::Late => self.after(elapsed + latency_objective + back, Pending::End(job, Outcome::Good)),
             Fate::SilentRan => {}
-            _ => self.after(took + back, Pending::End(job, Outcome::Good)),
+            _ => self.after(elapsed + back, Pending::End(job, Outcome::Good)),
         }
-        self.after(took, Pending::Done(job, node, started));
+        self.after(elapsed, Pending::Done(job, node, started));
     }
 
     /// Whether a host drops a request: one of its group ran the same key within the window.
@@ -664,7 +665,7 @@
         if outcome == Outcome::Good {
             self.answer(number, id, Answered::Served);
         }
-        let (host, took, over) = (HostId(out.host as u32), self.now - out.began, false);
+        let (host, elapsed, over) = (HostId(out.host as u32), self.now - out.began, false);
         let cost = self.errands.get(&out.errand).map_or(0.0, |errand| errand.ask.cost);
         let true_units = if outcome == Outcome::Good { cost } else { 0.0 };
         if true_units > 0.0 {
@@ -672,7 +673,7 @@
         }
         let (metered_use, load) = (0, Load::new());
         let done =
-            Event::AttemptDone { id, attempt, host, outcome, took, over, metered_use, true_units, load };
+            Event::AttemptDone { id, attempt, host, outcome, elapsed, over, metered_use, true_units, load };
         self.tell(number, done)
     }
 
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -200,7 +200,7 @@
 /// Who plays, what is given and what happens.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scenario {
-    /// What each limiter is told; `me`, `zone` and `gateways` are filled in for it.
+    /// What each limiter is told; `me`, `zone` and `limiter_count` are filled in for it.
     pub settings: Settings,
     /// What is so, whatever the limiters are told: how long hosts drop repeats, how cold ones warm and tip.
     pub truth: Settings,
--- a/crates/simulation/tests/play.rs
+++ b/crates/simulation/tests/play.rs
@@ -10,15 +10,15 @@
 const S: Nanos = 1_000 * MS;
 
 fn settings() -> Settings {
-    let class = |name: &str, effect, aim, deadline| Class {
+    let class = |name: &str, effect, latency_objective, deadline| Class {
         name: name.into(),
         effect,
         group: Group::All,
         dedup_window: 4 * S,
-        aim,
+        latency_objective,
         deadline,
-        worth: 2.0,
-        late_worth: 0.2,
+        priority_weight: 2.0,
+        late_weight: 0.2,
         ..Class::default()
     };
     Settings {
@@ -30,7 +30,7 @@
             name: "guide".into(),
             rate: 1.6,
             burst: 8.0,
-            worth_factor: 0.72,
+            weight_factor: 0.72,
             ..Plan::default()
         }],
         tick: 4 * MS,
@@ -45,10 +45,10 @@
         connect_timeout: 250 * MS,
         answer_grace: 16 * MS,
         drain_grace: S,
-        cold_from: 0.15,
-        warm_after: 18 * S,
+        slow_start_floor: 0.15,
+        slow_start_duration: 18 * S,
         overload_factor: 3.0,
-        tip_after: 1_500 * MS,
+        overload_duration: 1_500 * MS,
         ..Settings::default()
     }
 }
@@ -121,9 +121,9 @@
     assert!(played.whole);
     assert_eq!(answers(&played.records), [Answered::Served]);
     let ends: Vec<_> = played.records.iter().filter(|r| matches!(r.what, What::Answered { .. })).collect();
-    let took = ends[0].at - 1_000_000 * S;
+    let elapsed = ends[0].at - 1_000_000 * S;
     // An add and a read at the counter, 110 ms of work and the ways there and back.
-    assert!((110 * MS..118 * MS).contains(&took), "{took}");
+    assert!((110 * MS..118 * MS).contains(&elapsed), "{elapsed}");
 }
 
 #[test]
--- a/src/bin/quartzcleat-sim.rs
+++ b/src/bin/quartzcleat-sim.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use quartzcleat::api::Nanos;
-use quartzcleat::choice::Gateway;
+use quartzcleat::choice::DecisionEngine;
 use quartzcleat::simulator::{self, Decoder, Line};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
@@ -22,7 +22,7 @@
 
 fn serve(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
     let mut decoder = Decoder::new();
-    let mut gateways: BTreeMap<String, Gateway> = BTreeMap::new();
+    let mut limiter_count: BTreeMap<String, DecisionEngine> = BTreeMap::new();
     let (mut clock, mut current): (Option<Nanos>, Option<String>) = (None, None);
     let (mut line, mut reply, mut actions) = (Vec::new(), String::new(), Vec::new());
     let mut speaker: Option<String> = None;
@@ -53,15 +53,15 @@
             Line::On(name) => current = Some(name),
             Line::Start { seed, settings } => {
                 let name = current.clone().ok_or_else(outside)?;
-                match catch_unwind(AssertUnwindSafe(|| Gateway::new(*settings, seed, now))) {
-                    Ok(gateway) => drop(gateways.insert(name, gateway)),
+                match catch_unwind(AssertUnwindSafe(|| DecisionEngine::new(*settings, seed, now))) {
+                    Ok(gateway) => drop(limiter_count.insert(name, gateway)),
                     Err(panic) => simulator::encode_bug(&panic_text(&*panic), &mut reply),
                 }
             }
-            Line::Stop => drop(gateways.remove(current.as_deref().ok_or_else(outside)?)),
+            Line::Stop => drop(limiter_count.remove(current.as_deref().ok_or_else(outside)?)),
             Line::Event(event) => {
                 let name = current.as_deref().ok_or_else(outside)?;
-                let gateway = gateways.get_mut(name).ok_or_else(outside)?;
+                let gateway = limiter_count.get_mut(name).ok_or_else(outside)?;
                 actions.clear();
                 let outcome = catch_unwind(AssertUnwindSafe(|| gateway.handle(now, event, &mut actions)));
                 if (outcome.is_err() || !actions.is_empty()) && speaker.as_deref() != Some(name) {
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -80,7 +80,7 @@
     served: u32,
     refused: u32,
     failed: u32,
-    took: Vec<u64>,
+    elapsed: Vec<u64>,
 }
 
 fn table(compiled: &Compiled, records: &[Record]) -> String {
@@ -104,7 +104,7 @@
                 match answer {
                     Answered::Served => {
                         row.served += 1;
-                        row.took.push(record.at - at);
+                        row.elapsed.push(record.at - at);
                     }
                     Answered::Refused(_) => row.refused += 1,
                     Answered::Failed => row.failed += 1,
@@ -122,10 +122,10 @@
         "limiter", "class", "asked", "attempts", "served", "refused", "failed", "median ms", "95% ms"
     );
     for ((limiter, class), mut row) in rows {
-        row.took.sort_unstable();
+        row.elapsed.sort_unstable();
         let quantile = |part: f64| {
-            let place = (row.took.len().saturating_sub(1) as f64 * part) as usize;
-            row.took.get(place).map_or(0.0, |nanos| *nanos as f64 / 1e6)
+            let place = (row.elapsed.len().saturating_sub(1) as f64 * part) as usize;
+            row.elapsed.get(place).map_or(0.0, |nanos| *nanos as f64 / 1e6)
         };
         let _ = writeln!(
             out,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! A quota-keeping request limiter: the decisions, sans I/O (see [`choice::Gateway`] and, for its types,
+//! A quota-keeping request limiter: the decisions, sans I/O (see [`choice::DecisionEngine`] and, for its types,
 //! [`api`]), and the program round them ([`net`]).
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -138,7 +138,8 @@
         let value_bytes = 64 << 10;
         // 25 calls a second by all limiters, however many: of 100 made at once 60 waited 2 s in vain, of 100 spread over
         // 4 s none. Bounded by the 6 s after which news counts as told, asked for or not.
-        let list_turn = Duration::from_millis(40 * u64::from(settings.gateways)).min(Duration::from_secs(4));
+        let list_turn =
+            Duration::from_millis(40 * u64::from(settings.limiter_count)).min(Duration::from_secs(4));
         Limits {
             value_bytes,
             bulk_bytes: 4 << 20,
@@ -195,7 +196,7 @@
             list_bytes: 4 << 20,
             // What a watch that fell silent misses is told 2 s after its wait. Where discovery is asked, the calls that
             // come back with nothing take a quarter of what it can answer, at most.
-            watch: match settings.discovery_by_asking {
+            watch: match settings.discovery_by_polling {
                 true => (4 * list_turn).clamp(Duration::from_secs(4), Duration::from_secs(20)),
                 false => Duration::from_secs(20),
             },
@@ -203,7 +204,7 @@
             check: Duration::from_secs(1),
             check_time: Duration::from_millis(500),
             again: Duration::from_millis(100),
-            list_by_asking: settings.discovery_by_asking,
+            list_by_asking: settings.discovery_by_polling,
             list_turn,
             // With the call itself (connect and answer) it stays under the 6 s after which news counts as told.
             list_most: Duration::from_secs(4),
--- a/src/net/counter/mod.rs
+++ b/src/net/counter/mod.rs
@@ -83,11 +83,11 @@
     /// Calls the counter; exactly one `ConnectionPermit` event follows.
     pub fn call(&self, limiter: &Rc<Limiter>, name: String, amount: f64, keep_for: Nanos) {
         if limiter.addresses.borrow().counter.is_none() {
-            return limiter.tell(Event::Counted {
+            return limiter.tell(Event::CounterReplied {
                 name,
                 outcome: Outcome::ConnectFailed,
                 total: 0.0,
-                took: 0,
+                elapsed: 0,
             });
         }
         let mut hasher = DefaultHasher::new();
@@ -212,8 +212,8 @@
             let Some(Call { name, began, .. }) = calls.pop_front() else { return };
             drop(calls);
             self.told.set(self.told.get() + 1);
-            let took = began.elapsed().as_nanos() as Nanos;
-            limiter.tell(Event::Counted { name, outcome, total, took });
+            let elapsed = began.elapsed().as_nanos() as Nanos;
+            limiter.tell(Event::CounterReplied { name, outcome, total, elapsed });
         }
     }
 
@@ -404,7 +404,7 @@
             total.map(|total| Some(((Outcome::Good, total), length))).ok_or(Spoilt)
         }
         Ok(Some((Reply::Error(place), length))) => match input[place].split(|byte| *byte == b' ').next() {
-            Some(b"BUSY" | b"ERR") => Ok(Some(((Outcome::Full, 0.0), length))),
+            Some(b"BUSY" | b"ERR") => Ok(Some(((Outcome::Rejected, 0.0), length))),
             _ => Err(Spoilt),
         },
         _ => Err(Spoilt),
@@ -420,7 +420,7 @@
 
     async fn counted(limiter: &Rc<Limiter>) -> (Outcome, f64) {
         match next(limiter).await {
-            Event::Counted { outcome, total, .. } => (outcome, total),
+            Event::CounterReplied { outcome, total, .. } => (outcome, total),
             other => panic!("{other:?}"),
         }
     }
@@ -472,7 +472,7 @@
             call(&limiter, 6.0);
             calls(&mut stream, 2).await;
             stream.write_all(b"-BUSY\r\n$1\r\n6\r\n").await.expect("the limiter reads");
-            assert_eq!(counted(&limiter).await.0, Outcome::Full);
+            assert_eq!(counted(&limiter).await.0, Outcome::Rejected);
             assert_eq!(counted(&limiter).await, (Outcome::Good, 6.0));
         });
     }
@@ -528,8 +528,8 @@
             let read = |bytes: &str| understand(bytes.as_bytes(), &limiter.limits);
             let whole = |bytes: &str| read(bytes).expect("sound").expect("whole").0;
             assert_eq!(whole("$4\r\n-1.5\r\n$1\r\n2\r\n"), (Outcome::Good, -1.5));
-            assert_eq!(whole("-BUSY\r\n"), (Outcome::Full, 0.0));
-            assert_eq!(whole("-ERR no such call\r\n"), (Outcome::Full, 0.0));
+            assert_eq!(whole("-BUSY\r\n"), (Outcome::Rejected, 0.0));
+            assert_eq!(whole("-ERR no such call\r\n"), (Outcome::Rejected, 0.0));
             for part in ["", "$", "$4\r\n-1", "-BU"] {
                 assert!(read(part).expect("sound").is_none(), "{part:?}");
             }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -4,7 +4,7 @@
 use super::config::Limits;
 use super::streaming_body::Pipe;
 use crate::api::*;
-use crate::choice::{Gateway, Learned, View};
+use crate::choice::{DecisionEngine, EngineSnapshot, EngineStatus};
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::ops::Range;
@@ -122,7 +122,7 @@
         used: (CustomerId, f64),
     },
     /// A probe.
-    Probe,
+    HealthCheck,
 }
 
 /// One relay: an attempt or probe that the module ordered, on its way to its host and back.
@@ -153,7 +153,7 @@
 
 /// The module, what it is to be told, and what is open.
 pub struct Engine {
-    gateway: Gateway,
+    gateway: DecisionEngine,
     clock: Clock,
     told: VecDeque<Event>,
     open: HashMap<RequestId, Open>,
@@ -173,7 +173,7 @@
     pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Self {
         let clock = Clock::new();
         Engine {
-            gateway: Gateway::new(settings, seed, clock.at(Instant::now())),
+            gateway: DecisionEngine::new(settings, seed, clock.at(Instant::now())),
             clock,
             told: VecDeque::new(),
             open: HashMap::new(),
@@ -220,12 +220,12 @@
     }
 
     /// What the module believes, and when that is.
-    pub fn view(&self) -> (Nanos, View) {
+    pub fn view(&self) -> (Nanos, EngineStatus) {
         (self.clock.at(Instant::now()), self.gateway.view())
     }
 
     /// What the module has learned.
-    pub fn learned(&self) -> Learned {
+    pub fn learned(&self) -> EngineSnapshot {
         self.gateway.learned()
     }
 
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -240,7 +240,7 @@
         customers = told.learned.customers.len(),
         "goes on from what the process before it knew"
     );
-    limiter.tell(Event::TakenOver { learned: Box::new(told.learned) });
+    limiter.tell(Event::SnapshotInherited { learned: Box::new(told.learned) });
     true
 }
 
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -5,7 +5,7 @@
 use super::task::spawn;
 use super::Limiter;
 use crate::api::{Action, Event, HostId, Nanos, Outcome};
-use quartzcleat_decision::View;
+use quartzcleat_decision::EngineStatus;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::rc::Rc;
@@ -53,7 +53,7 @@
     match outcome {
         Outcome::Good => "good",
         Outcome::Error => "error",
-        Outcome::Full => "full",
+        Outcome::Rejected => "full",
         Outcome::Timeout => "timeout",
         Outcome::ConnectFailed => "connect",
         Outcome::Reset => "reset",
@@ -80,12 +80,12 @@
                         self.served += 1;
                         of_host.good += 1;
                     }
-                    Outcome::Full => of_host.full += 1,
+                    Outcome::Rejected => of_host.full += 1,
                     Outcome::Cancelled | Outcome::NeverSent => {}
                     _ => of_host.failed += 1,
                 }
             }
-            Event::Counted { outcome, .. } if *outcome != Outcome::Good => self.counter_failed += 1,
+            Event::CounterReplied { outcome, .. } if *outcome != Outcome::Good => self.counter_failed += 1,
             Event::Hosts { .. } => self.lists += 1,
             _ => {}
         }
@@ -97,7 +97,7 @@
         for action in actions {
             match action {
                 Action::Attempt { host, .. } => self.hosts.entry(*host).or_default().attempts += 1,
-                Action::Refuse { .. } => match cause {
+                Action::Reject { .. } => match cause {
                     Cause::Request => self.refused_at_once += 1,
                     Cause::Count => self.refused_by_count += 1,
                     Cause::Attempt => self.refused_after_attempt += 1,
@@ -109,7 +109,7 @@
                     self.counter_reads += u32::from(*amount == 0.0);
                     self.counter_backs += u32::from(*amount < 0.0);
                 }
-                Action::Probe { .. } => self.probes += 1,
+                Action::HealthCheck { .. } => self.probes += 1,
                 _ => {}
             }
         }
@@ -127,7 +127,7 @@
     }
 
     /// Writes the line and begins anew. `held` tells the connections that are up, by host.
-    pub fn tell(&mut self, at: Nanos, view: &View, held: &BTreeMap<HostId, usize>) {
+    pub fn tell(&mut self, at: Nanos, view: &EngineStatus, held: &BTreeMap<HostId, usize>) {
         let fresh = Metrics::new(self.name.clone());
         let (counted, at_ms) = (std::mem::replace(self, fresh), at / 1_000_000);
         let mut hosts = String::new();
@@ -191,7 +191,7 @@
     fn from(event: &Event) -> Self {
         match event {
             Event::Request { .. } => Cause::Request,
-            Event::Counted { .. } => Cause::Count,
+            Event::CounterReplied { .. } => Cause::Count,
             Event::AttemptDone { .. } => Cause::Attempt,
             _ => Cause::Other,
         }
@@ -230,18 +230,18 @@
             attempt: 0,
             host,
             outcome,
-            took: 1,
+            elapsed: 1,
             over: false,
             metered_use: 0,
             true_units: 0.0,
             load: Vec::new(),
         };
-        let cause = metrics.told(&done(Outcome::Full));
+        let cause = metrics.told(&done(Outcome::Rejected));
         assert_eq!(cause, Cause::Attempt);
         let again = Action::Attempt { id, host, timeout: 0, begins_within: 1 };
-        metrics.ordered(cause, &[again, Action::Refuse { id, retry_after: 0 }]);
+        metrics.ordered(cause, &[again, Action::Reject { id, retry_after: 0 }]);
         let cause = metrics.told(&Event::Timer { tag: "late:1".into() });
-        metrics.ordered(cause, &[Action::Refuse { id, retry_after: 0 }]);
+        metrics.ordered(cause, &[Action::Reject { id, retry_after: 0 }]);
         metrics.told(&done(Outcome::Good));
         metrics.connected(host, false);
         let of_host = metrics.hosts[&host];
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -48,7 +48,7 @@
         plans = settings.plans.len(),
         "new settings are in force"
     );
-    limiter.tell(Event::Retuned { settings: Box::new(table) });
+    limiter.tell(Event::SettingsChanged { settings: Box::new(table) });
     // What vanished is heard a little longer.
     let limiter = limiter.clone();
     spawn(async move {
@@ -86,7 +86,7 @@
                 TOY.replace("\"bed-hold\", \"effect\": \"dedup\"", "\"hut-hold\", \"effect\": \"fragile\"");
             let text = text.replace("\"sendCap\": 4", "\"sendCap\": 2");
             apply(&limiter, again(&limiter, &text));
-            let Event::Retuned { settings } = crate::net::tests::next(&limiter).await else {
+            let Event::SettingsChanged { settings } = crate::net::tests::next(&limiter).await else {
                 panic!("not told")
             };
             let names: Vec<_> = settings.classes.iter().map(|class| class.name.as_str()).collect();
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -44,7 +44,7 @@
         assert_eq!((load(), idle()), (0, Duration::from_secs(15)));
         let new = TOY.replace("\"how\": \"none\"", "\"how\": \"answers\"");
         take(&limiter, &new.replace("\"connIdleNs\": 30000000000", "\"connIdleNs\": 4000000000"));
-        assert!(matches!(next(&limiter).await, Event::Retuned { .. }), "the file is sound");
+        assert!(matches!(next(&limiter).await, Event::SettingsChanged { .. }), "the file is sound");
         assert_eq!(limiter.upstream.reports.get(), ReportSource::Answers);
         assert_eq!((load(), idle()), (1, Duration::from_secs(2)));
     });
@@ -61,7 +61,7 @@
         let new =
             TOY.replace("bed-check", "x").replace("bed-hold", "bed-check").replace("\"x\"", "\"bed-hold\"");
         take(&limiter, &new);
-        let Event::Retuned { settings } = next(&limiter).await else { panic!("not told") };
+        let Event::SettingsChanged { settings } = next(&limiter).await else { panic!("not told") };
         let old = config::read(TOY, |_| None).expect("sound").settings;
         assert_eq!(
             settings.classes[..2],
@@ -75,7 +75,7 @@
         assert_eq!((hold.effect, hold.deadline), (old.classes[0].effect, old.classes[0].deadline));
         // And back: the numbers of the first file are had again.
         take(&limiter, TOY);
-        let Event::Retuned { settings } = next(&limiter).await else { panic!("not told") };
+        let Event::SettingsChanged { settings } = next(&limiter).await else { panic!("not told") };
         assert_eq!(settings.classes[..2], old.classes[..]);
         assert_eq!((named("bed-check"), named("bed-hold")), (Some(0), Some(1)));
     });
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -45,7 +45,7 @@
         RequestCatalog {
             classes: classes.into_iter().map(|i| (i, settings.classes[i as usize].clone())).collect(),
             plans: plans.into_iter().map(|i| (i, settings.plans[i as usize].name.clone())).collect(),
-            limiters: settings.gateways.max(1),
+            limiters: settings.limiter_count.max(1),
             most_units: if most > 0.0 { most } else { f64::MAX },
         }
     }
--- a/src/net/resp/upstream/mod.rs
+++ b/src/net/resp/upstream/mod.rs
@@ -213,7 +213,7 @@
                 let line = &bytes[place.clone()];
                 let mut words = line.split(|byte| *byte == b' ');
                 let (outcome, known) = match words.next() {
-                    Some(b"BUSY") => (Outcome::Full, true),
+                    Some(b"BUSY") => (Outcome::Rejected, true),
                     first => (Outcome::Error, first == Some(b"ERR")),
                 };
                 (
@@ -224,7 +224,7 @@
                     known,
                 )
             }
-            (Reply::Bulk(Some(_)), HostCommand::Probe) => match load_of(reply) {
+            (Reply::Bulk(Some(_)), HostCommand::HealthCheck) => match load_of(reply) {
                 Some(load) => (CallResult { load, ..Outcome::Good.into() }, true),
                 None => (Outcome::Error.into(), true),
             },
@@ -244,7 +244,7 @@
             },
             _ => (Outcome::Error.into(), false),
         };
-        let told = matches!(command, HostCommand::Probe) || self.reports.get() == ReportSource::Answers;
+        let told = matches!(command, HostCommand::HealthCheck) || self.reports.get() == ReportSource::Answers;
         (CallResult { load: if told { end.load } else { Load::new() }, ..end }, known)
     }
 }
@@ -264,7 +264,7 @@
 /// so far and is no reply to this errand.
 pub fn promising(input: &[u8], command: &HostCommand) -> bool {
     let begins = |form: &[u8]| input.iter().zip(form).all(|(one, other)| one == other);
-    begins(b"-") || begins(if matches!(command, HostCommand::Probe) { b"$" } else { b"*3\r\n$" })
+    begins(b"-") || begins(if matches!(command, HostCommand::HealthCheck) { b"$" } else { b"*3\r\n$" })
 }
 
 /// A load report: `inflight=7,queue=2`.
@@ -362,8 +362,8 @@
                 ("$3\r\nbed\r\n", Outcome::Error, None, false),
                 ("+OK\r\n", Outcome::Error, None, false),
                 (":5\r\n", Outcome::Error, None, false),
-                ("-BUSY\r\n", Outcome::Full, None, true),
-                ("-BUSY inflight=9\r\n", Outcome::Full, Some(9.0), true),
+                ("-BUSY\r\n", Outcome::Rejected, None, true),
+                ("-BUSY inflight=9\r\n", Outcome::Rejected, Some(9.0), true),
                 ("-BUSYBODY\r\n", Outcome::Error, None, false),
                 ("-ERR failed inflight=3,queue=0\r\n", Outcome::Error, Some(3.0), true),
             ] {
--- a/src/net/stages/admit.rs
+++ b/src/net/stages/admit.rs
@@ -19,7 +19,7 @@
         budget: wait.as_nanos() as u64,
         units,
         spread,
-        first_gateway: first,
+        first_limiter: first,
         flags,
     });
     // Guards against a request that the module forgets: it is failed at the last moment.
--- a/src/net/stages/complete.rs
+++ b/src/net/stages/complete.rs
@@ -64,17 +64,17 @@
     let HostCommand::Attempt { id, attempt, .. } = relay.command else { return false };
     let begun = answer(limiter, id, Answer::Begun(pipe.clone()));
     if begun {
-        let (host, took) = (relay.host, relay.began.elapsed().as_nanos() as Nanos);
-        limiter.tell(Event::StreamStarted { id, attempt, host, took });
+        let (host, elapsed) = (relay.host, relay.began.elapsed().as_nanos() as Nanos);
+        limiter.tell(Event::StreamStarted { id, attempt, host, elapsed });
     }
     begun
 }
 
 /// Books the end of a relay. The first good one answers the client by itself.
 pub fn done(limiter: &Rc<Limiter>, relay: &HostCall, end: CallResult) {
-    let (host, outcome, took) = (relay.host, end.outcome, relay.began.elapsed().as_nanos() as Nanos);
+    let (host, outcome, elapsed) = (relay.host, end.outcome, relay.began.elapsed().as_nanos() as Nanos);
     let HostCommand::Attempt { id, attempt, .. } = relay.command else {
-        return limiter.tell(Event::ProbeDone { host, outcome, took, load: end.load });
+        return limiter.tell(Event::HealthCheckDone { host, outcome, elapsed, load: end.load });
     };
     tracing::debug!(
         request = format_args!("{:016x}", id.0),
@@ -89,12 +89,12 @@
         // One that has begun already is open no more.
         answer(limiter, id, Answer::Served(end.value));
     }
-    tell_done(limiter, (id, attempt, host), outcome, took, (end.load, end.used));
+    tell_done(limiter, (id, attempt, host), outcome, elapsed, (end.load, end.used));
 }
 
 /// Tells the module of the end of an attempt. Whether the request is over is filled in when it takes the event.
 pub fn tell_done(
-    limiter: &Rc<Limiter>, (id, attempt, host): (RequestId, u32, HostId), outcome: Outcome, took: Nanos,
+    limiter: &Rc<Limiter>, (id, attempt, host): (RequestId, u32, HostId), outcome: Outcome, elapsed: Nanos,
     (load, used): (Load, UsageFigures),
 ) {
     let (over, metered_use, true_units) = (false, used.metered, used.units);
@@ -103,7 +103,7 @@
         attempt,
         host,
         outcome,
-        took,
+        elapsed,
         over,
         metered_use,
         true_units,
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -22,7 +22,10 @@
 pub fn probe(limiter: &Rc<Limiter>, host: HostId) {
     let now = Instant::now();
     let (until, cancel) = (now + limiter.limits.connect.get(), Rc::new(Cancellation::default()));
-    send(limiter, HostCall { command: HostCommand::Probe, host, began: now, begin_by: until, until, cancel });
+    send(
+        limiter,
+        HostCall { command: HostCommand::HealthCheck, host, began: now, begin_by: until, until, cancel },
+    );
 }
 
 /// A connection's life: opened for one relay, it takes others as long as it is sound.
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -18,19 +18,19 @@
             match relay {
                 Ok(relay) => dispatch::send(limiter, relay),
                 Err(attempt) => {
-                    let took = 0;
+                    let elapsed = 0;
                     complete::tell_done(
                         limiter,
                         (id, attempt, host),
                         Outcome::NeverSent,
-                        took,
+                        elapsed,
                         Default::default(),
                     );
                 }
             }
         }
         Action::CancelAttempt { id, attempt } => limiter.engine.borrow().cancel(id, attempt),
-        Action::Refuse { id, retry_after } => {
+        Action::Reject { id, retry_after } => {
             let wait = if limiter.limits.tells_when.get() { retry_after } else { 0 };
             complete::answer(limiter, id, Answer::BackOff(Duration::from_nanos(wait)));
         }
@@ -45,12 +45,12 @@
             });
         }
         Action::Count { name, amount, keep_for } => limiter.counter.call(limiter, name, amount, keep_for),
-        Action::Probe { host } => dispatch::probe(limiter, host),
+        Action::HealthCheck { host } => dispatch::probe(limiter, host),
         Action::CloseIdle { host } => limiter.upstream.close_idle(host),
         Action::Log { text } => tracing::info!("{text}"),
         // The inventory is watched all the time, and its whole list is asked for after each gap.
         Action::Watch { .. } | Action::FetchHosts => {}
         // Limiters here have no way to each other.
-        Action::TellPeers { .. } => {}
+        Action::MessagePeers { .. } => {}
     }
 }
--- a/src/simulator/mod.rs
+++ b/src/simulator/mod.rs
@@ -119,7 +119,7 @@
         Ok(match text {
             "GOOD" => Outcome::Good,
             "BAD" => Outcome::Error,
-            "FULL" => Outcome::Full,
+            "FULL" => Outcome::Rejected,
             "LATE" => Outcome::Timeout,
             "NOCONN" => Outcome::ConnectFailed,
             "RST" => Outcome::Reset,
@@ -225,21 +225,21 @@
                 units: f.real("priceUnits")?,
                 spread: f.number::<f64>("nEntries")? as u32,
                 class: f.parse("service")?,
-                first_gateway: f.number::<f64>("setStart")? as u32,
+                first_limiter: f.number::<f64>("setStart")? as u32,
                 flags: f.number("opts")?,
             },
             "STREAMING" => {
                 let id = f.request("job")?;
-                let took = f.number("tookNs")?;
+                let elapsed = f.number("tookNs")?;
                 let attempt = f.parse("go")?;
-                Event::StreamStarted { id, attempt, host: HostId(f.parse("host")?), took }
+                Event::StreamStarted { id, attempt, host: HostId(f.parse("host")?), elapsed }
             }
             "RESULT" => Event::AttemptDone {
                 id: f.request("job")?,
                 attempt: f.parse("go")?,
                 host: HostId(f.parse("host")?),
                 outcome: f.outcome("code")?,
-                took: f.number("tookNs")?,
+                elapsed: f.number("tookNs")?,
                 over: f.flag("over")?,
                 metered_use: f.number("fleetUse")?,
                 true_units: f.real("actual")?,
@@ -247,18 +247,18 @@
             },
             "DROPPED" => Event::Abandoned { id: f.request("job")? },
             "ELAPSED" => Event::Timer { tag: f.text("tag")?.to_owned() },
-            "PROBE_RESULT" => Event::ProbeDone {
+            "PROBE_RESULT" => Event::HealthCheckDone {
                 host: HostId(f.parse("host")?),
                 outcome: f.outcome("code")?,
-                took: f.number("tookNs")?,
+                elapsed: f.number("tookNs")?,
                 load: f.load("metrics")?,
             },
             "MEMO" => Event::Peer { from: f.parse("src")?, bytes: f.bytes("contents")? },
-            "RECKONED" => Event::Counted {
+            "RECKONED" => Event::CounterReplied {
                 name: f.text("counter")?.to_owned(),
                 outcome: f.outcome("code")?,
                 total: f.real("total")?,
-                took: f.number("tookNs")?,
+                elapsed: f.number("tookNs")?,
             },
             _ => return Err(f.error("name", "unknown message")),
         };
@@ -329,12 +329,12 @@
             writeln!(out, "ISSUE\t{:016x}\t{}\t{}", id.0, host.0, timeout)
         }
         Action::CancelAttempt { id, attempt } => writeln!(out, "STOP_ATTEMPT\t{:016x}\t{}", id.0, attempt),
-        Action::Refuse { id, retry_after } => writeln!(out, "PUSH_BACK\t{:016x}\t{}", id.0, retry_after),
+        Action::Reject { id, retry_after } => writeln!(out, "PUSH_BACK\t{:016x}\t{}", id.0, retry_after),
         Action::Fail { id } => writeln!(out, "REPORT_FAILURE\t{:016x}", id.0),
         Action::SetTimer { tag, after } => writeln!(out, "WAKE_ME\t{tag}\t{after}"),
-        Action::Probe { host } => writeln!(out, "SAMPLE\t{}", host.0),
+        Action::HealthCheck { host } => writeln!(out, "SAMPLE\t{}", host.0),
         Action::CloseIdle { host } => writeln!(out, "CLOSE_IDLE\t{}", host.0),
-        Action::TellPeers { to, bytes } => {
+        Action::MessagePeers { to, bytes } => {
             let to = match to {
                 Peers::All => "all".to_owned(),
                 Peers::One(peer) => peer.to_string(),
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -52,7 +52,7 @@
     for action in [
         Action::Attempt { id, host, timeout: 80_000_000, begins_within: u64::MAX },
         Action::CancelAttempt { id, attempt: 1 },
-        Action::TellPeers { to: Peers::All, bytes: b"hi 7".to_vec() },
+        Action::MessagePeers { to: Peers::All, bytes: b"hi 7".to_vec() },
         Action::Count { name: "q5.1".into(), amount: -1.5, keep_for: 7 },
         Action::Log { text: "two\tservers\nknown".into() },
     ] {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,14 +2,23 @@
 #![allow(dead_code)]
 
 use quartzcleat::api::*;
-use quartzcleat::choice::Gateway;
+use quartzcleat::choice::DecisionEngine;
 
 pub const MS: u64 = 1_000_000;
 pub const S: u64 = 1_000 * MS;
 
 pub fn class(effect: Effect, group: Group) -> Class {
-    let (aim, deadline, dedup_window) = (S, 3 * S, 2 * S);
-    Class { name: "class".into(), effect, group, aim, deadline, dedup_window, worth: 1.0, ..Class::default() }
+    let (latency_objective, deadline, dedup_window) = (S, 3 * S, 2 * S);
+    Class {
+        name: "class".into(),
+        effect,
+        group,
+        latency_objective,
+        deadline,
+        dedup_window,
+        priority_weight: 1.0,
+        ..Class::default()
+    }
 }
 
 /// One plan of 12.5 units a second with a burst of 40; classes: retryable, keyed (cell), keyed (all), unsafe.
@@ -22,7 +31,7 @@
             class(Effect::Unsafe, Group::Cell),
         ],
         plans: vec![Plan { rate: 12.5, burst: 40.0, ..Plan::default() }],
-        gateways: 2,
+        limiter_count: 2,
         tick: 4 * MS,
         counter: true,
         counter_timeout: 50 * MS,
@@ -34,10 +43,10 @@
         max_open: 1000,
         drain_grace: S,
         answer_grace: 16 * MS,
-        cold_from: 0.2,
-        warm_after: 10 * S,
+        slow_start_floor: 0.2,
+        slow_start_duration: 10 * S,
         overload_factor: 2.5,
-        tip_after: S,
+        overload_duration: S,
         ..Settings::default()
     }
 }
@@ -56,7 +65,7 @@
 pub struct Ended {
     pub attempt: u32,
     pub outcome: Outcome,
-    pub took: u64,
+    pub elapsed: u64,
     pub over: bool,
     pub metered_use: u64,
     pub true_units: f64,
@@ -66,12 +75,12 @@
 impl Default for Ended {
     fn default() -> Self {
         let (outcome, over, load) = (Outcome::Good, true, Load::new());
-        Ended { attempt: 0, outcome, took: MS, over, metered_use: 0, true_units: 0.0, load }
+        Ended { attempt: 0, outcome, elapsed: MS, over, metered_use: 0, true_units: 0.0, load }
     }
 }
 
 pub struct Rig {
-    pub gateway: Gateway,
+    pub gateway: DecisionEngine,
     pub now: u64,
     pub spread: u32,
     next: u64,
@@ -86,7 +95,7 @@
     /// The same with a seed of its own.
     pub fn seeded(settings: Settings, hosts: u32, seed: u64) -> Rig {
         let now = 1000 * S;
-        let mut rig = Rig { gateway: Gateway::new(settings, seed, now), now, spread: 2, next: 0 };
+        let mut rig = Rig { gateway: DecisionEngine::new(settings, seed, now), now, spread: 2, next: 0 };
         rig.hosts(ListMode::Restored, (1..=hosts).map(paired).collect());
         rig
     }
@@ -110,7 +119,7 @@
         self.next += 1;
         let id = RequestId(self.next);
         let customer = CustomerId(customer);
-        let (plan, budget, spread, first_gateway, flags) = (0, 3 * S, self.spread, 0, 0);
+        let (plan, budget, spread, first_limiter, flags) = (0, 3 * S, self.spread, 0, 0);
         (
             id,
             self.event(Event::Request {
@@ -121,14 +130,14 @@
                 budget,
                 units,
                 spread,
-                first_gateway,
+                first_limiter,
                 flags,
             }),
         )
     }
 
     pub fn counted(&mut self, name: &str, outcome: Outcome, total: f64) -> Vec<Action> {
-        self.event(Event::Counted { name: name.into(), outcome, total, took: 4 * MS })
+        self.event(Event::CounterReplied { name: name.into(), outcome, total, elapsed: 4 * MS })
     }
 
     pub fn done(
@@ -139,13 +148,13 @@
 
     /// An outcome with all that may come along.
     pub fn ended(&mut self, id: RequestId, host: HostId, end: Ended) -> Vec<Action> {
-        let Ended { attempt, outcome, took, over, metered_use, true_units, load } = end;
+        let Ended { attempt, outcome, elapsed, over, metered_use, true_units, load } = end;
         self.event(Event::AttemptDone {
             id,
             attempt,
             host,
             outcome,
-            took,
+            elapsed,
             over,
             metered_use,
             true_units,
@@ -189,7 +198,7 @@
 
 pub fn refused(actions: &[Action], id: RequestId) -> Option<u64> {
     actions.iter().find_map(|a| match a {
-        Action::Refuse { id: refused, retry_after } if *refused == id => Some(*retry_after),
+        Action::Reject { id: refused, retry_after } if *refused == id => Some(*retry_after),
         _ => None,
     })
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -57,7 +57,7 @@
                     life.out = Some((life.attempts, host, now));
                     life.attempts += 1;
                 }
-                Action::Refuse { id, .. } => {
+                Action::Reject { id, .. } => {
                     let life = self.lives.get_mut(&id).expect("a request it was given");
                     assert!(!life.closed, "two final answers");
                     let may_have_run = life.ran.is_some() || life.out.is_some();
@@ -101,7 +101,7 @@
             }
             3..=4 if !world.calls.is_empty() => {
                 let name = world.calls.remove(pick % world.calls.len());
-                let outcomes = [Outcome::Good, Outcome::Good, Outcome::Timeout, Outcome::Full];
+                let outcomes = [Outcome::Good, Outcome::Good, Outcome::Timeout, Outcome::Rejected];
                 let actions = rig.counted(&name, outcomes[pick % 4], f64::from(step.pick % 90));
                 world.check(rig.now, actions);
             }
@@ -109,8 +109,13 @@
                 let out = world.lives.iter().filter(|(_, l)| l.out.is_some()).map(|(id, _)| *id);
                 let out: Vec<RequestId> = out.collect();
                 let Some(&id) = out.get(pick % out.len().max(1)) else { continue };
-                let outcomes =
-                    [Outcome::Good, Outcome::Reset, Outcome::Full, Outcome::ConnectFailed, Outcome::Error];
+                let outcomes = [
+                    Outcome::Good,
+                    Outcome::Reset,
+                    Outcome::Rejected,
+                    Outcome::ConnectFailed,
+                    Outcome::Error,
+                ];
                 finish_attempt(&mut rig, &mut world, id, outcomes[pick % 5]);
             }
             _ => {}
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -151,7 +151,7 @@
 #[test]
 fn without_the_counter_a_crowd_of_gateways_keeps_to_the_share_of_each() {
     // 100 gateways and a limit of 60 units: each may pass its first request, then 0.15 units a second.
-    let mut rig = Rig::new(Settings { counter: false, gateways: 100, ..settings() }, 40);
+    let mut rig = Rig::new(Settings { counter: false, limiter_count: 100, ..settings() }, 40);
     rig.spread = 100;
     let mut passed = 0;
     for _ in 0..100 {
@@ -169,16 +169,16 @@
 fn a_turned_away_add_is_counted_once() {
     let mut rig = Rig::new(settings(), 2);
     let (id, _) = rig.request(0, 5, 3.0);
-    assert_eq!(attempt(&rig.counted("q5.250", Outcome::Full, 0.0)).map(|a| a.0), Some(id));
+    assert_eq!(attempt(&rig.counted("q5.250", Outcome::Rejected, 0.0)).map(|a| a.0), Some(id));
     let (_, actions) = rig.request(0, 5, 3.0);
     assert_eq!(count(&actions), Some(("q5.250".into(), 6.0)));
 }
 
 #[test]
 fn use_beyond_the_quota_goes_on_only_where_it_pays_and_a_host_is_idle() {
-    for (extra_worth, hosts, passes) in [(0.2, 2, true), (0.0, 2, false), (0.2, 0, false)] {
+    for (over_quota_weight, hosts, passes) in [(0.2, 2, true), (0.0, 2, false), (0.2, 0, false)] {
         let mut set = settings();
-        set.plans[0].extra_worth = extra_worth;
+        set.plans[0].over_quota_weight = over_quota_weight;
         let mut rig = Rig::new(set, hosts);
         let (id, _) = rig.request(0, 5, 1.0);
         let actions = rig.counted("q5.250", Outcome::Good, 70.0);
@@ -204,12 +204,12 @@
 
 /// A hundred gateways before a counter that turns two thirds of the calls away.
 fn crowd() -> Rig {
-    let mut rig = Rig::new(Settings { gateways: 100, ..settings() }, 2);
+    let mut rig = Rig::new(Settings { limiter_count: 100, ..settings() }, 2);
     for customer in 1_000..1_060 {
         rig.spread = 100;
         let (_, actions) = rig.request(0, customer, 2.0);
         if let Some((name, _)) = count(&actions) {
-            let outcome = if customer % 3 == 0 { Outcome::Good } else { Outcome::Full };
+            let outcome = if customer % 3 == 0 { Outcome::Good } else { Outcome::Rejected };
             rig.counted(&name, outcome, 2.0);
         }
     }
@@ -261,7 +261,7 @@
         for nth in &mut passed {
             let (id, actions) = rig.request(0, customer, 2.0);
             match count(&actions) {
-                Some((name, amount)) => drop(rig.counted(&name, Outcome::Full, amount)),
+                Some((name, amount)) => drop(rig.counted(&name, Outcome::Rejected, amount)),
                 None => *nth += usize::from(refused(&actions, id).is_none()),
             }
         }
@@ -357,7 +357,7 @@
     let mut passed = 0.0;
     for _ in 0..30 {
         let (id, actions) = rig.request(0, 5, 2.0);
-        let answered = count(&actions).map(|(name, _)| rig.counted(&name, Outcome::Full, 0.0));
+        let answered = count(&actions).map(|(name, _)| rig.counted(&name, Outcome::Rejected, 0.0));
         passed += if refused(&answered.unwrap_or(actions), id).is_none() { 2.0 } else { 0.0 };
     }
     assert!((18.0..=27.0).contains(&passed), "{passed} units let through");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use quartzcleat::api::*;
-use quartzcleat::choice::Learned;
+use quartzcleat::choice::EngineSnapshot;
 
 #[test]
 fn a_request_is_answered_before_its_time_is_up() {
@@ -69,10 +69,10 @@
     let strict = Class { effect: Effect::Unsafe, ..settings().classes[0].clone() };
     let mut new = Settings { max_attempts: 2, ..settings() };
     new.classes.push(strict);
-    assert!(rig.event(Event::Retuned { settings: Box::new(new) }).is_empty());
+    assert!(rig.event(Event::SettingsChanged { settings: Box::new(new) }).is_empty());
     let actions = rig.done(under_way, 0, host, Outcome::Reset, false);
     let (_, again) = attempt(&actions).expect("its class is safe to repeat");
-    let actions = rig.done(under_way, 1, again, Outcome::Full, false);
+    let actions = rig.done(under_way, 1, again, Outcome::Rejected, false);
     assert_eq!(attempt(&actions), None, "two attempts at most");
     let (after, host) = rig.passed(4, 6);
     let actions = rig.done(after, 0, host, Outcome::Reset, false);
@@ -90,8 +90,8 @@
         let (mut to_cold, mut all) = (0, 0);
         for customer in 0..600 {
             let (id, host) = rig.passed(0, customer);
-            let took = if host == HostId(3) { slow * 20 * MS } else { 20 * MS };
-            rig.ended(id, host, Ended { took, ..Ended::default() });
+            let elapsed = if host == HostId(3) { slow * 20 * MS } else { 20 * MS };
+            rig.ended(id, host, Ended { elapsed, ..Ended::default() });
             all += 1;
             to_cold += u32::from(host == HostId(3));
         }
@@ -112,18 +112,18 @@
     let mut first = Rig::new(named.clone(), 3);
     for customer in 0..30 {
         let (id, host) = first.passed(0, customer);
-        let took = if host == HostId(2) { 400 * MS } else { 20 * MS };
-        first.ended(id, host, Ended { took, ..Ended::default() });
+        let elapsed = if host == HostId(2) { 400 * MS } else { 20 * MS };
+        first.ended(id, host, Ended { elapsed, ..Ended::default() });
     }
     first.passed(0, 99);
     let told = first.gateway.learned();
     let slowness = |rig: &Rig, host: usize| rig.gateway.learned().hosts[host - 1].slowness.0;
     assert!(slowness(&first, 2) > 2.0 && told.customers.len() == 31);
-    let second = |told: &Learned, later: u64| {
+    let second = |told: &EngineSnapshot, later: u64| {
         let mut rig = Rig::new(named.clone(), 3);
         rig.hosts(ListMode::Update, vec![HostEntry { started: rig.now, ..paired(1) }]);
         rig.now += later;
-        assert!(rig.event(Event::TakenOver { learned: Box::new(told.clone()) }).is_empty());
+        assert!(rig.event(Event::SnapshotInherited { learned: Box::new(told.clone()) }).is_empty());
         rig
     };
     let heir = second(&told, 0);
@@ -134,7 +134,8 @@
     assert_eq!(now.classes.len(), settings().classes.len() + 1);
     assert_eq!(heir.gateway.view().out, 0, "what is out stays with the first");
     assert_eq!(second(&told, 11 * S).gateway.learned().customers, [], "too old");
-    let mut broken = Learned { ask: (f64::NAN, -1.0), let_in: (9.0, f64::INFINITY, u64::MAX, -1.0), ..told };
+    let mut broken =
+        EngineSnapshot { ask: (f64::NAN, -1.0), let_in: (9.0, f64::INFINITY, u64::MAX, -1.0), ..told };
     broken.room = f64::NAN;
     broken.hosts.iter_mut().for_each(|host| (host.slowness, host.room) = ((-5.0, 1e300, u64::MAX), 0.0));
     broken.customers.iter_mut().for_each(|seen| (seen.totals.0, seen.seen) = (f64::NAN, (1e300, u64::MAX)));
@@ -171,8 +172,8 @@
 #[test]
 fn who_waits_goes_by_worth_for_work() {
     let mut settings = settings();
-    settings.classes[2].worth = 3.0;
-    settings.plans[0].worth_factor = 1.0;
+    settings.classes[2].priority_weight = 3.0;
+    settings.plans[0].weight_factor = 1.0;
     let mut rig = Rig::new(settings, 1);
     // The one host is full; two wait, the worthier behind the other.
     let ask = |rig: &mut Rig, class, customer| {
@@ -320,7 +321,7 @@
 
 #[test]
 fn a_settled_guess_is_told_at_once_where_few_of_a_customers_requests_come() {
-    let mut rig = Rig::new(Settings { settled_later: true, gateways: 100, ..settings() }, 2);
+    let mut rig = Rig::new(Settings { settled_later: true, limiter_count: 100, ..settings() }, 2);
     rig.spread = 100;
     let (id, host) = rig.passed(0, 5);
     let actions = rig.ended(id, host, Ended { true_units: 3.5, ..Ended::default() });
@@ -331,7 +332,7 @@
 fn a_stream_that_has_begun_has_no_deadline() {
     let mut rig = Rig::new(settings(), 2);
     let (id, host) = rig.passed(0, 5);
-    rig.event(Event::StreamStarted { id, attempt: 0, host, took: MS });
+    rig.event(Event::StreamStarted { id, attempt: 0, host, elapsed: MS });
     rig.now += 3 * S;
     assert!(rig.timer(&format!("deadline:{:x}", id.0)).is_empty());
 }
@@ -374,9 +375,9 @@
         plan(1e9, 1.0, 0.0, 0.0),
         plan(1.0, 1.0, 0.5, 0.1),
     ] {
-        for (gateways, hosts, classes) in [(0, 0, vec![]), (1, 1, settings().classes), (9, 2, vec![])] {
+        for (limiter_count, hosts, classes) in [(0, 0, vec![]), (1, 1, settings().classes), (9, 2, vec![])] {
             let mut rig = Rig::new(
-                Settings { plans: vec![plan.clone()], gateways, classes, tick: 0, ..settings() },
+                Settings { plans: vec![plan.clone()], limiter_count, classes, tick: 0, ..settings() },
                 hosts,
             );
             let (id, mut actions) = rig.request(0, 5, 1e6);
@@ -385,10 +386,10 @@
                 actions.extend(rig.timer(&tag));
             }
             let answers =
-                actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count();
+                actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })).count();
             assert_eq!(
                 answers, 1,
-                "request {id:?} with {plan:?}, {gateways} gateways, {hosts} hosts: {actions:?}"
+                "request {id:?} with {plan:?}, {limiter_count} gateways, {hosts} hosts: {actions:?}"
             );
         }
     }
@@ -409,9 +410,9 @@
     assert!(sent.iter().filter(|host| **host == HostId(4)).count() <= 1);
 }
 
-/// Sends of 200 requests, three out at a time, at one of `gateways`, to three warm hosts and a cold one.
-fn cold_sends(gateways: u32) -> (usize, usize) {
-    let mut rig = Rig::new(Settings { gateways, ..settings() }, 3);
+/// Sends of 200 requests, three out at a time, at one of `limiter_count`, to three warm hosts and a cold one.
+fn cold_sends(limiter_count: u32) -> (usize, usize) {
+    let mut rig = Rig::new(Settings { limiter_count, ..settings() }, 3);
     let started = rig.now;
     rig.hosts(ListMode::Update, vec![HostEntry { started, ..host(4, 2) }]);
     let (mut out, mut cold, mut sends) = (std::collections::VecDeque::new(), 0, 0);
@@ -441,12 +442,12 @@
 
 #[test]
 fn a_cold_host_draws_its_part_of_each_gateways_requests_whatever_the_number_of_gateways() {
-    for gateways in [2, 300] {
-        let (cold, sends) = cold_sends(gateways);
+    for limiter_count in [2, 300] {
+        let (cold, sends) = cold_sends(limiter_count);
         // A fifth of a warm host's capacity is 6% of this fleet's.
         assert!(
             sends > 100 && cold > 0 && cold * 10 < sends,
-            "{cold} of {sends} at one of {gateways} gateways"
+            "{cold} of {sends} at one of {limiter_count} gateways"
         );
     }
 }
@@ -459,12 +460,13 @@
     // many times as much in the second after its start.
     let (each, come) = (100.0, 666);
     let set = settings();
-    let budget = set.overload_factor * set.cold_from * each * (set.tip_after as f64 / S as f64);
+    let budget =
+        set.overload_factor * set.slow_start_floor * each * (set.overload_duration as f64 / S as f64);
     let bound = budget + 2.0 * budget.sqrt() + 2.0;
-    for gateways in [3, 30, 300_usize] {
-        let mut rigs: Vec<_> = (0..gateways)
+    for limiter_count in [3, 30, 300_usize] {
+        let mut rigs: Vec<_> = (0..limiter_count)
             .map(|number| {
-                let set = Settings { gateways: gateways as u32, ..settings() };
+                let set = Settings { limiter_count: limiter_count as u32, ..settings() };
                 // Each draws by itself: one seed for all would be one gateway's luck many times over.
                 let mut rig = Rig::seeded(set, 10, number as u64);
                 rig.spread = 1;
@@ -474,7 +476,7 @@
             .collect();
         let (mut cold, mut sends) = (0, 0);
         for number in 0..come {
-            let rig = &mut rigs[number % gateways];
+            let rig = &mut rigs[number % limiter_count];
             rig.now = 1000 * S + number as u64 * S / come as u64;
             let (id, actions) = rig.request(0, number as u64, 1.0);
             let Some((name, amount)) = count(&actions) else { continue };
@@ -486,22 +488,22 @@
                 actions = rig.done(id, again, to, outcome, outcome == Outcome::Good);
             }
         }
-        assert!(sends > come / 2, "{sends} of {come} at {gateways} gateways");
-        assert!(cold > 0 && (cold as f64) <= bound, "{cold} of {bound} at {gateways} gateways");
+        assert!(sends > come / 2, "{sends} of {come} at {limiter_count} gateways");
+        assert!(cold > 0 && (cold as f64) <= bound, "{cold} of {bound} at {limiter_count} gateways");
     }
 }
 
 #[test]
 fn late_answers_from_any_host_cut_what_is_let_in_and_prompt_ones_restore_it() {
     let mut rig = Rig::new(Settings { counter: false, ..settings() }, 40);
-    let mut run = |took: u64| {
+    let mut run = |elapsed: u64| {
         let mut refusals = 0;
         for customer in 0..100 {
             rig.now += 100 * MS;
             let (id, actions) = rig.request(0, customer, 1.0);
             refusals += usize::from(refused(&actions, id).is_some());
             if let Some((id, host)) = attempt(&actions) {
-                rig.ended(id, host, Ended { took, ..Ended::default() });
+                rig.ended(id, host, Ended { elapsed, ..Ended::default() });
             }
         }
         refusals
@@ -525,7 +527,7 @@
     rig.now += 2 * S;
     for ((id, host), tag) in out {
         rig.timer(&tag);
-        rig.ended(id, host, Ended { took: 100 * MS, ..Ended::default() });
+        rig.ended(id, host, Ended { elapsed: 100 * MS, ..Ended::default() });
     }
     for customer in 30..60 {
         rig.now += 50 * MS;
@@ -536,7 +538,7 @@
 
 /// A rig with an attempt out at a host.
 fn with_attempt_out() -> (Rig, RequestId, HostId) {
-    let mut rig = Rig::new(Settings { may_probe: true, may_tell_peers: true, ..settings() }, 4);
+    let mut rig = Rig::new(Settings { may_health_check: true, may_message_peers: true, ..settings() }, 4);
     let (id, host) = rig.passed(0, 5);
     (rig, id, host)
 }
@@ -548,9 +550,11 @@
         let (mut rig, id, host) = with_attempt_out();
         for name in ["queue", "qps", "util", "", "no such value"] {
             let load: Load = vec![(name.to_owned(), value); 3];
-            let probe = Event::ProbeDone { host, outcome: Outcome::Good, took: MS, load: load.clone() };
+            let probe =
+                Event::HealthCheckDone { host, outcome: Outcome::Good, elapsed: MS, load: load.clone() };
             assert!(rig.event(probe).is_empty());
-            let unknown = Event::ProbeDone { host: HostId(999), outcome: Outcome::Timeout, took: 0, load };
+            let unknown =
+                Event::HealthCheckDone { host: HostId(999), outcome: Outcome::Timeout, elapsed: 0, load };
             assert!(rig.event(unknown).is_empty());
         }
         let load = vec![("queue".to_owned(), value)];
@@ -579,7 +583,7 @@
 fn outcomes_of_unknown_attempts_change_nothing() {
     let (mut rig, id, host) = with_attempt_out();
     for (other, attempt_number) in [(RequestId(77), 0), (id, 1), (id, u32::MAX)] {
-        for outcome in [Outcome::Good, Outcome::Timeout, Outcome::Full, Outcome::NeverSent] {
+        for outcome in [Outcome::Good, Outcome::Timeout, Outcome::Rejected, Outcome::NeverSent] {
             assert!(rig.done(other, attempt_number, host, outcome, false).is_empty());
         }
     }
@@ -610,9 +614,9 @@
 fn an_unknown_class_or_plan_is_sent_once_and_never_repeated() {
     let mut rig = Rig::new(settings(), 4);
     let id = RequestId(5000);
-    let (customer, budget, units, spread, first_gateway, flags) = (CustomerId(5), 3 * S, 1.0, 2, 0, 0);
+    let (customer, budget, units, spread, first_limiter, flags) = (CustomerId(5), 3 * S, 1.0, 2, 0, 0);
     let (class, plan) = (99, 99);
-    let request = Event::Request { id, class, plan, customer, budget, units, spread, first_gateway, flags };
+    let request = Event::Request { id, class, plan, customer, budget, units, spread, first_limiter, flags };
     let (_, host) = attempt(&rig.event(request)).expect("without a quota it goes on");
     let actions = rig.done(id, 0, host, Outcome::Reset, false);
     assert_eq!((attempt(&actions), failed(&actions, id)), (None, true));
@@ -622,7 +626,7 @@
 fn what_is_given_up_on_is_answered_finally_at_its_aim() {
     // By class: what is safe to repeat is refused, what may have run unsafely fails. While answers are late and
     // requests are shed, and where nothing can be cancelled, they are told just as soon.
-    for (class, late_worth, may_cancel, shedding) in [
+    for (class, late_weight, may_cancel, shedding) in [
         (0, 0.0, true, false),
         (0, 0.0, false, false),
         (0, 0.0, true, true),
@@ -631,17 +635,17 @@
     ] {
         let mut set = settings();
         set.may_cancel = may_cancel;
-        set.classes[class as usize].late_worth = late_worth;
+        set.classes[class as usize].late_weight = late_weight;
         let mut rig = Rig::new(set, 4);
         let (id, _) = rig.passed(class, 5);
         if shedding {
             rig.now += S / 2;
             let (other, host) = rig.passed(0, 6);
-            rig.done(other, 0, host, Outcome::Full, true);
+            rig.done(other, 0, host, Outcome::Rejected, true);
         }
         rig.now = 1000 * S + S;
         let actions = rig.timer(&format!("late:{:x}", id.0));
-        let given_up = late_worth <= 0.0;
+        let given_up = late_weight <= 0.0;
         assert_eq!(refused(&actions, id), (given_up && class == 0).then_some(2 * S));
         assert_eq!(failed(&actions, id), given_up && class == 3);
         assert_eq!(actions.contains(&Action::CancelAttempt { id, attempt: 0 }), given_up && may_cancel);
@@ -651,9 +655,9 @@
 #[test]
 fn a_gateway_has_no_more_out_than_its_share_until_answers_come() {
     // Six attempts a host are given out at the start, over all gateways: hundreds cannot fill the hosts at once.
-    for (gateways, share) in [(2, 30), (20, 3), (340, 1)] {
+    for (limiter_count, share) in [(2, 30), (20, 3), (340, 1)] {
         let mut set = settings();
-        set.gateways = gateways;
+        set.limiter_count = limiter_count;
         set.plans[0].rate = 0.0;
         let mut rig = Rig::new(set, 10);
         let mut sent = Vec::new();
@@ -661,7 +665,11 @@
             let (_, actions) = rig.request(0, customer, 1.0);
             sent.extend(attempt(&actions));
         }
-        assert!(sent.len() <= share && sent.len() * 2 >= share, "{} sent by one of {gateways}", sent.len());
+        assert!(
+            sent.len() <= share && sent.len() * 2 >= share,
+            "{} sent by one of {limiter_count}",
+            sent.len()
+        );
         // Each prompt answer makes room for what waits, and a little more.
         for _ in 0..20 {
             rig.now += MS;
@@ -688,7 +696,7 @@
         }
         if let Some((id, host)) = attempt(&actions) {
             // Every answer is late: the next requests are shed.
-            rig.ended(id, host, Ended { took: S - MS, ..Ended::default() });
+            rig.ended(id, host, Ended { elapsed: S - MS, ..Ended::default() });
         }
     }
     assert!(shed > 10, "{shed} shed");
@@ -697,7 +705,7 @@
 #[test]
 fn what_finds_no_room_waits_a_part_of_its_aim_and_may_then_try_elsewhere() {
     let mut set = settings();
-    set.gateways = 340;
+    set.limiter_count = 340;
     let mut rig = Rig::new(set, 4);
     rig.passed(0, 5);
     let (id, actions) = rig.request(0, 6, 1.0);
@@ -717,7 +725,7 @@
 #[test]
 fn a_gateways_room_follows_the_hosts_that_are_listed() {
     let mut set = settings();
-    set.gateways = 20;
+    set.limiter_count = 20;
     set.plans[0].rate = 0.0;
     let mut rig = Rig::new(set, 40);
     // Two thirds of the hosts vanish at once: what may be out is cut at once, not with the answers to come.
@@ -732,14 +740,14 @@
         rig.now += 300 * MS;
         rig.timer("held");
         for (id, host) in sent {
-            rig.ended(id, host, Ended { took: 300 * MS, ..Ended::default() });
+            rig.ended(id, host, Ended { elapsed: 300 * MS, ..Ended::default() });
         }
     }
 }
 
 #[test]
 fn a_zone_that_was_lost_and_is_back_gets_its_part_again() {
-    let mut rig = Rig::new(Settings { gateways: 300, ..settings() }, 0);
+    let mut rig = Rig::new(Settings { limiter_count: 300, ..settings() }, 0);
     let zoned = |id: u32| HostEntry { zone: id % 2, ..host(id, id) };
     rig.hosts(ListMode::Replace, (1..=40).map(zoned).collect());
     let to_lost = |rig: &mut Rig, customers: std::ops::Range<u64>, lost: bool| {
@@ -765,7 +773,7 @@
 #[test]
 fn lost_answers_shed_little_while_those_that_come_are_prompt() {
     // Four in ten answers never come; the others take a twentieth of their aim, or four tenths of it.
-    for (took, sheds) in [(S / 20, false), (S * 2 / 5, true)] {
+    for (elapsed, sheds) in [(S / 20, false), (S * 2 / 5, true)] {
         let mut set = settings();
         set.plans[0].rate = 0.0;
         let mut rig = Rig::new(set, 20);
@@ -776,7 +784,7 @@
             out = rest;
             for (_, id, host, answered) in done {
                 if answered {
-                    rig.ended(id, host, Ended { took, ..Ended::default() });
+                    rig.ended(id, host, Ended { elapsed, ..Ended::default() });
                 } else {
                     rig.timer(&format!("late:{:x}", id.0));
                     rig.done(id, 0, host, Outcome::Cancelled, true);
@@ -786,7 +794,7 @@
             shed += usize::from(refused(&actions, id).is_some());
             if let Some((id, host)) = attempt(&actions) {
                 let answered = customer % 5 > 1;
-                out.push((rig.now + if answered { took } else { S }, id, host, answered));
+                out.push((rig.now + if answered { elapsed } else { S }, id, host, answered));
             }
         }
         assert_eq!(shed > 100, sheds, "{shed} of 400 shed");
@@ -796,7 +804,7 @@
 #[test]
 fn what_never_ran_is_sent_again_though_no_retries_are_saved() {
     // The first retry spends what is saved; after it only what surely never ran goes again.
-    for (outcome, again) in [(Outcome::Full, 4), (Outcome::ConnectFailed, 4), (Outcome::Reset, 1)] {
+    for (outcome, again) in [(Outcome::Rejected, 4), (Outcome::ConnectFailed, 4), (Outcome::Reset, 1)] {
         let mut rig = Rig::new(settings(), 12);
         let (id, mut host) = rig.passed(0, 5);
         let mut sent_again = 0;
