--- a/crates/admin/src/bans.rs
+++ b/crates/admin/src/bans.rs
@@ -64,8 +64,18 @@
         if self.is_out(name) {
             return Ok(false);
         }
-        let at = self.words.get(name).map_or(now, |word| now.max(word.at + 1));
-        self.words.insert(name.to_owned(), Word { out: true, began: at, at });
+        let at = self
+            .words
+            .get(name)
+            .map_or(now, |word| now.max(word.at + 1));
+        self.words.insert(
+            name.to_owned(),
+            Word {
+                out: true,
+                began: at,
+                at,
+            },
+        );
         self.revision += 1;
         Ok(true)
     }
@@ -100,7 +110,9 @@
     pub fn judge(&self, name: &str, entry: &HostEntry) -> HostEntry {
         let mut entry = entry.clone();
         match self.words.get(name) {
-            Some(word) if word.out && entry.state == HostState::Ready => entry.state = HostState::Draining,
+            Some(word) if word.out && entry.state == HostState::Ready => {
+                entry.state = HostState::Draining
+            }
             Some(word) if !word.out && entry.started < word.began => entry.started = word.at,
             _ => {}
         }
@@ -144,7 +156,12 @@
     use quartzcleat_decision::api::HostId;
 
     fn entry(state: HostState, started: Nanos) -> HostEntry {
-        HostEntry { host: HostId(1), state, started, ..HostEntry::default() }
+        HostEntry {
+            host: HostId(1),
+            state,
+            started,
+            ..HostEntry::default()
+        }
     }
 
     #[test]
@@ -153,7 +170,10 @@
         assert_eq!(bans.disable("s", 10), Err(Unknown));
         assert_eq!(bans.enable("s", 10), Err(Unknown));
         bans.list("s");
-        assert_eq!((bans.disable("s", 10), bans.disable("s", 11)), (Ok(true), Ok(false)));
+        assert_eq!(
+            (bans.disable("s", 10), bans.disable("s", 11)),
+            (Ok(true), Ok(false))
+        );
         for (told, believed) in [
             (HostState::Ready, HostState::Draining),
             (HostState::Draining, HostState::Draining),
@@ -162,8 +182,14 @@
         ] {
             assert_eq!(bans.judge("s", &entry(told, 12)).state, believed);
         }
-        assert_eq!((bans.enable("s", 20), bans.enable("s", 21)), (Ok(true), Ok(false)));
-        assert_eq!(bans.judge("s", &entry(HostState::Ready, 12)), entry(HostState::Ready, 12));
+        assert_eq!(
+            (bans.enable("s", 20), bans.enable("s", 21)),
+            (Ok(true), Ok(false))
+        );
+        assert_eq!(
+            bans.judge("s", &entry(HostState::Ready, 12)),
+            entry(HostState::Ready, 12)
+        );
         // Until discovery tells of its restart it counts as started when it was called back.
         assert_eq!(bans.judge("s", &entry(HostState::Ready, 5)).started, 20);
     }
@@ -185,6 +211,9 @@
     fn names_are_bounded() {
         let mut bans = Bans::default();
         (0..NAMES + 10).for_each(|n| bans.list(&n.to_string()));
-        assert_eq!((bans.names().count(), bans.disable("3", 1)), (NAMES, Err(Unknown)));
+        assert_eq!(
+            (bans.names().count(), bans.disable("3", 1)),
+            (NAMES, Err(Unknown))
+        );
     }
 }
--- a/crates/admin/src/calls.rs
+++ b/crates/admin/src/calls.rs
@@ -38,7 +38,9 @@
     let path = path.split('?').next().unwrap_or_default();
     let (wanted, advice) = match path {
         "/ready" => ("GET", "use GET for /ready"),
-        "/servers/disable" | "/servers/enable" | "/drain" | "/undrain" => ("PUT", "use PUT for this path"),
+        "/servers/disable" | "/servers/enable" | "/drain" | "/undrain" => {
+            ("PUT", "use PUT for this path")
+        }
         _ => {
             return Err(wrong(
                 404,
@@ -63,7 +65,10 @@
         .map_err(|_| wrong(400, "the body is not JSON; send {\"host\":\"ID\"}"))?;
     match body.get("host") {
         Some(Value::String(id)) if !id.is_empty() => Ok(id.clone()),
-        Some(_) => Err(wrong(422, "host is no text with an id in it; send {\"host\":\"ID\"}")),
+        Some(_) => Err(wrong(
+            422,
+            "host is no text with an id in it; send {\"host\":\"ID\"}",
+        )),
         None => Err(wrong(422, "host is missing; send {\"host\":\"ID\"}")),
     }
 }
@@ -77,7 +82,12 @@
         let id = br#"{"host":"s-1"}"#;
         for (method, path, body, expected) in [
             ("GET", "/ready", &b""[..], Ok(Call::Ready)),
-            ("PUT", "/servers/disable", id, Ok(Call::Disable("s-1".into()))),
+            (
+                "PUT",
+                "/servers/disable",
+                id,
+                Ok(Call::Disable("s-1".into())),
+            ),
             ("PUT", "/servers/enable", id, Ok(Call::Enable("s-1".into()))),
             ("PUT", "/drain", b"", Ok(Call::Drain)),
             ("PUT", "/undrain", b"x", Ok(Call::Undrain)),
@@ -91,7 +101,11 @@
             ("PUT", "/servers/enable", b"{\"host\":\"\"}", Err(422)),
         ] {
             let read = understand(method, path, body);
-            assert_eq!(read.map_err(|wrong| wrong.status), expected, "{method} {path}");
+            assert_eq!(
+                read.map_err(|wrong| wrong.status),
+                expected,
+                "{method} {path}"
+            );
         }
     }
 }
--- a/crates/admin/src/doors.rs
+++ b/crates/admin/src/doors.rs
@@ -38,7 +38,11 @@
     /// Open doors.
     #[must_use]
     pub fn new(times: Times) -> Self {
-        Doors { times, drain: Switch::default(), ending: None }
+        Doors {
+            times,
+            drain: Switch::default(),
+            ending: None,
+        }
     }
 
     /// Clients are to be sent away; said again it changes nothing.
@@ -53,7 +57,10 @@
 
     fn turn(&mut self, on: bool, now: Nanos) {
         if self.drain.on != on {
-            self.drain = Switch { on, at: now.max(self.drain.at + 1) };
+            self.drain = Switch {
+                on,
+                at: now.max(self.drain.at + 1),
+            };
         }
     }
 
@@ -108,11 +115,16 @@
                 (Phase::Serving, Some(closing))
             }
         };
-        let drained =
-            if self.drain.on { since(self.drain.at, self.times.linger) } else { (Phase::Serving, None) };
-        let ended = self.ending.map_or((Phase::Serving, None), |(at, relieved)| {
-            since(at, if relieved { 0 } else { self.times.linger })
-        });
+        let drained = if self.drain.on {
+            since(self.drain.at, self.times.linger)
+        } else {
+            (Phase::Serving, None)
+        };
+        let ended = self
+            .ending
+            .map_or((Phase::Serving, None), |(at, relieved)| {
+                since(at, if relieved { 0 } else { self.times.linger })
+            });
         let next = [drained.1, ended.1].into_iter().flatten().min();
         (drained.0.max(ended.0), next)
     }
@@ -122,7 +134,10 @@
 mod tests {
     use super::*;
 
-    const TIMES: Times = Times { linger: 6, last_call: 20 };
+    const TIMES: Times = Times {
+        linger: 6,
+        last_call: 20,
+    };
 
     /// Every pair of words, in its order: drain, undrain and end, at whatever phase the second finds.
     #[test]
--- a/crates/admin/src/heritage.rs
+++ b/crates/admin/src/heritage.rs
@@ -25,8 +25,21 @@
 impl Heritage {
     /// What a limiter of this name and address hands over.
     #[must_use]
-    pub fn new(name: &str, listen: &str, zones: Vec<String>, list: Value, learned: EngineSnapshot) -> Self {
-        Heritage { version: VERSION, name: name.to_owned(), listen: listen.to_owned(), zones, list, learned }
+    pub fn new(
+        name: &str,
+        listen: &str,
+        zones: Vec<String>,
+        list: Value,
+        learned: EngineSnapshot,
+    ) -> Self {
+        Heritage {
+            version: VERSION,
+            name: name.to_owned(),
+            listen: listen.to_owned(),
+            zones,
+            list,
+            learned,
+        }
     }
 
     /// As text.
@@ -40,9 +53,13 @@
     /// # Errors
     /// Why it is none: torn, of another form, or another limiter's.
     pub fn read(text: &str, name: &str, listen: &str) -> Result<Self, String> {
-        let told: Heritage = serde_json::from_str(text).map_err(|e| format!("cannot be read: {e}"))?;
+        let told: Heritage =
+            serde_json::from_str(text).map_err(|e| format!("cannot be read: {e}"))?;
         if told.version != VERSION {
-            return Err(format!("form {} is not known here, only {VERSION}", told.version));
+            return Err(format!(
+                "form {} is not known here, only {VERSION}",
+                told.version
+            ));
         }
         if (told.name.as_str(), told.listen.as_str()) != (name, listen) {
             return Err(format!("it is of {} at {}", told.name, told.listen));
@@ -58,13 +75,33 @@
 
     #[test]
     fn a_heritage_is_read_whole_or_not_at_all() {
-        let host = HostSnapshot { host: 7, started: 3, slowness: (1.25, 4.0, 9), room: 2.5 };
-        let learned = EngineSnapshot { at: 9, hosts: vec![host], ..EngineSnapshot::default() };
-        let told = Heritage::new("n1", "a", vec!["z".into()], serde_json::json!({"generation": 4}), learned);
+        let host = HostSnapshot {
+            host: 7,
+            started: 3,
+            slowness: (1.25, 4.0, 9),
+            room: 2.5,
+        };
+        let learned = EngineSnapshot {
+            at: 9,
+            hosts: vec![host],
+            ..EngineSnapshot::default()
+        };
+        let told = Heritage::new(
+            "n1",
+            "a",
+            vec!["z".into()],
+            serde_json::json!({"generation": 4}),
+            learned,
+        );
         let text = told.write();
         assert_eq!(Heritage::read(&text, "n1", "a"), Ok(told));
-        assert!(Heritage::read(&text, "n2", "a").is_err() && Heritage::read(&text, "n1", "b").is_err());
-        assert!(Heritage::read(&text.replace("\"version\":1", "\"version\":2"), "n1", "a").is_err());
-        (0..text.len()).for_each(|end| assert!(Heritage::read(&text[..end], "n1", "a").is_err(), "at {end}"));
+        assert!(
+            Heritage::read(&text, "n2", "a").is_err() && Heritage::read(&text, "n1", "b").is_err()
+        );
+        assert!(
+            Heritage::read(&text.replace("\"version\":1", "\"version\":2"), "n1", "a").is_err()
+        );
+        (0..text.len())
+            .for_each(|end| assert!(Heritage::read(&text[..end], "n1", "a").is_err(), "at {end}"));
     }
 }
--- a/crates/admin/src/retune.rs
+++ b/crates/admin/src/retune.rs
@@ -34,16 +34,25 @@
 }
 
 fn take<T: Named>(held: &mut Vec<Numbered<T>>, wanted: &[T], now: Nanos, longest: Nanos) {
-    for one in held.iter_mut().filter(|one| one.vanished.is_none() && !wanted.contains(&one.item)) {
+    for one in held
+        .iter_mut()
+        .filter(|one| one.vanished.is_none() && !wanted.contains(&one.item))
+    {
         one.vanished = Some(now);
     }
-    let free = |one: &Numbered<T>| one.vanished.is_some_and(|at| now >= at.saturating_add(longest + AFTER));
+    let free = |one: &Numbered<T>| {
+        one.vanished
+            .is_some_and(|at| now >= at.saturating_add(longest + AFTER))
+    };
     for item in wanted {
         if let Some(same) = held.iter_mut().find(|one| one.item == *item) {
             same.vanished = None;
             continue;
         }
-        let fresh = Numbered { item: item.clone(), vanished: None };
+        let fresh = Numbered {
+            item: item.clone(),
+            vanished: None,
+        };
         match held.iter_mut().find(|one| free(one)) {
             Some(place) => *place = fresh,
             None => held.push(fresh),
@@ -53,15 +62,23 @@
 
 /// The numbers whose names are heard, one for each name: that in force before one that vanished a moment ago.
 fn heard<T: Named>(held: &[Numbered<T>], now: Nanos) -> Vec<u32> {
-    let by = |one: &Numbered<T>| one.vanished.map_or(Nanos::MAX, |at| at.saturating_add(HEARD));
+    let by = |one: &Numbered<T>| {
+        one.vanished
+            .map_or(Nanos::MAX, |at| at.saturating_add(HEARD))
+    };
     let best = |number: &usize| {
         let mine = &held[*number];
         let rival = |(other, one): (usize, &Numbered<T>)| {
-            other != *number && one.item.name() == mine.item.name() && (by(one), other) > (by(mine), *number)
+            other != *number
+                && one.item.name() == mine.item.name()
+                && (by(one), other) > (by(mine), *number)
         };
         by(mine) > now && !held.iter().enumerate().any(rival)
     };
-    (0..held.len()).filter(best).map(|number| number as u32).collect()
+    (0..held.len())
+        .filter(best)
+        .map(|number| number as u32)
+        .collect()
 }
 
 /// The classes and plans that have numbers.
@@ -75,8 +92,14 @@
     /// Numbers in the order of the first settings.
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
-        let class = |item: &Class| Numbered { item: item.clone(), vanished: None };
-        let plan = |item: &Plan| Numbered { item: item.clone(), vanished: None };
+        let class = |item: &Class| Numbered {
+            item: item.clone(),
+            vanished: None,
+        };
+        let plan = |item: &Plan| Numbered {
+            item: item.clone(),
+            vanished: None,
+        };
         Numbers {
             classes: settings.classes.iter().map(class).collect(),
             plans: settings.plans.iter().map(plan).collect(),
@@ -85,7 +108,12 @@
 
     /// Goes over to new settings at a moment; them, with all classes and plans that have a number in their places.
     pub fn take(&mut self, settings: &Settings, now: Nanos) -> Settings {
-        let longest = self.classes.iter().map(|one| one.item.deadline).max().unwrap_or(0);
+        let longest = self
+            .classes
+            .iter()
+            .map(|one| one.item.deadline)
+            .max()
+            .unwrap_or(0);
         take(&mut self.classes, &settings.classes, now, longest);
         take(&mut self.plans, &settings.plans, now, longest);
         Settings {
@@ -120,7 +148,10 @@
             deadline: 4 * HEARD,
             ..Class::default()
         };
-        Settings { classes: classes.iter().map(class).collect(), ..Settings::default() }
+        Settings {
+            classes: classes.iter().map(class).collect(),
+            ..Settings::default()
+        }
     }
 
     #[test]
@@ -130,15 +161,25 @@
         // One vanishes, one gets stricter under its name, one appears.
         let strict = ("hold", Effect::Unsafe);
         let table = numbers.take(&settings(&[strict, ("new", Effect::Unsafe)]), 10);
-        let names: Vec<_> = table.classes.iter().map(|class| (class.name.as_str(), class.effect)).collect();
+        let names: Vec<_> = table
+            .classes
+            .iter()
+            .map(|class| (class.name.as_str(), class.effect))
+            .collect();
         assert_eq!(names, [check, hold, strict, ("new", Effect::Unsafe)]);
         assert_eq!(numbers.heard(11).0, [0, 2, 3]);
         assert_eq!(numbers.heard(10 + HEARD).0, [2, 3]);
         // What comes back as it was has its number back; what nobody can have any more makes room.
-        assert_eq!(numbers.take(&settings(&[check, strict]), 20).classes.len(), 4);
+        assert_eq!(
+            numbers.take(&settings(&[check, strict]), 20).classes.len(),
+            4
+        );
         assert_eq!(numbers.heard(20 + HEARD).0, [0, 2]);
         let late = 20 + 4 * HEARD + AFTER;
         let table = numbers.take(&settings(&[check, strict, ("third", Effect::Keyed)]), late);
-        assert_eq!((table.classes.len(), table.classes[1].name.as_str()), (4, "third"));
+        assert_eq!(
+            (table.classes.len(), table.classes[1].name.as_str()),
+            (4, "third")
+        );
     }
 }
--- a/crates/admin/src/state.rs
+++ b/crates/admin/src/state.rs
@@ -51,9 +51,13 @@
     /// # Errors
     /// Why it is none: torn, of another form, or another limiter's.
     pub fn read(text: &str, name: &str, listen: &str) -> Result<State, String> {
-        let state: State = serde_json::from_str(text).map_err(|e| format!("cannot be read: {e}"))?;
+        let state: State =
+            serde_json::from_str(text).map_err(|e| format!("cannot be read: {e}"))?;
         if state.version != VERSION {
-            return Err(format!("form {} is not known here, only {VERSION}", state.version));
+            return Err(format!(
+                "form {} is not known here, only {VERSION}",
+                state.version
+            ));
         }
         if (state.name.as_str(), state.listen.as_str()) != (name, listen) {
             return Err(format!("it is of {} at {}", state.name, state.listen));
@@ -68,7 +72,11 @@
 
     #[test]
     fn what_is_written_is_read_and_nothing_else_is() {
-        let word = Word { out: true, began: 3, at: 4 };
+        let word = Word {
+            out: true,
+            began: 3,
+            at: 4,
+        };
         let state = State {
             version: VERSION,
             name: "n1".into(),
@@ -79,9 +87,16 @@
         let text = state.write();
         assert_eq!(State::read(&text, "n1", "a"), Ok(state.clone()));
         assert!(State::read(&text, "n2", "a").is_err() && State::read(&text, "n1", "b").is_err());
-        (0..text.len())
-            .for_each(|end| assert!(State::read(&text[..end], "n1", "a").is_err(), "torn at {end}"));
-        let newer = State { version: VERSION + 1, ..state };
+        (0..text.len()).for_each(|end| {
+            assert!(
+                State::read(&text[..end], "n1", "a").is_err(),
+                "torn at {end}"
+            )
+        });
+        let newer = State {
+            version: VERSION + 1,
+            ..state
+        };
         assert!(State::read(&newer.write(), "n1", "a").is_err());
     }
 }
--- a/crates/bench/src/damage.rs
+++ b/crates/bench/src/damage.rs
@@ -27,67 +27,243 @@
 
 /// The damage: a key, what it says then, and what an operator would mean by it.
 const DAMAGE: &[(&str, To, &str)] = &[
-    ("categories.0.effect", To::Word("fragile"), "a bed-check may not be repeated"),
-    ("categories.0.onTimeNs", To::Number(200e6), "a tenth of the aim"),
-    ("categories.0.onTimeNs", To::Number(7e9), "an aim of nearly the whole time"),
-    ("categories.0.hardLimitNs", To::Number(2.1e9), "clients wait no longer than the aim"),
-    ("categories.1.effect", To::Word("retryable"), "a bed-hold is taken for safe to repeat"),
-    ("categories.1.effect", To::Word("fragile"), "a bed-hold may not be repeated"),
-    ("categories.1.group", To::Word("cell"), "only a cell drops repeats"),
-    ("categories.1.group", To::Word("zone"), "only a room drops repeats"),
-    ("categories.1.dedupWindowNs", To::Number(1e6), "repeats drop for 1 ms"),
-    ("categories.1.dedupWindowNs", To::Number(0.0), "repeats never drop"),
-    ("categories.1.dedupWindowNs", To::Number(60e9), "repeats drop for a minute"),
-    ("categories.1.onTimeNs", To::Number(100e6), "a tenth of the aim"),
-    ("categories.1.onTimeNs", To::Number(3.9e9), "an aim of nearly the whole time"),
-    ("categories.1.hardLimitNs", To::Number(500e6), "less time than the aim"),
-    ("contracts.0.refill", To::Number(8.0), "five times the guides' rate"),
-    ("contracts.0.refill", To::Number(0.2), "an eighth of the guides' rate"),
-    ("contracts.0.refill", To::Number(0.0), "guides without a quota"),
-    ("contracts.0.peakUnits", To::Number(40.0), "five times the guides' burst"),
-    ("contracts.0.peakUnits", To::Number(2.0), "a burst below one request"),
-    ("contracts.1.refill", To::Number(23.0), "five times the agencies' rate"),
-    ("contracts.1.refill", To::Number(0.5), "a ninth of the agencies' rate"),
-    ("contracts.1.refill", To::Number(0.0), "agencies without a quota"),
-    ("contracts.1.peakUnits", To::Number(110.0), "five times the agencies' burst"),
-    ("contracts.1.peakUnits", To::Number(6.0), "a quarter of the agencies' burst"),
-    ("contracts.2.refill", To::Number(100.0), "five times the operators' rate"),
-    ("contracts.2.refill", To::Number(1.9), "a tenth of the operators' rate"),
-    ("contracts.2.refill", To::Number(0.0), "operators without a quota"),
-    ("contracts.2.peakUnits", To::Number(180.0), "five times the operators' burst"),
-    ("contracts.2.peakUnits", To::Number(6.0), "a sixth of the operators' burst"),
-    ("contracts.2.concurrency", To::Number(1.0), "one attempt at once"),
-    ("contracts.2.concurrency", To::Number(0.0), "no cap on attempts at once"),
+    (
+        "categories.0.effect",
+        To::Word("fragile"),
+        "a bed-check may not be repeated",
+    ),
+    (
+        "categories.0.onTimeNs",
+        To::Number(200e6),
+        "a tenth of the aim",
+    ),
+    (
+        "categories.0.onTimeNs",
+        To::Number(7e9),
+        "an aim of nearly the whole time",
+    ),
+    (
+        "categories.0.hardLimitNs",
+        To::Number(2.1e9),
+        "clients wait no longer than the aim",
+    ),
+    (
+        "categories.1.effect",
+        To::Word("retryable"),
+        "a bed-hold is taken for safe to repeat",
+    ),
+    (
+        "categories.1.effect",
+        To::Word("fragile"),
+        "a bed-hold may not be repeated",
+    ),
+    (
+        "categories.1.group",
+        To::Word("cell"),
+        "only a cell drops repeats",
+    ),
+    (
+        "categories.1.group",
+        To::Word("zone"),
+        "only a room drops repeats",
+    ),
+    (
+        "categories.1.dedupWindowNs",
+        To::Number(1e6),
+        "repeats drop for 1 ms",
+    ),
+    (
+        "categories.1.dedupWindowNs",
+        To::Number(0.0),
+        "repeats never drop",
+    ),
+    (
+        "categories.1.dedupWindowNs",
+        To::Number(60e9),
+        "repeats drop for a minute",
+    ),
+    (
+        "categories.1.onTimeNs",
+        To::Number(100e6),
+        "a tenth of the aim",
+    ),
+    (
+        "categories.1.onTimeNs",
+        To::Number(3.9e9),
+        "an aim of nearly the whole time",
+    ),
+    (
+        "categories.1.hardLimitNs",
+        To::Number(500e6),
+        "less time than the aim",
+    ),
+    (
+        "contracts.0.refill",
+        To::Number(8.0),
+        "five times the guides' rate",
+    ),
+    (
+        "contracts.0.refill",
+        To::Number(0.2),
+        "an eighth of the guides' rate",
+    ),
+    (
+        "contracts.0.refill",
+        To::Number(0.0),
+        "guides without a quota",
+    ),
+    (
+        "contracts.0.peakUnits",
+        To::Number(40.0),
+        "five times the guides' burst",
+    ),
+    (
+        "contracts.0.peakUnits",
+        To::Number(2.0),
+        "a burst below one request",
+    ),
+    (
+        "contracts.1.refill",
+        To::Number(23.0),
+        "five times the agencies' rate",
+    ),
+    (
+        "contracts.1.refill",
+        To::Number(0.5),
+        "a ninth of the agencies' rate",
+    ),
+    (
+        "contracts.1.refill",
+        To::Number(0.0),
+        "agencies without a quota",
+    ),
+    (
+        "contracts.1.peakUnits",
+        To::Number(110.0),
+        "five times the agencies' burst",
+    ),
+    (
+        "contracts.1.peakUnits",
+        To::Number(6.0),
+        "a quarter of the agencies' burst",
+    ),
+    (
+        "contracts.2.refill",
+        To::Number(100.0),
+        "five times the operators' rate",
+    ),
+    (
+        "contracts.2.refill",
+        To::Number(1.9),
+        "a tenth of the operators' rate",
+    ),
+    (
+        "contracts.2.refill",
+        To::Number(0.0),
+        "operators without a quota",
+    ),
+    (
+        "contracts.2.peakUnits",
+        To::Number(180.0),
+        "five times the operators' burst",
+    ),
+    (
+        "contracts.2.peakUnits",
+        To::Number(6.0),
+        "a sixth of the operators' burst",
+    ),
+    (
+        "contracts.2.concurrency",
+        To::Number(1.0),
+        "one attempt at once",
+    ),
+    (
+        "contracts.2.concurrency",
+        To::Number(0.0),
+        "no cap on attempts at once",
+    ),
     ("familyInfo.counter", To::Flag(false), "no counter"),
-    ("familyInfo.counterTimeoutNs", To::Number(1e6), "1 ms for a call"),
-    ("familyInfo.counterTimeoutNs", To::Number(2e9), "2 s for a call"),
-    ("familyInfo.unitsTop", To::Number(1.0), "the largest request counts 1"),
-    ("familyInfo.unitsTop", To::Number(60.0), "the largest request counts 60"),
-    ("limits.retryAfter", To::Flag(false), "nobody is told when to come back"),
-    ("limits.maxRetryAfterNs", To::Number(60e9), "to come back after a minute"),
-    ("limits.maxRetryAfterNs", To::Number(0.0), "no time to come back"),
+    (
+        "familyInfo.counterTimeoutNs",
+        To::Number(1e6),
+        "1 ms for a call",
+    ),
+    (
+        "familyInfo.counterTimeoutNs",
+        To::Number(2e9),
+        "2 s for a call",
+    ),
+    (
+        "familyInfo.unitsTop",
+        To::Number(1.0),
+        "the largest request counts 1",
+    ),
+    (
+        "familyInfo.unitsTop",
+        To::Number(60.0),
+        "the largest request counts 60",
+    ),
+    (
+        "limits.retryAfter",
+        To::Flag(false),
+        "nobody is told when to come back",
+    ),
+    (
+        "limits.maxRetryAfterNs",
+        To::Number(60e9),
+        "to come back after a minute",
+    ),
+    (
+        "limits.maxRetryAfterNs",
+        To::Number(0.0),
+        "no time to come back",
+    ),
     ("limits.sendCap", To::Number(1.0), "one attempt"),
     ("limits.sendCap", To::Number(0.0), "no attempt"),
     ("limits.sendCap", To::Number(6.0), "six attempts"),
-    ("safety.coldFrom", To::Number(1.0), "a new node is taken for warm"),
-    ("safety.coldFrom", To::Number(15.0), "a part of 15 instead of 0.15"),
+    (
+        "safety.coldFrom",
+        To::Number(1.0),
+        "a new node is taken for warm",
+    ),
+    (
+        "safety.coldFrom",
+        To::Number(15.0),
+        "a part of 15 instead of 0.15",
+    ),
     ("safety.warmAfterNs", To::Number(0.0), "warm at once"),
-    ("safety.warmAfterNs", To::Number(180e9), "cold for three minutes"),
-    ("safety.overloadFactor", To::Number(1.0), "no margin: nothing to a cold node"),
-    ("safety.overloadFactor", To::Number(60.0), "sixty times too much would not tip"),
+    (
+        "safety.warmAfterNs",
+        To::Number(180e9),
+        "cold for three minutes",
+    ),
+    (
+        "safety.overloadFactor",
+        To::Number(1.0),
+        "no margin: nothing to a cold node",
+    ),
+    (
+        "safety.overloadFactor",
+        To::Number(60.0),
+        "sixty times too much would not tip",
+    ),
 ];
 
 impl Damage {
     /// Damages and checks.
     pub fn run(self) -> Result<String, String> {
         let sound = read_day(&self.settings).map_err(|faults| faults.to_string())?;
-        let path = std::env::temp_dir().join(format!("quartzcleat-damage-{}.yaml", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("quartzcleat-damage-{}.yaml", std::process::id()));
         let mut out = String::from("| damage | key, line | caught by | named by search | named beside the old file |\n| --- | --- | --- | --- | --- |\n");
         let (mut caught, mut alone, mut beside) = (0, 0, 0);
         for (key, to, why) in DAMAGE {
             let text = damaged(&sound, key, to)?;
             std::fs::write(&path, text).map_err(|e| e.to_string())?;
-            let (key, line) = ((*key).to_owned(), read_day(&path).map_or(0, |day| day.line(key)));
+            let (key, line) = (
+                (*key).to_owned(),
+                read_day(&path).map_or(0, |day| day.line(key)),
+            );
             let with = |against: Option<PathBuf>| {
                 run(&Options {
                     paths: vec![self.expectations.clone()],
@@ -98,15 +274,34 @@
                 })
             };
             let outcome = with(None);
-            if outcome.faults.iter().any(|fault| fault.contains(key.as_str())) {
+            if outcome
+                .faults
+                .iter()
+                .any(|fault| fault.contains(key.as_str()))
+            {
                 (caught, alone, beside) = (caught + 1, alone + 1, beside + 1);
-                let _ = writeln!(out, "| {why} | `{key}` | refused as a contradiction | yes | yes |");
+                let _ = writeln!(
+                    out,
+                    "| {why} | `{key}` | refused as a contradiction | yes | yes |"
+                );
                 continue;
             }
-            let by: Vec<_> = outcome.results.iter().filter(|r| r.verdict != Verdict::Held).collect();
+            let by: Vec<_> = outcome
+                .results
+                .iter()
+                .filter(|r| r.verdict != Verdict::Held)
+                .collect();
             let names = |outcome: &quartzcleat_expectations::Outcome| {
-                let of_failure = outcome.results.iter().filter_map(|r| r.failure.as_ref()).map(|f| &f.behind);
-                let of_change = outcome.results.iter().filter_map(|r| r.differs.as_ref()).map(|d| &d.1);
+                let of_failure = outcome
+                    .results
+                    .iter()
+                    .filter_map(|r| r.failure.as_ref())
+                    .map(|f| &f.behind);
+                let of_change = outcome
+                    .results
+                    .iter()
+                    .filter_map(|r| r.differs.as_ref())
+                    .map(|d| &d.1);
                 let noted = |r: &quartzcleat_expectations::Result| {
                     r.notes.iter().any(|note| note.contains(key.as_str()))
                 };
@@ -121,22 +316,31 @@
                     .flatten()
                     .any(|l| l.key == key && l.line == line)
             };
-            let (by_search, by_old) =
-                (names(&outcome), !by.is_empty() && names(&with(Some(self.settings.clone()))));
+            let (by_search, by_old) = (
+                names(&outcome),
+                !by.is_empty() && names(&with(Some(self.settings.clone()))),
+            );
             caught += usize::from(!by.is_empty());
             alone += usize::from(by_search);
             beside += usize::from(by_old);
             let first = by.first().map_or_else(
                 || "**nothing**".to_owned(),
                 |result| {
-                    let more =
-                        if by.len() > 1 { format!(" and {} more", by.len() - 1) } else { String::new() };
+                    let more = if by.len() > 1 {
+                        format!(" and {} more", by.len() - 1)
+                    } else {
+                        String::new()
+                    };
                     format!("{}{more}", result.name)
                 },
             );
             let yes = |named: bool| if named { "yes" } else { "no" };
-            let _ =
-                writeln!(out, "| {why} | `{key}`, {line} | {first} | {} | {} |", yes(by_search), yes(by_old));
+            let _ = writeln!(
+                out,
+                "| {why} | `{key}`, {line} | {first} | {} | {} |",
+                yes(by_search),
+                yes(by_old)
+            );
         }
         let _ = std::fs::remove_file(&path);
         let _ = writeln!(
--- a/crates/bench/src/deployments/draw.rs
+++ b/crates/bench/src/deployments/draw.rs
@@ -3,7 +3,8 @@
 use quartzcleat_decision::api::{Class, Effect, Group, Nanos, Plan, Settings};
 use quartzcleat_invariants::{Cast, Player};
 use quartzcleat_simulation::scenario::{
-    Ask, CallFate, CounterMode, CounterSetup, Fate, Happening, Net, NodeSetup, Retry, Scenario, Step,
+    Ask, CallFate, CounterMode, CounterSetup, Fate, Happening, Net, NodeSetup, Retry, Scenario,
+    Step,
 };
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
@@ -89,7 +90,9 @@
             ..Plan::default()
         }
     };
-    (0..dice.count(1, 4)).map(|number| plan((number, dice))).collect()
+    (0..dice.count(1, 4))
+        .map(|number| plan((number, dice)))
+        .collect()
 }
 
 /// The deployment of a seed.
@@ -133,21 +136,40 @@
         ..Settings::default()
     };
     let speeds: Vec<f64> = (0..hosts).map(|_| dice.log(0.6, 1.3)).collect();
-    let nodes: Vec<NodeSetup> =
-        speeds.iter().map(|&speed| NodeSetup { cores, speed, ..NodeSetup::default() }).collect();
+    let nodes: Vec<NodeSetup> = speeds
+        .iter()
+        .map(|&speed| NodeSetup {
+            cores,
+            speed,
+            ..NodeSetup::default()
+        })
+        .collect();
     let net = Net {
         same: nanos(dice.log(0.000_1, 0.001)),
         cross: nanos(dice.log(0.000_4, 0.004)),
         counter: 500_000,
     };
     let load = dice.one(&[0.4, 0.55, 0.7, 0.9, 1.1]);
-    let (asks, partners) =
-        clients(&mut dice, &settings, &work, load * f64::from(cores) * speeds.iter().sum::<f64>());
+    let (asks, partners) = clients(
+        &mut dice,
+        &settings,
+        &work,
+        load * f64::from(cores) * speeds.iter().sum::<f64>(),
+    );
     let mut steps: Vec<Step> = Vec::with_capacity(asks.len());
     for (at, ask) in asks {
-        steps.push(Step { at: vec![at], what: Happening::Ask(ask), free: None });
+        steps.push(Step {
+            at: vec![at],
+            what: Happening::Ask(ask),
+            free: None,
+        });
     }
-    let trouble = go_wrong(&mut dice, hosts as usize, limiter_count as usize, &mut steps);
+    let trouble = go_wrong(
+        &mut dice,
+        hosts as usize,
+        limiter_count as usize,
+        &mut steps,
+    );
     let words = format!(
         "{limiter_count} limiters, {hosts} hosts of {cores}, load {load}, {} classes, {} plans, {partners} partners, {trouble}",
         work.len(),
@@ -157,10 +179,16 @@
         truth: settings.clone(),
         cast: Cast {
             rooms: (0..rooms).map(|room| format!("room-{room}")).collect(),
-            limiters: (0..limiter_count).map(|number| player("limiter-", number)).collect(),
+            limiters: (0..limiter_count)
+                .map(|number| player("limiter-", number))
+                .collect(),
             hosts: (0..hosts).map(|number| player("n", number)).collect(),
             partners: (0..partners).map(|number| format!("p{number}")).collect(),
-            classes: settings.classes.iter().map(|class| class.name.clone()).collect(),
+            classes: settings
+                .classes
+                .iter()
+                .map(|class| class.name.clone())
+                .collect(),
         },
         settings,
         nodes,
@@ -174,15 +202,27 @@
         work,
         spread: dice.from(0.3, 0.9),
         steps,
-        retry: dice.chance(0.7).then(|| Retry { after: nanos(dice.log(0.02, 0.5)), elsewhere: true }),
+        retry: dice.chance(0.7).then(|| Retry {
+            after: nanos(dice.log(0.02, 0.5)),
+            elsewhere: true,
+        }),
         end: nanos(LENGTH + 30.0),
         variant: None,
     };
-    Drawn { scenario, words, trouble }
+    Drawn {
+        scenario,
+        words,
+        trouble,
+    }
 }
 
 /// Partners until their mean use fills so many cores, with when each of their requests comes.
-fn clients(dice: &mut Dice, set: &Settings, work: &[Nanos], cores: f64) -> (Vec<(Nanos, Ask)>, usize) {
+fn clients(
+    dice: &mut Dice,
+    set: &Settings,
+    work: &[Nanos],
+    cores: f64,
+) -> (Vec<(Nanos, Ask)>, usize) {
     let (mut asks, mut partner, mut filled) = (Vec::new(), 0, 0.0);
     let mean = work.iter().sum::<u64>() as f64 / 1e9 / work.len().max(1) as f64;
     while filled < cores && asks.len() < ERRANDS {
@@ -199,7 +239,9 @@
         filled += usage.min(1.2) * rate * mean;
         let (every, share) = (dice.log(3.0, 15.0), dice.from(0.1, 0.4));
         let each = rate * usage / if bursts { share } else { 1.0 };
-        let Ok(gap) = Exp::new(each.max(1e-3)) else { break };
+        let Ok(gap) = Exp::new(each.max(1e-3)) else {
+            break;
+        };
         let mut at = dice.from(0.0, every);
         at = if bursts { at } else { gap.sample(&mut dice.0) };
         while at < LENGTH && asks.len() < ERRANDS {
@@ -232,11 +274,22 @@
 }
 
 /// What goes wrong, as steps.
-fn go_wrong(dice: &mut Dice, hosts: usize, limiter_count: usize, steps: &mut Vec<Step>) -> &'static str {
+fn go_wrong(
+    dice: &mut Dice,
+    hosts: usize,
+    limiter_count: usize,
+    steps: &mut Vec<Step>,
+) -> &'static str {
     let begin = nanos(dice.from(4.0, 9.0));
     let end = begin + nanos(dice.log(1.0, 8.0));
     let some = (hosts as f64 * dice.from(0.1, 0.5)).max(1.0) as usize;
-    let mut at = |at: Nanos, what: Happening| steps.push(Step { at: vec![at], what, free: None });
+    let mut at = |at: Nanos, what: Happening| {
+        steps.push(Step {
+            at: vec![at],
+            what,
+            free: None,
+        })
+    };
     let trouble = dice.one(&[
         "nothing",
         "vanish",
@@ -278,8 +331,14 @@
         "counter empty" => at(begin, Happening::Empty),
         "limiters restart" => {
             for limiter in 0..limiter_count.div_ceil(2) {
-                at(begin + limiter as Nanos * 700 * MS, Happening::LimiterDies(limiter));
-                at(begin + limiter as Nanos * 700 * MS + 500 * MS, Happening::LimiterStarts(limiter));
+                at(
+                    begin + limiter as Nanos * 700 * MS,
+                    Happening::LimiterDies(limiter),
+                );
+                at(
+                    begin + limiter as Nanos * 700 * MS + 500 * MS,
+                    Happening::LimiterStarts(limiter),
+                );
             }
         }
         _ => {}
@@ -298,14 +357,28 @@
     #[test]
     fn a_seed_draws_one_deployment_and_others_differ() {
         let words: Vec<String> = (1..=40).map(|seed| draw(seed).words).collect();
-        assert_eq!(words, (1..=40).map(|seed| draw(seed).words).collect::<Vec<_>>());
-        let troubles: std::collections::BTreeSet<_> = (1..=40).map(|seed| draw(seed).trouble).collect();
+        assert_eq!(
+            words,
+            (1..=40).map(|seed| draw(seed).words).collect::<Vec<_>>()
+        );
+        let troubles: std::collections::BTreeSet<_> =
+            (1..=40).map(|seed| draw(seed).trouble).collect();
         assert!(troubles.len() >= 8, "{troubles:?}");
         for seed in 1..=40 {
             let drawn = draw(seed).scenario;
-            let asks = drawn.steps.iter().filter(|step| matches!(step.what, Happening::Ask(_))).count();
-            assert!((20..=ERRANDS).contains(&asks), "seed {seed}: {asks} errands");
-            assert!(drawn.nodes.iter().all(|node| node.state == HostState::Ready));
+            let asks = drawn
+                .steps
+                .iter()
+                .filter(|step| matches!(step.what, Happening::Ask(_)))
+                .count();
+            assert!(
+                (20..=ERRANDS).contains(&asks),
+                "seed {seed}: {asks} errands"
+            );
+            assert!(drawn
+                .nodes
+                .iter()
+                .all(|node| node.state == HostState::Ready));
         }
     }
 }
--- a/crates/bench/src/deployments/mod.rs
+++ b/crates/bench/src/deployments/mod.rs
@@ -78,10 +78,20 @@
     let played = play(&drawn.scenario, &mut First);
     let terms = Terms::of(&drawn.scenario.truth, 0);
     let broken = check(&drawn.scenario.cast, &terms, &played.records);
-    let broken = broken.iter().map(|broken| format!("{}: {}", broken.rule.name(), broken.how)).collect();
+    let broken = broken
+        .iter()
+        .map(|broken| format!("{}: {}", broken.rule.name(), broken.how))
+        .collect();
     let full = sight::served(&drawn.scenario).max(1e-9);
     let (served, beyond, refused) = value(&drawn, &played);
-    Row { seed, drawn, served: served / full, beyond: beyond / full, refused: refused / full, broken }
+    Row {
+        seed,
+        drawn,
+        served: served / full,
+        beyond: beyond / full,
+        refused: refused / full,
+        broken,
+    }
 }
 
 /// One errand as far as it went.
@@ -98,14 +108,23 @@
 fn value(drawn: &Drawn, played: &Played) -> (f64, f64, f64) {
     let set = &drawn.scenario.truth;
     let plans: BTreeMap<u64, u32> = drawn.scenario.steps.iter().filter_map(plan_of).collect();
-    let (mut errands, mut requests) =
-        (BTreeMap::<u64, Errand>::new(), BTreeMap::<RequestId, (u64, usize, f64)>::new());
+    let (mut errands, mut requests) = (
+        BTreeMap::<u64, Errand>::new(),
+        BTreeMap::<RequestId, (u64, usize, f64)>::new(),
+    );
     // Two shadows see all: one of what is asked, one of what is sent on.
     let (mut asked, mut passed, mut sent) = (Quotas::default(), Quotas::default(), BTreeMap::new());
     let (mut served, mut beyond) = (0.0, 0.0);
     for record in &played.records {
         match &record.what {
-            What::Asked { request, errand, class, partner, units, .. } => {
+            What::Asked {
+                request,
+                errand,
+                class,
+                partner,
+                units,
+                ..
+            } => {
                 let plan = plans.get(errand).copied().unwrap_or(0);
                 requests.insert(*request, (*errand, *partner, *units));
                 errands.entry(*errand).or_insert_with(|| Errand {
@@ -117,33 +136,60 @@
                     done: false,
                 });
             }
-            What::Sent { request, attempt: 0, .. } => {
-                let Some((errand, partner, units)) = requests.get(request) else { continue };
-                let Some(errand) = errands.get_mut(errand) else { continue };
+            What::Sent {
+                request,
+                attempt: 0,
+                ..
+            } => {
+                let Some((errand, partner, units)) = requests.get(request) else {
+                    continue;
+                };
+                let Some(errand) = errands.get_mut(errand) else {
+                    continue;
+                };
                 errand.sent = true;
                 let inside = passed.take(set, (*partner, errand.plan), *units, record.at);
                 sent.insert(*request, inside);
                 if !inside {
                     let plan = &set.plans[errand.plan as usize];
-                    beyond += priority_weight(set, errand.class, errand.plan, 0) * plan.over_quota_cost;
+                    beyond +=
+                        priority_weight(set, errand.class, errand.plan, 0) * plan.over_quota_cost;
                 }
             }
-            What::Answered { request, answer: Answered::Served } => {
-                let Some(errand) = requests.get(request).and_then(|(errand, ..)| errands.get_mut(errand))
+            What::Answered {
+                request,
+                answer: Answered::Served,
+            } => {
+                let Some(errand) = requests
+                    .get(request)
+                    .and_then(|(errand, ..)| errands.get_mut(errand))
                 else {
                     continue;
                 };
-                let whole = priority_weight(set, errand.class, errand.plan, record.at - errand.begun);
+                let whole =
+                    priority_weight(set, errand.class, errand.plan, record.at - errand.begun);
                 let inside = sent.get(request).copied().unwrap_or(true);
-                let part = if inside { 1.0 } else { set.plans[errand.plan as usize].over_quota_weight };
+                let part = if inside {
+                    1.0
+                } else {
+                    set.plans[errand.plan as usize].over_quota_weight
+                };
                 served += if errand.done { 0.0 } else { whole * part };
                 errand.done = true;
             }
             _ => {}
         }
     }
-    let unsent = errands.values().filter(|errand| errand.inside && !errand.sent);
-    (served - beyond, beyond, unsent.map(|errand| priority_weight(set, errand.class, errand.plan, 0)).sum())
+    let unsent = errands
+        .values()
+        .filter(|errand| errand.inside && !errand.sent);
+    (
+        served - beyond,
+        beyond,
+        unsent
+            .map(|errand| priority_weight(set, errand.class, errand.plan, 0))
+            .sum(),
+    )
 }
 
 fn plan_of(step: &quartzcleat_simulation::scenario::Step) -> Option<(u64, u32)> {
@@ -174,14 +220,28 @@
     let broken: Vec<&Row> = rows.iter().filter(|row| !row.broken.is_empty()).collect();
     writeln!(text, "rules broken in {} of them", broken.len())?;
     for row in broken {
-        writeln!(text, "  seed {}: {} times, first {}", row.seed, row.broken.len(), row.broken[0])?;
+        writeln!(
+            text,
+            "  seed {}: {} times, first {}",
+            row.seed,
+            row.broken.len(),
+            row.broken[0]
+        )?;
     }
     writeln!(text, "\n| trouble | deployments | served | refused inside | beyond quotas |\n| --- | --- | --- | --- | --- |")?;
     let troubles: BTreeSet<&str> = rows.iter().map(|row| row.drawn.trouble).collect();
     for trouble in troubles {
-        let of: Vec<&Row> = rows.iter().filter(|row| row.drawn.trouble == trouble).collect();
-        let mean = |pick: fn(&Row) -> f64| of.iter().map(|row| pick(row)).sum::<f64>() / of.len() as f64;
-        let figures = (mean(|row| row.served), mean(|row| row.refused), mean(|row| row.beyond));
+        let of: Vec<&Row> = rows
+            .iter()
+            .filter(|row| row.drawn.trouble == trouble)
+            .collect();
+        let mean =
+            |pick: fn(&Row) -> f64| of.iter().map(|row| pick(row)).sum::<f64>() / of.len() as f64;
+        let figures = (
+            mean(|row| row.served),
+            mean(|row| row.refused),
+            mean(|row| row.beyond),
+        );
         writeln!(
             text,
             "| {trouble} | {} | {:.3} | {:.3} | {:.3} |",
@@ -196,8 +256,19 @@
         "\n| seed | served | refused inside | beyond quotas | deployment |\n| --- | --- | --- | --- | --- |"
     )?;
     for row in rows.iter().take(worst) {
-        let Row { seed, served, refused, beyond, drawn, .. } = row;
-        writeln!(text, "| {seed} | {served:.3} | {refused:.3} | {beyond:.3} | {} |", drawn.words)?;
+        let Row {
+            seed,
+            served,
+            refused,
+            beyond,
+            drawn,
+            ..
+        } = row;
+        writeln!(
+            text,
+            "| {seed} | {served:.3} | {refused:.3} | {beyond:.3} | {} |",
+            drawn.words
+        )?;
     }
     Ok(text)
 }
@@ -212,13 +283,23 @@
         let mut quiet = Vec::new();
         for seed in [1, 4, 9] {
             let (row, again) = (judge(seed), judge(seed));
-            assert_eq!((row.served, row.beyond, row.refused), (again.served, again.beyond, again.refused));
+            assert_eq!(
+                (row.served, row.beyond, row.refused),
+                (again.served, again.beyond, again.refused)
+            );
             assert!(row.broken.is_empty(), "seed {seed}: {:?}", row.broken);
-            assert!(row.served < 1.25, "seed {seed}: {} of what full sight serves", row.served);
+            assert!(
+                row.served < 1.25,
+                "seed {seed}: {} of what full sight serves",
+                row.served
+            );
             if row.drawn.trouble == "nothing" {
                 quiet.push(row.served);
             }
         }
-        assert!(!quiet.is_empty() && quiet.iter().all(|served| *served > 0.3), "{quiet:?}");
+        assert!(
+            !quiet.is_empty() && quiet.iter().all(|served| *served > 0.3),
+            "{quiet:?}"
+        );
     }
 }
--- a/crates/bench/src/deployments/sight.rs
+++ b/crates/bench/src/deployments/sight.rs
@@ -17,9 +17,18 @@
 
 impl Quotas {
     /// Takes units out of a partner's quota at a moment, if it holds them.
-    pub fn take(&mut self, set: &Settings, (partner, plan): (usize, u32), units: f64, now: Nanos) -> bool {
+    pub fn take(
+        &mut self,
+        set: &Settings,
+        (partner, plan): (usize, u32),
+        units: f64,
+        now: Nanos,
+    ) -> bool {
         let plan = &set.plans[plan as usize];
-        let store = self.0.entry(partner).or_insert(Store { left: plan.burst, at: now });
+        let store = self.0.entry(partner).or_insert(Store {
+            left: plan.burst,
+            at: now,
+        });
         store.left = (store.left + plan.rate * (now - store.at) as f64 / 1e9).min(plan.burst);
         store.at = now;
         let holds = store.left >= units - 1e-9;
@@ -31,7 +40,11 @@
 /// What an answer is worth.
 pub fn priority_weight(set: &Settings, class: usize, plan: u32, elapsed: Nanos) -> f64 {
     let (class, plan) = (&set.classes[class], &set.plans[plan as usize]);
-    let in_time = if elapsed <= class.latency_objective { 1.0 } else { class.late_weight };
+    let in_time = if elapsed <= class.latency_objective {
+        1.0
+    } else {
+        class.late_weight
+    };
     class.priority_weight * plan.weight_factor * in_time
 }
 
@@ -82,40 +95,66 @@
     };
     let mut densities: Vec<f64> = asks.iter().map(|(_, ask)| density(ask)).collect();
     densities.sort_by(f64::total_cmp);
-    let at = |part: usize| densities.get(densities.len() * part / 8).copied().unwrap_or(0.0);
+    let at = |part: usize| {
+        densities
+            .get(densities.len() * part / 8)
+            .copied()
+            .unwrap_or(0.0)
+    };
     let least: Vec<f64> = std::iter::once(0.0).chain((1..8).map(at)).collect();
-    least.iter().map(|least| one_pass(scenario, &asks, |ask| density(ask) >= *least)).fold(0.0, f64::max)
+    least
+        .iter()
+        .map(|least| one_pass(scenario, &asks, |ask| density(ask) >= *least))
+        .fold(0.0, f64::max)
 }
 
 fn one_pass(scenario: &Scenario, asks: &[(Nanos, &Ask)], wanted: impl Fn(&Ask) -> bool) -> f64 {
     let set = &scenario.truth;
-    let spells: Vec<Spells> = (0..scenario.nodes.len()).map(|host| spells(scenario, host)).collect();
-    let mut free: Vec<Vec<Nanos>> = scenario.nodes.iter().map(|node| vec![0; node.cores as usize]).collect();
+    let spells: Vec<Spells> = (0..scenario.nodes.len())
+        .map(|host| spells(scenario, host))
+        .collect();
+    let mut free: Vec<Vec<Nanos>> = scenario
+        .nodes
+        .iter()
+        .map(|node| vec![0; node.cores as usize])
+        .collect();
     let (mut quotas, mut sum) = (Quotas::default(), 0.0);
     for (now, ask) in asks.iter().filter(|(_, ask)| wanted(ask)) {
         let mut best: Option<(Nanos, usize, usize)> = None;
         for (host, cores) in free.iter().enumerate() {
-            let Some((core, idle)) = cores.iter().enumerate().min_by_key(|(_, at)| **at) else { continue };
+            let Some((core, idle)) = cores.iter().enumerate().min_by_key(|(_, at)| **at) else {
+                continue;
+            };
             for (from, to, speed, started) in &spells[host] {
                 let begin = (*idle).max(*now).max(*from);
-                let age = (begin - (*started).min(begin)) as f64 / set.slow_start_duration.max(1) as f64;
+                let age =
+                    (begin - (*started).min(begin)) as f64 / set.slow_start_duration.max(1) as f64;
                 let cold = *started > 0 && age < 1.0;
-                let warmth =
-                    if cold { set.slow_start_floor + (1.0 - set.slow_start_floor) * age } else { 1.0 };
+                let warmth = if cold {
+                    set.slow_start_floor + (1.0 - set.slow_start_floor) * age
+                } else {
+                    1.0
+                };
                 let end = begin + (scenario.work[ask.class] as f64 / (speed * warmth)) as Nanos;
                 if end < *to && best.is_none_or(|(least, ..)| end < least) {
                     best = Some((end, host, core));
                 }
             }
         }
-        let Some((end, host, core)) = best else { continue };
+        let Some((end, host, core)) = best else {
+            continue;
+        };
         let priority_weight = priority_weight(set, ask.class, ask.plan, end - now);
         if end - now > ask.wait || priority_weight <= 0.0 {
             continue;
         }
         let plan = &set.plans[ask.plan as usize];
         let inside = quotas.take(set, (ask.partner, ask.plan), ask.units, *now);
-        let part = if inside { 1.0 } else { plan.over_quota_weight - plan.over_quota_cost };
+        let part = if inside {
+            1.0
+        } else {
+            plan.over_quota_weight - plan.over_quota_cost
+        };
         if part > 0.0 {
             sum += priority_weight * part;
             free[host][core] = end;
@@ -132,7 +171,11 @@
     #[test]
     fn a_quota_gives_its_burst_and_then_its_rate() {
         let set = Settings {
-            plans: vec![Plan { rate: 2.0, burst: 3.0, ..Plan::default() }],
+            plans: vec![Plan {
+                rate: 2.0,
+                burst: 3.0,
+                ..Plan::default()
+            }],
             ..Settings::default()
         };
         let mut quotas = Quotas::default();
@@ -140,7 +183,10 @@
             .map(|quarter| quotas.take(&set, (0, 0), 1.0, 1_000_000_000 + quarter * 250_000_000))
             .collect();
         assert_eq!(taken, [true, true, true, true, true, false, true, false]);
-        assert!(quotas.take(&set, (1, 0), 3.0, 0), "another partner's is full");
+        assert!(
+            quotas.take(&set, (1, 0), 3.0, 0),
+            "another partner's is full"
+        );
     }
 
     #[test]
@@ -151,15 +197,23 @@
                 .steps
                 .iter()
                 .filter_map(|step| match &step.what {
-                    Happening::Ask(ask) => Some(priority_weight(&scenario.truth, ask.class, ask.plan, 0)),
+                    Happening::Ask(ask) => {
+                        Some(priority_weight(&scenario.truth, ask.class, ask.plan, 0))
+                    }
                     _ => None,
                 })
                 .sum();
             let served = served(&scenario);
-            assert!(served > 0.1 * asked && served <= asked, "seed {seed}: {served} of {asked}");
+            assert!(
+                served > 0.1 * asked && served <= asked,
+                "seed {seed}: {served} of {asked}"
+            );
             let mut idle = scenario.clone();
             idle.nodes.iter_mut().for_each(|node| node.cores *= 4);
-            assert!(super::served(&idle) >= served, "seed {seed}: more cores never serve less");
+            assert!(
+                super::served(&idle) >= served,
+                "seed {seed}: more cores never serve less"
+            );
         }
     }
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -60,5 +60,9 @@
 fn spread(mut figures: Vec<f64>) -> (f64, f64, f64) {
     figures.sort_by(f64::total_cmp);
     let at = |part: usize| figures.get(part).copied().unwrap_or(f64::NAN);
-    (at(0), at(figures.len() / 2), at(figures.len().saturating_sub(1)))
+    (
+        at(0),
+        at(figures.len() / 2),
+        at(figures.len().saturating_sub(1)),
+    )
 }
--- a/crates/bench/src/module.rs
+++ b/crates/bench/src/module.rs
@@ -152,18 +152,22 @@
 impl Module {
     /// Patches, builds and checks.
     pub fn run(self) -> Result<String, String> {
-        let folder = self.folder.unwrap_or_else(|| std::env::temp_dir().join("quartzcleat-module"));
+        let folder = self
+            .folder
+            .unwrap_or_else(|| std::env::temp_dir().join("quartzcleat-module"));
         let source = self.root.join("crates/decision/src");
         let mut out = String::from("| damage | file | caught by |\n| --- | --- | --- |\n");
         let (mut made, mut caught) = (0, 0);
         copy(&self.root, &folder)?;
         let target = folder.join("crates/decision/src");
         for (file, from, to, why) in DAMAGE.iter().filter(|(.., why)| why.contains(&self.only)) {
-            let text = std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
+            let text =
+                std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
             if text.matches(from).count() == 0 {
                 return Err(format!("{file}: {from:?} stands there no more"));
             }
-            std::fs::write(target.join(file), text.replacen(from, to, 1)).map_err(|e| e.to_string())?;
+            std::fs::write(target.join(file), text.replacen(from, to, 1))
+                .map_err(|e| e.to_string())?;
             let by = check(&folder)?;
             std::fs::write(target.join(file), &text).map_err(|e| e.to_string())?;
             (made, caught) = (made + 1, caught + usize::from(!by.is_empty()));
@@ -179,7 +183,10 @@
             );
             let _ = writeln!(out, "| {why} | {file} | {first} |");
         }
-        let _ = writeln!(out, "\n{made} single changes to the module: {caught} caught");
+        let _ = writeln!(
+            out,
+            "\n{made} single changes to the module: {caught} caught"
+        );
         Ok(out)
     }
 }
@@ -187,8 +194,21 @@
 /// Copies what builds the workspace.
 fn copy(root: &Path, folder: &Path) -> Result<(), String> {
     std::fs::create_dir_all(folder).map_err(|e| e.to_string())?;
-    for part in ["Cargo.toml", "Cargo.lock", "README.md", "src", "crates", "deploy", "tests", "examples"] {
-        let copied = Command::new("cp").arg("-rp").arg(root.join(part)).arg(folder).status();
+    for part in [
+        "Cargo.toml",
+        "Cargo.lock",
+        "README.md",
+        "src",
+        "crates",
+        "deploy",
+        "tests",
+        "examples",
+    ] {
+        let copied = Command::new("cp")
+            .arg("-rp")
+            .arg(root.join(part))
+            .arg(folder)
+            .status();
         if !copied.is_ok_and(|status| status.success()) {
             return Err(format!("cannot copy {part}"));
         }
@@ -205,7 +225,10 @@
         .output()
         .map_err(|e| e.to_string())?;
     if !built.status.success() {
-        return Err(format!("does not build: {}", String::from_utf8_lossy(&built.stderr)));
+        return Err(format!(
+            "does not build: {}",
+            String::from_utf8_lossy(&built.stderr)
+        ));
     }
     let ran = Command::new(folder.join("target/debug/quartzcleat"))
         .args(["expect", "--no-blame", "--no-vary", "--format", "json"])
@@ -215,7 +238,9 @@
     let told: serde_json::Value = serde_json::from_slice(&ran.stdout).map_err(|e| e.to_string())?;
     let results = told["results"].as_array().ok_or("no results")?;
     let failed = results.iter().filter(|result| result["verdict"] != "held");
-    Ok(failed.filter_map(|result| result["name"].as_str().map(str::to_owned)).collect())
+    Ok(failed
+        .filter_map(|result| result["name"].as_str().map(str::to_owned))
+        .collect())
 }
 
 #[cfg(test)]
--- a/crates/bench/src/pair.rs
+++ b/crates/bench/src/pair.rs
@@ -6,7 +6,9 @@
 use quartzcleat_decision::api::{HostState, Settings};
 use quartzcleat_fakes::stage::{perform, Usage};
 use quartzcleat_invariants::{record::Player, Answered, Cast, What};
-use quartzcleat_simulation::scenario::{Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step};
+use quartzcleat_simulation::scenario::{
+    Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step,
+};
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 use std::time::Instant;
@@ -37,13 +39,21 @@
     settings.plans[2].rate = 100_000.0;
     settings.plans[2].burst = 100_000.0;
     settings.plans[2].open = 0;
-    let player = |name: String| Player { name, room: 0, cell: 0 };
+    let player = |name: String| Player {
+        name,
+        room: 0,
+        cell: 0,
+    };
     let cast = Cast {
         rooms: vec!["room-a".into()],
         limiters: vec![player("limiter-a".into())],
         hosts: (0..4).map(|number| player(format!("n{number}"))).collect(),
         partners: (0..16).map(|number| format!("partner-{number}")).collect(),
-        classes: settings.classes.iter().map(|class| class.name.clone()).collect(),
+        classes: settings
+            .classes
+            .iter()
+            .map(|class| class.name.clone())
+            .collect(),
     };
     let ask = |number: u64| Ask {
         mark: number + 1,
@@ -59,18 +69,36 @@
     };
     let step = |number: u64| {
         let at = vec![number * 1_000 * MS / rate];
-        Step { at, what: Happening::Ask(ask(number)), free: None }
+        Step {
+            at,
+            what: Happening::Ask(ask(number)),
+            free: None,
+        }
     };
     Scenario {
         truth: settings.clone(),
         cast,
-        nodes: vec![NodeSetup { cores: 64, state: HostState::Ready, ..NodeSetup::default() }; 4],
-        net: Net { same: 100_000, cross: 100_000, counter: 100_000 },
+        nodes: vec![
+            NodeSetup {
+                cores: 64,
+                state: HostState::Ready,
+                ..NodeSetup::default()
+            };
+            4
+        ],
+        net: Net {
+            same: 100_000,
+            cross: 100_000,
+            counter: 100_000,
+        },
         start: 0,
         phases: vec![0],
         seeds: vec![1],
         lags: vec![0],
-        counter: CounterSetup { service: 20_000, ..CounterSetup::default() },
+        counter: CounterSetup {
+            service: 20_000,
+            ..CounterSetup::default()
+        },
         fates: vec![Fate::Normal],
         work: vec![4 * MS, 4 * MS],
         spread: 0.0,
@@ -91,20 +119,42 @@
 
 fn one(scenario: &Scenario, program: &Path, folder: &Path) -> Result<Run, String> {
     let performed = perform(scenario, program, folder).map_err(|e| e.to_string())?;
-    let served = |what: &What| matches!(what, What::Answered { answer: Answered::Served, .. });
-    let served = performed.records.iter().filter(|record| served(&record.what)).count();
+    let served = |what: &What| {
+        matches!(
+            what,
+            What::Answered {
+                answer: Answered::Served,
+                ..
+            }
+        )
+    };
+    let served = performed
+        .records
+        .iter()
+        .filter(|record| served(&record.what))
+        .count();
     let Usage { cpu_ns, peak_kb } = performed.usage.first().copied().unwrap_or_default();
     let began = Instant::now();
-    let started = std::process::Command::new(program).env_remove("BALANCER_CONFIG").output();
+    let started = std::process::Command::new(program)
+        .env_remove("BALANCER_CONFIG")
+        .output();
     started.map_err(|e| e.to_string())?;
     let start_ms = began.elapsed().as_secs_f64() * 1e3;
-    Ok(Run { cpu_us: cpu_ns as f64 / 1e3 / served.max(1) as f64, peak_kb: peak_kb as f64, start_ms, served })
+    Ok(Run {
+        cpu_us: cpu_ns as f64 / 1e3 / served.max(1) as f64,
+        peak_kb: peak_kb as f64,
+        start_ms,
+        served,
+    })
 }
 
 impl Pair {
     /// Measures.
     pub fn run(self) -> Result<String, String> {
-        let day = Day::read("imlil-main.yaml", include_str!("../../../deploy/imlil-main.yaml"));
+        let day = Day::read(
+            "imlil-main.yaml",
+            include_str!("../../../deploy/imlil-main.yaml"),
+        );
         let day = day.map_err(|faults| faults.to_string())?;
         let scenario = scenario(&day.settings, self.rate.max(1), self.seconds.max(1));
         let folder = std::env::temp_dir().join(format!("quartzcleat-pair-{}", std::process::id()));
@@ -126,8 +176,14 @@
             "{} pairs, {} requests each, served {} to {}\n{:22} {:>30} {:>30} {:>24}\n",
             runs.len(),
             scenario.steps.len(),
-            runs.iter().map(|(a, b)| a.served.min(b.served)).min().unwrap_or(0),
-            runs.iter().map(|(a, b)| a.served.max(b.served)).max().unwrap_or(0),
+            runs.iter()
+                .map(|(a, b)| a.served.min(b.served))
+                .min()
+                .unwrap_or(0),
+            runs.iter()
+                .map(|(a, b)| a.served.max(b.served))
+                .max()
+                .unwrap_or(0),
             "least / median / most",
             "a",
             "b",
@@ -140,14 +196,17 @@
             ("start and end, ms", |run| run.start_ms),
         ];
         for (name, figure) in figures {
-            let show =
-                |(least, median, most): (f64, f64, f64)| format!("{least:.2} / {median:.2} / {most:.2}");
+            let show = |(least, median, most): (f64, f64, f64)| {
+                format!("{least:.2} / {median:.2} / {most:.2}")
+            };
             let _ = writeln!(
                 out,
                 "{name:22} {:>30} {:>30} {:>24}",
                 show(spread(runs.iter().map(|(a, _)| figure(a)).collect())),
                 show(spread(runs.iter().map(|(_, b)| figure(b)).collect())),
-                show(spread(runs.iter().map(|(a, b)| figure(b) / figure(a)).collect()))
+                show(spread(
+                    runs.iter().map(|(a, b)| figure(b) / figure(a)).collect()
+                ))
             );
         }
         Ok(out)
--- a/crates/bench/src/speed.rs
+++ b/crates/bench/src/speed.rs
@@ -23,10 +23,18 @@
         let mut out = String::from(
             "| cores | plays for each | expectations | plays | states | complete | seconds: least / median / most | states a second |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n"
         );
-        for (jobs, plays, only) in
-            [(1, 2_000, None), (2, 2_000, None), (4, 2_000, None), (4, 2_000, Some("a b")), (4, 20_000, None)]
-        {
-            let budget = Budget { plays, events: plays * 300, ..Budget::default() };
+        for (jobs, plays, only) in [
+            (1, 2_000, None),
+            (2, 2_000, None),
+            (4, 2_000, None),
+            (4, 2_000, Some("a b")),
+            (4, 20_000, None),
+        ] {
+            let budget = Budget {
+                plays,
+                events: plays * 300,
+                ..Budget::default()
+            };
             let options = Options {
                 paths: vec![self.expectations.clone()],
                 budget,
@@ -37,11 +45,19 @@
             let outcomes: Vec<_> = (0..self.runs.max(1)).map(|_| run(&options)).collect();
             let last = outcomes.last().ok_or("no run")?;
             let sum = |figure: fn(&quartzcleat_expectations::run::Counts) -> u64| -> u64 {
-                last.results.iter().map(|result| figure(&result.explored)).sum()
+                last.results
+                    .iter()
+                    .map(|result| figure(&result.explored))
+                    .sum()
             };
             let (played, states) = (sum(|counts| counts.plays), sum(|counts| counts.states));
-            let complete = last.results.iter().filter(|result| result.explored.complete).count();
-            let (least, median, most) = spread(outcomes.iter().map(|outcome| outcome.seconds).collect());
+            let complete = last
+                .results
+                .iter()
+                .filter(|result| result.explored.complete)
+                .count();
+            let (least, median, most) =
+                spread(outcomes.iter().map(|outcome| outcome.seconds).collect());
             let _ = writeln!(
                 out,
                 "| {jobs} | {plays} | {} | {played} | {states} | {complete} | {least:.2} / {median:.2} / {most:.2} | {:.0} |",
--- a/crates/bench/src/trial/mod.rs
+++ b/crates/bench/src/trial/mod.rs
@@ -77,7 +77,10 @@
 /// Reads seeds, the last one included.
 pub fn range(text: &str) -> Result<(u64, u64), String> {
     let (first, last) = text.split_once("..").ok_or("write seeds as 1..20")?;
-    let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is no seed"));
+    let number = |text: &str| {
+        text.parse::<u64>()
+            .map_err(|_| format!("{text:?} is no seed"))
+    };
     let (first, last) = (number(first)?, number(last)?);
     if first > last {
         Err(format!("{first}..{last} holds no seed"))
@@ -97,27 +100,37 @@
     if let Some(first) = lines.next() {
         let held: Option<Head> = serde_json::from_str(first).ok();
         if held.as_ref() != Some(head) {
-            return Err(format!("{}: these rows are of another story; name another file", file.display()));
+            return Err(format!(
+                "{}: these rows are of another story; name another file",
+                file.display()
+            ));
         }
     }
-    let rows: Vec<Row> = lines.filter_map(|line| serde_json::from_str(line).ok()).collect();
+    let rows: Vec<Row> = lines
+        .filter_map(|line| serde_json::from_str(line).ok())
+        .collect();
     // Written whole again: what was cut off goes, and the next line begins as one.
     let mut kept = serde_json::to_string(head).map_err(|e| e.to_string())? + "\n";
     for row in &rows {
         kept += &(serde_json::to_string(row).map_err(|e| e.to_string())? + "\n");
     }
     std::fs::write(file, kept).map_err(told)?;
-    Ok((rows, OpenOptions::new().append(true).open(file).map_err(told)?))
+    Ok((
+        rows,
+        OpenOptions::new().append(true).open(file).map_err(told)?,
+    ))
 }
 
 impl Trial {
     /// Plays them all.
     pub fn run(self) -> Result<String, String> {
         let name = self.story.display().to_string();
-        let text = std::fs::read_to_string(&self.story).map_err(|e| format!("{name}: cannot read: {e}"))?;
+        let text = std::fs::read_to_string(&self.story)
+            .map_err(|e| format!("{name}: cannot read: {e}"))?;
         let story = Story::read(&name, &text).map_err(|faults| faults.to_string())?;
         let platform = std::fs::read_to_string(&self.platform);
-        let platform = platform.map_err(|e| format!("{}: cannot read: {e}", self.platform.display()))?;
+        let platform =
+            platform.map_err(|e| format!("{}: cannot read: {e}", self.platform.display()))?;
         let ground = |part: &str| Ground {
             program: self.program.clone(),
             beside: self.beside.clone(),
@@ -125,7 +138,10 @@
             folder: self.folder.join(part),
             checks: !self.unchecked,
         };
-        let head = Head { story: text, unchecked: self.unchecked };
+        let head = Head {
+            story: text,
+            unchecked: self.unchecked,
+        };
         let (held, file) = match &self.rows {
             None => (Vec::new(), None),
             Some(file) => resumed(file, &head).map(|(rows, file)| (rows, Some(file)))?,
@@ -135,19 +151,29 @@
         let failed = rows.iter().find(|row| !row.holds()).map(|row| row.seed);
         if let Some(file) = &self.plot {
             let seed = failed.unwrap_or(self.seeds.1);
-            let played = play(&story, seed, &ground("plot")).map_err(|e| format!("seed {seed}: {e}"))?;
-            plot::draw(file, &story, seed, &played).map_err(|e| format!("{}: {e}", file.display()))?;
+            let played =
+                play(&story, seed, &ground("plot")).map_err(|e| format!("seed {seed}: {e}"))?;
+            plot::draw(file, &story, seed, &played)
+                .map_err(|e| format!("{}: {e}", file.display()))?;
         }
         if let (Some(file), Some(seed)) = (&self.shrink, failed) {
             let fails = |story: &Story| {
-                let once =
-                    |_| play(story, seed, &ground("shrink")).map(|played| Row::of(story, seed, &played));
-                (0..SHRINK_PLAYS).map(once).any(|row| row.is_ok_and(|row| !row.holds()))
+                let once = |_| {
+                    play(story, seed, &ground("shrink")).map(|played| Row::of(story, seed, &played))
+                };
+                (0..SHRINK_PLAYS)
+                    .map(once)
+                    .any(|row| row.is_ok_and(|row| !row.holds()))
             };
             let small = shrink(story.spelled(seed), fails).write();
             std::fs::write(file, small).map_err(|e| format!("{}: {e}", file.display()))?;
         }
-        let told = report::Told { file: &name, story: &story, rows: &rows, elapsed: began.elapsed() };
+        let told = report::Told {
+            file: &name,
+            story: &story,
+            rows: &rows,
+            elapsed: began.elapsed(),
+        };
         let text = match self.format {
             Format::Text => told.text()?,
             Format::Json => told.json()?,
@@ -162,7 +188,11 @@
 
     /// Plays all seeds that are not held yet.
     fn all(
-        &self, story: &Story, held: Vec<Row>, file: Option<File>, ground: &(impl Fn(&str) -> Ground + Sync),
+        &self,
+        story: &Story,
+        held: Vec<Row>,
+        file: Option<File>,
+        ground: &(impl Fn(&str) -> Ground + Sync),
     ) -> Result<Vec<Row>, String> {
         let (first, last) = self.seeds;
         let wanted = |seed: &u64| (first..=last).contains(seed);
@@ -217,22 +247,41 @@
 
     #[test]
     fn a_stopped_run_goes_on_from_its_rows_and_another_storys_are_refused() {
-        let file = std::env::temp_dir().join(format!("quartzcleat-rows-{}.jsonl", std::process::id()));
-        let head = |story: &str| Head { story: story.into(), unchecked: false };
+        let file =
+            std::env::temp_dir().join(format!("quartzcleat-rows-{}.jsonl", std::process::id()));
+        let head = |story: &str| Head {
+            story: story.into(),
+            unchecked: false,
+        };
         let _ = std::fs::remove_file(&file);
         let (rows, mut kept) = resumed(&file, &head("a")).expect("a new file");
         assert!(rows.is_empty());
-        let row = Row { seed: 7, changes: 2, ..Row::default() };
+        let row = Row {
+            seed: 7,
+            changes: 2,
+            ..Row::default()
+        };
         writeln!(kept, "{}", serde_json::to_string(&row).expect("written")).expect("kept");
         // The run was killed within the next line.
         write!(kept, "{{\"seed\":8,\"acc").expect("kept");
         drop(kept);
         let (rows, mut kept) = resumed(&file, &head("a")).expect("the same story");
         assert_eq!(rows, std::slice::from_ref(&row));
-        writeln!(kept, "{}", serde_json::to_string(&Row { seed: 8, ..row.clone() }).expect("written"))
-            .expect("kept");
+        writeln!(
+            kept,
+            "{}",
+            serde_json::to_string(&Row {
+                seed: 8,
+                ..row.clone()
+            })
+            .expect("written")
+        )
+        .expect("kept");
         drop(kept);
-        assert_eq!(resumed(&file, &head("a")).expect("the same story").0.len(), 2);
+        assert_eq!(
+            resumed(&file, &head("a")).expect("the same story").0.len(),
+            2
+        );
         assert!(resumed(&file, &head("b")).is_err_and(|problem| problem.contains("another story")));
         let _ = std::fs::remove_file(&file);
     }
--- a/crates/bench/src/trial/plot.rs
+++ b/crates/bench/src/trial/plot.rs
@@ -26,7 +26,9 @@
 fn stretches(played: &Played) -> Vec<Struck> {
     let mut all: Vec<Struck> = Vec::new();
     for mark in &played.marks {
-        let Some(limiter) = mark.limiter else { continue };
+        let Some(limiter) = mark.limiter else {
+            continue;
+        };
         match mark.what.strip_suffix(" over") {
             None => all.push(Struck {
                 limiter,
@@ -36,7 +38,9 @@
             }),
             Some(what) => {
                 let open = |struck: &&mut Struck| {
-                    struck.limiter == limiter && struck.what == what && struck.to >= seconds(played.lasted)
+                    struck.limiter == limiter
+                        && struck.what == what
+                        && struck.to >= seconds(played.lasted)
                 };
                 if let Some(struck) = all.iter_mut().find(open) {
                     struck.to = seconds(mark.at);
@@ -61,7 +65,11 @@
 pub fn draw(file: &Path, story: &Story, seed: u64, played: &Played) -> Result<(), Box<dyn Error>> {
     // Those that acted or were struck, by number.
     let struck = stretches(played);
-    let mut rows: Vec<usize> = played.seen.iter().map(|act| act.token.bidder as usize).collect();
+    let mut rows: Vec<usize> = played
+        .seen
+        .iter()
+        .map(|act| act.token.bidder as usize)
+        .collect();
     rows.extend(struck.iter().map(|struck| struck.limiter));
     rows.sort_unstable();
     rows.dedup();
@@ -81,7 +89,9 @@
         .build_cartesian_2d(0.0..seconds(played.lasted), -0.6..rows.len() as f64 - 0.4)?;
     let label = |row: &f64| {
         let near = row.round();
-        let limiter = rows.get(near as usize).filter(|_| (row - near).abs() < 0.01 && near >= 0.0);
+        let limiter = rows
+            .get(near as usize)
+            .filter(|_| (row - near).abs() < 0.01 && near >= 0.0);
         limiter.map_or(String::new(), |limiter| format!("limiter {limiter}"))
     };
     chart
@@ -92,17 +102,38 @@
         .disable_y_mesh()
         .draw()?;
     for stretch in &struck {
-        let Some(row) = place(stretch.limiter) else { continue };
+        let Some(row) = place(stretch.limiter) else {
+            continue;
+        };
         let area = [(stretch.from, row - 0.42), (stretch.to, row + 0.42)];
-        chart.draw_series([Rectangle::new(area, colour(&stretch.what).mix(0.45).filled())])?;
+        chart.draw_series([Rectangle::new(
+            area,
+            colour(&stretch.what).mix(0.45).filled(),
+        )])?;
         let style = ("sans-serif", 11).into_font();
-        chart.draw_series([Text::new(stretch.what.clone(), (stretch.from, row + 0.4), style)])?;
+        chart.draw_series([Text::new(
+            stretch.what.clone(),
+            (stretch.from, row + 0.4),
+            style,
+        )])?;
     }
     for act in &played.seen {
-        let Some(row) = place(act.token.bidder as usize) else { continue };
-        let (from, to) = (seconds(act.from), seconds(act.to).max(seconds(act.from) + 0.002));
-        let (height, paint) = if act.accepted { (0.2, GREEN.filled()) } else { (0.36, RED.filled()) };
-        chart.draw_series([Rectangle::new([(from, row - height), (to, row + height)], paint)])?;
+        let Some(row) = place(act.token.bidder as usize) else {
+            continue;
+        };
+        let (from, to) = (
+            seconds(act.from),
+            seconds(act.to).max(seconds(act.from) + 0.002),
+        );
+        let (height, paint) = if act.accepted {
+            (0.2, GREEN.filled())
+        } else {
+            (0.36, RED.filled())
+        };
+        chart.draw_series([Rectangle::new(
+            [(from, row - height), (to, row + height)],
+            paint,
+        )])?;
     }
     root.present()?;
     Ok(())
@@ -115,19 +146,43 @@
 
     #[test]
     fn faults_have_their_ends_and_a_picture_tells_them() {
-        let mark = |at, what: &str| Mark { at: Duration::from_secs(at), limiter: Some(1), what: what.into() };
-        let marks = vec![mark(1, "pause"), mark(2, "pause over"), mark(3, "pause"), mark(4, "cut")];
-        let played = Played { marks, lasted: Duration::from_secs(5), ..Played::default() };
-        let all: Vec<_> = stretches(&played).iter().map(|s| (s.what.clone(), s.from, s.to)).collect();
+        let mark = |at, what: &str| Mark {
+            at: Duration::from_secs(at),
+            limiter: Some(1),
+            what: what.into(),
+        };
+        let marks = vec![
+            mark(1, "pause"),
+            mark(2, "pause over"),
+            mark(3, "pause"),
+            mark(4, "cut"),
+        ];
+        let played = Played {
+            marks,
+            lasted: Duration::from_secs(5),
+            ..Played::default()
+        };
+        let all: Vec<_> = stretches(&played)
+            .iter()
+            .map(|s| (s.what.clone(), s.from, s.to))
+            .collect();
         assert_eq!(
             all,
-            [("pause".into(), 1.0, 2.0), ("pause".into(), 3.0, 5.0), ("cut".to_owned(), 4.0, 5.0)]
+            [
+                ("pause".into(), 1.0, 2.0),
+                ("pause".into(), 3.0, 5.0),
+                ("cut".to_owned(), 4.0, 5.0)
+            ]
         );
         let story = Story::read("s.yaml", "limiters: 3\nvoters: 3\nend: 5s\n").expect("sound");
-        let file = std::env::temp_dir().join(format!("quartzcleat-plot-{}.svg", std::process::id()));
+        let file =
+            std::env::temp_dir().join(format!("quartzcleat-plot-{}.svg", std::process::id()));
         draw(&file, &story, 1, &played).expect("it is drawn");
         let text = std::fs::read_to_string(&file).expect("it is there");
         let _ = std::fs::remove_file(&file);
-        assert!(text.contains("limiter 1") && text.contains("pause") && text.contains("cut"), "{text}");
+        assert!(
+            text.contains("limiter 1") && text.contains("pause") && text.contains("cut"),
+            "{text}"
+        );
     }
 }
--- a/crates/bench/src/trial/report.rs
+++ b/crates/bench/src/trial/report.rs
@@ -32,13 +32,20 @@
     /// How long nobody held, in milliseconds: the quantiles 0.5, 0.9, 0.99 and the most.
     fn gaps(&self) -> Result<[f64; 4], String> {
         // Microseconds, ten minutes at most.
-        let mut gaps = Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).map_err(|e| e.to_string())?;
-        self.rows.iter().flat_map(|row| &row.gaps_us).for_each(|gap| gaps.saturating_record(*gap));
+        let mut gaps =
+            Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).map_err(|e| e.to_string())?;
+        self.rows
+            .iter()
+            .flat_map(|row| &row.gaps_us)
+            .for_each(|gap| gaps.saturating_record(*gap));
         Ok([0.5, 0.9, 0.99, 1.0].map(|part| gaps.value_at_quantile(part) as f64 / 1e3))
     }
 
     fn again(&self, seed: u64) -> String {
-        format!("quartzcleat-bench trial {} --seeds {seed}..{seed}", self.file)
+        format!(
+            "quartzcleat-bench trial {} --seeds {seed}..{seed}",
+            self.file
+        )
     }
 
     /// For people.
@@ -68,7 +75,13 @@
             self.rows.iter().map(|row| row.ground_cpu_s).sum::<f64>() / self.rows.len().max(1) as f64,
         );
         for row in self.rows.iter().filter(|row| !row.holds()) {
-            let _ = writeln!(text, "seed {}: {}  again: {}", row.seed, row.broken, self.again(row.seed));
+            let _ = writeln!(
+                text,
+                "seed {}: {}  again: {}",
+                row.seed,
+                row.broken,
+                self.again(row.seed)
+            );
         }
         Ok(text)
     }
@@ -90,13 +103,19 @@
             "gaps_ms": self.gaps()?,
             "rows": self.rows,
         });
-        serde_json::to_string_pretty(&told).map(|text| text + "\n").map_err(|e| e.to_string())
+        serde_json::to_string_pretty(&told)
+            .map(|text| text + "\n")
+            .map_err(|e| e.to_string())
     }
 
     /// A case for each seed.
     pub fn junit(&self) -> String {
         let of = |row: &Row| {
-            let fault = if row.holds() { String::new() } else { row.broken.clone() + &self.again(row.seed) };
+            let fault = if row.holds() {
+                String::new()
+            } else {
+                row.broken.clone() + &self.again(row.seed)
+            };
             case(&format!("seed {}", row.seed), self.file, &fault)
         };
         suite("trials", &self.rows.iter().map(of).collect::<Vec<_>>())
@@ -110,22 +129,50 @@
     #[test]
     fn a_failing_seed_is_told_with_its_history_and_its_command_in_each_form() {
         let story = Story::read("s.yaml", "limiters: 3\nvoters: 3\nend: 2s\n").expect("sound");
-        let sound = Row { seed: 1, changes: 2, gaps_us: vec![1_000, 3_000], ..Row::default() };
-        let broken =
-            Row { seed: 2, old_tokens: 1, broken: "an old token was let in\n".into(), ..Row::default() };
+        let sound = Row {
+            seed: 1,
+            changes: 2,
+            gaps_us: vec![1_000, 3_000],
+            ..Row::default()
+        };
+        let broken = Row {
+            seed: 2,
+            old_tokens: 1,
+            broken: "an old token was let in\n".into(),
+            ..Row::default()
+        };
         let rows = [sound, broken];
-        let told = Told { file: "s.yaml", story: &story, rows: &rows, elapsed: Duration::from_secs(1) };
-        let (text, json, junit) = (told.text().expect("told"), told.json().expect("told"), told.junit());
-        for part in
-            ["old tokens let in 1", "p50 1, p90 3", "an old token was let in", "trial s.yaml --seeds 2..2"]
-        {
+        let told = Told {
+            file: "s.yaml",
+            story: &story,
+            rows: &rows,
+            elapsed: Duration::from_secs(1),
+        };
+        let (text, json, junit) = (
+            told.text().expect("told"),
+            told.json().expect("told"),
+            told.junit(),
+        );
+        for part in [
+            "old tokens let in 1",
+            "p50 1, p90 3",
+            "an old token was let in",
+            "trial s.yaml --seeds 2..2",
+        ] {
             assert!(text.contains(part), "{part}\nnot in\n{text}");
         }
         let json: serde_json::Value = serde_json::from_str(&json).expect("JSON");
         assert_eq!(
-            (&json["holds"], &json["old_tokens"], &json["rows"][1]["seed"]),
+            (
+                &json["holds"],
+                &json["old_tokens"],
+                &json["rows"][1]["seed"]
+            ),
             (&json!(false), &json!(1), &json!(2))
         );
-        assert!(junit.contains("tests=\"2\" failures=\"1\"") && junit.contains("--seeds 2..2"), "{junit}");
+        assert!(
+            junit.contains("tests=\"2\" failures=\"1\"") && junit.contains("--seeds 2..2"),
+            "{junit}"
+        );
     }
 }
--- a/crates/config/src/complete.rs
+++ b/crates/config/src/complete.rs
@@ -6,7 +6,10 @@
 /// Keys that a file may lose: they are of a process's start, or may be absent by the platform's page.
 const MAY_LACK: &[&str] = &["known", "seed", "settings.categories.N.aimStretch"];
 /// Keys of which each has to be a number above zero.
-const POSITIVE: &[&str] = &["settings.categories.N.hardLimitNs", "settings.limits.sendCap"];
+const POSITIVE: &[&str] = &[
+    "settings.categories.N.hardLimitNs",
+    "settings.limits.sendCap",
+];
 /// Lists whose members have names, each its own.
 const NAMED: &[&str] = &["settings.categories", "settings.contracts"];
 
@@ -64,7 +67,13 @@
             }
             let common = Value::Object(common);
             for (i, member) in new.iter().enumerate() {
-                compare(&under(path, &i.to_string()), &under(pattern, "N"), &common, member, faults);
+                compare(
+                    &under(path, &i.to_string()),
+                    &under(pattern, "N"),
+                    &common,
+                    member,
+                    faults,
+                );
             }
             if NAMED.contains(&pattern) {
                 names(path, new, faults);
@@ -75,7 +84,11 @@
 }
 
 fn members(
-    path: &str, pattern: &str, held: &Map<String, Value>, new: &Map<String, Value>, faults: &mut Vec<String>,
+    path: &str,
+    pattern: &str,
+    held: &Map<String, Value>,
+    new: &Map<String, Value>,
+    faults: &mut Vec<String>,
 ) {
     for (key, held) in held {
         let (path, pattern) = (under(path, key), under(pattern, key));
@@ -88,11 +101,16 @@
 }
 
 fn names(path: &str, list: &[Value], faults: &mut Vec<String>) {
-    let names: Vec<_> = list.iter().map(|member| member.get("name").and_then(Value::as_str)).collect();
+    let names: Vec<_> = list
+        .iter()
+        .map(|member| member.get("name").and_then(Value::as_str))
+        .collect();
     for (i, name) in names.iter().enumerate() {
         match name {
             Some("") => faults.push(format!("{path}.{i}.name: empty")),
-            Some(_) if names[..i].contains(name) => faults.push(format!("{path}.{i}.name: given twice")),
+            Some(_) if names[..i].contains(name) => {
+                faults.push(format!("{path}.{i}.name: given twice"))
+            }
             _ => {}
         }
     }
@@ -125,28 +143,71 @@
         other["settings"]["categories"] = json!([{"name": "new", "hardLimitNs": 1}]);
         other["settings"]["zones"] = json!([]);
         other.as_object_mut().expect("an object").remove("known");
-        assert!(faults(&held, &other).is_empty(), "classes come and go: {:?}", faults(&held, &other));
+        assert!(
+            faults(&held, &other).is_empty(),
+            "classes come and go: {:?}",
+            faults(&held, &other)
+        );
         for (path, value, named) in [
-            ("/settings/categories/1/hardLimitNs", json!(0), "settings.categories.1.hardLimitNs"),
-            ("/settings/categories/0/hardLimitNs", json!("5"), "settings.categories.0.hardLimitNs"),
-            ("/settings/limits/sendCap", json!(-1), "settings.limits.sendCap"),
-            ("/settings/limits/sendCap", json!(null), "settings.limits.sendCap"),
-            ("/settings/limits", json!({}), "settings.limits.sendCap: missing"),
+            (
+                "/settings/categories/1/hardLimitNs",
+                json!(0),
+                "settings.categories.1.hardLimitNs",
+            ),
+            (
+                "/settings/categories/0/hardLimitNs",
+                json!("5"),
+                "settings.categories.0.hardLimitNs",
+            ),
+            (
+                "/settings/limits/sendCap",
+                json!(-1),
+                "settings.limits.sendCap",
+            ),
+            (
+                "/settings/limits/sendCap",
+                json!(null),
+                "settings.limits.sendCap",
+            ),
+            (
+                "/settings/limits",
+                json!({}),
+                "settings.limits.sendCap: missing",
+            ),
             (
                 "/settings/categories/0",
                 json!({"name": "check"}),
                 "settings.categories.0.hardLimitNs: missing",
             ),
-            ("/settings/categories", json!([]), "settings.categories: empty"),
-            ("/settings/categories/0/name", json!("hold"), "settings.categories.1.name: given twice"),
-            ("/settings/contracts/0/name", json!(""), "settings.contracts.0.name: empty"),
-            ("/settings", json!([]), "settings: a list where an object was"),
+            (
+                "/settings/categories",
+                json!([]),
+                "settings.categories: empty",
+            ),
+            (
+                "/settings/categories/0/name",
+                json!("hold"),
+                "settings.categories.1.name: given twice",
+            ),
+            (
+                "/settings/contracts/0/name",
+                json!(""),
+                "settings.contracts.0.name: empty",
+            ),
+            (
+                "/settings",
+                json!([]),
+                "settings: a list where an object was",
+            ),
             ("", json!({}), "name: missing"),
         ] {
             let mut broken = held.clone();
             *broken.pointer_mut(path).expect("it is there") = value;
             let faults = faults(&held, &broken);
-            assert!(faults.first().is_some_and(|fault| fault.starts_with(named)), "{path}: {faults:?}");
+            assert!(
+                faults.first().is_some_and(|fault| fault.starts_with(named)),
+                "{path}: {faults:?}"
+            );
         }
     }
 }
--- a/crates/config/src/day.rs
+++ b/crates/config/src/day.rs
@@ -65,7 +65,10 @@
             faults.add(&file, tree.place, "", problem);
             faults
         })?;
-        let borrowed = pairs.iter().map(|(key, value)| (key.as_str(), value.as_str())).collect();
+        let borrowed = pairs
+            .iter()
+            .map(|(key, value)| (key.as_str(), value.as_str()))
+            .collect();
         let settings = platform::decode(borrowed).unwrap_or_else(|found| {
             for fault in found {
                 let place = tree.at(&fault.path).map_or(tree.place, |node| node.place);
@@ -75,9 +78,17 @@
             }
             Settings::default()
         });
-        let names = tree.get("zones").map(crate::reader::list).unwrap_or_default();
+        let names = tree
+            .get("zones")
+            .map(crate::reader::list)
+            .unwrap_or_default();
         let rooms = names.iter().filter_map(Node::text).collect();
-        let day = Day { file, tree, settings, rooms };
+        let day = Day {
+            file,
+            tree,
+            settings,
+            rooms,
+        };
         if faults.none() {
             day.contradictions(&mut faults);
         }
@@ -116,7 +127,10 @@
     /// The keys that say something: paths that are read, with their nodes.
     pub fn keys(&self) -> Vec<(String, &Node)> {
         let leaves = self.tree.leaves();
-        leaves.into_iter().filter(|(path, _)| platform::key_of(path).is_some()).collect()
+        leaves
+            .into_iter()
+            .filter(|(path, _)| platform::key_of(path).is_some())
+            .collect()
     }
 
     /// What a name stands for: `plans.guide.burst`, `classes.bed-hold.aim`, `limits.attempts`, `safety.drain`.
@@ -135,7 +149,12 @@
         let named = |value: f64, time: bool, key: String| Ok(Named { value, time, key });
         match parts.as_slice() {
             ["plans", plan, figure] => {
-                let names: Vec<_> = self.settings.plans.iter().map(|plan| plan.name.as_str()).collect();
+                let names: Vec<_> = self
+                    .settings
+                    .plans
+                    .iter()
+                    .map(|plan| plan.name.as_str())
+                    .collect();
                 let Some(index) = names.iter().position(|name| name == plan) else {
                     return unknown(plan, &names);
                 };
@@ -148,11 +167,19 @@
                     "worth" => named(plan.weight_factor, false, key("worthFactor")),
                     "overrun" => named(plan.over_quota_cost, false, key("overrunCost")),
                     "extra" => named(plan.over_quota_weight, false, key("extraWorth")),
-                    other => unknown(other, &["rate", "burst", "open", "worth", "overrun", "extra"]),
+                    other => unknown(
+                        other,
+                        &["rate", "burst", "open", "worth", "overrun", "extra"],
+                    ),
                 }
             }
             ["classes", class, figure] => {
-                let names: Vec<_> = self.settings.classes.iter().map(|class| class.name.as_str()).collect();
+                let names: Vec<_> = self
+                    .settings
+                    .classes
+                    .iter()
+                    .map(|class| class.name.as_str())
+                    .collect();
                 let Some(index) = names.iter().position(|name| name == class) else {
                     return unknown(class, &names);
                 };
@@ -168,33 +195,76 @@
                 }
             }
             ["limits", figure] => match *figure {
-                "attempts" => named(f64::from(self.settings.max_attempts), false, "limits.sendCap".into()),
-                "open" => named(f64::from(self.settings.max_open), false, "limits.openCap".into()),
-                "come-back" => {
-                    named(self.settings.longest_retry_after as f64, true, "limits.maxRetryAfterNs".into())
-                }
-                "connect" => {
-                    named(self.settings.connect_timeout as f64, true, "limits.connectTimeoutNs".into())
-                }
+                "attempts" => named(
+                    f64::from(self.settings.max_attempts),
+                    false,
+                    "limits.sendCap".into(),
+                ),
+                "open" => named(
+                    f64::from(self.settings.max_open),
+                    false,
+                    "limits.openCap".into(),
+                ),
+                "come-back" => named(
+                    self.settings.longest_retry_after as f64,
+                    true,
+                    "limits.maxRetryAfterNs".into(),
+                ),
+                "connect" => named(
+                    self.settings.connect_timeout as f64,
+                    true,
+                    "limits.connectTimeoutNs".into(),
+                ),
                 other => unknown(other, &["attempts", "open", "come-back", "connect"]),
             },
             ["safety", figure] => match *figure {
-                "drain" => named(self.settings.drain_grace as f64, true, "safety.drainGraceNs".into()),
-                "warm" => named(self.settings.slow_start_duration as f64, true, "safety.warmAfterNs".into()),
-                "tip" => named(self.settings.overload_duration as f64, true, "safety.tipAfterNs".into()),
-                "cold" => named(self.settings.slow_start_floor, false, "safety.coldFrom".into()),
-                "overload" => named(self.settings.overload_factor, false, "safety.overloadFactor".into()),
+                "drain" => named(
+                    self.settings.drain_grace as f64,
+                    true,
+                    "safety.drainGraceNs".into(),
+                ),
+                "warm" => named(
+                    self.settings.slow_start_duration as f64,
+                    true,
+                    "safety.warmAfterNs".into(),
+                ),
+                "tip" => named(
+                    self.settings.overload_duration as f64,
+                    true,
+                    "safety.tipAfterNs".into(),
+                ),
+                "cold" => named(
+                    self.settings.slow_start_floor,
+                    false,
+                    "safety.coldFrom".into(),
+                ),
+                "overload" => named(
+                    self.settings.overload_factor,
+                    false,
+                    "safety.overloadFactor".into(),
+                ),
                 other => unknown(other, &["drain", "warm", "tip", "cold", "overload"]),
             },
             ["counter", "timeout"] => {
                 let timeout = self.settings.counter_timeout as f64;
                 named(timeout, true, "familyInfo.counterTimeoutNs".into())
             }
-            ["units", "top"] => named(self.settings.largest_request, false, "familyInfo.unitsTop".into()),
-            ["limiters"] => named(f64::from(self.settings.limiter_count), false, "balancers".into()),
-            [first, ..] => {
-                unknown(first, &["plans", "classes", "limits", "safety", "counter", "units", "limiters"])
-            }
+            ["units", "top"] => named(
+                self.settings.largest_request,
+                false,
+                "familyInfo.unitsTop".into(),
+            ),
+            ["limiters"] => named(
+                f64::from(self.settings.limiter_count),
+                false,
+                "balancers".into(),
+            ),
+            [first, ..] => unknown(
+                first,
+                &[
+                    "plans", "classes", "limits", "safety", "counter", "units", "limiters",
+                ],
+            ),
             [] => Err("no name".to_owned()),
         }
     }
@@ -202,7 +272,10 @@
     /// What cannot hold together.
     fn contradictions(&self, faults: &mut Faults) {
         let mut fault = |key: String, problem: String| {
-            let place = Place { line: self.line(&key), column: 1 };
+            let place = Place {
+                line: self.line(&key),
+                column: 1,
+            };
             faults.add(&self.file, place, key, problem);
         };
         let set = &self.settings;
@@ -212,9 +285,14 @@
                 fault(key("name"), "missing; requests name their class".into());
             }
             if class.deadline == 0 || class.latency_objective > class.deadline {
-                let (latency_objective, deadline) =
-                    (quantity::show_time(class.latency_objective), quantity::show_time(class.deadline));
-                fault(key("hardLimitNs"), format!("{deadline} is not after the aim, {latency_objective}"));
+                let (latency_objective, deadline) = (
+                    quantity::show_time(class.latency_objective),
+                    quantity::show_time(class.deadline),
+                );
+                fault(
+                    key("hardLimitNs"),
+                    format!("{deadline} is not after the aim, {latency_objective}"),
+                );
             }
             if class.effect == Effect::Keyed && class.dedup_window == 0 {
                 fault(
@@ -233,16 +311,25 @@
             }
             if plan.rate > 0.0 && plan.burst < set.largest_request {
                 let (burst, top) = (plan.burst, set.largest_request);
-                fault(key("peakUnits"), format!("{burst} is less than one request may count, {top}"));
+                fault(
+                    key("peakUnits"),
+                    format!("{burst} is less than one request may count, {top}"),
+                );
                 let problem = format!("{top} is more than the burst of {}, {burst}", plan.name);
                 fault("familyInfo.unitsTop".into(), problem);
             }
         }
         if set.max_attempts == 0 {
-            fault("limits.sendCap".into(), "0; at least one attempt is needed".into());
+            fault(
+                "limits.sendCap".into(),
+                "0; at least one attempt is needed".into(),
+            );
         }
         if set.counter && set.counter_timeout == 0 {
-            fault("familyInfo.counterTimeoutNs".into(), "missing, where there is a counter".into());
+            fault(
+                "familyInfo.counterTimeoutNs".into(),
+                "missing, where there is a counter".into(),
+            );
         }
         if set.retry_after && set.longest_retry_after == 0 {
             fault(
@@ -251,12 +338,18 @@
             );
         }
         if !(0.0..=1.0).contains(&set.slow_start_floor) {
-            fault("safety.coldFrom".into(), format!("{} is not a part from 0 to 1", set.slow_start_floor));
+            fault(
+                "safety.coldFrom".into(),
+                format!("{} is not a part from 0 to 1", set.slow_start_floor),
+            );
         }
         if set.limiter_count > 0 && set.me >= set.limiter_count {
             fault(
                 "me".into(),
-                format!("{} is not below the number of limiters, {}", set.me, set.limiter_count),
+                format!(
+                    "{} is not below the number of limiters, {}",
+                    set.me, set.limiter_count
+                ),
             );
         }
     }
@@ -268,17 +361,31 @@
     let (above, name) = path.rsplit_once('.').unwrap_or(("", path));
     let under = |(known, ..): &&'static (&'static str, Kind, &'static str)| {
         let (known_above, _) = known.rsplit_once('.').unwrap_or(("", known));
-        let here: Vec<_> = above.split('.').map(|p| if p.parse::<u32>().is_ok() { "N" } else { p }).collect();
+        let here: Vec<_> = above
+            .split('.')
+            .map(|p| if p.parse::<u32>().is_ok() { "N" } else { p })
+            .collect();
         known_above == here.join(".")
     };
     let names = platform::KEYS
         .iter()
         .filter(under)
         .map(|(known, ..)| known.rsplit_once('.').map_or(*known, |(_, name)| name));
-    let Some(near) = nearest(name, names) else { return };
-    let there = if above.is_empty() { near.to_owned() } else { format!("{above}.{near}") };
+    let Some(near) = nearest(name, names) else {
+        return;
+    };
+    let there = if above.is_empty() {
+        near.to_owned()
+    } else {
+        format!("{above}.{near}")
+    };
     if strsim::jaro_winkler(name, near) > 0.93 && tree.at(&there).is_none() {
-        faults.add(file, place, path, format!("unknown key; did you mean {near}?"));
+        faults.add(
+            file,
+            place,
+            path,
+            format!("unknown key; did you mean {near}?"),
+        );
     }
 }
 
@@ -302,13 +409,28 @@
     #[test]
     fn a_day_is_read_with_units_and_names() {
         let day = Day::read("day.yaml", DAY).expect("sound");
-        assert_eq!((day.settings.tick, day.settings.classes[0].deadline), (4_000_000, 4_000_000_000));
-        assert_eq!(day.look("plans.guide.burst").map(|named| named.value), Ok(8.0));
+        assert_eq!(
+            (day.settings.tick, day.settings.classes[0].deadline),
+            (4_000_000, 4_000_000_000)
+        );
+        assert_eq!(
+            day.look("plans.guide.burst").map(|named| named.value),
+            Ok(8.0)
+        );
         assert_eq!(day.line("contracts.0.peakUnits"), 7);
-        assert!(day.look("plans.gide.burst").expect_err("a typing error").contains("guide"));
+        assert!(day
+            .look("plans.gide.burst")
+            .expect_err("a typing error")
+            .contains("guide"));
         assert!(day.look("classes.bed-hold.aims").is_err() && day.look("nothing").is_err());
         let whole = format!("{{\"name\": \"n\", \"settings\": {}}}", day.tree.to_json());
-        assert_eq!(Day::read("config.json", &whole).expect("sound").settings.plans, day.settings.plans);
+        assert_eq!(
+            Day::read("config.json", &whole)
+                .expect("sound")
+                .settings
+                .plans,
+            day.settings.plans
+        );
     }
 
     #[test]
@@ -318,8 +440,20 @@
             .replace("refill: 1.6", "refil: 1.6")
             .replace("retryAfter: true", "retryAfter: si");
         let faults = Day::read("day.yaml", &text).expect_err("three faults");
-        let lines: Vec<_> = faults.0.iter().map(|fault| (fault.place.line, fault.key.as_str())).collect();
-        assert_eq!(lines, [(2, "quantumNs"), (7, "contracts.0.refil"), (9, "limits.retryAfter")], "{faults}");
+        let lines: Vec<_> = faults
+            .0
+            .iter()
+            .map(|fault| (fault.place.line, fault.key.as_str()))
+            .collect();
+        assert_eq!(
+            lines,
+            [
+                (2, "quantumNs"),
+                (7, "contracts.0.refil"),
+                (9, "limits.retryAfter")
+            ],
+            "{faults}"
+        );
     }
 
     #[test]
@@ -339,8 +473,13 @@
     #[test]
     fn a_key_put_back_changes_only_itself() {
         let day = Day::read("day.yaml", DAY).expect("sound");
-        let changed = day.with(&[("limits.sendCap".into(), Some(Content::Number(7.0)))]).expect("sound");
-        assert_eq!((changed.settings.max_attempts, changed.settings.plans.len()), (7, 1));
+        let changed = day
+            .with(&[("limits.sendCap".into(), Some(Content::Number(7.0)))])
+            .expect("sound");
+        assert_eq!(
+            (changed.settings.max_attempts, changed.settings.plans.len()),
+            (7, 1)
+        );
         assert!(day.with(&[("limits.sendCap".into(), None)]).is_err());
     }
 }
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -33,8 +33,19 @@
 
 impl Faults {
     /// Adds one at a node's place.
-    pub fn add(&mut self, file: &Arc<str>, place: Place, key: impl Into<String>, problem: impl Into<String>) {
-        self.0.push(Fault { file: file.clone(), place, key: key.into(), problem: problem.into() });
+    pub fn add(
+        &mut self,
+        file: &Arc<str>,
+        place: Place,
+        key: impl Into<String>,
+        problem: impl Into<String>,
+    ) {
+        self.0.push(Fault {
+            file: file.clone(),
+            place,
+            key: key.into(),
+            problem: problem.into(),
+        });
     }
 
     /// Whether nothing is wrong.
@@ -69,7 +80,10 @@
 
 /// The known word nearest to one that is not known, where one is near: for "did you mean".
 pub fn nearest<'a>(word: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
-    let scored = known.into_iter().map(|candidate| (strsim::jaro_winkler(word, candidate), candidate));
+    let scored = known
+        .into_iter()
+        .map(|candidate| (strsim::jaro_winkler(word, candidate), candidate));
     let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
-    best.filter(|(score, _)| *score > 0.82).map(|(_, candidate)| candidate)
+    best.filter(|(score, _)| *score > 0.82)
+        .map(|(_, candidate)| candidate)
 }
--- a/crates/config/src/figure.rs
+++ b/crates/config/src/figure.rs
@@ -34,9 +34,16 @@
 ///
 /// # Errors
 /// What is wrong with it: a name that is not known, arithmetic that cannot be read, a time added to a number.
-pub fn evaluate(node: &Node, look: &dyn Fn(&str) -> Result<Named, String>) -> Result<Figure, String> {
+pub fn evaluate(
+    node: &Node,
+    look: &dyn Fn(&str) -> Result<Named, String>,
+) -> Result<Figure, String> {
     match &node.content {
-        Content::Number(value) => Ok(Figure { value: *value, time: false, keys: BTreeSet::new() }),
+        Content::Number(value) => Ok(Figure {
+            value: *value,
+            time: false,
+            keys: BTreeSet::new(),
+        }),
         Content::Text(text) => evaluate_text(text, look),
         _ => Err("not a figure; write a number, a time or a formula".to_owned()),
     }
@@ -47,11 +54,15 @@
 /// # Errors
 /// As [`evaluate`], and where it is no time.
 pub fn time(
-    node: &Node, look: &dyn Fn(&str) -> Result<Named, String>,
+    node: &Node,
+    look: &dyn Fn(&str) -> Result<Named, String>,
 ) -> Result<(u64, BTreeSet<String>), String> {
     let figure = evaluate(node, look)?;
     if (!figure.time && figure.value != 0.0) || figure.value < 0.0 {
-        return Err(format!("{} is not a time; write one such as 250ms", node.text().unwrap_or_default()));
+        return Err(format!(
+            "{} is not a time; write one such as 250ms",
+            node.text().unwrap_or_default()
+        ));
     }
     Ok((figure.value as u64, figure.keys))
 }
@@ -61,11 +72,15 @@
 /// # Errors
 /// As [`evaluate`], and where it is a time.
 pub fn number(
-    node: &Node, look: &dyn Fn(&str) -> Result<Named, String>,
+    node: &Node,
+    look: &dyn Fn(&str) -> Result<Named, String>,
 ) -> Result<(f64, BTreeSet<String>), String> {
     let figure = evaluate(node, look)?;
     if figure.time {
-        return Err(format!("{} is a time where a number belongs", node.text().unwrap_or_default()));
+        return Err(format!(
+            "{} is a time where a number belongs",
+            node.text().unwrap_or_default()
+        ));
     }
     Ok((figure.value, figure.keys))
 }
@@ -75,7 +90,10 @@
     Plain(String),
 }
 
-fn evaluate_text(text: &str, look: &dyn Fn(&str) -> Result<Named, String>) -> Result<Figure, String> {
+fn evaluate_text(
+    text: &str,
+    look: &dyn Fn(&str) -> Result<Named, String>,
+) -> Result<Figure, String> {
     let (mut tokens, mut keys) = (Vec::new(), BTreeSet::new());
     let chars: Vec<char> = text.chars().collect();
     let mut at = 0;
@@ -93,17 +111,21 @@
             }
             let unit: String = chars[unit_from..at].iter().collect();
             if unit.is_empty() {
-                let value: f64 = number.parse().map_err(|_| format!("{number} is not a number"))?;
+                let value: f64 = number
+                    .parse()
+                    .map_err(|_| format!("{number} is not a number"))?;
                 tokens.push(Token::Plain(format!("{value:?}")));
             } else {
-                tokens.push(Token::Time(quantity::time_of(&format!("{number}{unit}"))? as f64));
+                tokens.push(Token::Time(
+                    quantity::time_of(&format!("{number}{unit}"))? as f64
+                ));
             }
         } else if c.is_ascii_alphabetic() {
             while at < chars.len() {
                 let c = chars[at];
                 // A hyphen or dot belongs to a name only between letters or digits, so that "a - b" subtracts.
-                let joins =
-                    matches!(c, '-' | '.') && chars.get(at + 1).is_some_and(|c| c.is_ascii_alphanumeric());
+                let joins = matches!(c, '-' | '.')
+                    && chars.get(at + 1).is_some_and(|c| c.is_ascii_alphanumeric());
                 if !(c.is_ascii_alphanumeric() || c == '_' || joins) {
                     break;
                 }
@@ -144,8 +166,16 @@
     }
     let near = |a: f64, b: f64| (a - b).abs() <= 1e-9 * a.abs().max(b.abs());
     match (near(one, other), near(one * 8.0, other)) {
-        (true, _) => Ok(Figure { value: one, time: false, keys }),
-        (_, true) => Ok(Figure { value: one * 1e9, time: true, keys }),
+        (true, _) => Ok(Figure {
+            value: one,
+            time: false,
+            keys,
+        }),
+        (_, true) => Ok(Figure {
+            value: one * 1e9,
+            time: true,
+            keys,
+        }),
         _ => Err(format!("{text:?} mixes times and plain numbers")),
     }
 }
@@ -157,18 +187,28 @@
 
     fn look(name: &str) -> Result<Named, String> {
         match name {
-            "plans.guide.burst" => {
-                Ok(Named { value: 12.0, time: false, key: "contracts.0.peakUnits".into() })
-            }
-            "classes.bed-hold.aim" => {
-                Ok(Named { value: 1e9, time: true, key: "categories.1.onTimeNs".into() })
-            }
+            "plans.guide.burst" => Ok(Named {
+                value: 12.0,
+                time: false,
+                key: "contracts.0.peakUnits".into(),
+            }),
+            "classes.bed-hold.aim" => Ok(Named {
+                value: 1e9,
+                time: true,
+                key: "categories.1.onTimeNs".into(),
+            }),
             _ => Err(format!("{name} is not known")),
         }
     }
 
     fn of(text: &str) -> Result<Figure, String> {
-        evaluate(&Node { place: Place::default(), content: Content::Text(text.into()) }, &look)
+        evaluate(
+            &Node {
+                place: Place::default(),
+                content: Content::Text(text.into()),
+            },
+            &look,
+        )
     }
 
     #[test]
@@ -176,14 +216,26 @@
         let figure = of("plans.guide.burst * 1.5 - 2").expect("sound");
         assert_eq!((figure.value, figure.time), (16.0, false));
         assert!(figure.keys.contains("contracts.0.peakUnits"));
-        assert_eq!(of("classes.bed-hold.aim/2 + 50ms").map(|f| (f.value.round(), f.time)), Ok((550e6, true)));
+        assert_eq!(
+            of("classes.bed-hold.aim/2 + 50ms").map(|f| (f.value.round(), f.time)),
+            Ok((550e6, true))
+        );
         assert_eq!(of("max(3, plans.guide.burst/5)").map(|f| f.value), Ok(3.0));
         assert_eq!(of("7 / 2").map(|f| f.value), Ok(3.5));
     }
 
     #[test]
     fn a_time_is_not_added_to_a_number() {
-        for wrong in ["1 + 5ms", "plans.gide.burst", "5 5", "1 / 0", "2parsecs", "a; b", "(", ""] {
+        for wrong in [
+            "1 + 5ms",
+            "plans.gide.burst",
+            "5 5",
+            "1 / 0",
+            "2parsecs",
+            "a; b",
+            "(",
+            "",
+        ] {
             assert!(of(wrong).is_err(), "{wrong}");
         }
     }
--- a/crates/config/src/lease.rs
+++ b/crates/config/src/lease.rs
@@ -111,15 +111,26 @@
     let mut map = Reader::new(file, "lease", node, faults);
     let me = map.need("me", faults, text);
     let key = map.need("key", faults, text);
-    let length = map.take("length", faults, span).unwrap_or(Duration::from_secs(3));
+    let length = map
+        .take("length", faults, span)
+        .unwrap_or(Duration::from_secs(3));
     let drift = map.take("drift", faults, quantity::share).unwrap_or(0.01);
-    let die = map.node("die").and_then(|node| self::die(file, node, faults));
+    let die = map
+        .node("die")
+        .and_then(|node| self::die(file, node, faults));
     let limiters = map.need("limiters", faults, addresses);
-    let voters =
-        map.need("voters", faults, |node| list(node).iter().map(text).collect::<Result<Vec<_>, _>>());
+    let voters = map.need("voters", faults, |node| {
+        list(node).iter().map(text).collect::<Result<Vec<_>, _>>()
+    });
     let tasks = map.node("tasks").map(list).unwrap_or_default();
-    let tasks: Vec<Task> = tasks.iter().filter_map(|node| task(file, node, faults)).collect();
-    let clock = map.node("clock").map(|node| self::clock(file, node, faults)).unwrap_or_default();
+    let tasks: Vec<Task> = tasks
+        .iter()
+        .filter_map(|node| task(file, node, faults))
+        .collect();
+    let clock = map
+        .node("clock")
+        .map(|node| self::clock(file, node, faults))
+        .unwrap_or_default();
 
     if !(SHORTEST..=LONGEST).contains(&length) {
         map.fault("length", "a lease lasts from 100ms to 10m", faults);
@@ -133,14 +144,20 @@
         );
     }
     // Where the addresses are faulty, that is told, and not that everybody is missing.
-    let known = |name: &String| limiters.as_ref().is_none_or(|limiters| limiters.contains_key(name));
+    let known = |name: &String| {
+        limiters
+            .as_ref()
+            .is_none_or(|limiters| limiters.contains_key(name))
+    };
     if let Some(me) = me.as_ref().filter(|me| !known(me)) {
         map.fault("me", format!("{me:?} is not one of lease.limiters"), faults);
     }
     let voters = voters.unwrap_or_default();
     if voters.len().is_multiple_of(2) {
-        let problem =
-            format!("{} voters; an odd number has a majority on one side of any split", voters.len());
+        let problem = format!(
+            "{} voters; an odd number has a majority on one side of any split",
+            voters.len()
+        );
         map.fault("voters", problem, faults);
     }
     for (index, voter) in voters.iter().enumerate() {
@@ -148,7 +165,11 @@
             map.fault("voters", format!("{voter:?} is named twice"), faults);
         }
         if !known(voter) {
-            map.fault("voters", format!("{voter:?} is not one of lease.limiters"), faults);
+            map.fault(
+                "voters",
+                format!("{voter:?} is not one of lease.limiters"),
+                faults,
+            );
         }
     }
     for (index, task) in tasks.iter().enumerate() {
@@ -156,26 +177,47 @@
             map.fault("tasks", format!("{:?} is named twice", task.name), faults);
         }
         if task.longest * 2 > length {
-            let problem = format!("an act of {:?} may take more than half of the lease", task.name);
+            let problem = format!(
+                "an act of {:?} may take more than half of the lease",
+                task.name
+            );
             map.fault("tasks", problem, faults);
         }
     }
     map.end(faults);
     let drift = (drift * 1_000.0).ceil() as u64;
-    Some(Lease { me: me?, key: key?.into(), length, drift, limiters: limiters?, voters, tasks, clock, die })
+    Some(Lease {
+        me: me?,
+        key: key?.into(),
+        length,
+        drift,
+        limiters: limiters?,
+        voters,
+        tasks,
+        clock,
+        die,
+    })
 }
 
 fn export(file: &Arc<str>, node: &Node, faults: &mut Faults) -> Option<Does> {
     let mut map = Reader::new(file, "lease.tasks.export", node, faults);
-    let (spool, sink) = (map.need("spool", faults, text), map.need("sink", faults, text));
+    let (spool, sink) = (
+        map.need("spool", faults, text),
+        map.need("sink", faults, text),
+    );
     map.end(faults);
-    Some(Does::Export { spool: spool?.into(), sink: sink?.into() })
+    Some(Does::Export {
+        spool: spool?.into(),
+        sink: sink?.into(),
+    })
 }
 
 fn die(file: &Arc<str>, node: &Node, faults: &mut Faults) -> Option<(Point, u64)> {
     let mut map = Reader::new(file, "lease.die", node, faults);
     let at = map.need("at", faults, |node| one_of(&text(node)?, &POINTS));
-    let after = map.take("after", faults, |node| quantity::count(node, 0..=1_000_000)).unwrap_or(0);
+    let after = map
+        .take("after", faults, |node| quantity::count(node, 0..=1_000_000))
+        .unwrap_or(0);
     map.end(faults);
     Some((at?, after))
 }
@@ -187,10 +229,17 @@
     let mut time = |key| map.take(key, faults, quantity::time).unwrap_or(0) as i64;
     let (ahead, behind) = (time("ahead"), time("behind"));
     if fast > 0.2 || slow > 0.2 {
-        map.fault("fast", "a clock in a trial runs wrong by 20% at most", faults);
+        map.fault(
+            "fast",
+            "a clock in a trial runs wrong by 20% at most",
+            faults,
+        );
     }
     map.end(faults);
-    Clock { fast: ((fast - slow) * 1_000.0).round() as i64, ahead: ahead.saturating_sub(behind) }
+    Clock {
+        fast: ((fast - slow) * 1_000.0).round() as i64,
+        ahead: ahead.saturating_sub(behind),
+    }
 }
 
 fn span(node: &Node) -> Result<Duration, String> {
@@ -199,7 +248,8 @@
 
 fn address(node: &Node) -> Result<SocketAddr, String> {
     let text = text(node)?;
-    text.parse().map_err(|_| format!("{text:?} is no address; write one such as 10.1.0.7:7201"))
+    text.parse()
+        .map_err(|_| format!("{text:?} is no address; write one such as 10.1.0.7:7201"))
 }
 
 fn addresses(node: &Node) -> Result<BTreeMap<String, SocketAddr>, String> {
@@ -208,9 +258,13 @@
     };
     let mut read = BTreeMap::new();
     for (name, place, node) in members.iter().take(MOST) {
-        let at = address(node).map_err(|problem| format!("{name} (line {}): {problem}", place.line))?;
+        let at =
+            address(node).map_err(|problem| format!("{name} (line {}): {problem}", place.line))?;
         if read.values().any(|other| *other == at) {
-            return Err(format!("{name} (line {}): {at} is another limiter's too", place.line));
+            return Err(format!(
+                "{name} (line {}): {at} is another limiter's too",
+                place.line
+            ));
         }
         read.insert(name.clone(), at);
     }
@@ -221,8 +275,11 @@
     let mut map = Reader::new(file, "lease.tasks", node, faults);
     let name = map.need("name", faults, |node| {
         let name = text(node)?;
-        let sound = (1..=64).contains(&name.len()) && name.bytes().all(|byte| byte.is_ascii_graphic());
-        sound.then_some(name).ok_or_else(|| "a name has 1 to 64 letters without spaces".to_owned())
+        let sound =
+            (1..=64).contains(&name.len()) && name.bytes().all(|byte| byte.is_ascii_graphic());
+        sound
+            .then_some(name)
+            .ok_or_else(|| "a name has 1 to 64 letters without spaces".to_owned())
     });
     let target = map.take("target", faults, address);
     let export = map.node("export").map(|node| export(file, node, faults));
@@ -231,20 +288,41 @@
         (None, Some(export)) => export,
         (None, None) => None,
         (Some(_), Some(_)) => {
-            map.fault("export", "a task has a target or an export, not both", faults);
+            map.fault(
+                "export",
+                "a task has a target or an export, not both",
+                faults,
+            );
             None
         }
     };
     if does.is_none() && faults.0.is_empty() {
-        map.fault("name", "a task needs a target (address:port) or an export (spool and sink)", faults);
+        map.fault(
+            "name",
+            "a task needs a target (address:port) or an export (spool and sink)",
+            faults,
+        );
     }
-    let every = map.take("every", faults, span).unwrap_or(Duration::from_secs(1));
-    let longest = map.take("longest", faults, span).unwrap_or(Duration::from_millis(250));
+    let every = map
+        .take("every", faults, span)
+        .unwrap_or(Duration::from_secs(1));
+    let longest = map
+        .take("longest", faults, span)
+        .unwrap_or(Duration::from_millis(250));
     if every.is_zero() || longest.is_zero() {
-        map.fault("every", "0; an act takes some time, and so does the pause before the next", faults);
+        map.fault(
+            "every",
+            "0; an act takes some time, and so does the pause before the next",
+            faults,
+        );
     }
     map.end(faults);
-    Some(Task { name: name?, does: does?, every, longest })
+    Some(Task {
+        name: name?,
+        does: does?,
+        every,
+        longest,
+    })
 }
 
 #[cfg(test)]
@@ -255,38 +333,112 @@
 
     #[test]
     fn a_sound_section_is_read_and_without_it_there_is_none() {
-        let lease = Product::read("q.yaml", SOUND).expect("sound").lease.expect("there is one");
-        assert_eq!((lease.voters.len(), lease.drift, lease.tasks[0].name.as_str()), (3, 10, "beat"));
-        assert_eq!(Product::read("q.yaml", "tally: 1s\n").expect("sound").lease, None);
+        let lease = Product::read("q.yaml", SOUND)
+            .expect("sound")
+            .lease
+            .expect("there is one");
+        assert_eq!(
+            (
+                lease.voters.len(),
+                lease.drift,
+                lease.tasks[0].name.as_str()
+            ),
+            (3, 10, "beat")
+        );
+        assert_eq!(
+            Product::read("q.yaml", "tally: 1s\n").expect("sound").lease,
+            None
+        );
         let export = SOUND.replace("target: 127.0.0.1:9", "export: {spool: /s, sink: /k}");
-        let lease = Product::read("q.yaml", &export).expect("sound").lease.expect("there is one");
-        assert_eq!(lease.tasks[0].does, super::Does::Export { spool: "/s".into(), sink: "/k".into() });
+        let lease = Product::read("q.yaml", &export)
+            .expect("sound")
+            .lease
+            .expect("there is one");
+        assert_eq!(
+            lease.tasks[0].does,
+            super::Does::Export {
+                spool: "/s".into(),
+                sink: "/k".into()
+            }
+        );
         let wrong = SOUND.replace("2s", "2s\n  clock: {slow: 1.2%, ahead: 1s, behind: 3s}");
-        let clock = Product::read("q.yaml", &wrong).expect("sound").lease.expect("there is one").clock;
+        let clock = Product::read("q.yaml", &wrong)
+            .expect("sound")
+            .lease
+            .expect("there is one")
+            .clock;
         assert_eq!((clock.fast, clock.ahead), (-12, -2_000_000_000));
     }
 
     #[test]
     fn what_cannot_hold_is_refused_with_its_line() {
         for (from, to, told) in [
-            ("[a, b, c]", "[a, b]", "q.yaml:10: lease.voters: 2 voters; an odd number"),
+            (
+                "[a, b, c]",
+                "[a, b]",
+                "q.yaml:10: lease.voters: 2 voters; an odd number",
+            ),
             ("[a, b, c]", "[]", "q.yaml:10: lease.voters: 0 voters"),
-            ("[a, b, c]", "[a, b, b]", "q.yaml:10: lease.voters: \"b\" is named twice"),
-            ("[a, b, c]", "[a, b, x]", "q.yaml:10: lease.voters: \"x\" is not one of lease.limiters"),
-            ("me: a", "me: z", "q.yaml:2: lease.me: \"z\" is not one of lease.limiters"),
-            ("2s", "20ms", "q.yaml:4: lease.length: a lease lasts from 100ms"),
-            ("1%", "30%", "q.yaml:5: lease.drift: clocks that may run apart"),
-            ("0.1:2", "0.1:1", "q.yaml:7: lease.limiters: b (line 8): 127.0.0.1:1 is another limiter's too"),
-            ("target: 127.0.0.1:9", "every: 1s", "q.yaml:12: lease.tasks.name: a task needs a target"),
+            (
+                "[a, b, c]",
+                "[a, b, b]",
+                "q.yaml:10: lease.voters: \"b\" is named twice",
+            ),
+            (
+                "[a, b, c]",
+                "[a, b, x]",
+                "q.yaml:10: lease.voters: \"x\" is not one of lease.limiters",
+            ),
+            (
+                "me: a",
+                "me: z",
+                "q.yaml:2: lease.me: \"z\" is not one of lease.limiters",
+            ),
+            (
+                "2s",
+                "20ms",
+                "q.yaml:4: lease.length: a lease lasts from 100ms",
+            ),
+            (
+                "1%",
+                "30%",
+                "q.yaml:5: lease.drift: clocks that may run apart",
+            ),
+            (
+                "0.1:2",
+                "0.1:1",
+                "q.yaml:7: lease.limiters: b (line 8): 127.0.0.1:1 is another limiter's too",
+            ),
+            (
+                "target: 127.0.0.1:9",
+                "every: 1s",
+                "q.yaml:12: lease.tasks.name: a task needs a target",
+            ),
             (
                 "0.1:9",
                 "0.1:9\n      export: {spool: s, sink: k}",
                 "lease.tasks.export: a task has a target or an export",
             ),
-            ("target: 127.0.0.1:9", "export: {spool: s}", "lease.tasks.export.sink"),
-            ("2s", "2s\n  die: {at: noon}", "q.yaml:5: lease.die.at: \"noon\" is not known"),
-            ("0.1:9", "0.1", "q.yaml:13: lease.tasks.target: \"127.0.0.1\" is no address"),
-            ("me: a", "mee: a", "q.yaml:2: lease.mee: unknown key; did you mean me?"),
+            (
+                "target: 127.0.0.1:9",
+                "export: {spool: s}",
+                "lease.tasks.export.sink",
+            ),
+            (
+                "2s",
+                "2s\n  die: {at: noon}",
+                "q.yaml:5: lease.die.at: \"noon\" is not known",
+            ),
+            (
+                "0.1:9",
+                "0.1",
+                "q.yaml:13: lease.tasks.target: \"127.0.0.1\" is no address",
+            ),
+            (
+                "me: a",
+                "mee: a",
+                "q.yaml:2: lease.mee: unknown key; did you mean me?",
+            ),
             (
                 "2s",
                 "2s\n  clock: {fast: 30%}",
@@ -294,7 +446,9 @@
             ),
         ] {
             assert!(SOUND.contains(from));
-            let faults = Product::read("q.yaml", &SOUND.replace(from, to)).expect_err("faulty").to_string();
+            let faults = Product::read("q.yaml", &SOUND.replace(from, to))
+                .expect_err("faulty")
+                .to_string();
             assert!(faults.contains(told), "{told}\nnot in\n{faults}");
         }
     }
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -93,8 +93,16 @@
 pub fn key_of(path: &str) -> Option<&'static (&'static str, Kind, &'static str)> {
     let mut pattern = String::new();
     for part in path.split('.') {
-        let part = if part.bytes().all(|b| b.is_ascii_digit()) { "N" } else { part };
-        let _ = write!(pattern, "{}{part}", if pattern.is_empty() { "" } else { "." });
+        let part = if part.bytes().all(|b| b.is_ascii_digit()) {
+            "N"
+        } else {
+            part
+        };
+        let _ = write!(
+            pattern,
+            "{}{part}",
+            if pattern.is_empty() { "" } else { "." }
+        );
     }
     KEYS.iter().find(|(known, ..)| *known == pattern)
 }
@@ -106,16 +114,24 @@
 
 impl<'a> Pairs<'a> {
     fn told(&self, key: &str) -> Option<&'a str> {
-        self.pairs.get(key).copied().filter(|text| !matches!(*text, "-" | ""))
+        self.pairs
+            .get(key)
+            .copied()
+            .filter(|text| !matches!(*text, "-" | ""))
     }
 
     fn fault(&mut self, key: &str, problem: impl Into<String>) {
-        self.faults.push(PairFault { path: key.to_owned(), problem: problem.into() });
+        self.faults.push(PairFault {
+            path: key.to_owned(),
+            problem: problem.into(),
+        });
     }
 
     /// The value of a key, its type's empty value where the key is absent.
     fn get<T: std::str::FromStr + Default>(&mut self, key: &str) -> T {
-        let Some(text) = self.told(key) else { return T::default() };
+        let Some(text) = self.told(key) else {
+            return T::default();
+        };
         text.parse().unwrap_or_else(|_| {
             self.fault(key, format!("cannot read {text:?}"));
             T::default()
@@ -132,11 +148,16 @@
     }
 
     fn text(&self, key: &str) -> String {
-        self.pairs.get(key).map(|text| (*text).to_owned()).unwrap_or_default()
+        self.pairs
+            .get(key)
+            .map(|text| (*text).to_owned())
+            .unwrap_or_default()
     }
 
     fn word<T: Copy + Default>(&mut self, key: &str, words: &[(&str, T)]) -> T {
-        let Some(text) = self.told(key) else { return T::default() };
+        let Some(text) = self.told(key) else {
+            return T::default();
+        };
         if let Some((_, value)) = words.iter().find(|(word, _)| *word == text) {
             return *value;
         }
@@ -153,7 +174,10 @@
 /// # Errors
 /// Every pair that cannot be read, in the order of reading.
 pub fn decode(pairs: BTreeMap<&str, &str>) -> Result<Settings, Vec<PairFault>> {
-    let mut p = Pairs { pairs, faults: Vec::new() };
+    let mut p = Pairs {
+        pairs,
+        faults: Vec::new(),
+    };
     let listed = |key: &str, p: &mut Pairs| {
         let count: u32 = p.get(key);
         if count > MOST_LISTED {
@@ -164,13 +188,22 @@
     let mut classes = Vec::new();
     for i in 0..listed("categories.count", &mut p) {
         let key = |name: &str| format!("categories.{i}.{name}");
-        let effects =
-            [("retryable", Effect::Retryable), ("dedup", Effect::Keyed), ("fragile", Effect::Unsafe)];
+        let effects = [
+            ("retryable", Effect::Retryable),
+            ("dedup", Effect::Keyed),
+            ("fragile", Effect::Unsafe),
+        ];
         classes.push(Class {
             name: p.text(&key("name")),
             effect: p.word(&key("effect"), &effects),
-            group: p
-                .word(&key("group"), &[("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)]),
+            group: p.word(
+                &key("group"),
+                &[
+                    ("all", Group::All),
+                    ("zone", Group::Zone),
+                    ("cell", Group::Cell),
+                ],
+            ),
             dedup_window: p.get(&key("dedupWindowNs")),
             latency_objective: p.get(&key("onTimeNs")),
             latency_objective_stretch: p.real(&key("aimStretch")),
@@ -334,14 +367,22 @@
 }
 
 fn below(path: &str, value: &Value, pairs: &mut BTreeMap<String, String>) -> Result<(), String> {
-    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
-    match value {
-        Value::Object(members) => {
-            members.iter().try_for_each(|(name, value)| below(&under(name), value, pairs))
+    let under = |name: &str| {
+        if path.is_empty() {
+            name.to_owned()
+        } else {
+            format!("{path}.{name}")
         }
+    };
+    match value {
+        Value::Object(members) => members
+            .iter()
+            .try_for_each(|(name, value)| below(&under(name), value, pairs)),
         Value::Array(list) if list.iter().any(Value::is_object) => {
             pairs.insert(under("count"), list.len().to_string());
-            list.iter().enumerate().try_for_each(|(i, value)| below(&under(&i.to_string()), value, pairs))
+            list.iter()
+                .enumerate()
+                .try_for_each(|(i, value)| below(&under(&i.to_string()), value, pairs))
         }
         Value::Array(list) => {
             let texts: Result<Vec<_>, _> = list.iter().map(|value| plain(path, value)).collect();
@@ -368,7 +409,11 @@
             }
             _ => number.to_string(),
         },
-        _ => return Err(format!("settings.{path}: lists within lists are not known here")),
+        _ => {
+            return Err(format!(
+                "settings.{path}: lists within lists are not known here"
+            ))
+        }
     })
 }
 
@@ -378,7 +423,12 @@
 
     #[test]
     fn every_fault_is_found_at_once() {
-        let pairs = [("balancers", "many"), ("limits.sendCap", "-1"), ("stats.how", "often"), ("me", "0")];
+        let pairs = [
+            ("balancers", "many"),
+            ("limits.sendCap", "-1"),
+            ("stats.how", "often"),
+            ("me", "0"),
+        ];
         let faults = decode(pairs.into_iter().collect()).expect_err("three faults");
         let paths: Vec<_> = faults.iter().map(|fault| fault.path.as_str()).collect();
         assert_eq!(paths, ["balancers", "stats.how", "limits.sendCap"]);
@@ -408,7 +458,12 @@
             assert_ne!(other, silent, "{path} is read");
             // What is encoded is read back as it was.
             let pairs = flatten(&encode(&other, &[])).expect("it has a flat form");
-            let again = decode(pairs.iter().map(|(key, value)| (key.as_str(), value.as_str())).collect());
+            let again = decode(
+                pairs
+                    .iter()
+                    .map(|(key, value)| (key.as_str(), value.as_str()))
+                    .collect(),
+            );
             assert_eq!(again, Ok(other), "{path} is written");
         }
     }
--- a/crates/config/src/product.rs
+++ b/crates/config/src/product.rs
@@ -35,7 +35,12 @@
     fn default() -> Self {
         // A fault that repeats ten times a second must not fill what the platform keeps of standard error.
         let (filter, form) = ("info".to_owned(), Form::Human);
-        Log { filter, form, window: Duration::from_secs(10), burst: 5 }
+        Log {
+            filter,
+            form,
+            window: Duration::from_secs(10),
+            burst: 5,
+        }
     }
 }
 
@@ -60,12 +65,23 @@
         let tree = tree::parse(&file, text)?;
         let mut faults = Faults::default();
         let mut top = Reader::new(&file, "", &tree, &mut faults);
-        let log = top.node("log").map(|node| self::log(&file, node, &mut faults)).unwrap_or_default();
-        let tally = top.take("tally", &mut faults, |node| quantity::time(node).map(Duration::from_nanos));
+        let log = top
+            .node("log")
+            .map(|node| self::log(&file, node, &mut faults))
+            .unwrap_or_default();
+        let tally = top.take("tally", &mut faults, |node| {
+            quantity::time(node).map(Duration::from_nanos)
+        });
         if tally == Some(Duration::ZERO) {
-            top.fault("tally", "0; leave it out to have none, or write a time such as 1s", &mut faults);
+            top.fault(
+                "tally",
+                "0; leave it out to have none, or write a time such as 1s",
+                &mut faults,
+            );
         }
-        let lease = top.node("lease").and_then(|node| lease::read(&file, node, &mut faults));
+        let lease = top
+            .node("lease")
+            .and_then(|node| lease::read(&file, node, &mut faults));
         top.end(&mut faults);
         faults.or(Product { log, tally, lease })
     }
@@ -79,15 +95,28 @@
         // Each directive is a level, or a target and a level.
         for directive in words.split(',') {
             let level = directive.rsplit('=').next().unwrap_or_default().trim();
-            one_of(level, &["off", "error", "warn", "info", "debug", "trace"].map(|level| (level, ())))?;
+            one_of(
+                level,
+                &["off", "error", "warn", "info", "debug", "trace"].map(|level| (level, ())),
+            )?;
         }
         Ok(words)
     });
-    let form = map.word("form", &[("human", Form::Human), ("json", Form::Json)], faults);
-    let window = map.take("window", faults, |node| quantity::time(node).map(Duration::from_nanos));
+    let form = map.word(
+        "form",
+        &[("human", Form::Human), ("json", Form::Json)],
+        faults,
+    );
+    let window = map.take("window", faults, |node| {
+        quantity::time(node).map(Duration::from_nanos)
+    });
     let burst = map.take("burst", faults, |node| quantity::count(node, 1..=1_000_000));
     if window == Some(Duration::ZERO) {
-        map.fault("window", "0; repeats are counted over some time, such as 10s", faults);
+        map.fault(
+            "window",
+            "0; repeats are counted over some time, such as 10s",
+            faults,
+        );
     }
     map.end(faults);
     Log {
@@ -109,15 +138,26 @@
 
     #[test]
     fn the_tally_is_off_unless_a_time_is_given() {
-        assert_eq!(Product::read("q.yaml", "tally: 1s\n").map(|p| p.tally), Ok(Some(Duration::from_secs(1))));
-        let faults = Product::read("q.yaml", "tally: 0s\n").expect_err("faulty").to_string();
-        assert!(faults.contains("q.yaml:1: tally: 0; leave it out"), "{faults}");
+        assert_eq!(
+            Product::read("q.yaml", "tally: 1s\n").map(|p| p.tally),
+            Ok(Some(Duration::from_secs(1)))
+        );
+        let faults = Product::read("q.yaml", "tally: 0s\n")
+            .expect_err("faulty")
+            .to_string();
+        assert!(
+            faults.contains("q.yaml:1: tally: 0; leave it out"),
+            "{faults}"
+        );
     }
 
     #[test]
     fn every_fault_is_named_with_its_line_and_what_would_do() {
-        let text = "log:\n  filter: inf\n  form: xml\n  window: 10\n  burst: 0.5\n  brust: 3\nlogs: 1\n";
-        let faults = Product::read("q.yaml", text).expect_err("faulty").to_string();
+        let text =
+            "log:\n  filter: inf\n  form: xml\n  window: 10\n  burst: 0.5\n  brust: 3\nlogs: 1\n";
+        let faults = Product::read("q.yaml", text)
+            .expect_err("faulty")
+            .to_string();
         for part in [
             "q.yaml:2: log.filter: \"inf\" is not known; did you mean info?",
             "q.yaml:3: log.form: \"xml\" is not known; one of human, json",
--- a/crates/config/src/quantity.rs
+++ b/crates/config/src/quantity.rs
@@ -10,7 +10,9 @@
     match &node.content {
         Content::Text(text) => time_of(text),
         Content::Number(number) if *number == 0.0 => Ok(0),
-        Content::Number(number) => Err(format!("{number} has no unit; write a time such as 250ms or 2s")),
+        Content::Number(number) => Err(format!(
+            "{number} has no unit; write a time such as 250ms or 2s"
+        )),
         _ => Err("not a time; write one such as 250ms or 2s".to_owned()),
     }
 }
@@ -22,7 +24,9 @@
 pub fn time_of(text: &str) -> Result<u64, String> {
     let text = text.trim();
     // The library takes no fractions such as 0.5s; ours are a number and one unit.
-    let split = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+    let split = text
+        .find(|c: char| c.is_ascii_alphabetic())
+        .unwrap_or(text.len());
     if let (Ok(number), Some(unit)) = (text[..split].trim().parse::<f64>(), unit(&text[split..])) {
         let nanos = number * unit;
         return if (0.0..9e18).contains(&nanos) {
@@ -69,7 +73,10 @@
     match &node.content {
         Content::Number(number) if number.is_finite() && *number >= 0.0 => Ok(*number),
         Content::Number(number) => Err(format!("{number} is not a number from 0 up")),
-        _ => Err(format!("{} is not a number", node.text().unwrap_or_else(|| "a list or map".into()))),
+        _ => Err(format!(
+            "{} is not a number",
+            node.text().unwrap_or_else(|| "a list or map".into())
+        )),
     }
 }
 
@@ -83,7 +90,9 @@
     if number.fract() == 0.0 && number >= least as f64 && number <= most as f64 {
         Ok(number as u64)
     } else {
-        Err(format!("{number} is not a whole number from {least} to {most}"))
+        Err(format!(
+            "{number} is not a whole number from {least} to {most}"
+        ))
     }
 }
 
@@ -93,16 +102,19 @@
 /// What is wrong with it, and what would do.
 pub fn share(node: &Node) -> Result<f64, String> {
     let value = match &node.content {
-        Content::Text(text) => {
-            text.strip_suffix('%').and_then(|text| text.trim().parse::<f64>().ok()).map(|part| part / 100.0)
-        }
+        Content::Text(text) => text
+            .strip_suffix('%')
+            .and_then(|text| text.trim().parse::<f64>().ok())
+            .map(|part| part / 100.0),
         Content::Number(number) => Some(*number),
         _ => None,
     };
-    value.filter(|share| (0.0..=1.0).contains(share)).ok_or_else(|| {
-        let text = node.text().unwrap_or_default();
-        format!("{text:?} is not a share; write one such as 10% or 0.1")
-    })
+    value
+        .filter(|share| (0.0..=1.0).contains(share))
+        .ok_or_else(|| {
+            let text = node.text().unwrap_or_default();
+            format!("{text:?} is not a share; write one such as 10% or 0.1")
+        })
 }
 
 #[cfg(test)]
@@ -111,19 +123,28 @@
     use crate::tree::Place;
 
     fn text(text: &str) -> Node {
-        Node { place: Place::default(), content: Content::Text(text.to_owned()) }
+        Node {
+            place: Place::default(),
+            content: Content::Text(text.to_owned()),
+        }
     }
 
     #[test]
     fn times_need_their_unit() {
-        for (written, nanos) in [("250ms", 250_000_000), ("1.5 s", 1_500_000_000), ("1m 30s", 90_000_000_000)]
-        {
+        for (written, nanos) in [
+            ("250ms", 250_000_000),
+            ("1.5 s", 1_500_000_000),
+            ("1m 30s", 90_000_000_000),
+        ] {
             assert_eq!(time(&text(written)), Ok(nanos), "{written}");
         }
         for wrong in ["250", "fast", "5 parsecs", "-3s", ""] {
             assert!(time(&text(wrong)).is_err(), "{wrong}");
         }
-        let bare = Node { place: Place::default(), content: Content::Number(250.0) };
+        let bare = Node {
+            place: Place::default(),
+            content: Content::Number(250.0),
+        };
         assert!(time(&bare).expect_err("no unit").contains("250ms"));
     }
 
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -24,7 +24,13 @@
                 &[]
             }
         };
-        Reader { file, path: path.to_owned(), place: node.place, members, known: Vec::new() }
+        Reader {
+            file,
+            path: path.to_owned(),
+            place: node.place,
+            members,
+            known: Vec::new(),
+        }
     }
 
     /// Where the map begins.
@@ -48,20 +54,29 @@
 
     /// Notes a fault at a key, or at the map where the key is missing.
     pub fn fault(&self, key: &str, problem: impl Into<String>, faults: &mut Faults) {
-        let at =
-            self.members.iter().find(|(name, ..)| name == key).map_or(self.place, |(_, place, _)| *place);
+        let at = self
+            .members
+            .iter()
+            .find(|(name, ..)| name == key)
+            .map_or(self.place, |(_, place, _)| *place);
         faults.add(self.file, at, self.path(key), problem);
     }
 
     /// The node of a key, which is known from now on.
     pub fn node(&mut self, key: &'static str) -> Option<&'a Node> {
         self.known.push(key);
-        self.members.iter().find(|(name, ..)| name == key).map(|(.., node)| node)
+        self.members
+            .iter()
+            .find(|(name, ..)| name == key)
+            .map(|(.., node)| node)
     }
 
     /// Reads a key, where it is there, by a rule that says what is wrong.
     pub fn take<T>(
-        &mut self, key: &'static str, faults: &mut Faults, rule: impl FnOnce(&'a Node) -> Result<T, String>,
+        &mut self,
+        key: &'static str,
+        faults: &mut Faults,
+        rule: impl FnOnce(&'a Node) -> Result<T, String>,
     ) -> Option<T> {
         let node = self.node(key)?;
         match rule(node) {
@@ -75,7 +90,10 @@
 
     /// Reads a key that must be there.
     pub fn need<T>(
-        &mut self, key: &'static str, faults: &mut Faults, rule: impl FnOnce(&'a Node) -> Result<T, String>,
+        &mut self,
+        key: &'static str,
+        faults: &mut Faults,
+        rule: impl FnOnce(&'a Node) -> Result<T, String>,
     ) -> Option<T> {
         if self.node(key).is_none() {
             self.fault(key, "missing", faults);
@@ -86,7 +104,10 @@
 
     /// Reads a key that holds one of some words.
     pub fn word<T: Copy>(
-        &mut self, key: &'static str, words: &[(&str, T)], faults: &mut Faults,
+        &mut self,
+        key: &'static str,
+        words: &[(&str, T)],
+        faults: &mut Faults,
     ) -> Option<T> {
         self.take(key, faults, |node| one_of(&text(node)?, words))
     }
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -16,7 +16,10 @@
 
 impl From<Marker> for Place {
     fn from(marker: Marker) -> Self {
-        Place { line: marker.line() as u32, column: marker.col() as u32 + 1 }
+        Place {
+            line: marker.line() as u32,
+            column: marker.col() as u32 + 1,
+        }
     }
 }
 
@@ -55,16 +58,25 @@
 /// What is no YAML, holds another number of documents than one, or nests too deeply.
 pub fn parse(file: &Arc<str>, text: &str) -> Result<Node, Faults> {
     let fault = |place: Place, problem: String| {
-        Faults(vec![Fault { file: file.clone(), place, key: String::new(), problem }])
+        Faults(vec![Fault {
+            file: file.clone(),
+            place,
+            key: String::new(),
+            problem,
+        }])
     };
     let documents = MarkedYaml::load_from_str(text)
         .map_err(|e| fault((*e.marker()).into(), format!("not YAML: {}", e.info())))?;
     match documents.as_slice() {
         [one] => node(one, 0).map_err(|(place, problem)| fault(place, problem)),
-        [] => Ok(Node { place: Place { line: 1, column: 1 }, content: Content::Null }),
-        [_, second, ..] => {
-            Err(fault(second.span.start.into(), "a second document; one file holds one".to_owned()))
-        }
+        [] => Ok(Node {
+            place: Place { line: 1, column: 1 },
+            content: Content::Null,
+        }),
+        [_, second, ..] => Err(fault(
+            second.span.start.into(),
+            "a second document; one file holds one".to_owned(),
+        )),
     }
 }
 
@@ -76,9 +88,11 @@
     let content = match &yaml.data {
         YamlData::Value(scalar) => self::scalar(scalar),
         YamlData::Representation(text, ..) => Content::Text(text.to_string()),
-        YamlData::Sequence(list) => {
-            Content::List(list.iter().map(|one| node(one, depth + 1)).collect::<Result<_, _>>()?)
-        }
+        YamlData::Sequence(list) => Content::List(
+            list.iter()
+                .map(|one| node(one, depth + 1))
+                .collect::<Result<_, _>>()?,
+        ),
         YamlData::Mapping(map) => {
             let mut members = Vec::with_capacity(map.len());
             for (key, value) in map {
@@ -129,7 +143,10 @@
     /// The value of a key of a map.
     pub fn get(&self, key: &str) -> Option<&Node> {
         match &self.content {
-            Content::Map(members) => members.iter().find(|(name, ..)| name == key).map(|(.., value)| value),
+            Content::Map(members) => members
+                .iter()
+                .find(|(name, ..)| name == key)
+                .map(|(.., value)| value),
             Content::List(list) => list.get(key.parse::<usize>().ok()?),
             _ => None,
         }
@@ -137,24 +154,38 @@
 
     /// The node at a path of keys and indexes with dots between them.
     pub fn at(&self, path: &str) -> Option<&Node> {
-        path.split('.').filter(|part| !part.is_empty()).try_fold(self, |node, part| node.get(part))
+        path.split('.')
+            .filter(|part| !part.is_empty())
+            .try_fold(self, |node, part| node.get(part))
     }
 
     /// Replaces the node at a path, or adds a key to the map above it; false where neither can be done.
     pub fn set(&mut self, path: &str, value: Content) -> bool {
         let (above, key) = path.rsplit_once('.').unwrap_or(("", path));
-        let Some(above) = self.at_mut(above) else { return false };
+        let Some(above) = self.at_mut(above) else {
+            return false;
+        };
         let place = above.place;
         match &mut above.content {
             Content::Map(members) => {
                 match members.iter_mut().find(|(name, ..)| name == key) {
                     Some((.., node)) => node.content = value,
-                    None => members.push((key.to_owned(), place, Node { place, content: value })),
+                    None => members.push((
+                        key.to_owned(),
+                        place,
+                        Node {
+                            place,
+                            content: value,
+                        },
+                    )),
                 }
                 true
             }
             Content::List(list) => {
-                let node = key.parse::<usize>().ok().and_then(|index| list.get_mut(index));
+                let node = key
+                    .parse::<usize>()
+                    .ok()
+                    .and_then(|index| list.get_mut(index));
                 node.map(|node| node.content = value).is_some()
             }
             _ => false,
@@ -164,9 +195,10 @@
     fn at_mut(&mut self, path: &str) -> Option<&mut Node> {
         let mut parts = path.split('.').filter(|part| !part.is_empty());
         parts.try_fold(self, |node, part| match &mut node.content {
-            Content::Map(members) => {
-                members.iter_mut().find(|(name, ..)| name == part).map(|(.., value)| value)
-            }
+            Content::Map(members) => members
+                .iter_mut()
+                .find(|(name, ..)| name == part)
+                .map(|(.., value)| value),
             Content::List(list) => list.get_mut(part.parse::<usize>().ok()?),
             _ => None,
         })
@@ -192,13 +224,23 @@
     }
 
     fn walk<'a>(&'a self, path: &str, found: &mut Vec<(String, &'a Node)>) {
-        let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+        let below = |key: &str| {
+            if path.is_empty() {
+                key.to_owned()
+            } else {
+                format!("{path}.{key}")
+            }
+        };
         match &self.content {
             Content::Map(members) if !members.is_empty() => {
-                members.iter().for_each(|(key, _, value)| value.walk(&below(key), found));
+                members
+                    .iter()
+                    .for_each(|(key, _, value)| value.walk(&below(key), found));
             }
             Content::List(list) if !list.is_empty() => {
-                list.iter().enumerate().for_each(|(i, value)| value.walk(&below(&i.to_string()), found));
+                list.iter()
+                    .enumerate()
+                    .for_each(|(i, value)| value.walk(&below(&i.to_string()), found));
             }
             _ => found.push((path.to_owned(), self)),
         }
@@ -218,9 +260,12 @@
             }
             Content::Text(text) => Value::String(text.clone()),
             Content::List(list) => Value::Array(list.iter().map(Node::to_json).collect()),
-            Content::Map(members) => {
-                Value::Object(members.iter().map(|(key, _, value)| (key.clone(), value.to_json())).collect())
-            }
+            Content::Map(members) => Value::Object(
+                members
+                    .iter()
+                    .map(|(key, _, value)| (key.clone(), value.to_json()))
+                    .collect(),
+            ),
         }
     }
 }
@@ -231,14 +276,20 @@
 
     #[test]
     fn every_node_knows_its_line_in_yaml_and_in_json() {
-        let yaml = parse(&"a.yaml".into(), "one:\n  - x: 5\n    y: 2s\ntwo: true\n").expect("sound");
+        let yaml =
+            parse(&"a.yaml".into(), "one:\n  - x: 5\n    y: 2s\ntwo: true\n").expect("sound");
         assert_eq!(
-            yaml.at("one.0.y").map(|node| (node.place.line, node.text())),
+            yaml.at("one.0.y")
+                .map(|node| (node.place.line, node.text())),
             Some((3, Some("2s".into())))
         );
-        let json = parse(&"a.json".into(), "{\"one\": [\n 1,\n 2.5], \"two\": null}").expect("sound");
+        let json =
+            parse(&"a.json".into(), "{\"one\": [\n 1,\n 2.5], \"two\": null}").expect("sound");
         assert_eq!(json.at("one.1").map(|node| node.place.line), Some(3));
-        assert_eq!(json.to_json(), serde_json::json!({"one": [1, 2.5], "two": null}));
+        assert_eq!(
+            json.to_json(),
+            serde_json::json!({"one": [1, 2.5], "two": null})
+        );
     }
 
     #[test]
@@ -256,6 +307,9 @@
         assert!(tree.set("m.x", Content::Number(2.0)) && tree.set("m.y", Content::Number(3.0)));
         assert!(tree.set("l.1", Content::Flag(true)) && !tree.set("l.7", Content::Null));
         assert!(tree.remove("m.x").is_some());
-        assert_eq!(tree.to_json(), serde_json::json!({"m": {"y": 3}, "l": [1, true]}));
+        assert_eq!(
+            tree.to_json(),
+            serde_json::json!({"m": {"y": 3}, "l": [1, true]})
+        );
     }
 }
--- a/crates/expectations/src/blame.rs
+++ b/crates/expectations/src/blame.rs
@@ -44,12 +44,18 @@
 }
 
 fn small(budget: &Budget) -> Budget {
-    Budget { plays: budget.plays.min(200), events: budget.events.min(100_000), ..*budget }
+    Budget {
+        plays: budget.plays.min(200),
+        events: budget.events.min(100_000),
+        ..*budget
+    }
 }
 
 /// What a key could say instead: its default, then its neighbours.
 fn others(day: &Day, path: &str, node: &Node) -> Vec<Content> {
-    let Some((_, kind, default)) = key_of(path) else { return Vec::new() };
+    let Some((_, kind, default)) = key_of(path) else {
+        return Vec::new();
+    };
     let number = |value: f64| Content::Number(value);
     let mut others = Vec::new();
     match kind {
@@ -61,7 +67,10 @@
         Kind::Word(words) => {
             let now = node.text().unwrap_or_default();
             others.extend(
-                words.iter().filter(|word| **word != now).map(|word| Content::Text((*word).to_owned())),
+                words
+                    .iter()
+                    .filter(|word| **word != now)
+                    .map(|word| Content::Text((*word).to_owned())),
             );
         }
         Kind::Time | Kind::Number => {
@@ -70,11 +79,18 @@
                 (_, Kind::Time) => quantity::time(node).map_or(0.0, |nanos| nanos as f64),
                 _ => 0.0,
             };
-            others.extend(default.parse().ok().filter(|default: &f64| *default != now).map(number));
+            others.extend(
+                default
+                    .parse()
+                    .ok()
+                    .filter(|default: &f64| *default != now)
+                    .map(number),
+            );
             // What stands there in the other members of its list.
             if let [list, number, key] = path.split('.').collect::<Vec<_>>().as_slice() {
                 let members = (0..16).filter(|other| other.to_string() != *number);
-                let values = members.filter_map(|other| day.tree.at(&format!("{list}.{other}.{key}")));
+                let values =
+                    members.filter_map(|other| day.tree.at(&format!("{list}.{other}.{key}")));
                 others.extend(values.map(|node| node.content.clone()));
             }
             if now == 0.0 {
@@ -96,7 +112,9 @@
 
 fn show(path: &str, content: &Content) -> String {
     match (content, key_of(path).map(|row| row.1)) {
-        (Content::Number(nanos), Some(Kind::Time)) if *nanos >= 0.0 => quantity::show_time(*nanos as u64),
+        (Content::Number(nanos), Some(Kind::Time)) if *nanos >= 0.0 => {
+            quantity::show_time(*nanos as u64)
+        }
         (Content::Number(value), _) => format!("{value}"),
         (Content::Flag(flag), _) => flag.to_string(),
         (Content::Text(text), _) => text.clone(),
@@ -105,9 +123,18 @@
 }
 
 fn line(day: &Day, path: &str, would: &str) -> Line {
-    let says = day.tree.at(path).map_or_else(|| "nothing".to_owned(), |node| show(path, &node.content));
+    let says = day
+        .tree
+        .at(path)
+        .map_or_else(|| "nothing".to_owned(), |node| show(path, &node.content));
     let (file, key) = (day.file.to_string(), path.to_owned());
-    Line { file, line: day.line(path), key, says, would: would.to_owned() }
+    Line {
+        file,
+        line: day.line(path),
+        key,
+        says,
+        would: would.to_owned(),
+    }
 }
 
 /// The lines behind a failure, with no other file to compare with: each key goes to its default and to its
@@ -116,20 +143,26 @@
     let (mut blame, budget) = (Blame::default(), small(budget));
     let mut turns = |changes: &[Change]| {
         blame.tried += 1;
-        day.with(changes).ok().and_then(|other| holds(suite, expectation, &other, &budget)) == Some(true)
+        day.with(changes)
+            .ok()
+            .and_then(|other| holds(suite, expectation, &other, &budget))
+            == Some(true)
     };
     let keys = day.keys();
     let mut sets = Vec::new();
     for (path, node) in &keys {
-        let turned =
-            others(day, path, node).into_iter().find(|other| turns(&[(path.clone(), Some(other.clone()))]));
+        let turned = others(day, path, node)
+            .into_iter()
+            .find(|other| turns(&[(path.clone(), Some(other.clone()))]));
         if let Some(other) = turned {
             sets.push(vec![line(day, path, &show(path, &other))]);
         }
     }
     if sets.is_empty() {
-        let mut sections: Vec<&str> =
-            keys.iter().filter_map(|(path, _)| Some(path.rsplit_once('.')?.0)).collect();
+        let mut sections: Vec<&str> = keys
+            .iter()
+            .filter_map(|(path, _)| Some(path.rsplit_once('.')?.0))
+            .collect();
         sections.dedup();
         for section in sections {
             let members: Vec<_> = keys
@@ -140,14 +173,26 @@
                 let changes: Vec<Change> = members
                     .iter()
                     .filter_map(|(path, node)| {
-                        Some((path.clone(), Some(others(day, path, node).get(place)?.clone())))
+                        Some((
+                            path.clone(),
+                            Some(others(day, path, node).get(place)?.clone()),
+                        ))
                     })
                     .collect();
                 if changes.len() > 1 && turns(&changes) {
                     let least = least(changes, &mut |changes| turns(changes));
-                    let would =
-                        |change: &Change| change.1.as_ref().map_or("nothing".into(), |c| show(&change.0, c));
-                    sets.push(least.iter().map(|change| line(day, &change.0, &would(change))).collect());
+                    let would = |change: &Change| {
+                        change
+                            .1
+                            .as_ref()
+                            .map_or("nothing".into(), |c| show(&change.0, c))
+                    };
+                    sets.push(
+                        least
+                            .iter()
+                            .map(|change| line(day, &change.0, &would(change)))
+                            .collect(),
+                    );
                     break;
                 }
             }
@@ -162,22 +207,36 @@
     let (before, after) = (old.tree.leaves(), new.tree.leaves());
     let mut changes: Vec<Change> = after
         .iter()
-        .filter(|(path, node)| old.tree.at(path).is_none_or(|held| held.content != node.content))
+        .filter(|(path, node)| {
+            old.tree
+                .at(path)
+                .is_none_or(|held| held.content != node.content)
+        })
         .map(|(path, node)| (path.clone(), Some(node.content.clone())))
         .collect();
-    let gone = before.iter().filter(|(path, _)| new.tree.at(path).is_none());
+    let gone = before
+        .iter()
+        .filter(|(path, _)| new.tree.at(path).is_none());
     changes.extend(gone.map(|(path, _)| (path.clone(), None)));
     changes
 }
 
 /// The smallest set of changes from an old day that brings the verdict of the new one.
 pub fn between(
-    suite: &Suite, expectation: &Expectation, old: &Day, new: &Day, held: bool, budget: &Budget,
+    suite: &Suite,
+    expectation: &Expectation,
+    old: &Day,
+    new: &Day,
+    held: bool,
+    budget: &Budget,
 ) -> Blame {
     let (mut blame, budget) = (Blame::default(), small(budget));
     let mut turns = |changes: &[Change]| {
         blame.tried += 1;
-        old.with(changes).ok().and_then(|other| holds(suite, expectation, &other, &budget)) == Some(held)
+        old.with(changes)
+            .ok()
+            .and_then(|other| holds(suite, expectation, &other, &budget))
+            == Some(held)
     };
     let all = changes(old, new);
     if all.is_empty() || !turns(&all) {
@@ -185,10 +244,10 @@
     }
     let least = least(all, &mut |changes| turns(changes));
     let told = |change: &Change| {
-        let before = old
-            .tree
-            .at(&change.0)
-            .map_or_else(|| "nothing".to_owned(), |node| show(&change.0, &node.content));
+        let before = old.tree.at(&change.0).map_or_else(
+            || "nothing".to_owned(),
+            |node| show(&change.0, &node.content),
+        );
         line(new, &change.0, &before)
     };
     blame.sets = vec![least.iter().map(told).collect()];
@@ -201,15 +260,24 @@
     while changes.len() >= 2 {
         let size = changes.len().div_ceil(parts);
         let chunks: Vec<Vec<Change>> = changes.chunks(size).map(<[Change]>::to_vec).collect();
-        if let Some(chunk) = chunks.iter().find(|chunk| chunk.len() < changes.len() && does(chunk)) {
+        if let Some(chunk) = chunks
+            .iter()
+            .find(|chunk| chunk.len() < changes.len() && does(chunk))
+        {
             (changes, parts) = (chunk.clone(), 2);
             continue;
         }
         let without = |number: usize| -> Vec<Change> {
-            let rest = chunks.iter().enumerate().filter(|(other, _)| *other != number);
+            let rest = chunks
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != number);
             rest.flat_map(|(_, chunk)| chunk.clone()).collect()
         };
-        if let Some(rest) = (0..chunks.len()).map(without).find(|rest| !rest.is_empty() && does(rest)) {
+        if let Some(rest) = (0..chunks.len())
+            .map(without)
+            .find(|rest| !rest.is_empty() && does(rest))
+        {
             (changes, parts) = (rest, (parts - 1).max(2));
             continue;
         }
@@ -235,7 +303,9 @@
         let mut tries = 0;
         let found = least(all, &mut |changes| {
             tries += 1;
-            ["k3", "k12"].iter().all(|name| changes.iter().any(|(key, _)| key == name))
+            ["k3", "k12"]
+                .iter()
+                .all(|name| changes.iter().any(|(key, _)| key == name))
         });
         assert_eq!(found, [change("k3"), change("k12")]);
         assert!(tries < 60, "{tries} tries");
--- a/crates/expectations/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -62,7 +62,12 @@
 
     let mut cast = Cast {
         rooms: names_of(&mut top, "rooms", &mut faults),
-        classes: day.settings.classes.iter().map(|class| class.name.clone()).collect(),
+        classes: day
+            .settings
+            .classes
+            .iter()
+            .map(|class| class.name.clone())
+            .collect(),
         ..Cast::default()
     };
     if cast.rooms.is_empty() {
@@ -83,10 +88,25 @@
     if let Some(node) = given.node("net") {
         net = installation::net(Some(node), &expectation.file, &mut faults);
     }
-    facts(given.node("facts"), &expectation.file, &mut truth, &mut work, &mut faults);
-    let mut ground =
-        Ground { day, cast, nodes, partners: Vec::new(), names: BTreeSet::new(), marks: BTreeMap::new() };
-    for (node, file) in [(top.node("partners"), file), (given.node("partners"), &expectation.file)] {
+    facts(
+        given.node("facts"),
+        &expectation.file,
+        &mut truth,
+        &mut work,
+        &mut faults,
+    );
+    let mut ground = Ground {
+        day,
+        cast,
+        nodes,
+        partners: Vec::new(),
+        names: BTreeSet::new(),
+        marks: BTreeMap::new(),
+    };
+    for (node, file) in [
+        (top.node("partners"), file),
+        (given.node("partners"), &expectation.file),
+    ] {
         ground.take_partners(node, file, &mut faults);
     }
     top.end(&mut faults);
@@ -116,9 +136,17 @@
     given.end(&mut faults);
     let when = list(&expectation.when);
     for (index, node) in when.iter().enumerate() {
-        ground.step(&expectation.file, index, node, &mut scenario.steps, &mut faults);
+        ground.step(
+            &expectation.file,
+            index,
+            node,
+            &mut scenario.steps,
+            &mut faults,
+        );
     }
-    scenario.steps.sort_by_key(|step| step.at.first().copied().unwrap_or(0));
+    scenario
+        .steps
+        .sort_by_key(|step| step.at.first().copied().unwrap_or(0));
     if scenario.steps.len() > MOST_REQUESTS {
         let problem = format!("{} steps; {MOST_REQUESTS} at most", scenario.steps.len());
         faults.add(&expectation.file, expectation.when.place, "when", problem);
@@ -130,12 +158,19 @@
     scenario.cast = ground.cast;
     scenario.nodes = ground.nodes;
     let terms = Terms::of(&scenario.truth, 0);
-    faults.or(Compiled { scenario, musts, terms, names: ground.names })
+    faults.or(Compiled {
+        scenario,
+        musts,
+        terms,
+        names: ground.names,
+    })
 }
 
 /// The day with what the expectation gives other values: for other installations.
 fn adjusted(day: &Day, given: &mut Reader<'_>, faults: &mut Faults) -> Day {
-    let Some(node) = given.node("settings") else { return day.clone() };
+    let Some(node) = given.node("settings") else {
+        return day.clone();
+    };
     let mut changes = Vec::new();
     if let Content::Map(members) = &node.content {
         for (key, place, value) in members {
--- a/crates/expectations/src/demands.rs
+++ b/crates/expectations/src/demands.rs
@@ -11,25 +11,41 @@
 
 impl Ground<'_> {
     pub(crate) fn must(
-        &mut self, file: &Arc<str>, index: usize, node: &Node, faults: &mut Faults,
+        &mut self,
+        file: &Arc<str>,
+        index: usize,
+        node: &Node,
+        faults: &mut Faults,
     ) -> Option<Must> {
         let path = format!("must.{index}");
         let mut map = Reader::new(file, &path, node, faults);
         let mut filter = Filter::default();
         let classes = self.cast.classes.clone();
-        filter.class = map.take("class", faults, |node| place_of(&text(node)?, &classes, "class"));
+        filter.class = map.take("class", faults, |node| {
+            place_of(&text(node)?, &classes, "class")
+        });
         let partners = self.cast.partners.clone();
         filter.partners = map.take("from", faults, |node| {
-            list(node).iter().map(|node| place_of(&text(node)?, &partners, "partner")).collect()
+            list(node)
+                .iter()
+                .map(|node| place_of(&text(node)?, &partners, "partner"))
+                .collect()
         });
         let limiters = self.cast.limiters.clone();
-        filter.through = map.take("through", faults, |node| player(&limiters, &text(node)?, "limiter"));
+        filter.through = map.take("through", faults, |node| {
+            player(&limiters, &text(node)?, "limiter")
+        });
         let marks = self.marks.clone();
         filter.mark = map.take("mark", faults, |node| {
             let name = text(node)?;
-            marks.get(&name).copied().ok_or_else(|| format!("no request is marked {name:?}"))
+            marks
+                .get(&name)
+                .copied()
+                .ok_or_else(|| format!("no request is marked {name:?}"))
         });
-        filter.after = map.take("after", faults, |node| self.time(node)).unwrap_or(0);
+        filter.after = map
+            .take("after", faults, |node| self.time(node))
+            .unwrap_or(0);
         filter.until = map.take("until", faults, |node| self.time(node));
         filter.retries = map.word("tries", &[("first", false), ("further", true)], faults);
         let kinds = [
@@ -48,7 +64,10 @@
             "answered",
             "told",
         ];
-        let found: Vec<&str> = kinds.into_iter().filter(|kind| node.get(kind).is_some()).collect();
+        let found: Vec<&str> = kinds
+            .into_iter()
+            .filter(|kind| node.get(kind).is_some())
+            .collect();
         let [kind] = found.as_slice() else {
             let problem = if found.is_empty() {
                 format!("demands nothing; one of {}", kinds.join(", "))
@@ -58,9 +77,13 @@
             faults.add(file, node.place, path, problem);
             return None;
         };
-        let grace = map.take("within", faults, |node| self.time(node)).unwrap_or(0);
+        let grace = map
+            .take("within", faults, |node| self.time(node))
+            .unwrap_or(0);
         let demand = match *kind {
-            "never" => map.take("never", faults, |node| self.event(&text(node)?, grace)).map(Demand::Never),
+            "never" => map
+                .take("never", faults, |node| self.event(&text(node)?, grace))
+                .map(Demand::Never),
             "always" => map
                 .take("always", faults, |node| {
                     let event = self.event(&text(node)?, grace)?;
@@ -72,10 +95,13 @@
                     }
                 })
                 .map(Demand::Always),
-            "answered" => map.take("answered", faults, |node| self.time(node)).map(Demand::Within),
+            "answered" => map
+                .take("answered", faults, |node| self.time(node))
+                .map(Demand::Within),
             "told" => {
-                let bounds =
-                    map.node("told").map(|node| self.bounds(file, &path, "told", node, true, faults));
+                let bounds = map
+                    .node("told")
+                    .map(|node| self.bounds(file, &path, "told", node, true, faults));
                 bounds.map(|(bounds, _)| Demand::Told(bounds))
             }
             kind => {
@@ -95,9 +121,16 @@
                 node.and_then(|node| {
                     let (bounds, of) = self.bounds(file, &path, kind, node, false, faults);
                     match (sum, of) {
-                        (Sum::Share(_), Some(host)) => Some(Demand::Figure(Sum::Share(host), bounds)),
+                        (Sum::Share(_), Some(host)) => {
+                            Some(Demand::Figure(Sum::Share(host), bounds))
+                        }
                         (Sum::Share(_), None) => {
-                            faults.add(file, node.place, format!("{path}.share.of"), "missing; name a node");
+                            faults.add(
+                                file,
+                                node.place,
+                                format!("{path}.share.of"),
+                                "missing; name a node",
+                            );
                             None
                         }
                         _ => Some(Demand::Figure(sum, bounds)),
@@ -106,7 +139,11 @@
             }
         };
         map.end(faults);
-        Some(Must { filter, demand: demand?, line: node.place.line })
+        Some(Must {
+            filter,
+            demand: demand?,
+            line: node.place.line,
+        })
     }
 
     fn event(&self, words: &str, grace: Nanos) -> Result<Event, String> {
@@ -142,7 +179,13 @@
 
     /// Bounds from `{at least: ..., at most: ...}` or from one figure, which is the most.
     fn bounds(
-        &mut self, file: &Arc<str>, path: &str, kind: &str, node: &Node, time: bool, faults: &mut Faults,
+        &mut self,
+        file: &Arc<str>,
+        path: &str,
+        kind: &str,
+        node: &Node,
+        time: bool,
+        faults: &mut Faults,
     ) -> (Bounds, Option<usize>) {
         let key = format!("{path}.{kind}");
         let mut part = false;
@@ -164,17 +207,30 @@
                     None
                 }
             };
-            return (Bounds { least: None, most, part }, None);
+            return (
+                Bounds {
+                    least: None,
+                    most,
+                    part,
+                },
+                None,
+            );
         }
         let mut map = Reader::new(file, &key, node, faults);
         let least = map.take("at least", faults, |node| value(self, node));
         let most = map.take("at most", faults, |node| value(self, node));
-        let of = map.take("of", faults, |node| player(&self.cast.hosts, &text(node)?, "node"));
+        let of = map.take("of", faults, |node| {
+            player(&self.cast.hosts, &text(node)?, "node")
+        });
         if least.is_none() && most.is_none() {
             map.fault("at most", "missing, and at least too", faults);
         }
         if least.zip(most).is_some_and(|(least, most)| least > most) {
-            map.fault("at least", "more than at most; nothing lies between", faults);
+            map.fault(
+                "at least",
+                "more than at most; nothing lies between",
+                faults,
+            );
         }
         map.end(faults);
         (Bounds { least, most, part }, of)
@@ -182,8 +238,19 @@
 }
 
 fn kind_name(kind: &str) -> &'static str {
-    ["attempts", "runs", "open", "units", "sent", "served", "refused", "failed", "crossings", "share"]
-        .into_iter()
-        .find(|name| *name == kind)
-        .unwrap_or("share")
+    [
+        "attempts",
+        "runs",
+        "open",
+        "units",
+        "sent",
+        "served",
+        "refused",
+        "failed",
+        "crossings",
+        "share",
+    ]
+    .into_iter()
+    .find(|name| *name == kind)
+    .unwrap_or("share")
 }
--- a/crates/expectations/src/explore.rs
+++ b/crates/expectations/src/explore.rs
@@ -26,7 +26,12 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Budget { plays: 2_000, events: 600_000, depth: 24, seed: 1 }
+        Budget {
+            plays: 2_000,
+            events: 600_000,
+            depth: 24,
+            seed: 1,
+        }
     }
 }
 
@@ -110,7 +115,11 @@
 impl Oracle for Walk {
     fn choose(&mut self, _: Point, options: usize, _: &dyn Fn() -> u64) -> Option<usize> {
         let usual = self.rng.random_bool(0.5);
-        let choice = if usual { 0 } else { self.rng.random_range(0..options) };
+        let choice = if usual {
+            0
+        } else {
+            self.rng.random_range(0..options)
+        };
         self.taken.push(choice);
         Some(choice)
     }
@@ -120,11 +129,21 @@
 /// when, whose and how.
 #[allow(clippy::type_complexity)]
 pub fn judge(
-    compiled: &Compiled, records: &[Record], whole: bool, slack: Nanos,
-) -> (Vec<Judged>, Option<(Option<usize>, Nanos, Option<RequestId>, String)>) {
+    compiled: &Compiled,
+    records: &[Record],
+    whole: bool,
+    slack: Nanos,
+) -> (
+    Vec<Judged>,
+    Option<(Option<usize>, Nanos, Option<RequestId>, String)>,
+) {
     let cast = &compiled.scenario.cast;
     let facts = Facts::gather(cast, records, slack);
-    let judged: Vec<Judged> = compiled.musts.iter().map(|must| facts.judge(cast, must)).collect();
+    let judged: Vec<Judged> = compiled
+        .musts
+        .iter()
+        .map(|must| facts.judge(cast, must))
+        .collect();
     if !whole {
         // What a play that was cut short shows so far was judged in the play that met its state before.
         return (judged, None);
@@ -137,11 +156,21 @@
             Some((Some(number), at, request, how))
         })
         .collect();
-    let terms = quartzcleat_invariants::Terms { slack, ..compiled.terms.clone() };
+    let terms = quartzcleat_invariants::Terms {
+        slack,
+        ..compiled.terms.clone()
+    };
     failed.extend(check(cast, &terms, records).into_iter().map(|broken| {
-        (None, broken.at, broken.request, format!("rule broken ({}): {}", broken.rule.name(), broken.how))
+        (
+            None,
+            broken.at,
+            broken.request,
+            format!("rule broken ({}): {}", broken.rule.name(), broken.how),
+        )
     }));
-    let first = failed.into_iter().min_by_key(|(number, at, ..)| (*at, number.is_none()));
+    let first = failed
+        .into_iter()
+        .min_by_key(|(number, at, ..)| (*at, number.is_none()));
     (judged, first)
 }
 
@@ -180,7 +209,12 @@
     while !spent(&explored, 0.6) {
         let (mut prefix, mut seen, mut all, mut deepest) = (Vec::new(), HashMap::new(), false, 0);
         loop {
-            let mut search = Search { prefix: &prefix, taken: Vec::new(), depth, seen: &mut seen };
+            let mut search = Search {
+                prefix: &prefix,
+                taken: Vec::new(),
+                depth,
+                seen: &mut seen,
+            };
             let (failure, whole) = explored.add(compiled, &mut search);
             let taken = search.taken;
             explored.met += u64::from(!whole);
@@ -192,7 +226,10 @@
                 return explored;
             }
             // The next way: the last choice within the depth that has another option.
-            let last = taken.iter().take(depth).rposition(|(choice, options)| choice + 1 < *options);
+            let last = taken
+                .iter()
+                .take(depth)
+                .rposition(|(choice, options)| choice + 1 < *options);
             let Some(last) = last else {
                 all = true;
                 break;
@@ -220,7 +257,10 @@
     let mut number = 0;
     while !spent(&explored, 1.0) {
         let rng = Pcg64Mcg::seed_from_u64(budget.seed.wrapping_mul(1_000_003).wrapping_add(number));
-        let mut walk = Walk { rng, taken: Vec::new() };
+        let mut walk = Walk {
+            rng,
+            taken: Vec::new(),
+        };
         let (failure, _) = explored.add(compiled, &mut walk);
         (number, explored.walks) = (number + 1, explored.walks + 1);
         if let Some(failure) = failure {
@@ -277,5 +317,9 @@
         }
         size /= 2;
     }
-    Failure { path, choices, ..failure }
+    Failure {
+        path,
+        choices,
+        ..failure
+    }
 }
--- a/crates/expectations/src/file.rs
+++ b/crates/expectations/src/file.rs
@@ -52,13 +52,17 @@
 /// # Errors
 /// Where nothing of the file can be used.
 pub fn read_with(
-    path: &Path, from: &dyn Fn(&Path) -> io::Result<String>, faults: &mut Faults,
+    path: &Path,
+    from: &dyn Fn(&Path) -> io::Result<String>,
+    faults: &mut Faults,
 ) -> Option<Suite> {
     let (file, tree) = load(path, from, faults)?;
     let mut top = Reader::new(&file, "", &tree, faults);
     let beside = |name: &str| path.parent().unwrap_or(Path::new(".")).join(name);
     let settings = top.need("settings", faults, text).map(|name| beside(&name));
-    let installation = top.need("installation", faults, text).map(|name| beside(&name));
+    let installation = top
+        .need("installation", faults, text)
+        .map(|name| beside(&name));
     let nodes = top.node("expectations").map(list).unwrap_or_default();
     if nodes.is_empty() {
         top.fault("expectations", "none; write a list of them", faults);
@@ -67,7 +71,10 @@
     let installation = load(&installation?, from, faults)?;
     let mut expectations: Vec<Expectation> = Vec::new();
     for (index, node) in nodes.iter().enumerate() {
-        let empty = Node { place: node.place, content: Content::Null };
+        let empty = Node {
+            place: node.place,
+            content: Content::Null,
+        };
         let mut found = Faults::default();
         let mut one = Reader::new(&file, &format!("expectations.{index}"), node, &mut found);
         let name = one.need("name", &mut found, text);
@@ -85,7 +92,12 @@
         let name = name.unwrap_or_default();
         if let Some(other) = expectations.iter().find(|other| other.name == name) {
             let line = other.line;
-            found.add(&file, node.place, format!("expectations.{index}.name"), format!("as on line {line}"));
+            found.add(
+                &file,
+                node.place,
+                format!("expectations.{index}.name"),
+                format!("as on line {line}"),
+            );
         }
         if found.none() {
             expectations.push(Expectation {
@@ -99,18 +111,30 @@
         }
         faults.0.extend(found.0);
     }
-    Some(Suite { file, settings: settings?, installation, expectations })
+    Some(Suite {
+        file,
+        settings: settings?,
+        installation,
+        expectations,
+    })
 }
 
 /// Reads a YAML file.
 fn load(
-    path: &Path, from: &dyn Fn(&Path) -> io::Result<String>, faults: &mut Faults,
+    path: &Path,
+    from: &dyn Fn(&Path) -> io::Result<String>,
+    faults: &mut Faults,
 ) -> Option<(Arc<str>, Node)> {
     let file: Arc<str> = path.display().to_string().into();
     let text = match from(path) {
         Ok(text) => text,
         Err(e) => {
-            faults.add(&file, tree::Place::default(), "", format!("cannot read: {e}"));
+            faults.add(
+                &file,
+                tree::Place::default(),
+                "",
+                format!("cannot read: {e}"),
+            );
             return None;
         }
     };
@@ -129,14 +153,27 @@
     for path in paths {
         if path.is_dir() {
             // A folder within is another deployment's.
-            let folders = std::fs::read_dir(path).into_iter().flatten().flatten().map(|entry| entry.path());
+            let folders = std::fs::read_dir(path)
+                .into_iter()
+                .flatten()
+                .flatten()
+                .map(|entry| entry.path());
             let mut folders: Vec<_> = folders.filter(|path| path.is_dir()).collect();
             folders.sort();
-            let entries = std::fs::read_dir(path).into_iter().flatten().flatten().map(|entry| entry.path());
+            let entries = std::fs::read_dir(path)
+                .into_iter()
+                .flatten()
+                .flatten()
+                .map(|entry| entry.path());
             let mut files: Vec<_> = entries
-                .filter(|file| file.extension().is_some_and(|end| end == "yaml" || end == "yml"))
                 .filter(|file| {
-                    !file.file_stem().is_some_and(|stem| stem.to_string_lossy().starts_with("installation"))
+                    file.extension()
+                        .is_some_and(|end| end == "yaml" || end == "yml")
+                })
+                .filter(|file| {
+                    !file
+                        .file_stem()
+                        .is_some_and(|stem| stem.to_string_lossy().starts_with("installation"))
                 })
                 .collect();
             files.sort();
--- a/crates/expectations/src/given.rs
+++ b/crates/expectations/src/given.rs
@@ -6,7 +6,9 @@
 use quartzcleat_config::tree::{Content, Node};
 use quartzcleat_config::{figure, quantity, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_simulation::scenario::{CallFate, CounterMode, CounterSetup, Fate, Retry, Scenario};
+use quartzcleat_simulation::scenario::{
+    CallFate, CounterMode, CounterSetup, Fate, Retry, Scenario,
+};
 use std::sync::Arc;
 
 const FATES: [(&str, Fate); 9] = [
@@ -29,12 +31,25 @@
 ];
 
 impl Ground<'_> {
-    pub(crate) fn take_partners(&mut self, node: Option<&Node>, file: &Arc<str>, faults: &mut Faults) {
+    pub(crate) fn take_partners(
+        &mut self,
+        node: Option<&Node>,
+        file: &Arc<str>,
+        faults: &mut Faults,
+    ) {
         let Some(node) = node else { return };
-        let plans: Vec<String> = self.day.settings.plans.iter().map(|plan| plan.name.clone()).collect();
+        let plans: Vec<String> = self
+            .day
+            .settings
+            .plans
+            .iter()
+            .map(|plan| plan.name.clone())
+            .collect();
         for (name, place, node) in members(node, file, "partners", faults) {
             let mut one = Reader::new(file, &format!("partners.{name}"), node, faults);
-            let plan = one.need("plan", faults, |node| place_of(&text(node)?, &plans, "plan"));
+            let plan = one.need("plan", faults, |node| {
+                place_of(&text(node)?, &plans, "plan")
+            });
             let players = self.cast.limiters.clone();
             let through = one.take("through", faults, |node| {
                 let find = |node: &Node| player(&players, &text(node)?, "limiter");
@@ -71,7 +86,10 @@
     }
 
     pub(crate) fn times(&mut self, node: &Node) -> Result<Vec<Nanos>, String> {
-        let times: Vec<_> = list(node).iter().map(|node| self.time(node)).collect::<Result<_, _>>()?;
+        let times: Vec<_> = list(node)
+            .iter()
+            .map(|node| self.time(node))
+            .collect::<Result<_, _>>()?;
         if times.is_empty() {
             return Err("no time; write one, or a list".to_owned());
         }
@@ -85,7 +103,10 @@
     }
 
     pub(crate) fn take_given(
-        &mut self, given: &mut Reader<'_>, scenario: &mut Scenario, faults: &mut Faults,
+        &mut self,
+        given: &mut Reader<'_>,
+        scenario: &mut Scenario,
+        faults: &mut Faults,
     ) {
         let file = given.file().clone();
         if let Some(node) = given.node("counter") {
@@ -119,7 +140,13 @@
         }
     }
 
-    fn counter(&mut self, file: &Arc<str>, node: &Node, setup: &mut CounterSetup, faults: &mut Faults) {
+    fn counter(
+        &mut self,
+        file: &Arc<str>,
+        node: &Node,
+        setup: &mut CounterSetup,
+        faults: &mut Faults,
+    ) {
         if let Content::Text(_) = node.content {
             match mode(node) {
                 Ok(mode) => setup.mode = mode,
@@ -145,8 +172,10 @@
 }
 
 pub(crate) fn words<T: Copy>(node: &Node, known: &[(&str, T)]) -> Result<Vec<T>, String> {
-    let words: Vec<T> =
-        list(node).iter().map(|node| one_of(&text(node)?, known)).collect::<Result<_, _>>()?;
+    let words: Vec<T> = list(node)
+        .iter()
+        .map(|node| one_of(&text(node)?, known))
+        .collect::<Result<_, _>>()?;
     if words.is_empty() {
         return Err("none; write one, or a list".to_owned());
     }
