--- a/crates/expectations/src/installation.rs
+++ b/crates/expectations/src/installation.rs
@@ -11,8 +11,14 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-pub(crate) fn names_of(reader: &mut Reader<'_>, key: &'static str, faults: &mut Faults) -> Vec<String> {
-    let Some(node) = reader.node(key) else { return Vec::new() };
+pub(crate) fn names_of(
+    reader: &mut Reader<'_>,
+    key: &'static str,
+    faults: &mut Faults,
+) -> Vec<String> {
+    let Some(node) = reader.node(key) else {
+        return Vec::new();
+    };
     let mut names = Vec::new();
     for member in list(node) {
         match member.text() {
@@ -24,7 +30,10 @@
 }
 
 pub(crate) fn members<'a>(
-    node: &'a Node, file: &Arc<str>, key: &str, faults: &mut Faults,
+    node: &'a Node,
+    file: &Arc<str>,
+    key: &str,
+    faults: &mut Faults,
 ) -> &'a [(String, Place, Node)] {
     match &node.content {
         Content::Map(members) => members,
@@ -51,16 +60,28 @@
 }
 
 pub(crate) fn limiters(
-    node: Option<&Node>, file: &Arc<str>, rooms: &[String], faults: &mut Faults,
+    node: Option<&Node>,
+    file: &Arc<str>,
+    rooms: &[String],
+    faults: &mut Faults,
 ) -> Vec<Player> {
     let mut limiters = Vec::new();
     let Some(node) = node else {
-        faults.add(file, Place { line: 1, column: 1 }, "limiters", "missing; write name: room lines");
+        faults.add(
+            file,
+            Place { line: 1, column: 1 },
+            "limiters",
+            "missing; write name: room lines",
+        );
         return limiters;
     };
     for (name, place, room) in members(node, file, "limiters", faults) {
         match text(room).and_then(|room| place_of(&room, rooms, "room")) {
-            Ok(room) => limiters.push(Player { name: name.clone(), room: room as u32, cell: 0 }),
+            Ok(room) => limiters.push(Player {
+                name: name.clone(),
+                room: room as u32,
+                cell: 0,
+            }),
             Err(problem) => faults.add(file, *place, format!("limiters.{name}"), problem),
         }
     }
@@ -84,12 +105,19 @@
 
 /// Facts of the installation: what is so, whatever a day's settings say.
 pub(crate) fn facts(
-    node: Option<&Node>, file: &Arc<str>, truth: &mut Settings, work: &mut [Nanos], faults: &mut Faults,
+    node: Option<&Node>,
+    file: &Arc<str>,
+    truth: &mut Settings,
+    work: &mut [Nanos],
+    faults: &mut Faults,
 ) {
     let Some(node) = node else { return };
     let mut map = Reader::new(file, "facts", node, faults);
     let set = |value: Option<u64>, to: &mut Nanos| *to = value.unwrap_or(*to);
-    set(map.take("drain", faults, quantity::time), &mut truth.drain_grace);
+    set(
+        map.take("drain", faults, quantity::time),
+        &mut truth.drain_grace,
+    );
     if let Some(most) = map.take("attempts", faults, |node| quantity::count(node, 1..=100)) {
         truth.max_attempts = most as u32;
     }
@@ -98,15 +126,25 @@
         if let Some(from) = cold.take("from", faults, quantity::share) {
             truth.slow_start_floor = from;
         }
-        set(cold.take("warm", faults, quantity::time), &mut truth.slow_start_duration);
-        set(cold.take("tip", faults, quantity::time), &mut truth.overload_duration);
+        set(
+            cold.take("warm", faults, quantity::time),
+            &mut truth.slow_start_duration,
+        );
+        set(
+            cold.take("tip", faults, quantity::time),
+            &mut truth.overload_duration,
+        );
         if let Some(factor) = cold.take("overload", faults, quantity::number) {
             truth.overload_factor = factor;
         }
         cold.end(faults);
     }
     if let Some(node) = map.node("classes") {
-        let names: Vec<String> = truth.classes.iter().map(|class| class.name.clone()).collect();
+        let names: Vec<String> = truth
+            .classes
+            .iter()
+            .map(|class| class.name.clone())
+            .collect();
         for (name, place, node) in members(node, file, "facts.classes", faults) {
             let index = match place_of(name, &names, "class") {
                 Ok(index) => index,
@@ -127,7 +165,10 @@
             if let Some((effect, group)) = one.word("repeats", &words, faults) {
                 (class.effect, class.group) = (effect, group);
             }
-            set(one.take("window", faults, quantity::time), &mut class.dedup_window);
+            set(
+                one.take("window", faults, quantity::time),
+                &mut class.dedup_window,
+            );
             set(one.take("work", faults, quantity::time), &mut work[index]);
             one.end(faults);
         }
@@ -137,7 +178,11 @@
 
 /// Nodes: a map of names with what differs from a usual node, or a list of the names that are there at all.
 pub(crate) fn nodes(
-    node: &Node, file: &Arc<str>, cast: &mut Cast, nodes: &mut Vec<NodeSetup>, faults: &mut Faults,
+    node: &Node,
+    file: &Arc<str>,
+    cast: &mut Cast,
+    nodes: &mut Vec<NodeSetup>,
+    faults: &mut Faults,
 ) {
     if let Content::List(names) = &node.content {
         let mut kept = BTreeSet::new();
@@ -149,27 +194,49 @@
         }
         let keep = |index: usize| kept.contains(&index);
         let hosts = std::mem::take(&mut cast.hosts);
-        cast.hosts = hosts.into_iter().enumerate().filter(|(i, _)| keep(*i)).map(|(_, host)| host).collect();
+        cast.hosts = hosts
+            .into_iter()
+            .enumerate()
+            .filter(|(i, _)| keep(*i))
+            .map(|(_, host)| host)
+            .collect();
         let setups = std::mem::take(nodes);
-        *nodes = setups.into_iter().enumerate().filter(|(i, _)| keep(*i)).map(|(_, setup)| setup).collect();
+        *nodes = setups
+            .into_iter()
+            .enumerate()
+            .filter(|(i, _)| keep(*i))
+            .map(|(_, setup)| setup)
+            .collect();
         return;
     }
     for (name, _, node) in members(node, file, "nodes", faults) {
-        let index = cast.hosts.iter().position(|host| host.name == *name).unwrap_or_else(|| {
-            cast.hosts.push(Player { name: name.clone(), ..Player::default() });
-            nodes.push(NodeSetup::default());
-            cast.hosts.len() - 1
-        });
+        let index = cast
+            .hosts
+            .iter()
+            .position(|host| host.name == *name)
+            .unwrap_or_else(|| {
+                cast.hosts.push(Player {
+                    name: name.clone(),
+                    ..Player::default()
+                });
+                nodes.push(NodeSetup::default());
+                cast.hosts.len() - 1
+            });
         let mut one = Reader::new(file, &format!("nodes.{name}"), node, faults);
         let rooms = cast.rooms.clone();
-        if let Some(room) = one.take("room", faults, |node| place_of(&text(node)?, &rooms, "room")) {
+        if let Some(room) = one.take("room", faults, |node| {
+            place_of(&text(node)?, &rooms, "room")
+        }) {
             cast.hosts[index].room = room as u32;
         }
         if let Some(cell) = one.take("cell", faults, |node| quantity::count(node, 0..=1_000_000)) {
             cast.hosts[index].cell = cell as u32;
         }
         let setup = &mut nodes[index];
-        let states = [("serving", HostState::Ready), ("draining", HostState::Draining)];
+        let states = [
+            ("serving", HostState::Ready),
+            ("draining", HostState::Draining),
+        ];
         if let Some(state) = one.word("state", &states, faults) {
             setup.state = state;
         }
@@ -179,14 +246,19 @@
         if let Some(cores) = one.take("cores", faults, |node| quantity::count(node, 1..=1024)) {
             setup.cores = cores as u32;
         }
-        if let Some(slots) = one.take("slots", faults, |node| quantity::count(node, 0..=1_000_000)) {
+        if let Some(slots) = one.take("slots", faults, |node| quantity::count(node, 0..=1_000_000))
+        {
             setup.slots = slots as usize;
         }
         if let Some(speed) = one.take("speed", faults, quantity::number) {
             if speed > 0.0 {
                 setup.speed = speed;
             } else {
-                one.fault("speed", "0; a node that does nothing is one that dies", faults);
+                one.fault(
+                    "speed",
+                    "0; a node that does nothing is one that dies",
+                    faults,
+                );
             }
         }
         if let Some(weight) = one.take("weight", faults, quantity::number) {
--- a/crates/expectations/src/must.rs
+++ b/crates/expectations/src/must.rs
@@ -173,7 +173,15 @@
         for record in records {
             let at = record.at;
             match &record.what {
-                What::Asked { request, limiter, errand, class, partner, units, .. } => {
+                What::Asked {
+                    request,
+                    limiter,
+                    errand,
+                    class,
+                    partner,
+                    units,
+                    ..
+                } => {
                     places.insert(*request, requests.len());
                     requests.push(Request {
                         id: *request,
@@ -190,18 +198,30 @@
                         ends: Vec::new(),
                     });
                 }
-                What::Told { limiter, host, state } => {
+                What::Told {
+                    limiter,
+                    host,
+                    state,
+                } => {
                     let held = known.get(&(*limiter, *host)).map(|(held, _)| *held);
                     if held != Some(*state) {
                         known.insert((*limiter, *host), (*state, at));
                     }
                 }
                 What::Started { host } => drop(cold.insert(*host)),
-                What::Sent { limiter, request, host, cold: is_cold, .. } => {
+                What::Sent {
+                    limiter,
+                    request,
+                    host,
+                    cold: is_cold,
+                    ..
+                } => {
                     let room = |host: usize| cast.hosts.get(host).map(|player| player.room);
                     let own = cast.limiters.get(*limiter).map(|player| player.room);
                     let knows = |state: HostState| {
-                        known.iter().any(|((who, _), (held, _))| who == limiter && *held == state)
+                        known
+                            .iter()
+                            .any(|((who, _), (held, _))| who == limiter && *held == state)
                     };
                     let ready = |test: &dyn Fn(usize) -> bool| {
                         known.iter().any(|((who, host), (held, _))| {
@@ -226,13 +246,19 @@
                         requests[*place].sends.push(send);
                     }
                 }
-                What::Ran { request, dropped: false, .. } => {
+                What::Ran {
+                    request,
+                    dropped: false,
+                    ..
+                } => {
                     if let Some(place) = places.get(request) {
                         let run = runs.entry(requests[*place].errand).or_default();
                         *run = (run.0 + 1, at);
                     }
                 }
-                What::Ended { request, outcome, .. } => {
+                What::Ended {
+                    request, outcome, ..
+                } => {
                     if let Some(place) = places.get(request) {
                         requests[*place].bad_end |= *outcome != Outcome::Good;
                         requests[*place].ends.push(at);
@@ -251,17 +277,29 @@
                 _ => {}
             }
         }
-        Facts { begin, requests, runs, slack }
+        Facts {
+            begin,
+            requests,
+            runs,
+            slack,
+        }
     }
 
     fn meant<'a>(&'a self, filter: &'a Filter) -> impl Iterator<Item = &'a Request> + 'a {
         self.requests.iter().filter(move |request| {
             let since = request.asked - self.begin;
             filter.class.is_none_or(|class| class == request.class)
-                && filter.partners.as_ref().is_none_or(|partners| partners.contains(&request.partner))
-                && filter.through.is_none_or(|limiter| limiter == request.limiter)
+                && filter
+                    .partners
+                    .as_ref()
+                    .is_none_or(|partners| partners.contains(&request.partner))
+                && filter
+                    .through
+                    .is_none_or(|limiter| limiter == request.limiter)
                 && filter.mark.is_none_or(|mark| mark == request.errand)
-                && filter.retries.is_none_or(|retries| retries == request.retry)
+                && filter
+                    .retries
+                    .is_none_or(|retries| retries == request.retry)
                 && since >= filter.after
                 && filter.until.is_none_or(|until| since < until)
         })
@@ -277,7 +315,10 @@
                 let elapsed = self
                     .meant(&must.filter)
                     .filter_map(|r| r.answer.map(|(_, at)| ((at - r.asked) as f64, r)));
-                let bounds = Bounds { most: Some((*time + self.slack) as f64), ..Bounds::default() };
+                let bounds = Bounds {
+                    most: Some((*time + self.slack) as f64),
+                    ..Bounds::default()
+                };
                 self.each(elapsed, bounds, "answered after", true)
             }
             Demand::Told(bounds) => {
@@ -288,7 +329,11 @@
                 // A limiter tells whole milliseconds on sockets.
                 let least = bounds.least.map(|least| least - self.slack as f64);
                 let most = bounds.most.map(|most| most + self.slack as f64);
-                let bounds = Bounds { least, most, part: false };
+                let bounds = Bounds {
+                    least,
+                    most,
+                    part: false,
+                };
                 self.each(told, bounds, "told to come back after", true)
             }
         }
@@ -310,38 +355,59 @@
     fn always(&self, filter: &Filter, event: &Event) -> Judged {
         let mut judged = Judged::default();
         for request in self.meant(filter) {
-            let Some((answer, at)) = request.answer else { continue };
+            let Some((answer, at)) = request.answer else {
+                continue;
+            };
             judged.tested += 1;
             let (holds, word) = match event {
                 Event::Served => (answer == Answered::Served, "not served"),
                 Event::Refused => (matches!(answer, Answered::Refused(_)), "not refused"),
-                Event::RefusedUntold => {
-                    (answer == Answered::Refused(0), "not refused, or told when to come back")
-                }
+                Event::RefusedUntold => (
+                    answer == Answered::Refused(0),
+                    "not refused, or told when to come back",
+                ),
                 Event::Failed => (answer == Answered::Failed, "not failed"),
-                Event::LeavesRoom => (request.sends.iter().all(|send| send.crosses), "sent within its room"),
-                Event::ReachesCold => (request.sends.iter().all(|send| send.cold), "sent to a warm node"),
-                Event::Reaches(host) => {
-                    (request.sends.iter().all(|send| send.host == *host), "sent to another node")
-                }
+                Event::LeavesRoom => (
+                    request.sends.iter().all(|send| send.crosses),
+                    "sent within its room",
+                ),
+                Event::ReachesCold => (
+                    request.sends.iter().all(|send| send.cold),
+                    "sent to a warm node",
+                ),
+                Event::Reaches(host) => (
+                    request.sends.iter().all(|send| send.host == *host),
+                    "sent to another node",
+                ),
                 Event::ReachesLeaving(..) | Event::SameNodeTwice => {
                     (false, "not to be demanded of every request")
                 }
             };
             if !holds {
                 judged.figure += 1.0;
-                judged.failed.get_or_insert((at, Some(request.id), format!("{word}, but {}", said(answer))));
+                judged.failed.get_or_insert((
+                    at,
+                    Some(request.id),
+                    format!("{word}, but {}", said(answer)),
+                ));
             }
         }
         judged
     }
 
     /// How often an event could have happened to a request, and when and how it did.
-    fn happens(&self, cast: &Cast, request: &Request, event: &Event) -> (u64, Option<(Nanos, String)>) {
+    fn happens(
+        &self,
+        cast: &Cast,
+        request: &Request,
+        event: &Event,
+    ) -> (u64, Option<(Nanos, String)>) {
         let sends = || request.sends.iter();
         let tests = |test: fn(&Send) -> bool| sends().filter(|send| test(send)).count() as u64;
         let first = |test: &dyn Fn(&&Send) -> bool, how: &str| {
-            sends().find(test).map(|send| (send.at, format!("sent to {}, {how}", cast.host(send.host))))
+            sends()
+                .find(test)
+                .map(|send| (send.at, format!("sent to {}, {how}", cast.host(send.host))))
         };
         let answered = |test: fn(Answered) -> bool| {
             let (answer, at) = request.answer?;
@@ -352,45 +418,70 @@
                 let late = |send: &&Send| {
                     let limit = *grace + self.slack;
                     send.known.is_some_and(|(held, since)| {
-                        held == *state && (send.at > since + limit || limit == 0 && send.at >= since)
+                        held == *state
+                            && (send.at > since + limit || limit == 0 && send.at >= since)
                     })
                 };
                 match state {
-                    HostState::Gone => (tests(|send| send.gone), first(&late, "which it knew to be gone")),
-                    _ => (tests(|send| send.draining), first(&late, "which it knew to drain")),
+                    HostState::Gone => (
+                        tests(|send| send.gone),
+                        first(&late, "which it knew to be gone"),
+                    ),
+                    _ => (
+                        tests(|send| send.draining),
+                        first(&late, "which it knew to drain"),
+                    ),
                 }
             }
-            Event::ReachesCold => {
-                (tests(|send| send.some_cold || send.cold), first(&|send| send.cold, "which is cold"))
-            }
-            Event::Reaches(host) => {
-                (request.sends.len() as u64, first(&|send| send.host == *host, "which it never may"))
-            }
-            Event::LeavesRoom => {
-                (tests(|send| send.elsewhere || send.crosses), first(&|send| send.crosses, "in another room"))
-            }
+            Event::ReachesCold => (
+                tests(|send| send.some_cold || send.cold),
+                first(&|send| send.cold, "which is cold"),
+            ),
+            Event::Reaches(host) => (
+                request.sends.len() as u64,
+                first(&|send| send.host == *host, "which it never may"),
+            ),
+            Event::LeavesRoom => (
+                tests(|send| send.elsewhere || send.crosses),
+                first(&|send| send.crosses, "in another room"),
+            ),
             Event::SameNodeTwice => {
                 let mut met = BTreeSet::new();
                 let twice = sends().find(|send| !met.insert(send.host));
-                let again =
-                    twice.map(|send| (send.at, format!("sent to {} a second time", cast.host(send.host))));
+                let again = twice.map(|send| {
+                    (
+                        send.at,
+                        format!("sent to {} a second time", cast.host(send.host)),
+                    )
+                });
                 (u64::from(request.sends.len() > 1), again)
             }
-            Event::Refused => {
-                (request.answer.iter().count() as u64, answered(|a| matches!(a, Answered::Refused(_))))
-            }
+            Event::Refused => (
+                request.answer.iter().count() as u64,
+                answered(|a| matches!(a, Answered::Refused(_))),
+            ),
             Event::RefusedUntold => {
                 let refused = matches!(request.answer, Some((Answered::Refused(_), _)));
                 (u64::from(refused), answered(|a| a == Answered::Refused(0)))
             }
-            Event::Served => (request.answer.iter().count() as u64, answered(|a| a == Answered::Served)),
-            Event::Failed => (request.answer.iter().count() as u64, answered(|a| a == Answered::Failed)),
+            Event::Served => (
+                request.answer.iter().count() as u64,
+                answered(|a| a == Answered::Served),
+            ),
+            Event::Failed => (
+                request.answer.iter().count() as u64,
+                answered(|a| a == Answered::Failed),
+            ),
         }
     }
 
     /// Judges a figure that each of some requests has.
     fn each<'a>(
-        &self, figures: impl Iterator<Item = (f64, &'a Request)>, bounds: Bounds, word: &str, time: bool,
+        &self,
+        figures: impl Iterator<Item = (f64, &'a Request)>,
+        bounds: Bounds,
+        word: &str,
+        time: bool,
     ) -> Judged {
         let mut judged = Judged::default();
         for (figure, request) in figures {
@@ -398,7 +489,9 @@
             judged.figure = judged.figure.max(figure);
             if let Some(how) = bounds.broken(figure, time) {
                 let at = request.answer.map_or(request.asked, |(_, at)| at);
-                judged.failed.get_or_insert((at, Some(request.id), format!("{word} {how}")));
+                judged
+                    .failed
+                    .get_or_insert((at, Some(request.id), format!("{word} {how}")));
             }
         }
         judged
@@ -410,7 +503,10 @@
                 // Only where an attempt ended badly was there a choice to make another.
                 let tested = self.meant(filter).filter(|r| r.bad_end).count() as u64;
                 let each = self.meant(filter).map(|r| (r.sends.len() as f64, r));
-                Judged { tested, ..self.each(each, bounds, "attempts:", false) }
+                Judged {
+                    tested,
+                    ..self.each(each, bounds, "attempts:", false)
+                }
             }
             Sum::Runs => {
                 let mut sends: BTreeMap<u64, (usize, &Request)> = BTreeMap::new();
@@ -419,9 +515,15 @@
                 }
                 let tested = sends.values().filter(|(sends, _)| *sends > 1).count() as u64;
                 let each = sends.iter().map(|(errand, (_, request))| {
-                    (f64::from(self.runs.get(errand).map_or(0, |run| run.0)), *request)
+                    (
+                        f64::from(self.runs.get(errand).map_or(0, |run| run.0)),
+                        *request,
+                    )
                 });
-                Judged { tested, ..self.each(each, bounds, "runs:", false) }
+                Judged {
+                    tested,
+                    ..self.each(each, bounds, "runs:", false)
+                }
             }
             Sum::Open => {
                 let mut changes: Vec<(Nanos, i32, &Request)> = Vec::new();
@@ -438,7 +540,10 @@
                 // Where no more were asked for than may be out at once, nothing was held back.
                 let asked = self.meant(filter).count() as f64;
                 let tested = u64::from(bounds.most.is_none_or(|most| asked > most));
-                Judged { tested, ..self.each(each, bounds, "attempts out at once:", false) }
+                Judged {
+                    tested,
+                    ..self.each(each, bounds, "attempts out at once:", false)
+                }
             }
             Sum::Units
             | Sum::Sent
@@ -457,28 +562,62 @@
                 |test: fn(Answered) -> bool| request.answer.is_some_and(|(answer, _)| test(answer));
             let sends = request.sends.len() as f64;
             let (mine, of) = match sum {
-                Sum::Units => (if request.sends.is_empty() { 0.0 } else { request.units }, request.units),
+                Sum::Units => (
+                    if request.sends.is_empty() {
+                        0.0
+                    } else {
+                        request.units
+                    },
+                    request.units,
+                ),
                 Sum::Sent => (f64::from(u8::from(!request.sends.is_empty())), 1.0),
-                Sum::Served => (f64::from(u8::from(answered(|a| a == Answered::Served))), 1.0),
-                Sum::Refused => (f64::from(u8::from(answered(|a| matches!(a, Answered::Refused(_))))), 1.0),
-                Sum::Failed => (f64::from(u8::from(answered(|a| a == Answered::Failed))), 1.0),
-                Sum::Crossings => (request.sends.iter().filter(|send| send.crosses).count() as f64, sends),
-                Sum::Share(host) => {
-                    (request.sends.iter().filter(|send| send.host == host).count() as f64, sends)
-                }
+                Sum::Served => (
+                    f64::from(u8::from(answered(|a| a == Answered::Served))),
+                    1.0,
+                ),
+                Sum::Refused => (
+                    f64::from(u8::from(answered(|a| matches!(a, Answered::Refused(_))))),
+                    1.0,
+                ),
+                Sum::Failed => (
+                    f64::from(u8::from(answered(|a| a == Answered::Failed))),
+                    1.0,
+                ),
+                Sum::Crossings => (
+                    request.sends.iter().filter(|send| send.crosses).count() as f64,
+                    sends,
+                ),
+                Sum::Share(host) => (
+                    request
+                        .sends
+                        .iter()
+                        .filter(|send| send.host == host)
+                        .count() as f64,
+                    sends,
+                ),
                 Sum::Attempts | Sum::Runs | Sum::Open => (0.0, 0.0),
             };
             total += mine;
             all += of;
             if mine > 0.0 {
-                last = Some((request.sends.last().map_or(request.asked, |send| send.at), request.id));
+                last = Some((
+                    request.sends.last().map_or(request.asked, |send| send.at),
+                    request.id,
+                ));
             }
         }
         let share = bounds.part || matches!(sum, Sum::Share(_));
-        let figure = if share && all > 0.0 { total / all } else { total };
+        let figure = if share && all > 0.0 {
+            total / all
+        } else {
+            total
+        };
         // A bound that could not have been passed was not put to the test.
-        let reachable =
-            if share { all > 0.0 } else { bounds.most.is_none_or(|most| all > most) && all > 0.0 };
+        let reachable = if share {
+            all > 0.0
+        } else {
+            bounds.most.is_none_or(|most| all > most) && all > 0.0
+        };
         let word = match sum {
             Sum::Units => "units sent on:".to_owned(),
             Sum::Sent => "requests sent on:".to_owned(),
@@ -490,10 +629,15 @@
             Sum::Attempts | Sum::Runs | Sum::Open => String::new(),
         };
         let failed = bounds.broken(figure, false).map(|how| {
-            let (at, request) = last.map_or((self.begin, None), |(at, request)| (at, Some(request)));
+            let (at, request) =
+                last.map_or((self.begin, None), |(at, request)| (at, Some(request)));
             (at, request, format!("{word} {how}"))
         });
-        Judged { failed, tested: u64::from(reachable), figure }
+        Judged {
+            failed,
+            tested: u64::from(reachable),
+            figure,
+        }
     }
 }
 
@@ -513,9 +657,11 @@
             (_, Some(most)) if figure > most + close => {
                 Some(format!("{}, at most {} expected", show(figure), show(most)))
             }
-            (Some(least), _) if figure < least - close => {
-                Some(format!("{}, at least {} expected", show(figure), show(least)))
-            }
+            (Some(least), _) if figure < least - close => Some(format!(
+                "{}, at least {} expected",
+                show(figure),
+                show(least)
+            )),
             _ => None,
         }
     }
@@ -527,7 +673,10 @@
         Answered::Failed => "failed".to_owned(),
         Answered::Refused(0) => "refused".to_owned(),
         Answered::Refused(after) => {
-            format!("refused, to come back after {}", quartzcleat_config::quantity::show_time(after))
+            format!(
+                "refused, to come back after {}",
+                quartzcleat_config::quantity::show_time(after)
+            )
         }
     }
 }
--- a/crates/expectations/src/report.rs
+++ b/crates/expectations/src/report.rs
@@ -19,7 +19,10 @@
     let how = if counts.complete {
         "all ways".to_owned()
     } else {
-        format!("all ways to {} choices, {} random walks", counts.depth, counts.walks)
+        format!(
+            "all ways to {} choices, {} random walks",
+            counts.depth, counts.walks
+        )
     };
     let (plays, states, tested) = (counts.plays, counts.states, counts.tested);
     format!("{plays} plays, {states} states, {how}; tested {tested} times")
@@ -37,7 +40,11 @@
         }
     }
     if blame.sets.is_empty() && blame.tried > 0 {
-        let _ = writeln!(out, "      none found; {} other settings were tried", blame.tried);
+        let _ = writeln!(
+            out,
+            "      none found; {} other settings were tried",
+            blame.tried
+        );
     }
 }
 
@@ -56,7 +63,14 @@
             file = &result.file;
             let _ = writeln!(out, "{file}");
         }
-        let _ = writeln!(out, "  {:8} {}:{} {}", word(result.verdict), result.file, result.line, result.name);
+        let _ = writeln!(
+            out,
+            "  {:8} {}:{} {}",
+            word(result.verdict),
+            result.file,
+            result.line,
+            result.name
+        );
         if result.verdict != Verdict::Faulty {
             let _ = writeln!(out, "    on {}: {}", result.day, explored(result));
         }
@@ -65,9 +79,17 @@
         }
         if let Some(failure) = &result.failure {
             let path: Vec<_> = failure.path.iter().map(ToString::to_string).collect();
-            let path = if path.is_empty() { "0".to_owned() } else { path.join(",") };
+            let path = if path.is_empty() {
+                "0".to_owned()
+            } else {
+                path.join(",")
+            };
             let _ = writeln!(out, "    {}:{}: {}", result.file, failure.line, failure.how);
-            let _ = writeln!(out, "    the shortest way there, of {} choices:", failure.choices);
+            let _ = writeln!(
+                out,
+                "    the shortest way there, of {} choices:",
+                failure.choices
+            );
             for line in &failure.story {
                 let _ = writeln!(out, "      {line}");
             }
@@ -86,14 +108,31 @@
             lines(behind, &mut out);
         }
         if let Some((before, blame)) = &result.differs {
-            let _ =
-                writeln!(out, "    under the other settings: {}; the change that does it:", word(*before));
+            let _ = writeln!(
+                out,
+                "    under the other settings: {}; the change that does it:",
+                word(*before)
+            );
             lines(blame, &mut out);
         }
     }
-    let count = |verdict| outcome.results.iter().filter(|result| result.verdict == verdict).count();
-    let states: u64 = outcome.results.iter().map(|result| result.explored.states).sum();
-    let plays: u64 = outcome.results.iter().map(|result| result.explored.plays).sum();
+    let count = |verdict| {
+        outcome
+            .results
+            .iter()
+            .filter(|result| result.verdict == verdict)
+            .count()
+    };
+    let states: u64 = outcome
+        .results
+        .iter()
+        .map(|result| result.explored.states)
+        .sum();
+    let plays: u64 = outcome
+        .results
+        .iter()
+        .map(|result| result.explored.plays)
+        .sum();
     let _ = writeln!(
         out,
         "{} expectations: {} held, {} failed, {} untested, {} say nothing, {} faulty; {plays} plays, {states} states, {:.2} s",
@@ -110,7 +149,8 @@
 
 /// As JSON.
 pub fn json(outcome: &Outcome) -> String {
-    serde_json::to_string_pretty(outcome).unwrap_or_else(|e| format!("{{\"fault\": \"{e}\"}}")) + "\n"
+    serde_json::to_string_pretty(outcome).unwrap_or_else(|e| format!("{{\"fault\": \"{e}\"}}"))
+        + "\n"
 }
 
 fn escape(text: &str) -> String {
@@ -142,7 +182,10 @@
 
 /// A JUnit report of cases.
 pub fn suite(name: &str, cases: &[String]) -> String {
-    let failed = cases.iter().filter(|case| case.contains("<failure") || case.contains("<error")).count();
+    let failed = cases
+        .iter()
+        .filter(|case| case.contains("<failure") || case.contains("<error"))
+        .count();
     format!(
         "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<testsuite name=\"{}\" tests=\"{}\" failures=\"{failed}\">\n{}</testsuite>\n",
         escape(name),
@@ -153,8 +196,11 @@
 
 /// As JUnit's XML: a suite for the run, a case for each expectation and day.
 pub fn junit(outcome: &Outcome) -> String {
-    let mut cases: Vec<String> =
-        outcome.faults.iter().map(|fault| case("files", "expectations", fault)).collect();
+    let mut cases: Vec<String> = outcome
+        .faults
+        .iter()
+        .map(|fault| case("files", "expectations", fault))
+        .collect();
     for result in &outcome.results {
         let failure = result.failure.as_ref();
         let how = failure.map_or_else(|| result.notes.join("; "), |failure| failure.how.clone());
--- a/crates/expectations/src/run.rs
+++ b/crates/expectations/src/run.rs
@@ -160,11 +160,17 @@
 impl Outcome {
     /// The exit code: 0 all held, 1 one does not, 2 something cannot be told.
     pub fn code(&self) -> u8 {
-        let bad =
-            |verdict: Verdict| matches!(verdict, Verdict::Failed | Verdict::Untested | Verdict::SaysNothing);
+        let bad = |verdict: Verdict| {
+            matches!(
+                verdict,
+                Verdict::Failed | Verdict::Untested | Verdict::SaysNothing
+            )
+        };
         if self.results.iter().any(|result| bad(result.verdict)) {
             1
-        } else if !self.faults.is_empty() || self.results.iter().any(|r| r.verdict == Verdict::Faulty) {
+        } else if !self.faults.is_empty()
+            || self.results.iter().any(|r| r.verdict == Verdict::Faulty)
+        {
             2
         } else {
             u8::from(self.results.is_empty()) * 2
@@ -210,20 +216,42 @@
 pub fn gather(options: &Options, faults: &mut Faults) -> Vec<Work> {
     let files = file::find(&options.paths);
     if files.is_empty() {
-        let named: Vec<_> = options.paths.iter().map(|path| path.display().to_string()).collect();
+        let named: Vec<_> = options
+            .paths
+            .iter()
+            .map(|path| path.display().to_string())
+            .collect();
         let nowhere = quartzcleat_config::tree::Place::default();
-        faults.add(&named.join(", ").into(), nowhere, "", "no file of expectations");
+        faults.add(
+            &named.join(", ").into(),
+            nowhere,
+            "",
+            "no file of expectations",
+        );
     }
     let suites = files.iter().filter_map(|path| file::read(path, faults));
     let mut suites = suites.map(Arc::new).collect::<Vec<_>>();
     if let Some(name) = &options.deployment {
-        let of = |suite: &Suite| suite.settings.file_stem().map(|stem| stem.to_string_lossy().into_owned());
+        let of = |suite: &Suite| {
+            suite
+                .settings
+                .file_stem()
+                .map(|stem| stem.to_string_lossy().into_owned())
+        };
         let known: BTreeSet<String> = suites.iter().filter_map(|suite| of(suite)).collect();
         suites.retain(|suite| of(suite).as_ref() == Some(name));
         if suites.is_empty() {
             let known: Vec<_> = known.into_iter().collect();
-            let problem = format!("no expectations of a deployment {name:?}; known: {}", known.join(", "));
-            faults.add(&Arc::from(""), quartzcleat_config::tree::Place::default(), "--deployment", problem);
+            let problem = format!(
+                "no expectations of a deployment {name:?}; known: {}",
+                known.join(", ")
+            );
+            faults.add(
+                &Arc::from(""),
+                quartzcleat_config::tree::Place::default(),
+                "--deployment",
+                problem,
+            );
         }
     }
     let mut work = Vec::new();
@@ -233,13 +261,21 @@
             Ok(day) => day,
             Err(found) => {
                 faults.0.extend(
-                    found.0.into_iter().filter(|fault| !faults.0.contains(fault)).collect::<Vec<_>>(),
+                    found
+                        .0
+                        .into_iter()
+                        .filter(|fault| !faults.0.contains(fault))
+                        .collect::<Vec<_>>(),
                 );
                 continue;
             }
         };
-        let wanted =
-            |e: &&Expectation| options.only.as_ref().is_none_or(|only| e.name.contains(only.as_str()));
+        let wanted = |e: &&Expectation| {
+            options
+                .only
+                .as_ref()
+                .is_none_or(|only| e.name.contains(only.as_str()))
+        };
         for expectation in suite.expectations.iter().filter(wanted) {
             match days(expectation, &day, &options.ranges) {
                 Ok(days) => work.extend(days.into_iter().map(|(day, label)| Work {
@@ -267,15 +303,28 @@
         }
     }
     let one = |work: &Work| {
-        check(&work.suite, &work.expectation, &work.day, &work.label, against.as_ref(), options)
+        check(
+            &work.suite,
+            &work.expectation,
+            &work.day,
+            &work.label,
+            against.as_ref(),
+            options,
+        )
     };
-    let pool = rayon::ThreadPoolBuilder::new().num_threads(options.jobs).build();
+    let pool = rayon::ThreadPoolBuilder::new()
+        .num_threads(options.jobs)
+        .build();
     let results = match pool {
         Ok(pool) => pool.install(|| work.par_iter().with_max_len(1).map(one).collect()),
         Err(_) => work.iter().map(one).collect(),
     };
     let faults = faults.0.iter().map(ToString::to_string).collect();
-    Outcome { results, faults, seconds: began.elapsed().as_secs_f64() }
+    Outcome {
+        results,
+        faults,
+        seconds: began.elapsed().as_secs_f64(),
+    }
 }
 
 /// More days than this one expectation is not checked on.
@@ -283,7 +332,9 @@
 
 /// The days that ranges make of one: those of the command line and the expectation's own.
 fn days(
-    expectation: &Expectation, day: &Day, ranges: &[(String, Vec<f64>)],
+    expectation: &Expectation,
+    day: &Day,
+    ranges: &[(String, Vec<f64>)],
 ) -> std::result::Result<Vec<(Day, String)>, Faults> {
     let mut faults = Faults::default();
     let mut ranges = ranges.to_vec();
@@ -291,7 +342,13 @@
         for (name, place, node) in members {
             let values: Option<Vec<f64>> = list(node)
                 .iter()
-                .map(|node| if let Content::Number(value) = node.content { Some(value) } else { None })
+                .map(|node| {
+                    if let Content::Number(value) = node.content {
+                        Some(value)
+                    } else {
+                        None
+                    }
+                })
                 .collect();
             match values.filter(|values| !values.is_empty()) {
                 Some(values) => ranges.push((name.clone(), values)),
@@ -309,7 +366,12 @@
         let key = match day.look(name) {
             Ok(named) => named.key,
             Err(problem) => {
-                faults.add(&expectation.file, expectation.given.place, "given.range", problem);
+                faults.add(
+                    &expectation.file,
+                    expectation.given.place,
+                    "given.range",
+                    problem,
+                );
                 continue;
             }
         };
@@ -320,11 +382,21 @@
         };
         days = days
             .iter()
-            .flat_map(|day| values.iter().map(|value| with(day, value)).collect::<Vec<_>>())
+            .flat_map(|day| {
+                values
+                    .iter()
+                    .map(|value| with(day, value))
+                    .collect::<Vec<_>>()
+            })
             .collect();
         if days.len() > MOST_DAYS {
             let problem = format!("{} days; {MOST_DAYS} at most", days.len());
-            faults.add(&expectation.file, expectation.given.place, "given.range", problem);
+            faults.add(
+                &expectation.file,
+                expectation.given.place,
+                "given.range",
+                problem,
+            );
             return Err(faults);
         }
     }
@@ -339,7 +411,11 @@
 }
 
 fn check(
-    suite: &Suite, expectation: &Expectation, day: &Day, label: &str, against: Option<&Day>,
+    suite: &Suite,
+    expectation: &Expectation,
+    day: &Day,
+    label: &str,
+    against: Option<&Day>,
     options: &Options,
 ) -> Result {
     let began = Instant::now();
@@ -365,7 +441,11 @@
     };
     if let Some(path) = &options.replay {
         let (records, failure) = crate::explore::follow(&compiled, path);
-        result.verdict = if failure.is_some() { Verdict::Failed } else { Verdict::Held };
+        result.verdict = if failure.is_some() {
+            Verdict::Failed
+        } else {
+            Verdict::Held
+        };
         let failure = failure.unwrap_or_else(|| Failure {
             path: path.clone(),
             choices: path.len(),
@@ -393,7 +473,11 @@
         result.behind = Some(behind());
     }
     if let Some(failure) = &explored.failure {
-        let behind = if options.blame { behind() } else { Blame::default() };
+        let behind = if options.blame {
+            behind()
+        } else {
+            Blame::default()
+        };
         result.failure = Some(told(&compiled, expectation, failure, behind));
     }
     if let Some(old) = against {
@@ -405,7 +489,14 @@
         if let Some(before) = before.filter(|before| held(*before) != held(result.verdict)) {
             let turned = match &result.failure {
                 Some(failure) if !failure.behind.sets.is_empty() => failure.behind.clone(),
-                _ => blame::between(suite, expectation, old, day, held(result.verdict), &options.budget),
+                _ => blame::between(
+                    suite,
+                    expectation,
+                    old,
+                    day,
+                    held(result.verdict),
+                    &options.budget,
+                ),
             };
             result.differs = Some((before, turned));
         }
@@ -418,7 +509,12 @@
         walks: explored.walks,
         depth: explored.depth,
         complete: explored.complete,
-        tested: explored.judged.iter().map(|(tested, _)| *tested).min().unwrap_or(0),
+        tested: explored
+            .judged
+            .iter()
+            .map(|(tested, _)| *tested)
+            .min()
+            .unwrap_or(0),
     };
     result.seconds = began.elapsed().as_secs_f64();
     result
@@ -435,7 +531,11 @@
         .filter(|(_, (tested, _))| *tested == 0)
         .map(|(must, _)| must.line)
         .collect();
-    notes.extend(untested.iter().map(|line| format!("line {line}: no play put this to the test")));
+    notes.extend(
+        untested
+            .iter()
+            .map(|line| format!("line {line}: no play put this to the test")),
+    );
     if untested.is_empty() {
         Verdict::Held
     } else {
@@ -445,16 +545,28 @@
 
 /// Varies what an expectation names, and sees whether any of its demands is left untouched by all of it.
 fn says_nothing(
-    suite: &Suite, expectation: &Expectation, day: &Day, compiled: &Compiled, explored: &Explored,
+    suite: &Suite,
+    expectation: &Expectation,
+    day: &Day,
+    compiled: &Compiled,
+    explored: &Explored,
     result: &mut Result,
 ) {
-    let budget = Budget { plays: 60, events: 60_000, depth: 8, seed: 1 };
+    let budget = Budget {
+        plays: 60,
+        events: 60_000,
+        depth: 8,
+        seed: 1,
+    };
     let mut moved = vec![false; compiled.musts.len()];
     let mut see = |other: &Compiled| {
         let found = explore(other, &budget);
         for (number, moved) in moved.iter_mut().enumerate() {
             // A rule that breaks says nothing of the demand.
-            let failed = found.failure.as_ref().is_some_and(|f| f.must == Some(number));
+            let failed = found
+                .failure
+                .as_ref()
+                .is_some_and(|f| f.must == Some(number));
             let now = found.judged.get(number).copied().unwrap_or_default();
             let figure = explored.judged[number].1;
             // A never-event's figure is how often it happened: 0 while it holds, whatever else changes.
@@ -464,9 +576,16 @@
     };
     let mut ways: Vec<Compiled> = Vec::new();
     let steps = compiled.scenario.steps.iter().enumerate();
-    let others: Vec<usize> =
-        steps.filter(|(_, step)| !matches!(step.what, Happening::Ask(_))).map(|(index, _)| index).collect();
-    ways.extend(others.iter().take(6).map(|index| varied(compiled, &Vary::Without(*index))));
+    let others: Vec<usize> = steps
+        .filter(|(_, step)| !matches!(step.what, Happening::Ask(_)))
+        .map(|(index, _)| index)
+        .collect();
+    ways.extend(
+        others
+            .iter()
+            .take(6)
+            .map(|index| varied(compiled, &Vary::Without(*index))),
+    );
     ways.push(varied(compiled, &Vary::Requests(4.0)));
     ways.push(varied(compiled, &Vary::Requests(0.4)));
     for fate in [Fate::ResetRan, Fate::Normal, Fate::SilentLost] {
@@ -479,37 +598,57 @@
     ways.extend(upheavals(compiled));
     let scaled = |key: &str, factor: f64| {
         let node = day.tree.at(key)?;
-        let now = if let Content::Number(value) = node.content { value } else { quantity_of(node) };
-        let value = if now.fract() == 0.0 { (now * factor).round() } else { now * factor };
+        let now = if let Content::Number(value) = node.content {
+            value
+        } else {
+            quantity_of(node)
+        };
+        let value = if now.fract() == 0.0 {
+            (now * factor).round()
+        } else {
+            now * factor
+        };
         Some((key.to_owned(), Some(Content::Number(value))))
     };
     let mut changes: Vec<Vec<Change>> = Vec::new();
     for key in &compiled.names {
-        changes.extend([0.5, 2.0].iter().filter_map(|factor| Some(vec![scaled(key, *factor)?])));
+        changes.extend(
+            [0.5, 2.0]
+                .iter()
+                .filter_map(|factor| Some(vec![scaled(key, *factor)?])),
+        );
     }
     let plan = |step: &quartzcleat_simulation::scenario::Step| match &step.what {
         Happening::Ask(ask) => Some(ask.plan),
         _ => None,
     };
-    let plans: std::collections::BTreeSet<u32> = compiled.scenario.steps.iter().filter_map(plan).collect();
+    let plans: std::collections::BTreeSet<u32> =
+        compiled.scenario.steps.iter().filter_map(plan).collect();
     for plan in plans {
         for factor in [0.25, 16.0] {
-            let figures =
-                ["refill", "peakUnits"].map(|figure| scaled(&format!("contracts.{plan}.{figure}"), factor));
+            let figures = ["refill", "peakUnits"]
+                .map(|figure| scaled(&format!("contracts.{plan}.{figure}"), factor));
             changes.push(figures.into_iter().flatten().collect());
         }
     }
-    let made =
-        changes.iter().filter_map(|changes| compile(suite, expectation, &day.with(changes).ok()?).ok());
+    let made = changes
+        .iter()
+        .filter_map(|changes| compile(suite, expectation, &day.with(changes).ok()?).ok());
     ways.extend(made);
     if ways.iter().any(&mut see) {
         return;
     }
     result.verdict = Verdict::SaysNothing;
-    for (must, _) in compiled.musts.iter().zip(&moved).filter(|(_, moved)| !**moved) {
-        result
-            .notes
-            .push(format!("line {}: holds whatever is changed of what the expectation names", must.line));
+    for (must, _) in compiled
+        .musts
+        .iter()
+        .zip(&moved)
+        .filter(|(_, moved)| !**moved)
+    {
+        result.notes.push(format!(
+            "line {}: holds whatever is changed of what the expectation names",
+            must.line
+        ));
     }
 }
 
@@ -531,7 +670,12 @@
         with(&|s| s.settings.max_attempts = 12),
         with(&|s| s.settings.retry_after = false),
         with(&|s| s.settings.longest_retry_after *= 20),
-        with(&|s| s.truth.classes.iter_mut().for_each(|class| class.dedup_window = 1)),
+        with(&|s| {
+            s.truth
+                .classes
+                .iter_mut()
+                .for_each(|class| class.dedup_window = 1)
+        }),
         with(&|s| s.cast.hosts.iter_mut().for_each(|host| host.room += 1)),
         with(&|s| s.cast.hosts.iter_mut().for_each(|host| host.room = 0)),
     ]
@@ -548,9 +692,19 @@
     // What every limiter is told at its start goes without saying.
     let begin = failure.records.first().map_or(0, |record| record.at);
     let usual = |record: &Record| {
-        record.at == begin && matches!(record.what, What::Told { state: HostState::Ready, .. })
+        record.at == begin
+            && matches!(
+                record.what,
+                What::Told {
+                    state: HostState::Ready,
+                    ..
+                }
+            )
     };
-    let told = failure.records.iter().filter(|record| failure.at == 0 || record.at <= failure.at);
+    let told = failure
+        .records
+        .iter()
+        .filter(|record| failure.at == 0 || record.at <= failure.at);
     let until: Vec<_> = told.filter(|record| !usual(record)).cloned().collect();
     let mut story = story::tell(&compiled.scenario.cast, &until);
     if story.len() > STORY {
@@ -560,8 +714,17 @@
         story.push(format!("{:>12}  ({left} lines left out)", "..."));
         story.extend(end);
     }
-    let line =
-        failure.must.and_then(|must| compiled.musts.get(must)).map_or(expectation.line, |must| must.line);
+    let line = failure
+        .must
+        .and_then(|must| compiled.musts.get(must))
+        .map_or(expectation.line, |must| must.line);
     let (how, path, choices) = (failure.how.clone(), failure.path.clone(), failure.choices);
-    Told { how, line, path, choices, story, behind }
+    Told {
+        how,
+        line,
+        path,
+        choices,
+        story,
+        behind,
+    }
 }
--- a/crates/expectations/src/steps.rs
+++ b/crates/expectations/src/steps.rs
@@ -17,18 +17,26 @@
     }
 
     pub(crate) fn step(
-        &mut self, file: &Arc<str>, index: usize, node: &Node, steps: &mut Vec<Step>, faults: &mut Faults,
+        &mut self,
+        file: &Arc<str>,
+        index: usize,
+        node: &Node,
+        steps: &mut Vec<Step>,
+        faults: &mut Faults,
     ) {
         let path = format!("when.{index}");
         let mut map = Reader::new(file, &path, node, faults);
-        let at = map.take("at", faults, |node| self.times(node)).unwrap_or_else(|| vec![0]);
+        let at = map
+            .take("at", faults, |node| self.times(node))
+            .unwrap_or_else(|| vec![0]);
         let free = map.take("order", faults, |node| match text(node)?.as_str() {
             "free" => Ok(0),
             _ => quantity::count(node, 1..=100).map(|n| n as u32),
         });
         let mut push = |at: Vec<Nanos>, what: Happening| steps.push(Step { at, what, free });
         let host = |ground: &Self, node: &Node| player(&ground.cast.hosts, &text(node)?, "node");
-        let limiter = |ground: &Self, node: &Node| player(&ground.cast.limiters, &text(node)?, "limiter");
+        let limiter =
+            |ground: &Self, node: &Node| player(&ground.cast.limiters, &text(node)?, "limiter");
         let kinds = [
             "request",
             "retry",
@@ -43,7 +51,10 @@
             "stop",
             "restart",
         ];
-        let found: Vec<&str> = kinds.into_iter().filter(|kind| node.get(kind).is_some()).collect();
+        let found: Vec<&str> = kinds
+            .into_iter()
+            .filter(|kind| node.get(kind).is_some())
+            .collect();
         let [kind] = found.as_slice() else {
             let problem = if found.is_empty() {
                 format!("nothing happens here; one of {}", kinds.join(", "))
@@ -57,7 +68,10 @@
             "request" | "retry" => {
                 let asks = self.asks(&mut map, *kind == "retry", faults);
                 for (offset, ask) in asks {
-                    push(at.iter().map(|at| at + offset).collect(), Happening::Ask(ask));
+                    push(
+                        at.iter().map(|at| at + offset).collect(),
+                        Happening::Ask(ask),
+                    );
                 }
             }
             "drain" => {
@@ -128,14 +142,23 @@
     }
 
     /// The requests of one step, with how long after it each comes.
-    fn asks(&mut self, map: &mut Reader<'_>, retry: bool, faults: &mut Faults) -> Vec<(Nanos, Ask)> {
+    fn asks(
+        &mut self,
+        map: &mut Reader<'_>,
+        retry: bool,
+        faults: &mut Faults,
+    ) -> Vec<(Nanos, Ask)> {
         let key = if retry { "retry" } else { "request" };
         let name = map.take(key, faults, text);
         let classes = self.cast.classes.clone();
         let class = if retry {
-            map.need("class", faults, |node| place_of(&text(node)?, &classes, "class"))
+            map.need("class", faults, |node| {
+                place_of(&text(node)?, &classes, "class")
+            })
         } else {
-            map.take("request", faults, |node| place_of(&text(node)?, &classes, "class"))
+            map.take("request", faults, |node| {
+                place_of(&text(node)?, &classes, "class")
+            })
         };
         let partners = self.cast.partners.clone();
         let from = map.need("from", faults, |node| {
@@ -157,16 +180,27 @@
             f64::MAX
         };
         let units = map.take("units", faults, |node| {
-            let units: Vec<f64> =
-                list(node).iter().map(|node| self.number(node)).collect::<Result<_, _>>()?;
-            match units.iter().find(|units| !(**units > 0.0 && **units <= top)) {
-                Some(wrong) => Err(format!("{wrong} is not above 0 and up to {top} (familyInfo.unitsTop)")),
+            let units: Vec<f64> = list(node)
+                .iter()
+                .map(|node| self.number(node))
+                .collect::<Result<_, _>>()?;
+            match units
+                .iter()
+                .find(|units| !(**units > 0.0 && **units <= top))
+            {
+                Some(wrong) => Err(format!(
+                    "{wrong} is not above 0 and up to {top} (familyInfo.unitsTop)"
+                )),
                 None => Ok(units),
             }
         });
         let cost = map.take("cost", faults, |node| self.number(node));
         if cost.is_some() && !self.day.settings.settled_later {
-            map.fault("cost", "units are no guess on this day (familyInfo.costAfter)", faults);
+            map.fault(
+                "cost",
+                "units are no guess on this day (familyInfo.costAfter)",
+                faults,
+            );
         }
         let count = map.take("count", faults, |node| {
             let count = self.number(node)?.ceil();
@@ -176,7 +210,9 @@
                 Err(format!("{count} is not from 1 to {MOST_REQUESTS}"))
             }
         });
-        let every = map.take("every", faults, |node| self.time(node)).unwrap_or(0);
+        let every = map
+            .take("every", faults, |node| self.time(node))
+            .unwrap_or(0);
         let wait = map.take("wait", faults, |node| self.time(node));
         let mark = map.take("mark", faults, text);
         let count = count.unwrap_or(1);
@@ -197,8 +233,11 @@
                 _ => set[number % set.len()],
             };
             if !set.contains(&through) {
-                let problem =
-                    format!("{} is not of {}'s set", self.cast.limiter(through), self.cast.partners[partner]);
+                let problem = format!(
+                    "{} is not of {}'s set",
+                    self.cast.limiter(through),
+                    self.cast.partners[partner]
+                );
                 map.fault("through", problem, faults);
                 return Vec::new();
             }
@@ -206,7 +245,11 @@
                 (true, Some(name), _) => match self.marks.get(name) {
                     Some(mark) => *mark,
                     None => {
-                        map.fault("retry", format!("no request before it is marked {name:?}"), faults);
+                        map.fault(
+                            "retry",
+                            format!("no request before it is marked {name:?}"),
+                            faults,
+                        );
                         return Vec::new();
                     }
                 },
@@ -218,7 +261,9 @@
             };
             let deadline = self.day.settings.classes[class].deadline;
             let wait = wait.unwrap_or(deadline).min(deadline);
-            let units = units.as_deref().map_or(1.0, |units| units[number % units.len()]);
+            let units = units
+                .as_deref()
+                .map_or(1.0, |units| units[number % units.len()]);
             asks.push((
                 every * number as u64,
                 Ask {
--- a/crates/expectations/src/vary.rs
+++ b/crates/expectations/src/vary.rs
@@ -22,15 +22,27 @@
             let asks: Vec<Step> = compiled.scenario.steps.clone();
             let mut mark = 1_000_000;
             for step in asks {
-                let Happening::Ask(ask) = &step.what else { continue };
+                let Happening::Ask(ask) = &step.what else {
+                    continue;
+                };
                 for number in 1..*factor as u64 {
                     mark += 1;
-                    let ask = Ask { mark, ..ask.clone() };
+                    let ask = Ask {
+                        mark,
+                        ..ask.clone()
+                    };
                     let at = step.at.iter().map(|at| at + number * 1_000_000).collect();
-                    compiled.scenario.steps.push(Step { at, what: Happening::Ask(ask), free: None });
+                    compiled.scenario.steps.push(Step {
+                        at,
+                        what: Happening::Ask(ask),
+                        free: None,
+                    });
                 }
             }
-            compiled.scenario.steps.sort_by_key(|step| step.at.first().copied().unwrap_or(0));
+            compiled
+                .scenario
+                .steps
+                .sort_by_key(|step| step.at.first().copied().unwrap_or(0));
         }
         Vary::Requests(factor) => {
             let (mut seen, mut kept) = (0.0, 0.0);
--- a/crates/expectations/tests/expect.rs
+++ b/crates/expectations/tests/expect.rs
@@ -13,8 +13,11 @@
 impl Folder {
     fn new() -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
-        let name =
-            format!("quartzcleat-expect-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let name = format!(
+            "quartzcleat-expect-{}-{}",
+            std::process::id(),
+            NEXT.fetch_add(1, Ordering::Relaxed)
+        );
         let folder = Folder(std::env::temp_dir().join(name));
         std::fs::create_dir_all(&folder.0).expect("a folder is made");
         folder.write("day.yaml", DAY);
@@ -29,10 +32,15 @@
     }
 
     fn run(&self, expectations: &str, change: impl FnOnce(&mut Options)) -> Outcome {
-        let text =
-            format!("settings: day.yaml\ninstallation: installation.yaml\nexpectations:\n{expectations}");
+        let text = format!(
+            "settings: day.yaml\ninstallation: installation.yaml\nexpectations:\n{expectations}"
+        );
         let path = self.write("e.yaml", &text);
-        let mut options = Options { paths: vec![path], jobs: 2, ..Options::default() };
+        let mut options = Options {
+            paths: vec![path],
+            jobs: 2,
+            ..Options::default()
+        };
         change(&mut options);
         run(&options)
     }
@@ -45,7 +53,11 @@
 }
 
 fn verdicts(outcome: &Outcome) -> Vec<Verdict> {
-    outcome.results.iter().map(|result| result.verdict).collect()
+    outcome
+        .results
+        .iter()
+        .map(|result| result.verdict)
+        .collect()
 }
 
 const CAP: &str = "
@@ -75,11 +87,31 @@
         "{}",
         failure.how
     );
-    assert!(failure.path.iter().filter(|choice| **choice != 0).count() >= 4, "{:?}", failure.path);
-    assert!(failure.story.iter().any(|line| line.contains("(attempt 5)")), "{:#?}", failure.story);
-    let line = day.lines().position(|line| line.contains("sendCap")).expect("it is there") as u32 + 1;
-    let behind: Vec<_> =
-        failure.behind.sets.iter().flatten().map(|found| (found.line, found.key.as_str())).collect();
+    assert!(
+        failure.path.iter().filter(|choice| **choice != 0).count() >= 4,
+        "{:?}",
+        failure.path
+    );
+    assert!(
+        failure
+            .story
+            .iter()
+            .any(|line| line.contains("(attempt 5)")),
+        "{:#?}",
+        failure.story
+    );
+    let line = day
+        .lines()
+        .position(|line| line.contains("sendCap"))
+        .expect("it is there") as u32
+        + 1;
+    let behind: Vec<_> = failure
+        .behind
+        .sets
+        .iter()
+        .flatten()
+        .map(|found| (found.line, found.key.as_str()))
+        .collect();
     assert!(behind.contains(&(line, "limits.sendCap")), "{behind:?}");
     // The path alone fails in the same way, and a shorter one does not.
     let again = folder.run(CAP, |options| options.replay = Some(failure.path.clone()));
@@ -100,10 +132,17 @@
         .replace("connectTimeoutNs: 250ms", "connectTimeoutNs: 200ms");
     folder.write("day.yaml", &new);
     let outcome = folder.run(CAP, |options| options.against = Some(old));
-    let (before, blame) = outcome.results[0].differs.clone().expect("the verdicts differ");
+    let (before, blame) = outcome.results[0]
+        .differs
+        .clone()
+        .expect("the verdicts differ");
     assert_eq!(before, Verdict::Held);
-    let keys: Vec<_> =
-        blame.sets.iter().flatten().map(|line| (line.key.as_str(), line.would.as_str())).collect();
+    let keys: Vec<_> = blame
+        .sets
+        .iter()
+        .flatten()
+        .map(|line| (line.key.as_str(), line.would.as_str()))
+        .collect();
     assert_eq!(keys, [("limits.sendCap", "4")]);
 }
 
@@ -131,7 +170,10 @@
 ",
         |_| {},
     );
-    assert_eq!(verdicts(&outcome), [Verdict::Untested, Verdict::Untested, Verdict::Held]);
+    assert_eq!(
+        verdicts(&outcome),
+        [Verdict::Untested, Verdict::Untested, Verdict::Held]
+    );
     let outcome = folder.run(
         "
   - name: a bed-check never fails, whatever is done
@@ -142,7 +184,10 @@
 ",
         |_| {},
     );
-    assert_eq!((verdicts(&outcome), outcome.code()), (vec![Verdict::SaysNothing], 1));
+    assert_eq!(
+        (verdicts(&outcome), outcome.code()),
+        (vec![Verdict::SaysNothing], 1)
+    );
     // A rule that breaks when the cap on attempts is lifted does not make the demand say anything.
     let outcome = folder.run(
         "
@@ -180,9 +225,18 @@
       - {served: {at least: 3, at most: 2}}
 ";
     let outcome = folder.run(&format!("{bad}{CAP}"), |_| {});
-    let expected = [Verdict::Faulty, Verdict::Faulty, Verdict::Faulty, Verdict::Held];
+    let expected = [
+        Verdict::Faulty,
+        Verdict::Faulty,
+        Verdict::Faulty,
+        Verdict::Held,
+    ];
     assert_eq!((verdicts(&outcome), outcome.code()), (expected.to_vec(), 2));
-    let notes: Vec<_> = outcome.results.iter().flat_map(|result| result.notes.clone()).collect();
+    let notes: Vec<_> = outcome
+        .results
+        .iter()
+        .flat_map(|result| result.notes.clone())
+        .collect();
     let all = notes.join("\n");
     for part in [
         "e.yaml:7: when.0.from: no partner \"Azip\"; did you mean Azib?",
@@ -206,19 +260,27 @@
     must:
       - {units: plans.guide.burst * 1.5 + 6}
 ";
-    let outcome =
-        folder.run(text, |options| options.ranges.push(("plans.guide.burst".into(), vec![6.0, 9.0, 12.0])));
+    let outcome = folder.run(text, |options| {
+        options
+            .ranges
+            .push(("plans.guide.burst".into(), vec![6.0, 9.0, 12.0]))
+    });
     assert_eq!(verdicts(&outcome), [Verdict::Held; 3]);
     assert!(outcome.results[2].day.ends_with("plans.guide.burst=12"));
     let fixed = text.replace("plans.guide.burst * 1.5 + 6", "15");
-    let outcome =
-        folder.run(&fixed, |options| options.ranges.push(("plans.guide.burst".into(), vec![6.0, 24.0])));
+    let outcome = folder.run(&fixed, |options| {
+        options
+            .ranges
+            .push(("plans.guide.burst".into(), vec![6.0, 24.0]))
+    });
     assert_eq!(
         verdicts(&outcome),
         [Verdict::Held, Verdict::Failed],
         "an absolute figure breaks at the far end"
     );
-    let outcome = folder.run(text, |options| options.ranges.push(("plans.gide.burst".into(), vec![1.0])));
+    let outcome = folder.run(text, |options| {
+        options.ranges.push(("plans.gide.burst".into(), vec![1.0]))
+    });
     assert_eq!(outcome.code(), 2);
 }
 
@@ -231,7 +293,8 @@
     assert_eq!(json["results"][0]["verdict"], "failed");
     let junit = report::junit(&outcome);
     assert!(
-        junit.contains("tests=\"1\" failures=\"1\"") && junit.contains("<failure message=\"FAILED: "),
+        junit.contains("tests=\"1\" failures=\"1\"")
+            && junit.contains("<failure message=\"FAILED: "),
         "{junit}"
     );
     assert!(report::human(&outcome, false).contains("1 failed"));
@@ -241,10 +304,18 @@
 #[test]
 fn a_run_is_the_same_each_time() {
     let folder = Folder::new();
-    let outcomes: Vec<_> = (1..=2).map(|jobs| folder.run(CAP, |options| options.jobs = jobs)).collect();
+    let outcomes: Vec<_> = (1..=2)
+        .map(|jobs| folder.run(CAP, |options| options.jobs = jobs))
+        .collect();
     let told = |outcome: &Outcome| {
         let counts = &outcome.results[0].explored;
-        (counts.plays, counts.states, counts.events, counts.walks, counts.tested)
+        (
+            counts.plays,
+            counts.states,
+            counts.events,
+            counts.walks,
+            counts.tested,
+        )
     };
     assert_eq!(told(&outcomes[0]), told(&outcomes[1]));
     assert!(outcomes[0].results[0].explored.plays > 20 && outcomes[0].results[0].explored.complete);
@@ -254,16 +325,37 @@
 #[test]
 fn the_expectations_of_both_deployments_hold() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/expectations");
-    let budget = quartzcleat_expectations::Budget { plays: 300, events: 100_000, ..Default::default() };
+    let budget = quartzcleat_expectations::Budget {
+        plays: 300,
+        events: 100_000,
+        ..Default::default()
+    };
     for (deployment, least) in [("imlil-main", 60), ("reykjavik-auth", 25)] {
         let (paths, deployment) = (vec![path.clone()], Some(deployment.to_owned()));
-        let outcome = run(&Options { paths, deployment, budget, ..Options::default() });
-        assert!(outcome.results.len() >= least, "{} expectations", outcome.results.len());
+        let outcome = run(&Options {
+            paths,
+            deployment,
+            budget,
+            ..Options::default()
+        });
+        assert!(
+            outcome.results.len() >= least,
+            "{} expectations",
+            outcome.results.len()
+        );
         assert_eq!(outcome.code(), 0, "{}", report::human(&outcome, false));
         assert!(outcome.seconds < 60.0, "{} s", outcome.seconds);
     }
     let deployment = Some("imlil".to_owned());
-    let outcome = run(&Options { paths: vec![path], deployment, ..Options::default() });
-    assert_eq!(outcome.code(), 2, "an unknown deployment is named, not passed over");
+    let outcome = run(&Options {
+        paths: vec![path],
+        deployment,
+        ..Options::default()
+    });
+    assert_eq!(
+        outcome.code(),
+        2,
+        "an unknown deployment is named, not passed over"
+    );
     assert!(report::human(&outcome, false).contains("known: imlil-main, reykjavik-auth"));
 }
--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -57,14 +57,25 @@
                 return;
             }
         }
-        let Some(first) = self.ask(&ask).await else { return };
-        let Some(retry) = self.stage.scenario.retry.clone() else { return };
+        let Some(first) = self.ask(&ask).await else {
+            return;
+        };
+        let Some(retry) = self.stage.scenario.retry.clone() else {
+            return;
+        };
         if first == Answered::Served || ask.retry {
             return;
         }
-        let told = if let Answered::Refused(after) = first { after } else { 0 };
+        let told = if let Answered::Refused(after) = first {
+            after
+        } else {
+            0
+        };
         sleep(Duration::from_nanos(retry.after.max(told))).await;
-        let mut again = Ask { retry: true, ..ask.clone() };
+        let mut again = Ask {
+            retry: true,
+            ..ask.clone()
+        };
         if retry.elsewhere && ask.spread.0 > 1 {
             let limiters = self.stage.scenario.cast.limiters.len();
             let (count, first) = (ask.spread.0 as usize, ask.spread.1 as usize);
@@ -86,17 +97,43 @@
         };
         let id = stage.request();
         let class = &stage.scenario.settings.classes[ask.class];
-        let plan = stage.scenario.settings.plans.get(ask.plan as usize).map_or("", |plan| plan.name.as_str());
-        let mut facts = format!("c={},t={plan},d={}", class.name, ask.wait.div_ceil(1_000_000));
+        let plan = stage
+            .scenario
+            .settings
+            .plans
+            .get(ask.plan as usize)
+            .map_or("", |plan| plan.name.as_str());
+        let mut facts = format!(
+            "c={},t={plan},d={}",
+            class.name,
+            ask.wait.div_ceil(1_000_000)
+        );
         if class.effect == Effect::Keyed {
             facts.push_str(&format!(",k={:016x}", ask.mark));
         }
-        facts.push_str(&format!(",units={},spread={},first={}", ask.units, ask.spread.0, ask.spread.1));
-        let verb = if class.effect == Effect::Retryable { "Q.ASK" } else { "Q.DO" };
-        let (customer, number) = (format!("{:016x}", ask.partner + 1), format!("{:016x}", id.0));
+        facts.push_str(&format!(
+            ",units={},spread={},first={}",
+            ask.units, ask.spread.0, ask.spread.1
+        ));
+        let verb = if class.effect == Effect::Retryable {
+            "Q.ASK"
+        } else {
+            "Q.DO"
+        };
+        let (customer, number) = (
+            format!("{:016x}", ask.partner + 1),
+            format!("{:016x}", id.0),
+        );
         let command = resp::write(&[verb, &customer, &number, &facts]);
         stage.errands.borrow_mut().insert(ask.mark, None);
-        stage.asked.borrow_mut().insert(id, Asked { class: ask.class, errand: ask.mark, attempts: 0 });
+        stage.asked.borrow_mut().insert(
+            id,
+            Asked {
+                class: ask.class,
+                errand: ask.mark,
+                attempts: 0,
+            },
+        );
         let answered = self.exchange(address, &command, id, ask).await;
         let answer = match answered {
             Ok(answer) => answer,
@@ -109,12 +146,19 @@
                 None
             }
         };
-        stage.errands.borrow_mut().insert(ask.mark, answer.or(Some(Answered::Failed)));
+        stage
+            .errands
+            .borrow_mut()
+            .insert(ask.mark, answer.or(Some(Answered::Failed)));
         answer
     }
 
     async fn exchange(
-        &self, address: SocketAddr, command: &[u8], id: RequestId, ask: &Ask,
+        &self,
+        address: SocketAddr,
+        command: &[u8],
+        id: RequestId,
+        ask: &Ask,
     ) -> io::Result<Option<Answered>> {
         let stage = &self.stage;
         let mut stream = TcpStream::connect(address).await?;
@@ -139,11 +183,16 @@
             Some(Reply::Bulk(value)) if value == format!("{:016x}", id.0) => Answered::Served,
             Some(Reply::Bulk(_)) | None => return Err(io::ErrorKind::UnexpectedEof.into()),
             Some(Reply::Line(line)) => match line.strip_prefix("-BUSY") {
-                Some(after) => Answered::Refused(after.trim().parse::<u64>().unwrap_or(0) * 1_000_000),
+                Some(after) => {
+                    Answered::Refused(after.trim().parse::<u64>().unwrap_or(0) * 1_000_000)
+                }
                 None => Answered::Failed,
             },
         };
-        stage.note(What::Answered { request: id, answer });
+        stage.note(What::Answered {
+            request: id,
+            answer,
+        });
         Ok(Some(answer))
     }
 }
--- a/crates/fakes/src/counter.rs
+++ b/crates/fakes/src/counter.rs
@@ -22,7 +22,10 @@
 
 impl CounterDesk {
     pub(crate) fn new(setup: &CounterSetup) -> Self {
-        CounterDesk { model: Counter::new(setup), calls: Vec::new() }
+        CounterDesk {
+            model: Counter::new(setup),
+            calls: Vec::new(),
+        }
     }
 }
 
@@ -43,7 +46,8 @@
             let words: Vec<&str> = words.iter().map(String::as_str).collect();
             let text = match words.as_slice() {
                 ["ADDGET", name, amount, life] => {
-                    let (Ok(amount), Ok(life)) = (amount.parse::<f64>(), life.parse::<u64>()) else {
+                    let (Ok(amount), Ok(life)) = (amount.parse::<f64>(), life.parse::<u64>())
+                    else {
                         stream.write_all(b"-ERR no number\r\n").await?;
                         continue;
                     };
@@ -66,7 +70,13 @@
 }
 
 /// One call's answer; `None` where none ever comes.
-async fn call(stage: &Rc<Stage>, limiter: usize, name: &str, amount: f64, life: Nanos) -> Option<String> {
+async fn call(
+    stage: &Rc<Stage>,
+    limiter: usize,
+    name: &str,
+    amount: f64,
+    life: Nanos,
+) -> Option<String> {
     let fate = {
         let mut desk = stage.counter.borrow_mut();
         let calls = desk.calls.len().max(limiter + 1);
@@ -75,14 +85,21 @@
         desk.calls[limiter] += 1;
         let fates = &stage.scenario.counter.fates;
         let variant = stage.scenario.variant.unwrap_or(0);
-        fates.get(option(variant, Point::Call, number, fates.len())).copied().unwrap_or(CallFate::Normal)
+        fates
+            .get(option(variant, Point::Call, number, fates.len()))
+            .copied()
+            .unwrap_or(CallFate::Normal)
     };
     match fate {
         CallFate::Normal => {}
         CallFate::Lost => return None,
         CallFate::AnswerLost => {
             let now = stage.now();
-            stage.counter.borrow_mut().model.add(name, amount, life, now);
+            stage
+                .counter
+                .borrow_mut()
+                .model
+                .add(name, amount, life, now);
             return None;
         }
         CallFate::Refused => return Some("-BUSY\r\n".to_owned()),
@@ -93,7 +110,11 @@
     let done = stage.counter.borrow_mut().model.arrive(name, now)?;
     sleep(Duration::from_nanos(done.saturating_sub(now))).await;
     let now = stage.now();
-    let (outcome, total) = stage.counter.borrow_mut().model.add(name, amount, life, now);
+    let (outcome, total) = stage
+        .counter
+        .borrow_mut()
+        .model
+        .add(name, amount, life, now);
     sleep(way).await;
     match outcome {
         Outcome::Good => {
--- a/crates/fakes/src/discovery.rs
+++ b/crates/fakes/src/discovery.rs
@@ -24,7 +24,12 @@
 impl DiscoveryDesk {
     pub(crate) fn new(_limiters: usize) -> Self {
         let (told, speaks) = (watch::Sender::new(1), watch::Sender::new(true));
-        DiscoveryDesk { changes: Vec::new(), told, held: Vec::new(), speaks }
+        DiscoveryDesk {
+            changes: Vec::new(),
+            told,
+            held: Vec::new(),
+            speaks,
+        }
     }
 
     /// A host is listed from the beginning.
@@ -65,8 +70,13 @@
     /// The hosts changed between two versions, each once.
     fn between(&self, from: u64, to: u64) -> Vec<usize> {
         let range = (from.max(1) - 1) as usize..((to.max(1) - 1) as usize).min(self.changes.len());
-        let mut nodes: Vec<usize> =
-            self.changes.get(range).unwrap_or_default().iter().map(|(node, _)| *node).collect();
+        let mut nodes: Vec<usize> = self
+            .changes
+            .get(range)
+            .unwrap_or_default()
+            .iter()
+            .map(|(node, _)| *node)
+            .collect();
         nodes.sort_unstable();
         nodes.dedup();
         nodes
@@ -102,7 +112,11 @@
             stream.write_all(text.as_bytes()).await?;
             for node in nodes {
                 let state = stage.state(node);
-                stage.note(What::Told { limiter, host: node, state });
+                stage.note(What::Told {
+                    limiter,
+                    host: node,
+                    state,
+                });
             }
         }
         if input.len() > 16 << 10 || stream.read_buf(&mut input).await? == 0 {
@@ -119,7 +133,12 @@
     };
     let value = |name: &str| {
         let query = path.split_once('?').map_or("", |(_, query)| query);
-        query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+        query.split('&').find_map(|pair| {
+            pair.strip_prefix(name)?
+                .strip_prefix('=')?
+                .parse::<u64>()
+                .ok()
+        })
     };
     let index = value("index");
     if let Some(index) = index {
--- a/crates/fakes/src/limiter.rs
+++ b/crates/fakes/src/limiter.rs
@@ -21,12 +21,28 @@
 
 impl Process {
     pub(crate) fn new(
-        program: &Path, config: PathBuf, listen: SocketAddr, discovery: SocketAddr, counter: SocketAddr,
+        program: &Path,
+        config: PathBuf,
+        listen: SocketAddr,
+        discovery: SocketAddr,
+        counter: SocketAddr,
     ) -> Self {
-        Process { program: program.to_owned(), config, listen, discovery, counter, starts: 0, child: None }
+        Process {
+            program: program.to_owned(),
+            config,
+            listen,
+            discovery,
+            counter,
+            starts: 0,
+            child: None,
+        }
     }
 
-    pub(crate) fn start(&mut self, config: &serde_json::Value, ours: Option<String>) -> io::Result<()> {
+    pub(crate) fn start(
+        &mut self,
+        config: &serde_json::Value,
+        ours: Option<String>,
+    ) -> io::Result<()> {
         self.starts += 1;
         std::fs::write(&self.config, config.to_string())?;
         let mut command = Command::new(&self.program);
@@ -49,7 +65,12 @@
             std::fs::write(&file, ours)?;
             command.env("QUARTZCLEAT_CONFIG", file);
             let log = self.config.with_extension("log");
-            command.stderr(std::fs::OpenOptions::new().create(true).append(true).open(log)?);
+            command.stderr(
+                std::fs::OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(log)?,
+            );
         }
         self.child = Some(command.spawn()?);
         Ok(())
@@ -57,13 +78,26 @@
 
     /// What the process used so far, as the kernel tells.
     pub(crate) fn usage(&self) -> Usage {
-        let Some(id) = self.child.as_ref().and_then(Child::id) else { return Usage::default() };
-        let read = |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
-        let cpu_ns =
-            read("schedstat").split_whitespace().next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        let Some(id) = self.child.as_ref().and_then(Child::id) else {
+            return Usage::default();
+        };
+        let read =
+            |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
+        let cpu_ns = read("schedstat")
+            .split_whitespace()
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let status = read("status");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or_default();
-        let peak_kb = peak.split_whitespace().next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .unwrap_or_default();
+        let peak_kb = peak
+            .split_whitespace()
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         Usage { cpu_ns, peak_kb }
     }
 
--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -40,8 +40,18 @@
         if setup.absent {
             listeners.clear();
         }
-        let (model, life, waiting) = (Node::new(setup, start), watch::Sender::new(0), BTreeMap::new());
-        Ok(NodeDesk { model, addresses, listeners, life, waiting })
+        let (model, life, waiting) = (
+            Node::new(setup, start),
+            watch::Sender::new(0),
+            BTreeMap::new(),
+        );
+        Ok(NodeDesk {
+            model,
+            addresses,
+            listeners,
+            life,
+            waiting,
+        })
     }
 }
 
@@ -53,7 +63,11 @@
         if desk.model.life != Life::Up {
             return;
         }
-        (desk.addresses.clone(), std::mem::take(&mut desk.listeners), desk.life.subscribe())
+        (
+            desk.addresses.clone(),
+            std::mem::take(&mut desk.listeners),
+            desk.life.subscribe(),
+        )
     };
     let mut ready: Vec<Option<TcpListener>> = ready.into_iter().map(Some).collect();
     ready.resize_with(addresses.len(), || None);
@@ -109,12 +123,21 @@
     }
     if life == Life::Dead {
         for (request, attempt) in stage.flying(node) {
-            stage.note(What::Ended { request, attempt, outcome: Outcome::Reset });
+            stage.note(What::Ended {
+                request,
+                attempt,
+                outcome: Outcome::Reset,
+            });
         }
     }
 }
 
-async fn converse(stage: &Rc<Stage>, limiter: usize, node: usize, mut stream: TcpStream) -> io::Result<()> {
+async fn converse(
+    stage: &Rc<Stage>,
+    limiter: usize,
+    node: usize,
+    mut stream: TcpStream,
+) -> io::Result<()> {
     let mut input = Vec::new();
     loop {
         while let Some((words, length)) = resp::command(&input)? {
@@ -155,7 +178,11 @@
 
 /// Serves one attempt; false where its connection ends with it.
 async fn attempt(
-    stage: &Rc<Stage>, limiter: usize, node: usize, id: RequestId, stream: &mut TcpStream,
+    stage: &Rc<Stage>,
+    limiter: usize,
+    node: usize,
+    id: RequestId,
+    stream: &mut TcpStream,
 ) -> io::Result<bool> {
     let (class, errand, number) = {
         let mut asked = stage.asked.borrow_mut();
@@ -170,11 +197,28 @@
         let nodes = stage.nodes.borrow();
         nodes[node].model.warmth(&stage.scenario.truth, stage.now()) < 1.0
     };
-    stage.note(What::Sent { limiter, request: id, attempt: number, host: node, cold });
+    stage.note(What::Sent {
+        limiter,
+        request: id,
+        attempt: number,
+        host: node,
+        cold,
+    });
     let fates = &stage.scenario.fates;
     let variant = stage.scenario.variant.unwrap_or(0);
-    let fate = fates.get(option(variant, Point::Attempt, number as usize, fates.len())).copied();
-    let job = Job { limiter, request: id, attempt: number };
+    let fate = fates
+        .get(option(
+            variant,
+            Point::Attempt,
+            number as usize,
+            fates.len(),
+        ))
+        .copied();
+    let job = Job {
+        limiter,
+        request: id,
+        attempt: number,
+    };
     let given = tokio::select! {
         given = fare(stage, node, job, class, errand, fate.unwrap_or(Fate::Normal)) => given,
         // The limiter gave the attempt up: what waits is dropped.
@@ -189,28 +233,49 @@
         Given::Value => {
             let cost = cost(&stage.scenario, errand);
             let figures = format!("cost={cost}");
-            let figures =
-                if cost > 0.0 { format!("${}\r\n{figures}", figures.len()) } else { "$-1".to_owned() };
+            let figures = if cost > 0.0 {
+                format!("${}\r\n{figures}", figures.len())
+            } else {
+                "$-1".to_owned()
+            };
             if cost > 0.0 {
-                stage.note(What::Settled { request: id, units: cost });
+                stage.note(What::Settled {
+                    request: id,
+                    units: cost,
+                });
             }
-            (Outcome::Good, format!("*3\r\n$16\r\n{:016x}\r\n{figures}\r\n$-1\r\n", id.0))
+            (
+                Outcome::Good,
+                format!("*3\r\n$16\r\n{:016x}\r\n{figures}\r\n$-1\r\n", id.0),
+            )
         }
         Given::Busy => (Outcome::Rejected, "-BUSY\r\n".to_owned()),
         Given::Error => (Outcome::Error, "-ERR failed\r\n".to_owned()),
         Given::Break => {
-            stage.note(What::Ended { request: id, attempt: number, outcome: Outcome::Reset });
+            stage.note(What::Ended {
+                request: id,
+                attempt: number,
+                outcome: Outcome::Reset,
+            });
             return Ok(false);
         }
         Given::Nothing => {
             // Held open and silent until the limiter closes it.
             gone(stream).await;
-            stage.note(What::Ended { request: id, attempt: number, outcome: Outcome::Timeout });
+            stage.note(What::Ended {
+                request: id,
+                attempt: number,
+                outcome: Outcome::Timeout,
+            });
             return Ok(false);
         }
     };
     // Noted first: once the answer is written the limiter may send the next attempt before this task goes on.
-    stage.note(What::Ended { request: id, attempt: number, outcome });
+    stage.note(What::Ended {
+        request: id,
+        attempt: number,
+        outcome,
+    });
     stream.write_all(text.as_bytes()).await?;
     Ok(true)
 }
@@ -240,7 +305,14 @@
     }
 }
 
-async fn fare(stage: &Rc<Stage>, node: usize, job: Job, class: usize, errand: u64, fate: Fate) -> Given {
+async fn fare(
+    stage: &Rc<Stage>,
+    node: usize,
+    job: Job,
+    class: usize,
+    errand: u64,
+    fate: Fate,
+) -> Given {
     match fate {
         Fate::Busy | Fate::Refused => return Given::Busy,
         Fate::ResetLost => return Given::Break,
@@ -248,8 +320,15 @@
         Fate::Normal | Fate::Error | Fate::ResetRan | Fate::SilentRan | Fate::Late => {}
     }
     let (now, truth) = (stage.now(), &stage.scenario.truth);
-    let work = stage.scenario.work.get(class).copied().unwrap_or(100_000_000);
-    let reached = stage.nodes.borrow_mut()[node].model.reach(job, work, truth, now);
+    let work = stage
+        .scenario
+        .work
+        .get(class)
+        .copied()
+        .unwrap_or(100_000_000);
+    let reached = stage.nodes.borrow_mut()[node]
+        .model
+        .reach(job, work, truth, now);
     match reached {
         Reached::Begun => {}
         Reached::Waits => {
@@ -269,7 +348,11 @@
         }
     }
     let dropped = is_repeat(stage, class, errand, node);
-    stage.note(What::Ran { host: node, request: job.request, dropped });
+    stage.note(What::Ran {
+        host: node,
+        request: job.request,
+        dropped,
+    });
     let takes = {
         let nodes = stage.nodes.borrow();
         if dropped {
@@ -278,7 +361,10 @@
             nodes[node].model.takes(work, truth, stage.now())
         }
     };
-    let (started, runs) = (stage.nodes.borrow()[node].model.started, Duration::from_nanos(takes));
+    let (started, runs) = (
+        stage.nodes.borrow()[node].model.started,
+        Duration::from_nanos(takes),
+    );
     // Work goes on whatever becomes of its connection.
     let (tell, told) = oneshot::channel();
     let worker = stage.clone();
@@ -289,7 +375,11 @@
         if desk.model.started == started && desk.model.life == Life::Up {
             while let Some(next) = desk.model.proceed() {
                 // One whose connection is gone makes room for the one behind it.
-                if desk.waiting.remove(&next).is_some_and(|waits| waits.send(()).is_ok()) {
+                if desk
+                    .waiting
+                    .remove(&next)
+                    .is_some_and(|waits| waits.send(()).is_ok())
+                {
                     break;
                 }
             }
@@ -304,7 +394,10 @@
     }
     let _ = told.await;
     if fate == Fate::Late {
-        let latency_objective = truth.classes.get(class).map_or(0, |class| class.latency_objective);
+        let latency_objective = truth
+            .classes
+            .get(class)
+            .map_or(0, |class| class.latency_objective);
         sleep(Duration::from_nanos(latency_objective)).await;
     }
     if stage.nodes.borrow()[node].model.life == Life::Vanished {
@@ -314,7 +407,12 @@
 }
 
 fn is_repeat(stage: &Rc<Stage>, class: usize, errand: u64, node: usize) -> bool {
-    let Some(class) = stage.scenario.truth.classes.get(class).filter(|class| class.effect == Effect::Keyed)
+    let Some(class) = stage
+        .scenario
+        .truth
+        .classes
+        .get(class)
+        .filter(|class| class.effect == Effect::Keyed)
     else {
         return false;
     };
@@ -325,7 +423,9 @@
         Group::Cell => player.cell + 1,
     };
     let (now, mut keys) = (stage.now(), stage.keys.borrow_mut());
-    let repeat = keys.get(&(group, errand)).is_some_and(|first| now < first + class.dedup_window);
+    let repeat = keys
+        .get(&(group, errand))
+        .is_some_and(|first| now < first + class.dedup_window);
     if !repeat {
         keys.insert((group, errand), now);
     }
--- a/crates/fakes/src/resp.rs
+++ b/crates/fakes/src/resp.rs
@@ -26,16 +26,24 @@
 
 /// The command at the start of `bytes`, if it is whole: its words and its length.
 pub(crate) fn command(bytes: &[u8]) -> io::Result<Option<(Vec<String>, usize)>> {
-    let Some((head, mut at)) = line(bytes, 0) else { return Ok(None) };
-    let Some(count) = head.strip_prefix(b"*") else { return Err(wrong("a command is an array")) };
+    let Some((head, mut at)) = line(bytes, 0) else {
+        return Ok(None);
+    };
+    let Some(count) = head.strip_prefix(b"*") else {
+        return Err(wrong("a command is an array"));
+    };
     let count = number(count)?;
     if !(1..=16).contains(&count) {
         return Err(wrong("a command has 1 to 16 words"));
     }
     let mut words = Vec::new();
     for _ in 0..count {
-        let Some((head, start)) = line(bytes, at) else { return Ok(None) };
-        let Some(length) = head.strip_prefix(b"$") else { return Err(wrong("a word is a bulk string")) };
+        let Some((head, start)) = line(bytes, at) else {
+            return Ok(None);
+        };
+        let Some(length) = head.strip_prefix(b"$") else {
+            return Err(wrong("a word is a bulk string"));
+        };
         let length = usize::try_from(number(length)?).map_err(|_| wrong("a word has a length"))?;
         if length > LONGEST {
             return Err(wrong("a word is too long"));
@@ -60,7 +68,9 @@
 
 /// The answer at the start of `bytes`, if it is whole, and its length.
 pub(crate) fn reply(bytes: &[u8]) -> io::Result<Option<(Reply, usize)>> {
-    let Some((head, at)) = line(bytes, 0) else { return Ok(None) };
+    let Some((head, at)) = line(bytes, 0) else {
+        return Ok(None);
+    };
     match head.split_first() {
         Some((b'$', length)) => {
             let length = usize::try_from(number(length)?).map_err(|_| wrong("a null answer"))?;
@@ -70,7 +80,10 @@
             let text = String::from_utf8_lossy(&bytes[at..at + length]).into_owned();
             Ok(Some((Reply::Bulk(text), at + length + 2)))
         }
-        Some((b'+' | b'-', _)) => Ok(Some((Reply::Line(String::from_utf8_lossy(head).into_owned()), at))),
+        Some((b'+' | b'-', _)) => Ok(Some((
+            Reply::Line(String::from_utf8_lossy(head).into_owned()),
+            at,
+        ))),
         _ => Err(wrong("an answer of an unknown kind")),
     }
 }
@@ -85,7 +98,10 @@
 }
 
 /// Reads more; `false` at the end of the connection.
-pub(crate) async fn more(stream: &mut (impl AsyncRead + Unpin), input: &mut Vec<u8>) -> io::Result<bool> {
+pub(crate) async fn more(
+    stream: &mut (impl AsyncRead + Unpin),
+    input: &mut Vec<u8>,
+) -> io::Result<bool> {
     if input.len() > LONGEST * 2 {
         return Err(wrong("a message is too long"));
     }
@@ -101,11 +117,24 @@
         let bytes = write(&["Q.DO", "7", "", "c=x,d=5"]);
         assert_eq!(
             command(&bytes).expect("sound"),
-            Some((vec!["Q.DO".into(), "7".into(), "".into(), "c=x,d=5".into()], bytes.len()))
+            Some((
+                vec!["Q.DO".into(), "7".into(), "".into(), "c=x,d=5".into()],
+                bytes.len()
+            ))
         );
         assert!((0..bytes.len()).all(|cut| command(&bytes[..cut]).expect("no fault yet").is_none()));
-        assert_eq!(reply(b"$2\r\nab\r\n+").expect("sound"), Some((Reply::Bulk("ab".into()), 8)));
-        assert_eq!(reply(b"-BUSY 5\r\n").expect("sound"), Some((Reply::Line("-BUSY 5".into()), 9)));
-        assert!(command(b"*-1\r\n").is_err() && command(b"$1\r\n").is_err() && reply(b"*1\r\n").is_err());
+        assert_eq!(
+            reply(b"$2\r\nab\r\n+").expect("sound"),
+            Some((Reply::Bulk("ab".into()), 8))
+        );
+        assert_eq!(
+            reply(b"-BUSY 5\r\n").expect("sound"),
+            Some((Reply::Line("-BUSY 5".into()), 9))
+        );
+        assert!(
+            command(b"*-1\r\n").is_err()
+                && command(b"$1\r\n").is_err()
+                && reply(b"*1\r\n").is_err()
+        );
     }
 }
--- a/crates/fakes/src/stage.rs
+++ b/crates/fakes/src/stage.rs
@@ -66,7 +66,12 @@
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id() % 64;
-    Ipv4Addr::new(127, 64 + process as u8, (number / 250 % 250) as u8, (number % 250 + 1) as u8)
+    Ipv4Addr::new(
+        127,
+        64 + process as u8,
+        (number / 250 % 250) as u8,
+        (number % 250 + 1) as u8,
+    )
 }
 
 pub(crate) fn spawn(task: impl Future<Output = ()> + 'static) {
@@ -114,25 +119,44 @@
 /// # Errors
 /// As there.
 pub fn perform_with(
-    scenario: &Scenario, program: &Path, folder: &Path,
+    scenario: &Scenario,
+    program: &Path,
+    folder: &Path,
     ours: impl Fn(usize, usize) -> Option<String> + 'static,
 ) -> io::Result<Performed> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let (scenario, program, folder) = (scenario.clone(), program.to_owned(), folder.to_owned());
-    LocalSet::new().block_on(&runtime, async move { run(scenario, &program, folder, Box::new(ours)).await })
+    LocalSet::new().block_on(&runtime, async move {
+        run(scenario, &program, folder, Box::new(ours)).await
+    })
 }
 
 /// Our own file of a limiter, by its number and how often it was started before.
 type Ours = Box<dyn Fn(usize, usize) -> Option<String>>;
 
-async fn run(scenario: Scenario, program: &Path, folder: PathBuf, ours: Ours) -> io::Result<Performed> {
+async fn run(
+    scenario: Scenario,
+    program: &Path,
+    folder: PathBuf,
+    ours: Ours,
+) -> io::Result<Performed> {
     let stage = Stage::prepare(scenario, program, folder, ours).await?;
     let began = stage.begin().await?;
-    let (variant, steps) = (stage.scenario.variant.unwrap_or(0), stage.scenario.steps.len());
+    let (variant, steps) = (
+        stage.scenario.variant.unwrap_or(0),
+        stage.scenario.steps.len(),
+    );
     let mut due: Vec<(Nanos, usize)> = (0..steps)
         .map(|index| {
             let at = &stage.scenario.steps[index].at;
-            (at.get(option(variant, Point::Moment, 0, at.len())).copied().unwrap_or(0), index)
+            (
+                at.get(option(variant, Point::Moment, 0, at.len()))
+                    .copied()
+                    .unwrap_or(0),
+                index,
+            )
         })
         .collect();
     due.sort();
@@ -158,9 +182,14 @@
 
 impl Stage {
     async fn prepare(
-        scenario: Scenario, program: &Path, folder: PathBuf, ours: Ours,
+        scenario: Scenario,
+        program: &Path,
+        folder: PathBuf,
+        ours: Ours,
     ) -> io::Result<Rc<Stage>> {
-        let unix = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_nanos() as Nanos);
+        let unix = SystemTime::UNIX_EPOCH
+            .elapsed()
+            .map_or(0, |age| age.as_nanos() as Nanos);
         let limiters = scenario.cast.limiters.len();
         let mut nodes = Vec::new();
         for setup in &scenario.nodes {
@@ -185,8 +214,9 @@
             ours,
             scenario,
         });
-        let listed: Vec<usize> =
-            (0..stage.scenario.nodes.len()).filter(|node| !stage.scenario.nodes[*node].absent).collect();
+        let listed: Vec<usize> = (0..stage.scenario.nodes.len())
+            .filter(|node| !stage.scenario.nodes[*node].absent)
+            .collect();
         for node in listed {
             stage.discovery.borrow_mut().hold(node);
         }
@@ -221,7 +251,11 @@
             let held = self.discovery.borrow().held();
             for node in held {
                 let state = self.scenario.nodes[node].state;
-                self.note(What::Told { limiter: number, host: node, state });
+                self.note(What::Told {
+                    limiter: number,
+                    host: node,
+                    state,
+                });
             }
         }
         Ok(Instant::now())
@@ -241,7 +275,9 @@
                 sleep(Duration::from_millis(5)).await;
             }
         });
-        ready.await.map_err(|_| io::Error::other(format!("limiter {number} is not ready")))
+        ready
+            .await
+            .map_err(|_| io::Error::other(format!("limiter {number} is not ready")))
     }
 
     fn config(&self, number: usize) -> serde_json::Value {
@@ -268,8 +304,11 @@
     pub(crate) fn list(&self, limiter: usize, whole: bool, nodes: &[usize]) -> serde_json::Value {
         let desks = self.nodes.borrow();
         let entry = |node: &usize| {
-            let (desk, player, entry) =
-                (&desks[*node], &self.scenario.cast.hosts[*node], self.entry(*node, &desks));
+            let (desk, player, entry) = (
+                &desks[*node],
+                &self.scenario.cast.hosts[*node],
+                self.entry(*node, &desks),
+            );
             serde_json::json!({
                 "instanceId": player.name,
                 "hostPort": desk.addresses[limiter].to_string(),
@@ -291,15 +330,27 @@
     }
 
     fn entry(&self, node: usize, desks: &[NodeDesk]) -> HostEntry {
-        let (player, setup, model) =
-            (&self.scenario.cast.hosts[node], &self.scenario.nodes[node], &desks[node].model);
+        let (player, setup, model) = (
+            &self.scenario.cast.hosts[node],
+            &self.scenario.nodes[node],
+            &desks[node].model,
+        );
         let state = match (model.life, model.draining) {
             (Life::Dead, _) => HostState::Gone,
             (_, true) => HostState::Draining,
             _ => HostState::Ready,
         };
-        let (host, cell, zone, weight) = (HostId(node as u32), player.cell, player.room, setup.weight);
-        HostEntry { host, state, cell, zone, kind: 0, started: model.started, weight }
+        let (host, cell, zone, weight) =
+            (HostId(node as u32), player.cell, player.room, setup.weight);
+        HostEntry {
+            host,
+            state,
+            cell,
+            zone,
+            kind: 0,
+            started: model.started,
+            weight,
+        }
     }
 
     /// The state of a host as discovery has it now.
@@ -320,17 +371,33 @@
 
     /// The attempts that are at a node.
     pub(crate) fn flying(&self, node: usize) -> Vec<(RequestId, u32)> {
-        self.flying.borrow().iter().filter(|(_, at)| **at == node).map(|(key, _)| *key).collect()
+        self.flying
+            .borrow()
+            .iter()
+            .filter(|(_, at)| **at == node)
+            .map(|(key, _)| *key)
+            .collect()
     }
 
     pub(crate) fn note(&self, what: What) {
         match &what {
-            What::Sent { request, attempt, host, .. } => {
+            What::Sent {
+                request,
+                attempt,
+                host,
+                ..
+            } => {
                 self.flying.borrow_mut().insert((*request, *attempt), *host);
             }
             // Each ends once, whoever sees it first.
-            What::Ended { request, attempt, .. } => {
-                let first = self.flying.borrow_mut().remove(&(*request, *attempt)).is_some();
+            What::Ended {
+                request, attempt, ..
+            } => {
+                let first = self
+                    .flying
+                    .borrow_mut()
+                    .remove(&(*request, *attempt))
+                    .is_some();
                 if !first {
                     return;
                 }
@@ -378,7 +445,11 @@
                 self.changed(node);
             }
             Happening::Replace(old, new) => {
-                self.note(What::Noted(format!("{} is replaced by {} at its address", host(old), host(new))));
+                self.note(What::Noted(format!(
+                    "{} is replaced by {} at its address",
+                    host(old),
+                    host(new)
+                )));
                 node::end(self, old, Life::Dead);
                 {
                     let mut nodes = self.nodes.borrow_mut();
@@ -391,11 +462,16 @@
                 self.changed(new);
             }
             Happening::Speed(node, speed) => {
-                self.note(What::Noted(format!("{} goes at {speed} of the yardstick", host(node))));
+                self.note(What::Noted(format!(
+                    "{} goes at {speed} of the yardstick",
+                    host(node)
+                )));
                 self.nodes.borrow_mut()[node].model.speed = speed.max(1e-3);
             }
             Happening::Counter(mode) => {
-                self.note(What::Noted(format!("the counter is now {mode:?}").to_lowercase()));
+                self.note(What::Noted(
+                    format!("the counter is now {mode:?}").to_lowercase(),
+                ));
                 self.counter.borrow_mut().model.mode = mode;
             }
             Happening::Empty => {
@@ -416,9 +492,16 @@
                 self.limiters.borrow_mut()[number] = process;
             }
             Happening::LimiterStarts(number) => {
-                self.note(What::Noted(format!("{} starts again", self.scenario.cast.limiter(number))));
+                self.note(What::Noted(format!(
+                    "{} starts again",
+                    self.scenario.cast.limiter(number)
+                )));
                 for node in self.discovery.borrow().held() {
-                    self.note(What::Told { limiter: number, host: node, state: self.state(node) });
+                    self.note(What::Told {
+                        limiter: number,
+                        host: node,
+                        state: self.state(node),
+                    });
                 }
                 self.start(number).await?;
             }
@@ -437,9 +520,15 @@
     pub(crate) fn changed(self: &Rc<Self>, node: usize) {
         let lags = &self.scenario.lags;
         let variant = self.scenario.variant.unwrap_or(0);
-        let lag = lags.get(option(variant, Point::Lag, 0, lags.len())).copied().unwrap_or(0);
+        let lag = lags
+            .get(option(variant, Point::Lag, 0, lags.len()))
+            .copied()
+            .unwrap_or(0);
         let state = self.state(node);
-        let number = self.discovery.borrow_mut().change(node, state == HostState::Gone);
+        let number = self
+            .discovery
+            .borrow_mut()
+            .change(node, state == HostState::Gone);
         let stage = self.clone();
         spawn(async move {
             sleep(Duration::from_nanos(lag)).await;
@@ -450,6 +539,9 @@
     /// Where a limiter takes clients, while it runs.
     pub(crate) fn limiter(&self, number: usize) -> Option<SocketAddr> {
         let limiters = self.limiters.borrow();
-        limiters.get(number).filter(|process| process.runs()).map(|process| process.listen)
+        limiters
+            .get(number)
+            .filter(|process| process.runs())
+            .map(|process| process.listen)
     }
 }
--- a/crates/fault-injection/src/link.rs
+++ b/crates/fault-injection/src/link.rs
@@ -43,11 +43,21 @@
     /// # Errors
     /// Where loopback has none.
     pub async fn open(
-        to: SocketAddr, links: Links, seed: u64, passed: Rc<Cell<Passed>>,
+        to: SocketAddr,
+        links: Links,
+        seed: u64,
+        passed: Rc<Cell<Passed>>,
     ) -> std::io::Result<Rc<Link>> {
         let socket = UdpSocket::bind("127.0.0.1:0").await?;
         let rng = RefCell::new(fastrand::Rng::with_seed(seed));
-        let link = Rc::new(Link { socket, to, cuts: Cell::default(), rng, links, passed });
+        let link = Rc::new(Link {
+            socket,
+            to,
+            cuts: Cell::default(),
+            rng,
+            links,
+            passed,
+        });
         tokio::task::spawn_local(link.clone().carry());
         Ok(link)
     }
@@ -63,7 +73,9 @@
     async fn carry(self: Rc<Self>) {
         let mut bytes = [0; 2_048];
         loop {
-            let Ok((length, _)) = self.socket.recv_from(&mut bytes).await else { continue };
+            let Ok((length, _)) = self.socket.recv_from(&mut bytes).await else {
+                continue;
+            };
             let (lost, twice) = {
                 let mut rng = self.rng.borrow_mut();
                 (rng.f64() < self.links.loss, rng.f64() < self.links.twice)
@@ -142,11 +154,18 @@
     pub async fn open(to: SocketAddr) -> std::io::Result<Rc<Stream>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let (there, back, resets) = (Gate::default(), Gate::default(), Notify::new());
-        let stream = Rc::new(Stream { there, back, resets, at: listener.local_addr()? });
+        let stream = Rc::new(Stream {
+            there,
+            back,
+            resets,
+            at: listener.local_addr()?,
+        });
         let relay = stream.clone();
         tokio::task::spawn_local(async move {
             loop {
-                let Ok((caller, _)) = listener.accept().await else { continue };
+                let Ok((caller, _)) = listener.accept().await else {
+                    continue;
+                };
                 tokio::task::spawn_local(relay.clone().carry(caller, to));
             }
         });
@@ -168,9 +187,14 @@
         let (from, answer) = caller.split();
         let pass = async {
             self.there.pass().await;
-            let Ok(mut target) = TcpStream::connect(to).await else { return };
+            let Ok(mut target) = TcpStream::connect(to).await else {
+                return;
+            };
             let (answered, onward) = target.split();
-            tokio::join!(carry_one(from, onward, &self.there), carry_one(answered, answer, &self.back));
+            tokio::join!(
+                carry_one(from, onward, &self.there),
+                carry_one(answered, answer, &self.back)
+            );
         };
         let whole = tokio::select! {
             () = pass => true,
@@ -202,11 +226,18 @@
     /// What must not come is waited for 30 ms; all else is waited for until it comes.
     #[test]
     fn a_cut_stream_holds_what_is_on_its_way_and_a_reset_ends_it() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
         LocalSet::new().block_on(&runtime, async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
-            let stream = Stream::open(listener.local_addr().expect("bound")).await.expect("loopback");
-            let mut caller = TcpStream::connect(stream.address()).await.expect("the relay accepts");
+            let stream = Stream::open(listener.local_addr().expect("bound"))
+                .await
+                .expect("loopback");
+            let mut caller = TcpStream::connect(stream.address())
+                .await
+                .expect("the relay accepts");
             let (mut target, _) = listener.accept().await.expect("it comes through");
             let mut heard = [0; 3];
             caller.write_all(b"one").await.expect("written");
@@ -216,10 +247,16 @@
             let early = timeout(Duration::from_millis(30), target.read_exact(&mut heard)).await;
             assert!(early.is_err(), "nothing passes a cut");
             stream.there.open();
-            target.read_exact(&mut heard).await.expect("it passes when the cut is over");
+            target
+                .read_exact(&mut heard)
+                .await
+                .expect("it passes when the cut is over");
             assert_eq!(&heard, b"two");
             stream.reset();
-            assert!(caller.read(&mut heard).await.is_err(), "the caller meets a reset");
+            assert!(
+                caller.read(&mut heard).await.is_err(),
+                "the caller meets a reset"
+            );
         });
     }
 }
--- a/crates/fault-injection/src/play.rs
+++ b/crates/fault-injection/src/play.rs
@@ -61,13 +61,19 @@
 /// # Errors
 /// Where loopback, files or processes fail.
 pub fn play(story: &Story, seed: u64, ground: &Ground) -> std::io::Result<Played> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let used = || getrusage(UsageWho::RUSAGE_THREAD).map(|used| used.user_time() + used.system_time());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let used =
+        || getrusage(UsageWho::RUSAGE_THREAD).map(|used| used.user_time() + used.system_time());
     let before = used().map_err(std::io::Error::from)?;
     let played = LocalSet::new().block_on(&runtime, run(story.clone(), seed, ground));
     let ground_cpu = used().map_err(std::io::Error::from)? - before;
     let ground_cpu = Duration::from_micros(ground_cpu.num_microseconds().unsigned_abs());
-    played.map(|played| Played { ground_cpu, ..played })
+    played.map(|played| Played {
+        ground_cpu,
+        ..played
+    })
 }
 
 struct Trial {
@@ -93,7 +99,12 @@
     // Each limiter has an address of its own in 127/8, so that nobody takes its port before it does.
     let process = std::process::id();
     let own = |number: usize| {
-        Ipv4Addr::new(127, 128 + (seed % 64) as u8, (process % 250) as u8, 1 + (number % 250) as u8)
+        Ipv4Addr::new(
+            127,
+            128 + (seed % 64) as u8,
+            (process % 250) as u8,
+            1 + (number % 250) as u8,
+        )
     };
     let mut addresses: Vec<SocketAddr> = Vec::new();
     for number in 0..story.limiters {
@@ -105,7 +116,8 @@
             // Who does not vote talks to voters only.
             if from != to && (from < story.voters || to < story.voters) {
                 let number = (from * story.limiters + to) as u64;
-                let link = Link::open(*address, story.links, seed ^ (number << 32), passed.clone()).await?;
+                let link = Link::open(*address, story.links, seed ^ (number << 32), passed.clone())
+                    .await?;
                 links.insert((from, to), link);
             }
         }
@@ -113,8 +125,10 @@
     let (mut processes, mut streams) = (Vec::new(), Vec::new());
     let clocks = RefCell::new(fastrand::Rng::with_seed(seed.rotate_left(7)));
     for number in 0..story.limiters {
-        let (ours, platforms) =
-            (folder.join(format!("{number}.yaml")), folder.join(format!("{number}.json")));
+        let (ours, platforms) = (
+            folder.join(format!("{number}.yaml")),
+            folder.join(format!("{number}.json")),
+        );
         let stream = Stream::open(at).await?;
         let text = product(&story, folder, number, &addresses, &links, stream.address())?;
         std::fs::write(&ours, text)?;
@@ -123,8 +137,17 @@
         let mut file: serde_json::Value = serde_json::from_str(&ground.platform)?;
         file["listen"] = listen.to_string().into();
         std::fs::write(&platforms, file.to_string())?;
-        let program = ground.beside.as_ref().filter(|_| number % 2 == 1).unwrap_or(&ground.program);
-        let mut process = Process::new(program, ours, platforms, folder.join(format!("{number}.log")));
+        let program = ground
+            .beside
+            .as_ref()
+            .filter(|_| number % 2 == 1)
+            .unwrap_or(&ground.program);
+        let mut process = Process::new(
+            program,
+            ours,
+            platforms,
+            folder.join(format!("{number}.log")),
+        );
         process.start(&clock(&story, &mut clocks.borrow_mut()))?;
         processes.push(Some(process));
     }
@@ -142,7 +165,9 @@
         sleep_until(began + fault.at).await;
         let struck: Vec<usize> = match fault.whom {
             Whom::All => (0..trial.story.limiters).collect(),
-            Whom::Holder => vec![target.holder().unwrap_or_else(|| rng.usize(..trial.story.limiters))],
+            Whom::Holder => vec![target
+                .holder()
+                .unwrap_or_else(|| rng.usize(..trial.story.limiters))],
             Whom::Any => vec![rng.usize(..trial.story.limiters)],
         };
         for limiter in struck {
@@ -159,25 +184,46 @@
     }
     let (seen, marks) = (target.seen.borrow().clone(), trial.marks.borrow().clone());
     let (passed, cpu) = (passed.get(), Duration::from_nanos(cpu));
-    Ok(Played { seen, marks, passed, lasted: began.elapsed(), cpu, peak_kb, ground_cpu: Duration::ZERO })
+    Ok(Played {
+        seen,
+        marks,
+        passed,
+        lasted: began.elapsed(),
+        cpu,
+        peak_kb,
+        ground_cpu: Duration::ZERO,
+    })
 }
 
 /// The clocks of a process that starts, as a line of its `lease` section; empty where they are right.
 fn clock(story: &Story, rng: &mut fastrand::Rng) -> String {
-    let (fast, off) = ((rng.f64() - 0.5) * story.clocks.apart, (rng.f64() - 0.5) * 2.0);
+    let (fast, off) = (
+        (rng.f64() - 0.5) * story.clocks.apart,
+        (rng.f64() - 0.5) * 2.0,
+    );
     let off_ms = (story.clocks.off.as_millis() as f64 * off) as i64;
-    let (rate, wall) =
-        (if fast < 0.0 { "slow" } else { "fast" }, if off_ms < 0 { "behind" } else { "ahead" });
+    let (rate, wall) = (
+        if fast < 0.0 { "slow" } else { "fast" },
+        if off_ms < 0 { "behind" } else { "ahead" },
+    );
     if story.clocks == Clocks::default() {
         return String::new();
     }
-    format!("  clock: {{{rate}: {:.2}%, {wall}: {}ms}}\n", fast.abs() * 100.0, off_ms.abs())
+    format!(
+        "  clock: {{{rate}: {:.2}%, {wall}: {}ms}}\n",
+        fast.abs() * 100.0,
+        off_ms.abs()
+    )
 }
 
 /// Our own file of one limiter: it hears at its own address and calls the others through the links.
 fn product(
-    story: &Story, folder: &Path, me: usize, addresses: &[SocketAddr],
-    links: &BTreeMap<(usize, usize), Rc<Link>>, target: SocketAddr,
+    story: &Story,
+    folder: &Path,
+    me: usize,
+    addresses: &[SocketAddr],
+    links: &BTreeMap<(usize, usize), Rc<Link>>,
+    target: SocketAddr,
 ) -> std::io::Result<String> {
     let name = |number: usize| format!("l{number:03}");
     let mut text = format!(
@@ -218,7 +264,11 @@
                 self.signal(limiter, Signal::SIGCONT);
             }
             What::Kill | What::End => {
-                let taken = self.processes.borrow_mut().get_mut(limiter).and_then(Option::take);
+                let taken = self
+                    .processes
+                    .borrow_mut()
+                    .get_mut(limiter)
+                    .and_then(Option::take);
                 let Some(mut process) = taken else { return };
                 process.stop(fault.what == What::End).await;
                 sleep(fault.lasts).await;
@@ -226,7 +276,11 @@
                 let started = process.start(&clock);
                 self.mark(
                     limiter,
-                    if started.is_ok() { format!("{word} over") } else { "no start".to_owned() },
+                    if started.is_ok() {
+                        format!("{word} over")
+                    } else {
+                        "no start".to_owned()
+                    },
                 );
                 if let Some(place) = self.processes.borrow_mut().get_mut(limiter) {
                     *place = Some(process);
@@ -263,11 +317,17 @@
                     What::Deaf => to == limiter,
                     _ => fewer(from) != fewer(to),
                 };
-                let cut: Vec<Rc<Link>> =
-                    self.links.iter().filter(|(pair, _)| hit(**pair)).map(|(_, link)| link.clone()).collect();
-                cut.iter().for_each(|link| link.cuts.set(link.cuts.get() + 1));
+                let cut: Vec<Rc<Link>> = self
+                    .links
+                    .iter()
+                    .filter(|(pair, _)| hit(**pair))
+                    .map(|(_, link)| link.clone())
+                    .collect();
+                cut.iter()
+                    .for_each(|link| link.cuts.set(link.cuts.get() + 1));
                 sleep(fault.lasts).await;
-                cut.iter().for_each(|link| link.cuts.set(link.cuts.get() - 1));
+                cut.iter()
+                    .for_each(|link| link.cuts.set(link.cuts.get() - 1));
                 self.mark(limiter, format!("{word} over"));
             }
         }
@@ -281,6 +341,10 @@
 
     fn mark(&self, limiter: usize, what: String) {
         let at = self.target.now();
-        self.marks.borrow_mut().push(Mark { at, limiter: Some(limiter), what });
+        self.marks.borrow_mut().push(Mark {
+            at,
+            limiter: Some(limiter),
+            what,
+        });
     }
 }
--- a/crates/fault-injection/src/process.rs
+++ b/crates/fault-injection/src/process.rs
@@ -24,7 +24,12 @@
 impl Process {
     /// A process that is not started.
     pub fn new(program: &Path, ours: PathBuf, platforms: PathBuf, log: PathBuf) -> Self {
-        Process { program: program.to_owned(), files: (ours, platforms, log), text: None, child: None }
+        Process {
+            program: program.to_owned(),
+            files: (ours, platforms, log),
+            text: None,
+            child: None,
+        }
     }
 
     /// Starts it, with more lines at the end of its own file.
@@ -35,15 +40,28 @@
         let (ours, platforms, log) = &self.files;
         let text = self.text.get_or_insert(std::fs::read_to_string(ours)?);
         std::fs::write(ours, format!("{text}{more}"))?;
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)?;
         let mut command = Command::new(&self.program);
-        for name in
-            ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY", "BALANCER_COUNTER", "BALANCER_CONSOLE"]
-        {
+        for name in [
+            "BALANCER_NAME",
+            "BALANCER_LISTEN",
+            "BALANCER_DISCOVERY",
+            "BALANCER_COUNTER",
+            "BALANCER_CONSOLE",
+        ] {
             command.env_remove(name);
         }
-        command.env("BALANCER_CONFIG", platforms).env("QUARTZCLEAT_CONFIG", ours);
-        command.kill_on_drop(true).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command
+            .env("BALANCER_CONFIG", platforms)
+            .env("QUARTZCLEAT_CONFIG", ours);
+        command
+            .kill_on_drop(true)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
         self.child = Some(command.spawn()?);
         Ok(())
     }
@@ -69,11 +87,27 @@
 
     /// CPU time used so far in nanoseconds and the largest resident set in kilobytes, as the kernel tells.
     pub fn usage(&self) -> (u64, u64) {
-        let Some(id) = self.child.as_ref().and_then(Child::id) else { return (0, 0) };
-        let read = |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
-        let cpu = read("schedstat").split_whitespace().next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        let Some(id) = self.child.as_ref().and_then(Child::id) else {
+            return (0, 0);
+        };
+        let read =
+            |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
+        let cpu = read("schedstat")
+            .split_whitespace()
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let status = read("status");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or_default();
-        (cpu, peak.split_whitespace().next().and_then(|text| text.parse().ok()).unwrap_or(0))
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .unwrap_or_default();
+        (
+            cpu,
+            peak.split_whitespace()
+                .next()
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0),
+        )
     }
 }
--- a/crates/fault-injection/src/row.rs
+++ b/crates/fault-injection/src/row.rs
@@ -83,16 +83,31 @@
     let mut text = String::new();
     let mut upto = None;
     if let Some((before, act)) = verdict.shown {
-        let property = if act.token < before.token { "an old token was let in" } else { "two acts at once" };
+        let property = if act.token < before.token {
+            "an old token was let in"
+        } else {
+            "two acts at once"
+        };
         let _ = writeln!(text, "{property}: {before:?}\n  then {act:?}");
         upto = Some(act.to);
     } else if empty {
-        let _ =
-            writeln!(text, "empty: {} changes of holder, {} acts let in", verdict.changes, verdict.accepted);
+        let _ = writeln!(
+            text,
+            "empty: {} changes of holder, {} acts let in",
+            verdict.changes, verdict.accepted
+        );
         upto = Some(played.lasted);
     }
-    for mark in played.marks.iter().filter(|mark| upto.is_some_and(|upto| mark.at <= upto)) {
-        let _ = writeln!(text, "  {:?} {} of limiter {:?}", mark.at, mark.what, mark.limiter);
+    for mark in played
+        .marks
+        .iter()
+        .filter(|mark| upto.is_some_and(|upto| mark.at <= upto))
+    {
+        let _ = writeln!(
+            text,
+            "  {:?} {} of limiter {:?}",
+            mark.at, mark.what, mark.limiter
+        );
     }
     text
 }
@@ -110,19 +125,56 @@
         let act = |from: u64, round, bidder| Seen {
             from: Duration::from_millis(from),
             to: Duration::from_millis(from + 5),
-            token: Token { round, bidder, boot: 1 },
+            token: Token {
+                round,
+                bidder,
+                boot: 1,
+            },
             accepted: true,
         };
-        let marks = vec![Mark { at: Duration::from_millis(8), limiter: Some(0), what: "pause".into() }];
+        let marks = vec![Mark {
+            at: Duration::from_millis(8),
+            limiter: Some(0),
+            what: "pause".into(),
+        }];
         let seen = vec![act(0, 1, 0), act(20, 2, 1), act(40, 1, 0)];
-        let played = Played { seen: seen.clone(), marks, ..Played::default() };
+        let played = Played {
+            seen: seen.clone(),
+            marks,
+            ..Played::default()
+        };
         let row = Row::of(&story, 4, &played);
-        assert!(!row.holds() && row.broken.starts_with("an old token was let in"), "{}", row.broken);
-        assert!(row.broken.contains("8ms pause of limiter Some(0)"), "{}", row.broken);
+        assert!(
+            !row.holds() && row.broken.starts_with("an old token was let in"),
+            "{}",
+            row.broken
+        );
+        assert!(
+            row.broken.contains("8ms pause of limiter Some(0)"),
+            "{}",
+            row.broken
+        );
         let line = serde_json::to_string(&row).expect("it is written");
         assert_eq!(serde_json::from_str::<Row>(&line).ok(), Some(row));
-        let sound = Row::of(&story, 4, &Played { seen: seen[..2].to_vec(), ..Played::default() });
+        let sound = Row::of(
+            &story,
+            4,
+            &Played {
+                seen: seen[..2].to_vec(),
+                ..Played::default()
+            },
+        );
         assert!(sound.holds() && sound.broken.is_empty());
-        assert!(Row::of(&story, 4, &Played { seen: seen[..1].to_vec(), ..Played::default() }).empty);
+        assert!(
+            Row::of(
+                &story,
+                4,
+                &Played {
+                    seen: seen[..1].to_vec(),
+                    ..Played::default()
+                }
+            )
+            .empty
+        );
     }
 }
--- a/crates/fault-injection/src/shrink.rs
+++ b/crates/fault-injection/src/shrink.rs
@@ -7,7 +7,9 @@
 pub fn shrink(story: Story, mut fails: impl FnMut(&Story) -> bool) -> Story {
     let mut held = story;
     loop {
-        let smaller = candidates(&held).into_iter().find(|candidate| fails(candidate));
+        let smaller = candidates(&held)
+            .into_iter()
+            .find(|candidate| fails(candidate));
         match smaller {
             Some(smaller) => held = smaller,
             None => return held,
@@ -20,8 +22,14 @@
     let mut all = Vec::new();
     if story.faults.len() > 2 {
         let half = story.faults.len() / 2;
-        all.push(Story { faults: story.faults[..half].to_vec(), ..story.clone() });
-        all.push(Story { faults: story.faults[half..].to_vec(), ..story.clone() });
+        all.push(Story {
+            faults: story.faults[..half].to_vec(),
+            ..story.clone()
+        });
+        all.push(Story {
+            faults: story.faults[half..].to_vec(),
+            ..story.clone()
+        });
     }
     for number in 0..story.faults.len() {
         let mut fewer = story.clone();
@@ -31,17 +39,31 @@
     // Voters stay a majority of what is left, and odd.
     for limiters in [story.voters, story.limiters.div_ceil(2)] {
         if limiters >= story.voters && limiters < story.limiters {
-            all.push(Story { limiters, ..story.clone() });
+            all.push(Story {
+                limiters,
+                ..story.clone()
+            });
         }
     }
     if story.voters > 3 {
-        all.push(Story { voters: 3, ..story.clone() });
+        all.push(Story {
+            voters: 3,
+            ..story.clone()
+        });
     }
     // Nothing happens after the last fault is over and two leases have passed.
-    let over = story.faults.iter().map(|fault| fault.at + fault.lasts).max().unwrap_or_default();
+    let over = story
+        .faults
+        .iter()
+        .map(|fault| fault.at + fault.lasts)
+        .max()
+        .unwrap_or_default();
     let end = over + story.length * 2;
     if end < story.end {
-        all.push(Story { end, ..story.clone() });
+        all.push(Story {
+            end,
+            ..story.clone()
+        });
     }
     for number in 0..story.faults.len() {
         if story.faults[number].lasts > story.length * 2 {
@@ -68,7 +90,10 @@
             asked += 1;
             needed(candidate)
         });
-        assert_eq!((small.faults.len(), small.limiters, small.voters), (1, 3, 3));
+        assert_eq!(
+            (small.faults.len(), small.limiters, small.voters),
+            (1, 3, 3)
+        );
         assert_eq!(small.faults[0].what, kind);
         assert!(small.end < story.end && small.faults[0].lasts <= story.length * 2);
         assert!(asked < 60, "{asked} candidates were played");
--- a/crates/fault-injection/src/story.rs
+++ b/crates/fault-injection/src/story.rs
@@ -59,13 +59,20 @@
 /// So many of these, the first ones, cost a holder its lease; the others touch its acts alone.
 const COST_THE_LEASE: usize = 7;
 
-const WHOM: [(&str, Whom); 3] = [("holder", Whom::Holder), ("any", Whom::Any), ("all", Whom::All)];
+const WHOM: [(&str, Whom); 3] = [
+    ("holder", Whom::Holder),
+    ("any", Whom::Any),
+    ("all", Whom::All),
+];
 
 impl What {
     /// Its word in a story and in a history.
     #[must_use]
     pub fn word(self) -> &'static str {
-        WORDS.iter().find(|(_, what)| *what == self).map_or("", |(word, _)| word)
+        WORDS
+            .iter()
+            .find(|(_, what)| *what == self)
+            .map_or("", |(word, _)| word)
     }
 }
 
@@ -142,24 +149,59 @@
         let mut faults = Faults::default();
         let mut map = Reader::new(&file, "", &tree, &mut faults);
         let span = |node: &Node| quantity::time(node).map(Duration::from_nanos);
-        let limiters = map.need("limiters", &mut faults, |node| quantity::count(node, 1..=300)).unwrap_or(1);
-        let voters = map.take("voters", &mut faults, |node| quantity::count(node, 1..=limiters)).unwrap_or(1);
-        let length = map.take("lease", &mut faults, span).unwrap_or(Duration::from_millis(600));
-        let every = map.take("every", &mut faults, span).unwrap_or(Duration::from_millis(20));
-        let longest = map.take("longest", &mut faults, span).unwrap_or(Duration::from_millis(100));
-        let loss = map.take("loss", &mut faults, quantity::share).unwrap_or(0.0);
-        let twice = map.take("twice", &mut faults, quantity::share).unwrap_or(0.0);
+        let limiters = map
+            .need("limiters", &mut faults, |node| {
+                quantity::count(node, 1..=300)
+            })
+            .unwrap_or(1);
+        let voters = map
+            .take("voters", &mut faults, |node| {
+                quantity::count(node, 1..=limiters)
+            })
+            .unwrap_or(1);
+        let length = map
+            .take("lease", &mut faults, span)
+            .unwrap_or(Duration::from_millis(600));
+        let every = map
+            .take("every", &mut faults, span)
+            .unwrap_or(Duration::from_millis(20));
+        let longest = map
+            .take("longest", &mut faults, span)
+            .unwrap_or(Duration::from_millis(100));
+        let loss = map
+            .take("loss", &mut faults, quantity::share)
+            .unwrap_or(0.0);
+        let twice = map
+            .take("twice", &mut faults, quantity::share)
+            .unwrap_or(0.0);
         let delay = map.take("delay", &mut faults, span).unwrap_or_default();
-        let drift = map.take("drift", &mut faults, quantity::share).unwrap_or(0.01);
-        let apart = map.take("apart", &mut faults, quantity::share).unwrap_or(0.0);
+        let drift = map
+            .take("drift", &mut faults, quantity::share)
+            .unwrap_or(0.01);
+        let apart = map
+            .take("apart", &mut faults, quantity::share)
+            .unwrap_or(0.0);
         let off = map.take("off", &mut faults, span).unwrap_or_default();
-        let drawn = map.take("drawn", &mut faults, |node| quantity::count(node, 0..=100)).unwrap_or(0);
+        let drawn = map
+            .take("drawn", &mut faults, |node| quantity::count(node, 0..=100))
+            .unwrap_or(0);
         let end = map.need("end", &mut faults, span).unwrap_or_default();
-        let changes = map.take("changes", &mut faults, |node| quantity::count(node, 0..=1_000)).unwrap_or(1);
+        let changes = map
+            .take("changes", &mut faults, |node| {
+                quantity::count(node, 0..=1_000)
+            })
+            .unwrap_or(1);
         let named = map.node("faults").map(list).unwrap_or_default();
-        let named = named.iter().filter_map(|node| fault(&file, node, &mut faults)).collect();
+        let named = named
+            .iter()
+            .filter_map(|node| fault(&file, node, &mut faults))
+            .collect();
         if voters.is_multiple_of(2) {
-            map.fault("voters", "even; an odd number has a majority on one side of any split", &mut faults);
+            map.fault(
+                "voters",
+                "even; an odd number has a majority on one side of any split",
+                &mut faults,
+            );
         }
         map.end(&mut faults);
         let (links, clocks) = (Links { loss, twice, delay }, Clocks { apart, off });
@@ -182,13 +224,20 @@
     /// The same with all faults of a seed by name, none drawn: what a schedule is made smaller from.
     #[must_use]
     pub fn spelled(&self, seed: u64) -> Story {
-        Story { faults: self.schedule(seed), drawn: 0, ..self.clone() }
+        Story {
+            faults: self.schedule(seed),
+            drawn: 0,
+            ..self.clone()
+        }
     }
 
     /// As a file that reads as this story.
     #[must_use]
     pub fn write(&self) -> String {
-        let (time, clocks) = (|span: Duration| show_time(span.as_nanos() as u64), self.clocks);
+        let (time, clocks) = (
+            |span: Duration| show_time(span.as_nanos() as u64),
+            self.clocks,
+        );
         let mut text = format!(
             "limiters: {}\nvoters: {}\nlease: {}\nevery: {}\nlongest: {}\ndrift: {}\napart: {}\noff: {}\nloss: {}\n\
              twice: {}\ndelay: {}\ndrawn: {}\nend: {}\nchanges: {}\n",
@@ -208,10 +257,14 @@
             self.changes,
         );
         for (number, fault) in self.faults.iter().enumerate() {
-            let whom = WHOM.iter().find(|(_, whom)| *whom == fault.whom).map_or("", |(word, _)| word);
+            let whom = WHOM
+                .iter()
+                .find(|(_, whom)| *whom == fault.whom)
+                .map_or("", |(word, _)| word);
             let (at, what, lasts) = (time(fault.at), fault.what.word(), time(fault.lasts));
             let head = if number == 0 { "faults:\n" } else { "" };
-            text += &format!("{head}  - {{at: {at}, whom: {whom}, what: {what}, lasts: {lasts}}}\n");
+            text +=
+                &format!("{head}  - {{at: {at}, whom: {whom}, what: {what}, lasts: {lasts}}}\n");
         }
         text
     }
@@ -227,8 +280,19 @@
                 at: first + part(&mut rng, last.saturating_sub(first)),
                 // Guards against trials in which nothing changes hands: one strikes the holder with what costs it the lease,
                 // and each outlasts a lease.
-                whom: if number == 0 || rng.f64() < 0.7 { Whom::Holder } else { Whom::Any },
-                what: WORDS[rng.usize(..if number == 0 { COST_THE_LEASE } else { WORDS.len() })].1,
+                whom: if number == 0 || rng.f64() < 0.7 {
+                    Whom::Holder
+                } else {
+                    Whom::Any
+                },
+                what: WORDS[rng.usize(
+                    ..if number == 0 {
+                        COST_THE_LEASE
+                    } else {
+                        WORDS.len()
+                    },
+                )]
+                .1,
                 lasts: self.length + part(&mut rng, self.length * 2),
             });
         }
@@ -241,11 +305,18 @@
     let mut map = Reader::new(file, "faults", node, faults);
     let span = |node: &Node| quantity::time(node).map(Duration::from_nanos);
     let at = map.need("at", faults, span);
-    let whom = map.take("whom", faults, |node| one_of(&text(node)?, &WHOM)).unwrap_or(Whom::Holder);
+    let whom = map
+        .take("whom", faults, |node| one_of(&text(node)?, &WHOM))
+        .unwrap_or(Whom::Holder);
     let what = map.need("what", faults, |node| one_of(&text(node)?, &WORDS));
     let lasts = map.need("lasts", faults, span);
     map.end(faults);
-    Some(Fault { at: at?, whom, what: what?, lasts: lasts? })
+    Some(Fault {
+        at: at?,
+        whom,
+        what: what?,
+        lasts: lasts?,
+    })
 }
 
 #[cfg(test)]
@@ -258,10 +329,16 @@
         let text = include_str!("../../../deploy/trials/leases.yaml");
         let story = Story::read("leases.yaml", text).expect("sound").spelled(7);
         let again = Story::read("again.yaml", &story.write()).expect("what is written is sound");
-        assert_eq!((again.faults.len(), again.drawn, again.links), (4, 0, story.links));
+        assert_eq!(
+            (again.faults.len(), again.drawn, again.links),
+            (4, 0, story.links)
+        );
         for (fault, other) in story.faults.iter().zip(&again.faults) {
             assert_eq!((fault.what, fault.whom), (other.what, other.whom));
-            assert!(fault.at.abs_diff(other.at) < Duration::from_millis(5), "{fault:?} and {other:?}");
+            assert!(
+                fault.at.abs_diff(other.at) < Duration::from_millis(5),
+                "{fault:?} and {other:?}"
+            );
         }
     }
 }
--- a/crates/fault-injection/src/target.rs
+++ b/crates/fault-injection/src/target.rs
@@ -39,7 +39,14 @@
     /// A target that has seen nothing.
     pub fn new(checks: bool, takes: Duration) -> Rc<Self> {
         let (acts, ended, seen) = (Cell::default(), Notify::new(), RefCell::default());
-        Rc::new(Target { began: Instant::now(), acts, ended, checks, takes, seen })
+        Rc::new(Target {
+            began: Instant::now(),
+            acts,
+            ended,
+            checks,
+            takes,
+            seen,
+        })
     }
 
     /// Time since the target began.
@@ -50,13 +57,18 @@
     /// The limiter whose act was let in last.
     pub fn holder(&self) -> Option<usize> {
         let seen = self.seen.borrow();
-        seen.iter().rev().find(|act| act.accepted).map(|act| act.token.bidder as usize)
+        seen.iter()
+            .rev()
+            .find(|act| act.accepted)
+            .map(|act| act.token.bidder as usize)
     }
 
     /// Serves acts.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
             let target = self.clone();
             tokio::task::spawn_local(async move {
                 // A caller that was paused may take long to write its line.
@@ -68,7 +80,9 @@
     async fn hear(&self, stream: TcpStream) -> std::io::Result<()> {
         let (reader, mut writer) = stream.into_split();
         let mut line = String::new();
-        BufReader::new(reader.take(256)).read_line(&mut line).await?;
+        BufReader::new(reader.take(256))
+            .read_line(&mut line)
+            .await?;
         let words: Vec<&str> = line.split_whitespace().collect();
         let number = |index: usize| words.get(index).and_then(|word| word.parse::<u64>().ok());
         let (Some("ACT"), Some(round), Some(bidder), Some(boot)) =
@@ -76,13 +90,33 @@
         else {
             return writer.write_all(b"ERR no act\n").await;
         };
-        let token = Token { round, bidder: bidder as u32, boot: boot as u32 };
-        let begun = if self.checks { self.begin(token).await } else { Ok(()) };
+        let token = Token {
+            round,
+            bidder: bidder as u32,
+            boot: boot as u32,
+        };
+        let begun = if self.checks {
+            self.begin(token).await
+        } else {
+            Ok(())
+        };
         let from = self.now();
         let index = self.seen.borrow().len();
-        self.seen.borrow_mut().push(Seen { from, to: from, token, accepted: begun.is_ok() });
-        if let Err(Token { round, bidder, boot }) = begun {
-            return writer.write_all(format!("OUTDATED {round} {bidder} {boot}\n").as_bytes()).await;
+        self.seen.borrow_mut().push(Seen {
+            from,
+            to: from,
+            token,
+            accepted: begun.is_ok(),
+        });
+        if let Err(Token {
+            round,
+            bidder,
+            boot,
+        }) = begun
+        {
+            return writer
+                .write_all(format!("OUTDATED {round} {bidder} {boot}\n").as_bytes())
+                .await;
         }
         sleep(self.takes).await;
         let to = self.now();
--- a/crates/fault-injection/src/verdict.rs
+++ b/crates/fault-injection/src/verdict.rs
@@ -57,15 +57,19 @@
         if greatest.is_none_or(|before| act.token >= before.token) {
             greatest = Some(act);
         }
-        for before in
-            accepted[..index].iter().rev().take_while(|before| before.to + Duration::from_secs(1) > act.from)
+        for before in accepted[..index]
+            .iter()
+            .rev()
+            .take_while(|before| before.to + Duration::from_secs(1) > act.from)
         {
             if before.token != act.token && before.to > act.from {
                 verdict.at_once += 1;
                 verdict.shown.get_or_insert((**before, **act));
             }
         }
-        let Some(before) = index.checked_sub(1).map(|index| accepted[index]) else { continue };
+        let Some(before) = index.checked_sub(1).map(|index| accepted[index]) else {
+            continue;
+        };
         if (before.token.bidder, before.token.boot) != (act.token.bidder, act.token.boot) {
             verdict.changes += 1;
             verdict.gaps.push(act.from.saturating_sub(before.to));
@@ -92,27 +96,62 @@
 
     fn act(from: u64, to: u64, round: u64, bidder: u32, accepted: bool) -> Seen {
         let (from, to) = (Duration::from_millis(from), Duration::from_millis(to));
-        Seen { from, to, token: Token { round, bidder, boot: 1 }, accepted }
+        Seen {
+            from,
+            to,
+            token: Token {
+                round,
+                bidder,
+                boot: 1,
+            },
+            accepted,
+        }
     }
 
     #[test]
     fn an_old_token_let_in_and_two_acts_at_once_are_told_and_a_refused_one_is_not() {
-        let sound = [act(0, 5, 1, 0, true), act(20, 25, 2, 1, true), act(26, 27, 1, 0, false)];
+        let sound = [
+            act(0, 5, 1, 0, true),
+            act(20, 25, 2, 1, true),
+            act(26, 27, 1, 0, false),
+        ];
         let verdict = judge(&sound, &[]);
         assert!(verdict.holds());
-        assert_eq!((verdict.changes, verdict.refused, verdict.gaps.len()), (1, 1, 1));
-        let old = [act(0, 5, 1, 0, true), act(20, 25, 2, 1, true), act(26, 27, 1, 0, true)];
-        assert_eq!((judge(&old, &[]).old_tokens, judge(&old, &[]).at_once), (1, 0));
+        assert_eq!(
+            (verdict.changes, verdict.refused, verdict.gaps.len()),
+            (1, 1, 1)
+        );
+        let old = [
+            act(0, 5, 1, 0, true),
+            act(20, 25, 2, 1, true),
+            act(26, 27, 1, 0, true),
+        ];
+        assert_eq!(
+            (judge(&old, &[]).old_tokens, judge(&old, &[]).at_once),
+            (1, 0)
+        );
         let both = [act(0, 5, 1, 0, true), act(4, 9, 2, 1, true)];
-        assert_eq!((judge(&both, &[]).old_tokens, judge(&both, &[]).at_once), (0, 1));
+        assert_eq!(
+            (judge(&both, &[]).old_tokens, judge(&both, &[]).at_once),
+            (0, 1)
+        );
     }
 
     #[test]
     fn a_change_counts_as_under_a_pause_only_while_it_lasts() {
-        let mark =
-            |at, what: &str| Mark { at: Duration::from_millis(at), limiter: Some(0), what: what.into() };
+        let mark = |at, what: &str| Mark {
+            at: Duration::from_millis(at),
+            limiter: Some(0),
+            what: what.into(),
+        };
         let seen = [act(0, 5, 1, 0, true), act(50, 55, 2, 1, true)];
-        assert_eq!(judge(&seen, &[mark(10, "pause"), mark(90, "pause over")]).while_paused, 1);
-        assert_eq!(judge(&seen, &[mark(10, "pause"), mark(40, "pause over")]).while_paused, 0);
+        assert_eq!(
+            judge(&seen, &[mark(10, "pause"), mark(90, "pause over")]).while_paused,
+            1
+        );
+        assert_eq!(
+            judge(&seen, &[mark(10, "pause"), mark(40, "pause over")]).while_paused,
+            0
+        );
     }
 }
--- a/crates/invariants/src/record.rs
+++ b/crates/invariants/src/record.rs
@@ -34,12 +34,16 @@
 impl Cast {
     /// A limiter's name.
     pub fn limiter(&self, index: Index) -> &str {
-        self.limiters.get(index).map_or("a limiter", |player| &player.name)
+        self.limiters
+            .get(index)
+            .map_or("a limiter", |player| &player.name)
     }
 
     /// A host's name.
     pub fn host(&self, index: Index) -> &str {
-        self.hosts.get(index).map_or("a node", |player| &player.name)
+        self.hosts
+            .get(index)
+            .map_or("a node", |player| &player.name)
     }
 }
 
--- a/crates/invariants/src/story.rs
+++ b/crates/invariants/src/story.rs
@@ -20,22 +20,45 @@
     };
     let line = |record: &Record| {
         let text = match &record.what {
-            What::Asked { request, limiter, class, partner, units, .. } => format!(
+            What::Asked {
+                request,
+                limiter,
+                class,
+                partner,
+                units,
+                ..
+            } => format!(
                 "{} comes to {}: a {} of {units} units from {}",
                 name(request),
                 cast.limiter(*limiter),
                 cast.classes.get(*class).map_or("request", String::as_str),
-                cast.partners.get(*partner).map_or("a partner", String::as_str),
+                cast.partners
+                    .get(*partner)
+                    .map_or("a partner", String::as_str),
             ),
-            What::Told { limiter, host, state } => {
+            What::Told {
+                limiter,
+                host,
+                state,
+            } => {
                 let state = match state {
                     HostState::Ready => "serves",
                     HostState::Draining => "drains",
                     HostState::Gone => "is gone",
                 };
-                format!("{} is told that {} {state}", cast.limiter(*limiter), cast.host(*host))
+                format!(
+                    "{} is told that {} {state}",
+                    cast.limiter(*limiter),
+                    cast.host(*host)
+                )
             }
-            What::Sent { limiter, request, attempt, host, cold } => format!(
+            What::Sent {
+                limiter,
+                request,
+                attempt,
+                host,
+                cold,
+            } => format!(
                 "{} sends {} to {}{} (attempt {})",
                 cast.limiter(*limiter),
                 name(request),
@@ -43,28 +66,54 @@
                 if *cold { ", which is cold" } else { "" },
                 attempt + 1
             ),
-            What::Ran { host, request, dropped: false } => {
+            What::Ran {
+                host,
+                request,
+                dropped: false,
+            } => {
                 format!("{} runs {}", cast.host(*host), name(request))
             }
-            What::Ran { host, request, dropped: true } => {
+            What::Ran {
+                host,
+                request,
+                dropped: true,
+            } => {
                 format!("{} drops {} as a repeat", cast.host(*host), name(request))
             }
-            What::Ended { request, attempt, outcome } => {
-                format!("attempt {} of {} ends: {}", attempt + 1, name(request), ending(*outcome))
+            What::Ended {
+                request,
+                attempt,
+                outcome,
+            } => {
+                format!(
+                    "attempt {} of {} ends: {}",
+                    attempt + 1,
+                    name(request),
+                    ending(*outcome)
+                )
+            }
+            What::Settled { request, units } => {
+                format!("{} is settled at {units} units", name(request))
             }
-            What::Settled { request, units } => format!("{} is settled at {units} units", name(request)),
             What::Answered { request, answer } => match answer {
                 Answered::Served => format!("{} is served", name(request)),
                 Answered::Refused(0) => format!("{} is refused", name(request)),
                 Answered::Refused(after) => {
-                    format!("{} is refused, to come back after {}", name(request), milliseconds(*after))
+                    format!(
+                        "{} is refused, to come back after {}",
+                        name(request),
+                        milliseconds(*after)
+                    )
                 }
                 Answered::Failed => format!("{} is failed", name(request)),
             },
             What::Left { request } => format!("the client of {} goes away", name(request)),
             What::Started { host } => format!("{} has just started, cold", cast.host(*host)),
             What::Tipped { host } => {
-                format!("{} falls over: sent more than it can do while cold", cast.host(*host))
+                format!(
+                    "{} falls over: sent more than it can do while cold",
+                    cast.host(*host)
+                )
             }
             What::Died { limiter } => format!("{} dies", cast.limiter(*limiter)),
             What::Noted(text) => text.clone(),
--- a/crates/lease/src/bidder.rs
+++ b/crates/lease/src/bidder.rs
@@ -53,7 +53,15 @@
 impl Bidder {
     /// A bidder that has asked for nothing. `round` is where its rounds begin: Unix time in milliseconds, so that they
     /// grow over restarts of all voters too; nothing rests on it but how soon a target that has seen more agrees.
-    pub fn new(terms: Terms, task: &str, me: u32, boot: u32, voters: usize, round: u64, now: Nanos) -> Self {
+    pub fn new(
+        terms: Terms,
+        task: &str,
+        me: u32,
+        boot: u32,
+        voters: usize,
+        round: u64,
+        now: Nanos,
+    ) -> Self {
         let patience = (terms.held() / 10).max(1);
         Bidder {
             terms,
@@ -88,7 +96,9 @@
 
     /// A guard for acts, where the lease is held.
     pub fn held(&self, now: Nanos) -> Option<Guard> {
-        self.held.filter(|(_, _, until)| now < *until).map(|(_, token, until)| Guard::new(token, until))
+        self.held
+            .filter(|(_, _, until)| now < *until)
+            .map(|(_, token, until)| Guard::new(token, until))
     }
 
     /// When [`Bidder::tick`] is due.
@@ -106,14 +116,21 @@
         if self.phase != Phase::Idle && now >= self.round_ends {
             self.phase = Phase::Idle;
             // Guards against two that outbid each other for ever: each waits its own turn.
-            self.next =
-                now.saturating_add(if self.held(now).is_some() { self.patience } else { self.turn.max(1) });
+            self.next = now.saturating_add(if self.held(now).is_some() {
+                self.patience
+            } else {
+                self.turn.max(1)
+            });
         }
         if self.phase != Phase::Idle || now < self.next {
             return None;
         }
         self.heard += 1;
-        self.ballot = Ballot { round: self.heard, bidder: self.me, boot: self.boot };
+        self.ballot = Ballot {
+            round: self.heard,
+            bidder: self.me,
+            boot: self.boot,
+        };
         self.phase = Phase::Preparing { free: Vec::new() };
         self.stand.clear();
         self.round_ends = now.saturating_add(self.patience);
@@ -135,9 +152,16 @@
                 // Guards against waiting for one voter that stands by a holder that is gone, where the others are
                 // free. Without them nothing is to be had before the first lets go, and then by turns.
                 if self.stand.len() + majority > self.voters {
-                    let first = self.stand.iter().map(|(_, left)| *left).min().unwrap_or(left);
+                    let first = self
+                        .stand
+                        .iter()
+                        .map(|(_, left)| *left)
+                        .min()
+                        .unwrap_or(left);
                     self.phase = Phase::Idle;
-                    self.next = self.next.max(now.saturating_add(first).saturating_add(self.turn));
+                    self.next = self
+                        .next
+                        .max(now.saturating_add(first).saturating_add(self.turn));
                 }
             }
             return None;
@@ -151,7 +175,10 @@
                 if free.len() < majority {
                     return None;
                 }
-                self.phase = Phase::Proposing { began: now, votes: Vec::new() };
+                self.phase = Phase::Proposing {
+                    began: now,
+                    votes: Vec::new(),
+                };
                 Some(self.say(Body::Propose))
             }
             (Phase::Proposing { began, votes }, Body::Voted) => {
@@ -161,7 +188,8 @@
                     let token = self.held(now).map_or(self.ballot, |guard| guard.token());
                     self.held = Some((self.ballot, token, began.saturating_add(self.terms.held())));
                     self.phase = Phase::Idle;
-                    self.next = began.saturating_add(self.terms.held() / RENEW_AFTER.1 * RENEW_AFTER.0);
+                    self.next =
+                        began.saturating_add(self.terms.held() / RENEW_AFTER.1 * RENEW_AFTER.0);
                 }
                 None
             }
@@ -172,9 +200,16 @@
     /// Another has given its lease up: whoever waited for its end need not, but goes by turns.
     pub fn freed(&mut self, now: Nanos, message: &Message) {
         let others = message.task == self.task && message.ballot.bidder != self.me;
-        if others && message.body == Body::GivenUp && self.phase == Phase::Idle && self.held(now).is_none() {
+        if others
+            && message.body == Body::GivenUp
+            && self.phase == Phase::Idle
+            && self.held(now).is_none()
+        {
             // The voters hear of it at about the same time.
-            self.next = self.next.min(now.saturating_add(self.turn).saturating_add(self.patience / 4));
+            self.next = self.next.min(
+                now.saturating_add(self.turn)
+                    .saturating_add(self.patience / 4),
+            );
         }
     }
 
@@ -193,11 +228,19 @@
         self.phase = Phase::Idle;
         self.next = now.saturating_add(self.terms.length);
         let (ballot, ..) = held?;
-        Some(Message { task: self.task.clone(), ballot, body: Body::GivenUp })
+        Some(Message {
+            task: self.task.clone(),
+            ballot,
+            body: Body::GivenUp,
+        })
     }
 
     fn say(&self, body: Body) -> Message {
-        Message { task: self.task.clone(), ballot: self.ballot, body }
+        Message {
+            task: self.task.clone(),
+            ballot: self.ballot,
+            body,
+        }
     }
 }
 
@@ -212,7 +255,10 @@
 mod tests {
     use super::*;
 
-    const TERMS: Terms = Terms { length: 1_000_000, drift: 10 };
+    const TERMS: Terms = Terms {
+        length: 1_000_000,
+        drift: 10,
+    };
 
     fn bidder(turn: Nanos) -> Bidder {
         let mut bidder = Bidder::new(TERMS, "t", 0, 1, 3, 5, 0);
@@ -225,7 +271,10 @@
     }
 
     fn refused(left: Nanos) -> Body {
-        Body::Refused { promised: Ballot::default(), left }
+        Body::Refused {
+            promised: Ballot::default(),
+            left,
+        }
     }
 
     #[test]
@@ -234,7 +283,9 @@
         let asked = bidder.tick(0).expect("its turn");
         assert_eq!(bidder.handle(1, 0, &said(&asked, refused(900_000))), None);
         assert_eq!(bidder.handle(1, 1, &said(&asked, Body::Free)), None);
-        let proposed = bidder.handle(1, 2, &said(&asked, Body::Free)).expect("two of three are free");
+        let proposed = bidder
+            .handle(1, 2, &said(&asked, Body::Free))
+            .expect("two of three are free");
         assert_eq!(bidder.handle(2, 1, &said(&proposed, Body::Voted)), None);
         bidder.handle(2, 2, &said(&proposed, Body::Voted));
         assert!(bidder.held(3).is_some());
@@ -246,9 +297,16 @@
         let asked = bidder.tick(7_000).expect("its turn");
         bidder.handle(8_000, 0, &said(&asked, refused(900_000)));
         bidder.handle(8_000, 0, &said(&asked, refused(900_000)));
-        assert_ne!(bidder.phase, Phase::Idle, "one voter, however often it answers");
+        assert_ne!(
+            bidder.phase,
+            Phase::Idle,
+            "one voter, however often it answers"
+        );
         bidder.handle(8_000, 1, &said(&asked, refused(400_000)));
-        assert_eq!((&bidder.phase, bidder.due()), (&Phase::Idle, 8_000 + 400_000 + 7_000));
+        assert_eq!(
+            (&bidder.phase, bidder.due()),
+            (&Phase::Idle, 8_000 + 400_000 + 7_000)
+        );
     }
 
     #[test]
@@ -258,7 +316,11 @@
         (0..2).for_each(|voter| drop(bidder.handle(8_000, voter, &said(&asked, refused(900_000)))));
         let of = |task: &str, bidder| Message {
             task: task.into(),
-            ballot: Ballot { round: 9, bidder, boot: 1 },
+            ballot: Ballot {
+                round: 9,
+                bidder,
+                boot: 1,
+            },
             body: Body::GivenUp,
         };
         for other in [of("another", 2), of("t", 0)] {
@@ -266,7 +328,11 @@
             assert_eq!(bidder.due(), 915_000, "neither another task's nor its own");
         }
         bidder.freed(10_000, &of("t", 2));
-        assert!(bidder.due() < 10_000 + 7_000 + TERMS.held() / 10, "{}", bidder.due());
+        assert!(
+            bidder.due() < 10_000 + 7_000 + TERMS.held() / 10,
+            "{}",
+            bidder.due()
+        );
         assert!(bidder.tick(bidder.due()).is_some());
     }
 }
--- a/crates/lease/src/envelope.rs
+++ b/crates/lease/src/envelope.rs
@@ -15,7 +15,10 @@
 impl Key {
     /// A key from the bytes of a file, however many.
     pub fn new(secret: &[u8]) -> Self {
-        Key(blake3::derive_key("quartzcleat between limiters v1", secret))
+        Key(blake3::derive_key(
+            "quartzcleat between limiters v1",
+            secret,
+        ))
     }
 }
 
@@ -76,5 +79,10 @@
     let (mut sender, mut sequence) = ([0; 4], [0; 8]);
     sender.copy_from_slice(&head[2..6]);
     sequence.copy_from_slice(&head[6..14]);
-    Ok((head[1], u32::from_be_bytes(sender), u64::from_be_bytes(sequence), message))
+    Ok((
+        head[1],
+        u32::from_be_bytes(sender),
+        u64::from_be_bytes(sequence),
+        message,
+    ))
 }
--- a/crates/lease/src/guard.rs
+++ b/crates/lease/src/guard.rs
@@ -31,6 +31,9 @@
     /// Allows an act that takes `longest` at most, where that fits into what is left of the lease.
     pub fn begin(&self, now: Nanos, longest: Nanos) -> Option<Act> {
         let by = now.checked_add(longest)?;
-        (by < self.until).then_some(Act { token: self.token, by })
+        (by < self.until).then_some(Act {
+            token: self.token,
+            by,
+        })
     }
 }
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -107,7 +107,10 @@
             2 => Body::Free,
             3 => {
                 let promised = read_ballot(&mut rest)?;
-                Body::Refused { promised, left: Nanos::from_be_bytes(take(&mut rest)?) }
+                Body::Refused {
+                    promised,
+                    left: Nanos::from_be_bytes(take(&mut rest)?),
+                }
             }
             4 => Body::Propose,
             5 => Body::Voted,
@@ -122,7 +125,11 @@
         if task.is_empty() || length > MOST_TASK_BYTES {
             return Err(Fault::Task);
         }
-        Ok(Message { task: task.to_owned(), ballot, body })
+        Ok(Message {
+            task: task.to_owned(),
+            ballot,
+            body,
+        })
     }
 }
 
--- a/crates/lease/src/target.rs
+++ b/crates/lease/src/target.rs
@@ -76,14 +76,25 @@
 
     #[test]
     fn an_act_waits_for_the_one_under_way_and_an_older_one_that_waited_is_refused() {
-        let token = |round| Token { round, bidder: 0, boot: 1 };
+        let token = |round| Token {
+            round,
+            bidder: 0,
+            boot: 1,
+        };
         let mut target = OneAtATime::default();
         assert_eq!(target.begin(token(1)), Ok(()));
         assert_eq!(target.begin(token(2)), Err(NotNow::UnderWay));
         target.end();
         assert_eq!(target.begin(token(2)), Ok(()));
         target.end();
-        assert_eq!(target.begin(token(1)), Err(NotNow::Outdated(Outdated { seen: token(2) })));
-        assert_eq!(target.begin(token(2)), Ok(()), "one that is refused is not under way");
+        assert_eq!(
+            target.begin(token(1)),
+            Err(NotNow::Outdated(Outdated { seen: token(2) }))
+        );
+        assert_eq!(
+            target.begin(token(2)),
+            Ok(()),
+            "one that is refused is not under way"
+        );
     }
 }
--- a/crates/lease/src/turns.rs
+++ b/crates/lease/src/turns.rs
@@ -20,5 +20,10 @@
 pub fn turn(task: &str, me: &str, all: &[String], step: Nanos) -> Nanos {
     let mine = score(task, me);
     let rank = all.iter().filter(|other| score(task, other) > mine).count() as u64;
-    step.saturating_mul(rank.min(MOST_RANKS)) + if rank > MOST_RANKS { mine % step.max(1) } else { 0 }
+    step.saturating_mul(rank.min(MOST_RANKS))
+        + if rank > MOST_RANKS {
+            mine % step.max(1)
+        } else {
+            0
+        }
 }
--- a/crates/lease/tests/messages.rs
+++ b/crates/lease/tests/messages.rs
@@ -20,7 +20,11 @@
         Just(Body::Voted),
         Just(Body::GivenUp),
     ];
-    ("[a-z-]{1,64}", ballots(), body).prop_map(|(task, ballot, body)| Message { task, ballot, body })
+    ("[a-z-]{1,64}", ballots(), body).prop_map(|(task, ballot, body)| Message {
+        task,
+        ballot,
+        body,
+    })
 }
 
 fn bytes(message: &Message) -> Vec<u8> {
--- a/crates/lease/tests/small.rs
+++ b/crates/lease/tests/small.rs
@@ -8,7 +8,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher as _};
 
 /// Two clocks may run a quarter apart here: the search takes coarse ticks of 1,000.
-const TERMS: Terms = Terms { length: 4_000, drift: 250 };
+const TERMS: Terms = Terms {
+    length: 4_000,
+    drift: 250,
+};
 const TICK: Nanos = 1_000;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -82,10 +85,17 @@
     fn bidder(&self, number: usize, boot: u32, now: Nanos) -> Bidder {
         let terms = match self.damage {
             Damage::NoDriftBound => Terms { drift: 0, ..TERMS },
-            Damage::HolderLonger => Terms { length: TERMS.length * 2, ..TERMS },
+            Damage::HolderLonger => Terms {
+                length: TERMS.length * 2,
+                ..TERMS
+            },
             _ => TERMS,
         };
-        let voters = if self.damage == Damage::SmallQuorum { 1 } else { self.voters };
+        let voters = if self.damage == Damage::SmallQuorum {
+            1
+        } else {
+            self.voters
+        };
         Bidder::new(terms, "t", number as u32, boot, voters, 0, now)
     }
 }
@@ -96,8 +106,14 @@
             time: 0,
             back: 0,
             // Their quiet time is over, as after a long run.
-            voters: rates.1.iter().map(|_| Voter::new(TERMS, 100_000 - TERMS.quiet())).collect(),
-            bidders: (0..2).map(|number| self.bidder(number, 1, 100_000)).collect(),
+            voters: rates
+                .1
+                .iter()
+                .map(|_| Voter::new(TERMS, 100_000 - TERMS.quiet()))
+                .collect(),
+            bidders: (0..2)
+                .map(|number| self.bidder(number, 1, 100_000))
+                .collect(),
             rates,
             asked: BTreeSet::new(),
             flying: BTreeSet::new(),
@@ -111,17 +127,24 @@
             changed: false,
         };
         // The worst pairs: a slow holder before fast voters, and all alike.
-        let fresh = [(vec![-1, 1], vec![1; self.voters]), (vec![0, 0], vec![0; self.voters])].map(started);
+        let fresh = [
+            (vec![-1, 1], vec![1; self.voters]),
+            (vec![0, 0], vec![0; self.voters]),
+        ]
+        .map(started);
         // The same with a holder, by the votes of the first two.
         let held = fresh.clone().map(|world| {
             let mut world = self.next_state(&world, Step::Bid(0)).unwrap_or(world);
             for voter in [0, 1, 0, 1] {
                 let asked = world.asked.last().cloned();
-                let heard = asked.and_then(|asked| self.next_state(&world, Step::Ask(voter, asked, true)));
+                let heard =
+                    asked.and_then(|asked| self.next_state(&world, Step::Ask(voter, asked, true)));
                 world = heard.unwrap_or(world);
             }
             assert!(
-                world.bidders[0].held(self.bidder_clock(&world, 0)).is_some(),
+                world.bidders[0]
+                    .held(self.bidder_clock(&world, 0))
+                    .is_some(),
                 "two votes of three are enough"
             );
             world
@@ -186,11 +209,17 @@
                     let number = message.ballot.bidder as usize;
                     let now = self.bidder_clock(&world, number);
                     let held = world.bidders[number].held(now).is_some();
-                    let more = world.bidders[number].handle(now, voter as u32, &Message { body, ..message });
+                    let more = world.bidders[number].handle(
+                        now,
+                        voter as u32,
+                        &Message { body, ..message },
+                    );
                     world.asked.extend(more);
                     let won = !held && world.bidders[number].held(now).is_some();
                     let other = 1 - number;
-                    let others = world.bidders[other].held(self.bidder_clock(&world, other)).is_some();
+                    let others = world.bidders[other]
+                        .held(self.bidder_clock(&world, other))
+                        .is_some();
                     world.at_once |= won && others;
                     let last = world.last;
                     world.changed |= won && last.round > 0 && last.bidder as usize != number;
@@ -202,22 +231,33 @@
                 let guard = world.bidders[number].held(if unguarded { 0 } else { now })?;
                 let act = guard.begin(if unguarded { 0 } else { now }, 1)?;
                 let other = 1 - number;
-                world.at_once |= world.bidders[other].held(self.bidder_clock(&world, other)).is_some();
+                world.at_once |= world.bidders[other]
+                    .held(self.bidder_clock(&world, other))
+                    .is_some();
                 world.acts += 1;
                 world.flying.insert(act.token);
             }
             // It may have been under way for as long as its process was paused, and come twice.
             Step::Arrive(token) => {
                 let unchecked = self.damage == Damage::TokenUnchecked;
-                let mut target = if unchecked { Highest::default() } else { world.target };
+                let mut target = if unchecked {
+                    Highest::default()
+                } else {
+                    world.target
+                };
                 if target.admit(token).is_ok() {
                     world.out_of_order |= token < world.last;
                     (world.target, world.last) = (target, token);
                 }
             }
             Step::RestartVoter(voter) => {
-                let quiet = if self.damage == Damage::NoQuietTime { TERMS.quiet() } else { 0 };
-                world.voters[voter] = Voter::new(TERMS, clock(world.time, world.rates.1[voter]) - quiet);
+                let quiet = if self.damage == Damage::NoQuietTime {
+                    TERMS.quiet()
+                } else {
+                    0
+                };
+                world.voters[voter] =
+                    Voter::new(TERMS, clock(world.time, world.rates.1[voter]) - quiet);
                 world.restarts += 1;
             }
             Step::RestartBidder(number) => {
@@ -241,7 +281,13 @@
 /// Goes through every order of events up to so many steps, from nothing and from a lease that is held. Whether something
 /// broke, and how many states there were.
 fn search(damage: Damage, depth: usize) -> (bool, usize) {
-    let small = Small { voters: 3, damage, end: 6, bids: 3, acts: 2 };
+    let small = Small {
+        voters: 3,
+        damage,
+        end: 6,
+        bids: 3,
+        acts: 2,
+    };
     let hashed = |world: &World| {
         let mut hasher = DefaultHasher::new();
         world.hash(&mut hasher);
@@ -253,7 +299,10 @@
         for world in std::mem::take(&mut next) {
             let mut steps = Vec::new();
             small.actions(&world, &mut steps);
-            for world in steps.into_iter().filter_map(|step| small.next_state(&world, step)) {
+            for world in steps
+                .into_iter()
+                .filter_map(|step| small.next_state(&world, step))
+            {
                 if world.at_once || world.out_of_order {
                     return (true, seen.len());
                 }
@@ -278,7 +327,13 @@
 /// Walks at random, each walk by its seed; the first that breaks something, with its steps. `changed` counts those in
 /// which another limiter got the lease after an act of the first.
 fn walk(damage: Damage, walks: u64, changed: &mut usize) -> Option<(u64, usize)> {
-    let small = Small { voters: 3, damage, end: 9, bids: 5, acts: 6 };
+    let small = Small {
+        voters: 3,
+        damage,
+        end: 9,
+        bids: 5,
+        acts: 6,
+    };
     (0..walks).find_map(|seed| {
         let mut rng = fastrand::Rng::with_seed(seed);
         let starts = small.init_states();
@@ -289,15 +344,22 @@
             // Every other walk is without restarts and handing over, so that it comes to what time alone does.
             if seed % 2 == 1 {
                 steps.retain(|step| {
-                    !matches!(step, Step::RestartVoter(_) | Step::RestartBidder(_) | Step::GiveUp(_))
+                    !matches!(
+                        step,
+                        Step::RestartVoter(_) | Step::RestartBidder(_) | Step::GiveUp(_)
+                    )
                 });
             }
             // The latest question goes on half of the time: without that walks hardly ever come to a lease.
             let latest = world.asked.last();
-            let goes_on = |step: &&Step| matches!(step, Step::Ask(_, asked, true) if Some(asked) == latest);
+            let goes_on =
+                |step: &&Step| matches!(step, Step::Ask(_, asked, true) if Some(asked) == latest);
             let latest: Vec<&Step> = steps.iter().filter(goes_on).collect();
-            let step =
-                if !latest.is_empty() && rng.bool() { rng.choice(latest)? } else { rng.choice(&steps)? };
+            let step = if !latest.is_empty() && rng.bool() {
+                rng.choice(latest)?
+            } else {
+                rng.choice(&steps)?
+            };
             world = small.next_state(&world, step.clone()).unwrap_or(world);
             if world.at_once || world.out_of_order {
                 return Some((seed, taken));
@@ -329,5 +391,8 @@
     let mut changed = 0;
     assert_eq!(walk(Damage::None, 40_000, &mut changed), None);
     println!("{changed} of 40000 walks changed hands");
-    assert!(changed >= 50, "only {changed} of 40,000 walks came to a change of hands after an act");
+    assert!(
+        changed >= 50,
+        "only {changed} of 40,000 walks came to a change of hands after an act"
+    );
 }
--- a/crates/simulation/src/counter.rs
+++ b/crates/simulation/src/counter.rs
@@ -29,7 +29,12 @@
     /// A counter that holds nothing.
     pub fn new(setup: &CounterSetup) -> Self {
         let parts = vec![0; setup.parts.max(1) as usize];
-        Counter { mode: setup.mode, service: setup.service, parts, totals: BTreeMap::new() }
+        Counter {
+            mode: setup.mode,
+            service: setup.service,
+            parts,
+            totals: BTreeMap::new(),
+        }
     }
 
     /// Forgets all totals.
@@ -62,7 +67,10 @@
         }
         self.totals.retain(|_, total| total.until > now);
         let until = now + life.clamp(1_000_000, LONGEST_LIFE);
-        let total = self.totals.entry(name.to_owned()).or_insert(Total { value: 0.0, until });
+        let total = self
+            .totals
+            .entry(name.to_owned())
+            .or_insert(Total { value: 0.0, until });
         total.value += amount;
         (Outcome::Good, total.value)
     }
@@ -78,12 +86,21 @@
     fn names_have_totals_and_lives() {
         let mut counter = Counter::new(&CounterSetup::default());
         assert_eq!(counter.add("a", 2.0, 50 * MS, 0), (Outcome::Good, 2.0));
-        assert_eq!(counter.add("a", 3.0, 9_000 * MS, 40 * MS), (Outcome::Good, 5.0));
+        assert_eq!(
+            counter.add("a", 3.0, 9_000 * MS, 40 * MS),
+            (Outcome::Good, 5.0)
+        );
         assert_eq!(counter.add("b", 0.0, MS, 41 * MS), (Outcome::Good, 0.0));
         // The life is the first call's.
-        assert_eq!(counter.add("a", 1.0, 50 * MS, 51 * MS), (Outcome::Good, 1.0));
+        assert_eq!(
+            counter.add("a", 1.0, 50 * MS, 51 * MS),
+            (Outcome::Good, 1.0)
+        );
         counter.empty();
-        assert_eq!(counter.add("a", 1.0, 50 * MS, 52 * MS), (Outcome::Good, 1.0));
+        assert_eq!(
+            counter.add("a", 1.0, 50 * MS, 52 * MS),
+            (Outcome::Good, 1.0)
+        );
     }
 
     #[test]
--- a/crates/simulation/src/limiter.rs
+++ b/crates/simulation/src/limiter.rs
@@ -57,19 +57,35 @@
     /// Notes a call to the counter; its number.
     pub(crate) fn call(&mut self, name: &str, now: Nanos) -> u64 {
         self.number += 1;
-        self.calls.push_back(Call { number: self.number, name: name.to_owned(), began: now, end: None });
+        self.calls.push_back(Call {
+            number: self.number,
+            name: name.to_owned(),
+            began: now,
+            end: None,
+        });
         self.number
     }
 
     /// A call has come to its end; what the module may be told by now, in the order of the calls.
-    pub(crate) fn called(&mut self, number: u64, outcome: Outcome, total: f64, now: Nanos) -> Vec<Event> {
+    pub(crate) fn called(
+        &mut self,
+        number: u64,
+        outcome: Outcome,
+        total: f64,
+        now: Nanos,
+    ) -> Vec<Event> {
         if let Some(call) = self.calls.iter_mut().find(|call| call.number == number) {
             call.end.get_or_insert((outcome, total, now - call.began));
         }
         let mut events = Vec::new();
         while let Some((outcome, total, elapsed)) = self.calls.front().and_then(|call| call.end) {
             if let Some(call) = self.calls.pop_front() {
-                events.push(Event::CounterReplied { name: call.name, outcome, total, elapsed });
+                events.push(Event::CounterReplied {
+                    name: call.name,
+                    outcome,
+                    total,
+                    elapsed,
+                });
             }
         }
         events
@@ -77,15 +93,26 @@
 
     /// Begins an attempt. `Err` is its number where it must not be made.
     pub(crate) fn begin(
-        &mut self, id: RequestId, host: usize, now: Nanos, most: u32,
+        &mut self,
+        id: RequestId,
+        host: usize,
+        now: Nanos,
+        most: u32,
     ) -> Result<(u32, Open), u32> {
-        let Some(open) = self.open.get_mut(&id) else { return Err(0) };
+        let Some(open) = self.open.get_mut(&id) else {
+            return Err(0);
+        };
         let attempt = open.attempts;
         open.attempts += 1;
         if attempt >= most || now >= open.deadline {
             return Err(attempt);
         }
-        let out = Out { host, began: now, class: open.class, errand: open.errand };
+        let out = Out {
+            host,
+            began: now,
+            class: open.class,
+            errand: open.errand,
+        };
         self.out.insert((id, attempt), out);
         Ok((attempt, open.clone()))
     }
@@ -104,22 +131,41 @@
         let names: Vec<_> = told
             .iter()
             .map(|event| match event {
-                Event::CounterReplied { name, outcome, elapsed, .. } => (name.as_str(), *outcome, *elapsed),
+                Event::CounterReplied {
+                    name,
+                    outcome,
+                    elapsed,
+                    ..
+                } => (name.as_str(), *outcome, *elapsed),
                 _ => ("", Outcome::Error, 0),
             })
             .collect();
         assert_eq!(names, [("a", Outcome::Timeout, 9), ("b", Outcome::Good, 4)]);
-        assert!(limiter.called(one, Outcome::Good, 1.0, 10).is_empty(), "each ends once");
+        assert!(
+            limiter.called(one, Outcome::Good, 1.0, 10).is_empty(),
+            "each ends once"
+        );
     }
 
     #[test]
     fn attempts_keep_to_cap_and_deadline() {
         let mut limiter = Limiter::new(Settings::default(), 1, 0, 0);
         let id = RequestId(1);
-        limiter.open.insert(id, Open { class: 0, errand: 1, deadline: 100, attempts: 0 });
+        limiter.open.insert(
+            id,
+            Open {
+                class: 0,
+                errand: 1,
+                deadline: 100,
+                attempts: 0,
+            },
+        );
         assert_eq!(limiter.begin(id, 0, 5, 2).map(|begun| begun.0), Ok(0));
         assert_eq!(limiter.begin(id, 0, 100, 2).map(|begun| begun.0), Err(1));
         assert_eq!(limiter.begin(id, 0, 5, 2).map(|begun| begun.0), Err(2));
-        assert_eq!(limiter.begin(RequestId(2), 0, 5, 2).map(|begun| begun.0), Err(0));
+        assert_eq!(
+            limiter.begin(RequestId(2), 0, 5, 2).map(|begun| begun.0),
+            Err(0)
+        );
     }
 }
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -81,7 +81,10 @@
     /// The part of its capacity that it has.
     pub fn warmth(&self, settings: &Settings, now: Nanos) -> f64 {
         let age = now.saturating_sub(self.started);
-        if self.started == 0 || settings.slow_start_duration == 0 || age >= settings.slow_start_duration {
+        if self.started == 0
+            || settings.slow_start_duration == 0
+            || age >= settings.slow_start_duration
+        {
             return 1.0;
         }
         settings.slow_start_floor
@@ -106,7 +109,11 @@
         let warmth = self.warmth(settings, now);
         if warmth < 1.0 && settings.overload_factor > 0.0 && settings.overload_duration > 0 {
             self.recent.push_back((now, work as f64 / 1e9 / self.speed));
-            while self.recent.front().is_some_and(|(at, _)| at + settings.overload_duration <= now) {
+            while self
+                .recent
+                .front()
+                .is_some_and(|(at, _)| at + settings.overload_duration <= now)
+            {
                 self.recent.pop_front();
             }
             let sent: f64 = self.recent.iter().map(|(_, work)| work).sum();
@@ -178,14 +185,24 @@
     }
 
     fn job(number: u64) -> Job {
-        Job { limiter: 0, request: RequestId(number), attempt: 0 }
+        Job {
+            limiter: 0,
+            request: RequestId(number),
+            attempt: 0,
+        }
     }
 
     #[test]
     fn jobs_take_cores_then_slots_then_are_turned_away() {
-        let setup = NodeSetup { cores: 1, slots: 1, ..NodeSetup::default() };
+        let setup = NodeSetup {
+            cores: 1,
+            slots: 1,
+            ..NodeSetup::default()
+        };
         let (mut node, set) = (Node::new(&setup, MS), settings());
-        let ends: Vec<_> = (0..3).map(|n| node.reach(job(n), 100 * MS, &set, MS)).collect();
+        let ends: Vec<_> = (0..3)
+            .map(|n| node.reach(job(n), 100 * MS, &set, MS))
+            .collect();
         assert_eq!(ends, [Reached::Begun, Reached::Waits, Reached::Busy]);
         assert_eq!((node.proceed(), node.proceed()), (Some(job(1)), None));
         node.end(Life::Dead);
@@ -194,11 +211,16 @@
 
     #[test]
     fn a_cold_host_is_slow_and_tips() {
-        let setup = NodeSetup { age: Some(0), ..NodeSetup::default() };
+        let setup = NodeSetup {
+            age: Some(0),
+            ..NodeSetup::default()
+        };
         let (mut node, set) = (Node::new(&setup, MS), settings());
         assert_eq!(node.takes(150 * MS, &set, MS), 1_000 * MS);
         // It can do 3 x 0.15 x 1.5 s = 0.675 s of work in the time, and tips past three times that.
-        let ends: Vec<_> = (0..25).map(|n| node.reach(job(n), 100 * MS, &set, MS)).collect();
+        let ends: Vec<_> = (0..25)
+            .map(|n| node.reach(job(n), 100 * MS, &set, MS))
+            .collect();
         assert_eq!(ends.iter().position(|end| *end == Reached::Tips), Some(20));
         let (mut warm, later) = (Node::new(&setup, MS), 20_000 * MS);
         assert!((0..25).all(|n| warm.reach(job(n), 100 * MS, &set, later) != Reached::Tips));
