--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -146,7 +146,12 @@
         chosen: Vec::new(),
     };
     let whole = play.run().is_ok();
-    Played { records: play.records, whole, events: play.events, end: play.now }
+    Played {
+        records: play.records,
+        whole,
+        events: play.events,
+        end: play.now,
+    }
 }
 
 impl Play<'_> {
@@ -171,7 +176,8 @@
 
     /// Nothing is to come but timers of limiters that have nothing open.
     fn over(&self) -> bool {
-        let idle = |limiter: &Limiter| !limiter.up || limiter.open.is_empty() && limiter.out.is_empty();
+        let idle =
+            |limiter: &Limiter| !limiter.up || limiter.open.is_empty() && limiter.out.is_empty();
         self.limiters.iter().all(idle)
             && !self.due.iter().any(|Reverse(due)| {
                 matches!(
@@ -193,20 +199,27 @@
             return Ok(0);
         }
         let (oracle, due, now) = (&mut *self.oracle, &self.due, self.now);
-        let (limiters, nodes, counter, facts) = (&self.limiters, &self.nodes, &self.counter, &self.facts);
+        let (limiters, nodes, counter, facts) =
+            (&self.limiters, &self.nodes, &self.counter, &self.facts);
         let (keys, chosen) = (&self.keys, &self.chosen);
         let print = || {
             let mut facts = facts.clone();
             let mut writer = Hashed(&mut facts);
             let mut order: Vec<_> = due.iter().collect();
             order.sort_unstable_by_key(|Reverse(due)| (due.at, due.serial));
-            let _ = write!(writer, "{now} {chosen:?} {limiters:?} {nodes:?} {counter:?} {keys:?}");
+            let _ = write!(
+                writer,
+                "{now} {chosen:?} {limiters:?} {nodes:?} {counter:?} {keys:?}"
+            );
             for Reverse(due) in order {
                 let _ = write!(writer, " {} {:?}", due.at, due.what);
             }
             facts.finish()
         };
-        let choice = oracle.choose(point, options, &print).ok_or(Ended)?.min(options - 1);
+        let choice = oracle
+            .choose(point, options, &print)
+            .ok_or(Ended)?
+            .min(options - 1);
         self.chosen.push(choice);
         Ok(choice)
     }
@@ -218,7 +231,11 @@
 
     fn after(&mut self, delay: Nanos, what: Pending) {
         self.serial += 1;
-        self.due.push(Reverse(Due { at: self.now + delay, serial: self.serial, what }));
+        self.due.push(Reverse(Due {
+            at: self.now + delay,
+            serial: self.serial,
+            what,
+        }));
     }
 
     fn begin(&mut self) -> Result<(), Ended> {
@@ -229,15 +246,28 @@
         let phase = self.choose(Point::Phase, scenario.phases.len())?;
         self.now = scenario.start + scenario.phases.get(phase).copied().unwrap_or(0);
         self.begun = self.now;
-        self.nodes = scenario.nodes.iter().map(|setup| Node::new(setup, self.begun)).collect();
-        self.listed =
-            (0..self.nodes.len()).filter(|n| !scenario.nodes[*n].absent).map(|n| self.entry(n)).collect();
+        self.nodes = scenario
+            .nodes
+            .iter()
+            .map(|setup| Node::new(setup, self.begun))
+            .collect();
+        self.listed = (0..self.nodes.len())
+            .filter(|n| !scenario.nodes[*n].absent)
+            .map(|n| self.entry(n))
+            .collect();
         for number in 0..scenario.cast.limiters.len() {
             let limiter = self.fresh(number, 0);
             self.limiters.push(limiter);
             let entries = self.listed.clone();
             self.told_of(number, &entries);
-            self.tell(number, Event::Hosts { version: 1, mode: ListMode::Restored, entries })?;
+            self.tell(
+                number,
+                Event::Hosts {
+                    version: 1,
+                    mode: ListMode::Restored,
+                    entries,
+                },
+            )?;
         }
         let moments = self.moments()?;
         for (index, at) in moments.into_iter().enumerate() {
@@ -259,9 +289,12 @@
             let choice = self.choose(Point::Moment, step.at.len())?;
             moments.push(step.at.get(choice).copied().unwrap_or(0));
         }
-        let groups: std::collections::BTreeSet<u32> = steps.iter().filter_map(|step| step.free).collect();
+        let groups: std::collections::BTreeSet<u32> =
+            steps.iter().filter_map(|step| step.free).collect();
         for group in groups {
-            let members: Vec<usize> = (0..steps.len()).filter(|i| steps[*i].free == Some(group)).collect();
+            let members: Vec<usize> = (0..steps.len())
+                .filter(|i| steps[*i].free == Some(group))
+                .collect();
             let mut times: Vec<Nanos> = members.iter().map(|member| moments[*member]).collect();
             times.sort_unstable();
             let mut left = members;
@@ -279,13 +312,19 @@
         settings.me = number as u32;
         settings.limiter_count = cast.limiters.len() as u32;
         settings.zone = cast.limiters[number].room;
-        let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(number as u64 * 7919 + u64::from(epoch));
+        let seed = self
+            .seed
+            .wrapping_mul(1_000_003)
+            .wrapping_add(number as u64 * 7919 + u64::from(epoch));
         Limiter::new(settings, seed, self.now, epoch)
     }
 
     fn entry(&self, node: usize) -> HostEntry {
-        let (player, setup, now) =
-            (&self.scenario.cast.hosts[node], &self.scenario.nodes[node], &self.nodes[node]);
+        let (player, setup, now) = (
+            &self.scenario.cast.hosts[node],
+            &self.scenario.nodes[node],
+            &self.nodes[node],
+        );
         let state = match (now.life, now.draining) {
             (Life::Dead, _) => HostState::Gone,
             (_, true) => HostState::Draining,
@@ -307,7 +346,11 @@
 
     fn told_of(&mut self, limiter: usize, entries: &[HostEntry]) {
         for entry in entries {
-            self.note(What::Told { limiter, host: entry.host.0 as usize, state: entry.state });
+            self.note(What::Told {
+                limiter,
+                host: entry.host.0 as usize,
+                state: entry.state,
+            });
         }
     }
 
@@ -328,37 +371,72 @@
     }
 
     fn carry_out(
-        &mut self, number: usize, action: Action, events: &mut VecDeque<Event>,
+        &mut self,
+        number: usize,
+        action: Action,
+        events: &mut VecDeque<Event>,
     ) -> Result<(), Ended> {
         let epoch = self.limiters[number].epoch;
         match action {
-            Action::Attempt { id, host, timeout, .. } => self.attempt(number, id, host, timeout, events)?,
+            Action::Attempt {
+                id, host, timeout, ..
+            } => self.attempt(number, id, host, timeout, events)?,
             Action::CancelAttempt { id, attempt } => {
-                let job = Job { limiter: number, request: id, attempt };
+                let job = Job {
+                    limiter: number,
+                    request: id,
+                    attempt,
+                };
                 if let Some(out) = self.limiters[number].out.get(&(id, attempt)).copied() {
                     self.nodes[out.host].give_up(job);
                     self.after(0, Pending::End(job, Outcome::Cancelled));
                 }
             }
-            Action::Reject { id, retry_after } => self.answer(number, id, Answered::Refused(retry_after)),
+            Action::Reject { id, retry_after } => {
+                self.answer(number, id, Answered::Refused(retry_after))
+            }
             Action::Fail { id } => self.answer(number, id, Answered::Failed),
-            Action::SetTimer { tag, after } => self.after(after, Pending::Timer(number, epoch, tag)),
-            Action::Count { name, amount, keep_for } => {
+            Action::SetTimer { tag, after } => {
+                self.after(after, Pending::Timer(number, epoch, tag))
+            }
+            Action::Count {
+                name,
+                amount,
+                keep_for,
+            } => {
                 let call = self.limiters[number].call(&name, self.now);
                 let timeout = self.scenario.settings.counter_timeout.max(1);
-                let choice =
-                    self.choose_for(Point::Call, call as usize - 1, self.scenario.counter.fates.len())?;
-                let fate = self.scenario.counter.fates.get(choice).copied().unwrap_or(CallFate::Normal);
+                let choice = self.choose_for(
+                    Point::Call,
+                    call as usize - 1,
+                    self.scenario.counter.fates.len(),
+                )?;
+                let fate = self
+                    .scenario
+                    .counter
+                    .fates
+                    .get(choice)
+                    .copied()
+                    .unwrap_or(CallFate::Normal);
                 let there = self.delay(self.scenario.net.counter);
-                self.after(timeout, Pending::CallEnds(number, epoch, call, Outcome::Timeout, 0.0));
+                self.after(
+                    timeout,
+                    Pending::CallEnds(number, epoch, call, Outcome::Timeout, 0.0),
+                );
                 match fate {
                     CallFate::Normal => {
-                        self.after(there, Pending::CallArrives(number, epoch, call, name, amount, keep_for));
+                        self.after(
+                            there,
+                            Pending::CallArrives(number, epoch, call, name, amount, keep_for),
+                        );
                     }
                     CallFate::Lost => {}
                     CallFate::AnswerLost => _ = self.counter.add(&name, amount, keep_for, self.now),
                     CallFate::Refused => {
-                        self.after(2 * there, Pending::CallEnds(number, epoch, call, Outcome::Rejected, 0.0));
+                        self.after(
+                            2 * there,
+                            Pending::CallEnds(number, epoch, call, Outcome::Rejected, 0.0),
+                        );
                     }
                 }
             }
@@ -376,7 +454,12 @@
     }
 
     fn attempt(
-        &mut self, number: usize, id: RequestId, host: HostId, timeout: Nanos, events: &mut VecDeque<Event>,
+        &mut self,
+        number: usize,
+        id: RequestId,
+        host: HostId,
+        timeout: Nanos,
+        events: &mut VecDeque<Event>,
     ) -> Result<(), Ended> {
         let (now, node) = (self.now, host.0 as usize);
         let most = self.scenario.settings.max_attempts.max(1);
@@ -402,11 +485,31 @@
             }
         };
         let cold = self.nodes[node].warmth(&self.scenario.truth, now) < 1.0;
-        self.note(What::Sent { limiter: number, request: id, attempt, host: node, cold });
-        let until = if timeout == 0 { open.deadline } else { open.deadline.min(now + timeout) };
-        let choice = self.choose_for(Point::Attempt, attempt as usize, self.scenario.fates.len())?;
-        let fate = self.scenario.fates.get(choice).copied().unwrap_or(Fate::Normal);
-        let job = Job { limiter: number, request: id, attempt };
+        self.note(What::Sent {
+            limiter: number,
+            request: id,
+            attempt,
+            host: node,
+            cold,
+        });
+        let until = if timeout == 0 {
+            open.deadline
+        } else {
+            open.deadline.min(now + timeout)
+        };
+        let choice =
+            self.choose_for(Point::Attempt, attempt as usize, self.scenario.fates.len())?;
+        let fate = self
+            .scenario
+            .fates
+            .get(choice)
+            .copied()
+            .unwrap_or(Fate::Normal);
+        let job = Job {
+            limiter: number,
+            request: id,
+            attempt,
+        };
         self.after(until - now, Pending::End(job, Outcome::Timeout));
         let there = self.way(number, node);
         match fate {
@@ -424,7 +527,11 @@
     fn way(&mut self, limiter: usize, node: usize) -> Nanos {
         let cast = &self.scenario.cast;
         let same = cast.limiters[limiter].room == cast.hosts[node].room;
-        self.delay(if same { self.scenario.net.same } else { self.scenario.net.cross })
+        self.delay(if same {
+            self.scenario.net.same
+        } else {
+            self.scenario.net.cross
+        })
     }
 
     fn delay(&mut self, mean: Nanos) -> Nanos {
@@ -442,14 +549,23 @@
 
     /// Gives a request its final answer, if it is still open at its limiter.
     fn answer(&mut self, number: usize, id: RequestId, answer: Answered) {
-        let Some(open) = self.limiters[number].open.remove(&id) else { return };
-        self.note(What::Answered { request: id, answer });
-        let Some(errand) = self.errands.get_mut(&open.errand) else { return };
+        let Some(open) = self.limiters[number].open.remove(&id) else {
+            return;
+        };
+        self.note(What::Answered {
+            request: id,
+            answer,
+        });
+        let Some(errand) = self.errands.get_mut(&open.errand) else {
+            return;
+        };
         errand.open = false;
         if errand.answer != Some(Answered::Served) {
             errand.answer = Some(answer);
         }
-        let Some(retry) = self.scenario.retry.as_ref() else { return };
+        let Some(retry) = self.scenario.retry.as_ref() else {
+            return;
+        };
         if answer == Answered::Served || errand.tries > 1 {
             return;
         }
@@ -461,7 +577,11 @@
             let place = (ask.through + limiters - first) % limiters;
             ask.through = (first + (place + 1) % count) % limiters;
         }
-        let told = if let Answered::Refused(after) = answer { after } else { 0 };
+        let told = if let Answered::Refused(after) = answer {
+            after
+        } else {
+            0
+        };
         self.after(retry.after.max(told), Pending::Ask(ask));
     }
 
@@ -475,13 +595,25 @@
                 if self.current(number, epoch) {
                     if mode == ListMode::Replace {
                         let listed: Vec<HostId> = entries.iter().map(|entry| entry.host).collect();
-                        let gone = (0..self.nodes.len()).filter(|n| !listed.contains(&HostId(*n as u32)));
+                        let gone =
+                            (0..self.nodes.len()).filter(|n| !listed.contains(&HostId(*n as u32)));
                         for host in gone.collect::<Vec<_>>() {
-                            self.note(What::Told { limiter: number, host, state: HostState::Gone });
+                            self.note(What::Told {
+                                limiter: number,
+                                host,
+                                state: HostState::Gone,
+                            });
                         }
                     }
                     self.told_of(number, &entries);
-                    self.tell(number, Event::Hosts { version: self.version, mode, entries })?;
+                    self.tell(
+                        number,
+                        Event::Hosts {
+                            version: self.version,
+                            mode,
+                            entries,
+                        },
+                    )?;
                 }
             }
             Pending::Timer(number, epoch, tag) => {
@@ -500,7 +632,10 @@
             Pending::End(job, outcome) => self.end(job, outcome)?,
             Pending::CallArrives(number, epoch, call, name, amount, life) => {
                 if let Some(done) = self.counter.arrive(&name, self.now) {
-                    self.after(done - self.now, Pending::CallTurn(number, epoch, call, name, amount, life));
+                    self.after(
+                        done - self.now,
+                        Pending::CallTurn(number, epoch, call, name, amount, life),
+                    );
                 }
             }
             Pending::CallTurn(number, epoch, call, name, amount, life) => {
@@ -544,16 +679,50 @@
         self.request += 1;
         let (id, deadline) = (RequestId(self.request), now + ask.wait);
         let tries = known.map_or(0, |errand| errand.tries) + 1;
-        self.errands.insert(ask.mark, Errand { ask: ask.clone(), answer: None, tries, open: true });
+        self.errands.insert(
+            ask.mark,
+            Errand {
+                ask: ask.clone(),
+                answer: None,
+                tries,
+                open: true,
+            },
+        );
         self.of_request.insert(id, ask.mark);
-        let Ask { mark, class, partner, plan, units, spread, .. } = ask;
-        let asked =
-            What::Asked { request: id, limiter: number, errand: mark, class, partner, units, deadline };
+        let Ask {
+            mark,
+            class,
+            partner,
+            plan,
+            units,
+            spread,
+            ..
+        } = ask;
+        let asked = What::Asked {
+            request: id,
+            limiter: number,
+            errand: mark,
+            class,
+            partner,
+            units,
+            deadline,
+        };
         self.note(asked);
         let limiter = &mut self.limiters[number];
-        limiter.open.insert(id, Open { class, errand: mark, deadline, attempts: 0 });
+        limiter.open.insert(
+            id,
+            Open {
+                class,
+                errand: mark,
+                deadline,
+                attempts: 0,
+            },
+        );
         let epoch = limiter.epoch;
-        self.after(ask.wait.saturating_sub(LAST_MOMENT), Pending::LastMoment(number, epoch, id));
+        self.after(
+            ask.wait.saturating_sub(LAST_MOMENT),
+            Pending::LastMoment(number, epoch, id),
+        );
         self.tell(
             number,
             Event::Request {
@@ -573,7 +742,11 @@
     // ---- Hosts -------------------------------------------------------------------------------------------
 
     fn reach(&mut self, job: Job, node: usize, fate: Fate) {
-        let Some(out) = self.limiters[job.limiter].out.get(&(job.request, job.attempt)).copied() else {
+        let Some(out) = self.limiters[job.limiter]
+            .out
+            .get(&(job.request, job.attempt))
+            .copied()
+        else {
             return;
         };
         let work = self.work(out.class);
@@ -592,16 +765,29 @@
     }
 
     fn work(&self, class: usize) -> Nanos {
-        self.scenario.work.get(class).copied().unwrap_or(100_000_000)
+        self.scenario
+            .work
+            .get(class)
+            .copied()
+            .unwrap_or(100_000_000)
     }
 
     fn run_job(&mut self, job: Job, node: usize, fate: Fate) {
-        let out = self.limiters[job.limiter].out.get(&(job.request, job.attempt)).copied();
-        let mark =
-            out.map(|out| out.errand).or_else(|| self.of_request.get(&job.request).copied()).unwrap_or(0);
+        let out = self.limiters[job.limiter]
+            .out
+            .get(&(job.request, job.attempt))
+            .copied();
+        let mark = out
+            .map(|out| out.errand)
+            .or_else(|| self.of_request.get(&job.request).copied())
+            .unwrap_or(0);
         let class = out.map_or(0, |out| out.class);
         let dropped = self.is_repeat(class, mark, node);
-        self.note(What::Ran { host: node, request: job.request, dropped });
+        self.note(What::Ran {
+            host: node,
+            request: job.request,
+            dropped,
+        });
         let elapsed = if dropped {
             REPEAT_ANSWER
         } else {
@@ -610,12 +796,19 @@
         };
         let back = self.way(job.limiter, node);
         let started = self.nodes[node].started;
-        let latency_objective =
-            self.scenario.truth.classes.get(class).map_or(0, |class| class.latency_objective);
+        let latency_objective = self
+            .scenario
+            .truth
+            .classes
+            .get(class)
+            .map_or(0, |class| class.latency_objective);
         match fate {
             Fate::Error => self.after(back, Pending::End(job, Outcome::Error)),
             Fate::ResetRan => self.after(back, Pending::End(job, Outcome::Reset)),
-            Fate::Late => self.after(elapsed + latency_objective + back, Pending::End(job, Outcome::Good)),
+            Fate::Late => self.after(
+                elapsed + latency_objective + back,
+                Pending::End(job, Outcome::Good),
+            ),
             Fate::SilentRan => {}
             _ => self.after(elapsed + back, Pending::End(job, Outcome::Good)),
         }
@@ -624,7 +817,13 @@
 
     /// Whether a host drops a request: one of its group ran the same key within the window.
     fn is_repeat(&mut self, class: usize, mark: u64, node: usize) -> bool {
-        let Some(class) = self.scenario.truth.classes.get(class).filter(|c| c.effect == Effect::Keyed) else {
+        let Some(class) = self
+            .scenario
+            .truth
+            .classes
+            .get(class)
+            .filter(|c| c.effect == Effect::Keyed)
+        else {
             return false;
         };
         let player = &self.scenario.cast.hosts[node];
@@ -634,7 +833,10 @@
             Group::Cell => player.cell + 1,
         };
         let (now, window) = (self.now, class.dedup_window);
-        let repeat = self.keys.get(&(group, mark)).is_some_and(|first| now < first + window);
+        let repeat = self
+            .keys
+            .get(&(group, mark))
+            .is_some_and(|first| now < first + window);
         if !repeat {
             self.keys.insert((group, mark), now);
         }
@@ -653,27 +855,52 @@
 
     /// What a limiter learns of the end of an attempt, if it is still out.
     fn end(&mut self, job: Job, outcome: Outcome) -> Result<(), Ended> {
-        let Job { limiter: number, request: id, attempt } = job;
-        let Some(out) = self.limiters[number].out.get(&(id, attempt)).copied() else { return Ok(()) };
+        let Job {
+            limiter: number,
+            request: id,
+            attempt,
+        } = job;
+        let Some(out) = self.limiters[number].out.get(&(id, attempt)).copied() else {
+            return Ok(());
+        };
         if outcome == Outcome::Good && self.nodes[out.host].life == Life::Vanished {
             // The answer left a machine that nothing comes back from.
             return Ok(());
         }
         self.limiters[number].out.remove(&(id, attempt));
         self.nodes[out.host].give_up(job);
-        self.note(What::Ended { request: id, attempt, outcome });
+        self.note(What::Ended {
+            request: id,
+            attempt,
+            outcome,
+        });
         if outcome == Outcome::Good {
             self.answer(number, id, Answered::Served);
         }
         let (host, elapsed, over) = (HostId(out.host as u32), self.now - out.began, false);
-        let cost = self.errands.get(&out.errand).map_or(0.0, |errand| errand.ask.cost);
+        let cost = self
+            .errands
+            .get(&out.errand)
+            .map_or(0.0, |errand| errand.ask.cost);
         let true_units = if outcome == Outcome::Good { cost } else { 0.0 };
         if true_units > 0.0 {
-            self.note(What::Settled { request: id, units: true_units });
+            self.note(What::Settled {
+                request: id,
+                units: true_units,
+            });
         }
         let (metered_use, load) = (0, Load::new());
-        let done =
-            Event::AttemptDone { id, attempt, host, outcome, elapsed, over, metered_use, true_units, load };
+        let done = Event::AttemptDone {
+            id,
+            attempt,
+            host,
+            outcome,
+            elapsed,
+            over,
+            metered_use,
+            true_units,
+            load,
+        };
         self.tell(number, done)
     }
 
@@ -708,13 +935,22 @@
             Happening::Vanish(node) => format!("{}'s machine vanishes", host(*node)),
             Happening::Start(_) => String::new(),
             Happening::Replace(old, new) => {
-                format!("{} is replaced by {} at its address", host(*old), host(*new))
+                format!(
+                    "{} is replaced by {} at its address",
+                    host(*old),
+                    host(*new)
+                )
+            }
+            Happening::Speed(node, speed) => {
+                format!("{} goes at {speed} of the yardstick", host(*node))
             }
-            Happening::Speed(node, speed) => format!("{} goes at {speed} of the yardstick", host(*node)),
             Happening::Counter(mode) => format!("the counter is now {mode:?}").to_lowercase(),
             Happening::Empty => "the counter comes back empty".to_owned(),
             Happening::Discovery(on) => {
-                format!("discovery {}", if *on { "tells again" } else { "falls silent" })
+                format!(
+                    "discovery {}",
+                    if *on { "tells again" } else { "falls silent" }
+                )
             }
             Happening::LimiterDies(_) => String::new(),
             Happening::LimiterStarts(number) => {
@@ -764,11 +1000,22 @@
                 limiter.open.clear();
                 let out = std::mem::take(&mut limiter.out);
                 for ((request, attempt), out) in out {
-                    self.nodes[out.host].give_up(Job { limiter: *number, request, attempt });
-                    self.note(What::Ended { request, attempt, outcome: Outcome::Reset });
+                    self.nodes[out.host].give_up(Job {
+                        limiter: *number,
+                        request,
+                        attempt,
+                    });
+                    self.note(What::Ended {
+                        request,
+                        attempt,
+                        outcome: Outcome::Reset,
+                    });
                 }
                 let of_it = |errand: &&mut Errand| errand.open && errand.ask.through == *number;
-                self.errands.values_mut().filter(of_it).for_each(|errand| errand.open = false);
+                self.errands
+                    .values_mut()
+                    .filter(of_it)
+                    .for_each(|errand| errand.open = false);
             }
             Happening::LimiterStarts(number) => {
                 let epoch = self.limiters[*number].epoch + 1;
@@ -777,7 +1024,11 @@
                 self.told_of(*number, &entries);
                 self.tell(
                     *number,
-                    Event::Hosts { version: self.version, mode: ListMode::Restored, entries },
+                    Event::Hosts {
+                        version: self.version,
+                        mode: ListMode::Restored,
+                        entries,
+                    },
                 )?;
             }
         }
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -102,7 +102,15 @@
     fn default() -> Self {
         let (state, age, cores, speed, slots, weight, absent) =
             (HostState::Ready, None, 3, 1.0, 64, 1.0, false);
-        NodeSetup { state, age, cores, speed, slots, weight, absent }
+        NodeSetup {
+            state,
+            age,
+            cores,
+            speed,
+            slots,
+            weight,
+            absent,
+        }
     }
 }
 
@@ -119,7 +127,11 @@
 
 impl Default for Net {
     fn default() -> Self {
-        Net { same: 230_000, cross: 600_000, counter: 600_000 }
+        Net {
+            same: 230_000,
+            cross: 600_000,
+            counter: 600_000,
+        }
     }
 }
 
--- a/crates/simulation/tests/play.rs
+++ b/crates/simulation/tests/play.rs
@@ -54,7 +54,11 @@
 }
 
 fn scenario(nodes: u32, steps: Vec<Step>) -> Scenario {
-    let player = |name: String, room| Player { name, room, cell: 0 };
+    let player = |name: String, room| Player {
+        name,
+        room,
+        cell: 0,
+    };
     let cast = Cast {
         rooms: vec!["room-a".into(), "room-b".into(), "room-c".into()],
         limiters: (0..3).map(|n| player(format!("limiter-{n}"), n)).collect(),
@@ -100,7 +104,11 @@
 }
 
 fn at(at: Nanos, what: Happening) -> Step {
-    Step { at: vec![at], what, free: None }
+    Step {
+        at: vec![at],
+        what,
+        free: None,
+    }
 }
 
 fn answers(records: &[Record]) -> Vec<Answered> {
@@ -117,10 +125,17 @@
 
 #[test]
 fn a_calm_request_is_served_after_its_work_and_two_ways() {
-    let played = play(&scenario(3, vec![at(0, Happening::Ask(ask(1, 1, 0)))]), &mut First);
+    let played = play(
+        &scenario(3, vec![at(0, Happening::Ask(ask(1, 1, 0)))]),
+        &mut First,
+    );
     assert!(played.whole);
     assert_eq!(answers(&played.records), [Answered::Served]);
-    let ends: Vec<_> = played.records.iter().filter(|r| matches!(r.what, What::Answered { .. })).collect();
+    let ends: Vec<_> = played
+        .records
+        .iter()
+        .filter(|r| matches!(r.what, What::Answered { .. }))
+        .collect();
     let elapsed = ends[0].at - 1_000_000 * S;
     // An add and a read at the counter, 110 ms of work and the ways there and back.
     assert!((110 * MS..118 * MS).contains(&elapsed), "{elapsed}");
@@ -131,22 +146,35 @@
     let mut one = scenario(
         4,
         (0..40)
-            .map(|n| at(n * 20 * MS, Happening::Ask(ask(n, (n % 2) as usize, (n % 3) as usize))))
+            .map(|n| {
+                at(
+                    n * 20 * MS,
+                    Happening::Ask(ask(n, (n % 2) as usize, (n % 3) as usize)),
+                )
+            })
             .collect(),
     );
     one.spread = 0.4;
     let (first, second) = (play(&one, &mut First), play(&one, &mut First));
     assert_eq!(first.records, second.records);
     one.seeds = vec![8];
-    assert_ne!(play(&one, &mut First).records, first.records, "another seed, another play");
+    assert_ne!(
+        play(&one, &mut First).records,
+        first.records,
+        "another seed, another play"
+    );
 }
 
 #[test]
 fn quotas_count_over_all_limiters() {
     // 40 units at once over three limiters, of a plan that holds 8 and refills 1.6 a second.
-    let steps = (0..40).map(|n| at(n * 5 * MS, Happening::Ask(ask(n, 1, (n % 3) as usize)))).collect();
+    let steps = (0..40)
+        .map(|n| at(n * 5 * MS, Happening::Ask(ask(n, 1, (n % 3) as usize))))
+        .collect();
     let played = play(&scenario(9, steps), &mut First);
-    let sent = count(&played.records, |what| matches!(what, What::Sent { attempt: 0, .. }));
+    let sent = count(&played.records, |what| {
+        matches!(what, What::Sent { attempt: 0, .. })
+    });
     // As a window begins the largest request, 6 units, is in store.
     assert!((6..=10).contains(&sent), "{sent} units of a store of 6");
     assert_eq!(answers(&played.records).len(), 40);
@@ -158,8 +186,17 @@
     one.fates = vec![Fate::Normal, Fate::ResetRan];
     let played = play(&one, &mut Path::new(vec![1, 0]));
     assert_eq!(answers(&played.records), [Answered::Served]);
-    assert_eq!(count(&played.records, |what| matches!(what, What::Ran { dropped: true, .. })), 1);
-    assert_eq!(check(&one.cast, &Terms::of(&one.truth, 0), &played.records), []);
+    assert_eq!(
+        count(&played.records, |what| matches!(
+            what,
+            What::Ran { dropped: true, .. }
+        )),
+        1
+    );
+    assert_eq!(
+        check(&one.cast, &Terms::of(&one.truth, 0), &played.records),
+        []
+    );
 }
 
 #[test]
@@ -167,23 +204,57 @@
     let steps = |what| vec![at(0, Happening::Ask(ask(1, 0, 0))), at(50 * MS, what)];
     let one = scenario(1, steps(Happening::Die(0)));
     let played = play(&one, &mut First);
-    assert!(count(&played.records, |what| matches!(what, What::Ended { outcome: Outcome::Reset, .. })) == 1);
+    assert!(
+        count(&played.records, |what| matches!(
+            what,
+            What::Ended {
+                outcome: Outcome::Reset,
+                ..
+            }
+        )) == 1
+    );
     let one = scenario(1, steps(Happening::Vanish(0)));
     let played = play(&one, &mut First);
-    assert!(played.records.iter().any(|r| matches!(r.what, What::Answered { .. })), "answered all the same");
-    assert_eq!(count(&played.records, |what| matches!(what, What::Ended { outcome: Outcome::Good, .. })), 0);
+    assert!(
+        played
+            .records
+            .iter()
+            .any(|r| matches!(r.what, What::Answered { .. })),
+        "answered all the same"
+    );
+    assert_eq!(
+        count(&played.records, |what| matches!(
+            what,
+            What::Ended {
+                outcome: Outcome::Good,
+                ..
+            }
+        )),
+        0
+    );
 }
 
 #[test]
 fn clients_retry_once_through_the_next_limiter() {
-    let mut one = scenario(1, vec![at(0, Happening::Die(0)), at(10 * MS, Happening::Ask(ask(1, 0, 2)))]);
-    one.retry = Some(Retry { after: 100 * MS, elsewhere: true });
+    let mut one = scenario(
+        1,
+        vec![
+            at(0, Happening::Die(0)),
+            at(10 * MS, Happening::Ask(ask(1, 0, 2))),
+        ],
+    );
+    one.retry = Some(Retry {
+        after: 100 * MS,
+        elsewhere: true,
+    });
     let played = play(&one, &mut First);
     let through: Vec<_> = played
         .records
         .iter()
         .filter_map(|record| match record.what {
-            What::Asked { limiter, errand: 1, .. } => Some(limiter),
+            What::Asked {
+                limiter, errand: 1, ..
+            } => Some(limiter),
             _ => None,
         })
         .collect();
@@ -202,7 +273,10 @@
     let one = scenario(2, steps);
     let played = play(&one, &mut First);
     assert_eq!(answers(&played.records), [Answered::Served]);
-    assert_eq!(check(&one.cast, &Terms::of(&one.truth, 0), &played.records), []);
+    assert_eq!(
+        check(&one.cast, &Terms::of(&one.truth, 0), &played.records),
+        []
+    );
 }
 
 /// Chooses by a seed.
@@ -210,7 +284,10 @@
 
 impl Oracle for Dice {
     fn choose(&mut self, _: Point, options: usize, _: &dyn Fn() -> u64) -> Option<usize> {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         Some((self.0 >> 33) as usize % options)
     }
 }
@@ -220,10 +297,23 @@
 fn rules_hold_in_random_plays() {
     for seed in 0..300_u64 {
         let mut steps: Vec<_> = (0..12)
-            .map(|n| at(n * 40 * MS, Happening::Ask(ask(n, (n % 2) as usize, (n % 3) as usize))))
+            .map(|n| {
+                at(
+                    n * 40 * MS,
+                    Happening::Ask(ask(n, (n % 2) as usize, (n % 3) as usize)),
+                )
+            })
             .collect();
-        steps.push(Step { at: vec![0, 100 * MS, 200 * MS], what: Happening::Drain(0), free: None });
-        steps.push(Step { at: vec![50 * MS, 150 * MS], what: Happening::Die(1), free: None });
+        steps.push(Step {
+            at: vec![0, 100 * MS, 200 * MS],
+            what: Happening::Drain(0),
+            free: None,
+        });
+        steps.push(Step {
+            at: vec![50 * MS, 150 * MS],
+            what: Happening::Die(1),
+            free: None,
+        });
         steps.push(at(120 * MS, Happening::Counter(CounterMode::Silent)));
         steps.push(at(300 * MS, Happening::Empty));
         steps.push(at(300 * MS, Happening::Counter(CounterMode::Normal)));
@@ -240,9 +330,18 @@
             Fate::SilentLost,
             Fate::Late,
         ];
-        one.counter.fates = vec![CallFate::Normal, CallFate::Lost, CallFate::AnswerLost, CallFate::Refused];
+        one.counter.fates = vec![
+            CallFate::Normal,
+            CallFate::Lost,
+            CallFate::AnswerLost,
+            CallFate::Refused,
+        ];
         let played = play(&one, &mut Dice(seed));
-        assert_eq!(check(&one.cast, &Terms::of(&one.truth, 0), &played.records), [], "seed {seed}");
+        assert_eq!(
+            check(&one.cast, &Terms::of(&one.truth, 0), &played.records),
+            [],
+            "seed {seed}"
+        );
         assert_eq!(answers(&played.records).len(), 12, "seed {seed}");
     }
 }
--- a/crates/usage-export/src/line.rs
+++ b/crates/usage-export/src/line.rs
@@ -29,7 +29,11 @@
     let mut parts = word.split('.');
     let mut next = || u64::from_str_radix(parts.next()?, 16).ok();
     let (ran, unknown, runs) = (next()?, next()?, next()?);
-    parts.next().is_none().then_some(Use { ran, unknown, runs: u32::try_from(runs).ok()? })
+    parts.next().is_none().then_some(Use {
+        ran,
+        unknown,
+        runs: u32::try_from(runs).ok()?,
+    })
 }
 
 /// A batch as words: its number, then each customer's use.
@@ -47,5 +51,8 @@
         let (customer, used) = word.split_once('=')?;
         Some((u64::from_str_radix(customer, 16).ok()?, take_use(used)?))
     });
-    Some(Batch { number, sums: sums.collect::<Option<Sums>>()? })
+    Some(Batch {
+        number,
+        sums: sums.collect::<Option<Sums>>()?,
+    })
 }
--- a/crates/usage-export/src/message.rs
+++ b/crates/usage-export/src/message.rs
@@ -53,7 +53,10 @@
     /// # Errors
     /// Where the bytes are anything else.
     pub fn read(bytes: &[u8]) -> Result<Message, Fault> {
-        let text = std::str::from_utf8(bytes).ok().filter(|_| bytes.len() <= MOST_BYTES).ok_or(Fault)?;
+        let text = std::str::from_utf8(bytes)
+            .ok()
+            .filter(|_| bytes.len() <= MOST_BYTES)
+            .ok_or(Fault)?;
         let mut words = text.split(' ');
         let kind = words.next().ok_or(Fault)?;
         let number = |words: &mut std::str::Split<'_, char>| words.next()?.parse().ok();
@@ -68,9 +71,16 @@
                 Message::Have { epoch, number }
             }
             "batch" => {
-                let name = words.next().filter(|name| !name.is_empty()).ok_or(Fault)?.to_owned();
+                let name = words
+                    .next()
+                    .filter(|name| !name.is_empty())
+                    .ok_or(Fault)?
+                    .to_owned();
                 let epoch = number(&mut words).ok_or(Fault)?;
-                Message::Batch { source: Source { name, epoch }, batch: take_batch(words).ok_or(Fault)? }
+                Message::Batch {
+                    source: Source { name, epoch },
+                    batch: take_batch(words).ok_or(Fault)?,
+                }
             }
             _ => return Err(Fault),
         };
@@ -85,8 +95,15 @@
 
     #[test]
     fn messages_read_as_written_and_the_fullest_batch_fits() {
-        let source = Source { name: "l".repeat(64), epoch: u64::MAX };
-        let most = Use { ran: u64::MAX / 1_000_000, unknown: u64::MAX / 1_000_000, runs: u32::MAX };
+        let source = Source {
+            name: "l".repeat(64),
+            epoch: u64::MAX,
+        };
+        let most = Use {
+            ran: u64::MAX / 1_000_000,
+            unknown: u64::MAX / 1_000_000,
+            runs: u32::MAX,
+        };
         let (mut spool, _) = Spool::new(source.clone());
         for customer in 0..40 {
             let (attempt, _) = spool.begin(u64::MAX - customer, 1.0);
@@ -95,9 +112,14 @@
         spool.cut();
         let mut batch = spool.held().next().cloned().expect("it was cut");
         batch.sums.values_mut().for_each(|used| *used = most);
-        for message in
-            [Message::Want, Message::Have { epoch: 9, number: u64::MAX }, Message::Batch { source, batch }]
-        {
+        for message in [
+            Message::Want,
+            Message::Have {
+                epoch: 9,
+                number: u64::MAX,
+            },
+            Message::Batch { source, batch },
+        ] {
             let bytes = message.write();
             assert!(bytes.len() <= MOST_BYTES, "{} bytes", bytes.len());
             assert_eq!(Message::read(&bytes), Ok(message));
--- a/crates/usage-export/src/sink.rs
+++ b/crates/usage-export/src/sink.rs
@@ -24,8 +24,14 @@
 
     fn read(line: &str) -> Option<Written> {
         let mut words = open(line)?.split(' ');
-        let source = Source { name: words.next()?.to_owned(), epoch: words.next()?.parse().ok()? };
-        Some(Written { source, batch: take_batch(words)? })
+        let source = Source {
+            name: words.next()?.to_owned(),
+            epoch: words.next()?.parse().ok()?,
+        };
+        Some(Written {
+            source,
+            batch: take_batch(words)?,
+        })
     }
 }
 
@@ -79,14 +85,19 @@
 
     /// Whether a source's batch stands there.
     pub fn holds(&self, source: &Source, number: u64) -> bool {
-        self.batches.get(source).is_some_and(|held| held.contains_key(&number))
+        self.batches
+            .get(source)
+            .is_some_and(|held| held.contains_key(&number))
     }
 
     /// Counts what a spool still holds beside what stands in the sink.
     pub fn add_spool(&mut self, spool: &Spool) {
         for batch in spool.held() {
             if !self.holds(spool.source(), batch.number) {
-                self.take(Written { source: spool.source().clone(), batch: batch.clone() });
+                self.take(Written {
+                    source: spool.source().clone(),
+                    batch: batch.clone(),
+                });
             }
         }
         for (customer, used) in spool.loose() {
@@ -106,7 +117,9 @@
         for (source, held) in &self.batches {
             let last = held.keys().next_back().copied().unwrap_or(0);
             let missing = (1..=last).filter(|number| !held.contains_key(number));
-            report.gaps.extend(missing.map(|number| (source.clone(), number)));
+            report
+                .gaps
+                .extend(missing.map(|number| (source.clone(), number)));
             for (customer, used) in held.values().flatten() {
                 report.sums.entry(*customer).or_default().add(*used);
             }
@@ -121,31 +134,56 @@
     use crate::Use;
 
     fn written(number: u64, ran: u64) -> Written {
-        let source = Source { name: "a".into(), epoch: 7 };
-        let sums = [(5, Use { ran, unknown: 0, runs: 1 })].into_iter().collect();
-        Written { source, batch: Batch { number, sums } }
+        let source = Source {
+            name: "a".into(),
+            epoch: 7,
+        };
+        let sums = [(
+            5,
+            Use {
+                ran,
+                unknown: 0,
+                runs: 1,
+            },
+        )]
+        .into_iter()
+        .collect();
+        Written {
+            source,
+            batch: Batch { number, sums },
+        }
     }
 
     #[test]
     fn a_batch_counts_once_in_whichever_files_it_stands() {
-        let lines: Vec<String> = (1..=3).map(|number| written(number, 1_000).line()).collect();
+        let lines: Vec<String> = (1..=3)
+            .map(|number| written(number, 1_000).line())
+            .collect();
         let mut sink = Sink::default();
         sink.read(&lines[..2].concat());
         assert!(sink.holds(&written(1, 0).source, 2) && !sink.holds(&written(1, 0).source, 3));
         // A later tenure begins at the second; the first exporter was cut off in the middle of a line.
         sink.read(&format!("{}{}{}", lines[1], lines[2], &lines[0][..9]));
         let report = sink.report();
-        assert_eq!((report.sums[&5].ran, report.doubles, report.spoilt), (3_000, 1, 1));
+        assert_eq!(
+            (report.sums[&5].ran, report.doubles, report.spoilt),
+            (3_000, 1, 1)
+        );
         assert!(report.gaps.is_empty() && report.conflicts.is_empty());
     }
 
     #[test]
     fn gaps_and_batches_of_two_contents_are_told() {
         let mut sink = Sink::default();
-        [written(1, 1), written(3, 1), written(3, 2)].into_iter().for_each(|batch| sink.take(batch));
+        [written(1, 1), written(3, 1), written(3, 2)]
+            .into_iter()
+            .for_each(|batch| sink.take(batch));
         let report = sink.report();
         let source = written(1, 1).source;
-        assert_eq!((report.gaps, report.conflicts), (vec![(source.clone(), 2)], vec![(source.clone(), 3)]));
+        assert_eq!(
+            (report.gaps, report.conflicts),
+            (vec![(source.clone(), 2)], vec![(source.clone(), 3)])
+        );
     }
 
     #[test]
@@ -158,10 +196,20 @@
             spool.cut();
         }
         let first = spool.held().next().cloned().expect("it was cut");
-        sink.take(Written { source: spool.source().clone(), batch: first });
+        sink.take(Written {
+            source: spool.source().clone(),
+            batch: first,
+        });
         let (attempt, _) = spool.begin(5, 1.0);
         spool.end(attempt, crate::Fate::Unknown);
         sink.add_spool(&spool);
-        assert_eq!(sink.report().sums[&5], Use { ran: 6_000, unknown: 1_000, runs: 3 });
+        assert_eq!(
+            sink.report().sums[&5],
+            Use {
+                ran: 6_000,
+                unknown: 1_000,
+                runs: 3
+            }
+        );
     }
 }
--- a/crates/usage-export/src/spool.rs
+++ b/crates/usage-export/src/spool.rs
@@ -69,15 +69,25 @@
     }
 
     fn head(&self) -> String {
-        seal(&format!("spool 1 {} {} {}", self.source.name, self.source.epoch, self.next_batch))
+        seal(&format!(
+            "spool 1 {} {} {}",
+            self.source.name, self.source.epoch, self.next_batch
+        ))
     }
 
     /// Reads a spool of a limiter of this name. `None` where its first line tells nothing: a new one is to be begun.
     pub fn read(name: &str, text: &str) -> Option<(Spool, Taken)> {
-        let mut lines = text.split_inclusive('\n').map(|line| open(line.strip_suffix('\n')?));
+        let mut lines = text
+            .split_inclusive('\n')
+            .map(|line| open(line.strip_suffix('\n')?));
         let head: Vec<&str> = lines.next()??.split(' ').collect();
-        let &["spool", "1", whose, epoch, next] = head.as_slice() else { return None };
-        let source = Source { name: name.to_owned(), epoch: epoch.parse().ok()? };
+        let &["spool", "1", whose, epoch, next] = head.as_slice() else {
+            return None;
+        };
+        let source = Source {
+            name: name.to_owned(),
+            epoch: epoch.parse().ok()?,
+        };
         let mut spool = Spool::new(source).0;
         spool.next_batch = next.parse().ok()?;
         let mut taken = Taken::default();
@@ -93,8 +103,10 @@
             // What was cut off ends here, so that what follows stands in a line of its own.
             taken.lines.push('\n');
         }
-        taken.lines +=
-            &out.into_iter().filter_map(|attempt| spool.end(attempt, Fate::Unknown)).collect::<String>();
+        taken.lines += &out
+            .into_iter()
+            .filter_map(|attempt| spool.end(attempt, Fate::Unknown))
+            .collect::<String>();
         (whose == name).then_some((spool, taken))
     }
 
@@ -104,18 +116,26 @@
         match words.next()? {
             "+" => {
                 let attempt = words.next()?.parse().ok()?;
-                let (customer, units) =
-                    (u64::from_str_radix(words.next()?, 16).ok()?, words.next()?.parse().ok()?);
+                let (customer, units) = (
+                    u64::from_str_radix(words.next()?, 16).ok()?,
+                    words.next()?.parse().ok()?,
+                );
                 self.next_attempt = self.next_attempt.max(attempt + 1);
                 self.out.insert(attempt, (customer, units));
             }
             "-" => {
                 let (customer, _) = self.out.remove(&words.next()?.parse().ok()?)?;
-                self.loose.entry(customer).or_default().add(take_use(words.next()?)?);
+                self.loose
+                    .entry(customer)
+                    .or_default()
+                    .add(take_use(words.next()?)?);
             }
             "r" => {
                 let customer = u64::from_str_radix(words.next()?, 16).ok()?;
-                self.loose.entry(customer).or_default().add(take_use(words.next()?)?);
+                self.loose
+                    .entry(customer)
+                    .or_default()
+                    .add(take_use(words.next()?)?);
             }
             "b" => {
                 let batch = take_batch(words)?;
@@ -132,7 +152,11 @@
     }
 
     fn drop_up_to(&mut self, number: u64) {
-        while self.batches.front().is_some_and(|batch| batch.number <= number) {
+        while self
+            .batches
+            .front()
+            .is_some_and(|batch| batch.number <= number)
+        {
             self.batches.pop_front();
         }
     }
@@ -147,15 +171,25 @@
         let (attempt, units) = (self.next_attempt, thousandths(units));
         self.next_attempt += 1;
         self.out.insert(attempt, (customer, units));
-        (attempt, self.wrote(&format!("+ {attempt} {customer:x} {units}")))
+        (
+            attempt,
+            self.wrote(&format!("+ {attempt} {customer:x} {units}")),
+        )
     }
 
     /// An attempt has ended. `None` where it is not known.
     pub fn end(&mut self, attempt: u64, fate: Fate) -> Option<String> {
         let (customer, units) = self.out.remove(&attempt)?;
         let used = match fate {
-            Fate::Ran(units) => Use { ran: thousandths(units), runs: 1, unknown: 0 },
-            Fate::Unknown => Use { unknown: units, ..Use::default() },
+            Fate::Ran(units) => Use {
+                ran: thousandths(units),
+                runs: 1,
+                unknown: 0,
+            },
+            Fate::Unknown => Use {
+                unknown: units,
+                ..Use::default()
+            },
             Fate::Never => Use::default(),
         };
         if used != Use::default() {
@@ -169,11 +203,17 @@
     /// Makes a batch of what has ended, where there is any; its line.
     pub fn cut(&mut self) -> Option<String> {
         let first: Vec<Customer> = self.loose.keys().copied().take(MOST_CUSTOMERS).collect();
-        let sums: Sums = first.iter().filter_map(|customer| self.loose.remove_entry(customer)).collect();
+        let sums: Sums = first
+            .iter()
+            .filter_map(|customer| self.loose.remove_entry(customer))
+            .collect();
         if sums.is_empty() {
             return None;
         }
-        let batch = Batch { number: self.next_batch, sums };
+        let batch = Batch {
+            number: self.next_batch,
+            sums,
+        };
         self.next_batch += 1;
         let mut text = "b ".to_owned();
         put_batch(&batch, &mut text);
@@ -209,8 +249,14 @@
         if self.lines < MANY_LINES || self.lines < 2 * useful {
             return None;
         }
-        let first = self.batches.front().map_or(self.next_batch, |batch| batch.number);
-        let head = Spool { next_batch: first, ..Spool::new(self.source.clone()).0 };
+        let first = self
+            .batches
+            .front()
+            .map_or(self.next_batch, |batch| batch.number);
+        let head = Spool {
+            next_batch: first,
+            ..Spool::new(self.source.clone()).0
+        };
         let mut text = head.head();
         for batch in &self.batches {
             let mut line = "b ".to_owned();
@@ -237,7 +283,10 @@
     use super::*;
 
     fn source() -> Source {
-        Source { name: "a".into(), epoch: 7 }
+        Source {
+            name: "a".into(),
+            epoch: 7,
+        }
     }
 
     /// A spool and its file, after a seeded life of sends, ends, cuts and exports.
@@ -248,14 +297,18 @@
         for _ in 0..steps {
             let line = match rng.u8(..10) {
                 0..=3 => {
-                    let (attempt, line) = spool.begin(rng.u64(..30), f64::from(rng.u8(1..40)) / 8.0);
+                    let (attempt, line) =
+                        spool.begin(rng.u64(..30), f64::from(rng.u8(1..40)) / 8.0);
                     out.push(attempt);
                     Some(line)
                 }
                 4..=6 if !out.is_empty() => {
                     let attempt = out.swap_remove(rng.usize(..out.len()));
-                    let fate =
-                        [Fate::Ran(f64::from(rng.u8(1..20))), Fate::Never, Fate::Unknown][rng.usize(..3)];
+                    let fate = [
+                        Fate::Ran(f64::from(rng.u8(1..20))),
+                        Fate::Never,
+                        Fate::Unknown,
+                    ][rng.usize(..3)];
                     spool.end(attempt, fate)
                 }
                 7 => spool.cut(),
@@ -271,8 +324,15 @@
     fn total(spool: &Spool) -> (u64, u64) {
         let mut sum = Use::default();
         let batches = spool.batches.iter().flat_map(|batch| batch.sums.values());
-        spool.loose.values().chain(batches).for_each(|used| sum.add(*used));
-        (sum.ran, sum.unknown + spool.out.values().map(|(_, units)| units).sum::<u64>())
+        spool
+            .loose
+            .values()
+            .chain(batches)
+            .for_each(|used| sum.add(*used));
+        (
+            sum.ran,
+            sum.unknown + spool.out.values().map(|(_, units)| units).sum::<u64>(),
+        )
     }
 
     #[test]
@@ -280,14 +340,26 @@
         for seed in 0..200 {
             let (spool, file) = lived(seed, 60);
             let (read, taken) = Spool::read("a", &file).expect("its head is whole");
-            assert_eq!((taken.spoilt, taken.unended), (0, spool.out.len()), "seed {seed}");
+            assert_eq!(
+                (taken.spoilt, taken.unended),
+                (0, spool.out.len()),
+                "seed {seed}"
+            );
             assert_eq!(total(&read), total(&spool), "seed {seed}");
-            assert_eq!((&read.batches, read.next_batch), (&spool.batches, spool.next_batch), "seed {seed}");
+            assert_eq!(
+                (&read.batches, read.next_batch),
+                (&spool.batches, spool.next_batch),
+                "seed {seed}"
+            );
             // Killed again after a batch was cut of it: nothing is counted twice.
             let (mut read, mut file) = (read, file + &taken.lines);
             file += &read.cut().unwrap_or_default();
             let again = Spool::read("a", &file).expect("its head is whole").0;
-            assert_eq!((total(&again), &again.loose), (total(&spool), &read.loose), "seed {seed}");
+            assert_eq!(
+                (total(&again), &again.loose),
+                (total(&spool), &read.loose),
+                "seed {seed}"
+            );
         }
     }
 
@@ -297,12 +369,24 @@
         let (_, file) = lived(3, 80);
         let lines: Vec<usize> = file.match_indices('\n').map(|(at, _)| at + 1).collect();
         for end in lines[0]..file.len() {
-            let whole = lines.iter().rev().find(|at| **at <= end).copied().unwrap_or(0);
+            let whole = lines
+                .iter()
+                .rev()
+                .find(|at| **at <= end)
+                .copied()
+                .unwrap_or(0);
             let (read, taken) = Spool::read("a", &file[..end]).expect("its head is whole");
             assert_eq!(taken.spoilt, usize::from(whole < end), "at {end}");
-            assert_eq!(Spool::read("a", &file[..whole]).map(|(spool, _)| total(&spool)), Some(total(&read)));
+            assert_eq!(
+                Spool::read("a", &file[..whole]).map(|(spool, _)| total(&spool)),
+                Some(total(&read))
+            );
         }
-        assert_eq!(Spool::read("a", &file[..lines[0] - 1]), None, "without a head there is no spool");
+        assert_eq!(
+            Spool::read("a", &file[..lines[0] - 1]),
+            None,
+            "without a head there is no spool"
+        );
         assert_eq!(Spool::read("b", &file), None, "another limiter's");
     }
 
@@ -317,12 +401,29 @@
         file += &spool.cut().expect("something has ended");
         assert_eq!(spool.cut(), None);
         let sums: Vec<Use> = spool.held().map(|batch| batch.sums[&5]).collect();
-        assert_eq!(sums, [Use { ran: 3_000, unknown: 0, runs: 2 }]);
+        assert_eq!(
+            sums,
+            [Use {
+                ran: 3_000,
+                unknown: 0,
+                runs: 2
+            }]
+        );
         let rotted = file.replace("- 2 ", "- 9 ");
-        assert_eq!(Spool::read("a", &rotted).expect("its head is whole").1.spoilt, 1);
+        assert_eq!(
+            Spool::read("a", &rotted)
+                .expect("its head is whole")
+                .1
+                .spoilt,
+            1
+        );
         file += &spool.exported(1).expect("it was held");
         assert!(spool.exported(1).is_none() && spool.is_empty());
-        assert_eq!(Spool::read("a", &file).expect("sound").0.next_batch, 2, "numbers are not used again");
+        assert_eq!(
+            Spool::read("a", &file).expect("sound").0.next_batch,
+            2,
+            "numbers are not used again"
+        );
     }
 
     #[test]
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -33,11 +33,16 @@
         }
         let mut told: Vec<(String, Vec<String>)> = Vec::new();
         if let Some(path) = product {
-            let faults =
-                serve::product(Some(path)).err().map(|text| text.lines().map(str::to_owned).collect());
+            let faults = serve::product(Some(path))
+                .err()
+                .map(|text| text.lines().map(str::to_owned).collect());
             told.push((path.display().to_string(), faults.unwrap_or_default()));
         }
-        told.extend(files.iter().map(|path| (path.display().to_string(), faults(path))));
+        told.extend(
+            files
+                .iter()
+                .map(|path| (path.display().to_string(), faults(path))),
+        );
         print(&report(&told, self.format));
         ExitCode::from(u8::from(told.iter().any(|(_, faults)| !faults.is_empty())))
     }
@@ -50,11 +55,14 @@
     };
     // A whole configuration has more than a day's settings: addresses, limits, the list as last held.
     let text = std::fs::read_to_string(path).unwrap_or_default();
-    let whole =
-        serde_json::from_str::<serde_json::Value>(&text).is_ok_and(|file| file.get("settings").is_some());
+    let whole = serde_json::from_str::<serde_json::Value>(&text)
+        .is_ok_and(|file| file.get("settings").is_some());
     if whole && faults.is_empty() {
         let read = config::read(&text, |name| std::env::var(name).ok());
-        faults.extend(read.err().map(|problem| format!("{}: {problem}", path.display())));
+        faults.extend(
+            read.err()
+                .map(|problem| format!("{}: {problem}", path.display())),
+        );
     }
     faults
 }
@@ -80,8 +88,10 @@
         }
         Format::Junit => {
             use quartzcleat_expectations::report::{case, suite};
-            let cases: Vec<_> =
-                told.iter().map(|(file, faults)| case(file, "check", &faults.join("\n"))).collect();
+            let cases: Vec<_> = told
+                .iter()
+                .map(|(file, faults)| case(file, "check", &faults.join("\n")))
+                .collect();
             suite("check", &cases)
         }
     }
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -32,7 +32,9 @@
         None => Err(io::ErrorKind::NotFound.into()),
     };
     let suite = file::read_with(Path::new("demo.yaml"), &from, &mut faults);
-    let (Some(suite), true) = (suite, faults.none()) else { return Err(faults) };
+    let (Some(suite), true) = (suite, faults.none()) else {
+        return Err(faults);
+    };
     let day = Day::read("imlil-main.yaml", DAY)?;
     compile(&suite, &suite.expectations[0], &day)
 }
@@ -40,16 +42,20 @@
 impl Demo {
     /// Plays and tells.
     pub fn run(self) -> ExitCode {
-        let played = story().map_err(|faults| faults.to_string()).and_then(|mut compiled| {
-            compiled.scenario.variant = Some(0);
-            let folder = super::live::folder();
-            let played = std::env::current_exe().and_then(|program| {
-                std::fs::create_dir_all(&folder)?;
-                quartzcleat_fakes::play(&compiled.scenario, &program, &folder)
+        let played = story()
+            .map_err(|faults| faults.to_string())
+            .and_then(|mut compiled| {
+                compiled.scenario.variant = Some(0);
+                let folder = super::live::folder();
+                let played = std::env::current_exe().and_then(|program| {
+                    std::fs::create_dir_all(&folder)?;
+                    quartzcleat_fakes::play(&compiled.scenario, &program, &folder)
+                });
+                let _ = std::fs::remove_dir_all(&folder);
+                played
+                    .map(|records| (compiled, records))
+                    .map_err(|e| e.to_string())
             });
-            let _ = std::fs::remove_dir_all(&folder);
-            played.map(|records| (compiled, records)).map_err(|e| e.to_string())
-        });
         let (compiled, mut records) = match played {
             Ok(played) => played,
             Err(problem) => {
@@ -84,12 +90,20 @@
 }
 
 fn table(compiled: &Compiled, records: &[Record]) -> String {
-    let (cast, begin) = (&compiled.scenario.cast, records.first().map_or(0, |record| record.at));
+    let (cast, begin) = (
+        &compiled.scenario.cast,
+        records.first().map_or(0, |record| record.at),
+    );
     let (mut rows, mut asked) = (BTreeMap::<(usize, usize), Row>::new(), BTreeMap::new());
     let mut out = String::from("What happened:\n");
     for record in records {
         match &record.what {
-            What::Asked { request, limiter, class, .. } => {
+            What::Asked {
+                request,
+                limiter,
+                class,
+                ..
+            } => {
                 asked.insert(*request, (*limiter, *class, record.at));
                 rows.entry((*limiter, *class)).or_default().asked += 1;
             }
@@ -99,7 +113,9 @@
                 }
             }
             What::Answered { request, answer } => {
-                let Some((limiter, class, at)) = asked.get(request) else { continue };
+                let Some((limiter, class, at)) = asked.get(request) else {
+                    continue;
+                };
                 let row = rows.entry((*limiter, *class)).or_default();
                 match answer {
                     Answered::Served => {
@@ -119,13 +135,23 @@
     let _ = writeln!(
         out,
         "\n{:24} {:10} {:>6} {:>8} {:>6} {:>8} {:>7} {:>10} {:>10}",
-        "limiter", "class", "asked", "attempts", "served", "refused", "failed", "median ms", "95% ms"
+        "limiter",
+        "class",
+        "asked",
+        "attempts",
+        "served",
+        "refused",
+        "failed",
+        "median ms",
+        "95% ms"
     );
     for ((limiter, class), mut row) in rows {
         row.elapsed.sort_unstable();
         let quantile = |part: f64| {
             let place = (row.elapsed.len().saturating_sub(1) as f64 * part) as usize;
-            row.elapsed.get(place).map_or(0.0, |nanos| *nanos as f64 / 1e6)
+            row.elapsed
+                .get(place)
+                .map_or(0.0, |nanos| *nanos as f64 / 1e6)
         };
         let _ = writeln!(
             out,
@@ -153,8 +179,10 @@
     fn the_story_is_sound_and_holds_in_the_world() {
         let mut compiled = story().unwrap_or_else(|faults| panic!("{faults}"));
         compiled.scenario.variant = Some(0);
-        let played =
-            quartzcleat_simulation::play(&compiled.scenario, &mut quartzcleat_simulation::oracle::First);
+        let played = quartzcleat_simulation::play(
+            &compiled.scenario,
+            &mut quartzcleat_simulation::oracle::First,
+        );
         let (judged, failed) = judge(&compiled, &played.records, played.whole, 0);
         assert_eq!(failed, None);
         assert!(judged.iter().all(|judged| judged.tested > 0), "{judged:?}");
--- a/src/cli/expect.rs
+++ b/src/cli/expect.rs
@@ -75,8 +75,11 @@
 fn range(text: &str) -> Result<(String, Vec<f64>), String> {
     let usage = "write NAME=FROM..TO, such as plans.guide.rate=1.2..2.1";
     let (name, values) = text.split_once('=').ok_or(usage)?;
-    let number =
-        |text: &str| text.trim().parse::<f64>().map_err(|_| format!("{text:?} is no number; {usage}"));
+    let number = |text: &str| {
+        text.trim()
+            .parse::<f64>()
+            .map_err(|_| format!("{text:?} is no number; {usage}"))
+    };
     let values = match values.split_once("..") {
         Some((from, to)) => {
             let (from, to) = (number(from)?, number(to)?);
@@ -98,7 +101,12 @@
             ranges: self.range,
             only: self.only,
             deployment: self.deployment,
-            budget: Budget { plays: self.plays, events: self.events, depth: self.depth, seed: self.seed },
+            budget: Budget {
+                plays: self.plays,
+                events: self.events,
+                depth: self.depth,
+                seed: self.seed,
+            },
             blame: !self.no_blame,
             vary: !self.no_vary,
             jobs: self.jobs,
@@ -123,7 +131,10 @@
 
     #[test]
     fn ranges_have_their_ends_and_their_middle() {
-        assert_eq!(range("plans.guide.rate=1..2"), Ok(("plans.guide.rate".into(), vec![1.0, 1.5, 2.0])));
+        assert_eq!(
+            range("plans.guide.rate=1..2"),
+            Ok(("plans.guide.rate".into(), vec![1.0, 1.5, 2.0]))
+        );
         assert_eq!(range("x=3"), Ok(("x".into(), vec![3.0])));
         assert!(range("x").is_err() && range("x=1..a").is_err());
     }
--- a/src/cli/live.rs
+++ b/src/cli/live.rs
@@ -59,9 +59,18 @@
         match record.what {
             What::Asked { .. } => counts.asked += 1,
             What::Sent { .. } => counts.attempts += 1,
-            What::Answered { answer: Answered::Served, .. } => counts.served += 1,
-            What::Answered { answer: Answered::Refused(_), .. } => counts.refused += 1,
-            What::Answered { answer: Answered::Failed, .. } => counts.failed += 1,
+            What::Answered {
+                answer: Answered::Served,
+                ..
+            } => counts.served += 1,
+            What::Answered {
+                answer: Answered::Refused(_),
+                ..
+            } => counts.refused += 1,
+            What::Answered {
+                answer: Answered::Failed,
+                ..
+            } => counts.failed += 1,
             _ => {}
         }
     }
@@ -71,12 +80,28 @@
 /// How many variants a story has.
 fn variants(compiled: &Compiled) -> usize {
     let scenario = &compiled.scenario;
-    let moments = scenario.steps.iter().map(|step| step.at.len()).max().unwrap_or(1);
-    let open = [moments, scenario.lags.len(), scenario.fates.len(), scenario.counter.fates.len()];
+    let moments = scenario
+        .steps
+        .iter()
+        .map(|step| step.at.len())
+        .max()
+        .unwrap_or(1);
+    let open = [
+        moments,
+        scenario.lags.len(),
+        scenario.fates.len(),
+        scenario.counter.fates.len(),
+    ];
     open.into_iter().max().unwrap_or(1).clamp(1, VARIANTS)
 }
 
-fn compare(work: &Work, compiled: &Compiled, variant: usize, program: &Path, folder: &Path) -> Compared {
+fn compare(
+    work: &Work,
+    compiled: &Compiled,
+    variant: usize,
+    program: &Path,
+    folder: &Path,
+) -> Compared {
     let mut compiled = compiled.clone();
     compiled.scenario.variant = Some(variant);
     let world = quartzcleat_simulation::play(&compiled.scenario, &mut First);
@@ -127,17 +152,28 @@
     for work in &work {
         match compile(&work.suite, &work.expectation, &work.day) {
             Ok(compiled) => {
-                plays.extend((0..variants(&compiled)).map(|variant| (work, compiled.clone(), variant)));
+                plays.extend(
+                    (0..variants(&compiled)).map(|variant| (work, compiled.clone(), variant)),
+                );
             }
             Err(found) => faults.0.extend(found.0),
         }
     }
     // The longest first, so that none is left alone at the end.
-    let length =
-        |compiled: &Compiled| compiled.scenario.steps.iter().filter_map(|step| step.at.last()).max().copied();
+    let length = |compiled: &Compiled| {
+        compiled
+            .scenario
+            .steps
+            .iter()
+            .filter_map(|step| step.at.last())
+            .max()
+            .copied()
+    };
     plays.sort_by_key(|(_, compiled, _)| std::cmp::Reverse(length(compiled)));
     // Stories mostly wait: more of them than cores go side by side.
-    let pool = rayon::ThreadPoolBuilder::new().num_threads(if jobs == 0 { 6 } else { jobs }).build();
+    let pool = rayon::ThreadPoolBuilder::new()
+        .num_threads(if jobs == 0 { 6 } else { jobs })
+        .build();
     let one = |(work, compiled, variant): &(&Work, Compiled, usize)| {
         let folder = folder.join(work.expectation.file.replace(['/', '.'], "_"));
         compare(work, compiled, *variant, &program, &folder)
@@ -153,14 +189,21 @@
     super::print(&match format {
         Format::Human => human(&compared, &faults, seconds, verbose),
         Format::Json => {
-            format!("{}\n", serde_json::json!({"compared": compared, "faults": faults, "seconds": seconds}))
+            format!(
+                "{}\n",
+                serde_json::json!({"compared": compared, "faults": faults, "seconds": seconds})
+            )
         }
         Format::Junit => junit(&compared, &faults),
     });
     if compared.iter().any(|one| !one.agrees()) {
         ExitCode::from(1)
     } else {
-        ExitCode::from(if faults.is_empty() && !compared.is_empty() { 0 } else { 2 })
+        ExitCode::from(if faults.is_empty() && !compared.is_empty() {
+            0
+        } else {
+            2
+        })
     }
 }
 
@@ -180,14 +223,37 @@
             continue;
         }
         let word = if one.agrees() { "agrees" } else { "DIFFERS" };
-        let _ = writeln!(out, "  {word:8} {}:{} variant {}: {}", one.file, one.line, one.variant, one.name);
+        let _ = writeln!(
+            out,
+            "  {word:8} {}:{} variant {}: {}",
+            one.file, one.line, one.variant, one.name
+        );
         let told = |counts: &Counts| {
-            let Counts { asked, attempts, served, refused, failed } = counts;
+            let Counts {
+                asked,
+                attempts,
+                served,
+                refused,
+                failed,
+            } = counts;
             format!("{asked} asked, {attempts} attempts, {served} served, {refused} refused, {failed} failed")
         };
-        let _ = writeln!(out, "    world {}: {}", verdict(one.world_fails.as_ref()), told(&one.world));
-        let _ = writeln!(out, "    live  {}: {}", verdict(one.live_fails.as_ref()), told(&one.live));
-        for how in [&one.world_fails, &one.live_fails, &one.fault].into_iter().flatten() {
+        let _ = writeln!(
+            out,
+            "    world {}: {}",
+            verdict(one.world_fails.as_ref()),
+            told(&one.world)
+        );
+        let _ = writeln!(
+            out,
+            "    live  {}: {}",
+            verdict(one.live_fails.as_ref()),
+            told(&one.live)
+        );
+        for how in [&one.world_fails, &one.live_fails, &one.fault]
+            .into_iter()
+            .flatten()
+        {
             let _ = writeln!(out, "    {how}");
         }
         for line in &one.story {
@@ -206,11 +272,21 @@
 
 fn junit(compared: &[Compared], faults: &[String]) -> String {
     use quartzcleat_expectations::report::{case, suite};
-    let mut cases: Vec<String> = faults.iter().map(|fault| case("files", "live", fault)).collect();
+    let mut cases: Vec<String> = faults
+        .iter()
+        .map(|fault| case("files", "live", fault))
+        .collect();
     for one in compared {
-        let differs = format!("world {:?}, live {:?}, {:?}", one.world_fails, one.live_fails, one.fault);
+        let differs = format!(
+            "world {:?}, live {:?}, {:?}",
+            one.world_fails, one.live_fails, one.fault
+        );
         let fault = if one.agrees() { "" } else { &differs };
-        cases.push(case(&format!("{} ({})", one.name, one.variant), &one.file, fault));
+        cases.push(case(
+            &format!("{} ({})", one.name, one.variant),
+            &one.file,
+            fault,
+        ));
     }
     suite("live", &cases)
 }
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -11,7 +11,9 @@
 /// # Errors
 /// All faults of the file, one line each.
 pub fn product(path: Option<&Path>) -> Result<Product, String> {
-    let Some(path) = path else { return Ok(Product::default()) };
+    let Some(path) = path else {
+        return Ok(Product::default());
+    };
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
     Product::read(&name, &text).map_err(|faults| faults.to_string())
@@ -22,7 +24,11 @@
     let served = product(config).and_then(|product| {
         logging::begin(&product.log)?;
         let config = config::from_environment()?;
-        net::serve(config::Config { metrics: product.tally, lease: product.lease, ..config })
+        net::serve(config::Config {
+            metrics: product.tally,
+            lease: product.lease,
+            ..config
+        })
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/cli/used.rs
+++ b/src/cli/used.rs
@@ -28,18 +28,26 @@
     /// Adds up.
     pub fn run(self) -> ExitCode {
         let read = || {
-            let mut sink = read_sink(&self.sink).map_err(|e| format!("{}: {e}", self.sink.display()))?;
+            let mut sink =
+                read_sink(&self.sink).map_err(|e| format!("{}: {e}", self.sink.display()))?;
             for folder in &self.spool {
-                let spools = read_spools(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+                let spools =
+                    read_spools(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
                 spools.iter().for_each(|spool| sink.add_spool(spool));
             }
             Ok::<Report, String>(sink.report())
         };
         match read() {
             Ok(report) => {
-                let text = if self.format == Format::Human { human(&report) } else { json(&report) };
+                let text = if self.format == Format::Human {
+                    human(&report)
+                } else {
+                    json(&report)
+                };
                 print(&text);
-                ExitCode::from(u8::from(!report.gaps.is_empty() || !report.conflicts.is_empty()))
+                ExitCode::from(u8::from(
+                    !report.gaps.is_empty() || !report.conflicts.is_empty(),
+                ))
             }
             Err(problem) => {
                 eprintln!("quartzcleat: {problem}");
@@ -54,19 +62,33 @@
 }
 
 fn human(report: &Report) -> String {
-    let mut text = format!("{:>16} {:>14} {:>14} {:>10}\n", "customer", "units", "unknown", "attempts");
+    let mut text = format!(
+        "{:>16} {:>14} {:>14} {:>10}\n",
+        "customer", "units", "unknown", "attempts"
+    );
     for (customer, used) in &report.sums {
         let (ran, unknown) = (units(used.ran), units(used.unknown));
-        let _ = writeln!(text, "{customer:016x} {ran:>14.3} {unknown:>14.3} {:>10}", used.runs);
+        let _ = writeln!(
+            text,
+            "{customer:016x} {ran:>14.3} {unknown:>14.3} {:>10}",
+            used.runs
+        );
     }
     let _ = writeln!(
         text,
         "batches in two files: {}; lines cut off or rotted: {}",
         report.doubles, report.spoilt
     );
-    for (what, found) in [("missing", &report.gaps), ("of two contents", &report.conflicts)] {
+    for (what, found) in [
+        ("missing", &report.gaps),
+        ("of two contents", &report.conflicts),
+    ] {
         for (source, number) in found {
-            let _ = writeln!(text, "batch {number} of {} {} is {what}", source.name, source.epoch);
+            let _ = writeln!(
+                text,
+                "batch {number} of {} {} is {what}",
+                source.name, source.epoch
+            );
         }
     }
     text
@@ -82,7 +104,10 @@
         })
     });
     let batches = |found: &[(quartzcleat_usage_export::Source, u64)]| -> Vec<_> {
-        found.iter().map(|(source, number)| serde_json::json!([source.name, source.epoch, number])).collect()
+        found
+            .iter()
+            .map(|(source, number)| serde_json::json!([source.name, source.epoch, number]))
+            .collect()
     };
     let told = serde_json::json!({
         "customers": customers.collect::<Vec<_>>(),
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -49,8 +49,10 @@
 
     fn slot(&self, metadata: &Metadata<'_>) -> &Slot {
         let line = metadata.line().unwrap_or(0) as usize;
-        let name =
-            metadata.target().bytes().fold(line, |hash, byte| hash.wrapping_mul(31) + usize::from(byte));
+        let name = metadata
+            .target()
+            .bytes()
+            .fold(line, |hash, byte| hash.wrapping_mul(31) + usize::from(byte));
         &self.slots[name % SLOTS]
     }
 
@@ -80,7 +82,10 @@
         if event.metadata().target() == metrics::TARGET {
             return true;
         }
-        self.0.allows(self.0.slot(event.metadata()), self.0.start.elapsed().as_millis() as u64)
+        self.0.allows(
+            self.0.slot(event.metadata()),
+            self.0.start.elapsed().as_millis() as u64,
+        )
     }
 }
 
@@ -93,14 +98,25 @@
     N: for<'a> FormatFields<'a> + 'static,
     F: FormatEvent<S, N>,
 {
-    fn format_event(&self, cx: &FmtContext<'_, S, N>, mut to: Writer<'_>, event: &Event<'_>) -> fmt::Result {
+    fn format_event(
+        &self,
+        cx: &FmtContext<'_, S, N>,
+        mut to: Writer<'_>,
+        event: &Event<'_>,
+    ) -> fmt::Result {
         let left_out = self.1.slot(event.metadata()).left_out.swap(0, Relaxed);
         self.0.format_event(cx, to.by_ref(), event)?;
         match (left_out, self.2) {
             (0, _) => Ok(()),
-            (count, Form::Human) => writeln!(to, "    ({count} lines like it were left out before)"),
+            (count, Form::Human) => {
+                writeln!(to, "    ({count} lines like it were left out before)")
+            }
             (count, Form::Json) => {
-                writeln!(to, "{{\"target\":\"{}\",\"left_out\":{count}}}", event.metadata().target())
+                writeln!(
+                    to,
+                    "{{\"target\":\"{}\",\"left_out\":{count}}}",
+                    event.metadata().target()
+                )
             }
         }
     }
@@ -113,8 +129,12 @@
 pub fn begin(log: &Log) -> Result<(), String> {
     let filter = EnvFilter::try_new(&log.filter).map_err(|e| format!("log.filter: {e}"))?;
     let repeats = Arc::new(Repeats::new(log));
-    let format = Format::default().with_ansi(false).with_timer(Uptime::default());
-    let lines = Layer::default().with_writer(std::io::stderr).with_ansi(false);
+    let format = Format::default()
+        .with_ansi(false)
+        .with_timer(Uptime::default());
+    let lines = Layer::default()
+        .with_writer(std::io::stderr)
+        .with_ansi(false);
     let registry = tracing_subscriber::registry().with(filter);
     let begun = match log.form {
         Form::Human => {
@@ -122,7 +142,10 @@
             registry.with(lines.with_filter(Seldom(repeats))).try_init()
         }
         Form::Json => {
-            let lines = lines.json().event_format(WithRepeats(format.json(), repeats.clone(), log.form));
+            let lines =
+                lines
+                    .json()
+                    .event_format(WithRepeats(format.json(), repeats.clone(), log.form));
             registry.with(lines.with_filter(Seldom(repeats))).try_init()
         }
     };
@@ -135,7 +158,11 @@
 
     #[test]
     fn a_place_writes_its_burst_and_tells_what_it_left_out() {
-        let log = Log { window: std::time::Duration::from_secs(10), burst: 3, ..Log::default() };
+        let log = Log {
+            window: std::time::Duration::from_secs(10),
+            burst: 3,
+            ..Log::default()
+        };
         let repeats = Repeats::new(&log);
         let slot = &repeats.slots[0];
         let written = (0..50).filter(|_| repeats.allows(slot, 5)).count();
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -35,9 +35,16 @@
 }
 
 async fn serve(limiter: Rc<Limiter>, mut stream: TcpStream) {
-    let call = timeout(limiter.limits.caller_time, call(&mut stream, limiter.limits.call_bytes)).await;
+    let call = timeout(
+        limiter.limits.caller_time,
+        call(&mut stream, limiter.limits.call_bytes),
+    )
+    .await;
     let (status, text) = match call {
-        Err(_) => (408, "the call did not end in time; send it at once".to_owned()),
+        Err(_) => (
+            408,
+            "the call did not end in time; send it at once".to_owned(),
+        ),
         // It went away, or never sent a whole call.
         Ok(None) => return,
         Ok(Some(Err(wrong))) => (wrong.status, wrong.advice.to_owned()),
@@ -65,7 +72,9 @@
 /// Waits for discovery's first list where a call names a server not heard of yet. Guards against a no to staff who
 /// are quicker than that list: a server that is on it was listed.
 async fn listed(limiter: &Rc<Limiter>, call: &Call) {
-    let (Call::Disable(name) | Call::Enable(name)) = call else { return };
+    let (Call::Disable(name) | Call::Enable(name)) = call else {
+        return;
+    };
     let known = || limiter.bans.borrow().knows(name) || limiter.endpoints.borrow().answered();
     let first = async {
         while !known() {
@@ -109,7 +118,10 @@
     let length = match head.parse(bytes) {
         Err(_) => return wrong(400, "this is no HTTP/1.1; send a request line and headers"),
         Ok(httparse::Status::Partial) if bytes.len() > most => {
-            return wrong(413, "the call is too long; send a head and a body of a few hundred bytes")
+            return wrong(
+                413,
+                "the call is too long; send a head and a body of a few hundred bytes",
+            )
         }
         Ok(httparse::Status::Partial) => return None,
         Ok(httparse::Status::Complete(length)) => length,
@@ -120,7 +132,10 @@
             return wrong(400, "send the body with a Content-Length");
         }
         if header.name.eq_ignore_ascii_case("content-length") {
-            match std::str::from_utf8(header.value).ok().and_then(|text| text.trim().parse::<usize>().ok()) {
+            match std::str::from_utf8(header.value)
+                .ok()
+                .and_then(|text| text.trim().parse::<usize>().ok())
+            {
                 Some(told) => body = told,
                 None => return wrong(400, "Content-Length is no number"),
             }
@@ -130,17 +145,29 @@
         return wrong(413, "the body is too long; send {\"host\":\"ID\"}");
     }
     let whole = bytes.get(length..length + body)?;
-    Some(understand(head.method.unwrap_or_default(), head.path.unwrap_or_default(), whole))
+    Some(understand(
+        head.method.unwrap_or_default(),
+        head.path.unwrap_or_default(),
+        whole,
+    ))
 }
 
 /// Does what a call asks for; the status and a sentence.
 fn carry_out(limiter: &Rc<Limiter>, call: Call) -> (u16, String) {
     let unknown = match limiter.endpoints.borrow().answered() {
-        true => (404, "no server of this id was ever listed; use discovery's instanceId".to_owned()),
-        false => (503, "discovery has not told of any server yet; call again".to_owned()),
+        true => (
+            404,
+            "no server of this id was ever listed; use discovery's instanceId".to_owned(),
+        ),
+        false => (
+            503,
+            "discovery has not told of any server yet; call again".to_owned(),
+        ),
     };
     match call {
-        Call::Ready if !limiter.shutdown.welcome() => (503, "draining: clients are sent away".to_owned()),
+        Call::Ready if !limiter.shutdown.welcome() => {
+            (503, "draining: clients are sent away".to_owned())
+        }
         Call::Ready if *limiter.shutdown.end().borrow() => (503, "ending".to_owned()),
         Call::Ready => (200, "taking clients".to_owned()),
         Call::Disable(name) => {
@@ -227,7 +254,10 @@
             ("\u{1}\u{2}\r\n\r\n".to_owned(), 400),
             (put.replace("14", "many"), 400),
             (put.replace("14", "9000"), 413),
-            (put.replace("content-length: 14", "Transfer-Encoding: chunked"), 400),
+            (
+                put.replace("content-length: 14", "Transfer-Encoding: chunked"),
+                400,
+            ),
             (format!("GET /{} ", "x".repeat(9000)), 413),
             (put.replace("{\"", "{'"), 400),
         ] {
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -133,13 +133,20 @@
 
 impl Limits {
     fn new(settings: &Settings, sockets: usize, memory: usize, idle: Duration) -> Self {
-        let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-        let time = |nanos: u64, default: u64| Duration::from_nanos(if nanos > 0 { nanos } else { default });
+        let longest = settings
+            .classes
+            .iter()
+            .map(|class| class.deadline)
+            .max()
+            .unwrap_or(0);
+        let time = |nanos: u64, default: u64| {
+            Duration::from_nanos(if nanos > 0 { nanos } else { default })
+        };
         let value_bytes = 64 << 10;
         // 25 calls a second by all limiters, however many: of 100 made at once 60 waited 2 s in vain, of 100 spread over
         // 4 s none. Bounded by the 6 s after which news counts as told, asked for or not.
-        let list_turn =
-            Duration::from_millis(40 * u64::from(settings.limiter_count)).min(Duration::from_secs(4));
+        let list_turn = Duration::from_millis(40 * u64::from(settings.limiter_count))
+            .min(Duration::from_secs(4));
         Limits {
             value_bytes,
             bulk_bytes: 4 << 20,
@@ -160,7 +167,11 @@
             north_pipeline: 1024,
             north_waiting: 4096,
             north_unsent: 256 << 10,
-            max_open: if settings.max_open > 0 { settings.max_open as usize } else { 20_000 },
+            max_open: if settings.max_open > 0 {
+                settings.max_open as usize
+            } else {
+                20_000
+            },
             max_attempts: settings.max_attempts.max(1),
             tells_when: Cell::new(settings.retry_after),
             back_off: Cell::new(match settings.retry_after {
@@ -210,7 +221,9 @@
             list_most: Duration::from_secs(4),
             linger: Duration::from_millis(600),
             last_call: Duration::from_secs(2),
-            end: Cell::new(Duration::from_nanos(longest.max(3_000_000_000)) + Duration::from_millis(600)),
+            end: Cell::new(
+                Duration::from_nanos(longest.max(3_000_000_000)) + Duration::from_millis(600),
+            ),
             last_answers: Cell::new(Duration::from_millis(100)),
         }
     }
@@ -302,8 +315,13 @@
 /// Reads a configuration that was replaced while the program runs. Guards against the environment, which is as
 /// old as the program, keeping addresses that the services have left: for these the file goes first; and against a
 /// file that lost something of the one in force, `held`.
-pub fn reread(held: &Value, text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let file: Value = serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
+pub fn reread(
+    held: &Value,
+    text: &str,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<Config, String> {
+    let file: Value =
+        serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
     let faults = complete::faults(held, &file);
     if !faults.is_empty() {
         return Err(faults.join("; "));
@@ -317,24 +335,34 @@
 
 /// Reads a configuration; what a variable of the environment says goes before what the file says.
 pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let mut file: Value = serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
-    let known = file.as_object_mut().and_then(|file| file.remove("known")).unwrap_or(Value::Null);
+    let mut file: Value =
+        serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
+    let known = file
+        .as_object_mut()
+        .and_then(|file| file.remove("known"))
+        .unwrap_or(Value::Null);
     let told = |key: &str, name: &str| {
         let written = file.get(key).and_then(Value::as_str).map(str::to_owned);
-        variable(name).or(written).ok_or_else(|| format!("{key}: missing"))
+        variable(name)
+            .or(written)
+            .ok_or_else(|| format!("{key}: missing"))
     };
     let address = |key: &str, text: &str| {
-        text.parse::<SocketAddr>().map_err(|_| format!("{key}: {text:?} is not an address with a port"))
+        text.parse::<SocketAddr>()
+            .map_err(|_| format!("{key}: {text:?} is not an address with a port"))
     };
     let count = |path: &str, default: u64| match file.pointer(path) {
         None | Some(Value::Null) => Ok(default),
-        Some(value) => {
-            value.as_u64().ok_or_else(|| format!("{}: {value} is not a count", path[1..].replace('/', ".")))
-        }
+        Some(value) => value
+            .as_u64()
+            .ok_or_else(|| format!("{}: {value} is not a count", path[1..].replace('/', "."))),
     };
     let inner = file.get("settings").ok_or("settings: missing")?;
     let pairs = platform::flatten(inner)?;
-    let pairs: BTreeMap<&str, &str> = pairs.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
+    let pairs: BTreeMap<&str, &str> = pairs
+        .iter()
+        .map(|(k, v)| (k.as_str(), v.as_str()))
+        .collect();
     let names = |key: &str| match inner.get(key) {
         None => Ok(Vec::new()),
         Some(Value::Array(names)) => names
@@ -350,13 +378,15 @@
     let (zones, kinds) = (names("zones")?, names("kinds")?);
     let idle = match pairs.get("limits.connIdleNs") {
         None => 30_000_000_000,
-        Some(text) => {
-            text.parse().map_err(|_| format!("settings.limits.connIdleNs: cannot read {text:?}"))?
-        }
+        Some(text) => text
+            .parse()
+            .map_err(|_| format!("settings.limits.connIdleNs: cannot read {text:?}"))?,
     };
     let settings = platform::decode(pairs).map_err(|faults| {
-        let lines: Vec<_> =
-            faults.iter().map(|fault| format!("settings.{}: {}", fault.path, fault.problem)).collect();
+        let lines: Vec<_> = faults
+            .iter()
+            .map(|fault| format!("settings.{}: {}", fault.path, fault.problem))
+            .collect();
         lines.join("; ")
     })?;
     let counter = match told("counter", "BALANCER_COUNTER") {
@@ -369,15 +399,21 @@
         Err(_) => None,
     };
     let seed = match file.get("seed") {
-        None => SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_nanos() as u64),
+        None => SystemTime::UNIX_EPOCH
+            .elapsed()
+            .map_or(0, |age| age.as_nanos() as u64),
         Some(Value::String(text)) => u64::from_str_radix(text, 16)
             .map_err(|_| format!("seed: {text:?} is not a hexadecimal number"))?,
         Some(other) => return Err(format!("seed: {other} is not a text of hexadecimal digits")),
     };
-    let (sockets, memory) =
-        (count("/limits/sockets", 1024)? as usize, count("/limits/memory_mb", 192)? as usize);
+    let (sockets, memory) = (
+        count("/limits/sockets", 1024)? as usize,
+        count("/limits/memory_mb", 192)? as usize,
+    );
     if sockets < 128 {
-        return Err(format!("limits.sockets: {sockets} is too few, 128 are needed"));
+        return Err(format!(
+            "limits.sockets: {sockets} is too few, 128 are needed"
+        ));
     }
     let limits = Limits::new(&settings, sockets, memory << 20, Duration::from_nanos(idle));
     Ok(Config {
@@ -417,8 +453,13 @@
     #[test]
     fn a_hanging_counter_holds_fewer_connections_than_it_may() {
         let limits = example("", "");
-        let rounds = Duration::from_secs(12).div_duration_f64(limits.counter_silence + limits.again).ceil();
-        assert!((rounds + 1.0) * limits.counter_links as f64 <= 32.0, "{rounds} rounds");
+        let rounds = Duration::from_secs(12)
+            .div_duration_f64(limits.counter_silence + limits.again)
+            .ceil();
+        assert!(
+            (rounds + 1.0) * limits.counter_links as f64 <= 32.0,
+            "{rounds} rounds"
+        );
     }
 
     /// All that may be open at once stays under what a process may hold, with room for what is neither.
@@ -427,7 +468,8 @@
         for sockets in [128, 1024, 4096] {
             let limits = example("1024", &sockets.to_string());
             let crowd = limits.north_connections + limits.north_connections / 16 + 1;
-            let all = crowd + limits.south_connections + 2 + limits.counter_links + limits.callers + 1;
+            let all =
+                crowd + limits.south_connections + 2 + limits.counter_links + limits.callers + 1;
             assert!(all + 6 < sockets, "{all} of {sockets}");
         }
     }
@@ -437,17 +479,26 @@
     fn a_replaced_file_goes_before_the_environment() {
         let (text, told) = (include_str!("../../../examples/toy.json"), "127.0.0.9:9");
         let variable = |name: &str| name.starts_with("BALANCER_").then(|| told.to_owned());
-        let (old, new) =
-            (read(text, variable).expect("sound"), reread(&json(text), text, variable).expect("sound"));
+        let (old, new) = (
+            read(text, variable).expect("sound"),
+            reread(&json(text), text, variable).expect("sound"),
+        );
         let address = |text: &str| text.parse().expect("an address");
         let (discovery, counter) = (address(told), Some(address(told)));
         assert_eq!(old.addresses, Addresses { discovery, counter });
         let (discovery, counter) = (address("127.0.0.1:7001"), Some(address("127.0.0.1:7002")));
         assert_eq!(new.addresses, Addresses { discovery, counter });
-        assert_eq!(new.listen, address(told), "all else stays as the environment has it");
+        assert_eq!(
+            new.listen,
+            address(told),
+            "all else stays as the environment has it"
+        );
         let silent = text.replace("\"discovery\"", "\"elsewhere\"");
         assert_eq!(
-            reread(&json(&silent), &silent, variable).expect("sound").addresses.discovery,
+            reread(&json(&silent), &silent, variable)
+                .expect("sound")
+                .addresses
+                .discovery,
             address(told)
         );
         assert!(reread(&json(text), "{", variable).is_err());
--- a/src/net/counter/mod.rs
+++ b/src/net/counter/mod.rs
@@ -77,7 +77,9 @@
             news: Notify::new(),
             answered: answered.clone(),
         };
-        Counter { lines: (0..limits.counter_links).map(|_| Rc::new(line())).collect() }
+        Counter {
+            lines: (0..limits.counter_links).map(|_| Rc::new(line())).collect(),
+        }
     }
 
     /// Calls the counter; exactly one `ConnectionPermit` event follows.
@@ -97,13 +99,26 @@
         let mut calls = line.calls.borrow_mut();
         let (mut command, mut end) = (Vec::new(), Some((Outcome::ConnectFailed, 0.0)));
         if calls.len() < limiter.limits.counter_calls {
-            let (amount, life) =
-                (amount.to_string(), keep_for.div_ceil(1_000_000).clamp(1, 60_000).to_string());
-            let words = [b"ADDGET", name.as_bytes(), amount.as_bytes(), life.as_bytes()];
+            let (amount, life) = (
+                amount.to_string(),
+                keep_for.div_ceil(1_000_000).clamp(1, 60_000).to_string(),
+            );
+            let words = [
+                b"ADDGET",
+                name.as_bytes(),
+                amount.as_bytes(),
+                life.as_bytes(),
+            ];
             codec::write_command(&words, &mut command);
             end = None;
         }
-        calls.push_back(Call { name, command, began: Instant::now(), sent: false, end });
+        calls.push_back(Call {
+            name,
+            command,
+            began: Instant::now(),
+            sent: false,
+            end,
+        });
         line.news.notify_one();
     }
 }
@@ -161,7 +176,14 @@
 impl UpstreamConnection {
     fn new(stream: TcpStream) -> Self {
         let (input, out, written) = (Vec::new(), Vec::new(), VecDeque::new());
-        UpstreamConnection { stream, input, out, flushed: 0, answered: false, written }
+        UpstreamConnection {
+            stream,
+            input,
+            out,
+            flushed: 0,
+            answered: false,
+            written,
+        }
     }
 
     /// Writes as much as the connection takes; false where it is broken.
@@ -208,18 +230,29 @@
     fn settle(&self, limiter: &Rc<Limiter>) {
         loop {
             let mut calls = self.calls.borrow_mut();
-            let Some((outcome, total)) = calls.front().and_then(|call| call.end) else { return };
-            let Some(Call { name, began, .. }) = calls.pop_front() else { return };
+            let Some((outcome, total)) = calls.front().and_then(|call| call.end) else {
+                return;
+            };
+            let Some(Call { name, began, .. }) = calls.pop_front() else {
+                return;
+            };
             drop(calls);
             self.told.set(self.told.get() + 1);
             let elapsed = began.elapsed().as_nanos() as Nanos;
-            limiter.tell(Event::CounterReplied { name, outcome, total, elapsed });
+            limiter.tell(Event::CounterReplied {
+                name,
+                outcome,
+                total,
+                elapsed,
+            });
         }
     }
 
     /// Notes what became of a call, if nothing has been told of it.
     fn note(&self, number: u64, end: (Outcome, f64)) {
-        let Some(index) = number.checked_sub(self.told.get()) else { return };
+        let Some(index) = number.checked_sub(self.told.get()) else {
+            return;
+        };
         if let Some(call) = self.calls.borrow_mut().get_mut(index as usize) {
             call.end.get_or_insert(end);
         }
@@ -232,7 +265,11 @@
             if call.began + limiter.limits.counter_call.get() > now {
                 break;
             }
-            let outcome = if call.sent { Outcome::Timeout } else { Outcome::ConnectFailed };
+            let outcome = if call.sent {
+                Outcome::Timeout
+            } else {
+                Outcome::ConnectFailed
+            };
             call.end.get_or_insert((outcome, 0.0));
         }
         self.settle(limiter);
@@ -242,7 +279,11 @@
     /// added; of the others nobody knows, which is the same as no answer in time.
     fn broken(&self, limiter: &Rc<Limiter>, link: UpstreamConnection) {
         for (number, end) in link.written {
-            let outcome = if end <= link.flushed { Outcome::Timeout } else { Outcome::ConnectFailed };
+            let outcome = if end <= link.flushed {
+                Outcome::Timeout
+            } else {
+                Outcome::ConnectFailed
+            };
             self.note(number, (outcome, 0.0));
         }
         drop(link.stream);
@@ -256,14 +297,17 @@
             if !call.sent && call.end.is_none() {
                 call.sent = true;
                 link.out.append(&mut call.command);
-                link.written.push_back((number, link.flushed + link.out.len() as u64));
+                link.written
+                    .push_back((number, link.flushed + link.out.len() as u64));
             }
         }
     }
 
     /// Serves a connection until it breaks, stays silent, has nothing to do for long, or is to be left.
     async fn converse(
-        &self, limiter: &Rc<Limiter>, link: &mut UpstreamConnection,
+        &self,
+        limiter: &Rc<Limiter>,
+        link: &mut UpstreamConnection,
         addresses: &mut watch::Receiver<Addresses>,
     ) -> Over {
         let limits = &limiter.limits;
@@ -280,14 +324,22 @@
                 return Over::Broken;
             }
             let waiting = !link.written.is_empty();
-            let patience = if waiting { limits.counter_silence } else { limits.counter_idle };
+            let patience = if waiting {
+                limits.counter_silence
+            } else {
+                limits.counter_idle
+            };
             let alone = heard + 2 * limits.counter_call.get();
             let until = began.map_or(heard + patience, |began| began + limits.counter_call.get());
             // Guards against a connection that fell silent under a counter that is at work: a quarter of the
             // customers would go uncounted until its patience ends. Only one that was answered before: a counter
             // that takes connections and answers none of them must not be asked for ever more.
             let suspect = waiting && !begun && link.answered;
-            let until = if suspect && alone > Instant::now() { until.min(alone) } else { until };
+            let until = if suspect && alone > Instant::now() {
+                until.min(alone)
+            } else {
+                until
+            };
             if suspect && self.left_alone(alone, limits) {
                 // After a pause of the process all answers lie there unread.
                 let mut more = [0; 256];
@@ -330,7 +382,11 @@
     /// Whether this connection should have been answered by a time that is past, as others were since.
     fn left_alone(&self, by: Instant, limits: &Limits) -> bool {
         let since = by.checked_sub(limits.counter_call.get()).unwrap_or(by);
-        Instant::now() >= by && self.answered.get().is_some_and(|answered| answered >= since)
+        Instant::now() >= by
+            && self
+                .answered
+                .get()
+                .is_some_and(|answered| answered >= since)
     }
 
     /// Serves a connection to an address that is no longer the counter's until all that was written to it has
@@ -400,13 +456,19 @@
         Ok(None) => Ok(None),
         Ok(Some((Reply::Bulk(Some(place)), length))) => {
             let text = std::str::from_utf8(&input[place]).ok();
-            let total = text.and_then(|text| text.parse::<f64>().ok()).filter(|total| total.is_finite());
-            total.map(|total| Some(((Outcome::Good, total), length))).ok_or(Spoilt)
+            let total = text
+                .and_then(|text| text.parse::<f64>().ok())
+                .filter(|total| total.is_finite());
+            total
+                .map(|total| Some(((Outcome::Good, total), length)))
+                .ok_or(Spoilt)
+        }
+        Ok(Some((Reply::Error(place), length))) => {
+            match input[place].split(|byte| *byte == b' ').next() {
+                Some(b"BUSY" | b"ERR") => Ok(Some(((Outcome::Rejected, 0.0), length))),
+                _ => Err(Spoilt),
+            }
         }
-        Ok(Some((Reply::Error(place), length))) => match input[place].split(|byte| *byte == b' ').next() {
-            Some(b"BUSY" | b"ERR") => Ok(Some(((Outcome::Rejected, 0.0), length))),
-            _ => Err(Spoilt),
-        },
         _ => Err(Spoilt),
     }
 }
@@ -428,14 +490,23 @@
     /// Reads until as many calls have come.
     async fn calls(stream: &mut TcpStream, count: usize) {
         let mut bytes = Vec::new();
-        while bytes.windows(6).filter(|six| six == b"ADDGET").count() < count || !bytes.ends_with(b"4000\r\n")
+        while bytes.windows(6).filter(|six| six == b"ADDGET").count() < count
+            || !bytes.ends_with(b"4000\r\n")
         {
-            assert!(stream.read_buf(&mut bytes).await.expect("the limiter writes") > 0);
+            assert!(
+                stream
+                    .read_buf(&mut bytes)
+                    .await
+                    .expect("the limiter writes")
+                    > 0
+            );
         }
     }
 
     fn call(limiter: &Rc<Limiter>, amount: f64) {
-        limiter.counter.call(limiter, "q7.1".to_owned(), amount, 4_000_000_000);
+        limiter
+            .counter
+            .call(limiter, "q7.1".to_owned(), amount, 4_000_000_000);
     }
 
     /// Answers that come late belong to the calls they were late for, not to those that wait now.
@@ -443,15 +514,24 @@
     fn late_answers_are_dropped_by_their_place() {
         let changes = [
             ("127.0.0.1:7002", "127.77.0.20:7002"),
-            ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 200000000"),
+            (
+                "\"counterTimeoutNs\": 30000000",
+                "\"counterTimeoutNs\": 200000000",
+            ),
         ];
         with_limiter(&changes, |limiter| async move {
-            let listener = TcpListener::bind("127.77.0.20:7002").await.expect("the address is free");
+            let listener = TcpListener::bind("127.77.0.20:7002")
+                .await
+                .expect("the address is free");
             // Made before there is a connection; of the others' connections none comes into it.
             call(&limiter, 1.0);
             call(&limiter, -2.5);
-            let line =
-                limiter.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            let line = limiter
+                .counter
+                .lines
+                .iter()
+                .find(|line| !line.calls.borrow().is_empty())
+                .expect("a line");
             spawn(keep(limiter.clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 2).await;
@@ -459,7 +539,10 @@
             assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
             call(&limiter, 3.0);
             calls(&mut stream, 1).await;
-            stream.write_all(b"$1\r\n1\r\n$4\r\n-1.5\r\n$3\r\n1.5\r\n").await.expect("the limiter reads");
+            stream
+                .write_all(b"$1\r\n1\r\n$4\r\n-1.5\r\n$3\r\n1.5\r\n")
+                .await
+                .expect("the limiter reads");
             assert_eq!(counted(&limiter).await, (Outcome::Good, 1.5));
             // A connection that ends takes with it what may have been added.
             call(&limiter, 4.0);
@@ -471,7 +554,10 @@
             call(&limiter, 5.0);
             call(&limiter, 6.0);
             calls(&mut stream, 2).await;
-            stream.write_all(b"-BUSY\r\n$1\r\n6\r\n").await.expect("the limiter reads");
+            stream
+                .write_all(b"-BUSY\r\n$1\r\n6\r\n")
+                .await
+                .expect("the limiter reads");
             assert_eq!(counted(&limiter).await.0, Outcome::Rejected);
             assert_eq!(counted(&limiter).await, (Outcome::Good, 6.0));
         });
@@ -480,14 +566,21 @@
     /// What was never on its way was not added, and is told so, in time.
     #[test]
     fn without_a_connection_nothing_is_added() {
-        with_limiter(&[("127.0.0.1:7002", "127.77.0.21:7002")], |limiter| async move {
-            start(&limiter);
-            call(&limiter, 1.0);
-            call(&limiter, 2.0);
-            assert_eq!(counted(&limiter).await.0, Outcome::ConnectFailed);
-            assert_eq!(counted(&limiter).await.0, Outcome::ConnectFailed);
-            assert!(limiter.counter.lines.iter().all(|line| line.calls.borrow().is_empty()));
-        });
+        with_limiter(
+            &[("127.0.0.1:7002", "127.77.0.21:7002")],
+            |limiter| async move {
+                start(&limiter);
+                call(&limiter, 1.0);
+                call(&limiter, 2.0);
+                assert_eq!(counted(&limiter).await.0, Outcome::ConnectFailed);
+                assert_eq!(counted(&limiter).await.0, Outcome::ConnectFailed);
+                assert!(limiter
+                    .counter
+                    .lines
+                    .iter()
+                    .all(|line| line.calls.borrow().is_empty()));
+            },
+        );
     }
 
     /// Calls written to a counter that has moved are waited for there, and told before those made after them.
@@ -495,25 +588,51 @@
     fn a_move_keeps_the_order_and_loses_no_call() {
         let changes = [
             ("127.0.0.1:7002", "127.77.0.22:7002"),
-            ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 2000000000"),
+            (
+                "\"counterTimeoutNs\": 30000000",
+                "\"counterTimeoutNs\": 2000000000",
+            ),
         ];
         with_limiter(&changes, |limiter| async move {
-            let old = TcpListener::bind("127.77.0.22:7002").await.expect("the address is free");
-            let new = TcpListener::bind("127.77.0.22:7003").await.expect("the address is free");
+            let old = TcpListener::bind("127.77.0.22:7002")
+                .await
+                .expect("the address is free");
+            let new = TcpListener::bind("127.77.0.22:7003")
+                .await
+                .expect("the address is free");
             call(&limiter, 1.0);
-            let line =
-                limiter.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            let line = limiter
+                .counter
+                .lines
+                .iter()
+                .find(|line| !line.calls.borrow().is_empty())
+                .expect("a line");
             spawn(keep(limiter.clone(), line.clone()));
             let (mut before, _) = old.accept().await.expect("the limiter connects");
             calls(&mut before, 1).await;
-            limiter.addresses.send_modify(|held| held.counter = new.local_addr().ok());
+            limiter
+                .addresses
+                .send_modify(|held| held.counter = new.local_addr().ok());
             call(&limiter, 2.0);
-            let (mut after, _) = new.accept().await.expect("the limiter connects to the new address");
+            let (mut after, _) = new
+                .accept()
+                .await
+                .expect("the limiter connects to the new address");
             calls(&mut after, 1).await;
-            after.write_all(b"$1\r\n3\r\n").await.expect("the limiter reads");
+            after
+                .write_all(b"$1\r\n3\r\n")
+                .await
+                .expect("the limiter reads");
             tokio::time::sleep(limiter.limits.again).await;
-            assert_eq!(limiter.engine.borrow_mut().untold(), None, "the first call has no answer yet");
-            before.write_all(b"$1\r\n1\r\n").await.expect("the limiter reads on the old connection");
+            assert_eq!(
+                limiter.engine.borrow_mut().untold(),
+                None,
+                "the first call has no answer yet"
+            );
+            before
+                .write_all(b"$1\r\n1\r\n")
+                .await
+                .expect("the limiter reads on the old connection");
             assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
             assert_eq!(counted(&limiter).await, (Outcome::Good, 3.0));
             // The old connection ends once nothing is awaited on it.
@@ -555,24 +674,39 @@
     fn a_connection_that_others_outlast_is_left_early() {
         let changes = [
             ("127.0.0.1:7002", "127.77.0.24:7002"),
-            ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 50000000"),
+            (
+                "\"counterTimeoutNs\": 30000000",
+                "\"counterTimeoutNs\": 50000000",
+            ),
         ];
         with_limiter(&changes, |limiter| async move {
-            let listener = TcpListener::bind("127.77.0.24:7002").await.expect("the address is free");
+            let listener = TcpListener::bind("127.77.0.24:7002")
+                .await
+                .expect("the address is free");
             call(&limiter, 1.0);
-            let line =
-                limiter.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            let line = limiter
+                .counter
+                .lines
+                .iter()
+                .find(|line| !line.calls.borrow().is_empty())
+                .expect("a line");
             spawn(keep(limiter.clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 1).await;
-            stream.write_all(b"$1\r\n1\r\n").await.expect("the limiter reads");
+            stream
+                .write_all(b"$1\r\n1\r\n")
+                .await
+                .expect("the limiter reads");
             assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
             // Nobody is answered: the counter may be at fault, and the connection is kept.
             call(&limiter, 1.0);
             calls(&mut stream, 1).await;
             assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
             let kept = timeout(4 * limiter.limits.counter_call.get(), listener.accept()).await;
-            assert!(kept.is_err(), "no second connection while no other is answered");
+            assert!(
+                kept.is_err(),
+                "no second connection while no other is answered"
+            );
             // Another line's answer comes in: this one alone is at fault.
             line.answered.set(Some(Instant::now()));
             call(&limiter, 1.0);
@@ -582,9 +716,13 @@
             // Never answered: the new one has its whole patience, whoever else is answered.
             call(&limiter, 1.0);
             calls(&mut stream, 1).await;
-            line.answered.set(Some(Instant::now() + limiter.limits.counter_silence));
+            line.answered
+                .set(Some(Instant::now() + limiter.limits.counter_silence));
             let kept = timeout(limiter.limits.counter_silence / 2, listener.accept()).await;
-            assert!(kept.is_err(), "a counter that never answers is not asked for ever more connections");
+            assert!(
+                kept.is_err(),
+                "a counter that never answers is not asked for ever more connections"
+            );
         });
     }
 
@@ -594,26 +732,44 @@
     fn a_spoilt_answer_ends_the_connection_and_not_the_line() {
         let changes = [
             ("127.0.0.1:7002", "127.77.0.23:7002"),
-            ("\"counterTimeoutNs\": 30000000", "\"counterTimeoutNs\": 1000000000"),
+            (
+                "\"counterTimeoutNs\": 30000000",
+                "\"counterTimeoutNs\": 1000000000",
+            ),
         ];
         with_limiter(&changes, |limiter| async move {
-            let listener = TcpListener::bind("127.77.0.23:7002").await.expect("the address is free");
+            let listener = TcpListener::bind("127.77.0.23:7002")
+                .await
+                .expect("the address is free");
             (0..3).for_each(|_| call(&limiter, 1.0));
-            let line =
-                limiter.counter.lines.iter().find(|line| !line.calls.borrow().is_empty()).expect("a line");
+            let line = limiter
+                .counter
+                .lines
+                .iter()
+                .find(|line| !line.calls.borrow().is_empty())
+                .expect("a line");
             spawn(keep(limiter.clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 3).await;
             let began = Instant::now();
-            stream.write_all(b"$1\r\n1\r\n*2\r\n").await.expect("the limiter reads");
+            stream
+                .write_all(b"$1\r\n1\r\n*2\r\n")
+                .await
+                .expect("the limiter reads");
             assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
             assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
             assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
-            assert!(began.elapsed() < limiter.limits.counter_call.get(), "told before their time was over");
+            assert!(
+                began.elapsed() < limiter.limits.counter_call.get(),
+                "told before their time was over"
+            );
             call(&limiter, 4.0);
             let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
             calls(&mut stream, 1).await;
-            stream.write_all(b"$1\r\n7\r\n").await.expect("the limiter reads");
+            stream
+                .write_all(b"$1\r\n7\r\n")
+                .await
+                .expect("the limiter reads");
             assert_eq!(counted(&limiter).await, (Outcome::Good, 7.0));
         });
     }
--- a/src/net/discovery/backoff.rs
+++ b/src/net/discovery/backoff.rs
@@ -18,12 +18,21 @@
 impl Backoff {
     /// Pauses whose bound grows from `least` to `most`.
     pub fn new(least: Duration, most: Duration, seed: u64) -> Self {
-        Backoff { least, most: most.max(least), bound: least, rng: fastrand::Rng::with_seed(seed) }
+        Backoff {
+            least,
+            most: most.max(least),
+            bound: least,
+            rng: fastrand::Rng::with_seed(seed),
+        }
     }
 
     /// A limiter's.
     pub fn of(limits: &Limits, seed: u64) -> Self {
-        let least = if limits.list_by_asking { limits.list_turn.max(limits.again) } else { limits.again };
+        let least = if limits.list_by_asking {
+            limits.list_turn.max(limits.again)
+        } else {
+            limits.again
+        };
         Backoff::new(least, limits.list_most, seed)
     }
 
@@ -56,16 +65,26 @@
     fn a_herd_comes_apart() {
         let herd = |least: u64, most: u64, spread: bool| {
             let time = Duration::from_millis;
-            let mut limiters: Vec<_> =
-                (0..100).map(|seed| Backoff::new(time(least), time(most), seed)).collect();
+            let mut limiters: Vec<_> = (0..100)
+                .map(|seed| Backoff::new(time(least), time(most), seed))
+                .collect();
             let mut due: Vec<_> = limiters
                 .iter_mut()
-                .map(|backoff| Some(if spread { backoff.first() } else { Duration::ZERO }))
+                .map(|backoff| {
+                    Some(if spread {
+                        backoff.first()
+                    } else {
+                        Duration::ZERO
+                    })
+                })
                 .collect();
             let (mut free, mut failed) = (Duration::ZERO, 0);
             // Until 30 s are over, the next call to come is answered in its turn or fails.
-            while let Some((at, one)) =
-                due.iter().zip(0..).filter_map(|(due, one)| Some(((*due)?, one))).min()
+            while let Some((at, one)) = due
+                .iter()
+                .zip(0..)
+                .filter_map(|(due, one)| Some(((*due)?, one)))
+                .min()
             {
                 if at > time(30_000) {
                     break;
--- a/src/net/discovery/crossings.rs
+++ b/src/net/discovery/crossings.rs
@@ -15,10 +15,17 @@
 async fn call(mut stream: TcpStream) -> Option<Call> {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
-        stream.read_buf(&mut text).await.ok().filter(|count| *count > 0)?;
+        stream
+            .read_buf(&mut text)
+            .await
+            .ok()
+            .filter(|count| *count > 0)?;
     }
     let text = String::from_utf8(text).expect("text");
-    Some(Call { stream, path: text.split(' ').nth(1).expect("a path").to_owned() })
+    Some(Call {
+        stream,
+        path: text.split(' ').nth(1).expect("a path").to_owned(),
+    })
 }
 
 /// The next call, on a connection of its own.
@@ -39,7 +46,10 @@
             "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
         );
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        self.stream.write_all((head + &body).as_bytes()).await.expect("the limiter reads");
+        self.stream
+            .write_all((head + &body).as_bytes())
+            .await
+            .expect("the limiter reads");
         self.stream
     }
 
@@ -51,7 +61,9 @@
 /// The next list that the module would be told.
 async fn told(limiter: &Rc<Limiter>) -> (u64, HostState) {
     match next(limiter).await {
-        Event::Hosts { version, entries, .. } => (version, entries[0].state),
+        Event::Hosts {
+            version, entries, ..
+        } => (version, entries[0].state),
         other => panic!("{other:?}"),
     }
 }
@@ -70,8 +82,16 @@
 /// its answer, within 2 s of the end of its wait.
 #[test]
 fn the_longest_pause_fits_into_the_time_after_which_a_change_is_told() {
-    for (limiters, mode) in [(1, "push"), (300, "push"), (1, "ask"), (3, "ask"), (100, "ask"), (300, "ask")] {
-        let text = include_str!("../../../examples/toy.json").replace("\"push\"", &format!("\"{mode}\""));
+    for (limiters, mode) in [
+        (1, "push"),
+        (300, "push"),
+        (1, "ask"),
+        (3, "ask"),
+        (100, "ask"),
+        (300, "ask"),
+    ] {
+        let text =
+            include_str!("../../../examples/toy.json").replace("\"push\"", &format!("\"{mode}\""));
         let text = text.replace("\"balancers\": 1", &format!("\"balancers\": {limiters}"));
         let limits = read(&text, |_| None).expect("sound").limits;
         assert_eq!(limits.list_by_asking, mode == "ask");
@@ -79,7 +99,10 @@
         for _ in 0..1_000 {
             longest = longest.max(backoff.after_failure());
         }
-        assert!(longest > Duration::from_secs(2), "it was drawn from the widest bound");
+        assert!(
+            longest > Duration::from_secs(2),
+            "it was drawn from the widest bound"
+        );
         assert!(
             longest + limits.connect.get() + limits.watch_slack < TOLD,
             "{limiters} by {mode}: {longest:?}"
@@ -89,7 +112,9 @@
             assert!(limits.check + limits.check_time < TOLD);
         } else {
             // Nothing but the watch tells there: with few limiters it is over in time by itself.
-            assert!(limiters > 3 || limits.watch + limits.watch_slack + limits.connect.get() < TOLD);
+            assert!(
+                limiters > 3 || limits.watch + limits.watch_slack + limits.connect.get() < TOLD
+            );
         }
     }
 }
@@ -98,117 +123,178 @@
 /// opened anew.
 #[test]
 fn a_silent_watch_is_opened_anew_once_it_is_found_behind() {
-    with_limiter(&[("127.0.0.1:7001", "127.77.0.40:7001")], |limiter| async move {
-        let discovery = TcpListener::bind("127.77.0.40:7001").await.expect("the address is free");
-        follows(&limiter);
-        let first = accept(&discovery).await.answer(4, true, "SERVING").await;
-        let watch = call(first).await.expect("the watch goes on");
-        assert!(watch.path.contains("index=4"), "{}", watch.path);
-        assert_eq!(told(&limiter).await, (4, HostState::Ready));
-        let changed = Instant::now();
-        drop(accept(&discovery).await.answer(5, true, "DRAINING").await);
-        assert_eq!(told(&limiter).await, (5, HostState::Draining));
-        assert!(changed.elapsed() < TOLD);
-        // The next connections are a check or the new watch, whichever comes first; the watch goes on from there.
-        let again = loop {
-            let call = accept(&discovery).await;
-            let stream = call.answer(5, true, "DRAINING").await;
-            if let Some(watch) = self::call(stream).await {
-                break watch;
-            }
-        };
-        assert!(again.path.contains("index=5"), "{}", again.path);
-        assert!(changed.elapsed() < TOLD, "long before the wait of the silent one is over");
-        drop(watch);
-    });
+    with_limiter(
+        &[("127.0.0.1:7001", "127.77.0.40:7001")],
+        |limiter| async move {
+            let discovery = TcpListener::bind("127.77.0.40:7001")
+                .await
+                .expect("the address is free");
+            follows(&limiter);
+            let first = accept(&discovery).await.answer(4, true, "SERVING").await;
+            let watch = call(first).await.expect("the watch goes on");
+            assert!(watch.path.contains("index=4"), "{}", watch.path);
+            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            let changed = Instant::now();
+            drop(accept(&discovery).await.answer(5, true, "DRAINING").await);
+            assert_eq!(told(&limiter).await, (5, HostState::Draining));
+            assert!(changed.elapsed() < TOLD);
+            // The next connections are a check or the new watch, whichever comes first; the watch goes on from there.
+            let again = loop {
+                let call = accept(&discovery).await;
+                let stream = call.answer(5, true, "DRAINING").await;
+                if let Some(watch) = self::call(stream).await {
+                    break watch;
+                }
+            };
+            assert!(again.path.contains("index=5"), "{}", again.path);
+            assert!(
+                changed.elapsed() < TOLD,
+                "long before the wait of the silent one is over"
+            );
+            drop(watch);
+        },
+    );
 }
 
 /// Where discovery is asked: a watch falls silent, its connection open; within 2 s of the end of its wait it is opened anew,
 /// without a pause, and asks from the list held.
 #[test]
 fn where_discovery_is_asked_a_silent_watch_is_opened_anew_in_time() {
-    with_limiter(&[("127.0.0.1:7001", "127.77.0.41:7001"), ("\"push\"", "\"ask\"")], |limiter| async move {
-        let discovery = TcpListener::bind("127.77.0.41:7001").await.expect("the address is free");
-        follows(&limiter);
-        let first = accept(&discovery).await;
-        assert!(first.is_watch(), "{}", first.path);
-        let silent = call(first.answer(4, true, "SERVING").await).await.expect("the watch goes on");
-        let began = Instant::now();
-        let again = accept(&discovery).await;
-        assert!(again.path.contains("index=4"), "{}", again.path);
-        drop(again.answer(5, false, "DRAINING").await);
-        assert_eq!(told(&limiter).await, (4, HostState::Ready));
-        assert_eq!(told(&limiter).await, (5, HostState::Draining));
-        assert!(began.elapsed() < TOLD, "after {:?}", began.elapsed());
-        assert!(began.elapsed() >= limiter.limits.watch, "it had its wait");
-        drop(silent);
-    });
+    with_limiter(
+        &[
+            ("127.0.0.1:7001", "127.77.0.41:7001"),
+            ("\"push\"", "\"ask\""),
+        ],
+        |limiter| async move {
+            let discovery = TcpListener::bind("127.77.0.41:7001")
+                .await
+                .expect("the address is free");
+            follows(&limiter);
+            let first = accept(&discovery).await;
+            assert!(first.is_watch(), "{}", first.path);
+            let silent = call(first.answer(4, true, "SERVING").await)
+                .await
+                .expect("the watch goes on");
+            let began = Instant::now();
+            let again = accept(&discovery).await;
+            assert!(again.path.contains("index=4"), "{}", again.path);
+            drop(again.answer(5, false, "DRAINING").await);
+            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            assert_eq!(told(&limiter).await, (5, HostState::Draining));
+            assert!(began.elapsed() < TOLD, "after {:?}", began.elapsed());
+            assert!(began.elapsed() >= limiter.limits.watch, "it had its wait");
+            drop(silent);
+        },
+    );
 }
 
 /// A look at the whole list is answered late, after the watch told something newer: it changes nothing. Once discovery goes
 /// back for good it has begun anew, and what it says then holds.
 #[test]
 fn an_old_answer_undoes_nothing_and_a_new_beginning_is_understood() {
-    with_limiter(&[("127.0.0.1:7001", "127.77.0.42:7001")], |limiter| async move {
-        let discovery = TcpListener::bind("127.77.0.42:7001").await.expect("the address is free");
-        follows(&limiter);
-        let watch =
-            call(accept(&discovery).await.answer(4, true, "SERVING").await).await.expect("it goes on");
-        assert_eq!(told(&limiter).await, (4, HostState::Ready));
-        let look = accept(&discovery).await;
-        assert!(!look.is_watch());
-        let watch = call(watch.answer(6, false, "DRAINING").await).await.expect("it goes on");
-        assert_eq!(told(&limiter).await, (6, HostState::Draining));
-        // Asked for before the newer one came: it says nothing of what discovery holds now.
-        drop(look.answer(2, true, "SERVING").await);
-        for version in [2, 6, 2] {
-            drop(accept(&discovery).await.answer(version, true, "SERVING").await);
-        }
-        let last = accept(&discovery).await;
-        assert!(
-            limiter.engine.borrow_mut().untold().is_none(),
-            "nothing yet: no two answers in a row went back"
-        );
-        drop(last.answer(2, true, "SERVING").await);
-        assert_eq!(told(&limiter).await, (2, HostState::Ready));
-        drop(watch);
-    });
+    with_limiter(
+        &[("127.0.0.1:7001", "127.77.0.42:7001")],
+        |limiter| async move {
+            let discovery = TcpListener::bind("127.77.0.42:7001")
+                .await
+                .expect("the address is free");
+            follows(&limiter);
+            let watch = call(accept(&discovery).await.answer(4, true, "SERVING").await)
+                .await
+                .expect("it goes on");
+            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            let look = accept(&discovery).await;
+            assert!(!look.is_watch());
+            let watch = call(watch.answer(6, false, "DRAINING").await)
+                .await
+                .expect("it goes on");
+            assert_eq!(told(&limiter).await, (6, HostState::Draining));
+            // Asked for before the newer one came: it says nothing of what discovery holds now.
+            drop(look.answer(2, true, "SERVING").await);
+            for version in [2, 6, 2] {
+                drop(
+                    accept(&discovery)
+                        .await
+                        .answer(version, true, "SERVING")
+                        .await,
+                );
+            }
+            let last = accept(&discovery).await;
+            assert!(
+                limiter.engine.borrow_mut().untold().is_none(),
+                "nothing yet: no two answers in a row went back"
+            );
+            drop(last.answer(2, true, "SERVING").await);
+            assert_eq!(told(&limiter).await, (2, HostState::Ready));
+            drop(watch);
+        },
+    );
 }
 
 /// Changes that are older than the list held change nothing; the whole list is asked for.
 #[test]
 fn changes_to_a_list_that_is_not_held_are_left_alone() {
-    with_limiter(&[("127.0.0.1:7001", "127.77.0.43:7001"), ("\"push\"", "\"ask\"")], |limiter| async move {
-        let discovery = TcpListener::bind("127.77.0.43:7001").await.expect("the address is free");
-        follows(&limiter);
-        let watch =
-            call(accept(&discovery).await.answer(4, true, "SERVING").await).await.expect("it goes on");
-        assert_eq!(told(&limiter).await, (4, HostState::Ready));
-        let whole = call(watch.answer(3, false, "DRAINING").await).await.expect("it goes on");
-        assert_eq!(whole.path, "/discovery/hosts");
-        let watch = call(whole.answer(7, true, "SERVING").await).await.expect("it goes on");
-        assert_eq!(told(&limiter).await, (7, HostState::Ready));
-        assert!(watch.path.contains("index=7"), "{}", watch.path);
-    });
+    with_limiter(
+        &[
+            ("127.0.0.1:7001", "127.77.0.43:7001"),
+            ("\"push\"", "\"ask\""),
+        ],
+        |limiter| async move {
+            let discovery = TcpListener::bind("127.77.0.43:7001")
+                .await
+                .expect("the address is free");
+            follows(&limiter);
+            let watch = call(accept(&discovery).await.answer(4, true, "SERVING").await)
+                .await
+                .expect("it goes on");
+            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            let whole = call(watch.answer(3, false, "DRAINING").await)
+                .await
+                .expect("it goes on");
+            assert_eq!(whole.path, "/discovery/hosts");
+            let watch = call(whole.answer(7, true, "SERVING").await)
+                .await
+                .expect("it goes on");
+            assert_eq!(told(&limiter).await, (7, HostState::Ready));
+            assert!(watch.path.contains("index=7"), "{}", watch.path);
+        },
+    );
 }
 
 /// A discovery that answers the call for the whole list with old changes is asked again on another connection, after a
 /// pause, and not for ever on this one.
 #[test]
 fn a_discovery_that_never_tells_the_whole_list_is_not_asked_without_a_pause() {
-    with_limiter(&[("127.0.0.1:7001", "127.77.0.44:7001"), ("\"push\"", "\"ask\"")], |limiter| async move {
-        let discovery = TcpListener::bind("127.77.0.44:7001").await.expect("the address is free");
-        follows(&limiter);
-        let watch =
-            call(accept(&discovery).await.answer(4, true, "SERVING").await).await.expect("it goes on");
-        let whole = call(watch.answer(3, false, "DRAINING").await).await.expect("it goes on");
-        let ended = call(whole.answer(3, false, "DRAINING").await);
-        assert!(
-            timeout(TOLD, ended).await.expect("it does not wait").is_none(),
-            "no further call on this one"
-        );
-        assert!(timeout(TOLD, accept(&discovery)).await.expect("it comes again").is_watch());
-        assert_eq!(told(&limiter).await, (4, HostState::Ready));
-        assert!(limiter.engine.borrow_mut().untold().is_none());
-    });
+    with_limiter(
+        &[
+            ("127.0.0.1:7001", "127.77.0.44:7001"),
+            ("\"push\"", "\"ask\""),
+        ],
+        |limiter| async move {
+            let discovery = TcpListener::bind("127.77.0.44:7001")
+                .await
+                .expect("the address is free");
+            follows(&limiter);
+            let watch = call(accept(&discovery).await.answer(4, true, "SERVING").await)
+                .await
+                .expect("it goes on");
+            let whole = call(watch.answer(3, false, "DRAINING").await)
+                .await
+                .expect("it goes on");
+            let ended = call(whole.answer(3, false, "DRAINING").await);
+            assert!(
+                timeout(TOLD, ended)
+                    .await
+                    .expect("it does not wait")
+                    .is_none(),
+                "no further call on this one"
+            );
+            assert!(timeout(TOLD, accept(&discovery))
+                .await
+                .expect("it comes again")
+                .is_watch());
+            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            assert!(limiter.engine.borrow_mut().untold().is_none());
+        },
+    );
 }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -85,11 +85,24 @@
     }
 
     fn read(&mut self, list: &Value) -> Result<List, String> {
-        let version = list.get("generation").and_then(Value::as_u64).ok_or("generation: not a number")?;
-        let whole = list.get("reset").and_then(Value::as_bool).ok_or("reset: neither true nor false")?;
-        let entries = list.get("instances").and_then(Value::as_array).ok_or("instances: not a list")?;
+        let version = list
+            .get("generation")
+            .and_then(Value::as_u64)
+            .ok_or("generation: not a number")?;
+        let whole = list
+            .get("reset")
+            .and_then(Value::as_bool)
+            .ok_or("reset: neither true nor false")?;
+        let entries = list
+            .get("instances")
+            .and_then(Value::as_array)
+            .ok_or("instances: not a list")?;
         let entries: Result<_, _> = entries.iter().map(|entry| self.entry(entry)).collect();
-        Ok(List { version, whole, entries: entries? })
+        Ok(List {
+            version,
+            whole,
+            entries: entries?,
+        })
     }
 
     fn entry(&mut self, entry: &Value) -> Result<(String, HostEntry, SocketAddr), String> {
@@ -98,8 +111,9 @@
             text.ok_or_else(|| format!("instances: {key} is missing or no text in {entry}"))
         };
         let count = |key: &str| entry.get(key).and_then(Value::as_u64).unwrap_or(0);
-        let address =
-            text("hostPort")?.parse().map_err(|_| format!("instances: hostPort is no address in {entry}"))?;
+        let address = text("hostPort")?
+            .parse()
+            .map_err(|_| format!("instances: hostPort is no address in {entry}"))?;
         let state = match text("lifecycle")? {
             "SERVING" => HostState::Ready,
             "DELETED" => HostState::Gone,
@@ -109,10 +123,27 @@
         let name = text("instanceId")?;
         let host = self.id(name);
         let weight = entry.get("weight").and_then(Value::as_f64).unwrap_or(0.0);
-        let (zone, kind) =
-            (index(&mut self.zones, text("zone")?), index(&mut self.kinds, text("machineType")?));
-        let (cell, started) = (count("cell") as u32, count("startedAtMs").saturating_mul(1_000_000));
-        Ok((name.to_owned(), HostEntry { host, state, cell, zone, kind, started, weight }, address))
+        let (zone, kind) = (
+            index(&mut self.zones, text("zone")?),
+            index(&mut self.kinds, text("machineType")?),
+        );
+        let (cell, started) = (
+            count("cell") as u32,
+            count("startedAtMs").saturating_mul(1_000_000),
+        );
+        Ok((
+            name.to_owned(),
+            HostEntry {
+                host,
+                state,
+                cell,
+                zone,
+                kind,
+                started,
+                weight,
+            },
+            address,
+        ))
     }
 
     /// The number of a host: a hash of its name, the same at every limiter and after a restart; where two names
@@ -121,9 +152,9 @@
         if let Some(id) = self.ids.get(name) {
             return *id;
         }
-        let hash = name
-            .bytes()
-            .fold(0x811c_9dc5_u32, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193));
+        let hash = name.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
+            (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+        });
         let mut id = HostId(hash);
         while !self.taken.insert(id) {
             id = HostId(id.0.wrapping_add(1));
@@ -134,7 +165,9 @@
 
     /// The number by which the module knows a zone that new settings number in an order of their own.
     pub fn zone(&mut self, names: &[String], number: u32) -> u32 {
-        names.get(number as usize).map_or(number, |name| index(&mut self.zones, name))
+        names
+            .get(number as usize)
+            .map_or(number, |name| index(&mut self.zones, name))
     }
 
     /// The names of zones, by their numbers.
@@ -144,7 +177,8 @@
 
     /// The list held, in discovery's form.
     pub fn list(&self) -> Value {
-        let name = |names: &[String], number: u32| names.get(number as usize).cloned().unwrap_or_default();
+        let name =
+            |names: &[String], number: u32| names.get(number as usize).cloned().unwrap_or_default();
         let entries = self.told.iter().map(|(id, (entry, address))| {
             let state = match entry.state {
                 HostState::Ready => "SERVING",
@@ -169,8 +203,16 @@
 /// Takes the list that the configuration holds, the first thing the module is told.
 pub fn restore(limiter: &Rc<Limiter>, known: &Value) -> Result<(), String> {
     let list = match known {
-        Value::Null => List { version: 0, whole: true, entries: Vec::new() },
-        known => limiter.endpoints.borrow_mut().read(known).map_err(|e| format!("known.{e}"))?,
+        Value::Null => List {
+            version: 0,
+            whole: true,
+            entries: Vec::new(),
+        },
+        known => limiter
+            .endpoints
+            .borrow_mut()
+            .read(known)
+            .map_err(|e| format!("known.{e}"))?,
     };
     apply(limiter, list, ListMode::Restored);
     Ok(())
@@ -178,7 +220,9 @@
 
 /// Takes a list in. What staff said of a server goes before what it says, here and nowhere else.
 fn apply(limiter: &Rc<Limiter>, list: List, mode: ListMode) {
-    let List { version, entries, .. } = list;
+    let List {
+        version, entries, ..
+    } = list;
     let mut endpoints = limiter.endpoints.borrow_mut();
     endpoints.version = version;
     endpoints.answered |= mode != ListMode::Restored;
@@ -188,7 +232,9 @@
         endpoints.told.clear();
     }
     for (name, entry, address) in &entries {
-        endpoints.told.insert(name.clone(), (entry.clone(), *address));
+        endpoints
+            .told
+            .insert(name.clone(), (entry.clone(), *address));
     }
     drop(endpoints);
     let mut bans = limiter.bans.borrow_mut();
@@ -206,16 +252,29 @@
     let mut endpoints = limiter.endpoints.borrow_mut();
     endpoints.ids.retain(|_, id| limiter.upstream.knows(*id));
     endpoints.taken.retain(|id| limiter.upstream.knows(*id));
-    endpoints.told.retain(|_, (entry, _)| limiter.upstream.knows(entry.host));
+    endpoints
+        .told
+        .retain(|_, (entry, _)| limiter.upstream.knows(entry.host));
 }
 
-fn tell(limiter: &Rc<Limiter>, version: u64, mode: ListMode, entries: Vec<(HostEntry, SocketAddr)>) {
-    entries.iter().for_each(|(entry, address)| limiter.upstream.learn(entry, *address));
+fn tell(
+    limiter: &Rc<Limiter>,
+    version: u64,
+    mode: ListMode,
+    entries: Vec<(HostEntry, SocketAddr)>,
+) {
+    entries
+        .iter()
+        .for_each(|(entry, address)| limiter.upstream.learn(entry, *address));
     let entries: Vec<_> = entries.into_iter().map(|(entry, _)| entry).collect();
     if mode != ListMode::Update {
         limiter.upstream.keep_only(&entries);
     }
-    limiter.tell(Event::Hosts { version, mode, entries });
+    limiter.tell(Event::Hosts {
+        version,
+        mode,
+        entries,
+    });
     limiter.upstream.forget(&limiter.limits);
 }
 
@@ -277,9 +336,14 @@
 pub async fn check(limiter: Rc<Limiter>) {
     loop {
         sleep(limiter.limits.check).await;
-        let (address, taken_in) = (limiter.addresses.borrow().discovery, limiter.endpoints.borrow().taken_in);
+        let (address, taken_in) = (
+            limiter.addresses.borrow().discovery,
+            limiter.endpoints.borrow().taken_in,
+        );
         // Whatever fails here the watch meets too, and tells.
-        if let Ok(Ok(list)) = timeout(limiter.limits.check_time, whole_list(&limiter, address)).await {
+        if let Ok(Ok(list)) =
+            timeout(limiter.limits.check_time, whole_list(&limiter, address)).await
+        {
             let moved = limiter.addresses.borrow().discovery != address;
             let mut endpoints = limiter.endpoints.borrow_mut();
             let news = !moved && list.whole && endpoints.is_news(&list, taken_in);
@@ -312,27 +376,48 @@
 }
 
 async fn whole_list(limiter: &Rc<Limiter>, address: SocketAddr) -> Result<List, String> {
-    let mut stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
-    let call = format!("GET /discovery/hosts HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
+    let mut stream = TcpStream::connect(address)
+        .await
+        .map_err(|e| e.to_string())?;
+    let call =
+        format!("GET /discovery/hosts HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    stream
+        .write_all(call.as_bytes())
+        .await
+        .map_err(|e| e.to_string())?;
     let limits = &limiter.limits;
     let answer = answer(&mut stream, &mut Vec::new(), limits.check_time, limits).await;
-    let list = serde_json::from_slice(&answer.map_err(|e| e.to_string())?.0).map_err(|e| e.to_string())?;
+    let list =
+        serde_json::from_slice(&answer.map_err(|e| e.to_string())?.0).map_err(|e| e.to_string())?;
     limiter.endpoints.borrow_mut().read(&list)
 }
 
-async fn watch(limiter: &Rc<Limiter>, address: SocketAddr, backoff: &mut Backoff) -> Result<(), Lost> {
+async fn watch(
+    limiter: &Rc<Limiter>,
+    address: SocketAddr,
+    backoff: &mut Backoff,
+) -> Result<(), Lost> {
     let limits = &limiter.limits;
     let connect = timeout(limits.connect.get(), TcpStream::connect(address)).await;
-    let mut stream = connect.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
+    let mut stream = connect
+        .map_err(|e| e.to_string())?
+        .map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
     let mut input = Vec::new();
-    let news = |version| format!("/discovery/hosts?index={version}&wait={}", limits.watch.as_millis());
+    let news = |version| {
+        format!(
+            "/discovery/hosts?index={version}&wait={}",
+            limits.watch.as_millis()
+        )
+    };
     let whole = || ("/discovery/hosts".to_owned(), limits.watch_slack);
     // Where discovery is to be asked, the whole list is dear, and given to nobody while many ask: the watch begins
     // with what changed since the list held.
     let (mut path, mut patience) = if limits.list_by_asking {
-        (news(limiter.endpoints.borrow().version), limits.watch + limits.watch_slack)
+        (
+            news(limiter.endpoints.borrow().version),
+            limits.watch + limits.watch_slack,
+        )
     } else {
         whole()
     };
@@ -341,20 +426,34 @@
         let taken_in = limiter.endpoints.borrow().taken_in;
         let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         // Guards against asking without a pause where each connection is lost right after its first answer.
-        let lost = |text: String| Lost { text, alone: answered && began.elapsed() >= limits.check };
-        stream.write_all(call.as_bytes()).await.map_err(|e| lost(e.to_string()))?;
-        let (body, lasts) =
-            answer(&mut stream, &mut input, patience, limits).await.map_err(|e| lost(e.to_string()))?;
+        let lost = |text: String| Lost {
+            text,
+            alone: answered && began.elapsed() >= limits.check,
+        };
+        stream
+            .write_all(call.as_bytes())
+            .await
+            .map_err(|e| lost(e.to_string()))?;
+        let (body, lasts) = answer(&mut stream, &mut input, patience, limits)
+            .await
+            .map_err(|e| lost(e.to_string()))?;
         let list: Value = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
         let list = limiter.endpoints.borrow_mut().read(&list)?;
         let asked = std::mem::replace(&mut path, news(list.version));
         patience = limits.watch + limits.watch_slack;
         let mut endpoints = limiter.endpoints.borrow_mut();
-        let (is_news, older) = (endpoints.is_news(&list, taken_in), list.version < endpoints.version);
+        let (is_news, older) = (
+            endpoints.is_news(&list, taken_in),
+            list.version < endpoints.version,
+        );
         drop(endpoints);
         let list_is_whole = list.whole;
         if is_news {
-            let mode = if list.whole { ListMode::Replace } else { ListMode::Update };
+            let mode = if list.whole {
+                ListMode::Replace
+            } else {
+                ListMode::Update
+            };
             apply(limiter, list, mode);
         } else if older {
             // Changes to a list that is not held: the whole one is asked for.
@@ -365,9 +464,11 @@
             (path, patience) = whole();
             // Guards against asking without a pause a discovery that answers the call for all with old changes.
             if asked == path && !list_is_whole {
-                return Err("the call for the whole list is answered with changes that are old"
-                    .to_owned()
-                    .into());
+                return Err(
+                    "the call for the whole list is answered with changes that are old"
+                        .to_owned()
+                        .into(),
+                );
             }
         }
         backoff.answered();
@@ -380,15 +481,26 @@
 
 /// Reads one answer; its body, and whether the connection lasts.
 async fn answer(
-    stream: &mut TcpStream, input: &mut Vec<u8>, patience: Duration, limits: &Limits,
+    stream: &mut TcpStream,
+    input: &mut Vec<u8>,
+    patience: Duration,
+    limits: &Limits,
 ) -> io::Result<(Vec<u8>, bool)> {
     let whole = async {
         loop {
-            if let Some(Response { status, body, length, lasts }) = response(input, limits.list_bytes)? {
+            if let Some(Response {
+                status,
+                body,
+                length,
+                lasts,
+            }) = response(input, limits.list_bytes)?
+            {
                 input.drain(..length);
                 return match status {
                     200 => Ok((body, lasts)),
-                    _ => Err(io::Error::other(format!("discovery answers with status {status}"))),
+                    _ => Err(io::Error::other(format!(
+                        "discovery answers with status {status}"
+                    ))),
                 };
             }
             if stream.read_buf(input).await? == 0 {
@@ -396,7 +508,9 @@
             }
         }
     };
-    timeout(patience, whole).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+    timeout(patience, whole)
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
 
 /// The answer at the start of `bytes`, if it is whole: its status, body and length, and whether the connection
@@ -414,7 +528,10 @@
         return bad("discovery's answer is no text");
     };
     let mut lines = head.split("\r\n");
-    let status = lines.next().and_then(|line| line.strip_prefix("HTTP/1.")).and_then(|line| line.get(2..5));
+    let status = lines
+        .next()
+        .and_then(|line| line.strip_prefix("HTTP/1."))
+        .and_then(|line| line.get(2..5));
     let Some(status) = status.and_then(|code| code.parse().ok()) else {
         return bad("discovery speaks no HTTP/1");
     };
@@ -445,11 +562,17 @@
     let (mut body, mut at) = (Vec::new(), start);
     loop {
         let Some(line) = bytes[at..].windows(2).position(|two| two == b"\r\n") else {
-            return if bytes.len() - at > 64 { bad("a chunk has no length") } else { Ok(None) };
+            return if bytes.len() - at > 64 {
+                bad("a chunk has no length")
+            } else {
+                Ok(None)
+            };
         };
         let text = std::str::from_utf8(&bytes[at..at + line]).unwrap_or_default();
         let size = usize::from_str_radix(text.split(';').next().unwrap_or_default().trim(), 16);
-        let Ok(size) = size else { return bad("a chunk has no length") };
+        let Ok(size) = size else {
+            return bad("a chunk has no length");
+        };
         if size > most || body.len() + size > most {
             return bad("discovery's answer is too long");
         }
@@ -463,7 +586,12 @@
         }
         at += size + 2;
         if size == 0 {
-            return Ok(Some(Response { status, body, length: at, lasts }));
+            return Ok(Some(Response {
+                status,
+                body,
+                length: at,
+                lasts,
+            }));
         }
     }
 }
@@ -483,14 +611,20 @@
             r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"{name}","zone":"a",
             "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"SERVING"}}]}}"#
         );
-        let list = limiter.endpoints.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+        let list = limiter
+            .endpoints
+            .borrow_mut()
+            .read(&serde_json::from_str(&text).expect("JSON"));
         apply(limiter, list.expect("a list"), ListMode::Replace);
     }
 
     /// The same number for a name at every limiter, and never one for two names.
     #[test]
     fn hosts_keep_their_numbers_and_share_none() {
-        let (mut one, mut two) = (EndpointList::new(vec![], vec![]), EndpointList::new(vec![], vec![]));
+        let (mut one, mut two) = (
+            EndpointList::new(vec![], vec![]),
+            EndpointList::new(vec![], vec![]),
+        );
         assert_eq!(one.id("s-5be2a07c"), two.id("s-5be2a07c"));
         let taken = two.id("s-1");
         let mut three = EndpointList::new(vec![], vec![]);
@@ -504,15 +638,29 @@
         let mut endpoints = EndpointList::new(vec!["a".into()], vec!["m1".into()]);
         let text = r#"{"generation":4,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:5",
             "zone":"b","machineType":"m1","cell":3,"lifecycle":"DRAINING","weight":1.5,"startedAtMs":1700000000000}]}"#;
-        let list = endpoints.read(&serde_json::from_str(text).expect("JSON")).expect("a list");
+        let list = endpoints
+            .read(&serde_json::from_str(text).expect("JSON"))
+            .expect("a list");
         let entry = &list.entries[0].1;
         assert_eq!(
-            (list.version, list.whole, entry.state, entry.zone, entry.kind),
+            (
+                list.version,
+                list.whole,
+                entry.state,
+                entry.zone,
+                entry.kind
+            ),
             (4, false, HostState::Draining, 1, 0)
         );
-        assert_eq!((entry.cell, entry.started, entry.weight), (3, 1_700_000_000_000_000_000, 1.5));
+        assert_eq!(
+            (entry.cell, entry.started, entry.weight),
+            (3, 1_700_000_000_000_000_000, 1.5)
+        );
         let faulty = text.replace("127.0.0.1:5", "nowhere");
-        let problem = endpoints.read(&serde_json::from_str(&faulty).expect("JSON")).err().expect("a fault");
+        let problem = endpoints
+            .read(&serde_json::from_str(&faulty).expect("JSON"))
+            .err()
+            .expect("a fault");
         assert!(problem.starts_with("instances: hostPort"), "{problem}");
     }
 
@@ -525,34 +673,57 @@
                 r#"{{"generation":{version},"reset":true,"instances":[{{"instanceId":"s-1","zone":"a",
                 "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
             );
-            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+            format!(
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
         };
-        crate::net::tests::with_limiter(&[("127.0.0.1:7001", "127.77.0.24:7001")], |limiter| async move {
-            let discovery = TcpListener::bind("127.77.0.24:7001").await.expect("the address is free");
-            spawn(follow(limiter.clone(), Backoff::of(&limiter.limits, 1)));
-            spawn(check(limiter.clone()));
-            let mut watches = Vec::new();
-            let mut told = Vec::new();
-            // The first list, two that are no newer, and a newer one; the watch is never answered.
-            let answers = [(4, "SERVING"), (4, "DRAINING"), (3, "DRAINING"), (5, "DRAINING")];
-            for (version, state) in answers {
-                let (mut stream, _) = discovery.accept().await.expect("the limiter asks");
-                let mut call = vec![0; 512];
-                let count = stream.read(&mut call).await.expect("it asks");
-                assert!(call[..count].starts_with(b"GET /discovery/hosts HTTP"), "the whole list");
-                stream.write_all(text(version, state).as_bytes()).await.expect("the limiter reads");
-                watches.push(stream);
-            }
-            while told.len() < 2 {
-                match crate::net::tests::next(&limiter).await {
-                    Event::Hosts { version, mode: ListMode::Replace, entries } => {
-                        told.push((version, entries[0].state));
+        crate::net::tests::with_limiter(
+            &[("127.0.0.1:7001", "127.77.0.24:7001")],
+            |limiter| async move {
+                let discovery = TcpListener::bind("127.77.0.24:7001")
+                    .await
+                    .expect("the address is free");
+                spawn(follow(limiter.clone(), Backoff::of(&limiter.limits, 1)));
+                spawn(check(limiter.clone()));
+                let mut watches = Vec::new();
+                let mut told = Vec::new();
+                // The first list, two that are no newer, and a newer one; the watch is never answered.
+                let answers = [
+                    (4, "SERVING"),
+                    (4, "DRAINING"),
+                    (3, "DRAINING"),
+                    (5, "DRAINING"),
+                ];
+                for (version, state) in answers {
+                    let (mut stream, _) = discovery.accept().await.expect("the limiter asks");
+                    let mut call = vec![0; 512];
+                    let count = stream.read(&mut call).await.expect("it asks");
+                    assert!(
+                        call[..count].starts_with(b"GET /discovery/hosts HTTP"),
+                        "the whole list"
+                    );
+                    stream
+                        .write_all(text(version, state).as_bytes())
+                        .await
+                        .expect("the limiter reads");
+                    watches.push(stream);
+                }
+                while told.len() < 2 {
+                    match crate::net::tests::next(&limiter).await {
+                        Event::Hosts {
+                            version,
+                            mode: ListMode::Replace,
+                            entries,
+                        } => {
+                            told.push((version, entries[0].state));
+                        }
+                        other => panic!("{other:?}"),
                     }
-                    other => panic!("{other:?}"),
                 }
-            }
-            assert_eq!(told, [(4, HostState::Ready), (5, HostState::Draining)]);
-        });
+                assert_eq!(told, [(4, HostState::Ready), (5, HostState::Draining)]);
+            },
+        );
     }
 
     /// Two hundred times out and back, while discovery goes on saying the opposite: told as draining at once and for as
@@ -565,11 +736,18 @@
                     r#"{{"generation":{version},"reset":{whole},"instances":[{{"instanceId":"s-1","zone":"a",
                     "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
                 );
-                let list = limiter.endpoints.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+                let list = limiter
+                    .endpoints
+                    .borrow_mut()
+                    .read(&serde_json::from_str(&text).expect("JSON"));
                 apply(
                     &limiter,
                     list.expect("a list"),
-                    if whole { ListMode::Replace } else { ListMode::Update },
+                    if whole {
+                        ListMode::Replace
+                    } else {
+                        ListMode::Update
+                    },
                 );
             };
             let told = || {
@@ -611,17 +789,29 @@
             for name in 0..50 {
                 for state in ["SERVING", "DRAINING", "DELETED"] {
                     let text = list(3 * name, name, state);
-                    let list =
-                        limiter.endpoints.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+                    let list = limiter
+                        .endpoints
+                        .borrow_mut()
+                        .read(&serde_json::from_str(&text).expect("JSON"));
                     apply(&limiter, list.expect("a list"), ListMode::Update);
                 }
             }
             sleep(limiter.limits.drain.get()).await;
             let text = list(200, 50, "SERVING");
-            let list = limiter.endpoints.borrow_mut().read(&serde_json::from_str(&text).expect("JSON"));
+            let list = limiter
+                .endpoints
+                .borrow_mut()
+                .read(&serde_json::from_str(&text).expect("JSON"));
             apply(&limiter, list.expect("a list"), ListMode::Update);
             let endpoints = limiter.endpoints.borrow();
-            assert_eq!((endpoints.ids.len(), endpoints.taken.len(), endpoints.told.len()), (1, 1, 1));
+            assert_eq!(
+                (
+                    endpoints.ids.len(),
+                    endpoints.taken.len(),
+                    endpoints.told.len()
+                ),
+                (1, 1, 1)
+            );
         });
     }
 }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -25,8 +25,13 @@
 impl Clock {
     /// A clock read off the system's.
     pub fn new() -> Self {
-        let unix = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_nanos() as Nanos);
-        Clock { start: Instant::now(), unix }
+        let unix = SystemTime::UNIX_EPOCH
+            .elapsed()
+            .map_or(0, |age| age.as_nanos() as Nanos);
+        Clock {
+            start: Instant::now(),
+            unix,
+        }
     }
 
     /// What it shows at a moment.
@@ -199,7 +204,9 @@
 
     /// Lets the module take the next event and appends its actions; false where there is none.
     pub fn step(&mut self, actions: &mut Vec<Action>) -> bool {
-        let Some(mut event) = self.told.pop_front() else { return false };
+        let Some(mut event) = self.told.pop_front() else {
+            return false;
+        };
         if let Event::AttemptDone { id, over, .. } = &mut event {
             // Whether the request is over is a matter of this moment: what was told before may have ended it.
             *over |= !self.open.contains_key(id);
@@ -242,7 +249,8 @@
 
     /// Whether a request of this id is open or still out at a host.
     pub fn knows(&self, id: RequestId) -> bool {
-        self.open.contains_key(&id) || (0..self.most_attempts).any(|n| self.out.contains_key(&(id, n)))
+        self.open.contains_key(&id)
+            || (0..self.most_attempts).any(|n| self.out.contains_key(&(id, n)))
     }
 
     /// The tally of bytes held, to which fronts add what their clients have not taken.
@@ -252,16 +260,32 @@
 
     /// Holds a request until it is answered; returns its deadline.
     pub fn open(
-        &mut self, front: Rc<dyn Frontend>, place: u64, request: &mut Request, came: Instant,
+        &mut self,
+        front: Rc<dyn Frontend>,
+        place: u64,
+        request: &mut Request,
+        came: Instant,
     ) -> Instant {
         let payload = std::mem::replace(
             &mut request.payload,
-            Payload { bytes: Vec::new(), words: Vec::new(), wait: 0..0 },
+            Payload {
+                bytes: Vec::new(),
+                words: Vec::new(),
+                wait: 0..0,
+            },
         );
         let deadline = came + request.wait;
         self.held.set(self.held.get() + payload.bytes.len());
         let (payload, customer, units) = (Rc::new(payload), request.customer, request.units);
-        let open = Open { front, place, payload, customer, units, deadline, attempts: 0 };
+        let open = Open {
+            front,
+            place,
+            payload,
+            customer,
+            units,
+            deadline,
+            attempts: 0,
+        };
         self.open.insert(request.id, open);
         deadline
     }
@@ -271,7 +295,11 @@
     pub fn close(&mut self, id: RequestId) -> Option<(Rc<dyn Frontend>, u64)> {
         let open = self.open.remove(&id)?;
         for attempt in 0..open.attempts {
-            if let Some(cancel) = self.out.get(&(id, attempt)).filter(|cancel| !cancel.written.get()) {
+            if let Some(cancel) = self
+                .out
+                .get(&(id, attempt))
+                .filter(|cancel| !cancel.written.get())
+            {
                 cancel.asked.notify_one();
             }
         }
@@ -292,9 +320,15 @@
     /// Begins an attempt. `Err` is its number where it must not be made: the request is over, its time is, or
     /// it had all its attempts.
     pub fn begin(
-        &mut self, id: RequestId, host: HostId, (timeout, begins_within): (Nanos, Nanos), now: Instant,
+        &mut self,
+        id: RequestId,
+        host: HostId,
+        (timeout, begins_within): (Nanos, Nanos),
+        now: Instant,
     ) -> Result<HostCall, u32> {
-        let Some(open) = self.open.get_mut(&id) else { return Err(0) };
+        let Some(open) = self.open.get_mut(&id) else {
+            return Err(0);
+        };
         let attempt = open.attempts;
         open.attempts += 1;
         if attempt >= self.max_attempts || now >= open.deadline {
@@ -304,12 +338,27 @@
             0 => open.deadline,
             _ => open.deadline.min(now + Duration::from_nanos(timeout)),
         };
-        let begin_by = until.min(now.checked_add(Duration::from_nanos(begins_within)).unwrap_or(until));
+        let begin_by = until.min(
+            now.checked_add(Duration::from_nanos(begins_within))
+                .unwrap_or(until),
+        );
         let cancel = Rc::new(Cancellation::default());
         self.out.insert((id, attempt), cancel.clone());
         let used = (open.customer, open.units);
-        let command = HostCommand::Attempt { id, attempt, payload: open.payload.clone(), used };
-        Ok(HostCall { command, host, began: now, begin_by, until, cancel })
+        let command = HostCommand::Attempt {
+            id,
+            attempt,
+            payload: open.payload.clone(),
+            used,
+        };
+        Ok(HostCall {
+            command,
+            host,
+            began: now,
+            begin_by,
+            until,
+            cancel,
+        })
     }
 
     /// Takes an attempt back, if it is out.
@@ -342,9 +391,24 @@
     }
 
     pub(crate) fn request(id: u64) -> Request {
-        let payload = Payload { bytes: b"Q.ASKd=900,c=x".to_vec(), words: vec![0..5, 5..14], wait: 7..10 };
+        let payload = Payload {
+            bytes: b"Q.ASKd=900,c=x".to_vec(),
+            words: vec![0..5, 5..14],
+            wait: 7..10,
+        };
         let (id, customer, wait) = (RequestId(id), CustomerId(7), Duration::from_millis(900));
-        Request { id, class: 0, plan: 1, customer, units: 1.0, spread: 1, first: 0, flags: 0, wait, payload }
+        Request {
+            id,
+            class: 0,
+            plan: 1,
+            customer,
+            units: 1.0,
+            spread: 1,
+            first: 0,
+            flags: 0,
+            wait,
+            payload,
+        }
     }
 
     #[test]
@@ -352,7 +416,10 @@
         let (one, two, now) = (Clock::new(), Clock::new(), Instant::now());
         assert!(one.at(now).abs_diff(two.at(now)) < 50_000_000);
         assert!(one.at(now + Duration::from_millis(3)) >= one.at(now) + 3_000_000);
-        assert!(one.at(now) > 1_700_000_000_000_000_000, "Unix time, not time since the start");
+        assert!(
+            one.at(now) > 1_700_000_000_000_000_000,
+            "Unix time, not time since the start"
+        );
     }
 
     /// Numbers follow the orders, time-outs are cut to the deadline, and what must not be sent is not.
@@ -360,17 +427,35 @@
     fn attempts_keep_to_cap_and_deadline() {
         with_limiter(&[], |limiter| async move {
             let (mut engine, now) = (limiter.engine.borrow_mut(), Instant::now());
-            let deadline = engine.open(Rc::new(RecordingFrontend::default()), 0, &mut request(1), now);
+            let deadline = engine.open(
+                Rc::new(RecordingFrontend::default()),
+                0,
+                &mut request(1),
+                now,
+            );
             let host = HostId(5);
             for timeout in [0, 5_000_000_000, 1_000_000, 0] {
-                let relay =
-                    engine.begin(RequestId(1), host, (timeout, Nanos::MAX), now).expect("within the cap");
-                let until = if timeout == 1_000_000 { now + Duration::from_millis(1) } else { deadline };
+                let relay = engine
+                    .begin(RequestId(1), host, (timeout, Nanos::MAX), now)
+                    .expect("within the cap");
+                let until = if timeout == 1_000_000 {
+                    now + Duration::from_millis(1)
+                } else {
+                    deadline
+                };
                 assert_eq!(relay.until, until);
             }
             assert_eq!(engine.begin(RequestId(1), host, (0, 1), now).err(), Some(4));
-            engine.open(Rc::new(RecordingFrontend::default()), 0, &mut request(2), now);
-            assert_eq!(engine.begin(RequestId(2), host, (0, 1), deadline).err(), Some(0));
+            engine.open(
+                Rc::new(RecordingFrontend::default()),
+                0,
+                &mut request(2),
+                now,
+            );
+            assert_eq!(
+                engine.begin(RequestId(2), host, (0, 1), deadline).err(),
+                Some(0)
+            );
             assert_eq!(engine.begin(RequestId(3), host, (0, 1), now).err(), Some(0));
             // An id is in use until its last attempt has ended.
             engine.close(RequestId(1));
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -44,8 +44,10 @@
     #[test]
     fn a_second_front_needs_the_desk_alone() {
         with_limiter(&[], |limiter| async move {
-            let (frontend_context, front) =
-                (frontend_context(&limiter), Rc::new(RecordingFrontend::default()));
+            let (frontend_context, front) = (
+                frontend_context(&limiter),
+                Rc::new(RecordingFrontend::default()),
+            );
             frontend_context.entry.ask(front.clone(), 7, request(1));
             frontend_context.entry.ask(front.clone(), 8, request(2));
             // An id that is open already is no second request.
@@ -53,12 +55,21 @@
             assert_eq!(*front.0.borrow(), [(9, Answer::Failed)]);
             frontend_context.entry.leave(RequestId(2));
             super::super::stages::complete::give_up(&limiter, RequestId(1));
-            assert_eq!(front.0.borrow().as_slice(), [(9, Answer::Failed), (7, Answer::Failed)]);
+            assert_eq!(
+                front.0.borrow().as_slice(),
+                [(9, Answer::Failed), (7, Answer::Failed)]
+            );
             for expected in [1, 2] {
                 let event = next(&limiter).await;
-                assert!(matches!(event, Event::Request { id, .. } if id == RequestId(expected)), "{event:?}");
+                assert!(
+                    matches!(event, Event::Request { id, .. } if id == RequestId(expected)),
+                    "{event:?}"
+                );
             }
-            assert!(matches!(next(&limiter).await, Event::Abandoned { id: RequestId(2) }));
+            assert!(matches!(
+                next(&limiter).await,
+                Event::Abandoned { id: RequestId(2) }
+            ));
             assert_eq!(frontend_context.held.get(), 0);
         });
     }
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -100,8 +100,14 @@
 /// Writes what this process tells, if it has changed.
 pub fn publish(limiter: &Rc<Limiter>) {
     let hot_restart = &limiter.hot_restart;
-    let Some(folder) = &hot_restart.folder else { return };
-    let told = Some((limiter.bans.borrow().revision(), limiter.shutdown.switch(), hot_restart.serving.get()));
+    let Some(folder) = &hot_restart.folder else {
+        return;
+    };
+    let told = Some((
+        limiter.bans.borrow().revision(),
+        limiter.shutdown.switch(),
+        hot_restart.serving.get(),
+    ));
     if hot_restart.published.get() == told {
         return;
     }
@@ -119,9 +125,16 @@
     match write() {
         Ok(()) => {
             hot_restart.published.set(told);
-            hot_restart.ended.take().iter().for_each(|file| drop(fs::remove_file(file)));
+            hot_restart
+                .ended
+                .take()
+                .iter()
+                .for_each(|file| drop(fs::remove_file(file)));
         }
-        Err(e) => tracing::warn!("cannot tell a second process of this limiter in {}: {e}", folder.display()),
+        Err(e) => tracing::warn!(
+            "cannot tell a second process of this limiter in {}: {e}",
+            folder.display()
+        ),
     }
 }
 
@@ -133,22 +146,36 @@
 /// Takes in what other processes of this limiter tell; the word of one that has ended holds too.
 pub fn look(limiter: &Rc<Limiter>) {
     let hot_restart = &limiter.hot_restart;
-    let Some(folder) = &hot_restart.folder else { return };
+    let Some(folder) = &hot_restart.folder else {
+        return;
+    };
     let mut other = None;
-    let Ok(files) = fs::read_dir(folder) else { return };
+    let Ok(files) = fs::read_dir(folder) else {
+        return;
+    };
     for file in files.flatten() {
         let file = file.file_name().to_string_lossy().into_owned();
-        let Some(stem) = file.strip_suffix(".json").filter(|stem| stem.starts_with(PREFIX)) else {
+        let Some(stem) = file
+            .strip_suffix(".json")
+            .filter(|stem| stem.starts_with(PREFIX))
+        else {
             continue;
         };
         if stem == hot_restart.own {
             continue;
         }
-        let Ok(text) = fs::read_to_string(folder.join(&file)) else { continue };
+        let Ok(text) = fs::read_to_string(folder.join(&file)) else {
+            continue;
+        };
         let state = match State::read(&text, &hot_restart.name, &hot_restart.listen) {
             Ok(state) => state,
             Err(problem) => {
-                if hot_restart.seen.borrow_mut().insert(file.clone(), text).is_none() {
+                if hot_restart
+                    .seen
+                    .borrow_mut()
+                    .insert(file.clone(), text)
+                    .is_none()
+                {
                     tracing::warn!("{file} is left alone: {problem}");
                 }
                 continue;
@@ -161,7 +188,11 @@
         if alive && !state.serving && state.born > hot_restart.born && hot_restart.serving.get() {
             hand_over(limiter, folder, stem);
         }
-        let known = hot_restart.seen.borrow_mut().insert(file.clone(), text.clone()) == Some(text);
+        let known = hot_restart
+            .seen
+            .borrow_mut()
+            .insert(file.clone(), text.clone())
+            == Some(text);
         if !known {
             take(limiter, &state);
         }
@@ -184,7 +215,9 @@
     state.listed.iter().for_each(|name| bans.list(name));
     let changed = bans.merge(&state.words);
     drop(bans);
-    changed.iter().for_each(|name| discovery::judge_again(limiter, name));
+    changed
+        .iter()
+        .for_each(|name| discovery::judge_again(limiter, name));
     limiter.shutdown.say(|doors| doors.merge(state.drain));
 }
 
@@ -194,7 +227,10 @@
     if !hot_restart.heirs.borrow_mut().insert(heir.to_owned()) {
         return;
     }
-    let (endpoints, learned) = (limiter.endpoints.borrow(), limiter.engine.borrow().learned());
+    let (endpoints, learned) = (
+        limiter.endpoints.borrow(),
+        limiter.engine.borrow().learned(),
+    );
     let told = Heritage::new(
         &hot_restart.name,
         &hot_restart.listen,
@@ -207,16 +243,22 @@
         .and_then(|()| fs::rename(&draft, folder.join(format!("{heir}.{HERITAGE}"))));
     match written {
         Ok(()) => tracing::info!("a later process of this limiter is told what this one knows"),
-        Err(e) => tracing::warn!("a later process of this limiter starts without what this one knows: {e}"),
+        Err(e) => tracing::warn!(
+            "a later process of this limiter starts without what this one knows: {e}"
+        ),
     }
 }
 
 /// Takes what another process handed over, if it has; whether nothing more is to be waited for.
 pub fn inherit(limiter: &Rc<Limiter>) -> bool {
     let hot_restart = &limiter.hot_restart;
-    let Some(folder) = &hot_restart.folder else { return true };
+    let Some(folder) = &hot_restart.folder else {
+        return true;
+    };
     let file = folder.join(format!("{}.{HERITAGE}", hot_restart.own));
-    let Ok(text) = fs::read_to_string(&file) else { return false };
+    let Ok(text) = fs::read_to_string(&file) else {
+        return false;
+    };
     drop(fs::remove_file(&file));
     let mut told = match Heritage::read(&text, &hot_restart.name, &hot_restart.listen) {
         Ok(told) => told,
@@ -240,7 +282,9 @@
         customers = told.learned.customers.len(),
         "goes on from what the process before it knew"
     );
-    limiter.tell(Event::SnapshotInherited { learned: Box::new(told.learned) });
+    limiter.tell(Event::SnapshotInherited {
+        learned: Box::new(told.learned),
+    });
     true
 }
 
--- a/src/net/leases.rs
+++ b/src/net/leases.rs
@@ -6,7 +6,9 @@
 use super::task::spawn;
 use super::usage_export::{self, Exporter, Heard, UsageRecorder, MOST_AT_ONCE};
 use quartzcleat_config::lease::{Clock, Does, Lease, Task};
-use quartzcleat_lease::{turn, Act, Bidder, Body, Key, Message, Nanos, Terms, Token, Voter, MOST_BYTES};
+use quartzcleat_lease::{
+    turn, Act, Bidder, Body, Key, Message, Nanos, Terms, Token, Voter, MOST_BYTES,
+};
 use quartzcleat_usage_export::Message as Told;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -36,7 +38,10 @@
 
 impl Ticks {
     fn new(clock: Clock) -> Self {
-        Ticks { began: Instant::now(), rate: 1.0 + clock.fast as f64 / 1_000.0 }
+        Ticks {
+            began: Instant::now(),
+            rate: 1.0 + clock.fast as f64 / 1_000.0,
+        }
     }
 
     fn now(&self) -> Nanos {
@@ -77,7 +82,9 @@
         Does::Export { spool, .. } => Some(spool),
         Does::Beat(_) => None,
     });
-    spool.map(|spool| UsageRecorder::open(&lease.me, spool, lease.die).map(Rc::new)).transpose()
+    spool
+        .map(|spool| UsageRecorder::open(&lease.me, spool, lease.die).map(Rc::new))
+        .transpose()
 }
 
 /// Starts voting, bidding and acting; once the process before this one has left its address, if there is one. Two
@@ -86,16 +93,26 @@
 /// # Errors
 /// Where the key cannot be read or the own address is not to be had; what to do about it.
 pub async fn start(
-    lease: Lease, shutdown: &Shutdown, usage_recorder: Option<Rc<UsageRecorder>>,
+    lease: Lease,
+    shutdown: &Shutdown,
+    usage_recorder: Option<Rc<UsageRecorder>>,
 ) -> Result<(), String> {
     let secret = std::fs::read(&lease.key);
-    let secret = secret.map_err(|e| format!("lease.key: cannot read {}: {e}", lease.key.display()))?;
+    let secret =
+        secret.map_err(|e| format!("lease.key: cannot read {}: {e}", lease.key.display()))?;
     if secret.is_empty() {
-        return Err(format!("lease.key: {} is empty; put some random bytes there", lease.key.display()));
+        return Err(format!(
+            "lease.key: {} is empty; put some random bytes there",
+            lease.key.display()
+        ));
     }
     let key = Key::new(&secret);
     let mut phases = shutdown.changes();
-    let me = lease.limiters.keys().position(|name| *name == lease.me).unwrap_or_default() as u32;
+    let me = lease
+        .limiters
+        .keys()
+        .position(|name| *name == lease.me)
+        .unwrap_or_default() as u32;
     let addresses: Vec<_> = lease.limiters.values().copied().collect();
     match Peers::listen(key.clone(), me, addresses.clone()).await {
         Ok(peers) => begin(lease, peers, me, phases, usage_recorder),
@@ -121,14 +138,27 @@
 }
 
 fn begin(
-    lease: Lease, peers: Peers, me: u32, mut phases: watch::Receiver<Phase>,
+    lease: Lease,
+    peers: Peers,
+    me: u32,
+    mut phases: watch::Receiver<Phase>,
     usage_recorder: Option<Rc<UsageRecorder>>,
 ) {
     let names: Vec<String> = lease.limiters.keys().cloned().collect();
-    let number = |name: &String| names.iter().position(|other| other == name).unwrap_or_default() as u32;
-    let terms = Terms { length: lease.length.as_nanos() as Nanos, drift: lease.drift };
+    let number = |name: &String| {
+        names
+            .iter()
+            .position(|other| other == name)
+            .unwrap_or_default() as u32
+    };
+    let terms = Terms {
+        length: lease.length.as_nanos() as Nanos,
+        drift: lease.drift,
+    };
     if lease.clock != Clock::default() {
-        tracing::warn!("lease.clock: the clocks of this process are wrong on purpose, as in a trial");
+        tracing::warn!(
+            "lease.clock: the clocks of this process are wrong on purpose, as in a trial"
+        );
     }
     let round = unix().saturating_add_signed(lease.clock.ahead) / 1_000_000;
     // Another for each process of this limiter.
@@ -140,9 +170,12 @@
         bidder
     };
     let exports = |(index, task): (usize, &Task)| match (&task.does, &usage_recorder) {
-        (Does::Export { sink, .. }, Some(usage_recorder)) => {
-            Some((index, task.clone(), Exporter::new(sink), usage_recorder.clone()))
-        }
+        (Does::Export { sink, .. }, Some(usage_recorder)) => Some((
+            index,
+            task.clone(),
+            Exporter::new(sink),
+            usage_recorder.clone(),
+        )),
         _ => None,
     };
     let export = lease.tasks.iter().enumerate().find_map(exports);
@@ -169,7 +202,11 @@
     spawn(leases.clone().listen());
     spawn(leases.clone().bid());
     spawn(async move {
-        if phases.wait_for(|phase| *phase != Phase::Serving).await.is_ok() {
+        if phases
+            .wait_for(|phase| *phase != Phase::Serving)
+            .await
+            .is_ok()
+        {
             leases.give_up().await;
         }
     });
@@ -190,7 +227,9 @@
                 }
                 continue;
             }
-            let message = Message::read(&bytes).ok().filter(|_| kind == LEASES && bytes.len() <= MOST_BYTES);
+            let message = Message::read(&bytes)
+                .ok()
+                .filter(|_| kind == LEASES && bytes.len() <= MOST_BYTES);
             match message {
                 Some(message) => self.hear(sender, &message),
                 None => self.peers.drop(|count| count.torn += 1),
@@ -208,7 +247,10 @@
             Body::Prepare | Body::Propose | Body::GivenUp => {
                 if message.body == Body::GivenUp {
                     let now = self.now();
-                    self.bids.borrow_mut().iter_mut().for_each(|bid| bid.freed(now, message));
+                    self.bids
+                        .borrow_mut()
+                        .iter_mut()
+                        .for_each(|bid| bid.freed(now, message));
                     self.news.notify_one();
                 }
                 if !self.voters.contains(&self.me) {
@@ -216,14 +258,22 @@
                 }
                 let answer = self.voter.borrow_mut().handle(self.now(), message);
                 if let Some(body) = answer {
-                    self.say(sender, &Message { body, ..message.clone() });
+                    self.say(
+                        sender,
+                        &Message {
+                            body,
+                            ..message.clone()
+                        },
+                    );
                 }
             }
             Body::Free | Body::Refused { .. } | Body::Voted if self.voters.contains(&sender) => {
                 let now = self.now();
                 let more: Vec<Message> = {
                     let mut bids = self.bids.borrow_mut();
-                    bids.iter_mut().filter_map(|bid| bid.handle(now, sender, message)).collect()
+                    bids.iter_mut()
+                        .filter_map(|bid| bid.handle(now, sender, message))
+                        .collect()
                 };
                 more.iter().for_each(|message| self.ask(message));
                 self.look();
@@ -253,11 +303,21 @@
     async fn bid(self: Rc<Self>) {
         loop {
             let now = self.now();
-            let asked: Vec<Message> =
-                self.bids.borrow_mut().iter_mut().filter_map(|bid| bid.tick(now)).collect();
+            let asked: Vec<Message> = self
+                .bids
+                .borrow_mut()
+                .iter_mut()
+                .filter_map(|bid| bid.tick(now))
+                .collect();
             asked.iter().for_each(|message| self.ask(message));
             self.look();
-            let due = self.bids.borrow().iter().map(Bidder::due).min().unwrap_or(Nanos::MAX);
+            let due = self
+                .bids
+                .borrow()
+                .iter()
+                .map(Bidder::due)
+                .min()
+                .unwrap_or(Nanos::MAX);
             // Some of it may be due already: its answers have to be heard first.
             let until = due.clamp(now + 1_000_000, now + LOOK);
             tokio::select! {
@@ -270,11 +330,21 @@
     /// Tells the log what has changed hands.
     fn look(&self) {
         let now = self.now();
-        for (held, bid) in self.held.borrow_mut().iter_mut().zip(self.bids.borrow().iter()) {
+        for (held, bid) in self
+            .held
+            .borrow_mut()
+            .iter_mut()
+            .zip(self.bids.borrow().iter())
+        {
             let token = bid.held(now).map(|guard| guard.token());
             if *held != token {
                 let (task, round) = (bid.task(), token.map(|token| token.round));
-                tracing::info!(task, round, "lease {}", if round.is_some() { "taken" } else { "over" });
+                tracing::info!(
+                    task,
+                    round,
+                    "lease {}",
+                    if round.is_some() { "taken" } else { "over" }
+                );
                 *held = token;
             }
         }
@@ -282,7 +352,9 @@
 
     /// Cuts batches of the own use, and fetches all limiters' while the lease of the export is held.
     async fn export(self: Rc<Self>) {
-        let Some((index, task, exporter, usage_recorder)) = &self.export else { return };
+        let Some((index, task, exporter, usage_recorder)) = &self.export else {
+            return;
+        };
         let mut looked = 0;
         loop {
             sleep(task.every).await;
@@ -293,13 +365,17 @@
             }
             usage_recorder.cut();
             let guard = self.bids.borrow()[*index].held(now);
-            let Some(token) = guard.map(|guard| guard.token()) else { continue };
+            let Some(token) = guard.map(|guard| guard.token()) else {
+                continue;
+            };
             if let Err(e) = exporter.begin(token) {
                 tracing::warn!(task = task.name, "the sink cannot be read: {e}");
                 continue;
             }
             for _ in 0..MOST_AT_ONCE {
-                let Some(written) = usage_recorder.first() else { break };
+                let Some(written) = usage_recorder.first() else {
+                    break;
+                };
                 let (epoch, number) = (written.source.epoch, written.batch.number);
                 if !self.write(&written) {
                     break;
@@ -314,7 +390,9 @@
 
     /// Writes a batch to the sink, where the guard allows it.
     fn write(&self, written: &quartzcleat_usage_export::Written) -> bool {
-        let Some((index, task, exporter, usage_recorder)) = &self.export else { return false };
+        let Some((index, task, exporter, usage_recorder)) = &self.export else {
+            return false;
+        };
         let now = self.now();
         let guard = self.bids.borrow()[*index].held(now);
         let act = guard.and_then(|guard| guard.begin(now, task.longest.as_nanos() as Nanos));
@@ -322,7 +400,10 @@
         match exporter.write(act, written, usage_recorder) {
             Ok(()) => true,
             Err(e) => {
-                tracing::warn!(task = task.name, "a batch cannot be written to the sink: {e}");
+                tracing::warn!(
+                    task = task.name,
+                    "a batch cannot be written to the sink: {e}"
+                );
                 false
             }
         }
@@ -330,13 +411,16 @@
 
     /// Takes a message of the export.
     fn hear_of_use(&self, sender: u32, name: &str, told: Told) {
-        let Some((.., usage_recorder)) = &self.export else { return };
+        let Some((.., usage_recorder)) = &self.export else {
+            return;
+        };
         match usage_export::hear(usage_recorder, name, told) {
             Heard::Answer(answer) => self.peers.tell(sender, USE, &answer.write()),
             Heard::Batch(written) => {
                 let (epoch, number) = (written.source.epoch, written.batch.number);
                 if self.write(&written) {
-                    self.peers.tell(sender, USE, &Told::Have { epoch, number }.write());
+                    self.peers
+                        .tell(sender, USE, &Told::Have { epoch, number }.write());
                     self.peers.tell(sender, USE, &Told::Want.write());
                 }
             }
@@ -351,17 +435,23 @@
             sleep(task.every).await;
             let now = self.now();
             let guard = self.bids.borrow()[index].held(now);
-            let Some(act) = guard.and_then(|guard| guard.begin(now, task.longest.as_nanos() as Nanos)) else {
+            let Some(act) =
+                guard.and_then(|guard| guard.begin(now, task.longest.as_nanos() as Nanos))
+            else {
                 continue;
             };
             number += 1;
             self.acting.set(self.acting.get() + 1);
-            let done = timeout_at(self.ticks.at(act.by), beat(&task.name, target, act, number)).await;
+            let done =
+                timeout_at(self.ticks.at(act.by), beat(&task.name, target, act, number)).await;
             self.acting.set(self.acting.get() - 1);
             match done {
                 Ok(Ok(None)) => {}
                 Ok(Ok(Some(seen))) => {
-                    tracing::warn!(task = task.name, "a later holder has acted: the lease is dropped");
+                    tracing::warn!(
+                        task = task.name,
+                        "a later holder has acted: the lease is dropped"
+                    );
                     self.bids.borrow_mut()[index].outdated(self.now(), seen);
                 }
                 Ok(Err(e)) => tracing::warn!(task = task.name, "the target does not answer: {e}"),
@@ -373,8 +463,12 @@
     /// Gives all leases up, once the acts under way are over: nothing new is begun meanwhile.
     async fn give_up(self: Rc<Self>) {
         let now = self.now();
-        let given: Vec<Message> =
-            self.bids.borrow_mut().iter_mut().filter_map(|bid| bid.give_up(now)).collect();
+        let given: Vec<Message> = self
+            .bids
+            .borrow_mut()
+            .iter_mut()
+            .filter_map(|bid| bid.give_up(now))
+            .collect();
         while self.acting.get() > 0 {
             sleep(ACTS_END).await;
         }
@@ -387,19 +481,36 @@
 }
 
 /// One act: a line with the token, which the target checks. What it has seen where that is greater.
-async fn beat(task: &str, target: SocketAddr, act: Act, number: u64) -> std::io::Result<Option<Token>> {
-    let Token { round, bidder, boot } = act.token;
+async fn beat(
+    task: &str,
+    target: SocketAddr,
+    act: Act,
+    number: u64,
+) -> std::io::Result<Option<Token>> {
+    let Token {
+        round,
+        bidder,
+        boot,
+    } = act.token;
     let mut stream = BufReader::new(TcpStream::connect(target).await?);
     let line = format!("ACT {task} {round} {bidder} {boot} {number}\n");
     stream.write_all(line.as_bytes()).await?;
     let mut answer = String::new();
     stream.take(ANSWER).read_line(&mut answer).await?;
     let words: Vec<&str> = answer.split_whitespace().collect();
-    let spoilt = || std::io::Error::other(format!("{answer:?} is neither OK nor OUTDATED with a token"));
+    let spoilt = || {
+        std::io::Error::other(format!(
+            "{answer:?} is neither OK nor OUTDATED with a token"
+        ))
+    };
     match words.as_slice() {
         ["OK"] => Ok(None),
         ["OUTDATED", round, bidder, boot] => match (round.parse(), bidder.parse(), boot.parse()) {
-            (Ok(round), Ok(bidder), Ok(boot)) => Ok(Some(Token { round, bidder, boot })),
+            (Ok(round), Ok(bidder), Ok(boot)) => Ok(Some(Token {
+                round,
+                bidder,
+                boot,
+            })),
             _ => Err(spoilt()),
         },
         _ => Err(spoilt()),
