--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -12,7 +12,8 @@
 use super::resp::downstream::{self, Downstream, RequestCatalog};
 use super::resp::upstream::Upstream;
 use super::{
-    admin, counter, discovery, hot_restart, leases, metrics, reload, shutdown, stages, task, usage_export,
+    admin, counter, discovery, hot_restart, leases, metrics, reload, shutdown, stages, task,
+    usage_export,
 };
 use crate::api::{Action, Event};
 use quartzcleat_admin::{Bans, Numbers};
@@ -89,7 +90,10 @@
             reopen_watch: Notify::new(),
             bans: RefCell::default(),
             hot_restart,
-            terms: Rc::new(RefCell::new(RequestCatalog::of(&settings, numbers.heard(0)))),
+            terms: Rc::new(RefCell::new(RequestCatalog::of(
+                &settings,
+                numbers.heard(0),
+            ))),
             numbers: RefCell::new(numbers),
             file: RefCell::new(file),
             engine: RefCell::new(Engine::new(settings, seed, &limits)),
@@ -111,7 +115,10 @@
         let mut actions = self.actions.take();
         loop {
             let cause = self.metrics.as_ref().and_then(|(_, metrics)| {
-                self.engine.borrow().next().map(|event| metrics.borrow_mut().told(event))
+                self.engine
+                    .borrow()
+                    .next()
+                    .map(|event| metrics.borrow_mut().told(event))
             });
             let more = self.engine.borrow_mut().step(&mut actions);
             if !more {
@@ -131,7 +138,9 @@
 
 /// Serves until told to end.
 pub fn serve(config: Config) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     LocalSet::new().block_on(&runtime, run(config))
 }
@@ -148,7 +157,12 @@
         if let Some(usage_recorder) = leases::usage_recorder(&lease)? {
             let _ = limiter.usage_recorder.set(usage_recorder);
         }
-        leases::start(lease, &limiter.shutdown, limiter.usage_recorder.get().cloned()).await?;
+        leases::start(
+            lease,
+            &limiter.shutdown,
+            limiter.usage_recorder.get().cloned(),
+        )
+        .await?;
     }
     // What another process knows goes before the first list is believed.
     hot_restart::look(&limiter);
@@ -185,7 +199,10 @@
         task::spawn(admin::accept(limiter.clone(), staff));
     }
     downstream::accept(
-        &Rc::new(Downstream::new(stages::accept::frontend_context(&limiter), limiter.terms.clone())),
+        &Rc::new(Downstream::new(
+            stages::accept::frontend_context(&limiter),
+            limiter.terms.clone(),
+        )),
         listener,
     )
     .await;
@@ -195,7 +212,11 @@
 
 /// Listens for clients, beside another process of this limiter if there is one.
 fn open(listen: std::net::SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    let socket = if listen.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
     socket.set_reuseaddr(true)?;
     // Where this is not to be had, no other process can listen there, and this one still can.
     if let Err(e) = socket.set_reuseport(true) {
@@ -213,14 +234,17 @@
     /// A limiter of the example's settings with some of the text changed, on a thread of its own. What the
     /// module would be told stays in the queue, for the test to look at.
     pub(crate) fn with_limiter<F: Future<Output = ()>>(
-        changes: &[(&str, &str)], test: impl FnOnce(Rc<Limiter>) -> F,
+        changes: &[(&str, &str)],
+        test: impl FnOnce(Rc<Limiter>) -> F,
     ) {
         let text = include_str!("../../examples/toy.json").to_owned();
         let text = changes.iter().fold(text, |text, (from, to)| {
             assert!(text.contains(from), "the example holds {from}");
             text.replace(from, to)
         });
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
         LocalSet::new().block_on(&runtime.expect("a runtime starts"), async {
             let limiter = Limiter::new(
                 super::super::config::read(&text, |_| None).expect("the configuration is sound"),
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -65,7 +65,10 @@
 impl Metrics {
     /// Nothing counted yet.
     pub fn new(name: String) -> Self {
-        Metrics { name, ..Metrics::default() }
+        Metrics {
+            name,
+            ..Metrics::default()
+        }
     }
 
     /// Counts what the module is told.
@@ -85,7 +88,9 @@
                     _ => of_host.failed += 1,
                 }
             }
-            Event::CounterReplied { outcome, .. } if *outcome != Outcome::Good => self.counter_failed += 1,
+            Event::CounterReplied { outcome, .. } if *outcome != Outcome::Good => {
+                self.counter_failed += 1
+            }
             Event::Hosts { .. } => self.lists += 1,
             _ => {}
         }
@@ -118,7 +123,11 @@
     /// Counts a connection to a host that came up or did not.
     pub fn connected(&mut self, host: HostId, up: bool) {
         let of_host = self.hosts.entry(host).or_default();
-        *(if up { &mut of_host.opened } else { &mut of_host.refused }) += 1;
+        *(if up {
+            &mut of_host.opened
+        } else {
+            &mut of_host.refused
+        }) += 1;
     }
 
     /// Counts a call to discovery that came to nothing.
@@ -134,9 +143,20 @@
         let ids: std::collections::BTreeSet<_> = counted.hosts.keys().chain(held.keys()).collect();
         for id in ids {
             let of_host = counted.hosts.get(id).copied().unwrap_or_default();
-            let OfHost { attempts, good, full, failed, opened, refused } = of_host;
+            let OfHost {
+                attempts,
+                good,
+                full,
+                failed,
+                opened,
+                refused,
+            } = of_host;
             let held = held.get(id).copied().unwrap_or(0);
-            let _ = write!(hosts, "{:x}:{attempts}/{good}/{full}/{failed}/{opened}/{refused}/{held} ", id.0);
+            let _ = write!(
+                hosts,
+                "{:x}:{attempts}/{good}/{full}/{failed}/{opened}/{refused}/{held} ",
+                id.0
+            );
         }
         let mut ended = String::new();
         for (outcome, count) in &counted.ended {
@@ -205,12 +225,16 @@
     }
     let limiter = limiter.clone();
     spawn(async move {
-        let Some((every, metrics)) = &limiter.metrics else { return };
+        let Some((every, metrics)) = &limiter.metrics else {
+            return;
+        };
         let mut due = interval(*every);
         loop {
             due.tick().await;
             let (now, view) = limiter.engine.borrow().view();
-            metrics.borrow_mut().tell(now, &view, &limiter.upstream.links());
+            metrics
+                .borrow_mut()
+                .tell(now, &view, &limiter.upstream.links());
         }
     });
 }
@@ -238,14 +262,36 @@
         };
         let cause = metrics.told(&done(Outcome::Rejected));
         assert_eq!(cause, Cause::Attempt);
-        let again = Action::Attempt { id, host, timeout: 0, begins_within: 1 };
+        let again = Action::Attempt {
+            id,
+            host,
+            timeout: 0,
+            begins_within: 1,
+        };
         metrics.ordered(cause, &[again, Action::Reject { id, retry_after: 0 }]);
-        let cause = metrics.told(&Event::Timer { tag: "late:1".into() });
+        let cause = metrics.told(&Event::Timer {
+            tag: "late:1".into(),
+        });
         metrics.ordered(cause, &[Action::Reject { id, retry_after: 0 }]);
         metrics.told(&done(Outcome::Good));
         metrics.connected(host, false);
         let of_host = metrics.hosts[&host];
-        assert_eq!((of_host.attempts, of_host.good, of_host.full, of_host.refused), (1, 1, 1, 1));
-        assert_eq!((metrics.refused_after_attempt, metrics.refused_by_time, metrics.served), (1, 1, 1));
+        assert_eq!(
+            (
+                of_host.attempts,
+                of_host.good,
+                of_host.full,
+                of_host.refused
+            ),
+            (1, 1, 1, 1)
+        );
+        assert_eq!(
+            (
+                metrics.refused_after_attempt,
+                metrics.refused_by_time,
+                metrics.served
+            ),
+            (1, 1, 1)
+        );
     }
 }
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -49,7 +49,9 @@
     pub async fn listen(key: Key, me: u32, addresses: Vec<SocketAddr>) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(addresses[me as usize]).await?;
         // Greater than in the process before this one, as far as the clock goes on.
-        let sequence = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_micros() as u64);
+        let sequence = SystemTime::UNIX_EPOCH
+            .elapsed()
+            .map_or(0, |age| age.as_micros() as u64);
         Ok(Peers {
             socket,
             key,
@@ -63,10 +65,14 @@
 
     /// Sends a message, as far as the socket takes it: what is lost is asked again by who needs it.
     pub fn tell(&self, to: u32, kind: u8, message: &[u8]) {
-        let Some(address) = self.addresses.get(to as usize) else { return };
+        let Some(address) = self.addresses.get(to as usize) else {
+            return;
+        };
         self.sequence.set(self.sequence.get() + 1);
-        let _ =
-            self.socket.try_send_to(&seal(&self.key, kind, self.me, self.sequence.get(), message), *address);
+        let _ = self.socket.try_send_to(
+            &seal(&self.key, kind, self.me, self.sequence.get(), message),
+            *address,
+        );
     }
 
     /// Waits for the next message: its kind, sender and bytes. Guards against what is torn, strange, of an unknown
@@ -74,10 +80,14 @@
     pub async fn next(&self) -> (u8, u32, Vec<u8>) {
         let mut bytes = [0; MOST];
         loop {
-            let Ok((length, _)) = self.socket.recv_from(&mut bytes).await else { continue };
+            let Ok((length, _)) = self.socket.recv_from(&mut bytes).await else {
+                continue;
+            };
             let opened = open(&self.key, &bytes[..length]);
             match opened {
-                Ok((kind, sender, sequence, message)) if (sender as usize) < self.addresses.len() => {
+                Ok((kind, sender, sequence, message))
+                    if (sender as usize) < self.addresses.len() =>
+                {
                     if self.first(sender, sequence) {
                         return (kind, sender, message.to_vec());
                     }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -16,7 +16,8 @@
 
 /// Waits for SIGHUP, each time it comes.
 pub fn watch(limiter: &Rc<Limiter>) -> Result<(), String> {
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
+    let mut hangup =
+        signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
     let limiter = limiter.clone();
     spawn(async move {
         while hangup.recv().await.is_some() {
@@ -33,9 +34,18 @@
         Err(problem) => return tracing::warn!("the configuration stays as it was: {problem}"),
         Ok(config) => config,
     };
-    let Config { addresses, mut settings, limits, zones, file, .. } = config;
+    let Config {
+        addresses,
+        mut settings,
+        limits,
+        zones,
+        file,
+        ..
+    } = config;
     limiter.file.replace(file);
-    limiter.addresses.send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
+    limiter
+        .addresses
+        .send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
     limiter.limits.retune(&limits);
     limiter.upstream.reports.set(settings.reports);
     // Zones keep their numbers too.
@@ -48,12 +58,17 @@
         plans = settings.plans.len(),
         "new settings are in force"
     );
-    limiter.tell(Event::SettingsChanged { settings: Box::new(table) });
+    limiter.tell(Event::SettingsChanged {
+        settings: Box::new(table),
+    });
     // What vanished is heard a little longer.
     let limiter = limiter.clone();
     spawn(async move {
         sleep(Duration::from_nanos(Numbers::heard_for())).await;
-        let terms = limiter.terms.borrow().heard_again(limiter.numbers.borrow().heard(unix()));
+        let terms = limiter
+            .terms
+            .borrow()
+            .heard_again(limiter.numbers.borrow().heard(unix()));
         limiter.terms.replace(terms);
     });
 }
@@ -82,20 +97,36 @@
     #[test]
     fn classes_and_attempts_change_while_the_program_runs() {
         with_limiter(&[], |limiter| async move {
-            let text =
-                TOY.replace("\"bed-hold\", \"effect\": \"dedup\"", "\"hut-hold\", \"effect\": \"fragile\"");
+            let text = TOY.replace(
+                "\"bed-hold\", \"effect\": \"dedup\"",
+                "\"hut-hold\", \"effect\": \"fragile\"",
+            );
             let text = text.replace("\"sendCap\": 4", "\"sendCap\": 2");
             apply(&limiter, again(&limiter, &text));
-            let Event::SettingsChanged { settings } = crate::net::tests::next(&limiter).await else {
+            let Event::SettingsChanged { settings } = crate::net::tests::next(&limiter).await
+            else {
                 panic!("not told")
             };
-            let names: Vec<_> = settings.classes.iter().map(|class| class.name.as_str()).collect();
-            assert_eq!((names, settings.max_attempts), (vec!["bed-check", "bed-hold", "hut-hold"], 2));
+            let names: Vec<_> = settings
+                .classes
+                .iter()
+                .map(|class| class.name.as_str())
+                .collect();
+            assert_eq!(
+                (names, settings.max_attempts),
+                (vec!["bed-check", "bed-hold", "hut-hold"], 2)
+            );
             let number = |name: &str| limiter.terms.borrow().class(name);
             assert_eq!((number("bed-hold"), number("hut-hold")), (Some(1), Some(2)));
-            let later = limiter.numbers.borrow().heard(unix() + Numbers::heard_for());
+            let later = limiter
+                .numbers
+                .borrow()
+                .heard(unix() + Numbers::heard_for());
             let terms = limiter.terms.borrow().heard_again(later);
-            assert_eq!((terms.class("bed-hold"), terms.class("hut-hold")), (None, Some(2)));
+            assert_eq!(
+                (terms.class("bed-hold"), terms.class("hut-hold")),
+                (None, Some(2))
+            );
         });
     }
 
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -22,8 +22,15 @@
 fn under_way(limiter: &Rc<Limiter>, id: u64) -> HostCall {
     let now = Instant::now();
     let mut engine = limiter.engine.borrow_mut();
-    engine.open(Rc::new(RecordingFrontend::default()), 0, &mut request(id), now);
-    engine.begin(RequestId(id), crate::api::HostId(5), (0, u64::MAX), now).expect("within the cap")
+    engine.open(
+        Rc::new(RecordingFrontend::default()),
+        0,
+        &mut request(id),
+        now,
+    );
+    engine
+        .begin(RequestId(id), crate::api::HostId(5), (0, u64::MAX), now)
+        .expect("within the cap")
 }
 
 /// How long pooled connections are kept, and where hosts tell their load, follow the new file; requests under way end by
@@ -35,16 +42,26 @@
         assert!(matches!(relay.command, HostCommand::Attempt { .. }));
         let answer = b"*3\r\n$3\r\nbed\r\n$-1\r\n$10\r\ninflight=7\r\n";
         let load = || {
-            let (reply, _) = codec::reply(answer, &limiter.limits).expect("sound").expect("whole");
-            let (end, _) = limiter.upstream.end(&reply, answer, &relay.command, relay.host);
+            let (reply, _) = codec::reply(answer, &limiter.limits)
+                .expect("sound")
+                .expect("whole");
+            let (end, _) = limiter
+                .upstream
+                .end(&reply, answer, &relay.command, relay.host);
             assert_eq!(end.outcome, Outcome::Good);
             end.load.len()
         };
         let idle = || limiter.limits.south_idle.get();
         assert_eq!((load(), idle()), (0, Duration::from_secs(15)));
         let new = TOY.replace("\"how\": \"none\"", "\"how\": \"answers\"");
-        take(&limiter, &new.replace("\"connIdleNs\": 30000000000", "\"connIdleNs\": 4000000000"));
-        assert!(matches!(next(&limiter).await, Event::SettingsChanged { .. }), "the file is sound");
+        take(
+            &limiter,
+            &new.replace("\"connIdleNs\": 30000000000", "\"connIdleNs\": 4000000000"),
+        );
+        assert!(
+            matches!(next(&limiter).await, Event::SettingsChanged { .. }),
+            "the file is sound"
+        );
         assert_eq!(limiter.upstream.reports.get(), ReportSource::Answers);
         assert_eq!((load(), idle()), (1, Duration::from_secs(2)));
     });
@@ -58,24 +75,42 @@
         let named = |name: &str| limiter.terms.borrow().class(name);
         assert_eq!((named("bed-check"), named("bed-hold")), (Some(0), Some(1)));
         // The names change places: what was safe to repeat is now called as what was not.
-        let new =
-            TOY.replace("bed-check", "x").replace("bed-hold", "bed-check").replace("\"x\"", "\"bed-hold\"");
+        let new = TOY
+            .replace("bed-check", "x")
+            .replace("bed-hold", "bed-check")
+            .replace("\"x\"", "\"bed-hold\"");
         take(&limiter, &new);
-        let Event::SettingsChanged { settings } = next(&limiter).await else { panic!("not told") };
+        let Event::SettingsChanged { settings } = next(&limiter).await else {
+            panic!("not told")
+        };
         let old = config::read(TOY, |_| None).expect("sound").settings;
         assert_eq!(
             settings.classes[..2],
             old.classes[..],
             "who was taken before goes on under its own terms"
         );
-        let (check, hold) = (named("bed-check").expect("heard"), named("bed-hold").expect("heard"));
+        let (check, hold) = (
+            named("bed-check").expect("heard"),
+            named("bed-hold").expect("heard"),
+        );
         assert!(check > 1 && hold > 1, "new terms have new numbers");
-        let (check, hold) = (&settings.classes[check as usize], &settings.classes[hold as usize]);
-        assert_eq!((check.effect, check.deadline), (old.classes[1].effect, old.classes[1].deadline));
-        assert_eq!((hold.effect, hold.deadline), (old.classes[0].effect, old.classes[0].deadline));
+        let (check, hold) = (
+            &settings.classes[check as usize],
+            &settings.classes[hold as usize],
+        );
+        assert_eq!(
+            (check.effect, check.deadline),
+            (old.classes[1].effect, old.classes[1].deadline)
+        );
+        assert_eq!(
+            (hold.effect, hold.deadline),
+            (old.classes[0].effect, old.classes[0].deadline)
+        );
         // And back: the numbers of the first file are had again.
         take(&limiter, TOY);
-        let Event::SettingsChanged { settings } = next(&limiter).await else { panic!("not told") };
+        let Event::SettingsChanged { settings } = next(&limiter).await else {
+            panic!("not told")
+        };
         assert_eq!(settings.classes[..2], old.classes[..]);
         assert_eq!((named("bed-check"), named("bed-hold")), (Some(0), Some(1)));
     });
--- a/src/net/resp/codec.rs
+++ b/src/net/resp/codec.rs
@@ -57,8 +57,13 @@
     fn line(&mut self) -> Parsed<Range<usize>> {
         let rest = &self.bytes[self.at..];
         let window = &rest[..rest.len().min(LINE)];
-        match window.iter().position(|&byte| byte == b'\r' || byte == b'\n') {
-            Some(end) if window[end] == b'\n' => Err(Malformed("a line ends without a carriage return")),
+        match window
+            .iter()
+            .position(|&byte| byte == b'\r' || byte == b'\n')
+        {
+            Some(end) if window[end] == b'\n' => {
+                Err(Malformed("a line ends without a carriage return"))
+            }
             Some(end) => match rest.get(end + 1) {
                 None => Ok(None),
                 Some(b'\n') => {
@@ -75,13 +80,20 @@
 
     /// A length, or null as `None`.
     fn length(&mut self, most: usize) -> Parsed<Option<usize>> {
-        let Some(line) = self.line()? else { return Ok(None) };
+        let Some(line) = self.line()? else {
+            return Ok(None);
+        };
         let digits = &self.bytes[line];
         if digits == b"-1" {
             return Ok(Some(None));
         }
-        let plain = !digits.is_empty() && digits.len() <= 9 && digits.iter().all(u8::is_ascii_digit);
-        let length = plain.then(|| digits.iter().fold(0, |sum, digit| sum * 10 + usize::from(digit - b'0')));
+        let plain =
+            !digits.is_empty() && digits.len() <= 9 && digits.iter().all(u8::is_ascii_digit);
+        let length = plain.then(|| {
+            digits
+                .iter()
+                .fold(0, |sum, digit| sum * 10 + usize::from(digit - b'0'))
+        });
         match length {
             None => Err(Malformed("not a length")),
             Some(length) if length > most => Err(Malformed("too long")),
@@ -91,11 +103,17 @@
 
     /// What follows the `$` of a bulk string.
     fn bulk(&mut self) -> Parsed<Option<Range<usize>>> {
-        let Some(length) = self.length(self.limits.value_bytes)? else { return Ok(None) };
-        let Some(length) = length else { return Ok(Some(None)) };
+        let Some(length) = self.length(self.limits.value_bytes)? else {
+            return Ok(None);
+        };
+        let Some(length) = length else {
+            return Ok(Some(None));
+        };
         let text = self.at..self.at + length;
         let end = &self.bytes[text.end.min(self.bytes.len())..];
-        if end.first().is_some_and(|&byte| byte != b'\r') || end.get(1).is_some_and(|&byte| byte != b'\n') {
+        if end.first().is_some_and(|&byte| byte != b'\r')
+            || end.get(1).is_some_and(|&byte| byte != b'\n')
+        {
             return Err(Malformed("a bulk string does not end where it should"));
         }
         if end.len() < 2 {
@@ -112,24 +130,36 @@
     }
 
     fn reply(&mut self, depth: usize) -> Parsed<Reply> {
-        let Some(kind) = self.kind() else { return Ok(None) };
+        let Some(kind) = self.kind() else {
+            return Ok(None);
+        };
         Ok(match kind {
             b'+' => self.line()?.map(Reply::Simple),
             b'-' => self.line()?.map(Reply::Error),
             b':' => {
-                let Some(line) = self.line()? else { return Ok(None) };
+                let Some(line) = self.line()? else {
+                    return Ok(None);
+                };
                 let text = std::str::from_utf8(&self.bytes[line]).ok();
-                let number = text.and_then(|text| text.parse().ok()).ok_or(Malformed("not an integer"))?;
+                let number = text
+                    .and_then(|text| text.parse().ok())
+                    .ok_or(Malformed("not an integer"))?;
                 Some(Reply::Integer(number))
             }
             b'$' => self.bulk()?.map(Reply::Bulk),
             b'*' if depth < DEPTH => {
-                let Some(count) = self.length(self.left)? else { return Ok(None) };
-                let Some(count) = count else { return Ok(Some(Reply::Array(None))) };
+                let Some(count) = self.length(self.left)? else {
+                    return Ok(None);
+                };
+                let Some(count) = count else {
+                    return Ok(Some(Reply::Array(None)));
+                };
                 self.left -= count;
                 let mut members = Vec::with_capacity(count);
                 for _ in 0..count {
-                    let Some(member) = self.reply(depth + 1)? else { return Ok(None) };
+                    let Some(member) = self.reply(depth + 1)? else {
+                        return Ok(None);
+                    };
                     members.push(member);
                 }
                 Some(Reply::Array(Some(members)))
@@ -149,13 +179,20 @@
 
 /// The command at the start of `bytes`, if it is whole.
 pub fn command(bytes: &[u8], limits: &Limits) -> Parsed<Command> {
-    let mut cursor = Cursor { bytes, at: 0, limits, left: 0 };
+    let mut cursor = Cursor {
+        bytes,
+        at: 0,
+        limits,
+        left: 0,
+    };
     match cursor.kind() {
         None => return Ok(None),
         Some(b'*') => {}
         Some(_) => return Err(Malformed("a command is an array of bulk strings")),
     }
-    let Some(count) = cursor.length(limits.words)? else { return Ok(None) };
+    let Some(count) = cursor.length(limits.words)? else {
+        return Ok(None);
+    };
     let mut words = Vec::with_capacity(count.unwrap_or(0));
     for _ in 0..count.unwrap_or(0) {
         match cursor.kind() {
@@ -170,14 +207,29 @@
         words.push(word);
         within(cursor.at, limits)?;
     }
-    Ok(Some(Command { words, length: cursor.at }))
+    Ok(Some(Command {
+        words,
+        length: cursor.at,
+    }))
 }
 
 /// The reply at the start of `bytes`, if it is whole, and its length.
 pub fn reply(bytes: &[u8], limits: &Limits) -> Parsed<(Reply, usize)> {
-    let mut cursor = Cursor { bytes, at: 0, limits, left: limits.words };
+    let mut cursor = Cursor {
+        bytes,
+        at: 0,
+        limits,
+        left: limits.words,
+    };
     let reply = cursor.reply(0)?;
-    within(if reply.is_some() { cursor.at } else { bytes.len() }, limits)?;
+    within(
+        if reply.is_some() {
+            cursor.at
+        } else {
+            bytes.len()
+        },
+        limits,
+    )?;
     Ok(reply.map(|reply| (reply, cursor.at)))
 }
 
@@ -186,10 +238,15 @@
     let rest = bytes.strip_prefix(b"*3\r\n$")?;
     let end = rest.iter().take(10).position(|byte| *byte == b'\r')?;
     let digits = &rest[..end];
-    if digits.is_empty() || rest.get(end + 1) != Some(&b'\n') || !digits.iter().all(u8::is_ascii_digit) {
+    if digits.is_empty()
+        || rest.get(end + 1) != Some(&b'\n')
+        || !digits.iter().all(u8::is_ascii_digit)
+    {
         return None;
     }
-    let length = digits.iter().fold(0, |sum, digit| sum * 10 + usize::from(digit - b'0'));
+    let length = digits
+        .iter()
+        .fold(0, |sum, digit| sum * 10 + usize::from(digit - b'0'));
     Some((5 + end + 2, length))
 }
 
@@ -224,7 +281,9 @@
 /// Waits for more to read; `Ok(false)` at the end of the stream. Given up while it waits, it has taken nothing.
 /// A read that does not fill the buffer spares the call that would only tell that there is no more.
 pub async fn more(
-    stream: &mut (impl AsyncRead + Unpin), buffer: &mut Vec<u8>, step: usize,
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut Vec<u8>,
+    step: usize,
 ) -> io::Result<bool> {
     buffer.reserve(step);
     Ok(stream.read_buf(buffer).await? > 0)
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -43,8 +43,14 @@
     pub fn of(settings: &Settings, (classes, plans): (Vec<u32>, Vec<u32>)) -> Self {
         let most = settings.largest_request;
         RequestCatalog {
-            classes: classes.into_iter().map(|i| (i, settings.classes[i as usize].clone())).collect(),
-            plans: plans.into_iter().map(|i| (i, settings.plans[i as usize].name.clone())).collect(),
+            classes: classes
+                .into_iter()
+                .map(|i| (i, settings.classes[i as usize].clone()))
+                .collect(),
+            plans: plans
+                .into_iter()
+                .map(|i| (i, settings.plans[i as usize].name.clone()))
+                .collect(),
             limiters: settings.limiter_count.max(1),
             most_units: if most > 0.0 { most } else { f64::MAX },
         }
@@ -53,8 +59,18 @@
     /// The same terms, of which only these classes and plans are still heard.
     pub fn heard_again(&self, (classes, plans): (Vec<u32>, Vec<u32>)) -> Self {
         RequestCatalog {
-            classes: self.classes.iter().filter(|(i, _)| classes.contains(i)).cloned().collect(),
-            plans: self.plans.iter().filter(|(i, _)| plans.contains(i)).cloned().collect(),
+            classes: self
+                .classes
+                .iter()
+                .filter(|(i, _)| classes.contains(i))
+                .cloned()
+                .collect(),
+            plans: self
+                .plans
+                .iter()
+                .filter(|(i, _)| plans.contains(i))
+                .cloned()
+                .collect(),
             ..*self
         }
     }
@@ -62,7 +78,10 @@
     /// The number of a class by its name.
     #[cfg(test)]
     pub fn class(&self, name: &str) -> Option<u32> {
-        self.classes.iter().find(|(_, known)| known.name == name).map(|(number, _)| *number)
+        self.classes
+            .iter()
+            .find(|(_, known)| known.name == name)
+            .map(|(number, _)| *number)
     }
 }
 
@@ -76,7 +95,11 @@
 impl Downstream {
     /// A north side without connections.
     pub fn new(frontend_context: FrontendContext, terms: Rc<RefCell<RequestCatalog>>) -> Self {
-        Downstream { frontend_context, terms, idle: Idle::default() }
+        Downstream {
+            frontend_context,
+            terms,
+            idle: Idle::default(),
+        }
     }
 }
 
@@ -89,7 +112,9 @@
 }
 
 fn hex(text: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(text).ok().filter(|text| text.len() == 16 && !text.starts_with('+'))?;
+    let text = std::str::from_utf8(text)
+        .ok()
+        .filter(|text| text.len() == 16 && !text.starts_with('+'))?;
     u64::from_str_radix(text, 16).ok()
 }
 
@@ -100,10 +125,15 @@
 /// that would count in a customer's name what it never asked for, getting as far as the module: a fact that
 /// every request has must be there and within its range.
 fn understand(
-    bytes: &[u8], command: &Command, terms: &RequestCatalog, welcome: bool,
+    bytes: &[u8],
+    command: &Command,
+    terms: &RequestCatalog,
+    welcome: bool,
 ) -> Result<Asked, &'static str> {
     let words: Option<Vec<Range<usize>>> = command.words.iter().cloned().collect();
-    let words = words.filter(|words| !words.is_empty()).ok_or("a command is an array of bulk strings")?;
+    let words = words
+        .filter(|words| !words.is_empty())
+        .ok_or("a command is an array of bulk strings")?;
     let verb = &bytes[words[0].clone()];
     let is = |name: &str| verb.eq_ignore_ascii_case(name.as_bytes());
     let write = is("Q.DO");
@@ -121,7 +151,8 @@
     let customer = hex(&bytes[words[1].clone()]).filter(|customer| *customer < CUSTOMERS);
     let customer = customer.ok_or("the customer is no number of 16 hex digits below 2^33")?;
     let id = RequestId(hex(&bytes[words[2].clone()]).ok_or("the id is not 16 hex digits")?);
-    let facts = std::str::from_utf8(&bytes[words[3].clone()]).map_err(|_| "the list is not text")?;
+    let facts =
+        std::str::from_utf8(&bytes[words[3].clone()]).map_err(|_| "the list is not text")?;
     let (mut class, mut plan, mut wait, mut keyed, mut flags) = (None, None, None, false, 0);
     let (mut units, mut spread, mut first) = (None, None, None);
     let mut at = words[3].start;
@@ -135,7 +166,12 @@
             "t" => plan = terms.plans.iter().find(|(_, known)| known == value),
             "d" => wait = whole().filter(|wait| *wait > 0).map(|wait| (wait, place)),
             "k" => keyed = !value.is_empty(),
-            "units" => units = value.parse().ok().filter(|u: &f64| *u > 0.0 && *u <= terms.most_units),
+            "units" => {
+                units = value
+                    .parse()
+                    .ok()
+                    .filter(|u: &f64| *u > 0.0 && *u <= terms.most_units)
+            }
             "spread" => spread = whole().filter(|spread| (1..=terms.limiters).contains(spread)),
             "first" => first = whole().filter(|first| *first < terms.limiters),
             "r" if value == "1" => flags |= 2,
@@ -157,10 +193,18 @@
     flags |= if write { 4 } else { 0 };
     // Guards against being held for ever: no client waits for longer than its class does.
     let wait = Duration::from_millis(wait.into());
-    let wait = if class.deadline > 0 { wait.min(Duration::from_nanos(class.deadline)) } else { wait };
+    let wait = if class.deadline > 0 {
+        wait.min(Duration::from_nanos(class.deadline))
+    } else {
+        wait
+    };
     let class = *number;
     // The words alone, one behind another: their places move up by what stood between them.
-    let mut payload = Payload { bytes: Vec::with_capacity(command.length), words: Vec::new(), wait: 0..0 };
+    let mut payload = Payload {
+        bytes: Vec::with_capacity(command.length),
+        words: Vec::new(),
+        wait: 0..0,
+    };
     for (i, word) in words.iter().enumerate() {
         let start = payload.bytes.len();
         payload.bytes.extend_from_slice(&bytes[word.clone()]);
@@ -190,7 +234,11 @@
         Answer::Served(value) => codec::write_bulk(value, out),
         Answer::BackOff(Duration::ZERO) => out.extend_from_slice(b"-BUSY\r\n"),
         Answer::BackOff(wait) => {
-            let _ = write!(Text(out), "-BUSY {}\r\n", wait.as_nanos().div_ceil(1_000_000));
+            let _ = write!(
+                Text(out),
+                "-BUSY {}\r\n",
+                wait.as_nanos().div_ceil(1_000_000)
+            );
         }
         // Its head; the value follows through the pipe.
         Answer::Begun(pipe) => codec::write_head('$', pipe.length(), out),
@@ -347,7 +395,13 @@
 impl Rest {
     fn new() -> Self {
         let (pause, since, leave) = (Pause::Busy, Instant::now(), Rc::new(Notify::new()));
-        Rest { pause, since, stranger: true, turn: None, leave }
+        Rest {
+            pause,
+            since,
+            stranger: true,
+            turn: None,
+            leave,
+        }
     }
 
     /// Keeps up with the connection; `stranger` until its first whole command.
@@ -362,7 +416,11 @@
         (self.pause, self.stranger) = (pause, stranger);
         self.end(north);
         if pause != Pause::Busy {
-            let ahead = if stranger { north.frontend_context.limits.north_stranger } else { Duration::ZERO };
+            let ahead = if stranger {
+                north.frontend_context.limits.north_stranger
+            } else {
+                Duration::ZERO
+            };
             let since = self.since.checked_sub(ahead).unwrap_or(self.since);
             self.turn = Some(north.idle.enter(since, &self.leave));
         }
@@ -415,8 +473,8 @@
                 // room, where there is none a further one is only told to back off, and far past it the program
                 // waits for others to close.
                 let most = north.frontend_context.limits.north_share();
-                let crowded =
-                    north.frontend_context.shutdown.connections() >= most && !north.idle.make_room();
+                let crowded = north.frontend_context.shutdown.connections() >= most
+                    && !north.idle.make_room();
                 welcome(north, stream, crowded);
                 let mut count = north.frontend_context.shutdown.connection_changes();
                 // Guards against waiting there while the end comes, with others left in the queue.
@@ -448,9 +506,13 @@
 /// Takes what waits in the queue, and closes it. Guards against the connections there: a queue that is closed resets
 /// all that nobody has accepted.
 fn last_ones(north: &Rc<Downstream>, listener: TcpListener) {
-    let Ok(listener) = listener.into_std() else { return };
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
     while let Ok((stream, _)) = listener.accept() {
-        let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        let taken = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
         match taken {
             Ok(stream) => welcome(north, stream, false),
             Err(e) => tracing::warn!("cannot take a connection: {e}"),
@@ -482,7 +544,8 @@
     // Guards against idle clients that hold their descriptors a little longer each while others wait for one: where there
     // is no room it closes at once. Could hurt behind malformed bytes, where a reset may take the last answer along.
     if over == Over::Ours
-        && north.frontend_context.shutdown.connections() < north.frontend_context.limits.north_share()
+        && north.frontend_context.shutdown.connections()
+            < north.frontend_context.limits.north_share()
     {
         close::in_order(stream, north.frontend_context.limits.north_linger).await;
     }
@@ -499,7 +562,11 @@
 
 /// Serves a connection to its end.
 async fn converse(
-    north: &Rc<Downstream>, stream: &mut TcpStream, owed: &Rc<Owed>, rest: &mut Rest, crowded: bool,
+    north: &Rc<Downstream>,
+    stream: &mut TcpStream,
+    owed: &Rc<Owed>,
+    rest: &mut Rest,
+    crowded: bool,
 ) -> Over {
     let limits = &north.frontend_context.limits;
     let (mut reader, writer) = stream.split();
@@ -516,7 +583,13 @@
             let problem = match codec::command(&input[done..], limits) {
                 Ok(None) => break,
                 Ok(Some(command)) if waiting < limits.north_waiting => {
-                    take(north, owed, &input[done..], &command, crowded || waiting >= limits.north_pipeline);
+                    take(
+                        north,
+                        owed,
+                        &input[done..],
+                        &command,
+                        crowded || waiting >= limits.north_pipeline,
+                    );
                     done += command.length;
                     continue;
                 }
@@ -556,7 +629,8 @@
         let closing = phase.borrow_and_update().ge(&Phase::Closing);
         // Guards against losing commands that came together on a connection past the limit: it closes once all
         // that was read of it is answered, and not before its first command.
-        let leaving = (closing && (owed.first.get() > 0 || !fresh)) || crowded && owed.first.get() > 0;
+        let leaving =
+            (closing && (owed.first.get() > 0 || !fresh)) || crowded && owed.first.get() > 0;
         if between && !sound {
             return Over::Ours;
         }
@@ -615,10 +689,15 @@
 /// is dropped, and what comes beyond the limits waits where it is. Guards against requests that are sent on long after
 /// their client left.
 async fn hear(
-    reader: &mut ReadHalf<'_>, input: &mut Vec<u8>, (read, sound): (bool, bool), limits: &Limits,
+    reader: &mut ReadHalf<'_>,
+    input: &mut Vec<u8>,
+    (read, sound): (bool, bool),
+    limits: &Limits,
 ) -> bool {
     if read {
-        return codec::more(reader, input, limits.read_bytes).await.unwrap_or(false);
+        return codec::more(reader, input, limits.read_bytes)
+            .await
+            .unwrap_or(false);
     }
     if !sound {
         let mut dropped = [0; 4096];
@@ -626,7 +705,11 @@
         return false;
     }
     // The end is told ahead of what has not been read.
-    while !reader.ready(Interest::READABLE).await.is_ok_and(|ready| ready.is_read_closed()) {
+    while !reader
+        .ready(Interest::READABLE)
+        .await
+        .is_ok_and(|ready| ready.is_read_closed())
+    {
         sleep(limits.north_look).await;
     }
     false
@@ -643,13 +726,24 @@
 /// Takes a command in; past a limit a request is only told to back off. Guards against a client that goes unseen behind
 /// commands that nobody reads.
 fn take(north: &Rc<Downstream>, owed: &Rc<Owed>, bytes: &[u8], command: &Command, crowded: bool) {
-    match understand(bytes, command, &north.terms.borrow(), north.frontend_context.shutdown.welcome()) {
+    match understand(
+        bytes,
+        command,
+        &north.terms.borrow(),
+        north.frontend_context.shutdown.welcome(),
+    ) {
         Ok(Asked::Request(request)) => {
             let place = owed.push(Slot::Open(request.id));
             if crowded {
-                owed.answer(place, Answer::BackOff(north.frontend_context.limits.back_off.get()));
+                owed.answer(
+                    place,
+                    Answer::BackOff(north.frontend_context.limits.back_off.get()),
+                );
             } else {
-                north.frontend_context.entry.ask(owed.clone(), place, *request);
+                north
+                    .frontend_context
+                    .entry
+                    .ask(owed.clone(), place, *request);
             }
         }
         Ok(Asked::Here(answer)) => drop(owed.push(Slot::Ready(answer))),
@@ -680,19 +774,35 @@
     fn north(text: &str) -> Downstream {
         let config = config::read(text, |_| None).expect("the configuration is sound");
         let numbers = Numbers::new(&config.settings);
-        let terms = Rc::new(RefCell::new(RequestCatalog::of(&config.settings, numbers.heard(0))));
+        let terms = Rc::new(RefCell::new(RequestCatalog::of(
+            &config.settings,
+            numbers.heard(0),
+        )));
         let limits = Rc::new(config.limits);
         let (shutdown, held) = (Rc::new(Shutdown::new(&limits)), Rc::default());
-        Downstream::new(FrontendContext { entry: Rc::new(Nowhere), limits, shutdown, held }, terms)
+        Downstream::new(
+            FrontendContext {
+                entry: Rc::new(Nowhere),
+                limits,
+                shutdown,
+                held,
+            },
+            terms,
+        )
     }
 
     fn asked(
-        north: &Downstream, verb: &str, customer: &str, id: &str, facts: &str,
+        north: &Downstream,
+        verb: &str,
+        customer: &str,
+        id: &str,
+        facts: &str,
     ) -> Result<Duration, &'static str> {
         let mut bytes = Vec::new();
         codec::write_command(&[verb, customer, id, facts].map(str::as_bytes), &mut bytes);
-        let command =
-            codec::command(&bytes, &north.frontend_context.limits).expect("well-formed").expect("whole");
+        let command = codec::command(&bytes, &north.frontend_context.limits)
+            .expect("well-formed")
+            .expect("whole");
         understand(&bytes, &command, &north.terms.borrow(), true).map(|asked| match asked {
             Asked::Request(request) => request.wait,
             Asked::Here(_) => panic!("{verb} is for a host"),
@@ -702,8 +812,8 @@
     /// Whatever no host could use is turned away; every form that the protocol has is let through.
     #[test]
     fn only_usable_requests_are_taken() {
-        let text =
-            include_str!("../../../../examples/toy.json").replace("\"balancers\": 1", "\"balancers\": 3");
+        let text = include_str!("../../../../examples/toy.json")
+            .replace("\"balancers\": 1", "\"balancers\": 3");
         let north = north(&text);
         let (one, id) = ("00000001ffffffff", "9b1f03aa5c7e2d41");
         let check = "c=bed-check,t=guide,d=900,units=6,spread=3,first=2";
@@ -712,7 +822,10 @@
         assert_eq!(asked(&north, "Q.ASK", one, id, check), Ok(ms(900)));
         assert_eq!(asked(&north, "Q.DO", one, id, hold), Ok(ms(900)));
         // Nobody waits for longer than the class.
-        assert_eq!(asked(&north, "Q.DO", one, id, &hold.replace("900", "999999")), Ok(ms(4000)));
+        assert_eq!(
+            asked(&north, "Q.DO", one, id, &hold.replace("900", "999999")),
+            Ok(ms(4000))
+        );
         for (verb, customer, id) in [
             ("Q.DO", one, id),
             ("Q.ASK", "0000000200000000", id),
@@ -721,10 +834,23 @@
             ("Q.ASK", one, ""),
             ("Q.ASK", one, "9b1f03aa5c7e2d4"),
         ] {
-            assert!(asked(&north, verb, customer, id, check).is_err(), "{verb} {customer} {id}");
+            assert!(
+                asked(&north, verb, customer, id, check).is_err(),
+                "{verb} {customer} {id}"
+            );
         }
-        assert!(asked(&north, "Q.ASK", one, id, hold).is_err(), "a keyed class is not safe to repeat");
-        assert!(asked(&north, "Q.DO", one, id, &hold.replace(",k=5c0f6e1a2b3d4c59", "")).is_err());
+        assert!(
+            asked(&north, "Q.ASK", one, id, hold).is_err(),
+            "a keyed class is not safe to repeat"
+        );
+        assert!(asked(
+            &north,
+            "Q.DO",
+            one,
+            id,
+            &hold.replace(",k=5c0f6e1a2b3d4c59", "")
+        )
+        .is_err());
         for (from, to) in [
             ("c=bed-check,", ""),
             ("bed-check", "bed-chec"),
@@ -750,7 +876,10 @@
             ("spread=3,", "spread,"),
         ] {
             assert!(check.contains(from));
-            assert!(asked(&north, "Q.ASK", one, id, &check.replace(from, to)).is_err(), "{from} as {to}");
+            assert!(
+                asked(&north, "Q.ASK", one, id, &check.replace(from, to)).is_err(),
+                "{from} as {to}"
+            );
         }
     }
 }
--- a/src/net/resp/tests.rs
+++ b/src/net/resp/tests.rs
@@ -9,12 +9,17 @@
 
 /// A connection whose other end is moved by hand, and of which the runtime has learned that nothing has come.
 async fn pair() -> (TcpStream, Blocking) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
     let address = listener.local_addr().expect("it has an address");
     let peer = std::thread::spawn(move || Blocking::connect(address).expect("it connects"));
     let (stream, _) = listener.accept().await.expect("it comes");
     let peer = peer.join().expect("it has connected");
-    stream.writable().await.expect("the runtime has looked at it");
+    stream
+        .writable()
+        .await
+        .expect("the runtime has looked at it");
     assert!(stream.try_read(&mut [0]).is_err(), "nothing has come");
     (stream, peer)
 }
@@ -23,13 +28,21 @@
 fn has_come(stream: &TcpStream) {
     use nix::sys::socket::{recv, MsgFlags};
     use std::os::fd::AsRawFd;
-    while recv(stream.as_raw_fd(), &mut [0], MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT).is_err() {}
+    while recv(
+        stream.as_raw_fd(),
+        &mut [0],
+        MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT,
+    )
+    .is_err()
+    {}
     let known = stream.try_read(&mut [0]);
     assert!(known.is_err(), "the runtime does not know of it yet");
 }
 
 fn run(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     runtime.expect("a runtime starts").block_on(test);
 }
 
@@ -42,7 +55,10 @@
         assert_eq!(read_now(&stream, &mut bytes), Now::Nothing);
         peer.write_all(b"PING").expect("it is taken");
         has_come(&stream);
-        assert_eq!((read_now(&stream, &mut bytes), &bytes[..4]), (Now::Bytes(4), &b"PING"[..]));
+        assert_eq!(
+            (read_now(&stream, &mut bytes), &bytes[..4]),
+            (Now::Bytes(4), &b"PING"[..])
+        );
         drop(peer);
         has_come(&stream);
         assert_eq!(read_now(&stream, &mut bytes), Now::CallResult);
@@ -69,13 +85,20 @@
     run(async {
         let (stream, mut peer) = pair().await;
         peer.write_all(b"unread").expect("it is taken");
-        assert_eq!(stream.try_write(b"the last answer").expect("it is taken"), 15);
+        assert_eq!(
+            stream.try_write(b"the last answer").expect("it is taken"),
+            15
+        );
         let reader = std::thread::spawn(move || {
-            peer.write_all(&[7; 1 << 20]).expect("it is taken, and dropped");
+            peer.write_all(&[7; 1 << 20])
+                .expect("it is taken, and dropped");
             let mut text = String::new();
             peer.read_to_string(&mut text).map(|_| text)
         });
         in_order(stream, Duration::from_secs(20)).await;
-        assert_eq!(reader.join().expect("it ends").expect("no reset"), "the last answer");
+        assert_eq!(
+            reader.join().expect("it ends").expect("no reset"),
+            "the last answer"
+        );
     });
 }
--- a/src/net/resp/upstream/mod.rs
+++ b/src/net/resp/upstream/mod.rs
@@ -71,7 +71,13 @@
 impl UpstreamConnection {
     /// A link on a fresh connection.
     pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
-        UpstreamConnection { stream, peer, input: Vec::new(), output: Vec::new(), written: false }
+        UpstreamConnection {
+            stream,
+            peer,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: false,
+        }
     }
 
     /// Whether an idle connection has not come to its end, and nothing stands on it that belongs to no relay.
@@ -95,7 +101,13 @@
     /// Takes in what the inventory says of a host, which is told at this moment.
     pub fn learn(&self, entry: &HostEntry, address: SocketAddr) {
         let mut hosts = self.hosts.borrow_mut();
-        let fresh = || Host { address, started: entry.started, left: None, gone: false, idle: Vec::new() };
+        let fresh = || Host {
+            address,
+            started: entry.started,
+            left: None,
+            gone: false,
+            idle: Vec::new(),
+        };
         let host = hosts.entry(entry.host).or_insert_with(fresh);
         if host.address != address || host.started != entry.started {
             *host = fresh();
@@ -112,11 +124,17 @@
     /// Forgets the hosts that are gone and may be sent nothing any more. Guards against growing with each host
     /// that is replaced by one of another name.
     pub fn forget(&self, limits: &Limits) {
-        let over =
-            |host: &Host| host.gone && host.left.is_some_and(|left| left.elapsed() >= limits.drain.get());
+        let over = |host: &Host| {
+            host.gone
+                && host
+                    .left
+                    .is_some_and(|left| left.elapsed() >= limits.drain.get())
+        };
         self.hosts.borrow_mut().retain(|_, host| !over(host));
         let hosts = self.hosts.borrow();
-        self.by_host.borrow_mut().retain(|id, count| count.get() > 0 || hosts.contains_key(id));
+        self.by_host
+            .borrow_mut()
+            .retain(|id, count| count.get() > 0 || hosts.contains_key(id));
     }
 
     /// A whole list came: what it does not hold is gone.
@@ -134,7 +152,9 @@
     pub fn address(&self, id: HostId, limits: &Limits) -> Option<SocketAddr> {
         let hosts = self.hosts.borrow();
         let host = hosts.get(&id)?;
-        let late = host.left.is_some_and(|told| told.elapsed() >= limits.drain.get());
+        let late = host
+            .left
+            .is_some_and(|told| told.elapsed() >= limits.drain.get());
         (!late).then_some(host.address)
     }
 
@@ -143,7 +163,9 @@
     /// moment after an answer the connection takes none.
     pub fn hand_over(&self, mut relay: HostCall, limits: &Limits) -> Result<(), HostCall> {
         let mut hosts = self.hosts.borrow_mut();
-        let Some(host) = hosts.get_mut(&relay.host) else { return Err(relay) };
+        let Some(host) = hosts.get_mut(&relay.host) else {
+            return Err(relay);
+        };
         let rested = |idle: &Idle| idle.since.elapsed() >= limits.south_rest;
         while let Some(last) = host.idle.iter().rposition(rested) {
             match host.idle.remove(last).next.send(relay) {
@@ -157,11 +179,17 @@
     /// Lets a connection wait for its next relay, if its host still wants one.
     pub fn park(&self, id: HostId, peer: SocketAddr) -> Option<(u64, oneshot::Receiver<HostCall>)> {
         let mut hosts = self.hosts.borrow_mut();
-        let host = hosts.get_mut(&id).filter(|host| host.left.is_none() && host.address == peer)?;
+        let host = hosts
+            .get_mut(&id)
+            .filter(|host| host.left.is_none() && host.address == peer)?;
         let (next, relay) = oneshot::channel();
         let serial = self.serial.get();
         self.serial.set(serial + 1);
-        host.idle.push(Idle { serial, next, since: Instant::now() });
+        host.idle.push(Idle {
+            serial,
+            next,
+            since: Instant::now(),
+        });
         Some((serial, relay))
     }
 
@@ -184,24 +212,36 @@
         if self.links.get() >= limits.south_share() {
             let mut hosts = self.hosts.borrow_mut();
             let oldest = |host: &&mut Host| host.idle.first().map_or(u64::MAX, |idle| idle.serial);
-            let host = hosts.values_mut().min_by_key(oldest).filter(|host| !host.idle.is_empty())?;
+            let host = hosts
+                .values_mut()
+                .min_by_key(oldest)
+                .filter(|host| !host.idle.is_empty())?;
             drop(host.idle.remove(0));
         }
-        let counts = [self.links.clone(), self.by_host.borrow_mut().entry(id).or_default().clone()];
+        let counts = [
+            self.links.clone(),
+            self.by_host.borrow_mut().entry(id).or_default().clone(),
+        ];
         counts.iter().for_each(|count| count.set(count.get() + 1));
         Some(ConnectionPermit(counts))
     }
 
     /// The connections that are up or on their way, by host.
     pub fn links(&self) -> BTreeMap<HostId, usize> {
-        let held = |(id, count): (&HostId, &Rc<Cell<usize>>)| (count.get() > 0).then(|| (*id, count.get()));
+        let held = |(id, count): (&HostId, &Rc<Cell<usize>>)| {
+            (count.get() > 0).then(|| (*id, count.get()))
+        };
         self.by_host.borrow().iter().filter_map(held).collect()
     }
 
     /// What a reply to a relay means, and whether it is one of the protocol's forms: after any other the
     /// connection is of no more use.
     pub fn end(
-        &self, reply: &Reply, bytes: &[u8], command: &HostCommand, host: HostId,
+        &self,
+        reply: &Reply,
+        bytes: &[u8],
+        command: &HostCommand,
+        host: HostId,
     ) -> (CallResult, bool) {
         let text = |place: &std::ops::Range<usize>| bytes[place.clone()].to_vec();
         let load_of = |member: &Reply| match member {
@@ -225,27 +265,42 @@
                 )
             }
             (Reply::Bulk(Some(_)), HostCommand::HealthCheck) => match load_of(reply) {
-                Some(load) => (CallResult { load, ..Outcome::Good.into() }, true),
-                None => (Outcome::Error.into(), true),
-            },
-            (Reply::Array(Some(members)), HostCommand::Attempt { .. }) => match members.as_slice() {
-                // The value, the figures on use or null, the load report or null. The value is good even where
-                // the others cannot be read.
-                [Reply::Bulk(Some(value)), figures, report] => (
+                Some(load) => (
                     CallResult {
-                        value: text(value),
-                        load: load_of(report).unwrap_or_default(),
-                        used: used(figures, bytes, host),
+                        load,
                         ..Outcome::Good.into()
                     },
                     true,
                 ),
-                _ => (Outcome::Error.into(), false),
+                None => (Outcome::Error.into(), true),
             },
+            (Reply::Array(Some(members)), HostCommand::Attempt { .. }) => {
+                match members.as_slice() {
+                    // The value, the figures on use or null, the load report or null. The value is good even where
+                    // the others cannot be read.
+                    [Reply::Bulk(Some(value)), figures, report] => (
+                        CallResult {
+                            value: text(value),
+                            load: load_of(report).unwrap_or_default(),
+                            used: used(figures, bytes, host),
+                            ..Outcome::Good.into()
+                        },
+                        true,
+                    ),
+                    _ => (Outcome::Error.into(), false),
+                }
+            }
             _ => (Outcome::Error.into(), false),
         };
-        let told = matches!(command, HostCommand::HealthCheck) || self.reports.get() == ReportSource::Answers;
-        (CallResult { load: if told { end.load } else { Load::new() }, ..end }, known)
+        let told = matches!(command, HostCommand::HealthCheck)
+            || self.reports.get() == ReportSource::Answers;
+        (
+            CallResult {
+                load: if told { end.load } else { Load::new() },
+                ..end
+            },
+            known,
+        )
     }
 }
 
@@ -264,7 +319,12 @@
 /// so far and is no reply to this errand.
 pub fn promising(input: &[u8], command: &HostCommand) -> bool {
     let begins = |form: &[u8]| input.iter().zip(form).all(|(one, other)| one == other);
-    begins(b"-") || begins(if matches!(command, HostCommand::HealthCheck) { b"$" } else { b"*3\r\n$" })
+    begins(b"-")
+        || begins(if matches!(command, HostCommand::HealthCheck) {
+            b"$"
+        } else {
+            b"*3\r\n$"
+        })
 }
 
 /// A load report: `inflight=7,queue=2`.
@@ -286,13 +346,24 @@
         Reply::Bulk(Some(place)) => load(&bytes[place.clone()]),
         _ => None,
     };
-    let of =
-        |name: &str| pairs.iter().flatten().find(|(known, _)| known == name).map_or(0.0, |(_, value)| *value);
+    let of = |name: &str| {
+        pairs
+            .iter()
+            .flatten()
+            .find(|(known, _)| known == name)
+            .map_or(0.0, |(_, value)| *value)
+    };
     let (metered, units) = (of("used"), of("cost"));
     if pairs.is_none() || metered < 0.0 || units < 0.0 {
-        tracing::warn!("server {}: figures on use that cannot be read are left out", host.0);
+        tracing::warn!(
+            "server {}: figures on use that cannot be read are left out",
+            host.0
+        );
+    }
+    UsageFigures {
+        metered: metered.max(0.0) as u64,
+        units: units.max(0.0),
     }
-    UsageFigures { metered: metered.max(0.0) as u64, units: units.max(0.0) }
 }
 
 /// Writes the command that a relay takes to its host. The words go on byte for byte; the wait is what is left.
@@ -300,7 +371,12 @@
     let HostCommand::Attempt { payload, .. } = &relay.command else {
         return codec::write_command(&[b"INFO", b"load"], out);
     };
-    let left = relay.until.saturating_duration_since(now).as_millis().max(1).to_string();
+    let left = relay
+        .until
+        .saturating_duration_since(now)
+        .as_millis()
+        .max(1)
+        .to_string();
     codec::write_head('*', payload.words.len(), out);
     for word in &payload.words {
         let wait = &payload.wait;
@@ -328,16 +404,31 @@
     fn only_the_wait_is_rewritten() {
         with_limiter(&[], |limiter| async move {
             let (mut engine, now) = (limiter.engine.borrow_mut(), Instant::now());
-            engine.open(Rc::new(RecordingFrontend::default()), 0, &mut request(1), now);
-            for (timeout, expected) in
-                [(0, "$9\r\nd=900,c=x"), (42_000_000, "$8\r\nd=42,c=x"), (10, "$7\r\nd=1,c=x")]
-            {
+            engine.open(
+                Rc::new(RecordingFrontend::default()),
+                0,
+                &mut request(1),
+                now,
+            );
+            for (timeout, expected) in [
+                (0, "$9\r\nd=900,c=x"),
+                (42_000_000, "$8\r\nd=42,c=x"),
+                (10, "$7\r\nd=1,c=x"),
+            ] {
                 let relay = engine
-                    .begin(crate::api::RequestId(1), HostId(5), (timeout, u64::MAX), now)
+                    .begin(
+                        crate::api::RequestId(1),
+                        HostId(5),
+                        (timeout, u64::MAX),
+                        now,
+                    )
                     .expect("within the cap");
                 let mut out = Vec::new();
                 write(&relay, now, &mut out);
-                assert_eq!(String::from_utf8_lossy(&out), format!("*2\r\n$5\r\nQ.ASK\r\n{expected}\r\n"));
+                assert_eq!(
+                    String::from_utf8_lossy(&out),
+                    format!("*2\r\n$5\r\nQ.ASK\r\n{expected}\r\n")
+                );
             }
         });
     }
@@ -354,9 +445,24 @@
         with_limiter(&[], |limiter| async move {
             let upstream = Upstream::new(ReportSource::Answers);
             for (bytes, outcome, inflight, known) in [
-                ("*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n", Outcome::Good, Some(7.0), true),
-                ("*3\r\n$3\r\nbed\r\n$-1\r\n$3\r\n=,=\r\n", Outcome::Good, None, true),
-                ("*3\r\n$3\r\nbed\r\n:-7\r\n+?\r\n", Outcome::Good, None, true),
+                (
+                    "*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n",
+                    Outcome::Good,
+                    Some(7.0),
+                    true,
+                ),
+                (
+                    "*3\r\n$3\r\nbed\r\n$-1\r\n$3\r\n=,=\r\n",
+                    Outcome::Good,
+                    None,
+                    true,
+                ),
+                (
+                    "*3\r\n$3\r\nbed\r\n:-7\r\n+?\r\n",
+                    Outcome::Good,
+                    None,
+                    true,
+                ),
                 ("*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome::Error, None, false),
                 ("*2\r\n$3\r\nbed\r\n$-1\r\n", Outcome::Error, None, false),
                 ("$3\r\nbed\r\n", Outcome::Error, None, false),
@@ -365,17 +471,34 @@
                 ("-BUSY\r\n", Outcome::Rejected, None, true),
                 ("-BUSY inflight=9\r\n", Outcome::Rejected, Some(9.0), true),
                 ("-BUSYBODY\r\n", Outcome::Error, None, false),
-                ("-ERR failed inflight=3,queue=0\r\n", Outcome::Error, Some(3.0), true),
+                (
+                    "-ERR failed inflight=3,queue=0\r\n",
+                    Outcome::Error,
+                    Some(3.0),
+                    true,
+                ),
             ] {
-                let (reply, _) =
-                    codec::reply(bytes.as_bytes(), &limiter.limits).expect("well-formed").expect("whole");
+                let (reply, _) = codec::reply(bytes.as_bytes(), &limiter.limits)
+                    .expect("well-formed")
+                    .expect("whole");
                 let (end, usable) = upstream.end(&reply, bytes.as_bytes(), &attempt, HostId(5));
                 assert_eq!(
-                    (end.outcome, end.load.first().map(|(_, value)| *value), usable),
+                    (
+                        end.outcome,
+                        end.load.first().map(|(_, value)| *value),
+                        usable
+                    ),
                     (outcome, inflight, known),
                     "{bytes:?}"
                 );
-                assert_eq!(end.value, if outcome == Outcome::Good { b"bed".to_vec() } else { Vec::new() });
+                assert_eq!(
+                    end.value,
+                    if outcome == Outcome::Good {
+                        b"bed".to_vec()
+                    } else {
+                        Vec::new()
+                    }
+                );
             }
             for (bytes, may) in [("", true), ("*3\r", true), ("*3\r\n$9", true), ("-E", true)] {
                 assert_eq!(promising(bytes.as_bytes(), &attempt), may, "{bytes:?}");
@@ -407,8 +530,9 @@
                 (":4\r\n$-1\r\n", 0, 0.0),
             ] {
                 let bytes = format!("*3\r\n$3\r\nbed\r\n{members}");
-                let (reply, _) =
-                    codec::reply(bytes.as_bytes(), &limiter.limits).expect("well-formed").expect("whole");
+                let (reply, _) = codec::reply(bytes.as_bytes(), &limiter.limits)
+                    .expect("well-formed")
+                    .expect("whole");
                 let (end, usable) = upstream.end(&reply, bytes.as_bytes(), &attempt, HostId(5));
                 assert_eq!(
                     (end.outcome, end.used, usable),
@@ -423,13 +547,32 @@
     #[test]
     fn a_connection_rests_after_an_answer() {
         with_limiter(&[], |limiter| async move {
-            let (upstream, address) = (&limiter.upstream, "127.0.0.1:9".parse().expect("an address"));
+            let (upstream, address) = (
+                &limiter.upstream,
+                "127.0.0.1:9".parse().expect("an address"),
+            );
             let state = HostState::Ready;
-            upstream.learn(&HostEntry { host: HostId(5), state, ..HostEntry::default() }, address);
+            upstream.learn(
+                &HostEntry {
+                    host: HostId(5),
+                    state,
+                    ..HostEntry::default()
+                },
+                address,
+            );
             let now = Instant::now();
-            limiter.engine.borrow_mut().open(Rc::new(RecordingFrontend::default()), 0, &mut request(1), now);
-            let relay =
-                limiter.engine.borrow_mut().begin(crate::api::RequestId(1), HostId(5), (0, u64::MAX), now);
+            limiter.engine.borrow_mut().open(
+                Rc::new(RecordingFrontend::default()),
+                0,
+                &mut request(1),
+                now,
+            );
+            let relay = limiter.engine.borrow_mut().begin(
+                crate::api::RequestId(1),
+                HostId(5),
+                (0, u64::MAX),
+                now,
+            );
             let mut parked = upstream.park(HostId(5), address).expect("it may wait").1;
             let back = upstream.hand_over(relay.expect("within the cap"), &limiter.limits);
             let relay = back.expect_err("it answered just now");
@@ -443,9 +586,19 @@
     #[test]
     fn a_host_that_drains_is_soon_sent_nothing() {
         with_limiter(&[], |limiter| async move {
-            let (upstream, address) = (&limiter.upstream, "127.0.0.1:9".parse().expect("an address"));
-            let entry = |state| HostEntry { host: HostId(5), state, ..HostEntry::default() };
-            let drained = Limits { drain: std::time::Duration::ZERO.into(), ..(*limiter.limits).clone() };
+            let (upstream, address) = (
+                &limiter.upstream,
+                "127.0.0.1:9".parse().expect("an address"),
+            );
+            let entry = |state| HostEntry {
+                host: HostId(5),
+                state,
+                ..HostEntry::default()
+            };
+            let drained = Limits {
+                drain: std::time::Duration::ZERO.into(),
+                ..(*limiter.limits).clone()
+            };
             upstream.learn(&entry(HostState::Ready), address);
             assert_eq!(upstream.address(HostId(5), &drained), Some(address));
             let parked = upstream.park(HostId(5), address).expect("it may wait");
@@ -464,19 +617,38 @@
     #[test]
     fn hosts_that_are_gone_are_forgotten() {
         with_limiter(&[], |limiter| async move {
-            let (upstream, address) = (&limiter.upstream, "127.0.0.1:9".parse().expect("an address"));
-            let entry = |id, state| HostEntry { host: HostId(id), state, ..HostEntry::default() };
-            let over = Limits { drain: std::time::Duration::ZERO.into(), ..(*limiter.limits).clone() };
+            let (upstream, address) = (
+                &limiter.upstream,
+                "127.0.0.1:9".parse().expect("an address"),
+            );
+            let entry = |id, state| HostEntry {
+                host: HostId(id),
+                state,
+                ..HostEntry::default()
+            };
+            let over = Limits {
+                drain: std::time::Duration::ZERO.into(),
+                ..(*limiter.limits).clone()
+            };
             (1..5).for_each(|id| upstream.learn(&entry(id, HostState::Ready), address));
             upstream.learn(&entry(2, HostState::Gone), address);
             upstream.learn(&entry(3, HostState::Draining), address);
             upstream.forget(&limiter.limits);
-            assert!((1..5).all(|id| upstream.knows(HostId(id))), "what was decided before may still go out");
+            assert!(
+                (1..5).all(|id| upstream.knows(HostId(id))),
+                "what was decided before may still go out"
+            );
             upstream.forget(&over);
-            assert_eq!([1, 2, 3, 4].map(|id| upstream.knows(HostId(id))), [true, false, true, true]);
+            assert_eq!(
+                [1, 2, 3, 4].map(|id| upstream.knows(HostId(id))),
+                [true, false, true, true]
+            );
             upstream.keep_only(&[entry(1, HostState::Ready)]);
             upstream.forget(&over);
-            assert_eq!([1, 2, 3, 4].map(|id| upstream.knows(HostId(id))), [true, false, false, false]);
+            assert_eq!(
+                [1, 2, 3, 4].map(|id| upstream.knows(HostId(id))),
+                [true, false, false, false]
+            );
         });
     }
 }
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -29,7 +29,9 @@
 
 /// Unix time by the system's clock, which two processes on one machine share.
 pub fn unix() -> Nanos {
-    SystemTime::UNIX_EPOCH.elapsed().map_or(0, |age| age.as_nanos() as Nanos)
+    SystemTime::UNIX_EPOCH
+        .elapsed()
+        .map_or(0, |age| age.as_nanos() as Nanos)
 }
 
 impl Shutdown {
@@ -91,20 +93,25 @@
     fn step(&self) -> Option<Nanos> {
         let now = unix();
         let (phase, next) = self.doors.borrow().phase(now);
-        self.phase.send_if_modified(|held| std::mem::replace(held, phase) != phase);
+        self.phase
+            .send_if_modified(|held| std::mem::replace(held, phase) != phase);
         let over = phase >= Phase::Closing && self.doors.borrow().ending();
-        self.ending.send_if_modified(|held| std::mem::replace(held, over) != over);
+        self.ending
+            .send_if_modified(|held| std::mem::replace(held, over) != over);
         next.map(|next| next.saturating_sub(now))
     }
 
     /// When the last answers are given, once the end was asked for.
     pub fn last_answers(&self, limits: &Limits) -> Option<Instant> {
-        self.asked.get().map(|asked| asked + limits.end.get() - limits.last_answers.get())
+        self.asked
+            .get()
+            .map(|asked| asked + limits.end.get() - limits.last_answers.get())
     }
 
     /// Counts a client's connection in or out.
     pub fn count(&self, change: isize) {
-        self.connections.send_modify(|count| *count = count.saturating_add_signed(change));
+        self.connections
+            .send_modify(|count| *count = count.saturating_add_signed(change));
     }
 
     /// How many connections clients hold.
@@ -120,7 +127,8 @@
 
 /// Goes through the phases, and waits for SIGTERM.
 pub fn watch(limiter: &Rc<Limiter>) -> Result<(), String> {
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
+    let mut term =
+        signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
     let (phases, ended) = (limiter.clone(), limiter.clone());
     spawn(async move {
         let shutdown = &phases.shutdown;
@@ -150,7 +158,10 @@
 /// Waits until every connection is closed and every request answered. Shortly before the time is up, whatever is still
 /// open is failed. Guards against requests that go unanswered with the program.
 pub async fn finish(limiter: &Rc<Limiter>) {
-    let last = limiter.shutdown.last_answers(&limiter.limits).unwrap_or_else(Instant::now);
+    let last = limiter
+        .shutdown
+        .last_answers(&limiter.limits)
+        .unwrap_or_else(Instant::now);
     let mut connections = limiter.shutdown.connection_changes();
     let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
     // A client that went away leaves its relays to end by themselves; nothing is owed for them.
@@ -158,7 +169,8 @@
         sleep(limiter.limits.last_moment).await;
     }
     let open = limiter.engine.borrow().open_ids();
-    open.into_iter().for_each(|id| complete::give_up(limiter, id));
+    open.into_iter()
+        .for_each(|id| complete::give_up(limiter, id));
     let end = last + limiter.limits.last_answers.get();
     let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
 }
--- a/src/net/shutdown/tests.rs
+++ b/src/net/shutdown/tests.rs
@@ -25,11 +25,17 @@
         asked(&limiter, Duration::from_secs(3));
         let before = Instant::now();
         accept::take_in(&limiter, front.clone(), 0, asks);
-        let last = limiter.shutdown.last_answers(&limiter.limits).expect("the end was asked for");
+        let last = limiter
+            .shutdown
+            .last_answers(&limiter.limits)
+            .expect("the end was asked for");
         match next(&limiter).await {
             Event::Request { budget, .. } => {
                 assert!(budget > 2_000_000_000, "it has its time up to then");
-                assert!(before + Duration::from_nanos(budget) <= last, "and no more, whenever it came");
+                assert!(
+                    before + Duration::from_nanos(budget) <= last,
+                    "and no more, whenever it came"
+                );
             }
             other => panic!("{other:?}"),
         }
@@ -59,6 +65,9 @@
         finish(&limiter).await;
         assert_eq!(*front.0.borrow(), [(9, Answer::Failed)]);
         assert_eq!(limiter.shutdown.connections(), 0, "not cut off");
-        assert!(matches!(next(&limiter).await, Event::Abandoned { id: RequestId(1) }));
+        assert!(matches!(
+            next(&limiter).await,
+            Event::Abandoned { id: RequestId(1) }
+        ));
     });
 }
--- a/src/net/stages/accept.rs
+++ b/src/net/stages/accept.rs
@@ -23,9 +23,17 @@
 
 /// What a front of this limiter is given.
 pub fn frontend_context(limiter: &Rc<Limiter>) -> FrontendContext {
-    let (limits, shutdown, held) =
-        (limiter.limits.clone(), limiter.shutdown.clone(), limiter.engine.borrow().held());
-    FrontendContext { entry: Rc::new(Door(limiter.clone())), limits, shutdown, held }
+    let (limits, shutdown, held) = (
+        limiter.limits.clone(),
+        limiter.shutdown.clone(),
+        limiter.engine.borrow().held(),
+    );
+    FrontendContext {
+        entry: Rc::new(Door(limiter.clone())),
+        limits,
+        shutdown,
+        held,
+    }
 }
 
 /// Takes a request in. Past the limits of what the program holds it gets a back-off answer at once.
@@ -42,6 +50,9 @@
     if let Some(last) = limiter.shutdown.last_answers(&limiter.limits) {
         request.wait = request.wait.min(last.saturating_duration_since(came));
     }
-    let deadline = limiter.engine.borrow_mut().open(front, place, &mut request, came);
+    let deadline = limiter
+        .engine
+        .borrow_mut()
+        .open(front, place, &mut request, came);
     admit::admit(limiter, request, deadline);
 }
--- a/src/net/stages/admit.rs
+++ b/src/net/stages/admit.rs
@@ -10,7 +10,18 @@
 
 /// Puts a request to the module, and sees to it that it is answered whatever becomes of it.
 pub fn admit(limiter: &Rc<Limiter>, request: Request, deadline: Instant) {
-    let Request { id, class, plan, customer, units, spread, first, flags, wait, .. } = request;
+    let Request {
+        id,
+        class,
+        plan,
+        customer,
+        units,
+        spread,
+        first,
+        flags,
+        wait,
+        ..
+    } = request;
     limiter.tell(Event::Request {
         id,
         class,
@@ -23,7 +34,9 @@
         flags,
     });
     // Guards against a request that the module forgets: it is failed at the last moment.
-    let last = deadline.checked_sub(limiter.limits.last_moment).unwrap_or(deadline);
+    let last = deadline
+        .checked_sub(limiter.limits.last_moment)
+        .unwrap_or(deadline);
     let limiter = limiter.clone();
     spawn(async move {
         sleep_until(last).await;
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -17,10 +17,17 @@
 /// Takes a relay to its host and back; how it ended, and whether the connection can take another. One that is
 /// cancelled or timed out leaves its answer unread, so its connection ends with it.
 pub async fn relay(
-    limiter: &Rc<Limiter>, link: &mut UpstreamConnection, relay: &HostCall,
+    limiter: &Rc<Limiter>,
+    link: &mut UpstreamConnection,
+    relay: &HostCall,
 ) -> (CallResult, bool) {
-    let (Some(usage_recorder), HostCommand::Attempt { used: (customer, units), .. }) =
-        (limiter.usage_recorder.get(), &relay.command)
+    let (
+        Some(usage_recorder),
+        HostCommand::Attempt {
+            used: (customer, units),
+            ..
+        },
+    ) = (limiter.usage_recorder.get(), &relay.command)
     else {
         return carry(limiter, link, relay).await;
     };
@@ -30,7 +37,11 @@
     (end, sound)
 }
 
-async fn carry(limiter: &Rc<Limiter>, link: &mut UpstreamConnection, relay: &HostCall) -> (CallResult, bool) {
+async fn carry(
+    limiter: &Rc<Limiter>,
+    link: &mut UpstreamConnection,
+    relay: &HostCall,
+) -> (CallResult, bool) {
     link.written = false;
     let outcome = tokio::select! {
         biased;
@@ -43,7 +54,15 @@
     };
     // A command that is not whole is never begun.
     let never = !link.written && outcome == Outcome::Timeout;
-    (if never { Outcome::ConnectFailed } else { outcome }.into(), false)
+    (
+        if never {
+            Outcome::ConnectFailed
+        } else {
+            outcome
+        }
+        .into(),
+        false,
+    )
 }
 
 /// What came of an exchange.
@@ -61,7 +80,11 @@
 }
 
 async fn exchange(limiter: &Rc<Limiter>, link: &mut UpstreamConnection, relay: &HostCall) -> Came {
-    if limiter.upstream.address(relay.host, &limiter.limits).is_none() {
+    if limiter
+        .upstream
+        .address(relay.host, &limiter.limits)
+        .is_none()
+    {
         return Outcome::ConnectFailed.into();
     }
     upstream::write(relay, Instant::now(), &mut link.output);
@@ -74,7 +97,10 @@
         match link.stream.try_write(&link.output[sent..]) {
             Ok(count) => sent += count,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                if !matches!(timeout_at(relay.begin_by, link.stream.writable()).await, Ok(Ok(()))) {
+                if !matches!(
+                    timeout_at(relay.begin_by, link.stream.writable()).await,
+                    Ok(Ok(()))
+                ) {
                     return Outcome::ConnectFailed.into();
                 }
             }
@@ -104,7 +130,10 @@
         }
         match codec::reply(&link.input, &limiter.limits) {
             Ok(Some((reply, length))) => {
-                let (end, known) = limiter.upstream.end(&reply, &link.input, &relay.command, relay.host);
+                let (end, known) =
+                    limiter
+                        .upstream
+                        .end(&reply, &link.input, &relay.command, relay.host);
                 // Whatever follows belongs to no relay.
                 let sound = known && length == link.input.len();
                 codec::consume(&mut link.input, length, limiter.limits.read_bytes);
@@ -131,7 +160,11 @@
 /// Passes a long value on as it comes; no deadline of ours cuts it off. Guards against a client that takes a spoilt
 /// value for whole: its last byte is kept until the host has ended it as it should.
 async fn pass_on(
-    limiter: &Rc<Limiter>, link: &mut UpstreamConnection, relay: &HostCall, head: usize, length: usize,
+    limiter: &Rc<Limiter>,
+    link: &mut UpstreamConnection,
+    relay: &HostCall,
+    head: usize,
+    length: usize,
 ) -> (CallResult, bool) {
     let limits = &limiter.limits;
     codec::consume(&mut link.input, head, limits.window);
@@ -218,9 +251,15 @@
     #[test]
     fn a_spoilt_answer_is_not_waited_for() {
         with_limiter(&[], |limiter| async move {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+            let listener = TcpListener::bind("127.0.0.1:0")
+                .await
+                .expect("a port is free");
             let (address, host) = (listener.local_addr().expect("it has an address"), HostId(5));
-            let entry = HostEntry { host, state: HostState::Ready, ..HostEntry::default() };
+            let entry = HostEntry {
+                host,
+                state: HostState::Ready,
+                ..HostEntry::default()
+            };
             limiter.upstream.learn(&entry, address);
             let good = "*3\r\n$3\r\nbed\r\n$-1\r\n$-1\r\n";
             for (id, answer, expected) in [
@@ -228,18 +267,28 @@
                 (2, good.repeat(2), (Outcome::Good, false)),
                 (3, "*3\r\n*3\r\n*3\r\n".to_owned(), (Outcome::Error, false)),
                 (4, good[..12].to_owned(), (Outcome::Error, false)),
-                (5, "*3\r\n$3000000000\r\nbed".to_owned(), (Outcome::Error, false)),
+                (
+                    5,
+                    "*3\r\n$3000000000\r\nbed".to_owned(),
+                    (Outcome::Error, false),
+                ),
             ] {
                 let (now, front) = (Instant::now(), Rc::new(RecordingFrontend::default()));
-                limiter.engine.borrow_mut().open(front, 0, &mut request(id), now);
+                limiter
+                    .engine
+                    .borrow_mut()
+                    .open(front, 0, &mut request(id), now);
                 let sent = limiter
                     .engine
                     .borrow_mut()
                     .begin(RequestId(id), host, (0, u64::MAX), now)
                     .expect("within the cap");
                 let (stream, (mut peer, _)) =
-                    tokio::try_join!(TcpStream::connect(address), listener.accept()).expect("they connect");
-                peer.write_all(answer.as_bytes()).await.expect("the limiter reads");
+                    tokio::try_join!(TcpStream::connect(address), listener.accept())
+                        .expect("they connect");
+                peer.write_all(answer.as_bytes())
+                    .await
+                    .expect("the limiter reads");
                 let mut link = UpstreamConnection::new(stream, address);
                 let (end, sound) = relay(&limiter, &mut link, &sent).await;
                 assert_eq!((end.outcome, sound), expected, "{answer:?}");
--- a/src/net/stages/complete.rs
+++ b/src/net/stages/complete.rs
@@ -29,14 +29,23 @@
 
 impl From<Outcome> for CallResult {
     fn from(outcome: Outcome) -> Self {
-        CallResult { outcome, value: Vec::new(), load: Load::new(), used: UsageFigures::default() }
+        CallResult {
+            outcome,
+            value: Vec::new(),
+            load: Load::new(),
+            used: UsageFigures::default(),
+        }
     }
 }
 
 /// Gives a request its final answer, if it is still open.
 pub fn answer(limiter: &Rc<Limiter>, id: RequestId, answer: Answer) -> bool {
     let open = limiter.engine.borrow_mut().close(id);
-    tracing::debug!(request = format_args!("{:016x}", id.0), open = open.is_some(), "answered");
+    tracing::debug!(
+        request = format_args!("{:016x}", id.0),
+        open = open.is_some(),
+        "answered"
+    );
     if let Some((front, place)) = &open {
         front.answer(*place, answer);
     }
@@ -46,7 +55,11 @@
 /// The client of a request went away: nothing is owed any more.
 pub fn abandon(limiter: &Rc<Limiter>, id: RequestId) {
     let open = limiter.engine.borrow_mut().close(id);
-    tracing::debug!(request = format_args!("{:016x}", id.0), open = open.is_some(), "its client went away");
+    tracing::debug!(
+        request = format_args!("{:016x}", id.0),
+        open = open.is_some(),
+        "its client went away"
+    );
     if open.is_some() {
         limiter.tell(Event::Abandoned { id });
     }
@@ -61,20 +74,36 @@
 
 /// The answer of a request begins: a long value, which comes through the pipe. False where nobody waits for it.
 pub fn begin(limiter: &Rc<Limiter>, relay: &HostCall, pipe: &Rc<Pipe>) -> bool {
-    let HostCommand::Attempt { id, attempt, .. } = relay.command else { return false };
+    let HostCommand::Attempt { id, attempt, .. } = relay.command else {
+        return false;
+    };
     let begun = answer(limiter, id, Answer::Begun(pipe.clone()));
     if begun {
         let (host, elapsed) = (relay.host, relay.began.elapsed().as_nanos() as Nanos);
-        limiter.tell(Event::StreamStarted { id, attempt, host, elapsed });
+        limiter.tell(Event::StreamStarted {
+            id,
+            attempt,
+            host,
+            elapsed,
+        });
     }
     begun
 }
 
 /// Books the end of a relay. The first good one answers the client by itself.
 pub fn done(limiter: &Rc<Limiter>, relay: &HostCall, end: CallResult) {
-    let (host, outcome, elapsed) = (relay.host, end.outcome, relay.began.elapsed().as_nanos() as Nanos);
+    let (host, outcome, elapsed) = (
+        relay.host,
+        end.outcome,
+        relay.began.elapsed().as_nanos() as Nanos,
+    );
     let HostCommand::Attempt { id, attempt, .. } = relay.command else {
-        return limiter.tell(Event::HealthCheckDone { host, outcome, elapsed, load: end.load });
+        return limiter.tell(Event::HealthCheckDone {
+            host,
+            outcome,
+            elapsed,
+            load: end.load,
+        });
     };
     tracing::debug!(
         request = format_args!("{:016x}", id.0),
@@ -89,12 +118,21 @@
         // One that has begun already is open no more.
         answer(limiter, id, Answer::Served(end.value));
     }
-    tell_done(limiter, (id, attempt, host), outcome, elapsed, (end.load, end.used));
+    tell_done(
+        limiter,
+        (id, attempt, host),
+        outcome,
+        elapsed,
+        (end.load, end.used),
+    );
 }
 
 /// Tells the module of the end of an attempt. Whether the request is over is filled in when it takes the event.
 pub fn tell_done(
-    limiter: &Rc<Limiter>, (id, attempt, host): (RequestId, u32, HostId), outcome: Outcome, elapsed: Nanos,
+    limiter: &Rc<Limiter>,
+    (id, attempt, host): (RequestId, u32, HostId),
+    outcome: Outcome,
+    elapsed: Nanos,
     (load, used): (Load, UsageFigures),
 ) {
     let (over, metered_use, true_units) = (false, used.metered, used.units);
@@ -123,7 +161,10 @@
     fn one_answer_whatever_comes() {
         with_limiter(&[], |limiter| async move {
             let (front, now) = (Rc::new(RecordingFrontend::default()), Instant::now());
-            limiter.engine.borrow_mut().open(front.clone(), 9, &mut request(1), now);
+            limiter
+                .engine
+                .borrow_mut()
+                .open(front.clone(), 9, &mut request(1), now);
             let begin = || {
                 limiter
                     .engine
@@ -132,9 +173,27 @@
                     .expect("within the cap")
             };
             let (first, second) = (begin(), begin());
-            let used = UsageFigures { metered: 37, units: 2.5 };
-            done(&limiter, &first, CallResult { value: b"bed".to_vec(), used, ..Outcome::Good.into() });
-            done(&limiter, &second, CallResult { value: b"other".to_vec(), ..Outcome::Good.into() });
+            let used = UsageFigures {
+                metered: 37,
+                units: 2.5,
+            };
+            done(
+                &limiter,
+                &first,
+                CallResult {
+                    value: b"bed".to_vec(),
+                    used,
+                    ..Outcome::Good.into()
+                },
+            );
+            done(
+                &limiter,
+                &second,
+                CallResult {
+                    value: b"other".to_vec(),
+                    ..Outcome::Good.into()
+                },
+            );
             give_up(&limiter, RequestId(1));
             assert!(!answer(&limiter, RequestId(1), Answer::Failed));
             assert_eq!(*front.0.borrow(), [(9, Answer::Served(b"bed".to_vec()))]);
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -21,10 +21,20 @@
 /// Sends a probe on its way.
 pub fn probe(limiter: &Rc<Limiter>, host: HostId) {
     let now = Instant::now();
-    let (until, cancel) = (now + limiter.limits.connect.get(), Rc::new(Cancellation::default()));
+    let (until, cancel) = (
+        now + limiter.limits.connect.get(),
+        Rc::new(Cancellation::default()),
+    );
     send(
         limiter,
-        HostCall { command: HostCommand::HealthCheck, host, began: now, begin_by: until, until, cancel },
+        HostCall {
+            command: HostCommand::HealthCheck,
+            host,
+            began: now,
+            begin_by: until,
+            until,
+            cancel,
+        },
     );
 }
 
@@ -44,7 +54,11 @@
     loop {
         let (end, sound) = attempt::relay(&limiter, &mut link, &relay).await;
         // Waits already when the module is told, so that what it sends on next finds this connection.
-        let parked = if sound { limiter.upstream.park(relay.host, link.peer) } else { None };
+        let parked = if sound {
+            limiter.upstream.park(relay.host, link.peer)
+        } else {
+            None
+        };
         complete::done(&limiter, &relay, end);
         let Some((serial, next)) = parked else { return };
         let host = relay.host;
@@ -58,8 +72,13 @@
 }
 
 async fn connect(limiter: &Rc<Limiter>, relay: &HostCall) -> Result<UpstreamConnection, Outcome> {
-    let address = limiter.upstream.address(relay.host, &limiter.limits).ok_or(Outcome::ConnectFailed)?;
-    let by = relay.begin_by.min(Instant::now() + limiter.limits.connect.get());
+    let address = limiter
+        .upstream
+        .address(relay.host, &limiter.limits)
+        .ok_or(Outcome::ConnectFailed)?;
+    let by = relay
+        .begin_by
+        .min(Instant::now() + limiter.limits.connect.get());
     tokio::select! {
         biased;
         () = relay.cancel.asked.notified() => Err(Outcome::Cancelled),
@@ -76,7 +95,9 @@
 /// Waits for a connection's next relay; `None` when it has been idle for too long, or anything came on it. The
 /// relay is looked at first in each turn, so that none is lost to another cause.
 async fn wait(
-    limiter: &Rc<Limiter>, link: &mut UpstreamConnection, mut next: oneshot::Receiver<HostCall>,
+    limiter: &Rc<Limiter>,
+    link: &mut UpstreamConnection,
+    mut next: oneshot::Receiver<HostCall>,
 ) -> Option<HostCall> {
     let idle = limiter.limits.south_idle.get();
     tokio::select! {
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -13,8 +13,16 @@
 pub fn carry_out(limiter: &Rc<Limiter>, action: Action) {
     let now = Instant::now();
     match action {
-        Action::Attempt { id, host, timeout, begins_within } => {
-            let relay = limiter.engine.borrow_mut().begin(id, host, (timeout, begins_within), now);
+        Action::Attempt {
+            id,
+            host,
+            timeout,
+            begins_within,
+        } => {
+            let relay = limiter
+                .engine
+                .borrow_mut()
+                .begin(id, host, (timeout, begins_within), now);
             match relay {
                 Ok(relay) => dispatch::send(limiter, relay),
                 Err(attempt) => {
@@ -31,7 +39,11 @@
         }
         Action::CancelAttempt { id, attempt } => limiter.engine.borrow().cancel(id, attempt),
         Action::Reject { id, retry_after } => {
-            let wait = if limiter.limits.tells_when.get() { retry_after } else { 0 };
+            let wait = if limiter.limits.tells_when.get() {
+                retry_after
+            } else {
+                0
+            };
             complete::answer(limiter, id, Answer::BackOff(Duration::from_nanos(wait)));
         }
         Action::Fail { id } => {
@@ -44,7 +56,11 @@
                 limiter.tell(Event::Timer { tag });
             });
         }
-        Action::Count { name, amount, keep_for } => limiter.counter.call(limiter, name, amount, keep_for),
+        Action::Count {
+            name,
+            amount,
+            keep_for,
+        } => limiter.counter.call(limiter, name, amount, keep_for),
         Action::HealthCheck { host } => dispatch::probe(limiter, host),
         Action::CloseIdle { host } => limiter.upstream.close_idle(host),
         Action::Log { text } => tracing::info!("{text}"),
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -27,29 +27,57 @@
 
 async fn slow_host(limiter: &Rc<Limiter>) -> Slow {
     let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port is free");
+    socket
+        .bind("127.0.0.1:0".parse().expect("an address"))
+        .expect("a port is free");
     let listener = socket.listen(0).expect("it listens");
     let address = listener.local_addr().expect("it has an address");
     // A line of nought takes one, and is full from then on.
-    let before = vec![TcpStream::connect(address).await.expect("there is room for one")];
-    let entry = HostEntry { host: HOST, state: HostState::Ready, ..HostEntry::default() };
+    let before = vec![TcpStream::connect(address)
+        .await
+        .expect("there is room for one")];
+    let entry = HostEntry {
+        host: HOST,
+        state: HostState::Ready,
+        ..HostEntry::default()
+    };
     limiter.upstream.learn(&entry, address);
-    Slow { listener, address, before }
+    Slow {
+        listener,
+        address,
+        before,
+    }
 }
 
 /// Sends a request's attempt on its way to a host whose connection does not come up, however long it may take.
-async fn connecting(limiter: &Rc<Limiter>, begins_within: Duration) -> (Slow, Rc<RecordingFrontend>) {
+async fn connecting(
+    limiter: &Rc<Limiter>,
+    begins_within: Duration,
+) -> (Slow, Rc<RecordingFrontend>) {
     limiter.limits.connect.set(LONG);
-    let (host, front) = (slow_host(limiter).await, Rc::new(RecordingFrontend::default()));
+    let (host, front) = (
+        slow_host(limiter).await,
+        Rc::new(RecordingFrontend::default()),
+    );
     let mut asked = request(1);
     asked.wait = LONG;
-    limiter.engine.borrow_mut().open(front.clone(), 0, &mut asked, Instant::now());
+    limiter
+        .engine
+        .borrow_mut()
+        .open(front.clone(), 0, &mut asked, Instant::now());
     let bounds = (0, begins_within.as_nanos() as Nanos);
-    let relay = limiter.engine.borrow_mut().begin(RequestId(1), HOST, bounds, Instant::now());
+    let relay = limiter
+        .engine
+        .borrow_mut()
+        .begin(RequestId(1), HOST, bounds, Instant::now());
     let relay = relay.expect("within the cap");
     dispatch::send(limiter, relay);
     yield_now().await;
-    assert_eq!(limiter.upstream.links().get(&HOST), Some(&1), "it is on its way");
+    assert_eq!(
+        limiter.upstream.links().get(&HOST),
+        Some(&1),
+        "it is on its way"
+    );
     (host, front)
 }
 
@@ -62,7 +90,9 @@
             }
         }
     };
-    let outcome = timeout(Duration::from_secs(5), ended).await.expect("it ends long before its time is up");
+    let outcome = timeout(Duration::from_secs(5), ended)
+        .await
+        .expect("it ends long before its time is up");
     assert_eq!(outcome, expected);
     while limiter.upstream.links().contains_key(&HOST) {
         yield_now().await;
@@ -71,9 +101,17 @@
     let (mut first, _) = host.listener.accept().await.expect("the one before");
     host.before.clear();
     assert_eq!(first.read(&mut [0]).await.expect("its end"), 0);
-    let (connected, accepted) = tokio::join!(TcpStream::connect(host.address), host.listener.accept());
-    let (own, (_, from)) = (connected.expect("there is room again"), accepted.expect("it comes"));
-    assert_eq!(own.local_addr().expect("an address"), from, "nobody else came meanwhile");
+    let (connected, accepted) =
+        tokio::join!(TcpStream::connect(host.address), host.listener.accept());
+    let (own, (_, from)) = (
+        connected.expect("there is room again"),
+        accepted.expect("it comes"),
+    );
+    assert_eq!(
+        own.local_addr().expect("an address"),
+        from,
+        "nobody else came meanwhile"
+    );
 }
 
 /// A client that goes while its request's connection is on its way: no attempt begins for it.
@@ -104,7 +142,11 @@
     with_limiter(&[], |limiter| async move {
         let (host, front) = connecting(&limiter, Duration::from_millis(20)).await;
         nothing_goes_out(&limiter, host, Outcome::ConnectFailed).await;
-        assert_eq!(*front.0.borrow(), [], "whether it is repeated is for the module to say");
+        assert_eq!(
+            *front.0.borrow(),
+            [],
+            "whether it is repeated is for the module to say"
+        );
     });
 }
 
@@ -112,21 +154,44 @@
 #[test]
 fn no_attempt_is_written_once_its_window_is_over() {
     with_limiter(&[], |limiter| async move {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
         let address = listener.local_addr().expect("it has an address");
-        let entry = HostEntry { host: HOST, state: HostState::Ready, ..HostEntry::default() };
+        let entry = HostEntry {
+            host: HOST,
+            state: HostState::Ready,
+            ..HostEntry::default()
+        };
         limiter.upstream.learn(&entry, address);
         let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
-        let (mut link, (mut peer, _)) =
-            (UpstreamConnection::new(stream.expect("it connects"), address), accepted.expect("it comes"));
+        let (mut link, (mut peer, _)) = (
+            UpstreamConnection::new(stream.expect("it connects"), address),
+            accepted.expect("it comes"),
+        );
         let now = Instant::now();
-        limiter.engine.borrow_mut().open(Rc::new(RecordingFrontend::default()), 0, &mut request(1), now);
-        let sent =
-            limiter.engine.borrow_mut().begin(RequestId(1), HOST, (0, 1), now).expect("within the cap");
+        limiter.engine.borrow_mut().open(
+            Rc::new(RecordingFrontend::default()),
+            0,
+            &mut request(1),
+            now,
+        );
+        let sent = limiter
+            .engine
+            .borrow_mut()
+            .begin(RequestId(1), HOST, (0, 1), now)
+            .expect("within the cap");
         while Instant::now() < sent.begin_by {}
         let (end, sound) = attempt::relay(&limiter, &mut link, &sent).await;
-        assert_eq!((end.outcome, sound, link.written), (Outcome::ConnectFailed, false, false));
+        assert_eq!(
+            (end.outcome, sound, link.written),
+            (Outcome::ConnectFailed, false, false)
+        );
         drop(link);
-        assert_eq!(peer.read(&mut [0]).await.expect("its end"), 0, "nothing was written");
+        assert_eq!(
+            peer.read(&mut [0]).await.expect("its end"),
+            0,
+            "nothing was written"
+        );
     });
 }
--- a/src/net/streaming_body.rs
+++ b/src/net/streaming_body.rs
@@ -84,7 +84,8 @@
     /// The value has been put in to its end, or its rest will never come.
     pub fn end(&self, whole: bool) {
         if self.course.get() == Course::Flowing {
-            self.course.set(if whole { Course::Whole } else { Course::Broken });
+            self.course
+                .set(if whole { Course::Whole } else { Course::Broken });
             self.filled.notify_one();
         }
     }
--- a/src/net/usage_export.rs
+++ b/src/net/usage_export.rs
@@ -47,7 +47,10 @@
 impl RecordingFrontend {
     fn append(&self, line: &str) {
         if let Err(e) = self.lines.append(line) {
-            tracing::warn!("use cannot be written down in {}: {e}", self.lines.path.display());
+            tracing::warn!(
+                "use cannot be written down in {}: {e}",
+                self.lines.path.display()
+            );
         }
     }
 }
@@ -67,19 +70,46 @@
     ///
     /// # Errors
     /// Where the folder or the file cannot be written.
-    pub fn open(name: &str, folder: &Path, die: Option<(Point, u64)>) -> Result<UsageRecorder, String> {
+    pub fn open(
+        name: &str,
+        folder: &Path,
+        die: Option<(Point, u64)>,
+    ) -> Result<UsageRecorder, String> {
         let told = |e: io::Error| format!("lease.tasks.export.spool: {}: {e}", folder.display());
         fs::create_dir_all(folder).map_err(told)?;
-        let (spool, head) = Spool::new(Source { name: name.to_owned(), epoch: unix() });
-        let path = folder.join(format!("{:020}-{}.{SPOOL}", spool.source().epoch, std::process::id()));
-        let file = OpenOptions::new().create_new(true).append(true).open(&path).map_err(told)?;
+        let (spool, head) = Spool::new(Source {
+            name: name.to_owned(),
+            epoch: unix(),
+        });
+        let path = folder.join(format!(
+            "{:020}-{}.{SPOOL}",
+            spool.source().epoch,
+            std::process::id()
+        ));
+        let file = OpenOptions::new()
+            .create_new(true)
+            .append(true)
+            .open(&path)
+            .map_err(told)?;
         file.try_lock().map_err(io::Error::from).map_err(told)?;
-        let lines = Lines { path, file: RefCell::new(file), torn: Cell::new(false) };
+        let lines = Lines {
+            path,
+            file: RefCell::new(file),
+            torn: Cell::new(false),
+        };
         lines.append(&head).map_err(told)?;
-        let own = RecordingFrontend { spool: RefCell::new(spool), lines };
+        let own = RecordingFrontend {
+            spool: RefCell::new(spool),
+            lines,
+        };
         let (name, folder) = (name.to_owned(), folder.to_owned());
-        let usage_recorder =
-            UsageRecorder { name, folder, own, left: RefCell::default(), die: Cell::new(die) };
+        let usage_recorder = UsageRecorder {
+            name,
+            folder,
+            own,
+            left: RefCell::default(),
+            die: Cell::new(die),
+        };
         usage_recorder.adopt();
         Ok(usage_recorder)
     }
@@ -108,7 +138,11 @@
     pub fn end(&self, attempt: u64, end: &CallResult, written: bool, guess: f64) {
         self.point(Point::AttemptEnded);
         let fate = match end.outcome {
-            Outcome::Good => Fate::Ran(if end.used.units > 0.0 { end.used.units } else { guess }),
+            Outcome::Good => Fate::Ran(if end.used.units > 0.0 {
+                end.used.units
+            } else {
+                guess
+            }),
             outcome if outcome.never_ran() || !written => Fate::Never,
             _ => Fate::Unknown,
         };
@@ -118,25 +152,46 @@
 
     /// Takes over spools that earlier processes of this limiter left behind: whose lock nobody holds.
     pub fn adopt(&self) {
-        let Ok(files) = fs::read_dir(&self.folder) else { return };
+        let Ok(files) = fs::read_dir(&self.folder) else {
+            return;
+        };
         for path in files.flatten().map(|file| file.path()) {
             let known = path == self.own.lines.path || self.left.borrow().contains_key(&path);
             if known || path.extension().is_none_or(|end| end != SPOOL) {
                 continue;
             }
-            let Ok(file) = OpenOptions::new().append(true).open(&path) else { continue };
+            let Ok(file) = OpenOptions::new().append(true).open(&path) else {
+                continue;
+            };
             if file.try_lock().is_err() {
                 continue;
             }
-            let Ok(text) = fs::read_to_string(&path) else { continue };
+            let Ok(text) = fs::read_to_string(&path) else {
+                continue;
+            };
             let Some((spool, taken)) = Spool::read(&self.name, &text) else {
                 // Nothing was sent before its first line was whole, unless it is not ours.
-                tracing::warn!("{} is no spool of {}: it is left alone", path.display(), self.name);
+                tracing::warn!(
+                    "{} is no spool of {}: it is left alone",
+                    path.display(),
+                    self.name
+                );
                 continue;
             };
-            tracing::info!(spoilt = taken.spoilt, unended = taken.unended, "a spool left behind is exported");
-            let lines = Lines { path: path.clone(), file: RefCell::new(file), torn: Cell::new(false) };
-            let kept = RecordingFrontend { spool: RefCell::new(spool), lines };
+            tracing::info!(
+                spoilt = taken.spoilt,
+                unended = taken.unended,
+                "a spool left behind is exported"
+            );
+            let lines = Lines {
+                path: path.clone(),
+                file: RefCell::new(file),
+                torn: Cell::new(false),
+            };
+            let kept = RecordingFrontend {
+                spool: RefCell::new(spool),
+                lines,
+            };
             kept.append(&taken.lines);
             self.left.borrow_mut().insert(path, kept);
         }
@@ -164,7 +219,11 @@
         let path = &self.own.lines.path;
         let draft = path.with_extension("draft");
         let write = || {
-            let mut file = OpenOptions::new().create(true).truncate(true).write(true).open(&draft)?;
+            let mut file = OpenOptions::new()
+                .create(true)
+                .truncate(true)
+                .write(true)
+                .open(&draft)?;
             file.write_all(whole.as_bytes())?;
             file.try_lock().map_err(io::Error::from)?;
             fs::rename(&draft, path)?;
@@ -183,7 +242,10 @@
         all.find_map(|kept| {
             let spool = kept.spool.borrow();
             let batch = spool.held().next().cloned()?;
-            Some(Written { source: spool.source().clone(), batch })
+            Some(Written {
+                source: spool.source().clone(),
+                batch,
+            })
         })
     }
 
@@ -218,7 +280,10 @@
 impl Exporter {
     /// One that has written nothing.
     pub fn new(sink: &Path) -> Self {
-        Exporter { sink: sink.to_owned(), tenure: RefCell::default() }
+        Exporter {
+            sink: sink.to_owned(),
+            tenure: RefCell::default(),
+        }
     }
 
     /// Begins a tenure, unless it has begun: reads what stands in the sink.
@@ -226,17 +291,36 @@
     /// # Errors
     /// Where the sink cannot be read or written.
     pub fn begin(&self, token: Token) -> io::Result<()> {
-        if self.tenure.borrow().as_ref().is_some_and(|(held, ..)| *held == token) {
+        if self
+            .tenure
+            .borrow()
+            .as_ref()
+            .is_some_and(|(held, ..)| *held == token)
+        {
             return Ok(());
         }
         fs::create_dir_all(&self.sink)?;
         let sink = read_sink(&self.sink)?;
-        let Token { round, bidder, boot } = token;
-        let path = self.sink.join(format!("{round:020}-{bidder}-{boot}.{USED}"));
+        let Token {
+            round,
+            bidder,
+            boot,
+        } = token;
+        let path = self
+            .sink
+            .join(format!("{round:020}-{bidder}-{boot}.{USED}"));
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         // It may have been torn where the same tenure's file could not be written before.
         let torn = Cell::new(file.metadata()?.len() > 0);
-        *self.tenure.borrow_mut() = Some((token, Lines { path, file: RefCell::new(file), torn }, sink));
+        *self.tenure.borrow_mut() = Some((
+            token,
+            Lines {
+                path,
+                file: RefCell::new(file),
+                torn,
+            },
+            sink,
+        ));
         Ok(())
     }
 
@@ -245,9 +329,15 @@
     ///
     /// # Errors
     /// Where the sink cannot be written, or the act is of another tenure.
-    pub fn write(&self, act: Act, written: &Written, usage_recorder: &UsageRecorder) -> io::Result<()> {
+    pub fn write(
+        &self,
+        act: Act,
+        written: &Written,
+        usage_recorder: &UsageRecorder,
+    ) -> io::Result<()> {
         let mut tenure = self.tenure.borrow_mut();
-        let Some((_, lines, sink)) = tenure.as_mut().filter(|(token, ..)| *token == act.token) else {
+        let Some((_, lines, sink)) = tenure.as_mut().filter(|(token, ..)| *token == act.token)
+        else {
             return Err(io::Error::other("the lease has changed hands meanwhile"));
         };
         usage_recorder.point(Point::BatchHeard);
@@ -266,7 +356,10 @@
 /// Where the folder or one of them cannot be read.
 pub fn read_sink(folder: &Path) -> io::Result<Sink> {
     let mut sink = Sink::default();
-    let mut paths: Vec<PathBuf> = fs::read_dir(folder)?.flatten().map(|file| file.path()).collect();
+    let mut paths: Vec<PathBuf> = fs::read_dir(folder)?
+        .flatten()
+        .map(|file| file.path())
+        .collect();
     paths.retain(|path| path.extension().is_some_and(|end| end == USED));
     paths.sort();
     for path in paths {
@@ -305,11 +398,15 @@
 /// Takes a message of a limiter of this name.
 pub fn hear(usage_recorder: &UsageRecorder, sender: &str, message: Message) -> Heard {
     match message {
-        Message::Want => usage_recorder.first().map_or(Heard::Nothing, |Written { source, batch }| {
-            Heard::Answer(Message::Batch { source, batch })
-        }),
+        Message::Want => usage_recorder
+            .first()
+            .map_or(Heard::Nothing, |Written { source, batch }| {
+                Heard::Answer(Message::Batch { source, batch })
+            }),
         // Nobody tells of another's use.
-        Message::Batch { source, batch } if source.name == sender => Heard::Batch(Written { source, batch }),
+        Message::Batch { source, batch } if source.name == sender => {
+            Heard::Batch(Written { source, batch })
+        }
         Message::Batch { .. } => Heard::Nothing,
         Message::Have { epoch, number } => {
             usage_recorder.exported(epoch, number);
--- a/src/simulator/mod.rs
+++ b/src/simulator/mod.rs
@@ -41,7 +41,11 @@
 
 impl std::fmt::Display for WireError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "line {}, field {}: {}", self.line, self.field, self.problem)
+        write!(
+            f,
+            "line {}, field {}: {}",
+            self.line, self.field, self.problem
+        )
     }
 }
 
@@ -67,16 +71,23 @@
 impl<'a> Fields<'a> {
     fn error(&self, field: &str, problem: impl Into<String>) -> WireError {
         let field = format!("{} of {}", field, self.message);
-        WireError { line: self.line, field, problem: problem.into() }
+        WireError {
+            line: self.line,
+            field,
+            problem: problem.into(),
+        }
     }
 
     fn text(&mut self, field: &str) -> Parsed<&'a str> {
-        self.parts.next().ok_or_else(|| self.error(field, "missing"))
+        self.parts
+            .next()
+            .ok_or_else(|| self.error(field, "missing"))
     }
 
     fn parse<T: std::str::FromStr>(&mut self, field: &str) -> Parsed<T> {
         let text = self.text(field)?;
-        text.parse().map_err(|_| self.error(field, format!("cannot read {text:?}")))
+        text.parse()
+            .map_err(|_| self.error(field, format!("cannot read {text:?}")))
     }
 
     /// A number of which `-` (absent) reads as zero.
@@ -85,7 +96,8 @@
         if text == "-" {
             return Ok(T::default());
         }
-        text.parse().map_err(|_| self.error(field, format!("cannot read {text:?} as a number")))
+        text.parse()
+            .map_err(|_| self.error(field, format!("cannot read {text:?} as a number")))
     }
 
     fn real(&mut self, field: &str) -> Parsed<f64> {
@@ -99,7 +111,8 @@
 
     fn request(&mut self, field: &str) -> Parsed<RequestId> {
         let text = self.text(field)?;
-        let plain = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        let plain =
+            text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
         match u64::from_str_radix(text, 16) {
             Ok(id) if plain => Ok(RequestId(id)),
             _ => Err(self.error(field, format!("{text:?} is not 16 lower-case hex digits"))),
@@ -136,7 +149,9 @@
         }
         let mut load = Load::new();
         for pair in text.split(',') {
-            let value = pair.split_once(':').and_then(|(n, v)| Some((n, v.parse::<f64>().ok()?)));
+            let value = pair
+                .split_once(':')
+                .and_then(|(n, v)| Some((n, v.parse::<f64>().ok()?)));
             match value {
                 Some((name, value)) if value.is_finite() => load.push((name.to_owned(), value)),
                 _ => return Err(self.error(field, format!("{pair:?} is not a name:number pair"))),
@@ -148,7 +163,9 @@
     fn bytes(&mut self, field: &str) -> Parsed<Vec<u8>> {
         match self.text(field)? {
             "-" => Ok(Vec::new()),
-            text => BASE64.decode(text).map_err(|e| self.error(field, format!("not base64: {e}"))),
+            text => BASE64
+                .decode(text)
+                .map_err(|e| self.error(field, format!("not base64: {e}"))),
         }
     }
 }
@@ -173,10 +190,17 @@
         }
         let mut parts = text.split('\t');
         let message = parts.next().unwrap_or_default();
-        let mut f = Fields { line: self.line, message, parts };
+        let mut f = Fields {
+            line: self.line,
+            message,
+            parts,
+        };
         if let Some((list, left)) = self.open_list {
             if message != "ROW" {
-                return Err(f.error("membersList", format!("{left} entries of list {list} are missing")));
+                return Err(f.error(
+                    "membersList",
+                    format!("{left} entries of list {list} are missing"),
+                ));
             }
             let entry = decode_entry(&mut f)?;
             self.lists.entry(list).or_default().push(entry);
@@ -215,7 +239,11 @@
                     (_, Some(entries)) => entries.clone(),
                     (_, None) => return Err(f.error("buffer", format!("no list {list} was sent"))),
                 };
-                Event::Hosts { version, mode, entries }
+                Event::Hosts {
+                    version,
+                    mode,
+                    entries,
+                }
             }
             "DEMAND" => Event::Request {
                 id: f.request("job")?,
@@ -232,7 +260,12 @@
                 let id = f.request("job")?;
                 let elapsed = f.number("tookNs")?;
                 let attempt = f.parse("go")?;
-                Event::StreamStarted { id, attempt, host: HostId(f.parse("host")?), elapsed }
+                Event::StreamStarted {
+                    id,
+                    attempt,
+                    host: HostId(f.parse("host")?),
+                    elapsed,
+                }
             }
             "RESULT" => Event::AttemptDone {
                 id: f.request("job")?,
@@ -245,15 +278,22 @@
                 true_units: f.real("actual")?,
                 load: f.load("metrics")?,
             },
-            "DROPPED" => Event::Abandoned { id: f.request("job")? },
-            "ELAPSED" => Event::Timer { tag: f.text("tag")?.to_owned() },
+            "DROPPED" => Event::Abandoned {
+                id: f.request("job")?,
+            },
+            "ELAPSED" => Event::Timer {
+                tag: f.text("tag")?.to_owned(),
+            },
             "PROBE_RESULT" => Event::HealthCheckDone {
                 host: HostId(f.parse("host")?),
                 outcome: f.outcome("code")?,
                 elapsed: f.number("tookNs")?,
                 load: f.load("metrics")?,
             },
-            "MEMO" => Event::Peer { from: f.parse("src")?, bytes: f.bytes("contents")? },
+            "MEMO" => Event::Peer {
+                from: f.parse("src")?,
+                bytes: f.bytes("contents")?,
+            },
             "RECKONED" => Event::CounterReplied {
                 name: f.text("counter")?.to_owned(),
                 outcome: f.outcome("code")?,
@@ -286,8 +326,11 @@
 
 fn decode_settings(f: Fields) -> Parsed<Settings> {
     let line = f.line;
-    let fault =
-        |path: &str, problem: String| WireError { line, field: format!("{path} of profileData"), problem };
+    let fault = |path: &str, problem: String| WireError {
+        line,
+        field: format!("{path} of profileData"),
+        problem,
+    };
     let mut pairs = BTreeMap::new();
     for part in f.parts {
         match part.split_once('=') {
@@ -304,7 +347,9 @@
 
 /// Free text as the rest of a line: no tab, no line break.
 fn one_line(text: &str) -> String {
-    text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect()
+    text.chars()
+        .map(|c| if c.is_control() { ' ' } else { c })
+        .collect()
 }
 
 /// Appends the line for a failure of the decision code.
@@ -325,11 +370,17 @@
 /// Appends one action's line.
 pub fn encode(action: &Action, out: &mut String) {
     let _ = match action {
-        Action::Attempt { id, host, timeout, .. } => {
+        Action::Attempt {
+            id, host, timeout, ..
+        } => {
             writeln!(out, "ISSUE\t{:016x}\t{}\t{}", id.0, host.0, timeout)
         }
-        Action::CancelAttempt { id, attempt } => writeln!(out, "STOP_ATTEMPT\t{:016x}\t{}", id.0, attempt),
-        Action::Reject { id, retry_after } => writeln!(out, "PUSH_BACK\t{:016x}\t{}", id.0, retry_after),
+        Action::CancelAttempt { id, attempt } => {
+            writeln!(out, "STOP_ATTEMPT\t{:016x}\t{}", id.0, attempt)
+        }
+        Action::Reject { id, retry_after } => {
+            writeln!(out, "PUSH_BACK\t{:016x}\t{}", id.0, retry_after)
+        }
         Action::Fail { id } => writeln!(out, "REPORT_FAILURE\t{:016x}", id.0),
         Action::SetTimer { tag, after } => writeln!(out, "WAKE_ME\t{tag}\t{after}"),
         Action::HealthCheck { host } => writeln!(out, "SAMPLE\t{}", host.0),
@@ -339,10 +390,18 @@
                 Peers::All => "all".to_owned(),
                 Peers::One(peer) => peer.to_string(),
             };
-            let text = if bytes.is_empty() { "-".to_owned() } else { BASE64.encode(bytes) };
+            let text = if bytes.is_empty() {
+                "-".to_owned()
+            } else {
+                BASE64.encode(bytes)
+            };
             writeln!(out, "ANNOUNCE\t{to}\t{text}")
         }
-        Action::Count { name, amount, keep_for } => writeln!(out, "INCR\t{name}\t{amount}\t{keep_for}"),
+        Action::Count {
+            name,
+            amount,
+            keep_for,
+        } => writeln!(out, "INCR\t{name}\t{amount}\t{keep_for}"),
         Action::Watch { on } => writeln!(out, "WATCH\t{}", u8::from(*on)),
         Action::FetchHosts => writeln!(out, "QUERY_ALL"),
         Action::Log { text } => writeln!(out, "RECORD\t{}", one_line(text)),
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -21,7 +21,10 @@
 #[test]
 fn an_empty_batch_is_answered() {
     let output = run(b"TICK\t8412250000\nEOF_BATCH\n\n");
-    assert_eq!((output.status.success(), output.stdout.as_slice()), (true, b"ACK\n".as_slice()));
+    assert_eq!(
+        (output.status.success(), output.stdout.as_slice()),
+        (true, b"ACK\n".as_slice())
+    );
 }
 
 #[test]
@@ -30,23 +33,44 @@
     let later = "TICK\t236001000\nON\tgateway-0\nELAPSED\tdeadline:218516d35d3a91c4\nEOF_BATCH\n";
     let output = run(format!("{START}{demand}{later}").as_bytes());
     let text = String::from_utf8(output.stdout).expect("text");
-    assert!(text.contains("WAKE_ME\tdeadline:218516d35d3a91c4\t236000000\n"), "{text}");
-    assert!(text.ends_with("BY\tgateway-0\nPUSH_BACK\t218516d35d3a91c4\t0\nACK\n"), "{text}");
+    assert!(
+        text.contains("WAKE_ME\tdeadline:218516d35d3a91c4\t236000000\n"),
+        "{text}"
+    );
+    assert!(
+        text.ends_with("BY\tgateway-0\nPUSH_BACK\t218516d35d3a91c4\t0\nACK\n"),
+        "{text}"
+    );
 }
 
 #[test]
 fn malformed_input_is_named_and_ends_the_adapter() {
     for (input, message) in [
         ("EOF_BATCH\n", "line 1, field name: expected TICK"),
-        ("TICK\t1\nNONSENSE\n", "line 2, field name of NONSENSE: unknown message"),
-        ("TICK\t1\nDROPPED\t218516d35d3a91c4\n", "line 2, field name: no running instance"),
-        ("TICK\t1\nON\tgateway-0\nNEW_INSTANCE\t7\tme=many\n", "line 3, field me of profileData"),
-        ("TICK\t1\nTICK\t2\n", "line 2, field name: TICK inside a batch"),
+        (
+            "TICK\t1\nNONSENSE\n",
+            "line 2, field name of NONSENSE: unknown message",
+        ),
+        (
+            "TICK\t1\nDROPPED\t218516d35d3a91c4\n",
+            "line 2, field name: no running instance",
+        ),
+        (
+            "TICK\t1\nON\tgateway-0\nNEW_INSTANCE\t7\tme=many\n",
+            "line 3, field me of profileData",
+        ),
+        (
+            "TICK\t1\nTICK\t2\n",
+            "line 2, field name: TICK inside a batch",
+        ),
         ("TICK\t1\n", "input ends inside a batch"),
     ] {
         let output = run(input.as_bytes());
         let error = String::from_utf8(output.stderr).expect("text");
-        assert!(!output.status.success() && error.contains(message), "{input:?}: {error}");
+        assert!(
+            !output.status.success() && error.contains(message),
+            "{input:?}: {error}"
+        );
         assert!(output.stdout.is_empty());
     }
     assert!(!run(b"TICK\t1\n\xff\xfe\n").status.success());
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -14,8 +14,14 @@
 
 #[test]
 fn malformed_lines_name_line_and_field() {
-    assert_eq!(error(&["TICK\tx"]), "line 1, field clock of TICK: cannot read \"x\"");
-    assert_eq!(error(&["TICK\t1", "WHAT"]), "line 2, field name of WHAT: unknown message");
+    assert_eq!(
+        error(&["TICK\tx"]),
+        "line 1, field clock of TICK: cannot read \"x\""
+    );
+    assert_eq!(
+        error(&["TICK\t1", "WHAT"]),
+        "line 2, field name of WHAT: unknown message"
+    );
     assert!(error(&["DROPPED\t12"]).contains("job of DROPPED"));
     assert!(error(&["DROPPED"]).contains("job of DROPPED: missing"));
     assert!(error(&["CENSUS\t0\t1", "TICK\t1"]).contains("membersList"));
@@ -24,23 +30,51 @@
 
 #[test]
 fn a_tick_is_read() {
-    assert_eq!(Decoder::new().decode("TICK\t8412250000"), Ok(Some(Line::Tick(8_412_250_000))));
+    assert_eq!(
+        Decoder::new().decode("TICK\t8412250000"),
+        Ok(Some(Line::Tick(8_412_250_000)))
+    );
 }
 
 #[test]
 fn each_kind_of_field_is_checked() {
     let id = "218516d35d3a91c4";
     for (line, field) in [
-        (format!("RESULT\t{id}\tx\t5\tGOOD\t1\t1\t0\t0\t-"), "go of RESULT"),
-        (format!("RESULT\t{id}\t0\t5\tFINE\t1\t1\t0\t0\t-"), "code of RESULT"),
-        (format!("RESULT\t{id}\t0\t5\tGOOD\t1\tyes\t0\t0\t-"), "over of RESULT"),
-        (format!("RESULT\t{id}\t0\t5\tGOOD\t1\t1\t0\tinf\t-"), "actual of RESULT"),
-        (format!("RESULT\t{id}\t0\t5\tGOOD\t1\t1\t0\t0\tqueue=3"), "metrics of RESULT"),
+        (
+            format!("RESULT\t{id}\tx\t5\tGOOD\t1\t1\t0\t0\t-"),
+            "go of RESULT",
+        ),
+        (
+            format!("RESULT\t{id}\t0\t5\tFINE\t1\t1\t0\t0\t-"),
+            "code of RESULT",
+        ),
+        (
+            format!("RESULT\t{id}\t0\t5\tGOOD\t1\tyes\t0\t0\t-"),
+            "over of RESULT",
+        ),
+        (
+            format!("RESULT\t{id}\t0\t5\tGOOD\t1\t1\t0\tinf\t-"),
+            "actual of RESULT",
+        ),
+        (
+            format!("RESULT\t{id}\t0\t5\tGOOD\t1\t1\t0\t0\tqueue=3"),
+            "metrics of RESULT",
+        ),
         ("MEMO\t1\t***".to_owned(), "contents of MEMO"),
-        ("RECKONED\tname\tGOOD\tmany\t1".to_owned(), "total of RECKONED"),
-        ("NEW_INSTANCE\t1\tcategories.count=1\tcategories.0.effect=odd".to_owned(), "categories.0.effect"),
+        (
+            "RECKONED\tname\tGOOD\tmany\t1".to_owned(),
+            "total of RECKONED",
+        ),
+        (
+            "NEW_INSTANCE\t1\tcategories.count=1\tcategories.0.effect=odd".to_owned(),
+            "categories.0.effect",
+        ),
     ] {
-        assert!(error(&[&line]).contains(field), "{line}: {}", error(&[&line]));
+        assert!(
+            error(&[&line]).contains(field),
+            "{line}: {}",
+            error(&[&line])
+        );
     }
 }
 
@@ -50,11 +84,25 @@
     let mut out = String::new();
     let (id, host) = (RequestId(0x218516d35d3a91c4), HostId(51530247));
     for action in [
-        Action::Attempt { id, host, timeout: 80_000_000, begins_within: u64::MAX },
+        Action::Attempt {
+            id,
+            host,
+            timeout: 80_000_000,
+            begins_within: u64::MAX,
+        },
         Action::CancelAttempt { id, attempt: 1 },
-        Action::MessagePeers { to: Peers::All, bytes: b"hi 7".to_vec() },
-        Action::Count { name: "q5.1".into(), amount: -1.5, keep_for: 7 },
-        Action::Log { text: "two\tservers\nknown".into() },
+        Action::MessagePeers {
+            to: Peers::All,
+            bytes: b"hi 7".to_vec(),
+        },
+        Action::Count {
+            name: "q5.1".into(),
+            amount: -1.5,
+            keep_for: 7,
+        },
+        Action::Log {
+            text: "two\tservers\nknown".into(),
+        },
     ] {
         quartzcleat::simulator::encode(&action, &mut out);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -30,7 +30,11 @@
             class(Effect::Keyed, Group::All),
             class(Effect::Unsafe, Group::Cell),
         ],
-        plans: vec![Plan { rate: 12.5, burst: 40.0, ..Plan::default() }],
+        plans: vec![Plan {
+            rate: 12.5,
+            burst: 40.0,
+            ..Plan::default()
+        }],
         limiter_count: 2,
         tick: 4 * MS,
         counter: true,
@@ -53,7 +57,15 @@
 
 pub fn host(id: u32, cell: u32) -> HostEntry {
     let state = HostState::Ready;
-    HostEntry { host: HostId(id), state, cell, zone: 0, kind: 0, started: 0, weight: 1.0 }
+    HostEntry {
+        host: HostId(id),
+        state,
+        cell,
+        zone: 0,
+        kind: 0,
+        started: 0,
+        weight: 1.0,
+    }
 }
 
 /// A host of those that are two to a cell.
@@ -75,7 +87,15 @@
 impl Default for Ended {
     fn default() -> Self {
         let (outcome, over, load) = (Outcome::Good, true, Load::new());
-        Ended { attempt: 0, outcome, elapsed: MS, over, metered_use: 0, true_units: 0.0, load }
+        Ended {
+            attempt: 0,
+            outcome,
+            elapsed: MS,
+            over,
+            metered_use: 0,
+            true_units: 0.0,
+            load,
+        }
     }
 }
 
@@ -95,7 +115,12 @@
     /// The same with a seed of its own.
     pub fn seeded(settings: Settings, hosts: u32, seed: u64) -> Rig {
         let now = 1000 * S;
-        let mut rig = Rig { gateway: DecisionEngine::new(settings, seed, now), now, spread: 2, next: 0 };
+        let mut rig = Rig {
+            gateway: DecisionEngine::new(settings, seed, now),
+            now,
+            spread: 2,
+            next: 0,
+        };
         rig.hosts(ListMode::Restored, (1..=hosts).map(paired).collect());
         rig
     }
@@ -107,7 +132,11 @@
     }
 
     pub fn hosts(&mut self, mode: ListMode, entries: Vec<HostEntry>) -> Vec<Action> {
-        self.event(Event::Hosts { version: 1, mode, entries })
+        self.event(Event::Hosts {
+            version: 1,
+            mode,
+            entries,
+        })
     }
 
     /// The id that the next request will have.
@@ -137,18 +166,45 @@
     }
 
     pub fn counted(&mut self, name: &str, outcome: Outcome, total: f64) -> Vec<Action> {
-        self.event(Event::CounterReplied { name: name.into(), outcome, total, elapsed: 4 * MS })
+        self.event(Event::CounterReplied {
+            name: name.into(),
+            outcome,
+            total,
+            elapsed: 4 * MS,
+        })
     }
 
     pub fn done(
-        &mut self, id: RequestId, attempt: u32, host: HostId, outcome: Outcome, over: bool,
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        host: HostId,
+        outcome: Outcome,
+        over: bool,
     ) -> Vec<Action> {
-        self.ended(id, host, Ended { attempt, outcome, over, ..Ended::default() })
+        self.ended(
+            id,
+            host,
+            Ended {
+                attempt,
+                outcome,
+                over,
+                ..Ended::default()
+            },
+        )
     }
 
     /// An outcome with all that may come along.
     pub fn ended(&mut self, id: RequestId, host: HostId, end: Ended) -> Vec<Action> {
-        let Ended { attempt, outcome, elapsed, over, metered_use, true_units, load } = end;
+        let Ended {
+            attempt,
+            outcome,
+            elapsed,
+            over,
+            metered_use,
+            true_units,
+            load,
+        } = end;
         self.event(Event::AttemptDone {
             id,
             attempt,
@@ -198,7 +254,10 @@
 
 pub fn refused(actions: &[Action], id: RequestId) -> Option<u64> {
     actions.iter().find_map(|a| match a {
-        Action::Reject { id: refused, retry_after } if *refused == id => Some(*retry_after),
+        Action::Reject {
+            id: refused,
+            retry_after,
+        } if *refused == id => Some(*retry_after),
         _ => None,
     })
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -11,7 +11,10 @@
 /// Reads to the end of a connection; what came, or how it ended instead.
 fn rest(client: &mut TcpStream) -> Result<String, ErrorKind> {
     let mut text = String::new();
-    client.read_to_string(&mut text).map(|_| text).map_err(|e| e.kind())
+    client
+        .read_to_string(&mut text)
+        .map(|_| text)
+        .map_err(|e| e.kind())
 }
 
 /// Megabytes behind a command that cannot be read: what was answered arrives whole, and the connection ends without a
@@ -21,7 +24,9 @@
     let limiter = start(60, false, |text| text);
     let mut client = limiter.connect();
     let bytes = request("Q.ASK", 1, CHECK, "") + "PING\r\n" + &"x".repeat(8 << 20);
-    client.write_all(bytes.as_bytes()).expect("the limiter goes on taking what it drops");
+    client
+        .write_all(bytes.as_bytes())
+        .expect("the limiter goes on taking what it drops");
     client.shutdown(Shutdown::Write).expect("no more is sent");
     let expected = served(1) + "-ERR a command is an array of bulk strings\r\n";
     assert_eq!(rest(&mut client), Ok(expected));
@@ -30,17 +35,27 @@
 /// The settings of the toy with much time for its first class, so that nothing but its client's end ends a request.
 fn long_time(text: String) -> String {
     let long = "\"onTimeNs\": 60000000000, \"hardLimitNs\": 60000000000";
-    text.replace("\"onTimeNs\": 2000000000, \"hardLimitNs\": 7500000000", long)
+    text.replace(
+        "\"onTimeNs\": 2000000000, \"hardLimitNs\": 7500000000",
+        long,
+    )
 }
 
 /// Sends commands, goes, and waits for the limiter to let the connection go, long before any request's time is up.
 fn is_let_go(client: &mut TcpStream, commands: &str) {
-    client.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out is set");
-    client.write_all(commands.as_bytes()).expect("the limiter reads, or holds it unread");
+    client
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .expect("a time-out is set");
+    client
+        .write_all(commands.as_bytes())
+        .expect("the limiter reads, or holds it unread");
     client.shutdown(Shutdown::Write).expect("it goes");
     // Nothing, or the reset of a connection of which not all was read.
     let end = rest(client);
-    assert!(matches!(end, Ok(_) | Err(ErrorKind::ConnectionReset)), "{end:?}");
+    assert!(
+        matches!(end, Ok(_) | Err(ErrorKind::ConnectionReset)),
+        "{end:?}"
+    );
 }
 
 const WAITS: &str = "c=bed-check,t=operator,d=50000,units=0.001,spread=1,first=0";
@@ -48,11 +63,19 @@
 /// A client that goes behind bytes that cannot be read is gone for its earlier requests too.
 #[test]
 fn a_client_that_goes_behind_malformed_bytes_is_gone() {
-    let limiter = start(61, false, |text| long_time(text).replace("\"openCap\": 20000", "\"openCap\": 1"));
+    let limiter = start(61, false, |text| {
+        long_time(text).replace("\"openCap\": 20000", "\"openCap\": 1")
+    });
     let mut client = limiter.connect();
-    is_let_go(&mut client, &(request("Q.ASK", 1, WAITS, "silent") + "PING\r\n"));
+    is_let_go(
+        &mut client,
+        &(request("Q.ASK", 1, WAITS, "silent") + "PING\r\n"),
+    );
     // Its place is free again.
-    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1), served(2));
+    assert_eq!(
+        ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1),
+        served(2)
+    );
 }
 
 /// The same behind more requests than are taken at once, and behind more than are read at all.
@@ -60,10 +83,15 @@
 fn a_client_that_goes_behind_more_than_is_taken_at_once_is_gone() {
     let limiter = start(62, false, long_time);
     for count in [2_000, 20_000] {
-        let many: String = (1..count).map(|id| request("Q.ASK", id, WAITS, "silent")).collect();
+        let many: String = (1..count)
+            .map(|id| request("Q.ASK", id, WAITS, "silent"))
+            .collect();
         is_let_go(&mut limiter.connect(), &many);
     }
-    assert_eq!(ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1), "+PONG\r\n");
+    assert_eq!(
+        ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1),
+        "+PONG\r\n"
+    );
 }
 
 /// Discovery and the counter take connections and say nothing: a process is ready all the same, and nobody waits for them
@@ -72,11 +100,19 @@
 fn a_process_is_ready_while_discovery_and_the_counter_are_silent() {
     let began = Instant::now();
     let (limiter, _silent) = start_beside_a_silent_platform(63, true, |text| text);
-    assert!(began.elapsed() < Duration::from_secs(10), "ready after {:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(10),
+        "ready after {:?}",
+        began.elapsed()
+    );
     let asked = Instant::now();
     let answer = ask(&mut limiter.connect(), &request("Q.ASK", 1, CHECK, ""), 1);
     assert!(answer.starts_with("-BUSY"), "it knows of no host: {answer}");
-    assert!(asked.elapsed() < Duration::from_secs(1), "after {:?}", asked.elapsed());
+    assert!(
+        asked.elapsed() < Duration::from_secs(1),
+        "after {:?}",
+        asked.elapsed()
+    );
 }
 
 /// Clients that ask for nothing fill the descriptors while discovery is silent: its return is learned, hosts are reached, and
@@ -87,12 +123,23 @@
     let (limiter, wake) = start_beside_a_silent_platform(64, true, small);
     // Twice as many as it may hold at all; those that made room for later ones have ended, which is theirs to find out.
     let crowd: Vec<_> = (0..256).map(|_| limiter.connect()).collect();
-    let open = std::fs::read_dir(format!("/proc/{}/fd", limiter.child.id())).expect("it runs").count();
-    assert!((64..128).contains(&open), "{open} descriptors of 128, most of them clients'");
+    let open = std::fs::read_dir(format!("/proc/{}/fd", limiter.child.id()))
+        .expect("it runs")
+        .count();
+    assert!(
+        (64..128).contains(&open),
+        "{open} descriptors of 128, most of them clients'"
+    );
     wake.send(()).expect("the toy serves from now on");
     let since = Instant::now();
     let answers = (1..).map(|id| ask(&mut limiter.connect(), &request("Q.ASK", id, CHECK, ""), 1));
-    let first = answers.take_while(|answer| answer.starts_with("-BUSY")).count();
-    assert!(since.elapsed() < Duration::from_secs(6), "{first} refusals, {:?}", since.elapsed());
+    let first = answers
+        .take_while(|answer| answer.starts_with("-BUSY"))
+        .count();
+    assert!(
+        since.elapsed() < Duration::from_secs(6),
+        "{first} refusals, {:?}",
+        since.elapsed()
+    );
     drop(crowd);
 }
--- a/tests/expect_live.rs
+++ b/tests/expect_live.rs
@@ -4,13 +4,25 @@
 
 fn live(only: &str) -> serde_json::Value {
     let ran = Command::new(env!("CARGO_BIN_EXE_quartzcleat"))
-        .args(["expect", "--live", "--format", "json", "--only", only, "deploy/expectations"])
+        .args([
+            "expect",
+            "--live",
+            "--format",
+            "json",
+            "--only",
+            only,
+            "deploy/expectations",
+        ])
         .current_dir(env!("CARGO_MANIFEST_DIR"))
         .env_remove("QUARTZCLEAT_CONFIG")
         .output()
         .expect("the program runs");
     let text = String::from_utf8_lossy(&ran.stdout).into_owned();
-    assert!(ran.status.success(), "{only}: {text}\n{}", String::from_utf8_lossy(&ran.stderr));
+    assert!(
+        ran.status.success(),
+        "{only}: {text}\n{}",
+        String::from_utf8_lossy(&ran.stderr)
+    );
     serde_json::from_str(&text).expect("JSON")
 }
 
--- a/tests/export.rs
+++ b/tests/export.rs
@@ -5,7 +5,9 @@
 use quartzcleat_decision::api::{HostState, RequestId};
 use quartzcleat_fakes::stage::perform_with;
 use quartzcleat_invariants::{record::Player, Cast, Record, What};
-use quartzcleat_simulation::scenario::{Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step};
+use quartzcleat_simulation::scenario::{
+    Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step,
+};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -17,19 +19,29 @@
 
 /// Five partners ask for five seconds; each limiter is killed once from outside, and started again.
 fn scenario() -> Scenario {
-    let day =
-        Day::read("imlil-main.yaml", include_str!("../deploy/imlil-main.yaml")).expect("the day is sound");
+    let day = Day::read("imlil-main.yaml", include_str!("../deploy/imlil-main.yaml"))
+        .expect("the day is sound");
     let mut settings = day.settings;
     settings.plans[2].rate = 100_000.0;
     settings.plans[2].burst = 100_000.0;
     settings.plans[2].open = 0;
-    let player = |name: String| Player { name, room: 0, cell: 0 };
+    let player = |name: String| Player {
+        name,
+        room: 0,
+        cell: 0,
+    };
     let cast = Cast {
         rooms: vec!["room-a".into()],
         limiters: (0..3).map(|number| player(format!("l{number}"))).collect(),
         hosts: (0..3).map(|number| player(format!("n{number}"))).collect(),
-        partners: (0..PARTNERS).map(|number| format!("partner-{number}")).collect(),
-        classes: settings.classes.iter().map(|class| class.name.clone()).collect(),
+        partners: (0..PARTNERS)
+            .map(|number| format!("partner-{number}"))
+            .collect(),
+        classes: settings
+            .classes
+            .iter()
+            .map(|class| class.name.clone())
+            .collect(),
     };
     let ask = |number: u64| Ask {
         mark: number + 1,
@@ -44,24 +56,53 @@
         retry: false,
     };
     let mut steps: Vec<Step> = (0..ASKS)
-        .map(|number| Step { at: vec![number * 10 * MS], what: Happening::Ask(ask(number)), free: None })
+        .map(|number| Step {
+            at: vec![number * 10 * MS],
+            what: Happening::Ask(ask(number)),
+            free: None,
+        })
         .collect();
     for (limiter, at) in [(0, 2_000), (1, 2_400), (2, 2_800)] {
-        let step = |what| Step { at: vec![at * MS], what, free: None };
-        steps.extend([step(Happening::LimiterDies(limiter)), step(Happening::LimiterStarts(limiter))]);
+        let step = |what| Step {
+            at: vec![at * MS],
+            what,
+            free: None,
+        };
+        steps.extend([
+            step(Happening::LimiterDies(limiter)),
+            step(Happening::LimiterStarts(limiter)),
+        ]);
     }
     // What is left is fetched before this last one.
-    steps.push(Step { at: vec![7_500 * MS], what: Happening::Ask(ask(ASKS)), free: None });
+    steps.push(Step {
+        at: vec![7_500 * MS],
+        what: Happening::Ask(ask(ASKS)),
+        free: None,
+    });
     Scenario {
         truth: settings.clone(),
         cast,
-        nodes: vec![NodeSetup { cores: 64, state: HostState::Ready, ..NodeSetup::default() }; 3],
-        net: Net { same: 100_000, cross: 100_000, counter: 100_000 },
+        nodes: vec![
+            NodeSetup {
+                cores: 64,
+                state: HostState::Ready,
+                ..NodeSetup::default()
+            };
+            3
+        ],
+        net: Net {
+            same: 100_000,
+            cross: 100_000,
+            counter: 100_000,
+        },
         start: 0,
         phases: vec![0],
         seeds: vec![1],
         lags: vec![0],
-        counter: CounterSetup { service: 20_000, ..CounterSetup::default() },
+        counter: CounterSetup {
+            service: 20_000,
+            ..CounterSetup::default()
+        },
         fates: vec![Fate::Normal],
         work: vec![15 * MS, 15 * MS],
         spread: 0.0,
@@ -79,10 +120,19 @@
     let mut ran = BTreeMap::new();
     for record in records {
         match &record.what {
-            What::Asked { request, partner, units, .. } => {
+            What::Asked {
+                request,
+                partner,
+                units,
+                ..
+            } => {
                 asked.insert(*request, (*partner, (units * 1_000.0) as u64));
             }
-            What::Ran { request, dropped: false, .. } => {
+            What::Ran {
+                request,
+                dropped: false,
+                ..
+            } => {
                 let (partner, units) = asked[request];
                 *ran.entry(partner).or_default() += units;
             }
@@ -94,12 +144,21 @@
 
 fn told(folder: &Path, spools: bool) -> serde_json::Value {
     let mut command = Command::new(env!("CARGO_BIN_EXE_quartzcleat"));
-    command.arg("use").arg(folder.join("sink")).args(["--format", "json"]);
+    command
+        .arg("use")
+        .arg(folder.join("sink"))
+        .args(["--format", "json"]);
     for number in 0..if spools { 3 } else { 0 } {
-        command.arg("--spool").arg(folder.join(format!("spool-{number}")));
+        command
+            .arg("--spool")
+            .arg(folder.join(format!("spool-{number}")));
     }
     let output = command.output().expect("the command runs");
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stdout)
+    );
     serde_json::from_slice(&output.stdout).expect("it tells JSON")
 }
 
@@ -108,21 +167,30 @@
         |value: &serde_json::Value| (value.as_f64().expect("a number") * 1_000.0).round() as u64;
     let customers = told["customers"].as_array().expect("a list");
     let of = |row: &serde_json::Value| {
-        let customer = usize::from_str_radix(row["customer"].as_str().expect("text"), 16).expect("a number");
-        (customer - 1, (thousandths(&row["units"]), thousandths(&row["unknown"])))
+        let customer =
+            usize::from_str_radix(row["customer"].as_str().expect("text"), 16).expect("a number");
+        (
+            customer - 1,
+            (thousandths(&row["units"]), thousandths(&row["unknown"])),
+        )
     };
     customers.iter().map(of).collect()
 }
 
 /// Plays it with each limiter killed at a point of the export first.
 fn killed_at(point: &'static str, seed: u8) {
-    let folder: PathBuf =
-        std::env::temp_dir().join(format!("quartzcleat-usage-export-{}-{point}", std::process::id()));
+    let folder: PathBuf = std::env::temp_dir().join(format!(
+        "quartzcleat-usage-export-{}-{point}",
+        std::process::id()
+    ));
     std::fs::create_dir_all(&folder).expect("a folder is made");
     std::fs::write(folder.join("key"), point).expect("the key is written");
     let own = |number: u8| Ipv4Addr::new(127, 200, 1 + seed, 1 + number);
-    let free =
-        |number| UdpSocket::bind((own(number), 0)).and_then(|socket| socket.local_addr()).expect("loopback");
+    let free = |number| {
+        UdpSocket::bind((own(number), 0))
+            .and_then(|socket| socket.local_addr())
+            .expect("loopback")
+    };
     let addresses = [free(0), free(1), free(2)];
     let at = folder.clone();
     let ours = move |number: usize, starts: usize| {
@@ -146,14 +214,18 @@
     let program = Path::new(env!("CARGO_BIN_EXE_quartzcleat"));
     let performed = perform_with(&scenario(), program, &folder, ours).expect("it is played");
     let reached = (0..3).filter(|number| {
-        let log = std::fs::read_to_string(folder.join(format!("limiter-{number}.log"))).unwrap_or_default();
+        let log = std::fs::read_to_string(folder.join(format!("limiter-{number}.log")))
+            .unwrap_or_default();
         log.contains("ends itself as a trial asked")
     });
     let (reached, ran) = (reached.count(), truth(&performed.records));
     assert!(reached >= 1, "{point}: nobody came there");
     let (exported, all) = (told(&folder, false), told(&folder, true));
     assert_eq!(
-        (all["missing"].as_array().map(Vec::len), all["conflicts"].as_array().map(Vec::len)),
+        (
+            all["missing"].as_array().map(Vec::len),
+            all["conflicts"].as_array().map(Vec::len)
+        ),
         (Some(0), Some(0))
     );
     let (in_sink, sums) = (sums(&exported), sums(&all));
@@ -169,8 +241,14 @@
     let exported: u64 = in_sink.values().map(|(units, _)| units).sum();
     println!("{point}: {reached} died there; ran {sent}, told {certain} and {unknown} unknown, {exported} of it in the sink, {} doubles", all["doubles"]);
     // Each limiter dies twice at most, with what it had out then.
-    assert!(certain * 10 >= sent * 9 && unknown * 10 <= sent, "{point}: {certain} and {unknown} of {sent}");
-    assert!(exported * 20 >= certain * 19, "{point}: {exported} of {certain} are in the sink");
+    assert!(
+        certain * 10 >= sent * 9 && unknown * 10 <= sent,
+        "{point}: {certain} and {unknown} of {sent}"
+    );
+    assert!(
+        exported * 20 >= certain * 19,
+        "{point}: {exported} of {certain} are in the sink"
+    );
     let _ = std::fs::remove_dir_all(&folder);
 }
 
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -6,7 +6,8 @@
 /// Plays a story with one seed; the program is this build's.
 fn played(story: &str, seed: u64) -> Verdict {
     let story = Story::read("story.yaml", story).expect("the story is sound");
-    let folder = std::env::temp_dir().join(format!("quartzcleat-trial-{}-{seed}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("quartzcleat-trial-{}-{seed}", std::process::id()));
     let ground = Ground {
         program: PathBuf::from(env!("CARGO_BIN_EXE_quartzcleat")),
         beside: None,
@@ -18,7 +19,10 @@
     let _ = std::fs::remove_dir_all(&folder);
     let verdict = judge(&played.seen, &played.marks);
     assert!(verdict.holds(), "seed {seed}: {verdict:?}");
-    assert!(verdict.changes >= story.changes, "seed {seed}: empty, {verdict:?}");
+    assert!(
+        verdict.changes >= story.changes,
+        "seed {seed}: empty, {verdict:?}"
+    );
     verdict
 }
 
@@ -52,8 +56,14 @@
     std::fs::write(&key, "secret").expect("the key is written");
     // An address of documentation's (RFC 5737) is no machine's.
     for (section, told) in [
-        (section(&key, "192.0.2.1:7201"), "lease.limiters.a: cannot listen on 192.0.2.1:7201"),
-        (section("/nowhere/key", "127.0.0.1:0"), "lease.key: cannot read /nowhere/key"),
+        (
+            section(&key, "192.0.2.1:7201"),
+            "lease.limiters.a: cannot listen on 192.0.2.1:7201",
+        ),
+        (
+            section("/nowhere/key", "127.0.0.1:0"),
+            "lease.key: cannot read /nowhere/key",
+        ),
     ] {
         std::fs::write(&ours, section).expect("our file is written");
         let ended = std::process::Command::new(env!("CARGO_BIN_EXE_quartzcleat"))
@@ -62,7 +72,10 @@
             .output()
             .expect("the program starts");
         let said = String::from_utf8_lossy(&ended.stderr).into_owned();
-        assert!(!ended.status.success() && said.contains(told), "{told}\nnot in\n{said}");
+        assert!(
+            !ended.status.success() && said.contains(told),
+            "{told}\nnot in\n{said}"
+        );
     }
     let _ = std::fs::remove_dir_all(&folder);
 }
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -19,7 +19,9 @@
     let stalled: Vec<_> = (0..50)
         .map(|n| {
             let mut caller = TcpStream::connect(limiter.console).expect("the console listens");
-            caller.write_all(&b"PUT /drain HTTP/1.1\r\n"[..n % 20]).expect("the console reads");
+            caller
+                .write_all(&b"PUT /drain HTTP/1.1\r\n"[..n % 20])
+                .expect("the console reads");
             caller
         })
         .collect();
@@ -34,11 +36,23 @@
         ("PUT", "/servers/disable", "{\"host\":\"toy-9\"}", 404),
         ("PUT", "/servers/enable", "{\"host\":\"toy-9\"}", 404),
     ] {
-        assert_eq!(limiter.call(method, path, body), status, "{method} {path} {body}");
+        assert_eq!(
+            limiter.call(method, path, body),
+            status,
+            "{method} {path} {body}"
+        );
     }
-    assert!(began.elapsed() < Duration::from_secs(1), "after {:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(1),
+        "after {:?}",
+        began.elapsed()
+    );
     assert_eq!(
-        ask(&mut limiter.connect(), &(request("Q.ASK", 1, CHECK, "") + PING), 2),
+        ask(
+            &mut limiter.connect(),
+            &(request("Q.ASK", 1, CHECK, "") + PING),
+            2
+        ),
         served(1) + "+PONG\r\n"
     );
     drop(stalled);
@@ -49,9 +63,15 @@
 fn a_server_out_of_service_gets_nothing_until_one_call_back() {
     let limiter = start(21, false, |text| text);
     let mut client = limiter.connect();
-    assert_eq!(ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1), served(1));
     assert_eq!(
-        (limiter.call("PUT", "/servers/disable", TOY), limiter.call("PUT", "/servers/disable", TOY)),
+        ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1),
+        served(1)
+    );
+    assert_eq!(
+        (
+            limiter.call("PUT", "/servers/disable", TOY),
+            limiter.call("PUT", "/servers/disable", TOY)
+        ),
         (200, 200)
     );
     let answer = ask(&mut client, &request("Q.ASK", 2, CHECK, ""), 1);
@@ -65,10 +85,18 @@
     let began = Instant::now();
     let few = CHECK.replace("units=1", "units=0.01");
     let mut ids = 100..;
-    while !ask(&mut limiter.connect(), &request("Q.ASK", ids.next().unwrap_or(0), &few, ""), 1)
-        .starts_with('$')
+    while !ask(
+        &mut limiter.connect(),
+        &request("Q.ASK", ids.next().unwrap_or(0), &few, ""),
+        1,
+    )
+    .starts_with('$')
     {
-        assert!(began.elapsed() < Duration::from_secs(5), "not used after {:?}", began.elapsed());
+        assert!(
+            began.elapsed() < Duration::from_secs(5),
+            "not used after {:?}",
+            began.elapsed()
+        );
     }
 }
 
@@ -77,16 +105,29 @@
 fn a_drain_sends_clients_away_between_requests_and_ends_at_a_word() {
     let limiter = start(22, false, |text| text);
     let mut kept = limiter.connect();
-    assert_eq!(ask(&mut kept, &request("Q.ASK", 1, CHECK, ""), 1), served(1));
+    assert_eq!(
+        ask(&mut kept, &request("Q.ASK", 1, CHECK, ""), 1),
+        served(1)
+    );
     let began = Instant::now();
     assert_eq!(limiter.call("PUT", "/drain", ""), 200);
     assert_eq!(
-        (ask(&mut kept, PING, 1).as_str(), limiter.call("GET", "/ready", "")),
+        (
+            ask(&mut kept, PING, 1).as_str(),
+            limiter.call("GET", "/ready", "")
+        ),
         ("-ERR draining\r\n", 503)
     );
-    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1), served(2));
+    assert_eq!(
+        ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1),
+        served(2)
+    );
     assert_eq!(kept.read(&mut [0]).expect("an end"), 0);
-    assert!(began.elapsed() < Duration::from_secs(2), "after {:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(2),
+        "after {:?}",
+        began.elapsed()
+    );
     // Who comes all the same is heard once, and let go.
     let mut late = limiter.connect();
     assert_eq!(ask(&mut late, PING, 1), "-ERR draining\r\n");
@@ -94,7 +135,11 @@
     assert_eq!(limiter.call("PUT", "/undrain", ""), 200);
     let mut back = limiter.connect();
     assert_eq!(
-        ask(&mut back, &(PING.to_owned() + &request("Q.ASK", 3, CHECK, "")), 2),
+        ask(
+            &mut back,
+            &(PING.to_owned() + &request("Q.ASK", 3, CHECK, "")),
+            2
+        ),
         "+PONG\r\n".to_owned() + &served(3)
     );
     assert_eq!(limiter.call("GET", "/ready", ""), 200);
@@ -126,7 +171,9 @@
                         .take()
                         .filter(open)
                         .unwrap_or_else(|| TcpStream::connect(address).expect("somebody listens"));
-                    stream.write_all(request("Q.ASK", id, facts, "").as_bytes()).unwrap_or_default();
+                    stream
+                        .write_all(request("Q.ASK", id, facts, "").as_bytes())
+                        .unwrap_or_default();
                     let mut answer = [0; 23];
                     match stream.read_exact(&mut answer) {
                         Ok(()) => {
@@ -144,7 +191,9 @@
                 (id - (number << 32), cut)
             }
         };
-        let clients: Vec<_> = (1..=4).map(|number| scope.spawn(client(number, number > 2))).collect();
+        let clients: Vec<_> = (1..=4)
+            .map(|number| scope.spawn(client(number, number > 2)))
+            .collect();
         for number in 0..20 {
             let mut first = limiter.upgrade(number);
             let term = format!("kill -TERM {}", first.id());
@@ -171,9 +220,21 @@
     let mut ids = 5_000..;
     let mut in_a_row = 0;
     while in_a_row < 12 {
-        let answer = ask(&mut limiter.connect(), &request("Q.ASK", ids.next().unwrap_or(0), &few, ""), 1);
-        in_a_row = if answer.starts_with("-BUSY") { in_a_row + 1 } else { 0 };
-        assert!(began.elapsed() < Duration::from_secs(15), "not heard after {:?}", began.elapsed());
+        let answer = ask(
+            &mut limiter.connect(),
+            &request("Q.ASK", ids.next().unwrap_or(0), &few, ""),
+            1,
+        );
+        in_a_row = if answer.starts_with("-BUSY") {
+            in_a_row + 1
+        } else {
+            0
+        };
+        assert!(
+            began.elapsed() < Duration::from_secs(15),
+            "not heard after {:?}",
+            began.elapsed()
+        );
     }
 }
 
@@ -183,12 +244,18 @@
     let mut limiter = start(27, false, |text| text);
     let old_console = limiter.console;
     let mut first = limiter.upgrade(70);
-    assert_eq!(process::call(old_console, "PUT", "/servers/disable", TOY), 200);
+    assert_eq!(
+        process::call(old_console, "PUT", "/servers/disable", TOY),
+        200
+    );
     both_refuse(&limiter);
     assert_eq!(limiter.call("PUT", "/drain", ""), 200);
     let began = Instant::now();
     while process::call(old_console, "GET", "/ready", "") != 503 {
-        assert!(began.elapsed() < Duration::from_secs(1), "the drain is not heard");
+        assert!(
+            began.elapsed() < Duration::from_secs(1),
+            "the drain is not heard"
+        );
     }
     assert_eq!(process::call(old_console, "PUT", "/undrain", ""), 200);
     // The second is killed outright: what it was told stands at the first, and nothing is steered to it.
@@ -198,7 +265,11 @@
     assert_eq!(limiter.call("PUT", "/servers/enable", TOY), 200);
     served_again(&limiter);
     let term = format!("kill -TERM {}", first.id());
-    assert!(std::process::Command::new("sh").args(["-c", &term]).status().expect("kill runs").success());
+    assert!(std::process::Command::new("sh")
+        .args(["-c", &term])
+        .status()
+        .expect("kill runs")
+        .success());
     // Nobody relieves it: as at any planned end it takes connections for a while.
     assert_eq!(ask(&mut limiter.connect(), PING, 1), "+PONG\r\n");
     assert!(first.wait().expect("it ends").success());
@@ -211,7 +282,10 @@
     let long = "\"onTimeNs\": 60000000000, \"hardLimitNs\": 60000000000";
     let mut limiter = start(29, false, |text| {
         let text = text.replace("\"sockets\": 1024", "\"sockets\": 128");
-        text.replace("\"onTimeNs\": 2000000000, \"hardLimitNs\": 7500000000", long)
+        text.replace(
+            "\"onTimeNs\": 2000000000, \"hardLimitNs\": 7500000000",
+            long,
+        )
     });
     let facts = "c=bed-check,t=operator,d=50000,units=0.1,spread=1,first=0";
     let busy: Vec<_> = (100..140)
@@ -231,14 +305,24 @@
     }
     std::thread::scope(|scope| {
         let began = Instant::now();
-        let waiting: Vec<_> = (0..20).map(|_| scope.spawn(|| ask(&mut limiter.connect(), PING, 1))).collect();
+        let waiting: Vec<_> = (0..20)
+            .map(|_| scope.spawn(|| ask(&mut limiter.connect(), PING, 1)))
+            .collect();
         // Some have been heard by the second by now; the others wait before the first.
         let term = format!("kill -TERM {}", first.id());
-        assert!(std::process::Command::new("sh").args(["-c", &term]).status().expect("kill runs").success());
+        assert!(std::process::Command::new("sh")
+            .args(["-c", &term])
+            .status()
+            .expect("kill runs")
+            .success());
         for client in waiting {
             assert_eq!(client.join().expect("it is heard"), "+PONG\r\n");
         }
-        assert!(began.elapsed() < Duration::from_secs(3), "after {:?}", began.elapsed());
+        assert!(
+            began.elapsed() < Duration::from_secs(3),
+            "after {:?}",
+            began.elapsed()
+        );
     });
     drop(busy);
     let mut first = first;
@@ -250,7 +334,9 @@
 #[test]
 fn the_console_answers_while_the_limiter_is_saturated() {
     let limiter = start(28, false, |text| text);
-    let stalled: Vec<_> = (0..50).map(|_| TcpStream::connect(limiter.console).expect("it listens")).collect();
+    let stalled: Vec<_> = (0..50)
+        .map(|_| TcpStream::connect(limiter.console).expect("it listens"))
+        .collect();
     let (over, address) = (AtomicBool::new(false), limiter.address);
     std::thread::scope(|scope| {
         for number in 1..=6_u64 {
@@ -259,7 +345,9 @@
                 let mut id = number << 40;
                 let mut stream = TcpStream::connect(address).expect("it listens");
                 while !over.load(Ordering::Relaxed) {
-                    let bytes: String = (0..200).map(|n| request("Q.ASK", id + n, CHECK, "")).collect();
+                    let bytes: String = (0..200)
+                        .map(|n| request("Q.ASK", id + n, CHECK, ""))
+                        .collect();
                     id += 200;
                     ask(&mut stream, &bytes, 200);
                 }
@@ -297,16 +385,27 @@
 #[test]
 fn a_new_version_serves_by_the_list_handed_over() {
     let mut limiter = start(39, false, |text| text);
-    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 1, CHECK, ""), 1), served(1));
+    assert_eq!(
+        ask(&mut limiter.connect(), &request("Q.ASK", 1, CHECK, ""), 1),
+        served(1)
+    );
     let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("an address");
     limiter.discovery = silent.local_addr().expect("an address");
     let mut first = limiter.upgrade(72);
     first.kill().expect("it is killed");
     first.wait().expect("it ends");
-    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1), served(2));
-    let left = std::fs::read_dir(&limiter.folder).expect("it is there").flatten();
-    let left =
-        left.filter(|file| file.path().extension().is_some_and(|end| end == "heritage" || end == "draft"));
+    assert_eq!(
+        ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1),
+        served(2)
+    );
+    let left = std::fs::read_dir(&limiter.folder)
+        .expect("it is there")
+        .flatten();
+    let left = left.filter(|file| {
+        file.path()
+            .extension()
+            .is_some_and(|end| end == "heritage" || end == "draft")
+    });
     assert_eq!(left.count(), 0, "what was handed over is taken away");
 }
 
@@ -327,12 +426,16 @@
 /// than a part of its 48 MB.
 #[test]
 fn long_values_pass_through_a_small_memory() {
-    let limiter = start(25, false, |text| text.replace("\"memory_mb\": 192", "\"memory_mb\": 48"));
+    let limiter = start(25, false, |text| {
+        text.replace("\"memory_mb\": 192", "\"memory_mb\": 48")
+    });
     let facts = CHECK.replace("units=1", "units=0.01");
     let mut clients: Vec<_> = (0..40)
         .map(|id| {
             let mut client = limiter.connect();
-            client.write_all(request("Q.ASK", id, &facts, "long").as_bytes()).expect("the limiter reads");
+            client
+                .write_all(request("Q.ASK", id, &facts, "long").as_bytes())
+                .expect("the limiter reads");
             // All have begun before any is taken further.
             assert_eq!(announced(&mut client), toy::LONG);
             (id, client)
@@ -341,16 +444,31 @@
     for (id, client) in &mut clients {
         let mut value = vec![0; toy::LONG + 2];
         client.read_exact(&mut value).expect("the value is whole");
-        let expected: Vec<_> = format!("{id:016x}").bytes().cycle().take(toy::LONG).collect();
+        let expected: Vec<_> = format!("{id:016x}")
+            .bytes()
+            .cycle()
+            .take(toy::LONG)
+            .collect();
         assert!(value[..toy::LONG] == expected && value.ends_with(b"\r\n"));
     }
-    let status = std::fs::read_to_string(format!("/proc/{}/status", limiter.child.id())).expect("it runs");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", limiter.child.id())).expect("it runs");
+    let peak = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))
+        .expect("a peak");
     println!("highest resident size: {}", peak.trim());
-    let kb: u64 = peak.split_whitespace().next().and_then(|text| text.parse().ok()).expect("a size");
+    let kb: u64 = peak
+        .split_whitespace()
+        .next()
+        .and_then(|text| text.parse().ok())
+        .expect("a size");
     assert!(kb < 32 << 10, "{kb} kB");
     // The last one: the first has been idle for as long as the others took, which on a busy machine is too long.
-    assert_eq!(ask(&mut clients[39].1, &request("Q.ASK", 99, &facts, ""), 1), served(99));
+    assert_eq!(
+        ask(&mut clients[39].1, &request("Q.ASK", 99, &facts, ""), 1),
+        served(99)
+    );
 }
 
 /// What is shorter or longer than it says never looks whole to its client.
@@ -359,10 +477,16 @@
     let limiter = start(26, false, |text| text);
     for (id, body) in [(1, "short"), (2, "over")] {
         let mut client = limiter.connect();
-        client.write_all(request("Q.ASK", id, CHECK, body).as_bytes()).expect("the limiter reads");
+        client
+            .write_all(request("Q.ASK", id, CHECK, body).as_bytes())
+            .expect("the limiter reads");
         let length = announced(&mut client);
         let mut value = Vec::new();
         client.read_to_end(&mut value).unwrap_or_default();
-        assert!(!value.is_empty() && value.len() < length, "{body}: {} of {length}", value.len());
+        assert!(
+            !value.is_empty() && value.len() < length,
+            "{body}: {} of {length}",
+            value.len()
+        );
     }
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -6,11 +6,16 @@
 use quickcheck::{Gen, QuickCheck, Testable};
 
 fn limits() -> Limits {
-    config::read(include_str!("../examples/toy.json"), |_| None).expect("the example is sound").limits
+    config::read(include_str!("../examples/toy.json"), |_| None)
+        .expect("the example is sound")
+        .limits
 }
 
 fn check(seed: u64, property: impl Testable) {
-    QuickCheck::new().rng(Gen::from_size_and_seed(60, seed)).tests(300).quickcheck(property);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, seed))
+        .tests(300)
+        .quickcheck(property);
 }
 
 /// A message is "more must come" at every cut, and is read whole without what follows it.
@@ -29,7 +34,15 @@
         let read = whole(&message, |bytes| {
             let command = codec::command(bytes, &limits).expect("no cut is malformed")?;
             let word = |place: std::ops::Range<usize>| bytes[place].to_vec();
-            Some((command.words.into_iter().flatten().map(word).collect::<Vec<_>>(), command.length))
+            Some((
+                command
+                    .words
+                    .into_iter()
+                    .flatten()
+                    .map(word)
+                    .collect::<Vec<_>>(),
+                command.length,
+            ))
         });
         read.is_some_and(|read| read == words)
     }
@@ -46,15 +59,18 @@
             Some(report) => codec::write_bulk(report, &mut message),
             None => message.extend_from_slice(b"$-1\r\n"),
         }
-        let read = whole(&message, |bytes| codec::reply(bytes, &limits).expect("no cut is malformed"));
-        let Some(Reply::Array(Some(members))) = read else { return false };
+        let read = whole(&message, |bytes| {
+            codec::reply(bytes, &limits).expect("no cut is malformed")
+        });
+        let Some(Reply::Array(Some(members))) = read else {
+            return false;
+        };
         let [Reply::Bulk(Some(first)), Reply::Integer(second), Reply::Array(Some(third)), Reply::Bulk(last)] =
             members.as_slice()
         else {
             return false;
         };
-        let inner =
-            matches!(third.as_slice(), [Reply::Error(place)] if &message[place.clone()] == b"ERR failed");
+        let inner = matches!(third.as_slice(), [Reply::Error(place)] if &message[place.clone()] == b"ERR failed");
         let last = last.clone().map(|place| message[place].to_vec());
         message[first.clone()] == value && *second == number && inner && last == report
     }
@@ -93,8 +109,9 @@
     let command = codec::command(bytes, &limits).ok().flatten();
     let reply = codec::reply(bytes, &limits).ok().flatten();
     let list = response(bytes, 1 << 10).ok().flatten();
-    command.is_none_or(|c| c.length <= bytes.len() && c.words.iter().flatten().all(|w| w.end <= c.length))
-        && reply.is_none_or(|(_, length)| length <= bytes.len())
+    command.is_none_or(|c| {
+        c.length <= bytes.len() && c.words.iter().flatten().all(|w| w.end <= c.length)
+    }) && reply.is_none_or(|(_, length)| length <= bytes.len())
         && list.is_none_or(|r| r.length <= bytes.len() && r.body.len() <= 1 << 10)
 }
 
@@ -103,8 +120,15 @@
     /// Garbage out of the characters that mean something, so that it gets far into the parsers.
     fn garbage(bytes: Vec<u8>) -> bool {
         let signs = b"*$+-:0123\r\n\r\n\r\n1x";
-        let meant: Vec<u8> = bytes.iter().map(|byte| signs[usize::from(*byte) % signs.len()]).collect();
-        let head = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", meant.as_slice()].concat();
+        let meant: Vec<u8> = bytes
+            .iter()
+            .map(|byte| signs[usize::from(*byte) % signs.len()])
+            .collect();
+        let head = [
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            meant.as_slice(),
+        ]
+        .concat();
         stays_within(&bytes) && stays_within(&meant) && stays_within(&head)
     }
     check(4, garbage as fn(Vec<u8>) -> bool);
@@ -114,7 +138,10 @@
 fn damage_is_survived() {
     fn damaged(words: Vec<Vec<u8>>, place: usize, byte: u8) -> bool {
         let mut message = Vec::new();
-        codec::write_command(&words.iter().map(Vec::as_slice).collect::<Vec<_>>(), &mut message);
+        codec::write_command(
+            &words.iter().map(Vec::as_slice).collect::<Vec<_>>(),
+            &mut message,
+        );
         let place = place % message.len();
         message[place] = byte;
         stays_within(&message)
@@ -126,14 +153,31 @@
 #[test]
 fn what_is_too_large_is_refused_before_it_comes() {
     let limits = limits();
-    for bytes in ["*17\r\n", "*2\r\n$65537\r\n", "*1\r\n$-2\r\n", "*1\r\n:1\r\n", "PING\r\n", "*1\r\n$+1\r\n"]
-    {
-        assert!(codec::command(bytes.as_bytes(), &limits).is_err(), "{bytes:?}");
+    for bytes in [
+        "*17\r\n",
+        "*2\r\n$65537\r\n",
+        "*1\r\n$-2\r\n",
+        "*1\r\n:1\r\n",
+        "PING\r\n",
+        "*1\r\n$+1\r\n",
+    ] {
+        assert!(
+            codec::command(bytes.as_bytes(), &limits).is_err(),
+            "{bytes:?}"
+        );
     }
-    for bytes in
-        ["$65537\r\n", "*17\r\n", "*4\r\n*4\r\n*4\r\n*4\r\n*4\r\n", "*16\r\n*16\r\n", "?\r\n", "+a\nb"]
-    {
-        assert!(codec::reply(bytes.as_bytes(), &limits).is_err(), "{bytes:?}");
+    for bytes in [
+        "$65537\r\n",
+        "*17\r\n",
+        "*4\r\n*4\r\n*4\r\n*4\r\n*4\r\n",
+        "*16\r\n*16\r\n",
+        "?\r\n",
+        "+a\nb",
+    ] {
+        assert!(
+            codec::reply(bytes.as_bytes(), &limits).is_err(),
+            "{bytes:?}"
+        );
     }
     let long = vec![b'+'; 2000];
     assert!(codec::reply(&long, &limits).is_err());
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -37,7 +37,9 @@
 
 /// The same beside a platform that takes connections and says nothing until it is woken; the limiter is ready by then.
 pub fn start_beside_a_silent_platform(
-    number: u8, silent_counter: bool, change: impl Fn(String) -> String,
+    number: u8,
+    silent_counter: bool,
+    change: impl Fn(String) -> String,
 ) -> (Limiter, mpsc::Sender<()>) {
     let (tell, told) = mpsc::channel();
     let (wake, woken) = mpsc::channel();
@@ -46,12 +48,25 @@
             let bind = || TcpListener::bind("127.0.0.1:0");
             let (discovery, counter, silent, hosts) =
                 (bind().await?, bind().await?, bind().await?, bind().await?);
-            let called = if silent_counter { silent.local_addr()? } else { counter.local_addr()? };
-            tell.send((discovery.local_addr()?, called)).map_err(std::io::Error::other)?;
-            let config = quartzcleat::net::config::read(include_str!("../../examples/toy.json"), |_| None);
+            let called = if silent_counter {
+                silent.local_addr()?
+            } else {
+                counter.local_addr()?
+            };
+            tell.send((discovery.local_addr()?, called))
+                .map_err(std::io::Error::other)?;
+            let config =
+                quartzcleat::net::config::read(include_str!("../../examples/toy.json"), |_| None);
             let limits = config.map_err(std::io::Error::other)?.limits;
             woken.recv().map_err(std::io::Error::other)?;
-            toy::Toy { discovery, counter, hosts: vec![hosts], limits }.serve().await?;
+            toy::Toy {
+                discovery,
+                counter,
+                hosts: vec![hosts],
+                limits,
+            }
+            .serve()
+            .await?;
             drop(silent);
             Ok(())
         })
@@ -62,19 +77,34 @@
     let address = SocketAddr::from(([127, 77, 0, number], discovery.port()));
     let text = change(include_str!("../../examples/toy.json").to_owned());
     let text = text.replace("127.0.0.1:7002", &counter.to_string());
-    let path = std::env::temp_dir().join(format!("quartzcleat-{}-{number}.json", std::process::id()));
+    let path =
+        std::env::temp_dir().join(format!("quartzcleat-{}-{number}.json", std::process::id()));
     std::fs::write(&path, text).expect("the configuration is written");
     let folder = std::env::temp_dir().join(format!("quartzcleat-{}-{number}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder is made");
     let console = SocketAddr::from(([127, 78, 0, number], discovery.port()));
     let child = spawn(&path, address, discovery, console, &folder);
-    let limiter = Limiter { child, address, path, discovery, console, folder };
-    assert_eq!(ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1), "+PONG\r\n");
+    let limiter = Limiter {
+        child,
+        address,
+        path,
+        discovery,
+        console,
+        folder,
+    };
+    assert_eq!(
+        ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1),
+        "+PONG\r\n"
+    );
     (limiter, wake)
 }
 
 fn spawn(
-    path: &Path, listen: SocketAddr, discovery: SocketAddr, console: SocketAddr, folder: &Path,
+    path: &Path,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    console: SocketAddr,
+    folder: &Path,
 ) -> Child {
     Command::new(env!("CARGO_BIN_EXE_quartzcleat"))
         .env("BALANCER_CONFIG", path)
@@ -89,13 +119,24 @@
 /// One call to the console; its status.
 pub fn call(console: SocketAddr, method: &str, path: &str, body: &str) -> u16 {
     let length = body.len();
-    let text = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}");
+    let text =
+        format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}");
     let mut stream = TcpStream::connect(console).expect("the console listens");
-    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out is set");
-    stream.write_all(text.as_bytes()).expect("the console reads");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .expect("a time-out is set");
+    stream
+        .write_all(text.as_bytes())
+        .expect("the console reads");
     let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("the console answers");
-    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+    stream
+        .read_to_string(&mut answer)
+        .expect("the console answers");
+    answer
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok())
+        .expect("a status")
 }
 
 impl Limiter {
@@ -104,10 +145,14 @@
         loop {
             match TcpStream::connect(self.address) {
                 Ok(stream) => {
-                    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out is set");
+                    stream
+                        .set_read_timeout(Some(Duration::from_secs(20)))
+                        .expect("a time-out is set");
                     return stream;
                 }
-                Err(e) if since.elapsed() > Duration::from_secs(20) => panic!("the limiter is not up: {e}"),
+                Err(e) if since.elapsed() > Duration::from_secs(20) => {
+                    panic!("the limiter is not up: {e}")
+                }
                 Err(_) => std::thread::sleep(Duration::from_millis(5)),
             }
         }
@@ -115,7 +160,11 @@
 
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill runs").success());
+        assert!(Command::new("sh")
+            .args(["-c", &kill])
+            .status()
+            .expect("kill runs")
+            .success());
     }
 
     pub fn call(&self, method: &str, path: &str, body: &str) -> u16 {
@@ -125,10 +174,19 @@
     /// Starts a second process beside this one, and waits until it says that it takes clients; the first one.
     pub fn upgrade(&mut self, number: u8) -> Child {
         let console = SocketAddr::from(([127, 78, 1, number], self.console.port()));
-        let child = spawn(&self.path, self.address, self.discovery, console, &self.folder);
+        let child = spawn(
+            &self.path,
+            self.address,
+            self.discovery,
+            console,
+            &self.folder,
+        );
         let since = Instant::now();
         while TcpStream::connect(console).is_err() || call(console, "GET", "/ready", "") != 200 {
-            assert!(since.elapsed() < Duration::from_secs(20), "the second process is not up");
+            assert!(
+                since.elapsed() < Duration::from_secs(20),
+                "the second process is not up"
+            );
             std::thread::sleep(Duration::from_millis(2));
         }
         self.console = console;
@@ -143,7 +201,9 @@
 
 /// Writes, and reads so many answers, or fewer at the end of the connection.
 pub fn ask(stream: &mut TcpStream, bytes: &str, count: usize) -> String {
-    stream.write_all(bytes.as_bytes()).expect("the limiter reads");
+    stream
+        .write_all(bytes.as_bytes())
+        .expect("the limiter reads");
     let (mut answers, mut reader) = (String::new(), BufReader::with_capacity(1, stream));
     for _ in 0..count {
         let start = answers.len();
@@ -158,8 +218,15 @@
 pub fn request(verb: &str, id: u64, facts: &str, body: &str) -> String {
     let (customer, id) = (format!("{:016x}", 77), format!("{id:016x}"));
     let words = [verb, &customer, &id, facts, body];
-    let words = if body.is_empty() { &words[..4] } else { &words[..] };
-    let bulks: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
+    let words = if body.is_empty() {
+        &words[..4]
+    } else {
+        &words[..]
+    };
+    let bulks: String = words
+        .iter()
+        .map(|word| format!("${}\r\n{word}\r\n", word.len()))
+        .collect();
     format!("*{}\r\n{bulks}", words.len())
 }
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -95,20 +95,38 @@
             0..=2 => {
                 let (class, units) = (u32::from(step.pick % 4), f64::from(1 + step.pick % 3));
                 let id = rig.next_id();
-                world.lives.insert(id, Life { class, units, ..Life::default() });
+                world.lives.insert(
+                    id,
+                    Life {
+                        class,
+                        units,
+                        ..Life::default()
+                    },
+                );
                 let actions = rig.request(class, 5, units).1;
                 world.check(rig.now, actions);
             }
             3..=4 if !world.calls.is_empty() => {
                 let name = world.calls.remove(pick % world.calls.len());
-                let outcomes = [Outcome::Good, Outcome::Good, Outcome::Timeout, Outcome::Rejected];
+                let outcomes = [
+                    Outcome::Good,
+                    Outcome::Good,
+                    Outcome::Timeout,
+                    Outcome::Rejected,
+                ];
                 let actions = rig.counted(&name, outcomes[pick % 4], f64::from(step.pick % 90));
                 world.check(rig.now, actions);
             }
             5..=6 => {
-                let out = world.lives.iter().filter(|(_, l)| l.out.is_some()).map(|(id, _)| *id);
+                let out = world
+                    .lives
+                    .iter()
+                    .filter(|(_, l)| l.out.is_some())
+                    .map(|(id, _)| *id);
                 let out: Vec<RequestId> = out.collect();
-                let Some(&id) = out.get(pick % out.len().max(1)) else { continue };
+                let Some(&id) = out.get(pick % out.len().max(1)) else {
+                    continue;
+                };
                 let outcomes = [
                     Outcome::Good,
                     Outcome::Reset,
@@ -122,13 +140,20 @@
         }
         run_timers(&mut rig, &mut world);
         let allowed = 30.0 / 2.0 * (rig.now - start) as f64 / S as f64;
-        assert!(world.sent_units <= allowed + 1e-6, "{} units past a share of {allowed}", world.sent_units);
+        assert!(
+            world.sent_units <= allowed + 1e-6,
+            "{} units past a share of {allowed}",
+            world.sent_units
+        );
     }
     for _ in 0..800 {
         rig.now += 4 * MS;
         run_timers(&mut rig, &mut world);
     }
-    assert!(world.lives.values().all(|life| life.closed), "a request was left without an answer");
+    assert!(
+        world.lives.values().all(|life| life.closed),
+        "a request was left without an answer"
+    );
     world.log
 }
 
@@ -146,7 +171,9 @@
 
 fn run_timers(rig: &mut Rig, world: &mut World) {
     let now = rig.now;
-    let (due, later) = std::mem::take(&mut world.timers).into_iter().partition(|(at, _)| *at <= now);
+    let (due, later) = std::mem::take(&mut world.timers)
+        .into_iter()
+        .partition(|(at, _)| *at <= now);
     world.timers = later;
     for (_, tag) in Vec::<(u64, String)>::into_iter(due) {
         let actions = rig.timer(&tag);
@@ -157,9 +184,15 @@
 #[test]
 fn random_event_orders_keep_the_rules() {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
-    let mut runner =
-        TestRunner::new_with_rng(Config { failure_persistence: None, ..Config::with_cases(200) }, rng);
-    let step = (0u8..8, any::<u16>(), 0u16..40).prop_map(|(kind, pick, wait)| Step { kind, pick, wait });
+    let mut runner = TestRunner::new_with_rng(
+        Config {
+            failure_persistence: None,
+            ..Config::with_cases(200)
+        },
+        rng,
+    );
+    let step =
+        (0u8..8, any::<u16>(), 0u16..40).prop_map(|(kind, pick, wait)| Step { kind, pick, wait });
     let steps = proptest::collection::vec(step, 1..200);
     runner
         .run(&steps, |steps| {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -13,7 +13,10 @@
     let (id, actions) = rig.request(0, 5, 3.0);
     assert_eq!(count(&actions), Some(("q5.250".into(), 3.0)));
     assert_eq!(attempt(&actions), None);
-    assert_eq!(attempt(&rig.counted("q5.250", Outcome::Good, 44.0)).map(|a| a.0), Some(id));
+    assert_eq!(
+        attempt(&rig.counted("q5.250", Outcome::Good, 44.0)).map(|a| a.0),
+        Some(id)
+    );
 }
 
 #[test]
@@ -34,10 +37,18 @@
     rig.now += 2 * S;
     let (first, _) = rig.request(0, 5, 4.0);
     let actions = rig.counted("q5.250", Outcome::Good, 25.0);
-    assert_eq!(attempt(&actions).map(|a| a.0), Some(first), "as much came since, whatever was before");
+    assert_eq!(
+        attempt(&actions).map(|a| a.0),
+        Some(first),
+        "as much came since, whatever was before"
+    );
     let (second, _) = rig.request(0, 5, 1.0);
     let actions = rig.counted("q5.250", Outcome::Good, 26.0);
-    assert_eq!(count(&actions), Some(("q5.249".into(), 0.0)), "now the verdict hangs on the window before");
+    assert_eq!(
+        count(&actions),
+        Some(("q5.249".into(), 0.0)),
+        "now the verdict hangs on the window before"
+    );
     let actions = rig.counted("q5.249", Outcome::Good, 72.0);
     assert_eq!(refused(&actions, second), Some(2 * S));
 }
@@ -53,7 +64,13 @@
     rig.request(0, 5, 1.0);
     assert_eq!(count(&rig.counted("q5.250", Outcome::Good, 36.0)), None);
     let actions = rig.counted("q5.249", Outcome::Good, 10.0);
-    assert_eq!(actions.iter().filter(|a| matches!(a, Action::Attempt { .. })).count(), 2);
+    assert_eq!(
+        actions
+            .iter()
+            .filter(|a| matches!(a, Action::Attempt { .. }))
+            .count(),
+        2
+    );
     rig.request(0, 5, 1.0);
     let actions = rig.counted("q5.250", Outcome::Good, 37.0);
     assert_eq!((count(&actions), attempt(&actions).is_some()), (None, true));
@@ -143,7 +160,10 @@
     let mut rig = Rig::new(settings(), 2);
     asked(&mut rig, 100, Outcome::Timeout);
     let failing = asked(&mut rig, 200, Outcome::Timeout);
-    assert!((1..=40).contains(&failing), "{failing} of 200 requests asked a counter that never answers");
+    assert!(
+        (1..=40).contains(&failing),
+        "{failing} of 200 requests asked a counter that never answers"
+    );
     asked(&mut rig, 300, Outcome::Good);
     assert_eq!(asked(&mut rig, 50, Outcome::Good), 50);
 }
@@ -151,7 +171,14 @@
 #[test]
 fn without_the_counter_a_crowd_of_gateways_keeps_to_the_share_of_each() {
     // 100 gateways and a limit of 60 units: each may pass its first request, then 0.15 units a second.
-    let mut rig = Rig::new(Settings { counter: false, limiter_count: 100, ..settings() }, 40);
+    let mut rig = Rig::new(
+        Settings {
+            counter: false,
+            limiter_count: 100,
+            ..settings()
+        },
+        40,
+    );
     rig.spread = 100;
     let mut passed = 0;
     for _ in 0..100 {
@@ -162,14 +189,20 @@
         // Beyond the share of this gateway only: another try may be in time.
         assert!(retry_after.is_none_or(|after| after == S / 4));
     }
-    assert!((1..=2).contains(&passed), "{passed} requests of 4 units in 10 s");
+    assert!(
+        (1..=2).contains(&passed),
+        "{passed} requests of 4 units in 10 s"
+    );
 }
 
 #[test]
 fn a_turned_away_add_is_counted_once() {
     let mut rig = Rig::new(settings(), 2);
     let (id, _) = rig.request(0, 5, 3.0);
-    assert_eq!(attempt(&rig.counted("q5.250", Outcome::Rejected, 0.0)).map(|a| a.0), Some(id));
+    assert_eq!(
+        attempt(&rig.counted("q5.250", Outcome::Rejected, 0.0)).map(|a| a.0),
+        Some(id)
+    );
     let (_, actions) = rig.request(0, 5, 3.0);
     assert_eq!(count(&actions), Some(("q5.250".into(), 6.0)));
 }
@@ -182,14 +215,27 @@
         let mut rig = Rig::new(set, hosts);
         let (id, _) = rig.request(0, 5, 1.0);
         let actions = rig.counted("q5.250", Outcome::Good, 70.0);
-        assert_eq!((attempt(&actions).is_some(), refused(&actions, id).is_none()), (passes, passes));
-        assert_eq!(count(&actions), Some(("q5.250".into(), -1.0)), "charged to no count either way");
+        assert_eq!(
+            (attempt(&actions).is_some(), refused(&actions, id).is_none()),
+            (passes, passes)
+        );
+        assert_eq!(
+            count(&actions),
+            Some(("q5.250".into(), -1.0)),
+            "charged to no count either way"
+        );
     }
 }
 
 #[test]
 fn without_a_counter_each_gateway_holds_the_quota_by_its_own_adds() {
-    let mut rig = Rig::new(Settings { counter: false, ..settings() }, 40);
+    let mut rig = Rig::new(
+        Settings {
+            counter: false,
+            ..settings()
+        },
+        40,
+    );
     let mut passed = 0;
     for _ in 0..30 {
         let (id, actions) = rig.request(0, 5, 4.0);
@@ -204,12 +250,22 @@
 
 /// A hundred gateways before a counter that turns two thirds of the calls away.
 fn crowd() -> Rig {
-    let mut rig = Rig::new(Settings { limiter_count: 100, ..settings() }, 2);
+    let mut rig = Rig::new(
+        Settings {
+            limiter_count: 100,
+            ..settings()
+        },
+        2,
+    );
     for customer in 1_000..1_060 {
         rig.spread = 100;
         let (_, actions) = rig.request(0, customer, 2.0);
         if let Some((name, _)) = count(&actions) {
-            let outcome = if customer % 3 == 0 { Outcome::Good } else { Outcome::Rejected };
+            let outcome = if customer % 3 == 0 {
+                Outcome::Good
+            } else {
+                Outcome::Rejected
+            };
             rig.counted(&name, outcome, 2.0);
         }
     }
@@ -228,7 +284,10 @@
     }
     assert!((100..1_500).contains(&asked), "{asked} of 2,000 asked");
     let part = added / 4_000.0;
-    assert!((0.85..1.15).contains(&part), "the count holds {part} of what was used");
+    assert!(
+        (0.85..1.15).contains(&part),
+        "the count holds {part} of what was used"
+    );
 }
 
 #[test]
@@ -236,7 +295,9 @@
     let mut rig = crowd();
     let found = (5_000..6_000).find_map(|customer| {
         let (id, actions) = rig.request(0, customer, 2.0);
-        count(&actions).filter(|(_, amount)| *amount > 4.0).map(|(name, amount)| (id, name, amount))
+        count(&actions)
+            .filter(|(_, amount)| *amount > 4.0)
+            .map(|(name, amount)| (id, name, amount))
     });
     let (id, name, amount) = found.expect("some ask, and stand for others");
     // Others used 19 of 22 and it uses 2: within the limit, though the count now says more. What weighs of the
@@ -245,7 +306,9 @@
     assert_eq!(refused(&reads, id), None);
     let over = (6_000..9_000).find_map(|customer| {
         let (id, actions) = rig.request(0, customer, 2.0);
-        count(&actions).filter(|(_, amount)| *amount > 4.0).map(|(name, amount)| (id, name, amount))
+        count(&actions)
+            .filter(|(_, amount)| *amount > 4.0)
+            .map(|(name, amount)| (id, name, amount))
     });
     let (id, name, amount) = over.expect("some ask, and stand for others");
     let actions = rig.counted(&name, Outcome::Good, 21.5 + amount);
@@ -266,8 +329,14 @@
             }
         }
     }
-    assert!(passed[0] > 100, "who was not seen before passes: {passed:?}");
-    assert_eq!(passed[5], 0, "the sixth within a moment is far beyond what comes through one of a hundred");
+    assert!(
+        passed[0] > 100,
+        "who was not seen before passes: {passed:?}"
+    );
+    assert_eq!(
+        passed[5], 0,
+        "the sixth within a moment is far beyond what comes through one of a hundred"
+    );
 }
 
 #[test]
@@ -326,9 +395,19 @@
 
 #[test]
 fn what_is_in_store_as_a_window_begins_hangs_on_the_one_before() {
-    for (used, left) in [(0.0, 22.0), (50.0, 22.0), (60.0, 12.0), (72.0, 0.0), (200.0, 0.0)] {
+    for (used, left) in [
+        (0.0, 22.0),
+        (50.0, 22.0),
+        (60.0, 12.0),
+        (72.0, 0.0),
+        (200.0, 0.0),
+    ] {
         let mut rig = Rig::new(settings(), 2);
-        assert_eq!(passed_after(&mut rig, used), left, "{used} units were used in the window before");
+        assert_eq!(
+            passed_after(&mut rig, used),
+            left,
+            "{used} units were used in the window before"
+        );
     }
 }
 
@@ -340,12 +419,23 @@
     rig.counted("q5.250", Outcome::Good, 68.0);
     rig.now += 4 * S;
     let (id, _) = rig.request(0, 5, 1.0);
-    assert!(refused(&rig.counted("q5.251", Outcome::Good, 50.0), id).is_some(), "4 of 22 are left");
+    assert!(
+        refused(&rig.counted("q5.251", Outcome::Good, 50.0), id).is_some(),
+        "4 of 22 are left"
+    );
     rig.counted("q5.251", Outcome::Good, 50.0);
     rig.now += 4 * S;
-    assert_eq!(passed_after(&mut rig, 50.0), 4.0, "what came in a window went in it");
+    assert_eq!(
+        passed_after(&mut rig, 50.0),
+        4.0,
+        "what came in a window went in it"
+    );
     rig.now += 8 * S;
-    assert_eq!(passed_after(&mut rig, 0.0), 22.0, "after a window without use it is full");
+    assert_eq!(
+        passed_after(&mut rig, 0.0),
+        22.0,
+        "after a window without use it is full"
+    );
 }
 
 #[test]
@@ -358,9 +448,16 @@
     for _ in 0..30 {
         let (id, actions) = rig.request(0, 5, 2.0);
         let answered = count(&actions).map(|(name, _)| rig.counted(&name, Outcome::Rejected, 0.0));
-        passed += if refused(&answered.unwrap_or(actions), id).is_none() { 2.0 } else { 0.0 };
+        passed += if refused(&answered.unwrap_or(actions), id).is_none() {
+            2.0
+        } else {
+            0.0
+        };
     }
-    assert!((18.0..=27.0).contains(&passed), "{passed} units let through");
+    assert!(
+        (18.0..=27.0).contains(&passed),
+        "{passed} units let through"
+    );
 }
 
 /// What surely never ran is taken off the count, whoever ended it: its client, while it waited for the counter or for
@@ -371,12 +468,24 @@
     let mut rig = Rig::new(settings(), 2);
     let (id, actions) = rig.request(0, 5, 3.0);
     let (name, _) = count(&actions).expect("an add before the verdict");
-    assert_eq!(taken(&rig.event(Event::Abandoned { id })), Some((name.clone(), -3.0)), "before the verdict");
-    assert_eq!(rig.counted(&name, Outcome::Good, 3.0), [], "nobody is left to judge");
+    assert_eq!(
+        taken(&rig.event(Event::Abandoned { id })),
+        Some((name.clone(), -3.0)),
+        "before the verdict"
+    );
+    assert_eq!(
+        rig.counted(&name, Outcome::Good, 3.0),
+        [],
+        "nobody is left to judge"
+    );
     assert_eq!(rig.counted(&name, Outcome::Good, 0.0), []);
     let mut rig = Rig::new(settings(), 0);
     let (id, _) = rig.request(0, 5, 3.0);
-    assert_eq!(attempt(&rig.counted(&name, Outcome::Good, 3.0)), None, "there is no host");
+    assert_eq!(
+        attempt(&rig.counted(&name, Outcome::Good, 3.0)),
+        None,
+        "there is no host"
+    );
     assert_eq!(
         taken(&rig.event(Event::Abandoned { id })),
         Some((name.clone(), -3.0)),
@@ -385,9 +494,19 @@
     assert_eq!(rig.event(Event::Abandoned { id }), [], "once");
     let mut rig = Rig::new(settings(), 2);
     let (id, host) = rig.passed(0, 5);
-    assert_eq!(taken(&rig.event(Event::Abandoned { id })), None, "it may run");
+    assert_eq!(
+        taken(&rig.event(Event::Abandoned { id })),
+        None,
+        "it may run"
+    );
     assert_eq!(taken(&rig.done(id, 0, host, Outcome::Reset, true)), None);
-    let mut rig = Rig::new(Settings { max_attempts: 1, ..settings() }, 2);
+    let mut rig = Rig::new(
+        Settings {
+            max_attempts: 1,
+            ..settings()
+        },
+        2,
+    );
     let (id, host) = rig.passed(3, 5);
     let actions = rig.done(id, 0, host, Outcome::ConnectFailed, false);
     assert!(refused(&actions, id).is_some());
