--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,7 +10,9 @@
     let mut rig = Rig::new(settings(), 0);
     let (id, actions) = rig.request(0, 5, 1.0);
     let deadline = actions.iter().find_map(|a| match a {
-        Action::SetTimer { tag, after } if tag.starts_with("deadline") => Some((tag.clone(), *after)),
+        Action::SetTimer { tag, after } if tag.starts_with("deadline") => {
+            Some((tag.clone(), *after))
+        }
         _ => None,
     });
     let (tag, after) = deadline.expect("a deadline timer");
@@ -25,7 +27,14 @@
     let mut rig = Rig::new(settings(), 4);
     let (id, host) = rig.passed(3, 5);
     let actions = rig.done(id, 0, host, Outcome::Reset, false);
-    assert_eq!((attempt(&actions), refused(&actions, id), failed(&actions, id)), (None, None, true));
+    assert_eq!(
+        (
+            attempt(&actions),
+            refused(&actions, id),
+            failed(&actions, id)
+        ),
+        (None, None, true)
+    );
     // One that never ran may go again.
     let (id, host) = rig.passed(3, 6);
     let actions = rig.done(id, 0, host, Outcome::ConnectFailed, false);
@@ -49,10 +58,16 @@
     let mut rig = Rig::new(settings(), 4);
     let (id, host) = rig.passed(1, 5);
     rig.now += S / 2;
-    assert_eq!(within(&rig.done(id, 0, host, Outcome::Reset, false)), Some(3 * S / 2));
+    assert_eq!(
+        within(&rig.done(id, 0, host, Outcome::Reset, false)),
+        Some(3 * S / 2)
+    );
     let (id, host) = rig.passed(1, 6);
     rig.now += S / 4;
-    assert_eq!(within(&rig.done(id, 0, host, Outcome::ConnectFailed, false)), Some(u64::MAX));
+    assert_eq!(
+        within(&rig.done(id, 0, host, Outcome::ConnectFailed, false)),
+        Some(u64::MAX)
+    );
     let mut rig = Rig::new(settings(), 4);
     let (id, host) = rig.passed(1, 5);
     rig.now += 2 * S + MS;
@@ -66,10 +81,20 @@
 fn new_settings_hold_for_what_comes_after_them() {
     let mut rig = Rig::new(settings(), 4);
     let (under_way, host) = rig.passed(0, 5);
-    let strict = Class { effect: Effect::Unsafe, ..settings().classes[0].clone() };
-    let mut new = Settings { max_attempts: 2, ..settings() };
+    let strict = Class {
+        effect: Effect::Unsafe,
+        ..settings().classes[0].clone()
+    };
+    let mut new = Settings {
+        max_attempts: 2,
+        ..settings()
+    };
     new.classes.push(strict);
-    assert!(rig.event(Event::SettingsChanged { settings: Box::new(new) }).is_empty());
+    assert!(rig
+        .event(Event::SettingsChanged {
+            settings: Box::new(new)
+        })
+        .is_empty());
     let actions = rig.done(under_way, 0, host, Outcome::Reset, false);
     let (_, again) = attempt(&actions).expect("its class is safe to repeat");
     let actions = rig.done(under_way, 1, again, Outcome::Rejected, false);
@@ -85,13 +110,27 @@
 fn a_cold_host_that_answers_well_gets_more() {
     let part_of = |slow: u64| {
         let mut rig = Rig::new(settings(), 3);
-        let cold = HostEntry { started: rig.now, ..paired(3) };
+        let cold = HostEntry {
+            started: rig.now,
+            ..paired(3)
+        };
         rig.hosts(ListMode::Update, vec![cold]);
         let (mut to_cold, mut all) = (0, 0);
         for customer in 0..600 {
             let (id, host) = rig.passed(0, customer);
-            let elapsed = if host == HostId(3) { slow * 20 * MS } else { 20 * MS };
-            rig.ended(id, host, Ended { elapsed, ..Ended::default() });
+            let elapsed = if host == HostId(3) {
+                slow * 20 * MS
+            } else {
+                20 * MS
+            };
+            rig.ended(
+                id,
+                host,
+                Ended {
+                    elapsed,
+                    ..Ended::default()
+                },
+            );
             all += 1;
             to_cold += u32::from(host == HostId(3));
         }
@@ -100,7 +139,10 @@
     let (slow, well) = (part_of(4), part_of(1));
     // It has a fifth of what it will have, two others are warm: its part of the fleet is a eleventh.
     let least = 0.2 / 2.2;
-    assert!(slow < least && well > 1.2 * slow && well < 1.25 * least, "{slow} {well}");
+    assert!(
+        slow < least && well > 1.2 * slow && well < 1.25 * least,
+        "{slow} {well}"
+    );
 }
 
 /// A gateway in another's place goes on from what that one had learned; of a host that is another process now, of
@@ -108,12 +150,23 @@
 #[test]
 fn what_was_learned_holds_in_the_next_one_s_hands() {
     let mut named = settings();
-    named.classes.iter_mut().zip(["a", "b", "c", "d"]).for_each(|(class, name)| class.name = name.into());
+    named
+        .classes
+        .iter_mut()
+        .zip(["a", "b", "c", "d"])
+        .for_each(|(class, name)| class.name = name.into());
     let mut first = Rig::new(named.clone(), 3);
     for customer in 0..30 {
         let (id, host) = first.passed(0, customer);
         let elapsed = if host == HostId(2) { 400 * MS } else { 20 * MS };
-        first.ended(id, host, Ended { elapsed, ..Ended::default() });
+        first.ended(
+            id,
+            host,
+            Ended {
+                elapsed,
+                ..Ended::default()
+            },
+        );
     }
     first.passed(0, 99);
     let told = first.gateway.learned();
@@ -121,27 +174,63 @@
     assert!(slowness(&first, 2) > 2.0 && told.customers.len() == 31);
     let second = |told: &EngineSnapshot, later: u64| {
         let mut rig = Rig::new(named.clone(), 3);
-        rig.hosts(ListMode::Update, vec![HostEntry { started: rig.now, ..paired(1) }]);
+        rig.hosts(
+            ListMode::Update,
+            vec![HostEntry {
+                started: rig.now,
+                ..paired(1)
+            }],
+        );
         rig.now += later;
-        assert!(rig.event(Event::SnapshotInherited { learned: Box::new(told.clone()) }).is_empty());
+        assert!(rig
+            .event(Event::SnapshotInherited {
+                learned: Box::new(told.clone())
+            })
+            .is_empty());
         rig
     };
     let heir = second(&told, 0);
     assert_eq!(slowness(&heir, 2), slowness(&first, 2));
     assert_eq!(slowness(&heir, 1), 1.0, "it has started anew");
     let now = heir.gateway.learned();
-    assert_eq!((&now.classes, &now.customers, now.room), (&told.classes, &told.customers, told.room));
+    assert_eq!(
+        (&now.classes, &now.customers, now.room),
+        (&told.classes, &told.customers, told.room)
+    );
     assert_eq!(now.classes.len(), settings().classes.len() + 1);
-    assert_eq!(heir.gateway.view().out, 0, "what is out stays with the first");
-    assert_eq!(second(&told, 11 * S).gateway.learned().customers, [], "too old");
-    let mut broken =
-        EngineSnapshot { ask: (f64::NAN, -1.0), let_in: (9.0, f64::INFINITY, u64::MAX, -1.0), ..told };
+    assert_eq!(
+        heir.gateway.view().out,
+        0,
+        "what is out stays with the first"
+    );
+    assert_eq!(
+        second(&told, 11 * S).gateway.learned().customers,
+        [],
+        "too old"
+    );
+    let mut broken = EngineSnapshot {
+        ask: (f64::NAN, -1.0),
+        let_in: (9.0, f64::INFINITY, u64::MAX, -1.0),
+        ..told
+    };
     broken.room = f64::NAN;
-    broken.hosts.iter_mut().for_each(|host| (host.slowness, host.room) = ((-5.0, 1e300, u64::MAX), 0.0));
-    broken.customers.iter_mut().for_each(|seen| (seen.totals.0, seen.seen) = (f64::NAN, (1e300, u64::MAX)));
-    let (mut rig, fresh) = (second(&broken, 0), Rig::new(named.clone(), 3).gateway.learned());
+    broken
+        .hosts
+        .iter_mut()
+        .for_each(|host| (host.slowness, host.room) = ((-5.0, 1e300, u64::MAX), 0.0));
+    broken
+        .customers
+        .iter_mut()
+        .for_each(|seen| (seen.totals.0, seen.seen) = (f64::NAN, (1e300, u64::MAX)));
+    let (mut rig, fresh) = (
+        second(&broken, 0),
+        Rig::new(named.clone(), 3).gateway.learned(),
+    );
     let now = rig.gateway.learned();
-    assert_eq!((now.ask.0, now.let_in.0, now.room), (fresh.ask.0, 1.0, fresh.room));
+    assert_eq!(
+        (now.ask.0, now.let_in.0, now.room),
+        (fresh.ask.0, 1.0, fresh.room)
+    );
     let (id, host) = rig.passed(0, 5);
     rig.done(id, 0, host, Outcome::Good, true);
 }
@@ -153,7 +242,10 @@
     let answer = |hosts: u32| {
         let mut rig = Rig::new(settings(), hosts);
         rig.spread = 1;
-        let out = |id| HostEntry { state: HostState::Draining, ..paired(id) };
+        let out = |id| HostEntry {
+            state: HostState::Draining,
+            ..paired(id)
+        };
         rig.hosts(ListMode::Update, (1..=hosts).map(out).collect());
         let (id, add) = rig.request(0, 5, 0.1);
         let (name, amount) = count(&add).expect("an add before the verdict");
@@ -215,8 +307,15 @@
 fn nothing_goes_to_a_draining_or_vanished_host() {
     for mode in [ListMode::Update, ListMode::Replace] {
         let mut rig = Rig::new(settings(), 2);
-        let draining = HostEntry { state: HostState::Draining, ..host(1, 1) };
-        let entries = if mode == ListMode::Update { vec![draining] } else { vec![host(2, 1)] };
+        let draining = HostEntry {
+            state: HostState::Draining,
+            ..host(1, 1)
+        };
+        let entries = if mode == ListMode::Update {
+            vec![draining]
+        } else {
+            vec![host(2, 1)]
+        };
         rig.hosts(mode, entries);
         for customer in 0..2 {
             assert_eq!(rig.passed(0, customer).1, HostId(2));
@@ -228,13 +327,21 @@
 fn a_cold_host_gets_its_part_only() {
     let mut rig = Rig::new(settings(), 3);
     let now = rig.now;
-    rig.hosts(ListMode::Update, vec![HostEntry { started: now, ..host(4, 2) }]);
+    rig.hosts(
+        ListMode::Update,
+        vec![HostEntry {
+            started: now,
+            ..host(4, 2)
+        }],
+    );
     let (mut cold, mut sends, mut out) = (0, 0, std::collections::VecDeque::new());
     for customer in 0..60 {
         let (_, actions) = rig.request(0, customer, 1.0);
         let wait = tags(&actions, "wait").remove(0);
         let mut actions = rig.timer(&wait);
-        assert!(rig.counted(&format!("q{customer:x}.250"), Outcome::Good, 1.0).is_empty());
+        assert!(rig
+            .counted(&format!("q{customer:x}.250"), Outcome::Good, 1.0)
+            .is_empty());
         // Six attempts out at a time, so that the warm hosts are never idle.
         loop {
             if let Some((id, host)) = attempt(&actions) {
@@ -250,7 +357,10 @@
             actions = rig.done(id, 0, host, Outcome::Good, true);
         }
     }
-    assert!(sends >= 55 && cold <= 6, "{cold} of {sends} sends went to a host at a fifth of its capacity");
+    assert!(
+        sends >= 55 && cold <= 6,
+        "{cold} of {sends} sends went to a host at a fifth of its capacity"
+    );
 }
 
 #[test]
@@ -276,7 +386,10 @@
             actions = rig.done(sent_id, 0, host, Outcome::Good, true);
         }
     }
-    assert!(sent > 0.0 && sent <= 2.0 * 20.0 / 2.0, "{sent} units in 2 s at a share of 10 a second");
+    assert!(
+        sent > 0.0 && sent <= 2.0 * 20.0 / 2.0,
+        "{sent} units in 2 s at a share of 10 a second"
+    );
 }
 
 #[test]
@@ -301,30 +414,68 @@
     rig.passed(0, 5);
     let (third, actions) = rig.request(0, 5, 1.0);
     let wait = tags(&actions, "wait").remove(0);
-    assert_eq!(attempt(&rig.timer(&wait)), None, "two are out, so the third waits");
+    assert_eq!(
+        attempt(&rig.timer(&wait)),
+        None,
+        "two are out, so the third waits"
+    );
     let actions = rig.done(first, 0, host, Outcome::Good, true);
     assert_eq!(attempt(&actions).map(|a| a.0), Some(third));
 }
 
 #[test]
 fn a_settled_guess_goes_along_with_the_next_add_up_to_the_most_a_request_counts() {
-    for (told, next) in [(3.5, 3.5), (0.5, 0.5), (400.0, 4.0), (-3.0, 1.0), (f64::NAN, 1.0)] {
-        let set = Settings { settled_later: true, ..settings() };
+    for (told, next) in [
+        (3.5, 3.5),
+        (0.5, 0.5),
+        (400.0, 4.0),
+        (-3.0, 1.0),
+        (f64::NAN, 1.0),
+    ] {
+        let set = Settings {
+            settled_later: true,
+            ..settings()
+        };
         let mut rig = Rig::new(set, 2);
         let (id, host) = rig.passed(0, 5);
-        let actions = rig.ended(id, host, Ended { true_units: told, ..Ended::default() });
+        let actions = rig.ended(
+            id,
+            host,
+            Ended {
+                true_units: told,
+                ..Ended::default()
+            },
+        );
         assert_eq!(count(&actions), None, "no call of its own");
         let (_, actions) = rig.request(0, 5, 1.0);
-        assert_eq!(count(&actions), Some(("q5.250".into(), next)), "a guess of 1, then {told}, and 1 more");
+        assert_eq!(
+            count(&actions),
+            Some(("q5.250".into(), next)),
+            "a guess of 1, then {told}, and 1 more"
+        );
     }
 }
 
 #[test]
 fn a_settled_guess_is_told_at_once_where_few_of_a_customers_requests_come() {
-    let mut rig = Rig::new(Settings { settled_later: true, limiter_count: 100, ..settings() }, 2);
+    let mut rig = Rig::new(
+        Settings {
+            settled_later: true,
+            limiter_count: 100,
+            ..settings()
+        },
+        2,
+    );
     rig.spread = 100;
     let (id, host) = rig.passed(0, 5);
-    let actions = rig.ended(id, host, Ended { true_units: 3.5, ..Ended::default() });
+    let actions = rig.ended(
+        id,
+        host,
+        Ended {
+            true_units: 3.5,
+            ..Ended::default()
+        },
+    );
     assert_eq!(count(&actions), Some(("q5.250".into(), 2.5)));
 }
 
@@ -332,7 +483,12 @@
 fn a_stream_that_has_begun_has_no_deadline() {
     let mut rig = Rig::new(settings(), 2);
     let (id, host) = rig.passed(0, 5);
-    rig.event(Event::StreamStarted { id, attempt: 0, host, elapsed: MS });
+    rig.event(Event::StreamStarted {
+        id,
+        attempt: 0,
+        host,
+        elapsed: MS,
+    });
     rig.now += 3 * S;
     assert!(rig.timer(&format!("deadline:{:x}", id.0)).is_empty());
 }
@@ -342,7 +498,11 @@
     let mut rig = Rig::new(settings(), 3);
     for customer in 0..40 {
         let (id, host) = rig.passed(0, customer);
-        let outcome = if host == HostId(1) { Outcome::Reset } else { Outcome::Good };
+        let outcome = if host == HostId(1) {
+            Outcome::Reset
+        } else {
+            Outcome::Good
+        };
         let mut actions = rig.done(id, 0, host, outcome, outcome == Outcome::Good);
         while let Some((id, host)) = attempt(&actions) {
             actions = rig.done(id, 1, host, Outcome::Good, true);
@@ -375,9 +535,17 @@
         plan(1e9, 1.0, 0.0, 0.0),
         plan(1.0, 1.0, 0.5, 0.1),
     ] {
-        for (limiter_count, hosts, classes) in [(0, 0, vec![]), (1, 1, settings().classes), (9, 2, vec![])] {
+        for (limiter_count, hosts, classes) in
+            [(0, 0, vec![]), (1, 1, settings().classes), (9, 2, vec![])]
+        {
             let mut rig = Rig::new(
-                Settings { plans: vec![plan.clone()], limiter_count, classes, tick: 0, ..settings() },
+                Settings {
+                    plans: vec![plan.clone()],
+                    limiter_count,
+                    classes,
+                    tick: 0,
+                    ..settings()
+                },
                 hosts,
             );
             let (id, mut actions) = rig.request(0, 5, 1e6);
@@ -385,8 +553,10 @@
             for tag in tags(&actions, "") {
                 actions.extend(rig.timer(&tag));
             }
-            let answers =
-                actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })).count();
+            let answers = actions
+                .iter()
+                .filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. }))
+                .count();
             assert_eq!(
                 answers, 1,
                 "request {id:?} with {plan:?}, {limiter_count} gateways, {hosts} hosts: {actions:?}"
@@ -399,7 +569,13 @@
 fn a_cold_host_takes_no_burst_when_the_warm_ones_are_full() {
     let mut rig = Rig::new(settings(), 3);
     let started = rig.now;
-    rig.hosts(ListMode::Update, vec![HostEntry { started, ..host(4, 2) }]);
+    rig.hosts(
+        ListMode::Update,
+        vec![HostEntry {
+            started,
+            ..host(4, 2)
+        }],
+    );
     let mut sent = Vec::new();
     for customer in 0..8 {
         let (_, actions) = rig.request(0, customer, 1.0);
@@ -412,14 +588,28 @@
 
 /// Sends of 200 requests, three out at a time, at one of `limiter_count`, to three warm hosts and a cold one.
 fn cold_sends(limiter_count: u32) -> (usize, usize) {
-    let mut rig = Rig::new(Settings { limiter_count, ..settings() }, 3);
+    let mut rig = Rig::new(
+        Settings {
+            limiter_count,
+            ..settings()
+        },
+        3,
+    );
     let started = rig.now;
-    rig.hosts(ListMode::Update, vec![HostEntry { started, ..host(4, 2) }]);
+    rig.hosts(
+        ListMode::Update,
+        vec![HostEntry {
+            started,
+            ..host(4, 2)
+        }],
+    );
     let (mut out, mut cold, mut sends) = (std::collections::VecDeque::new(), 0, 0);
     for customer in 0..200 {
         rig.now += MS;
         let (_, actions) = rig.request(0, customer, 1.0);
-        let Some((name, amount)) = count(&actions) else { continue };
+        let Some((name, amount)) = count(&actions) else {
+            continue;
+        };
         let mut actions = rig.counted(&name, Outcome::Good, amount);
         loop {
             if let Some((id, to)) = attempt(&actions) {
@@ -430,7 +620,9 @@
                 }
             }
             // Three are out, or the gateway has no room for more: the oldest is answered.
-            let Some((id, to)) = out.pop_front() else { break };
+            let Some((id, to)) = out.pop_front() else {
+                break;
+            };
             actions = rig.done(id, 0, to, Outcome::Good, true);
             if attempt(&actions).is_none() {
                 break;
@@ -460,17 +652,28 @@
     // many times as much in the second after its start.
     let (each, come) = (100.0, 666);
     let set = settings();
-    let budget =
-        set.overload_factor * set.slow_start_floor * each * (set.overload_duration as f64 / S as f64);
+    let budget = set.overload_factor
+        * set.slow_start_floor
+        * each
+        * (set.overload_duration as f64 / S as f64);
     let bound = budget + 2.0 * budget.sqrt() + 2.0;
     for limiter_count in [3, 30, 300_usize] {
         let mut rigs: Vec<_> = (0..limiter_count)
             .map(|number| {
-                let set = Settings { limiter_count: limiter_count as u32, ..settings() };
+                let set = Settings {
+                    limiter_count: limiter_count as u32,
+                    ..settings()
+                };
                 // Each draws by itself: one seed for all would be one gateway's luck many times over.
                 let mut rig = Rig::seeded(set, 10, number as u64);
                 rig.spread = 1;
-                rig.hosts(ListMode::Update, vec![HostEntry { started: rig.now, ..host(11, 6) }]);
+                rig.hosts(
+                    ListMode::Update,
+                    vec![HostEntry {
+                        started: rig.now,
+                        ..host(11, 6)
+                    }],
+                );
                 rig
             })
             .collect();
@@ -479,23 +682,43 @@
             let rig = &mut rigs[number % limiter_count];
             rig.now = 1000 * S + number as u64 * S / come as u64;
             let (id, actions) = rig.request(0, number as u64, 1.0);
-            let Some((name, amount)) = count(&actions) else { continue };
+            let Some((name, amount)) = count(&actions) else {
+                continue;
+            };
             let mut actions = rig.counted(&name, Outcome::Good, amount);
             for again in 0.. {
-                let Some((_, to)) = attempt(&actions) else { break };
+                let Some((_, to)) = attempt(&actions) else {
+                    break;
+                };
                 (sends, cold) = (sends + 1, cold + usize::from(to == HostId(11)));
-                let outcome = if sends % 4 == 0 { Outcome::ConnectFailed } else { Outcome::Good };
+                let outcome = if sends % 4 == 0 {
+                    Outcome::ConnectFailed
+                } else {
+                    Outcome::Good
+                };
                 actions = rig.done(id, again, to, outcome, outcome == Outcome::Good);
             }
         }
-        assert!(sends > come / 2, "{sends} of {come} at {limiter_count} gateways");
-        assert!(cold > 0 && (cold as f64) <= bound, "{cold} of {bound} at {limiter_count} gateways");
+        assert!(
+            sends > come / 2,
+            "{sends} of {come} at {limiter_count} gateways"
+        );
+        assert!(
+            cold > 0 && (cold as f64) <= bound,
+            "{cold} of {bound} at {limiter_count} gateways"
+        );
     }
 }
 
 #[test]
 fn late_answers_from_any_host_cut_what_is_let_in_and_prompt_ones_restore_it() {
-    let mut rig = Rig::new(Settings { counter: false, ..settings() }, 40);
+    let mut rig = Rig::new(
+        Settings {
+            counter: false,
+            ..settings()
+        },
+        40,
+    );
     let mut run = |elapsed: u64| {
         let mut refusals = 0;
         for customer in 0..100 {
@@ -503,13 +726,23 @@
             let (id, actions) = rig.request(0, customer, 1.0);
             refusals += usize::from(refused(&actions, id).is_some());
             if let Some((id, host)) = attempt(&actions) {
-                rig.ended(id, host, Ended { elapsed, ..Ended::default() });
+                rig.ended(
+                    id,
+                    host,
+                    Ended {
+                        elapsed,
+                        ..Ended::default()
+                    },
+                );
             }
         }
         refusals
     };
     assert_eq!(run(100 * MS), 0);
-    assert!(run(900 * MS) > 50, "most are turned away while answers take 0.9 of the aim");
+    assert!(
+        run(900 * MS) > 50,
+        "most are turned away while answers take 0.9 of the aim"
+    );
     let recovering: Vec<usize> = (0..4).map(|_| run(100 * MS)).collect();
     assert!(recovering[0] > recovering[3]);
     assert_eq!(run(100 * MS), 0, "all are let in again");
@@ -517,17 +750,33 @@
 
 #[test]
 fn a_gateway_that_stood_still_blames_no_host() {
-    let mut rig = Rig::new(Settings { counter: false, ..settings() }, 40);
+    let mut rig = Rig::new(
+        Settings {
+            counter: false,
+            ..settings()
+        },
+        40,
+    );
     let mut out = Vec::new();
     for customer in 0..30 {
         let (_, actions) = rig.request(0, customer, 1.0);
-        out.push((attempt(&actions).expect("sent on"), tags(&actions, "late").remove(0)));
+        out.push((
+            attempt(&actions).expect("sent on"),
+            tags(&actions, "late").remove(0),
+        ));
     }
     // Two seconds without a turn, then timers and answers in a heap; the answers themselves were prompt.
     rig.now += 2 * S;
     for ((id, host), tag) in out {
         rig.timer(&tag);
-        rig.ended(id, host, Ended { elapsed: 100 * MS, ..Ended::default() });
+        rig.ended(
+            id,
+            host,
+            Ended {
+                elapsed: 100 * MS,
+                ..Ended::default()
+            },
+        );
     }
     for customer in 30..60 {
         rig.now += 50 * MS;
@@ -538,27 +787,58 @@
 
 /// A rig with an attempt out at a host.
 fn with_attempt_out() -> (Rig, RequestId, HostId) {
-    let mut rig = Rig::new(Settings { may_health_check: true, may_message_peers: true, ..settings() }, 4);
+    let mut rig = Rig::new(
+        Settings {
+            may_health_check: true,
+            may_message_peers: true,
+            ..settings()
+        },
+        4,
+    );
     let (id, host) = rig.passed(0, 5);
     (rig, id, host)
 }
 
 #[test]
 fn absurd_load_reports_change_nothing() {
-    let odd = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1e300, 1e300, 0.0];
+    let odd = [
+        f64::NAN,
+        f64::INFINITY,
+        f64::NEG_INFINITY,
+        -1e300,
+        1e300,
+        0.0,
+    ];
     for value in odd {
         let (mut rig, id, host) = with_attempt_out();
         for name in ["queue", "qps", "util", "", "no such value"] {
             let load: Load = vec![(name.to_owned(), value); 3];
-            let probe =
-                Event::HealthCheckDone { host, outcome: Outcome::Good, elapsed: MS, load: load.clone() };
+            let probe = Event::HealthCheckDone {
+                host,
+                outcome: Outcome::Good,
+                elapsed: MS,
+                load: load.clone(),
+            };
             assert!(rig.event(probe).is_empty());
-            let unknown =
-                Event::HealthCheckDone { host: HostId(999), outcome: Outcome::Timeout, elapsed: 0, load };
+            let unknown = Event::HealthCheckDone {
+                host: HostId(999),
+                outcome: Outcome::Timeout,
+                elapsed: 0,
+                load,
+            };
             assert!(rig.event(unknown).is_empty());
         }
         let load = vec![("queue".to_owned(), value)];
-        rig.ended(id, host, Ended { metered_use: u64::MAX, true_units: value, load, ..Ended::default() });
+        rig.ended(
+            id,
+            host,
+            Ended {
+                metered_use: u64::MAX,
+                true_units: value,
+                load,
+                ..Ended::default()
+            },
+        );
         for customer in 10..20 {
             let (id, host) = rig.passed(0, customer);
             rig.done(id, 0, host, Outcome::Good, true);
@@ -571,7 +851,10 @@
     let (mut rig, id, host) = with_attempt_out();
     for bytes in [vec![], vec![0xff; 256], vec![0; 4096], b"hello".to_vec()] {
         for from in [0, 1, 7, u32::MAX] {
-            let event = Event::Peer { from, bytes: bytes.clone() };
+            let event = Event::Peer {
+                from,
+                bytes: bytes.clone(),
+            };
             assert!(rig.event(event.clone()).is_empty());
             assert!(rig.event(event).is_empty(), "the same again");
         }
@@ -583,8 +866,15 @@
 fn outcomes_of_unknown_attempts_change_nothing() {
     let (mut rig, id, host) = with_attempt_out();
     for (other, attempt_number) in [(RequestId(77), 0), (id, 1), (id, u32::MAX)] {
-        for outcome in [Outcome::Good, Outcome::Timeout, Outcome::Rejected, Outcome::NeverSent] {
-            assert!(rig.done(other, attempt_number, host, outcome, false).is_empty());
+        for outcome in [
+            Outcome::Good,
+            Outcome::Timeout,
+            Outcome::Rejected,
+            Outcome::NeverSent,
+        ] {
+            assert!(rig
+                .done(other, attempt_number, host, outcome, false)
+                .is_empty());
         }
     }
     // The attempt that is out still gets its retry.
@@ -594,7 +884,13 @@
 #[test]
 fn a_clock_step_keeps_the_rules() {
     let (mut rig, id, host) = with_attempt_out();
-    rig.hosts(ListMode::Update, vec![HostEntry { state: HostState::Draining, ..paired(host.0) }]);
+    rig.hosts(
+        ListMode::Update,
+        vec![HostEntry {
+            state: HostState::Draining,
+            ..paired(host.0)
+        }],
+    );
     // Ten minutes later, then a clock that seems to go back.
     rig.now += 600 * S;
     assert!(refused(&rig.timer(&format!("deadline:{:x}", id.0)), id).is_some());
@@ -602,9 +898,15 @@
     let mut lines = 0;
     for customer in 10..60 {
         let (_, actions) = rig.request(0, customer, 1.0);
-        lines += actions.iter().filter(|a| matches!(a, Action::Log { .. })).count();
+        lines += actions
+            .iter()
+            .filter(|a| matches!(a, Action::Log { .. }))
+            .count();
         let wait = tags(&actions, "wait");
-        let sent = wait.first().and_then(|tag| attempt(&rig.timer(tag))).or(attempt(&actions));
+        let sent = wait
+            .first()
+            .and_then(|tag| attempt(&rig.timer(tag)))
+            .or(attempt(&actions));
         assert_ne!(sent.map(|(_, to)| to), Some(host), "it drains");
     }
     assert!(lines <= 1, "{lines} log lines");
@@ -614,9 +916,20 @@
 fn an_unknown_class_or_plan_is_sent_once_and_never_repeated() {
     let mut rig = Rig::new(settings(), 4);
     let id = RequestId(5000);
-    let (customer, budget, units, spread, first_limiter, flags) = (CustomerId(5), 3 * S, 1.0, 2, 0, 0);
+    let (customer, budget, units, spread, first_limiter, flags) =
+        (CustomerId(5), 3 * S, 1.0, 2, 0, 0);
     let (class, plan) = (99, 99);
-    let request = Event::Request { id, class, plan, customer, budget, units, spread, first_limiter, flags };
+    let request = Event::Request {
+        id,
+        class,
+        plan,
+        customer,
+        budget,
+        units,
+        spread,
+        first_limiter,
+        flags,
+    };
     let (_, host) = attempt(&rig.event(request)).expect("without a quota it goes on");
     let actions = rig.done(id, 0, host, Outcome::Reset, false);
     assert_eq!((attempt(&actions), failed(&actions, id)), (None, true));
@@ -646,9 +959,15 @@
         rig.now = 1000 * S + S;
         let actions = rig.timer(&format!("late:{:x}", id.0));
         let given_up = late_weight <= 0.0;
-        assert_eq!(refused(&actions, id), (given_up && class == 0).then_some(2 * S));
+        assert_eq!(
+            refused(&actions, id),
+            (given_up && class == 0).then_some(2 * S)
+        );
         assert_eq!(failed(&actions, id), given_up && class == 3);
-        assert_eq!(actions.contains(&Action::CancelAttempt { id, attempt: 0 }), given_up && may_cancel);
+        assert_eq!(
+            actions.contains(&Action::CancelAttempt { id, attempt: 0 }),
+            given_up && may_cancel
+        );
     }
 }
 
@@ -674,10 +993,18 @@
         for _ in 0..20 {
             rig.now += MS;
             let (id, host) = sent.remove(0);
-            sent.extend(rig.done(id, 0, host, Outcome::Good, true).iter().filter_map(as_attempt));
+            sent.extend(
+                rig.done(id, 0, host, Outcome::Good, true)
+                    .iter()
+                    .filter_map(as_attempt),
+            );
             assert!(!sent.is_empty());
         }
-        assert!(sent.len() > share.min(15), "{} out after prompt answers, {share} at the start", sent.len());
+        assert!(
+            sent.len() > share.min(15),
+            "{} out after prompt answers, {share} at the start",
+            sent.len()
+        );
     }
 }
 
@@ -691,12 +1018,22 @@
         rig.now += 100 * MS;
         let (id, actions) = rig.request(0, customer, 1.0);
         if let Some(retry_after) = refused(&actions, id) {
-            assert!(retry_after > 0 && retry_after <= S / 2, "{retry_after} of an aim of a second");
+            assert!(
+                retry_after > 0 && retry_after <= S / 2,
+                "{retry_after} of an aim of a second"
+            );
             shed += 1;
         }
         if let Some((id, host)) = attempt(&actions) {
             // Every answer is late: the next requests are shed.
-            rig.ended(id, host, Ended { elapsed: S - MS, ..Ended::default() });
+            rig.ended(
+                id,
+                host,
+                Ended {
+                    elapsed: S - MS,
+                    ..Ended::default()
+                },
+            );
         }
     }
     assert!(shed > 10, "{shed} shed");
@@ -717,7 +1054,11 @@
     assert_eq!(refused(&rig.timer("held"), id), None);
     rig.now += 100 * MS;
     let actions = rig.timer("held");
-    assert_eq!(refused(&actions, id), Some(S / 4), "in time for another try");
+    assert_eq!(
+        refused(&actions, id),
+        Some(S / 4),
+        "in time for another try"
+    );
     // It was never sent on, so its add is taken back.
     assert_eq!(count(&actions), Some((name, -1.0)));
 }
@@ -740,15 +1081,31 @@
         rig.now += 300 * MS;
         rig.timer("held");
         for (id, host) in sent {
-            rig.ended(id, host, Ended { elapsed: 300 * MS, ..Ended::default() });
+            rig.ended(
+                id,
+                host,
+                Ended {
+                    elapsed: 300 * MS,
+                    ..Ended::default()
+                },
+            );
         }
     }
 }
 
 #[test]
 fn a_zone_that_was_lost_and_is_back_gets_its_part_again() {
-    let mut rig = Rig::new(Settings { limiter_count: 300, ..settings() }, 0);
-    let zoned = |id: u32| HostEntry { zone: id % 2, ..host(id, id) };
+    let mut rig = Rig::new(
+        Settings {
+            limiter_count: 300,
+            ..settings()
+        },
+        0,
+    );
+    let zoned = |id: u32| HostEntry {
+        zone: id % 2,
+        ..host(id, id)
+    };
     rig.hosts(ListMode::Replace, (1..=40).map(zoned).collect());
     let to_lost = |rig: &mut Rig, customers: std::ops::Range<u64>, lost: bool| {
         let mut sends = 0;
@@ -757,7 +1114,11 @@
             let (id, host) = rig.passed(3, customer);
             let to_zone = host.0.is_multiple_of(2);
             sends += usize::from(to_zone);
-            let outcome = if lost && to_zone { Outcome::Reset } else { Outcome::Good };
+            let outcome = if lost && to_zone {
+                Outcome::Reset
+            } else {
+                Outcome::Good
+            };
             rig.done(id, 0, host, outcome, outcome == Outcome::Good);
         }
         sends
@@ -767,7 +1128,10 @@
     let shunned = to_lost(&mut rig, 200..300, true);
     rig.now += 60 * S;
     let back = to_lost(&mut rig, 300..400, false);
-    assert!(shunned <= 20 && back >= 80, "{shunned} of 100 to a lost zone, {back} when it was back");
+    assert!(
+        shunned <= 20 && back >= 80,
+        "{shunned} of 100 to a lost zone, {back} when it was back"
+    );
 }
 
 #[test]
@@ -780,11 +1144,19 @@
         let (mut shed, mut out) = (0, Vec::<(u64, RequestId, HostId, bool)>::new());
         for customer in 0..400 {
             rig.now += 20 * MS;
-            let (done, rest): (Vec<_>, Vec<_>) = out.into_iter().partition(|(due, ..)| *due <= rig.now);
+            let (done, rest): (Vec<_>, Vec<_>) =
+                out.into_iter().partition(|(due, ..)| *due <= rig.now);
             out = rest;
             for (_, id, host, answered) in done {
                 if answered {
-                    rig.ended(id, host, Ended { elapsed, ..Ended::default() });
+                    rig.ended(
+                        id,
+                        host,
+                        Ended {
+                            elapsed,
+                            ..Ended::default()
+                        },
+                    );
                 } else {
                     rig.timer(&format!("late:{:x}", id.0));
                     rig.done(id, 0, host, Outcome::Cancelled, true);
@@ -794,7 +1166,12 @@
             shed += usize::from(refused(&actions, id).is_some());
             if let Some((id, host)) = attempt(&actions) {
                 let answered = customer % 5 > 1;
-                out.push((rig.now + if answered { elapsed } else { S }, id, host, answered));
+                out.push((
+                    rig.now + if answered { elapsed } else { S },
+                    id,
+                    host,
+                    answered,
+                ));
             }
         }
         assert_eq!(shed > 100, sheds, "{shed} of 400 shed");
@@ -804,7 +1181,11 @@
 #[test]
 fn what_never_ran_is_sent_again_though_no_retries_are_saved() {
     // The first retry spends what is saved; after it only what surely never ran goes again.
-    for (outcome, again) in [(Outcome::Rejected, 4), (Outcome::ConnectFailed, 4), (Outcome::Reset, 1)] {
+    for (outcome, again) in [
+        (Outcome::Rejected, 4),
+        (Outcome::ConnectFailed, 4),
+        (Outcome::Reset, 1),
+    ] {
         let mut rig = Rig::new(settings(), 12);
         let (id, mut host) = rig.passed(0, 5);
         let mut sent_again = 0;
@@ -822,7 +1203,10 @@
     for round in 0..50 {
         let (id, host) = rig.passed(0, 1000 + round);
         rig.done(id, 0, host, Outcome::Good, true);
-        let entry = HostEntry { state: HostState::Gone, ..paired(100 + round as u32) };
+        let entry = HostEntry {
+            state: HostState::Gone,
+            ..paired(100 + round as u32)
+        };
         rig.hosts(ListMode::Update, vec![paired(100 + round as u32)]);
         rig.hosts(ListMode::Update, vec![entry]);
         rig.now += S;
--- a/tests/toy/mod.rs
+++ b/tests/toy/mod.rs
@@ -27,7 +27,8 @@
 
 /// Accepts connections for good and serves each by itself.
 async fn accept<F: Future<Output = io::Result<()>> + 'static>(
-    listener: TcpListener, serve: impl Fn(TcpStream) -> F,
+    listener: TcpListener,
+    serve: impl Fn(TcpStream) -> F,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
@@ -37,14 +38,24 @@
 
 /// Answers each command of a connection; `None` ends it.
 async fn commands(
-    mut stream: TcpStream, limits: Limits, answer: impl Fn(Vec<&str>) -> Option<Vec<u8>>,
+    mut stream: TcpStream,
+    limits: Limits,
+    answer: impl Fn(Vec<&str>) -> Option<Vec<u8>>,
 ) -> io::Result<()> {
     let mut input = Vec::new();
     loop {
-        while let Some(command) = codec::command(&input, &limits).map_err(|e| io::Error::other(e.0))? {
-            let texts = command.words.iter().flatten().map(|w| std::str::from_utf8(&input[w.clone()]));
+        while let Some(command) =
+            codec::command(&input, &limits).map_err(|e| io::Error::other(e.0))?
+        {
+            let texts = command
+                .words
+                .iter()
+                .flatten()
+                .map(|w| std::str::from_utf8(&input[w.clone()]));
             let words = texts.collect::<Result<_, _>>().map_err(io::Error::other)?;
-            let Some(bytes) = answer(words) else { return Ok(()) };
+            let Some(bytes) = answer(words) else {
+                return Ok(());
+            };
             stream.write_all(&bytes).await?;
             input.drain(..command.length);
         }
@@ -68,7 +79,11 @@
             };
             codec::write_head('*', 3, &mut out);
             codec::write_head('$', told, &mut out);
-            out.extend(id.bytes().cycle().take(if *body == "short" { LONG / 2 } else { LONG }));
+            out.extend(
+                id.bytes()
+                    .cycle()
+                    .take(if *body == "short" { LONG / 2 } else { LONG }),
+            );
             out.extend_from_slice(b"\r\n$-1\r\n$-1\r\n");
         }
         [_, _, _, _, "error"] => out.extend_from_slice(b"-ERR failed\r\n"),
@@ -124,14 +139,20 @@
             ) + r#""lifecycle":"SERVING","weight":1.0,"startedAtMs":0}"#)
         };
         let entries: io::Result<Vec<_>> = self.hosts.iter().enumerate().map(entry).collect();
-        let instances =
-            Rc::new(format!(r#"{{"generation":1,"reset":true,"instances":[{}]}}"#, entries?.join(",")));
+        let instances = Rc::new(format!(
+            r#"{{"generation":1,"reset":true,"instances":[{}]}}"#,
+            entries?.join(",")
+        ));
         let (totals, limits) = (Rc::new(RefCell::new(HashMap::new())), self.limits);
         for listener in self.hosts {
             let limits = limits.clone();
-            spawn_local(accept(listener, move |stream| commands(stream, limits.clone(), host)));
+            spawn_local(accept(listener, move |stream| {
+                commands(stream, limits.clone(), host)
+            }));
         }
-        spawn_local(accept(self.discovery, move |stream| list(stream, instances.clone())));
+        spawn_local(accept(self.discovery, move |stream| {
+            list(stream, instances.clone())
+        }));
         let counter = move |stream| {
             let totals = totals.clone();
             commands(stream, limits.clone(), move |words| add(&totals, words))
@@ -143,6 +164,8 @@
 
 /// Runs a part of the toy, or all of it, on this thread.
 pub fn run(task: impl Future<Output = io::Result<()>>) -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, task)
 }
