--- a/crates/admin/src/bans.rs
+++ b/crates/admin/src/bans.rs
@@ -111,7 +111,7 @@
         let mut entry = entry.clone();
         match self.words.get(name) {
             Some(word) if word.out && entry.state == HostState::Ready => {
-                entry.state = HostState::Draining
+                entry.state = HostState::Draining;
             }
             Some(word) if !word.out && entry.started < word.began => entry.started = word.at,
             _ => {}
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,8 +1,6 @@
 //! What on-call staff order of a limiter, decided without sockets, files or a clock: the calls of the console, the
 //! servers that are out of service, whether clients are sent away, and what two processes of one limiter tell each
 //! other. Times are Unix time in nanoseconds, so that two processes on one machine agree on them.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod bans;
 mod calls;
--- a/crates/admin/src/state.rs
+++ b/crates/admin/src/state.rs
@@ -91,7 +91,7 @@
             assert!(
                 State::read(&text[..end], "n1", "a").is_err(),
                 "torn at {end}"
-            )
+            );
         });
         let newer = State {
             version: VERSION + 1,
--- a/crates/bench/src/deployments/draw.rs
+++ b/crates/bench/src/deployments/draw.rs
@@ -288,7 +288,7 @@
             at: vec![at],
             what,
             free: None,
-        })
+        });
     };
     let trouble = dice.one(&[
         "nothing",
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,4 @@
 //! `quartzcleat-bench`: each figure in the docs is made by one of these commands, which stands beside it there.
-#![forbid(unsafe_code)]
 
 mod damage;
 mod deployments;
--- a/crates/config/src/complete.rs
+++ b/crates/config/src/complete.rs
@@ -109,7 +109,7 @@
         match name {
             Some("") => faults.push(format!("{path}.{i}.name: empty")),
             Some(_) if names[..i].contains(name) => {
-                faults.push(format!("{path}.{i}.name: given twice"))
+                faults.push(format!("{path}.{i}.name: given twice"));
             }
             _ => {}
         }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,8 +2,6 @@
 //! that are found in them, quantities with units, the platform's settings of a day and our own file.
 //!
 //! Knows no sockets and no decisions. All faults of a file are found in one reading.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod complete;
 pub mod day;
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,8 +1,6 @@
 //! The decisions of one gateway, without I/O and without a clock: it is told [`api::Event`]s with their times and
 //! orders [`api::Action`]s. Three files hold its three matters, `quota`, `lifecycle` and `host_selection`; `docs/design.md` gives
 //! their reasons and the conditions under which each exception acts.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod api;
 mod host_selection;
--- a/crates/decision/src/lifecycle.rs
+++ b/crates/decision/src/lifecycle.rs
@@ -121,7 +121,7 @@
             }
             Event::StreamStarted { id, attempt, elapsed, .. } => self.on_stream((id, attempt), elapsed, out),
             Event::AttemptDone { id, attempt, outcome, elapsed, over, true_units, .. } => {
-                self.on_done((id, attempt), (outcome, elapsed), over, true_units, out)
+                self.on_done((id, attempt), (outcome, elapsed), over, true_units, out);
             }
             Event::Abandoned { id } => drop(self.close(id, out)),
             Event::Timer { tag } => self.on_timer(&tag, out),
--- a/crates/expectations/src/file.rs
+++ b/crates/expectations/src/file.rs
@@ -1,5 +1,5 @@
 //! Files of expectations, read as far as they can be without a day's settings: names, places and the parts that
-//! [`crate::compile`] makes sense of.
+//! [`mod@crate::compile`] makes sense of.
 
 use quartzcleat_config::reader::{list, text};
 use quartzcleat_config::tree::{self, Content, Node};
--- a/crates/expectations/src/lib.rs
+++ b/crates/expectations/src/lib.rs
@@ -1,10 +1,8 @@
 //! Expectations: what operators expect of routing, quotas and retries, written as YAML beside the configuration and
 //! checked without traffic, by playing the real decision module through every small world that they allow.
 //!
-//! [`file`] reads them, [`compile`] sets them in the terms of a day, [`explore`] plays, [`must`] judges, [`blame`]
+//! [`mod@file`] reads them, [`mod@compile`] sets them in the terms of a day, [`explore`] plays, [`must`] judges, [`blame`]
 //! finds the lines of configuration behind a verdict, [`report`] tells. Knows no sockets.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod blame;
 pub mod compile;
--- a/crates/expectations/src/run.rs
+++ b/crates/expectations/src/run.rs
@@ -674,7 +674,7 @@
             s.truth
                 .classes
                 .iter_mut()
-                .for_each(|class| class.dedup_window = 1)
+                .for_each(|class| class.dedup_window = 1);
         }),
         with(&|s| s.cast.hosts.iter_mut().for_each(|host| host.room += 1)),
         with(&|s| s.cast.hosts.iter_mut().for_each(|host| host.room = 0)),
--- a/crates/expectations/tests/expect.rs
+++ b/crates/expectations/tests/expect.rs
@@ -263,7 +263,7 @@
     let outcome = folder.run(text, |options| {
         options
             .ranges
-            .push(("plans.guide.burst".into(), vec![6.0, 9.0, 12.0]))
+            .push(("plans.guide.burst".into(), vec![6.0, 9.0, 12.0]));
     });
     assert_eq!(verdicts(&outcome), [Verdict::Held; 3]);
     assert!(outcome.results[2].day.ends_with("plans.guide.burst=12"));
@@ -271,7 +271,7 @@
     let outcome = folder.run(&fixed, |options| {
         options
             .ranges
-            .push(("plans.guide.burst".into(), vec![6.0, 24.0]))
+            .push(("plans.guide.burst".into(), vec![6.0, 24.0]));
     });
     assert_eq!(
         verdicts(&outcome),
@@ -279,7 +279,7 @@
         "an absolute figure breaks at the far end"
     );
     let outcome = folder.run(text, |options| {
-        options.ranges.push(("plans.gide.burst".into(), vec![1.0]))
+        options.ranges.push(("plans.gide.burst".into(), vec![1.0]));
     });
     assert_eq!(outcome.code(), 2);
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,8 +5,6 @@
 //!
 //! What differs from the world: time is real, a connection that is refused for one attempt alone is played as a
 //! turned-away one, and a vanished machine still completes TCP handshakes.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod client;
 mod counter;
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -2,8 +2,6 @@
 //! reorder what passes, and faults drawn from a seed or named by a story: cuts, pauses, kills, restarts. The targets of
 //! acts write one history with one clock, and [`verdict`] judges it. A trial that never reached what it is for is empty,
 //! which is a failure too.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod link;
 pub mod play;
--- a/crates/invariants/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -1,7 +1,5 @@
 //! What was asked, sent, run and answered, as records, and the rules that hold over them whoever played: the world
 //! in virtual time or limiters on sockets. Knows neither of the two.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod checker;
 pub mod record;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -2,8 +2,6 @@
 //! held in memory only (PaxosLease); each act carries a token that only grows, which its target checks; and a guard
 //! refuses to start what may outlive the lease. Decided without sockets, files or a clock: `now` is the monotonic
 //! clock of the process in nanoseconds, handed in with each event. The reasons stand in `docs/design-leases.md`.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod bidder;
 mod envelope;
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -7,8 +7,6 @@
 //! Not modelled: connections and their cost (a relay reaches its host after one delay), bandwidth, the limiter's
 //! own CPU time and memory, probes and load reports, streams, peers, and clients that follow anything but the
 //! scenario. Timers and events reach the module without delay.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod counter;
 mod limiter;
--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -393,11 +393,11 @@
                 }
             }
             Action::Reject { id, retry_after } => {
-                self.answer(number, id, Answered::Refused(retry_after))
+                self.answer(number, id, Answered::Refused(retry_after));
             }
             Action::Fail { id } => self.answer(number, id, Answered::Failed),
             Action::SetTimer { tag, after } => {
-                self.after(after, Pending::Timer(number, epoch, tag))
+                self.after(after, Pending::Timer(number, epoch, tag));
             }
             Action::Count {
                 name,
--- a/crates/usage-export/src/lib.rs
+++ b/crates/usage-export/src/lib.rs
@@ -3,8 +3,6 @@
 //! batches in order and appends them to its tenure's file in the sink. A batch is known by its source and number, so
 //! that writing it twice changes nothing. Decided without files, sockets or a clock; the reasons stand in
 //! `docs/design-leases.md`.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod line;
 mod message;
--- a/src/bin/quartzcleat-sim.rs
+++ b/src/bin/quartzcleat-sim.rs
@@ -1,5 +1,4 @@
 //! Hosts gateway instances on the wire: reads batches, hands events to the module, flushes replies.
-#![forbid(unsafe_code)]
 
 use quartzcleat::api::Nanos;
 use quartzcleat::choice::DecisionEngine;
@@ -77,7 +76,7 @@
                 let gateway = limiter_count.get_mut(name).ok_or_else(outside)?;
                 actions.clear();
                 let outcome = catch_unwind(AssertUnwindSafe(|| {
-                    gateway.handle(now, event, &mut actions)
+                    gateway.handle(now, event, &mut actions);
                 }));
                 if (outcome.is_err() || !actions.is_empty()) && speaker.as_deref() != Some(name) {
                     simulator::encode_by(name, &mut reply);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,5 @@
 //! A quota-keeping request limiter: the decisions, sans I/O (see [`choice::DecisionEngine`] and, for its types,
 //! [`api`]), and the program round them ([`net`]).
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 /// The decision module, by the name that its tests know it by.
 pub use quartzcleat_decision as choice;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,4 @@
 //! The program: one real limiter, which is what it is without arguments, and the commands of operators beside it.
-#![forbid(unsafe_code)]
 
 use clap::Parser;
 use quartzcleat::cli::Cli;
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -303,11 +303,17 @@
 }
 
 /// Reads the configuration that the environment names.
+///
+/// # Errors
+/// The file cannot be read or its content is refused.
 pub fn from_environment() -> Result<Config, String> {
     read(&file()?, variable)
 }
 
 /// Reads it again while the program runs.
+///
+/// # Errors
+/// The file cannot be read or its content is refused.
 pub fn again(held: &Value) -> Result<Config, String> {
     reread(held, &file()?, variable)
 }
@@ -315,6 +321,9 @@
 /// Reads a configuration that was replaced while the program runs. Guards against the environment, which is as
 /// old as the program, keeping addresses that the services have left: for these the file goes first; and against a
 /// file that lost something of the one in force, `held`.
+///
+/// # Errors
+/// The text is not JSON, or lacks something that the configuration in force has.
 pub fn reread(
     held: &Value,
     text: &str,
@@ -334,6 +343,9 @@
 }
 
 /// Reads a configuration; what a variable of the environment says goes before what the file says.
+///
+/// # Errors
+/// A key is missing, unknown or out of range; the text names it.
 pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let mut file: Value =
         serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -201,6 +201,9 @@
 }
 
 /// Takes the list that the configuration holds, the first thing the module is told.
+///
+/// # Errors
+/// The list is malformed.
 pub fn restore(limiter: &Rc<Limiter>, known: &Value) -> Result<(), String> {
     let list = match known {
         Value::Null => List {
@@ -515,6 +518,9 @@
 
 /// The answer at the start of `bytes`, if it is whole: its status, body and length, and whether the connection
 /// lasts. Knows bodies with a length and chunked ones.
+///
+/// # Errors
+/// The bytes are no HTTP response, or exceed a limit.
 pub fn response(bytes: &[u8], most: usize) -> io::Result<Option<Response>> {
     let bad = |what: &str| Err(io::Error::new(io::ErrorKind::InvalidData, what.to_owned()));
     let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -319,6 +319,9 @@
 
     /// Begins an attempt. `Err` is its number where it must not be made: the request is over, its time is, or
     /// it had all its attempts.
+    ///
+    /// # Errors
+    /// The attempt must not be made; the error is its number.
     pub fn begin(
         &mut self,
         id: RequestId,
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -1,7 +1,4 @@
-//! One real limiter on sockets, round the decision module.
-//!
-//! A request passes the [`stages`] in turn: take in, admit, route, send, relay, book. [`platform`] speaks the
-//! platform's protocol to clients (north) and hosts (south), [`counter`] and [`endpoints`] to the services.
+//! One limiter process: owns its parts, starts them, serves clients, and ends in order.
 
 use super::config::{Addresses, Config, Limits};
 use super::discovery::backoff::Backoff;
@@ -137,6 +134,9 @@
 }
 
 /// Serves until told to end.
+///
+/// # Errors
+/// A part cannot start: the runtime, a signal handler, a listening socket, the leases or the usage export.
 pub fn serve(config: Config) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -89,7 +89,7 @@
                 }
             }
             Event::CounterReplied { outcome, .. } if *outcome != Outcome::Good => {
-                self.counter_failed += 1
+                self.counter_failed += 1;
             }
             Event::Hosts { .. } => self.lists += 1,
             _ => {}
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -15,6 +15,9 @@
 use tokio::time::sleep;
 
 /// Waits for SIGHUP, each time it comes.
+///
+/// # Errors
+/// The signal handler cannot be installed.
 pub fn watch(limiter: &Rc<Limiter>) -> Result<(), String> {
     let mut hangup =
         signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
--- a/src/net/resp/codec.rs
+++ b/src/net/resp/codec.rs
@@ -178,6 +178,9 @@
 }
 
 /// The command at the start of `bytes`, if it is whole.
+///
+/// # Errors
+/// The bytes are malformed or exceed a limit.
 pub fn command(bytes: &[u8], limits: &Limits) -> Parsed<Command> {
     let mut cursor = Cursor {
         bytes,
@@ -214,6 +217,9 @@
 }
 
 /// The reply at the start of `bytes`, if it is whole, and its length.
+///
+/// # Errors
+/// The bytes are malformed or exceed a limit.
 pub fn reply(bytes: &[u8], limits: &Limits) -> Parsed<(Reply, usize)> {
     let mut cursor = Cursor {
         bytes,
@@ -280,6 +286,9 @@
 
 /// Waits for more to read; `Ok(false)` at the end of the stream. Given up while it waits, it has taken nothing.
 /// A read that does not fill the buffer spares the call that would only tell that there is no more.
+///
+/// # Errors
+/// The bytes are malformed or exceed a limit.
 pub async fn more(
     stream: &mut (impl AsyncRead + Unpin),
     buffer: &mut Vec<u8>,
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -170,7 +170,7 @@
                 units = value
                     .parse()
                     .ok()
-                    .filter(|u: &f64| *u > 0.0 && *u <= terms.most_units)
+                    .filter(|u: &f64| *u > 0.0 && *u <= terms.most_units);
             }
             "spread" => spread = whole().filter(|spread| (1..=terms.limiters).contains(spread)),
             "first" => first = whole().filter(|first| *first < terms.limiters),
--- a/src/net/resp/upstream/mod.rs
+++ b/src/net/resp/upstream/mod.rs
@@ -161,6 +161,9 @@
     /// Hands a relay to the host's connection that was used last; gives it back where none waits. Guards against
     /// taking what still follows an answer, a copy of it above all, for the answer to the next relay: for a
     /// moment after an answer the connection takes none.
+    ///
+    /// # Errors
+    /// No idle connection leads to the host; the call is given back.
     pub fn hand_over(&self, mut relay: HostCall, limits: &Limits) -> Result<(), HostCall> {
         let mut hosts = self.hosts.borrow_mut();
         let Some(host) = hosts.get_mut(&relay.host) else {
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -126,6 +126,9 @@
 }
 
 /// Goes through the phases, and waits for SIGTERM.
+///
+/// # Errors
+/// The signal handler cannot be installed.
 pub fn watch(limiter: &Rc<Limiter>) -> Result<(), String> {
     let mut term =
         signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
--- a/src/simulator/mod.rs
+++ b/src/simulator/mod.rs
@@ -182,6 +182,9 @@
     }
 
     /// Decodes the next line. `None` for lines that only build up a host list, and for empty ones.
+    ///
+    /// # Errors
+    /// The line is malformed; the error names its number and the field.
     pub fn decode(&mut self, text: &str) -> Parsed<Option<Line>> {
         self.line += 1;
         let text = text.strip_suffix('\r').unwrap_or(text);
