--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,8 +1,11 @@
 //! The console: HTTP/1.1, one call to a connection, for on-call staff and what starts the program. Knows sockets only;
 //! a call is read and typed by `quartzcleat-admin`, and what it means is carried out here in one place.
 
+use super::config::Limits;
+use super::discovery::{self, DiscoveryClient};
+use super::hot_restart::{self, HotRestart};
 use super::shutdown::unix;
-use super::{discovery, hot_restart, Limiter};
+use super::shutdown::Shutdown;
 use quartzcleat_admin::{understand, Call, Wrong};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -14,30 +17,42 @@
 /// Headers of a call.
 const HEADERS: usize = 64;
 
+/// What calls to the admin interface read and change.
+pub struct AdminContext {
+    /// Sizes, counts and times.
+    pub limits: Rc<Limits>,
+    /// Puts hosts into maintenance, and knows which were ever listed.
+    pub discovery: Rc<DiscoveryClient>,
+    /// Drains the clients.
+    pub shutdown: Rc<Shutdown>,
+    /// Is told of each change.
+    pub hot_restart: Rc<HotRestart>,
+}
+
 /// Takes callers in for good. Guards against callers that finish no call: past the limit the oldest is let go.
-pub async fn accept(limiter: Rc<Limiter>, listener: TcpListener) {
+pub async fn accept(context: Rc<AdminContext>, listener: TcpListener) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 callers.retain(|caller| !caller.is_finished());
-                while callers.len() >= limiter.limits.callers {
+                while callers.len() >= context.limits.callers {
                     callers.pop_front().inspect(JoinHandle::abort);
                 }
-                callers.push_back(tokio::task::spawn_local(serve(limiter.clone(), stream)));
+                callers.push_back(tokio::task::spawn_local(serve(context.clone(), stream)));
             }
             Err(e) => {
                 tracing::warn!("console: cannot accept: {e}");
-                sleep(limiter.limits.again).await;
+                sleep(context.limits.again).await;
             }
         }
     }
 }
 
-async fn serve(limiter: Rc<Limiter>, mut stream: TcpStream) {
+async fn serve(context: Rc<AdminContext>, mut stream: TcpStream) {
     let call = timeout(
-        limiter.limits.caller_time,
-        call(&mut stream, limiter.limits.call_bytes),
+        context.limits.caller_time,
+        call(&mut stream, context.limits.call_bytes),
     )
     .await;
     let (status, text) = match call {
@@ -49,8 +64,8 @@
         Ok(None) => return,
         Ok(Some(Err(wrong))) => (wrong.status, wrong.advice.to_owned()),
         Ok(Some(Ok(call))) => {
-            listed(&limiter, &call).await;
-            carry_out(&limiter, call)
+            listed(&context, &call).await;
+            carry_out(&context, call)
         }
     };
     let body = serde_json::json!({ "ok": status < 300, "text": text }).to_string();
@@ -59,7 +74,7 @@
         reason(status),
         body.len()
     );
-    let _ = timeout(limiter.limits.caller_time, async {
+    let _ = timeout(context.limits.caller_time, async {
         let _ = stream.write_all(answer.as_bytes()).await;
         let _ = stream.shutdown().await;
         // Guards against a reset that overtakes the answer where something of the call was left unread.
@@ -71,17 +86,18 @@
 
 /// Waits for discovery's first list where a call names a server not heard of yet. Guards against a no to staff who
 /// are quicker than that list: a server that is on it was listed.
-async fn listed(limiter: &Rc<Limiter>, call: &Call) {
+async fn listed(context: &AdminContext, call: &Call) {
     let (Call::Disable(name) | Call::Enable(name)) = call else {
         return;
     };
-    let known = || limiter.bans.borrow().knows(name) || limiter.endpoints.borrow().answered();
+    let known =
+        || context.discovery.maintenance().borrow().knows(name) || context.discovery.has_answered();
     let first = async {
         while !known() {
-            sleep(limiter.limits.last_moment).await;
+            sleep(context.limits.last_moment).await;
         }
     };
-    let _ = timeout(limiter.limits.first_list, first).await;
+    let _ = timeout(context.limits.first_list, first).await;
 }
 
 fn reason(status: u16) -> &'static str {
@@ -153,8 +169,8 @@
 }
 
 /// Does what a call asks for; the status and a sentence.
-fn carry_out(limiter: &Rc<Limiter>, call: Call) -> (u16, String) {
-    let unknown = match limiter.endpoints.borrow().answered() {
+fn carry_out(context: &AdminContext, call: Call) -> (u16, String) {
+    let unknown = match context.discovery.has_answered() {
         true => (
             404,
             "no server of this id was ever listed; use discovery's instanceId".to_owned(),
@@ -165,49 +181,57 @@
         ),
     };
     match call {
-        Call::Ready if !limiter.shutdown.welcome() => {
+        Call::Ready if !context.shutdown.welcome() => {
             (503, "draining: clients are sent away".to_owned())
         }
-        Call::Ready if *limiter.shutdown.end().borrow() => (503, "ending".to_owned()),
+        Call::Ready if *context.shutdown.end().borrow() => (503, "ending".to_owned()),
         Call::Ready => (200, "taking clients".to_owned()),
         Call::Disable(name) => {
-            let said = limiter.bans.borrow_mut().disable(&name, unix());
+            let said = context
+                .discovery
+                .maintenance()
+                .borrow_mut()
+                .disable(&name, unix());
             match said {
                 Err(_) => unknown,
                 Ok(changed) => {
                     if changed {
                         tracing::info!("server {name} is out of service by staff's word");
-                        discovery::judge_again(limiter, &name);
-                        hot_restart::publish(limiter);
+                        discovery::judge_again(&context.discovery, &name);
+                        hot_restart::publish(&context.hot_restart);
                     }
                     (200, format!("{name} gets nothing new until it is enabled"))
                 }
             }
         }
         Call::Enable(name) => {
-            let said = limiter.bans.borrow_mut().enable(&name, unix());
+            let said = context
+                .discovery
+                .maintenance()
+                .borrow_mut()
+                .enable(&name, unix());
             match said {
                 Err(_) => unknown,
                 Ok(changed) => {
                     if changed {
                         tracing::info!("server {name} may serve again by staff's word");
-                        discovery::judge_again(limiter, &name);
-                        hot_restart::publish(limiter);
+                        discovery::judge_again(&context.discovery, &name);
+                        hot_restart::publish(&context.hot_restart);
                     }
                     (200, format!("{name} may serve"))
                 }
             }
         }
         Call::Drain => {
-            limiter.shutdown.say(|doors| doors.drain(unix()));
+            context.shutdown.say(|doors| doors.drain(unix()));
             tracing::info!("draining by staff's word");
-            hot_restart::publish(limiter);
+            hot_restart::publish(&context.hot_restart);
             (200, "clients are sent away".to_owned())
         }
         Call::Undrain => {
-            limiter.shutdown.say(|doors| doors.undrain(unix()));
+            context.shutdown.say(|doors| doors.undrain(unix()));
             tracing::info!("back to work by staff's word");
-            hot_restart::publish(limiter);
+            hot_restart::publish(&context.hot_restart);
             (200, "clients are taken".to_owned())
         }
     }
@@ -225,17 +249,24 @@
         crate::net::tests::with_limiter(&console, |limiter| async move {
             let call = Call::Disable("s-1".to_owned());
             let began = tokio::time::Instant::now();
-            listed(&limiter, &call).await;
-            assert!(began.elapsed() >= limiter.limits.first_list);
-            assert_eq!(carry_out(&limiter, call.clone()).0, 503, "no list has come");
+            listed(limiter.admin(), &call).await;
+            assert!(began.elapsed() >= limiter.limits().first_list);
+            assert_eq!(
+                carry_out(limiter.admin(), call.clone()).0,
+                503,
+                "no list has come"
+            );
             let told = limiter.clone();
             tokio::task::spawn_local(async move {
-                sleep(told.limits.last_moment).await;
-                discovery::tests::told(&told, "s-1");
+                sleep(told.limits().last_moment).await;
+                discovery::tests::told(told.discovery(), "s-1");
             });
-            listed(&limiter, &call).await;
-            assert_eq!(carry_out(&limiter, call).0, 200);
-            assert_eq!(carry_out(&limiter, Call::Enable("s-2".to_owned())).0, 404);
+            listed(limiter.admin(), &call).await;
+            assert_eq!(carry_out(limiter.admin(), call).0, 200);
+            assert_eq!(
+                carry_out(limiter.admin(), Call::Enable("s-2".to_owned())).0,
+                404
+            );
         });
     }
 
--- a/src/net/counter/mod.rs
+++ b/src/net/counter/mod.rs
@@ -2,9 +2,9 @@
 //! the same line, whose calls are told in their order, whichever connection each of them was written to.
 
 use super::config::{Addresses, Limits};
+use super::engine::EngineDriver;
 use super::resp::codec::{self, Reply};
 use super::task::spawn;
-use super::Limiter;
 use crate::api::{Event, Nanos, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -63,13 +63,20 @@
 }
 
 /// The connections to the counter.
-pub struct Counter {
+pub struct CounterClient {
+    limits: Rc<Limits>,
+    engine: Rc<EngineDriver>,
+    addresses: watch::Receiver<Addresses>,
     lines: Vec<Rc<Line>>,
 }
 
-impl Counter {
+impl CounterClient {
     /// No connection yet.
-    pub fn new(limits: &Limits) -> Self {
+    pub fn new(
+        limits: Rc<Limits>,
+        engine: Rc<EngineDriver>,
+        addresses: watch::Receiver<Addresses>,
+    ) -> Self {
         let answered = Rc::new(Cell::new(None));
         let line = || Line {
             calls: RefCell::default(),
@@ -77,15 +84,19 @@
             news: Notify::new(),
             answered: answered.clone(),
         };
-        Counter {
-            lines: (0..limits.counter_links).map(|_| Rc::new(line())).collect(),
+        let lines = (0..limits.counter_links).map(|_| Rc::new(line())).collect();
+        CounterClient {
+            limits,
+            engine,
+            addresses,
+            lines,
         }
     }
 
-    /// Calls the counter; exactly one `ConnectionPermit` event follows.
-    pub fn call(&self, limiter: &Rc<Limiter>, name: String, amount: f64, keep_for: Nanos) {
-        if limiter.addresses.borrow().counter.is_none() {
-            return limiter.tell(Event::CounterReplied {
+    /// Calls the counter; exactly one [`Event::CounterReplied`] follows.
+    pub fn call(&self, name: String, amount: f64, keep_for: Nanos) {
+        if self.addresses.borrow().counter.is_none() {
+            return self.engine.handle(Event::CounterReplied {
                 name,
                 outcome: Outcome::ConnectFailed,
                 total: 0.0,
@@ -98,7 +109,7 @@
         // Past the limit a call is not made, but keeps its place: what becomes of it is told behind the others.
         let mut calls = line.calls.borrow_mut();
         let (mut command, mut end) = (Vec::new(), Some((Outcome::ConnectFailed, 0.0)));
-        if calls.len() < limiter.limits.counter_calls {
+        if calls.len() < self.limits.counter_calls {
             let (amount, life) = (
                 amount.to_string(),
                 keep_for.div_ceil(1_000_000).clamp(1, 60_000).to_string(),
@@ -124,27 +135,27 @@
 }
 
 /// Starts the connections.
-pub fn start(limiter: &Rc<Limiter>) {
-    for line in &limiter.counter.lines {
-        spawn(keep(limiter.clone(), line.clone()));
+pub fn start(client: &Rc<CounterClient>) {
+    for line in &client.lines {
+        spawn(keep(client.clone(), line.clone()));
     }
 }
 
 /// Keeps one connection up, and its calls told in time while it is not.
-async fn keep(limiter: Rc<Limiter>, line: Rc<Line>) {
-    let mut addresses = limiter.addresses.subscribe();
+async fn keep(client: Rc<CounterClient>, line: Rc<Line>) {
+    let mut addresses = client.addresses.clone();
     loop {
         let Some(address) = addresses.borrow_and_update().counter else {
             let _ = addresses.changed().await;
             continue;
         };
-        let by = Instant::now() + limiter.limits.connect.get();
+        let by = Instant::now() + client.limits.connect.get();
         let connect = timeout_at(by, TcpStream::connect(address));
         tokio::pin!(connect);
         let stream = loop {
             tokio::select! {
                 opened = &mut connect => break opened.ok().and_then(Result::ok),
-                () = line.overdue(&limiter.limits) => line.expire(&limiter),
+                () = line.overdue(&client.limits) => line.expire(&client),
                 () = line.news.notified() => {}
                 _ = addresses.changed() => {
                     addresses.mark_changed();
@@ -153,20 +164,20 @@
             }
         };
         let Some(stream) = stream else {
-            line.pause(&limiter, &mut addresses).await;
+            line.pause(&client, &mut addresses).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
         let mut link = UpstreamConnection::new(stream);
-        match line.converse(&limiter, &mut link, &mut addresses).await {
-            Over::Idle => line.broken(&limiter, link),
-            Over::Moved => spawn(line.clone().leave(limiter.clone(), link)),
+        match line.converse(&client, &mut link, &mut addresses).await {
+            Over::Idle => line.broken(&client, link),
+            Over::Moved => spawn(line.clone().leave(client.clone(), link)),
             Over::Broken => {
                 let answered = link.answered;
-                line.broken(&limiter, link);
+                line.broken(&client, link);
                 // Where the counter is at work only this connection was at fault.
                 if !answered {
-                    line.pause(&limiter, &mut addresses).await;
+                    line.pause(&client, &mut addresses).await;
                 }
             }
         }
@@ -213,12 +224,12 @@
     }
 
     /// The pause before a new connection, in which calls run out of time as ever. A new address ends it.
-    async fn pause(&self, limiter: &Rc<Limiter>, addresses: &mut watch::Receiver<Addresses>) {
-        let until = Instant::now() + limiter.limits.again;
+    async fn pause(&self, client: &CounterClient, addresses: &mut watch::Receiver<Addresses>) {
+        let until = Instant::now() + client.limits.again;
         while Instant::now() < until && !addresses.has_changed().unwrap_or(false) {
             tokio::select! {
                 () = sleep_until(until) => {}
-                () = self.overdue(&limiter.limits) => self.expire(limiter),
+                () = self.overdue(&client.limits) => self.expire(client),
                 () = self.news.notified() => {}
                 _ = addresses.changed() => addresses.mark_changed(),
             }
@@ -227,7 +238,7 @@
 
     /// Tells of the first calls, as far as it is known what became of them. Guards against a line that moved to
     /// another connection telling of later calls before earlier ones: the module knows them by their order.
-    fn settle(&self, limiter: &Rc<Limiter>) {
+    fn settle(&self, client: &CounterClient) {
         loop {
             let mut calls = self.calls.borrow_mut();
             let Some((outcome, total)) = calls.front().and_then(|call| call.end) else {
@@ -239,7 +250,7 @@
             drop(calls);
             self.told.set(self.told.get() + 1);
             let elapsed = began.elapsed().as_nanos() as Nanos;
-            limiter.tell(Event::CounterReplied {
+            client.engine.handle(Event::CounterReplied {
                 name,
                 outcome,
                 total,
@@ -259,10 +270,10 @@
     }
 
     /// Tells of the calls whose time is over. One that was never on its way was not added; any other may be.
-    fn expire(&self, limiter: &Rc<Limiter>) {
+    fn expire(&self, client: &CounterClient) {
         let now = Instant::now();
         for call in self.calls.borrow_mut().iter_mut() {
-            if call.began + limiter.limits.counter_call.get() > now {
+            if call.began + client.limits.counter_call.get() > now {
                 break;
             }
             let outcome = if call.sent {
@@ -272,12 +283,12 @@
             };
             call.end.get_or_insert((outcome, 0.0));
         }
-        self.settle(limiter);
+        self.settle(client);
     }
 
     /// Tells of the calls that were on a connection that ended. Those whose last byte was never written were not
     /// added; of the others nobody knows, which is the same as no answer in time.
-    fn broken(&self, limiter: &Rc<Limiter>, link: UpstreamConnection) {
+    fn broken(&self, client: &CounterClient, link: UpstreamConnection) {
         for (number, end) in link.written {
             let outcome = if end <= link.flushed {
                 Outcome::Timeout
@@ -287,7 +298,7 @@
             self.note(number, (outcome, 0.0));
         }
         drop(link.stream);
-        self.settle(limiter);
+        self.settle(client);
     }
 
     /// Puts all calls that wait on their way.
@@ -306,11 +317,11 @@
     /// Serves a connection until it breaks, stays silent, has nothing to do for long, or is to be left.
     async fn converse(
         &self,
-        limiter: &Rc<Limiter>,
+        client: &CounterClient,
         link: &mut UpstreamConnection,
         addresses: &mut watch::Receiver<Addresses>,
     ) -> Over {
-        let limits = &limiter.limits;
+        let limits = &client.limits;
         let (mut heard, mut began) = (Instant::now(), None);
         loop {
             // Guards against an answer that begins and has no end, or has one that is long in coming.
@@ -348,7 +359,7 @@
                     _ => return Over::Broken,
                 }
                 heard = Instant::now();
-                if !self.read(limiter, link) {
+                if !self.read(client, link) {
                     return Over::Broken;
                 }
                 continue;
@@ -356,13 +367,13 @@
             let (mut reader, writer) = link.stream.split();
             tokio::select! {
                 more = codec::more(&mut reader, &mut link.input, limits.read_bytes) => {
-                    if !more.unwrap_or(false) || !self.read(limiter, link) {
+                    if !more.unwrap_or(false) || !self.read(client, link) {
                         return Over::Broken;
                     }
                     heard = Instant::now();
                 }
                 _ = writer.writable(), if !link.out.is_empty() => {}
-                () = self.overdue(limits) => self.expire(limiter),
+                () = self.overdue(limits) => self.expire(client),
                 () = self.news.notified() => {
                     if !waiting {
                         heard = Instant::now();
@@ -391,14 +402,14 @@
 
     /// Serves a connection to an address that is no longer the counter's until all that was written to it has
     /// had its time.
-    async fn leave(self: Rc<Self>, limiter: Rc<Limiter>, mut link: UpstreamConnection) {
-        let limits = &limiter.limits;
+    async fn leave(self: Rc<Self>, client: Rc<CounterClient>, mut link: UpstreamConnection) {
+        let limits = &client.limits;
         let rest = async {
             while link.flush(limits) && !link.written.is_empty() {
                 let (mut reader, writer) = link.stream.split();
                 tokio::select! {
                     more = codec::more(&mut reader, &mut link.input, limits.read_bytes) => {
-                        if !more.unwrap_or(false) || !self.read(&limiter, &mut link) {
+                        if !more.unwrap_or(false) || !self.read(&client, &mut link) {
                             return;
                         }
                     }
@@ -407,15 +418,15 @@
             }
         };
         let _ = timeout(limits.counter_call.get(), rest).await;
-        self.broken(&limiter, link);
+        self.broken(&client, link);
     }
 
     /// Takes the answers that have come; each belongs to the first call that waits for one. False where one
     /// belongs to none, or tells nothing: its call may have been added, and the connection is of no more use.
-    fn read(&self, limiter: &Rc<Limiter>, link: &mut UpstreamConnection) -> bool {
+    fn read(&self, client: &CounterClient, link: &mut UpstreamConnection) -> bool {
         let mut sound = true;
         while sound {
-            let (end, length) = match understand(&link.input, &limiter.limits) {
+            let (end, length) = match understand(&link.input, &client.limits) {
                 Ok(None) => break,
                 Ok(Some(answer)) => answer,
                 Err(Spoilt) => {
@@ -423,7 +434,7 @@
                     break;
                 }
             };
-            codec::consume(&mut link.input, length, limiter.limits.read_bytes);
+            codec::consume(&mut link.input, length, client.limits.read_bytes);
             link.answered = true;
             self.answered.set(Some(Instant::now()));
             // One that comes late finds its call told of.
@@ -432,7 +443,7 @@
                 None => sound = false,
             }
         }
-        self.settle(limiter);
+        self.settle(client);
         sound
     }
 }
@@ -477,6 +488,7 @@
 mod tests {
     use super::*;
     use crate::net::tests::{next, with_limiter};
+    use crate::net::Limiter;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
 
@@ -505,8 +517,8 @@
 
     fn call(limiter: &Rc<Limiter>, amount: f64) {
         limiter
-            .counter
-            .call(limiter, "q7.1".to_owned(), amount, 4_000_000_000);
+            .counter()
+            .call("q7.1".to_owned(), amount, 4_000_000_000);
     }
 
     /// Answers that come late belong to the calls they were late for, not to those that wait now.
@@ -527,12 +539,12 @@
             call(&limiter, 1.0);
             call(&limiter, -2.5);
             let line = limiter
-                .counter
+                .counter()
                 .lines
                 .iter()
                 .find(|line| !line.calls.borrow().is_empty())
                 .expect("a line");
-            spawn(keep(limiter.clone(), line.clone()));
+            spawn(keep(limiter.counter().clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 2).await;
             assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
@@ -569,13 +581,13 @@
         with_limiter(
             &[("127.0.0.1:7002", "127.77.0.21:7002")],
             |limiter| async move {
-                start(&limiter);
+                start(limiter.counter());
                 call(&limiter, 1.0);
                 call(&limiter, 2.0);
                 assert_eq!(counted(&limiter).await.0, Outcome::ConnectFailed);
                 assert_eq!(counted(&limiter).await.0, Outcome::ConnectFailed);
                 assert!(limiter
-                    .counter
+                    .counter()
                     .lines
                     .iter()
                     .all(|line| line.calls.borrow().is_empty()));
@@ -602,16 +614,17 @@
                 .expect("the address is free");
             call(&limiter, 1.0);
             let line = limiter
-                .counter
+                .counter()
                 .lines
                 .iter()
                 .find(|line| !line.calls.borrow().is_empty())
                 .expect("a line");
-            spawn(keep(limiter.clone(), line.clone()));
+            spawn(keep(limiter.counter().clone(), line.clone()));
             let (mut before, _) = old.accept().await.expect("the limiter connects");
             calls(&mut before, 1).await;
             limiter
-                .addresses
+                .reloader()
+                .addresses()
                 .send_modify(|held| held.counter = new.local_addr().ok());
             call(&limiter, 2.0);
             let (mut after, _) = new
@@ -623,9 +636,9 @@
                 .write_all(b"$1\r\n3\r\n")
                 .await
                 .expect("the limiter reads");
-            tokio::time::sleep(limiter.limits.again).await;
+            tokio::time::sleep(limiter.limits().again).await;
             assert_eq!(
-                limiter.engine.borrow_mut().untold(),
+                limiter.engine().take_event(),
                 None,
                 "the first call has no answer yet"
             );
@@ -644,7 +657,7 @@
     #[test]
     fn what_tells_nothing_may_have_been_added() {
         with_limiter(&[], |limiter| async move {
-            let read = |bytes: &str| understand(bytes.as_bytes(), &limiter.limits);
+            let read = |bytes: &str| understand(bytes.as_bytes(), &limiter.limits());
             let whole = |bytes: &str| read(bytes).expect("sound").expect("whole").0;
             assert_eq!(whole("$4\r\n-1.5\r\n$1\r\n2\r\n"), (Outcome::Good, -1.5));
             assert_eq!(whole("-BUSY\r\n"), (Outcome::Rejected, 0.0));
@@ -652,7 +665,7 @@
             for part in ["", "$", "$4\r\n-1", "-BU"] {
                 assert!(read(part).expect("sound").is_none(), "{part:?}");
             }
-            let long = "-".to_owned() + &"x".repeat(limiter.limits.counter_answer);
+            let long = "-".to_owned() + &"x".repeat(limiter.limits().counter_answer);
             for spoilt in [
                 "*2\r\n",
                 ":5\r\n",
@@ -685,12 +698,12 @@
                 .expect("the address is free");
             call(&limiter, 1.0);
             let line = limiter
-                .counter
+                .counter()
                 .lines
                 .iter()
                 .find(|line| !line.calls.borrow().is_empty())
                 .expect("a line");
-            spawn(keep(limiter.clone(), line.clone()));
+            spawn(keep(limiter.counter().clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 1).await;
             stream
@@ -702,7 +715,7 @@
             call(&limiter, 1.0);
             calls(&mut stream, 1).await;
             assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
-            let kept = timeout(4 * limiter.limits.counter_call.get(), listener.accept()).await;
+            let kept = timeout(4 * limiter.limits().counter_call.get(), listener.accept()).await;
             assert!(
                 kept.is_err(),
                 "no second connection while no other is answered"
@@ -712,13 +725,13 @@
             call(&limiter, 1.0);
             let began = Instant::now();
             let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
-            assert!(began.elapsed() < limiter.limits.counter_silence / 2);
+            assert!(began.elapsed() < limiter.limits().counter_silence / 2);
             // Never answered: the new one has its whole patience, whoever else is answered.
             call(&limiter, 1.0);
             calls(&mut stream, 1).await;
             line.answered
-                .set(Some(Instant::now() + limiter.limits.counter_silence));
-            let kept = timeout(limiter.limits.counter_silence / 2, listener.accept()).await;
+                .set(Some(Instant::now() + limiter.limits().counter_silence));
+            let kept = timeout(limiter.limits().counter_silence / 2, listener.accept()).await;
             assert!(
                 kept.is_err(),
                 "a counter that never answers is not asked for ever more connections"
@@ -743,12 +756,12 @@
                 .expect("the address is free");
             (0..3).for_each(|_| call(&limiter, 1.0));
             let line = limiter
-                .counter
+                .counter()
                 .lines
                 .iter()
                 .find(|line| !line.calls.borrow().is_empty())
                 .expect("a line");
-            spawn(keep(limiter.clone(), line.clone()));
+            spawn(keep(limiter.counter().clone(), line.clone()));
             let (mut stream, _) = listener.accept().await.expect("the limiter connects");
             calls(&mut stream, 3).await;
             let began = Instant::now();
@@ -760,7 +773,7 @@
             assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
             assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
             assert!(
-                began.elapsed() < limiter.limits.counter_call.get(),
+                began.elapsed() < limiter.limits().counter_call.get(),
                 "told before their time was over"
             );
             call(&limiter, 4.0);
--- a/src/net/discovery/crossings.rs
+++ b/src/net/discovery/crossings.rs
@@ -4,6 +4,7 @@
 use crate::net::config::read;
 use crate::net::task::spawn;
 use crate::net::tests::{next, with_limiter};
+use crate::net::Limiter;
 use tokio::net::TcpListener;
 
 /// One call of the limiter's, not answered yet.
@@ -69,9 +70,12 @@
 }
 
 fn follows(limiter: &Rc<Limiter>) {
-    spawn(follow(limiter.clone(), Backoff::of(&limiter.limits, 1)));
-    if !limiter.limits.list_by_asking {
-        spawn(check(limiter.clone()));
+    spawn(follow(
+        limiter.discovery().clone(),
+        Backoff::of(limiter.limits(), 1),
+    ));
+    if !limiter.limits().list_by_asking {
+        spawn(check(limiter.discovery().clone()));
     }
 }
 
@@ -182,7 +186,7 @@
             assert_eq!(told(&limiter).await, (4, HostState::Ready));
             assert_eq!(told(&limiter).await, (5, HostState::Draining));
             assert!(began.elapsed() < TOLD, "after {:?}", began.elapsed());
-            assert!(began.elapsed() >= limiter.limits.watch, "it had its wait");
+            assert!(began.elapsed() >= limiter.limits().watch, "it had its wait");
             drop(silent);
         },
     );
@@ -221,7 +225,7 @@
             }
             let last = accept(&discovery).await;
             assert!(
-                limiter.engine.borrow_mut().untold().is_none(),
+                limiter.engine().take_event().is_none(),
                 "nothing yet: no two answers in a row went back"
             );
             drop(last.answer(2, true, "SERVING").await);
@@ -294,7 +298,7 @@
                 .expect("it comes again")
                 .is_watch());
             assert_eq!(told(&limiter).await, (4, HostState::Ready));
-            assert!(limiter.engine.borrow_mut().untold().is_none());
+            assert!(limiter.engine().take_event().is_none());
         },
     );
 }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -2,11 +2,16 @@
 
 pub mod backoff;
 
+use super::config::Addresses;
 use super::config::Limits;
 use super::discovery::backoff::Backoff;
-use super::Limiter;
+use super::engine::EngineDriver;
+use super::metrics::SharedMetrics;
+use super::resp::upstream::Upstream;
 use crate::api::{Event, HostEntry, HostId, HostState, ListMode};
+use quartzcleat_admin::Bans;
 use serde_json::{json, Value};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
@@ -14,6 +19,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout, Instant};
 
 /// A list of hosts as discovery gave it.
@@ -200,33 +206,102 @@
     }
 }
 
+/// The client of the discovery service: follows the endpoint list, and tells the engine and the connections to hosts.
+pub struct DiscoveryClient {
+    limits: Rc<Limits>,
+    engine: Rc<EngineDriver>,
+    upstream: Rc<Upstream>,
+    addresses: watch::Receiver<Addresses>,
+    metrics: Option<SharedMetrics>,
+    endpoints: RefCell<EndpointList>,
+    maintenance: RefCell<Bans>,
+    /// The names of all hosts ever listed are kept for another process of this limiter.
+    records_names: bool,
+    /// Notified when the watch is behind, and is to be opened again.
+    reopen_watch: Notify,
+}
+
+/// The parts of a limiter that discovery works with.
+pub struct DiscoveryParts {
+    /// Sizes, counts and times.
+    pub limits: Rc<Limits>,
+    /// Is told of each list.
+    pub engine: Rc<EngineDriver>,
+    /// Is told of each host's address and state.
+    pub upstream: Rc<Upstream>,
+    /// Where discovery listens.
+    pub addresses: watch::Receiver<Addresses>,
+    /// Counts failed calls.
+    pub metrics: Option<SharedMetrics>,
+}
+
+impl DiscoveryClient {
+    /// A client that has not called discovery yet. `records_names` keeps the names of all hosts ever listed, for another
+    /// process of this limiter.
+    pub fn new(parts: DiscoveryParts, endpoints: EndpointList, records_names: bool) -> Self {
+        let DiscoveryParts {
+            limits,
+            engine,
+            upstream,
+            addresses,
+            metrics,
+        } = parts;
+        DiscoveryClient {
+            limits,
+            engine,
+            upstream,
+            addresses,
+            metrics,
+            endpoints: RefCell::new(endpoints),
+            maintenance: RefCell::default(),
+            records_names,
+            reopen_watch: Notify::new(),
+        }
+    }
+
+    /// The endpoint list as last received.
+    pub fn endpoints(&self) -> &RefCell<EndpointList> {
+        &self.endpoints
+    }
+
+    /// The hosts in maintenance.
+    pub fn maintenance(&self) -> &RefCell<Bans> {
+        &self.maintenance
+    }
+
+    /// Whether a list has been received since the start.
+    pub fn has_answered(&self) -> bool {
+        self.endpoints.borrow().answered()
+    }
+}
+
 /// Takes the list that the configuration holds, the first thing the module is told.
 ///
 /// # Errors
 /// The list is malformed.
-pub fn restore(limiter: &Rc<Limiter>, known: &Value) -> Result<(), String> {
+pub fn restore(client: &DiscoveryClient, known: &Value) -> Result<(), String> {
     let list = match known {
         Value::Null => List {
             version: 0,
             whole: true,
             entries: Vec::new(),
         },
-        known => limiter
+        known => client
             .endpoints
             .borrow_mut()
             .read(known)
             .map_err(|e| format!("known.{e}"))?,
     };
-    apply(limiter, list, ListMode::Restored);
+    apply(client, list, ListMode::Restored);
     Ok(())
 }
 
 /// Takes a list in. What staff said of a server goes before what it says, here and nowhere else.
-fn apply(limiter: &Rc<Limiter>, list: List, mode: ListMode) {
+fn apply(client: &DiscoveryClient, list: List, mode: ListMode) {
     let List {
         version, entries, ..
     } = list;
-    let mut endpoints = limiter.endpoints.borrow_mut();
+    let mut endpoints = client.endpoints.borrow_mut();
     endpoints.version = version;
     endpoints.answered |= mode != ListMode::Restored;
     endpoints.taken_in += u64::from(mode != ListMode::Restored);
@@ -240,55 +315,55 @@
             .insert(name.clone(), (entry.clone(), *address));
     }
     drop(endpoints);
-    let mut bans = limiter.bans.borrow_mut();
+    let mut bans = client.maintenance.borrow_mut();
     let entries: Vec<_> = entries
         .into_iter()
         .map(|(name, entry, address)| {
-            if limiter.hot_restart.shared() {
+            if client.records_names {
                 bans.list(&name);
             }
             (bans.judge(&name, &entry), address)
         })
         .collect();
     drop(bans);
-    tell(limiter, version, mode, entries);
-    let mut endpoints = limiter.endpoints.borrow_mut();
-    endpoints.ids.retain(|_, id| limiter.upstream.knows(*id));
-    endpoints.taken.retain(|id| limiter.upstream.knows(*id));
+    tell(client, version, mode, entries);
+    let mut endpoints = client.endpoints.borrow_mut();
+    endpoints.ids.retain(|_, id| client.upstream.knows(*id));
+    endpoints.taken.retain(|id| client.upstream.knows(*id));
     endpoints
         .told
-        .retain(|_, (entry, _)| limiter.upstream.knows(entry.host));
+        .retain(|_, (entry, _)| client.upstream.knows(entry.host));
 }
 
 fn tell(
-    limiter: &Rc<Limiter>,
+    client: &DiscoveryClient,
     version: u64,
     mode: ListMode,
     entries: Vec<(HostEntry, SocketAddr)>,
 ) {
     entries
         .iter()
-        .for_each(|(entry, address)| limiter.upstream.learn(entry, *address));
+        .for_each(|(entry, address)| client.upstream.learn(entry, *address));
     let entries: Vec<_> = entries.into_iter().map(|(entry, _)| entry).collect();
     if mode != ListMode::Update {
-        limiter.upstream.keep_only(&entries);
+        client.upstream.keep_only(&entries);
     }
-    limiter.tell(Event::Hosts {
+    client.engine.handle(Event::Hosts {
         version,
         mode,
         entries,
     });
-    limiter.upstream.forget(&limiter.limits);
+    client.upstream.forget(&client.limits);
 }
 
 /// Staff said something of a server: what is believed of it is told anew.
-pub fn judge_again(limiter: &Rc<Limiter>, name: &str) {
-    let endpoints = limiter.endpoints.borrow();
+pub fn judge_again(client: &DiscoveryClient, name: &str) {
+    let endpoints = client.endpoints.borrow();
     let (version, told) = (endpoints.version, endpoints.told.get(name).cloned());
     drop(endpoints);
     if let Some((entry, address)) = told {
-        let entry = limiter.bans.borrow().judge(name, &entry);
-        tell(limiter, version, ListMode::Update, vec![(entry, address)]);
+        let entry = client.maintenance.borrow().judge(name, &entry);
+        tell(client, version, ListMode::Update, vec![(entry, address)]);
     }
 }
 
@@ -303,17 +378,17 @@
 
 /// Follows discovery for good. Each call comes at once behind the answer before it, so that the watch goes on;
 /// after a failure, and at a new address, it begins anew.
-pub async fn follow(limiter: Rc<Limiter>, mut backoff: Backoff) {
-    let mut addresses = limiter.addresses.subscribe();
-    if limiter.limits.list_by_asking {
+pub async fn follow(client: Rc<DiscoveryClient>, mut backoff: Backoff) {
+    let mut addresses = client.addresses.clone();
+    if client.limits.list_by_asking {
         sleep(backoff.first()).await;
     }
     loop {
         let address = addresses.borrow_and_update().discovery;
         let watched = async {
-            if let Err(problem) = watch(&limiter, address, &mut backoff).await {
+            if let Err(problem) = watch(&client, address, &mut backoff).await {
                 tracing::warn!("inventory: {}", problem.text);
-                if let Some((_, metrics)) = &limiter.metrics {
+                if let Some(metrics) = &client.metrics {
                     metrics.borrow_mut().list_failed();
                 }
                 // Only this watch is known to be at fault, which was answered before.
@@ -328,7 +403,7 @@
         tokio::select! {
             () = watched => {}
             _ = addresses.changed() => {}
-            () = limiter.reopen_watch.notified() => {}
+            () = client.reopen_watch.notified() => {}
         }
     }
 }
@@ -336,30 +411,29 @@
 /// Asks for the whole list now and then, beside the watch. Guards against a watch whose answer is lost: until its wait
 /// is over it looks the same as one that has nothing to tell, and hosts come and go unseen. A watch that is found to be
 /// behind is broken, and opened anew.
-pub async fn check(limiter: Rc<Limiter>) {
+pub async fn check(client: Rc<DiscoveryClient>) {
     loop {
-        sleep(limiter.limits.check).await;
+        sleep(client.limits.check).await;
         let (address, taken_in) = (
-            limiter.addresses.borrow().discovery,
-            limiter.endpoints.borrow().taken_in,
+            client.addresses.borrow().discovery,
+            client.endpoints.borrow().taken_in,
         );
         // Whatever fails here the watch meets too, and tells.
-        if let Ok(Ok(list)) =
-            timeout(limiter.limits.check_time, whole_list(&limiter, address)).await
+        if let Ok(Ok(list)) = timeout(client.limits.check_time, whole_list(&client, address)).await
         {
-            let moved = limiter.addresses.borrow().discovery != address;
-            let mut endpoints = limiter.endpoints.borrow_mut();
+            let moved = client.addresses.borrow().discovery != address;
+            let mut endpoints = client.endpoints.borrow_mut();
             let news = !moved && list.whole && endpoints.is_news(&list, taken_in);
             let news = news && list.version != endpoints.version;
             drop(endpoints);
             if news {
                 tracing::info!(
-                    held = limiter.endpoints.borrow().version,
+                    held = client.endpoints.borrow().version,
                     version = list.version,
                     "the watch is behind"
                 );
-                apply(&limiter, list, ListMode::Replace);
-                limiter.reopen_watch.notify_one();
+                apply(&client, list, ListMode::Replace);
+                client.reopen_watch.notify_one();
             }
         }
     }
@@ -378,7 +452,7 @@
     }
 }
 
-async fn whole_list(limiter: &Rc<Limiter>, address: SocketAddr) -> Result<List, String> {
+async fn whole_list(client: &DiscoveryClient, address: SocketAddr) -> Result<List, String> {
     let mut stream = TcpStream::connect(address)
         .await
         .map_err(|e| e.to_string())?;
@@ -388,19 +462,19 @@
         .write_all(call.as_bytes())
         .await
         .map_err(|e| e.to_string())?;
-    let limits = &limiter.limits;
+    let limits = &client.limits;
     let answer = answer(&mut stream, &mut Vec::new(), limits.check_time, limits).await;
     let list =
         serde_json::from_slice(&answer.map_err(|e| e.to_string())?.0).map_err(|e| e.to_string())?;
-    limiter.endpoints.borrow_mut().read(&list)
+    client.endpoints.borrow_mut().read(&list)
 }
 
 async fn watch(
-    limiter: &Rc<Limiter>,
+    client: &DiscoveryClient,
     address: SocketAddr,
     backoff: &mut Backoff,
 ) -> Result<(), Lost> {
-    let limits = &limiter.limits;
+    let limits = &client.limits;
     let connect = timeout(limits.connect.get(), TcpStream::connect(address)).await;
     let mut stream = connect
         .map_err(|e| e.to_string())?
@@ -418,7 +492,7 @@
     // with what changed since the list held.
     let (mut path, mut patience) = if limits.list_by_asking {
         (
-            news(limiter.endpoints.borrow().version),
+            news(client.endpoints.borrow().version),
             limits.watch + limits.watch_slack,
         )
     } else {
@@ -426,7 +500,7 @@
     };
     let (began, mut answered) = (Instant::now(), false);
     loop {
-        let taken_in = limiter.endpoints.borrow().taken_in;
+        let taken_in = client.endpoints.borrow().taken_in;
         let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         // Guards against asking without a pause where each connection is lost right after its first answer.
         let lost = |text: String| Lost {
@@ -441,10 +515,10 @@
             .await
             .map_err(|e| lost(e.to_string()))?;
         let list: Value = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
-        let list = limiter.endpoints.borrow_mut().read(&list)?;
+        let list = client.endpoints.borrow_mut().read(&list)?;
         let asked = std::mem::replace(&mut path, news(list.version));
         patience = limits.watch + limits.watch_slack;
-        let mut endpoints = limiter.endpoints.borrow_mut();
+        let mut endpoints = client.endpoints.borrow_mut();
         let (is_news, older) = (
             endpoints.is_news(&list, taken_in),
             list.version < endpoints.version,
@@ -457,7 +531,7 @@
             } else {
                 ListMode::Update
             };
-            apply(limiter, list, mode);
+            apply(client, list, mode);
         } else if older {
             // Changes to a list that is not held: the whole one is asked for.
             tracing::info!(
@@ -612,16 +686,16 @@
     use tokio::net::TcpListener;
 
     /// Takes a whole list of one server, that serves.
-    pub(crate) fn told(limiter: &Rc<Limiter>, name: &str) {
+    pub(crate) fn told(client: &DiscoveryClient, name: &str) {
         let text = format!(
             r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"{name}","zone":"a",
             "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"SERVING"}}]}}"#
         );
-        let list = limiter
+        let list = client
             .endpoints
             .borrow_mut()
             .read(&serde_json::from_str(&text).expect("JSON"));
-        apply(limiter, list.expect("a list"), ListMode::Replace);
+        apply(client, list.expect("a list"), ListMode::Replace);
     }
 
     /// The same number for a name at every limiter, and never one for two names.
@@ -690,8 +764,11 @@
                 let discovery = TcpListener::bind("127.77.0.24:7001")
                     .await
                     .expect("the address is free");
-                spawn(follow(limiter.clone(), Backoff::of(&limiter.limits, 1)));
-                spawn(check(limiter.clone()));
+                spawn(follow(
+                    limiter.discovery().clone(),
+                    Backoff::of(limiter.limits(), 1),
+                ));
+                spawn(check(limiter.discovery().clone()));
                 let mut watches = Vec::new();
                 let mut told = Vec::new();
                 // The first list, two that are no newer, and a newer one; the watch is never answered.
@@ -743,11 +820,12 @@
                     "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
                 );
                 let list = limiter
+                    .discovery()
                     .endpoints
                     .borrow_mut()
                     .read(&serde_json::from_str(&text).expect("JSON"));
                 apply(
-                    &limiter,
+                    limiter.discovery(),
                     list.expect("a list"),
                     if whole {
                         ListMode::Replace
@@ -757,7 +835,7 @@
                 );
             };
             let told = || {
-                let event = limiter.engine.borrow_mut().untold();
+                let event = limiter.engine().take_event();
                 match event {
                     Some(Event::Hosts { entries, .. }) => entries[0].state,
                     other => panic!("{other:?}"),
@@ -765,18 +843,32 @@
             };
             list(0, "SERVING", true);
             assert_eq!(told(), HostState::Ready);
-            limiter.bans.borrow_mut().list("s-1");
+            limiter.discovery().maintenance.borrow_mut().list("s-1");
             for round in 0..200 {
                 let now = 1_000 * round;
-                assert_eq!(limiter.bans.borrow_mut().disable("s-1", now), Ok(true));
-                judge_again(&limiter, "s-1");
+                assert_eq!(
+                    limiter
+                        .discovery()
+                        .maintenance
+                        .borrow_mut()
+                        .disable("s-1", now),
+                    Ok(true)
+                );
+                judge_again(limiter.discovery(), "s-1");
                 assert_eq!(told(), HostState::Draining, "at the call itself");
                 for (state, whole) in [("SERVING", false), ("DRAINING", false), ("SERVING", true)] {
                     list(round, state, whole);
                     assert_eq!(told(), HostState::Draining);
                 }
-                assert_eq!(limiter.bans.borrow_mut().enable("s-1", now + 500), Ok(true));
-                judge_again(&limiter, "s-1");
+                assert_eq!(
+                    limiter
+                        .discovery()
+                        .maintenance
+                        .borrow_mut()
+                        .enable("s-1", now + 500),
+                    Ok(true)
+                );
+                judge_again(limiter.discovery(), "s-1");
                 assert_eq!(told(), HostState::Ready);
             }
         });
@@ -796,20 +888,22 @@
                 for state in ["SERVING", "DRAINING", "DELETED"] {
                     let text = list(3 * name, name, state);
                     let list = limiter
+                        .discovery()
                         .endpoints
                         .borrow_mut()
                         .read(&serde_json::from_str(&text).expect("JSON"));
-                    apply(&limiter, list.expect("a list"), ListMode::Update);
+                    apply(limiter.discovery(), list.expect("a list"), ListMode::Update);
                 }
             }
-            sleep(limiter.limits.drain.get()).await;
+            sleep(limiter.limits().drain.get()).await;
             let text = list(200, 50, "SERVING");
             let list = limiter
+                .discovery()
                 .endpoints
                 .borrow_mut()
                 .read(&serde_json::from_str(&text).expect("JSON"));
-            apply(&limiter, list.expect("a list"), ListMode::Update);
-            let endpoints = limiter.endpoints.borrow();
+            apply(limiter.discovery(), list.expect("a list"), ListMode::Update);
+            let endpoints = limiter.discovery().endpoints.borrow();
             assert_eq!(
                 (
                     endpoints.ids.len(),
--- /dev/null
+++ b/src/net/engine/clock.rs
@@ -0,0 +1,39 @@
+//! The clock of the decision engine: Unix time that never goes back.
+
+use crate::api::Nanos;
+use std::time::SystemTime;
+use tokio::time::Instant;
+
+/// Unix time in nanoseconds, read once from the system and advanced by the monotonic clock.
+///
+/// All limiters use Unix time, so they cut quota windows at the same moments; the monotonic clock keeps a step of the
+/// system's clock from moving them.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Nanos,
+}
+
+impl Clock {
+    /// A clock that starts from the system's time.
+    pub fn new() -> Self {
+        let unix = SystemTime::UNIX_EPOCH
+            .elapsed()
+            .map_or(0, |age| age.as_nanos() as Nanos);
+        Clock {
+            start: Instant::now(),
+            unix,
+        }
+    }
+
+    /// The time at `moment`, in nanoseconds since the Unix epoch.
+    pub fn at(&self, moment: Instant) -> Nanos {
+        self.unix + moment.saturating_duration_since(self.start).as_nanos() as Nanos
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/net/engine/mod.rs
@@ -0,0 +1,164 @@
+//! The decision engine at work: its clock, its queue of events, and the actions that it orders.
+//!
+//! Knows no protocol: a frontend hands in a [`Request`] and gets one [`Answer`].
+
+mod clock;
+mod host_call;
+mod open_requests;
+mod request;
+
+#[cfg(test)]
+pub(crate) mod tests;
+
+pub use clock::Clock;
+pub use host_call::{Cancellation, Charge, HostCall, HostCommand};
+pub use open_requests::{AttemptId, AttemptOrder, OpenRequests, ReplyTo};
+pub use request::{Answer, Frontend, Payload, Request};
+
+use super::config::Limits;
+use super::metrics::SharedMetrics;
+use crate::api::{Action, Event, Nanos, RequestId, Settings};
+use crate::choice::{DecisionEngine, EngineSnapshot, EngineStatus};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::VecDeque;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::{Rc, Weak};
+use tokio::time::Instant;
+
+/// Carries out what the decision engine orders.
+pub trait ActionExecutor {
+    /// Carries out one action. Events that follow from it may be handed to the engine before this returns.
+    fn execute(&self, action: Action);
+}
+
+/// Owns the decision engine and the open requests, and feeds the engine one event at a time.
+pub struct EngineDriver {
+    engine: RefCell<DecisionEngine>,
+    clock: Clock,
+    events: RefCell<VecDeque<Event>>,
+    requests: RefCell<OpenRequests>,
+    metrics: Option<SharedMetrics>,
+    executor: OnceCell<Weak<dyn ActionExecutor>>,
+    /// An event is being handled further up the stack.
+    is_running: Cell<bool>,
+    /// The allocation that actions are collected in.
+    actions: Cell<Vec<Action>>,
+}
+
+impl EngineDriver {
+    /// An engine without events and requests. What it orders is dropped until an executor is set.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        limits: &Limits,
+        metrics: Option<SharedMetrics>,
+    ) -> Self {
+        let clock = Clock::new();
+        let engine = DecisionEngine::new(settings, seed, clock.at(Instant::now()));
+        EngineDriver {
+            engine: RefCell::new(engine),
+            clock,
+            events: RefCell::default(),
+            requests: RefCell::new(OpenRequests::new(limits)),
+            metrics,
+            executor: OnceCell::new(),
+            is_running: Cell::default(),
+            actions: Cell::default(),
+        }
+    }
+
+    /// Sets who carries out the actions; the first one set stays.
+    pub fn set_executor(&self, executor: Weak<dyn ActionExecutor>) {
+        self.executor.get_or_init(|| executor);
+    }
+
+    /// The open requests.
+    pub fn requests(&self) -> &RefCell<OpenRequests> {
+        &self.requests
+    }
+
+    /// Hands an event to the engine and carries out what it orders. An event that follows from an action waits until
+    /// all actions of the event before are carried out: the engine is never called from within its own actions.
+    pub fn handle(&self, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        if self.is_running.replace(true) {
+            return;
+        }
+        let mut actions = self.actions.take();
+        while let Some(event) = self.next_event() {
+            self.handle_next(event, &mut actions);
+        }
+        self.actions.set(actions);
+        self.is_running.set(false);
+    }
+
+    fn next_event(&self) -> Option<Event> {
+        self.events.borrow_mut().pop_front()
+    }
+
+    fn handle_next(&self, event: Event, actions: &mut Vec<Action>) {
+        let metrics = self.metrics.as_ref();
+        let cause = metrics.map(|metrics| metrics.borrow_mut().told(&event));
+        self.decide(event, actions);
+        if let (Some(metrics), Some(cause)) = (metrics, cause) {
+            metrics.borrow_mut().ordered(cause, actions);
+        }
+        let executor = self.executor.get().and_then(Weak::upgrade);
+        for action in actions.drain(..) {
+            if let Some(executor) = &executor {
+                executor.execute(action);
+            }
+        }
+    }
+
+    /// Lets the engine decide on an event and appends its actions.
+    fn decide(&self, mut event: Event, actions: &mut Vec<Action>) {
+        if let Event::AttemptDone { id, over, .. } = &mut event {
+            // Looked up at this moment: an event before this one may have closed the request.
+            *over |= !self.requests.borrow().is_open(*id);
+        }
+        let now = self.clock.at(Instant::now());
+        let engine = &mut *self.engine.borrow_mut();
+        // A panic on one event must not end all open requests: each is failed shortly before its deadline, whatever
+        // the engine does.
+        let outcome = catch_unwind(AssertUnwindSafe(|| engine.handle(now, event, actions)));
+        if outcome.is_err() {
+            tracing::error!("decision engine panicked on an event");
+        }
+    }
+
+    /// Applies the limits of a new configuration to the open requests.
+    pub fn apply_limits(&self, limits: &Limits) {
+        self.requests.borrow_mut().apply_limits(limits);
+    }
+
+    /// The engine's clock at this moment.
+    pub fn now(&self) -> Nanos {
+        self.clock.at(Instant::now())
+    }
+
+    /// What the engine believes at this moment.
+    pub fn status(&self) -> EngineStatus {
+        self.engine.borrow().view()
+    }
+
+    /// What the engine has learned, for a process that takes over.
+    pub fn snapshot(&self) -> EngineSnapshot {
+        self.engine.borrow().learned()
+    }
+
+    /// Whether another request can be opened.
+    pub fn has_capacity(&self) -> bool {
+        self.requests.borrow().has_capacity()
+    }
+
+    /// Closes a request; returns where its answer goes, if it was open.
+    pub fn close_request(&self, id: RequestId) -> Option<ReplyTo> {
+        self.requests.borrow_mut().close(id)
+    }
+
+    /// The count of buffered bytes of requests and unread answers.
+    pub fn buffered_bytes(&self) -> Rc<Cell<usize>> {
+        self.requests.borrow().buffered_bytes()
+    }
+}
--- /dev/null
+++ b/src/net/engine/request.rs
@@ -0,0 +1,66 @@
+//! A client's request as a frontend hands it in, and its one final answer.
+
+use crate::api::{CustomerId, RequestId};
+use crate::net::streaming_body::Pipe;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Where a request came from, and where its one answer goes.
+pub trait Frontend {
+    /// Gives the answer to the request that has this place among those of the frontend.
+    fn answer(&self, place: u64, answer: Answer);
+}
+
+/// The one final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Served, with the value as the host returned it.
+    Served(Vec<u8>),
+    /// Served, with a long value that is streamed.
+    Streaming(Rc<Pipe>),
+    /// Rejected before anything ran: a retry is harmless.
+    Rejected {
+        /// How long the client should wait before it retries; zero: no advice.
+        retry_after: Duration,
+    },
+    /// Failed; whether it ran is not known.
+    Failed,
+}
+
+/// The arguments of a command for a host. They are passed on unchanged, but for the remaining wait that one of them
+/// contains.
+#[derive(Clone, Debug, Default)]
+pub struct Payload {
+    /// The arguments, one behind another.
+    pub bytes: Vec<u8>,
+    /// The range of each argument in `bytes`.
+    pub arguments: Vec<Range<usize>>,
+    /// The range of the remaining wait in `bytes`, in milliseconds as decimal text.
+    pub wait: Range<usize>,
+}
+
+/// A request as a frontend hands it in.
+#[derive(Clone)]
+pub struct Request {
+    /// The request's id.
+    pub id: RequestId,
+    /// Index of its class; past the last one where the class is not known.
+    pub class: u32,
+    /// Index of its plan; past the last one where the plan is not known.
+    pub plan: u32,
+    /// Its customer.
+    pub customer: CustomerId,
+    /// The units that it takes from the quota.
+    pub units: f64,
+    /// How many limiters the customer's requests may arrive through.
+    pub spread: u32,
+    /// Index of the first of these limiters.
+    pub first_limiter: u32,
+    /// Flags as received; they decide nothing.
+    pub flags: u64,
+    /// How long the client waits.
+    pub wait: Duration,
+    /// What is sent to a host.
+    pub payload: Payload,
+}
--- /dev/null
+++ b/src/net/engine/tests.rs
@@ -0,0 +1,124 @@
+//! The clock, the bounds of attempts, and a frontend and a request that other modules' tests use.
+
+use super::*;
+use crate::api::{CustomerId, HostId};
+use crate::net::tests::with_limiter;
+use std::time::Duration;
+
+impl EngineDriver {
+    /// Leaves all events in the queue from now on.
+    pub(crate) fn pause(&self) {
+        self.is_running.set(true);
+    }
+
+    /// The next event in the queue.
+    pub(crate) fn take_event(&self) -> Option<Event> {
+        self.next_event()
+    }
+}
+
+/// A frontend that records the answers it is given.
+#[derive(Default)]
+pub(crate) struct RecordingFrontend(pub RefCell<Vec<(u64, Answer)>>);
+
+impl Frontend for RecordingFrontend {
+    fn answer(&self, place: u64, answer: Answer) {
+        self.0.borrow_mut().push((place, answer));
+    }
+}
+
+/// A place for an answer that nobody looks at.
+pub(crate) fn no_reply() -> ReplyTo {
+    reply_to(&Rc::new(RecordingFrontend::default()), 0)
+}
+
+/// A place at a frontend.
+pub(crate) fn reply_to(frontend: &Rc<RecordingFrontend>, place: u64) -> ReplyTo {
+    ReplyTo {
+        frontend: frontend.clone(),
+        place,
+    }
+}
+
+/// The order of an attempt without bounds of its own.
+pub(crate) fn attempt_order(id: u64, host: HostId) -> AttemptOrder {
+    AttemptOrder {
+        id: RequestId(id),
+        host,
+        timeout: 0,
+        begins_within: Nanos::MAX,
+    }
+}
+
+/// A request of the example's first class.
+pub(crate) fn request(id: u64) -> Request {
+    Request {
+        id: RequestId(id),
+        class: 0,
+        plan: 1,
+        customer: CustomerId(7),
+        units: 1.0,
+        spread: 1,
+        first_limiter: 0,
+        flags: 0,
+        wait: Duration::from_millis(900),
+        payload: Payload {
+            bytes: b"Q.ASKd=900,c=x".to_vec(),
+            arguments: vec![0..5, 5..14],
+            wait: 7..10,
+        },
+    }
+}
+
+#[test]
+fn two_clocks_agree_and_never_go_back() {
+    let (one, two, now) = (Clock::new(), Clock::new(), Instant::now());
+    assert!(one.at(now).abs_diff(two.at(now)) < 50_000_000);
+    assert!(one.at(now + Duration::from_millis(3)) >= one.at(now) + 3_000_000);
+    assert!(
+        one.at(now) > 1_700_000_000_000_000_000,
+        "Unix time, not time since the start"
+    );
+}
+
+/// Attempts are numbered in the order of their orders, time-outs are cut to the deadline, and what must not be sent is
+/// not.
+#[test]
+fn attempts_keep_to_cap_and_deadline() {
+    with_limiter(&[], |limiter| async move {
+        let (mut requests, now) = (limiter.engine().requests().borrow_mut(), Instant::now());
+        let deadline = requests.open(no_reply(), &mut request(1), now);
+        let host = HostId(5);
+        let order = |id| AttemptOrder {
+            begins_within: 1,
+            ..attempt_order(id, host)
+        };
+        for timeout in [0, 5_000_000_000, 1_000_000, 0] {
+            let order = AttemptOrder {
+                timeout,
+                ..attempt_order(1, host)
+            };
+            let call = requests.begin_attempt(order, now).expect("within the cap");
+            let expected = if timeout == 1_000_000 {
+                now + Duration::from_millis(1)
+            } else {
+                deadline
+            };
+            assert_eq!(call.deadline, expected);
+        }
+        assert_eq!(requests.begin_attempt(order(1), now).err(), Some(4));
+        requests.open(no_reply(), &mut request(2), now);
+        assert_eq!(requests.begin_attempt(order(2), deadline).err(), Some(0));
+        assert_eq!(requests.begin_attempt(order(3), now).err(), Some(0));
+        // An id is in use until its last attempt has ended.
+        requests.close(RequestId(1));
+        assert!(requests.contains(RequestId(1)));
+        for attempt in 0..4 {
+            requests.end_attempt(AttemptId {
+                request: RequestId(1),
+                attempt,
+            });
+        }
+        assert!(!requests.contains(RequestId(1)));
+    });
+}
--- /dev/null
+++ b/src/net/frontend/tests.rs
@@ -0,0 +1,45 @@
+//! A frontend of any protocol needs its context alone.
+
+use super::*;
+use crate::api::Event;
+use crate::net::engine::tests::{request, RecordingFrontend};
+use crate::net::engine::Answer;
+use crate::net::stages::complete;
+use crate::net::tests::{next, with_limiter};
+
+/// What a frontend hands in reaches the engine and is answered once, and what its client abandons is reported.
+#[test]
+fn a_second_frontend_needs_its_context_alone() {
+    with_limiter(&[], |limiter| async move {
+        let context = limiter.pipeline().frontend_context();
+        let frontend = Rc::new(RecordingFrontend::default());
+        let hand_in = |place, id| {
+            context
+                .handler
+                .handle_request(frontend.clone(), place, request(id));
+        };
+        hand_in(7, 1);
+        hand_in(8, 2);
+        // An id that is open already is no second request.
+        hand_in(9, 1);
+        assert_eq!(*frontend.0.borrow(), [(9, Answer::Failed)]);
+        context.handler.abandon_request(RequestId(2));
+        complete::give_up(limiter.pipeline(), RequestId(1));
+        assert_eq!(
+            frontend.0.borrow().as_slice(),
+            [(9, Answer::Failed), (7, Answer::Failed)]
+        );
+        for expected in [1, 2] {
+            let event = next(&limiter).await;
+            assert!(
+                matches!(event, Event::Request { id, .. } if id == RequestId(expected)),
+                "{event:?}"
+            );
+        }
+        assert!(matches!(
+            next(&limiter).await,
+            Event::Abandoned { id: RequestId(2) }
+        ));
+        assert_eq!(context.buffered_bytes.get(), 0);
+    });
+}
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -4,9 +4,12 @@
 
 pub mod listener_handover;
 
+use super::config::Limits;
+use super::discovery::{self, DiscoveryClient};
+use super::engine::EngineDriver;
 use super::shutdown::unix;
+use super::shutdown::Shutdown;
 use super::task::spawn;
-use super::{discovery, Limiter};
 use crate::api::{Event, Nanos};
 use quartzcleat_admin::{Heritage, State, Switch, VERSION};
 use std::cell::{Cell, RefCell};
@@ -23,6 +26,10 @@
 
 /// What is held of the other process, and of what it is told.
 pub struct HotRestart {
+    limits: Rc<Limits>,
+    engine: Rc<EngineDriver>,
+    discovery: Rc<DiscoveryClient>,
+    shutdown: Rc<Shutdown>,
     name: String,
     listen: String,
     born: Nanos,
@@ -42,11 +49,33 @@
     heirs: RefCell<HashSet<String>>,
 }
 
+/// The parts of a limiter that two of its processes share the state of.
+pub struct HotRestartParts {
+    /// Sizes, counts and times.
+    pub limits: Rc<Limits>,
+    /// Hands over what it has learned.
+    pub engine: Rc<EngineDriver>,
+    /// Hands over its endpoint list; maintenance of either process holds for both.
+    pub discovery: Rc<DiscoveryClient>,
+    /// Draining of either process holds for both.
+    pub shutdown: Rc<Shutdown>,
+}
+
 impl HotRestart {
     /// Nothing known of another process. Without a console there is none.
-    pub fn new(name: &str, listen: SocketAddr, shared: bool) -> Self {
+    pub fn new(parts: HotRestartParts, name: &str, listen: SocketAddr, shared: bool) -> Self {
+        let HotRestartParts {
+            limits,
+            engine,
+            discovery,
+            shutdown,
+        } = parts;
         let born = unix();
         HotRestart {
+            limits,
+            engine,
+            discovery,
+            shutdown,
             name: name.to_owned(),
             listen: listen.to_string(),
             born,
@@ -82,15 +111,15 @@
         self.other.get().is_some_and(|born| born > self.born)
     }
 
-    fn state(&self, limiter: &Limiter) -> State {
-        let bans = limiter.bans.borrow();
+    fn state(&self) -> State {
+        let bans = self.discovery.maintenance().borrow();
         State {
             version: VERSION,
             name: self.name.clone(),
             listen: self.listen.clone(),
             born: self.born,
             serving: self.serving.get(),
-            drain: limiter.shutdown.switch(),
+            drain: self.shutdown.switch(),
             words: bans.words().clone(),
             listed: bans.names().cloned().collect(),
         }
@@ -98,20 +127,19 @@
 }
 
 /// Writes what this process tells, if it has changed.
-pub fn publish(limiter: &Rc<Limiter>) {
-    let hot_restart = &limiter.hot_restart;
+pub fn publish(hot_restart: &HotRestart) {
     let Some(folder) = &hot_restart.folder else {
         return;
     };
     let told = Some((
-        limiter.bans.borrow().revision(),
-        limiter.shutdown.switch(),
+        hot_restart.discovery.maintenance().borrow().revision(),
+        hot_restart.shutdown.switch(),
         hot_restart.serving.get(),
     ));
     if hot_restart.published.get() == told {
         return;
     }
-    let text = hot_restart.state(limiter).write();
+    let text = hot_restart.state().write();
     let write = || {
         if hot_restart.lock.borrow().is_none() {
             let lock = File::create(folder.join(format!("{}.lock", hot_restart.own)))?;
@@ -144,8 +172,7 @@
 }
 
 /// Takes in what other processes of this limiter tell; the word of one that has ended holds too.
-pub fn look(limiter: &Rc<Limiter>) {
-    let hot_restart = &limiter.hot_restart;
+pub fn look(hot_restart: &HotRestart) {
     let Some(folder) = &hot_restart.folder else {
         return;
     };
@@ -186,7 +213,7 @@
             other = other.max(Some(state.born));
         }
         if alive && !state.serving && state.born > hot_restart.born && hot_restart.serving.get() {
-            hand_over(limiter, folder, stem);
+            hand_over(hot_restart, folder, stem);
         }
         let known = hot_restart
             .seen
@@ -194,7 +221,7 @@
             .insert(file.clone(), text.clone())
             == Some(text);
         if !known {
-            take(limiter, &state);
+            take(hot_restart, &state);
         }
         if !alive {
             // Its words are told anew by this process first.
@@ -204,32 +231,34 @@
         }
     }
     // Guards against two processes that hold together more than one may.
-    limiter.limits.sharers.set(1 + usize::from(other.is_some()));
+    hot_restart
+        .limits
+        .sharers
+        .set(1 + usize::from(other.is_some()));
     if hot_restart.other.replace(other).is_some() != other.is_some() {
         tracing::info!(beside = other.is_some(), "another process of this limiter");
     }
 }
 
-fn take(limiter: &Rc<Limiter>, state: &State) {
-    let mut bans = limiter.bans.borrow_mut();
+fn take(hot_restart: &HotRestart, state: &State) {
+    let mut bans = hot_restart.discovery.maintenance().borrow_mut();
     state.listed.iter().for_each(|name| bans.list(name));
     let changed = bans.merge(&state.words);
     drop(bans);
     changed
         .iter()
-        .for_each(|name| discovery::judge_again(limiter, name));
-    limiter.shutdown.say(|doors| doors.merge(state.drain));
+        .for_each(|name| discovery::judge_again(&hot_restart.discovery, name));
+    hot_restart.shutdown.say(|doors| doors.merge(state.drain));
 }
 
 /// Hands over what this process knows to a later one that is about to take clients, once.
-fn hand_over(limiter: &Rc<Limiter>, folder: &Path, heir: &str) {
-    let hot_restart = &limiter.hot_restart;
+fn hand_over(hot_restart: &HotRestart, folder: &Path, heir: &str) {
     if !hot_restart.heirs.borrow_mut().insert(heir.to_owned()) {
         return;
     }
     let (endpoints, learned) = (
-        limiter.endpoints.borrow(),
-        limiter.engine.borrow().learned(),
+        hot_restart.discovery.endpoints().borrow(),
+        hot_restart.engine.snapshot(),
     );
     let told = Heritage::new(
         &hot_restart.name,
@@ -250,8 +279,7 @@
 }
 
 /// Takes what another process handed over, if it has; whether nothing more is to be waited for.
-pub fn inherit(limiter: &Rc<Limiter>) -> bool {
-    let hot_restart = &limiter.hot_restart;
+pub fn inherit(hot_restart: &HotRestart) -> bool {
     let Some(folder) = &hot_restart.folder else {
         return true;
     };
@@ -267,12 +295,12 @@
             return true;
         }
     };
-    if !limiter.endpoints.borrow().answered() {
-        if let Err(problem) = discovery::restore(limiter, &told.list) {
+    if !hot_restart.discovery.endpoints().borrow().answered() {
+        if let Err(problem) = discovery::restore(&hot_restart.discovery, &told.list) {
             tracing::warn!("the list that another process handed over is left alone: {problem}");
         }
     }
-    let mut endpoints = limiter.endpoints.borrow_mut();
+    let mut endpoints = hot_restart.discovery.endpoints().borrow_mut();
     for (zone, ..) in &mut told.learned.zones {
         *zone = endpoints.zone(&told.zones, *zone);
     }
@@ -282,21 +310,21 @@
         customers = told.learned.customers.len(),
         "goes on from what the process before it knew"
     );
-    limiter.tell(Event::SnapshotInherited {
+    hot_restart.engine.handle(Event::SnapshotInherited {
         learned: Box::new(told.learned),
     });
     true
 }
 
-/// Tells and looks now and then.
-pub fn start(limiter: &Rc<Limiter>) {
-    publish(limiter);
-    let limiter = limiter.clone();
+/// Publishes and looks at short intervals from now on.
+pub fn start(hot_restart: &Rc<HotRestart>) {
+    publish(hot_restart);
+    let hot_restart = hot_restart.clone();
     spawn(async move {
         loop {
-            sleep(limiter.limits.look).await;
-            look(&limiter);
-            publish(&limiter);
+            sleep(hot_restart.limits.look).await;
+            look(&hot_restart);
+            publish(&hot_restart);
         }
     });
 }
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -1,139 +1,272 @@
 //! One limiter process: owns its parts, starts them, serves clients, and ends in order.
 
+use super::admin::{self, AdminContext};
 use super::config::{Addresses, Config, Limits};
+use super::counter::{self, CounterClient};
 use super::discovery::backoff::Backoff;
-use super::discovery::EndpointList;
-use super::engine::Engine;
-use super::hot_restart::HotRestart;
-use super::metrics::Metrics;
-use super::resp::downstream::{self, Downstream, RequestCatalog};
+use super::discovery::{self, DiscoveryClient, DiscoveryParts, EndpointList};
+use super::engine::EngineDriver;
+use super::hot_restart::{self, HotRestart, HotRestartParts};
+use super::leases;
+use super::metrics::{self, Metrics, SharedMetrics};
+use super::reload::{ConfigReloader, ReloadParts};
+use super::resp::downstream::{self, Downstream};
 use super::resp::upstream::Upstream;
-use super::{
-    admin, counter, discovery, hot_restart, leases, metrics, reload, shutdown, stages, task,
-    usage_export,
-};
-use crate::api::{Action, Event};
-use quartzcleat_admin::{Bans, Numbers};
+use super::shutdown::{self, Shutdown};
+use super::stages::{complete, Pipeline};
+use super::task::spawn;
+use quartzcleat_config::lease::Lease;
 use serde_json::Value;
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tokio::task::LocalSet;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
-/// All parts of one limiter. One thread runs them; nothing is borrowed across a wait.
+#[cfg(test)]
+pub(crate) mod tests;
+
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+
+/// All parts of one limiter. One thread runs them; nothing is borrowed across an await.
 pub struct Limiter {
     /// Sizes, counts and times.
-    pub limits: Rc<Limits>,
-    /// The module and what is open.
-    pub engine: RefCell<Engine>,
-    /// Where the services listen, for those who follow their moves.
-    pub addresses: watch::Sender<Addresses>,
+    limits: Rc<Limits>,
+    /// The decision engine, and the open requests.
+    engine: Rc<EngineDriver>,
     /// Hosts and the connections to them.
-    pub upstream: Upstream,
-    /// The counter service.
-    pub counter: counter::Counter,
-    /// How far the end of the program has come.
-    pub shutdown: Rc<shutdown::Shutdown>,
-    /// Discovery's list as last told.
-    pub endpoints: RefCell<EndpointList>,
-    /// Told when the watch of discovery is behind, and is to be opened anew.
-    pub reopen_watch: Notify,
-    /// The numbers of classes and plans.
-    pub numbers: RefCell<Numbers>,
-    /// What a request may ask for.
-    pub terms: Rc<RefCell<RequestCatalog>>,
-    /// The configuration in force, as it was read.
-    pub file: RefCell<Value>,
-    /// Servers that staff took out of service.
-    pub bans: RefCell<Bans>,
+    upstream: Rc<Upstream>,
+    /// The connections to the counter.
+    counter: Rc<CounterClient>,
+    /// The endpoint list.
+    discovery: Rc<DiscoveryClient>,
+    /// The phase of the shutdown, and the number of client connections.
+    shutdown: Rc<Shutdown>,
     /// The other process of this limiter, while a new version takes over.
-    pub hot_restart: HotRestart,
-    /// What is written down of each customer's use; nothing where it is not exported.
-    pub usage_recorder: OnceCell<Rc<usage_export::UsageRecorder>>,
-    /// What is counted for those who watch, and how often it is told; nothing where nobody asked.
-    pub metrics: Option<(Duration, RefCell<Metrics>)>,
-    telling: Cell<bool>,
-    actions: Cell<Vec<Action>>,
+    hot_restart: Rc<HotRestart>,
+    /// What the admin interface reads and changes.
+    admin: Rc<AdminContext>,
+    /// The configuration in force.
+    reloader: Rc<ConfigReloader>,
+    /// The stages that a request passes.
+    pipeline: Rc<Pipeline>,
+    /// What is counted for operators, and how often it is logged; `None` where the configuration does not ask for it.
+    metrics: Option<MetricsLog>,
+}
+
+/// Metrics and the interval at which they are logged.
+struct MetricsLog {
+    every: Duration,
+    metrics: SharedMetrics,
+}
+
+/// How a limiter starts, beyond the parts that it consists of.
+struct StartOptions {
+    listen: SocketAddr,
+    admin: Option<SocketAddr>,
+    known_hosts: Value,
+    lease: Option<Lease>,
+    backoff: Backoff,
 }
 
 impl Limiter {
-    /// A limiter that has been told nothing and is connected to nothing yet.
-    pub fn new(config: Config) -> Rc<Self> {
-        let Config {
-            name,
-            listen,
-            console,
-            settings,
+    /// A limiter that has received nothing and is connected to nothing yet.
+    pub fn new(config: Config) -> Self {
+        let metrics = config.metrics.map(|every| MetricsLog {
+            every,
+            metrics: Rc::new(RefCell::new(Metrics::new(config.name.clone()))),
+        });
+        let shared_metrics = metrics.as_ref().map(|log| log.metrics.clone());
+        let addresses = watch::Sender::new(config.addresses);
+        let has_admin = config.console.is_some();
+        let limits = Rc::new(config.limits);
+        let shutdown = Rc::new(Shutdown::new(&limits));
+        let upstream = Rc::new(Upstream::new(config.settings.reports));
+        let engine = Rc::new(EngineDriver::new(
+            config.settings.clone(),
+            config.seed,
+            &limits,
+            shared_metrics.clone(),
+        ));
+        let counter = new_counter(&limits, &engine, addresses.subscribe());
+        let pipeline = Pipeline::new(
+            limits.clone(),
+            engine.clone(),
+            upstream.clone(),
+            counter.clone(),
+            shutdown.clone(),
+            shared_metrics.clone(),
+        );
+        let discovery_parts = DiscoveryParts {
+            limits: limits.clone(),
+            engine: engine.clone(),
+            upstream: upstream.clone(),
+            addresses: addresses.subscribe(),
+            metrics: shared_metrics,
+        };
+        let endpoints = EndpointList::new(config.zones, config.kinds);
+        let discovery = Rc::new(DiscoveryClient::new(discovery_parts, endpoints, has_admin));
+        let hot_restart_parts = HotRestartParts {
+            limits: limits.clone(),
+            engine: engine.clone(),
+            discovery: discovery.clone(),
+            shutdown: shutdown.clone(),
+        };
+        let hot_restart = Rc::new(HotRestart::new(
+            hot_restart_parts,
+            &config.name,
+            config.listen,
+            has_admin,
+        ));
+        let admin = Rc::new(AdminContext {
+            limits: limits.clone(),
+            discovery: discovery.clone(),
+            shutdown: shutdown.clone(),
+            hot_restart: hot_restart.clone(),
+        });
+        let reload_parts = ReloadParts {
+            limits: limits.clone(),
+            engine: engine.clone(),
+            upstream: upstream.clone(),
+            discovery: discovery.clone(),
             addresses,
-            seed,
+        };
+        let reloader = ConfigReloader::new(reload_parts, config.file, &config.settings);
+        Limiter {
             limits,
-            metrics,
-            zones,
-            kinds,
-            file,
-            ..
-        } = config;
-        let numbers = Numbers::new(&settings);
-        let hot_restart = HotRestart::new(&name, listen, console.is_some());
-        Rc::new(Limiter {
-            upstream: Upstream::new(settings.reports),
-            addresses: watch::Sender::new(addresses),
-            counter: counter::Counter::new(&limits),
-            shutdown: Rc::new(shutdown::Shutdown::new(&limits)),
-            endpoints: RefCell::new(EndpointList::new(zones, kinds)),
-            reopen_watch: Notify::new(),
-            bans: RefCell::default(),
+            engine,
+            upstream,
+            counter,
+            discovery,
+            shutdown,
             hot_restart,
-            terms: Rc::new(RefCell::new(RequestCatalog::of(
-                &settings,
-                numbers.heard(0),
-            ))),
-            numbers: RefCell::new(numbers),
-            file: RefCell::new(file),
-            engine: RefCell::new(Engine::new(settings, seed, &limits)),
-            metrics: metrics.map(|every| (every, RefCell::new(Metrics::new(name)))),
-            usage_recorder: OnceCell::new(),
-            limits: Rc::new(limits),
-            telling: Cell::default(),
-            actions: Cell::default(),
-        })
+            admin,
+            reloader: Rc::new(reloader),
+            pipeline,
+            metrics,
+        }
+    }
+
+    /// Starts all parts, serves clients until the process is asked to end, and ends in order.
+    async fn run(self, options: StartOptions) -> Result<(), String> {
+        // First, so that no signal finds the process without a handler.
+        self.watch_signals()?;
+        if let Some(lease) = options.lease {
+            self.start_leases(lease).await?;
+        }
+        // What another process knows goes before the list of the configuration.
+        hot_restart::look(&self.hot_restart);
+        discovery::restore(&self.discovery, &options.known_hosts)?;
+        self.start_clients(options.backoff);
+        let admin_listener = match options.admin {
+            Some(address) => Some(bind_admin(address).await?),
+            None => None,
+        };
+        if self.hot_restart.beside() {
+            self.catch_up().await;
+        }
+        let listen = options.listen;
+        let listener =
+            open(listen).map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
+        if let Some(admin_listener) = admin_listener {
+            self.start_admin(admin_listener);
+        }
+        let context = self.pipeline.frontend_context();
+        let downstream = Rc::new(Downstream::new(context, self.reloader.catalog()));
+        downstream::accept(&downstream, listener).await;
+        self.finish().await;
+        Ok(())
+    }
+
+    fn watch_signals(&self) -> Result<(), String> {
+        let hot_restart = self.hot_restart.clone();
+        shutdown::watch(&self.shutdown, move || {
+            // Another process may have started a moment ago.
+            hot_restart::look(&hot_restart);
+            hot_restart.relieved()
+        })?;
+        self.reloader.watch()
+    }
+
+    async fn start_leases(&self, lease: Lease) -> Result<(), String> {
+        let usage_recorder = leases::usage_recorder(&lease)?;
+        if let Some(usage_recorder) = &usage_recorder {
+            self.pipeline.record_usage(usage_recorder.clone());
+        }
+        leases::start(lease, &self.shutdown, usage_recorder).await
+    }
+
+    /// Starts the clients of the counter and of discovery, and the log of the metrics.
+    fn start_clients(&self, backoff: Backoff) {
+        counter::start(&self.counter);
+        if let Some(MetricsLog { every, metrics }) = &self.metrics {
+            let (engine, upstream) = (self.engine.clone(), self.upstream.clone());
+            metrics::start(metrics.clone(), *every, engine, upstream);
+        }
+        spawn(discovery::follow(self.discovery.clone(), backoff));
+        if !self.limits.list_by_asking {
+            spawn(discovery::check(self.discovery.clone()));
+        }
+    }
+
+    /// Waits, for a bounded time, for the endpoint list and for what the other process of this limiter hands over. A
+    /// process that took clients without them would reject requests that the other one still serves.
+    async fn catch_up(&self) {
+        hot_restart::publish(&self.hot_restart);
+        let until = Instant::now() + self.limits.catch_up;
+        while !self.discovery.has_answered() && Instant::now() < until {
+            sleep(self.limits.last_moment).await;
+        }
+        let until = Instant::now() + self.limits.inherit;
+        while !hot_restart::inherit(&self.hot_restart) && Instant::now() < until {
+            sleep(self.limits.last_moment).await;
+        }
     }
 
-    /// Tells the module what happened and carries out what it orders. What that causes in turn waits until all
-    /// its actions are done: the module is never called from within its own actions.
-    pub fn tell(self: &Rc<Self>, event: Event) {
-        self.engine.borrow_mut().tell(event);
-        if self.telling.replace(true) {
-            return;
+    fn start_admin(&self, listener: TcpListener) {
+        self.hot_restart.serving();
+        hot_restart::start(&self.hot_restart);
+        spawn(admin::accept(self.admin.clone(), listener));
+    }
+
+    /// Waits until every connection is closed and every request answered. Shortly before the process has to be gone,
+    /// whatever is still open is failed, so that no request stays unanswered.
+    async fn finish(&self) {
+        let last = self
+            .shutdown
+            .last_answers(&self.limits)
+            .unwrap_or_else(Instant::now);
+        let mut connections = self.shutdown.connection_changes();
+        // Past the time, what is still open is failed below.
+        let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
+        // The attempts of a client that has gone end by themselves; no answer is due for them.
+        while self.engine.requests().borrow().count() > 0 && Instant::now() < last {
+            sleep(self.limits.last_moment).await;
         }
-        let mut actions = self.actions.take();
-        loop {
-            let cause = self.metrics.as_ref().and_then(|(_, metrics)| {
-                self.engine
-                    .borrow()
-                    .next()
-                    .map(|event| metrics.borrow_mut().told(event))
-            });
-            let more = self.engine.borrow_mut().step(&mut actions);
-            if !more {
-                break;
-            }
-            if let (Some((_, metrics)), Some(cause)) = (&self.metrics, cause) {
-                metrics.borrow_mut().ordered(cause, &actions);
-            }
-            for action in actions.drain(..) {
-                stages::route::carry_out(self, action);
-            }
+        let open = self.engine.requests().borrow().ids();
+        for id in open {
+            complete::give_up(&self.pipeline, id);
         }
-        self.actions.set(actions);
-        self.telling.set(false);
+        let end = last + self.limits.last_answers.get();
+        // Past the time the process ends with whatever connections are left.
+        let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
     }
 }
 
-/// Serves until told to end.
+fn new_counter(
+    limits: &Rc<Limits>,
+    engine: &Rc<EngineDriver>,
+    addresses: watch::Receiver<Addresses>,
+) -> Rc<CounterClient> {
+    let client = CounterClient::new(limits.clone(), engine.clone(), addresses);
+    Rc::new(client)
+}
+
+/// Serves until the process is asked to end.
 ///
 /// # Errors
 /// A part cannot start: the runtime, a signal handler, a listening socket, the leases or the usage export.
@@ -142,72 +275,19 @@
         .enable_all()
         .build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    let options = StartOptions {
+        listen: config.listen,
+        admin: config.console,
+        known_hosts: config.known.clone(),
+        lease: config.lease.clone(),
+        backoff: Backoff::of(&config.limits, config.seed),
+    };
+    LocalSet::new().block_on(&runtime, async { Limiter::new(config).run(options).await })
 }
 
-async fn run(config: Config) -> Result<(), String> {
-    let (listen, console, known) = (config.listen, config.console, config.known.clone());
-    let lease = config.lease.clone();
-    let backoff = Backoff::of(&config.limits, config.seed);
-    let limiter = Limiter::new(config);
-    // Before anything is answered, so that no signal finds the program without a handler.
-    shutdown::watch(&limiter)?;
-    reload::watch(&limiter)?;
-    if let Some(lease) = lease {
-        if let Some(usage_recorder) = leases::usage_recorder(&lease)? {
-            let _ = limiter.usage_recorder.set(usage_recorder);
-        }
-        leases::start(
-            lease,
-            &limiter.shutdown,
-            limiter.usage_recorder.get().cloned(),
-        )
-        .await?;
-    }
-    // What another process knows goes before the first list is believed.
-    hot_restart::look(&limiter);
-    discovery::restore(&limiter, &known)?;
-    counter::start(&limiter);
-    metrics::start(&limiter);
-    task::spawn(discovery::follow(limiter.clone(), backoff));
-    if !limiter.limits.list_by_asking {
-        task::spawn(discovery::check(limiter.clone()));
-    }
-    let staff = match console {
-        None => None,
-        Some(at) => {
-            let bound = TcpListener::bind(at).await;
-            Some(bound.map_err(|e| format!("console: cannot listen on {at}: {e}"))?)
-        }
-    };
-    // Guards against clients that are refused for want of hosts while the process before this one still serves them.
-    if limiter.hot_restart.beside() {
-        hot_restart::publish(&limiter);
-        let until = Instant::now() + limiter.limits.catch_up;
-        while !limiter.endpoints.borrow().answered() && Instant::now() < until {
-            sleep(limiter.limits.last_moment).await;
-        }
-        let until = Instant::now() + limiter.limits.inherit;
-        while !hot_restart::inherit(&limiter) && Instant::now() < until {
-            sleep(limiter.limits.last_moment).await;
-        }
-    }
-    let listener = open(listen).map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
-    if let Some(staff) = staff {
-        limiter.hot_restart.serving();
-        hot_restart::start(&limiter);
-        task::spawn(admin::accept(limiter.clone(), staff));
-    }
-    downstream::accept(
-        &Rc::new(Downstream::new(
-            stages::accept::frontend_context(&limiter),
-            limiter.terms.clone(),
-        )),
-        listener,
-    )
-    .await;
-    shutdown::finish(&limiter).await;
-    Ok(())
+async fn bind_admin(address: SocketAddr) -> Result<TcpListener, String> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|e| format!("console: cannot listen on {address}: {e}"))
 }
 
 /// Listens for clients, beside another process of this limiter if there is one.
@@ -223,45 +303,5 @@
         tracing::info!("no second process can listen beside this one: {e}");
     }
     socket.bind(listen)?;
-    socket.listen(1024)
-}
-
-#[cfg(test)]
-pub(crate) mod tests {
-    use super::*;
-    use std::future::Future;
-
-    /// A limiter of the example's settings with some of the text changed, on a thread of its own. What the
-    /// module would be told stays in the queue, for the test to look at.
-    pub(crate) fn with_limiter<F: Future<Output = ()>>(
-        changes: &[(&str, &str)],
-        test: impl FnOnce(Rc<Limiter>) -> F,
-    ) {
-        let text = include_str!("../../examples/toy.json").to_owned();
-        let text = changes.iter().fold(text, |text, (from, to)| {
-            assert!(text.contains(from), "the example holds {from}");
-            text.replace(from, to)
-        });
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build();
-        LocalSet::new().block_on(&runtime.expect("a runtime starts"), async {
-            let limiter = Limiter::new(
-                super::super::config::read(&text, |_| None).expect("the configuration is sound"),
-            );
-            limiter.telling.set(true);
-            test(limiter).await;
-        });
-    }
-
-    /// Waits for the next event that the module would be told.
-    pub(crate) async fn next(limiter: &Rc<Limiter>) -> Event {
-        loop {
-            let event = limiter.engine.borrow_mut().untold();
-            if let Some(event) = event {
-                return event;
-            }
-            tokio::time::sleep(limiter.limits.last_moment).await;
-        }
-    }
+    socket.listen(LISTEN_BACKLOG)
 }
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -2,13 +2,16 @@
 //! now and then, so that many limiters' lines can be added up by second. Off unless our own file asks for it; it
 //! decides nothing, and nothing that decides looks at it.
 
+use super::engine::EngineDriver;
+use super::resp::upstream::Upstream;
 use super::task::spawn;
-use super::Limiter;
 use crate::api::{Action, Event, HostId, Nanos, Outcome};
 use quartzcleat_decision::EngineStatus;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::interval;
 
 /// The target of its log lines, which the limit on repeats leaves alone.
@@ -62,6 +65,9 @@
     }
 }
 
+/// The metrics of one limiter, which several of its parts add to.
+pub type SharedMetrics = Rc<RefCell<Metrics>>;
+
 impl Metrics {
     /// Nothing counted yet.
     pub fn new(name: String) -> Self {
@@ -218,23 +224,19 @@
     }
 }
 
-/// Tells the tally as often as our own file asks for it.
-pub fn start(limiter: &Rc<Limiter>) {
-    if limiter.metrics.is_none() {
-        return;
-    }
-    let limiter = limiter.clone();
+/// Writes the metrics at an interval from now on.
+pub fn start(
+    metrics: SharedMetrics,
+    every: Duration,
+    engine: Rc<EngineDriver>,
+    upstream: Rc<Upstream>,
+) {
     spawn(async move {
-        let Some((every, metrics)) = &limiter.metrics else {
-            return;
-        };
-        let mut due = interval(*every);
+        let mut due = interval(every);
         loop {
             due.tick().await;
-            let (now, view) = limiter.engine.borrow().view();
-            metrics
-                .borrow_mut()
-                .tell(now, &view, &limiter.upstream.links());
+            let (now, status) = (engine.now(), engine.status());
+            metrics.borrow_mut().tell(now, &status, &upstream.links());
         }
     });
 }
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -1,11 +1,12 @@
 //! Settings that change while requests are under way: nothing of the old ones outlives them under another's name or index.
 
 use super::*;
-use crate::api::{Outcome, ReportSource, RequestId};
-use crate::net::engine::tests::{request, RecordingFrontend};
+use crate::api::{HostId, Outcome, ReportSource};
+use crate::net::engine::tests::{attempt_order, no_reply, request};
 use crate::net::engine::{HostCall, HostCommand};
 use crate::net::resp::codec;
 use crate::net::tests::{next, with_limiter};
+use crate::net::Limiter;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -13,23 +14,18 @@
 
 /// Takes a file in, which is sound.
 fn take(limiter: &Rc<Limiter>, text: &str) {
-    let read = config::reread(&limiter.file.borrow(), text, |_| None);
+    let read = config::reread(&limiter.reloader().file.borrow(), text, |_| None);
     assert!(read.is_ok(), "{:?}", read.err());
-    apply(limiter, read);
+    limiter.reloader().apply(read);
 }
 
 /// An attempt of a request that is under way.
 fn under_way(limiter: &Rc<Limiter>, id: u64) -> HostCall {
     let now = Instant::now();
-    let mut engine = limiter.engine.borrow_mut();
-    engine.open(
-        Rc::new(RecordingFrontend::default()),
-        0,
-        &mut request(id),
-        now,
-    );
-    engine
-        .begin(RequestId(id), crate::api::HostId(5), (0, u64::MAX), now)
+    let mut requests = limiter.engine().requests().borrow_mut();
+    requests.open(no_reply(), &mut request(id), now);
+    requests
+        .begin_attempt(attempt_order(id, HostId(5)), now)
         .expect("within the cap")
 }
 
@@ -42,16 +38,16 @@
         assert!(matches!(relay.command, HostCommand::Attempt { .. }));
         let answer = b"*3\r\n$3\r\nbed\r\n$-1\r\n$10\r\ninflight=7\r\n";
         let load = || {
-            let (reply, _) = codec::reply(answer, &limiter.limits)
+            let (reply, _) = codec::reply(answer, limiter.limits())
                 .expect("sound")
                 .expect("whole");
             let (end, _) = limiter
-                .upstream
+                .upstream()
                 .end(&reply, answer, &relay.command, relay.host);
             assert_eq!(end.outcome, Outcome::Good);
             end.load.len()
         };
-        let idle = || limiter.limits.south_idle.get();
+        let idle = || limiter.limits().south_idle.get();
         assert_eq!((load(), idle()), (0, Duration::from_secs(15)));
         let new = TOY.replace("\"how\": \"none\"", "\"how\": \"answers\"");
         take(
@@ -62,7 +58,7 @@
             matches!(next(&limiter).await, Event::SettingsChanged { .. }),
             "the file is sound"
         );
-        assert_eq!(limiter.upstream.reports.get(), ReportSource::Answers);
+        assert_eq!(limiter.upstream().reports.get(), ReportSource::Answers);
         assert_eq!((load(), idle()), (1, Duration::from_secs(2)));
     });
 }
@@ -72,7 +68,7 @@
 #[test]
 fn a_file_in_another_order_moves_nothing_under_another_s_index() {
     with_limiter(&[], |limiter| async move {
-        let named = |name: &str| limiter.terms.borrow().class(name);
+        let named = |name: &str| limiter.reloader().catalog.borrow().class(name);
         assert_eq!((named("bed-check"), named("bed-hold")), (Some(0), Some(1)));
         // The names change places: what was safe to repeat is now called as what was not.
         let new = TOY
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -202,13 +202,13 @@
     // The words alone, one behind another: their places move up by what stood between them.
     let mut payload = Payload {
         bytes: Vec::with_capacity(command.length),
-        words: Vec::new(),
+        arguments: Vec::new(),
         wait: 0..0,
     };
     for (i, word) in words.iter().enumerate() {
         let start = payload.bytes.len();
         payload.bytes.extend_from_slice(&bytes[word.clone()]);
-        payload.words.push(start..payload.bytes.len());
+        payload.arguments.push(start..payload.bytes.len());
         if i == 3 {
             payload.wait = place.start - word.start + start..place.end - word.start + start;
         }
@@ -221,7 +221,7 @@
         customer,
         units,
         spread,
-        first,
+        first_limiter: first,
         flags,
         wait,
         payload,
@@ -232,8 +232,10 @@
 fn write_answer(answer: &Answer, out: &mut Vec<u8>) {
     match answer {
         Answer::Served(value) => codec::write_bulk(value, out),
-        Answer::BackOff(Duration::ZERO) => out.extend_from_slice(b"-BUSY\r\n"),
-        Answer::BackOff(wait) => {
+        Answer::Rejected {
+            retry_after: Duration::ZERO,
+        } => out.extend_from_slice(b"-BUSY\r\n"),
+        Answer::Rejected { retry_after: wait } => {
             let _ = write!(
                 Text(out),
                 "-BUSY {}\r\n",
@@ -241,7 +243,7 @@
             );
         }
         // Its head; the value follows through the pipe.
-        Answer::Begun(pipe) => codec::write_head('$', pipe.length(), out),
+        Answer::Streaming(pipe) => codec::write_head('$', pipe.length(), out),
         Answer::Failed => out.extend_from_slice(b"-ERR failed\r\n"),
     }
 }
@@ -272,7 +274,7 @@
         self.put(
             place,
             match answer {
-                Answer::Begun(pipe) => Slot::Long(bytes, pipe),
+                Answer::Streaming(pipe) => Slot::Long(bytes, pipe),
                 _ => Slot::Ready(bytes),
             },
         );
@@ -521,7 +523,7 @@
 }
 
 async fn serve(north: &Rc<Downstream>, mut stream: TcpStream, crowded: bool) {
-    let held = north.frontend_context.held.clone();
+    let held = north.frontend_context.buffered_bytes.clone();
     let owed = Rc::new(Owed {
         slots: RefCell::default(),
         first: Cell::default(),
@@ -536,7 +538,7 @@
     held.set(held.get() - if let Over::Lost(lost) = over { lost } else { 0 });
     for slot in slots {
         match slot {
-            Slot::Open(id) => north.frontend_context.entry.leave(id),
+            Slot::Open(id) => north.frontend_context.handler.abandon_request(id),
             Slot::Ready(bytes) => held.set(held.get() - bytes.len()),
             Slot::Long(_, pipe) => pipe.leave(),
         }
@@ -737,13 +739,15 @@
             if crowded {
                 owed.answer(
                     place,
-                    Answer::BackOff(north.frontend_context.limits.back_off.get()),
+                    Answer::Rejected {
+                        retry_after: north.frontend_context.limits.back_off.get(),
+                    },
                 );
             } else {
                 north
                     .frontend_context
-                    .entry
-                    .ask(owed.clone(), place, *request);
+                    .handler
+                    .handle_request(owed.clone(), place, *request);
             }
         }
         Ok(Asked::Here(answer)) => drop(owed.push(Slot::Ready(answer))),
@@ -767,8 +771,8 @@
     struct Nowhere;
 
     impl RequestHandler for Nowhere {
-        fn ask(&self, _: Rc<dyn Frontend>, _: u64, _: Request) {}
-        fn leave(&self, _: RequestId) {}
+        fn handle_request(&self, _: Rc<dyn Frontend>, _: u64, _: Request) {}
+        fn abandon_request(&self, _: RequestId) {}
     }
 
     fn north(text: &str) -> Downstream {
@@ -782,10 +786,10 @@
         let (shutdown, held) = (Rc::new(Shutdown::new(&limits)), Rc::default());
         Downstream::new(
             FrontendContext {
-                entry: Rc::new(Nowhere),
+                handler: Rc::new(Nowhere),
                 limits,
                 shutdown,
-                held,
+                buffered_bytes: held,
             },
             terms,
         )
--- a/src/net/resp/upstream/mod.rs
+++ b/src/net/resp/upstream/mod.rs
@@ -375,13 +375,13 @@
         return codec::write_command(&[b"INFO", b"load"], out);
     };
     let left = relay
-        .until
+        .deadline
         .saturating_duration_since(now)
         .as_millis()
         .max(1)
         .to_string();
-    codec::write_head('*', payload.words.len(), out);
-    for word in &payload.words {
+    codec::write_head('*', payload.arguments.len(), out);
+    for word in &payload.arguments {
         let wait = &payload.wait;
         if word.start <= wait.start && wait.end <= word.end && !wait.is_empty() {
             codec::write_head('$', word.len() - wait.len() + left.len(), out);
@@ -399,33 +399,27 @@
 mod tests {
     use super::*;
     use crate::api::CustomerId;
-    use crate::net::engine::tests::{request, RecordingFrontend};
+    use crate::net::engine::tests::{attempt_order, no_reply, request};
+    use crate::net::engine::{AttemptOrder, Charge};
     use crate::net::tests::with_limiter;
 
     /// The words go on as they came, the wait apart, whose length may change.
     #[test]
     fn only_the_wait_is_rewritten() {
         with_limiter(&[], |limiter| async move {
-            let (mut engine, now) = (limiter.engine.borrow_mut(), Instant::now());
-            engine.open(
-                Rc::new(RecordingFrontend::default()),
-                0,
-                &mut request(1),
-                now,
-            );
+            let now = Instant::now();
+            let mut requests = limiter.engine().requests().borrow_mut();
+            requests.open(no_reply(), &mut request(1), now);
             for (timeout, expected) in [
                 (0, "$9\r\nd=900,c=x"),
                 (42_000_000, "$8\r\nd=42,c=x"),
                 (10, "$7\r\nd=1,c=x"),
             ] {
-                let relay = engine
-                    .begin(
-                        crate::api::RequestId(1),
-                        HostId(5),
-                        (timeout, u64::MAX),
-                        now,
-                    )
-                    .expect("within the cap");
+                let order = AttemptOrder {
+                    timeout,
+                    ..attempt_order(1, HostId(5))
+                };
+                let relay = requests.begin_attempt(order, now).expect("within the cap");
                 let mut out = Vec::new();
                 write(&relay, now, &mut out);
                 assert_eq!(
@@ -440,7 +434,10 @@
     #[test]
     fn only_a_whole_right_formed_value_is_good() {
         let attempt = HostCommand::Attempt {
-            used: (CustomerId(7), 1.0),
+            charge: Charge {
+                customer: CustomerId(7),
+                units: 1.0,
+            },
             id: crate::api::RequestId(1),
             attempt: 0,
             payload: Rc::new(request(1).payload),
@@ -481,7 +478,7 @@
                     true,
                 ),
             ] {
-                let (reply, _) = codec::reply(bytes.as_bytes(), &limiter.limits)
+                let (reply, _) = codec::reply(bytes.as_bytes(), limiter.limits())
                     .expect("well-formed")
                     .expect("whole");
                 let (end, usable) = upstream.end(&reply, bytes.as_bytes(), &attempt, HostId(5));
@@ -516,7 +513,10 @@
     #[test]
     fn figures_on_use_are_read_from_answers() {
         let attempt = HostCommand::Attempt {
-            used: (CustomerId(7), 1.0),
+            charge: Charge {
+                customer: CustomerId(7),
+                units: 1.0,
+            },
             id: crate::api::RequestId(1),
             attempt: 0,
             payload: Rc::new(request(1).payload),
@@ -533,7 +533,7 @@
                 (":4\r\n$-1\r\n", 0, 0.0),
             ] {
                 let bytes = format!("*3\r\n$3\r\nbed\r\n{members}");
-                let (reply, _) = codec::reply(bytes.as_bytes(), &limiter.limits)
+                let (reply, _) = codec::reply(bytes.as_bytes(), limiter.limits())
                     .expect("well-formed")
                     .expect("whole");
                 let (end, usable) = upstream.end(&reply, bytes.as_bytes(), &attempt, HostId(5));
@@ -551,7 +551,7 @@
     fn a_connection_rests_after_an_answer() {
         with_limiter(&[], |limiter| async move {
             let (upstream, address) = (
-                &limiter.upstream,
+                limiter.upstream(),
                 "127.0.0.1:9".parse().expect("an address"),
             );
             let state = HostState::Ready;
@@ -564,23 +564,16 @@
                 address,
             );
             let now = Instant::now();
-            limiter.engine.borrow_mut().open(
-                Rc::new(RecordingFrontend::default()),
-                0,
-                &mut request(1),
-                now,
-            );
-            let relay = limiter.engine.borrow_mut().begin(
-                crate::api::RequestId(1),
-                HostId(5),
-                (0, u64::MAX),
-                now,
-            );
+            let requests = limiter.engine().requests();
+            requests.borrow_mut().open(no_reply(), &mut request(1), now);
+            let relay = requests
+                .borrow_mut()
+                .begin_attempt(attempt_order(1, HostId(5)), now);
             let mut parked = upstream.park(HostId(5), address).expect("it may wait").1;
-            let back = upstream.hand_over(relay.expect("within the cap"), &limiter.limits);
+            let back = upstream.hand_over(relay.expect("within the cap"), limiter.limits());
             let relay = back.expect_err("it answered just now");
-            tokio::time::sleep(limiter.limits.south_rest).await;
-            assert!(upstream.hand_over(relay, &limiter.limits).is_ok());
+            tokio::time::sleep(limiter.limits().south_rest).await;
+            assert!(upstream.hand_over(relay, limiter.limits()).is_ok());
             assert!(parked.try_recv().is_ok());
         });
     }
@@ -590,7 +583,7 @@
     fn a_host_that_drains_is_soon_sent_nothing() {
         with_limiter(&[], |limiter| async move {
             let (upstream, address) = (
-                &limiter.upstream,
+                limiter.upstream(),
                 "127.0.0.1:9".parse().expect("an address"),
             );
             let entry = |state| HostEntry {
@@ -600,13 +593,13 @@
             };
             let drained = Limits {
                 drain: std::time::Duration::ZERO.into(),
-                ..(*limiter.limits).clone()
+                ..limiter.limits().clone()
             };
             upstream.learn(&entry(HostState::Ready), address);
             assert_eq!(upstream.address(HostId(5), &drained), Some(address));
             let parked = upstream.park(HostId(5), address).expect("it may wait");
             upstream.keep_only(&[]);
-            assert_eq!(upstream.address(HostId(5), &limiter.limits), Some(address));
+            assert_eq!(upstream.address(HostId(5), limiter.limits()), Some(address));
             assert_eq!(upstream.address(HostId(5), &drained), None);
             // Its idle connections are let go, and it gets no new ones.
             assert!(parked.1.await.is_err());
@@ -621,7 +614,7 @@
     fn hosts_that_are_gone_are_forgotten() {
         with_limiter(&[], |limiter| async move {
             let (upstream, address) = (
-                &limiter.upstream,
+                limiter.upstream(),
                 "127.0.0.1:9".parse().expect("an address"),
             );
             let entry = |id, state| HostEntry {
@@ -631,12 +624,12 @@
             };
             let over = Limits {
                 drain: std::time::Duration::ZERO.into(),
-                ..(*limiter.limits).clone()
+                ..limiter.limits().clone()
             };
             (1..5).for_each(|id| upstream.learn(&entry(id, HostState::Ready), address));
             upstream.learn(&entry(2, HostState::Gone), address);
             upstream.learn(&entry(3, HostState::Draining), address);
-            upstream.forget(&limiter.limits);
+            upstream.forget(limiter.limits());
             assert!(
                 (1..5).all(|id| upstream.knows(HostId(id))),
                 "what was decided before may still go out"
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -3,20 +3,21 @@
 //! connections close between requests, and the program ends once all that was taken is answered.
 
 use super::config::Limits;
-use super::stages::complete;
 use super::task::spawn;
-use super::{hot_restart, Limiter};
 use crate::api::Nanos;
 use quartzcleat_admin::{Doors, Switch, Times};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{timeout, Instant};
 
 pub use quartzcleat_admin::Phase;
 
+/// How long after a phase is due the step to it is taken.
+const STEP_MARGIN: Duration = Duration::from_millis(1);
+
 /// The doors, their phase for those who wait for its change, and the number of clients' connections.
 pub struct Shutdown {
     doors: RefCell<Doors>,
@@ -89,6 +90,21 @@
         said
     }
 
+    /// Steps through the phases for good.
+    async fn follow_phases(self: Rc<Self>) {
+        loop {
+            match self.step() {
+                None => self.news.notified().await,
+                // A step that comes before the phase is due would find nothing changed.
+                Some(next) => {
+                    let pause = Duration::from_nanos(next) + STEP_MARGIN;
+                    // Whether it is the time or a notification, the next step looks at both.
+                    let _ = timeout(pause, self.news.notified()).await;
+                }
+            }
+        }
+    }
+
     /// Tells of the phase of this moment; when the next one begins, from now.
     fn step(&self) -> Option<Nanos> {
         let now = unix();
@@ -125,58 +141,28 @@
     }
 }
 
-/// Goes through the phases, and waits for SIGTERM.
+/// Goes through the phases, and waits for SIGTERM. `other_serves` tells then whether another process of this limiter
+/// takes the clients.
 ///
 /// # Errors
 /// The signal handler cannot be installed.
-pub fn watch(limiter: &Rc<Limiter>) -> Result<(), String> {
-    let mut term =
+pub fn watch(
+    shutdown: &Rc<Shutdown>,
+    other_serves: impl FnOnce() -> bool + 'static,
+) -> Result<(), String> {
+    let mut terminate =
         signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
-    let (phases, ended) = (limiter.clone(), limiter.clone());
-    spawn(async move {
-        let shutdown = &phases.shutdown;
-        loop {
-            match shutdown.step() {
-                None => shutdown.news.notified().await,
-                // A little later than it is due: a step that comes too early would find nothing changed.
-                Some(next) => {
-                    let pause = std::time::Duration::from_nanos(next + 1_000_000);
-                    drop(timeout(pause, shutdown.news.notified()).await);
-                }
-            }
-        }
-    });
+    spawn(shutdown.clone().follow_phases());
+    let shutdown = shutdown.clone();
     spawn(async move {
-        term.recv().await;
-        ended.shutdown.asked.set(Some(Instant::now()));
-        // Another process may have come a moment ago.
-        hot_restart::look(&ended);
-        let relieved = ended.hot_restart.relieved();
+        terminate.recv().await;
+        shutdown.asked.set(Some(Instant::now()));
+        let relieved = other_serves();
         tracing::info!(relieved, "asked to end");
-        ended.shutdown.say(|doors| doors.end(unix(), relieved));
+        shutdown.say(|doors| doors.end(unix(), relieved));
     });
     Ok(())
 }
 
-/// Waits until every connection is closed and every request answered. Shortly before the time is up, whatever is still
-/// open is failed. Guards against requests that go unanswered with the program.
-pub async fn finish(limiter: &Rc<Limiter>) {
-    let last = limiter
-        .shutdown
-        .last_answers(&limiter.limits)
-        .unwrap_or_else(Instant::now);
-    let mut connections = limiter.shutdown.connection_changes();
-    let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
-    // A client that went away leaves its relays to end by themselves; nothing is owed for them.
-    while limiter.engine.borrow().count_open() > 0 && Instant::now() < last {
-        sleep(limiter.limits.last_moment).await;
-    }
-    let open = limiter.engine.borrow().open_ids();
-    open.into_iter()
-        .for_each(|id| complete::give_up(limiter, id));
-    let end = last + limiter.limits.last_answers.get();
-    let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/shutdown/tests.rs
+++ b/src/net/shutdown/tests.rs
@@ -6,14 +6,15 @@
 use crate::net::engine::Answer;
 use crate::net::stages::accept;
 use crate::net::tests::{next, with_limiter};
-use std::time::Duration;
+use crate::net::Limiter;
+use tokio::time::sleep;
 
 const LONG: Duration = Duration::from_secs(60);
 
 /// The end was asked for just now, and comes in a moment.
 fn asked(limiter: &Rc<Limiter>, end: Duration) {
-    limiter.limits.end.set(end);
-    limiter.shutdown.asked.set(Some(Instant::now()));
+    limiter.limits().end.set(end);
+    limiter.shutdown().asked.set(Some(Instant::now()));
 }
 
 /// A request that is taken after SIGTERM and may wait for longer than the program lives has its answer before.
@@ -24,10 +25,10 @@
         asks.wait = LONG;
         asked(&limiter, Duration::from_secs(3));
         let before = Instant::now();
-        accept::take_in(&limiter, front.clone(), 0, asks);
+        accept::accept(limiter.pipeline(), front.clone(), 0, asks);
         let last = limiter
-            .shutdown
-            .last_answers(&limiter.limits)
+            .shutdown()
+            .last_answers(limiter.limits())
             .expect("the end was asked for");
         match next(&limiter).await {
             Event::Request { budget, .. } => {
@@ -48,23 +49,23 @@
     with_limiter(&[], |limiter| async move {
         let (front, mut asks) = (Rc::new(RecordingFrontend::default()), request(1));
         asks.wait = LONG;
-        accept::take_in(&limiter, front.clone(), 9, asks);
+        accept::accept(limiter.pipeline(), front.clone(), 9, asks);
         assert!(matches!(next(&limiter).await, Event::Request { .. }));
         // Much time for the answer to go out, on however busy a machine.
-        limiter.limits.last_answers.set(LONG);
+        limiter.limits().last_answers.set(LONG);
         asked(&limiter, LONG + Duration::from_millis(200));
-        limiter.shutdown.count(1);
+        limiter.shutdown().count(1);
         let (closing, answered) = (limiter.clone(), front.clone());
         // The client's connection ends as it has its answer.
         spawn(async move {
             while answered.0.borrow().is_empty() {
-                sleep(closing.limits.last_moment).await;
+                sleep(closing.limits().last_moment).await;
             }
-            closing.shutdown.count(-1);
+            closing.shutdown().count(-1);
         });
-        finish(&limiter).await;
+        limiter.end().await;
         assert_eq!(*front.0.borrow(), [(9, Answer::Failed)]);
-        assert_eq!(limiter.shutdown.connections(), 0, "not cut off");
+        assert_eq!(limiter.shutdown().connections(), 0, "not cut off");
         assert!(matches!(
             next(&limiter).await,
             Event::Abandoned { id: RequestId(1) }
--- a/src/net/stages/accept.rs
+++ b/src/net/stages/accept.rs
@@ -1,58 +1,37 @@
-//! First stage: a request from a front is held until it is answered, or sent back where there is no room.
+//! First stage: a request from a frontend is opened, or answered at once where there is no capacity for it.
 
-use super::{admit, complete};
-use crate::api::RequestId;
-use crate::net::engine::{Answer, Frontend, Request};
-use crate::net::frontend::{FrontendContext, RequestHandler};
+use super::{admit, Pipeline};
+use crate::net::engine::{Answer, Frontend, ReplyTo, Request};
 use crate::net::shutdown::Phase;
-use crate::net::Limiter;
 use std::rc::Rc;
 use tokio::time::Instant;
 
-struct Door(Rc<Limiter>);
-
-impl RequestHandler for Door {
-    fn ask(&self, front: Rc<dyn Frontend>, place: u64, request: Request) {
-        take_in(&self.0, front, place, request);
-    }
-
-    fn leave(&self, id: RequestId) {
-        complete::abandon(&self.0, id);
-    }
-}
-
-/// What a front of this limiter is given.
-pub fn frontend_context(limiter: &Rc<Limiter>) -> FrontendContext {
-    let (limits, shutdown, held) = (
-        limiter.limits.clone(),
-        limiter.shutdown.clone(),
-        limiter.engine.borrow().held(),
-    );
-    FrontendContext {
-        entry: Rc::new(Door(limiter.clone())),
-        limits,
-        shutdown,
-        held,
-    }
-}
-
-/// Takes a request in. Past the limits of what the program holds it gets a back-off answer at once.
-pub fn take_in(limiter: &Rc<Limiter>, front: Rc<dyn Frontend>, place: u64, mut request: Request) {
-    let came = Instant::now();
-    if !limiter.engine.borrow().has_room() || limiter.shutdown.phase() >= Phase::LastCall {
-        return front.answer(place, Answer::BackOff(limiter.limits.back_off.get()));
+/// Accepts a request. Past the limits of what the process holds it is rejected at once.
+pub fn accept(
+    pipeline: &Rc<Pipeline>,
+    frontend: Rc<dyn Frontend>,
+    place: u64,
+    mut request: Request,
+) {
+    let arrived = Instant::now();
+    if !pipeline.engine.has_capacity() || pipeline.shutdown.phase() >= Phase::LastCall {
+        let retry_after = pipeline.limits.back_off.get();
+        return frontend.answer(place, Answer::Rejected { retry_after });
     }
     // An id that is still in use would make two requests one.
-    if limiter.engine.borrow().knows(request.id) {
-        return front.answer(place, Answer::Failed);
+    if pipeline.engine.requests().borrow().contains(request.id) {
+        return frontend.answer(place, Answer::Failed);
     }
-    // Guards against a request that would still be open when the program has to be gone.
-    if let Some(last) = limiter.shutdown.last_answers(&limiter.limits) {
-        request.wait = request.wait.min(last.saturating_duration_since(came));
+    // No request may still be open when the process has to be gone.
+    if let Some(last_answers) = pipeline.shutdown.last_answers(&pipeline.limits) {
+        let remaining = last_answers.saturating_duration_since(arrived);
+        request.wait = request.wait.min(remaining);
     }
-    let deadline = limiter
+    let reply_to = ReplyTo { frontend, place };
+    let deadline = pipeline
         .engine
+        .requests()
         .borrow_mut()
-        .open(front, place, &mut request, came);
-    admit::admit(limiter, request, deadline);
+        .open(reply_to, &mut request, arrived);
+    admit::admit(pipeline, request, deadline);
 }
--- a/src/net/stages/admit.rs
+++ b/src/net/stages/admit.rs
@@ -1,45 +1,33 @@
-//! Second stage: the module is told of the request and decides whether it goes on.
+//! Second stage: the decision engine is told of the request and decides whether it is admitted.
 
-use super::complete;
+use super::{complete, Pipeline};
 use crate::api::Event;
 use crate::net::engine::Request;
 use crate::net::task::spawn;
-use crate::net::Limiter;
 use std::rc::Rc;
 use tokio::time::{sleep_until, Instant};
 
-/// Puts a request to the module, and sees to it that it is answered whatever becomes of it.
-pub fn admit(limiter: &Rc<Limiter>, request: Request, deadline: Instant) {
-    let Request {
+/// Hands a request to the engine, and sees to it that it is answered whatever becomes of it.
+pub fn admit(pipeline: &Rc<Pipeline>, request: Request, deadline: Instant) {
+    let id = request.id;
+    pipeline.engine.handle(Event::Request {
         id,
-        class,
-        plan,
-        customer,
-        units,
-        spread,
-        first,
-        flags,
-        wait,
-        ..
-    } = request;
-    limiter.tell(Event::Request {
-        id,
-        class,
-        plan,
-        customer,
-        budget: wait.as_nanos() as u64,
-        units,
-        spread,
-        first_limiter: first,
-        flags,
+        class: request.class,
+        plan: request.plan,
+        customer: request.customer,
+        budget: request.wait.as_nanos() as u64,
+        units: request.units,
+        spread: request.spread,
+        first_limiter: request.first_limiter,
+        flags: request.flags,
     });
-    // Guards against a request that the module forgets: it is failed at the last moment.
-    let last = deadline
-        .checked_sub(limiter.limits.last_moment)
+    // A request that the engine never answers is failed shortly before its deadline.
+    let last_moment = deadline
+        .checked_sub(pipeline.limits.last_moment)
         .unwrap_or(deadline);
-    let limiter = limiter.clone();
+    let pipeline = pipeline.clone();
     spawn(async move {
-        sleep_until(last).await;
-        complete::give_up(&limiter, id);
+        sleep_until(last_moment).await;
+        complete::give_up(&pipeline, id);
     });
 }
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -1,6 +1,7 @@
-//! Fifth stage: a relay is written to its host, and its answer awaited.
+//! Fifth stage: a call is written to its host, and its answer awaited.
 
 use super::complete::{self, CallResult};
+use super::Pipeline;
 use crate::api::Outcome;
 use crate::net::config::Limits;
 use crate::net::engine::{HostCall, HostCommand};
@@ -9,292 +10,341 @@
     upstream::{self, UpstreamConnection},
 };
 use crate::net::streaming_body::Pipe;
-use crate::net::Limiter;
 use std::io;
-use std::rc::Rc;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// Takes a relay to its host and back; how it ended, and whether the connection can take another. One that is
-/// cancelled or timed out leaves its answer unread, so its connection ends with it.
-pub async fn relay(
-    limiter: &Rc<Limiter>,
-    link: &mut UpstreamConnection,
-    relay: &HostCall,
-) -> (CallResult, bool) {
-    let (
-        Some(usage_recorder),
-        HostCommand::Attempt {
-            used: (customer, units),
-            ..
-        },
-    ) = (limiter.usage_recorder.get(), &relay.command)
-    else {
-        return carry(limiter, link, relay).await;
-    };
-    let attempt = usage_recorder.begin(customer.0, *units);
-    let (end, sound) = carry(limiter, link, relay).await;
-    usage_recorder.end(attempt, &end, link.written, *units);
-    (end, sound)
+#[cfg(test)]
+mod tests;
+
+/// How a call ended, and what that means for its connection.
+pub struct CallEnd {
+    /// How the call ended.
+    pub result: CallResult,
+    /// The connection can carry another call.
+    pub reusable: bool,
 }
 
-async fn carry(
-    limiter: &Rc<Limiter>,
-    link: &mut UpstreamConnection,
-    relay: &HostCall,
-) -> (CallResult, bool) {
-    link.written = false;
-    let outcome = tokio::select! {
-        biased;
-        () = relay.cancel.asked.notified() => Outcome::Cancelled,
-        came = exchange(limiter, link, relay) => match came {
-            Came::CallResult(end, sound) => return (end, sound),
-            Came::Long { head, length } => return pass_on(limiter, link, relay, head, length).await,
-        },
-        () = sleep_until(relay.until) => Outcome::Timeout,
-    };
-    // A command that is not whole is never begun.
-    let never = !link.written && outcome == Outcome::Timeout;
-    (
-        if never {
-            Outcome::ConnectFailed
-        } else {
-            outcome
+impl From<Outcome> for CallEnd {
+    /// The end of a call whose connection is of no more use.
+    fn from(outcome: Outcome) -> Self {
+        CallEnd {
+            result: outcome.into(),
+            reusable: false,
         }
-        .into(),
-        false,
-    )
+    }
 }
 
-/// What came of an exchange.
-enum Came {
-    /// Its end, and whether the connection can take another relay.
-    CallResult(CallResult, bool),
-    /// The head of a value that is passed on as it comes: the head's length and the value's.
-    Long { head: usize, length: usize },
+/// What an exchange with a host led to.
+enum Exchange {
+    /// The call has ended.
+    Ended(CallEnd),
+    /// The head of a long value was received; the value is streamed.
+    LongValue {
+        /// Length of the head, in bytes.
+        head_bytes: usize,
+        /// Length of the value, in bytes.
+        value_bytes: usize,
+    },
 }
 
-impl From<Outcome> for Came {
+impl From<Outcome> for Exchange {
     fn from(outcome: Outcome) -> Self {
-        Came::CallResult(outcome.into(), false)
+        Exchange::Ended(outcome.into())
+    }
+}
+
+/// Runs a call on a connection and records its usage. A call that is cancelled or timed out leaves its answer unread, so
+/// its connection ends with it.
+pub async fn run(
+    pipeline: &Pipeline,
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+) -> CallEnd {
+    let (Some(usage_recorder), HostCommand::Attempt { charge, .. }) =
+        (pipeline.usage_recorder.get(), &call.command)
+    else {
+        return run_unrecorded(pipeline, connection, call).await;
+    };
+    let attempt = usage_recorder.begin(charge.customer.0, charge.units);
+    let end = run_unrecorded(pipeline, connection, call).await;
+    usage_recorder.end(attempt, &end.result, connection.written, charge.units);
+    end
+}
+
+async fn run_unrecorded(
+    pipeline: &Pipeline,
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+) -> CallEnd {
+    connection.written = false;
+    let outcome = tokio::select! {
+        biased;
+        () = call.cancellation.requested.notified() => Outcome::Cancelled,
+        exchanged = exchange(pipeline, connection, call) => match exchanged {
+            Exchange::Ended(end) => return end,
+            Exchange::LongValue { head_bytes, value_bytes } => {
+                return stream_value(pipeline, connection, call, head_bytes, value_bytes).await;
+            }
+        },
+        () = sleep_until(call.deadline) => Outcome::Timeout,
+    };
+    // A host does not run a command that it has not received completely.
+    if outcome == Outcome::Timeout && !connection.written {
+        Outcome::ConnectFailed.into()
+    } else {
+        outcome.into()
     }
 }
 
-async fn exchange(limiter: &Rc<Limiter>, link: &mut UpstreamConnection, relay: &HostCall) -> Came {
-    if limiter
+async fn exchange(
+    pipeline: &Pipeline,
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+) -> Exchange {
+    if pipeline
         .upstream
-        .address(relay.host, &limiter.limits)
+        .address(call.host, &pipeline.limits)
         .is_none()
     {
         return Outcome::ConnectFailed.into();
     }
-    upstream::write(relay, Instant::now(), &mut link.output);
-    let mut sent = 0;
-    while sent < link.output.len() {
-        // Guards against an attempt that begins when what ran before it is no longer known to the hosts.
-        if Instant::now() >= relay.begin_by {
-            return Outcome::ConnectFailed.into();
+    match write_command(connection, call, &pipeline.limits).await {
+        Ok(()) => read_answer(pipeline, connection, call).await,
+        Err(outcome) => outcome.into(),
+    }
+}
+
+/// Writes the whole command.
+async fn write_command(
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+    limits: &Limits,
+) -> Result<(), Outcome> {
+    upstream::write(call, Instant::now(), &mut connection.output);
+    let mut written = 0;
+    while written < connection.output.len() {
+        // Later than this the hosts may have forgotten an earlier attempt, and a repeat would run twice.
+        if Instant::now() >= call.send_by {
+            return Err(Outcome::ConnectFailed);
         }
-        match link.stream.try_write(&link.output[sent..]) {
-            Ok(count) => sent += count,
+        match connection.stream.try_write(&connection.output[written..]) {
+            Ok(count) => written += count,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                if !matches!(
-                    timeout_at(relay.begin_by, link.stream.writable()).await,
-                    Ok(Ok(()))
-                ) {
-                    return Outcome::ConnectFailed.into();
+                let writable = timeout_at(call.send_by, connection.stream.writable()).await;
+                if !matches!(writable, Ok(Ok(()))) {
+                    return Err(Outcome::ConnectFailed);
                 }
             }
-            Err(_) => return Outcome::ConnectFailed.into(),
+            Err(_) => return Err(Outcome::ConnectFailed),
         }
     }
-    link.written = true;
-    relay.cancel.written.set(true);
-    if let HostCommand::Attempt { id, attempt, .. } = &relay.command {
+    connection.written = true;
+    call.cancellation.sent.set(true);
+    log_written(call);
+    codec::consume(&mut connection.output, written, limits.read_bytes);
+    Ok(())
+}
+
+fn log_written(call: &HostCall) {
+    if let HostCommand::Attempt { id, attempt, .. } = &call.command {
         tracing::debug!(
             request = format_args!("{:016x}", id.0),
             attempt,
-            host = relay.host.0,
-            after = ?relay.began.elapsed(),
-            "written"
+            host = call.host.0,
+            elapsed = ?call.started_at.elapsed(),
+            "attempt written"
         );
     }
-    codec::consume(&mut link.output, sent, limiter.limits.read_bytes);
+}
+
+async fn read_answer(
+    pipeline: &Pipeline,
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+) -> Exchange {
     loop {
-        if !upstream::promising(&link.input, &relay.command) {
-            return Outcome::Error.into();
+        if let Some(exchanged) = parse_answer(pipeline, connection, call) {
+            return exchanged;
         }
-        if let Some((head, length)) = codec::value_head(&link.input) {
-            if (limiter.limits.value_bytes + 1..=limiter.limits.bulk_bytes).contains(&length) {
-                return Came::Long { head, length };
-            }
+        if let Err(outcome) = read_more(connection, &pipeline.limits).await {
+            return outcome.into();
         }
-        match codec::reply(&link.input, &limiter.limits) {
-            Ok(Some((reply, length))) => {
-                let (end, known) =
-                    limiter
-                        .upstream
-                        .end(&reply, &link.input, &relay.command, relay.host);
-                // Whatever follows belongs to no relay.
-                let sound = known && length == link.input.len();
-                codec::consume(&mut link.input, length, limiter.limits.read_bytes);
-                return Came::CallResult(end, sound);
-            }
-            Ok(None) => {}
-            Err(_) => return Outcome::Error.into(),
+    }
+}
+
+/// What the bytes received so far are; `None` where more have to come.
+fn parse_answer(
+    pipeline: &Pipeline,
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+) -> Option<Exchange> {
+    let limits = &pipeline.limits;
+    if !upstream::promising(&connection.input, &call.command) {
+        return Some(Outcome::Error.into());
+    }
+    if let Some((head_bytes, value_bytes)) = codec::value_head(&connection.input) {
+        if (limits.value_bytes + 1..=limits.bulk_bytes).contains(&value_bytes) {
+            return Some(Exchange::LongValue {
+                head_bytes,
+                value_bytes,
+            });
         }
-        // Guards against an answer that begins and has no end: one that pauses for long is spoilt, and may have run.
-        let pause = (!link.input.is_empty()).then_some(limiter.limits.south_answer);
-        let more = codec::more(&mut link.stream, &mut link.input, limiter.limits.read_bytes);
-        let more = match pause {
-            None => Ok(more.await),
-            Some(pause) => timeout(pause, more).await,
-        };
-        match more {
-            Ok(Ok(true)) => {}
-            Ok(_) => return Outcome::Reset.into(),
-            Err(_) => return Outcome::Error.into(),
+    }
+    match codec::reply(&connection.input, limits) {
+        Ok(Some((reply, length))) => {
+            let (result, known) =
+                pipeline
+                    .upstream
+                    .end(&reply, &connection.input, &call.command, call.host);
+            // Whatever follows the answer belongs to no call.
+            let reusable = known && length == connection.input.len();
+            codec::consume(&mut connection.input, length, limits.read_bytes);
+            Some(Exchange::Ended(CallEnd { result, reusable }))
         }
+        Ok(None) => None,
+        Err(_) => Some(Outcome::Error.into()),
+    }
+}
+
+/// Reads more of an answer. One that has begun and pauses for long is malformed, and may have run; without this bound it
+/// would be waited for until the request's deadline.
+async fn read_more(connection: &mut UpstreamConnection, limits: &Limits) -> Result<(), Outcome> {
+    let has_begun = !connection.input.is_empty();
+    let more = codec::more(
+        &mut connection.stream,
+        &mut connection.input,
+        limits.read_bytes,
+    );
+    let more = if has_begun {
+        timeout(limits.south_answer, more).await
+    } else {
+        Ok(more.await)
+    };
+    match more {
+        Ok(Ok(true)) => Ok(()),
+        Ok(_) => Err(Outcome::Reset),
+        Err(_) => Err(Outcome::Error),
     }
 }
 
-/// Passes a long value on as it comes; no deadline of ours cuts it off. Guards against a client that takes a spoilt
-/// value for whole: its last byte is kept until the host has ended it as it should.
-async fn pass_on(
-    limiter: &Rc<Limiter>,
-    link: &mut UpstreamConnection,
-    relay: &HostCall,
-    head: usize,
-    length: usize,
-) -> (CallResult, bool) {
-    let limits = &limiter.limits;
-    codec::consume(&mut link.input, head, limits.window);
-    let pipe = Pipe::new(length, limits.window, limiter.engine.borrow().held());
-    if !complete::begin(limiter, relay, &pipe) {
-        return (Outcome::Cancelled.into(), false);
+/// Streams a long value to the client; no deadline of the limiter's cuts it off. Its last byte is kept back until the
+/// host has ended the value as it should, so that no client takes a malformed value for a complete one.
+async fn stream_value(
+    pipeline: &Pipeline,
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+    head_bytes: usize,
+    value_bytes: usize,
+) -> CallEnd {
+    let limits = &pipeline.limits;
+    codec::consume(&mut connection.input, head_bytes, limits.window);
+    let body = Pipe::new(value_bytes, limits.window, pipeline.engine.buffered_bytes());
+    if !complete::begin_streaming(pipeline, call, &body) {
+        return Outcome::Cancelled.into();
     }
-    let whole = flow(link, &pipe, limits).await;
-    pipe.end(whole.is_ok());
-    if let Err(outcome) = whole {
-        return (outcome.into(), false);
+    let streamed = forward_value(connection, &body, limits).await;
+    body.end(streamed.is_ok());
+    match streamed {
+        Ok(()) => read_trailer(connection, call, limits).await,
+        Err(outcome) => outcome.into(),
     }
-    // The figures on use and the load report; the value is good whatever they are.
-    let mut end = CallResult::from(Outcome::Good);
-    for member in 0..2 {
-        loop {
-            match codec::reply(&link.input, limits) {
-                Ok(Some((reply, length))) => {
-                    if member == 0 {
-                        end.used = upstream::used(&reply, &link.input, relay.host);
-                    }
-                    codec::consume(&mut link.input, length, limits.read_bytes);
-                    break;
-                }
-                Ok(None) => {}
-                Err(_) => return (end, false),
-            }
-            let more = codec::more(&mut link.stream, &mut link.input, limits.read_bytes);
-            if !matches!(timeout(limits.south_answer, more).await, Ok(Ok(true))) {
-                return (end, false);
-            }
+}
+
+/// Reads what follows a streamed value: the figures on usage and the load report. The value is good whatever they are.
+async fn read_trailer(
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+    limits: &Limits,
+) -> CallEnd {
+    let mut result = CallResult::from(Outcome::Good);
+    for is_usage in [true, false] {
+        let Some((reply, length)) = read_trailer_member(connection, limits).await else {
+            return CallEnd {
+                result,
+                reusable: false,
+            };
+        };
+        if is_usage {
+            result.used = upstream::used(&reply, &connection.input, call.host);
         }
+        codec::consume(&mut connection.input, length, limits.read_bytes);
+    }
+    CallEnd {
+        result,
+        reusable: connection.input.is_empty(),
     }
-    let sound = link.input.is_empty();
-    (end, sound)
 }
 
-/// Moves a value from its host into the pipe, to its end.
-async fn flow(link: &mut UpstreamConnection, pipe: &Pipe, limits: &Limits) -> Result<(), Outcome> {
-    let mut left = pipe.length();
+/// The next member behind a streamed value; `None` where it is malformed or does not arrive in time.
+async fn read_trailer_member(
+    connection: &mut UpstreamConnection,
+    limits: &Limits,
+) -> Option<(codec::Reply, usize)> {
     loop {
-        if pipe.left() {
+        if let Some(member) = codec::reply(&connection.input, limits).ok()? {
+            return Some(member);
+        }
+        let more = codec::more(
+            &mut connection.stream,
+            &mut connection.input,
+            limits.read_bytes,
+        );
+        if !matches!(timeout(limits.south_answer, more).await, Ok(Ok(true))) {
+            return None;
+        }
+    }
+}
+
+/// Moves a value from its host into the body, to its end.
+async fn forward_value(
+    connection: &mut UpstreamConnection,
+    body: &Pipe,
+    limits: &Limits,
+) -> Result<(), Outcome> {
+    let mut remaining = body.length();
+    loop {
+        if body.left() {
             return Err(Outcome::Cancelled);
         }
-        let count = pipe.room().min(link.input.len()).min(left - 1);
+        // The last byte stays behind until the end of the value has been seen.
+        let count = body.room().min(connection.input.len()).min(remaining - 1);
         if count > 0 {
-            pipe.put(&link.input[..count]);
-            link.input.drain(..count);
-            left -= count;
+            body.put(&connection.input[..count]);
+            connection.input.drain(..count);
+            remaining -= count;
         }
-        if left == 1 && link.input.len() >= 3 && pipe.room() > 0 {
-            if &link.input[1..3] != b"\r\n" {
-                return Err(Outcome::Error);
-            }
-            pipe.put(&link.input[..1]);
-            codec::consume(&mut link.input, 3, limits.read_bytes);
-            return Ok(());
+        if remaining == 1 && connection.input.len() >= 3 && body.room() > 0 {
+            return forward_last_byte(connection, body, limits);
         }
-        if pipe.room() == 0 {
-            pipe.drained().await;
+        if body.room() == 0 {
+            body.drained().await;
             continue;
         }
+        let more = codec::more(
+            &mut connection.stream,
+            &mut connection.input,
+            limits.window / 2,
+        );
         tokio::select! {
-            more = timeout(limits.bulk_silence, codec::more(&mut link.stream, &mut link.input, limits.window / 2)) => {
+            more = timeout(limits.bulk_silence, more) => {
                 if !matches!(more, Ok(Ok(true))) {
                     return Err(Outcome::Reset);
                 }
             }
-            () = pipe.drained() => {}
+            () = body.drained() => {}
         }
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::api::{HostEntry, HostId, HostState, RequestId};
-    use crate::net::engine::tests::{request, RecordingFrontend};
-    use crate::net::tests::with_limiter;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::{TcpListener, TcpStream};
-
-    /// A spoilt answer is an error at once or soon, long before the request's time is up, and ends the connection.
-    #[test]
-    fn a_spoilt_answer_is_not_waited_for() {
-        with_limiter(&[], |limiter| async move {
-            let listener = TcpListener::bind("127.0.0.1:0")
-                .await
-                .expect("a port is free");
-            let (address, host) = (listener.local_addr().expect("it has an address"), HostId(5));
-            let entry = HostEntry {
-                host,
-                state: HostState::Ready,
-                ..HostEntry::default()
-            };
-            limiter.upstream.learn(&entry, address);
-            let good = "*3\r\n$3\r\nbed\r\n$-1\r\n$-1\r\n";
-            for (id, answer, expected) in [
-                (1, good.to_owned(), (Outcome::Good, true)),
-                (2, good.repeat(2), (Outcome::Good, false)),
-                (3, "*3\r\n*3\r\n*3\r\n".to_owned(), (Outcome::Error, false)),
-                (4, good[..12].to_owned(), (Outcome::Error, false)),
-                (
-                    5,
-                    "*3\r\n$3000000000\r\nbed".to_owned(),
-                    (Outcome::Error, false),
-                ),
-            ] {
-                let (now, front) = (Instant::now(), Rc::new(RecordingFrontend::default()));
-                limiter
-                    .engine
-                    .borrow_mut()
-                    .open(front, 0, &mut request(id), now);
-                let sent = limiter
-                    .engine
-                    .borrow_mut()
-                    .begin(RequestId(id), host, (0, u64::MAX), now)
-                    .expect("within the cap");
-                let (stream, (mut peer, _)) =
-                    tokio::try_join!(TcpStream::connect(address), listener.accept())
-                        .expect("they connect");
-                peer.write_all(answer.as_bytes())
-                    .await
-                    .expect("the limiter reads");
-                let mut link = UpstreamConnection::new(stream, address);
-                let (end, sound) = relay(&limiter, &mut link, &sent).await;
-                assert_eq!((end.outcome, sound), expected, "{answer:?}");
-                assert!(Instant::now() < sent.until);
-                assert!(peer.read(&mut [0]).await.expect("the command") > 0);
-            }
-        });
+fn forward_last_byte(
+    connection: &mut UpstreamConnection,
+    body: &Pipe,
+    limits: &Limits,
+) -> Result<(), Outcome> {
+    if &connection.input[1..3] != b"\r\n" {
+        return Err(Outcome::Error);
     }
+    body.put(&connection.input[..1]);
+    codec::consume(&mut connection.input, 3, limits.read_bytes);
+    Ok(())
 }
--- a/src/net/stages/complete.rs
+++ b/src/net/stages/complete.rs
@@ -1,29 +1,32 @@
-//! Last stage: how things ended is told to the module and, where that ends the request, to its client.
+//! Last stage: the end of a call is reported to the decision engine and, where it ends the request, to its client.
 
+use super::Pipeline;
 use crate::api::{Event, HostId, Load, Nanos, Outcome, RequestId};
-use crate::net::engine::{Answer, HostCall, HostCommand};
+use crate::net::engine::{Answer, AttemptId, HostCall, HostCommand};
 use crate::net::streaming_body::Pipe;
-use crate::net::Limiter;
 use std::rc::Rc;
 
-/// How a relay ended: its outcome, the value of a good one, and the load report that came along.
+#[cfg(test)]
+mod tests;
+
+/// How a call to a host ended.
 pub struct CallResult {
     /// The outcome.
     pub outcome: Outcome,
-    /// The value.
+    /// The value of a good attempt.
     pub value: Vec<u8>,
-    /// The load report.
+    /// The load report that came along.
     pub load: Load,
-    /// What the answer tells of the request's use.
+    /// What the answer says of the request's usage.
     pub used: UsageFigures,
 }
 
-/// The figures on use that came with an answer; zero: not told.
+/// The figures on usage that came with an answer; zero: not reported.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct UsageFigures {
-    /// The customer's use, as the meter has it.
+    /// The customer's usage by the host's meter.
     pub metered: u64,
-    /// The request's true units, where they were a guess.
+    /// The request's true units, where they were estimated.
     pub units: f64,
 }
 
@@ -38,174 +41,119 @@
     }
 }
 
-/// Gives a request its final answer, if it is still open.
-pub fn answer(limiter: &Rc<Limiter>, id: RequestId, answer: Answer) -> bool {
-    let open = limiter.engine.borrow_mut().close(id);
-    tracing::debug!(
-        request = format_args!("{:016x}", id.0),
-        open = open.is_some(),
-        "answered"
-    );
-    if let Some((front, place)) = &open {
-        front.answer(*place, answer);
+/// Gives a request its final answer; false where it is no longer open.
+pub fn answer(pipeline: &Pipeline, id: RequestId, answer: Answer) -> bool {
+    let reply_to = pipeline.engine.close_request(id);
+    let open = reply_to.is_some();
+    tracing::debug!(request = format_args!("{:016x}", id.0), open, "answered");
+    if let Some(reply_to) = reply_to {
+        reply_to.frontend.answer(reply_to.place, answer);
     }
-    open.is_some()
+    open
 }
 
-/// The client of a request went away: nothing is owed any more.
-pub fn abandon(limiter: &Rc<Limiter>, id: RequestId) {
-    let open = limiter.engine.borrow_mut().close(id);
+/// The client of a request has gone: no answer is due any more.
+pub fn abandon(pipeline: &Pipeline, id: RequestId) {
+    let open = pipeline.engine.close_request(id).is_some();
     tracing::debug!(
         request = format_args!("{:016x}", id.0),
-        open = open.is_some(),
-        "its client went away"
+        open,
+        "client has gone"
     );
-    if open.is_some() {
-        limiter.tell(Event::Abandoned { id });
+    if open {
+        pipeline.engine.handle(Event::Abandoned { id });
     }
 }
 
-/// Fails a request that nothing has answered, and lets the module know.
-pub fn give_up(limiter: &Rc<Limiter>, id: RequestId) {
-    if answer(limiter, id, Answer::Failed) {
-        limiter.tell(Event::Abandoned { id });
+/// Fails a request that has no answer yet, and reports that to the engine.
+pub fn give_up(pipeline: &Pipeline, id: RequestId) {
+    if answer(pipeline, id, Answer::Failed) {
+        pipeline.engine.handle(Event::Abandoned { id });
     }
 }
 
-/// The answer of a request begins: a long value, which comes through the pipe. False where nobody waits for it.
-pub fn begin(limiter: &Rc<Limiter>, relay: &HostCall, pipe: &Rc<Pipe>) -> bool {
-    let HostCommand::Attempt { id, attempt, .. } = relay.command else {
+/// The answer of a request begins: a long value, which is streamed. False where nobody waits for it.
+pub fn begin_streaming(pipeline: &Pipeline, call: &HostCall, body: &Rc<Pipe>) -> bool {
+    let HostCommand::Attempt { id, attempt, .. } = call.command else {
         return false;
     };
-    let begun = answer(limiter, id, Answer::Begun(pipe.clone()));
-    if begun {
-        let (host, elapsed) = (relay.host, relay.began.elapsed().as_nanos() as Nanos);
-        limiter.tell(Event::StreamStarted {
+    let is_open = answer(pipeline, id, Answer::Streaming(body.clone()));
+    if is_open {
+        pipeline.engine.handle(Event::StreamStarted {
             id,
             attempt,
-            host,
-            elapsed,
+            host: call.host,
+            elapsed: elapsed(call),
         });
     }
-    begun
+    is_open
 }
 
-/// Books the end of a relay. The first good one answers the client by itself.
-pub fn done(limiter: &Rc<Limiter>, relay: &HostCall, end: CallResult) {
-    let (host, outcome, elapsed) = (
-        relay.host,
-        end.outcome,
-        relay.began.elapsed().as_nanos() as Nanos,
-    );
-    let HostCommand::Attempt { id, attempt, .. } = relay.command else {
-        return limiter.tell(Event::HealthCheckDone {
-            host,
-            outcome,
-            elapsed,
-            load: end.load,
-        });
-    };
-    tracing::debug!(
-        request = format_args!("{:016x}", id.0),
-        attempt,
-        host = host.0,
-        ?outcome,
-        after = ?relay.began.elapsed(),
-        "attempt ended"
-    );
-    limiter.engine.borrow_mut().end(id, attempt);
-    if outcome == Outcome::Good {
-        // One that has begun already is open no more.
-        answer(limiter, id, Answer::Served(end.value));
+/// Records the end of a call. The first good attempt answers the client by itself.
+pub fn complete(pipeline: &Pipeline, call: &HostCall, result: CallResult) {
+    match call.command {
+        HostCommand::HealthCheck => pipeline.engine.handle(Event::HealthCheckDone {
+            host: call.host,
+            outcome: result.outcome,
+            elapsed: elapsed(call),
+            load: result.load,
+        }),
+        HostCommand::Attempt { id, attempt, .. } => {
+            let attempt_id = AttemptId {
+                request: id,
+                attempt,
+            };
+            complete_attempt(pipeline, attempt_id, call, result);
+        }
     }
-    tell_done(
-        limiter,
-        (id, attempt, host),
-        outcome,
-        elapsed,
-        (end.load, end.used),
-    );
 }
 
-/// Tells the module of the end of an attempt. Whether the request is over is filled in when it takes the event.
-pub fn tell_done(
-    limiter: &Rc<Limiter>,
-    (id, attempt, host): (RequestId, u32, HostId),
-    outcome: Outcome,
-    elapsed: Nanos,
-    (load, used): (Load, UsageFigures),
+fn complete_attempt(
+    pipeline: &Pipeline,
+    attempt_id: AttemptId,
+    call: &HostCall,
+    result: CallResult,
 ) {
-    let (over, metered_use, true_units) = (false, used.metered, used.units);
-    limiter.tell(Event::AttemptDone {
+    let AttemptId {
+        request: id,
+        attempt,
+    } = attempt_id;
+    let elapsed = elapsed(call);
+    log_end(attempt_id, call.host, result.outcome, call);
+    pipeline
+        .engine
+        .requests()
+        .borrow_mut()
+        .end_attempt(attempt_id);
+    if result.outcome == Outcome::Good {
+        // A streamed answer has closed the request already.
+        answer(pipeline, id, Answer::Served(result.value));
+    }
+    pipeline.engine.handle(Event::AttemptDone {
         id,
         attempt,
-        host,
-        outcome,
+        host: call.host,
+        outcome: result.outcome,
         elapsed,
-        over,
-        metered_use,
-        true_units,
-        load,
+        // The engine driver sets this as it hands the event over.
+        over: false,
+        metered_use: result.used.metered,
+        true_units: result.used.units,
+        load: result.load,
     });
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::net::engine::tests::{request, RecordingFrontend};
-    use crate::net::tests::{next, with_limiter};
-    use tokio::time::Instant;
+fn log_end(attempt_id: AttemptId, host: HostId, outcome: Outcome, call: &HostCall) {
+    tracing::debug!(
+        request = format_args!("{:016x}", attempt_id.request.0),
+        attempt = attempt_id.attempt,
+        host = host.0,
+        ?outcome,
+        elapsed = ?call.started_at.elapsed(),
+        "attempt ended"
+    );
+}
 
-    /// The first good attempt answers by itself; whatever comes later is told to the module and to nobody else.
-    #[test]
-    fn one_answer_whatever_comes() {
-        with_limiter(&[], |limiter| async move {
-            let (front, now) = (Rc::new(RecordingFrontend::default()), Instant::now());
-            limiter
-                .engine
-                .borrow_mut()
-                .open(front.clone(), 9, &mut request(1), now);
-            let begin = || {
-                limiter
-                    .engine
-                    .borrow_mut()
-                    .begin(RequestId(1), HostId(5), (0, u64::MAX), now)
-                    .expect("within the cap")
-            };
-            let (first, second) = (begin(), begin());
-            let used = UsageFigures {
-                metered: 37,
-                units: 2.5,
-            };
-            done(
-                &limiter,
-                &first,
-                CallResult {
-                    value: b"bed".to_vec(),
-                    used,
-                    ..Outcome::Good.into()
-                },
-            );
-            done(
-                &limiter,
-                &second,
-                CallResult {
-                    value: b"other".to_vec(),
-                    ..Outcome::Good.into()
-                },
-            );
-            give_up(&limiter, RequestId(1));
-            assert!(!answer(&limiter, RequestId(1), Answer::Failed));
-            assert_eq!(*front.0.borrow(), [(9, Answer::Served(b"bed".to_vec()))]);
-            for number in 0..2 {
-                let event = next(&limiter).await;
-                let expected = if number == 0 { (37, 2.5) } else { (0, 0.0) };
-                assert!(
-                    matches!(event, Event::AttemptDone { attempt, metered_use, true_units, .. }
-                        if attempt == number && (metered_use, true_units) == expected),
-                    "{event:?}"
-                );
-            }
-        });
-    }
+fn elapsed(call: &HostCall) -> Nanos {
+    call.started_at.elapsed().as_nanos() as Nanos
 }
--- /dev/null
+++ b/src/net/stages/complete/tests.rs
@@ -0,0 +1,50 @@
+//! One request gets one answer.
+
+use super::*;
+use crate::net::engine::tests::{attempt_order, reply_to, request, RecordingFrontend};
+use crate::net::tests::{next, with_limiter};
+use tokio::time::Instant;
+
+/// The first good attempt answers the client; a later one is reported to the engine and to nobody else.
+#[test]
+fn one_answer_whatever_comes() {
+    with_limiter(&[], |limiter| async move {
+        let (frontend, now) = (Rc::new(RecordingFrontend::default()), Instant::now());
+        let (engine, pipeline) = (limiter.engine(), limiter.pipeline());
+        engine
+            .requests()
+            .borrow_mut()
+            .open(reply_to(&frontend, 9), &mut request(1), now);
+        let begin = || {
+            let order = attempt_order(1, HostId(5));
+            let begun = engine.requests().borrow_mut().begin_attempt(order, now);
+            begun.expect("within the cap")
+        };
+        let (first, second) = (begin(), begin());
+        let result = CallResult {
+            value: b"bed".to_vec(),
+            used: UsageFigures {
+                metered: 37,
+                units: 2.5,
+            },
+            ..Outcome::Good.into()
+        };
+        complete(pipeline, &first, result);
+        let result = CallResult {
+            value: b"other".to_vec(),
+            ..Outcome::Good.into()
+        };
+        complete(pipeline, &second, result);
+        give_up(pipeline, RequestId(1));
+        assert!(!answer(pipeline, RequestId(1), Answer::Failed));
+        assert_eq!(*frontend.0.borrow(), [(9, Answer::Served(b"bed".to_vec()))]);
+        for (number, expected) in [(0, (37, 2.5)), (1, (0, 0.0))] {
+            let event = next(&limiter).await;
+            assert!(
+                matches!(event, Event::AttemptDone { attempt, metered_use, true_units, .. }
+                    if attempt == number && (metered_use, true_units) == expected),
+                "{event:?}"
+            );
+        }
+    });
+}
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -1,89 +1,86 @@
-//! Fourth stage: a relay gets a connection, the host's latest idle one or a new one.
+//! Fourth stage: a call gets a connection, the host's idle one that was used last or a new one.
 
-use super::{attempt, complete};
+use super::attempt::{self, CallEnd};
+use super::{complete, Pipeline};
 use crate::api::{HostId, Outcome};
 use crate::net::engine::{Cancellation, HostCall, HostCommand};
 use crate::net::resp::{codec, upstream::UpstreamConnection};
 use crate::net::task::spawn;
-use crate::net::Limiter;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout_at, Instant};
 
-/// Sends a relay on its way.
-pub fn send(limiter: &Rc<Limiter>, relay: HostCall) {
-    if let Err(relay) = limiter.upstream.hand_over(relay, &limiter.limits) {
-        spawn(serve(limiter.clone(), relay));
+/// Sends a call on its way.
+pub fn send(pipeline: &Rc<Pipeline>, call: HostCall) {
+    if let Err(call) = pipeline.upstream.hand_over(call, &pipeline.limits) {
+        spawn(run_connection(pipeline.clone(), call));
     }
 }
 
-/// Sends a probe on its way.
-pub fn probe(limiter: &Rc<Limiter>, host: HostId) {
+/// Sends a health check on its way.
+pub fn check_health(pipeline: &Rc<Pipeline>, host: HostId) {
     let now = Instant::now();
-    let (until, cancel) = (
-        now + limiter.limits.connect.get(),
-        Rc::new(Cancellation::default()),
-    );
-    send(
-        limiter,
-        HostCall {
-            command: HostCommand::HealthCheck,
-            host,
-            began: now,
-            begin_by: until,
-            until,
-            cancel,
-        },
-    );
+    let deadline = now + pipeline.limits.connect.get();
+    let call = HostCall {
+        command: HostCommand::HealthCheck,
+        host,
+        started_at: now,
+        send_by: deadline,
+        deadline,
+        cancellation: Rc::new(Cancellation::default()),
+    };
+    send(pipeline, call);
 }
 
-/// A connection's life: opened for one relay, it takes others as long as it is sound.
-async fn serve(limiter: Rc<Limiter>, mut relay: HostCall) {
-    let Some(_counted) = limiter.upstream.count(relay.host, &limiter.limits) else {
-        return complete::done(&limiter, &relay, Outcome::ConnectFailed.into());
+/// A connection's lifecycle: opened for one call, it carries others for as long as it is usable.
+async fn run_connection(pipeline: Rc<Pipeline>, mut call: HostCall) {
+    let Some(_permit) = pipeline.upstream.count(call.host, &pipeline.limits) else {
+        return complete::complete(&pipeline, &call, Outcome::ConnectFailed.into());
     };
-    let opened = connect(&limiter, &relay).await;
-    if let Some((_, metrics)) = &limiter.metrics {
-        metrics.borrow_mut().connected(relay.host, opened.is_ok());
+    let connected = connect(&pipeline, &call).await;
+    if let Some(metrics) = &pipeline.metrics {
+        metrics.borrow_mut().connected(call.host, connected.is_ok());
     }
-    let mut link = match opened {
-        Ok(link) => link,
-        Err(outcome) => return complete::done(&limiter, &relay, outcome.into()),
+    let mut connection = match connected {
+        Ok(connection) => connection,
+        Err(outcome) => return complete::complete(&pipeline, &call, outcome.into()),
     };
     loop {
-        let (end, sound) = attempt::relay(&limiter, &mut link, &relay).await;
-        // Waits already when the module is told, so that what it sends on next finds this connection.
-        let parked = if sound {
-            limiter.upstream.park(relay.host, link.peer)
+        let CallEnd { result, reusable } = attempt::run(&pipeline, &mut connection, &call).await;
+        // The connection is idle already when the engine is told, so that what the engine sends next finds it.
+        let parked = if reusable {
+            pipeline.upstream.park(call.host, connection.peer)
         } else {
             None
         };
-        complete::done(&limiter, &relay, end);
-        let Some((serial, next)) = parked else { return };
-        let host = relay.host;
-        match wait(&limiter, &mut link, next).await {
-            // It came to its end meanwhile: nothing has been written, so another one is taken.
-            Some(relay) if !link.quiet() => return send(&limiter, relay),
-            Some(next) => relay = next,
-            None => return limiter.upstream.unpark(host, serial),
+        complete::complete(&pipeline, &call, result);
+        let Some((serial, next_call)) = parked else {
+            return;
+        };
+        let host = call.host;
+        match wait_for_call(&pipeline, &mut connection, next_call).await {
+            // The host closed it meanwhile: nothing has been written, so the call goes to another connection.
+            Some(call) if !connection.quiet() => return send(&pipeline, call),
+            Some(next) => call = next,
+            None => return pipeline.upstream.unpark(host, serial),
         }
     }
 }
 
-async fn connect(limiter: &Rc<Limiter>, relay: &HostCall) -> Result<UpstreamConnection, Outcome> {
-    let address = limiter
+async fn connect(pipeline: &Pipeline, call: &HostCall) -> Result<UpstreamConnection, Outcome> {
+    let address = pipeline
         .upstream
-        .address(relay.host, &limiter.limits)
+        .address(call.host, &pipeline.limits)
         .ok_or(Outcome::ConnectFailed)?;
-    let by = relay
-        .begin_by
-        .min(Instant::now() + limiter.limits.connect.get());
+    let connect_timeout = Instant::now() + pipeline.limits.connect.get();
+    let connect_by = call.send_by.min(connect_timeout);
     tokio::select! {
         biased;
-        () = relay.cancel.asked.notified() => Err(Outcome::Cancelled),
-        opened = timeout_at(by, TcpStream::connect(address)) => match opened {
+        () = call.cancellation.requested.notified() => Err(Outcome::Cancelled),
+        connected = timeout_at(connect_by, TcpStream::connect(address)) => match connected {
             Ok(Ok(stream)) => {
+                // Without it answers are a little later; the connection works all the same.
                 let _ = stream.set_nodelay(true);
                 Ok(UpstreamConnection::new(stream, address))
             }
@@ -92,18 +89,19 @@
     }
 }
 
-/// Waits for a connection's next relay; `None` when it has been idle for too long, or anything came on it. The
-/// relay is looked at first in each turn, so that none is lost to another cause.
-async fn wait(
-    limiter: &Rc<Limiter>,
-    link: &mut UpstreamConnection,
-    mut next: oneshot::Receiver<HostCall>,
+/// Waits for the connection's next call; `None` once it has been idle for too long, or anything was received on it.
+/// The call is polled first, so that none is lost to another cause.
+async fn wait_for_call(
+    pipeline: &Pipeline,
+    connection: &mut UpstreamConnection,
+    mut next_call: oneshot::Receiver<HostCall>,
 ) -> Option<HostCall> {
-    let idle = limiter.limits.south_idle.get();
+    let idle_timeout = pipeline.limits.south_idle.get();
+    let read_bytes = pipeline.limits.read_bytes;
     tokio::select! {
         biased;
-        relay = &mut next => relay.ok(),
-        _ = codec::more(&mut link.stream, &mut link.input, limiter.limits.read_bytes) => None,
-        () = sleep(idle) => None,
+        call = &mut next_call => call.ok(),
+        _ = codec::more(&mut connection.stream, &mut connection.input, read_bytes) => None,
+        () = sleep(idle_timeout) => None,
     }
 }
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -1,72 +1,105 @@
-//! Third stage: the module's actions are carried out, in its order.
+//! Third stage: the decision engine's actions are carried out, in its order.
 
-use super::{complete, dispatch};
-use crate::api::{Action, Event, Outcome};
-use crate::net::engine::Answer;
+use super::{complete, dispatch, Pipeline};
+use crate::api::{Action, Event, Nanos, Outcome};
+use crate::net::engine::{Answer, AttemptId, AttemptOrder};
 use crate::net::task::spawn;
-use crate::net::Limiter;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
 /// Carries out one action.
-pub fn carry_out(limiter: &Rc<Limiter>, action: Action) {
-    let now = Instant::now();
+pub fn carry_out(pipeline: &Rc<Pipeline>, action: Action) {
     match action {
         Action::Attempt {
             id,
             host,
             timeout,
             begins_within,
-        } => {
-            let relay = limiter
+        } => begin_attempt(
+            pipeline,
+            AttemptOrder {
+                id,
+                host,
+                timeout,
+                begins_within,
+            },
+        ),
+        Action::CancelAttempt { id, attempt } => {
+            let attempt_id = AttemptId {
+                request: id,
+                attempt,
+            };
+            pipeline
                 .engine
-                .borrow_mut()
-                .begin(id, host, (timeout, begins_within), now);
-            match relay {
-                Ok(relay) => dispatch::send(limiter, relay),
-                Err(attempt) => {
-                    let elapsed = 0;
-                    complete::tell_done(
-                        limiter,
-                        (id, attempt, host),
-                        Outcome::NeverSent,
-                        elapsed,
-                        Default::default(),
-                    );
-                }
-            }
+                .requests()
+                .borrow()
+                .cancel_attempt(attempt_id);
         }
-        Action::CancelAttempt { id, attempt } => limiter.engine.borrow().cancel(id, attempt),
         Action::Reject { id, retry_after } => {
-            let wait = if limiter.limits.tells_when.get() {
-                retry_after
-            } else {
-                0
-            };
-            complete::answer(limiter, id, Answer::BackOff(Duration::from_nanos(wait)));
+            let retry_after = advised_wait(pipeline, retry_after);
+            complete::answer(pipeline, id, Answer::Rejected { retry_after });
         }
         Action::Fail { id } => {
-            complete::answer(limiter, id, Answer::Failed);
-        }
-        Action::SetTimer { tag, after } => {
-            let limiter = limiter.clone();
-            spawn(async move {
-                sleep_until(now + Duration::from_nanos(after)).await;
-                limiter.tell(Event::Timer { tag });
-            });
+            complete::answer(pipeline, id, Answer::Failed);
         }
+        Action::SetTimer { tag, after } => set_timer(pipeline, tag, after),
         Action::Count {
             name,
             amount,
             keep_for,
-        } => limiter.counter.call(limiter, name, amount, keep_for),
-        Action::HealthCheck { host } => dispatch::probe(limiter, host),
-        Action::CloseIdle { host } => limiter.upstream.close_idle(host),
+        } => pipeline.counter.call(name, amount, keep_for),
+        Action::HealthCheck { host } => dispatch::check_health(pipeline, host),
+        Action::CloseIdle { host } => pipeline.upstream.close_idle(host),
         Action::Log { text } => tracing::info!("{text}"),
-        // The inventory is watched all the time, and its whole list is asked for after each gap.
+        // Discovery is watched all the time, and asked for the whole list after each gap.
         Action::Watch { .. } | Action::FetchHosts => {}
-        // Limiters here have no way to each other.
+        // Limiters have no connections to each other.
         Action::MessagePeers { .. } => {}
     }
 }
+
+fn begin_attempt(pipeline: &Rc<Pipeline>, order: AttemptOrder) {
+    let begun = pipeline
+        .engine
+        .requests()
+        .borrow_mut()
+        .begin_attempt(order, Instant::now());
+    match begun {
+        Ok(call) => dispatch::send(pipeline, call),
+        Err(attempt) => report_never_sent(pipeline, order, attempt),
+    }
+}
+
+fn report_never_sent(pipeline: &Pipeline, order: AttemptOrder, attempt: u32) {
+    let AttemptOrder { id, host, .. } = order;
+    pipeline.engine.handle(Event::AttemptDone {
+        id,
+        attempt,
+        host,
+        outcome: Outcome::NeverSent,
+        elapsed: 0,
+        over: false,
+        metered_use: 0,
+        true_units: 0.0,
+        load: Vec::new(),
+    });
+}
+
+/// The wait that clients are told with a rejection; zero where they are told none.
+fn advised_wait(pipeline: &Pipeline, retry_after: Nanos) -> Duration {
+    if pipeline.limits.tells_when.get() {
+        Duration::from_nanos(retry_after)
+    } else {
+        Duration::ZERO
+    }
+}
+
+fn set_timer(pipeline: &Rc<Pipeline>, tag: String, after: Nanos) {
+    let due = Instant::now() + Duration::from_nanos(after);
+    let pipeline = pipeline.clone();
+    spawn(async move {
+        sleep_until(due).await;
+        pipeline.engine.handle(Event::Timer { tag });
+    });
+}
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -2,8 +2,8 @@
 
 use super::{attempt, complete, dispatch};
 use crate::api::{Event, HostEntry, HostId, HostState, Nanos, Outcome, RequestId};
-use crate::net::engine::tests::{request, RecordingFrontend};
-use crate::net::engine::Answer;
+use crate::net::engine::tests::{attempt_order, no_reply, reply_to, request, RecordingFrontend};
+use crate::net::engine::{Answer, AttemptOrder};
 use crate::net::resp::upstream::UpstreamConnection;
 use crate::net::tests::{next, with_limiter};
 use crate::net::Limiter;
@@ -41,7 +41,7 @@
         state: HostState::Ready,
         ..HostEntry::default()
     };
-    limiter.upstream.learn(&entry, address);
+    limiter.upstream().learn(&entry, address);
     Slow {
         listener,
         address,
@@ -54,27 +54,26 @@
     limiter: &Rc<Limiter>,
     begins_within: Duration,
 ) -> (Slow, Rc<RecordingFrontend>) {
-    limiter.limits.connect.set(LONG);
+    limiter.limits().connect.set(LONG);
     let (host, front) = (
         slow_host(limiter).await,
         Rc::new(RecordingFrontend::default()),
     );
     let mut asked = request(1);
     asked.wait = LONG;
-    limiter
-        .engine
+    let requests = limiter.engine().requests();
+    requests
         .borrow_mut()
-        .open(front.clone(), 0, &mut asked, Instant::now());
-    let bounds = (0, begins_within.as_nanos() as Nanos);
-    let relay = limiter
-        .engine
-        .borrow_mut()
-        .begin(RequestId(1), HOST, bounds, Instant::now());
-    let relay = relay.expect("within the cap");
-    dispatch::send(limiter, relay);
+        .open(reply_to(&front, 0), &mut asked, Instant::now());
+    let order = AttemptOrder {
+        begins_within: begins_within.as_nanos() as Nanos,
+        ..attempt_order(1, HOST)
+    };
+    let call = requests.borrow_mut().begin_attempt(order, Instant::now());
+    dispatch::send(limiter.pipeline(), call.expect("within the cap"));
     yield_now().await;
     assert_eq!(
-        limiter.upstream.links().get(&HOST),
+        limiter.upstream().links().get(&HOST),
         Some(&1),
         "it is on its way"
     );
@@ -94,7 +93,7 @@
         .await
         .expect("it ends long before its time is up");
     assert_eq!(outcome, expected);
-    while limiter.upstream.links().contains_key(&HOST) {
+    while limiter.upstream().links().contains_key(&HOST) {
         yield_now().await;
     }
     // Whatever comes up behind the one that filled the line is not the attempt's.
@@ -119,7 +118,7 @@
 fn nothing_is_sent_for_a_client_that_went_while_a_connection_came_up() {
     with_limiter(&[], |limiter| async move {
         let (host, front) = connecting(&limiter, LONG).await;
-        complete::abandon(&limiter, RequestId(1));
+        complete::abandon(limiter.pipeline(), RequestId(1));
         nothing_goes_out(&limiter, host, Outcome::Cancelled).await;
         assert_eq!(*front.0.borrow(), []);
     });
@@ -130,7 +129,11 @@
 fn nothing_is_sent_for_a_request_that_was_answered_while_a_connection_came_up() {
     with_limiter(&[], |limiter| async move {
         let (host, front) = connecting(&limiter, LONG).await;
-        assert!(complete::answer(&limiter, RequestId(1), Answer::Failed));
+        assert!(complete::answer(
+            limiter.pipeline(),
+            RequestId(1),
+            Answer::Failed
+        ));
         nothing_goes_out(&limiter, host, Outcome::Cancelled).await;
         assert_eq!(*front.0.borrow(), [(0, Answer::Failed)]);
     });
@@ -163,28 +166,25 @@
             state: HostState::Ready,
             ..HostEntry::default()
         };
-        limiter.upstream.learn(&entry, address);
+        limiter.upstream().learn(&entry, address);
         let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
         let (mut link, (mut peer, _)) = (
             UpstreamConnection::new(stream.expect("it connects"), address),
             accepted.expect("it comes"),
         );
         let now = Instant::now();
-        limiter.engine.borrow_mut().open(
-            Rc::new(RecordingFrontend::default()),
-            0,
-            &mut request(1),
-            now,
-        );
-        let sent = limiter
-            .engine
-            .borrow_mut()
-            .begin(RequestId(1), HOST, (0, 1), now)
-            .expect("within the cap");
-        while Instant::now() < sent.begin_by {}
-        let (end, sound) = attempt::relay(&limiter, &mut link, &sent).await;
+        let requests = limiter.engine().requests();
+        requests.borrow_mut().open(no_reply(), &mut request(1), now);
+        let order = AttemptOrder {
+            begins_within: 1,
+            ..attempt_order(1, HOST)
+        };
+        let begun = requests.borrow_mut().begin_attempt(order, now);
+        let sent = begun.expect("within the cap");
+        while Instant::now() < sent.send_by {}
+        let end = attempt::run(limiter.pipeline(), &mut link, &sent).await;
         assert_eq!(
-            (end.outcome, sound, link.written),
+            (end.result.outcome, end.reusable, link.written),
             (Outcome::ConnectFailed, false, false)
         );
         drop(link);
