--- a/src/net/counter/mod.rs
+++ b/src/net/counter/mod.rs
@@ -657,7 +657,7 @@
     #[test]
     fn what_tells_nothing_may_have_been_added() {
         with_limiter(&[], |limiter| async move {
-            let read = |bytes: &str| understand(bytes.as_bytes(), &limiter.limits());
+            let read = |bytes: &str| understand(bytes.as_bytes(), limiter.limits());
             let whole = |bytes: &str| read(bytes).expect("sound").expect("whole").0;
             assert_eq!(whole("$4\r\n-1.5\r\n$1\r\n2\r\n"), (Outcome::Good, -1.5));
             assert_eq!(whole("-BUSY\r\n"), (Outcome::Rejected, 0.0));
