--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -7,7 +7,7 @@
 use super::discovery::backoff::Backoff;
 use super::engine::EngineDriver;
 use super::metrics::SharedMetrics;
-use super::resp::upstream::Upstream;
+use super::resp::upstream::UpstreamPool;
 use crate::api::{Event, HostEntry, HostId, HostState, ListMode};
 use quartzcleat_admin::Bans;
 use serde_json::{json, Value};
@@ -210,7 +210,7 @@
 pub struct DiscoveryClient {
     limits: Rc<Limits>,
     engine: Rc<EngineDriver>,
-    upstream: Rc<Upstream>,
+    upstream: Rc<UpstreamPool>,
     addresses: watch::Receiver<Addresses>,
     metrics: Option<SharedMetrics>,
     endpoints: RefCell<EndpointList>,
@@ -228,7 +228,7 @@
     /// Is told of each list.
     pub engine: Rc<EngineDriver>,
     /// Is told of each host's address and state.
-    pub upstream: Rc<Upstream>,
+    pub upstream: Rc<UpstreamPool>,
     /// Where discovery listens.
     pub addresses: watch::Receiver<Addresses>,
     /// Counts failed calls.
@@ -328,11 +328,15 @@
     drop(bans);
     tell(client, version, mode, entries);
     let mut endpoints = client.endpoints.borrow_mut();
-    endpoints.ids.retain(|_, id| client.upstream.knows(*id));
-    endpoints.taken.retain(|id| client.upstream.knows(*id));
+    endpoints
+        .ids
+        .retain(|_, id| client.upstream.contains_host(*id));
+    endpoints
+        .taken
+        .retain(|id| client.upstream.contains_host(*id));
     endpoints
         .told
-        .retain(|_, (entry, _)| client.upstream.knows(entry.host));
+        .retain(|_, (entry, _)| client.upstream.contains_host(entry.host));
 }
 
 fn tell(
@@ -343,17 +347,17 @@
 ) {
     entries
         .iter()
-        .for_each(|(entry, address)| client.upstream.learn(entry, *address));
+        .for_each(|(entry, address)| client.upstream.update_host(entry, *address));
     let entries: Vec<_> = entries.into_iter().map(|(entry, _)| entry).collect();
     if mode != ListMode::Update {
-        client.upstream.keep_only(&entries);
+        client.upstream.retain_listed(&entries);
     }
     client.engine.handle(Event::Hosts {
         version,
         mode,
         entries,
     });
-    client.upstream.forget(&client.limits);
+    client.upstream.forget_gone_hosts(&client.limits);
 }
 
 /// Staff said something of a server: what is believed of it is told anew.
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -11,7 +11,7 @@
 use super::metrics::{self, Metrics, SharedMetrics};
 use super::reload::{ConfigReloader, ReloadParts};
 use super::resp::downstream::{self, Downstream};
-use super::resp::upstream::Upstream;
+use super::resp::upstream::UpstreamPool;
 use super::shutdown::{self, Shutdown};
 use super::stages::{complete, Pipeline};
 use super::task::spawn;
@@ -39,7 +39,7 @@
     /// The decision engine, and the open requests.
     engine: Rc<EngineDriver>,
     /// Hosts and the connections to them.
-    upstream: Rc<Upstream>,
+    upstream: Rc<UpstreamPool>,
     /// The connections to the counter.
     counter: Rc<CounterClient>,
     /// The endpoint list.
@@ -85,7 +85,7 @@
         let has_admin = config.console.is_some();
         let limits = Rc::new(config.limits);
         let shutdown = Rc::new(Shutdown::new(&limits));
-        let upstream = Rc::new(Upstream::new(config.settings.reports));
+        let upstream = Rc::new(UpstreamPool::new(config.settings.reports));
         let engine = Rc::new(EngineDriver::new(
             config.settings.clone(),
             config.seed,
--- a/src/net/limiter/tests.rs
+++ b/src/net/limiter/tests.rs
@@ -15,7 +15,7 @@
         &self.engine
     }
 
-    pub(crate) fn upstream(&self) -> &Upstream {
+    pub(crate) fn upstream(&self) -> &UpstreamPool {
         &self.upstream
     }
 
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -3,7 +3,7 @@
 //! decides nothing, and nothing that decides looks at it.
 
 use super::engine::EngineDriver;
-use super::resp::upstream::Upstream;
+use super::resp::upstream::UpstreamPool;
 use super::task::spawn;
 use crate::api::{Action, Event, HostId, Nanos, Outcome};
 use quartzcleat_decision::EngineStatus;
@@ -229,14 +229,16 @@
     metrics: SharedMetrics,
     every: Duration,
     engine: Rc<EngineDriver>,
-    upstream: Rc<Upstream>,
+    upstream: Rc<UpstreamPool>,
 ) {
     spawn(async move {
         let mut due = interval(every);
         loop {
             due.tick().await;
             let (now, status) = (engine.now(), engine.status());
-            metrics.borrow_mut().tell(now, &status, &upstream.links());
+            metrics
+                .borrow_mut()
+                .tell(now, &status, &upstream.connections_by_host());
         }
     });
 }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -7,7 +7,7 @@
 use super::discovery::DiscoveryClient;
 use super::engine::EngineDriver;
 use super::resp::downstream::RequestCatalog;
-use super::resp::upstream::Upstream;
+use super::resp::upstream::UpstreamPool;
 use super::shutdown::unix;
 use super::task::spawn;
 use crate::api::{Event, Settings};
@@ -32,7 +32,7 @@
     /// Takes the settings.
     pub engine: Rc<EngineDriver>,
     /// Connections to hosts.
-    pub upstream: Rc<Upstream>,
+    pub upstream: Rc<UpstreamPool>,
     /// The endpoint list, which numbers the zones.
     pub discovery: Rc<DiscoveryClient>,
     /// Where the services listen, for those who follow their moves.
@@ -97,7 +97,9 @@
             .addresses
             .send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
         self.parts.limits.retune(&config.limits);
-        self.parts.upstream.reports.set(config.settings.reports);
+        self.parts
+            .upstream
+            .set_report_source(config.settings.reports);
         let mut settings = config.settings;
         // Zones keep their indices, as classes and plans do.
         settings.zone = self
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -5,6 +5,7 @@
 use crate::net::engine::tests::{attempt_order, no_reply, request};
 use crate::net::engine::{HostCall, HostCommand};
 use crate::net::resp::codec;
+use crate::net::resp::upstream::interpret;
 use crate::net::tests::{next, with_limiter};
 use crate::net::Limiter;
 use std::time::Duration;
@@ -41,9 +42,8 @@
             let (reply, _) = codec::reply(answer, limiter.limits())
                 .expect("sound")
                 .expect("whole");
-            let (end, _) = limiter
-                .upstream()
-                .end(&reply, answer, &relay.command, relay.host);
+            let source = limiter.upstream().report_source();
+            let end = interpret(&reply, answer, &relay.command, relay.host, source).result;
             assert_eq!(end.outcome, Outcome::Good);
             end.load.len()
         };
@@ -58,7 +58,7 @@
             matches!(next(&limiter).await, Event::SettingsChanged { .. }),
             "the file is sound"
         );
-        assert_eq!(limiter.upstream().reports.get(), ReportSource::Answers);
+        assert_eq!(limiter.upstream().report_source(), ReportSource::Answers);
         assert_eq!((load(), idle()), (1, Duration::from_secs(2)));
     });
 }
--- a/src/net/resp/tests.rs
+++ b/src/net/resp/tests.rs
@@ -72,10 +72,10 @@
         let (stream, peer) = pair().await;
         let address = stream.peer_addr().expect("an address");
         let link = UpstreamConnection::new(stream, address);
-        assert!(link.quiet());
+        assert!(link.is_quiet());
         drop(peer);
         has_come(&link.stream);
-        assert!(!link.quiet());
+        assert!(!link.is_quiet());
     });
 }
 
--- /dev/null
+++ b/src/net/resp/upstream/call_codec.rs
@@ -0,0 +1,190 @@
+//! The commands that hosts are sent, and what their replies mean.
+
+use crate::api::{HostId, Load, Outcome, ReportSource};
+use crate::net::engine::{HostCall, HostCommand, Payload};
+use crate::net::resp::codec::{self, Reply};
+use crate::net::stages::complete::{CallResult, UsageFigures};
+use std::ops::Range;
+use tokio::time::Instant;
+
+/// The command that asks a host for its load.
+const LOAD_COMMAND: [&[u8]; 2] = [b"INFO", b"load"];
+
+/// What a reply means.
+pub struct Interpretation {
+    /// How the call ended.
+    pub result: CallResult,
+    /// The reply is one of the protocol's forms. After any other the connection is of no more use.
+    pub is_known_form: bool,
+}
+
+impl Interpretation {
+    fn known(result: CallResult) -> Self {
+        Interpretation {
+            result,
+            is_known_form: true,
+        }
+    }
+
+    fn unknown_form() -> Self {
+        Interpretation {
+            result: Outcome::Error.into(),
+            is_known_form: false,
+        }
+    }
+}
+
+/// What a reply to a command means. `bytes` are those that the ranges in `reply` refer to.
+pub fn interpret(
+    reply: &Reply,
+    bytes: &[u8],
+    command: &HostCommand,
+    host: HostId,
+    report_source: ReportSource,
+) -> Interpretation {
+    let is_health_check = matches!(command, HostCommand::HealthCheck);
+    let mut interpretation = match (reply, command) {
+        (Reply::Error(line), _) => interpret_error(&bytes[line.clone()]),
+        (Reply::Bulk(Some(_)), HostCommand::HealthCheck) => interpret_health(reply, bytes),
+        (Reply::Array(Some(members)), HostCommand::Attempt { .. }) => {
+            interpret_value(members, bytes, host)
+        }
+        _ => Interpretation::unknown_form(),
+    };
+    if !is_health_check && report_source != ReportSource::Answers {
+        interpretation.result.load.clear();
+    }
+    interpretation
+}
+
+fn interpret_error(line: &[u8]) -> Interpretation {
+    let mut words = line.split(|byte| *byte == b' ');
+    let first = words.next();
+    let load = words.next_back().and_then(parse_load).unwrap_or_default();
+    let (outcome, is_known_form) = match first {
+        Some(b"BUSY") => (Outcome::Rejected, true),
+        Some(b"ERR") => (Outcome::Error, true),
+        _ => (Outcome::Error, false),
+    };
+    Interpretation {
+        result: CallResult {
+            load,
+            ..outcome.into()
+        },
+        is_known_form,
+    }
+}
+
+fn interpret_health(report: &Reply, bytes: &[u8]) -> Interpretation {
+    let result = match load_report(report, bytes) {
+        Some(load) => CallResult {
+            load,
+            ..Outcome::Good.into()
+        },
+        None => Outcome::Error.into(),
+    };
+    Interpretation::known(result)
+}
+
+/// The value, the figures on usage or null, the load report or null. The value is good even where the others are
+/// malformed.
+fn interpret_value(members: &[Reply], bytes: &[u8], host: HostId) -> Interpretation {
+    let [Reply::Bulk(Some(value)), usage, report] = members else {
+        return Interpretation::unknown_form();
+    };
+    Interpretation::known(CallResult {
+        value: bytes[value.clone()].to_vec(),
+        load: load_report(report, bytes).unwrap_or_default(),
+        used: usage_figures(usage, bytes, host),
+        ..Outcome::Good.into()
+    })
+}
+
+/// Whether the bytes received of a reply may yet become one to this command. Bytes that are well-formed so far and
+/// begin no such reply are not waited for.
+pub fn may_become_reply(input: &[u8], command: &HostCommand) -> bool {
+    let expected: &[u8] = match command {
+        HostCommand::HealthCheck => b"$",
+        HostCommand::Attempt { .. } => b"*3\r\n$",
+    };
+    begins_alike(input, b"-") || begins_alike(input, expected)
+}
+
+/// Whether two byte strings are equal as far as both reach.
+fn begins_alike(one: &[u8], other: &[u8]) -> bool {
+    one.iter().zip(other).all(|(left, right)| left == right)
+}
+
+fn load_report(member: &Reply, bytes: &[u8]) -> Option<Load> {
+    match member {
+        Reply::Bulk(Some(range)) => parse_load(&bytes[range.clone()]),
+        _ => None,
+    }
+}
+
+/// Parses named values: `inflight=7,queue=2`.
+fn parse_load(bytes: &[u8]) -> Option<Load> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let pair = |pair: &str| {
+        let (name, value) = pair.split_once('=')?;
+        let value: f64 = value.parse().ok()?;
+        value.is_finite().then(|| (name.to_owned(), value))
+    };
+    text.split(',').map(pair).collect()
+}
+
+/// The figures on usage: `used=37,cost=4`, or null. Figures that are malformed or negative are logged and left out, so
+/// that they never enter a count.
+pub fn usage_figures(figures: &Reply, bytes: &[u8], host: HostId) -> UsageFigures {
+    let pairs = match figures {
+        Reply::Bulk(None) => return UsageFigures::default(),
+        Reply::Bulk(Some(range)) => parse_load(&bytes[range.clone()]),
+        _ => None,
+    };
+    let value_of = |name: &str| {
+        let mut pairs = pairs.iter().flatten();
+        let found = pairs.find(|(known, _)| known == name);
+        found.map_or(0.0, |(_, value)| *value)
+    };
+    let (metered, units) = (value_of("used"), value_of("cost"));
+    if pairs.is_none() || metered < 0.0 || units < 0.0 {
+        tracing::warn!(host = host.0, "usage figures of a host are malformed");
+    }
+    UsageFigures {
+        metered: metered.max(0.0) as u64,
+        units: units.max(0.0),
+    }
+}
+
+/// Appends the command of a call. The arguments go on byte for byte; the wait in them becomes what is left of it.
+pub fn write_command(call: &HostCall, now: Instant, output: &mut Vec<u8>) {
+    let HostCommand::Attempt { payload, .. } = &call.command else {
+        return codec::write_command(&LOAD_COMMAND, output);
+    };
+    let remaining = call.deadline.saturating_duration_since(now);
+    let remaining_ms = remaining.as_millis().max(1).to_string();
+    codec::write_head('*', payload.arguments.len(), output);
+    for argument in &payload.arguments {
+        write_argument(payload, argument, remaining_ms.as_bytes(), output);
+    }
+}
+
+fn write_argument(
+    payload: &Payload,
+    argument: &Range<usize>,
+    remaining_ms: &[u8],
+    output: &mut Vec<u8>,
+) {
+    let wait = &payload.wait;
+    let contains_wait =
+        argument.start <= wait.start && wait.end <= argument.end && !wait.is_empty();
+    if !contains_wait {
+        return codec::write_bulk(&payload.bytes[argument.clone()], output);
+    }
+    let length = argument.len() - wait.len() + remaining_ms.len();
+    codec::write_head('$', length, output);
+    output.extend_from_slice(&payload.bytes[argument.start..wait.start]);
+    output.extend_from_slice(remaining_ms);
+    output.extend_from_slice(&payload.bytes[wait.end..argument.end]);
+    output.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/src/net/resp/upstream/tests.rs
@@ -0,0 +1,270 @@
+//! Commands, replies, and which connections carry calls.
+
+use super::*;
+use crate::api::{CustomerId, HostEntry, HostId, HostState, Outcome, ReportSource, RequestId};
+use crate::net::config::Limits;
+use crate::net::engine::tests::{attempt_order, no_reply, request};
+use crate::net::engine::{AttemptOrder, Charge, HostCommand};
+use crate::net::resp::codec;
+use crate::net::stages::complete::UsageFigures;
+use crate::net::tests::with_limiter;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// The words go on as they came, the wait apart, whose length may change.
+#[test]
+fn only_the_wait_is_rewritten() {
+    with_limiter(&[], |limiter| async move {
+        let now = Instant::now();
+        let mut requests = limiter.engine().requests().borrow_mut();
+        requests.open(no_reply(), &mut request(1), now);
+        for (timeout, expected) in [
+            (0, "$9\r\nd=900,c=x"),
+            (42_000_000, "$8\r\nd=42,c=x"),
+            (10, "$7\r\nd=1,c=x"),
+        ] {
+            let order = AttemptOrder {
+                timeout,
+                ..attempt_order(1, HostId(5))
+            };
+            let call = requests.begin_attempt(order, now).expect("within the cap");
+            let mut output = Vec::new();
+            write_command(&call, now, &mut output);
+            assert_eq!(
+                String::from_utf8_lossy(&output),
+                format!("*2\r\n$5\r\nQ.ASK\r\n{expected}\r\n")
+            );
+        }
+    });
+}
+
+/// What is good, and after what the connection may be used again.
+#[test]
+fn only_a_whole_right_formed_value_is_good() {
+    let attempt = HostCommand::Attempt {
+        charge: Charge {
+            customer: CustomerId(7),
+            units: 1.0,
+        },
+        id: RequestId(1),
+        attempt: 0,
+        payload: Rc::new(request(1).payload),
+    };
+    with_limiter(&[], |limiter| async move {
+        let source = ReportSource::Answers;
+        for (bytes, outcome, inflight, known) in [
+            (
+                "*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n",
+                Outcome::Good,
+                Some(7.0),
+                true,
+            ),
+            (
+                "*3\r\n$3\r\nbed\r\n$-1\r\n$3\r\n=,=\r\n",
+                Outcome::Good,
+                None,
+                true,
+            ),
+            (
+                "*3\r\n$3\r\nbed\r\n:-7\r\n+?\r\n",
+                Outcome::Good,
+                None,
+                true,
+            ),
+            ("*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome::Error, None, false),
+            ("*2\r\n$3\r\nbed\r\n$-1\r\n", Outcome::Error, None, false),
+            ("$3\r\nbed\r\n", Outcome::Error, None, false),
+            ("+OK\r\n", Outcome::Error, None, false),
+            (":5\r\n", Outcome::Error, None, false),
+            ("-BUSY\r\n", Outcome::Rejected, None, true),
+            ("-BUSY inflight=9\r\n", Outcome::Rejected, Some(9.0), true),
+            ("-BUSYBODY\r\n", Outcome::Error, None, false),
+            (
+                "-ERR failed inflight=3,queue=0\r\n",
+                Outcome::Error,
+                Some(3.0),
+                true,
+            ),
+        ] {
+            let (reply, _) = codec::reply(bytes.as_bytes(), limiter.limits())
+                .expect("well-formed")
+                .expect("whole");
+            let Interpretation {
+                result,
+                is_known_form,
+            } = interpret(&reply, bytes.as_bytes(), &attempt, HostId(5), source);
+            assert_eq!(
+                (
+                    result.outcome,
+                    result.load.first().map(|(_, value)| *value),
+                    is_known_form
+                ),
+                (outcome, inflight, known),
+                "{bytes:?}"
+            );
+            assert_eq!(
+                result.value,
+                if outcome == Outcome::Good {
+                    b"bed".to_vec()
+                } else {
+                    Vec::new()
+                }
+            );
+        }
+        for (bytes, may) in [("", true), ("*3\r", true), ("*3\r\n$9", true), ("-E", true)] {
+            assert_eq!(
+                may_become_reply(bytes.as_bytes(), &attempt),
+                may,
+                "{bytes:?}"
+            );
+        }
+        for bytes in ["*3\r\n*3\r\n*3\r\n", "*30", "$3", ":5\r\n", "HTTP"] {
+            assert!(!may_become_reply(bytes.as_bytes(), &attempt), "{bytes:?}");
+        }
+    });
+}
+
+/// What an answer tells of use is read whatever the load report is; what cannot be so is as if it had not come.
+#[test]
+fn figures_on_use_are_read_from_answers() {
+    let attempt = HostCommand::Attempt {
+        charge: Charge {
+            customer: CustomerId(7),
+            units: 1.0,
+        },
+        id: RequestId(1),
+        attempt: 0,
+        payload: Rc::new(request(1).payload),
+    };
+    with_limiter(&[], |limiter| async move {
+        let source = ReportSource::Nowhere;
+        for (members, metered, units) in [
+            ("$14\r\nused=37,cost=4\r\n$-1\r\n", 37, 4.0),
+            ("$8\r\ncost=0.5\r\n$9\r\nqueue=2,=\r\n", 0, 0.5),
+            ("$-1\r\n$7\r\nqueue=2\r\n", 0, 0.0),
+            ("$8\r\ncost=-40\r\n$-1\r\n", 0, 0.0),
+            ("$8\r\ncost=inf\r\n$-1\r\n", 0, 0.0),
+            ("$9\r\ncost=four\r\n$-1\r\n", 0, 0.0),
+            (":4\r\n$-1\r\n", 0, 0.0),
+        ] {
+            let bytes = format!("*3\r\n$3\r\nbed\r\n{members}");
+            let (reply, _) = codec::reply(bytes.as_bytes(), limiter.limits())
+                .expect("well-formed")
+                .expect("whole");
+            let Interpretation {
+                result,
+                is_known_form,
+            } = interpret(&reply, bytes.as_bytes(), &attempt, HostId(5), source);
+            assert_eq!(
+                (result.outcome, result.used, is_known_form),
+                (Outcome::Good, UsageFigures { metered, units }, true),
+                "{members:?}"
+            );
+        }
+    });
+}
+
+/// For a moment after its answer a connection is not used again: more may follow.
+#[test]
+fn a_connection_rests_after_an_answer() {
+    with_limiter(&[], |limiter| async move {
+        let (upstream, address) = (
+            limiter.upstream(),
+            "127.0.0.1:9".parse().expect("an address"),
+        );
+        let state = HostState::Ready;
+        upstream.update_host(
+            &HostEntry {
+                host: HostId(5),
+                state,
+                ..HostEntry::default()
+            },
+            address,
+        );
+        let now = Instant::now();
+        let requests = limiter.engine().requests();
+        requests.borrow_mut().open(no_reply(), &mut request(1), now);
+        let call = requests
+            .borrow_mut()
+            .begin_attempt(attempt_order(1, HostId(5)), now);
+        let mut parked = upstream
+            .add_idle(HostId(5), address)
+            .expect("it may wait")
+            .next_call;
+        let back = upstream.send_on_idle(call.expect("within the cap"), limiter.limits());
+        let call = back.expect_err("it answered just now");
+        tokio::time::sleep(limiter.limits().south_rest).await;
+        assert!(upstream.send_on_idle(call, limiter.limits()).is_ok());
+        assert!(parked.try_recv().is_ok());
+    });
+}
+
+/// A send that was decided before the word of a drain goes out for a while only.
+#[test]
+fn a_host_that_drains_is_soon_sent_nothing() {
+    with_limiter(&[], |limiter| async move {
+        let (upstream, address) = (
+            limiter.upstream(),
+            "127.0.0.1:9".parse().expect("an address"),
+        );
+        let entry = |state| HostEntry {
+            host: HostId(5),
+            state,
+            ..HostEntry::default()
+        };
+        let drained = Limits {
+            drain: std::time::Duration::ZERO.into(),
+            ..limiter.limits().clone()
+        };
+        upstream.update_host(&entry(HostState::Ready), address);
+        assert_eq!(upstream.address(HostId(5), &drained), Some(address));
+        let parked = upstream.add_idle(HostId(5), address).expect("it may wait");
+        upstream.retain_listed(&[]);
+        assert_eq!(upstream.address(HostId(5), limiter.limits()), Some(address));
+        assert_eq!(upstream.address(HostId(5), &drained), None);
+        // Its idle connections are let go, and it gets no new ones.
+        assert!(parked.next_call.await.is_err());
+        assert!(upstream.add_idle(HostId(5), address).is_none());
+        upstream.update_host(&entry(HostState::Ready), address);
+        assert_eq!(upstream.address(HostId(5), &drained), Some(address));
+    });
+}
+
+/// What is gone is forgotten once nothing may be sent there; what drains is not.
+#[test]
+fn hosts_that_are_gone_are_forgotten() {
+    with_limiter(&[], |limiter| async move {
+        let (upstream, address) = (
+            limiter.upstream(),
+            "127.0.0.1:9".parse().expect("an address"),
+        );
+        let entry = |id, state| HostEntry {
+            host: HostId(id),
+            state,
+            ..HostEntry::default()
+        };
+        let over = Limits {
+            drain: std::time::Duration::ZERO.into(),
+            ..limiter.limits().clone()
+        };
+        (1..5).for_each(|id| upstream.update_host(&entry(id, HostState::Ready), address));
+        upstream.update_host(&entry(2, HostState::Gone), address);
+        upstream.update_host(&entry(3, HostState::Draining), address);
+        upstream.forget_gone_hosts(limiter.limits());
+        assert!(
+            (1..5).all(|id| upstream.contains_host(HostId(id))),
+            "what was decided before may still go out"
+        );
+        upstream.forget_gone_hosts(&over);
+        assert_eq!(
+            [1, 2, 3, 4].map(|id| upstream.contains_host(HostId(id))),
+            [true, false, true, true]
+        );
+        upstream.retain_listed(&[entry(1, HostState::Ready)]);
+        upstream.forget_gone_hosts(&over);
+        assert_eq!(
+            [1, 2, 3, 4].map(|id| upstream.contains_host(HostId(id))),
+            [true, false, false, false]
+        );
+    });
+}
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -67,7 +67,7 @@
     };
     let attempt = usage_recorder.begin(charge.customer.0, charge.units);
     let end = run_unrecorded(pipeline, connection, call).await;
-    usage_recorder.end(attempt, &end.result, connection.written, charge.units);
+    usage_recorder.end(attempt, &end.result, connection.command_sent, charge.units);
     end
 }
 
@@ -76,7 +76,7 @@
     connection: &mut UpstreamConnection,
     call: &HostCall,
 ) -> CallEnd {
-    connection.written = false;
+    connection.command_sent = false;
     let outcome = tokio::select! {
         biased;
         () = call.cancellation.requested.notified() => Outcome::Cancelled,
@@ -89,7 +89,7 @@
         () = sleep_until(call.deadline) => Outcome::Timeout,
     };
     // A host does not run a command that it has not received completely.
-    if outcome == Outcome::Timeout && !connection.written {
+    if outcome == Outcome::Timeout && !connection.command_sent {
         Outcome::ConnectFailed.into()
     } else {
         outcome.into()
@@ -120,7 +120,7 @@
     call: &HostCall,
     limits: &Limits,
 ) -> Result<(), Outcome> {
-    upstream::write(call, Instant::now(), &mut connection.output);
+    upstream::write_command(call, Instant::now(), &mut connection.output);
     let mut written = 0;
     while written < connection.output.len() {
         // Later than this the hosts may have forgotten an earlier attempt, and a repeat would run twice.
@@ -138,7 +138,7 @@
             Err(_) => return Err(Outcome::ConnectFailed),
         }
     }
-    connection.written = true;
+    connection.command_sent = true;
     call.cancellation.sent.set(true);
     log_written(call);
     codec::consume(&mut connection.output, written, limits.read_bytes);
@@ -179,7 +179,7 @@
     call: &HostCall,
 ) -> Option<Exchange> {
     let limits = &pipeline.limits;
-    if !upstream::promising(&connection.input, &call.command) {
+    if !upstream::may_become_reply(&connection.input, &call.command) {
         return Some(Outcome::Error.into());
     }
     if let Some((head_bytes, value_bytes)) = codec::value_head(&connection.input) {
@@ -192,14 +192,20 @@
     }
     match codec::reply(&connection.input, limits) {
         Ok(Some((reply, length))) => {
-            let (result, known) =
-                pipeline
-                    .upstream
-                    .end(&reply, &connection.input, &call.command, call.host);
+            let interpretation = upstream::interpret(
+                &reply,
+                &connection.input,
+                &call.command,
+                call.host,
+                pipeline.upstream.report_source(),
+            );
             // Whatever follows the answer belongs to no call.
-            let reusable = known && length == connection.input.len();
+            let reusable = interpretation.is_known_form && length == connection.input.len();
             codec::consume(&mut connection.input, length, limits.read_bytes);
-            Some(Exchange::Ended(CallEnd { result, reusable }))
+            Some(Exchange::Ended(CallEnd {
+                result: interpretation.result,
+                reusable,
+            }))
         }
         Ok(None) => None,
         Err(_) => Some(Outcome::Error.into()),
@@ -265,7 +271,7 @@
             };
         };
         if is_usage {
-            result.used = upstream::used(&reply, &connection.input, call.host);
+            result.used = upstream::usage_figures(&reply, &connection.input, call.host);
         }
         codec::consume(&mut connection.input, length, limits.read_bytes);
     }
--- a/src/net/stages/attempt/tests.rs
+++ b/src/net/stages/attempt/tests.rs
@@ -20,7 +20,7 @@
             state: HostState::Ready,
             ..HostEntry::default()
         };
-        limiter.upstream().learn(&entry, address);
+        limiter.upstream().update_host(&entry, address);
         let good = "*3\r\n$3\r\nbed\r\n$-1\r\n$-1\r\n";
         for (id, answer, expected) in [
             (1, good.to_owned(), (Outcome::Good, true)),
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -4,7 +4,8 @@
 use super::{complete, Pipeline};
 use crate::api::{HostId, Outcome};
 use crate::net::engine::{Cancellation, HostCall, HostCommand};
-use crate::net::resp::{codec, upstream::UpstreamConnection};
+use crate::net::resp::codec;
+use crate::net::resp::upstream::{IdlePlace, UpstreamConnection};
 use crate::net::task::spawn;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -13,7 +14,7 @@
 
 /// Sends a call on its way.
 pub fn send(pipeline: &Rc<Pipeline>, call: HostCall) {
-    if let Err(call) = pipeline.upstream.hand_over(call, &pipeline.limits) {
+    if let Err(call) = pipeline.upstream.send_on_idle(call, &pipeline.limits) {
         spawn(run_connection(pipeline.clone(), call));
     }
 }
@@ -35,7 +36,10 @@
 
 /// A connection's lifecycle: opened for one call, it carries others for as long as it is usable.
 async fn run_connection(pipeline: Rc<Pipeline>, mut call: HostCall) {
-    let Some(_permit) = pipeline.upstream.count(call.host, &pipeline.limits) else {
+    let Some(_permit) = pipeline
+        .upstream
+        .acquire_permit(call.host, &pipeline.limits)
+    else {
         return complete::complete(&pipeline, &call, Outcome::ConnectFailed.into());
     };
     let connected = connect(&pipeline, &call).await;
@@ -49,21 +53,21 @@
     loop {
         let CallEnd { result, reusable } = attempt::run(&pipeline, &mut connection, &call).await;
         // The connection is idle already when the engine is told, so that what the engine sends next finds it.
-        let parked = if reusable {
-            pipeline.upstream.park(call.host, connection.peer)
+        let idle_place = if reusable {
+            pipeline.upstream.add_idle(call.host, connection.peer)
         } else {
             None
         };
         complete::complete(&pipeline, &call, result);
-        let Some((serial, next_call)) = parked else {
+        let Some(IdlePlace { serial, next_call }) = idle_place else {
             return;
         };
         let host = call.host;
         match wait_for_call(&pipeline, &mut connection, next_call).await {
             // The host closed it meanwhile: nothing has been written, so the call goes to another connection.
-            Some(call) if !connection.quiet() => return send(&pipeline, call),
+            Some(call) if !connection.is_quiet() => return send(&pipeline, call),
             Some(next) => call = next,
-            None => return pipeline.upstream.unpark(host, serial),
+            None => return pipeline.upstream.remove_idle(host, serial),
         }
     }
 }
--- a/src/net/stages/mod.rs
+++ b/src/net/stages/mod.rs
@@ -15,7 +15,7 @@
 use super::engine::{ActionExecutor, EngineDriver, Frontend, Request};
 use super::frontend::{FrontendContext, RequestHandler};
 use super::metrics::SharedMetrics;
-use super::resp::upstream::Upstream;
+use super::resp::upstream::UpstreamPool;
 use super::shutdown::Shutdown;
 use super::usage_export::UsageRecorder;
 use crate::api::{Action, RequestId};
@@ -26,7 +26,7 @@
 pub struct Pipeline {
     limits: Rc<Limits>,
     engine: Rc<EngineDriver>,
-    upstream: Rc<Upstream>,
+    upstream: Rc<UpstreamPool>,
     counter: Rc<CounterClient>,
     shutdown: Rc<Shutdown>,
     metrics: Option<SharedMetrics>,
@@ -41,7 +41,7 @@
     pub fn new(
         limits: Rc<Limits>,
         engine: Rc<EngineDriver>,
-        upstream: Rc<Upstream>,
+        upstream: Rc<UpstreamPool>,
         counter: Rc<CounterClient>,
         shutdown: Rc<Shutdown>,
         metrics: Option<SharedMetrics>,
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -41,7 +41,7 @@
         state: HostState::Ready,
         ..HostEntry::default()
     };
-    limiter.upstream().learn(&entry, address);
+    limiter.upstream().update_host(&entry, address);
     Slow {
         listener,
         address,
@@ -73,7 +73,7 @@
     dispatch::send(limiter.pipeline(), call.expect("within the cap"));
     yield_now().await;
     assert_eq!(
-        limiter.upstream().links().get(&HOST),
+        limiter.upstream().connections_by_host().get(&HOST),
         Some(&1),
         "it is on its way"
     );
@@ -93,7 +93,7 @@
         .await
         .expect("it ends long before its time is up");
     assert_eq!(outcome, expected);
-    while limiter.upstream().links().contains_key(&HOST) {
+    while limiter.upstream().connections_by_host().contains_key(&HOST) {
         yield_now().await;
     }
     // Whatever comes up behind the one that filled the line is not the attempt's.
@@ -166,7 +166,7 @@
             state: HostState::Ready,
             ..HostEntry::default()
         };
-        limiter.upstream().learn(&entry, address);
+        limiter.upstream().update_host(&entry, address);
         let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
         let (mut link, (mut peer, _)) = (
             UpstreamConnection::new(stream.expect("it connects"), address),
@@ -184,7 +184,7 @@
         while Instant::now() < sent.send_by {}
         let end = attempt::run(limiter.pipeline(), &mut link, &sent).await;
         assert_eq!(
-            (end.result.outcome, end.reusable, link.written),
+            (end.result.outcome, end.reusable, link.command_sent),
             (Outcome::ConnectFailed, false, false)
         );
         drop(link);
