--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,7 +2,7 @@
 //! a call is read and typed by `quartzcleat-admin`, and what it means is carried out here in one place.
 
 use super::config::Limits;
-use super::discovery::{self, DiscoveryClient};
+use super::discovery::DiscoveryClient;
 use super::hot_restart::{self, HotRestart};
 use super::shutdown::unix;
 use super::shutdown::Shutdown;
@@ -197,7 +197,7 @@
                 Ok(changed) => {
                     if changed {
                         tracing::info!("server {name} is out of service by staff's word");
-                        discovery::judge_again(&context.discovery, &name);
+                        context.discovery.reapply_maintenance(&name);
                         hot_restart::publish(&context.hot_restart);
                     }
                     (200, format!("{name} gets nothing new until it is enabled"))
@@ -215,7 +215,7 @@
                 Ok(changed) => {
                     if changed {
                         tracing::info!("server {name} may serve again by staff's word");
-                        discovery::judge_again(&context.discovery, &name);
+                        context.discovery.reapply_maintenance(&name);
                         hot_restart::publish(&context.hot_restart);
                     }
                     (200, format!("{name} may serve"))
@@ -259,7 +259,7 @@
             let told = limiter.clone();
             tokio::task::spawn_local(async move {
                 sleep(told.limits().last_moment).await;
-                discovery::tests::told(told.discovery(), "s-1");
+                crate::net::discovery::tests::told(told.discovery(), "s-1");
             });
             listed(limiter.admin(), &call).await;
             assert_eq!(carry_out(limiter.admin(), call).0, 200);
--- /dev/null
+++ b/src/net/discovery/connection.rs
@@ -0,0 +1,165 @@
+//! Requests to discovery and their responses, on one connection.
+
+use super::endpoint_list::ListError;
+use super::http::{parse_response, Response, ResponseError};
+use crate::net::config::Limits;
+use serde_json::Value;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+const STATUS_OK: u16 = 200;
+const LIST_PATH: &str = "/discovery/hosts";
+
+/// Why a call to discovery failed.
+#[derive(Debug, Error)]
+pub enum DiscoveryError {
+    /// No connection came up in time.
+    #[error("no connection in time")]
+    ConnectTimeout,
+    /// The connection failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The response did not arrive in time.
+    #[error("no response in time")]
+    ResponseTimeout,
+    /// The response is malformed.
+    #[error(transparent)]
+    Response(#[from] ResponseError),
+    /// The response has another status than 200.
+    #[error("discovery answers with status {0}")]
+    Status(u16),
+    /// The body is not JSON.
+    #[error("discovery's list is not JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The list is malformed.
+    #[error(transparent)]
+    List(#[from] ListError),
+    /// The call for the full list was answered with old changes.
+    #[error("the call for the whole list is answered with changes that are old")]
+    NoFullList,
+}
+
+/// What discovery is asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListRequest {
+    path: String,
+    /// How long the response may take.
+    timeout: Duration,
+}
+
+impl ListRequest {
+    /// The full list.
+    pub fn full(timeout: Duration) -> Self {
+        ListRequest {
+            path: LIST_PATH.to_owned(),
+            timeout,
+        }
+    }
+
+    /// The changes since a version; discovery waits for a change.
+    pub fn changes_since(version: u64, limits: &Limits) -> Self {
+        let wait_ms = limits.watch.as_millis();
+        ListRequest {
+            path: format!("{LIST_PATH}?index={version}&wait={wait_ms}"),
+            timeout: limits.watch + limits.watch_slack,
+        }
+    }
+}
+
+/// A list as received, not interpreted yet.
+pub struct ListResponse {
+    /// The JSON value.
+    pub list: Value,
+    /// The connection stays open for another request.
+    pub keep_alive: bool,
+}
+
+/// A connection to discovery.
+pub struct DiscoveryConnection {
+    stream: TcpStream,
+    address: SocketAddr,
+    input: Vec<u8>,
+}
+
+impl DiscoveryConnection {
+    /// Connects to discovery.
+    ///
+    /// # Errors
+    /// No connection came up.
+    pub async fn open(address: SocketAddr) -> Result<Self, DiscoveryError> {
+        let stream = TcpStream::connect(address).await?;
+        // Without it requests are a little later; the connection works all the same.
+        let _ = stream.set_nodelay(true);
+        Ok(DiscoveryConnection {
+            stream,
+            address,
+            input: Vec::new(),
+        })
+    }
+
+    /// Makes a request on a connection that stays open.
+    ///
+    /// # Errors
+    /// The request fails, or its response is not a list.
+    pub async fn get(
+        &mut self,
+        request: &ListRequest,
+        limits: &Limits,
+    ) -> Result<ListResponse, DiscoveryError> {
+        let ListRequest { path, timeout } = request;
+        let address = self.address;
+        let head = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        self.exchange(&head, *timeout, limits).await
+    }
+
+    /// Makes the only request of a connection.
+    ///
+    /// # Errors
+    /// The request fails, or its response is not a list.
+    pub async fn get_and_close(
+        mut self,
+        request: &ListRequest,
+        limits: &Limits,
+    ) -> Result<ListResponse, DiscoveryError> {
+        let ListRequest { path, timeout } = request;
+        let address = self.address;
+        let head = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+        self.exchange(&head, *timeout, limits).await
+    }
+
+    async fn exchange(
+        &mut self,
+        head: &str,
+        response_timeout: Duration,
+        limits: &Limits,
+    ) -> Result<ListResponse, DiscoveryError> {
+        self.stream.write_all(head.as_bytes()).await?;
+        let response = timeout(response_timeout, self.read_response(limits))
+            .await
+            .map_err(|_| DiscoveryError::ResponseTimeout)??;
+        if response.status != STATUS_OK {
+            return Err(DiscoveryError::Status(response.status));
+        }
+        Ok(ListResponse {
+            list: serde_json::from_slice(&response.body)?,
+            keep_alive: response.keep_alive,
+        })
+    }
+
+    async fn read_response(&mut self, limits: &Limits) -> Result<Response, DiscoveryError> {
+        loop {
+            if let Some(response) = parse_response(&self.input, limits.list_bytes)? {
+                self.input.drain(..response.length);
+                return Ok(response);
+            }
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+        }
+    }
+}
--- a/src/net/discovery/crossings.rs
+++ b/src/net/discovery/crossings.rs
@@ -1,11 +1,16 @@
 //! When a change counts as told, and answers of discovery that cross: scripted on real sockets.
 
 use super::*;
+use crate::api::HostState;
 use crate::net::config::read;
 use crate::net::task::spawn;
 use crate::net::tests::{next, with_limiter};
 use crate::net::Limiter;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
 
 /// One call of the limiter's, not answered yet.
 struct Call {
@@ -72,7 +77,7 @@
 fn follows(limiter: &Rc<Limiter>) {
     spawn(follow(
         limiter.discovery().clone(),
-        Backoff::of(limiter.limits(), 1),
+        Backoff::from_limits(limiter.limits(), 1),
     ));
     if !limiter.limits().list_by_asking {
         spawn(check(limiter.discovery().clone()));
@@ -99,7 +104,7 @@
         let text = text.replace("\"balancers\": 1", &format!("\"balancers\": {limiters}"));
         let limits = read(&text, |_| None).expect("sound").limits;
         assert_eq!(limits.list_by_asking, mode == "ask");
-        let (mut backoff, mut longest) = (Backoff::of(&limits, 7), Duration::ZERO);
+        let (mut backoff, mut longest) = (Backoff::from_limits(&limits, 7), Duration::ZERO);
         for _ in 0..1_000 {
             longest = longest.max(backoff.after_failure());
         }
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -5,7 +5,7 @@
 pub mod listener_handover;
 
 use super::config::Limits;
-use super::discovery::{self, DiscoveryClient};
+use super::discovery::DiscoveryClient;
 use super::engine::EngineDriver;
 use super::shutdown::unix;
 use super::shutdown::Shutdown;
@@ -247,7 +247,7 @@
     drop(bans);
     changed
         .iter()
-        .for_each(|name| discovery::judge_again(&hot_restart.discovery, name));
+        .for_each(|name| hot_restart.discovery.reapply_maintenance(name));
     hot_restart.shutdown.say(|doors| doors.merge(state.drain));
 }
 
@@ -264,7 +264,7 @@
         &hot_restart.name,
         &hot_restart.listen,
         endpoints.zones().to_vec(),
-        endpoints.list(),
+        endpoints.to_json(),
         learned,
     );
     let draft = folder.join(format!("{heir}.draft"));
@@ -295,8 +295,8 @@
             return true;
         }
     };
-    if !hot_restart.discovery.endpoints().borrow().answered() {
-        if let Err(problem) = discovery::restore(&hot_restart.discovery, &told.list) {
+    if !hot_restart.discovery.endpoints().borrow().has_received() {
+        if let Err(problem) = hot_restart.discovery.restore(&told.list) {
             tracing::warn!("the list that another process handed over is left alone: {problem}");
         }
     }
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -3,8 +3,7 @@
 use super::admin::{self, AdminContext};
 use super::config::{Addresses, Config, Limits};
 use super::counter::{self, CounterClient};
-use super::discovery::backoff::Backoff;
-use super::discovery::{self, DiscoveryClient, DiscoveryParts, EndpointList};
+use super::discovery::{self, Backoff, DiscoveryClient, DiscoveryParts, EndpointList};
 use super::engine::EngineDriver;
 use super::hot_restart::{self, HotRestart, HotRestartParts};
 use super::leases;
@@ -160,7 +159,9 @@
         }
         // What another process knows goes before the list of the configuration.
         hot_restart::look(&self.hot_restart);
-        discovery::restore(&self.discovery, &options.known_hosts)?;
+        self.discovery
+            .restore(&options.known_hosts)
+            .map_err(|e| format!("known.{e}"))?;
         self.start_clients(options.backoff);
         let admin_listener = match options.admin {
             Some(address) => Some(bind_admin(address).await?),
@@ -280,7 +281,7 @@
         admin: config.console,
         known_hosts: config.known.clone(),
         lease: config.lease.clone(),
-        backoff: Backoff::of(&config.limits, config.seed),
+        backoff: Backoff::from_limits(&config.limits, config.seed),
     };
     LocalSet::new().block_on(&runtime, async { Limiter::new(config).run(options).await })
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -1,7 +1,7 @@
 //! The parsers against random cuts of valid messages, random damage and random garbage, from fixed seeds.
 
 use quartzcleat::net::config::{self, Limits};
-use quartzcleat::net::discovery::response;
+use quartzcleat::net::discovery::http::parse_response;
 use quartzcleat::net::resp::codec::{self, Reply};
 use quickcheck::{Gen, QuickCheck, Testable};
 
@@ -94,11 +94,13 @@
             message.extend_from_slice(&body);
         }
         let read = whole(&message, |bytes| {
-            let response = response(bytes, 1 << 20).expect("no cut is malformed")?;
+            let response = parse_response(bytes, 1 << 20).expect("no cut is malformed")?;
             let length = response.length;
             Some((response, length))
         });
-        read.is_some_and(|read| read.body == body && read.status == 200 && read.lasts != chunked)
+        read.is_some_and(|read| {
+            read.body == body && read.status == 200 && read.keep_alive != chunked
+        })
     }
     check(3, cut as fn(Vec<u8>, u8, bool) -> bool);
 }
@@ -108,7 +110,7 @@
     let limits = limits();
     let command = codec::command(bytes, &limits).ok().flatten();
     let reply = codec::reply(bytes, &limits).ok().flatten();
-    let list = response(bytes, 1 << 10).ok().flatten();
+    let list = parse_response(bytes, 1 << 10).ok().flatten();
     command.is_none_or(|c| {
         c.length <= bytes.len() && c.words.iter().flatten().all(|w| w.end <= c.length)
     }) && reply.is_none_or(|(_, length)| length <= bytes.len())
@@ -181,5 +183,5 @@
     }
     let long = vec![b'+'; 2000];
     assert!(codec::reply(&long, &limits).is_err());
-    assert!(response(b"HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\n", 100).is_err());
+    assert!(parse_response(b"HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\n", 100).is_err());
 }
