--- /dev/null
+++ b/src/net/counter/answer.rs
@@ -0,0 +1,89 @@
+//! The answers of the counter.
+
+use crate::api::Outcome;
+use crate::net::config::Limits;
+use crate::net::resp::codec::{self, Reply};
+use thiserror::Error;
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallOutcome {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The total after a good call.
+    pub total: f64,
+}
+
+impl CallOutcome {
+    /// The end of a call without a total.
+    pub fn failed(outcome: Outcome) -> Self {
+        CallOutcome {
+            outcome,
+            total: 0.0,
+        }
+    }
+}
+
+/// An answer at the start of the bytes received.
+#[derive(Debug)]
+pub struct CounterAnswer {
+    /// How the call ended.
+    pub outcome: CallOutcome,
+    /// Length of the answer, in bytes.
+    pub length: usize,
+}
+
+/// The bytes received are no answer of a counter.
+#[derive(Debug, Error)]
+#[error("malformed answer of the counter")]
+pub struct MalformedAnswer;
+
+/// The answer at the start of `input`; `None` where more bytes have to come.
+///
+/// A rejection proves that nothing was added, so only the error words of the counter count as one. Bytes that cannot
+/// become an answer are not waited for.
+///
+/// # Errors
+/// The bytes are no answer: the call may have been added.
+pub fn parse_answer(
+    input: &[u8],
+    limits: &Limits,
+) -> Result<Option<CounterAnswer>, MalformedAnswer> {
+    if input.first().is_some_and(|first| !b"$-".contains(first)) {
+        return Err(MalformedAnswer);
+    }
+    let reply = codec::reply(input, limits).map_err(|_| MalformedAnswer)?;
+    let Some((reply, length)) = reply else {
+        let is_too_long = input.len() > limits.counter_answer;
+        return if is_too_long {
+            Err(MalformedAnswer)
+        } else {
+            Ok(None)
+        };
+    };
+    let outcome = match reply {
+        Reply::Bulk(Some(range)) => parse_total(&input[range])?,
+        Reply::Error(range) => parse_rejection(&input[range])?,
+        _ => return Err(MalformedAnswer),
+    };
+    Ok(Some(CounterAnswer { outcome, length }))
+}
+
+fn parse_total(bytes: &[u8]) -> Result<CallOutcome, MalformedAnswer> {
+    let text = std::str::from_utf8(bytes).map_err(|_| MalformedAnswer)?;
+    let total: f64 = text.parse().map_err(|_| MalformedAnswer)?;
+    if !total.is_finite() {
+        return Err(MalformedAnswer);
+    }
+    Ok(CallOutcome {
+        outcome: Outcome::Good,
+        total,
+    })
+}
+
+fn parse_rejection(line: &[u8]) -> Result<CallOutcome, MalformedAnswer> {
+    match line.split(|byte| *byte == b' ').next() {
+        Some(b"BUSY" | b"ERR") => Ok(CallOutcome::failed(Outcome::Rejected)),
+        _ => Err(MalformedAnswer),
+    }
+}
--- /dev/null
+++ b/src/net/counter/call_queue.rs
@@ -0,0 +1,185 @@
+//! The calls of one link to the counter, reported in their order.
+
+use super::answer::CallOutcome;
+use super::connection::CounterConnection;
+use crate::api::{Event, Nanos, Outcome};
+use crate::net::config::Limits;
+use crate::net::engine::EngineDriver;
+use crate::net::resp::codec;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, Instant};
+
+/// The command that adds to a counter and returns its total.
+const ADD_COMMAND: &[u8] = b"ADDGET";
+const NANOS_PER_MS: u64 = 1_000_000;
+/// The longest time that the counter keeps a name, in milliseconds.
+const MAX_KEEP_MS: u64 = 60_000;
+
+/// A call that has not been reported yet.
+struct CounterCall {
+    name: String,
+    /// What is to be written; empty once the call is on its way, or where it never will be.
+    command: Vec<u8>,
+    started_at: Instant,
+    /// The call is on its way, or was.
+    is_sent: bool,
+    /// How the call ended, once that is known.
+    outcome: Option<CallOutcome>,
+}
+
+/// When any of the links was last answered.
+pub type LastAnswered = Rc<Cell<Option<Instant>>>;
+
+/// Calls in their order, whichever connection each of them is written to.
+pub struct CallQueue {
+    calls: RefCell<VecDeque<CounterCall>>,
+    /// How many calls have been reported: the number of the first one in the queue.
+    reported: Cell<u64>,
+    /// Notified when a call is added.
+    pub added: Notify,
+    /// Shared by all queues.
+    pub last_answered: LastAnswered,
+}
+
+impl CallQueue {
+    /// A queue without calls.
+    pub fn new(last_answered: LastAnswered) -> Self {
+        CallQueue {
+            calls: RefCell::default(),
+            reported: Cell::default(),
+            added: Notify::new(),
+            last_answered,
+        }
+    }
+
+    /// Adds a call. Past the limit the call is not made, but keeps its place: its end is reported behind the others.
+    pub fn push(&self, name: String, amount: f64, keep_for: Nanos, limits: &Limits) {
+        let mut calls = self.calls.borrow_mut();
+        let has_capacity = calls.len() < limits.counter_calls;
+        let call = if has_capacity {
+            CounterCall {
+                command: encode(&name, amount, keep_for),
+                name,
+                started_at: Instant::now(),
+                is_sent: false,
+                outcome: None,
+            }
+        } else {
+            CounterCall {
+                command: Vec::new(),
+                name,
+                started_at: Instant::now(),
+                is_sent: false,
+                outcome: Some(CallOutcome::failed(Outcome::ConnectFailed)),
+            }
+        };
+        calls.push_back(call);
+        self.added.notify_one();
+    }
+
+    /// Waits until the first call has timed out.
+    pub async fn wait_for_timeout(&self, limits: &Limits) {
+        let first = self.calls.borrow().front().map(|call| call.started_at);
+        match first {
+            Some(started_at) => sleep_until(started_at + limits.counter_call.get()).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Ends the calls that have timed out, and reports. A call that was never on its way was not added; any other may be.
+    pub fn expire(&self, limits: &Limits, engine: &EngineDriver) {
+        let now = Instant::now();
+        for call in self.calls.borrow_mut().iter_mut() {
+            if call.started_at + limits.counter_call.get() > now {
+                break;
+            }
+            let outcome = if call.is_sent {
+                Outcome::Timeout
+            } else {
+                Outcome::ConnectFailed
+            };
+            call.outcome.get_or_insert(CallOutcome::failed(outcome));
+        }
+        self.report(engine);
+    }
+
+    /// Reports the first calls, as far as their ends are known. The engine knows calls by their order, so that a call
+    /// whose end is known waits for those before it.
+    pub fn report(&self, engine: &EngineDriver) {
+        while let Some((call, ended)) = self.take_ended() {
+            self.reported.set(self.reported.get() + 1);
+            engine.handle(Event::CounterReplied {
+                name: call.name,
+                outcome: ended.outcome,
+                total: ended.total,
+                elapsed: call.started_at.elapsed().as_nanos() as Nanos,
+            });
+        }
+    }
+
+    fn take_ended(&self) -> Option<(CounterCall, CallOutcome)> {
+        let mut calls = self.calls.borrow_mut();
+        let ended = calls.front()?.outcome?;
+        Some((calls.pop_front()?, ended))
+    }
+
+    /// Records the end of a call, if none is known.
+    pub fn record(&self, number: u64, outcome: CallOutcome) {
+        let Some(index) = number.checked_sub(self.reported.get()) else {
+            return;
+        };
+        if let Some(call) = self.calls.borrow_mut().get_mut(index as usize) {
+            call.outcome.get_or_insert(outcome);
+        }
+    }
+
+    /// Ends the calls on a connection that is of no more use, and reports. Those whose last byte was never written were
+    /// not added; of the others nobody knows, which is the same as no answer in time.
+    pub fn abandon(&self, connection: CounterConnection, engine: &EngineDriver) {
+        for call in &connection.unanswered {
+            let outcome = if connection.has_written(call) {
+                Outcome::Timeout
+            } else {
+                Outcome::ConnectFailed
+            };
+            self.record(call.number, CallOutcome::failed(outcome));
+        }
+        drop(connection);
+        self.report(engine);
+    }
+
+    /// Puts all calls that wait on a connection.
+    pub fn move_to(&self, connection: &mut CounterConnection) {
+        let first = self.reported.get();
+        for (number, call) in (first..).zip(self.calls.borrow_mut().iter_mut()) {
+            if !call.is_sent && call.outcome.is_none() {
+                call.is_sent = true;
+                connection.append(number, &mut call.command);
+            }
+        }
+    }
+
+    /// Whether there are calls without an end.
+    #[cfg(test)]
+    pub fn is_empty(&self) -> bool {
+        self.calls.borrow().is_empty()
+    }
+}
+
+fn encode(name: &str, amount: f64, keep_for: Nanos) -> Vec<u8> {
+    let amount = amount.to_string();
+    let keep_ms = keep_for.div_ceil(NANOS_PER_MS).clamp(1, MAX_KEEP_MS);
+    let keep_ms = keep_ms.to_string();
+    let words = [
+        ADD_COMMAND,
+        name.as_bytes(),
+        amount.as_bytes(),
+        keep_ms.as_bytes(),
+    ];
+    let mut command = Vec::new();
+    codec::write_command(&words, &mut command);
+    command
+}
--- /dev/null
+++ b/src/net/counter/connection.rs
@@ -0,0 +1,77 @@
+//! One connection to the counter, and the calls whose answers are still to come on it.
+
+use crate::net::config::Limits;
+use crate::net::resp::codec;
+use std::collections::VecDeque;
+use std::io;
+use tokio::net::TcpStream;
+
+/// A call that was written, or is about to be.
+pub struct WrittenCall {
+    /// The call's number in its queue.
+    pub number: u64,
+    /// How many bytes the connection has carried once the call's last byte is written.
+    pub end: u64,
+}
+
+/// A connection to the counter.
+pub struct CounterConnection {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Bytes received and not parsed yet.
+    pub input: Vec<u8>,
+    /// Bytes to be written.
+    pub output: Vec<u8>,
+    /// Bytes written so far.
+    flushed: u64,
+    /// The counter has answered a call on this connection.
+    pub has_answered: bool,
+    /// The calls without an answer, oldest first.
+    pub unanswered: VecDeque<WrittenCall>,
+}
+
+impl CounterConnection {
+    /// A fresh connection.
+    pub fn new(stream: TcpStream) -> Self {
+        CounterConnection {
+            stream,
+            input: Vec::new(),
+            output: Vec::new(),
+            flushed: 0,
+            has_answered: false,
+            unanswered: VecDeque::new(),
+        }
+    }
+
+    /// Appends a call to what is to be written.
+    pub fn append(&mut self, number: u64, command: &mut Vec<u8>) {
+        self.output.append(command);
+        self.unanswered.push_back(WrittenCall {
+            number,
+            end: self.flushed + self.output.len() as u64,
+        });
+    }
+
+    /// Whether the last byte of a call has been written.
+    pub fn has_written(&self, call: &WrittenCall) -> bool {
+        call.end <= self.flushed
+    }
+
+    /// Writes as much as the socket takes.
+    ///
+    /// # Errors
+    /// The connection is broken.
+    pub fn flush(&mut self, limits: &Limits) -> io::Result<()> {
+        while !self.output.is_empty() {
+            match self.stream.try_write(&self.output) {
+                Ok(count) => {
+                    self.flushed += count as u64;
+                    codec::consume(&mut self.output, count, limits.read_bytes);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+}
