--- /dev/null
+++ b/crates/admin/src/maintenance/tests.rs
@@ -0,0 +1,69 @@
+//! Orders above what discovery says, merged and bounded.
+
+use super::*;
+use quartzcleat_decision::api::HostId;
+
+fn entry(state: HostState, started: Nanos) -> HostEntry {
+    HostEntry {
+        host: HostId(1),
+        state,
+        started,
+        ..HostEntry::default()
+    }
+}
+
+#[test]
+fn maintenance_overrides_discovery_and_one_order_to_enable_ends_it() {
+    let mut registry = MaintenanceRegistry::default();
+    assert_eq!(registry.disable("s", 10), Err(UnknownHost));
+    assert_eq!(registry.enable("s", 10), Err(UnknownHost));
+    registry.record_listed("s");
+    assert_eq!(
+        (registry.disable("s", 10), registry.disable("s", 11)),
+        (Ok(true), Ok(false))
+    );
+    for (listed, expected) in [
+        (HostState::Ready, HostState::Draining),
+        (HostState::Draining, HostState::Draining),
+        (HostState::Gone, HostState::Gone),
+        (HostState::Ready, HostState::Draining),
+    ] {
+        assert_eq!(registry.apply("s", &entry(listed, 12)).state, expected);
+    }
+    assert_eq!(
+        (registry.enable("s", 20), registry.enable("s", 21)),
+        (Ok(true), Ok(false))
+    );
+    assert_eq!(
+        registry.apply("s", &entry(HostState::Ready, 12)),
+        entry(HostState::Ready, 12)
+    );
+    // Until discovery lists its restart it counts as started when it was enabled.
+    assert_eq!(registry.apply("s", &entry(HostState::Ready, 5)).started, 20);
+}
+
+#[test]
+fn the_later_of_two_processes_orders_holds_in_whatever_order_they_arrive() {
+    let (mut one, mut two) = (
+        MaintenanceRegistry::default(),
+        MaintenanceRegistry::default(),
+    );
+    one.record_listed("s");
+    one.disable("s", 10).expect("listed");
+    assert_eq!(two.merge(one.orders()), ["s"]);
+    two.enable("s", 20).expect("known by the order");
+    let (old, new) = (one.orders().clone(), two.orders().clone());
+    assert!(two.merge(&old).is_empty() && !two.is_disabled("s"));
+    assert_eq!(one.merge(&new), ["s"]);
+    assert!(!one.is_disabled("s") && one.orders() == two.orders());
+}
+
+#[test]
+fn names_are_bounded() {
+    let mut registry = MaintenanceRegistry::default();
+    (0..MAX_LISTED_NAMES + 10).for_each(|n| registry.record_listed(&n.to_string()));
+    assert_eq!(
+        (registry.listed_names().count(), registry.disable("3", 1)),
+        (MAX_LISTED_NAMES, Err(UnknownHost))
+    );
+}
--- /dev/null
+++ b/crates/admin/src/request/tests.rs
@@ -0,0 +1,40 @@
+//! Every request is parsed, and every other one is refused with advice.
+
+use super::*;
+
+#[test]
+fn every_request_is_parsed_and_every_other_one_is_refused_with_advice() {
+    let id = br#"{"host":"s-1"}"#;
+    for (method, path, body, expected) in [
+        ("GET", "/ready", &b""[..], Ok(AdminRequest::Ready)),
+        (
+            "PUT",
+            "/servers/disable",
+            id,
+            Ok(AdminRequest::Disable("s-1".into())),
+        ),
+        (
+            "PUT",
+            "/servers/enable",
+            id,
+            Ok(AdminRequest::Enable("s-1".into())),
+        ),
+        ("PUT", "/drain", b"", Ok(AdminRequest::Drain)),
+        ("PUT", "/undrain", b"x", Ok(AdminRequest::Undrain)),
+        ("GET", "/", b"", Err(404)),
+        ("PUT", "/ready", b"", Err(405)),
+        ("GET", "/drain", b"", Err(405)),
+        ("PUT", "/servers/disable", b"", Err(400)),
+        ("PUT", "/servers/disable", b"{\"host\":", Err(400)),
+        ("PUT", "/servers/disable", b"[]", Err(422)),
+        ("PUT", "/servers/enable", b"{\"host\":7}", Err(422)),
+        ("PUT", "/servers/enable", b"{\"host\":\"\"}", Err(422)),
+    ] {
+        let read = parse_request(method, path, body);
+        assert_eq!(
+            read.map_err(|error| error.status),
+            expected,
+            "{method} {path}"
+        );
+    }
+}
--- /dev/null
+++ b/src/net/admin/mod.rs
@@ -0,0 +1,223 @@
+//! The admin interface: HTTP/1.1, one request to a connection, for on-call staff and what starts the process.
+//!
+//! Requests are parsed by `quartzcleat-admin`, and carried out here.
+
+mod http;
+
+#[cfg(test)]
+mod tests;
+
+use super::config::Limits;
+use super::discovery::DiscoveryClient;
+use super::hot_restart::HotRestart;
+use super::shutdown::{unix, Shutdown};
+use quartzcleat_admin::{AdminRequest, RequestError, UnknownHost};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// What requests to the admin interface read and change.
+pub struct AdminContext {
+    /// Sizes, counts and times.
+    pub limits: Rc<Limits>,
+    /// Puts hosts into maintenance, and knows which were ever listed.
+    pub discovery: Rc<DiscoveryClient>,
+    /// Drains the clients.
+    pub shutdown: Rc<Shutdown>,
+    /// Is told of each change.
+    pub hot_restart: Rc<HotRestart>,
+}
+
+/// The answer to a request.
+#[derive(Debug)]
+struct Response {
+    /// The HTTP status.
+    status: u16,
+    /// One sentence.
+    text: String,
+}
+
+impl Response {
+    fn new(status: u16, text: impl Into<String>) -> Self {
+        Response {
+            status,
+            text: text.into(),
+        }
+    }
+}
+
+impl From<RequestError> for Response {
+    fn from(error: RequestError) -> Self {
+        Response::new(error.status, error.advice)
+    }
+}
+
+/// Accepts callers for good. Past the limit the oldest caller is dropped, so that callers that never finish a request
+/// cannot keep others out.
+pub async fn accept(context: Rc<AdminContext>, listener: TcpListener) {
+    let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                callers.retain(|caller| !caller.is_finished());
+                while callers.len() >= context.limits.callers {
+                    callers.pop_front().inspect(JoinHandle::abort);
+                }
+                let caller = serve(context.clone(), stream);
+                callers.push_back(tokio::task::spawn_local(caller));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "admin connection not accepted");
+                sleep(context.limits.again).await;
+            }
+        }
+    }
+}
+
+async fn serve(context: Rc<AdminContext>, mut stream: TcpStream) {
+    let caller_time = context.limits.caller_time;
+    let request = read_request(&mut stream, context.limits.call_bytes);
+    let response = match timeout(caller_time, request).await {
+        Err(_) => Response::new(408, "the call did not end in time; send it at once"),
+        // The caller has gone, or never sent a whole request.
+        Ok(None) => return,
+        Ok(Some(Err(error))) => error.into(),
+        Ok(Some(Ok(request))) => {
+            wait_for_first_list(&context, &request).await;
+            carry_out(&context, request)
+        }
+    };
+    let response = http::encode(response.status, &response.text);
+    // A caller that does not take its response in time has had it.
+    let _ = timeout(caller_time, respond(&mut stream, &response)).await;
+}
+
+/// Reads one request; `None` where the caller has gone before its end.
+async fn read_request(
+    stream: &mut TcpStream,
+    max_bytes: usize,
+) -> Option<Result<AdminRequest, RequestError>> {
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(request) = http::parse(&bytes, max_bytes) {
+            return Some(request);
+        }
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+/// Writes the response and ends the connection. What of the request was left unread is read first: it would reset the
+/// connection, and the reset could overtake the response.
+async fn respond(stream: &mut TcpStream, response: &str) {
+    // A caller that has gone needs no response.
+    let _ = stream.write_all(response.as_bytes()).await;
+    let _ = stream.shutdown().await;
+    let mut unread = [0; 512];
+    while stream.read(&mut unread).await.is_ok_and(|count| count > 0) {}
+}
+
+/// Waits for discovery's first list where a request names a host that is not known yet: staff may be quicker than the
+/// list, and a host on it was listed.
+async fn wait_for_first_list(context: &AdminContext, request: &AdminRequest) {
+    let (AdminRequest::Disable(name) | AdminRequest::Enable(name)) = request else {
+        return;
+    };
+    let is_decided = || {
+        context.discovery.maintenance().borrow().contains(name) || context.discovery.has_answered()
+    };
+    let wait = async {
+        while !is_decided() {
+            sleep(context.limits.last_moment).await;
+        }
+    };
+    // Past the time the request is answered with what is known.
+    let _ = timeout(context.limits.first_list, wait).await;
+}
+
+/// Carries out a request.
+fn carry_out(context: &AdminContext, request: AdminRequest) -> Response {
+    match request {
+        AdminRequest::Ready => readiness(context),
+        AdminRequest::Disable(name) => disable(context, &name),
+        AdminRequest::Enable(name) => enable(context, &name),
+        AdminRequest::Drain => {
+            context.shutdown.drain();
+            tracing::info!("draining started by order of staff");
+            context.hot_restart.publish();
+            Response::new(200, "clients are sent away")
+        }
+        AdminRequest::Undrain => {
+            context.shutdown.undrain();
+            tracing::info!("draining stopped by order of staff");
+            context.hot_restart.publish();
+            Response::new(200, "clients are taken")
+        }
+    }
+}
+
+fn readiness(context: &AdminContext) -> Response {
+    if !context.shutdown.accepts_clients() {
+        Response::new(503, "draining: clients are sent away")
+    } else if context.shutdown.is_closing() {
+        Response::new(503, "ending")
+    } else {
+        Response::new(200, "taking clients")
+    }
+}
+
+fn disable(context: &AdminContext, name: &str) -> Response {
+    let disabled = context
+        .discovery
+        .maintenance()
+        .borrow_mut()
+        .disable(name, unix());
+    match disabled {
+        Err(UnknownHost) => unknown_host(context),
+        Ok(has_changed) => {
+            if has_changed {
+                tracing::info!(host = name, "maintenance started by order of staff");
+                announce_maintenance(context, name);
+            }
+            Response::new(200, format!("{name} gets nothing new until it is enabled"))
+        }
+    }
+}
+
+fn enable(context: &AdminContext, name: &str) -> Response {
+    let enabled = context
+        .discovery
+        .maintenance()
+        .borrow_mut()
+        .enable(name, unix());
+    match enabled {
+        Err(UnknownHost) => unknown_host(context),
+        Ok(has_changed) => {
+            if has_changed {
+                tracing::info!(host = name, "maintenance ended by order of staff");
+                announce_maintenance(context, name);
+            }
+            Response::new(200, format!("{name} may serve"))
+        }
+    }
+}
+
+fn announce_maintenance(context: &AdminContext, name: &str) {
+    context.discovery.reapply_maintenance(name);
+    context.hot_restart.publish();
+}
+
+fn unknown_host(context: &AdminContext) -> Response {
+    if context.discovery.has_answered() {
+        Response::new(
+            404,
+            "no server of this id was ever listed; use discovery's instanceId",
+        )
+    } else {
+        Response::new(503, "discovery has not told of any server yet; call again")
+    }
+}
--- /dev/null
+++ b/src/net/admin/tests.rs
@@ -0,0 +1,60 @@
+//! Requests that are cut, malformed, or earlier than the first list.
+
+use super::*;
+
+/// A server that is on discovery's first list was listed, however early staff name it; of one that is not, nothing
+/// is known until that list is there.
+#[test]
+fn a_request_before_the_first_list_waits_for_it() {
+    let console = [("\"listen\"", "\"console\": \"127.0.0.1:9\", \"listen\"")];
+    crate::net::tests::with_limiter(&console, |limiter| async move {
+        let call = AdminRequest::Disable("s-1".to_owned());
+        let began = tokio::time::Instant::now();
+        wait_for_first_list(limiter.admin(), &call).await;
+        assert!(began.elapsed() >= limiter.limits().first_list);
+        assert_eq!(
+            carry_out(limiter.admin(), call.clone()).status,
+            503,
+            "no list has come"
+        );
+        let told = limiter.clone();
+        tokio::task::spawn_local(async move {
+            sleep(told.limits().last_moment).await;
+            crate::net::discovery::tests::told(told.discovery(), "s-1");
+        });
+        wait_for_first_list(limiter.admin(), &call).await;
+        assert_eq!(carry_out(limiter.admin(), call).status, 200);
+        assert_eq!(
+            carry_out(limiter.admin(), AdminRequest::Enable("s-2".to_owned())).status,
+            404
+        );
+    });
+}
+
+fn status(text: &str) -> Option<u16> {
+    http::parse(text.as_bytes(), 8192)
+        .map(|parsed| parsed.map_or_else(|error| error.status, |_| 200))
+}
+
+#[test]
+fn a_request_is_complete_or_awaited_or_refused_with_advice() {
+    let put =
+        "PUT /servers/disable HTTP/1.1\r\nHost: x\r\ncontent-length: 14\r\n\r\n{\"host\":\"s-1\"}";
+    assert_eq!(status(put), Some(200));
+    (0..put.len()).for_each(|end| assert_eq!(status(&put[..end]), None, "cut at {end}"));
+    assert_eq!(status("GET /ready HTTP/1.1\r\n\r\n"), Some(200));
+    for (text, expected) in [
+        ("GET /ready\r\n\r\n".to_owned(), 400),
+        ("\u{1}\u{2}\r\n\r\n".to_owned(), 400),
+        (put.replace("14", "many"), 400),
+        (put.replace("14", "9000"), 413),
+        (
+            put.replace("content-length: 14", "Transfer-Encoding: chunked"),
+            400,
+        ),
+        (format!("GET /{} ", "x".repeat(9000)), 413),
+        (put.replace("{\"", "{'"), 400),
+    ] {
+        assert_eq!(status(&text), Some(expected), "{text}");
+    }
+}
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -21,7 +21,7 @@
 use super::metrics::SharedMetrics;
 use super::resp::upstream::UpstreamPool;
 use crate::api::{Event, ListMode};
-use quartzcleat_admin::Bans;
+use quartzcleat_admin::MaintenanceRegistry;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -35,7 +35,7 @@
     addresses: watch_channel::Receiver<Addresses>,
     metrics: Option<SharedMetrics>,
     endpoints: RefCell<EndpointList>,
-    maintenance: RefCell<Bans>,
+    maintenance: RefCell<MaintenanceRegistry>,
     /// The names of all hosts ever listed are kept for another process of this limiter.
     records_names: bool,
     /// Notified when the watch is behind, and is to be opened again.
@@ -79,7 +79,7 @@
     }
 
     /// The hosts in maintenance.
-    pub fn maintenance(&self) -> &RefCell<Bans> {
+    pub fn maintenance(&self) -> &RefCell<MaintenanceRegistry> {
         &self.maintenance
     }
 
@@ -116,8 +116,10 @@
             ListSource::Discovery => ListMode::Update,
         };
         let endpoints = list.endpoints.iter();
-        let judged: Vec<_> = endpoints.map(|endpoint| self.judge(endpoint)).collect();
-        self.announce(list.version, mode, judged);
+        let listed: Vec<_> = endpoints
+            .map(|endpoint| self.apply_maintenance(endpoint))
+            .collect();
+        self.announce(list.version, mode, listed);
         let upstream = &self.upstream;
         self.endpoints
             .borrow_mut()
@@ -125,13 +127,13 @@
     }
 
     /// A host as the engine is told of it: in maintenance it is draining, whatever discovery says.
-    fn judge(&self, endpoint: &Endpoint) -> Endpoint {
+    fn apply_maintenance(&self, endpoint: &Endpoint) -> Endpoint {
         let mut maintenance = self.maintenance.borrow_mut();
         if self.records_names {
-            maintenance.list(&endpoint.name);
+            maintenance.record_listed(&endpoint.name);
         }
         Endpoint {
-            entry: maintenance.judge(&endpoint.name, &endpoint.entry),
+            entry: maintenance.apply(&endpoint.name, &endpoint.entry),
             ..endpoint.clone()
         }
     }
@@ -163,7 +165,7 @@
             (endpoints.version(), endpoints.endpoint(name).cloned())
         };
         if let Some(mut endpoint) = endpoint {
-            endpoint.entry = self.maintenance.borrow().judge(name, &endpoint.entry);
+            endpoint.entry = self.maintenance.borrow().apply(name, &endpoint.entry);
             self.announce(version, ListMode::Update, vec![endpoint]);
         }
     }
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -112,7 +112,11 @@
         };
         list(0, "SERVING", true);
         assert_eq!(told(), HostState::Ready);
-        limiter.discovery().maintenance.borrow_mut().list("s-1");
+        limiter
+            .discovery()
+            .maintenance
+            .borrow_mut()
+            .record_listed("s-1");
         for round in 0..200 {
             let now = 1_000 * round;
             assert_eq!(
--- a/src/net/hot_restart/listener_handover.rs
+++ b/src/net/hot_restart/listener_handover.rs
@@ -1,25 +1,31 @@
-//! Which of two processes that listen at one address gets the connections that come. Guards against connections lost
-//! with a queue that is closed: from the moment of steering none comes to the older process, so that it can empty its
-//! queue and then close it.
+//! Which of two processes that listen at one address accepts the connections that come.
+//!
+//! A listening socket that is closed loses the connections in its queue. From the moment of handover none comes to the
+//! older process, so that it can empty its queue and then close it.
 
 use nix::libc::{sock_filter, sock_fprog};
 use nix::sys::socket::{setsockopt, sockopt::AttachReusePortCbpf};
 use std::os::fd::AsFd;
 
-/// `BPF_RET | BPF_K`: the result is the constant.
-const RETURN: u16 = 0x06;
+#[cfg(test)]
+mod tests;
+
+/// `BPF_RET | BPF_K`: the program returns the constant `k`.
+const RETURN_CONSTANT: u16 = 0x06;
+/// The index, in the order of listening, of the socket that gets the connections.
+const SECOND_SOCKET: u32 = 1;
 
-/// Gives all further connections to the second that listens at this address. Where there is no second any more, the
-/// kernel takes this for no choice, and the one that is left gets them.
+/// Gives all further connections to the second process that listens at this address. Where there is no second one any
+/// more, the kernel takes the index for no choice, and the process that is left gets them.
 ///
 /// # Errors
-/// The kernel does not know this; connections then still come to either.
-pub fn to_the_second(listener: &impl AsFd) -> nix::Result<()> {
+/// The kernel does not support this; connections then still come to either process.
+pub fn steer_to_second(listener: &impl AsFd) -> nix::Result<()> {
     let mut filter = [sock_filter {
-        code: RETURN,
+        code: RETURN_CONSTANT,
         jt: 0,
         jf: 0,
-        k: 1,
+        k: SECOND_SOCKET,
     }];
     let program = sock_fprog {
         len: 1,
@@ -27,51 +33,3 @@
     };
     setsockopt(listener, AttachReusePortCbpf, &program)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::net::{TcpListener, TcpStream};
-    use tokio::net::TcpSocket;
-
-    fn listen(at: std::net::SocketAddr) -> TcpListener {
-        let socket = TcpSocket::new_v4().expect("a socket");
-        socket
-            .set_reuseport(true)
-            .and_then(|()| socket.bind(at))
-            .expect("it is bound");
-        socket
-            .listen(64)
-            .and_then(tokio::net::TcpListener::into_std)
-            .expect("it listens")
-    }
-
-    /// What becomes of a connection in a queue that is closed, and that none gets there once the other is steered to.
-    #[test]
-    fn a_closed_queue_resets_what_it_holds_and_steering_keeps_it_empty() {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .expect("it starts");
-        let _inside = runtime.enter();
-        let first = listen("127.0.0.1:0".parse().expect("an address"));
-        let at = first.local_addr().expect("it has an address");
-        let waiting = TcpStream::connect(at).expect("it is queued");
-        let second = listen(at);
-        to_the_second(&first).expect("the kernel steers");
-        let steered: Vec<_> = (0..50)
-            .map(|_| TcpStream::connect(at).expect("it is queued"))
-            .collect();
-        drop(first);
-        assert!(
-            waiting.peek(&mut [0]).is_err(),
-            "what nobody accepted is reset"
-        );
-        for _ in &steered {
-            second.accept().expect("all of them are here");
-        }
-        // The first is gone: the second is the only one, and gets them all the same.
-        let _late = TcpStream::connect(at).expect("it is queued");
-        second.accept().expect("it is here");
-    }
-}
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -1,30 +1,27 @@
-//! The other process of this limiter, while a new version takes over. Each process that has a console keeps one file
-//! in `$TMPDIR` with what it tells ([`State`]), written whole and then renamed, and holds a lock beside it for as long
-//! as it lives. Both look for the other's now and then; the later word on each matter holds for both.
+//! The other process of this limiter, while a new version takes over.
+//!
+//! Each process with an admin interface publishes a [`SharedState`], and looks for those of other processes at short
+//! intervals. The later order on each matter holds for both, also after the process that received it has ended. To a
+//! process that is about to accept clients, the one before it hands over its endpoint list and what its engine learned.
 
 pub mod listener_handover;
+mod shared_folder;
 
+use self::shared_folder::SharedFolder;
 use super::config::Limits;
 use super::discovery::DiscoveryClient;
 use super::engine::EngineDriver;
-use super::shutdown::unix;
-use super::shutdown::Shutdown;
+use super::shutdown::{unix, Shutdown};
 use super::task::spawn;
 use crate::api::{Event, Nanos};
-use quartzcleat_admin::{Heritage, State, Switch, VERSION};
+use quartzcleat_admin::{DrainOrder, Handoff, LimiterIdentity, SharedState, FORMAT_VERSION};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::fs::{self, File, TryLockError};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use tokio::time::sleep;
 
-const PREFIX: &str = "quartzcleat-";
-/// The end of the name of what is handed to the process whose name comes before it.
-const HERITAGE: &str = "heritage";
-
-/// What is held of the other process, and of what it is told.
+/// Owns what is known of the other process, and of what was published.
 pub struct HotRestart {
     limits: Rc<Limits>,
     engine: Rc<EngineDriver>,
@@ -32,21 +29,30 @@
     shutdown: Rc<Shutdown>,
     name: String,
     listen: String,
-    born: Nanos,
-    folder: Option<PathBuf>,
-    own: String,
-    /// Held locked while this process lives.
-    lock: RefCell<Option<File>>,
-    serving: Cell<bool>,
-    published: Cell<Option<(u64, Switch, bool)>>,
-    /// Files of processes that have ended, to be taken away once their words stand in the own one.
-    ended: RefCell<Vec<PathBuf>>,
-    /// What was read last of each file.
+    /// When this process started, in Unix time.
+    started_at: Nanos,
+    /// `None` where there is no admin interface, and so no other process.
+    folder: Option<SharedFolder>,
+    /// This process accepts clients.
+    is_serving: Cell<bool>,
+    /// What was published last.
+    published: Cell<Option<PublishedState>>,
+    /// Processes that have ended, whose files are removed once their orders are published by this one.
+    ended: RefCell<Vec<String>>,
+    /// The text read last from each process.
     seen: RefCell<HashMap<String, String>>,
-    /// A living process of this limiter that takes clients, and when it started.
-    other: Cell<Option<Nanos>>,
-    /// Later processes to which was handed over what this one knows.
-    heirs: RefCell<HashSet<String>>,
+    /// When the other process of this limiter started that accepts clients.
+    other_serving_since: Cell<Option<Nanos>>,
+    /// Later processes to which this one has handed over.
+    successors: RefCell<HashSet<String>>,
+}
+
+/// What the published state depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct PublishedState {
+    maintenance_revision: u64,
+    drain: DrainOrder,
+    is_serving: bool,
 }
 
 /// The parts of a limiter that two of its processes share the state of.
@@ -62,269 +68,221 @@
 }
 
 impl HotRestart {
-    /// Nothing known of another process. Without a console there is none.
-    pub fn new(parts: HotRestartParts, name: &str, listen: SocketAddr, shared: bool) -> Self {
-        let HotRestartParts {
-            limits,
-            engine,
-            discovery,
-            shutdown,
-        } = parts;
-        let born = unix();
+    /// Nothing is known of another process. `has_admin`: this process has an admin interface; without one there is no
+    /// other process.
+    pub fn new(parts: HotRestartParts, name: &str, listen: SocketAddr, has_admin: bool) -> Self {
+        let started_at = unix();
         HotRestart {
-            limits,
-            engine,
-            discovery,
-            shutdown,
+            limits: parts.limits,
+            engine: parts.engine,
+            discovery: parts.discovery,
+            shutdown: parts.shutdown,
             name: name.to_owned(),
             listen: listen.to_string(),
-            born,
-            folder: shared.then(std::env::temp_dir),
-            own: format!("{PREFIX}{:x}-{:x}", born, std::process::id()),
-            lock: RefCell::default(),
-            serving: Cell::default(),
+            started_at,
+            folder: has_admin.then(|| SharedFolder::new(started_at)),
+            is_serving: Cell::default(),
             published: Cell::default(),
             ended: RefCell::default(),
             seen: RefCell::default(),
-            other: Cell::default(),
-            heirs: RefCell::default(),
+            other_serving_since: Cell::default(),
+            successors: RefCell::default(),
         }
     }
 
-    /// Whether there may be another process.
-    pub fn shared(&self) -> bool {
-        self.folder.is_some()
+    /// Whether another process of this limiter accepts clients.
+    pub fn other_serves(&self) -> bool {
+        self.other_serving_since.get().is_some()
     }
 
-    /// Whether another process of this limiter takes clients.
-    pub fn beside(&self) -> bool {
-        self.other.get().is_some()
+    /// Whether a later process of this limiter accepts the clients that come.
+    pub fn successor_serves(&self) -> bool {
+        self.other_serving_since
+            .get()
+            .is_some_and(|started_at| started_at > self.started_at)
     }
 
-    /// This process takes clients from now on.
-    pub fn serving(&self) {
-        self.serving.set(true);
+    fn identity(&self) -> LimiterIdentity<'_> {
+        LimiterIdentity {
+            name: &self.name,
+            listen: &self.listen,
+        }
     }
 
-    /// Whether another process takes the clients that come.
-    pub fn relieved(&self) -> bool {
-        self.other.get().is_some_and(|born| born > self.born)
+    /// Publishes at short intervals from now on that this process accepts clients, and looks for other processes.
+    pub fn start_serving(self: &Rc<Self>) {
+        self.is_serving.set(true);
+        self.publish();
+        let hot_restart = self.clone();
+        spawn(async move {
+            loop {
+                sleep(hot_restart.limits.look).await;
+                hot_restart.look();
+                hot_restart.publish();
+            }
+        });
     }
 
-    fn state(&self) -> State {
-        let bans = self.discovery.maintenance().borrow();
-        State {
-            version: VERSION,
-            name: self.name.clone(),
-            listen: self.listen.clone(),
-            born: self.born,
-            serving: self.serving.get(),
-            drain: self.shutdown.switch(),
-            words: bans.words().clone(),
-            listed: bans.names().cloned().collect(),
+    /// Publishes the state of this process, if it has changed.
+    pub fn publish(&self) {
+        let Some(folder) = &self.folder else {
+            return;
+        };
+        let current = PublishedState {
+            maintenance_revision: self.discovery.maintenance().borrow().revision(),
+            drain: self.shutdown.drain_order(),
+            is_serving: self.is_serving.get(),
+        };
+        if self.published.get() == Some(current) {
+            return;
         }
-    }
-}
-
-/// Writes what this process tells, if it has changed.
-pub fn publish(hot_restart: &HotRestart) {
-    let Some(folder) = &hot_restart.folder else {
-        return;
-    };
-    let told = Some((
-        hot_restart.discovery.maintenance().borrow().revision(),
-        hot_restart.shutdown.switch(),
-        hot_restart.serving.get(),
-    ));
-    if hot_restart.published.get() == told {
-        return;
-    }
-    let text = hot_restart.state().write();
-    let write = || {
-        if hot_restart.lock.borrow().is_none() {
-            let lock = File::create(folder.join(format!("{}.lock", hot_restart.own)))?;
-            lock.try_lock().map_err(std::io::Error::from)?;
-            *hot_restart.lock.borrow_mut() = Some(lock);
+        if let Err(error) = folder.write_state(&self.shared_state().to_text()) {
+            let folder = folder.path().display();
+            return tracing::warn!(%folder, %error, "state for the other process not written");
         }
-        let draft = folder.join(format!("{}.new", hot_restart.own));
-        fs::write(&draft, &text)?;
-        fs::rename(&draft, folder.join(format!("{}.json", hot_restart.own)))
-    };
-    match write() {
-        Ok(()) => {
-            hot_restart.published.set(told);
-            hot_restart
-                .ended
-                .take()
-                .iter()
-                .for_each(|file| drop(fs::remove_file(file)));
+        self.published.set(Some(current));
+        for process in self.ended.take() {
+            folder.remove_files(&process);
         }
-        Err(e) => tracing::warn!(
-            "cannot tell a second process of this limiter in {}: {e}",
-            folder.display()
-        ),
     }
-}
 
-/// Whether the process that keeps a lock lives.
-fn lives(lock: &Path) -> bool {
-    File::open(lock).is_ok_and(|file| matches!(file.try_lock(), Err(TryLockError::WouldBlock)))
-}
+    fn shared_state(&self) -> SharedState {
+        let maintenance = self.discovery.maintenance().borrow();
+        SharedState {
+            version: FORMAT_VERSION,
+            name: self.name.clone(),
+            listen: self.listen.clone(),
+            started_at: self.started_at,
+            is_serving: self.is_serving.get(),
+            drain: self.shutdown.drain_order(),
+            maintenance: maintenance.orders().clone(),
+            listed: maintenance.listed_names().cloned().collect(),
+        }
+    }
 
-/// Takes in what other processes of this limiter tell; the word of one that has ended holds too.
-pub fn look(hot_restart: &HotRestart) {
-    let Some(folder) = &hot_restart.folder else {
-        return;
-    };
-    let mut other = None;
-    let Ok(files) = fs::read_dir(folder) else {
-        return;
-    };
-    for file in files.flatten() {
-        let file = file.file_name().to_string_lossy().into_owned();
-        let Some(stem) = file
-            .strip_suffix(".json")
-            .filter(|stem| stem.starts_with(PREFIX))
-        else {
-            continue;
+    /// Takes in what other processes of this limiter published; the orders of one that has ended hold too.
+    pub fn look(&self) {
+        let Some(folder) = &self.folder else {
+            return;
         };
-        if stem == hot_restart.own {
-            continue;
-        }
-        let Ok(text) = fs::read_to_string(folder.join(&file)) else {
-            continue;
+        let Ok(processes) = folder.other_processes() else {
+            return;
         };
-        let state = match State::read(&text, &hot_restart.name, &hot_restart.listen) {
+        let serving = processes
+            .iter()
+            .filter_map(|process| self.look_at(folder, process));
+        let other_serving_since = serving.max();
+        // Two processes must not hold more connections together than one may.
+        let processes = 1 + usize::from(other_serving_since.is_some());
+        self.limits.sharers.set(processes);
+        let before = self.other_serving_since.replace(other_serving_since);
+        if before.is_some() != other_serving_since.is_some() {
+            let serves = other_serving_since.is_some();
+            tracing::info!(serves, "other process of this limiter");
+        }
+    }
+
+    /// Takes in what one process published; returns when it started, if it lives and accepts clients.
+    fn look_at(&self, folder: &SharedFolder, process: &str) -> Option<Nanos> {
+        let text = folder.read_state(process).ok()?;
+        let state = match SharedState::from_text(&text, self.identity()) {
             Ok(state) => state,
-            Err(problem) => {
-                if hot_restart
-                    .seen
-                    .borrow_mut()
-                    .insert(file.clone(), text)
-                    .is_none()
-                {
-                    tracing::warn!("{file} is left alone: {problem}");
+            Err(error) => {
+                let seen = self.seen.borrow_mut().insert(process.to_owned(), text);
+                if seen.is_none() {
+                    tracing::warn!(process, %error, "state of another process ignored");
                 }
-                continue;
+                return None;
             }
         };
-        let alive = lives(&folder.join(format!("{stem}.lock")));
-        if alive && state.serving {
-            other = other.max(Some(state.born));
-        }
-        if alive && !state.serving && state.born > hot_restart.born && hot_restart.serving.get() {
-            hand_over(hot_restart, folder, stem);
+        let is_alive = folder.is_alive(process);
+        let is_successor = !state.is_serving && state.started_at > self.started_at;
+        if is_alive && is_successor && self.is_serving.get() {
+            self.hand_over(folder, process);
         }
-        let known = hot_restart
+        let seen = self
             .seen
             .borrow_mut()
-            .insert(file.clone(), text.clone())
-            == Some(text);
-        if !known {
-            take(hot_restart, &state);
+            .insert(process.to_owned(), text.clone());
+        if seen != Some(text) {
+            self.apply(&state);
         }
-        if !alive {
-            // Its words are told anew by this process first.
-            hot_restart.published.set(None);
-            let files = ["json", "lock", HERITAGE].map(|end| folder.join(format!("{stem}.{end}")));
-            hot_restart.ended.borrow_mut().extend(files);
+        if !is_alive {
+            // Its orders are published by this process before its files are removed.
+            self.published.set(None);
+            self.ended.borrow_mut().push(process.to_owned());
         }
+        (is_alive && state.is_serving).then_some(state.started_at)
     }
-    // Guards against two processes that hold together more than one may.
-    hot_restart
-        .limits
-        .sharers
-        .set(1 + usize::from(other.is_some()));
-    if hot_restart.other.replace(other).is_some() != other.is_some() {
-        tracing::info!(beside = other.is_some(), "another process of this limiter");
-    }
-}
-
-fn take(hot_restart: &HotRestart, state: &State) {
-    let mut bans = hot_restart.discovery.maintenance().borrow_mut();
-    state.listed.iter().for_each(|name| bans.list(name));
-    let changed = bans.merge(&state.words);
-    drop(bans);
-    changed
-        .iter()
-        .for_each(|name| hot_restart.discovery.reapply_maintenance(name));
-    hot_restart.shutdown.say(|doors| doors.merge(state.drain));
-}
 
-/// Hands over what this process knows to a later one that is about to take clients, once.
-fn hand_over(hot_restart: &HotRestart, folder: &Path, heir: &str) {
-    if !hot_restart.heirs.borrow_mut().insert(heir.to_owned()) {
-        return;
-    }
-    let (endpoints, learned) = (
-        hot_restart.discovery.endpoints().borrow(),
-        hot_restart.engine.snapshot(),
-    );
-    let told = Heritage::new(
-        &hot_restart.name,
-        &hot_restart.listen,
-        endpoints.zones().to_vec(),
-        endpoints.to_json(),
-        learned,
-    );
-    let draft = folder.join(format!("{heir}.draft"));
-    let written = fs::write(&draft, told.write())
-        .and_then(|()| fs::rename(&draft, folder.join(format!("{heir}.{HERITAGE}"))));
-    match written {
-        Ok(()) => tracing::info!("a later process of this limiter is told what this one knows"),
-        Err(e) => tracing::warn!(
-            "a later process of this limiter starts without what this one knows: {e}"
-        ),
+    /// Applies the orders that another process published.
+    fn apply(&self, state: &SharedState) {
+        let changed = {
+            let mut maintenance = self.discovery.maintenance().borrow_mut();
+            for name in &state.listed {
+                maintenance.record_listed(name);
+            }
+            maintenance.merge(&state.maintenance)
+        };
+        for name in changed {
+            self.discovery.reapply_maintenance(&name);
+        }
+        self.shutdown.merge_drain_order(state.drain);
     }
-}
 
-/// Takes what another process handed over, if it has; whether nothing more is to be waited for.
-pub fn inherit(hot_restart: &HotRestart) -> bool {
-    let Some(folder) = &hot_restart.folder else {
-        return true;
-    };
-    let file = folder.join(format!("{}.{HERITAGE}", hot_restart.own));
-    let Ok(text) = fs::read_to_string(&file) else {
-        return false;
-    };
-    drop(fs::remove_file(&file));
-    let mut told = match Heritage::read(&text, &hot_restart.name, &hot_restart.listen) {
-        Ok(told) => told,
-        Err(problem) => {
-            tracing::warn!("what another process handed over is left alone: {problem}");
-            return true;
+    /// Hands over what this process knows to a later one that is about to accept clients, once.
+    fn hand_over(&self, folder: &SharedFolder, successor: &str) {
+        if !self.successors.borrow_mut().insert(successor.to_owned()) {
+            return;
         }
-    };
-    if !hot_restart.discovery.endpoints().borrow().has_received() {
-        if let Err(problem) = hot_restart.discovery.restore(&told.list) {
-            tracing::warn!("the list that another process handed over is left alone: {problem}");
+        let endpoints = self.discovery.endpoints().borrow();
+        let handoff = Handoff::new(
+            self.identity(),
+            endpoints.zones().to_vec(),
+            endpoints.to_json(),
+            self.engine.snapshot(),
+        );
+        match folder.write_handoff(successor, &handoff.to_text()) {
+            Ok(()) => tracing::info!(successor, "handoff written"),
+            Err(error) => tracing::warn!(successor, %error, "handoff not written"),
         }
     }
-    let mut endpoints = hot_restart.discovery.endpoints().borrow_mut();
-    for (zone, ..) in &mut told.learned.zones {
-        *zone = endpoints.zone(&told.zones, *zone);
+
+    /// Takes what another process handed over; returns whether nothing more is to be waited for.
+    pub fn take_handoff(&self) -> bool {
+        let Some(folder) = &self.folder else {
+            return true;
+        };
+        let Some(text) = folder.take_handoff() else {
+            return false;
+        };
+        match Handoff::from_text(&text, self.identity()) {
+            Ok(handoff) => self.apply_handoff(handoff),
+            Err(error) => tracing::warn!(%error, "handoff ignored"),
+        }
+        true
     }
-    drop(endpoints);
-    tracing::info!(
-        hosts = told.learned.hosts.len(),
-        customers = told.learned.customers.len(),
-        "goes on from what the process before it knew"
-    );
-    hot_restart.engine.handle(Event::SnapshotInherited {
-        learned: Box::new(told.learned),
-    });
-    true
-}
 
-/// Publishes and looks at short intervals from now on.
-pub fn start(hot_restart: &Rc<HotRestart>) {
-    publish(hot_restart);
-    let hot_restart = hot_restart.clone();
-    spawn(async move {
-        loop {
-            sleep(hot_restart.limits.look).await;
-            look(&hot_restart);
-            publish(&hot_restart);
+    fn apply_handoff(&self, handoff: Handoff) {
+        if !self.discovery.has_answered() {
+            if let Err(error) = self.discovery.restore(&handoff.list) {
+                tracing::warn!(%error, "endpoint list of the handoff ignored");
+            }
         }
-    });
+        let mut learned = handoff.learned;
+        {
+            let mut endpoints = self.discovery.endpoints().borrow_mut();
+            for (zone, ..) in &mut learned.zones {
+                *zone = endpoints.zone(&handoff.zones, *zone);
+            }
+        }
+        tracing::info!(
+            hosts = learned.hosts.len(),
+            customers = learned.customers.len(),
+            "handoff taken"
+        );
+        self.engine.handle(Event::SnapshotInherited {
+            learned: Box::new(learned),
+        });
+    }
 }
--- a/src/net/leases.rs
+++ b/src/net/leases.rs
@@ -107,7 +107,7 @@
         ));
     }
     let key = Key::new(&secret);
-    let mut phases = shutdown.changes();
+    let mut phases = shutdown.subscribe_phase();
     let me = lease
         .limiters
         .keys()
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -5,7 +5,7 @@
 use super::counter::{self, CounterClient};
 use super::discovery::{self, Backoff, DiscoveryClient, DiscoveryParts, EndpointList};
 use super::engine::EngineDriver;
-use super::hot_restart::{self, HotRestart, HotRestartParts};
+use super::hot_restart::{HotRestart, HotRestartParts};
 use super::leases;
 use super::metrics::{self, Metrics, SharedMetrics};
 use super::reload::{ConfigReloader, ReloadParts};
@@ -158,7 +158,7 @@
             self.start_leases(lease).await?;
         }
         // What another process knows goes before the list of the configuration.
-        hot_restart::look(&self.hot_restart);
+        self.hot_restart.look();
         self.discovery
             .restore(&options.known_hosts)
             .map_err(|e| format!("known.{e}"))?;
@@ -167,7 +167,7 @@
             Some(address) => Some(bind_admin(address).await?),
             None => None,
         };
-        if self.hot_restart.beside() {
+        if self.hot_restart.other_serves() {
             self.catch_up().await;
         }
         let listen = options.listen;
@@ -187,8 +187,8 @@
         let hot_restart = self.hot_restart.clone();
         shutdown::watch(&self.shutdown, move || {
             // Another process may have started a moment ago.
-            hot_restart::look(&hot_restart);
-            hot_restart.relieved()
+            hot_restart.look();
+            hot_restart.successor_serves()
         })?;
         self.reloader.watch()
     }
@@ -217,20 +217,19 @@
     /// Waits, for a bounded time, for the endpoint list and for what the other process of this limiter hands over. A
     /// process that took clients without them would reject requests that the other one still serves.
     async fn catch_up(&self) {
-        hot_restart::publish(&self.hot_restart);
+        self.hot_restart.publish();
         let until = Instant::now() + self.limits.catch_up;
         while !self.discovery.has_answered() && Instant::now() < until {
             sleep(self.limits.last_moment).await;
         }
         let until = Instant::now() + self.limits.inherit;
-        while !hot_restart::inherit(&self.hot_restart) && Instant::now() < until {
+        while !self.hot_restart.take_handoff() && Instant::now() < until {
             sleep(self.limits.last_moment).await;
         }
     }
 
     fn start_admin(&self, listener: TcpListener) {
-        self.hot_restart.serving();
-        hot_restart::start(&self.hot_restart);
+        self.hot_restart.start_serving();
         spawn(admin::accept(self.admin.clone(), listener));
     }
 
@@ -241,7 +240,7 @@
             .shutdown
             .last_answers(&self.limits)
             .unwrap_or_else(Instant::now);
-        let mut connections = self.shutdown.connection_changes();
+        let mut connections = self.shutdown.subscribe_connections();
         // Past the time, what is still open is failed below.
         let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
         // The attempts of a client that has gone end by themselves; no answer is due for them.
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -11,7 +11,7 @@
 use super::shutdown::unix;
 use super::task::spawn;
 use crate::api::{Event, Settings};
-use quartzcleat_admin::Numbers;
+use quartzcleat_admin::ClassIndices;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -45,7 +45,7 @@
     /// The configuration in force, as it was read.
     file: RefCell<Value>,
     /// The indices of classes and plans.
-    indices: RefCell<Numbers>,
+    indices: RefCell<ClassIndices>,
     /// What a request may ask for.
     catalog: Rc<RefCell<RequestCatalog>>,
 }
@@ -53,8 +53,8 @@
 impl ConfigReloader {
     /// The configuration that the process starts with: `file` as it was read, and the settings in it.
     pub fn new(parts: ReloadParts, file: Value, settings: &Settings) -> Self {
-        let indices = Numbers::new(settings);
-        let catalog = RequestCatalog::of(settings, indices.heard(0));
+        let indices = ClassIndices::new(settings);
+        let catalog = RequestCatalog::of(settings, indices.accepted(0));
         ConfigReloader {
             parts,
             file: RefCell::new(file),
@@ -108,9 +108,9 @@
             .endpoints()
             .borrow_mut()
             .zone(&config.zones, settings.zone);
-        let indexed = self.indices.borrow_mut().take(&settings, unix());
+        let indexed = self.indices.borrow_mut().apply(&settings, unix());
         self.parts.engine.apply_limits(&config.limits);
-        let accepted = self.indices.borrow().heard(unix());
+        let accepted = self.indices.borrow().accepted(unix());
         self.catalog.replace(RequestCatalog::of(&indexed, accepted));
         tracing::info!(
             classes = settings.classes.len(),
@@ -125,9 +125,9 @@
 
     /// Stops accepting requests of removed classes and plans, some time after their removal.
     async fn retire_classes(self: Rc<Self>) {
-        sleep(Duration::from_nanos(Numbers::heard_for())).await;
-        let accepted = self.indices.borrow().heard(unix());
-        let catalog = self.catalog.borrow().heard_again(accepted);
+        sleep(Duration::from_nanos(ClassIndices::accepted_after_removal())).await;
+        let accepted = self.indices.borrow().accepted(unix());
+        let catalog = self.catalog.borrow().heard_again(&accepted);
         self.catalog.replace(catalog);
     }
 }
--- a/src/net/reload/tests.rs
+++ b/src/net/reload/tests.rs
@@ -46,8 +46,8 @@
             .reloader()
             .indices
             .borrow()
-            .heard(unix() + Numbers::heard_for());
-        let terms = limiter.reloader().catalog.borrow().heard_again(later);
+            .accepted(unix() + ClassIndices::accepted_after_removal());
+        let terms = limiter.reloader().catalog.borrow().heard_again(&later);
         assert_eq!(
             (terms.class("bed-hold"), terms.class("hut-hold")),
             (None, Some(2))
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -13,6 +13,7 @@
 use crate::net::shutdown::Phase;
 use crate::net::streaming_body::{Found, Pipe};
 use crate::net::task::spawn;
+use quartzcleat_admin::AcceptedIndices;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write as _;
@@ -40,7 +41,8 @@
 
 impl RequestCatalog {
     /// The terms in the settings, of which these classes and plans are heard.
-    pub fn of(settings: &Settings, (classes, plans): (Vec<u32>, Vec<u32>)) -> Self {
+    pub fn of(settings: &Settings, accepted: AcceptedIndices) -> Self {
+        let AcceptedIndices { classes, plans } = accepted;
         let most = settings.largest_request;
         RequestCatalog {
             classes: classes
@@ -57,7 +59,8 @@
     }
 
     /// The same terms, of which only these classes and plans are still heard.
-    pub fn heard_again(&self, (classes, plans): (Vec<u32>, Vec<u32>)) -> Self {
+    pub fn heard_again(&self, accepted: &AcceptedIndices) -> Self {
+        let AcceptedIndices { classes, plans } = accepted;
         RequestCatalog {
             classes: self
                 .classes
@@ -452,15 +455,15 @@
 
 /// Accepts connections until they close at the program's end.
 pub async fn accept(north: &Rc<Downstream>, listener: TcpListener) {
-    let mut end = north.frontend_context.shutdown.end();
+    let mut end = north.frontend_context.shutdown.subscribe_closing();
     let mut last = None;
     loop {
         let taken = tokio::select! {
             biased;
             taken = listener.accept() => taken,
             _ = end.wait_for(|end| *end), if last.is_none() => {
-                if north.frontend_context.shutdown.relieved() {
-                    if let Err(e) = listener_handover::to_the_second(&listener) {
+                if north.frontend_context.shutdown.other_serves() {
+                    if let Err(e) = listener_handover::steer_to_second(&listener) {
                         tracing::info!("connections still come to either process: {e}");
                     }
                 }
@@ -478,7 +481,7 @@
                 let crowded = north.frontend_context.shutdown.connections() >= most
                     && !north.idle.make_room();
                 welcome(north, stream, crowded);
-                let mut count = north.frontend_context.shutdown.connection_changes();
+                let mut count = north.frontend_context.shutdown.subscribe_connections();
                 // Guards against waiting there while the end comes, with others left in the queue.
                 tokio::select! {
                     _ = count.wait_for(|count| *count < most + most / 16) => {}
@@ -575,7 +578,7 @@
     let (mut input, mut out, mut sent, mut sound) = (Vec::new(), Vec::new(), 0, true);
     // Of what is unsent, how much counts as held, and when the client last took some.
     let (mut counted, mut moved) = (0, Instant::now());
-    let mut phase = north.frontend_context.shutdown.changes();
+    let mut phase = north.frontend_context.shutdown.subscribe_phase();
     // Guards against closing on a connection that came while clients are sent away, before it was heard.
     let fresh = *phase.borrow() >= Phase::Closing;
     loop {
@@ -732,7 +735,7 @@
         bytes,
         command,
         &north.terms.borrow(),
-        north.frontend_context.shutdown.welcome(),
+        north.frontend_context.shutdown.accepts_clients(),
     ) {
         Ok(Asked::Request(request)) => {
             let place = owed.push(Slot::Open(request.id));
@@ -765,7 +768,7 @@
     use crate::net::config;
     use crate::net::frontend::RequestHandler;
     use crate::net::shutdown::Shutdown;
-    use quartzcleat_admin::Numbers;
+    use quartzcleat_admin::ClassIndices;
 
     /// Nobody to hand requests to: what is read here never gets so far.
     struct Nowhere;
@@ -777,10 +780,10 @@
 
     fn north(text: &str) -> Downstream {
         let config = config::read(text, |_| None).expect("the configuration is sound");
-        let numbers = Numbers::new(&config.settings);
+        let numbers = ClassIndices::new(&config.settings);
         let terms = Rc::new(RefCell::new(RequestCatalog::of(
             &config.settings,
-            numbers.heard(0),
+            numbers.accepted(0),
         )));
         let limits = Rc::new(config.limits);
         let (shutdown, held) = (Rc::new(Shutdown::new(&limits)), Rc::default());
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -1,11 +1,13 @@
-//! Sending clients away, at staff's word or at the program's planned end: the doors decide how far that has come, and
-//! here their phases are told to those who wait for them. At the end all goes on while the front still sends, then
-//! connections close between requests, and the program ends once all that was taken is answered.
+//! Draining by order of staff, and the shutdown at SIGTERM.
+//!
+//! The drain controller decides how far both have come; here its phases are announced to those who wait for them. During a
+//! shutdown all goes on while the load balancer in front still sends clients, then connections close between requests,
+//! and the process ends once all accepted requests are answered.
 
 use super::config::Limits;
 use super::task::spawn;
 use crate::api::Nanos;
-use quartzcleat_admin::{Doors, Switch, Times};
+use quartzcleat_admin::{DrainController, DrainOrder, DrainTimes};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -13,22 +15,28 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::{timeout, Instant};
 
+#[cfg(test)]
+mod tests;
+
 pub use quartzcleat_admin::Phase;
 
 /// How long after a phase is due the step to it is taken.
 const STEP_MARGIN: Duration = Duration::from_millis(1);
 
-/// The doors, their phase for those who wait for its change, and the number of clients' connections.
+/// The drain controller, its phase for those who wait for a change, and the number of client connections.
 pub struct Shutdown {
-    doors: RefCell<Doors>,
-    news: Notify,
+    controller: RefCell<DrainController>,
+    /// Notified of each order.
+    order_changed: Notify,
     phase: watch::Sender<Phase>,
-    ending: watch::Sender<bool>,
-    asked: Cell<Option<Instant>>,
+    /// No further clients are accepted, for good.
+    is_closing: watch::Sender<bool>,
+    /// When SIGTERM was received.
+    asked_at: Cell<Option<Instant>>,
     connections: watch::Sender<usize>,
 }
 
-/// Unix time by the system's clock, which two processes on one machine share.
+/// Unix time by the system's clock, in nanoseconds, which two processes on one machine share.
 pub fn unix() -> Nanos {
     SystemTime::UNIX_EPOCH
         .elapsed()
@@ -36,18 +44,18 @@
 }
 
 impl Shutdown {
-    /// Open doors.
+    /// A process that serves all clients.
     pub fn new(limits: &Limits) -> Self {
-        let times = Times {
+        let times = DrainTimes {
             linger: limits.linger.as_nanos() as Nanos,
             last_call: limits.last_call.as_nanos() as Nanos,
         };
         Shutdown {
-            doors: RefCell::new(Doors::new(times)),
-            news: Notify::new(),
+            controller: RefCell::new(DrainController::new(times)),
+            order_changed: Notify::new(),
             phase: watch::Sender::default(),
-            ending: watch::Sender::default(),
-            asked: Cell::default(),
+            is_closing: watch::Sender::default(),
+            asked_at: Cell::default(),
             connections: watch::Sender::default(),
         }
     }
@@ -57,74 +65,95 @@
         *self.phase.borrow()
     }
 
-    /// A handle that tells of changes of the phase.
-    pub fn changes(&self) -> watch::Receiver<Phase> {
+    /// A receiver that follows the phase.
+    pub fn subscribe_phase(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
 
-    /// A handle that tells when no further clients are to be taken, for good.
-    pub fn end(&self) -> watch::Receiver<bool> {
-        self.ending.subscribe()
+    /// A receiver that becomes true when no further clients are accepted, for good.
+    pub fn subscribe_closing(&self) -> watch::Receiver<bool> {
+        self.is_closing.subscribe()
+    }
+
+    /// Whether no further clients are accepted, for good.
+    pub fn is_closing(&self) -> bool {
+        *self.is_closing.borrow()
+    }
+
+    /// Whether the load balancer in front is told to send clients.
+    pub fn accepts_clients(&self) -> bool {
+        self.controller.borrow().accepts_clients()
+    }
+
+    /// Whether another process accepts the clients, now that this one shuts down.
+    pub fn other_serves(&self) -> bool {
+        self.controller.borrow().other_serves()
+    }
+
+    /// The latest order of staff on draining.
+    pub fn drain_order(&self) -> DrainOrder {
+        self.controller.borrow().order()
+    }
+
+    /// Drains the clients, by order of staff.
+    pub fn drain(&self) {
+        self.update(|controller| controller.drain(unix()));
     }
 
-    /// Whether the front is told that clients are welcome.
-    pub fn welcome(&self) -> bool {
-        self.doors.borrow().welcome()
+    /// Stops draining, by order of staff.
+    pub fn undrain(&self) {
+        self.update(|controller| controller.undrain(unix()));
     }
 
-    /// Whether another process takes the clients, now that this one is to end.
-    pub fn relieved(&self) -> bool {
-        self.doors.borrow().relieved()
+    /// Takes in another process's order on draining.
+    pub fn merge_drain_order(&self, order: DrainOrder) {
+        self.update(|controller| {
+            controller.merge(order);
+        });
     }
 
-    /// The latest word of staff on draining.
-    pub fn switch(&self) -> Switch {
-        self.doors.borrow().switch()
+    fn update(&self, change: impl FnOnce(&mut DrainController)) {
+        change(&mut self.controller.borrow_mut());
+        self.announce_phase();
+        self.order_changed.notify_one();
     }
 
-    /// Says a word to the doors; what it returns.
-    pub fn say<T>(&self, word: impl FnOnce(&mut Doors) -> T) -> T {
-        let said = word(&mut self.doors.borrow_mut());
-        self.step();
-        self.news.notify_one();
-        said
+    /// Announces the phase of this moment; returns how long it is until the next one begins.
+    fn announce_phase(&self) -> Option<Duration> {
+        let now = unix();
+        let (status, is_shutting_down) = {
+            let controller = self.controller.borrow();
+            (controller.status(now), controller.is_shutting_down())
+        };
+        set_if_changed(&self.phase, status.phase);
+        let is_closing = status.phase >= Phase::Closing && is_shutting_down;
+        set_if_changed(&self.is_closing, is_closing);
+        let next_at = status.next_at?;
+        Some(Duration::from_nanos(next_at.saturating_sub(now)))
     }
 
-    /// Steps through the phases for good.
+    /// Goes through the phases for good.
     async fn follow_phases(self: Rc<Self>) {
         loop {
-            match self.step() {
-                None => self.news.notified().await,
+            match self.announce_phase() {
+                None => self.order_changed.notified().await,
                 // A step that comes before the phase is due would find nothing changed.
-                Some(next) => {
-                    let pause = Duration::from_nanos(next) + STEP_MARGIN;
-                    // Whether it is the time or a notification, the next step looks at both.
-                    let _ = timeout(pause, self.news.notified()).await;
+                Some(remaining) => {
+                    let pause = remaining + STEP_MARGIN;
+                    // Whether the time is over or there is an order, the next round looks at both.
+                    let _ = timeout(pause, self.order_changed.notified()).await;
                 }
             }
         }
     }
 
-    /// Tells of the phase of this moment; when the next one begins, from now.
-    fn step(&self) -> Option<Nanos> {
-        let now = unix();
-        let (phase, next) = self.doors.borrow().phase(now);
-        self.phase
-            .send_if_modified(|held| std::mem::replace(held, phase) != phase);
-        let over = phase >= Phase::Closing && self.doors.borrow().ending();
-        self.ending
-            .send_if_modified(|held| std::mem::replace(held, over) != over);
-        next.map(|next| next.saturating_sub(now))
-    }
-
-    /// When the last answers are given, once the end was asked for.
+    /// When the last answers are given, once SIGTERM was received.
     pub fn last_answers(&self, limits: &Limits) -> Option<Instant> {
-        self.asked
-            .get()
-            .map(|asked| asked + limits.end.get() - limits.last_answers.get())
+        let asked_at = self.asked_at.get()?;
+        Some(asked_at + limits.end.get() - limits.last_answers.get())
     }
 
-    /// Counts a client's connection in or out.
+    /// Adds to the number of client connections, or takes from it.
     pub fn count(&self, change: isize) {
         self.connections
             .send_modify(|count| *count = count.saturating_add_signed(change));
@@ -135,14 +164,22 @@
         *self.connections.borrow()
     }
 
-    /// A handle that tells of changes of that number.
-    pub fn connection_changes(&self) -> watch::Receiver<usize> {
+    /// A receiver that follows the number of client connections.
+    pub fn subscribe_connections(&self) -> watch::Receiver<usize> {
         self.connections.subscribe()
     }
 }
 
+fn set_if_changed<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
+    sender.send_if_modified(|held| {
+        let has_changed = *held != value;
+        *held = value;
+        has_changed
+    });
+}
+
 /// Goes through the phases, and waits for SIGTERM. `other_serves` tells then whether another process of this limiter
-/// takes the clients.
+/// accepts the clients.
 ///
 /// # Errors
 /// The signal handler cannot be installed.
@@ -156,13 +193,10 @@
     let shutdown = shutdown.clone();
     spawn(async move {
         terminate.recv().await;
-        shutdown.asked.set(Some(Instant::now()));
-        let relieved = other_serves();
-        tracing::info!(relieved, "asked to end");
-        shutdown.say(|doors| doors.end(unix(), relieved));
+        shutdown.asked_at.set(Some(Instant::now()));
+        let other_serves = other_serves();
+        tracing::info!(other_serves, "shutdown started");
+        shutdown.update(|controller| controller.shut_down(unix(), other_serves));
     });
     Ok(())
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/net/shutdown/tests.rs
+++ b/src/net/shutdown/tests.rs
@@ -14,7 +14,7 @@
 /// The end was asked for just now, and comes in a moment.
 fn asked(limiter: &Rc<Limiter>, end: Duration) {
     limiter.limits().end.set(end);
-    limiter.shutdown().asked.set(Some(Instant::now()));
+    limiter.shutdown().asked_at.set(Some(Instant::now()));
 }
 
 /// A request that is taken after SIGTERM and may wait for longer than the program lives has its answer before.
