--- /dev/null
+++ b/tests/compatibility/main.rs
@@ -0,0 +1,32 @@
+//! Files that an earlier version (d36acc0) stored are read by the present one; see README.md beside this file.
+
+#[path = "../process/mod.rs"]
+mod process;
+#[path = "../toy/mod.rs"]
+mod toy;
+
+use process::{ask, request, served, start, CHECK};
+use std::time::{Duration, Instant};
+
+const STATE: &str = include_str!("data/state.json");
+
+/// A host that an earlier process's state file tells to be under maintenance gets nothing until it is enabled.
+#[test]
+fn maintenance_in_a_stored_state_file_holds() {
+    let limiter = start(203, false, |text| text);
+    let mut client = limiter.connect();
+    assert_eq!(ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1), served(1));
+    let state = STATE.replace("LISTEN", &limiter.address.to_string());
+    let draft = limiter.folder.join("draft");
+    std::fs::write(&draft, state).expect("the file is written");
+    std::fs::rename(&draft, limiter.folder.join("quartzcleat-1-1.json")).expect("the file gets its name");
+    let since = Instant::now();
+    let rejected = (2..).any(|id| {
+        assert!(since.elapsed() < Duration::from_secs(10), "the state file is not read");
+        let few = CHECK.replace("units=1", "units=0.01");
+        !ask(&mut client, &request("Q.ASK", id, &few, ""), 1).starts_with('$')
+    });
+    assert!(rejected);
+    assert_eq!(limiter.call("PUT", "/servers/enable", r#"{"host":"toy-0"}"#), 200);
+    assert_eq!(ask(&mut limiter.connect(), &request("Q.ASK", 1 << 40, CHECK, ""), 1), served(1 << 40));
+}
