--- a/tests/compatibility/main.rs
+++ b/tests/compatibility/main.rs
@@ -1,5 +1,7 @@
 //! Files that an earlier version (d36acc0) stored are read by the present one; see README.md beside this file.
 
+mod usage;
+
 #[path = "../process/mod.rs"]
 mod process;
 #[path = "../toy/mod.rs"]
