--- a/tests/compatibility/main.rs
+++ b/tests/compatibility/main.rs
@@ -38,3 +38,12 @@
     });
     assert!(served_again);
 }
+
+/// A host of the configuration's snapshot is known, though discovery no longer lists it.
+#[test]
+fn hosts_of_the_configured_snapshot_are_known() {
+    let empty = r#"{ "generation": 1, "reset": true, "instances": [] }"#;
+    let limiter = start(204, false, |text| text.replace(empty, include_str!("data/known.json").trim()));
+    assert_eq!(limiter.call("PUT", "/servers/disable", r#"{"host":"toy-9"}"#), 200);
+    assert_eq!(limiter.call("PUT", "/servers/disable", r#"{"host":"toy-8"}"#), 404);
+}
