--- a/tests/compatibility/main.rs
+++ b/tests/compatibility/main.rs
@@ -17,22 +17,35 @@
 fn maintenance_in_a_stored_state_file_holds() {
     let limiter = start(203, false, |text| text);
     let mut client = limiter.connect();
-    assert_eq!(ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1), served(1));
+    assert_eq!(
+        ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1),
+        served(1)
+    );
     let state = STATE.replace("LISTEN", &limiter.address.to_string());
     let draft = limiter.folder.join("draft");
     std::fs::write(&draft, state).expect("the file is written");
-    std::fs::rename(&draft, limiter.folder.join("quartzcleat-1-1.json")).expect("the file gets its name");
+    std::fs::rename(&draft, limiter.folder.join("quartzcleat-1-1.json"))
+        .expect("the file gets its name");
     let since = Instant::now();
     let rejected = (2..).any(|id| {
-        assert!(since.elapsed() < Duration::from_secs(10), "the state file is not read");
+        assert!(
+            since.elapsed() < Duration::from_secs(10),
+            "the state file is not read"
+        );
         let few = CHECK.replace("units=1", "units=0.01");
         !ask(&mut client, &request("Q.ASK", id, &few, ""), 1).starts_with('$')
     });
     assert!(rejected);
-    assert_eq!(limiter.call("PUT", "/servers/enable", r#"{"host":"toy-0"}"#), 200);
+    assert_eq!(
+        limiter.call("PUT", "/servers/enable", r#"{"host":"toy-0"}"#),
+        200
+    );
     // A host that is back is warming up, so not every request is given to it; one of the first soon is.
     let served_again = (1 << 40..).any(|id| {
-        assert!(since.elapsed() < Duration::from_secs(10), "the host is not used again");
+        assert!(
+            since.elapsed() < Duration::from_secs(10),
+            "the host is not used again"
+        );
         let few = CHECK.replace("units=1", "units=0.01");
         ask(&mut limiter.connect(), &request("Q.ASK", id, &few, ""), 1).starts_with('$')
     });
@@ -43,7 +56,15 @@
 #[test]
 fn hosts_of_the_configured_snapshot_are_known() {
     let empty = r#"{ "generation": 1, "reset": true, "instances": [] }"#;
-    let limiter = start(204, false, |text| text.replace(empty, include_str!("data/known.json").trim()));
-    assert_eq!(limiter.call("PUT", "/servers/disable", r#"{"host":"toy-9"}"#), 200);
-    assert_eq!(limiter.call("PUT", "/servers/disable", r#"{"host":"toy-8"}"#), 404);
+    let limiter = start(204, false, |text| {
+        text.replace(empty, include_str!("data/known.json").trim())
+    });
+    assert_eq!(
+        limiter.call("PUT", "/servers/disable", r#"{"host":"toy-9"}"#),
+        200
+    );
+    assert_eq!(
+        limiter.call("PUT", "/servers/disable", r#"{"host":"toy-8"}"#),
+        404
+    );
 }
--- a/tests/compatibility/usage.rs
+++ b/tests/compatibility/usage.rs
@@ -21,7 +21,8 @@
                 let text = String::from_utf8_lossy(&output.stdout);
                 let code = output.status.code().expect("an exit code");
                 let name = format!("use-{sink}-{spool}-{format}.txt");
-                let expected = std::fs::read_to_string(data.join(&name)).expect("the expected text");
+                let expected =
+                    std::fs::read_to_string(data.join(&name)).expect("the expected text");
                 assert_eq!(format!("{text}exit code {code}\n"), expected, "{name}");
             }
         }
--- a/tests/golden/command_line.rs
+++ b/tests/golden/command_line.rs
@@ -17,9 +17,15 @@
             let flag = text.split("  ").next().unwrap_or_default();
             names.push_str(&format!("  {flag}\n"));
         } else if let Some(value) = text.strip_prefix("- ") {
-            names.push_str(&format!("    {}\n", value.split(':').next().unwrap_or_default()));
+            names.push_str(&format!(
+                "    {}\n",
+                value.split(':').next().unwrap_or_default()
+            ));
         } else if listed {
-            names.push_str(&format!("  {}\n", text.split(' ').next().unwrap_or_default()));
+            names.push_str(&format!(
+                "  {}\n",
+                text.split(' ').next().unwrap_or_default()
+            ));
         } else if let Some(at) = text.find("[default: ").or_else(|| text.find("[env: ")) {
             names.push_str(&format!("    {}\n", &text[at..]));
         } else if text.starts_with("Usage:") {
@@ -33,14 +39,21 @@
 fn commands_and_flags_keep_their_names() {
     let mut all = String::new();
     for command in ["", "serve", "check", "expect", "demo", "use"] {
-        let arguments = if command.is_empty() { vec!["--help"] } else { vec![command, "--help"] };
+        let arguments = if command.is_empty() {
+            vec!["--help"]
+        } else {
+            vec![command, "--help"]
+        };
         let output = Command::new(LIMITER)
             .env_remove("QUARTZCLEAT_CONFIG")
             .args(arguments)
             .output()
             .expect("the limiter runs");
         assert!(output.status.success());
-        all += &format!("# {command}\n{}", names(&String::from_utf8_lossy(&output.stdout)));
+        all += &format!(
+            "# {command}\n{}",
+            names(&String::from_utf8_lossy(&output.stdout))
+        );
     }
     assert_golden("wire-flags.txt", &all);
 }
--- a/tests/golden/configuration.rs
+++ b/tests/golden/configuration.rs
@@ -79,11 +79,18 @@
 /// Puts a value in the place of the one at a path, or takes it out.
 fn change(file: &mut Value, path: &str, value: Option<Value>) {
     let (parent, key) = path.rsplit_once('/').unwrap_or(("", path));
-    let pointer = if parent.is_empty() { String::new() } else { format!("/{parent}") };
+    let pointer = if parent.is_empty() {
+        String::new()
+    } else {
+        format!("/{parent}")
+    };
     if file.pointer(&pointer).is_none() {
         change(file, parent, Some(json!({})));
     }
-    let parent = file.pointer_mut(&pointer).and_then(Value::as_object_mut).expect("a map");
+    let parent = file
+        .pointer_mut(&pointer)
+        .and_then(Value::as_object_mut)
+        .expect("a map");
     match value {
         Some(value) => parent.insert(key.to_owned(), value),
         None => parent.remove(key),
@@ -95,11 +102,25 @@
     let path: PathBuf = std::env::temp_dir().join(format!("golden-{}-{name}", std::process::id()));
     std::fs::write(&path, text).expect("the file is written");
     let mut command = Command::new(LIMITER);
-    for variable in ["CONFIG", "NAME", "LISTEN", "DISCOVERY", "COUNTER", "CONSOLE"] {
+    for variable in [
+        "CONFIG",
+        "NAME",
+        "LISTEN",
+        "DISCOVERY",
+        "COUNTER",
+        "CONSOLE",
+    ] {
         command.env_remove(format!("BALANCER_{variable}"));
     }
-    command.env_remove("QUARTZCLEAT_CONFIG").envs(variables.iter().copied()).arg("check");
-    let command = if own { command.arg("--config").arg(&path) } else { command.arg(&path) };
+    command
+        .env_remove("QUARTZCLEAT_CONFIG")
+        .envs(variables.iter().copied())
+        .arg("check");
+    let command = if own {
+        command.arg("--config").arg(&path)
+    } else {
+        command.arg(&path)
+    };
     let output = command.output().expect("the limiter runs");
     std::fs::remove_file(&path).expect("the file is removed");
     let told = String::from_utf8_lossy(&output.stdout).replace(&path.display().to_string(), "FILE");
@@ -111,7 +132,13 @@
     let example: Value = serde_json::from_str(EXAMPLE).expect("JSON");
     let mut told = String::new();
     for (number, key) in KEYS.iter().enumerate() {
-        for value in [None, Some(json!("x")), Some(json!(-1.5)), Some(json!({"x": 1})), Some(json!(true))] {
+        for value in [
+            None,
+            Some(json!("x")),
+            Some(json!(-1.5)),
+            Some(json!({"x": 1})),
+            Some(json!(true)),
+        ] {
             let mut file = example.clone();
             change(&mut file, key, value.clone());
             let name = format!("platform-{number}.json");
@@ -127,7 +154,12 @@
     let mut told = String::new();
     for name in ["NAME", "LISTEN", "DISCOVERY", "COUNTER", "CONSOLE"] {
         let variable = format!("BALANCER_{name}");
-        let answer = check(&format!("variable-{name}.json"), EXAMPLE, false, &[(&variable, "x")]);
+        let answer = check(
+            &format!("variable-{name}.json"),
+            EXAMPLE,
+            false,
+            &[(&variable, "x")],
+        );
         writeln!(told, "{variable} = x => {answer}").expect("text");
     }
     assert_golden("messages-variables.txt", &told);
@@ -149,9 +181,9 @@
 ";
 /// Every key of our own file.
 const OWN_KEYS: &[&str] = &[
-    "log", "filter", "form", "window", "burst", "tally", "lease", "me", "key", "length", "drift", "die",
-    "at", "after", "clock", "fast", "slow", "ahead", "behind", "limiters", "voters", "tasks", "name",
-    "target", "every", "longest", "export", "spool", "sink",
+    "log", "filter", "form", "window", "burst", "tally", "lease", "me", "key", "length", "drift",
+    "die", "at", "after", "clock", "fast", "slow", "ahead", "behind", "limiters", "voters",
+    "tasks", "name", "target", "every", "longest", "export", "spool", "sink",
 ];
 
 #[test]
@@ -162,9 +194,17 @@
         // The first place where the word is a key: at a line's start, or behind a brace, a dash or a comma.
         let places = ["\n", "\n  ", "\n    ", "{", ", ", "- {", "- "]
             .map(|before| (before, format!("{before}{key}:")));
-        let (before, found) = places.iter().find(|(_, text)| whole.contains(text.as_str())).expect("a key");
+        let (before, found) = places
+            .iter()
+            .find(|(_, text)| whole.contains(text.as_str()))
+            .expect("a key");
         let text = whole.replacen(found.as_str(), &format!("{before}{key}x:"), 1);
-        writeln!(told, "{key}x => {}", check(&format!("own-{key}.yaml"), &text, true, &[])).expect("text");
+        writeln!(
+            told,
+            "{key}x => {}",
+            check(&format!("own-{key}.yaml"), &text, true, &[])
+        )
+        .expect("text");
     }
     assert_golden("messages-own-keys.txt", &told);
 }
--- a/tests/golden/expectations.rs
+++ b/tests/golden/expectations.rs
@@ -9,7 +9,10 @@
     for line in report.lines() {
         let json = line.trim_start().starts_with("\"seconds\":");
         let text = match (json, line.split_once(" time=\"")) {
-            (true, _) => line.split_once(':').map(|(key, _)| format!("{key}: DURATION")).unwrap_or_default(),
+            (true, _) => line
+                .split_once(':')
+                .map(|(key, _)| format!("{key}: DURATION"))
+                .unwrap_or_default(),
             (false, Some((head, tail))) => {
                 let rest = tail.split_once('"').map_or("", |(_, rest)| rest);
                 format!("{head} time=\"DURATION\"{rest}")
@@ -28,7 +31,15 @@
             let output = Command::new(LIMITER)
                 .current_dir(env!("CARGO_MANIFEST_DIR"))
                 .env_remove("QUARTZCLEAT_CONFIG")
-                .args(["expect", "--deployment", deployment, "--format", format, "--jobs", "2"])
+                .args([
+                    "expect",
+                    "--deployment",
+                    deployment,
+                    "--format",
+                    format,
+                    "--jobs",
+                    "2",
+                ])
                 .args(["--plays", "20", "--events", "6000"])
                 .output()
                 .expect("the limiter runs");
--- a/tests/golden/limiter.rs
+++ b/tests/golden/limiter.rs
@@ -4,7 +4,10 @@
 use crate::process::{ask, call, start, CHECK, HOLD};
 
 fn command(words: &[&str]) -> String {
-    let words: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
+    let words: String = words
+        .iter()
+        .map(|word| format!("${}\r\n{word}\r\n", word.len()))
+        .collect();
     let count = words.matches("$").count();
     format!("*{count}\r\n{words}")
 }
@@ -43,8 +46,10 @@
         ("spread=", "spread=2"),
         ("first=", "first=1"),
     ] {
-        let facts: Vec<_> =
-            CHECK.split(',').map(|fact| if fact.starts_with(key) { wrong } else { fact }).collect();
+        let facts: Vec<_> = CHECK
+            .split(',')
+            .map(|fact| if fact.starts_with(key) { wrong } else { fact })
+            .collect();
         cases.push(request("Q.ASK", &facts.join(",")));
     }
     // After each of these nothing more of the connection can be read.
--- a/tests/golden/main.rs
+++ b/tests/golden/main.rs
@@ -17,14 +17,16 @@
 use std::path::PathBuf;
 
 /// The program that speaks the simulator's protocol.
-const SIMULATOR: &str = env!("CARGO_BIN_EXE_quartzcleat-drill");
+const SIMULATOR: &str = env!("CARGO_BIN_EXE_quartzcleat-sim");
 /// Its name, as it stands in front of its errors.
-const SIMULATOR_NAME: &str = "quartzcleat-drill";
+const SIMULATOR_NAME: &str = "quartzcleat-sim";
 /// The limiter.
 const LIMITER: &str = env!("CARGO_BIN_EXE_quartzcleat");
 
 fn data(name: &str) -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/golden/data").join(name)
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/golden/data")
+        .join(name)
 }
 
 /// Compares an output with its golden file, or writes that file where `GOLDEN_WRITE` is 1.
--- a/tests/golden/simulator.rs
+++ b/tests/golden/simulator.rs
@@ -23,9 +23,19 @@
 #[test]
 fn every_message_gets_its_exact_reply() {
     let input = File::open(data("wire-simulator.in")).expect("the script is there");
-    let output = Command::new(SIMULATOR).stdin(input).output().expect("the simulator runs");
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    assert_golden("wire-simulator.out", &String::from_utf8_lossy(&output.stdout));
+    let output = Command::new(SIMULATOR)
+        .stdin(input)
+        .output()
+        .expect("the simulator runs");
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    assert_golden(
+        "wire-simulator.out",
+        &String::from_utf8_lossy(&output.stdout),
+    );
 }
 
 /// Lines of a batch, fields separated by blanks; each is decoded behind a running instance.
@@ -105,14 +115,26 @@
 #[test]
 fn every_malformed_line_ends_the_program_and_is_named() {
     let (mut places, mut messages) = (String::new(), String::new());
-    let wrapped = MALFORMED.iter().map(|case| format!("TICK 1\nON a\nNEW_INSTANCE 1\n{case}\n"));
-    let bare = ["ON a\n", "TICK 1\n", "TICK 1\nDROPPED 0000000000000001\n", "TICK 1\nON a\nMEMO 1 -\n"];
+    let wrapped = MALFORMED
+        .iter()
+        .map(|case| format!("TICK 1\nON a\nNEW_INSTANCE 1\n{case}\n"));
+    let bare = [
+        "ON a\n",
+        "TICK 1\n",
+        "TICK 1\nDROPPED 0000000000000001\n",
+        "TICK 1\nON a\nMEMO 1 -\n",
+    ];
     for input in wrapped.chain(bare.map(str::to_owned)) {
         let output = run(&input.replace(' ', "\t"));
         let error = String::from_utf8_lossy(&output.stderr).replacen(SIMULATOR_NAME, "PROGRAM", 1);
         let place: String = error.trim_end().splitn(4, ": ").skip(1).take(1).collect();
         let case = input.escape_debug();
-        writeln!(places, "{case} => {place}, exit code {:?}", output.status.code()).expect("text");
+        writeln!(
+            places,
+            "{case} => {place}, exit code {:?}",
+            output.status.code()
+        )
+        .expect("text");
         writeln!(messages, "{case} => {}", error.trim_end()).expect("text");
     }
     assert_golden("wire-simulator-errors.txt", &places);
--- a/tests/side_by_side.rs
+++ b/tests/side_by_side.rs
@@ -30,7 +30,10 @@
         .expect("the build starts");
     let since = Instant::now();
     while TcpStream::connect(console).is_err() || call(console, "GET", "/ready", "") != 200 {
-        assert!(since.elapsed() < LONGEST_WAIT, "the second process is not up");
+        assert!(
+            since.elapsed() < LONGEST_WAIT,
+            "the second process is not up"
+        );
         std::thread::sleep(Duration::from_millis(2));
     }
     limiter.console = console;
@@ -39,7 +42,11 @@
 
 fn end(mut process: Child) {
     let kill = format!("kill -TERM {}", process.id());
-    assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill runs").success());
+    assert!(Command::new("sh")
+        .args(["-c", &kill])
+        .status()
+        .expect("kill runs")
+        .success());
     assert!(process.wait().expect("it ends").success());
 }
 
@@ -55,7 +62,10 @@
 fn wait_until(condition: impl Fn() -> bool) {
     let since = Instant::now();
     while !condition() {
-        assert!(since.elapsed() < LONGEST_WAIT, "too few requests are served");
+        assert!(
+            since.elapsed() < LONGEST_WAIT,
+            "too few requests are served"
+        );
         std::thread::sleep(Duration::from_millis(2));
     }
 }
@@ -71,7 +81,8 @@
 #[test]
 #[ignore = "needs an older build: QUARTZCLEAT_OLDER=path"]
 fn builds_hand_over_to_each_other_without_a_request_lost() {
-    let older = std::env::var("QUARTZCLEAT_OLDER").expect("QUARTZCLEAT_OLDER names the older build");
+    let older =
+        std::env::var("QUARTZCLEAT_OLDER").expect("QUARTZCLEAT_OLDER names the older build");
     let mut limiter = start(210, false, |text| text);
     let address = limiter.address;
     let stop = AtomicBool::new(false);
@@ -88,7 +99,9 @@
                     if !is_open(&stream) {
                         stream = TcpStream::connect(address).expect("a process listens");
                     }
-                    stream.set_read_timeout(Some(LONGEST_WAIT)).expect("a time-out is set");
+                    stream
+                        .set_read_timeout(Some(LONGEST_WAIT))
+                        .expect("a time-out is set");
                     let id = ids.next().unwrap_or_default();
                     let answer = ask(&mut stream, &request("Q.ASK", id, &few, ""), 1);
                     let is_served = answer == format!("$16\r\n{id:016x}\r\n");
@@ -116,8 +129,15 @@
             let earlier = hand_over(&mut limiter, program, number + 2);
             end(earlier);
             let mut stream = TcpStream::connect(address).expect("a process listens");
-            let answer = ask(&mut stream, &request("Q.ASK", (100 + u64::from(number)) << 32, CHECK, ""), 1);
-            assert!(answer.starts_with("-BUSY"), "maintenance is not handed over: {answer:?}");
+            let answer = ask(
+                &mut stream,
+                &request("Q.ASK", (100 + u64::from(number)) << 32, CHECK, ""),
+                1,
+            );
+            assert!(
+                answer.starts_with("-BUSY"),
+                "maintenance is not handed over: {answer:?}"
+            );
             let before = served.load(Ordering::Relaxed);
             assert_eq!(limiter.call("PUT", "/servers/enable", HOST), 200);
             wait_until(|| served.load(Ordering::Relaxed) > before + ENOUGH);
