--- /dev/null
+++ b/tests/snapshot.rs
@@ -0,0 +1,28 @@
+//! The stored form of a snapshot: handoff files carry this JSON text between versions, so keys and arrays are fixed.
+
+use quartzcleat::choice::EngineSnapshot;
+
+/// A snapshot as the first version with handoff files writes it.
+const STORED: &str = concat!(
+    r#"{"at":1000000000000,"ask":[0.5,0.25],"let_in":[0.75,0.125,999000000000,0.0625],"density":3.5,"#,
+    r#""room":1.5,"classes":[["read",0.02,31.0],["",0.0,0.0]],"#,
+    r#""hosts":[{"host":7,"started":12,"slowness":[1.25,4.0,998000000000],"room":2.5}],"#,
+    r#""zones":[[3,1.5,997000000000]],"#,
+    r#""customers":[{"customer":5,"window":250,"totals":[10.0,20.0,true,false],"confirmed":[6.0,1.0],"#,
+    r#""own":[7.0,8.0],"store":[9.0,996000000000],"store_before":11.0,"seen":[12.0,995000000000]}]}"#
+);
+
+#[test]
+fn stored_snapshot_is_written_as_it_was_read() {
+    let snapshot: EngineSnapshot = serde_json::from_str(STORED).expect("a stored snapshot");
+    let written = serde_json::to_string(&snapshot).expect("plain data");
+    assert_eq!(written, STORED);
+}
+
+#[test]
+fn stored_customer_without_previous_credit_reads_as_zero() {
+    let text = STORED.replace(r#""store_before":11.0,"#, "");
+    let snapshot: EngineSnapshot = serde_json::from_str(&text).expect("an older snapshot");
+    let written = serde_json::to_string(&snapshot).expect("plain data");
+    assert_eq!(written, STORED.replace("11.0", "0.0"));
+}
