--- a/crates/admin/src/heritage.rs
+++ b/crates/admin/src/heritage.rs
@@ -71,15 +71,19 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use quartzcleat_decision::HostSnapshot;
+    use quartzcleat_decision::{HostSnapshot, SlownessSnapshot};
 
     #[test]
     fn a_heritage_is_read_whole_or_not_at_all() {
         let host = HostSnapshot {
             host: 7,
             started: 3,
-            slowness: (1.25, 4.0, 9),
-            room: 2.5,
+            slowness: SlownessSnapshot {
+                value: 1.25,
+                evidence: 4.0,
+                measured_at: 9,
+            },
+            concurrency_limit: 2.5,
         };
         let learned = EngineSnapshot {
             at: 9,
--- a/crates/bench/src/module.rs
+++ b/crates/bench/src/module.rs
@@ -19,134 +19,175 @@
     only: String,
 }
 
-/// The damage: a file of the module, what stands there, what stands there then, and what is wrong with it.
-const DAMAGE: &[(&str, &str, &str, &str)] = &[
-    (
-        "host_selection.rs",
-        "self.entry.state == HostState::Ready",
-        "self.entry.state != HostState::Gone",
-        "drains are not kept",
-    ),
-    (
-        "host_selection.rs",
-        "self.entry.state == HostState::Ready",
-        "self.entry.state != HostState::Draining",
-        "lost nodes are not noticed",
-    ),
-    ("host_selection.rs", "h.entry.cell == cell", "h.entry.cell == cell || true", "keyed repeats leave their cell"),
-    ("host_selection.rs", "h.entry.zone == zone,", "h.entry.zone == zone || true,", "keyed repeats leave their room"),
-    (
-        "host_selection.rs",
-        "let crossing = if h.entry.zone == self.set.zone { 0.0 } else { unseen };",
-        "let crossing = 0.0 * unseen;",
-        "rooms count for nothing",
-    ),
-    (
-        "host_selection.rs",
-        "let margin = 1.0 - 1.0 / self.set.overload_factor.max(1.0);",
-        "let margin = 40.0;",
-        "cold nodes are drawn too often",
-    ),
-    (
-        "host_selection.rs",
-        "self.set.slow_start_floor\n            + (1.0 - self.set.slow_start_floor) * age as f64",
-        "1.0 - 0.001 * age as f64",
-        "cold nodes are taken for warm",
-    ),
-    ("lifecycle.rs", "&& job.attempts < self.set.max_attempts.max(1)", "", "attempts without a cap"),
-    (
-        "lifecycle.rs",
-        "(Some(_), Effect::Unsafe) => 0,",
-        "(Some(_), Effect::Unsafe) => Nanos::MAX,",
-        "what must not run twice goes again",
-    ),
-    (
-        "lifecycle.rs",
-        "at.saturating_add(class.dedup_window)",
-        "at.saturating_add(100 * class.dedup_window)",
-        "keys outlive their window",
-    ),
-    (
-        "lifecycle.rs",
-        "self.begins_within(job) > 0\n",
-        "(self.begins_within(job) > 0 || job.ran.is_some())\n",
-        "what may have run is tried again",
-    ),
-    (
-        "lifecycle.rs",
-        "class.effect == Effect::Keyed && class.group == Group::All",
-        "class.effect == Effect::Keyed",
-        "refused as harmless though it may have run",
-    ),
-    (
-        "lifecycle.rs",
-        "unwrap_or(self.set.longest_retry_after)",
-        "unwrap_or(10 * self.set.longest_retry_after)",
-        "told to come back too late",
-    ),
-    (
-        "lifecycle.rs",
-        "Action::Reject { id, retry_after } } else {",
-        "Action::Reject { id, retry_after: 0 * retry_after } } else {",
-        "refused untold",
-    ),
-    (
-        "lifecycle.rs",
-        "if job.ran.is_none() {\n            self.quotas.adjust(&job.claim, -job.claim.units, false, out);\n        }",
-        "self.quotas.adjust(&job.claim, -job.claim.units, false, out);",
-        "units come back though they were sent on",
-    ),
-    (
-        "lifecycle.rs",
-        "(job.want.avoid, job.want.draw, job.stage) = (Some(sent.host), draw, Stage::Held);",
-        "(job.want.avoid, job.want.draw, job.stage) = (None, draw, Stage::Out);",
-        "a further attempt is lost sight of",
-    ),
-    (
-        "lifecycle.rs",
-        "(\"deadline\", Some(id), Some(stage)) if stage != Stage::Streaming => self.finish(id, out),",
-        "(\"deadline\", Some(_), Some(stage)) if stage != Stage::Streaming => {}",
-        "deadlines pass",
-    ),
-    (
-        "quota.rs",
-        "(plan.rate * length).max(WINDOW_BURSTS * burst)",
-        "(3.0 * plan.rate * length).max(WINDOW_BURSTS * burst)",
-        "three times the limit",
-    ),
-    ("quota.rs", "let amount = weight * units + q.owed;", "let amount = q.owed;", "adds leave out the request"),
-    ("quota.rs", "(total + q.lost, true)", "(call.amount, true)", "others' adds are not seen"),
-    ("quota.rs", "q.lost += (q.known - q.lost - before).max(0.0);", "", "a counter that forgot is believed"),
-    (
-        "quota.rs",
-        "previous * (1.0 - (of.at % of.length) as f64 / of.length as f64) + current",
-        "current",
-        "the window before counts for nothing",
-    ),
-    (
-        "quota.rs",
-        "(q.known + call.amount, q.own + call.amount)",
-        "(q.known - call.amount, q.own + call.amount)",
-        "adds that may be lost come back",
-    ),
-    (
-        "quota.rs",
-        "let share = q.share(spread, seen);",
-        "let share = 1.0;",
-        "each limiter takes the whole quota for its own",
-    ),
-    (
-        "quota.rs",
-        "if q.previous_read || !q.over(",
-        "if true || !q.over(",
-        "the window before is never read",
-    ),
-    (
-        "lifecycle.rs",
-        "if over { self.quotas.next_window(&job.claim) } else",
-        "if over { 0 } else",
-        "over its quota and untold",
-    ),
+/// One damage to the decision module.
+struct Damage {
+    /// Path of the file in the module.
+    file: &'static str,
+    /// Text that stands there.
+    original: &'static str,
+    /// Text that replaces it.
+    damaged: &'static str,
+    /// What is wrong with the damaged module.
+    description: &'static str,
+}
+
+const DAMAGES: &[Damage] = &[
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "self.entry.state == HostState::Ready",
+        damaged: "self.entry.state != HostState::Gone",
+        description: "drains are not kept",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "self.entry.state == HostState::Ready",
+        damaged: "self.entry.state != HostState::Draining",
+        description: "lost nodes are not noticed",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "host.entry.cell == location.cell",
+        damaged: "host.entry.cell == location.cell || true",
+        description: "keyed repeats leave their cell",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "host.entry.zone == location.zone",
+        damaged: "host.entry.zone == location.zone || true",
+        description: "keyed repeats leave their room",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "let crossing = if host.entry.zone == self.settings.zone { 0.0 } else { others };",
+        damaged: "let crossing = 0.0 * others;",
+        description: "rooms count for nothing",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "let margin = 1.0 - 1.0 / self.settings.overload_factor.max(1.0);",
+        damaged: "let margin = 40.0;",
+        description: "cold nodes are drawn too often",
+    },
+    Damage {
+        file: "host_selection/slow_start.rs",
+        original: "self.settings.slow_start_floor\n            + (1.0 - self.settings.slow_start_floor) * age as f64",
+        damaged: "1.0 - 0.001 * age as f64",
+        description: "cold nodes are taken for warm",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "&& request.attempts < self.settings.max_attempts.max(1)",
+        damaged: "",
+        description: "attempts without a cap",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "Effect::Unsafe => 0,",
+        damaged: "Effect::Unsafe => Nanos::MAX,",
+        description: "what must not run twice goes again",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "run.sent_at.saturating_add(class.dedup_window)",
+        damaged: "run.sent_at.saturating_add(100 * class.dedup_window)",
+        description: "keys outlive their window",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "self.begins_within(request) > 0\n",
+        damaged: "(self.begins_within(request) > 0 || request.first_run.is_some())\n",
+        description: "what may have run is tried again",
+    },
+    Damage {
+        file: "lifecycle/completion.rs",
+        original: "class.effect == Effect::Keyed && class.group == Group::All",
+        damaged: "class.effect == Effect::Keyed",
+        description: "refused as harmless though it may have run",
+    },
+    Damage {
+        file: "lifecycle/queue.rs",
+        original: "unwrap_or(self.settings.longest_retry_after)",
+        damaged: "unwrap_or(10 * self.settings.longest_retry_after)",
+        description: "told to come back too late",
+    },
+    Damage {
+        file: "lifecycle/completion.rs",
+        original: "Action::Reject { id, retry_after } } else {",
+        damaged: "Action::Reject { id, retry_after: 0 * retry_after } } else {",
+        description: "refused untold",
+    },
+    Damage {
+        file: "lifecycle/completion.rs",
+        original: "if request.first_run.is_none() {\n            self.quotas.adjust(&request.claim, -request.claim.units, Correction::Refund, actions);\n        }",
+        damaged: "self.quotas.adjust(&request.claim, -request.claim.units, Correction::Refund, actions);",
+        description: "units come back though they were sent on",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "request.requirements.avoid = Some(failed_host);\n            request.requirements.slow_start_draw = slow_start_draw;\n            request.stage = Stage::Queued;",
+        damaged: "request.requirements.avoid = None;\n            request.requirements.slow_start_draw = slow_start_draw;\n            request.stage = Stage::InFlight;",
+        description: "a further attempt is lost sight of",
+    },
+    Damage {
+        file: "lifecycle/completion.rs",
+        original: "if self.requests.get(&id).is_some_and(|request| request.stage != Stage::Streaming) {\n            self.finish(id, actions);\n        }",
+        damaged: "let _ = (id, actions);",
+        description: "deadlines pass",
+    },
+    Damage {
+        file: "quota/window.rs",
+        original: "(plan.rate * seconds).max(WINDOW_LENGTH_BURSTS * burst)",
+        damaged: "(3.0 * plan.rate * seconds).max(WINDOW_LENGTH_BURSTS * burst)",
+        description: "three times the limit",
+    },
+    Damage {
+        file: "quota/verdict.rs",
+        original: "let amount = sampling.weight * claim.units + quota.unsent;",
+        damaged: "let amount = quota.unsent;",
+        description: "adds leave out the request",
+    },
+    Damage {
+        file: "quota/counter.rs",
+        original: "self.total = total + self.lost;",
+        damaged: "self.total = call.amount;",
+        description: "others' adds are not seen",
+    },
+    Damage {
+        file: "quota/counter.rs",
+        original: "self.lost += (self.total - self.lost - total_before).max(0.0);",
+        damaged: "",
+        description: "a counter that forgot is believed",
+    },
+    Damage {
+        file: "quota/window.rs",
+        original: "previous * (1.0 - self.progress()) + current",
+        damaged: "current",
+        description: "the window before counts for nothing",
+    },
+    Damage {
+        file: "quota/counter.rs",
+        original: "self.total += call.amount;",
+        damaged: "self.total -= call.amount;",
+        description: "adds that may be lost come back",
+    },
+    Damage {
+        file: "quota/verdict.rs",
+        original: "let share = quota.local_share(claim.spread, window.refill);",
+        damaged: "let share = 1.0;",
+        description: "each limiter takes the whole quota for its own",
+    },
+    Damage {
+        file: "quota/verdict.rs",
+        original: "if quota.is_previous_read || !quota.is_over(",
+        damaged: "if true || !quota.is_over(",
+        description: "the window before is never read",
+    },
+    Damage {
+        file: "lifecycle/admission.rs",
+        original: "Verdict::OverQuota => self.quotas.time_to_next_window(&request.claim),",
+        damaged: "Verdict::OverQuota => 0,",
+        description: "over its quota and untold",
+    },
 ];
 
 impl Module {
@@ -160,13 +201,22 @@
         let (mut made, mut caught) = (0, 0);
         copy(&self.root, &folder)?;
         let target = folder.join("crates/decision/src");
-        for (file, from, to, why) in DAMAGE.iter().filter(|(.., why)| why.contains(&self.only)) {
+        for damage in DAMAGES {
+            let Damage {
+                file,
+                original,
+                damaged,
+                description,
+            } = damage;
+            if !description.contains(&self.only) {
+                continue;
+            }
             let text =
                 std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
-            if text.matches(from).count() == 0 {
-                return Err(format!("{file}: {from:?} stands there no more"));
+            if !text.contains(original) {
+                return Err(format!("{file}: {original:?} stands there no more"));
             }
-            std::fs::write(target.join(file), text.replacen(from, to, 1))
+            std::fs::write(target.join(file), text.replacen(original, damaged, 1))
                 .map_err(|e| e.to_string())?;
             let by = check(&folder)?;
             std::fs::write(target.join(file), &text).map_err(|e| e.to_string())?;
@@ -181,7 +231,7 @@
                     }
                 },
             );
-            let _ = writeln!(out, "| {why} | {file} | {first} |");
+            let _ = writeln!(out, "| {description} | {file} | {first} |");
         }
         let _ = writeln!(
             out,
@@ -244,16 +294,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a table that tells of damage which can no longer be done.
-    #[test]
-    fn all_that_is_to_be_damaged_stands_in_the_module() {
-        let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../decision/src");
-        for (file, from, ..) in DAMAGE {
-            let text = std::fs::read_to_string(source.join(file)).expect("a file of the module");
-            assert!(text.contains(from), "{file}: {from:?} stands there no more");
-        }
-    }
-}
+mod tests;
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,6 +1,7 @@
-//! The decisions of one gateway, without I/O and without a clock: it is told [`api::Event`]s with their times and
-//! orders [`api::Action`]s. Three files hold its three matters, `quota`, `lifecycle` and `host_selection`; `docs/design.md` gives
-//! their reasons and the conditions under which each exception acts.
+//! The decisions of one limiter, without I/O and without a clock: the engine takes [`api::Event`]s with their
+//! times and returns [`api::Action`]s. `lifecycle` follows each request and calls `quota` and
+//! `host_selection`, which know neither it nor each other. `docs/design.md` gives the reasons and the
+//! conditions of each exception.
 
 pub mod api;
 mod host_selection;
@@ -8,8 +9,12 @@
 mod quota;
 mod snapshot;
 mod status;
-mod terms;
+mod units;
 
 pub use lifecycle::DecisionEngine;
-pub use snapshot::{CustomerSnapshot, EngineSnapshot, HostSnapshot};
+pub use snapshot::{
+    AdmissionSnapshot, ClassSnapshot, ConfirmedSnapshot, CounterCallsSnapshot, CustomerSnapshot,
+    EngineSnapshot, HostSnapshot, OwnAddsSnapshot, SlownessSnapshot, TimedUnits, TotalsSnapshot,
+    ZoneSnapshot,
+};
 pub use status::EngineStatus;
--- a/crates/decision/src/status.rs
+++ b/crates/decision/src/status.rs
@@ -1,39 +1,42 @@
-//! What a gateway believes at a moment, for those who count and watch; nothing here decides.
+//! Status of a decision engine, for metrics.
 
 use crate::lifecycle::DecisionEngine;
 
-/// What a gateway believes at a moment.
+/// Hosts below this slowness count as healthy.
+const HEALTHY_SLOWNESS: f64 = 2.0;
+
+/// What a decision engine assumes at a moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EngineStatus {
     /// Hosts listed as ready.
-    pub listed: usize,
-    /// Those of them that it does not hold for slow: measured, or by their zone, at less than twice the mean.
-    pub believed_good: usize,
-    /// The part of the requests let in.
-    pub let_in: f64,
-    /// Attempts at once for each able host.
-    pub room: f64,
-    /// The part of the requests that ask the counter.
-    pub ask: f64,
-    /// Attempts out.
-    pub out: usize,
-    /// Requests that wait for room.
-    pub held: usize,
+    pub ready_hosts: usize,
+    /// Ready hosts whose measured answer time is below twice the mean.
+    pub healthy_hosts: usize,
+    /// Part of the requests that is admitted.
+    pub admission_ratio: f64,
+    /// Attempts in flight for each host at full capacity.
+    pub concurrency_limit: f64,
+    /// Part of the requests that call the counter.
+    pub counter_call_ratio: f64,
+    /// Attempts in flight.
+    pub in_flight: usize,
+    /// Requests that wait for capacity.
+    pub queued: usize,
 }
 
 impl DecisionEngine {
-    /// What is believed now.
+    /// The present status.
     #[must_use]
-    pub fn view(&self) -> EngineStatus {
-        let ready = || self.fleet.hosts.values().filter(|host| host.ready());
+    pub fn status(&self) -> EngineStatus {
+        let ready = || self.hosts.hosts.values().filter(|host| host.is_ready());
         EngineStatus {
-            listed: ready().count(),
-            believed_good: ready().filter(|host| host.slowness < 2.0).count(),
-            let_in: self.fleet.let_in,
-            room: self.fleet.room,
-            ask: self.quotas.ask,
-            out: self.fleet.out,
-            held: self.held.len(),
+            ready_hosts: ready().count(),
+            healthy_hosts: ready().filter(|host| host.slowness < HEALTHY_SLOWNESS).count(),
+            admission_ratio: self.hosts.admission_ratio,
+            concurrency_limit: self.hosts.concurrency_limit,
+            counter_call_ratio: self.quotas.call_ratio,
+            in_flight: self.hosts.in_flight,
+            queued: self.queue.len(),
         }
     }
 }
--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -39,7 +39,7 @@
     Ask(Ask),
     /// A limiter is told of a change: its number and start, the entries and how they relate to what it holds.
     Told(usize, u32, ListMode, Vec<HostEntry>),
-    Timer(usize, u32, String),
+    Timer(usize, u32, Timer),
     LastMoment(usize, u32, RequestId),
     Reach(Job, usize, Fate),
     /// A host is done with a job; its start tells whether it is still that process.
@@ -396,8 +396,8 @@
                 self.answer(number, id, Answered::Refused(retry_after));
             }
             Action::Fail { id } => self.answer(number, id, Answered::Failed),
-            Action::SetTimer { tag, after } => {
-                self.after(after, Pending::Timer(number, epoch, tag));
+            Action::SetTimer { timer, after } => {
+                self.after(after, Pending::Timer(number, epoch, timer));
             }
             Action::Count {
                 name,
@@ -616,9 +616,9 @@
                     )?;
                 }
             }
-            Pending::Timer(number, epoch, tag) => {
+            Pending::Timer(number, epoch, timer) => {
                 if self.current(number, epoch) {
-                    self.tell(number, Event::Timer { tag })?;
+                    self.tell(number, Event::Timer { timer })?;
                 }
             }
             Pending::LastMoment(number, epoch, id) => {
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -228,12 +228,12 @@
 
     /// What the module believes, and when that is.
     pub fn view(&self) -> (Nanos, EngineStatus) {
-        (self.clock.at(Instant::now()), self.gateway.view())
+        (self.clock.at(Instant::now()), self.gateway.status())
     }
 
     /// What the module has learned.
     pub fn learned(&self) -> EngineSnapshot {
-        self.gateway.learned()
+        self.gateway.snapshot()
     }
 
     /// The next event that the module has yet to take, for tests.
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -273,8 +273,8 @@
         }
     }
     let mut endpoints = limiter.endpoints.borrow_mut();
-    for (zone, ..) in &mut told.learned.zones {
-        *zone = endpoints.zone(&told.zones, *zone);
+    for snapshot in &mut told.learned.zones {
+        snapshot.zone = endpoints.zone(&told.zones, snapshot.zone);
     }
     drop(endpoints);
     tracing::info!(
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -180,13 +180,13 @@
             counter_failed = counted.counter_failed,
             lists = counted.lists,
             list_failures = counted.list_failures,
-            listed = view.listed,
-            believed_good = view.believed_good,
-            let_in = view.let_in,
-            room = view.room,
-            ask = view.ask,
-            out = view.out,
-            held = view.held,
+            listed = view.ready_hosts,
+            believed_good = view.healthy_hosts,
+            let_in = view.admission_ratio,
+            room = view.concurrency_limit,
+            ask = view.counter_call_ratio,
+            out = view.in_flight,
+            held = view.queued,
             ended = ended.trim_end(),
             hosts = hosts.trim_end(),
             "tally"
@@ -242,7 +242,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::api::RequestId;
+    use crate::api::{RequestId, Timer};
 
     /// Orders are counted by what they follow from, ends by host and outcome.
     #[test]
@@ -270,7 +270,7 @@
         };
         metrics.ordered(cause, &[again, Action::Reject { id, retry_after: 0 }]);
         let cause = metrics.told(&Event::Timer {
-            tag: "late:1".into(),
+            timer: Timer::LatencyObjective { id },
         });
         metrics.ordered(cause, &[Action::Reject { id, retry_after: 0 }]);
         metrics.told(&done(Outcome::Good));
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -49,11 +49,11 @@
         Action::Fail { id } => {
             complete::answer(limiter, id, Answer::Failed);
         }
-        Action::SetTimer { tag, after } => {
+        Action::SetTimer { timer, after } => {
             let limiter = limiter.clone();
             spawn(async move {
                 sleep_until(now + Duration::from_nanos(after)).await;
-                limiter.tell(Event::Timer { tag });
+                limiter.tell(Event::Timer { timer });
             });
         }
         Action::Count {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -43,6 +43,28 @@
     );
 }
 
+#[test]
+fn timers_with_unknown_tags_are_ignored() {
+    for tag in [
+        "no such timer",
+        "deadline",
+        "deadline:xyz",
+        "late:",
+        "wait:-1",
+        "held:1",
+        "sweep:2",
+        "watch:3",
+        "",
+    ] {
+        let fired = format!("TICK\t2000\nON\tgateway-0\nELAPSED\t{tag}\nEOF_BATCH\n");
+        let output = run(format!("{START}EOF_BATCH\n{fired}{fired}").as_bytes());
+        let text = String::from_utf8(output.stdout).expect("text");
+        let first = "BY\tgateway-0\nWAKE_ME\tsweep\t1000000000\n";
+        assert_eq!(text, format!("ACK\n{first}ACK\nACK\n"), "{tag:?}");
+        assert!(output.status.success());
+    }
+}
+
 #[test]
 fn malformed_input_is_named_and_ends_the_adapter() {
     for (input, message) in [
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -78,6 +78,26 @@
     }
 }
 
+#[test]
+fn timer_tags_are_written_and_read_as_the_wire_has_them() {
+    use quartzcleat::api::{Action, Event, RequestId, Timer};
+    let id = RequestId(0x1f);
+    for (timer, tag) in [
+        (Timer::Deadline { id }, "deadline:1f"),
+        (Timer::LatencyObjective { id }, "late:1f"),
+        (Timer::CounterWait { id }, "wait:1f"),
+        (Timer::ReleaseQueue, "held"),
+        (Timer::WatchHosts, "watch"),
+        (Timer::Sweep, "sweep"),
+    ] {
+        let mut out = String::new();
+        quartzcleat::simulator::encode(&Action::SetTimer { timer, after: 7 }, &mut out);
+        assert_eq!(out, format!("WAKE_ME\t{tag}\t7\n"));
+        let read = Decoder::new().decode(&format!("ELAPSED\t{tag}"));
+        assert_eq!(read, Ok(Some(Line::Event(Event::Timer { timer }))));
+    }
+}
+
 #[test]
 fn actions_are_written_as_the_wire_has_them() {
     use quartzcleat::api::*;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -218,8 +218,8 @@
         })
     }
 
-    pub fn timer(&mut self, tag: &str) -> Vec<Action> {
-        self.event(Event::Timer { tag: tag.into() })
+    pub fn timer(&mut self, timer: Timer) -> Vec<Action> {
+        self.event(Event::Timer { timer })
     }
 
     /// A request that the counter lets through: its id, the answer's actions.
@@ -266,10 +266,23 @@
     actions.contains(&Action::Fail { id })
 }
 
-pub fn tags(actions: &[Action], kind: &str) -> Vec<String> {
-    let of_kind = |a: &Action| match a {
-        Action::SetTimer { tag, .. } if tag.starts_with(kind) => Some(tag.clone()),
+/// The timers that are set.
+pub fn timers(actions: &[Action]) -> Vec<Timer> {
+    let timer = |action: &Action| match action {
+        Action::SetTimer { timer, .. } => Some(*timer),
         _ => None,
     };
-    actions.iter().filter_map(of_kind).collect()
+    actions.iter().filter_map(timer).collect()
+}
+
+/// The timer of a request that waits for the counter.
+pub fn counter_wait(actions: &[Action]) -> Option<Timer> {
+    let is_wait = |timer: &Timer| matches!(timer, Timer::CounterWait { .. });
+    timers(actions).into_iter().find(is_wait)
+}
+
+/// The timer of a request's latency objective.
+pub fn latency_objective(actions: &[Action]) -> Option<Timer> {
+    let is_objective = |timer: &Timer| matches!(timer, Timer::LatencyObjective { .. });
+    timers(actions).into_iter().find(is_objective)
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -29,7 +29,7 @@
 struct World {
     lives: BTreeMap<RequestId, Life>,
     calls: Vec<String>,
-    timers: Vec<(u64, String)>,
+    timers: Vec<(u64, Timer)>,
     sent_units: f64,
     log: Vec<String>,
 }
@@ -73,7 +73,7 @@
                     life.closed = true;
                 }
                 Action::Count { name, .. } => self.calls.push(name),
-                Action::SetTimer { tag, after } => self.timers.push((now + after, tag)),
+                Action::SetTimer { timer, after } => self.timers.push((now + after, timer)),
                 _ => {}
             }
         }
@@ -175,8 +175,8 @@
         .into_iter()
         .partition(|(at, _)| *at <= now);
     world.timers = later;
-    for (_, tag) in Vec::<(u64, String)>::into_iter(due) {
-        let actions = rig.timer(&tag);
+    for (_, timer) in Vec::<(u64, Timer)>::into_iter(due) {
+        let actions = rig.timer(timer);
         world.check(now, actions);
     }
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -80,9 +80,9 @@
 fn requests_pass_while_the_counter_is_silent() {
     let mut rig = Rig::new(settings(), 2);
     let (id, actions) = rig.request(0, 5, 1.0);
-    let wait = tags(&actions, "wait").remove(0);
+    let wait = counter_wait(&actions).expect("a call was made");
     rig.now += 50 * MS;
-    assert_eq!(attempt(&rig.timer(&wait)).map(|a| a.0), Some(id));
+    assert_eq!(attempt(&rig.timer(wait)).map(|a| a.0), Some(id));
     // The late answer changes nothing any more.
     let actions = rig.counted("q5.250", Outcome::Timeout, 0.0);
     assert!(actions.iter().all(|a| matches!(a, Action::Log { .. })));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,23 +3,26 @@
 mod common;
 use common::*;
 use quartzcleat::api::*;
-use quartzcleat::choice::EngineSnapshot;
+use quartzcleat::choice::{
+    AdmissionSnapshot, CounterCallsSnapshot, EngineSnapshot, SlownessSnapshot, TimedUnits,
+};
 
 #[test]
 fn a_request_is_answered_before_its_time_is_up() {
     let mut rig = Rig::new(settings(), 0);
     let (id, actions) = rig.request(0, 5, 1.0);
     let deadline = actions.iter().find_map(|a| match a {
-        Action::SetTimer { tag, after } if tag.starts_with("deadline") => {
-            Some((tag.clone(), *after))
-        }
+        Action::SetTimer {
+            timer: timer @ Timer::Deadline { .. },
+            after,
+        } => Some((*timer, *after)),
         _ => None,
     });
-    let (tag, after) = deadline.expect("a deadline timer");
+    let (timer, after) = deadline.expect("a deadline timer");
     assert!(after < 3 * S);
     rig.now += after;
-    assert!(refused(&rig.timer(&tag), id).is_some());
-    assert!(rig.timer(&tag).is_empty(), "one final answer only");
+    assert!(refused(&rig.timer(timer), id).is_some());
+    assert!(rig.timer(timer).is_empty(), "one final answer only");
 }
 
 #[test]
@@ -169,8 +172,8 @@
         );
     }
     first.passed(0, 99);
-    let told = first.gateway.learned();
-    let slowness = |rig: &Rig, host: usize| rig.gateway.learned().hosts[host - 1].slowness.0;
+    let told = first.gateway.snapshot();
+    let slowness = |rig: &Rig, host: usize| rig.gateway.snapshot().hosts[host - 1].slowness.value;
     assert!(slowness(&first, 2) > 2.0 && told.customers.len() == 31);
     let second = |told: &EngineSnapshot, later: u64| {
         let mut rig = Rig::new(named.clone(), 3);
@@ -192,44 +195,63 @@
     let heir = second(&told, 0);
     assert_eq!(slowness(&heir, 2), slowness(&first, 2));
     assert_eq!(slowness(&heir, 1), 1.0, "it has started anew");
-    let now = heir.gateway.learned();
+    let now = heir.gateway.snapshot();
     assert_eq!(
-        (&now.classes, &now.customers, now.room),
-        (&told.classes, &told.customers, told.room)
+        (&now.classes, &now.customers, now.concurrency_limit),
+        (&told.classes, &told.customers, told.concurrency_limit)
     );
     assert_eq!(now.classes.len(), settings().classes.len() + 1);
     assert_eq!(
-        heir.gateway.view().out,
+        heir.gateway.status().in_flight,
         0,
         "what is out stays with the first"
     );
     assert_eq!(
-        second(&told, 11 * S).gateway.learned().customers,
+        second(&told, 11 * S).gateway.snapshot().customers,
         [],
         "too old"
     );
     let mut broken = EngineSnapshot {
-        ask: (f64::NAN, -1.0),
-        let_in: (9.0, f64::INFINITY, u64::MAX, -1.0),
+        counter_calls: CounterCallsSnapshot {
+            ratio: f64::NAN,
+            mean_need: -1.0,
+        },
+        admission: AdmissionSnapshot {
+            ratio: 9.0,
+            mean_lateness: f64::INFINITY,
+            measured_at: u64::MAX,
+            success_lateness: -1.0,
+        },
         ..told
     };
-    broken.room = f64::NAN;
-    broken
-        .hosts
-        .iter_mut()
-        .for_each(|host| (host.slowness, host.room) = ((-5.0, 1e300, u64::MAX), 0.0));
-    broken
-        .customers
-        .iter_mut()
-        .for_each(|seen| (seen.totals.0, seen.seen) = (f64::NAN, (1e300, u64::MAX)));
+    broken.concurrency_limit = f64::NAN;
+    for host in &mut broken.hosts {
+        host.slowness = SlownessSnapshot {
+            value: -5.0,
+            evidence: 1e300,
+            measured_at: u64::MAX,
+        };
+        host.concurrency_limit = 0.0;
+    }
+    for customer in &mut broken.customers {
+        customer.totals.current = f64::NAN;
+        customer.recent_units = TimedUnits {
+            units: 1e300,
+            at: u64::MAX,
+        };
+    }
     let (mut rig, fresh) = (
         second(&broken, 0),
-        Rig::new(named.clone(), 3).gateway.learned(),
+        Rig::new(named.clone(), 3).gateway.snapshot(),
     );
-    let now = rig.gateway.learned();
+    let now = rig.gateway.snapshot();
     assert_eq!(
-        (now.ask.0, now.let_in.0, now.room),
-        (fresh.ask.0, 1.0, fresh.room)
+        (
+            now.counter_calls.ratio,
+            now.admission.ratio,
+            now.concurrency_limit
+        ),
+        (fresh.counter_calls.ratio, 1.0, fresh.concurrency_limit)
     );
     let (id, host) = rig.passed(0, 5);
     rig.done(id, 0, host, Outcome::Good, true);
@@ -253,7 +275,7 @@
         if let Some((previous, _)) = count(&actions) {
             actions = rig.counted(&previous, Outcome::Good, 0.0);
         }
-        actions.extend(rig.timer("held"));
+        actions.extend(rig.timer(Timer::ReleaseQueue));
         refused(&actions, id)
     };
     assert!(answer(3).is_some_and(|wait| wait > 0), "refused at once");
@@ -298,8 +320,8 @@
 fn one_attempt_at_a_time() {
     let mut rig = Rig::new(settings(), 4);
     let (id, _) = rig.passed(0, 5);
-    for tag in [format!("wait:{:x}", id.0), "held".to_owned()] {
-        assert_eq!(attempt(&rig.timer(&tag)), None);
+    for timer in [Timer::CounterWait { id }, Timer::ReleaseQueue] {
+        assert_eq!(attempt(&rig.timer(timer)), None);
     }
 }
 
@@ -337,8 +359,8 @@
     let (mut cold, mut sends, mut out) = (0, 0, std::collections::VecDeque::new());
     for customer in 0..60 {
         let (_, actions) = rig.request(0, customer, 1.0);
-        let wait = tags(&actions, "wait").remove(0);
-        let mut actions = rig.timer(&wait);
+        let wait = counter_wait(&actions).expect("a call was made");
+        let mut actions = rig.timer(wait);
         assert!(rig
             .counted(&format!("q{customer:x}.250"), Outcome::Good, 1.0)
             .is_empty());
@@ -378,9 +400,9 @@
     for _ in 0..400 {
         rig.now += 5 * MS;
         let (_, actions) = rig.request(0, 5, 4.0);
-        let wait = tags(&actions, "wait");
-        let mut actions = wait.first().map_or(actions, |tag| rig.timer(tag));
-        actions.extend(rig.timer("held"));
+        let wait = counter_wait(&actions);
+        let mut actions = wait.map_or(actions, |timer| rig.timer(timer));
+        actions.extend(rig.timer(Timer::ReleaseQueue));
         while let Some((sent_id, host)) = attempt(&actions) {
             sent += 4.0;
             actions = rig.done(sent_id, 0, host, Outcome::Good, true);
@@ -400,7 +422,13 @@
     assert!(rig.event(Event::Abandoned { id }).is_empty());
     assert!(rig.done(id, 0, host, Outcome::Timeout, true).is_empty());
     assert!(rig.done(id, 0, host, Outcome::Timeout, true).is_empty());
-    assert!(rig.timer("no such timer").is_empty());
+    for stale in [
+        Timer::Deadline { id },
+        Timer::LatencyObjective { id },
+        Timer::CounterWait { id },
+    ] {
+        assert!(rig.timer(stale).is_empty());
+    }
     assert!(rig.counted("nobody", Outcome::Good, 1.0).is_empty());
     assert!(rig.hosts(ListMode::Replace, vec![]).is_empty());
 }
@@ -413,9 +441,9 @@
     let (first, host) = rig.passed(0, 5);
     rig.passed(0, 5);
     let (third, actions) = rig.request(0, 5, 1.0);
-    let wait = tags(&actions, "wait").remove(0);
+    let wait = counter_wait(&actions).expect("a call was made");
     assert_eq!(
-        attempt(&rig.timer(&wait)),
+        attempt(&rig.timer(wait)),
         None,
         "two are out, so the third waits"
     );
@@ -490,7 +518,7 @@
         elapsed: MS,
     });
     rig.now += 3 * S;
-    assert!(rig.timer(&format!("deadline:{:x}", id.0)).is_empty());
+    assert!(rig.timer(Timer::Deadline { id }).is_empty());
 }
 
 #[test]
@@ -550,8 +578,8 @@
             );
             let (id, mut actions) = rig.request(0, 5, 1e6);
             rig.now += 3 * S;
-            for tag in tags(&actions, "") {
-                actions.extend(rig.timer(&tag));
+            for timer in timers(&actions) {
+                actions.extend(rig.timer(timer));
             }
             let answers = actions
                 .iter()
@@ -579,8 +607,8 @@
     let mut sent = Vec::new();
     for customer in 0..8 {
         let (_, actions) = rig.request(0, customer, 1.0);
-        let wait = tags(&actions, "wait").remove(0);
-        sent.extend(attempt(&rig.timer(&wait)).map(|(_, host)| host));
+        let wait = counter_wait(&actions).expect("a call was made");
+        sent.extend(attempt(&rig.timer(wait)).map(|(_, host)| host));
     }
     assert!(sent.len() < 8, "two at each warm host, the rest waits");
     assert!(sent.iter().filter(|host| **host == HostId(4)).count() <= 1);
@@ -762,13 +790,13 @@
         let (_, actions) = rig.request(0, customer, 1.0);
         out.push((
             attempt(&actions).expect("sent on"),
-            tags(&actions, "late").remove(0),
+            latency_objective(&actions).expect("it has an objective"),
         ));
     }
     // Two seconds without a turn, then timers and answers in a heap; the answers themselves were prompt.
     rig.now += 2 * S;
-    for ((id, host), tag) in out {
-        rig.timer(&tag);
+    for ((id, host), timer) in out {
+        rig.timer(timer);
         rig.ended(
             id,
             host,
@@ -893,7 +921,7 @@
     );
     // Ten minutes later, then a clock that seems to go back.
     rig.now += 600 * S;
-    assert!(refused(&rig.timer(&format!("deadline:{:x}", id.0)), id).is_some());
+    assert!(refused(&rig.timer(Timer::Deadline { id }), id).is_some());
     rig.now -= 500 * S;
     let mut lines = 0;
     for customer in 10..60 {
@@ -902,10 +930,8 @@
             .iter()
             .filter(|a| matches!(a, Action::Log { .. }))
             .count();
-        let wait = tags(&actions, "wait");
-        let sent = wait
-            .first()
-            .and_then(|tag| attempt(&rig.timer(tag)))
+        let sent = counter_wait(&actions)
+            .and_then(|timer| attempt(&rig.timer(timer)))
             .or(attempt(&actions));
         assert_ne!(sent.map(|(_, to)| to), Some(host), "it drains");
     }
@@ -957,7 +983,7 @@
             rig.done(other, 0, host, Outcome::Rejected, true);
         }
         rig.now = 1000 * S + S;
-        let actions = rig.timer(&format!("late:{:x}", id.0));
+        let actions = rig.timer(Timer::LatencyObjective { id });
         let given_up = late_weight <= 0.0;
         assert_eq!(
             refused(&actions, id),
@@ -1051,9 +1077,9 @@
         rig.counted(&previous, Outcome::Good, 0.0);
     }
     rig.now += 200 * MS;
-    assert_eq!(refused(&rig.timer("held"), id), None);
+    assert_eq!(refused(&rig.timer(Timer::ReleaseQueue), id), None);
     rig.now += 100 * MS;
-    let actions = rig.timer("held");
+    let actions = rig.timer(Timer::ReleaseQueue);
     assert_eq!(
         refused(&actions, id),
         Some(S / 4),
@@ -1079,7 +1105,7 @@
         assert_eq!(sent.len(), share);
         // Neither prompt nor late: the room stays as it is, and what waited is refused in time.
         rig.now += 300 * MS;
-        rig.timer("held");
+        rig.timer(Timer::ReleaseQueue);
         for (id, host) in sent {
             rig.ended(
                 id,
@@ -1158,7 +1184,7 @@
                         },
                     );
                 } else {
-                    rig.timer(&format!("late:{:x}", id.0));
+                    rig.timer(Timer::LatencyObjective { id });
                     rig.done(id, 0, host, Outcome::Cancelled, true);
                 }
             }
@@ -1210,7 +1236,7 @@
         rig.hosts(ListMode::Update, vec![paired(100 + round as u32)]);
         rig.hosts(ListMode::Update, vec![entry]);
         rig.now += S;
-        rig.timer("sweep");
+        rig.timer(Timer::Sweep);
     }
     let held = format!("{:?}", rig.gateway);
     // Two windows of 4 s, and the four hosts that are still there.
