--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,4 +1,4 @@
-//! The adapter as a process: replies on standard output, plain messages and a non-zero exit on malformed input.
+//! `quartzcleat-sim` as a process: replies on standard output, messages and a non-zero exit on malformed input.
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
@@ -9,10 +9,10 @@
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
-        .expect("the adapter starts");
-    // The adapter may stop reading at the first malformed line.
+        .expect("the process starts");
+    // The process may stop reading at the first malformed line, so a failed write is no failure of the test.
     let _ = child.stdin.take().expect("piped").write_all(input);
-    child.wait_with_output().expect("the adapter ends")
+    child.wait_with_output().expect("the process ends")
 }
 
 const START: &str =
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,4 +1,4 @@
-//! The codec: each kind of malformed line, and round values.
+//! The codec of the simulator's protocol: each kind of malformed line, and the text of actions.
 
 use quartzcleat::simulator::{Decoder, Line};
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,5 @@
-//! A hand-driven gateway with small settings, for the tests.
-#![allow(dead_code)]
+//! A decision engine with small settings that tests drive by hand.
+#![allow(dead_code)] // Each test target uses a part of it.
 
 use quartzcleat::api::*;
 use quartzcleat::choice::DecisionEngine;
@@ -68,12 +68,12 @@
     }
 }
 
-/// A host of those that are two to a cell.
+/// A host of a list with two hosts in each cell.
 pub fn paired(id: u32) -> HostEntry {
     host(id, id.div_ceil(2))
 }
 
-/// How an attempt ended; by default the first one well, and the request with it.
+/// How an attempt ended; by default the first one successfully, and the request with it.
 pub struct Ended {
     pub attempt: u32,
     pub outcome: Outcome,
@@ -100,14 +100,14 @@
 }
 
 pub struct Rig {
-    pub gateway: DecisionEngine,
+    pub engine: DecisionEngine,
     pub now: u64,
     pub spread: u32,
     next: u64,
 }
 
 impl Rig {
-    /// A gateway at 1000 s with `hosts` warm hosts, two to a cell.
+    /// A limiter at 1000 s with `hosts` hosts past slow start, two to a cell.
     pub fn new(settings: Settings, hosts: u32) -> Rig {
         Rig::seeded(settings, hosts, 7)
     }
@@ -116,7 +116,7 @@
     pub fn seeded(settings: Settings, hosts: u32, seed: u64) -> Rig {
         let now = 1000 * S;
         let mut rig = Rig {
-            gateway: DecisionEngine::new(settings, seed, now),
+            engine: DecisionEngine::new(settings, seed, now),
             now,
             spread: 2,
             next: 0,
@@ -127,7 +127,7 @@
 
     pub fn event(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
-        self.gateway.handle(self.now, event, &mut out);
+        self.engine.handle(self.now, event, &mut out);
         out
     }
 
@@ -194,7 +194,7 @@
         )
     }
 
-    /// An outcome with all that may come along.
+    /// An outcome with all of its fields.
     pub fn ended(&mut self, id: RequestId, host: HostId, end: Ended) -> Vec<Action> {
         let Ended {
             attempt,
@@ -222,15 +222,21 @@
         self.event(Event::Timer { timer })
     }
 
-    /// A request that the counter lets through: its id, the answer's actions.
-    pub fn passed(&mut self, class: u32, customer: u64) -> (RequestId, HostId) {
-        let (id, actions) = self.request(class, customer, 1.0);
+    /// A request that the counter's replies admit: its id, and the actions that follow from the last reply.
+    pub fn admitted(&mut self, class: u32, customer: u64, units: f64) -> (RequestId, Vec<Action>) {
+        let (id, actions) = self.request(class, customer, units);
         let (name, amount) = count(&actions).expect("an add before the verdict");
         let mut actions = self.counted(&name, Outcome::Good, amount);
         if let Some((previous, _)) = count(&actions) {
             actions = self.counted(&previous, Outcome::Good, 0.0);
         }
-        (id, attempt(&actions).expect("sent on").1)
+        (id, actions)
+    }
+
+    /// An admitted request that is sent: its id and its host.
+    pub fn passed(&mut self, class: u32, customer: u64) -> (RequestId, HostId) {
+        let (id, actions) = self.admitted(class, customer, 1.0);
+        (id, attempt(&actions).expect("sent").1)
     }
 }
 
@@ -252,12 +258,12 @@
     actions.iter().find_map(as_attempt)
 }
 
-pub fn refused(actions: &[Action], id: RequestId) -> Option<u64> {
+pub fn rejected(actions: &[Action], id: RequestId) -> Option<u64> {
     actions.iter().find_map(|a| match a {
         Action::Reject {
-            id: refused,
+            id: rejected,
             retry_after,
-        } if *refused == id => Some(*retry_after),
+        } if *rejected == id => Some(*retry_after),
         _ => None,
     })
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -16,34 +16,46 @@
 }
 
 #[derive(Default)]
-struct Life {
+struct RequestState {
     class: u32,
     units: f64,
-    out: Option<(u32, HostId, u64)>,
+    in_flight: Option<(u32, HostId, u64)>,
     attempts: u32,
-    ran: Option<(u32, u64)>,
+    first_run: Option<(u32, u64)>,
     closed: bool,
 }
 
 #[derive(Default)]
-struct World {
-    lives: BTreeMap<RequestId, Life>,
+struct Run {
+    requests: BTreeMap<RequestId, RequestState>,
     calls: Vec<String>,
     timers: Vec<(u64, Timer)>,
     sent_units: f64,
     log: Vec<String>,
 }
 
-impl World {
+impl Run {
+    /// One of the requests with an attempt in flight.
+    fn pick_in_flight(&self, pick: u16) -> Option<RequestId> {
+        let requests = self.requests.iter();
+        let in_flight: Vec<_> = requests
+            .filter(|(_, request)| request.in_flight.is_some())
+            .map(|(id, _)| *id)
+            .collect();
+        in_flight
+            .get(usize::from(pick) % in_flight.len().max(1))
+            .copied()
+    }
+
     fn check(&mut self, now: u64, actions: Vec<Action>) {
         for action in actions {
             self.log.push(format!("{action:?}"));
             match action {
                 Action::Attempt { id, host, .. } => {
-                    let life = self.lives.get_mut(&id).expect("a request it was given");
-                    assert!(!life.closed, "sent after its final answer");
-                    assert!(life.out.is_none(), "two attempts in flight");
-                    match (life.class, life.ran) {
+                    let request = self.requests.get_mut(&id).expect("a request it was given");
+                    assert!(!request.closed, "sent after its final answer");
+                    assert!(request.in_flight.is_none(), "two attempts in flight");
+                    match (request.class, request.first_run) {
                         (3, Some(_)) => panic!("an unsafe request was repeated"),
                         (1, Some((cell, at))) => {
                             assert_eq!(host.0.div_ceil(2), cell, "keyed request left its cell");
@@ -51,26 +63,26 @@
                         }
                         _ => {}
                     }
-                    if life.attempts == 0 {
-                        self.sent_units += life.units;
+                    if request.attempts == 0 {
+                        self.sent_units += request.units;
                     }
-                    life.out = Some((life.attempts, host, now));
-                    life.attempts += 1;
+                    request.in_flight = Some((request.attempts, host, now));
+                    request.attempts += 1;
                 }
                 Action::Reject { id, .. } => {
-                    let life = self.lives.get_mut(&id).expect("a request it was given");
-                    assert!(!life.closed, "two final answers");
-                    let may_have_run = life.ran.is_some() || life.out.is_some();
+                    let request = self.requests.get_mut(&id).expect("a request it was given");
+                    assert!(!request.closed, "two final answers");
+                    let may_have_run = request.first_run.is_some() || request.in_flight.is_some();
                     assert!(
-                        life.class == 0 || life.class == 2 || !may_have_run,
+                        request.class == 0 || request.class == 2 || !may_have_run,
                         "refused though it may have run"
                     );
-                    life.closed = true;
+                    request.closed = true;
                 }
                 Action::Fail { id } => {
-                    let life = self.lives.get_mut(&id).expect("a request it was given");
-                    assert!(!life.closed, "two final answers");
-                    life.closed = true;
+                    let request = self.requests.get_mut(&id).expect("a request it was given");
+                    assert!(!request.closed, "two final answers");
+                    request.closed = true;
                 }
                 Action::Count { name, .. } => self.calls.push(name),
                 Action::SetTimer { timer, after } => self.timers.push((now + after, timer)),
@@ -80,104 +92,108 @@
     }
 }
 
-/// Plays the steps, then lets time run out; gives back all actions.
-fn play(steps: &[Step]) -> Vec<String> {
-    let mut set = settings();
-    set.plans[0].ceiling_rate = 30.0;
-    set.plans[0].ceiling_burst = 40.0;
-    let mut rig = Rig::new(set, 6);
-    let mut world = World::default();
+/// Units a second at which the ceiling refills, and the limiters that share it.
+const CEILING_RATE: f64 = 30.0;
+const LIMITERS: f64 = 2.0;
+
+/// Runs the steps, then lets time pass until each request is answered; returns all actions.
+fn run_steps(steps: &[Step]) -> Vec<String> {
+    let mut settings = settings();
+    settings.plans[0].ceiling_rate = CEILING_RATE;
+    settings.plans[0].ceiling_burst = 40.0;
+    let mut rig = Rig::new(settings, 6);
+    let mut run = Run::default();
     let start = rig.now;
     for step in steps {
         rig.now += u64::from(step.wait) * MS;
-        let pick = usize::from(step.pick);
         match step.kind {
-            0..=2 => {
-                let (class, units) = (u32::from(step.pick % 4), f64::from(1 + step.pick % 3));
-                let id = rig.next_id();
-                world.lives.insert(
-                    id,
-                    Life {
-                        class,
-                        units,
-                        ..Life::default()
-                    },
-                );
-                let actions = rig.request(class, 5, units).1;
-                world.check(rig.now, actions);
-            }
-            3..=4 if !world.calls.is_empty() => {
-                let name = world.calls.remove(pick % world.calls.len());
-                let outcomes = [
-                    Outcome::Good,
-                    Outcome::Good,
-                    Outcome::Timeout,
-                    Outcome::Rejected,
-                ];
-                let actions = rig.counted(&name, outcomes[pick % 4], f64::from(step.pick % 90));
-                world.check(rig.now, actions);
-            }
+            0..=2 => send_request(&mut rig, &mut run, step.pick),
+            3..=4 if !run.calls.is_empty() => reply_to_call(&mut rig, &mut run, step.pick),
             5..=6 => {
-                let out = world
-                    .lives
-                    .iter()
-                    .filter(|(_, l)| l.out.is_some())
-                    .map(|(id, _)| *id);
-                let out: Vec<RequestId> = out.collect();
-                let Some(&id) = out.get(pick % out.len().max(1)) else {
+                let Some(id) = run.pick_in_flight(step.pick) else {
                     continue;
                 };
-                let outcomes = [
-                    Outcome::Good,
-                    Outcome::Reset,
-                    Outcome::Rejected,
-                    Outcome::ConnectFailed,
-                    Outcome::Error,
-                ];
-                finish_attempt(&mut rig, &mut world, id, outcomes[pick % 5]);
+                finish_attempt(&mut rig, &mut run, id, attempt_outcome(step.pick));
             }
             _ => {}
         }
-        run_timers(&mut rig, &mut world);
-        let allowed = 30.0 / 2.0 * (rig.now - start) as f64 / S as f64;
+        run_timers(&mut rig, &mut run);
+        let allowed = CEILING_RATE / LIMITERS * (rig.now - start) as f64 / S as f64;
         assert!(
-            world.sent_units <= allowed + 1e-6,
+            run.sent_units <= allowed + 1e-6,
             "{} units past a share of {allowed}",
-            world.sent_units
+            run.sent_units
         );
     }
     for _ in 0..800 {
         rig.now += 4 * MS;
-        run_timers(&mut rig, &mut world);
+        run_timers(&mut rig, &mut run);
     }
     assert!(
-        world.lives.values().all(|life| life.closed),
+        run.requests.values().all(|request| request.closed),
         "a request was left without an answer"
     );
-    world.log
+    run.log
+}
+
+fn send_request(rig: &mut Rig, run: &mut Run, pick: u16) {
+    let class = u32::from(pick % 4);
+    let units = f64::from(1 + pick % 3);
+    let request = RequestState {
+        class,
+        units,
+        ..RequestState::default()
+    };
+    run.requests.insert(rig.next_id(), request);
+    let actions = rig.request(class, 5, units).1;
+    run.check(rig.now, actions);
+}
+
+fn reply_to_call(rig: &mut Rig, run: &mut Run, pick: u16) {
+    let name = run.calls.remove(usize::from(pick) % run.calls.len());
+    let outcomes = [
+        Outcome::Good,
+        Outcome::Good,
+        Outcome::Timeout,
+        Outcome::Rejected,
+    ];
+    let outcome = outcomes[usize::from(pick) % outcomes.len()];
+    let actions = rig.counted(&name, outcome, f64::from(pick % 90));
+    run.check(rig.now, actions);
+}
+
+fn attempt_outcome(pick: u16) -> Outcome {
+    let outcomes = [
+        Outcome::Good,
+        Outcome::Reset,
+        Outcome::Rejected,
+        Outcome::ConnectFailed,
+        Outcome::Error,
+    ];
+    outcomes[usize::from(pick) % outcomes.len()]
 }
 
-fn finish_attempt(rig: &mut Rig, world: &mut World, id: RequestId, outcome: Outcome) {
-    let life = world.lives.get_mut(&id).expect("known");
-    let (attempt, host, at) = life.out.take().expect("out");
-    if !outcome.never_ran() && life.ran.is_none() {
-        life.ran = Some((host.0.div_ceil(2), at));
+fn finish_attempt(rig: &mut Rig, run: &mut Run, id: RequestId, outcome: Outcome) {
+    let request = run.requests.get_mut(&id).expect("known");
+    let (attempt, host, at) = request.in_flight.take().expect("out");
+    if !outcome.never_ran() && request.first_run.is_none() {
+        request.first_run = Some((host.0.div_ceil(2), at));
     }
-    let over = life.closed || outcome == Outcome::Good;
-    life.closed = over;
+    let over = request.closed || outcome == Outcome::Good;
+    request.closed = over;
     let actions = rig.done(id, attempt, host, outcome, over);
-    world.check(rig.now, actions);
+    run.check(rig.now, actions);
 }
 
-fn run_timers(rig: &mut Rig, world: &mut World) {
+fn run_timers(rig: &mut Rig, run: &mut Run) {
     let now = rig.now;
-    let (due, later) = std::mem::take(&mut world.timers)
+    let (due, later) = std::mem::take(&mut run.timers)
         .into_iter()
         .partition(|(at, _)| *at <= now);
-    world.timers = later;
+    run.timers = later;
     for (_, timer) in Vec::<(u64, Timer)>::into_iter(due) {
         let actions = rig.timer(timer);
-        world.check(now, actions);
+        run.check(now, actions);
     }
 }
 
@@ -196,7 +212,7 @@
     let steps = proptest::collection::vec(step, 1..200);
     runner
         .run(&steps, |steps| {
-            prop_assert_eq!(play(&steps), play(&steps));
+            prop_assert_eq!(run_steps(&steps), run_steps(&steps));
             Ok(())
         })
         .unwrap();
--- /dev/null
+++ b/tests/rules/main.rs
@@ -0,0 +1,14 @@
+//! Rules of the decision engine, each by the behaviour that keeps it.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod final_answers;
+mod hosts;
+mod load_shedding;
+mod queueing;
+mod retries;
+mod robustness;
+mod settlement;
+mod slow_start;
+mod succession;
