--- a/crates/bench/src/module.rs
+++ b/crates/bench/src/module.rs
@@ -124,13 +124,13 @@
     },
     Damage {
         file: "lifecycle/dispatch.rs",
-        original: "request.requirements.avoid = Some(failed_host);\n            request.requirements.slow_start_draw = slow_start_draw;\n            request.stage = Stage::Queued;",
-        damaged: "request.requirements.avoid = None;\n            request.requirements.slow_start_draw = slow_start_draw;\n            request.stage = Stage::InFlight;",
+        original: "request.requirements.avoid = Some(failed_host);\n            request.requirements.slow_start_draw = slow_start_draw;\n            request.state = RequestState::Queued;",
+        damaged: "request.requirements.avoid = None;\n            request.requirements.slow_start_draw = slow_start_draw;\n            request.state = RequestState::InFlight;",
         description: "a further attempt is lost sight of",
     },
     Damage {
         file: "lifecycle/completion.rs",
-        original: "if self.requests.get(&id).is_some_and(|request| request.stage != Stage::Streaming) {\n            self.finish(id, actions);\n        }",
+        original: "if self.requests.get(&id).is_some_and(|request| request.state != RequestState::Streaming) {\n            self.finish(id, actions);\n        }",
         damaged: "let _ = (id, actions);",
         description: "deadlines pass",
     },
--- a/crates/decision/src/host_selection/capacity.rs
+++ b/crates/decision/src/host_selection/capacity.rs
@@ -25,11 +25,16 @@
 /// Weight of one more answer in the mean lateness of successful attempts.
 const SUCCESS_SMOOTHING: f64 = 0.1;
 
-/// Attempts at once that a host gets at the start from this limiter.
-pub(super) fn initial_host_limit(settings: &Settings) -> f64 {
+/// Attempts at once for each host at the start, over all hosts.
+pub(super) fn initial_pool_limit(settings: &Settings) -> f64 {
     INITIAL_HOST_CONCURRENCY / f64::from(settings.limiter_count)
 }
 
+/// Attempts at once at one host at the start.
+pub(super) fn initial_host_limit(settings: &Settings) -> f64 {
+    initial_pool_limit(settings).clamp(1.0, 2.0)
+}
+
 impl HostPool {
     /// Whether no further attempt may be sent. Attempts that do not return keep their places, as hosts would
     /// else collect requests that no client waits for. After a pause of the limiter it is too strict.
--- a/crates/decision/src/host_selection/pool.rs
+++ b/crates/decision/src/host_selection/pool.rs
@@ -1,6 +1,6 @@
 //! Upkeep of the known hosts: host lists, attempts in flight.
 
-use super::capacity::initial_host_limit;
+use super::capacity::{initial_host_limit, initial_pool_limit};
 use super::{ClassLatency, Host, HostAttempt, HostPool, Location};
 use crate::api::*;
 use crate::units::SECOND;
@@ -13,7 +13,7 @@
             class_latency: vec![ClassLatency::default(); settings.classes.len()],
             admission_ratio: 1.0,
             lateness_at: now,
-            concurrency_limit: initial_host_limit(&settings),
+            concurrency_limit: initial_pool_limit(&settings),
             settings,
             ..HostPool::default()
         }
@@ -35,7 +35,7 @@
     }
 
     fn update_host(&mut self, entry: HostEntry) {
-        let concurrency_limit = initial_host_limit(&self.settings).clamp(1.0, 2.0);
+        let concurrency_limit = initial_host_limit(&self.settings);
         let new = Host { slowness: 1.0, measured_at: self.now, concurrency_limit, ..Host::default() };
         let host = self.hosts.entry(entry.host).or_insert(Host { entry: entry.clone(), ..new.clone() });
         if entry.started != host.entry.started {
--- a/crates/decision/src/lifecycle/admission.rs
+++ b/crates/decision/src/lifecycle/admission.rs
@@ -47,11 +47,11 @@
     pub(super) fn judge(&mut self, id: RequestId, basis: VerdictBasis, actions: &mut Actions) {
         let Some(request) = self.requests.get(&id) else { return };
         let claim = &request.claim;
-        let verdict = match (request.stage, basis) {
-            (Stage::AwaitingCounter, VerdictBasis::CounterTotal) => {
+        let verdict = match (request.state, basis) {
+            (RequestState::AwaitingCounter, VerdictBasis::CounterTotal) => {
                 self.quotas.judge(id, claim, self.random.f64(), actions)
             }
-            (Stage::AwaitingCounter, VerdictBasis::LocalKnowledge) => self.quotas.judge_locally(claim),
+            (RequestState::AwaitingCounter, VerdictBasis::LocalKnowledge) => self.quotas.judge_locally(claim),
             _ => return,
         };
         self.apply_verdict(id, verdict, actions);
--- a/crates/decision/src/lifecycle/completion.rs
+++ b/crates/decision/src/lifecycle/completion.rs
@@ -7,7 +7,7 @@
     /// The host's work is done when its answer begins, however long the client takes to read it. The
     /// customer's cap on concurrent attempts still counts the attempt.
     pub(super) fn on_stream_started(&mut self, key: AttemptKey, elapsed: Nanos, actions: &mut Actions) {
-        self.requests.entry(key.request).and_modify(|request| request.stage = Stage::Streaming);
+        self.requests.entry(key.request).and_modify(|request| request.state = RequestState::Streaming);
         let Some(attempt) = self.in_flight.get_mut(&key) else { return };
         if !std::mem::replace(&mut attempt.stream_started, true) {
             self.hosts.record_outcome(key.request, attempt, Outcome::Good, elapsed, actions);
@@ -46,14 +46,14 @@
     }
 
     pub(super) fn on_deadline(&mut self, id: RequestId, actions: &mut Actions) {
-        if self.requests.get(&id).is_some_and(|request| request.stage != Stage::Streaming) {
+        if self.requests.get(&id).is_some_and(|request| request.state != RequestState::Streaming) {
             self.finish(id, actions);
         }
     }
 
     /// Handles an attempt that was not answered by the request's latency objective.
     pub(super) fn on_latency_objective(&mut self, id: RequestId, actions: &mut Actions) {
-        let request = self.requests.get(&id).filter(|request| request.stage == Stage::InFlight);
+        let request = self.requests.get(&id).filter(|request| request.state == RequestState::InFlight);
         let Some(request) = request else { return };
         // A limiter that was paused gets its timers late, and hosts are not at fault for that.
         let is_on_time = self.now <= self.objective_deadline(request) + 2 * self.settings.tick;
@@ -75,7 +75,7 @@
         let class = self.class(&request);
         let is_deduplicated = class.effect == Effect::Keyed && class.group == Group::All;
         let is_safe = request.first_run.is_none() || class.effect == Effect::Retryable || is_deduplicated;
-        if request.stage == Stage::InFlight && self.settings.may_cancel {
+        if request.state == RequestState::InFlight && self.settings.may_cancel {
             actions.push(Action::CancelAttempt { id, attempt: request.attempts - 1 });
         }
         let retry_after = self.retry_after(&request);
--- a/crates/decision/src/lifecycle/dispatch.rs
+++ b/crates/decision/src/lifecycle/dispatch.rs
@@ -47,7 +47,7 @@
         self.in_flight.insert(AttemptKey { request: id, attempt }, in_flight);
         let location = self.hosts.record_dispatch(id, host);
         if let Some(request) = self.requests.get_mut(&id) {
-            request.stage = Stage::InFlight;
+            request.state = RequestState::InFlight;
             request.attempts += 1;
             // Until its outcome proves otherwise, this attempt may be the first that ran.
             let run = location.map(|location| FirstRun { attempt, location, sent_at });
@@ -62,7 +62,7 @@
         &mut self, id: RequestId, failed_host: HostId, outcome: Outcome, actions: &mut Actions,
     ) {
         let Some(request) = self.requests.get(&id) else { return };
-        if request.stage != Stage::InFlight {
+        if request.state != RequestState::InFlight {
             return;
         }
         if !self.may_retry(request, outcome) {
@@ -72,7 +72,7 @@
         if let Some(request) = self.requests.get_mut(&id) {
             request.requirements.avoid = Some(failed_host);
             request.requirements.slow_start_draw = slow_start_draw;
-            request.stage = Stage::Queued;
+            request.state = RequestState::Queued;
         }
         self.retry_tokens -= if outcome.never_ran() { 0.0 } else { 1.0 };
         if self.dispatch(id, actions) != Dispatch::Sent {
--- a/crates/decision/src/lifecycle/engine.rs
+++ b/crates/decision/src/lifecycle/engine.rs
@@ -1,7 +1,7 @@
 //! The decision engine: its state, and the routing of events to their handlers. Decisions are in the other
 //! modules.
 
-use super::request::{AttemptEnd, AttemptKey, PendingRequest, Stage};
+use super::request::{AttemptEnd, AttemptKey, PendingRequest, RequestState};
 use super::with_fallbacks;
 use crate::api::*;
 use crate::host_selection::{ClassLatency, HostPool, HostRequirements, InFlightAttempt};
@@ -19,7 +19,7 @@
     is_started: bool,
     pub(super) requests: BTreeMap<RequestId, PendingRequest>,
     pub(super) in_flight: BTreeMap<AttemptKey, InFlightAttempt>,
-    /// Requests in stage [`Stage::Queued`]; also some that have left it.
+    /// Requests in state [`RequestState::Queued`]; also some that have left it.
     pub(crate) queue: VecDeque<RequestId>,
     pub(super) is_queue_timer_set: bool,
     pub(crate) quotas: QuotaTracker,
@@ -131,7 +131,7 @@
             },
             arrived_at: self.now,
             deadline: self.now.saturating_add(budget),
-            stage: Stage::AwaitingCounter,
+            state: RequestState::AwaitingCounter,
             attempts: 0,
             first_run: None,
         }
--- a/crates/decision/src/lifecycle/queue.rs
+++ b/crates/decision/src/lifecycle/queue.rs
@@ -17,7 +17,7 @@
 impl DecisionEngine {
     /// Dispatches an admitted request, or queues it if others are queued or it cannot be sent now.
     pub(super) fn admit(&mut self, id: RequestId, actions: &mut Actions) {
-        self.requests.entry(id).and_modify(|request| request.stage = Stage::Queued);
+        self.requests.entry(id).and_modify(|request| request.state = RequestState::Queued);
         if !self.queue.is_empty() || self.dispatch(id, actions) != Dispatch::Sent {
             self.queue.push_back(id);
             self.set_queue_timer(actions);
@@ -43,7 +43,7 @@
         let mut has_host = true;
         for id in queued {
             let Some(request) = self.requests.get(&id) else { continue };
-            if request.stage != Stage::Queued {
+            if request.state != RequestState::Queued {
                 continue;
             }
             // Past its time in the queue, another limiter may have capacity sooner.
--- a/crates/decision/src/lifecycle/request.rs
+++ b/crates/decision/src/lifecycle/request.rs
@@ -4,9 +4,9 @@
 use crate::host_selection::{HostRequirements, Location};
 use crate::quota::QuotaClaim;
 
-/// Stage of a request without a final answer.
+/// State of a request without a final answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Stage {
+pub(crate) enum RequestState {
     /// Waiting for the counter.
     AwaitingCounter,
     /// Admitted, waiting for a host, for the ceiling or for the cap on concurrent attempts.
@@ -24,7 +24,7 @@
     pub(crate) requirements: HostRequirements,
     pub(crate) arrived_at: Nanos,
     pub(crate) deadline: Nanos,
-    pub(crate) stage: Stage,
+    pub(crate) state: RequestState,
     /// Number of attempts so far.
     pub(crate) attempts: u32,
     /// The first attempt that may have run.
--- a/crates/decision/src/quota/verdict.rs
+++ b/crates/decision/src/quota/verdict.rs
@@ -115,9 +115,9 @@
         let exceeds_share = window.estimate(quota.previous_total, scaled) > window.refill;
         // A share too small for tokens still shows a customer far over its quota.
         let expected = rate * RECENT_UNITS_LIFETIME_SECONDS / f64::from(claim.spread) + ASSUMED_USE_UNITS;
-        let use_here = (quota.recent_units + ASSUMED_USE * ASSUMED_USE_UNITS) / expected;
+        let estimated_use = (quota.recent_units + ASSUMED_USE * ASSUMED_USE_UNITS) / expected;
         let lacks_tokens = quota.local_tokens < units && exceeds_share;
-        let is_over_share = if is_frequent { lacks_tokens } else { use_here > MAX_ESTIMATED_USE };
+        let is_over_share = if is_frequent { lacks_tokens } else { estimated_use > MAX_ESTIMATED_USE };
         if is_over_share {
             return Verdict::OverLocalShare;
         }
--- a/crates/decision/src/quota/window.rs
+++ b/crates/decision/src/quota/window.rs
@@ -4,8 +4,7 @@
 use crate::api::Nanos;
 use crate::units::{to_nanos, to_seconds};
 
-/// Window length in bursts. A longer one grants more than the quota at once, a shorter one is read less
-/// often.
+/// Window length in bursts. A longer one grants too much at once, a shorter one is read too rarely.
 const WINDOW_LENGTH_BURSTS: f64 = 1.25;
 /// Shortest window, and longest: a count lives for 60 s at most and must outlast two windows.
 const MIN_WINDOW_SECONDS: f64 = 0.1;
