--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -272,8 +272,8 @@
         let mut learned = handoff.learned;
         {
             let mut endpoints = self.discovery.endpoints().borrow_mut();
-            for (zone, ..) in &mut learned.zones {
-                *zone = endpoints.zone(&handoff.zones, *zone);
+            for snapshot in &mut learned.zones {
+                snapshot.zone = endpoints.zone(&handoff.zones, snapshot.zone);
             }
         }
         tracing::info!(
