--- /dev/null
+++ b/crates/lease/tests/wire_format.rs
@@ -0,0 +1,65 @@
+//! The bytes of each lease message and of the envelope, as other versions of the limiter write and read them.
+
+use quartzcleat_lease::*;
+
+const BALLOT: Ballot = Ballot {
+    round: 0x0102_0304_0506_0708,
+    bidder: 0x1112_1314,
+    boot: 0x2122_2324,
+};
+const PROMISED: Ballot = Ballot {
+    round: 9,
+    bidder: 2,
+    boot: 3,
+};
+const BALLOT_HEX: &str = "01020304050607081112131421222324";
+const TASK_HEX: &str = "0462656174";
+
+fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// The kind, the ballot, what the kind carries, and the task after its length.
+#[test]
+fn each_message_kind_keeps_its_bytes() {
+    let rejection_hex = "00000000000000090000000200000003000000003b9aca00";
+    for (kind, body, fields_hex) in [
+        ("01", Body::Prepare, ""),
+        ("02", Body::Free, ""),
+        (
+            "03",
+            Body::Refused {
+                promised: PROMISED,
+                left: 1_000_000_000,
+            },
+            rejection_hex,
+        ),
+        ("04", Body::Propose, ""),
+        ("05", Body::Voted, ""),
+        ("06", Body::GivenUp, ""),
+    ] {
+        let message = Message {
+            task: "beat".into(),
+            ballot: BALLOT,
+            body,
+        };
+        let mut bytes = Vec::new();
+        message.write(&mut bytes);
+        assert_eq!(
+            to_hex(&bytes),
+            format!("{kind}{BALLOT_HEX}{fields_hex}{TASK_HEX}")
+        );
+        assert_eq!(Message::read(&bytes), Ok(message));
+    }
+}
+
+/// Version, kind, sender, sequence, length, payload, and the first 16 bytes of the keyed hash.
+#[test]
+fn an_envelope_keeps_its_bytes() {
+    let key = Key::new(b"shared");
+    let bytes = seal(&key, 2, 7, 9, b"want");
+    assert_eq!(
+        to_hex(&bytes),
+        "0102000000070000000000000009000477616e74724c81d4baaae965e16d71c95e7cfae7"
+    );
+}
