--- a/crates/bench/src/trial/plot.rs
+++ b/crates/bench/src/trial/plot.rs
@@ -68,7 +68,7 @@
     let mut rows: Vec<usize> = played
         .seen
         .iter()
-        .map(|act| act.token.bidder as usize)
+        .map(|act| act.token.proposer as usize)
         .collect();
     rows.extend(struck.iter().map(|struck| struck.limiter));
     rows.sort_unstable();
@@ -118,7 +118,7 @@
         )])?;
     }
     for act in &played.seen {
-        let Some(row) = place(act.token.bidder as usize) else {
+        let Some(row) = place(act.token.proposer as usize) else {
             continue;
         };
         let (from, to) = (
--- a/crates/fault-injection/src/row.rs
+++ b/crates/fault-injection/src/row.rs
@@ -117,18 +117,18 @@
     use super::*;
     use crate::target::Seen;
     use crate::verdict::Mark;
-    use quartzcleat_lease::Token;
+    use quartzcleat_lease::FencingToken;
 
     #[test]
     fn a_row_names_the_broken_property_and_reads_as_it_was_written() {
         let story = Story::read("s.yaml", "limiters: 3\nvoters: 3\nend: 2s\n").expect("sound");
-        let act = |from: u64, round, bidder| Seen {
+        let act = |from: u64, round, proposer| Seen {
             from: Duration::from_millis(from),
             to: Duration::from_millis(from + 5),
-            token: Token {
+            token: FencingToken {
                 round,
-                bidder,
-                boot: 1,
+                proposer,
+                incarnation: 1,
             },
             accepted: true,
         };
--- a/crates/fault-injection/src/target.rs
+++ b/crates/fault-injection/src/target.rs
@@ -1,6 +1,6 @@
 //! The target of acts: checks tokens as any target should, and writes the truth with one clock.
 
-use quartzcleat_lease::{NotNow, OneAtATime, Token};
+use quartzcleat_lease::{BeginError, ExclusiveFence, FencingToken};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
     /// See `from`.
     pub to: Duration,
     /// What it carried.
-    pub token: Token,
+    pub token: FencingToken,
     /// Whether it was let in.
     pub accepted: bool,
 }
@@ -25,7 +25,7 @@
 /// The target.
 pub struct Target {
     began: Instant,
-    acts: Cell<OneAtATime>,
+    acts: Cell<ExclusiveFence>,
     ended: Notify,
     /// Whether it checks tokens and does one act at a time; without, the trial shows what that is for.
     checks: bool,
@@ -60,7 +60,7 @@
         seen.iter()
             .rev()
             .find(|act| act.accepted)
-            .map(|act| act.token.bidder as usize)
+            .map(|act| act.token.proposer as usize)
     }
 
     /// Serves acts.
@@ -85,15 +85,15 @@
             .await?;
         let words: Vec<&str> = line.split_whitespace().collect();
         let number = |index: usize| words.get(index).and_then(|word| word.parse::<u64>().ok());
-        let (Some("ACT"), Some(round), Some(bidder), Some(boot)) =
+        let (Some("ACT"), Some(round), Some(proposer), Some(incarnation)) =
             (words.first().copied(), number(2), number(3), number(4))
         else {
             return writer.write_all(b"ERR no act\n").await;
         };
-        let token = Token {
+        let token = FencingToken {
             round,
-            bidder: bidder as u32,
-            boot: boot as u32,
+            proposer: proposer as u32,
+            incarnation: incarnation as u32,
         };
         let begun = if self.checks {
             self.begin(token).await
@@ -108,14 +108,14 @@
             token,
             accepted: begun.is_ok(),
         });
-        if let Err(Token {
+        if let Err(FencingToken {
             round,
-            bidder,
-            boot,
+            proposer,
+            incarnation,
         }) = begun
         {
             return writer
-                .write_all(format!("OUTDATED {round} {bidder} {boot}\n").as_bytes())
+                .write_all(format!("OUTDATED {round} {proposer} {incarnation}\n").as_bytes())
                 .await;
         }
         sleep(self.takes).await;
@@ -129,7 +129,7 @@
     }
 
     /// Begins an act when no other is under way; the greatest token seen where it is never to be.
-    async fn begin(&self, token: Token) -> Result<(), Token> {
+    async fn begin(&self, token: FencingToken) -> Result<(), FencingToken> {
         loop {
             let ended = self.ended.notified();
             let mut acts = self.acts.get();
@@ -138,8 +138,8 @@
                     self.acts.set(acts);
                     return Ok(());
                 }
-                Err(NotNow::Outdated(outdated)) => return Err(outdated.seen),
-                Err(NotNow::UnderWay) => ended.await,
+                Err(BeginError::Stale(stale)) => return Err(stale.highest),
+                Err(BeginError::InProgress) => ended.await,
             }
         }
     }
--- a/crates/fault-injection/src/verdict.rs
+++ b/crates/fault-injection/src/verdict.rs
@@ -70,10 +70,12 @@
         let Some(before) = index.checked_sub(1).map(|index| accepted[index]) else {
             continue;
         };
-        if (before.token.bidder, before.token.boot) != (act.token.bidder, act.token.boot) {
+        if (before.token.proposer, before.token.incarnation)
+            != (act.token.proposer, act.token.incarnation)
+        {
             verdict.changes += 1;
             verdict.gaps.push(act.from.saturating_sub(before.to));
-            let paused = paused_at(marks, before.token.bidder as usize, act.from);
+            let paused = paused_at(marks, before.token.proposer as usize, act.from);
             verdict.while_paused += usize::from(paused);
         }
     }
@@ -92,17 +94,17 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use quartzcleat_lease::Token;
+    use quartzcleat_lease::FencingToken;
 
-    fn act(from: u64, to: u64, round: u64, bidder: u32, accepted: bool) -> Seen {
+    fn act(from: u64, to: u64, round: u64, proposer: u32, accepted: bool) -> Seen {
         let (from, to) = (Duration::from_millis(from), Duration::from_millis(to));
         Seen {
             from,
             to,
-            token: Token {
+            token: FencingToken {
                 round,
-                bidder,
-                boot: 1,
+                proposer,
+                incarnation: 1,
             },
             accepted,
         }
--- a/crates/lease/src/envelope.rs
+++ b/crates/lease/src/envelope.rs
@@ -1,88 +1,115 @@
-//! The envelope of what limiters tell each other: version, kind, sender, sequence, length and a keyed check. A
-//! stranger's, torn or repeated message changes nothing.
+//! The envelope of datagrams between limiters: version, kind, sender, sequence number, length and a keyed check.
+//!
+//! A datagram that is truncated, forged or of an unsupported version does not open.
 
 use thiserror::Error;
 
-/// The version written. One version back and one forward are read; others are refused and counted.
+/// The version that is written. Datagrams of the version before and of the next one are read too.
 pub const VERSION: u8 = 1;
-const HEAD: usize = 1 + 1 + 4 + 8 + 2;
-const CHECK: usize = 16;
 
-/// A key that all limiters share, from a file.
+const MAX_VERSION_DISTANCE: u8 = 1;
+const HEADER_BYTES: usize = 1 + 1 + 4 + 8 + 2;
+const CHECK_BYTES: usize = 16;
+/// The context of the key derivation. Changing it makes all limiters of other versions strangers.
+const KEY_CONTEXT: &str = "quartzcleat between limiters v1";
+
+/// The secret key that all limiters share.
 #[derive(Clone)]
-pub struct Key([u8; 32]);
+pub struct SharedKey([u8; 32]);
 
-impl Key {
-    /// A key from the bytes of a file, however many.
+impl SharedKey {
+    /// Derives the key from a secret of any length.
     pub fn new(secret: &[u8]) -> Self {
-        Key(blake3::derive_key(
-            "quartzcleat between limiters v1",
-            secret,
-        ))
+        SharedKey(blake3::derive_key(KEY_CONTEXT, secret))
+    }
+
+    fn check(&self, bytes: &[u8]) -> [u8; CHECK_BYTES] {
+        let mut check = [0; CHECK_BYTES];
+        check.copy_from_slice(&blake3::keyed_hash(&self.0, bytes).as_bytes()[..CHECK_BYTES]);
+        check
     }
 }
 
-/// Why an envelope was dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Error)]
-pub enum Dropped {
-    /// Shorter than it says, or longer.
-    #[error("torn")]
-    Torn,
-    /// Neither this version nor a neighbour of it.
-    #[error("of an unknown version")]
-    Version,
-    /// Not made with the key.
-    #[error("of a stranger")]
-    Stranger,
+/// A payload with its sender and order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Envelope<'a> {
+    /// Which subsystem's message the payload is.
+    pub kind: u8,
+    /// The sender's index among all limiters.
+    pub sender: u32,
+    /// The sequence number, greater than in every datagram that this sender sent before.
+    pub sequence: u64,
+    /// The message.
+    pub payload: &'a [u8],
 }
 
-fn check(key: &Key, bytes: &[u8]) -> [u8; CHECK] {
-    let mut check = [0; CHECK];
-    check.copy_from_slice(&blake3::keyed_hash(&key.0, bytes).as_bytes()[..CHECK]);
-    check
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Error)]
+pub enum EnvelopeError {
+    /// The datagram's length differs from the one in its header.
+    #[error("the length is not the one in the header")]
+    LengthMismatch,
+    /// The version is neither this one nor a neighbour of it.
+    #[error("unsupported version")]
+    UnsupportedVersion,
+    /// The check was not made with the shared key.
+    #[error("not authenticated by the shared key")]
+    Unauthenticated,
 }
 
-/// Seals a message: `kind` tells what it holds, `sequence` is greater than in any sent before.
-pub fn seal(key: &Key, kind: u8, sender: u32, sequence: u64, message: &[u8]) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(HEAD + message.len() + CHECK);
-    bytes.extend([VERSION, kind]);
-    bytes.extend(sender.to_be_bytes());
-    bytes.extend(sequence.to_be_bytes());
-    bytes.extend((message.len() as u16).to_be_bytes());
-    bytes.extend(message);
-    let check = check(key, &bytes);
+/// Encodes an envelope and signs it with the key. Integers are big-endian.
+pub fn seal(key: &SharedKey, envelope: &Envelope<'_>) -> Vec<u8> {
+    let payload = envelope.payload;
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len() + CHECK_BYTES);
+    bytes.extend([VERSION, envelope.kind]);
+    bytes.extend(envelope.sender.to_be_bytes());
+    bytes.extend(envelope.sequence.to_be_bytes());
+    bytes.extend((payload.len() as u16).to_be_bytes());
+    bytes.extend(payload);
+    let check = key.check(&bytes);
     bytes.extend(check);
     bytes
 }
 
-/// Opens an envelope: kind, sender, sequence and message.
+/// Verifies and decodes an envelope.
 ///
 /// # Errors
-/// Why it is to be dropped.
-pub fn open<'a>(key: &Key, bytes: &'a [u8]) -> Result<(u8, u32, u64, &'a [u8]), Dropped> {
-    let (sealed, told) = bytes.split_last_chunk::<CHECK>().ok_or(Dropped::Torn)?;
-    let (head, message) = sealed.split_first_chunk::<HEAD>().ok_or(Dropped::Torn)?;
-    if head[0].abs_diff(VERSION) > 1 {
-        return Err(Dropped::Version);
+/// Where the datagram is to be dropped; the variant says why.
+pub fn open<'a>(key: &SharedKey, bytes: &'a [u8]) -> Result<Envelope<'a>, EnvelopeError> {
+    let (signed, check) = bytes
+        .split_last_chunk::<CHECK_BYTES>()
+        .ok_or(EnvelopeError::LengthMismatch)?;
+    let (header, payload) = signed
+        .split_first_chunk::<HEADER_BYTES>()
+        .ok_or(EnvelopeError::LengthMismatch)?;
+    if header[0].abs_diff(VERSION) > MAX_VERSION_DISTANCE {
+        return Err(EnvelopeError::UnsupportedVersion);
     }
-    let length = usize::from(u16::from_be_bytes([head[14], head[15]]));
-    if message.len() != length {
-        return Err(Dropped::Torn);
+    let length = usize::from(u16::from_be_bytes([header[14], header[15]]));
+    if payload.len() != length {
+        return Err(EnvelopeError::LengthMismatch);
     }
-    // Compared as hashes are, in constant time.
-    let (mut told32, mut own32) = ([0; 32], [0; 32]);
-    told32[..CHECK].copy_from_slice(told);
-    own32[..CHECK].copy_from_slice(&check(key, sealed));
-    if blake3::Hash::from(told32) != blake3::Hash::from(own32) {
-        return Err(Dropped::Stranger);
+    if !equal_in_constant_time(*check, key.check(signed)) {
+        return Err(EnvelopeError::Unauthenticated);
     }
-    let (mut sender, mut sequence) = ([0; 4], [0; 8]);
-    sender.copy_from_slice(&head[2..6]);
-    sequence.copy_from_slice(&head[6..14]);
-    Ok((
-        head[1],
-        u32::from_be_bytes(sender),
-        u64::from_be_bytes(sequence),
-        message,
-    ))
+    let mut sender = [0; 4];
+    sender.copy_from_slice(&header[2..6]);
+    let mut sequence = [0; 8];
+    sequence.copy_from_slice(&header[6..14]);
+    Ok(Envelope {
+        kind: header[1],
+        sender: u32::from_be_bytes(sender),
+        sequence: u64::from_be_bytes(sequence),
+        payload,
+    })
+}
+
+/// Compares two checks as `blake3` compares hashes, so that the time taken does not show how many bytes agree.
+fn equal_in_constant_time(left: [u8; CHECK_BYTES], right: [u8; CHECK_BYTES]) -> bool {
+    let padded = |check: [u8; CHECK_BYTES]| {
+        let mut hash = [0; 32];
+        hash[..CHECK_BYTES].copy_from_slice(&check);
+        blake3::Hash::from(hash)
+    };
+    padded(left) == padded(right)
 }
--- /dev/null
+++ b/crates/lease/src/fencing.rs
@@ -0,0 +1,77 @@
+//! Fencing at the target of a lease holder's operations.
+//!
+//! No clock can stop a holder whose process is paused in the middle of an operation, nor an operation that is delayed on
+//! its way. The target therefore remembers the highest token that it has admitted and rejects lower ones.
+
+use crate::FencingToken;
+use thiserror::Error;
+
+#[cfg(test)]
+mod tests;
+
+/// The highest fencing token that a target has admitted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct HighestToken(FencingToken);
+
+/// An operation's token is lower than one that the target has already admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("a later lease holder has acted: its fencing token is of round {}", highest.round)]
+pub struct StaleToken {
+    /// The highest token that the target has admitted.
+    pub highest: FencingToken,
+}
+
+impl HighestToken {
+    /// Admits an operation by its token.
+    ///
+    /// # Errors
+    /// [`StaleToken`] where a higher token was admitted before: the operation must not take effect.
+    pub fn admit(&mut self, token: FencingToken) -> Result<(), StaleToken> {
+        if token < self.0 {
+            return Err(StaleToken { highest: self.0 });
+        }
+        self.0 = token;
+        Ok(())
+    }
+}
+
+/// Why an operation does not begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BeginError {
+    /// A later holder has acted, so the operation must never begin.
+    #[error(transparent)]
+    Stale(#[from] StaleToken),
+    /// Another operation is in progress; try again when it has ended.
+    #[error("another operation is in progress")]
+    InProgress,
+}
+
+/// Admits one operation at a time, in the order of their tokens.
+///
+/// Tokens alone are not enough for operations that take time: one that its holder abandoned on the way may arrive just
+/// before the next holder's first. Both come in the order of their tokens and would run at the same time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExclusiveFence {
+    highest: HighestToken,
+    in_progress: bool,
+}
+
+impl ExclusiveFence {
+    /// Begins an operation.
+    ///
+    /// # Errors
+    /// [`BeginError::InProgress`] where the caller has to wait, [`BeginError::Stale`] where the token is too low.
+    pub fn begin(&mut self, token: FencingToken) -> Result<(), BeginError> {
+        if self.in_progress {
+            return Err(BeginError::InProgress);
+        }
+        self.highest.admit(token)?;
+        self.in_progress = true;
+        Ok(())
+    }
+
+    /// Ends the operation in progress.
+    pub fn end(&mut self) {
+        self.in_progress = false;
+    }
+}
--- a/crates/lease/src/guard.rs
+++ b/crates/lease/src/guard.rs
@@ -1,39 +1,39 @@
-//! The guard of an act: nothing is begun that may outlive the lease, and each act carries the token.
+//! Permission for single operations while a lease is held.
 
-use crate::{Nanos, Token};
+use crate::{FencingToken, Nanos};
 
-/// What allows acts while a lease is held. It is taken anew for each act.
+/// A lease that is held at this moment. It is taken from the proposer anew for each operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Guard {
-    token: Token,
-    until: Nanos,
+    token: FencingToken,
+    expires_at: Nanos,
 }
 
-/// An act that may be begun: what it carries, and when it must be over or given up.
+/// An operation that may start now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Act {
-    /// The token for the target to check.
-    pub token: Token,
-    /// When it must be over, by this process's clock.
-    pub by: Nanos,
+pub struct PermittedOperation {
+    /// The fencing token that the operation's target checks.
+    pub token: FencingToken,
+    /// When the operation must have ended or been abandoned, on this process's clock.
+    pub deadline: Nanos,
 }
 
 impl Guard {
-    pub(crate) fn new(token: Token, until: Nanos) -> Self {
-        Guard { token, until }
+    pub(crate) fn new(token: FencingToken, expires_at: Nanos) -> Self {
+        Guard { token, expires_at }
     }
 
-    /// The token of this tenure.
-    pub fn token(&self) -> Token {
+    /// The fencing token, which stays the same for as long as one holder renews its lease.
+    pub fn token(&self) -> FencingToken {
         self.token
     }
 
-    /// Allows an act that takes `longest` at most, where that fits into what is left of the lease.
-    pub fn begin(&self, now: Nanos, longest: Nanos) -> Option<Act> {
-        let by = now.checked_add(longest)?;
-        (by < self.until).then_some(Act {
+    /// Permits an operation that takes at most `max_duration`, provided that it ends before the lease expires.
+    pub fn permit(&self, now: Nanos, max_duration: Nanos) -> Option<PermittedOperation> {
+        let deadline = now.checked_add(max_duration)?;
+        (deadline < self.expires_at).then_some(PermittedOperation {
             token: self.token,
-            by,
+            deadline,
         })
     }
 }
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -1,148 +1,192 @@
-//! What limiters tell each other about leases, and its form in bytes.
+//! Messages between proposers and acceptors, and their encoding.
 
 use crate::Nanos;
 use thiserror::Error;
 
-/// The longest message in bytes; a longer one is dropped unread.
-pub const MOST_BYTES: usize = 256;
-const MOST_TASK_BYTES: usize = 64;
+/// The longest encoded message in bytes; a longer datagram is dropped without being decoded.
+pub const MAX_MESSAGE_BYTES: usize = 256;
 
-/// A numbered attempt to get a lease. Greater goes before less.
+const MAX_TASK_BYTES: usize = 64;
+
+const KIND_PREPARE: u8 = 1;
+const KIND_PROMISE: u8 = 2;
+const KIND_REJECT: u8 = 3;
+const KIND_PROPOSE: u8 = 4;
+const KIND_ACCEPTED: u8 = 5;
+const KIND_RELEASE: u8 = 6;
+
+/// A ballot number. It is ordered by round first, so that a proposer can always choose a greater one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ballot {
-    /// The round, greater than any that its bidder has heard of.
+    /// The round, greater than any that the proposer has learned of.
     pub round: u64,
-    /// The bidder's number among all limiters.
-    pub bidder: u32,
-    /// Which process of the bidder's it was: tells its answers from those to a process before it.
-    pub boot: u32,
+    /// The proposer's index among all limiters.
+    pub proposer: u32,
+    /// Which process of the proposer it is: tells responses to this process from those to an earlier one.
+    pub incarnation: u32,
 }
 
-/// What an act carries. It stays the same while one holder keeps the lease and is greater for the next one.
-pub type Token = Ballot;
+impl Ballot {
+    /// Whether both ballots are of one process of one proposer.
+    pub fn has_same_owner(self, other: Ballot) -> bool {
+        self.proposer == other.proposer && self.incarnation == other.incarnation
+    }
+}
 
-/// What a message says.
+/// The token of a lease holder's operations: the ballot by which it took the lease. It stays the same over renewals and
+/// is greater for every later holder.
+pub type FencingToken = Ballot;
+
+/// The content of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Body {
-    /// A bidder asks a voter to heed no lesser ballot.
+    /// The proposer asks an acceptor to ignore lower ballots.
     Prepare,
-    /// The voter will, and stands by no other bidder's vote at this moment.
-    Free,
-    /// The voter will not: it heeds `promised`, or stands by another's vote for `left` more.
-    Refused {
-        /// The greatest ballot that the voter heeds.
+    /// The acceptor will do so, and has accepted no other proposer's proposal that is still valid.
+    Promise,
+    /// The acceptor declines a prepare or propose message.
+    Reject {
+        /// The greatest ballot that the acceptor has promised.
         promised: Ballot,
-        /// How long its vote for another bidder holds, in nanoseconds of its clock; 0 where there is none.
-        left: Nanos,
+        /// How long the other proposal that it has accepted stays valid, on its own clock; 0 where there is none.
+        remaining: Nanos,
     },
-    /// A bidder whom a majority found free asks for the vote.
+    /// The proposer, promised by a majority, asks an acceptor to accept its proposal.
     Propose,
-    /// The voter has given its vote.
-    Voted,
-    /// The holder acts no more: its vote may go to another at once.
-    GivenUp,
+    /// The acceptor has accepted the proposal.
+    Accepted,
+    /// The holder has stopped using its lease; the acceptor may accept another proposal at once.
+    Release,
 }
 
-/// A message about one task's lease.
+/// A message about the lease of one task.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Message {
-    /// The task.
+    /// The task's name.
     pub task: String,
-    /// The ballot that it is about.
+    /// The proposer's ballot, repeated in the response.
     pub ballot: Ballot,
-    /// What it says.
+    /// The content.
     pub body: Body,
 }
 
-/// Why bytes are no message.
+/// Why bytes do not decode to a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Error)]
-pub enum Fault {
-    /// It ends too soon, or goes on after its end.
-    #[error("torn: its length is not what it says")]
-    Torn,
-    /// Its kind is not known to this version.
-    #[error("of an unknown kind")]
-    Unknown,
-    /// Its task is empty, too long or no text.
-    #[error("its task is not 1 to {MOST_TASK_BYTES} bytes of text")]
-    Task,
+pub enum MessageError {
+    /// The message ends too soon, or continues after its end.
+    #[error("the length is not the one that the message states")]
+    LengthMismatch,
+    /// This version does not know the kind.
+    #[error("unknown message kind")]
+    UnknownKind,
+    /// The task's name is empty, too long or not UTF-8.
+    #[error("the task's name is not 1 to {MAX_TASK_BYTES} bytes of text")]
+    InvalidTask,
 }
 
 impl Message {
-    /// Appends its bytes: kind, ballot, what the kind has, the task with its length. Numbers are big-endian.
-    pub fn write(&self, out: &mut Vec<u8>) {
-        let ballot = |ballot: &Ballot, out: &mut Vec<u8>| {
-            out.extend(ballot.round.to_be_bytes());
-            out.extend(ballot.bidder.to_be_bytes());
-            out.extend(ballot.boot.to_be_bytes());
-        };
-        let (kind, more) = match self.body {
-            Body::Prepare => (1, None),
-            Body::Free => (2, None),
-            Body::Refused { promised, left } => (3, Some((promised, left))),
-            Body::Propose => (4, None),
-            Body::Voted => (5, None),
-            Body::GivenUp => (6, None),
-        };
-        out.push(kind);
-        ballot(&self.ballot, out);
-        if let Some((promised, left)) = more {
-            ballot(&promised, out);
-            out.extend(left.to_be_bytes());
+    /// Appends the encoded message: kind, ballot, the kind's own fields, length and name of the task. Integers are
+    /// big-endian.
+    pub fn encode(&self, bytes: &mut Vec<u8>) {
+        bytes.push(self.body.kind());
+        encode_ballot(&self.ballot, bytes);
+        if let Body::Reject {
+            promised,
+            remaining,
+        } = &self.body
+        {
+            encode_ballot(promised, bytes);
+            bytes.extend(remaining.to_be_bytes());
         }
-        out.push(self.task.len().min(MOST_TASK_BYTES) as u8);
-        out.extend(self.task.bytes().take(MOST_TASK_BYTES));
+        bytes.push(self.task.len().min(MAX_TASK_BYTES) as u8);
+        bytes.extend(self.task.bytes().take(MAX_TASK_BYTES));
     }
 
-    /// Reads what [`Message::write`] wrote.
+    /// Decodes what [`Message::encode`] wrote.
     ///
     /// # Errors
     /// Where the bytes are anything else.
-    pub fn read(bytes: &[u8]) -> Result<Message, Fault> {
-        let mut rest = bytes;
-        let kind = take::<1>(&mut rest)?[0];
-        let ballot = read_ballot(&mut rest)?;
-        let body = match kind {
-            1 => Body::Prepare,
-            2 => Body::Free,
-            3 => {
-                let promised = read_ballot(&mut rest)?;
-                Body::Refused {
-                    promised,
-                    left: Nanos::from_be_bytes(take(&mut rest)?),
-                }
-            }
-            4 => Body::Propose,
-            5 => Body::Voted,
-            6 => Body::GivenUp,
-            _ => return Err(Fault::Unknown),
-        };
-        let length = usize::from(take::<1>(&mut rest)?[0]);
-        if rest.len() != length {
-            return Err(Fault::Torn);
-        }
-        let task = std::str::from_utf8(rest).map_err(|_| Fault::Task)?;
-        if task.is_empty() || length > MOST_TASK_BYTES {
-            return Err(Fault::Task);
+    pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
+        let mut decoder = Decoder { rest: bytes };
+        let kind = decoder.byte()?;
+        let ballot = decoder.ballot()?;
+        let body = decoder.body(kind)?;
+        let task = decoder.task()?;
+        Ok(Message { task, ballot, body })
+    }
+}
+
+impl Body {
+    fn kind(&self) -> u8 {
+        match self {
+            Body::Prepare => KIND_PREPARE,
+            Body::Promise => KIND_PROMISE,
+            Body::Reject { .. } => KIND_REJECT,
+            Body::Propose => KIND_PROPOSE,
+            Body::Accepted => KIND_ACCEPTED,
+            Body::Release => KIND_RELEASE,
         }
-        Ok(Message {
-            task: task.to_owned(),
-            ballot,
-            body,
-        })
     }
 }
 
-fn take<const N: usize>(rest: &mut &[u8]) -> Result<[u8; N], Fault> {
-    let (head, tail) = rest.split_first_chunk::<N>().ok_or(Fault::Torn)?;
-    *rest = tail;
-    Ok(*head)
+fn encode_ballot(ballot: &Ballot, bytes: &mut Vec<u8>) {
+    bytes.extend(ballot.round.to_be_bytes());
+    bytes.extend(ballot.proposer.to_be_bytes());
+    bytes.extend(ballot.incarnation.to_be_bytes());
 }
 
-fn read_ballot(rest: &mut &[u8]) -> Result<Ballot, Fault> {
-    Ok(Ballot {
-        round: u64::from_be_bytes(take(rest)?),
-        bidder: u32::from_be_bytes(take(rest)?),
-        boot: u32::from_be_bytes(take(rest)?),
-    })
+/// The bytes of a message that are not decoded yet.
+struct Decoder<'a> {
+    rest: &'a [u8],
+}
+
+impl Decoder<'_> {
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], MessageError> {
+        let (array, rest) = self
+            .rest
+            .split_first_chunk::<N>()
+            .ok_or(MessageError::LengthMismatch)?;
+        self.rest = rest;
+        Ok(*array)
+    }
+
+    fn byte(&mut self) -> Result<u8, MessageError> {
+        Ok(self.array::<1>()?[0])
+    }
+
+    fn ballot(&mut self) -> Result<Ballot, MessageError> {
+        Ok(Ballot {
+            round: u64::from_be_bytes(self.array()?),
+            proposer: u32::from_be_bytes(self.array()?),
+            incarnation: u32::from_be_bytes(self.array()?),
+        })
+    }
+
+    fn body(&mut self, kind: u8) -> Result<Body, MessageError> {
+        match kind {
+            KIND_PREPARE => Ok(Body::Prepare),
+            KIND_PROMISE => Ok(Body::Promise),
+            KIND_REJECT => Ok(Body::Reject {
+                promised: self.ballot()?,
+                remaining: Nanos::from_be_bytes(self.array()?),
+            }),
+            KIND_PROPOSE => Ok(Body::Propose),
+            KIND_ACCEPTED => Ok(Body::Accepted),
+            KIND_RELEASE => Ok(Body::Release),
+            _ => Err(MessageError::UnknownKind),
+        }
+    }
+
+    /// The task's name, which has to be the rest of the message.
+    fn task(&mut self) -> Result<String, MessageError> {
+        let length = usize::from(self.byte()?);
+        if self.rest.len() != length {
+            return Err(MessageError::LengthMismatch);
+        }
+        let task = std::str::from_utf8(self.rest).map_err(|_| MessageError::InvalidTask)?;
+        if task.is_empty() || length > MAX_TASK_BYTES {
+            return Err(MessageError::InvalidTask);
+        }
+        Ok(task.to_owned())
+    }
 }
--- /dev/null
+++ b/crates/lease/src/stagger.rs
@@ -0,0 +1,35 @@
+//! Staggered proposals: each limiter waits for its own delay before it proposes, so that a free lease is not contested by
+//! all at once, and different tasks go to different limiters.
+
+use crate::Nanos;
+
+/// Limiters of a higher rank wait no longer than this rank, so that a fleet with few live members soon has a holder.
+const MAX_RANK: u64 = 16;
+
+/// How long a limiter lets others propose first: its rank for the task times `step`.
+///
+/// The rank is that of rendezvous hashing (highest random weight, Thaler and Ravishankar 1998) among all limiters.
+/// Past [`MAX_RANK`], a part of a step that differs from limiter to limiter is added.
+pub fn stagger_delay(task: &str, limiter: &str, all_limiters: &[String], step: Nanos) -> Nanos {
+    let own_weight = rendezvous_weight(task, limiter);
+    let rank = all_limiters
+        .iter()
+        .filter(|other| rendezvous_weight(task, other) > own_weight)
+        .count() as u64;
+    let jitter = if rank > MAX_RANK {
+        own_weight % step.max(1)
+    } else {
+        0
+    };
+    step.saturating_mul(rank.min(MAX_RANK)) + jitter
+}
+
+fn rendezvous_weight(task: &str, limiter: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(task.len() as u64).to_be_bytes());
+    hasher.update(task.as_bytes());
+    hasher.update(limiter.as_bytes());
+    let mut weight = [0; 8];
+    hasher.finalize_xof().fill(&mut weight);
+    u64::from_be_bytes(weight)
+}
--- a/crates/lease/tests/messages.rs
+++ b/crates/lease/tests/messages.rs
@@ -1,24 +1,27 @@
-//! Messages and envelopes: what was written is read, and whatever else comes is dropped for a stated reason.
+//! Messages and envelopes decode to what was encoded, and anything else is rejected with its reason.
 
 use proptest::prelude::*;
 use quartzcleat_lease::*;
 
 fn ballots() -> impl Strategy<Value = Ballot> {
-    (any::<u64>(), any::<u32>(), any::<u32>()).prop_map(|(round, bidder, boot)| Ballot {
+    (any::<u64>(), any::<u32>(), any::<u32>()).prop_map(|(round, proposer, incarnation)| Ballot {
         round,
-        bidder,
-        boot,
+        proposer,
+        incarnation,
     })
 }
 
 fn messages() -> impl Strategy<Value = Message> {
     let body = prop_oneof![
         Just(Body::Prepare),
-        Just(Body::Free),
-        (ballots(), any::<u64>()).prop_map(|(promised, left)| Body::Refused { promised, left }),
+        Just(Body::Promise),
+        (ballots(), any::<u64>()).prop_map(|(promised, remaining)| Body::Reject {
+            promised,
+            remaining
+        }),
         Just(Body::Propose),
-        Just(Body::Voted),
-        Just(Body::GivenUp),
+        Just(Body::Accepted),
+        Just(Body::Release),
     ];
     ("[a-z-]{1,64}", ballots(), body).prop_map(|(task, ballot, body)| Message {
         task,
@@ -27,47 +30,56 @@
     })
 }
 
-fn bytes(message: &Message) -> Vec<u8> {
+fn encoded(message: &Message) -> Vec<u8> {
     let mut bytes = Vec::new();
-    message.write(&mut bytes);
+    message.encode(&mut bytes);
     bytes
 }
 
+fn envelope(payload: &[u8]) -> Envelope<'_> {
+    Envelope {
+        kind: 1,
+        sender: 7,
+        sequence: 9,
+        payload,
+    }
+}
+
 proptest! {
     #[test]
-    fn what_is_written_is_read_again_and_is_short(message in messages()) {
-        let bytes = bytes(&message);
-        prop_assert!(bytes.len() <= MOST_BYTES);
-        prop_assert_eq!(Message::read(&bytes), Ok(message));
+    fn message_decodes_as_encoded_within_the_size_limit(message in messages()) {
+        let bytes = encoded(&message);
+        prop_assert!(bytes.len() <= MAX_MESSAGE_BYTES);
+        prop_assert_eq!(Message::decode(&bytes), Ok(message));
     }
 
     #[test]
-    fn any_bytes_are_a_message_that_writes_as_they_stand_or_a_fault(noise in prop::collection::vec(any::<u8>(), 0..300)) {
-        if let Ok(message) = Message::read(&noise) {
-            prop_assert_eq!(bytes(&message), noise);
+    fn any_bytes_are_an_error_or_a_message_that_encodes_to_them(noise in prop::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(message) = Message::decode(&noise) {
+            prop_assert_eq!(encoded(&message), noise);
         }
     }
 
     #[test]
-    fn an_envelope_with_one_changed_byte_or_cut_short_is_dropped(
+    fn envelope_that_is_changed_truncated_or_of_another_key_does_not_open(
         message in messages(), at in any::<prop::sample::Index>(), change in 1u8..,
     ) {
-        let key = Key::new(b"shared");
-        let written = bytes(&message);
-        let sealed = seal(&key, 1, 7, 9, &written);
-        prop_assert_eq!(open(&key, &sealed), Ok((1, 7, 9, written.as_slice())));
+        let key = SharedKey::new(b"shared");
+        let payload = encoded(&message);
+        let sealed = seal(&key, &envelope(&payload));
+        prop_assert_eq!(open(&key, &sealed), Ok(envelope(&payload)));
         let mut changed = sealed.clone();
         changed[at.index(sealed.len())] ^= change;
         prop_assert!(open(&key, &changed).is_err());
         prop_assert!(open(&key, &sealed[..at.index(sealed.len())]).is_err());
-        prop_assert_eq!(open(&Key::new(b"other"), &sealed), Err(Dropped::Stranger));
+        prop_assert_eq!(open(&SharedKey::new(b"other"), &sealed), Err(EnvelopeError::Unauthenticated));
     }
 }
 
 #[test]
-fn a_neighbouring_version_is_read_on_and_a_far_one_is_named() {
-    let key = Key::new(b"shared");
-    let mut sealed = seal(&key, 1, 7, 9, b"");
+fn envelope_two_versions_ahead_is_rejected() {
+    let key = SharedKey::new(b"shared");
+    let mut sealed = seal(&key, &envelope(b""));
     sealed[0] = VERSION + 2;
-    assert_eq!(open(&key, &sealed), Err(Dropped::Version));
+    assert_eq!(open(&key, &sealed), Err(EnvelopeError::UnsupportedVersion));
 }
--- /dev/null
+++ b/crates/lease/tests/model_check/model.rs
@@ -0,0 +1,320 @@
+//! The model: its initial states, the events that are possible in a state, and the state after an event.
+
+use crate::state::{ClockRates, Event, InjectedFault, ModelState};
+use quartzcleat_lease::*;
+use std::collections::BTreeSet;
+
+/// Clocks may run a quarter apart, as the model's time advances in coarse ticks.
+const TIMING: LeaseTiming = LeaseTiming {
+    duration: 4_000,
+    drift_per_mille: 250,
+};
+const TICK: Nanos = 1_000;
+const CLOCK_ORIGIN: Nanos = 100_000;
+const TASK: &str = "t";
+const PROPOSERS: usize = 2;
+
+/// Bounds of the search.
+pub struct Limits {
+    /// The last tick.
+    pub end: u64,
+    pub rounds: u32,
+    pub operations: u32,
+}
+
+pub struct Model {
+    pub acceptor_count: usize,
+    pub fault: InjectedFault,
+    pub limits: Limits,
+}
+
+fn clock(time: u64, rate: i64) -> Nanos {
+    CLOCK_ORIGIN + (time * TICK).saturating_add_signed(time as i64 * TICK as i64 / 8 * rate)
+}
+
+/// The other one of the two proposers.
+fn other_proposer(proposer: usize) -> usize {
+    1 - proposer
+}
+
+impl Model {
+    pub fn initial_states(&self) -> Vec<ModelState> {
+        let free = self.free_lease_states();
+        let held = free.clone().map(|state| self.acquire_by_first(state));
+        free.into_iter().chain(held).collect()
+    }
+
+    pub fn events(&self, state: &ModelState) -> Vec<Event> {
+        let mut events = Vec::new();
+        if state.time < self.limits.end {
+            events.push(Event::AdvanceTime);
+        }
+        for proposer in 0..state.proposers.len() {
+            self.add_proposer_events(state, proposer, &mut events);
+        }
+        self.add_request_events(state, &mut events);
+        let operations = state.operations_in_flight.iter();
+        events.extend(operations.map(|token| Event::OperationArrives { token: *token }));
+        if state.restarts < 1 {
+            let acceptors = 0..self.acceptor_count;
+            events.extend(acceptors.map(|acceptor| Event::RestartAcceptor { acceptor }));
+            events.push(Event::RestartProposer { proposer: 0 });
+        }
+        let can_set_back = state.set_back == 0 && state.time >= 2;
+        if self.fault == InjectedFault::ClockSetBack && can_set_back {
+            events.push(Event::SetClockBack);
+        }
+        events
+    }
+
+    /// The state after an event; `None` where the event changes nothing.
+    pub fn apply(&self, before: &ModelState, event: Event) -> Option<ModelState> {
+        let mut state = before.clone();
+        match event {
+            Event::AdvanceTime => state.time += 1,
+            Event::BeginRound { proposer } => self.begin_round(&mut state, proposer),
+            Event::DeliverRequest {
+                acceptor,
+                request,
+                response_arrives,
+            } => {
+                let response = self.deliver_request(&mut state, acceptor, &request);
+                if let Some(response) = response.filter(|_| response_arrives) {
+                    self.deliver_response(&mut state, acceptor, &response);
+                }
+            }
+            Event::StartOperation { proposer } => self.start_operation(&mut state, proposer)?,
+            Event::OperationArrives { token } => self.operation_arrives(&mut state, token),
+            Event::RestartAcceptor { acceptor } => self.restart_acceptor(&mut state, acceptor),
+            Event::RestartProposer { proposer } => self.restart_proposer(&mut state, proposer),
+            Event::Release { proposer } => self.release(&mut state, proposer),
+            Event::SetClockBack => state.set_back = 2 * TICK,
+        }
+        (state != *before).then_some(state)
+    }
+
+    /// The worst pair of clocks, a slow holder before fast acceptors, and clocks that all agree.
+    fn free_lease_states(&self) -> [ModelState; 2] {
+        let worst = ClockRates {
+            proposers: vec![-1, 1],
+            acceptors: vec![1; self.acceptor_count],
+        };
+        let equal = ClockRates {
+            proposers: vec![0, 0],
+            acceptors: vec![0; self.acceptor_count],
+        };
+        [worst, equal].map(|rates| self.free_lease_state(rates))
+    }
+
+    fn free_lease_state(&self, rates: ClockRates) -> ModelState {
+        // The acceptors' silence is over, as after a long run.
+        let acceptors_started_at = CLOCK_ORIGIN - TIMING.restart_silence();
+        let acceptor = Acceptor::new(TIMING, acceptors_started_at);
+        ModelState {
+            time: 0,
+            set_back: 0,
+            acceptors: vec![acceptor; self.acceptor_count],
+            proposers: (0..PROPOSERS)
+                .map(|proposer| self.proposer(proposer, 1, CLOCK_ORIGIN))
+                .collect(),
+            rates,
+            requests: BTreeSet::new(),
+            operations_in_flight: BTreeSet::new(),
+            target: HighestToken::default(),
+            last_admitted: FencingToken::default(),
+            restarts: 0,
+            operations: 0,
+            rounds: 0,
+            two_holders: false,
+            stale_token_admitted: false,
+            takeover: false,
+        }
+    }
+
+    /// The first proposer acquires the lease from the first two acceptors.
+    fn acquire_by_first(&self, state: ModelState) -> ModelState {
+        let begin = Event::BeginRound { proposer: 0 };
+        let mut state = self.apply(&state, begin).unwrap_or(state);
+        for acceptor in [0, 1, 0, 1] {
+            let Some(request) = state.requests.last().cloned() else {
+                continue;
+            };
+            let delivery = Event::DeliverRequest {
+                acceptor,
+                request,
+                response_arrives: true,
+            };
+            state = self.apply(&state, delivery).unwrap_or(state);
+        }
+        assert!(
+            self.guard(&state, 0).is_some(),
+            "two acceptors of three are enough"
+        );
+        state
+    }
+
+    fn proposer(&self, node: usize, incarnation: u32, now: Nanos) -> Proposer {
+        let timing = match self.fault {
+            InjectedFault::NoDriftBound => LeaseTiming {
+                drift_per_mille: 0,
+                ..TIMING
+            },
+            InjectedFault::HolderValidityTooLong => LeaseTiming {
+                duration: TIMING.duration * 2,
+                ..TIMING
+            },
+            _ => TIMING,
+        };
+        let acceptor_count = match self.fault {
+            InjectedFault::SmallQuorum => 1,
+            _ => self.acceptor_count,
+        };
+        let config = ProposerConfig {
+            timing,
+            task: TASK.to_owned(),
+            node_id: node as u32,
+            incarnation,
+            acceptor_count,
+            initial_round: 0,
+        };
+        Proposer::new(config, now)
+    }
+
+    fn proposer_clock(&self, state: &ModelState, proposer: usize) -> Nanos {
+        let set_back = if proposer == 0 { state.set_back } else { 0 };
+        clock(state.time, state.rates.proposers[proposer]) - set_back
+    }
+
+    fn acceptor_clock(&self, state: &ModelState, acceptor: usize) -> Nanos {
+        clock(state.time, state.rates.acceptors[acceptor])
+    }
+
+    fn guard(&self, state: &ModelState, proposer: usize) -> Option<Guard> {
+        state.proposers[proposer].guard(self.proposer_clock(state, proposer))
+    }
+
+    fn add_proposer_events(&self, state: &ModelState, proposer: usize, events: &mut Vec<Event>) {
+        let now = self.proposer_clock(state, proposer);
+        let is_due = now >= state.proposers[proposer].next_deadline();
+        if is_due && state.rounds < self.limits.rounds {
+            events.push(Event::BeginRound { proposer });
+        }
+        let held = self.guard(state, proposer).is_some();
+        let unguarded = self.fault == InjectedFault::OperationWithoutGuard
+            && state.proposers[proposer].guard(0).is_some();
+        if state.operations < self.limits.operations && (held || unguarded) {
+            events.push(Event::StartOperation { proposer });
+        }
+        if held {
+            events.push(Event::Release { proposer });
+        }
+    }
+
+    fn add_request_events(&self, state: &ModelState, events: &mut Vec<Event>) {
+        for request in &state.requests {
+            for acceptor in 0..self.acceptor_count {
+                for response_arrives in [true, false] {
+                    events.push(Event::DeliverRequest {
+                        acceptor,
+                        request: request.clone(),
+                        response_arrives,
+                    });
+                }
+            }
+        }
+    }
+
+    fn begin_round(&self, state: &mut ModelState, proposer: usize) {
+        let now = self.proposer_clock(state, proposer);
+        state.requests.extend(state.proposers[proposer].tick(now));
+        state.rounds += 1;
+    }
+
+    fn deliver_request(
+        &self,
+        state: &mut ModelState,
+        acceptor: usize,
+        request: &Message,
+    ) -> Option<Message> {
+        let now = self.acceptor_clock(state, acceptor);
+        let before = state.acceptors[acceptor].clone();
+        let mut body = state.acceptors[acceptor].handle(now, request)?;
+        if request.body == Body::Propose {
+            match self.fault {
+                InjectedFault::AcceptanceForgotten => state.acceptors[acceptor] = before,
+                InjectedFault::PromiseForgotten => body = Body::Accepted,
+                _ => {}
+            }
+        }
+        Some(Message {
+            body,
+            ..request.clone()
+        })
+    }
+
+    fn deliver_response(&self, state: &mut ModelState, acceptor: usize, response: &Message) {
+        let proposer = response.ballot.proposer as usize;
+        let now = self.proposer_clock(state, proposer);
+        let held_before = self.guard(state, proposer).is_some();
+        let request = state.proposers[proposer].handle_response(now, acceptor as u32, response);
+        state.requests.extend(request);
+        let acquired = !held_before && self.guard(state, proposer).is_some();
+        if !acquired {
+            return;
+        }
+        state.two_holders |= self.guard(state, other_proposer(proposer)).is_some();
+        let last = state.last_admitted;
+        state.takeover |= last.round > 0 && last.proposer as usize != proposer;
+    }
+
+    fn start_operation(&self, state: &mut ModelState, proposer: usize) -> Option<()> {
+        let now = match self.fault {
+            InjectedFault::OperationWithoutGuard => 0,
+            _ => self.proposer_clock(state, proposer),
+        };
+        let operation = state.proposers[proposer].guard(now)?.permit(now, 1)?;
+        state.two_holders |= self.guard(state, other_proposer(proposer)).is_some();
+        state.operations += 1;
+        state.operations_in_flight.insert(operation.token);
+        Some(())
+    }
+
+    fn operation_arrives(&self, state: &mut ModelState, token: FencingToken) {
+        let mut target = match self.fault {
+            InjectedFault::TokenUnchecked => HighestToken::default(),
+            _ => state.target,
+        };
+        if target.admit(token).is_ok() {
+            state.stale_token_admitted |= token < state.last_admitted;
+            state.target = target;
+            state.last_admitted = token;
+        }
+    }
+
+    fn restart_acceptor(&self, state: &mut ModelState, acceptor: usize) {
+        let skipped_silence = match self.fault {
+            InjectedFault::NoRestartSilence => TIMING.restart_silence(),
+            _ => 0,
+        };
+        let now = self.acceptor_clock(state, acceptor);
+        state.acceptors[acceptor] = Acceptor::new(TIMING, now - skipped_silence);
+        state.restarts += 1;
+    }
+
+    fn restart_proposer(&self, state: &mut ModelState, proposer: usize) {
+        let now = self.proposer_clock(state, proposer);
+        state.proposers[proposer] = self.proposer(proposer, 2, now);
+        state.restarts += 1;
+    }
+
+    fn release(&self, state: &mut ModelState, proposer: usize) {
+        let now = self.proposer_clock(state, proposer);
+        let before = state.proposers[proposer].clone();
+        state
+            .requests
+            .extend(state.proposers[proposer].release(now));
+        if self.fault == InjectedFault::OperationsAfterRelease {
+            state.proposers[proposer] = before;
+        }
+    }
+}
--- a/crates/lease/tests/wire_format.rs
+++ b/crates/lease/tests/wire_format.rs
@@ -4,13 +4,13 @@
 
 const BALLOT: Ballot = Ballot {
     round: 0x0102_0304_0506_0708,
-    bidder: 0x1112_1314,
-    boot: 0x2122_2324,
+    proposer: 0x1112_1314,
+    incarnation: 0x2122_2324,
 };
 const PROMISED: Ballot = Ballot {
     round: 9,
-    bidder: 2,
-    boot: 3,
+    proposer: 2,
+    incarnation: 3,
 };
 const BALLOT_HEX: &str = "01020304050607081112131421222324";
 const TASK_HEX: &str = "0462656174";
@@ -25,18 +25,18 @@
     let rejection_hex = "00000000000000090000000200000003000000003b9aca00";
     for (kind, body, fields_hex) in [
         ("01", Body::Prepare, ""),
-        ("02", Body::Free, ""),
+        ("02", Body::Promise, ""),
         (
             "03",
-            Body::Refused {
+            Body::Reject {
                 promised: PROMISED,
-                left: 1_000_000_000,
+                remaining: 1_000_000_000,
             },
             rejection_hex,
         ),
         ("04", Body::Propose, ""),
-        ("05", Body::Voted, ""),
-        ("06", Body::GivenUp, ""),
+        ("05", Body::Accepted, ""),
+        ("06", Body::Release, ""),
     ] {
         let message = Message {
             task: "beat".into(),
@@ -44,22 +44,29 @@
             body,
         };
         let mut bytes = Vec::new();
-        message.write(&mut bytes);
+        message.encode(&mut bytes);
         assert_eq!(
             to_hex(&bytes),
             format!("{kind}{BALLOT_HEX}{fields_hex}{TASK_HEX}")
         );
-        assert_eq!(Message::read(&bytes), Ok(message));
+        assert_eq!(Message::decode(&bytes), Ok(message));
     }
 }
 
 /// Version, kind, sender, sequence, length, payload, and the first 16 bytes of the keyed hash.
 #[test]
 fn an_envelope_keeps_its_bytes() {
-    let key = Key::new(b"shared");
-    let bytes = seal(&key, 2, 7, 9, b"want");
+    let key = SharedKey::new(b"shared");
+    let envelope = Envelope {
+        kind: 2,
+        sender: 7,
+        sequence: 9,
+        payload: b"want",
+    };
+    let bytes = seal(&key, &envelope);
     assert_eq!(
         to_hex(&bytes),
         "0102000000070000000000000009000477616e74724c81d4baaae965e16d71c95e7cfae7"
     );
+    assert_eq!(open(&key, &bytes), Ok(envelope));
 }
--- a/src/net/leases.rs
+++ b/src/net/leases.rs
@@ -1,13 +1,14 @@
 //! Leases at work: the votes and bids of `quartzcleat_lease` on datagrams, and the tasks of whoever holds one. Off
 //! without a section `lease` in our own file. Decides nothing itself.
 
-use super::peers::{Peers, LEASES, USE};
+use super::peers::{Datagram, DatagramKind, DropReason, Peers};
 use super::shutdown::{unix, Phase, Shutdown};
 use super::task::spawn;
 use super::usage_export::{self, Exporter, Heard, UsageRecorder, MOST_AT_ONCE};
 use quartzcleat_config::lease::{Clock, Does, Lease, Task};
 use quartzcleat_lease::{
-    turn, Act, Bidder, Body, Key, Message, Nanos, Terms, Token, Voter, MOST_BYTES,
+    stagger_delay, Acceptor, Body, FencingToken, LeaseTiming, Message, Nanos, PermittedOperation,
+    Proposer, ProposerConfig, SharedKey, MAX_MESSAGE_BYTES,
 };
 use quartzcleat_usage_export::Message as Told;
 use std::cell::{Cell, RefCell};
@@ -61,10 +62,10 @@
     me: u32,
     limiters: u32,
     voters: Vec<u32>,
-    voter: RefCell<Voter>,
-    bids: RefCell<Vec<Bidder>>,
+    voter: RefCell<Acceptor>,
+    bids: RefCell<Vec<Proposer>>,
     /// Whether each task's lease was held when last looked.
-    held: RefCell<Vec<Option<Token>>>,
+    held: RefCell<Vec<Option<FencingToken>>>,
     /// Acts under way.
     acting: Cell<usize>,
     news: Notify,
@@ -106,7 +107,7 @@
             lease.key.display()
         ));
     }
-    let key = Key::new(&secret);
+    let key = SharedKey::new(&secret);
     let mut phases = shutdown.subscribe_phase();
     let me = lease
         .limiters
@@ -114,14 +115,14 @@
         .position(|name| *name == lease.me)
         .unwrap_or_default() as u32;
     let addresses: Vec<_> = lease.limiters.values().copied().collect();
-    match Peers::listen(key.clone(), me, addresses.clone()).await {
+    match Peers::bind(key.clone(), me, addresses.clone()).await {
         Ok(peers) => begin(lease, peers, me, phases, usage_recorder),
         Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => {
             tracing::info!("leases wait until {} is free", addresses[me as usize]);
             spawn(async move {
                 while *phases.borrow_and_update() == Phase::Serving {
                     sleep(AGAIN).await;
-                    if let Ok(peers) = Peers::listen(key.clone(), me, addresses.clone()).await {
+                    if let Ok(peers) = Peers::bind(key.clone(), me, addresses.clone()).await {
                         return begin(lease, peers, me, phases, usage_recorder);
                     }
                 }
@@ -151,9 +152,9 @@
             .position(|other| other == name)
             .unwrap_or_default() as u32
     };
-    let terms = Terms {
-        length: lease.length.as_nanos() as Nanos,
-        drift: lease.drift,
+    let terms = LeaseTiming {
+        duration: lease.length.as_nanos() as Nanos,
+        drift_per_mille: lease.drift,
     };
     if lease.clock != Clock::default() {
         tracing::warn!(
@@ -164,9 +165,20 @@
     // Another for each process of this limiter.
     let boot = (unix() >> 10) as u32 ^ std::process::id().rotate_left(16);
     let bid = |task: &Task| {
-        let mut bidder = Bidder::new(terms, &task.name, me, boot, lease.voters.len(), round, 0);
+        let config = ProposerConfig {
+            timing: terms,
+            task: task.name.clone(),
+            node_id: me,
+            incarnation: boot,
+            acceptor_count: lease.voters.len(),
+            initial_round: round,
+        };
+        let mut bidder = Proposer::new(config, 0);
         // All ranks have had their turn within a lease.
-        bidder.wait_turn(0, turn(&task.name, &lease.me, &names, terms.length / 32));
+        bidder.set_stagger_delay(
+            0,
+            stagger_delay(&task.name, &lease.me, &names, terms.duration / 32),
+        );
         bidder
     };
     let exports = |(index, task): (usize, &Task)| match (&task.does, &usage_recorder) {
@@ -185,7 +197,7 @@
         me,
         limiters: names.len() as u32,
         voters: lease.voters.iter().map(number).collect(),
-        voter: RefCell::new(Voter::new(terms, 0)),
+        voter: RefCell::new(Acceptor::new(terms, 0)),
         bids: RefCell::new(lease.tasks.iter().map(bid).collect()),
         held: RefCell::new(vec![None; lease.tasks.len()]),
         acting: Cell::default(),
@@ -219,20 +231,24 @@
 
     async fn listen(self: Rc<Self>) {
         loop {
-            let (kind, sender, bytes) = self.peers.next().await;
-            if kind == USE {
+            let Datagram {
+                kind,
+                sender,
+                payload: bytes,
+            } = self.peers.receive().await;
+            if kind == DatagramKind::UsageExport {
                 match (Told::read(&bytes), self.names.get(sender as usize)) {
                     (Ok(told), Some(name)) => self.hear_of_use(sender, name, told),
-                    _ => self.peers.drop(|count| count.torn += 1),
+                    _ => self.peers.count_drop(DropReason::Malformed),
                 }
                 continue;
             }
-            let message = Message::read(&bytes)
+            let message = Message::decode(&bytes)
                 .ok()
-                .filter(|_| kind == LEASES && bytes.len() <= MOST_BYTES);
+                .filter(|_| kind == DatagramKind::Lease && bytes.len() <= MAX_MESSAGE_BYTES);
             match message {
                 Some(message) => self.hear(sender, &message),
-                None => self.peers.drop(|count| count.torn += 1),
+                None => self.peers.count_drop(DropReason::Malformed),
             }
         }
     }
@@ -241,16 +257,16 @@
     fn hear(self: &Rc<Self>, sender: u32, message: &Message) {
         match message.body {
             // Nobody bids in another's name.
-            Body::Prepare | Body::Propose | Body::GivenUp if message.ballot.bidder != sender => {
-                self.peers.drop(|count| count.stranger += 1);
+            Body::Prepare | Body::Propose | Body::Release if message.ballot.proposer != sender => {
+                self.peers.count_drop(DropReason::Unauthorized);
             }
-            Body::Prepare | Body::Propose | Body::GivenUp => {
-                if message.body == Body::GivenUp {
+            Body::Prepare | Body::Propose | Body::Release => {
+                if message.body == Body::Release {
                     let now = self.now();
                     self.bids
                         .borrow_mut()
                         .iter_mut()
-                        .for_each(|bid| bid.freed(now, message));
+                        .for_each(|bid| bid.handle_release(now, message));
                     self.news.notify_one();
                 }
                 if !self.voters.contains(&self.me) {
@@ -267,19 +283,21 @@
                     );
                 }
             }
-            Body::Free | Body::Refused { .. } | Body::Voted if self.voters.contains(&sender) => {
+            Body::Promise | Body::Reject { .. } | Body::Accepted
+                if self.voters.contains(&sender) =>
+            {
                 let now = self.now();
                 let more: Vec<Message> = {
                     let mut bids = self.bids.borrow_mut();
                     bids.iter_mut()
-                        .filter_map(|bid| bid.handle(now, sender, message))
+                        .filter_map(|bid| bid.handle_response(now, sender, message))
                         .collect()
                 };
                 more.iter().for_each(|message| self.ask(message));
                 self.look();
                 self.news.notify_one();
             }
-            _ => self.peers.drop(|count| count.stranger += 1),
+            _ => self.peers.count_drop(DropReason::Unauthorized),
         }
     }
 
@@ -287,9 +305,9 @@
         if to == self.me {
             return self.hear(to, message);
         }
-        let mut bytes = Vec::with_capacity(MOST_BYTES);
-        message.write(&mut bytes);
-        self.peers.tell(to, LEASES, &bytes);
+        let mut bytes = Vec::with_capacity(MAX_MESSAGE_BYTES);
+        message.encode(&mut bytes);
+        self.peers.send(to, DatagramKind::Lease, &bytes);
     }
 
     /// Sends a message to all voters.
@@ -315,7 +333,7 @@
                 .bids
                 .borrow()
                 .iter()
-                .map(Bidder::due)
+                .map(Proposer::next_deadline)
                 .min()
                 .unwrap_or(Nanos::MAX);
             // Some of it may be due already: its answers have to be heard first.
@@ -336,7 +354,7 @@
             .iter_mut()
             .zip(self.bids.borrow().iter())
         {
-            let token = bid.held(now).map(|guard| guard.token());
+            let token = bid.guard(now).map(|guard| guard.token());
             if *held != token {
                 let (task, round) = (bid.task(), token.map(|token| token.round));
                 tracing::info!(
@@ -364,7 +382,7 @@
                 usage_recorder.adopt();
             }
             usage_recorder.cut();
-            let guard = self.bids.borrow()[*index].held(now);
+            let guard = self.bids.borrow()[*index].guard(now);
             let Some(token) = guard.map(|guard| guard.token()) else {
                 continue;
             };
@@ -383,7 +401,8 @@
                 usage_recorder.exported(epoch, number);
             }
             for limiter in (0..self.limiters).filter(|limiter| *limiter != self.me) {
-                self.peers.tell(limiter, USE, &Told::Want.write());
+                self.peers
+                    .send(limiter, DatagramKind::UsageExport, &Told::Want.write());
             }
         }
     }
@@ -394,8 +413,8 @@
             return false;
         };
         let now = self.now();
-        let guard = self.bids.borrow()[*index].held(now);
-        let act = guard.and_then(|guard| guard.begin(now, task.longest.as_nanos() as Nanos));
+        let guard = self.bids.borrow()[*index].guard(now);
+        let act = guard.and_then(|guard| guard.permit(now, task.longest.as_nanos() as Nanos));
         let Some(act) = act else { return false };
         match exporter.write(act, written, usage_recorder) {
             Ok(()) => true,
@@ -415,13 +434,20 @@
             return;
         };
         match usage_export::hear(usage_recorder, name, told) {
-            Heard::Answer(answer) => self.peers.tell(sender, USE, &answer.write()),
+            Heard::Answer(answer) => {
+                self.peers
+                    .send(sender, DatagramKind::UsageExport, &answer.write());
+            }
             Heard::Batch(written) => {
                 let (epoch, number) = (written.source.epoch, written.batch.number);
                 if self.write(&written) {
+                    self.peers.send(
+                        sender,
+                        DatagramKind::UsageExport,
+                        &Told::Have { epoch, number }.write(),
+                    );
                     self.peers
-                        .tell(sender, USE, &Told::Have { epoch, number }.write());
-                    self.peers.tell(sender, USE, &Told::Want.write());
+                        .send(sender, DatagramKind::UsageExport, &Told::Want.write());
                 }
             }
             Heard::Nothing => {}
@@ -434,16 +460,19 @@
         loop {
             sleep(task.every).await;
             let now = self.now();
-            let guard = self.bids.borrow()[index].held(now);
+            let guard = self.bids.borrow()[index].guard(now);
             let Some(act) =
-                guard.and_then(|guard| guard.begin(now, task.longest.as_nanos() as Nanos))
+                guard.and_then(|guard| guard.permit(now, task.longest.as_nanos() as Nanos))
             else {
                 continue;
             };
             number += 1;
             self.acting.set(self.acting.get() + 1);
-            let done =
-                timeout_at(self.ticks.at(act.by), beat(&task.name, target, act, number)).await;
+            let done = timeout_at(
+                self.ticks.at(act.deadline),
+                beat(&task.name, target, act, number),
+            )
+            .await;
             self.acting.set(self.acting.get() - 1);
             match done {
                 Ok(Ok(None)) => {}
@@ -452,7 +481,7 @@
                         task = task.name,
                         "a later holder has acted: the lease is dropped"
                     );
-                    self.bids.borrow_mut()[index].outdated(self.now(), seen);
+                    self.bids.borrow_mut()[index].handle_stale_token(self.now(), seen);
                 }
                 Ok(Err(e)) => tracing::warn!(task = task.name, "the target does not answer: {e}"),
                 Err(_) => tracing::warn!(task = task.name, "an act did not end in time"),
@@ -467,7 +496,7 @@
             .bids
             .borrow_mut()
             .iter_mut()
-            .filter_map(|bid| bid.give_up(now))
+            .filter_map(|bid| bid.release(now))
             .collect();
         while self.acting.get() > 0 {
             sleep(ACTS_END).await;
@@ -484,16 +513,16 @@
 async fn beat(
     task: &str,
     target: SocketAddr,
-    act: Act,
+    act: PermittedOperation,
     number: u64,
-) -> std::io::Result<Option<Token>> {
-    let Token {
+) -> std::io::Result<Option<FencingToken>> {
+    let FencingToken {
         round,
-        bidder,
-        boot,
+        proposer,
+        incarnation,
     } = act.token;
     let mut stream = BufReader::new(TcpStream::connect(target).await?);
-    let line = format!("ACT {task} {round} {bidder} {boot} {number}\n");
+    let line = format!("ACT {task} {round} {proposer} {incarnation} {number}\n");
     stream.write_all(line.as_bytes()).await?;
     let mut answer = String::new();
     stream.take(ANSWER).read_line(&mut answer).await?;
@@ -506,10 +535,10 @@
     match words.as_slice() {
         ["OK"] => Ok(None),
         ["OUTDATED", round, bidder, boot] => match (round.parse(), bidder.parse(), boot.parse()) {
-            (Ok(round), Ok(bidder), Ok(boot)) => Ok(Some(Token {
+            (Ok(round), Ok(proposer), Ok(incarnation)) => Ok(Some(FencingToken {
                 round,
-                bidder,
-                boot,
+                proposer,
+                incarnation,
             })),
             _ => Err(spoilt()),
         },
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,122 +1,210 @@
-//! What limiters tell each other: datagrams in one envelope, to fixed addresses from our own file. Off without one.
-//! Knows no subsystem: who uses it is told by the kind.
+//! Datagrams between limiters: one UDP socket, one envelope, fixed addresses from our own configuration file.
+//!
+//! It knows no subsystem beyond the kind of its datagrams. Without a section `lease` no socket is opened.
 
-use quartzcleat_lease::{open, seal, Dropped, Key};
+use quartzcleat_lease::{open, seal, Envelope, EnvelopeError, SharedKey};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::SystemTime;
 use tokio::net::UdpSocket;
 
-/// Messages of leases.
-pub const LEASES: u8 = 1;
-/// Messages of the export of use.
-pub const USE: u8 = 2;
-/// The longest datagram read; a longer one is torn.
-const MOST: usize = 1_200;
-/// Sequences of each sender that are remembered, so that a datagram that comes twice is taken once.
-const REMEMBERED: usize = 64;
+/// The longest datagram that is read; a longer one is truncated and dropped.
+const MAX_DATAGRAM_BYTES: usize = 1_200;
 
-/// What was dropped, for the log.
+/// How many sequence numbers of each sender are remembered to recognize repeated datagrams.
+const REMEMBERED_SEQUENCES: usize = 64;
+
+const LEASE_KIND: u8 = 1;
+const USAGE_EXPORT_KIND: u8 = 2;
+
+/// The subsystem that a datagram belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DatagramKind {
+    /// Messages between proposers and acceptors.
+    Lease,
+    /// Messages between the usage exporter and the spools.
+    UsageExport,
+    /// A kind of another version.
+    Unknown(u8),
+}
+
+impl DatagramKind {
+    fn from_wire(kind: u8) -> Self {
+        match kind {
+            LEASE_KIND => DatagramKind::Lease,
+            USAGE_EXPORT_KIND => DatagramKind::UsageExport,
+            other => DatagramKind::Unknown(other),
+        }
+    }
+
+    fn to_wire(self) -> u8 {
+        match self {
+            DatagramKind::Lease => LEASE_KIND,
+            DatagramKind::UsageExport => USAGE_EXPORT_KIND,
+            DatagramKind::Unknown(other) => other,
+        }
+    }
+}
+
+/// A datagram that was authenticated and is not a repetition.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Datagram {
+    /// The subsystem that it belongs to.
+    pub kind: DatagramKind,
+    /// The sender's index among all limiters.
+    pub sender: u32,
+    /// The encoded message.
+    pub payload: Vec<u8>,
+}
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DropReason {
+    /// Its length, its kind or its message is invalid.
+    Malformed,
+    /// Its version is not supported.
+    UnsupportedVersion,
+    /// It was not made with the shared key, or its sender may not send it.
+    Unauthorized,
+    /// It was received before.
+    Repeated,
+}
+
+impl From<EnvelopeError> for DropReason {
+    fn from(error: EnvelopeError) -> Self {
+        match error {
+            EnvelopeError::LengthMismatch => DropReason::Malformed,
+            EnvelopeError::UnsupportedVersion => DropReason::UnsupportedVersion,
+            EnvelopeError::Unauthenticated => DropReason::Unauthorized,
+        }
+    }
+}
+
+/// How many datagrams were dropped for each reason.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct DroppedCount {
-    /// Torn, or with a message that is.
-    pub torn: u64,
-    /// Of a version that is not read.
-    pub version: u64,
-    /// Not made with the key, or from nobody that is known.
-    pub stranger: u64,
-    /// Come before.
-    pub twice: u64,
+struct DropCounts {
+    malformed: u64,
+    unsupported_version: u64,
+    unauthorized: u64,
+    repeated: u64,
+}
+
+impl DropCounts {
+    fn increment(&mut self, reason: DropReason) {
+        let count = match reason {
+            DropReason::Malformed => &mut self.malformed,
+            DropReason::UnsupportedVersion => &mut self.unsupported_version,
+            DropReason::Unauthorized => &mut self.unauthorized,
+            DropReason::Repeated => &mut self.repeated,
+        };
+        *count += 1;
+    }
 }
 
-/// The one socket to other limiters.
+/// The socket to the other limiters.
 pub struct Peers {
     socket: UdpSocket,
-    key: Key,
-    me: u32,
+    key: SharedKey,
+    node_id: u32,
     addresses: Vec<SocketAddr>,
-    sequence: Cell<u64>,
-    heard: RefCell<BTreeMap<u32, VecDeque<u64>>>,
-    dropped: Cell<DroppedCount>,
+    last_sequence: Cell<u64>,
+    /// The latest sequence numbers of each sender, the newest first.
+    received_sequences: RefCell<BTreeMap<u32, VecDeque<u64>>>,
+    drop_counts: Cell<DropCounts>,
 }
 
 impl Peers {
-    /// Listens at the own one of the addresses.
+    /// Binds the address of this limiter, which is the one at `node_id`.
     ///
     /// # Errors
-    /// Where that cannot be.
-    pub async fn listen(key: Key, me: u32, addresses: Vec<SocketAddr>) -> std::io::Result<Self> {
-        let socket = UdpSocket::bind(addresses[me as usize]).await?;
-        // Greater than in the process before this one, as far as the clock goes on.
-        let sequence = SystemTime::UNIX_EPOCH
+    /// Where the socket cannot be bound.
+    pub async fn bind(
+        key: SharedKey,
+        node_id: u32,
+        addresses: Vec<SocketAddr>,
+    ) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(addresses[node_id as usize]).await?;
+        // Greater than any of the previous process, provided that the system's clock was not set back.
+        let first_sequence = SystemTime::UNIX_EPOCH
             .elapsed()
             .map_or(0, |age| age.as_micros() as u64);
         Ok(Peers {
             socket,
             key,
-            me,
+            node_id,
             addresses,
-            sequence: Cell::new(sequence),
-            heard: RefCell::default(),
-            dropped: Cell::default(),
+            last_sequence: Cell::new(first_sequence),
+            received_sequences: RefCell::default(),
+            drop_counts: Cell::default(),
         })
     }
 
-    /// Sends a message, as far as the socket takes it: what is lost is asked again by who needs it.
-    pub fn tell(&self, to: u32, kind: u8, message: &[u8]) {
-        let Some(address) = self.addresses.get(to as usize) else {
+    /// Sends a message to a limiter.
+    pub fn send(&self, recipient: u32, kind: DatagramKind, payload: &[u8]) {
+        let Some(address) = self.addresses.get(recipient as usize) else {
             return;
         };
-        self.sequence.set(self.sequence.get() + 1);
-        let _ = self.socket.try_send_to(
-            &seal(&self.key, kind, self.me, self.sequence.get(), message),
-            *address,
-        );
+        let sequence = self.last_sequence.get() + 1;
+        self.last_sequence.set(sequence);
+        let envelope = Envelope {
+            kind: kind.to_wire(),
+            sender: self.node_id,
+            sequence,
+            payload,
+        };
+        // A datagram may be lost anywhere on its way; both protocols repeat what they need an answer to.
+        let _ = self
+            .socket
+            .try_send_to(&seal(&self.key, &envelope), *address);
     }
 
-    /// Waits for the next message: its kind, sender and bytes. Guards against what is torn, strange, of an unknown
-    /// version or has come before: it is counted and dropped.
-    pub async fn next(&self) -> (u8, u32, Vec<u8>) {
-        let mut bytes = [0; MOST];
+    /// Waits for the next valid datagram. Others are counted and dropped.
+    pub async fn receive(&self) -> Datagram {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
         loop {
-            let Ok((length, _)) = self.socket.recv_from(&mut bytes).await else {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
                 continue;
             };
-            let opened = open(&self.key, &bytes[..length]);
-            match opened {
-                Ok((kind, sender, sequence, message))
-                    if (sender as usize) < self.addresses.len() =>
-                {
-                    if self.first(sender, sequence) {
-                        return (kind, sender, message.to_vec());
-                    }
-                }
-                Ok(_) | Err(Dropped::Stranger) => self.drop(|count| count.stranger += 1),
-                Err(Dropped::Torn) => self.drop(|count| count.torn += 1),
-                Err(Dropped::Version) => self.drop(|count| count.version += 1),
+            match self.verify(&buffer[..length]) {
+                Ok(datagram) => return datagram,
+                Err(reason) => self.count_drop(reason),
             }
         }
     }
 
-    /// Counts what was dropped.
-    pub fn drop(&self, which: impl FnOnce(&mut DroppedCount)) {
-        let mut count = self.dropped.get();
-        which(&mut count);
-        self.dropped.set(count);
-        tracing::debug!(?count, "a message between limiters was dropped");
+    /// Counts a datagram that was dropped.
+    pub fn count_drop(&self, reason: DropReason) {
+        let mut counts = self.drop_counts.get();
+        counts.increment(reason);
+        self.drop_counts.set(counts);
+        tracing::debug!(?reason, ?counts, "peer datagram dropped");
+    }
+
+    fn verify(&self, bytes: &[u8]) -> Result<Datagram, DropReason> {
+        let envelope = open(&self.key, bytes)?;
+        if envelope.sender as usize >= self.addresses.len() {
+            return Err(DropReason::Unauthorized);
+        }
+        if !self.remember_sequence(envelope.sender, envelope.sequence) {
+            return Err(DropReason::Repeated);
+        }
+        Ok(Datagram {
+            kind: DatagramKind::from_wire(envelope.kind),
+            sender: envelope.sender,
+            payload: envelope.payload.to_vec(),
+        })
     }
 
-    fn first(&self, sender: u32, sequence: u64) -> bool {
-        let mut heard = self.heard.borrow_mut();
-        let last = heard.entry(sender).or_default();
-        let known = last.contains(&sequence);
-        if known {
-            self.drop(|count| count.twice += 1);
-        } else {
-            last.truncate(REMEMBERED - 1);
-            last.push_front(sequence);
+    /// Remembers a sequence number; `false` where it was received before.
+    fn remember_sequence(&self, sender: u32, sequence: u64) -> bool {
+        let mut received = self.received_sequences.borrow_mut();
+        let latest = received.entry(sender).or_default();
+        if latest.contains(&sequence) {
+            return false;
         }
-        !known
+        latest.truncate(REMEMBERED_SEQUENCES - 1);
+        latest.push_front(sequence);
+        true
     }
 }
--- a/src/net/usage_export.rs
+++ b/src/net/usage_export.rs
@@ -6,7 +6,7 @@
 use super::stages::complete::CallResult;
 use crate::api::{Nanos, Outcome};
 use quartzcleat_config::lease::Point;
-use quartzcleat_lease::{Act, Token};
+use quartzcleat_lease::{FencingToken, PermittedOperation};
 use quartzcleat_usage_export::{Fate, Message, Sink, Source, Spool, Written};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -274,7 +274,7 @@
 pub struct Exporter {
     sink: PathBuf,
     /// The tenure, its file, and all that stands in the sink.
-    tenure: RefCell<Option<(Token, Lines, Sink)>>,
+    tenure: RefCell<Option<(FencingToken, Lines, Sink)>>,
 }
 
 impl Exporter {
@@ -290,7 +290,7 @@
     ///
     /// # Errors
     /// Where the sink cannot be read or written.
-    pub fn begin(&self, token: Token) -> io::Result<()> {
+    pub fn begin(&self, token: FencingToken) -> io::Result<()> {
         if self
             .tenure
             .borrow()
@@ -301,14 +301,14 @@
         }
         fs::create_dir_all(&self.sink)?;
         let sink = read_sink(&self.sink)?;
-        let Token {
+        let FencingToken {
             round,
-            bidder,
-            boot,
+            proposer,
+            incarnation,
         } = token;
         let path = self
             .sink
-            .join(format!("{round:020}-{bidder}-{boot}.{USED}"));
+            .join(format!("{round:020}-{proposer}-{incarnation}.{USED}"));
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         // It may have been torn where the same tenure's file could not be written before.
         let torn = Cell::new(file.metadata()?.len() > 0);
@@ -331,7 +331,7 @@
     /// Where the sink cannot be written, or the act is of another tenure.
     pub fn write(
         &self,
-        act: Act,
+        act: PermittedOperation,
         written: &Written,
         usage_recorder: &UsageRecorder,
     ) -> io::Result<()> {
