--- /dev/null
+++ b/crates/config/src/lease/section.rs
@@ -0,0 +1,176 @@
+//! Reading and checking of the whole section.
+
+use super::limiters::read_limiters;
+use super::task::{read_duration, read_task};
+use super::testing::{read_clock_fault, read_scheduled_crash};
+use super::{ClockFault, Lease, LeaseConfigError, ScheduledCrash, Task};
+use crate::fault::Faults;
+use crate::quantity;
+use crate::reader::{list, text, Reader};
+use crate::tree::Node;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The shortest lease: a shorter one ends before its renewal succeeds on a busy machine. The longest is the time for which
+/// a task may stand still after its holder has failed.
+const DURATION_RANGE: RangeInclusive<Duration> =
+    Duration::from_millis(100)..=Duration::from_secs(600);
+const DEFAULT_DURATION: Duration = Duration::from_secs(3);
+const DRIFT_RANGE: RangeInclusive<f64> = 0.0..=0.2;
+const DEFAULT_DRIFT: f64 = 0.01;
+
+/// The values as they stand in the file.
+struct Section {
+    limiter: Option<String>,
+    key_file: Option<String>,
+    duration: Duration,
+    drift: f64,
+    scheduled_crash: Option<ScheduledCrash>,
+    limiters: Option<BTreeMap<String, SocketAddr>>,
+    acceptors: Vec<String>,
+    tasks: Vec<Task>,
+    clock_fault: ClockFault,
+}
+
+/// Reads the section; `None` where a required value is missing or invalid. All problems are added to `faults`.
+pub(crate) fn read(file: &Arc<str>, node: &Node, faults: &mut Faults) -> Option<Lease> {
+    let mut reader = Reader::new(file, "lease", node, faults);
+    let section = Section::read(file, &mut reader, faults);
+    let mut check = Check {
+        reader: &reader,
+        faults,
+    };
+    check.timing(&section);
+    check.limiter(&section);
+    check.acceptors(&section);
+    check.tasks(&section);
+    reader.end(faults);
+    section.into_lease()
+}
+
+impl Section {
+    fn read(file: &Arc<str>, reader: &mut Reader<'_>, faults: &mut Faults) -> Section {
+        let limiter = reader.need("me", faults, text);
+        let key_file = reader.need("key", faults, text);
+        let duration = reader.take("length", faults, read_duration);
+        let drift = reader.take("drift", faults, quantity::share);
+        let scheduled_crash = reader
+            .node("die")
+            .and_then(|node| read_scheduled_crash(file, node, faults));
+        let limiters = reader.need("limiters", faults, |node| {
+            read_limiters(node).map_err(|error| error.to_string())
+        });
+        let acceptors = reader.need("voters", faults, |node| {
+            list(node).iter().map(text).collect::<Result<Vec<_>, _>>()
+        });
+        let tasks = reader.node("tasks").map(list).unwrap_or_default();
+        let tasks = tasks
+            .iter()
+            .filter_map(|node| read_task(file, node, faults))
+            .collect();
+        let clock_fault = reader
+            .node("clock")
+            .map(|node| read_clock_fault(file, node, faults));
+        Section {
+            limiter,
+            key_file,
+            duration: duration.unwrap_or(DEFAULT_DURATION),
+            drift: drift.unwrap_or(DEFAULT_DRIFT),
+            scheduled_crash,
+            limiters,
+            acceptors: acceptors.unwrap_or_default(),
+            tasks,
+            clock_fault: clock_fault.unwrap_or_default(),
+        }
+    }
+
+    /// Whether a name is a limiter's. Where the limiters themselves are invalid, every name counts as known, so that only
+    /// their own fault is reported.
+    fn knows_limiter(&self, name: &str) -> bool {
+        self.limiters
+            .as_ref()
+            .is_none_or(|limiters| limiters.contains_key(name))
+    }
+
+    fn into_lease(self) -> Option<Lease> {
+        Some(Lease {
+            limiter: self.limiter?,
+            key_file: self.key_file?.into(),
+            duration: self.duration,
+            drift_per_mille: (self.drift * 1_000.0).ceil() as u64,
+            limiters: self.limiters?,
+            acceptors: self.acceptors,
+            tasks: self.tasks,
+            clock_fault: self.clock_fault,
+            scheduled_crash: self.scheduled_crash,
+        })
+    }
+}
+
+/// Checks that concern several values, or a value's range.
+struct Check<'a, 'b> {
+    reader: &'a Reader<'b>,
+    faults: &'a mut Faults,
+}
+
+impl Check<'_, '_> {
+    fn add(&mut self, key: &str, problem: LeaseConfigError) {
+        self.reader.fault(key, problem.to_string(), self.faults);
+    }
+
+    fn timing(&mut self, section: &Section) {
+        if !DURATION_RANGE.contains(&section.duration) {
+            self.add("length", LeaseConfigError::DurationOutOfRange);
+        }
+        if !DRIFT_RANGE.contains(&section.drift) {
+            self.add("drift", LeaseConfigError::DriftTooLarge);
+        }
+    }
+
+    fn limiter(&mut self, section: &Section) {
+        if let Some(name) = &section.limiter {
+            self.is_limiter("me", name, section);
+        }
+    }
+
+    fn acceptors(&mut self, section: &Section) {
+        let acceptors = &section.acceptors;
+        let count = acceptors.len();
+        if count.is_multiple_of(2) {
+            self.add("voters", LeaseConfigError::EvenAcceptorCount { count });
+        }
+        for (index, name) in acceptors.iter().enumerate() {
+            if acceptors[..index].contains(name) {
+                let name = name.clone();
+                self.add("voters", LeaseConfigError::DuplicateName { name });
+            }
+            self.is_limiter("voters", name, section);
+        }
+    }
+
+    fn tasks(&mut self, section: &Section) {
+        for (index, task) in section.tasks.iter().enumerate() {
+            let is_duplicate = section.tasks[..index]
+                .iter()
+                .any(|other| other.name == task.name);
+            if is_duplicate {
+                let name = task.name.clone();
+                self.add("tasks", LeaseConfigError::DuplicateName { name });
+            }
+            if task.max_operation_duration * 2 > section.duration {
+                let task = task.name.clone();
+                self.add("tasks", LeaseConfigError::OperationTooLong { task });
+            }
+        }
+    }
+
+    fn is_limiter(&mut self, key: &str, name: &str, section: &Section) {
+        if !section.knows_limiter(name) {
+            let name = name.to_owned();
+            self.add(key, LeaseConfigError::UnknownLimiter { name });
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/lease/tests.rs
@@ -0,0 +1,133 @@
+//! Tests of the section `lease`.
+
+use super::TaskAction;
+use crate::Product;
+
+const VALID: &str = "lease:\n  me: a\n  key: k\n  length: 2s\n  drift: 1%\n  limiters:\n    a: 127.0.0.1:1\n    b: 127.0.0.1:2\n    c: 127.0.0.1:3\n  voters: [a, b, c]\n  tasks:\n    - name: beat\n      target: 127.0.0.1:9\n";
+
+#[test]
+fn valid_section_is_read_and_is_optional() {
+    let lease = Product::read("q.yaml", VALID)
+        .expect("the file is valid")
+        .lease
+        .expect("the section is there");
+    assert_eq!(
+        (
+            lease.acceptors.len(),
+            lease.drift_per_mille,
+            lease.tasks[0].name.as_str()
+        ),
+        (3, 10, "beat")
+    );
+    assert_eq!(
+        Product::read("q.yaml", "tally: 1s\n")
+            .expect("the file is valid")
+            .lease,
+        None
+    );
+    let export = VALID.replace("target: 127.0.0.1:9", "export: {spool: /s, sink: /k}");
+    let lease = Product::read("q.yaml", &export)
+        .expect("the file is valid")
+        .lease
+        .expect("the section is there");
+    assert_eq!(
+        lease.tasks[0].action,
+        TaskAction::ExportUsage {
+            spool: "/s".into(),
+            sink: "/k".into()
+        }
+    );
+    let wrong = VALID.replace("2s", "2s\n  clock: {slow: 1.2%, ahead: 1s, behind: 3s}");
+    let clock = Product::read("q.yaml", &wrong)
+        .expect("the file is valid")
+        .lease
+        .expect("the section is there")
+        .clock_fault;
+    assert_eq!(
+        (clock.rate_error_per_mille, clock.wall_clock_offset_nanos),
+        (-12, -2_000_000_000)
+    );
+}
+
+#[test]
+fn invalid_values_are_rejected_with_their_line() {
+    for (from, to, expected) in [
+        (
+            "[a, b, c]",
+            "[a, b]",
+            "q.yaml:10: lease.voters: 2 voters; an odd number",
+        ),
+        ("[a, b, c]", "[]", "q.yaml:10: lease.voters: 0 voters"),
+        (
+            "[a, b, c]",
+            "[a, b, b]",
+            "q.yaml:10: lease.voters: \"b\" is named twice",
+        ),
+        (
+            "[a, b, c]",
+            "[a, b, x]",
+            "q.yaml:10: lease.voters: \"x\" is not one of lease.limiters",
+        ),
+        (
+            "me: a",
+            "me: z",
+            "q.yaml:2: lease.me: \"z\" is not one of lease.limiters",
+        ),
+        (
+            "2s",
+            "20ms",
+            "q.yaml:4: lease.length: a lease lasts from 100ms",
+        ),
+        (
+            "1%",
+            "30%",
+            "q.yaml:5: lease.drift: clocks that may run apart",
+        ),
+        (
+            "0.1:2",
+            "0.1:1",
+            "q.yaml:7: lease.limiters: b (line 8): 127.0.0.1:1 is another limiter's too",
+        ),
+        (
+            "target: 127.0.0.1:9",
+            "every: 1s",
+            "q.yaml:12: lease.tasks.name: a task needs a target",
+        ),
+        (
+            "0.1:9",
+            "0.1:9\n      export: {spool: s, sink: k}",
+            "lease.tasks.export: a task has a target or an export",
+        ),
+        (
+            "target: 127.0.0.1:9",
+            "export: {spool: s}",
+            "lease.tasks.export.sink",
+        ),
+        (
+            "2s",
+            "2s\n  die: {at: noon}",
+            "q.yaml:5: lease.die.at: \"noon\" is not known",
+        ),
+        (
+            "0.1:9",
+            "0.1",
+            "q.yaml:13: lease.tasks.target: \"127.0.0.1\" is no address",
+        ),
+        (
+            "me: a",
+            "mee: a",
+            "q.yaml:2: lease.mee: unknown key; did you mean me?",
+        ),
+        (
+            "2s",
+            "2s\n  clock: {fast: 30%}",
+            "q.yaml:5: lease.clock.fast: a clock in a trial runs wrong by 20%",
+        ),
+    ] {
+        assert!(VALID.contains(from));
+        let faults = Product::read("q.yaml", &VALID.replace(from, to))
+            .expect_err("the file is invalid")
+            .to_string();
+        assert!(faults.contains(expected), "{expected}\nnot in\n{faults}");
+    }
+}
--- a/crates/usage-export/src/message.rs
+++ b/crates/usage-export/src/message.rs
@@ -1,142 +1,111 @@
-//! What exporter and sources tell each other, in words.
+//! Messages between the exporter and the limiters whose spools it exports, and their text form.
 
-use crate::line::{put_batch, take_batch};
+use crate::record::{parse_batch, BatchText};
 use crate::{Batch, Source};
 use thiserror::Error;
 
-/// The longest message in bytes.
-pub const MOST_BYTES: usize = 1_100;
+#[cfg(test)]
+mod tests;
+
+/// The longest encoded message in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 1_100;
 
-/// A message.
+/// A message of the export.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
-    /// The exporter asks a limiter for the first batch that it holds.
-    Want,
-    /// That batch.
+    /// The exporter asks a limiter for its first pending batch.
+    Fetch,
+    /// The limiter's first pending batch.
     Batch {
-        /// Whose.
+        /// The spool that it comes from.
         source: Source,
         /// The batch.
         batch: Batch,
     },
-    /// The exporter has written a spool's batches up to a number.
-    Have {
-        /// The spool.
+    /// The exporter has written a spool's batches up to a sequence number.
+    Acknowledge {
+        /// The spool's epoch.
         epoch: u64,
-        /// The number.
-        number: u64,
+        /// The last sequence number written.
+        sequence: u64,
     },
 }
 
-/// The bytes are no message.
+/// Why bytes do not decode to a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("neither a want, a batch nor a have")]
-pub struct Fault;
+pub enum MessageError {
+    /// The message is longer than [`MAX_MESSAGE_BYTES`].
+    #[error("longer than {MAX_MESSAGE_BYTES} bytes")]
+    TooLong,
+    /// The message is not UTF-8.
+    #[error("not UTF-8")]
+    NotText,
+    /// This version does not know the kind.
+    #[error("unknown message kind")]
+    UnknownKind,
+    /// The fields are not those of the kind.
+    #[error("the fields are not those of the message kind")]
+    InvalidFields,
+}
 
 impl Message {
-    /// As bytes.
-    pub fn write(&self) -> Vec<u8> {
-        match self {
-            Message::Want => "want".to_owned(),
-            Message::Have { epoch, number } => format!("have {epoch} {number}"),
+    /// Encodes the message.
+    pub fn encode(&self) -> Vec<u8> {
+        let text = match self {
+            Message::Fetch => "want".to_owned(),
+            Message::Acknowledge { epoch, sequence } => format!("have {epoch} {sequence}"),
             Message::Batch { source, batch } => {
-                let mut text = format!("batch {} {} ", source.name, source.epoch);
-                put_batch(batch, &mut text);
-                text
+                format!(
+                    "batch {} {} {}",
+                    source.name,
+                    source.epoch,
+                    BatchText(batch)
+                )
             }
-        }
-        .into_bytes()
+        };
+        text.into_bytes()
     }
 
-    /// Reads what [`Message::write`] wrote.
+    /// Decodes what [`Message::encode`] wrote.
     ///
     /// # Errors
     /// Where the bytes are anything else.
-    pub fn read(bytes: &[u8]) -> Result<Message, Fault> {
-        let text = std::str::from_utf8(bytes)
-            .ok()
-            .filter(|_| bytes.len() <= MOST_BYTES)
-            .ok_or(Fault)?;
-        let mut words = text.split(' ');
-        let kind = words.next().ok_or(Fault)?;
-        let number = |words: &mut std::str::Split<'_, char>| words.next()?.parse().ok();
-        let message = match kind {
-            "want" if words.next().is_none() => Message::Want,
-            "have" => {
-                let (Some(epoch), Some(number), None) =
-                    (number(&mut words), number(&mut words), words.next())
-                else {
-                    return Err(Fault);
-                };
-                Message::Have { epoch, number }
-            }
-            "batch" => {
-                let name = words
-                    .next()
-                    .filter(|name| !name.is_empty())
-                    .ok_or(Fault)?
-                    .to_owned();
-                let epoch = number(&mut words).ok_or(Fault)?;
-                Message::Batch {
-                    source: Source { name, epoch },
-                    batch: take_batch(words).ok_or(Fault)?,
-                }
-            }
-            _ => return Err(Fault),
+    pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
+        if bytes.len() > MAX_MESSAGE_BYTES {
+            return Err(MessageError::TooLong);
+        }
+        let text = std::str::from_utf8(bytes).map_err(|_| MessageError::NotText)?;
+        let mut fields = text.split(' ');
+        let message = match fields.next() {
+            Some("want") => parse_fetch(fields),
+            Some("have") => parse_acknowledge(fields),
+            Some("batch") => parse_offered_batch(fields),
+            _ => return Err(MessageError::UnknownKind),
         };
-        Ok(message)
+        message.ok_or(MessageError::InvalidFields)
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::{Spool, Use};
+type Fields<'a> = std::str::Split<'a, char>;
 
-    #[test]
-    fn messages_read_as_written_and_the_fullest_batch_fits() {
-        let source = Source {
-            name: "l".repeat(64),
-            epoch: u64::MAX,
-        };
-        let most = Use {
-            ran: u64::MAX / 1_000_000,
-            unknown: u64::MAX / 1_000_000,
-            runs: u32::MAX,
-        };
-        let (mut spool, _) = Spool::new(source.clone());
-        for customer in 0..40 {
-            let (attempt, _) = spool.begin(u64::MAX - customer, 1.0);
-            spool.end(attempt, crate::Fate::Ran(1.0));
-        }
-        spool.cut();
-        let mut batch = spool.held().next().cloned().expect("it was cut");
-        batch.sums.values_mut().for_each(|used| *used = most);
-        for message in [
-            Message::Want,
-            Message::Have {
-                epoch: 9,
-                number: u64::MAX,
-            },
-            Message::Batch { source, batch },
-        ] {
-            let bytes = message.write();
-            assert!(bytes.len() <= MOST_BYTES, "{} bytes", bytes.len());
-            assert_eq!(Message::read(&bytes), Ok(message));
-            for end in 0..bytes.len().min(8) {
-                assert_eq!(Message::read(&bytes[..end]), Err(Fault));
-            }
-        }
-        for bytes in [
-            &b"have 1"[..],
-            b"have 1 2 3",
-            b"want 1",
-            b"batch  1 2",
-            b"batch a 1 x",
-            b"batch a 1 2 5",
-            b"\xff",
-        ] {
-            assert_eq!(Message::read(bytes), Err(Fault));
-        }
-    }
+fn parse_fetch(mut fields: Fields<'_>) -> Option<Message> {
+    fields.next().is_none().then_some(Message::Fetch)
+}
+
+fn parse_acknowledge(mut fields: Fields<'_>) -> Option<Message> {
+    let epoch = fields.next()?.parse().ok()?;
+    let sequence = fields.next()?.parse().ok()?;
+    fields
+        .next()
+        .is_none()
+        .then_some(Message::Acknowledge { epoch, sequence })
+}
+
+fn parse_offered_batch(mut fields: Fields<'_>) -> Option<Message> {
+    let name = fields.next().filter(|name| !name.is_empty())?.to_owned();
+    let epoch = fields.next()?.parse().ok()?;
+    Some(Message::Batch {
+        source: Source { name, epoch },
+        batch: parse_batch(fields)?,
+    })
 }
--- a/crates/usage-export/tests/stored_format.rs
+++ b/crates/usage-export/tests/stored_format.rs
@@ -10,53 +10,59 @@
 }
 
 fn batch() -> Batch {
-    let first = Use {
-        ran: 1_500,
-        unknown: 250,
-        runs: 2,
+    let first = Usage {
+        executed_milliunits: 1_500,
+        uncertain_milliunits: 250,
+        executed_attempts: 2,
     };
-    let second = Use {
-        ran: 16,
-        unknown: 0,
-        runs: 1,
+    let second = Usage {
+        executed_milliunits: 16,
+        uncertain_milliunits: 0,
+        executed_attempts: 1,
     };
     Batch {
-        number: 3,
-        sums: [(5, first), (0xff, second)].into_iter().collect(),
+        sequence: 3,
+        usage: [(5, first), (0xff, second)].into_iter().collect(),
     }
 }
 
 #[test]
 fn each_export_message_keeps_its_text() {
-    let have = Message::Have {
+    let acknowledgement = Message::Acknowledge {
         epoch: 7,
-        number: 12,
+        sequence: 12,
     };
     let offered = Message::Batch {
         source: source(),
         batch: batch(),
     };
     for (message, text) in [
-        (Message::Want, "want"),
-        (have, "have 7 12"),
+        (Message::Fetch, "want"),
+        (acknowledgement, "have 7 12"),
         (offered, "batch a 7 3 5=5dc.fa.2 ff=10.0.1"),
     ] {
-        assert_eq!(String::from_utf8_lossy(&message.write()), text);
-        assert_eq!(Message::read(text.as_bytes()), Ok(message));
+        assert_eq!(String::from_utf8_lossy(&message.encode()), text);
+        assert_eq!(Message::decode(text.as_bytes()), Ok(message));
     }
 }
 
 #[test]
 fn each_spool_line_keeps_its_text() {
-    let (mut spool, head) = Spool::new(source());
-    let mut file = head;
-    for (customer, fate) in [(5, Fate::Ran(1.5)), (255, Fate::Never), (9, Fate::Unknown)] {
-        let (attempt, line) = spool.begin(customer, 0.25);
-        file += &line;
-        file += &spool.end(attempt, fate).expect("the attempt is open");
+    let mut spool = Spool::new(source());
+    let mut file = spool.header();
+    for (customer, outcome) in [
+        (5, AttemptOutcome::Executed(1.5)),
+        (255, AttemptOutcome::NotExecuted),
+        (9, AttemptOutcome::Unknown),
+    ] {
+        let started = spool.start_attempt(customer, 0.25);
+        file += &started.line;
+        file += &spool
+            .end_attempt(started.attempt, outcome)
+            .expect("the attempt is open");
     }
-    file += &spool.cut().expect("usage was recorded");
-    file += &spool.exported(1).expect("the batch was pending");
+    file += &spool.cut_batch().expect("usage was recorded");
+    file += &spool.acknowledge(1).expect("the batch was pending");
     assert_eq!(
         file,
         concat!(
@@ -76,15 +82,15 @@
 /// Lines that only a compacted spool has: usage outside a batch, and an attempt that is still open.
 #[test]
 fn a_compacted_spool_keeps_its_text() {
-    let (mut spool, _) = Spool::new(source());
+    let mut spool = Spool::new(source());
     for _ in 0..2_100 {
-        let (attempt, _) = spool.begin(5, 1.0);
-        spool.end(attempt, Fate::Ran(1.0));
+        let started = spool.start_attempt(5, 1.0);
+        spool.end_attempt(started.attempt, AttemptOutcome::Executed(1.0));
     }
-    spool.cut();
-    let (attempt, _) = spool.begin(6, 2.0);
-    spool.end(attempt, Fate::Ran(2.0));
-    spool.begin(7, 3.0);
+    spool.cut_batch();
+    let started = spool.start_attempt(6, 2.0);
+    spool.end_attempt(started.attempt, AttemptOutcome::Executed(2.0));
+    spool.start_attempt(7, 3.0);
     assert_eq!(
         spool.compact().as_deref(),
         Some(concat!(
@@ -98,14 +104,14 @@
 
 #[test]
 fn a_sink_line_keeps_its_text() {
-    let written = Written {
+    let record = SinkRecord {
         source: source(),
         batch: batch(),
     };
-    let line = written.line();
+    let line = record.to_line();
     assert_eq!(line, "a 7 3 5=5dc.fa.2 ff=10.0.1 #3c47eceb\n");
     let mut sink = Sink::default();
-    sink.read(&line);
-    assert!(sink.holds(&source(), 3));
-    assert_eq!(sink.report().spoilt, 0);
+    sink.add_file(&line);
+    assert!(sink.contains(&source(), 3));
+    assert_eq!(sink.report().corrupt_lines, 0);
 }
--- a/src/cli/used.rs
+++ b/src/cli/used.rs
@@ -3,7 +3,7 @@
 use super::{print, Format};
 use crate::net::usage_export::{read_sink, read_spools};
 use clap::Args;
-use quartzcleat_usage_export::Report;
+use quartzcleat_usage_export::{BatchId, SinkReport};
 use std::fmt::Write as _;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -35,7 +35,7 @@
                     read_spools(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
                 spools.iter().for_each(|spool| sink.add_spool(spool));
             }
-            Ok::<Report, String>(sink.report())
+            Ok::<SinkReport, String>(sink.report())
         };
         match read() {
             Ok(report) => {
@@ -46,7 +46,7 @@
                 };
                 print(&text);
                 ExitCode::from(u8::from(
-                    !report.gaps.is_empty() || !report.conflicts.is_empty(),
+                    !report.missing.is_empty() || !report.conflicts.is_empty(),
                 ))
             }
             Err(problem) => {
@@ -61,32 +61,35 @@
     thousandths as f64 / 1_000.0
 }
 
-fn human(report: &Report) -> String {
+fn human(report: &SinkReport) -> String {
     let mut text = format!(
         "{:>16} {:>14} {:>14} {:>10}\n",
         "customer", "units", "unknown", "attempts"
     );
-    for (customer, used) in &report.sums {
-        let (ran, unknown) = (units(used.ran), units(used.unknown));
+    for (customer, used) in &report.usage {
+        let (ran, unknown) = (
+            units(used.executed_milliunits),
+            units(used.uncertain_milliunits),
+        );
         let _ = writeln!(
             text,
             "{customer:016x} {ran:>14.3} {unknown:>14.3} {:>10}",
-            used.runs
+            used.executed_attempts
         );
     }
     let _ = writeln!(
         text,
         "batches in two files: {}; lines cut off or rotted: {}",
-        report.doubles, report.spoilt
+        report.duplicates, report.corrupt_lines
     );
     for (what, found) in [
-        ("missing", &report.gaps),
+        ("missing", &report.missing),
         ("of two contents", &report.conflicts),
     ] {
-        for (source, number) in found {
+        for BatchId { source, sequence } in found {
             let _ = writeln!(
                 text,
-                "batch {number} of {} {} is {what}",
+                "batch {sequence} of {} {} is {what}",
                 source.name, source.epoch
             );
         }
@@ -94,26 +97,28 @@
     text
 }
 
-fn json(report: &Report) -> String {
-    let customers = report.sums.iter().map(|(customer, used)| {
+fn json(report: &SinkReport) -> String {
+    let customers = report.usage.iter().map(|(customer, used)| {
         serde_json::json!({
             "customer": format!("{customer:016x}"),
-            "units": units(used.ran),
-            "unknown": units(used.unknown),
-            "attempts": used.runs,
+            "units": units(used.executed_milliunits),
+            "unknown": units(used.uncertain_milliunits),
+            "attempts": used.executed_attempts,
         })
     });
-    let batches = |found: &[(quartzcleat_usage_export::Source, u64)]| -> Vec<_> {
+    let batches = |found: &[BatchId]| -> Vec<_> {
         found
             .iter()
-            .map(|(source, number)| serde_json::json!([source.name, source.epoch, number]))
+            .map(|BatchId { source, sequence }| {
+                serde_json::json!([source.name, source.epoch, sequence])
+            })
             .collect()
     };
     let told = serde_json::json!({
         "customers": customers.collect::<Vec<_>>(),
-        "doubles": report.doubles,
-        "spoilt": report.spoilt,
-        "missing": batches(&report.gaps),
+        "doubles": report.duplicates,
+        "spoilt": report.corrupt_lines,
+        "missing": batches(&report.missing),
         "conflicts": batches(&report.conflicts),
     });
     format!("{told:#}\n")
--- /dev/null
+++ b/src/net/leases/receive.rs
@@ -0,0 +1,49 @@
+//! The task that receives datagrams and hands their messages to the leases or to the usage export.
+
+use super::export::ExportTask;
+use super::node::LeaseNode;
+use crate::net::peers::{Datagram, DatagramKind, DropReason};
+use quartzcleat_lease::{Message, MAX_MESSAGE_BYTES};
+use quartzcleat_usage_export as usage_export;
+use std::rc::Rc;
+
+/// Runs for as long as the process.
+pub(super) async fn run(node: Rc<LeaseNode>, export: Option<Rc<ExportTask>>) {
+    loop {
+        let datagram = node.peers.receive().await;
+        let handled = match datagram.kind {
+            DatagramKind::Lease => handle_lease_message(&node, &datagram),
+            DatagramKind::UsageExport => handle_export_message(&node, export.as_deref(), &datagram),
+            DatagramKind::Unknown(_) => Err(DropReason::Malformed),
+        };
+        if let Err(reason) = handled {
+            node.peers.count_drop(reason);
+        }
+    }
+}
+
+fn handle_lease_message(node: &LeaseNode, datagram: &Datagram) -> Result<(), DropReason> {
+    if datagram.payload.len() > MAX_MESSAGE_BYTES {
+        return Err(DropReason::Malformed);
+    }
+    let message = Message::decode(&datagram.payload).map_err(|_| DropReason::Malformed)?;
+    node.handle_message(datagram.sender, &message);
+    Ok(())
+}
+
+fn handle_export_message(
+    node: &LeaseNode,
+    export: Option<&ExportTask>,
+    datagram: &Datagram,
+) -> Result<(), DropReason> {
+    let message =
+        usage_export::Message::decode(&datagram.payload).map_err(|_| DropReason::Malformed)?;
+    let sender_name = node
+        .limiters
+        .get(datagram.sender as usize)
+        .ok_or(DropReason::Malformed)?;
+    if let Some(export) = export {
+        export.handle_message(datagram.sender, sender_name, message);
+    }
+    Ok(())
+}
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -194,11 +194,14 @@
     }
 
     async fn start_leases(&self, lease: Lease) -> Result<(), String> {
-        let usage_recorder = leases::usage_recorder(&lease)?;
+        let usage_recorder =
+            leases::open_usage_recorder(&lease).map_err(|error| error.to_string())?;
         if let Some(usage_recorder) = &usage_recorder {
             self.pipeline.record_usage(usage_recorder.clone());
         }
-        leases::start(lease, &self.shutdown, usage_recorder).await
+        leases::start(lease, &self.shutdown, usage_recorder)
+            .await
+            .map_err(|error| error.to_string())
     }
 
     /// Starts the clients of the counter and of discovery, and the log of the metrics.
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -65,9 +65,9 @@
     else {
         return run_unrecorded(pipeline, connection, call).await;
     };
-    let attempt = usage_recorder.begin(charge.customer.0, charge.units);
+    let attempt = usage_recorder.start_attempt(charge.customer.0, charge.units);
     let end = run_unrecorded(pipeline, connection, call).await;
-    usage_recorder.end(attempt, &end.result, connection.command_sent, charge.units);
+    usage_recorder.end_attempt(attempt, &end.result, connection.command_sent, charge.units);
     end
 }
 
--- /dev/null
+++ b/src/net/usage_export/mod.rs
@@ -0,0 +1,29 @@
+//! Usage export on files: the spools of this limiter, and the sink that all limiters share.
+//!
+//! Every limiter keeps a spool in a folder of its own ([`UsageRecorder`]). The lease holder of the export fetches batches
+//! from all limiters and appends them to its tenure's file in the sink ([`Exporter`]). `quartzcleat_usage_export` defines
+//! what is written and in which order, so that a process may end between any two steps without a batch being lost or
+//! counted twice.
+
+mod append_file;
+mod exporter;
+mod protocol;
+mod reader;
+mod recorder;
+
+pub use exporter::{ExportError, Exporter};
+pub use protocol::{handle_message, MessageEffect};
+pub use reader::{read_sink, read_spools};
+pub use recorder::UsageRecorder;
+
+use std::path::Path;
+
+/// The file name extension of spools.
+const SPOOL_EXTENSION: &str = "spool";
+
+/// The file name extension of the sink's files.
+const SINK_EXTENSION: &str = "used";
+
+fn has_extension(path: &Path, extension: &str) -> bool {
+    path.extension().is_some_and(|found| found == extension)
+}
--- a/tests/export.rs
+++ b/tests/export.rs
@@ -1,7 +1,7 @@
 //! Export of use: three limiters before stand-ins, each killed at a named point and again from outside while clients ask.
 //! What the sink and the spools hold in the end is held against what the nodes ran.
 
-use quartzcleat_config::{lease::POINTS, Day};
+use quartzcleat_config::{lease::CRASH_POINTS, Day};
 use quartzcleat_decision::api::{HostState, RequestId};
 use quartzcleat_fakes::stage::perform_with;
 use quartzcleat_invariants::{record::Player, Cast, Record, What};
@@ -216,7 +216,7 @@
     let reached = (0..3).filter(|number| {
         let log = std::fs::read_to_string(folder.join(format!("limiter-{number}.log")))
             .unwrap_or_default();
-        log.contains("ends itself as a trial asked")
+        log.contains("scheduled crash")
     });
     let (reached, ran) = (reached.count(), truth(&performed.records));
     assert!(reached >= 1, "{point}: nobody came there");
@@ -255,7 +255,7 @@
 #[test]
 fn use_is_exported_once_whoever_dies_at_whichever_point() {
     std::thread::scope(|scope| {
-        for (seed, (point, _)) in POINTS.into_iter().enumerate() {
+        for (seed, (point, _)) in CRASH_POINTS.into_iter().enumerate() {
             scope.spawn(move || killed_at(point, seed as u8));
         }
     });
