--- a/crates/usage-export/src/spool/line.rs
+++ b/crates/usage-export/src/spool/line.rs
@@ -44,6 +44,8 @@
     },
     /// An attempt has ended.
     AttemptEnded { attempt: u64, usage: Usage },
+    /// An attempt has ended, but its usage does not parse. No version writes this.
+    MalformedAttemptEnd { attempt: u64 },
     /// Usage of a customer that is in no batch yet, written by a compaction.
     Unbatched { customer: Customer, usage: Usage },
     /// A batch was cut.
@@ -61,6 +63,7 @@
                 milliunits,
             } => format!("+ {attempt} {customer:x} {milliunits}"),
             Line::AttemptEnded { attempt, usage } => format!("- {attempt} {}", UsageText(usage)),
+            Line::MalformedAttemptEnd { attempt } => format!("- {attempt}"),
             Line::Unbatched { customer, usage } => format!("r {customer:x} {}", UsageText(usage)),
             Line::BatchCut(batch) => format!("b {}", BatchText(batch)),
             Line::Exported { sequence } => format!("x {sequence}"),
@@ -76,10 +79,13 @@
                 customer: parse_customer(fields.next()?)?,
                 milliunits: fields.next()?.parse().ok()?,
             },
-            "-" => Line::AttemptEnded {
-                attempt: fields.next()?.parse().ok()?,
-                usage: parse_usage(fields.next()?)?,
-            },
+            "-" => {
+                let attempt = fields.next()?.parse().ok()?;
+                match fields.next().and_then(parse_usage) {
+                    Some(usage) => Line::AttemptEnded { attempt, usage },
+                    None => Line::MalformedAttemptEnd { attempt },
+                }
+            }
             "r" => Line::Unbatched {
                 customer: parse_customer(fields.next()?)?,
                 usage: parse_usage(fields.next()?)?,
--- a/crates/usage-export/src/spool/recovery.rs
+++ b/crates/usage-export/src/spool/recovery.rs
@@ -90,6 +90,10 @@
                 let open = self.open_attempts.remove(&attempt)?;
                 self.add_unbatched(open.customer, usage);
             }
+            Line::MalformedAttemptEnd { attempt } => {
+                self.open_attempts.remove(&attempt)?;
+                return None;
+            }
             Line::Unbatched { customer, usage } => self.add_unbatched(customer, usage),
             Line::BatchCut(batch) => self.replay_batch(batch),
             Line::Exported { sequence } => self.remove_batches_up_to(sequence),
--- a/crates/usage-export/src/spool/tests.rs
+++ b/crates/usage-export/src/spool/tests.rs
@@ -170,6 +170,24 @@
     );
 }
 
+/// The line's check is right, so that the attempt is known to have ended, but not for how much.
+#[test]
+fn end_of_an_attempt_without_valid_usage_is_corrupt_and_closes_the_attempt() {
+    for end in ["- 1", "- 1 x", "- 1 1.2"] {
+        let mut spool = Spool::new(source());
+        let mut file = spool.header();
+        file += &spool.start_attempt(5, 1.0).line;
+        file += &crate::record::seal_line(end);
+        let recovered = recover(&file);
+        assert_eq!(
+            (recovered.corrupt_lines, recovered.unfinished_attempts),
+            (1, 0),
+            "{end}"
+        );
+        assert!(recovered.spool.is_empty(), "{end}");
+    }
+}
+
 #[test]
 fn compacted_file_is_short_and_holds_the_same() {
     let mut spool = random_spool(1, 40).spool;
--- a/src/cli/used.rs
+++ b/src/cli/used.rs
@@ -1,13 +1,22 @@
-//! `quartzcleat use`: what each customer used, as a sink holds it.
+//! `quartzcleat use`: the usage of each customer in a sink.
 
 use super::{print, Format};
 use crate::net::usage_export::{read_sink, read_spools};
 use clap::Args;
 use quartzcleat_usage_export::{BatchId, SinkReport};
-use std::fmt::Write as _;
-use std::path::PathBuf;
+use std::fmt::{self, Write as _};
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// The exit code where batches are missing or in conflict.
+const EXIT_INCOMPLETE: u8 = 1;
+
+/// The exit code where a folder cannot be read.
+const EXIT_UNREADABLE: u8 = 2;
+
+const MILLIUNITS_PER_UNIT: f64 = 1_000.0;
+
 /// Add up what each customer used, from a sink of exported use.
 ///
 /// A batch counts once, in whichever files of the sink it stands. Exits with 1 where numbers are missing or a batch
@@ -24,57 +33,81 @@
     format: Format,
 }
 
+/// A folder that cannot be read.
+#[derive(Debug)]
+struct UnreadableFolder {
+    folder: PathBuf,
+    source: io::Error,
+}
+
+impl UnreadableFolder {
+    fn new(folder: &Path, source: io::Error) -> Self {
+        UnreadableFolder {
+            folder: folder.to_owned(),
+            source,
+        }
+    }
+}
+
+impl fmt::Display for UnreadableFolder {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.folder.display(), self.source)
+    }
+}
+
 impl Used {
-    /// Adds up.
+    /// Prints the report and returns the exit code.
     pub fn run(self) -> ExitCode {
-        let read = || {
-            let mut sink =
-                read_sink(&self.sink).map_err(|e| format!("{}: {e}", self.sink.display()))?;
-            for folder in &self.spool {
-                let spools =
-                    read_spools(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-                spools.iter().for_each(|spool| sink.add_spool(spool));
+        let report = match self.read() {
+            Ok(report) => report,
+            Err(error) => {
+                eprintln!("quartzcleat: {error}");
+                return ExitCode::from(EXIT_UNREADABLE);
             }
-            Ok::<SinkReport, String>(sink.report())
         };
-        match read() {
-            Ok(report) => {
-                let text = if self.format == Format::Human {
-                    human(&report)
-                } else {
-                    json(&report)
-                };
-                print(&text);
-                ExitCode::from(u8::from(
-                    !report.missing.is_empty() || !report.conflicts.is_empty(),
-                ))
-            }
-            Err(problem) => {
-                eprintln!("quartzcleat: {problem}");
-                ExitCode::from(2)
+        let text = match self.format {
+            Format::Human => to_table(&report),
+            Format::Json | Format::Junit => to_json(&report),
+        };
+        print(&text);
+        if report.missing.is_empty() && report.conflicts.is_empty() {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::from(EXIT_INCOMPLETE)
+        }
+    }
+
+    fn read(&self) -> Result<SinkReport, UnreadableFolder> {
+        let mut sink =
+            read_sink(&self.sink).map_err(|error| UnreadableFolder::new(&self.sink, error))?;
+        for folder in &self.spool {
+            let spools =
+                read_spools(folder).map_err(|error| UnreadableFolder::new(folder, error))?;
+            for spool in &spools {
+                sink.add_spool(spool);
             }
         }
+        Ok(sink.report())
     }
 }
 
-fn units(thousandths: u64) -> f64 {
-    thousandths as f64 / 1_000.0
+fn to_units(milliunits: u64) -> f64 {
+    milliunits as f64 / MILLIUNITS_PER_UNIT
 }
 
-fn human(report: &SinkReport) -> String {
+fn to_table(report: &SinkReport) -> String {
     let mut text = format!(
         "{:>16} {:>14} {:>14} {:>10}\n",
         "customer", "units", "unknown", "attempts"
     );
-    for (customer, used) in &report.usage {
-        let (ran, unknown) = (
-            units(used.executed_milliunits),
-            units(used.uncertain_milliunits),
-        );
+    for (customer, usage) in &report.usage {
+        let executed = to_units(usage.executed_milliunits);
+        let uncertain = to_units(usage.uncertain_milliunits);
+        let attempts = usage.executed_attempts;
+        // Writing to a string cannot fail, here and below.
         let _ = writeln!(
             text,
-            "{customer:016x} {ran:>14.3} {unknown:>14.3} {:>10}",
-            used.executed_attempts
+            "{customer:016x} {executed:>14.3} {uncertain:>14.3} {attempts:>10}"
         );
     }
     let _ = writeln!(
@@ -82,44 +115,46 @@
         "batches in two files: {}; lines cut off or rotted: {}",
         report.duplicates, report.corrupt_lines
     );
-    for (what, found) in [
-        ("missing", &report.missing),
-        ("of two contents", &report.conflicts),
-    ] {
-        for BatchId { source, sequence } in found {
-            let _ = writeln!(
-                text,
-                "batch {sequence} of {} {} is {what}",
-                source.name, source.epoch
-            );
-        }
-    }
+    add_batches(&mut text, "missing", &report.missing);
+    add_batches(&mut text, "of two contents", &report.conflicts);
     text
 }
 
-fn json(report: &SinkReport) -> String {
-    let customers = report.usage.iter().map(|(customer, used)| {
+fn add_batches(text: &mut String, problem: &str, batches: &[BatchId]) {
+    for BatchId { source, sequence } in batches {
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "batch {sequence} of {} {} is {problem}",
+            source.name, source.epoch
+        );
+    }
+}
+
+fn to_json(report: &SinkReport) -> String {
+    let customers = report.usage.iter().map(|(customer, usage)| {
         serde_json::json!({
             "customer": format!("{customer:016x}"),
-            "units": units(used.executed_milliunits),
-            "unknown": units(used.uncertain_milliunits),
-            "attempts": used.executed_attempts,
+            "units": to_units(usage.executed_milliunits),
+            "unknown": to_units(usage.uncertain_milliunits),
+            "attempts": usage.executed_attempts,
         })
     });
-    let batches = |found: &[BatchId]| -> Vec<_> {
-        found
-            .iter()
-            .map(|BatchId { source, sequence }| {
-                serde_json::json!([source.name, source.epoch, sequence])
-            })
-            .collect()
-    };
-    let told = serde_json::json!({
+    let json = serde_json::json!({
         "customers": customers.collect::<Vec<_>>(),
         "doubles": report.duplicates,
         "spoilt": report.corrupt_lines,
-        "missing": batches(&report.missing),
-        "conflicts": batches(&report.conflicts),
+        "missing": to_json_batches(&report.missing),
+        "conflicts": to_json_batches(&report.conflicts),
     });
-    format!("{told:#}\n")
+    format!("{json:#}\n")
+}
+
+fn to_json_batches(batches: &[BatchId]) -> Vec<serde_json::Value> {
+    batches
+        .iter()
+        .map(|BatchId { source, sequence }| {
+            serde_json::json!([source.name, source.epoch, sequence])
+        })
+        .collect()
 }
--- a/src/net/leases/heartbeat.rs
+++ b/src/net/leases/heartbeat.rs
@@ -10,6 +10,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout_at};
 
+#[cfg(test)]
+mod tests;
+
 /// The longest response of a target, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 128;
 
@@ -99,22 +102,21 @@
 
     async fn exchange(&self, token: FencingToken) -> io::Result<Response> {
         let mut stream = BufReader::new(TcpStream::connect(self.target).await?);
-        stream.write_all(self.request(token).as_bytes()).await?;
+        let request = to_request(&self.task.name, token, self.number);
+        stream.write_all(request.as_bytes()).await?;
         let mut line = String::new();
         stream.take(MAX_RESPONSE_BYTES).read_line(&mut line).await?;
         Response::parse(&line).ok_or_else(|| {
             io::Error::other(format!("{line:?} is neither OK nor OUTDATED with a token"))
         })
     }
+}
 
-    fn request(&self, token: FencingToken) -> String {
-        let FencingToken {
-            round,
-            proposer,
-            incarnation,
-        } = token;
-        let task = &self.task.name;
-        let number = self.number;
-        format!("ACT {task} {round} {proposer} {incarnation} {number}\n")
-    }
+fn to_request(task: &str, token: FencingToken, number: u64) -> String {
+    let FencingToken {
+        round,
+        proposer,
+        incarnation,
+    } = token;
+    format!("ACT {task} {round} {proposer} {incarnation} {number}\n")
 }
