--- a/crates/config/src/lease/section.rs
+++ b/crates/config/src/lease/section.rs
@@ -1,7 +1,7 @@
 //! Reading and checking of the whole section.
 
 use super::limiters::read_limiters;
-use super::task::{read_duration, read_task};
+use super::task::{read_task, take_duration};
 use super::testing::{read_clock_fault, read_scheduled_crash};
 use super::{ClockFault, Lease, LeaseConfigError, ScheduledCrash, Task};
 use crate::fault::Faults;
@@ -55,7 +55,7 @@
     fn read(file: &Arc<str>, reader: &mut Reader<'_>, faults: &mut Faults) -> Section {
         let limiter = reader.need("me", faults, text);
         let key_file = reader.need("key", faults, text);
-        let duration = reader.take("length", faults, read_duration);
+        let duration = take_duration(reader, "length", faults);
         let drift = reader.take("drift", faults, quantity::share);
         let scheduled_crash = reader
             .node("die")
--- a/crates/config/src/lease/task.rs
+++ b/crates/config/src/lease/task.rs
@@ -13,8 +13,15 @@
 const DEFAULT_INTERVAL: Duration = Duration::from_secs(1);
 const DEFAULT_MAX_OPERATION_DURATION: Duration = Duration::from_millis(250);
 
-pub(super) fn read_duration(node: &Node) -> Result<Duration, String> {
-    quantity::time(node).map(Duration::from_nanos)
+/// Reads a duration, where the key is there.
+pub(super) fn take_duration(
+    reader: &mut Reader<'_>,
+    key: &'static str,
+    faults: &mut Faults,
+) -> Option<Duration> {
+    reader
+        .take(key, faults, quantity::time)
+        .map(Duration::from_nanos)
 }
 
 pub(super) fn read_task(file: &Arc<str>, node: &Node, faults: &mut Faults) -> Option<Task> {
@@ -23,12 +30,9 @@
         read_task_name(node).map_err(|error| error.to_string())
     });
     let action = read_action(file, &mut reader, faults);
-    let interval = reader
-        .take("every", faults, read_duration)
-        .unwrap_or(DEFAULT_INTERVAL);
-    let max_operation_duration = reader
-        .take("longest", faults, read_duration)
-        .unwrap_or(DEFAULT_MAX_OPERATION_DURATION);
+    let interval = take_duration(&mut reader, "every", faults).unwrap_or(DEFAULT_INTERVAL);
+    let max_operation_duration =
+        take_duration(&mut reader, "longest", faults).unwrap_or(DEFAULT_MAX_OPERATION_DURATION);
     if interval.is_zero() || max_operation_duration.is_zero() {
         let problem = LeaseConfigError::ZeroInterval;
         reader.fault("every", problem.to_string(), faults);
--- a/crates/config/src/lease/tests.rs
+++ b/crates/config/src/lease/tests.rs
@@ -49,81 +49,84 @@
     );
 }
 
+/// A text of [`VALID`], the text that replaces it, and a part of the resulting fault.
+const INVALID: [(&str, &str, &str); 15] = [
+    (
+        "[a, b, c]",
+        "[a, b]",
+        "q.yaml:10: lease.voters: 2 voters; an odd number",
+    ),
+    ("[a, b, c]", "[]", "q.yaml:10: lease.voters: 0 voters"),
+    (
+        "[a, b, c]",
+        "[a, b, b]",
+        "q.yaml:10: lease.voters: \"b\" is named twice",
+    ),
+    (
+        "[a, b, c]",
+        "[a, b, x]",
+        "q.yaml:10: lease.voters: \"x\" is not one of lease.limiters",
+    ),
+    (
+        "me: a",
+        "me: z",
+        "q.yaml:2: lease.me: \"z\" is not one of lease.limiters",
+    ),
+    (
+        "2s",
+        "20ms",
+        "q.yaml:4: lease.length: a lease lasts from 100ms",
+    ),
+    (
+        "1%",
+        "30%",
+        "q.yaml:5: lease.drift: clocks that may run apart",
+    ),
+    (
+        "0.1:2",
+        "0.1:1",
+        "q.yaml:7: lease.limiters: b (line 8): 127.0.0.1:1 is another limiter's too",
+    ),
+    (
+        "target: 127.0.0.1:9",
+        "every: 1s",
+        "q.yaml:12: lease.tasks.name: a task needs a target",
+    ),
+    (
+        "0.1:9",
+        "0.1:9\n      export: {spool: s, sink: k}",
+        "lease.tasks.export: a task has a target or an export",
+    ),
+    (
+        "target: 127.0.0.1:9",
+        "export: {spool: s}",
+        "lease.tasks.export.sink",
+    ),
+    (
+        "2s",
+        "2s\n  die: {at: noon}",
+        "q.yaml:5: lease.die.at: \"noon\" is not known",
+    ),
+    (
+        "0.1:9",
+        "0.1",
+        "q.yaml:13: lease.tasks.target: \"127.0.0.1\" is no address",
+    ),
+    (
+        "me: a",
+        "mee: a",
+        "q.yaml:2: lease.mee: unknown key; did you mean me?",
+    ),
+    (
+        "2s",
+        "2s\n  clock: {fast: 30%}",
+        "q.yaml:5: lease.clock.fast: a clock in a trial runs wrong by 20%",
+    ),
+];
+
 #[test]
 fn invalid_values_are_rejected_with_their_line() {
-    for (from, to, expected) in [
-        (
-            "[a, b, c]",
-            "[a, b]",
-            "q.yaml:10: lease.voters: 2 voters; an odd number",
-        ),
-        ("[a, b, c]", "[]", "q.yaml:10: lease.voters: 0 voters"),
-        (
-            "[a, b, c]",
-            "[a, b, b]",
-            "q.yaml:10: lease.voters: \"b\" is named twice",
-        ),
-        (
-            "[a, b, c]",
-            "[a, b, x]",
-            "q.yaml:10: lease.voters: \"x\" is not one of lease.limiters",
-        ),
-        (
-            "me: a",
-            "me: z",
-            "q.yaml:2: lease.me: \"z\" is not one of lease.limiters",
-        ),
-        (
-            "2s",
-            "20ms",
-            "q.yaml:4: lease.length: a lease lasts from 100ms",
-        ),
-        (
-            "1%",
-            "30%",
-            "q.yaml:5: lease.drift: clocks that may run apart",
-        ),
-        (
-            "0.1:2",
-            "0.1:1",
-            "q.yaml:7: lease.limiters: b (line 8): 127.0.0.1:1 is another limiter's too",
-        ),
-        (
-            "target: 127.0.0.1:9",
-            "every: 1s",
-            "q.yaml:12: lease.tasks.name: a task needs a target",
-        ),
-        (
-            "0.1:9",
-            "0.1:9\n      export: {spool: s, sink: k}",
-            "lease.tasks.export: a task has a target or an export",
-        ),
-        (
-            "target: 127.0.0.1:9",
-            "export: {spool: s}",
-            "lease.tasks.export.sink",
-        ),
-        (
-            "2s",
-            "2s\n  die: {at: noon}",
-            "q.yaml:5: lease.die.at: \"noon\" is not known",
-        ),
-        (
-            "0.1:9",
-            "0.1",
-            "q.yaml:13: lease.tasks.target: \"127.0.0.1\" is no address",
-        ),
-        (
-            "me: a",
-            "mee: a",
-            "q.yaml:2: lease.mee: unknown key; did you mean me?",
-        ),
-        (
-            "2s",
-            "2s\n  clock: {fast: 30%}",
-            "q.yaml:5: lease.clock.fast: a clock in a trial runs wrong by 20%",
-        ),
-    ] {
+    for (from, to, expected) in INVALID {
         assert!(VALID.contains(from));
         let faults = Product::read("q.yaml", &VALID.replace(from, to))
             .expect_err("the file is invalid")
--- a/crates/lease/tests/model_check/main.rs
+++ b/crates/lease/tests/model_check/main.rs
@@ -6,6 +6,7 @@
 //! run apart by less than the stated bound. Each injected fault must be found. Late responses are left to the tests with
 //! processes.
 
+mod initial;
 mod model;
 mod search;
 mod state;
--- a/crates/lease/tests/model_check/model.rs
+++ b/crates/lease/tests/model_check/model.rs
@@ -1,18 +1,15 @@
-//! The model: its initial states, the events that are possible in a state, and the state after an event.
+//! The model: the events that are possible in a state, and the state after an event.
 
-use crate::state::{ClockRates, Event, InjectedFault, ModelState};
+use crate::state::{Event, InjectedFault, ModelState};
 use quartzcleat_lease::*;
-use std::collections::BTreeSet;
 
 /// Clocks may run a quarter apart, as the model's time advances in coarse ticks.
-const TIMING: LeaseTiming = LeaseTiming {
+pub(crate) const TIMING: LeaseTiming = LeaseTiming {
     duration: 4_000,
     drift_per_mille: 250,
 };
 const TICK: Nanos = 1_000;
-const CLOCK_ORIGIN: Nanos = 100_000;
-const TASK: &str = "t";
-const PROPOSERS: usize = 2;
+pub(crate) const CLOCK_ORIGIN: Nanos = 100_000;
 
 /// Bounds of the search.
 pub struct Limits {
@@ -38,12 +35,6 @@
 }
 
 impl Model {
-    pub fn initial_states(&self) -> Vec<ModelState> {
-        let free = self.free_lease_states();
-        let held = free.clone().map(|state| self.acquire_by_first(state));
-        free.into_iter().chain(held).collect()
-    }
-
     pub fn events(&self, state: &ModelState) -> Vec<Event> {
         let mut events = Vec::new();
         if state.time < self.limits.end {
@@ -93,93 +84,6 @@
         (state != *before).then_some(state)
     }
 
-    /// The worst pair of clocks, a slow holder before fast acceptors, and clocks that all agree.
-    fn free_lease_states(&self) -> [ModelState; 2] {
-        let worst = ClockRates {
-            proposers: vec![-1, 1],
-            acceptors: vec![1; self.acceptor_count],
-        };
-        let equal = ClockRates {
-            proposers: vec![0, 0],
-            acceptors: vec![0; self.acceptor_count],
-        };
-        [worst, equal].map(|rates| self.free_lease_state(rates))
-    }
-
-    fn free_lease_state(&self, rates: ClockRates) -> ModelState {
-        // The acceptors' silence is over, as after a long run.
-        let acceptors_started_at = CLOCK_ORIGIN - TIMING.restart_silence();
-        let acceptor = Acceptor::new(TIMING, acceptors_started_at);
-        ModelState {
-            time: 0,
-            set_back: 0,
-            acceptors: vec![acceptor; self.acceptor_count],
-            proposers: (0..PROPOSERS)
-                .map(|proposer| self.proposer(proposer, 1, CLOCK_ORIGIN))
-                .collect(),
-            rates,
-            requests: BTreeSet::new(),
-            operations_in_flight: BTreeSet::new(),
-            target: HighestToken::default(),
-            last_admitted: FencingToken::default(),
-            restarts: 0,
-            operations: 0,
-            rounds: 0,
-            two_holders: false,
-            stale_token_admitted: false,
-            takeover: false,
-        }
-    }
-
-    /// The first proposer acquires the lease from the first two acceptors.
-    fn acquire_by_first(&self, state: ModelState) -> ModelState {
-        let begin = Event::BeginRound { proposer: 0 };
-        let mut state = self.apply(&state, begin).unwrap_or(state);
-        for acceptor in [0, 1, 0, 1] {
-            let Some(request) = state.requests.last().cloned() else {
-                continue;
-            };
-            let delivery = Event::DeliverRequest {
-                acceptor,
-                request,
-                response_arrives: true,
-            };
-            state = self.apply(&state, delivery).unwrap_or(state);
-        }
-        assert!(
-            self.guard(&state, 0).is_some(),
-            "two acceptors of three are enough"
-        );
-        state
-    }
-
-    fn proposer(&self, node: usize, incarnation: u32, now: Nanos) -> Proposer {
-        let timing = match self.fault {
-            InjectedFault::NoDriftBound => LeaseTiming {
-                drift_per_mille: 0,
-                ..TIMING
-            },
-            InjectedFault::HolderValidityTooLong => LeaseTiming {
-                duration: TIMING.duration * 2,
-                ..TIMING
-            },
-            _ => TIMING,
-        };
-        let acceptor_count = match self.fault {
-            InjectedFault::SmallQuorum => 1,
-            _ => self.acceptor_count,
-        };
-        let config = ProposerConfig {
-            timing,
-            task: TASK.to_owned(),
-            node_id: node as u32,
-            incarnation,
-            acceptor_count,
-            initial_round: 0,
-        };
-        Proposer::new(config, now)
-    }
-
     fn proposer_clock(&self, state: &ModelState, proposer: usize) -> Nanos {
         let set_back = if proposer == 0 { state.set_back } else { 0 };
         clock(state.time, state.rates.proposers[proposer]) - set_back
@@ -189,7 +93,7 @@
         clock(state.time, state.rates.acceptors[acceptor])
     }
 
-    fn guard(&self, state: &ModelState, proposer: usize) -> Option<Guard> {
+    pub(crate) fn guard(&self, state: &ModelState, proposer: usize) -> Option<Guard> {
         state.proposers[proposer].guard(self.proposer_clock(state, proposer))
     }
 
--- a/src/net/leases/propose.rs
+++ b/src/net/leases/propose.rs
@@ -15,8 +15,8 @@
 pub(super) async fn run(node: Rc<LeaseNode>) {
     loop {
         let now = node.now();
-        let due = node.propose(now);
-        let check_at = due.clamp(now + MIN_CHECK_INTERVAL, now + MAX_CHECK_INTERVAL);
+        let next_deadline = node.propose(now);
+        let check_at = next_deadline.clamp(now + MIN_CHECK_INTERVAL, now + MAX_CHECK_INTERVAL);
         tokio::select! {
             () = sleep_until(node.instant_at(check_at)) => {}
             () = node.deadline_changed() => {}
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -1,81 +1,107 @@
-//! Leases at work: three processes of the program on links with faults, one history, one verdict.
+//! Leases under faults: three processes of the program on faulty links, judged by one recorded history.
 
 use quartzcleat_fault_injection::{judge, play, Ground, Story, Verdict};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
 
-/// Plays a story with one seed; the program is this build's.
-fn played(story: &str, seed: u64) -> Verdict {
-    let story = Story::read("story.yaml", story).expect("the story is sound");
-    let folder =
-        std::env::temp_dir().join(format!("quartzcleat-trial-{}-{seed}", std::process::id()));
-    let ground = Ground {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_quartzcleat")),
+const LINKS: &str = "limiters: 3\nvoters: 3\nlease: 400ms\nloss: 5%\ntwice: 5%\ndelay: 10ms\n";
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_quartzcleat");
+
+const PLATFORM_CONFIG: &str = include_str!("../examples/toy.json");
+
+fn temporary_folder(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("quartzcleat-{name}-{}", std::process::id()))
+}
+
+/// Runs a scenario with this build's program. Leases must hold, and change hands as often as the scenario demands.
+fn run_scenario(text: &str, seed: u64) -> Verdict {
+    let scenario = Story::read("story.yaml", text).expect("the scenario is valid");
+    let folder = temporary_folder(&format!("trial-{seed}"));
+    let testbed = Ground {
+        program: PathBuf::from(PROGRAM),
         beside: None,
-        platform: include_str!("../examples/toy.json").to_owned(),
+        platform: PLATFORM_CONFIG.to_owned(),
         folder: folder.clone(),
         checks: true,
     };
-    let played = play(&story, seed, &ground).expect("the trial is played");
+    let run = play(&scenario, seed, &testbed).expect("the scenario runs");
+    // A folder that stays behind does not concern the result.
     let _ = std::fs::remove_dir_all(&folder);
-    let verdict = judge(&played.seen, &played.marks);
+    let verdict = judge(&run.seen, &run.marks);
     assert!(verdict.holds(), "seed {seed}: {verdict:?}");
     assert!(
-        verdict.changes >= story.changes,
-        "seed {seed}: empty, {verdict:?}"
+        verdict.changes >= scenario.changes,
+        "seed {seed}: too few changes of the holder, {verdict:?}"
     );
     verdict
 }
 
-const LINKS: &str = "limiters: 3\nvoters: 3\nlease: 400ms\nloss: 5%\ntwice: 5%\ndelay: 10ms\n";
-
 #[test]
-fn another_limiter_acts_while_the_holder_is_paused_and_the_paused_one_does_no_harm() {
+fn other_limiter_acts_while_the_holder_is_paused_and_the_paused_one_does_no_harm() {
     let faults = "faults:\n  - {at: 2s, what: pause, lasts: 1500ms}\n  - {at: 5s, what: pause, lasts: 1500ms}\nend: 8s\n";
-    let verdict = played(&format!("{LINKS}{faults}changes: 2\n"), 1);
+    let verdict = run_scenario(&format!("{LINKS}{faults}changes: 2\n"), 1);
     assert!(verdict.while_paused >= 2, "{verdict:?}");
 }
 
 #[test]
-fn a_holder_that_is_cut_off_stops_before_another_begins_and_one_that_ends_hands_over() {
+fn isolated_holder_stops_before_another_begins_and_an_ending_one_releases() {
     let faults =
         "faults:\n  - {at: 2s, what: cut, lasts: 1500ms}\n  - {at: 5s, what: end, lasts: 100ms}\nend: 8s\n";
-    played(&format!("{LINKS}{faults}changes: 2\n"), 2);
+    run_scenario(&format!("{LINKS}{faults}changes: 2\n"), 2);
+}
+
+/// Starts the program with a section `lease`; it is expected to end by itself.
+fn start_with_lease_section(folder: &Path, section: &str) -> Output {
+    let own_config = folder.join("q.yaml");
+    let platform_config = folder.join("toy.json");
+    std::fs::write(&platform_config, PLATFORM_CONFIG).expect("the configuration is written");
+    std::fs::write(&own_config, section).expect("our file is written");
+    Command::new(PROGRAM)
+        .env("BALANCER_CONFIG", &platform_config)
+        .env("QUARTZCLEAT_CONFIG", &own_config)
+        .output()
+        .expect("the program starts")
 }
 
 #[test]
-fn a_lease_section_that_cannot_hold_stops_the_program_at_its_start() {
-    let folder = std::env::temp_dir().join(format!("quartzcleat-lease-{}", std::process::id()));
+fn lease_section_that_cannot_start_ends_the_program_with_the_reason() {
+    let folder = temporary_folder("lease");
     std::fs::create_dir_all(&folder).expect("a folder is made");
-    let (ours, platform) = (folder.join("q.yaml"), folder.join("toy.json"));
-    let text = include_str!("../examples/toy.json");
-    std::fs::write(&platform, text).expect("the configuration is written");
-    let section = |key: &str, own: &str| {
-        format!("lease:\n  me: a\n  key: {key}\n  limiters: {{a: \"{own}\"}}\n  voters: [a]\n")
-    };
     let key = folder.join("key").display().to_string();
     std::fs::write(&key, "secret").expect("the key is written");
-    // An address of documentation's (RFC 5737) is no machine's.
-    for (section, told) in [
+    let empty_key = folder.join("empty").display().to_string();
+    std::fs::write(&empty_key, "").expect("the key is written");
+    let section = |key: &str, address: &str| {
+        format!("lease:\n  me: a\n  key: {key}\n  limiters: {{a: \"{address}\"}}\n  voters: [a]\n")
+    };
+    let export = format!("  tasks: [{{name: use, export: {{spool: {key}, sink: s}}}}]\n");
+    for (section, reason) in [
         (
+            // An address that is reserved for documentation (RFC 5737) is no machine's.
             section(&key, "192.0.2.1:7201"),
-            "lease.limiters.a: cannot listen on 192.0.2.1:7201",
+            "lease.limiters.a: cannot listen on 192.0.2.1:7201: ".to_owned(),
         ),
         (
             section("/nowhere/key", "127.0.0.1:0"),
-            "lease.key: cannot read /nowhere/key",
+            "lease.key: cannot read /nowhere/key: ".to_owned(),
+        ),
+        (
+            section(&empty_key, "127.0.0.1:0"),
+            format!("lease.key: {empty_key} is empty; put some random bytes there"),
+        ),
+        (
+            section(&key, "127.0.0.1:0") + &export,
+            format!("lease.tasks.export.spool: {key}: "),
         ),
     ] {
-        std::fs::write(&ours, section).expect("our file is written");
-        let ended = std::process::Command::new(env!("CARGO_BIN_EXE_quartzcleat"))
-            .env("BALANCER_CONFIG", &platform)
-            .env("QUARTZCLEAT_CONFIG", &ours)
-            .output()
-            .expect("the program starts");
-        let said = String::from_utf8_lossy(&ended.stderr).into_owned();
+        let output = start_with_lease_section(&folder, &section);
+        let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
         assert!(
-            !ended.status.success() && said.contains(told),
-            "{told}\nnot in\n{said}"
+            !output.status.success() && stderr.contains(&reason),
+            "{reason}\nnot in\n{stderr}"
         );
     }
+    // A folder that stays behind does not concern the result.
     let _ = std::fs::remove_dir_all(&folder);
 }
