--- /dev/null
+++ b/tests/export/main.rs
@@ -0,0 +1,224 @@
+//! Usage export under crashes: each limiter aborts at a named point, and is killed again from outside, while clients send
+//! requests. What the sink and the spools hold in the end is compared with what the hosts executed.
+
+use quartzcleat_config::lease::CRASH_POINTS;
+use quartzcleat_decision::api::RequestId;
+use quartzcleat_fakes::stage::perform_with;
+use quartzcleat_invariants::{Record, What};
+use scenario::{scenario, LIMITERS};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+mod scenario;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_quartzcleat");
+/// Milliunits that the hosts executed, by partner.
+fn executed_milliunits(records: &[Record]) -> BTreeMap<usize, u64> {
+    let mut requests: BTreeMap<RequestId, (usize, u64)> = BTreeMap::new();
+    let mut executed = BTreeMap::new();
+    for record in records {
+        match &record.what {
+            What::Asked {
+                request,
+                partner,
+                units,
+                ..
+            } => {
+                requests.insert(*request, (*partner, (units * 1_000.0) as u64));
+            }
+            What::Ran {
+                request,
+                dropped: false,
+                ..
+            } => {
+                let (partner, units) = requests[request];
+                *executed.entry(partner).or_default() += units;
+            }
+            _ => {}
+        }
+    }
+    executed
+}
+
+/// Runs `quartzcleat use` on the sink and, if asked to, on all spools.
+fn usage_report(folder: &Path, spools: Spools) -> Value {
+    let mut command = Command::new(PROGRAM);
+    command
+        .arg("use")
+        .arg(folder.join("sink"))
+        .args(["--format", "json"]);
+    if spools == Spools::Included {
+        for number in 0..LIMITERS {
+            command
+                .arg("--spool")
+                .arg(folder.join(format!("spool-{number}")));
+        }
+    }
+    let output = command.output().expect("the command runs");
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stdout)
+    );
+    serde_json::from_slice(&output.stdout).expect("the report is JSON")
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Spools {
+    Included,
+    Excluded,
+}
+
+/// A partner's reported usage.
+#[derive(Clone, Copy, Default)]
+struct Reported {
+    executed_milliunits: u64,
+    uncertain_milliunits: u64,
+}
+
+fn reported_by_partner(report: &Value) -> BTreeMap<usize, Reported> {
+    let milliunits = |value: &Value| (value.as_f64().expect("a number") * 1_000.0).round() as u64;
+    let customers = report["customers"].as_array().expect("a list");
+    customers
+        .iter()
+        .map(|row| {
+            let customer = row["customer"].as_str().expect("text");
+            let customer = usize::from_str_radix(customer, 16).expect("a number");
+            let reported = Reported {
+                executed_milliunits: milliunits(&row["units"]),
+                uncertain_milliunits: milliunits(&row["unknown"]),
+            };
+            (customer - 1, reported)
+        })
+        .collect()
+}
+
+/// The section `lease` of one limiter's configuration.
+fn lease_section(
+    folder: &Path,
+    addresses: &[SocketAddr; LIMITERS],
+    number: usize,
+    crash_at: Option<&str>,
+) -> String {
+    let key = folder.join("key");
+    let spool = folder.join(format!("spool-{number}"));
+    let sink = folder.join("sink");
+    let mut text = format!(
+        "lease:\n  me: l{number}\n  key: {}\n  length: 300ms\n  limiters:\n",
+        key.display()
+    );
+    for (other, address) in addresses.iter().enumerate() {
+        text += &format!("    l{other}: {address}\n");
+    }
+    text += "  voters: [l0, l1, l2]\n";
+    if let Some(point) = crash_at {
+        text += &format!("  die: {{at: {point}, after: {}}}\n", 4 + 3 * number);
+    }
+    text + &format!(
+        "  tasks:\n    - name: use\n      export: {{spool: {}, sink: {}}}\n      every: 40ms\n      longest: 60ms\n",
+        spool.display(),
+        sink.display()
+    )
+}
+
+/// An unused address of a loopback network that only this run uses.
+fn unused_address(run: u8, number: u8) -> SocketAddr {
+    let address = Ipv4Addr::new(127, 200, 1 + run, 1 + number);
+    UdpSocket::bind((address, 0))
+        .and_then(|socket| socket.local_addr())
+        .expect("loopback")
+}
+
+fn count_scheduled_crashes(folder: &Path) -> usize {
+    (0..LIMITERS)
+        .filter(|number| {
+            let path = folder.join(format!("limiter-{number}.log"));
+            let log = std::fs::read_to_string(path).unwrap_or_default();
+            log.contains("scheduled crash")
+        })
+        .count()
+}
+
+/// Runs the scenario; the first process of each limiter aborts at the crash point.
+fn export_survives_crash_at(point: &'static str, run: u8) {
+    let folder: PathBuf = std::env::temp_dir().join(format!(
+        "quartzcleat-usage-export-{}-{point}",
+        std::process::id()
+    ));
+    std::fs::create_dir_all(&folder).expect("a folder is made");
+    std::fs::write(folder.join("key"), point).expect("the key is written");
+    let addresses = [0, 1, 2].map(|number| unused_address(run, number));
+    let configuration_folder = folder.clone();
+    let own_config = move |number: usize, starts: usize| {
+        let crash_at = (starts == 0).then_some(point);
+        Some(lease_section(
+            &configuration_folder,
+            &addresses,
+            number,
+            crash_at,
+        ))
+    };
+    let performed = perform_with(&scenario(), Path::new(PROGRAM), &folder, own_config)
+        .expect("the scenario runs");
+    let crashes = count_scheduled_crashes(&folder);
+    assert!(crashes >= 1, "{point}: no limiter came to it");
+    println!("{point}: {crashes} limiters crashed there");
+    check_reports(point, &folder, &executed_milliunits(&performed.records));
+    // A folder that stays behind does not concern the result.
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+fn check_reports(point: &str, folder: &Path, executed: &BTreeMap<usize, u64>) {
+    let sink_report = usage_report(folder, Spools::Excluded);
+    let full_report = usage_report(folder, Spools::Included);
+    assert_eq!(
+        (
+            full_report["missing"].as_array().map(Vec::len),
+            full_report["conflicts"].as_array().map(Vec::len)
+        ),
+        (Some(0), Some(0))
+    );
+    let reported = reported_by_partner(&full_report);
+    let mut certain = 0;
+    let mut uncertain = 0;
+    for (partner, executed) in executed {
+        let Reported {
+            executed_milliunits,
+            uncertain_milliunits,
+        } = reported[partner];
+        assert!(
+            executed_milliunits <= *executed
+                && *executed <= executed_milliunits + uncertain_milliunits,
+            "{point}, partner {partner}: {executed_milliunits} and {uncertain_milliunits} for {executed}"
+        );
+        certain += executed_milliunits;
+        uncertain += uncertain_milliunits;
+    }
+    let total: u64 = executed.values().sum();
+    let in_sink: u64 = reported_by_partner(&sink_report)
+        .values()
+        .map(|reported| reported.executed_milliunits)
+        .sum();
+    println!("{point}: executed {total}, reported {certain} and {uncertain} uncertain, {in_sink} of it in the sink, {} duplicates", full_report["doubles"]);
+    // Each limiter crashes twice at most, with the attempts that it had open then.
+    assert!(
+        certain * 10 >= total * 9 && uncertain * 10 <= total,
+        "{point}: {certain} and {uncertain} of {total}"
+    );
+    assert!(
+        in_sink * 20 >= certain * 19,
+        "{point}: {in_sink} of {certain} are in the sink"
+    );
+}
+
+#[test]
+fn usage_is_exported_exactly_once_whichever_process_crashes_at_whichever_point() {
+    std::thread::scope(|scope| {
+        for (run, (point, _)) in CRASH_POINTS.into_iter().enumerate() {
+            scope.spawn(move || export_survives_crash_at(point, run as u8));
+        }
+    });
+}
