--- a/crates/config/src/lease/tests.rs
+++ b/crates/config/src/lease/tests.rs
@@ -50,7 +50,7 @@
 }
 
 /// A text of [`VALID`], the text that replaces it, and a part of the resulting fault.
-const INVALID: [(&str, &str, &str); 15] = [
+const INVALID: [(&str, &str, &str); 21] = [
     (
         "[a, b, c]",
         "[a, b]",
@@ -122,6 +122,36 @@
         "2s\n  clock: {fast: 30%}",
         "q.yaml:5: lease.clock.fast: a clock in a trial runs wrong by 20%",
     ),
+    (
+        "2s",
+        "300ms",
+        "q.yaml:11: lease.tasks: an act of \"beat\" may take more than half of the lease",
+    ),
+    (
+        "      target: 127.0.0.1:9\n",
+        "      target: 127.0.0.1:9\n    - {name: beat, target: 127.0.0.1:9}\n",
+        "q.yaml:11: lease.tasks: \"beat\" is named twice",
+    ),
+    (
+        "name: beat",
+        "name: be at",
+        "q.yaml:12: lease.tasks.name: a name has 1 to 64 letters without spaces",
+    ),
+    (
+        "  limiters:\n    a: 127.0.0.1:1\n    b: 127.0.0.1:2\n    c: 127.0.0.1:3\n",
+        "  limiters: [a]\n",
+        "q.yaml:6: lease.limiters: not a map; write name: address lines",
+    ),
+    (
+        "0.1:2",
+        "0.1",
+        "q.yaml:7: lease.limiters: b (line 8): \"127.0.0.1\" is no address; write one such as 10.1.0.7:7201",
+    ),
+    (
+        "0.1:9",
+        "0.1:9\n      every: 0s",
+        "q.yaml:14: lease.tasks.every: 0; an act takes some time, and so does the pause before the next",
+    ),
 ];
 
 #[test]
