--- a/crates/lease/src/stagger.rs
+++ b/crates/lease/src/stagger.rs
@@ -9,7 +9,7 @@
 /// How long a limiter lets others propose first: its rank for the task times `step`.
 ///
 /// The rank is that of rendezvous hashing (highest random weight, Thaler and Ravishankar 1998) among all limiters.
-/// Past [`MAX_RANK`], a part of a step that differs from limiter to limiter is added.
+/// Past `MAX_RANK`, a part of a step that differs from limiter to limiter is added.
 pub fn stagger_delay(task: &str, limiter: &str, all_limiters: &[String], step: Nanos) -> Nanos {
     let own_weight = rendezvous_weight(task, limiter);
     let rank = all_limiters
