--- a/src/cli/used.rs
+++ b/src/cli/used.rs
@@ -4,10 +4,11 @@
 use crate::net::usage_export::{read_sink, read_spools};
 use clap::Args;
 use quartzcleat_usage_export::{BatchId, SinkReport};
-use std::fmt::{self, Write as _};
+use std::fmt::Write as _;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use thiserror::Error;
 
 /// The exit code where batches are missing or in conflict.
 const EXIT_INCOMPLETE: u8 = 1;
@@ -34,7 +35,8 @@
 }
 
 /// A folder that cannot be read.
-#[derive(Debug)]
+#[derive(Debug, Error)]
+#[error("{folder}: {source}", folder = folder.display())]
 struct UnreadableFolder {
     folder: PathBuf,
     source: io::Error,
@@ -49,12 +51,6 @@
     }
 }
 
-impl fmt::Display for UnreadableFolder {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}: {}", self.folder.display(), self.source)
-    }
-}
-
 impl Used {
     /// Prints the report and returns the exit code.
     pub fn run(self) -> ExitCode {
--- a/src/net/leases/error.rs
+++ b/src/net/leases/error.rs
@@ -1,15 +1,15 @@
 //! Why leases cannot start.
 
-use std::error::Error;
-use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use thiserror::Error;
 
 /// Leases cannot start. The text names the configuration key that is concerned.
-#[derive(Debug)]
+#[derive(Debug, Error)]
 pub enum LeaseError {
     /// The key file cannot be read.
+    #[error("lease.key: cannot read {path}: {source}", path = path.display())]
     ReadKey {
         /// The file.
         path: PathBuf,
@@ -17,11 +17,13 @@
         source: io::Error,
     },
     /// The key file is empty.
+    #[error("lease.key: {path} is empty; put some random bytes there", path = path.display())]
     EmptyKey {
         /// The file.
         path: PathBuf,
     },
     /// This limiter's address cannot be bound.
+    #[error("lease.limiters.{limiter}: cannot listen on {address}: {source}")]
     Bind {
         /// This limiter's name.
         limiter: String,
@@ -31,6 +33,7 @@
         source: io::Error,
     },
     /// The spool of the usage export cannot be written.
+    #[error("lease.tasks.export.spool: {folder}: {source}", folder = folder.display())]
     OpenSpool {
         /// The spool's folder.
         folder: PathBuf,
@@ -38,46 +41,3 @@
         source: io::Error,
     },
 }
-
-impl fmt::Display for LeaseError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            LeaseError::ReadKey { path, source } => {
-                write!(
-                    formatter,
-                    "lease.key: cannot read {}: {source}",
-                    path.display()
-                )
-            }
-            LeaseError::EmptyKey { path } => write!(
-                formatter,
-                "lease.key: {} is empty; put some random bytes there",
-                path.display()
-            ),
-            LeaseError::Bind {
-                limiter,
-                address,
-                source,
-            } => write!(
-                formatter,
-                "lease.limiters.{limiter}: cannot listen on {address}: {source}"
-            ),
-            LeaseError::OpenSpool { folder, source } => write!(
-                formatter,
-                "lease.tasks.export.spool: {}: {source}",
-                folder.display()
-            ),
-        }
-    }
-}
-
-impl Error for LeaseError {
-    fn source(&self) -> Option<&(dyn Error + 'static)> {
-        match self {
-            LeaseError::ReadKey { source, .. }
-            | LeaseError::Bind { source, .. }
-            | LeaseError::OpenSpool { source, .. } => Some(source),
-            LeaseError::EmptyKey { .. } => None,
-        }
-    }
-}
--- a/src/net/usage_export/exporter.rs
+++ b/src/net/usage_export/exporter.rs
@@ -6,35 +6,20 @@
 use quartzcleat_lease::{FencingToken, PermittedOperation};
 use quartzcleat_usage_export::{Sink, SinkRecord};
 use std::cell::RefCell;
-use std::fmt;
 use std::fs::{self, OpenOptions};
 use std::io;
 use std::path::{Path, PathBuf};
+use thiserror::Error;
 
 /// Why a batch was not written.
-#[derive(Debug)]
+#[derive(Debug, Error)]
 pub enum ExportError {
     /// The operation belongs to another tenure than the one that was begun.
+    #[error("the lease has changed hands")]
     TenureEnded,
     /// The sink cannot be written.
-    Write(io::Error),
-}
-
-impl fmt::Display for ExportError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            ExportError::TenureEnded => formatter.write_str("the lease has changed hands"),
-            ExportError::Write(error) => error.fmt(formatter),
-        }
-    }
-}
-
-impl std::error::Error for ExportError {}
-
-impl From<io::Error> for ExportError {
-    fn from(error: io::Error) -> Self {
-        ExportError::Write(error)
-    }
+    #[error(transparent)]
+    Write(#[from] io::Error),
 }
 
 /// A period in which this limiter has held the lease without a break.
