--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -9,6 +9,9 @@
 use std::time::SystemTime;
 use tokio::net::UdpSocket;
 
+#[cfg(test)]
+mod tests;
+
 /// The longest datagram that is read; a longer one is truncated and dropped.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
--- a/src/net/usage_export/mod.rs
+++ b/src/net/usage_export/mod.rs
@@ -10,6 +10,8 @@
 mod protocol;
 mod reader;
 mod recorder;
+#[cfg(test)]
+mod tests;
 
 pub use exporter::{ExportError, Exporter};
 pub use protocol::{handle_message, MessageEffect};
