--- a/src/net/leases/export.rs
+++ b/src/net/leases/export.rs
@@ -2,7 +2,7 @@
 //! of all limiters to the sink.
 
 use super::node::LeaseNode;
-use crate::net::peers::DatagramKind;
+use crate::net::peers::{DatagramKind, Peers};
 use crate::net::usage_export::{handle_message, Exporter, MessageEffect, UsageRecorder};
 use quartzcleat_config::lease::Task;
 use quartzcleat_lease::Nanos;
@@ -18,30 +18,17 @@
 
 /// The export of usage.
 pub(super) struct ExportTask {
-    node: Rc<LeaseNode>,
-    task_index: usize,
-    task: Task,
-    exporter: Exporter,
-    usage_recorder: Rc<UsageRecorder>,
+    pub(super) node: Rc<LeaseNode>,
+    pub(super) peers: Rc<Peers>,
+    /// The names of all limiters, by index.
+    pub(super) limiters: Vec<String>,
+    pub(super) task_index: usize,
+    pub(super) task: Task,
+    pub(super) exporter: Exporter,
+    pub(super) usage_recorder: Rc<UsageRecorder>,
 }
 
 impl ExportTask {
-    pub(super) fn new(
-        node: Rc<LeaseNode>,
-        task_index: usize,
-        task: Task,
-        exporter: Exporter,
-        usage_recorder: Rc<UsageRecorder>,
-    ) -> Self {
-        ExportTask {
-            node,
-            task_index,
-            task,
-            exporter,
-            usage_recorder,
-        }
-    }
-
     /// Runs for as long as the process.
     pub(super) async fn run(self: Rc<Self>) {
         let mut scanned_at = 0;
@@ -61,7 +48,10 @@
     }
 
     /// Handles a message of another limiter's export.
-    pub(super) fn handle_message(&self, sender: u32, sender_name: &str, message: Message) {
+    pub(super) fn handle_message(&self, sender: u32, message: Message) {
+        let Some(sender_name) = self.limiters.get(sender as usize) else {
+            return;
+        };
         match handle_message(&self.usage_recorder, sender_name, message) {
             MessageEffect::Respond(response) => self.send(sender, &response),
             MessageEffect::Write(record) => {
@@ -106,8 +96,8 @@
     }
 
     fn fetch_from_others(&self) {
-        for limiter in 0..self.node.limiters.len() as u32 {
-            if limiter != self.node.node_id {
+        for limiter in 0..self.peers.limiter_count() {
+            if limiter != self.peers.node_id() {
                 self.send(limiter, &Message::Fetch);
             }
         }
@@ -126,8 +116,7 @@
     }
 
     fn send(&self, recipient: u32, message: &Message) {
-        self.node
-            .peers
+        self.peers
             .send(recipient, DatagramKind::UsageExport, &message.encode());
     }
 }
--- a/src/net/leases/mod.rs
+++ b/src/net/leases/mod.rs
@@ -144,8 +144,9 @@
         if self.lease.clock_fault != ClockFault::default() {
             tracing::warn!("lease.clock: this process's clocks are wrong on purpose, for a test");
         }
-        let node = Rc::new(LeaseNode::new(&self.lease, self.node_id, peers));
-        let export = self.export_task(&node);
+        let peers = Rc::new(peers);
+        let node = Rc::new(LeaseNode::new(&self.lease, peers.clone()));
+        let export = self.export_task(&node, &peers);
         for (index, task) in self.lease.tasks.into_iter().enumerate() {
             match task.action {
                 TaskAction::Heartbeat { target } => {
@@ -158,13 +159,13 @@
                 }
             }
         }
-        spawn(receive::run(node.clone(), export));
+        spawn(receive::run(peers, node.clone(), export));
         spawn(propose::run(node.clone()));
         spawn(release_at_shutdown(node, self.phases));
     }
 
     /// The export of the first task that exports usage, which is the one that the spool was opened for.
-    fn export_task(&self, node: &Rc<LeaseNode>) -> Option<Rc<ExportTask>> {
+    fn export_task(&self, node: &Rc<LeaseNode>, peers: &Rc<Peers>) -> Option<Rc<ExportTask>> {
         let usage_recorder = self.usage_recorder.clone()?;
         let is_export = |task: &Task| matches!(task.action, TaskAction::ExportUsage { .. });
         let index = self.lease.tasks.iter().position(is_export)?;
@@ -172,9 +173,15 @@
         let TaskAction::ExportUsage { sink, .. } = &task.action else {
             return None;
         };
-        let exporter = Exporter::new(sink);
-        let export = ExportTask::new(node.clone(), index, task, exporter, usage_recorder);
-        Some(Rc::new(export))
+        Some(Rc::new(ExportTask {
+            node: node.clone(),
+            peers: peers.clone(),
+            limiters: self.lease.limiters.keys().cloned().collect(),
+            task_index: index,
+            exporter: Exporter::new(sink),
+            task,
+            usage_recorder,
+        }))
     }
 }
 
--- a/src/net/leases/node.rs
+++ b/src/net/leases/node.rs
@@ -9,6 +9,7 @@
     PermittedOperation, Proposer, ProposerConfig, MAX_MESSAGE_BYTES,
 };
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
@@ -24,10 +25,7 @@
 /// The leases of this process.
 pub(super) struct LeaseNode {
     clock: LeaseClock,
-    pub(super) peers: Peers,
-    pub(super) node_id: u32,
-    /// The names of all limiters, by index.
-    pub(super) limiters: Vec<String>,
+    peers: Rc<Peers>,
     /// The indices of the limiters that are acceptors.
     acceptors: Vec<u32>,
     acceptor: RefCell<Acceptor>,
@@ -41,23 +39,21 @@
 }
 
 impl LeaseNode {
-    pub(super) fn new(lease: &Lease, node_id: u32, peers: Peers) -> Self {
+    pub(super) fn new(lease: &Lease, peers: Rc<Peers>) -> Self {
         let timing = LeaseTiming {
             duration: lease.duration.as_nanos() as Nanos,
             drift_per_mille: lease.drift_per_mille,
         };
         LeaseNode {
             clock: LeaseClock::new(lease.clock_fault),
+            proposers: RefCell::new(new_proposers(lease, peers.node_id(), timing)),
             peers,
-            node_id,
-            limiters: lease.limiters.keys().cloned().collect(),
             acceptors: lease
                 .acceptors
                 .iter()
                 .map(|name| super::index_of_limiter(lease, name))
                 .collect(),
             acceptor: RefCell::new(Acceptor::new(timing, 0)),
-            proposers: RefCell::new(new_proposers(lease, node_id, timing)),
             logged_tokens: RefCell::new(vec![None; lease.tasks.len()]),
             operations_in_progress: Cell::default(),
             deadline_changed: Notify::new(),
@@ -153,7 +149,7 @@
         }
         // The acceptors first, as the next proposer asks them.
         self.send_to_acceptors(&releases);
-        for limiter in 0..self.limiters.len() as u32 {
+        for limiter in 0..self.peers.limiter_count() {
             if self.acceptors.contains(&limiter) {
                 continue;
             }
@@ -168,7 +164,7 @@
         if message.body == Body::Release {
             self.handle_release(message);
         }
-        if !self.acceptors.contains(&self.node_id) {
+        if !self.acceptors.contains(&self.peers.node_id()) {
             return;
         }
         let response = self.acceptor.borrow_mut().handle(self.now(), message);
@@ -212,7 +208,7 @@
 
     /// Sends a message; one to this limiter is handled at once.
     fn send(&self, recipient: u32, message: &Message) {
-        if recipient == self.node_id {
+        if recipient == self.peers.node_id() {
             return self.handle_message(recipient, message);
         }
         let mut bytes = Vec::with_capacity(MAX_MESSAGE_BYTES);
--- a/src/net/leases/receive.rs
+++ b/src/net/leases/receive.rs
@@ -2,22 +2,22 @@
 
 use super::export::ExportTask;
 use super::node::LeaseNode;
-use crate::net::peers::{Datagram, DatagramKind, DropReason};
+use crate::net::peers::{Datagram, DatagramKind, DropReason, Peers};
 use quartzcleat_lease::{Message, MAX_MESSAGE_BYTES};
 use quartzcleat_usage_export as usage_export;
 use std::rc::Rc;
 
 /// Runs for as long as the process.
-pub(super) async fn run(node: Rc<LeaseNode>, export: Option<Rc<ExportTask>>) {
+pub(super) async fn run(peers: Rc<Peers>, node: Rc<LeaseNode>, export: Option<Rc<ExportTask>>) {
     loop {
-        let datagram = node.peers.receive().await;
+        let datagram = peers.receive().await;
         let handled = match datagram.kind {
             DatagramKind::Lease => handle_lease_message(&node, &datagram),
-            DatagramKind::UsageExport => handle_export_message(&node, export.as_deref(), &datagram),
+            DatagramKind::UsageExport => handle_export_message(export.as_deref(), &datagram),
             DatagramKind::Unknown(_) => Err(DropReason::Malformed),
         };
         if let Err(reason) = handled {
-            node.peers.count_drop(reason);
+            peers.count_drop(reason);
         }
     }
 }
@@ -32,18 +32,13 @@
 }
 
 fn handle_export_message(
-    node: &LeaseNode,
     export: Option<&ExportTask>,
     datagram: &Datagram,
 ) -> Result<(), DropReason> {
     let message =
         usage_export::Message::decode(&datagram.payload).map_err(|_| DropReason::Malformed)?;
-    let sender_name = node
-        .limiters
-        .get(datagram.sender as usize)
-        .ok_or(DropReason::Malformed)?;
     if let Some(export) = export {
-        export.handle_message(datagram.sender, sender_name, message);
+        export.handle_message(datagram.sender, message);
     }
     Ok(())
 }
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -143,6 +143,16 @@
         })
     }
 
+    /// The index of this limiter.
+    pub fn node_id(&self) -> u32 {
+        self.node_id
+    }
+
+    /// How many limiters there are, this one included.
+    pub fn limiter_count(&self) -> u32 {
+        self.addresses.len() as u32
+    }
+
     /// Sends a message to a limiter.
     pub fn send(&self, recipient: u32, kind: DatagramKind, payload: &[u8]) {
         let Some(address) = self.addresses.get(recipient as usize) else {
