--- a/crates/config/src/lease.rs
+++ b/crates/config/src/lease.rs
@@ -26,7 +26,7 @@
     pub limiter: String,
     /// The file with the key that all limiters share.
     pub key_file: PathBuf,
-    /// How long an acceptor stands by an accepted proposal.
+    /// How long an accepted proposal stays valid at an acceptor.
     pub duration: Duration,
     /// The greatest difference in rate between two clocks, in thousandths.
     pub drift_per_mille: u64,
--- a/crates/config/src/lease/section.rs
+++ b/crates/config/src/lease/section.rs
@@ -15,14 +15,14 @@
 use std::time::Duration;
 
 /// The shortest lease: a shorter one ends before its renewal succeeds on a busy machine. The longest is the time for which
-/// a task may stand still after its holder has failed.
+/// nobody carries a task out after its holder has failed.
 const DURATION_RANGE: RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_secs(600);
 const DEFAULT_DURATION: Duration = Duration::from_secs(3);
 const DRIFT_RANGE: RangeInclusive<f64> = 0.0..=0.2;
 const DEFAULT_DRIFT: f64 = 0.01;
 
-/// The values as they stand in the file.
+/// The values as they are read from the file.
 struct Section {
     limiter: Option<String>,
     key_file: Option<String>,
--- a/crates/lease/src/proposer.rs
+++ b/crates/lease/src/proposer.rs
@@ -31,7 +31,7 @@
     /// How many acceptors there are.
     pub acceptor_count: usize,
     /// The round before the first one: Unix time in milliseconds, so that rounds grow even when all acceptors have
-    /// restarted. Safety does not rest on it; it decides only how soon a target that has seen higher tokens admits
+    /// restarted. Safety does not depend on it; it decides only how soon a target that has seen higher tokens admits
     /// this proposer's.
     pub initial_round: u64,
 }
@@ -201,7 +201,7 @@
     }
 
     /// Ends a round without a result. Proposers wait for different stagger delays before the next one, as two that retry
-    /// in step would outbid each other for ever.
+    /// in step would outbid each other forever.
     fn abandon_round(&mut self, now: Nanos) {
         self.phase = Phase::Idle;
         let delay = if self.guard(now).is_some() {
@@ -258,9 +258,9 @@
     }
 
     /// Counts an acceptor that has accepted another's proposal. Once too many have for a majority, the round is over, and
-    /// the next one waits until the first of them lets go, and then for the stagger delay.
+    /// the next one waits until the first of these proposals expires, and then for the stagger delay.
     ///
-    /// One such acceptor alone does not end the round: it may be the last to stand by a holder that is gone, while a
+    /// One such acceptor alone does not end the round: its proposal may be of a holder that has failed, while a
     /// majority is free.
     fn handle_rejection(&mut self, now: Nanos, ballot: Ballot, rejection: Rejection) {
         let is_current = ballot == self.ballot && self.phase != Phase::Idle;
--- a/crates/lease/src/timing.rs
+++ b/crates/lease/src/timing.rs
@@ -6,7 +6,7 @@
 /// The duration of leases and the bound on clock drift; every limiter is configured with the same values.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseTiming {
-    /// How long an acceptor stands by an accepted proposal, on its own clock.
+    /// How long an accepted proposal stays valid, on its own clock.
     pub duration: Nanos,
     /// The greatest difference in rate between two clocks, in thousandths.
     pub drift_per_mille: u64,
@@ -15,7 +15,7 @@
 impl LeaseTiming {
     /// How long a holder may use the lease, on its own clock, counted from before it sent its proposal.
     ///
-    /// This is shorter than the duration by the drift, so that a slow holder stops before a fast acceptor lets go.
+    /// This is shorter than the duration by the drift, so that a slow holder stops before the proposal expires at a fast acceptor.
     pub fn holder_validity(&self) -> Nanos {
         self.duration.saturating_sub(self.max_drift())
     }
--- a/crates/usage-export/src/sink.rs
+++ b/crates/usage-export/src/sink.rs
@@ -1,7 +1,7 @@
 //! The sink: one file for each tenure of an exporter.
 //!
 //! An exporter that was paused and continues after its lease has expired still writes to its own file. That is harmless,
-//! as a batch counts once, in however many files it stands.
+//! as a batch counts once even if several files contain it.
 
 use crate::record::{open_line, parse_batch, seal_line, BatchText};
 use crate::{Batch, BatchId, Source, Spool, UsageByCustomer};
--- a/crates/usage-export/src/sink/tests.rs
+++ b/crates/usage-export/src/sink/tests.rs
@@ -30,7 +30,7 @@
 }
 
 #[test]
-fn batch_counts_once_in_however_many_files_it_stands() {
+fn batch_in_several_files_counts_once() {
     let lines: Vec<String> = (1..=3)
         .map(|sequence| record(sequence, 1_000).to_line())
         .collect();
--- a/crates/usage-export/src/spool/tests.rs
+++ b/crates/usage-export/src/spool/tests.rs
@@ -99,7 +99,7 @@
     }
 }
 
-/// Truncated at every byte: recovery returns what stands in the complete lines, and batches keep their numbers.
+/// Truncated at every byte: recovery returns the content of the complete lines, and batches keep their numbers.
 #[test]
 fn spool_truncated_at_any_byte_is_recovered_to_its_last_complete_line() {
     let file = random_spool(3, 80).file;
--- a/src/net/leases/export.rs
+++ b/src/net/leases/export.rs
@@ -29,7 +29,7 @@
 }
 
 impl ExportTask {
-    /// Runs for as long as the process.
+    /// Runs until the process ends.
     pub(super) async fn run(self: Rc<Self>) {
         let mut scanned_at = 0;
         loop {
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Writes a batch to the sink, where the lease permits it; whether it stands there.
+    /// Writes a batch to the sink, where the lease permits it. Returns whether the sink has the batch.
     fn write(&self, record: &SinkRecord) -> bool {
         let Some(operation) = self.node.permit(self.task_index, &self.task) else {
             return false;
--- a/src/net/leases/heartbeat.rs
+++ b/src/net/leases/heartbeat.rs
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Runs for as long as the process.
+    /// Runs until the process ends.
     pub(super) async fn run(mut self) {
         loop {
             sleep(self.task.interval).await;
--- a/src/net/leases/propose.rs
+++ b/src/net/leases/propose.rs
@@ -11,7 +11,7 @@
 /// The longest time between two checks.
 const MAX_CHECK_INTERVAL: Nanos = 1_000_000_000;
 
-/// Runs for as long as the process.
+/// Runs until the process ends.
 pub(super) async fn run(node: Rc<LeaseNode>) {
     loop {
         let now = node.now();
--- a/src/net/leases/receive.rs
+++ b/src/net/leases/receive.rs
@@ -7,7 +7,7 @@
 use quartzcleat_usage_export as usage_export;
 use std::rc::Rc;
 
-/// Runs for as long as the process.
+/// Runs until the process ends.
 pub(super) async fn run(peers: Rc<Peers>, node: Rc<LeaseNode>, export: Option<Rc<ExportTask>>) {
     loop {
         let datagram = peers.receive().await;
--- a/src/net/usage_export/exporter.rs
+++ b/src/net/usage_export/exporter.rs
@@ -72,7 +72,7 @@
 
     /// Writes a batch, unless the sink has it.
     ///
-    /// The operation shows that the lease is held. Should it expire meanwhile, the batch may stand in two tenures' files;
+    /// The operation shows that the lease is held. Should it expire meanwhile, the files of two tenures may contain the batch;
     /// it counts once.
     ///
     /// # Errors
--- a/src/net/usage_export/reader.rs
+++ b/src/net/usage_export/reader.rs
@@ -1,4 +1,4 @@
-//! Reading of whole folders: the files of a sink, and spools whoever they belong to.
+//! Reading of whole folders: the files of a sink, and the spools of any limiter.
 
 use super::{has_extension, SINK_EXTENSION, SPOOL_EXTENSION};
 use quartzcleat_usage_export::{Sink, Spool};
@@ -6,7 +6,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-/// Where the limiter's name stands in the header of a spool.
+/// The index of the limiter's name among the fields of a spool's header.
 const HEADER_NAME_FIELD: usize = 2;
 
 /// Reads all files of a sink.
--- a/tests/export/main.rs
+++ b/tests/export/main.rs
@@ -215,7 +215,7 @@
 }
 
 #[test]
-fn usage_is_exported_exactly_once_whichever_process_crashes_at_whichever_point() {
+fn usage_is_exported_exactly_once_despite_a_crash_at_any_point() {
     std::thread::scope(|scope| {
         for (run, (point, _)) in CRASH_POINTS.into_iter().enumerate() {
             scope.spawn(move || export_survives_crash_at(point, run as u8));
