--- a/src/net/counter/answer.rs
+++ b/src/net/counter/answer.rs
@@ -2,7 +2,7 @@
 
 use crate::api::Outcome;
 use crate::net::config::Limits;
-use crate::net::resp::codec::{self, Reply};
+use crate::net::resp::codec::{self, ParsedReply, Reply};
 use thiserror::Error;
 
 /// How a call ended.
@@ -52,8 +52,8 @@
     if input.first().is_some_and(|first| !b"$-".contains(first)) {
         return Err(MalformedAnswer);
     }
-    let reply = codec::reply(input, limits).map_err(|_| MalformedAnswer)?;
-    let Some((reply, length)) = reply else {
+    let reply = codec::parse_reply(input, limits).map_err(|_| MalformedAnswer)?;
+    let Some(ParsedReply { reply, length }) = reply else {
         let is_too_long = input.len() > limits.counter_answer;
         return if is_too_long {
             Err(MalformedAnswer)
--- a/src/net/counter/link.rs
+++ b/src/net/counter/link.rs
@@ -202,7 +202,7 @@
         let limits = self.limits();
         let (mut reader, writer) = connection.stream.split();
         tokio::select! {
-            more = codec::more(&mut reader, &mut connection.input, limits.read_bytes) => {
+            more = codec::read_more(&mut reader, &mut connection.input, limits.read_bytes) => {
                 Wakeup::Received { is_open: more.unwrap_or(false) }
             }
             _ = writer.writable(), if !connection.output.is_empty() => Wakeup::Continue,
@@ -303,7 +303,7 @@
     while connection.flush(limits).is_ok() && !connection.unanswered.is_empty() {
         let (mut reader, writer) = connection.stream.split();
         tokio::select! {
-            more = codec::more(&mut reader, &mut connection.input, limits.read_bytes) => {
+            more = codec::read_more(&mut reader, &mut connection.input, limits.read_bytes) => {
                 if !more.unwrap_or(false) || !read_answers(client, queue, connection) {
                     return;
                 }
--- a/src/net/engine/request.rs
+++ b/src/net/engine/request.rs
@@ -1,7 +1,7 @@
 //! A client's request as a frontend hands it in, and its one final answer.
 
 use crate::api::{CustomerId, RequestId};
-use crate::net::streaming_body::Pipe;
+use crate::net::streaming_body::StreamingBody;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,7 +18,7 @@
     /// Served, with the value as the host returned it.
     Served(Vec<u8>),
     /// Served, with a long value that is streamed.
-    Streaming(Rc<Pipe>),
+    Streaming(Rc<StreamingBody>),
     /// Rejected before anything ran: a retry is harmless.
     Rejected {
         /// How long the client should wait before it retries; zero: no advice.
--- a/src/net/limiter/tests.rs
+++ b/src/net/limiter/tests.rs
@@ -27,7 +27,7 @@
         &self.discovery
     }
 
-    pub(crate) fn shutdown(&self) -> &Shutdown {
+    pub(crate) fn shutdown(&self) -> &Rc<Shutdown> {
         &self.shutdown
     }
 
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -54,7 +54,7 @@
     /// The configuration that the process starts with: `file` as it was read, and the settings in it.
     pub fn new(parts: ReloadParts, file: Value, settings: &Settings) -> Self {
         let indices = ClassIndices::new(settings);
-        let catalog = RequestCatalog::of(settings, indices.accepted(0));
+        let catalog = RequestCatalog::new(settings, &indices.accepted(0));
         ConfigReloader {
             parts,
             file: RefCell::new(file),
@@ -111,7 +111,8 @@
         let indexed = self.indices.borrow_mut().apply(&settings, unix());
         self.parts.engine.apply_limits(&config.limits);
         let accepted = self.indices.borrow().accepted(unix());
-        self.catalog.replace(RequestCatalog::of(&indexed, accepted));
+        self.catalog
+            .replace(RequestCatalog::new(&indexed, &accepted));
         tracing::info!(
             classes = settings.classes.len(),
             plans = settings.plans.len(),
@@ -127,7 +128,6 @@
     async fn retire_classes(self: Rc<Self>) {
         sleep(Duration::from_nanos(ClassIndices::accepted_after_removal())).await;
         let accepted = self.indices.borrow().accepted(unix());
-        let catalog = self.catalog.borrow().heard_again(&accepted);
-        self.catalog.replace(catalog);
+        self.catalog.borrow_mut().retain(&accepted);
     }
 }
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -39,9 +39,10 @@
         assert!(matches!(relay.command, HostCommand::Attempt { .. }));
         let answer = b"*3\r\n$3\r\nbed\r\n$-1\r\n$10\r\ninflight=7\r\n";
         let load = || {
-            let (reply, _) = codec::reply(answer, limiter.limits())
+            let reply = codec::parse_reply(answer, limiter.limits())
                 .expect("sound")
-                .expect("whole");
+                .expect("whole")
+                .reply;
             let source = limiter.upstream().report_source();
             let end = interpret(&reply, answer, &relay.command, relay.host, source).result;
             assert_eq!(end.outcome, Outcome::Good);
@@ -68,7 +69,10 @@
 #[test]
 fn a_file_in_another_order_moves_nothing_under_another_s_index() {
     with_limiter(&[], |limiter| async move {
-        let named = |name: &str| limiter.reloader().catalog.borrow().class(name);
+        let named = |name: &str| {
+            let catalog = limiter.reloader().catalog.borrow();
+            catalog.class(name).map(|entry| entry.index)
+        };
         assert_eq!((named("bed-check"), named("bed-hold")), (Some(0), Some(1)));
         // The names change places: what was safe to repeat is now called as what was not.
         let new = TOY
--- a/src/net/reload/tests.rs
+++ b/src/net/reload/tests.rs
@@ -40,18 +40,18 @@
             (names, settings.max_attempts),
             (vec!["bed-check", "bed-hold", "hut-hold"], 2)
         );
-        let number = |name: &str| limiter.reloader().catalog.borrow().class(name);
-        assert_eq!((number("bed-hold"), number("hut-hold")), (Some(1), Some(2)));
+        let index = |name: &str| {
+            let catalog = limiter.reloader().catalog.borrow();
+            catalog.class(name).map(|entry| entry.index)
+        };
+        assert_eq!((index("bed-hold"), index("hut-hold")), (Some(1), Some(2)));
         let later = limiter
             .reloader()
             .indices
             .borrow()
             .accepted(unix() + ClassIndices::accepted_after_removal());
-        let terms = limiter.reloader().catalog.borrow().heard_again(&later);
-        assert_eq!(
-            (terms.class("bed-hold"), terms.class("hut-hold")),
-            (None, Some(2))
-        );
+        limiter.reloader().catalog.borrow_mut().retain(&later);
+        assert_eq!((index("bed-hold"), index("hut-hold")), (None, Some(2)));
     });
 }
 
--- a/src/net/resp/codec.rs
+++ b/src/net/resp/codec.rs
@@ -1,28 +1,29 @@
 //! RESP2: an incremental parser for commands and replies, and a writer.
 //!
-//! Both parsers look at all that has come so far. `Ok(None)` means that more must come; what is malformed can
-//! never become a message, and what follows it on the connection cannot be read.
+//! Both parsers look at all bytes received so far. `Ok(None)` means that more have to come; malformed bytes can never
+//! become a message, and what follows them on the connection cannot be parsed.
 
-use super::super::config::Limits;
-use std::fmt::Write as _;
+use crate::net::config::Limits;
 use std::io;
 use std::ops::Range;
+use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-/// Why bytes are no message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Why bytes are no message. The text is sent to clients.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("{0}")]
 pub struct Malformed(pub &'static str);
 
-/// A whole command: its words, as places in the buffer, and its length.
+/// A complete command: the ranges of its arguments in the buffer, and its length.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Command {
-    /// The words; `None` for a null one, which no command holds.
-    pub words: Vec<Option<Range<usize>>>,
-    /// Bytes it takes in the buffer.
+    /// The arguments; `None` for a null, which no sound command contains.
+    pub arguments: Vec<Option<Range<usize>>>,
+    /// Bytes that it takes up in the buffer.
     pub length: usize,
 }
 
-/// A whole reply; texts are places in the buffer.
+/// A complete reply; texts are ranges of the buffer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
     /// `+...`
@@ -37,17 +38,26 @@
     Array(Option<Vec<Reply>>),
 }
 
-/// The longest line: a length, a status or an error.
-const LINE: usize = 1024;
+/// The longest line (a length, a status or an error), in bytes.
+const MAX_LINE_BYTES: usize = 1024;
 /// How deep arrays may nest.
-const DEPTH: usize = 4;
+const MAX_DEPTH: usize = 4;
 
 struct Cursor<'a> {
     bytes: &'a [u8],
-    at: usize,
+    position: usize,
     limits: &'a Limits,
-    /// Members that arrays may still hold, all together: bounds what a few bytes can make of memory.
-    left: usize,
+    /// How many members all arrays together may still have: a few bytes can announce a lot of memory.
+    members_left: usize,
+}
+
+/// A complete reply at the start of some bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParsedReply {
+    /// The reply.
+    pub reply: Reply,
+    /// Bytes that it takes up in the buffer.
+    pub length: usize,
 }
 
 type Parsed<T> = Result<Option<T>, Malformed>;
@@ -55,8 +65,8 @@
 impl Cursor<'_> {
     /// The next line, without its end.
     fn line(&mut self) -> Parsed<Range<usize>> {
-        let rest = &self.bytes[self.at..];
-        let window = &rest[..rest.len().min(LINE)];
+        let rest = &self.bytes[self.position..];
+        let window = &rest[..rest.len().min(MAX_LINE_BYTES)];
         match window
             .iter()
             .position(|&byte| byte == b'\r' || byte == b'\n')
@@ -67,13 +77,13 @@
             Some(end) => match rest.get(end + 1) {
                 None => Ok(None),
                 Some(b'\n') => {
-                    let line = self.at..self.at + end;
-                    self.at += end + 2;
+                    let line = self.position..self.position + end;
+                    self.position += end + 2;
                     Ok(Some(line))
                 }
                 Some(_) => Err(Malformed("a carriage return within a line")),
             },
-            None if rest.len() >= LINE => Err(Malformed("a line is too long")),
+            None if rest.len() >= MAX_LINE_BYTES => Err(Malformed("a line is too long")),
             None => Ok(None),
         }
     }
@@ -89,11 +99,7 @@
         }
         let plain =
             !digits.is_empty() && digits.len() <= 9 && digits.iter().all(u8::is_ascii_digit);
-        let length = plain.then(|| {
-            digits
-                .iter()
-                .fold(0, |sum, digit| sum * 10 + usize::from(digit - b'0'))
-        });
+        let length = plain.then(|| parse_digits(digits));
         match length {
             None => Err(Malformed("not a length")),
             Some(length) if length > most => Err(Malformed("too long")),
@@ -109,7 +115,7 @@
         let Some(length) = length else {
             return Ok(Some(None));
         };
-        let text = self.at..self.at + length;
+        let text = self.position..self.position + length;
         let end = &self.bytes[text.end.min(self.bytes.len())..];
         if end.first().is_some_and(|&byte| byte != b'\r')
             || end.get(1).is_some_and(|&byte| byte != b'\n')
@@ -119,13 +125,13 @@
         if end.len() < 2 {
             return Ok(None);
         }
-        self.at = text.end + 2;
+        self.position = text.end + 2;
         Ok(Some(Some(text)))
     }
 
     fn kind(&mut self) -> Option<u8> {
-        let kind = *self.bytes.get(self.at)?;
-        self.at += 1;
+        let kind = *self.bytes.get(self.position)?;
+        self.position += 1;
         Some(kind)
     }
 
@@ -147,14 +153,14 @@
                 Some(Reply::Integer(number))
             }
             b'$' => self.bulk()?.map(Reply::Bulk),
-            b'*' if depth < DEPTH => {
-                let Some(count) = self.length(self.left)? else {
+            b'*' if depth < MAX_DEPTH => {
+                let Some(count) = self.length(self.members_left)? else {
                     return Ok(None);
                 };
                 let Some(count) = count else {
                     return Ok(Some(Reply::Array(None)));
                 };
-                self.left -= count;
+                self.members_left -= count;
                 let mut members = Vec::with_capacity(count);
                 for _ in 0..count {
                     let Some(member) = self.reply(depth + 1)? else {
@@ -170,23 +176,30 @@
     }
 }
 
-fn within(at: usize, limits: &Limits) -> Result<(), Malformed> {
-    if at > limits.frame_bytes {
+/// The number that decimal digits stand for.
+fn parse_digits(digits: &[u8]) -> usize {
+    digits
+        .iter()
+        .fold(0, |number, digit| number * 10 + usize::from(digit - b'0'))
+}
+
+fn check_length(length: usize, limits: &Limits) -> Result<(), Malformed> {
+    if length > limits.frame_bytes {
         return Err(Malformed("a message is too long"));
     }
     Ok(())
 }
 
-/// The command at the start of `bytes`, if it is whole.
+/// The command at the start of `bytes`; `None` where more bytes have to come.
 ///
 /// # Errors
 /// The bytes are malformed or exceed a limit.
-pub fn command(bytes: &[u8], limits: &Limits) -> Parsed<Command> {
+pub fn parse_command(bytes: &[u8], limits: &Limits) -> Parsed<Command> {
     let mut cursor = Cursor {
         bytes,
-        at: 0,
+        position: 0,
         limits,
-        left: 0,
+        members_left: 0,
     };
     match cursor.kind() {
         None => return Ok(None),
@@ -196,52 +209,66 @@
     let Some(count) = cursor.length(limits.words)? else {
         return Ok(None);
     };
-    let mut words = Vec::with_capacity(count.unwrap_or(0));
+    let mut arguments = Vec::with_capacity(count.unwrap_or(0));
     for _ in 0..count.unwrap_or(0) {
         match cursor.kind() {
             None => return Ok(None),
             Some(b'$') => {}
             Some(_) => return Err(Malformed("a command is an array of bulk strings")),
         }
-        let Some(word) = cursor.bulk()? else {
-            // What it announces counts too: a command that cannot fit is not waited for.
-            return within(bytes.len(), limits).map(|()| None);
+        let Some(argument) = cursor.bulk()? else {
+            // The announced length counts too: a command that cannot fit is not waited for.
+            return check_length(bytes.len(), limits).map(|()| None);
         };
-        words.push(word);
-        within(cursor.at, limits)?;
+        arguments.push(argument);
+        check_length(cursor.position, limits)?;
     }
     Ok(Some(Command {
-        words,
-        length: cursor.at,
+        arguments,
+        length: cursor.position,
     }))
 }
 
-/// The reply at the start of `bytes`, if it is whole, and its length.
+/// The reply at the start of `bytes`; `None` where more bytes have to come.
 ///
 /// # Errors
 /// The bytes are malformed or exceed a limit.
-pub fn reply(bytes: &[u8], limits: &Limits) -> Parsed<(Reply, usize)> {
+pub fn parse_reply(bytes: &[u8], limits: &Limits) -> Parsed<ParsedReply> {
     let mut cursor = Cursor {
         bytes,
-        at: 0,
+        position: 0,
         limits,
-        left: limits.words,
+        members_left: limits.words,
     };
     let reply = cursor.reply(0)?;
-    within(
+    check_length(
         if reply.is_some() {
-            cursor.at
+            cursor.position
         } else {
             bytes.len()
         },
         limits,
     )?;
-    Ok(reply.map(|reply| (reply, cursor.at)))
+    Ok(reply.map(|reply| ParsedReply {
+        reply,
+        length: cursor.position,
+    }))
 }
 
-/// Where the value of a served answer begins in `bytes`, and how long it is, once that can be told.
-pub fn value_head(bytes: &[u8]) -> Option<(usize, usize)> {
-    let rest = bytes.strip_prefix(b"*3\r\n$")?;
+/// The head of a served answer up to its value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ValueHead {
+    /// Length of the head, in bytes.
+    pub head_bytes: usize,
+    /// Length of the value, in bytes.
+    pub value_bytes: usize,
+}
+
+/// The head of a served answer, as soon as it has been received.
+pub fn value_head(bytes: &[u8]) -> Option<ValueHead> {
+    const PREFIX: &[u8] = b"*3\r\n$";
+    const LINE_END: &[u8] = b"\r\n";
+    let rest = bytes.strip_prefix(PREFIX)?;
     let end = rest.iter().take(10).position(|byte| *byte == b'\r')?;
     let digits = &rest[..end];
     if digits.is_empty()
@@ -250,46 +277,39 @@
     {
         return None;
     }
-    let length = digits
-        .iter()
-        .fold(0, |sum, digit| sum * 10 + usize::from(digit - b'0'));
-    Some((5 + end + 2, length))
-}
-
-/// Text appended to bytes.
-pub struct Text<'a>(pub &'a mut Vec<u8>);
-
-impl std::fmt::Write for Text<'_> {
-    fn write_str(&mut self, text: &str) -> std::fmt::Result {
-        self.0.extend_from_slice(text.as_bytes());
-        Ok(())
-    }
+    let value_bytes = parse_digits(digits);
+    Some(ValueHead {
+        head_bytes: PREFIX.len() + end + LINE_END.len(),
+        value_bytes,
+    })
 }
 
 /// Appends the head of an array or bulk string: its type and length.
-pub fn write_head(kind: char, length: usize, out: &mut Vec<u8>) {
-    let _ = write!(Text(out), "{kind}{length}\r\n");
+pub fn write_head(kind: char, length: usize, output: &mut Vec<u8>) {
+    output.extend_from_slice(format!("{kind}{length}\r\n").as_bytes());
 }
 
 /// Appends a bulk string.
-pub fn write_bulk(bytes: &[u8], out: &mut Vec<u8>) {
-    write_head('$', bytes.len(), out);
-    out.extend_from_slice(bytes);
-    out.extend_from_slice(b"\r\n");
+pub fn write_bulk(bytes: &[u8], output: &mut Vec<u8>) {
+    write_head('$', bytes.len(), output);
+    output.extend_from_slice(bytes);
+    output.extend_from_slice(b"\r\n");
 }
 
 /// Appends a command.
-pub fn write_command(words: &[&[u8]], out: &mut Vec<u8>) {
-    write_head('*', words.len(), out);
-    words.iter().for_each(|word| write_bulk(word, out));
+pub fn write_command(arguments: &[&[u8]], output: &mut Vec<u8>) {
+    write_head('*', arguments.len(), output);
+    for argument in arguments {
+        write_bulk(argument, output);
+    }
 }
 
-/// Waits for more to read; `Ok(false)` at the end of the stream. Given up while it waits, it has taken nothing.
-/// A read that does not fill the buffer spares the call that would only tell that there is no more.
+/// Waits for more bytes; `Ok(false)` at the end of the stream. Cancelled while it waits, it has read nothing. The buffer has
+/// at least `step` bytes of free capacity, so that a read that does not fill it needs no further call.
 ///
 /// # Errors
-/// The bytes are malformed or exceed a limit.
-pub async fn more(
+/// The connection is broken.
+pub async fn read_more(
     stream: &mut (impl AsyncRead + Unpin),
     buffer: &mut Vec<u8>,
     step: usize,
@@ -298,7 +318,7 @@
     Ok(stream.read_buf(buffer).await? > 0)
 }
 
-/// Takes the first bytes off a buffer, and lets go of the memory that a long message needed.
+/// Removes the first bytes of a buffer, and releases the memory that a long message needed.
 pub fn consume(buffer: &mut Vec<u8>, count: usize, keep: usize) {
     buffer.drain(..count);
     if buffer.is_empty() && buffer.capacity() > 2 * keep {
--- /dev/null
+++ b/src/net/resp/downstream/idle_connections.rs
@@ -0,0 +1,140 @@
+//! Which connections are idle, for how long they may be, and which of them is evicted first for another client.
+
+use crate::net::config::Limits;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, Instant};
+
+/// Where a connection stands among the idle ones.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct IdlePlace {
+    since: Instant,
+    serial: u64,
+}
+
+/// The connections that wait for a command; the first one is evicted first.
+#[derive(Default)]
+pub struct IdleConnections {
+    waiting: RefCell<BTreeMap<IdlePlace, Rc<Notify>>>,
+    next_serial: Cell<u64>,
+}
+
+impl IdleConnections {
+    /// Adds a connection that waits since a moment; `evicted` is notified when it is evicted.
+    fn add(&self, since: Instant, evicted: &Rc<Notify>) -> IdlePlace {
+        let serial = self.next_serial.get();
+        self.next_serial.set(serial + 1);
+        let place = IdlePlace { since, serial };
+        self.waiting.borrow_mut().insert(place, evicted.clone());
+        place
+    }
+
+    fn remove(&self, place: IdlePlace) {
+        self.waiting.borrow_mut().remove(&place);
+    }
+
+    /// Evicts the first connection; false where none waits.
+    pub fn evict_first(&self) -> bool {
+        let first = self.waiting.borrow_mut().pop_first();
+        match first {
+            Some((_, evicted)) => {
+                evicted.notify_one();
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+/// What a connection does between two commands.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Activity {
+    /// A response is due.
+    Busy,
+    /// Nothing of the next command has been received.
+    Idle,
+    /// A part of the next command has been received.
+    PartialCommand,
+}
+
+/// How long one connection has been doing what it does.
+pub struct IdleTimer {
+    idle_connections: Rc<IdleConnections>,
+    activity: Activity,
+    since: Instant,
+    /// It has sent no complete command yet.
+    is_new: bool,
+    place: Option<IdlePlace>,
+    evicted: Rc<Notify>,
+}
+
+impl IdleTimer {
+    /// The timer of a connection that has just come up.
+    pub fn new(idle_connections: Rc<IdleConnections>) -> Self {
+        IdleTimer {
+            idle_connections,
+            activity: Activity::Busy,
+            since: Instant::now(),
+            is_new: true,
+            place: None,
+            evicted: Rc::new(Notify::new()),
+        }
+    }
+
+    /// Whether the connection has sent no complete command yet.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
+    /// Takes what the connection does now.
+    pub fn update(&mut self, activity: Activity, is_new: bool, limits: &Limits) {
+        if activity == self.activity && is_new == self.is_new {
+            return;
+        }
+        // The time of a new connection runs from its start, whatever it sends.
+        if !is_new {
+            self.since = Instant::now();
+        }
+        self.activity = activity;
+        self.is_new = is_new;
+        self.leave_place();
+        if activity != Activity::Busy {
+            let head_start = if is_new {
+                limits.north_stranger
+            } else {
+                Duration::ZERO
+            };
+            let since = self.since.checked_sub(head_start).unwrap_or(self.since);
+            self.place = Some(self.idle_connections.add(since, &self.evicted));
+        }
+    }
+
+    fn leave_place(&mut self) {
+        if let Some(place) = self.place.take() {
+            self.idle_connections.remove(place);
+        }
+    }
+
+    /// Waits until the connection has been idle for too long, or is evicted. Without these bounds silent connections,
+    /// commands that never end and clients that never come again would hold the descriptors.
+    pub async fn expired(&self, limits: &Limits) {
+        let allowed = match self.activity {
+            Activity::Busy => return std::future::pending().await,
+            Activity::Idle if !self.is_new => limits.north_idle,
+            Activity::Idle | Activity::PartialCommand => limits.north_command,
+        };
+        tokio::select! {
+            () = sleep_until(self.since + allowed) => {}
+            () = self.evicted.notified() => {}
+        }
+    }
+}
+
+impl Drop for IdleTimer {
+    fn drop(&mut self) {
+        self.leave_place();
+    }
+}
--- /dev/null
+++ b/src/net/resp/downstream/response_queue.rs
@@ -0,0 +1,194 @@
+//! The responses of one connection, in the order of its commands.
+
+use crate::api::RequestId;
+use crate::net::engine::{Answer, Frontend};
+use crate::net::frontend::RequestHandler;
+use crate::net::resp::codec;
+use crate::net::streaming_body::{ReadOutcome, StreamingBody};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+const NANOS_PER_MS: u128 = 1_000_000;
+
+/// The response to one command.
+pub enum Response {
+    /// The request has no answer yet.
+    Pending(RequestId),
+    /// The bytes to be sent.
+    Ready(Vec<u8>),
+    /// A long value: its head, until that has been collected, and what follows.
+    Streaming {
+        /// The head of the value.
+        head: Vec<u8>,
+        /// The value.
+        body: Rc<StreamingBody>,
+    },
+}
+
+/// What was collected of the responses.
+pub struct Collected {
+    /// How many of the collected bytes count as buffered.
+    pub buffered_bytes: usize,
+    /// A streamed value will never be complete.
+    pub has_failed: bool,
+}
+
+/// The responses that are due, in the order of their commands.
+pub struct ResponseQueue {
+    responses: RefCell<VecDeque<Response>>,
+    /// The place of the first of them among all of the connection.
+    first_place: Cell<u64>,
+    /// Notified when the first has its answer.
+    pub first_ready: Notify,
+    /// Buffered bytes of the whole process.
+    buffered_bytes: Rc<Cell<usize>>,
+}
+
+impl Frontend for ResponseQueue {
+    fn answer(&self, place: u64, answer: Answer) {
+        let head = encode(&answer);
+        let response = match answer {
+            Answer::Streaming(body) => Response::Streaming { head, body },
+            _ => Response::Ready(head),
+        };
+        self.set(place, response);
+    }
+}
+
+/// An answer as a client gets it; of a long value its head.
+fn encode(answer: &Answer) -> Vec<u8> {
+    let mut output = Vec::new();
+    match answer {
+        Answer::Served(value) => codec::write_bulk(value, &mut output),
+        Answer::Rejected {
+            retry_after: Duration::ZERO,
+        } => output.extend_from_slice(b"-BUSY\r\n"),
+        Answer::Rejected { retry_after } => {
+            let wait_ms = retry_after.as_nanos().div_ceil(NANOS_PER_MS);
+            output.extend_from_slice(format!("-BUSY {wait_ms}\r\n").as_bytes());
+        }
+        Answer::Streaming(body) => codec::write_head('$', body.length(), &mut output),
+        Answer::Failed => output.extend_from_slice(b"-ERR failed\r\n"),
+    }
+    output
+}
+
+impl ResponseQueue {
+    /// No response is due.
+    pub fn new(buffered_bytes: Rc<Cell<usize>>) -> Self {
+        ResponseQueue {
+            responses: RefCell::default(),
+            first_place: Cell::default(),
+            first_ready: Notify::new(),
+            buffered_bytes,
+        }
+    }
+
+    /// Sets the response of a place, if it is still due.
+    fn set(&self, place: u64, response: Response) {
+        let index = (place - self.first_place.get()) as usize;
+        if let Some(slot) = self.responses.borrow_mut().get_mut(index) {
+            self.count(&response);
+            *slot = response;
+        }
+        if index == 0 {
+            self.first_ready.notify_one();
+        }
+    }
+
+    /// Adds a response behind the others; returns its place.
+    pub fn push(&self, response: Response) -> u64 {
+        self.count(&response);
+        let mut responses = self.responses.borrow_mut();
+        responses.push_back(response);
+        self.first_place.get() + responses.len() as u64 - 1
+    }
+
+    /// Adds an error response behind the others.
+    pub fn push_error(&self, problem: &str) {
+        let text = format!("-ERR {problem}\r\n");
+        self.push(Response::Ready(text.into_bytes()));
+    }
+
+    fn count(&self, response: &Response) {
+        if let Response::Ready(bytes) = response {
+            let buffered = self.buffered_bytes.get();
+            self.buffered_bytes.set(buffered + bytes.len());
+        }
+    }
+
+    /// Bytes that were buffered have been sent, or will never be.
+    pub fn release(&self, bytes: usize) {
+        let buffered = self.buffered_bytes.get();
+        self.buffered_bytes.set(buffered - bytes);
+    }
+
+    /// Moves the responses whose turn it is to `output`.
+    pub fn collect(&self, output: &mut Vec<u8>) -> Collected {
+        let mut responses = self.responses.borrow_mut();
+        let mut collected = Collected {
+            buffered_bytes: 0,
+            has_failed: false,
+        };
+        loop {
+            match responses.front_mut() {
+                Some(Response::Ready(bytes)) => {
+                    output.extend_from_slice(bytes);
+                    collected.buffered_bytes += bytes.len();
+                }
+                Some(Response::Streaming { head, body }) => {
+                    output.append(head);
+                    match body.read(output) {
+                        ReadOutcome::MoreToCome => return collected,
+                        ReadOutcome::Failed => {
+                            collected.has_failed = true;
+                            return collected;
+                        }
+                        ReadOutcome::Complete => output.extend_from_slice(b"\r\n"),
+                    }
+                }
+                Some(Response::Pending(_)) | None => return collected,
+            }
+            responses.pop_front();
+            self.first_place.set(self.first_place.get() + 1);
+        }
+    }
+
+    /// The long value whose turn it is.
+    pub fn current_body(&self) -> Option<Rc<StreamingBody>> {
+        match self.responses.borrow().front() {
+            Some(Response::Streaming { body, .. }) => Some(body.clone()),
+            _ => None,
+        }
+    }
+
+    /// How many responses are due.
+    pub fn len(&self) -> usize {
+        self.responses.borrow().len()
+    }
+
+    /// Whether no response is due.
+    pub fn is_empty(&self) -> bool {
+        self.responses.borrow().is_empty()
+    }
+
+    /// Whether a response has been collected completely.
+    pub fn has_responded(&self) -> bool {
+        self.first_place.get() > 0
+    }
+
+    /// Abandons all responses: the connection has ended.
+    pub fn abandon(&self, handler: &dyn RequestHandler) {
+        let responses = std::mem::take(&mut *self.responses.borrow_mut());
+        for response in responses {
+            match response {
+                Response::Pending(id) => handler.abandon_request(id),
+                Response::Ready(bytes) => self.release(bytes.len()),
+                Response::Streaming { body, .. } => body.abandon(),
+            }
+        }
+    }
+}
--- a/src/net/resp/tests.rs
+++ b/src/net/resp/tests.rs
@@ -1,6 +1,6 @@
 //! What the runtime has not been told of a socket yet, forced: bytes come while its one thread does something else.
 
-use super::downstream::close::{in_order, read_now, Now};
+use super::close::{close_in_order, read_now, SocketState};
 use super::upstream::UpstreamConnection;
 use std::io::{Read, Write};
 use std::net::TcpStream as Blocking;
@@ -52,16 +52,16 @@
     run(async {
         let (stream, mut peer) = pair().await;
         let mut bytes = [0; 8];
-        assert_eq!(read_now(&stream, &mut bytes), Now::Nothing);
+        assert_eq!(read_now(&stream, &mut bytes), SocketState::Empty);
         peer.write_all(b"PING").expect("it is taken");
         has_come(&stream);
         assert_eq!(
             (read_now(&stream, &mut bytes), &bytes[..4]),
-            (Now::Bytes(4), &b"PING"[..])
+            (SocketState::Read(4), &b"PING"[..])
         );
         drop(peer);
         has_come(&stream);
-        assert_eq!(read_now(&stream, &mut bytes), Now::End);
+        assert_eq!(read_now(&stream, &mut bytes), SocketState::Closed);
     });
 }
 
@@ -95,7 +95,7 @@
             let mut text = String::new();
             peer.read_to_string(&mut text).map(|_| text)
         });
-        in_order(stream, Duration::from_secs(20)).await;
+        close_in_order(stream, Duration::from_secs(20)).await;
         assert_eq!(
             reader.join().expect("it ends").expect("no reset"),
             "the last answer"
--- a/src/net/resp/upstream/connection.rs
+++ b/src/net/resp/upstream/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a host, and its buffers.
 
-use crate::net::resp::downstream::close::{self, Now};
+use crate::net::resp::close::{self, SocketState};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 
@@ -33,6 +33,6 @@
 
     /// Whether the host has neither closed an idle connection nor sent anything on it, which would belong to no call.
     pub fn is_quiet(&self) -> bool {
-        close::read_now(&self.stream, &mut [0]) == Now::Nothing
+        close::read_now(&self.stream, &mut [0]) == SocketState::Empty
     }
 }
--- a/src/net/resp/upstream/tests.rs
+++ b/src/net/resp/upstream/tests.rs
@@ -86,9 +86,10 @@
                 true,
             ),
         ] {
-            let (reply, _) = codec::reply(bytes.as_bytes(), limiter.limits())
+            let reply = codec::parse_reply(bytes.as_bytes(), limiter.limits())
                 .expect("well-formed")
-                .expect("whole");
+                .expect("whole")
+                .reply;
             let Interpretation {
                 result,
                 is_known_form,
@@ -148,9 +149,10 @@
             (":4\r\n$-1\r\n", 0, 0.0),
         ] {
             let bytes = format!("*3\r\n$3\r\nbed\r\n{members}");
-            let (reply, _) = codec::reply(bytes.as_bytes(), limiter.limits())
+            let reply = codec::parse_reply(bytes.as_bytes(), limiter.limits())
                 .expect("well-formed")
-                .expect("whole");
+                .expect("whole")
+                .reply;
             let Interpretation {
                 result,
                 is_known_form,
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -153,10 +153,12 @@
         Some(asked_at + limits.end.get() - limits.last_answers.get())
     }
 
-    /// Adds to the number of client connections, or takes from it.
-    pub fn count(&self, change: isize) {
-        self.connections
-            .send_modify(|count| *count = count.saturating_add_signed(change));
+    /// Counts a client connection until the guard is dropped.
+    pub fn count_connection(self: &Rc<Self>) -> CountedConnection {
+        self.connections.send_modify(|count| *count += 1);
+        CountedConnection {
+            shutdown: self.clone(),
+        }
     }
 
     /// How many connections clients hold.
@@ -170,6 +172,17 @@
     }
 }
 
+/// A client connection that counts until this is dropped.
+pub struct CountedConnection {
+    shutdown: Rc<Shutdown>,
+}
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.shutdown.connections.send_modify(|count| *count -= 1);
+    }
+}
+
 fn set_if_changed<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
     sender.send_if_modified(|held| {
         let has_changed = *held != value;
--- a/src/net/shutdown/tests.rs
+++ b/src/net/shutdown/tests.rs
@@ -54,14 +54,14 @@
         // Much time for the answer to go out, on however busy a machine.
         limiter.limits().last_answers.set(LONG);
         asked(&limiter, LONG + Duration::from_millis(200));
-        limiter.shutdown().count(1);
+        let connection = limiter.shutdown().count_connection();
         let (closing, answered) = (limiter.clone(), front.clone());
         // The client's connection ends as it has its answer.
         spawn(async move {
             while answered.0.borrow().is_empty() {
                 sleep(closing.limits().last_moment).await;
             }
-            closing.shutdown().count(-1);
+            drop(connection);
         });
         limiter.end().await;
         assert_eq!(*front.0.borrow(), [(9, Answer::Failed)]);
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -6,10 +6,10 @@
 use crate::net::config::Limits;
 use crate::net::engine::{HostCall, HostCommand};
 use crate::net::resp::{
-    codec,
+    codec::{self, ParsedReply, ValueHead},
     upstream::{self, UpstreamConnection},
 };
-use crate::net::streaming_body::Pipe;
+use crate::net::streaming_body::StreamingBody;
 use std::io;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
@@ -39,12 +39,7 @@
     /// The call has ended.
     Ended(CallEnd),
     /// The head of a long value was received; the value is streamed.
-    LongValue {
-        /// Length of the head, in bytes.
-        head_bytes: usize,
-        /// Length of the value, in bytes.
-        value_bytes: usize,
-    },
+    LongValue(ValueHead),
 }
 
 impl From<Outcome> for Exchange {
@@ -82,8 +77,8 @@
         () = call.cancellation.requested.notified() => Outcome::Cancelled,
         exchanged = exchange(pipeline, connection, call) => match exchanged {
             Exchange::Ended(end) => return end,
-            Exchange::LongValue { head_bytes, value_bytes } => {
-                return stream_value(pipeline, connection, call, head_bytes, value_bytes).await;
+            Exchange::LongValue(head) => {
+                return stream_value(pipeline, connection, call, head).await;
             }
         },
         () = sleep_until(call.deadline) => Outcome::Timeout,
@@ -182,16 +177,13 @@
     if !upstream::may_become_reply(&connection.input, &call.command) {
         return Some(Outcome::Error.into());
     }
-    if let Some((head_bytes, value_bytes)) = codec::value_head(&connection.input) {
-        if (limits.value_bytes + 1..=limits.bulk_bytes).contains(&value_bytes) {
-            return Some(Exchange::LongValue {
-                head_bytes,
-                value_bytes,
-            });
+    if let Some(head) = codec::value_head(&connection.input) {
+        if (limits.value_bytes + 1..=limits.bulk_bytes).contains(&head.value_bytes) {
+            return Some(Exchange::LongValue(head));
         }
     }
-    match codec::reply(&connection.input, limits) {
-        Ok(Some((reply, length))) => {
+    match codec::parse_reply(&connection.input, limits) {
+        Ok(Some(ParsedReply { reply, length })) => {
             let interpretation = upstream::interpret(
                 &reply,
                 &connection.input,
@@ -216,7 +208,7 @@
 /// would be waited for until the request's deadline.
 async fn read_more(connection: &mut UpstreamConnection, limits: &Limits) -> Result<(), Outcome> {
     let has_begun = !connection.input.is_empty();
-    let more = codec::more(
+    let more = codec::read_more(
         &mut connection.stream,
         &mut connection.input,
         limits.read_bytes,
@@ -239,20 +231,28 @@
     pipeline: &Pipeline,
     connection: &mut UpstreamConnection,
     call: &HostCall,
-    head_bytes: usize,
-    value_bytes: usize,
+    head: ValueHead,
 ) -> CallEnd {
     let limits = &pipeline.limits;
-    codec::consume(&mut connection.input, head_bytes, limits.window);
-    let body = Pipe::new(value_bytes, limits.window, pipeline.engine.buffered_bytes());
+    codec::consume(&mut connection.input, head.head_bytes, limits.window);
+    let body = StreamingBody::new(
+        head.value_bytes,
+        limits.window,
+        pipeline.engine.buffered_bytes(),
+    );
     if !complete::begin_streaming(pipeline, call, &body) {
         return Outcome::Cancelled.into();
     }
     let streamed = forward_value(connection, &body, limits).await;
-    body.end(streamed.is_ok());
     match streamed {
-        Ok(()) => read_trailer(connection, call, limits).await,
-        Err(outcome) => outcome.into(),
+        Ok(()) => {
+            body.complete();
+            read_trailer(connection, call, limits).await
+        }
+        Err(outcome) => {
+            body.fail();
+            outcome.into()
+        }
     }
 }
 
@@ -264,7 +264,8 @@
 ) -> CallEnd {
     let mut result = CallResult::from(Outcome::Good);
     for is_usage in [true, false] {
-        let Some((reply, length)) = read_trailer_member(connection, limits).await else {
+        let Some(ParsedReply { reply, length }) = read_trailer_member(connection, limits).await
+        else {
             return CallEnd {
                 result,
                 reusable: false,
@@ -285,12 +286,12 @@
 async fn read_trailer_member(
     connection: &mut UpstreamConnection,
     limits: &Limits,
-) -> Option<(codec::Reply, usize)> {
+) -> Option<ParsedReply> {
     loop {
-        if let Some(member) = codec::reply(&connection.input, limits).ok()? {
+        if let Some(member) = codec::parse_reply(&connection.input, limits).ok()? {
             return Some(member);
         }
-        let more = codec::more(
+        let more = codec::read_more(
             &mut connection.stream,
             &mut connection.input,
             limits.read_bytes,
@@ -304,29 +305,32 @@
 /// Moves a value from its host into the body, to its end.
 async fn forward_value(
     connection: &mut UpstreamConnection,
-    body: &Pipe,
+    body: &StreamingBody,
     limits: &Limits,
 ) -> Result<(), Outcome> {
     let mut remaining = body.length();
     loop {
-        if body.left() {
+        if body.is_abandoned() {
             return Err(Outcome::Cancelled);
         }
         // The last byte stays behind until the end of the value has been seen.
-        let count = body.room().min(connection.input.len()).min(remaining - 1);
+        let count = body
+            .free_capacity()
+            .min(connection.input.len())
+            .min(remaining - 1);
         if count > 0 {
-            body.put(&connection.input[..count]);
+            body.write(&connection.input[..count]);
             connection.input.drain(..count);
             remaining -= count;
         }
-        if remaining == 1 && connection.input.len() >= 3 && body.room() > 0 {
+        if remaining == 1 && connection.input.len() >= 3 && body.free_capacity() > 0 {
             return forward_last_byte(connection, body, limits);
         }
-        if body.room() == 0 {
+        if body.free_capacity() == 0 {
             body.drained().await;
             continue;
         }
-        let more = codec::more(
+        let more = codec::read_more(
             &mut connection.stream,
             &mut connection.input,
             limits.window / 2,
@@ -344,13 +348,13 @@
 
 fn forward_last_byte(
     connection: &mut UpstreamConnection,
-    body: &Pipe,
+    body: &StreamingBody,
     limits: &Limits,
 ) -> Result<(), Outcome> {
     if &connection.input[1..3] != b"\r\n" {
         return Err(Outcome::Error);
     }
-    body.put(&connection.input[..1]);
+    body.write(&connection.input[..1]);
     codec::consume(&mut connection.input, 3, limits.read_bytes);
     Ok(())
 }
--- a/src/net/stages/complete.rs
+++ b/src/net/stages/complete.rs
@@ -3,7 +3,7 @@
 use super::Pipeline;
 use crate::api::{Event, HostId, Load, Nanos, Outcome, RequestId};
 use crate::net::engine::{Answer, AttemptId, HostCall, HostCommand};
-use crate::net::streaming_body::Pipe;
+use crate::net::streaming_body::StreamingBody;
 use std::rc::Rc;
 
 #[cfg(test)]
@@ -73,7 +73,7 @@
 }
 
 /// The answer of a request begins: a long value, which is streamed. False where nobody waits for it.
-pub fn begin_streaming(pipeline: &Pipeline, call: &HostCall, body: &Rc<Pipe>) -> bool {
+pub fn begin_streaming(pipeline: &Pipeline, call: &HostCall, body: &Rc<StreamingBody>) -> bool {
     let HostCommand::Attempt { id, attempt, .. } = call.command else {
         return false;
     };
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -105,7 +105,7 @@
     tokio::select! {
         biased;
         call = &mut next_call => call.ok(),
-        _ = codec::more(&mut connection.stream, &mut connection.input, read_bytes) => None,
+        _ = codec::read_more(&mut connection.stream, &mut connection.input, read_bytes) => None,
         () = sleep(idle_timeout) => None,
     }
 }
--- a/src/net/streaming_body.rs
+++ b/src/net/streaming_body.rs
@@ -1,173 +1,153 @@
-//! A long value on its way from a host to a client: a bounded buffer between two tasks. Who writes waits while it is
-//! full, who reads while it is empty; each learns when the other is gone.
+//! A long value on its way from a host to a client: a bounded buffer between two tasks.
+//!
+//! The writer waits while the buffer is full, the reader while it is empty; each learns when the other is gone.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// How far the value has come.
+#[cfg(test)]
+mod tests;
+
+/// How far the writer has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Course {
-    Flowing,
-    /// All of it is here or has been taken.
-    Whole,
+enum WriterState {
+    /// More will be written.
+    Writing,
+    /// All of the value has been written.
+    Complete,
     /// The rest will not come.
-    Broken,
+    Failed,
+}
+
+/// What a read leads to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadOutcome {
+    /// All that is in the buffer was read, and more will come.
+    MoreToCome,
+    /// The value has been read to its end.
+    Complete,
+    /// The rest will never come.
+    Failed,
 }
 
-/// A value and what of it is between its host and its client.
+/// A value, and what of it is between its host and its client.
 #[derive(Debug)]
-pub struct Pipe {
+pub struct StreamingBody {
     length: usize,
-    window: usize,
+    /// The most bytes in the buffer.
+    capacity: usize,
     bytes: RefCell<Vec<u8>>,
-    course: Cell<Course>,
-    /// The client went away.
-    left: Cell<bool>,
-    /// Told when there is more to read, or the course has changed.
+    writer_state: Cell<WriterState>,
+    /// The client has gone.
+    is_abandoned: Cell<bool>,
+    /// Notified when there is more to read, or the writer has ended.
     filled: Notify,
-    /// Told when there is room again, or the client went away.
+    /// Notified when there is capacity again, or the client has gone.
     drained: Notify,
-    /// Bytes held by all, with this one's window.
-    held: Rc<Cell<usize>>,
+    /// Buffered bytes of the whole process, this body's included.
+    buffered_bytes: Rc<Cell<usize>>,
 }
 
-/// What a reader finds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Found {
-    /// All that is here was taken, and more will come.
-    More,
-    /// The value has been taken to its end.
-    Whole,
-    /// The rest will never come.
-    Broken,
-}
-
-impl Drop for Pipe {
+impl Drop for StreamingBody {
     fn drop(&mut self) {
-        self.held.set(self.held.get() - 2 * self.window);
+        let buffered = self.buffered_bytes.get();
+        self.buffered_bytes.set(buffered - 2 * self.capacity);
     }
 }
 
-impl Pipe {
-    /// A pipe for a value of this length. It counts as twice its window: the reader holds as much again.
-    pub fn new(length: usize, window: usize, held: Rc<Cell<usize>>) -> Rc<Self> {
-        held.set(held.get() + 2 * window);
-        Rc::new(Pipe {
+impl StreamingBody {
+    /// The body of a value of this length, in bytes. It counts as twice its capacity: the reader holds as much again.
+    pub fn new(length: usize, capacity: usize, buffered_bytes: Rc<Cell<usize>>) -> Rc<Self> {
+        buffered_bytes.set(buffered_bytes.get() + 2 * capacity);
+        Rc::new(StreamingBody {
             length,
-            window,
+            capacity,
             bytes: RefCell::default(),
-            course: Cell::new(Course::Flowing),
-            left: Cell::default(),
+            writer_state: Cell::new(WriterState::Writing),
+            is_abandoned: Cell::default(),
             filled: Notify::new(),
             drained: Notify::new(),
-            held,
+            buffered_bytes,
         })
     }
 
-    /// The value's whole length.
+    /// The value's length, in bytes.
     pub fn length(&self) -> usize {
         self.length
     }
 
-    /// How many bytes may be put in now.
-    pub fn room(&self) -> usize {
-        self.window - self.bytes.borrow().len().min(self.window)
+    /// How many bytes may be written now.
+    pub fn free_capacity(&self) -> usize {
+        self.capacity.saturating_sub(self.bytes.borrow().len())
     }
 
-    /// Puts bytes in; the writer keeps to the room.
-    pub fn put(&self, bytes: &[u8]) {
+    /// Writes bytes; the writer keeps to the free capacity.
+    pub fn write(&self, bytes: &[u8]) {
         self.bytes.borrow_mut().extend_from_slice(bytes);
         self.filled.notify_one();
     }
 
-    /// The value has been put in to its end, or its rest will never come.
-    pub fn end(&self, whole: bool) {
-        if self.course.get() == Course::Flowing {
-            self.course
-                .set(if whole { Course::Whole } else { Course::Broken });
+    /// The value has been written to its end.
+    pub fn complete(&self) {
+        self.end(WriterState::Complete);
+    }
+
+    /// The rest of the value will never come.
+    pub fn fail(&self) {
+        self.end(WriterState::Failed);
+    }
+
+    fn end(&self, state: WriterState) {
+        if self.writer_state.get() == WriterState::Writing {
+            self.writer_state.set(state);
             self.filled.notify_one();
         }
     }
 
-    /// The client went away.
-    pub fn leave(&self) {
-        self.left.set(true);
+    /// The client has gone.
+    pub fn abandon(&self) {
+        self.is_abandoned.set(true);
         self.drained.notify_one();
     }
 
-    /// Whether the client went away.
-    pub fn left(&self) -> bool {
-        self.left.get()
+    /// Whether the client has gone.
+    pub fn is_abandoned(&self) -> bool {
+        self.is_abandoned.get()
     }
 
-    /// Waits until there may be room again or the client may have gone.
+    /// Waits until there may be capacity again, or the client may have gone.
     pub async fn drained(&self) {
         self.drained.notified().await;
     }
 
-    /// Waits until there may be more to take.
+    /// Waits until there may be more to read.
     pub async fn filled(&self) {
-        if self.bytes.borrow().is_empty() && self.course.get() == Course::Flowing {
+        let is_writing = self.writer_state.get() == WriterState::Writing;
+        if is_writing && self.bytes.borrow().is_empty() {
             self.filled.notified().await;
         }
     }
 
-    /// Moves what is here to `out`, as long as that holds no more than the window.
-    pub fn take(&self, out: &mut Vec<u8>) -> Found {
+    /// Moves what is in the buffer to `output`, as long as that holds no more than the capacity.
+    pub fn read(&self, output: &mut Vec<u8>) -> ReadOutcome {
         let mut bytes = self.bytes.borrow_mut();
-        let count = bytes.len().min(self.window.saturating_sub(out.len()));
+        let count = bytes.len().min(self.capacity.saturating_sub(output.len()));
         if count > 0 {
-            out.extend_from_slice(&bytes[..count]);
+            output.extend_from_slice(&bytes[..count]);
             bytes.drain(..count);
             self.drained.notify_one();
         }
-        match (bytes.is_empty(), self.course.get()) {
-            (true, Course::Whole) => Found::Whole,
-            (true, Course::Broken) => Found::Broken,
-            _ => Found::More,
+        match self.writer_state.get() {
+            WriterState::Complete if bytes.is_empty() => ReadOutcome::Complete,
+            WriterState::Failed if bytes.is_empty() => ReadOutcome::Failed,
+            _ => ReadOutcome::MoreToCome,
         }
     }
 }
 
-impl PartialEq for Pipe {
+impl PartialEq for StreamingBody {
     fn eq(&self, other: &Self) -> bool {
         std::ptr::eq(self, other)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn no_more_is_held_than_the_window_and_all_is_given_back() {
-        let held = Rc::new(Cell::new(0));
-        let (pipe, mut out, mut total) = (Pipe::new(100, 8, held.clone()), Vec::new(), 0);
-        assert_eq!(held.get(), 16);
-        for _ in 0..10 {
-            pipe.put(&vec![7; pipe.room()]);
-            assert_eq!((pipe.room(), pipe.take(&mut out)), (0, Found::More));
-            assert!(out.len() <= 8);
-            total += out.len();
-            out.clear();
-        }
-        assert_eq!(total, 80);
-        pipe.put(&[7; 4]);
-        pipe.end(true);
-        pipe.end(false);
-        assert_eq!((pipe.take(&mut out), out.len()), (Found::Whole, 4));
-        drop(pipe);
-        assert_eq!(held.get(), 0);
-    }
-
-    #[test]
-    fn a_rest_that_never_comes_is_told_after_what_came() {
-        let (pipe, mut out) = (Pipe::new(100, 8, Rc::default()), vec![0; 6]);
-        pipe.put(&[1, 2, 3]);
-        pipe.end(false);
-        assert_eq!((pipe.take(&mut out), out.len()), (Found::More, 8));
-        out.clear();
-        assert_eq!((pipe.take(&mut out), out), (Found::Broken, vec![3]));
-    }
-}
--- /dev/null
+++ b/src/net/streaming_body/tests.rs
@@ -0,0 +1,47 @@
+//! The bound of the buffer, and how its end is reported.
+
+use super::*;
+
+#[test]
+fn no_more_is_buffered_than_the_capacity_and_all_is_released() {
+    let buffered = Rc::new(Cell::new(0));
+    let (body, mut output, mut total) =
+        (StreamingBody::new(100, 8, buffered.clone()), Vec::new(), 0);
+    assert_eq!(buffered.get(), 16);
+    for _ in 0..10 {
+        body.write(&vec![7; body.free_capacity()]);
+        assert_eq!(
+            (body.free_capacity(), body.read(&mut output)),
+            (0, ReadOutcome::MoreToCome)
+        );
+        assert!(output.len() <= 8);
+        total += output.len();
+        output.clear();
+    }
+    assert_eq!(total, 80);
+    body.write(&[7; 4]);
+    body.complete();
+    body.fail();
+    assert_eq!(
+        (body.read(&mut output), output.len()),
+        (ReadOutcome::Complete, 4)
+    );
+    drop(body);
+    assert_eq!(buffered.get(), 0);
+}
+
+#[test]
+fn a_failure_is_reported_after_what_was_written() {
+    let (body, mut output) = (StreamingBody::new(100, 8, Rc::default()), vec![0; 6]);
+    body.write(&[1, 2, 3]);
+    body.fail();
+    assert_eq!(
+        (body.read(&mut output), output.len()),
+        (ReadOutcome::MoreToCome, 8)
+    );
+    output.clear();
+    assert_eq!(
+        (body.read(&mut output), output),
+        (ReadOutcome::Failed, vec![3])
+    );
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -32,11 +32,11 @@
         let words: Vec<&[u8]> = words.iter().take(limits.words).map(Vec::as_slice).collect();
         codec::write_command(&words, &mut message);
         let read = whole(&message, |bytes| {
-            let command = codec::command(bytes, &limits).expect("no cut is malformed")?;
+            let command = codec::parse_command(bytes, &limits).expect("no cut is malformed")?;
             let word = |place: std::ops::Range<usize>| bytes[place].to_vec();
             Some((
                 command
-                    .words
+                    .arguments
                     .into_iter()
                     .flatten()
                     .map(word)
@@ -60,7 +60,8 @@
             None => message.extend_from_slice(b"$-1\r\n"),
         }
         let read = whole(&message, |bytes| {
-            codec::reply(bytes, &limits).expect("no cut is malformed")
+            let parsed = codec::parse_reply(bytes, &limits).expect("no cut is malformed")?;
+            Some((parsed.reply, parsed.length))
         });
         let Some(Reply::Array(Some(members))) = read else {
             return false;
@@ -108,12 +109,12 @@
 /// Whatever comes, what a parser says it read lies within it.
 fn stays_within(bytes: &[u8]) -> bool {
     let limits = limits();
-    let command = codec::command(bytes, &limits).ok().flatten();
-    let reply = codec::reply(bytes, &limits).ok().flatten();
+    let command = codec::parse_command(bytes, &limits).ok().flatten();
+    let reply = codec::parse_reply(bytes, &limits).ok().flatten();
     let list = parse_response(bytes, 1 << 10).ok().flatten();
     command.is_none_or(|c| {
-        c.length <= bytes.len() && c.words.iter().flatten().all(|w| w.end <= c.length)
-    }) && reply.is_none_or(|(_, length)| length <= bytes.len())
+        c.length <= bytes.len() && c.arguments.iter().flatten().all(|w| w.end <= c.length)
+    }) && reply.is_none_or(|parsed| parsed.length <= bytes.len())
         && list.is_none_or(|r| r.length <= bytes.len() && r.body.len() <= 1 << 10)
 }
 
@@ -164,7 +165,7 @@
         "*1\r\n$+1\r\n",
     ] {
         assert!(
-            codec::command(bytes.as_bytes(), &limits).is_err(),
+            codec::parse_command(bytes.as_bytes(), &limits).is_err(),
             "{bytes:?}"
         );
     }
@@ -177,11 +178,11 @@
         "+a\nb",
     ] {
         assert!(
-            codec::reply(bytes.as_bytes(), &limits).is_err(),
+            codec::parse_reply(bytes.as_bytes(), &limits).is_err(),
             "{bytes:?}"
         );
     }
     let long = vec![b'+'; 2000];
-    assert!(codec::reply(&long, &limits).is_err());
+    assert!(codec::parse_reply(&long, &limits).is_err());
     assert!(parse_response(b"HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\n", 100).is_err());
 }
--- a/tests/toy/mod.rs
+++ b/tests/toy/mod.rs
@@ -45,10 +45,10 @@
     let mut input = Vec::new();
     loop {
         while let Some(command) =
-            codec::command(&input, &limits).map_err(|e| io::Error::other(e.0))?
+            codec::parse_command(&input, &limits).map_err(|e| io::Error::other(e.0))?
         {
             let texts = command
-                .words
+                .arguments
                 .iter()
                 .flatten()
                 .map(|w| std::str::from_utf8(&input[w.clone()]));
