--- a/crates/bench/src/module.rs
+++ b/crates/bench/src/module.rs
@@ -1,7 +1,6 @@
 //! Seeded damage to the decision module: a copy of the workspace is patched, built, and its expectations run.
 
 use clap::Args;
-use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -19,6 +18,9 @@
     only: String,
 }
 
+/// Path of the decision module in the workspace.
+const MODULE_PATH: &str = "crates/decision/src";
+
 /// One damage to the decision module.
 struct Damage {
     /// Path of the file in the module.
@@ -191,53 +193,55 @@
 ];
 
 impl Module {
-    /// Patches, builds and checks.
+    /// Patches, builds and checks a copy for each damage. Returns a table of what caught it.
     pub fn run(self) -> Result<String, String> {
         let folder = self
             .folder
             .unwrap_or_else(|| std::env::temp_dir().join("quartzcleat-module"));
-        let source = self.root.join("crates/decision/src");
-        let mut out = String::from("| damage | file | caught by |\n| --- | --- | --- |\n");
-        let (mut made, mut caught) = (0, 0);
+        let source = self.root.join(MODULE_PATH);
         copy(&self.root, &folder)?;
-        let target = folder.join("crates/decision/src");
+        let mut table = String::from("| damage | file | caught by |\n| --- | --- | --- |\n");
+        let mut tried = 0;
+        let mut caught = 0;
         for damage in DAMAGES {
-            let Damage {
-                file,
-                original,
-                damaged,
-                description,
-            } = damage;
-            if !description.contains(&self.only) {
+            if !damage.description.contains(&self.only) {
                 continue;
             }
-            let text =
-                std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
-            if !text.contains(original) {
-                return Err(format!("{file}: {original:?} stands there no more"));
-            }
-            std::fs::write(target.join(file), text.replacen(original, damaged, 1))
-                .map_err(|e| e.to_string())?;
-            let by = check(&folder)?;
-            std::fs::write(target.join(file), &text).map_err(|e| e.to_string())?;
-            (made, caught) = (made + 1, caught + usize::from(!by.is_empty()));
-            let first = by.first().map_or_else(
-                || "**nothing**".to_owned(),
-                |name| {
-                    if by.len() > 1 {
-                        format!("{name} and {} more", by.len() - 1)
-                    } else {
-                        name.clone()
-                    }
-                },
-            );
-            let _ = writeln!(out, "| {description} | {file} | {first} |");
+            let failed = damage.check(&source, &folder)?;
+            tried += 1;
+            caught += usize::from(!failed.is_empty());
+            let (description, file) = (damage.description, damage.file);
+            table += &format!("| {description} | {file} | {} |\n", summary(&failed));
         }
-        let _ = writeln!(
-            out,
-            "\n{made} single changes to the module: {caught} caught"
-        );
-        Ok(out)
+        table += &format!("\n{tried} single changes to the module: {caught} caught\n");
+        Ok(table)
+    }
+}
+
+impl Damage {
+    /// Damages the module in a copy and restores it. Returns the expectations that failed in between.
+    fn check(&self, source: &Path, folder: &Path) -> Result<Vec<String>, String> {
+        let Damage { file, original, .. } = self;
+        let text =
+            std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
+        if !text.contains(original) {
+            return Err(format!("{file}: {original:?} stands there no more"));
+        }
+        let copy = folder.join(MODULE_PATH).join(file);
+        let damaged = text.replacen(original, self.damaged, 1);
+        std::fs::write(&copy, damaged).map_err(|e| e.to_string())?;
+        let failed = failed_expectations(folder)?;
+        std::fs::write(&copy, &text).map_err(|e| e.to_string())?;
+        Ok(failed)
+    }
+}
+
+/// The first of the failed expectations and the number of the others.
+fn summary(failed: &[String]) -> String {
+    match failed {
+        [] => "**nothing**".to_owned(),
+        [name] => name.clone(),
+        [name, others @ ..] => format!("{name} and {} more", others.len()),
     }
 }
 
@@ -267,7 +271,7 @@
 }
 
 /// The expectations that do not hold with the module as it is in a copy.
-fn check(folder: &Path) -> Result<Vec<String>, String> {
+fn failed_expectations(folder: &Path) -> Result<Vec<String>, String> {
     let built = Command::new("cargo")
         .args(["build", "--quiet", "--offline", "--bin", "quartzcleat"])
         .current_dir(folder)
@@ -285,8 +289,9 @@
         .current_dir(folder)
         .output()
         .map_err(|e| e.to_string())?;
-    let told: serde_json::Value = serde_json::from_slice(&ran.stdout).map_err(|e| e.to_string())?;
-    let results = told["results"].as_array().ok_or("no results")?;
+    let report: serde_json::Value =
+        serde_json::from_slice(&ran.stdout).map_err(|e| e.to_string())?;
+    let results = report["results"].as_array().ok_or("no results")?;
     let failed = results.iter().filter(|result| result["verdict"] != "held");
     Ok(failed
         .filter_map(|result| result["name"].as_str().map(str::to_owned))
--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -1,6 +1,10 @@
 //! The stored form of a snapshot: handoff files carry this JSON text between versions, so keys and arrays are fixed.
 
-use quartzcleat::choice::EngineSnapshot;
+use quartzcleat::choice::{
+    AdmissionSnapshot, ClassSnapshot, ConfirmedSnapshot, CounterCallsSnapshot, CustomerSnapshot,
+    EngineSnapshot, HostSnapshot, OwnAddsSnapshot, SlownessSnapshot, TimedUnits, TotalsSnapshot,
+    ZoneSnapshot,
+};
 
 /// A snapshot as the first version with handoff files writes it.
 const STORED: &str = concat!(
@@ -26,3 +30,76 @@
     let written = serde_json::to_string(&snapshot).expect("plain data");
     assert_eq!(written, STORED.replace("11.0", "0.0"));
 }
+
+#[test]
+fn stored_values_are_read_into_their_fields() {
+    let snapshot: EngineSnapshot = serde_json::from_str(STORED).expect("a stored snapshot");
+    let class = |name: &str, mean_latency, answers| ClassSnapshot {
+        name: name.to_owned(),
+        mean_latency,
+        answers,
+    };
+    let expected = EngineSnapshot {
+        at: 1_000_000_000_000,
+        counter_calls: CounterCallsSnapshot {
+            ratio: 0.5,
+            mean_need: 0.25,
+        },
+        admission: AdmissionSnapshot {
+            ratio: 0.75,
+            mean_lateness: 0.125,
+            measured_at: 999_000_000_000,
+            success_lateness: 0.0625,
+        },
+        mean_weight_rate: 3.5,
+        concurrency_limit: 1.5,
+        classes: vec![class("read", 0.02, 31.0), class("", 0.0, 0.0)],
+        hosts: vec![HostSnapshot {
+            host: 7,
+            started: 12,
+            slowness: SlownessSnapshot {
+                value: 1.25,
+                evidence: 4.0,
+                measured_at: 998_000_000_000,
+            },
+            concurrency_limit: 2.5,
+        }],
+        zones: vec![ZoneSnapshot {
+            zone: 3,
+            slowness: 1.5,
+            measured_at: 997_000_000_000,
+        }],
+        customers: vec![stored_customer()],
+    };
+    assert_eq!(snapshot, expected);
+}
+
+fn stored_customer() -> CustomerSnapshot {
+    CustomerSnapshot {
+        customer: 5,
+        window: 250,
+        totals: TotalsSnapshot {
+            current: 10.0,
+            previous: 20.0,
+            is_current_known: true,
+            is_previous_read: false,
+        },
+        confirmed: ConfirmedSnapshot {
+            amount: 6.0,
+            lost: 1.0,
+        },
+        own: OwnAddsSnapshot {
+            current: 7.0,
+            previous: 8.0,
+        },
+        local_tokens: TimedUnits {
+            units: 9.0,
+            at: 996_000_000_000,
+        },
+        previous_credit: 11.0,
+        recent_units: TimedUnits {
+            units: 12.0,
+            at: 995_000_000_000,
+        },
+    }
+}
