--- a/crates/decision/src/lifecycle/admission.rs
+++ b/crates/decision/src/lifecycle/admission.rs
@@ -19,7 +19,7 @@
         let weight_rate = self.weight_rate(&request);
         self.mean_weight_rate += WEIGHT_RATE_SMOOTHING * (weight_rate - self.mean_weight_rate);
         self.requests.insert(id, request.clone());
-        let ratio = self.hosts.admission_ratio;
+        let ratio = self.host_pool.admission_ratio;
         if ratio < 1.0 && self.random.f64() >= ratio.powf(self.mean_weight_rate / weight_rate) {
             return self.finish(id, actions);
         }
@@ -70,7 +70,7 @@
         let plan = &self.settings.plans[request.claim.plan];
         // A request beyond the quota that earns more than it costs uses an idle host, charged to no count.
         let is_profitable = plan.over_quota_weight > plan.over_quota_cost;
-        if is_profitable && self.queue.is_empty() && self.hosts.has_idle_host() {
+        if is_profitable && self.queue.is_empty() && self.host_pool.has_idle_host() {
             self.requests.entry(id).and_modify(|request| request.claim.charge = None);
             return self.admit(id, actions);
         }
--- a/crates/decision/src/lifecycle/completion.rs
+++ b/crates/decision/src/lifecycle/completion.rs
@@ -10,7 +10,7 @@
         self.requests.entry(key.request).and_modify(|request| request.state = RequestState::Streaming);
         let Some(attempt) = self.in_flight.get_mut(&key) else { return };
         if !std::mem::replace(&mut attempt.stream_started, true) {
-            self.hosts.record_outcome(key.request, attempt, Outcome::Good, elapsed, actions);
+            self.host_pool.record_outcome(key.request, attempt, Outcome::Good, elapsed, actions);
             self.release_queue(actions);
         }
     }
@@ -19,7 +19,7 @@
         let Some(attempt) = self.in_flight.remove(&key) else { return };
         self.quotas.record_attempt_end(attempt.customer);
         if !attempt.stream_started {
-            self.hosts.record_outcome(key.request, &attempt, end.outcome, end.elapsed, actions);
+            self.host_pool.record_outcome(key.request, &attempt, end.outcome, end.elapsed, actions);
         }
         let request = self.requests.get_mut(&key.request);
         if let Some(request) = request.filter(|_| end.outcome.never_ran()) {
@@ -61,7 +61,7 @@
         let is_worthless = self.class(request).late_weight <= 0.0;
         let key = AttemptKey { request: id, attempt: request.attempts - 1 };
         if let Some(attempt) = self.in_flight.get(&key).filter(|_| is_on_time) {
-            self.hosts.record_missed_objective(attempt);
+            self.host_pool.record_missed_objective(attempt);
         }
         if is_worthless {
             self.finish(id, actions);
@@ -82,7 +82,7 @@
         actions.push(if is_safe { Action::Reject { id, retry_after } } else { Action::Fail { id } });
     }
 
-    /// Removes a request. The units of one that never ran are refunded, whoever ended it.
+    /// Removes a request. The units of one that never ran are refunded, no matter who ended it.
     pub(super) fn close(&mut self, id: RequestId, actions: &mut Actions) -> Option<PendingRequest> {
         let request = self.requests.remove(&id)?;
         if request.first_run.is_none() {
--- a/crates/decision/src/lifecycle/dispatch.rs
+++ b/crates/decision/src/lifecycle/dispatch.rs
@@ -19,12 +19,12 @@
         {
             return Dispatch::RequestLimited;
         }
-        if self.hosts.is_full() {
+        if self.host_pool.is_full() {
             return Dispatch::NoHost;
         }
         let first_run = request.first_run.map(|run| run.location);
         let requirements = HostRequirements { first_run, ..request.requirements };
-        let Some(host) = self.hosts.select_host(&requirements, &mut self.random) else {
+        let Some(host) = self.host_pool.select_host(&requirements, &mut self.random) else {
             return if first_run.is_some() { Dispatch::RequestLimited } else { Dispatch::NoHost };
         };
         self.send_attempt(id, &request, host, actions);
@@ -42,10 +42,11 @@
         self.retry_tokens = self.retry_tokens.min(max_tokens);
         let attempt = request.attempts;
         let sent_at = self.now;
-        let (class, customer) = (request.requirements.class, request.claim.customer);
+        let class = request.requirements.class;
+        let customer = request.claim.customer;
         let in_flight = InFlightAttempt { host, sent_at, class, customer, stream_started: false };
         self.in_flight.insert(AttemptKey { request: id, attempt }, in_flight);
-        let location = self.hosts.record_dispatch(id, host);
+        let location = self.host_pool.record_dispatch(id, host);
         if let Some(request) = self.requests.get_mut(&id) {
             request.state = RequestState::InFlight;
             request.attempts += 1;
--- a/crates/decision/src/lifecycle/engine.rs
+++ b/crates/decision/src/lifecycle/engine.rs
@@ -23,7 +23,7 @@
     pub(crate) queue: VecDeque<RequestId>,
     pub(super) is_queue_timer_set: bool,
     pub(crate) quotas: QuotaTracker,
-    pub(crate) hosts: HostPool,
+    pub(crate) host_pool: HostPool,
     /// Retries that are available for attempts that may have run.
     pub(super) retry_tokens: f64,
     /// Mean priority weight per second of work.
@@ -39,7 +39,7 @@
             random: fastrand::Rng::with_seed(seed),
             now,
             quotas: QuotaTracker::new(settings.clone(), now),
-            hosts: HostPool::new(settings.clone(), now),
+            host_pool: HostPool::new(settings.clone(), now),
             settings,
             retry_tokens: 1.0,
             ..DecisionEngine::default()
@@ -50,7 +50,7 @@
     pub fn advance(&mut self, now: Nanos, actions: &mut Actions) {
         self.now = self.now.max(now);
         self.quotas.now = self.now;
-        self.hosts.now = self.now;
+        self.host_pool.now = self.now;
         if self.is_started {
             return;
         }
@@ -66,7 +66,7 @@
         self.advance(now, actions);
         match event {
             Event::Hosts { mode, entries, .. } => {
-                self.hosts.update_hosts(mode, entries, actions);
+                self.host_pool.update_hosts(mode, entries, actions);
                 self.release_queue(actions);
             }
             Event::Request { id, class, plan, customer, budget, units, spread, .. } => {
@@ -107,7 +107,7 @@
             Timer::WatchHosts => actions.push(Action::Watch { on: true }),
             Timer::Sweep => {
                 self.quotas.remove_unused();
-                self.hosts.remove_unused();
+                self.host_pool.remove_unused();
                 actions.push(Action::SetTimer { timer: Timer::Sweep, after: SECOND });
             }
         }
@@ -142,10 +142,10 @@
         let previous = std::mem::replace(&mut self.settings, Arc::new(with_fallbacks(settings)));
         let latency_of = |class: &Class| {
             let index = previous.classes.iter().rposition(|old| old.name == class.name);
-            index.map_or_else(ClassLatency::default, |index| self.hosts.class_latency[index])
+            index.map_or_else(ClassLatency::default, |index| self.host_pool.class_latency[index])
         };
-        self.hosts.class_latency = self.settings.classes.iter().map(latency_of).collect();
+        self.host_pool.class_latency = self.settings.classes.iter().map(latency_of).collect();
         self.quotas.settings = self.settings.clone();
-        self.hosts.settings = self.settings.clone();
+        self.host_pool.settings = self.settings.clone();
     }
 }
--- a/crates/decision/src/lifecycle/queue.rs
+++ b/crates/decision/src/lifecycle/queue.rs
@@ -39,7 +39,7 @@
             Reverse(self.requests.get(id).map(|request| self.weight_rate(request).to_bits()))
         });
         // Hosts that are listed, but not ready, leave nothing to wait for.
-        let none_ready = !self.hosts.hosts.is_empty() && !self.hosts.has_ready_host();
+        let none_ready = !self.host_pool.hosts.is_empty() && !self.host_pool.has_ready_host();
         let mut has_host = true;
         for id in queued {
             let Some(request) = self.requests.get(&id) else { continue };
@@ -85,6 +85,6 @@
 
     /// Mean answer time of the request's class.
     pub(super) fn expected_latency(&self, request: &PendingRequest) -> Nanos {
-        to_nanos(self.hosts.class_latency[request.requirements.class].mean)
+        to_nanos(self.host_pool.class_latency[request.requirements.class].mean)
     }
 }
--- a/crates/decision/src/snapshot/restore.rs
+++ b/crates/decision/src/snapshot/restore.rs
@@ -36,8 +36,8 @@
         self.restore_counter_calls(snapshot.counter_calls);
         self.restore_admission(snapshot.admission);
         self.mean_weight_rate = valid_or(snapshot.mean_weight_rate, 0.0, MAX_UNITS, self.mean_weight_rate);
-        let limit = self.hosts.concurrency_limit;
-        self.hosts.concurrency_limit = valid_or(snapshot.concurrency_limit, 0.1, MAX_CONCURRENCY, limit);
+        let limit = self.host_pool.concurrency_limit;
+        self.host_pool.concurrency_limit = valid_or(snapshot.concurrency_limit, 0.1, MAX_CONCURRENCY, limit);
         for class in &snapshot.classes {
             self.restore_class(class);
         }
@@ -47,7 +47,7 @@
         for zone in &snapshot.zones {
             let value = valid_or(zone.slowness, 0.0, MAX_SLOWNESS, 1.0);
             let slowness = ZoneSlowness { value, measured_at: zone.measured_at.min(self.now) };
-            self.hosts.zone_slowness.entry(zone.zone).or_insert(slowness);
+            self.host_pool.zone_slowness.entry(zone.zone).or_insert(slowness);
         }
         for customer in &snapshot.customers {
             let quota = restored_quota(customer, self.now);
@@ -62,18 +62,18 @@
     }
 
     fn restore_admission(&mut self, admission: AdmissionSnapshot) {
-        let hosts = &mut self.hosts;
-        hosts.admission_ratio = valid_or(admission.ratio, MIN_ADMISSION_RATIO, 1.0, hosts.admission_ratio);
-        hosts.mean_lateness = valid_or(admission.mean_lateness, 0.0, 1.0, hosts.mean_lateness);
-        hosts.lateness_at = admission.measured_at.min(self.now);
-        hosts.success_lateness = valid_or(admission.success_lateness, 0.0, 1.0, hosts.success_lateness);
+        let pool = &mut self.host_pool;
+        pool.admission_ratio = valid_or(admission.ratio, MIN_ADMISSION_RATIO, 1.0, pool.admission_ratio);
+        pool.mean_lateness = valid_or(admission.mean_lateness, 0.0, 1.0, pool.mean_lateness);
+        pool.lateness_at = admission.measured_at.min(self.now);
+        pool.success_lateness = valid_or(admission.success_lateness, 0.0, 1.0, pool.success_lateness);
     }
 
     /// Restores the answer times of a class, identified by its name.
     fn restore_class(&mut self, class: &ClassSnapshot) {
         let index = self.settings.classes.iter().rposition(|known| known.name == class.name);
         let Some(index) = index else { return };
-        let latency = &mut self.hosts.class_latency[index];
+        let latency = &mut self.host_pool.class_latency[index];
         if latency.answers == 0.0 {
             latency.mean = valid_or(class.mean_latency, 0.0, MAX_LATENCY_SECONDS, 0.0);
             latency.answers = valid_or(class.answers, 0.0, MAX_CLASS_ANSWERS, 0.0);
@@ -83,7 +83,9 @@
     /// Restores the measurements of a host, if it is still the same process.
     fn restore_host(&mut self, snapshot: &HostSnapshot) {
         let is_same = |host: &&mut Host| host.entry.started == snapshot.started;
-        let Some(host) = self.hosts.hosts.get_mut(&HostId(snapshot.host)).filter(is_same) else { return };
+        let Some(host) = self.host_pool.hosts.get_mut(&HostId(snapshot.host)).filter(is_same) else {
+            return;
+        };
         host.slowness = valid_or(snapshot.slowness.value, 0.0, MAX_SLOWNESS, 1.0);
         host.evidence = valid_or(snapshot.slowness.evidence, 0.0, MAX_EVIDENCE, 0.0);
         host.measured_at = snapshot.slowness.measured_at.min(self.now);
--- a/crates/decision/src/snapshot/take.rs
+++ b/crates/decision/src/snapshot/take.rs
@@ -18,13 +18,13 @@
                 mean_need: self.quotas.mean_need,
             },
             admission: AdmissionSnapshot {
-                ratio: self.hosts.admission_ratio,
-                mean_lateness: self.hosts.mean_lateness,
-                measured_at: self.hosts.lateness_at,
-                success_lateness: self.hosts.success_lateness,
+                ratio: self.host_pool.admission_ratio,
+                mean_lateness: self.host_pool.mean_lateness,
+                measured_at: self.host_pool.lateness_at,
+                success_lateness: self.host_pool.success_lateness,
             },
             mean_weight_rate: self.mean_weight_rate,
-            concurrency_limit: self.hosts.concurrency_limit,
+            concurrency_limit: self.host_pool.concurrency_limit,
             classes: self.class_snapshots(),
             hosts: self.host_snapshots(),
             zones: self.zone_snapshots(),
@@ -33,7 +33,7 @@
     }
 
     fn class_snapshots(&self) -> Vec<ClassSnapshot> {
-        let classes = self.settings.classes.iter().zip(&self.hosts.class_latency);
+        let classes = self.settings.classes.iter().zip(&self.host_pool.class_latency);
         let snapshot = |(class, latency): (&Class, &ClassLatency)| ClassSnapshot {
             name: class.name.clone(),
             mean_latency: latency.mean,
@@ -53,7 +53,7 @@
             },
             concurrency_limit: host.concurrency_limit,
         };
-        self.hosts.hosts.iter().map(snapshot).collect()
+        self.host_pool.hosts.iter().map(snapshot).collect()
     }
 
     fn zone_snapshots(&self) -> Vec<ZoneSnapshot> {
@@ -62,7 +62,7 @@
             slowness: slowness.value,
             measured_at: slowness.measured_at,
         };
-        self.hosts.zone_slowness.iter().map(snapshot).collect()
+        self.host_pool.zone_slowness.iter().map(snapshot).collect()
     }
 
     fn customer_snapshots(&self) -> Vec<CustomerSnapshot> {
--- a/crates/decision/src/status.rs
+++ b/crates/decision/src/status.rs
@@ -28,14 +28,14 @@
     /// The present status.
     #[must_use]
     pub fn status(&self) -> EngineStatus {
-        let ready = || self.hosts.hosts.values().filter(|host| host.is_ready());
+        let ready = || self.host_pool.hosts.values().filter(|host| host.is_ready());
         EngineStatus {
             ready_hosts: ready().count(),
             healthy_hosts: ready().filter(|host| host.slowness < HEALTHY_SLOWNESS).count(),
-            admission_ratio: self.hosts.admission_ratio,
-            concurrency_limit: self.hosts.concurrency_limit,
+            admission_ratio: self.host_pool.admission_ratio,
+            concurrency_limit: self.host_pool.concurrency_limit,
             counter_call_ratio: self.quotas.call_ratio,
-            in_flight: self.hosts.in_flight,
+            in_flight: self.host_pool.in_flight,
             queued: self.queue.len(),
         }
     }
--- a/tests/quota/call_sampling.rs
+++ b/tests/quota/call_sampling.rs
@@ -31,14 +31,14 @@
 #[test]
 fn call_of_infrequent_customer_stands_for_skipped_requests() {
     let mut rig = overloaded_counter();
-    let (mut asked, mut added) = (0, 0.0);
+    let (mut calls, mut added) = (0, 0.0);
     for customer in 2_000..4_000 {
         let (_, actions) = rig.request(0, customer, 2.0);
         if let Some((_, amount)) = count(&actions) {
-            (asked, added) = (asked + 1, added + amount);
+            (calls, added) = (calls + 1, added + amount);
         }
     }
-    assert!((100..1_500).contains(&asked), "{asked} of 2,000 called");
+    assert!((100..1_500).contains(&calls), "{calls} of 2,000 called");
     let part = added / 4_000.0;
     assert!(
         (0.85..1.15).contains(&part),
@@ -101,10 +101,10 @@
     calling_requests(&mut rig, 100, Outcome::Timeout);
     let (mut small, mut large) = (0, 0);
     for customer in 0..400 {
-        for (units, asks) in [(0.5, &mut small), (4.0, &mut large)] {
+        for (units, calls) in [(0.5, &mut small), (4.0, &mut large)] {
             let (_, actions) = rig.request(0, 5000 + 10 * customer + units as u64, units);
             if let Some((name, _)) = count(&actions) {
-                *asks += 1;
+                *calls += 1;
                 rig.counted(&name, Outcome::Timeout, 0.0);
             }
         }
--- a/tests/quota/counting.rs
+++ b/tests/quota/counting.rs
@@ -192,7 +192,7 @@
     );
 }
 
-/// A request that never ran is refunded, whoever ended it: the client, while it waited for the counter or in the queue, or
+/// A request that never ran is refunded, no matter who ended it: the client, while it waited for the counter or in the queue, or
 /// the limiter, when no connection was established. One that may have run stays on the count.
 #[test]
 fn request_that_never_ran_is_refunded() {
--- a/tests/rules/settlement.rs
+++ b/tests/rules/settlement.rs
@@ -5,7 +5,7 @@
 
 #[test]
 fn settlement_joins_the_next_add_up_to_the_largest_request() {
-    for (told, next) in [
+    for (true_units, next) in [
         (3.5, 3.5),
         (0.5, 0.5),
         (400.0, 4.0),
@@ -22,7 +22,7 @@
             id,
             host,
             Ended {
-                true_units: told,
+                true_units,
                 ..Ended::default()
             },
         );
@@ -31,7 +31,7 @@
         assert_eq!(
             count(&actions),
             Some(("q5.250".into(), next)),
-            "an estimate of 1, then {told}, and 1 more"
+            "an estimate of 1, then {true_units}, and 1 more"
         );
     }
 }
