--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -15,13 +15,32 @@
     wait: u16,
 }
 
+#[derive(Clone, Copy)]
+struct AttemptInFlight {
+    attempt: u32,
+    host: HostId,
+    sent_at: u64,
+}
+
+/// The first attempt that may have run.
+#[derive(Clone, Copy)]
+struct FirstRun {
+    cell: u32,
+    sent_at: u64,
+}
+
+struct PendingTimer {
+    due: u64,
+    timer: Timer,
+}
+
 #[derive(Default)]
 struct RequestState {
     class: u32,
     units: f64,
-    in_flight: Option<(u32, HostId, u64)>,
+    in_flight: Option<AttemptInFlight>,
     attempts: u32,
-    first_run: Option<(u32, u64)>,
+    first_run: Option<FirstRun>,
     closed: bool,
 }
 
@@ -29,7 +48,7 @@
 struct Run {
     requests: BTreeMap<RequestId, RequestState>,
     calls: Vec<String>,
-    timers: Vec<(u64, Timer)>,
+    timers: Vec<PendingTimer>,
     sent_units: f64,
     log: Vec<String>,
 }
@@ -57,16 +76,21 @@
                     assert!(request.in_flight.is_none(), "two attempts in flight");
                     match (request.class, request.first_run) {
                         (3, Some(_)) => panic!("an unsafe request was repeated"),
-                        (1, Some((cell, at))) => {
-                            assert_eq!(host.0.div_ceil(2), cell, "keyed request left its cell");
-                            assert!(now < at + 2 * S, "keyed request repeated after its time");
+                        (1, Some(run)) => {
+                            assert_eq!(cell_of(host), run.cell, "keyed request left its cell");
+                            let end = run.sent_at + 2 * S;
+                            assert!(now < end, "keyed request repeated after its time");
                         }
                         _ => {}
                     }
                     if request.attempts == 0 {
                         self.sent_units += request.units;
                     }
-                    request.in_flight = Some((request.attempts, host, now));
+                    request.in_flight = Some(AttemptInFlight {
+                        attempt: request.attempts,
+                        host,
+                        sent_at: now,
+                    });
                     request.attempts += 1;
                 }
                 Action::Reject { id, .. } => {
@@ -85,7 +109,10 @@
                     request.closed = true;
                 }
                 Action::Count { name, .. } => self.calls.push(name),
-                Action::SetTimer { timer, after } => self.timers.push((now + after, timer)),
+                Action::SetTimer { timer, after } => self.timers.push(PendingTimer {
+                    due: now + after,
+                    timer,
+                }),
                 _ => {}
             }
         }
@@ -173,11 +200,23 @@
     outcomes[usize::from(pick) % outcomes.len()]
 }
 
+/// The cell of a host of the rig, which has two to a cell.
+fn cell_of(host: HostId) -> u32 {
+    host.0.div_ceil(2)
+}
+
 fn finish_attempt(rig: &mut Rig, run: &mut Run, id: RequestId, outcome: Outcome) {
     let request = run.requests.get_mut(&id).expect("known");
-    let (attempt, host, at) = request.in_flight.take().expect("out");
+    let AttemptInFlight {
+        attempt,
+        host,
+        sent_at,
+    } = request.in_flight.take().expect("an attempt in flight");
     if !outcome.never_ran() && request.first_run.is_none() {
-        request.first_run = Some((host.0.div_ceil(2), at));
+        request.first_run = Some(FirstRun {
+            cell: cell_of(host),
+            sent_at,
+        });
     }
     let over = request.closed || outcome == Outcome::Good;
     request.closed = over;
@@ -187,12 +226,11 @@
 
 fn run_timers(rig: &mut Rig, run: &mut Run) {
     let now = rig.now;
-    let (due, later) = std::mem::take(&mut run.timers)
-        .into_iter()
-        .partition(|(at, _)| *at <= now);
+    let timers = std::mem::take(&mut run.timers);
+    let (due, later): (Vec<_>, Vec<_>) = timers.into_iter().partition(|timer| timer.due <= now);
     run.timers = later;
-    for (_, timer) in Vec::<(u64, Timer)>::into_iter(due) {
-        let actions = rig.timer(timer);
+    for pending in due {
+        let actions = rig.timer(pending.timer);
         run.check(now, actions);
     }
 }
