--- a/src/net/leases/node.rs
+++ b/src/net/leases/node.rs
@@ -216,7 +216,7 @@
         self.peers.send(recipient, DatagramKind::Lease, &bytes);
     }
 
-    /// Logs leases that were acquired or lost since the last call.
+    /// Logs leases that were acquired, or that were released or expired, since the last call.
     fn log_changes(&self) {
         let now = self.now();
         let proposers = self.proposers.borrow();
@@ -230,7 +230,7 @@
             let task = proposer.task();
             match token {
                 Some(token) => tracing::info!(task, round = token.round, "lease acquired"),
-                None => tracing::info!(task, "lease lost"),
+                None => tracing::info!(task, "lease ended"),
             }
         }
     }
