--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -24,11 +24,12 @@
     let served = product(config).and_then(|product| {
         logging::begin(&product.log)?;
         let config = config::from_environment()?;
-        net::serve(config::Config {
+        let config = config::Config {
             metrics: product.tally,
             lease: product.lease,
             ..config
-        })
+        };
+        net::serve(config).map_err(|error| error.to_string())
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -30,7 +30,7 @@
     if let Err(failure) = watch(client, address, backoff).await {
         tracing::warn!(error = %failure.error, "discovery watch failed");
         if let Some(metrics) = &client.metrics {
-            metrics.borrow_mut().list_failed();
+            metrics.borrow_mut().record_list_failure();
         }
         if failure.reopen_at_once {
             return;
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -98,10 +98,10 @@
 
     fn handle_next(&self, event: Event, actions: &mut Vec<Action>) {
         let metrics = self.metrics.as_ref();
-        let cause = metrics.map(|metrics| metrics.borrow_mut().told(&event));
+        let cause = metrics.map(|metrics| metrics.borrow_mut().record_event(&event));
         self.decide(event, actions);
         if let (Some(metrics), Some(cause)) = (metrics, cause) {
-            metrics.borrow_mut().ordered(cause, actions);
+            metrics.borrow_mut().record_actions(cause, actions);
         }
         let executor = self.executor.get().and_then(Weak::upgrade);
         for action in actions.drain(..) {
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -13,6 +13,7 @@
 use super::resp::upstream::UpstreamPool;
 use super::shutdown::{self, Shutdown};
 use super::stages::{complete, Pipeline};
+use super::start_error::StartError;
 use super::task::spawn;
 use quartzcleat_config::lease::Lease;
 use serde_json::Value;
@@ -151,7 +152,7 @@
     }
 
     /// Starts all parts, serves clients until the process is asked to end, and ends in order.
-    async fn run(self, options: StartOptions) -> Result<(), String> {
+    async fn run(self, options: StartOptions) -> Result<(), StartError> {
         // First, so that no signal finds the process without a handler.
         self.watch_signals()?;
         if let Some(lease) = options.lease {
@@ -159,9 +160,7 @@
         }
         // What another process knows goes before the list of the configuration.
         self.hot_restart.look();
-        self.discovery
-            .restore(&options.known_hosts)
-            .map_err(|e| format!("known.{e}"))?;
+        self.discovery.restore(&options.known_hosts)?;
         self.start_clients(options.backoff);
         let admin_listener = match options.admin {
             Some(address) => Some(bind_admin(address).await?),
@@ -170,9 +169,8 @@
         if self.hot_restart.other_serves() {
             self.catch_up().await;
         }
-        let listen = options.listen;
-        let listener =
-            open(listen).map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
+        let address = options.listen;
+        let listener = open(address).map_err(|source| StartError::Listen { address, source })?;
         if let Some(admin_listener) = admin_listener {
             self.start_admin(admin_listener);
         }
@@ -183,7 +181,7 @@
         Ok(())
     }
 
-    fn watch_signals(&self) -> Result<(), String> {
+    fn watch_signals(&self) -> Result<(), StartError> {
         let hot_restart = self.hot_restart.clone();
         shutdown::watch(&self.shutdown, move || {
             // Another process may have started a moment ago.
@@ -193,15 +191,13 @@
         self.reloader.watch()
     }
 
-    async fn start_leases(&self, lease: Lease) -> Result<(), String> {
-        let usage_recorder =
-            leases::open_usage_recorder(&lease).map_err(|error| error.to_string())?;
+    async fn start_leases(&self, lease: Lease) -> Result<(), StartError> {
+        let usage_recorder = leases::open_usage_recorder(&lease)?;
         if let Some(usage_recorder) = &usage_recorder {
             self.pipeline.record_usage(usage_recorder.clone());
         }
-        leases::start(lease, &self.shutdown, usage_recorder)
-            .await
-            .map_err(|error| error.to_string())
+        leases::start(lease, &self.shutdown, usage_recorder).await?;
+        Ok(())
     }
 
     /// Starts the clients of the counter and of discovery, and the log of the metrics.
@@ -273,11 +269,11 @@
 ///
 /// # Errors
 /// A part cannot start: the runtime, a signal handler, a listening socket, the leases or the usage export.
-pub fn serve(config: Config) -> Result<(), String> {
+pub fn serve(config: Config) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
+    let runtime = runtime.map_err(StartError::Runtime)?;
     let options = StartOptions {
         listen: config.listen,
         admin: config.console,
@@ -288,9 +284,9 @@
     LocalSet::new().block_on(&runtime, async { Limiter::new(config).run(options).await })
 }
 
-async fn bind_admin(address: SocketAddr) -> Result<TcpListener, String> {
+async fn bind_admin(address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
-    bound.map_err(|e| format!("console: cannot listen on {address}: {e}"))
+    bound.map_err(|source| StartError::ListenAdmin { address, source })
 }
 
 /// Listens for clients, beside another process of this limiter if there is one.
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -1,6 +1,7 @@
-//! The tally: what this limiter did since its last line and what it believes now, told in one structured log line
-//! now and then, so that many limiters' lines can be added up by second. Off unless our own file asks for it; it
-//! decides nothing, and nothing that decides looks at it.
+//! What this limiter did since its last metrics line, and what its engine believes at this moment.
+//!
+//! The line is one structured log event at an interval, so that the lines of many limiters can be added up by second. Off
+//! unless our own file asks for it; nothing that decides reads it.
 
 use super::engine::EngineDriver;
 use super::resp::upstream::UpstreamPool;
@@ -8,94 +9,121 @@
 use crate::api::{Action, Event, HostId, Nanos, Outcome};
 use quartzcleat_decision::EngineStatus;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::interval;
 
-/// The target of its log lines, which the limit on repeats leaves alone.
-pub const TARGET: &str = "quartzcleat::tally";
+#[cfg(test)]
+mod tests;
+
+/// The target of the log events, which the limit on repeats leaves alone.
+pub const TARGET: &str = "quartzcleat::metrics";
+
+const NANOS_PER_MS: u64 = 1_000_000;
+
+/// The metrics of one limiter, which several of its parts add to.
+pub type SharedMetrics = Rc<RefCell<Metrics>>;
 
 /// What was counted of one host.
 #[derive(Clone, Copy, Debug, Default)]
-struct OfHost {
+struct HostCounts {
     attempts: u32,
     good: u32,
-    full: u32,
+    rejected: u32,
     failed: u32,
-    opened: u32,
-    refused: u32,
+    connected: u32,
+    connect_failures: u32,
+}
+
+/// Rejections, by what the engine was told when it rejected.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rejections {
+    /// The request itself.
+    on_arrival: u32,
+    /// The counter's answer.
+    by_count: u32,
+    /// A timer or a list.
+    by_time: u32,
+    /// The end of an attempt.
+    after_attempt: u32,
 }
 
 /// What was counted since the last line.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
-    name: String,
-    taken: u32,
-    /// Refused by what was told when it was: at once, after the counter's answer, at a time limit, after an attempt.
-    refused_at_once: u32,
-    refused_by_count: u32,
-    refused_by_time: u32,
-    refused_after_attempt: u32,
+    limiter: String,
+    requests: u32,
+    rejections: Rejections,
     failed: u32,
     served: u32,
     /// Ends of attempts, by their outcome.
-    ended: BTreeMap<&'static str, u32>,
-    probes: u32,
+    outcomes: BTreeMap<&'static str, u32>,
+    health_checks: u32,
     counter_calls: u32,
     counter_reads: u32,
-    counter_backs: u32,
-    counter_failed: u32,
+    counter_refunds: u32,
+    counter_failures: u32,
     lists: u32,
     list_failures: u32,
-    hosts: BTreeMap<HostId, OfHost>,
+    hosts: BTreeMap<HostId, HostCounts>,
 }
 
-fn word(outcome: Outcome) -> &'static str {
+/// What an action follows from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// A request.
+    Request,
+    /// An answer of the counter, or none.
+    Count,
+    /// The end of an attempt.
+    Attempt,
+    /// A timer or a list.
+    Other,
+}
+
+impl From<&Event> for Cause {
+    fn from(event: &Event) -> Self {
+        match event {
+            Event::Request { .. } => Cause::Request,
+            Event::CounterReplied { .. } => Cause::Count,
+            Event::AttemptDone { .. } => Cause::Attempt,
+            _ => Cause::Other,
+        }
+    }
+}
+
+/// The name of an outcome in the metrics line.
+fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Good => "good",
         Outcome::Error => "error",
-        Outcome::Rejected => "full",
+        Outcome::Rejected => "rejected",
         Outcome::Timeout => "timeout",
-        Outcome::ConnectFailed => "connect",
+        Outcome::ConnectFailed => "connect_failed",
         Outcome::Reset => "reset",
         Outcome::Cancelled => "cancelled",
-        Outcome::NeverSent => "never",
+        Outcome::NeverSent => "never_sent",
     }
 }
 
-/// The metrics of one limiter, which several of its parts add to.
-pub type SharedMetrics = Rc<RefCell<Metrics>>;
-
 impl Metrics {
-    /// Nothing counted yet.
-    pub fn new(name: String) -> Self {
+    /// Nothing is counted yet.
+    pub fn new(limiter: String) -> Self {
         Metrics {
-            name,
+            limiter,
             ..Metrics::default()
         }
     }
 
-    /// Counts what the module is told.
-    pub fn told(&mut self, event: &Event) -> Cause {
+    /// Counts an event for the engine; returns what its actions follow from.
+    pub fn record_event(&mut self, event: &Event) -> Cause {
         match event {
-            Event::Request { .. } => self.taken += 1,
-            Event::AttemptDone { host, outcome, .. } => {
-                *self.ended.entry(word(*outcome)).or_default() += 1;
-                let of_host = self.hosts.entry(*host).or_default();
-                match outcome {
-                    Outcome::Good => {
-                        self.served += 1;
-                        of_host.good += 1;
-                    }
-                    Outcome::Rejected => of_host.full += 1,
-                    Outcome::Cancelled | Outcome::NeverSent => {}
-                    _ => of_host.failed += 1,
-                }
-            }
+            Event::Request { .. } => self.requests += 1,
+            Event::AttemptDone { host, outcome, .. } => self.record_outcome(*host, *outcome),
             Event::CounterReplied { outcome, .. } if *outcome != Outcome::Good => {
-                self.counter_failed += 1;
+                self.counter_failures += 1;
             }
             Event::Hosts { .. } => self.lists += 1,
             _ => {}
@@ -103,128 +131,134 @@
         event.into()
     }
 
-    /// Counts what the module orders because of it.
-    pub fn ordered(&mut self, cause: Cause, actions: &[Action]) {
+    fn record_outcome(&mut self, host: HostId, outcome: Outcome) {
+        *self.outcomes.entry(outcome_name(outcome)).or_default() += 1;
+        let host = self.hosts.entry(host).or_default();
+        match outcome {
+            Outcome::Good => {
+                self.served += 1;
+                host.good += 1;
+            }
+            Outcome::Rejected => host.rejected += 1,
+            Outcome::Cancelled | Outcome::NeverSent => {}
+            _ => host.failed += 1,
+        }
+    }
+
+    /// Counts the actions that follow from an event.
+    pub fn record_actions(&mut self, cause: Cause, actions: &[Action]) {
         for action in actions {
-            match action {
-                Action::Attempt { host, .. } => self.hosts.entry(*host).or_default().attempts += 1,
-                Action::Reject { .. } => match cause {
-                    Cause::Request => self.refused_at_once += 1,
-                    Cause::Count => self.refused_by_count += 1,
-                    Cause::Attempt => self.refused_after_attempt += 1,
-                    Cause::Other => self.refused_by_time += 1,
-                },
-                Action::Fail { .. } => self.failed += 1,
-                Action::Count { amount, .. } => {
-                    self.counter_calls += 1;
-                    self.counter_reads += u32::from(*amount == 0.0);
-                    self.counter_backs += u32::from(*amount < 0.0);
-                }
-                Action::HealthCheck { .. } => self.probes += 1,
-                _ => {}
+            self.record_action(cause, action);
+        }
+    }
+
+    fn record_action(&mut self, cause: Cause, action: &Action) {
+        match action {
+            Action::Attempt { host, .. } => self.hosts.entry(*host).or_default().attempts += 1,
+            Action::Reject { .. } => match cause {
+                Cause::Request => self.rejections.on_arrival += 1,
+                Cause::Count => self.rejections.by_count += 1,
+                Cause::Attempt => self.rejections.after_attempt += 1,
+                Cause::Other => self.rejections.by_time += 1,
+            },
+            Action::Fail { .. } => self.failed += 1,
+            Action::Count { amount, .. } => {
+                self.counter_calls += 1;
+                self.counter_reads += u32::from(*amount == 0.0);
+                self.counter_refunds += u32::from(*amount < 0.0);
             }
+            Action::HealthCheck { .. } => self.health_checks += 1,
+            _ => {}
         }
     }
 
     /// Counts a connection to a host that came up or did not.
-    pub fn connected(&mut self, host: HostId, up: bool) {
-        let of_host = self.hosts.entry(host).or_default();
-        *(if up {
-            &mut of_host.opened
+    pub fn record_connect(&mut self, host: HostId, has_connected: bool) {
+        let host = self.hosts.entry(host).or_default();
+        if has_connected {
+            host.connected += 1;
         } else {
-            &mut of_host.refused
-        }) += 1;
+            host.connect_failures += 1;
+        }
     }
 
-    /// Counts a call to discovery that came to nothing.
-    pub fn list_failed(&mut self) {
+    /// Counts a call to discovery that failed.
+    pub fn record_list_failure(&mut self) {
         self.list_failures += 1;
     }
 
-    /// Writes the line and begins anew. `held` tells the connections that are up, by host.
-    pub fn tell(&mut self, at: Nanos, view: &EngineStatus, held: &BTreeMap<HostId, usize>) {
-        let fresh = Metrics::new(self.name.clone());
-        let (counted, at_ms) = (std::mem::replace(self, fresh), at / 1_000_000);
-        let mut hosts = String::new();
-        let ids: std::collections::BTreeSet<_> = counted.hosts.keys().chain(held.keys()).collect();
-        for id in ids {
-            let of_host = counted.hosts.get(id).copied().unwrap_or_default();
-            let OfHost {
-                attempts,
-                good,
-                full,
-                failed,
-                opened,
-                refused,
-            } = of_host;
-            let held = held.get(id).copied().unwrap_or(0);
-            let _ = write!(
-                hosts,
-                "{:x}:{attempts}/{good}/{full}/{failed}/{opened}/{refused}/{held} ",
-                id.0
-            );
-        }
-        let mut ended = String::new();
-        for (outcome, count) in &counted.ended {
-            let _ = write!(ended, "{outcome}:{count} ");
-        }
+    /// Logs the metrics and begins anew. `connections` are those that are up, by host.
+    fn log(&mut self, now: Nanos, status: &EngineStatus, connections: &BTreeMap<HostId, usize>) {
+        let fresh = Metrics::new(self.limiter.clone());
+        let counted = std::mem::replace(self, fresh);
+        let rejections = counted.rejections;
         tracing::info!(
             target: TARGET,
-            at_ms,
-            limiter = counted.name,
-            taken = counted.taken,
+            at_ms = now / NANOS_PER_MS,
+            limiter = counted.limiter,
+            requests = counted.requests,
             served = counted.served,
-            refused_at_once = counted.refused_at_once,
-            refused_by_count = counted.refused_by_count,
-            refused_by_time = counted.refused_by_time,
-            refused_after_attempt = counted.refused_after_attempt,
+            rejected_on_arrival = rejections.on_arrival,
+            rejected_by_count = rejections.by_count,
+            rejected_by_time = rejections.by_time,
+            rejected_after_attempt = rejections.after_attempt,
             failed = counted.failed,
-            probes = counted.probes,
+            health_checks = counted.health_checks,
             counter_calls = counted.counter_calls,
             counter_reads = counted.counter_reads,
-            counter_backs = counted.counter_backs,
-            counter_failed = counted.counter_failed,
+            counter_refunds = counted.counter_refunds,
+            counter_failures = counted.counter_failures,
             lists = counted.lists,
             list_failures = counted.list_failures,
-            listed = view.ready_hosts,
-            believed_good = view.healthy_hosts,
-            let_in = view.admission_ratio,
-            room = view.concurrency_limit,
-            ask = view.counter_call_ratio,
-            out = view.in_flight,
-            held = view.queued,
-            ended = ended.trim_end(),
-            hosts = hosts.trim_end(),
-            "tally"
+            ready_hosts = status.ready_hosts,
+            healthy_hosts = status.healthy_hosts,
+            admission_ratio = status.admission_ratio,
+            concurrency_limit = status.concurrency_limit,
+            counter_call_ratio = status.counter_call_ratio,
+            in_flight = status.in_flight,
+            queued = status.queued,
+            outcomes = counted.outcomes_text().trim_end(),
+            hosts = counted.hosts_text(connections).trim_end(),
+            "metrics"
         );
     }
-}
 
-/// What an order follows from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// A request that came in.
-    Request,
-    /// An answer of the counter, or none.
-    Count,
-    /// The end of an attempt.
-    Attempt,
-    /// A timer or a list.
-    Other,
-}
+    /// `good:12 timeout:1 `.
+    fn outcomes_text(&self) -> String {
+        let mut text = String::new();
+        for (outcome, count) in &self.outcomes {
+            // Writing to a string cannot fail.
+            let _ = write!(text, "{outcome}:{count} ");
+        }
+        text
+    }
 
-impl From<&Event> for Cause {
-    fn from(event: &Event) -> Self {
-        match event {
-            Event::Request { .. } => Cause::Request,
-            Event::CounterReplied { .. } => Cause::Count,
-            Event::AttemptDone { .. } => Cause::Attempt,
-            _ => Cause::Other,
+    /// For each host its id and `attempts/good/rejected/failed/connected/connect failures/connections`.
+    fn hosts_text(&self, connections: &BTreeMap<HostId, usize>) -> String {
+        let mut text = String::new();
+        let ids: BTreeSet<_> = self.hosts.keys().chain(connections.keys()).collect();
+        for id in ids {
+            let HostCounts {
+                attempts,
+                good,
+                rejected,
+                failed,
+                connected,
+                connect_failures,
+            } = self.hosts.get(id).copied().unwrap_or_default();
+            let connections = connections.get(id).copied().unwrap_or(0);
+            // Writing to a string cannot fail.
+            let _ = write!(
+                text,
+                "{:x}:{attempts}/{good}/{rejected}/{failed}/{connected}/{connect_failures}/{connections} ",
+                id.0
+            );
         }
+        text
     }
 }
 
-/// Writes the metrics at an interval from now on.
+/// Logs the metrics at an interval from now on.
 pub fn start(
     metrics: SharedMetrics,
     every: Duration,
@@ -232,70 +266,12 @@
     upstream: Rc<UpstreamPool>,
 ) {
     spawn(async move {
-        let mut due = interval(every);
+        let mut ticks = interval(every);
         loop {
-            due.tick().await;
+            ticks.tick().await;
             let (now, status) = (engine.now(), engine.status());
-            metrics
-                .borrow_mut()
-                .tell(now, &status, &upstream.connections_by_host());
+            let connections = upstream.connections_by_host();
+            metrics.borrow_mut().log(now, &status, &connections);
         }
     });
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::api::{RequestId, Timer};
-
-    /// Orders are counted by what they follow from, ends by host and outcome.
-    #[test]
-    fn what_is_told_and_ordered_is_counted_by_cause_and_host() {
-        let mut metrics = Metrics::new("one".into());
-        let (id, host) = (RequestId(1), HostId(5));
-        let done = |outcome| Event::AttemptDone {
-            id,
-            attempt: 0,
-            host,
-            outcome,
-            elapsed: 1,
-            over: false,
-            metered_use: 0,
-            true_units: 0.0,
-            load: Vec::new(),
-        };
-        let cause = metrics.told(&done(Outcome::Rejected));
-        assert_eq!(cause, Cause::Attempt);
-        let again = Action::Attempt {
-            id,
-            host,
-            timeout: 0,
-            begins_within: 1,
-        };
-        metrics.ordered(cause, &[again, Action::Reject { id, retry_after: 0 }]);
-        let cause = metrics.told(&Event::Timer {
-            timer: Timer::LatencyObjective { id },
-        });
-        metrics.ordered(cause, &[Action::Reject { id, retry_after: 0 }]);
-        metrics.told(&done(Outcome::Good));
-        metrics.connected(host, false);
-        let of_host = metrics.hosts[&host];
-        assert_eq!(
-            (
-                of_host.attempts,
-                of_host.good,
-                of_host.full,
-                of_host.refused
-            ),
-            (1, 1, 1, 1)
-        );
-        assert_eq!(
-            (
-                metrics.refused_after_attempt,
-                metrics.refused_by_time,
-                metrics.served
-            ),
-            (1, 1, 1)
-        );
-    }
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,6 +18,7 @@
 pub mod resp;
 pub mod shutdown;
 pub mod stages;
+mod start_error;
 pub mod streaming_body;
 pub mod task;
 pub mod usage_export;
@@ -25,3 +26,4 @@
 #[cfg(test)]
 pub(crate) use limiter::tests;
 pub use limiter::{serve, Limiter};
+pub use start_error::StartError;
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -9,6 +9,7 @@
 use super::resp::downstream::RequestCatalog;
 use super::resp::upstream::UpstreamPool;
 use super::shutdown::unix;
+use super::start_error::StartError;
 use super::task::spawn;
 use crate::api::{Event, Settings};
 use quartzcleat_admin::ClassIndices;
@@ -72,9 +73,11 @@
     ///
     /// # Errors
     /// The signal handler cannot be installed.
-    pub fn watch(self: &Rc<Self>) -> Result<(), String> {
-        let mut hangup =
-            signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
+    pub fn watch(self: &Rc<Self>) -> Result<(), StartError> {
+        let mut hangup = signal(SignalKind::hangup()).map_err(|source| StartError::Signal {
+            signal: "SIGHUP",
+            source,
+        })?;
         let reloader = self.clone();
         spawn(async move {
             while hangup.recv().await.is_some() {
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -5,6 +5,7 @@
 //! and the process ends once all accepted requests are answered.
 
 use super::config::Limits;
+use super::start_error::StartError;
 use super::task::spawn;
 use crate::api::Nanos;
 use quartzcleat_admin::{DrainController, DrainOrder, DrainTimes};
@@ -199,9 +200,11 @@
 pub fn watch(
     shutdown: &Rc<Shutdown>,
     other_serves: impl FnOnce() -> bool + 'static,
-) -> Result<(), String> {
-    let mut terminate =
-        signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
+) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|source| StartError::Signal {
+        signal: "SIGTERM",
+        source,
+    })?;
     spawn(shutdown.clone().follow_phases());
     let shutdown = shutdown.clone();
     spawn(async move {
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -44,7 +44,9 @@
     };
     let connected = connect(&pipeline, &call).await;
     if let Some(metrics) = &pipeline.metrics {
-        metrics.borrow_mut().connected(call.host, connected.is_ok());
+        metrics
+            .borrow_mut()
+            .record_connect(call.host, connected.is_ok());
     }
     let mut connection = match connected {
         Ok(connection) => connection,
