--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -299,7 +299,7 @@
     socket.set_reuseaddr(true)?;
     // Where this is not to be had, no other process can listen there, and this one still can.
     if let Err(e) = socket.set_reuseport(true) {
-        tracing::info!("no second process can listen beside this one: {e}");
+        tracing::info!(error = %e, "listening address cannot be shared");
     }
     socket.bind(listen)?;
     socket.listen(LISTEN_BACKLOG)
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -91,7 +91,7 @@
     /// Puts a configuration into force. A faulty one is reported, and the one before stays.
     fn apply(self: &Rc<Self>, read: Result<Config, String>) {
         let config = match read {
-            Err(problem) => return tracing::warn!("the configuration stays as it was: {problem}"),
+            Err(error) => return tracing::warn!(%error, "configuration rejected"),
             Ok(config) => config,
         };
         self.file.replace(config.file);
@@ -119,7 +119,7 @@
         tracing::info!(
             classes = settings.classes.len(),
             plans = settings.plans.len(),
-            "new settings are in force"
+            "configuration applied"
         );
         self.parts.engine.handle(Event::SettingsChanged {
             settings: Box::new(indexed),
