--- a/crates/bench/src/damage.rs
+++ b/crates/bench/src/damage.rs
@@ -2,7 +2,7 @@
 
 use clap::Args;
 use quartzcleat_config::tree::Content;
-use quartzcleat_config::Day;
+use quartzcleat_config::Deployment;
 use quartzcleat_expectations::run::read_day;
 use quartzcleat_expectations::{run, Options, Verdict};
 use std::fmt::Write as _;
@@ -353,7 +353,7 @@
 }
 
 /// The day's text with one key damaged, in the form of JSON, which is read like YAML: a line for each key.
-fn damaged(day: &Day, key: &str, to: &To) -> Result<String, String> {
+fn damaged(day: &Deployment, key: &str, to: &To) -> Result<String, String> {
     let content = match to {
         To::Number(value) => Content::Number(*value),
         To::Flag(flag) => Content::Flag(*flag),
--- a/crates/bench/src/pair.rs
+++ b/crates/bench/src/pair.rs
@@ -2,7 +2,7 @@
 
 use crate::spread;
 use clap::Args;
-use quartzcleat_config::Day;
+use quartzcleat_config::Deployment;
 use quartzcleat_decision::api::{HostState, Settings};
 use quartzcleat_fakes::stage::{perform, Usage};
 use quartzcleat_invariants::{record::Player, Answered, Cast, What};
@@ -151,7 +151,7 @@
 impl Pair {
     /// Measures.
     pub fn run(self) -> Result<String, String> {
-        let day = Day::read(
+        let day = Deployment::read(
             "imlil-main.yaml",
             include_str!("../../../deploy/imlil-main.yaml"),
         );
--- /dev/null
+++ b/crates/config/src/deployment.rs
@@ -0,0 +1,166 @@
+//! The platform's settings of a deployment, with their lines: classes, plans, times and rules, as JSON or, for people, as
+//! YAML with units.
+
+mod consistency;
+mod names;
+#[cfg(test)]
+mod tests;
+mod unknown_keys;
+
+use crate::fault::Faults;
+use crate::platform::{self, Kind};
+use crate::quantity;
+use crate::reader;
+use crate::tree::{self, Content, Leaf, Node};
+use quartzcleat_decision::api::Settings;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The settings of a deployment, read and checked.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// The file's name, as it was given.
+    pub file: Arc<str>,
+    /// The settings as a tree with places. In a limiter's complete configuration this is the part below `settings`.
+    pub tree: Node,
+    /// The settings for the decision engine; `me` and `zone` differ between limiters.
+    pub settings: Settings,
+    /// The names of the zones, by their indices.
+    pub zone_names: Vec<String>,
+}
+
+/// A change of one key: its path and its new value, or `None` to remove it.
+pub type Change = (String, Option<Content>);
+
+impl Deployment {
+    /// Reads a file's text.
+    ///
+    /// # Errors
+    /// All faults of the file.
+    pub fn read(file: &str, text: &str) -> Result<Deployment, Faults> {
+        let file: Arc<str> = file.into();
+        let tree = tree::parse(&file, text)?;
+        let tree = tree.get("settings").cloned().unwrap_or(tree);
+        Deployment::from_tree(file, tree)
+    }
+
+    /// Reads the settings from their tree.
+    ///
+    /// # Errors
+    /// All faults of the tree.
+    pub fn from_tree(file: Arc<str>, tree: Node) -> Result<Deployment, Faults> {
+        let mut faults = Faults::default();
+        if !matches!(tree.content, Content::Map(_)) {
+            faults.add(&file, tree.place, "", "not a map of settings");
+            return Err(faults);
+        }
+        let normalized = with_times_in_nanos(&file, &tree, &mut faults);
+        let settings = decode(&file, &tree, &normalized, &mut faults)?;
+        let zone_names = zone_names(&tree);
+        let deployment = Deployment {
+            file,
+            tree,
+            settings,
+            zone_names,
+        };
+        if faults.none() {
+            deployment.check_consistency(&mut faults);
+        }
+        faults.or(deployment)
+    }
+
+    /// The same deployment with some keys changed.
+    ///
+    /// # Errors
+    /// All faults of the changed settings.
+    pub fn with(&self, changes: &[Change]) -> Result<Deployment, Faults> {
+        let mut tree = self.tree.clone();
+        for (path, content) in changes {
+            // A path that does not exist leaves the tree as it is.
+            match content {
+                Some(content) => drop(tree.set(path, content.clone())),
+                None => drop(tree.remove(path)),
+            }
+        }
+        Deployment::from_tree(self.file.clone(), tree)
+    }
+
+    /// The line of a key, or of the nearest key above it that exists.
+    #[must_use]
+    pub fn line(&self, path: &str) -> u32 {
+        let mut path = path;
+        loop {
+            if let Some(node) = self.tree.at(path) {
+                return node.place.line;
+            }
+            match path.rsplit_once('.') {
+                Some((parent, _)) => path = parent,
+                None => return self.tree.place.line,
+            }
+        }
+    }
+
+    /// The keys that are read, with their nodes.
+    #[must_use]
+    pub fn keys(&self) -> Vec<Leaf<'_>> {
+        let leaves = self.tree.leaves();
+        leaves
+            .into_iter()
+            .filter(|(path, _)| platform::key_of(path).is_some())
+            .collect()
+    }
+}
+
+/// The tree with all durations as numbers of nanoseconds. Invalid durations and probable misspellings of keys are faults.
+fn with_times_in_nanos(file: &Arc<str>, tree: &Node, faults: &mut Faults) -> Node {
+    let mut normalized = tree.clone();
+    for (path, node) in tree.leaves() {
+        let Some(key) = platform::key_of(&path) else {
+            unknown_keys::check(file, &path, node.place, tree, faults);
+            continue;
+        };
+        if key.kind != Kind::Time || !matches!(node.content, Content::Text(_)) {
+            continue;
+        }
+        match quantity::time(node) {
+            // The path exists, as it is a leaf of the same tree.
+            Ok(nanos) => drop(normalized.set(&path, Content::Number(nanos as f64))),
+            Err(problem) => faults.add(file, node.place, path, problem),
+        }
+    }
+    normalized
+}
+
+/// Decodes the normalized tree. A fault is placed where its key stands in the original one.
+fn decode(
+    file: &Arc<str>,
+    tree: &Node,
+    normalized: &Node,
+    faults: &mut Faults,
+) -> Result<Settings, Faults> {
+    let pairs = platform::flatten(&normalized.to_json()).map_err(|problem| {
+        let mut faults = Faults::default();
+        faults.add(file, tree.place, "", problem);
+        faults
+    })?;
+    let pairs: BTreeMap<&str, &str> = pairs
+        .iter()
+        .map(|(key, value)| (key.as_str(), value.as_str()))
+        .collect();
+    let settings = platform::decode(pairs).unwrap_or_else(|pair_faults| {
+        for fault in pair_faults {
+            let place = tree.at(&fault.path).map_or(tree.place, |node| node.place);
+            let is_known = faults.0.iter().any(|known| known.key == fault.path);
+            if !is_known {
+                faults.add(file, place, fault.path, fault.problem);
+            }
+        }
+        Settings::default()
+    });
+    Ok(settings)
+}
+
+fn zone_names(tree: &Node) -> Vec<String> {
+    let zones = tree.get("zones").map(reader::list).unwrap_or_default();
+    zones.iter().filter_map(Node::text).collect()
+}
--- /dev/null
+++ b/crates/config/src/deployment/consistency.rs
@@ -0,0 +1,149 @@
+//! Checks of settings that are valid by themselves and contradict each other.
+
+use super::Deployment;
+use crate::fault::Faults;
+use crate::quantity::show_time;
+use crate::tree::Place;
+use quartzcleat_decision::api::{Class, Effect, Plan, Settings};
+
+/// A contradiction between settings. The text names the remedy; file, line and key are added to it.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+enum Contradiction {
+    #[error("missing; requests name their class")]
+    ClassWithoutName,
+    #[error("{} is not after the aim, {}", show_time(*deadline), show_time(*latency_objective))]
+    DeadlineBeforeObjective {
+        deadline: u64,
+        latency_objective: u64,
+    },
+    #[error("missing; a keyed class needs the time in which repeats drop")]
+    KeyedClassWithoutDedupWindow,
+    #[error("missing; requests name their plan")]
+    PlanWithoutName,
+    #[error("a quota is not below 0")]
+    NegativeQuota,
+    #[error("{burst} is less than one request may count, {largest_request}")]
+    BurstBelowLargestRequest { burst: f64, largest_request: f64 },
+    #[error("{largest_request} is more than the burst of {plan}, {burst}")]
+    LargestRequestAboveBurst {
+        largest_request: f64,
+        plan: String,
+        burst: f64,
+    },
+    #[error("0; at least one attempt is needed")]
+    NoAttempts,
+    #[error("missing, where there is a counter")]
+    CounterWithoutTimeout,
+    #[error("missing, where clients are told when to come back")]
+    NoLongestRetryAfter,
+    #[error("{value} is not a part from 0 to 1")]
+    SlowStartFloorOutOfRange { value: f64 },
+    #[error("{limiter} is not below the number of limiters, {limiter_count}")]
+    LimiterIndexTooHigh { limiter: u32, limiter_count: u32 },
+}
+
+impl Deployment {
+    /// Adds a fault for each contradiction between settings.
+    pub(super) fn check_consistency(&self, faults: &mut Faults) {
+        let mut check = Check {
+            deployment: self,
+            faults,
+        };
+        for (index, class) in self.settings.classes.iter().enumerate() {
+            check.class(index, class);
+        }
+        for (index, plan) in self.settings.plans.iter().enumerate() {
+            check.plan(index, plan);
+        }
+        check.limits(&self.settings);
+        check.safety(&self.settings);
+    }
+}
+
+struct Check<'a> {
+    deployment: &'a Deployment,
+    faults: &'a mut Faults,
+}
+
+impl Check<'_> {
+    fn add(&mut self, key: &str, contradiction: Contradiction) {
+        let place = Place {
+            line: self.deployment.line(key),
+            column: 1,
+        };
+        self.faults
+            .add(&self.deployment.file, place, key, contradiction);
+    }
+
+    fn class(&mut self, index: usize, class: &Class) {
+        let key = |key: &str| format!("categories.{index}.{key}");
+        if class.name.is_empty() {
+            self.add(&key("name"), Contradiction::ClassWithoutName);
+        }
+        if class.deadline == 0 || class.latency_objective > class.deadline {
+            let contradiction = Contradiction::DeadlineBeforeObjective {
+                deadline: class.deadline,
+                latency_objective: class.latency_objective,
+            };
+            self.add(&key("hardLimitNs"), contradiction);
+        }
+        if class.effect == Effect::Keyed && class.dedup_window == 0 {
+            let contradiction = Contradiction::KeyedClassWithoutDedupWindow;
+            self.add(&key("dedupWindowNs"), contradiction);
+        }
+    }
+
+    fn plan(&mut self, index: usize, plan: &Plan) {
+        let key = |key: &str| format!("contracts.{index}.{key}");
+        if plan.name.is_empty() {
+            self.add(&key("name"), Contradiction::PlanWithoutName);
+        }
+        if plan.rate < 0.0 || plan.burst < 0.0 {
+            self.add(&key("refill"), Contradiction::NegativeQuota);
+        }
+        let largest_request = self.deployment.settings.largest_request;
+        let burst = plan.burst;
+        if plan.rate > 0.0 && burst < largest_request {
+            let contradiction = Contradiction::BurstBelowLargestRequest {
+                burst,
+                largest_request,
+            };
+            self.add(&key("peakUnits"), contradiction);
+            let contradiction = Contradiction::LargestRequestAboveBurst {
+                largest_request,
+                plan: plan.name.clone(),
+                burst,
+            };
+            self.add("familyInfo.unitsTop", contradiction);
+        }
+    }
+
+    fn limits(&mut self, settings: &Settings) {
+        if settings.max_attempts == 0 {
+            self.add("limits.sendCap", Contradiction::NoAttempts);
+        }
+        if settings.counter && settings.counter_timeout == 0 {
+            let contradiction = Contradiction::CounterWithoutTimeout;
+            self.add("familyInfo.counterTimeoutNs", contradiction);
+        }
+        if settings.retry_after && settings.longest_retry_after == 0 {
+            let contradiction = Contradiction::NoLongestRetryAfter;
+            self.add("limits.maxRetryAfterNs", contradiction);
+        }
+    }
+
+    fn safety(&mut self, settings: &Settings) {
+        let floor = settings.slow_start_floor;
+        if !(0.0..=1.0).contains(&floor) {
+            let contradiction = Contradiction::SlowStartFloorOutOfRange { value: floor };
+            self.add("safety.coldFrom", contradiction);
+        }
+        if settings.limiter_count > 0 && settings.me >= settings.limiter_count {
+            let contradiction = Contradiction::LimiterIndexTooHigh {
+                limiter: settings.me,
+                limiter_count: settings.limiter_count,
+            };
+            self.add("me", contradiction);
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/deployment/tests.rs
@@ -0,0 +1,105 @@
+//! Deployments are read with units and names, and all faults are found with their lines.
+
+use super::*;
+
+const DEPLOYMENT: &str = "\
+balancers: 3
+quantumNs: 4ms
+zones: [room-a, room-b]
+categories:
+  - {name: bed-hold, effect: dedup, group: all, dedupWindowNs: 4s, onTimeNs: 1s, hardLimitNs: 4000000000}
+contracts:
+  - {name: guide, refill: 1.6, peakUnits: 8}
+familyInfo: {counter: true, counterTimeoutNs: 30ms, unitsTop: 6}
+limits: {sendCap: 4, retryAfter: true, maxRetryAfterNs: 1s}
+safety: {drainGraceNs: 1s, coldFrom: 0.15, warmAfterNs: 18s, overloadFactor: 3}
+";
+
+#[test]
+fn settings_are_read_with_units_and_names() {
+    let deployment = Deployment::read("day.yaml", DEPLOYMENT).expect("sound");
+    assert_eq!(
+        (
+            deployment.settings.tick,
+            deployment.settings.classes[0].deadline
+        ),
+        (4_000_000, 4_000_000_000)
+    );
+    assert_eq!(
+        deployment
+            .resolve("plans.guide.burst")
+            .map(|setting| setting.value),
+        Ok(8.0)
+    );
+    assert_eq!(deployment.line("contracts.0.peakUnits"), 7);
+    assert!(deployment
+        .resolve("plans.gide.burst")
+        .expect_err("a typing error")
+        .to_string()
+        .contains("guide"));
+    assert!(
+        deployment.resolve("classes.bed-hold.aims").is_err()
+            && deployment.resolve("nothing").is_err()
+    );
+    let whole = format!(
+        "{{\"name\": \"n\", \"settings\": {}}}",
+        deployment.tree.to_json()
+    );
+    assert_eq!(
+        Deployment::read("config.json", &whole)
+            .expect("sound")
+            .settings
+            .plans,
+        deployment.settings.plans
+    );
+}
+
+#[test]
+fn all_faults_are_reported_with_their_lines() {
+    let text = DEPLOYMENT
+        .replace("4ms", "soon")
+        .replace("refill: 1.6", "refil: 1.6")
+        .replace("retryAfter: true", "retryAfter: si");
+    let faults = Deployment::read("day.yaml", &text).expect_err("three faults");
+    let lines: Vec<_> = faults
+        .0
+        .iter()
+        .map(|fault| (fault.place.line, fault.key.as_str()))
+        .collect();
+    assert_eq!(
+        lines,
+        [
+            (2, "quantumNs"),
+            (7, "contracts.0.refil"),
+            (9, "limits.retryAfter")
+        ],
+        "{faults}"
+    );
+}
+
+#[test]
+fn contradictions_are_faults() {
+    for (from, to, key) in [
+        ("onTimeNs: 1s", "onTimeNs: 9s", "categories.0.hardLimitNs"),
+        ("dedupWindowNs: 4s, ", "", "categories.0.dedupWindowNs"),
+        ("peakUnits: 8", "peakUnits: 5", "contracts.0.peakUnits"),
+        ("sendCap: 4", "sendCap: 0", "limits.sendCap"),
+        ("coldFrom: 0.15", "coldFrom: 15", "safety.coldFrom"),
+    ] {
+        let faults = Deployment::read("day.yaml", &DEPLOYMENT.replace(from, to)).expect_err(key);
+        assert_eq!(faults.0[0].key, key, "{faults}");
+    }
+}
+
+#[test]
+fn changing_a_key_leaves_the_others() {
+    let deployment = Deployment::read("day.yaml", DEPLOYMENT).expect("sound");
+    let changed = deployment
+        .with(&[("limits.sendCap".into(), Some(Content::Number(7.0)))])
+        .expect("sound");
+    assert_eq!(
+        (changed.settings.max_attempts, changed.settings.plans.len()),
+        (7, 1)
+    );
+    assert!(deployment.with(&[("limits.sendCap".into(), None)]).is_err());
+}
--- /dev/null
+++ b/crates/config/src/deployment/unknown_keys.rs
@@ -0,0 +1,51 @@
+//! Finds misspelled keys. The platform's settings have more keys than are read here, so that an unknown key is a fault only
+//! where it resembles a key that is read and missing.
+
+use crate::fault::{nearest, Faults};
+use crate::platform::{SettingKey, KEYS};
+use crate::tree::{Node, Place};
+use std::sync::Arc;
+
+/// An unknown key that is at least this similar to a missing one counts as its misspelling.
+const MIN_SIMILARITY: f64 = 0.93;
+
+/// Adds a fault if the unknown key at `path` is probably a misspelling.
+pub(super) fn check(file: &Arc<str>, path: &str, place: Place, tree: &Node, faults: &mut Faults) {
+    let (parent, name) = split_parent(path);
+    let pattern = parent_pattern(parent);
+    let siblings = KEYS.iter().filter_map(|key| name_below(key, &pattern));
+    let Some(nearest) = nearest(name, siblings) else {
+        return;
+    };
+    let nearest_path = match parent {
+        "" => nearest.to_owned(),
+        _ => format!("{parent}.{nearest}"),
+    };
+    let is_missing = tree.at(&nearest_path).is_none();
+    if is_missing && strsim::jaro_winkler(name, nearest) > MIN_SIMILARITY {
+        let problem = format!("unknown key; did you mean {nearest}?");
+        faults.add(file, place, path, problem);
+    }
+}
+
+/// The last part of a key's name, if the key stands directly below `parent_pattern`.
+fn name_below(key: &SettingKey, parent_pattern: &str) -> Option<&'static str> {
+    let (parent, name) = split_parent(key.pattern);
+    (parent == parent_pattern).then_some(name)
+}
+
+fn split_parent(path: &str) -> (&str, &str) {
+    path.rsplit_once('.').unwrap_or(("", path))
+}
+
+/// The path with `N` in place of its indices.
+fn parent_pattern(parent: &str) -> String {
+    let parts: Vec<_> = parent
+        .split('.')
+        .map(|part| match part.parse::<u32>() {
+            Ok(_) => "N",
+            Err(_) => part,
+        })
+        .collect();
+    parts.join(".")
+}
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -1,4 +1,4 @@
-//! What is wrong in a file, and where: each fault names its place, its key and what would do.
+//! Faults of a file: each names its place, its key and the remedy.
 
 use crate::tree::Place;
 use std::fmt;
@@ -9,54 +9,55 @@
 pub struct Fault {
     /// The file's name, as it was given.
     pub file: Arc<str>,
-    /// Where in it.
+    /// The place in it.
     pub place: Place,
-    /// The key, with those above it.
+    /// The key with those above it; empty where the fault concerns the whole file.
     pub key: String,
-    /// What is wrong, and what would do.
+    /// What is wrong, and the remedy.
     pub problem: String,
 }
 
 impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: ", self.file, self.place.line)?;
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}: ", self.file, self.place.line)?;
         if !self.key.is_empty() {
-            write!(f, "{}: ", self.key)?;
+            write!(formatter, "{}: ", self.key)?;
         }
-        write!(f, "{}", self.problem)
+        write!(formatter, "{}", self.problem)
     }
 }
 
-/// All faults of one reading, in the order in which they were found.
+/// All faults of a file, in the order in which they were found.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Faults(pub Vec<Fault>);
 
 impl Faults {
-    /// Adds one at a node's place.
+    /// Adds a fault.
     pub fn add(
         &mut self,
         file: &Arc<str>,
         place: Place,
         key: impl Into<String>,
-        problem: impl Into<String>,
+        problem: impl fmt::Display,
     ) {
         self.0.push(Fault {
             file: file.clone(),
             place,
             key: key.into(),
-            problem: problem.into(),
+            problem: problem.to_string(),
         });
     }
 
-    /// Whether nothing is wrong.
+    /// Whether there are no faults.
+    #[must_use]
     pub fn none(&self) -> bool {
         self.0.is_empty()
     }
 
-    /// `Ok` where nothing is wrong.
+    /// The value, if there are no faults.
     ///
     /// # Errors
-    /// All faults, where there are any.
+    /// There are faults.
     pub fn or<T>(self, value: T) -> Result<T, Faults> {
         if self.none() {
             Ok(value)
@@ -67,10 +68,10 @@
 }
 
 impl fmt::Display for Faults {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (number, fault) in self.0.iter().enumerate() {
             let end = if number + 1 < self.0.len() { "\n" } else { "" };
-            write!(f, "{fault}{end}")?;
+            write!(formatter, "{fault}{end}")?;
         }
         Ok(())
     }
@@ -78,12 +79,15 @@
 
 impl std::error::Error for Faults {}
 
-/// The known word nearest to one that is not known, where one is near: for "did you mean".
+/// Two words with a higher similarity may be one word and its misspelling.
+const MIN_SIMILARITY: f64 = 0.82;
+
+/// The known word that is most similar to an unknown one, for "did you mean"; none where no word is similar enough.
 pub fn nearest<'a>(word: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
-    let scored = known
+    known
         .into_iter()
-        .map(|candidate| (strsim::jaro_winkler(word, candidate), candidate));
-    let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
-    best.filter(|(score, _)| *score > 0.82)
+        .map(|candidate| (strsim::jaro_winkler(word, candidate), candidate))
+        .max_by(|(left, _), (right, _)| left.total_cmp(right))
+        .filter(|(similarity, _)| *similarity > MIN_SIMILARITY)
         .map(|(_, candidate)| candidate)
 }
--- a/crates/config/src/lease.rs
+++ b/crates/config/src/lease.rs
@@ -4,7 +4,8 @@
 use crate::fault::Faults;
 use crate::quantity;
 use crate::reader::{list, one_of, text, Reader};
-use crate::tree::{Content, Node};
+use crate::tree::{Content, Entry, Node};
+use crate::value::ValueError;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -242,7 +243,7 @@
     }
 }
 
-fn span(node: &Node) -> Result<Duration, String> {
+fn span(node: &Node) -> Result<Duration, ValueError> {
     quantity::time(node).map(Duration::from_nanos)
 }
 
@@ -257,7 +258,12 @@
         return Err("not a map; write name: address lines".to_owned());
     };
     let mut read = BTreeMap::new();
-    for (name, place, node) in members.iter().take(MOST) {
+    for Entry {
+        key: name,
+        place,
+        value: node,
+    } in members.iter().take(MOST)
+    {
         let at =
             address(node).map_err(|problem| format!("{name} (line {}): {problem}", place.line))?;
         if read.values().any(|other| *other == at) {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,21 +1,23 @@
-//! Settings, each with its place in the file it came from: the trees that YAML and JSON are read into, the faults
-//! that are found in them, quantities with units, the platform's settings of a day and our own file.
+//! Configuration with source locations: the trees that YAML and JSON are parsed into, the faults found in them, quantities
+//! with units, the platform's settings of a deployment, and the product's own file.
 //!
-//! Knows no sockets and no decisions. All faults of a file are found in one reading.
+//! Contains no sockets and no decisions. All faults of a file are reported at once.
 
-pub mod complete;
-pub mod day;
+pub mod deployment;
 pub mod fault;
-pub mod figure;
+pub mod formula;
 pub mod lease;
 pub mod platform;
 pub mod product;
 pub mod quantity;
 pub mod reader;
+pub mod replacement;
 pub mod tree;
+pub mod value;
 
-pub use day::Day;
+pub use deployment::Deployment;
 pub use fault::{Fault, Faults};
 pub use product::Product;
 pub use reader::Reader;
 pub use tree::Node;
+pub use value::ValueError;
--- /dev/null
+++ b/crates/config/src/platform/decode.rs
@@ -0,0 +1,203 @@
+//! Settings from `path=value` pairs.
+
+use super::keys::{DISCOVERY_MODES, EFFECTS, GROUPS, REPORT_SOURCES};
+use quartzcleat_decision::api::{Class, Plan, Settings};
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+/// The most classes or plans that are read: a higher count is a fault rather than an allocation.
+const MAX_LIST_LENGTH: u32 = 4096;
+
+/// A pair whose value is invalid.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{path}: {problem}")]
+pub struct PairFault {
+    /// The path of the pair.
+    pub path: String,
+    /// What is wrong with the value.
+    pub problem: PairProblem,
+}
+
+/// What is wrong with the value of a pair.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PairProblem {
+    /// It cannot be parsed as the type of its key.
+    #[error("cannot read {text:?}")]
+    Unparsable {
+        /// The value.
+        text: String,
+    },
+    /// It is an infinite number or not a number.
+    #[error("not a finite number")]
+    NotFinite,
+    /// It is none of the words that its key accepts.
+    #[error("unknown word {text:?}")]
+    UnknownWord {
+        /// The value.
+        text: String,
+    },
+    /// A list has more members than are read.
+    #[error("more than {MAX_LIST_LENGTH}")]
+    ListTooLong,
+}
+
+/// Reads settings from `path=value` pairs. An absent key gets the default of its type.
+///
+/// # Errors
+/// Every pair whose value is invalid, in the order of reading.
+pub fn decode(pairs: BTreeMap<&str, &str>) -> Result<Settings, Vec<PairFault>> {
+    let mut reader = PairReader {
+        pairs,
+        faults: Vec::new(),
+    };
+    let class_count = reader.list_length("categories.count");
+    let classes = (0..class_count).map(|index| reader.class(index)).collect();
+    let plan_count = reader.list_length("contracts.count");
+    let plans = (0..plan_count).map(|index| reader.plan(index)).collect();
+    let settings = reader.settings(classes, plans);
+    if reader.faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(reader.faults)
+    }
+}
+
+/// Reads values by their keys and collects the faults.
+struct PairReader<'a> {
+    pairs: BTreeMap<&'a str, &'a str>,
+    faults: Vec<PairFault>,
+}
+
+impl<'a> PairReader<'a> {
+    /// The value of a key; `-` and an empty value stand for an absent key.
+    fn value(&self, key: &str) -> Option<&'a str> {
+        self.pairs
+            .get(key)
+            .copied()
+            .filter(|text| !matches!(*text, "-" | ""))
+    }
+
+    fn add_fault(&mut self, key: &str, problem: PairProblem) {
+        self.faults.push(PairFault {
+            path: key.to_owned(),
+            problem,
+        });
+    }
+
+    fn parse<T: FromStr + Default>(&mut self, key: &str) -> T {
+        let Some(text) = self.value(key) else {
+            return T::default();
+        };
+        text.parse().unwrap_or_else(|_| {
+            let text = text.to_owned();
+            self.add_fault(key, PairProblem::Unparsable { text });
+            T::default()
+        })
+    }
+
+    fn number(&mut self, key: &str) -> f64 {
+        let value: f64 = self.parse(key);
+        if value.is_finite() {
+            return value;
+        }
+        self.add_fault(key, PairProblem::NotFinite);
+        0.0
+    }
+
+    /// The text of a key as it is: `-` is a valid name.
+    fn text(&self, key: &str) -> String {
+        self.pairs
+            .get(key)
+            .map(|text| (*text).to_owned())
+            .unwrap_or_default()
+    }
+
+    fn word<T: Copy + Default>(&mut self, key: &str, words: &[(&str, T)]) -> T {
+        let Some(text) = self.value(key) else {
+            return T::default();
+        };
+        if let Some((_, value)) = words.iter().find(|(word, _)| *word == text) {
+            return *value;
+        }
+        let text = text.to_owned();
+        self.add_fault(key, PairProblem::UnknownWord { text });
+        T::default()
+    }
+
+    fn list_length(&mut self, key: &str) -> u32 {
+        let count: u32 = self.parse(key);
+        if count > MAX_LIST_LENGTH {
+            self.add_fault(key, PairProblem::ListTooLong);
+        }
+        count.min(MAX_LIST_LENGTH)
+    }
+
+    fn class(&mut self, index: u32) -> Class {
+        let key = |name: &str| format!("categories.{index}.{name}");
+        Class {
+            name: self.text(&key("name")),
+            effect: self.word(&key("effect"), &EFFECTS),
+            group: self.word(&key("group"), &GROUPS),
+            dedup_window: self.parse(&key("dedupWindowNs")),
+            latency_objective: self.parse(&key("onTimeNs")),
+            latency_objective_stretch: self.number(&key("aimStretch")),
+            deadline: self.parse(&key("hardLimitNs")),
+            priority_weight: self.number(&key("importance")),
+            late_weight: self.number(&key("lateWorth")),
+            stream: self.parse(&key("stream")),
+        }
+    }
+
+    fn plan(&mut self, index: u32) -> Plan {
+        let key = |name: &str| format!("contracts.{index}.{name}");
+        Plan {
+            name: self.text(&key("name")),
+            rate: self.number(&key("refill")),
+            burst: self.number(&key("peakUnits")),
+            open: self.number(&key("concurrency")) as u32,
+            weight_factor: self.number(&key("worthFactor")),
+            over_quota_weight: self.number(&key("extraWorth")),
+            over_quota_cost: self.number(&key("overrunCost")),
+            ceiling_rate: self.number(&key("ceilingRate")),
+            ceiling_burst: self.number(&key("capDepth")),
+            ceiling_slack: self.number(&key("capSlack")),
+        }
+    }
+
+    fn settings(&mut self, classes: Vec<Class>, plans: Vec<Plan>) -> Settings {
+        Settings {
+            classes,
+            plans,
+            limiter_count: self.parse("balancers"),
+            me: self.parse("me"),
+            zone: self.parse("zone"),
+            tick: self.parse("quantumNs"),
+            discovery_by_polling: self.word("registryMode", &DISCOVERY_MODES),
+            reports: self.word("stats.how", &REPORT_SOURCES),
+            counter: self.parse("familyInfo.counter"),
+            counter_timeout: self.parse("familyInfo.counterTimeoutNs"),
+            counter_price: self.number("familyInfo.callPrice"),
+            settled_later: self.parse("familyInfo.costAfter"),
+            largest_request: self.number("familyInfo.unitsTop"),
+            may_cancel: self.parse("limits.mayCancel"),
+            may_health_check: self.parse("limits.probing"),
+            may_message_peers: self.parse("limits.peers"),
+            hedged_requests: self.parse("limits.secondCopies"),
+            retry_after: self.parse("limits.retryAfter"),
+            longest_retry_after: self.parse("limits.maxRetryAfterNs"),
+            max_attempts: self.parse("limits.sendCap"),
+            max_open: self.parse("limits.openCap"),
+            connect_timeout: self.parse("limits.connectTimeoutNs"),
+            answer_grace: self.parse("safety.graceToAnswerNs"),
+            drain_grace: self.parse("safety.drainGraceNs"),
+            slow_start_floor: self.number("safety.coldFrom"),
+            slow_start_duration: self.parse("safety.warmAfterNs"),
+            overload_factor: self.number("safety.overloadFactor"),
+            overload_duration: self.parse("safety.tipAfterNs"),
+            cross_zone_price: self.number("charges.crossZone"),
+            waste_price: self.number("charges.waste"),
+            late_failure_price: self.number("charges.lateFail"),
+            health_check_price: self.number("charges.probe"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/platform/flatten.rs
@@ -0,0 +1,90 @@
+//! Nested JSON as `path=value` pairs.
+
+use serde_json::{Number, Value};
+use std::collections::BTreeMap;
+
+/// Below this, a floating-point number that is whole is written as an integer without loss.
+const MAX_WHOLE_NUMBER: f64 = 9e15;
+
+/// JSON that has no form as pairs.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FlattenError {
+    /// The settings are not an object.
+    #[error("settings: not an object")]
+    NotAnObject,
+    /// A list contains a list.
+    #[error("settings.{path}: lists within lists are not known here")]
+    NestedList {
+        /// The key of the outer list.
+        path: String,
+    },
+}
+
+/// Writes nested JSON as `path=value` pairs. A list of objects also gets a pair `path.count`.
+///
+/// # Errors
+/// The value is not an object, or contains a list within a list.
+pub fn flatten(settings: &Value) -> Result<BTreeMap<String, String>, FlattenError> {
+    let mut pairs = BTreeMap::new();
+    flatten_into("", settings, &mut pairs)?;
+    Ok(pairs)
+}
+
+fn flatten_into(
+    path: &str,
+    value: &Value,
+    pairs: &mut BTreeMap<String, String>,
+) -> Result<(), FlattenError> {
+    match value {
+        Value::Object(members) => {
+            for (name, value) in members {
+                flatten_into(&join(path, name), value, pairs)?;
+            }
+        }
+        Value::Array(list) if list.iter().any(Value::is_object) => {
+            pairs.insert(join(path, "count"), list.len().to_string());
+            for (index, value) in list.iter().enumerate() {
+                flatten_into(&join(path, &index.to_string()), value, pairs)?;
+            }
+        }
+        Value::Array(list) => {
+            let texts: Result<Vec<_>, _> = list.iter().map(|value| scalar(path, value)).collect();
+            pairs.insert(path.to_owned(), texts?.join(","));
+        }
+        _ if path.is_empty() => return Err(FlattenError::NotAnObject),
+        _ => {
+            pairs.insert(path.to_owned(), scalar(path, value)?);
+        }
+    }
+    Ok(())
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{path}.{name}")
+    }
+}
+
+fn scalar(path: &str, value: &Value) -> Result<String, FlattenError> {
+    match value {
+        Value::Null => Ok("-".to_owned()),
+        Value::Bool(flag) => Ok(flag.to_string()),
+        Value::String(text) => Ok(text.clone()),
+        Value::Number(number) => Ok(number_text(number)),
+        Value::Array(_) | Value::Object(_) => Err(FlattenError::NestedList {
+            path: path.to_owned(),
+        }),
+    }
+}
+
+/// A number's text. An integer may be written as `3.0` or `5e9` in JSON; the decoder expects `3` and `5000000000`.
+fn number_text(number: &Number) -> String {
+    match number.as_f64() {
+        Some(real) if number.is_f64() && real.fract() == 0.0 && real.abs() < MAX_WHOLE_NUMBER => {
+            (real as i64).to_string()
+        }
+        _ => number.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/config/src/platform/keys.rs
@@ -0,0 +1,147 @@
+//! The table of the platform's keys, and the words that some of them accept.
+
+use quartzcleat_decision::api::{Effect, Group, ReportSource};
+
+/// The type of a key's value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A duration in nanoseconds.
+    Time,
+    /// A number; counts are numbers too.
+    Number,
+    /// `true` or `false`.
+    Flag,
+    /// One of the listed words.
+    Word(&'static [&'static str]),
+    /// A name.
+    Name,
+}
+
+/// A key that is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SettingKey {
+    /// Its path, with `N` in place of the indices of lists.
+    pub pattern: &'static str,
+    /// The type of its value.
+    pub kind: Kind,
+    /// The value that holds where the key is absent.
+    pub default: &'static str,
+}
+
+const fn key(pattern: &'static str, kind: Kind, default: &'static str) -> SettingKey {
+    SettingKey {
+        pattern,
+        kind,
+        default,
+    }
+}
+
+pub(super) const EFFECTS: [(&str, Effect); 3] = [
+    ("fragile", Effect::Unsafe),
+    ("retryable", Effect::Retryable),
+    ("dedup", Effect::Keyed),
+];
+pub(super) const GROUPS: [(&str, Group); 3] = [
+    ("cell", Group::Cell),
+    ("all", Group::All),
+    ("zone", Group::Zone),
+];
+pub(super) const REPORT_SOURCES: [(&str, ReportSource); 3] = [
+    ("none", ReportSource::Nowhere),
+    ("answers", ReportSource::Answers),
+    ("probe", ReportSource::Probes),
+];
+/// Whether discovery is polled, by the word for it.
+pub(super) const DISCOVERY_MODES: [(&str, bool); 2] = [("push", false), ("ask", true)];
+
+const EFFECT_WORDS: [&str; 3] = words_of(&EFFECTS);
+const GROUP_WORDS: [&str; 3] = words_of(&GROUPS);
+const REPORT_SOURCE_WORDS: [&str; 3] = words_of(&REPORT_SOURCES);
+const DISCOVERY_MODE_WORDS: [&str; 2] = words_of(&DISCOVERY_MODES);
+
+const fn words_of<T, const COUNT: usize>(
+    table: &[(&'static str, T); COUNT],
+) -> [&'static str; COUNT] {
+    let mut words = [""; COUNT];
+    let mut index = 0;
+    while index < COUNT {
+        words[index] = table[index].0;
+        index += 1;
+    }
+    words
+}
+
+/// Every key that is read.
+pub const KEYS: &[SettingKey] = &[
+    key("categories.N.name", Kind::Name, ""),
+    key("categories.N.effect", Kind::Word(&EFFECT_WORDS), "fragile"),
+    key("categories.N.group", Kind::Word(&GROUP_WORDS), "cell"),
+    key("categories.N.dedupWindowNs", Kind::Time, "0"),
+    key("categories.N.onTimeNs", Kind::Time, "0"),
+    key("categories.N.aimStretch", Kind::Number, "0"),
+    key("categories.N.hardLimitNs", Kind::Time, "0"),
+    key("categories.N.importance", Kind::Number, "0"),
+    key("categories.N.lateWorth", Kind::Number, "0"),
+    key("categories.N.stream", Kind::Flag, "false"),
+    key("contracts.N.name", Kind::Name, ""),
+    key("contracts.N.refill", Kind::Number, "0"),
+    key("contracts.N.peakUnits", Kind::Number, "0"),
+    key("contracts.N.concurrency", Kind::Number, "0"),
+    key("contracts.N.worthFactor", Kind::Number, "0"),
+    key("contracts.N.extraWorth", Kind::Number, "0"),
+    key("contracts.N.overrunCost", Kind::Number, "0"),
+    key("contracts.N.ceilingRate", Kind::Number, "0"),
+    key("contracts.N.capDepth", Kind::Number, "0"),
+    key("contracts.N.capSlack", Kind::Number, "0"),
+    key("balancers", Kind::Number, "0"),
+    key("me", Kind::Number, "0"),
+    key("zone", Kind::Number, "0"),
+    key("quantumNs", Kind::Time, "0"),
+    key("registryMode", Kind::Word(&DISCOVERY_MODE_WORDS), "push"),
+    key("stats.how", Kind::Word(&REPORT_SOURCE_WORDS), "none"),
+    key("familyInfo.counter", Kind::Flag, "false"),
+    key("familyInfo.counterTimeoutNs", Kind::Time, "0"),
+    key("familyInfo.callPrice", Kind::Number, "0"),
+    key("familyInfo.costAfter", Kind::Flag, "false"),
+    key("familyInfo.unitsTop", Kind::Number, "0"),
+    key("limits.mayCancel", Kind::Flag, "false"),
+    key("limits.probing", Kind::Flag, "false"),
+    key("limits.peers", Kind::Flag, "false"),
+    key("limits.secondCopies", Kind::Flag, "false"),
+    key("limits.retryAfter", Kind::Flag, "false"),
+    key("limits.maxRetryAfterNs", Kind::Time, "0"),
+    key("limits.sendCap", Kind::Number, "0"),
+    key("limits.openCap", Kind::Number, "0"),
+    key("limits.connectTimeoutNs", Kind::Time, "0"),
+    key("safety.graceToAnswerNs", Kind::Time, "0"),
+    key("safety.drainGraceNs", Kind::Time, "0"),
+    key("safety.coldFrom", Kind::Number, "0"),
+    key("safety.warmAfterNs", Kind::Time, "0"),
+    key("safety.overloadFactor", Kind::Number, "0"),
+    key("safety.tipAfterNs", Kind::Time, "0"),
+    key("charges.crossZone", Kind::Number, "0"),
+    key("charges.waste", Kind::Number, "0"),
+    key("charges.lateFail", Kind::Number, "0"),
+    key("charges.probe", Kind::Number, "0"),
+];
+
+/// The key that a path with indices belongs to.
+#[must_use]
+pub fn key_of(path: &str) -> Option<&'static SettingKey> {
+    let pattern = pattern_of(path);
+    KEYS.iter().find(|key| key.pattern == pattern)
+}
+
+/// A path with `N` in place of its indices.
+fn pattern_of(path: &str) -> String {
+    let parts: Vec<&str> = path
+        .split('.')
+        .map(
+            |part| match part.bytes().all(|byte| byte.is_ascii_digit()) {
+                true => "N",
+                false => part,
+            },
+        )
+        .collect();
+    parts.join(".")
+}
--- a/crates/config/src/product.rs
+++ b/crates/config/src/product.rs
@@ -1,17 +1,39 @@
-//! Our own file, `deploy/quartzcleat.yaml`: what the platform's configuration has no place for. Without it the
-//! defaults here hold, and nothing that the platform does not allow is on.
+//! The product's own file, `deploy/quartzcleat.yaml`: settings that the platform's configuration has no place for. Without
+//! the file the defaults hold, and nothing is enabled that the platform does not allow.
+
+#[cfg(test)]
+mod tests;
 
 use crate::fault::Faults;
 use crate::lease::{self, Lease};
+use crate::quantity;
 use crate::reader::{one_of, text, Reader};
-use crate::{quantity, tree};
+use crate::tree::{self, Node};
+use crate::value::ValueError;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How log lines are written.
+const DEFAULT_LOG_FILTER: &str = "info";
+/// A fault that repeats ten times a second must not fill what the platform keeps of standard error.
+const DEFAULT_LOG_WINDOW: Duration = Duration::from_secs(10);
+const DEFAULT_LOG_BURST: u32 = 5;
+const MAX_LOG_BURST: u64 = 1_000_000;
+
+const LOG_LEVELS: [(&str, ()); 6] = [
+    ("off", ()),
+    ("error", ()),
+    ("warn", ()),
+    ("info", ()),
+    ("debug", ()),
+    ("trace", ()),
+];
+const LOG_FORMATS: [(&str, LogFormat); 2] =
+    [("human", LogFormat::Human), ("json", LogFormat::Json)];
+
+/// The format of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Form {
-    /// For people.
+pub enum LogFormat {
+    /// Text for people.
     #[default]
     Human,
     /// One JSON object a line.
@@ -20,153 +42,108 @@
 
 /// What is logged, and how.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Log {
+pub struct LogConfig {
     /// The filter, in tracing's directives.
     pub filter: String,
-    /// The form of the lines.
-    pub form: Form,
-    /// Within this time at most `burst` lines are written of one kind; the rest are counted and told at its end.
+    /// The format of the lines.
+    pub format: LogFormat,
+    /// Within this time at most `burst` lines are written from one place in the code. The rest are counted, and their number
+    /// is logged at the end of the time.
     pub window: Duration,
-    /// See `window`.
+    /// The most lines from one place within `window`.
     pub burst: u32,
 }
 
-impl Default for Log {
+impl Default for LogConfig {
     fn default() -> Self {
-        // A fault that repeats ten times a second must not fill what the platform keeps of standard error.
-        let (filter, form) = ("info".to_owned(), Form::Human);
-        Log {
-            filter,
-            form,
-            window: Duration::from_secs(10),
-            burst: 5,
+        LogConfig {
+            filter: DEFAULT_LOG_FILTER.to_owned(),
+            format: LogFormat::Human,
+            window: DEFAULT_LOG_WINDOW,
+            burst: DEFAULT_LOG_BURST,
         }
     }
 }
 
-/// Our settings.
+/// The settings of the file.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Product {
     /// Logging.
-    pub log: Log,
-    /// How often the tally of what was done and is believed is logged; never without.
-    pub tally: Option<Duration>,
-    /// Leases for fleet-wide tasks; none without.
+    pub log: LogConfig,
+    /// How often the metrics are logged; never if absent.
+    pub metrics_interval: Option<Duration>,
+    /// Leases for fleet-wide tasks; none if absent.
     pub lease: Option<Lease>,
 }
 
 impl Product {
-    /// Reads our file.
+    /// Reads the file's text.
     ///
     /// # Errors
-    /// All its faults.
+    /// All faults of the file.
     pub fn read(file: &str, text: &str) -> Result<Product, Faults> {
         let file: Arc<str> = file.into();
         let tree = tree::parse(&file, text)?;
         let mut faults = Faults::default();
-        let mut top = Reader::new(&file, "", &tree, &mut faults);
-        let log = top
+        let mut reader = Reader::new(&file, "", &tree, &mut faults);
+        let log = reader
             .node("log")
-            .map(|node| self::log(&file, node, &mut faults))
-            .unwrap_or_default();
-        let tally = top.take("tally", &mut faults, |node| {
-            quantity::time(node).map(Duration::from_nanos)
-        });
-        if tally == Some(Duration::ZERO) {
-            top.fault(
-                "tally",
-                "0; leave it out to have none, or write a time such as 1s",
-                &mut faults,
-            );
+            .map(|node| read_log(&file, node, &mut faults));
+        let metrics_interval = take_duration(&mut reader, "tally", &mut faults);
+        if metrics_interval == Some(Duration::ZERO) {
+            let problem = "0; leave it out to have none, or write a time such as 1s";
+            reader.fault("tally", problem, &mut faults);
         }
-        let lease = top
+        let lease = reader
             .node("lease")
             .and_then(|node| lease::read(&file, node, &mut faults));
-        top.end(&mut faults);
-        faults.or(Product { log, tally, lease })
+        reader.end(&mut faults);
+        faults.or(Product {
+            log: log.unwrap_or_default(),
+            metrics_interval,
+            lease,
+        })
     }
 }
 
-fn log(file: &Arc<str>, node: &tree::Node, faults: &mut Faults) -> Log {
-    let default = Log::default();
-    let mut map = Reader::new(file, "log", node, faults);
-    let filter = map.take("filter", faults, |node| {
-        let words = text(node)?;
-        // Each directive is a level, or a target and a level.
-        for directive in words.split(',') {
-            let level = directive.rsplit('=').next().unwrap_or_default().trim();
-            one_of(
-                level,
-                &["off", "error", "warn", "info", "debug", "trace"].map(|level| (level, ())),
-            )?;
-        }
-        Ok(words)
-    });
-    let form = map.word(
-        "form",
-        &[("human", Form::Human), ("json", Form::Json)],
-        faults,
-    );
-    let window = map.take("window", faults, |node| {
-        quantity::time(node).map(Duration::from_nanos)
+fn read_log(file: &Arc<str>, node: &Node, faults: &mut Faults) -> LogConfig {
+    let default = LogConfig::default();
+    let mut reader = Reader::new(file, "log", node, faults);
+    let filter = reader.take("filter", faults, read_filter);
+    let format = reader.word("form", &LOG_FORMATS, faults);
+    let window = take_duration(&mut reader, "window", faults);
+    let burst = reader.take("burst", faults, |node| {
+        quantity::count(node, 1..=MAX_LOG_BURST)
     });
-    let burst = map.take("burst", faults, |node| quantity::count(node, 1..=1_000_000));
     if window == Some(Duration::ZERO) {
-        map.fault(
-            "window",
-            "0; repeats are counted over some time, such as 10s",
-            faults,
-        );
+        let problem = "0; repeats are counted over some time, such as 10s";
+        reader.fault("window", problem, faults);
     }
-    map.end(faults);
-    Log {
+    reader.end(faults);
+    LogConfig {
         filter: filter.unwrap_or(default.filter),
-        form: form.unwrap_or(default.form),
+        format: format.unwrap_or(default.format),
         window: window.unwrap_or(default.window),
         burst: burst.map_or(default.burst, |burst| burst as u32),
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn an_empty_file_changes_nothing() {
-        assert_eq!(Product::read("q.yaml", ""), Ok(Product::default()));
-    }
-
-    #[test]
-    fn the_tally_is_off_unless_a_time_is_given() {
-        assert_eq!(
-            Product::read("q.yaml", "tally: 1s\n").map(|p| p.tally),
-            Ok(Some(Duration::from_secs(1)))
-        );
-        let faults = Product::read("q.yaml", "tally: 0s\n")
-            .expect_err("faulty")
-            .to_string();
-        assert!(
-            faults.contains("q.yaml:1: tally: 0; leave it out"),
-            "{faults}"
-        );
+/// Reads a filter. Each of its directives is a level, or a target and a level.
+fn read_filter(node: &Node) -> Result<String, ValueError> {
+    let filter = text(node)?;
+    for directive in filter.split(',') {
+        let level = directive.rsplit('=').next().unwrap_or_default().trim();
+        one_of(level, &LOG_LEVELS)?;
     }
+    Ok(filter)
+}
 
-    #[test]
-    fn every_fault_is_named_with_its_line_and_what_would_do() {
-        let text =
-            "log:\n  filter: inf\n  form: xml\n  window: 10\n  burst: 0.5\n  brust: 3\nlogs: 1\n";
-        let faults = Product::read("q.yaml", text)
-            .expect_err("faulty")
-            .to_string();
-        for part in [
-            "q.yaml:2: log.filter: \"inf\" is not known; did you mean info?",
-            "q.yaml:3: log.form: \"xml\" is not known; one of human, json",
-            "q.yaml:4: log.window: 10 has no unit; write a time such as 250ms or 2s",
-            "q.yaml:5: log.burst: 0.5 is not a whole number from 1 to 1000000",
-            "q.yaml:6: log.brust: unknown key; did you mean burst?",
-            "q.yaml:7: logs: unknown key; did you mean log?",
-        ] {
-            assert!(faults.contains(part), "{part}\nnot in\n{faults}");
-        }
-    }
+fn take_duration(
+    reader: &mut Reader<'_>,
+    key: &'static str,
+    faults: &mut Faults,
+) -> Option<Duration> {
+    reader
+        .take(key, faults, quantity::time)
+        .map(Duration::from_nanos)
 }
--- /dev/null
+++ b/crates/config/src/product/tests.rs
@@ -0,0 +1,42 @@
+//! The product's own file: defaults, and faults with their lines.
+
+use super::*;
+
+#[test]
+fn empty_file_gives_the_defaults() {
+    assert_eq!(Product::read("q.yaml", ""), Ok(Product::default()));
+}
+
+#[test]
+fn metrics_are_off_unless_an_interval_is_given() {
+    assert_eq!(
+        Product::read("q.yaml", "tally: 1s\n").map(|product| product.metrics_interval),
+        Ok(Some(Duration::from_secs(1)))
+    );
+    let faults = Product::read("q.yaml", "tally: 0s\n")
+        .expect_err("faulty")
+        .to_string();
+    assert!(
+        faults.contains("q.yaml:1: tally: 0; leave it out"),
+        "{faults}"
+    );
+}
+
+#[test]
+fn every_fault_has_its_line_and_remedy() {
+    let text =
+        "log:\n  filter: inf\n  form: xml\n  window: 10\n  burst: 0.5\n  brust: 3\nlogs: 1\n";
+    let faults = Product::read("q.yaml", text)
+        .expect_err("faulty")
+        .to_string();
+    for part in [
+        "q.yaml:2: log.filter: \"inf\" is not known; did you mean info?",
+        "q.yaml:3: log.form: \"xml\" is not known; one of human, json",
+        "q.yaml:4: log.window: 10 has no unit; write a time such as 250ms or 2s",
+        "q.yaml:5: log.burst: 0.5 is not a whole number from 1 to 1000000",
+        "q.yaml:6: log.brust: unknown key; did you mean burst?",
+        "q.yaml:7: logs: unknown key; did you mean log?",
+    ] {
+        assert!(faults.contains(part), "{part}\nnot in\n{faults}");
+    }
+}
--- a/crates/config/src/quantity.rs
+++ b/crates/config/src/quantity.rs
@@ -1,47 +1,59 @@
-//! Quantities with their units: times, shares and counts as people write them.
+//! Quantities with units: durations, shares and counts as people write them.
 
 use crate::tree::{Content, Node};
+use crate::value::ValueError;
+use std::ops::RangeInclusive;
 
-/// A time in nanoseconds from `250ms`, `2s`, `1m 30s`; a bare number has no unit and is refused, save 0.
+#[cfg(test)]
+mod tests;
+
+/// The longest duration, in nanoseconds: above it the product of number and unit does not fit the types of time.
+const MAX_TIME_NANOS: f64 = 9e18;
+
+/// Reads a duration such as `250ms`, `2s` or `1m 30s`, in nanoseconds. A bare number has no unit and is rejected, save 0.
 ///
 /// # Errors
-/// What is wrong with it, and what would do.
-pub fn time(node: &Node) -> Result<u64, String> {
+/// The node is not a duration.
+pub fn time(node: &Node) -> Result<u64, ValueError> {
     match &node.content {
-        Content::Text(text) => time_of(text),
+        Content::Text(text) => parse_time(text),
         Content::Number(number) if *number == 0.0 => Ok(0),
-        Content::Number(number) => Err(format!(
-            "{number} has no unit; write a time such as 250ms or 2s"
-        )),
-        _ => Err("not a time; write one such as 250ms or 2s".to_owned()),
+        Content::Number(number) => Err(ValueError::MissingUnit { number: *number }),
+        _ => Err(ValueError::NotTime),
     }
 }
 
-/// A time in nanoseconds from text.
+/// Parses a duration, in nanoseconds.
 ///
 /// # Errors
-/// What is wrong with it, and what would do.
-pub fn time_of(text: &str) -> Result<u64, String> {
+/// The text is not a duration, or its value is out of range.
+pub fn parse_time(text: &str) -> Result<u64, ValueError> {
     let text = text.trim();
-    // The library takes no fractions such as 0.5s; ours are a number and one unit.
-    let split = text
-        .find(|c: char| c.is_ascii_alphabetic())
-        .unwrap_or(text.len());
-    if let (Ok(number), Some(unit)) = (text[..split].trim().parse::<f64>(), unit(&text[split..])) {
-        let nanos = number * unit;
-        return if (0.0..9e18).contains(&nanos) {
-            Ok(nanos.round() as u64)
-        } else {
-            Err(format!("{text:?} is not between 0 and 292 years"))
-        };
+    // humantime accepts no fractions such as 0.5s, so a number with a single unit is parsed here.
+    match single_unit_nanos(text) {
+        Some(nanos) if (0.0..MAX_TIME_NANOS).contains(&nanos) => Ok(nanos.round() as u64),
+        Some(_) => Err(ValueError::TimeOutOfRange {
+            text: text.to_owned(),
+        }),
+        None => humantime::parse_duration(text)
+            .map(|duration| duration.as_nanos() as u64)
+            .map_err(|_| ValueError::InvalidTime {
+                text: text.to_owned(),
+            }),
     }
-    humantime::parse_duration(text)
-        .map(|time| time.as_nanos() as u64)
-        .map_err(|_| format!("{text:?} is not a time; write one such as 250ms or 2s"))
 }
 
-fn unit(text: &str) -> Option<f64> {
-    match text.trim() {
+fn single_unit_nanos(text: &str) -> Option<f64> {
+    let unit_start = text
+        .find(|character: char| character.is_ascii_alphabetic())
+        .unwrap_or(text.len());
+    let (number, unit) = text.split_at(unit_start);
+    let number: f64 = number.trim().parse().ok()?;
+    Some(number * unit_nanos(unit.trim())?)
+}
+
+fn unit_nanos(unit: &str) -> Option<f64> {
+    match unit {
         "ns" => Some(1.0),
         "us" => Some(1e3),
         "ms" => Some(1e6),
@@ -52,7 +64,8 @@
     }
 }
 
-/// A time as people read it, to three figures.
+/// Formats a duration with the largest unit up to seconds and at most three decimals.
+#[must_use]
 pub fn show_time(nanos: u64) -> String {
     let (value, unit) = match nanos {
         0 => return "0".to_owned(),
@@ -65,99 +78,53 @@
     format!("{}{unit}", text.trim_end_matches('0').trim_end_matches('.'))
 }
 
-/// A number that is not negative.
+/// Reads a finite number that is not negative.
 ///
 /// # Errors
-/// What is wrong with it.
-pub fn number(node: &Node) -> Result<f64, String> {
+/// The node is not such a number.
+pub fn number(node: &Node) -> Result<f64, ValueError> {
     match &node.content {
         Content::Number(number) if number.is_finite() && *number >= 0.0 => Ok(*number),
-        Content::Number(number) => Err(format!("{number} is not a number from 0 up")),
-        _ => Err(format!(
-            "{} is not a number",
-            node.text().unwrap_or_else(|| "a list or map".into())
-        )),
+        Content::Number(number) => Err(ValueError::NegativeNumber { number: *number }),
+        _ => Err(ValueError::NotNumber {
+            text: node.text().unwrap_or_else(|| "a list or map".to_owned()),
+        }),
     }
 }
 
-/// A whole number within a range.
+/// Reads a whole number within a range.
 ///
 /// # Errors
-/// What is wrong with it, and the range.
-pub fn count(node: &Node, range: std::ops::RangeInclusive<u64>) -> Result<u64, String> {
-    let (least, most) = (*range.start(), *range.end());
+/// The node is not such a number.
+pub fn count(node: &Node, range: RangeInclusive<u64>) -> Result<u64, ValueError> {
+    let min = *range.start();
+    let max = *range.end();
     let number = number(node)?;
-    if number.fract() == 0.0 && number >= least as f64 && number <= most as f64 {
+    if number.fract() == 0.0 && number >= min as f64 && number <= max as f64 {
         Ok(number as u64)
     } else {
-        Err(format!(
-            "{number} is not a whole number from {least} to {most}"
-        ))
+        Err(ValueError::CountOutOfRange { number, min, max })
     }
 }
 
-/// A share from `10%` or `0.1`.
+/// Reads a fraction from 0 to 1, written as `10%` or `0.1`.
 ///
 /// # Errors
-/// What is wrong with it, and what would do.
-pub fn share(node: &Node) -> Result<f64, String> {
+/// The node is not such a fraction.
+pub fn share(node: &Node) -> Result<f64, ValueError> {
     let value = match &node.content {
-        Content::Text(text) => text
-            .strip_suffix('%')
-            .and_then(|text| text.trim().parse::<f64>().ok())
-            .map(|part| part / 100.0),
+        Content::Text(text) => parse_percentage(text),
         Content::Number(number) => Some(*number),
         _ => None,
     };
     value
         .filter(|share| (0.0..=1.0).contains(share))
-        .ok_or_else(|| {
-            let text = node.text().unwrap_or_default();
-            format!("{text:?} is not a share; write one such as 10% or 0.1")
+        .ok_or_else(|| ValueError::InvalidShare {
+            text: node.text().unwrap_or_default(),
         })
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::tree::Place;
-
-    fn text(text: &str) -> Node {
-        Node {
-            place: Place::default(),
-            content: Content::Text(text.to_owned()),
-        }
-    }
-
-    #[test]
-    fn times_need_their_unit() {
-        for (written, nanos) in [
-            ("250ms", 250_000_000),
-            ("1.5 s", 1_500_000_000),
-            ("1m 30s", 90_000_000_000),
-        ] {
-            assert_eq!(time(&text(written)), Ok(nanos), "{written}");
-        }
-        for wrong in ["250", "fast", "5 parsecs", "-3s", ""] {
-            assert!(time(&text(wrong)).is_err(), "{wrong}");
-        }
-        let bare = Node {
-            place: Place::default(),
-            content: Content::Number(250.0),
-        };
-        assert!(time(&bare).expect_err("no unit").contains("250ms"));
-    }
-
-    #[test]
-    fn times_are_shown_as_they_are_read() {
-        for nanos in [7, 1_500, 250_000_000, 1_500_000_000, 90_000_000_000] {
-            assert_eq!(time_of(&show_time(nanos)), Ok(nanos));
-        }
-    }
-
-    #[test]
-    fn shares_lie_within_one() {
-        assert_eq!(share(&text("10%")), Ok(0.1));
-        assert!(share(&text("130%")).is_err() && share(&text("some")).is_err());
-    }
+fn parse_percentage(text: &str) -> Option<f64> {
+    let percentage: f64 = text.strip_suffix('%')?.trim().parse().ok()?;
+    Some(percentage / 100.0)
 }
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -1,23 +1,25 @@
-//! A map read key by key: what is not read in the end is unknown, and every fault is kept, not only the first.
+//! Reads the keys of a map. Keys that were not asked for are unknown, and all faults are collected, not only the first.
 
 use crate::fault::{nearest, Faults};
-use crate::tree::{Content, Node, Place};
+use crate::tree::{Content, Entry, Node, Place};
+use crate::value::ValueError;
+use std::fmt::Display;
 use std::sync::Arc;
 
-/// Reads one map. Every accessor notes its fault and goes on with a default.
+/// Reads one map. Each method adds its fault to the caller's list and continues without the value.
 pub struct Reader<'a> {
     file: &'a Arc<str>,
     path: String,
     place: Place,
-    members: &'a [(String, Place, Node)],
+    entries: &'a [Entry],
     known: Vec<&'static str>,
 }
 
 impl<'a> Reader<'a> {
-    /// A reader of a node that is to be a map; null counts as an empty one.
+    /// Creates a reader for a node that must be a map; null counts as an empty map.
     pub fn new(file: &'a Arc<str>, path: &str, node: &'a Node, faults: &mut Faults) -> Self {
-        let members: &[_] = match &node.content {
-            Content::Map(members) => members,
+        let entries: &[_] = match &node.content {
+            Content::Map(entries) => entries,
             Content::Null => &[],
             _ => {
                 faults.add(file, node.place, path, "not a map; write key: value lines");
@@ -28,17 +30,19 @@
             file,
             path: path.to_owned(),
             place: node.place,
-            members,
+            entries,
             known: Vec::new(),
         }
     }
 
-    /// Where the map begins.
+    /// The place where the map begins.
+    #[must_use]
     pub fn place(&self) -> Place {
         self.place
     }
 
-    /// The full path of a key.
+    /// The path of a key of this map.
+    #[must_use]
     pub fn path(&self, key: &str) -> String {
         if self.path.is_empty() {
             key.to_owned()
@@ -48,38 +52,36 @@
     }
 
     /// The file's name.
+    #[must_use]
     pub fn file(&self) -> &'a Arc<str> {
         self.file
     }
 
-    /// Notes a fault at a key, or at the map where the key is missing.
-    pub fn fault(&self, key: &str, problem: impl Into<String>, faults: &mut Faults) {
-        let at = self
-            .members
-            .iter()
-            .find(|(name, ..)| name == key)
-            .map_or(self.place, |(_, place, _)| *place);
-        faults.add(self.file, at, self.path(key), problem);
+    /// Adds a fault at a key, or at the beginning of the map where the key is missing.
+    pub fn fault(&self, key: &str, problem: impl Display, faults: &mut Faults) {
+        let place = self.entry(key).map_or(self.place, |entry| entry.place);
+        faults.add(self.file, place, self.path(key), problem);
     }
 
-    /// The node of a key, which is known from now on.
+    /// The value of a key, which counts as known from now on.
     pub fn node(&mut self, key: &'static str) -> Option<&'a Node> {
         self.known.push(key);
-        self.members
-            .iter()
-            .find(|(name, ..)| name == key)
-            .map(|(.., node)| node)
+        self.entry(key).map(|entry| &entry.value)
     }
 
-    /// Reads a key, where it is there, by a rule that says what is wrong.
-    pub fn take<T>(
+    fn entry(&self, key: &str) -> Option<&'a Entry> {
+        self.entries.iter().find(|entry| entry.key == key)
+    }
+
+    /// Reads an optional key with `read`, whose error becomes a fault.
+    pub fn take<T, E: Display>(
         &mut self,
         key: &'static str,
         faults: &mut Faults,
-        rule: impl FnOnce(&'a Node) -> Result<T, String>,
+        read: impl FnOnce(&'a Node) -> Result<T, E>,
     ) -> Option<T> {
         let node = self.node(key)?;
-        match rule(node) {
+        match read(node) {
             Ok(value) => Some(value),
             Err(problem) => {
                 faults.add(self.file, node.place, self.path(key), problem);
@@ -88,21 +90,21 @@
         }
     }
 
-    /// Reads a key that must be there.
-    pub fn need<T>(
+    /// Reads a required key with `read`, whose error becomes a fault.
+    pub fn need<T, E: Display>(
         &mut self,
         key: &'static str,
         faults: &mut Faults,
-        rule: impl FnOnce(&'a Node) -> Result<T, String>,
+        read: impl FnOnce(&'a Node) -> Result<T, E>,
     ) -> Option<T> {
         if self.node(key).is_none() {
             self.fault(key, "missing", faults);
             return None;
         }
-        self.take(key, faults, rule)
+        self.take(key, faults, read)
     }
 
-    /// Reads a key that holds one of some words.
+    /// Reads an optional key that holds one of the words of a table.
     pub fn word<T: Copy>(
         &mut self,
         key: &'static str,
@@ -112,58 +114,56 @@
         self.take(key, faults, |node| one_of(&text(node)?, words))
     }
 
-    /// Ends the reading: each key that nobody asked for is a fault.
+    /// Ends the reading: each key that was not asked for is a fault.
     pub fn end(self, faults: &mut Faults) {
-        for (name, place, _) in self.members {
-            if !self.known.contains(&name.as_str()) {
-                let near = nearest(name, self.known.iter().copied());
-                let hint = match near {
-                    Some(near) => format!("unknown key; did you mean {near}?"),
-                    None => format!("unknown key; known here: {}", self.known.join(", ")),
-                };
-                faults.add(self.file, *place, self.path(name), hint);
+        for Entry { key, place, .. } in self.entries {
+            if self.known.contains(&key.as_str()) {
+                continue;
             }
+            let problem = match nearest(key, self.known.iter().copied()) {
+                Some(nearest) => format!("unknown key; did you mean {nearest}?"),
+                None => format!("unknown key; known here: {}", self.known.join(", ")),
+            };
+            faults.add(self.file, *place, self.path(key), problem);
         }
     }
 }
 
-/// The value of a word, or what is wrong with it.
+/// Looks a word up in a table.
 ///
 /// # Errors
-/// The words that would do.
-pub fn one_of<T: Copy>(word: &str, words: &[(&str, T)]) -> Result<T, String> {
+/// The table does not have the word.
+pub fn one_of<T: Copy>(word: &str, words: &[(&str, T)]) -> Result<T, ValueError> {
     match words.iter().find(|(known, _)| *known == word) {
         Some((_, value)) => Ok(*value),
         None => {
-            let known: Vec<_> = words.iter().map(|(known, _)| *known).collect();
-            Err(match nearest(word, known.iter().copied()) {
-                Some(near) => format!("{word:?} is not known; did you mean {near}?"),
-                None => format!("{word:?} is not known; one of {}", known.join(", ")),
-            })
+            let accepted: Vec<_> = words.iter().map(|(known, _)| *known).collect();
+            Err(ValueError::unknown_word(word, &accepted))
         }
     }
 }
 
-/// A node's text.
+/// Reads a scalar as text.
 ///
 /// # Errors
-/// Where it is a list or a map.
-pub fn text(node: &Node) -> Result<String, String> {
-    node.text().ok_or_else(|| "not a text".to_owned())
+/// The node is a list or a map.
+pub fn text(node: &Node) -> Result<String, ValueError> {
+    node.text().ok_or(ValueError::NotText)
 }
 
-/// A node's flag.
+/// Reads `true` or `false`.
 ///
 /// # Errors
-/// Where it is neither true nor false.
-pub fn flag(node: &Node) -> Result<bool, String> {
+/// The node is neither.
+pub fn flag(node: &Node) -> Result<bool, ValueError> {
     match node.content {
         Content::Flag(flag) => Ok(flag),
-        _ => Err("neither true nor false".to_owned()),
+        _ => Err(ValueError::NotFlag),
     }
 }
 
-/// A node's list; a scalar counts as a list of one.
+/// The members of a list; a scalar counts as a list of one, null as an empty list.
+#[must_use]
 pub fn list(node: &Node) -> &[Node] {
     match &node.content {
         Content::List(list) => list,
--- a/crates/expectations/src/blame.rs
+++ b/crates/expectations/src/blame.rs
@@ -4,11 +4,11 @@
 use crate::compile::compile;
 use crate::explore::{explore, Budget};
 use crate::file::{Expectation, Suite};
-use quartzcleat_config::day::Change;
-use quartzcleat_config::platform::{key_of, Kind};
+use quartzcleat_config::deployment::Change;
+use quartzcleat_config::platform::{key_of, Kind, SettingKey};
 use quartzcleat_config::quantity;
 use quartzcleat_config::tree::{Content, Node};
-use quartzcleat_config::Day;
+use quartzcleat_config::Deployment;
 use serde::Serialize;
 
 /// One line that a verdict hangs on.
@@ -36,7 +36,12 @@
 }
 
 /// Whether an expectation holds, and was put to the test, on a day; `None` where the day cannot be used.
-pub fn holds(suite: &Suite, expectation: &Expectation, day: &Day, budget: &Budget) -> Option<bool> {
+pub fn holds(
+    suite: &Suite,
+    expectation: &Expectation,
+    day: &Deployment,
+    budget: &Budget,
+) -> Option<bool> {
     let compiled = compile(suite, expectation, day).ok()?;
     let explored = explore(&compiled, budget);
     let tested = explored.judged.iter().all(|(tested, _)| *tested > 0);
@@ -52,8 +57,8 @@
 }
 
 /// What a key could say instead: its default, then its neighbours.
-fn others(day: &Day, path: &str, node: &Node) -> Vec<Content> {
-    let Some((_, kind, default)) = key_of(path) else {
+fn others(day: &Deployment, path: &str, node: &Node) -> Vec<Content> {
+    let Some(SettingKey { kind, default, .. }) = key_of(path) else {
         return Vec::new();
     };
     let number = |value: f64| Content::Number(value);
@@ -111,7 +116,7 @@
 }
 
 fn show(path: &str, content: &Content) -> String {
-    match (content, key_of(path).map(|row| row.1)) {
+    match (content, key_of(path).map(|key| key.kind)) {
         (Content::Number(nanos), Some(Kind::Time)) if *nanos >= 0.0 => {
             quantity::show_time(*nanos as u64)
         }
@@ -122,7 +127,7 @@
     }
 }
 
-fn line(day: &Day, path: &str, would: &str) -> Line {
+fn line(day: &Deployment, path: &str, would: &str) -> Line {
     let says = day
         .tree
         .at(path)
@@ -139,7 +144,12 @@
 
 /// The lines behind a failure, with no other file to compare with: each key goes to its default and to its
 /// neighbours, alone and then with the rest of its section.
-pub fn behind(suite: &Suite, expectation: &Expectation, day: &Day, budget: &Budget) -> Blame {
+pub fn behind(
+    suite: &Suite,
+    expectation: &Expectation,
+    day: &Deployment,
+    budget: &Budget,
+) -> Blame {
     let (mut blame, budget) = (Blame::default(), small(budget));
     let mut turns = |changes: &[Change]| {
         blame.tried += 1;
@@ -203,7 +213,7 @@
 }
 
 /// The keys that differ between two days, as changes that make the old one the new one.
-pub fn changes(old: &Day, new: &Day) -> Vec<Change> {
+pub fn changes(old: &Deployment, new: &Deployment) -> Vec<Change> {
     let (before, after) = (old.tree.leaves(), new.tree.leaves());
     let mut changes: Vec<Change> = after
         .iter()
@@ -225,8 +235,8 @@
 pub fn between(
     suite: &Suite,
     expectation: &Expectation,
-    old: &Day,
-    new: &Day,
+    old: &Deployment,
+    new: &Deployment,
     held: bool,
     budget: &Budget,
 ) -> Blame {
--- a/crates/expectations/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -5,8 +5,8 @@
 use crate::installation::{self, facts, limiters, names_of, net};
 use crate::must::Must;
 use quartzcleat_config::reader::list;
-use quartzcleat_config::tree::Content;
-use quartzcleat_config::{Day, Faults, Reader};
+use quartzcleat_config::tree::{Content, Entry};
+use quartzcleat_config::{Deployment, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
 use quartzcleat_invariants::{Cast, Terms};
 use quartzcleat_simulation::scenario::{CounterSetup, Fate, NodeSetup, Scenario};
@@ -27,7 +27,7 @@
 
 /// What is known while an expectation is compiled.
 pub(crate) struct Ground<'a> {
-    pub(crate) day: &'a Day,
+    pub(crate) day: &'a Deployment,
     pub(crate) cast: Cast,
     pub(crate) nodes: Vec<NodeSetup>,
     pub(crate) partners: Vec<Partner>,
@@ -53,7 +53,11 @@
 ///
 /// # Errors
 /// All that is wrong with it.
-pub fn compile(suite: &Suite, expectation: &Expectation, day: &Day) -> Result<Compiled, Faults> {
+pub fn compile(
+    suite: &Suite,
+    expectation: &Expectation,
+    day: &Deployment,
+) -> Result<Compiled, Faults> {
     let mut faults = Faults::default();
     let (file, base) = &suite.installation;
     let mut top = Reader::new(file, "", base, &mut faults);
@@ -71,7 +75,7 @@
         ..Cast::default()
     };
     if cast.rooms.is_empty() {
-        cast.rooms.clone_from(&day.rooms);
+        cast.rooms.clone_from(&day.zone_names);
     }
     cast.limiters = limiters(top.node("limiters"), file, &cast.rooms, &mut faults);
     let mut net = net(top.node("net"), file, &mut faults);
@@ -167,13 +171,13 @@
 }
 
 /// The day with what the expectation gives other values: for other installations.
-fn adjusted(day: &Day, given: &mut Reader<'_>, faults: &mut Faults) -> Day {
+fn adjusted(day: &Deployment, given: &mut Reader<'_>, faults: &mut Faults) -> Deployment {
     let Some(node) = given.node("settings") else {
         return day.clone();
     };
     let mut changes = Vec::new();
     if let Content::Map(members) = &node.content {
-        for (key, place, value) in members {
+        for Entry { key, place, value } in members {
             if quartzcleat_config::platform::key_of(key).is_none() {
                 faults.add(
                     given.file(),
--- a/crates/expectations/src/demands.rs
+++ b/crates/expectations/src/demands.rs
@@ -175,6 +175,7 @@
             7 => Event::Served,
             _ => Event::Failed,
         })
+        .map_err(String::from)
     }
 
     /// Bounds from `{at least: ..., at most: ...}` or from one figure, which is the most.
@@ -195,7 +196,7 @@
             }
             if node.text().is_some_and(|text| text.ends_with('%')) {
                 part = true;
-                return quantity::share(node);
+                return Ok(quantity::share(node)?);
             }
             ground.number(node)
         };
--- a/crates/expectations/src/given.rs
+++ b/crates/expectations/src/given.rs
@@ -3,8 +3,8 @@
 use crate::compile::{Ground, Partner};
 use crate::installation::{members, place_of, player};
 use quartzcleat_config::reader::{flag, list, one_of, text};
-use quartzcleat_config::tree::{Content, Node};
-use quartzcleat_config::{figure, quantity, Faults, Reader};
+use quartzcleat_config::tree::{Content, Entry, Node};
+use quartzcleat_config::{formula, quantity, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
 use quartzcleat_simulation::scenario::{
     CallFate, CounterMode, CounterSetup, Fate, Retry, Scenario,
@@ -45,7 +45,12 @@
             .iter()
             .map(|plan| plan.name.clone())
             .collect();
-        for (name, place, node) in members(node, file, "partners", faults) {
+        for Entry {
+            key: name,
+            place,
+            value: node,
+        } in members(node, file, "partners", faults)
+        {
             let mut one = Reader::new(file, &format!("partners.{name}"), node, faults);
             let plan = one.need("plan", faults, |node| {
                 place_of(&text(node)?, &plans, "plan")
@@ -80,9 +85,9 @@
     }
 
     pub(crate) fn time(&mut self, node: &Node) -> Result<Nanos, String> {
-        let (value, names) = figure::time(node, &|name| self.day.look(name))?;
-        self.names.extend(names);
-        Ok(value)
+        let formula = formula::time(node, &|name| self.day.resolve(name))?;
+        self.names.extend(formula.keys);
+        Ok(formula.value)
     }
 
     pub(crate) fn times(&mut self, node: &Node) -> Result<Vec<Nanos>, String> {
@@ -97,9 +102,9 @@
     }
 
     pub(crate) fn number(&mut self, node: &Node) -> Result<f64, String> {
-        let (value, names) = figure::number(node, &|name| self.day.look(name))?;
-        self.names.extend(names);
-        Ok(value)
+        let formula = formula::number(node, &|name| self.day.resolve(name))?;
+        self.names.extend(formula.keys);
+        Ok(formula.value)
     }
 
     pub(crate) fn take_given(
@@ -200,4 +205,5 @@
             ("slow 5", CounterMode::Slow(5.0)),
         ],
     )
+    .map_err(String::from)
 }
--- a/crates/expectations/src/installation.rs
+++ b/crates/expectations/src/installation.rs
@@ -2,7 +2,7 @@
 
 use quartzcleat_config::fault::nearest;
 use quartzcleat_config::reader::{flag, list, text};
-use quartzcleat_config::tree::{Content, Node, Place};
+use quartzcleat_config::tree::{Content, Entry, Node, Place};
 use quartzcleat_config::{quantity, Faults, Reader};
 use quartzcleat_decision::api::{Effect, Group, HostState, Nanos, Settings};
 use quartzcleat_invariants::record::Player;
@@ -34,7 +34,7 @@
     file: &Arc<str>,
     key: &str,
     faults: &mut Faults,
-) -> &'a [(String, Place, Node)] {
+) -> &'a [Entry] {
     match &node.content {
         Content::Map(members) => members,
         Content::Null => &[],
@@ -75,8 +75,16 @@
         );
         return limiters;
     };
-    for (name, place, room) in members(node, file, "limiters", faults) {
-        match text(room).and_then(|room| place_of(&room, rooms, "room")) {
+    for Entry {
+        key: name,
+        place,
+        value: room,
+    } in members(node, file, "limiters", faults)
+    {
+        match text(room)
+            .map_err(String::from)
+            .and_then(|room| place_of(&room, rooms, "room"))
+        {
             Ok(room) => limiters.push(Player {
                 name: name.clone(),
                 room: room as u32,
@@ -145,7 +153,12 @@
             .iter()
             .map(|class| class.name.clone())
             .collect();
-        for (name, place, node) in members(node, file, "facts.classes", faults) {
+        for Entry {
+            key: name,
+            place,
+            value: node,
+        } in members(node, file, "facts.classes", faults)
+        {
             let index = match place_of(name, &names, "class") {
                 Ok(index) => index,
                 Err(problem) => {
@@ -187,7 +200,10 @@
     if let Content::List(names) = &node.content {
         let mut kept = BTreeSet::new();
         for name in names {
-            match text(name).and_then(|name| player(&cast.hosts, &name, "node")) {
+            match text(name)
+                .map_err(String::from)
+                .and_then(|name| player(&cast.hosts, &name, "node"))
+            {
                 Ok(index) => drop(kept.insert(index)),
                 Err(problem) => faults.add(file, name.place, "nodes", problem),
             }
@@ -209,7 +225,12 @@
             .collect();
         return;
     }
-    for (name, _, node) in members(node, file, "nodes", faults) {
+    for Entry {
+        key: name,
+        value: node,
+        ..
+    } in members(node, file, "nodes", faults)
+    {
         let index = cast
             .hosts
             .iter()
--- a/crates/expectations/src/run.rs
+++ b/crates/expectations/src/run.rs
@@ -6,10 +6,10 @@
 use crate::explore::{explore, Budget, Explored, Failure};
 use crate::file::{self, Expectation, Suite};
 use crate::vary::{varied, Vary};
-use quartzcleat_config::day::Change;
+use quartzcleat_config::deployment::Change;
 use quartzcleat_config::reader::list;
-use quartzcleat_config::tree::Content;
-use quartzcleat_config::{Day, Faults};
+use quartzcleat_config::tree::{Content, Entry};
+use quartzcleat_config::{Deployment, Faults};
 use quartzcleat_decision::api::HostState;
 use quartzcleat_invariants::{story, Record, What};
 use quartzcleat_simulation::scenario::{CallFate, CounterMode, Fate, Happening, Scenario};
@@ -182,10 +182,10 @@
 ///
 /// # Errors
 /// All its faults.
-pub fn read_day(path: &Path) -> std::result::Result<Day, Faults> {
+pub fn read_day(path: &Path) -> std::result::Result<Deployment, Faults> {
     let name = path.display().to_string();
     match std::fs::read_to_string(path) {
-        Ok(text) => Day::read(&name, &text),
+        Ok(text) => Deployment::read(&name, &text),
         Err(e) => {
             let mut faults = Faults::default();
             faults.add(
@@ -207,7 +207,7 @@
     /// The expectation.
     pub expectation: Expectation,
     /// The day.
-    pub day: Day,
+    pub day: Deployment,
     /// The day's name, with what a range made of it.
     pub label: String,
 }
@@ -333,13 +333,18 @@
 /// The days that ranges make of one: those of the command line and the expectation's own.
 fn days(
     expectation: &Expectation,
-    day: &Day,
+    day: &Deployment,
     ranges: &[(String, Vec<f64>)],
-) -> std::result::Result<Vec<(Day, String)>, Faults> {
+) -> std::result::Result<Vec<(Deployment, String)>, Faults> {
     let mut faults = Faults::default();
     let mut ranges = ranges.to_vec();
     if let Some(Content::Map(members)) = expectation.given.get("range").map(|node| &node.content) {
-        for (name, place, node) in members {
+        for Entry {
+            key: name,
+            place,
+            value: node,
+        } in members
+        {
             let values: Option<Vec<f64>> = list(node)
                 .iter()
                 .map(|node| {
@@ -363,7 +368,7 @@
     }
     let mut days = vec![(Vec::<Change>::new(), String::new())];
     for (name, values) in &ranges {
-        let key = match day.look(name) {
+        let key = match day.resolve(name) {
             Ok(named) => named.key,
             Err(problem) => {
                 faults.add(
@@ -413,9 +418,9 @@
 fn check(
     suite: &Suite,
     expectation: &Expectation,
-    day: &Day,
+    day: &Deployment,
     label: &str,
-    against: Option<&Day>,
+    against: Option<&Deployment>,
     options: &Options,
 ) -> Result {
     let began = Instant::now();
@@ -547,7 +552,7 @@
 fn says_nothing(
     suite: &Suite,
     expectation: &Expectation,
-    day: &Day,
+    day: &Deployment,
     compiled: &Compiled,
     explored: &Explored,
     result: &mut Result,
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -2,7 +2,7 @@
 //! lost node in it, and a table of what happened.
 
 use clap::Args;
-use quartzcleat_config::{Day, Faults};
+use quartzcleat_config::{Deployment, Faults};
 use quartzcleat_expectations::explore::judge;
 use quartzcleat_expectations::{compile, file, Compiled};
 use quartzcleat_invariants::{Answered, Record, What};
@@ -35,7 +35,7 @@
     let (Some(suite), true) = (suite, faults.none()) else {
         return Err(faults);
     };
-    let day = Day::read("imlil-main.yaml", DAY)?;
+    let day = Deployment::read("imlil-main.yaml", DAY)?;
     compile(&suite, &suite.expectations[0], &day)
 }
 
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -25,7 +25,7 @@
         logging::begin(&product.log)?;
         let config = config::from_environment()?;
         net::serve(config::Config {
-            metrics: product.tally,
+            metrics: product.metrics_interval,
             lease: product.lease,
             ..config
         })
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,7 +2,7 @@
 //! for each place that logs, so that a fault that repeats does not fill what the platform keeps.
 
 use crate::net::metrics;
-use quartzcleat_config::product::{Form, Log};
+use quartzcleat_config::product::{LogConfig, LogFormat};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
@@ -37,7 +37,7 @@
 }
 
 impl Repeats {
-    fn new(log: &Log) -> Self {
+    fn new(log: &LogConfig) -> Self {
         let slots = (0..SLOTS).map(|_| Slot::default()).collect();
         Repeats {
             start: Instant::now(),
@@ -90,7 +90,7 @@
 }
 
 /// Writes an event, and behind it how many like it were left out before.
-struct WithRepeats<F>(F, Arc<Repeats>, Form);
+struct WithRepeats<F>(F, Arc<Repeats>, LogFormat);
 
 impl<S, N, F> FormatEvent<S, N> for WithRepeats<F>
 where
@@ -108,10 +108,10 @@
         self.0.format_event(cx, to.by_ref(), event)?;
         match (left_out, self.2) {
             (0, _) => Ok(()),
-            (count, Form::Human) => {
+            (count, LogFormat::Human) => {
                 writeln!(to, "    ({count} lines like it were left out before)")
             }
-            (count, Form::Json) => {
+            (count, LogFormat::Json) => {
                 writeln!(
                     to,
                     "{{\"target\":\"{}\",\"left_out\":{count}}}",
@@ -126,7 +126,7 @@
 ///
 /// # Errors
 /// A filter that cannot be read, or logging that has begun already.
-pub fn begin(log: &Log) -> Result<(), String> {
+pub fn begin(log: &LogConfig) -> Result<(), String> {
     let filter = EnvFilter::try_new(&log.filter).map_err(|e| format!("log.filter: {e}"))?;
     let repeats = Arc::new(Repeats::new(log));
     let format = Format::default()
@@ -136,16 +136,16 @@
         .with_writer(std::io::stderr)
         .with_ansi(false);
     let registry = tracing_subscriber::registry().with(filter);
-    let begun = match log.form {
-        Form::Human => {
-            let lines = lines.event_format(WithRepeats(format, repeats.clone(), log.form));
+    let begun = match log.format {
+        LogFormat::Human => {
+            let lines = lines.event_format(WithRepeats(format, repeats.clone(), log.format));
             registry.with(lines.with_filter(Seldom(repeats))).try_init()
         }
-        Form::Json => {
+        LogFormat::Json => {
             let lines =
                 lines
                     .json()
-                    .event_format(WithRepeats(format.json(), repeats.clone(), log.form));
+                    .event_format(WithRepeats(format.json(), repeats.clone(), log.format));
             registry.with(lines.with_filter(Seldom(repeats))).try_init()
         }
     };
@@ -158,10 +158,10 @@
 
     #[test]
     fn a_place_writes_its_burst_and_tells_what_it_left_out() {
-        let log = Log {
+        let log = LogConfig {
             window: std::time::Duration::from_secs(10),
             burst: 3,
-            ..Log::default()
+            ..LogConfig::default()
         };
         let repeats = Repeats::new(&log);
         let slot = &repeats.slots[0];
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -1,8 +1,8 @@
 //! The one place where environment and configuration are read, checked and given defaults.
 
 use crate::api::Settings;
-use quartzcleat_config::complete;
 use quartzcleat_config::platform;
+use quartzcleat_config::replacement::check_replacement;
 use serde_json::Value;
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -331,7 +331,10 @@
 ) -> Result<Config, String> {
     let file: Value =
         serde_json::from_str(text).map_err(|e| format!("configuration: not JSON: {e}"))?;
-    let faults = complete::faults(held, &file);
+    let faults: Vec<_> = check_replacement(held, &file)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
     if !faults.is_empty() {
         return Err(faults.join("; "));
     }
@@ -370,7 +373,7 @@
             .ok_or_else(|| format!("{}: {value} is not a count", path[1..].replace('/', "."))),
     };
     let inner = file.get("settings").ok_or("settings: missing")?;
-    let pairs = platform::flatten(inner)?;
+    let pairs = platform::flatten(inner).map_err(|error| error.to_string())?;
     let pairs: BTreeMap<&str, &str> = pairs
         .iter()
         .map(|(k, v)| (k.as_str(), v.as_str()))
--- a/src/simulator/mod.rs
+++ b/src/simulator/mod.rs
@@ -344,7 +344,7 @@
     }
     platform::decode(pairs).map_err(|mut faults| {
         let first = faults.swap_remove(0);
-        fault(&first.path, first.problem)
+        fault(&first.path, first.problem.to_string())
     })
 }
 
--- a/tests/export.rs
+++ b/tests/export.rs
@@ -1,7 +1,7 @@
 //! Export of use: three limiters before stand-ins, each killed at a named point and again from outside while clients ask.
 //! What the sink and the spools hold in the end is held against what the nodes ran.
 
-use quartzcleat_config::{lease::POINTS, Day};
+use quartzcleat_config::{lease::POINTS, Deployment};
 use quartzcleat_decision::api::{HostState, RequestId};
 use quartzcleat_fakes::stage::perform_with;
 use quartzcleat_invariants::{record::Player, Cast, Record, What};
@@ -19,7 +19,7 @@
 
 /// Five partners ask for five seconds; each limiter is killed once from outside, and started again.
 fn scenario() -> Scenario {
-    let day = Day::read("imlil-main.yaml", include_str!("../deploy/imlil-main.yaml"))
+    let day = Deployment::read("imlil-main.yaml", include_str!("../deploy/imlil-main.yaml"))
         .expect("the day is sound");
     let mut settings = day.settings;
     settings.plans[2].rate = 100_000.0;
