--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,12 +1,17 @@
-//! `quartzcleat check`: settings are read as a limiter would read them, and everything wrong with them is said.
+//! `quartzcleat check`: reads configurations as a limiter would, and reports every fault.
 
 use super::{print, serve, Format};
 use crate::net::config;
 use clap::Args;
+use quartzcleat_expectations::report::{case, suite};
 use quartzcleat_expectations::run::read_day;
+use serde_json::{json, Value};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Exit code where there is nothing to check.
+const EXIT_NO_FILES: u8 = 2;
+
 /// Read settings and say all that is wrong with them.
 ///
 /// A file is a platform's configuration (JSON with listen, discovery, settings), or a day's settings alone (JSON or
@@ -20,79 +25,100 @@
     format: Format,
 }
 
+/// A checked file and its faults.
+struct CheckedFile {
+    file: String,
+    faults: Vec<String>,
+}
+
+impl CheckedFile {
+    fn is_valid(&self) -> bool {
+        self.faults.is_empty()
+    }
+}
+
 impl Check {
-    /// Checks.
+    /// Checks the files and prints the report.
     pub fn run(self, product: Option<&Path>) -> ExitCode {
-        let mut files = self.files.clone();
+        let mut files = self.files;
         if files.is_empty() {
             files.extend(std::env::var_os("BALANCER_CONFIG").map(PathBuf::from));
         }
         if files.is_empty() && product.is_none() {
             eprintln!("quartzcleat: no file to check; name one, or set BALANCER_CONFIG");
-            return ExitCode::from(2);
+            return ExitCode::from(EXIT_NO_FILES);
         }
-        let mut told: Vec<(String, Vec<String>)> = Vec::new();
-        if let Some(path) = product {
-            let faults = serve::product(Some(path))
-                .err()
-                .map(|text| text.lines().map(str::to_owned).collect());
-            told.push((path.display().to_string(), faults.unwrap_or_default()));
-        }
-        told.extend(
-            files
-                .iter()
-                .map(|path| (path.display().to_string(), faults(path))),
-        );
-        print(&report(&told, self.format));
-        ExitCode::from(u8::from(told.iter().any(|(_, faults)| !faults.is_empty())))
+        let mut checked: Vec<CheckedFile> = product.map(check_product).into_iter().collect();
+        checked.extend(files.iter().map(|path| check_configuration(path)));
+        print(&report(&checked, self.format));
+        let is_valid = checked.iter().all(CheckedFile::is_valid);
+        ExitCode::from(u8::from(!is_valid))
     }
 }
 
-fn faults(path: &Path) -> Vec<String> {
-    let mut faults = match read_day(path) {
+fn check_product(path: &Path) -> CheckedFile {
+    let faults = match serve::product(Some(path)) {
         Ok(_) => Vec::new(),
-        Err(found) => found.0.iter().map(ToString::to_string).collect(),
+        Err(text) => text.lines().map(str::to_owned).collect(),
     };
-    // A whole configuration has more than a day's settings: addresses, limits, the list as last held.
-    let text = std::fs::read_to_string(path).unwrap_or_default();
-    let whole = serde_json::from_str::<serde_json::Value>(&text)
-        .is_ok_and(|file| file.get("settings").is_some());
-    if whole && faults.is_empty() {
-        let read = config::read(&text, |name| std::env::var(name).ok());
-        faults.extend(
-            read.err()
-                .map(|problem| format!("{}: {problem}", path.display())),
-        );
+    CheckedFile {
+        file: path.display().to_string(),
+        faults,
     }
-    faults
 }
 
-fn report(told: &[(String, Vec<String>)], format: Format) -> String {
+fn check_configuration(path: &Path) -> CheckedFile {
+    let faults = match read_day(path) {
+        Ok(_) => check_complete_configuration(path).into_iter().collect(),
+        Err(faults) => faults.0.iter().map(ToString::to_string).collect(),
+    };
+    CheckedFile {
+        file: path.display().to_string(),
+        faults,
+    }
+}
+
+/// The fault of a limiter's complete configuration, which has more than the settings of a deployment: addresses, limits, and
+/// the last endpoint list. None for a file of settings alone.
+fn check_complete_configuration(path: &Path) -> Option<String> {
+    // The file was read before; if it has vanished since, there is nothing more to check.
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let file: Value = serde_json::from_str(&text).ok()?;
+    file.get("settings")?;
+    let parsed = config::parse(&text, |name| std::env::var(name).ok());
+    parsed
+        .err()
+        .map(|error| format!("{}: {error}", path.display()))
+}
+
+fn report(checked: &[CheckedFile], format: Format) -> String {
     match format {
-        Format::Human => told
-            .iter()
-            .map(|(file, faults)| {
-                if faults.is_empty() {
-                    format!("{file}: sound\n")
-                } else {
-                    faults.iter().map(|fault| format!("{fault}\n")).collect()
-                }
-            })
-            .collect(),
+        Format::Human => checked.iter().map(report_human).collect(),
         Format::Json => {
-            let files: Vec<_> = told
-                .iter()
-                .map(|(file, faults)| serde_json::json!({"file": file, "sound": faults.is_empty(), "faults": faults}))
-                .collect();
-            format!("{}\n", serde_json::Value::from(files))
+            let files: Vec<_> = checked.iter().map(report_json).collect();
+            format!("{}\n", Value::from(files))
         }
         Format::Junit => {
-            use quartzcleat_expectations::report::{case, suite};
-            let cases: Vec<_> = told
+            let cases: Vec<_> = checked
                 .iter()
-                .map(|(file, faults)| case(file, "check", &faults.join("\n")))
+                .map(|checked| case(&checked.file, "check", &checked.faults.join("\n")))
                 .collect();
             suite("check", &cases)
         }
     }
 }
+
+fn report_human(checked: &CheckedFile) -> String {
+    if checked.is_valid() {
+        return format!("{}: sound\n", checked.file);
+    }
+    checked
+        .faults
+        .iter()
+        .map(|fault| format!("{fault}\n"))
+        .collect()
+}
+
+fn report_json(checked: &CheckedFile) -> Value {
+    json!({"file": checked.file, "sound": checked.is_valid(), "faults": checked.faults})
+}
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -23,9 +23,9 @@
 pub fn run(config: Option<&Path>) -> ExitCode {
     let served = product(config).and_then(|product| {
         logging::begin(&product.log)?;
-        let config = config::from_environment()?;
+        let config = config::from_environment().map_err(|error| error.to_string())?;
         net::serve(config::Config {
-            metrics: product.metrics_interval,
+            metrics_interval: product.metrics_interval,
             lease: product.lease,
             ..config
         })
--- /dev/null
+++ b/src/net/config/tests.rs
@@ -0,0 +1,70 @@
+//! Limits that depend on each other hold together, and the file and the environment have their precedence.
+
+use super::*;
+use std::time::Duration;
+
+fn limits_of_example(from: &str, to: &str) -> Limits {
+    let text = include_str!("../../../examples/toy.json").replace(from, to);
+    parse(&text, |_| None).expect("the example is sound").limits
+}
+
+fn json(text: &str) -> Value {
+    serde_json::from_str(text).expect("JSON")
+}
+
+/// The counter holds 32 connections, and keeps those that the limiter has closed. Its longest outage lasts 12 s.
+#[test]
+fn hanging_counter_gets_no_more_connections_than_it_holds() {
+    let limits = limits_of_example("", "");
+    let rounds = Duration::from_secs(12)
+        .div_duration_f64(limits.counter_silence + limits.again)
+        .ceil();
+    assert!(
+        (rounds + 1.0) * limits.counter_links as f64 <= 32.0,
+        "{rounds} rounds"
+    );
+}
+
+/// All connections together leave some descriptors for files and signals.
+#[test]
+fn all_connections_fit_the_socket_limit() {
+    for sockets in [128, 1024, 4096] {
+        let limits = limits_of_example("1024", &sockets.to_string());
+        let crowd = limits.north_connections + limits.north_connections / 16 + 1;
+        let all = crowd + limits.south_connections + 2 + limits.counter_links + limits.callers + 1;
+        assert!(all + 6 < sockets, "{all} of {sockets}");
+    }
+}
+
+/// At the start the environment takes precedence over the file; a replacement takes precedence over the environment for the
+/// addresses of services.
+#[test]
+fn replacement_file_takes_precedence_over_environment() {
+    let text = include_str!("../../../examples/toy.json");
+    let in_environment = "127.0.0.9:9";
+    let variable = |name: &str| {
+        name.starts_with("BALANCER_")
+            .then(|| in_environment.to_owned())
+    };
+    let old = parse(text, variable).expect("sound");
+    let new = parse_replacement(&json(text), text, variable).expect("sound");
+    let address = |text: &str| text.parse().expect("an address");
+    let (discovery, counter) = (address(in_environment), Some(address(in_environment)));
+    assert_eq!(old.addresses, Addresses { discovery, counter });
+    let (discovery, counter) = (address("127.0.0.1:7001"), Some(address("127.0.0.1:7002")));
+    assert_eq!(new.addresses, Addresses { discovery, counter });
+    assert_eq!(
+        new.listen,
+        address(in_environment),
+        "the environment keeps precedence for all other keys"
+    );
+    let without_discovery = text.replace("\"discovery\"", "\"elsewhere\"");
+    assert_eq!(
+        parse_replacement(&json(&without_discovery), &without_discovery, variable)
+            .expect("sound")
+            .addresses
+            .discovery,
+        address(in_environment)
+    );
+    assert!(parse_replacement(&json(text), "{", variable).is_err());
+}
--- a/src/net/discovery/crossings.rs
+++ b/src/net/discovery/crossings.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::api::HostState;
-use crate::net::config::read;
+use crate::net::config::parse;
 use crate::net::task::spawn;
 use crate::net::tests::{next, with_limiter};
 use crate::net::Limiter;
@@ -102,7 +102,7 @@
         let text =
             include_str!("../../../examples/toy.json").replace("\"push\"", &format!("\"{mode}\""));
         let text = text.replace("\"balancers\": 1", &format!("\"balancers\": {limiters}"));
-        let limits = read(&text, |_| None).expect("sound").limits;
+        let limits = parse(&text, |_| None).expect("sound").limits;
         assert_eq!(limits.list_by_asking, mode == "ask");
         let (mut backoff, mut longest) = (Backoff::from_limits(&limits, 7), Duration::ZERO);
         for _ in 0..1_000 {
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -75,13 +75,13 @@
 impl Limiter {
     /// A limiter that has received nothing and is connected to nothing yet.
     pub fn new(config: Config) -> Self {
-        let metrics = config.metrics.map(|every| MetricsLog {
+        let metrics = config.metrics_interval.map(|every| MetricsLog {
             every,
             metrics: Rc::new(RefCell::new(Metrics::new(config.name.clone()))),
         });
         let shared_metrics = metrics.as_ref().map(|log| log.metrics.clone());
         let addresses = watch::Sender::new(config.addresses);
-        let has_admin = config.console.is_some();
+        let has_admin = config.admin.is_some();
         let limits = Rc::new(config.limits);
         let shutdown = Rc::new(Shutdown::new(&limits));
         let upstream = Rc::new(UpstreamPool::new(config.settings.reports));
@@ -107,7 +107,7 @@
             addresses: addresses.subscribe(),
             metrics: shared_metrics,
         };
-        let endpoints = EndpointList::new(config.zones, config.kinds);
+        let endpoints = EndpointList::new(config.zone_names, config.machine_kind_names);
         let discovery = Rc::new(DiscoveryClient::new(discovery_parts, endpoints, has_admin));
         let hot_restart_parts = HotRestartParts {
             limits: limits.clone(),
@@ -278,8 +278,8 @@
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     let options = StartOptions {
         listen: config.listen,
-        admin: config.console,
-        known_hosts: config.known.clone(),
+        admin: config.admin,
+        known_hosts: config.known_hosts.clone(),
         lease: config.lease.clone(),
         backoff: Backoff::from_limits(&config.limits, config.seed),
     };
--- a/src/net/limiter/tests.rs
+++ b/src/net/limiter/tests.rs
@@ -64,7 +64,7 @@
         .enable_all()
         .build();
     LocalSet::new().block_on(&runtime.expect("a runtime starts"), async {
-        let config = config::read(&text, |_| None).expect("the configuration is sound");
+        let config = config::parse(&text, |_| None).expect("the configuration is sound");
         let limiter = Rc::new(Limiter::new(config));
         limiter.engine.pause();
         test(limiter).await;
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -3,7 +3,7 @@
 //! A sound file is in force from then on, its addresses and its settings; of a faulty one nothing is, and the log names
 //! all its faults. What follows from descriptors and memory, and whether discovery is polled, stays until the next start.
 
-use super::config::{self, Addresses, Config, Limits};
+use super::config::{self, Addresses, Config, ConfigError, Limits};
 use super::discovery::DiscoveryClient;
 use super::engine::EngineDriver;
 use super::resp::downstream::RequestCatalog;
@@ -78,7 +78,7 @@
         let reloader = self.clone();
         spawn(async move {
             while hangup.recv().await.is_some() {
-                let read = config::again(&reloader.file.borrow());
+                let read = config::reload_from_environment(&reloader.file.borrow());
                 reloader.apply(read);
             }
         });
@@ -86,7 +86,7 @@
     }
 
     /// Puts a configuration into force. A faulty one is reported, and the one before stays.
-    fn apply(self: &Rc<Self>, read: Result<Config, String>) {
+    fn apply(self: &Rc<Self>, read: Result<Config, ConfigError>) {
         let config = match read {
             Err(problem) => return tracing::warn!("the configuration stays as it was: {problem}"),
             Ok(config) => config,
@@ -107,7 +107,7 @@
             .discovery
             .endpoints()
             .borrow_mut()
-            .zone(&config.zones, settings.zone);
+            .zone(&config.zone_names, settings.zone);
         let indexed = self.indices.borrow_mut().take(&settings, unix());
         self.parts.engine.apply_limits(&config.limits);
         let accepted = self.indices.borrow().heard(unix());
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -15,7 +15,7 @@
 
 /// Takes a file in, which is sound.
 fn take(limiter: &Rc<Limiter>, text: &str) {
-    let read = config::reread(&limiter.reloader().file.borrow(), text, |_| None);
+    let read = config::parse_replacement(&limiter.reloader().file.borrow(), text, |_| None);
     assert!(read.is_ok(), "{:?}", read.err());
     limiter.reloader().apply(read);
 }
@@ -79,7 +79,7 @@
         let Event::SettingsChanged { settings } = next(&limiter).await else {
             panic!("not told")
         };
-        let old = config::read(TOY, |_| None).expect("sound").settings;
+        let old = config::parse(TOY, |_| None).expect("sound").settings;
         assert_eq!(
             settings.classes[..2],
             old.classes[..],
--- a/src/net/reload/tests.rs
+++ b/src/net/reload/tests.rs
@@ -14,8 +14,8 @@
 
 const TOY: &str = include_str!("../../../examples/toy.json");
 
-fn again(limiter: &Limiter, text: &str) -> Result<Config, String> {
-    config::reread(&limiter.reloader().file.borrow(), text, |_| None)
+fn again(limiter: &Limiter, text: &str) -> Result<Config, ConfigError> {
+    config::parse_replacement(&limiter.reloader().file.borrow(), text, |_| None)
 }
 
 /// A sound file is taken whole; requests of a class that is gone are heard for a moment, then no more.
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -776,7 +776,7 @@
     }
 
     fn north(text: &str) -> Downstream {
-        let config = config::read(text, |_| None).expect("the configuration is sound");
+        let config = config::parse(text, |_| None).expect("the configuration is sound");
         let numbers = Numbers::new(&config.settings);
         let terms = Rc::new(RefCell::new(RequestCatalog::of(
             &config.settings,
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -304,7 +304,9 @@
         ("\"8c1f30d27a5be964\"", "7", "seed: 7 is not a text"),
     ] {
         let text = include_str!("../examples/toy.json").replacen(from, to, 1);
-        let problem = quartzcleat::net::config::read(&text, |_| None).expect_err(to);
+        let problem = quartzcleat::net::config::parse(&text, |_| None)
+            .expect_err(to)
+            .to_string();
         assert!(problem.starts_with(message), "{problem}");
     }
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -6,7 +6,7 @@
 use quickcheck::{Gen, QuickCheck, Testable};
 
 fn limits() -> Limits {
-    config::read(include_str!("../examples/toy.json"), |_| None)
+    config::parse(include_str!("../examples/toy.json"), |_| None)
         .expect("the example is sound")
         .limits
 }
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -56,7 +56,7 @@
             tell.send((discovery.local_addr()?, called))
                 .map_err(std::io::Error::other)?;
             let config =
-                quartzcleat::net::config::read(include_str!("../../examples/toy.json"), |_| None);
+                quartzcleat::net::config::parse(include_str!("../../examples/toy.json"), |_| None);
             let limits = config.map_err(std::io::Error::other)?.limits;
             woken.recv().map_err(std::io::Error::other)?;
             toy::Toy {
