--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -36,14 +36,14 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 callers.retain(|caller| !caller.is_finished());
-                while callers.len() >= context.limits.callers {
+                while callers.len() >= context.limits.admin.max_connections {
                     callers.pop_front().inspect(JoinHandle::abort);
                 }
                 callers.push_back(tokio::task::spawn_local(serve(context.clone(), stream)));
             }
             Err(e) => {
                 tracing::warn!("console: cannot accept: {e}");
-                sleep(context.limits.again).await;
+                sleep(context.limits.reconnect_pause).await;
             }
         }
     }
@@ -51,8 +51,8 @@
 
 async fn serve(context: Rc<AdminContext>, mut stream: TcpStream) {
     let call = timeout(
-        context.limits.caller_time,
-        call(&mut stream, context.limits.call_bytes),
+        context.limits.admin.request_timeout,
+        call(&mut stream, context.limits.admin.max_request_bytes),
     )
     .await;
     let (status, text) = match call {
@@ -74,7 +74,7 @@
         reason(status),
         body.len()
     );
-    let _ = timeout(context.limits.caller_time, async {
+    let _ = timeout(context.limits.admin.request_timeout, async {
         let _ = stream.write_all(answer.as_bytes()).await;
         let _ = stream.shutdown().await;
         // Guards against a reset that overtakes the answer where something of the call was left unread.
@@ -94,10 +94,10 @@
         || context.discovery.maintenance().borrow().knows(name) || context.discovery.has_answered();
     let first = async {
         while !known() {
-            sleep(context.limits.last_moment).await;
+            sleep(context.limits.requests.deadline_margin).await;
         }
     };
-    let _ = timeout(context.limits.first_list, first).await;
+    let _ = timeout(context.limits.admin.first_list_timeout, first).await;
 }
 
 fn reason(status: u16) -> &'static str {
@@ -250,7 +250,7 @@
             let call = Call::Disable("s-1".to_owned());
             let began = tokio::time::Instant::now();
             listed(limiter.admin(), &call).await;
-            assert!(began.elapsed() >= limiter.limits().first_list);
+            assert!(began.elapsed() >= limiter.limits().admin.first_list_timeout);
             assert_eq!(
                 carry_out(limiter.admin(), call.clone()).0,
                 503,
@@ -258,7 +258,7 @@
             );
             let told = limiter.clone();
             tokio::task::spawn_local(async move {
-                sleep(told.limits().last_moment).await;
+                sleep(told.limits().requests.deadline_margin).await;
                 crate::net::discovery::tests::told(told.discovery(), "s-1");
             });
             listed(limiter.admin(), &call).await;
--- /dev/null
+++ b/src/net/config/limits/requests.rs
@@ -0,0 +1,52 @@
+//! Limits for requests, from their admission to their answer.
+
+use super::duration_or;
+use crate::api::Settings;
+use std::cell::Cell;
+use std::time::Duration;
+
+const DEFAULT_MAX_OPEN: usize = 20_000;
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Limits for requests.
+#[derive(Clone, Debug)]
+pub struct RequestLimits {
+    /// Open requests, past which new ones are rejected.
+    pub max_open: usize,
+    /// Buffered requests and answers, past which new requests are rejected.
+    pub max_buffered_bytes: usize,
+    /// Attempts of one request.
+    pub max_attempts: u32,
+    /// Whether rejections carry a `retry_after`.
+    pub sends_retry_after: Cell<bool>,
+    /// The `retry_after` of a rejection for lack of capacity in this process.
+    pub capacity_retry_after: Cell<Duration>,
+    /// How long before its deadline an unanswered request is failed.
+    pub deadline_margin: Duration,
+}
+
+impl RequestLimits {
+    pub(super) fn new(settings: &Settings, memory_bytes: usize) -> Self {
+        RequestLimits {
+            max_open: match settings.max_open {
+                0 => DEFAULT_MAX_OPEN,
+                max_open => max_open as usize,
+            },
+            max_buffered_bytes: memory_bytes / 4,
+            max_attempts: settings.max_attempts.max(1),
+            sends_retry_after: Cell::new(settings.retry_after),
+            capacity_retry_after: Cell::new(if settings.retry_after {
+                duration_or(settings.longest_retry_after, DEFAULT_RETRY_AFTER)
+            } else {
+                Duration::ZERO
+            }),
+            deadline_margin: Duration::from_millis(2),
+        }
+    }
+
+    pub(super) fn update_from(&self, new: &RequestLimits) {
+        self.sends_retry_after.set(new.sends_retry_after.get());
+        self.capacity_retry_after
+            .set(new.capacity_retry_after.get());
+    }
+}
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -10,7 +10,10 @@
 
 pub use environment::{from_environment, reload_from_environment};
 pub use error::ConfigError;
-pub use limits::Limits;
+pub use limits::{
+    AdminLimits, CodecLimits, CounterLimits, DiscoveryLimits, DownstreamLimits, HotRestartLimits,
+    Limits, RequestLimits, ShutdownLimits, StreamingLimits, UpstreamLimits,
+};
 pub use parse::{parse, parse_replacement};
 
 use crate::api::Settings;
--- a/src/net/config/parse.rs
+++ b/src/net/config/parse.rs
@@ -1,5 +1,6 @@
 //! Parsing of a configuration's text, and the precedence between file and environment.
 
+use super::limits::Resources;
 use super::platform_settings::PlatformSettings;
 use super::{Addresses, Config, ConfigError, Limits};
 use quartzcleat_config::replacement::check_replacement;
@@ -161,12 +162,12 @@
             let min = MIN_SOCKETS;
             return Err(ConfigError::TooFewSockets { sockets, min });
         }
-        Ok(Limits::new(
-            &platform.settings,
+        let resources = Resources {
             sockets,
-            memory << 20,
-            platform.host_idle_timeout,
-        ))
+            memory_bytes: memory << 20,
+            host_idle_timeout: platform.host_idle_timeout,
+        };
+        Ok(Limits::new(&platform.settings, resources))
     }
 
     /// A count from the object `limits`.
--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -17,10 +17,10 @@
 fn hanging_counter_gets_no_more_connections_than_it_holds() {
     let limits = limits_of_example("", "");
     let rounds = Duration::from_secs(12)
-        .div_duration_f64(limits.counter_silence + limits.again)
+        .div_duration_f64(limits.counter.silence_timeout + limits.reconnect_pause)
         .ceil();
     assert!(
-        (rounds + 1.0) * limits.counter_links as f64 <= 32.0,
+        (rounds + 1.0) * limits.counter.connections as f64 <= 32.0,
         "{rounds} rounds"
     );
 }
@@ -30,8 +30,13 @@
 fn all_connections_fit_the_socket_limit() {
     for sockets in [128, 1024, 4096] {
         let limits = limits_of_example("1024", &sockets.to_string());
-        let crowd = limits.north_connections + limits.north_connections / 16 + 1;
-        let all = crowd + limits.south_connections + 2 + limits.counter_links + limits.callers + 1;
+        let crowd = limits.downstream.max_connections + limits.downstream.max_connections / 16 + 1;
+        let all = crowd
+            + limits.upstream.max_connections
+            + 2
+            + limits.counter.connections
+            + limits.admin.max_connections
+            + 1;
         assert!(all + 6 < sockets, "{all} of {sockets}");
     }
 }
--- a/src/net/counter/answer.rs
+++ b/src/net/counter/answer.rs
@@ -54,7 +54,7 @@
     }
     let reply = codec::reply(input, limits).map_err(|_| MalformedAnswer)?;
     let Some((reply, length)) = reply else {
-        let is_too_long = input.len() > limits.counter_answer;
+        let is_too_long = input.len() > limits.counter.max_answer_bytes;
         return if is_too_long {
             Err(MalformedAnswer)
         } else {
--- a/src/net/counter/call_queue.rs
+++ b/src/net/counter/call_queue.rs
@@ -58,7 +58,7 @@
     /// Adds a call. Past the limit the call is not made, but keeps its place: its end is reported behind the others.
     pub fn push(&self, name: String, amount: f64, keep_for: Nanos, limits: &Limits) {
         let mut calls = self.calls.borrow_mut();
-        let has_capacity = calls.len() < limits.counter_calls;
+        let has_capacity = calls.len() < limits.counter.max_pending_calls;
         let call = if has_capacity {
             CounterCall {
                 command: encode(&name, amount, keep_for),
@@ -84,7 +84,7 @@
     pub async fn wait_for_timeout(&self, limits: &Limits) {
         let first = self.calls.borrow().front().map(|call| call.started_at);
         match first {
-            Some(started_at) => sleep_until(started_at + limits.counter_call.get()).await,
+            Some(started_at) => sleep_until(started_at + limits.counter.call_timeout.get()).await,
             None => std::future::pending().await,
         }
     }
@@ -93,7 +93,7 @@
     pub fn expire(&self, limits: &Limits, engine: &EngineDriver) {
         let now = Instant::now();
         for call in self.calls.borrow_mut().iter_mut() {
-            if call.started_at + limits.counter_call.get() > now {
+            if call.started_at + limits.counter.call_timeout.get() > now {
                 break;
             }
             let outcome = if call.is_sent {
--- a/src/net/counter/connection.rs
+++ b/src/net/counter/connection.rs
@@ -66,7 +66,7 @@
             match self.stream.try_write(&self.output) {
                 Ok(count) => {
                     self.flushed += count as u64;
-                    codec::consume(&mut self.output, count, limits.read_bytes);
+                    codec::consume(&mut self.output, count, limits.codec.read_chunk_bytes);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => return Err(e),
--- a/src/net/counter/link.rs
+++ b/src/net/counter/link.rs
@@ -116,7 +116,7 @@
     /// Connects to the counter, unless it takes too long or the address changes meanwhile.
     async fn connect(&mut self, address: SocketAddr) -> Option<TcpStream> {
         let limits = self.limits();
-        let connect_by = Instant::now() + limits.connect.get();
+        let connect_by = Instant::now() + limits.connect_timeout.get();
         let connect = timeout_at(connect_by, TcpStream::connect(address));
         tokio::pin!(connect);
         loop {
@@ -140,7 +140,7 @@
     /// The pause before a new connection, in which calls time out as ever. A new address ends it.
     async fn pause(&mut self) {
         let limits = self.limits();
-        let until = Instant::now() + limits.again;
+        let until = Instant::now() + limits.reconnect_pause;
         while Instant::now() < until && !self.addresses.has_changed().unwrap_or(false) {
             tokio::select! {
                 () = sleep_until(until) => {}
@@ -202,7 +202,7 @@
         let limits = self.limits();
         let (mut reader, writer) = connection.stream.split();
         tokio::select! {
-            more = codec::more(&mut reader, &mut connection.input, limits.read_bytes) => {
+            more = codec::more(&mut reader, &mut connection.input, limits.codec.read_chunk_bytes) => {
                 Wakeup::Received { is_open: more.unwrap_or(false) }
             }
             _ = writer.writable(), if !connection.output.is_empty() => Wakeup::Continue,
@@ -218,7 +218,7 @@
 
     /// Whether this connection should have been answered by a time that is past, as others were since.
     fn others_were_answered(&self, by: Instant) -> bool {
-        let call_timeout = self.client.limits.counter_call.get();
+        let call_timeout = self.client.limits.counter.call_timeout.get();
         let since = by.checked_sub(call_timeout).unwrap_or(by);
         let last_answered = self.queue.last_answered.get();
         Instant::now() >= by && last_answered.is_some_and(|answered| answered >= since)
@@ -255,18 +255,18 @@
 
     /// When a suspect connection is compared with the others.
     fn suspect_at(&self, limits: &Limits) -> Instant {
-        self.since + 2 * limits.counter_call.get()
+        self.since + 2 * limits.counter.call_timeout.get()
     }
 
     /// When the silence has lasted too long, or is to be looked at.
     fn ends_at(&self, connection: &CounterConnection, limits: &Limits) -> Instant {
         let allowed = if connection.unanswered.is_empty() {
-            limits.counter_idle
+            limits.counter.idle_timeout
         } else {
-            limits.counter_silence
+            limits.counter.silence_timeout
         };
         let ends_at = match self.answer_began {
-            Some(began) => began + limits.counter_call.get(),
+            Some(began) => began + limits.counter.call_timeout.get(),
             None => self.since + allowed,
         };
         let suspect_at = self.suspect_at(limits);
@@ -284,7 +284,7 @@
     queue: Rc<CallQueue>,
     mut connection: CounterConnection,
 ) {
-    let call_timeout = client.limits.counter_call.get();
+    let call_timeout = client.limits.counter.call_timeout.get();
     // Past the time the calls are given up, as after a failure.
     let _ = timeout(
         call_timeout,
@@ -303,7 +303,7 @@
     while connection.flush(limits).is_ok() && !connection.unanswered.is_empty() {
         let (mut reader, writer) = connection.stream.split();
         tokio::select! {
-            more = codec::more(&mut reader, &mut connection.input, limits.read_bytes) => {
+            more = codec::more(&mut reader, &mut connection.input, limits.codec.read_chunk_bytes) => {
                 if !more.unwrap_or(false) || !read_answers(client, queue, connection) {
                     return;
                 }
@@ -329,7 +329,7 @@
         codec::consume(
             &mut connection.input,
             answer.length,
-            client.limits.read_bytes,
+            client.limits.codec.read_chunk_bytes,
         );
         connection.has_answered = true;
         queue.last_answered.set(Some(Instant::now()));
--- a/src/net/counter/mod.rs
+++ b/src/net/counter/mod.rs
@@ -38,7 +38,7 @@
         addresses: watch::Receiver<Addresses>,
     ) -> Self {
         let last_answered = LastAnswered::default();
-        let queues = (0..limits.counter_links)
+        let queues = (0..limits.counter.connections)
             .map(|_| Rc::new(CallQueue::new(last_answered.clone())))
             .collect();
         CounterClient {
--- a/src/net/counter/tests.rs
+++ b/src/net/counter/tests.rs
@@ -151,7 +151,7 @@
             .write_all(b"$1\r\n3\r\n")
             .await
             .expect("the limiter reads");
-        tokio::time::sleep(limiter.limits().again).await;
+        tokio::time::sleep(limiter.limits().reconnect_pause).await;
         assert_eq!(
             limiter.engine().take_event(),
             None,
@@ -184,7 +184,7 @@
         for part in ["", "$", "$4\r\n-1", "-BU"] {
             assert!(read(part).expect("sound").is_none(), "{part:?}");
         }
-        let long = "-".to_owned() + &"x".repeat(limiter.limits().counter_answer);
+        let long = "-".to_owned() + &"x".repeat(limiter.limits().counter.max_answer_bytes);
         for malformed in [
             "*2\r\n",
             ":5\r\n",
@@ -228,7 +228,11 @@
         call(&limiter, 1.0);
         calls(&mut stream, 1).await;
         assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
-        let kept = timeout(4 * limiter.limits().counter_call.get(), listener.accept()).await;
+        let kept = timeout(
+            4 * limiter.limits().counter.call_timeout.get(),
+            listener.accept(),
+        )
+        .await;
         assert!(
             kept.is_err(),
             "no second connection while no other is answered"
@@ -238,14 +242,18 @@
         call(&limiter, 1.0);
         let began = Instant::now();
         let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
-        assert!(began.elapsed() < limiter.limits().counter_silence / 2);
+        assert!(began.elapsed() < limiter.limits().counter.silence_timeout / 2);
         // Never answered: the new one has its whole patience, whoever else is answered.
         call(&limiter, 1.0);
         calls(&mut stream, 1).await;
-        queue
-            .last_answered
-            .set(Some(Instant::now() + limiter.limits().counter_silence));
-        let kept = timeout(limiter.limits().counter_silence / 2, listener.accept()).await;
+        queue.last_answered.set(Some(
+            Instant::now() + limiter.limits().counter.silence_timeout,
+        ));
+        let kept = timeout(
+            limiter.limits().counter.silence_timeout / 2,
+            listener.accept(),
+        )
+        .await;
         assert!(
             kept.is_err(),
             "a counter that never answers is not asked for ever more connections"
@@ -281,7 +289,7 @@
         assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
         assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
         assert!(
-            began.elapsed() < limiter.limits().counter_call.get(),
+            began.elapsed() < limiter.limits().counter.call_timeout.get(),
             "told before their time was over"
         );
         call(&limiter, 4.0);
--- a/src/net/discovery/backoff.rs
+++ b/src/net/discovery/backoff.rs
@@ -31,12 +31,12 @@
 
     /// The backoff of a limiter's calls to discovery.
     pub fn from_limits(limits: &Limits, seed: u64) -> Self {
-        let least = if limits.list_by_asking {
-            limits.list_turn.max(limits.again)
+        let least = if limits.discovery.is_polled {
+            limits.discovery.poll_cycle.max(limits.reconnect_pause)
         } else {
-            limits.again
+            limits.reconnect_pause
         };
-        Backoff::new(least, limits.list_most, seed)
+        Backoff::new(least, limits.discovery.max_backoff, seed)
     }
 
     /// The pause before the first call: all limiters may have started at one moment.
--- a/src/net/discovery/connection.rs
+++ b/src/net/discovery/connection.rs
@@ -63,10 +63,10 @@
 
     /// The changes since a version; discovery waits for a change.
     pub fn changes_since(version: u64, limits: &Limits) -> Self {
-        let wait_ms = limits.watch.as_millis();
+        let wait_ms = limits.discovery.watch_timeout.as_millis();
         ListRequest {
             path: format!("{LIST_PATH}?index={version}&wait={wait_ms}"),
-            timeout: limits.watch + limits.watch_slack,
+            timeout: limits.discovery.watch_timeout + limits.discovery.watch_grace,
         }
     }
 }
@@ -153,7 +153,9 @@
 
     async fn read_response(&mut self, limits: &Limits) -> Result<Response, DiscoveryError> {
         loop {
-            if let Some(response) = parse_response(&self.input, limits.list_bytes)? {
+            if let Some(response) =
+                parse_response(&self.input, limits.discovery.max_response_bytes)?
+            {
                 self.input.drain(..response.length);
                 return Ok(response);
             }
--- a/src/net/discovery/crossings.rs
+++ b/src/net/discovery/crossings.rs
@@ -79,7 +79,7 @@
         limiter.discovery().clone(),
         Backoff::from_limits(limiter.limits(), 1),
     ));
-    if !limiter.limits().list_by_asking {
+    if !limiter.limits().discovery.is_polled {
         spawn(check(limiter.discovery().clone()));
     }
 }
@@ -103,7 +103,7 @@
             include_str!("../../../examples/toy.json").replace("\"push\"", &format!("\"{mode}\""));
         let text = text.replace("\"balancers\": 1", &format!("\"balancers\": {limiters}"));
         let limits = parse(&text, |_| None).expect("sound").limits;
-        assert_eq!(limits.list_by_asking, mode == "ask");
+        assert_eq!(limits.discovery.is_polled, mode == "ask");
         let (mut backoff, mut longest) = (Backoff::from_limits(&limits, 7), Duration::ZERO);
         for _ in 0..1_000 {
             longest = longest.max(backoff.after_failure());
@@ -113,16 +113,24 @@
             "it was drawn from the widest bound"
         );
         assert!(
-            longest + limits.connect.get() + limits.watch_slack < TOLD,
+            longest + limits.connect_timeout.get() + limits.discovery.watch_grace < TOLD,
             "{limiters} by {mode}: {longest:?}"
         );
-        assert!(limits.watch_slack + limits.connect.get() < Duration::from_secs(2));
+        assert!(
+            limits.discovery.watch_grace + limits.connect_timeout.get() < Duration::from_secs(2)
+        );
         if mode == "push" {
-            assert!(limits.check + limits.check_time < TOLD);
+            assert!(
+                limits.discovery.full_list_interval + limits.discovery.full_list_timeout < TOLD
+            );
         } else {
             // Nothing but the watch tells there: with few limiters it is over in time by itself.
             assert!(
-                limiters > 3 || limits.watch + limits.watch_slack + limits.connect.get() < TOLD
+                limiters > 3
+                    || limits.discovery.watch_timeout
+                        + limits.discovery.watch_grace
+                        + limits.connect_timeout.get()
+                        < TOLD
             );
         }
     }
@@ -191,7 +199,10 @@
             assert_eq!(told(&limiter).await, (4, HostState::Ready));
             assert_eq!(told(&limiter).await, (5, HostState::Draining));
             assert!(began.elapsed() < TOLD, "after {:?}", began.elapsed());
-            assert!(began.elapsed() >= limiter.limits().watch, "it had its wait");
+            assert!(
+                began.elapsed() >= limiter.limits().discovery.watch_timeout,
+                "it had its wait"
+            );
             drop(silent);
         },
     );
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -164,7 +164,7 @@
                 limiter.discovery().apply(&list.expect("a list"));
             }
         }
-        sleep(limiter.limits().drain.get()).await;
+        sleep(limiter.limits().upstream.drain_grace.get()).await;
         let text = list(200, 50, "SERVING");
         let list = limiter
             .discovery()
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -11,7 +11,7 @@
 /// at a new address, the watch is opened again.
 pub async fn follow(client: Rc<DiscoveryClient>, mut backoff: Backoff) {
     let mut addresses = client.addresses.clone();
-    if client.limits.list_by_asking {
+    if client.limits.discovery.is_polled {
         sleep(backoff.first()).await;
     }
     loop {
@@ -61,9 +61,12 @@
     backoff: &mut Backoff,
 ) -> Result<(), WatchFailure> {
     let limits = &client.limits;
-    let mut connection = timeout(limits.connect.get(), DiscoveryConnection::open(address))
-        .await
-        .map_err(|_| DiscoveryError::ConnectTimeout)??;
+    let mut connection = timeout(
+        limits.connect_timeout.get(),
+        DiscoveryConnection::open(address),
+    )
+    .await
+    .map_err(|_| DiscoveryError::ConnectTimeout)??;
     let mut request = first_request(client);
     let opened_at = Instant::now();
     let mut has_answered = false;
@@ -71,8 +74,9 @@
         let lists_received = client.endpoints.borrow().lists_received();
         let response = connection.get(&request, limits).await.map_err(|error| {
             // A connection that is lost right after its first answer is not opened again without a pause.
-            let reopen_at_once =
-                has_answered && opened_at.elapsed() >= limits.check && error.is_of_connection();
+            let reopen_at_once = has_answered
+                && opened_at.elapsed() >= limits.discovery.full_list_interval
+                && error.is_of_connection();
             WatchFailure {
                 error,
                 reopen_at_once,
@@ -102,10 +106,10 @@
 /// the changes since the list in force.
 fn first_request(client: &DiscoveryClient) -> ListRequest {
     let limits = &client.limits;
-    if limits.list_by_asking {
+    if limits.discovery.is_polled {
         ListRequest::changes_since(client.endpoints.borrow().version(), limits)
     } else {
-        ListRequest::full(limits.watch_slack)
+        ListRequest::full(limits.discovery.watch_grace)
     }
 }
 
@@ -126,7 +130,7 @@
         client.apply(list);
     } else if is_older {
         tracing::info!(version = list.version, "older endpoint list ignored");
-        let full = ListRequest::full(limits.watch_slack);
+        let full = ListRequest::full(limits.discovery.watch_grace);
         // A discovery that answers the call for the full list with old changes must not be asked in a busy loop.
         if *request == full && !list.is_full {
             return Err(DiscoveryError::NoFullList);
@@ -142,7 +146,7 @@
 /// watch that is found to be behind is opened again.
 pub async fn check(client: Rc<DiscoveryClient>) {
     loop {
-        sleep(client.limits.check).await;
+        sleep(client.limits.discovery.full_list_interval).await;
         check_once(&client).await;
     }
 }
@@ -151,7 +155,12 @@
     let address = client.addresses.borrow().discovery;
     let lists_received = client.endpoints.borrow().lists_received();
     // The watch meets and reports whatever fails here.
-    let Ok(Ok(list)) = timeout(client.limits.check_time, full_list(client, address)).await else {
+    let Ok(Ok(list)) = timeout(
+        client.limits.discovery.full_list_timeout,
+        full_list(client, address),
+    )
+    .await
+    else {
         return;
     };
     if client.addresses.borrow().discovery != address || !list.is_full {
@@ -179,7 +188,7 @@
 ) -> Result<ReceivedList, DiscoveryError> {
     let limits = &client.limits;
     let connection = DiscoveryConnection::open(address).await?;
-    let request = ListRequest::full(limits.check_time);
+    let request = ListRequest::full(limits.discovery.full_list_timeout);
     let response = connection.get_and_close(&request, limits).await?;
     Ok(client.endpoints.borrow_mut().parse(&response.list)?)
 }
--- a/src/net/engine/open_requests.rs
+++ b/src/net/engine/open_requests.rs
@@ -68,18 +68,18 @@
             requests: HashMap::new(),
             in_flight: HashMap::new(),
             buffered_bytes: Rc::default(),
-            max_requests: limits.max_open,
-            max_buffered_bytes: limits.held_bytes,
-            max_attempts: limits.max_attempts,
-            highest_max_attempts: limits.max_attempts,
+            max_requests: limits.requests.max_open,
+            max_buffered_bytes: limits.requests.max_buffered_bytes,
+            max_attempts: limits.requests.max_attempts,
+            highest_max_attempts: limits.requests.max_attempts,
         }
     }
 
     /// Applies the limits of a new configuration.
     pub fn apply_limits(&mut self, limits: &Limits) {
-        self.max_requests = limits.max_open;
-        self.max_attempts = limits.max_attempts;
-        self.highest_max_attempts = self.highest_max_attempts.max(limits.max_attempts);
+        self.max_requests = limits.requests.max_open;
+        self.max_attempts = limits.requests.max_attempts;
+        self.highest_max_attempts = self.highest_max_attempts.max(limits.requests.max_attempts);
     }
 
     /// Whether another request can be opened.
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -233,7 +233,8 @@
     // Guards against two processes that hold together more than one may.
     hot_restart
         .limits
-        .sharers
+        .hot_restart
+        .process_count
         .set(1 + usize::from(other.is_some()));
     if hot_restart.other.replace(other).is_some() != other.is_some() {
         tracing::info!(beside = other.is_some(), "another process of this limiter");
@@ -322,7 +323,7 @@
     let hot_restart = hot_restart.clone();
     spawn(async move {
         loop {
-            sleep(hot_restart.limits.look).await;
+            sleep(hot_restart.limits.hot_restart.poll_interval).await;
             look(&hot_restart);
             publish(&hot_restart);
         }
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -209,7 +209,7 @@
             metrics::start(metrics.clone(), *every, engine, upstream);
         }
         spawn(discovery::follow(self.discovery.clone(), backoff));
-        if !self.limits.list_by_asking {
+        if !self.limits.discovery.is_polled {
             spawn(discovery::check(self.discovery.clone()));
         }
     }
@@ -218,13 +218,13 @@
     /// process that took clients without them would reject requests that the other one still serves.
     async fn catch_up(&self) {
         hot_restart::publish(&self.hot_restart);
-        let until = Instant::now() + self.limits.catch_up;
+        let until = Instant::now() + self.limits.hot_restart.discovery_timeout;
         while !self.discovery.has_answered() && Instant::now() < until {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
-        let until = Instant::now() + self.limits.inherit;
+        let until = Instant::now() + self.limits.hot_restart.handoff_timeout;
         while !hot_restart::inherit(&self.hot_restart) && Instant::now() < until {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
     }
 
@@ -246,13 +246,13 @@
         let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
         // The attempts of a client that has gone end by themselves; no answer is due for them.
         while self.engine.requests().borrow().count() > 0 && Instant::now() < last {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
         let open = self.engine.requests().borrow().ids();
         for id in open {
             complete::give_up(&self.pipeline, id);
         }
-        let end = last + self.limits.last_answers.get();
+        let end = last + self.limits.shutdown.final_answer_margin.get();
         // Past the time the process ends with whatever connections are left.
         let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
     }
--- a/src/net/limiter/tests.rs
+++ b/src/net/limiter/tests.rs
@@ -77,6 +77,6 @@
         if let Some(event) = limiter.engine.take_event() {
             return event;
         }
-        sleep(limiter.limits.last_moment).await;
+        sleep(limiter.limits.requests.deadline_margin).await;
     }
 }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -96,7 +96,7 @@
         self.parts
             .addresses
             .send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
-        self.parts.limits.retune(&config.limits);
+        self.parts.limits.update_from(&config.limits);
         self.parts
             .upstream
             .set_report_source(config.settings.reports);
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -47,7 +47,7 @@
             assert_eq!(end.outcome, Outcome::Good);
             end.load.len()
         };
-        let idle = || limiter.limits().south_idle.get();
+        let idle = || limiter.limits().upstream.idle_timeout.get();
         assert_eq!((load(), idle()), (0, Duration::from_secs(15)));
         let new = TOY.replace("\"how\": \"none\"", "\"how\": \"answers\"");
         take(
--- a/src/net/resp/codec.rs
+++ b/src/net/resp/codec.rs
@@ -103,7 +103,7 @@
 
     /// What follows the `$` of a bulk string.
     fn bulk(&mut self) -> Parsed<Option<Range<usize>>> {
-        let Some(length) = self.length(self.limits.value_bytes)? else {
+        let Some(length) = self.length(self.limits.codec.max_value_bytes)? else {
             return Ok(None);
         };
         let Some(length) = length else {
@@ -171,7 +171,7 @@
 }
 
 fn within(at: usize, limits: &Limits) -> Result<(), Malformed> {
-    if at > limits.frame_bytes {
+    if at > limits.codec.max_frame_bytes {
         return Err(Malformed("a message is too long"));
     }
     Ok(())
@@ -193,7 +193,7 @@
         Some(b'*') => {}
         Some(_) => return Err(Malformed("a command is an array of bulk strings")),
     }
-    let Some(count) = cursor.length(limits.words)? else {
+    let Some(count) = cursor.length(limits.codec.max_arguments)? else {
         return Ok(None);
     };
     let mut words = Vec::with_capacity(count.unwrap_or(0));
@@ -225,7 +225,7 @@
         bytes,
         at: 0,
         limits,
-        left: limits.words,
+        left: limits.codec.max_arguments,
     };
     let reply = cursor.reply(0)?;
     within(
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -419,7 +419,11 @@
         self.end(north);
         if pause != Pause::Busy {
             let ahead = if stranger {
-                north.frontend_context.limits.north_stranger
+                north
+                    .frontend_context
+                    .limits
+                    .downstream
+                    .unused_eviction_advance
             } else {
                 Duration::ZERO
             };
@@ -440,8 +444,8 @@
     async fn over(&self, limits: &Limits) {
         let most = match self.pause {
             Pause::Busy => return std::future::pending().await,
-            Pause::Empty if !self.stranger => limits.north_idle,
-            _ => limits.north_command,
+            Pause::Empty if !self.stranger => limits.downstream.idle_timeout,
+            _ => limits.downstream.command_timeout,
         };
         tokio::select! {
             () = sleep_until(self.since + most) => {}
@@ -464,7 +468,7 @@
                         tracing::info!("connections still come to either process: {e}");
                     }
                 }
-                last = Some(Instant::now() + north.frontend_context.limits.steered);
+                last = Some(Instant::now() + north.frontend_context.limits.hot_restart.listener_handover_grace);
                 continue;
             }
             () = sleep_until(last.unwrap_or_else(Instant::now)), if last.is_some() => break,
@@ -474,7 +478,7 @@
                 // Guards against running out of descriptors: past the limit the longest idle connection makes
                 // room, where there is none a further one is only told to back off, and far past it the program
                 // waits for others to close.
-                let most = north.frontend_context.limits.north_share();
+                let most = north.frontend_context.limits.downstream_connection_share();
                 let crowded = north.frontend_context.shutdown.connections() >= most
                     && !north.idle.make_room();
                 welcome(north, stream, crowded);
@@ -488,7 +492,7 @@
             }
             Err(e) => {
                 tracing::warn!("cannot accept: {e}");
-                sleep(north.frontend_context.limits.again).await;
+                sleep(north.frontend_context.limits.reconnect_pause).await;
             }
         }
     }
@@ -547,9 +551,13 @@
     // is no room it closes at once. Could hurt behind malformed bytes, where a reset may take the last answer along.
     if over == Over::Ours
         && north.frontend_context.shutdown.connections()
-            < north.frontend_context.limits.north_share()
+            < north.frontend_context.limits.downstream_connection_share()
     {
-        close::in_order(stream, north.frontend_context.limits.north_linger).await;
+        close::in_order(
+            stream,
+            north.frontend_context.limits.downstream.linger_timeout,
+        )
+        .await;
     }
 }
 
@@ -580,17 +588,17 @@
     let fresh = *phase.borrow() >= Phase::Closing;
     loop {
         let mut done = 0;
-        while sound && out.len() < limits.north_unsent {
+        while sound && out.len() < limits.downstream.max_unsent_bytes {
             let waiting = owed.waiting();
             let problem = match codec::command(&input[done..], limits) {
                 Ok(None) => break,
-                Ok(Some(command)) if waiting < limits.north_waiting => {
+                Ok(Some(command)) if waiting < limits.downstream.max_queued_commands => {
                     take(
                         north,
                         owed,
                         &input[done..],
                         &command,
-                        crowded || waiting >= limits.north_pipeline,
+                        crowded || waiting >= limits.downstream.max_pipelined_requests,
                     );
                     done += command.length;
                     continue;
@@ -603,7 +611,7 @@
             owed.push(Slot::Ready(text));
             sound = false;
         }
-        codec::consume(&mut input, done, limits.read_bytes);
+        codec::consume(&mut input, done, limits.codec.read_chunk_bytes);
         let (more, whole) = owed.collect(&mut out);
         counted += more;
         if sent < out.len() {
@@ -617,7 +625,7 @@
         }
         if sent == out.len() && sent > 0 {
             owed.held.set(owed.held.get() - counted);
-            codec::consume(&mut out, sent, limits.read_bytes);
+            codec::consume(&mut out, sent, limits.codec.read_chunk_bytes);
             (sent, counted) = (0, 0);
         }
         // The client can tell by the early end that a value is not whole.
@@ -651,7 +659,7 @@
             },
             rest.stranger && owed.first.get() == 0 && between,
         );
-        let read = sound && out.len() < limits.north_unsent;
+        let read = sound && out.len() < limits.downstream.max_unsent_bytes;
         tokio::select! {
             // What has come goes first: a connection is not closed on a command that is there to be read.
             biased;
@@ -663,7 +671,7 @@
             _ = writer.writable(), if sent < out.len() => {}
             _ = owed.ready.notified() => {}
             () = wait_for(flowing.as_deref()), if out.is_empty() => {}
-            () = sleep_until(moved + limits.north_stall), if sent < out.len() => return Over::Lost(counted),
+            () = sleep_until(moved + limits.downstream.write_stall_timeout), if sent < out.len() => return Over::Lost(counted),
             _ = phase.changed(), if !closing => {}
             () = rest.over(limits) => {
                 if let Some(over) = last_look(reader.as_ref(), &mut input) {
@@ -697,7 +705,7 @@
     limits: &Limits,
 ) -> bool {
     if read {
-        return codec::more(reader, input, limits.read_bytes)
+        return codec::more(reader, input, limits.codec.read_chunk_bytes)
             .await
             .unwrap_or(false);
     }
@@ -712,7 +720,7 @@
         .await
         .is_ok_and(|ready| ready.is_read_closed())
     {
-        sleep(limits.north_look).await;
+        sleep(limits.downstream.liveness_check_interval).await;
     }
     false
 }
@@ -740,7 +748,12 @@
                 owed.answer(
                     place,
                     Answer::Rejected {
-                        retry_after: north.frontend_context.limits.back_off.get(),
+                        retry_after: north
+                            .frontend_context
+                            .limits
+                            .requests
+                            .capacity_retry_after
+                            .get(),
                     },
                 );
             } else {
--- a/src/net/resp/upstream/pool.rs
+++ b/src/net/resp/upstream/pool.rs
@@ -60,7 +60,7 @@
     /// Whether what was decided before the host stopped being ready may no longer be sent there.
     fn drain_grace_is_over(&self, limits: &Limits) -> bool {
         self.unready_since
-            .is_some_and(|since| since.elapsed() >= limits.drain.get())
+            .is_some_and(|since| since.elapsed() >= limits.upstream.drain_grace.get())
     }
 }
 
@@ -177,7 +177,7 @@
         let Some(host) = hosts.get_mut(&call.host) else {
             return Err(call);
         };
-        let is_usable = |idle: &IdleConnection| idle.since.elapsed() >= limits.south_rest;
+        let is_usable = |idle: &IdleConnection| idle.since.elapsed() >= limits.upstream.reuse_delay;
         while let Some(last) = host.idle.iter().rposition(is_usable) {
             match host.idle.remove(last).next_call.send(call) {
                 Ok(()) => return Ok(()),
@@ -222,7 +222,7 @@
     /// Permits one more connection. At the limit the connection that has been idle longest is closed for it; `None` where
     /// none is idle.
     pub fn acquire_permit(&self, id: HostId, limits: &Limits) -> Option<ConnectionPermit> {
-        if self.connections.get() >= limits.south_share() {
+        if self.connections.get() >= limits.upstream_connection_share() {
             self.close_longest_idle()?;
         }
         let by_host = self
--- a/src/net/resp/upstream/tests.rs
+++ b/src/net/resp/upstream/tests.rs
@@ -11,6 +11,12 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+fn limits_without_drain_grace(limits: &Limits) -> Limits {
+    let limits = limits.clone();
+    limits.upstream.drain_grace.set(std::time::Duration::ZERO);
+    limits
+}
+
 /// The words go on as they came, the wait apart, whose length may change.
 #[test]
 fn only_the_wait_is_rewritten() {
@@ -193,7 +199,7 @@
             .next_call;
         let back = upstream.send_on_idle(call.expect("within the cap"), limiter.limits());
         let call = back.expect_err("it answered just now");
-        tokio::time::sleep(limiter.limits().south_rest).await;
+        tokio::time::sleep(limiter.limits().upstream.reuse_delay).await;
         assert!(upstream.send_on_idle(call, limiter.limits()).is_ok());
         assert!(parked.try_recv().is_ok());
     });
@@ -212,10 +218,7 @@
             state,
             ..HostEntry::default()
         };
-        let drained = Limits {
-            drain: std::time::Duration::ZERO.into(),
-            ..limiter.limits().clone()
-        };
+        let drained = limits_without_drain_grace(limiter.limits());
         upstream.update_host(&entry(HostState::Ready), address);
         assert_eq!(upstream.address(HostId(5), &drained), Some(address));
         let parked = upstream.add_idle(HostId(5), address).expect("it may wait");
@@ -243,10 +246,7 @@
             state,
             ..HostEntry::default()
         };
-        let over = Limits {
-            drain: std::time::Duration::ZERO.into(),
-            ..limiter.limits().clone()
-        };
+        let over = limits_without_drain_grace(limiter.limits());
         (1..5).for_each(|id| upstream.update_host(&entry(id, HostState::Ready), address));
         upstream.update_host(&entry(2, HostState::Gone), address);
         upstream.update_host(&entry(3, HostState::Draining), address);
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -39,8 +39,8 @@
     /// Open doors.
     pub fn new(limits: &Limits) -> Self {
         let times = Times {
-            linger: limits.linger.as_nanos() as Nanos,
-            last_call: limits.last_call.as_nanos() as Nanos,
+            linger: limits.shutdown.drain_delay.as_nanos() as Nanos,
+            last_call: limits.shutdown.reject_after.as_nanos() as Nanos,
         };
         Shutdown {
             doors: RefCell::new(Doors::new(times)),
@@ -119,9 +119,9 @@
 
     /// When the last answers are given, once the end was asked for.
     pub fn last_answers(&self, limits: &Limits) -> Option<Instant> {
-        self.asked
-            .get()
-            .map(|asked| asked + limits.end.get() - limits.last_answers.get())
+        self.asked.get().map(|asked| {
+            asked + limits.shutdown.timeout.get() - limits.shutdown.final_answer_margin.get()
+        })
     }
 
     /// Counts a client's connection in or out.
--- a/src/net/shutdown/tests.rs
+++ b/src/net/shutdown/tests.rs
@@ -13,7 +13,7 @@
 
 /// The end was asked for just now, and comes in a moment.
 fn asked(limiter: &Rc<Limiter>, end: Duration) {
-    limiter.limits().end.set(end);
+    limiter.limits().shutdown.timeout.set(end);
     limiter.shutdown().asked.set(Some(Instant::now()));
 }
 
@@ -52,14 +52,14 @@
         accept::accept(limiter.pipeline(), front.clone(), 9, asks);
         assert!(matches!(next(&limiter).await, Event::Request { .. }));
         // Much time for the answer to go out, on however busy a machine.
-        limiter.limits().last_answers.set(LONG);
+        limiter.limits().shutdown.final_answer_margin.set(LONG);
         asked(&limiter, LONG + Duration::from_millis(200));
         limiter.shutdown().count(1);
         let (closing, answered) = (limiter.clone(), front.clone());
         // The client's connection ends as it has its answer.
         spawn(async move {
             while answered.0.borrow().is_empty() {
-                sleep(closing.limits().last_moment).await;
+                sleep(closing.limits().requests.deadline_margin).await;
             }
             closing.shutdown().count(-1);
         });
--- a/src/net/stages/accept.rs
+++ b/src/net/stages/accept.rs
@@ -15,7 +15,7 @@
 ) {
     let arrived = Instant::now();
     if !pipeline.engine.has_capacity() || pipeline.shutdown.phase() >= Phase::LastCall {
-        let retry_after = pipeline.limits.back_off.get();
+        let retry_after = pipeline.limits.requests.capacity_retry_after.get();
         return frontend.answer(place, Answer::Rejected { retry_after });
     }
     // An id that is still in use would make two requests one.
--- a/src/net/stages/admit.rs
+++ b/src/net/stages/admit.rs
@@ -23,7 +23,7 @@
     });
     // A request that the engine never answers is failed shortly before its deadline.
     let last_moment = deadline
-        .checked_sub(pipeline.limits.last_moment)
+        .checked_sub(pipeline.limits.requests.deadline_margin)
         .unwrap_or(deadline);
     let pipeline = pipeline.clone();
     spawn(async move {
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -141,7 +141,11 @@
     connection.command_sent = true;
     call.cancellation.sent.set(true);
     log_written(call);
-    codec::consume(&mut connection.output, written, limits.read_bytes);
+    codec::consume(
+        &mut connection.output,
+        written,
+        limits.codec.read_chunk_bytes,
+    );
     Ok(())
 }
 
@@ -183,7 +187,9 @@
         return Some(Outcome::Error.into());
     }
     if let Some((head_bytes, value_bytes)) = codec::value_head(&connection.input) {
-        if (limits.value_bytes + 1..=limits.bulk_bytes).contains(&value_bytes) {
+        if (limits.codec.max_value_bytes + 1..=limits.streaming.max_value_bytes)
+            .contains(&value_bytes)
+        {
             return Some(Exchange::LongValue {
                 head_bytes,
                 value_bytes,
@@ -201,7 +207,7 @@
             );
             // Whatever follows the answer belongs to no call.
             let reusable = interpretation.is_known_form && length == connection.input.len();
-            codec::consume(&mut connection.input, length, limits.read_bytes);
+            codec::consume(&mut connection.input, length, limits.codec.read_chunk_bytes);
             Some(Exchange::Ended(CallEnd {
                 result: interpretation.result,
                 reusable,
@@ -219,10 +225,10 @@
     let more = codec::more(
         &mut connection.stream,
         &mut connection.input,
-        limits.read_bytes,
+        limits.codec.read_chunk_bytes,
     );
     let more = if has_begun {
-        timeout(limits.south_answer, more).await
+        timeout(limits.upstream.answer_stall_timeout, more).await
     } else {
         Ok(more.await)
     };
@@ -243,8 +249,16 @@
     value_bytes: usize,
 ) -> CallEnd {
     let limits = &pipeline.limits;
-    codec::consume(&mut connection.input, head_bytes, limits.window);
-    let body = Pipe::new(value_bytes, limits.window, pipeline.engine.buffered_bytes());
+    codec::consume(
+        &mut connection.input,
+        head_bytes,
+        limits.streaming.window_bytes,
+    );
+    let body = Pipe::new(
+        value_bytes,
+        limits.streaming.window_bytes,
+        pipeline.engine.buffered_bytes(),
+    );
     if !complete::begin_streaming(pipeline, call, &body) {
         return Outcome::Cancelled.into();
     }
@@ -273,7 +287,7 @@
         if is_usage {
             result.used = upstream::usage_figures(&reply, &connection.input, call.host);
         }
-        codec::consume(&mut connection.input, length, limits.read_bytes);
+        codec::consume(&mut connection.input, length, limits.codec.read_chunk_bytes);
     }
     CallEnd {
         result,
@@ -293,9 +307,12 @@
         let more = codec::more(
             &mut connection.stream,
             &mut connection.input,
-            limits.read_bytes,
+            limits.codec.read_chunk_bytes,
         );
-        if !matches!(timeout(limits.south_answer, more).await, Ok(Ok(true))) {
+        if !matches!(
+            timeout(limits.upstream.answer_stall_timeout, more).await,
+            Ok(Ok(true))
+        ) {
             return None;
         }
     }
@@ -329,10 +346,10 @@
         let more = codec::more(
             &mut connection.stream,
             &mut connection.input,
-            limits.window / 2,
+            limits.streaming.window_bytes / 2,
         );
         tokio::select! {
-            more = timeout(limits.bulk_silence, more) => {
+            more = timeout(limits.streaming.stall_timeout, more) => {
                 if !matches!(more, Ok(Ok(true))) {
                     return Err(Outcome::Reset);
                 }
@@ -351,6 +368,6 @@
         return Err(Outcome::Error);
     }
     body.put(&connection.input[..1]);
-    codec::consume(&mut connection.input, 3, limits.read_bytes);
+    codec::consume(&mut connection.input, 3, limits.codec.read_chunk_bytes);
     Ok(())
 }
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -22,7 +22,7 @@
 /// Sends a health check on its way.
 pub fn check_health(pipeline: &Rc<Pipeline>, host: HostId) {
     let now = Instant::now();
-    let deadline = now + pipeline.limits.connect.get();
+    let deadline = now + pipeline.limits.connect_timeout.get();
     let call = HostCall {
         command: HostCommand::HealthCheck,
         host,
@@ -77,7 +77,7 @@
         .upstream
         .address(call.host, &pipeline.limits)
         .ok_or(Outcome::ConnectFailed)?;
-    let connect_timeout = Instant::now() + pipeline.limits.connect.get();
+    let connect_timeout = Instant::now() + pipeline.limits.connect_timeout.get();
     let connect_by = call.send_by.min(connect_timeout);
     tokio::select! {
         biased;
@@ -100,8 +100,8 @@
     connection: &mut UpstreamConnection,
     mut next_call: oneshot::Receiver<HostCall>,
 ) -> Option<HostCall> {
-    let idle_timeout = pipeline.limits.south_idle.get();
-    let read_bytes = pipeline.limits.read_bytes;
+    let idle_timeout = pipeline.limits.upstream.idle_timeout.get();
+    let read_bytes = pipeline.limits.codec.read_chunk_bytes;
     tokio::select! {
         biased;
         call = &mut next_call => call.ok(),
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -88,7 +88,7 @@
 
 /// The wait that clients are told with a rejection; zero where they are told none.
 fn advised_wait(pipeline: &Pipeline, retry_after: Nanos) -> Duration {
-    if pipeline.limits.tells_when.get() {
+    if pipeline.limits.requests.sends_retry_after.get() {
         Duration::from_nanos(retry_after)
     } else {
         Duration::ZERO
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -54,7 +54,7 @@
     limiter: &Rc<Limiter>,
     begins_within: Duration,
 ) -> (Slow, Rc<RecordingFrontend>) {
-    limiter.limits().connect.set(LONG);
+    limiter.limits().connect_timeout.set(LONG);
     let (host, front) = (
         slow_host(limiter).await,
         Rc::new(RecordingFrontend::default()),
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -29,7 +29,11 @@
 fn commands_survive_any_cut() {
     fn cut(words: Vec<Vec<u8>>) -> bool {
         let (limits, mut message) = (limits(), Vec::new());
-        let words: Vec<&[u8]> = words.iter().take(limits.words).map(Vec::as_slice).collect();
+        let words: Vec<&[u8]> = words
+            .iter()
+            .take(limits.codec.max_arguments)
+            .map(Vec::as_slice)
+            .collect();
         codec::write_command(&words, &mut message);
         let read = whole(&message, |bytes| {
             let command = codec::command(bytes, &limits).expect("no cut is malformed")?;
