--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -29,8 +29,32 @@
     pub zone_names: Vec<String>,
 }
 
-/// A change of one key: its path and its new value, or `None` to remove it.
-pub type Change = (String, Option<Content>);
+/// A change of one key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The path of the key.
+    pub path: String,
+    /// The new value; `None` removes the key.
+    pub value: Option<Content>,
+}
+
+impl Change {
+    /// A change that gives a key another value.
+    pub fn set(path: impl Into<String>, value: Content) -> Self {
+        Change {
+            path: path.into(),
+            value: Some(value),
+        }
+    }
+
+    /// A change that removes a key.
+    pub fn remove(path: impl Into<String>) -> Self {
+        Change {
+            path: path.into(),
+            value: None,
+        }
+    }
+}
 
 impl Deployment {
     /// Reads a file's text.
@@ -75,10 +99,10 @@
     /// All faults of the changed settings.
     pub fn with(&self, changes: &[Change]) -> Result<Deployment, Faults> {
         let mut tree = self.tree.clone();
-        for (path, content) in changes {
+        for Change { path, value } in changes {
             // A path that does not exist leaves the tree as it is.
-            match content {
-                Some(content) => drop(tree.set(path, content.clone())),
+            match value {
+                Some(value) => drop(tree.set(path, value.clone())),
                 None => drop(tree.remove(path)),
             }
         }
@@ -106,7 +130,7 @@
         let leaves = self.tree.leaves();
         leaves
             .into_iter()
-            .filter(|(path, _)| platform::key_of(path).is_some())
+            .filter(|leaf| platform::key_of(&leaf.path).is_some())
             .collect()
     }
 }
@@ -114,7 +138,7 @@
 /// The tree with all durations as numbers of nanoseconds. Invalid durations and probable misspellings of keys are faults.
 fn with_times_in_nanos(file: &Arc<str>, tree: &Node, faults: &mut Faults) -> Node {
     let mut normalized = tree.clone();
-    for (path, node) in tree.leaves() {
+    for Leaf { path, node } in tree.leaves() {
         let Some(key) = platform::key_of(&path) else {
             unknown_keys::check(file, &path, node.place, tree, faults);
             continue;
--- a/crates/config/src/deployment/tests.rs
+++ b/crates/config/src/deployment/tests.rs
@@ -95,11 +95,13 @@
 fn changing_a_key_leaves_the_others() {
     let deployment = Deployment::read("day.yaml", DEPLOYMENT).expect("sound");
     let changed = deployment
-        .with(&[("limits.sendCap".into(), Some(Content::Number(7.0)))])
+        .with(&[Change::set("limits.sendCap", Content::Number(7.0))])
         .expect("sound");
     assert_eq!(
         (changed.settings.max_attempts, changed.settings.plans.len()),
         (7, 1)
     );
-    assert!(deployment.with(&[("limits.sendCap".into(), None)]).is_err());
+    assert!(deployment
+        .with(&[Change::remove("limits.sendCap")])
+        .is_err());
 }
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -58,8 +58,14 @@
     pub content: Content,
 }
 
-/// A scalar or empty list or map, with its path.
-pub type Leaf<'a> = (String, &'a Node);
+/// A scalar, an empty list or an empty map, with its path below the node that was asked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Leaf<'a> {
+    /// The path.
+    pub path: String,
+    /// The node.
+    pub node: &'a Node,
+}
 
 impl Node {
     /// A scalar as text; `None` for lists and maps.
@@ -109,7 +115,10 @@
                     member.collect_leaves(&join(path, &index.to_string()), leaves);
                 }
             }
-            _ => leaves.push((path.to_owned(), self)),
+            _ => leaves.push(Leaf {
+                path: path.to_owned(),
+                node: self,
+            }),
         }
     }
 
--- a/crates/expectations/src/blame.rs
+++ b/crates/expectations/src/blame.rs
@@ -7,7 +7,7 @@
 use quartzcleat_config::deployment::Change;
 use quartzcleat_config::platform::{key_of, Kind, SettingKey};
 use quartzcleat_config::quantity;
-use quartzcleat_config::tree::{Content, Node};
+use quartzcleat_config::tree::{Content, Leaf, Node};
 use quartzcleat_config::Deployment;
 use serde::Serialize;
 
@@ -160,10 +160,10 @@
     };
     let keys = day.keys();
     let mut sets = Vec::new();
-    for (path, node) in &keys {
+    for Leaf { path, node } in &keys {
         let turned = others(day, path, node)
             .into_iter()
-            .find(|other| turns(&[(path.clone(), Some(other.clone()))]));
+            .find(|other| turns(&[Change::set(path, other.clone())]));
         if let Some(other) = turned {
             sets.push(vec![line(day, path, &show(path, &other))]);
         }
@@ -171,36 +171,38 @@
     if sets.is_empty() {
         let mut sections: Vec<&str> = keys
             .iter()
-            .filter_map(|(path, _)| Some(path.rsplit_once('.')?.0))
+            .filter_map(|key| Some(key.path.rsplit_once('.')?.0))
             .collect();
         sections.dedup();
         for section in sections {
             let members: Vec<_> = keys
                 .iter()
-                .filter(|(path, _)| path.rsplit_once('.').is_some_and(|(s, _)| s == section))
+                .filter(|key| {
+                    key.path
+                        .rsplit_once('.')
+                        .is_some_and(|(parent, _)| parent == section)
+                })
                 .collect();
             for place in 0..4 {
                 let changes: Vec<Change> = members
                     .iter()
-                    .filter_map(|(path, node)| {
-                        Some((
-                            path.clone(),
-                            Some(others(day, path, node).get(place)?.clone()),
-                        ))
+                    .filter_map(|Leaf { path, node }| {
+                        let value = others(day, path, node).get(place)?.clone();
+                        Some(Change::set(path, value))
                     })
                     .collect();
                 if changes.len() > 1 && turns(&changes) {
                     let least = least(changes, &mut |changes| turns(changes));
                     let would = |change: &Change| {
                         change
-                            .1
+                            .value
                             .as_ref()
-                            .map_or("nothing".into(), |c| show(&change.0, c))
+                            .map_or("nothing".into(), |value| show(&change.path, value))
                     };
                     sets.push(
                         least
                             .iter()
-                            .map(|change| line(day, &change.0, &would(change)))
+                            .map(|change| line(day, &change.path, &would(change)))
                             .collect(),
                     );
                     break;
@@ -217,17 +219,17 @@
     let (before, after) = (old.tree.leaves(), new.tree.leaves());
     let mut changes: Vec<Change> = after
         .iter()
-        .filter(|(path, node)| {
+        .filter(|Leaf { path, node }| {
             old.tree
                 .at(path)
                 .is_none_or(|held| held.content != node.content)
         })
-        .map(|(path, node)| (path.clone(), Some(node.content.clone())))
+        .map(|Leaf { path, node }| Change::set(path, node.content.clone()))
         .collect();
     let gone = before
         .iter()
-        .filter(|(path, _)| new.tree.at(path).is_none());
-    changes.extend(gone.map(|(path, _)| (path.clone(), None)));
+        .filter(|leaf| new.tree.at(&leaf.path).is_none());
+    changes.extend(gone.map(|leaf| Change::remove(&leaf.path)));
     changes
 }
 
@@ -254,11 +256,11 @@
     }
     let least = least(all, &mut |changes| turns(changes));
     let told = |change: &Change| {
-        let before = old.tree.at(&change.0).map_or_else(
+        let before = old.tree.at(&change.path).map_or_else(
             || "nothing".to_owned(),
-            |node| show(&change.0, &node.content),
+            |node| show(&change.path, &node.content),
         );
-        line(new, &change.0, &before)
+        line(new, &change.path, &before)
     };
     blame.sets = vec![least.iter().map(told).collect()];
     blame
@@ -304,7 +306,7 @@
     use super::*;
 
     fn change(name: &str) -> Change {
-        (name.to_owned(), None)
+        Change::remove(name)
     }
 
     #[test]
@@ -315,7 +317,7 @@
             tries += 1;
             ["k3", "k12"]
                 .iter()
-                .all(|name| changes.iter().any(|(key, _)| key == name))
+                .all(|name| changes.iter().any(|change| change.path == *name))
         });
         assert_eq!(found, [change("k3"), change("k12")]);
         assert!(tries < 60, "{tries} tries");
--- a/crates/expectations/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -4,6 +4,7 @@
 use crate::file::{Expectation, Suite};
 use crate::installation::{self, facts, limiters, names_of, net};
 use crate::must::Must;
+use quartzcleat_config::deployment::Change;
 use quartzcleat_config::reader::list;
 use quartzcleat_config::tree::{Content, Entry};
 use quartzcleat_config::{Deployment, Faults, Reader};
@@ -186,7 +187,7 @@
                     "no key of a day's settings",
                 );
             }
-            changes.push((key.clone(), Some(value.content.clone())));
+            changes.push(Change::set(key, value.content.clone()));
         }
     } else {
         given.fault("settings", "not a map of keys and values", faults);
--- a/crates/expectations/src/run.rs
+++ b/crates/expectations/src/run.rs
@@ -382,7 +382,7 @@
         };
         let with = |(changes, label): &(Vec<Change>, String), value: &f64| {
             let mut changes = changes.clone();
-            changes.push((key.clone(), Some(Content::Number(*value))));
+            changes.push(Change::set(&key, Content::Number(*value)));
             (changes, format!("{label} {name}={value}"))
         };
         days = days
@@ -613,7 +613,7 @@
         } else {
             now * factor
         };
-        Some((key.to_owned(), Some(Content::Number(value))))
+        Some(Change::set(key, Content::Number(value)))
     };
     let mut changes: Vec<Vec<Change>> = Vec::new();
     for key in &compiled.names {
