--- a/crates/config/src/deployment/unknown_keys.rs
+++ b/crates/config/src/deployment/unknown_keys.rs
@@ -2,6 +2,7 @@
 //! where it resembles a key that is read and missing.
 
 use crate::fault::{nearest, Faults};
+use crate::key_path::{join, split_parent};
 use crate::platform::{SettingKey, KEYS};
 use crate::tree::{Node, Place};
 use std::sync::Arc;
@@ -17,10 +18,7 @@
     let Some(nearest) = nearest(name, siblings) else {
         return;
     };
-    let nearest_path = match parent {
-        "" => nearest.to_owned(),
-        _ => format!("{parent}.{nearest}"),
-    };
+    let nearest_path = join(parent, nearest);
     let is_missing = tree.at(&nearest_path).is_none();
     if is_missing && strsim::jaro_winkler(name, nearest) > MIN_SIMILARITY {
         let problem = format!("unknown key; did you mean {nearest}?");
@@ -34,10 +32,6 @@
     (parent == parent_pattern).then_some(name)
 }
 
-fn split_parent(path: &str) -> (&str, &str) {
-    path.rsplit_once('.').unwrap_or(("", path))
-}
-
 /// The path with `N` in place of its indices.
 fn parent_pattern(parent: &str) -> String {
     let parts: Vec<_> = parent
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod deployment;
 pub mod fault;
 pub mod formula;
+mod key_path;
 pub mod lease;
 pub mod platform;
 pub mod product;
--- a/crates/config/src/platform/flatten.rs
+++ b/crates/config/src/platform/flatten.rs
@@ -1,11 +1,10 @@
 //! Nested JSON as `path=value` pairs.
 
+use crate::key_path::join;
+use crate::tree::MAX_WHOLE_NUMBER;
 use serde_json::{Number, Value};
 use std::collections::BTreeMap;
 
-/// Below this, a floating-point number that is whole is written as an integer without loss.
-const MAX_WHOLE_NUMBER: f64 = 9e15;
-
 /// JSON that has no form as pairs.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FlattenError {
@@ -59,14 +58,6 @@
     Ok(())
 }
 
-fn join(path: &str, name: &str) -> String {
-    if path.is_empty() {
-        name.to_owned()
-    } else {
-        format!("{path}.{name}")
-    }
-}
-
 fn scalar(path: &str, value: &Value) -> Result<String, FlattenError> {
     match value {
         Value::Null => Ok("-".to_owned()),
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -1,6 +1,7 @@
 //! Reads the keys of a map. Keys that were not asked for are unknown, and all faults are collected, not only the first.
 
 use crate::fault::{nearest, Faults};
+use crate::key_path::join;
 use crate::tree::{Content, Entry, Node, Place};
 use crate::value::ValueError;
 use std::fmt::Display;
@@ -44,11 +45,7 @@
     /// The path of a key of this map.
     #[must_use]
     pub fn path(&self, key: &str) -> String {
-        if self.path.is_empty() {
-            key.to_owned()
-        } else {
-            format!("{}.{key}", self.path)
-        }
+        join(&self.path, key)
     }
 
     /// The file's name.
--- a/crates/config/src/replacement.rs
+++ b/crates/config/src/replacement.rs
@@ -3,6 +3,7 @@
 //! Every key of the current configuration must be in the new one. Otherwise a file that was truncated, half written, or lost
 //! a key would be accepted with defaults that nobody asked for.
 
+use crate::key_path::join;
 use serde_json::{Map, Value};
 
 #[cfg(test)]
@@ -137,14 +138,6 @@
     }
 }
 
-fn join(path: &str, name: &str) -> String {
-    if path.is_empty() {
-        name.to_owned()
-    } else {
-        format!("{path}.{name}")
-    }
-}
-
 fn compare(at: &KeyPath, current: &Value, new: &Value, faults: &mut Vec<ReplacementFault>) {
     if at.is_one_of(OPTIONAL_KEYS) {
         return;
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -7,10 +7,11 @@
 
 pub use parse::parse;
 
+use crate::key_path::join;
 use serde_json::Value;
 
-/// Below this, a number that is whole is written to JSON as an integer without loss.
-const MAX_WHOLE_NUMBER: f64 = 9e15;
+/// Below this, a floating-point number that is whole is written as an integer without loss.
+pub(crate) const MAX_WHOLE_NUMBER: f64 = 9e15;
 
 /// A place in a file. Lines and columns count from one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -158,11 +159,3 @@
         }
     }
 }
-
-fn join(path: &str, key: &str) -> String {
-    if path.is_empty() {
-        key.to_owned()
-    } else {
-        format!("{path}.{key}")
-    }
-}
--- a/crates/config/src/tree/edit.rs
+++ b/crates/config/src/tree/edit.rs
@@ -1,6 +1,7 @@
 //! Changes of a tree by path.
 
 use super::{Content, Entry, Node};
+use crate::key_path::split_parent;
 
 impl Node {
     /// Replaces the value at a path, or adds a key to the map above it. Returns whether the tree was changed.
@@ -59,7 +60,3 @@
         })
     }
 }
-
-fn split_parent(path: &str) -> (&str, &str) {
-    path.rsplit_once('.').unwrap_or(("", path))
-}
