--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -87,10 +87,10 @@
             settings,
             zone_names,
         };
-        if faults.none() {
+        if faults.is_empty() {
             deployment.check_consistency(&mut faults);
         }
-        faults.or(deployment)
+        faults.into_result(deployment)
     }
 
     /// The same deployment with some keys changed.
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -50,7 +50,7 @@
 
     /// Whether there are no faults.
     #[must_use]
-    pub fn none(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 
@@ -58,8 +58,8 @@
     ///
     /// # Errors
     /// There are faults.
-    pub fn or<T>(self, value: T) -> Result<T, Faults> {
-        if self.none() {
+    pub fn into_result<T>(self, value: T) -> Result<T, Faults> {
+        if self.is_empty() {
             Ok(value)
         } else {
             Err(self)
--- a/crates/config/src/platform/decode.rs
+++ b/crates/config/src/platform/decode.rs
@@ -30,9 +30,9 @@
     /// It is an infinite number or not a number.
     #[error("not a finite number")]
     NotFinite,
-    /// It is none of the words that its key accepts.
+    /// It is none of the keywords that its key accepts.
     #[error("unknown word {text:?}")]
-    UnknownWord {
+    UnknownKeyword {
         /// The value.
         text: String,
     },
@@ -112,15 +112,15 @@
             .unwrap_or_default()
     }
 
-    fn word<T: Copy + Default>(&mut self, key: &str, words: &[(&str, T)]) -> T {
+    fn keyword<T: Copy + Default>(&mut self, key: &str, keywords: &[(&str, T)]) -> T {
         let Some(text) = self.value(key) else {
             return T::default();
         };
-        if let Some((_, value)) = words.iter().find(|(word, _)| *word == text) {
+        if let Some((_, value)) = keywords.iter().find(|(keyword, _)| *keyword == text) {
             return *value;
         }
         let text = text.to_owned();
-        self.add_fault(key, PairProblem::UnknownWord { text });
+        self.add_fault(key, PairProblem::UnknownKeyword { text });
         T::default()
     }
 
@@ -136,8 +136,8 @@
         let key = |name: &str| format!("categories.{index}.{name}");
         Class {
             name: self.text(&key("name")),
-            effect: self.word(&key("effect"), &EFFECTS),
-            group: self.word(&key("group"), &GROUPS),
+            effect: self.keyword(&key("effect"), &EFFECTS),
+            group: self.keyword(&key("group"), &GROUPS),
             dedup_window: self.parse(&key("dedupWindowNs")),
             latency_objective: self.parse(&key("onTimeNs")),
             latency_objective_stretch: self.number(&key("aimStretch")),
@@ -172,8 +172,8 @@
             me: self.parse("me"),
             zone: self.parse("zone"),
             tick: self.parse("quantumNs"),
-            discovery_by_polling: self.word("registryMode", &DISCOVERY_MODES),
-            reports: self.word("stats.how", &REPORT_SOURCES),
+            discovery_by_polling: self.keyword("registryMode", &DISCOVERY_MODES),
+            reports: self.keyword("stats.how", &REPORT_SOURCES),
             counter: self.parse("familyInfo.counter"),
             counter_timeout: self.parse("familyInfo.counterTimeoutNs"),
             counter_price: self.number("familyInfo.callPrice"),
--- a/crates/config/src/platform/encode.rs
+++ b/crates/config/src/platform/encode.rs
@@ -16,8 +16,8 @@
         "zone": settings.zone,
         "zones": zone_names,
         "quantumNs": settings.tick,
-        "registryMode": word_for(&DISCOVERY_MODES, settings.discovery_by_polling),
-        "stats": { "how": word_for(&REPORT_SOURCES, settings.reports) },
+        "registryMode": keyword_for(&DISCOVERY_MODES, settings.discovery_by_polling),
+        "stats": { "how": keyword_for(&REPORT_SOURCES, settings.reports) },
         "familyInfo": encode_counter(settings),
         "limits": encode_limits(settings),
         "safety": encode_safety(settings),
@@ -25,22 +25,22 @@
     })
 }
 
-/// The word for a value; the tables hold every value.
-fn word_for<T: Copy + PartialEq>(
-    words: &'static [(&'static str, T)],
+/// The keyword for a value; the tables hold every value.
+fn keyword_for<T: Copy + PartialEq>(
+    keywords: &'static [(&'static str, T)],
     value: T,
 ) -> Option<&'static str> {
-    words
+    keywords
         .iter()
         .find(|(_, known)| *known == value)
-        .map(|(word, _)| *word)
+        .map(|(keyword, _)| *keyword)
 }
 
 fn encode_class(class: &Class) -> Value {
     json!({
         "name": class.name,
-        "effect": word_for(&EFFECTS, class.effect),
-        "group": word_for(&GROUPS, class.group),
+        "effect": keyword_for(&EFFECTS, class.effect),
+        "group": keyword_for(&GROUPS, class.group),
         "dedupWindowNs": class.dedup_window,
         "onTimeNs": class.latency_objective,
         "aimStretch": class.latency_objective_stretch,
--- a/crates/config/src/platform/keys.rs
+++ b/crates/config/src/platform/keys.rs
@@ -1,4 +1,4 @@
-//! The table of the platform's keys, and the words that some of them accept.
+//! The table of the platform's keys, and the keywords that some of them accept.
 
 use quartzcleat_decision::api::{Effect, Group, ReportSource};
 
@@ -11,8 +11,8 @@
     Number,
     /// `true` or `false`.
     Flag,
-    /// One of the listed words.
-    Word(&'static [&'static str]),
+    /// One of the listed keywords.
+    Keyword(&'static [&'static str]),
     /// A name.
     Name,
 }
@@ -51,31 +51,35 @@
     ("answers", ReportSource::Answers),
     ("probe", ReportSource::Probes),
 ];
-/// Whether discovery is polled, by the word for it.
+/// Whether discovery is polled, by the keyword for it.
 pub(super) const DISCOVERY_MODES: [(&str, bool); 2] = [("push", false), ("ask", true)];
 
-const EFFECT_WORDS: [&str; 3] = words_of(&EFFECTS);
-const GROUP_WORDS: [&str; 3] = words_of(&GROUPS);
-const REPORT_SOURCE_WORDS: [&str; 3] = words_of(&REPORT_SOURCES);
-const DISCOVERY_MODE_WORDS: [&str; 2] = words_of(&DISCOVERY_MODES);
+const EFFECT_KEYWORDS: [&str; 3] = keywords_of(&EFFECTS);
+const GROUP_KEYWORDS: [&str; 3] = keywords_of(&GROUPS);
+const REPORT_SOURCE_KEYWORDS: [&str; 3] = keywords_of(&REPORT_SOURCES);
+const DISCOVERY_MODE_KEYWORDS: [&str; 2] = keywords_of(&DISCOVERY_MODES);
 
-const fn words_of<T, const COUNT: usize>(
+const fn keywords_of<T, const COUNT: usize>(
     table: &[(&'static str, T); COUNT],
 ) -> [&'static str; COUNT] {
-    let mut words = [""; COUNT];
+    let mut keywords = [""; COUNT];
     let mut index = 0;
     while index < COUNT {
-        words[index] = table[index].0;
+        keywords[index] = table[index].0;
         index += 1;
     }
-    words
+    keywords
 }
 
 /// Every key that is read.
 pub const KEYS: &[SettingKey] = &[
     key("categories.N.name", Kind::Name, ""),
-    key("categories.N.effect", Kind::Word(&EFFECT_WORDS), "fragile"),
-    key("categories.N.group", Kind::Word(&GROUP_WORDS), "cell"),
+    key(
+        "categories.N.effect",
+        Kind::Keyword(&EFFECT_KEYWORDS),
+        "fragile",
+    ),
+    key("categories.N.group", Kind::Keyword(&GROUP_KEYWORDS), "cell"),
     key("categories.N.dedupWindowNs", Kind::Time, "0"),
     key("categories.N.onTimeNs", Kind::Time, "0"),
     key("categories.N.aimStretch", Kind::Number, "0"),
@@ -97,8 +101,12 @@
     key("me", Kind::Number, "0"),
     key("zone", Kind::Number, "0"),
     key("quantumNs", Kind::Time, "0"),
-    key("registryMode", Kind::Word(&DISCOVERY_MODE_WORDS), "push"),
-    key("stats.how", Kind::Word(&REPORT_SOURCE_WORDS), "none"),
+    key(
+        "registryMode",
+        Kind::Keyword(&DISCOVERY_MODE_KEYWORDS),
+        "push",
+    ),
+    key("stats.how", Kind::Keyword(&REPORT_SOURCE_KEYWORDS), "none"),
     key("familyInfo.counter", Kind::Flag, "false"),
     key("familyInfo.counterTimeoutNs", Kind::Time, "0"),
     key("familyInfo.callPrice", Kind::Number, "0"),
--- a/crates/config/src/platform/tests.rs
+++ b/crates/config/src/platform/tests.rs
@@ -37,7 +37,7 @@
         let other = match kind {
             Kind::Time | Kind::Number => "7",
             Kind::Flag => "true",
-            Kind::Word(words) => words[1],
+            Kind::Keyword(keywords) => keywords[1],
             Kind::Name => "x",
         };
         let other = read(other);
--- a/crates/config/src/product.rs
+++ b/crates/config/src/product.rs
@@ -98,7 +98,7 @@
             .node("lease")
             .and_then(|node| lease::read(&file, node, &mut faults));
         reader.end(&mut faults);
-        faults.or(Product {
+        faults.into_result(Product {
             log: log.unwrap_or_default(),
             metrics_interval,
             lease,
@@ -110,7 +110,7 @@
     let default = LogConfig::default();
     let mut reader = Reader::new(file, "log", node, faults);
     let filter = reader.take("filter", faults, read_filter);
-    let format = reader.word("form", &LOG_FORMATS, faults);
+    let format = reader.keyword("form", &LOG_FORMATS, faults);
     let window = take_duration(&mut reader, "window", faults);
     let burst = reader.take("burst", faults, |node| {
         quantity::count(node, 1..=MAX_LOG_BURST)
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -101,14 +101,14 @@
         self.take(key, faults, read)
     }
 
-    /// Reads an optional key that holds one of the words of a table.
-    pub fn word<T: Copy>(
+    /// Reads an optional key that holds one of the keywords of a table.
+    pub fn keyword<T: Copy>(
         &mut self,
         key: &'static str,
-        words: &[(&str, T)],
+        keywords: &[(&str, T)],
         faults: &mut Faults,
     ) -> Option<T> {
-        self.take(key, faults, |node| one_of(&text(node)?, words))
+        self.take(key, faults, |node| one_of(&text(node)?, keywords))
     }
 
     /// Ends the reading: each key that was not asked for is a fault.
@@ -126,16 +126,16 @@
     }
 }
 
-/// Looks a word up in a table.
+/// Looks a keyword up in a table.
 ///
 /// # Errors
-/// The table does not have the word.
-pub fn one_of<T: Copy>(word: &str, words: &[(&str, T)]) -> Result<T, ValueError> {
-    match words.iter().find(|(known, _)| *known == word) {
+/// The table does not have the keyword.
+pub fn one_of<T: Copy>(keyword: &str, keywords: &[(&str, T)]) -> Result<T, ValueError> {
+    match keywords.iter().find(|(known, _)| *known == keyword) {
         Some((_, value)) => Ok(*value),
         None => {
-            let accepted: Vec<_> = words.iter().map(|(known, _)| *known).collect();
-            Err(ValueError::unknown_word(word, &accepted))
+            let accepted: Vec<_> = keywords.iter().map(|(known, _)| *known).collect();
+            Err(ValueError::unknown_keyword(keyword, &accepted))
         }
     }
 }
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -9,20 +9,20 @@
     /// Something other than `true` or `false`.
     #[error("neither true nor false")]
     NotFlag,
-    /// A word that is not accepted, although it resembles one that is.
-    #[error("{word:?} is not known; did you mean {nearest}?")]
-    MisspelledWord {
-        /// The word.
-        word: String,
-        /// The accepted word that resembles it most.
+    /// A keyword that is not accepted, although it resembles one that is.
+    #[error("{keyword:?} is not known; did you mean {nearest}?")]
+    MisspelledKeyword {
+        /// The keyword.
+        keyword: String,
+        /// The accepted keyword that resembles it most.
         nearest: String,
     },
-    /// A word that resembles none of those accepted.
-    #[error("{word:?} is not known; one of {}", accepted.join(", "))]
-    UnknownWord {
-        /// The word.
-        word: String,
-        /// All accepted words.
+    /// A keyword that resembles none of those accepted.
+    #[error("{keyword:?} is not known; one of {}", accepted.join(", "))]
+    UnknownKeyword {
+        /// The keyword.
+        keyword: String,
+        /// All accepted keywords.
         accepted: Vec<String>,
     },
     /// A number where a duration is expected.
@@ -77,17 +77,17 @@
 }
 
 impl ValueError {
-    /// The error for a word that is not one of those accepted.
+    /// The error for a keyword that is not one of those accepted.
     #[must_use]
-    pub fn unknown_word(word: &str, accepted: &[&str]) -> Self {
-        let word = word.to_owned();
-        match crate::fault::nearest(&word, accepted.iter().copied()) {
-            Some(nearest) => ValueError::MisspelledWord {
+    pub fn unknown_keyword(keyword: &str, accepted: &[&str]) -> Self {
+        let keyword = keyword.to_owned();
+        match crate::fault::nearest(&keyword, accepted.iter().copied()) {
+            Some(nearest) => ValueError::MisspelledKeyword {
                 nearest: nearest.to_owned(),
-                word,
+                keyword,
             },
-            None => ValueError::UnknownWord {
-                word,
+            None => ValueError::UnknownKeyword {
+                keyword,
                 accepted: accepted.iter().map(ToString::to_string).collect(),
             },
         }
--- a/crates/expectations/src/blame.rs
+++ b/crates/expectations/src/blame.rs
@@ -69,7 +69,7 @@
             let now = node.content == Content::Flag(true);
             others.push(Content::Flag(!now));
         }
-        Kind::Word(words) => {
+        Kind::Keyword(words) => {
             let now = node.text().unwrap_or_default();
             others.extend(
                 words
--- a/crates/expectations/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -163,7 +163,7 @@
     scenario.cast = ground.cast;
     scenario.nodes = ground.nodes;
     let terms = Terms::of(&scenario.truth, 0);
-    faults.or(Compiled {
+    faults.into_result(Compiled {
         scenario,
         musts,
         terms,
--- a/crates/expectations/src/demands.rs
+++ b/crates/expectations/src/demands.rs
@@ -47,7 +47,7 @@
             .take("after", faults, |node| self.time(node))
             .unwrap_or(0);
         filter.until = map.take("until", faults, |node| self.time(node));
-        filter.retries = map.word("tries", &[("first", false), ("further", true)], faults);
+        filter.retries = map.keyword("tries", &[("first", false), ("further", true)], faults);
         let kinds = [
             "never",
             "always",
--- a/crates/expectations/src/file.rs
+++ b/crates/expectations/src/file.rs
@@ -99,7 +99,7 @@
                 format!("as on line {line}"),
             );
         }
-        if found.none() {
+        if found.is_empty() {
             expectations.push(Expectation {
                 file: file.clone(),
                 line: node.place.line,
--- a/crates/expectations/src/installation.rs
+++ b/crates/expectations/src/installation.rs
@@ -175,7 +175,7 @@
                 ("dropped by the room", (Effect::Keyed, Group::Zone)),
                 ("dropped by the cell", (Effect::Keyed, Group::Cell)),
             ];
-            if let Some((effect, group)) = one.word("repeats", &words, faults) {
+            if let Some((effect, group)) = one.keyword("repeats", &words, faults) {
                 (class.effect, class.group) = (effect, group);
             }
             set(
@@ -258,7 +258,7 @@
             ("serving", HostState::Ready),
             ("draining", HostState::Draining),
         ];
-        if let Some(state) = one.word("state", &states, faults) {
+        if let Some(state) = one.keyword("state", &states, faults) {
             setup.state = state;
         }
         if let Some(age) = one.take("age", faults, quantity::time) {
--- a/crates/expectations/src/run.rs
+++ b/crates/expectations/src/run.rs
@@ -412,7 +412,7 @@
             Err(found) => faults.0.extend(found.0),
         }
     }
-    faults.or(made)
+    faults.into_result(made)
 }
 
 fn check(
--- a/crates/expectations/src/steps.rs
+++ b/crates/expectations/src/steps.rs
@@ -123,7 +123,7 @@
             }
             "discovery" => {
                 let words = [("silent", false), ("tells", true)];
-                if let Some(on) = map.word("discovery", &words, faults) {
+                if let Some(on) = map.keyword("discovery", &words, faults) {
                     push(at, Happening::Discovery(on));
                 }
             }
--- a/crates/fault-injection/src/story.rs
+++ b/crates/fault-injection/src/story.rs
@@ -205,7 +205,7 @@
         }
         map.end(&mut faults);
         let (links, clocks) = (Links { loss, twice, delay }, Clocks { apart, off });
-        faults.or(Story {
+        faults.into_result(Story {
             limiters: limiters as usize,
             voters: voters as usize,
             length,
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -32,7 +32,7 @@
         None => Err(io::ErrorKind::NotFound.into()),
     };
     let suite = file::read_with(Path::new("demo.yaml"), &from, &mut faults);
-    let (Some(suite), true) = (suite, faults.none()) else {
+    let (Some(suite), true) = (suite, faults.is_empty()) else {
         return Err(faults);
     };
     let day = Deployment::read("imlil-main.yaml", DAY)?;
