--- a/crates/config/src/lease/error.rs
+++ b/crates/config/src/lease/error.rs
@@ -1,10 +1,11 @@
 //! What can be wrong with the values of the section.
 
+use crate::value::ValueError;
 use std::net::SocketAddr;
 use thiserror::Error;
 
 /// A value of the section `lease` is invalid. The text names the remedy; file, line and key are added by the reader.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Error)]
 pub enum LeaseConfigError {
     /// A lease shorter than 100 ms ends before its renewal succeeds on a busy machine.
     #[error("a lease lasts from 100ms to 10m")]
@@ -76,7 +77,7 @@
     /// A clock fault is larger than any test needs.
     #[error("a clock in a trial runs wrong by 20% at most")]
     ClockErrorTooLarge,
-    /// A value that the common reader has rejected, in its words.
-    #[error("{0}")]
-    InvalidValue(String),
+    /// A value that the common reader has rejected.
+    #[error(transparent)]
+    InvalidValue(#[from] ValueError),
 }
--- a/crates/config/src/lease/limiters.rs
+++ b/crates/config/src/lease/limiters.rs
@@ -10,7 +10,7 @@
 const MAX_LIMITERS: usize = 1024;
 
 pub(super) fn read_address(node: &Node) -> Result<SocketAddr, LeaseConfigError> {
-    let text = text(node).map_err(LeaseConfigError::InvalidValue)?;
+    let text = text(node)?;
     text.parse()
         .map_err(|_| LeaseConfigError::InvalidAddress { text })
 }
@@ -20,15 +20,15 @@
         return Err(LeaseConfigError::LimitersNotAMap);
     };
     let mut limiters = BTreeMap::new();
-    for (name, place, node) in members.iter().take(MAX_LIMITERS) {
-        let address = read_unused_address(node, &limiters).map_err(|source| {
+    for entry in members.iter().take(MAX_LIMITERS) {
+        let address = read_unused_address(&entry.value, &limiters).map_err(|source| {
             LeaseConfigError::InvalidLimiter {
-                limiter: name.clone(),
-                line: place.line,
+                limiter: entry.key.clone(),
+                line: entry.place.line,
                 source: Box::new(source),
             }
         })?;
-        limiters.insert(name.clone(), address);
+        limiters.insert(entry.key.clone(), address);
     }
     Ok(limiters)
 }
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -2,7 +2,7 @@
 //! lost node in it, and a table of what happened.
 
 use clap::Args;
-use quartzcleat_config::{Day, Faults};
+use quartzcleat_config::{Deployment, Faults};
 use quartzcleat_expectations::explore::judge;
 use quartzcleat_expectations::{compile, file, Compiled};
 use quartzcleat_invariants::{Answered, Record, What};
@@ -32,10 +32,10 @@
         None => Err(io::ErrorKind::NotFound.into()),
     };
     let suite = file::read_with(Path::new("demo.yaml"), &from, &mut faults);
-    let (Some(suite), true) = (suite, faults.none()) else {
+    let (Some(suite), true) = (suite, faults.is_empty()) else {
         return Err(faults);
     };
-    let day = Day::read("imlil-main.yaml", DAY)?;
+    let day = Deployment::read("imlil-main.yaml", DAY)?;
     compile(&suite, &suite.expectations[0], &day)
 }
 
--- a/src/net/admin/tests.rs
+++ b/src/net/admin/tests.rs
@@ -11,7 +11,7 @@
         let call = AdminRequest::Disable("s-1".to_owned());
         let began = tokio::time::Instant::now();
         wait_for_first_list(limiter.admin(), &call).await;
-        assert!(began.elapsed() >= limiter.limits().first_list);
+        assert!(began.elapsed() >= limiter.limits().admin.first_list_timeout);
         assert_eq!(
             carry_out(limiter.admin(), call.clone()).status,
             503,
@@ -19,7 +19,7 @@
         );
         let told = limiter.clone();
         tokio::task::spawn_local(async move {
-            sleep(told.limits().last_moment).await;
+            sleep(told.limits().requests.deadline_margin).await;
             crate::net::discovery::tests::told(told.discovery(), "s-1");
         });
         wait_for_first_list(limiter.admin(), &call).await;
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -116,7 +116,7 @@
         let hot_restart = self.clone();
         spawn(async move {
             loop {
-                sleep(hot_restart.limits.look).await;
+                sleep(hot_restart.limits.hot_restart.poll_interval).await;
                 hot_restart.look();
                 hot_restart.publish();
             }
@@ -174,7 +174,7 @@
         let other_serving_since = serving.max();
         // Two processes must not hold more connections together than one may.
         let processes = 1 + usize::from(other_serving_since.is_some());
-        self.limits.sharers.set(processes);
+        self.limits.hot_restart.process_count.set(processes);
         let before = self.other_serving_since.replace(other_serving_since);
         if before.is_some() != other_serving_since.is_some() {
             let serves = other_serving_since.is_some();
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -76,13 +76,13 @@
 impl Limiter {
     /// A limiter that has received nothing and is connected to nothing yet.
     pub fn new(config: Config) -> Self {
-        let metrics = config.metrics.map(|every| MetricsLog {
+        let metrics = config.metrics_interval.map(|every| MetricsLog {
             every,
             metrics: Rc::new(RefCell::new(Metrics::new(config.name.clone()))),
         });
         let shared_metrics = metrics.as_ref().map(|log| log.metrics.clone());
         let addresses = watch::Sender::new(config.addresses);
-        let has_admin = config.console.is_some();
+        let has_admin = config.admin.is_some();
         let limits = Rc::new(config.limits);
         let shutdown = Rc::new(Shutdown::new(&limits));
         let upstream = Rc::new(UpstreamPool::new(config.settings.reports));
@@ -108,7 +108,7 @@
             addresses: addresses.subscribe(),
             metrics: shared_metrics,
         };
-        let endpoints = EndpointList::new(config.zones, config.kinds);
+        let endpoints = EndpointList::new(config.zone_names, config.machine_kind_names);
         let discovery = Rc::new(DiscoveryClient::new(discovery_parts, endpoints, has_admin));
         let hot_restart_parts = HotRestartParts {
             limits: limits.clone(),
@@ -208,7 +208,7 @@
             metrics::start(metrics.clone(), *every, engine, upstream);
         }
         spawn(discovery::follow(self.discovery.clone(), backoff));
-        if !self.limits.list_by_asking {
+        if !self.limits.discovery.is_polled {
             spawn(discovery::check(self.discovery.clone()));
         }
     }
@@ -217,13 +217,13 @@
     /// process that took clients without them would reject requests that the other one still serves.
     async fn catch_up(&self) {
         self.hot_restart.publish();
-        let until = Instant::now() + self.limits.catch_up;
+        let until = Instant::now() + self.limits.hot_restart.discovery_timeout;
         while !self.discovery.has_answered() && Instant::now() < until {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
-        let until = Instant::now() + self.limits.inherit;
+        let until = Instant::now() + self.limits.hot_restart.handoff_timeout;
         while !self.hot_restart.take_handoff() && Instant::now() < until {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
     }
 
@@ -244,13 +244,13 @@
         let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
         // The attempts of a client that has gone end by themselves; no answer is due for them.
         while self.engine.requests().borrow().count() > 0 && Instant::now() < last {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
         let open = self.engine.requests().borrow().ids();
         for id in open {
             complete::give_up(&self.pipeline, id);
         }
-        let end = last + self.limits.last_answers.get();
+        let end = last + self.limits.shutdown.final_answer_margin.get();
         // Past the time the process ends with whatever connections are left.
         let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
     }
@@ -276,8 +276,8 @@
     let runtime = runtime.map_err(StartError::Runtime)?;
     let options = StartOptions {
         listen: config.listen,
-        admin: config.console,
-        known_hosts: config.known.clone(),
+        admin: config.admin,
+        known_hosts: config.known_hosts.clone(),
         lease: config.lease.clone(),
         backoff: Backoff::from_limits(&config.limits, config.seed),
     };
--- a/src/net/limiter/tests.rs
+++ b/src/net/limiter/tests.rs
@@ -64,7 +64,7 @@
         .enable_all()
         .build();
     LocalSet::new().block_on(&runtime.expect("a runtime starts"), async {
-        let config = config::read(&text, |_| None).expect("the configuration is sound");
+        let config = config::parse(&text, |_| None).expect("the configuration is sound");
         let limiter = Rc::new(Limiter::new(config));
         limiter.engine.pause();
         test(limiter).await;
@@ -77,6 +77,6 @@
         if let Some(event) = limiter.engine.take_event() {
             return event;
         }
-        sleep(limiter.limits.last_moment).await;
+        sleep(limiter.limits.requests.deadline_margin).await;
     }
 }
--- a/src/net/resp/codec.rs
+++ b/src/net/resp/codec.rs
@@ -109,7 +109,7 @@
 
     /// What follows the `$` of a bulk string.
     fn bulk(&mut self) -> Parsed<Option<Range<usize>>> {
-        let Some(length) = self.length(self.limits.value_bytes)? else {
+        let Some(length) = self.length(self.limits.codec.max_value_bytes)? else {
             return Ok(None);
         };
         let Some(length) = length else {
@@ -184,7 +184,7 @@
 }
 
 fn check_length(length: usize, limits: &Limits) -> Result<(), Malformed> {
-    if length > limits.frame_bytes {
+    if length > limits.codec.max_frame_bytes {
         return Err(Malformed("a message is too long"));
     }
     Ok(())
@@ -206,7 +206,7 @@
         Some(b'*') => {}
         Some(_) => return Err(Malformed("a command is an array of bulk strings")),
     }
-    let Some(count) = cursor.length(limits.words)? else {
+    let Some(count) = cursor.length(limits.codec.max_arguments)? else {
         return Ok(None);
     };
     let mut arguments = Vec::with_capacity(count.unwrap_or(0));
@@ -238,7 +238,7 @@
         bytes,
         position: 0,
         limits,
-        members_left: limits.words,
+        members_left: limits.codec.max_arguments,
     };
     let reply = cursor.reply(0)?;
     check_length(
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -90,9 +90,10 @@
     responses.abandon(&*context.handler);
     // Past the limit a connection closes at once: while it lingered for its client, other clients would wait for its
     // descriptor. Behind malformed bytes a reset may then take the last response along.
-    let has_capacity = context.shutdown.connections() < context.limits.north_share();
+    let has_capacity =
+        context.shutdown.connections() < context.limits.downstream_connection_share();
     if end == ConnectionEnd::Orderly && has_capacity {
-        close::close_in_order(stream, context.limits.north_linger).await;
+        close::close_in_order(stream, context.limits.downstream.linger_timeout).await;
     }
 }
 
@@ -143,7 +144,7 @@
         }
         if self.written == self.bytes.len() && self.written > 0 {
             responses.release(self.buffered_bytes);
-            codec::consume(&mut self.bytes, self.written, limits.read_bytes);
+            codec::consume(&mut self.bytes, self.written, limits.codec.read_chunk_bytes);
             self.written = 0;
             self.buffered_bytes = 0;
         }
@@ -219,11 +220,13 @@
         let downstream = self.downstream;
         let limits = &downstream.context.limits;
         let mut consumed = 0;
-        while !self.is_malformed && self.output.bytes.len() < limits.north_unsent {
+        while !self.is_malformed && self.output.bytes.len() < limits.downstream.max_unsent_bytes {
             let bytes = &self.input[consumed..];
             match codec::parse_command(bytes, limits) {
                 Ok(None) => break,
-                Ok(Some(command)) if self.responses.len() < limits.north_waiting => {
+                Ok(Some(command))
+                    if self.responses.len() < limits.downstream.max_queued_commands =>
+                {
                     self.handle_command(bytes, &command);
                     consumed += command.length;
                 }
@@ -237,7 +240,7 @@
                 }
             }
         }
-        codec::consume(&mut self.input, consumed, limits.read_bytes);
+        codec::consume(&mut self.input, consumed, limits.codec.read_chunk_bytes);
     }
 
     /// Handles a command; past a limit a request is rejected. A client that goes would not be noticed behind commands that
@@ -256,10 +259,11 @@
             Ok(ClientCommand::ConnectionSetting) => self.respond(OK),
             Err(error) => self.responses.push_error(&error.to_string()),
             Ok(ClientCommand::Request(request)) => {
-                let is_pipeline_full = self.responses.len() >= context.limits.north_pipeline;
+                let is_pipeline_full =
+                    self.responses.len() >= context.limits.downstream.max_pipelined_requests;
                 let place = self.responses.push(Response::Pending(request.id));
                 if is_pipeline_full || self.admission == Admission::Rejected {
-                    let retry_after = context.limits.back_off.get();
+                    let retry_after = context.limits.requests.capacity_retry_after.get();
                     self.responses
                         .answer(place, Answer::Rejected { retry_after });
                 } else {
@@ -311,7 +315,7 @@
     fn read_mode(&self) -> ReadMode {
         if self.is_malformed {
             ReadMode::Discard
-        } else if self.output.bytes.len() < self.limits().north_unsent {
+        } else if self.output.bytes.len() < self.limits().downstream.max_unsent_bytes {
             ReadMode::Commands
         } else {
             ReadMode::Paused
@@ -325,7 +329,7 @@
         let body = self.responses.current_body();
         let is_closing = *self.phase.borrow() >= Phase::Closing;
         let has_unwritten = self.output.has_unwritten();
-        let stalled_at = self.output.last_progress + limits.north_stall;
+        let stalled_at = self.output.last_progress + limits.downstream.write_stall_timeout;
         tokio::select! {
             // What was received goes first: a connection is not closed on a command that is there to be read.
             biased;
@@ -351,7 +355,7 @@
     limits: &Limits,
 ) -> bool {
     match mode {
-        ReadMode::Commands => codec::read_more(reader, input, limits.read_bytes)
+        ReadMode::Commands => codec::read_more(reader, input, limits.codec.read_chunk_bytes)
             .await
             .unwrap_or(false),
         ReadMode::Discard => {
@@ -362,7 +366,7 @@
         ReadMode::Paused => {
             // The end is reported ahead of what has not been read.
             while !is_read_closed(reader).await {
-                sleep(limits.north_look).await;
+                sleep(limits.downstream.liveness_check_interval).await;
             }
             false
         }
--- a/src/net/resp/downstream/idle_connections.rs
+++ b/src/net/resp/downstream/idle_connections.rs
@@ -103,7 +103,7 @@
         self.leave_place();
         if activity != Activity::Busy {
             let head_start = if is_new {
-                limits.north_stranger
+                limits.downstream.unused_eviction_advance
             } else {
                 Duration::ZERO
             };
@@ -123,8 +123,8 @@
     pub async fn expired(&self, limits: &Limits) {
         let allowed = match self.activity {
             Activity::Busy => return std::future::pending().await,
-            Activity::Idle if !self.is_new => limits.north_idle,
-            Activity::Idle | Activity::PartialCommand => limits.north_command,
+            Activity::Idle if !self.is_new => limits.downstream.idle_timeout,
+            Activity::Idle | Activity::PartialCommand => limits.downstream.command_timeout,
         };
         tokio::select! {
             () = sleep_until(self.since + allowed) => {}
--- a/src/net/resp/downstream/listener.rs
+++ b/src/net/resp/downstream/listener.rs
@@ -24,7 +24,7 @@
             Ok((stream, _)) => acceptor.accept(stream).await,
             Err(error) => {
                 tracing::warn!(%error, "client connection not accepted");
-                sleep(downstream.context.limits.again).await;
+                sleep(downstream.context.limits.reconnect_pause).await;
             }
         }
     }
@@ -66,7 +66,8 @@
                 tracing::info!(%error, "client connections still come to either process");
             }
         }
-        self.accepts_until = Some(Instant::now() + context.limits.steered);
+        self.accepts_until =
+            Some(Instant::now() + context.limits.hot_restart.listener_handover_grace);
     }
 
     /// Accepts a connection, and waits while there are far too many.
@@ -76,7 +77,7 @@
     /// of descriptors.
     async fn accept(&mut self, stream: TcpStream) {
         let context = &self.downstream.context;
-        let max_connections = context.limits.north_share();
+        let max_connections = context.limits.downstream_connection_share();
         let is_full = context.shutdown.connections() >= max_connections;
         let admission = if is_full && !self.downstream.idle_connections.evict_first() {
             Admission::Rejected
--- a/src/net/resp/downstream/tests.rs
+++ b/src/net/resp/downstream/tests.rs
@@ -14,7 +14,7 @@
 }
 
 fn checked(text: &str) -> Checked {
-    let config = config::read(text, |_| None).expect("the configuration is sound");
+    let config = config::parse(text, |_| None).expect("the configuration is sound");
     let indices = ClassIndices::new(&config.settings);
     Checked {
         catalog: RequestCatalog::new(&config.settings, &indices.accepted(0)),
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -48,8 +48,8 @@
     /// A process that serves all clients.
     pub fn new(limits: &Limits) -> Self {
         let times = DrainTimes {
-            linger: limits.linger.as_nanos() as Nanos,
-            last_call: limits.last_call.as_nanos() as Nanos,
+            linger: limits.shutdown.drain_delay.as_nanos() as Nanos,
+            last_call: limits.shutdown.reject_after.as_nanos() as Nanos,
         };
         Shutdown {
             controller: RefCell::new(DrainController::new(times)),
@@ -151,7 +151,7 @@
     /// When the last answers are given, once SIGTERM was received.
     pub fn last_answers(&self, limits: &Limits) -> Option<Instant> {
         let asked_at = self.asked_at.get()?;
-        Some(asked_at + limits.end.get() - limits.last_answers.get())
+        Some(asked_at + limits.shutdown.timeout.get() - limits.shutdown.final_answer_margin.get())
     }
 
     /// Counts a client connection until the guard is dropped.
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -136,7 +136,11 @@
     connection.command_sent = true;
     call.cancellation.sent.set(true);
     log_written(call);
-    codec::consume(&mut connection.output, written, limits.read_bytes);
+    codec::consume(
+        &mut connection.output,
+        written,
+        limits.codec.read_chunk_bytes,
+    );
     Ok(())
 }
 
@@ -178,7 +182,9 @@
         return Some(Outcome::Error.into());
     }
     if let Some(head) = codec::value_head(&connection.input) {
-        if (limits.value_bytes + 1..=limits.bulk_bytes).contains(&head.value_bytes) {
+        if (limits.codec.max_value_bytes + 1..=limits.streaming.max_value_bytes)
+            .contains(&head.value_bytes)
+        {
             return Some(Exchange::LongValue(head));
         }
     }
@@ -193,7 +199,7 @@
             );
             // Whatever follows the answer belongs to no call.
             let reusable = interpretation.is_known_form && length == connection.input.len();
-            codec::consume(&mut connection.input, length, limits.read_bytes);
+            codec::consume(&mut connection.input, length, limits.codec.read_chunk_bytes);
             Some(Exchange::Ended(CallEnd {
                 result: interpretation.result,
                 reusable,
@@ -211,10 +217,10 @@
     let more = codec::read_more(
         &mut connection.stream,
         &mut connection.input,
-        limits.read_bytes,
+        limits.codec.read_chunk_bytes,
     );
     let more = if has_begun {
-        timeout(limits.south_answer, more).await
+        timeout(limits.upstream.answer_stall_timeout, more).await
     } else {
         Ok(more.await)
     };
@@ -234,10 +240,14 @@
     head: ValueHead,
 ) -> CallEnd {
     let limits = &pipeline.limits;
-    codec::consume(&mut connection.input, head.head_bytes, limits.window);
+    codec::consume(
+        &mut connection.input,
+        head.head_bytes,
+        limits.streaming.window_bytes,
+    );
     let body = StreamingBody::new(
         head.value_bytes,
-        limits.window,
+        limits.streaming.window_bytes,
         pipeline.engine.buffered_bytes(),
     );
     if !complete::begin_streaming(pipeline, call, &body) {
@@ -274,7 +284,7 @@
         if is_usage {
             result.used = upstream::usage_figures(&reply, &connection.input, call.host);
         }
-        codec::consume(&mut connection.input, length, limits.read_bytes);
+        codec::consume(&mut connection.input, length, limits.codec.read_chunk_bytes);
     }
     CallEnd {
         result,
@@ -294,9 +304,12 @@
         let more = codec::read_more(
             &mut connection.stream,
             &mut connection.input,
-            limits.read_bytes,
+            limits.codec.read_chunk_bytes,
         );
-        if !matches!(timeout(limits.south_answer, more).await, Ok(Ok(true))) {
+        if !matches!(
+            timeout(limits.upstream.answer_stall_timeout, more).await,
+            Ok(Ok(true))
+        ) {
             return None;
         }
     }
@@ -333,10 +346,10 @@
         let more = codec::read_more(
             &mut connection.stream,
             &mut connection.input,
-            limits.window / 2,
+            limits.streaming.window_bytes / 2,
         );
         tokio::select! {
-            more = timeout(limits.bulk_silence, more) => {
+            more = timeout(limits.streaming.stall_timeout, more) => {
                 if !matches!(more, Ok(Ok(true))) {
                     return Err(Outcome::Reset);
                 }
@@ -355,6 +368,6 @@
         return Err(Outcome::Error);
     }
     body.write(&connection.input[..1]);
-    codec::consume(&mut connection.input, 3, limits.read_bytes);
+    codec::consume(&mut connection.input, 3, limits.codec.read_chunk_bytes);
     Ok(())
 }
--- a/tests/export/scenario.rs
+++ b/tests/export/scenario.rs
@@ -1,6 +1,6 @@
 //! The scenario: limiters are killed and started again while requests arrive.
 
-use quartzcleat_config::Day;
+use quartzcleat_config::Deployment;
 use quartzcleat_decision::api::{HostState, Settings};
 use quartzcleat_invariants::{record::Player, Cast};
 use quartzcleat_simulation::scenario::{
@@ -16,7 +16,7 @@
 
 /// The settings of a deployed day, with a plan that rejects nothing.
 fn settings() -> Settings {
-    let day = Day::read(
+    let day = Deployment::read(
         "imlil-main.yaml",
         include_str!("../../deploy/imlil-main.yaml"),
     )
