--- a/src/net/admin/tests.rs
+++ b/src/net/admin/tests.rs
@@ -17,10 +17,10 @@
             503,
             "no list has come"
         );
-        let told = limiter.clone();
+        let listing = limiter.clone();
         tokio::task::spawn_local(async move {
-            sleep(told.limits().requests.deadline_margin).await;
-            crate::net::discovery::tests::told(told.discovery(), "s-1");
+            sleep(listing.limits().requests.deadline_margin).await;
+            crate::net::discovery::tests::apply_serving_host(listing.discovery(), "s-1");
         });
         wait_for_first_list(limiter.admin(), &call).await;
         assert_eq!(carry_out(limiter.admin(), call).status, 200);
--- a/src/net/counter/tests.rs
+++ b/src/net/counter/tests.rs
@@ -37,6 +37,16 @@
         .call("q7.1".to_owned(), amount, 4_000_000_000);
 }
 
+async fn bind(address: &str) -> TcpListener {
+    let bound = TcpListener::bind(address).await;
+    bound.expect("the address is free")
+}
+
+async fn answer(stream: &mut TcpStream, bytes: &[u8]) {
+    let written = stream.write_all(bytes).await;
+    written.expect("the limiter reads");
+}
+
 /// Starts the link of the calls that were made; its queue.
 fn start_link(limiter: &Rc<Limiter>) -> Rc<CallQueue> {
     let client = limiter.counter();
@@ -59,9 +69,7 @@
         ),
     ];
     with_limiter(&changes, |limiter| async move {
-        let listener = TcpListener::bind("127.77.0.20:7002")
-            .await
-            .expect("the address is free");
+        let listener = bind("127.77.0.20:7002").await;
         // Made before there is a connection; of the others' connections none comes into it.
         call(&limiter, 1.0);
         call(&limiter, -2.5);
@@ -72,10 +80,7 @@
         assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
         call(&limiter, 3.0);
         calls(&mut stream, 1).await;
-        stream
-            .write_all(b"$1\r\n1\r\n$4\r\n-1.5\r\n$3\r\n1.5\r\n")
-            .await
-            .expect("the limiter reads");
+        answer(&mut stream, b"$1\r\n1\r\n$4\r\n-1.5\r\n$3\r\n1.5\r\n").await;
         assert_eq!(counted(&limiter).await, (Outcome::Good, 1.5));
         // A connection that ends takes with it what may have been added.
         call(&limiter, 4.0);
@@ -87,10 +92,7 @@
         call(&limiter, 5.0);
         call(&limiter, 6.0);
         calls(&mut stream, 2).await;
-        stream
-            .write_all(b"-BUSY\r\n$1\r\n6\r\n")
-            .await
-            .expect("the limiter reads");
+        answer(&mut stream, b"-BUSY\r\n$1\r\n6\r\n").await;
         assert_eq!(counted(&limiter).await.0, Outcome::Rejected);
         assert_eq!(counted(&limiter).await, (Outcome::Good, 6.0));
     });
@@ -127,12 +129,8 @@
         ),
     ];
     with_limiter(&changes, |limiter| async move {
-        let old = TcpListener::bind("127.77.0.22:7002")
-            .await
-            .expect("the address is free");
-        let new = TcpListener::bind("127.77.0.22:7003")
-            .await
-            .expect("the address is free");
+        let old = bind("127.77.0.22:7002").await;
+        let new = bind("127.77.0.22:7003").await;
         call(&limiter, 1.0);
         start_link(&limiter);
         let (mut before, _) = old.accept().await.expect("the limiter connects");
@@ -147,20 +145,14 @@
             .await
             .expect("the limiter connects to the new address");
         calls(&mut after, 1).await;
-        after
-            .write_all(b"$1\r\n3\r\n")
-            .await
-            .expect("the limiter reads");
+        answer(&mut after, b"$1\r\n3\r\n").await;
         tokio::time::sleep(limiter.limits().reconnect_pause).await;
         assert_eq!(
             limiter.engine().take_event(),
             None,
             "the first call has no answer yet"
         );
-        before
-            .write_all(b"$1\r\n1\r\n")
-            .await
-            .expect("the limiter reads on the old connection");
+        answer(&mut before, b"$1\r\n1\r\n").await;
         assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
         assert_eq!(counted(&limiter).await, (Outcome::Good, 3.0));
         // The old connection ends once nothing is awaited on it.
@@ -200,8 +192,8 @@
     });
 }
 
-/// A connection that fell silent is left once others were answered while it was not; one that no other speaks
-/// against has its patience, as has one that was never answered.
+/// A connection that became silent is left once others were answered while it was not; one whose silence no other
+/// connection contradicts is kept for its time, as is one that was never answered.
 #[test]
 fn a_connection_that_others_outlast_is_left_early() {
     let changes = [
@@ -212,19 +204,14 @@
         ),
     ];
     with_limiter(&changes, |limiter| async move {
-        let listener = TcpListener::bind("127.77.0.24:7002")
-            .await
-            .expect("the address is free");
+        let listener = bind("127.77.0.24:7002").await;
         call(&limiter, 1.0);
         let queue = start_link(&limiter);
         let (mut stream, _) = listener.accept().await.expect("the limiter connects");
         calls(&mut stream, 1).await;
-        stream
-            .write_all(b"$1\r\n1\r\n")
-            .await
-            .expect("the limiter reads");
+        answer(&mut stream, b"$1\r\n1\r\n").await;
         assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
-        // Nobody is answered: the counter may be at fault, and the connection is kept.
+        // No connection is answered: the counter may be at fault, and this one is kept.
         call(&limiter, 1.0);
         calls(&mut stream, 1).await;
         assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
@@ -243,7 +230,7 @@
         let began = Instant::now();
         let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
         assert!(began.elapsed() < limiter.limits().counter.silence_timeout / 2);
-        // Never answered: the new one has its whole patience, whoever else is answered.
+        // Never answered: the new one is kept for its whole time, whoever else is answered.
         call(&limiter, 1.0);
         calls(&mut stream, 1).await;
         queue.last_answered.set(Some(
@@ -261,7 +248,7 @@
     });
 }
 
-/// A malformed answer ends its connection at once: its call and those behind it are each told once, and the
+/// A malformed answer ends its connection at once: its call and those behind it are each reported once, and the
 /// next call goes to a new connection without a pause.
 #[test]
 fn a_malformed_answer_ends_the_connection_and_not_the_link() {
@@ -273,18 +260,13 @@
         ),
     ];
     with_limiter(&changes, |limiter| async move {
-        let listener = TcpListener::bind("127.77.0.23:7002")
-            .await
-            .expect("the address is free");
+        let listener = bind("127.77.0.23:7002").await;
         (0..3).for_each(|_| call(&limiter, 1.0));
         start_link(&limiter);
         let (mut stream, _) = listener.accept().await.expect("the limiter connects");
         calls(&mut stream, 3).await;
         let began = Instant::now();
-        stream
-            .write_all(b"$1\r\n1\r\n*2\r\n")
-            .await
-            .expect("the limiter reads");
+        answer(&mut stream, b"$1\r\n1\r\n*2\r\n").await;
         assert_eq!(counted(&limiter).await, (Outcome::Good, 1.0));
         assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
         assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
@@ -295,10 +277,7 @@
         call(&limiter, 4.0);
         let (mut stream, _) = listener.accept().await.expect("the limiter connects again");
         calls(&mut stream, 1).await;
-        stream
-            .write_all(b"$1\r\n7\r\n")
-            .await
-            .expect("the limiter reads");
+        answer(&mut stream, b"$1\r\n7\r\n").await;
         assert_eq!(counted(&limiter).await, (Outcome::Good, 7.0));
     });
 }
--- a/src/net/discovery/crossings.rs
+++ b/src/net/discovery/crossings.rs
@@ -1,4 +1,4 @@
-//! When a change counts as told, and answers of discovery that cross: scripted on real sockets.
+//! When a change counts as notified, and answers of discovery that cross: scripted on real sockets.
 
 use super::*;
 use crate::api::HostState;
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
-/// One call of the limiter's, not answered yet.
+/// One request of the limiter, not answered yet.
 struct Call {
     stream: TcpStream,
     path: String,
@@ -34,7 +34,7 @@
     })
 }
 
-/// The next call, on a connection of its own.
+/// The next request, on a connection of its own.
 async fn accept(discovery: &TcpListener) -> Call {
     loop {
         let (stream, _) = discovery.accept().await.expect("the limiter comes");
@@ -45,7 +45,7 @@
 }
 
 impl Call {
-    /// Answers with one server; the connection.
+    /// Answers with one host; returns the connection.
     async fn answer(mut self, version: u64, whole: bool, state: &str) -> TcpStream {
         let body = format!(
             r#"{{"generation":{version},"reset":{whole},"instances":[{{"instanceId":"s-1","zone":"a",
@@ -64,8 +64,8 @@
     }
 }
 
-/// The next list that the module would be told.
-async fn told(limiter: &Rc<Limiter>) -> (u64, HostState) {
+/// The version of the next list that the engine would handle, and the state of its first host.
+async fn next_list(limiter: &Rc<Limiter>) -> (u64, HostState) {
     match next(limiter).await {
         Event::Hosts {
             version, entries, ..
@@ -84,13 +84,13 @@
     }
 }
 
-const TOLD: Duration = Duration::from_secs(6);
+const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
 
-/// However often discovery failed, and however many limiters there are, the next call, its connection and its answer
-/// have room in the 6 s after which a change counts as told; and a watch that fell silent is followed by another, with
-/// its answer, within 2 s of the end of its wait.
+/// However often discovery failed, and however many limiters there are, the next call, its connection and its answer fit
+/// into the 6 s after which a change counts as notified; and an idle watch is followed by another, with its answer,
+/// within 2 s of the end of its wait.
 #[test]
-fn the_longest_pause_fits_into_the_time_after_which_a_change_is_told() {
+fn the_longest_backoff_fits_into_the_time_after_which_a_change_counts_as_notified() {
     for (limiters, mode) in [
         (1, "push"),
         (300, "push"),
@@ -113,7 +113,7 @@
             "it was drawn from the widest bound"
         );
         assert!(
-            longest + limits.connect_timeout.get() + limits.discovery.watch_grace < TOLD,
+            longest + limits.connect_timeout.get() + limits.discovery.watch_grace < NOTIFIED_WITHIN,
             "{limiters} by {mode}: {longest:?}"
         );
         assert!(
@@ -121,7 +121,8 @@
         );
         if mode == "push" {
             assert!(
-                limits.discovery.full_list_interval + limits.discovery.full_list_timeout < TOLD
+                limits.discovery.full_list_interval + limits.discovery.full_list_timeout
+                    < NOTIFIED_WITHIN
             );
         } else {
             // Nothing but the watch tells there: with few limiters it is over in time by itself.
@@ -130,16 +131,16 @@
                     || limits.discovery.watch_timeout
                         + limits.discovery.watch_grace
                         + limits.connect_timeout.get()
-                        < TOLD
+                        < NOTIFIED_WITHIN
             );
         }
     }
 }
 
-/// Where discovery pushes: a watch falls silent, its connection open; the change is told by another call, and the watch is
-/// opened anew.
+/// Where discovery pushes: a watch becomes idle, its connection open; the check finds the change, and the watch is opened
+/// again.
 #[test]
-fn a_silent_watch_is_opened_anew_once_it_is_found_behind() {
+fn an_idle_watch_is_opened_again_once_it_is_found_behind() {
     with_limiter(
         &[("127.0.0.1:7001", "127.77.0.40:7001")],
         |limiter| async move {
@@ -150,11 +151,11 @@
             let first = accept(&discovery).await.answer(4, true, "SERVING").await;
             let watch = call(first).await.expect("the watch goes on");
             assert!(watch.path.contains("index=4"), "{}", watch.path);
-            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            assert_eq!(next_list(&limiter).await, (4, HostState::Ready));
             let changed = Instant::now();
             drop(accept(&discovery).await.answer(5, true, "DRAINING").await);
-            assert_eq!(told(&limiter).await, (5, HostState::Draining));
-            assert!(changed.elapsed() < TOLD);
+            assert_eq!(next_list(&limiter).await, (5, HostState::Draining));
+            assert!(changed.elapsed() < NOTIFIED_WITHIN);
             // The next connections are a check or the new watch, whichever comes first; the watch goes on from there.
             let again = loop {
                 let call = accept(&discovery).await;
@@ -165,7 +166,7 @@
             };
             assert!(again.path.contains("index=5"), "{}", again.path);
             assert!(
-                changed.elapsed() < TOLD,
+                changed.elapsed() < NOTIFIED_WITHIN,
                 "long before the wait of the silent one is over"
             );
             drop(watch);
@@ -173,10 +174,10 @@
     );
 }
 
-/// Where discovery is asked: a watch falls silent, its connection open; within 2 s of the end of its wait it is opened anew,
-/// without a pause, and asks from the list held.
+/// Where discovery is polled: a watch becomes idle, its connection open; within 2 s of the end of its wait it is opened
+/// again, without a pause, and asks for the changes since the list in force.
 #[test]
-fn where_discovery_is_asked_a_silent_watch_is_opened_anew_in_time() {
+fn where_discovery_is_polled_an_idle_watch_is_opened_again_in_time() {
     with_limiter(
         &[
             ("127.0.0.1:7001", "127.77.0.41:7001"),
@@ -196,9 +197,13 @@
             let again = accept(&discovery).await;
             assert!(again.path.contains("index=4"), "{}", again.path);
             drop(again.answer(5, false, "DRAINING").await);
-            assert_eq!(told(&limiter).await, (4, HostState::Ready));
-            assert_eq!(told(&limiter).await, (5, HostState::Draining));
-            assert!(began.elapsed() < TOLD, "after {:?}", began.elapsed());
+            assert_eq!(next_list(&limiter).await, (4, HostState::Ready));
+            assert_eq!(next_list(&limiter).await, (5, HostState::Draining));
+            assert!(
+                began.elapsed() < NOTIFIED_WITHIN,
+                "after {:?}",
+                began.elapsed()
+            );
             assert!(
                 began.elapsed() >= limiter.limits().discovery.watch_timeout,
                 "it had its wait"
@@ -208,10 +213,10 @@
     );
 }
 
-/// A look at the whole list is answered late, after the watch told something newer: it changes nothing. Once discovery goes
-/// back for good it has begun anew, and what it says then holds.
+/// A check of the full list is answered late, after the watch brought a newer one: it changes nothing. Once discovery goes
+/// back for good it has restarted, and its list is applied.
 #[test]
-fn an_old_answer_undoes_nothing_and_a_new_beginning_is_understood() {
+fn an_old_answer_undoes_nothing_and_a_restart_of_discovery_is_understood() {
     with_limiter(
         &[("127.0.0.1:7001", "127.77.0.42:7001")],
         |limiter| async move {
@@ -222,13 +227,13 @@
             let watch = call(accept(&discovery).await.answer(4, true, "SERVING").await)
                 .await
                 .expect("it goes on");
-            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            assert_eq!(next_list(&limiter).await, (4, HostState::Ready));
             let look = accept(&discovery).await;
             assert!(!look.is_watch());
             let watch = call(watch.answer(6, false, "DRAINING").await)
                 .await
                 .expect("it goes on");
-            assert_eq!(told(&limiter).await, (6, HostState::Draining));
+            assert_eq!(next_list(&limiter).await, (6, HostState::Draining));
             // Asked for before the newer one came: it says nothing of what discovery holds now.
             drop(look.answer(2, true, "SERVING").await);
             for version in [2, 6, 2] {
@@ -245,15 +250,15 @@
                 "nothing yet: no two answers in a row went back"
             );
             drop(last.answer(2, true, "SERVING").await);
-            assert_eq!(told(&limiter).await, (2, HostState::Ready));
+            assert_eq!(next_list(&limiter).await, (2, HostState::Ready));
             drop(watch);
         },
     );
 }
 
-/// Changes that are older than the list held change nothing; the whole list is asked for.
+/// Changes that are older than the list in force change nothing; the full list is asked for.
 #[test]
-fn changes_to_a_list_that_is_not_held_are_left_alone() {
+fn changes_to_a_list_that_is_not_in_force_are_ignored() {
     with_limiter(
         &[
             ("127.0.0.1:7001", "127.77.0.43:7001"),
@@ -267,7 +272,7 @@
             let watch = call(accept(&discovery).await.answer(4, true, "SERVING").await)
                 .await
                 .expect("it goes on");
-            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            assert_eq!(next_list(&limiter).await, (4, HostState::Ready));
             let whole = call(watch.answer(3, false, "DRAINING").await)
                 .await
                 .expect("it goes on");
@@ -275,16 +280,16 @@
             let watch = call(whole.answer(7, true, "SERVING").await)
                 .await
                 .expect("it goes on");
-            assert_eq!(told(&limiter).await, (7, HostState::Ready));
+            assert_eq!(next_list(&limiter).await, (7, HostState::Ready));
             assert!(watch.path.contains("index=7"), "{}", watch.path);
         },
     );
 }
 
-/// A discovery that answers the call for the whole list with old changes is asked again on another connection, after a
+/// A discovery that answers the call for the full list with old changes is called again on another connection, after a
 /// pause, and not for ever on this one.
 #[test]
-fn a_discovery_that_never_tells_the_whole_list_is_not_asked_without_a_pause() {
+fn a_discovery_that_never_returns_the_full_list_is_not_called_without_a_pause() {
     with_limiter(
         &[
             ("127.0.0.1:7001", "127.77.0.44:7001"),
@@ -303,17 +308,17 @@
                 .expect("it goes on");
             let ended = call(whole.answer(3, false, "DRAINING").await);
             assert!(
-                timeout(TOLD, ended)
+                timeout(NOTIFIED_WITHIN, ended)
                     .await
                     .expect("it does not wait")
                     .is_none(),
                 "no further call on this one"
             );
-            assert!(timeout(TOLD, accept(&discovery))
+            assert!(timeout(NOTIFIED_WITHIN, accept(&discovery))
                 .await
                 .expect("it comes again")
                 .is_watch());
-            assert_eq!(told(&limiter).await, (4, HostState::Ready));
+            assert_eq!(next_list(&limiter).await, (4, HostState::Ready));
             assert!(limiter.engine().take_event().is_none());
         },
     );
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,182 +1,138 @@
-//! Lists taken in, maintenance above them, and a watch that is lost.
+//! Lists that are applied, maintenance above them, and a watch that is lost.
 
 use super::*;
 use crate::api::HostState;
 use crate::net::task::spawn;
 use crate::net::tests::{next, with_limiter};
+use crate::net::Limiter;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-/// Takes a whole list of one server, that serves.
-pub(crate) fn told(client: &DiscoveryClient, name: &str) {
-    let text = format!(
-        r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"{name}","zone":"a",
-        "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"SERVING"}}]}}"#
-    );
-    let list = client
-        .endpoints
-        .borrow_mut()
-        .parse(&serde_json::from_str(&text).expect("JSON"));
+/// A list of one host, in discovery's form.
+fn list_text(version: u64, is_full: bool, name: &str, state: &str) -> String {
+    format!(
+        r#"{{"generation":{version},"reset":{is_full},"instances":[{{"instanceId":"{name}","zone":"a",
+        "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
+    )
+}
+
+/// Applies a list of one host.
+fn apply_list(client: &DiscoveryClient, version: u64, is_full: bool, name: &str, state: &str) {
+    let text = list_text(version, is_full, name, state);
+    let json = serde_json::from_str(&text).expect("JSON");
+    let list = client.endpoints.borrow_mut().parse(&json);
     client.apply(&list.expect("a list"));
 }
 
-/// A watch whose answer is lost: what changed is known by the next look at the whole list, and a list that is no
-/// newer than the one held changes nothing.
-#[test]
-fn a_watch_that_is_lost_is_made_up_for() {
-    let text = |version: u64, state: &str| {
-        let body = format!(
-            r#"{{"generation":{version},"reset":true,"instances":[{{"instanceId":"s-1","zone":"a",
-            "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
-        );
-        format!(
-            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        )
-    };
-    with_limiter(
-        &[("127.0.0.1:7001", "127.77.0.24:7001")],
-        |limiter| async move {
-            let discovery = TcpListener::bind("127.77.0.24:7001")
-                .await
-                .expect("the address is free");
-            spawn(follow(
-                limiter.discovery().clone(),
-                Backoff::from_limits(limiter.limits(), 1),
-            ));
-            spawn(check(limiter.discovery().clone()));
-            let mut watches = Vec::new();
-            let mut told = Vec::new();
-            // The first list, two that are no newer, and a newer one; the watch is never answered.
-            let answers = [
-                (4, "SERVING"),
-                (4, "DRAINING"),
-                (3, "DRAINING"),
-                (5, "DRAINING"),
-            ];
-            for (version, state) in answers {
-                let (mut stream, _) = discovery.accept().await.expect("the limiter asks");
-                let mut call = vec![0; 512];
-                let count = stream.read(&mut call).await.expect("it asks");
-                assert!(
-                    call[..count].starts_with(b"GET /discovery/hosts HTTP"),
-                    "the whole list"
-                );
-                stream
-                    .write_all(text(version, state).as_bytes())
-                    .await
-                    .expect("the limiter reads");
-                watches.push(stream);
-            }
-            while told.len() < 2 {
-                match next(&limiter).await {
-                    Event::Hosts {
-                        version,
-                        mode: ListMode::Replace,
-                        entries,
-                    } => {
-                        told.push((version, entries[0].state));
-                    }
-                    other => panic!("{other:?}"),
-                }
-            }
-            assert_eq!(told, [(4, HostState::Ready), (5, HostState::Draining)]);
-        },
+/// Applies a full list of one host that serves.
+pub(crate) fn apply_serving_host(client: &DiscoveryClient, name: &str) {
+    apply_list(client, 1, true, name, "SERVING");
+}
+
+/// Accepts a request for the full list and answers it.
+async fn answer_full_list(discovery: &TcpListener, version: u64, state: &str) -> TcpStream {
+    let (mut stream, _) = discovery.accept().await.expect("the limiter connects");
+    let mut request = vec![0; 512];
+    let count = stream.read(&mut request).await.expect("a request");
+    assert!(
+        request[..count].starts_with(b"GET /discovery/hosts HTTP"),
+        "the full list"
     );
+    let body = list_text(version, true, "s-1", state);
+    let length = body.len();
+    let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+    let written = stream.write_all(response.as_bytes()).await;
+    written.expect("the limiter reads");
+    stream
+}
+
+/// The version of the next full list that the engine would handle, and the state of its first host.
+async fn next_full_list(limiter: &Rc<Limiter>) -> (u64, HostState) {
+    match next(limiter).await {
+        Event::Hosts {
+            version,
+            mode: ListMode::Replace,
+            entries,
+        } => (version, entries[0].state),
+        other => panic!("{other:?}"),
+    }
 }
 
-/// Two hundred times out and back, while discovery goes on saying the opposite: told as draining at once and for as
-/// long as it is out, on changes, whole lists and silence alike, and as ready at the call back.
+/// A watch whose answer is lost: the next check of the full list finds what changed, and a list that is no newer than
+/// the one in force changes nothing.
 #[test]
-fn staffs_word_goes_before_discovery_s() {
+fn changes_missed_by_a_lost_watch_are_found_by_the_check() {
+    let changes = [("127.0.0.1:7001", "127.77.0.24:7001")];
+    with_limiter(&changes, |limiter| async move {
+        let discovery = TcpListener::bind("127.77.0.24:7001").await;
+        let discovery = discovery.expect("the address is free");
+        let backoff = Backoff::from_limits(limiter.limits(), 1);
+        spawn(follow(limiter.discovery().clone(), backoff));
+        spawn(check(limiter.discovery().clone()));
+        // The first list, two that are no newer, and a newer one; the watch is never answered.
+        let answers = [
+            (4, "SERVING"),
+            (4, "DRAINING"),
+            (3, "DRAINING"),
+            (5, "DRAINING"),
+        ];
+        let mut connections = Vec::new();
+        for (version, state) in answers {
+            connections.push(answer_full_list(&discovery, version, state).await);
+        }
+        assert_eq!(next_full_list(&limiter).await, (4, HostState::Ready));
+        assert_eq!(next_full_list(&limiter).await, (5, HostState::Draining));
+    });
+}
+
+/// Two hundred times into maintenance and back, while discovery lists the opposite: the host is draining for the engine
+/// at once and for as long as the maintenance lasts, on changes and full lists alike, and ready at the order to enable.
+#[test]
+fn maintenance_overrides_discovery() {
     with_limiter(&[], |limiter| async move {
-        let list = |version: u64, state: &str, whole: bool| {
-            let text = format!(
-                r#"{{"generation":{version},"reset":{whole},"instances":[{{"instanceId":"s-1","zone":"a",
-                "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
-            );
-            let list = limiter
-                .discovery()
-                .endpoints
-                .borrow_mut()
-                .parse(&serde_json::from_str(&text).expect("JSON"));
-            limiter.discovery().apply(&list.expect("a list"));
-        };
-        let told = || {
-            let event = limiter.engine().take_event();
-            match event {
-                Some(Event::Hosts { entries, .. }) => entries[0].state,
-                other => panic!("{other:?}"),
-            }
+        let client = limiter.discovery();
+        let apply = |version, state, is_full| apply_list(client, version, is_full, "s-1", state);
+        let state_for_engine = || match limiter.engine().take_event() {
+            Some(Event::Hosts { entries, .. }) => entries[0].state,
+            other => panic!("{other:?}"),
         };
-        list(0, "SERVING", true);
-        assert_eq!(told(), HostState::Ready);
-        limiter
-            .discovery()
-            .maintenance
-            .borrow_mut()
-            .record_listed("s-1");
+        apply(0, "SERVING", true);
+        assert_eq!(state_for_engine(), HostState::Ready);
+        let maintenance = client.maintenance();
+        maintenance.borrow_mut().record_listed("s-1");
         for round in 0..200 {
             let now = 1_000 * round;
-            assert_eq!(
-                limiter
-                    .discovery()
-                    .maintenance
-                    .borrow_mut()
-                    .disable("s-1", now),
-                Ok(true)
-            );
-            limiter.discovery().reapply_maintenance("s-1");
-            assert_eq!(told(), HostState::Draining, "at the call itself");
-            for (state, whole) in [("SERVING", false), ("DRAINING", false), ("SERVING", true)] {
-                list(round, state, whole);
-                assert_eq!(told(), HostState::Draining);
+            let disabled = maintenance.borrow_mut().disable("s-1", now);
+            assert_eq!(disabled, Ok(true));
+            client.reapply_maintenance("s-1");
+            assert_eq!(state_for_engine(), HostState::Draining, "at the order");
+            let lists = [("SERVING", false), ("DRAINING", false), ("SERVING", true)];
+            for (state, is_full) in lists {
+                apply(round, state, is_full);
+                assert_eq!(state_for_engine(), HostState::Draining);
             }
-            assert_eq!(
-                limiter
-                    .discovery()
-                    .maintenance
-                    .borrow_mut()
-                    .enable("s-1", now + 500),
-                Ok(true)
-            );
-            limiter.discovery().reapply_maintenance("s-1");
-            assert_eq!(told(), HostState::Ready);
+            let enabled = maintenance.borrow_mut().enable("s-1", now + 500);
+            assert_eq!(enabled, Ok(true));
+            client.reapply_maintenance("s-1");
+            assert_eq!(state_for_engine(), HostState::Ready);
         }
     });
 }
 
-/// However many hosts come and go, no more is held than those that are listed or have left just now.
+/// However many hosts come and go, only those that are listed or have left just now are remembered.
 #[test]
-fn names_that_are_gone_are_forgotten() {
+fn names_of_gone_hosts_are_forgotten() {
     with_limiter(&[], |limiter| async move {
-        let list = |version: u64, name: u64, state: &str| {
-            format!(
-                r#"{{"generation":{version},"reset":false,"instances":[{{"instanceId":"s-{name}","zone":"a",
-                "hostPort":"127.0.0.1:5","machineType":"m","lifecycle":"{state}"}}]}}"#
-            )
-        };
-        for name in 0..50 {
+        let client = limiter.discovery();
+        for host in 0..50 {
             for state in ["SERVING", "DRAINING", "DELETED"] {
-                let text = list(3 * name, name, state);
-                let list = limiter
-                    .discovery()
-                    .endpoints
-                    .borrow_mut()
-                    .parse(&serde_json::from_str(&text).expect("JSON"));
-                limiter.discovery().apply(&list.expect("a list"));
+                apply_list(client, 3 * host, false, &format!("s-{host}"), state);
             }
         }
         sleep(limiter.limits().upstream.drain_grace.get()).await;
-        let text = list(200, 50, "SERVING");
-        let list = limiter
-            .discovery()
-            .endpoints
-            .borrow_mut()
-            .parse(&serde_json::from_str(&text).expect("JSON"));
-        limiter.discovery().apply(&list.expect("a list"));
-        let counts = limiter.discovery().endpoints.borrow().counts();
+        apply_list(client, 200, false, "s-50", "SERVING");
+        let counts = client.endpoints.borrow().counts();
         assert_eq!(counts, (1, 1, 1));
     });
 }
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -12,9 +12,10 @@
 use super::resp::downstream::{self, Downstream};
 use super::resp::upstream::UpstreamPool;
 use super::shutdown::{self, Shutdown};
-use super::stages::{complete, Pipeline};
+use super::stages::{complete, Pipeline, PipelineParts};
 use super::start_error::StartError;
 use super::task::spawn;
+use crate::api::Settings;
 use quartzcleat_config::lease::Lease;
 use serde_json::Value;
 use std::cell::RefCell;
@@ -80,69 +81,32 @@
             every,
             metrics: Rc::new(RefCell::new(Metrics::new(config.name.clone()))),
         });
-        let shared_metrics = metrics.as_ref().map(|log| log.metrics.clone());
         let addresses = watch::Sender::new(config.addresses);
         let has_admin = config.admin.is_some();
-        let limits = Rc::new(config.limits);
-        let shutdown = Rc::new(Shutdown::new(&limits));
-        let upstream = Rc::new(UpstreamPool::new(config.settings.reports));
-        let engine = Rc::new(EngineDriver::new(
-            config.settings.clone(),
+        let (name, listen) = (config.name, config.listen);
+        let base = BaseParts::new(
+            config.limits,
+            &config.settings,
             config.seed,
-            &limits,
-            shared_metrics.clone(),
-        ));
-        let counter = new_counter(&limits, &engine, addresses.subscribe());
-        let pipeline = Pipeline::new(
-            limits.clone(),
-            engine.clone(),
-            upstream.clone(),
-            counter.clone(),
-            shutdown.clone(),
-            shared_metrics.clone(),
+            metrics.as_ref().map(|log| log.metrics.clone()),
         );
-        let discovery_parts = DiscoveryParts {
-            limits: limits.clone(),
-            engine: engine.clone(),
-            upstream: upstream.clone(),
-            addresses: addresses.subscribe(),
-            metrics: shared_metrics,
-        };
+        let counter = base.new_counter(&addresses);
+        let pipeline = base.new_pipeline(&counter);
         let endpoints = EndpointList::new(config.zone_names, config.machine_kind_names);
-        let discovery = Rc::new(DiscoveryClient::new(discovery_parts, endpoints, has_admin));
-        let hot_restart_parts = HotRestartParts {
-            limits: limits.clone(),
-            engine: engine.clone(),
-            discovery: discovery.clone(),
-            shutdown: shutdown.clone(),
-        };
-        let hot_restart = Rc::new(HotRestart::new(
-            hot_restart_parts,
-            &config.name,
-            config.listen,
-            has_admin,
-        ));
-        let admin = Rc::new(AdminContext {
-            limits: limits.clone(),
-            discovery: discovery.clone(),
-            shutdown: shutdown.clone(),
-            hot_restart: hot_restart.clone(),
-        });
-        let reload_parts = ReloadParts {
-            limits: limits.clone(),
-            engine: engine.clone(),
-            upstream: upstream.clone(),
-            discovery: discovery.clone(),
-            addresses,
-        };
+        let discovery = base.new_discovery(&addresses, endpoints, has_admin);
+        let hot_restart_parts = base.hot_restart_parts(&discovery);
+        let hot_restart = HotRestart::new(hot_restart_parts, &name, listen, has_admin);
+        let hot_restart = Rc::new(hot_restart);
+        let admin = base.new_admin(&discovery, &hot_restart);
+        let reload_parts = base.reload_parts(&discovery, addresses);
         let reloader = ConfigReloader::new(reload_parts, config.file, &config.settings);
         Limiter {
-            limits,
-            engine,
-            upstream,
+            limits: base.limits,
+            engine: base.engine,
+            upstream: base.upstream,
             counter,
             discovery,
-            shutdown,
+            shutdown: base.shutdown,
             hot_restart,
             admin,
             reloader: Rc::new(reloader),
@@ -256,13 +220,97 @@
     }
 }
 
-fn new_counter(
-    limits: &Rc<Limits>,
-    engine: &Rc<EngineDriver>,
-    addresses: watch::Receiver<Addresses>,
-) -> Rc<CounterClient> {
-    let client = CounterClient::new(limits.clone(), engine.clone(), addresses);
-    Rc::new(client)
+/// The parts that most others are given.
+struct BaseParts {
+    limits: Rc<Limits>,
+    engine: Rc<EngineDriver>,
+    upstream: Rc<UpstreamPool>,
+    shutdown: Rc<Shutdown>,
+    metrics: Option<SharedMetrics>,
+}
+
+impl BaseParts {
+    fn new(limits: Limits, settings: &Settings, seed: u64, metrics: Option<SharedMetrics>) -> Self {
+        let engine = EngineDriver::new(settings.clone(), seed, &limits, metrics.clone());
+        BaseParts {
+            engine: Rc::new(engine),
+            upstream: Rc::new(UpstreamPool::new(settings.reports)),
+            shutdown: Rc::new(Shutdown::new(&limits)),
+            limits: Rc::new(limits),
+            metrics,
+        }
+    }
+
+    fn new_counter(&self, addresses: &watch::Sender<Addresses>) -> Rc<CounterClient> {
+        Rc::new(CounterClient::new(
+            self.limits.clone(),
+            self.engine.clone(),
+            addresses.subscribe(),
+        ))
+    }
+
+    fn new_pipeline(&self, counter: &Rc<CounterClient>) -> Rc<Pipeline> {
+        Pipeline::new(PipelineParts {
+            limits: self.limits.clone(),
+            engine: self.engine.clone(),
+            upstream: self.upstream.clone(),
+            counter: counter.clone(),
+            shutdown: self.shutdown.clone(),
+            metrics: self.metrics.clone(),
+        })
+    }
+
+    fn new_discovery(
+        &self,
+        addresses: &watch::Sender<Addresses>,
+        endpoints: EndpointList,
+        records_names: bool,
+    ) -> Rc<DiscoveryClient> {
+        let parts = DiscoveryParts {
+            limits: self.limits.clone(),
+            engine: self.engine.clone(),
+            upstream: self.upstream.clone(),
+            addresses: addresses.subscribe(),
+            metrics: self.metrics.clone(),
+        };
+        Rc::new(DiscoveryClient::new(parts, endpoints, records_names))
+    }
+
+    fn hot_restart_parts(&self, discovery: &Rc<DiscoveryClient>) -> HotRestartParts {
+        HotRestartParts {
+            limits: self.limits.clone(),
+            engine: self.engine.clone(),
+            discovery: discovery.clone(),
+            shutdown: self.shutdown.clone(),
+        }
+    }
+
+    fn new_admin(
+        &self,
+        discovery: &Rc<DiscoveryClient>,
+        hot_restart: &Rc<HotRestart>,
+    ) -> Rc<AdminContext> {
+        Rc::new(AdminContext {
+            limits: self.limits.clone(),
+            discovery: discovery.clone(),
+            shutdown: self.shutdown.clone(),
+            hot_restart: hot_restart.clone(),
+        })
+    }
+
+    fn reload_parts(
+        &self,
+        discovery: &Rc<DiscoveryClient>,
+        addresses: watch::Sender<Addresses>,
+    ) -> ReloadParts {
+        ReloadParts {
+            limits: self.limits.clone(),
+            engine: self.engine.clone(),
+            upstream: self.upstream.clone(),
+            discovery: discovery.clone(),
+            addresses,
+        }
+    }
 }
 
 /// Serves until the process is asked to end.
--- a/src/net/resp/downstream/tests.rs
+++ b/src/net/resp/downstream/tests.rs
@@ -41,75 +41,86 @@
     }
 }
 
-/// What no host could use is refused; every form that the protocol has is accepted.
+const CUSTOMER: &str = "00000001ffffffff";
+const ID: &str = "9b1f03aa5c7e2d41";
+const CHECK: &str = "c=bed-check,t=guide,d=900,units=6,spread=3,first=2";
+const HOLD: &str = "c=bed-hold,t=operator,d=900,k=5c0f6e1a2b3d4c59,r=1,units=0.25,spread=1,first=0";
+
+/// A text in the facts of a sound request, and what makes them unusable in its place.
+const UNUSABLE_FACTS: [(&str, &str); 22] = [
+    ("c=bed-check,", ""),
+    ("bed-check", "bed-chec"),
+    ("t=guide,", ""),
+    ("guide", "guides"),
+    ("d=900,", ""),
+    ("900", "0"),
+    ("900", "soon"),
+    ("900", "-1"),
+    ("units=6,", ""),
+    ("units=6", "units=0"),
+    ("units=6", "units=-1"),
+    ("units=6", "units=6.5"),
+    ("units=6", "units=1e300"),
+    ("units=6", "units=NaN"),
+    ("units=6", "units=inf"),
+    ("spread=3,", ""),
+    ("spread=3", "spread=0"),
+    ("spread=3", "spread=4"),
+    (",first=2", ""),
+    ("first=2", "first=3"),
+    ("first=2", "first=-1"),
+    ("spread=3,", "spread,"),
+];
+
+/// The example's configuration, for three limiters.
+fn three_limiters() -> Checked {
+    let text = include_str!("../../../../examples/toy.json");
+    checked(&text.replace("\"balancers\": 1", "\"balancers\": 3"))
+}
+
+/// Every form that the protocol has is accepted, and nobody waits for longer than the class.
 #[test]
-fn only_usable_requests_are_accepted() {
-    let text = include_str!("../../../../examples/toy.json")
-        .replace("\"balancers\": 1", "\"balancers\": 3");
-    let checked = checked(&text);
-    let (one, id) = ("00000001ffffffff", "9b1f03aa5c7e2d41");
-    let check = "c=bed-check,t=guide,d=900,units=6,spread=3,first=2";
-    let hold = "c=bed-hold,t=operator,d=900,k=5c0f6e1a2b3d4c59,r=1,units=0.25,spread=1,first=0";
-    let ms = Duration::from_millis;
-    assert_eq!(wait_of(&checked, "Q.ASK", one, id, check), Ok(ms(900)));
-    assert_eq!(wait_of(&checked, "Q.DO", one, id, hold), Ok(ms(900)));
-    // Nobody waits for longer than the class.
-    assert_eq!(
-        wait_of(&checked, "Q.DO", one, id, &hold.replace("900", "999999")),
-        Ok(ms(4000))
-    );
+fn usable_requests_are_accepted() {
+    let checked = three_limiters();
+    let milliseconds = Duration::from_millis;
+    let long_hold = HOLD.replace("900", "999999");
+    for (verb, facts, wait) in [
+        ("Q.ASK", CHECK, milliseconds(900)),
+        ("Q.DO", HOLD, milliseconds(900)),
+        ("Q.DO", &long_hold, milliseconds(4000)),
+    ] {
+        assert_eq!(wait_of(&checked, verb, CUSTOMER, ID, facts), Ok(wait));
+    }
+}
+
+/// What no host could use is refused.
+#[test]
+fn unusable_requests_are_refused() {
+    let checked = three_limiters();
     for (verb, customer, id) in [
-        ("Q.DO", one, id),
-        ("Q.ASK", "0000000200000000", id),
-        ("Q.ASK", "+000000000000007", id),
-        ("Q.ASK", "", id),
-        ("Q.ASK", one, ""),
-        ("Q.ASK", one, "9b1f03aa5c7e2d4"),
+        ("Q.DO", CUSTOMER, ID),
+        ("Q.ASK", "0000000200000000", ID),
+        ("Q.ASK", "+000000000000007", ID),
+        ("Q.ASK", "", ID),
+        ("Q.ASK", CUSTOMER, ""),
+        ("Q.ASK", CUSTOMER, "9b1f03aa5c7e2d4"),
     ] {
         assert!(
-            wait_of(&checked, verb, customer, id, check).is_err(),
+            wait_of(&checked, verb, customer, id, CHECK).is_err(),
             "{verb} {customer} {id}"
         );
     }
     assert!(
-        wait_of(&checked, "Q.ASK", one, id, hold).is_err(),
+        wait_of(&checked, "Q.ASK", CUSTOMER, ID, HOLD).is_err(),
         "a keyed class is not safe to repeat"
     );
-    assert!(wait_of(
-        &checked,
-        "Q.DO",
-        one,
-        id,
-        &hold.replace(",k=5c0f6e1a2b3d4c59", "")
-    )
-    .is_err());
-    for (from, to) in [
-        ("c=bed-check,", ""),
-        ("bed-check", "bed-chec"),
-        ("t=guide,", ""),
-        ("guide", "guides"),
-        ("d=900,", ""),
-        ("900", "0"),
-        ("900", "soon"),
-        ("900", "-1"),
-        ("units=6,", ""),
-        ("units=6", "units=0"),
-        ("units=6", "units=-1"),
-        ("units=6", "units=6.5"),
-        ("units=6", "units=1e300"),
-        ("units=6", "units=NaN"),
-        ("units=6", "units=inf"),
-        ("spread=3,", ""),
-        ("spread=3", "spread=0"),
-        ("spread=3", "spread=4"),
-        (",first=2", ""),
-        ("first=2", "first=3"),
-        ("first=2", "first=-1"),
-        ("spread=3,", "spread,"),
-    ] {
-        assert!(check.contains(from));
+    let without_key = HOLD.replace(",k=5c0f6e1a2b3d4c59", "");
+    assert!(wait_of(&checked, "Q.DO", CUSTOMER, ID, &without_key).is_err());
+    for (from, to) in UNUSABLE_FACTS {
+        assert!(CHECK.contains(from));
+        let facts = CHECK.replace(from, to);
         assert!(
-            wait_of(&checked, "Q.ASK", one, id, &check.replace(from, to)).is_err(),
+            wait_of(&checked, "Q.ASK", CUSTOMER, ID, &facts).is_err(),
             "{from} as {to}"
         );
     }
--- a/src/net/resp/upstream/tests.rs
+++ b/src/net/resp/upstream/tests.rs
@@ -17,7 +17,7 @@
     limits
 }
 
-/// The words go on as they came, the wait apart, whose length may change.
+/// The arguments go on as they came, but for the wait, whose length may change.
 #[test]
 fn only_the_wait_is_rewritten() {
     with_limiter(&[], |limiter| async move {
@@ -44,10 +44,46 @@
     });
 }
 
-/// What is good, and after what the connection may be used again.
-#[test]
-fn only_a_whole_right_formed_value_is_good() {
-    let attempt = HostCommand::Attempt {
+/// A reply, how the call ends by it, the load in it, and whether the connection may be used again.
+type ReplyCase = (&'static str, Outcome, Option<f64>, bool);
+
+const REPLIES: [ReplyCase; 12] = [
+    (
+        "*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n",
+        Outcome::Good,
+        Some(7.0),
+        true,
+    ),
+    (
+        "*3\r\n$3\r\nbed\r\n$-1\r\n$3\r\n=,=\r\n",
+        Outcome::Good,
+        None,
+        true,
+    ),
+    (
+        "*3\r\n$3\r\nbed\r\n:-7\r\n+?\r\n",
+        Outcome::Good,
+        None,
+        true,
+    ),
+    ("*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome::Error, None, false),
+    ("*2\r\n$3\r\nbed\r\n$-1\r\n", Outcome::Error, None, false),
+    ("$3\r\nbed\r\n", Outcome::Error, None, false),
+    ("+OK\r\n", Outcome::Error, None, false),
+    (":5\r\n", Outcome::Error, None, false),
+    ("-BUSY\r\n", Outcome::Rejected, None, true),
+    ("-BUSY inflight=9\r\n", Outcome::Rejected, Some(9.0), true),
+    ("-BUSYBODY\r\n", Outcome::Error, None, false),
+    (
+        "-ERR failed inflight=3,queue=0\r\n",
+        Outcome::Error,
+        Some(3.0),
+        true,
+    ),
+];
+
+fn attempt() -> HostCommand {
+    HostCommand::Attempt {
         charge: Charge {
             customer: CustomerId(7),
             units: 1.0,
@@ -55,94 +91,51 @@
         id: RequestId(1),
         attempt: 0,
         payload: Rc::new(request(1).payload),
-    };
+    }
+}
+
+fn parse(bytes: &str, limits: &Limits) -> codec::Reply {
+    let parsed = codec::parse_reply(bytes.as_bytes(), limits);
+    parsed.expect("well-formed").expect("whole").reply
+}
+
+/// What is good, and after what the connection may be used again.
+#[test]
+fn only_a_complete_well_formed_value_is_good() {
     with_limiter(&[], |limiter| async move {
-        let source = ReportSource::Answers;
-        for (bytes, outcome, inflight, known) in [
-            (
-                "*3\r\n$3\r\nbed\r\n$-1\r\n$20\r\ninflight=7,queue=2.5\r\n",
-                Outcome::Good,
-                Some(7.0),
-                true,
-            ),
-            (
-                "*3\r\n$3\r\nbed\r\n$-1\r\n$3\r\n=,=\r\n",
-                Outcome::Good,
-                None,
-                true,
-            ),
-            (
-                "*3\r\n$3\r\nbed\r\n:-7\r\n+?\r\n",
-                Outcome::Good,
-                None,
-                true,
-            ),
-            ("*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome::Error, None, false),
-            ("*2\r\n$3\r\nbed\r\n$-1\r\n", Outcome::Error, None, false),
-            ("$3\r\nbed\r\n", Outcome::Error, None, false),
-            ("+OK\r\n", Outcome::Error, None, false),
-            (":5\r\n", Outcome::Error, None, false),
-            ("-BUSY\r\n", Outcome::Rejected, None, true),
-            ("-BUSY inflight=9\r\n", Outcome::Rejected, Some(9.0), true),
-            ("-BUSYBODY\r\n", Outcome::Error, None, false),
-            (
-                "-ERR failed inflight=3,queue=0\r\n",
-                Outcome::Error,
-                Some(3.0),
-                true,
-            ),
-        ] {
-            let reply = codec::parse_reply(bytes.as_bytes(), limiter.limits())
-                .expect("well-formed")
-                .expect("whole")
-                .reply;
-            let Interpretation {
-                result,
-                is_known_form,
-            } = interpret(&reply, bytes.as_bytes(), &attempt, HostId(5), source);
+        for (bytes, outcome, inflight, known) in REPLIES {
+            let reply = parse(bytes, limiter.limits());
+            let source = ReportSource::Answers;
+            let interpretation = interpret(&reply, bytes.as_bytes(), &attempt(), HostId(5), source);
+            let result = interpretation.result;
+            let load = result.load.first().map(|(_, value)| *value);
             assert_eq!(
-                (
-                    result.outcome,
-                    result.load.first().map(|(_, value)| *value),
-                    is_known_form
-                ),
+                (result.outcome, load, interpretation.is_known_form),
                 (outcome, inflight, known),
                 "{bytes:?}"
             );
-            assert_eq!(
-                result.value,
-                if outcome == Outcome::Good {
-                    b"bed".to_vec()
-                } else {
-                    Vec::new()
-                }
-            );
-        }
-        for (bytes, may) in [("", true), ("*3\r", true), ("*3\r\n$9", true), ("-E", true)] {
-            assert_eq!(
-                may_become_reply(bytes.as_bytes(), &attempt),
-                may,
-                "{bytes:?}"
-            );
-        }
-        for bytes in ["*3\r\n*3\r\n*3\r\n", "*30", "$3", ":5\r\n", "HTTP"] {
-            assert!(!may_become_reply(bytes.as_bytes(), &attempt), "{bytes:?}");
+            let value: &[u8] = match outcome {
+                Outcome::Good => b"bed",
+                _ => b"",
+            };
+            assert_eq!(result.value, value);
         }
     });
 }
 
-/// What an answer tells of use is read whatever the load report is; what cannot be so is as if it had not come.
 #[test]
-fn figures_on_use_are_read_from_answers() {
-    let attempt = HostCommand::Attempt {
-        charge: Charge {
-            customer: CustomerId(7),
-            units: 1.0,
-        },
-        id: RequestId(1),
-        attempt: 0,
-        payload: Rc::new(request(1).payload),
-    };
+fn bytes_that_begin_no_reply_are_not_awaited() {
+    for bytes in ["", "*3\r", "*3\r\n$9", "-E"] {
+        assert!(may_become_reply(bytes.as_bytes(), &attempt()), "{bytes:?}");
+    }
+    for bytes in ["*3\r\n*3\r\n*3\r\n", "*30", "$3", ":5\r\n", "HTTP"] {
+        assert!(!may_become_reply(bytes.as_bytes(), &attempt()), "{bytes:?}");
+    }
+}
+
+/// Figures on usage are read whatever the load report is; figures that are out of range count as missing.
+#[test]
+fn usage_figures_are_read_from_answers() {
     with_limiter(&[], |limiter| async move {
         let source = ReportSource::Nowhere;
         for (members, metered, units) in [
@@ -155,14 +148,11 @@
             (":4\r\n$-1\r\n", 0, 0.0),
         ] {
             let bytes = format!("*3\r\n$3\r\nbed\r\n{members}");
-            let reply = codec::parse_reply(bytes.as_bytes(), limiter.limits())
-                .expect("well-formed")
-                .expect("whole")
-                .reply;
+            let reply = parse(&bytes, limiter.limits());
             let Interpretation {
                 result,
                 is_known_form,
-            } = interpret(&reply, bytes.as_bytes(), &attempt, HostId(5), source);
+            } = interpret(&reply, bytes.as_bytes(), &attempt(), HostId(5), source);
             assert_eq!(
                 (result.outcome, result.used, is_known_form),
                 (Outcome::Good, UsageFigures { metered, units }, true),
@@ -207,7 +197,7 @@
     });
 }
 
-/// A send that was decided before the word of a drain goes out for a while only.
+/// A call that was decided before a drain goes out for the drain grace only.
 #[test]
 fn a_host_that_drains_is_soon_sent_nothing() {
     with_limiter(&[], |limiter| async move {
--- a/src/net/stages/mod.rs
+++ b/src/net/stages/mod.rs
@@ -22,7 +22,23 @@
 use std::cell::OnceCell;
 use std::rc::{Rc, Weak};
 
-/// The parts that a request passes through.
+/// The parts of a limiter that a request passes through.
+pub struct PipelineParts {
+    /// Sizes, counts and times.
+    pub limits: Rc<Limits>,
+    /// Decides on requests.
+    pub engine: Rc<EngineDriver>,
+    /// The connections to hosts.
+    pub upstream: Rc<UpstreamPool>,
+    /// The connections to the counter.
+    pub counter: Rc<CounterClient>,
+    /// The phase of the shutdown.
+    pub shutdown: Rc<Shutdown>,
+    /// Counts connections to hosts.
+    pub metrics: Option<SharedMetrics>,
+}
+
+/// The stages of one limiter.
 pub struct Pipeline {
     limits: Rc<Limits>,
     engine: Rc<EngineDriver>,
@@ -38,21 +54,14 @@
 
 impl Pipeline {
     /// A pipeline that carries out what the engine orders.
-    pub fn new(
-        limits: Rc<Limits>,
-        engine: Rc<EngineDriver>,
-        upstream: Rc<UpstreamPool>,
-        counter: Rc<CounterClient>,
-        shutdown: Rc<Shutdown>,
-        metrics: Option<SharedMetrics>,
-    ) -> Rc<Self> {
+    pub fn new(parts: PipelineParts) -> Rc<Self> {
         let pipeline = Rc::new_cyclic(|this: &Weak<Pipeline>| Pipeline {
-            limits,
-            engine,
-            upstream,
-            counter,
-            shutdown,
-            metrics,
+            limits: parts.limits,
+            engine: parts.engine,
+            upstream: parts.upstream,
+            counter: parts.counter,
+            shutdown: parts.shutdown,
+            metrics: parts.metrics,
             usage_recorder: OnceCell::new(),
             this: this.clone(),
         });
