--- /dev/null
+++ b/tests/operations/hot_restart.rs
@@ -0,0 +1,228 @@
+//! A new version beside a running one.
+
+use crate::process::{self, ask, request, served, start, CHECK};
+use crate::{open, wait_until_served_again, PING, TOY};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Twenty new versions one after another, under load on new and on kept connections: none is refused, cut off or
+/// failed. Staff's words hold over them, whichever process they were said to.
+#[test]
+fn new_versions_take_over_without_a_request_lost() {
+    let mut limiter = start(23, false, |text| text);
+    let (over, address) = (AtomicBool::new(false), limiter.address);
+    let facts = CHECK.replace("units=1", "units=0.001");
+    std::thread::scope(|scope| {
+        let client = |number: u64, keep: bool| {
+            let (over, facts) = (&over, &facts);
+            move || {
+                let (mut id, mut kept, mut cut) = (number << 32, None, 0);
+                while !over.load(Ordering::Relaxed) {
+                    id += 1;
+                    let mut stream: TcpStream = kept
+                        .take()
+                        .filter(open)
+                        .unwrap_or_else(|| TcpStream::connect(address).expect("somebody listens"));
+                    stream
+                        .write_all(request("Q.ASK", id, facts, "").as_bytes())
+                        .unwrap_or_default();
+                    let mut answer = [0; 23];
+                    match stream.read_exact(&mut answer) {
+                        Ok(()) => {
+                            assert_eq!(String::from_utf8_lossy(&answer), served(id));
+                            kept = keep.then_some(stream);
+                        }
+                        // A kept connection may end as the request is on its way; a fresh one may not.
+                        Err(e) => {
+                            assert!(keep, "a new connection ends unheard: {e}");
+                            cut += 1;
+                        }
+                    }
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                (id - (number << 32), cut)
+            }
+        };
+        let clients: Vec<_> = (1..=4)
+            .map(|number| scope.spawn(client(number, number > 2)))
+            .collect();
+        for number in 0..20 {
+            let mut first = limiter.upgrade(number);
+            let term = format!("kill -TERM {}", first.id());
+            assert!(std::process::Command::new("sh")
+                .args(["-c", &term])
+                .status()
+                .expect("kill runs")
+                .success());
+            assert!(first.wait().expect("it ends").success());
+        }
+        over.store(true, Ordering::Relaxed);
+        let (mut asked, mut cut) = (0, 0);
+        for client in clients {
+            let (of_client, cut_off) = client.join().expect("every request was served");
+            (asked, cut) = (asked + of_client, cut + cut_off);
+        }
+        assert!(asked > 200 && cut <= 20, "{asked} asked, {cut} cut off");
+    });
+}
+
+/// Waits until both processes are seen to refuse, since new connections come to either.
+fn wait_until_both_reject(limiter: &process::Limiter) {
+    let (began, few) = (Instant::now(), CHECK.replace("units=1", "units=0.01"));
+    let mut ids = 5_000..;
+    let mut in_a_row = 0;
+    while in_a_row < 12 {
+        let answer = ask(
+            &mut limiter.connect(),
+            &request("Q.ASK", ids.next().unwrap_or(0), &few, ""),
+            1,
+        );
+        in_a_row = if answer.starts_with("-BUSY") {
+            in_a_row + 1
+        } else {
+            0
+        };
+        assert!(
+            began.elapsed() < Duration::from_secs(15),
+            "not heard after {:?}",
+            began.elapsed()
+        );
+    }
+}
+
+/// While two processes live, a word to either holds at both; if the second dies, the first goes on as if alone.
+#[test]
+fn orders_to_either_process_hold_for_both_and_the_second_may_die() {
+    let mut limiter = start(27, false, |text| text);
+    let old_console = limiter.console;
+    let mut first = limiter.upgrade(70);
+    assert_eq!(
+        process::call(old_console, "PUT", "/servers/disable", TOY),
+        200
+    );
+    wait_until_both_reject(&limiter);
+    assert_eq!(limiter.call("PUT", "/drain", ""), 200);
+    let began = Instant::now();
+    while process::call(old_console, "GET", "/ready", "") != 503 {
+        assert!(
+            began.elapsed() < Duration::from_secs(1),
+            "the drain is not heard"
+        );
+    }
+    assert_eq!(process::call(old_console, "PUT", "/undrain", ""), 200);
+    // The second is killed outright: what it was told stands at the first, and nothing is steered to it.
+    limiter.child.kill().expect("it is killed");
+    limiter.child.wait().expect("it ends");
+    limiter.console = old_console;
+    assert_eq!(limiter.call("PUT", "/servers/enable", TOY), 200);
+    wait_until_served_again(&limiter);
+    let term = format!("kill -TERM {}", first.id());
+    assert!(std::process::Command::new("sh")
+        .args(["-c", &term])
+        .status()
+        .expect("kill runs")
+        .success());
+    // Nobody relieves it: as at any planned end it takes connections for a while.
+    assert_eq!(ask(&mut limiter.connect(), PING, 1), "+PONG\r\n");
+    assert!(first.wait().expect("it ends").success());
+}
+
+/// A first process that holds more than its half when the second comes, and takes no more for now, still hands over:
+/// what waits in its queue is heard as it ends.
+#[test]
+fn clients_waiting_for_a_crowded_process_are_served_as_it_ends() {
+    let long = "\"onTimeNs\": 60000000000, \"hardLimitNs\": 60000000000";
+    let mut limiter = start(29, false, |text| {
+        let text = text.replace("\"sockets\": 1024", "\"sockets\": 128");
+        text.replace(
+            "\"onTimeNs\": 2000000000, \"hardLimitNs\": 7500000000",
+            long,
+        )
+    });
+    let facts = "c=bed-check,t=operator,d=50000,units=0.1,spread=1,first=0";
+    let busy: Vec<_> = (100..140)
+        .map(|id| {
+            let mut client = limiter.connect();
+            let both = PING.to_owned() + &request("Q.ASK", id, facts, "silent");
+            assert_eq!(ask(&mut client, &both, 1), "+PONG\r\n");
+            client
+        })
+        .collect();
+    let old_console = limiter.console;
+    let first = limiter.upgrade(71);
+    // By the time that a word has come over, the first knows of the second, and keeps to its half.
+    for (word, status) in [("/drain", 503), ("/undrain", 200)] {
+        assert_eq!(limiter.call("PUT", word, ""), 200);
+        while process::call(old_console, "GET", "/ready", "") != status {}
+    }
+    std::thread::scope(|scope| {
+        let began = Instant::now();
+        let waiting: Vec<_> = (0..20)
+            .map(|_| scope.spawn(|| ask(&mut limiter.connect(), PING, 1)))
+            .collect();
+        // Some have been heard by the second by now; the others wait before the first.
+        let term = format!("kill -TERM {}", first.id());
+        assert!(std::process::Command::new("sh")
+            .args(["-c", &term])
+            .status()
+            .expect("kill runs")
+            .success());
+        for client in waiting {
+            assert_eq!(client.join().expect("it is heard"), "+PONG\r\n");
+        }
+        assert!(
+            began.elapsed() < Duration::from_secs(3),
+            "after {:?}",
+            began.elapsed()
+        );
+    });
+    drop(busy);
+    let mut first = first;
+    first.kill().expect("it is killed");
+    first.wait().expect("it ends");
+}
+
+/// A ban said to the old process holds at the new one, and the call back to the new one frees it there.
+#[test]
+fn orders_of_staff_hold_over_a_new_version() {
+    let mut limiter = start(24, false, |text| text);
+    assert_eq!(limiter.call("PUT", "/servers/disable", TOY), 200);
+    let mut first = limiter.upgrade(60);
+    first.kill().expect("it is killed");
+    first.wait().expect("it ends");
+    let mut client = limiter.connect();
+    let answer = ask(&mut client, &request("Q.ASK", 1, CHECK, ""), 1);
+    assert!(answer.starts_with("-BUSY"), "{answer}");
+    assert_eq!(limiter.call("PUT", "/servers/enable", TOY), 200);
+    wait_until_served_again(&limiter);
+}
+
+/// A version that starts while discovery is silent has the list that the first one holds, and serves by it.
+#[test]
+fn new_version_serves_by_the_handed_over_list() {
+    let mut limiter = start(39, false, |text| text);
+    assert_eq!(
+        ask(&mut limiter.connect(), &request("Q.ASK", 1, CHECK, ""), 1),
+        served(1)
+    );
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("an address");
+    limiter.discovery = silent.local_addr().expect("an address");
+    let mut first = limiter.upgrade(72);
+    first.kill().expect("it is killed");
+    first.wait().expect("it ends");
+    assert_eq!(
+        ask(&mut limiter.connect(), &request("Q.ASK", 2, CHECK, ""), 1),
+        served(2)
+    );
+    let left = std::fs::read_dir(&limiter.folder)
+        .expect("it is there")
+        .flatten();
+    let left = left.filter(|file| {
+        file.path()
+            .extension()
+            .is_some_and(|end| end == "heritage" || end == "draft")
+    });
+    assert_eq!(left.count(), 0, "what was handed over is taken away");
+}
