--- a/crates/bench/src/module.rs
+++ b/crates/bench/src/module.rs
@@ -1,7 +1,6 @@
 //! Seeded damage to the decision module: a copy of the workspace is patched, built, and its expectations run.
 
 use clap::Args;
-use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -19,175 +18,230 @@
     only: String,
 }
 
-/// The damage: a file of the module, what stands there, what stands there then, and what is wrong with it.
-const DAMAGE: &[(&str, &str, &str, &str)] = &[
-    (
-        "host_selection.rs",
-        "self.entry.state == HostState::Ready",
-        "self.entry.state != HostState::Gone",
-        "drains are not kept",
-    ),
-    (
-        "host_selection.rs",
-        "self.entry.state == HostState::Ready",
-        "self.entry.state != HostState::Draining",
-        "lost nodes are not noticed",
-    ),
-    ("host_selection.rs", "h.entry.cell == cell", "h.entry.cell == cell || true", "keyed repeats leave their cell"),
-    ("host_selection.rs", "h.entry.zone == zone,", "h.entry.zone == zone || true,", "keyed repeats leave their room"),
-    (
-        "host_selection.rs",
-        "let crossing = if h.entry.zone == self.set.zone { 0.0 } else { unseen };",
-        "let crossing = 0.0 * unseen;",
-        "rooms count for nothing",
-    ),
-    (
-        "host_selection.rs",
-        "let margin = 1.0 - 1.0 / self.set.overload_factor.max(1.0);",
-        "let margin = 40.0;",
-        "cold nodes are drawn too often",
-    ),
-    (
-        "host_selection.rs",
-        "self.set.slow_start_floor\n            + (1.0 - self.set.slow_start_floor) * age as f64",
-        "1.0 - 0.001 * age as f64",
-        "cold nodes are taken for warm",
-    ),
-    ("lifecycle.rs", "&& job.attempts < self.set.max_attempts.max(1)", "", "attempts without a cap"),
-    (
-        "lifecycle.rs",
-        "(Some(_), Effect::Unsafe) => 0,",
-        "(Some(_), Effect::Unsafe) => Nanos::MAX,",
-        "what must not run twice goes again",
-    ),
-    (
-        "lifecycle.rs",
-        "at.saturating_add(class.dedup_window)",
-        "at.saturating_add(100 * class.dedup_window)",
-        "keys outlive their window",
-    ),
-    (
-        "lifecycle.rs",
-        "self.begins_within(job) > 0\n",
-        "(self.begins_within(job) > 0 || job.ran.is_some())\n",
-        "what may have run is tried again",
-    ),
-    (
-        "lifecycle.rs",
-        "class.effect == Effect::Keyed && class.group == Group::All",
-        "class.effect == Effect::Keyed",
-        "refused as harmless though it may have run",
-    ),
-    (
-        "lifecycle.rs",
-        "unwrap_or(self.set.longest_retry_after)",
-        "unwrap_or(10 * self.set.longest_retry_after)",
-        "told to come back too late",
-    ),
-    (
-        "lifecycle.rs",
-        "Action::Reject { id, retry_after } } else {",
-        "Action::Reject { id, retry_after: 0 * retry_after } } else {",
-        "refused untold",
-    ),
-    (
-        "lifecycle.rs",
-        "if job.ran.is_none() {\n            self.quotas.adjust(&job.claim, -job.claim.units, false, out);\n        }",
-        "self.quotas.adjust(&job.claim, -job.claim.units, false, out);",
-        "units come back though they were sent on",
-    ),
-    (
-        "lifecycle.rs",
-        "(job.want.avoid, job.want.draw, job.stage) = (Some(sent.host), draw, Stage::Held);",
-        "(job.want.avoid, job.want.draw, job.stage) = (None, draw, Stage::Out);",
-        "a further attempt is lost sight of",
-    ),
-    (
-        "lifecycle.rs",
-        "(\"deadline\", Some(id), Some(stage)) if stage != Stage::Streaming => self.finish(id, out),",
-        "(\"deadline\", Some(_), Some(stage)) if stage != Stage::Streaming => {}",
-        "deadlines pass",
-    ),
-    (
-        "quota.rs",
-        "(plan.rate * length).max(WINDOW_BURSTS * burst)",
-        "(3.0 * plan.rate * length).max(WINDOW_BURSTS * burst)",
-        "three times the limit",
-    ),
-    ("quota.rs", "let amount = weight * units + q.owed;", "let amount = q.owed;", "adds leave out the request"),
-    ("quota.rs", "(total + q.lost, true)", "(call.amount, true)", "others' adds are not seen"),
-    ("quota.rs", "q.lost += (q.known - q.lost - before).max(0.0);", "", "a counter that forgot is believed"),
-    (
-        "quota.rs",
-        "previous * (1.0 - (of.at % of.length) as f64 / of.length as f64) + current",
-        "current",
-        "the window before counts for nothing",
-    ),
-    (
-        "quota.rs",
-        "(q.known + call.amount, q.own + call.amount)",
-        "(q.known - call.amount, q.own + call.amount)",
-        "adds that may be lost come back",
-    ),
-    (
-        "quota.rs",
-        "let share = q.share(spread, seen);",
-        "let share = 1.0;",
-        "each limiter takes the whole quota for its own",
-    ),
-    (
-        "quota.rs",
-        "if q.previous_read || !q.over(",
-        "if true || !q.over(",
-        "the window before is never read",
-    ),
-    (
-        "lifecycle.rs",
-        "if over { self.quotas.next_window(&job.claim) } else",
-        "if over { 0 } else",
-        "over its quota and untold",
-    ),
+/// Path of the decision module in the workspace.
+const MODULE_PATH: &str = "crates/decision/src";
+
+/// One damage to the decision module.
+struct Damage {
+    /// Path of the file in the module.
+    file: &'static str,
+    /// Text that stands there.
+    original: &'static str,
+    /// Text that replaces it.
+    damaged: &'static str,
+    /// What is wrong with the damaged module.
+    description: &'static str,
+}
+
+const DAMAGES: &[Damage] = &[
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "self.entry.state == HostState::Ready",
+        damaged: "self.entry.state != HostState::Gone",
+        description: "drains are not kept",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "self.entry.state == HostState::Ready",
+        damaged: "self.entry.state != HostState::Draining",
+        description: "lost nodes are not noticed",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "host.entry.cell == location.cell",
+        damaged: "host.entry.cell == location.cell || true",
+        description: "keyed repeats leave their cell",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "host.entry.zone == location.zone",
+        damaged: "host.entry.zone == location.zone || true",
+        description: "keyed repeats leave their room",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "let crossing = if host.entry.zone == self.settings.zone { 0.0 } else { others };",
+        damaged: "let crossing = 0.0 * others;",
+        description: "rooms count for nothing",
+    },
+    Damage {
+        file: "host_selection/selection.rs",
+        original: "let margin = 1.0 - 1.0 / self.settings.overload_factor.max(1.0);",
+        damaged: "let margin = 40.0;",
+        description: "cold nodes are drawn too often",
+    },
+    Damage {
+        file: "host_selection/slow_start.rs",
+        original: "self.settings.slow_start_floor\n            + (1.0 - self.settings.slow_start_floor) * age as f64",
+        damaged: "1.0 - 0.001 * age as f64",
+        description: "cold nodes are taken for warm",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "&& request.attempts < self.settings.max_attempts.max(1)",
+        damaged: "",
+        description: "attempts without a cap",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "Effect::Unsafe => 0,",
+        damaged: "Effect::Unsafe => Nanos::MAX,",
+        description: "what must not run twice goes again",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "run.sent_at.saturating_add(class.dedup_window)",
+        damaged: "run.sent_at.saturating_add(100 * class.dedup_window)",
+        description: "keys outlive their window",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "self.begins_within(request) > 0\n",
+        damaged: "(self.begins_within(request) > 0 || request.first_run.is_some())\n",
+        description: "what may have run is tried again",
+    },
+    Damage {
+        file: "lifecycle/completion.rs",
+        original: "class.effect == Effect::Keyed && class.group == Group::All",
+        damaged: "class.effect == Effect::Keyed",
+        description: "refused as harmless though it may have run",
+    },
+    Damage {
+        file: "lifecycle/queue.rs",
+        original: "unwrap_or(self.settings.longest_retry_after)",
+        damaged: "unwrap_or(10 * self.settings.longest_retry_after)",
+        description: "told to come back too late",
+    },
+    Damage {
+        file: "lifecycle/completion.rs",
+        original: "Action::Reject { id, retry_after } } else {",
+        damaged: "Action::Reject { id, retry_after: 0 * retry_after } } else {",
+        description: "refused untold",
+    },
+    Damage {
+        file: "lifecycle/completion.rs",
+        original: "if request.first_run.is_none() {\n            self.quotas.adjust(&request.claim, -request.claim.units, Correction::Refund, actions);\n        }",
+        damaged: "self.quotas.adjust(&request.claim, -request.claim.units, Correction::Refund, actions);",
+        description: "units come back though they were sent on",
+    },
+    Damage {
+        file: "lifecycle/dispatch.rs",
+        original: "request.requirements.avoid = Some(failed_host);\n            request.requirements.slow_start_draw = slow_start_draw;\n            request.state = RequestState::Queued;",
+        damaged: "request.requirements.avoid = None;\n            request.requirements.slow_start_draw = slow_start_draw;\n            request.state = RequestState::InFlight;",
+        description: "a further attempt is lost sight of",
+    },
+    Damage {
+        file: "lifecycle/completion.rs",
+        original: "if self.requests.get(&id).is_some_and(|request| request.state != RequestState::Streaming) {\n            self.finish(id, actions);\n        }",
+        damaged: "let _ = (id, actions);",
+        description: "deadlines pass",
+    },
+    Damage {
+        file: "quota/window.rs",
+        original: "(plan.rate * seconds).max(WINDOW_LENGTH_BURSTS * burst)",
+        damaged: "(3.0 * plan.rate * seconds).max(WINDOW_LENGTH_BURSTS * burst)",
+        description: "three times the limit",
+    },
+    Damage {
+        file: "quota/verdict.rs",
+        original: "let amount = sampling.weight * claim.units + quota.unsent;",
+        damaged: "let amount = quota.unsent;",
+        description: "adds leave out the request",
+    },
+    Damage {
+        file: "quota/counter.rs",
+        original: "self.total = total + self.lost;",
+        damaged: "self.total = call.amount;",
+        description: "others' adds are not seen",
+    },
+    Damage {
+        file: "quota/counter.rs",
+        original: "self.lost += (self.total - self.lost - total_before).max(0.0);",
+        damaged: "",
+        description: "a counter that forgot is believed",
+    },
+    Damage {
+        file: "quota/window.rs",
+        original: "previous * (1.0 - self.progress()) + current",
+        damaged: "current",
+        description: "the window before counts for nothing",
+    },
+    Damage {
+        file: "quota/counter.rs",
+        original: "self.total += call.amount;",
+        damaged: "self.total -= call.amount;",
+        description: "adds that may be lost come back",
+    },
+    Damage {
+        file: "quota/verdict.rs",
+        original: "let share = quota.local_share(claim.spread, window.refill);",
+        damaged: "let share = 1.0;",
+        description: "each limiter takes the whole quota for its own",
+    },
+    Damage {
+        file: "quota/verdict.rs",
+        original: "if quota.is_previous_read || !quota.is_over(",
+        damaged: "if true || !quota.is_over(",
+        description: "the window before is never read",
+    },
+    Damage {
+        file: "lifecycle/admission.rs",
+        original: "Verdict::OverQuota => self.quotas.time_to_next_window(&request.claim),",
+        damaged: "Verdict::OverQuota => 0,",
+        description: "over its quota and untold",
+    },
 ];
 
 impl Module {
-    /// Patches, builds and checks.
+    /// Patches, builds and checks a copy for each damage. Returns a table of what caught it.
     pub fn run(self) -> Result<String, String> {
         let folder = self
             .folder
             .unwrap_or_else(|| std::env::temp_dir().join("quartzcleat-module"));
-        let source = self.root.join("crates/decision/src");
-        let mut out = String::from("| damage | file | caught by |\n| --- | --- | --- |\n");
-        let (mut made, mut caught) = (0, 0);
+        let source = self.root.join(MODULE_PATH);
         copy(&self.root, &folder)?;
-        let target = folder.join("crates/decision/src");
-        for (file, from, to, why) in DAMAGE.iter().filter(|(.., why)| why.contains(&self.only)) {
-            let text =
-                std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
-            if text.matches(from).count() == 0 {
-                return Err(format!("{file}: {from:?} stands there no more"));
+        let mut table = String::from("| damage | file | caught by |\n| --- | --- | --- |\n");
+        let mut tried = 0;
+        let mut caught = 0;
+        for damage in DAMAGES {
+            if !damage.description.contains(&self.only) {
+                continue;
             }
-            std::fs::write(target.join(file), text.replacen(from, to, 1))
-                .map_err(|e| e.to_string())?;
-            let by = check(&folder)?;
-            std::fs::write(target.join(file), &text).map_err(|e| e.to_string())?;
-            (made, caught) = (made + 1, caught + usize::from(!by.is_empty()));
-            let first = by.first().map_or_else(
-                || "**nothing**".to_owned(),
-                |name| {
-                    if by.len() > 1 {
-                        format!("{name} and {} more", by.len() - 1)
-                    } else {
-                        name.clone()
-                    }
-                },
-            );
-            let _ = writeln!(out, "| {why} | {file} | {first} |");
+            let failed = damage.check(&source, &folder)?;
+            tried += 1;
+            caught += usize::from(!failed.is_empty());
+            let (description, file) = (damage.description, damage.file);
+            table += &format!("| {description} | {file} | {} |\n", summary(&failed));
+        }
+        table += &format!("\n{tried} single changes to the module: {caught} caught\n");
+        Ok(table)
+    }
+}
+
+impl Damage {
+    /// Damages the module in a copy and restores it. Returns the expectations that failed in between.
+    fn check(&self, source: &Path, folder: &Path) -> Result<Vec<String>, String> {
+        let Damage { file, original, .. } = self;
+        let text =
+            std::fs::read_to_string(source.join(file)).map_err(|e| format!("{file}: {e}"))?;
+        if !text.contains(original) {
+            return Err(format!("{file}: {original:?} stands there no more"));
         }
-        let _ = writeln!(
-            out,
-            "\n{made} single changes to the module: {caught} caught"
-        );
-        Ok(out)
+        let copy = folder.join(MODULE_PATH).join(file);
+        let damaged = text.replacen(original, self.damaged, 1);
+        std::fs::write(&copy, damaged).map_err(|e| e.to_string())?;
+        let failed = failed_expectations(folder)?;
+        std::fs::write(&copy, &text).map_err(|e| e.to_string())?;
+        Ok(failed)
+    }
+}
+
+/// The first of the failed expectations and the number of the others.
+fn summary(failed: &[String]) -> String {
+    match failed {
+        [] => "**nothing**".to_owned(),
+        [name] => name.clone(),
+        [name, others @ ..] => format!("{name} and {} more", others.len()),
     }
 }
 
@@ -217,7 +271,7 @@
 }
 
 /// The expectations that do not hold with the module as it is in a copy.
-fn check(folder: &Path) -> Result<Vec<String>, String> {
+fn failed_expectations(folder: &Path) -> Result<Vec<String>, String> {
     let built = Command::new("cargo")
         .args(["build", "--quiet", "--offline", "--bin", "quartzcleat"])
         .current_dir(folder)
@@ -235,8 +289,9 @@
         .current_dir(folder)
         .output()
         .map_err(|e| e.to_string())?;
-    let told: serde_json::Value = serde_json::from_slice(&ran.stdout).map_err(|e| e.to_string())?;
-    let results = told["results"].as_array().ok_or("no results")?;
+    let report: serde_json::Value =
+        serde_json::from_slice(&ran.stdout).map_err(|e| e.to_string())?;
+    let results = report["results"].as_array().ok_or("no results")?;
     let failed = results.iter().filter(|result| result["verdict"] != "held");
     Ok(failed
         .filter_map(|result| result["name"].as_str().map(str::to_owned))
@@ -244,16 +299,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a table that tells of damage which can no longer be done.
-    #[test]
-    fn all_that_is_to_be_damaged_stands_in_the_module() {
-        let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../decision/src");
-        for (file, from, ..) in DAMAGE {
-            let text = std::fs::read_to_string(source.join(file)).expect("a file of the module");
-            assert!(text.contains(from), "{file}: {from:?} stands there no more");
-        }
-    }
-}
+mod tests;
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -139,12 +139,12 @@
 
     /// What the engine believes at this moment.
     pub fn status(&self) -> EngineStatus {
-        self.engine.borrow().view()
+        self.engine.borrow().status()
     }
 
     /// What the engine has learned, for a process that takes over.
     pub fn snapshot(&self) -> EngineSnapshot {
-        self.engine.borrow().learned()
+        self.engine.borrow().snapshot()
     }
 
     /// Whether another request can be opened.
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -6,10 +6,10 @@
 use crate::net::config::Limits;
 use crate::net::engine::{HostCall, HostCommand};
 use crate::net::resp::{
-    codec,
+    codec::{self, ParsedReply, ValueHead},
     upstream::{self, UpstreamConnection},
 };
-use crate::net::streaming_body::Pipe;
+use crate::net::streaming_body::StreamingBody;
 use std::io;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
@@ -39,12 +39,7 @@
     /// The call has ended.
     Ended(CallEnd),
     /// The head of a long value was received; the value is streamed.
-    LongValue {
-        /// Length of the head, in bytes.
-        head_bytes: usize,
-        /// Length of the value, in bytes.
-        value_bytes: usize,
-    },
+    LongValue(ValueHead),
 }
 
 impl From<Outcome> for Exchange {
@@ -65,9 +60,9 @@
     else {
         return run_unrecorded(pipeline, connection, call).await;
     };
-    let attempt = usage_recorder.begin(charge.customer.0, charge.units);
+    let attempt = usage_recorder.start_attempt(charge.customer.0, charge.units);
     let end = run_unrecorded(pipeline, connection, call).await;
-    usage_recorder.end(attempt, &end.result, connection.command_sent, charge.units);
+    usage_recorder.end_attempt(attempt, &end.result, connection.command_sent, charge.units);
     end
 }
 
@@ -82,8 +77,8 @@
         () = call.cancellation.requested.notified() => Outcome::Cancelled,
         exchanged = exchange(pipeline, connection, call) => match exchanged {
             Exchange::Ended(end) => return end,
-            Exchange::LongValue { head_bytes, value_bytes } => {
-                return stream_value(pipeline, connection, call, head_bytes, value_bytes).await;
+            Exchange::LongValue(head) => {
+                return stream_value(pipeline, connection, call, head).await;
             }
         },
         () = sleep_until(call.deadline) => Outcome::Timeout,
@@ -186,18 +181,15 @@
     if !upstream::may_become_reply(&connection.input, &call.command) {
         return Some(Outcome::Error.into());
     }
-    if let Some((head_bytes, value_bytes)) = codec::value_head(&connection.input) {
+    if let Some(head) = codec::value_head(&connection.input) {
         if (limits.codec.max_value_bytes + 1..=limits.streaming.max_value_bytes)
-            .contains(&value_bytes)
+            .contains(&head.value_bytes)
         {
-            return Some(Exchange::LongValue {
-                head_bytes,
-                value_bytes,
-            });
+            return Some(Exchange::LongValue(head));
         }
     }
-    match codec::reply(&connection.input, limits) {
-        Ok(Some((reply, length))) => {
+    match codec::parse_reply(&connection.input, limits) {
+        Ok(Some(ParsedReply { reply, length })) => {
             let interpretation = upstream::interpret(
                 &reply,
                 &connection.input,
@@ -222,7 +214,7 @@
 /// would be waited for until the request's deadline.
 async fn read_more(connection: &mut UpstreamConnection, limits: &Limits) -> Result<(), Outcome> {
     let has_begun = !connection.input.is_empty();
-    let more = codec::more(
+    let more = codec::read_more(
         &mut connection.stream,
         &mut connection.input,
         limits.codec.read_chunk_bytes,
@@ -245,17 +237,16 @@
     pipeline: &Pipeline,
     connection: &mut UpstreamConnection,
     call: &HostCall,
-    head_bytes: usize,
-    value_bytes: usize,
+    head: ValueHead,
 ) -> CallEnd {
     let limits = &pipeline.limits;
     codec::consume(
         &mut connection.input,
-        head_bytes,
+        head.head_bytes,
         limits.streaming.window_bytes,
     );
-    let body = Pipe::new(
-        value_bytes,
+    let body = StreamingBody::new(
+        head.value_bytes,
         limits.streaming.window_bytes,
         pipeline.engine.buffered_bytes(),
     );
@@ -263,10 +254,15 @@
         return Outcome::Cancelled.into();
     }
     let streamed = forward_value(connection, &body, limits).await;
-    body.end(streamed.is_ok());
     match streamed {
-        Ok(()) => read_trailer(connection, call, limits).await,
-        Err(outcome) => outcome.into(),
+        Ok(()) => {
+            body.complete();
+            read_trailer(connection, call, limits).await
+        }
+        Err(outcome) => {
+            body.fail();
+            outcome.into()
+        }
     }
 }
 
@@ -278,7 +274,8 @@
 ) -> CallEnd {
     let mut result = CallResult::from(Outcome::Good);
     for is_usage in [true, false] {
-        let Some((reply, length)) = read_trailer_member(connection, limits).await else {
+        let Some(ParsedReply { reply, length }) = read_trailer_member(connection, limits).await
+        else {
             return CallEnd {
                 result,
                 reusable: false,
@@ -299,12 +296,12 @@
 async fn read_trailer_member(
     connection: &mut UpstreamConnection,
     limits: &Limits,
-) -> Option<(codec::Reply, usize)> {
+) -> Option<ParsedReply> {
     loop {
-        if let Some(member) = codec::reply(&connection.input, limits).ok()? {
+        if let Some(member) = codec::parse_reply(&connection.input, limits).ok()? {
             return Some(member);
         }
-        let more = codec::more(
+        let more = codec::read_more(
             &mut connection.stream,
             &mut connection.input,
             limits.codec.read_chunk_bytes,
@@ -321,29 +318,32 @@
 /// Moves a value from its host into the body, to its end.
 async fn forward_value(
     connection: &mut UpstreamConnection,
-    body: &Pipe,
+    body: &StreamingBody,
     limits: &Limits,
 ) -> Result<(), Outcome> {
     let mut remaining = body.length();
     loop {
-        if body.left() {
+        if body.is_abandoned() {
             return Err(Outcome::Cancelled);
         }
         // The last byte stays behind until the end of the value has been seen.
-        let count = body.room().min(connection.input.len()).min(remaining - 1);
+        let count = body
+            .free_capacity()
+            .min(connection.input.len())
+            .min(remaining - 1);
         if count > 0 {
-            body.put(&connection.input[..count]);
+            body.write(&connection.input[..count]);
             connection.input.drain(..count);
             remaining -= count;
         }
-        if remaining == 1 && connection.input.len() >= 3 && body.room() > 0 {
+        if remaining == 1 && connection.input.len() >= 3 && body.free_capacity() > 0 {
             return forward_last_byte(connection, body, limits);
         }
-        if body.room() == 0 {
+        if body.free_capacity() == 0 {
             body.drained().await;
             continue;
         }
-        let more = codec::more(
+        let more = codec::read_more(
             &mut connection.stream,
             &mut connection.input,
             limits.streaming.window_bytes / 2,
@@ -361,13 +361,13 @@
 
 fn forward_last_byte(
     connection: &mut UpstreamConnection,
-    body: &Pipe,
+    body: &StreamingBody,
     limits: &Limits,
 ) -> Result<(), Outcome> {
     if &connection.input[1..3] != b"\r\n" {
         return Err(Outcome::Error);
     }
-    body.put(&connection.input[..1]);
+    body.write(&connection.input[..1]);
     codec::consume(&mut connection.input, 3, limits.codec.read_chunk_bytes);
     Ok(())
 }
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -1,7 +1,7 @@
 //! Third stage: the decision engine's actions are carried out, in its order.
 
 use super::{complete, dispatch, Pipeline};
-use crate::api::{Action, Event, Nanos, Outcome};
+use crate::api::{Action, Event, Nanos, Outcome, Timer};
 use crate::net::engine::{Answer, AttemptId, AttemptOrder};
 use crate::net::task::spawn;
 use std::rc::Rc;
@@ -43,7 +43,7 @@
         Action::Fail { id } => {
             complete::answer(pipeline, id, Answer::Failed);
         }
-        Action::SetTimer { tag, after } => set_timer(pipeline, tag, after),
+        Action::SetTimer { timer, after } => set_timer(pipeline, timer, after),
         Action::Count {
             name,
             amount,
@@ -95,11 +95,11 @@
     }
 }
 
-fn set_timer(pipeline: &Rc<Pipeline>, tag: String, after: Nanos) {
+fn set_timer(pipeline: &Rc<Pipeline>, timer: Timer, after: Nanos) {
     let due = Instant::now() + Duration::from_nanos(after);
     let pipeline = pipeline.clone();
     spawn(async move {
         sleep_until(due).await;
-        pipeline.engine.handle(Event::Timer { tag });
+        pipeline.engine.handle(Event::Timer { timer });
     });
 }
