--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -9,6 +9,7 @@
 use super::resp::downstream::RequestCatalog;
 use super::resp::upstream::UpstreamPool;
 use super::shutdown::unix;
+use super::start_error::StartError;
 use super::task::spawn;
 use crate::api::{Event, Settings};
 use quartzcleat_admin::ClassIndices;
@@ -72,9 +73,11 @@
     ///
     /// # Errors
     /// The signal handler cannot be installed.
-    pub fn watch(self: &Rc<Self>) -> Result<(), String> {
-        let mut hangup =
-            signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
+    pub fn watch(self: &Rc<Self>) -> Result<(), StartError> {
+        let mut hangup = signal(SignalKind::hangup()).map_err(|source| StartError::Signal {
+            signal: "SIGHUP",
+            source,
+        })?;
         let reloader = self.clone();
         spawn(async move {
             while hangup.recv().await.is_some() {
@@ -88,7 +91,7 @@
     /// Puts a configuration into force. A faulty one is reported, and the one before stays.
     fn apply(self: &Rc<Self>, read: Result<Config, ConfigError>) {
         let config = match read {
-            Err(problem) => return tracing::warn!("the configuration stays as it was: {problem}"),
+            Err(error) => return tracing::warn!(%error, "configuration rejected"),
             Ok(config) => config,
         };
         self.file.replace(config.file);
@@ -116,7 +119,7 @@
         tracing::info!(
             classes = settings.classes.len(),
             plans = settings.plans.len(),
-            "new settings are in force"
+            "configuration applied"
         );
         self.parts.engine.handle(Event::SettingsChanged {
             settings: Box::new(indexed),
