--- a/crates/config/src/deployment/tests.rs
+++ b/crates/config/src/deployment/tests.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn settings_are_read_with_units_and_names() {
-    let deployment = Deployment::read("day.yaml", DEPLOYMENT).expect("sound");
+    let deployment = Deployment::read("day.yaml", DEPLOYMENT).expect("valid");
     assert_eq!(
         (
             deployment.settings.tick,
@@ -47,7 +47,7 @@
     );
     assert_eq!(
         Deployment::read("config.json", &whole)
-            .expect("sound")
+            .expect("valid")
             .settings
             .plans,
         deployment.settings.plans
@@ -93,10 +93,10 @@
 
 #[test]
 fn changing_a_key_leaves_the_others() {
-    let deployment = Deployment::read("day.yaml", DEPLOYMENT).expect("sound");
+    let deployment = Deployment::read("day.yaml", DEPLOYMENT).expect("valid");
     let changed = deployment
         .with(&[Change::set("limits.sendCap", Content::Number(7.0))])
-        .expect("sound");
+        .expect("valid");
     assert_eq!(
         (changed.settings.max_attempts, changed.settings.plans.len()),
         (7, 1)
--- a/crates/config/src/formula/tests.rs
+++ b/crates/config/src/formula/tests.rs
@@ -35,7 +35,7 @@
 
 #[test]
 fn names_units_and_arithmetic_are_evaluated() {
-    let formula = evaluated("plans.guide.burst * 1.5 - 2").expect("sound");
+    let formula = evaluated("plans.guide.burst * 1.5 - 2").expect("valid");
     assert_eq!((formula.value, formula.is_time), (16.0, false));
     assert!(formula.keys.contains("contracts.0.peakUnits"));
     assert_eq!(
--- a/crates/config/src/platform/tests.rs
+++ b/crates/config/src/platform/tests.rs
@@ -20,7 +20,7 @@
 #[test]
 fn key_table_decoder_and_encoder_agree() {
     let counts = [("categories.count", "1"), ("contracts.count", "1")];
-    let absent = decode(counts.into_iter().collect()).expect("sound");
+    let absent = decode(counts.into_iter().collect()).expect("valid");
     for SettingKey {
         pattern,
         kind,
--- a/crates/config/src/replacement/tests.rs
+++ b/crates/config/src/replacement/tests.rs
@@ -17,8 +17,40 @@
     })
 }
 
+/// A change of the configuration, and how its first fault begins.
+struct InvalidChange {
+    pointer: &'static str,
+    value: Value,
+    fault: &'static str,
+}
+
+fn change(pointer: &'static str, value: Value, fault: &'static str) -> InvalidChange {
+    InvalidChange {
+        pointer,
+        value,
+        fault,
+    }
+}
+
+#[rustfmt::skip] // One change a line.
+fn invalid_changes() -> Vec<InvalidChange> {
+    vec![
+        change("/settings/categories/1/hardLimitNs", json!(0), "settings.categories.1.hardLimitNs"),
+        change("/settings/categories/0/hardLimitNs", json!("5"), "settings.categories.0.hardLimitNs"),
+        change("/settings/limits/sendCap", json!(-1), "settings.limits.sendCap"),
+        change("/settings/limits/sendCap", json!(null), "settings.limits.sendCap"),
+        change("/settings/limits", json!({}), "settings.limits.sendCap: missing"),
+        change("/settings/categories/0", json!({"name": "check"}), "settings.categories.0.hardLimitNs: missing"),
+        change("/settings/categories", json!([]), "settings.categories: empty"),
+        change("/settings/categories/0/name", json!("hold"), "settings.categories.1.name: given twice"),
+        change("/settings/contracts/0/name", json!(""), "settings.contracts.0.name: empty"),
+        change("/settings", json!([]), "settings: a list where an object was"),
+        change("", json!({}), "name: missing"),
+    ]
+}
+
 #[test]
-fn lost_or_malformed_keys_are_named() {
+fn members_and_optional_keys_may_change() {
     let current = valid();
     assert!(check_replacement(&current, &current).is_empty());
     let mut other = current.clone();
@@ -30,67 +62,25 @@
         "classes come and go: {:?}",
         check_replacement(&current, &other)
     );
-    for (path, value, expected) in [
-        (
-            "/settings/categories/1/hardLimitNs",
-            json!(0),
-            "settings.categories.1.hardLimitNs",
-        ),
-        (
-            "/settings/categories/0/hardLimitNs",
-            json!("5"),
-            "settings.categories.0.hardLimitNs",
-        ),
-        (
-            "/settings/limits/sendCap",
-            json!(-1),
-            "settings.limits.sendCap",
-        ),
-        (
-            "/settings/limits/sendCap",
-            json!(null),
-            "settings.limits.sendCap",
-        ),
-        (
-            "/settings/limits",
-            json!({}),
-            "settings.limits.sendCap: missing",
-        ),
-        (
-            "/settings/categories/0",
-            json!({"name": "check"}),
-            "settings.categories.0.hardLimitNs: missing",
-        ),
-        (
-            "/settings/categories",
-            json!([]),
-            "settings.categories: empty",
-        ),
-        (
-            "/settings/categories/0/name",
-            json!("hold"),
-            "settings.categories.1.name: given twice",
-        ),
-        (
-            "/settings/contracts/0/name",
-            json!(""),
-            "settings.contracts.0.name: empty",
-        ),
-        (
-            "/settings",
-            json!([]),
-            "settings: a list where an object was",
-        ),
-        ("", json!({}), "name: missing"),
-    ] {
-        let mut broken = current.clone();
-        *broken.pointer_mut(path).expect("it is there") = value;
-        let faults = check_replacement(&current, &broken);
+}
+
+#[test]
+fn lost_or_malformed_keys_are_named() {
+    let current = valid();
+    for InvalidChange {
+        pointer,
+        value,
+        fault,
+    } in invalid_changes()
+    {
+        let mut invalid = current.clone();
+        *invalid.pointer_mut(pointer).expect("it is there") = value;
+        let faults = check_replacement(&current, &invalid);
         assert!(
             faults
                 .first()
-                .is_some_and(|fault| fault.to_string().starts_with(expected)),
-            "{path}: {faults:?}"
+                .is_some_and(|first| first.to_string().starts_with(fault)),
+            "{pointer}: {faults:?}"
         );
     }
 }
--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -5,7 +5,7 @@
 
 fn limits_of_example(from: &str, to: &str) -> Limits {
     let text = include_str!("../../../examples/toy.json").replace(from, to);
-    parse(&text, |_| None).expect("the example is sound").limits
+    parse(&text, |_| None).expect("the example is valid").limits
 }
 
 fn json(text: &str) -> Value {
@@ -51,8 +51,8 @@
         name.starts_with("BALANCER_")
             .then(|| in_environment.to_owned())
     };
-    let old = parse(text, variable).expect("sound");
-    let new = parse_replacement(&json(text), text, variable).expect("sound");
+    let old = parse(text, variable).expect("valid");
+    let new = parse_replacement(&json(text), text, variable).expect("valid");
     let address = |text: &str| text.parse().expect("an address");
     let (discovery, counter) = (address(in_environment), Some(address(in_environment)));
     assert_eq!(old.addresses, Addresses { discovery, counter });
@@ -66,7 +66,7 @@
     let without_discovery = text.replace("\"discovery\"", "\"elsewhere\"");
     assert_eq!(
         parse_replacement(&json(&without_discovery), &without_discovery, variable)
-            .expect("sound")
+            .expect("valid")
             .addresses
             .discovery,
         address(in_environment)
