--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -73,3 +73,60 @@
     );
     assert!(parse_replacement(&json(text), "{", variable).is_err());
 }
+
+/// Changes of the example, as old and new text, and the errors that they give.
+const INVALID_EXAMPLES: [(&str, &str, &str); 10] = [
+    ("\"listen\":", "\"listener\":", "listen: missing"),
+    (
+        "\"counter\": \"127.0.0.1:7002\"",
+        "\"counter\": \"nowhere\"",
+        "counter: \"nowhere\" is not an address with a port",
+    ),
+    (
+        "\"sockets\": 1024",
+        "\"sockets\": 1.5",
+        "limits.sockets: 1.5 is not a count",
+    ),
+    (
+        "\"sockets\": 1024",
+        "\"sockets\": 127",
+        "limits.sockets: 127 is too few, 128 are needed",
+    ),
+    (
+        "\"seed\": \"",
+        "\"seed\": \"x",
+        "seed: \"x8c1f30d27a5be964\" is not a hexadecimal number",
+    ),
+    (
+        "\"8c1f30d27a5be964\"",
+        "7",
+        "seed: 7 is not a text of hexadecimal digits",
+    ),
+    ("\"settings\":", "\"setting\":", "settings: missing"),
+    (
+        "\"zones\": [\"a\"]",
+        "\"zones\": [1]",
+        "settings.zones: 1 is not a name",
+    ),
+    (
+        "\"kinds\": [\"toy\"]",
+        "\"kinds\": \"a\"",
+        "settings.kinds: \"a\" is not a list of names",
+    ),
+    (
+        "\"connIdleNs\": 30000000000",
+        "\"connIdleNs\": \"long\"",
+        "settings.limits.connIdleNs: cannot read \"long\"",
+    ),
+];
+
+#[test]
+fn errors_name_the_key_and_the_value() {
+    let example = include_str!("../../../examples/toy.json");
+    for (from, to, message) in INVALID_EXAMPLES {
+        let text = example.replacen(from, to, 1);
+        assert_ne!(text, example, "{from}");
+        let error = parse(&text, |_| None).expect_err(to);
+        assert_eq!(error.to_string(), message);
+    }
+}
