--- a/crates/config/src/lease/limiters.rs
+++ b/crates/config/src/lease/limiters.rs
@@ -2,7 +2,7 @@
 
 use super::LeaseConfigError;
 use crate::reader::text;
-use crate::tree::{Content, Node};
+use crate::tree::{Content, Entry, Node};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -20,15 +20,15 @@
         return Err(LeaseConfigError::LimitersNotAMap);
     };
     let mut limiters = BTreeMap::new();
-    for entry in members.iter().take(MAX_LIMITERS) {
-        let address = read_unused_address(&entry.value, &limiters).map_err(|source| {
+    for Entry { key, place, value } in members.iter().take(MAX_LIMITERS) {
+        let address = read_unused_address(value, &limiters).map_err(|source| {
             LeaseConfigError::InvalidLimiter {
-                limiter: entry.key.clone(),
-                line: entry.place.line,
+                limiter: key.clone(),
+                line: place.line,
                 source: Box::new(source),
             }
         })?;
-        limiters.insert(entry.key.clone(), address);
+        limiters.insert(key.clone(), address);
     }
     Ok(limiters)
 }
--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -5,7 +5,7 @@
 
 fn limits_of_example(from: &str, to: &str) -> Limits {
     let text = include_str!("../../../examples/toy.json").replace(from, to);
-    parse(&text, |_| None).expect("the example is sound").limits
+    parse(&text, |_| None).expect("the example is valid").limits
 }
 
 fn json(text: &str) -> Value {
@@ -51,8 +51,8 @@
         name.starts_with("BALANCER_")
             .then(|| in_environment.to_owned())
     };
-    let old = parse(text, variable).expect("sound");
-    let new = parse_replacement(&json(text), text, variable).expect("sound");
+    let old = parse(text, variable).expect("valid");
+    let new = parse_replacement(&json(text), text, variable).expect("valid");
     let address = |text: &str| text.parse().expect("an address");
     let (discovery, counter) = (address(in_environment), Some(address(in_environment)));
     assert_eq!(old.addresses, Addresses { discovery, counter });
@@ -66,10 +66,67 @@
     let without_discovery = text.replace("\"discovery\"", "\"elsewhere\"");
     assert_eq!(
         parse_replacement(&json(&without_discovery), &without_discovery, variable)
-            .expect("sound")
+            .expect("valid")
             .addresses
             .discovery,
         address(in_environment)
     );
     assert!(parse_replacement(&json(text), "{", variable).is_err());
 }
+
+/// Changes of the example, as old and new text, and the errors that they give.
+const INVALID_EXAMPLES: [(&str, &str, &str); 10] = [
+    ("\"listen\":", "\"listener\":", "listen: missing"),
+    (
+        "\"counter\": \"127.0.0.1:7002\"",
+        "\"counter\": \"nowhere\"",
+        "counter: \"nowhere\" is not an address with a port",
+    ),
+    (
+        "\"sockets\": 1024",
+        "\"sockets\": 1.5",
+        "limits.sockets: 1.5 is not a count",
+    ),
+    (
+        "\"sockets\": 1024",
+        "\"sockets\": 127",
+        "limits.sockets: 127 is too few, 128 are needed",
+    ),
+    (
+        "\"seed\": \"",
+        "\"seed\": \"x",
+        "seed: \"x8c1f30d27a5be964\" is not a hexadecimal number",
+    ),
+    (
+        "\"8c1f30d27a5be964\"",
+        "7",
+        "seed: 7 is not a text of hexadecimal digits",
+    ),
+    ("\"settings\":", "\"setting\":", "settings: missing"),
+    (
+        "\"zones\": [\"a\"]",
+        "\"zones\": [1]",
+        "settings.zones: 1 is not a name",
+    ),
+    (
+        "\"kinds\": [\"toy\"]",
+        "\"kinds\": \"a\"",
+        "settings.kinds: \"a\" is not a list of names",
+    ),
+    (
+        "\"connIdleNs\": 30000000000",
+        "\"connIdleNs\": \"long\"",
+        "settings.limits.connIdleNs: cannot read \"long\"",
+    ),
+];
+
+#[test]
+fn errors_name_the_key_and_the_value() {
+    let example = include_str!("../../../examples/toy.json");
+    for (from, to, message) in INVALID_EXAMPLES {
+        let text = example.replacen(from, to, 1);
+        assert_ne!(text, example, "{from}");
+        let error = parse(&text, |_| None).expect_err(to);
+        assert_eq!(error.to_string(), message);
+    }
+}
