--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -1,198 +1,199 @@
-//! Clients: each request on a connection of its own, its one answer awaited, and a retry where the scenario has one.
+//! Clients: each request uses a connection of its own, waits for its one answer, and is retried where the scenario's
+//! clients retry.
 
+use crate::context::{Context, RequestState};
 use crate::resp::{self, Reply};
-use crate::stage::{Asked, Stage};
 use quartzcleat_decision::api::{Effect, Nanos, RequestId};
 use quartzcleat_invariants::{Answered, What};
-use quartzcleat_simulation::scenario::Ask;
+use quartzcleat_simulation::scenario::{Ask, Retry};
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// Asks whether a limiter is ready.
+/// How often a retry looks for the answer to the request before it.
+const ANSWER_POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// How long a client stays connected after its deadline, so that a late answer is observed to be late.
+const LATE_ANSWER_TIME: Duration = Duration::from_millis(500);
+const NANOS_PER_MS: Nanos = 1_000_000;
+
+/// Checks that a limiter is ready.
 pub(crate) async fn ping(address: SocketAddr) -> io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
-    stream.write_all(&resp::write(&["PING"])).await?;
-    match answer(&mut stream).await? {
+    stream.write_all(&resp::encode_command(&["PING"])).await?;
+    match read_reply(&mut stream).await? {
         Some(Reply::Line(line)) if line == "+PONG" => Ok(()),
         other => Err(io::Error::other(format!("{other:?}"))),
     }
 }
 
-async fn answer(stream: &mut TcpStream) -> io::Result<Option<Reply>> {
+/// Reads one reply; `None` where the connection ends before it.
+async fn read_reply(stream: &mut TcpStream) -> io::Result<Option<Reply>> {
     let mut input = Vec::new();
     loop {
-        if let Some((reply, _)) = resp::reply(&input)? {
-            return Ok(Some(reply));
+        if let Some(parsed) = resp::parse_reply(&input)? {
+            return Ok(Some(parsed.value));
         }
-        if !resp::more(stream, &mut input).await? {
+        if !resp::read_more(stream, &mut input).await? {
             return Ok(None);
         }
     }
 }
 
-/// A client.
-pub(crate) struct Client {
-    stage: Rc<Stage>,
+/// Sends a request, and retries once where the scenario's clients do.
+pub(crate) async fn run(context: &Context, ask: Ask) {
+    if ask.retry && answer_of_earlier_request(context, ask.mark).await == Some(Answered::Served) {
+        return;
+    }
+    let Some(answer) = send(context, &ask).await else {
+        return;
+    };
+    let Some(retry) = &context.scenario.retry else {
+        return;
+    };
+    if answer == Answered::Served || ask.retry {
+        return;
+    }
+    let retry_after = match answer {
+        Answered::Refused(retry_after) => retry_after,
+        Answered::Served | Answered::Failed => 0,
+    };
+    sleep(Duration::from_nanos(retry.after.max(retry_after))).await;
+    send(context, &retry_of(context, &ask, retry)).await;
 }
 
-impl Client {
-    pub(crate) fn new(stage: Rc<Stage>) -> Self {
-        Client { stage }
+/// Waits until the request before a retry is answered; `None` where there was none.
+async fn answer_of_earlier_request(context: &Context, operation: u64) -> Option<Answered> {
+    loop {
+        let state = context.operations.borrow().get(&operation).copied();
+        match state {
+            Some(None) => sleep(ANSWER_POLL_INTERVAL).await,
+            Some(answer) => return answer,
+            None => return None,
+        }
     }
+}
 
-    /// Asks, and retries once where the scenario's clients do.
-    pub(crate) async fn run(&self, ask: Ask) {
-        if ask.retry {
-            // A retry waits for the answer of the try before it.
-            let known = |mark: u64| self.stage.errands.borrow().get(&mark).copied();
-            while known(ask.mark) == Some(None) {
-                sleep(Duration::from_millis(1)).await;
-            }
-            if known(ask.mark) == Some(Some(Answered::Served)) {
-                return;
-            }
-        }
-        let Some(first) = self.ask(&ask).await else {
-            return;
-        };
-        let Some(retry) = self.stage.scenario.retry.clone() else {
-            return;
-        };
-        if first == Answered::Served || ask.retry {
-            return;
-        }
-        let told = if let Answered::Refused(after) = first {
-            after
-        } else {
-            0
-        };
-        sleep(Duration::from_nanos(retry.after.max(told))).await;
-        let mut again = Ask {
-            retry: true,
-            ..ask.clone()
-        };
-        if retry.elsewhere && ask.spread.0 > 1 {
-            let limiters = self.stage.scenario.cast.limiters.len();
-            let (count, first) = (ask.spread.0 as usize, ask.spread.1 as usize);
-            let place = (ask.through + limiters - first) % limiters;
-            again.through = (first + (place + 1) % count) % limiters;
-        }
-        self.ask(&again).await;
+/// The retry of a request, through the next limiter of its spread where clients change limiters.
+fn retry_of(context: &Context, ask: &Ask, retry: &Retry) -> Ask {
+    let mut again = Ask {
+        retry: true,
+        ..ask.clone()
+    };
+    if retry.elsewhere && ask.spread.0 > 1 {
+        let limiters = context.scenario.cast.limiters.len();
+        let count = ask.spread.0 as usize;
+        let first = ask.spread.1 as usize;
+        let position = (ask.through + limiters - first) % limiters;
+        again.through = (first + (position + 1) % count) % limiters;
     }
+    again
+}
 
-    /// One try: its answer, or `None` where no limiter took it.
-    async fn ask(&self, ask: &Ask) -> Option<Answered> {
-        let stage = &self.stage;
-        let Some(address) = stage.limiter(ask.through) else {
-            stage.note(What::Noted(format!(
-                "{} takes no connection",
-                stage.scenario.cast.limiter(ask.through)
-            )));
-            return None;
-        };
-        let id = stage.request();
-        let class = &stage.scenario.settings.classes[ask.class];
-        let plan = stage
-            .scenario
-            .settings
-            .plans
-            .get(ask.plan as usize)
-            .map_or("", |plan| plan.name.as_str());
-        let mut facts = format!(
-            "c={},t={plan},d={}",
-            class.name,
-            ask.wait.div_ceil(1_000_000)
-        );
-        if class.effect == Effect::Keyed {
-            facts.push_str(&format!(",k={:016x}", ask.mark));
-        }
-        facts.push_str(&format!(
-            ",units={},spread={},first={}",
-            ask.units, ask.spread.0, ask.spread.1
-        ));
-        let verb = if class.effect == Effect::Retryable {
-            "Q.ASK"
-        } else {
-            "Q.DO"
-        };
-        let (customer, number) = (
-            format!("{:016x}", ask.partner + 1),
-            format!("{:016x}", id.0),
-        );
-        let command = resp::write(&[verb, &customer, &number, &facts]);
-        stage.errands.borrow_mut().insert(ask.mark, None);
-        stage.asked.borrow_mut().insert(
-            id,
-            Asked {
-                class: ask.class,
-                errand: ask.mark,
-                attempts: 0,
-            },
-        );
-        let answered = self.exchange(address, &command, id, ask).await;
-        let answer = match answered {
-            Ok(answer) => answer,
-            Err(_) => {
-                // A limiter that died took its connections along; one that lives and closes without an answer
-                // leaves the request unanswered in the records.
-                if stage.limiter(ask.through).is_none() {
-                    stage.note(What::Left { request: id });
-                }
-                None
+/// Sends one request and returns its answer; `None` where no limiter accepted it.
+async fn send(context: &Context, ask: &Ask) -> Option<Answered> {
+    let Some(address) = context.limiter_address(ask.through) else {
+        let limiter = context.scenario.cast.limiter(ask.through);
+        context.remark(format!("{limiter} takes no connection"));
+        return None;
+    };
+    let id = context.next_request();
+    let command = request_command(context, ask, id);
+    context.operations.borrow_mut().insert(ask.mark, None);
+    let state = RequestState {
+        class: ask.class,
+        operation: ask.mark,
+        attempts: 0,
+    };
+    context.requests.borrow_mut().insert(id, state);
+    let answer = match exchange(context, address, &command, id, ask).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            // A limiter that died took its connections along; one that lives and closes without an answer
+            // leaves the request unanswered in the records.
+            if context.limiter_address(ask.through).is_none() {
+                context.record(What::Left { request: id });
             }
-        };
-        stage
-            .errands
-            .borrow_mut()
-            .insert(ask.mark, answer.or(Some(Answered::Failed)));
-        answer
+            None
+        }
+    };
+    let known = answer.or(Some(Answered::Failed));
+    context.operations.borrow_mut().insert(ask.mark, known);
+    answer
+}
+
+/// A request in the platform's form.
+fn request_command(context: &Context, ask: &Ask, id: RequestId) -> Vec<u8> {
+    let settings = &context.scenario.settings;
+    let class = &settings.classes[ask.class];
+    let plan = settings.plans.get(ask.plan as usize);
+    let plan = plan.map_or("", |plan| plan.name.as_str());
+    let wait_ms = ask.wait.div_ceil(NANOS_PER_MS);
+    let mut facts = format!("c={},t={plan},d={wait_ms}", class.name);
+    if class.effect == Effect::Keyed {
+        facts.push_str(&format!(",k={:016x}", ask.mark));
     }
+    facts.push_str(&format!(
+        ",units={},spread={},first={}",
+        ask.units, ask.spread.0, ask.spread.1
+    ));
+    let verb = if class.effect == Effect::Retryable {
+        "Q.ASK"
+    } else {
+        "Q.DO"
+    };
+    let customer = format!("{:016x}", ask.partner + 1);
+    resp::encode_command(&[verb, &customer, &wire_id(id), &facts])
+}
 
-    async fn exchange(
-        &self,
-        address: SocketAddr,
-        command: &[u8],
-        id: RequestId,
-        ask: &Ask,
-    ) -> io::Result<Option<Answered>> {
-        let stage = &self.stage;
-        let mut stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let deadline: Nanos = stage.now() + ask.wait;
-        // Noted before it is written: the limiter may act on it before this task goes on.
-        stage.note(What::Asked {
-            request: id,
-            limiter: ask.through,
-            errand: ask.mark,
-            class: ask.class,
-            partner: ask.partner,
-            units: ask.units,
-            deadline,
-        });
-        stream.write_all(command).await?;
-        // A while longer than it would wait, so that a late answer is seen to be late.
-        let patience = Duration::from_nanos(ask.wait) + Duration::from_millis(500);
-        let reply = timeout(patience, answer(&mut stream)).await;
-        let Ok(reply) = reply else { return Ok(None) };
-        let answer = match reply? {
-            Some(Reply::Bulk(value)) if value == format!("{:016x}", id.0) => Answered::Served,
-            Some(Reply::Bulk(_)) | None => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Some(Reply::Line(line)) => match line.strip_prefix("-BUSY") {
-                Some(after) => {
-                    Answered::Refused(after.trim().parse::<u64>().unwrap_or(0) * 1_000_000)
-                }
-                None => Answered::Failed,
-            },
-        };
-        stage.note(What::Answered {
-            request: id,
-            answer,
-        });
-        Ok(Some(answer))
+fn wire_id(id: RequestId) -> String {
+    format!("{:016x}", id.0)
+}
+
+async fn exchange(
+    context: &Context,
+    address: SocketAddr,
+    command: &[u8],
+    id: RequestId,
+    ask: &Ask,
+) -> io::Result<Option<Answered>> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    // Recorded before it is written: the limiter may act on it before this task goes on.
+    context.record(What::Asked {
+        request: id,
+        limiter: ask.through,
+        errand: ask.mark,
+        class: ask.class,
+        partner: ask.partner,
+        units: ask.units,
+        deadline: context.now() + ask.wait,
+    });
+    stream.write_all(command).await?;
+    let patience = Duration::from_nanos(ask.wait) + LATE_ANSWER_TIME;
+    let Ok(reply) = timeout(patience, read_reply(&mut stream)).await else {
+        return Ok(None);
+    };
+    let answer = answer_from(reply?, id)?;
+    context.record(What::Answered {
+        request: id,
+        answer,
+    });
+    Ok(Some(answer))
+}
+
+fn answer_from(reply: Option<Reply>, id: RequestId) -> io::Result<Answered> {
+    match reply {
+        Some(Reply::Bulk(value)) if value == wire_id(id) => Ok(Answered::Served),
+        Some(Reply::Bulk(_)) | None => Err(io::ErrorKind::UnexpectedEof.into()),
+        Some(Reply::Line(line)) => Ok(match line.strip_prefix("-BUSY") {
+            Some(retry_after_ms) => {
+                let retry_after_ms = retry_after_ms.trim().parse::<u64>().unwrap_or(0);
+                Answered::Refused(retry_after_ms * NANOS_PER_MS)
+            }
+            None => Answered::Failed,
+        }),
     }
 }
--- /dev/null
+++ b/crates/fakes/src/endpoints.rs
@@ -0,0 +1,93 @@
+//! Hosts in the forms that limiters read: the endpoint list of discovery and the configuration file.
+
+use crate::context::Context;
+use quartzcleat_decision::api::HostState;
+use quartzcleat_simulation::node::Life;
+use serde_json::{json, Value};
+
+/// Added to a limiter's index for the seed in its configuration.
+const SEED_BASE: u64 = 0x9e37_79b9;
+
+/// Whether a list replaces all that a limiter knew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListKind {
+    /// All listed hosts.
+    Full,
+    /// Only the hosts that changed.
+    Changes,
+}
+
+/// The state of a host as discovery reports it now.
+pub(crate) fn host_state(context: &Context, host: usize) -> HostState {
+    let model = &context.hosts.borrow()[host].model;
+    match (model.life, model.draining) {
+        (Life::Dead, _) => HostState::Gone,
+        (_, true) => HostState::Draining,
+        _ => HostState::Ready,
+    }
+}
+
+/// An endpoint list in discovery's form, with the addresses that one limiter uses.
+pub(crate) fn endpoint_list(
+    context: &Context,
+    limiter: usize,
+    generation: u64,
+    kind: ListKind,
+    hosts: &[usize],
+) -> Value {
+    let instances: Vec<Value> = hosts
+        .iter()
+        .map(|host| instance(context, limiter, *host))
+        .collect();
+    json!({
+        "generation": generation,
+        "reset": kind == ListKind::Full,
+        "instances": instances,
+    })
+}
+
+fn instance(context: &Context, limiter: usize, host: usize) -> Value {
+    let cast = &context.scenario.cast;
+    let description = &cast.hosts[host];
+    let zone = cast.rooms.get(description.room as usize);
+    let lifecycle = match host_state(context, host) {
+        HostState::Ready => "SERVING",
+        HostState::Draining => "DRAINING",
+        HostState::Gone => "DELETED",
+    };
+    let fake = &context.hosts.borrow()[host];
+    json!({
+        "instanceId": description.name,
+        "hostPort": fake.addresses[limiter].to_string(),
+        "zone": zone.map_or("a", String::as_str),
+        "machineType": "node",
+        "cell": description.cell,
+        "lifecycle": lifecycle,
+        "weight": context.scenario.nodes[host].weight,
+        "startedAtMs": fake.model.started / 1_000_000,
+    })
+}
+
+/// A limiter's configuration in the platform's form.
+pub(crate) fn limiter_config(context: &Context, limiter: usize) -> Value {
+    let scenario = &context.scenario;
+    let mut settings = scenario.settings.clone();
+    settings.me = limiter as u32;
+    settings.limiter_count = scenario.cast.limiters.len() as u32;
+    settings.zone = scenario.cast.limiters[limiter].room;
+    let addresses = context.limiters.borrow()[limiter].addresses;
+    let (listed, generation) = {
+        let discovery = context.discovery.borrow();
+        (discovery.listed(), discovery.generation())
+    };
+    json!({
+        "name": scenario.cast.limiters[limiter].name,
+        "listen": addresses.listen.to_string(),
+        "discovery": addresses.discovery.to_string(),
+        "counter": addresses.counter.to_string(),
+        "seed": format!("{:016x}", SEED_BASE + limiter as u64),
+        "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 512 },
+        "known": endpoint_list(context, limiter, generation, ListKind::Full, &listed),
+        "settings": quartzcleat_config::platform::encode(&settings, &scenario.cast.rooms),
+    })
+}
--- /dev/null
+++ b/crates/fakes/src/events.rs
@@ -0,0 +1,137 @@
+//! Applies the scenario's events to clients, hosts, counter, discovery and limiters.
+
+use crate::client;
+use crate::context::Context;
+use crate::endpoints::host_state;
+use crate::limiter;
+use crate::server::host;
+use crate::task::spawn;
+use quartzcleat_decision::api::HostState;
+use quartzcleat_invariants::What;
+use quartzcleat_simulation::node::Life;
+use quartzcleat_simulation::oracle::Point;
+use quartzcleat_simulation::scenario::{Ask, Happening};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// A host's speed stays above zero, so that its work ends.
+const MIN_HOST_SPEED: f64 = 1e-3;
+/// The sockets of an ended process are closed after this time.
+const SOCKET_CLOSE_TIME: Duration = Duration::from_millis(1);
+
+/// Applies an event. The start of a limiter is the harness's own.
+pub(crate) async fn apply(context: &Rc<Context>, event: Happening) {
+    let host_name = |host: usize| context.scenario.cast.host(host);
+    match event {
+        Happening::Ask(ask) => start_client(context, ask),
+        Happening::Drain(host) => {
+            context.remark(format!("{} begins to drain", host_name(host)));
+            context.hosts.borrow_mut()[host].model.draining = true;
+            announce_change(context, host);
+        }
+        Happening::Die(host) => {
+            context.remark(format!("{}'s process dies", host_name(host)));
+            host::end(context, host, Life::Dead);
+            announce_change(context, host);
+        }
+        Happening::Vanish(host) => {
+            context.remark(format!("{}'s machine vanishes", host_name(host)));
+            host::end(context, host, Life::Vanished);
+        }
+        Happening::Start(host) => start_host(context, host),
+        Happening::Replace(old, new) => replace_host(context, old, new).await,
+        Happening::Speed(host, speed) => {
+            context.remark(format!(
+                "{} goes at {speed} of the yardstick",
+                host_name(host)
+            ));
+            context.hosts.borrow_mut()[host].model.speed = speed.max(MIN_HOST_SPEED);
+        }
+        Happening::Counter(mode) => {
+            context.remark(format!("the counter is now {mode:?}").to_lowercase());
+            context.counter.borrow_mut().model.mode = mode;
+        }
+        Happening::Empty => {
+            context.remark("the counter comes back empty".to_owned());
+            context.counter.borrow_mut().model.empty();
+        }
+        Happening::Discovery(answering) => set_discovery_answering(context, answering),
+        Happening::LimiterDies(limiter) => kill_limiter(context, limiter).await,
+        Happening::LimiterStarts(_) => {}
+    }
+}
+
+fn start_client(context: &Rc<Context>, ask: Ask) {
+    context
+        .waiting_clients
+        .set(context.waiting_clients.get() + 1);
+    let context = context.clone();
+    spawn(async move {
+        client::run(&context, ask).await;
+        context
+            .waiting_clients
+            .set(context.waiting_clients.get() - 1);
+    });
+}
+
+fn start_host(context: &Rc<Context>, host: usize) {
+    let now = context.now();
+    context.hosts.borrow_mut()[host].model.start(now);
+    context.record(What::Started { host });
+    host::start_process(context, host);
+    announce_change(context, host);
+}
+
+async fn replace_host(context: &Rc<Context>, old: usize, new: usize) {
+    let cast = &context.scenario.cast;
+    context.remark(format!(
+        "{} is replaced by {} at its address",
+        cast.host(old),
+        cast.host(new)
+    ));
+    host::end(context, old, Life::Dead);
+    {
+        let mut hosts = context.hosts.borrow_mut();
+        hosts[new].addresses = hosts[old].addresses.clone();
+    }
+    announce_change(context, old);
+    sleep(SOCKET_CLOSE_TIME).await;
+    start_host(context, new);
+}
+
+fn set_discovery_answering(context: &Context, answering: bool) {
+    let change = if answering {
+        "tells again"
+    } else {
+        "falls silent"
+    };
+    context.remark(format!("discovery {change}"));
+    context.discovery.borrow_mut().set_answering(answering);
+}
+
+async fn kill_limiter(context: &Context, limiter: usize) {
+    context.record(What::Died { limiter });
+    let child = context.limiters.borrow_mut()[limiter].take_child();
+    limiter::kill(child).await;
+}
+
+/// Adds a host's change to the endpoint list; limiters see it after the scenario's lag.
+pub(crate) fn announce_change(context: &Rc<Context>, host: usize) {
+    let lag = context.choose(Point::Lag, 0, &context.scenario.lags);
+    let lag = Duration::from_nanos(lag.unwrap_or(0));
+    let state = host_state(context, host);
+    let version = {
+        let mut discovery = context.discovery.borrow_mut();
+        if state == HostState::Gone {
+            discovery.remove(host)
+        } else {
+            discovery.update(host)
+        }
+    };
+    let context = context.clone();
+    spawn(async move {
+        sleep(lag).await;
+        context.discovery.borrow_mut().publish(version);
+    });
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,17 +1,36 @@
-//! Stand-ins on loopback: nodes, the counter, discovery and clients, that play a [`quartzcleat_simulation::Scenario`]
-//! before real limiter processes and record what an observer outside them sees, for the same rules that judge the
-//! world. Written from the platform's protocol; the capacity of nodes and the totals of the counter are the world's
-//! own models, so that both stages tell one story.
+//! Fake hosts, counter, discovery service and clients on loopback. They run a [`quartzcleat_simulation::Scenario`]
+//! against real limiter processes and record what an outside observer sees, for the invariants that also judge the
+//! simulation. The protocols are implemented independently of the limiter; the capacity of hosts and the totals of the
+//! counter come from the simulation's own models, so that both harnesses run the same scenario.
 //!
-//! What differs from the world: time is real, a connection that is refused for one attempt alone is played as a
-//! turned-away one, and a vanished machine still completes TCP handshakes.
+//! Differences from the simulation: time is real; a connection that is refused for a single attempt appears as a
+//! rejection; a vanished machine still completes TCP handshakes.
+//!
+//! Modules depend on each other in one direction: `harness` -> `events` -> `client`, `server` -> `endpoints` ->
+//! `context` -> `state`, `limiter`, `recorder`.
 
 mod client;
-mod counter;
-mod discovery;
+mod context;
+mod endpoints;
+mod events;
+mod harness;
 mod limiter;
-mod node;
+mod recorder;
 mod resp;
-pub mod stage;
+mod server;
+mod state;
+mod task;
+
+pub use harness::{run, run_measured, run_with, RunReport};
+pub use limiter::Usage;
+
+/// The former name of [`run`].
+pub use harness::run as play;
 
-pub use stage::{play, Stage};
+/// Former names of the harness's functions.
+pub mod stage {
+    pub use crate::harness::run_measured as perform;
+    pub use crate::harness::run_with as perform_with;
+    pub use crate::harness::RunReport as Performed;
+    pub use crate::limiter::Usage;
+}
--- a/crates/fakes/src/limiter.rs
+++ b/crates/fakes/src/limiter.rs
@@ -1,58 +1,70 @@
-//! A limiter's process: started with a configuration of its own, killed at the latest when the stage is gone.
+//! A limiter's process: started with a configuration of its own, and killed at the latest when the harness is dropped.
 
-use crate::stage::Usage;
+use std::fs::OpenOptions;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use tokio::process::{Child, Command};
 
-/// One limiter's process, or what is needed to start it.
-pub(crate) struct Process {
-    program: PathBuf,
-    config: PathBuf,
+/// Variables that would go before the configuration file.
+const OVERRIDING_VARIABLES: [&str; 5] = [
+    "BALANCER_NAME",
+    "BALANCER_LISTEN",
+    "BALANCER_DISCOVERY",
+    "BALANCER_COUNTER",
+    "QUARTZCLEAT_CONFIG",
+];
+
+/// Resources that a limiter's process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// CPU time in nanoseconds.
+    pub cpu_ns: u64,
+    /// Peak resident set size in kilobytes.
+    pub peak_kb: u64,
+}
+
+/// The addresses of a limiter and of the services that it calls.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Addresses {
     pub(crate) listen: SocketAddr,
     pub(crate) discovery: SocketAddr,
     pub(crate) counter: SocketAddr,
-    /// How often it was started.
+}
+
+/// One limiter's process, or what is needed to start it.
+pub(crate) struct LimiterProcess {
+    program: PathBuf,
+    config: PathBuf,
+    pub(crate) addresses: Addresses,
+    /// How often the process was started.
     pub(crate) starts: usize,
     child: Option<Child>,
 }
 
-impl Process {
-    pub(crate) fn new(
-        program: &Path,
-        config: PathBuf,
-        listen: SocketAddr,
-        discovery: SocketAddr,
-        counter: SocketAddr,
-    ) -> Self {
-        Process {
+impl LimiterProcess {
+    pub(crate) fn new(program: &Path, config: PathBuf, addresses: Addresses) -> Self {
+        LimiterProcess {
             program: program.to_owned(),
             config,
-            listen,
-            discovery,
-            counter,
+            addresses,
             starts: 0,
             child: None,
         }
     }
 
+    /// Starts the process with the platform's configuration and, where one is given, a product configuration. Only with
+    /// the latter is the log kept.
     pub(crate) fn start(
         &mut self,
         config: &serde_json::Value,
-        ours: Option<String>,
+        product_config: Option<String>,
     ) -> io::Result<()> {
         self.starts += 1;
         std::fs::write(&self.config, config.to_string())?;
         let mut command = Command::new(&self.program);
-        for name in [
-            "BALANCER_NAME",
-            "BALANCER_LISTEN",
-            "BALANCER_DISCOVERY",
-            "BALANCER_COUNTER",
-            "QUARTZCLEAT_CONFIG",
-        ] {
+        for name in OVERRIDING_VARIABLES {
             command.env_remove(name);
         }
         command
@@ -60,70 +72,61 @@
             .kill_on_drop(true)
             .stdin(Stdio::null())
             .stderr(Stdio::null());
-        if let Some(ours) = ours {
-            let file = self.config.with_extension("yaml");
-            std::fs::write(&file, ours)?;
-            command.env("QUARTZCLEAT_CONFIG", file);
+        if let Some(text) = product_config {
+            let path = self.config.with_extension("yaml");
+            std::fs::write(&path, text)?;
+            command.env("QUARTZCLEAT_CONFIG", path);
             let log = self.config.with_extension("log");
-            command.stderr(
-                std::fs::OpenOptions::new()
-                    .create(true)
-                    .append(true)
-                    .open(log)?,
-            );
+            command.stderr(OpenOptions::new().create(true).append(true).open(log)?);
         }
         self.child = Some(command.spawn()?);
         Ok(())
     }
 
-    /// What the process used so far, as the kernel tells.
+    /// What the process has used so far, from procfs; zero where it does not run.
     pub(crate) fn usage(&self) -> Usage {
         let Some(id) = self.child.as_ref().and_then(Child::id) else {
             return Usage::default();
         };
         let read =
             |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
-        let cpu_ns = read("schedstat")
-            .split_whitespace()
-            .next()
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
         let status = read("status");
         let peak = status
             .lines()
             .find_map(|line| line.strip_prefix("VmHWM:"))
             .unwrap_or_default();
-        let peak_kb = peak
-            .split_whitespace()
-            .next()
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
-        Usage { cpu_ns, peak_kb }
+        Usage {
+            cpu_ns: first_number(&read("schedstat")),
+            peak_kb: first_number(peak),
+        }
     }
 
-    pub(crate) fn runs(&self) -> bool {
+    pub(crate) fn is_running(&self) -> bool {
         self.child.is_some()
     }
 
-    /// The process itself, leaving what is needed to start another.
-    pub(crate) fn take(&mut self) -> Process {
-        let child = self.child.take();
-        let (program, config) = (self.program.clone(), self.config.clone());
-        Process {
-            program,
-            config,
-            listen: self.listen,
-            discovery: self.discovery,
-            counter: self.counter,
-            starts: self.starts,
-            child,
-        }
+    /// Takes the running process out, so that it can be killed without a borrow of this value.
+    pub(crate) fn take_child(&mut self) -> Option<Child> {
+        self.child.take()
     }
 
-    /// Kills the process, as a machine that is lost would.
+    /// Kills the process, as the loss of its machine would.
     pub(crate) async fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill().await;
-        }
+        kill(self.child.take()).await;
     }
 }
+
+/// Kills a process that was taken out.
+pub(crate) async fn kill(child: Option<Child>) {
+    if let Some(mut child) = child {
+        // A process that has ended already is what is wanted.
+        let _ = child.kill().await;
+    }
+}
+
+fn first_number(text: &str) -> u64 {
+    text.split_whitespace()
+        .next()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/fakes/src/recorder.rs
@@ -0,0 +1,66 @@
+//! The records of a run, with the attempts that are still in flight at hosts.
+
+use quartzcleat_decision::api::{Nanos, RequestId};
+use quartzcleat_invariants::{Record, What};
+use std::collections::BTreeMap;
+
+/// One attempt of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct AttemptId {
+    pub(crate) request: RequestId,
+    /// Counted from zero.
+    pub(crate) attempt: u32,
+}
+
+/// Collects records in the order of their times.
+#[derive(Debug, Default)]
+pub(crate) struct Recorder {
+    records: Vec<Record>,
+    /// The host of each attempt in flight.
+    in_flight: BTreeMap<AttemptId, usize>,
+}
+
+impl Recorder {
+    /// Records an event. The end of an attempt is recorded once, whoever observes it first.
+    pub(crate) fn record(&mut self, at: Nanos, event: What) {
+        if self.track_attempt(&event) {
+            self.records.push(Record { at, what: event });
+        }
+    }
+
+    /// Follows attempts by their events; false where the event repeats an end.
+    fn track_attempt(&mut self, event: &What) -> bool {
+        match *event {
+            What::Sent {
+                request,
+                attempt,
+                host,
+                ..
+            } => {
+                self.in_flight.insert(AttemptId { request, attempt }, host);
+                true
+            }
+            What::Ended {
+                request, attempt, ..
+            } => {
+                let attempt = AttemptId { request, attempt };
+                self.in_flight.remove(&attempt).is_some()
+            }
+            _ => true,
+        }
+    }
+
+    /// The attempts in flight at a host.
+    pub(crate) fn in_flight_at(&self, host: usize) -> Vec<AttemptId> {
+        self.in_flight
+            .iter()
+            .filter(|(_, at)| **at == host)
+            .map(|(attempt, _)| *attempt)
+            .collect()
+    }
+
+    /// Removes and returns all records.
+    pub(crate) fn take_records(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.records)
+    }
+}
--- a/crates/fakes/src/resp.rs
+++ b/crates/fakes/src/resp.rs
@@ -1,140 +1,199 @@
-//! RESP2 as the stand-ins need it: commands in, answers out, and the other way round. Bounded, and written apart
-//! from the limiter's own parsers, so that the two check each other.
+//! RESP2 as the fakes need it: commands and replies, parsed and encoded. Bounded, and written apart from the limiter's
+//! own parsers, so that the two check each other.
 
 use std::io;
-use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
-/// No message of a play is longer.
-const LONGEST: usize = 256 << 10;
+#[cfg(test)]
+mod tests;
+
+/// The longest argument or value.
+const MAX_VALUE_BYTES: usize = 256 << 10;
+/// The most input that is buffered for one message.
+const MAX_BUFFERED_BYTES: usize = 2 * MAX_VALUE_BYTES;
+const MAX_ARGUMENTS: i64 = 16;
+
+/// A message and the bytes that it takes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Parsed<T> {
+    pub(crate) value: T,
+    pub(crate) length: usize,
+}
+
+/// A line without its end, and where the next one begins.
+struct Line<'a> {
+    text: &'a [u8],
+    next: usize,
+}
+
+/// A reply as a client reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Reply {
+    /// A bulk string.
+    Bulk(String),
+    /// A simple string or an error with its type byte: `+PONG`, `-BUSY 250`.
+    Line(String),
+}
 
-fn wrong(what: &str) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, what.to_owned())
+fn malformed(reason: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, reason.to_owned())
 }
 
-/// The line at `at`, without its end, and where the next begins.
-fn line(bytes: &[u8], at: usize) -> Option<(&[u8], usize)> {
-    let end = bytes[at..].windows(2).position(|two| two == b"\r\n")?;
-    Some((&bytes[at..at + end], at + end + 2))
+fn line_at(bytes: &[u8], start: usize) -> Option<Line<'_>> {
+    let length = bytes[start..].windows(2).position(|two| two == b"\r\n")?;
+    Some(Line {
+        text: &bytes[start..start + length],
+        next: start + length + 2,
+    })
 }
 
-fn number(text: &[u8]) -> io::Result<i64> {
+fn parse_number(text: &[u8]) -> io::Result<i64> {
     std::str::from_utf8(text)
         .ok()
         .and_then(|text| text.parse().ok())
-        .ok_or_else(|| wrong("a length is no number"))
+        .ok_or_else(|| malformed("a length is not a number"))
 }
 
-/// The command at the start of `bytes`, if it is whole: its words and its length.
-pub(crate) fn command(bytes: &[u8]) -> io::Result<Option<(Vec<String>, usize)>> {
-    let Some((head, mut at)) = line(bytes, 0) else {
+/// The command at the start of `bytes` as its arguments; `None` while it is incomplete.
+pub(crate) fn parse_command(bytes: &[u8]) -> io::Result<Option<Parsed<Vec<String>>>> {
+    let Some(head) = line_at(bytes, 0) else {
         return Ok(None);
     };
-    let Some(count) = head.strip_prefix(b"*") else {
-        return Err(wrong("a command is an array"));
+    let Some(count) = head.text.strip_prefix(b"*") else {
+        return Err(malformed("a command is not an array"));
     };
-    let count = number(count)?;
-    if !(1..=16).contains(&count) {
-        return Err(wrong("a command has 1 to 16 words"));
+    let count = parse_number(count)?;
+    if !(1..=MAX_ARGUMENTS).contains(&count) {
+        return Err(malformed("a command has 1 to 16 arguments"));
     }
-    let mut words = Vec::new();
+    let mut arguments = Vec::new();
+    let mut position = head.next;
     for _ in 0..count {
-        let Some((head, start)) = line(bytes, at) else {
+        let Some(argument) = parse_argument(bytes, position)? else {
             return Ok(None);
         };
-        let Some(length) = head.strip_prefix(b"$") else {
-            return Err(wrong("a word is a bulk string"));
-        };
-        let length = usize::try_from(number(length)?).map_err(|_| wrong("a word has a length"))?;
-        if length > LONGEST {
-            return Err(wrong("a word is too long"));
-        }
-        if bytes.len() < start + length + 2 {
-            return Ok(None);
-        }
-        words.push(String::from_utf8_lossy(&bytes[start..start + length]).into_owned());
-        at = start + length + 2;
+        arguments.push(argument.value);
+        position += argument.length;
     }
-    Ok(Some((words, at)))
+    Ok(Some(Parsed {
+        value: arguments,
+        length: position,
+    }))
 }
 
-/// An answer as a client gets it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Reply {
-    /// A bulk string.
-    Bulk(String),
-    /// A line, with its mark: `+PONG`, `-BUSY 250`.
-    Line(String),
+/// The bulk string of an argument at `start`.
+fn parse_argument(bytes: &[u8], start: usize) -> io::Result<Option<Parsed<String>>> {
+    let Some(head) = line_at(bytes, start) else {
+        return Ok(None);
+    };
+    let Some(length) = head.text.strip_prefix(b"$") else {
+        return Err(malformed("an argument is not a bulk string"));
+    };
+    let length = usize::try_from(parse_number(length)?)
+        .map_err(|_| malformed("an argument has no length"))?;
+    if length > MAX_VALUE_BYTES {
+        return Err(malformed("an argument is too long"));
+    }
+    Ok(bulk_text(bytes, start, &head, length))
+}
+
+/// The text of a bulk string that starts at `start` with the line `head`; `None` while it is incomplete.
+fn bulk_text(bytes: &[u8], start: usize, head: &Line<'_>, length: usize) -> Option<Parsed<String>> {
+    let end = head.next + length;
+    if bytes.len() < end + 2 {
+        return None;
+    }
+    Some(Parsed {
+        value: String::from_utf8_lossy(&bytes[head.next..end]).into_owned(),
+        length: end + 2 - start,
+    })
 }
 
-/// The answer at the start of `bytes`, if it is whole, and its length.
-pub(crate) fn reply(bytes: &[u8]) -> io::Result<Option<(Reply, usize)>> {
-    let Some((head, at)) = line(bytes, 0) else {
+/// The reply at the start of `bytes`; `None` while it is incomplete.
+pub(crate) fn parse_reply(bytes: &[u8]) -> io::Result<Option<Parsed<Reply>>> {
+    let Some(head) = line_at(bytes, 0) else {
         return Ok(None);
     };
-    match head.split_first() {
+    match head.text.split_first() {
         Some((b'$', length)) => {
-            let length = usize::try_from(number(length)?).map_err(|_| wrong("a null answer"))?;
-            if bytes.len() < at + length + 2 {
-                return Ok(None);
-            }
-            let text = String::from_utf8_lossy(&bytes[at..at + length]).into_owned();
-            Ok(Some((Reply::Bulk(text), at + length + 2)))
+            let length =
+                usize::try_from(parse_number(length)?).map_err(|_| malformed("a null reply"))?;
+            let bulk = bulk_text(bytes, 0, &head, length);
+            Ok(bulk.map(|bulk| Parsed {
+                value: Reply::Bulk(bulk.value),
+                length: bulk.length,
+            }))
         }
-        Some((b'+' | b'-', _)) => Ok(Some((
-            Reply::Line(String::from_utf8_lossy(head).into_owned()),
-            at,
-        ))),
-        _ => Err(wrong("an answer of an unknown kind")),
+        Some((b'+' | b'-', _)) => Ok(Some(Parsed {
+            value: Reply::Line(String::from_utf8_lossy(head.text).into_owned()),
+            length: head.next,
+        })),
+        _ => Err(malformed("a reply of an unknown type")),
     }
 }
 
-/// A command's bytes.
-pub(crate) fn write(words: &[&str]) -> Vec<u8> {
-    let mut out = format!("*{}\r\n", words.len());
-    for word in words {
-        out.push_str(&format!("${}\r\n{word}\r\n", word.len()));
+/// The bytes of a command.
+pub(crate) fn encode_command(arguments: &[&str]) -> Vec<u8> {
+    let mut text = format!("*{}\r\n", arguments.len());
+    for argument in arguments {
+        text.push_str(&format!("${}\r\n{argument}\r\n", argument.len()));
     }
-    out.into_bytes()
+    text.into_bytes()
 }
 
-/// Reads more; `false` at the end of the connection.
-pub(crate) async fn more(
+/// Reads more input; `false` at the end of the connection.
+pub(crate) async fn read_more(
     stream: &mut (impl AsyncRead + Unpin),
     input: &mut Vec<u8>,
 ) -> io::Result<bool> {
-    if input.len() > LONGEST * 2 {
-        return Err(wrong("a message is too long"));
+    if input.len() > MAX_BUFFERED_BYTES {
+        return Err(malformed("a message is too long"));
     }
     Ok(stream.read_buf(input).await? > 0)
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_written_is_read_and_parts_are_waited_for() {
-        let bytes = write(&["Q.DO", "7", "", "c=x,d=5"]);
-        assert_eq!(
-            command(&bytes).expect("sound"),
-            Some((
-                vec!["Q.DO".into(), "7".into(), "".into(), "c=x,d=5".into()],
-                bytes.len()
-            ))
-        );
-        assert!((0..bytes.len()).all(|cut| command(&bytes[..cut]).expect("no fault yet").is_none()));
-        assert_eq!(
-            reply(b"$2\r\nab\r\n+").expect("sound"),
-            Some((Reply::Bulk("ab".into()), 8))
-        );
-        assert_eq!(
-            reply(b"-BUSY 5\r\n").expect("sound"),
-            Some((Reply::Line("-BUSY 5".into()), 9))
-        );
-        assert!(
-            command(b"*-1\r\n").is_err()
-                && command(b"$1\r\n").is_err()
-                && reply(b"*1\r\n").is_err()
-        );
+/// A connection that carries commands to a server.
+pub(crate) struct CommandStream {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+impl CommandStream {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        CommandStream {
+            stream,
+            input: Vec::new(),
+        }
+    }
+
+    /// The arguments of the next command; `None` at the end of the connection.
+    pub(crate) async fn next_command(&mut self) -> io::Result<Option<Vec<String>>> {
+        loop {
+            if let Some(command) = parse_command(&self.input)? {
+                self.input.drain(..command.length);
+                return Ok(Some(command.value));
+            }
+            if !read_more(&mut self.stream, &mut self.input).await? {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Writes an encoded answer.
+    pub(crate) async fn write(&mut self, answer: &str) -> io::Result<()> {
+        self.stream.write_all(answer.as_bytes()).await
+    }
+
+    /// Waits until the peer closes the connection. A byte that arrives in the meantime counts as the end, since a limiter
+    /// writes nothing behind an open attempt.
+    pub(crate) async fn closed(&self) {
+        let mut byte = [0];
+        while self.stream.readable().await.is_ok() {
+            match self.stream.try_read(&mut byte) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(_) | Err(_) => return,
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/fakes/src/server/counter.rs
@@ -0,0 +1,112 @@
+//! The fake counter: `ADDGET` calls, answered in order on each connection, with the simulation's model of totals and
+//! queues.
+
+use crate::context::Context;
+use crate::resp::CommandStream;
+use crate::task::accept_connections;
+use quartzcleat_decision::api::{Nanos, Outcome};
+use quartzcleat_simulation::oracle::Point;
+use quartzcleat_simulation::scenario::CallFate;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+const NANOS_PER_MS: Nanos = 1_000_000;
+const BUSY: &str = "-BUSY\r\n";
+
+/// An `ADDGET` call.
+struct Call<'a> {
+    name: &'a str,
+    amount: f64,
+    /// How long the total is kept.
+    lifetime: Nanos,
+}
+
+impl<'a> Call<'a> {
+    /// Parses the numbers of a call; `None` where they are malformed.
+    fn parse(name: &'a str, amount: &str, lifetime_ms: &str) -> Option<Self> {
+        let lifetime_ms: u64 = lifetime_ms.parse().ok()?;
+        Some(Call {
+            name,
+            amount: amount.parse().ok()?,
+            lifetime: lifetime_ms.saturating_mul(NANOS_PER_MS),
+        })
+    }
+}
+
+/// Serves one limiter's connections until the listener fails.
+pub(crate) async fn serve(context: Rc<Context>, limiter: usize, listener: TcpListener) {
+    accept_connections(listener, |stream| {
+        serve_connection(context.clone(), limiter, stream)
+    })
+    .await;
+}
+
+async fn serve_connection(
+    context: Rc<Context>,
+    limiter: usize,
+    stream: TcpStream,
+) -> io::Result<()> {
+    let mut stream = CommandStream::new(stream);
+    while let Some(arguments) = stream.next_command().await? {
+        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        let answer = match arguments.as_slice() {
+            ["ADDGET", name, amount, lifetime_ms] => {
+                match Call::parse(name, amount, lifetime_ms) {
+                    None => "-ERR no number\r\n".to_owned(),
+                    Some(call) => match answer_call(&context, limiter, &call).await {
+                        Some(answer) => answer,
+                        // A call without an answer holds up all calls behind it on its connection.
+                        None => return std::future::pending().await,
+                    },
+                }
+            }
+            ["PING"] => "+PONG\r\n".to_owned(),
+            ["CLIENT" | "SELECT", ..] => "+OK\r\n".to_owned(),
+            _ => "-ERR no such call\r\n".to_owned(),
+        };
+        stream.write(&answer).await?;
+    }
+    Ok(())
+}
+
+/// The answer to a call; `None` where there never is one.
+async fn answer_call(context: &Context, limiter: usize, call: &Call<'_>) -> Option<String> {
+    let number = context.counter.borrow_mut().next_call(limiter);
+    let fates = &context.scenario.counter.fates;
+    match context.choose(Point::Call, number, fates) {
+        Some(CallFate::Normal) | None => {}
+        Some(CallFate::Lost) => return None,
+        Some(CallFate::AnswerLost) => {
+            add(context, call);
+            return None;
+        }
+        Some(CallFate::Refused) => return Some(BUSY.to_owned()),
+    }
+    let network_delay = Duration::from_nanos(context.scenario.net.counter);
+    sleep(network_delay).await;
+    let now = context.now();
+    let done = context.counter.borrow_mut().model.arrive(call.name, now)?;
+    sleep(Duration::from_nanos(done.saturating_sub(now))).await;
+    let (outcome, total) = add(context, call);
+    sleep(network_delay).await;
+    match outcome {
+        Outcome::Good => {
+            let text = total.to_string();
+            Some(format!("${}\r\n{text}\r\n", text.len()))
+        }
+        Outcome::Rejected => Some(BUSY.to_owned()),
+        _ => None,
+    }
+}
+
+/// Adds to a total now; returns the outcome and the new total.
+fn add(context: &Context, call: &Call<'_>) -> (Outcome, f64) {
+    let now = context.now();
+    let mut counter = context.counter.borrow_mut();
+    counter
+        .model
+        .add(call.name, call.amount, call.lifetime, now)
+}
--- /dev/null
+++ b/crates/fakes/src/server/discovery.rs
@@ -0,0 +1,127 @@
+//! The fake discovery service over HTTP: full endpoint lists, and watches that wait for changes. Each limiter has a
+//! listener of its own, so that the records name the limiter that was notified.
+
+use crate::context::Context;
+use crate::endpoints::{endpoint_list, host_state, ListKind};
+use crate::state::EndpointChanges;
+use crate::task::accept_connections;
+use quartzcleat_invariants::What;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+const MAX_HEAD_BYTES: usize = 16 << 10;
+const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+/// The longest wait of a watch.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// What a call is answered with.
+struct Answer {
+    generation: u64,
+    kind: ListKind,
+    hosts: Vec<usize>,
+}
+
+/// Serves one limiter's calls until the listener fails.
+pub(crate) async fn serve(context: Rc<Context>, limiter: usize, listener: TcpListener) {
+    accept_connections(listener, |stream| {
+        serve_connection(context.clone(), limiter, stream)
+    })
+    .await;
+}
+
+async fn serve_connection(
+    context: Rc<Context>,
+    limiter: usize,
+    mut stream: TcpStream,
+) -> io::Result<()> {
+    let mut input = Vec::new();
+    loop {
+        while let Some(path) = take_request_path(&mut input) {
+            let answer = answer_call(&context, &path).await;
+            let response = response(&context, limiter, &answer);
+            stream.write_all(response.as_bytes()).await?;
+            record_notified(&context, limiter, &answer);
+        }
+        if input.len() > MAX_HEAD_BYTES || stream.read_buf(&mut input).await? == 0 {
+            return Ok(());
+        }
+    }
+}
+
+/// Removes the first complete request from the input and returns its path.
+fn take_request_path(input: &mut Vec<u8>) -> Option<String> {
+    let end = input
+        .windows(END_OF_HEAD.len())
+        .position(|window| window == END_OF_HEAD)?;
+    let head = String::from_utf8_lossy(&input[..end]).into_owned();
+    input.drain(..end + END_OF_HEAD.len());
+    Some(head.split(' ').nth(1).unwrap_or_default().to_owned())
+}
+
+fn response(context: &Context, limiter: usize, answer: &Answer) -> String {
+    let body = endpoint_list(
+        context,
+        limiter,
+        answer.generation,
+        answer.kind,
+        &answer.hosts,
+    )
+    .to_string();
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn record_notified(context: &Context, limiter: usize, answer: &Answer) {
+    for host in &answer.hosts {
+        context.record(What::Told {
+            limiter,
+            host: *host,
+            state: host_state(context, *host),
+        });
+    }
+}
+
+/// Waits as long as a call demands, and answers it.
+async fn answer_call(context: &Context, path: &str) -> Answer {
+    let EndpointChanges {
+        mut published,
+        mut answering,
+    } = context.discovery.borrow().subscribe();
+    let index = query_number(path, "index");
+    if let Some(index) = index {
+        let wait_ms = query_number(path, "wait").unwrap_or(0).min(MAX_WAIT_MS);
+        let changed = published.wait_for(|version| *version > index);
+        // Without a change in time the call is answered with an empty list.
+        let _ = timeout(Duration::from_millis(wait_ms), changed).await;
+    }
+    // Silence holds back every answer. The sender lives as long as the context, so that the wait does not fail.
+    let _ = answering.wait_for(|answering| *answering).await;
+    let discovery = context.discovery.borrow();
+    let generation = discovery.generation();
+    match index {
+        Some(index) if index >= 1 => Answer {
+            generation,
+            kind: ListKind::Changes,
+            hosts: discovery.changed_between(index, generation),
+        },
+        _ => Answer {
+            generation,
+            kind: ListKind::Full,
+            hosts: discovery.listed(),
+        },
+    }
+}
+
+fn query_number(path: &str, name: &str) -> Option<u64> {
+    let (_, query) = path.split_once('?')?;
+    query.split('&').find_map(|pair| {
+        let value = pair.strip_prefix(name)?.strip_prefix('=')?;
+        value.parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/fakes/src/server/host.rs
@@ -0,0 +1,133 @@
+//! The process of a fake host: its start and end, a listener for each limiter, and the connections of attempts.
+
+use crate::context::Context;
+use crate::resp::CommandStream;
+use crate::server::host_attempt::{self, AfterAttempt};
+use crate::state::Endpoint;
+use crate::task::{disable_nagle, spawn};
+use quartzcleat_decision::api::{Outcome, RequestId};
+use quartzcleat_invariants::What;
+use quartzcleat_simulation::node::Life;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// How often a host tries to take over the address of an ended process.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Starts to accept connections, where the host's process runs.
+pub(crate) fn start_process(context: &Rc<Context>, host: usize) {
+    let endpoints = {
+        let mut hosts = context.hosts.borrow_mut();
+        if hosts[host].model.life != Life::Up {
+            return;
+        }
+        hosts[host].take_endpoints()
+    };
+    for (limiter, endpoint) in endpoints.into_iter().enumerate() {
+        spawn(listen(context.clone(), limiter, host, endpoint));
+    }
+}
+
+/// Ends a host's process or machine. The end of a process resets its attempts.
+pub(crate) fn end(context: &Context, host: usize, life: Life) {
+    context.hosts.borrow_mut()[host].end(life);
+    if life != Life::Dead {
+        return;
+    }
+    for in_flight in context.in_flight_at(host) {
+        context.record(What::Ended {
+            request: in_flight.request,
+            attempt: in_flight.attempt,
+            outcome: Outcome::Reset,
+        });
+    }
+}
+
+fn has_vanished(context: &Context, host: usize) -> bool {
+    context.hosts.borrow()[host].model.life == Life::Vanished
+}
+
+async fn listen(context: Rc<Context>, limiter: usize, host: usize, endpoint: Endpoint) {
+    let Endpoint {
+        address,
+        listener,
+        mut process_ended,
+    } = endpoint;
+    let listener = match listener {
+        Some(listener) => listener,
+        None => bind_when_free(address).await,
+    };
+    loop {
+        tokio::select! {
+            _ = process_ended.changed() => break,
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { break };
+                disable_nagle(&stream);
+                let connection = serve_connection(context.clone(), limiter, host, stream);
+                spawn(until_process_ends(connection, process_ended.clone()));
+            }
+        }
+    }
+    if has_vanished(&context, host) {
+        // A vanished machine keeps its sockets and answers nothing.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Binds an address as soon as the process before has closed it.
+async fn bind_when_free(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => sleep(BIND_RETRY_INTERVAL).await,
+        }
+    }
+}
+
+async fn until_process_ends(
+    connection: impl std::future::Future<Output = io::Result<()>>,
+    mut process_ended: watch::Receiver<u64>,
+) {
+    tokio::select! {
+        _ = process_ended.changed() => {}
+        // The limiter sees the end of a failed connection; the host has nothing to add.
+        _ = connection => {}
+    }
+}
+
+async fn serve_connection(
+    context: Rc<Context>,
+    limiter: usize,
+    host: usize,
+    stream: TcpStream,
+) -> io::Result<()> {
+    let mut stream = CommandStream::new(stream);
+    while let Some(arguments) = stream.next_command().await? {
+        if has_vanished(&context, host) {
+            return std::future::pending().await;
+        }
+        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        match arguments.as_slice() {
+            ["Q.ASK" | "Q.DO", _, id, _, ..] => {
+                let Ok(id) = u64::from_str_radix(id, 16) else {
+                    stream.write("-SYNTAX\r\n").await?;
+                    continue;
+                };
+                let end = host_attempt::serve(&context, limiter, host, RequestId(id), &mut stream)
+                    .await?;
+                if end == AfterAttempt::Close {
+                    return Ok(());
+                }
+            }
+            ["PING"] => stream.write("+PONG\r\n").await?,
+            ["INFO", "load"] => stream.write("-NOPERM\r\n").await?,
+            _ => stream.write("-ERR no such command\r\n").await?,
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fakes/src/server/host_attempt.rs
@@ -0,0 +1,296 @@
+//! One attempt at a fake host: queued, executed or dropped as a duplicate by the simulation's model, and answered as the
+//! scenario's fate for it demands.
+
+use crate::context::{Context, DeduplicationKey};
+use crate::resp::CommandStream;
+use crate::server::host;
+use crate::task::spawn;
+use quartzcleat_decision::api::{Effect, Group, Nanos, Outcome, RequestId};
+use quartzcleat_invariants::What;
+use quartzcleat_simulation::node::{Job, Life, Reached};
+use quartzcleat_simulation::oracle::Point;
+use quartzcleat_simulation::scenario::{Fate, Happening, Scenario};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+/// Work of a request whose class has none in the scenario.
+const DEFAULT_WORK: Nanos = 100_000_000;
+/// Time that a host takes to drop a duplicate.
+const DUPLICATE_TIME: Nanos = 1_000_000;
+
+/// Whether the connection of an attempt stays open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AfterAttempt {
+    KeepOpen,
+    Close,
+}
+
+/// How the host ends an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HostReply {
+    Value,
+    Busy,
+    Error,
+    /// The connection is closed without an answer.
+    Reset,
+    /// The connection stays open without an answer.
+    Silence,
+}
+
+/// An attempt as its host knows it.
+#[derive(Clone, Copy)]
+struct Attempt {
+    host: usize,
+    job: Job,
+    class: usize,
+    /// The operation that the client wants executed.
+    operation: u64,
+}
+
+/// Serves one attempt.
+pub(crate) async fn serve(
+    context: &Rc<Context>,
+    limiter: usize,
+    host: usize,
+    request: RequestId,
+    stream: &mut CommandStream,
+) -> io::Result<AfterAttempt> {
+    let Some(attempt) = begin(context, limiter, host, request) else {
+        // No client sent this request.
+        return Ok(AfterAttempt::Close);
+    };
+    let reply = tokio::select! {
+        reply = execute(context, &attempt) => reply,
+        () = stream.closed() => {
+            // The limiter cancelled the attempt: it leaves the host's queue.
+            context.hosts.borrow_mut()[host].model.give_up(attempt.job);
+            record_end(context, &attempt, Outcome::Cancelled);
+            return Ok(AfterAttempt::Close);
+        }
+    };
+    sleep(context.network_delay(limiter, host) * 2).await;
+    answer(context, &attempt, reply, stream).await
+}
+
+/// Counts and records an attempt; `None` where its request is unknown.
+fn begin(context: &Context, limiter: usize, host: usize, request: RequestId) -> Option<Attempt> {
+    let attempt = {
+        let mut requests = context.requests.borrow_mut();
+        let state = requests.get_mut(&request)?;
+        state.attempts += 1;
+        Attempt {
+            host,
+            job: Job {
+                limiter,
+                request,
+                attempt: state.attempts - 1,
+            },
+            class: state.class,
+            operation: state.operation,
+        }
+    };
+    let warmth = {
+        let hosts = context.hosts.borrow();
+        hosts[host]
+            .model
+            .warmth(&context.scenario.truth, context.now())
+    };
+    context.record(What::Sent {
+        limiter,
+        request,
+        attempt: attempt.job.attempt,
+        host,
+        cold: warmth < 1.0,
+    });
+    Some(attempt)
+}
+
+fn record_end(context: &Context, attempt: &Attempt, outcome: Outcome) {
+    context.record(What::Ended {
+        request: attempt.job.request,
+        attempt: attempt.job.attempt,
+        outcome,
+    });
+}
+
+/// Writes the answer. The end is recorded first: once the answer is written, the limiter may send the next attempt
+/// before this task goes on.
+async fn answer(
+    context: &Context,
+    attempt: &Attempt,
+    reply: HostReply,
+    stream: &mut CommandStream,
+) -> io::Result<AfterAttempt> {
+    match reply {
+        HostReply::Value => {
+            let text = value_text(context, attempt);
+            record_end(context, attempt, Outcome::Good);
+            stream.write(&text).await?;
+        }
+        HostReply::Busy => {
+            record_end(context, attempt, Outcome::Rejected);
+            stream.write("-BUSY\r\n").await?;
+        }
+        HostReply::Error => {
+            record_end(context, attempt, Outcome::Error);
+            stream.write("-ERR failed\r\n").await?;
+        }
+        HostReply::Reset => {
+            record_end(context, attempt, Outcome::Reset);
+            return Ok(AfterAttempt::Close);
+        }
+        HostReply::Silence => {
+            stream.closed().await;
+            record_end(context, attempt, Outcome::Timeout);
+            return Ok(AfterAttempt::Close);
+        }
+    }
+    Ok(AfterAttempt::KeepOpen)
+}
+
+/// A successful answer, which reports the true cost where the scenario has one.
+fn value_text(context: &Context, attempt: &Attempt) -> String {
+    let request = attempt.job.request;
+    let cost = cost(&context.scenario, attempt.operation);
+    let report = if cost > 0.0 {
+        context.record(What::Settled {
+            request,
+            units: cost,
+        });
+        let report = format!("cost={cost}");
+        format!("${}\r\n{report}", report.len())
+    } else {
+        "$-1".to_owned()
+    };
+    format!("*3\r\n$16\r\n{:016x}\r\n{report}\r\n$-1\r\n", request.0)
+}
+
+/// The true cost of an operation, in units; zero where the scenario has none.
+fn cost(scenario: &Scenario, operation: u64) -> f64 {
+    let ask = scenario.steps.iter().find_map(|step| match &step.what {
+        Happening::Ask(ask) if ask.mark == operation => Some(ask),
+        _ => None,
+    });
+    ask.map_or(0.0, |ask| ask.cost)
+}
+
+/// Executes an attempt, or ends it as its fate demands.
+async fn execute(context: &Rc<Context>, attempt: &Attempt) -> HostReply {
+    let number = attempt.job.attempt as usize;
+    let fate = context.choose(Point::Attempt, number, &context.scenario.fates);
+    let fate = fate.unwrap_or(Fate::Normal);
+    match fate {
+        Fate::Busy | Fate::Refused => return HostReply::Busy,
+        Fate::ResetLost => return HostReply::Reset,
+        Fate::SilentLost => return HostReply::Silence,
+        Fate::Normal | Fate::Error | Fate::ResetRan | Fate::SilentRan | Fate::Late => {}
+    }
+    if let Err(reply) = reach_core(context, attempt).await {
+        return reply;
+    }
+    let done = start_work(context, attempt);
+    match fate {
+        Fate::Error => return HostReply::Error,
+        Fate::ResetRan => return HostReply::Reset,
+        Fate::SilentRan => return HostReply::Silence,
+        _ => {}
+    }
+    // The work's task ends by sending; there is nothing to learn from a failure.
+    let _ = done.await;
+    if fate == Fate::Late {
+        sleep(latency_objective(context, attempt.class)).await;
+    }
+    if context.hosts.borrow()[attempt.host].model.life == Life::Vanished {
+        return HostReply::Silence;
+    }
+    HostReply::Value
+}
+
+fn work(context: &Context, class: usize) -> Nanos {
+    let work = &context.scenario.work;
+    work.get(class).copied().unwrap_or(DEFAULT_WORK)
+}
+
+fn latency_objective(context: &Context, class: usize) -> Duration {
+    let class = context.scenario.truth.classes.get(class);
+    Duration::from_nanos(class.map_or(0, |class| class.latency_objective))
+}
+
+/// Waits until a core of the host is free for the attempt; the error is the reply where none ever is.
+async fn reach_core(context: &Rc<Context>, attempt: &Attempt) -> Result<(), HostReply> {
+    let now = context.now();
+    let work = work(context, attempt.class);
+    let reached = context.hosts.borrow_mut()[attempt.host].model.reach(
+        attempt.job,
+        work,
+        &context.scenario.truth,
+        now,
+    );
+    match reached {
+        Reached::Begun => Ok(()),
+        Reached::Waits => {
+            let started = context.hosts.borrow_mut()[attempt.host].enqueue(attempt.job);
+            started.await.map_err(|_| HostReply::Reset)
+        }
+        Reached::Busy => Err(HostReply::Busy),
+        Reached::Refused => Err(HostReply::Reset),
+        Reached::Nothing => Err(HostReply::Silence),
+        Reached::Tips => {
+            context.record(What::Tipped { host: attempt.host });
+            host::end(context, attempt.host, Life::Dead);
+            Err(HostReply::Reset)
+        }
+    }
+}
+
+/// Starts the work, which goes on whatever becomes of its connection; the receiver resolves at its end.
+fn start_work(context: &Rc<Context>, attempt: &Attempt) -> oneshot::Receiver<()> {
+    let host = attempt.host;
+    let dropped = is_duplicate(context, attempt);
+    context.record(What::Ran {
+        host,
+        request: attempt.job.request,
+        dropped,
+    });
+    let work = work(context, attempt.class);
+    let (duration, process_start) = {
+        let model = &context.hosts.borrow()[host].model;
+        let duration = if dropped {
+            DUPLICATE_TIME
+        } else {
+            model.takes(work, &context.scenario.truth, context.now())
+        };
+        (Duration::from_nanos(duration), model.started)
+    };
+    let (finish, finished) = oneshot::channel();
+    let context = context.clone();
+    spawn(async move {
+        sleep(duration).await;
+        context.hosts.borrow_mut()[host].finish_job(process_start);
+        // An attempt whose connection is gone does not wait for the end of its work.
+        let _ = finish.send(());
+    });
+    finished
+}
+
+/// Whether the host's group has executed the attempt's operation within the deduplication window of its class.
+fn is_duplicate(context: &Context, attempt: &Attempt) -> bool {
+    let class = context.scenario.truth.classes.get(attempt.class);
+    let Some(class) = class.filter(|class| class.effect == Effect::Keyed) else {
+        return false;
+    };
+    let description = &context.scenario.cast.hosts[attempt.host];
+    let group = match class.group {
+        Group::All => 0,
+        Group::Zone => description.room + 1,
+        Group::Cell => description.cell + 1,
+    };
+    let key = DeduplicationKey {
+        group,
+        operation: attempt.operation,
+    };
+    context.is_duplicate(key, class.dedup_window)
+}
--- /dev/null
+++ b/crates/fakes/src/state/counter.rs
@@ -0,0 +1,29 @@
+//! The counter's totals and the number of calls from each limiter.
+
+use quartzcleat_simulation::counter::Counter;
+use quartzcleat_simulation::scenario::CounterSetup;
+
+/// The state of the fake counter.
+pub(crate) struct FakeCounter {
+    pub(crate) model: Counter,
+    /// Calls so far, by limiter.
+    calls: Vec<usize>,
+}
+
+impl FakeCounter {
+    pub(crate) fn new(setup: &CounterSetup) -> Self {
+        FakeCounter {
+            model: Counter::new(setup),
+            calls: Vec::new(),
+        }
+    }
+
+    /// Counts a limiter's call and returns its index, from zero.
+    pub(crate) fn next_call(&mut self, limiter: usize) -> usize {
+        let limiters = self.calls.len().max(limiter + 1);
+        self.calls.resize(limiters, 0);
+        let call = self.calls[limiter];
+        self.calls[limiter] += 1;
+        call
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/state/host.rs
@@ -0,0 +1,97 @@
+//! A fake host: a listener for each limiter, and the simulation's model of cores, queue, slow start and remembered keys.
+
+use quartzcleat_decision::api::Nanos;
+use quartzcleat_simulation::node::{Job, Life, Node};
+use quartzcleat_simulation::scenario::NodeSetup;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+use tokio::sync::{oneshot, watch};
+
+/// The state of one fake host.
+pub(crate) struct FakeHost {
+    pub(crate) model: Node,
+    /// The address for each limiter.
+    pub(crate) addresses: Vec<SocketAddr>,
+    /// Listeners that are bound before the first process starts.
+    listeners: Vec<TcpListener>,
+    /// Counts the processes that have ended.
+    ended_processes: watch::Sender<u64>,
+    /// Attempts that wait in the host's queue.
+    queued: BTreeMap<Job, oneshot::Sender<()>>,
+}
+
+/// Where a host's process serves one limiter.
+pub(crate) struct Endpoint {
+    pub(crate) address: SocketAddr,
+    /// A listener that is bound already.
+    pub(crate) listener: Option<TcpListener>,
+    /// Changes when the process ends.
+    pub(crate) process_ended: watch::Receiver<u64>,
+}
+
+impl FakeHost {
+    pub(crate) async fn bind(setup: &NodeSetup, limiters: usize, start: Nanos) -> io::Result<Self> {
+        let mut addresses = Vec::new();
+        let mut listeners = Vec::new();
+        for _ in 0..limiters {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            addresses.push(listener.local_addr()?);
+            listeners.push(listener);
+        }
+        if setup.absent {
+            listeners.clear();
+        }
+        Ok(FakeHost {
+            model: Node::new(setup, start),
+            addresses,
+            listeners,
+            ended_processes: watch::Sender::new(0),
+            queued: BTreeMap::new(),
+        })
+    }
+
+    /// The endpoints of a process that starts, one for each limiter.
+    pub(crate) fn take_endpoints(&mut self) -> Vec<Endpoint> {
+        let mut listeners = std::mem::take(&mut self.listeners).into_iter();
+        let process_ended = self.ended_processes.subscribe();
+        self.addresses
+            .iter()
+            .map(|address| Endpoint {
+                address: *address,
+                listener: listeners.next(),
+                process_ended: process_ended.clone(),
+            })
+            .collect()
+    }
+
+    /// Ends the host's process or its machine.
+    pub(crate) fn end(&mut self, life: Life) {
+        self.model.end(life);
+        self.queued.clear();
+        if life == Life::Dead {
+            self.ended_processes.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Queues an attempt. The receiver resolves when the attempt starts, and fails when the host ends.
+    pub(crate) fn enqueue(&mut self, job: Job) -> oneshot::Receiver<()> {
+        let (start, started) = oneshot::channel();
+        self.queued.insert(job, start);
+        started
+    }
+
+    /// Finishes a job of the process that started at `started`, and starts the next queued one whose connection is open.
+    pub(crate) fn finish_job(&mut self, started: Nanos) {
+        if self.model.started != started || self.model.life != Life::Up {
+            return;
+        }
+        while let Some(next) = self.model.proceed() {
+            let start = self.queued.remove(&next);
+            if start.is_some_and(|start| start.send(()).is_ok()) {
+                return;
+            }
+        }
+    }
+}
