--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,7 +7,7 @@
 //! rejection; a vanished machine still completes TCP handshakes.
 //!
 //! Modules depend on each other in one direction: `harness` -> `events` -> `client`, `server` -> `endpoints` ->
-//! `context` -> `state`, `limiter`, `recorder`.
+//! `context` -> `state`, `limiter`, `recorder`; `process` is used outside too.
 
 mod client;
 mod context;
@@ -15,6 +15,8 @@
 mod events;
 mod harness;
 mod limiter;
+pub mod load;
+pub mod process;
 mod recorder;
 mod resp;
 mod server;
@@ -22,7 +24,7 @@
 mod task;
 
 pub use harness::{run, run_measured, run_with, RunReport};
-pub use limiter::Usage;
+pub use process::Usage;
 
 /// The former name of [`run`].
 pub use harness::run as play;
@@ -32,5 +34,5 @@
     pub use crate::harness::run_measured as perform;
     pub use crate::harness::run_with as perform_with;
     pub use crate::harness::RunReport as Performed;
-    pub use crate::limiter::Usage;
+    pub use crate::process::Usage;
 }
--- a/crates/fakes/src/limiter.rs
+++ b/crates/fakes/src/limiter.rs
@@ -1,29 +1,11 @@
 //! A limiter's process: started with a configuration of its own, and killed at the latest when the harness is dropped.
 
+use crate::process::{limiter_command, Usage};
 use std::fs::OpenOptions;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
-use tokio::process::{Child, Command};
-
-/// Variables that would go before the configuration file.
-const OVERRIDING_VARIABLES: [&str; 5] = [
-    "BALANCER_NAME",
-    "BALANCER_LISTEN",
-    "BALANCER_DISCOVERY",
-    "BALANCER_COUNTER",
-    "QUARTZCLEAT_CONFIG",
-];
-
-/// Resources that a limiter's process has used.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Usage {
-    /// CPU time in nanoseconds.
-    pub cpu_ns: u64,
-    /// Peak resident set size in kilobytes.
-    pub peak_kb: u64,
-}
+use tokio::process::Child;
 
 /// The addresses of a limiter and of the services that it calls.
 #[derive(Clone, Copy, Debug)]
@@ -63,15 +45,7 @@
     ) -> io::Result<()> {
         self.starts += 1;
         std::fs::write(&self.config, config.to_string())?;
-        let mut command = Command::new(&self.program);
-        for name in OVERRIDING_VARIABLES {
-            command.env_remove(name);
-        }
-        command
-            .env("BALANCER_CONFIG", &self.config)
-            .kill_on_drop(true)
-            .stdin(Stdio::null())
-            .stderr(Stdio::null());
+        let mut command = limiter_command(&self.program, &self.config);
         if let Some(text) = product_config {
             let path = self.config.with_extension("yaml");
             std::fs::write(&path, text)?;
@@ -83,22 +57,9 @@
         Ok(())
     }
 
-    /// What the process has used so far, from procfs; zero where it does not run.
+    /// What the process has used so far; zero where it does not run.
     pub(crate) fn usage(&self) -> Usage {
-        let Some(id) = self.child.as_ref().and_then(Child::id) else {
-            return Usage::default();
-        };
-        let read =
-            |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
-        let status = read("status");
-        let peak = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))
-            .unwrap_or_default();
-        Usage {
-            cpu_ns: first_number(&read("schedstat")),
-            peak_kb: first_number(peak),
-        }
+        Usage::of_child(self.child.as_ref())
     }
 
     pub(crate) fn is_running(&self) -> bool {
@@ -123,10 +84,3 @@
         let _ = child.kill().await;
     }
 }
-
-fn first_number(text: &str) -> u64 {
-    text.split_whitespace()
-        .next()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0)
-}
--- /dev/null
+++ b/crates/fakes/src/load.rs
@@ -0,0 +1,115 @@
+//! Scenarios of steady load: limiters and hosts in one zone, and customers whose quotas reject nothing.
+
+use quartzcleat_decision::api::{HostState, Nanos, Settings};
+use quartzcleat_invariants::{record::Player, Cast};
+use quartzcleat_simulation::scenario::{
+    Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step,
+};
+
+/// The plan of all customers.
+pub const PLAN: u32 = 2;
+/// Cores of a host: enough that no request waits for one.
+const CORES_PER_HOST: u32 = 64;
+/// The one-way delay between any two processes.
+const NETWORK_DELAY: Nanos = 100_000;
+/// The time in which the counter executes a call.
+const COUNTER_SERVICE_TIME: Nanos = 20_000;
+/// Rate and burst of the plan, in units: more than a load of any test.
+const UNLIMITED_UNITS: f64 = 100_000.0;
+
+/// The processes of a load.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadTopology {
+    /// Limiters.
+    pub limiters: usize,
+    /// Hosts.
+    pub hosts: usize,
+    /// Customers.
+    pub customers: usize,
+    /// What a request of any class takes on a host.
+    pub work: Nanos,
+}
+
+/// A scenario of a load with its steps, which ends at `end` at the latest.
+///
+/// # Panics
+/// Panics where the settings have no plan [`PLAN`].
+#[must_use]
+pub fn load_scenario(
+    settings: &Settings,
+    topology: LoadTopology,
+    steps: Vec<Step>,
+    end: Nanos,
+) -> Scenario {
+    let settings = with_unlimited_plan(settings);
+    let host = NodeSetup {
+        cores: CORES_PER_HOST,
+        state: HostState::Ready,
+        ..NodeSetup::default()
+    };
+    Scenario {
+        truth: settings.clone(),
+        cast: processes(&settings, topology),
+        nodes: vec![host; topology.hosts],
+        net: Net {
+            same: NETWORK_DELAY,
+            cross: NETWORK_DELAY,
+            counter: NETWORK_DELAY,
+        },
+        start: 0,
+        phases: vec![0],
+        seeds: vec![1],
+        lags: vec![0],
+        counter: CounterSetup {
+            service: COUNTER_SERVICE_TIME,
+            ..CounterSetup::default()
+        },
+        fates: vec![Fate::Normal],
+        work: vec![topology.work; 2],
+        spread: 0.0,
+        steps,
+        retry: None,
+        end,
+        variant: Some(0),
+        settings,
+    }
+}
+
+/// A step that sends a request at a time.
+#[must_use]
+pub fn request_step(at: Nanos, request: Ask) -> Step {
+    Step {
+        at: vec![at],
+        what: Happening::Ask(request),
+        free: None,
+    }
+}
+
+fn with_unlimited_plan(settings: &Settings) -> Settings {
+    let mut settings = settings.clone();
+    let plan = &mut settings.plans[PLAN as usize];
+    plan.rate = UNLIMITED_UNITS;
+    plan.burst = UNLIMITED_UNITS;
+    plan.open = 0;
+    settings
+}
+
+fn processes(settings: &Settings, topology: LoadTopology) -> Cast {
+    let process = |name: String| Player {
+        name,
+        room: 0,
+        cell: 0,
+    };
+    let limiter = |index: usize| process(format!("l{index}"));
+    let host = |index: usize| process(format!("n{index}"));
+    let classes = settings.classes.iter().map(|class| class.name.clone());
+    Cast {
+        rooms: vec!["room-a".into()],
+        limiters: (0..topology.limiters).map(limiter).collect(),
+        hosts: (0..topology.hosts).map(host).collect(),
+        partners: (0..topology.customers)
+            .map(|index| format!("partner-{index}"))
+            .collect(),
+        classes: classes.collect(),
+    }
+}
