--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,4 +1,5 @@
-//! The command line. Without a command it serves, as the platform starts it.
+//! The command line: the only place where errors become text and exit codes. Without a command the program serves, as
+//! the platform starts it.
 
 pub mod check;
 pub mod demo;
@@ -11,17 +12,20 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+#[cfg(test)]
+mod tests;
+
 /// A quota-keeping request limiter. Without a command it serves.
 ///
 /// Serving reads the platform's JSON from the file that BALANCER_CONFIG names; BALANCER_NAME, BALANCER_LISTEN,
-/// BALANCER_DISCOVERY and BALANCER_COUNTER go before what it says. What the platform has no place for comes from a
-/// YAML file of our own, named by --config or QUARTZCLEAT_CONFIG; without one its defaults hold.
+/// BALANCER_DISCOVERY and BALANCER_COUNTER override its values. Settings that the platform does not have come from the
+/// product configuration, a YAML file named by --config or QUARTZCLEAT_CONFIG; without it, defaults apply.
 ///
-/// Commands that check exit with 0 where all holds, 1 where something does not, and 2 where that cannot be told.
+/// Commands that check exit with 0 if everything holds, 1 if something does not, and 2 if that cannot be determined.
 #[derive(Debug, Parser)]
 #[command(version, about, long_about)]
 pub struct Cli {
-    /// Our own settings, such as deploy/quartzcleat.yaml.
+    /// The product configuration, such as deploy/quartzcleat.yaml.
     #[arg(long, global = true, value_name = "FILE", env = "QUARTZCLEAT_CONFIG")]
     config: Option<PathBuf>,
     #[command(subcommand)]
@@ -32,30 +36,30 @@
 enum Command {
     /// Serve; the same as no command.
     Serve,
-    /// Read settings and say all that is wrong with them.
+    /// Read configuration files and report all their faults.
     Check(check::Check),
     /// Check expectations of routing, quotas and retries without traffic.
     Expect(Box<expect::Expect>),
-    /// Start limiters before stand-ins on loopback, play a short load and show what happened.
+    /// Start limiters with fake services on loopback, run a short load and show what happened.
     Demo(demo::Demo),
-    /// Add up what each customer used, from a sink of exported use.
+    /// Add up the usage of each customer from a sink of exported usage records.
     Use(used::Used),
 }
 
-/// The form of a report.
+/// The format of a report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
 pub enum Format {
-    /// For people.
+    /// Text for people.
     #[default]
     Human,
     /// JSON.
     Json,
-    /// JUnit's XML, for build servers.
+    /// JUnit XML for build servers.
     Junit,
 }
 
 impl Cli {
-    /// Does what was asked.
+    /// Runs the command.
     pub fn run(self) -> ExitCode {
         match self.command {
             None | Some(Command::Serve) => serve::run(self.config.as_deref()),
@@ -67,22 +71,9 @@
     }
 }
 
-/// Prints a report; a reader that has gone away is no fault of the report's.
+/// Prints a report.
 pub(crate) fn print(text: &str) {
     use std::io::Write as _;
+    // A reader that has closed the pipe does not change the command's result.
     let _ = std::io::stdout().lock().write_all(text.as_bytes());
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use clap::CommandFactory as _;
-
-    #[test]
-    fn the_command_line_is_sound_and_serves_without_arguments() {
-        Cli::command().debug_assert();
-        let bare = Cli::try_parse_from(["quartzcleat"]).expect("no arguments are needed");
-        assert!(bare.command.is_none());
-        assert!(Cli::try_parse_from(["quartzcleat", "expect", "--format", "xml"]).is_err());
-    }
-}
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -1,41 +1,89 @@
-//! Serving: settings are read, logging begins, and the limiter runs until it is told to end.
+//! `quartzcleat serve`: reads the configuration, begins logging, and runs the limiter until it is asked to end.
 
-use crate::logging;
-use crate::net::{self, config};
-use quartzcleat_config::Product;
-use std::path::Path;
+use crate::logging::{self, LoggingError};
+use crate::net::{self, config, StartError};
+use quartzcleat_config::{Faults, Product};
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use thiserror::Error;
 
-/// Reads our own settings; none is as good as an empty file.
+/// Why the product configuration cannot be used.
+#[derive(Debug, Error)]
+pub enum ProductConfigError {
+    /// The file cannot be read.
+    #[error("{}: cannot read: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The file has faults, one line each.
+    #[error(transparent)]
+    Faults(#[from] Faults),
+}
+
+/// Why the program cannot serve.
+#[derive(Debug, Error)]
+enum ServeError {
+    #[error(transparent)]
+    ProductConfig(#[from] ProductConfigError),
+    #[error(transparent)]
+    Logging(#[from] LoggingError),
+    /// The platform's configuration is missing or refused.
+    #[error("{0}")]
+    PlatformConfig(String),
+    #[error(transparent)]
+    Start(#[from] StartError),
+}
+
+/// Reads the product configuration; without a file, defaults apply.
 ///
 /// # Errors
-/// All faults of the file, one line each.
-pub fn product(path: Option<&Path>) -> Result<Product, String> {
+/// Fails where the file cannot be read or has faults.
+pub fn read_product_config(path: Option<&Path>) -> Result<Product, ProductConfigError> {
     let Some(path) = path else {
         return Ok(Product::default());
     };
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
-    Product::read(&name, &text).map_err(|faults| faults.to_string())
+    let text = std::fs::read_to_string(path).map_err(|source| ProductConfigError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    let product = Product::read(&path.display().to_string(), &text)?;
+    Ok(product)
 }
 
-/// Serves.
-pub fn run(config: Option<&Path>) -> ExitCode {
-    let served = product(config).and_then(|product| {
-        logging::begin(&product.log)?;
-        let config = config::from_environment()?;
-        let config = config::Config {
-            metrics: product.tally,
-            lease: product.lease,
-            ..config
-        };
-        net::serve(config).map_err(|error| error.to_string())
-    });
-    match served {
+/// The product configuration for a report: [`read_product_config`] with its error as text, one line for each fault.
+///
+/// # Errors
+/// As [`read_product_config`].
+pub fn product(path: Option<&Path>) -> Result<Product, String> {
+    read_product_config(path).map_err(|error| error.to_string())
+}
+
+/// Serves until the process is asked to end.
+#[must_use]
+pub fn run(product_config: Option<&Path>) -> ExitCode {
+    match serve(product_config) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("quartzcleat: {message}");
+        Err(error) => {
+            eprintln!("quartzcleat: {error}");
             ExitCode::FAILURE
         }
     }
 }
+
+fn serve(product_config: Option<&Path>) -> Result<(), ServeError> {
+    let product = read_product_config(product_config)?;
+    logging::begin(&product.log)?;
+    let platform = config::from_environment();
+    let platform = platform.map_err(|error| ServeError::PlatformConfig(error.to_string()))?;
+    let config = config::Config {
+        metrics: product.tally,
+        lease: product.lease,
+        ..platform
+    };
+    net::serve(config)?;
+    Ok(())
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,5 +1,5 @@
-//! Logging, on tracing: lines for people or JSON to standard error, filtered by level and target, and rate-limited
-//! for each place that logs, so that a fault that repeats does not fill what the platform keeps.
+//! Logging with `tracing`: lines for people or JSON to standard error, filtered by level and target. Each call site is
+//! rate-limited, so that a fault that repeats does not fill what the platform keeps of standard error.
 
 use crate::net::metrics;
 use quartzcleat_config::product::{Form, Log};
@@ -7,92 +7,113 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Instant;
+use thiserror::Error;
 use tracing::{Event, Metadata, Subscriber};
-use tracing_subscriber::filter::EnvFilter;
+use tracing_subscriber::filter::{EnvFilter, ParseError};
 use tracing_subscriber::fmt::format::{Format, Writer};
 use tracing_subscriber::fmt::{time::Uptime, FmtContext, FormatEvent, FormatFields, Layer};
 use tracing_subscriber::layer::{Context, Filter, SubscriberExt as _};
 use tracing_subscriber::registry::LookupSpan;
-use tracing_subscriber::util::SubscriberInitExt as _;
+use tracing_subscriber::util::{SubscriberInitExt as _, TryInitError};
 use tracing_subscriber::Layer as _;
 
-/// Places that log are told apart by so many slots; two that share one share its allowance.
-const SLOTS: usize = 256;
+#[cfg(test)]
+mod tests;
+
+/// Call sites are distinguished by so many slots; two that share a slot share its allowance.
+const CALL_SITE_SLOTS: usize = 256;
+
+/// Why logging cannot begin.
+#[derive(Debug, Error)]
+pub enum LoggingError {
+    /// The filter of the configuration is malformed.
+    #[error("log.filter: {0}")]
+    Filter(#[from] ParseError),
+    /// Logging has begun already.
+    #[error("cannot log: {0}")]
+    Begin(#[from] TryInitError),
+}
 
-/// What one place has logged lately.
+/// What one call site has logged in its current window.
 #[derive(Default)]
-struct Slot {
-    /// Milliseconds at which its window began, and lines since.
-    since: AtomicU64,
+struct CallSite {
+    /// The start of the window, in milliseconds since the limiter's start.
+    window_start_ms: AtomicU64,
+    /// Lines since then, with those that were suppressed.
     lines: AtomicU64,
-    /// Lines left out of the window before, to be told with the next.
-    left_out: AtomicU64,
+    /// Lines suppressed in the window before, to be reported with the next line.
+    suppressed: AtomicU64,
 }
 
-struct Repeats {
+/// Limits the lines of each call site in a window of time.
+struct RateLimiter {
     start: Instant,
-    window: u64,
+    window_ms: u64,
+    /// The lines of one call site in a window.
     burst: u64,
-    slots: Vec<Slot>,
+    call_sites: Vec<CallSite>,
 }
 
-impl Repeats {
+impl RateLimiter {
     fn new(log: &Log) -> Self {
-        let slots = (0..SLOTS).map(|_| Slot::default()).collect();
-        Repeats {
+        RateLimiter {
             start: Instant::now(),
-            window: log.window.as_millis() as u64,
+            window_ms: log.window.as_millis() as u64,
             burst: log.burst.into(),
-            slots,
+            call_sites: (0..CALL_SITE_SLOTS).map(|_| CallSite::default()).collect(),
         }
     }
 
-    fn slot(&self, metadata: &Metadata<'_>) -> &Slot {
+    fn call_site(&self, metadata: &Metadata<'_>) -> &CallSite {
         let line = metadata.line().unwrap_or(0) as usize;
-        let name = metadata
+        let hash = metadata
             .target()
             .bytes()
             .fold(line, |hash, byte| hash.wrapping_mul(31) + usize::from(byte));
-        &self.slots[name % SLOTS]
+        &self.call_sites[hash % CALL_SITE_SLOTS]
     }
 
-    /// Whether one more line of a place may be written at this moment.
-    fn allows(&self, slot: &Slot, now: u64) -> bool {
-        if now >= slot.since.load(Relaxed) + self.window || slot.lines.load(Relaxed) == 0 {
-            let over = slot.lines.load(Relaxed).saturating_sub(self.burst);
-            slot.left_out.store(over, Relaxed);
-            slot.since.store(now, Relaxed);
-            slot.lines.store(1, Relaxed);
-            return true;
+    /// Whether a call site may write one more line now.
+    fn allows(&self, call_site: &CallSite, now_ms: u64) -> bool {
+        let window_end_ms = call_site.window_start_ms.load(Relaxed) + self.window_ms;
+        if now_ms < window_end_ms && call_site.lines.load(Relaxed) > 0 {
+            return call_site.lines.fetch_add(1, Relaxed) < self.burst;
         }
-        slot.lines.fetch_add(1, Relaxed) < self.burst
+        let suppressed = call_site.lines.load(Relaxed).saturating_sub(self.burst);
+        call_site.suppressed.store(suppressed, Relaxed);
+        call_site.window_start_ms.store(now_ms, Relaxed);
+        call_site.lines.store(1, Relaxed);
+        true
     }
 }
 
-/// The repeats, as a filter.
-struct Seldom(Arc<Repeats>);
+/// The rate limiter as a filter of events.
+struct RateLimitFilter(Arc<RateLimiter>);
 
-impl<S: Subscriber> Filter<S> for Seldom {
+impl<S: Subscriber> Filter<S> for RateLimitFilter {
     fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
         true
     }
 
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
-        // The tally keeps to a time of its own.
+        // Metrics are logged at an interval of their own.
         if event.metadata().target() == metrics::TARGET {
             return true;
         }
-        self.0.allows(
-            self.0.slot(event.metadata()),
-            self.0.start.elapsed().as_millis() as u64,
-        )
+        let call_site = self.0.call_site(event.metadata());
+        let now_ms = self.0.start.elapsed().as_millis() as u64;
+        self.0.allows(call_site, now_ms)
     }
 }
 
-/// Writes an event, and behind it how many like it were left out before.
-struct WithRepeats<F>(F, Arc<Repeats>, Form);
+/// Writes an event, and behind it how many of its call site were suppressed before.
+struct SuppressionReport<F> {
+    format: F,
+    rate_limiter: Arc<RateLimiter>,
+    form: Form,
+}
 
-impl<S, N, F> FormatEvent<S, N> for WithRepeats<F>
+impl<S, N, F> FormatEvent<S, N> for SuppressionReport<F>
 where
     S: Subscriber + for<'a> LookupSpan<'a>,
     N: for<'a> FormatFields<'a> + 'static,
@@ -100,22 +121,28 @@
 {
     fn format_event(
         &self,
-        cx: &FmtContext<'_, S, N>,
-        mut to: Writer<'_>,
+        context: &FmtContext<'_, S, N>,
+        mut writer: Writer<'_>,
         event: &Event<'_>,
     ) -> fmt::Result {
-        let left_out = self.1.slot(event.metadata()).left_out.swap(0, Relaxed);
-        self.0.format_event(cx, to.by_ref(), event)?;
-        match (left_out, self.2) {
-            (0, _) => Ok(()),
-            (count, Form::Human) => {
-                writeln!(to, "    ({count} lines like it were left out before)")
+        let call_site = self.rate_limiter.call_site(event.metadata());
+        let suppressed = call_site.suppressed.swap(0, Relaxed);
+        self.format.format_event(context, writer.by_ref(), event)?;
+        if suppressed == 0 {
+            return Ok(());
+        }
+        match self.form {
+            Form::Human => {
+                writeln!(
+                    writer,
+                    "    ({suppressed} lines like it were left out before)"
+                )
             }
-            (count, Form::Json) => {
+            Form::Json => {
+                let target = event.metadata().target();
                 writeln!(
-                    to,
-                    "{{\"target\":\"{}\",\"left_out\":{count}}}",
-                    event.metadata().target()
+                    writer,
+                    "{{\"target\":\"{target}\",\"left_out\":{suppressed}}}"
                 )
             }
         }
@@ -125,49 +152,36 @@
 /// Begins logging.
 ///
 /// # Errors
-/// A filter that cannot be read, or logging that has begun already.
-pub fn begin(log: &Log) -> Result<(), String> {
-    let filter = EnvFilter::try_new(&log.filter).map_err(|e| format!("log.filter: {e}"))?;
-    let repeats = Arc::new(Repeats::new(log));
+/// Fails where the filter is malformed or logging has begun already.
+pub fn begin(log: &Log) -> Result<(), LoggingError> {
+    let filter = EnvFilter::try_new(&log.filter)?;
+    let rate_limiter = Arc::new(RateLimiter::new(log));
     let format = Format::default()
         .with_ansi(false)
         .with_timer(Uptime::default());
-    let lines = Layer::default()
+    let layer = Layer::default()
         .with_writer(std::io::stderr)
         .with_ansi(false);
     let registry = tracing_subscriber::registry().with(filter);
-    let begun = match log.form {
+    match log.form {
         Form::Human => {
-            let lines = lines.event_format(WithRepeats(format, repeats.clone(), log.form));
-            registry.with(lines.with_filter(Seldom(repeats))).try_init()
+            let layer = layer.event_format(SuppressionReport {
+                format,
+                rate_limiter: rate_limiter.clone(),
+                form: log.form,
+            });
+            let layer = layer.with_filter(RateLimitFilter(rate_limiter));
+            registry.with(layer).try_init()?;
         }
         Form::Json => {
-            let lines =
-                lines
-                    .json()
-                    .event_format(WithRepeats(format.json(), repeats.clone(), log.form));
-            registry.with(lines.with_filter(Seldom(repeats))).try_init()
+            let layer = layer.json().event_format(SuppressionReport {
+                format: format.json(),
+                rate_limiter: rate_limiter.clone(),
+                form: log.form,
+            });
+            let layer = layer.with_filter(RateLimitFilter(rate_limiter));
+            registry.with(layer).try_init()?;
         }
-    };
-    begun.map_err(|e| format!("cannot log: {e}"))
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_place_writes_its_burst_and_tells_what_it_left_out() {
-        let log = Log {
-            window: std::time::Duration::from_secs(10),
-            burst: 3,
-            ..Log::default()
-        };
-        let repeats = Repeats::new(&log);
-        let slot = &repeats.slots[0];
-        let written = (0..50).filter(|_| repeats.allows(slot, 5)).count();
-        assert_eq!(written, 3);
-        assert!(!repeats.allows(slot, 10_004) && repeats.allows(slot, 10_005));
-        assert_eq!(slot.left_out.load(Relaxed), 48);
     }
+    Ok(())
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! The program: one real limiter, which is what it is without arguments, and the commands of operators beside it.
+//! The program `quartzcleat`: a limiter when it is started without arguments, and the commands of operators.
 
 use clap::Parser;
 use quartzcleat::cli::Cli;
