--- /dev/null
+++ b/crates/fault-injection/src/trial.rs
@@ -0,0 +1,226 @@
+//! One run of a scenario: starts links, target and limiters, and injects the faults of the seed's schedule.
+
+use crate::limiter_config::{clock_line, product_config};
+use crate::link::StreamLink;
+use crate::network::{limiter_ip, Network};
+use crate::process::{Process, ProcessFiles};
+use crate::scenario::{Fault, FaultKind, FaultTarget, Scenario};
+use crate::target::Target;
+use crate::testbed::{RunReport, Testbed};
+use crate::verdict::{Mark, MarkEvent};
+use nix::sys::signal::Signal;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// How long an action takes at the target.
+const ACTION_TIME: Duration = Duration::from_millis(5);
+/// How often connections are reset while that fault lasts.
+const RESET_INTERVAL: Duration = ACTION_TIME;
+/// The file of the key that all limiters share.
+const KEY_FILE: &str = "key";
+
+/// A run whose limiters are started.
+pub(crate) struct Trial {
+    scenario: Scenario,
+    seed: u64,
+    network: Network,
+    /// Each limiter's link to the target.
+    target_links: Vec<Rc<StreamLink>>,
+    clock_rng: RefCell<fastrand::Rng>,
+    /// The limiters' processes; `None` while one is stopped by a fault.
+    processes: RefCell<Vec<Option<Process>>>,
+    target: Rc<Target>,
+    marks: RefCell<Vec<Mark>>,
+}
+
+impl Trial {
+    /// Opens links and target, and starts all limiters.
+    pub(crate) async fn start(
+        scenario: &Scenario,
+        seed: u64,
+        testbed: &Testbed,
+    ) -> std::io::Result<Rc<Trial>> {
+        std::fs::create_dir_all(&testbed.folder)?;
+        std::fs::write(testbed.folder.join(KEY_FILE), seed.to_be_bytes())?;
+        let target = Target::new(testbed.checks, ACTION_TIME);
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let target_address = listener.local_addr()?;
+        tokio::task::spawn_local(target.clone().serve(listener));
+        let mut trial = Trial {
+            scenario: scenario.clone(),
+            seed,
+            network: Network::open(scenario, seed).await?,
+            target_links: Vec::new(),
+            clock_rng: RefCell::new(fastrand::Rng::with_seed(seed.rotate_left(7))),
+            processes: RefCell::default(),
+            target,
+            marks: RefCell::default(),
+        };
+        for limiter in 0..scenario.limiters {
+            let link = StreamLink::open(target_address).await?;
+            let mut process = trial.prepare_process(limiter, link.address(), testbed)?;
+            process.start(&trial.random_clock_line())?;
+            trial.target_links.push(link);
+            trial.processes.borrow_mut().push(Some(process));
+        }
+        Ok(Rc::new(trial))
+    }
+
+    fn prepare_process(
+        &self,
+        limiter: usize,
+        target: SocketAddr,
+        testbed: &Testbed,
+    ) -> std::io::Result<Process> {
+        let key_file = testbed.folder.join(KEY_FILE);
+        let product_config =
+            product_config(&self.scenario, &key_file, limiter, &self.network, target)?;
+        let files = ProcessFiles::in_folder(&testbed.folder, limiter);
+        let port = self.network.addresses[limiter].port();
+        let listen = SocketAddr::from((limiter_ip(self.seed, limiter), port));
+        let mut platform_config: serde_json::Value = serde_json::from_str(&testbed.platform)?;
+        platform_config["listen"] = listen.to_string().into();
+        std::fs::write(&files.platform_config, platform_config.to_string())?;
+        let program = program_of(testbed, limiter);
+        Ok(Process::new(program, files, product_config))
+    }
+
+    fn random_clock_line(&self) -> String {
+        clock_line(&self.scenario.clocks, &mut self.clock_rng.borrow_mut())
+    }
+
+    /// Injects the schedule's faults and reports what was observed until the scenario's end.
+    pub(crate) async fn run(self: Rc<Self>) -> RunReport {
+        let start = Instant::now();
+        let mut rng = fastrand::Rng::with_seed(!self.seed);
+        for fault in self.scenario.schedule(self.seed) {
+            sleep_until(start + fault.at).await;
+            for limiter in self.struck_limiters(fault.target, &mut rng) {
+                tokio::task::spawn_local(self.clone().inject(limiter, fault));
+            }
+        }
+        sleep_until(start + self.scenario.duration).await;
+        self.finish(start).await
+    }
+
+    fn struck_limiters(&self, target: FaultTarget, rng: &mut fastrand::Rng) -> Vec<usize> {
+        let limiters = self.scenario.limiters;
+        match target {
+            FaultTarget::All => (0..limiters).collect(),
+            FaultTarget::Random => vec![rng.usize(..limiters)],
+            FaultTarget::LeaseHolder => {
+                let holder = self.target.lease_holder();
+                vec![holder.unwrap_or_else(|| rng.usize(..limiters))]
+            }
+        }
+    }
+
+    /// Kills the limiters and collects the report.
+    async fn finish(&self, start: Instant) -> RunReport {
+        let mut report = RunReport::default();
+        let processes = std::mem::take(&mut *self.processes.borrow_mut());
+        for mut process in processes.into_iter().flatten() {
+            let usage = process.usage();
+            report.cpu += Duration::from_nanos(usage.cpu_ns);
+            report.peak_kb = report.peak_kb.max(usage.peak_kb);
+            process.kill().await;
+        }
+        report.seen = self.target.actions();
+        report.marks = self.marks.borrow().clone();
+        report.traffic = self.network.traffic();
+        report.duration = start.elapsed();
+        report
+    }
+
+    /// Injects a fault at a limiter and waits until it is over.
+    async fn inject(self: Rc<Self>, limiter: usize, fault: Fault) {
+        self.mark(limiter, MarkEvent::Began(fault.kind));
+        match fault.kind {
+            FaultKind::Pause => return self.pause(limiter, fault.duration).await,
+            FaultKind::Kill | FaultKind::Terminate => return self.restart(limiter, fault).await,
+            FaultKind::DelayActions => {
+                let _closed = self.target_links[limiter].to_target.close();
+                sleep(fault.duration).await;
+            }
+            FaultKind::DelayAnswers => {
+                let _closed = self.target_links[limiter].from_target.close();
+                sleep(fault.duration).await;
+            }
+            FaultKind::ResetConnections => self.reset_connections(limiter, fault.duration).await,
+            FaultKind::Isolate
+            | FaultKind::DropOutbound
+            | FaultKind::DropInbound
+            | FaultKind::Partition => {
+                let links = self.network.links_cut_by(fault.kind, limiter);
+                let _cuts: Vec<_> = links.iter().map(|link| link.cut()).collect();
+                sleep(fault.duration).await;
+            }
+        }
+        self.mark(limiter, MarkEvent::Over(fault.kind));
+    }
+
+    async fn pause(&self, limiter: usize, duration: Duration) {
+        self.signal(limiter, Signal::SIGSTOP);
+        sleep(duration).await;
+        // Marked before the process continues, so that none of its later actions counts as done during the pause.
+        self.mark(limiter, MarkEvent::Over(FaultKind::Pause));
+        self.signal(limiter, Signal::SIGCONT);
+    }
+
+    async fn restart(&self, limiter: usize, fault: Fault) {
+        let stopped = self
+            .processes
+            .borrow_mut()
+            .get_mut(limiter)
+            .and_then(Option::take);
+        // Another fault has stopped it already, and starts it again.
+        let Some(mut process) = stopped else { return };
+        if fault.kind == FaultKind::Terminate {
+            process.terminate().await;
+        } else {
+            process.kill().await;
+        }
+        sleep(fault.duration).await;
+        let event = match process.start(&self.random_clock_line()) {
+            Ok(()) => MarkEvent::Over(fault.kind),
+            Err(_) => MarkEvent::StartFailed,
+        };
+        self.mark(limiter, event);
+        // After the end of the run there is no place left; the process is killed as it is dropped.
+        if let Some(place) = self.processes.borrow_mut().get_mut(limiter) {
+            *place = Some(process);
+        }
+    }
+
+    async fn reset_connections(&self, limiter: usize, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.target_links[limiter].reset_connections();
+            sleep(RESET_INTERVAL).await;
+        }
+    }
+
+    fn signal(&self, limiter: usize, signal: Signal) {
+        if let Some(Some(process)) = self.processes.borrow().get(limiter) {
+            process.signal(signal);
+        }
+    }
+
+    fn mark(&self, limiter: usize, event: MarkEvent) {
+        let at = self.target.now();
+        self.marks.borrow_mut().push(Mark { at, limiter, event });
+    }
+}
+
+/// The build that a limiter runs.
+fn program_of(testbed: &Testbed, limiter: usize) -> &Path {
+    match &testbed.beside {
+        Some(beside) if limiter % 2 == 1 => beside,
+        _ => &testbed.program,
+    }
+}
