--- a/crates/bench/src/deployments/draw.rs
+++ b/crates/bench/src/deployments/draw.rs
@@ -1,7 +1,7 @@
 //! Draws a whole deployment from a seed, over ranges far wider than those of the deployments that are known.
 
 use quartzcleat_decision::api::{Class, Effect, Group, Nanos, Plan, Settings};
-use quartzcleat_invariants::{Cast, Player};
+use quartzcleat_invariants::{Process, Processes};
 use quartzcleat_simulation::scenario::{
     Ask, CallFate, CounterMode, CounterSetup, Fate, Happening, Net, NodeSetup, Retry, Scenario,
     Step,
@@ -100,11 +100,11 @@
     let mut dice = Dice(Pcg64Mcg::seed_from_u64(seed));
     let (classes, work) = classes(&mut dice);
     let plans = plans(&mut dice);
-    let (rooms, limiter_count, hosts) = (dice.count(1, 4), dice.count(1, 12), dice.count(3, 40));
+    let (zones, limiter_count, hosts) = (dice.count(1, 4), dice.count(1, 12), dice.count(3, 40));
     let cores = dice.count(1, 8);
-    let player = |name: &str, number: u32| Player {
+    let process = |name: &str, number: u32| Process {
         name: format!("{name}{number}"),
-        room: number % rooms,
+        zone: number % zones,
         cell: number / 4,
     };
     let counter = CounterSetup {
@@ -177,12 +177,12 @@
     );
     let scenario = Scenario {
         truth: settings.clone(),
-        cast: Cast {
-            rooms: (0..rooms).map(|room| format!("room-{room}")).collect(),
+        processes: Processes {
+            zones: (0..zones).map(|zone| format!("room-{zone}")).collect(),
             limiters: (0..limiter_count)
-                .map(|number| player("limiter-", number))
+                .map(|number| process("limiter-", number))
                 .collect(),
-            hosts: (0..hosts).map(|number| player("n", number)).collect(),
+            hosts: (0..hosts).map(|number| process("n", number)).collect(),
             partners: (0..partners).map(|number| format!("p{number}")).collect(),
             classes: settings
                 .classes
--- a/crates/bench/src/deployments/mod.rs
+++ b/crates/bench/src/deployments/mod.rs
@@ -7,7 +7,7 @@
 use draw::{draw, Drawn};
 use hdrhistogram::Histogram;
 use quartzcleat_decision::api::RequestId;
-use quartzcleat_invariants::{check, Answered, Terms, What};
+use quartzcleat_invariants::{check, Answer, Fact, InvariantLimits};
 use quartzcleat_simulation::{oracle::First, play, Played};
 use sight::{priority_weight, Quotas};
 use std::collections::{BTreeMap, BTreeSet};
@@ -76,11 +76,11 @@
 fn judge(seed: u64) -> Row {
     let drawn = draw(seed);
     let played = play(&drawn.scenario, &mut First);
-    let terms = Terms::of(&drawn.scenario.truth, 0);
-    let broken = check(&drawn.scenario.cast, &terms, &played.records);
+    let terms = InvariantLimits::from_settings(&drawn.scenario.truth, 0);
+    let broken = check(&drawn.scenario.processes, &terms, &played.records);
     let broken = broken
         .iter()
-        .map(|broken| format!("{}: {}", broken.rule.name(), broken.how))
+        .map(|violation| format!("{}: {}", violation.invariant.name(), violation.description))
         .collect();
     let full = sight::served(&drawn.scenario).max(1e-9);
     let (served, beyond, refused) = value(&drawn, &played);
@@ -95,7 +95,7 @@
 }
 
 /// One errand as far as it went.
-struct Errand {
+struct OperationState {
     begun: u64,
     class: usize,
     plan: u32,
@@ -108,86 +108,92 @@
 fn value(drawn: &Drawn, played: &Played) -> (f64, f64, f64) {
     let set = &drawn.scenario.truth;
     let plans: BTreeMap<u64, u32> = drawn.scenario.steps.iter().filter_map(plan_of).collect();
-    let (mut errands, mut requests) = (
-        BTreeMap::<u64, Errand>::new(),
+    let (mut operations, mut requests) = (
+        BTreeMap::<u64, OperationState>::new(),
         BTreeMap::<RequestId, (u64, usize, f64)>::new(),
     );
     // Two shadows see all: one of what is asked, one of what is sent on.
     let (mut asked, mut passed, mut sent) = (Quotas::default(), Quotas::default(), BTreeMap::new());
     let (mut served, mut beyond) = (0.0, 0.0);
     for record in &played.records {
-        match &record.what {
-            What::Asked {
+        match &record.fact {
+            Fact::RequestReceived {
                 request,
-                errand,
+                operation,
                 class,
                 partner,
                 units,
                 ..
             } => {
-                let plan = plans.get(errand).copied().unwrap_or(0);
-                requests.insert(*request, (*errand, *partner, *units));
-                errands.entry(*errand).or_insert_with(|| Errand {
-                    begun: record.at,
-                    class: *class,
-                    plan,
-                    inside: asked.take(set, (*partner, plan), *units, record.at),
-                    sent: false,
-                    done: false,
-                });
+                let plan = plans.get(operation).copied().unwrap_or(0);
+                requests.insert(*request, (*operation, *partner, *units));
+                operations
+                    .entry(*operation)
+                    .or_insert_with(|| OperationState {
+                        begun: record.at,
+                        class: *class,
+                        plan,
+                        inside: asked.take(set, (*partner, plan), *units, record.at),
+                        sent: false,
+                        done: false,
+                    });
             }
-            What::Sent {
+            Fact::AttemptSent {
                 request,
                 attempt: 0,
                 ..
             } => {
-                let Some((errand, partner, units)) = requests.get(request) else {
+                let Some((operation, partner, units)) = requests.get(request) else {
                     continue;
                 };
-                let Some(errand) = errands.get_mut(errand) else {
+                let Some(operation) = operations.get_mut(operation) else {
                     continue;
                 };
-                errand.sent = true;
-                let inside = passed.take(set, (*partner, errand.plan), *units, record.at);
+                operation.sent = true;
+                let inside = passed.take(set, (*partner, operation.plan), *units, record.at);
                 sent.insert(*request, inside);
                 if !inside {
-                    let plan = &set.plans[errand.plan as usize];
-                    beyond +=
-                        priority_weight(set, errand.class, errand.plan, 0) * plan.over_quota_cost;
+                    let plan = &set.plans[operation.plan as usize];
+                    beyond += priority_weight(set, operation.class, operation.plan, 0)
+                        * plan.over_quota_cost;
                 }
             }
-            What::Answered {
+            Fact::Answered {
                 request,
-                answer: Answered::Served,
+                answer: Answer::Served,
             } => {
-                let Some(errand) = requests
+                let Some(operation) = requests
                     .get(request)
-                    .and_then(|(errand, ..)| errands.get_mut(errand))
+                    .and_then(|(operation, ..)| operations.get_mut(operation))
                 else {
                     continue;
                 };
-                let whole =
-                    priority_weight(set, errand.class, errand.plan, record.at - errand.begun);
+                let whole = priority_weight(
+                    set,
+                    operation.class,
+                    operation.plan,
+                    record.at - operation.begun,
+                );
                 let inside = sent.get(request).copied().unwrap_or(true);
                 let part = if inside {
                     1.0
                 } else {
-                    set.plans[errand.plan as usize].over_quota_weight
+                    set.plans[operation.plan as usize].over_quota_weight
                 };
-                served += if errand.done { 0.0 } else { whole * part };
-                errand.done = true;
+                served += if operation.done { 0.0 } else { whole * part };
+                operation.done = true;
             }
             _ => {}
         }
     }
-    let unsent = errands
+    let unsent = operations
         .values()
-        .filter(|errand| errand.inside && !errand.sent);
+        .filter(|operation| operation.inside && !operation.sent);
     (
         served - beyond,
         beyond,
         unsent
-            .map(|errand| priority_weight(set, errand.class, errand.plan, 0))
+            .map(|operation| priority_weight(set, operation.class, operation.plan, 0))
             .sum(),
     )
 }
--- a/crates/bench/src/pair.rs
+++ b/crates/bench/src/pair.rs
@@ -5,7 +5,7 @@
 use quartzcleat_config::Day;
 use quartzcleat_decision::api::{HostState, Settings};
 use quartzcleat_fakes::stage::{perform, Usage};
-use quartzcleat_invariants::{record::Player, Answered, Cast, What};
+use quartzcleat_invariants::{Answer, Fact, Process, Processes};
 use quartzcleat_simulation::scenario::{
     Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step,
 };
@@ -39,15 +39,15 @@
     settings.plans[2].rate = 100_000.0;
     settings.plans[2].burst = 100_000.0;
     settings.plans[2].open = 0;
-    let player = |name: String| Player {
+    let process = |name: String| Process {
         name,
-        room: 0,
+        zone: 0,
         cell: 0,
     };
-    let cast = Cast {
-        rooms: vec!["room-a".into()],
-        limiters: vec![player("limiter-a".into())],
-        hosts: (0..4).map(|number| player(format!("n{number}"))).collect(),
+    let processes = Processes {
+        zones: vec!["room-a".into()],
+        limiters: vec![process("limiter-a".into())],
+        hosts: (0..4).map(|number| process(format!("n{number}"))).collect(),
         partners: (0..16).map(|number| format!("partner-{number}")).collect(),
         classes: settings
             .classes
@@ -77,7 +77,7 @@
     };
     Scenario {
         truth: settings.clone(),
-        cast,
+        processes,
         nodes: vec![
             NodeSetup {
                 cores: 64,
@@ -119,11 +119,11 @@
 
 fn one(scenario: &Scenario, program: &Path, folder: &Path) -> Result<Run, String> {
     let performed = perform(scenario, program, folder).map_err(|e| e.to_string())?;
-    let served = |what: &What| {
+    let served = |what: &Fact| {
         matches!(
             what,
-            What::Answered {
-                answer: Answered::Served,
+            Fact::Answered {
+                answer: Answer::Served,
                 ..
             }
         )
@@ -131,7 +131,7 @@
     let served = performed
         .records
         .iter()
-        .filter(|record| served(&record.what))
+        .filter(|record| served(&record.fact))
         .count();
     let Usage { cpu_ns, peak_kb } = performed.usage.first().copied().unwrap_or_default();
     let began = Instant::now();
--- a/crates/expectations/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -8,7 +8,7 @@
 use quartzcleat_config::tree::Content;
 use quartzcleat_config::{Day, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_invariants::{Cast, Terms};
+use quartzcleat_invariants::{InvariantLimits, Processes};
 use quartzcleat_simulation::scenario::{CounterSetup, Fate, NodeSetup, Scenario};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,7 +20,7 @@
     /// What must hold.
     pub musts: Vec<Must>,
     /// The rules' terms, which no setting loosens.
-    pub terms: Terms,
+    pub terms: InvariantLimits,
     /// The keys of the settings that its figures name.
     pub names: BTreeSet<String>,
 }
@@ -28,7 +28,7 @@
 /// What is known while an expectation is compiled.
 pub(crate) struct Ground<'a> {
     pub(crate) day: &'a Day,
-    pub(crate) cast: Cast,
+    pub(crate) processes: Processes,
     pub(crate) nodes: Vec<NodeSetup>,
     pub(crate) partners: Vec<Partner>,
     pub(crate) names: BTreeSet<String>,
@@ -60,30 +60,36 @@
     let mut given = Reader::new(&expectation.file, "given", &expectation.given, &mut faults);
     let day = &adjusted(day, &mut given, &mut faults);
 
-    let mut cast = Cast {
-        rooms: names_of(&mut top, "rooms", &mut faults),
+    let mut processes = Processes {
+        zones: names_of(&mut top, "rooms", &mut faults),
         classes: day
             .settings
             .classes
             .iter()
             .map(|class| class.name.clone())
             .collect(),
-        ..Cast::default()
+        ..Processes::default()
     };
-    if cast.rooms.is_empty() {
-        cast.rooms.clone_from(&day.rooms);
+    if processes.zones.is_empty() {
+        processes.zones.clone_from(&day.rooms);
     }
-    cast.limiters = limiters(top.node("limiters"), file, &cast.rooms, &mut faults);
+    processes.limiters = limiters(top.node("limiters"), file, &processes.zones, &mut faults);
     let mut net = net(top.node("net"), file, &mut faults);
     let mut truth = day.settings.clone();
     let mut work = vec![100_000_000; truth.classes.len()];
     facts(top.node("facts"), file, &mut truth, &mut work, &mut faults);
     let mut nodes = Vec::new();
     if let Some(node) = top.node("nodes") {
-        installation::nodes(node, file, &mut cast, &mut nodes, &mut faults);
+        installation::nodes(node, file, &mut processes, &mut nodes, &mut faults);
     }
     if let Some(node) = given.node("nodes") {
-        installation::nodes(node, &expectation.file, &mut cast, &mut nodes, &mut faults);
+        installation::nodes(
+            node,
+            &expectation.file,
+            &mut processes,
+            &mut nodes,
+            &mut faults,
+        );
     }
     if let Some(node) = given.node("net") {
         net = installation::net(Some(node), &expectation.file, &mut faults);
@@ -97,7 +103,7 @@
     );
     let mut ground = Ground {
         day,
-        cast,
+        processes,
         nodes,
         partners: Vec::new(),
         names: BTreeSet::new(),
@@ -114,7 +120,7 @@
     let mut scenario = Scenario {
         settings: day.settings.clone(),
         truth,
-        cast: Cast::default(),
+        processes: Processes::default(),
         nodes: Vec::new(),
         net,
         start: START,
@@ -155,9 +161,9 @@
     for (index, node) in list(&expectation.must).iter().enumerate() {
         musts.extend(ground.must(&expectation.file, index, node, &mut faults));
     }
-    scenario.cast = ground.cast;
+    scenario.processes = ground.processes;
     scenario.nodes = ground.nodes;
-    let terms = Terms::of(&scenario.truth, 0);
+    let terms = InvariantLimits::from_settings(&scenario.truth, 0);
     faults.or(Compiled {
         scenario,
         musts,
--- a/crates/expectations/src/demands.rs
+++ b/crates/expectations/src/demands.rs
@@ -1,7 +1,7 @@
 //! What must hold: whom a demand is about, and its figures in the terms of the day.
 
 use crate::compile::Ground;
-use crate::installation::{place_of, player};
+use crate::installation::{place_of, process};
 use crate::must::{Bounds, Demand, Event, Filter, Must, Sum};
 use quartzcleat_config::reader::{list, one_of, text};
 use quartzcleat_config::tree::{Content, Node};
@@ -20,20 +20,20 @@
         let path = format!("must.{index}");
         let mut map = Reader::new(file, &path, node, faults);
         let mut filter = Filter::default();
-        let classes = self.cast.classes.clone();
+        let classes = self.processes.classes.clone();
         filter.class = map.take("class", faults, |node| {
             place_of(&text(node)?, &classes, "class")
         });
-        let partners = self.cast.partners.clone();
+        let partners = self.processes.partners.clone();
         filter.partners = map.take("from", faults, |node| {
             list(node)
                 .iter()
                 .map(|node| place_of(&text(node)?, &partners, "partner"))
                 .collect()
         });
-        let limiters = self.cast.limiters.clone();
+        let limiters = self.processes.limiters.clone();
         filter.through = map.take("through", faults, |node| {
-            player(&limiters, &text(node)?, "limiter")
+            process(&limiters, &text(node)?, "limiter")
         });
         let marks = self.marks.clone();
         filter.mark = map.take("mark", faults, |node| {
@@ -148,7 +148,7 @@
 
     fn event(&self, words: &str, grace: Nanos) -> Result<Event, String> {
         if let Some(name) = words.strip_prefix("reaches node ") {
-            return player(&self.cast.hosts, name, "node").map(Event::Reaches);
+            return process(&self.processes.hosts, name, "node").map(Event::Reaches);
         }
         one_of(
             words,
@@ -220,7 +220,7 @@
         let least = map.take("at least", faults, |node| value(self, node));
         let most = map.take("at most", faults, |node| value(self, node));
         let of = map.take("of", faults, |node| {
-            player(&self.cast.hosts, &text(node)?, "node")
+            process(&self.processes.hosts, &text(node)?, "node")
         });
         if least.is_none() && most.is_none() {
             map.fault("at most", "missing, and at least too", faults);
--- a/crates/expectations/src/explore.rs
+++ b/crates/expectations/src/explore.rs
@@ -137,12 +137,12 @@
     Vec<Judged>,
     Option<(Option<usize>, Nanos, Option<RequestId>, String)>,
 ) {
-    let cast = &compiled.scenario.cast;
-    let facts = Facts::gather(cast, records, slack);
+    let processes = &compiled.scenario.processes;
+    let facts = Facts::gather(processes, records, slack);
     let judged: Vec<Judged> = compiled
         .musts
         .iter()
-        .map(|must| facts.judge(cast, must))
+        .map(|must| facts.judge(processes, must))
         .collect();
     if !whole {
         // What a play that was cut short shows so far was judged in the play that met its state before.
@@ -156,16 +156,20 @@
             Some((Some(number), at, request, how))
         })
         .collect();
-    let terms = quartzcleat_invariants::Terms {
-        slack,
+    let terms = quartzcleat_invariants::InvariantLimits {
+        time_tolerance: slack,
         ..compiled.terms.clone()
     };
-    failed.extend(check(cast, &terms, records).into_iter().map(|broken| {
+    failed.extend(check(processes, &terms, records).into_iter().map(|broken| {
         (
             None,
             broken.at,
             broken.request,
-            format!("rule broken ({}): {}", broken.rule.name(), broken.how),
+            format!(
+                "rule broken ({}): {}",
+                broken.invariant.name(),
+                broken.description
+            ),
         )
     }));
     let first = failed
--- a/crates/expectations/src/given.rs
+++ b/crates/expectations/src/given.rs
@@ -1,7 +1,7 @@
 //! What an expectation gives: partners, the counter, and what is left open to the search.
 
 use crate::compile::{Ground, Partner};
-use crate::installation::{members, place_of, player};
+use crate::installation::{members, place_of, process};
 use quartzcleat_config::reader::{flag, list, one_of, text};
 use quartzcleat_config::tree::{Content, Node};
 use quartzcleat_config::{figure, quantity, Faults, Reader};
@@ -50,14 +50,14 @@
             let plan = one.need("plan", faults, |node| {
                 place_of(&text(node)?, &plans, "plan")
             });
-            let players = self.cast.limiters.clone();
+            let processes = self.processes.limiters.clone();
             let through = one.take("through", faults, |node| {
-                let find = |node: &Node| player(&players, &text(node)?, "limiter");
+                let find = |node: &Node| process(&processes, &text(node)?, "limiter");
                 list(node).iter().map(find).collect::<Result<Vec<_>, _>>()
             });
             one.end(faults);
-            let through = through.unwrap_or_else(|| (0..players.len()).collect());
-            let in_turn = |pair: &[usize]| pair[1] == (pair[0] + 1) % players.len().max(1);
+            let through = through.unwrap_or_else(|| (0..processes.len()).collect());
+            let in_turn = |pair: &[usize]| pair[1] == (pair[0] + 1) % processes.len().max(1);
             if through.is_empty() || !through.windows(2).all(in_turn) {
                 let problem =
                     "limiters that do not follow one another; a partner's set goes round from its first";
@@ -69,10 +69,15 @@
                 spread: (through.len() as u32, through[0] as u32),
                 through,
             };
-            match self.cast.partners.iter().position(|known| known == name) {
+            match self
+                .processes
+                .partners
+                .iter()
+                .position(|known| known == name)
+            {
                 Some(index) => self.partners[index] = partner,
                 None => {
-                    self.cast.partners.push(name.clone());
+                    self.processes.partners.push(name.clone());
                     self.partners.push(partner);
                 }
             }
--- a/crates/expectations/src/installation.rs
+++ b/crates/expectations/src/installation.rs
@@ -5,8 +5,8 @@
 use quartzcleat_config::tree::{Content, Node, Place};
 use quartzcleat_config::{quantity, Faults, Reader};
 use quartzcleat_decision::api::{Effect, Group, HostState, Nanos, Settings};
-use quartzcleat_invariants::record::Player;
-use quartzcleat_invariants::Cast;
+use quartzcleat_invariants::Process;
+use quartzcleat_invariants::Processes;
 use quartzcleat_simulation::scenario::{Net, NodeSetup};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -54,17 +54,20 @@
     })
 }
 
-pub(crate) fn player(players: &[Player], name: &str, what: &str) -> Result<usize, String> {
-    let names: Vec<String> = players.iter().map(|player| player.name.clone()).collect();
+pub(crate) fn process(processes: &[Process], name: &str, what: &str) -> Result<usize, String> {
+    let names: Vec<String> = processes
+        .iter()
+        .map(|process| process.name.clone())
+        .collect();
     place_of(name, &names, what)
 }
 
 pub(crate) fn limiters(
     node: Option<&Node>,
     file: &Arc<str>,
-    rooms: &[String],
+    zones: &[String],
     faults: &mut Faults,
-) -> Vec<Player> {
+) -> Vec<Process> {
     let mut limiters = Vec::new();
     let Some(node) = node else {
         faults.add(
@@ -75,11 +78,11 @@
         );
         return limiters;
     };
-    for (name, place, room) in members(node, file, "limiters", faults) {
-        match text(room).and_then(|room| place_of(&room, rooms, "room")) {
-            Ok(room) => limiters.push(Player {
+    for (name, place, zone) in members(node, file, "limiters", faults) {
+        match text(zone).and_then(|zone| place_of(&zone, zones, "room")) {
+            Ok(zone) => limiters.push(Process {
                 name: name.clone(),
-                room: room as u32,
+                zone: zone as u32,
                 cell: 0,
             }),
             Err(problem) => faults.add(file, *place, format!("limiters.{name}"), problem),
@@ -180,21 +183,21 @@
 pub(crate) fn nodes(
     node: &Node,
     file: &Arc<str>,
-    cast: &mut Cast,
+    processes: &mut Processes,
     nodes: &mut Vec<NodeSetup>,
     faults: &mut Faults,
 ) {
     if let Content::List(names) = &node.content {
         let mut kept = BTreeSet::new();
         for name in names {
-            match text(name).and_then(|name| player(&cast.hosts, &name, "node")) {
+            match text(name).and_then(|name| process(&processes.hosts, &name, "node")) {
                 Ok(index) => drop(kept.insert(index)),
                 Err(problem) => faults.add(file, name.place, "nodes", problem),
             }
         }
         let keep = |index: usize| kept.contains(&index);
-        let hosts = std::mem::take(&mut cast.hosts);
-        cast.hosts = hosts
+        let hosts = std::mem::take(&mut processes.hosts);
+        processes.hosts = hosts
             .into_iter()
             .enumerate()
             .filter(|(i, _)| keep(*i))
@@ -210,27 +213,27 @@
         return;
     }
     for (name, _, node) in members(node, file, "nodes", faults) {
-        let index = cast
+        let index = processes
             .hosts
             .iter()
             .position(|host| host.name == *name)
             .unwrap_or_else(|| {
-                cast.hosts.push(Player {
+                processes.hosts.push(Process {
                     name: name.clone(),
-                    ..Player::default()
+                    ..Process::default()
                 });
                 nodes.push(NodeSetup::default());
-                cast.hosts.len() - 1
+                processes.hosts.len() - 1
             });
         let mut one = Reader::new(file, &format!("nodes.{name}"), node, faults);
-        let rooms = cast.rooms.clone();
-        if let Some(room) = one.take("room", faults, |node| {
-            place_of(&text(node)?, &rooms, "room")
+        let zones = processes.zones.clone();
+        if let Some(zone) = one.take("room", faults, |node| {
+            place_of(&text(node)?, &zones, "room")
         }) {
-            cast.hosts[index].room = room as u32;
+            processes.hosts[index].zone = zone as u32;
         }
         if let Some(cell) = one.take("cell", faults, |node| quantity::count(node, 0..=1_000_000)) {
-            cast.hosts[index].cell = cell as u32;
+            processes.hosts[index].cell = cell as u32;
         }
         let setup = &mut nodes[index];
         let states = [
--- a/crates/expectations/src/must.rs
+++ b/crates/expectations/src/must.rs
@@ -2,7 +2,7 @@
 //! matter to the test, and the figure it came to, so that what was never tested is not taken for what holds.
 
 use quartzcleat_decision::api::{HostState, Nanos, Outcome, RequestId};
-use quartzcleat_invariants::{Answered, Cast, Record, What};
+use quartzcleat_invariants::{Answer, Fact, Processes, Record};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Which requests are meant; what is not told means all.
@@ -126,13 +126,13 @@
     limiter: usize,
     class: usize,
     partner: usize,
-    errand: u64,
+    operation: u64,
     units: f64,
     asked: Nanos,
     retry: bool,
     sends: Vec<Send>,
     bad_end: bool,
-    answer: Option<(Answered, Nanos)>,
+    answer: Option<(Answer, Nanos)>,
     /// When its attempts ended.
     ends: Vec<Nanos>,
 }
@@ -164,19 +164,19 @@
 
 impl Facts {
     /// Gathers the facts from a play's records.
-    pub fn gather(cast: &Cast, records: &[Record], slack: Nanos) -> Self {
+    pub fn gather(processes: &Processes, records: &[Record], slack: Nanos) -> Self {
         let begin = records.first().map_or(0, |record| record.at);
         let (mut requests, mut places) = (Vec::<Request>::new(), BTreeMap::new());
         let mut known: BTreeMap<(usize, usize), (HostState, Nanos)> = BTreeMap::new();
-        let (mut errands, mut runs) = (BTreeSet::new(), BTreeMap::<u64, (u32, Nanos)>::new());
+        let (mut operations, mut runs) = (BTreeSet::new(), BTreeMap::<u64, (u32, Nanos)>::new());
         let mut cold: BTreeSet<usize> = BTreeSet::new();
         for record in records {
             let at = record.at;
-            match &record.what {
-                What::Asked {
+            match &record.fact {
+                Fact::RequestReceived {
                     request,
                     limiter,
-                    errand,
+                    operation,
                     class,
                     partner,
                     units,
@@ -188,17 +188,17 @@
                         limiter: *limiter,
                         class: *class,
                         partner: *partner,
-                        errand: *errand,
+                        operation: *operation,
                         units: *units,
                         asked: at,
-                        retry: !errands.insert(*errand),
+                        retry: !operations.insert(*operation),
                         sends: Vec::new(),
                         bad_end: false,
                         answer: None,
                         ends: Vec::new(),
                     });
                 }
-                What::Told {
+                Fact::HostStateLearned {
                     limiter,
                     host,
                     state,
@@ -208,16 +208,16 @@
                         known.insert((*limiter, *host), (*state, at));
                     }
                 }
-                What::Started { host } => drop(cold.insert(*host)),
-                What::Sent {
+                Fact::HostStarted { host } => drop(cold.insert(*host)),
+                Fact::AttemptSent {
                     limiter,
                     request,
                     host,
-                    cold: is_cold,
+                    warming_up: is_cold,
                     ..
                 } => {
-                    let room = |host: usize| cast.hosts.get(host).map(|player| player.room);
-                    let own = cast.limiters.get(*limiter).map(|player| player.room);
+                    let zone = |host: usize| processes.hosts.get(host).map(|process| process.zone);
+                    let own = processes.limiters.get(*limiter).map(|process| process.zone);
                     let knows = |state: HostState| {
                         known
                             .iter()
@@ -235,28 +235,28 @@
                         at,
                         host: *host,
                         cold: *is_cold,
-                        crosses: room(*host) != own,
+                        crosses: zone(*host) != own,
                         known: known.get(&(*limiter, *host)).copied(),
                         draining: knows(HostState::Draining),
                         gone: knows(HostState::Gone),
                         some_cold: ready(&|host| cold.contains(&host)),
-                        elsewhere: ready(&|host| room(host) != own),
+                        elsewhere: ready(&|host| zone(host) != own),
                     };
                     if let Some(place) = places.get(request) {
                         requests[*place].sends.push(send);
                     }
                 }
-                What::Ran {
+                Fact::Executed {
                     request,
-                    dropped: false,
+                    deduplicated: false,
                     ..
                 } => {
                     if let Some(place) = places.get(request) {
-                        let run = runs.entry(requests[*place].errand).or_default();
+                        let run = runs.entry(requests[*place].operation).or_default();
                         *run = (run.0 + 1, at);
                     }
                 }
-                What::Ended {
+                Fact::AttemptEnded {
                     request, outcome, ..
                 } => {
                     if let Some(place) = places.get(request) {
@@ -264,12 +264,12 @@
                         requests[*place].ends.push(at);
                     }
                 }
-                What::Settled { request, units } => {
+                Fact::UnitsSettled { request, units } => {
                     if let Some(place) = places.get(request) {
                         requests[*place].units = *units;
                     }
                 }
-                What::Answered { request, answer } => {
+                Fact::Answered { request, answer } => {
                     if let Some(place) = places.get(request) {
                         requests[*place].answer.get_or_insert((*answer, at));
                     }
@@ -296,7 +296,7 @@
                 && filter
                     .through
                     .is_none_or(|limiter| limiter == request.limiter)
-                && filter.mark.is_none_or(|mark| mark == request.errand)
+                && filter.mark.is_none_or(|mark| mark == request.operation)
                 && filter
                     .retries
                     .is_none_or(|retries| retries == request.retry)
@@ -306,11 +306,11 @@
     }
 
     /// Judges the play by one demand.
-    pub fn judge(&self, cast: &Cast, must: &Must) -> Judged {
+    pub fn judge(&self, processes: &Processes, must: &Must) -> Judged {
         match &must.demand {
-            Demand::Never(event) => self.never(cast, &must.filter, event),
+            Demand::Never(event) => self.never(processes, &must.filter, event),
             Demand::Always(event) => self.always(&must.filter, event),
-            Demand::Figure(sum, bounds) => self.figure(cast, &must.filter, *sum, *bounds),
+            Demand::Figure(sum, bounds) => self.figure(processes, &must.filter, *sum, *bounds),
             Demand::Within(time) => {
                 let elapsed = self
                     .meant(&must.filter)
@@ -323,7 +323,7 @@
             }
             Demand::Told(bounds) => {
                 let told = self.meant(&must.filter).filter_map(|r| match r.answer {
-                    Some((Answered::Refused(after), _)) => Some((after as f64, r)),
+                    Some((Answer::Rejected(after), _)) => Some((after as f64, r)),
                     _ => None,
                 });
                 // A limiter tells whole milliseconds on sockets.
@@ -339,10 +339,10 @@
         }
     }
 
-    fn never(&self, cast: &Cast, filter: &Filter, event: &Event) -> Judged {
+    fn never(&self, processes: &Processes, filter: &Filter, event: &Event) -> Judged {
         let mut judged = Judged::default();
         for request in self.meant(filter) {
-            let (tested, happened) = self.happens(cast, request, event);
+            let (tested, happened) = self.happens(processes, request, event);
             judged.tested += tested;
             if let Some((at, how)) = happened {
                 judged.figure += 1.0;
@@ -360,13 +360,13 @@
             };
             judged.tested += 1;
             let (holds, word) = match event {
-                Event::Served => (answer == Answered::Served, "not served"),
-                Event::Refused => (matches!(answer, Answered::Refused(_)), "not refused"),
+                Event::Served => (answer == Answer::Served, "not served"),
+                Event::Refused => (matches!(answer, Answer::Rejected(_)), "not refused"),
                 Event::RefusedUntold => (
-                    answer == Answered::Refused(0),
+                    answer == Answer::Rejected(0),
                     "not refused, or told when to come back",
                 ),
-                Event::Failed => (answer == Answered::Failed, "not failed"),
+                Event::Failed => (answer == Answer::Failed, "not failed"),
                 Event::LeavesRoom => (
                     request.sends.iter().all(|send| send.crosses),
                     "sent within its room",
@@ -398,18 +398,21 @@
     /// How often an event could have happened to a request, and when and how it did.
     fn happens(
         &self,
-        cast: &Cast,
+        processes: &Processes,
         request: &Request,
         event: &Event,
     ) -> (u64, Option<(Nanos, String)>) {
         let sends = || request.sends.iter();
         let tests = |test: fn(&Send) -> bool| sends().filter(|send| test(send)).count() as u64;
         let first = |test: &dyn Fn(&&Send) -> bool, how: &str| {
-            sends()
-                .find(test)
-                .map(|send| (send.at, format!("sent to {}, {how}", cast.host(send.host))))
+            sends().find(test).map(|send| {
+                (
+                    send.at,
+                    format!("sent to {}, {how}", processes.host(send.host)),
+                )
+            })
         };
-        let answered = |test: fn(Answered) -> bool| {
+        let answered = |test: fn(Answer) -> bool| {
             let (answer, at) = request.answer?;
             test(answer).then(|| (at, said(answer)))
         };
@@ -451,26 +454,26 @@
                 let again = twice.map(|send| {
                     (
                         send.at,
-                        format!("sent to {} a second time", cast.host(send.host)),
+                        format!("sent to {} a second time", processes.host(send.host)),
                     )
                 });
                 (u64::from(request.sends.len() > 1), again)
             }
             Event::Refused => (
                 request.answer.iter().count() as u64,
-                answered(|a| matches!(a, Answered::Refused(_))),
+                answered(|a| matches!(a, Answer::Rejected(_))),
             ),
             Event::RefusedUntold => {
-                let refused = matches!(request.answer, Some((Answered::Refused(_), _)));
-                (u64::from(refused), answered(|a| a == Answered::Refused(0)))
+                let refused = matches!(request.answer, Some((Answer::Rejected(_), _)));
+                (u64::from(refused), answered(|a| a == Answer::Rejected(0)))
             }
             Event::Served => (
                 request.answer.iter().count() as u64,
-                answered(|a| a == Answered::Served),
+                answered(|a| a == Answer::Served),
             ),
             Event::Failed => (
                 request.answer.iter().count() as u64,
-                answered(|a| a == Answered::Failed),
+                answered(|a| a == Answer::Failed),
             ),
         }
     }
@@ -497,7 +500,7 @@
         judged
     }
 
-    fn figure(&self, cast: &Cast, filter: &Filter, sum: Sum, bounds: Bounds) -> Judged {
+    fn figure(&self, processes: &Processes, filter: &Filter, sum: Sum, bounds: Bounds) -> Judged {
         match sum {
             Sum::Attempts => {
                 // Only where an attempt ended badly was there a choice to make another.
@@ -511,12 +514,12 @@
             Sum::Runs => {
                 let mut sends: BTreeMap<u64, (usize, &Request)> = BTreeMap::new();
                 for request in self.meant(filter) {
-                    sends.entry(request.errand).or_insert((0, request)).0 += request.sends.len();
+                    sends.entry(request.operation).or_insert((0, request)).0 += request.sends.len();
                 }
                 let tested = sends.values().filter(|(sends, _)| *sends > 1).count() as u64;
-                let each = sends.iter().map(|(errand, (_, request))| {
+                let each = sends.iter().map(|(operation, (_, request))| {
                     (
-                        f64::from(self.runs.get(errand).map_or(0, |run| run.0)),
+                        f64::from(self.runs.get(operation).map_or(0, |run| run.0)),
                         *request,
                     )
                 });
@@ -551,15 +554,15 @@
             | Sum::Refused
             | Sum::Failed
             | Sum::Crossings
-            | Sum::Share(_) => self.total(cast, filter, sum, bounds),
+            | Sum::Share(_) => self.total(processes, filter, sum, bounds),
         }
     }
 
-    fn total(&self, cast: &Cast, filter: &Filter, sum: Sum, bounds: Bounds) -> Judged {
+    fn total(&self, processes: &Processes, filter: &Filter, sum: Sum, bounds: Bounds) -> Judged {
         let (mut total, mut all, mut last) = (0.0, 0.0, None);
         for request in self.meant(filter) {
             let answered =
-                |test: fn(Answered) -> bool| request.answer.is_some_and(|(answer, _)| test(answer));
+                |test: fn(Answer) -> bool| request.answer.is_some_and(|(answer, _)| test(answer));
             let sends = request.sends.len() as f64;
             let (mine, of) = match sum {
                 Sum::Units => (
@@ -571,18 +574,12 @@
                     request.units,
                 ),
                 Sum::Sent => (f64::from(u8::from(!request.sends.is_empty())), 1.0),
-                Sum::Served => (
-                    f64::from(u8::from(answered(|a| a == Answered::Served))),
-                    1.0,
-                ),
+                Sum::Served => (f64::from(u8::from(answered(|a| a == Answer::Served))), 1.0),
                 Sum::Refused => (
-                    f64::from(u8::from(answered(|a| matches!(a, Answered::Refused(_))))),
-                    1.0,
-                ),
-                Sum::Failed => (
-                    f64::from(u8::from(answered(|a| a == Answered::Failed))),
+                    f64::from(u8::from(answered(|a| matches!(a, Answer::Rejected(_))))),
                     1.0,
                 ),
+                Sum::Failed => (f64::from(u8::from(answered(|a| a == Answer::Failed))), 1.0),
                 Sum::Crossings => (
                     request.sends.iter().filter(|send| send.crosses).count() as f64,
                     sends,
@@ -625,7 +622,10 @@
             Sum::Refused => "refused:".to_owned(),
             Sum::Failed => "failed:".to_owned(),
             Sum::Crossings => "attempts to another room:".to_owned(),
-            Sum::Share(host) => format!("part of the attempts that went to {}:", cast.host(host)),
+            Sum::Share(host) => format!(
+                "part of the attempts that went to {}:",
+                processes.host(host)
+            ),
             Sum::Attempts | Sum::Runs | Sum::Open => String::new(),
         };
         let failed = bounds.broken(figure, false).map(|how| {
@@ -667,12 +667,12 @@
     }
 }
 
-fn said(answer: Answered) -> String {
+fn said(answer: Answer) -> String {
     match answer {
-        Answered::Served => "served".to_owned(),
-        Answered::Failed => "failed".to_owned(),
-        Answered::Refused(0) => "refused".to_owned(),
-        Answered::Refused(after) => {
+        Answer::Served => "served".to_owned(),
+        Answer::Failed => "failed".to_owned(),
+        Answer::Rejected(0) => "refused".to_owned(),
+        Answer::Rejected(after) => {
             format!(
                 "refused, to come back after {}",
                 quartzcleat_config::quantity::show_time(after)
--- a/crates/expectations/src/run.rs
+++ b/crates/expectations/src/run.rs
@@ -11,7 +11,7 @@
 use quartzcleat_config::tree::Content;
 use quartzcleat_config::{Day, Faults};
 use quartzcleat_decision::api::HostState;
-use quartzcleat_invariants::{story, Record, What};
+use quartzcleat_invariants::{timeline, Fact, Record};
 use quartzcleat_simulation::scenario::{CallFate, CounterMode, Fate, Happening, Scenario};
 use rayon::prelude::*;
 use serde::Serialize;
@@ -676,8 +676,8 @@
                 .iter_mut()
                 .for_each(|class| class.dedup_window = 1);
         }),
-        with(&|s| s.cast.hosts.iter_mut().for_each(|host| host.room += 1)),
-        with(&|s| s.cast.hosts.iter_mut().for_each(|host| host.room = 0)),
+        with(&|s| s.processes.hosts.iter_mut().for_each(|host| host.zone += 1)),
+        with(&|s| s.processes.hosts.iter_mut().for_each(|host| host.zone = 0)),
     ]
 }
 
@@ -694,8 +694,8 @@
     let usual = |record: &Record| {
         record.at == begin
             && matches!(
-                record.what,
-                What::Told {
+                record.fact,
+                Fact::HostStateLearned {
                     state: HostState::Ready,
                     ..
                 }
@@ -706,7 +706,7 @@
         .iter()
         .filter(|record| failure.at == 0 || record.at <= failure.at);
     let until: Vec<_> = told.filter(|record| !usual(record)).cloned().collect();
-    let mut story = story::tell(&compiled.scenario.cast, &until);
+    let mut story = timeline::render(&compiled.scenario.processes, &until);
     if story.len() > STORY {
         let left = story.len() - STORY;
         let end = story.split_off(story.len() - STORY / 2);
--- a/crates/expectations/src/steps.rs
+++ b/crates/expectations/src/steps.rs
@@ -2,7 +2,7 @@
 
 use crate::compile::{Ground, MOST_REQUESTS};
 use crate::given::mode;
-use crate::installation::{place_of, player};
+use crate::installation::{place_of, process};
 use quartzcleat_config::reader::{list, text};
 use quartzcleat_config::tree::Node;
 use quartzcleat_config::{quantity, Faults, Reader};
@@ -34,9 +34,11 @@
             _ => quantity::count(node, 1..=100).map(|n| n as u32),
         });
         let mut push = |at: Vec<Nanos>, what: Happening| steps.push(Step { at, what, free });
-        let host = |ground: &Self, node: &Node| player(&ground.cast.hosts, &text(node)?, "node");
-        let limiter =
-            |ground: &Self, node: &Node| player(&ground.cast.limiters, &text(node)?, "limiter");
+        let host =
+            |ground: &Self, node: &Node| process(&ground.processes.hosts, &text(node)?, "node");
+        let limiter = |ground: &Self, node: &Node| {
+            process(&ground.processes.limiters, &text(node)?, "limiter")
+        };
         let kinds = [
             "request",
             "retry",
@@ -150,7 +152,7 @@
     ) -> Vec<(Nanos, Ask)> {
         let key = if retry { "retry" } else { "request" };
         let name = map.take(key, faults, text);
-        let classes = self.cast.classes.clone();
+        let classes = self.processes.classes.clone();
         let class = if retry {
             map.need("class", faults, |node| {
                 place_of(&text(node)?, &classes, "class")
@@ -160,18 +162,18 @@
                 place_of(&text(node)?, &classes, "class")
             })
         };
-        let partners = self.cast.partners.clone();
+        let partners = self.processes.partners.clone();
         let from = map.need("from", faults, |node| {
             list(node)
                 .iter()
                 .map(|node| place_of(&text(node)?, &partners, "partner"))
                 .collect::<Result<Vec<_>, _>>()
         });
-        let limiters = self.cast.limiters.clone();
+        let limiters = self.processes.limiters.clone();
         let through = map.take("through", faults, |node| {
             list(node)
                 .iter()
-                .map(|node| player(&limiters, &text(node)?, "limiter"))
+                .map(|node| process(&limiters, &text(node)?, "limiter"))
                 .collect::<Result<Vec<_>, _>>()
         });
         let top = if self.day.settings.largest_request > 0.0 {
@@ -235,8 +237,8 @@
             if !set.contains(&through) {
                 let problem = format!(
                     "{} is not of {}'s set",
-                    self.cast.limiter(through),
-                    self.cast.partners[partner]
+                    self.processes.limiter(through),
+                    self.processes.partners[partner]
                 );
                 map.fault("through", problem, faults);
                 return Vec::new();
--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -3,7 +3,7 @@
 use crate::resp::{self, Reply};
 use crate::stage::{Asked, Stage};
 use quartzcleat_decision::api::{Effect, Nanos, RequestId};
-use quartzcleat_invariants::{Answered, What};
+use quartzcleat_invariants::{Answer, Fact};
 use quartzcleat_simulation::scenario::Ask;
 use std::io;
 use std::net::SocketAddr;
@@ -49,11 +49,11 @@
     pub(crate) async fn run(&self, ask: Ask) {
         if ask.retry {
             // A retry waits for the answer of the try before it.
-            let known = |mark: u64| self.stage.errands.borrow().get(&mark).copied();
+            let known = |mark: u64| self.stage.operations.borrow().get(&mark).copied();
             while known(ask.mark) == Some(None) {
                 sleep(Duration::from_millis(1)).await;
             }
-            if known(ask.mark) == Some(Some(Answered::Served)) {
+            if known(ask.mark) == Some(Some(Answer::Served)) {
                 return;
             }
         }
@@ -63,10 +63,10 @@
         let Some(retry) = self.stage.scenario.retry.clone() else {
             return;
         };
-        if first == Answered::Served || ask.retry {
+        if first == Answer::Served || ask.retry {
             return;
         }
-        let told = if let Answered::Refused(after) = first {
+        let told = if let Answer::Rejected(after) = first {
             after
         } else {
             0
@@ -77,7 +77,7 @@
             ..ask.clone()
         };
         if retry.elsewhere && ask.spread.0 > 1 {
-            let limiters = self.stage.scenario.cast.limiters.len();
+            let limiters = self.stage.scenario.processes.limiters.len();
             let (count, first) = (ask.spread.0 as usize, ask.spread.1 as usize);
             let place = (ask.through + limiters - first) % limiters;
             again.through = (first + (place + 1) % count) % limiters;
@@ -86,12 +86,12 @@
     }
 
     /// One try: its answer, or `None` where no limiter took it.
-    async fn ask(&self, ask: &Ask) -> Option<Answered> {
+    async fn ask(&self, ask: &Ask) -> Option<Answer> {
         let stage = &self.stage;
         let Some(address) = stage.limiter(ask.through) else {
-            stage.note(What::Noted(format!(
+            stage.note(Fact::Note(format!(
                 "{} takes no connection",
-                stage.scenario.cast.limiter(ask.through)
+                stage.scenario.processes.limiter(ask.through)
             )));
             return None;
         };
@@ -125,12 +125,12 @@
             format!("{:016x}", id.0),
         );
         let command = resp::write(&[verb, &customer, &number, &facts]);
-        stage.errands.borrow_mut().insert(ask.mark, None);
+        stage.operations.borrow_mut().insert(ask.mark, None);
         stage.asked.borrow_mut().insert(
             id,
             Asked {
                 class: ask.class,
-                errand: ask.mark,
+                operation: ask.mark,
                 attempts: 0,
             },
         );
@@ -141,15 +141,15 @@
                 // A limiter that died took its connections along; one that lives and closes without an answer
                 // leaves the request unanswered in the records.
                 if stage.limiter(ask.through).is_none() {
-                    stage.note(What::Left { request: id });
+                    stage.note(Fact::ClientLeft { request: id });
                 }
                 None
             }
         };
         stage
-            .errands
+            .operations
             .borrow_mut()
-            .insert(ask.mark, answer.or(Some(Answered::Failed)));
+            .insert(ask.mark, answer.or(Some(Answer::Failed)));
         answer
     }
 
@@ -159,16 +159,16 @@
         command: &[u8],
         id: RequestId,
         ask: &Ask,
-    ) -> io::Result<Option<Answered>> {
+    ) -> io::Result<Option<Answer>> {
         let stage = &self.stage;
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let deadline: Nanos = stage.now() + ask.wait;
         // Noted before it is written: the limiter may act on it before this task goes on.
-        stage.note(What::Asked {
+        stage.note(Fact::RequestReceived {
             request: id,
             limiter: ask.through,
-            errand: ask.mark,
+            operation: ask.mark,
             class: ask.class,
             partner: ask.partner,
             units: ask.units,
@@ -180,16 +180,16 @@
         let reply = timeout(patience, answer(&mut stream)).await;
         let Ok(reply) = reply else { return Ok(None) };
         let answer = match reply? {
-            Some(Reply::Bulk(value)) if value == format!("{:016x}", id.0) => Answered::Served,
+            Some(Reply::Bulk(value)) if value == format!("{:016x}", id.0) => Answer::Served,
             Some(Reply::Bulk(_)) | None => return Err(io::ErrorKind::UnexpectedEof.into()),
             Some(Reply::Line(line)) => match line.strip_prefix("-BUSY") {
                 Some(after) => {
-                    Answered::Refused(after.trim().parse::<u64>().unwrap_or(0) * 1_000_000)
+                    Answer::Rejected(after.trim().parse::<u64>().unwrap_or(0) * 1_000_000)
                 }
-                None => Answered::Failed,
+                None => Answer::Failed,
             },
         };
-        stage.note(What::Answered {
+        stage.note(Fact::Answered {
             request: id,
             answer,
         });
--- a/crates/fakes/src/discovery.rs
+++ b/crates/fakes/src/discovery.rs
@@ -2,7 +2,7 @@
 //! what is told is noted with whom it was told to.
 
 use crate::stage::{spawn, Stage};
-use quartzcleat_invariants::What;
+use quartzcleat_invariants::Fact;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -112,7 +112,7 @@
             stream.write_all(text.as_bytes()).await?;
             for node in nodes {
                 let state = stage.state(node);
-                stage.note(What::Told {
+                stage.note(Fact::HostStateLearned {
                     limiter,
                     host: node,
                     state,
--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -3,7 +3,7 @@
 use crate::resp;
 use crate::stage::{spawn, Stage};
 use quartzcleat_decision::api::{Effect, Group, Nanos, Outcome, RequestId};
-use quartzcleat_invariants::What;
+use quartzcleat_invariants::Fact;
 use quartzcleat_simulation::node::{Job, Life, Node, Reached};
 use quartzcleat_simulation::oracle::Point;
 use quartzcleat_simulation::scenario::{option, Fate, Happening, NodeSetup, Scenario};
@@ -123,7 +123,7 @@
     }
     if life == Life::Dead {
         for (request, attempt) in stage.flying(node) {
-            stage.note(What::Ended {
+            stage.note(Fact::AttemptEnded {
                 request,
                 attempt,
                 outcome: Outcome::Reset,
@@ -184,25 +184,25 @@
     id: RequestId,
     stream: &mut TcpStream,
 ) -> io::Result<bool> {
-    let (class, errand, number) = {
+    let (class, operation, number) = {
         let mut asked = stage.asked.borrow_mut();
         let Some(asked) = asked.get_mut(&id) else {
             // Nobody asked for this.
             return Ok(false);
         };
         asked.attempts += 1;
-        (asked.class, asked.errand, asked.attempts - 1)
+        (asked.class, asked.operation, asked.attempts - 1)
     };
-    let cold = {
+    let warming_up = {
         let nodes = stage.nodes.borrow();
         nodes[node].model.warmth(&stage.scenario.truth, stage.now()) < 1.0
     };
-    stage.note(What::Sent {
+    stage.note(Fact::AttemptSent {
         limiter,
         request: id,
         attempt: number,
         host: node,
-        cold,
+        warming_up,
     });
     let fates = &stage.scenario.fates;
     let variant = stage.scenario.variant.unwrap_or(0);
@@ -220,18 +220,18 @@
         attempt: number,
     };
     let given = tokio::select! {
-        given = fare(stage, node, job, class, errand, fate.unwrap_or(Fate::Normal)) => given,
+        given = fare(stage, node, job, class, operation, fate.unwrap_or(Fate::Normal)) => given,
         // The limiter gave the attempt up: what waits is dropped.
         _ = gone(stream) => {
             stage.nodes.borrow_mut()[node].model.give_up(job);
-            stage.note(What::Ended { request: id, attempt: number, outcome: Outcome::Cancelled });
+            stage.note(Fact::AttemptEnded { request: id, attempt: number, outcome: Outcome::Cancelled });
             return Ok(false);
         }
     };
     sleep(stage.way(limiter, node) * 2).await;
     let (outcome, text) = match given {
         Given::Value => {
-            let cost = cost(&stage.scenario, errand);
+            let cost = cost(&stage.scenario, operation);
             let figures = format!("cost={cost}");
             let figures = if cost > 0.0 {
                 format!("${}\r\n{figures}", figures.len())
@@ -239,7 +239,7 @@
                 "$-1".to_owned()
             };
             if cost > 0.0 {
-                stage.note(What::Settled {
+                stage.note(Fact::UnitsSettled {
                     request: id,
                     units: cost,
                 });
@@ -252,7 +252,7 @@
         Given::Busy => (Outcome::Rejected, "-BUSY\r\n".to_owned()),
         Given::Error => (Outcome::Error, "-ERR failed\r\n".to_owned()),
         Given::Break => {
-            stage.note(What::Ended {
+            stage.note(Fact::AttemptEnded {
                 request: id,
                 attempt: number,
                 outcome: Outcome::Reset,
@@ -262,7 +262,7 @@
         Given::Nothing => {
             // Held open and silent until the limiter closes it.
             gone(stream).await;
-            stage.note(What::Ended {
+            stage.note(Fact::AttemptEnded {
                 request: id,
                 attempt: number,
                 outcome: Outcome::Timeout,
@@ -271,7 +271,7 @@
         }
     };
     // Noted first: once the answer is written the limiter may send the next attempt before this task goes on.
-    stage.note(What::Ended {
+    stage.note(Fact::AttemptEnded {
         request: id,
         attempt: number,
         outcome,
@@ -281,9 +281,9 @@
 }
 
 /// The true units of an errand, where the scenario has some.
-fn cost(scenario: &Scenario, errand: u64) -> f64 {
+fn cost(scenario: &Scenario, operation: u64) -> f64 {
     let ask = scenario.steps.iter().find_map(|step| match &step.what {
-        Happening::Ask(ask) if ask.mark == errand => Some(ask),
+        Happening::Ask(ask) if ask.mark == operation => Some(ask),
         _ => None,
     });
     ask.map_or(0.0, |ask| ask.cost)
@@ -310,7 +310,7 @@
     node: usize,
     job: Job,
     class: usize,
-    errand: u64,
+    operation: u64,
     fate: Fate,
 ) -> Given {
     match fate {
@@ -342,20 +342,20 @@
         Reached::Refused => return Given::Break,
         Reached::Nothing => return Given::Nothing,
         Reached::Tips => {
-            stage.note(What::Tipped { host: node });
+            stage.note(Fact::HostOverloaded { host: node });
             end(stage, node, Life::Dead);
             return Given::Break;
         }
     }
-    let dropped = is_repeat(stage, class, errand, node);
-    stage.note(What::Ran {
+    let deduplicated = is_repeat(stage, class, operation, node);
+    stage.note(Fact::Executed {
         host: node,
         request: job.request,
-        dropped,
+        deduplicated,
     });
     let takes = {
         let nodes = stage.nodes.borrow();
-        if dropped {
+        if deduplicated {
             1_000_000
         } else {
             nodes[node].model.takes(work, truth, stage.now())
@@ -406,7 +406,7 @@
     Given::Value
 }
 
-fn is_repeat(stage: &Rc<Stage>, class: usize, errand: u64, node: usize) -> bool {
+fn is_repeat(stage: &Rc<Stage>, class: usize, operation: u64, node: usize) -> bool {
     let Some(class) = stage
         .scenario
         .truth
@@ -416,18 +416,18 @@
     else {
         return false;
     };
-    let player = &stage.scenario.cast.hosts[node];
+    let process = &stage.scenario.processes.hosts[node];
     let group = match class.group {
         Group::All => 0,
-        Group::Zone => player.room + 1,
-        Group::Cell => player.cell + 1,
+        Group::Zone => process.zone + 1,
+        Group::Cell => process.cell + 1,
     };
     let (now, mut keys) = (stage.now(), stage.keys.borrow_mut());
     let repeat = keys
-        .get(&(group, errand))
+        .get(&(group, operation))
         .is_some_and(|first| now < first + class.dedup_window);
     if !repeat {
-        keys.insert((group, errand), now);
+        keys.insert((group, operation), now);
     }
     repeat
 }
--- a/crates/fakes/src/stage.rs
+++ b/crates/fakes/src/stage.rs
@@ -6,7 +6,7 @@
 use crate::limiter::Process;
 use crate::node::{self, NodeDesk};
 use quartzcleat_decision::api::{HostEntry, HostId, HostState, Nanos, RequestId};
-use quartzcleat_invariants::{Answered, Record, What};
+use quartzcleat_invariants::{Answer, Fact, Record};
 use quartzcleat_simulation::node::Life;
 use quartzcleat_simulation::oracle::Point;
 use quartzcleat_simulation::scenario::{option, Happening, Scenario};
@@ -43,7 +43,7 @@
     /// Attempts that are at a node, and which.
     flying: RefCell<BTreeMap<(RequestId, u32), usize>>,
     /// What became of errands; `None` while a try is open.
-    pub(crate) errands: RefCell<BTreeMap<u64, Option<Answered>>>,
+    pub(crate) operations: RefCell<BTreeMap<u64, Option<Answer>>>,
     requests: Cell<u64>,
     ours: Ours,
 }
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Asked {
     pub(crate) class: usize,
-    pub(crate) errand: u64,
+    pub(crate) operation: u64,
     /// Attempts that reached a node.
     pub(crate) attempts: u32,
 }
@@ -190,7 +190,7 @@
         let unix = SystemTime::UNIX_EPOCH
             .elapsed()
             .map_or(0, |age| age.as_nanos() as Nanos);
-        let limiters = scenario.cast.limiters.len();
+        let limiters = scenario.processes.limiters.len();
         let mut nodes = Vec::new();
         for setup in &scenario.nodes {
             nodes.push(NodeDesk::bind(setup, limiters, unix).await?);
@@ -209,7 +209,7 @@
             keys: RefCell::default(),
             open: Cell::new(0),
             flying: RefCell::default(),
-            errands: RefCell::default(),
+            operations: RefCell::default(),
             requests: Cell::new(0),
             ours,
             scenario,
@@ -243,15 +243,15 @@
 
     /// Starts the limiters and waits until all are ready; when the play begins.
     async fn begin(self: &Rc<Self>) -> io::Result<Instant> {
-        for number in 0..self.scenario.cast.limiters.len() {
+        for number in 0..self.scenario.processes.limiters.len() {
             self.start(number).await?;
         }
         // The counter turns nothing away from here on, and what follows is counted from this moment.
-        for number in 0..self.scenario.cast.limiters.len() {
+        for number in 0..self.scenario.processes.limiters.len() {
             let held = self.discovery.borrow().held();
             for node in held {
                 let state = self.scenario.nodes[node].state;
-                self.note(What::Told {
+                self.note(Fact::HostStateLearned {
                     limiter: number,
                     host: node,
                     state,
@@ -283,20 +283,20 @@
     fn config(&self, number: usize) -> serde_json::Value {
         let mut settings = self.scenario.settings.clone();
         settings.me = number as u32;
-        settings.limiter_count = self.scenario.cast.limiters.len() as u32;
-        settings.zone = self.scenario.cast.limiters[number].room;
+        settings.limiter_count = self.scenario.processes.limiters.len() as u32;
+        settings.zone = self.scenario.processes.limiters[number].zone;
         let limiters = self.limiters.borrow();
         let process = &limiters[number];
         let held = self.discovery.borrow().held();
         serde_json::json!({
-            "name": self.scenario.cast.limiters[number].name,
+            "name": self.scenario.processes.limiters[number].name,
             "listen": process.listen.to_string(),
             "discovery": process.discovery.to_string(),
             "counter": process.counter.to_string(),
             "seed": format!("{:016x}", 0x9e37_79b9 + number as u64),
             "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 512 },
             "known": self.list(number, true, &held),
-            "settings": quartzcleat_config::platform::encode(&settings, &self.scenario.cast.rooms),
+            "settings": quartzcleat_config::platform::encode(&settings, &self.scenario.processes.zones),
         })
     }
 
@@ -304,17 +304,17 @@
     pub(crate) fn list(&self, limiter: usize, whole: bool, nodes: &[usize]) -> serde_json::Value {
         let desks = self.nodes.borrow();
         let entry = |node: &usize| {
-            let (desk, player, entry) = (
+            let (desk, process, entry) = (
                 &desks[*node],
-                &self.scenario.cast.hosts[*node],
+                &self.scenario.processes.hosts[*node],
                 self.entry(*node, &desks),
             );
             serde_json::json!({
-                "instanceId": player.name,
+                "instanceId": process.name,
                 "hostPort": desk.addresses[limiter].to_string(),
-                "zone": self.scenario.cast.rooms.get(player.room as usize).map_or("a", String::as_str),
+                "zone": self.scenario.processes.zones.get(process.zone as usize).map_or("a", String::as_str),
                 "machineType": "node",
-                "cell": player.cell,
+                "cell": process.cell,
                 "lifecycle": match entry.state {
                     HostState::Ready => "SERVING",
                     HostState::Draining => "DRAINING",
@@ -330,8 +330,8 @@
     }
 
     fn entry(&self, node: usize, desks: &[NodeDesk]) -> HostEntry {
-        let (player, setup, model) = (
-            &self.scenario.cast.hosts[node],
+        let (process, setup, model) = (
+            &self.scenario.processes.hosts[node],
             &self.scenario.nodes[node],
             &desks[node].model,
         );
@@ -340,8 +340,12 @@
             (_, true) => HostState::Draining,
             _ => HostState::Ready,
         };
-        let (host, cell, zone, weight) =
-            (HostId(node as u32), player.cell, player.room, setup.weight);
+        let (host, cell, zone, weight) = (
+            HostId(node as u32),
+            process.cell,
+            process.zone,
+            setup.weight,
+        );
         HostEntry {
             host,
             state,
@@ -379,9 +383,9 @@
             .collect()
     }
 
-    pub(crate) fn note(&self, what: What) {
-        match &what {
-            What::Sent {
+    pub(crate) fn note(&self, fact: Fact) {
+        match &fact {
+            Fact::AttemptSent {
                 request,
                 attempt,
                 host,
@@ -390,7 +394,7 @@
                 self.flying.borrow_mut().insert((*request, *attempt), *host);
             }
             // Each ends once, whoever sees it first.
-            What::Ended {
+            Fact::AttemptEnded {
                 request, attempt, ..
             } => {
                 let first = self
@@ -405,18 +409,18 @@
             _ => {}
         }
         let at = self.now();
-        self.records.borrow_mut().push(Record { at, what });
+        self.records.borrow_mut().push(Record { at, fact });
     }
 
     /// The one-way delay that stands for the way between a limiter and a host.
     pub(crate) fn way(&self, limiter: usize, node: usize) -> Duration {
-        let (cast, net) = (&self.scenario.cast, &self.scenario.net);
-        let same = cast.limiters[limiter].room == cast.hosts[node].room;
+        let (processes, net) = (&self.scenario.processes, &self.scenario.net);
+        let same = processes.limiters[limiter].zone == processes.hosts[node].zone;
         Duration::from_nanos(if same { net.same } else { net.cross })
     }
 
     async fn happen(self: &Rc<Self>, what: Happening) -> io::Result<()> {
-        let host = |node: usize| self.scenario.cast.host(node).to_owned();
+        let host = |node: usize| self.scenario.processes.host(node).to_owned();
         match what {
             Happening::Ask(ask) => {
                 self.open.set(self.open.get() + 1);
@@ -427,17 +431,17 @@
                 });
             }
             Happening::Drain(node) => {
-                self.note(What::Noted(format!("{} begins to drain", host(node))));
+                self.note(Fact::Note(format!("{} begins to drain", host(node))));
                 self.nodes.borrow_mut()[node].model.draining = true;
                 self.changed(node);
             }
             Happening::Die(node) => {
-                self.note(What::Noted(format!("{}'s process dies", host(node))));
+                self.note(Fact::Note(format!("{}'s process dies", host(node))));
                 node::end(self, node, Life::Dead);
                 self.changed(node);
             }
             Happening::Vanish(node) => {
-                self.note(What::Noted(format!("{}'s machine vanishes", host(node))));
+                self.note(Fact::Note(format!("{}'s machine vanishes", host(node))));
                 node::end(self, node, Life::Vanished);
             }
             Happening::Start(node) => {
@@ -445,7 +449,7 @@
                 self.changed(node);
             }
             Happening::Replace(old, new) => {
-                self.note(What::Noted(format!(
+                self.note(Fact::Note(format!(
                     "{} is replaced by {} at its address",
                     host(old),
                     host(new)
@@ -462,42 +466,42 @@
                 self.changed(new);
             }
             Happening::Speed(node, speed) => {
-                self.note(What::Noted(format!(
+                self.note(Fact::Note(format!(
                     "{} goes at {speed} of the yardstick",
                     host(node)
                 )));
                 self.nodes.borrow_mut()[node].model.speed = speed.max(1e-3);
             }
             Happening::Counter(mode) => {
-                self.note(What::Noted(
+                self.note(Fact::Note(
                     format!("the counter is now {mode:?}").to_lowercase(),
                 ));
                 self.counter.borrow_mut().model.mode = mode;
             }
             Happening::Empty => {
-                self.note(What::Noted("the counter comes back empty".to_owned()));
+                self.note(Fact::Note("the counter comes back empty".to_owned()));
                 self.counter.borrow_mut().model.empty();
             }
             Happening::Discovery(on) => {
-                self.note(What::Noted(format!(
+                self.note(Fact::Note(format!(
                     "discovery {}",
                     if on { "tells again" } else { "falls silent" }
                 )));
                 self.discovery.borrow_mut().speak(on);
             }
             Happening::LimiterDies(number) => {
-                self.note(What::Died { limiter: number });
+                self.note(Fact::LimiterDied { limiter: number });
                 let mut process = self.limiters.borrow_mut()[number].take();
                 process.kill().await;
                 self.limiters.borrow_mut()[number] = process;
             }
             Happening::LimiterStarts(number) => {
-                self.note(What::Noted(format!(
+                self.note(Fact::Note(format!(
                     "{} starts again",
-                    self.scenario.cast.limiter(number)
+                    self.scenario.processes.limiter(number)
                 )));
                 for node in self.discovery.borrow().held() {
-                    self.note(What::Told {
+                    self.note(Fact::HostStateLearned {
                         limiter: number,
                         host: node,
                         state: self.state(node),
@@ -512,7 +516,7 @@
     fn begin_node(self: &Rc<Self>, node: usize) {
         let now = self.now();
         self.nodes.borrow_mut()[node].model.start(now);
-        self.note(What::Started { host: node });
+        self.note(Fact::HostStarted { host: node });
         node::open(self, node);
     }
 
--- a/crates/invariants/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -1,9 +1,16 @@
-//! What was asked, sent, run and answered, as records, and the rules that hold over them whoever played: the world
-//! in virtual time or limiters on sockets. Knows neither of the two.
+//! What a run of limiters did, as records, and the invariants that every run keeps.
+//!
+//! A record is a fact with its time, as an observer outside the limiters sees it: [`record`]. [`checker`] walks over
+//! the records of a run and names each violated [`invariant`]; [`timeline`] renders them for people. The crate knows
+//! neither the simulation nor the fakes on loopback, which both produce records.
 
 pub mod checker;
+pub mod invariant;
+pub mod process;
 pub mod record;
-pub mod story;
+pub mod timeline;
 
-pub use checker::{check, Broken, Rule, Terms};
-pub use record::{Answered, Cast, Player, Record, What};
+pub use checker::check;
+pub use invariant::{ClassLimits, Invariant, InvariantLimits, Violation};
+pub use process::{Process, Processes};
+pub use record::{Answer, Fact, Record};
--- a/crates/invariants/src/record.rs
+++ b/crates/invariants/src/record.rs
@@ -1,85 +1,42 @@
-//! The records of a play: facts with their times, as an observer outside the limiters sees them.
+//! The records of a run: facts with their times, as an observer outside the limiters sees them.
 
+use crate::process::Index;
 use quartzcleat_decision::api::{HostState, Nanos, Outcome, RequestId};
 
-/// A limiter, host, partner or class by its number in the [`Cast`].
-pub type Index = usize;
-
-/// One who plays, and where.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Player {
-    /// Its name.
-    pub name: String,
-    /// The number of its room.
-    pub room: u32,
-    /// A host's cell.
-    pub cell: u32,
-}
-
-/// The names behind the numbers in records.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Cast {
-    /// The rooms.
-    pub rooms: Vec<String>,
-    /// The limiters.
-    pub limiters: Vec<Player>,
-    /// The hosts.
-    pub hosts: Vec<Player>,
-    /// The partners.
-    pub partners: Vec<String>,
-    /// The classes.
-    pub classes: Vec<String>,
-}
-
-impl Cast {
-    /// A limiter's name.
-    pub fn limiter(&self, index: Index) -> &str {
-        self.limiters
-            .get(index)
-            .map_or("a limiter", |player| &player.name)
-    }
-
-    /// A host's name.
-    pub fn host(&self, index: Index) -> &str {
-        self.hosts
-            .get(index)
-            .map_or("a node", |player| &player.name)
-    }
-}
-
-/// A final answer.
+/// A final answer to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Answered {
-    /// With the value that a host made for it.
+pub enum Answer {
+    /// The value that a host made for it.
     Served,
-    /// With the back-off answer, and when to come again; zero: not told.
-    Refused(Nanos),
-    /// With a failure.
+    /// A rejection, with `retry_after`; zero where it states no time.
+    Rejected(Nanos),
+    /// A failure.
     Failed,
 }
 
-/// What was seen.
+/// What was observed.
 #[derive(Clone, Debug, PartialEq)]
-pub enum What {
-    /// A request's last byte has reached a limiter, which has taken it.
-    Asked {
-        /// The request: one try of a client.
+pub enum Fact {
+    /// A limiter has received a whole request.
+    RequestReceived {
+        /// The request: one attempt of a client at an operation.
         request: RequestId,
         /// The limiter.
         limiter: Index,
-        /// What the client wants done: its tries share it, and in a keyed class it is the key.
-        errand: u64,
+        /// The operation that the client wants done. Its retries share it; in a class with idempotency keys it is
+        /// the key.
+        operation: u64,
         /// The class.
         class: Index,
         /// The partner.
         partner: Index,
-        /// The units it takes.
+        /// The units that it takes of the partner's quota.
         units: f64,
         /// When the client gives up.
         deadline: Nanos,
     },
-    /// A limiter was told of a host.
-    Told {
+    /// A limiter was notified of a host's state.
+    HostStateLearned {
         /// The limiter.
         limiter: Index,
         /// The host.
@@ -88,7 +45,7 @@
         state: HostState,
     },
     /// An attempt left a limiter for a host.
-    Sent {
+    AttemptSent {
         /// The limiter.
         limiter: Index,
         /// The request.
@@ -97,29 +54,29 @@
         attempt: u32,
         /// The host.
         host: Index,
-        /// Whether the host was cold at that moment.
-        cold: bool,
+        /// Whether the host was warming up at that moment.
+        warming_up: bool,
     },
-    /// A host ran a request, or dropped it as a repeat.
-    Ran {
+    /// A host executed a request, or recognised it as a repeat.
+    Executed {
         /// The host.
         host: Index,
         /// The request.
         request: RequestId,
-        /// It was dropped: an earlier run stands for it.
-        dropped: bool,
+        /// It was not executed again: the result of an earlier execution stands for it.
+        deduplicated: bool,
     },
-    /// An attempt is no longer out; what the limiter could know of its end.
-    Ended {
+    /// An attempt is no longer in flight.
+    AttemptEnded {
         /// The request.
         request: RequestId,
         /// The attempt's number.
         attempt: u32,
-        /// How it ended.
+        /// How it ended, as far as the limiter can know.
         outcome: Outcome,
     },
-    /// A good answer told a request's true units.
-    Settled {
+    /// A good answer stated a request's true units.
+    UnitsSettled {
         /// The request.
         request: RequestId,
         /// The units.
@@ -130,37 +87,37 @@
         /// The request.
         request: RequestId,
         /// The answer.
-        answer: Answered,
+        answer: Answer,
     },
-    /// A client went away; it is owed nothing.
-    Left {
+    /// A client disconnected; no answer is pending for it.
+    ClientLeft {
         /// The request.
         request: RequestId,
     },
-    /// A host's process is new, and cold.
-    Started {
+    /// A host's process has just started and is warming up.
+    HostStarted {
         /// The host.
         host: Index,
     },
-    /// A cold host was sent more than it could do, and fell over.
-    Tipped {
+    /// A host that was warming up crashed, because it was sent more work than it can do in that state.
+    HostOverloaded {
         /// The host.
         host: Index,
     },
-    /// A limiter died: it owes no answers.
-    Died {
+    /// A limiter died; its pending responses are void.
+    LimiterDied {
         /// The limiter.
         limiter: Index,
     },
-    /// Something of the surroundings, for readers only.
-    Noted(String),
+    /// Something of the environment, for readers only.
+    Note(String),
 }
 
 /// A fact and its time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
-    /// When, in nanoseconds of the play's clock.
+    /// When, in nanoseconds of the run's clock.
     pub at: Nanos,
-    /// What.
-    pub what: What,
+    /// What was observed.
+    pub fact: Fact,
 }
--- /dev/null
+++ b/crates/invariants/src/timeline.rs
@@ -0,0 +1,179 @@
+//! Records as a timeline that a person can read: one line for each fact, with times from the beginning of the run.
+
+use crate::process::Processes;
+use crate::record::{Answer, Fact, Record};
+use quartzcleat_decision::api::{HostState, Nanos, Outcome, RequestId};
+use std::collections::BTreeMap;
+
+/// Nanoseconds in a millisecond, the unit of the times in a timeline.
+const NANOS_PER_MILLISECOND: f64 = 1e6;
+
+/// The lines of a timeline. Requests are numbered in the order in which they were received: `request 1`, `request 2`.
+#[must_use]
+pub fn render(processes: &Processes, records: &[Record]) -> Vec<String> {
+    let start = records.iter().map(|record| record.at).min().unwrap_or(0);
+    let renderer = Renderer {
+        processes,
+        request_numbers: number_requests(records),
+    };
+    records
+        .iter()
+        .map(|record| {
+            let time = milliseconds(record.at - start);
+            format!("{time:>12}  {}", renderer.fact(&record.fact))
+        })
+        .collect()
+}
+
+fn number_requests(records: &[Record]) -> BTreeMap<RequestId, usize> {
+    let mut numbers = BTreeMap::new();
+    for record in records {
+        if let Fact::RequestReceived { request, .. } = record.fact {
+            let next = numbers.len() + 1;
+            numbers.entry(request).or_insert(next);
+        }
+    }
+    numbers
+}
+
+struct Renderer<'a> {
+    processes: &'a Processes,
+    request_numbers: BTreeMap<RequestId, usize>,
+}
+
+impl Renderer<'_> {
+    fn fact(&self, fact: &Fact) -> String {
+        let processes = self.processes;
+        match fact {
+            Fact::RequestReceived { request, .. }
+            | Fact::Executed { request, .. }
+            | Fact::AttemptEnded { request, .. }
+            | Fact::UnitsSettled { request, .. }
+            | Fact::Answered { request, .. }
+            | Fact::ClientLeft { request } => self.request_fact(&self.request(*request), fact),
+            Fact::AttemptSent { .. } | Fact::HostStateLearned { .. } => self.limiter_fact(fact),
+            Fact::HostStarted { host } => {
+                format!("{} has just started, cold", processes.host(*host))
+            }
+            Fact::HostOverloaded { host } => format!(
+                "{} falls over: sent more than it can do while cold",
+                processes.host(*host)
+            ),
+            Fact::LimiterDied { limiter } => format!("{} dies", processes.limiter(*limiter)),
+            Fact::Note(text) => text.clone(),
+        }
+    }
+
+    /// A fact whose subject is a request, or a host or client that deals with it.
+    fn request_fact(&self, request: &str, fact: &Fact) -> String {
+        match fact {
+            Fact::RequestReceived {
+                limiter,
+                class,
+                partner,
+                units,
+                ..
+            } => format!(
+                "{request} comes to {}: a {} of {units} units from {}",
+                self.processes.limiter(*limiter),
+                self.processes.class(*class),
+                self.processes.partner(*partner),
+            ),
+            Fact::Executed {
+                host, deduplicated, ..
+            } => {
+                let host = self.processes.host(*host);
+                if *deduplicated {
+                    format!("{host} drops {request} as a repeat")
+                } else {
+                    format!("{host} runs {request}")
+                }
+            }
+            Fact::AttemptEnded {
+                attempt, outcome, ..
+            } => format!(
+                "attempt {} of {request} ends: {}",
+                attempt + 1,
+                outcome_text(*outcome)
+            ),
+            Fact::UnitsSettled { units, .. } => format!("{request} is settled at {units} units"),
+            Fact::Answered { answer, .. } => format!("{request} is {}", answer_text(*answer)),
+            Fact::ClientLeft { .. } => format!("the client of {request} goes away"),
+            _ => String::new(),
+        }
+    }
+
+    /// A fact whose subject is a limiter.
+    fn limiter_fact(&self, fact: &Fact) -> String {
+        match fact {
+            Fact::HostStateLearned {
+                limiter,
+                host,
+                state,
+            } => format!(
+                "{} is told that {} {}",
+                self.processes.limiter(*limiter),
+                self.processes.host(*host),
+                state_text(*state)
+            ),
+            Fact::AttemptSent {
+                limiter,
+                request,
+                attempt,
+                host,
+                warming_up,
+            } => format!(
+                "{} sends {} to {}{} (attempt {})",
+                self.processes.limiter(*limiter),
+                self.request(*request),
+                self.processes.host(*host),
+                if *warming_up { ", which is cold" } else { "" },
+                attempt + 1
+            ),
+            _ => String::new(),
+        }
+    }
+
+    fn request(&self, request: RequestId) -> String {
+        match self.request_numbers.get(&request) {
+            Some(number) => format!("request {number}"),
+            None => "a request".to_owned(),
+        }
+    }
+}
+
+fn milliseconds(nanos: Nanos) -> String {
+    format!("{:.3} ms", nanos as f64 / NANOS_PER_MILLISECOND)
+}
+
+fn state_text(state: HostState) -> &'static str {
+    match state {
+        HostState::Ready => "serves",
+        HostState::Draining => "drains",
+        HostState::Gone => "is gone",
+    }
+}
+
+fn answer_text(answer: Answer) -> String {
+    match answer {
+        Answer::Served => "served".to_owned(),
+        Answer::Rejected(0) => "refused".to_owned(),
+        Answer::Rejected(retry_after) => {
+            format!("refused, to come back after {}", milliseconds(retry_after))
+        }
+        Answer::Failed => "failed".to_owned(),
+    }
+}
+
+fn outcome_text(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Good => "done",
+        Outcome::Error => "an error; it may have run",
+        Outcome::Rejected => "turned away",
+        Outcome::Timeout => "no answer in time; it may have run",
+        Outcome::ConnectFailed => "no connection",
+        Outcome::Reset => "the connection broke; it may have run",
+        Outcome::Cancelled => "taken back; it may have run",
+        Outcome::NeverSent => "not sent",
+    }
+}
--- a/crates/simulation/src/limiter.rs
+++ b/crates/simulation/src/limiter.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Open {
     pub(crate) class: usize,
-    pub(crate) errand: u64,
+    pub(crate) operation: u64,
     pub(crate) deadline: Nanos,
     pub(crate) attempts: u32,
 }
@@ -18,7 +18,7 @@
     pub(crate) host: usize,
     pub(crate) began: Nanos,
     pub(crate) class: usize,
-    pub(crate) errand: u64,
+    pub(crate) operation: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -111,7 +111,7 @@
             host,
             began: now,
             class: open.class,
-            errand: open.errand,
+            operation: open.operation,
         };
         self.out.insert((id, attempt), out);
         Ok((attempt, open.clone()))
@@ -155,7 +155,7 @@
             id,
             Open {
                 class: 0,
-                errand: 1,
+                operation: 1,
                 deadline: 100,
                 attempts: 0,
             },
--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -6,7 +6,7 @@
 use crate::oracle::{Oracle, Point};
 use crate::scenario::{option, Ask, CallFate, Fate, Happening, Scenario};
 use quartzcleat_decision::api::*;
-use quartzcleat_invariants::{Answered, Record, What};
+use quartzcleat_invariants::{Answer, Fact, Record};
 use rand::SeedableRng;
 use rand_distr::{Distribution, LogNormal};
 use rand_pcg::Pcg64Mcg;
@@ -80,9 +80,9 @@
 
 /// One errand of a client, over all its tries.
 #[derive(Clone, Debug)]
-struct Errand {
+struct OperationState {
     ask: Ask,
-    answer: Option<Answered>,
+    answer: Option<Answer>,
     tries: u32,
     open: bool,
 }
@@ -103,7 +103,7 @@
     discovery: bool,
     /// First runs of keys: by group and key, when.
     keys: BTreeMap<(u32, u64), Nanos>,
-    errands: BTreeMap<u64, Errand>,
+    operations: BTreeMap<u64, OperationState>,
     of_request: BTreeMap<RequestId, u64>,
     request: u64,
     rng: Pcg64Mcg,
@@ -135,7 +135,7 @@
         version: 1,
         discovery: true,
         keys: BTreeMap::new(),
-        errands: BTreeMap::new(),
+        operations: BTreeMap::new(),
         of_request: BTreeMap::new(),
         request: 0,
         rng: Pcg64Mcg::seed_from_u64(0),
@@ -224,9 +224,9 @@
         Ok(choice)
     }
 
-    fn note(&mut self, what: What) {
-        let _ = write!(Hashed(&mut self.facts), "{what:?}");
-        self.records.push(Record { at: self.now, what });
+    fn note(&mut self, fact: Fact) {
+        let _ = write!(Hashed(&mut self.facts), "{fact:?}");
+        self.records.push(Record { at: self.now, fact });
     }
 
     fn after(&mut self, delay: Nanos, what: Pending) {
@@ -255,7 +255,7 @@
             .filter(|n| !scenario.nodes[*n].absent)
             .map(|n| self.entry(n))
             .collect();
-        for number in 0..scenario.cast.limiters.len() {
+        for number in 0..scenario.processes.limiters.len() {
             let limiter = self.fresh(number, 0);
             self.limiters.push(limiter);
             let entries = self.listed.clone();
@@ -307,11 +307,11 @@
     }
 
     fn fresh(&self, number: usize, epoch: u32) -> Limiter {
-        let cast = &self.scenario.cast;
+        let processes = &self.scenario.processes;
         let mut settings = self.scenario.settings.clone();
         settings.me = number as u32;
-        settings.limiter_count = cast.limiters.len() as u32;
-        settings.zone = cast.limiters[number].room;
+        settings.limiter_count = processes.limiters.len() as u32;
+        settings.zone = processes.limiters[number].zone;
         let seed = self
             .seed
             .wrapping_mul(1_000_003)
@@ -320,8 +320,8 @@
     }
 
     fn entry(&self, node: usize) -> HostEntry {
-        let (player, setup, now) = (
-            &self.scenario.cast.hosts[node],
+        let (process, setup, now) = (
+            &self.scenario.processes.hosts[node],
             &self.scenario.nodes[node],
             &self.nodes[node],
         );
@@ -334,8 +334,8 @@
         HostEntry {
             host: HostId(node as u32),
             state,
-            cell: player.cell,
-            zone: player.room,
+            cell: process.cell,
+            zone: process.zone,
             kind: 0,
             started: now.started,
             weight: setup.weight,
@@ -346,7 +346,7 @@
 
     fn told_of(&mut self, limiter: usize, entries: &[HostEntry]) {
         for entry in entries {
-            self.note(What::Told {
+            self.note(Fact::HostStateLearned {
                 limiter,
                 host: entry.host.0 as usize,
                 state: entry.state,
@@ -393,9 +393,9 @@
                 }
             }
             Action::Reject { id, retry_after } => {
-                self.answer(number, id, Answered::Refused(retry_after));
+                self.answer(number, id, Answer::Rejected(retry_after));
             }
-            Action::Fail { id } => self.answer(number, id, Answered::Failed),
+            Action::Fail { id } => self.answer(number, id, Answer::Failed),
             Action::SetTimer { timer, after } => {
                 self.after(after, Pending::Timer(number, epoch, timer));
             }
@@ -441,8 +441,8 @@
                 }
             }
             Action::Log { text } => {
-                let text = format!("{} logs: {text}", self.scenario.cast.limiter(number));
-                self.note(What::Noted(text));
+                let text = format!("{} logs: {text}", self.scenario.processes.limiter(number));
+                self.note(Fact::Note(text));
             }
             Action::HealthCheck { .. }
             | Action::CloseIdle { .. }
@@ -484,13 +484,13 @@
                 return Ok(());
             }
         };
-        let cold = self.nodes[node].warmth(&self.scenario.truth, now) < 1.0;
-        self.note(What::Sent {
+        let warming_up = self.nodes[node].warmth(&self.scenario.truth, now) < 1.0;
+        self.note(Fact::AttemptSent {
             limiter: number,
             request: id,
             attempt,
             host: node,
-            cold,
+            warming_up,
         });
         let until = if timeout == 0 {
             open.deadline
@@ -525,8 +525,8 @@
     }
 
     fn way(&mut self, limiter: usize, node: usize) -> Nanos {
-        let cast = &self.scenario.cast;
-        let same = cast.limiters[limiter].room == cast.hosts[node].room;
+        let processes = &self.scenario.processes;
+        let same = processes.limiters[limiter].zone == processes.hosts[node].zone;
         self.delay(if same {
             self.scenario.net.same
         } else {
@@ -548,28 +548,28 @@
     }
 
     /// Gives a request its final answer, if it is still open at its limiter.
-    fn answer(&mut self, number: usize, id: RequestId, answer: Answered) {
+    fn answer(&mut self, number: usize, id: RequestId, answer: Answer) {
         let Some(open) = self.limiters[number].open.remove(&id) else {
             return;
         };
-        self.note(What::Answered {
+        self.note(Fact::Answered {
             request: id,
             answer,
         });
-        let Some(errand) = self.errands.get_mut(&open.errand) else {
+        let Some(operation) = self.operations.get_mut(&open.operation) else {
             return;
         };
-        errand.open = false;
-        if errand.answer != Some(Answered::Served) {
-            errand.answer = Some(answer);
+        operation.open = false;
+        if operation.answer != Some(Answer::Served) {
+            operation.answer = Some(answer);
         }
         let Some(retry) = self.scenario.retry.as_ref() else {
             return;
         };
-        if answer == Answered::Served || errand.tries > 1 {
+        if answer == Answer::Served || operation.tries > 1 {
             return;
         }
-        let mut ask = errand.ask.clone();
+        let mut ask = operation.ask.clone();
         ask.retry = true;
         let limiters = self.limiters.len();
         if retry.elsewhere && ask.spread.0 > 1 {
@@ -577,7 +577,7 @@
             let place = (ask.through + limiters - first) % limiters;
             ask.through = (first + (place + 1) % count) % limiters;
         }
-        let told = if let Answered::Refused(after) = answer {
+        let told = if let Answer::Rejected(after) = answer {
             after
         } else {
             0
@@ -598,7 +598,7 @@
                         let gone =
                             (0..self.nodes.len()).filter(|n| !listed.contains(&HostId(*n as u32)));
                         for host in gone.collect::<Vec<_>>() {
-                            self.note(What::Told {
+                            self.note(Fact::HostStateLearned {
                                 limiter: number,
                                 host,
                                 state: HostState::Gone,
@@ -623,7 +623,7 @@
             }
             Pending::LastMoment(number, epoch, id) => {
                 if self.current(number, epoch) && self.limiters[number].open.contains_key(&id) {
-                    self.answer(number, id, Answered::Failed);
+                    self.answer(number, id, Answer::Failed);
                     self.tell(number, Event::Abandoned { id })?;
                 }
             }
@@ -661,27 +661,30 @@
     }
 
     fn ask(&mut self, ask: Ask) -> Result<(), Ended> {
-        let known = self.errands.get(&ask.mark);
-        if ask.retry && known.is_some_and(|errand| errand.open) {
+        let known = self.operations.get(&ask.mark);
+        if ask.retry && known.is_some_and(|operation| operation.open) {
             // The first try has no answer yet: the client waits for it.
             self.after(1_000_000, Pending::Ask(ask));
             return Ok(());
         }
-        if ask.retry && known.is_some_and(|errand| errand.answer == Some(Answered::Served)) {
+        if ask.retry && known.is_some_and(|operation| operation.answer == Some(Answer::Served)) {
             return Ok(());
         }
         let (number, now) = (ask.through, self.now);
         if !self.limiters[number].up {
-            let text = format!("{} takes no connection", self.scenario.cast.limiter(number));
-            self.note(What::Noted(text));
+            let text = format!(
+                "{} takes no connection",
+                self.scenario.processes.limiter(number)
+            );
+            self.note(Fact::Note(text));
             return Ok(());
         }
         self.request += 1;
         let (id, deadline) = (RequestId(self.request), now + ask.wait);
-        let tries = known.map_or(0, |errand| errand.tries) + 1;
-        self.errands.insert(
+        let tries = known.map_or(0, |operation| operation.tries) + 1;
+        self.operations.insert(
             ask.mark,
-            Errand {
+            OperationState {
                 ask: ask.clone(),
                 answer: None,
                 tries,
@@ -698,10 +701,10 @@
             spread,
             ..
         } = ask;
-        let asked = What::Asked {
+        let asked = Fact::RequestReceived {
             request: id,
             limiter: number,
-            errand: mark,
+            operation: mark,
             class,
             partner,
             units,
@@ -713,7 +716,7 @@
             id,
             Open {
                 class,
-                errand: mark,
+                operation: mark,
                 deadline,
                 attempts: 0,
             },
@@ -758,7 +761,7 @@
             Reached::Busy => self.after(back, Pending::End(job, Outcome::Rejected)),
             Reached::Refused => self.after(back, Pending::End(job, Outcome::ConnectFailed)),
             Reached::Tips => {
-                self.note(What::Tipped { host: node });
+                self.note(Fact::HostOverloaded { host: node });
                 self.lose(node, Life::Dead);
             }
         }
@@ -778,17 +781,17 @@
             .get(&(job.request, job.attempt))
             .copied();
         let mark = out
-            .map(|out| out.errand)
+            .map(|out| out.operation)
             .or_else(|| self.of_request.get(&job.request).copied())
             .unwrap_or(0);
         let class = out.map_or(0, |out| out.class);
-        let dropped = self.is_repeat(class, mark, node);
-        self.note(What::Ran {
+        let deduplicated = self.is_repeat(class, mark, node);
+        self.note(Fact::Executed {
             host: node,
             request: job.request,
-            dropped,
+            deduplicated,
         });
-        let elapsed = if dropped {
+        let elapsed = if deduplicated {
             REPEAT_ANSWER
         } else {
             let work = (self.work(class) as f64 * self.factor()) as Nanos;
@@ -826,11 +829,11 @@
         else {
             return false;
         };
-        let player = &self.scenario.cast.hosts[node];
+        let process = &self.scenario.processes.hosts[node];
         let group = match class.group {
             Group::All => 0,
-            Group::Zone => player.room + 1,
-            Group::Cell => player.cell + 1,
+            Group::Zone => process.zone + 1,
+            Group::Cell => process.cell + 1,
         };
         let (now, window) = (self.now, class.dedup_window);
         let repeat = self
@@ -869,22 +872,22 @@
         }
         self.limiters[number].out.remove(&(id, attempt));
         self.nodes[out.host].give_up(job);
-        self.note(What::Ended {
+        self.note(Fact::AttemptEnded {
             request: id,
             attempt,
             outcome,
         });
         if outcome == Outcome::Good {
-            self.answer(number, id, Answered::Served);
+            self.answer(number, id, Answer::Served);
         }
         let (host, elapsed, over) = (HostId(out.host as u32), self.now - out.began, false);
         let cost = self
-            .errands
-            .get(&out.errand)
-            .map_or(0.0, |errand| errand.ask.cost);
+            .operations
+            .get(&out.operation)
+            .map_or(0.0, |operation| operation.ask.cost);
         let true_units = if outcome == Outcome::Good { cost } else { 0.0 };
         if true_units > 0.0 {
-            self.note(What::Settled {
+            self.note(Fact::UnitsSettled {
                 request: id,
                 units: true_units,
             });
@@ -927,7 +930,7 @@
     // ---- Surroundings ------------------------------------------------------------------------------------
 
     fn happen(&mut self, happening: &Happening) -> Result<(), Ended> {
-        let host = |node: usize| self.scenario.cast.host(node);
+        let host = |node: usize| self.scenario.processes.host(node);
         let text = match happening {
             Happening::Ask(ask) => return self.ask(ask.clone()),
             Happening::Drain(node) => format!("{} begins to drain", host(*node)),
@@ -954,11 +957,11 @@
             }
             Happening::LimiterDies(_) => String::new(),
             Happening::LimiterStarts(number) => {
-                format!("{} starts again", self.scenario.cast.limiter(*number))
+                format!("{} starts again", self.scenario.processes.limiter(*number))
             }
         };
         if !text.is_empty() {
-            self.note(What::Noted(text));
+            self.note(Fact::Note(text));
         }
         match happening {
             Happening::Ask(_) => {}
@@ -973,14 +976,14 @@
             Happening::Vanish(node) => self.lose(*node, Life::Vanished),
             Happening::Start(node) => {
                 self.nodes[*node].start(self.now);
-                self.note(What::Started { host: *node });
+                self.note(Fact::HostStarted { host: *node });
                 self.list(*node)?;
             }
             Happening::Replace(old, new) => {
                 self.lose(*old, Life::Dead);
                 self.list(*old)?;
                 self.nodes[*new].start(self.now);
-                self.note(What::Started { host: *new });
+                self.note(Fact::HostStarted { host: *new });
                 self.list(*new)?;
             }
             Happening::Speed(node, speed) => self.nodes[*node].speed = speed.max(1e-3),
@@ -994,7 +997,7 @@
                 }
             }
             Happening::LimiterDies(number) => {
-                self.note(What::Died { limiter: *number });
+                self.note(Fact::LimiterDied { limiter: *number });
                 let limiter = &mut self.limiters[*number];
                 limiter.up = false;
                 limiter.open.clear();
@@ -1005,17 +1008,19 @@
                         request,
                         attempt,
                     });
-                    self.note(What::Ended {
+                    self.note(Fact::AttemptEnded {
                         request,
                         attempt,
                         outcome: Outcome::Reset,
                     });
                 }
-                let of_it = |errand: &&mut Errand| errand.open && errand.ask.through == *number;
-                self.errands
+                let of_it = |operation: &&mut OperationState| {
+                    operation.open && operation.ask.through == *number
+                };
+                self.operations
                     .values_mut()
                     .filter(of_it)
-                    .for_each(|errand| errand.open = false);
+                    .for_each(|operation| operation.open = false);
             }
             Happening::LimiterStarts(number) => {
                 let epoch = self.limiters[*number].epoch + 1;
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use crate::oracle::Point;
 use quartzcleat_decision::api::{HostState, Nanos, Settings};
-use quartzcleat_invariants::{record::Index, Cast};
+use quartzcleat_invariants::{process::Index, Processes};
 
 /// How an attempt fares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -217,7 +217,7 @@
     /// What is so, whatever the limiters are told: how long hosts drop repeats, how cold ones warm and tip.
     pub truth: Settings,
     /// The names, and who is in which room.
-    pub cast: Cast,
+    pub processes: Processes,
     /// The hosts, in the order of the cast's.
     pub nodes: Vec<NodeSetup>,
     /// Delays.
--- a/crates/simulation/tests/play.rs
+++ b/crates/simulation/tests/play.rs
@@ -1,7 +1,7 @@
 //! Plays of the world: what happens in them is what the scenario says, the same each time, within the rules.
 
 use quartzcleat_decision::api::*;
-use quartzcleat_invariants::{check, record::Player, Answered, Cast, Record, Terms, What};
+use quartzcleat_invariants::{check, Answer, Fact, InvariantLimits, Process, Processes, Record};
 use quartzcleat_simulation::oracle::{First, Path};
 use quartzcleat_simulation::scenario::*;
 use quartzcleat_simulation::{play, Oracle, Point};
@@ -54,22 +54,24 @@
 }
 
 fn scenario(nodes: u32, steps: Vec<Step>) -> Scenario {
-    let player = |name: String, room| Player {
+    let process = |name: String, zone| Process {
         name,
-        room,
+        zone,
         cell: 0,
     };
-    let cast = Cast {
-        rooms: vec!["room-a".into(), "room-b".into(), "room-c".into()],
-        limiters: (0..3).map(|n| player(format!("limiter-{n}"), n)).collect(),
-        hosts: (0..nodes).map(|n| player(format!("n{n}"), n % 3)).collect(),
+    let processes = Processes {
+        zones: vec!["room-a".into(), "room-b".into(), "room-c".into()],
+        limiters: (0..3).map(|n| process(format!("limiter-{n}"), n)).collect(),
+        hosts: (0..nodes)
+            .map(|n| process(format!("n{n}"), n % 3))
+            .collect(),
         partners: vec!["X".into(), "Y".into()],
         classes: vec!["bed-check".into(), "bed-hold".into()],
     };
     Scenario {
         settings: settings(),
         truth: settings(),
-        cast,
+        processes,
         nodes: vec![NodeSetup::default(); nodes as usize],
         net: Net::default(),
         start: 1_000_000 * S,
@@ -111,16 +113,16 @@
     }
 }
 
-fn answers(records: &[Record]) -> Vec<Answered> {
-    let answer = |record: &Record| match record.what {
-        What::Answered { answer, .. } => Some(answer),
+fn answers(records: &[Record]) -> Vec<Answer> {
+    let answer = |record: &Record| match record.fact {
+        Fact::Answered { answer, .. } => Some(answer),
         _ => None,
     };
     records.iter().filter_map(answer).collect()
 }
 
-fn count(records: &[Record], which: impl Fn(&What) -> bool) -> usize {
-    records.iter().filter(|record| which(&record.what)).count()
+fn count(records: &[Record], which: impl Fn(&Fact) -> bool) -> usize {
+    records.iter().filter(|record| which(&record.fact)).count()
 }
 
 #[test]
@@ -130,11 +132,11 @@
         &mut First,
     );
     assert!(played.whole);
-    assert_eq!(answers(&played.records), [Answered::Served]);
+    assert_eq!(answers(&played.records), [Answer::Served]);
     let ends: Vec<_> = played
         .records
         .iter()
-        .filter(|r| matches!(r.what, What::Answered { .. }))
+        .filter(|r| matches!(r.fact, Fact::Answered { .. }))
         .collect();
     let elapsed = ends[0].at - 1_000_000 * S;
     // An add and a read at the counter, 110 ms of work and the ways there and back.
@@ -173,7 +175,7 @@
         .collect();
     let played = play(&scenario(9, steps), &mut First);
     let sent = count(&played.records, |what| {
-        matches!(what, What::Sent { attempt: 0, .. })
+        matches!(what, Fact::AttemptSent { attempt: 0, .. })
     });
     // As a window begins the largest request, 6 units, is in store.
     assert!((6..=10).contains(&sent), "{sent} units of a store of 6");
@@ -185,16 +187,23 @@
     let mut one = scenario(3, vec![at(0, Happening::Ask(ask(1, 1, 0)))]);
     one.fates = vec![Fate::Normal, Fate::ResetRan];
     let played = play(&one, &mut Path::new(vec![1, 0]));
-    assert_eq!(answers(&played.records), [Answered::Served]);
+    assert_eq!(answers(&played.records), [Answer::Served]);
     assert_eq!(
         count(&played.records, |what| matches!(
             what,
-            What::Ran { dropped: true, .. }
+            Fact::Executed {
+                deduplicated: true,
+                ..
+            }
         )),
         1
     );
     assert_eq!(
-        check(&one.cast, &Terms::of(&one.truth, 0), &played.records),
+        check(
+            &one.processes,
+            &InvariantLimits::from_settings(&one.truth, 0),
+            &played.records
+        ),
         []
     );
 }
@@ -207,7 +216,7 @@
     assert!(
         count(&played.records, |what| matches!(
             what,
-            What::Ended {
+            Fact::AttemptEnded {
                 outcome: Outcome::Reset,
                 ..
             }
@@ -219,13 +228,13 @@
         played
             .records
             .iter()
-            .any(|r| matches!(r.what, What::Answered { .. })),
+            .any(|r| matches!(r.fact, Fact::Answered { .. })),
         "answered all the same"
     );
     assert_eq!(
         count(&played.records, |what| matches!(
             what,
-            What::Ended {
+            Fact::AttemptEnded {
                 outcome: Outcome::Good,
                 ..
             }
@@ -251,9 +260,11 @@
     let through: Vec<_> = played
         .records
         .iter()
-        .filter_map(|record| match record.what {
-            What::Asked {
-                limiter, errand: 1, ..
+        .filter_map(|record| match record.fact {
+            Fact::RequestReceived {
+                limiter,
+                operation: 1,
+                ..
             } => Some(limiter),
             _ => None,
         })
@@ -272,9 +283,13 @@
     ];
     let one = scenario(2, steps);
     let played = play(&one, &mut First);
-    assert_eq!(answers(&played.records), [Answered::Served]);
+    assert_eq!(answers(&played.records), [Answer::Served]);
     assert_eq!(
-        check(&one.cast, &Terms::of(&one.truth, 0), &played.records),
+        check(
+            &one.processes,
+            &InvariantLimits::from_settings(&one.truth, 0),
+            &played.records
+        ),
         []
     );
 }
@@ -338,7 +353,11 @@
         ];
         let played = play(&one, &mut Dice(seed));
         assert_eq!(
-            check(&one.cast, &Terms::of(&one.truth, 0), &played.records),
+            check(
+                &one.processes,
+                &InvariantLimits::from_settings(&one.truth, 0),
+                &played.records
+            ),
             [],
             "seed {seed}"
         );
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -5,7 +5,7 @@
 use quartzcleat_config::{Day, Faults};
 use quartzcleat_expectations::explore::judge;
 use quartzcleat_expectations::{compile, file, Compiled};
-use quartzcleat_invariants::{Answered, Record, What};
+use quartzcleat_invariants::{Answer, Fact, Record};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
@@ -90,15 +90,15 @@
 }
 
 fn table(compiled: &Compiled, records: &[Record]) -> String {
-    let (cast, begin) = (
-        &compiled.scenario.cast,
+    let (processes, begin) = (
+        &compiled.scenario.processes,
         records.first().map_or(0, |record| record.at),
     );
     let (mut rows, mut asked) = (BTreeMap::<(usize, usize), Row>::new(), BTreeMap::new());
     let mut out = String::from("What happened:\n");
     for record in records {
-        match &record.what {
-            What::Asked {
+        match &record.fact {
+            Fact::RequestReceived {
                 request,
                 limiter,
                 class,
@@ -107,26 +107,26 @@
                 asked.insert(*request, (*limiter, *class, record.at));
                 rows.entry((*limiter, *class)).or_default().asked += 1;
             }
-            What::Sent { request, .. } => {
+            Fact::AttemptSent { request, .. } => {
                 if let Some((limiter, class, _)) = asked.get(request) {
                     rows.entry((*limiter, *class)).or_default().attempts += 1;
                 }
             }
-            What::Answered { request, answer } => {
+            Fact::Answered { request, answer } => {
                 let Some((limiter, class, at)) = asked.get(request) else {
                     continue;
                 };
                 let row = rows.entry((*limiter, *class)).or_default();
                 match answer {
-                    Answered::Served => {
+                    Answer::Served => {
                         row.served += 1;
                         row.elapsed.push(record.at - at);
                     }
-                    Answered::Refused(_) => row.refused += 1,
-                    Answered::Failed => row.failed += 1,
+                    Answer::Rejected(_) => row.refused += 1,
+                    Answer::Failed => row.failed += 1,
                 }
             }
-            What::Noted(text) => {
+            Fact::Note(text) => {
                 let _ = writeln!(out, "  {:>7.3} s  {text}", (record.at - begin) as f64 / 1e9);
             }
             _ => {}
@@ -156,8 +156,8 @@
         let _ = writeln!(
             out,
             "{:24} {:10} {:>6} {:>8} {:>6} {:>8} {:>7} {:>10.1} {:>10.1}",
-            cast.limiter(limiter),
-            cast.classes[class],
+            processes.limiter(limiter),
+            processes.classes[class],
             row.asked,
             row.attempts,
             row.served,
--- a/src/cli/live.rs
+++ b/src/cli/live.rs
@@ -6,7 +6,7 @@
 use quartzcleat_expectations::explore::judge;
 use quartzcleat_expectations::run::{gather, Work};
 use quartzcleat_expectations::{compile, Compiled, Options};
-use quartzcleat_invariants::{story, Answered, Record, What};
+use quartzcleat_invariants::{timeline, Answer, Fact, Record};
 use quartzcleat_simulation::oracle::First;
 use rayon::prelude::*;
 use serde::Serialize;
@@ -56,19 +56,19 @@
 fn count(records: &[Record]) -> Counts {
     let mut counts = Counts::default();
     for record in records {
-        match record.what {
-            What::Asked { .. } => counts.asked += 1,
-            What::Sent { .. } => counts.attempts += 1,
-            What::Answered {
-                answer: Answered::Served,
+        match record.fact {
+            Fact::RequestReceived { .. } => counts.asked += 1,
+            Fact::AttemptSent { .. } => counts.attempts += 1,
+            Fact::Answered {
+                answer: Answer::Served,
                 ..
             } => counts.served += 1,
-            What::Answered {
-                answer: Answered::Refused(_),
+            Fact::Answered {
+                answer: Answer::Rejected(_),
                 ..
             } => counts.refused += 1,
-            What::Answered {
-                answer: Answered::Failed,
+            Fact::Answered {
+                answer: Answer::Failed,
                 ..
             } => counts.failed += 1,
             _ => {}
@@ -129,7 +129,7 @@
             compared.live = count(&records);
             compared.live_fails = fails.map(|(.., how)| how);
             if !compared.agrees() {
-                compared.story = story::tell(&compiled.scenario.cast, &records);
+                compared.story = timeline::render(&compiled.scenario.processes, &records);
             }
         }
     }
--- a/tests/export/main.rs
+++ b/tests/export/main.rs
@@ -4,7 +4,7 @@
 use quartzcleat_config::lease::CRASH_POINTS;
 use quartzcleat_decision::api::RequestId;
 use quartzcleat_fakes::stage::perform_with;
-use quartzcleat_invariants::{Record, What};
+use quartzcleat_invariants::{Fact, Record};
 use scenario::{scenario, LIMITERS};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -20,8 +20,8 @@
     let mut requests: BTreeMap<RequestId, (usize, u64)> = BTreeMap::new();
     let mut executed = BTreeMap::new();
     for record in records {
-        match &record.what {
-            What::Asked {
+        match &record.fact {
+            Fact::RequestReceived {
                 request,
                 partner,
                 units,
@@ -29,9 +29,9 @@
             } => {
                 requests.insert(*request, (*partner, (units * 1_000.0) as u64));
             }
-            What::Ran {
+            Fact::Executed {
                 request,
-                dropped: false,
+                deduplicated: false,
                 ..
             } => {
                 let (partner, units) = requests[request];
--- a/tests/export/scenario.rs
+++ b/tests/export/scenario.rs
@@ -2,7 +2,7 @@
 
 use quartzcleat_config::Day;
 use quartzcleat_decision::api::HostState;
-use quartzcleat_invariants::{record::Player, Cast};
+use quartzcleat_invariants::{Process, Processes};
 use quartzcleat_simulation::scenario::{
     Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step,
 };
@@ -32,7 +32,7 @@
         .collect();
     Scenario {
         truth: settings.clone(),
-        cast: processes(classes),
+        processes: processes(classes),
         nodes: vec![
             NodeSetup {
                 cores: 64,
@@ -65,14 +65,14 @@
     }
 }
 
-fn processes(classes: Vec<String>) -> Cast {
-    let process = |name: String| Player {
+fn processes(classes: Vec<String>) -> Processes {
+    let process = |name: String| Process {
         name,
-        room: 0,
+        zone: 0,
         cell: 0,
     };
-    Cast {
-        rooms: vec!["room-a".into()],
+    Processes {
+        zones: vec!["room-a".into()],
         limiters: (0..LIMITERS)
             .map(|number| process(format!("l{number}")))
             .collect(),
