--- a/crates/bench/src/deployments/draw.rs
+++ b/crates/bench/src/deployments/draw.rs
@@ -3,8 +3,8 @@
 use quartzcleat_decision::api::{Class, Effect, Group, Nanos, Plan, Settings};
 use quartzcleat_invariants::{Process, Processes};
 use quartzcleat_simulation::scenario::{
-    Ask, CallFate, CounterMode, CounterSetup, Fate, Happening, Net, NodeSetup, Retry, Scenario,
-    Step,
+    AttemptOutcome, ClientRequest, CounterCallOutcome, CounterMode, CounterSetup, HostSetup,
+    LimiterSet, NetworkDelays, RetryPolicy, Scenario, ScenarioEvent, Step,
 };
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
@@ -109,9 +109,9 @@
     };
     let counter = CounterSetup {
         mode: CounterMode::Normal,
-        fates: vec![CallFate::Normal],
-        service: nanos(dice.log(0.000_05, 0.002)),
-        parts: dice.count(1, 4),
+        call_outcomes: vec![CounterCallOutcome::Normal],
+        call_duration: nanos(dice.log(0.000_05, 0.002)),
+        shards: dice.count(1, 4),
     };
     let settings = Settings {
         plans,
@@ -136,17 +136,17 @@
         ..Settings::default()
     };
     let speeds: Vec<f64> = (0..hosts).map(|_| dice.log(0.6, 1.3)).collect();
-    let nodes: Vec<NodeSetup> = speeds
+    let nodes: Vec<HostSetup> = speeds
         .iter()
-        .map(|&speed| NodeSetup {
+        .map(|&speed| HostSetup {
             cores,
             speed,
-            ..NodeSetup::default()
+            ..HostSetup::default()
         })
         .collect();
-    let net = Net {
-        same: nanos(dice.log(0.000_1, 0.001)),
-        cross: nanos(dice.log(0.000_4, 0.004)),
+    let net = NetworkDelays {
+        same_zone: nanos(dice.log(0.000_1, 0.001)),
+        cross_zone: nanos(dice.log(0.000_4, 0.004)),
         counter: 500_000,
     };
     let load = dice.one(&[0.4, 0.55, 0.7, 0.9, 1.1]);
@@ -159,9 +159,9 @@
     let mut steps: Vec<Step> = Vec::with_capacity(asks.len());
     for (at, ask) in asks {
         steps.push(Step {
-            at: vec![at],
-            what: Happening::Ask(ask),
-            free: None,
+            moments: vec![at],
+            event: ScenarioEvent::Request(ask),
+            reorder_group: None,
         });
     }
     let trouble = go_wrong(
@@ -176,7 +176,7 @@
         settings.plans.len()
     );
     let scenario = Scenario {
-        truth: settings.clone(),
+        ground_truth: settings.clone(),
         processes: Processes {
             zones: (0..zones).map(|zone| format!("room-{zone}")).collect(),
             limiters: (0..limiter_count)
@@ -191,22 +191,22 @@
                 .collect(),
         },
         settings,
-        nodes,
-        net,
+        hosts: nodes,
+        network: net,
         start: 1_000_000_000_000_000_000 + nanos(dice.from(0.0, 60.0)),
-        phases: vec![0],
+        start_offsets: vec![0],
         seeds: vec![seed],
-        lags: vec![nanos(dice.log(0.02, 3.0))],
+        discovery_delays: vec![nanos(dice.log(0.02, 3.0))],
         counter,
-        fates: vec![Fate::Normal],
+        attempt_outcomes: vec![AttemptOutcome::Normal],
         work,
-        spread: dice.from(0.3, 0.9),
+        log_deviation: dice.from(0.3, 0.9),
         steps,
-        retry: dice.chance(0.7).then(|| Retry {
-            after: nanos(dice.log(0.02, 0.5)),
-            elsewhere: true,
+        retry: dice.chance(0.7).then(|| RetryPolicy {
+            delay: nanos(dice.log(0.02, 0.5)),
+            next_limiter: true,
         }),
-        end: nanos(LENGTH + 30.0),
+        max_duration: nanos(LENGTH + 30.0),
         variant: None,
     };
     Drawn {
@@ -222,7 +222,7 @@
     set: &Settings,
     work: &[Nanos],
     cores: f64,
-) -> (Vec<(Nanos, Ask)>, usize) {
+) -> (Vec<(Nanos, ClientRequest)>, usize) {
     let (mut asks, mut partner, mut filled) = (Vec::new(), 0, 0.0);
     let mean = work.iter().sum::<u64>() as f64 / 1e9 / work.len().max(1) as f64;
     while filled < cores && asks.len() < ERRANDS {
@@ -252,16 +252,19 @@
             let class = dice.0.random_range(0..work.len());
             let units: f64 = LogNormal::new(-0.125, 0.5).map_or(1.0, |law| law.sample(&mut dice.0));
             let through = (first + dice.0.random_range(0..spread)) % set.limiter_count;
-            let ask = Ask {
-                mark: asks.len() as u64 + 1,
+            let ask = ClientRequest {
+                operation: asks.len() as u64 + 1,
                 class,
                 partner,
                 plan: plan as u32,
                 units: units.clamp(0.25, set.largest_request),
-                cost: 0.0,
-                through: through as usize,
-                spread: (spread, first),
-                wait: set.classes[class].deadline,
+                true_units: 0.0,
+                limiter: through as usize,
+                limiter_set: LimiterSet {
+                    count: spread,
+                    first,
+                },
+                timeout: set.classes[class].deadline,
                 retry: false,
             };
             asks.push((nanos(at), ask));
@@ -283,11 +286,11 @@
     let begin = nanos(dice.from(4.0, 9.0));
     let end = begin + nanos(dice.log(1.0, 8.0));
     let some = (hosts as f64 * dice.from(0.1, 0.5)).max(1.0) as usize;
-    let mut at = |at: Nanos, what: Happening| {
+    let mut at = |at: Nanos, what: ScenarioEvent| {
         steps.push(Step {
-            at: vec![at],
-            what,
-            free: None,
+            moments: vec![at],
+            event: what,
+            reorder_group: None,
         });
     };
     let trouble = dice.one(&[
@@ -306,45 +309,48 @@
         let turn = begin + host as Nanos * 200 * MS;
         match trouble {
             "vanish" => {
-                at(begin, Happening::Vanish(host));
-                at(end, Happening::Start(host));
+                at(begin, ScenarioEvent::IsolateHost(host));
+                at(end, ScenarioEvent::StartHost(host));
             }
             "restarts" => {
-                at(turn, Happening::Die(host));
-                at(turn + 1500 * MS, Happening::Start(host));
+                at(turn, ScenarioEvent::KillHost(host));
+                at(turn + 1500 * MS, ScenarioEvent::StartHost(host));
             }
             "slow hosts" => {
-                at(begin, Happening::Speed(host, 0.2));
-                at(end, Happening::Speed(host, 1.0));
+                at(begin, ScenarioEvent::SetHostSpeed { host, speed: 0.2 });
+                at(end, ScenarioEvent::SetHostSpeed { host, speed: 1.0 });
             }
             "drains" => {
-                at(turn, Happening::Drain(host));
-                at(turn + 3000 * MS, Happening::Start(host));
+                at(turn, ScenarioEvent::DrainHost(host));
+                at(turn + 3000 * MS, ScenarioEvent::StartHost(host));
             }
             _ => {}
         }
     }
     match trouble {
-        "counter silent" => at(begin, Happening::Counter(CounterMode::Silent)),
-        "counter refusing" => at(begin, Happening::Counter(CounterMode::Refusing)),
-        "counter slow" => at(begin, Happening::Counter(CounterMode::Slow(10.0))),
-        "counter empty" => at(begin, Happening::Empty),
+        "counter silent" => at(begin, ScenarioEvent::SetCounterMode(CounterMode::Silent)),
+        "counter refusing" => at(begin, ScenarioEvent::SetCounterMode(CounterMode::Refusing)),
+        "counter slow" => at(
+            begin,
+            ScenarioEvent::SetCounterMode(CounterMode::Slow(10.0)),
+        ),
+        "counter empty" => at(begin, ScenarioEvent::ClearCounter),
         "limiters restart" => {
             for limiter in 0..limiter_count.div_ceil(2) {
                 at(
                     begin + limiter as Nanos * 700 * MS,
-                    Happening::LimiterDies(limiter),
+                    ScenarioEvent::KillLimiter(limiter),
                 );
                 at(
                     begin + limiter as Nanos * 700 * MS + 500 * MS,
-                    Happening::LimiterStarts(limiter),
+                    ScenarioEvent::StartLimiter(limiter),
                 );
             }
         }
         _ => {}
     }
     if trouble.starts_with("counter") {
-        at(end, Happening::Counter(CounterMode::Normal));
+        at(end, ScenarioEvent::SetCounterMode(CounterMode::Normal));
     }
     trouble
 }
@@ -369,14 +375,14 @@
             let asks = drawn
                 .steps
                 .iter()
-                .filter(|step| matches!(step.what, Happening::Ask(_)))
+                .filter(|step| matches!(step.event, ScenarioEvent::Request(_)))
                 .count();
             assert!(
                 (20..=ERRANDS).contains(&asks),
                 "seed {seed}: {asks} errands"
             );
             assert!(drawn
-                .nodes
+                .hosts
                 .iter()
                 .all(|node| node.state == HostState::Ready));
         }
--- a/crates/bench/src/deployments/mod.rs
+++ b/crates/bench/src/deployments/mod.rs
@@ -8,7 +8,7 @@
 use hdrhistogram::Histogram;
 use quartzcleat_decision::api::RequestId;
 use quartzcleat_invariants::{check, Answer, Fact, InvariantLimits};
-use quartzcleat_simulation::{oracle::First, play, Played};
+use quartzcleat_simulation::{oracle::FirstOption, simulate, SimulationRun};
 use sight::{priority_weight, Quotas};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
@@ -75,8 +75,8 @@
 /// Plays one deployment and holds it against full sight.
 fn judge(seed: u64) -> Row {
     let drawn = draw(seed);
-    let played = play(&drawn.scenario, &mut First);
-    let terms = InvariantLimits::from_settings(&drawn.scenario.truth, 0);
+    let played = simulate(&drawn.scenario, &mut FirstOption);
+    let terms = InvariantLimits::from_settings(&drawn.scenario.ground_truth, 0);
     let broken = check(&drawn.scenario.processes, &terms, &played.records);
     let broken = broken
         .iter()
@@ -105,8 +105,8 @@
 }
 
 /// The worth served, what was lost by use beyond quotas, and the worth of what was inside and refused unsent.
-fn value(drawn: &Drawn, played: &Played) -> (f64, f64, f64) {
-    let set = &drawn.scenario.truth;
+fn value(drawn: &Drawn, played: &SimulationRun) -> (f64, f64, f64) {
+    let set = &drawn.scenario.ground_truth;
     let plans: BTreeMap<u64, u32> = drawn.scenario.steps.iter().filter_map(plan_of).collect();
     let (mut operations, mut requests) = (
         BTreeMap::<u64, OperationState>::new(),
@@ -199,8 +199,10 @@
 }
 
 fn plan_of(step: &quartzcleat_simulation::scenario::Step) -> Option<(u64, u32)> {
-    match &step.what {
-        quartzcleat_simulation::scenario::Happening::Ask(ask) => Some((ask.mark, ask.plan)),
+    match &step.event {
+        quartzcleat_simulation::scenario::ScenarioEvent::Request(ask) => {
+            Some((ask.operation, ask.plan))
+        }
         _ => None,
     }
 }
--- a/crates/bench/src/deployments/sight.rs
+++ b/crates/bench/src/deployments/sight.rs
@@ -1,7 +1,7 @@
 //! What a deployment would have served under full sight: one queue, exact quotas, hosts as they are and will be.
 
 use quartzcleat_decision::api::{Nanos, Settings};
-use quartzcleat_simulation::scenario::{Ask, Happening, Scenario};
+use quartzcleat_simulation::scenario::{ClientRequest, Scenario, ScenarioEvent};
 use std::collections::BTreeMap;
 
 /// An exact quota: it refills at the plan's rate and holds its burst.
@@ -52,24 +52,26 @@
 type Spells = Vec<(Nanos, Nanos, f64, Nanos)>;
 
 fn spells(scenario: &Scenario, host: usize) -> Spells {
-    let mut changes: Vec<(Nanos, &Happening)> = scenario
+    let mut changes: Vec<(Nanos, &ScenarioEvent)> = scenario
         .steps
         .iter()
         .filter(|step| {
-            matches!(&step.what, Happening::Die(n) | Happening::Vanish(n) | Happening::Start(n)
-                | Happening::Drain(n) | Happening::Speed(n, _) if *n == host)
+            matches!(&step.event, ScenarioEvent::KillHost(n) | ScenarioEvent::IsolateHost(n) | ScenarioEvent::StartHost(n)
+                | ScenarioEvent::DrainHost(n) | ScenarioEvent::SetHostSpeed { host: n, .. } if *n == host)
         })
-        .map(|step| (step.at[0], &step.what))
+        .map(|step| (step.moments[0], &step.event))
         .collect();
     changes.sort_by_key(|(at, _)| *at);
-    let (mut spells, mut now) = (Vec::new(), Some((0, scenario.nodes[host].speed, 0)));
+    let (mut spells, mut now) = (Vec::new(), Some((0, scenario.hosts[host].speed, 0)));
     for (at, change) in changes {
         if let Some((from, speed, started)) = now {
             spells.push((from, at, speed, started));
         }
         now = match (change, now) {
-            (Happening::Start(_), _) => Some((at, scenario.nodes[host].speed, at)),
-            (Happening::Speed(_, speed), Some((_, _, started))) => Some((at, *speed, started)),
+            (ScenarioEvent::StartHost(_), _) => Some((at, scenario.hosts[host].speed, at)),
+            (ScenarioEvent::SetHostSpeed { speed, .. }, Some((_, _, started))) => {
+                Some((at, *speed, started))
+            }
             _ => None,
         };
     }
@@ -82,16 +84,17 @@
 /// The worth served by sending each errand's first request, in their order, to where it ends first, if that is in
 /// time; of some least worths for the work the best is taken.
 pub fn served(scenario: &Scenario) -> f64 {
-    let asks: Vec<(Nanos, &Ask)> = scenario
+    let asks: Vec<(Nanos, &ClientRequest)> = scenario
         .steps
         .iter()
-        .filter_map(|step| match &step.what {
-            Happening::Ask(ask) => Some((step.at[0], ask)),
+        .filter_map(|step| match &step.event {
+            ScenarioEvent::Request(ask) => Some((step.moments[0], ask)),
             _ => None,
         })
         .collect();
-    let density = |ask: &Ask| {
-        priority_weight(&scenario.truth, ask.class, ask.plan, 0) / scenario.work[ask.class] as f64
+    let density = |ask: &ClientRequest| {
+        priority_weight(&scenario.ground_truth, ask.class, ask.plan, 0)
+            / scenario.work[ask.class] as f64
     };
     let mut densities: Vec<f64> = asks.iter().map(|(_, ask)| density(ask)).collect();
     densities.sort_by(f64::total_cmp);
@@ -108,13 +111,17 @@
         .fold(0.0, f64::max)
 }
 
-fn one_pass(scenario: &Scenario, asks: &[(Nanos, &Ask)], wanted: impl Fn(&Ask) -> bool) -> f64 {
-    let set = &scenario.truth;
-    let spells: Vec<Spells> = (0..scenario.nodes.len())
+fn one_pass(
+    scenario: &Scenario,
+    asks: &[(Nanos, &ClientRequest)],
+    wanted: impl Fn(&ClientRequest) -> bool,
+) -> f64 {
+    let set = &scenario.ground_truth;
+    let spells: Vec<Spells> = (0..scenario.hosts.len())
         .map(|host| spells(scenario, host))
         .collect();
     let mut free: Vec<Vec<Nanos>> = scenario
-        .nodes
+        .hosts
         .iter()
         .map(|node| vec![0; node.cores as usize])
         .collect();
@@ -145,7 +152,7 @@
             continue;
         };
         let priority_weight = priority_weight(set, ask.class, ask.plan, end - now);
-        if end - now > ask.wait || priority_weight <= 0.0 {
+        if end - now > ask.timeout || priority_weight <= 0.0 {
             continue;
         }
         let plan = &set.plans[ask.plan as usize];
@@ -196,10 +203,13 @@
             let asked: f64 = scenario
                 .steps
                 .iter()
-                .filter_map(|step| match &step.what {
-                    Happening::Ask(ask) => {
-                        Some(priority_weight(&scenario.truth, ask.class, ask.plan, 0))
-                    }
+                .filter_map(|step| match &step.event {
+                    ScenarioEvent::Request(ask) => Some(priority_weight(
+                        &scenario.ground_truth,
+                        ask.class,
+                        ask.plan,
+                        0,
+                    )),
                     _ => None,
                 })
                 .sum();
@@ -209,7 +219,7 @@
                 "seed {seed}: {served} of {asked}"
             );
             let mut idle = scenario.clone();
-            idle.nodes.iter_mut().for_each(|node| node.cores *= 4);
+            idle.hosts.iter_mut().for_each(|node| node.cores *= 4);
             assert!(
                 super::served(&idle) >= served,
                 "seed {seed}: more cores never serve less"
--- a/crates/bench/src/pair.rs
+++ b/crates/bench/src/pair.rs
@@ -7,7 +7,8 @@
 use quartzcleat_fakes::stage::{perform, Usage};
 use quartzcleat_invariants::{Answer, Fact, Process, Processes};
 use quartzcleat_simulation::scenario::{
-    Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step,
+    AttemptOutcome, ClientRequest, CounterSetup, HostSetup, LimiterSet, NetworkDelays, Scenario,
+    ScenarioEvent, Step,
 };
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
@@ -55,56 +56,56 @@
             .map(|class| class.name.clone())
             .collect(),
     };
-    let ask = |number: u64| Ask {
-        mark: number + 1,
+    let ask = |number: u64| ClientRequest {
+        operation: number + 1,
         class: (number % 2) as usize,
         partner: (number % 16) as usize,
         plan: 2,
         units: 1.0,
-        cost: 0.0,
-        through: 0,
-        spread: (1, 0),
-        wait: 2_000 * MS,
+        true_units: 0.0,
+        limiter: 0,
+        limiter_set: LimiterSet { count: 1, first: 0 },
+        timeout: 2_000 * MS,
         retry: false,
     };
     let step = |number: u64| {
-        let at = vec![number * 1_000 * MS / rate];
+        let moments = vec![number * 1_000 * MS / rate];
         Step {
-            at,
-            what: Happening::Ask(ask(number)),
-            free: None,
+            moments,
+            event: ScenarioEvent::Request(ask(number)),
+            reorder_group: None,
         }
     };
     Scenario {
-        truth: settings.clone(),
+        ground_truth: settings.clone(),
         processes,
-        nodes: vec![
-            NodeSetup {
+        hosts: vec![
+            HostSetup {
                 cores: 64,
                 state: HostState::Ready,
-                ..NodeSetup::default()
+                ..HostSetup::default()
             };
             4
         ],
-        net: Net {
-            same: 100_000,
-            cross: 100_000,
+        network: NetworkDelays {
+            same_zone: 100_000,
+            cross_zone: 100_000,
             counter: 100_000,
         },
         start: 0,
-        phases: vec![0],
+        start_offsets: vec![0],
         seeds: vec![1],
-        lags: vec![0],
+        discovery_delays: vec![0],
         counter: CounterSetup {
-            service: 20_000,
+            call_duration: 20_000,
             ..CounterSetup::default()
         },
-        fates: vec![Fate::Normal],
+        attempt_outcomes: vec![AttemptOutcome::Normal],
         work: vec![4 * MS, 4 * MS],
-        spread: 0.0,
+        log_deviation: 0.0,
         steps: (0..rate * seconds).map(step).collect(),
         retry: None,
-        end: (seconds + 3) * 1_000 * MS,
+        max_duration: (seconds + 3) * 1_000 * MS,
         variant: Some(0),
         settings,
     }
--- a/crates/expectations/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -9,7 +9,9 @@
 use quartzcleat_config::{Day, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
 use quartzcleat_invariants::{InvariantLimits, Processes};
-use quartzcleat_simulation::scenario::{CounterSetup, Fate, NodeSetup, Scenario};
+use quartzcleat_simulation::scenario::{
+    AttemptOutcome, CounterSetup, HostSetup, LimiterSet, Scenario,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An expectation in the terms of a day.
@@ -29,7 +31,7 @@
 pub(crate) struct Ground<'a> {
     pub(crate) day: &'a Day,
     pub(crate) processes: Processes,
-    pub(crate) nodes: Vec<NodeSetup>,
+    pub(crate) nodes: Vec<HostSetup>,
     pub(crate) partners: Vec<Partner>,
     pub(crate) names: BTreeSet<String>,
     pub(crate) marks: BTreeMap<String, u64>,
@@ -39,7 +41,7 @@
 pub(crate) struct Partner {
     pub(crate) plan: u32,
     pub(crate) through: Vec<usize>,
-    pub(crate) spread: (u32, u32),
+    pub(crate) spread: LimiterSet,
 }
 
 /// Unix time at which plays begin: the start of a spring day. Windows are cut by it.
@@ -75,9 +77,15 @@
     }
     processes.limiters = limiters(top.node("limiters"), file, &processes.zones, &mut faults);
     let mut net = net(top.node("net"), file, &mut faults);
-    let mut truth = day.settings.clone();
-    let mut work = vec![100_000_000; truth.classes.len()];
-    facts(top.node("facts"), file, &mut truth, &mut work, &mut faults);
+    let mut ground_truth = day.settings.clone();
+    let mut work = vec![100_000_000; ground_truth.classes.len()];
+    facts(
+        top.node("facts"),
+        file,
+        &mut ground_truth,
+        &mut work,
+        &mut faults,
+    );
     let mut nodes = Vec::new();
     if let Some(node) = top.node("nodes") {
         installation::nodes(node, file, &mut processes, &mut nodes, &mut faults);
@@ -97,7 +105,7 @@
     facts(
         given.node("facts"),
         &expectation.file,
-        &mut truth,
+        &mut ground_truth,
         &mut work,
         &mut faults,
     );
@@ -119,21 +127,21 @@
 
     let mut scenario = Scenario {
         settings: day.settings.clone(),
-        truth,
+        ground_truth,
         processes: Processes::default(),
-        nodes: Vec::new(),
-        net,
+        hosts: Vec::new(),
+        network: net,
         start: START,
-        phases: vec![0],
+        start_offsets: vec![0],
         seeds: vec![1],
-        lags: vec![0],
+        discovery_delays: vec![0],
         counter: CounterSetup::default(),
-        fates: vec![Fate::Normal],
+        attempt_outcomes: vec![AttemptOutcome::Normal],
         work,
-        spread: 0.0,
+        log_deviation: 0.0,
         steps: Vec::new(),
         retry: None,
-        end: END,
+        max_duration: END,
         variant: None,
     };
     ground.take_given(&mut given, &mut scenario, &mut faults);
@@ -152,7 +160,7 @@
     }
     scenario
         .steps
-        .sort_by_key(|step| step.at.first().copied().unwrap_or(0));
+        .sort_by_key(|step| step.moments.first().copied().unwrap_or(0));
     if scenario.steps.len() > MOST_REQUESTS {
         let problem = format!("{} steps; {MOST_REQUESTS} at most", scenario.steps.len());
         faults.add(&expectation.file, expectation.when.place, "when", problem);
@@ -162,8 +170,8 @@
         musts.extend(ground.must(&expectation.file, index, node, &mut faults));
     }
     scenario.processes = ground.processes;
-    scenario.nodes = ground.nodes;
-    let terms = InvariantLimits::from_settings(&scenario.truth, 0);
+    scenario.hosts = ground.nodes;
+    let terms = InvariantLimits::from_settings(&scenario.ground_truth, 0);
     faults.or(Compiled {
         scenario,
         musts,
--- a/crates/expectations/src/explore.rs
+++ b/crates/expectations/src/explore.rs
@@ -5,8 +5,8 @@
 use crate::must::{Facts, Judged};
 use quartzcleat_decision::api::{Nanos, RequestId};
 use quartzcleat_invariants::{check, Record};
-use quartzcleat_simulation::oracle::Path;
-use quartzcleat_simulation::{play, Oracle, Point};
+use quartzcleat_simulation::oracle::ChoicePath;
+use quartzcleat_simulation::{simulate, ChoicePoint, Oracle};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
@@ -85,7 +85,12 @@
 }
 
 impl Oracle for Search<'_> {
-    fn choose(&mut self, point: Point, options: usize, print: &dyn Fn() -> u64) -> Option<usize> {
+    fn choose(
+        &mut self,
+        point: ChoicePoint,
+        options: usize,
+        print: &dyn Fn() -> u64,
+    ) -> Option<usize> {
         let place = self.taken.len();
         let choice = match self.prefix.get(place) {
             Some(choice) => *choice,
@@ -113,7 +118,7 @@
 }
 
 impl Oracle for Walk {
-    fn choose(&mut self, _: Point, options: usize, _: &dyn Fn() -> u64) -> Option<usize> {
+    fn choose(&mut self, _: ChoicePoint, options: usize, _: &dyn Fn() -> u64) -> Option<usize> {
         let usual = self.rng.random_bool(0.5);
         let choice = if usual {
             0
@@ -180,13 +185,13 @@
 
 impl Explored {
     fn add(&mut self, compiled: &Compiled, oracle: &mut dyn Oracle) -> (Option<Failure>, bool) {
-        let played = play(&compiled.scenario, oracle);
+        let played = simulate(&compiled.scenario, oracle);
         self.plays += 1;
         self.events += played.events;
-        let (judged, failed) = judge(compiled, &played.records, played.whole, 0);
+        let (judged, failed) = judge(compiled, &played.records, played.is_complete, 0);
         self.judged.resize(judged.len(), (0, 0.0));
         for (sum, judged) in self.judged.iter_mut().zip(&judged) {
-            sum.0 += if played.whole { judged.tested } else { 0 };
+            sum.0 += if played.is_complete { judged.tested } else { 0 };
             sum.1 = sum.1.max(judged.figure);
         }
         let failure = failed.map(|(must, at, request, how)| Failure {
@@ -198,7 +203,7 @@
             how,
             records: played.records,
         });
-        (failure, played.whole)
+        (failure, played.is_complete)
     }
 }
 
@@ -277,8 +282,8 @@
 
 /// Plays one path of choices.
 pub fn follow(compiled: &Compiled, path: &[usize]) -> (Vec<Record>, Option<Failure>) {
-    let played = play(&compiled.scenario, &mut Path::new(path.to_vec()));
-    let (_, failed) = judge(compiled, &played.records, played.whole, 0);
+    let played = simulate(&compiled.scenario, &mut ChoicePath::new(path.to_vec()));
+    let (_, failed) = judge(compiled, &played.records, played.is_complete, 0);
     let failure = failed.map(|(must, at, request, how)| Failure {
         path: path.to_vec(),
         choices: path.len(),
--- a/crates/expectations/src/given.rs
+++ b/crates/expectations/src/given.rs
@@ -7,27 +7,28 @@
 use quartzcleat_config::{figure, quantity, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
 use quartzcleat_simulation::scenario::{
-    CallFate, CounterMode, CounterSetup, Fate, Retry, Scenario,
+    AttemptOutcome, CounterCallOutcome, CounterMode, CounterSetup, LimiterSet, RetryPolicy,
+    Scenario,
 };
 use std::sync::Arc;
 
-const FATES: [(&str, Fate); 9] = [
-    ("normal", Fate::Normal),
-    ("error", Fate::Error),
-    ("busy", Fate::Busy),
-    ("refused", Fate::Refused),
-    ("reset after it ran", Fate::ResetRan),
-    ("reset before it ran", Fate::ResetLost),
-    ("silent after it ran", Fate::SilentRan),
-    ("silent", Fate::SilentLost),
-    ("late", Fate::Late),
+const FATES: [(&str, AttemptOutcome); 9] = [
+    ("normal", AttemptOutcome::Normal),
+    ("error", AttemptOutcome::Error),
+    ("busy", AttemptOutcome::Rejected),
+    ("refused", AttemptOutcome::ConnectionRefused),
+    ("reset after it ran", AttemptOutcome::ResetAfterExecution),
+    ("reset before it ran", AttemptOutcome::ResetBeforeExecution),
+    ("silent after it ran", AttemptOutcome::AnswerLost),
+    ("silent", AttemptOutcome::RequestLost),
+    ("late", AttemptOutcome::Late),
 ];
 
-const CALL_FATES: [(&str, CallFate); 4] = [
-    ("normal", CallFate::Normal),
-    ("lost", CallFate::Lost),
-    ("answer lost", CallFate::AnswerLost),
-    ("refused", CallFate::Refused),
+const CALL_FATES: [(&str, CounterCallOutcome); 4] = [
+    ("normal", CounterCallOutcome::Normal),
+    ("lost", CounterCallOutcome::RequestLost),
+    ("answer lost", CounterCallOutcome::AnswerLost),
+    ("refused", CounterCallOutcome::Rejected),
 ];
 
 impl Ground<'_> {
@@ -66,7 +67,10 @@
             }
             let partner = Partner {
                 plan: plan.unwrap_or(0) as u32,
-                spread: (through.len() as u32, through[0] as u32),
+                spread: LimiterSet {
+                    count: through.len() as u32,
+                    first: through[0] as u32,
+                },
                 through,
             };
             match self
@@ -117,23 +121,23 @@
         if let Some(node) = given.node("counter") {
             self.counter(&file, node, &mut scenario.counter, faults);
         }
-        if let Some(lags) = given.take("discovery", faults, |node| self.times(node)) {
-            scenario.lags = lags;
+        if let Some(discovery_delays) = given.take("discovery", faults, |node| self.times(node)) {
+            scenario.discovery_delays = discovery_delays;
         }
-        if let Some(fates) = given.take("attempts", faults, |node| words(node, &FATES)) {
-            scenario.fates = fates;
+        if let Some(attempt_outcomes) = given.take("attempts", faults, |node| words(node, &FATES)) {
+            scenario.attempt_outcomes = attempt_outcomes;
         }
         if let Some(seeds) = given.take("seeds", faults, |node| quantity::count(node, 1..=10_000)) {
             scenario.seeds = (1..=seeds).collect();
         }
-        if let Some(phases) = given.take("phase", faults, |node| self.times(node)) {
-            scenario.phases = phases;
+        if let Some(start_offsets) = given.take("phase", faults, |node| self.times(node)) {
+            scenario.start_offsets = start_offsets;
         }
         if let Some(spread) = given.take("spread", faults, quantity::share) {
-            scenario.spread = spread;
+            scenario.log_deviation = spread;
         }
         if let Some(end) = given.take("end", faults, |node| self.time(node)) {
-            scenario.end = end;
+            scenario.max_duration = end;
         }
         if let Some(node) = given.node("retry") {
             let mut map = Reader::new(&file, "given.retry", node, faults);
@@ -141,7 +145,10 @@
             let elsewhere = map.take("elsewhere", faults, flag);
             map.end(faults);
             let (after, elsewhere) = (after.unwrap_or(200_000_000), elsewhere.unwrap_or(true));
-            scenario.retry = Some(Retry { after, elsewhere });
+            scenario.retry = Some(RetryPolicy {
+                delay: after,
+                next_limiter: elsewhere,
+            });
         }
     }
 
@@ -163,14 +170,14 @@
         if let Some(mode) = map.take("is", faults, mode) {
             setup.mode = mode;
         }
-        if let Some(fates) = map.take("calls", faults, |node| words(node, &CALL_FATES)) {
-            setup.fates = fates;
+        if let Some(attempt_outcomes) = map.take("calls", faults, |node| words(node, &CALL_FATES)) {
+            setup.call_outcomes = attempt_outcomes;
         }
         if let Some(service) = map.take("call", faults, quantity::time) {
-            setup.service = service;
+            setup.call_duration = service;
         }
         if let Some(parts) = map.take("parts", faults, |node| quantity::count(node, 1..=64)) {
-            setup.parts = parts as u32;
+            setup.shards = parts as u32;
         }
         map.end(faults);
     }
--- a/crates/expectations/src/installation.rs
+++ b/crates/expectations/src/installation.rs
@@ -7,7 +7,7 @@
 use quartzcleat_decision::api::{Effect, Group, HostState, Nanos, Settings};
 use quartzcleat_invariants::Process;
 use quartzcleat_invariants::Processes;
-use quartzcleat_simulation::scenario::{Net, NodeSetup};
+use quartzcleat_simulation::scenario::{HostSetup, NetworkDelays};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -91,17 +91,17 @@
     limiters
 }
 
-pub(crate) fn net(node: Option<&Node>, file: &Arc<str>, faults: &mut Faults) -> Net {
-    let default = Net::default();
+pub(crate) fn net(node: Option<&Node>, file: &Arc<str>, faults: &mut Faults) -> NetworkDelays {
+    let default = NetworkDelays::default();
     let Some(node) = node else { return default };
     let mut map = Reader::new(file, "net", node, faults);
     let same = map.take("same", faults, quantity::time);
     let cross = map.take("cross", faults, quantity::time);
     let counter = map.take("counter", faults, quantity::time);
     map.end(faults);
-    Net {
-        same: same.unwrap_or(default.same),
-        cross: cross.unwrap_or(default.cross),
+    NetworkDelays {
+        same_zone: same.unwrap_or(default.same_zone),
+        cross_zone: cross.unwrap_or(default.cross_zone),
         counter: counter.unwrap_or(default.counter),
     }
 }
@@ -110,7 +110,7 @@
 pub(crate) fn facts(
     node: Option<&Node>,
     file: &Arc<str>,
-    truth: &mut Settings,
+    ground_truth: &mut Settings,
     work: &mut [Nanos],
     faults: &mut Faults,
 ) {
@@ -119,31 +119,31 @@
     let set = |value: Option<u64>, to: &mut Nanos| *to = value.unwrap_or(*to);
     set(
         map.take("drain", faults, quantity::time),
-        &mut truth.drain_grace,
+        &mut ground_truth.drain_grace,
     );
     if let Some(most) = map.take("attempts", faults, |node| quantity::count(node, 1..=100)) {
-        truth.max_attempts = most as u32;
+        ground_truth.max_attempts = most as u32;
     }
     if let Some(cold) = map.node("cold") {
         let mut cold = Reader::new(file, "facts.cold", cold, faults);
         if let Some(from) = cold.take("from", faults, quantity::share) {
-            truth.slow_start_floor = from;
+            ground_truth.slow_start_floor = from;
         }
         set(
             cold.take("warm", faults, quantity::time),
-            &mut truth.slow_start_duration,
+            &mut ground_truth.slow_start_duration,
         );
         set(
             cold.take("tip", faults, quantity::time),
-            &mut truth.overload_duration,
+            &mut ground_truth.overload_duration,
         );
         if let Some(factor) = cold.take("overload", faults, quantity::number) {
-            truth.overload_factor = factor;
+            ground_truth.overload_factor = factor;
         }
         cold.end(faults);
     }
     if let Some(node) = map.node("classes") {
-        let names: Vec<String> = truth
+        let names: Vec<String> = ground_truth
             .classes
             .iter()
             .map(|class| class.name.clone())
@@ -157,7 +157,7 @@
                 }
             };
             let mut one = Reader::new(file, &format!("facts.classes.{name}"), node, faults);
-            let class = &mut truth.classes[index];
+            let class = &mut ground_truth.classes[index];
             let words = [
                 ("safe", (Effect::Retryable, Group::All)),
                 ("never", (Effect::Unsafe, Group::Cell)),
@@ -184,7 +184,7 @@
     node: &Node,
     file: &Arc<str>,
     processes: &mut Processes,
-    nodes: &mut Vec<NodeSetup>,
+    nodes: &mut Vec<HostSetup>,
     faults: &mut Faults,
 ) {
     if let Content::List(names) = &node.content {
@@ -222,7 +222,7 @@
                     name: name.clone(),
                     ..Process::default()
                 });
-                nodes.push(NodeSetup::default());
+                nodes.push(HostSetup::default());
                 processes.hosts.len() - 1
             });
         let mut one = Reader::new(file, &format!("nodes.{name}"), node, faults);
@@ -244,14 +244,14 @@
             setup.state = state;
         }
         if let Some(age) = one.take("age", faults, quantity::time) {
-            setup.age = Some(age);
+            setup.uptime = Some(age);
         }
         if let Some(cores) = one.take("cores", faults, |node| quantity::count(node, 1..=1024)) {
             setup.cores = cores as u32;
         }
         if let Some(slots) = one.take("slots", faults, |node| quantity::count(node, 0..=1_000_000))
         {
-            setup.slots = slots as usize;
+            setup.queue_capacity = slots as usize;
         }
         if let Some(speed) = one.take("speed", faults, quantity::number) {
             if speed > 0.0 {
--- a/crates/expectations/src/run.rs
+++ b/crates/expectations/src/run.rs
@@ -12,7 +12,9 @@
 use quartzcleat_config::{Day, Faults};
 use quartzcleat_decision::api::HostState;
 use quartzcleat_invariants::{timeline, Fact, Record};
-use quartzcleat_simulation::scenario::{CallFate, CounterMode, Fate, Happening, Scenario};
+use quartzcleat_simulation::scenario::{
+    AttemptOutcome, CounterCallOutcome, CounterMode, Scenario, ScenarioEvent,
+};
 use rayon::prelude::*;
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -577,7 +579,7 @@
     let mut ways: Vec<Compiled> = Vec::new();
     let steps = compiled.scenario.steps.iter().enumerate();
     let others: Vec<usize> = steps
-        .filter(|(_, step)| !matches!(step.what, Happening::Ask(_)))
+        .filter(|(_, step)| !matches!(step.event, ScenarioEvent::Request(_)))
         .map(|(index, _)| index)
         .collect();
     ways.extend(
@@ -588,10 +590,14 @@
     );
     ways.push(varied(compiled, &Vary::Requests(4.0)));
     ways.push(varied(compiled, &Vary::Requests(0.4)));
-    for fate in [Fate::ResetRan, Fate::Normal, Fate::SilentLost] {
-        if compiled.scenario.fates != [fate] {
+    for fate in [
+        AttemptOutcome::ResetAfterExecution,
+        AttemptOutcome::Normal,
+        AttemptOutcome::RequestLost,
+    ] {
+        if compiled.scenario.attempt_outcomes != [fate] {
             let mut other = compiled.clone();
-            other.scenario.fates = vec![fate];
+            other.scenario.attempt_outcomes = vec![fate];
             ways.push(other);
         }
     }
@@ -618,8 +624,8 @@
                 .filter_map(|factor| Some(vec![scaled(key, *factor)?])),
         );
     }
-    let plan = |step: &quartzcleat_simulation::scenario::Step| match &step.what {
-        Happening::Ask(ask) => Some(ask.plan),
+    let plan = |step: &quartzcleat_simulation::scenario::Step| match &step.event {
+        ScenarioEvent::Request(ask) => Some(ask.plan),
         _ => None,
     };
     let plans: std::collections::BTreeSet<u32> =
@@ -660,18 +666,18 @@
         other
     };
     vec![
-        with(&|s| s.nodes.iter_mut().for_each(|node| node.absent = true)),
-        with(&|s| s.nodes.iter_mut().for_each(|node| node.speed *= 0.03)),
-        with(&|s| s.nodes.iter_mut().for_each(|node| node.age = None)),
-        with(&|s| s.nodes.iter_mut().for_each(|node| node.age = Some(0))),
+        with(&|s| s.hosts.iter_mut().for_each(|node| node.absent = true)),
+        with(&|s| s.hosts.iter_mut().for_each(|node| node.speed *= 0.03)),
+        with(&|s| s.hosts.iter_mut().for_each(|node| node.uptime = None)),
+        with(&|s| s.hosts.iter_mut().for_each(|node| node.uptime = Some(0))),
         with(&|s| s.counter.mode = CounterMode::Silent),
-        with(&|s| s.counter.fates = vec![CallFate::Lost]),
+        with(&|s| s.counter.call_outcomes = vec![CounterCallOutcome::RequestLost]),
         with(&|s| s.settings.max_attempts = 1),
         with(&|s| s.settings.max_attempts = 12),
         with(&|s| s.settings.retry_after = false),
         with(&|s| s.settings.longest_retry_after *= 20),
         with(&|s| {
-            s.truth
+            s.ground_truth
                 .classes
                 .iter_mut()
                 .for_each(|class| class.dedup_window = 1);
--- a/crates/expectations/src/steps.rs
+++ b/crates/expectations/src/steps.rs
@@ -7,7 +7,7 @@
 use quartzcleat_config::tree::Node;
 use quartzcleat_config::{quantity, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_simulation::scenario::{Ask, Happening, Step};
+use quartzcleat_simulation::scenario::{ClientRequest, ScenarioEvent, Step};
 use std::sync::Arc;
 
 impl Ground<'_> {
@@ -33,7 +33,13 @@
             "free" => Ok(0),
             _ => quantity::count(node, 1..=100).map(|n| n as u32),
         });
-        let mut push = |at: Vec<Nanos>, what: Happening| steps.push(Step { at, what, free });
+        let mut push = |at: Vec<Nanos>, what: ScenarioEvent| {
+            steps.push(Step {
+                moments: at,
+                event: what,
+                reorder_group: free,
+            })
+        };
         let host =
             |ground: &Self, node: &Node| process(&ground.processes.hosts, &text(node)?, "node");
         let limiter = |ground: &Self, node: &Node| {
@@ -72,28 +78,28 @@
                 for (offset, ask) in asks {
                     push(
                         at.iter().map(|at| at + offset).collect(),
-                        Happening::Ask(ask),
+                        ScenarioEvent::Request(ask),
                     );
                 }
             }
             "drain" => {
                 if let Some(node) = map.take("drain", faults, |node| host(self, node)) {
-                    push(at, Happening::Drain(node));
+                    push(at, ScenarioEvent::DrainHost(node));
                 }
             }
             "die" => {
                 if let Some(node) = map.take("die", faults, |node| host(self, node)) {
-                    push(at, Happening::Die(node));
+                    push(at, ScenarioEvent::KillHost(node));
                 }
             }
             "vanish" => {
                 if let Some(node) = map.take("vanish", faults, |node| host(self, node)) {
-                    push(at, Happening::Vanish(node));
+                    push(at, ScenarioEvent::IsolateHost(node));
                 }
             }
             "start" => {
                 if let Some(node) = map.take("start", faults, |node| host(self, node)) {
-                    push(at, Happening::Start(node));
+                    push(at, ScenarioEvent::StartHost(node));
                 }
             }
             "replace" => {
@@ -101,7 +107,7 @@
                 let new = map.need("by", faults, |node| host(self, node));
                 if let (Some(old), Some(new)) = (old, new) {
                     if self.nodes[new].absent && old != new {
-                        push(at, Happening::Replace(old, new));
+                        push(at, ScenarioEvent::ReplaceHost { old, new });
                     } else {
                         map.fault("by", "is there already; give it absent: true", faults);
                     }
@@ -111,13 +117,19 @@
                 let node = map.take("slow", faults, |node| host(self, node));
                 let to = map.need("to", faults, quantity::number);
                 if let (Some(node), Some(to)) = (node, to) {
-                    push(at, Happening::Speed(node, to));
+                    push(
+                        at,
+                        ScenarioEvent::SetHostSpeed {
+                            host: node,
+                            speed: to,
+                        },
+                    );
                 }
             }
             "counter" => {
                 let what = map.take("counter", faults, |node| match text(node)?.as_str() {
-                    "empty" => Ok(Happening::Empty),
-                    _ => mode(node).map(Happening::Counter),
+                    "empty" => Ok(ScenarioEvent::ClearCounter),
+                    _ => mode(node).map(ScenarioEvent::SetCounterMode),
                 });
                 if let Some(what) = what {
                     push(at, what);
@@ -126,17 +138,17 @@
             "discovery" => {
                 let words = [("silent", false), ("tells", true)];
                 if let Some(on) = map.word("discovery", &words, faults) {
-                    push(at, Happening::Discovery(on));
+                    push(at, ScenarioEvent::SetDiscovery(on));
                 }
             }
             "stop" => {
                 if let Some(number) = map.take("stop", faults, |node| limiter(self, node)) {
-                    push(at, Happening::LimiterDies(number));
+                    push(at, ScenarioEvent::KillLimiter(number));
                 }
             }
             _ => {
                 if let Some(number) = map.take("restart", faults, |node| limiter(self, node)) {
-                    push(at, Happening::LimiterStarts(number));
+                    push(at, ScenarioEvent::StartLimiter(number));
                 }
             }
         }
@@ -149,7 +161,7 @@
         map: &mut Reader<'_>,
         retry: bool,
         faults: &mut Faults,
-    ) -> Vec<(Nanos, Ask)> {
+    ) -> Vec<(Nanos, ClientRequest)> {
         let key = if retry { "retry" } else { "request" };
         let name = map.take(key, faults, text);
         let classes = self.processes.classes.clone();
@@ -268,16 +280,16 @@
                 .map_or(1.0, |units| units[number % units.len()]);
             asks.push((
                 every * number as u64,
-                Ask {
-                    mark,
+                ClientRequest {
+                    operation: mark,
                     class,
                     partner,
                     plan,
                     units,
-                    cost: cost.unwrap_or(0.0),
-                    through,
-                    spread,
-                    wait,
+                    true_units: cost.unwrap_or(0.0),
+                    limiter: through,
+                    limiter_set: spread,
+                    timeout: wait,
                     retry,
                 },
             ));
--- a/crates/expectations/src/vary.rs
+++ b/crates/expectations/src/vary.rs
@@ -1,7 +1,7 @@
 //! An expectation with something varied, to see whether its verdict depends on it.
 
 use crate::compile::Compiled;
-use quartzcleat_simulation::scenario::{Ask, Happening, Step};
+use quartzcleat_simulation::scenario::{ClientRequest, ScenarioEvent, Step};
 
 /// Something about an expectation that is varied, to see whether its verdict depends on it.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,32 +22,36 @@
             let asks: Vec<Step> = compiled.scenario.steps.clone();
             let mut mark = 1_000_000;
             for step in asks {
-                let Happening::Ask(ask) = &step.what else {
+                let ScenarioEvent::Request(ask) = &step.event else {
                     continue;
                 };
                 for number in 1..*factor as u64 {
                     mark += 1;
-                    let ask = Ask {
-                        mark,
+                    let ask = ClientRequest {
+                        operation: mark,
                         ..ask.clone()
                     };
-                    let at = step.at.iter().map(|at| at + number * 1_000_000).collect();
+                    let at = step
+                        .moments
+                        .iter()
+                        .map(|at| at + number * 1_000_000)
+                        .collect();
                     compiled.scenario.steps.push(Step {
-                        at,
-                        what: Happening::Ask(ask),
-                        free: None,
+                        moments: at,
+                        event: ScenarioEvent::Request(ask),
+                        reorder_group: None,
                     });
                 }
             }
             compiled
                 .scenario
                 .steps
-                .sort_by_key(|step| step.at.first().copied().unwrap_or(0));
+                .sort_by_key(|step| step.moments.first().copied().unwrap_or(0));
         }
         Vary::Requests(factor) => {
             let (mut seen, mut kept) = (0.0, 0.0);
             compiled.scenario.steps.retain(|step| {
-                if !matches!(step.what, Happening::Ask(_)) {
+                if !matches!(step.event, ScenarioEvent::Request(_)) {
                     return true;
                 }
                 seen += 1.0;
--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -4,7 +4,7 @@
 use crate::stage::{Asked, Stage};
 use quartzcleat_decision::api::{Effect, Nanos, RequestId};
 use quartzcleat_invariants::{Answer, Fact};
-use quartzcleat_simulation::scenario::Ask;
+use quartzcleat_simulation::scenario::ClientRequest;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -46,14 +46,14 @@
     }
 
     /// Asks, and retries once where the scenario's clients do.
-    pub(crate) async fn run(&self, ask: Ask) {
+    pub(crate) async fn run(&self, ask: ClientRequest) {
         if ask.retry {
             // A retry waits for the answer of the try before it.
             let known = |mark: u64| self.stage.operations.borrow().get(&mark).copied();
-            while known(ask.mark) == Some(None) {
+            while known(ask.operation) == Some(None) {
                 sleep(Duration::from_millis(1)).await;
             }
-            if known(ask.mark) == Some(Some(Answer::Served)) {
+            if known(ask.operation) == Some(Some(Answer::Served)) {
                 return;
             }
         }
@@ -71,27 +71,25 @@
         } else {
             0
         };
-        sleep(Duration::from_nanos(retry.after.max(told))).await;
-        let mut again = Ask {
+        sleep(Duration::from_nanos(retry.delay.max(told))).await;
+        let mut again = ClientRequest {
             retry: true,
             ..ask.clone()
         };
-        if retry.elsewhere && ask.spread.0 > 1 {
+        if retry.next_limiter && ask.limiter_set.count > 1 {
             let limiters = self.stage.scenario.processes.limiters.len();
-            let (count, first) = (ask.spread.0 as usize, ask.spread.1 as usize);
-            let place = (ask.through + limiters - first) % limiters;
-            again.through = (first + (place + 1) % count) % limiters;
+            again.limiter = ask.limiter_set.next_after(ask.limiter, limiters);
         }
         self.ask(&again).await;
     }
 
     /// One try: its answer, or `None` where no limiter took it.
-    async fn ask(&self, ask: &Ask) -> Option<Answer> {
+    async fn ask(&self, ask: &ClientRequest) -> Option<Answer> {
         let stage = &self.stage;
-        let Some(address) = stage.limiter(ask.through) else {
+        let Some(address) = stage.limiter(ask.limiter) else {
             stage.note(Fact::Note(format!(
                 "{} takes no connection",
-                stage.scenario.processes.limiter(ask.through)
+                stage.scenario.processes.limiter(ask.limiter)
             )));
             return None;
         };
@@ -106,14 +104,14 @@
         let mut facts = format!(
             "c={},t={plan},d={}",
             class.name,
-            ask.wait.div_ceil(1_000_000)
+            ask.timeout.div_ceil(1_000_000)
         );
         if class.effect == Effect::Keyed {
-            facts.push_str(&format!(",k={:016x}", ask.mark));
+            facts.push_str(&format!(",k={:016x}", ask.operation));
         }
         facts.push_str(&format!(
             ",units={},spread={},first={}",
-            ask.units, ask.spread.0, ask.spread.1
+            ask.units, ask.limiter_set.count, ask.limiter_set.first
         ));
         let verb = if class.effect == Effect::Retryable {
             "Q.ASK"
@@ -125,12 +123,12 @@
             format!("{:016x}", id.0),
         );
         let command = resp::write(&[verb, &customer, &number, &facts]);
-        stage.operations.borrow_mut().insert(ask.mark, None);
+        stage.operations.borrow_mut().insert(ask.operation, None);
         stage.asked.borrow_mut().insert(
             id,
             Asked {
                 class: ask.class,
-                operation: ask.mark,
+                operation: ask.operation,
                 attempts: 0,
             },
         );
@@ -140,7 +138,7 @@
             Err(_) => {
                 // A limiter that died took its connections along; one that lives and closes without an answer
                 // leaves the request unanswered in the records.
-                if stage.limiter(ask.through).is_none() {
+                if stage.limiter(ask.limiter).is_none() {
                     stage.note(Fact::ClientLeft { request: id });
                 }
                 None
@@ -149,7 +147,7 @@
         stage
             .operations
             .borrow_mut()
-            .insert(ask.mark, answer.or(Some(Answer::Failed)));
+            .insert(ask.operation, answer.or(Some(Answer::Failed)));
         answer
     }
 
@@ -158,17 +156,17 @@
         address: SocketAddr,
         command: &[u8],
         id: RequestId,
-        ask: &Ask,
+        ask: &ClientRequest,
     ) -> io::Result<Option<Answer>> {
         let stage = &self.stage;
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let deadline: Nanos = stage.now() + ask.wait;
+        let deadline: Nanos = stage.now() + ask.timeout;
         // Noted before it is written: the limiter may act on it before this task goes on.
         stage.note(Fact::RequestReceived {
             request: id,
-            limiter: ask.through,
-            operation: ask.mark,
+            limiter: ask.limiter,
+            operation: ask.operation,
             class: ask.class,
             partner: ask.partner,
             units: ask.units,
@@ -176,7 +174,7 @@
         });
         stream.write_all(command).await?;
         // A while longer than it would wait, so that a late answer is seen to be late.
-        let patience = Duration::from_nanos(ask.wait) + Duration::from_millis(500);
+        let patience = Duration::from_nanos(ask.timeout) + Duration::from_millis(500);
         let reply = timeout(patience, answer(&mut stream)).await;
         let Ok(reply) = reply else { return Ok(None) };
         let answer = match reply? {
--- a/crates/fakes/src/counter.rs
+++ b/crates/fakes/src/counter.rs
@@ -4,8 +4,8 @@
 use crate::stage::{spawn, Stage};
 use quartzcleat_decision::api::{Nanos, Outcome};
 use quartzcleat_simulation::counter::Counter;
-use quartzcleat_simulation::oracle::Point;
-use quartzcleat_simulation::scenario::{option, CallFate, CounterSetup};
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::{option_of_variant, CounterCallOutcome, CounterSetup};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,42 +83,47 @@
         desk.calls.resize(calls, 0);
         let number = desk.calls[limiter];
         desk.calls[limiter] += 1;
-        let fates = &stage.scenario.counter.fates;
+        let call_outcomes = &stage.scenario.counter.call_outcomes;
         let variant = stage.scenario.variant.unwrap_or(0);
-        fates
-            .get(option(variant, Point::Call, number, fates.len()))
+        call_outcomes
+            .get(option_of_variant(
+                variant,
+                ChoicePoint::CounterCall,
+                number,
+                call_outcomes.len(),
+            ))
             .copied()
-            .unwrap_or(CallFate::Normal)
+            .unwrap_or(CounterCallOutcome::Normal)
     };
     match fate {
-        CallFate::Normal => {}
-        CallFate::Lost => return None,
-        CallFate::AnswerLost => {
+        CounterCallOutcome::Normal => {}
+        CounterCallOutcome::RequestLost => return None,
+        CounterCallOutcome::AnswerLost => {
             let now = stage.now();
             stage
                 .counter
                 .borrow_mut()
                 .model
-                .add(name, amount, life, now);
+                .execute(name, amount, life, now);
             return None;
         }
-        CallFate::Refused => return Some("-BUSY\r\n".to_owned()),
+        CounterCallOutcome::Rejected => return Some("-BUSY\r\n".to_owned()),
     }
-    let way = Duration::from_nanos(stage.scenario.net.counter);
+    let way = Duration::from_nanos(stage.scenario.network.counter);
     sleep(way).await;
     let now = stage.now();
-    let done = stage.counter.borrow_mut().model.arrive(name, now)?;
+    let done = stage.counter.borrow_mut().model.enqueue(name, now)?;
     sleep(Duration::from_nanos(done.saturating_sub(now))).await;
     let now = stage.now();
-    let (outcome, total) = stage
+    let reply = stage
         .counter
         .borrow_mut()
         .model
-        .add(name, amount, life, now);
+        .execute(name, amount, life, now);
     sleep(way).await;
-    match outcome {
+    match reply.outcome {
         Outcome::Good => {
-            let text = total.to_string();
+            let text = reply.total.to_string();
             Some(format!("${}\r\n{text}\r\n", text.len()))
         }
         Outcome::Rejected => Some("-BUSY\r\n".to_owned()),
--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -4,9 +4,11 @@
 use crate::stage::{spawn, Stage};
 use quartzcleat_decision::api::{Effect, Group, Nanos, Outcome, RequestId};
 use quartzcleat_invariants::Fact;
-use quartzcleat_simulation::node::{Job, Life, Node, Reached};
-use quartzcleat_simulation::oracle::Point;
-use quartzcleat_simulation::scenario::{option, Fate, Happening, NodeSetup, Scenario};
+use quartzcleat_simulation::host::{Arrival, AttemptKey, Host, HostStatus};
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::{
+    option_of_variant, AttemptOutcome, HostSetup, Scenario, ScenarioEvent,
+};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -19,18 +21,18 @@
 
 /// A node at its desk.
 pub(crate) struct NodeDesk {
-    pub(crate) model: Node,
+    pub(crate) model: Host,
     /// Where each limiter reaches it.
     pub(crate) addresses: Vec<SocketAddr>,
     listeners: Vec<TcpListener>,
     /// Told when the process ends, by its number.
     life: watch::Sender<u64>,
     /// Those that wait in the node's line for their turn.
-    waiting: BTreeMap<Job, oneshot::Sender<()>>,
+    waiting: BTreeMap<AttemptKey, oneshot::Sender<()>>,
 }
 
 impl NodeDesk {
-    pub(crate) async fn bind(setup: &NodeSetup, limiters: usize, start: Nanos) -> io::Result<Self> {
+    pub(crate) async fn bind(setup: &HostSetup, limiters: usize, start: Nanos) -> io::Result<Self> {
         let (mut addresses, mut listeners) = (Vec::new(), Vec::new());
         for _ in 0..limiters {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -41,7 +43,7 @@
             listeners.clear();
         }
         let (model, life, waiting) = (
-            Node::new(setup, start),
+            Host::new(setup, start),
             watch::Sender::new(0),
             BTreeMap::new(),
         );
@@ -60,7 +62,7 @@
     let (addresses, ready, life) = {
         let mut nodes = stage.nodes.borrow_mut();
         let desk = &mut nodes[node];
-        if desk.model.life != Life::Up {
+        if desk.model.status != HostStatus::Running {
             return;
         }
         (
@@ -101,7 +103,7 @@
                 }
             }
             // A machine that vanished holds on to its sockets and says nothing.
-            let vanished = stage.nodes.borrow()[node].model.life == Life::Vanished;
+            let vanished = stage.nodes.borrow()[node].model.status == HostStatus::Unreachable;
             if vanished {
                 std::future::pending::<()>().await;
             }
@@ -111,17 +113,17 @@
 }
 
 /// A node's process or machine ends.
-pub(crate) fn end(stage: &Rc<Stage>, node: usize, life: Life) {
+pub(crate) fn end(stage: &Rc<Stage>, node: usize, life: HostStatus) {
     {
         let mut nodes = stage.nodes.borrow_mut();
         let desk = &mut nodes[node];
-        desk.model.end(life);
+        desk.model.stop(life);
         desk.waiting.clear();
-        if life == Life::Dead {
+        if life == HostStatus::Dead {
             desk.life.send_modify(|life| *life += 1);
         }
     }
-    if life == Life::Dead {
+    if life == HostStatus::Dead {
         for (request, attempt) in stage.flying(node) {
             stage.note(Fact::AttemptEnded {
                 request,
@@ -142,7 +144,7 @@
     loop {
         while let Some((words, length)) = resp::command(&input)? {
             input.drain(..length);
-            if stage.nodes.borrow()[node].model.life == Life::Vanished {
+            if stage.nodes.borrow()[node].model.status == HostStatus::Unreachable {
                 return std::future::pending().await;
             }
             let words: Vec<&str> = words.iter().map(String::as_str).collect();
@@ -195,7 +197,10 @@
     };
     let warming_up = {
         let nodes = stage.nodes.borrow();
-        nodes[node].model.warmth(&stage.scenario.truth, stage.now()) < 1.0
+        nodes[node]
+            .model
+            .capacity_factor(&stage.scenario.ground_truth, stage.now())
+            < 1.0
     };
     stage.note(Fact::AttemptSent {
         limiter,
@@ -204,26 +209,26 @@
         host: node,
         warming_up,
     });
-    let fates = &stage.scenario.fates;
+    let attempt_outcomes = &stage.scenario.attempt_outcomes;
     let variant = stage.scenario.variant.unwrap_or(0);
-    let fate = fates
-        .get(option(
+    let fate = attempt_outcomes
+        .get(option_of_variant(
             variant,
-            Point::Attempt,
+            ChoicePoint::Attempt,
             number as usize,
-            fates.len(),
+            attempt_outcomes.len(),
         ))
         .copied();
-    let job = Job {
+    let job = AttemptKey {
         limiter,
         request: id,
         attempt: number,
     };
     let given = tokio::select! {
-        given = fare(stage, node, job, class, operation, fate.unwrap_or(Fate::Normal)) => given,
+        given = fare(stage, node, job, class, operation, fate.unwrap_or(AttemptOutcome::Normal)) => given,
         // The limiter gave the attempt up: what waits is dropped.
         _ = gone(stream) => {
-            stage.nodes.borrow_mut()[node].model.give_up(job);
+            stage.nodes.borrow_mut()[node].model.cancel(job);
             stage.note(Fact::AttemptEnded { request: id, attempt: number, outcome: Outcome::Cancelled });
             return Ok(false);
         }
@@ -282,11 +287,11 @@
 
 /// The true units of an errand, where the scenario has some.
 fn cost(scenario: &Scenario, operation: u64) -> f64 {
-    let ask = scenario.steps.iter().find_map(|step| match &step.what {
-        Happening::Ask(ask) if ask.mark == operation => Some(ask),
+    let ask = scenario.steps.iter().find_map(|step| match &step.event {
+        ScenarioEvent::Request(ask) if ask.operation == operation => Some(ask),
         _ => None,
     });
-    ask.map_or(0.0, |ask| ask.cost)
+    ask.map_or(0.0, |ask| ask.true_units)
 }
 
 /// Waits until the peer closes its connection.
@@ -308,18 +313,22 @@
 async fn fare(
     stage: &Rc<Stage>,
     node: usize,
-    job: Job,
+    job: AttemptKey,
     class: usize,
     operation: u64,
-    fate: Fate,
+    fate: AttemptOutcome,
 ) -> Given {
     match fate {
-        Fate::Busy | Fate::Refused => return Given::Busy,
-        Fate::ResetLost => return Given::Break,
-        Fate::SilentLost => return Given::Nothing,
-        Fate::Normal | Fate::Error | Fate::ResetRan | Fate::SilentRan | Fate::Late => {}
+        AttemptOutcome::Rejected | AttemptOutcome::ConnectionRefused => return Given::Busy,
+        AttemptOutcome::ResetBeforeExecution => return Given::Break,
+        AttemptOutcome::RequestLost => return Given::Nothing,
+        AttemptOutcome::Normal
+        | AttemptOutcome::Error
+        | AttemptOutcome::ResetAfterExecution
+        | AttemptOutcome::AnswerLost
+        | AttemptOutcome::Late => {}
     }
-    let (now, truth) = (stage.now(), &stage.scenario.truth);
+    let (now, ground_truth) = (stage.now(), &stage.scenario.ground_truth);
     let work = stage
         .scenario
         .work
@@ -328,22 +337,22 @@
         .unwrap_or(100_000_000);
     let reached = stage.nodes.borrow_mut()[node]
         .model
-        .reach(job, work, truth, now);
+        .receive(job, work, ground_truth, now);
     match reached {
-        Reached::Begun => {}
-        Reached::Waits => {
+        Arrival::Started => {}
+        Arrival::Queued => {
             let (tell, told) = oneshot::channel();
             stage.nodes.borrow_mut()[node].waiting.insert(job, tell);
             if told.await.is_err() {
                 return Given::Break;
             }
         }
-        Reached::Busy => return Given::Busy,
-        Reached::Refused => return Given::Break,
-        Reached::Nothing => return Given::Nothing,
-        Reached::Tips => {
+        Arrival::Rejected => return Given::Busy,
+        Arrival::ConnectionRefused => return Given::Break,
+        Arrival::Lost => return Given::Nothing,
+        Arrival::Overloads => {
             stage.note(Fact::HostOverloaded { host: node });
-            end(stage, node, Life::Dead);
+            end(stage, node, HostStatus::Dead);
             return Given::Break;
         }
     }
@@ -358,7 +367,9 @@
         if deduplicated {
             1_000_000
         } else {
-            nodes[node].model.takes(work, truth, stage.now())
+            nodes[node]
+                .model
+                .execution_time(work, ground_truth, stage.now())
         }
     };
     let (started, runs) = (
@@ -372,8 +383,8 @@
         sleep(runs).await;
         let mut nodes = worker.nodes.borrow_mut();
         let desk = &mut nodes[node];
-        if desk.model.started == started && desk.model.life == Life::Up {
-            while let Some(next) = desk.model.proceed() {
+        if desk.model.started == started && desk.model.status == HostStatus::Running {
+            while let Some(next) = desk.model.finish_job() {
                 // One whose connection is gone makes room for the one behind it.
                 if desk
                     .waiting
@@ -387,20 +398,20 @@
         let _ = tell.send(());
     });
     match fate {
-        Fate::Error => return Given::Error,
-        Fate::ResetRan => return Given::Break,
-        Fate::SilentRan => return Given::Nothing,
+        AttemptOutcome::Error => return Given::Error,
+        AttemptOutcome::ResetAfterExecution => return Given::Break,
+        AttemptOutcome::AnswerLost => return Given::Nothing,
         _ => {}
     }
     let _ = told.await;
-    if fate == Fate::Late {
-        let latency_objective = truth
+    if fate == AttemptOutcome::Late {
+        let latency_objective = ground_truth
             .classes
             .get(class)
             .map_or(0, |class| class.latency_objective);
         sleep(Duration::from_nanos(latency_objective)).await;
     }
-    if stage.nodes.borrow()[node].model.life == Life::Vanished {
+    if stage.nodes.borrow()[node].model.status == HostStatus::Unreachable {
         return Given::Nothing;
     }
     Given::Value
@@ -409,7 +420,7 @@
 fn is_repeat(stage: &Rc<Stage>, class: usize, operation: u64, node: usize) -> bool {
     let Some(class) = stage
         .scenario
-        .truth
+        .ground_truth
         .classes
         .get(class)
         .filter(|class| class.effect == Effect::Keyed)
--- a/crates/fakes/src/stage.rs
+++ b/crates/fakes/src/stage.rs
@@ -7,9 +7,9 @@
 use crate::node::{self, NodeDesk};
 use quartzcleat_decision::api::{HostEntry, HostId, HostState, Nanos, RequestId};
 use quartzcleat_invariants::{Answer, Fact, Record};
-use quartzcleat_simulation::node::Life;
-use quartzcleat_simulation::oracle::Point;
-use quartzcleat_simulation::scenario::{option, Happening, Scenario};
+use quartzcleat_simulation::host::HostStatus;
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::{option_of_variant, Scenario, ScenarioEvent};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -150,9 +150,9 @@
     );
     let mut due: Vec<(Nanos, usize)> = (0..steps)
         .map(|index| {
-            let at = &stage.scenario.steps[index].at;
+            let at = &stage.scenario.steps[index].moments;
             (
-                at.get(option(variant, Point::Moment, 0, at.len()))
+                at.get(option_of_variant(variant, ChoicePoint::Moment, 0, at.len()))
                     .copied()
                     .unwrap_or(0),
                 index,
@@ -162,11 +162,11 @@
     due.sort();
     for (at, index) in due {
         sleep_until(began + Duration::from_nanos(at)).await;
-        let what = stage.scenario.steps[index].what.clone();
+        let what = stage.scenario.steps[index].event.clone();
         stage.happen(what).await?;
     }
     // Until all is answered and a while longer, so that what should not come would be seen.
-    let end = began + Duration::from_nanos(stage.scenario.end);
+    let end = began + Duration::from_nanos(stage.scenario.max_duration);
     while stage.open.get() > 0 && Instant::now() < end {
         sleep(Duration::from_millis(5)).await;
     }
@@ -192,7 +192,7 @@
             .map_or(0, |age| age.as_nanos() as Nanos);
         let limiters = scenario.processes.limiters.len();
         let mut nodes = Vec::new();
-        for setup in &scenario.nodes {
+        for setup in &scenario.hosts {
             nodes.push(NodeDesk::bind(setup, limiters, unix).await?);
         }
         let counter = CounterDesk::new(&scenario.counter);
@@ -214,8 +214,8 @@
             ours,
             scenario,
         });
-        let listed: Vec<usize> = (0..stage.scenario.nodes.len())
-            .filter(|node| !stage.scenario.nodes[*node].absent)
+        let listed: Vec<usize> = (0..stage.scenario.hosts.len())
+            .filter(|node| !stage.scenario.hosts[*node].absent)
             .collect();
         for node in listed {
             stage.discovery.borrow_mut().hold(node);
@@ -235,7 +235,7 @@
             spawn(counter::serve(stage.clone(), number, counter));
             spawn(discovery::serve(stage.clone(), number, discovery));
         }
-        for node in 0..stage.scenario.nodes.len() {
+        for node in 0..stage.scenario.hosts.len() {
             node::open(&stage, node);
         }
         Ok(stage)
@@ -250,7 +250,7 @@
         for number in 0..self.scenario.processes.limiters.len() {
             let held = self.discovery.borrow().held();
             for node in held {
-                let state = self.scenario.nodes[node].state;
+                let state = self.scenario.hosts[node].state;
                 self.note(Fact::HostStateLearned {
                     limiter: number,
                     host: node,
@@ -332,11 +332,11 @@
     fn entry(&self, node: usize, desks: &[NodeDesk]) -> HostEntry {
         let (process, setup, model) = (
             &self.scenario.processes.hosts[node],
-            &self.scenario.nodes[node],
+            &self.scenario.hosts[node],
             &desks[node].model,
         );
-        let state = match (model.life, model.draining) {
-            (Life::Dead, _) => HostState::Gone,
+        let state = match (model.status, model.draining) {
+            (HostStatus::Dead, _) => HostState::Gone,
             (_, true) => HostState::Draining,
             _ => HostState::Ready,
         };
@@ -414,15 +414,15 @@
 
     /// The one-way delay that stands for the way between a limiter and a host.
     pub(crate) fn way(&self, limiter: usize, node: usize) -> Duration {
-        let (processes, net) = (&self.scenario.processes, &self.scenario.net);
+        let (processes, net) = (&self.scenario.processes, &self.scenario.network);
         let same = processes.limiters[limiter].zone == processes.hosts[node].zone;
-        Duration::from_nanos(if same { net.same } else { net.cross })
+        Duration::from_nanos(if same { net.same_zone } else { net.cross_zone })
     }
 
-    async fn happen(self: &Rc<Self>, what: Happening) -> io::Result<()> {
+    async fn happen(self: &Rc<Self>, what: ScenarioEvent) -> io::Result<()> {
         let host = |node: usize| self.scenario.processes.host(node).to_owned();
         match what {
-            Happening::Ask(ask) => {
+            ScenarioEvent::Request(ask) => {
                 self.open.set(self.open.get() + 1);
                 let stage = self.clone();
                 spawn(async move {
@@ -430,31 +430,31 @@
                     stage.open.set(stage.open.get() - 1);
                 });
             }
-            Happening::Drain(node) => {
+            ScenarioEvent::DrainHost(node) => {
                 self.note(Fact::Note(format!("{} begins to drain", host(node))));
                 self.nodes.borrow_mut()[node].model.draining = true;
                 self.changed(node);
             }
-            Happening::Die(node) => {
+            ScenarioEvent::KillHost(node) => {
                 self.note(Fact::Note(format!("{}'s process dies", host(node))));
-                node::end(self, node, Life::Dead);
+                node::end(self, node, HostStatus::Dead);
                 self.changed(node);
             }
-            Happening::Vanish(node) => {
+            ScenarioEvent::IsolateHost(node) => {
                 self.note(Fact::Note(format!("{}'s machine vanishes", host(node))));
-                node::end(self, node, Life::Vanished);
+                node::end(self, node, HostStatus::Unreachable);
             }
-            Happening::Start(node) => {
+            ScenarioEvent::StartHost(node) => {
                 self.begin_node(node);
                 self.changed(node);
             }
-            Happening::Replace(old, new) => {
+            ScenarioEvent::ReplaceHost { old, new } => {
                 self.note(Fact::Note(format!(
                     "{} is replaced by {} at its address",
                     host(old),
                     host(new)
                 )));
-                node::end(self, old, Life::Dead);
+                node::end(self, old, HostStatus::Dead);
                 {
                     let mut nodes = self.nodes.borrow_mut();
                     nodes[new].addresses = nodes[old].addresses.clone();
@@ -465,37 +465,37 @@
                 self.begin_node(new);
                 self.changed(new);
             }
-            Happening::Speed(node, speed) => {
+            ScenarioEvent::SetHostSpeed { host: node, speed } => {
                 self.note(Fact::Note(format!(
                     "{} goes at {speed} of the yardstick",
                     host(node)
                 )));
                 self.nodes.borrow_mut()[node].model.speed = speed.max(1e-3);
             }
-            Happening::Counter(mode) => {
+            ScenarioEvent::SetCounterMode(mode) => {
                 self.note(Fact::Note(
                     format!("the counter is now {mode:?}").to_lowercase(),
                 ));
                 self.counter.borrow_mut().model.mode = mode;
             }
-            Happening::Empty => {
+            ScenarioEvent::ClearCounter => {
                 self.note(Fact::Note("the counter comes back empty".to_owned()));
-                self.counter.borrow_mut().model.empty();
+                self.counter.borrow_mut().model.clear();
             }
-            Happening::Discovery(on) => {
+            ScenarioEvent::SetDiscovery(on) => {
                 self.note(Fact::Note(format!(
                     "discovery {}",
                     if on { "tells again" } else { "falls silent" }
                 )));
                 self.discovery.borrow_mut().speak(on);
             }
-            Happening::LimiterDies(number) => {
+            ScenarioEvent::KillLimiter(number) => {
                 self.note(Fact::LimiterDied { limiter: number });
                 let mut process = self.limiters.borrow_mut()[number].take();
                 process.kill().await;
                 self.limiters.borrow_mut()[number] = process;
             }
-            Happening::LimiterStarts(number) => {
+            ScenarioEvent::StartLimiter(number) => {
                 self.note(Fact::Note(format!(
                     "{} starts again",
                     self.scenario.processes.limiter(number)
@@ -522,10 +522,15 @@
 
     /// Discovery learns of a change, and tells each limiter after its lag.
     pub(crate) fn changed(self: &Rc<Self>, node: usize) {
-        let lags = &self.scenario.lags;
+        let discovery_delays = &self.scenario.discovery_delays;
         let variant = self.scenario.variant.unwrap_or(0);
-        let lag = lags
-            .get(option(variant, Point::Lag, 0, lags.len()))
+        let lag = discovery_delays
+            .get(option_of_variant(
+                variant,
+                ChoicePoint::DiscoveryDelay,
+                0,
+                discovery_delays.len(),
+            ))
             .copied()
             .unwrap_or(0);
         let state = self.state(node);
--- a/crates/simulation/src/counter.rs
+++ b/crates/simulation/src/counter.rs
@@ -1,49 +1,63 @@
-//! The counter: totals by name, their lives, its parts and its line.
+//! The counter: totals by name that expire, and shards that execute calls one after another.
 
 use crate::scenario::{CounterMode, CounterSetup};
 use quartzcleat_decision::api::{Nanos, Outcome};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+#[cfg(test)]
+mod tests;
+
+/// The longest lifetime of a total.
+const MAX_LIFETIME: Nanos = 60_000_000_000;
+/// The shortest lifetime of a total.
+const MIN_LIFETIME: Nanos = 1_000_000;
+
 #[derive(Clone, Debug)]
 struct Total {
     value: f64,
-    until: Nanos,
+    expires_at: Nanos,
+}
+
+/// The result of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CounterReply {
+    /// How the call ended.
+    pub outcome: Outcome,
+    /// The new total where it ended well, otherwise 0.
+    pub total: f64,
 }
 
-/// The counter as it stands.
+/// The counter's state.
 #[derive(Clone, Debug)]
 pub struct Counter {
-    /// What it does.
+    /// What it does with calls.
     pub mode: CounterMode,
-    service: Nanos,
-    /// When each part has done all that waits there.
-    parts: Vec<Nanos>,
+    call_duration: Nanos,
+    /// When each shard has executed all calls of its queue.
+    shards_idle_at: Vec<Nanos>,
     totals: BTreeMap<String, Total>,
 }
 
-/// No name lives longer than this.
-const LONGEST_LIFE: Nanos = 60_000_000_000;
-
 impl Counter {
-    /// A counter that holds nothing.
+    /// A counter without totals.
+    #[must_use]
     pub fn new(setup: &CounterSetup) -> Self {
-        let parts = vec![0; setup.parts.max(1) as usize];
         Counter {
             mode: setup.mode,
-            service: setup.service,
-            parts,
+            call_duration: setup.call_duration,
+            shards_idle_at: vec![0; setup.shards.max(1) as usize],
             totals: BTreeMap::new(),
         }
     }
 
     /// Forgets all totals.
-    pub fn empty(&mut self) {
+    pub fn clear(&mut self) {
         self.totals.clear();
     }
 
-    /// A call has arrived: when it is done, or `None` where nothing ever comes of it.
-    pub fn arrive(&mut self, name: &str, now: Nanos) -> Option<Nanos> {
+    /// Queues a call that arrives now. Returns when its shard has executed it, or `None` where it never does.
+    pub fn enqueue(&mut self, name: &str, now: Nanos) -> Option<Nanos> {
         let factor = match self.mode {
             CounterMode::Silent => return None,
             CounterMode::Refusing => return Some(now),
@@ -52,66 +66,40 @@
         };
         let mut hasher = DefaultHasher::new();
         name.hash(&mut hasher);
-        let part = hasher.finish() as usize % self.parts.len();
-        let done = self.parts[part].max(now) + (self.service as f64 * factor) as Nanos;
-        self.parts[part] = done;
+        let shard = hasher.finish() as usize % self.shards_idle_at.len();
+        let start = self.shards_idle_at[shard].max(now);
+        let done = start + (self.call_duration as f64 * factor) as Nanos;
+        self.shards_idle_at[shard] = done;
         Some(done)
     }
 
-    /// A call has had its turn.
-    pub fn add(&mut self, name: &str, amount: f64, life: Nanos, now: Nanos) -> (Outcome, f64) {
+    /// Executes a call: adds an amount to a total, which is created with this lifetime where it does not exist.
+    pub fn execute(
+        &mut self,
+        name: &str,
+        amount: f64,
+        lifetime: Nanos,
+        now: Nanos,
+    ) -> CounterReply {
+        let failed = |outcome| CounterReply {
+            outcome,
+            total: 0.0,
+        };
         match self.mode {
-            CounterMode::Silent => return (Outcome::Timeout, 0.0),
-            CounterMode::Refusing => return (Outcome::Rejected, 0.0),
+            CounterMode::Silent => return failed(Outcome::Timeout),
+            CounterMode::Refusing => return failed(Outcome::Rejected),
             CounterMode::Normal | CounterMode::Slow(_) => {}
         }
-        self.totals.retain(|_, total| total.until > now);
-        let until = now + life.clamp(1_000_000, LONGEST_LIFE);
-        let total = self
-            .totals
-            .entry(name.to_owned())
-            .or_insert(Total { value: 0.0, until });
+        self.totals.retain(|_, total| total.expires_at > now);
+        let expires_at = now + lifetime.clamp(MIN_LIFETIME, MAX_LIFETIME);
+        let total = self.totals.entry(name.to_owned()).or_insert(Total {
+            value: 0.0,
+            expires_at,
+        });
         total.value += amount;
-        (Outcome::Good, total.value)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const MS: Nanos = 1_000_000;
-
-    #[test]
-    fn names_have_totals_and_lives() {
-        let mut counter = Counter::new(&CounterSetup::default());
-        assert_eq!(counter.add("a", 2.0, 50 * MS, 0), (Outcome::Good, 2.0));
-        assert_eq!(
-            counter.add("a", 3.0, 9_000 * MS, 40 * MS),
-            (Outcome::Good, 5.0)
-        );
-        assert_eq!(counter.add("b", 0.0, MS, 41 * MS), (Outcome::Good, 0.0));
-        // The life is the first call's.
-        assert_eq!(
-            counter.add("a", 1.0, 50 * MS, 51 * MS),
-            (Outcome::Good, 1.0)
-        );
-        counter.empty();
-        assert_eq!(
-            counter.add("a", 1.0, 50 * MS, 52 * MS),
-            (Outcome::Good, 1.0)
-        );
-    }
-
-    #[test]
-    fn calls_wait_for_their_part() {
-        let mut counter = Counter::new(&CounterSetup::default());
-        assert_eq!(counter.arrive("a", 0), Some(1_200_000));
-        assert_eq!(counter.arrive("a", 0), Some(2_400_000));
-        counter.mode = CounterMode::Slow(5.0);
-        assert_eq!(counter.arrive("a", 10 * MS), Some(16 * MS));
-        counter.mode = CounterMode::Silent;
-        assert_eq!(counter.arrive("a", 20 * MS), None);
-        assert_eq!(counter.add("a", 1.0, MS, 20 * MS).0, Outcome::Timeout);
+        CounterReply {
+            outcome: Outcome::Good,
+            total: total.value,
+        }
     }
 }
--- /dev/null
+++ b/crates/simulation/src/event_queue.rs
@@ -0,0 +1,146 @@
+//! The events of a run that are still to come, in the order of their times.
+
+use crate::host::AttemptKey;
+use crate::scenario::{AttemptOutcome, ClientRequest};
+use quartzcleat_decision::api::{HostEntry, ListMode, Nanos, Outcome, RequestId, Timer};
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+/// One incarnation of a limiter. Events that were meant for an earlier incarnation are void.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LimiterIncarnation {
+    pub(crate) limiter: usize,
+    pub(crate) incarnation: u32,
+}
+
+/// A call of a limiter to the counter.
+#[derive(Clone, Debug)]
+pub(crate) struct CounterCall {
+    pub(crate) caller: LimiterIncarnation,
+    pub(crate) number: u64,
+    pub(crate) name: String,
+    pub(crate) amount: f64,
+    pub(crate) keep_for: Nanos,
+}
+
+/// An event of the simulation.
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    /// A step of the scenario, by its index.
+    Step(usize),
+    /// A client's request reaches a limiter.
+    ClientRequest(ClientRequest),
+    /// Discovery notifies a limiter of hosts.
+    HostsNotified {
+        limiter: LimiterIncarnation,
+        mode: ListMode,
+        entries: Vec<HostEntry>,
+    },
+    /// A timer of the decision engine fires.
+    Timer {
+        limiter: LimiterIncarnation,
+        timer: Timer,
+    },
+    /// The last moment at which a limiter answers a request in time.
+    AnswerDue {
+        limiter: LimiterIncarnation,
+        request: RequestId,
+    },
+    /// An attempt reaches its host.
+    AttemptArrives {
+        attempt: AttemptKey,
+        host: usize,
+        outcome: AttemptOutcome,
+    },
+    /// A host has finished a job. The start time of its process tells whether it is still the same one.
+    JobFinished {
+        #[expect(dead_code, reason = "distinguishes states in the fingerprint")]
+        attempt: AttemptKey,
+        host: usize,
+        process_start: Nanos,
+    },
+    /// A limiter learns how an attempt ended.
+    AttemptEnds {
+        attempt: AttemptKey,
+        outcome: Outcome,
+    },
+    /// A call reaches the counter.
+    CounterCallArrives(CounterCall),
+    /// The counter executes a call.
+    CounterCallExecutes(CounterCall),
+    /// A limiter learns how a call to the counter ended.
+    CounterCallEnds {
+        caller: LimiterIncarnation,
+        number: u64,
+        outcome: Outcome,
+        total: f64,
+    },
+}
+
+/// An event and its time. Events of the same time keep the order in which they were scheduled.
+#[derive(Clone, Debug)]
+pub(crate) struct ScheduledEvent {
+    pub(crate) at: Nanos,
+    sequence: u64,
+    pub(crate) event: Event,
+}
+
+impl ScheduledEvent {
+    fn order(&self) -> (Nanos, u64) {
+        (self.at, self.sequence)
+    }
+}
+
+impl PartialEq for ScheduledEvent {
+    fn eq(&self, other: &Self) -> bool {
+        self.order() == other.order()
+    }
+}
+
+impl Eq for ScheduledEvent {}
+
+impl PartialOrd for ScheduledEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for ScheduledEvent {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.order().cmp(&other.order())
+    }
+}
+
+/// The events to come.
+#[derive(Debug, Default)]
+pub(crate) struct EventQueue {
+    heap: BinaryHeap<Reverse<ScheduledEvent>>,
+    last_sequence: u64,
+}
+
+impl EventQueue {
+    pub(crate) fn schedule(&mut self, at: Nanos, event: Event) {
+        self.last_sequence += 1;
+        self.heap.push(Reverse(ScheduledEvent {
+            at,
+            sequence: self.last_sequence,
+            event,
+        }));
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<ScheduledEvent> {
+        self.heap.pop().map(|Reverse(scheduled)| scheduled)
+    }
+
+    /// The events in no particular order.
+    pub(crate) fn events(&self) -> impl Iterator<Item = &Event> {
+        self.heap.iter().map(|Reverse(scheduled)| &scheduled.event)
+    }
+
+    /// The events in the order in which they will come.
+    pub(crate) fn in_order(&self) -> Vec<&ScheduledEvent> {
+        let mut scheduled: Vec<_> = self.heap.iter().map(|Reverse(event)| event).collect();
+        scheduled.sort_unstable();
+        scheduled
+    }
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,20 +1,23 @@
-//! What the limiters balance, as a deterministic model in virtual time: limiters that are the real decision module,
-//! one counter, discovery, hosts, rooms and clients. No clock, no sockets, no chance but what is seeded.
+//! A deterministic model of what the limiters balance, in virtual time: limiters that run the real decision engine,
+//! one counter, discovery, hosts, zones and clients. It uses no clock, no sockets and only seeded randomness.
 //!
-//! A [`Scenario`] says who plays and what happens; [`play`] plays it once and hands back the records. Where the
-//! scenario leaves something open, an [`Oracle`] chooses, so that a search can try every way.
+//! A [`Scenario`] says which processes there are and what happens; [`simulate`] runs it once and returns the records.
+//! Where the scenario leaves something open, an [`Oracle`] chooses, so that a search can try every way.
 //!
-//! Not modelled: connections and their cost (a relay reaches its host after one delay), bandwidth, the limiter's
-//! own CPU time and memory, probes and load reports, streams, peers, and clients that follow anything but the
-//! scenario. Timers and events reach the module without delay.
+//! Not modelled: connections and their cost (an attempt reaches its host after one delay), bandwidth, the limiter's
+//! own CPU time and memory, health checks and load reports, streams, peers, and clients that follow anything but the
+//! scenario. Timers and events reach the decision engine without delay.
 
 pub mod counter;
+mod event_queue;
+mod fingerprint;
+pub mod host;
 mod limiter;
-pub mod node;
+mod network;
 pub mod oracle;
-mod play;
 pub mod scenario;
+mod simulation;
 
-pub use oracle::{Oracle, Point};
-pub use play::{play, Played};
+pub use oracle::{ChoicePoint, Oracle};
 pub use scenario::Scenario;
+pub use simulation::{simulate, SimulationRun};
--- a/crates/simulation/src/limiter.rs
+++ b/crates/simulation/src/limiter.rs
@@ -1,171 +1,162 @@
-//! A limiter: the real decision module, and round it what the program on sockets keeps for it: what is open, what is
-//! out, and the order of the counter's answers.
+//! A limiter: the real decision engine, and the state that the program on sockets keeps beside it: open requests,
+//! attempts in flight, and the order of the counter's answers.
 
-use quartzcleat_decision::api::*;
+use crate::counter::CounterReply;
+use quartzcleat_decision::api::{Event, Nanos, RequestId, Settings};
 use quartzcleat_decision::DecisionEngine;
 use std::collections::{BTreeMap, VecDeque};
 
+#[cfg(test)]
+mod tests;
+
+/// A request that has no answer yet.
 #[derive(Clone, Debug)]
-pub(crate) struct Open {
+pub(crate) struct OpenRequest {
     pub(crate) class: usize,
     pub(crate) operation: u64,
     pub(crate) deadline: Nanos,
     pub(crate) attempts: u32,
 }
 
+/// One attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct AttemptId {
+    pub(crate) request: RequestId,
+    pub(crate) number: u32,
+}
+
+/// An attempt that has not ended.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Out {
+pub(crate) struct InFlightAttempt {
     pub(crate) host: usize,
-    pub(crate) began: Nanos,
+    pub(crate) started: Nanos,
     pub(crate) class: usize,
     pub(crate) operation: u64,
 }
 
+/// An attempt that has just started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StartedAttempt {
+    pub(crate) number: u32,
+    /// When the request's client gives up.
+    pub(crate) deadline: Nanos,
+}
+
+/// An attempt that must not be sent, because its request is closed, late or has used up its attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AttemptNotAllowed {
+    pub(crate) number: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CallEnd {
+    reply: CounterReply,
+    elapsed: Nanos,
+}
+
 #[derive(Clone, Debug)]
-struct Call {
+struct PendingCall {
     number: u64,
     name: String,
-    began: Nanos,
-    end: Option<(Outcome, f64, Nanos)>,
+    started: Nanos,
+    end: Option<CallEnd>,
 }
 
 #[derive(Debug)]
 pub(crate) struct Limiter {
-    pub(crate) gateway: DecisionEngine,
-    pub(crate) up: bool,
-    /// Which start this is: what belongs to an earlier one is void.
-    pub(crate) epoch: u32,
-    pub(crate) open: BTreeMap<RequestId, Open>,
-    pub(crate) out: BTreeMap<(RequestId, u32), Out>,
-    calls: VecDeque<Call>,
-    number: u64,
+    pub(crate) engine: DecisionEngine,
+    pub(crate) is_up: bool,
+    pub(crate) incarnation: u32,
+    pub(crate) open_requests: BTreeMap<RequestId, OpenRequest>,
+    pub(crate) in_flight: BTreeMap<AttemptId, InFlightAttempt>,
+    pending_calls: VecDeque<PendingCall>,
+    last_call: u64,
 }
 
 impl Limiter {
-    pub(crate) fn new(settings: Settings, seed: u64, now: Nanos, epoch: u32) -> Self {
+    pub(crate) fn new(settings: Settings, seed: u64, now: Nanos, incarnation: u32) -> Self {
         Limiter {
-            gateway: DecisionEngine::new(settings, seed, now),
-            up: true,
-            epoch,
-            open: BTreeMap::new(),
-            out: BTreeMap::new(),
-            calls: VecDeque::new(),
-            number: 0,
+            engine: DecisionEngine::new(settings, seed, now),
+            is_up: true,
+            incarnation,
+            open_requests: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            pending_calls: VecDeque::new(),
+            last_call: 0,
         }
     }
 
-    /// Notes a call to the counter; its number.
-    pub(crate) fn call(&mut self, name: &str, now: Nanos) -> u64 {
-        self.number += 1;
-        self.calls.push_back(Call {
-            number: self.number,
+    /// Whether it runs and has a request or an attempt that has not ended.
+    pub(crate) fn has_work(&self) -> bool {
+        self.is_up && !(self.open_requests.is_empty() && self.in_flight.is_empty())
+    }
+
+    /// Registers a call to the counter and returns its number.
+    pub(crate) fn start_call(&mut self, name: &str, now: Nanos) -> u64 {
+        self.last_call += 1;
+        self.pending_calls.push_back(PendingCall {
+            number: self.last_call,
             name: name.to_owned(),
-            began: now,
+            started: now,
             end: None,
         });
-        self.number
+        self.last_call
     }
 
-    /// A call has come to its end; what the module may be told by now, in the order of the calls.
-    pub(crate) fn called(
-        &mut self,
-        number: u64,
-        outcome: Outcome,
-        total: f64,
-        now: Nanos,
-    ) -> Vec<Event> {
-        if let Some(call) = self.calls.iter_mut().find(|call| call.number == number) {
-            call.end.get_or_insert((outcome, total, now - call.began));
+    /// Ends a call. Returns the answers that the engine may receive now, in the order of the calls.
+    pub(crate) fn end_call(&mut self, number: u64, reply: CounterReply, now: Nanos) -> Vec<Event> {
+        let call = self
+            .pending_calls
+            .iter_mut()
+            .find(|call| call.number == number);
+        if let Some(call) = call {
+            let elapsed = now - call.started;
+            call.end.get_or_insert(CallEnd { reply, elapsed });
         }
         let mut events = Vec::new();
-        while let Some((outcome, total, elapsed)) = self.calls.front().and_then(|call| call.end) {
-            if let Some(call) = self.calls.pop_front() {
+        while let Some(end) = self.pending_calls.front().and_then(|call| call.end) {
+            if let Some(call) = self.pending_calls.pop_front() {
                 events.push(Event::CounterReplied {
                     name: call.name,
-                    outcome,
-                    total,
-                    elapsed,
+                    outcome: end.reply.outcome,
+                    total: end.reply.total,
+                    elapsed: end.elapsed,
                 });
             }
         }
         events
     }
 
-    /// Begins an attempt. `Err` is its number where it must not be made.
-    pub(crate) fn begin(
+    /// Starts an attempt of a request.
+    pub(crate) fn start_attempt(
         &mut self,
-        id: RequestId,
+        request: RequestId,
         host: usize,
         now: Nanos,
-        most: u32,
-    ) -> Result<(u32, Open), u32> {
-        let Some(open) = self.open.get_mut(&id) else {
-            return Err(0);
+        max_attempts: u32,
+    ) -> Result<StartedAttempt, AttemptNotAllowed> {
+        let Some(open) = self.open_requests.get_mut(&request) else {
+            return Err(AttemptNotAllowed { number: 0 });
         };
-        let attempt = open.attempts;
+        let number = open.attempts;
         open.attempts += 1;
-        if attempt >= most || now >= open.deadline {
-            return Err(attempt);
+        if number >= max_attempts || now >= open.deadline {
+            return Err(AttemptNotAllowed { number });
         }
-        let out = Out {
+        let attempt = InFlightAttempt {
             host,
-            began: now,
+            started: now,
             class: open.class,
             operation: open.operation,
         };
-        self.out.insert((id, attempt), out);
-        Ok((attempt, open.clone()))
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_counters_answers_come_in_the_order_of_the_calls() {
-        let mut limiter = Limiter::new(Settings::default(), 1, 0, 0);
-        let (one, two) = (limiter.call("a", 0), limiter.call("b", 1));
-        assert!(limiter.called(two, Outcome::Good, 2.0, 5).is_empty());
-        let told = limiter.called(one, Outcome::Timeout, 0.0, 9);
-        let names: Vec<_> = told
-            .iter()
-            .map(|event| match event {
-                Event::CounterReplied {
-                    name,
-                    outcome,
-                    elapsed,
-                    ..
-                } => (name.as_str(), *outcome, *elapsed),
-                _ => ("", Outcome::Error, 0),
-            })
-            .collect();
-        assert_eq!(names, [("a", Outcome::Timeout, 9), ("b", Outcome::Good, 4)]);
-        assert!(
-            limiter.called(one, Outcome::Good, 1.0, 10).is_empty(),
-            "each ends once"
-        );
+        let deadline = open.deadline;
+        self.in_flight
+            .insert(AttemptId { request, number }, attempt);
+        Ok(StartedAttempt { number, deadline })
     }
 
-    #[test]
-    fn attempts_keep_to_cap_and_deadline() {
-        let mut limiter = Limiter::new(Settings::default(), 1, 0, 0);
-        let id = RequestId(1);
-        limiter.open.insert(
-            id,
-            Open {
-                class: 0,
-                operation: 1,
-                deadline: 100,
-                attempts: 0,
-            },
-        );
-        assert_eq!(limiter.begin(id, 0, 5, 2).map(|begun| begun.0), Ok(0));
-        assert_eq!(limiter.begin(id, 0, 100, 2).map(|begun| begun.0), Err(1));
-        assert_eq!(limiter.begin(id, 0, 5, 2).map(|begun| begun.0), Err(2));
-        assert_eq!(
-            limiter.begin(RequestId(2), 0, 5, 2).map(|begun| begun.0),
-            Err(0)
-        );
+    /// An attempt that has not ended.
+    pub(crate) fn attempt(&self, request: RequestId, number: u32) -> Option<InFlightAttempt> {
+        self.in_flight.get(&AttemptId { request, number }).copied()
     }
 }
--- /dev/null
+++ b/crates/simulation/src/network.rs
@@ -0,0 +1,62 @@
+//! Delays of the network and the random variation of delays and work.
+
+use crate::scenario::NetworkDelays;
+use quartzcleat_decision::api::Nanos;
+use rand::SeedableRng;
+use rand_distr::{Distribution, LogNormal};
+use rand_pcg::Pcg64Mcg;
+
+/// Random factors about 1, with a log-normal distribution of mean 1.
+#[derive(Debug)]
+pub(crate) struct Variation {
+    generator: Pcg64Mcg,
+    distribution: Option<LogNormal<f64>>,
+}
+
+impl Variation {
+    /// Variation with this standard deviation of the factors' logarithm; none where it is 0.
+    pub(crate) fn new(seed: u64, log_deviation: f64) -> Self {
+        let distribution = LogNormal::new(-log_deviation * log_deviation / 2.0, log_deviation)
+            .ok()
+            .filter(|_| log_deviation > 0.0);
+        Variation {
+            generator: Pcg64Mcg::seed_from_u64(seed),
+            distribution,
+        }
+    }
+
+    /// A duration about this mean.
+    pub(crate) fn vary(&mut self, mean: Nanos) -> Nanos {
+        let factor = self
+            .distribution
+            .map_or(1.0, |distribution| distribution.sample(&mut self.generator));
+        (mean as f64 * factor) as Nanos
+    }
+}
+
+/// The network between the processes.
+#[derive(Debug)]
+pub(crate) struct Network {
+    delays: NetworkDelays,
+}
+
+impl Network {
+    pub(crate) fn new(delays: NetworkDelays) -> Self {
+        Network { delays }
+    }
+
+    /// A one-way delay between processes in two zones.
+    pub(crate) fn delay_between(&self, from: u32, to: u32, variation: &mut Variation) -> Nanos {
+        let mean = if from == to {
+            self.delays.same_zone
+        } else {
+            self.delays.cross_zone
+        };
+        variation.vary(mean)
+    }
+
+    /// A one-way delay to or from the counter.
+    pub(crate) fn delay_to_counter(&self, variation: &mut Variation) -> Nanos {
+        variation.vary(self.delays.counter)
+    }
+}
--- a/crates/simulation/src/oracle.rs
+++ b/crates/simulation/src/oracle.rs
@@ -1,57 +1,63 @@
-//! What a scenario leaves open is chosen by an oracle.
+//! An oracle chooses where a scenario leaves something open.
 
 /// What is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Point {
+pub enum ChoicePoint {
     /// The seed of the limiters.
     Seed,
-    /// Where in its windows the play begins.
-    Phase,
-    /// At which of its moments a step happens.
+    /// The offset of the run's start within the windows of the quotas.
+    StartOffset,
+    /// The moment at which a step happens.
     Moment,
     /// Which of some steps takes the next moment.
     Order,
-    /// How long discovery takes to tell a limiter.
-    Lag,
-    /// How an attempt fares.
+    /// How long discovery takes to notify a limiter.
+    DiscoveryDelay,
+    /// The outcome of an attempt.
     Attempt,
-    /// How a call to the counter fares.
-    Call,
+    /// The outcome of a call to the counter.
+    CounterCall,
 }
 
 /// Chooses where a scenario leaves something open.
 pub trait Oracle {
-    /// One of so many options, two at least; `None` ends the play here. `print` gives a fingerprint of the state
-    /// that the play is in, for those who meet equal states once; it takes time.
-    fn choose(&mut self, point: Point, options: usize, print: &dyn Fn() -> u64) -> Option<usize>;
+    /// The index of one of the options, of which there are two at least; `None` stops the run. `fingerprint`
+    /// identifies the state of the run, for searches that visit equal states once; calling it takes time.
+    fn choose(
+        &mut self,
+        point: ChoicePoint,
+        options: usize,
+        fingerprint: &dyn Fn() -> u64,
+    ) -> Option<usize>;
 }
 
 /// Always takes the first option.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct First;
+pub struct FirstOption;
 
-impl Oracle for First {
-    fn choose(&mut self, _: Point, _: usize, _: &dyn Fn() -> u64) -> Option<usize> {
+impl Oracle for FirstOption {
+    fn choose(&mut self, _: ChoicePoint, _: usize, _: &dyn Fn() -> u64) -> Option<usize> {
         Some(0)
     }
 }
 
 /// Follows a path of choices, then takes the first option.
 #[derive(Clone, Debug, Default)]
-pub struct Path {
+pub struct ChoicePath {
     choices: Vec<usize>,
     next: usize,
 }
 
-impl Path {
+impl ChoicePath {
     /// An oracle that follows these choices.
+    #[must_use]
     pub fn new(choices: Vec<usize>) -> Self {
-        Path { choices, next: 0 }
+        ChoicePath { choices, next: 0 }
     }
 }
 
-impl Oracle for Path {
-    fn choose(&mut self, _: Point, options: usize, _: &dyn Fn() -> u64) -> Option<usize> {
+impl Oracle for ChoicePath {
+    fn choose(&mut self, _: ChoicePoint, options: usize, _: &dyn Fn() -> u64) -> Option<usize> {
         let choice = self.choices.get(self.next).copied().unwrap_or(0);
         self.next += 1;
         Some(choice.min(options - 1))
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -1,260 +1,304 @@
-//! A scenario: who plays, what is given, and what happens when. Plain data.
+//! A scenario as plain data: which processes there are, what is given, and what happens when.
 
-use crate::oracle::Point;
+use crate::oracle::ChoicePoint;
 use quartzcleat_decision::api::{HostState, Nanos, Settings};
 use quartzcleat_invariants::{process::Index, Processes};
 
-/// How an attempt fares.
+/// What becomes of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Fate {
-    /// As its host does at that moment.
+pub enum AttemptOutcome {
+    /// What its host does at that moment.
     Normal,
-    /// The host answers with an error after running it.
+    /// The host answers with an error after executing it.
     Error,
-    /// The host turns it away.
-    Busy,
-    /// No connection comes about.
-    Refused,
-    /// The connection breaks after the host began to run it.
-    ResetRan,
-    /// The connection breaks before the host saw it.
-    ResetLost,
-    /// The host runs it and its answer never comes.
-    SilentRan,
-    /// It never reaches the host, and nothing tells so.
-    SilentLost,
-    /// It is answered well, but past its aim.
+    /// The host rejects it.
+    Rejected,
+    /// The connection is refused.
+    ConnectionRefused,
+    /// The connection is reset after the host began to execute it.
+    ResetAfterExecution,
+    /// The connection is reset before the host received it.
+    ResetBeforeExecution,
+    /// The host executes it and its answer is lost.
+    AnswerLost,
+    /// It is lost on its way to the host, without a reset.
+    RequestLost,
+    /// It is answered well, but after its latency objective.
     Late,
 }
 
-/// How a call to the counter fares.
+/// What becomes of a call to the counter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum CallFate {
-    /// As the counter does at that moment.
+pub enum CounterCallOutcome {
+    /// What the counter does at that moment.
     Normal,
-    /// It never reaches the counter.
-    Lost,
-    /// It is added, and the answer never comes.
+    /// It is lost on its way to the counter.
+    RequestLost,
+    /// It is executed, and its answer is lost.
     AnswerLost,
-    /// It is turned away.
-    Refused,
+    /// It is rejected.
+    Rejected,
 }
 
-/// What the counter does.
+/// What the counter does with calls. The names of the modes appear in reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum CounterMode {
     /// It answers.
     #[default]
     Normal,
-    /// It answers nothing and adds nothing.
+    /// It neither answers nor executes calls.
     Silent,
-    /// It takes this multiple of its time for a call.
+    /// A call takes this multiple of its usual time.
     Slow(f64),
-    /// It turns calls away.
+    /// It rejects calls.
     Refusing,
 }
 
-/// The counter.
+/// The counter at the start of a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CounterSetup {
-    /// What it does at first.
+    /// What it does with calls at first.
     pub mode: CounterMode,
-    /// How each call may fare; one entry leaves nothing open.
-    pub fates: Vec<CallFate>,
-    /// How long it takes for a call.
-    pub service: Nanos,
-    /// Parts, each with a line of its own, that names are split over.
-    pub parts: u32,
+    /// The possible outcomes of each call; one entry leaves nothing open.
+    pub call_outcomes: Vec<CounterCallOutcome>,
+    /// How long a call takes.
+    pub call_duration: Nanos,
+    /// The number of shards. Each has a queue of its own, and names are distributed over them.
+    pub shards: u32,
 }
 
 impl Default for CounterSetup {
     fn default() -> Self {
-        // The middle of what the deployment's counter needs for a call.
         CounterSetup {
             mode: CounterMode::Normal,
-            fates: vec![CallFate::Normal],
-            service: 1_200_000,
-            parts: 1,
+            call_outcomes: vec![CounterCallOutcome::Normal],
+            // The middle of what the deployment's counter needs for a call.
+            call_duration: 1_200_000,
+            shards: 1,
         }
     }
 }
 
-/// A host at the beginning.
+/// A host at the start of a run.
 #[derive(Clone, Debug, PartialEq)]
-pub struct NodeSetup {
-    /// Its state, as discovery has it and as it is.
+pub struct HostSetup {
+    /// Its state, in truth and in discovery's list.
     pub state: HostState,
-    /// How long ago its process started; `None` for long ago.
-    pub age: Option<Nanos>,
-    /// Requests that it works on at once.
+    /// How long ago its process started; `None` where it has long been warm.
+    pub uptime: Option<Nanos>,
+    /// Requests that it executes concurrently.
     pub cores: u32,
-    /// How fast each of them goes; 1 is the yardstick.
+    /// The relative speed of a core; 1 is the speed for which work is stated.
     pub speed: f64,
-    /// Requests that wait there beyond these.
-    pub slots: usize,
-    /// Its size beside others, as discovery tells it.
+    /// Requests that it queues beyond those that it executes.
+    pub queue_capacity: usize,
+    /// Its weight in discovery's list.
     pub weight: f64,
-    /// It is not there yet: it enters with [`Happening::Start`] or [`Happening::Replace`].
+    /// It does not run yet: [`ScenarioEvent::StartHost`] or [`ScenarioEvent::ReplaceHost`] starts it.
     pub absent: bool,
 }
 
-impl Default for NodeSetup {
+impl Default for HostSetup {
     fn default() -> Self {
-        let (state, age, cores, speed, slots, weight, absent) =
-            (HostState::Ready, None, 3, 1.0, 64, 1.0, false);
-        NodeSetup {
-            state,
-            age,
-            cores,
-            speed,
-            slots,
-            weight,
-            absent,
+        HostSetup {
+            state: HostState::Ready,
+            uptime: None,
+            cores: 3,
+            speed: 1.0,
+            queue_capacity: 64,
+            weight: 1.0,
+            absent: false,
         }
     }
 }
 
-/// Delays, one way.
+/// Mean one-way delays.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Net {
-    /// Within a room.
-    pub same: Nanos,
-    /// Between rooms.
-    pub cross: Nanos,
+pub struct NetworkDelays {
+    /// Within a zone.
+    pub same_zone: Nanos,
+    /// Between zones.
+    pub cross_zone: Nanos,
     /// To the counter.
     pub counter: Nanos,
 }
 
-impl Default for Net {
+impl Default for NetworkDelays {
     fn default() -> Self {
-        Net {
-            same: 230_000,
-            cross: 600_000,
+        NetworkDelays {
+            same_zone: 230_000,
+            cross_zone: 600_000,
             counter: 600_000,
         }
     }
 }
 
+/// The limiters through which a partner's requests come: consecutive indices, modulo the number of limiters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimiterSet {
+    /// How many they are.
+    pub count: u32,
+    /// The index of the first.
+    pub first: u32,
+}
+
+impl LimiterSet {
+    /// The limiter that follows another one of the set, out of so many limiters in all.
+    #[must_use]
+    pub fn next_after(self, limiter: Index, limiters: usize) -> Index {
+        let first = self.first as usize;
+        let position = (limiter + limiters - first) % limiters;
+        (first + (position + 1) % self.count as usize) % limiters
+    }
+}
+
 /// One request of a client.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Ask {
-    /// What tells it from others: a further request of the same mark is a retry of the same errand.
-    pub mark: u64,
+pub struct ClientRequest {
+    /// The operation. A further request for the same one is a retry, with the same idempotency key.
+    pub operation: u64,
     /// The class.
     pub class: Index,
     /// The partner.
     pub partner: Index,
-    /// The partner's plan.
+    /// The index of the partner's plan.
     pub plan: u32,
-    /// The units.
+    /// The units that the client states.
     pub units: f64,
-    /// The true units, which the first good answer tells; 0: the units are no guess.
-    pub cost: f64,
-    /// The limiter it comes through.
-    pub through: Index,
-    /// Over how many limiters the partner's requests come, and the first of them.
-    pub spread: (u32, u32),
+    /// The true units, which the first good answer states; 0 where the client's are exact.
+    pub true_units: f64,
+    /// The limiter through which it comes.
+    pub limiter: Index,
+    /// The limiters through which the partner's requests come.
+    pub limiter_set: LimiterSet,
     /// How long the client waits.
-    pub wait: Nanos,
-    /// It is a retry: it comes only where no earlier try of its mark was served, once that one has its answer.
+    pub timeout: Nanos,
+    /// It is a retry: it waits for the answer of the operation's earlier request and comes only where that one was
+    /// not served.
     pub retry: bool,
 }
 
-/// What happens.
+/// What happens in a step.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Happening {
-    /// A client asks.
-    Ask(Ask),
-    /// A host drains.
-    Drain(Index),
-    /// A host's process dies: connections break, new ones are refused.
-    Die(Index),
-    /// A host's machine vanishes: nothing comes back, and nothing says so.
-    Vanish(Index),
-    /// A host's process starts, cold.
-    Start(Index),
-    /// A host dies and another starts at its address.
-    Replace(Index, Index),
-    /// A host's speed changes to this.
-    Speed(Index, f64),
-    /// The counter goes over to a mode.
-    Counter(CounterMode),
+pub enum ScenarioEvent {
+    /// A client sends a request.
+    Request(ClientRequest),
+    /// A host begins to drain.
+    DrainHost(Index),
+    /// A host's process dies: its connections are reset, new ones are refused.
+    KillHost(Index),
+    /// A host's machine becomes unreachable: no answer, reset or notification comes from it.
+    IsolateHost(Index),
+    /// A host's process starts and warms up.
+    StartHost(Index),
+    /// A host's process dies and another host starts at its address.
+    ReplaceHost {
+        /// The host that dies.
+        old: Index,
+        /// The host that starts.
+        new: Index,
+    },
+    /// A host's speed changes.
+    SetHostSpeed {
+        /// The host.
+        host: Index,
+        /// Its new relative speed.
+        speed: f64,
+    },
+    /// The counter changes its mode.
+    SetCounterMode(CounterMode),
     /// The counter forgets all totals.
-    Empty,
-    /// Discovery falls silent, or tells again what it has.
-    Discovery(bool),
+    ClearCounter,
+    /// Discovery stops to notify limiters (`false`), or notifies them of its whole list and goes on (`true`).
+    SetDiscovery(bool),
     /// A limiter dies.
-    LimiterDies(Index),
-    /// A limiter starts again from nothing.
-    LimiterStarts(Index),
+    KillLimiter(Index),
+    /// A limiter starts again without state.
+    StartLimiter(Index),
 }
 
-/// Something that happens, at one of some moments.
+/// Something that happens at one of some moments.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
-    /// The moments it may happen at, after the beginning; one entry leaves nothing open.
-    pub at: Vec<Nanos>,
+    /// The possible moments, after the start of the run; one entry leaves nothing open.
+    pub moments: Vec<Nanos>,
     /// What happens.
-    pub what: Happening,
-    /// Steps of one number take each other's moments in every order.
-    pub free: Option<u32>,
+    pub event: ScenarioEvent,
+    /// Steps of one group exchange their moments in every order.
+    pub reorder_group: Option<u32>,
 }
 
 /// How clients retry by themselves.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Retry {
-    /// How long after its answer, at least; a time told in the answer goes before it where it is longer.
-    pub after: Nanos,
+pub struct RetryPolicy {
+    /// The delay after the answer; a longer `retry_after` of the answer takes precedence.
+    pub delay: Nanos,
     /// Whether the retry comes through the next limiter of the partner's set.
-    pub elsewhere: bool,
+    pub next_limiter: bool,
 }
 
-/// Who plays, what is given and what happens.
+/// The processes, what is given, and what happens.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scenario {
-    /// What each limiter is told; `me`, `zone` and `limiter_count` are filled in for it.
+    /// The settings of each limiter; `me`, `zone` and `limiter_count` are filled in for it.
     pub settings: Settings,
-    /// What is so, whatever the limiters are told: how long hosts drop repeats, how cold ones warm and tip.
-    pub truth: Settings,
-    /// The names, and who is in which room.
+    /// What holds in truth, whatever the limiters' settings say: how long hosts deduplicate, how they warm up, and
+    /// when one that warms up is overloaded.
+    pub ground_truth: Settings,
+    /// The names and places of the processes.
     pub processes: Processes,
-    /// The hosts, in the order of the cast's.
-    pub nodes: Vec<NodeSetup>,
-    /// Delays.
-    pub net: Net,
-    /// Unix time of the beginning. Windows of quotas are cut by it.
+    /// The hosts, in the order of those in `processes`.
+    pub hosts: Vec<HostSetup>,
+    /// Delays of the network.
+    pub network: NetworkDelays,
+    /// Unix time at the start. Windows of quotas are aligned to it.
     pub start: Nanos,
-    /// What may be added to it; one entry leaves nothing open.
-    pub phases: Vec<Nanos>,
-    /// Seeds of the limiters; one entry leaves nothing open.
+    /// Possible offsets that are added to it; one entry leaves nothing open.
+    pub start_offsets: Vec<Nanos>,
+    /// Possible seeds of the limiters; one entry leaves nothing open.
     pub seeds: Vec<u64>,
-    /// How long discovery may take to tell a change to one limiter; one entry leaves nothing open.
-    pub lags: Vec<Nanos>,
+    /// Possible delays until discovery notifies one limiter of a change; one entry leaves nothing open.
+    pub discovery_delays: Vec<Nanos>,
     /// The counter.
     pub counter: CounterSetup,
-    /// How each attempt may fare; one entry leaves nothing open.
-    pub fates: Vec<Fate>,
-    /// A request's work at the yardstick, by class.
+    /// The possible outcomes of each attempt; one entry leaves nothing open.
+    pub attempt_outcomes: Vec<AttemptOutcome>,
+    /// The work of a request on a core of speed 1, by class.
     pub work: Vec<Nanos>,
-    /// Spread of work and delays: the standard deviation of their logarithm; 0 for none.
-    pub spread: f64,
+    /// Variation of work and delays: the standard deviation of their logarithm; 0 for none.
+    pub log_deviation: f64,
     /// What happens.
     pub steps: Vec<Step>,
-    /// How clients retry by themselves, where they do.
-    pub retry: Option<Retry>,
-    /// The play ends so long after its beginning at the latest.
-    pub end: Nanos,
-    /// Where this is told nothing is open: the variant of this number is played, the same in the world and on
-    /// sockets, by [`option`].
+    /// How clients retry by themselves; `None` where they do not.
+    pub retry: Option<RetryPolicy>,
+    /// The run ends this long after its start at the latest.
+    pub max_duration: Nanos,
+    /// The number of a variant, for which nothing is left open: [`option_of_variant`] makes every choice, in the
+    /// simulation and on sockets alike.
     pub variant: Option<usize>,
 }
 
-/// The option that a variant takes. `number` is an attempt's or a call's own, 0 elsewhere: a variant has its own
-/// option for first attempts and the first one for further ones, and goes through those of calls in turn.
-pub fn option(variant: usize, point: Point, number: usize, options: usize) -> usize {
+/// The option that a variant takes at a choice. `number` is that of an attempt or a counter call, 0 elsewhere. A
+/// variant has its own option for first attempts and the first option for further ones; it cycles through the
+/// options of counter calls.
+#[must_use]
+pub fn option_of_variant(
+    variant: usize,
+    point: ChoicePoint,
+    number: usize,
+    options: usize,
+) -> usize {
     match (point, number) {
-        (Point::Moment | Point::Lag, _) | (Point::Attempt, 0) => variant % options.max(1),
-        (Point::Call, number) => (variant + number) % options.max(1),
-        (Point::Seed | Point::Phase | Point::Order | Point::Attempt, _) => 0,
+        (ChoicePoint::Moment | ChoicePoint::DiscoveryDelay, _) | (ChoicePoint::Attempt, 0) => {
+            variant % options.max(1)
+        }
+        (ChoicePoint::CounterCall, number) => (variant + number) % options.max(1),
+        (
+            ChoicePoint::Seed
+            | ChoicePoint::StartOffset
+            | ChoicePoint::Order
+            | ChoicePoint::Attempt,
+            _,
+        ) => 0,
     }
 }
--- /dev/null
+++ b/crates/simulation/src/simulation.rs
@@ -0,0 +1,257 @@
+//! A run of a scenario: its steps and what follows from them, one event after another in virtual time.
+//!
+//! [`Simulation`] owns the state of all processes. Its methods are grouped by concern: [`setup`] starts a run,
+//! [`limiters`] feeds the decision engines and carries out their actions, [`attempts`] follows attempts to hosts and
+//! back, [`counter_calls`] does the same for calls to the counter, [`clients`] sends requests and receives answers,
+//! [`discovery`] notifies limiters of hosts, and [`environment`] carries out the scenario's steps.
+
+mod attempts;
+mod clients;
+mod counter_calls;
+mod discovery;
+mod environment;
+mod limiters;
+mod setup;
+
+use crate::counter::Counter;
+use crate::event_queue::{Event, EventQueue, LimiterIncarnation};
+use crate::fingerprint::{HistoryHash, RunState};
+use crate::host::Host;
+use crate::limiter::Limiter;
+use crate::network::{Network, Variation};
+use crate::oracle::{ChoicePoint, Oracle};
+use crate::scenario::{option_of_variant, Scenario};
+use clients::Clients;
+use discovery::Discovery;
+use quartzcleat_decision::api::Nanos;
+use quartzcleat_invariants::{Fact, Record};
+use std::collections::BTreeMap;
+
+/// The result of a run.
+#[derive(Clone, Debug)]
+pub struct SimulationRun {
+    /// What was observed, in order.
+    pub records: Vec<Record>,
+    /// Whether the run came to its end; otherwise the oracle stopped it.
+    pub is_complete: bool,
+    /// The number of events of limiters, hosts, counter and clients.
+    pub events: u64,
+    /// When the run ended.
+    pub end: Nanos,
+}
+
+/// Runs a scenario once.
+pub fn simulate(scenario: &Scenario, oracle: &mut dyn Oracle) -> SimulationRun {
+    let mut simulation = Simulation::new(scenario, oracle);
+    let is_complete = simulation.run().is_ok();
+    SimulationRun {
+        records: simulation.records,
+        is_complete,
+        events: simulation.events,
+        end: simulation.now,
+    }
+}
+
+/// The oracle stopped the run.
+#[derive(Debug)]
+struct Stopped;
+
+/// An idempotency key at the hosts that recognise each other's keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct GroupKey {
+    group: u32,
+    operation: u64,
+}
+
+/// When each key was executed first within its window.
+pub(crate) type ExecutedKeys = BTreeMap<GroupKey, Nanos>;
+
+struct Simulation<'a> {
+    scenario: &'a Scenario,
+    oracle: &'a mut dyn Oracle,
+    now: Nanos,
+    start: Nanos,
+    seed: u64,
+    queue: EventQueue,
+    limiters: Vec<Limiter>,
+    hosts: Vec<Host>,
+    counter: Counter,
+    discovery: Discovery,
+    clients: Clients,
+    network: Network,
+    variation: Variation,
+    executed_keys: ExecutedKeys,
+    records: Vec<Record>,
+    history: HistoryHash,
+    events: u64,
+    /// Choices since the last event, which the state may not show yet.
+    choices: Vec<usize>,
+}
+
+impl<'a> Simulation<'a> {
+    fn new(scenario: &'a Scenario, oracle: &'a mut dyn Oracle) -> Self {
+        Simulation {
+            scenario,
+            oracle,
+            now: scenario.start,
+            start: scenario.start,
+            seed: 0,
+            queue: EventQueue::default(),
+            limiters: Vec::new(),
+            hosts: Vec::new(),
+            counter: Counter::new(&scenario.counter),
+            discovery: Discovery::default(),
+            clients: Clients::default(),
+            network: Network::new(scenario.network),
+            variation: Variation::new(0, scenario.log_deviation),
+            executed_keys: ExecutedKeys::new(),
+            records: Vec::new(),
+            history: HistoryHash::default(),
+            events: 0,
+            choices: Vec::new(),
+        }
+    }
+
+    fn run(&mut self) -> Result<(), Stopped> {
+        self.set_up()?;
+        let end = self.start + self.scenario.max_duration;
+        while let Some(scheduled) = self.queue.pop() {
+            if scheduled.at > end {
+                self.now = end;
+                break;
+            }
+            self.now = scheduled.at;
+            self.events += 1;
+            self.choices.clear();
+            self.dispatch(scheduled.event)?;
+            if self.is_finished() {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn dispatch(&mut self, event: Event) -> Result<(), Stopped> {
+        match event {
+            Event::Step(index) => {
+                let event = self.scenario.steps[index].event.clone();
+                self.apply_scenario_event(event)
+            }
+            Event::ClientRequest(request) => self.send_request(request),
+            Event::HostsNotified {
+                limiter,
+                mode,
+                entries,
+            } => self.notify_limiter(limiter, mode, entries),
+            Event::Timer { limiter, timer } => self.fire_timer(limiter, timer),
+            Event::AnswerDue { limiter, request } => self.fail_unanswered(limiter, request),
+            Event::AttemptArrives {
+                attempt,
+                host,
+                outcome,
+            } => {
+                self.receive_attempt(attempt, host, outcome);
+                Ok(())
+            }
+            Event::JobFinished {
+                host,
+                process_start,
+                ..
+            } => {
+                self.finish_job(host, process_start);
+                Ok(())
+            }
+            Event::AttemptEnds { attempt, outcome } => self.end_attempt(attempt, outcome),
+            Event::CounterCallArrives(call) => {
+                self.receive_counter_call(call);
+                Ok(())
+            }
+            Event::CounterCallExecutes(call) => {
+                self.execute_counter_call(call);
+                Ok(())
+            }
+            Event::CounterCallEnds {
+                caller,
+                number,
+                outcome,
+                total,
+            } => self.end_counter_call(caller, number, outcome, total),
+        }
+    }
+
+    /// Whether nothing is to come but timers of limiters without work.
+    fn is_finished(&self) -> bool {
+        let is_relevant = |event: &Event| {
+            matches!(
+                event,
+                Event::Step(_)
+                    | Event::ClientRequest(_)
+                    | Event::JobFinished { .. }
+                    | Event::AttemptArrives { .. }
+            )
+        };
+        !self.limiters.iter().any(Limiter::has_work) && !self.queue.events().any(is_relevant)
+    }
+
+    /// Chooses one of some options.
+    fn choose(&mut self, point: ChoicePoint, options: usize) -> Result<usize, Stopped> {
+        self.choose_numbered(point, 0, options)
+    }
+
+    /// Chooses one of some options for an attempt or counter call of this number.
+    fn choose_numbered(
+        &mut self,
+        point: ChoicePoint,
+        number: usize,
+        options: usize,
+    ) -> Result<usize, Stopped> {
+        if let Some(variant) = self.scenario.variant {
+            return Ok(option_of_variant(variant, point, number, options));
+        }
+        if options < 2 {
+            return Ok(0);
+        }
+        let state = RunState {
+            history: &self.history,
+            now: self.now,
+            choices: &self.choices,
+            limiters: &self.limiters,
+            hosts: &self.hosts,
+            counter: &self.counter,
+            executed_keys: &self.executed_keys,
+            queue: &self.queue,
+        };
+        let choice = self
+            .oracle
+            .choose(point, options, &|| state.fingerprint())
+            .ok_or(Stopped)?
+            .min(options - 1);
+        self.choices.push(choice);
+        Ok(choice)
+    }
+
+    /// Records a fact of this moment.
+    fn record(&mut self, fact: Fact) {
+        self.history.add(&fact);
+        self.records.push(Record { at: self.now, fact });
+    }
+
+    /// Schedules an event after a delay.
+    fn schedule(&mut self, delay: Nanos, event: Event) {
+        self.queue.schedule(self.now + delay, event);
+    }
+
+    /// The present incarnation of a limiter.
+    fn incarnation(&self, limiter: usize) -> LimiterIncarnation {
+        LimiterIncarnation {
+            limiter,
+            incarnation: self.limiters[limiter].incarnation,
+        }
+    }
+
+    /// Whether this incarnation of a limiter still runs.
+    fn is_current(&self, limiter: LimiterIncarnation) -> bool {
+        let present = &self.limiters[limiter.limiter];
+        present.is_up && present.incarnation == limiter.incarnation
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/simulation/attempts.rs
@@ -0,0 +1,339 @@
+//! Attempts: their way to a host, their execution there, and what the limiter learns of their end.
+
+use super::{GroupKey, Simulation, Stopped};
+use crate::event_queue::Event;
+use crate::host::{Arrival, AttemptKey, HostStatus};
+use crate::limiter::{AttemptId, AttemptNotAllowed, InFlightAttempt, StartedAttempt};
+use crate::oracle::ChoicePoint;
+use crate::scenario::AttemptOutcome;
+use quartzcleat_decision::api::{self, Effect, Group, HostId, Load, Nanos, Outcome, RequestId};
+use quartzcleat_invariants::{Answer, Fact};
+use std::collections::VecDeque;
+
+/// How long a host takes to answer a repeat that it recognises.
+const REPEAT_ANSWER_TIME: Nanos = 1_000_000;
+/// The work of a request whose class has none.
+const DEFAULT_WORK: Nanos = 100_000_000;
+
+impl Simulation<'_> {
+    /// Sends an attempt as the engine orders. Where it must not be sent, the engine learns so at once.
+    pub(super) fn send_attempt(
+        &mut self,
+        limiter: usize,
+        request: RequestId,
+        host: HostId,
+        timeout: Nanos,
+        events: &mut VecDeque<api::Event>,
+    ) -> Result<(), Stopped> {
+        let host_index = host.0 as usize;
+        let max_attempts = self.scenario.settings.max_attempts.max(1);
+        let now = self.now;
+        let started = self.limiters[limiter].start_attempt(request, host_index, now, max_attempts);
+        match started {
+            Ok(attempt) if host_index < self.hosts.len() => {
+                self.transmit_attempt(limiter, request, host_index, attempt, timeout)
+            }
+            Ok(StartedAttempt { number, .. }) | Err(AttemptNotAllowed { number }) => {
+                events.push_back(api::Event::AttemptDone {
+                    id: request,
+                    attempt: number,
+                    host,
+                    outcome: Outcome::NeverSent,
+                    elapsed: 0,
+                    over: false,
+                    metered_use: 0,
+                    true_units: 0.0,
+                    load: Load::new(),
+                });
+                Ok(())
+            }
+        }
+    }
+
+    fn transmit_attempt(
+        &mut self,
+        limiter: usize,
+        request: RequestId,
+        host: usize,
+        started: StartedAttempt,
+        timeout: Nanos,
+    ) -> Result<(), Stopped> {
+        let now = self.now;
+        let capacity = self.hosts[host].capacity_factor(&self.scenario.ground_truth, now);
+        self.record(Fact::AttemptSent {
+            limiter,
+            request,
+            attempt: started.number,
+            host,
+            warming_up: capacity < 1.0,
+        });
+        let ends_at = match timeout {
+            0 => started.deadline,
+            timeout => started.deadline.min(now + timeout),
+        };
+        let outcomes = &self.scenario.attempt_outcomes;
+        let number = started.number as usize;
+        let choice = self.choose_numbered(ChoicePoint::Attempt, number, outcomes.len())?;
+        let planned = outcomes.get(choice).copied();
+        let attempt = AttemptKey {
+            limiter,
+            request,
+            attempt: started.number,
+        };
+        self.schedule_attempt_end(ends_at - now, attempt, Outcome::Timeout);
+        let delay = self.delay_to_host(limiter, host);
+        self.apply_outcome(
+            attempt,
+            host,
+            planned.unwrap_or(AttemptOutcome::Normal),
+            delay,
+        );
+        Ok(())
+    }
+
+    /// Lets an attempt reach its host after a delay, or fail on its way.
+    fn apply_outcome(
+        &mut self,
+        attempt: AttemptKey,
+        host: usize,
+        outcome: AttemptOutcome,
+        delay: Nanos,
+    ) {
+        let failure = match outcome {
+            AttemptOutcome::ConnectionRefused => Outcome::ConnectFailed,
+            AttemptOutcome::Rejected => Outcome::Rejected,
+            AttemptOutcome::ResetBeforeExecution => Outcome::Reset,
+            AttemptOutcome::RequestLost => return,
+            AttemptOutcome::Normal
+            | AttemptOutcome::Error
+            | AttemptOutcome::ResetAfterExecution
+            | AttemptOutcome::AnswerLost
+            | AttemptOutcome::Late => {
+                let arrival = Event::AttemptArrives {
+                    attempt,
+                    host,
+                    outcome,
+                };
+                self.schedule(delay, arrival);
+                return;
+            }
+        };
+        self.schedule_attempt_end(2 * delay, attempt, failure);
+    }
+
+    /// A host receives an attempt.
+    pub(super) fn receive_attempt(
+        &mut self,
+        attempt: AttemptKey,
+        host: usize,
+        outcome: AttemptOutcome,
+    ) {
+        let Some(in_flight) = self.in_flight(attempt) else {
+            return;
+        };
+        let work = self.work(in_flight.class);
+        let truth = &self.scenario.ground_truth;
+        let arrival = self.hosts[host].receive(attempt, work, truth, self.now);
+        let delay = self.delay_to_host(attempt.limiter, host);
+        match arrival {
+            Arrival::Started => self.execute(attempt, host, outcome),
+            Arrival::Queued | Arrival::Lost => {}
+            Arrival::Rejected => self.schedule_attempt_end(delay, attempt, Outcome::Rejected),
+            Arrival::ConnectionRefused => {
+                self.schedule_attempt_end(delay, attempt, Outcome::ConnectFailed);
+            }
+            Arrival::Overloads => {
+                self.record(Fact::HostOverloaded { host });
+                self.kill_host(host);
+            }
+        }
+    }
+
+    /// A host executes an attempt.
+    fn execute(&mut self, attempt: AttemptKey, host: usize, outcome: AttemptOutcome) {
+        let in_flight = self.in_flight(attempt);
+        let operation = in_flight
+            .map(|in_flight| in_flight.operation)
+            .or_else(|| self.clients.operation_of(attempt.request))
+            .unwrap_or(0);
+        let class = in_flight.map_or(0, |in_flight| in_flight.class);
+        let deduplicated = self.is_repeat(class, operation, host);
+        self.record(Fact::Executed {
+            host,
+            request: attempt.request,
+            deduplicated,
+        });
+        let elapsed = if deduplicated {
+            REPEAT_ANSWER_TIME
+        } else {
+            let work = self.work(class);
+            let work = self.variation.vary(work);
+            self.hosts[host].execution_time(work, &self.scenario.ground_truth, self.now)
+        };
+        let delay = self.delay_to_host(attempt.limiter, host);
+        match outcome {
+            AttemptOutcome::Error => self.schedule_attempt_end(delay, attempt, Outcome::Error),
+            AttemptOutcome::ResetAfterExecution => {
+                self.schedule_attempt_end(delay, attempt, Outcome::Reset);
+            }
+            AttemptOutcome::Late => {
+                let late = elapsed + self.latency_objective(class) + delay;
+                self.schedule_attempt_end(late, attempt, Outcome::Good);
+            }
+            AttemptOutcome::AnswerLost => {}
+            _ => self.schedule_attempt_end(elapsed + delay, attempt, Outcome::Good),
+        }
+        let finished = Event::JobFinished {
+            attempt,
+            host,
+            process_start: self.hosts[host].started,
+        };
+        self.schedule(elapsed, finished);
+    }
+
+    /// Whether a host recognises a repeat: one of its group executed the same key within the window. Otherwise the
+    /// key's window begins now.
+    fn is_repeat(&mut self, class: usize, operation: u64, host: usize) -> bool {
+        let Some(class) = self.scenario.ground_truth.classes.get(class) else {
+            return false;
+        };
+        if class.effect != Effect::Keyed {
+            return false;
+        }
+        let process = &self.scenario.processes.hosts[host];
+        let group = match class.group {
+            Group::All => 0,
+            Group::Zone => process.zone + 1,
+            Group::Cell => process.cell + 1,
+        };
+        let key = GroupKey { group, operation };
+        let is_repeat = self
+            .executed_keys
+            .get(&key)
+            .is_some_and(|first| self.now < first + class.dedup_window);
+        if !is_repeat {
+            self.executed_keys.insert(key, self.now);
+        }
+        is_repeat
+    }
+
+    /// A host has finished a job and takes the next one from its queue.
+    pub(super) fn finish_job(&mut self, host: usize, process_start: Nanos) {
+        let state = &mut self.hosts[host];
+        // A job of a process that is gone has ended with it.
+        if state.started != process_start || state.status != HostStatus::Running {
+            return;
+        }
+        if let Some(next) = state.finish_job() {
+            self.execute(next, host, AttemptOutcome::Normal);
+        }
+    }
+
+    /// A limiter learns how an attempt ended, if it is still in flight.
+    pub(super) fn end_attempt(
+        &mut self,
+        attempt: AttemptKey,
+        outcome: Outcome,
+    ) -> Result<(), Stopped> {
+        let Some(in_flight) = self.in_flight(attempt) else {
+            return Ok(());
+        };
+        let is_good = outcome == Outcome::Good;
+        if is_good && self.hosts[in_flight.host].status == HostStatus::Unreachable {
+            // The answer comes from a machine that is unreachable by now.
+            return Ok(());
+        }
+        self.limiters[attempt.limiter].in_flight.remove(&AttemptId {
+            request: attempt.request,
+            number: attempt.attempt,
+        });
+        self.hosts[in_flight.host].cancel(attempt);
+        self.record(Fact::AttemptEnded {
+            request: attempt.request,
+            attempt: attempt.attempt,
+            outcome,
+        });
+        if is_good {
+            self.answer(attempt.limiter, attempt.request, Answer::Served);
+        }
+        let true_units = match outcome {
+            Outcome::Good => self.clients.true_units(in_flight.operation),
+            _ => 0.0,
+        };
+        if true_units > 0.0 {
+            self.record(Fact::UnitsSettled {
+                request: attempt.request,
+                units: true_units,
+            });
+        }
+        let done = api::Event::AttemptDone {
+            id: attempt.request,
+            attempt: attempt.attempt,
+            host: HostId(in_flight.host as u32),
+            outcome,
+            elapsed: self.now - in_flight.started,
+            over: false,
+            metered_use: 0,
+            true_units,
+            load: Load::new(),
+        };
+        self.handle(attempt.limiter, done)
+    }
+
+    /// A host's process dies, and the connections of its attempts are reset.
+    pub(super) fn kill_host(&mut self, host: usize) {
+        self.hosts[host].stop(HostStatus::Dead);
+        for attempt in self.attempts_at(host) {
+            let delay = self.delay_to_host(attempt.limiter, host);
+            self.schedule_attempt_end(delay, attempt, Outcome::Reset);
+        }
+    }
+
+    fn attempts_at(&self, host: usize) -> Vec<AttemptKey> {
+        let mut attempts = Vec::new();
+        for (limiter, state) in self.limiters.iter().enumerate() {
+            for (id, in_flight) in &state.in_flight {
+                if in_flight.host == host {
+                    attempts.push(AttemptKey {
+                        limiter,
+                        request: id.request,
+                        attempt: id.number,
+                    });
+                }
+            }
+        }
+        attempts
+    }
+
+    fn schedule_attempt_end(&mut self, delay: Nanos, attempt: AttemptKey, outcome: Outcome) {
+        self.schedule(delay, Event::AttemptEnds { attempt, outcome });
+    }
+
+    fn in_flight(&self, attempt: AttemptKey) -> Option<InFlightAttempt> {
+        self.limiters[attempt.limiter].attempt(attempt.request, attempt.attempt)
+    }
+
+    /// A one-way delay between a limiter and a host.
+    fn delay_to_host(&mut self, limiter: usize, host: usize) -> Nanos {
+        let processes = &self.scenario.processes;
+        let from = processes.limiters[limiter].zone;
+        let to = processes.hosts[host].zone;
+        self.network.delay_between(from, to, &mut self.variation)
+    }
+
+    fn work(&self, class: usize) -> Nanos {
+        self.scenario
+            .work
+            .get(class)
+            .copied()
+            .unwrap_or(DEFAULT_WORK)
+    }
+
+    fn latency_objective(&self, class: usize) -> Nanos {
+        self.scenario
+            .ground_truth
+            .classes
+            .get(class)
+            .map_or(0, |class| class.latency_objective)
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/simulation/clients.rs
@@ -0,0 +1,131 @@
+//! The clients: they send requests, receive answers and retry.
+
+use super::{Simulation, Stopped};
+use crate::event_queue::Event;
+use crate::scenario::ClientRequest;
+use quartzcleat_decision::api::{Nanos, RequestId};
+use quartzcleat_invariants::{Answer, Fact};
+use std::collections::BTreeMap;
+
+/// A limiter fails an unanswered request this long before its deadline.
+pub(super) const ANSWER_MARGIN: Nanos = 2_000_000;
+/// How often a client that has a retry to send looks whether the earlier request has its answer.
+const RETRY_POLL_INTERVAL: Nanos = 1_000_000;
+/// Requests that a client sends for one operation by itself, the first one and one retry.
+const MAX_REQUESTS_OF_OPERATION: u32 = 2;
+
+/// An operation that a client wants done, over all its requests.
+#[derive(Clone, Debug)]
+struct Operation {
+    request: ClientRequest,
+    answer: Option<Answer>,
+    requests: u32,
+    is_open: bool,
+}
+
+/// What the clients know.
+#[derive(Debug, Default)]
+pub(super) struct Clients {
+    operations: BTreeMap<u64, Operation>,
+    operation_of_request: BTreeMap<RequestId, u64>,
+    last_request: u64,
+}
+
+impl Clients {
+    /// The operation of a request.
+    pub(super) fn operation_of(&self, request: RequestId) -> Option<u64> {
+        self.operation_of_request.get(&request).copied()
+    }
+
+    /// The true units of an operation; 0 where the stated ones are exact.
+    pub(super) fn true_units(&self, operation: u64) -> f64 {
+        self.operations
+            .get(&operation)
+            .map_or(0.0, |operation| operation.request.true_units)
+    }
+
+    /// The connections to a limiter are gone, and with them the answers that were pending.
+    pub(super) fn disconnect_from(&mut self, limiter: usize) {
+        for operation in self.operations.values_mut() {
+            if operation.request.limiter == limiter {
+                operation.is_open = false;
+            }
+        }
+    }
+
+    fn start_request(&mut self, request: &ClientRequest) -> RequestId {
+        self.last_request += 1;
+        let id = RequestId(self.last_request);
+        let earlier = self.operations.get(&request.operation);
+        let operation = Operation {
+            request: request.clone(),
+            answer: None,
+            requests: earlier.map_or(0, |earlier| earlier.requests) + 1,
+            is_open: true,
+        };
+        self.operations.insert(request.operation, operation);
+        self.operation_of_request.insert(id, request.operation);
+        id
+    }
+}
+
+impl Simulation<'_> {
+    /// A client sends a request.
+    pub(super) fn send_request(&mut self, request: ClientRequest) -> Result<(), Stopped> {
+        if request.retry {
+            let earlier = self.clients.operations.get(&request.operation);
+            if earlier.is_some_and(|earlier| earlier.is_open) {
+                // The client waits for the answer of the earlier request.
+                self.schedule(RETRY_POLL_INTERVAL, Event::ClientRequest(request));
+                return Ok(());
+            }
+            if earlier.is_some_and(|earlier| earlier.answer == Some(Answer::Served)) {
+                return Ok(());
+            }
+        }
+        if !self.limiters[request.limiter].is_up {
+            let limiter = self.scenario.processes.limiter(request.limiter);
+            self.record(Fact::Note(format!("{limiter} takes no connection")));
+            return Ok(());
+        }
+        let id = self.clients.start_request(&request);
+        self.receive_request(id, &request)
+    }
+
+    /// Gives a request its final answer, if it is still open at its limiter.
+    pub(super) fn answer(&mut self, limiter: usize, request: RequestId, answer: Answer) {
+        let Some(open) = self.limiters[limiter].open_requests.remove(&request) else {
+            return;
+        };
+        self.record(Fact::Answered { request, answer });
+        let Some(operation) = self.clients.operations.get_mut(&open.operation) else {
+            return;
+        };
+        operation.is_open = false;
+        if operation.answer != Some(Answer::Served) {
+            operation.answer = Some(answer);
+        }
+        if answer != Answer::Served && operation.requests < MAX_REQUESTS_OF_OPERATION {
+            let request = operation.request.clone();
+            self.schedule_retry(request, answer);
+        }
+    }
+
+    /// Schedules a client's retry, where clients retry by themselves.
+    fn schedule_retry(&mut self, mut request: ClientRequest, answer: Answer) {
+        let Some(policy) = self.scenario.retry.as_ref() else {
+            return;
+        };
+        request.retry = true;
+        if policy.next_limiter && request.limiter_set.count > 1 {
+            let limiters = self.limiters.len();
+            request.limiter = request.limiter_set.next_after(request.limiter, limiters);
+        }
+        let retry_after = match answer {
+            Answer::Rejected(retry_after) => retry_after,
+            Answer::Served | Answer::Failed => 0,
+        };
+        let delay = policy.delay.max(retry_after);
+        self.schedule(delay, Event::ClientRequest(request));
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/simulation/environment.rs
@@ -0,0 +1,119 @@
+//! The environment: what the scenario's steps do to hosts, counter, discovery and limiters.
+
+use super::{Simulation, Stopped};
+use crate::host::{AttemptKey, HostStatus, MIN_SPEED};
+use crate::scenario::ScenarioEvent;
+use quartzcleat_decision::api::Outcome;
+use quartzcleat_invariants::{Fact, Processes};
+
+impl Simulation<'_> {
+    pub(super) fn apply_scenario_event(&mut self, event: ScenarioEvent) -> Result<(), Stopped> {
+        if let Some(text) = event.describe(&self.scenario.processes) {
+            self.record(Fact::Note(text));
+        }
+        match event {
+            ScenarioEvent::Request(request) => self.send_request(request),
+            ScenarioEvent::DrainHost(host) => {
+                self.hosts[host].draining = true;
+                self.update_host(host)
+            }
+            ScenarioEvent::KillHost(host) => {
+                self.kill_host(host);
+                self.update_host(host)
+            }
+            ScenarioEvent::IsolateHost(host) => {
+                self.hosts[host].stop(HostStatus::Unreachable);
+                Ok(())
+            }
+            ScenarioEvent::StartHost(host) => self.start_host(host),
+            ScenarioEvent::ReplaceHost { old, new } => {
+                self.kill_host(old);
+                self.update_host(old)?;
+                self.start_host(new)
+            }
+            ScenarioEvent::SetHostSpeed { host, speed } => {
+                self.hosts[host].speed = speed.max(MIN_SPEED);
+                Ok(())
+            }
+            ScenarioEvent::SetCounterMode(mode) => {
+                self.counter.mode = mode;
+                Ok(())
+            }
+            ScenarioEvent::ClearCounter => {
+                self.counter.clear();
+                Ok(())
+            }
+            ScenarioEvent::SetDiscovery(is_notifying) => self.set_discovery(is_notifying),
+            ScenarioEvent::KillLimiter(limiter) => {
+                self.kill_limiter(limiter);
+                Ok(())
+            }
+            ScenarioEvent::StartLimiter(limiter) => {
+                let incarnation = self.limiters[limiter].incarnation + 1;
+                self.limiters[limiter] = self.new_limiter(limiter, incarnation);
+                self.restore_host_list(limiter)
+            }
+        }
+    }
+
+    fn start_host(&mut self, host: usize) -> Result<(), Stopped> {
+        self.hosts[host].start(self.now);
+        self.record(Fact::HostStarted { host });
+        self.update_host(host)
+    }
+
+    /// A limiter dies with its open requests and its attempts in flight.
+    fn kill_limiter(&mut self, limiter: usize) {
+        self.record(Fact::LimiterDied { limiter });
+        let state = &mut self.limiters[limiter];
+        state.is_up = false;
+        state.open_requests.clear();
+        let in_flight = std::mem::take(&mut state.in_flight);
+        for (id, attempt) in in_flight {
+            self.hosts[attempt.host].cancel(AttemptKey {
+                limiter,
+                request: id.request,
+                attempt: id.number,
+            });
+            self.record(Fact::AttemptEnded {
+                request: id.request,
+                attempt: id.number,
+                outcome: Outcome::Reset,
+            });
+        }
+        self.clients.disconnect_from(limiter);
+    }
+}
+
+impl ScenarioEvent {
+    /// The event in words, where no other fact of the run tells it.
+    fn describe(&self, processes: &Processes) -> Option<String> {
+        let host = |index: usize| processes.host(index);
+        let text = match self {
+            ScenarioEvent::Request(_)
+            | ScenarioEvent::StartHost(_)
+            | ScenarioEvent::KillLimiter(_) => return None,
+            ScenarioEvent::DrainHost(index) => format!("{} begins to drain", host(*index)),
+            ScenarioEvent::KillHost(index) => format!("{}'s process dies", host(*index)),
+            ScenarioEvent::IsolateHost(index) => format!("{}'s machine vanishes", host(*index)),
+            ScenarioEvent::ReplaceHost { old, new } => format!(
+                "{} is replaced by {} at its address",
+                host(*old),
+                host(*new)
+            ),
+            ScenarioEvent::SetHostSpeed { host: index, speed } => {
+                format!("{} goes at {speed} of the yardstick", host(*index))
+            }
+            ScenarioEvent::SetCounterMode(mode) => {
+                format!("the counter is now {mode:?}").to_lowercase()
+            }
+            ScenarioEvent::ClearCounter => "the counter comes back empty".to_owned(),
+            ScenarioEvent::SetDiscovery(true) => "discovery tells again".to_owned(),
+            ScenarioEvent::SetDiscovery(false) => "discovery falls silent".to_owned(),
+            ScenarioEvent::StartLimiter(limiter) => {
+                format!("{} starts again", processes.limiter(*limiter))
+            }
+        };
+        Some(text)
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/simulation/limiters.rs
@@ -0,0 +1,155 @@
+//! The limiters' decision engines: events in, actions carried out.
+
+use super::{Simulation, Stopped};
+use crate::event_queue::{Event, LimiterIncarnation};
+use crate::host::AttemptKey;
+use crate::limiter::OpenRequest;
+use crate::scenario::ClientRequest;
+use quartzcleat_decision::api::{self, Action, CustomerId, Outcome, RequestId, Timer};
+use quartzcleat_invariants::{Answer, Fact};
+use std::collections::VecDeque;
+
+impl Simulation<'_> {
+    /// Gives an event to a limiter's engine and carries out its actions. Events that these cause at once follow.
+    pub(super) fn handle(&mut self, limiter: usize, event: api::Event) -> Result<(), Stopped> {
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(mut event) = events.pop_front() {
+            let state = &mut self.limiters[limiter];
+            if let api::Event::AttemptDone { id, over, .. } = &mut event {
+                *over |= !state.open_requests.contains_key(id);
+            }
+            state.engine.handle(self.now, event, &mut actions);
+            for action in std::mem::take(&mut actions) {
+                self.carry_out(limiter, action, &mut events)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn carry_out(
+        &mut self,
+        limiter: usize,
+        action: Action,
+        events: &mut VecDeque<api::Event>,
+    ) -> Result<(), Stopped> {
+        match action {
+            Action::Attempt {
+                id, host, timeout, ..
+            } => self.send_attempt(limiter, id, host, timeout, events)?,
+            Action::CancelAttempt { id, attempt } => self.cancel_attempt(limiter, id, attempt),
+            Action::Reject { id, retry_after } => {
+                self.answer(limiter, id, Answer::Rejected(retry_after));
+            }
+            Action::Fail { id } => self.answer(limiter, id, Answer::Failed),
+            Action::SetTimer { timer, after } => {
+                let limiter = self.incarnation(limiter);
+                self.schedule(after, Event::Timer { limiter, timer });
+            }
+            Action::Count {
+                name,
+                amount,
+                keep_for,
+            } => self.call_counter(limiter, name, amount, keep_for)?,
+            Action::Log { text } => {
+                let limiter = self.scenario.processes.limiter(limiter);
+                self.record(Fact::Note(format!("{limiter} logs: {text}")));
+            }
+            Action::HealthCheck { .. }
+            | Action::CloseIdle { .. }
+            | Action::MessagePeers { .. }
+            | Action::Watch { .. }
+            | Action::FetchHosts => {}
+        }
+        Ok(())
+    }
+
+    fn cancel_attempt(&mut self, limiter: usize, request: RequestId, attempt: u32) {
+        let Some(in_flight) = self.limiters[limiter].attempt(request, attempt) else {
+            return;
+        };
+        let attempt = AttemptKey {
+            limiter,
+            request,
+            attempt,
+        };
+        self.hosts[in_flight.host].cancel(attempt);
+        let outcome = Outcome::Cancelled;
+        self.schedule(0, Event::AttemptEnds { attempt, outcome });
+    }
+
+    pub(super) fn fire_timer(
+        &mut self,
+        limiter: LimiterIncarnation,
+        timer: Timer,
+    ) -> Result<(), Stopped> {
+        if self.is_current(limiter) {
+            self.handle(limiter.limiter, api::Event::Timer { timer })?;
+        }
+        Ok(())
+    }
+
+    /// Fails a request that has no answer at the last moment at which it is in time.
+    pub(super) fn fail_unanswered(
+        &mut self,
+        limiter: LimiterIncarnation,
+        request: RequestId,
+    ) -> Result<(), Stopped> {
+        let index = limiter.limiter;
+        let is_open = self.limiters[index].open_requests.contains_key(&request);
+        if self.is_current(limiter) && is_open {
+            self.answer(index, request, Answer::Failed);
+            self.handle(index, api::Event::Abandoned { id: request })?;
+        }
+        Ok(())
+    }
+
+    /// A limiter receives a request.
+    pub(super) fn receive_request(
+        &mut self,
+        id: RequestId,
+        request: &ClientRequest,
+    ) -> Result<(), Stopped> {
+        let deadline = self.now + request.timeout;
+        self.record(Fact::RequestReceived {
+            request: id,
+            limiter: request.limiter,
+            operation: request.operation,
+            class: request.class,
+            partner: request.partner,
+            units: request.units,
+            deadline,
+        });
+        let open = OpenRequest {
+            class: request.class,
+            operation: request.operation,
+            deadline,
+            attempts: 0,
+        };
+        self.limiters[request.limiter]
+            .open_requests
+            .insert(id, open);
+        let due = Event::AnswerDue {
+            limiter: self.incarnation(request.limiter),
+            request: id,
+        };
+        self.schedule(
+            request
+                .timeout
+                .saturating_sub(super::clients::ANSWER_MARGIN),
+            due,
+        );
+        let event = api::Event::Request {
+            id,
+            class: request.class as u32,
+            plan: request.plan,
+            customer: CustomerId(request.partner as u64 + 1),
+            budget: request.timeout,
+            units: request.units,
+            spread: request.limiter_set.count,
+            first_limiter: request.limiter_set.first,
+            flags: 0,
+        };
+        self.handle(request.limiter, event)
+    }
+}
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -179,11 +179,11 @@
     fn the_story_is_sound_and_holds_in_the_world() {
         let mut compiled = story().unwrap_or_else(|faults| panic!("{faults}"));
         compiled.scenario.variant = Some(0);
-        let played = quartzcleat_simulation::play(
+        let played = quartzcleat_simulation::simulate(
             &compiled.scenario,
-            &mut quartzcleat_simulation::oracle::First,
+            &mut quartzcleat_simulation::oracle::FirstOption,
         );
-        let (judged, failed) = judge(&compiled, &played.records, played.whole, 0);
+        let (judged, failed) = judge(&compiled, &played.records, played.is_complete, 0);
         assert_eq!(failed, None);
         assert!(judged.iter().all(|judged| judged.tested > 0), "{judged:?}");
     }
--- a/src/cli/live.rs
+++ b/src/cli/live.rs
@@ -7,7 +7,7 @@
 use quartzcleat_expectations::run::{gather, Work};
 use quartzcleat_expectations::{compile, Compiled, Options};
 use quartzcleat_invariants::{timeline, Answer, Fact, Record};
-use quartzcleat_simulation::oracle::First;
+use quartzcleat_simulation::oracle::FirstOption;
 use rayon::prelude::*;
 use serde::Serialize;
 use std::fmt::Write as _;
@@ -83,14 +83,14 @@
     let moments = scenario
         .steps
         .iter()
-        .map(|step| step.at.len())
+        .map(|step| step.moments.len())
         .max()
         .unwrap_or(1);
     let open = [
         moments,
-        scenario.lags.len(),
-        scenario.fates.len(),
-        scenario.counter.fates.len(),
+        scenario.discovery_delays.len(),
+        scenario.attempt_outcomes.len(),
+        scenario.counter.call_outcomes.len(),
     ];
     open.into_iter().max().unwrap_or(1).clamp(1, VARIANTS)
 }
@@ -104,7 +104,7 @@
 ) -> Compared {
     let mut compiled = compiled.clone();
     compiled.scenario.variant = Some(variant);
-    let world = quartzcleat_simulation::play(&compiled.scenario, &mut First);
+    let world = quartzcleat_simulation::simulate(&compiled.scenario, &mut FirstOption);
     let (_, world_fails) = judge(&compiled, &world.records, true, 0);
     let folder = folder.join(format!("{}-{variant}", work.expectation.line));
     let live = std::fs::create_dir_all(&folder)
@@ -165,7 +165,7 @@
             .scenario
             .steps
             .iter()
-            .filter_map(|step| step.at.last())
+            .filter_map(|step| step.moments.last())
             .max()
             .copied()
     };
--- a/tests/export/scenario.rs
+++ b/tests/export/scenario.rs
@@ -4,7 +4,8 @@
 use quartzcleat_decision::api::HostState;
 use quartzcleat_invariants::{Process, Processes};
 use quartzcleat_simulation::scenario::{
-    Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step,
+    AttemptOutcome, ClientRequest, CounterSetup, HostSetup, LimiterSet, NetworkDelays, Scenario,
+    ScenarioEvent, Step,
 };
 
 const NANOS_PER_MS: u64 = 1_000_000;
@@ -31,35 +32,35 @@
         .map(|class| class.name.clone())
         .collect();
     Scenario {
-        truth: settings.clone(),
+        ground_truth: settings.clone(),
         processes: processes(classes),
-        nodes: vec![
-            NodeSetup {
+        hosts: vec![
+            HostSetup {
                 cores: 64,
                 state: HostState::Ready,
-                ..NodeSetup::default()
+                ..HostSetup::default()
             };
             HOSTS
         ],
-        net: Net {
-            same: 100_000,
-            cross: 100_000,
+        network: NetworkDelays {
+            same_zone: 100_000,
+            cross_zone: 100_000,
             counter: 100_000,
         },
         start: 0,
-        phases: vec![0],
+        start_offsets: vec![0],
         seeds: vec![1],
-        lags: vec![0],
+        discovery_delays: vec![0],
         counter: CounterSetup {
-            service: 20_000,
+            call_duration: 20_000,
             ..CounterSetup::default()
         },
-        fates: vec![Fate::Normal],
+        attempt_outcomes: vec![AttemptOutcome::Normal],
         work: vec![15 * NANOS_PER_MS, 15 * NANOS_PER_MS],
-        spread: 0.0,
+        log_deviation: 0.0,
         steps: steps(),
         retry: None,
-        end: 9_000 * NANOS_PER_MS,
+        max_duration: 9_000 * NANOS_PER_MS,
         variant: Some(0),
         settings,
     }
@@ -86,38 +87,38 @@
     }
 }
 
-fn request(number: u64) -> Ask {
-    Ask {
-        mark: number + 1,
+fn request(number: u64) -> ClientRequest {
+    ClientRequest {
+        operation: number + 1,
         class: (number % 2) as usize,
         partner: number as usize % PARTNERS,
         plan: PLAN,
         units: [1.0, 2.0, 0.5][number as usize % 3],
-        cost: 0.0,
-        through: number as usize % LIMITERS,
-        spread: (3, 0),
-        wait: 1_500 * NANOS_PER_MS,
+        true_units: 0.0,
+        limiter: number as usize % LIMITERS,
+        limiter_set: LimiterSet { count: 3, first: 0 },
+        timeout: 1_500 * NANOS_PER_MS,
         retry: false,
     }
 }
 
-fn step(at_ms: u64, what: Happening) -> Step {
+fn step(at_ms: u64, what: ScenarioEvent) -> Step {
     Step {
-        at: vec![at_ms * NANOS_PER_MS],
-        what,
-        free: None,
+        moments: vec![at_ms * NANOS_PER_MS],
+        event: what,
+        reorder_group: None,
     }
 }
 
 fn steps() -> Vec<Step> {
     let mut steps: Vec<Step> = (0..REQUESTS)
-        .map(|number| step(number * 10, Happening::Ask(request(number))))
+        .map(|number| step(number * 10, ScenarioEvent::Request(request(number))))
         .collect();
     for (limiter, at_ms) in [(0, 2_000), (1, 2_400), (2, 2_800)] {
-        steps.push(step(at_ms, Happening::LimiterDies(limiter)));
-        steps.push(step(at_ms, Happening::LimiterStarts(limiter)));
+        steps.push(step(at_ms, ScenarioEvent::KillLimiter(limiter)));
+        steps.push(step(at_ms, ScenarioEvent::StartLimiter(limiter)));
     }
     // The pause before the last request is long enough to export what is left.
-    steps.push(step(7_500, Happening::Ask(request(REQUESTS))));
+    steps.push(step(7_500, ScenarioEvent::Request(request(REQUESTS))));
     steps
 }
