--- a/crates/bench/src/damage.rs
+++ b/crates/bench/src/damage.rs
@@ -3,8 +3,8 @@
 use clap::Args;
 use quartzcleat_config::tree::Content;
 use quartzcleat_config::Day;
-use quartzcleat_expectations::run::read_day;
-use quartzcleat_expectations::{run, Options, Verdict};
+use quartzcleat_expectations::check::read_deployment;
+use quartzcleat_expectations::{check, Options, Verdict};
 use std::fmt::Write as _;
 use std::path::PathBuf;
 
@@ -252,7 +252,7 @@
 impl Damage {
     /// Damages and checks.
     pub fn run(self) -> Result<String, String> {
-        let sound = read_day(&self.settings).map_err(|faults| faults.to_string())?;
+        let sound = read_deployment(&self.settings).map_err(|faults| faults.to_string())?;
         let path =
             std::env::temp_dir().join(format!("quartzcleat-damage-{}.yaml", std::process::id()));
         let mut out = String::from("| damage | key, line | caught by | named by search | named beside the old file |\n| --- | --- | --- | --- | --- |\n");
@@ -262,14 +262,14 @@
             std::fs::write(&path, text).map_err(|e| e.to_string())?;
             let (key, line) = (
                 (*key).to_owned(),
-                read_day(&path).map_or(0, |day| day.line(key)),
+                read_deployment(&path).map_or(0, |day| day.line(key)),
             );
             let with = |against: Option<PathBuf>| {
-                run(&Options {
+                check(&Options {
                     paths: vec![self.expectations.clone()],
                     settings: Some(path.clone()),
-                    against,
-                    vary: false,
+                    compare_with: against,
+                    check_vacuity: false,
                     ..Options::default()
                 })
             };
@@ -291,28 +291,31 @@
                 .iter()
                 .filter(|r| r.verdict != Verdict::Held)
                 .collect();
-            let names = |outcome: &quartzcleat_expectations::Outcome| {
+            let names = |outcome: &quartzcleat_expectations::CheckReport| {
                 let of_failure = outcome
                     .results
                     .iter()
                     .filter_map(|r| r.failure.as_ref())
-                    .map(|f| &f.behind);
+                    .map(|f| &f.attribution);
                 let of_change = outcome
                     .results
                     .iter()
-                    .filter_map(|r| r.differs.as_ref())
-                    .map(|d| &d.1);
-                let noted = |r: &quartzcleat_expectations::Result| {
+                    .filter_map(|r| r.difference.as_ref())
+                    .map(|d| &d.attribution);
+                let noted = |r: &quartzcleat_expectations::ExpectationResult| {
                     r.notes.iter().any(|note| note.contains(key.as_str()))
                 };
                 if outcome.results.iter().any(noted) {
                     return true;
                 }
-                let untested = outcome.results.iter().filter_map(|r| r.behind.as_ref());
+                let untested = outcome
+                    .results
+                    .iter()
+                    .filter_map(|r| r.attribution.as_ref());
                 of_failure
                     .chain(of_change)
                     .chain(untested)
-                    .flat_map(|blame| &blame.sets)
+                    .flat_map(|attribution| &attribution.line_sets)
                     .flatten()
                     .any(|l| l.key == key && l.line == line)
             };
--- a/crates/bench/src/speed.rs
+++ b/crates/bench/src/speed.rs
@@ -2,7 +2,7 @@
 
 use crate::spread;
 use clap::Args;
-use quartzcleat_expectations::{run, Budget, Options};
+use quartzcleat_expectations::{check, Budget, Options};
 use std::fmt::Write as _;
 use std::path::PathBuf;
 
@@ -31,30 +31,31 @@
             (4, 20_000, None),
         ] {
             let budget = Budget {
-                plays,
-                events: plays * 300,
+                max_runs: plays,
+                max_events: plays * 300,
                 ..Budget::default()
             };
             let options = Options {
                 paths: vec![self.expectations.clone()],
                 budget,
                 jobs,
-                only: only.map(str::to_owned),
+                name_filter: only.map(str::to_owned),
                 ..Options::default()
             };
-            let outcomes: Vec<_> = (0..self.runs.max(1)).map(|_| run(&options)).collect();
+            let outcomes: Vec<_> = (0..self.runs.max(1)).map(|_| check(&options)).collect();
             let last = outcomes.last().ok_or("no run")?;
-            let sum = |figure: fn(&quartzcleat_expectations::run::Counts) -> u64| -> u64 {
-                last.results
-                    .iter()
-                    .map(|result| figure(&result.explored))
-                    .sum()
-            };
-            let (played, states) = (sum(|counts| counts.plays), sum(|counts| counts.states));
+            let sum =
+                |figure: fn(&quartzcleat_expectations::check::ExplorationCounts) -> u64| -> u64 {
+                    last.results
+                        .iter()
+                        .map(|result| figure(&result.explored))
+                        .sum()
+                };
+            let (played, states) = (sum(|counts| counts.runs), sum(|counts| counts.states));
             let complete = last
                 .results
                 .iter()
-                .filter(|result| result.explored.complete)
+                .filter(|result| result.explored.is_exhaustive)
                 .count();
             let (least, median, most) =
                 spread(outcomes.iter().map(|outcome| outcome.seconds).collect());
--- a/crates/bench/src/trial/report.rs
+++ b/crates/bench/src/trial/report.rs
@@ -1,7 +1,7 @@
 //! A run of trials told: for people, as JSON, or as JUnit's XML for build servers.
 
 use hdrhistogram::Histogram;
-use quartzcleat_expectations::report::{case, suite};
+use quartzcleat_expectations::report::{junit_case, junit_suite};
 use quartzcleat_fault_injection::{Row, Story};
 use serde_json::json;
 use std::fmt::Write as _;
@@ -116,9 +116,9 @@
             } else {
                 row.broken.clone() + &self.again(row.seed)
             };
-            case(&format!("seed {}", row.seed), self.file, &fault)
+            junit_case(&format!("seed {}", row.seed), self.file, &fault)
         };
-        suite("trials", &self.rows.iter().map(of).collect::<Vec<_>>())
+        junit_suite("trials", &self.rows.iter().map(of).collect::<Vec<_>>())
     }
 }
 
--- /dev/null
+++ b/crates/expectations/src/attribution.rs
@@ -0,0 +1,244 @@
+//! Attributes a verdict to lines of configuration by search: which keys, changed one by one and in groups, turn it.
+//! Nothing here knows what a key means.
+
+mod alternatives;
+mod minimize;
+
+use crate::compile::compile;
+use crate::explore::{explore, Budget};
+use crate::suite::{Expectation, Suite};
+use alternatives::{alternatives, show};
+use minimize::minimize;
+use quartzcleat_config::day::Change;
+use quartzcleat_config::tree::{Content, Node};
+use quartzcleat_config::Day;
+use serde::Serialize;
+
+/// The most runs for one alternative configuration.
+const MAX_RUNS: u64 = 200;
+/// The most events for one alternative configuration.
+const MAX_EVENTS: u64 = 100_000;
+/// How many alternatives of a section's keys are tried together.
+const SECTION_ALTERNATIVES: usize = 4;
+/// How a key that is not set is shown.
+const NOT_SET: &str = "nothing";
+
+/// A line of configuration on which a verdict depends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct SourceLine {
+    /// The file.
+    pub file: String,
+    /// The line.
+    pub line: u32,
+    /// The key.
+    pub key: String,
+    /// Its value.
+    #[serde(rename = "says")]
+    pub value: String,
+    /// The value that turns the verdict.
+    #[serde(rename = "would")]
+    pub alternative: String,
+}
+
+/// The lines of configuration behind a verdict.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct SourceAttribution {
+    /// Sets of lines. Each set, changed to its alternatives, turns the verdict.
+    #[serde(rename = "sets")]
+    pub line_sets: Vec<Vec<SourceLine>>,
+    /// How many other configurations were tried.
+    #[serde(rename = "tried")]
+    pub configurations: u64,
+}
+
+/// What is to be attributed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Subject<'a> {
+    pub(crate) suite: &'a Suite,
+    pub(crate) expectation: &'a Expectation,
+    pub(crate) budget: &'a Budget,
+}
+
+impl Subject<'_> {
+    /// Whether the expectation holds, and was exercised, in a deployment; `None` where it cannot be compiled.
+    fn holds(&self, deployment: &Day) -> Option<bool> {
+        let budget = Budget {
+            max_runs: self.budget.max_runs.min(MAX_RUNS),
+            max_events: self.budget.max_events.min(MAX_EVENTS),
+            ..*self.budget
+        };
+        let compiled = compile(self.suite, self.expectation, deployment).ok()?;
+        let explored = explore(&compiled, &budget);
+        let is_exercised = explored
+            .coverage
+            .iter()
+            .all(|requirement| requirement.exercised > 0);
+        Some(explored.failure.is_none() && is_exercised)
+    }
+}
+
+/// Tries changes of a deployment.
+struct Search<'a> {
+    subject: Subject<'a>,
+    base: &'a Day,
+    /// The verdict that is looked for.
+    wanted: bool,
+    configurations: u64,
+}
+
+impl Search<'_> {
+    /// Whether changes bring the verdict that is looked for.
+    fn turns(&mut self, changes: &[Change]) -> bool {
+        self.configurations += 1;
+        self.base
+            .with(changes)
+            .ok()
+            .and_then(|changed| self.subject.holds(&changed))
+            == Some(self.wanted)
+    }
+
+    /// The keys each of which turns the verdict alone.
+    fn single_keys(&mut self, keys: &[(String, &Node)]) -> Vec<Vec<SourceLine>> {
+        let mut line_sets = Vec::new();
+        for (path, node) in keys {
+            let alternative = alternatives(self.base, path, node)
+                .into_iter()
+                .find(|value| self.turns(&[(path.clone(), Some(value.clone()))]));
+            if let Some(value) = alternative {
+                line_sets.push(vec![source_line(self.base, path, &show(path, &value))]);
+            }
+        }
+        line_sets
+    }
+
+    /// The keys that turn the verdict together with others of their section.
+    fn sections(&mut self, keys: &[(String, &Node)]) -> Vec<Vec<SourceLine>> {
+        let mut sections: Vec<&str> = keys
+            .iter()
+            .filter_map(|(path, _)| section_of(path))
+            .collect();
+        sections.dedup();
+        let mut line_sets = Vec::new();
+        for section in sections {
+            let members: Vec<_> = keys
+                .iter()
+                .filter(|(path, _)| section_of(path) == Some(section))
+                .collect();
+            line_sets.extend(self.section(&members));
+        }
+        line_sets
+    }
+
+    /// The smallest set of a section's keys that turns the verdict.
+    fn section(&mut self, members: &[&(String, &Node)]) -> Option<Vec<SourceLine>> {
+        for position in 0..SECTION_ALTERNATIVES {
+            let changes: Vec<Change> = members
+                .iter()
+                .filter_map(|(path, node)| {
+                    let value = alternatives(self.base, path, node).get(position)?.clone();
+                    Some((path.clone(), Some(value)))
+                })
+                .collect();
+            if changes.len() > 1 && self.turns(&changes) {
+                let smallest = minimize(changes, &mut |changes| self.turns(changes));
+                let line =
+                    |(path, value): &Change| source_line(self.base, path, &show_value(path, value));
+                return Some(smallest.iter().map(line).collect());
+            }
+        }
+        None
+    }
+}
+
+/// Attributes a failure without another file to compare with: each key takes its default and neighbouring values,
+/// alone and then with the rest of its section.
+pub(crate) fn attribute_to_settings(subject: Subject<'_>, deployment: &Day) -> SourceAttribution {
+    let mut search = Search {
+        subject,
+        base: deployment,
+        wanted: true,
+        configurations: 0,
+    };
+    let keys = deployment.keys();
+    let mut line_sets = search.single_keys(&keys);
+    if line_sets.is_empty() {
+        line_sets = search.sections(&keys);
+    }
+    SourceAttribution {
+        line_sets,
+        configurations: search.configurations,
+    }
+}
+
+/// Attributes a verdict of a new deployment to the smallest set of changes from an old one that brings it.
+pub(crate) fn attribute_to_changes(
+    subject: Subject<'_>,
+    old: &Day,
+    new: &Day,
+    wanted: bool,
+) -> SourceAttribution {
+    let mut search = Search {
+        subject,
+        base: old,
+        wanted,
+        configurations: 0,
+    };
+    let all = changes_between(old, new);
+    let mut line_sets = Vec::new();
+    if !all.is_empty() && search.turns(&all) {
+        let smallest = minimize(all, &mut |changes| search.turns(changes));
+        let line = |(path, _): &Change| {
+            let old_value = old.tree.at(path).map(|node| node.content.clone());
+            source_line(new, path, &show_value(path, &old_value))
+        };
+        line_sets.push(smallest.iter().map(line).collect());
+    }
+    SourceAttribution {
+        line_sets,
+        configurations: search.configurations,
+    }
+}
+
+/// The keys that differ between two deployments, as changes that make the old one the new one.
+pub(crate) fn changes_between(old: &Day, new: &Day) -> Vec<Change> {
+    let is_changed = |path: &str, node: &Node| {
+        let old_node = old.tree.at(path);
+        old_node.is_none_or(|old_node| old_node.content != node.content)
+    };
+    let mut changes: Vec<Change> = Vec::new();
+    for (path, node) in new.tree.leaves() {
+        if is_changed(&path, node) {
+            changes.push((path, Some(node.content.clone())));
+        }
+    }
+    for (path, _) in old.tree.leaves() {
+        if new.tree.at(&path).is_none() {
+            changes.push((path, None));
+        }
+    }
+    changes
+}
+
+fn section_of(path: &str) -> Option<&str> {
+    path.rsplit_once('.').map(|(section, _)| section)
+}
+
+fn show_value(path: &str, value: &Option<Content>) -> String {
+    value
+        .as_ref()
+        .map_or_else(|| NOT_SET.to_owned(), |value| show(path, value))
+}
+
+fn source_line(deployment: &Day, path: &str, alternative: &str) -> SourceLine {
+    let value = deployment
+        .tree
+        .at(path)
+        .map_or_else(|| NOT_SET.to_owned(), |node| show(path, &node.content));
+    SourceLine {
+        file: deployment.file.to_string(),
+        line: deployment.line(path),
+        key: path.to_owned(),
+        value,
+        alternative: alternative.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/expectations/src/attribution/minimize.rs
@@ -0,0 +1,48 @@
+//! Delta debugging over changes.
+
+use quartzcleat_config::day::Change;
+
+#[cfg(test)]
+mod tests;
+
+/// A subset of changes that still has an effect and from which no change can be left out.
+pub(super) fn minimize(
+    mut changes: Vec<Change>,
+    has_effect: &mut dyn FnMut(&[Change]) -> bool,
+) -> Vec<Change> {
+    let mut parts = 2;
+    while changes.len() >= 2 {
+        let size = changes.len().div_ceil(parts);
+        let chunks: Vec<Vec<Change>> = changes.chunks(size).map(<[Change]>::to_vec).collect();
+        let chunk = chunks
+            .iter()
+            .find(|chunk| chunk.len() < changes.len() && has_effect(chunk));
+        if let Some(chunk) = chunk {
+            changes = chunk.clone();
+            parts = 2;
+            continue;
+        }
+        let rest = (0..chunks.len())
+            .map(|index| without(&chunks, index))
+            .find(|rest| !rest.is_empty() && has_effect(rest));
+        if let Some(rest) = rest {
+            changes = rest;
+            parts = (parts - 1).max(2);
+            continue;
+        }
+        if parts >= changes.len() {
+            break;
+        }
+        parts = (parts * 2).min(changes.len());
+    }
+    changes
+}
+
+/// The changes of all chunks but one.
+fn without(chunks: &[Vec<Change>], index: usize) -> Vec<Change> {
+    let others = chunks
+        .iter()
+        .enumerate()
+        .filter(|(other, _)| *other != index);
+    others.flat_map(|(_, chunk)| chunk.clone()).collect()
+}
--- /dev/null
+++ b/crates/expectations/src/check/vacuity.rs
@@ -0,0 +1,211 @@
+//! Finds requirements that say nothing: they hold whatever is changed of what their expectation names.
+
+use super::tasks::CheckTask;
+use super::variation::{scaled_requests, without_step};
+use crate::compile::{compile, CompiledExpectation};
+use crate::explore::{explore, Budget, Exploration, RequirementCoverage};
+use quartzcleat_config::day::Change;
+use quartzcleat_config::quantity;
+use quartzcleat_config::tree::{Content, Node};
+use quartzcleat_config::Day;
+use quartzcleat_simulation::scenario::{
+    AttemptOutcome, CounterCallOutcome, CounterMode, HostSetup, Scenario, ScenarioEvent, Step,
+};
+use std::collections::BTreeSet;
+
+/// How much each variation is explored.
+const BUDGET: Budget = Budget {
+    max_runs: 60,
+    max_events: 60_000,
+    max_depth: 8,
+    seed: 1,
+};
+/// The most steps that are left out, one a variation.
+const MAX_OMITTED_STEPS: usize = 6;
+/// Factors for the number of requests.
+const REQUEST_FACTORS: [f64; 2] = [4.0, 0.4];
+/// Factors for settings that the expectation's formulas name.
+const SETTING_FACTORS: [f64; 2] = [0.5, 2.0];
+/// Factors for the quota of the plans that its requests use.
+const QUOTA_FACTORS: [f64; 2] = [0.25, 16.0];
+/// The keys of a plan's quota.
+const QUOTA_KEYS: [&str; 2] = ["refill", "peakUnits"];
+/// A value that differs by less than this share has not changed.
+const RELATIVE_TOLERANCE: f64 = 0.02;
+
+/// Notes on the requirements that hold whatever is changed of what the expectation names.
+pub(super) fn vacuous_requirements(
+    task: &CheckTask,
+    compiled: &CompiledExpectation,
+    exploration: &Exploration,
+) -> Vec<String> {
+    let mut is_sensitive = vec![false; compiled.requirements.len()];
+    for variation in variations(task, compiled) {
+        let varied = explore(&variation, &BUDGET);
+        for (index, is_sensitive) in is_sensitive.iter_mut().enumerate() {
+            *is_sensitive |= is_affected(index, exploration.coverage[index], &varied);
+        }
+        if is_sensitive.iter().all(|is_sensitive| *is_sensitive) {
+            return Vec::new();
+        }
+    }
+    compiled
+        .requirements
+        .iter()
+        .zip(&is_sensitive)
+        .filter(|(_, is_sensitive)| !**is_sensitive)
+        .map(|(requirement, _)| {
+            format!(
+                "line {}: holds whatever is changed of what the expectation names",
+                requirement.line
+            )
+        })
+        .collect()
+}
+
+/// Whether a variation makes a difference to a requirement.
+fn is_affected(index: usize, original: RequirementCoverage, varied: &Exploration) -> bool {
+    // A violated invariant says nothing of the requirement.
+    let has_failed = varied
+        .failure
+        .as_ref()
+        .is_some_and(|failure| failure.requirement == Some(index));
+    let coverage = varied.coverage.get(index).copied().unwrap_or_default();
+    // The value of a requirement that an event never happens is 0 while it holds, whatever else changes.
+    let difference = (coverage.largest_value - original.largest_value).abs();
+    has_failed
+        || coverage.exercised == 0
+        || difference > RELATIVE_TOLERANCE * original.largest_value.abs()
+}
+
+/// The expectation with something varied of what it names.
+fn variations(task: &CheckTask, compiled: &CompiledExpectation) -> Vec<CompiledExpectation> {
+    let is_request = |step: &Step| matches!(step.event, ScenarioEvent::Request(_));
+    let steps = compiled.scenario.steps.iter().enumerate();
+    let mut variations: Vec<CompiledExpectation> = steps
+        .filter(|(_, step)| !is_request(step))
+        .take(MAX_OMITTED_STEPS)
+        .map(|(index, _)| without_step(compiled, index))
+        .collect();
+    variations.extend(REQUEST_FACTORS.map(|factor| scaled_requests(compiled, factor)));
+    variations.extend(other_attempt_outcomes(compiled));
+    variations.extend(other_environments(compiled));
+    variations.extend(other_settings(task, compiled));
+    variations
+}
+
+fn varied(
+    compiled: &CompiledExpectation,
+    change: impl FnOnce(&mut Scenario),
+) -> CompiledExpectation {
+    let mut variation = compiled.clone();
+    change(&mut variation.scenario);
+    variation
+}
+
+fn other_attempt_outcomes(compiled: &CompiledExpectation) -> Vec<CompiledExpectation> {
+    let outcomes = [
+        AttemptOutcome::ResetAfterExecution,
+        AttemptOutcome::Normal,
+        AttemptOutcome::RequestLost,
+    ];
+    outcomes
+        .into_iter()
+        .filter(|outcome| compiled.scenario.attempt_outcomes != [*outcome])
+        .map(|outcome| {
+            varied(compiled, |scenario| {
+                scenario.attempt_outcomes = vec![outcome];
+            })
+        })
+        .collect()
+}
+
+/// Scenarios in which something that expectations rest on is quite different.
+fn other_environments(compiled: &CompiledExpectation) -> Vec<CompiledExpectation> {
+    let each_host = |change: fn(&mut HostSetup)| {
+        varied(compiled, |scenario| {
+            scenario.hosts.iter_mut().for_each(change);
+        })
+    };
+    let with = |change: fn(&mut Scenario)| varied(compiled, change);
+    vec![
+        each_host(|host| host.absent = true),
+        each_host(|host| host.speed *= 0.03),
+        each_host(|host| host.uptime = None),
+        each_host(|host| host.uptime = Some(0)),
+        with(|scenario| scenario.counter.mode = CounterMode::Silent),
+        with(|scenario| scenario.counter.call_outcomes = vec![CounterCallOutcome::RequestLost]),
+        with(|scenario| scenario.settings.max_attempts = 1),
+        with(|scenario| scenario.settings.max_attempts = 12),
+        with(|scenario| scenario.settings.retry_after = false),
+        with(|scenario| scenario.settings.longest_retry_after *= 20),
+        with(|scenario| {
+            for class in &mut scenario.ground_truth.classes {
+                class.dedup_window = 1;
+            }
+        }),
+        with(|scenario| {
+            for host in &mut scenario.processes.hosts {
+                host.zone += 1;
+            }
+        }),
+        with(|scenario| {
+            for host in &mut scenario.processes.hosts {
+                host.zone = 0;
+            }
+        }),
+    ]
+}
+
+/// The expectation under other values of the settings that it names or depends on.
+fn other_settings(task: &CheckTask, compiled: &CompiledExpectation) -> Vec<CompiledExpectation> {
+    let deployment = &task.deployment;
+    let mut changes: Vec<Vec<Change>> = Vec::new();
+    for key in &compiled.setting_keys {
+        let single = |factor| Some(vec![scaled(deployment, key, factor)?]);
+        changes.extend(SETTING_FACTORS.into_iter().filter_map(single));
+    }
+    for plan in plans_of(compiled) {
+        for factor in QUOTA_FACTORS {
+            let quota = QUOTA_KEYS
+                .map(|key| scaled(deployment, &format!("contracts.{plan}.{key}"), factor));
+            changes.push(quota.into_iter().flatten().collect());
+        }
+    }
+    changes
+        .iter()
+        .filter_map(|changes| {
+            let changed = deployment.with(changes).ok()?;
+            compile(&task.suite, &task.expectation, &changed).ok()
+        })
+        .collect()
+}
+
+fn plans_of(compiled: &CompiledExpectation) -> BTreeSet<u32> {
+    let steps = compiled.scenario.steps.iter();
+    steps
+        .filter_map(|step| match &step.event {
+            ScenarioEvent::Request(request) => Some(request.plan),
+            _ => None,
+        })
+        .collect()
+}
+
+/// A key with its value multiplied; `None` where it is not set. Whole numbers stay whole.
+fn scaled(deployment: &Day, key: &str, factor: f64) -> Option<Change> {
+    let present = numeric_value(deployment.tree.at(key)?);
+    let scaled = present * factor;
+    let value = if present.fract() == 0.0 {
+        scaled.round()
+    } else {
+        scaled
+    };
+    Some((key.to_owned(), Some(Content::Number(value))))
+}
+
+fn numeric_value(node: &Node) -> f64 {
+    match node.content {
+        Content::Number(value) => value,
+        _ => quantity::time(node).map_or(0.0, |nanos| nanos as f64),
+    }
+}
--- /dev/null
+++ b/crates/expectations/src/compile/given.rs
@@ -0,0 +1,190 @@
+//! What an expectation gives: partners, the counter, and what is left open to the search.
+
+use super::reading::{index_of, keywords, members, TypedReader};
+use super::Compiler;
+use crate::error::ValueError;
+use quartzcleat_config::reader::{flag, one_of, text};
+use quartzcleat_config::tree::{Content, Node};
+use quartzcleat_config::{quantity, Faults, Reader};
+use quartzcleat_decision::api::Nanos;
+use quartzcleat_simulation::scenario::{
+    AttemptOutcome, CounterCallOutcome, CounterMode, CounterSetup, LimiterSet, RetryPolicy,
+    Scenario,
+};
+use std::sync::Arc;
+
+const ATTEMPT_OUTCOMES: [(&str, AttemptOutcome); 9] = [
+    ("normal", AttemptOutcome::Normal),
+    ("error", AttemptOutcome::Error),
+    ("busy", AttemptOutcome::Rejected),
+    ("refused", AttemptOutcome::ConnectionRefused),
+    ("reset after it ran", AttemptOutcome::ResetAfterExecution),
+    ("reset before it ran", AttemptOutcome::ResetBeforeExecution),
+    ("silent after it ran", AttemptOutcome::AnswerLost),
+    ("silent", AttemptOutcome::RequestLost),
+    ("late", AttemptOutcome::Late),
+];
+
+const COUNTER_CALL_OUTCOMES: [(&str, CounterCallOutcome); 4] = [
+    ("normal", CounterCallOutcome::Normal),
+    ("lost", CounterCallOutcome::RequestLost),
+    ("answer lost", CounterCallOutcome::AnswerLost),
+    ("refused", CounterCallOutcome::Rejected),
+];
+
+const COUNTER_MODES: [(&str, CounterMode); 4] = [
+    ("normal", CounterMode::Normal),
+    ("silent", CounterMode::Silent),
+    ("refusing", CounterMode::Refusing),
+    ("slow 5", CounterMode::Slow(5.0)),
+];
+
+/// The delay before a client's retry where none is given.
+const DEFAULT_RETRY_DELAY: Nanos = 200_000_000;
+/// The largest factor by which the counter can be slowed down.
+const MAX_SLOW_FACTOR: f64 = 1e6;
+
+/// A partner: its plan, and the limiters through which its requests come.
+#[derive(Clone, Debug)]
+pub(super) struct Partner {
+    pub(super) plan: u32,
+    pub(super) limiters: Vec<usize>,
+    pub(super) limiter_set: LimiterSet,
+}
+
+impl Compiler<'_> {
+    pub(super) fn read_partners(
+        &mut self,
+        node: Option<&Node>,
+        file: &Arc<str>,
+        faults: &mut Faults,
+    ) {
+        let Some(node) = node else { return };
+        let plans = &self.deployment.settings.plans;
+        let plans: Vec<String> = plans.iter().map(|plan| plan.name.clone()).collect();
+        for (name, place, node) in members(node, file, "partners", faults) {
+            let mut map = Reader::new(file, &format!("partners.{name}"), node, faults);
+            let plan = map.require("plan", faults, |node| index_of(node, &plans, "plan"));
+            let limiters = map.read("through", faults, |node| self.limiters(node));
+            map.end(faults);
+            let limiter_count = self.processes.limiters.len();
+            let limiters = limiters.unwrap_or_else(|| (0..limiter_count).collect());
+            if !are_consecutive(&limiters, limiter_count) {
+                let problem =
+                    "limiters that do not follow one another; a partner's set goes round from its first";
+                faults.add(file, *place, format!("partners.{name}.through"), problem);
+                continue;
+            }
+            let partner = Partner {
+                plan: plan.unwrap_or(0) as u32,
+                limiter_set: LimiterSet {
+                    count: limiters.len() as u32,
+                    first: limiters[0] as u32,
+                },
+                limiters,
+            };
+            self.set_partner(name, partner);
+        }
+    }
+
+    fn set_partner(&mut self, name: &str, partner: Partner) {
+        let names = &mut self.processes.partners;
+        match names.iter().position(|known| known == name) {
+            Some(index) => self.partners[index] = partner,
+            None => {
+                names.push(name.to_owned());
+                self.partners.push(partner);
+            }
+        }
+    }
+
+    /// Reads what is given for the run: the counter, what is left open, and the clients' retries.
+    pub(super) fn read_given(
+        &mut self,
+        given: &mut Reader<'_>,
+        scenario: &mut Scenario,
+        faults: &mut Faults,
+    ) {
+        let file = given.file();
+        if let Some(node) = given.node("counter") {
+            read_counter(&mut scenario.counter, node, file, faults);
+        }
+        if let Some(delays) = given.read("discovery", faults, |node| self.times(node)) {
+            scenario.discovery_delays = delays;
+        }
+        let outcomes = given.read("attempts", faults, |node| keywords(node, &ATTEMPT_OUTCOMES));
+        if let Some(outcomes) = outcomes {
+            scenario.attempt_outcomes = outcomes;
+        }
+        if let Some(seeds) = given.take("seeds", faults, |node| quantity::count(node, 1..=10_000)) {
+            scenario.seeds = (1..=seeds).collect();
+        }
+        if let Some(offsets) = given.read("phase", faults, |node| self.times(node)) {
+            scenario.start_offsets = offsets;
+        }
+        if let Some(deviation) = given.take("spread", faults, quantity::share) {
+            scenario.log_deviation = deviation;
+        }
+        if let Some(duration) = given.read("end", faults, |node| self.time(node)) {
+            scenario.max_duration = duration;
+        }
+        if let Some(node) = given.node("retry") {
+            let mut map = Reader::new(file, "given.retry", node, faults);
+            let delay = map.read("after", faults, |node| self.time(node));
+            let next_limiter = map.take("elsewhere", faults, flag);
+            map.end(faults);
+            scenario.retry = Some(RetryPolicy {
+                delay: delay.unwrap_or(DEFAULT_RETRY_DELAY),
+                next_limiter: next_limiter.unwrap_or(true),
+            });
+        }
+    }
+}
+
+/// Whether limiters are consecutive indices, modulo the number of all limiters, and there is one at all.
+fn are_consecutive(limiters: &[usize], limiter_count: usize) -> bool {
+    let follows = |pair: &[usize]| pair[1] == (pair[0] + 1) % limiter_count.max(1);
+    !limiters.is_empty() && limiters.windows(2).all(follows)
+}
+
+/// Reads the counter: its mode alone, or a map.
+fn read_counter(counter: &mut CounterSetup, node: &Node, file: &Arc<str>, faults: &mut Faults) {
+    if let Content::Text(_) = node.content {
+        match counter_mode(node) {
+            Ok(mode) => counter.mode = mode,
+            Err(problem) => faults.add(file, node.place, "given.counter", problem.to_string()),
+        }
+        return;
+    }
+    let mut map = Reader::new(file, "given.counter", node, faults);
+    if let Some(mode) = map.read("is", faults, counter_mode) {
+        counter.mode = mode;
+    }
+    let outcomes = map.read("calls", faults, |node| {
+        keywords(node, &COUNTER_CALL_OUTCOMES)
+    });
+    if let Some(outcomes) = outcomes {
+        counter.call_outcomes = outcomes;
+    }
+    if let Some(duration) = map.take("call", faults, quantity::time) {
+        counter.call_duration = duration;
+    }
+    if let Some(shards) = map.take("parts", faults, |node| quantity::count(node, 1..=64)) {
+        counter.shards = shards as u32;
+    }
+    map.end(faults);
+}
+
+/// A counter's mode: `normal`, `silent`, `refusing`, `slow 5`.
+pub(super) fn counter_mode(node: &Node) -> Result<CounterMode, ValueError> {
+    let keyword = text(node)?;
+    let Some(factor) = keyword.strip_prefix("slow ") else {
+        return Ok(one_of(&keyword, &COUNTER_MODES)?);
+    };
+    match factor.trim().parse::<f64>() {
+        Ok(factor) if (1.0..=MAX_SLOW_FACTOR).contains(&factor) => Ok(CounterMode::Slow(factor)),
+        _ => Err(ValueError::InvalidFactor {
+            factor: factor.to_owned(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/expectations/src/compile/installation.rs
@@ -0,0 +1,316 @@
+//! The installation: zones, limiters, delays, hosts, and the facts that no setting changes.
+
+use super::reading::{index_of, index_of_name, index_of_process, members, TypedReader};
+use quartzcleat_config::reader::{flag, list};
+use quartzcleat_config::tree::{Content, Node, Place};
+use quartzcleat_config::{quantity, Day, Faults, Reader};
+use quartzcleat_decision::api::{Class, Effect, Group, HostState, Nanos, Settings};
+use quartzcleat_invariants::{Process, Processes};
+use quartzcleat_simulation::scenario::{HostSetup, NetworkDelays};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// The work of a request where the installation states none for its class.
+const DEFAULT_WORK: Nanos = 100_000_000;
+
+/// How the hosts treat repeats of a class's requests.
+#[derive(Clone, Copy)]
+struct Repeats {
+    effect: Effect,
+    group: Group,
+}
+
+const REPEATS: [(&str, Repeats); 5] = [
+    ("safe", repeats(Effect::Retryable, Group::All)),
+    ("never", repeats(Effect::Unsafe, Group::Cell)),
+    ("dropped by all", repeats(Effect::Keyed, Group::All)),
+    ("dropped by the room", repeats(Effect::Keyed, Group::Zone)),
+    ("dropped by the cell", repeats(Effect::Keyed, Group::Cell)),
+];
+
+const fn repeats(effect: Effect, group: Group) -> Repeats {
+    Repeats { effect, group }
+}
+
+/// What an installation and an expectation give beside the settings.
+pub(super) struct Installation {
+    pub(super) processes: Processes,
+    pub(super) hosts: Vec<HostSetup>,
+    pub(super) network: NetworkDelays,
+    /// What holds in truth, whatever the settings say.
+    pub(super) ground_truth: Settings,
+    /// The work of a request, by class.
+    pub(super) work: Vec<Nanos>,
+}
+
+impl Installation {
+    /// Reads the installation's file.
+    pub(super) fn read(top: &mut Reader<'_>, deployment: &Day, faults: &mut Faults) -> Self {
+        let file = top.file();
+        let classes = &deployment.settings.classes;
+        let mut zones = read_names(top, "rooms", faults);
+        if zones.is_empty() {
+            zones.clone_from(&deployment.rooms);
+        }
+        let limiters = read_limiters(top.node("limiters"), file, &zones, faults);
+        let mut installation = Installation {
+            processes: Processes {
+                zones,
+                limiters,
+                classes: classes.iter().map(|class| class.name.clone()).collect(),
+                ..Processes::default()
+            },
+            hosts: Vec::new(),
+            network: read_network(top.node("net"), file, faults),
+            ground_truth: deployment.settings.clone(),
+            work: vec![DEFAULT_WORK; classes.len()],
+        };
+        installation.read_facts(top.node("facts"), file, faults);
+        installation.read_hosts(top.node("nodes"), file, faults);
+        installation
+    }
+
+    /// Reads what an expectation gives in place of the installation's.
+    pub(super) fn read_given(&mut self, given: &mut Reader<'_>, faults: &mut Faults) {
+        let file = given.file();
+        self.read_hosts(given.node("nodes"), file, faults);
+        if let Some(node) = given.node("net") {
+            self.network = read_network(Some(node), file, faults);
+        }
+        self.read_facts(given.node("facts"), file, faults);
+    }
+
+    fn read_facts(&mut self, node: Option<&Node>, file: &Arc<str>, faults: &mut Faults) {
+        let Some(node) = node else { return };
+        let truth = &mut self.ground_truth;
+        let mut map = Reader::new(file, "facts", node, faults);
+        replace(
+            &mut truth.drain_grace,
+            map.take("drain", faults, quantity::time),
+        );
+        let max_attempts = map.take("attempts", faults, |node| quantity::count(node, 1..=100));
+        replace(
+            &mut truth.max_attempts,
+            max_attempts.map(|count| count as u32),
+        );
+        if let Some(node) = map.node("cold") {
+            read_slow_start(truth, node, file, faults);
+        }
+        if let Some(node) = map.node("classes") {
+            self.read_class_facts(node, file, faults);
+        }
+        map.end(faults);
+    }
+
+    fn read_class_facts(&mut self, node: &Node, file: &Arc<str>, faults: &mut Faults) {
+        let names = &self.processes.classes;
+        for (name, place, node) in members(node, file, "facts.classes", faults) {
+            let path = format!("facts.classes.{name}");
+            match index_of_name(name, names, "class") {
+                Ok(index) => {
+                    let class = &mut self.ground_truth.classes[index];
+                    let mut map = Reader::new(file, &path, node, faults);
+                    read_class(&mut map, class, &mut self.work[index], faults);
+                    map.end(faults);
+                }
+                Err(problem) => faults.add(file, *place, path, problem.to_string()),
+            }
+        }
+    }
+
+    /// Hosts: a map of names with what differs from a usual host, or a list of the names that are there at all.
+    fn read_hosts(&mut self, node: Option<&Node>, file: &Arc<str>, faults: &mut Faults) {
+        let Some(node) = node else { return };
+        if let Content::List(names) = &node.content {
+            self.keep_hosts(names, file, faults);
+            return;
+        }
+        for (name, _, node) in members(node, file, "nodes", faults) {
+            let index = self.host_index(name);
+            let mut map = Reader::new(file, &format!("nodes.{name}"), node, faults);
+            let zones = &self.processes.zones;
+            let zone = map.read("room", faults, |node| index_of(node, zones, "room"));
+            let host = &mut self.processes.hosts[index];
+            replace(&mut host.zone, zone.map(|zone| zone as u32));
+            let cell = map.take("cell", faults, |node| quantity::count(node, 0..=1_000_000));
+            replace(&mut host.cell, cell.map(|cell| cell as u32));
+            read_host_setup(&mut map, &mut self.hosts[index], faults);
+            map.end(faults);
+        }
+    }
+
+    /// The index of a host, which is added where it is not known yet.
+    fn host_index(&mut self, name: &str) -> usize {
+        let hosts = &mut self.processes.hosts;
+        if let Some(index) = hosts.iter().position(|host| host.name == name) {
+            return index;
+        }
+        hosts.push(Process {
+            name: name.to_owned(),
+            ..Process::default()
+        });
+        self.hosts.push(HostSetup::default());
+        hosts.len() - 1
+    }
+
+    /// Keeps only the hosts of these names.
+    fn keep_hosts(&mut self, names: &[Node], file: &Arc<str>, faults: &mut Faults) {
+        let mut kept = BTreeSet::new();
+        for name in names {
+            match index_of_process(name, &self.processes.hosts, "node") {
+                Ok(index) => {
+                    kept.insert(index);
+                }
+                Err(problem) => faults.add(file, name.place, "nodes", problem.to_string()),
+            }
+        }
+        retain_indices(&mut self.processes.hosts, &kept);
+        retain_indices(&mut self.hosts, &kept);
+    }
+}
+
+/// Replaces a value, where there is a new one.
+fn replace<T>(target: &mut T, value: Option<T>) {
+    if let Some(value) = value {
+        *target = value;
+    }
+}
+
+fn retain_indices<T>(items: &mut Vec<T>, kept: &BTreeSet<usize>) {
+    let mut index = 0;
+    items.retain(|_| {
+        let is_kept = kept.contains(&index);
+        index += 1;
+        is_kept
+    });
+}
+
+fn read_names(reader: &mut Reader<'_>, key: &'static str, faults: &mut Faults) -> Vec<String> {
+    let Some(node) = reader.node(key) else {
+        return Vec::new();
+    };
+    let mut names = Vec::new();
+    for member in list(node) {
+        match member.text() {
+            Some(name) => names.push(name),
+            None => reader.fault(key, "not a list of names", faults),
+        }
+    }
+    names
+}
+
+fn read_limiters(
+    node: Option<&Node>,
+    file: &Arc<str>,
+    zones: &[String],
+    faults: &mut Faults,
+) -> Vec<Process> {
+    let Some(node) = node else {
+        let start = Place { line: 1, column: 1 };
+        faults.add(file, start, "limiters", "missing; write name: room lines");
+        return Vec::new();
+    };
+    let mut limiters = Vec::new();
+    for (name, place, zone) in members(node, file, "limiters", faults) {
+        match index_of(zone, zones, "room") {
+            Ok(zone) => limiters.push(Process {
+                name: name.clone(),
+                zone: zone as u32,
+                cell: 0,
+            }),
+            Err(problem) => {
+                faults.add(
+                    file,
+                    *place,
+                    format!("limiters.{name}"),
+                    problem.to_string(),
+                );
+            }
+        }
+    }
+    limiters
+}
+
+fn read_network(node: Option<&Node>, file: &Arc<str>, faults: &mut Faults) -> NetworkDelays {
+    let mut network = NetworkDelays::default();
+    let Some(node) = node else { return network };
+    let mut map = Reader::new(file, "net", node, faults);
+    replace(
+        &mut network.same_zone,
+        map.take("same", faults, quantity::time),
+    );
+    replace(
+        &mut network.cross_zone,
+        map.take("cross", faults, quantity::time),
+    );
+    replace(
+        &mut network.counter,
+        map.take("counter", faults, quantity::time),
+    );
+    map.end(faults);
+    network
+}
+
+fn read_slow_start(truth: &mut Settings, node: &Node, file: &Arc<str>, faults: &mut Faults) {
+    let mut map = Reader::new(file, "facts.cold", node, faults);
+    replace(
+        &mut truth.slow_start_floor,
+        map.take("from", faults, quantity::share),
+    );
+    replace(
+        &mut truth.slow_start_duration,
+        map.take("warm", faults, quantity::time),
+    );
+    replace(
+        &mut truth.overload_duration,
+        map.take("tip", faults, quantity::time),
+    );
+    replace(
+        &mut truth.overload_factor,
+        map.take("overload", faults, quantity::number),
+    );
+    map.end(faults);
+}
+
+fn read_class(map: &mut Reader<'_>, class: &mut Class, work: &mut Nanos, faults: &mut Faults) {
+    if let Some(repeats) = map.word("repeats", &REPEATS, faults) {
+        class.effect = repeats.effect;
+        class.group = repeats.group;
+    }
+    replace(
+        &mut class.dedup_window,
+        map.take("window", faults, quantity::time),
+    );
+    replace(work, map.take("work", faults, quantity::time));
+}
+
+fn read_host_setup(map: &mut Reader<'_>, setup: &mut HostSetup, faults: &mut Faults) {
+    let states = [
+        ("serving", HostState::Ready),
+        ("draining", HostState::Draining),
+    ];
+    replace(&mut setup.state, map.word("state", &states, faults));
+    if let Some(uptime) = map.take("age", faults, quantity::time) {
+        setup.uptime = Some(uptime);
+    }
+    let cores = map.take("cores", faults, |node| quantity::count(node, 1..=1024));
+    replace(&mut setup.cores, cores.map(|cores| cores as u32));
+    let capacity = map.take("slots", faults, |node| quantity::count(node, 0..=1_000_000));
+    replace(
+        &mut setup.queue_capacity,
+        capacity.map(|capacity| capacity as usize),
+    );
+    if let Some(speed) = map.take("speed", faults, quantity::number) {
+        if speed > 0.0 {
+            setup.speed = speed;
+        } else {
+            let problem = "0; a node that does nothing is one that dies";
+            map.fault("speed", problem, faults);
+        }
+    }
+    replace(
+        &mut setup.weight,
+        map.take("weight", faults, quantity::number),
+    );
+    replace(&mut setup.absent, map.take("absent", faults, flag));
+}
--- /dev/null
+++ b/crates/expectations/src/compile/reading.rs
@@ -0,0 +1,211 @@
+//! Reading values of the files, as far as several parts of an expectation share it.
+
+use super::Compiler;
+use crate::error::ValueError;
+use quartzcleat_config::reader::{list, one_of, text};
+use quartzcleat_config::tree::{Content, Node, Place};
+use quartzcleat_config::{figure, Faults, Reader};
+use quartzcleat_decision::api::Nanos;
+use quartzcleat_invariants::Process;
+use std::sync::Arc;
+
+/// Reads keys by functions with typed errors.
+pub(super) trait TypedReader<'a> {
+    /// Reads a key, where it is there.
+    fn read<T>(
+        &mut self,
+        key: &'static str,
+        faults: &mut Faults,
+        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
+    ) -> Option<T>;
+
+    /// Reads a key that must be there.
+    fn require<T>(
+        &mut self,
+        key: &'static str,
+        faults: &mut Faults,
+        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
+    ) -> Option<T>;
+}
+
+impl<'a> TypedReader<'a> for Reader<'a> {
+    fn read<T>(
+        &mut self,
+        key: &'static str,
+        faults: &mut Faults,
+        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
+    ) -> Option<T> {
+        self.take(key, faults, |node| {
+            read(node).map_err(|error| error.to_string())
+        })
+    }
+
+    fn require<T>(
+        &mut self,
+        key: &'static str,
+        faults: &mut Faults,
+        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
+    ) -> Option<T> {
+        self.need(key, faults, |node| {
+            read(node).map_err(|error| error.to_string())
+        })
+    }
+}
+
+/// The members of a map whose keys are names.
+pub(super) fn members<'a>(
+    node: &'a Node,
+    file: &Arc<str>,
+    key: &str,
+    faults: &mut Faults,
+) -> &'a [(String, Place, Node)] {
+    match &node.content {
+        Content::Map(members) => members,
+        Content::Null => &[],
+        _ => {
+            faults.add(file, node.place, key, "not a map of names");
+            &[]
+        }
+    }
+}
+
+/// The index of a name.
+pub(super) fn index_of(
+    node: &Node,
+    names: &[String],
+    kind: &'static str,
+) -> Result<usize, ValueError> {
+    index_of_name(&text(node)?, names, kind)
+}
+
+/// The index of a name that was read before.
+pub(super) fn index_of_name(
+    name: &str,
+    names: &[String],
+    kind: &'static str,
+) -> Result<usize, ValueError> {
+    names
+        .iter()
+        .position(|known| known == name)
+        .ok_or_else(|| ValueError::unknown_name(kind, name, names))
+}
+
+/// The index of a process by its name.
+pub(super) fn index_of_process(
+    node: &Node,
+    processes: &[Process],
+    kind: &'static str,
+) -> Result<usize, ValueError> {
+    index_of(node, &process_names(processes), kind)
+}
+
+/// The names of processes.
+pub(super) fn process_names(processes: &[Process]) -> Vec<String> {
+    processes
+        .iter()
+        .map(|process| process.name.clone())
+        .collect()
+}
+
+/// One keyword or a list of them.
+pub(super) fn keywords<T: Copy>(node: &Node, known: &[(&str, T)]) -> Result<Vec<T>, ValueError> {
+    let values: Vec<T> = list(node)
+        .iter()
+        .map(|node| Ok(one_of(&text(node)?, known)?))
+        .collect::<Result<_, ValueError>>()?;
+    if values.is_empty() {
+        return Err(ValueError::NoKeyword);
+    }
+    Ok(values)
+}
+
+/// The texts for a map that has none or several of the keys that tell what it is.
+pub(super) struct KindTexts {
+    /// For none of them.
+    pub(super) none: &'static str,
+    /// For several.
+    pub(super) several: &'static str,
+}
+
+/// The one key of a map that tells what it is, or what is wrong.
+pub(super) fn sole_kind(
+    node: &Node,
+    kinds: &[&'static str],
+    texts: &KindTexts,
+) -> Result<&'static str, String> {
+    let found: Vec<&'static str> = kinds
+        .iter()
+        .copied()
+        .filter(|kind| node.get(kind).is_some())
+        .collect();
+    match found.as_slice() {
+        [kind] => Ok(kind),
+        [] => Err(format!("{}; one of {}", texts.none, kinds.join(", "))),
+        several => Err(format!(
+            "{} at once; {}",
+            several.join(" and "),
+            texts.several
+        )),
+    }
+}
+
+impl Compiler<'_> {
+    /// A time, which may be a formula over the settings.
+    pub(super) fn time(&mut self, node: &Node) -> Result<Nanos, ValueError> {
+        let (value, keys) = figure::time(node, &|name| self.deployment.look(name))?;
+        self.setting_keys.extend(keys);
+        Ok(value)
+    }
+
+    /// One time or a list of them.
+    pub(super) fn times(&mut self, node: &Node) -> Result<Vec<Nanos>, ValueError> {
+        let times: Vec<Nanos> = list(node)
+            .iter()
+            .map(|node| self.time(node))
+            .collect::<Result<_, _>>()?;
+        if times.is_empty() {
+            return Err(ValueError::NoTime);
+        }
+        Ok(times)
+    }
+
+    /// A number, which may be a formula over the settings.
+    pub(super) fn number(&mut self, node: &Node) -> Result<f64, ValueError> {
+        let (value, keys) = figure::number(node, &|name| self.deployment.look(name))?;
+        self.setting_keys.extend(keys);
+        Ok(value)
+    }
+
+    /// One number or a list of them.
+    pub(super) fn numbers(&mut self, node: &Node) -> Result<Vec<f64>, ValueError> {
+        list(node).iter().map(|node| self.number(node)).collect()
+    }
+
+    /// A class by its name.
+    pub(super) fn class(&self, node: &Node) -> Result<usize, ValueError> {
+        index_of(node, &self.processes.classes, "class")
+    }
+
+    /// One partner or a list of them, by name.
+    pub(super) fn partners<C: FromIterator<usize>>(&self, node: &Node) -> Result<C, ValueError> {
+        list(node)
+            .iter()
+            .map(|node| index_of(node, &self.processes.partners, "partner"))
+            .collect()
+    }
+
+    /// A limiter by its name.
+    pub(super) fn limiter(&self, node: &Node) -> Result<usize, ValueError> {
+        index_of_process(node, &self.processes.limiters, "limiter")
+    }
+
+    /// One limiter or a list of them, by name.
+    pub(super) fn limiters(&self, node: &Node) -> Result<Vec<usize>, ValueError> {
+        list(node).iter().map(|node| self.limiter(node)).collect()
+    }
+
+    /// A host by its name.
+    pub(super) fn host(&self, node: &Node) -> Result<usize, ValueError> {
+        index_of_process(node, &self.processes.hosts, "node")
+    }
+}
--- /dev/null
+++ b/crates/expectations/src/compile/requests.rs
@@ -0,0 +1,206 @@
+//! The requests that a step stands for.
+
+use super::reading::TypedReader;
+use super::{Compiler, MAX_REQUESTS};
+use crate::error::ValueError;
+use crate::requirement::RequestKind;
+use quartzcleat_config::reader::text;
+use quartzcleat_config::tree::Node;
+use quartzcleat_config::{Faults, Reader};
+use quartzcleat_decision::api::Nanos;
+use quartzcleat_simulation::scenario::ClientRequest;
+
+/// A request and its delay after the step's moment.
+pub(super) struct DelayedRequest {
+    pub(super) delay: Nanos,
+    pub(super) request: ClientRequest,
+}
+
+/// What a step says of its requests.
+struct RequestTemplate {
+    kind: RequestKind,
+    /// The class of first requests, or the mark of the operation that is retried.
+    name: Option<String>,
+    class: usize,
+    /// The partners in turn.
+    partners: Vec<usize>,
+    /// The limiters in turn; `None` or empty for those of the partner.
+    limiters: Option<Vec<usize>>,
+    /// The units in turn.
+    units: Option<Vec<f64>>,
+    true_units: f64,
+    count: usize,
+    interval: Nanos,
+    timeout: Option<Nanos>,
+    mark: Option<String>,
+}
+
+impl Compiler<'_> {
+    /// Reads the requests of a step.
+    pub(super) fn read_requests(
+        &mut self,
+        map: &mut Reader<'_>,
+        kind: RequestKind,
+        faults: &mut Faults,
+    ) -> Vec<DelayedRequest> {
+        let Some(template) = self.read_template(map, kind, faults) else {
+            return Vec::new();
+        };
+        let mut requests = Vec::with_capacity(template.count);
+        for number in 0..template.count {
+            let Some(request) = self.request(&template, number, map, faults) else {
+                return Vec::new();
+            };
+            requests.push(DelayedRequest {
+                delay: template.interval * number as u64,
+                request,
+            });
+        }
+        requests
+    }
+
+    fn read_template(
+        &mut self,
+        map: &mut Reader<'_>,
+        kind: RequestKind,
+        faults: &mut Faults,
+    ) -> Option<RequestTemplate> {
+        let name = match kind {
+            RequestKind::First => map.take("request", faults, text),
+            RequestKind::Retry => map.take("retry", faults, text),
+        };
+        let class = match kind {
+            RequestKind::First => map.read("request", faults, |node| self.class(node)),
+            RequestKind::Retry => map.require("class", faults, |node| self.class(node)),
+        };
+        let partners: Option<Vec<usize>> = map.require("from", faults, |node| self.partners(node));
+        let limiters = map.read("through", faults, |node| self.limiters(node));
+        let units = map.read("units", faults, |node| self.units(node));
+        let true_units = map.read("cost", faults, |node| self.number(node));
+        if true_units.is_some() && !self.deployment.settings.settled_later {
+            let problem = "units are no guess on this day (familyInfo.costAfter)";
+            map.fault("cost", problem, faults);
+        }
+        let count = map.read("count", faults, |node| self.request_count(node));
+        let interval = map.read("every", faults, |node| self.time(node));
+        let timeout = map.read("wait", faults, |node| self.time(node));
+        let mark = map.take("mark", faults, text);
+        let count = count.unwrap_or(1);
+        if mark.is_some() && count > 1 {
+            map.fault("mark", "names one request, and there are several", faults);
+        }
+        Some(RequestTemplate {
+            kind,
+            name,
+            class: class?,
+            partners: partners.filter(|partners| !partners.is_empty())?,
+            limiters: limiters.filter(|limiters| !limiters.is_empty()),
+            units,
+            true_units: true_units.unwrap_or(0.0),
+            count,
+            interval: interval.unwrap_or(0),
+            timeout,
+            mark,
+        })
+    }
+
+    /// The units of requests in turn.
+    fn units(&mut self, node: &Node) -> Result<Vec<f64>, ValueError> {
+        let largest = self.deployment.settings.largest_request;
+        let max = if largest > 0.0 { largest } else { f64::MAX };
+        let units = self.numbers(node)?;
+        let is_invalid = |units: &&f64| !(**units > 0.0 && **units <= max);
+        match units.iter().find(is_invalid) {
+            Some(&units) => Err(ValueError::UnitsOutOfRange { units, max }),
+            None => Ok(units),
+        }
+    }
+
+    fn request_count(&mut self, node: &Node) -> Result<usize, ValueError> {
+        let count = self.number(node)?.ceil();
+        let max = MAX_REQUESTS;
+        if (1.0..=max as f64).contains(&count) {
+            Ok(count as usize)
+        } else {
+            Err(ValueError::CountOutOfRange { count, max })
+        }
+    }
+
+    /// One request of a step.
+    fn request(
+        &mut self,
+        template: &RequestTemplate,
+        number: usize,
+        map: &Reader<'_>,
+        faults: &mut Faults,
+    ) -> Option<ClientRequest> {
+        let partner_index = in_turn(&template.partners, number);
+        let partner = &self.partners[partner_index];
+        let limiters = template.limiters.as_ref().unwrap_or(&partner.limiters);
+        let limiter = in_turn(limiters, number);
+        if !partner.limiters.contains(&limiter) {
+            let limiter = self.processes.limiter(limiter);
+            let partner = &self.processes.partners[partner_index];
+            map.fault(
+                "through",
+                format!("{limiter} is not of {partner}'s set"),
+                faults,
+            );
+            return None;
+        }
+        let plan = partner.plan;
+        let limiter_set = partner.limiter_set;
+        let operation = self.operation_of(template, map, faults)?;
+        let deadline = self.deployment.settings.classes[template.class].deadline;
+        Some(ClientRequest {
+            operation,
+            class: template.class,
+            partner: partner_index,
+            plan,
+            units: template
+                .units
+                .as_ref()
+                .map_or(1.0, |units| in_turn(units, number)),
+            true_units: template.true_units,
+            limiter,
+            limiter_set,
+            timeout: template.timeout.unwrap_or(deadline).min(deadline),
+            retry: template.kind == RequestKind::Retry,
+        })
+    }
+
+    /// The operation of a request: the one that it retries, or a new one.
+    fn operation_of(
+        &mut self,
+        template: &RequestTemplate,
+        map: &Reader<'_>,
+        faults: &mut Faults,
+    ) -> Option<u64> {
+        match (template.kind, &template.name, &template.mark) {
+            (RequestKind::Retry, Some(name), _) => {
+                let operation = self.operations.get(name).copied();
+                if operation.is_none() {
+                    let problem = format!("no request before it is marked {name:?}");
+                    map.fault("retry", problem, faults);
+                }
+                operation
+            }
+            (RequestKind::First, _, Some(mark)) => Some(self.marked_operation(mark)),
+            _ => {
+                let unmarked = format!("#{}", self.operations.len());
+                Some(self.marked_operation(&unmarked))
+            }
+        }
+    }
+
+    /// The operation of a mark, which is a new one where the mark is new.
+    fn marked_operation(&mut self, mark: &str) -> u64 {
+        let next = self.operations.len() as u64 + 1;
+        *self.operations.entry(mark.to_owned()).or_insert(next)
+    }
+}
+
+/// The value whose turn it is.
+fn in_turn<T: Copy>(values: &[T], number: usize) -> T {
+    values[number % values.len()]
+}
--- /dev/null
+++ b/crates/expectations/src/compile/requirements.rs
@@ -0,0 +1,252 @@
+//! Requirements: which requests they are about, and what must hold, with formulas evaluated.
+
+use super::reading::{index_of_name, process_names, sole_kind, KindTexts, TypedReader};
+use super::Compiler;
+use crate::error::ValueError;
+use crate::requirement::{
+    Bounds, Condition, Metric, RequestEvent, RequestFilter, RequestKind, Requirement,
+};
+use quartzcleat_config::reader::{one_of, text};
+use quartzcleat_config::tree::{Content, Node};
+use quartzcleat_config::{quantity, Faults, Reader};
+use quartzcleat_decision::api::{HostState, Nanos};
+use std::sync::Arc;
+
+/// The keys that tell what a requirement demands.
+const KINDS: [&str; 14] = [
+    "never",
+    "always",
+    "attempts",
+    "runs",
+    "open",
+    "units",
+    "sent",
+    "served",
+    "refused",
+    "failed",
+    "crossings",
+    "share",
+    "answered",
+    "told",
+];
+
+const KIND_TEXTS: KindTexts = KindTexts {
+    none: "demands nothing",
+    several: "write an entry for each",
+};
+
+/// What bounds are written in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BoundUnit {
+    Time,
+    /// A number, or a share as a percentage.
+    Number,
+}
+
+/// Bounds, and the host that a share is of, where one is named.
+struct HostBounds {
+    bounds: Bounds,
+    host: Option<usize>,
+}
+
+/// A requirement's place in its file.
+struct Location<'a> {
+    file: &'a Arc<str>,
+    path: String,
+}
+
+impl Compiler<'_> {
+    pub(super) fn read_requirement(
+        &mut self,
+        file: &Arc<str>,
+        index: usize,
+        node: &Node,
+        faults: &mut Faults,
+    ) -> Option<Requirement> {
+        let location = Location {
+            file,
+            path: format!("must.{index}"),
+        };
+        let mut map = Reader::new(file, &location.path, node, faults);
+        let filter = self.read_filter(&mut map, faults);
+        let kind = match sole_kind(node, &KINDS, &KIND_TEXTS) {
+            Ok(kind) => kind,
+            Err(problem) => {
+                faults.add(file, node.place, location.path, problem);
+                return None;
+            }
+        };
+        let grace = map.read("within", faults, |node| self.time(node));
+        let condition = self.read_condition(kind, &mut map, grace.unwrap_or(0), &location, faults);
+        map.end(faults);
+        Some(Requirement {
+            filter,
+            condition: condition?,
+            line: node.place.line,
+        })
+    }
+
+    fn read_filter(&mut self, map: &mut Reader<'_>, faults: &mut Faults) -> RequestFilter {
+        let kinds = [
+            ("first", RequestKind::First),
+            ("further", RequestKind::Retry),
+        ];
+        RequestFilter {
+            class: map.read("class", faults, |node| self.class(node)),
+            partners: map.read("from", faults, |node| self.partners(node)),
+            limiter: map.read("through", faults, |node| self.limiter(node)),
+            operation: map.read("mark", faults, |node| self.marked(node)),
+            after: map
+                .read("after", faults, |node| self.time(node))
+                .unwrap_or(0),
+            until: map.read("until", faults, |node| self.time(node)),
+            kind: map.word("tries", &kinds, faults),
+        }
+    }
+
+    fn marked(&self, node: &Node) -> Result<u64, ValueError> {
+        let name = text(node)?;
+        let operation = self.operations.get(&name).copied();
+        operation.ok_or(ValueError::UnknownMark { name })
+    }
+
+    fn read_condition(
+        &mut self,
+        kind: &'static str,
+        map: &mut Reader<'_>,
+        grace: Nanos,
+        location: &Location<'_>,
+        faults: &mut Faults,
+    ) -> Option<Condition> {
+        match kind {
+            "never" => map
+                .read("never", faults, |node| self.event(node, grace))
+                .map(Condition::Never),
+            "always" => map
+                .read("always", faults, |node| match self.event(node, grace)? {
+                    RequestEvent::ReachesUnavailableHost { .. }
+                    | RequestEvent::ReachesHostTwice => Err(ValueError::NotForEveryRequest),
+                    event => Ok(event),
+                })
+                .map(Condition::Always),
+            "answered" => map
+                .read("answered", faults, |node| self.time(node))
+                .map(Condition::AnsweredWithin),
+            "told" => {
+                let node = map.node("told")?;
+                let key = format!("{}.told", location.path);
+                let read = self.read_bounds(location.file, &key, node, BoundUnit::Time, faults);
+                Some(Condition::RetryAfter(read.bounds))
+            }
+            kind => self.read_metric(kind, map, location, faults),
+        }
+    }
+
+    fn read_metric(
+        &mut self,
+        kind: &'static str,
+        map: &mut Reader<'_>,
+        location: &Location<'_>,
+        faults: &mut Faults,
+    ) -> Option<Condition> {
+        let node = map.node(kind)?;
+        let key = format!("{}.{kind}", location.path);
+        let HostBounds { bounds, host } =
+            self.read_bounds(location.file, &key, node, BoundUnit::Number, faults);
+        let metric = match kind {
+            "attempts" => Metric::Attempts,
+            "runs" => Metric::Executions,
+            "open" => Metric::AttemptsInFlight,
+            "units" => Metric::ForwardedUnits,
+            "sent" => Metric::Forwarded,
+            "served" => Metric::Served,
+            "refused" => Metric::Rejected,
+            "failed" => Metric::Failed,
+            "crossings" => Metric::CrossZoneAttempts,
+            _ => {
+                let Some(host) = host else {
+                    let problem = "missing; name a node";
+                    faults.add(location.file, node.place, format!("{key}.of"), problem);
+                    return None;
+                };
+                Metric::HostShare(host)
+            }
+        };
+        Some(Condition::Metric { metric, bounds })
+    }
+
+    /// An event in words.
+    fn event(&self, node: &Node, grace: Nanos) -> Result<RequestEvent, ValueError> {
+        let words = text(node)?;
+        if let Some(name) = words.strip_prefix("reaches node ") {
+            let names = process_names(&self.processes.hosts);
+            return index_of_name(name, &names, "node").map(RequestEvent::ReachesHost);
+        }
+        let reaches = |state| RequestEvent::ReachesUnavailableHost { state, grace };
+        let events = [
+            ("reaches a draining node", reaches(HostState::Draining)),
+            ("reaches a lost node", reaches(HostState::Gone)),
+            ("reaches a cold node", RequestEvent::ReachesWarmingUpHost),
+            ("leaves its room", RequestEvent::LeavesZone),
+            ("meets a node twice", RequestEvent::ReachesHostTwice),
+            ("is refused", RequestEvent::Rejected),
+            ("is refused untold", RequestEvent::RejectedWithoutRetryAfter),
+            ("is served", RequestEvent::Served),
+            ("fails", RequestEvent::Failed),
+        ];
+        Ok(one_of(&words, &events)?)
+    }
+
+    /// Bounds from `{at least: ..., at most: ...}` or from one value, which is the upper bound.
+    fn read_bounds(
+        &mut self,
+        file: &Arc<str>,
+        key: &str,
+        node: &Node,
+        unit: BoundUnit,
+        faults: &mut Faults,
+    ) -> HostBounds {
+        let mut bounds = Bounds::default();
+        if !matches!(node.content, Content::Map(_)) {
+            match self.bound(node, unit, &mut bounds.is_share) {
+                Ok(at_most) => bounds.at_most = Some(at_most),
+                Err(problem) => faults.add(file, node.place, key, problem.to_string()),
+            }
+            return HostBounds { bounds, host: None };
+        }
+        let mut map = Reader::new(file, key, node, faults);
+        let is_share = &mut bounds.is_share;
+        let at_least = map.read("at least", faults, |node| self.bound(node, unit, is_share));
+        let at_most = map.read("at most", faults, |node| self.bound(node, unit, is_share));
+        let host = map.read("of", faults, |node| self.host(node));
+        if at_least.is_none() && at_most.is_none() {
+            map.fault("at most", "missing, and at least too", faults);
+        }
+        let is_empty = |(at_least, at_most)| at_least > at_most;
+        if at_least.zip(at_most).is_some_and(is_empty) {
+            let problem = "more than at most; nothing lies between";
+            map.fault("at least", problem, faults);
+        }
+        map.end(faults);
+        bounds.at_least = at_least;
+        bounds.at_most = at_most;
+        HostBounds { bounds, host }
+    }
+
+    /// One bound. A percentage makes the bounds those of a share.
+    fn bound(
+        &mut self,
+        node: &Node,
+        unit: BoundUnit,
+        is_share: &mut bool,
+    ) -> Result<f64, ValueError> {
+        if unit == BoundUnit::Time {
+            return self.time(node).map(|nanos| nanos as f64);
+        }
+        if node.text().is_some_and(|text| text.ends_with('%')) {
+            *is_share = true;
+            return Ok(quantity::share(node)?);
+        }
+        self.number(node)
+    }
+}
--- /dev/null
+++ b/crates/expectations/src/compile/steps.rs
@@ -0,0 +1,138 @@
+//! Steps: what happens, and when.
+
+use super::given::counter_mode;
+use super::reading::{sole_kind, KindTexts, TypedReader};
+use super::Compiler;
+use crate::requirement::RequestKind;
+use quartzcleat_config::reader::text;
+use quartzcleat_config::tree::Node;
+use quartzcleat_config::{quantity, Faults, Reader};
+use quartzcleat_simulation::scenario::{ScenarioEvent, Step};
+use std::sync::Arc;
+
+/// The keys that tell what happens in a step.
+const KINDS: [&str; 12] = [
+    "request",
+    "retry",
+    "drain",
+    "die",
+    "vanish",
+    "start",
+    "replace",
+    "slow",
+    "counter",
+    "discovery",
+    "stop",
+    "restart",
+];
+
+const KIND_TEXTS: KindTexts = KindTexts {
+    none: "nothing happens here",
+    several: "write a step for each",
+};
+
+impl Compiler<'_> {
+    /// Reads a step, which stands for several where it has several requests.
+    pub(super) fn read_step(
+        &mut self,
+        file: &Arc<str>,
+        index: usize,
+        node: &Node,
+        steps: &mut Vec<Step>,
+        faults: &mut Faults,
+    ) {
+        let path = format!("when.{index}");
+        let mut map = Reader::new(file, &path, node, faults);
+        let moments = map.read("at", faults, |node| self.times(node));
+        let moments = moments.unwrap_or_else(|| vec![0]);
+        let reorder_group = map.take("order", faults, |node| match text(node)?.as_str() {
+            "free" => Ok(0),
+            _ => quantity::count(node, 1..=100).map(|group| group as u32),
+        });
+        let kind = match sole_kind(node, &KINDS, &KIND_TEXTS) {
+            Ok(kind) => kind,
+            Err(problem) => {
+                faults.add(file, node.place, path, problem);
+                return;
+            }
+        };
+        let request_kind = match kind {
+            "request" => Some(RequestKind::First),
+            "retry" => Some(RequestKind::Retry),
+            _ => None,
+        };
+        if let Some(request_kind) = request_kind {
+            for delayed in self.read_requests(&mut map, request_kind, faults) {
+                let delay = delayed.delay;
+                steps.push(Step {
+                    moments: moments.iter().map(|moment| moment + delay).collect(),
+                    event: ScenarioEvent::Request(delayed.request),
+                    reorder_group,
+                });
+            }
+        } else if let Some(event) = self.read_event(kind, &mut map, faults) {
+            steps.push(Step {
+                moments,
+                event,
+                reorder_group,
+            });
+        }
+        map.end(faults);
+    }
+
+    /// Reads an event of the environment.
+    fn read_event(
+        &self,
+        kind: &'static str,
+        map: &mut Reader<'_>,
+        faults: &mut Faults,
+    ) -> Option<ScenarioEvent> {
+        let host_event: fn(usize) -> ScenarioEvent = match kind {
+            "drain" => ScenarioEvent::DrainHost,
+            "die" => ScenarioEvent::KillHost,
+            "vanish" => ScenarioEvent::IsolateHost,
+            "start" => ScenarioEvent::StartHost,
+            "replace" => return self.read_replacement(map, faults),
+            "slow" => {
+                let host = map.read("slow", faults, |node| self.host(node));
+                let speed = map.need("to", faults, quantity::number);
+                return Some(ScenarioEvent::SetHostSpeed {
+                    host: host?,
+                    speed: speed?,
+                });
+            }
+            "counter" => {
+                return map.read("counter", faults, |node| match text(node)?.as_str() {
+                    "empty" => Ok(ScenarioEvent::ClearCounter),
+                    _ => counter_mode(node).map(ScenarioEvent::SetCounterMode),
+                });
+            }
+            "discovery" => {
+                let keywords = [("silent", false), ("tells", true)];
+                let is_notifying = map.word("discovery", &keywords, faults);
+                return is_notifying.map(ScenarioEvent::SetDiscovery);
+            }
+            "stop" => {
+                let limiter = map.read("stop", faults, |node| self.limiter(node));
+                return limiter.map(ScenarioEvent::KillLimiter);
+            }
+            _ => {
+                let limiter = map.read("restart", faults, |node| self.limiter(node));
+                return limiter.map(ScenarioEvent::StartLimiter);
+            }
+        };
+        map.read(kind, faults, |node| self.host(node))
+            .map(host_event)
+    }
+
+    fn read_replacement(&self, map: &mut Reader<'_>, faults: &mut Faults) -> Option<ScenarioEvent> {
+        let old = map.read("replace", faults, |node| self.host(node));
+        let new = map.require("by", faults, |node| self.host(node));
+        let (old, new) = (old?, new?);
+        if !self.hosts[new].absent || old == new {
+            map.fault("by", "is there already; give it absent: true", faults);
+            return None;
+        }
+        Some(ScenarioEvent::ReplaceHost { old, new })
+    }
+}
--- /dev/null
+++ b/crates/expectations/src/evaluation.rs
@@ -0,0 +1,230 @@
+//! Evaluates the requirements of an expectation on the records of one run.
+//!
+//! An [`Evaluation`] also states how often the run exercised the requirement and the value that it came to, so that
+//! what was never tested is not taken for what holds.
+
+mod bounds;
+mod events;
+mod metrics;
+
+use crate::compile::CompiledExpectation;
+use crate::history::{RequestHistory, RunHistory};
+use crate::requirement::{Bounds, Condition, RequestFilter, Requirement};
+use bounds::Unit;
+use quartzcleat_config::quantity::show_time;
+use quartzcleat_decision::api::{Nanos, RequestId};
+use quartzcleat_invariants::{check, Answer, InvariantLimits, Processes, Record};
+
+/// How a run violates a requirement or an invariant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Violation {
+    /// When.
+    pub at: Nanos,
+    /// The request, where one is concerned.
+    pub request: Option<RequestId>,
+    /// What happened.
+    pub description: String,
+}
+
+/// How a run fares by one requirement.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Evaluation {
+    /// The first violation, where there is one.
+    pub violation: Option<Violation>,
+    /// How often the run exercised the requirement.
+    pub exercised: u64,
+    /// The value that it came to: the largest, or the number of events.
+    pub value: f64,
+}
+
+/// The first violation of a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunFailure {
+    /// The index of the requirement; `None` for an invariant.
+    pub requirement: Option<usize>,
+    /// The violation.
+    pub violation: Violation,
+}
+
+/// How a run fares by all requirements and invariants.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Judgement {
+    /// One evaluation for each requirement.
+    pub evaluations: Vec<Evaluation>,
+    /// The first violation in time, where there is one.
+    pub failure: Option<RunFailure>,
+}
+
+/// Judges a complete run by all requirements and invariants. `time_tolerance` is the time within which the order of
+/// what happens is not known: zero in the simulation.
+#[must_use]
+pub fn judge(
+    compiled: &CompiledExpectation,
+    records: &[Record],
+    time_tolerance: Nanos,
+) -> Judgement {
+    let evaluations = evaluate_all(compiled, records, time_tolerance);
+    let requirements = evaluations
+        .iter()
+        .enumerate()
+        .filter_map(|(index, evaluation)| {
+            Some(RunFailure {
+                requirement: Some(index),
+                violation: evaluation.violation.clone()?,
+            })
+        });
+    let failure = requirements
+        .chain(violated_invariants(compiled, records, time_tolerance))
+        .min_by_key(|failure| (failure.violation.at, failure.requirement.is_none()));
+    Judgement {
+        evaluations,
+        failure,
+    }
+}
+
+/// Judges a run that was stopped early. What it shows was judged in the run that met its state before, so that it
+/// has no failure of its own.
+pub(crate) fn judge_stopped(compiled: &CompiledExpectation, records: &[Record]) -> Judgement {
+    Judgement {
+        evaluations: evaluate_all(compiled, records, 0),
+        failure: None,
+    }
+}
+
+fn evaluate_all(
+    compiled: &CompiledExpectation,
+    records: &[Record],
+    time_tolerance: Nanos,
+) -> Vec<Evaluation> {
+    let processes = &compiled.scenario.processes;
+    let evaluator = Evaluator {
+        processes,
+        history: RunHistory::from_records(processes, records),
+        time_tolerance,
+    };
+    compiled
+        .requirements
+        .iter()
+        .map(|requirement| evaluator.evaluate(requirement))
+        .collect()
+}
+
+fn violated_invariants(
+    compiled: &CompiledExpectation,
+    records: &[Record],
+    time_tolerance: Nanos,
+) -> impl Iterator<Item = RunFailure> {
+    let limits = InvariantLimits {
+        time_tolerance,
+        ..compiled.invariant_limits.clone()
+    };
+    let violations = check(&compiled.scenario.processes, &limits, records);
+    violations.into_iter().map(|violation| {
+        let invariant = violation.invariant.name();
+        let description = violation.description;
+        RunFailure {
+            requirement: None,
+            violation: Violation {
+                at: violation.at,
+                request: violation.request,
+                description: format!("rule broken ({invariant}): {description}"),
+            },
+        }
+    })
+}
+
+/// A value of one request.
+struct RequestValue<'a> {
+    request: &'a RequestHistory,
+    value: f64,
+}
+
+struct Evaluator<'a> {
+    processes: &'a Processes,
+    history: RunHistory,
+    time_tolerance: Nanos,
+}
+
+impl Evaluator<'_> {
+    fn evaluate(&self, requirement: &Requirement) -> Evaluation {
+        let filter = &requirement.filter;
+        match &requirement.condition {
+            Condition::Never(event) => self.evaluate_never(filter, event),
+            Condition::Always(event) => self.evaluate_always(filter, event),
+            Condition::Metric { metric, bounds } => self.evaluate_metric(filter, *metric, *bounds),
+            Condition::AnsweredWithin(limit) => self.evaluate_answer_time(filter, *limit),
+            Condition::RetryAfter(bounds) => self.evaluate_retry_after(filter, *bounds),
+        }
+    }
+
+    fn evaluate_answer_time(&self, filter: &RequestFilter, limit: Nanos) -> Evaluation {
+        let elapsed = self.history.requests(filter).filter_map(|request| {
+            let answered = request.answered?;
+            Some(RequestValue {
+                request,
+                value: (answered.at - request.received_at) as f64,
+            })
+        });
+        let bounds = Bounds {
+            at_most: Some((limit + self.time_tolerance) as f64),
+            ..Bounds::default()
+        };
+        evaluate_each(elapsed, bounds, "answered after", Unit::Nanoseconds)
+    }
+
+    fn evaluate_retry_after(&self, filter: &RequestFilter, bounds: Bounds) -> Evaluation {
+        let delays = self.history.requests(filter).filter_map(|request| {
+            let Answer::Rejected(retry_after) = request.answer()? else {
+                return None;
+            };
+            Some(RequestValue {
+                request,
+                value: retry_after as f64,
+            })
+        });
+        // On sockets a limiter states whole milliseconds.
+        let tolerance = self.time_tolerance as f64;
+        let bounds = Bounds {
+            at_least: bounds.at_least.map(|bound| bound - tolerance),
+            at_most: bounds.at_most.map(|bound| bound + tolerance),
+            is_share: false,
+        };
+        evaluate_each(delays, bounds, "told to come back after", Unit::Nanoseconds)
+    }
+}
+
+/// Evaluates a value that each of some requests has.
+fn evaluate_each<'a>(
+    values: impl Iterator<Item = RequestValue<'a>>,
+    bounds: Bounds,
+    label: &str,
+    unit: Unit,
+) -> Evaluation {
+    let mut evaluation = Evaluation::default();
+    for RequestValue { request, value } in values {
+        evaluation.exercised += 1;
+        evaluation.value = evaluation.value.max(value);
+        if let Some(excess) = bounds.describe_violation(value, unit) {
+            let at = request
+                .answered
+                .map_or(request.received_at, |answered| answered.at);
+            evaluation.violation.get_or_insert(Violation {
+                at,
+                request: Some(request.id),
+                description: format!("{label} {excess}"),
+            });
+        }
+    }
+    evaluation
+}
+
+fn describe_answer(answer: Answer) -> String {
+    match answer {
+        Answer::Served => "served".to_owned(),
+        Answer::Failed => "failed".to_owned(),
+        Answer::Rejected(0) => "refused".to_owned(),
+        Answer::Rejected(retry_after) => {
+            format!("refused, to come back after {}", show_time(retry_after))
+        }
+    }
+}
--- /dev/null
+++ b/crates/expectations/src/evaluation/events.rs
@@ -0,0 +1,224 @@
+//! Events that must never or always happen to requests.
+
+use super::{describe_answer, Evaluation, Evaluator, Violation};
+use crate::history::{AnsweredAt, RequestHistory, SentAttempt};
+use crate::requirement::{RequestEvent, RequestFilter};
+use quartzcleat_decision::api::{HostState, Nanos};
+use quartzcleat_invariants::Answer;
+use std::collections::BTreeSet;
+
+/// An event that happened.
+struct Occurrence {
+    at: Nanos,
+    description: String,
+}
+
+/// How often an event could have happened to a request, and how it did first.
+struct Opportunities {
+    count: u64,
+    first: Option<Occurrence>,
+}
+
+/// Whether an event happened to a request that must always have it, and how the opposite reads.
+struct Expected {
+    holds: bool,
+    opposite: &'static str,
+}
+
+impl Evaluator<'_> {
+    pub(super) fn evaluate_never(
+        &self,
+        filter: &RequestFilter,
+        event: &RequestEvent,
+    ) -> Evaluation {
+        let mut evaluation = Evaluation::default();
+        for request in self.history.requests(filter) {
+            let opportunities = self.find_event(request, event);
+            evaluation.exercised += opportunities.count;
+            if let Some(occurrence) = opportunities.first {
+                evaluation.value += 1.0;
+                evaluation.violation.get_or_insert(Violation {
+                    at: occurrence.at,
+                    request: Some(request.id),
+                    description: occurrence.description,
+                });
+            }
+        }
+        evaluation
+    }
+
+    pub(super) fn evaluate_always(
+        &self,
+        filter: &RequestFilter,
+        event: &RequestEvent,
+    ) -> Evaluation {
+        let mut evaluation = Evaluation::default();
+        for request in self.history.requests(filter) {
+            let Some(AnsweredAt { answer, at }) = request.answered else {
+                continue;
+            };
+            evaluation.exercised += 1;
+            let expected = expect_event(request, answer, event);
+            if expected.holds {
+                continue;
+            }
+            evaluation.value += 1.0;
+            let description = format!("{}, but {}", expected.opposite, describe_answer(answer));
+            evaluation.violation.get_or_insert(Violation {
+                at,
+                request: Some(request.id),
+                description,
+            });
+        }
+        evaluation
+    }
+
+    /// How often an event could have happened to a request, and when and how it did first.
+    fn find_event(&self, request: &RequestHistory, event: &RequestEvent) -> Opportunities {
+        match event {
+            RequestEvent::ReachesUnavailableHost { state, grace } => {
+                self.find_unavailable_host(request, *state, *grace)
+            }
+            RequestEvent::ReachesWarmingUpHost => Opportunities {
+                count: count(request, |attempt| {
+                    attempt.known_hosts.has_warming_up || attempt.is_host_warming_up
+                }),
+                first: self.find_attempt(request, "which is cold", |attempt| {
+                    attempt.is_host_warming_up
+                }),
+            },
+            RequestEvent::ReachesHost(host) => Opportunities {
+                count: request.attempts.len() as u64,
+                first: self.find_attempt(request, "which it never may", |attempt| {
+                    attempt.host == *host
+                }),
+            },
+            RequestEvent::LeavesZone => Opportunities {
+                count: count(request, |attempt| {
+                    attempt.known_hosts.has_other_zone || attempt.is_cross_zone
+                }),
+                first: self
+                    .find_attempt(request, "in another room", |attempt| attempt.is_cross_zone),
+            },
+            RequestEvent::ReachesHostTwice => self.find_host_twice(request),
+            RequestEvent::Rejected => {
+                find_answer(request, |answer| matches!(answer, Answer::Rejected(_)))
+            }
+            RequestEvent::RejectedWithoutRetryAfter => Opportunities {
+                count: u64::from(request.is_rejected()),
+                ..find_answer(request, |answer| answer == Answer::Rejected(0))
+            },
+            RequestEvent::Served => find_answer(request, |answer| answer == Answer::Served),
+            RequestEvent::Failed => find_answer(request, |answer| answer == Answer::Failed),
+        }
+    }
+
+    fn find_unavailable_host(
+        &self,
+        request: &RequestHistory,
+        state: HostState,
+        grace: Nanos,
+    ) -> Opportunities {
+        let grace = grace + self.time_tolerance;
+        let is_late = |attempt: &SentAttempt| {
+            attempt.known_state.is_some_and(|known| {
+                let is_past_grace = attempt.at > known.since + grace;
+                let is_without_grace = grace == 0 && attempt.at >= known.since;
+                known.state == state && (is_past_grace || is_without_grace)
+            })
+        };
+        match state {
+            HostState::Gone => Opportunities {
+                count: count(request, |attempt| attempt.known_hosts.has_gone),
+                first: self.find_attempt(request, "which it knew to be gone", is_late),
+            },
+            HostState::Ready | HostState::Draining => Opportunities {
+                count: count(request, |attempt| attempt.known_hosts.has_draining),
+                first: self.find_attempt(request, "which it knew to drain", is_late),
+            },
+        }
+    }
+
+    fn find_host_twice(&self, request: &RequestHistory) -> Opportunities {
+        let mut hosts = BTreeSet::new();
+        let repeated = request
+            .attempts
+            .iter()
+            .find(|attempt| !hosts.insert(attempt.host));
+        Opportunities {
+            count: u64::from(request.attempts.len() > 1),
+            first: repeated.map(|attempt| Occurrence {
+                at: attempt.at,
+                description: format!(
+                    "sent to {} a second time",
+                    self.processes.host(attempt.host)
+                ),
+            }),
+        }
+    }
+
+    fn find_attempt(
+        &self,
+        request: &RequestHistory,
+        reason: &str,
+        is_meant: impl Fn(&SentAttempt) -> bool,
+    ) -> Option<Occurrence> {
+        let attempt = request.attempts.iter().find(|attempt| is_meant(attempt))?;
+        let host = self.processes.host(attempt.host);
+        Some(Occurrence {
+            at: attempt.at,
+            description: format!("sent to {host}, {reason}"),
+        })
+    }
+}
+
+fn count(request: &RequestHistory, is_meant: impl Fn(&SentAttempt) -> bool) -> u64 {
+    request
+        .attempts
+        .iter()
+        .filter(|attempt| is_meant(attempt))
+        .count() as u64
+}
+
+fn find_answer(request: &RequestHistory, is_meant: impl Fn(Answer) -> bool) -> Opportunities {
+    let occurrence = |AnsweredAt { answer, at }| {
+        is_meant(answer).then(|| Occurrence {
+            at,
+            description: describe_answer(answer),
+        })
+    };
+    Opportunities {
+        count: u64::from(request.answered.is_some()),
+        first: request.answered.and_then(occurrence),
+    }
+}
+
+/// Whether an event happened to an answered request.
+fn expect_event(request: &RequestHistory, answer: Answer, event: &RequestEvent) -> Expected {
+    let mut attempts = request.attempts.iter();
+    let (holds, opposite) = match event {
+        RequestEvent::Served => (answer == Answer::Served, "not served"),
+        RequestEvent::Rejected => (matches!(answer, Answer::Rejected(_)), "not refused"),
+        RequestEvent::RejectedWithoutRetryAfter => (
+            answer == Answer::Rejected(0),
+            "not refused, or told when to come back",
+        ),
+        RequestEvent::Failed => (answer == Answer::Failed, "not failed"),
+        RequestEvent::LeavesZone => (
+            attempts.all(|attempt| attempt.is_cross_zone),
+            "sent within its room",
+        ),
+        RequestEvent::ReachesWarmingUpHost => (
+            attempts.all(|attempt| attempt.is_host_warming_up),
+            "sent to a warm node",
+        ),
+        RequestEvent::ReachesHost(host) => (
+            attempts.all(|attempt| attempt.host == *host),
+            "sent to another node",
+        ),
+        RequestEvent::ReachesUnavailableHost { .. } | RequestEvent::ReachesHostTwice => {
+            (false, "not to be demanded of every request")
+        }
+    };
+    Expected { holds, opposite }
+}
--- a/crates/expectations/src/lib.rs
+++ b/crates/expectations/src/lib.rs
@@ -1,23 +1,23 @@
 //! Expectations: what operators expect of routing, quotas and retries, written as YAML beside the configuration and
-//! checked without traffic, by playing the real decision module through every small world that they allow.
+//! checked without traffic, by running the real decision engine through every small scenario that they allow.
 //!
-//! [`mod@file`] reads them, [`mod@compile`] sets them in the terms of a day, [`explore`] plays, [`must`] judges, [`blame`]
-//! finds the lines of configuration behind a verdict, [`report`] tells. Knows no sockets.
+//! [`suite`] reads files, [`mod@compile`] turns an expectation into a scenario and its requirements for a deployment,
+//! [`explore`] searches through the runs of the scenario, [`evaluation`] judges a run, [`attribution`] finds the lines
+//! of configuration behind a verdict, [`mod@check`] puts these together, and [`report`] renders the results. The
+//! crate knows no sockets.
 
-pub mod blame;
+pub mod attribution;
+pub mod check;
 pub mod compile;
-mod demands;
+mod error;
+pub mod evaluation;
 pub mod explore;
-pub mod file;
-mod given;
-mod installation;
-pub mod must;
+mod history;
 pub mod report;
-pub mod run;
-mod steps;
-mod vary;
+pub mod requirement;
+pub mod suite;
 
-pub use compile::{compile, Compiled};
-pub use explore::{Budget, Explored};
-pub use file::{Expectation, Suite};
-pub use run::{run, Options, Outcome, Result, Verdict};
+pub use check::{check, CheckReport, ExpectationResult, Options, SettingRange, Verdict};
+pub use compile::{compile, CompiledExpectation};
+pub use explore::{Budget, Exploration};
+pub use suite::{Expectation, Suite};
--- a/crates/expectations/tests/expect.rs
+++ b/crates/expectations/tests/expectations.rs
@@ -1,13 +1,13 @@
-//! Expectations from their text to their verdicts, and what is said of them.
+//! Expectations from their text to their verdicts and reports.
 
-use quartzcleat_expectations::{report, run, Options, Outcome, Verdict};
+use quartzcleat_expectations::{check, report, CheckReport, Options, SettingRange, Verdict};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-const DAY: &str = include_str!("../../../deploy/imlil-main.yaml");
+const SETTINGS: &str = include_str!("../../../deploy/imlil-main.yaml");
 const INSTALLATION: &str = include_str!("../../../deploy/expectations/installation.yaml");
 
-/// A folder of its own, gone with the test.
+/// A temporary folder, removed at the end of the test.
 struct Folder(PathBuf);
 
 impl Folder {
@@ -20,7 +20,7 @@
         );
         let folder = Folder(std::env::temp_dir().join(name));
         std::fs::create_dir_all(&folder.0).expect("a folder is made");
-        folder.write("day.yaml", DAY);
+        folder.write("day.yaml", SETTINGS);
         folder.write("installation.yaml", INSTALLATION);
         folder
     }
@@ -31,7 +31,7 @@
         path
     }
 
-    fn run(&self, expectations: &str, change: impl FnOnce(&mut Options)) -> Outcome {
+    fn check(&self, expectations: &str, change: impl FnOnce(&mut Options)) -> CheckReport {
         let text = format!(
             "settings: day.yaml\ninstallation: installation.yaml\nexpectations:\n{expectations}"
         );
@@ -42,22 +42,26 @@
             ..Options::default()
         };
         change(&mut options);
-        run(&options)
+        check(&options)
     }
 }
 
 impl Drop for Folder {
     fn drop(&mut self) {
+        // A folder that cannot be removed does not matter to the test.
         let _ = std::fs::remove_dir_all(&self.0);
     }
 }
 
-fn verdicts(outcome: &Outcome) -> Vec<Verdict> {
-    outcome
-        .results
-        .iter()
-        .map(|result| result.verdict)
-        .collect()
+fn verdicts(report: &CheckReport) -> Vec<Verdict> {
+    report.results.iter().map(|result| result.verdict).collect()
+}
+
+fn range(name: &str, values: &[f64]) -> SettingRange {
+    SettingRange {
+        name: name.to_owned(),
+        values: values.to_vec(),
+    }
 }
 
 const CAP: &str = "
@@ -70,22 +74,23 @@
 ";
 
 #[test]
-fn a_failure_has_a_story_a_path_that_replays_it_and_the_line_behind_it() {
+fn failure_has_a_timeline_a_path_that_replays_it_and_the_line_behind_it() {
     let folder = Folder::new();
-    let day = DAY.replace("sendCap: 4", "sendCap: 6");
+    let day = SETTINGS.replace("sendCap: 4", "sendCap: 6");
     folder.write("day.yaml", &day);
-    let outcome = folder.run(CAP, |_| {});
+    let checked = folder.check(CAP, |_| {});
     assert_eq!(
-        (verdicts(&outcome), outcome.code()),
+        (verdicts(&checked), checked.exit_code()),
         (vec![Verdict::Failed], 1),
         "{}",
-        report::human(&outcome, true)
+        report::human(&checked, true)
     );
-    let failure = outcome.results[0].failure.clone().expect("it is told");
+    let failure = checked.results[0].failure.clone().expect("it is told");
     assert!(
-        failure.how.contains("attempt 5 of 4") || failure.how.contains("5, at most 4"),
+        failure.description.contains("attempt 5 of 4")
+            || failure.description.contains("5, at most 4"),
         "{}",
-        failure.how
+        failure.description
     );
     assert!(
         failure.path.iter().filter(|choice| **choice != 0).count() >= 4,
@@ -94,62 +99,63 @@
     );
     assert!(
         failure
-            .story
+            .timeline
             .iter()
             .any(|line| line.contains("(attempt 5)")),
         "{:#?}",
-        failure.story
+        failure.timeline
     );
     let line = day
         .lines()
         .position(|line| line.contains("sendCap"))
         .expect("it is there") as u32
         + 1;
-    let behind: Vec<_> = failure
-        .behind
-        .sets
+    let lines: Vec<_> = failure
+        .attribution
+        .line_sets
         .iter()
         .flatten()
         .map(|found| (found.line, found.key.as_str()))
         .collect();
-    assert!(behind.contains(&(line, "limits.sendCap")), "{behind:?}");
+    assert!(lines.contains(&(line, "limits.sendCap")), "{lines:?}");
     // The path alone fails in the same way, and a shorter one does not.
-    let again = folder.run(CAP, |options| options.replay = Some(failure.path.clone()));
+    let again = folder.check(CAP, |options| options.replay = Some(failure.path.clone()));
     assert_eq!(verdicts(&again), [Verdict::Failed]);
     let shorter = failure.path[..failure.path.len() - 1].to_vec();
-    let again = folder.run(CAP, |options| options.replay = Some(shorter));
+    let again = folder.check(CAP, |options| options.replay = Some(shorter));
     assert_eq!(verdicts(&again), [Verdict::Held]);
 }
 
 #[test]
-fn a_quiet_change_is_found_as_the_smallest_set_of_lines() {
+fn verdict_is_attributed_to_the_smallest_set_of_changed_lines() {
     let folder = Folder::new();
-    let old = folder.write("old.yaml", DAY);
+    let old = folder.write("old.yaml", SETTINGS);
     // Three changes, of which one breaks the expectation.
-    let new = DAY
+    let new = SETTINGS
         .replace("sendCap: 4", "sendCap: 7")
         .replace("refill: 19", "refill: 21")
         .replace("connectTimeoutNs: 250ms", "connectTimeoutNs: 200ms");
     folder.write("day.yaml", &new);
-    let outcome = folder.run(CAP, |options| options.against = Some(old));
-    let (before, blame) = outcome.results[0]
-        .differs
+    let checked = folder.check(CAP, |options| options.compare_with = Some(old));
+    let difference = checked.results[0]
+        .difference
         .clone()
         .expect("the verdicts differ");
-    assert_eq!(before, Verdict::Held);
-    let keys: Vec<_> = blame
-        .sets
+    assert_eq!(difference.compared, Verdict::Held);
+    let keys: Vec<_> = difference
+        .attribution
+        .line_sets
         .iter()
         .flatten()
-        .map(|line| (line.key.as_str(), line.would.as_str()))
+        .map(|line| (line.key.as_str(), line.alternative.as_str()))
         .collect();
     assert_eq!(keys, [("limits.sendCap", "4")]);
 }
 
 #[test]
-fn what_is_never_tested_or_says_nothing_does_not_hold() {
+fn unexercised_and_vacuous_expectations_do_not_hold() {
     let folder = Folder::new();
-    let outcome = folder.run(
+    let checked = folder.check(
         "
   - name: no drain, so nothing is tested
     when:
@@ -171,10 +177,10 @@
         |_| {},
     );
     assert_eq!(
-        verdicts(&outcome),
+        verdicts(&checked),
         [Verdict::Untested, Verdict::Untested, Verdict::Held]
     );
-    let outcome = folder.run(
+    let checked = folder.check(
         "
   - name: a bed-check never fails, whatever is done
     when:
@@ -185,11 +191,11 @@
         |_| {},
     );
     assert_eq!(
-        (verdicts(&outcome), outcome.code()),
-        (vec![Verdict::SaysNothing], 1)
+        (verdicts(&checked), checked.exit_code()),
+        (vec![Verdict::Vacuous], 1)
     );
     // A rule that breaks when the cap on attempts is lifted does not make the demand say anything.
-    let outcome = folder.run(
+    let checked = folder.check(
         "
   - name: a bed-check that no node takes never fails
     given: {attempts: refused, nodes: [n1, n2]}
@@ -200,11 +206,11 @@
 ",
         |_| {},
     );
-    assert_eq!(verdicts(&outcome), [Verdict::SaysNothing]);
+    assert_eq!(verdicts(&checked), [Verdict::Vacuous]);
 }
 
 #[test]
-fn bad_input_is_named_with_its_line_and_the_others_still_run() {
+fn invalid_input_is_reported_with_its_line_and_the_others_are_checked() {
     let folder = Folder::new();
     let bad = "
   - name: an unknown partner
@@ -224,15 +230,18 @@
     must:
       - {served: {at least: 3, at most: 2}}
 ";
-    let outcome = folder.run(&format!("{bad}{CAP}"), |_| {});
+    let checked = folder.check(&format!("{bad}{CAP}"), |_| {});
     let expected = [
-        Verdict::Faulty,
-        Verdict::Faulty,
-        Verdict::Faulty,
+        Verdict::Invalid,
+        Verdict::Invalid,
+        Verdict::Invalid,
         Verdict::Held,
     ];
-    assert_eq!((verdicts(&outcome), outcome.code()), (expected.to_vec(), 2));
-    let notes: Vec<_> = outcome
+    assert_eq!(
+        (verdicts(&checked), checked.exit_code()),
+        (expected.to_vec(), 2)
+    );
+    let notes: Vec<_> = checked
         .results
         .iter()
         .flat_map(|result| result.notes.clone())
@@ -251,7 +260,7 @@
 }
 
 #[test]
-fn figures_follow_the_day_and_ranges_cover_it() {
+fn formulas_follow_the_settings_and_ranges_vary_them() {
     let folder = Folder::new();
     let text = "
   - name: a guide's burst is cut near a window's limit
@@ -260,102 +269,106 @@
     must:
       - {units: plans.guide.burst * 1.5 + 6}
 ";
-    let outcome = folder.run(text, |options| {
+    let checked = folder.check(text, |options| {
         options
             .ranges
-            .push(("plans.guide.burst".into(), vec![6.0, 9.0, 12.0]));
+            .push(range("plans.guide.burst", &[6.0, 9.0, 12.0]));
     });
-    assert_eq!(verdicts(&outcome), [Verdict::Held; 3]);
-    assert!(outcome.results[2].day.ends_with("plans.guide.burst=12"));
+    assert_eq!(verdicts(&checked), [Verdict::Held; 3]);
+    assert!(checked.results[2]
+        .deployment
+        .ends_with("plans.guide.burst=12"));
     let fixed = text.replace("plans.guide.burst * 1.5 + 6", "15");
-    let outcome = folder.run(&fixed, |options| {
+    let checked = folder.check(&fixed, |options| {
         options
             .ranges
-            .push(("plans.guide.burst".into(), vec![6.0, 24.0]));
+            .push(range("plans.guide.burst", &[6.0, 24.0]));
     });
     assert_eq!(
-        verdicts(&outcome),
+        verdicts(&checked),
         [Verdict::Held, Verdict::Failed],
         "an absolute figure breaks at the far end"
     );
-    let outcome = folder.run(text, |options| {
-        options.ranges.push(("plans.gide.burst".into(), vec![1.0]));
+    let checked = folder.check(text, |options| {
+        options.ranges.push(range("plans.gide.burst", &[1.0]));
     });
-    assert_eq!(outcome.code(), 2);
+    assert_eq!(checked.exit_code(), 2);
 }
 
 #[test]
-fn reports_say_the_same_in_every_form() {
+fn reports_agree_in_every_format() {
     let folder = Folder::new();
-    folder.write("day.yaml", &DAY.replace("sendCap: 4", "sendCap: 6"));
-    let outcome = folder.run(CAP, |options| options.blame = false);
-    let json: serde_json::Value = serde_json::from_str(&report::json(&outcome)).expect("JSON");
+    folder.write("day.yaml", &SETTINGS.replace("sendCap: 4", "sendCap: 6"));
+    let checked = folder.check(CAP, |options| options.attribute_sources = false);
+    let json: serde_json::Value = serde_json::from_str(&report::json(&checked)).expect("JSON");
     assert_eq!(json["results"][0]["verdict"], "failed");
-    let junit = report::junit(&outcome);
+    let junit = report::junit(&checked);
     assert!(
         junit.contains("tests=\"1\" failures=\"1\"")
             && junit.contains("<failure message=\"FAILED: "),
         "{junit}"
     );
-    assert!(report::human(&outcome, false).contains("1 failed"));
+    assert!(report::human(&checked, false).contains("1 failed"));
 }
 
-/// The same run twice gives the same verdicts, counts and stories.
+/// The same check twice gives the same counts, however many expectations are explored concurrently.
 #[test]
-fn a_run_is_the_same_each_time() {
+fn check_is_deterministic() {
     let folder = Folder::new();
-    let outcomes: Vec<_> = (1..=2)
-        .map(|jobs| folder.run(CAP, |options| options.jobs = jobs))
+    let reports: Vec<_> = (1..=2)
+        .map(|jobs| folder.check(CAP, |options| options.jobs = jobs))
         .collect();
-    let told = |outcome: &Outcome| {
-        let counts = &outcome.results[0].explored;
+    let counts = |report: &CheckReport| {
+        let counts = &report.results[0].explored;
         (
-            counts.plays,
+            counts.runs,
             counts.states,
             counts.events,
-            counts.walks,
-            counts.tested,
+            counts.random_walks,
+            counts.exercised,
         )
     };
-    assert_eq!(told(&outcomes[0]), told(&outcomes[1]));
-    assert!(outcomes[0].results[0].explored.plays > 20 && outcomes[0].results[0].explored.complete);
+    assert_eq!(counts(&reports[0]), counts(&reports[1]));
+    assert!(
+        reports[0].results[0].explored.runs > 20 && reports[0].results[0].explored.is_exhaustive
+    );
 }
 
-/// What stands beside the configurations holds on the days that it names, every one of it, in less than a minute.
+/// Every expectation beside the configurations holds for the settings that it names, in less than a minute.
 #[test]
-fn the_expectations_of_both_deployments_hold() {
+fn expectations_of_both_deployments_hold() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/expectations");
     let budget = quartzcleat_expectations::Budget {
-        plays: 300,
-        events: 100_000,
+        max_runs: 300,
+        max_events: 100_000,
         ..Default::default()
     };
     for (deployment, least) in [("imlil-main", 60), ("reykjavik-auth", 25)] {
         let (paths, deployment) = (vec![path.clone()], Some(deployment.to_owned()));
-        let outcome = run(&Options {
+        let checked = check(&Options {
             paths,
             deployment,
             budget,
             ..Options::default()
         });
         assert!(
-            outcome.results.len() >= least,
+            checked.results.len() >= least,
             "{} expectations",
-            outcome.results.len()
+            checked.results.len()
         );
-        assert_eq!(outcome.code(), 0, "{}", report::human(&outcome, false));
-        assert!(outcome.seconds < 60.0, "{} s", outcome.seconds);
+        assert_eq!(checked.exit_code(), 0, "{}", report::human(&checked, false));
+        assert!(checked.seconds < 60.0, "{} s", checked.seconds);
     }
     let deployment = Some("imlil".to_owned());
-    let outcome = run(&Options {
+    let checked = check(&Options {
         paths: vec![path],
         deployment,
         ..Options::default()
     });
     assert_eq!(
-        outcome.code(),
+        checked.exit_code(),
         2,
         "an unknown deployment is named, not passed over"
     );
-    assert!(report::human(&outcome, false).contains("known: imlil-main, reykjavik-auth"));
+    assert!(report::human(&checked, false).contains("known: imlil-main, reykjavik-auth"));
 }
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -3,7 +3,7 @@
 use super::{print, serve, Format};
 use crate::net::config;
 use clap::Args;
-use quartzcleat_expectations::run::read_day;
+use quartzcleat_expectations::check::read_deployment;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -49,7 +49,7 @@
 }
 
 fn faults(path: &Path) -> Vec<String> {
-    let mut faults = match read_day(path) {
+    let mut faults = match read_deployment(path) {
         Ok(_) => Vec::new(),
         Err(found) => found.0.iter().map(ToString::to_string).collect(),
     };
@@ -87,12 +87,12 @@
             format!("{}\n", serde_json::Value::from(files))
         }
         Format::Junit => {
-            use quartzcleat_expectations::report::{case, suite};
+            use quartzcleat_expectations::report::{junit_case, junit_suite};
             let cases: Vec<_> = told
                 .iter()
-                .map(|(file, faults)| case(file, "check", &faults.join("\n")))
+                .map(|(file, faults)| junit_case(file, "check", &faults.join("\n")))
                 .collect();
-            suite("check", &cases)
+            junit_suite("check", &cases)
         }
     }
 }
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -1,21 +1,28 @@
-//! `quartzcleat demo`: limiters before stand-ins on loopback, a short mixed load with a drain, a silent counter and a
-//! lost node in it, and a table of what happened.
+//! `quartzcleat demo`: limiters and fakes on loopback, a short mixed load with a drain, a silent counter and a lost
+//! host in it, and a table of what happened.
+
+mod table;
+#[cfg(test)]
+mod tests;
 
 use clap::Args;
 use quartzcleat_config::{Day, Faults};
-use quartzcleat_expectations::explore::judge;
-use quartzcleat_expectations::{compile, file, Compiled};
-use quartzcleat_invariants::{Answer, Fact, Record};
-use std::collections::BTreeMap;
-use std::fmt::Write as _;
+use quartzcleat_expectations::evaluation::judge;
+use quartzcleat_expectations::{compile, suite, CompiledExpectation};
+use quartzcleat_invariants::Record;
 use std::io;
 use std::path::Path;
 use std::process::ExitCode;
 
-const STORY: &str = include_str!("demo.yaml");
-const DAY: &str = include_str!("../../deploy/imlil-main.yaml");
+const SCENARIO: &str = include_str!("demo.yaml");
+const SETTINGS: &str = include_str!("../../deploy/imlil-main.yaml");
 const INSTALLATION: &str = include_str!("../../deploy/expectations/installation.yaml");
 
+/// The exit code where the demo did not go as its expectations say.
+const EXIT_NOT_AS_EXPECTED: u8 = 1;
+/// The exit code where the demo could not run.
+const EXIT_NOT_RUN: u8 = 2;
+
 /// Start three limiters before stand-ins on loopback, play a short load and show what happened.
 ///
 /// The stand-ins (discovery, counter, six booking nodes, clients) run in this process, the limiters are processes of
@@ -24,167 +31,86 @@
 #[derive(Debug, Args)]
 pub struct Demo {}
 
-fn story() -> Result<Compiled, Faults> {
-    let mut faults = Faults::default();
-    let from = |path: &Path| match path.to_str() {
-        Some("demo.yaml") => Ok(STORY.to_owned()),
-        Some(_) => Ok(INSTALLATION.to_owned()),
-        None => Err(io::ErrorKind::NotFound.into()),
-    };
-    let suite = file::read_with(Path::new("demo.yaml"), &from, &mut faults);
-    let (Some(suite), true) = (suite, faults.none()) else {
-        return Err(faults);
-    };
-    let day = Day::read("imlil-main.yaml", DAY)?;
-    compile(&suite, &suite.expectations[0], &day)
+/// The demo could not run.
+#[derive(Debug, thiserror::Error)]
+enum DemoError {
+    /// The scenario cannot be used.
+    #[error("{0}")]
+    Scenario(Faults),
+    /// A process, a folder or a socket failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
 }
 
 impl Demo {
-    /// Plays and tells.
+    /// Runs the demo and prints what happened.
     pub fn run(self) -> ExitCode {
-        let played = story()
-            .map_err(|faults| faults.to_string())
-            .and_then(|mut compiled| {
-                compiled.scenario.variant = Some(0);
-                let folder = super::live::folder();
-                let played = std::env::current_exe().and_then(|program| {
-                    std::fs::create_dir_all(&folder)?;
-                    quartzcleat_fakes::play(&compiled.scenario, &program, &folder)
-                });
-                let _ = std::fs::remove_dir_all(&folder);
-                played
-                    .map(|records| (compiled, records))
-                    .map_err(|e| e.to_string())
-            });
-        let (compiled, mut records) = match played {
-            Ok(played) => played,
-            Err(problem) => {
-                eprintln!("quartzcleat: demo: {problem}");
-                return ExitCode::from(2);
-            }
-        };
-        records.sort_by_key(|record| record.at);
-        let (_, failed) = judge(&compiled, &records, true, 50_000_000);
-        super::print(&table(&compiled, &records));
-        match failed {
-            None => {
-                super::print("Every request got one final answer in time; no rule was broken.\n");
-                ExitCode::SUCCESS
-            }
-            Some((.., how)) => {
-                super::print(&format!("Not as expected: {how}\n"));
-                ExitCode::from(1)
+        match run() {
+            Ok(demo) => demo.report(),
+            Err(error) => {
+                eprintln!("quartzcleat: demo: {error}");
+                ExitCode::from(EXIT_NOT_RUN)
             }
         }
     }
 }
 
-#[derive(Default)]
-struct Row {
-    asked: u32,
-    attempts: u32,
-    served: u32,
-    refused: u32,
-    failed: u32,
-    elapsed: Vec<u64>,
+/// A demo that has run.
+struct CompletedDemo {
+    compiled: CompiledExpectation,
+    records: Vec<Record>,
 }
 
-fn table(compiled: &Compiled, records: &[Record]) -> String {
-    let (processes, begin) = (
-        &compiled.scenario.processes,
-        records.first().map_or(0, |record| record.at),
-    );
-    let (mut rows, mut asked) = (BTreeMap::<(usize, usize), Row>::new(), BTreeMap::new());
-    let mut out = String::from("What happened:\n");
-    for record in records {
-        match &record.fact {
-            Fact::RequestReceived {
-                request,
-                limiter,
-                class,
-                ..
-            } => {
-                asked.insert(*request, (*limiter, *class, record.at));
-                rows.entry((*limiter, *class)).or_default().asked += 1;
-            }
-            Fact::AttemptSent { request, .. } => {
-                if let Some((limiter, class, _)) = asked.get(request) {
-                    rows.entry((*limiter, *class)).or_default().attempts += 1;
-                }
-            }
-            Fact::Answered { request, answer } => {
-                let Some((limiter, class, at)) = asked.get(request) else {
-                    continue;
-                };
-                let row = rows.entry((*limiter, *class)).or_default();
-                match answer {
-                    Answer::Served => {
-                        row.served += 1;
-                        row.elapsed.push(record.at - at);
-                    }
-                    Answer::Rejected(_) => row.refused += 1,
-                    Answer::Failed => row.failed += 1,
-                }
+impl CompletedDemo {
+    fn report(&self) -> ExitCode {
+        let judgement = judge(&self.compiled, &self.records, super::live::TIME_TOLERANCE);
+        super::print(&table::render(
+            &self.compiled.scenario.processes,
+            &self.records,
+        ));
+        match judgement.failure {
+            None => {
+                super::print("Every request got one final answer in time; no rule was broken.\n");
+                ExitCode::SUCCESS
             }
-            Fact::Note(text) => {
-                let _ = writeln!(out, "  {:>7.3} s  {text}", (record.at - begin) as f64 / 1e9);
+            Some(failure) => {
+                let description = failure.violation.description;
+                super::print(&format!("Not as expected: {description}\n"));
+                ExitCode::from(EXIT_NOT_AS_EXPECTED)
             }
-            _ => {}
         }
     }
-    let _ = writeln!(
-        out,
-        "\n{:24} {:10} {:>6} {:>8} {:>6} {:>8} {:>7} {:>10} {:>10}",
-        "limiter",
-        "class",
-        "asked",
-        "attempts",
-        "served",
-        "refused",
-        "failed",
-        "median ms",
-        "95% ms"
-    );
-    for ((limiter, class), mut row) in rows {
-        row.elapsed.sort_unstable();
-        let quantile = |part: f64| {
-            let place = (row.elapsed.len().saturating_sub(1) as f64 * part) as usize;
-            row.elapsed
-                .get(place)
-                .map_or(0.0, |nanos| *nanos as f64 / 1e6)
-        };
-        let _ = writeln!(
-            out,
-            "{:24} {:10} {:>6} {:>8} {:>6} {:>8} {:>7} {:>10.1} {:>10.1}",
-            processes.limiter(limiter),
-            processes.classes[class],
-            row.asked,
-            row.attempts,
-            row.served,
-            row.refused,
-            row.failed,
-            quantile(0.5),
-            quantile(0.95)
-        );
-    }
-    out.push('\n');
-    out
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+fn run() -> Result<CompletedDemo, DemoError> {
+    let mut compiled = compile_scenario().map_err(DemoError::Scenario)?;
+    compiled.scenario.variant = Some(0);
+    let folder = super::live::run_folder();
+    let records = run_in(&compiled, &folder);
+    // A folder that cannot be removed is left to the system's own cleaning of temporary files.
+    let _ = std::fs::remove_dir_all(&folder);
+    let mut records = records?;
+    records.sort_by_key(|record| record.at);
+    Ok(CompletedDemo { compiled, records })
+}
 
-    #[test]
-    fn the_story_is_sound_and_holds_in_the_world() {
-        let mut compiled = story().unwrap_or_else(|faults| panic!("{faults}"));
-        compiled.scenario.variant = Some(0);
-        let played = quartzcleat_simulation::simulate(
-            &compiled.scenario,
-            &mut quartzcleat_simulation::oracle::FirstOption,
-        );
-        let (judged, failed) = judge(&compiled, &played.records, played.is_complete, 0);
-        assert_eq!(failed, None);
-        assert!(judged.iter().all(|judged| judged.tested > 0), "{judged:?}");
-    }
+fn run_in(compiled: &CompiledExpectation, folder: &Path) -> io::Result<Vec<Record>> {
+    let program = std::env::current_exe()?;
+    std::fs::create_dir_all(folder)?;
+    quartzcleat_fakes::play(&compiled.scenario, &program, folder)
+}
+
+fn compile_scenario() -> Result<CompiledExpectation, Faults> {
+    let mut faults = Faults::default();
+    let read_file = |path: &Path| match path.to_str() {
+        Some("demo.yaml") => Ok(SCENARIO.to_owned()),
+        Some(_) => Ok(INSTALLATION.to_owned()),
+        None => Err(io::ErrorKind::NotFound.into()),
+    };
+    let suite = suite::read_with(Path::new("demo.yaml"), &read_file, &mut faults);
+    let (Some(suite), true) = (suite, faults.none()) else {
+        return Err(faults);
+    };
+    let deployment = Day::read("imlil-main.yaml", SETTINGS)?;
+    compile(&suite, &suite.expectations[0], &deployment)
 }
--- a/src/cli/expect.rs
+++ b/src/cli/expect.rs
@@ -1,11 +1,14 @@
-//! `quartzcleat expect`: expectations checked without traffic.
+//! `quartzcleat expect`: checks expectations without traffic.
 
 use super::{print, Format};
 use clap::Args;
-use quartzcleat_expectations::{report, run, Budget, Options};
+use quartzcleat_expectations::{check, report, Budget, Options, SettingRange};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+#[cfg(test)]
+mod tests;
+
 /// Check expectations of routing, quotas and retries without traffic.
 ///
 /// Each expectation is played by the real decision module in a model of the installation, through every order of
@@ -28,8 +31,8 @@
     #[arg(long, value_name = "OLD")]
     against: Option<PathBuf>,
     /// Check a figure from one value to another and half way: plans.guide.rate=1.2..2.1. May be given several times.
-    #[arg(long, value_name = "NAME=FROM..TO", value_parser = range)]
-    range: Vec<(String, Vec<f64>)>,
+    #[arg(long, value_name = "NAME=FROM..TO", value_parser = parse_range)]
+    range: Vec<SettingRange>,
     /// Only expectations whose name holds this.
     #[arg(long, value_name = "WORDS")]
     only: Option<String>,
@@ -37,13 +40,13 @@
     #[arg(long, value_name = "NAME")]
     deployment: Option<String>,
     /// Plays for each expectation, at most.
-    #[arg(long, value_name = "N", default_value_t = Budget::default().plays)]
+    #[arg(long, value_name = "N", default_value_t = Budget::default().max_runs)]
     plays: u64,
     /// Events over all plays of an expectation, at most.
-    #[arg(long, value_name = "N", default_value_t = Budget::default().events)]
+    #[arg(long, value_name = "N", default_value_t = Budget::default().max_events)]
     events: u64,
     /// Choices to which all ways are tried, at most.
-    #[arg(long, value_name = "N", default_value_t = Budget::default().depth)]
+    #[arg(long, value_name = "N", default_value_t = Budget::default().max_depth)]
     depth: usize,
     /// For the random walks.
     #[arg(long, value_name = "N", default_value_t = Budget::default().seed)]
@@ -71,71 +74,77 @@
     format: Format,
 }
 
-/// Reads `NAME=FROM..TO` or `NAME=VALUE`.
-fn range(text: &str) -> Result<(String, Vec<f64>), String> {
-    let usage = "write NAME=FROM..TO, such as plans.guide.rate=1.2..2.1";
-    let (name, values) = text.split_once('=').ok_or(usage)?;
-    let number = |text: &str| {
-        text.trim()
-            .parse::<f64>()
-            .map_err(|_| format!("{text:?} is no number; {usage}"))
-    };
+/// A range on the command line is invalid.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+enum RangeError {
+    /// No name and values with `=` between them.
+    #[error("write NAME=FROM..TO, such as plans.guide.rate=1.2..2.1")]
+    MissingName,
+    /// A value that is not a number.
+    #[error("{text:?} is no number; write NAME=FROM..TO, such as plans.guide.rate=1.2..2.1")]
+    NotNumber { text: String },
+}
+
+/// Parses `NAME=FROM..TO` or `NAME=VALUE`. A range takes its ends and its middle.
+fn parse_range(text: &str) -> Result<SettingRange, RangeError> {
+    let (name, values) = text.split_once('=').ok_or(RangeError::MissingName)?;
     let values = match values.split_once("..") {
         Some((from, to)) => {
-            let (from, to) = (number(from)?, number(to)?);
+            let from = parse_number(from)?;
+            let to = parse_number(to)?;
             vec![from, (from + to) / 2.0, to]
         }
-        None => vec![number(values)?],
+        None => vec![parse_number(values)?],
     };
-    Ok((name.to_owned(), values))
+    Ok(SettingRange {
+        name: name.to_owned(),
+        values,
+    })
+}
+
+fn parse_number(text: &str) -> Result<f64, RangeError> {
+    text.trim().parse().map_err(|_| RangeError::NotNumber {
+        text: text.to_owned(),
+    })
 }
 
 impl Expect {
-    /// Checks.
+    /// Checks expectations and prints the report.
     pub fn run(self) -> ExitCode {
-        let (format, verbose) = (self.format, self.verbose || self.path.is_some());
-        let options = Options {
+        let format = self.format;
+        let verbose = self.verbose || self.path.is_some();
+        let is_live = self.live;
+        let options = self.into_options();
+        if is_live {
+            return super::live::run(&options, format, verbose);
+        }
+        let checked = check(&options);
+        print(&match format {
+            Format::Human => report::human(&checked, verbose),
+            Format::Json => report::json(&checked),
+            Format::Junit => report::junit(&checked),
+        });
+        ExitCode::from(checked.exit_code())
+    }
+
+    fn into_options(self) -> Options {
+        Options {
             paths: self.paths,
             settings: self.settings,
-            against: self.against,
+            compare_with: self.against,
             ranges: self.range,
-            only: self.only,
+            name_filter: self.only,
             deployment: self.deployment,
             budget: Budget {
-                plays: self.plays,
-                events: self.events,
-                depth: self.depth,
+                max_runs: self.plays,
+                max_events: self.events,
+                max_depth: self.depth,
                 seed: self.seed,
             },
-            blame: !self.no_blame,
-            vary: !self.no_vary,
+            attribute_sources: !self.no_blame,
+            check_vacuity: !self.no_vary,
             jobs: self.jobs,
             replay: self.path,
-        };
-        if self.live {
-            return super::live::run(&options, options.jobs, format, verbose);
         }
-        let outcome = run(&options);
-        print(&match format {
-            Format::Human => report::human(&outcome, verbose),
-            Format::Json => report::json(&outcome),
-            Format::Junit => report::junit(&outcome),
-        });
-        ExitCode::from(outcome.code())
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn ranges_have_their_ends_and_their_middle() {
-        assert_eq!(
-            range("plans.guide.rate=1..2"),
-            Ok(("plans.guide.rate".into(), vec![1.0, 1.5, 2.0]))
-        );
-        assert_eq!(range("x=3"), Ok(("x".into(), vec![3.0])));
-        assert!(range("x").is_err() && range("x=1..a").is_err());
     }
 }
--- a/src/cli/live.rs
+++ b/src/cli/live.rs
@@ -1,292 +1,250 @@
-//! `quartzcleat expect --live`: the same stories on loopback, with real limiter processes before stand-ins, beside
-//! what the world plays of them. Timing may differ, verdicts may not.
+//! `quartzcleat expect --live`: runs each scenario with real limiter processes and fakes on loopback, too, and
+//! compares the verdict with that of the simulation. Timing may differ, verdicts may not.
+
+mod report;
 
 use crate::cli::Format;
 use quartzcleat_config::Faults;
-use quartzcleat_expectations::explore::judge;
-use quartzcleat_expectations::run::{gather, Work};
-use quartzcleat_expectations::{compile, Compiled, Options};
+use quartzcleat_expectations::check::{plan, CheckTask};
+use quartzcleat_expectations::evaluation::judge;
+use quartzcleat_expectations::{compile, CompiledExpectation, Options};
 use quartzcleat_invariants::{timeline, Answer, Fact, Record};
 use quartzcleat_simulation::oracle::FirstOption;
 use rayon::prelude::*;
 use serde::Serialize;
-use std::fmt::Write as _;
+use std::cmp::Reverse;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
 
-/// On sockets the order of what happens within this time is not known to the stand-ins.
-const SLACK: u64 = 50_000_000;
-/// Variants of one story that are played at most: one for each option of what it leaves open.
-const VARIANTS: usize = 3;
+/// On sockets the fakes do not know the order of what happens within this time.
+pub(super) const TIME_TOLERANCE: u64 = 50_000_000;
+/// The most variants of one scenario that are run: one for each option of what it leaves open.
+const MAX_VARIANTS: usize = 3;
+/// Runs mostly wait, so that more of them than there are cores can run concurrently.
+const DEFAULT_JOBS: usize = 6;
+
+/// The exit code where verdicts differ.
+const EXIT_DIFFERS: u8 = 1;
+/// The exit code where nothing could be compared, or not all.
+const EXIT_NOT_COMPARED: u8 = 2;
 
-/// What was counted in a play.
+/// Counts of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Counts {
-    asked: usize,
+struct Counts {
+    #[serde(rename = "asked")]
+    received: usize,
     attempts: usize,
     served: usize,
-    refused: usize,
+    #[serde(rename = "refused")]
+    rejected: usize,
     failed: usize,
 }
 
-/// One variant of one story on both stages.
+impl Counts {
+    fn from_records(records: &[Record]) -> Self {
+        let mut counts = Counts::default();
+        for record in records {
+            match record.fact {
+                Fact::RequestReceived { .. } => counts.received += 1,
+                Fact::AttemptSent { .. } => counts.attempts += 1,
+                Fact::Answered { answer, .. } => match answer {
+                    Answer::Served => counts.served += 1,
+                    Answer::Rejected(_) => counts.rejected += 1,
+                    Answer::Failed => counts.failed += 1,
+                },
+                _ => {}
+            }
+        }
+        counts
+    }
+}
+
+/// One variant of a scenario in the simulation and on sockets. Its serialized form is that of the JSON report.
 #[derive(Clone, Debug, Serialize)]
-pub struct Compared {
+struct Comparison {
     file: String,
     line: u32,
     name: String,
     variant: usize,
-    world: Counts,
+    #[serde(rename = "world")]
+    simulated: Counts,
     live: Counts,
-    /// What fails in the world and on sockets, where something does.
-    world_fails: Option<String>,
-    live_fails: Option<String>,
-    /// Why the live play could not be had.
+    /// What fails in the simulation.
+    #[serde(rename = "world_fails")]
+    simulated_failure: Option<String>,
+    /// What fails on sockets.
+    #[serde(rename = "live_fails")]
+    live_failure: Option<String>,
+    /// Why the live run did not come about.
     fault: Option<String>,
-    story: Vec<String>,
+    /// The timeline of the live run, where the verdicts differ.
+    #[serde(rename = "story")]
+    timeline: Vec<String>,
 }
 
-impl Compared {
+impl Comparison {
     fn agrees(&self) -> bool {
-        self.fault.is_none() && self.world_fails.is_some() == self.live_fails.is_some()
+        let has_same_verdict = self.simulated_failure.is_some() == self.live_failure.is_some();
+        self.fault.is_none() && has_same_verdict
     }
 }
 
-fn count(records: &[Record]) -> Counts {
-    let mut counts = Counts::default();
-    for record in records {
-        match record.fact {
-            Fact::RequestReceived { .. } => counts.asked += 1,
-            Fact::AttemptSent { .. } => counts.attempts += 1,
-            Fact::Answered {
-                answer: Answer::Served,
-                ..
-            } => counts.served += 1,
-            Fact::Answered {
-                answer: Answer::Rejected(_),
-                ..
-            } => counts.refused += 1,
-            Fact::Answered {
-                answer: Answer::Failed,
-                ..
-            } => counts.failed += 1,
-            _ => {}
-        }
-    }
-    counts
+/// A variant that is to be compared.
+struct VariantTask<'a> {
+    task: &'a CheckTask,
+    /// The expectation, with the variant set in its scenario.
+    compiled: CompiledExpectation,
+    variant: usize,
 }
 
-/// How many variants a story has.
-fn variants(compiled: &Compiled) -> usize {
-    let scenario = &compiled.scenario;
-    let moments = scenario
-        .steps
-        .iter()
-        .map(|step| step.moments.len())
-        .max()
-        .unwrap_or(1);
-    let open = [
-        moments,
-        scenario.discovery_delays.len(),
-        scenario.attempt_outcomes.len(),
-        scenario.counter.call_outcomes.len(),
-    ];
-    open.into_iter().max().unwrap_or(1).clamp(1, VARIANTS)
-}
+impl VariantTask<'_> {
+    /// The moment of the last step.
+    fn length(&self) -> Option<u64> {
+        let steps = self.compiled.scenario.steps.iter();
+        steps.filter_map(|step| step.moments.last()).max().copied()
+    }
 
-fn compare(
-    work: &Work,
-    compiled: &Compiled,
-    variant: usize,
-    program: &Path,
-    folder: &Path,
-) -> Compared {
-    let mut compiled = compiled.clone();
-    compiled.scenario.variant = Some(variant);
-    let world = quartzcleat_simulation::simulate(&compiled.scenario, &mut FirstOption);
-    let (_, world_fails) = judge(&compiled, &world.records, true, 0);
-    let folder = folder.join(format!("{}-{variant}", work.expectation.line));
-    let live = std::fs::create_dir_all(&folder)
-        .and_then(|()| quartzcleat_fakes::play(&compiled.scenario, program, &folder));
-    let mut compared = Compared {
-        file: work.expectation.file.to_string(),
-        line: work.expectation.line,
-        name: work.expectation.name.clone(),
-        variant,
-        world: count(&world.records),
-        live: Counts::default(),
-        world_fails: world_fails.map(|(.., how)| how),
-        live_fails: None,
-        fault: None,
-        story: Vec::new(),
-    };
-    match live {
-        Err(e) => compared.fault = Some(e.to_string()),
-        Ok(mut records) => {
-            records.sort_by_key(|record| record.at);
-            let (_, fails) = judge(&compiled, &records, true, SLACK);
-            compared.live = count(&records);
-            compared.live_fails = fails.map(|(.., how)| how);
-            if !compared.agrees() {
-                compared.story = timeline::render(&compiled.scenario.processes, &records);
+    fn folder(&self, root: &Path) -> PathBuf {
+        let expectation = &self.task.expectation;
+        let file = expectation.file.replace(['/', '.'], "_");
+        root.join(file)
+            .join(format!("{}-{}", expectation.line, self.variant))
+    }
+
+    fn run_live(&self, program: &Path, root: &Path) -> io::Result<Vec<Record>> {
+        let folder = self.folder(root);
+        std::fs::create_dir_all(&folder)?;
+        let mut records = quartzcleat_fakes::play(&self.compiled.scenario, program, &folder)?;
+        records.sort_by_key(|record| record.at);
+        Ok(records)
+    }
+
+    fn compare(&self, program: &Path, root: &Path) -> Comparison {
+        let compiled = &self.compiled;
+        let simulated =
+            quartzcleat_simulation::simulate(&compiled.scenario, &mut FirstOption).records;
+        let expectation = &self.task.expectation;
+        let mut comparison = Comparison {
+            file: expectation.file.to_string(),
+            line: expectation.line,
+            name: expectation.name.clone(),
+            variant: self.variant,
+            simulated: Counts::from_records(&simulated),
+            live: Counts::default(),
+            simulated_failure: failure(compiled, &simulated, 0),
+            live_failure: None,
+            fault: None,
+            timeline: Vec::new(),
+        };
+        match self.run_live(program, root) {
+            Err(error) => comparison.fault = Some(error.to_string()),
+            Ok(records) => {
+                comparison.live = Counts::from_records(&records);
+                comparison.live_failure = failure(compiled, &records, TIME_TOLERANCE);
+                if !comparison.agrees() {
+                    comparison.timeline = timeline::render(&compiled.scenario.processes, &records);
+                }
             }
         }
+        comparison
     }
-    compared
 }
 
-/// Plays all that options name on both stages.
-pub fn run(options: &Options, jobs: usize, format: Format, verbose: bool) -> ExitCode {
-    let (began, mut faults) = (Instant::now(), Faults::default());
-    let work = gather(options, &mut faults);
+/// What fails in a run, where something does.
+fn failure(
+    compiled: &CompiledExpectation,
+    records: &[Record],
+    time_tolerance: u64,
+) -> Option<String> {
+    let failure = judge(compiled, records, time_tolerance).failure?;
+    Some(failure.violation.description)
+}
+
+/// Compares all that options name and prints the report.
+pub(super) fn run(options: &Options, format: Format, verbose: bool) -> ExitCode {
+    let started = Instant::now();
     let program = match std::env::current_exe() {
         Ok(program) => program,
-        Err(e) => {
-            eprintln!("quartzcleat: cannot find its own program: {e}");
-            return ExitCode::from(2);
+        Err(error) => {
+            eprintln!("quartzcleat: cannot find its own program: {error}");
+            return ExitCode::from(EXIT_NOT_COMPARED);
         }
     };
-    let folder = folder();
-    let mut plays: Vec<(&Work, Compiled, usize)> = Vec::new();
-    for work in &work {
-        match compile(&work.suite, &work.expectation, &work.day) {
+    let mut faults = Faults::default();
+    let tasks = plan(options, &mut faults);
+    let variants = plan_variants(&tasks, &mut faults);
+    let comparisons = compare_all(&variants, options.jobs, &program);
+    let report = report::LiveReport {
+        comparisons,
+        faults: faults.0.iter().map(ToString::to_string).collect(),
+        seconds: started.elapsed().as_secs_f64(),
+    };
+    super::print(&report.render(format, verbose));
+    report.exit_code()
+}
+
+/// The variants of all expectations, the longest first, so that none is left alone at the end.
+fn plan_variants<'a>(tasks: &'a [CheckTask], faults: &mut Faults) -> Vec<VariantTask<'a>> {
+    let mut variants = Vec::new();
+    for task in tasks {
+        match compile(&task.suite, &task.expectation, &task.deployment) {
             Ok(compiled) => {
-                plays.extend(
-                    (0..variants(&compiled)).map(|variant| (work, compiled.clone(), variant)),
-                );
+                let variant_task = |variant| {
+                    let mut compiled = compiled.clone();
+                    compiled.scenario.variant = Some(variant);
+                    VariantTask {
+                        task,
+                        compiled,
+                        variant,
+                    }
+                };
+                variants.extend((0..count_variants(&compiled)).map(variant_task));
             }
             Err(found) => faults.0.extend(found.0),
         }
     }
-    // The longest first, so that none is left alone at the end.
-    let length = |compiled: &Compiled| {
-        compiled
-            .scenario
-            .steps
-            .iter()
-            .filter_map(|step| step.moments.last())
-            .max()
-            .copied()
-    };
-    plays.sort_by_key(|(_, compiled, _)| std::cmp::Reverse(length(compiled)));
-    // Stories mostly wait: more of them than cores go side by side.
+    variants.sort_by_key(|variant| Reverse(variant.length()));
+    variants
+}
+
+/// How many variants a scenario has.
+fn count_variants(compiled: &CompiledExpectation) -> usize {
+    let scenario = &compiled.scenario;
+    let moments = scenario.steps.iter().map(|step| step.moments.len()).max();
+    let options = [
+        moments.unwrap_or(1),
+        scenario.discovery_delays.len(),
+        scenario.attempt_outcomes.len(),
+        scenario.counter.call_outcomes.len(),
+    ];
+    options
+        .into_iter()
+        .max()
+        .unwrap_or(1)
+        .clamp(1, MAX_VARIANTS)
+}
+
+/// Runs all variants, several concurrently.
+fn compare_all(variants: &[VariantTask<'_>], jobs: usize, program: &Path) -> Vec<Comparison> {
+    let folder = run_folder();
+    let compare = |variant: &VariantTask<'_>| variant.compare(program, &folder);
     let pool = rayon::ThreadPoolBuilder::new()
-        .num_threads(if jobs == 0 { 6 } else { jobs })
+        .num_threads(if jobs == 0 { DEFAULT_JOBS } else { jobs })
         .build();
-    let one = |(work, compiled, variant): &(&Work, Compiled, usize)| {
-        let folder = folder.join(work.expectation.file.replace(['/', '.'], "_"));
-        compare(work, compiled, *variant, &program, &folder)
-    };
-    let mut compared: Vec<Compared> = match pool {
-        Ok(pool) => pool.install(|| plays.par_iter().with_max_len(1).map(one).collect()),
-        Err(_) => plays.iter().map(one).collect(),
+    let mut comparisons: Vec<Comparison> = match pool {
+        Ok(pool) => pool.install(|| variants.par_iter().with_max_len(1).map(compare).collect()),
+        // Without threads of its own the comparison is slower, not wrong.
+        Err(_) => variants.iter().map(compare).collect(),
     };
+    // A folder that cannot be removed is left to the system's own cleaning of temporary files.
     let _ = std::fs::remove_dir_all(&folder);
-    compared.sort_by(|a, b| (&a.file, a.line, a.variant).cmp(&(&b.file, b.line, b.variant)));
-    let faults: Vec<String> = faults.0.iter().map(ToString::to_string).collect();
-    let seconds = began.elapsed().as_secs_f64();
-    super::print(&match format {
-        Format::Human => human(&compared, &faults, seconds, verbose),
-        Format::Json => {
-            format!(
-                "{}\n",
-                serde_json::json!({"compared": compared, "faults": faults, "seconds": seconds})
-            )
-        }
-        Format::Junit => junit(&compared, &faults),
-    });
-    if compared.iter().any(|one| !one.agrees()) {
-        ExitCode::from(1)
-    } else {
-        ExitCode::from(if faults.is_empty() && !compared.is_empty() {
-            0
-        } else {
-            2
-        })
-    }
+    comparisons.sort_by(|a, b| (&a.file, a.line, a.variant).cmp(&(&b.file, b.line, b.variant)));
+    comparisons
 }
 
-/// A folder of this run's own.
-pub(crate) fn folder() -> PathBuf {
+/// A temporary folder of this process.
+pub(super) fn run_folder() -> PathBuf {
     std::env::temp_dir().join(format!("quartzcleat-live-{}", std::process::id()))
 }
-
-fn verdict(fails: Option<&String>) -> &str {
-    fails.map_or("held", |_| "failed")
-}
-
-fn human(compared: &[Compared], faults: &[String], seconds: f64, verbose: bool) -> String {
-    let mut out: String = faults.iter().map(|fault| format!("{fault}\n")).collect();
-    for one in compared {
-        if one.agrees() && !verbose {
-            continue;
-        }
-        let word = if one.agrees() { "agrees" } else { "DIFFERS" };
-        let _ = writeln!(
-            out,
-            "  {word:8} {}:{} variant {}: {}",
-            one.file, one.line, one.variant, one.name
-        );
-        let told = |counts: &Counts| {
-            let Counts {
-                asked,
-                attempts,
-                served,
-                refused,
-                failed,
-            } = counts;
-            format!("{asked} asked, {attempts} attempts, {served} served, {refused} refused, {failed} failed")
-        };
-        let _ = writeln!(
-            out,
-            "    world {}: {}",
-            verdict(one.world_fails.as_ref()),
-            told(&one.world)
-        );
-        let _ = writeln!(
-            out,
-            "    live  {}: {}",
-            verdict(one.live_fails.as_ref()),
-            told(&one.live)
-        );
-        for how in [&one.world_fails, &one.live_fails, &one.fault]
-            .into_iter()
-            .flatten()
-        {
-            let _ = writeln!(out, "    {how}");
-        }
-        for line in &one.story {
-            let _ = writeln!(out, "      {line}");
-        }
-    }
-    let agree = compared.iter().filter(|one| one.agrees()).count();
-    let same = compared.iter().filter(|one| one.world == one.live).count();
-    let _ = writeln!(
-        out,
-        "{} live plays: {agree} agree with the world's verdict, {same} in every count too; {seconds:.1} s",
-        compared.len()
-    );
-    out
-}
-
-fn junit(compared: &[Compared], faults: &[String]) -> String {
-    use quartzcleat_expectations::report::{case, suite};
-    let mut cases: Vec<String> = faults
-        .iter()
-        .map(|fault| case("files", "live", fault))
-        .collect();
-    for one in compared {
-        let differs = format!(
-            "world {:?}, live {:?}, {:?}",
-            one.world_fails, one.live_fails, one.fault
-        );
-        let fault = if one.agrees() { "" } else { &differs };
-        cases.push(case(
-            &format!("{} ({})", one.name, one.variant),
-            &one.file,
-            fault,
-        ));
-    }
-    suite("live", &cases)
-}
