--- a/crates/bench/src/damage/mod.rs
+++ b/crates/bench/src/damage/mod.rs
@@ -7,8 +7,8 @@
 use clap::Args;
 use quartzcleat_config::tree::Content;
 use quartzcleat_config::Deployment;
-use quartzcleat_expectations::run::read_day;
-use quartzcleat_expectations::{run, Options, Outcome, Result as Expectation, Verdict};
+use quartzcleat_expectations::check::read_deployment;
+use quartzcleat_expectations::{check, CheckReport, ExpectationResult, Options, Verdict};
 use std::path::{Path, PathBuf};
 use table::{DamagedValue, SettingDamage, DAMAGES};
 
@@ -99,7 +99,7 @@
     /// # Errors
     /// Fails where the day cannot be read or damaged files cannot be written.
     pub fn run(self) -> Result<String, BenchError> {
-        let day = read_day(&self.settings)?;
+        let day = read_deployment(&self.settings)?;
         let file = format!("quartzcleat-damage-{}.yaml", std::process::id());
         let path = std::env::temp_dir().join(file);
         let mut table = TABLE_HEAD.to_owned();
@@ -126,7 +126,7 @@
 
     /// Checks the expectations with damaged settings.
     fn check(&self, damage: &SettingDamage, damaged: &Path) -> DamageResult {
-        let line = read_day(damaged).map_or(0, |day| day.line(damage.key));
+        let line = read_deployment(damaged).map_or(0, |day| day.line(damage.key));
         let outcome = self.expectations_with(damaged, None);
         let refused = outcome
             .faults
@@ -159,37 +159,39 @@
         }
     }
 
-    fn expectations_with(&self, settings: &Path, against: Option<PathBuf>) -> Outcome {
-        run(&Options {
+    fn expectations_with(&self, settings: &Path, against: Option<PathBuf>) -> CheckReport {
+        check(&Options {
             paths: vec![self.expectations.clone()],
             settings: Some(settings.to_owned()),
-            against,
-            vary: false,
+            compare_with: against,
+            check_vacuity: false,
             ..Options::default()
         })
     }
 }
 
 /// Whether an outcome names the key in a note or its line as the source of a verdict.
-fn names_line(outcome: &Outcome, key: &str, line: u32) -> bool {
+fn names_line(outcome: &CheckReport, key: &str, line: u32) -> bool {
     let results = &outcome.results;
-    let noted = |result: &Expectation| result.notes.iter().any(|note| note.contains(key));
+    let noted = |result: &ExpectationResult| result.notes.iter().any(|note| note.contains(key));
     if results.iter().any(noted) {
         return true;
     }
     let of_failures = results
         .iter()
         .filter_map(|result| result.failure.as_ref())
-        .map(|failure| &failure.behind);
+        .map(|failure| &failure.attribution);
     let of_changes = results
         .iter()
-        .filter_map(|result| result.differs.as_ref())
-        .map(|differs| &differs.1);
-    let of_untested = results.iter().filter_map(|result| result.behind.as_ref());
+        .filter_map(|result| result.difference.as_ref())
+        .map(|difference| &difference.attribution);
+    let of_untested = results
+        .iter()
+        .filter_map(|result| result.attribution.as_ref());
     of_failures
         .chain(of_changes)
         .chain(of_untested)
-        .flat_map(|sources| &sources.sets)
+        .flat_map(|sources| &sources.line_sets)
         .flatten()
         .any(|source| source.key == key && source.line == line)
 }
--- a/crates/bench/src/deployments/baseline.rs
+++ b/crates/bench/src/deployments/baseline.rs
@@ -3,7 +3,7 @@
 
 use super::quota::{priority_weight, ExactQuotas, Subscription};
 use quartzcleat_decision::api::{Nanos, Settings};
-use quartzcleat_simulation::scenario::{Ask, Happening, Scenario};
+use quartzcleat_simulation::scenario::{ClientRequest, Scenario, ScenarioEvent};
 
 #[cfg(test)]
 mod tests;
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy)]
 struct TimedRequest<'a> {
     at: Nanos,
-    ask: &'a Ask,
+    ask: &'a ClientRequest,
 }
 
 /// A time during which a host runs at one speed.
@@ -42,9 +42,9 @@
     let requests: Vec<TimedRequest> = scenario
         .steps
         .iter()
-        .filter_map(|step| match &step.what {
-            Happening::Ask(ask) => Some(TimedRequest {
-                at: step.at[0],
+        .filter_map(|step| match &step.event {
+            ScenarioEvent::Request(ask) => Some(TimedRequest {
+                at: step.moments[0],
                 ask,
             }),
             _ => None,
@@ -61,8 +61,9 @@
         .fold(0.0, f64::max)
 }
 
-fn weight_per_work(scenario: &Scenario, ask: &Ask) -> f64 {
-    priority_weight(&scenario.truth, ask.class, ask.plan, 0) / scenario.work[ask.class] as f64
+fn weight_per_work(scenario: &Scenario, ask: &ClientRequest) -> f64 {
+    priority_weight(&scenario.ground_truth, ask.class, ask.plan, 0)
+        / scenario.work[ask.class] as f64
 }
 
 /// Zero and the quantiles of weight per work.
@@ -83,7 +84,7 @@
 
 /// The uptimes of a host, from the scenario's events.
 fn uptimes(scenario: &Scenario, host: usize) -> Vec<Uptime> {
-    let speed = scenario.nodes[host].speed;
+    let speed = scenario.hosts[host].speed;
     let mut uptimes = Vec::new();
     let mut current = Some(Uptime {
         from: 0,
@@ -94,13 +95,13 @@
     for (at, event) in host_events(scenario, host) {
         uptimes.extend(current.map(|uptime| Uptime { to: at, ..uptime }));
         current = match (event, current) {
-            (Happening::Start(_), _) => Some(Uptime {
+            (ScenarioEvent::StartHost(_), _) => Some(Uptime {
                 from: at,
                 to: Nanos::MAX,
                 speed,
                 started: at,
             }),
-            (Happening::Speed(_, speed), Some(uptime)) => Some(Uptime {
+            (ScenarioEvent::SetHostSpeed { speed, .. }, Some(uptime)) => Some(Uptime {
                 from: at,
                 speed: *speed,
                 ..uptime
@@ -113,16 +114,16 @@
 }
 
 /// The events that concern a host, in the order of their times.
-fn host_events(scenario: &Scenario, host: usize) -> Vec<(Nanos, &Happening)> {
-    let concerns_host = |event: &Happening| {
-        matches!(event, Happening::Die(other) | Happening::Vanish(other) | Happening::Start(other)
-            | Happening::Drain(other) | Happening::Speed(other, _) if *other == host)
+fn host_events(scenario: &Scenario, host: usize) -> Vec<(Nanos, &ScenarioEvent)> {
+    let concerns_host = |event: &ScenarioEvent| {
+        matches!(event, ScenarioEvent::KillHost(other) | ScenarioEvent::IsolateHost(other) | ScenarioEvent::StartHost(other)
+            | ScenarioEvent::DrainHost(other) | ScenarioEvent::SetHostSpeed { host: other, .. } if *other == host)
     };
-    let mut events: Vec<(Nanos, &Happening)> = scenario
+    let mut events: Vec<(Nanos, &ScenarioEvent)> = scenario
         .steps
         .iter()
-        .filter(|step| concerns_host(&step.what))
-        .map(|step| (step.at[0], &step.what))
+        .filter(|step| concerns_host(&step.event))
+        .map(|step| (step.moments[0], &step.event))
         .collect();
     events.sort_by_key(|(at, _)| *at);
     events
@@ -141,11 +142,11 @@
 
 impl<'a> Schedule<'a> {
     fn new(scenario: &'a Scenario) -> Self {
-        let hosts = 0..scenario.nodes.len();
-        let cores = scenario.nodes.iter().map(|node| node.cores as usize);
+        let hosts = 0..scenario.hosts.len();
+        let cores = scenario.hosts.iter().map(|node| node.cores as usize);
         Schedule {
             scenario,
-            settings: &scenario.truth,
+            settings: &scenario.ground_truth,
             uptimes: hosts.map(|host| uptimes(scenario, host)).collect(),
             idle_at: cores.map(|cores| vec![0; cores]).collect(),
             quotas: ExactQuotas::default(),
@@ -169,7 +170,7 @@
         };
         let elapsed = placement.end - at;
         let weight = priority_weight(self.settings, ask.class, ask.plan, elapsed);
-        if elapsed > ask.wait || weight <= 0.0 {
+        if elapsed > ask.timeout || weight <= 0.0 {
             return 0.0;
         }
         let subscription = Subscription {
--- a/crates/bench/src/deployments/baseline/tests.rs
+++ b/crates/bench/src/deployments/baseline/tests.rs
@@ -10,10 +10,13 @@
         let requested: f64 = scenario
             .steps
             .iter()
-            .filter_map(|step| match &step.what {
-                Happening::Ask(ask) => {
-                    Some(priority_weight(&scenario.truth, ask.class, ask.plan, 0))
-                }
+            .filter_map(|step| match &step.event {
+                ScenarioEvent::Request(ask) => Some(priority_weight(
+                    &scenario.ground_truth,
+                    ask.class,
+                    ask.plan,
+                    0,
+                )),
                 _ => None,
             })
             .sum();
@@ -23,7 +26,7 @@
             "seed {seed}: {served} of {requested}"
         );
         let mut larger = scenario.clone();
-        for host in &mut larger.nodes {
+        for host in &mut larger.hosts {
             host.cores *= 4;
         }
         assert!(
--- a/crates/bench/src/deployments/generate/clients.rs
+++ b/crates/bench/src/deployments/generate/clients.rs
@@ -3,7 +3,7 @@
 use super::random::Random;
 use super::{nanos, LOAD_SECONDS};
 use quartzcleat_decision::api::{Nanos, Settings};
-use quartzcleat_simulation::scenario::Ask;
+use quartzcleat_simulation::scenario::{ClientRequest, LimiterSet};
 use rand::RngExt;
 use rand_distr::{Distribution, Exp, LogNormal};
 
@@ -24,7 +24,7 @@
     /// When it is sent.
     pub at: Nanos,
     /// The request.
-    pub ask: Ask,
+    pub ask: ClientRequest,
 }
 
 /// The requests of all customers in the order of their times.
@@ -117,21 +117,24 @@
         }
     }
 
-    fn request(&self, random: &mut Random, settings: &Settings, operation: u64) -> Ask {
+    fn request(&self, random: &mut Random, settings: &Settings, operation: u64) -> ClientRequest {
         let class = random.0.random_range(0..settings.classes.len());
         let units: f64 =
             LogNormal::new(-0.125, 0.5).map_or(1.0, |units| units.sample(&mut random.0));
         let limiter = self.first_limiter + random.0.random_range(0..self.limiter_spread);
-        Ask {
-            mark: operation,
+        ClientRequest {
+            operation,
             class,
             partner: self.index,
             plan: self.plan as u32,
             units: units.clamp(MIN_UNITS, settings.largest_request),
-            cost: 0.0,
-            through: (limiter % settings.limiter_count) as usize,
-            spread: (self.limiter_spread, self.first_limiter),
-            wait: settings.classes[class].deadline,
+            true_units: 0.0,
+            limiter: (limiter % settings.limiter_count) as usize,
+            limiter_set: LimiterSet {
+                count: self.limiter_spread,
+                first: self.first_limiter,
+            },
+            timeout: settings.classes[class].deadline,
             retry: false,
         }
     }
--- a/crates/bench/src/deployments/generate/incident.rs
+++ b/crates/bench/src/deployments/generate/incident.rs
@@ -3,7 +3,7 @@
 use super::random::Random;
 use super::{nanos, step, NANOS_PER_MS};
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_simulation::scenario::{CounterMode, Happening, Step};
+use quartzcleat_simulation::scenario::{CounterMode, ScenarioEvent, Step};
 use std::fmt;
 
 /// The time from one host's fault to the next one's.
@@ -73,14 +73,14 @@
     }
 
     /// The mode of the counter during the incident, where it concerns the counter.
-    fn counter_event(self) -> Option<Happening> {
+    fn counter_event(self) -> Option<ScenarioEvent> {
         match self {
-            Incident::CounterSilent => Some(Happening::Counter(CounterMode::Silent)),
-            Incident::CounterRefusing => Some(Happening::Counter(CounterMode::Refusing)),
-            Incident::CounterSlow => {
-                Some(Happening::Counter(CounterMode::Slow(SLOW_COUNTER_FACTOR)))
-            }
-            Incident::CounterEmpty => Some(Happening::Empty),
+            Incident::CounterSilent => Some(ScenarioEvent::SetCounterMode(CounterMode::Silent)),
+            Incident::CounterRefusing => Some(ScenarioEvent::SetCounterMode(CounterMode::Refusing)),
+            Incident::CounterSlow => Some(ScenarioEvent::SetCounterMode(CounterMode::Slow(
+                SLOW_COUNTER_FACTOR,
+            ))),
+            Incident::CounterEmpty => Some(ScenarioEvent::ClearCounter),
             _ => None,
         }
     }
@@ -127,14 +127,17 @@
         }
         if let Some(event) = self.incident.counter_event() {
             steps.push(step(self.begin, event));
-            steps.push(step(self.end, Happening::Counter(CounterMode::Normal)));
+            steps.push(step(
+                self.end,
+                ScenarioEvent::SetCounterMode(CounterMode::Normal),
+            ));
         }
         if self.incident == Incident::LimitersRestart {
             for limiter in 0..self.limiters {
                 let at = self.begin + limiter as Nanos * LIMITER_INTERVAL;
-                steps.push(step(at, Happening::LimiterDies(limiter)));
+                steps.push(step(at, ScenarioEvent::KillLimiter(limiter)));
                 let restart = at + LIMITER_RESTART_TIME;
-                steps.push(step(restart, Happening::LimiterStarts(limiter)));
+                steps.push(step(restart, ScenarioEvent::StartLimiter(limiter)));
             }
         }
         steps
@@ -144,20 +147,29 @@
         let staggered = self.begin + host as Nanos * HOST_INTERVAL;
         match self.incident {
             Incident::HostsVanish => vec![
-                step(self.begin, Happening::Vanish(host)),
-                step(self.end, Happening::Start(host)),
+                step(self.begin, ScenarioEvent::IsolateHost(host)),
+                step(self.end, ScenarioEvent::StartHost(host)),
             ],
             Incident::HostsRestart => vec![
-                step(staggered, Happening::Die(host)),
-                step(staggered + HOST_RESTART_TIME, Happening::Start(host)),
+                step(staggered, ScenarioEvent::KillHost(host)),
+                step(
+                    staggered + HOST_RESTART_TIME,
+                    ScenarioEvent::StartHost(host),
+                ),
             ],
             Incident::SlowHosts => vec![
-                step(self.begin, Happening::Speed(host, SLOW_HOST_SPEED)),
-                step(self.end, Happening::Speed(host, 1.0)),
+                step(
+                    self.begin,
+                    ScenarioEvent::SetHostSpeed {
+                        host,
+                        speed: SLOW_HOST_SPEED,
+                    },
+                ),
+                step(self.end, ScenarioEvent::SetHostSpeed { host, speed: 1.0 }),
             ],
             Incident::Drains => vec![
-                step(staggered, Happening::Drain(host)),
-                step(staggered + DRAIN_TIME, Happening::Start(host)),
+                step(staggered, ScenarioEvent::DrainHost(host)),
+                step(staggered + DRAIN_TIME, ScenarioEvent::StartHost(host)),
             ],
             _ => Vec::new(),
         }
--- a/crates/bench/src/deployments/generate/mod.rs
+++ b/crates/bench/src/deployments/generate/mod.rs
@@ -11,9 +11,10 @@
 use clients::{client_load, ClientLoad};
 use incident::ScheduledIncident;
 use quartzcleat_decision::api::{Nanos, Settings};
-use quartzcleat_invariants::{Cast, Player};
+use quartzcleat_invariants::{Process, Processes};
 use quartzcleat_simulation::scenario::{
-    CallFate, CounterMode, CounterSetup, Fate, Happening, Net, NodeSetup, Retry, Scenario, Step,
+    AttemptOutcome, CounterCallOutcome, CounterMode, CounterSetup, HostSetup, NetworkDelays,
+    RetryPolicy, Scenario, ScenarioEvent, Step,
 };
 use random::Random;
 
@@ -57,15 +58,15 @@
         }
     }
 
-    fn processes(&self, settings: &Settings, customers: usize) -> Cast {
-        let process = |prefix: &str, number: u32| Player {
+    fn processes(&self, settings: &Settings, customers: usize) -> Processes {
+        let process = |prefix: &str, number: u32| Process {
             name: format!("{prefix}{number}"),
-            room: number % self.zones,
+            zone: number % self.zones,
             cell: number / HOSTS_PER_CELL,
         };
         let classes = settings.classes.iter().map(|class| class.name.clone());
-        Cast {
-            rooms: (0..self.zones).map(|zone| format!("room-{zone}")).collect(),
+        Processes {
+            zones: (0..self.zones).map(|zone| format!("room-{zone}")).collect(),
             limiters: (0..self.limiters)
                 .map(|number| process("limiter-", number))
                 .collect(),
@@ -85,10 +86,10 @@
     let sizes = Sizes::generate(&mut random);
     let counter = counter(&mut random);
     let settings = settings::settings(&mut random, generated.classes, plans, sizes.limiters);
-    let nodes = hosts(&mut random, &sizes);
-    let net = network(&mut random);
+    let hosts = hosts(&mut random, &sizes);
+    let network = network(&mut random);
     let load = random.choose(&[0.4, 0.55, 0.7, 0.9, 1.1]);
-    let speeds = nodes.iter().map(|host| host.speed);
+    let speeds = hosts.iter().map(|host| host.speed);
     let loaded_cores = load * f64::from(sizes.cores_per_host) * speeds.sum::<f64>();
     let clients = client_load(&mut random, &settings, &work, loaded_cores);
     let incident =
@@ -104,22 +105,22 @@
         incident.incident
     );
     let scenario = Scenario {
-        truth: settings.clone(),
-        cast: sizes.processes(&settings, clients.customers),
+        ground_truth: settings.clone(),
+        processes: sizes.processes(&settings, clients.customers),
         settings,
-        nodes,
-        net,
+        hosts,
+        network,
         start: START + nanos(random.uniform(0.0, 60.0)),
-        phases: vec![0],
+        start_offsets: vec![0],
         seeds: vec![seed],
-        lags: vec![nanos(random.log_uniform(0.02, 3.0))],
+        discovery_delays: vec![nanos(random.log_uniform(0.02, 3.0))],
         counter,
-        fates: vec![Fate::Normal],
+        attempt_outcomes: vec![AttemptOutcome::Normal],
         work,
-        spread: random.uniform(0.3, 0.9),
+        log_deviation: random.uniform(0.3, 0.9),
         steps: steps(clients, &incident),
         retry: retry(&mut random),
-        end: nanos(LOAD_SECONDS + SETTLING_SECONDS),
+        max_duration: nanos(LOAD_SECONDS + SETTLING_SECONDS),
         variant: None,
     };
     Deployment {
@@ -133,45 +134,45 @@
     (seconds * 1e9) as Nanos
 }
 
-fn step(at: Nanos, event: Happening) -> Step {
+fn step(at: Nanos, event: ScenarioEvent) -> Step {
     Step {
-        at: vec![at],
-        what: event,
-        free: None,
+        moments: vec![at],
+        event,
+        reorder_group: None,
     }
 }
 
 fn counter(random: &mut Random) -> CounterSetup {
     CounterSetup {
         mode: CounterMode::Normal,
-        fates: vec![CallFate::Normal],
-        service: nanos(random.log_uniform(0.000_05, 0.002)),
-        parts: random.count(1, 4),
+        call_outcomes: vec![CounterCallOutcome::Normal],
+        call_duration: nanos(random.log_uniform(0.000_05, 0.002)),
+        shards: random.count(1, 4),
     }
 }
 
-fn hosts(random: &mut Random, sizes: &Sizes) -> Vec<NodeSetup> {
+fn hosts(random: &mut Random, sizes: &Sizes) -> Vec<HostSetup> {
     (0..sizes.hosts)
-        .map(|_| NodeSetup {
+        .map(|_| HostSetup {
             cores: sizes.cores_per_host,
             speed: random.log_uniform(0.6, 1.3),
-            ..NodeSetup::default()
+            ..HostSetup::default()
         })
         .collect()
 }
 
-fn network(random: &mut Random) -> Net {
-    Net {
-        same: nanos(random.log_uniform(0.000_1, 0.001)),
-        cross: nanos(random.log_uniform(0.000_4, 0.004)),
+fn network(random: &mut Random) -> NetworkDelays {
+    NetworkDelays {
+        same_zone: nanos(random.log_uniform(0.000_1, 0.001)),
+        cross_zone: nanos(random.log_uniform(0.000_4, 0.004)),
         counter: 500_000,
     }
 }
 
-fn retry(random: &mut Random) -> Option<Retry> {
-    random.chance(0.7).then(|| Retry {
-        after: nanos(random.log_uniform(0.02, 0.5)),
-        elsewhere: true,
+fn retry(random: &mut Random) -> Option<RetryPolicy> {
+    random.chance(0.7).then(|| RetryPolicy {
+        delay: nanos(random.log_uniform(0.02, 0.5)),
+        next_limiter: true,
     })
 }
 
@@ -179,7 +180,7 @@
 fn steps(clients: ClientLoad, incident: &ScheduledIncident) -> Vec<Step> {
     let requests = clients.requests.into_iter();
     let mut steps: Vec<Step> = requests
-        .map(|request| step(request.at, Happening::Ask(request.ask)))
+        .map(|request| step(request.at, ScenarioEvent::Request(request.ask)))
         .collect();
     steps.extend(incident.steps());
     steps
--- a/crates/bench/src/deployments/generate/tests.rs
+++ b/crates/bench/src/deployments/generate/tests.rs
@@ -15,14 +15,14 @@
     assert!(incidents.len() >= 8, "{incidents:?}");
     for seed in SEEDS {
         let scenario = generate(seed).scenario;
-        let is_request = |step: &&Step| matches!(step.what, Happening::Ask(_));
+        let is_request = |step: &&Step| matches!(step.event, ScenarioEvent::Request(_));
         let requests = scenario.steps.iter().filter(is_request).count();
         assert!(
             (20..=MAX_REQUESTS).contains(&requests),
             "seed {seed}: {requests} requests"
         );
         assert!(scenario
-            .nodes
+            .hosts
             .iter()
             .all(|node| node.state == HostState::Ready));
     }
--- a/crates/bench/src/deployments/judge.rs
+++ b/crates/bench/src/deployments/judge.rs
@@ -4,9 +4,9 @@
 use super::generate::{generate, Deployment};
 use super::quota::{priority_weight, ExactQuotas, Subscription};
 use quartzcleat_decision::api::{Nanos, RequestId, Settings};
-use quartzcleat_invariants::{check, Answered, Record, Terms, What};
-use quartzcleat_simulation::scenario::{Happening, Step};
-use quartzcleat_simulation::{oracle::First, play};
+use quartzcleat_invariants::{check, Answer, Fact, InvariantLimits, Record};
+use quartzcleat_simulation::scenario::{ScenarioEvent, Step};
+use quartzcleat_simulation::{oracle::FirstOption, simulate};
 use std::collections::BTreeMap;
 
 #[cfg(test)]
@@ -52,16 +52,16 @@
 pub fn judge(seed: u64) -> DeploymentResult {
     let deployment = generate(seed);
     let scenario = &deployment.scenario;
-    let played = play(scenario, &mut First);
-    let terms = Terms::of(&scenario.truth, 0);
-    let broken = check(&scenario.cast, &terms, &played.records);
+    let run = simulate(scenario, &mut FirstOption);
+    let limits = InvariantLimits::from_settings(&scenario.ground_truth, 0);
+    let broken = check(&scenario.processes, &limits, &run.records);
     let broken = broken
         .iter()
-        .map(|broken| format!("{}: {}", broken.rule.name(), broken.how))
+        .map(|violation| format!("{}: {}", violation.invariant.name(), violation.description))
         .collect();
     let baseline = served_value(scenario).max(MIN_BASELINE_VALUE);
-    let mut ledger = Ledger::new(&scenario.truth, &scenario.steps);
-    for record in &played.records {
+    let mut ledger = Ledger::new(&scenario.ground_truth, &scenario.steps);
+    for record in &run.records {
         ledger.add(record);
     }
     let value = ledger.value().relative_to(baseline);
@@ -109,8 +109,8 @@
 
 impl<'a> Ledger<'a> {
     fn new(settings: &'a Settings, steps: &[Step]) -> Self {
-        let plan = |step: &Step| match &step.what {
-            Happening::Ask(ask) => Some((ask.mark, ask.plan)),
+        let plan = |step: &Step| match &step.event {
+            ScenarioEvent::Request(ask) => Some((ask.operation, ask.plan)),
             _ => None,
         };
         Ledger {
@@ -126,17 +126,17 @@
     }
 
     fn add(&mut self, record: &Record) {
-        match record.what {
-            What::Asked {
+        match record.fact {
+            Fact::RequestReceived {
                 request,
-                errand,
+                operation,
                 class,
                 partner,
                 units,
                 ..
             } => {
                 let state = Request {
-                    operation: errand,
+                    operation: operation,
                     customer: partner,
                     units,
                     attempted_within_quota: None,
@@ -144,14 +144,14 @@
                 self.add_operation(&state, class, record.at);
                 self.requests.insert(request, state);
             }
-            What::Sent {
+            Fact::AttemptSent {
                 request,
                 attempt: 0,
                 ..
             } => self.add_attempt(request, record.at),
-            What::Answered {
+            Fact::Answered {
                 request,
-                answer: Answered::Served,
+                answer: Answer::Served,
             } => self.add_served(request, record.at),
             _ => {}
         }
--- a/crates/bench/src/pair.rs
+++ b/crates/bench/src/pair.rs
@@ -7,8 +7,8 @@
 use quartzcleat_decision::api::{Nanos, Settings};
 use quartzcleat_fakes::load::{load_scenario, request_step, LoadTopology, PLAN};
 use quartzcleat_fakes::{run_measured, Usage};
-use quartzcleat_invariants::{Answered, Record, What};
-use quartzcleat_simulation::scenario::{Ask, Scenario};
+use quartzcleat_invariants::{Answer, Fact, Record};
+use quartzcleat_simulation::scenario::{ClientRequest, LimiterSet, Scenario};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Instant;
@@ -129,17 +129,17 @@
     load_scenario(settings, TOPOLOGY, steps, end)
 }
 
-fn request(number: u64) -> Ask {
-    Ask {
-        mark: number + 1,
+fn request(number: u64) -> ClientRequest {
+    ClientRequest {
+        operation: number + 1,
         class: (number % 2) as usize,
         partner: (number % CUSTOMERS) as usize,
         plan: PLAN,
         units: 1.0,
-        cost: 0.0,
-        through: 0,
-        spread: (1, 0),
-        wait: CLIENT_DEADLINE,
+        true_units: 0.0,
+        limiter: 0,
+        limiter_set: LimiterSet { count: 1, first: 0 },
+        timeout: CLIENT_DEADLINE,
         retry: false,
     }
 }
@@ -159,9 +159,9 @@
 
 fn is_served(record: &Record) -> bool {
     matches!(
-        record.what,
-        What::Answered {
-            answer: Answered::Served,
+        record.fact,
+        Fact::Answered {
+            answer: Answer::Served,
             ..
         }
     )
--- a/crates/bench/src/speed.rs
+++ b/crates/bench/src/speed.rs
@@ -2,8 +2,8 @@
 
 use crate::spread::Spread;
 use clap::Args;
-use quartzcleat_expectations::run::Counts;
-use quartzcleat_expectations::{run, Budget, Options, Outcome};
+use quartzcleat_expectations::check::ExplorationCounts;
+use quartzcleat_expectations::{check, Budget, CheckReport, Options};
 use std::path::PathBuf;
 
 const TABLE_HEAD: &str = "| cores | plays for each | expectations | plays | states | complete | seconds: least / median / most | states a second |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n";
@@ -68,26 +68,26 @@
         let options = Options {
             paths: vec![self.expectations.clone()],
             budget: Budget {
-                plays: case.plays,
-                events: case.plays * EVENTS_PER_PLAY,
+                max_runs: case.plays,
+                max_events: case.plays * EVENTS_PER_PLAY,
                 ..Budget::default()
             },
             jobs: case.jobs,
-            only: case.only.map(str::to_owned),
+            name_filter: case.only.map(str::to_owned),
             ..Options::default()
         };
-        let mut last = run(&options);
+        let mut last = check(&options);
         let mut seconds = vec![last.seconds];
         for _ in 1..self.runs {
-            last = run(&options);
+            last = check(&options);
             seconds.push(last.seconds);
         }
         row(case, &last, Spread::of(seconds))
     }
 }
 
-fn row(case: &Case, last: &Outcome, seconds: Spread) -> String {
-    let sum = |count: fn(&Counts) -> u64| -> u64 {
+fn row(case: &Case, last: &CheckReport, seconds: Spread) -> String {
+    let sum = |count: fn(&ExplorationCounts) -> u64| -> u64 {
         let explored = last.results.iter().map(|result| &result.explored);
         explored.map(count).sum()
     };
@@ -95,14 +95,14 @@
     let complete = last
         .results
         .iter()
-        .filter(|result| result.explored.complete)
+        .filter(|result| result.explored.is_exhaustive)
         .count();
     format!(
         "| {} | {} | {} | {} | {states} | {complete} | {seconds} | {:.0} |\n",
         case.jobs,
         case.plays,
         last.results.len(),
-        sum(|counts| counts.plays),
+        sum(|counts| counts.runs),
         states as f64 / seconds.median
     )
 }
--- a/crates/bench/src/trial/report.rs
+++ b/crates/bench/src/trial/report.rs
@@ -2,7 +2,7 @@
 
 use crate::error::BenchError;
 use hdrhistogram::Histogram;
-use quartzcleat_expectations::report::{case, suite};
+use quartzcleat_expectations::report::{junit_case, junit_suite};
 use quartzcleat_fault_injection::{Row, Scenario};
 use serde_json::json;
 use std::time::Duration;
@@ -154,7 +154,7 @@
     /// JUnit's XML with a case for each seed.
     pub fn junit(&self) -> String {
         let cases: Vec<String> = self.rows.iter().map(|row| self.junit_case(row)).collect();
-        suite("trials", &cases)
+        junit_suite("trials", &cases)
     }
 
     fn junit_case(&self, row: &Row) -> String {
@@ -163,6 +163,6 @@
         } else {
             row.finding.clone() + &self.command_for(row.seed)
         };
-        case(&format!("seed {}", row.seed), self.file, &fault)
+        junit_case(&format!("seed {}", row.seed), self.file, &fault)
     }
 }
--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -4,8 +4,8 @@
 use crate::context::{Context, RequestState};
 use crate::resp::{self, Reply};
 use quartzcleat_decision::api::{Effect, Nanos, RequestId};
-use quartzcleat_invariants::{Answered, What};
-use quartzcleat_simulation::scenario::{Ask, Retry};
+use quartzcleat_invariants::{Answer, Fact};
+use quartzcleat_simulation::scenario::{ClientRequest, RetryPolicy};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -43,8 +43,9 @@
 }
 
 /// Sends a request, and retries once where the scenario's clients do.
-pub(crate) async fn run(context: &Context, ask: Ask) {
-    if ask.retry && answer_of_earlier_request(context, ask.mark).await == Some(Answered::Served) {
+pub(crate) async fn run(context: &Context, ask: ClientRequest) {
+    if ask.retry && answer_of_earlier_request(context, ask.operation).await == Some(Answer::Served)
+    {
         return;
     }
     let Some(answer) = send(context, &ask).await else {
@@ -53,19 +54,19 @@
     let Some(retry) = &context.scenario.retry else {
         return;
     };
-    if answer == Answered::Served || ask.retry {
+    if answer == Answer::Served || ask.retry {
         return;
     }
     let retry_after = match answer {
-        Answered::Refused(retry_after) => retry_after,
-        Answered::Served | Answered::Failed => 0,
+        Answer::Rejected(retry_after) => retry_after,
+        Answer::Served | Answer::Failed => 0,
     };
-    sleep(Duration::from_nanos(retry.after.max(retry_after))).await;
+    sleep(Duration::from_nanos(retry.delay.max(retry_after))).await;
     send(context, &retry_of(context, &ask, retry)).await;
 }
 
 /// Waits until the request before a retry is answered; `None` where there was none.
-async fn answer_of_earlier_request(context: &Context, operation: u64) -> Option<Answered> {
+async fn answer_of_earlier_request(context: &Context, operation: u64) -> Option<Answer> {
     loop {
         let state = context.operations.borrow().get(&operation).copied();
         match state {
@@ -77,34 +78,34 @@
 }
 
 /// The retry of a request, through the next limiter of its spread where clients change limiters.
-fn retry_of(context: &Context, ask: &Ask, retry: &Retry) -> Ask {
-    let mut again = Ask {
+fn retry_of(context: &Context, ask: &ClientRequest, retry: &RetryPolicy) -> ClientRequest {
+    let mut again = ClientRequest {
         retry: true,
         ..ask.clone()
     };
-    if retry.elsewhere && ask.spread.0 > 1 {
-        let limiters = context.scenario.cast.limiters.len();
-        let count = ask.spread.0 as usize;
-        let first = ask.spread.1 as usize;
-        let position = (ask.through + limiters - first) % limiters;
-        again.through = (first + (position + 1) % count) % limiters;
+    if retry.next_limiter && ask.limiter_set.count > 1 {
+        let limiters = context.scenario.processes.limiters.len();
+        let count = ask.limiter_set.count as usize;
+        let first = ask.limiter_set.first as usize;
+        let position = (ask.limiter + limiters - first) % limiters;
+        again.limiter = (first + (position + 1) % count) % limiters;
     }
     again
 }
 
 /// Sends one request and returns its answer; `None` where no limiter accepted it.
-async fn send(context: &Context, ask: &Ask) -> Option<Answered> {
-    let Some(address) = context.limiter_address(ask.through) else {
-        let limiter = context.scenario.cast.limiter(ask.through);
+async fn send(context: &Context, ask: &ClientRequest) -> Option<Answer> {
+    let Some(address) = context.limiter_address(ask.limiter) else {
+        let limiter = context.scenario.processes.limiter(ask.limiter);
         context.remark(format!("{limiter} takes no connection"));
         return None;
     };
     let id = context.next_request();
     let command = request_command(context, ask, id);
-    context.operations.borrow_mut().insert(ask.mark, None);
+    context.operations.borrow_mut().insert(ask.operation, None);
     let state = RequestState {
         class: ask.class,
-        operation: ask.mark,
+        operation: ask.operation,
         attempts: 0,
     };
     context.requests.borrow_mut().insert(id, state);
@@ -113,31 +114,31 @@
         Err(_) => {
             // A limiter that died took its connections along; one that lives and closes without an answer
             // leaves the request unanswered in the records.
-            if context.limiter_address(ask.through).is_none() {
-                context.record(What::Left { request: id });
+            if context.limiter_address(ask.limiter).is_none() {
+                context.record(Fact::ClientLeft { request: id });
             }
             None
         }
     };
-    let known = answer.or(Some(Answered::Failed));
-    context.operations.borrow_mut().insert(ask.mark, known);
+    let known = answer.or(Some(Answer::Failed));
+    context.operations.borrow_mut().insert(ask.operation, known);
     answer
 }
 
 /// A request in the platform's form.
-fn request_command(context: &Context, ask: &Ask, id: RequestId) -> Vec<u8> {
+fn request_command(context: &Context, ask: &ClientRequest, id: RequestId) -> Vec<u8> {
     let settings = &context.scenario.settings;
     let class = &settings.classes[ask.class];
     let plan = settings.plans.get(ask.plan as usize);
     let plan = plan.map_or("", |plan| plan.name.as_str());
-    let wait_ms = ask.wait.div_ceil(NANOS_PER_MS);
+    let wait_ms = ask.timeout.div_ceil(NANOS_PER_MS);
     let mut facts = format!("c={},t={plan},d={wait_ms}", class.name);
     if class.effect == Effect::Keyed {
-        facts.push_str(&format!(",k={:016x}", ask.mark));
+        facts.push_str(&format!(",k={:016x}", ask.operation));
     }
     facts.push_str(&format!(
         ",units={},spread={},first={}",
-        ask.units, ask.spread.0, ask.spread.1
+        ask.units, ask.limiter_set.count, ask.limiter_set.first
     ));
     let verb = if class.effect == Effect::Retryable {
         "Q.ASK"
@@ -157,43 +158,43 @@
     address: SocketAddr,
     command: &[u8],
     id: RequestId,
-    ask: &Ask,
-) -> io::Result<Option<Answered>> {
+    ask: &ClientRequest,
+) -> io::Result<Option<Answer>> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     // Recorded before it is written: the limiter may act on it before this task goes on.
-    context.record(What::Asked {
+    context.record(Fact::RequestReceived {
         request: id,
-        limiter: ask.through,
-        errand: ask.mark,
+        limiter: ask.limiter,
+        operation: ask.operation,
         class: ask.class,
         partner: ask.partner,
         units: ask.units,
-        deadline: context.now() + ask.wait,
+        deadline: context.now() + ask.timeout,
     });
     stream.write_all(command).await?;
-    let patience = Duration::from_nanos(ask.wait) + LATE_ANSWER_TIME;
+    let patience = Duration::from_nanos(ask.timeout) + LATE_ANSWER_TIME;
     let Ok(reply) = timeout(patience, read_reply(&mut stream)).await else {
         return Ok(None);
     };
     let answer = answer_from(reply?, id)?;
-    context.record(What::Answered {
+    context.record(Fact::Answered {
         request: id,
         answer,
     });
     Ok(Some(answer))
 }
 
-fn answer_from(reply: Option<Reply>, id: RequestId) -> io::Result<Answered> {
+fn answer_from(reply: Option<Reply>, id: RequestId) -> io::Result<Answer> {
     match reply {
-        Some(Reply::Bulk(value)) if value == wire_id(id) => Ok(Answered::Served),
+        Some(Reply::Bulk(value)) if value == wire_id(id) => Ok(Answer::Served),
         Some(Reply::Bulk(_)) | None => Err(io::ErrorKind::UnexpectedEof.into()),
         Some(Reply::Line(line)) => Ok(match line.strip_prefix("-BUSY") {
             Some(retry_after_ms) => {
                 let retry_after_ms = retry_after_ms.trim().parse::<u64>().unwrap_or(0);
-                Answered::Refused(retry_after_ms * NANOS_PER_MS)
+                Answer::Rejected(retry_after_ms * NANOS_PER_MS)
             }
-            None => Answered::Failed,
+            None => Answer::Failed,
         }),
     }
 }
--- a/crates/fakes/src/context.rs
+++ b/crates/fakes/src/context.rs
@@ -5,9 +5,9 @@
 use crate::recorder::{AttemptId, Recorder};
 use crate::state::{FakeCounter, FakeDiscovery, FakeHost};
 use quartzcleat_decision::api::{Nanos, RequestId};
-use quartzcleat_invariants::{Answered, Record, What};
-use quartzcleat_simulation::oracle::Point;
-use quartzcleat_simulation::scenario::{option, Scenario};
+use quartzcleat_invariants::{Answer, Fact, Record};
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::{option_of_variant, Scenario};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -68,7 +68,7 @@
     /// Clients that still wait for an answer.
     pub(crate) waiting_clients: Cell<usize>,
     /// The last answer for each operation; `None` while a request for it is open.
-    pub(crate) operations: RefCell<BTreeMap<u64, Option<Answered>>>,
+    pub(crate) operations: RefCell<BTreeMap<u64, Option<Answer>>>,
     last_request: Cell<u64>,
 }
 
@@ -97,14 +97,14 @@
     }
 
     /// Records an event now.
-    pub(crate) fn record(&self, event: What) {
+    pub(crate) fn record(&self, event: Fact) {
         let now = self.now();
         self.recorder.borrow_mut().record(now, event);
     }
 
     /// Records a remark for readers.
     pub(crate) fn remark(&self, text: String) {
-        self.record(What::Noted(text));
+        self.record(Fact::Note(text));
     }
 
     /// Removes and returns all records.
@@ -124,21 +124,26 @@
     }
 
     /// The option that the scenario's variant takes at a point that is left open; `None` where there are no options.
-    pub(crate) fn choose<T: Copy>(&self, point: Point, number: usize, options: &[T]) -> Option<T> {
+    pub(crate) fn choose<T: Copy>(
+        &self,
+        point: ChoicePoint,
+        number: usize,
+        options: &[T],
+    ) -> Option<T> {
         let variant = self.scenario.variant.unwrap_or(0);
         options
-            .get(option(variant, point, number, options.len()))
+            .get(option_of_variant(variant, point, number, options.len()))
             .copied()
     }
 
     /// The one-way network delay between a limiter and a host.
     pub(crate) fn network_delay(&self, limiter: usize, host: usize) -> Duration {
-        let cast = &self.scenario.cast;
-        let same_zone = cast.limiters[limiter].room == cast.hosts[host].room;
+        let processes = &self.scenario.processes;
+        let same_zone = processes.limiters[limiter].zone == processes.hosts[host].zone;
         Duration::from_nanos(if same_zone {
-            self.scenario.net.same
+            self.scenario.network.same_zone
         } else {
-            self.scenario.net.cross
+            self.scenario.network.cross_zone
         })
     }
 
--- a/crates/fakes/src/endpoints.rs
+++ b/crates/fakes/src/endpoints.rs
@@ -2,7 +2,7 @@
 
 use crate::context::Context;
 use quartzcleat_decision::api::HostState;
-use quartzcleat_simulation::node::Life;
+use quartzcleat_simulation::host::HostStatus;
 use serde_json::{json, Value};
 
 /// Added to a limiter's index for the seed in its configuration.
@@ -20,8 +20,8 @@
 /// The state of a host as discovery reports it now.
 pub(crate) fn host_state(context: &Context, host: usize) -> HostState {
     let model = &context.hosts.borrow()[host].model;
-    match (model.life, model.draining) {
-        (Life::Dead, _) => HostState::Gone,
+    match (model.status, model.draining) {
+        (HostStatus::Dead, _) => HostState::Gone,
         (_, true) => HostState::Draining,
         _ => HostState::Ready,
     }
@@ -47,9 +47,9 @@
 }
 
 fn instance(context: &Context, limiter: usize, host: usize) -> Value {
-    let cast = &context.scenario.cast;
-    let description = &cast.hosts[host];
-    let zone = cast.rooms.get(description.room as usize);
+    let processes = &context.scenario.processes;
+    let description = &processes.hosts[host];
+    let zone = processes.zones.get(description.zone as usize);
     let lifecycle = match host_state(context, host) {
         HostState::Ready => "SERVING",
         HostState::Draining => "DRAINING",
@@ -63,7 +63,7 @@
         "machineType": "node",
         "cell": description.cell,
         "lifecycle": lifecycle,
-        "weight": context.scenario.nodes[host].weight,
+        "weight": context.scenario.hosts[host].weight,
         "startedAtMs": fake.model.started / 1_000_000,
     })
 }
@@ -73,21 +73,21 @@
     let scenario = &context.scenario;
     let mut settings = scenario.settings.clone();
     settings.me = limiter as u32;
-    settings.limiter_count = scenario.cast.limiters.len() as u32;
-    settings.zone = scenario.cast.limiters[limiter].room;
+    settings.limiter_count = scenario.processes.limiters.len() as u32;
+    settings.zone = scenario.processes.limiters[limiter].zone;
     let addresses = context.limiters.borrow()[limiter].addresses;
     let (listed, generation) = {
         let discovery = context.discovery.borrow();
         (discovery.listed(), discovery.generation())
     };
     json!({
-        "name": scenario.cast.limiters[limiter].name,
+        "name": scenario.processes.limiters[limiter].name,
         "listen": addresses.listen.to_string(),
         "discovery": addresses.discovery.to_string(),
         "counter": addresses.counter.to_string(),
         "seed": format!("{:016x}", SEED_BASE + limiter as u64),
         "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 512 },
         "known": endpoint_list(context, limiter, generation, ListKind::Full, &listed),
-        "settings": quartzcleat_config::platform::encode(&settings, &scenario.cast.rooms),
+        "settings": quartzcleat_config::platform::encode(&settings, &scenario.processes.zones),
     })
 }
--- a/crates/fakes/src/events.rs
+++ b/crates/fakes/src/events.rs
@@ -7,10 +7,10 @@
 use crate::server::host;
 use crate::task::spawn;
 use quartzcleat_decision::api::HostState;
-use quartzcleat_invariants::What;
-use quartzcleat_simulation::node::Life;
-use quartzcleat_simulation::oracle::Point;
-use quartzcleat_simulation::scenario::{Ask, Happening};
+use quartzcleat_invariants::Fact;
+use quartzcleat_simulation::host::HostStatus;
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::{ClientRequest, ScenarioEvent};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -21,48 +21,48 @@
 const SOCKET_CLOSE_TIME: Duration = Duration::from_millis(1);
 
 /// Applies an event. The start of a limiter is the harness's own.
-pub(crate) async fn apply(context: &Rc<Context>, event: Happening) {
-    let host_name = |host: usize| context.scenario.cast.host(host);
+pub(crate) async fn apply(context: &Rc<Context>, event: ScenarioEvent) {
+    let host_name = |host: usize| context.scenario.processes.host(host);
     match event {
-        Happening::Ask(ask) => start_client(context, ask),
-        Happening::Drain(host) => {
+        ScenarioEvent::Request(ask) => start_client(context, ask),
+        ScenarioEvent::DrainHost(host) => {
             context.remark(format!("{} begins to drain", host_name(host)));
             context.hosts.borrow_mut()[host].model.draining = true;
             announce_change(context, host);
         }
-        Happening::Die(host) => {
+        ScenarioEvent::KillHost(host) => {
             context.remark(format!("{}'s process dies", host_name(host)));
-            host::end(context, host, Life::Dead);
+            host::end(context, host, HostStatus::Dead);
             announce_change(context, host);
         }
-        Happening::Vanish(host) => {
+        ScenarioEvent::IsolateHost(host) => {
             context.remark(format!("{}'s machine vanishes", host_name(host)));
-            host::end(context, host, Life::Vanished);
+            host::end(context, host, HostStatus::Unreachable);
         }
-        Happening::Start(host) => start_host(context, host),
-        Happening::Replace(old, new) => replace_host(context, old, new).await,
-        Happening::Speed(host, speed) => {
+        ScenarioEvent::StartHost(host) => start_host(context, host),
+        ScenarioEvent::ReplaceHost { old, new } => replace_host(context, old, new).await,
+        ScenarioEvent::SetHostSpeed { host, speed } => {
             context.remark(format!(
                 "{} goes at {speed} of the yardstick",
                 host_name(host)
             ));
             context.hosts.borrow_mut()[host].model.speed = speed.max(MIN_HOST_SPEED);
         }
-        Happening::Counter(mode) => {
+        ScenarioEvent::SetCounterMode(mode) => {
             context.remark(format!("the counter is now {mode:?}").to_lowercase());
             context.counter.borrow_mut().model.mode = mode;
         }
-        Happening::Empty => {
+        ScenarioEvent::ClearCounter => {
             context.remark("the counter comes back empty".to_owned());
-            context.counter.borrow_mut().model.empty();
+            context.counter.borrow_mut().model.clear();
         }
-        Happening::Discovery(answering) => set_discovery_answering(context, answering),
-        Happening::LimiterDies(limiter) => kill_limiter(context, limiter).await,
-        Happening::LimiterStarts(_) => {}
+        ScenarioEvent::SetDiscovery(answering) => set_discovery_answering(context, answering),
+        ScenarioEvent::KillLimiter(limiter) => kill_limiter(context, limiter).await,
+        ScenarioEvent::StartLimiter(_) => {}
     }
 }
 
-fn start_client(context: &Rc<Context>, ask: Ask) {
+fn start_client(context: &Rc<Context>, ask: ClientRequest) {
     context
         .waiting_clients
         .set(context.waiting_clients.get() + 1);
@@ -78,19 +78,19 @@
 fn start_host(context: &Rc<Context>, host: usize) {
     let now = context.now();
     context.hosts.borrow_mut()[host].model.start(now);
-    context.record(What::Started { host });
+    context.record(Fact::HostStarted { host });
     host::start_process(context, host);
     announce_change(context, host);
 }
 
 async fn replace_host(context: &Rc<Context>, old: usize, new: usize) {
-    let cast = &context.scenario.cast;
+    let processes = &context.scenario.processes;
     context.remark(format!(
         "{} is replaced by {} at its address",
-        cast.host(old),
-        cast.host(new)
+        processes.host(old),
+        processes.host(new)
     ));
-    host::end(context, old, Life::Dead);
+    host::end(context, old, HostStatus::Dead);
     {
         let mut hosts = context.hosts.borrow_mut();
         hosts[new].addresses = hosts[old].addresses.clone();
@@ -111,14 +111,18 @@
 }
 
 async fn kill_limiter(context: &Context, limiter: usize) {
-    context.record(What::Died { limiter });
+    context.record(Fact::LimiterDied { limiter });
     let child = context.limiters.borrow_mut()[limiter].take_child();
     limiter::kill(child).await;
 }
 
 /// Adds a host's change to the endpoint list; limiters see it after the scenario's lag.
 pub(crate) fn announce_change(context: &Rc<Context>, host: usize) {
-    let lag = context.choose(Point::Lag, 0, &context.scenario.lags);
+    let lag = context.choose(
+        ChoicePoint::DiscoveryDelay,
+        0,
+        &context.scenario.discovery_delays,
+    );
     let lag = Duration::from_nanos(lag.unwrap_or(0));
     let state = host_state(context, host);
     let version = {
--- a/crates/fakes/src/harness.rs
+++ b/crates/fakes/src/harness.rs
@@ -10,9 +10,9 @@
 use crate::state::FakeHost;
 use crate::task::spawn;
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_invariants::{Record, What};
-use quartzcleat_simulation::oracle::Point;
-use quartzcleat_simulation::scenario::{Happening, Scenario};
+use quartzcleat_invariants::{Fact, Record};
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::{Scenario, ScenarioEvent};
 use std::io;
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
@@ -86,7 +86,7 @@
 struct ScheduledEvent {
     /// From the moment at which all limiters are ready.
     at: Duration,
-    event: Happening,
+    event: ScenarioEvent,
 }
 
 /// One run: the shared context, and what limiters are started with.
@@ -103,7 +103,7 @@
         for limiter in 0..self.limiter_count() {
             self.prepare_limiter(limiter).await?;
         }
-        for host in 0..self.context.scenario.nodes.len() {
+        for host in 0..self.context.scenario.hosts.len() {
             server::host::start_process(&self.context, host);
         }
         let start = self.start_limiters().await?;
@@ -113,13 +113,13 @@
     }
 
     fn limiter_count(&self) -> usize {
-        self.context.scenario.cast.limiters.len()
+        self.context.scenario.processes.limiters.len()
     }
 
     async fn bind_hosts(&self) -> io::Result<()> {
         let context = &self.context;
         let start = context.now();
-        for (host, setup) in context.scenario.nodes.iter().enumerate() {
+        for (host, setup) in context.scenario.hosts.iter().enumerate() {
             let fake = FakeHost::bind(setup, self.limiter_count(), start).await?;
             context.hosts.borrow_mut().push(fake);
             if !setup.absent {
@@ -189,7 +189,7 @@
         let listed = self.context.discovery.borrow().listed();
         for host in listed {
             let state = host_state(&self.context, host);
-            self.context.record(What::Told {
+            self.context.record(Fact::HostStateLearned {
                 limiter,
                 host,
                 state,
@@ -200,12 +200,16 @@
     /// The scenario's events in the order of their times.
     fn schedule(&self) -> Vec<ScheduledEvent> {
         let steps = &self.context.scenario.steps;
-        let at = |options: &[Nanos]| self.context.choose(Point::Moment, 0, options).unwrap_or(0);
+        let at = |options: &[Nanos]| {
+            self.context
+                .choose(ChoicePoint::Moment, 0, options)
+                .unwrap_or(0)
+        };
         let mut schedule: Vec<ScheduledEvent> = steps
             .iter()
             .map(|step| ScheduledEvent {
-                at: Duration::from_nanos(at(&step.at)),
-                event: step.what.clone(),
+                at: Duration::from_nanos(at(&step.moments)),
+                event: step.event.clone(),
             })
             .collect();
         // The sort is stable: events at the same time keep the scenario's order.
@@ -221,9 +225,9 @@
         Ok(())
     }
 
-    async fn apply(&self, event: Happening) -> io::Result<()> {
-        if let Happening::LimiterStarts(limiter) = event {
-            let name = self.context.scenario.cast.limiter(limiter);
+    async fn apply(&self, event: ScenarioEvent) -> io::Result<()> {
+        if let ScenarioEvent::StartLimiter(limiter) = event {
+            let name = self.context.scenario.processes.limiter(limiter);
             self.context.remark(format!("{name} starts again"));
             self.record_known_hosts(limiter);
             return self.start_limiter(limiter).await;
@@ -234,7 +238,7 @@
 
     /// Waits until all clients have their answers, or until the scenario's end.
     async fn wait_for_answers(&self, start: Instant) {
-        let end = start + Duration::from_nanos(self.context.scenario.end);
+        let end = start + Duration::from_nanos(self.context.scenario.max_duration);
         while self.context.waiting_clients.get() > 0 && Instant::now() < end {
             sleep(POLL_INTERVAL).await;
         }
--- a/crates/fakes/src/load.rs
+++ b/crates/fakes/src/load.rs
@@ -1,9 +1,10 @@
 //! Scenarios of steady load: limiters and hosts in one zone, and customers whose quotas reject nothing.
 
 use quartzcleat_decision::api::{HostState, Nanos, Settings};
-use quartzcleat_invariants::{record::Player, Cast};
+use quartzcleat_invariants::{Process, Processes};
 use quartzcleat_simulation::scenario::{
-    Ask, CounterSetup, Fate, Happening, Net, NodeSetup, Scenario, Step,
+    AttemptOutcome, ClientRequest, CounterSetup, HostSetup, NetworkDelays, Scenario, ScenarioEvent,
+    Step,
 };
 
 /// The plan of all customers.
@@ -42,34 +43,34 @@
     end: Nanos,
 ) -> Scenario {
     let settings = with_unlimited_plan(settings);
-    let host = NodeSetup {
+    let host = HostSetup {
         cores: CORES_PER_HOST,
         state: HostState::Ready,
-        ..NodeSetup::default()
+        ..HostSetup::default()
     };
     Scenario {
-        truth: settings.clone(),
-        cast: processes(&settings, topology),
-        nodes: vec![host; topology.hosts],
-        net: Net {
-            same: NETWORK_DELAY,
-            cross: NETWORK_DELAY,
+        ground_truth: settings.clone(),
+        processes: processes(&settings, topology),
+        hosts: vec![host; topology.hosts],
+        network: NetworkDelays {
+            same_zone: NETWORK_DELAY,
+            cross_zone: NETWORK_DELAY,
             counter: NETWORK_DELAY,
         },
         start: 0,
-        phases: vec![0],
+        start_offsets: vec![0],
         seeds: vec![1],
-        lags: vec![0],
+        discovery_delays: vec![0],
         counter: CounterSetup {
-            service: COUNTER_SERVICE_TIME,
+            call_duration: COUNTER_SERVICE_TIME,
             ..CounterSetup::default()
         },
-        fates: vec![Fate::Normal],
+        attempt_outcomes: vec![AttemptOutcome::Normal],
         work: vec![topology.work; 2],
-        spread: 0.0,
+        log_deviation: 0.0,
         steps,
         retry: None,
-        end,
+        max_duration: end,
         variant: Some(0),
         settings,
     }
@@ -77,11 +78,11 @@
 
 /// A step that sends a request at a time.
 #[must_use]
-pub fn request_step(at: Nanos, request: Ask) -> Step {
+pub fn request_step(at: Nanos, request: ClientRequest) -> Step {
     Step {
-        at: vec![at],
-        what: Happening::Ask(request),
-        free: None,
+        moments: vec![at],
+        event: ScenarioEvent::Request(request),
+        reorder_group: None,
     }
 }
 
@@ -94,17 +95,17 @@
     settings
 }
 
-fn processes(settings: &Settings, topology: LoadTopology) -> Cast {
-    let process = |name: String| Player {
+fn processes(settings: &Settings, topology: LoadTopology) -> Processes {
+    let process = |name: String| Process {
         name,
-        room: 0,
+        zone: 0,
         cell: 0,
     };
     let limiter = |index: usize| process(format!("l{index}"));
     let host = |index: usize| process(format!("n{index}"));
     let classes = settings.classes.iter().map(|class| class.name.clone());
-    Cast {
-        rooms: vec!["room-a".into()],
+    Processes {
+        zones: vec!["room-a".into()],
         limiters: (0..topology.limiters).map(limiter).collect(),
         hosts: (0..topology.hosts).map(host).collect(),
         partners: (0..topology.customers)
--- a/crates/fakes/src/recorder.rs
+++ b/crates/fakes/src/recorder.rs
@@ -1,7 +1,7 @@
 //! The records of a run, with the attempts that are still in flight at hosts.
 
 use quartzcleat_decision::api::{Nanos, RequestId};
-use quartzcleat_invariants::{Record, What};
+use quartzcleat_invariants::{Fact, Record};
 use std::collections::BTreeMap;
 
 /// One attempt of one request.
@@ -22,16 +22,16 @@
 
 impl Recorder {
     /// Records an event. The end of an attempt is recorded once, whoever observes it first.
-    pub(crate) fn record(&mut self, at: Nanos, event: What) {
+    pub(crate) fn record(&mut self, at: Nanos, event: Fact) {
         if self.track_attempt(&event) {
-            self.records.push(Record { at, what: event });
+            self.records.push(Record { at, fact: event });
         }
     }
 
     /// Follows attempts by their events; false where the event repeats an end.
-    fn track_attempt(&mut self, event: &What) -> bool {
+    fn track_attempt(&mut self, event: &Fact) -> bool {
         match *event {
-            What::Sent {
+            Fact::AttemptSent {
                 request,
                 attempt,
                 host,
@@ -40,7 +40,7 @@
                 self.in_flight.insert(AttemptId { request, attempt }, host);
                 true
             }
-            What::Ended {
+            Fact::AttemptEnded {
                 request, attempt, ..
             } => {
                 let attempt = AttemptId { request, attempt };
--- a/crates/fakes/src/server/counter.rs
+++ b/crates/fakes/src/server/counter.rs
@@ -5,8 +5,9 @@
 use crate::resp::CommandStream;
 use crate::task::accept_connections;
 use quartzcleat_decision::api::{Nanos, Outcome};
-use quartzcleat_simulation::oracle::Point;
-use quartzcleat_simulation::scenario::CallFate;
+use quartzcleat_simulation::counter::CounterReply;
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::CounterCallOutcome;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,22 +76,22 @@
 /// The answer to a call; `None` where there never is one.
 async fn answer_call(context: &Context, limiter: usize, call: &Call<'_>) -> Option<String> {
     let number = context.counter.borrow_mut().next_call(limiter);
-    let fates = &context.scenario.counter.fates;
-    match context.choose(Point::Call, number, fates) {
-        Some(CallFate::Normal) | None => {}
-        Some(CallFate::Lost) => return None,
-        Some(CallFate::AnswerLost) => {
-            add(context, call);
+    let fates = &context.scenario.counter.call_outcomes;
+    match context.choose(ChoicePoint::CounterCall, number, fates) {
+        Some(CounterCallOutcome::Normal) | None => {}
+        Some(CounterCallOutcome::RequestLost) => return None,
+        Some(CounterCallOutcome::AnswerLost) => {
+            execute(context, call);
             return None;
         }
-        Some(CallFate::Refused) => return Some(BUSY.to_owned()),
+        Some(CounterCallOutcome::Rejected) => return Some(BUSY.to_owned()),
     }
-    let network_delay = Duration::from_nanos(context.scenario.net.counter);
+    let network_delay = Duration::from_nanos(context.scenario.network.counter);
     sleep(network_delay).await;
     let now = context.now();
-    let done = context.counter.borrow_mut().model.arrive(call.name, now)?;
+    let done = context.counter.borrow_mut().model.enqueue(call.name, now)?;
     sleep(Duration::from_nanos(done.saturating_sub(now))).await;
-    let (outcome, total) = add(context, call);
+    let CounterReply { outcome, total } = execute(context, call);
     sleep(network_delay).await;
     match outcome {
         Outcome::Good => {
@@ -102,11 +103,11 @@
     }
 }
 
-/// Adds to a total now; returns the outcome and the new total.
-fn add(context: &Context, call: &Call<'_>) -> (Outcome, f64) {
+/// Executes a call now.
+fn execute(context: &Context, call: &Call<'_>) -> CounterReply {
     let now = context.now();
     let mut counter = context.counter.borrow_mut();
     counter
         .model
-        .add(call.name, call.amount, call.lifetime, now)
+        .execute(call.name, call.amount, call.lifetime, now)
 }
--- a/crates/fakes/src/server/discovery.rs
+++ b/crates/fakes/src/server/discovery.rs
@@ -5,7 +5,7 @@
 use crate::endpoints::{endpoint_list, host_state, ListKind};
 use crate::state::EndpointChanges;
 use crate::task::accept_connections;
-use quartzcleat_invariants::What;
+use quartzcleat_invariants::Fact;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -79,7 +79,7 @@
 
 fn record_notified(context: &Context, limiter: usize, answer: &Answer) {
     for host in &answer.hosts {
-        context.record(What::Told {
+        context.record(Fact::HostStateLearned {
             limiter,
             host: *host,
             state: host_state(context, *host),
--- a/crates/fakes/src/server/host.rs
+++ b/crates/fakes/src/server/host.rs
@@ -6,8 +6,8 @@
 use crate::state::Endpoint;
 use crate::task::{disable_nagle, spawn};
 use quartzcleat_decision::api::{Outcome, RequestId};
-use quartzcleat_invariants::What;
-use quartzcleat_simulation::node::Life;
+use quartzcleat_invariants::Fact;
+use quartzcleat_simulation::host::HostStatus;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,7 +23,7 @@
 pub(crate) fn start_process(context: &Rc<Context>, host: usize) {
     let endpoints = {
         let mut hosts = context.hosts.borrow_mut();
-        if hosts[host].model.life != Life::Up {
+        if hosts[host].model.status != HostStatus::Running {
             return;
         }
         hosts[host].take_endpoints()
@@ -34,13 +34,13 @@
 }
 
 /// Ends a host's process or machine. The end of a process resets its attempts.
-pub(crate) fn end(context: &Context, host: usize, life: Life) {
+pub(crate) fn end(context: &Context, host: usize, life: HostStatus) {
     context.hosts.borrow_mut()[host].end(life);
-    if life != Life::Dead {
+    if life != HostStatus::Dead {
         return;
     }
     for in_flight in context.in_flight_at(host) {
-        context.record(What::Ended {
+        context.record(Fact::AttemptEnded {
             request: in_flight.request,
             attempt: in_flight.attempt,
             outcome: Outcome::Reset,
@@ -49,7 +49,7 @@
 }
 
 fn has_vanished(context: &Context, host: usize) -> bool {
-    context.hosts.borrow()[host].model.life == Life::Vanished
+    context.hosts.borrow()[host].model.status == HostStatus::Unreachable
 }
 
 async fn listen(context: Rc<Context>, limiter: usize, host: usize, endpoint: Endpoint) {
--- a/crates/fakes/src/server/host_attempt.rs
+++ b/crates/fakes/src/server/host_attempt.rs
@@ -6,10 +6,10 @@
 use crate::server::host;
 use crate::task::spawn;
 use quartzcleat_decision::api::{Effect, Group, Nanos, Outcome, RequestId};
-use quartzcleat_invariants::What;
-use quartzcleat_simulation::node::{Job, Life, Reached};
-use quartzcleat_simulation::oracle::Point;
-use quartzcleat_simulation::scenario::{Fate, Happening, Scenario};
+use quartzcleat_invariants::Fact;
+use quartzcleat_simulation::host::{Arrival, AttemptKey, HostStatus};
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::{AttemptOutcome, Scenario, ScenarioEvent};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,7 +44,7 @@
 #[derive(Clone, Copy)]
 struct Attempt {
     host: usize,
-    job: Job,
+    job: AttemptKey,
     class: usize,
     /// The operation that the client wants executed.
     operation: u64,
@@ -66,7 +66,7 @@
         reply = execute(context, &attempt) => reply,
         () = stream.closed() => {
             // The limiter cancelled the attempt: it leaves the host's queue.
-            context.hosts.borrow_mut()[host].model.give_up(attempt.job);
+            context.hosts.borrow_mut()[host].model.cancel(attempt.job);
             record_end(context, &attempt, Outcome::Cancelled);
             return Ok(AfterAttempt::Close);
         }
@@ -83,7 +83,7 @@
         state.attempts += 1;
         Attempt {
             host,
-            job: Job {
+            job: AttemptKey {
                 limiter,
                 request,
                 attempt: state.attempts - 1,
@@ -92,24 +92,24 @@
             operation: state.operation,
         }
     };
-    let warmth = {
+    let capacity_factor = {
         let hosts = context.hosts.borrow();
         hosts[host]
             .model
-            .warmth(&context.scenario.truth, context.now())
+            .capacity_factor(&context.scenario.ground_truth, context.now())
     };
-    context.record(What::Sent {
+    context.record(Fact::AttemptSent {
         limiter,
         request,
         attempt: attempt.job.attempt,
         host,
-        cold: warmth < 1.0,
+        warming_up: capacity_factor < 1.0,
     });
     Some(attempt)
 }
 
 fn record_end(context: &Context, attempt: &Attempt, outcome: Outcome) {
-    context.record(What::Ended {
+    context.record(Fact::AttemptEnded {
         request: attempt.job.request,
         attempt: attempt.job.attempt,
         outcome,
@@ -156,7 +156,7 @@
     let request = attempt.job.request;
     let cost = cost(&context.scenario, attempt.operation);
     let report = if cost > 0.0 {
-        context.record(What::Settled {
+        context.record(Fact::UnitsSettled {
             request,
             units: cost,
         });
@@ -170,40 +170,48 @@
 
 /// The true cost of an operation, in units; zero where the scenario has none.
 fn cost(scenario: &Scenario, operation: u64) -> f64 {
-    let ask = scenario.steps.iter().find_map(|step| match &step.what {
-        Happening::Ask(ask) if ask.mark == operation => Some(ask),
+    let ask = scenario.steps.iter().find_map(|step| match &step.event {
+        ScenarioEvent::Request(ask) if ask.operation == operation => Some(ask),
         _ => None,
     });
-    ask.map_or(0.0, |ask| ask.cost)
+    ask.map_or(0.0, |ask| ask.true_units)
 }
 
 /// Executes an attempt, or ends it as its fate demands.
 async fn execute(context: &Rc<Context>, attempt: &Attempt) -> HostReply {
     let number = attempt.job.attempt as usize;
-    let fate = context.choose(Point::Attempt, number, &context.scenario.fates);
-    let fate = fate.unwrap_or(Fate::Normal);
+    let fate = context.choose(
+        ChoicePoint::Attempt,
+        number,
+        &context.scenario.attempt_outcomes,
+    );
+    let fate = fate.unwrap_or(AttemptOutcome::Normal);
     match fate {
-        Fate::Busy | Fate::Refused => return HostReply::Busy,
-        Fate::ResetLost => return HostReply::Reset,
-        Fate::SilentLost => return HostReply::Silence,
-        Fate::Normal | Fate::Error | Fate::ResetRan | Fate::SilentRan | Fate::Late => {}
+        AttemptOutcome::Rejected | AttemptOutcome::ConnectionRefused => return HostReply::Busy,
+        AttemptOutcome::ResetBeforeExecution => return HostReply::Reset,
+        AttemptOutcome::RequestLost => return HostReply::Silence,
+        AttemptOutcome::Normal
+        | AttemptOutcome::Error
+        | AttemptOutcome::ResetAfterExecution
+        | AttemptOutcome::AnswerLost
+        | AttemptOutcome::Late => {}
     }
     if let Err(reply) = reach_core(context, attempt).await {
         return reply;
     }
     let done = start_work(context, attempt);
     match fate {
-        Fate::Error => return HostReply::Error,
-        Fate::ResetRan => return HostReply::Reset,
-        Fate::SilentRan => return HostReply::Silence,
+        AttemptOutcome::Error => return HostReply::Error,
+        AttemptOutcome::ResetAfterExecution => return HostReply::Reset,
+        AttemptOutcome::AnswerLost => return HostReply::Silence,
         _ => {}
     }
     // The work's task ends by sending; there is nothing to learn from a failure.
     let _ = done.await;
-    if fate == Fate::Late {
+    if fate == AttemptOutcome::Late {
         sleep(latency_objective(context, attempt.class)).await;
     }
-    if context.hosts.borrow()[attempt.host].model.life == Life::Vanished {
+    if context.hosts.borrow()[attempt.host].model.status == HostStatus::Unreachable {
         return HostReply::Silence;
     }
     HostReply::Value
@@ -215,7 +223,7 @@
 }
 
 fn latency_objective(context: &Context, class: usize) -> Duration {
-    let class = context.scenario.truth.classes.get(class);
+    let class = context.scenario.ground_truth.classes.get(class);
     Duration::from_nanos(class.map_or(0, |class| class.latency_objective))
 }
 
@@ -223,24 +231,24 @@
 async fn reach_core(context: &Rc<Context>, attempt: &Attempt) -> Result<(), HostReply> {
     let now = context.now();
     let work = work(context, attempt.class);
-    let reached = context.hosts.borrow_mut()[attempt.host].model.reach(
+    let reached = context.hosts.borrow_mut()[attempt.host].model.receive(
         attempt.job,
         work,
-        &context.scenario.truth,
+        &context.scenario.ground_truth,
         now,
     );
     match reached {
-        Reached::Begun => Ok(()),
-        Reached::Waits => {
+        Arrival::Started => Ok(()),
+        Arrival::Queued => {
             let started = context.hosts.borrow_mut()[attempt.host].enqueue(attempt.job);
             started.await.map_err(|_| HostReply::Reset)
         }
-        Reached::Busy => Err(HostReply::Busy),
-        Reached::Refused => Err(HostReply::Reset),
-        Reached::Nothing => Err(HostReply::Silence),
-        Reached::Tips => {
-            context.record(What::Tipped { host: attempt.host });
-            host::end(context, attempt.host, Life::Dead);
+        Arrival::Rejected => Err(HostReply::Busy),
+        Arrival::ConnectionRefused => Err(HostReply::Reset),
+        Arrival::Lost => Err(HostReply::Silence),
+        Arrival::Overloads => {
+            context.record(Fact::HostOverloaded { host: attempt.host });
+            host::end(context, attempt.host, HostStatus::Dead);
             Err(HostReply::Reset)
         }
     }
@@ -249,19 +257,19 @@
 /// Starts the work, which goes on whatever becomes of its connection; the receiver resolves at its end.
 fn start_work(context: &Rc<Context>, attempt: &Attempt) -> oneshot::Receiver<()> {
     let host = attempt.host;
-    let dropped = is_duplicate(context, attempt);
-    context.record(What::Ran {
+    let deduplicated = is_duplicate(context, attempt);
+    context.record(Fact::Executed {
         host,
         request: attempt.job.request,
-        dropped,
+        deduplicated,
     });
     let work = work(context, attempt.class);
     let (duration, process_start) = {
         let model = &context.hosts.borrow()[host].model;
-        let duration = if dropped {
+        let duration = if deduplicated {
             DUPLICATE_TIME
         } else {
-            model.takes(work, &context.scenario.truth, context.now())
+            model.execution_time(work, &context.scenario.ground_truth, context.now())
         };
         (Duration::from_nanos(duration), model.started)
     };
@@ -278,14 +286,14 @@
 
 /// Whether the host's group has executed the attempt's operation within the deduplication window of its class.
 fn is_duplicate(context: &Context, attempt: &Attempt) -> bool {
-    let class = context.scenario.truth.classes.get(attempt.class);
+    let class = context.scenario.ground_truth.classes.get(attempt.class);
     let Some(class) = class.filter(|class| class.effect == Effect::Keyed) else {
         return false;
     };
-    let description = &context.scenario.cast.hosts[attempt.host];
+    let description = &context.scenario.processes.hosts[attempt.host];
     let group = match class.group {
         Group::All => 0,
-        Group::Zone => description.room + 1,
+        Group::Zone => description.zone + 1,
         Group::Cell => description.cell + 1,
     };
     let key = DeduplicationKey {
--- a/crates/fakes/src/state/host.rs
+++ b/crates/fakes/src/state/host.rs
@@ -1,8 +1,8 @@
 //! A fake host: a listener for each limiter, and the simulation's model of cores, queue, slow start and remembered keys.
 
 use quartzcleat_decision::api::Nanos;
-use quartzcleat_simulation::node::{Job, Life, Node};
-use quartzcleat_simulation::scenario::NodeSetup;
+use quartzcleat_simulation::host::{AttemptKey, Host, HostStatus};
+use quartzcleat_simulation::scenario::HostSetup;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -11,7 +11,7 @@
 
 /// The state of one fake host.
 pub(crate) struct FakeHost {
-    pub(crate) model: Node,
+    pub(crate) model: Host,
     /// The address for each limiter.
     pub(crate) addresses: Vec<SocketAddr>,
     /// Listeners that are bound before the first process starts.
@@ -19,7 +19,7 @@
     /// Counts the processes that have ended.
     ended_processes: watch::Sender<u64>,
     /// Attempts that wait in the host's queue.
-    queued: BTreeMap<Job, oneshot::Sender<()>>,
+    queued: BTreeMap<AttemptKey, oneshot::Sender<()>>,
 }
 
 /// Where a host's process serves one limiter.
@@ -32,7 +32,7 @@
 }
 
 impl FakeHost {
-    pub(crate) async fn bind(setup: &NodeSetup, limiters: usize, start: Nanos) -> io::Result<Self> {
+    pub(crate) async fn bind(setup: &HostSetup, limiters: usize, start: Nanos) -> io::Result<Self> {
         let mut addresses = Vec::new();
         let mut listeners = Vec::new();
         for _ in 0..limiters {
@@ -44,7 +44,7 @@
             listeners.clear();
         }
         Ok(FakeHost {
-            model: Node::new(setup, start),
+            model: Host::new(setup, start),
             addresses,
             listeners,
             ended_processes: watch::Sender::new(0),
@@ -67,16 +67,16 @@
     }
 
     /// Ends the host's process or its machine.
-    pub(crate) fn end(&mut self, life: Life) {
-        self.model.end(life);
+    pub(crate) fn end(&mut self, life: HostStatus) {
+        self.model.stop(life);
         self.queued.clear();
-        if life == Life::Dead {
+        if life == HostStatus::Dead {
             self.ended_processes.send_modify(|count| *count += 1);
         }
     }
 
     /// Queues an attempt. The receiver resolves when the attempt starts, and fails when the host ends.
-    pub(crate) fn enqueue(&mut self, job: Job) -> oneshot::Receiver<()> {
+    pub(crate) fn enqueue(&mut self, job: AttemptKey) -> oneshot::Receiver<()> {
         let (start, started) = oneshot::channel();
         self.queued.insert(job, start);
         started
@@ -84,10 +84,10 @@
 
     /// Finishes a job of the process that started at `started`, and starts the next queued one whose connection is open.
     pub(crate) fn finish_job(&mut self, started: Nanos) {
-        if self.model.started != started || self.model.life != Life::Up {
+        if self.model.started != started || self.model.status != HostStatus::Running {
             return;
         }
-        while let Some(next) = self.model.proceed() {
+        while let Some(next) = self.model.finish_job() {
             let start = self.queued.remove(&next);
             if start.is_some_and(|start| start.send(()).is_ok()) {
                 return;
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -3,8 +3,8 @@
 use super::{print, serve, Format};
 use crate::net::config;
 use clap::Args;
-use quartzcleat_expectations::report::{case, suite};
-use quartzcleat_expectations::run::read_day;
+use quartzcleat_expectations::check::read_deployment;
+use quartzcleat_expectations::report::{junit_case, junit_suite};
 use serde_json::{json, Value};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -68,7 +68,7 @@
 }
 
 fn check_configuration(path: &Path) -> CheckedFile {
-    let faults = match read_day(path) {
+    let faults = match read_deployment(path) {
         Ok(_) => check_complete_configuration(path).into_iter().collect(),
         Err(faults) => faults.0.iter().map(ToString::to_string).collect(),
     };
@@ -101,9 +101,9 @@
         Format::Junit => {
             let cases: Vec<_> = checked
                 .iter()
-                .map(|checked| case(&checked.file, "check", &checked.faults.join("\n")))
+                .map(|checked| junit_case(&checked.file, "check", &checked.faults.join("\n")))
                 .collect();
-            suite("check", &cases)
+            junit_suite("check", &cases)
         }
     }
 }
