--- a/crates/config/src/lease/task.rs
+++ b/crates/config/src/lease/task.rs
@@ -47,7 +47,7 @@
 }
 
 fn read_task_name(node: &Node) -> Result<String, LeaseConfigError> {
-    let name = text(node).map_err(LeaseConfigError::InvalidValue)?;
+    let name = text(node)?;
     let is_valid = (1..=MAX_TASK_NAME_BYTES).contains(&name.len())
         && name.bytes().all(|byte| byte.is_ascii_graphic());
     is_valid
@@ -77,7 +77,7 @@
         }
     };
     // Where another fault was found before, it may be the reason why there is no action.
-    if action.is_none() && faults.none() {
+    if action.is_none() && faults.is_empty() {
         let problem = LeaseConfigError::MissingAction;
         reader.fault("name", problem.to_string(), faults);
     }
--- a/crates/expectations/src/attribution.rs
+++ b/crates/expectations/src/attribution.rs
@@ -9,9 +9,9 @@
 use crate::suite::{Expectation, Suite};
 use alternatives::{alternatives, show};
 use minimize::minimize;
-use quartzcleat_config::day::Change;
-use quartzcleat_config::tree::{Content, Node};
-use quartzcleat_config::Day;
+use quartzcleat_config::deployment::Change;
+use quartzcleat_config::tree::{Content, Leaf, Node};
+use quartzcleat_config::Deployment;
 use serde::Serialize;
 
 /// The most runs for one alternative configuration.
@@ -61,7 +61,7 @@
 
 impl Subject<'_> {
     /// Whether the expectation holds, and was exercised, in a deployment; `None` where it cannot be compiled.
-    fn holds(&self, deployment: &Day) -> Option<bool> {
+    fn holds(&self, deployment: &Deployment) -> Option<bool> {
         let budget = Budget {
             max_runs: self.budget.max_runs.min(MAX_RUNS),
             max_events: self.budget.max_events.min(MAX_EVENTS),
@@ -80,7 +80,7 @@
 /// Tries changes of a deployment.
 struct Search<'a> {
     subject: Subject<'a>,
-    base: &'a Day,
+    base: &'a Deployment,
     /// The verdict that is looked for.
     wanted: bool,
     configurations: u64,
@@ -98,12 +98,12 @@
     }
 
     /// The keys each of which turns the verdict alone.
-    fn single_keys(&mut self, keys: &[(String, &Node)]) -> Vec<Vec<SourceLine>> {
+    fn single_keys(&mut self, keys: &[Leaf<'_>]) -> Vec<Vec<SourceLine>> {
         let mut line_sets = Vec::new();
-        for (path, node) in keys {
+        for Leaf { path, node } in keys {
             let alternative = alternatives(self.base, path, node)
                 .into_iter()
-                .find(|value| self.turns(&[(path.clone(), Some(value.clone()))]));
+                .find(|value| self.turns(&[Change::set(path, value.clone())]));
             if let Some(value) = alternative {
                 line_sets.push(vec![source_line(self.base, path, &show(path, &value))]);
             }
@@ -112,17 +112,17 @@
     }
 
     /// The keys that turn the verdict together with others of their section.
-    fn sections(&mut self, keys: &[(String, &Node)]) -> Vec<Vec<SourceLine>> {
+    fn sections(&mut self, keys: &[Leaf<'_>]) -> Vec<Vec<SourceLine>> {
         let mut sections: Vec<&str> = keys
             .iter()
-            .filter_map(|(path, _)| section_of(path))
+            .filter_map(|key| section_of(&key.path))
             .collect();
         sections.dedup();
         let mut line_sets = Vec::new();
         for section in sections {
             let members: Vec<_> = keys
                 .iter()
-                .filter(|(path, _)| section_of(path) == Some(section))
+                .filter(|key| section_of(&key.path) == Some(section))
                 .collect();
             line_sets.extend(self.section(&members));
         }
@@ -130,19 +130,20 @@
     }
 
     /// The smallest set of a section's keys that turns the verdict.
-    fn section(&mut self, members: &[&(String, &Node)]) -> Option<Vec<SourceLine>> {
+    fn section(&mut self, members: &[&Leaf<'_>]) -> Option<Vec<SourceLine>> {
         for position in 0..SECTION_ALTERNATIVES {
             let changes: Vec<Change> = members
                 .iter()
-                .filter_map(|(path, node)| {
+                .filter_map(|Leaf { path, node }| {
                     let value = alternatives(self.base, path, node).get(position)?.clone();
-                    Some((path.clone(), Some(value)))
+                    Some(Change::set(path, value))
                 })
                 .collect();
             if changes.len() > 1 && self.turns(&changes) {
                 let smallest = minimize(changes, &mut |changes| self.turns(changes));
-                let line =
-                    |(path, value): &Change| source_line(self.base, path, &show_value(path, value));
+                let line = |Change { path, value }: &Change| {
+                    source_line(self.base, path, &show_value(path, value))
+                };
                 return Some(smallest.iter().map(line).collect());
             }
         }
@@ -152,7 +153,10 @@
 
 /// Attributes a failure without another file to compare with: each key takes its default and neighbouring values,
 /// alone and then with the rest of its section.
-pub(crate) fn attribute_to_settings(subject: Subject<'_>, deployment: &Day) -> SourceAttribution {
+pub(crate) fn attribute_to_settings(
+    subject: Subject<'_>,
+    deployment: &Deployment,
+) -> SourceAttribution {
     let mut search = Search {
         subject,
         base: deployment,
@@ -173,8 +177,8 @@
 /// Attributes a verdict of a new deployment to the smallest set of changes from an old one that brings it.
 pub(crate) fn attribute_to_changes(
     subject: Subject<'_>,
-    old: &Day,
-    new: &Day,
+    old: &Deployment,
+    new: &Deployment,
     wanted: bool,
 ) -> SourceAttribution {
     let mut search = Search {
@@ -187,7 +191,7 @@
     let mut line_sets = Vec::new();
     if !all.is_empty() && search.turns(&all) {
         let smallest = minimize(all, &mut |changes| search.turns(changes));
-        let line = |(path, _): &Change| {
+        let line = |Change { path, .. }: &Change| {
             let old_value = old.tree.at(path).map(|node| node.content.clone());
             source_line(new, path, &show_value(path, &old_value))
         };
@@ -200,20 +204,20 @@
 }
 
 /// The keys that differ between two deployments, as changes that make the old one the new one.
-pub(crate) fn changes_between(old: &Day, new: &Day) -> Vec<Change> {
+pub(crate) fn changes_between(old: &Deployment, new: &Deployment) -> Vec<Change> {
     let is_changed = |path: &str, node: &Node| {
         let old_node = old.tree.at(path);
         old_node.is_none_or(|old_node| old_node.content != node.content)
     };
     let mut changes: Vec<Change> = Vec::new();
-    for (path, node) in new.tree.leaves() {
+    for Leaf { path, node } in new.tree.leaves() {
         if is_changed(&path, node) {
-            changes.push((path, Some(node.content.clone())));
+            changes.push(Change::set(path, node.content.clone()));
         }
     }
-    for (path, _) in old.tree.leaves() {
+    for Leaf { path, .. } in old.tree.leaves() {
         if new.tree.at(&path).is_none() {
-            changes.push((path, None));
+            changes.push(Change::remove(path));
         }
     }
     changes
@@ -229,7 +233,7 @@
         .map_or_else(|| NOT_SET.to_owned(), |value| show(path, value))
 }
 
-fn source_line(deployment: &Day, path: &str, alternative: &str) -> SourceLine {
+fn source_line(deployment: &Deployment, path: &str, alternative: &str) -> SourceLine {
     let value = deployment
         .tree
         .at(path)
--- a/crates/expectations/src/attribution/alternatives.rs
+++ b/crates/expectations/src/attribution/alternatives.rs
@@ -1,10 +1,10 @@
 //! Alternative values of a configuration key, and how values are shown.
 
 use super::NOT_SET;
-use quartzcleat_config::platform::{key_of, Kind};
+use quartzcleat_config::platform::{key_of, Kind, SettingKey};
 use quartzcleat_config::quantity;
 use quartzcleat_config::tree::{Content, Node};
-use quartzcleat_config::Day;
+use quartzcleat_config::Deployment;
 
 /// Factors to neighbouring values.
 const FACTORS: [f64; 6] = [0.5, 2.0, 0.125, 8.0, 1.0 / 64.0, 64.0];
@@ -18,8 +18,8 @@
 const MAX_LIST_MEMBERS: usize = 16;
 
 /// The values that a key could have instead: its default, then its neighbours.
-pub(super) fn alternatives(deployment: &Day, path: &str, node: &Node) -> Vec<Content> {
-    let Some((_, kind, default)) = key_of(path) else {
+pub(super) fn alternatives(deployment: &Deployment, path: &str, node: &Node) -> Vec<Content> {
+    let Some(SettingKey { kind, default, .. }) = key_of(path) else {
         return Vec::new();
     };
     match kind {
@@ -28,7 +28,7 @@
             let is_set = node.content == Content::Flag(true);
             vec![Content::Flag(!is_set)]
         }
-        Kind::Word(keywords) => {
+        Kind::Keyword(keywords) => {
             let present = node.text().unwrap_or_default();
             keywords
                 .iter()
@@ -61,7 +61,7 @@
 }
 
 /// The values of the same key in the other members of its list.
-fn values_of_siblings(deployment: &Day, path: &str) -> Vec<Content> {
+fn values_of_siblings(deployment: &Deployment, path: &str) -> Vec<Content> {
     let parts: Vec<&str> = path.split('.').collect();
     let [list, number, key] = parts.as_slice() else {
         return Vec::new();
@@ -96,7 +96,7 @@
 
 /// A value as it is shown: times with their unit.
 pub(super) fn show(path: &str, content: &Content) -> String {
-    let kind = key_of(path).map(|row| row.1);
+    let kind = key_of(path).map(|key| key.kind);
     match (content, kind) {
         (Content::Number(nanos), Some(Kind::Time)) if *nanos >= 0.0 => {
             quantity::show_time(*nanos as u64)
--- a/crates/expectations/src/attribution/minimize.rs
+++ b/crates/expectations/src/attribution/minimize.rs
@@ -1,6 +1,6 @@
 //! Delta debugging over changes.
 
-use quartzcleat_config::day::Change;
+use quartzcleat_config::deployment::Change;
 
 #[cfg(test)]
 mod tests;
--- a/crates/expectations/src/attribution/minimize/tests.rs
+++ b/crates/expectations/src/attribution/minimize/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn change(name: &str) -> Change {
-    (name.to_owned(), None)
+    Change::remove(name)
 }
 
 #[test]
@@ -12,7 +12,7 @@
         tries += 1;
         ["k3", "k12"]
             .iter()
-            .all(|name| changes.iter().any(|(key, _)| key == name))
+            .all(|name| changes.iter().any(|change| change.path == *name))
     });
     assert_eq!(found, [change("k3"), change("k12")]);
     assert!(tries < 60, "{tries} tries");
--- a/crates/expectations/src/check.rs
+++ b/crates/expectations/src/check.rs
@@ -15,7 +15,7 @@
 };
 pub use tasks::{plan, read_deployment, CheckTask};
 
-use quartzcleat_config::{Day, Faults};
+use quartzcleat_config::{Deployment, Faults};
 use rayon::prelude::*;
 use std::time::Instant;
 
@@ -43,7 +43,7 @@
 }
 
 /// The deployment with whose verdicts those of the others are compared, where one is named.
-fn read_compared_deployment(options: &Options, faults: &mut Faults) -> Option<Day> {
+fn read_compared_deployment(options: &Options, faults: &mut Faults) -> Option<Deployment> {
     match read_deployment(options.compare_with.as_ref()?) {
         Ok(deployment) => Some(deployment),
         Err(found) => {
--- a/crates/expectations/src/check/single.rs
+++ b/crates/expectations/src/check/single.rs
@@ -13,13 +13,13 @@
 use crate::compile::{compile, CompiledExpectation};
 use crate::evaluation::Violation;
 use crate::explore::{explore, replay, Exploration, Failure, Replay};
-use quartzcleat_config::{Day, Faults};
+use quartzcleat_config::{Deployment, Faults};
 use std::time::Instant;
 
 /// Checks one expectation. Its verdict is compared with the one for another deployment, where there is one.
 pub(super) fn check(
     task: &CheckTask,
-    compared: Option<&Day>,
+    compared: Option<&Deployment>,
     options: &Options,
 ) -> ExpectationResult {
     let started = Instant::now();
@@ -42,7 +42,7 @@
 
 struct SingleCheck<'a> {
     task: &'a CheckTask,
-    compared: Option<&'a Day>,
+    compared: Option<&'a Deployment>,
     options: &'a Options,
 }
 
--- a/crates/expectations/src/check/tasks.rs
+++ b/crates/expectations/src/check/tasks.rs
@@ -2,10 +2,10 @@
 
 use super::options::{Options, SettingRange};
 use crate::suite::{self, Expectation, Suite};
-use quartzcleat_config::day::Change;
+use quartzcleat_config::deployment::Change;
 use quartzcleat_config::reader::list;
-use quartzcleat_config::tree::{Content, Node, Place};
-use quartzcleat_config::{Day, Faults};
+use quartzcleat_config::tree::{Content, Entry, Node, Place};
+use quartzcleat_config::{Deployment, Faults};
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::sync::Arc;
@@ -21,7 +21,7 @@
     /// The expectation.
     pub expectation: Expectation,
     /// The deployment.
-    pub deployment: Day,
+    pub deployment: Deployment,
     /// The deployment's name, with the values of ranges.
     pub label: String,
 }
@@ -36,7 +36,7 @@
 impl Combination {
     fn with(&self, name: &str, key: &str, value: f64) -> Self {
         let mut changes = self.changes.clone();
-        changes.push((key.to_owned(), Some(Content::Number(value))));
+        changes.push(Change::set(key, Content::Number(value)));
         Combination {
             changes,
             label: format!("{} {name}={value}", self.label),
@@ -48,10 +48,10 @@
 ///
 /// # Errors
 /// All its faults.
-pub fn read_deployment(path: &Path) -> Result<Day, Faults> {
+pub fn read_deployment(path: &Path) -> Result<Deployment, Faults> {
     let name = path.display().to_string();
     match std::fs::read_to_string(path) {
-        Ok(text) => Day::read(&name, &text),
+        Ok(text) => Deployment::read(&name, &text),
         Err(error) => {
             let mut faults = Faults::default();
             let problem = format!("cannot read: {error}");
@@ -83,7 +83,7 @@
 
 fn plan_suite(
     suite: &Arc<Suite>,
-    deployment: &Day,
+    deployment: &Deployment,
     options: &Options,
     faults: &mut Faults,
 ) -> Vec<CheckTask> {
@@ -149,14 +149,14 @@
 
 /// A deployment and its name, with the values of ranges.
 struct NamedDeployment {
-    deployment: Day,
+    deployment: Deployment,
     label: String,
 }
 
 /// The deployments that ranges make of one: those of the options and the expectation's own.
 fn deployments(
     expectation: &Expectation,
-    deployment: &Day,
+    deployment: &Deployment,
     ranges: &[SettingRange],
 ) -> Result<Vec<NamedDeployment>, Faults> {
     let mut faults = Faults::default();
@@ -173,7 +173,7 @@
             Err(found) => faults.0.extend(found.0),
         }
     }
-    faults.or(deployments)
+    faults.into_result(deployments)
 }
 
 /// The ranges that an expectation gives.
@@ -183,7 +183,12 @@
         return Vec::new();
     };
     let mut ranges = Vec::new();
-    for (name, place, node) in members {
+    for Entry {
+        key: name,
+        place,
+        value: node,
+    } in members
+    {
         match range_values(node) {
             Some(values) => ranges.push(SettingRange {
                 name: name.clone(),
@@ -213,14 +218,14 @@
 /// All combinations of the values of ranges.
 fn combine(
     expectation: &Expectation,
-    deployment: &Day,
+    deployment: &Deployment,
     ranges: &[SettingRange],
     faults: &mut Faults,
 ) -> Result<Vec<Combination>, Faults> {
     let place = expectation.given.place;
     let mut combinations = vec![Combination::default()];
     for SettingRange { name, values } in ranges {
-        let key = match deployment.look(name) {
+        let key = match deployment.resolve(name) {
             Ok(named) => named.key,
             Err(problem) => {
                 faults.add(&expectation.file, place, "given.range", problem);
--- a/crates/expectations/src/check/vacuity.rs
+++ b/crates/expectations/src/check/vacuity.rs
@@ -4,10 +4,10 @@
 use super::variation::{scaled_requests, without_step};
 use crate::compile::{compile, CompiledExpectation};
 use crate::explore::{explore, Budget, Exploration, RequirementCoverage};
-use quartzcleat_config::day::Change;
+use quartzcleat_config::deployment::Change;
 use quartzcleat_config::quantity;
 use quartzcleat_config::tree::{Content, Node};
-use quartzcleat_config::Day;
+use quartzcleat_config::Deployment;
 use quartzcleat_simulation::scenario::{
     AttemptOutcome, CounterCallOutcome, CounterMode, HostSetup, Scenario, ScenarioEvent, Step,
 };
@@ -192,7 +192,7 @@
 }
 
 /// A key with its value multiplied; `None` where it is not set. Whole numbers stay whole.
-fn scaled(deployment: &Day, key: &str, factor: f64) -> Option<Change> {
+fn scaled(deployment: &Deployment, key: &str, factor: f64) -> Option<Change> {
     let present = numeric_value(deployment.tree.at(key)?);
     let scaled = present * factor;
     let value = if present.fract() == 0.0 {
@@ -200,7 +200,7 @@
     } else {
         scaled
     };
-    Some((key.to_owned(), Some(Content::Number(value))))
+    Some(Change::set(key, Content::Number(value)))
 }
 
 fn numeric_value(node: &Node) -> f64 {
--- a/crates/expectations/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -12,9 +12,10 @@
 use crate::suite::{Expectation, Suite};
 use given::Partner;
 use installation::Installation;
+use quartzcleat_config::deployment::Change;
 use quartzcleat_config::reader::list;
-use quartzcleat_config::tree::Content;
-use quartzcleat_config::{Day, Faults, Reader};
+use quartzcleat_config::tree::{Content, Entry};
+use quartzcleat_config::{Deployment, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
 use quartzcleat_invariants::{InvariantLimits, Processes};
 use quartzcleat_simulation::scenario::{AttemptOutcome, CounterSetup, HostSetup, Scenario};
@@ -42,7 +43,7 @@
 
 /// What is known while an expectation is compiled.
 struct Compiler<'a> {
-    deployment: &'a Day,
+    deployment: &'a Deployment,
     processes: Processes,
     hosts: Vec<HostSetup>,
     partners: Vec<Partner>,
@@ -58,7 +59,7 @@
 pub fn compile(
     suite: &Suite,
     expectation: &Expectation,
-    deployment: &Day,
+    deployment: &Deployment,
 ) -> Result<CompiledExpectation, Faults> {
     let mut faults = Faults::default();
     let installation_file = &suite.installation.file;
@@ -108,7 +109,7 @@
     scenario.processes = compiler.processes;
     scenario.hosts = compiler.hosts;
     let invariant_limits = InvariantLimits::from_settings(&scenario.ground_truth, 0);
-    faults.or(CompiledExpectation {
+    faults.into_result(CompiledExpectation {
         scenario,
         requirements,
         invariant_limits,
@@ -149,13 +150,17 @@
 }
 
 /// The deployment with the settings that the expectation gives other values.
-fn with_given_settings(deployment: &Day, given: &mut Reader<'_>, faults: &mut Faults) -> Day {
+fn with_given_settings(
+    deployment: &Deployment,
+    given: &mut Reader<'_>,
+    faults: &mut Faults,
+) -> Deployment {
     let Some(node) = given.node("settings") else {
         return deployment.clone();
     };
     let mut changes = Vec::new();
     if let Content::Map(members) = &node.content {
-        for (key, place, value) in members {
+        for Entry { key, place, value } in members {
             if quartzcleat_config::platform::key_of(key).is_none() {
                 faults.add(
                     given.file(),
@@ -164,7 +169,7 @@
                     "no key of a day's settings",
                 );
             }
-            changes.push((key.clone(), Some(value.content.clone())));
+            changes.push(Change::set(key, value.content.clone()));
         }
     } else {
         given.fault("settings", "not a map of keys and values", faults);
--- a/crates/expectations/src/compile/installation.rs
+++ b/crates/expectations/src/compile/installation.rs
@@ -1,9 +1,9 @@
 //! The installation: zones, limiters, delays, hosts, and the facts that no setting changes.
 
-use super::reading::{index_of, index_of_name, index_of_process, members, TypedReader};
+use super::reading::{index_of, index_of_name, index_of_process, members};
 use quartzcleat_config::reader::{flag, list};
-use quartzcleat_config::tree::{Content, Node, Place};
-use quartzcleat_config::{quantity, Day, Faults, Reader};
+use quartzcleat_config::tree::{Content, Entry, Node, Place};
+use quartzcleat_config::{quantity, Deployment, Faults, Reader};
 use quartzcleat_decision::api::{Class, Effect, Group, HostState, Nanos, Settings};
 use quartzcleat_invariants::{Process, Processes};
 use quartzcleat_simulation::scenario::{HostSetup, NetworkDelays};
@@ -45,12 +45,12 @@
 
 impl Installation {
     /// Reads the installation's file.
-    pub(super) fn read(top: &mut Reader<'_>, deployment: &Day, faults: &mut Faults) -> Self {
+    pub(super) fn read(top: &mut Reader<'_>, deployment: &Deployment, faults: &mut Faults) -> Self {
         let file = top.file();
         let classes = &deployment.settings.classes;
         let mut zones = read_names(top, "rooms", faults);
         if zones.is_empty() {
-            zones.clone_from(&deployment.rooms);
+            zones.clone_from(&deployment.zone_names);
         }
         let limiters = read_limiters(top.node("limiters"), file, &zones, faults);
         let mut installation = Installation {
@@ -104,7 +104,12 @@
 
     fn read_class_facts(&mut self, node: &Node, file: &Arc<str>, faults: &mut Faults) {
         let names = &self.processes.classes;
-        for (name, place, node) in members(node, file, "facts.classes", faults) {
+        for Entry {
+            key: name,
+            place,
+            value: node,
+        } in members(node, file, "facts.classes", faults)
+        {
             let path = format!("facts.classes.{name}");
             match index_of_name(name, names, "class") {
                 Ok(index) => {
@@ -113,7 +118,7 @@
                     read_class(&mut map, class, &mut self.work[index], faults);
                     map.end(faults);
                 }
-                Err(problem) => faults.add(file, *place, path, problem.to_string()),
+                Err(problem) => faults.add(file, *place, path, problem),
             }
         }
     }
@@ -125,11 +130,16 @@
             self.keep_hosts(names, file, faults);
             return;
         }
-        for (name, _, node) in members(node, file, "nodes", faults) {
+        for Entry {
+            key: name,
+            value: node,
+            ..
+        } in members(node, file, "nodes", faults)
+        {
             let index = self.host_index(name);
             let mut map = Reader::new(file, &format!("nodes.{name}"), node, faults);
             let zones = &self.processes.zones;
-            let zone = map.read("room", faults, |node| index_of(node, zones, "room"));
+            let zone = map.take("room", faults, |node| index_of(node, zones, "room"));
             let host = &mut self.processes.hosts[index];
             replace(&mut host.zone, zone.map(|zone| zone as u32));
             let cell = map.take("cell", faults, |node| quantity::count(node, 0..=1_000_000));
@@ -161,7 +171,7 @@
                 Ok(index) => {
                     kept.insert(index);
                 }
-                Err(problem) => faults.add(file, name.place, "nodes", problem.to_string()),
+                Err(problem) => faults.add(file, name.place, "nodes", problem),
             }
         }
         retain_indices(&mut self.processes.hosts, &kept);
@@ -211,7 +221,12 @@
         return Vec::new();
     };
     let mut limiters = Vec::new();
-    for (name, place, zone) in members(node, file, "limiters", faults) {
+    for Entry {
+        key: name,
+        place,
+        value: zone,
+    } in members(node, file, "limiters", faults)
+    {
         match index_of(zone, zones, "room") {
             Ok(zone) => limiters.push(Process {
                 name: name.clone(),
@@ -219,12 +234,7 @@
                 cell: 0,
             }),
             Err(problem) => {
-                faults.add(
-                    file,
-                    *place,
-                    format!("limiters.{name}"),
-                    problem.to_string(),
-                );
+                faults.add(file, *place, format!("limiters.{name}"), problem);
             }
         }
     }
@@ -273,7 +283,7 @@
 }
 
 fn read_class(map: &mut Reader<'_>, class: &mut Class, work: &mut Nanos, faults: &mut Faults) {
-    if let Some(repeats) = map.word("repeats", &REPEATS, faults) {
+    if let Some(repeats) = map.keyword("repeats", &REPEATS, faults) {
         class.effect = repeats.effect;
         class.group = repeats.group;
     }
@@ -289,7 +299,7 @@
         ("serving", HostState::Ready),
         ("draining", HostState::Draining),
     ];
-    replace(&mut setup.state, map.word("state", &states, faults));
+    replace(&mut setup.state, map.keyword("state", &states, faults));
     if let Some(uptime) = map.take("age", faults, quantity::time) {
         setup.uptime = Some(uptime);
     }
--- a/crates/expectations/src/compile/reading.rs
+++ b/crates/expectations/src/compile/reading.rs
@@ -3,62 +3,19 @@
 use super::Compiler;
 use crate::error::ValueError;
 use quartzcleat_config::reader::{list, one_of, text};
-use quartzcleat_config::tree::{Content, Node, Place};
-use quartzcleat_config::{figure, Faults, Reader};
+use quartzcleat_config::tree::{Content, Entry, Node};
+use quartzcleat_config::{formula, Faults};
 use quartzcleat_decision::api::Nanos;
 use quartzcleat_invariants::Process;
 use std::sync::Arc;
 
-/// Reads keys by functions with typed errors.
-pub(super) trait TypedReader<'a> {
-    /// Reads a key, where it is there.
-    fn read<T>(
-        &mut self,
-        key: &'static str,
-        faults: &mut Faults,
-        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
-    ) -> Option<T>;
-
-    /// Reads a key that must be there.
-    fn require<T>(
-        &mut self,
-        key: &'static str,
-        faults: &mut Faults,
-        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
-    ) -> Option<T>;
-}
-
-impl<'a> TypedReader<'a> for Reader<'a> {
-    fn read<T>(
-        &mut self,
-        key: &'static str,
-        faults: &mut Faults,
-        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
-    ) -> Option<T> {
-        self.take(key, faults, |node| {
-            read(node).map_err(|error| error.to_string())
-        })
-    }
-
-    fn require<T>(
-        &mut self,
-        key: &'static str,
-        faults: &mut Faults,
-        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
-    ) -> Option<T> {
-        self.need(key, faults, |node| {
-            read(node).map_err(|error| error.to_string())
-        })
-    }
-}
-
 /// The members of a map whose keys are names.
 pub(super) fn members<'a>(
     node: &'a Node,
     file: &Arc<str>,
     key: &str,
     faults: &mut Faults,
-) -> &'a [(String, Place, Node)] {
+) -> &'a [Entry] {
     match &node.content {
         Content::Map(members) => members,
         Content::Null => &[],
@@ -152,9 +109,9 @@
 impl Compiler<'_> {
     /// A time, which may be a formula over the settings.
     pub(super) fn time(&mut self, node: &Node) -> Result<Nanos, ValueError> {
-        let (value, keys) = figure::time(node, &|name| self.deployment.look(name))?;
-        self.setting_keys.extend(keys);
-        Ok(value)
+        let formula = formula::time(node, &|name| self.deployment.resolve(name))?;
+        self.setting_keys.extend(formula.keys);
+        Ok(formula.value)
     }
 
     /// One time or a list of them.
@@ -171,9 +128,9 @@
 
     /// A number, which may be a formula over the settings.
     pub(super) fn number(&mut self, node: &Node) -> Result<f64, ValueError> {
-        let (value, keys) = figure::number(node, &|name| self.deployment.look(name))?;
-        self.setting_keys.extend(keys);
-        Ok(value)
+        let formula = formula::number(node, &|name| self.deployment.resolve(name))?;
+        self.setting_keys.extend(formula.keys);
+        Ok(formula.value)
     }
 
     /// One number or a list of them.
--- a/crates/expectations/src/compile/steps.rs
+++ b/crates/expectations/src/compile/steps.rs
@@ -1,7 +1,7 @@
 //! Steps: what happens, and when.
 
 use super::given::counter_mode;
-use super::reading::{sole_kind, KindTexts, TypedReader};
+use super::reading::{sole_kind, KindTexts};
 use super::Compiler;
 use crate::requirement::RequestKind;
 use quartzcleat_config::reader::text;
@@ -43,7 +43,7 @@
     ) {
         let path = format!("when.{index}");
         let mut map = Reader::new(file, &path, node, faults);
-        let moments = map.read("at", faults, |node| self.times(node));
+        let moments = map.take("at", faults, |node| self.times(node));
         let moments = moments.unwrap_or_else(|| vec![0]);
         let reorder_group = map.take("order", faults, |node| match text(node)?.as_str() {
             "free" => Ok(0),
@@ -94,7 +94,7 @@
             "start" => ScenarioEvent::StartHost,
             "replace" => return self.read_replacement(map, faults),
             "slow" => {
-                let host = map.read("slow", faults, |node| self.host(node));
+                let host = map.take("slow", faults, |node| self.host(node));
                 let speed = map.need("to", faults, quantity::number);
                 return Some(ScenarioEvent::SetHostSpeed {
                     host: host?,
@@ -102,32 +102,32 @@
                 });
             }
             "counter" => {
-                return map.read("counter", faults, |node| match text(node)?.as_str() {
+                return map.take("counter", faults, |node| match text(node)?.as_str() {
                     "empty" => Ok(ScenarioEvent::ClearCounter),
                     _ => counter_mode(node).map(ScenarioEvent::SetCounterMode),
                 });
             }
             "discovery" => {
                 let keywords = [("silent", false), ("tells", true)];
-                let is_notifying = map.word("discovery", &keywords, faults);
+                let is_notifying = map.keyword("discovery", &keywords, faults);
                 return is_notifying.map(ScenarioEvent::SetDiscovery);
             }
             "stop" => {
-                let limiter = map.read("stop", faults, |node| self.limiter(node));
+                let limiter = map.take("stop", faults, |node| self.limiter(node));
                 return limiter.map(ScenarioEvent::KillLimiter);
             }
             _ => {
-                let limiter = map.read("restart", faults, |node| self.limiter(node));
+                let limiter = map.take("restart", faults, |node| self.limiter(node));
                 return limiter.map(ScenarioEvent::StartLimiter);
             }
         };
-        map.read(kind, faults, |node| self.host(node))
+        map.take(kind, faults, |node| self.host(node))
             .map(host_event)
     }
 
     fn read_replacement(&self, map: &mut Reader<'_>, faults: &mut Faults) -> Option<ScenarioEvent> {
-        let old = map.read("replace", faults, |node| self.host(node));
-        let new = map.require("by", faults, |node| self.host(node));
+        let old = map.take("replace", faults, |node| self.host(node));
+        let new = map.need("by", faults, |node| self.host(node));
         let (old, new) = (old?, new?);
         if !self.hosts[new].absent || old == new {
             map.fault("by", "is there already; give it absent: true", faults);
--- a/crates/expectations/src/error.rs
+++ b/crates/expectations/src/error.rs
@@ -1,13 +1,17 @@
 //! Why a value of an expectation or an installation is invalid.
 
 use quartzcleat_config::fault::nearest;
+use quartzcleat_config::formula::FormulaError;
 
 /// A value is invalid. The text names the remedy; the reader adds file, line and key.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub(crate) enum ValueError {
     /// A value that the configuration's reader rejects.
-    #[error("{0}")]
-    Config(String),
+    #[error(transparent)]
+    Value(#[from] quartzcleat_config::ValueError),
+    /// A formula over the settings that cannot be evaluated.
+    #[error(transparent)]
+    Formula(#[from] FormulaError),
     /// A name that is not known, although it resembles one that is.
     #[error("no {kind} {name:?}; did you mean {nearest}?")]
     MisspelledName {
@@ -45,12 +49,6 @@
     NotForEveryRequest,
 }
 
-impl From<String> for ValueError {
-    fn from(problem: String) -> Self {
-        ValueError::Config(problem)
-    }
-}
-
 impl ValueError {
     /// The error for a name that is not among those known.
     pub(crate) fn unknown_name(kind: &'static str, name: &str, known: &[String]) -> Self {
--- a/crates/expectations/src/suite.rs
+++ b/crates/expectations/src/suite.rs
@@ -93,7 +93,7 @@
             let problem = format!("as on line {}", other.line);
             found.add(file, node.place, format!("{path}.name"), problem);
         }
-        if found.none() {
+        if found.is_empty() {
             expectations.push(expectation);
         }
         faults.0.extend(found.0);
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -6,7 +6,7 @@
 mod tests;
 
 use clap::Args;
-use quartzcleat_config::{Day, Faults};
+use quartzcleat_config::{Deployment, Faults};
 use quartzcleat_expectations::evaluation::judge;
 use quartzcleat_expectations::{compile, suite, CompiledExpectation};
 use quartzcleat_invariants::Record;
@@ -108,9 +108,9 @@
         None => Err(io::ErrorKind::NotFound.into()),
     };
     let suite = suite::read_with(Path::new("demo.yaml"), &read_file, &mut faults);
-    let (Some(suite), true) = (suite, faults.none()) else {
+    let (Some(suite), true) = (suite, faults.is_empty()) else {
         return Err(faults);
     };
-    let deployment = Day::read("imlil-main.yaml", SETTINGS)?;
+    let deployment = Deployment::read("imlil-main.yaml", SETTINGS)?;
     compile(&suite, &suite.expectations[0], &deployment)
 }
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -23,12 +23,13 @@
 pub fn run(config: Option<&Path>) -> ExitCode {
     let served = product(config).and_then(|product| {
         logging::begin(&product.log)?;
-        let config = config::from_environment()?;
-        net::serve(config::Config {
-            metrics: product.tally,
+        let config = config::from_environment().map_err(|error| error.to_string())?;
+        let config = config::Config {
+            metrics_interval: product.metrics_interval,
             lease: product.lease,
             ..config
-        })
+        };
+        net::serve(config).map_err(|error| error.to_string())
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -63,7 +63,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 callers.retain(|caller| !caller.is_finished());
-                while callers.len() >= context.limits.callers {
+                while callers.len() >= context.limits.admin.max_connections {
                     callers.pop_front().inspect(JoinHandle::abort);
                 }
                 let caller = serve(context.clone(), stream);
@@ -71,15 +71,15 @@
             }
             Err(error) => {
                 tracing::warn!(%error, "admin connection not accepted");
-                sleep(context.limits.again).await;
+                sleep(context.limits.reconnect_pause).await;
             }
         }
     }
 }
 
 async fn serve(context: Rc<AdminContext>, mut stream: TcpStream) {
-    let caller_time = context.limits.caller_time;
-    let request = read_request(&mut stream, context.limits.call_bytes);
+    let caller_time = context.limits.admin.request_timeout;
+    let request = read_request(&mut stream, context.limits.admin.max_request_bytes);
     let response = match timeout(caller_time, request).await {
         Err(_) => Response::new(408, "the call did not end in time; send it at once"),
         // The caller has gone, or never sent a whole request.
@@ -132,11 +132,11 @@
     };
     let wait = async {
         while !is_decided() {
-            sleep(context.limits.last_moment).await;
+            sleep(context.limits.requests.deadline_margin).await;
         }
     };
     // Past the time the request is answered with what is known.
-    let _ = timeout(context.limits.first_list, wait).await;
+    let _ = timeout(context.limits.admin.first_list_timeout, wait).await;
 }
 
 /// Carries out a request.
--- a/src/net/admin/tests.rs
+++ b/src/net/admin/tests.rs
@@ -11,16 +11,16 @@
         let call = AdminRequest::Disable("s-1".to_owned());
         let began = tokio::time::Instant::now();
         wait_for_first_list(limiter.admin(), &call).await;
-        assert!(began.elapsed() >= limiter.limits().first_list);
+        assert!(began.elapsed() >= limiter.limits().admin.first_list_timeout);
         assert_eq!(
             carry_out(limiter.admin(), call.clone()).status,
             503,
             "no list has come"
         );
-        let told = limiter.clone();
+        let listing = limiter.clone();
         tokio::task::spawn_local(async move {
-            sleep(told.limits().last_moment).await;
-            crate::net::discovery::tests::told(told.discovery(), "s-1");
+            sleep(listing.limits().requests.deadline_margin).await;
+            crate::net::discovery::tests::apply_serving_host(listing.discovery(), "s-1");
         });
         wait_for_first_list(limiter.admin(), &call).await;
         assert_eq!(carry_out(limiter.admin(), call).status, 200);
--- /dev/null
+++ b/src/net/config/tests.rs
@@ -0,0 +1,132 @@
+//! Limits that depend on each other hold together, and the file and the environment have their precedence.
+
+use super::*;
+use std::time::Duration;
+
+fn limits_of_example(from: &str, to: &str) -> Limits {
+    let text = include_str!("../../../examples/toy.json").replace(from, to);
+    parse(&text, |_| None).expect("the example is valid").limits
+}
+
+fn json(text: &str) -> Value {
+    serde_json::from_str(text).expect("JSON")
+}
+
+/// The counter holds 32 connections, and keeps those that the limiter has closed. Its longest outage lasts 12 s.
+#[test]
+fn hanging_counter_gets_no_more_connections_than_it_holds() {
+    let limits = limits_of_example("", "");
+    let rounds = Duration::from_secs(12)
+        .div_duration_f64(limits.counter.silence_timeout + limits.reconnect_pause)
+        .ceil();
+    assert!(
+        (rounds + 1.0) * limits.counter.connections as f64 <= 32.0,
+        "{rounds} rounds"
+    );
+}
+
+/// All connections together leave some descriptors for files and signals.
+#[test]
+fn all_connections_fit_the_socket_limit() {
+    for sockets in [128, 1024, 4096] {
+        let limits = limits_of_example("1024", &sockets.to_string());
+        let crowd = limits.downstream.max_connections + limits.downstream.max_connections / 16 + 1;
+        let all = crowd
+            + limits.upstream.max_connections
+            + 2
+            + limits.counter.connections
+            + limits.admin.max_connections
+            + 1;
+        assert!(all + 6 < sockets, "{all} of {sockets}");
+    }
+}
+
+/// At the start the environment takes precedence over the file; a replacement takes precedence over the environment for the
+/// addresses of services.
+#[test]
+fn replacement_file_takes_precedence_over_environment() {
+    let text = include_str!("../../../examples/toy.json");
+    let in_environment = "127.0.0.9:9";
+    let variable = |name: &str| {
+        name.starts_with("BALANCER_")
+            .then(|| in_environment.to_owned())
+    };
+    let old = parse(text, variable).expect("valid");
+    let new = parse_replacement(&json(text), text, variable).expect("valid");
+    let address = |text: &str| text.parse().expect("an address");
+    let (discovery, counter) = (address(in_environment), Some(address(in_environment)));
+    assert_eq!(old.addresses, Addresses { discovery, counter });
+    let (discovery, counter) = (address("127.0.0.1:7001"), Some(address("127.0.0.1:7002")));
+    assert_eq!(new.addresses, Addresses { discovery, counter });
+    assert_eq!(
+        new.listen,
+        address(in_environment),
+        "the environment keeps precedence for all other keys"
+    );
+    let without_discovery = text.replace("\"discovery\"", "\"elsewhere\"");
+    assert_eq!(
+        parse_replacement(&json(&without_discovery), &without_discovery, variable)
+            .expect("valid")
+            .addresses
+            .discovery,
+        address(in_environment)
+    );
+    assert!(parse_replacement(&json(text), "{", variable).is_err());
+}
+
+/// Changes of the example, as old and new text, and the errors that they give.
+const INVALID_EXAMPLES: [(&str, &str, &str); 10] = [
+    ("\"listen\":", "\"listener\":", "listen: missing"),
+    (
+        "\"counter\": \"127.0.0.1:7002\"",
+        "\"counter\": \"nowhere\"",
+        "counter: \"nowhere\" is not an address with a port",
+    ),
+    (
+        "\"sockets\": 1024",
+        "\"sockets\": 1.5",
+        "limits.sockets: 1.5 is not a count",
+    ),
+    (
+        "\"sockets\": 1024",
+        "\"sockets\": 127",
+        "limits.sockets: 127 is too few, 128 are needed",
+    ),
+    (
+        "\"seed\": \"",
+        "\"seed\": \"x",
+        "seed: \"x8c1f30d27a5be964\" is not a hexadecimal number",
+    ),
+    (
+        "\"8c1f30d27a5be964\"",
+        "7",
+        "seed: 7 is not a text of hexadecimal digits",
+    ),
+    ("\"settings\":", "\"setting\":", "settings: missing"),
+    (
+        "\"zones\": [\"a\"]",
+        "\"zones\": [1]",
+        "settings.zones: 1 is not a name",
+    ),
+    (
+        "\"kinds\": [\"toy\"]",
+        "\"kinds\": \"a\"",
+        "settings.kinds: \"a\" is not a list of names",
+    ),
+    (
+        "\"connIdleNs\": 30000000000",
+        "\"connIdleNs\": \"long\"",
+        "settings.limits.connIdleNs: cannot read \"long\"",
+    ),
+];
+
+#[test]
+fn errors_name_the_key_and_the_value() {
+    let example = include_str!("../../../examples/toy.json");
+    for (from, to, message) in INVALID_EXAMPLES {
+        let text = example.replacen(from, to, 1);
+        assert_ne!(text, example, "{from}");
+        let error = parse(&text, |_| None).expect_err(to);
+        assert_eq!(error.to_string(), message);
+    }
+}
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -12,8 +12,10 @@
 use super::resp::downstream::{self, Downstream};
 use super::resp::upstream::UpstreamPool;
 use super::shutdown::{self, Shutdown};
-use super::stages::{complete, Pipeline};
+use super::stages::{complete, Pipeline, PipelineParts};
+use super::start_error::StartError;
 use super::task::spawn;
+use crate::api::Settings;
 use quartzcleat_config::lease::Lease;
 use serde_json::Value;
 use std::cell::RefCell;
@@ -75,73 +77,36 @@
 impl Limiter {
     /// A limiter that has received nothing and is connected to nothing yet.
     pub fn new(config: Config) -> Self {
-        let metrics = config.metrics.map(|every| MetricsLog {
+        let metrics = config.metrics_interval.map(|every| MetricsLog {
             every,
             metrics: Rc::new(RefCell::new(Metrics::new(config.name.clone()))),
         });
-        let shared_metrics = metrics.as_ref().map(|log| log.metrics.clone());
         let addresses = watch::Sender::new(config.addresses);
-        let has_admin = config.console.is_some();
-        let limits = Rc::new(config.limits);
-        let shutdown = Rc::new(Shutdown::new(&limits));
-        let upstream = Rc::new(UpstreamPool::new(config.settings.reports));
-        let engine = Rc::new(EngineDriver::new(
-            config.settings.clone(),
+        let has_admin = config.admin.is_some();
+        let (name, listen) = (config.name, config.listen);
+        let base = BaseParts::new(
+            config.limits,
+            &config.settings,
             config.seed,
-            &limits,
-            shared_metrics.clone(),
-        ));
-        let counter = new_counter(&limits, &engine, addresses.subscribe());
-        let pipeline = Pipeline::new(
-            limits.clone(),
-            engine.clone(),
-            upstream.clone(),
-            counter.clone(),
-            shutdown.clone(),
-            shared_metrics.clone(),
+            metrics.as_ref().map(|log| log.metrics.clone()),
         );
-        let discovery_parts = DiscoveryParts {
-            limits: limits.clone(),
-            engine: engine.clone(),
-            upstream: upstream.clone(),
-            addresses: addresses.subscribe(),
-            metrics: shared_metrics,
-        };
-        let endpoints = EndpointList::new(config.zones, config.kinds);
-        let discovery = Rc::new(DiscoveryClient::new(discovery_parts, endpoints, has_admin));
-        let hot_restart_parts = HotRestartParts {
-            limits: limits.clone(),
-            engine: engine.clone(),
-            discovery: discovery.clone(),
-            shutdown: shutdown.clone(),
-        };
-        let hot_restart = Rc::new(HotRestart::new(
-            hot_restart_parts,
-            &config.name,
-            config.listen,
-            has_admin,
-        ));
-        let admin = Rc::new(AdminContext {
-            limits: limits.clone(),
-            discovery: discovery.clone(),
-            shutdown: shutdown.clone(),
-            hot_restart: hot_restart.clone(),
-        });
-        let reload_parts = ReloadParts {
-            limits: limits.clone(),
-            engine: engine.clone(),
-            upstream: upstream.clone(),
-            discovery: discovery.clone(),
-            addresses,
-        };
+        let counter = base.new_counter(&addresses);
+        let pipeline = base.new_pipeline(&counter);
+        let endpoints = EndpointList::new(config.zone_names, config.machine_kind_names);
+        let discovery = base.new_discovery(&addresses, endpoints, has_admin);
+        let hot_restart_parts = base.hot_restart_parts(&discovery);
+        let hot_restart = HotRestart::new(hot_restart_parts, &name, listen, has_admin);
+        let hot_restart = Rc::new(hot_restart);
+        let admin = base.new_admin(&discovery, &hot_restart);
+        let reload_parts = base.reload_parts(&discovery, addresses);
         let reloader = ConfigReloader::new(reload_parts, config.file, &config.settings);
         Limiter {
-            limits,
-            engine,
-            upstream,
+            limits: base.limits,
+            engine: base.engine,
+            upstream: base.upstream,
             counter,
             discovery,
-            shutdown,
+            shutdown: base.shutdown,
             hot_restart,
             admin,
             reloader: Rc::new(reloader),
@@ -151,7 +116,7 @@
     }
 
     /// Starts all parts, serves clients until the process is asked to end, and ends in order.
-    async fn run(self, options: StartOptions) -> Result<(), String> {
+    async fn run(self, options: StartOptions) -> Result<(), StartError> {
         // First, so that no signal finds the process without a handler.
         self.watch_signals()?;
         if let Some(lease) = options.lease {
@@ -159,9 +124,7 @@
         }
         // What another process knows goes before the list of the configuration.
         self.hot_restart.look();
-        self.discovery
-            .restore(&options.known_hosts)
-            .map_err(|e| format!("known.{e}"))?;
+        self.discovery.restore(&options.known_hosts)?;
         self.start_clients(options.backoff);
         let admin_listener = match options.admin {
             Some(address) => Some(bind_admin(address).await?),
@@ -170,9 +133,8 @@
         if self.hot_restart.other_serves() {
             self.catch_up().await;
         }
-        let listen = options.listen;
-        let listener =
-            open(listen).map_err(|e| format!("listen: cannot listen on {listen}: {e}"))?;
+        let address = options.listen;
+        let listener = open(address).map_err(|source| StartError::Listen { address, source })?;
         if let Some(admin_listener) = admin_listener {
             self.start_admin(admin_listener);
         }
@@ -183,7 +145,7 @@
         Ok(())
     }
 
-    fn watch_signals(&self) -> Result<(), String> {
+    fn watch_signals(&self) -> Result<(), StartError> {
         let hot_restart = self.hot_restart.clone();
         shutdown::watch(&self.shutdown, move || {
             // Another process may have started a moment ago.
@@ -193,15 +155,13 @@
         self.reloader.watch()
     }
 
-    async fn start_leases(&self, lease: Lease) -> Result<(), String> {
-        let usage_recorder =
-            leases::open_usage_recorder(&lease).map_err(|error| error.to_string())?;
+    async fn start_leases(&self, lease: Lease) -> Result<(), StartError> {
+        let usage_recorder = leases::open_usage_recorder(&lease)?;
         if let Some(usage_recorder) = &usage_recorder {
             self.pipeline.record_usage(usage_recorder.clone());
         }
-        leases::start(lease, &self.shutdown, usage_recorder)
-            .await
-            .map_err(|error| error.to_string())
+        leases::start(lease, &self.shutdown, usage_recorder).await?;
+        Ok(())
     }
 
     /// Starts the clients of the counter and of discovery, and the log of the metrics.
@@ -212,7 +172,7 @@
             metrics::start(metrics.clone(), *every, engine, upstream);
         }
         spawn(discovery::follow(self.discovery.clone(), backoff));
-        if !self.limits.list_by_asking {
+        if !self.limits.discovery.is_polled {
             spawn(discovery::check(self.discovery.clone()));
         }
     }
@@ -221,13 +181,13 @@
     /// process that took clients without them would reject requests that the other one still serves.
     async fn catch_up(&self) {
         self.hot_restart.publish();
-        let until = Instant::now() + self.limits.catch_up;
+        let until = Instant::now() + self.limits.hot_restart.discovery_timeout;
         while !self.discovery.has_answered() && Instant::now() < until {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
-        let until = Instant::now() + self.limits.inherit;
+        let until = Instant::now() + self.limits.hot_restart.handoff_timeout;
         while !self.hot_restart.take_handoff() && Instant::now() < until {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
     }
 
@@ -248,49 +208,133 @@
         let _ = timeout_at(last, connections.wait_for(|count| *count == 0)).await;
         // The attempts of a client that has gone end by themselves; no answer is due for them.
         while self.engine.requests().borrow().count() > 0 && Instant::now() < last {
-            sleep(self.limits.last_moment).await;
+            sleep(self.limits.requests.deadline_margin).await;
         }
         let open = self.engine.requests().borrow().ids();
         for id in open {
             complete::give_up(&self.pipeline, id);
         }
-        let end = last + self.limits.last_answers.get();
+        let end = last + self.limits.shutdown.final_answer_margin.get();
         // Past the time the process ends with whatever connections are left.
         let _ = timeout_at(end, connections.wait_for(|count| *count == 0)).await;
     }
 }
 
-fn new_counter(
-    limits: &Rc<Limits>,
-    engine: &Rc<EngineDriver>,
-    addresses: watch::Receiver<Addresses>,
-) -> Rc<CounterClient> {
-    let client = CounterClient::new(limits.clone(), engine.clone(), addresses);
-    Rc::new(client)
+/// The parts that most others are given.
+struct BaseParts {
+    limits: Rc<Limits>,
+    engine: Rc<EngineDriver>,
+    upstream: Rc<UpstreamPool>,
+    shutdown: Rc<Shutdown>,
+    metrics: Option<SharedMetrics>,
+}
+
+impl BaseParts {
+    fn new(limits: Limits, settings: &Settings, seed: u64, metrics: Option<SharedMetrics>) -> Self {
+        let engine = EngineDriver::new(settings.clone(), seed, &limits, metrics.clone());
+        BaseParts {
+            engine: Rc::new(engine),
+            upstream: Rc::new(UpstreamPool::new(settings.reports)),
+            shutdown: Rc::new(Shutdown::new(&limits)),
+            limits: Rc::new(limits),
+            metrics,
+        }
+    }
+
+    fn new_counter(&self, addresses: &watch::Sender<Addresses>) -> Rc<CounterClient> {
+        Rc::new(CounterClient::new(
+            self.limits.clone(),
+            self.engine.clone(),
+            addresses.subscribe(),
+        ))
+    }
+
+    fn new_pipeline(&self, counter: &Rc<CounterClient>) -> Rc<Pipeline> {
+        Pipeline::new(PipelineParts {
+            limits: self.limits.clone(),
+            engine: self.engine.clone(),
+            upstream: self.upstream.clone(),
+            counter: counter.clone(),
+            shutdown: self.shutdown.clone(),
+            metrics: self.metrics.clone(),
+        })
+    }
+
+    fn new_discovery(
+        &self,
+        addresses: &watch::Sender<Addresses>,
+        endpoints: EndpointList,
+        records_names: bool,
+    ) -> Rc<DiscoveryClient> {
+        let parts = DiscoveryParts {
+            limits: self.limits.clone(),
+            engine: self.engine.clone(),
+            upstream: self.upstream.clone(),
+            addresses: addresses.subscribe(),
+            metrics: self.metrics.clone(),
+        };
+        Rc::new(DiscoveryClient::new(parts, endpoints, records_names))
+    }
+
+    fn hot_restart_parts(&self, discovery: &Rc<DiscoveryClient>) -> HotRestartParts {
+        HotRestartParts {
+            limits: self.limits.clone(),
+            engine: self.engine.clone(),
+            discovery: discovery.clone(),
+            shutdown: self.shutdown.clone(),
+        }
+    }
+
+    fn new_admin(
+        &self,
+        discovery: &Rc<DiscoveryClient>,
+        hot_restart: &Rc<HotRestart>,
+    ) -> Rc<AdminContext> {
+        Rc::new(AdminContext {
+            limits: self.limits.clone(),
+            discovery: discovery.clone(),
+            shutdown: self.shutdown.clone(),
+            hot_restart: hot_restart.clone(),
+        })
+    }
+
+    fn reload_parts(
+        &self,
+        discovery: &Rc<DiscoveryClient>,
+        addresses: watch::Sender<Addresses>,
+    ) -> ReloadParts {
+        ReloadParts {
+            limits: self.limits.clone(),
+            engine: self.engine.clone(),
+            upstream: self.upstream.clone(),
+            discovery: discovery.clone(),
+            addresses,
+        }
+    }
 }
 
 /// Serves until the process is asked to end.
 ///
 /// # Errors
 /// A part cannot start: the runtime, a signal handler, a listening socket, the leases or the usage export.
-pub fn serve(config: Config) -> Result<(), String> {
+pub fn serve(config: Config) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
+    let runtime = runtime.map_err(StartError::Runtime)?;
     let options = StartOptions {
         listen: config.listen,
-        admin: config.console,
-        known_hosts: config.known.clone(),
+        admin: config.admin,
+        known_hosts: config.known_hosts.clone(),
         lease: config.lease.clone(),
         backoff: Backoff::from_limits(&config.limits, config.seed),
     };
     LocalSet::new().block_on(&runtime, async { Limiter::new(config).run(options).await })
 }
 
-async fn bind_admin(address: SocketAddr) -> Result<TcpListener, String> {
+async fn bind_admin(address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
-    bound.map_err(|e| format!("console: cannot listen on {address}: {e}"))
+    bound.map_err(|source| StartError::ListenAdmin { address, source })
 }
 
 /// Listens for clients, beside another process of this limiter if there is one.
@@ -303,7 +347,7 @@
     socket.set_reuseaddr(true)?;
     // Where this is not to be had, no other process can listen there, and this one still can.
     if let Err(e) = socket.set_reuseport(true) {
-        tracing::info!("no second process can listen beside this one: {e}");
+        tracing::info!(error = %e, "listening address cannot be shared");
     }
     socket.bind(listen)?;
     socket.listen(LISTEN_BACKLOG)
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -3,12 +3,13 @@
 //! A sound file is in force from then on, its addresses and its settings; of a faulty one nothing is, and the log names
 //! all its faults. What follows from descriptors and memory, and whether discovery is polled, stays until the next start.
 
-use super::config::{self, Addresses, Config, Limits};
+use super::config::{self, Addresses, Config, ConfigError, Limits};
 use super::discovery::DiscoveryClient;
 use super::engine::EngineDriver;
 use super::resp::downstream::RequestCatalog;
 use super::resp::upstream::UpstreamPool;
 use super::shutdown::unix;
+use super::start_error::StartError;
 use super::task::spawn;
 use crate::api::{Event, Settings};
 use quartzcleat_admin::ClassIndices;
@@ -54,7 +55,7 @@
     /// The configuration that the process starts with: `file` as it was read, and the settings in it.
     pub fn new(parts: ReloadParts, file: Value, settings: &Settings) -> Self {
         let indices = ClassIndices::new(settings);
-        let catalog = RequestCatalog::of(settings, indices.accepted(0));
+        let catalog = RequestCatalog::new(settings, &indices.accepted(0));
         ConfigReloader {
             parts,
             file: RefCell::new(file),
@@ -72,13 +73,15 @@
     ///
     /// # Errors
     /// The signal handler cannot be installed.
-    pub fn watch(self: &Rc<Self>) -> Result<(), String> {
-        let mut hangup =
-            signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
+    pub fn watch(self: &Rc<Self>) -> Result<(), StartError> {
+        let mut hangup = signal(SignalKind::hangup()).map_err(|source| StartError::Signal {
+            signal: "SIGHUP",
+            source,
+        })?;
         let reloader = self.clone();
         spawn(async move {
             while hangup.recv().await.is_some() {
-                let read = config::again(&reloader.file.borrow());
+                let read = config::reload_from_environment(&reloader.file.borrow());
                 reloader.apply(read);
             }
         });
@@ -86,9 +89,9 @@
     }
 
     /// Puts a configuration into force. A faulty one is reported, and the one before stays.
-    fn apply(self: &Rc<Self>, read: Result<Config, String>) {
+    fn apply(self: &Rc<Self>, read: Result<Config, ConfigError>) {
         let config = match read {
-            Err(problem) => return tracing::warn!("the configuration stays as it was: {problem}"),
+            Err(error) => return tracing::warn!(%error, "configuration rejected"),
             Ok(config) => config,
         };
         self.file.replace(config.file);
@@ -96,7 +99,7 @@
         self.parts
             .addresses
             .send_if_modified(|held| std::mem::replace(held, addresses) != addresses);
-        self.parts.limits.retune(&config.limits);
+        self.parts.limits.update_from(&config.limits);
         self.parts
             .upstream
             .set_report_source(config.settings.reports);
@@ -107,15 +110,16 @@
             .discovery
             .endpoints()
             .borrow_mut()
-            .zone(&config.zones, settings.zone);
+            .zone(&config.zone_names, settings.zone);
         let indexed = self.indices.borrow_mut().apply(&settings, unix());
         self.parts.engine.apply_limits(&config.limits);
         let accepted = self.indices.borrow().accepted(unix());
-        self.catalog.replace(RequestCatalog::of(&indexed, accepted));
+        self.catalog
+            .replace(RequestCatalog::new(&indexed, &accepted));
         tracing::info!(
             classes = settings.classes.len(),
             plans = settings.plans.len(),
-            "new settings are in force"
+            "configuration applied"
         );
         self.parts.engine.handle(Event::SettingsChanged {
             settings: Box::new(indexed),
@@ -127,7 +131,6 @@
     async fn retire_classes(self: Rc<Self>) {
         sleep(Duration::from_nanos(ClassIndices::accepted_after_removal())).await;
         let accepted = self.indices.borrow().accepted(unix());
-        let catalog = self.catalog.borrow().heard_again(&accepted);
-        self.catalog.replace(catalog);
+        self.catalog.borrow_mut().retain(&accepted);
     }
 }
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -15,7 +15,7 @@
 
 /// Takes a file in, which is sound.
 fn take(limiter: &Rc<Limiter>, text: &str) {
-    let read = config::reread(&limiter.reloader().file.borrow(), text, |_| None);
+    let read = config::parse_replacement(&limiter.reloader().file.borrow(), text, |_| None);
     assert!(read.is_ok(), "{:?}", read.err());
     limiter.reloader().apply(read);
 }
@@ -39,15 +39,16 @@
         assert!(matches!(relay.command, HostCommand::Attempt { .. }));
         let answer = b"*3\r\n$3\r\nbed\r\n$-1\r\n$10\r\ninflight=7\r\n";
         let load = || {
-            let (reply, _) = codec::reply(answer, limiter.limits())
+            let reply = codec::parse_reply(answer, limiter.limits())
                 .expect("sound")
-                .expect("whole");
+                .expect("whole")
+                .reply;
             let source = limiter.upstream().report_source();
             let end = interpret(&reply, answer, &relay.command, relay.host, source).result;
             assert_eq!(end.outcome, Outcome::Good);
             end.load.len()
         };
-        let idle = || limiter.limits().south_idle.get();
+        let idle = || limiter.limits().upstream.idle_timeout.get();
         assert_eq!((load(), idle()), (0, Duration::from_secs(15)));
         let new = TOY.replace("\"how\": \"none\"", "\"how\": \"answers\"");
         take(
@@ -68,7 +69,10 @@
 #[test]
 fn a_file_in_another_order_moves_nothing_under_another_s_index() {
     with_limiter(&[], |limiter| async move {
-        let named = |name: &str| limiter.reloader().catalog.borrow().class(name);
+        let named = |name: &str| {
+            let catalog = limiter.reloader().catalog.borrow();
+            catalog.class(name).map(|entry| entry.index)
+        };
         assert_eq!((named("bed-check"), named("bed-hold")), (Some(0), Some(1)));
         // The names change places: what was safe to repeat is now called as what was not.
         let new = TOY
@@ -79,7 +83,7 @@
         let Event::SettingsChanged { settings } = next(&limiter).await else {
             panic!("not told")
         };
-        let old = config::read(TOY, |_| None).expect("sound").settings;
+        let old = config::parse(TOY, |_| None).expect("sound").settings;
         assert_eq!(
             settings.classes[..2],
             old.classes[..],
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -5,6 +5,7 @@
 //! and the process ends once all accepted requests are answered.
 
 use super::config::Limits;
+use super::start_error::StartError;
 use super::task::spawn;
 use crate::api::Nanos;
 use quartzcleat_admin::{DrainController, DrainOrder, DrainTimes};
@@ -47,8 +48,8 @@
     /// A process that serves all clients.
     pub fn new(limits: &Limits) -> Self {
         let times = DrainTimes {
-            linger: limits.linger.as_nanos() as Nanos,
-            last_call: limits.last_call.as_nanos() as Nanos,
+            linger: limits.shutdown.drain_delay.as_nanos() as Nanos,
+            last_call: limits.shutdown.reject_after.as_nanos() as Nanos,
         };
         Shutdown {
             controller: RefCell::new(DrainController::new(times)),
@@ -150,13 +151,15 @@
     /// When the last answers are given, once SIGTERM was received.
     pub fn last_answers(&self, limits: &Limits) -> Option<Instant> {
         let asked_at = self.asked_at.get()?;
-        Some(asked_at + limits.end.get() - limits.last_answers.get())
+        Some(asked_at + limits.shutdown.timeout.get() - limits.shutdown.final_answer_margin.get())
     }
 
-    /// Adds to the number of client connections, or takes from it.
-    pub fn count(&self, change: isize) {
-        self.connections
-            .send_modify(|count| *count = count.saturating_add_signed(change));
+    /// Counts a client connection until the guard is dropped.
+    pub fn count_connection(self: &Rc<Self>) -> CountedConnection {
+        self.connections.send_modify(|count| *count += 1);
+        CountedConnection {
+            shutdown: self.clone(),
+        }
     }
 
     /// How many connections clients hold.
@@ -170,6 +173,17 @@
     }
 }
 
+/// A client connection that counts until this is dropped.
+pub struct CountedConnection {
+    shutdown: Rc<Shutdown>,
+}
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.shutdown.connections.send_modify(|count| *count -= 1);
+    }
+}
+
 fn set_if_changed<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
     sender.send_if_modified(|held| {
         let has_changed = *held != value;
@@ -186,9 +200,11 @@
 pub fn watch(
     shutdown: &Rc<Shutdown>,
     other_serves: impl FnOnce() -> bool + 'static,
-) -> Result<(), String> {
-    let mut terminate =
-        signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
+) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|source| StartError::Signal {
+        signal: "SIGTERM",
+        source,
+    })?;
     spawn(shutdown.clone().follow_phases());
     let shutdown = shutdown.clone();
     spawn(async move {
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -22,7 +22,7 @@
 /// Sends a health check on its way.
 pub fn check_health(pipeline: &Rc<Pipeline>, host: HostId) {
     let now = Instant::now();
-    let deadline = now + pipeline.limits.connect.get();
+    let deadline = now + pipeline.limits.connect_timeout.get();
     let call = HostCall {
         command: HostCommand::HealthCheck,
         host,
@@ -44,7 +44,9 @@
     };
     let connected = connect(&pipeline, &call).await;
     if let Some(metrics) = &pipeline.metrics {
-        metrics.borrow_mut().connected(call.host, connected.is_ok());
+        metrics
+            .borrow_mut()
+            .record_connect(call.host, connected.is_ok());
     }
     let mut connection = match connected {
         Ok(connection) => connection,
@@ -77,7 +79,7 @@
         .upstream
         .address(call.host, &pipeline.limits)
         .ok_or(Outcome::ConnectFailed)?;
-    let connect_timeout = Instant::now() + pipeline.limits.connect.get();
+    let connect_timeout = Instant::now() + pipeline.limits.connect_timeout.get();
     let connect_by = call.send_by.min(connect_timeout);
     tokio::select! {
         biased;
@@ -100,12 +102,12 @@
     connection: &mut UpstreamConnection,
     mut next_call: oneshot::Receiver<HostCall>,
 ) -> Option<HostCall> {
-    let idle_timeout = pipeline.limits.south_idle.get();
-    let read_bytes = pipeline.limits.read_bytes;
+    let idle_timeout = pipeline.limits.upstream.idle_timeout.get();
+    let read_bytes = pipeline.limits.codec.read_chunk_bytes;
     tokio::select! {
         biased;
         call = &mut next_call => call.ok(),
-        _ = codec::more(&mut connection.stream, &mut connection.input, read_bytes) => None,
+        _ = codec::read_more(&mut connection.stream, &mut connection.input, read_bytes) => None,
         () = sleep(idle_timeout) => None,
     }
 }
--- a/src/simulator/decode.rs
+++ b/src/simulator/decode.rs
@@ -244,6 +244,6 @@
     }
     platform::decode(pairs).map_err(|mut faults| {
         let first = faults.swap_remove(0);
-        error(&first.path, first.problem)
+        error(&first.path, first.problem.to_string())
     })
 }
