--- a/crates/expectations/src/attribution.rs
+++ b/crates/expectations/src/attribution.rs
@@ -115,14 +115,14 @@
     fn sections(&mut self, keys: &[Leaf<'_>]) -> Vec<Vec<SourceLine>> {
         let mut sections: Vec<&str> = keys
             .iter()
-            .filter_map(|leaf| section_of(&leaf.path))
+            .filter_map(|key| section_of(&key.path))
             .collect();
         sections.dedup();
         let mut line_sets = Vec::new();
         for section in sections {
             let members: Vec<_> = keys
                 .iter()
-                .filter(|leaf| section_of(&leaf.path) == Some(section))
+                .filter(|key| section_of(&key.path) == Some(section))
                 .collect();
             line_sets.extend(self.section(&members));
         }
--- a/crates/expectations/src/compile/given.rs
+++ b/crates/expectations/src/compile/given.rs
@@ -1,6 +1,6 @@
 //! What an expectation gives: partners, the counter, and what is left open to the search.
 
-use super::reading::{index_of, keywords, members, TypedReader};
+use super::reading::{index_of, keywords, members};
 use super::Compiler;
 use crate::error::ValueError;
 use quartzcleat_config::reader::{flag, one_of, text};
@@ -69,8 +69,8 @@
         } in members(node, file, "partners", faults)
         {
             let mut map = Reader::new(file, &format!("partners.{name}"), node, faults);
-            let plan = map.require("plan", faults, |node| index_of(node, &plans, "plan"));
-            let limiters = map.read("through", faults, |node| self.limiters(node));
+            let plan = map.need("plan", faults, |node| index_of(node, &plans, "plan"));
+            let limiters = map.take("through", faults, |node| self.limiters(node));
             map.end(faults);
             let limiter_count = self.processes.limiters.len();
             let limiters = limiters.unwrap_or_else(|| (0..limiter_count).collect());
@@ -114,28 +114,28 @@
         if let Some(node) = given.node("counter") {
             read_counter(&mut scenario.counter, node, file, faults);
         }
-        if let Some(delays) = given.read("discovery", faults, |node| self.times(node)) {
+        if let Some(delays) = given.take("discovery", faults, |node| self.times(node)) {
             scenario.discovery_delays = delays;
         }
-        let outcomes = given.read("attempts", faults, |node| keywords(node, &ATTEMPT_OUTCOMES));
+        let outcomes = given.take("attempts", faults, |node| keywords(node, &ATTEMPT_OUTCOMES));
         if let Some(outcomes) = outcomes {
             scenario.attempt_outcomes = outcomes;
         }
         if let Some(seeds) = given.take("seeds", faults, |node| quantity::count(node, 1..=10_000)) {
             scenario.seeds = (1..=seeds).collect();
         }
-        if let Some(offsets) = given.read("phase", faults, |node| self.times(node)) {
+        if let Some(offsets) = given.take("phase", faults, |node| self.times(node)) {
             scenario.start_offsets = offsets;
         }
         if let Some(deviation) = given.take("spread", faults, quantity::share) {
             scenario.log_deviation = deviation;
         }
-        if let Some(duration) = given.read("end", faults, |node| self.time(node)) {
+        if let Some(duration) = given.take("end", faults, |node| self.time(node)) {
             scenario.max_duration = duration;
         }
         if let Some(node) = given.node("retry") {
             let mut map = Reader::new(file, "given.retry", node, faults);
-            let delay = map.read("after", faults, |node| self.time(node));
+            let delay = map.take("after", faults, |node| self.time(node));
             let next_limiter = map.take("elsewhere", faults, flag);
             map.end(faults);
             scenario.retry = Some(RetryPolicy {
@@ -157,15 +157,15 @@
     if let Content::Text(_) = node.content {
         match counter_mode(node) {
             Ok(mode) => counter.mode = mode,
-            Err(problem) => faults.add(file, node.place, "given.counter", problem.to_string()),
+            Err(problem) => faults.add(file, node.place, "given.counter", problem),
         }
         return;
     }
     let mut map = Reader::new(file, "given.counter", node, faults);
-    if let Some(mode) = map.read("is", faults, counter_mode) {
+    if let Some(mode) = map.take("is", faults, counter_mode) {
         counter.mode = mode;
     }
-    let outcomes = map.read("calls", faults, |node| {
+    let outcomes = map.take("calls", faults, |node| {
         keywords(node, &COUNTER_CALL_OUTCOMES)
     });
     if let Some(outcomes) = outcomes {
--- a/crates/expectations/src/compile/installation.rs
+++ b/crates/expectations/src/compile/installation.rs
@@ -1,6 +1,6 @@
 //! The installation: zones, limiters, delays, hosts, and the facts that no setting changes.
 
-use super::reading::{index_of, index_of_name, index_of_process, members, TypedReader};
+use super::reading::{index_of, index_of_name, index_of_process, members};
 use quartzcleat_config::reader::{flag, list};
 use quartzcleat_config::tree::{Content, Entry, Node, Place};
 use quartzcleat_config::{quantity, Deployment, Faults, Reader};
@@ -118,7 +118,7 @@
                     read_class(&mut map, class, &mut self.work[index], faults);
                     map.end(faults);
                 }
-                Err(problem) => faults.add(file, *place, path, problem.to_string()),
+                Err(problem) => faults.add(file, *place, path, problem),
             }
         }
     }
@@ -139,7 +139,7 @@
             let index = self.host_index(name);
             let mut map = Reader::new(file, &format!("nodes.{name}"), node, faults);
             let zones = &self.processes.zones;
-            let zone = map.read("room", faults, |node| index_of(node, zones, "room"));
+            let zone = map.take("room", faults, |node| index_of(node, zones, "room"));
             let host = &mut self.processes.hosts[index];
             replace(&mut host.zone, zone.map(|zone| zone as u32));
             let cell = map.take("cell", faults, |node| quantity::count(node, 0..=1_000_000));
@@ -171,7 +171,7 @@
                 Ok(index) => {
                     kept.insert(index);
                 }
-                Err(problem) => faults.add(file, name.place, "nodes", problem.to_string()),
+                Err(problem) => faults.add(file, name.place, "nodes", problem),
             }
         }
         retain_indices(&mut self.processes.hosts, &kept);
@@ -234,12 +234,7 @@
                 cell: 0,
             }),
             Err(problem) => {
-                faults.add(
-                    file,
-                    *place,
-                    format!("limiters.{name}"),
-                    problem.to_string(),
-                );
+                faults.add(file, *place, format!("limiters.{name}"), problem);
             }
         }
     }
--- a/crates/expectations/src/compile/reading.rs
+++ b/crates/expectations/src/compile/reading.rs
@@ -4,54 +4,11 @@
 use crate::error::ValueError;
 use quartzcleat_config::reader::{list, one_of, text};
 use quartzcleat_config::tree::{Content, Entry, Node};
-use quartzcleat_config::{formula, Faults, Reader};
+use quartzcleat_config::{formula, Faults};
 use quartzcleat_decision::api::Nanos;
 use quartzcleat_invariants::Process;
 use std::sync::Arc;
 
-/// Reads keys by functions with typed errors.
-pub(super) trait TypedReader<'a> {
-    /// Reads a key, where it is there.
-    fn read<T>(
-        &mut self,
-        key: &'static str,
-        faults: &mut Faults,
-        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
-    ) -> Option<T>;
-
-    /// Reads a key that must be there.
-    fn require<T>(
-        &mut self,
-        key: &'static str,
-        faults: &mut Faults,
-        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
-    ) -> Option<T>;
-}
-
-impl<'a> TypedReader<'a> for Reader<'a> {
-    fn read<T>(
-        &mut self,
-        key: &'static str,
-        faults: &mut Faults,
-        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
-    ) -> Option<T> {
-        self.take(key, faults, |node| {
-            read(node).map_err(|error| error.to_string())
-        })
-    }
-
-    fn require<T>(
-        &mut self,
-        key: &'static str,
-        faults: &mut Faults,
-        read: impl FnOnce(&'a Node) -> Result<T, ValueError>,
-    ) -> Option<T> {
-        self.need(key, faults, |node| {
-            read(node).map_err(|error| error.to_string())
-        })
-    }
-}
-
 /// The members of a map whose keys are names.
 pub(super) fn members<'a>(
     node: &'a Node,
--- a/crates/expectations/src/compile/requests.rs
+++ b/crates/expectations/src/compile/requests.rs
@@ -1,6 +1,5 @@
 //! The requests that a step stands for.
 
-use super::reading::TypedReader;
 use super::{Compiler, MAX_REQUESTS};
 use crate::error::ValueError;
 use crate::requirement::RequestKind;
@@ -70,20 +69,20 @@
             RequestKind::Retry => map.take("retry", faults, text),
         };
         let class = match kind {
-            RequestKind::First => map.read("request", faults, |node| self.class(node)),
-            RequestKind::Retry => map.require("class", faults, |node| self.class(node)),
+            RequestKind::First => map.take("request", faults, |node| self.class(node)),
+            RequestKind::Retry => map.need("class", faults, |node| self.class(node)),
         };
-        let partners: Option<Vec<usize>> = map.require("from", faults, |node| self.partners(node));
-        let limiters = map.read("through", faults, |node| self.limiters(node));
-        let units = map.read("units", faults, |node| self.units(node));
-        let true_units = map.read("cost", faults, |node| self.number(node));
+        let partners: Option<Vec<usize>> = map.need("from", faults, |node| self.partners(node));
+        let limiters = map.take("through", faults, |node| self.limiters(node));
+        let units = map.take("units", faults, |node| self.units(node));
+        let true_units = map.take("cost", faults, |node| self.number(node));
         if true_units.is_some() && !self.deployment.settings.settled_later {
             let problem = "units are no guess on this day (familyInfo.costAfter)";
             map.fault("cost", problem, faults);
         }
-        let count = map.read("count", faults, |node| self.request_count(node));
-        let interval = map.read("every", faults, |node| self.time(node));
-        let timeout = map.read("wait", faults, |node| self.time(node));
+        let count = map.take("count", faults, |node| self.request_count(node));
+        let interval = map.take("every", faults, |node| self.time(node));
+        let timeout = map.take("wait", faults, |node| self.time(node));
         let mark = map.take("mark", faults, text);
         let count = count.unwrap_or(1);
         if mark.is_some() && count > 1 {
--- a/crates/expectations/src/compile/requirements.rs
+++ b/crates/expectations/src/compile/requirements.rs
@@ -1,6 +1,6 @@
 //! Requirements: which requests they are about, and what must hold, with formulas evaluated.
 
-use super::reading::{index_of_name, process_names, sole_kind, KindTexts, TypedReader};
+use super::reading::{index_of_name, process_names, sole_kind, KindTexts};
 use super::Compiler;
 use crate::error::ValueError;
 use crate::requirement::{
@@ -76,7 +76,7 @@
                 return None;
             }
         };
-        let grace = map.read("within", faults, |node| self.time(node));
+        let grace = map.take("within", faults, |node| self.time(node));
         let condition = self.read_condition(kind, &mut map, grace.unwrap_or(0), &location, faults);
         map.end(faults);
         Some(Requirement {
@@ -92,14 +92,14 @@
             ("further", RequestKind::Retry),
         ];
         RequestFilter {
-            class: map.read("class", faults, |node| self.class(node)),
-            partners: map.read("from", faults, |node| self.partners(node)),
-            limiter: map.read("through", faults, |node| self.limiter(node)),
-            operation: map.read("mark", faults, |node| self.marked(node)),
+            class: map.take("class", faults, |node| self.class(node)),
+            partners: map.take("from", faults, |node| self.partners(node)),
+            limiter: map.take("through", faults, |node| self.limiter(node)),
+            operation: map.take("mark", faults, |node| self.marked(node)),
             after: map
-                .read("after", faults, |node| self.time(node))
+                .take("after", faults, |node| self.time(node))
                 .unwrap_or(0),
-            until: map.read("until", faults, |node| self.time(node)),
+            until: map.take("until", faults, |node| self.time(node)),
             kind: map.keyword("tries", &kinds, faults),
         }
     }
@@ -120,17 +120,17 @@
     ) -> Option<Condition> {
         match kind {
             "never" => map
-                .read("never", faults, |node| self.event(node, grace))
+                .take("never", faults, |node| self.event(node, grace))
                 .map(Condition::Never),
             "always" => map
-                .read("always", faults, |node| match self.event(node, grace)? {
+                .take("always", faults, |node| match self.event(node, grace)? {
                     RequestEvent::ReachesUnavailableHost { .. }
                     | RequestEvent::ReachesHostTwice => Err(ValueError::NotForEveryRequest),
                     event => Ok(event),
                 })
                 .map(Condition::Always),
             "answered" => map
-                .read("answered", faults, |node| self.time(node))
+                .take("answered", faults, |node| self.time(node))
                 .map(Condition::AnsweredWithin),
             "told" => {
                 let node = map.node("told")?;
@@ -210,15 +210,15 @@
         if !matches!(node.content, Content::Map(_)) {
             match self.bound(node, unit, &mut bounds.is_share) {
                 Ok(at_most) => bounds.at_most = Some(at_most),
-                Err(problem) => faults.add(file, node.place, key, problem.to_string()),
+                Err(problem) => faults.add(file, node.place, key, problem),
             }
             return HostBounds { bounds, host: None };
         }
         let mut map = Reader::new(file, key, node, faults);
         let is_share = &mut bounds.is_share;
-        let at_least = map.read("at least", faults, |node| self.bound(node, unit, is_share));
-        let at_most = map.read("at most", faults, |node| self.bound(node, unit, is_share));
-        let host = map.read("of", faults, |node| self.host(node));
+        let at_least = map.take("at least", faults, |node| self.bound(node, unit, is_share));
+        let at_most = map.take("at most", faults, |node| self.bound(node, unit, is_share));
+        let host = map.take("of", faults, |node| self.host(node));
         if at_least.is_none() && at_most.is_none() {
             map.fault("at most", "missing, and at least too", faults);
         }
--- a/crates/expectations/src/error.rs
+++ b/crates/expectations/src/error.rs
@@ -8,8 +8,8 @@
 pub(crate) enum ValueError {
     /// A value that the configuration's reader rejects.
     #[error(transparent)]
-    Config(#[from] quartzcleat_config::ValueError),
-    /// A formula over the settings that is invalid.
+    Value(#[from] quartzcleat_config::ValueError),
+    /// A formula over the settings that cannot be evaluated.
     #[error(transparent)]
     Formula(#[from] FormulaError),
     /// A name that is not known, although it resembles one that is.
