--- a/crates/bench/src/deployments/judge.rs
+++ b/crates/bench/src/deployments/judge.rs
@@ -136,7 +136,7 @@
                 ..
             } => {
                 let state = Request {
-                    operation: operation,
+                    operation,
                     customer: partner,
                     units,
                     attempted_within_quota: None,
