--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -1,196 +1,197 @@
-//! Clients: each request on a connection of its own, its one answer awaited, and a retry where the scenario has one.
+//! Clients: each request uses a connection of its own, waits for its one answer, and is retried where the scenario's
+//! clients retry.
 
+use crate::context::{Context, RequestState};
 use crate::resp::{self, Reply};
-use crate::stage::{Asked, Stage};
 use quartzcleat_decision::api::{Effect, Nanos, RequestId};
 use quartzcleat_invariants::{Answer, Fact};
-use quartzcleat_simulation::scenario::ClientRequest;
+use quartzcleat_simulation::scenario::{ClientRequest, RetryPolicy};
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// Asks whether a limiter is ready.
+/// How often a retry looks for the answer to the request before it.
+const ANSWER_POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// How long a client stays connected after its deadline, so that a late answer is observed to be late.
+const LATE_ANSWER_TIME: Duration = Duration::from_millis(500);
+const NANOS_PER_MS: Nanos = 1_000_000;
+
+/// Checks that a limiter is ready.
 pub(crate) async fn ping(address: SocketAddr) -> io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
-    stream.write_all(&resp::write(&["PING"])).await?;
-    match answer(&mut stream).await? {
+    stream.write_all(&resp::encode_command(&["PING"])).await?;
+    match read_reply(&mut stream).await? {
         Some(Reply::Line(line)) if line == "+PONG" => Ok(()),
         other => Err(io::Error::other(format!("{other:?}"))),
     }
 }
 
-async fn answer(stream: &mut TcpStream) -> io::Result<Option<Reply>> {
+/// Reads one reply; `None` where the connection ends before it.
+async fn read_reply(stream: &mut TcpStream) -> io::Result<Option<Reply>> {
     let mut input = Vec::new();
     loop {
-        if let Some((reply, _)) = resp::reply(&input)? {
-            return Ok(Some(reply));
+        if let Some(parsed) = resp::parse_reply(&input)? {
+            return Ok(Some(parsed.value));
         }
-        if !resp::more(stream, &mut input).await? {
+        if !resp::read_more(stream, &mut input).await? {
             return Ok(None);
         }
     }
 }
 
-/// A client.
-pub(crate) struct Client {
-    stage: Rc<Stage>,
+/// Sends a request, and retries once where the scenario's clients do.
+pub(crate) async fn run(context: &Context, ask: ClientRequest) {
+    if ask.retry && answer_of_earlier_request(context, ask.operation).await == Some(Answer::Served)
+    {
+        return;
+    }
+    let Some(answer) = send(context, &ask).await else {
+        return;
+    };
+    let Some(retry) = &context.scenario.retry else {
+        return;
+    };
+    if answer == Answer::Served || ask.retry {
+        return;
+    }
+    let retry_after = match answer {
+        Answer::Rejected(retry_after) => retry_after,
+        Answer::Served | Answer::Failed => 0,
+    };
+    sleep(Duration::from_nanos(retry.delay.max(retry_after))).await;
+    send(context, &retry_of(context, &ask, retry)).await;
 }
 
-impl Client {
-    pub(crate) fn new(stage: Rc<Stage>) -> Self {
-        Client { stage }
+/// Waits until the request before a retry is answered; `None` where there was none.
+async fn answer_of_earlier_request(context: &Context, operation: u64) -> Option<Answer> {
+    loop {
+        let state = context.operations.borrow().get(&operation).copied();
+        match state {
+            Some(None) => sleep(ANSWER_POLL_INTERVAL).await,
+            Some(answer) => return answer,
+            None => return None,
+        }
     }
+}
 
-    /// Asks, and retries once where the scenario's clients do.
-    pub(crate) async fn run(&self, ask: ClientRequest) {
-        if ask.retry {
-            // A retry waits for the answer of the try before it.
-            let known = |mark: u64| self.stage.operations.borrow().get(&mark).copied();
-            while known(ask.operation) == Some(None) {
-                sleep(Duration::from_millis(1)).await;
-            }
-            if known(ask.operation) == Some(Some(Answer::Served)) {
-                return;
-            }
-        }
-        let Some(first) = self.ask(&ask).await else {
-            return;
-        };
-        let Some(retry) = self.stage.scenario.retry.clone() else {
-            return;
-        };
-        if first == Answer::Served || ask.retry {
-            return;
-        }
-        let told = if let Answer::Rejected(after) = first {
-            after
-        } else {
-            0
-        };
-        sleep(Duration::from_nanos(retry.delay.max(told))).await;
-        let mut again = ClientRequest {
-            retry: true,
-            ..ask.clone()
-        };
-        if retry.next_limiter && ask.limiter_set.count > 1 {
-            let limiters = self.stage.scenario.processes.limiters.len();
-            again.limiter = ask.limiter_set.next_after(ask.limiter, limiters);
-        }
-        self.ask(&again).await;
+/// The retry of a request, through the next limiter of its spread where clients change limiters.
+fn retry_of(context: &Context, ask: &ClientRequest, retry: &RetryPolicy) -> ClientRequest {
+    let mut again = ClientRequest {
+        retry: true,
+        ..ask.clone()
+    };
+    if retry.next_limiter && ask.limiter_set.count > 1 {
+        let limiters = context.scenario.processes.limiters.len();
+        again.limiter = ask.limiter_set.next_after(ask.limiter, limiters);
     }
+    again
+}
 
-    /// One try: its answer, or `None` where no limiter took it.
-    async fn ask(&self, ask: &ClientRequest) -> Option<Answer> {
-        let stage = &self.stage;
-        let Some(address) = stage.limiter(ask.limiter) else {
-            stage.note(Fact::Note(format!(
-                "{} takes no connection",
-                stage.scenario.processes.limiter(ask.limiter)
-            )));
-            return None;
-        };
-        let id = stage.request();
-        let class = &stage.scenario.settings.classes[ask.class];
-        let plan = stage
-            .scenario
-            .settings
-            .plans
-            .get(ask.plan as usize)
-            .map_or("", |plan| plan.name.as_str());
-        let mut facts = format!(
-            "c={},t={plan},d={}",
-            class.name,
-            ask.timeout.div_ceil(1_000_000)
-        );
-        if class.effect == Effect::Keyed {
-            facts.push_str(&format!(",k={:016x}", ask.operation));
-        }
-        facts.push_str(&format!(
-            ",units={},spread={},first={}",
-            ask.units, ask.limiter_set.count, ask.limiter_set.first
-        ));
-        let verb = if class.effect == Effect::Retryable {
-            "Q.ASK"
-        } else {
-            "Q.DO"
-        };
-        let (customer, number) = (
-            format!("{:016x}", ask.partner + 1),
-            format!("{:016x}", id.0),
-        );
-        let command = resp::write(&[verb, &customer, &number, &facts]);
-        stage.operations.borrow_mut().insert(ask.operation, None);
-        stage.asked.borrow_mut().insert(
-            id,
-            Asked {
-                class: ask.class,
-                operation: ask.operation,
-                attempts: 0,
-            },
-        );
-        let answered = self.exchange(address, &command, id, ask).await;
-        let answer = match answered {
-            Ok(answer) => answer,
-            Err(_) => {
-                // A limiter that died took its connections along; one that lives and closes without an answer
-                // leaves the request unanswered in the records.
-                if stage.limiter(ask.limiter).is_none() {
-                    stage.note(Fact::ClientLeft { request: id });
-                }
-                None
+/// Sends one request and returns its answer; `None` where no limiter accepted it.
+async fn send(context: &Context, ask: &ClientRequest) -> Option<Answer> {
+    let Some(address) = context.limiter_address(ask.limiter) else {
+        let limiter = context.scenario.processes.limiter(ask.limiter);
+        context.remark(format!("{limiter} takes no connection"));
+        return None;
+    };
+    let id = context.next_request();
+    let command = request_command(context, ask, id);
+    context.operations.borrow_mut().insert(ask.operation, None);
+    let state = RequestState {
+        class: ask.class,
+        operation: ask.operation,
+        attempts: 0,
+    };
+    context.requests.borrow_mut().insert(id, state);
+    let answer = match exchange(context, address, &command, id, ask).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            // A limiter that died took its connections along; one that lives and closes without an answer
+            // leaves the request unanswered in the records.
+            if context.limiter_address(ask.limiter).is_none() {
+                context.record(Fact::ClientLeft { request: id });
             }
-        };
-        stage
-            .operations
-            .borrow_mut()
-            .insert(ask.operation, answer.or(Some(Answer::Failed)));
-        answer
+            None
+        }
+    };
+    let known = answer.or(Some(Answer::Failed));
+    context.operations.borrow_mut().insert(ask.operation, known);
+    answer
+}
+
+/// A request in the platform's form.
+fn request_command(context: &Context, ask: &ClientRequest, id: RequestId) -> Vec<u8> {
+    let settings = &context.scenario.settings;
+    let class = &settings.classes[ask.class];
+    let plan = settings.plans.get(ask.plan as usize);
+    let plan = plan.map_or("", |plan| plan.name.as_str());
+    let wait_ms = ask.timeout.div_ceil(NANOS_PER_MS);
+    let mut facts = format!("c={},t={plan},d={wait_ms}", class.name);
+    if class.effect == Effect::Keyed {
+        facts.push_str(&format!(",k={:016x}", ask.operation));
     }
+    facts.push_str(&format!(
+        ",units={},spread={},first={}",
+        ask.units, ask.limiter_set.count, ask.limiter_set.first
+    ));
+    let verb = if class.effect == Effect::Retryable {
+        "Q.ASK"
+    } else {
+        "Q.DO"
+    };
+    let customer = format!("{:016x}", ask.partner + 1);
+    resp::encode_command(&[verb, &customer, &wire_id(id), &facts])
+}
 
-    async fn exchange(
-        &self,
-        address: SocketAddr,
-        command: &[u8],
-        id: RequestId,
-        ask: &ClientRequest,
-    ) -> io::Result<Option<Answer>> {
-        let stage = &self.stage;
-        let mut stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let deadline: Nanos = stage.now() + ask.timeout;
-        // Noted before it is written: the limiter may act on it before this task goes on.
-        stage.note(Fact::RequestReceived {
-            request: id,
-            limiter: ask.limiter,
-            operation: ask.operation,
-            class: ask.class,
-            partner: ask.partner,
-            units: ask.units,
-            deadline,
-        });
-        stream.write_all(command).await?;
-        // A while longer than it would wait, so that a late answer is seen to be late.
-        let patience = Duration::from_nanos(ask.timeout) + Duration::from_millis(500);
-        let reply = timeout(patience, answer(&mut stream)).await;
-        let Ok(reply) = reply else { return Ok(None) };
-        let answer = match reply? {
-            Some(Reply::Bulk(value)) if value == format!("{:016x}", id.0) => Answer::Served,
-            Some(Reply::Bulk(_)) | None => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Some(Reply::Line(line)) => match line.strip_prefix("-BUSY") {
-                Some(after) => {
-                    Answer::Rejected(after.trim().parse::<u64>().unwrap_or(0) * 1_000_000)
-                }
-                None => Answer::Failed,
-            },
-        };
-        stage.note(Fact::Answered {
-            request: id,
-            answer,
-        });
-        Ok(Some(answer))
+fn wire_id(id: RequestId) -> String {
+    format!("{:016x}", id.0)
+}
+
+async fn exchange(
+    context: &Context,
+    address: SocketAddr,
+    command: &[u8],
+    id: RequestId,
+    ask: &ClientRequest,
+) -> io::Result<Option<Answer>> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    // Recorded before it is written: the limiter may act on it before this task goes on.
+    context.record(Fact::RequestReceived {
+        request: id,
+        limiter: ask.limiter,
+        operation: ask.operation,
+        class: ask.class,
+        partner: ask.partner,
+        units: ask.units,
+        deadline: context.now() + ask.timeout,
+    });
+    stream.write_all(command).await?;
+    let patience = Duration::from_nanos(ask.timeout) + LATE_ANSWER_TIME;
+    let Ok(reply) = timeout(patience, read_reply(&mut stream)).await else {
+        return Ok(None);
+    };
+    let answer = answer_from(reply?, id)?;
+    context.record(Fact::Answered {
+        request: id,
+        answer,
+    });
+    Ok(Some(answer))
+}
+
+fn answer_from(reply: Option<Reply>, id: RequestId) -> io::Result<Answer> {
+    match reply {
+        Some(Reply::Bulk(value)) if value == wire_id(id) => Ok(Answer::Served),
+        Some(Reply::Bulk(_)) | None => Err(io::ErrorKind::UnexpectedEof.into()),
+        Some(Reply::Line(line)) => Ok(match line.strip_prefix("-BUSY") {
+            Some(retry_after_ms) => {
+                let retry_after_ms = retry_after_ms.trim().parse::<u64>().unwrap_or(0);
+                Answer::Rejected(retry_after_ms * NANOS_PER_MS)
+            }
+            None => Answer::Failed,
+        }),
     }
 }
--- /dev/null
+++ b/crates/fakes/src/server/host_attempt.rs
@@ -0,0 +1,304 @@
+//! One attempt at a fake host: queued, executed or dropped as a duplicate by the simulation's model, and answered as the
+//! scenario's fate for it demands.
+
+use crate::context::{Context, DeduplicationKey};
+use crate::resp::CommandStream;
+use crate::server::host;
+use crate::task::spawn;
+use quartzcleat_decision::api::{Effect, Group, Nanos, Outcome, RequestId};
+use quartzcleat_invariants::Fact;
+use quartzcleat_simulation::host::{Arrival, AttemptKey, HostStatus};
+use quartzcleat_simulation::oracle::ChoicePoint;
+use quartzcleat_simulation::scenario::{AttemptOutcome, Scenario, ScenarioEvent};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+/// Work of a request whose class has none in the scenario.
+const DEFAULT_WORK: Nanos = 100_000_000;
+/// Time that a host takes to drop a duplicate.
+const DUPLICATE_TIME: Nanos = 1_000_000;
+
+/// Whether the connection of an attempt stays open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AfterAttempt {
+    KeepOpen,
+    Close,
+}
+
+/// How the host ends an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HostReply {
+    Value,
+    Busy,
+    Error,
+    /// The connection is closed without an answer.
+    Reset,
+    /// The connection stays open without an answer.
+    Silence,
+}
+
+/// An attempt as its host knows it.
+#[derive(Clone, Copy)]
+struct Attempt {
+    host: usize,
+    job: AttemptKey,
+    class: usize,
+    /// The operation that the client wants executed.
+    operation: u64,
+}
+
+/// Serves one attempt.
+pub(crate) async fn serve(
+    context: &Rc<Context>,
+    limiter: usize,
+    host: usize,
+    request: RequestId,
+    stream: &mut CommandStream,
+) -> io::Result<AfterAttempt> {
+    let Some(attempt) = begin(context, limiter, host, request) else {
+        // No client sent this request.
+        return Ok(AfterAttempt::Close);
+    };
+    let reply = tokio::select! {
+        reply = execute(context, &attempt) => reply,
+        () = stream.closed() => {
+            // The limiter cancelled the attempt: it leaves the host's queue.
+            context.hosts.borrow_mut()[host].model.cancel(attempt.job);
+            record_end(context, &attempt, Outcome::Cancelled);
+            return Ok(AfterAttempt::Close);
+        }
+    };
+    sleep(context.network_delay(limiter, host) * 2).await;
+    answer(context, &attempt, reply, stream).await
+}
+
+/// Counts and records an attempt; `None` where its request is unknown.
+fn begin(context: &Context, limiter: usize, host: usize, request: RequestId) -> Option<Attempt> {
+    let attempt = {
+        let mut requests = context.requests.borrow_mut();
+        let state = requests.get_mut(&request)?;
+        state.attempts += 1;
+        Attempt {
+            host,
+            job: AttemptKey {
+                limiter,
+                request,
+                attempt: state.attempts - 1,
+            },
+            class: state.class,
+            operation: state.operation,
+        }
+    };
+    let warmth = {
+        let hosts = context.hosts.borrow();
+        hosts[host]
+            .model
+            .capacity_factor(&context.scenario.ground_truth, context.now())
+    };
+    context.record(Fact::AttemptSent {
+        limiter,
+        request,
+        attempt: attempt.job.attempt,
+        host,
+        warming_up: warmth < 1.0,
+    });
+    Some(attempt)
+}
+
+fn record_end(context: &Context, attempt: &Attempt, outcome: Outcome) {
+    context.record(Fact::AttemptEnded {
+        request: attempt.job.request,
+        attempt: attempt.job.attempt,
+        outcome,
+    });
+}
+
+/// Writes the answer. The end is recorded first: once the answer is written, the limiter may send the next attempt
+/// before this task goes on.
+async fn answer(
+    context: &Context,
+    attempt: &Attempt,
+    reply: HostReply,
+    stream: &mut CommandStream,
+) -> io::Result<AfterAttempt> {
+    match reply {
+        HostReply::Value => {
+            let text = value_text(context, attempt);
+            record_end(context, attempt, Outcome::Good);
+            stream.write(&text).await?;
+        }
+        HostReply::Busy => {
+            record_end(context, attempt, Outcome::Rejected);
+            stream.write("-BUSY\r\n").await?;
+        }
+        HostReply::Error => {
+            record_end(context, attempt, Outcome::Error);
+            stream.write("-ERR failed\r\n").await?;
+        }
+        HostReply::Reset => {
+            record_end(context, attempt, Outcome::Reset);
+            return Ok(AfterAttempt::Close);
+        }
+        HostReply::Silence => {
+            stream.closed().await;
+            record_end(context, attempt, Outcome::Timeout);
+            return Ok(AfterAttempt::Close);
+        }
+    }
+    Ok(AfterAttempt::KeepOpen)
+}
+
+/// A successful answer, which reports the true cost where the scenario has one.
+fn value_text(context: &Context, attempt: &Attempt) -> String {
+    let request = attempt.job.request;
+    let cost = cost(&context.scenario, attempt.operation);
+    let report = if cost > 0.0 {
+        context.record(Fact::UnitsSettled {
+            request,
+            units: cost,
+        });
+        let report = format!("cost={cost}");
+        format!("${}\r\n{report}", report.len())
+    } else {
+        "$-1".to_owned()
+    };
+    format!("*3\r\n$16\r\n{:016x}\r\n{report}\r\n$-1\r\n", request.0)
+}
+
+/// The true cost of an operation, in units; zero where the scenario has none.
+fn cost(scenario: &Scenario, operation: u64) -> f64 {
+    let ask = scenario.steps.iter().find_map(|step| match &step.event {
+        ScenarioEvent::Request(ask) if ask.operation == operation => Some(ask),
+        _ => None,
+    });
+    ask.map_or(0.0, |ask| ask.true_units)
+}
+
+/// Executes an attempt, or ends it as its fate demands.
+async fn execute(context: &Rc<Context>, attempt: &Attempt) -> HostReply {
+    let number = attempt.job.attempt as usize;
+    let fate = context.choose(
+        ChoicePoint::Attempt,
+        number,
+        &context.scenario.attempt_outcomes,
+    );
+    let fate = fate.unwrap_or(AttemptOutcome::Normal);
+    match fate {
+        AttemptOutcome::Rejected | AttemptOutcome::ConnectionRefused => return HostReply::Busy,
+        AttemptOutcome::ResetBeforeExecution => return HostReply::Reset,
+        AttemptOutcome::RequestLost => return HostReply::Silence,
+        AttemptOutcome::Normal
+        | AttemptOutcome::Error
+        | AttemptOutcome::ResetAfterExecution
+        | AttemptOutcome::AnswerLost
+        | AttemptOutcome::Late => {}
+    }
+    if let Err(reply) = reach_core(context, attempt).await {
+        return reply;
+    }
+    let done = start_work(context, attempt);
+    match fate {
+        AttemptOutcome::Error => return HostReply::Error,
+        AttemptOutcome::ResetAfterExecution => return HostReply::Reset,
+        AttemptOutcome::AnswerLost => return HostReply::Silence,
+        _ => {}
+    }
+    // The work's task ends by sending; there is nothing to learn from a failure.
+    let _ = done.await;
+    if fate == AttemptOutcome::Late {
+        sleep(latency_objective(context, attempt.class)).await;
+    }
+    if context.hosts.borrow()[attempt.host].model.status == HostStatus::Unreachable {
+        return HostReply::Silence;
+    }
+    HostReply::Value
+}
+
+fn work(context: &Context, class: usize) -> Nanos {
+    let work = &context.scenario.work;
+    work.get(class).copied().unwrap_or(DEFAULT_WORK)
+}
+
+fn latency_objective(context: &Context, class: usize) -> Duration {
+    let class = context.scenario.ground_truth.classes.get(class);
+    Duration::from_nanos(class.map_or(0, |class| class.latency_objective))
+}
+
+/// Waits until a core of the host is free for the attempt; the error is the reply where none ever is.
+async fn reach_core(context: &Rc<Context>, attempt: &Attempt) -> Result<(), HostReply> {
+    let now = context.now();
+    let work = work(context, attempt.class);
+    let reached = context.hosts.borrow_mut()[attempt.host].model.receive(
+        attempt.job,
+        work,
+        &context.scenario.ground_truth,
+        now,
+    );
+    match reached {
+        Arrival::Started => Ok(()),
+        Arrival::Queued => {
+            let started = context.hosts.borrow_mut()[attempt.host].enqueue(attempt.job);
+            started.await.map_err(|_| HostReply::Reset)
+        }
+        Arrival::Rejected => Err(HostReply::Busy),
+        Arrival::ConnectionRefused => Err(HostReply::Reset),
+        Arrival::Lost => Err(HostReply::Silence),
+        Arrival::Overloads => {
+            context.record(Fact::HostOverloaded { host: attempt.host });
+            host::end(context, attempt.host, HostStatus::Dead);
+            Err(HostReply::Reset)
+        }
+    }
+}
+
+/// Starts the work, which goes on whatever becomes of its connection; the receiver resolves at its end.
+fn start_work(context: &Rc<Context>, attempt: &Attempt) -> oneshot::Receiver<()> {
+    let host = attempt.host;
+    let deduplicated = is_duplicate(context, attempt);
+    context.record(Fact::Executed {
+        host,
+        request: attempt.job.request,
+        deduplicated,
+    });
+    let work = work(context, attempt.class);
+    let (duration, process_start) = {
+        let model = &context.hosts.borrow()[host].model;
+        let duration = if deduplicated {
+            DUPLICATE_TIME
+        } else {
+            model.execution_time(work, &context.scenario.ground_truth, context.now())
+        };
+        (Duration::from_nanos(duration), model.started)
+    };
+    let (finish, finished) = oneshot::channel();
+    let context = context.clone();
+    spawn(async move {
+        sleep(duration).await;
+        context.hosts.borrow_mut()[host].finish_job(process_start);
+        // An attempt whose connection is gone does not wait for the end of its work.
+        let _ = finish.send(());
+    });
+    finished
+}
+
+/// Whether the host's group has executed the attempt's operation within the deduplication window of its class.
+fn is_duplicate(context: &Context, attempt: &Attempt) -> bool {
+    let class = context.scenario.ground_truth.classes.get(attempt.class);
+    let Some(class) = class.filter(|class| class.effect == Effect::Keyed) else {
+        return false;
+    };
+    let description = &context.scenario.processes.hosts[attempt.host];
+    let group = match class.group {
+        Group::All => 0,
+        Group::Zone => description.zone + 1,
+        Group::Cell => description.cell + 1,
+    };
+    let key = DeduplicationKey {
+        group,
+        operation: attempt.operation,
+    };
+    context.is_duplicate(key, class.dedup_window)
+}
