--- a/crates/bench/src/deployments/generate/tests.rs
+++ b/crates/bench/src/deployments/generate/tests.rs
@@ -24,6 +24,6 @@
         assert!(scenario
             .hosts
             .iter()
-            .all(|node| node.state == HostState::Ready));
+            .all(|host| host.state == HostState::Ready));
     }
 }
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -97,7 +97,7 @@
 fn run_in(compiled: &CompiledExpectation, folder: &Path) -> io::Result<Vec<Record>> {
     let program = std::env::current_exe()?;
     std::fs::create_dir_all(folder)?;
-    quartzcleat_fakes::play(&compiled.scenario, &program, folder)
+    quartzcleat_fakes::run(&compiled.scenario, &program, folder)
 }
 
 fn compile_scenario() -> Result<CompiledExpectation, Faults> {
--- a/src/cli/live.rs
+++ b/src/cli/live.rs
@@ -116,7 +116,7 @@
     fn run_live(&self, program: &Path, root: &Path) -> io::Result<Vec<Record>> {
         let folder = self.folder(root);
         std::fs::create_dir_all(&folder)?;
-        let mut records = quartzcleat_fakes::play(&self.compiled.scenario, program, &folder)?;
+        let mut records = quartzcleat_fakes::run(&self.compiled.scenario, program, &folder)?;
         records.sort_by_key(|record| record.at);
         Ok(records)
     }
