--- a/src/net/counter/tests.rs
+++ b/src/net/counter/tests.rs
@@ -215,13 +215,10 @@
         call(&limiter, 1.0);
         calls(&mut stream, 1).await;
         assert_eq!(counted(&limiter).await.0, Outcome::Timeout);
-        let kept = timeout(
-            4 * limiter.limits().counter.call_timeout.get(),
-            listener.accept(),
-        )
-        .await;
+        let wait = 4 * limiter.limits().counter.call_timeout.get();
+        let second = timeout(wait, listener.accept()).await;
         assert!(
-            kept.is_err(),
+            second.is_err(),
             "no second connection while no other is answered"
         );
         // Another link's answer comes in: this one alone is at fault.
@@ -233,16 +230,11 @@
         // Never answered: the new one is kept for its whole time, whoever else is answered.
         call(&limiter, 1.0);
         calls(&mut stream, 1).await;
-        queue.last_answered.set(Some(
-            Instant::now() + limiter.limits().counter.silence_timeout,
-        ));
-        let kept = timeout(
-            limiter.limits().counter.silence_timeout / 2,
-            listener.accept(),
-        )
-        .await;
+        let allowed = limiter.limits().counter.silence_timeout;
+        queue.last_answered.set(Some(Instant::now() + allowed));
+        let third = timeout(allowed / 2, listener.accept()).await;
         assert!(
-            kept.is_err(),
+            third.is_err(),
             "a counter that never answers is not asked for ever more connections"
         );
     });
--- a/tests/golden/limiter.rs
+++ b/tests/golden/limiter.rs
@@ -12,62 +12,75 @@
     format!("*{count}\r\n{words}")
 }
 
-#[test]
-fn each_command_gets_its_exact_answer() {
-    let limiter = start(201, false, |text| text);
-    let customer = "000000000000004d";
-    let id = "0000000000000001";
-    let request = |verb: &str, facts: &str| command(&[verb, customer, id, facts]);
-    let mut cases = vec![
+const CUSTOMER: &str = "000000000000004d";
+const ID: &str = "0000000000000001";
+
+/// A fact of a sound request, and what makes the request unusable in its place.
+const WRONG_FACTS: [(&str, &str); 7] = [
+    ("c=", "c=x"),
+    ("t=", "t=x"),
+    ("d=", "d=x"),
+    ("units=", "units=0"),
+    ("units=", "units=7"),
+    ("spread=", "spread=2"),
+    ("first=", "first=1"),
+];
+
+/// After each of these nothing more of the connection can be read.
+const MALFORMED: [&str; 11] = [
+    "PING\r\n",
+    "*x\r\n",
+    "*17\r\n",
+    "*1\n",
+    "*1\r\n:1\r\n",
+    "*1\r\n$x\r\n",
+    "*1\r\n$99999999\r\n",
+    "*1\r\n$1\r\nab\r\n",
+    "*1\rx",
+    "*1\r\n$-1\r\n",
+    "*0\r\n",
+];
+
+fn request(verb: &str, facts: &str) -> String {
+    command(&[verb, CUSTOMER, ID, facts])
+}
+
+fn well_formed_commands() -> Vec<String> {
+    vec![
         command(&["PING"]),
         command(&["ping"]),
         command(&["CLIENT", "SETNAME", "x"]),
         command(&["SELECT", "0"]),
         command(&["HELLO"]),
-        command(&["Q.ASK", customer, id]),
-        command(&["Q.ASK", customer, id, CHECK, "a", "b"]),
-        command(&["Q.ASK", "4d", id, CHECK]),
-        command(&["Q.ASK", "0000000200000000", id, CHECK]),
-        command(&["Q.ASK", customer, "1", CHECK]),
+        command(&["Q.ASK", CUSTOMER, ID]),
+        command(&["Q.ASK", CUSTOMER, ID, CHECK, "a", "b"]),
+        command(&["Q.ASK", "4d", ID, CHECK]),
+        command(&["Q.ASK", "0000000200000000", ID, CHECK]),
+        command(&["Q.ASK", CUSTOMER, "1", CHECK]),
         request("Q.ASK", "c"),
         request("Q.DO", CHECK),
         request("Q.ASK", HOLD),
         request("Q.DO", &HOLD.replace("k=", "r=")),
         request("Q.ASK", CHECK),
-        command(&["Q.DO", customer, "0000000000000002", HOLD, "body"]),
-        command(&["q.do", customer, id]),
-    ];
-    for (key, wrong) in [
-        ("c=", "c=x"),
-        ("t=", "t=x"),
-        ("d=", "d=x"),
-        ("units=", "units=0"),
-        ("units=", "units=7"),
-        ("spread=", "spread=2"),
-        ("first=", "first=1"),
-    ] {
-        let facts: Vec<_> = CHECK
-            .split(',')
-            .map(|fact| if fact.starts_with(key) { wrong } else { fact })
-            .collect();
-        cases.push(request("Q.ASK", &facts.join(",")));
-    }
-    // After each of these nothing more of the connection can be read.
-    for broken in [
-        "PING\r\n",
-        "*x\r\n",
-        "*17\r\n",
-        "*1\n",
-        "*1\r\n:1\r\n",
-        "*1\r\n$x\r\n",
-        "*1\r\n$99999999\r\n",
-        "*1\r\n$1\r\nab\r\n",
-        "*1\rx",
-        "*1\r\n$-1\r\n",
-        "*0\r\n",
-    ] {
-        cases.push(broken.to_owned());
-    }
+        command(&["Q.DO", CUSTOMER, "0000000000000002", HOLD, "body"]),
+        command(&["q.do", CUSTOMER, ID]),
+    ]
+}
+
+fn request_with_wrong_fact((key, wrong): (&str, &str)) -> String {
+    let facts: Vec<_> = CHECK
+        .split(',')
+        .map(|fact| if fact.starts_with(key) { wrong } else { fact })
+        .collect();
+    request("Q.ASK", &facts.join(","))
+}
+
+#[test]
+fn each_command_gets_its_exact_answer() {
+    let limiter = start(201, false, |text| text);
+    let mut cases = well_formed_commands();
+    cases.extend(WRONG_FACTS.map(request_with_wrong_fact));
+    cases.extend(MALFORMED.map(str::to_owned));
     cases.push(format!("*{}", "1".repeat(1100)));
     let transcript: String = cases
         .iter()
--- a/tests/operations/hot_restart.rs
+++ b/tests/operations/hot_restart.rs
@@ -3,68 +3,80 @@
 use crate::process::{self, ask, request, served, start, CHECK};
 use crate::{open, wait_until_served_again, PING, TOY};
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+/// What one client did.
+struct ClientReport {
+    requests: u64,
+    /// Requests on kept connections that the limiter had closed.
+    cut_off: u64,
+}
+
+/// Sends requests until `is_over`, on kept connections or on a new one each.
+fn run_client(number: u64, keeps: bool, address: SocketAddr, is_over: &AtomicBool) -> ClientReport {
+    let facts = CHECK.replace("units=1", "units=0.001");
+    let first_id = number << 32;
+    let mut id = first_id;
+    let mut kept: Option<TcpStream> = None;
+    let mut cut_off = 0;
+    while !is_over.load(Ordering::Relaxed) {
+        id += 1;
+        let mut stream = kept
+            .take()
+            .filter(open)
+            .unwrap_or_else(|| TcpStream::connect(address).expect("somebody listens"));
+        stream
+            .write_all(request("Q.ASK", id, &facts, "").as_bytes())
+            .unwrap_or_default();
+        let mut answer = [0; 23];
+        match stream.read_exact(&mut answer) {
+            Ok(()) => {
+                assert_eq!(String::from_utf8_lossy(&answer), served(id));
+                kept = keeps.then_some(stream);
+            }
+            // A kept connection may end as the request is on its way; a fresh one may not.
+            Err(e) => {
+                assert!(keeps, "a new connection ends unheard: {e}");
+                cut_off += 1;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    ClientReport {
+        requests: id - first_id,
+        cut_off,
+    }
+}
+
 /// Twenty new versions one after another, under load on new and on kept connections: none is refused, cut off or
-/// failed. Staff's words hold over them, whichever process they were said to.
+/// failed.
 #[test]
 fn new_versions_take_over_without_a_request_lost() {
     let mut limiter = start(23, false, |text| text);
-    let (over, address) = (AtomicBool::new(false), limiter.address);
-    let facts = CHECK.replace("units=1", "units=0.001");
+    let (is_over, address) = (AtomicBool::new(false), limiter.address);
     std::thread::scope(|scope| {
-        let client = |number: u64, keep: bool| {
-            let (over, facts) = (&over, &facts);
-            move || {
-                let (mut id, mut kept, mut cut) = (number << 32, None, 0);
-                while !over.load(Ordering::Relaxed) {
-                    id += 1;
-                    let mut stream: TcpStream = kept
-                        .take()
-                        .filter(open)
-                        .unwrap_or_else(|| TcpStream::connect(address).expect("somebody listens"));
-                    stream
-                        .write_all(request("Q.ASK", id, facts, "").as_bytes())
-                        .unwrap_or_default();
-                    let mut answer = [0; 23];
-                    match stream.read_exact(&mut answer) {
-                        Ok(()) => {
-                            assert_eq!(String::from_utf8_lossy(&answer), served(id));
-                            kept = keep.then_some(stream);
-                        }
-                        // A kept connection may end as the request is on its way; a fresh one may not.
-                        Err(e) => {
-                            assert!(keep, "a new connection ends unheard: {e}");
-                            cut += 1;
-                        }
-                    }
-                    std::thread::sleep(Duration::from_millis(1));
-                }
-                (id - (number << 32), cut)
-            }
-        };
+        let is_over = &is_over;
         let clients: Vec<_> = (1..=4)
-            .map(|number| scope.spawn(client(number, number > 2)))
+            .map(|number| scope.spawn(move || run_client(number, number > 2, address, is_over)))
             .collect();
         for number in 0..20 {
             let mut first = limiter.upgrade(number);
-            let term = format!("kill -TERM {}", first.id());
-            assert!(std::process::Command::new("sh")
-                .args(["-c", &term])
-                .status()
-                .expect("kill runs")
-                .success());
+            process::send_sigterm(&first);
             assert!(first.wait().expect("it ends").success());
         }
-        over.store(true, Ordering::Relaxed);
-        let (mut asked, mut cut) = (0, 0);
+        is_over.store(true, Ordering::Relaxed);
+        let (mut requests, mut cut_off) = (0, 0);
         for client in clients {
-            let (of_client, cut_off) = client.join().expect("every request was served");
-            (asked, cut) = (asked + of_client, cut + cut_off);
+            let report = client.join().expect("every request was served");
+            requests += report.requests;
+            cut_off += report.cut_off;
         }
-        assert!(asked > 200 && cut <= 20, "{asked} asked, {cut} cut off");
+        assert!(
+            requests > 200 && cut_off <= 20,
+            "{requests} requests, {cut_off} cut off"
+        );
     });
 }
 
@@ -118,19 +130,14 @@
     limiter.console = old_console;
     assert_eq!(limiter.call("PUT", "/servers/enable", TOY), 200);
     wait_until_served_again(&limiter);
-    let term = format!("kill -TERM {}", first.id());
-    assert!(std::process::Command::new("sh")
-        .args(["-c", &term])
-        .status()
-        .expect("kill runs")
-        .success());
+    process::send_sigterm(&first);
     // Nobody relieves it: as at any planned end it takes connections for a while.
     assert_eq!(ask(&mut limiter.connect(), PING, 1), "+PONG\r\n");
     assert!(first.wait().expect("it ends").success());
 }
 
 /// A first process that holds more than its half when the second comes, and takes no more for now, still hands over:
-/// what waits in its queue is heard as it ends.
+/// the clients that wait in its queue are served as it ends.
 #[test]
 fn clients_waiting_for_a_crowded_process_are_served_as_it_ends() {
     let long = "\"onTimeNs\": 60000000000, \"hardLimitNs\": 60000000000";
@@ -152,7 +159,7 @@
         .collect();
     let old_console = limiter.console;
     let first = limiter.upgrade(71);
-    // By the time that a word has come over, the first knows of the second, and keeps to its half.
+    // By the time that an order has come over, the first knows of the second, and keeps to its half.
     for (word, status) in [("/drain", 503), ("/undrain", 200)] {
         assert_eq!(limiter.call("PUT", word, ""), 200);
         while process::call(old_console, "GET", "/ready", "") != status {}
@@ -162,13 +169,8 @@
         let waiting: Vec<_> = (0..20)
             .map(|_| scope.spawn(|| ask(&mut limiter.connect(), PING, 1)))
             .collect();
-        // Some have been heard by the second by now; the others wait before the first.
-        let term = format!("kill -TERM {}", first.id());
-        assert!(std::process::Command::new("sh")
-            .args(["-c", &term])
-            .status()
-            .expect("kill runs")
-            .success());
+        // The second has served some by now; the others wait in the queue of the first.
+        process::send_sigterm(&first);
         for client in waiting {
             assert_eq!(client.join().expect("it is heard"), "+PONG\r\n");
         }
@@ -184,7 +186,7 @@
     first.wait().expect("it ends");
 }
 
-/// A ban said to the old process holds at the new one, and the call back to the new one frees it there.
+/// Maintenance ordered of the old process holds at the new one, and the order to enable given to the new one ends it.
 #[test]
 fn orders_of_staff_hold_over_a_new_version() {
     let mut limiter = start(24, false, |text| text);
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -1,4 +1,4 @@
-//! A limiter's process beside a toy platform, and the words to speak to it.
+//! A limiter's process beside a toy platform, and the commands that it is sent.
 #![allow(dead_code)]
 
 use crate::toy;
@@ -41,62 +41,83 @@
     silent_counter: bool,
     change: impl Fn(String) -> String,
 ) -> (Limiter, mpsc::Sender<()>) {
-    let (tell, told) = mpsc::channel();
+    let (report, reported) = mpsc::channel();
     let (wake, woken) = mpsc::channel();
     std::thread::spawn(move || {
-        toy::run(async move {
-            let bind = || TcpListener::bind("127.0.0.1:0");
-            let (discovery, counter, silent, hosts) =
-                (bind().await?, bind().await?, bind().await?, bind().await?);
-            let called = if silent_counter {
-                silent.local_addr()?
-            } else {
-                counter.local_addr()?
-            };
-            tell.send((discovery.local_addr()?, called))
-                .map_err(std::io::Error::other)?;
-            let config =
-                quartzcleat::net::config::parse(include_str!("../../examples/toy.json"), |_| None);
-            let limits = config.map_err(std::io::Error::other)?.limits;
-            woken.recv().map_err(std::io::Error::other)?;
-            toy::Toy {
-                discovery,
-                counter,
-                hosts: vec![hosts],
-                limits,
-            }
-            .serve()
-            .await?;
-            drop(silent);
-            Ok(())
-        })
-        .expect("the toy serves");
+        toy::run(serve_toy(silent_counter, report, woken)).expect("the toy serves");
     });
-    let (discovery, counter): (SocketAddr, SocketAddr) = told.recv().expect("the toy is up");
+    let services = reported.recv().expect("the toy is up");
+    let limiter = start_process(number, services, change);
+    assert_eq!(
+        ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1),
+        "+PONG\r\n"
+    );
+    (limiter, wake)
+}
+
+/// Where the toy's services listen.
+struct Services {
+    discovery: SocketAddr,
+    counter: SocketAddr,
+}
+
+/// Binds the toy's services, reports their addresses, and serves once it is woken.
+async fn serve_toy(
+    silent_counter: bool,
+    report: mpsc::Sender<Services>,
+    woken: mpsc::Receiver<()>,
+) -> std::io::Result<()> {
+    let bind = || TcpListener::bind("127.0.0.1:0");
+    let (discovery, counter, silent, hosts) =
+        (bind().await?, bind().await?, bind().await?, bind().await?);
+    let called = if silent_counter { &silent } else { &counter };
+    let services = Services {
+        discovery: discovery.local_addr()?,
+        counter: called.local_addr()?,
+    };
+    report.send(services).map_err(std::io::Error::other)?;
+    let config = quartzcleat::net::config::parse(include_str!("../../examples/toy.json"), |_| None);
+    let limits = config.map_err(std::io::Error::other)?.limits;
+    woken.recv().map_err(std::io::Error::other)?;
+    let toy = toy::Toy {
+        discovery,
+        counter,
+        hosts: vec![hosts],
+        limits,
+    };
+    toy.serve().await?;
+    drop(silent);
+    Ok(())
+}
+
+fn start_process(number: u8, services: Services, change: impl Fn(String) -> String) -> Limiter {
+    let Services { discovery, counter } = services;
     // Nobody else has this port at this address.
     let address = SocketAddr::from(([127, 77, 0, number], discovery.port()));
+    let console = SocketAddr::from(([127, 78, 0, number], discovery.port()));
     let text = change(include_str!("../../examples/toy.json").to_owned());
     let text = text.replace("127.0.0.1:7002", &counter.to_string());
-    let path =
-        std::env::temp_dir().join(format!("quartzcleat-{}-{number}.json", std::process::id()));
+    let name = format!("quartzcleat-{}-{number}", std::process::id());
+    let path = std::env::temp_dir().join(format!("{name}.json"));
     std::fs::write(&path, text).expect("the configuration is written");
-    let folder = std::env::temp_dir().join(format!("quartzcleat-{}-{number}", std::process::id()));
+    let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).expect("a folder is made");
-    let console = SocketAddr::from(([127, 78, 0, number], discovery.port()));
     let child = spawn(&path, address, discovery, console, &folder);
-    let limiter = Limiter {
+    Limiter {
         child,
         address,
         path,
         discovery,
         console,
         folder,
-    };
-    assert_eq!(
-        ask(&mut limiter.connect(), "*1\r\n$4\r\nPING\r\n", 1),
-        "+PONG\r\n"
-    );
-    (limiter, wake)
+    }
+}
+
+/// Asks a process to end.
+pub fn send_sigterm(child: &Child) {
+    let kill = format!("kill -TERM {}", child.id());
+    let status = Command::new("sh").args(["-c", &kill]).status();
+    assert!(status.expect("kill runs").success());
 }
 
 fn spawn(
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -70,43 +70,17 @@
         for action in actions {
             self.log.push(format!("{action:?}"));
             match action {
-                Action::Attempt { id, host, .. } => {
-                    let request = self.requests.get_mut(&id).expect("a request it was given");
-                    assert!(!request.closed, "sent after its final answer");
-                    assert!(request.in_flight.is_none(), "two attempts in flight");
-                    match (request.class, request.first_run) {
-                        (3, Some(_)) => panic!("an unsafe request was repeated"),
-                        (1, Some(run)) => {
-                            assert_eq!(cell_of(host), run.cell, "keyed request left its cell");
-                            let end = run.sent_at + 2 * S;
-                            assert!(now < end, "keyed request repeated after its time");
-                        }
-                        _ => {}
-                    }
-                    if request.attempts == 0 {
-                        self.sent_units += request.units;
-                    }
-                    request.in_flight = Some(AttemptInFlight {
-                        attempt: request.attempts,
-                        host,
-                        sent_at: now,
-                    });
-                    request.attempts += 1;
-                }
+                Action::Attempt { id, host, .. } => self.check_attempt(now, id, host),
                 Action::Reject { id, .. } => {
-                    let request = self.requests.get_mut(&id).expect("a request it was given");
-                    assert!(!request.closed, "two final answers");
+                    let request = self.close(id);
                     let may_have_run = request.first_run.is_some() || request.in_flight.is_some();
                     assert!(
                         request.class == 0 || request.class == 2 || !may_have_run,
                         "refused though it may have run"
                     );
-                    request.closed = true;
                 }
                 Action::Fail { id } => {
-                    let request = self.requests.get_mut(&id).expect("a request it was given");
-                    assert!(!request.closed, "two final answers");
-                    request.closed = true;
+                    self.close(id);
                 }
                 Action::Count { name, .. } => self.calls.push(name),
                 Action::SetTimer { timer, after } => self.timers.push(PendingTimer {
@@ -117,6 +91,44 @@
             }
         }
     }
+
+    fn request(&mut self, id: RequestId) -> &mut RequestState {
+        self.requests.get_mut(&id).expect("a request it was given")
+    }
+
+    /// Closes a request by its final answer.
+    fn close(&mut self, id: RequestId) -> &mut RequestState {
+        let request = self.request(id);
+        assert!(!request.closed, "two final answers");
+        request.closed = true;
+        request
+    }
+
+    fn check_attempt(&mut self, now: u64, id: RequestId, host: HostId) {
+        let request = self.request(id);
+        assert!(!request.closed, "sent after its final answer");
+        assert!(request.in_flight.is_none(), "two attempts in flight");
+        match (request.class, request.first_run) {
+            (3, Some(_)) => panic!("an unsafe request was repeated"),
+            (1, Some(run)) => {
+                assert_eq!(cell_of(host), run.cell, "keyed request left its cell");
+                let end = run.sent_at + 2 * S;
+                assert!(now < end, "keyed request repeated after its time");
+            }
+            _ => {}
+        }
+        let is_first = request.attempts == 0;
+        let units = request.units;
+        request.in_flight = Some(AttemptInFlight {
+            attempt: request.attempts,
+            host,
+            sent_at: now,
+        });
+        request.attempts += 1;
+        if is_first {
+            self.sent_units += units;
+        }
+    }
 }
 
 /// Units a second at which the ceiling refills, and the limiters that share it.
--- a/tests/side_by_side.rs
+++ b/tests/side_by_side.rs
@@ -78,6 +78,60 @@
     seen.is_err()
 }
 
+/// What all clients got.
+#[derive(Default)]
+struct Answers {
+    all: AtomicU64,
+    served: AtomicU64,
+}
+
+impl Answers {
+    /// Waits until enough further requests are served.
+    fn wait_for_more(&self) {
+        let before = self.served.load(Ordering::Relaxed);
+        wait_until(|| self.served.load(Ordering::Relaxed) > before + ENOUGH);
+    }
+}
+
+/// Sends requests one after another; each must have one sound answer.
+fn run_client(client: u64, address: SocketAddr, stop: &AtomicBool, answers: &Answers) {
+    let few = CHECK.replace("units=1", "units=0.01");
+    let mut ids = client << 32..;
+    let connect = || TcpStream::connect(address).expect("a process listens");
+    let mut stream = connect();
+    while !stop.load(Ordering::Relaxed) {
+        if !is_open(&stream) {
+            stream = connect();
+        }
+        let timeout = stream.set_read_timeout(Some(LONGEST_WAIT));
+        timeout.expect("a time-out is set");
+        let id = ids.next().unwrap_or_default();
+        let answer = ask(&mut stream, &request("Q.ASK", id, &few, ""), 1);
+        let is_served = answer == format!("$16\r\n{id:016x}\r\n");
+        assert!(
+            is_served || answer.starts_with("-BUSY"),
+            "client {client}, request {id}: {answer:?}"
+        );
+        answers.all.fetch_add(1, Ordering::Relaxed);
+        let served = u64::from(is_served);
+        answers.served.fetch_add(served, Ordering::Relaxed);
+    }
+}
+
+/// Hands over while the host is in maintenance, which the later process must know from the earlier one.
+fn hand_over_maintenance(limiter: &mut Limiter, program: &str, number: u8) {
+    assert_eq!(limiter.call("PUT", "/servers/disable", HOST), 200);
+    let earlier = hand_over(limiter, program, number + 2);
+    end(earlier);
+    let mut stream = TcpStream::connect(limiter.address).expect("a process listens");
+    let id = (100 + u64::from(number)) << 32;
+    let answer = ask(&mut stream, &request("Q.ASK", id, CHECK, ""), 1);
+    assert!(
+        answer.starts_with("-BUSY"),
+        "maintenance is not handed over: {answer:?}"
+    );
+}
+
 #[test]
 #[ignore = "needs an older build: QUARTZCLEAT_OLDER=path"]
 fn builds_hand_over_to_each_other_without_a_request_lost() {
@@ -86,66 +140,29 @@
     let mut limiter = start(210, false, |text| text);
     let address = limiter.address;
     let stop = AtomicBool::new(false);
-    let answered = AtomicU64::new(0);
-    let served = AtomicU64::new(0);
+    let answers = Answers::default();
     std::thread::scope(|scope| {
         for client in 0..CLIENTS {
-            let (stop, answered, served) = (&stop, &answered, &served);
-            scope.spawn(move || {
-                let few = CHECK.replace("units=1", "units=0.01");
-                let mut ids = client << 32..;
-                let mut stream = TcpStream::connect(address).expect("a process listens");
-                while !stop.load(Ordering::Relaxed) {
-                    if !is_open(&stream) {
-                        stream = TcpStream::connect(address).expect("a process listens");
-                    }
-                    stream
-                        .set_read_timeout(Some(LONGEST_WAIT))
-                        .expect("a time-out is set");
-                    let id = ids.next().unwrap_or_default();
-                    let answer = ask(&mut stream, &request("Q.ASK", id, &few, ""), 1);
-                    let is_served = answer == format!("$16\r\n{id:016x}\r\n");
-                    assert!(
-                        is_served || answer.starts_with("-BUSY"),
-                        "client {client}, request {id}: {answer:?}"
-                    );
-                    answered.fetch_add(1, Ordering::Relaxed);
-                    served.fetch_add(u64::from(is_served), Ordering::Relaxed);
-                }
-            });
+            let (stop, answers) = (&stop, &answers);
+            scope.spawn(move || run_client(client, address, stop, answers));
         }
         let _stop_clients = StopOnDrop(&stop);
         let builds = [(1, older.as_str()), (2, env!("CARGO_BIN_EXE_quartzcleat"))];
         // New to old and old to new while requests are forwarded.
         for (number, program) in builds {
-            let before = served.load(Ordering::Relaxed);
             let earlier = hand_over(&mut limiter, program, number);
             end(earlier);
-            wait_until(|| served.load(Ordering::Relaxed) > before + ENOUGH);
+            answers.wait_for_more();
         }
-        // The same with the host under maintenance, which the later process must know from the earlier one.
         for (number, program) in builds {
-            assert_eq!(limiter.call("PUT", "/servers/disable", HOST), 200);
-            let earlier = hand_over(&mut limiter, program, number + 2);
-            end(earlier);
-            let mut stream = TcpStream::connect(address).expect("a process listens");
-            let answer = ask(
-                &mut stream,
-                &request("Q.ASK", (100 + u64::from(number)) << 32, CHECK, ""),
-                1,
-            );
-            assert!(
-                answer.starts_with("-BUSY"),
-                "maintenance is not handed over: {answer:?}"
-            );
-            let before = served.load(Ordering::Relaxed);
+            hand_over_maintenance(&mut limiter, program, number);
             assert_eq!(limiter.call("PUT", "/servers/enable", HOST), 200);
-            wait_until(|| served.load(Ordering::Relaxed) > before + ENOUGH);
+            answers.wait_for_more();
         }
     });
     println!(
         "{} answered, {} of them served",
-        answered.load(Ordering::Relaxed),
-        served.load(Ordering::Relaxed)
+        answers.all.load(Ordering::Relaxed),
+        answers.served.load(Ordering::Relaxed)
     );
 }
