--- a/crates/expectations/src/compile.rs
+++ b/crates/expectations/src/compile.rs
@@ -18,7 +18,9 @@
 use quartzcleat_config::{Deployment, Faults, Reader};
 use quartzcleat_decision::api::Nanos;
 use quartzcleat_invariants::{InvariantLimits, Processes};
-use quartzcleat_simulation::scenario::{AttemptOutcome, CounterSetup, HostSetup, Scenario};
+use quartzcleat_simulation::scenario::{
+    AttemptOutcome, CounterSetup, HostSetup, NetworkDelays, Scenario,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Unix time at which runs start: the start of a spring day. Windows of quotas are aligned to it.
@@ -81,25 +83,10 @@
     compiler.read_partners(given.node("partners"), &expectation.file, &mut faults);
     top.end(&mut faults);
 
-    let mut scenario = Scenario {
-        settings: deployment.settings.clone(),
-        ground_truth: installation.ground_truth,
-        processes: Processes::default(),
-        hosts: Vec::new(),
-        network: installation.network,
-        start: START,
-        start_offsets: vec![0],
-        seeds: vec![1],
-        discovery_delays: vec![0],
-        counter: CounterSetup::default(),
-        attempt_outcomes: vec![AttemptOutcome::Normal],
-        work: installation.work,
-        log_deviation: 0.0,
-        steps: Vec::new(),
-        retry: None,
-        max_duration: DEFAULT_MAX_DURATION,
-        variant: None,
-    };
+    let mut scenario = default_scenario(deployment);
+    scenario.ground_truth = installation.ground_truth;
+    scenario.network = installation.network;
+    scenario.work = installation.work;
     compiler.read_given(&mut given, &mut scenario, &mut faults);
     // Ranges are read before, as each of their values makes a deployment of its own.
     given.node("range");
@@ -149,6 +136,29 @@
     }
 }
 
+/// A scenario without processes and steps that leaves nothing open.
+fn default_scenario(deployment: &Deployment) -> Scenario {
+    Scenario {
+        settings: deployment.settings.clone(),
+        ground_truth: deployment.settings.clone(),
+        processes: Processes::default(),
+        hosts: Vec::new(),
+        network: NetworkDelays::default(),
+        start: START,
+        start_offsets: vec![0],
+        seeds: vec![1],
+        discovery_delays: vec![0],
+        counter: CounterSetup::default(),
+        attempt_outcomes: vec![AttemptOutcome::Normal],
+        work: Vec::new(),
+        log_deviation: 0.0,
+        steps: Vec::new(),
+        retry: None,
+        max_duration: DEFAULT_MAX_DURATION,
+        variant: None,
+    }
+}
+
 /// The deployment with the settings that the expectation gives other values.
 fn with_given_settings(
     deployment: &Deployment,
--- a/crates/expectations/src/compile/reading.rs
+++ b/crates/expectations/src/compile/reading.rs
@@ -76,33 +76,48 @@
     Ok(values)
 }
 
-/// The texts for a map that has none or several of the keys that tell what it is.
-pub(super) struct KindTexts {
-    /// For none of them.
-    pub(super) none: &'static str,
-    /// For several.
-    pub(super) several: &'static str,
+/// The keys of which a map must have exactly one, which tells what it is.
+pub(super) struct Kinds {
+    pub(super) keys: &'static [&'static str],
+    /// What a map without any of them lacks.
+    pub(super) lacking: &'static str,
+    /// What to write in place of a map with several of them.
+    pub(super) remedy: &'static str,
 }
 
-/// The one key of a map that tells what it is, or what is wrong.
-pub(super) fn sole_kind(
-    node: &Node,
-    kinds: &[&'static str],
-    texts: &KindTexts,
-) -> Result<&'static str, String> {
-    let found: Vec<&'static str> = kinds
-        .iter()
-        .copied()
-        .filter(|kind| node.get(kind).is_some())
-        .collect();
-    match found.as_slice() {
-        [kind] => Ok(kind),
-        [] => Err(format!("{}; one of {}", texts.none, kinds.join(", "))),
-        several => Err(format!(
-            "{} at once; {}",
-            several.join(" and "),
-            texts.several
-        )),
+/// A map does not have exactly one of the keys that tell what it is.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum KindError {
+    /// It has none.
+    #[error("{lacking}; one of {}", keys.join(", "))]
+    None {
+        lacking: &'static str,
+        keys: &'static [&'static str],
+    },
+    /// It has several.
+    #[error("{} at once; {remedy}", found.join(" and "))]
+    Several {
+        found: Vec<&'static str>,
+        remedy: &'static str,
+    },
+}
+
+impl Kinds {
+    /// The one key of a map that tells what it is.
+    pub(super) fn of(&self, node: &Node) -> Result<&'static str, KindError> {
+        let keys = self.keys.iter().copied();
+        let found: Vec<&'static str> = keys.filter(|key| node.get(key).is_some()).collect();
+        match found.as_slice() {
+            [kind] => Ok(kind),
+            [] => Err(KindError::None {
+                lacking: self.lacking,
+                keys: self.keys,
+            }),
+            _ => Err(KindError::Several {
+                found,
+                remedy: self.remedy,
+            }),
+        }
     }
 }
 
--- a/crates/expectations/src/compile/requirements.rs
+++ b/crates/expectations/src/compile/requirements.rs
@@ -1,6 +1,6 @@
 //! Requirements: which requests they are about, and what must hold, with formulas evaluated.
 
-use super::reading::{index_of_name, process_names, sole_kind, KindTexts};
+use super::reading::{index_of_name, process_names, Kinds};
 use super::Compiler;
 use crate::error::ValueError;
 use crate::requirement::{
@@ -13,26 +13,25 @@
 use std::sync::Arc;
 
 /// The keys that tell what a requirement demands.
-const KINDS: [&str; 14] = [
-    "never",
-    "always",
-    "attempts",
-    "runs",
-    "open",
-    "units",
-    "sent",
-    "served",
-    "refused",
-    "failed",
-    "crossings",
-    "share",
-    "answered",
-    "told",
-];
-
-const KIND_TEXTS: KindTexts = KindTexts {
-    none: "demands nothing",
-    several: "write an entry for each",
+const KINDS: Kinds = Kinds {
+    keys: &[
+        "never",
+        "always",
+        "attempts",
+        "runs",
+        "open",
+        "units",
+        "sent",
+        "served",
+        "refused",
+        "failed",
+        "crossings",
+        "share",
+        "answered",
+        "told",
+    ],
+    lacking: "demands nothing",
+    remedy: "write an entry for each",
 };
 
 /// What bounds are written in.
@@ -69,7 +68,7 @@
         };
         let mut map = Reader::new(file, &location.path, node, faults);
         let filter = self.read_filter(&mut map, faults);
-        let kind = match sole_kind(node, &KINDS, &KIND_TEXTS) {
+        let kind = match KINDS.of(node) {
             Ok(kind) => kind,
             Err(problem) => {
                 faults.add(file, node.place, location.path, problem);
--- a/crates/expectations/src/compile/steps.rs
+++ b/crates/expectations/src/compile/steps.rs
@@ -1,7 +1,7 @@
 //! Steps: what happens, and when.
 
 use super::given::counter_mode;
-use super::reading::{sole_kind, KindTexts};
+use super::reading::Kinds;
 use super::Compiler;
 use crate::requirement::RequestKind;
 use quartzcleat_config::reader::text;
@@ -11,24 +11,23 @@
 use std::sync::Arc;
 
 /// The keys that tell what happens in a step.
-const KINDS: [&str; 12] = [
-    "request",
-    "retry",
-    "drain",
-    "die",
-    "vanish",
-    "start",
-    "replace",
-    "slow",
-    "counter",
-    "discovery",
-    "stop",
-    "restart",
-];
-
-const KIND_TEXTS: KindTexts = KindTexts {
-    none: "nothing happens here",
-    several: "write a step for each",
+const KINDS: Kinds = Kinds {
+    keys: &[
+        "request",
+        "retry",
+        "drain",
+        "die",
+        "vanish",
+        "start",
+        "replace",
+        "slow",
+        "counter",
+        "discovery",
+        "stop",
+        "restart",
+    ],
+    lacking: "nothing happens here",
+    remedy: "write a step for each",
 };
 
 impl Compiler<'_> {
@@ -49,7 +48,7 @@
             "free" => Ok(0),
             _ => quantity::count(node, 1..=100).map(|group| group as u32),
         });
-        let kind = match sole_kind(node, &KINDS, &KIND_TEXTS) {
+        let kind = match KINDS.of(node) {
             Ok(kind) => kind,
             Err(problem) => {
                 faults.add(file, node.place, path, problem);
--- a/crates/expectations/tests/expectations.rs
+++ b/crates/expectations/tests/expectations.rs
@@ -1,5 +1,6 @@
 //! Expectations from their text to their verdicts and reports.
 
+use quartzcleat_expectations::check::FailureReport;
 use quartzcleat_expectations::{check, report, CheckReport, Options, SettingRange, Verdict};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -73,19 +74,31 @@
       - {attempts: 4}
 ";
 
-#[test]
-fn failure_has_a_timeline_a_path_that_replays_it_and_the_line_behind_it() {
+/// Settings that grant more attempts than [`CAP`] allows.
+fn settings_without_cap() -> String {
+    SETTINGS.replace("sendCap: 4", "sendCap: 6")
+}
+
+fn folder_without_cap() -> Folder {
     let folder = Folder::new();
-    let day = SETTINGS.replace("sendCap: 4", "sendCap: 6");
-    folder.write("day.yaml", &day);
-    let checked = folder.check(CAP, |_| {});
+    folder.write("day.yaml", &settings_without_cap());
+    folder
+}
+
+fn failure_of(checked: &CheckReport) -> FailureReport {
+    checked.results[0].failure.clone().expect("it is reported")
+}
+
+#[test]
+fn failure_has_a_description_a_path_and_a_timeline() {
+    let checked = folder_without_cap().check(CAP, |_| {});
     assert_eq!(
         (verdicts(&checked), checked.exit_code()),
         (vec![Verdict::Failed], 1),
         "{}",
         report::human(&checked, true)
     );
-    let failure = checked.results[0].failure.clone().expect("it is told");
+    let failure = failure_of(&checked);
     assert!(
         failure.description.contains("attempt 5 of 4")
             || failure.description.contains("5, at most 4"),
@@ -105,23 +118,33 @@
         "{:#?}",
         failure.timeline
     );
-    let line = day
+}
+
+#[test]
+fn failure_is_attributed_to_the_line_behind_it() {
+    let checked = folder_without_cap().check(CAP, |_| {});
+    let line = settings_without_cap()
         .lines()
         .position(|line| line.contains("sendCap"))
         .expect("it is there") as u32
         + 1;
-    let lines: Vec<_> = failure
-        .attribution
+    let attribution = failure_of(&checked).attribution;
+    let lines: Vec<_> = attribution
         .line_sets
         .iter()
         .flatten()
         .map(|found| (found.line, found.key.as_str()))
         .collect();
     assert!(lines.contains(&(line, "limits.sendCap")), "{lines:?}");
-    // The path alone fails in the same way, and a shorter one does not.
-    let again = folder.check(CAP, |options| options.replay = Some(failure.path.clone()));
+}
+
+#[test]
+fn path_of_a_failure_replays_it_and_a_shorter_one_does_not() {
+    let folder = folder_without_cap();
+    let path = failure_of(&folder.check(CAP, |_| {})).path;
+    let again = folder.check(CAP, |options| options.replay = Some(path.clone()));
     assert_eq!(verdicts(&again), [Verdict::Failed]);
-    let shorter = failure.path[..failure.path.len() - 1].to_vec();
+    let shorter = path[..path.len() - 1].to_vec();
     let again = folder.check(CAP, |options| options.replay = Some(shorter));
     assert_eq!(verdicts(&again), [Verdict::Held]);
 }
@@ -194,7 +217,12 @@
         (verdicts(&checked), checked.exit_code()),
         (vec![Verdict::Vacuous], 1)
     );
-    // A rule that breaks when the cap on attempts is lifted does not make the demand say anything.
+}
+
+#[test]
+fn violated_invariant_does_not_make_a_requirement_say_anything() {
+    let folder = Folder::new();
+    // Without the cap on attempts an invariant is violated, not the requirement.
     let checked = folder.check(
         "
   - name: a bed-check that no node takes never fails
--- a/crates/invariants/src/checker.rs
+++ b/crates/invariants/src/checker.rs
@@ -129,13 +129,7 @@
                 class,
                 deadline,
                 ..
-            } => {
-                let state = self.request(*request);
-                state.limiter = *limiter;
-                state.class = *class;
-                state.deadline = *deadline;
-                state.is_received = true;
-            }
+            } => self.receive_request(*request, *limiter, *class, *deadline),
             Fact::HostStateLearned {
                 limiter,
                 host,
@@ -172,6 +166,20 @@
         }
     }
 
+    fn receive_request(
+        &mut self,
+        request: RequestId,
+        limiter: Index,
+        class: Index,
+        deadline: Nanos,
+    ) {
+        let state = self.request(request);
+        state.limiter = limiter;
+        state.class = class;
+        state.deadline = deadline;
+        state.is_received = true;
+    }
+
     fn learn_host_state(&mut self, at: Nanos, limiter: Index, host: Index, state: HostState) {
         let key = LimiterHost { limiter, host };
         let known = self.known_hosts.get(&key).map(|known| known.state);
