--- a/src/cli/expect.rs
+++ b/src/cli/expect.rs
@@ -11,10 +11,10 @@
 
 /// Check expectations of routing, quotas and retries without traffic.
 ///
-/// Each expectation is played by the real decision module in a model of the installation, through every order of
+/// Each expectation runs with the real decision engine in a simulation of the installation, through every order of
 /// events and every outcome that it leaves open: all ways to a depth, then random walks for the rest of the budget.
-/// One that fails is told as the shortest story found, with the command that replays it and the lines of
-/// configuration behind it. One that no play put to the test does not hold, nor does one that holds whatever is
+/// A failure is reported with the shortest timeline found, the command that replays it, and the lines of
+/// configuration behind it. An expectation that no run exercises does not hold, nor does one that holds whatever is
 /// changed of what it names.
 ///
 /// Exit code 0: all hold; 1: one does not; 2: a file cannot be used.
@@ -23,53 +23,53 @@
     /// Files of expectations, or folders of them.
     #[arg(default_value = "deploy/expectations")]
     paths: Vec<PathBuf>,
-    /// Another day's settings than the files name: YAML, or a limiter's JSON.
+    /// Other settings than the files name: YAML, or a limiter's JSON.
     #[arg(long, value_name = "FILE")]
     settings: Option<PathBuf>,
     /// Check under these settings too; for each verdict that differs, show the smallest set of changed lines that
     /// does it.
     #[arg(long, value_name = "OLD")]
     against: Option<PathBuf>,
-    /// Check a figure from one value to another and half way: plans.guide.rate=1.2..2.1. May be given several times.
+    /// Check a setting at two values and their middle: plans.guide.rate=1.2..2.1. May be given several times.
     #[arg(long, value_name = "NAME=FROM..TO", value_parser = parse_range)]
     range: Vec<SettingRange>,
-    /// Only expectations whose name holds this.
+    /// Only expectations whose name contains this.
     #[arg(long, value_name = "WORDS")]
     only: Option<String>,
     /// Only one deployment's expectations: those whose `settings` name NAME.yaml.
     #[arg(long, value_name = "NAME")]
     deployment: Option<String>,
-    /// Plays for each expectation, at most.
+    /// The most runs for each expectation.
     #[arg(long, value_name = "N", default_value_t = Budget::default().max_runs)]
     plays: u64,
-    /// Events over all plays of an expectation, at most.
+    /// The most events over all runs of an expectation.
     #[arg(long, value_name = "N", default_value_t = Budget::default().max_events)]
     events: u64,
-    /// Choices to which all ways are tried, at most.
+    /// The most choices to which all ways are tried.
     #[arg(long, value_name = "N", default_value_t = Budget::default().max_depth)]
     depth: usize,
-    /// For the random walks.
+    /// The seed of the random walks.
     #[arg(long, value_name = "N", default_value_t = Budget::default().seed)]
     seed: u64,
-    /// Expectations explored at once; 0 for one a core.
+    /// Expectations explored concurrently; 0 for one a core.
     #[arg(long, value_name = "N", default_value_t = 0)]
     jobs: usize,
-    /// Play the stories on loopback too, with real limiters before stand-ins, and compare the verdicts.
+    /// Run the scenarios on loopback too, with real limiters and fake services, and compare the verdicts.
     #[arg(long)]
     live: bool,
-    /// Play this path of choices alone and tell its story: 0,2,1.
+    /// Run this path of choices alone and show its timeline: 0,2,1.
     #[arg(long, value_name = "CHOICES", value_delimiter = ',')]
     path: Option<Vec<usize>>,
     /// Do not look for the lines of configuration behind a failure.
     #[arg(long)]
     no_blame: bool,
-    /// Do not ask expectations that hold whether they say anything.
+    /// Do not vary expectations that hold to see whether they say anything.
     #[arg(long)]
     no_vary: bool,
     /// Show those that hold, too.
     #[arg(long, short)]
     verbose: bool,
-    /// The form of the report.
+    /// The format of the report.
     #[arg(long, value_enum, default_value_t)]
     format: Format,
 }
