--- a/crates/bench/src/deployments/baseline.rs
+++ b/crates/bench/src/deployments/baseline.rs
@@ -101,7 +101,7 @@
                 speed,
                 started: at,
             }),
-            (ScenarioEvent::SetHostSpeed { host: _, speed }, Some(uptime)) => Some(Uptime {
+            (ScenarioEvent::SetHostSpeed { speed, .. }, Some(uptime)) => Some(Uptime {
                 from: at,
                 speed: *speed,
                 ..uptime
@@ -117,7 +117,7 @@
 fn host_events(scenario: &Scenario, host: usize) -> Vec<(Nanos, &ScenarioEvent)> {
     let concerns_host = |event: &ScenarioEvent| {
         matches!(event, ScenarioEvent::KillHost(other) | ScenarioEvent::IsolateHost(other) | ScenarioEvent::StartHost(other)
-            | ScenarioEvent::DrainHost(other) | ScenarioEvent::SetHostSpeed { host: other, speed: _ } if *other == host)
+            | ScenarioEvent::DrainHost(other) | ScenarioEvent::SetHostSpeed { host: other, .. } if *other == host)
     };
     let mut events: Vec<(Nanos, &ScenarioEvent)> = scenario
         .steps
--- a/crates/bench/src/deployments/generate/mod.rs
+++ b/crates/bench/src/deployments/generate/mod.rs
@@ -86,10 +86,10 @@
     let sizes = Sizes::generate(&mut random);
     let counter = counter(&mut random);
     let settings = settings::settings(&mut random, generated.classes, plans, sizes.limiters);
-    let nodes = hosts(&mut random, &sizes);
-    let net = network(&mut random);
+    let hosts = hosts(&mut random, &sizes);
+    let network = network(&mut random);
     let load = random.choose(&[0.4, 0.55, 0.7, 0.9, 1.1]);
-    let speeds = nodes.iter().map(|host| host.speed);
+    let speeds = hosts.iter().map(|host| host.speed);
     let loaded_cores = load * f64::from(sizes.cores_per_host) * speeds.sum::<f64>();
     let clients = client_load(&mut random, &settings, &work, loaded_cores);
     let incident =
@@ -108,8 +108,8 @@
         ground_truth: settings.clone(),
         processes: sizes.processes(&settings, clients.customers),
         settings,
-        hosts: nodes,
-        network: net,
+        hosts,
+        network,
         start: START + nanos(random.uniform(0.0, 60.0)),
         start_offsets: vec![0],
         seeds: vec![seed],
--- a/crates/bench/src/deployments/judge.rs
+++ b/crates/bench/src/deployments/judge.rs
@@ -54,8 +54,8 @@
     let scenario = &deployment.scenario;
     let run = simulate(scenario, &mut FirstOption);
     let limits = InvariantLimits::from_settings(&scenario.ground_truth, 0);
-    let violations = check(&scenario.processes, &limits, &run.records);
-    let broken = violations
+    let broken = check(&scenario.processes, &limits, &run.records);
+    let broken = broken
         .iter()
         .map(|violation| format!("{}: {}", violation.invariant.name(), violation.description))
         .collect();
--- a/crates/bench/src/trial/report.rs
+++ b/crates/bench/src/trial/report.rs
@@ -153,11 +153,11 @@
 
     /// JUnit's XML with a case for each seed.
     pub fn junit(&self) -> String {
-        let cases: Vec<String> = self.rows.iter().map(|row| self.case(row)).collect();
+        let cases: Vec<String> = self.rows.iter().map(|row| self.junit_case(row)).collect();
         junit_suite("trials", &cases)
     }
 
-    fn case(&self, row: &Row) -> String {
+    fn junit_case(&self, row: &Row) -> String {
         let fault = if row.holds() {
             String::new()
         } else {
--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -85,7 +85,10 @@
     };
     if retry.next_limiter && ask.limiter_set.count > 1 {
         let limiters = context.scenario.processes.limiters.len();
-        again.limiter = ask.limiter_set.next_after(ask.limiter, limiters);
+        let count = ask.limiter_set.count as usize;
+        let first = ask.limiter_set.first as usize;
+        let position = (ask.limiter + limiters - first) % limiters;
+        again.limiter = (first + (position + 1) % count) % limiters;
     }
     again
 }
--- a/crates/fakes/src/server/counter.rs
+++ b/crates/fakes/src/server/counter.rs
@@ -81,7 +81,7 @@
         Some(CounterCallOutcome::Normal) | None => {}
         Some(CounterCallOutcome::RequestLost) => return None,
         Some(CounterCallOutcome::AnswerLost) => {
-            add(context, call);
+            execute(context, call);
             return None;
         }
         Some(CounterCallOutcome::Rejected) => return Some(BUSY.to_owned()),
@@ -91,11 +91,11 @@
     let now = context.now();
     let done = context.counter.borrow_mut().model.enqueue(call.name, now)?;
     sleep(Duration::from_nanos(done.saturating_sub(now))).await;
-    let reply = add(context, call);
+    let CounterReply { outcome, total } = execute(context, call);
     sleep(network_delay).await;
-    match reply.outcome {
+    match outcome {
         Outcome::Good => {
-            let text = reply.total.to_string();
+            let text = total.to_string();
             Some(format!("${}\r\n{text}\r\n", text.len()))
         }
         Outcome::Rejected => Some(BUSY.to_owned()),
@@ -103,8 +103,8 @@
     }
 }
 
-/// Adds to a total now.
-fn add(context: &Context, call: &Call<'_>) -> CounterReply {
+/// Executes a call now.
+fn execute(context: &Context, call: &Call<'_>) -> CounterReply {
     let now = context.now();
     let mut counter = context.counter.borrow_mut();
     counter
--- a/crates/fakes/src/server/host_attempt.rs
+++ b/crates/fakes/src/server/host_attempt.rs
@@ -92,7 +92,7 @@
             operation: state.operation,
         }
     };
-    let warmth = {
+    let capacity_factor = {
         let hosts = context.hosts.borrow();
         hosts[host]
             .model
@@ -103,7 +103,7 @@
         request,
         attempt: attempt.job.attempt,
         host,
-        warming_up: warmth < 1.0,
+        warming_up: capacity_factor < 1.0,
     });
     Some(attempt)
 }
