--- /dev/null
+++ b/crates/expectations/tests/expectations/folder.rs
@@ -0,0 +1,54 @@
+//! A folder with a deployment's settings, an installation and a file of expectations.
+
+use quartzcleat_expectations::{check, CheckReport, Options};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+pub const SETTINGS: &str = include_str!("../../../../deploy/imlil-main.yaml");
+const INSTALLATION: &str = include_str!("../../../../deploy/expectations/installation.yaml");
+
+/// A temporary folder, removed at the end of the test.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!(
+            "quartzcleat-expect-{}-{}",
+            std::process::id(),
+            NEXT.fetch_add(1, Ordering::Relaxed)
+        );
+        let folder = Folder(std::env::temp_dir().join(name));
+        std::fs::create_dir_all(&folder.0).expect("a folder is made");
+        folder.write("day.yaml", SETTINGS);
+        folder.write("installation.yaml", INSTALLATION);
+        folder
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("a file is written");
+        path
+    }
+
+    pub fn check(&self, expectations: &str, change: impl FnOnce(&mut Options)) -> CheckReport {
+        let text = format!(
+            "settings: day.yaml\ninstallation: installation.yaml\nexpectations:\n{expectations}"
+        );
+        let path = self.write("e.yaml", &text);
+        let mut options = Options {
+            paths: vec![path],
+            jobs: 2,
+            ..Options::default()
+        };
+        change(&mut options);
+        check(&options)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // A folder that cannot be removed does not matter to the test.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
--- a/crates/expectations/tests/expectations.rs
+++ b/crates/expectations/tests/expectations/main.rs
@@ -1,58 +1,11 @@
 //! Expectations from their text to their verdicts and reports.
 
+mod folder;
+
+use folder::{Folder, SETTINGS};
 use quartzcleat_expectations::check::FailureReport;
 use quartzcleat_expectations::{check, report, CheckReport, Options, SettingRange, Verdict};
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, Ordering};
-
-const SETTINGS: &str = include_str!("../../../deploy/imlil-main.yaml");
-const INSTALLATION: &str = include_str!("../../../deploy/expectations/installation.yaml");
-
-/// A temporary folder, removed at the end of the test.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new() -> Self {
-        static NEXT: AtomicU32 = AtomicU32::new(0);
-        let name = format!(
-            "quartzcleat-expect-{}-{}",
-            std::process::id(),
-            NEXT.fetch_add(1, Ordering::Relaxed)
-        );
-        let folder = Folder(std::env::temp_dir().join(name));
-        std::fs::create_dir_all(&folder.0).expect("a folder is made");
-        folder.write("day.yaml", SETTINGS);
-        folder.write("installation.yaml", INSTALLATION);
-        folder
-    }
-
-    fn write(&self, name: &str, text: &str) -> PathBuf {
-        let path = self.0.join(name);
-        std::fs::write(&path, text).expect("a file is written");
-        path
-    }
-
-    fn check(&self, expectations: &str, change: impl FnOnce(&mut Options)) -> CheckReport {
-        let text = format!(
-            "settings: day.yaml\ninstallation: installation.yaml\nexpectations:\n{expectations}"
-        );
-        let path = self.write("e.yaml", &text);
-        let mut options = Options {
-            paths: vec![path],
-            jobs: 2,
-            ..Options::default()
-        };
-        change(&mut options);
-        check(&options)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        // A folder that cannot be removed does not matter to the test.
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
+use std::path::Path;
 
 fn verdicts(report: &CheckReport) -> Vec<Verdict> {
     report.results.iter().map(|result| result.verdict).collect()
