--- a/crates/bench/src/deployments/generate/mod.rs
+++ b/crates/bench/src/deployments/generate/mod.rs
@@ -57,6 +57,25 @@
         }
     }
 
+    /// The sizes, the load and the incident in a few words.
+    fn describe(
+        &self,
+        load: f64,
+        settings: &Settings,
+        clients: &ClientLoad,
+        incident: Incident,
+    ) -> String {
+        format!(
+            "{} limiters, {} hosts of {}, load {load}, {} classes, {} plans, {} partners, {incident}",
+            self.limiters,
+            self.hosts,
+            self.cores_per_host,
+            settings.classes.len(),
+            settings.plans.len(),
+            clients.customers
+        )
+    }
+
     fn processes(&self, settings: &Settings, customers: usize) -> Cast {
         let process = |prefix: &str, number: u32| Player {
             name: format!("{prefix}{number}"),
@@ -93,16 +112,7 @@
     let clients = client_load(&mut random, &settings, &work, loaded_cores);
     let incident =
         ScheduledIncident::generate(&mut random, sizes.hosts as usize, sizes.limiters as usize);
-    let description = format!(
-        "{} limiters, {} hosts of {}, load {load}, {} classes, {} plans, {} partners, {}",
-        sizes.limiters,
-        sizes.hosts,
-        sizes.cores_per_host,
-        work.len(),
-        settings.plans.len(),
-        clients.customers,
-        incident.incident
-    );
+    let description = sizes.describe(load, &settings, &clients, incident.incident);
     let scenario = Scenario {
         truth: settings.clone(),
         cast: sizes.processes(&settings, clients.customers),
