--- a/crates/bench/src/deployments/generate/mod.rs
+++ b/crates/bench/src/deployments/generate/mod.rs
@@ -75,6 +75,26 @@
             classes: classes.collect(),
         }
     }
+
+    /// The deployment in one line.
+    fn describe(
+        &self,
+        load: f64,
+        classes: usize,
+        settings: &Settings,
+        clients: &ClientLoad,
+        incident: &ScheduledIncident,
+    ) -> String {
+        format!(
+            "{} limiters, {} hosts of {}, load {load}, {classes} classes, {} plans, {} partners, {}",
+            self.limiters,
+            self.hosts,
+            self.cores_per_host,
+            settings.plans.len(),
+            clients.customers,
+            incident.incident
+        )
+    }
 }
 
 /// Generates the deployment of a seed.
@@ -94,16 +114,7 @@
     let clients = client_load(&mut random, &settings, &work, loaded_cores);
     let incident =
         ScheduledIncident::generate(&mut random, sizes.hosts as usize, sizes.limiters as usize);
-    let description = format!(
-        "{} limiters, {} hosts of {}, load {load}, {} classes, {} plans, {} partners, {}",
-        sizes.limiters,
-        sizes.hosts,
-        sizes.cores_per_host,
-        work.len(),
-        settings.plans.len(),
-        clients.customers,
-        incident.incident
-    );
+    let description = sizes.describe(load, work.len(), &settings, &clients, &incident);
     let scenario = Scenario {
         ground_truth: settings.clone(),
         processes: sizes.processes(&settings, clients.customers),
