--- a/crates/admin/src/drain/tests.rs
+++ b/crates/admin/src/drain/tests.rs
@@ -17,7 +17,7 @@
         |d, at| d.shut_down(at, true),
     );
     use Phase::{Closing, LastCall, Serving};
-    for (first, second, gap, at, phase, welcome, ending) in [
+    for (first, second, gap, at, phase, accepts_clients, ending) in [
         (drain, drain, 10, 21, LastCall, false, false),
         (drain, undrain, 3, 30, Serving, true, false),
         (drain, undrain, 10, 10, Serving, true, false),
@@ -41,7 +41,7 @@
             controller.accepts_clients(),
             controller.is_shutting_down(),
         );
-        assert_eq!(state, (phase, welcome, ending), "{gap} {at}");
+        assert_eq!(state, (phase, accepts_clients, ending), "{gap} {at}");
     }
 }
 
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -83,10 +83,10 @@
 const MIN_SIMILARITY: f64 = 0.82;
 
 /// The known word that is most similar to an unknown one, for "did you mean"; none where no word is similar enough.
-pub fn nearest<'a>(word: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+pub fn nearest<'a>(unknown: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
     known
         .into_iter()
-        .map(|candidate| (strsim::jaro_winkler(word, candidate), candidate))
+        .map(|candidate| (strsim::jaro_winkler(unknown, candidate), candidate))
         .max_by(|(left, _), (right, _)| left.total_cmp(right))
         .filter(|(similarity, _)| *similarity > MIN_SIMILARITY)
         .map(|(_, candidate)| candidate)
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -107,7 +107,7 @@
     /// # Errors
     /// Where the bytes are anything else.
     pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
-        let mut decoder = Decoder { rest: bytes };
+        let mut decoder = Decoder { remaining: bytes };
         let kind = decoder.byte()?;
         let ballot = decoder.ballot()?;
         let body = decoder.body(kind)?;
@@ -137,16 +137,16 @@
 
 /// The bytes of a message that are not decoded yet.
 struct Decoder<'a> {
-    rest: &'a [u8],
+    remaining: &'a [u8],
 }
 
 impl Decoder<'_> {
     fn array<const N: usize>(&mut self) -> Result<[u8; N], MessageError> {
-        let (array, rest) = self
-            .rest
+        let (array, remaining) = self
+            .remaining
             .split_first_chunk::<N>()
             .ok_or(MessageError::LengthMismatch)?;
-        self.rest = rest;
+        self.remaining = remaining;
         Ok(*array)
     }
 
@@ -177,13 +177,13 @@
         }
     }
 
-    /// The task's name, which has to be the rest of the message.
+    /// The task's name, which has to be the remaining of the message.
     fn task(&mut self) -> Result<String, MessageError> {
         let length = usize::from(self.byte()?);
-        if self.rest.len() != length {
+        if self.remaining.len() != length {
             return Err(MessageError::LengthMismatch);
         }
-        let task = std::str::from_utf8(self.rest).map_err(|_| MessageError::InvalidTask)?;
+        let task = std::str::from_utf8(self.remaining).map_err(|_| MessageError::InvalidTask)?;
         if task.is_empty() || length > MAX_TASK_BYTES {
             return Err(MessageError::InvalidTask);
         }
--- a/crates/lease/tests/model_check/model.rs
+++ b/crates/lease/tests/model_check/model.rs
@@ -99,8 +99,8 @@
 
     fn add_proposer_events(&self, state: &ModelState, proposer: usize, events: &mut Vec<Event>) {
         let now = self.proposer_clock(state, proposer);
-        let is_due = now >= state.proposers[proposer].next_deadline();
-        if is_due && state.rounds < self.limits.rounds {
+        let is_past_deadline = now >= state.proposers[proposer].next_deadline();
+        if is_past_deadline && state.rounds < self.limits.rounds {
             events.push(Event::BeginRound { proposer });
         }
         let held = self.guard(state, proposer).is_some();
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -57,9 +57,9 @@
 }
 
 fn check_product(path: &Path) -> CheckedFile {
-    let faults = match serve::product(Some(path)) {
+    let faults = match serve::read_product_config(Some(path)) {
         Ok(_) => Vec::new(),
-        Err(text) => text.lines().map(str::to_owned).collect(),
+        Err(error) => error.to_string().lines().map(str::to_owned).collect(),
     };
     CheckedFile {
         file: path.display().to_string(),
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -53,14 +53,6 @@
     Ok(product)
 }
 
-/// The product configuration for a report: [`read_product_config`] with its error as text, one line for each fault.
-///
-/// # Errors
-/// As [`read_product_config`].
-pub fn product(path: Option<&Path>) -> Result<Product, String> {
-    read_product_config(path).map_err(|error| error.to_string())
-}
-
 /// Serves until the process is asked to end.
 #[must_use]
 pub fn run(product_config: Option<&Path>) -> ExitCode {
--- a/src/net/discovery/backoff/tests.rs
+++ b/src/net/discovery/backoff/tests.rs
@@ -12,7 +12,7 @@
         let mut limiters: Vec<_> = (0..100)
             .map(|seed| Backoff::new(time(least), time(most), seed))
             .collect();
-        let mut due: Vec<_> = limiters
+        let mut next_call: Vec<_> = limiters
             .iter_mut()
             .map(|backoff| {
                 Some(if spread {
@@ -24,10 +24,10 @@
             .collect();
         let (mut free, mut failed) = (Duration::ZERO, 0);
         // Until 30 s are over, the next call to come is answered in its turn or fails.
-        while let Some((at, one)) = due
+        while let Some((at, one)) = next_call
             .iter()
             .zip(0..)
-            .filter_map(|(due, one)| Some(((*due)?, one)))
+            .filter_map(|(next_call, one)| Some(((*next_call)?, one)))
             .min()
         {
             if at > time(30_000) {
@@ -38,13 +38,13 @@
                 failed += 1;
                 // A caller that gave up had its place in the line for all that time.
                 free += time(1);
-                due[one] = Some(at + time(2_000) + limiters[one].after_failure());
+                next_call[one] = Some(at + time(2_000) + limiters[one].after_failure());
             } else {
                 free = begins + time(40);
-                due[one] = None;
+                next_call[one] = None;
             }
         }
-        (due.iter().flatten().count(), failed)
+        (next_call.iter().flatten().count(), failed)
     };
     assert_eq!(herd(4_000, 4_000, true), (0, 0));
     let (_, in_step) = herd(100, 100, false);
--- a/src/net/discovery/http.rs
+++ b/src/net/discovery/http.rs
@@ -122,8 +122,8 @@
 
 /// The status code of `HTTP/1.1 200 OK`.
 fn parse_status(line: &str) -> Option<u16> {
-    let rest = line.strip_prefix("HTTP/1.")?;
-    rest.get(2..5)?.parse().ok()
+    let remaining = line.strip_prefix("HTTP/1.")?;
+    remaining.get(2..5)?.parse().ok()
 }
 
 /// A complete body, and where it ends.
--- a/src/net/hot_restart/listener_handover.rs
+++ b/src/net/hot_restart/listener_handover.rs
@@ -20,7 +20,7 @@
 ///
 /// # Errors
 /// The kernel does not support this; connections then still come to either process.
-pub fn steer_to_second(listener: &impl AsFd) -> nix::Result<()> {
+pub fn redirect_to_second(listener: &impl AsFd) -> nix::Result<()> {
     let mut filter = [sock_filter {
         code: RETURN_CONSTANT,
         jt: 0,
--- a/src/net/hot_restart/listener_handover/tests.rs
+++ b/src/net/hot_restart/listener_handover/tests.rs
@@ -28,7 +28,7 @@
     let at = first.local_addr().expect("it has an address");
     let waiting = TcpStream::connect(at).expect("it is queued");
     let second = listen(at);
-    steer_to_second(&first).expect("the kernel steers");
+    redirect_to_second(&first).expect("the kernel steers");
     let steered: Vec<_> = (0..50)
         .map(|_| TcpStream::connect(at).expect("it is queued"))
         .collect();
--- a/src/net/reload/crossings.rs
+++ b/src/net/reload/crossings.rs
@@ -35,8 +35,8 @@
 #[test]
 fn what_holds_for_hosts_follows_the_new_settings() {
     with_limiter(&[], |limiter| async move {
-        let relay = under_way(&limiter, 1);
-        assert!(matches!(relay.command, HostCommand::Attempt { .. }));
+        let attempt = under_way(&limiter, 1);
+        assert!(matches!(attempt.command, HostCommand::Attempt { .. }));
         let answer = b"*3\r\n$3\r\nbed\r\n$-1\r\n$10\r\ninflight=7\r\n";
         let load = || {
             let reply = codec::parse_reply(answer, limiter.limits())
@@ -44,7 +44,7 @@
                 .expect("whole")
                 .reply;
             let source = limiter.upstream().report_source();
-            let end = interpret(&reply, answer, &relay.command, relay.host, source).result;
+            let end = interpret(&reply, answer, &attempt.command, attempt.host, source).result;
             assert_eq!(end.outcome, Outcome::Good);
             end.load.len()
         };
--- a/src/net/resp/codec.rs
+++ b/src/net/resp/codec.rs
@@ -65,8 +65,8 @@
 impl Cursor<'_> {
     /// The next line, without its end.
     fn line(&mut self) -> Parsed<Range<usize>> {
-        let rest = &self.bytes[self.position..];
-        let window = &rest[..rest.len().min(MAX_LINE_BYTES)];
+        let remaining = &self.bytes[self.position..];
+        let window = &remaining[..remaining.len().min(MAX_LINE_BYTES)];
         match window
             .iter()
             .position(|&byte| byte == b'\r' || byte == b'\n')
@@ -74,7 +74,7 @@
             Some(end) if window[end] == b'\n' => {
                 Err(Malformed("a line ends without a carriage return"))
             }
-            Some(end) => match rest.get(end + 1) {
+            Some(end) => match remaining.get(end + 1) {
                 None => Ok(None),
                 Some(b'\n') => {
                     let line = self.position..self.position + end;
@@ -83,7 +83,7 @@
                 }
                 Some(_) => Err(Malformed("a carriage return within a line")),
             },
-            None if rest.len() >= MAX_LINE_BYTES => Err(Malformed("a line is too long")),
+            None if remaining.len() >= MAX_LINE_BYTES => Err(Malformed("a line is too long")),
             None => Ok(None),
         }
     }
@@ -268,11 +268,11 @@
 pub fn value_head(bytes: &[u8]) -> Option<ValueHead> {
     const PREFIX: &[u8] = b"*3\r\n$";
     const LINE_END: &[u8] = b"\r\n";
-    let rest = bytes.strip_prefix(PREFIX)?;
-    let end = rest.iter().take(10).position(|byte| *byte == b'\r')?;
-    let digits = &rest[..end];
+    let remaining = bytes.strip_prefix(PREFIX)?;
+    let end = remaining.iter().take(10).position(|byte| *byte == b'\r')?;
+    let digits = &remaining[..end];
     if digits.is_empty()
-        || rest.get(end + 1) != Some(&b'\n')
+        || remaining.get(end + 1) != Some(&b'\n')
         || !digits.iter().all(u8::is_ascii_digit)
     {
         return None;
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -79,7 +79,7 @@
             output: Output::new(writer),
             idle_timer: IdleTimer::new(downstream.idle_connections.clone()),
             phase: context.shutdown.subscribe_phase(),
-            came_while_closing: context.shutdown.phase() >= Phase::Closing,
+            accepted_while_closing: context.shutdown.phase() >= Phase::Closing,
         };
         let end = connection.run().await;
         if end == ConnectionEnd::Lost {
@@ -165,7 +165,7 @@
     idle_timer: IdleTimer,
     phase: watch::Receiver<Phase>,
     /// It came while clients are being drained: its first command is awaited before it closes.
-    came_while_closing: bool,
+    accepted_while_closing: bool,
 }
 
 impl Connection<'_> {
@@ -283,7 +283,7 @@
     /// past the limit, does not close before its first command.
     fn is_to_close(&self, is_closing: bool) -> bool {
         let has_responded = self.responses.has_responded();
-        (is_closing && (has_responded || !self.came_while_closing))
+        (is_closing && (has_responded || !self.accepted_while_closing))
             || (self.admission == Admission::Rejected && has_responded)
     }
 
--- a/src/net/resp/downstream/listener.rs
+++ b/src/net/resp/downstream/listener.rs
@@ -62,7 +62,7 @@
     fn start_closing(&mut self, listener: &TcpListener) {
         let context = &self.downstream.context;
         if context.shutdown.other_serves() {
-            if let Err(error) = listener_handover::steer_to_second(listener) {
+            if let Err(error) = listener_handover::redirect_to_second(listener) {
                 tracing::info!(%error, "client connections still come to either process");
             }
         }
--- a/src/net/resp/tests.rs
+++ b/src/net/resp/tests.rs
@@ -81,7 +81,7 @@
 
 /// Bytes that come behind the end of a connection do not take along what was written before it.
 #[test]
-fn what_was_written_last_arrives_though_more_came_unread() {
+fn what_was_written_last_arrives_despite_unread_bytes() {
     run(async {
         let (stream, mut peer) = pair().await;
         peer.write_all(b"unread").expect("it is taken");
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -115,7 +115,7 @@
 
 /// A client that goes while its request's connection is on its way: no attempt begins for it.
 #[test]
-fn nothing_is_sent_for_a_client_that_went_while_a_connection_came_up() {
+fn nothing_is_sent_for_a_client_that_went_while_a_connection_was_opened() {
     with_limiter(&[], |limiter| async move {
         let (host, front) = connecting(&limiter, LONG).await;
         complete::abandon(limiter.pipeline(), RequestId(1));
@@ -126,7 +126,7 @@
 
 /// The same where the request was answered meanwhile: what it got is final.
 #[test]
-fn nothing_is_sent_for_a_request_that_was_answered_while_a_connection_came_up() {
+fn nothing_is_sent_for_a_request_that_was_answered_while_a_connection_was_opened() {
     with_limiter(&[], |limiter| async move {
         let (host, front) = connecting(&limiter, LONG).await;
         assert!(complete::answer(
@@ -141,7 +141,7 @@
 
 /// A further attempt whose connection is still on its way as the window for repeats closes: it surely never ran.
 #[test]
-fn no_attempt_begins_once_its_window_is_over_while_a_connection_came_up() {
+fn no_attempt_begins_once_its_window_is_over_while_a_connection_was_opened() {
     with_limiter(&[], |limiter| async move {
         let (host, front) = connecting(&limiter, Duration::from_millis(20)).await;
         nothing_goes_out(&limiter, host, Outcome::ConnectFailed).await;
