--- a/crates/admin/src/drain.rs
+++ b/crates/admin/src/drain.rs
@@ -1,4 +1,4 @@
-//! Whether clients are accepted: draining by order of staff, and the shutdown at SIGTERM, in one state machine. Both go
+//! Whether clients are accepted: draining by an operator, and the shutdown at SIGTERM, in one state machine. Both go
 //! through the same phases, each from its own start, and the one that is further on decides.
 
 use quartzcleat_decision::api::Nanos;
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -147,13 +147,13 @@
         AdminRequest::Enable(name) => enable(context, &name),
         AdminRequest::Drain => {
             context.shutdown.drain();
-            tracing::info!("draining started by order of staff");
+            tracing::info!("draining started by an operator");
             context.hot_restart.publish();
             Response::new(200, "clients are sent away")
         }
         AdminRequest::Undrain => {
             context.shutdown.undrain();
-            tracing::info!("draining stopped by order of staff");
+            tracing::info!("draining stopped by an operator");
             context.hot_restart.publish();
             Response::new(200, "clients are taken")
         }
@@ -180,7 +180,7 @@
         Err(UnknownHost) => unknown_host(context),
         Ok(has_changed) => {
             if has_changed {
-                tracing::info!(host = name, "maintenance started by order of staff");
+                tracing::info!(host = name, "maintenance started by an operator");
                 announce_maintenance(context, name);
             }
             Response::new(200, format!("{name} gets nothing new until it is enabled"))
@@ -198,7 +198,7 @@
         Err(UnknownHost) => unknown_host(context),
         Ok(has_changed) => {
             if has_changed {
-                tracing::info!(host = name, "maintenance ended by order of staff");
+                tracing::info!(host = name, "maintenance ended by an operator");
                 announce_maintenance(context, name);
             }
             Response::new(200, format!("{name} may serve"))
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -1,4 +1,4 @@
-//! Draining by order of staff, and the shutdown at SIGTERM.
+//! Draining by an operator and the shutdown at SIGTERM.
 //!
 //! The drain controller decides how far both have come; here its phases are announced to those who wait for them. During a
 //! shutdown all goes on while the load balancer in front still sends clients, then connections close between requests,
@@ -96,12 +96,12 @@
         self.controller.borrow().order()
     }
 
-    /// Drains the clients, by order of staff.
+    /// Drains the clients, by an operator.
     pub fn drain(&self) {
         self.update(|controller| controller.drain(unix()));
     }
 
-    /// Stops draining, by order of staff.
+    /// Stops draining, by an operator.
     pub fn undrain(&self) {
         self.update(|controller| controller.undrain(unix()));
     }
--- a/tests/operations/draining.rs
+++ b/tests/operations/draining.rs
@@ -1,4 +1,4 @@
-//! Draining the clients by order of staff.
+//! Draining the clients by an operator.
 
 use crate::process::{ask, request, served, start, CHECK};
 use crate::PING;
