Review: an error of a case itself exits with 2, and each case ends within 120 s

Cause: an unexpected exception in a case exited with 1, like a broken rule; the bound of 115 s left little for the clean-up.

--- a/review/standins.py
+++ b/review/standins.py
@@ -19,12 +19,24 @@
 # The command `run` of deploy/balancer.toml.
 RUN = "exec target/release/quartzcleat"
 PROGRAM = os.path.join(ROOT, "target", "release", "quartzcleat")
+# A case that takes longer could not run. With the clean-up it ends within 120 s.
+RUN_SECONDS = 100
 MS = 1_000_000
 SECOND = 1_000_000_000
 # For ids, customers, the clients' moments and the limiters' random numbers; the times of a run are real.
 SEED = int(os.environ.get("SEED", "1"))
 
 
+def fail_to_run(kind, error, trace):
+    """An error outside `main` must not look like a broken rule either."""
+    sys.__excepthook__(kind, error, trace)
+    sys.stderr.flush()
+    os._exit(2)
+
+
+sys.excepthook = fail_to_run
+
+
 class CannotRun(Exception):
     """The case could not run: exit code 2."""
 
@@ -580,7 +592,7 @@
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("target/release/quartzcleat is missing: build it first")
         loop = asyncio.new_event_loop()
-        breaks = loop.run_until_complete(asyncio.wait_for(case(record, work, trouble, limiters), 115))
+        breaks = loop.run_until_complete(asyncio.wait_for(case(record, work, trouble, limiters), RUN_SECONDS))
         for line in breaks:
             record(f"BROKEN {line}")
             print(f"broken: {line}")
@@ -591,6 +603,9 @@
     except asyncio.TimeoutError:
         record("could not run: out of time")
         print("could not run: out of time")
+    except Exception as error:  # A fault of the case itself must not look like a broken rule.
+        record(f"could not run: {error!r}")
+        print(f"could not run: {error!r}")
     finally:
         for limiter in limiters:
             limiter.kill()
