Log how long a shutdown answers requests, and what it left at its end

Cause: at SIGKILL no log told whether the process had meant to answer its open requests, was late, or had not started to. Change: 'shutdown started' carries answer_timeout; 'shutdown finished' counts failed requests and connections with a response not completely written. Shutdown holds the limits that it is timed by.

--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -201,7 +201,7 @@
     async fn finish(&self) {
         let answer_deadline = self
             .shutdown
-            .final_answer_deadline(&self.limits)
+            .final_answer_deadline()
             .unwrap_or_else(Instant::now);
         let mut connections = self.shutdown.subscribe_connections();
         // On a timeout, the requests that are still open are failed below.
@@ -210,12 +210,18 @@
         while self.engine.open_request_count() > 0 && Instant::now() < answer_deadline {
             sleep(self.limits.requests.deadline_margin).await;
         }
-        for id in self.engine.open_request_ids() {
-            complete::fail_if_open(&self.pipeline, id);
+        let unanswered = self.engine.open_request_ids();
+        for id in &unanswered {
+            complete::fail_if_open(&self.pipeline, *id);
         }
         let exit_deadline = answer_deadline + self.limits.shutdown.final_answer_margin.get();
         // On a timeout, the process exits and closes the remaining connections.
         let _ = timeout_at(exit_deadline, connections.wait_for(|count| *count == 0)).await;
+        tracing::info!(
+            failed_requests = unanswered.len(),
+            open_connections = self.shutdown.connections(),
+            "shutdown finished"
+        );
     }
 }
 
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -26,6 +26,7 @@
 
 /// Draining and shutdown of this process, and the number of its client connections.
 pub struct Shutdown {
+    limits: Rc<Limits>,
     controller: RefCell<DrainController>,
     /// Notified of each operator order and of the start of the shutdown.
     order_changed: Notify,
@@ -41,12 +42,13 @@
 
 impl Shutdown {
     /// Creates the state of a process that serves all clients.
-    pub fn new(limits: &Limits) -> Self {
+    pub fn new(limits: &Rc<Limits>) -> Self {
         let times = DrainTimes {
             drain_delay: limits.shutdown.drain_delay.as_nanos() as Nanos,
             reject_after: limits.shutdown.reject_after.as_nanos() as Nanos,
         };
         Shutdown {
+            limits: limits.clone(),
             controller: RefCell::new(DrainController::new(times)),
             order_changed: Notify::new(),
             phase: watch::Sender::default(),
@@ -144,9 +146,10 @@
     }
 
     /// Returns the time at which requests that are still open are answered; `None` before SIGTERM.
-    pub fn final_answer_deadline(&self, limits: &Limits) -> Option<Instant> {
-        let sigterm_at = self.sigterm_at.get()?;
-        Some(sigterm_at + limits.shutdown.timeout.get() - limits.shutdown.final_answer_margin.get())
+    pub fn final_answer_deadline(&self) -> Option<Instant> {
+        let limits = &self.limits.shutdown;
+        let answer_timeout = limits.timeout.get() - limits.final_answer_margin.get();
+        Some(self.sigterm_at.get()? + answer_timeout)
     }
 
     /// Counts a client connection until the returned guard is dropped.
@@ -202,10 +205,12 @@
     let shutdown = shutdown.clone();
     spawn(async move {
         terminate.recv().await;
-        shutdown.sigterm_at.set(Some(Instant::now()));
+        let sigterm_at = Instant::now();
+        shutdown.sigterm_at.set(Some(sigterm_at));
         let successor = find_successor();
         let other_serves = successor == Successor::Serving;
-        tracing::info!(other_serves, "shutdown started");
+        let answer_timeout = shutdown.final_answer_deadline().map(|at| at - sigterm_at);
+        tracing::info!(other_serves, ?answer_timeout, "shutdown started");
         shutdown.update(|controller| controller.shut_down(unix_time::now(), successor));
     });
     Ok(())
--- a/src/net/shutdown/tests.rs
+++ b/src/net/shutdown/tests.rs
@@ -30,7 +30,7 @@
         accept::accept(limiter.pipeline(), frontend.clone(), 0, long_request);
         let last = limiter
             .shutdown()
-            .final_answer_deadline(limiter.limits())
+            .final_answer_deadline()
             .expect("the shutdown has started");
         match next_event(&limiter).await {
             Event::Request { budget, .. } => {
--- a/src/net/stages/accept.rs
+++ b/src/net/stages/accept.rs
@@ -25,7 +25,7 @@
         return frontend.answer(sequence, Answer::Failed);
     }
     // No request may still be open when the process must exit.
-    if let Some(final_answer_deadline) = pipeline.shutdown.final_answer_deadline(&pipeline.limits) {
+    if let Some(final_answer_deadline) = pipeline.shutdown.final_answer_deadline() {
         let remaining = final_answer_deadline.saturating_duration_since(arrived);
         request.wait = request.wait.min(remaining);
     }
