Answer all requests of a shutdown before the earliest SIGKILL

Callers saw: requests written 0.75 s or more after SIGTERM on a connection that was still open, and forwarded to hanging hosts, had no answer when SIGKILL came. Cause: SIGKILL comes no sooner than the longest class deadline, counted as 3 s at most, and 0.7 s after SIGTERM. ShutdownLimits::new took the 3 s as the least. A deployment with deadlines of 7.5 s answered its last requests after 8.0 s in place of 3.7 s, one with 2.5 s after 3.5 s in place of 3.2 s. A reload kept the longest deadline since the start. Change: answer_timeout is the earliest SIGKILL less 0.25 s; open requests are failed then and later ones rejected, since answers follow the order of their requests. exit_timeout keeps the former end, so that no long value is cut off. Both are fixed at SIGTERM; before it, a reload applies the new deadlines.

--- a/src/net/config/limits/process.rs
+++ b/src/net/config/limits/process.rs
@@ -1,5 +1,6 @@
 //! Limits for the admin interface, hot restart and shutdown.
 
+use super::duration_or;
 use crate::api::Settings;
 use std::cell::Cell;
 use std::time::Duration;
@@ -57,40 +58,63 @@
     }
 }
 
-/// Minimum time between SIGTERM and the end of the process, not counting [`DRAIN_DELAY`]; a longer class deadline
-/// extends it.
-const MIN_SHUTDOWN_NANOS: u64 = 3_000_000_000;
 /// Time for which clients are served as before after SIGTERM, until the load balancer in front sends no more of them.
 const DRAIN_DELAY: Duration = Duration::from_millis(600);
+/// Time after SIGTERM from which new requests are rejected.
+const REJECT_AFTER: Duration = Duration::from_secs(2);
+/// Part of the longest class deadline that the platform waits for between SIGTERM and SIGKILL, at most.
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// Time that the platform adds to the counted deadline before it sends SIGKILL.
+const KILL_GRACE: Duration = Duration::from_millis(700);
+/// Time between the last answers and the earliest SIGKILL. The process may receive SIGTERM late, and it needs time to
+/// write the answers.
+const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
-/// Limits for the shutdown of the process. All times but the margin are measured from SIGTERM.
+/// Limits for the shutdown of the process, measured from SIGTERM.
 #[derive(Clone, Debug)]
 pub struct ShutdownLimits {
     /// Time for which clients are served as before.
     pub drain_delay: Duration,
     /// Time after which all new requests are rejected.
     pub reject_after: Duration,
-    /// Time after which the process ends, even if requests are still open.
-    pub timeout: Cell<Duration>,
-    /// Time before `timeout` at which requests that are still open are answered.
-    pub final_answer_margin: Cell<Duration>,
+    /// Time after which no request is left open, so that all answers are written before the earliest SIGKILL.
+    pub answer_timeout: Cell<Duration>,
+    /// Time after which the process exits, even if responses are not written completely. SIGKILL may come earlier.
+    pub exit_timeout: Cell<Duration>,
 }
 
 impl ShutdownLimits {
     pub(super) fn new(settings: &Settings) -> Self {
         let deadlines = settings.classes.iter().map(|class| class.deadline);
-        let longest_deadline = deadlines.max().unwrap_or(0).max(MIN_SHUTDOWN_NANOS);
+        let longest_deadline = Duration::from_nanos(deadlines.max().unwrap_or(0));
+        let exit_timeout = longest_deadline.max(MAX_COUNTED_DEADLINE) + DRAIN_DELAY;
         ShutdownLimits {
             drain_delay: DRAIN_DELAY,
-            reject_after: Duration::from_secs(2),
-            timeout: Cell::new(Duration::from_nanos(longest_deadline) + DRAIN_DELAY),
-            final_answer_margin: Cell::new(Duration::from_millis(100)),
+            reject_after: REJECT_AFTER,
+            answer_timeout: Cell::new(answer_timeout(settings)),
+            exit_timeout: Cell::new(exit_timeout),
         }
     }
 
-    /// Extends the timeout if the new one is longer. It is never shortened: requests that were admitted under the old
-    /// settings keep their deadlines.
+    /// Adopts the answer timeout of new settings, and extends the exit timeout if the new one is longer: a response that
+    /// began under the old settings may still be in progress.
     pub(super) fn update_from(&self, new: &ShutdownLimits) {
-        self.timeout.set(self.timeout.get().max(new.timeout.get()));
+        self.answer_timeout.set(new.answer_timeout.get());
+        self.exit_timeout
+            .set(self.exit_timeout.get().max(new.exit_timeout.get()));
     }
 }
+
+/// Returns the time after SIGTERM by which each request must be answered. A class without a deadline counts as one with
+/// a long deadline.
+fn answer_timeout(settings: &Settings) -> Duration {
+    let deadlines = settings.classes.iter().map(|class| class.deadline);
+    let counted_deadlines = deadlines
+        .map(|deadline| duration_or(deadline, MAX_COUNTED_DEADLINE).min(MAX_COUNTED_DEADLINE));
+    let longest = counted_deadlines.max().unwrap_or(MAX_COUNTED_DEADLINE);
+    let earliest_kill = longest + KILL_GRACE;
+    // With very short deadlines, clients are still served until connections close.
+    earliest_kill
+        .saturating_sub(FINAL_ANSWER_MARGIN)
+        .max(DRAIN_DELAY)
+}
--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -43,6 +43,45 @@
     }
 }
 
+/// Returns the shutdown limits of the example with these class deadlines, in milliseconds; 0 stands for none.
+fn shutdown_limits(deadlines: [u64; 2]) -> ShutdownLimits {
+    let text = include_str!("../../../examples/toy.json")
+        .replace("7500000000", &(deadlines[0] * 1_000_000).to_string())
+        .replace(
+            "\"hardLimitNs\": 4000000000",
+            &format!("\"hardLimitNs\": {}", deadlines[1] * 1_000_000),
+        );
+    let config = parse(&text, |_| None).expect("the example is valid");
+    config.limits.shutdown
+}
+
+/// The platform sends SIGKILL no sooner than the longest deadline, counted as 3 s at most, and 0.7 s after SIGTERM.
+/// Requests taken late in a shutdown were lost when the process expected SIGKILL later: incident late-shutdown-answers.
+#[test]
+fn requests_are_answered_between_the_drain_delay_and_the_earliest_sigkill() {
+    for (deadlines, earliest_kill) in [
+        ([7_500, 4_000], 3_700),
+        ([3_000, 1_000], 3_700),
+        ([2_500, 1_000], 3_200),
+        ([200, 1_000], 1_700),
+        ([20, 10], 720),
+        ([0, 1_000], 3_700),
+    ] {
+        let limits = shutdown_limits(deadlines);
+        let answer_timeout = limits.answer_timeout.get();
+        let earliest_kill = Duration::from_millis(earliest_kill);
+        assert!(
+            answer_timeout < earliest_kill,
+            "{deadlines:?}: {answer_timeout:?}"
+        );
+        assert!(
+            answer_timeout >= limits.drain_delay,
+            "{deadlines:?}: {answer_timeout:?}"
+        );
+        assert!(limits.exit_timeout.get() > answer_timeout, "{deadlines:?}");
+    }
+}
+
 /// At the start the environment takes precedence over the file; on a reload the addresses of services in the file take
 /// precedence over the environment.
 #[test]
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -196,33 +196,40 @@
         spawn(admin::accept(self.admin.clone(), listener));
     }
 
-    /// Waits until every connection is closed and every request is answered. Requests that are still open shortly
-    /// before the process must exit are failed, so that none remains unanswered.
+    /// Waits until every connection is closed and every request is answered. Requests that are still open at the answer
+    /// deadline are failed, so that SIGKILL finds none of them unanswered.
     async fn finish(&self) {
-        let answer_deadline = self
-            .shutdown
-            .final_answer_deadline()
-            .unwrap_or_else(Instant::now);
-        let mut connections = self.shutdown.subscribe_connections();
-        // On a timeout, the requests that are still open are failed below.
-        let _ = timeout_at(answer_deadline, connections.wait_for(|count| *count == 0)).await;
-        // Attempts whose client has disconnected are not waited for: they end on their own, and no client needs them.
-        while self.engine.open_request_count() > 0 && Instant::now() < answer_deadline {
-            sleep(self.limits.requests.deadline_margin).await;
-        }
+        let Some(deadlines) = self.shutdown.deadlines() else {
+            return;
+        };
+        self.await_answers(deadlines.answers).await;
         let unanswered = self.engine.open_request_ids();
         for id in &unanswered {
             complete::fail_if_open(&self.pipeline, *id);
         }
-        let exit_deadline = answer_deadline + self.limits.shutdown.final_answer_margin.get();
-        // On a timeout, the process exits and closes the remaining connections.
-        let _ = timeout_at(exit_deadline, connections.wait_for(|count| *count == 0)).await;
+        self.await_connections(deadlines.exit).await;
         tracing::info!(
             failed_requests = unanswered.len(),
             open_connections = self.shutdown.connections(),
             "shutdown finished"
         );
     }
+
+    /// Waits until every connection is closed and every request is answered, until `deadline` at the latest.
+    async fn await_answers(&self, deadline: Instant) {
+        self.await_connections(deadline).await;
+        // Attempts whose client has disconnected are not waited for: they end on their own, and no client needs them.
+        while self.engine.open_request_count() > 0 && Instant::now() < deadline {
+            sleep(self.limits.requests.deadline_margin).await;
+        }
+    }
+
+    /// Waits until every connection is closed, until `deadline` at the latest.
+    async fn await_connections(&self, deadline: Instant) {
+        let mut connections = self.shutdown.subscribe_connections();
+        // The caller handles what is still open at the deadline.
+        let _ = timeout_at(deadline, connections.wait_for(|count| *count == 0)).await;
+    }
 }
 
 /// Runs a limiter until the process is asked to terminate.
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -24,6 +24,15 @@
 /// Delay between the start of a phase and its publication: before its start the controller reports the previous phase.
 const PHASE_SWITCH_DELAY: Duration = Duration::from_millis(1);
 
+/// Deadlines of a shutdown. They are fixed at SIGTERM: a later configuration does not move the platform's SIGKILL.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShutdownDeadlines {
+    /// Time at which requests that are still open are failed. Later requests are rejected.
+    pub answers: Instant,
+    /// Time at which the process exits, even if responses are not written completely.
+    pub exit: Instant,
+}
+
 /// Draining and shutdown of this process, and the number of its client connections.
 pub struct Shutdown {
     limits: Rc<Limits>,
@@ -34,8 +43,8 @@
     phase: watch::Sender<Phase>,
     /// Whether the process has permanently stopped accepting clients.
     is_closing: watch::Sender<bool>,
-    /// Time at which SIGTERM was received; `None` before.
-    sigterm_at: Cell<Option<Instant>>,
+    /// Deadlines of the shutdown; `None` before SIGTERM.
+    deadlines: Cell<Option<ShutdownDeadlines>>,
     /// Number of client connections.
     connections: watch::Sender<usize>,
 }
@@ -53,7 +62,7 @@
             order_changed: Notify::new(),
             phase: watch::Sender::default(),
             is_closing: watch::Sender::default(),
-            sigterm_at: Cell::default(),
+            deadlines: Cell::default(),
             connections: watch::Sender::default(),
         }
     }
@@ -145,11 +154,19 @@
         }
     }
 
-    /// Returns the time at which requests that are still open are answered; `None` before SIGTERM.
-    pub fn final_answer_deadline(&self) -> Option<Instant> {
+    /// Returns the deadlines of the shutdown; `None` before SIGTERM.
+    pub fn deadlines(&self) -> Option<ShutdownDeadlines> {
+        self.deadlines.get()
+    }
+
+    /// Fixes the deadlines of a shutdown that starts now.
+    fn set_deadlines(&self) {
+        let now = Instant::now();
         let limits = &self.limits.shutdown;
-        let answer_timeout = limits.timeout.get() - limits.final_answer_margin.get();
-        Some(self.sigterm_at.get()? + answer_timeout)
+        self.deadlines.set(Some(ShutdownDeadlines {
+            answers: now + limits.answer_timeout.get(),
+            exit: now + limits.exit_timeout.get(),
+        }));
     }
 
     /// Counts a client connection until the returned guard is dropped.
@@ -205,11 +222,10 @@
     let shutdown = shutdown.clone();
     spawn(async move {
         terminate.recv().await;
-        let sigterm_at = Instant::now();
-        shutdown.sigterm_at.set(Some(sigterm_at));
+        shutdown.set_deadlines();
         let successor = find_successor();
         let other_serves = successor == Successor::Serving;
-        let answer_timeout = shutdown.final_answer_deadline().map(|at| at - sigterm_at);
+        let answer_timeout = shutdown.limits.shutdown.answer_timeout.get();
         tracing::info!(other_serves, ?answer_timeout, "shutdown started");
         shutdown.update(|controller| controller.shut_down(unix_time::now(), successor));
     });
--- a/src/net/stages/accept.rs
+++ b/src/net/stages/accept.rs
@@ -5,10 +5,11 @@
 use crate::net::engine::{Answer, Frontend, ReplyTo, Request};
 use crate::net::shutdown::Phase;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
-/// Accepts a request. Rejects it immediately past the limits on open requests and buffered bytes and from
-/// [`Phase::Rejecting`] on, and fails it if its id is still in use.
+/// Accepts a request. Rejects it immediately past the limits on open requests and buffered bytes, from
+/// [`Phase::Rejecting`] on and past the answer deadline of a shutdown, and fails it if its id is still in use.
 pub fn accept(
     pipeline: &Rc<Pipeline>,
     frontend: Rc<dyn Frontend>,
@@ -16,7 +17,12 @@
     mut request: Request,
 ) {
     let arrived = Instant::now();
-    if !pipeline.engine.has_capacity() || pipeline.shutdown.phase() >= Phase::Rejecting {
+    let deadlines = pipeline.shutdown.deadlines();
+    let remaining = deadlines.map(|at| at.answers.saturating_duration_since(arrived));
+    if !pipeline.engine.has_capacity()
+        || pipeline.shutdown.phase() >= Phase::Rejecting
+        || remaining == Some(Duration::ZERO)
+    {
         let retry_after = pipeline.limits.requests.capacity_retry_after.get();
         return frontend.answer(sequence, Answer::Rejected { retry_after });
     }
@@ -24,9 +30,8 @@
     if pipeline.engine.contains_request(request.id) {
         return frontend.answer(sequence, Answer::Failed);
     }
-    // No request may still be open when the process must exit.
-    if let Some(final_answer_deadline) = pipeline.shutdown.final_answer_deadline() {
-        let remaining = final_answer_deadline.saturating_duration_since(arrived);
+    // SIGKILL must not find a request that was taken after SIGTERM still open.
+    if let Some(remaining) = remaining {
         request.wait = request.wait.min(remaining);
     }
     let reply_to = ReplyTo { frontend, sequence };
