Connections let other tasks run after 32 commands

Cause: all tasks share one thread, and a connection handled every command that it could read before any other task ran. An admin request takes a few turns on the thread, so its time grew with the batches of all clients and with the machine's load. Change: a turn of a connection ends after 32 commands. Between two turns the end of a connection is seen behind the commands that are not handled yet, so that none of them is begun for a client that has left.

--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -17,8 +17,15 @@
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::sleep_until;
 
+#[cfg(test)]
+mod tests;
+
+/// Number of commands after which a connection lets other tasks run. All tasks share one thread, so that a client that
+/// sends many commands at once would otherwise delay all others.
+const MAX_COMMANDS_PER_TURN: usize = 32;
 const PONG: &[u8] = b"+PONG\r\n";
 const OK: &[u8] = b"+OK\r\n";
 const DRAINING: &str = "draining";
@@ -54,6 +61,8 @@
     End(ConnectionEnd),
     /// There is more to do without waiting.
     Continue,
+    /// Other tasks run first, since the connection has handled its commands of one turn.
+    Yield,
     /// The connection waits for the client, a response, a time-out or a change of phase.
     Wait,
 }
@@ -66,6 +75,8 @@
     idle_timer: IdleTimer,
     phase: watch::Receiver<Phase>,
     close_policy: ClosePolicy,
+    /// Number of commands handled since other tasks were last let run.
+    commands_in_turn: usize,
 }
 
 impl<'a> Connection<'a> {
@@ -85,6 +96,7 @@
             idle_timer: IdleTimer::new(downstream.idle_connections.clone()),
             phase: shutdown.subscribe_phase(),
             close_policy: ClosePolicy::new(admission, shutdown.phase()),
+            commands_in_turn: 0,
         }
     }
 
@@ -97,6 +109,7 @@
             let next = match self.step() {
                 Step::End(end) => return end,
                 Step::Continue => ControlFlow::Continue(()),
+                Step::Yield => self.let_other_tasks_run().await,
                 Step::Wait => self.wait().await,
             };
             if let ControlFlow::Break(end) = next {
@@ -122,7 +135,11 @@
             },
             CloseDecision::Keep => {
                 self.update_idle_timer(progress);
-                Step::Wait
+                if self.is_turn_over() {
+                    Step::Yield
+                } else {
+                    Step::Wait
+                }
             }
         }
     }
@@ -137,11 +154,15 @@
         }
     }
 
-    /// Handles the complete commands received, until malformed bytes or too many unsent bytes.
+    fn is_turn_over(&self) -> bool {
+        self.commands_in_turn >= MAX_COMMANDS_PER_TURN
+    }
+
+    /// Handles the complete commands received, until the turn is over, malformed bytes or too many unsent bytes.
     fn handle_commands(&mut self) {
         let limits = self.limits();
         let mut consumed = 0;
-        while self.read_mode() == ReadMode::Commands {
+        while !self.is_turn_over() && self.read_mode() == ReadMode::Commands {
             let bytes = &self.input.bytes()[consumed..];
             match codec::parse_command(bytes, limits) {
                 Ok(None) => break,
@@ -150,6 +171,7 @@
                 {
                     self.handle_command(bytes, &command);
                     consumed += command.length;
+                    self.commands_in_turn += 1;
                 }
                 Ok(Some(_)) => {
                     self.responses.push_error(TOO_MANY_COMMANDS);
@@ -239,6 +261,18 @@
         }
     }
 
+    /// Ends the turn. A client that has left in the meantime is noticed at once, so that no more of its commands are
+    /// handled.
+    async fn let_other_tasks_run(&mut self) -> ControlFlow<ConnectionEnd> {
+        self.commands_in_turn = 0;
+        yield_now().await;
+        if self.input.has_client_gone().await {
+            ControlFlow::Break(ConnectionEnd::Lost)
+        } else {
+            ControlFlow::Continue(())
+        }
+    }
+
     /// Waits until there is something to do or the connection has ended.
     async fn wait(&mut self) -> ControlFlow<ConnectionEnd> {
         const CONTINUE: ControlFlow<ConnectionEnd> = ControlFlow::Continue(());
--- a/src/net/resp/downstream/input.rs
+++ b/src/net/resp/downstream/input.rs
@@ -106,6 +106,16 @@
         }
     }
 
+    /// Returns whether the client is known to have closed the connection, even behind bytes that are not read yet. Does
+    /// not wait.
+    pub(super) async fn has_client_gone(&self) -> bool {
+        tokio::select! {
+            biased;
+            is_closed = self.is_read_closed() => is_closed,
+            () = std::future::ready(()) => false,
+        }
+    }
+
     async fn receive_commands(&mut self, limits: &Limits) -> ReceiveOutcome {
         let chunk_bytes = limits.codec.read_chunk_bytes;
         match codec::read_more(&mut self.reader, &mut self.bytes, chunk_bytes).await {
--- a/tests/operations/admin.rs
+++ b/tests/operations/admin.rs
@@ -6,6 +6,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Barrier;
 use std::time::{Duration, Instant};
 
 /// Number of stalled connections: more than the admin interface keeps open.
@@ -85,8 +86,11 @@
     wait_until_served_again(&limiter);
 }
 
-/// Sends batches of requests until `is_over` is set.
-fn saturate(client: u64, address: SocketAddr, is_over: &AtomicBool) {
+/// Number of clients that saturate the limiter.
+const SATURATING_CLIENTS: u64 = 6;
+
+/// Sends batches of requests until `is_over` is set. Waits at `all_saturate` once the first batch is answered.
+fn saturate(client: u64, address: SocketAddr, all_saturate: &Barrier, is_over: &AtomicBool) {
     const BATCH: u64 = 200;
     let mut stream = TcpStream::connect(address).expect("the limiter listens");
     let mut first_id = client << 40;
@@ -96,6 +100,9 @@
             .collect();
         first_id += BATCH;
         send(&mut stream, &batch, BATCH as usize);
+        if first_id == (client << 40) + BATCH {
+            all_saturate.wait();
+        }
     }
 }
 
@@ -108,11 +115,14 @@
         .collect();
     let address = limiter.address;
     let is_over = AtomicBool::new(false);
+    let all_saturate = Barrier::new(SATURATING_CLIENTS as usize + 1);
     std::thread::scope(|scope| {
-        for client in 1..=6 {
+        for client in 1..=SATURATING_CLIENTS {
             let is_over = &is_over;
-            scope.spawn(move || saturate(client, address, is_over));
+            let all_saturate = &all_saturate;
+            scope.spawn(move || saturate(client, address, all_saturate, is_over));
         }
+        all_saturate.wait();
         let mut longest = Duration::ZERO;
         for _ in 0..20 {
             let began = Instant::now();
