Tests of counter and discovery listen on free ports

Cause: they bound fixed loopback addresses, so that two checkouts that ran them at the same time failed with 'address in use'. Change: BoundService binds a free port before the limiter is configured with its address; the scripted counter and discovery use it. Assertions and bounds are unchanged.

--- a/src/net/counter/tests.rs
+++ b/src/net/counter/tests.rs
@@ -6,7 +6,7 @@
 use super::start;
 use crate::api::{Event, Outcome};
 use crate::net::task::spawn;
-use crate::net::tests::{next_event, with_limiter};
+use crate::net::tests::{next_event, with_limiter, BoundService};
 use crate::net::Limiter;
 use std::future::Future;
 use std::rc::Rc;
@@ -20,18 +20,22 @@
 /// The end of a command with [`KEEP_FOR`].
 const COMMAND_END: &[u8] = b"4000\r\n";
 
-/// Runs a test on a limiter whose counter is at `address` and whose calls time out after `call_timeout`.
+/// Runs a test on a limiter with a scripted counter, whose calls time out after `call_timeout`.
 fn with_counter<F: Future<Output = ()>>(
-    address: &str,
     call_timeout: Duration,
-    test: impl FnOnce(Rc<Limiter>) -> F,
+    test: impl FnOnce(Rc<Limiter>, ScriptedCounter) -> F,
 ) {
+    let service = BoundService::bind();
+    let address = service.address();
     let call_timeout = format!("\"counterTimeoutNs\": {}", call_timeout.as_nanos());
     let changes = [
-        ("127.0.0.1:7002", address),
+        ("127.0.0.1:7002", address.as_str()),
         ("\"counterTimeoutNs\": 30000000", call_timeout.as_str()),
     ];
-    with_limiter(&changes, test);
+    with_limiter(&changes, |limiter| {
+        let listener = service.into_listener();
+        test(limiter, ScriptedCounter { listener })
+    });
 }
 
 /// A counter server whose answers are determined by the test.
@@ -40,10 +44,10 @@
 }
 
 impl ScriptedCounter {
-    async fn bind(address: &str) -> Self {
-        let listener = TcpListener::bind(address).await;
+    async fn bind() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
         ScriptedCounter {
-            listener: listener.expect("the address is free"),
+            listener: listener.expect("a port is free"),
         }
     }
 
@@ -117,8 +121,7 @@
 #[test]
 fn late_answers_are_matched_to_their_calls() {
     let call_timeout = Duration::from_millis(200);
-    with_counter("127.77.0.20:7002", call_timeout, |limiter| async move {
-        let counter = ScriptedCounter::bind("127.77.0.20:7002").await;
+    with_counter(call_timeout, |limiter, counter| async move {
         call(&limiter, 1.0);
         call(&limiter, -2.5);
         start_link(&limiter);
@@ -140,8 +143,7 @@
 #[test]
 fn link_continues_on_a_new_connection() {
     let call_timeout = Duration::from_millis(200);
-    with_counter("127.77.0.25:7002", call_timeout, |limiter| async move {
-        let counter = ScriptedCounter::bind("127.77.0.25:7002").await;
+    with_counter(call_timeout, |limiter, counter| async move {
         call(&limiter, 3.0);
         start_link(&limiter);
         let mut stream = counter.accept().await;
@@ -181,9 +183,8 @@
 #[test]
 fn address_change_keeps_the_order_and_loses_no_call() {
     let call_timeout = Duration::from_secs(2);
-    with_counter("127.77.0.22:7002", call_timeout, |limiter| async move {
-        let old_counter = ScriptedCounter::bind("127.77.0.22:7002").await;
-        let new_counter = ScriptedCounter::bind("127.77.0.22:7003").await;
+    with_counter(call_timeout, |limiter, old_counter| async move {
+        let new_counter = ScriptedCounter::bind().await;
         call(&limiter, 1.0);
         start_link(&limiter);
         let mut old_stream = old_counter.accept().await;
@@ -246,8 +247,7 @@
 #[test]
 fn silent_connection_fails_early_once_another_is_answered() {
     let call_timeout = Duration::from_millis(50);
-    with_counter("127.77.0.24:7002", call_timeout, |limiter| async move {
-        let counter = ScriptedCounter::bind("127.77.0.24:7002").await;
+    with_counter(call_timeout, |limiter, counter| async move {
         call(&limiter, 1.0);
         let queue = start_link(&limiter);
         let mut stream = counter.accept().await;
@@ -275,8 +275,7 @@
 #[test]
 fn connection_without_a_first_answer_does_not_fail_early() {
     let call_timeout = Duration::from_millis(50);
-    with_counter("127.77.0.26:7002", call_timeout, |limiter| async move {
-        let counter = ScriptedCounter::bind("127.77.0.26:7002").await;
+    with_counter(call_timeout, |limiter, counter| async move {
         call(&limiter, 1.0);
         let queue = start_link(&limiter);
         let mut answered = counter.accept().await;
@@ -304,8 +303,7 @@
 #[test]
 fn malformed_answer_ends_the_connection_and_not_the_link() {
     let call_timeout = Duration::from_secs(1);
-    with_counter("127.77.0.23:7002", call_timeout, |limiter| async move {
-        let counter = ScriptedCounter::bind("127.77.0.23:7002").await;
+    with_counter(call_timeout, |limiter, counter| async move {
         (0..3).for_each(|_| call(&limiter, 1.0));
         start_link(&limiter);
         let mut stream = counter.accept().await;
--- a/src/net/discovery/race_tests.rs
+++ b/src/net/discovery/race_tests.rs
@@ -5,7 +5,7 @@
 use crate::api::{Event, HostState};
 use crate::net::config::{parse, Limits};
 use crate::net::task::spawn;
-use crate::net::tests::{next_event, with_limiter};
+use crate::net::tests::{next_event, with_limiter, BoundService};
 use crate::net::Limiter;
 use std::future::Future;
 use std::rc::Rc;
@@ -36,20 +36,20 @@
     }
 }
 
-/// Runs a test with a limiter that follows a scripted discovery at `address`.
+/// Runs a test with a limiter that follows a scripted discovery.
 fn with_discovery<F: Future<Output = ()>>(
-    address: &'static str,
     mode: Mode,
     test: impl FnOnce(Rc<Limiter>, ScriptedDiscovery) -> F,
 ) {
+    let service = BoundService::bind();
+    let address = service.address();
     let changes = [
-        (EXAMPLE_ADDRESS, address),
+        (EXAMPLE_ADDRESS, address.as_str()),
         (Mode::Pushed.setting(), mode.setting()),
     ];
     with_limiter(&changes, |limiter| async move {
-        let listener = TcpListener::bind(address).await;
         let discovery = ScriptedDiscovery {
-            listener: listener.expect("the address is free"),
+            listener: service.into_listener(),
         };
         let backoff = Backoff::from_limits(limiter.limits(), 1);
         spawn(follow(limiter.discovery().clone(), backoff));
@@ -227,8 +227,7 @@
 /// reopened.
 #[test]
 fn silent_watch_is_reopened_once_the_check_finds_a_change() {
-    let address = "127.77.0.40:7001";
-    with_discovery(address, Mode::Pushed, |limiter, discovery| async move {
+    with_discovery(Mode::Pushed, |limiter, discovery| async move {
         let first = discovery.accept().await;
         let watch = first.answer_and_wait(full_list(4, "SERVING")).await;
         assert!(watch.path.contains("index=4"), "{}", watch.path);
@@ -264,8 +263,7 @@
 /// delay, and requests the changes since the current list.
 #[test]
 fn silent_polled_watch_is_reopened_at_the_end_of_its_wait() {
-    let address = "127.77.0.41:7001";
-    with_discovery(address, Mode::Polled, |limiter, discovery| async move {
+    with_discovery(Mode::Polled, |limiter, discovery| async move {
         let first = discovery.accept().await;
         assert!(first.is_watch(), "{}", first.path);
         let silent = first.answer_and_wait(full_list(4, "SERVING")).await;
@@ -289,8 +287,7 @@
 /// a lower version mean that discovery has restarted, and the second one is applied.
 #[test]
 fn late_answer_changes_nothing_and_a_restart_of_discovery_is_recognized() {
-    let address = "127.77.0.42:7001";
-    with_discovery(address, Mode::Pushed, |limiter, discovery| async move {
+    with_discovery(Mode::Pushed, |limiter, discovery| async move {
         let first = discovery.accept().await;
         let watch = first.answer_and_wait(full_list(4, "SERVING")).await;
         assert_eq!(next_list(&limiter).await, applied(4, HostState::Ready));
@@ -318,8 +315,7 @@
 /// Changes that are older than the current list are ignored, and the full list is requested.
 #[test]
 fn changes_older_than_the_current_list_are_ignored() {
-    let address = "127.77.0.43:7001";
-    with_discovery(address, Mode::Polled, |limiter, discovery| async move {
+    with_discovery(Mode::Polled, |limiter, discovery| async move {
         let first = discovery.accept().await;
         let watch = first.answer_and_wait(full_list(4, "SERVING")).await;
         assert_eq!(next_list(&limiter).await, applied(4, HostState::Ready));
@@ -335,8 +331,7 @@
 /// connection after a delay, and does not loop on this connection.
 #[test]
 fn outdated_changes_for_a_full_list_request_end_the_connection() {
-    let address = "127.77.0.44:7001";
-    with_discovery(address, Mode::Polled, |limiter, discovery| async move {
+    with_discovery(Mode::Polled, |limiter, discovery| async move {
         let first = discovery.accept().await;
         let watch = first.answer_and_wait(full_list(4, "SERVING")).await;
         let full_request = watch.answer_and_wait(changes(3, "DRAINING")).await;
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -4,7 +4,7 @@
 use super::*;
 use crate::api::{Event, HostState, ListMode};
 use crate::net::task::spawn;
-use crate::net::tests::{next_event, with_limiter};
+use crate::net::tests::{next_event, with_limiter, BoundService};
 use crate::net::Limiter;
 use quartzcleat_admin::MaintenanceChange;
 use std::collections::BTreeMap;
@@ -67,10 +67,11 @@
 /// than the current one changes nothing.
 #[test]
 fn changes_missed_by_a_lost_watch_are_found_by_the_check() {
-    let changes = [("127.0.0.1:7001", "127.77.0.24:7001")];
+    let service = BoundService::bind();
+    let address = service.address();
+    let changes = [("127.0.0.1:7001", address.as_str())];
     with_limiter(&changes, |limiter| async move {
-        let discovery = TcpListener::bind("127.77.0.24:7001").await;
-        let discovery = discovery.expect("the address is free");
+        let discovery = service.into_listener();
         let backoff = Backoff::from_limits(limiter.limits(), 1);
         spawn(follow(limiter.discovery().clone(), backoff));
         spawn(check(limiter.discovery().clone()));
--- a/src/net/limiter/tests.rs
+++ b/src/net/limiter/tests.rs
@@ -71,6 +71,32 @@
     });
 }
 
+/// A service of the limiter that listens on a free port before the limiter is configured with its address.
+pub(crate) struct BoundService {
+    listener: std::net::TcpListener,
+}
+
+impl BoundService {
+    /// Binds a free port of the loopback address.
+    pub(crate) fn bind() -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        BoundService { listener }
+    }
+
+    /// Returns the address as it is written in a configuration.
+    pub(crate) fn address(&self) -> String {
+        let address = self.listener.local_addr();
+        address.expect("the listener has an address").to_string()
+    }
+
+    /// Returns the listener for the runtime that calls this method.
+    pub(crate) fn into_listener(self) -> TcpListener {
+        let nonblocking = self.listener.set_nonblocking(true);
+        nonblocking.expect("the mode is set");
+        TcpListener::from_std(self.listener).expect("a runtime runs")
+    }
+}
+
 /// Waits for the next event in the decision engine's queue and removes it.
 pub(crate) async fn next_event(limiter: &Rc<Limiter>) -> Event {
     loop {
