--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -88,47 +88,54 @@
     }
 }
 
-/// Sends a late request to a limiter that shuts down, with this deadline of all classes.
-fn check_late_request_of_plain_shutdown(number: u8, deadline: Duration) {
-    let mut limiter = limiter_setup(number)
-        .with_config(move |text| with_deadline(text, deadline))
-        .start();
-    let connections = OpenConnections::open(&limiter);
+/// Shuts down a limiter, sends it a late request, and waits for its end.
+fn check_late_request_of(
+    mut limiter: Limiter,
+    connections: OpenConnections,
+    longest_deadline: Duration,
+) {
     let sigterm_at = Instant::now();
     limiter.signal(Signal::SIGTERM);
-    connections.check_late_request(sigterm_at, deadline);
+    connections.check_late_request(sigterm_at, longest_deadline);
     assert!(limiter.child.wait().expect("the limiter ends").success());
 }
 
-// Requests taken late in a shutdown were lost at SIGKILL, since the process expected SIGKILL too late: incident
-// late-shutdown-answers. The platform counts a long deadline as 3 s and the others as they are.
+/// The same for a limiter whose classes have this deadline.
+fn check_late_request_with_deadline(number: u8, deadline: Duration) {
+    let limiter = limiter_setup(number)
+        .with_config(move |text| with_deadline(text, deadline))
+        .start();
+    let connections = OpenConnections::open(&limiter);
+    check_late_request_of(limiter, connections, deadline);
+}
 
+/// Requests taken late in a shutdown were lost at SIGKILL (incident late-shutdown-answers). The platform counts this
+/// deadline as 3 s.
 #[test]
 fn late_request_of_a_class_with_a_long_deadline_is_answered_before_the_earliest_kill() {
-    check_late_request_of_plain_shutdown(1, Duration::from_millis(7_500));
+    check_late_request_with_deadline(1, Duration::from_millis(7_500));
 }
 
+/// The same fault where the platform counts the deadline as it is.
 #[test]
 fn late_request_of_a_class_with_a_medium_deadline_is_answered_before_the_earliest_kill() {
-    check_late_request_of_plain_shutdown(2, Duration::from_millis(2_500));
+    check_late_request_with_deadline(2, Duration::from_millis(2_500));
 }
 
+/// The same fault where SIGKILL may follow soon.
 #[test]
 fn late_request_of_a_class_with_a_short_deadline_is_answered_before_the_earliest_kill() {
-    check_late_request_of_plain_shutdown(3, Duration::from_millis(1_500));
+    check_late_request_with_deadline(3, Duration::from_millis(1_500));
 }
 
 /// The same fault at a process that an operator has drained before its SIGTERM.
 #[test]
 fn late_request_to_a_drained_limiter_is_answered_before_the_earliest_kill() {
     let deadline = Duration::from_millis(7_500);
-    let mut limiter = limiter_setup(4).start();
+    let limiter = limiter_setup(4).start();
     let connections = OpenConnections::open(&limiter);
     assert_eq!(limiter.call_admin("PUT", "/drain", ""), 200);
-    let sigterm_at = Instant::now();
-    limiter.signal(Signal::SIGTERM);
-    connections.check_late_request(sigterm_at, deadline);
-    assert!(limiter.child.wait().expect("the limiter ends").success());
+    check_late_request_of(limiter, connections, deadline);
 }
 
 /// The same fault at a process that a new version replaces.
@@ -148,7 +155,7 @@
 #[test]
 fn late_request_after_a_reload_with_shorter_deadlines_is_answered_before_the_earliest_kill() {
     let deadline = Duration::from_millis(1_500);
-    let mut limiter = limiter_setup(6).start();
+    let limiter = limiter_setup(6).start();
     let connections = OpenConnections::open(&limiter);
     let text = std::fs::read_to_string(&limiter.config_path).expect("the configuration is there");
     let text = replace(
@@ -159,10 +166,7 @@
     std::fs::write(&limiter.config_path, text).expect("the file is replaced");
     limiter.signal(Signal::SIGHUP);
     wait_until_class_is_served(&limiter, "hut-hold");
-    let sigterm_at = Instant::now();
-    limiter.signal(Signal::SIGTERM);
-    connections.check_late_request(sigterm_at, deadline);
-    assert!(limiter.child.wait().expect("the limiter ends").success());
+    check_late_request_of(limiter, connections, deadline);
 }
 
 /// Sends requests of a class until one is served.
