Log why each client connection ends, why requests are rejected, and each drain phase

The end of a connection is typed by its reason (drained, past the limit, idle, slow command, evicted, malformed, value cut; client gone, write failed, write stalled) and logged at debug level, as are rejections on arrival; answers say their kind; drain phases are logged at info. No decision changes: the tests of the close policy check the same cases and now the reason too.

--- a/src/net/engine/request.rs
+++ b/src/net/engine/request.rs
@@ -28,6 +28,18 @@
     Failed,
 }
 
+impl Answer {
+    /// Returns the kind of the answer, for the log.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Streaming(_) => "streaming",
+            Answer::Rejected { .. } => "rejected",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
 /// The arguments of a command for a host. They are forwarded unchanged, except for the remaining wait that one of them
 /// contains.
 #[derive(Clone, Debug, Default)]
--- a/src/net/resp/close.rs
+++ b/src/net/resp/close.rs
@@ -38,23 +38,23 @@
 }
 
 /// Closes a connection gracefully: shuts down the sending direction, then discards received bytes until the peer closes
-/// the connection too, for at most `linger`.
+/// the connection too, for at most `linger`. Returns the number of discarded bytes.
 ///
 /// Closing a socket with unread bytes resets the connection, and the peer loses the bytes that it has not read yet.
 /// Commands received during this time get no answer: their sender learns from the end of the connection that they were
 /// not accepted.
-pub async fn close_in_order(mut stream: TcpStream, linger: Duration) {
+pub async fn close_in_order(mut stream: TcpStream, linger: Duration) -> usize {
     if stream.shutdown().await.is_err() {
-        return;
+        return 0;
     }
-    let mut discarded = [0; DISCARD_BUFFER_BYTES];
+    let mut buffer = [0; DISCARD_BUFFER_BYTES];
+    let mut discarded_bytes = 0;
     let drain = async {
-        while stream
-            .read(&mut discarded)
-            .await
-            .is_ok_and(|count| count > 0)
-        {}
+        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+            discarded_bytes += count;
+        }
     };
     // The connection is reset if the peer keeps sending for longer.
     let _ = timeout(linger, drain).await;
+    discarded_bytes
 }
--- a/src/net/resp/downstream/closing.rs
+++ b/src/net/resp/downstream/closing.rs
@@ -20,9 +20,39 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
     /// The limiter closes it, and no collected bytes are unsent.
-    Orderly,
+    Orderly(CloseReason),
     /// The client has gone or no longer accepts bytes, or the connection has failed.
-    Lost,
+    Lost(LossReason),
+}
+
+/// Why the limiter closes a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// Clients are being drained.
+    Drained,
+    /// It was accepted past the connection limit, and has had its responses.
+    PastLimit,
+    /// It was idle for too long.
+    IdleTimeout,
+    /// Its next command was not complete in time.
+    CommandTimeout,
+    /// Another client needs its file descriptor.
+    Evicted,
+    /// Malformed bytes were received.
+    Malformed,
+    /// The rest of a streamed value will never be received.
+    BodyFailed,
+}
+
+/// Why a connection is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LossReason {
+    /// The client has closed it, or reading from it has failed.
+    ClientGone,
+    /// Writing to it has failed.
+    WriteFailed,
+    /// The client has left its responses unread for too long.
+    WriteStalled,
 }
 
 /// Whether to close a connection now.
@@ -31,9 +61,9 @@
     /// The connection stays open.
     Keep,
     /// The connection is closed.
-    Close,
+    Close(CloseReason),
     /// The connection is closed, unless more bytes have been received from the client in the meantime.
-    CloseUnlessReceived,
+    CloseUnlessReceived(CloseReason),
 }
 
 /// The progress of a connection in reading commands and sending responses.
@@ -84,27 +114,35 @@
     pub(super) fn decide(self, progress: Progress, phase: Phase) -> CloseDecision {
         // The client detects by the early end of the connection that the value is incomplete.
         if progress.collected == CollectOutcome::BodyFailed && progress.is_output_empty {
-            return CloseDecision::Close;
+            return CloseDecision::Close(CloseReason::BodyFailed);
         }
         if !progress.is_between_requests() {
             return CloseDecision::Keep;
         }
         match progress.input {
-            InputState::Malformed => CloseDecision::Close,
-            InputState::Empty if self.is_closed_between_requests(progress, phase) => {
-                CloseDecision::CloseUnlessReceived
-            }
-            InputState::Empty | InputState::PartialCommand => CloseDecision::Keep,
+            InputState::Malformed => CloseDecision::Close(CloseReason::Malformed),
+            InputState::Empty => self
+                .close_reason_between_requests(progress, phase)
+                .map_or(CloseDecision::Keep, CloseDecision::CloseUnlessReceived),
+            InputState::PartialCommand => CloseDecision::Keep,
         }
     }
 
-    /// Returns whether the connection closes as soon as it is between requests, because clients are being drained or it
-    /// was accepted past the limit. Commands that were received together are all answered first. A connection that was
-    /// accepted during the drain or past the limit does not close before its first response.
-    fn is_closed_between_requests(self, progress: Progress, phase: Phase) -> bool {
+    /// Returns why the connection closes as soon as it is between requests; `None` if it stays open. Commands that were
+    /// received together are all answered first. A connection that was accepted during the drain or past the limit does
+    /// not close before its first response.
+    fn close_reason_between_requests(
+        self,
+        progress: Progress,
+        phase: Phase,
+    ) -> Option<CloseReason> {
         let was_accepted_before = self.accepted_in < Phase::Closing;
-        let is_drained = phase >= Phase::Closing && (progress.has_responded || was_accepted_before);
-        let is_rejected = self.admission == Admission::Rejected && progress.has_responded;
-        is_drained || is_rejected
+        if phase >= Phase::Closing && (progress.has_responded || was_accepted_before) {
+            Some(CloseReason::Drained)
+        } else if self.admission == Admission::Rejected && progress.has_responded {
+            Some(CloseReason::PastLimit)
+        } else {
+            None
+        }
     }
 }
--- a/src/net/resp/downstream/closing/tests.rs
+++ b/src/net/resp/downstream/closing/tests.rs
@@ -23,7 +23,7 @@
 fn served_connection_closes_between_requests_while_clients_are_drained() {
     assert_eq!(
         served().decide(IDLE, Phase::Closing),
-        CloseDecision::CloseUnlessReceived
+        CloseDecision::CloseUnlessReceived(CloseReason::Drained)
     );
     let unused = Progress {
         has_responded: false,
@@ -31,7 +31,7 @@
     };
     assert_eq!(
         served().decide(unused, Phase::Closing),
-        CloseDecision::CloseUnlessReceived
+        CloseDecision::CloseUnlessReceived(CloseReason::Drained)
     );
 }
 
@@ -69,7 +69,7 @@
     assert_eq!(policy.decide(unused, Phase::Closing), CloseDecision::Keep);
     assert_eq!(
         policy.decide(IDLE, Phase::Closing),
-        CloseDecision::CloseUnlessReceived
+        CloseDecision::CloseUnlessReceived(CloseReason::Drained)
     );
 }
 
@@ -83,7 +83,7 @@
     assert_eq!(policy.decide(unused, Phase::Serving), CloseDecision::Keep);
     assert_eq!(
         policy.decide(IDLE, Phase::Serving),
-        CloseDecision::CloseUnlessReceived
+        CloseDecision::CloseUnlessReceived(CloseReason::PastLimit)
     );
 }
 
@@ -95,7 +95,7 @@
     };
     assert_eq!(
         served().decide(malformed, Phase::Serving),
-        CloseDecision::Close
+        CloseDecision::Close(CloseReason::Malformed)
     );
     let unsent = Progress {
         is_output_empty: false,
@@ -113,7 +113,7 @@
     };
     assert_eq!(
         served().decide(failed, Phase::Serving),
-        CloseDecision::Close
+        CloseDecision::Close(CloseReason::BodyFailed)
     );
     let unsent = Progress {
         is_output_empty: false,
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -1,6 +1,8 @@
 //! A client connection: handles commands as they arrive and sends the responses in the order of the commands.
 
-use super::closing::{Admission, CloseDecision, ClosePolicy, ConnectionEnd, Progress};
+use super::closing::{
+    Admission, CloseDecision, ClosePolicy, CloseReason, ConnectionEnd, LossReason, Progress,
+};
 use super::idle_connections::{Activity, IdleTimer, Usage};
 use super::input::{Input, InputState, ReadMode, ReceiveOutcome};
 use super::output::Output;
@@ -41,20 +43,34 @@
     let responses = Rc::new(ResponseQueue::new(context.buffered_bytes.clone()));
     let mut connection = Connection::new(downstream, &mut stream, admission, &responses);
     let end = connection.run().await;
-    if end == ConnectionEnd::Lost {
+    if matches!(end, ConnectionEnd::Lost(_)) {
         connection.output.abandon(&responses);
     }
     drop(connection);
+    log_end(end, &responses);
     responses.abandon(&*context.handler);
     // At the connection limit a connection closes at once: if it lingered for its client, other clients would wait for
     // its file descriptor. After malformed bytes, the resulting reset may discard the last response.
     let has_capacity =
         context.shutdown.connections() < context.limits.downstream_connection_share();
-    if end == ConnectionEnd::Orderly && has_capacity {
-        close::close_in_order(stream, context.limits.downstream.linger_timeout).await;
+    if matches!(end, ConnectionEnd::Orderly(_)) && has_capacity {
+        let linger = context.limits.downstream.linger_timeout;
+        let discarded_bytes = close::close_in_order(stream, linger).await;
+        if discarded_bytes > 0 {
+            tracing::debug!(?end, discarded_bytes, "bytes received after the close");
+        }
     }
 }
 
+fn log_end(end: ConnectionEnd, responses: &ResponseQueue) {
+    tracing::debug!(
+        ?end,
+        responses = responses.collected_count(),
+        unanswered = responses.len(),
+        "client connection ended"
+    );
+}
+
 /// What a connection does next.
 enum Step {
     /// The connection ends.
@@ -123,16 +139,18 @@
         self.handle_commands();
         let collected = self.output.collect(&self.responses);
         if self.output.write(&self.responses, self.limits()).is_err() {
-            return Step::End(ConnectionEnd::Lost);
+            return Step::End(ConnectionEnd::Lost(LossReason::WriteFailed));
         }
         let phase = *self.phase.borrow_and_update();
         let progress = self.progress(collected);
         match self.close_policy.decide(progress, phase) {
-            CloseDecision::Close => Step::End(ConnectionEnd::Orderly),
-            CloseDecision::CloseUnlessReceived => match self.close_unless_received() {
-                ControlFlow::Break(end) => Step::End(end),
-                ControlFlow::Continue(()) => Step::Continue,
-            },
+            CloseDecision::Close(reason) => Step::End(ConnectionEnd::Orderly(reason)),
+            CloseDecision::CloseUnlessReceived(reason) => {
+                match self.close_unless_received(reason) {
+                    ControlFlow::Break(end) => Step::End(end),
+                    ControlFlow::Continue(()) => Step::Continue,
+                }
+            }
             CloseDecision::Keep => {
                 self.update_idle_timer(progress);
                 if self.is_turn_over() {
@@ -227,11 +245,11 @@
     }
 
     /// Closes the connection between two requests, unless the socket has received more bytes in the meantime.
-    fn close_unless_received(&mut self) -> ControlFlow<ConnectionEnd> {
+    fn close_unless_received(&mut self, reason: CloseReason) -> ControlFlow<ConnectionEnd> {
         match self.input.read_now() {
             SocketState::Read(_) => ControlFlow::Continue(()),
-            SocketState::Empty => ControlFlow::Break(ConnectionEnd::Orderly),
-            SocketState::Closed => ControlFlow::Break(ConnectionEnd::Lost),
+            SocketState::Empty => ControlFlow::Break(ConnectionEnd::Orderly(reason)),
+            SocketState::Closed => ControlFlow::Break(ConnectionEnd::Lost(LossReason::ClientGone)),
         }
     }
 
@@ -267,7 +285,7 @@
         self.commands_in_turn = 0;
         yield_now().await;
         if self.input.has_client_gone().await {
-            ControlFlow::Break(ConnectionEnd::Lost)
+            ControlFlow::Break(ConnectionEnd::Lost(LossReason::ClientGone))
         } else {
             ControlFlow::Continue(())
         }
@@ -276,7 +294,7 @@
     /// Waits until there is something to do or the connection has ended.
     async fn wait(&mut self) -> ControlFlow<ConnectionEnd> {
         const CONTINUE: ControlFlow<ConnectionEnd> = ControlFlow::Continue(());
-        const LOST: ControlFlow<ConnectionEnd> = ControlFlow::Break(ConnectionEnd::Lost);
+        let lost = |reason| ControlFlow::Break(ConnectionEnd::Lost(reason));
         let limits = self.limits();
         let read_mode = self.read_mode();
         let body = self.responses.current_body();
@@ -288,14 +306,14 @@
             biased;
             received = self.input.receive(read_mode, limits) => match received {
                 ReceiveOutcome::Received => CONTINUE,
-                ReceiveOutcome::ClientGone => LOST,
+                ReceiveOutcome::ClientGone => lost(LossReason::ClientGone),
             },
             () = self.output.writable(), if has_unwritten => CONTINUE,
             () = self.responses.first_ready.notified() => CONTINUE,
             () = wait_for_body(body.as_deref()), if self.output.is_empty() => CONTINUE,
-            () = sleep_until(stalled_at), if has_unwritten => LOST,
+            () = sleep_until(stalled_at), if has_unwritten => lost(LossReason::WriteStalled),
             _ = self.phase.changed(), if !is_closing => CONTINUE,
-            () = self.idle_timer.expired(limits) => self.close_unless_received(),
+            reason = self.idle_timer.expired(limits) => self.close_unless_received(reason),
         }
     }
 }
--- a/src/net/resp/downstream/idle_connections.rs
+++ b/src/net/resp/downstream/idle_connections.rs
@@ -1,5 +1,6 @@
 //! Idle client connections: their time-outs, and the order in which they are evicted to make room for other clients.
 
+use super::closing::CloseReason;
 use crate::net::config::Limits;
 use crate::net::resp::eviction::Eviction;
 use std::cell::{Cell, RefCell};
@@ -133,17 +134,22 @@
         }
     }
 
-    /// Waits until the connection has been idle for too long, or is evicted. Without these time-outs, connections that
+    /// Waits until the connection has been idle for too long, or is evicted, and returns which. Without these time-outs, connections that
     /// stay unused, commands that are never completed and clients that never return would occupy file descriptors.
-    pub(super) async fn expired(&self, limits: &Limits) {
-        let allowed = match self.activity {
+    pub(super) async fn expired(&self, limits: &Limits) -> CloseReason {
+        let (allowed, reason) = match self.activity {
             Activity::Busy => return std::future::pending().await,
-            Activity::Idle if !self.is_new => limits.downstream.idle_timeout,
-            Activity::Idle | Activity::PartialCommand => limits.downstream.command_timeout,
+            Activity::Idle if !self.is_new => {
+                (limits.downstream.idle_timeout, CloseReason::IdleTimeout)
+            }
+            Activity::Idle | Activity::PartialCommand => (
+                limits.downstream.command_timeout,
+                CloseReason::CommandTimeout,
+            ),
         };
         tokio::select! {
-            () = sleep_until(self.since + allowed) => {}
-            () = self.evicted.notified() => {}
+            () = sleep_until(self.since + allowed) => reason,
+            () = self.evicted.notified() => CloseReason::Evicted,
         }
     }
 }
--- a/src/net/resp/downstream/response_queue.rs
+++ b/src/net/resp/downstream/response_queue.rs
@@ -185,7 +185,12 @@
 
     /// Returns whether at least one response has been collected completely.
     pub(super) fn has_responded(&self) -> bool {
-        self.first_place.get() > 0
+        self.collected_count() > 0
+    }
+
+    /// Returns the number of responses that have been collected completely.
+    pub(super) fn collected_count(&self) -> u64 {
+        self.first_place.get()
     }
 
     /// Abandons all responses and their requests, because the connection has ended.
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -133,7 +133,11 @@
             let controller = self.controller.borrow();
             (controller.status(now), controller.is_shutting_down())
         };
+        let previous = self.phase();
         set_if_changed(&self.phase, status.phase);
+        if status.phase != previous {
+            self.log_phase(status.phase);
+        }
         let is_closing = status.phase >= Phase::Closing && is_shutting_down;
         set_if_changed(&self.is_closing, is_closing);
         let next_at = status.next_at?;
@@ -154,6 +158,12 @@
         }
     }
 
+    fn log_phase(&self, phase: Phase) {
+        let answers = self.deadlines().map(|deadlines| deadlines.answers);
+        let until_answers = answers.map(|at| at.saturating_duration_since(Instant::now()));
+        tracing::info!(?phase, ?until_answers, "drain phase started");
+    }
+
     /// Returns the deadlines of the shutdown; `None` before SIGTERM.
     pub fn deadlines(&self) -> Option<ShutdownDeadlines> {
         self.deadlines.get()
--- a/src/net/stages/accept.rs
+++ b/src/net/stages/accept.rs
@@ -8,6 +8,15 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Why a request is rejected before the decision engine sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RejectReason {
+    /// Too many requests are open, or too many bytes are buffered.
+    NoCapacity,
+    /// The process is shutting down, or drained by an operator.
+    ShuttingDown,
+}
+
 /// Accepts a request. Rejects it immediately past the limits on open requests and buffered bytes, from
 /// [`Phase::Rejecting`] on and past the answer deadline of a shutdown, and fails it if its id is still in use.
 pub fn accept(
@@ -19,10 +28,12 @@
     let arrived = Instant::now();
     let deadlines = pipeline.shutdown.deadlines();
     let remaining = deadlines.map(|at| at.answers.saturating_duration_since(arrived));
-    if !pipeline.engine.has_capacity()
-        || pipeline.shutdown.phase() >= Phase::Rejecting
-        || remaining == Some(Duration::ZERO)
-    {
+    if let Some(reason) = reject_reason(pipeline, remaining) {
+        tracing::debug!(
+            request = format_args!("{:016x}", request.id.0),
+            ?reason,
+            "request rejected on arrival"
+        );
         let retry_after = pipeline.limits.requests.capacity_retry_after.get();
         return frontend.answer(sequence, Answer::Rejected { retry_after });
     }
@@ -40,3 +51,16 @@
         .open_request(reply_to, &mut request, arrived);
     admit::admit(pipeline, &request, deadline);
 }
+
+/// Returns why a request is rejected; `None` if it is accepted. `remaining` is the time until the answer deadline of a
+/// shutdown.
+fn reject_reason(pipeline: &Pipeline, remaining: Option<Duration>) -> Option<RejectReason> {
+    let is_over = remaining == Some(Duration::ZERO);
+    if is_over || pipeline.shutdown.phase() >= Phase::Rejecting {
+        Some(RejectReason::ShuttingDown)
+    } else if !pipeline.engine.has_capacity() {
+        Some(RejectReason::NoCapacity)
+    } else {
+        None
+    }
+}
--- a/src/net/stages/complete.rs
+++ b/src/net/stages/complete.rs
@@ -21,8 +21,12 @@
 /// Answers a request if it is still open.
 pub fn answer(pipeline: &Pipeline, id: RequestId, answer: Answer) -> Delivery {
     let reply_to = pipeline.engine.close_request(id);
-    let open = reply_to.is_some();
-    tracing::debug!(request = format_args!("{:016x}", id.0), open, "answered");
+    tracing::debug!(
+        request = format_args!("{:016x}", id.0),
+        open = reply_to.is_some(),
+        answer = answer.kind(),
+        "answered"
+    );
     match reply_to {
         Some(reply_to) => {
             reply_to.frontend.answer(reply_to.sequence, answer);
