Failing test: a request that crosses the limiter's close is read and dropped

Reproduction of the incident's first hypothesis on a real process: the limiter ends its sending at SIGTERM + 0.6 s, a request arrives behind that, and the limiter reads and drops it. Its client gets no answer and no reset.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -1,6 +1,7 @@
 //! Events that cross on a limiter's sockets, forced: see docs/crossings.md.
 
-use quartzcleat_test_support::commands::{request, served, CHECK_FACTS, PING};
+use quartzcleat_fakes::process::Signal;
+use quartzcleat_test_support::commands::{request, send, served, CHECK_FACTS, PING};
 use quartzcleat_test_support::config::{
     with_few_sockets, with_long_deadline, with_one_request_in_progress,
 };
@@ -157,3 +158,19 @@
         began.elapsed()
     );
 }
+
+/// A request that was read and dropped behind the limiter's close was neither answered nor sent again (issue 47).
+#[test]
+fn request_that_crosses_the_limiters_close_is_left_unread() {
+    let mut limiter = limiter_setup(67).start();
+    let mut client = limiter.connect();
+    assert_eq!(send(&mut client, PING, 1), "+PONG\r\n");
+    limiter.signal(Signal::SIGTERM);
+    assert_eq!(rest(&mut client), Ok(String::new()));
+    // The client has read the limiter's end; a request that was sent a moment earlier arrives just like this one.
+    client
+        .write_all(request("Q.ASK", 1, CHECK_FACTS, "").as_bytes())
+        .expect("the client's side is open");
+    assert!(limiter.child.wait().expect("the limiter ends").success());
+    assert_eq!(rest(&mut client), Err(ErrorKind::ConnectionReset));
+}
