Leave a request unread that crosses the close of its connection

Callers saw: a request written just as the limiter ended its connection (drain, idle time, eviction) had no answer, and the connection ended in order.

Cause: close_in_order ends the sending and then reads and drops all that arrives until the client has closed too. It was written for bytes behind a malformed command, and served every orderly close: so a request that arrived after the last read (before the end of the sending or behind it) was read by nobody who could answer it. A client may send again only what the limiter has not read.

Fix: a close between requests ends the sending, waits for the client to close and reads nothing; if bytes were received, closing resets the connection, which tells the client that they were not read. Only behind malformed bytes and cut values, where no command can follow, bytes are discarded as before.

--- a/src/net/resp/close.rs
+++ b/src/net/resp/close.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::os::fd::AsRawFd;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -37,13 +37,53 @@
     }
 }
 
-/// Closes a connection gracefully: shuts down the sending direction, then discards received bytes until the peer closes
-/// the connection too, for at most `linger`. Returns the number of discarded bytes.
+/// Whether a socket held bytes when it was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnreadBytes {
+    /// All received bytes had been read.
+    None,
+    /// Bytes were received that nobody read; the peer learns that from a reset.
+    Some,
+}
+
+/// Closes a connection between two requests: shuts down the sending direction, then waits until the peer closes the
+/// connection too, for at most `linger`. Bytes received during this time are not read.
+///
+/// A client may send again what the limiter has not read. A request read here would get no answer.
+pub async fn close_between_requests(mut stream: TcpStream, linger: Duration) -> UnreadBytes {
+    if stream.shutdown().await.is_err() {
+        return UnreadBytes::None;
+    }
+    // Closing earlier would reset the connection, and the peer would lose answers that it has not received yet.
+    let _ = timeout(linger, peer_closed(&stream)).await;
+    unread_bytes(&stream)
+}
+
+/// Waits until the peer has closed the connection, without reading the bytes before its end.
+async fn peer_closed(stream: &TcpStream) {
+    while let Ok(ready) = stream.ready(Interest::READABLE).await {
+        if ready.is_read_closed() {
+            return;
+        }
+        let wait_for_next_event = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+        // The result is the error that resets the runtime's readiness.
+        let _ = stream.try_io(Interest::READABLE, wait_for_next_event);
+    }
+}
+
+fn unread_bytes(stream: &TcpStream) -> UnreadBytes {
+    let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+    match recv(stream.as_raw_fd(), &mut [0], flags) {
+        Ok(1..) => UnreadBytes::Some,
+        Ok(0) | Err(_) => UnreadBytes::None,
+    }
+}
+
+/// Closes a connection on which the limiter reads no further commands: shuts down the sending direction, then discards
+/// received bytes until the peer closes the connection too, for at most `linger`. Returns the number of discarded bytes.
 ///
 /// Closing a socket with unread bytes resets the connection, and the peer loses the bytes that it has not read yet.
-/// Commands received during this time get no answer: their sender learns from the end of the connection that they were
-/// not accepted.
-pub async fn close_in_order(mut stream: TcpStream, linger: Duration) -> usize {
+pub async fn close_discarding(mut stream: TcpStream, linger: Duration) -> usize {
     if stream.shutdown().await.is_err() {
         return 0;
     }
--- a/src/net/resp/downstream/closing.rs
+++ b/src/net/resp/downstream/closing.rs
@@ -44,6 +44,13 @@
     BodyFailed,
 }
 
+impl CloseReason {
+    /// Whether the bytes that follow are no commands that the client could send again.
+    pub(super) fn ends_reading(self) -> bool {
+        matches!(self, CloseReason::Malformed | CloseReason::BodyFailed)
+    }
+}
+
 /// Why a connection is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LossReason {
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -11,12 +11,13 @@
 use super::Downstream;
 use crate::net::config::Limits;
 use crate::net::engine::{Answer, Frontend, Request};
-use crate::net::resp::close::{self, SocketState};
+use crate::net::resp::close::{self, SocketState, UnreadBytes};
 use crate::net::resp::codec::{self, Command};
 use crate::net::shutdown::Phase;
 use crate::net::streaming_body::StreamingBody;
 use std::ops::ControlFlow;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::yield_now;
@@ -53,12 +54,17 @@
     // its file descriptor. After malformed bytes, the resulting reset may discard the last response.
     let has_capacity =
         context.shutdown.connections() < context.limits.downstream_connection_share();
-    if matches!(end, ConnectionEnd::Orderly(_)) && has_capacity {
-        let linger = context.limits.downstream.linger_timeout;
-        let discarded_bytes = close::close_in_order(stream, linger).await;
-        if discarded_bytes > 0 {
-            tracing::debug!(?end, discarded_bytes, "bytes received after the close");
-        }
+    if let (ConnectionEnd::Orderly(reason), true) = (end, has_capacity) {
+        close(stream, reason, context.limits.downstream.linger_timeout).await;
+    }
+}
+
+/// Closes a connection, and leaves requests unread that cross the close.
+async fn close(stream: TcpStream, reason: CloseReason, linger: Duration) {
+    if reason.ends_reading() {
+        close::close_discarding(stream, linger).await;
+    } else if close::close_between_requests(stream, linger).await == UnreadBytes::Some {
+        tracing::debug!(?reason, "request left unread by the close");
     }
 }
 
--- a/src/net/resp/tests.rs
+++ b/src/net/resp/tests.rs
@@ -1,6 +1,6 @@
 //! Received bytes and closed connections that the kernel knows about before the runtime does.
 
-use super::close::{close_in_order, read_now, SocketState};
+use super::close::{close_between_requests, close_discarding, read_now, SocketState, UnreadBytes};
 use super::upstream::UpstreamConnection;
 use std::io::{Read, Write};
 use std::net::TcpStream as BlockingStream;
@@ -100,10 +100,35 @@
             let mut text = String::new();
             peer.read_to_string(&mut text).map(|_| text)
         });
-        close_in_order(stream, Duration::from_secs(20)).await;
+        close_discarding(stream, Duration::from_secs(20)).await;
         assert_eq!(
             reader.join().expect("it ends").expect("no reset"),
             "the last answer"
         );
     });
 }
+
+/// A client that sends a request while its connection closes still receives the answers before it.
+#[test]
+fn answers_arrive_before_the_reset_of_a_connection_with_unread_bytes() {
+    run(async {
+        let ConnectedPair { stream, mut peer } = connected_pair().await;
+        peer.write_all(b"a request").expect("the socket takes it");
+        assert_eq!(
+            stream
+                .try_write(b"the answer")
+                .expect("the socket takes it"),
+            10
+        );
+        let reader = std::thread::spawn(move || {
+            let mut text = String::new();
+            peer.read_to_string(&mut text).map(|_| text)
+        });
+        let unread = close_between_requests(stream, Duration::from_secs(20)).await;
+        assert_eq!(unread, UnreadBytes::Some);
+        assert_eq!(
+            reader.join().expect("it ends").expect("no reset"),
+            "the answer"
+        );
+    });
+}
