Repeat reads and writes that a signal interrupts

Cause: reads and writes passed each error on as the end of the connection; only WouldBlock was told apart.

Change: src/net/system_call.rs repeats interrupted calls; all reads and writes on connections of clients, hosts and the counter go through it, codec::read_more and codec::read_some. The calls of discovery and of the admin interface are not changed: a failed call there is repeated by its owner, and no request depends on it.

--- a/src/net/counter/connection.rs
+++ b/src/net/counter/connection.rs
@@ -3,6 +3,7 @@
 use super::liveness::CallProgress;
 use crate::net::config::Limits;
 use crate::net::resp::codec;
+use crate::net::system_call::repeat_interrupted;
 use std::collections::VecDeque;
 use std::io;
 use tokio::net::TcpStream;
@@ -75,7 +76,7 @@
     /// Returns an error if the connection has failed.
     pub(super) fn flush(&mut self, limits: &Limits) -> io::Result<()> {
         while !self.output.is_empty() {
-            match self.stream.try_write(&self.output) {
+            match repeat_interrupted(|| self.stream.try_write(&self.output)) {
                 Ok(count) => {
                     self.bytes_written += count as u64;
                     codec::consume(&mut self.output, count, limits.codec.read_chunk_bytes);
--- a/src/net/counter/receive.rs
+++ b/src/net/counter/receive.rs
@@ -5,6 +5,7 @@
 use super::client::CounterClient;
 use super::connection::CounterConnection;
 use crate::net::resp::codec;
+use crate::net::system_call::repeat_interrupted;
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -76,7 +77,7 @@
     connection: &mut CounterConnection,
 ) -> UnreadAnswers {
     let mut unread = [0; MAX_UNREAD_BYTES];
-    match connection.stream.try_read(&mut unread) {
+    match repeat_interrupted(|| connection.stream.try_read(&mut unread)) {
         Ok(count) if count > 0 => connection.input.extend_from_slice(&unread[..count]),
         _ => return UnreadAnswers::None,
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,6 +23,7 @@
 pub mod stages;
 mod start_error;
 pub mod streaming_body;
+pub mod system_call;
 pub mod task;
 pub mod unix_time;
 pub mod usage_export;
--- a/src/net/resp/close.rs
+++ b/src/net/resp/close.rs
@@ -1,10 +1,12 @@
 //! Closing of a connection without missing bytes that have already arrived or losing bytes that were written.
 
+use super::codec::read_some;
+use crate::net::system_call::repeat_interrupted;
 use nix::sys::socket::{recv, MsgFlags};
 use std::io;
 use std::os::fd::AsRawFd;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -27,16 +29,18 @@
 /// The runtime learns about readiness only when it polls the sockets. Since the last poll a command may have arrived on
 /// a connection that is about to be closed, or the peer may have closed a connection that is about to be used.
 pub fn read_now(stream: &TcpStream, buffer: &mut [u8]) -> SocketState {
-    match recv(stream.as_raw_fd(), buffer, MsgFlags::MSG_DONTWAIT) {
+    match receive(stream, buffer, MsgFlags::MSG_DONTWAIT) {
         Ok(0) => SocketState::Closed,
         Ok(count) => SocketState::Read(count),
-        Err(error) if io::Error::from(error).kind() == io::ErrorKind::WouldBlock => {
-            SocketState::Empty
-        }
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => SocketState::Empty,
         Err(_) => SocketState::Closed,
     }
 }
 
+fn receive(stream: &TcpStream, buffer: &mut [u8], flags: MsgFlags) -> io::Result<usize> {
+    repeat_interrupted(|| recv(stream.as_raw_fd(), buffer, flags).map_err(io::Error::from))
+}
+
 /// Whether a socket held bytes when it was closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnreadBytes {
@@ -73,7 +77,7 @@
 
 fn unread_bytes(stream: &TcpStream) -> UnreadBytes {
     let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-    match recv(stream.as_raw_fd(), &mut [0], flags) {
+    match receive(stream, &mut [0], flags) {
         Ok(1..) => UnreadBytes::Some,
         Ok(0) | Err(_) => UnreadBytes::None,
     }
@@ -90,7 +94,7 @@
     let mut buffer = [0; DISCARD_BUFFER_BYTES];
     let mut discarded_bytes = 0;
     let drain = async {
-        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+        while let Ok(count @ 1..) = read_some(&mut stream, &mut buffer).await {
             discarded_bytes += count;
         }
     };
--- a/src/net/resp/codec/buffer.rs
+++ b/src/net/resp/codec/buffer.rs
@@ -3,6 +3,9 @@
 use std::io;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
+#[cfg(test)]
+mod tests;
+
 /// Waits for more bytes and appends them to `buffer`. Cancel-safe: no bytes are read if it is cancelled while waiting.
 /// Reserves at least `chunk_bytes` of free capacity, so that a read that does not fill it needs no further call.
 ///
@@ -14,9 +17,29 @@
     chunk_bytes: usize,
 ) -> io::Result<()> {
     buffer.reserve(chunk_bytes);
-    match stream.read_buf(buffer).await? {
-        0 => Err(io::ErrorKind::UnexpectedEof.into()),
-        _ => Ok(()),
+    loop {
+        match stream.read_buf(buffer).await {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => return Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Waits for bytes and reads some of them into `buffer`; returns 0 if the peer has closed the connection.
+///
+/// # Errors
+/// The connection has failed.
+pub async fn read_some(
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut [u8],
+) -> io::Result<usize> {
+    loop {
+        match stream.read(buffer).await {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            result => return result,
+        }
     }
 }
 
--- a/src/net/resp/codec/mod.rs
+++ b/src/net/resp/codec/mod.rs
@@ -9,7 +9,7 @@
 mod reply;
 mod write;
 
-pub use buffer::{consume, read_more};
+pub use buffer::{consume, read_more, read_some};
 pub use command::{parse_command, Command};
 pub use cursor::Malformed;
 pub use reply::{parse_reply, value_head, ParsedReply, Reply, ValueHead};
--- a/src/net/resp/downstream/input.rs
+++ b/src/net/resp/downstream/input.rs
@@ -3,7 +3,7 @@
 use crate::net::config::Limits;
 use crate::net::resp::close::{self, SocketState};
 use crate::net::resp::codec;
-use tokio::io::{AsyncReadExt, Interest, Ready};
+use tokio::io::{Interest, Ready};
 use tokio::net::tcp::ReadHalf;
 use tokio::time::sleep;
 
@@ -126,12 +126,7 @@
 
     async fn discard_to_end(&mut self) -> ReceiveOutcome {
         let mut discarded = [0; READ_BUFFER_BYTES];
-        while self
-            .reader
-            .read(&mut discarded)
-            .await
-            .is_ok_and(|count| count > 0)
-        {}
+        while let Ok(1..) = codec::read_some(&mut self.reader, &mut discarded).await {}
         ReceiveOutcome::ClientGone
     }
 
--- a/src/net/resp/downstream/output.rs
+++ b/src/net/resp/downstream/output.rs
@@ -3,6 +3,7 @@
 use super::response_queue::{CollectOutcome, ResponseQueue};
 use crate::net::config::Limits;
 use crate::net::resp::codec;
+use crate::net::system_call::repeat_interrupted;
 use std::io;
 use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
@@ -59,7 +60,7 @@
     /// The connection has failed.
     pub(super) fn write(&mut self, responses: &ResponseQueue, limits: &Limits) -> io::Result<()> {
         if self.has_unwritten() {
-            match self.writer.try_write(&self.bytes[self.written..]) {
+            match repeat_interrupted(|| self.writer.try_write(&self.bytes[self.written..])) {
                 Ok(count) => {
                     self.written += count;
                     self.last_progress = Instant::now();
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -8,6 +8,7 @@
 use crate::net::engine::{HostCall, HostCommand};
 use crate::net::resp::codec::{self, ParsedReply, ValueHead};
 use crate::net::resp::upstream::{self, UpstreamConnection};
+use crate::net::system_call::repeat_interrupted;
 use std::io;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
@@ -102,7 +103,8 @@
         if Instant::now() >= call.send_by {
             return Err(Outcome::ConnectFailed);
         }
-        match connection.stream.try_write(&connection.output[written..]) {
+        let unwritten = &connection.output[written..];
+        match repeat_interrupted(|| connection.stream.try_write(unwritten)) {
             Ok(count) => written += count,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                 let writable = timeout_at(call.send_by, connection.stream.writable()).await;
