Accept the whole queue of a closing listener, whatever one accept returns

Callers saw: connections with a request on them are reset 0.7 s after SIGTERM.

Cause: the queue of the closing listener was given up at the first accept that failed, for whatever reason; closing the listener then reset the connections behind it, which the machine had accepted. While the process serves, every failed accept paused all clients for 0.1 s, also one that concerned a single connection.

Change: errors of accept are told apart (this connection; resources for now). The queue is accepted to its end: a failed connection is passed over, a lack of descriptors or memory is waited out up to the answer deadline of the shutdown. The serving listener pauses for a lack of resources only.

Found by looking for the incident's mistake in related code.

--- a/src/net/resp/downstream/listener.rs
+++ b/src/net/resp/downstream/listener.rs
@@ -1,9 +1,11 @@
 //! Accepts client connections until the process shuts down.
 
+use super::accept_queue::{self, RetryLimits};
 use super::closing::Admission;
 use super::connection::serve;
 use super::Downstream;
 use crate::net::resp::eviction::Eviction;
+use crate::net::system_call::AcceptError;
 use crate::net::task::spawn;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -35,11 +37,13 @@
             Ok((stream, _)) => acceptor.accept(stream).await,
             Err(error) => {
                 tracing::warn!(%error, "client connection not accepted");
-                sleep(downstream.context.limits.reconnect_pause).await;
+                if AcceptError::classify(&error) == AcceptError::Resources {
+                    sleep(downstream.context.limits.reconnect_pause).await;
+                }
             }
         }
     }
-    accept_queued(downstream, listener);
+    accept_queued(downstream, listener).await;
 }
 
 struct Acceptor<'a> {
@@ -126,19 +130,28 @@
     });
 }
 
-/// Accepts the connections in the accept queue, then closes the listener. Closing it resets the connections that are
-/// still in the queue.
-fn accept_queued(downstream: &Rc<Downstream>, listener: TcpListener) {
+/// Accepts the connections in the accept queue, then closes the listener.
+async fn accept_queued(downstream: &Rc<Downstream>, listener: TcpListener) {
     let Ok(listener) = listener.into_std() else {
         return;
     };
-    while let Ok((stream, _)) = listener.accept() {
-        let stream = stream
-            .set_nonblocking(true)
-            .and_then(|()| TcpStream::from_std(stream));
-        match stream {
-            Ok(stream) => start(downstream, stream, Admission::Served),
-            Err(error) => tracing::warn!(%error, "queued client connection lost"),
-        }
+    let context = &downstream.context;
+    let deadlines = context.shutdown.deadlines();
+    let retry_limits = RetryLimits {
+        pause: context.limits.reconnect_pause,
+        deadline: deadlines.map_or_else(Instant::now, |deadlines| deadlines.answers),
+    };
+    let accept = || listener.accept().map(|(stream, _)| stream);
+    let start = |stream| start_queued(downstream, stream);
+    accept_queue::accept_all(accept, start, retry_limits).await;
+}
+
+fn start_queued(downstream: &Rc<Downstream>, stream: std::net::TcpStream) {
+    let stream = stream
+        .set_nonblocking(true)
+        .and_then(|()| TcpStream::from_std(stream));
+    match stream {
+        Ok(stream) => start(downstream, stream, Admission::Served),
+        Err(error) => tracing::warn!(%error, "queued client connection lost"),
     }
 }
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -1,6 +1,7 @@
 //! Client connections. Commands of one connection are handled concurrently; their responses are sent in the order of
 //! the commands.
 
+mod accept_queue;
 mod closing;
 mod command_error;
 mod connection;
