Ask the kernel for the client's end just before an attempt is written

Callers saw: a request is still forwarded more than 0.1 s after its client has closed its connection.

Cause: whether a client has left was known only from the runtime's last poll of its connection. The cancellation covers only what has been polled.

Change: just before the first byte of an attempt, behind the last reading of the clock, the kernel is asked whether the client's connection has ended (a peek, and poll for POLLRDHUP if bytes are unread). If so, the request is abandoned and nothing is written. For this the connection's socket is shared with its response queue; reads go through SharedReader, which keeps the runtime's way to save a read after a short one.

Evidence: the new test lets a client leave, with and without unread bytes before its end, and writes the attempt before any other task runs.

--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -203,6 +203,11 @@
         self.requests.borrow_mut().close(id)
     }
 
+    /// Returns whether a request is open and its client is still connected, as far as the kernel knows now.
+    pub fn has_client(&self, id: RequestId) -> bool {
+        self.requests.borrow().has_client(id)
+    }
+
     /// Returns the shared count of the bytes of open requests and of answers that clients have not read.
     pub fn buffered_bytes(&self) -> Rc<Cell<usize>> {
         self.requests.borrow().buffered_bytes()
--- a/src/net/engine/open_requests.rs
+++ b/src/net/engine/open_requests.rs
@@ -138,6 +138,12 @@
         self.requests.contains_key(&id)
     }
 
+    /// Returns whether a request is open and its client is still connected, as far as the kernel knows now.
+    pub fn has_client(&self, id: RequestId) -> bool {
+        let open = self.requests.get(&id);
+        open.is_some_and(|open| open.reply_to.frontend.is_client_connected())
+    }
+
     /// Returns the shared count of buffered bytes, to which frontends add the answers that their clients have not read.
     pub fn buffered_bytes(&self) -> Rc<Cell<usize>> {
         self.buffered_bytes.clone()
--- a/src/net/engine/request.rs
+++ b/src/net/engine/request.rs
@@ -10,6 +10,12 @@
 pub trait Frontend {
     /// Delivers the answer to a request. `sequence` is the sequence number that the request was submitted with.
     fn answer(&self, sequence: u64, answer: Answer);
+
+    /// Whether the client of the requests is still connected, as far as the kernel knows now. The end of its connection
+    /// may not have been read yet.
+    fn is_client_connected(&self) -> bool {
+        true
+    }
 }
 
 /// The final answer to a request.
--- a/src/net/resp/close.rs
+++ b/src/net/resp/close.rs
@@ -1,12 +1,15 @@
 //! Closing of a connection without missing bytes that have already arrived or losing bytes that were written.
 
 use super::codec::read_some;
+use super::shared_reader::{clear_readiness, SharedReader};
 use crate::net::system_call::repeat_interrupted;
-use nix::sys::socket::{recv, MsgFlags};
+use nix::libc::POLLRDHUP;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
+use nix::sys::socket::{recv, shutdown, MsgFlags, Shutdown};
 use std::io;
-use std::os::fd::AsRawFd;
+use std::os::fd::{AsFd, AsRawFd};
 use std::time::Duration;
-use tokio::io::{AsyncWriteExt, Interest};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -41,6 +44,28 @@
     repeat_interrupted(|| recv(stream.as_raw_fd(), buffer, flags).map_err(io::Error::from))
 }
 
+/// Returns whether the peer has neither ended its sending nor reset the connection, as far as the kernel knows now.
+pub fn is_peer_connected(stream: &TcpStream) -> bool {
+    let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+    match receive(stream, &mut [0], flags) {
+        Ok(0) => false,
+        // The peer may have ended its sending behind the unread bytes.
+        Ok(_) => !is_hung_up(stream),
+        Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+    }
+}
+
+fn is_hung_up(stream: &TcpStream) -> bool {
+    // `PollFlags` does not name this event, so that the result is `None` if it is set.
+    let peer_ended_sending = PollFlags::from_bits_retain(POLLRDHUP);
+    let mut polled = [PollFd::new(stream.as_fd(), peer_ended_sending)];
+    // A failed call says nothing about the connection; its end is read later.
+    let is_ready = poll(&mut polled, PollTimeout::ZERO).is_ok_and(|count| count > 0);
+    let failed = PollFlags::POLLHUP | PollFlags::POLLERR;
+    let has_ended = |events: PollFlags| events.intersects(failed | peer_ended_sending);
+    is_ready && polled[0].revents().is_none_or(has_ended)
+}
+
 /// Whether a socket held bytes when it was closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnreadBytes {
@@ -54,13 +79,17 @@
 /// connection too, for at most `linger`. Bytes received during this time are not read.
 ///
 /// A client may send again what the limiter has not read. A request read here would get no answer.
-pub async fn close_between_requests(mut stream: TcpStream, linger: Duration) -> UnreadBytes {
-    if stream.shutdown().await.is_err() {
+pub async fn close_between_requests(stream: &TcpStream, linger: Duration) -> UnreadBytes {
+    if end_sending(stream).is_err() {
         return UnreadBytes::None;
     }
     // Closing earlier would reset the connection, and the peer would lose answers that it has not received yet.
-    let _ = timeout(linger, peer_closed(&stream)).await;
-    unread_bytes(&stream)
+    let _ = timeout(linger, peer_closed(stream)).await;
+    unread_bytes(stream)
+}
+
+fn end_sending(stream: &TcpStream) -> io::Result<()> {
+    Ok(shutdown(stream.as_raw_fd(), Shutdown::Write)?)
 }
 
 /// Waits until the peer has closed the connection, without reading the bytes before its end.
@@ -69,9 +98,7 @@
         if ready.is_read_closed() {
             return;
         }
-        let wait_for_next_event = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
-        // The result is the error that resets the runtime's readiness.
-        let _ = stream.try_io(Interest::READABLE, wait_for_next_event);
+        clear_readiness(stream);
     }
 }
 
@@ -87,14 +114,15 @@
 /// received bytes until the peer closes the connection too, for at most `linger`. Returns the number of discarded bytes.
 ///
 /// Closing a socket with unread bytes resets the connection, and the peer loses the bytes that it has not read yet.
-pub async fn close_discarding(mut stream: TcpStream, linger: Duration) -> usize {
-    if stream.shutdown().await.is_err() {
+pub async fn close_discarding(stream: &TcpStream, linger: Duration) -> usize {
+    if end_sending(stream).is_err() {
         return 0;
     }
+    let mut reader = SharedReader::new(stream);
     let mut buffer = [0; DISCARD_BUFFER_BYTES];
     let mut discarded_bytes = 0;
     let drain = async {
-        while let Ok(count @ 1..) = read_some(&mut stream, &mut buffer).await {
+        while let Ok(count @ 1..) = read_some(&mut reader, &mut buffer).await {
             discarded_bytes += count;
         }
     };
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -35,14 +35,12 @@
 const TOO_MANY_COMMANDS: &str = "too many commands wait on this connection";
 
 /// Serves a connection until it ends, and closes it.
-pub(super) async fn serve(
-    downstream: &Rc<Downstream>,
-    mut stream: TcpStream,
-    admission: Admission,
-) {
+pub(super) async fn serve(downstream: &Rc<Downstream>, stream: TcpStream, admission: Admission) {
     let context = &downstream.context;
-    let responses = Rc::new(ResponseQueue::new(context.buffered_bytes.clone()));
-    let mut connection = Connection::new(downstream, &mut stream, admission, &responses);
+    let stream = Rc::new(stream);
+    let responses = ResponseQueue::new(&stream, context.buffered_bytes.clone());
+    let responses = Rc::new(responses);
+    let mut connection = Connection::new(downstream, &stream, admission, &responses);
     let end = connection.run().await;
     if matches!(end, ConnectionEnd::Lost(_)) {
         connection.output.abandon(&responses);
@@ -55,12 +53,12 @@
     let has_capacity =
         context.shutdown.connections() < context.limits.downstream_connection_share();
     if let (ConnectionEnd::Orderly(reason), true) = (end, has_capacity) {
-        close(stream, reason, context.limits.downstream.linger_timeout).await;
+        close(&stream, reason, context.limits.downstream.linger_timeout).await;
     }
 }
 
 /// Closes a connection, and leaves requests unread that cross the close.
-async fn close(stream: TcpStream, reason: CloseReason, linger: Duration) {
+async fn close(stream: &TcpStream, reason: CloseReason, linger: Duration) {
     if reason.ends_reading() {
         close::close_discarding(stream, linger).await;
     } else if close::close_between_requests(stream, linger).await == UnreadBytes::Some {
@@ -104,17 +102,16 @@
 impl<'a> Connection<'a> {
     fn new(
         downstream: &'a Rc<Downstream>,
-        stream: &'a mut TcpStream,
+        stream: &'a TcpStream,
         admission: Admission,
         responses: &Rc<ResponseQueue>,
     ) -> Self {
         let shutdown = &downstream.context.shutdown;
-        let (reader, writer) = stream.split();
         Connection {
             downstream,
             responses: responses.clone(),
-            input: Input::new(reader),
-            output: Output::new(writer),
+            input: Input::new(stream),
+            output: Output::new(stream),
             idle_timer: IdleTimer::new(downstream.idle_connections.clone()),
             phase: shutdown.subscribe_phase(),
             close_policy: ClosePolicy::new(admission, shutdown.phase()),
--- a/src/net/resp/downstream/connection/tests.rs
+++ b/src/net/resp/downstream/connection/tests.rs
@@ -1,22 +1,26 @@
 //! Tests of a connection whose client sends many commands at once, while other tasks share the thread.
 
 use super::*;
+use crate::api::{HostEntry, HostId, HostState, Outcome, RequestId};
+use crate::net::engine::tests::attempt_order;
 use crate::net::engine::EngineDriver;
+use crate::net::resp::upstream::UpstreamConnection;
+use crate::net::stages::attempt;
 use crate::net::task::spawn;
 use crate::net::tests::with_limiter;
 use crate::net::Limiter;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream as BlockingStream};
 use tokio::net::TcpListener;
 
 /// Number of requests that the client sends at once.
 const REQUESTS: usize = 256;
 
-/// Returns the commands of all requests.
-fn requests() -> Vec<u8> {
+/// Returns the commands of so many requests, whose ids begin at 0.
+fn requests(count: usize) -> Vec<u8> {
     let parameters = b"c=bed-check,t=operator,d=900,units=1,spread=1,first=0";
     let mut commands = Vec::new();
-    for number in 0..REQUESTS {
+    for number in 0..count {
         let id = format!("{number:016x}");
         let arguments = [
             b"Q.ASK",
@@ -37,11 +41,18 @@
 
 impl Client {
     async fn connect() -> Self {
+        let mut client = Client::connect_idle().await;
+        let written = client.peer.write_all(&requests(REQUESTS));
+        written.expect("the socket takes them");
+        client
+    }
+
+    /// Connects a client that has sent nothing yet.
+    async fn connect_idle() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await;
         let listener = listener.expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
-        let mut peer = BlockingStream::connect(address).expect("the listener accepts");
-        peer.write_all(&requests()).expect("the socket takes them");
+        let peer = BlockingStream::connect(address).expect("the listener accepts");
         let (stream, _) = listener.accept().await.expect("the client is accepted");
         Client { peer, stream }
     }
@@ -94,3 +105,58 @@
         assert!(events <= 2 * MAX_COMMANDS_PER_TURN, "{events} events");
     });
 }
+
+/// What a client does after its request was opened, and before the attempt for it is written.
+type Leave = fn(BlockingStream);
+
+const LEAVES: [Leave; 2] = [
+    |peer| drop(peer),
+    |mut peer| {
+        // The client's end is behind bytes that the limiter has not read.
+        peer.write_all(b"*1").expect("the socket takes them");
+        drop(peer);
+    },
+];
+
+/// Runs an attempt on an open connection to a host right after its client has left, before any other task runs. Returns
+/// the attempt's outcome and the number of bytes that the host received.
+async fn attempt_after_leave(limiter: &Rc<Limiter>, leave: Leave) -> (Outcome, usize) {
+    let Client { mut peer, stream } = Client::connect_idle().await;
+    let downstream = downstream(limiter);
+    peer.write_all(&requests(1)).expect("the socket takes it");
+    spawn(async move { serve(&downstream, stream, Admission::Served).await });
+    while limiter.engine().open_request_count() == 0 {
+        yield_now().await;
+    }
+    let Client { peer: host, stream } = Client::connect_idle().await;
+    let address = stream.peer_addr().expect("the host has an address");
+    let entry = HostEntry {
+        host: HostId(5),
+        state: HostState::Ready,
+        ..HostEntry::default()
+    };
+    limiter.upstream().update_host(&entry, address);
+    let order = attempt_order(0, entry.host);
+    let call = limiter.engine().begin_attempt(order).expect("it is open");
+    let mut connection = UpstreamConnection::new(stream, address);
+    leave(peer);
+    let attempt = attempt::run(limiter.pipeline(), &mut connection, &call).await;
+    drop(connection);
+    let mut host = host;
+    let mut received = Vec::new();
+    host.read_to_end(&mut received)
+        .expect("the limiter ends it");
+    (attempt.result.outcome, received.len())
+}
+
+/// A process that was held up wrote attempts for clients that had left in the meantime (issue 47).
+#[test]
+fn attempt_is_not_written_for_a_client_that_left_unnoticed() {
+    for leave in LEAVES {
+        with_limiter(&[], move |limiter| async move {
+            let (outcome, received_bytes) = attempt_after_leave(&limiter, leave).await;
+            assert_eq!((outcome, received_bytes), (Outcome::Cancelled, 0));
+            assert!(!limiter.engine().has_client(RequestId(0)));
+        });
+    }
+}
--- a/src/net/resp/downstream/input.rs
+++ b/src/net/resp/downstream/input.rs
@@ -3,8 +3,9 @@
 use crate::net::config::Limits;
 use crate::net::resp::close::{self, SocketState};
 use crate::net::resp::codec;
+use crate::net::resp::shared_reader::SharedReader;
 use tokio::io::{Interest, Ready};
-use tokio::net::tcp::ReadHalf;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// Size of the buffer for reads that bypass the runtime and for discarded bytes.
@@ -43,7 +44,7 @@
 
 /// The input buffer of a client connection.
 pub(super) struct Input<'a> {
-    reader: ReadHalf<'a>,
+    reader: SharedReader<'a>,
     /// Bytes received and not parsed yet.
     bytes: Vec<u8>,
     /// Whether malformed bytes were received, after which nothing can be parsed.
@@ -52,9 +53,9 @@
 
 impl<'a> Input<'a> {
     /// Creates an empty input.
-    pub(super) fn new(reader: ReadHalf<'a>) -> Self {
+    pub(super) fn new(stream: &'a TcpStream) -> Self {
         Input {
-            reader,
+            reader: SharedReader::new(stream),
             bytes: Vec::new(),
             is_malformed: false,
         }
@@ -89,7 +90,7 @@
     /// Reads the bytes that the socket has received, bypassing the runtime.
     pub(super) fn read_now(&mut self) -> SocketState {
         let mut received = [0; READ_BUFFER_BYTES];
-        let state = close::read_now(self.reader.as_ref(), &mut received);
+        let state = close::read_now(self.reader.stream(), &mut received);
         if let SocketState::Read(count) = state {
             self.bytes.extend_from_slice(&received[..count]);
         }
@@ -139,7 +140,7 @@
     }
 
     async fn is_read_closed(&self) -> bool {
-        let ready = self.reader.ready(Interest::READABLE).await;
+        let ready = self.reader.stream().ready(Interest::READABLE).await;
         ready.is_ok_and(Ready::is_read_closed)
     }
 }
--- a/src/net/resp/downstream/output.rs
+++ b/src/net/resp/downstream/output.rs
@@ -5,12 +5,12 @@
 use crate::net::resp::codec;
 use crate::net::system_call::repeat_interrupted;
 use std::io;
-use tokio::net::tcp::WriteHalf;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// The output buffer of a client connection.
 pub(super) struct Output<'a> {
-    writer: WriteHalf<'a>,
+    stream: &'a TcpStream,
     bytes: Vec<u8>,
     /// Number of bytes of `bytes` that have been written.
     written: usize,
@@ -22,9 +22,9 @@
 
 impl<'a> Output<'a> {
     /// Creates an empty output.
-    pub(super) fn new(writer: WriteHalf<'a>) -> Self {
+    pub(super) fn new(stream: &'a TcpStream) -> Self {
         Output {
-            writer,
+            stream,
             bytes: Vec::new(),
             written: 0,
             buffered_bytes: 0,
@@ -60,7 +60,7 @@
     /// The connection has failed.
     pub(super) fn write(&mut self, responses: &ResponseQueue, limits: &Limits) -> io::Result<()> {
         if self.has_unwritten() {
-            match repeat_interrupted(|| self.writer.try_write(&self.bytes[self.written..])) {
+            match repeat_interrupted(|| self.stream.try_write(&self.bytes[self.written..])) {
                 Ok(count) => {
                     self.written += count;
                     self.last_progress = Instant::now();
@@ -83,7 +83,7 @@
     /// Waits until the socket accepts more bytes.
     pub(super) async fn writable(&self) {
         // A failed socket reports its error at the next write.
-        let _ = self.writer.writable().await;
+        let _ = self.stream.writable().await;
     }
 
     /// Returns the time at which the client counts as gone if the socket accepts no bytes until then.
--- a/src/net/resp/downstream/response_queue.rs
+++ b/src/net/resp/downstream/response_queue.rs
@@ -3,12 +3,14 @@
 use crate::api::RequestId;
 use crate::net::engine::{Answer, Frontend};
 use crate::net::frontend::RequestHandler;
+use crate::net::resp::close;
 use crate::net::resp::codec;
 use crate::net::streaming_body::{ReadOutcome, StreamingBody};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 const NANOS_PER_MS: u128 = 1_000_000;
@@ -55,9 +57,16 @@
     pub first_ready: Notify,
     /// Number of response bytes buffered in the whole process, shared by all connections.
     buffered_bytes: Rc<Cell<usize>>,
+    /// The client's connection, which its task owns.
+    stream: Weak<TcpStream>,
 }
 
 impl Frontend for ResponseQueue {
+    fn is_client_connected(&self) -> bool {
+        let stream = self.stream.upgrade();
+        stream.is_some_and(|stream| close::is_peer_connected(&stream))
+    }
+
     fn answer(&self, place: u64, answer: Answer) {
         let head = encode(&answer);
         let response = match answer {
@@ -87,13 +96,14 @@
 }
 
 impl ResponseQueue {
-    /// Creates an empty queue. `buffered_bytes` is the count of the whole process.
-    pub(super) fn new(buffered_bytes: Rc<Cell<usize>>) -> Self {
+    /// Creates the empty queue of a connection. `buffered_bytes` is the count of the whole process.
+    pub(super) fn new(stream: &Rc<TcpStream>, buffered_bytes: Rc<Cell<usize>>) -> Self {
         ResponseQueue {
             responses: RefCell::default(),
             first_place: Cell::default(),
             first_ready: Notify::new(),
             buffered_bytes,
+            stream: Rc::downgrade(stream),
         }
     }
 
--- a/src/net/resp/mod.rs
+++ b/src/net/resp/mod.rs
@@ -5,6 +5,7 @@
 pub mod codec;
 pub mod downstream;
 pub mod eviction;
+pub mod shared_reader;
 pub mod upstream;
 
 #[cfg(test)]
--- a/src/net/resp/tests.rs
+++ b/src/net/resp/tests.rs
@@ -100,7 +100,8 @@
             let mut text = String::new();
             peer.read_to_string(&mut text).map(|_| text)
         });
-        close_discarding(stream, Duration::from_secs(20)).await;
+        close_discarding(&stream, Duration::from_secs(20)).await;
+        drop(stream);
         assert_eq!(
             reader.join().expect("it ends").expect("no reset"),
             "the last answer"
@@ -124,7 +125,8 @@
             let mut text = String::new();
             peer.read_to_string(&mut text).map(|_| text)
         });
-        let unread = close_between_requests(stream, Duration::from_secs(20)).await;
+        let unread = close_between_requests(&stream, Duration::from_secs(20)).await;
+        drop(stream);
         assert_eq!(unread, UnreadBytes::Some);
         assert_eq!(
             reader.join().expect("it ends").expect("no reset"),
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -1,6 +1,7 @@
 //! Fifth stage: writes a call to its host and reads the answer.
 
 use super::call_end::CallEnd;
+use super::complete;
 use super::pipeline::Pipeline;
 use super::stream_value::stream_value;
 use crate::api::Outcome;
@@ -84,7 +85,7 @@
     {
         return Outcome::ConnectFailed.into();
     }
-    match write_command(connection, call, &pipeline.limits).await {
+    match write_command(pipeline, connection, call).await {
         Ok(()) => read_answer(pipeline, connection, call).await,
         Err(outcome) => outcome.into(),
     }
@@ -92,10 +93,11 @@
 
 /// Writes the whole command; returns the outcome of the call if that fails.
 async fn write_command(
+    pipeline: &Pipeline,
     connection: &mut UpstreamConnection,
     call: &HostCall,
-    limits: &Limits,
 ) -> Result<(), Outcome> {
+    let limits = &pipeline.limits;
     upstream::write_command(call, Instant::now(), &mut connection.output);
     let mut written = 0;
     while written < connection.output.len() {
@@ -103,6 +105,9 @@
         if Instant::now() >= call.send_by {
             return Err(Outcome::ConnectFailed);
         }
+        if written == 0 {
+            check_client(pipeline, call)?;
+        }
         let unwritten = &connection.output[written..];
         match repeat_interrupted(|| connection.stream.try_write(unwritten)) {
             Ok(count) => written += count,
@@ -126,6 +131,18 @@
     Ok(())
 }
 
+/// Checks that the client of an attempt has not left. The process may have been held up since it last read from the
+/// client, so the kernel is asked just before the first byte is written. A request whose client has left is abandoned.
+fn check_client(pipeline: &Pipeline, call: &HostCall) -> Result<(), Outcome> {
+    match call.command {
+        HostCommand::Attempt { id, .. } if !pipeline.engine.has_client(id) => {
+            complete::abandon(pipeline, id);
+            Err(Outcome::Cancelled)
+        }
+        HostCommand::Attempt { .. } | HostCommand::HealthCheck => Ok(()),
+    }
+}
+
 fn log_written(call: &HostCall) {
     if let HostCommand::Attempt { id, attempt, .. } = &call.command {
         tracing::debug!(
