Phases of draining and of the shutdown follow the monotonic clock

Callers saw: requests that come late in a shutdown have no answer at SIGKILL, if the machine's wall clock was set back after SIGTERM. Connections between requests stay open for the time of the step, and clients go on sending on them.

Cause: the phases counted from a wall-clock time.

Change: orders carry both clocks (OrderTime). Wall-clock time only decides which of two processes' orders is the later one; phases are counted on the process's monotonic clock, and an adopted order is converted once. Stored and exchanged forms are unchanged.

The unit tests of the drain controller check the same cases with both clocks.

--- a/crates/admin/src/drain.rs
+++ b/crates/admin/src/drain.rs
@@ -24,7 +24,7 @@
 pub struct PhaseStatus {
     /// Phase at the time of the query.
     pub phase: Phase,
-    /// Start of the next phase, in nanoseconds of Unix time; `None` if no further phase follows.
+    /// Start of the next phase, in nanoseconds of the monotonic clock; `None` if no further phase follows.
     pub next_at: Option<Nanos>,
 }
 
@@ -37,6 +37,26 @@
     pub reject_after: Nanos,
 }
 
+/// The time of an order on both clocks of a process, in nanoseconds.
+///
+/// Processes compare their orders by wall-clock time. Phases are spans of real time and follow the monotonic clock: the
+/// wall clock may be stepped while clients are drained.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderTime {
+    /// Unix time.
+    pub unix: Nanos,
+    /// Time of the process's monotonic clock.
+    pub monotonic: Nanos,
+}
+
+impl OrderTime {
+    /// Returns the monotonic time at which an order was given; now if the order's wall clock is ahead.
+    fn monotonic_time_of(self, order: DrainOrder) -> Nanos {
+        let age = self.unix.saturating_sub(order.ordered_at);
+        self.monotonic.saturating_sub(age)
+    }
+}
+
 /// An operator's order to start or to stop draining.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainOrder {
@@ -78,6 +98,8 @@
 pub struct DrainController {
     times: DrainTimes,
     order: DrainOrder,
+    /// Time of the order on the monotonic clock.
+    ordered_at: Nanos,
     shutdown: Option<Shutdown>,
 }
 
@@ -88,30 +110,32 @@
         DrainController {
             times,
             order: DrainOrder::default(),
+            ordered_at: 0,
             shutdown: None,
         }
     }
 
     /// Starts draining. Has no effect if clients are being drained already.
-    pub fn drain(&mut self, now: Nanos) {
+    pub fn drain(&mut self, now: OrderTime) {
         self.set_order(true, now);
     }
 
     /// Stops draining. A shutdown that has started continues.
-    pub fn undrain(&mut self, now: Nanos) {
+    pub fn undrain(&mut self, now: OrderTime) {
         self.set_order(false, now);
     }
 
-    fn set_order(&mut self, is_draining: bool, now: Nanos) {
+    fn set_order(&mut self, is_draining: bool, now: OrderTime) {
         if self.order.is_draining != is_draining {
             self.order = DrainOrder {
                 is_draining,
-                ordered_at: now.max(self.order.ordered_at + 1),
+                ordered_at: now.unix.max(self.order.ordered_at + 1),
             };
+            self.ordered_at = now.monotonic;
         }
     }
 
-    /// Starts the shutdown. Further calls have no effect.
+    /// Starts the shutdown, at a time of the monotonic clock. Further calls have no effect.
     pub fn shut_down(&mut self, now: Nanos, successor: Successor) {
         self.shutdown.get_or_insert(Shutdown {
             requested_at: now,
@@ -120,9 +144,10 @@
     }
 
     /// Merges another process's order: the later of it and the own one holds.
-    pub fn merge(&mut self, order: DrainOrder) -> MergeOutcome {
+    pub fn merge(&mut self, order: DrainOrder, now: OrderTime) -> MergeOutcome {
         if order.ordered_at > self.order.ordered_at {
             self.order = order;
+            self.ordered_at = now.monotonic_time_of(order);
             MergeOutcome::Adopted
         } else {
             MergeOutcome::Ignored
@@ -154,7 +179,7 @@
             .is_some_and(|shutdown| shutdown.successor == Successor::Serving)
     }
 
-    /// Returns the phase at `now`, and when the next one begins.
+    /// Returns the phase at `now`, a time of the monotonic clock, and when the next one begins.
     #[must_use]
     pub fn status(&self, now: Nanos) -> PhaseStatus {
         let drain = self.drain_status(now);
@@ -170,7 +195,7 @@
 
     fn drain_status(&self, now: Nanos) -> PhaseStatus {
         if self.order.is_draining {
-            self.status_since(self.order.ordered_at, self.times.drain_delay, now)
+            self.status_since(self.ordered_at, self.times.drain_delay, now)
         } else {
             PhaseStatus::default()
         }
--- a/crates/admin/src/drain/tests.rs
+++ b/crates/admin/src/drain/tests.rs
@@ -7,16 +7,24 @@
     reject_after: 20,
 };
 
+/// Returns the time of an order while both clocks show the same.
+fn at(now: Nanos) -> OrderTime {
+    OrderTime {
+        unix: now,
+        monotonic: now,
+    }
+}
+
 /// Pairs of drain, undrain and shutdown in either sequence, with the second one in each phase of the first.
 #[test]
 fn pairs_of_orders_lead_to_the_expected_phase() {
     use Phase::{Closing, Rejecting, Serving};
     type Action = fn(&mut DrainController, Nanos);
-    let drain: Action = DrainController::drain;
-    let undrain: Action = DrainController::undrain;
-    let shut_down: Action = |controller, at| controller.shut_down(at, Successor::None);
-    let hand_over: Action = |controller, at| controller.shut_down(at, Successor::Serving);
-    for (first, second, gap, at, phase, accepts_clients, is_shutting_down) in [
+    let drain: Action = |controller, now| controller.drain(at(now));
+    let undrain: Action = |controller, now| controller.undrain(at(now));
+    let shut_down: Action = |controller, now| controller.shut_down(now, Successor::None);
+    let hand_over: Action = |controller, now| controller.shut_down(now, Successor::Serving);
+    for (first, second, gap, elapsed, phase, accepts_clients, is_shutting_down) in [
         (drain, drain, 10, 21, Rejecting, false, false),
         (drain, undrain, 3, 30, Serving, true, false),
         (drain, undrain, 10, 10, Serving, true, false),
@@ -36,14 +44,14 @@
         first(&mut controller, 100);
         second(&mut controller, 100 + gap);
         let state = (
-            controller.status(100 + at).phase,
+            controller.status(100 + elapsed).phase,
             controller.accepts_clients(),
             controller.is_shutting_down(),
         );
         assert_eq!(
             state,
             (phase, accepts_clients, is_shutting_down),
-            "{gap} {at}"
+            "{gap} {elapsed}"
         );
     }
 }
@@ -51,7 +59,7 @@
 #[test]
 fn status_announces_the_next_phase() {
     let mut controller = DrainController::new(TIMES);
-    controller.drain(100);
+    controller.drain(at(100));
     assert_eq!(
         controller.status(100),
         PhaseStatus {
@@ -78,17 +86,52 @@
 #[test]
 fn later_order_of_two_processes_holds() {
     let mut controller = DrainController::new(TIMES);
-    controller.drain(100);
+    controller.drain(at(100));
     let earlier = DrainOrder {
         is_draining: false,
         ordered_at: 90,
     };
-    assert_eq!(controller.merge(earlier), MergeOutcome::Ignored);
+    assert_eq!(controller.merge(earlier, at(140)), MergeOutcome::Ignored);
     assert!(!controller.accepts_clients());
     let later = DrainOrder {
         is_draining: false,
         ordered_at: 130,
     };
-    assert_eq!(controller.merge(later), MergeOutcome::Adopted);
+    assert_eq!(controller.merge(later, at(140)), MergeOutcome::Adopted);
     assert!(controller.accepts_clients());
 }
+
+/// Connections stayed open, and requests unanswered, if the wall clock was set back while clients were drained (issue 47).
+#[test]
+fn phases_follow_the_monotonic_clock_when_the_wall_clock_is_stepped() {
+    for unix in [7, 1_000_000] {
+        let mut controller = DrainController::new(TIMES);
+        controller.drain(OrderTime {
+            unix,
+            monotonic: 100,
+        });
+        let phases = [105, 106, 120].map(|now| controller.status(now).phase);
+        assert_eq!(phases, [Phase::Serving, Phase::Closing, Phase::Rejecting]);
+    }
+}
+
+#[test]
+fn adopted_order_counts_from_its_own_time() {
+    for (ordered_at, expected) in [
+        (994, Phase::Closing),
+        (996, Phase::Serving),
+        (9_999, Phase::Serving),
+    ] {
+        let mut controller = DrainController::new(TIMES);
+        let order = DrainOrder {
+            is_draining: true,
+            ordered_at,
+        };
+        let now = OrderTime {
+            unix: 1_000,
+            monotonic: 100,
+        };
+        assert_eq!(controller.merge(order, now), MergeOutcome::Adopted);
+        assert_eq!(controller.status(100).phase, expected, "{ordered_at}");
+    }
+}
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use class_indices::{AcceptedIndices, ClassIndices};
 pub use drain::{
-    DrainController, DrainOrder, DrainTimes, MergeOutcome, Phase, PhaseStatus, Successor,
+    DrainController, DrainOrder, DrainTimes, MergeOutcome, OrderTime, Phase, PhaseStatus, Successor,
 };
 pub use handoff::Handoff;
 pub use maintenance::{MaintenanceChange, MaintenanceOrder, MaintenanceRegistry, UnknownHost};
--- a/crates/test-support/src/limiter.rs
+++ b/crates/test-support/src/limiter.rs
@@ -28,6 +28,13 @@
     number: u8,
     counter: CounterBehaviour,
     change: ConfigChange,
+    environment: Vec<EnvironmentVariable>,
+}
+
+/// An environment variable of a limiter's process.
+struct EnvironmentVariable {
+    name: String,
+    value: PathBuf,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,9 +79,20 @@
             number,
             counter: CounterBehaviour::Answers,
             change: Box::new(str::to_owned),
+            environment: Vec::new(),
         }
     }
 
+    /// Sets an environment variable of the first process to a path.
+    #[must_use]
+    pub fn with_environment(mut self, name: &str, path: &Path) -> Self {
+        self.environment.push(EnvironmentVariable {
+            name: name.to_owned(),
+            value: path.to_owned(),
+        });
+        self
+    }
+
     /// Changes the text of the configuration.
     #[must_use]
     pub fn with_config(mut self, change: impl Fn(&str) -> String + 'static) -> Self {
@@ -144,6 +162,7 @@
             discovery,
             admin,
             folder: &folder,
+            environment: &self.environment,
         }
         .spawn(&self.program);
         Limiter {
@@ -199,11 +218,14 @@
     discovery: SocketAddr,
     admin: SocketAddr,
     folder: &'a Path,
+    environment: &'a [EnvironmentVariable],
 }
 
 impl ProcessSettings<'_> {
     fn spawn(&self, program: &Path) -> Child {
+        let environment = self.environment.iter();
         limiter_command(program, self.config_path)
+            .envs(environment.map(|variable| (&variable.name, &variable.value)))
             .env("BALANCER_LISTEN", self.listen.to_string())
             .env("BALANCER_DISCOVERY", self.discovery.to_string())
             .env("BALANCER_CONSOLE", self.admin.to_string())
@@ -338,6 +360,7 @@
             discovery: self.discovery,
             admin,
             folder: &self.folder,
+            environment: &[],
         }
         .spawn(program);
         let began = Instant::now();
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -9,7 +9,7 @@
 use super::task::spawn;
 use super::unix_time;
 use crate::api::Nanos;
-use quartzcleat_admin::{DrainController, DrainOrder, DrainTimes, Successor};
+use quartzcleat_admin::{DrainController, DrainOrder, DrainTimes, OrderTime, Successor};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +24,10 @@
 /// Delay between the start of a phase and its publication: before its start the controller reports the previous phase.
 const PHASE_SWITCH_DELAY: Duration = Duration::from_millis(1);
 
+/// Time that the monotonic clock of the phases shows at the start of the process. Orders of an earlier process that hold
+/// on are older than the start; past this age all phases have begun.
+const CLOCK_ORIGIN: Duration = Duration::from_secs(3600);
+
 /// Deadlines of a shutdown. They are fixed at SIGTERM: a later configuration does not move the platform's SIGKILL.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownDeadlines {
@@ -37,6 +41,8 @@
 pub struct Shutdown {
     limits: Rc<Limits>,
     controller: RefCell<DrainController>,
+    /// Start of the process.
+    started: Instant,
     /// Notified of each operator order and of the start of the shutdown.
     order_changed: Notify,
     /// Current phase, for the tasks that wait for a change.
@@ -59,6 +65,7 @@
         Shutdown {
             limits: limits.clone(),
             controller: RefCell::new(DrainController::new(times)),
+            started: Instant::now(),
             order_changed: Notify::new(),
             phase: watch::Sender::default(),
             is_closing: watch::Sender::default(),
@@ -104,21 +111,37 @@
 
     /// Starts draining, by an operator's order.
     pub fn drain(&self) {
-        self.update(|controller| controller.drain(unix_time::now()));
+        let now = self.now();
+        self.update(|controller| controller.drain(now));
     }
 
     /// Stops draining, by an operator's order.
     pub fn undrain(&self) {
-        self.update(|controller| controller.undrain(unix_time::now()));
+        let now = self.now();
+        self.update(|controller| controller.undrain(now));
     }
 
     /// Adopts another process's order on draining if it is later than the current one.
     pub fn merge_drain_order(&self, order: DrainOrder) {
+        let now = self.now();
         self.update(|controller| {
-            controller.merge(order);
+            controller.merge(order, now);
         });
     }
 
+    /// Returns the current time on the clocks of orders.
+    fn now(&self) -> OrderTime {
+        OrderTime {
+            unix: unix_time::now(),
+            monotonic: self.monotonic_now(),
+        }
+    }
+
+    /// Returns the time of the monotonic clock that the phases follow.
+    fn monotonic_now(&self) -> Nanos {
+        (CLOCK_ORIGIN + self.started.elapsed()).as_nanos() as Nanos
+    }
+
     /// Applies `change` to the drain controller, and publishes the resulting phase.
     fn update(&self, change: impl FnOnce(&mut DrainController)) {
         change(&mut self.controller.borrow_mut());
@@ -128,7 +151,7 @@
 
     /// Publishes the current phase; returns the time until the next one begins, or `None` if no further phase follows.
     fn publish_phase(&self) -> Option<Duration> {
-        let now = unix_time::now();
+        let now = self.monotonic_now();
         let (status, is_shutting_down) = {
             let controller = self.controller.borrow();
             (controller.status(now), controller.is_shutting_down())
@@ -237,7 +260,8 @@
         let other_serves = successor == Successor::Serving;
         let answer_timeout = shutdown.limits.shutdown.answer_timeout.get();
         tracing::info!(other_serves, ?answer_timeout, "shutdown started");
-        shutdown.update(|controller| controller.shut_down(unix_time::now(), successor));
+        let now = shutdown.monotonic_now();
+        shutdown.update(|controller| controller.shut_down(now, successor));
     });
     Ok(())
 }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -6,6 +6,7 @@
 use quartzcleat_test_support::limiter::{terminate, Limiter, LimiterSetup};
 use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 /// Part of the longest class deadline that the platform counts, at most.
@@ -13,6 +14,12 @@
 /// Time that the platform adds to it between SIGTERM and SIGKILL.
 const KILL_GRACE: Duration = Duration::from_millis(700);
 
+/// The environment variable of the preloaded library (`crates/preload`) that names the file with the wall clock's step.
+const STEP_FILE_VARIABLE: &str = "QUARTZCLEAT_WALL_CLOCK_STEP_FILE";
+
+/// Time after SIGTERM by which the process has handled it, and before connections close.
+const AFTER_SIGTERM: Duration = Duration::from_millis(300);
+
 /// Time after SIGTERM at which the late request is sent. Requests of the first 0.7 s may be lost at SIGKILL.
 const LATE: Duration = Duration::from_millis(900);
 
@@ -183,3 +190,59 @@
         assert!(began.elapsed() < ANSWER_TIMEOUT, "{class} is not served");
     }
 }
+
+/// A limiter whose process reads a wall clock that the test can step.
+struct SteppedLimiter {
+    limiter: Limiter,
+    step_file: PathBuf,
+}
+
+impl SteppedLimiter {
+    fn start(number: u8) -> Self {
+        let program = Path::new(env!("CARGO_BIN_EXE_quartzcleat"));
+        let library = program.with_file_name("deps/libquartzcleat_preload.so");
+        assert!(library.exists(), "{} is not built", library.display());
+        let name = format!("quartzcleat-step-{}-{number}", std::process::id());
+        let step_file = std::env::temp_dir().join(name);
+        let limiter = limiter_setup(number)
+            .with_environment("LD_PRELOAD", &library)
+            .with_environment(STEP_FILE_VARIABLE, &step_file)
+            .start();
+        SteppedLimiter { limiter, step_file }
+    }
+
+    fn step_wall_clock(&self, seconds: i64) {
+        std::fs::write(&self.step_file, seconds.to_string()).expect("the step is written");
+    }
+}
+
+impl Drop for SteppedLimiter {
+    fn drop(&mut self) {
+        // A file that stays behind does not concern the result.
+        let _ = std::fs::remove_file(&self.step_file);
+    }
+}
+
+/// Connections stayed open, and late requests unanswered at SIGKILL, if the wall clock was set back after SIGTERM.
+fn check_late_request_after_step(number: u8, seconds: i64) {
+    let deadline = Duration::from_millis(7_500);
+    let mut stepped = SteppedLimiter::start(number);
+    let mut connections = OpenConnections::open(&stepped.limiter);
+    let sigterm_at = Instant::now();
+    stepped.limiter.signal(Signal::SIGTERM);
+    expect_silence_until(&mut connections.busy, sigterm_at + AFTER_SIGTERM);
+    stepped.step_wall_clock(seconds);
+    connections.check_late_request(sigterm_at, deadline);
+    let status = stepped.limiter.child.wait().expect("the limiter ends");
+    assert!(status.success());
+}
+
+#[test]
+fn late_request_is_answered_before_the_earliest_kill_when_the_wall_clock_is_set_back() {
+    check_late_request_after_step(7, -3_600);
+}
+
+#[test]
+fn late_request_is_answered_before_the_earliest_kill_when_the_wall_clock_is_set_back_by_seconds() {
+    check_late_request_after_step(8, -5);
+}
