Repeat interrupted reads of discovery and the admin interface too

Callers saw: an admin request is reset if a read of its connection returns EINTR; a list of discovery is read again only after a backoff.

--- a/crates/preload/src/lib.rs
+++ b/crates/preload/src/lib.rs
@@ -1,12 +1,19 @@
 //! A library that tests load into a limiter's process (`LD_PRELOAD`). It replaces functions of the C library; no part of
 //! the limiter depends on it.
 
-use libc::{c_int, clockid_t, timespec, CLOCK_REALTIME};
+use libc::{c_int, c_void, clockid_t, size_t, ssize_t, timespec, CLOCK_REALTIME, EINTR};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 /// The environment variable that names the file with the step of the wall clock, in whole seconds. There is no step while
 /// the file does not exist.
 const STEP_FILE_VARIABLE: &str = "QUARTZCLEAT_WALL_CLOCK_STEP_FILE";
 
+/// The environment variable with the number N: every N-th read of a socket is interrupted. None is, if it is not set.
+const INTERRUPTED_READS_VARIABLE: &str = "QUARTZCLEAT_INTERRUPTED_READS";
+
+/// Number of reads of sockets so far.
+static READS: AtomicU64 = AtomicU64::new(0);
+
 /// Returns the step of the wall clock in seconds.
 fn wall_clock_step() -> i64 {
     let path = std::env::var_os(STEP_FILE_VARIABLE);
@@ -28,3 +35,39 @@
     }
     c_int::try_from(result).unwrap_or(-1)
 }
+
+/// Counts a read of a socket and returns whether it is interrupted.
+fn is_interrupted() -> bool {
+    let text = std::env::var(INTERRUPTED_READS_VARIABLE).ok();
+    let interval = text.and_then(|text| text.parse().ok());
+    interval.is_some_and(|interval: u64| (READS.fetch_add(1, Relaxed) + 1).is_multiple_of(interval))
+}
+
+/// Receives from a socket, as `recv(2)` does, or fails as if a signal had interrupted the call.
+///
+/// # Safety
+/// `buffer` must point to `length` bytes that may be written.
+#[no_mangle]
+pub unsafe extern "C" fn recv(
+    socket: c_int,
+    buffer: *mut c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    if is_interrupted() {
+        // SAFETY: the C library returns the address of the calling thread's error number.
+        unsafe { *libc::__errno_location() = EINTR };
+        return -1;
+    }
+    // SAFETY: the caller passes a valid buffer, and `recvfrom` without an address does what `recv` does.
+    unsafe {
+        libc::recvfrom(
+            socket,
+            buffer,
+            length,
+            flags,
+            std::ptr::null_mut(),
+            std::ptr::null_mut(),
+        )
+    }
+}
--- a/crates/test-support/src/limiter.rs
+++ b/crates/test-support/src/limiter.rs
@@ -4,6 +4,7 @@
 use crate::config::LONG_FACTS;
 use crate::toy_platform::{self, ToyPlatform};
 use quartzcleat_fakes::process::{limiter_command, send_signal, Signal};
+use std::ffi::{OsStr, OsString};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -34,7 +35,7 @@
 /// An environment variable of a limiter's process.
 struct EnvironmentVariable {
     name: String,
-    value: PathBuf,
+    value: OsString,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,12 +84,25 @@
         }
     }
 
-    /// Sets an environment variable of the first process to a path.
+    /// Loads the library of `crates/preload` into the first process.
+    ///
+    /// # Panics
+    /// Panics where the library is not built.
+    #[must_use]
+    pub fn with_preloaded_library(self) -> Self {
+        let library = self
+            .program
+            .with_file_name("deps/libquartzcleat_preload.so");
+        assert!(library.exists(), "{} is not built", library.display());
+        self.with_environment("LD_PRELOAD", &library)
+    }
+
+    /// Sets an environment variable of the first process.
     #[must_use]
-    pub fn with_environment(mut self, name: &str, path: &Path) -> Self {
+    pub fn with_environment(mut self, name: &str, value: impl AsRef<OsStr>) -> Self {
         self.environment.push(EnvironmentVariable {
             name: name.to_owned(),
-            value: path.to_owned(),
+            value: value.as_ref().to_owned(),
         });
         self
     }
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -11,16 +11,20 @@
 use super::config::Limits;
 use super::discovery::DiscoveryClient;
 use super::hot_restart::HotRestart;
+use super::resp::codec;
 use super::shutdown::Shutdown;
 use super::unix_time;
 use quartzcleat_admin::{AdminRequest, MaintenanceChange, RequestError, UnknownHost};
 use std::collections::VecDeque;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+/// Number of bytes by which the buffer of a request grows at a time.
+const READ_CHUNK_BYTES: usize = 1 << 10;
+
 /// Components that requests to the admin interface read and change.
 pub struct AdminContext {
     /// Limits of the process.
@@ -124,9 +128,8 @@
         if let Some(request) = http::parse(&bytes, max_bytes) {
             return Some(request);
         }
-        if stream.read_buf(&mut bytes).await.ok()? == 0 {
-            return None;
-        }
+        let received = codec::read_more(stream, &mut bytes, READ_CHUNK_BYTES).await;
+        received.ok()?;
     }
 }
 
@@ -137,7 +140,7 @@
     let _ = stream.write_all(response.as_bytes()).await;
     let _ = stream.shutdown().await;
     let mut unread = [0; 512];
-    while stream.read(&mut unread).await.is_ok_and(|count| count > 0) {}
+    while let Ok(1..) = codec::read_some(stream, &mut unread).await {}
 }
 
 /// Waits for discovery's first list if a request names a host that is not known yet: an operator's request may arrive
--- a/src/net/discovery/connection.rs
+++ b/src/net/discovery/connection.rs
@@ -3,12 +3,13 @@
 use super::http::{parse_response, Response, ResponseError};
 use super::received_list::ListError;
 use crate::net::config::Limits;
+use crate::net::resp::codec;
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -160,9 +161,8 @@
                 self.input.drain(..response.length);
                 return Ok(response);
             }
-            if self.stream.read_buf(&mut self.input).await? == 0 {
-                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
-            }
+            let chunk_bytes = limits.codec.read_chunk_bytes;
+            codec::read_more(&mut self.stream, &mut self.input, chunk_bytes).await?;
         }
     }
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -1,7 +1,7 @@
 //! Events that cross on a limiter's sockets, forced: see docs/crossings.md.
 
 use quartzcleat_fakes::process::Signal;
-use quartzcleat_test_support::commands::{request, send, served, CHECK_FACTS, PING};
+use quartzcleat_test_support::commands::{request, send, served, CHEAP_FACTS, CHECK_FACTS, PING};
 use quartzcleat_test_support::config::{
     with_few_sockets, with_long_deadline, with_one_request_in_progress,
 };
@@ -10,6 +10,9 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
+/// Number of commands that are sent one after another while reads are interrupted.
+const INTERRUPTED_COMMANDS: u64 = 100;
+
 /// A limiter of this build.
 fn limiter_setup(number: u8) -> LimiterSetup {
     LimiterSetup::new(env!("CARGO_BIN_EXE_quartzcleat"), number)
@@ -176,3 +179,17 @@
     let kind = error.expect("the connection was reset").kind();
     assert_eq!(kind, ErrorKind::BrokenPipe);
 }
+
+/// A command was lost with its connection if a signal interrupted the read (issue 47).
+#[test]
+fn interrupted_reads_lose_no_command() {
+    let limiter = limiter_setup(68)
+        .with_preloaded_library()
+        .with_environment("QUARTZCLEAT_INTERRUPTED_READS", "3")
+        .start();
+    let mut client = limiter.connect();
+    for id in 1..=INTERRUPTED_COMMANDS {
+        let command = request("Q.ASK", id, CHEAP_FACTS, "");
+        assert_eq!(send(&mut client, &command, 1), served(id));
+    }
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -6,7 +6,7 @@
 use quartzcleat_test_support::limiter::{terminate, Limiter, LimiterSetup};
 use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 /// Part of the longest class deadline that the platform counts, at most.
@@ -199,13 +199,10 @@
 
 impl SteppedLimiter {
     fn start(number: u8) -> Self {
-        let program = Path::new(env!("CARGO_BIN_EXE_quartzcleat"));
-        let library = program.with_file_name("deps/libquartzcleat_preload.so");
-        assert!(library.exists(), "{} is not built", library.display());
         let name = format!("quartzcleat-step-{}-{number}", std::process::id());
         let step_file = std::env::temp_dir().join(name);
         let limiter = limiter_setup(number)
-            .with_environment("LD_PRELOAD", &library)
+            .with_preloaded_library()
             .with_environment(STEP_FILE_VARIABLE, &step_file)
             .start();
         SteppedLimiter { limiter, step_file }
