Idle connections to hosts no longer keep the arguments of their last request

Cause: run_calls kept the ended call in a variable while its connection waited for the next one, and a call holds the arguments of its request (up to 64 KiB) until it is dropped. The bytes counted towards no limit.

Change: the call is dropped before the wait.

--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -55,22 +55,25 @@
     }
 }
 
-/// Runs a call on a connection, and then each call that the pool assigns to the connection while it is idle.
+/// Runs a call on a connection, and then each call that the pool assigns to the connection while it is idle. A call is
+/// dropped before the wait for the next one, since it holds the arguments of its request.
 async fn run_calls(
     pipeline: &Rc<Pipeline>,
     mut connection: UpstreamConnection,
     mut call: HostCall,
 ) {
     loop {
+        let host = call.host;
         let CallEnd { result, reusable } = attempt::run(pipeline, &mut connection, &call).await;
         // Added before the engine handles the end of the call, so that a call that results from it can use the
         // connection.
         let idle_slot = if reusable {
-            pipeline.upstream.add_idle(call.host, connection.peer)
+            pipeline.upstream.add_idle(host, connection.peer)
         } else {
             None
         };
         complete::complete(pipeline, &call, result);
+        drop(call);
         let Some(IdleSlot { serial, next_call }) = idle_slot else {
             return;
         };
@@ -79,7 +82,7 @@
             // another connection.
             Some(next) if !connection.is_quiet() => return send(pipeline, next),
             Some(next) => call = next,
-            None => return pipeline.upstream.remove_idle(call.host, serial),
+            None => return pipeline.upstream.remove_idle(host, serial),
         }
     }
 }
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -4,14 +4,14 @@
 use super::{attempt, complete, dispatch};
 use crate::api::{Event, HostEntry, HostId, HostState, Nanos, Outcome, RequestId};
 use crate::net::engine::tests::{attempt_order, no_reply, reply_to, request, RecordingFrontend};
-use crate::net::engine::{Answer, AttemptOrder};
+use crate::net::engine::{Answer, AttemptOrder, HostCommand, Payload};
 use crate::net::resp::upstream::UpstreamConnection;
 use crate::net::tests::{next_event, with_limiter};
 use crate::net::Limiter;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::yield_now;
 use tokio::time::{timeout, Instant};
@@ -202,3 +202,46 @@
         );
     });
 }
+
+/// Returns a reference to the arguments of an attempt's request that does not keep them.
+fn arguments(command: &HostCommand) -> Weak<Payload> {
+    match command {
+        HostCommand::Attempt { payload, .. } => Rc::downgrade(payload),
+        HostCommand::HealthCheck => Weak::new(),
+    }
+}
+
+/// Idle connections to hosts kept the arguments of their last request, up to 64 KiB each (issue 51).
+#[test]
+fn idle_connection_does_not_keep_the_arguments_of_its_last_request() {
+    with_limiter(&[], |limiter| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port is free");
+        let address = listener.local_addr().expect("a local address");
+        let entry = HostEntry {
+            host: HOST,
+            state: HostState::Ready,
+            ..HostEntry::default()
+        };
+        limiter.upstream().update_host(&entry, address);
+        let requests = limiter.engine().requests();
+        let now = Instant::now();
+        requests.borrow_mut().open(no_reply(), &mut request(1), now);
+        let begun = requests
+            .borrow_mut()
+            .begin_attempt(attempt_order(1, HOST), now);
+        let call = begun.expect("within the limit on attempts");
+        let arguments = arguments(&call.command);
+        dispatch::send(limiter.pipeline(), call);
+        let (mut peer, _) = listener.accept().await.expect("the attempt connects");
+        assert!(peer.read(&mut [0; 256]).await.expect("the command") > 0);
+        assert!(arguments.upgrade().is_some(), "they may be sent again");
+        let answer = b"*3\r\n$3\r\nbed\r\n$-1\r\n$-1\r\n";
+        peer.write_all(answer).await.expect("the answer is sent");
+        let event = next_event(&limiter).await;
+        assert!(matches!(event, Event::AttemptDone { .. }), "{event:?}");
+        assert!(arguments.upgrade().is_none());
+        let connections = limiter.upstream().connections_by_host();
+        assert_eq!(connections.get(&HOST), Some(&1), "the connection is kept");
+    });
+}
