Reads from clients leave spare capacity untouched instead of filling it with zeros

Cause: SharedReader zeroed all free capacity of the input buffer before each read. Input buffers grow by doubling, so that up to half of a buffer was made resident without a byte of its client in it, and each read of a long command cost a memset of that size.

Change: the read goes to the uninitialized capacity (TcpStream::try_read_buf).

--- a/src/net/resp/shared_reader.rs
+++ b/src/net/resp/shared_reader.rs
@@ -31,11 +31,10 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.stream.poll_read_ready(context))?;
-            let unfilled = buffer.initialize_unfilled();
-            let capacity = unfilled.len();
-            match self.stream.try_read(unfilled) {
+            let capacity = buffer.remaining();
+            // Capacity that is not read into stays untouched: filling it with zeros would make it resident.
+            match self.stream.try_read_buf(buffer) {
                 Ok(count) => {
-                    buffer.advance(count);
                     // A read that leaves room has emptied the socket, and the next one waits without a further call.
                     if (1..capacity).contains(&count) {
                         clear_readiness(self.stream);
--- a/src/net/resp/tests.rs
+++ b/src/net/resp/tests.rs
@@ -1,10 +1,15 @@
 //! Received bytes and closed connections that the kernel knows about before the runtime does.
 
 use super::close::{close_between_requests, close_discarding, read_now, SocketState, UnreadBytes};
+use super::shared_reader::SharedReader;
 use super::upstream::UpstreamConnection;
+use std::future::poll_fn;
 use std::io::{Read, Write};
+use std::mem::MaybeUninit;
 use std::net::TcpStream as BlockingStream;
+use std::pin::Pin;
 use std::time::Duration;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 
 /// A connection on which the runtime has seen no bytes, and its other end, which the test controls.
@@ -134,3 +139,21 @@
         );
     });
 }
+
+/// A read filled all spare capacity of its buffer with zeros, so that capacity that nothing was read into became resident
+/// (issue 51).
+#[test]
+fn read_leaves_the_rest_of_its_buffer_untouched() {
+    run(async {
+        let ConnectedPair { stream, mut peer } = connected_pair().await;
+        peer.write_all(b"PING").expect("the socket takes it");
+        let mut reader = SharedReader::new(&stream);
+        let mut memory = [MaybeUninit::uninit(); 64];
+        let mut buffer = ReadBuf::uninit(&mut memory);
+        poll_fn(|context| Pin::new(&mut reader).poll_read(context, &mut buffer))
+            .await
+            .expect("bytes are received");
+        assert_eq!(buffer.filled(), b"PING");
+        assert_eq!(buffer.initialized().len(), buffer.filled().len());
+    });
+}
