--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod config;
 pub mod engine;
 pub mod limiter;
+pub mod process;
 pub mod settings;
 pub mod toy_platform;
--- a/src/net/config/limits/downstream.rs
+++ b/src/net/config/limits/downstream.rs
@@ -11,6 +11,9 @@
     /// Time within which a new connection must send its first complete command, and within which each further command
     /// must arrive from its first byte to its last.
     pub command_timeout: Duration,
+    /// Maximum time for which a long command waits for memory. The rest of `command_timeout` is for the client to send
+    /// the rest of the command.
+    pub max_memory_wait: Duration,
     /// Time for which an idle connection is kept.
     pub idle_timeout: Duration,
     /// Time that is added to the idle time of a connection without any request yet, so that it is evicted earlier.
@@ -36,6 +39,7 @@
             // Requests use at most a third of the descriptors for client connections; the rest is for idle connections.
             max_connections: sockets / 2,
             command_timeout: Duration::from_millis(2_600),
+            max_memory_wait: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(5),
             unused_eviction_advance: Duration::from_secs(1),
             write_stall_timeout: Duration::from_secs(20),
--- a/src/net/config/limits/mod.rs
+++ b/src/net/config/limits/mod.rs
@@ -3,6 +3,7 @@
 //! A reload of the configuration updates values in a `Cell`; all others stay as they are until the next start.
 
 mod downstream;
+mod memory;
 mod process;
 mod requests;
 mod services;
@@ -39,6 +40,8 @@
     pub downstream: DownstreamLimits,
     /// Limits for messages of clients and hosts.
     pub codec: CodecLimits,
+    /// Limits on the memory that is reserved for clients, hosts and services.
+    pub memory: memory::MemoryLimits,
     /// Limits for requests, from their admission to their answer.
     pub requests: RequestLimits,
     /// Limits for connections to hosts.
@@ -66,7 +69,8 @@
         Limits {
             downstream: DownstreamLimits::new(resources.sockets),
             codec: CodecLimits::new(),
-            requests: RequestLimits::new(settings, resources.memory_bytes),
+            memory: memory::MemoryLimits::new(resources.memory_bytes),
+            requests: RequestLimits::new(settings),
             upstream: UpstreamLimits::new(settings, resources),
             streaming: StreamingLimits::new(),
             counter: CounterLimits::new(settings),
@@ -96,6 +100,14 @@
         self.upstream.max_connections / self.hot_restart.process_count.get()
     }
 
+    /// Returns how much memory this process may reserve for clients, hosts and services: its share while another process
+    /// of the limiter serves too, and otherwise all.
+    #[must_use]
+    pub fn reservable_memory_share(&self) -> usize {
+        self.memory
+            .reservable_bytes(self.hot_restart.process_count.get())
+    }
+
     /// Updates the limits that are derived from the settings. Those derived from the file descriptors and the memory of
     /// the process stay.
     pub fn update_from(&self, new: &Limits) {
--- a/src/net/config/limits/requests.rs
+++ b/src/net/config/limits/requests.rs
@@ -13,8 +13,6 @@
 pub struct RequestLimits {
     /// Maximum number of open requests, past which new ones are rejected.
     pub max_open: usize,
-    /// Maximum size of all buffered requests and answers, past which new requests are rejected.
-    pub max_buffered_bytes: usize,
     /// Maximum number of attempts of one request, at least 1.
     pub max_attempts: u32,
     /// Whether rejections carry a `retry_after`.
@@ -26,13 +24,12 @@
 }
 
 impl RequestLimits {
-    pub(super) fn new(settings: &Settings, memory_bytes: usize) -> Self {
+    pub(super) fn new(settings: &Settings) -> Self {
         RequestLimits {
             max_open: match settings.attempts.max_requests_in_progress {
                 0 => DEFAULT_MAX_OPEN,
                 max_open => max_open as usize,
             },
-            max_buffered_bytes: memory_bytes / 4,
             max_attempts: settings.attempts.max_per_request.max(1),
             sends_retry_after: Cell::new(settings.backoff.sends_retry_after),
             capacity_retry_after: Cell::new(if settings.backoff.sends_retry_after {
--- a/src/net/config/limits/upstream.rs
+++ b/src/net/config/limits/upstream.rs
@@ -50,6 +50,8 @@
     /// Maximum number of bytes of a value that are buffered between host and client; as many again may be waiting for
     /// the client to read them.
     pub window_bytes: usize,
+    /// The window of a value when memory for a larger one is not free.
+    pub min_window_bytes: usize,
     /// Maximum pause of a host within a value.
     pub stall_timeout: Duration,
 }
@@ -59,6 +61,7 @@
         StreamingLimits {
             max_value_bytes: 4 << 20,
             window_bytes: 32 << 10,
+            min_window_bytes: 4 << 10,
             stall_timeout: Duration::from_secs(10),
         }
     }
--- a/src/net/engine/call_result.rs
+++ b/src/net/engine/call_result.rs
@@ -1,5 +1,6 @@
 //! Results of calls to hosts.
 
+use super::value::Value;
 use crate::api::{LoadReport, Outcome};
 
 /// The result of a call to a host.
@@ -7,7 +8,7 @@
     /// Whether the call succeeded, and how it failed if not.
     pub outcome: Outcome,
     /// The value of a good attempt; empty for any other call, and for a value that was streamed.
-    pub value: Vec<u8>,
+    pub value: Value,
     /// The load report in the answer; the default if there is none.
     pub load: LoadReport,
     /// The usage figures in the answer.
@@ -27,7 +28,7 @@
     fn from(outcome: Outcome) -> Self {
         CallResult {
             outcome,
-            value: Vec::new(),
+            value: Vec::new().into(),
             load: LoadReport::default(),
             usage: UsageFigures::default(),
         }
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -7,6 +7,7 @@
 mod host_call;
 mod open_requests;
 mod request;
+mod value;
 
 #[cfg(test)]
 pub(crate) mod tests;
@@ -16,6 +17,7 @@
 pub use host_call::{Cancellation, Charge, HostCall, HostCommand};
 pub use open_requests::{AttemptId, AttemptNotAllowed, AttemptOrder, OpenRequests, ReplyTo};
 pub use request::{Answer, Frontend, Payload, Request};
+pub use value::Value;
 
 use super::config::Limits;
 use super::metrics::SharedMetrics;
@@ -24,7 +26,7 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::VecDeque;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::rc::{Rc, Weak};
+use std::rc::Weak;
 use tokio::time::Instant;
 
 /// Executes the actions that the decision engine returns.
@@ -149,7 +151,7 @@
         self.engine.borrow().snapshot()
     }
 
-    /// Returns whether the limits on open requests and buffered bytes allow another request.
+    /// Returns whether the limit on open requests allows another request.
     pub fn has_capacity(&self) -> bool {
         self.requests.borrow().has_capacity()
     }
@@ -207,9 +209,4 @@
     pub fn has_client(&self, id: RequestId) -> bool {
         self.requests.borrow().has_client(id)
     }
-
-    /// Returns the shared count of the bytes of open requests and of answers that clients have not read.
-    pub fn buffered_bytes(&self) -> Rc<Cell<usize>> {
-        self.requests.borrow().buffered_bytes()
-    }
 }
--- a/src/net/engine/open_requests.rs
+++ b/src/net/engine/open_requests.rs
@@ -4,7 +4,6 @@
 use super::request::{Frontend, Payload, Request};
 use crate::api::{AttemptIndex, HostId, Nanos, RequestId};
 use crate::net::config::Limits;
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -84,10 +83,7 @@
 pub struct OpenRequests {
     requests: HashMap<RequestId, OpenRequest>,
     in_flight: HashMap<AttemptId, Rc<Cancellation>>,
-    /// Bytes of open requests and of answers that clients have not read.
-    buffered_bytes: Rc<Cell<usize>>,
     max_requests: usize,
-    max_buffered_bytes: usize,
     max_attempts: u32,
     /// The highest `max_attempts` of all configurations since the start. Attempts begun under an earlier configuration
     /// may still be in flight.
@@ -100,25 +96,22 @@
         OpenRequests {
             requests: HashMap::new(),
             in_flight: HashMap::new(),
-            buffered_bytes: Rc::default(),
             max_requests: limits.requests.max_open,
-            max_buffered_bytes: limits.requests.max_buffered_bytes,
             max_attempts: limits.requests.max_attempts,
             highest_max_attempts: limits.requests.max_attempts,
         }
     }
 
-    /// Applies the limits of a new configuration. The limit on buffered bytes does not change.
+    /// Applies the limits of a new configuration.
     pub fn apply_limits(&mut self, limits: &Limits) {
         self.max_requests = limits.requests.max_open;
         self.max_attempts = limits.requests.max_attempts;
         self.highest_max_attempts = self.highest_max_attempts.max(limits.requests.max_attempts);
     }
 
-    /// Returns whether the limits on open requests and buffered bytes allow another request.
+    /// Returns whether the limit on open requests allows another request.
     pub fn has_capacity(&self) -> bool {
         self.requests.len() < self.max_requests
-            && self.buffered_bytes.get() < self.max_buffered_bytes
     }
 
     /// Returns whether a request with this id is open or still has an attempt in flight.
@@ -144,17 +137,10 @@
         open.is_some_and(|open| open.reply_to.frontend.is_client_connected())
     }
 
-    /// Returns the shared count of buffered bytes, to which frontends add the answers that their clients have not read.
-    pub fn buffered_bytes(&self) -> Rc<Cell<usize>> {
-        self.buffered_bytes.clone()
-    }
-
     /// Adds a request that arrived at `arrived`, takes its payload, and returns its deadline.
     pub fn open(&mut self, reply_to: ReplyTo, request: &mut Request, arrived: Instant) -> Instant {
         let payload = Rc::new(std::mem::take(&mut request.payload));
         let deadline = arrived + request.wait;
-        self.buffered_bytes
-            .set(self.buffered_bytes.get() + payload.bytes.len());
         let open = OpenRequest {
             reply_to,
             payload,
@@ -186,8 +172,6 @@
                 }
             }
         }
-        self.buffered_bytes
-            .set(self.buffered_bytes.get() - open.payload.bytes.len());
         Some(open.reply_to)
     }
 
--- a/src/net/engine/request.rs
+++ b/src/net/engine/request.rs
@@ -1,6 +1,8 @@
 //! Requests as frontends submit them, and their final answers.
 
+use super::value::Value;
 use crate::api::{ClassIndex, CustomerId, LimiterIndex, PlanIndex, RequestId};
+use crate::net::memory::Reservation;
 use crate::net::streaming_body::StreamingBody;
 use std::ops::Range;
 use std::rc::Rc;
@@ -19,10 +21,10 @@
 }
 
 /// The final answer to a request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum Answer {
     /// The request was served; holds the value as the host returned it.
-    Served(Vec<u8>),
+    Served(Value),
     /// The request was served with a long value, which is streamed.
     Streaming(Rc<StreamingBody>),
     /// The request was rejected before any host executed it, so a retry is safe.
@@ -46,20 +48,21 @@
     }
 }
 
-/// The arguments of a command for a host. They are forwarded unchanged, except for the remaining wait that one of them
+/// The command of a request. Its arguments are forwarded unchanged, except for the remaining wait that one of them
 /// contains.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Payload {
-    /// The concatenated arguments.
+    /// The command as the client sent it: each argument is followed by a line end.
     pub bytes: Vec<u8>,
     /// The range of each argument in `bytes`.
     pub arguments: Vec<Range<usize>>,
     /// The range in `bytes` of the remaining wait, a decimal number of milliseconds.
     pub wait: Range<usize>,
+    /// The memory that the request takes; `None` if nobody counts it.
+    pub reservation: Option<Reservation>,
 }
 
 /// A request as a frontend submits it.
-#[derive(Clone)]
 pub struct Request {
     /// The id that the client gave the request.
     pub id: RequestId,
--- a/src/net/engine/tests.rs
+++ b/src/net/engine/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::api::{AttemptIndex, ClassIndex, CustomerId, HostId, LimiterIndex, PlanIndex};
 use crate::net::tests::with_limiter;
+use std::rc::Rc;
 use std::time::Duration;
 
 impl EngineDriver {
@@ -71,6 +72,7 @@
             bytes: b"Q.ASKd=900,c=x".to_vec(),
             arguments: vec![0..5, 5..14],
             wait: 7..10,
+            ..Payload::default()
         },
     }
 }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -5,9 +5,9 @@
 
 use super::config::Limits;
 use super::engine::{Frontend, Request};
+use super::memory::MemoryBudget;
 use super::shutdown::Shutdown;
 use crate::api::RequestId;
-use std::cell::Cell;
 use std::rc::Rc;
 
 #[cfg(test)]
@@ -31,6 +31,6 @@
     pub limits: Rc<Limits>,
     /// The phase of the shutdown and the number of client connections.
     pub shutdown: Rc<Shutdown>,
-    /// The number of bytes of open requests and of answers that clients have not read.
-    pub buffered_bytes: Rc<Cell<usize>>,
+    /// The memory that the process holds for others.
+    pub memory: Rc<MemoryBudget>,
 }
--- a/src/net/frontend/tests.rs
+++ b/src/net/frontend/tests.rs
@@ -40,6 +40,6 @@
             next_event(&limiter).await,
             Event::Abandoned { id: RequestId(2) }
         ));
-        assert_eq!(context.buffered_bytes.get(), 0);
+        assert_eq!(context.memory.total(), 0);
     });
 }
--- a/src/net/limiter/tests.rs
+++ b/src/net/limiter/tests.rs
@@ -7,7 +7,7 @@
 
 /// Accessors for the tests of other modules.
 impl Limiter {
-    pub(crate) fn limits(&self) -> &Limits {
+    pub(crate) fn limits(&self) -> &Rc<Limits> {
         &self.limits
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod hot_restart;
 pub mod leases;
 pub mod limiter;
+pub mod memory;
 pub mod metrics;
 pub mod metrics_log;
 pub mod peers;
--- a/src/net/resp/close.rs
+++ b/src/net/resp/close.rs
@@ -27,17 +27,30 @@
     Closed,
 }
 
+impl From<io::Result<usize>> for SocketState {
+    /// Converts the result of a call that reads without waiting.
+    fn from(received: io::Result<usize>) -> Self {
+        match received {
+            Ok(0) => SocketState::Closed,
+            Ok(count) => SocketState::Read(count),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => SocketState::Empty,
+            Err(_) => SocketState::Closed,
+        }
+    }
+}
+
 /// Reads the received bytes directly from the kernel, bypassing the runtime's readiness state.
 ///
 /// The runtime learns about readiness only when it polls the sockets. Since the last poll a command may have arrived on
 /// a connection that is about to be closed, or the peer may have closed a connection that is about to be used.
 pub fn read_now(stream: &TcpStream, buffer: &mut [u8]) -> SocketState {
-    match receive(stream, buffer, MsgFlags::MSG_DONTWAIT) {
-        Ok(0) => SocketState::Closed,
-        Ok(count) => SocketState::Read(count),
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => SocketState::Empty,
-        Err(_) => SocketState::Closed,
-    }
+    receive(stream, buffer, MsgFlags::MSG_DONTWAIT).into()
+}
+
+/// Returns what [`read_now`] would return for a buffer of one byte, and leaves the byte unread.
+pub fn peek_now(stream: &TcpStream) -> SocketState {
+    let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+    receive(stream, &mut [0], flags).into()
 }
 
 fn receive(stream: &TcpStream, buffer: &mut [u8], flags: MsgFlags) -> io::Result<usize> {
--- a/src/net/resp/codec/buffer.rs
+++ b/src/net/resp/codec/buffer.rs
@@ -6,8 +6,8 @@
 #[cfg(test)]
 mod tests;
 
-/// Waits for more bytes and appends them to `buffer`. Cancel-safe: no bytes are read if it is cancelled while waiting.
-/// Reserves at least `chunk_bytes` of free capacity, so that a read that does not fill it needs no further call.
+/// Waits for more bytes and appends them to `buffer`, up to its capacity. A full buffer grows by `chunk_bytes` first.
+/// Cancel-safe: no bytes are read if it is cancelled while waiting.
 ///
 /// # Errors
 /// The connection has failed; [`io::ErrorKind::UnexpectedEof`] if the peer has closed it.
@@ -16,7 +16,9 @@
     buffer: &mut Vec<u8>,
     chunk_bytes: usize,
 ) -> io::Result<()> {
-    buffer.reserve(chunk_bytes);
+    if buffer.len() == buffer.capacity() {
+        buffer.reserve_exact(chunk_bytes);
+    }
     loop {
         match stream.read_buf(buffer).await {
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
--- a/src/net/resp/codec/cursor.rs
+++ b/src/net/resp/codec/cursor.rs
@@ -159,6 +159,17 @@
         Ok(Some(text))
     }
 
+    /// Parses the header of a bulk string after its `$`, and moves past the string even if it has not been received;
+    /// returns `None` for null.
+    pub(super) fn announced_bulk(&mut self) -> Result<Option<Range<usize>>, ParseError> {
+        let Some(length) = self.length(self.limits.codec.max_value_bytes)? else {
+            return Ok(None);
+        };
+        let text = self.position..self.position + length;
+        self.position = text.end + LINE_END.len();
+        Ok(Some(text))
+    }
+
     /// Checks that the bytes parsed so far do not exceed the maximum message length.
     pub(super) fn check_parsed_length(&self) -> Result<(), Malformed> {
         self.check_length(self.position)
--- a/src/net/resp/codec/mod.rs
+++ b/src/net/resp/codec/mod.rs
@@ -10,7 +10,7 @@
 mod write;
 
 pub use buffer::{consume, read_more, read_some};
-pub use command::{parse_command, Command};
+pub use command::{announced_command, parse_command, AnnouncedCommand, Command};
 pub use cursor::Malformed;
 pub use reply::{parse_reply, value_head, ParsedReply, Reply, ValueHead};
 pub use write::{write_bulk, write_command, write_head};
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -4,13 +4,14 @@
     Admission, CloseDecision, ClosePolicy, CloseReason, ConnectionEnd, LossReason, Progress,
 };
 use super::idle_connections::{Activity, IdleTimer, Usage};
-use super::input::{Input, InputState, ReadMode, ReceiveOutcome};
+use super::input::{Input, InputState, ReadMode, ReceiveOutcome, Rest};
 use super::output::Output;
-use super::request_parser::{parse_client_command, ClientCommand};
-use super::response_queue::{CollectOutcome, Response, ResponseQueue};
+use super::request_parser::{announced_wait, parse_client_command, ClientCommand};
+use super::response_queue::{encode, CollectOutcome, Response, ResponseQueue};
 use super::Downstream;
 use crate::net::config::Limits;
 use crate::net::engine::{Answer, Frontend, Request};
+use crate::net::memory::{Owner, Reservation};
 use crate::net::resp::close::{self, SocketState, UnreadBytes};
 use crate::net::resp::codec::{self, Command};
 use crate::net::shutdown::Phase;
@@ -32,19 +33,18 @@
 const PONG: &[u8] = b"+PONG\r\n";
 const OK: &[u8] = b"+OK\r\n";
 const DRAINING: &str = "draining";
+const TOO_LONG: &str = "a message is too long";
+const NO_MEMORY: &str = "no memory for a command of this form";
 const TOO_MANY_COMMANDS: &str = "too many commands wait on this connection";
 
 /// Serves a connection until it ends, and closes it.
 pub(super) async fn serve(downstream: &Rc<Downstream>, stream: TcpStream, admission: Admission) {
     let context = &downstream.context;
     let stream = Rc::new(stream);
-    let responses = ResponseQueue::new(&stream, context.buffered_bytes.clone());
+    let responses = ResponseQueue::new(&stream, &context.memory);
     let responses = Rc::new(responses);
     let mut connection = Connection::new(downstream, &stream, admission, &responses);
     let end = connection.run().await;
-    if matches!(end, ConnectionEnd::Lost(_)) {
-        connection.output.abandon(&responses);
-    }
     drop(connection);
     log_end(end, &responses);
     responses.abandon(&*context.handler);
@@ -97,6 +97,8 @@
     close_policy: ClosePolicy,
     /// Number of commands handled since other tasks were last let run.
     commands_in_turn: usize,
+    /// Whether the input contains no complete command.
+    is_input_handled: bool,
 }
 
 impl<'a> Connection<'a> {
@@ -110,12 +112,13 @@
         Connection {
             downstream,
             responses: responses.clone(),
-            input: Input::new(stream),
+            input: Input::new(stream, &downstream.context.memory),
             output: Output::new(stream),
             idle_timer: IdleTimer::new(downstream.idle_connections.clone()),
             phase: shutdown.subscribe_phase(),
             close_policy: ClosePolicy::new(admission, shutdown.phase()),
             commands_in_turn: 0,
+            is_input_handled: true,
         }
     }
 
@@ -158,6 +161,9 @@
                 self.update_idle_timer(progress);
                 if self.is_turn_over() {
                     Step::Yield
+                } else if !self.is_input_handled && self.read_mode() == ReadMode::Commands {
+                    // The commands were left while too many bytes were unsent.
+                    Step::Continue
                 } else {
                     Step::Wait
                 }
@@ -182,41 +188,95 @@
     /// Handles the complete commands received, until the turn is over, malformed bytes or too many unsent bytes.
     fn handle_commands(&mut self) {
         let limits = self.limits();
-        let mut consumed = 0;
-        while !self.is_turn_over() && self.read_mode() == ReadMode::Commands {
-            let bytes = &self.input.bytes()[consumed..];
-            match codec::parse_command(bytes, limits) {
-                Ok(None) => break,
+        if self.input.take_rejected() {
+            self.reject_for_memory();
+        }
+        self.is_input_handled = !self.input.is_parsable();
+        while !self.is_input_handled
+            && !self.is_turn_over()
+            && self.read_mode() == ReadMode::Commands
+        {
+            match codec::parse_command(self.input.unparsed(), limits) {
+                Ok(None) => {
+                    self.reserve_rest();
+                    self.is_input_handled = true;
+                }
                 Ok(Some(command))
                     if self.responses.len() < limits.downstream.max_queued_commands =>
                 {
-                    self.handle_command(bytes, &command);
-                    consumed += command.length;
+                    self.handle_command(&command);
                     self.commands_in_turn += 1;
                 }
-                Ok(Some(_)) => {
-                    self.responses.push_error(TOO_MANY_COMMANDS);
-                    self.input.set_malformed();
-                }
-                Err(malformed) => {
-                    self.responses.push_error(malformed.0);
-                    self.input.set_malformed();
-                }
+                Ok(Some(_)) => self.refuse(TOO_MANY_COMMANDS),
+                Err(malformed) => self.refuse(malformed.0),
             }
         }
-        self.input.consume(consumed, limits);
+        self.input.remove_parsed(limits);
+    }
+
+    /// Responds with an error to bytes after which nothing can be parsed.
+    fn refuse(&mut self, problem: &str) {
+        self.responses.push_error(problem);
+        self.input.set_malformed();
+    }
+
+    /// Reserves memory for the rest of a long command. Half of the time that its client waits for an answer may pass
+    /// until then, and the client needs time to send the rest.
+    fn reserve_rest(&mut self) {
+        let limits = self.limits();
+        let bytes = self.input.unparsed();
+        let Some(announced) = codec::announced_command(bytes, limits) else {
+            return;
+        };
+        if announced.min_bytes <= limits.codec.read_chunk_bytes {
+            return;
+        }
+        let longest_wait = limits.downstream.max_memory_wait;
+        let client_wait = announced_wait(bytes, &announced, &self.downstream.catalog.borrow());
+        let max_wait = client_wait.map_or(longest_wait, |wait| longest_wait.min(wait / 2));
+        match self.input.reserve_rest(&announced, max_wait, limits) {
+            Rest::Receivable => {}
+            Rest::TooLong => self.refuse(TOO_LONG),
+            Rest::NoMemory => self.refuse(NO_MEMORY),
+        }
     }
 
-    fn handle_command(&self, bytes: &[u8], command: &Command) {
+    fn handle_command(&mut self, command: &Command) {
         let catalog = self.downstream.catalog.borrow();
-        match parse_client_command(bytes, command, &catalog) {
+        let parsed = parse_client_command(self.input.unparsed(), command, &catalog);
+        drop(catalog);
+        let command = self.input.take_command(command.length);
+        match parsed {
             Ok(ClientCommand::Ping) => self.handle_ping(),
             Ok(ClientCommand::ConnectionSetting) => self.respond(OK),
-            Ok(ClientCommand::Request(request)) => self.handle_request(*request),
+            Ok(ClientCommand::Request(mut request)) => {
+                request.payload.reservation =
+                    Some(self.reserve_request(command.reservation, &command.bytes));
+                request.payload.bytes = command.bytes;
+                self.handle_request(*request);
+            }
             Err(error) => self.responses.push_error(&error.to_string()),
         }
     }
 
+    /// Reserves the memory of a request. `command` is the reservation of a long command.
+    fn reserve_request(&self, command: Option<Reservation>, bytes: &Vec<u8>) -> Reservation {
+        let context = &self.downstream.context;
+        let mut reservation = match command {
+            Some(command) => command.transferred_to(Owner::Requests),
+            None => context.memory.hold(Owner::Requests, 0),
+        };
+        reservation.resize(context.limits.memory.request_bytes + bytes.capacity());
+        reservation
+    }
+
+    /// Rejects a command for which there was no memory in time. Its bytes have been discarded.
+    fn reject_for_memory(&self) {
+        let retry_after = self.limits().requests.capacity_retry_after.get();
+        let rejected = Answer::Rejected { retry_after };
+        self.responses.push(Response::Ready(encode(&rejected)));
+    }
+
     /// Tells the load balancer in front of the limiter whether the limiter accepts clients.
     fn handle_ping(&self) {
         if self.downstream.context.shutdown.accepts_clients() {
@@ -247,6 +307,18 @@
         self.responses.push(Response::Ready(response.to_vec()));
     }
 
+    /// Ends a connection that was idle for too long, did not complete a command, or was evicted. A command that was
+    /// rejected for lack of memory is answered first.
+    fn expire(&mut self, reason: CloseReason) -> ControlFlow<ConnectionEnd> {
+        let ended = self.close_unless_received(reason);
+        if ended.is_break() && self.input.is_rejecting() {
+            self.reject_for_memory();
+            self.input.set_malformed();
+            return ControlFlow::Continue(());
+        }
+        ended
+    }
+
     /// Closes the connection between two requests, unless the socket has received more bytes in the meantime.
     fn close_unless_received(&mut self, reason: CloseReason) -> ControlFlow<ConnectionEnd> {
         match self.input.read_now() {
@@ -275,13 +347,18 @@
     fn read_mode(&self) -> ReadMode {
         if self.input.state() == InputState::Malformed {
             ReadMode::Discard
-        } else if self.output.is_full(self.limits()) {
+        } else if self.output.is_full(self.limits()) || self.has_unsent_without_memory() {
             ReadMode::Paused
         } else {
             ReadMode::Commands
         }
     }
 
+    /// Returns whether the client leaves responses unread while the process has no memory for further requests.
+    fn has_unsent_without_memory(&self) -> bool {
+        !self.output.is_empty() && !self.downstream.context.memory.has_room_for_requests()
+    }
+
     /// Ends the turn. A client that has left in the meantime is noticed at once, so that no more of its commands are
     /// handled.
     async fn let_other_tasks_run(&mut self) -> ControlFlow<ConnectionEnd> {
@@ -302,7 +379,7 @@
         let read_mode = self.read_mode();
         let body = self.responses.current_body();
         let is_closing = *self.phase.borrow() >= Phase::Closing;
-        let has_unwritten = self.output.has_unwritten();
+        let has_unwritten = !self.output.is_empty();
         let stalled_at = self.output.stalled_at(limits);
         tokio::select! {
             // Input is polled first, so that a connection is not closed while a command can be read from it.
@@ -316,7 +393,7 @@
             () = wait_for_body(body.as_deref()), if self.output.is_empty() => CONTINUE,
             () = sleep_until(stalled_at), if has_unwritten => lost(LossReason::WriteStalled),
             _ = self.phase.changed(), if !is_closing => CONTINUE,
-            reason = self.idle_timer.expired(limits) => self.close_unless_received(reason),
+            reason = self.idle_timer.expired(limits) => self.expire(reason),
         }
     }
 }
--- a/src/net/resp/downstream/connection/tests.rs
+++ b/src/net/resp/downstream/connection/tests.rs
@@ -160,3 +160,71 @@
         });
     }
 }
+
+/// Returns a request with a body of 64 KiB.
+fn long_request() -> Vec<u8> {
+    let arguments = [
+        &b"Q.DO"[..],
+        b"000000000000004d",
+        b"0000000000000001",
+        b"c=bed-hold,t=operator,d=4000,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0",
+        &vec![b'b'; 64 << 10],
+    ];
+    let mut command = Vec::new();
+    codec::write_command(&arguments, &mut command);
+    command
+}
+
+/// Writes a long request from another thread, since the socket may not take all of it, and ends the connection.
+fn write_and_leave(mut peer: BlockingStream) -> std::thread::JoinHandle<()> {
+    std::thread::spawn(move || {
+        // The limiter may close the connection first.
+        let _ = peer.write_all(&long_request());
+    })
+}
+
+/// While a long command waits for memory, nothing of it is read but its first bytes, and the leaving of its client is
+/// noticed. No request is opened for it.
+#[test]
+fn client_that_leaves_while_its_command_waits_for_memory_is_noticed() {
+    with_limiter(&[], |limiter| async move {
+        let downstream = downstream(&limiter);
+        let memory = limiter.pipeline().memory();
+        let holder = memory.hold(Owner::Responses, memory.capacity());
+        let Client { peer, stream } = Client::connect_idle().await;
+        let writer = write_and_leave(peer);
+        serve(&downstream, stream, Admission::Served).await;
+        writer.join().expect("it ends");
+        assert_eq!(memory.waiting(), 0, "the reservation is withdrawn");
+        drop(holder);
+        assert_eq!(memory.total(), 0);
+        assert!(limiter.engine().take_event().is_none(), "no request came");
+    });
+}
+
+/// A long command that waits for memory is read to its end once the memory is free, and takes its memory along.
+#[test]
+fn command_that_waited_for_memory_becomes_a_request() {
+    with_limiter(&[], |limiter| async move {
+        let downstream = downstream(&limiter);
+        let memory = limiter.pipeline().memory().clone();
+        let holder = memory.hold(Owner::Responses, memory.capacity());
+        let Client { mut peer, stream } = Client::connect_idle().await;
+        let command = long_request();
+        let written = std::thread::spawn(move || peer.write_all(&command).map(|()| peer));
+        spawn(async move { serve(&downstream, stream, Admission::Served).await });
+        while memory.waiting() == 0 {
+            yield_now().await;
+        }
+        assert_eq!(limiter.engine().open_request_count(), 0);
+        drop(holder);
+        while limiter.engine().open_request_count() == 0 {
+            yield_now().await;
+        }
+        let _peer = written.join().expect("it ends").expect("it is read");
+        assert_eq!(memory.reserved(Owner::Commands), 0);
+        let reserved = memory.reserved(Owner::Requests);
+        let expected = limiter.limits().memory.request_bytes + long_request().len();
+        assert_eq!(reserved, expected);
+    });
+}
--- a/src/net/resp/downstream/input.rs
+++ b/src/net/resp/downstream/input.rs
@@ -1,12 +1,20 @@
 //! The input of a client connection: reads bytes and buffers them until they are parsed.
+//!
+//! Each connection has a buffer for short commands. The memory of a longer command is reserved as a whole, by its announced
+//! length, before its rest is read: commands that grew piece by piece to a common limit could all wait for each other. A
+//! command whose memory is not free in time is rejected, and its bytes are discarded as they arrive.
 
+use super::long_command::LongCommand;
 use crate::net::config::Limits;
+use crate::net::memory::{MemoryBudget, Owner, Reservation};
 use crate::net::resp::close::{self, SocketState};
-use crate::net::resp::codec;
+use crate::net::resp::codec::{self, AnnouncedCommand};
 use crate::net::resp::shared_reader::SharedReader;
-use tokio::io::{Interest, Ready};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, Interest, Ready};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// Size of the buffer for reads that bypass the runtime and for discarded bytes.
 const READ_BUFFER_BYTES: usize = 4096;
@@ -36,41 +44,68 @@
 /// The outcome of waiting for bytes from the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ReceiveOutcome {
-    /// Bytes were received.
+    /// Bytes were received, or the memory for them was granted or refused.
     Received,
     /// The client has closed the connection, or the connection has failed.
     ClientGone,
 }
 
+/// Whether the rest of an incomplete command can be received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Rest {
+    /// It can, at once or as soon as its memory is reserved.
+    Receivable,
+    /// The command is longer than a command may be.
+    TooLong,
+    /// There is no memory for it, and its end is not known, so that the bytes behind it cannot be parsed.
+    NoMemory,
+}
+
+/// The bytes of a complete command.
+pub(super) struct CommandBytes {
+    /// The bytes.
+    pub(super) bytes: Vec<u8>,
+    /// The memory that a long command takes; `None` for a short one.
+    pub(super) reservation: Option<Reservation>,
+}
+
 /// The input buffer of a client connection.
 pub(super) struct Input<'a> {
     reader: SharedReader<'a>,
-    /// Bytes received and not parsed yet.
+    memory: Rc<MemoryBudget>,
+    /// Received bytes.
     bytes: Vec<u8>,
+    /// Number of bytes at the start of `bytes` that have been parsed.
+    parsed: usize,
+    /// The command after the parsed bytes, if it is long.
+    long_command: LongCommand,
     /// Whether malformed bytes were received, after which nothing can be parsed.
     is_malformed: bool,
 }
 
 impl<'a> Input<'a> {
     /// Creates an empty input.
-    pub(super) fn new(stream: &'a TcpStream) -> Self {
+    pub(super) fn new(stream: &'a TcpStream, memory: &Rc<MemoryBudget>) -> Self {
         Input {
             reader: SharedReader::new(stream),
+            memory: memory.clone(),
             bytes: Vec::new(),
+            parsed: 0,
+            long_command: LongCommand::None,
             is_malformed: false,
         }
     }
 
     /// Returns the bytes that are not parsed yet.
-    pub(super) fn bytes(&self) -> &[u8] {
-        &self.bytes
+    pub(super) fn unparsed(&self) -> &[u8] {
+        &self.bytes[self.parsed..]
     }
 
     /// Returns the state of the bytes that are not parsed yet.
     pub(super) fn state(&self) -> InputState {
         if self.is_malformed {
             InputState::Malformed
-        } else if self.bytes.is_empty() {
+        } else if self.unparsed().is_empty() && !self.is_rejecting() {
             InputState::Empty
         } else {
             InputState::PartialCommand
@@ -80,23 +115,174 @@
     /// Records that malformed bytes were received.
     pub(super) fn set_malformed(&mut self) {
         self.is_malformed = true;
+        self.release_buffer();
+    }
+
+    fn release_buffer(&mut self) {
+        self.bytes = Vec::new();
+        self.parsed = 0;
+        self.long_command = LongCommand::None;
+    }
+
+    /// Returns whether the command after the parsed bytes may be complete, so that it can be parsed.
+    pub(super) fn is_parsable(&self) -> bool {
+        matches!(
+            self.long_command,
+            LongCommand::None | LongCommand::Reading { .. }
+        )
+    }
+
+    /// Returns whether the bytes of a rejected command are being discarded.
+    pub(super) fn is_rejecting(&self) -> bool {
+        matches!(self.long_command, LongCommand::Rejected { .. })
+    }
+
+    /// Returns whether a command was rejected for lack of memory and has been received to its end, once for each command.
+    pub(super) fn take_rejected(&mut self) -> bool {
+        let is_complete = matches!(
+            self.long_command,
+            LongCommand::Rejected { remaining_bytes: 0 }
+        );
+        if is_complete {
+            self.long_command = LongCommand::None;
+        }
+        is_complete
+    }
+
+    /// Removes the first `length` unparsed bytes, a complete command, and returns them. The bytes of a long command are
+    /// not copied.
+    pub(super) fn take_command(&mut self, length: usize) -> CommandBytes {
+        if let LongCommand::Reading { reservation, .. } = std::mem::take(&mut self.long_command) {
+            // The buffer contains the command and nothing else.
+            return CommandBytes {
+                bytes: std::mem::take(&mut self.bytes),
+                reservation: Some(reservation),
+            };
+        }
+        let bytes = self.unparsed()[..length].to_vec();
+        self.parsed += length;
+        CommandBytes {
+            bytes,
+            reservation: None,
+        }
+    }
+
+    /// Removes the parsed bytes from the buffer.
+    pub(super) fn remove_parsed(&mut self, limits: &Limits) {
+        codec::consume(&mut self.bytes, self.parsed, limits.codec.read_chunk_bytes);
+        self.parsed = 0;
+    }
+
+    /// Reserves memory for the rest of a long command that is incomplete. The command is rejected if there is none within
+    /// `max_wait`.
+    pub(super) fn reserve_rest(
+        &mut self,
+        announced: &AnnouncedCommand,
+        max_wait: Duration,
+        limits: &Limits,
+    ) -> Rest {
+        if announced.min_bytes > limits.codec.max_frame_bytes {
+            return Rest::TooLong;
+        }
+        if let LongCommand::Reading { min_bytes, .. } = &mut self.long_command {
+            *min_bytes = announced.min_bytes;
+        } else {
+            self.request_memory(announced, max_wait, limits);
+        }
+        if self.is_parsable() || announced.is_exact {
+            Rest::Receivable
+        } else {
+            Rest::NoMemory
+        }
     }
 
-    /// Removes the first `count` bytes, which have been parsed.
-    pub(super) fn consume(&mut self, count: usize, limits: &Limits) {
-        codec::consume(&mut self.bytes, count, limits.codec.read_chunk_bytes);
+    fn request_memory(
+        &mut self,
+        announced: &AnnouncedCommand,
+        max_wait: Duration,
+        limits: &Limits,
+    ) {
+        let min_bytes = announced.min_bytes;
+        let bytes = if announced.is_exact {
+            min_bytes
+        } else {
+            limits.codec.max_frame_bytes
+        };
+        self.long_command = LongCommand::AwaitsMemory {
+            reservation: self.memory.request(Owner::Commands, bytes),
+            bytes,
+            min_bytes,
+            until: Instant::now() + max_wait,
+        };
+        self.use_granted_memory();
+    }
+
+    /// Moves the start of a long command to a buffer for the whole command, if its memory has been granted.
+    fn use_granted_memory(&mut self) {
+        let LongCommand::AwaitsMemory {
+            reservation,
+            bytes,
+            min_bytes,
+            ..
+        } = &self.long_command
+        else {
+            return;
+        };
+        let Some(granted) = reservation.take() else {
+            return;
+        };
+        let mut buffer = Vec::with_capacity(*bytes);
+        buffer.extend_from_slice(self.unparsed());
+        let min_bytes = *min_bytes;
+        self.bytes = buffer;
+        self.parsed = 0;
+        self.long_command = LongCommand::Reading {
+            reservation: granted,
+            min_bytes,
+        };
     }
 
-    /// Reads the bytes that the socket has received, bypassing the runtime.
+    /// Rejects the command that waits for memory.
+    fn reject(&mut self) {
+        if let LongCommand::AwaitsMemory { min_bytes, .. } = self.long_command {
+            let remaining_bytes = min_bytes - self.unparsed().len();
+            self.release_buffer();
+            self.long_command = LongCommand::Rejected { remaining_bytes };
+            tracing::debug!(remaining_bytes, "long command rejected for lack of memory");
+        }
+    }
+
+    /// Reads the bytes that the socket has received, bypassing the runtime. While a command waits for memory, only its
+    /// end is noticed.
     pub(super) fn read_now(&mut self) -> SocketState {
         let mut received = [0; READ_BUFFER_BYTES];
-        let state = close::read_now(self.reader.stream(), &mut received);
+        let limit = match self.long_command {
+            LongCommand::None => READ_BUFFER_BYTES,
+            LongCommand::Reading { min_bytes, .. } => min_bytes - self.bytes.len(),
+            LongCommand::Rejected { remaining_bytes } => remaining_bytes,
+            LongCommand::AwaitsMemory { .. } => {
+                return close::peek_now(self.reader.stream());
+            }
+        };
+        if limit == 0 {
+            return SocketState::Read(0);
+        }
+        let limit = limit.min(READ_BUFFER_BYTES);
+        let state = close::read_now(self.reader.stream(), &mut received[..limit]);
         if let SocketState::Read(count) = state {
-            self.bytes.extend_from_slice(&received[..count]);
+            self.add(&received[..count]);
         }
         state
     }
 
+    /// Adds received bytes to the buffer, or discards them if they belong to a rejected command.
+    fn add(&mut self, received: &[u8]) {
+        match &mut self.long_command {
+            LongCommand::Rejected { remaining_bytes } => *remaining_bytes -= received.len(),
+            _ => self.bytes.extend_from_slice(received),
+        }
+    }
+
     /// Waits until bytes are received or the client has gone. A disconnect is noticed even while nothing is read, so
     /// that no request is forwarded long after its client has left.
     pub(super) async fn receive(&mut self, mode: ReadMode, limits: &Limits) -> ReceiveOutcome {
@@ -118,6 +304,15 @@
     }
 
     async fn receive_commands(&mut self, limits: &Limits) -> ReceiveOutcome {
+        match &self.long_command {
+            LongCommand::None => self.receive_short(limits).await,
+            LongCommand::AwaitsMemory { .. } => self.wait_for_memory(limits).await,
+            LongCommand::Reading { .. } => self.receive_long().await,
+            LongCommand::Rejected { .. } => self.discard_rejected().await,
+        }
+    }
+
+    async fn receive_short(&mut self, limits: &Limits) -> ReceiveOutcome {
         let chunk_bytes = limits.codec.read_chunk_bytes;
         match codec::read_more(&mut self.reader, &mut self.bytes, chunk_bytes).await {
             Ok(()) => ReceiveOutcome::Received,
@@ -125,6 +320,57 @@
         }
     }
 
+    /// Waits until the memory for a long command is granted, or is refused because it was not free in time.
+    async fn wait_for_memory(&mut self, limits: &Limits) -> ReceiveOutcome {
+        let LongCommand::AwaitsMemory {
+            reservation, until, ..
+        } = &self.long_command
+        else {
+            return ReceiveOutcome::Received;
+        };
+        let is_granted = tokio::select! {
+            biased;
+            () = reservation.granted() => true,
+            outcome = self.wait_for_end(limits) => return outcome,
+            () = sleep_until(*until) => false,
+        };
+        if is_granted {
+            self.use_granted_memory();
+        } else {
+            self.reject();
+        }
+        ReceiveOutcome::Received
+    }
+
+    /// Receives more of a long command, and nothing behind it.
+    async fn receive_long(&mut self) -> ReceiveOutcome {
+        let LongCommand::Reading { min_bytes, .. } = self.long_command else {
+            return ReceiveOutcome::Received;
+        };
+        let missing = min_bytes.saturating_sub(self.bytes.len());
+        let mut rest = (&mut self.reader).take(missing as u64);
+        match codec::read_more(&mut rest, &mut self.bytes, missing).await {
+            Ok(()) => ReceiveOutcome::Received,
+            Err(_) => ReceiveOutcome::ClientGone,
+        }
+    }
+
+    /// Discards more of a rejected command, and nothing behind it.
+    async fn discard_rejected(&mut self) -> ReceiveOutcome {
+        let LongCommand::Rejected { remaining_bytes } = &mut self.long_command else {
+            return ReceiveOutcome::Received;
+        };
+        let mut discarded = [0; READ_BUFFER_BYTES];
+        let limit = READ_BUFFER_BYTES.min(*remaining_bytes);
+        match codec::read_some(&mut self.reader, &mut discarded[..limit]).await {
+            Ok(count @ 1..) => {
+                *remaining_bytes -= count;
+                ReceiveOutcome::Received
+            }
+            _ => ReceiveOutcome::ClientGone,
+        }
+    }
+
     async fn discard_to_end(&mut self) -> ReceiveOutcome {
         let mut discarded = [0; READ_BUFFER_BYTES];
         while let Ok(1..) = codec::read_some(&mut self.reader, &mut discarded).await {}
--- a/src/net/resp/downstream/listener.rs
+++ b/src/net/resp/downstream/listener.rs
@@ -4,6 +4,7 @@
 use super::closing::Admission;
 use super::connection::serve;
 use super::Downstream;
+use crate::net::memory::Owner;
 use crate::net::resp::eviction::Eviction;
 use crate::net::system_call::AcceptError;
 use crate::net::task::spawn;
@@ -120,13 +121,16 @@
 
 /// Spawns the task that serves a connection. The connection counts until the task ends.
 fn start(downstream: &Rc<Downstream>, stream: TcpStream, admission: Admission) {
-    let counted = downstream.context.shutdown.count_connection();
+    let context = &downstream.context;
+    let counted = context.shutdown.count_connection();
+    let connection_bytes = context.limits.memory.client_connection_bytes;
+    let reservation = context.memory.hold(Owner::Connections, connection_bytes);
     let downstream = downstream.clone();
     spawn(async move {
         // A failure only delays responses a little.
         let _ = stream.set_nodelay(true);
         serve(&downstream, stream, admission).await;
-        drop(counted);
+        drop((counted, reservation));
     });
 }
 
--- a/src/net/resp/downstream/output.rs
+++ b/src/net/resp/downstream/output.rs
@@ -1,8 +1,8 @@
 //! The output of a client connection: collects responses and writes them as the socket accepts bytes.
 
+use super::output_buffer::OutputBuffer;
 use super::response_queue::{CollectOutcome, ResponseQueue};
 use crate::net::config::Limits;
-use crate::net::resp::codec;
 use crate::net::system_call::repeat_interrupted;
 use std::io;
 use tokio::net::TcpStream;
@@ -11,11 +11,9 @@
 /// The output buffer of a client connection.
 pub(super) struct Output<'a> {
     stream: &'a TcpStream,
-    bytes: Vec<u8>,
-    /// Number of bytes of `bytes` that have been written.
-    written: usize,
-    /// Number of bytes of `bytes` that count towards the buffered bytes of the process. Streamed values do not count.
-    buffered_bytes: usize,
+    buffer: OutputBuffer,
+    /// Number of bytes in the buffer whose memory the response queue has reserved.
+    reserved_bytes: usize,
     /// When the socket last accepted bytes, or the output was last empty.
     last_progress: Instant,
 }
@@ -25,32 +23,26 @@
     pub(super) fn new(stream: &'a TcpStream) -> Self {
         Output {
             stream,
-            bytes: Vec::new(),
-            written: 0,
-            buffered_bytes: 0,
+            buffer: OutputBuffer::default(),
+            reserved_bytes: 0,
             last_progress: Instant::now(),
         }
     }
 
     /// Returns whether all collected bytes have been written.
     pub(super) fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.buffer.is_empty()
     }
 
     /// Returns whether the buffer has reached `max_unsent_bytes`, at which no further commands are handled.
     pub(super) fn is_full(&self, limits: &Limits) -> bool {
-        self.bytes.len() >= limits.downstream.max_unsent_bytes
-    }
-
-    /// Returns whether there are bytes that the socket has not accepted yet.
-    pub(super) fn has_unwritten(&self) -> bool {
-        self.written < self.bytes.len()
+        self.buffer.unsent_count() >= limits.downstream.max_unsent_bytes
     }
 
     /// Appends the responses that are ready.
     pub(super) fn collect(&mut self, responses: &ResponseQueue) -> CollectOutcome {
-        let collected = responses.collect(&mut self.bytes);
-        self.buffered_bytes += collected.buffered_bytes;
+        let collected = responses.collect(&mut self.buffer);
+        self.reserved_bytes += collected.buffered_bytes;
         collected.outcome
     }
 
@@ -59,24 +51,23 @@
     /// # Errors
     /// The connection has failed.
     pub(super) fn write(&mut self, responses: &ResponseQueue, limits: &Limits) -> io::Result<()> {
-        if self.has_unwritten() {
-            match repeat_interrupted(|| self.stream.try_write(&self.bytes[self.written..])) {
+        if self.is_empty() {
+            self.last_progress = Instant::now();
+            return Ok(());
+        }
+        while !self.is_empty() {
+            match repeat_interrupted(|| self.stream.try_write(self.buffer.unsent())) {
                 Ok(count) => {
-                    self.written += count;
+                    let retained_bytes = 2 * limits.codec.read_chunk_bytes;
+                    self.buffer.advance(count, retained_bytes);
                     self.last_progress = Instant::now();
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) => return Err(error),
             }
-        } else {
-            self.last_progress = Instant::now();
-        }
-        if self.written == self.bytes.len() && self.written > 0 {
-            responses.release(self.buffered_bytes);
-            codec::consume(&mut self.bytes, self.written, limits.codec.read_chunk_bytes);
-            self.written = 0;
-            self.buffered_bytes = 0;
         }
+        responses.release(self.reserved_bytes);
+        self.reserved_bytes = 0;
         Ok(())
     }
 
@@ -90,9 +81,4 @@
     pub(super) fn stalled_at(&self, limits: &Limits) -> Instant {
         self.last_progress + limits.downstream.write_stall_timeout
     }
-
-    /// Releases the count of the unsent bytes of a lost connection.
-    pub(super) fn abandon(&self, responses: &ResponseQueue) {
-        responses.release(self.buffered_bytes);
-    }
 }
--- a/src/net/resp/downstream/request_parser.rs
+++ b/src/net/resp/downstream/request_parser.rs
@@ -8,7 +8,7 @@
 use super::request_parameters::RequestParameters;
 use crate::api::{Class, CustomerId, Effect, RequestId};
 use crate::net::engine::{Payload, Request};
-use crate::net::resp::codec::Command;
+use crate::net::resp::codec::{AnnouncedCommand, Command};
 use std::ops::Range;
 use std::time::Duration;
 
@@ -64,7 +64,8 @@
     }
 }
 
-/// Parses a complete command, whose ranges refer to `bytes`.
+/// Parses a complete command, whose ranges refer to `bytes`. The payload of a request refers to these bytes and does not
+/// contain them.
 ///
 /// # Errors
 /// The command is unknown or malformed, or names a class or plan that the catalog does not contain.
@@ -116,7 +117,11 @@
         first_limiter: parameters.first_limiter,
         flags: request_flags(verb, &parameters),
         wait: bounded_wait(parameters.wait.wait, &parameters.class.class),
-        payload: payload(bytes, arguments, &parameters.wait.range),
+        payload: Payload {
+            arguments: arguments.to_vec(),
+            wait: parameters.wait.range.clone(),
+            ..Payload::default()
+        },
     })
 }
 
@@ -159,17 +164,14 @@
     }
 }
 
-/// Copies the arguments without their headers, one after another, and adjusts the range of the wait.
-fn payload(bytes: &[u8], arguments: &[Range<usize>], wait: &Range<usize>) -> Payload {
-    let mut payload = Payload::default();
-    for (index, argument) in arguments.iter().enumerate() {
-        let start = payload.bytes.len();
-        payload.bytes.extend_from_slice(&bytes[argument.clone()]);
-        payload.arguments.push(start..payload.bytes.len());
-        if index == PARAMETERS_ARGUMENT {
-            let offset = |position: usize| position - argument.start + start;
-            payload.wait = offset(wait.start)..offset(wait.end);
-        }
-    }
-    payload
+/// Returns how long the client of an incomplete request waits for its answer; `None` if that has not been received.
+pub(super) fn announced_wait(
+    bytes: &[u8],
+    command: &AnnouncedCommand,
+    catalog: &RequestCatalog,
+) -> Option<Duration> {
+    let range = command.arguments.get(PARAMETERS_ARGUMENT)?;
+    let text = std::str::from_utf8(&bytes[range.clone()]).ok()?;
+    let parameters = RequestParameters::parse(text, range.start, catalog).ok()?;
+    Some(bounded_wait(parameters.wait.wait, &parameters.class.class))
 }
--- a/src/net/resp/downstream/response_queue.rs
+++ b/src/net/resp/downstream/response_queue.rs
@@ -1,8 +1,10 @@
 //! The responses of a connection, in the order of its commands.
 
+use super::output_buffer::OutputBuffer;
 use crate::api::RequestId;
-use crate::net::engine::{Answer, Frontend};
+use crate::net::engine::{Answer, Frontend, Value};
 use crate::net::frontend::RequestHandler;
+use crate::net::memory::{MemoryBudget, Owner, Reservation};
 use crate::net::resp::close;
 use crate::net::resp::codec;
 use crate::net::streaming_body::{ReadOutcome, StreamingBody};
@@ -21,6 +23,13 @@
     Pending(RequestId),
     /// The complete response, encoded.
     Ready(Vec<u8>),
+    /// A complete long value.
+    Value {
+        /// The encoded header.
+        head: Vec<u8>,
+        /// The value, with its own reservation.
+        value: Value,
+    },
     /// A long value, whose body is sent as it is received.
     Streaming {
         /// The encoded header; empty once it has been collected.
@@ -55,8 +64,8 @@
     first_place: Cell<u64>,
     /// Notified when the first response is ready.
     pub first_ready: Notify,
-    /// Number of response bytes buffered in the whole process, shared by all connections.
-    buffered_bytes: Rc<Cell<usize>>,
+    /// The memory of the responses that the client has not taken, without that of long values.
+    reservation: RefCell<Reservation>,
     /// The client's connection, which its task owns.
     stream: Weak<TcpStream>,
 }
@@ -71,17 +80,24 @@
         let head = encode(&answer);
         let response = match answer {
             Answer::Streaming(body) => Response::Streaming { head, body },
+            Answer::Served(value) if value.is_long() => Response::Value {
+                head,
+                value: value.into_response(),
+            },
             _ => Response::Ready(head),
         };
         self.set(place, response);
     }
 }
 
-/// Encodes an answer for the client; for a streamed value only the header.
-fn encode(answer: &Answer) -> Vec<u8> {
+/// Encodes an answer for the client; for a long value only the header.
+pub(super) fn encode(answer: &Answer) -> Vec<u8> {
     let mut output = Vec::new();
     match answer {
-        Answer::Served(value) => codec::write_bulk(value, &mut output),
+        Answer::Served(value) if value.is_long() => {
+            codec::write_head('$', value.as_bytes().len(), &mut output);
+        }
+        Answer::Served(value) => codec::write_bulk(value.as_bytes(), &mut output),
         Answer::Rejected {
             retry_after: Duration::ZERO,
         } => output.extend_from_slice(b"-BUSY\r\n"),
@@ -96,13 +112,13 @@
 }
 
 impl ResponseQueue {
-    /// Creates the empty queue of a connection. `buffered_bytes` is the count of the whole process.
-    pub(super) fn new(stream: &Rc<TcpStream>, buffered_bytes: Rc<Cell<usize>>) -> Self {
+    /// Creates the empty queue of a connection.
+    pub(super) fn new(stream: &Rc<TcpStream>, memory: &Rc<MemoryBudget>) -> Self {
         ResponseQueue {
             responses: RefCell::default(),
             first_place: Cell::default(),
             first_ready: Notify::new(),
-            buffered_bytes,
+            reservation: RefCell::new(memory.hold(Owner::Responses, 0)),
             stream: Rc::downgrade(stream),
         }
     }
@@ -135,38 +151,44 @@
 
     fn count(&self, response: &Response) {
         if let Response::Ready(bytes) = response {
-            let buffered = self.buffered_bytes.get();
-            self.buffered_bytes.set(buffered + bytes.len());
+            let mut reservation = self.reservation.borrow_mut();
+            let reserved = reservation.bytes();
+            reservation.resize(reserved + bytes.len());
         }
     }
 
-    /// Subtracts bytes from the buffered bytes of the process, because they were sent or never will be.
+    /// Releases the memory of responses that were sent.
     pub(super) fn release(&self, bytes: usize) {
-        let buffered = self.buffered_bytes.get();
-        self.buffered_bytes.set(buffered - bytes);
+        let mut reservation = self.reservation.borrow_mut();
+        let reserved = reservation.bytes();
+        reservation.resize(reserved - bytes);
     }
 
     /// Moves the responses at the front of the queue to `output` up to the first one that is not ready.
-    pub(super) fn collect(&self, output: &mut Vec<u8>) -> Collected {
+    pub(super) fn collect(&self, output: &mut OutputBuffer) -> Collected {
         let mut responses = self.responses.borrow_mut();
         let mut buffered_bytes = 0;
         let outcome = loop {
             match responses.front_mut() {
                 Some(Response::Ready(bytes)) => {
-                    output.extend_from_slice(bytes);
+                    output.bytes_mut().extend_from_slice(bytes);
                     buffered_bytes += bytes.len();
                 }
+                Some(Response::Value { head, .. }) => output.bytes_mut().append(head),
                 Some(Response::Streaming { head, body }) => {
-                    output.append(head);
-                    match body.read(output) {
+                    let bytes = output.bytes_mut();
+                    bytes.append(head);
+                    match body.read(bytes) {
                         ReadOutcome::MoreToCome => break CollectOutcome::Pending,
                         ReadOutcome::Failed => break CollectOutcome::BodyFailed,
-                        ReadOutcome::Complete => output.extend_from_slice(b"\r\n"),
+                        ReadOutcome::Complete => bytes.extend_from_slice(b"\r\n"),
                     }
                 }
                 Some(Response::Pending(_)) | None => break CollectOutcome::Pending,
             }
-            responses.pop_front();
+            if let Some(Response::Value { value, .. }) = responses.pop_front() {
+                output.push_value(value);
+            }
             self.first_place.set(self.first_place.get() + 1);
         };
         Collected {
@@ -209,7 +231,7 @@
         for response in responses {
             match response {
                 Response::Pending(id) => handler.abandon_request(id),
-                Response::Ready(bytes) => self.release(bytes.len()),
+                Response::Ready(_) | Response::Value { .. } => {}
                 Response::Streaming { body, .. } => body.abandon(),
             }
         }
--- a/src/net/resp/upstream/call_codec.rs
+++ b/src/net/resp/upstream/call_codec.rs
@@ -9,10 +9,15 @@
 /// The command that asks a host for its load.
 const LOAD_COMMAND: [&[u8]; 2] = [b"INFO", b"load"];
 
+/// The bytes that end an argument.
+const LINE_END: &[u8] = b"\r\n";
+
 /// The interpretation of a reply of a host.
 pub struct Interpretation {
-    /// How the call ended.
+    /// How the call ended, without the value.
     pub result: CallResult,
+    /// The range of the value of a good attempt in the reply; empty for any other call.
+    pub value: Range<usize>,
     /// Whether the reply has one of the forms of the protocol. After any other reply the connection is not reused.
     pub is_known_form: bool,
 }
@@ -21,6 +26,7 @@
     fn known(result: CallResult) -> Self {
         Interpretation {
             result,
+            value: 0..0,
             is_known_form: true,
         }
     }
@@ -28,6 +34,7 @@
     fn unknown_form() -> Self {
         Interpretation {
             result: Outcome::Error.into(),
+            value: 0..0,
             is_known_form: false,
         }
     }
@@ -69,6 +76,7 @@
             load,
             ..outcome.into()
         },
+        value: 0..0,
         is_known_form: matches!(first, Some(b"BUSY" | b"ERR")),
     }
 }
@@ -90,12 +98,15 @@
     let [Reply::Bulk(Some(value)), usage, report] = members else {
         return Interpretation::unknown_form();
     };
-    Interpretation::known(CallResult {
-        value: bytes[value.clone()].to_vec(),
+    let result = CallResult {
         load: load_report(report, bytes).unwrap_or_default(),
         usage: usage_figures(usage, bytes, host),
         ..Outcome::Good.into()
-    })
+    };
+    Interpretation {
+        value: value.clone(),
+        ..Interpretation::known(result)
+    }
 }
 
 /// Returns whether the received bytes are the start of a possible reply to this command. A call ends at once on bytes
@@ -158,18 +169,42 @@
     }
 }
 
-/// Appends the command of a call. The arguments are forwarded byte for byte, except the wait, which is replaced by the
-/// time that remains until the deadline of the call, in milliseconds (at least 1).
-pub fn write_command(call: &HostCall, now: Instant, output: &mut Vec<u8>) {
+/// Appends the command of a call and returns its end, which is not copied if the last argument has more than
+/// `max_copied_bytes`. The arguments are forwarded byte for byte, except the wait, which is replaced by the time that
+/// remains until the deadline of the call, in milliseconds (at least 1).
+pub fn write_command<'a>(
+    call: &'a HostCall,
+    now: Instant,
+    max_copied_bytes: usize,
+    output: &mut Vec<u8>,
+) -> &'a [u8] {
     let HostCommand::Attempt { payload, .. } = &call.command else {
-        return codec::write_command(&LOAD_COMMAND, output);
+        codec::write_command(&LOAD_COMMAND, output);
+        return &[];
     };
     let remaining = call.deadline.saturating_duration_since(now);
     let remaining_ms = remaining.as_millis().max(1).to_string();
     codec::write_head('*', payload.arguments.len(), output);
-    for argument in &payload.arguments {
+    let (last, others) = match payload.arguments.split_last() {
+        Some((last, others)) if last.len() > max_copied_bytes && !contains_wait(payload, last) => {
+            (Some(last), others)
+        }
+        _ => (None, &payload.arguments[..]),
+    };
+    for argument in others {
         write_argument(payload, argument, remaining_ms.as_bytes(), output);
     }
+    let Some(last) = last else {
+        return &[];
+    };
+    codec::write_head('$', last.len(), output);
+    &payload.bytes[last.start..last.end + LINE_END.len()]
+}
+
+/// Returns whether an argument contains the wait of the request.
+fn contains_wait(payload: &Payload, argument: &Range<usize>) -> bool {
+    let wait = &payload.wait;
+    argument.start <= wait.start && wait.end <= argument.end && !wait.is_empty()
 }
 
 fn write_argument(
@@ -179,9 +214,7 @@
     output: &mut Vec<u8>,
 ) {
     let wait = &payload.wait;
-    let contains_wait =
-        argument.start <= wait.start && wait.end <= argument.end && !wait.is_empty();
-    if !contains_wait {
+    if !contains_wait(payload, argument) {
         return codec::write_bulk(&payload.bytes[argument.clone()], output);
     }
     let length = argument.len() - wait.len() + remaining_ms.len();
@@ -189,5 +222,5 @@
     output.extend_from_slice(&payload.bytes[argument.start..wait.start]);
     output.extend_from_slice(remaining_ms);
     output.extend_from_slice(&payload.bytes[wait.end..argument.end]);
-    output.extend_from_slice(b"\r\n");
+    output.extend_from_slice(LINE_END);
 }
--- a/src/net/resp/upstream/connection.rs
+++ b/src/net/resp/upstream/connection.rs
@@ -1,7 +1,12 @@
 //! A connection to a host, and its buffers.
 
+use crate::net::config::Limits;
+use crate::net::engine::Value;
+use crate::net::memory::Reservation;
 use crate::net::resp::close::{self, SocketState};
+use crate::net::resp::codec;
 use std::net::SocketAddr;
+use std::ops::Range;
 use tokio::net::TcpStream;
 
 /// A connection to a host. Calls are not pipelined: a call would wait for the answer to the call before it, and would
@@ -13,6 +18,8 @@
     pub peer: SocketAddr,
     /// Bytes received and not parsed yet.
     pub input: Vec<u8>,
+    /// The memory of a long answer in `input`; `None` for a short one.
+    pub input_reservation: Option<Reservation>,
     /// Bytes that have not been written yet.
     pub output: Vec<u8>,
     /// Whether the command has been written completely.
@@ -26,11 +33,24 @@
             stream,
             peer,
             input: Vec::new(),
+            input_reservation: None,
             output: Vec::new(),
             command_sent: false,
         }
     }
 
+    /// Removes the first `length` bytes of the input, an answer, and returns the value that it contains. A long value is
+    /// not copied.
+    pub fn take_value(&mut self, range: Range<usize>, length: usize, limits: &Limits) -> Value {
+        if let Some(reservation) = self.input_reservation.take() {
+            let answer = std::mem::take(&mut self.input);
+            return Value::from_answer(answer, range, reservation);
+        }
+        let value = self.input[range].to_vec();
+        codec::consume(&mut self.input, length, limits.codec.read_chunk_bytes);
+        value.into()
+    }
+
     /// Returns whether an idle connection is still open and the host has sent nothing on it. Bytes received on an idle
     /// connection would belong to no call.
     pub fn is_quiet(&self) -> bool {
--- a/src/net/resp/upstream/tests.rs
+++ b/src/net/resp/upstream/tests.rs
@@ -38,7 +38,8 @@
             };
             let call = requests.begin_attempt(order, now).expect("within the cap");
             let mut output = Vec::new();
-            write_command(&call, now, &mut output);
+            let rest = write_command(&call, now, 1 << 10, &mut output);
+            assert_eq!(rest, b"");
             assert_eq!(
                 String::from_utf8_lossy(&output),
                 format!("*2\r\n$5\r\nQ.ASK\r\n{expected}\r\n")
@@ -143,7 +144,7 @@
                 Outcome::Good => b"bed",
                 _ => b"",
             };
-            assert_eq!(result.value, value);
+            assert_eq!(&bytes.as_bytes()[interpretation.value], value);
         }
     });
 }
@@ -178,6 +179,7 @@
             let Interpretation {
                 result,
                 is_known_form,
+                ..
             } = interpret(&reply, bytes.as_bytes(), &attempt(), HostId(5), source);
             assert_eq!(
                 (result.outcome, result.usage, is_known_form),
--- a/src/net/stages/accept.rs
+++ b/src/net/stages/accept.rs
@@ -11,13 +11,13 @@
 /// Why a request is rejected before the decision engine sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RejectReason {
-    /// Too many requests are open, or too many bytes are buffered.
+    /// Too many requests are open, or too much memory is reserved.
     NoCapacity,
     /// The process is shutting down, or drained by an operator.
     ShuttingDown,
 }
 
-/// Accepts a request. Rejects it immediately past the limits on open requests and buffered bytes, from
+/// Accepts a request. Rejects it immediately past the limits on open requests and memory, from
 /// [`Phase::Rejecting`] on and past the answer deadline of a shutdown, and fails it if its id is still in use.
 pub fn accept(
     pipeline: &Rc<Pipeline>,
@@ -28,7 +28,7 @@
     let arrived = Instant::now();
     let deadlines = pipeline.shutdown.deadlines();
     let remaining = deadlines.map(|at| at.answers.saturating_duration_since(arrived));
-    if let Some(reason) = reject_reason(pipeline, remaining) {
+    if let Some(reason) = reject_reason(pipeline, &request, remaining) {
         tracing::debug!(
             request = format_args!("{:016x}", request.id.0),
             ?reason,
@@ -54,13 +54,24 @@
 
 /// Returns why a request is rejected; `None` if it is accepted. `remaining` is the time until the answer deadline of a
 /// shutdown.
-fn reject_reason(pipeline: &Pipeline, remaining: Option<Duration>) -> Option<RejectReason> {
+fn reject_reason(
+    pipeline: &Pipeline,
+    request: &Request,
+    remaining: Option<Duration>,
+) -> Option<RejectReason> {
     let is_over = remaining == Some(Duration::ZERO);
     if is_over || pipeline.shutdown.phase() >= Phase::Rejecting {
         Some(RejectReason::ShuttingDown)
-    } else if !pipeline.engine.has_capacity() {
+    } else if !has_capacity(pipeline, request) {
         Some(RejectReason::NoCapacity)
     } else {
         None
     }
 }
+
+/// Returns whether another request may be open. A request whose long command had to wait for its memory has passed the
+/// limit on memory already.
+fn has_capacity(pipeline: &Pipeline, request: &Request) -> bool {
+    let has_waited = request.payload.bytes.len() > pipeline.limits.codec.read_chunk_bytes;
+    pipeline.engine.has_capacity() && (has_waited || pipeline.memory.has_room_for_requests())
+}
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -3,10 +3,11 @@
 use super::call_end::CallEnd;
 use super::complete;
 use super::pipeline::Pipeline;
-use super::stream_value::stream_value;
+use super::stream_value::{reserve_window, stream_value, LongValue};
 use crate::api::Outcome;
 use crate::net::config::Limits;
 use crate::net::engine::{HostCall, HostCommand};
+use crate::net::memory::Owner;
 use crate::net::resp::codec::{self, ParsedReply, ValueHead};
 use crate::net::resp::upstream::{self, UpstreamConnection};
 use crate::net::system_call::repeat_interrupted;
@@ -16,12 +17,16 @@
 #[cfg(test)]
 mod tests;
 
+/// Maximum length of what follows a long value in an answer for which no further memory is needed: the line end, the
+/// usage figures and the load report.
+const MAX_TRAILER_BYTES: usize = 1 << 10;
+
 /// The result of an exchange with a host.
 enum Exchange {
     /// The call has ended.
     Ended(CallEnd),
     /// The head of a long value was received; the value itself remains to be streamed.
-    LongValue(ValueHead),
+    LongValue(LongValue),
 }
 
 impl From<Outcome> for Exchange {
@@ -59,8 +64,8 @@
         () = call.cancellation.requested.notified() => Outcome::Cancelled,
         exchanged = exchange(pipeline, connection, call) => match exchanged {
             Exchange::Ended(end) => return end,
-            Exchange::LongValue(head) => {
-                return stream_value(pipeline, connection, call, head).await;
+            Exchange::LongValue(value) => {
+                return stream_value(pipeline, connection, call, value).await;
             }
         },
         () = sleep_until(call.deadline) => Outcome::Timeout,
@@ -97,10 +102,12 @@
     connection: &mut UpstreamConnection,
     call: &HostCall,
 ) -> Result<(), Outcome> {
-    let limits = &pipeline.limits;
-    upstream::write_command(call, Instant::now(), &mut connection.output);
+    let chunk_bytes = pipeline.limits.codec.read_chunk_bytes;
+    let output = &mut connection.output;
+    let rest = upstream::write_command(call, Instant::now(), chunk_bytes, output);
     let mut written = 0;
-    while written < connection.output.len() {
+    let length = connection.output.len() + rest.len();
+    while written < length {
         // After this time, a host may have forgotten an earlier attempt and would execute the request a second time.
         if Instant::now() >= call.send_by {
             return Err(Outcome::ConnectFailed);
@@ -108,7 +115,10 @@
         if written == 0 {
             check_client(pipeline, call)?;
         }
-        let unwritten = &connection.output[written..];
+        let unwritten = match written.checked_sub(connection.output.len()) {
+            Some(written_of_rest) => &rest[written_of_rest..],
+            None => &connection.output[written..],
+        };
         match repeat_interrupted(|| connection.stream.try_write(unwritten)) {
             Ok(count) => written += count,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
@@ -123,11 +133,8 @@
     connection.command_sent = true;
     call.cancellation.sent.set(true);
     log_written(call);
-    codec::consume(
-        &mut connection.output,
-        written,
-        limits.codec.read_chunk_bytes,
-    );
+    let output_length = connection.output.len();
+    codec::consume(&mut connection.output, output_length, chunk_bytes);
     Ok(())
 }
 
@@ -161,32 +168,62 @@
     call: &HostCall,
 ) -> Exchange {
     loop {
-        if let Some(exchanged) = parse_answer(pipeline, connection, call) {
-            return exchanged;
+        if let Some(head) = long_value_head(pipeline, connection) {
+            let window = reserve_window(pipeline).await;
+            return Exchange::LongValue(LongValue { head, window });
+        }
+        if let Some(end) = parse_answer(pipeline, connection, call) {
+            return Exchange::Ended(end);
         }
+        reserve_answer(pipeline, connection).await;
         if let Err(outcome) = read_more(connection, &pipeline.limits).await {
             return outcome.into();
         }
     }
 }
 
+/// Returns the header of a value that is too long to be buffered, once it has been received.
+fn long_value_head(pipeline: &Pipeline, connection: &UpstreamConnection) -> Option<ValueHead> {
+    let limits = &pipeline.limits;
+    let lengths = limits.codec.max_value_bytes + 1..=limits.streaming.max_value_bytes;
+    let head = codec::value_head(&connection.input)?;
+    lengths.contains(&head.value_bytes).then_some(head)
+}
+
+/// Reserves memory for the whole answer if it is long. Until the memory is free, the rest of the answer is left unread.
+async fn reserve_answer(pipeline: &Pipeline, connection: &mut UpstreamConnection) {
+    let limits = &pipeline.limits;
+    let input = &mut connection.input;
+    let bytes = match codec::value_head(input) {
+        Some(head) if head.value_bytes > limits.memory.max_short_value_bytes => {
+            head.head_bytes + head.value_bytes + MAX_TRAILER_BYTES
+        }
+        // A short value, or an answer of another form, that does not fit into the buffer that each connection has.
+        _ if input.len() >= limits.codec.read_chunk_bytes => {
+            limits.codec.max_frame_bytes + limits.codec.read_chunk_bytes
+        }
+        _ => return,
+    };
+    if connection.input_reservation.is_none() {
+        let reservation = pipeline.memory.request(Owner::HostAnswers, bytes);
+        connection.input_reservation = Some(reservation.wait().await);
+        input.reserve_exact(bytes.saturating_sub(input.len()));
+    }
+    if let Some(reservation) = &mut connection.input_reservation {
+        reservation.resize(connection.input.capacity());
+    }
+}
+
 /// Parses the bytes received so far; returns `None` while the answer is incomplete.
 fn parse_answer(
     pipeline: &Pipeline,
     connection: &mut UpstreamConnection,
     call: &HostCall,
-) -> Option<Exchange> {
+) -> Option<CallEnd> {
     let limits = &pipeline.limits;
     if !upstream::may_become_reply(&connection.input, &call.command) {
         return Some(Outcome::Error.into());
     }
-    if let Some(head) = codec::value_head(&connection.input) {
-        if (limits.codec.max_value_bytes + 1..=limits.streaming.max_value_bytes)
-            .contains(&head.value_bytes)
-        {
-            return Some(Exchange::LongValue(head));
-        }
-    }
     match codec::parse_reply(&connection.input, limits) {
         Ok(Some(ParsedReply { reply, length })) => {
             let interpretation = upstream::interpret(
@@ -198,11 +235,9 @@
             );
             // Bytes after the answer belong to no call, so the connection cannot be reused.
             let reusable = interpretation.is_known_form && length == connection.input.len();
-            codec::consume(&mut connection.input, length, limits.codec.read_chunk_bytes);
-            Some(Exchange::Ended(CallEnd {
-                result: interpretation.result,
-                reusable,
-            }))
+            let mut result = interpretation.result;
+            result.value = connection.take_value(interpretation.value, length, limits);
+            Some(CallEnd { result, reusable })
         }
         Ok(None) => None,
         Err(_) => Some(Outcome::Error.into()),
--- a/src/net/stages/complete/tests.rs
+++ b/src/net/stages/complete/tests.rs
@@ -27,7 +27,7 @@
         let first = begin();
         let second = begin();
         let result = CallResult {
-            value: b"bed".to_vec(),
+            value: b"bed".to_vec().into(),
             usage: UsageFigures {
                 metered: 37,
                 units: 2.5,
@@ -36,7 +36,7 @@
         };
         complete(pipeline, &first, result);
         let result = CallResult {
-            value: b"other".to_vec(),
+            value: b"other".to_vec().into(),
             ..Outcome::Good.into()
         };
         complete(pipeline, &second, result);
@@ -45,7 +45,10 @@
             answer(pipeline, RequestId(1), Answer::Failed),
             Delivery::RequestClosed
         );
-        assert_eq!(*frontend.0.borrow(), [(9, Answer::Served(b"bed".to_vec()))]);
+        assert_eq!(
+            *frontend.0.borrow(),
+            [(9, Answer::Served(b"bed".to_vec().into()))]
+        );
         for (number, expected) in [(0, (37, 2.5)), (1, (0, 0.0))] {
             let event = next_event(&limiter).await;
             assert!(
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -5,6 +5,7 @@
 use super::{attempt, complete};
 use crate::api::{HostId, Outcome};
 use crate::net::engine::{Cancellation, HostCall, HostCommand};
+use crate::net::memory::Owner;
 use crate::net::resp::codec;
 use crate::net::resp::upstream::{IdleSlot, UpstreamConnection};
 use crate::net::task::spawn;
@@ -43,6 +44,8 @@
     else {
         return complete::complete(&pipeline, &call, Outcome::ConnectFailed.into());
     };
+    let connection_bytes = pipeline.limits.memory.host_connection_bytes;
+    let _reservation = pipeline.memory.hold(Owner::Connections, connection_bytes);
     match connect(&pipeline, &call).await {
         Ok(connection) => {
             pipeline.upstream.record_connect(call.host);
--- a/src/net/stages/pipeline.rs
+++ b/src/net/stages/pipeline.rs
@@ -4,6 +4,7 @@
 use crate::net::counter::CounterClient;
 use crate::net::engine::{ActionExecutor, EngineDriver};
 use crate::net::frontend::FrontendContext;
+use crate::net::memory::MemoryBudget;
 use crate::net::resp::upstream::UpstreamPool;
 use crate::net::shutdown::Shutdown;
 use crate::net::usage_export::UsageRecorder;
@@ -20,6 +21,8 @@
     pub(super) upstream: Rc<UpstreamPool>,
     /// The counter client.
     pub(super) counter: Rc<CounterClient>,
+    /// The memory that the process holds for others.
+    pub(super) memory: Rc<MemoryBudget>,
     /// The phase of the shutdown.
     pub(super) shutdown: Rc<Shutdown>,
     /// The recorder of usage; unset unless usage is exported.
@@ -42,6 +45,7 @@
             engine: engine.clone(),
             upstream: upstream.clone(),
             counter: counter.clone(),
+            memory: MemoryBudget::new(limits),
             shutdown: shutdown.clone(),
             usage_recorder: OnceCell::new(),
             weak_self: weak_self.clone(),
@@ -66,13 +70,18 @@
         self.weak_self.upgrade()
     }
 
+    /// Returns the memory budget of this limiter.
+    pub fn memory(&self) -> &Rc<MemoryBudget> {
+        &self.memory
+    }
+
     /// Returns the components of this limiter that a frontend uses.
     pub fn frontend_context(self: &Rc<Self>) -> FrontendContext {
         FrontendContext {
             handler: self.clone(),
             limits: self.limits.clone(),
             shutdown: self.shutdown.clone(),
-            buffered_bytes: self.engine.buffered_bytes(),
+            memory: self.memory.clone(),
         }
     }
 }
--- a/src/net/stages/stream_value.rs
+++ b/src/net/stages/stream_value.rs
@@ -6,6 +6,7 @@
 use crate::api::Outcome;
 use crate::net::config::Limits;
 use crate::net::engine::{CallResult, HostCall};
+use crate::net::memory::{Owner, Reservation};
 use crate::net::resp::codec::{self, ParsedReply, ValueHead};
 use crate::net::resp::upstream::{self, UpstreamConnection};
 use crate::net::streaming_body::StreamingBody;
@@ -17,13 +18,21 @@
 /// Length in bytes of the last byte of a value and the line end after it.
 const VALUE_END_BYTES: usize = 1 + LINE_END.len();
 
+/// A long value whose header has been received.
+pub(super) struct LongValue {
+    /// The header.
+    pub(super) head: ValueHead,
+    /// The memory of its window, and of as many bytes that the client's connection holds.
+    pub(super) window: Reservation,
+}
+
 /// Streams a long value to the client, without a deadline. The last byte is withheld until the host has terminated the
 /// value correctly, so that no client takes a malformed value for a complete one.
 pub(super) async fn stream_value(
     pipeline: &Pipeline,
     connection: &mut UpstreamConnection,
     call: &HostCall,
-    head: ValueHead,
+    LongValue { head, window }: LongValue,
 ) -> CallEnd {
     let limits = &pipeline.limits;
     codec::consume(
@@ -31,11 +40,7 @@
         head.head_bytes,
         limits.streaming.window_bytes,
     );
-    let body = StreamingBody::new(
-        head.value_bytes,
-        limits.streaming.window_bytes,
-        pipeline.engine.buffered_bytes(),
-    );
+    let body = StreamingBody::new(head.value_bytes, window);
     if complete::begin_streaming(pipeline, call, &body) == Delivery::RequestClosed {
         return Outcome::Cancelled.into();
     }
@@ -52,6 +57,25 @@
     }
 }
 
+/// Reserves memory for the window of a value and as many bytes that the client's connection holds: for the largest window
+/// that is free, or for the smallest one as soon as it is free.
+pub(super) async fn reserve_window(pipeline: &Pipeline) -> Reservation {
+    let limits = &pipeline.limits.streaming;
+    let mut window_bytes = limits.window_bytes;
+    loop {
+        let pending = pipeline
+            .memory
+            .request(Owner::StreamedValues, 2 * window_bytes);
+        if let Some(reservation) = pending.take() {
+            return reservation;
+        }
+        if window_bytes <= limits.min_window_bytes {
+            return pending.wait().await;
+        }
+        window_bytes /= 2;
+    }
+}
+
 /// Reads the elements after a streamed value: the usage figures, and the load report, which is discarded. The call is
 /// good even if they are malformed.
 async fn read_trailer(
@@ -150,7 +174,7 @@
     let more = codec::read_more(
         &mut connection.stream,
         &mut connection.input,
-        limits.streaming.window_bytes / 2,
+        body.capacity() / 2,
     );
     tokio::select! {
         received = timeout(limits.streaming.stall_timeout, more) => match received {
--- a/src/net/streaming_body.rs
+++ b/src/net/streaming_body.rs
@@ -2,6 +2,7 @@
 //!
 //! The writer waits while the buffer is full, the reader while it is empty; each is notified when the other ends.
 
+use super::memory::Reservation;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -46,31 +47,24 @@
     filled: Notify,
     /// Notified when there is capacity again, or when the client has disconnected.
     drained: Notify,
-    /// Number of buffered bytes of the whole process, including those of this body.
-    buffered_bytes: Rc<Cell<usize>>,
-}
-
-impl Drop for StreamingBody {
-    fn drop(&mut self) {
-        let buffered = self.buffered_bytes.get();
-        self.buffered_bytes.set(buffered - 2 * self.capacity);
-    }
+    /// The memory of the buffer, and of as many bytes that the reader holds.
+    _reservation: Reservation,
 }
 
 impl StreamingBody {
-    /// Creates the body of a value of `length` bytes. It adds twice its capacity to `buffered_bytes`, since the reader
-    /// holds up to `capacity` bytes too.
-    pub fn new(length: usize, capacity: usize, buffered_bytes: Rc<Cell<usize>>) -> Rc<Self> {
-        buffered_bytes.set(buffered_bytes.get() + 2 * capacity);
+    /// Creates the body of a value of `length` bytes. Its capacity is half of the reserved memory, since the reader holds
+    /// as many bytes too.
+    pub fn new(length: usize, reservation: Reservation) -> Rc<Self> {
+        let capacity = reservation.bytes() / 2;
         Rc::new(StreamingBody {
             length,
             capacity,
-            bytes: RefCell::default(),
+            bytes: RefCell::new(Vec::with_capacity(capacity)),
             writer_state: Cell::new(WriterState::Writing),
             is_abandoned: Cell::default(),
             filled: Notify::new(),
             drained: Notify::new(),
-            buffered_bytes,
+            _reservation: reservation,
         })
     }
 
@@ -79,6 +73,11 @@
         self.length
     }
 
+    /// Returns the maximum number of bytes in the buffer.
+    pub fn capacity(&self) -> usize {
+        self.capacity
+    }
+
     /// Returns the number of bytes that may be written now.
     pub fn free_capacity(&self) -> usize {
         self.capacity.saturating_sub(self.bytes.borrow().len())
--- a/src/net/streaming_body/tests.rs
+++ b/src/net/streaming_body/tests.rs
@@ -1,14 +1,24 @@
 //! Tests of the buffer's capacity and of the report of its end.
 
 use super::*;
+use crate::net::memory::{MemoryBudget, Owner};
+use crate::net::tests::with_limiter;
 
 #[test]
 fn buffer_keeps_to_its_capacity_and_is_released() {
-    let buffered = Rc::new(Cell::new(0));
-    let body = StreamingBody::new(100, 8, buffered.clone());
+    with_limiter(&[], |limiter| async move {
+        let memory = MemoryBudget::new(limiter.limits());
+        check_buffer(&memory);
+        assert_eq!(memory.total(), 0);
+    });
+}
+
+/// Writes and reads a value of 100 bytes through a buffer of 8.
+fn check_buffer(memory: &Rc<MemoryBudget>) {
+    let body = StreamingBody::new(100, memory.hold(Owner::StreamedValues, 16));
     let mut output = Vec::new();
     let mut total = 0;
-    assert_eq!(buffered.get(), 16);
+    assert_eq!(memory.total(), 16);
     for _ in 0..10 {
         body.write(&vec![7; body.free_capacity()]);
         assert_eq!(
@@ -27,13 +37,18 @@
         (body.read(&mut output), output.len()),
         (ReadOutcome::Complete, 4)
     );
-    drop(body);
-    assert_eq!(buffered.get(), 0);
 }
 
 #[test]
 fn failure_is_reported_after_the_written_bytes() {
-    let body = StreamingBody::new(100, 8, Rc::default());
+    with_limiter(&[], |limiter| async move {
+        let memory = MemoryBudget::new(limiter.limits());
+        check_failure(&memory);
+    });
+}
+
+fn check_failure(memory: &Rc<MemoryBudget>) {
+    let body = StreamingBody::new(100, memory.hold(Owner::StreamedValues, 16));
     let mut output = vec![0; 6];
     body.write(&[1, 2, 3]);
     body.fail();
--- a/tests/operations/long_values.rs
+++ b/tests/operations/long_values.rs
@@ -3,7 +3,7 @@
 use crate::limiter_setup;
 use quartzcleat_test_support::commands::{request, send, served, CHEAP_FACTS, CHECK_FACTS};
 use quartzcleat_test_support::config::replace;
-use quartzcleat_test_support::limiter::Limiter;
+use quartzcleat_test_support::process::peak_resident_kibibytes;
 use quartzcleat_test_support::toy_platform::LONG_VALUE_BYTES;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -22,20 +22,6 @@
         .unwrap_or_else(|| panic!("{head}"))
 }
 
-/// Returns the peak resident set size of a limiter's process so far, in kB.
-fn peak_resident_kilobytes(limiter: &Limiter) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", limiter.child.id()));
-    let status = status.expect("the limiter runs");
-    let peak = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmHWM:"))
-        .expect("the status has a line VmHWM");
-    peak.split_whitespace()
-        .next()
-        .and_then(|text| text.parse().ok())
-        .expect("the line has a size in kB")
-}
-
 /// Returns the long value that the host sends for a request, with the line end after it.
 fn long_value(id: u64) -> Vec<u8> {
     let mut value: Vec<u8> = format!("{id:016x}")
@@ -71,7 +57,7 @@
             .expect("the value is complete");
         assert!(value == long_value(id), "value of request {id}");
     }
-    let peak = peak_resident_kilobytes(&limiter);
+    let peak = peak_resident_kibibytes(limiter.child.id());
     println!("highest resident size: {peak} kB");
     assert!(peak < 32 << 10, "{peak} kB");
     // The connection that was read last: the first has been idle while the others were read, and on a busy machine it
