Test: commands left unhandled while responses were unread are handled once these are taken

What callers saw: a client that left more than 256 KiB of responses unread, and then took them all, got no answer to commands that had already been read; 2.6 s later the connection was closed. A request among them was lost.

Cause: a connection with too many unsent bytes leaves the received commands in its input. The last write freed the output after the commands of that step had been looked at, and the connection then waited for further bytes, not for these.

--- a/src/net/resp/downstream/connection/tests.rs
+++ b/src/net/resp/downstream/connection/tests.rs
@@ -5,7 +5,7 @@
 use crate::net::engine::tests::attempt_order;
 use crate::net::engine::EngineDriver;
 use crate::net::resp::upstream::UpstreamConnection;
-use crate::net::stages::attempt;
+use crate::net::stages::{attempt, complete};
 use crate::net::task::spawn;
 use crate::net::tests::with_limiter;
 use crate::net::Limiter;
@@ -228,3 +228,41 @@
         assert_eq!(reserved, expected);
     });
 }
+
+/// Commands were left unhandled when their client had left many responses unread and then took them all: the connection
+/// waited for further bytes, and was closed with these commands unanswered.
+#[test]
+fn commands_are_handled_once_the_client_has_taken_its_responses() {
+    const VALUE_BYTES: usize = 1 << 20;
+    const REQUESTS: usize = MAX_COMMANDS_PER_TURN / 2;
+    // The last two come in the turn after the one in which the values fill the output.
+    const PINGS: usize = 2 * MAX_COMMANDS_PER_TURN - REQUESTS + 2;
+    with_limiter(&[], |limiter| async move {
+        let downstream = downstream(&limiter);
+        let Client { mut peer, stream } = Client::connect_idle().await;
+        let mut commands = requests(REQUESTS);
+        for _ in 0..PINGS {
+            codec::write_command(&[b"PING"], &mut commands);
+        }
+        // One read takes all commands, so that no later one wakes the connection.
+        assert!(commands.len() <= limiter.limits().codec.read_chunk_bytes);
+        peer.write_all(&commands).expect("the socket takes them");
+        spawn(async move { serve(&downstream, stream, Admission::Served).await });
+        while limiter.engine().open_request_count() < REQUESTS {
+            yield_now().await;
+        }
+        for id in limiter.engine().open_request_ids() {
+            let value = vec![b'v'; VALUE_BYTES];
+            complete::answer(limiter.pipeline(), id, Answer::Served(value.into()));
+        }
+        let value_bytes = format!("${VALUE_BYTES}\r\n").len() + VALUE_BYTES + 2;
+        let expected = REQUESTS * value_bytes + PINGS * PONG.len();
+        let received = tokio::task::spawn_blocking(move || {
+            let mut received = vec![0; expected];
+            peer.read_exact(&mut received).map(|()| received)
+        });
+        let received = received.await.expect("it ends");
+        let received = received.expect("all commands are answered");
+        assert!(received.ends_with(PONG));
+    });
+}
