Discovery and the admin interface count towards the memory budget; metrics by owner

Cause, by reading: a response of discovery could hold 4 MiB on a process of 32 MB, its body as much again and its parsed form about six times that; nothing counted it. In a chunked response only the decoded length was limited, so that chunks of one byte took 24 MiB for 4 MiB of list. The buffer of the watch kept the capacity of the longest response.

Change: responses count as they are received and parsed. They are limited to a sixteenth of memory_mb and 4 MiB, and to a quarter more for their encoding. Each connection to the admin interface counts its largest request.

--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -11,6 +11,7 @@
 use super::config::Limits;
 use super::discovery::DiscoveryClient;
 use super::hot_restart::HotRestart;
+use super::memory::{MemoryBudget, Owner};
 use super::resp::codec;
 use super::shutdown::Shutdown;
 use super::unix_time;
@@ -35,6 +36,8 @@
     shutdown: Rc<Shutdown>,
     /// Publishes each change to the other process of this limiter.
     hot_restart: Rc<HotRestart>,
+    /// Counts the requests that are received.
+    memory: Rc<MemoryBudget>,
 }
 
 impl AdminContext {
@@ -44,12 +47,14 @@
         discovery: &Rc<DiscoveryClient>,
         shutdown: &Rc<Shutdown>,
         hot_restart: &Rc<HotRestart>,
+        memory: &Rc<MemoryBudget>,
     ) -> Self {
         AdminContext {
             limits: limits.clone(),
             discovery: discovery.clone(),
             shutdown: shutdown.clone(),
             hot_restart: hot_restart.clone(),
+            memory: memory.clone(),
         }
     }
 }
@@ -102,6 +107,9 @@
 
 async fn serve(context: Rc<AdminContext>, mut stream: TcpStream) {
     let request_timeout = context.limits.admin.request_timeout;
+    // A request's head and body.
+    let max_bytes = 2 * context.limits.admin.max_request_bytes;
+    let _reservation = context.memory.hold(Owner::Services, max_bytes);
     let request = read_request(&mut stream, context.limits.admin.max_request_bytes);
     let response = match timeout(request_timeout, request).await {
         Err(_) => RequestError::Timeout.into(),
--- a/src/net/config/limits/mod.rs
+++ b/src/net/config/limits/mod.rs
@@ -74,7 +74,7 @@
             upstream: UpstreamLimits::new(settings, resources),
             streaming: StreamingLimits::new(),
             counter: CounterLimits::new(settings),
-            discovery: DiscoveryLimits::new(settings),
+            discovery: DiscoveryLimits::new(settings, resources.memory_bytes),
             admin: AdminLimits::new(resources.sockets),
             hot_restart: HotRestartLimits::new(),
             shutdown: ShutdownLimits::new(settings),
--- a/src/net/config/limits/services.rs
+++ b/src/net/config/limits/services.rs
@@ -51,6 +51,11 @@
 const MIN_POLLED_WATCH: Duration = Duration::from_secs(4);
 const MAX_WATCH: Duration = Duration::from_secs(20);
 
+/// Maximum length of a response, whatever the memory.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Part of the memory that a response may take. Its buffer, its body and its parsed form take several times its length.
+const MAX_RESPONSE_DIVISOR: usize = 16;
+
 /// Limits for discovery of hosts.
 #[derive(Clone, Debug)]
 pub struct DiscoveryLimits {
@@ -75,12 +80,12 @@
 }
 
 impl DiscoveryLimits {
-    pub(super) fn new(settings: &Settings) -> Self {
+    pub(super) fn new(settings: &Settings, memory_bytes: usize) -> Self {
         let poll_cycle = poll_cycle(settings.limiters.count);
         DiscoveryLimits {
             is_polled: settings.discovery.is_polled,
             poll_cycle,
-            max_response_bytes: 4 << 20,
+            max_response_bytes: MAX_RESPONSE_BYTES.min(memory_bytes / MAX_RESPONSE_DIVISOR),
             watch_timeout: if settings.discovery.is_polled {
                 (POLL_CYCLES_PER_WATCH * poll_cycle).clamp(MIN_POLLED_WATCH, MAX_WATCH)
             } else {
--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -5,6 +5,7 @@
 use crate::api::{Event, ListMode, Nanos, ZoneId};
 use crate::net::config::{Addresses, Limits};
 use crate::net::engine::EngineDriver;
+use crate::net::memory::MemoryBudget;
 use crate::net::metrics::SharedMetrics;
 use crate::net::resp::upstream::UpstreamPool;
 use quartzcleat_admin::{MaintenanceChange, MaintenanceOrder, MaintenanceRegistry, UnknownHost};
@@ -25,6 +26,7 @@
     upstream: Rc<UpstreamPool>,
     addresses: watch::Receiver<Addresses>,
     metrics: Option<SharedMetrics>,
+    memory: Rc<MemoryBudget>,
     endpoints: RefCell<EndpointList>,
     maintenance: RefCell<MaintenanceRegistry>,
     /// Whether the names of all hosts ever listed are recorded, for another process of this limiter.
@@ -48,6 +50,7 @@
             upstream: upstream.clone(),
             addresses,
             metrics: None,
+            memory: MemoryBudget::new(limits),
             endpoints: RefCell::new(endpoints),
             maintenance: RefCell::default(),
             records_names: false,
@@ -61,6 +64,13 @@
         DiscoveryClient { metrics, ..self }
     }
 
+    /// Sets the budget in which the responses of discovery are counted; without it they count in one of their own.
+    #[must_use]
+    pub fn with_memory(self, memory: &Rc<MemoryBudget>) -> Self {
+        let memory = memory.clone();
+        DiscoveryClient { memory, ..self }
+    }
+
     /// Sets whether the names of all hosts ever listed are recorded, for another process of this limiter.
     #[must_use]
     pub fn with_name_records(self, records_names: bool) -> Self {
@@ -75,6 +85,11 @@
         &self.limits
     }
 
+    /// Returns the budget in which the responses of discovery are counted.
+    pub(super) fn memory(&self) -> &Rc<MemoryBudget> {
+        &self.memory
+    }
+
     /// Returns a receiver for changes of the services' addresses.
     pub(super) fn addresses(&self) -> watch::Receiver<Addresses> {
         self.addresses.clone()
--- a/src/net/discovery/connection.rs
+++ b/src/net/discovery/connection.rs
@@ -3,10 +3,12 @@
 use super::http::{parse_response, Response, ResponseError};
 use super::received_list::ListError;
 use crate::net::config::Limits;
+use crate::net::memory::{MemoryBudget, Owner, Reservation};
 use crate::net::resp::codec;
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::io::AsyncWriteExt;
@@ -14,6 +16,9 @@
 use tokio::time::timeout;
 
 const STATUS_OK: u16 = 200;
+/// Divisor of the maximum length of a list. By this fraction a response may be longer than its list: its head, and the
+/// lines between the chunks of a chunked body.
+const MAX_ENCODING_DIVISOR: usize = 4;
 const LIST_PATH: &str = "/discovery/hosts";
 
 /// The reason why a call to discovery failed.
@@ -79,13 +84,18 @@
     pub list: Value,
     /// Whether the connection stays open for another request.
     pub keep_alive: bool,
+    /// The memory of the list.
+    _reservation: Reservation,
 }
 
 /// A connection to discovery.
 pub(super) struct DiscoveryConnection {
     stream: TcpStream,
     address: SocketAddr,
+    memory: Rc<MemoryBudget>,
     input: Vec<u8>,
+    /// The memory of `input`.
+    input_reservation: Reservation,
 }
 
 impl DiscoveryConnection {
@@ -93,14 +103,19 @@
     ///
     /// # Errors
     /// Returns an error if the connection cannot be established.
-    pub(super) async fn open(address: SocketAddr) -> Result<Self, DiscoveryError> {
+    pub(super) async fn open(
+        address: SocketAddr,
+        memory: &Rc<MemoryBudget>,
+    ) -> Result<Self, DiscoveryError> {
         let stream = TcpStream::connect(address).await?;
         // A failure is harmless: without `TCP_NODELAY` requests are only slightly delayed.
         let _ = stream.set_nodelay(true);
         Ok(DiscoveryConnection {
             stream,
             address,
+            memory: memory.clone(),
             input: Vec::new(),
+            input_reservation: memory.hold(Owner::Services, 0),
         })
     }
 
@@ -147,22 +162,32 @@
         if response.status != STATUS_OK {
             return Err(DiscoveryError::Status(response.status));
         }
+        let list_bytes = response.body.len() * limits.memory.endpoint_list_factor;
+        let reservation = self.memory.hold(Owner::Services, list_bytes);
         Ok(ListResponse {
             list: serde_json::from_slice(&response.body)?,
             keep_alive: response.keep_alive,
+            _reservation: reservation,
         })
     }
 
     async fn read_response(&mut self, limits: &Limits) -> Result<Response, DiscoveryError> {
+        let max_body_bytes = limits.discovery.max_response_bytes;
+        let max_bytes = max_body_bytes + max_body_bytes / MAX_ENCODING_DIVISOR;
+        let chunk_bytes = limits.codec.read_chunk_bytes;
         loop {
-            if let Some(response) =
-                parse_response(&self.input, limits.discovery.max_response_bytes)?
-            {
-                self.input.drain(..response.length);
+            if let Some(response) = parse_response(&self.input, max_body_bytes)? {
+                codec::consume(&mut self.input, response.length, chunk_bytes);
+                self.input_reservation.resize(self.input.capacity());
                 return Ok(response);
             }
-            let chunk_bytes = limits.codec.read_chunk_bytes;
-            codec::read_more(&mut self.stream, &mut self.input, chunk_bytes).await?;
+            if self.input.len() > max_bytes {
+                return Err(ResponseError::BodyTooLong.into());
+            }
+            // The buffer doubles, so that a long list is copied a few times only.
+            let growth = self.input.len().max(chunk_bytes);
+            codec::read_more(&mut self.stream, &mut self.input, growth).await?;
+            self.input_reservation.resize(self.input.capacity());
         }
     }
 }
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,14 +1,18 @@
 //! Tests of applied lists, of maintenance that overrides them, and of a lost watch.
 
+use super::connection::{DiscoveryConnection, DiscoveryError, ListRequest};
 use super::endpoint_list::tests::HostCounts;
+use super::http::ResponseError;
 use super::*;
 use crate::api::{Event, HostState, ListMode};
+use crate::net::memory::Owner;
 use crate::net::task::spawn;
 use crate::net::tests::{next_event, with_limiter, BoundService};
 use crate::net::Limiter;
 use quartzcleat_admin::MaintenanceChange;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -146,3 +150,44 @@
         assert_eq!(counts, only_the_last);
     });
 }
+
+/// A list in part counts towards the memory, and a chunked list whose encoding is far longer than the list itself ends the
+/// call: only the decoded length was limited, so that 4 MiB of list could take 24 MiB (issue 51).
+#[test]
+fn list_in_pieces_is_counted_and_limited() {
+    with_limiter(
+        &[("\"memory_mb\": 192", "\"memory_mb\": 2")],
+        |limiter| async move {
+            let memory = limiter.pipeline().memory().clone();
+            let discovery = TcpListener::bind("127.0.0.1:0").await;
+            let discovery = discovery.expect("a port is free");
+            let address = discovery.local_addr().expect("an address");
+            let connection = DiscoveryConnection::open(address, &memory).await;
+            let connection = connection.expect("it listens");
+            let (mut stream, _) = discovery.accept().await.expect("it is accepted");
+            let max_bytes = limiter.limits().discovery.max_response_bytes;
+            let call_limiter = limiter.clone();
+            let call = tokio::task::spawn_local(async move {
+                let request = ListRequest::full(Duration::from_secs(20));
+                let response = connection.get_and_close(&request, call_limiter.limits());
+                response.await.err()
+            });
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let half = "1\r\nx\r\n".repeat(max_bytes / 12);
+            for text in [head, &half] {
+                let sent = stream.write_all(text.as_bytes()).await;
+                sent.expect("it is read");
+            }
+            while memory.reserved(Owner::Services) < max_bytes / 2 {
+                tokio::task::yield_now().await;
+            }
+            // The call may end before it has read all of this.
+            let _ = stream.write_all(half.as_bytes()).await;
+            let _ = stream.write_all(half.as_bytes()).await;
+            let error = call.await.expect("it ends").expect("it fails");
+            let expected = DiscoveryError::Response(ResponseError::BodyTooLong);
+            assert_eq!(error.to_string(), expected.to_string());
+            assert_eq!(memory.reserved(Owner::Services), 0);
+        },
+    );
+}
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -64,7 +64,7 @@
     let limits = client.limits();
     let mut connection = timeout(
         limits.connect_timeout.get(),
-        DiscoveryConnection::open(address),
+        DiscoveryConnection::open(address, client.memory()),
     )
     .await
     .map_err(|_| DiscoveryError::ConnectTimeout)??;
@@ -179,7 +179,7 @@
     address: SocketAddr,
 ) -> Result<ReceivedList, DiscoveryError> {
     let limits = client.limits();
-    let connection = DiscoveryConnection::open(address).await?;
+    let connection = DiscoveryConnection::open(address, client.memory()).await?;
     let request = ListRequest::full(limits.discovery.full_list_timeout);
     let response = connection.get_and_close(&request, limits).await?;
     Ok(client.parse(&response.list)?)
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -8,6 +8,7 @@
 use super::hot_restart::listener_handover::redirect_to_second;
 use super::hot_restart::{HandoffStatus, HotRestart, LocalProcess};
 use super::leases;
+use super::memory::MemoryBudget;
 use super::metrics_log::MetricsLog;
 use super::reload::{ActiveConfig, ConfigReloader};
 use super::resp::downstream::{self, Downstream};
@@ -85,8 +86,10 @@
         let shutdown = Rc::new(Shutdown::new(&limits));
         let addresses = active_config.subscribe_addresses();
         let counter = Rc::new(CounterClient::new(&limits, &engine, addresses.clone()));
-        let pipeline = Pipeline::new(&limits, &engine, &upstream, &counter, &shutdown);
+        let memory = MemoryBudget::new(&limits);
+        let pipeline = Pipeline::new(&limits, &engine, &upstream, &counter, &shutdown, &memory);
         let discovery = DiscoveryClient::new(&limits, &engine, &upstream, addresses, endpoints)
+            .with_memory(&memory)
             .with_metrics(metrics)
             .with_name_records(has_admin);
         let discovery = Rc::new(discovery);
@@ -97,6 +100,7 @@
             &discovery,
             &shutdown,
             &hot_restart,
+            &memory,
         ));
         let reloader = ConfigReloader::new(&limits, &engine, &upstream, &discovery, active_config);
         Limiter {
@@ -169,7 +173,8 @@
     fn start_service_clients(&self, backoff: Backoff) {
         counter::start(&self.counter);
         if let Some(metrics_log) = &self.metrics_log {
-            metrics_log.start(self.engine.clone(), self.upstream.clone());
+            let memory = self.pipeline.memory().clone();
+            metrics_log.start(self.engine.clone(), self.upstream.clone(), memory);
         }
         spawn(discovery::follow(self.discovery.clone(), backoff));
         if !self.limits.discovery.is_polled {
--- a/src/net/memory/owner.rs
+++ b/src/net/memory/owner.rs
@@ -31,6 +31,19 @@
         Owner::Services,
     ];
 
+    /// Returns the name of the owner in the metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Owner::Connections => "connections",
+            Owner::Commands => "commands",
+            Owner::Requests => "requests",
+            Owner::HostAnswers => "host_answers",
+            Owner::Responses => "responses",
+            Owner::StreamedValues => "streamed_values",
+            Owner::Services => "services",
+        }
+    }
+
     /// Returns the position of the owner in [`ALL`](Self::ALL).
     pub(super) fn index(self) -> usize {
         self as usize
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -4,6 +4,7 @@
 //! the limiter's own configuration file turns it on, and no decision depends on it. [`metrics_log`](super::metrics_log)
 //! logs it at an interval.
 
+use super::memory::{MemoryBudget, Owner, ResidentMemory};
 use crate::api::{Action, Event, HostId, Nanos, Outcome};
 use quartzcleat_decision::EngineStatus;
 use std::cell::RefCell;
@@ -104,6 +105,17 @@
     }
 }
 
+/// Formats the reserved bytes of each owner, as in `commands:65616 requests:4210 `.
+fn memory_text(memory: &MemoryBudget) -> String {
+    let mut text = String::new();
+    for owner in Owner::ALL {
+        let (name, bytes) = (owner.name(), memory.reserved(owner));
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{name}:{bytes} ");
+    }
+    text
+}
+
 impl Metrics {
     /// Creates metrics with all counts at zero. `limiter` is the name of the limiter.
     pub fn new(limiter: String) -> Self {
@@ -190,7 +202,9 @@
         now: Nanos,
         status: &EngineStatus,
         connections: &BTreeMap<HostId, usize>,
+        memory: &MemoryBudget,
     ) {
+        let resident = ResidentMemory::read();
         let fresh = Metrics::new(self.limiter.clone());
         let counted = std::mem::replace(self, fresh);
         let rejections = counted.rejections;
@@ -221,6 +235,13 @@
             queued = status.queued,
             outcomes = counted.outcomes_text().trim_end(),
             hosts = counted.hosts_text(connections).trim_end(),
+            memory_resident = resident.total,
+            memory_anonymous = resident.anonymous,
+            memory_reservable = memory.capacity(),
+            memory_reserved = memory.total(),
+            memory_peak = memory.take_peak(),
+            memory_waiting = memory.waiting(),
+            memory = memory_text(memory).trim_end(),
             "metrics"
         );
     }
--- a/src/net/metrics_log.rs
+++ b/src/net/metrics_log.rs
@@ -1,6 +1,7 @@
 //! Periodic logging of a limiter's metrics.
 
 use super::engine::EngineDriver;
+use super::memory::MemoryBudget;
 use super::metrics::{Metrics, SharedMetrics};
 use super::resp::upstream::UpstreamPool;
 use super::task::spawn;
@@ -31,7 +32,12 @@
 
     /// Spawns a task that logs the metrics immediately and then once per interval, with the state of the engine and the
     /// connections to hosts.
-    pub fn start(&self, engine: Rc<EngineDriver>, upstream: Rc<UpstreamPool>) {
+    pub fn start(
+        &self,
+        engine: Rc<EngineDriver>,
+        upstream: Rc<UpstreamPool>,
+        memory: Rc<MemoryBudget>,
+    ) {
         let metrics = self.metrics.clone();
         let interval = self.interval;
         spawn(async move {
@@ -41,7 +47,9 @@
                 let now = engine.now();
                 let status = engine.status();
                 let connections = upstream.connections_by_host();
-                metrics.borrow_mut().log(now, &status, &connections);
+                metrics
+                    .borrow_mut()
+                    .log(now, &status, &connections, &memory);
             }
         });
     }
--- a/src/net/stages/pipeline.rs
+++ b/src/net/stages/pipeline.rs
@@ -39,13 +39,14 @@
         upstream: &Rc<UpstreamPool>,
         counter: &Rc<CounterClient>,
         shutdown: &Rc<Shutdown>,
+        memory: &Rc<MemoryBudget>,
     ) -> Rc<Self> {
         let pipeline = Rc::new_cyclic(|weak_self: &Weak<Pipeline>| Pipeline {
             limits: limits.clone(),
             engine: engine.clone(),
             upstream: upstream.clone(),
             counter: counter.clone(),
-            memory: MemoryBudget::new(limits),
+            memory: memory.clone(),
             shutdown: shutdown.clone(),
             usage_recorder: OnceCell::new(),
             weak_self: weak_self.clone(),
