--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod damage;
 mod deployments;
 mod error;
+mod memory;
 mod module;
 mod pair;
 mod seeds;
@@ -26,6 +27,8 @@
 enum Command {
     /// CPU a request, memory and start of two builds of the limiter, in pairs.
     Pair(pair::Pair),
+    /// Memory of builds of the limiter under short and long requests, written at once and slowly.
+    Memory(memory::Memory),
     /// Seeded damage to a day's settings: which expectation catches it, and whether the line is named.
     Damage(damage::Damage),
     /// Seeded damage to the decision module, built from patched copies: which expectation catches it.
@@ -42,6 +45,7 @@
     fn run(self) -> Result<String, BenchError> {
         match self {
             Command::Pair(pair) => pair.run(),
+            Command::Memory(memory) => memory.run(),
             Command::Damage(damage) => damage.run(),
             Command::Module(module) => module.run().map_err(BenchError::Module),
             Command::Speed(speed) => Ok(speed.run()),
