Timers of a request end with the request instead of at its deadline

What callers could see: a client that is rejected at once and sends its next request takes the limiter over its memory, whatever the limit. Four connections with 800 requests each at a time, all over one quota, d=7000: 514 MB after 8 s with memory_mb of 32 (572,000 requests), and none of it was given back.

Cause: each request had tasks that slept until its deadline and its latency objective, answered or not. They were counted nowhere.

Change: the timers belong to the open request and are cancelled when it is closed. Timers of closed requests did nothing.

The test fails on the code before (timers still held after 5 s) and passes.

--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -21,6 +21,7 @@
 
 use super::config::Limits;
 use super::metrics::SharedMetrics;
+use super::task::BoundTask;
 use crate::api::{Action, Event, Nanos, RequestId, Settings};
 use crate::decision::{DecisionEngine, EngineSnapshot, EngineStatus};
 use std::cell::{Cell, OnceCell, RefCell};
@@ -171,6 +172,11 @@
         self.requests.borrow_mut().open(reply_to, request, arrived)
     }
 
+    /// Keeps a timer that concerns this request only, until the request is closed. Has no effect if it is not open.
+    pub fn bind_timer(&self, id: RequestId, timer: BoundTask) {
+        self.requests.borrow_mut().bind_timer(id, timer);
+    }
+
     /// Returns the ids of all open requests, in no particular order.
     pub fn open_request_ids(&self) -> Vec<RequestId> {
         self.requests.borrow().ids()
--- a/src/net/engine/open_requests.rs
+++ b/src/net/engine/open_requests.rs
@@ -4,6 +4,7 @@
 use super::request::{Frontend, Payload, Request};
 use crate::api::{AttemptIndex, HostId, Nanos, RequestId};
 use crate::net::config::Limits;
+use crate::net::task::BoundTask;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -72,6 +73,8 @@
     charge: Charge,
     deadline: Instant,
     attempt_count: u32,
+    /// The timers that concern this request only.
+    timers: Vec<BoundTask>,
 }
 
 /// Returns the indices of the first `count` attempts of a request.
@@ -150,11 +153,19 @@
             },
             deadline,
             attempt_count: 0,
+            timers: Vec::new(),
         };
         self.requests.insert(request.id, open);
         deadline
     }
 
+    /// Keeps a timer that concerns this request only, until the request is closed. Has no effect if it is not open.
+    pub fn bind_timer(&mut self, id: RequestId, timer: BoundTask) {
+        if let Some(open) = self.requests.get_mut(&id) {
+            open.timers.push(timer);
+        }
+    }
+
     /// Closes a request and returns the recipient of its answer, or `None` if it was not open.
     ///
     /// Cancels each attempt whose command is not completely written: its connection may be established late or its host
--- a/src/net/stages/admit.rs
+++ b/src/net/stages/admit.rs
@@ -2,15 +2,16 @@
 
 use super::complete;
 use super::pipeline::Pipeline;
-use crate::api::Event;
+use crate::api::{Event, RequestId};
 use crate::net::engine::Request;
-use crate::net::task::spawn;
+use crate::net::task::BoundTask;
 use std::rc::Rc;
 use tokio::time::{sleep_until, Instant};
 
 /// Passes a request to the engine, and fails it shortly before its deadline if it has no answer by then.
 pub fn admit(pipeline: &Rc<Pipeline>, request: &Request, deadline: Instant) {
     let id = request.id;
+    fail_at_deadline(pipeline, id, deadline);
     pipeline.engine.handle(Event::Request {
         id,
         class: request.class,
@@ -22,13 +23,17 @@
         first_limiter: request.first_limiter,
         flags: request.flags,
     });
-    // The engine may never answer the request.
+}
+
+/// Fails a request shortly before its deadline if it is still open then: the engine may never answer it.
+fn fail_at_deadline(pipeline: &Rc<Pipeline>, id: RequestId, deadline: Instant) {
     let fail_at = deadline
         .checked_sub(pipeline.limits.requests.deadline_margin)
         .unwrap_or(deadline);
-    let pipeline = pipeline.clone();
-    spawn(async move {
+    let timer_pipeline = pipeline.clone();
+    let timer = BoundTask::spawn(async move {
         sleep_until(fail_at).await;
-        complete::fail_if_open(&pipeline, id);
+        complete::fail_if_open(&timer_pipeline, id);
     });
+    pipeline.engine.bind_timer(id, timer);
 }
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -4,7 +4,7 @@
 use super::{complete, dispatch};
 use crate::api::{Action, AttemptIndex, Event, LogEvent, Nanos, Timer};
 use crate::net::engine::{Answer, AttemptId, AttemptNotAllowed, AttemptOrder};
-use crate::net::task::spawn;
+use crate::net::task::{spawn, BoundTask};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
@@ -92,9 +92,15 @@
 
 fn set_timer(pipeline: &Rc<Pipeline>, timer: Timer, after: Nanos) {
     let fires_at = Instant::now() + Duration::from_nanos(after);
-    let pipeline = pipeline.clone();
-    spawn(async move {
+    let timer_pipeline = pipeline.clone();
+    let firing = async move {
         sleep_until(fires_at).await;
-        pipeline.engine.handle(Event::Timer { timer });
-    });
+        timer_pipeline.engine.handle(Event::Timer { timer });
+    };
+    match timer {
+        Timer::Deadline { id } | Timer::LatencyObjective { id } | Timer::CounterWait { id } => {
+            pipeline.engine.bind_timer(id, BoundTask::spawn(firing));
+        }
+        Timer::ReleaseQueue | Timer::WatchHosts | Timer::Sweep => spawn(firing),
+    }
 }
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of races between the stages of a request, on real sockets.
 
 use super::complete::Delivery;
-use super::{attempt, complete, dispatch};
-use crate::api::{Event, HostEntry, HostId, HostState, Nanos, Outcome, RequestId};
+use super::{attempt, complete, dispatch, route};
+use crate::api::{Action, Event, HostEntry, HostId, HostState, Nanos, Outcome, RequestId, Timer};
 use crate::net::engine::tests::{attempt_order, no_reply, reply_to, request, RecordingFrontend};
 use crate::net::engine::{Answer, AttemptOrder, HostCommand, Payload};
 use crate::net::resp::upstream::UpstreamConnection;
@@ -245,3 +245,34 @@
         assert_eq!(connections.get(&HOST), Some(&1), "the connection is kept");
     });
 }
+
+/// Each closed request left its timers until its deadline: a client that was rejected at once and sent the next request
+/// took a limiter of 32 MB to 514 MB within 8 s (issue 51).
+#[test]
+fn timers_of_a_closed_request_are_released() {
+    with_limiter(&[], |limiter| async move {
+        let pipeline = limiter.pipeline();
+        let frontend = Rc::new(RecordingFrontend::default());
+        let owners = Rc::strong_count(pipeline);
+        let context = pipeline.frontend_context();
+        context.handler.handle_request(frontend, 0, request(1));
+        for timer in [
+            Timer::Deadline { id: RequestId(1) },
+            Timer::LatencyObjective { id: RequestId(1) },
+            Timer::CounterWait { id: RequestId(1) },
+        ] {
+            let after = LONG.as_nanos() as Nanos;
+            route::execute(pipeline, Action::SetTimer { timer, after });
+        }
+        // One owner is the context; each timer holds the pipeline.
+        assert_eq!(Rc::strong_count(pipeline), owners + 5);
+        complete::answer(pipeline, RequestId(1), Answer::Failed);
+        let released = async {
+            while Rc::strong_count(pipeline) > owners + 1 {
+                yield_now().await;
+            }
+        };
+        let released = timeout(Duration::from_secs(5), released).await;
+        released.expect("long before the timers are due");
+    });
+}
