Idle connections hold no buffers, and their fixed cost cannot keep requests out

Cause: an idle connection of a client took 10.3 KiB: an input buffer of 4 KiB, and a discard buffer of 4 KiB that was a part of each connection's task. Connections to hosts kept both buffers while idle. With the fixed costs in the same budget as requests, 512 connections in two processes of a limiter of 32 MB could have left no room for requests.

Change: a connection waits for bytes before it takes a buffer and releases an empty one; discard buffers are on the heap. Fixed costs are taken from the budget first and up to half of it. Long commands leave an eighth of the budget to short requests. While there is no memory, a connection that is owed responses is not read further. A queue of responses gives its memory back. Streamed values take large windows only while half of the budget is free, and all three of their buffers count. During a shutdown no command waits for memory past the final answers.

--- a/src/net/memory/mod.rs
+++ b/src/net/memory/mod.rs
@@ -5,10 +5,13 @@
 //! complete, requests and their arguments, answers of hosts, responses that clients have not taken. Each owner may use
 //! more of the budget than the one before it in this order:
 //!
-//! 1. commands that are not complete: half of the budget, and only while requests have room too;
+//! 1. commands that are not complete: half of the budget, and only while five eighths are not exceeded altogether;
 //! 2. new requests: three quarters;
 //! 3. answers to requests that were forwarded: all of it.
 //!
+//! The fixed costs of connections are taken from the budget first, up to half of it, so that no number of connections keeps
+//! requests out.
+//!
 //! A long command or answer reserves its whole announced length before it is read, so that each holder can finish. What
 //! waits for a reservation stays in the buffers of the kernel.
 
@@ -80,7 +83,7 @@
 
     /// Returns whether another request may be accepted.
     pub fn has_room_for_requests(&self) -> bool {
-        self.total() < self.request_capacity()
+        self.total_beside_connections() < self.request_capacity()
     }
 
     /// Reserves bytes even past the capacity. The caller bounds what it holds by other means, such as the number of
@@ -97,6 +100,12 @@
         pending
     }
 
+    /// Makes a reservation that the caller can do without: only while half of the budget stays free.
+    pub fn reserve_spare(self: &Rc<Self>, owner: Owner, bytes: usize) -> Option<Reservation> {
+        let total = self.total_beside_connections() + bytes;
+        (total <= self.capacity_beside_connections() / 2).then(|| self.hold(owner, bytes))
+    }
+
     fn queue(&self, owner: Owner) -> &WaitingQueue {
         match owner {
             Owner::Commands => &self.waiting_commands,
@@ -104,23 +113,39 @@
         }
     }
 
+    fn total_beside_connections(&self) -> usize {
+        self.total() - self.reserved(Owner::Connections)
+    }
+
+    /// Returns how many bytes may be reserved beside connections.
+    fn capacity_beside_connections(&self) -> usize {
+        let capacity = self.capacity();
+        let connections = self.reserved(Owner::Connections);
+        capacity - connections.min(capacity / 2)
+    }
+
     fn request_capacity(&self) -> usize {
-        self.capacity() / 4 * 3
+        self.capacity_beside_connections() / 4 * 3
     }
 
     fn command_capacity(&self) -> usize {
-        self.capacity() / 2
+        self.capacity_beside_connections() / 2
+    }
+
+    /// Returns the total past which no long command is read. Short requests, which need not wait, have room beyond it.
+    fn command_total_capacity(&self) -> usize {
+        self.capacity_beside_connections() / 8 * 5
     }
 
     /// Returns whether a reservation may be granted now.
     fn has_room(&self, owner: Owner, bytes: usize) -> bool {
-        let total = self.total() + bytes;
+        let total = self.total_beside_connections() + bytes;
         match owner {
             Owner::Commands => {
                 let commands = self.reserved(Owner::Commands) + bytes;
-                commands <= self.command_capacity() && total <= self.request_capacity()
+                commands <= self.command_capacity() && total <= self.command_total_capacity()
             }
-            _ => total <= self.capacity(),
+            _ => total <= self.capacity_beside_connections(),
         }
     }
 
--- a/src/net/memory/tests.rs
+++ b/src/net/memory/tests.rs
@@ -55,6 +55,32 @@
     });
 }
 
+/// However many connections there are, requests, commands and answers keep half of the budget.
+#[test]
+fn connections_do_not_keep_requests_out() {
+    with_budget(|budget| {
+        let capacity = budget.capacity();
+        let _connections = budget.hold(Owner::Connections, 2 * capacity);
+        assert!(budget.has_room_for_requests());
+        let command = granted(&budget, Owner::Commands, capacity / 4);
+        let answer = granted(&budget, Owner::HostAnswers, capacity / 4);
+        assert!(command.is_some() && answer.is_some());
+        assert!(granted(&budget, Owner::HostAnswers, 2).is_none());
+    });
+}
+
+/// What the caller can do without is reserved only while half of the budget stays free.
+#[test]
+fn spare_reservations_leave_half_of_the_budget_free() {
+    with_budget(|budget| {
+        let half = budget.capacity() / 2;
+        let first = budget.reserve_spare(Owner::StreamedValues, half);
+        assert!(first.is_some());
+        let second = budget.reserve_spare(Owner::StreamedValues, 1);
+        assert!(second.is_none());
+    });
+}
+
 /// A request in the queue is granted before a later one that would fit earlier, and one that is withdrawn does not
 /// block those behind it.
 #[test]
--- a/src/net/resp/close.rs
+++ b/src/net/resp/close.rs
@@ -132,7 +132,8 @@
         return 0;
     }
     let mut reader = SharedReader::new(stream);
-    let mut buffer = [0; DISCARD_BUFFER_BYTES];
+    // On the heap: an array would be a part of the task of each connection.
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
     let mut discarded_bytes = 0;
     let drain = async {
         while let Ok(count @ 1..) = read_some(&mut reader, &mut buffer).await {
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -22,7 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::yield_now;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, Instant};
 
 #[cfg(test)]
 mod tests;
@@ -211,7 +211,7 @@
                 Err(malformed) => self.refuse(malformed.0),
             }
         }
-        self.input.remove_parsed(limits);
+        self.input.remove_parsed();
     }
 
     /// Responds with an error to bytes after which nothing can be parsed.
@@ -234,6 +234,7 @@
         let longest_wait = limits.downstream.max_memory_wait;
         let client_wait = announced_wait(bytes, &announced, &self.downstream.catalog.borrow());
         let max_wait = client_wait.map_or(longest_wait, |wait| longest_wait.min(wait / 2));
+        let max_wait = max_wait.min(self.time_to_final_answers());
         match self.input.reserve_rest(&announced, max_wait, limits) {
             Rest::Receivable => {}
             Rest::TooLong => self.refuse(TOO_LONG),
@@ -241,6 +242,13 @@
         }
     }
 
+    /// Returns the time until a shutdown gives its last answers; the longest duration without a shutdown.
+    fn time_to_final_answers(&self) -> Duration {
+        let deadlines = self.downstream.context.shutdown.deadlines();
+        let remaining = deadlines.map(|at| at.answers.saturating_duration_since(Instant::now()));
+        remaining.unwrap_or(Duration::MAX)
+    }
+
     fn handle_command(&mut self, command: &Command) {
         let catalog = self.downstream.catalog.borrow();
         let parsed = parse_client_command(self.input.unparsed(), command, &catalog);
@@ -347,16 +355,18 @@
     fn read_mode(&self) -> ReadMode {
         if self.input.state() == InputState::Malformed {
             ReadMode::Discard
-        } else if self.output.is_full(self.limits()) || self.has_unsent_without_memory() {
+        } else if self.output.is_full(self.limits()) || self.owes_responses_without_memory() {
             ReadMode::Paused
         } else {
             ReadMode::Commands
         }
     }
 
-    /// Returns whether the client leaves responses unread while the process has no memory for further requests.
-    fn has_unsent_without_memory(&self) -> bool {
-        !self.output.is_empty() && !self.downstream.context.memory.has_room_for_requests()
+    /// Returns whether responses are pending or unsent while the process has no memory for further requests. The next
+    /// response wakes the connection.
+    fn owes_responses_without_memory(&self) -> bool {
+        let owes_responses = !self.output.is_empty() || !self.responses.is_empty();
+        owes_responses && !self.downstream.context.memory.has_room_for_requests()
     }
 
     /// Ends the turn. A client that has left in the meantime is noticed at once, so that no more of its commands are
--- a/src/net/resp/downstream/input.rs
+++ b/src/net/resp/downstream/input.rs
@@ -167,10 +167,13 @@
         }
     }
 
-    /// Removes the parsed bytes from the buffer.
-    pub(super) fn remove_parsed(&mut self, limits: &Limits) {
-        codec::consume(&mut self.bytes, self.parsed, limits.codec.read_chunk_bytes);
+    /// Removes the parsed bytes from the buffer, and releases an empty buffer.
+    pub(super) fn remove_parsed(&mut self) {
+        self.bytes.drain(..self.parsed);
         self.parsed = 0;
+        if self.bytes.is_empty() {
+            self.bytes = Vec::new();
+        }
     }
 
     /// Reserves memory for the rest of a long command that is incomplete. The command is rejected if there is none within
@@ -314,6 +317,10 @@
 
     async fn receive_short(&mut self, limits: &Limits) -> ReceiveOutcome {
         let chunk_bytes = limits.codec.read_chunk_bytes;
+        // A connection that waits for a command has no buffer.
+        if self.bytes.is_empty() && self.reader.stream().readable().await.is_err() {
+            return ReceiveOutcome::ClientGone;
+        }
         match codec::read_more(&mut self.reader, &mut self.bytes, chunk_bytes).await {
             Ok(()) => ReceiveOutcome::Received,
             Err(_) => ReceiveOutcome::ClientGone,
@@ -360,9 +367,8 @@
         let LongCommand::Rejected { remaining_bytes } = &mut self.long_command else {
             return ReceiveOutcome::Received;
         };
-        let mut discarded = [0; READ_BUFFER_BYTES];
-        let limit = READ_BUFFER_BYTES.min(*remaining_bytes);
-        match codec::read_some(&mut self.reader, &mut discarded[..limit]).await {
+        let mut discarded = vec![0; READ_BUFFER_BYTES.min(*remaining_bytes)];
+        match codec::read_some(&mut self.reader, &mut discarded).await {
             Ok(count @ 1..) => {
                 *remaining_bytes -= count;
                 ReceiveOutcome::Received
@@ -372,7 +378,8 @@
     }
 
     async fn discard_to_end(&mut self) -> ReceiveOutcome {
-        let mut discarded = [0; READ_BUFFER_BYTES];
+        // On the heap: an array would be a part of the task of each connection.
+        let mut discarded = vec![0; READ_BUFFER_BYTES];
         while let Ok(1..) = codec::read_some(&mut self.reader, &mut discarded).await {}
         ReceiveOutcome::ClientGone
     }
--- a/src/net/resp/downstream/response_queue.rs
+++ b/src/net/resp/downstream/response_queue.rs
@@ -16,6 +16,8 @@
 use tokio::sync::Notify;
 
 const NANOS_PER_MS: u128 = 1_000_000;
+/// Number of responses for which an empty queue keeps its memory.
+const MAX_RETAINED_RESPONSES: usize = 32;
 
 /// The response to one command.
 pub(super) enum Response {
@@ -90,6 +92,11 @@
     }
 }
 
+/// Returns the memory that a short response takes.
+fn reserved_bytes(bytes: &[u8]) -> usize {
+    bytes.len() + size_of::<Response>()
+}
+
 /// Encodes an answer for the client; for a long value only the header.
 pub(super) fn encode(answer: &Answer) -> Vec<u8> {
     let mut output = Vec::new();
@@ -153,7 +160,7 @@
         if let Response::Ready(bytes) = response {
             let mut reservation = self.reservation.borrow_mut();
             let reserved = reservation.bytes();
-            reservation.resize(reserved + bytes.len());
+            reservation.resize(reserved + reserved_bytes(bytes));
         }
     }
 
@@ -172,7 +179,7 @@
             match responses.front_mut() {
                 Some(Response::Ready(bytes)) => {
                     output.bytes_mut().extend_from_slice(bytes);
-                    buffered_bytes += bytes.len();
+                    buffered_bytes += reserved_bytes(bytes);
                 }
                 Some(Response::Value { head, .. }) => output.bytes_mut().append(head),
                 Some(Response::Streaming { head, body }) => {
@@ -191,6 +198,9 @@
             }
             self.first_place.set(self.first_place.get() + 1);
         };
+        if responses.is_empty() && responses.capacity() > MAX_RETAINED_RESPONSES {
+            *responses = VecDeque::new();
+        }
         Collected {
             buffered_bytes,
             outcome,
--- a/src/net/resp/upstream/connection.rs
+++ b/src/net/resp/upstream/connection.rs
@@ -5,8 +5,10 @@
 use crate::net::memory::Reservation;
 use crate::net::resp::close::{self, SocketState};
 use crate::net::resp::codec;
+use std::io;
 use std::net::SocketAddr;
 use std::ops::Range;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// A connection to a host. Calls are not pipelined: a call would wait for the answer to the call before it, and would
@@ -51,6 +53,26 @@
         value.into()
     }
 
+    /// Releases the buffers of a connection that becomes idle.
+    pub fn release_buffers(&mut self) {
+        self.input = Vec::new();
+        self.output = Vec::new();
+    }
+
+    /// Waits until the host has closed an idle connection or sent anything on it. Takes no buffer.
+    pub async fn ended_or_received(&self) {
+        let peek = || match close::peek_now(&self.stream) {
+            SocketState::Empty => Err(io::ErrorKind::WouldBlock.into()),
+            SocketState::Read(_) | SocketState::Closed => Ok(()),
+        };
+        while self.stream.readable().await.is_ok() {
+            // The runtime may report bytes that have been read before.
+            if self.stream.try_io(Interest::READABLE, peek).is_ok() {
+                return;
+            }
+        }
+    }
+
     /// Returns whether an idle connection is still open and the host has sent nothing on it. Bytes received on an idle
     /// connection would belong to no call.
     pub fn is_quiet(&self) -> bool {
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -6,7 +6,6 @@
 use crate::api::{HostId, Outcome};
 use crate::net::engine::{Cancellation, HostCall, HostCommand};
 use crate::net::memory::Owner;
-use crate::net::resp::codec;
 use crate::net::resp::upstream::{IdleSlot, UpstreamConnection};
 use crate::net::task::spawn;
 use std::rc::Rc;
@@ -77,10 +76,11 @@
         };
         complete::complete(pipeline, &call, result);
         drop(call);
+        connection.release_buffers();
         let Some(IdleSlot { serial, next_call }) = idle_slot else {
             return;
         };
-        match wait_for_call(pipeline, &mut connection, next_call).await {
+        match wait_for_call(pipeline, &connection, next_call).await {
             // The host has closed the connection in the meantime. Nothing has been written, so the call is sent on
             // another connection.
             Some(next) if !connection.is_quiet() => return send(pipeline, next),
@@ -115,15 +115,14 @@
 /// The call is polled first, so that no call is lost when another branch is ready at the same time.
 async fn wait_for_call(
     pipeline: &Pipeline,
-    connection: &mut UpstreamConnection,
+    connection: &UpstreamConnection,
     mut next_call: oneshot::Receiver<HostCall>,
 ) -> Option<HostCall> {
     let idle_timeout = pipeline.limits.upstream.idle_timeout.get();
-    let read_bytes = pipeline.limits.codec.read_chunk_bytes;
     tokio::select! {
         biased;
         call = &mut next_call => call.ok(),
-        _ = codec::read_more(&mut connection.stream, &mut connection.input, read_bytes) => None,
+        () = connection.ended_or_received() => None,
         () = sleep(idle_timeout) => None,
     }
 }
--- a/src/net/stages/stream_value.rs
+++ b/src/net/stages/stream_value.rs
@@ -15,6 +15,10 @@
 /// The bytes that terminate a value.
 const LINE_END: &[u8] = b"\r\n";
 
+/// Number of buffers of the window's size that a value takes: the input of the host's connection, the body, and the output
+/// of the client's connection.
+const BUFFERS_PER_VALUE: usize = 3;
+
 /// Length in bytes of the last byte of a value and the line end after it.
 const VALUE_END_BYTES: usize = 1 + LINE_END.len();
 
@@ -22,7 +26,7 @@
 pub(super) struct LongValue {
     /// The header.
     pub(super) head: ValueHead,
-    /// The memory of its window, and of as many bytes that the client's connection holds.
+    /// The memory of its buffers.
     pub(super) window: Reservation,
 }
 
@@ -40,7 +44,8 @@
         head.head_bytes,
         limits.streaming.window_bytes,
     );
-    let body = StreamingBody::new(head.value_bytes, window);
+    let capacity = window.bytes() / BUFFERS_PER_VALUE;
+    let body = StreamingBody::new(head.value_bytes, capacity, window);
     if complete::begin_streaming(pipeline, call, &body) == Delivery::RequestClosed {
         return Outcome::Cancelled.into();
     }
@@ -57,23 +62,21 @@
     }
 }
 
-/// Reserves memory for the window of a value and as many bytes that the client's connection holds: for the largest window
-/// that is free, or for the smallest one as soon as it is free.
+/// Reserves memory for the window of a value: for the largest one for which there is spare memory, or for the smallest one
+/// as soon as there is memory for it.
 pub(super) async fn reserve_window(pipeline: &Pipeline) -> Reservation {
     let limits = &pipeline.limits.streaming;
+    let memory = &pipeline.memory;
     let mut window_bytes = limits.window_bytes;
-    loop {
-        let pending = pipeline
-            .memory
-            .request(Owner::StreamedValues, 2 * window_bytes);
-        if let Some(reservation) = pending.take() {
+    while window_bytes > limits.min_window_bytes {
+        let bytes = BUFFERS_PER_VALUE * window_bytes;
+        if let Some(reservation) = memory.reserve_spare(Owner::StreamedValues, bytes) {
             return reservation;
         }
-        if window_bytes <= limits.min_window_bytes {
-            return pending.wait().await;
-        }
         window_bytes /= 2;
     }
+    let bytes = BUFFERS_PER_VALUE * limits.min_window_bytes;
+    memory.request(Owner::StreamedValues, bytes).wait().await
 }
 
 /// Reads the elements after a streamed value: the usage figures, and the load report, which is discarded. The call is
--- a/src/net/streaming_body.rs
+++ b/src/net/streaming_body.rs
@@ -47,15 +47,14 @@
     filled: Notify,
     /// Notified when there is capacity again, or when the client has disconnected.
     drained: Notify,
-    /// The memory of the buffer, and of as many bytes that the reader holds.
+    /// The memory of the buffer, and of what writer and reader hold of the value.
     _reservation: Reservation,
 }
 
 impl StreamingBody {
-    /// Creates the body of a value of `length` bytes. Its capacity is half of the reserved memory, since the reader holds
-    /// as many bytes too.
-    pub fn new(length: usize, reservation: Reservation) -> Rc<Self> {
-        let capacity = reservation.bytes() / 2;
+    /// Creates the body of a value of `length` bytes, of which at most `capacity` are buffered. It keeps the reservation
+    /// of its memory.
+    pub fn new(length: usize, capacity: usize, reservation: Reservation) -> Rc<Self> {
         Rc::new(StreamingBody {
             length,
             capacity,
--- a/src/net/streaming_body/tests.rs
+++ b/src/net/streaming_body/tests.rs
@@ -15,7 +15,7 @@
 
 /// Writes and reads a value of 100 bytes through a buffer of 8.
 fn check_buffer(memory: &Rc<MemoryBudget>) {
-    let body = StreamingBody::new(100, memory.hold(Owner::StreamedValues, 16));
+    let body = StreamingBody::new(100, 8, memory.hold(Owner::StreamedValues, 16));
     let mut output = Vec::new();
     let mut total = 0;
     assert_eq!(memory.total(), 16);
@@ -48,7 +48,7 @@
 }
 
 fn check_failure(memory: &Rc<MemoryBudget>) {
-    let body = StreamingBody::new(100, memory.hold(Owner::StreamedValues, 16));
+    let body = StreamingBody::new(100, 8, memory.hold(Owner::StreamedValues, 16));
     let mut output = vec![0; 6];
     body.write(&[1, 2, 3]);
     body.fail();
