Waiting for memory shortens the time of a request; long arguments may stand in the middle

- A long command that waited up to 2 s for memory got its client's whole time afterwards, although its client may have written all of it before the wait: a host could be told more than the client had left.
The wait is now subtracted.
- A command with a long argument before its last one ended its connection when the received bytes ended within the next header.
Such a read now asks for one byte at least.

While there is no memory, a connection is left unread only if its responses are unsent or 64 of them are pending: commands behind one slow answer are rejected, as before, instead of starting late.

Both tests fail without the respective change and pass with it.

--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -30,6 +30,8 @@
 /// Number of commands after which a connection lets other tasks run. All tasks share one thread, so that a client that
 /// sends many commands at once would otherwise delay all others.
 const MAX_COMMANDS_PER_TURN: usize = 32;
+/// Number of responses that a connection may be owed before it is left unread while there is no memory for requests.
+const MAX_RESPONSES_WITHOUT_MEMORY: usize = 64;
 const PONG: &[u8] = b"+PONG\r\n";
 const OK: &[u8] = b"+OK\r\n";
 const DRAINING: &str = "draining";
@@ -261,6 +263,8 @@
                 request.payload.reservation =
                     Some(self.reserve_request(command.reservation, &command.bytes));
                 request.payload.bytes = command.bytes;
+                // The client's time counts from its last byte, which may have been unread since the wait began.
+                request.wait = request.wait.saturating_sub(command.waited);
                 self.handle_request(*request);
             }
             Err(error) => self.responses.push_error(&error.to_string()),
@@ -362,10 +366,11 @@
         }
     }
 
-    /// Returns whether responses are pending or unsent while the process has no memory for further requests. The next
-    /// response wakes the connection.
+    /// Returns whether responses are unsent, or many are pending, while the process has no memory for further requests.
+    /// The next response wakes the connection.
     fn owes_responses_without_memory(&self) -> bool {
-        let owes_responses = !self.output.is_empty() || !self.responses.is_empty();
+        let owes_responses =
+            !self.output.is_empty() || self.responses.len() >= MAX_RESPONSES_WITHOUT_MEMORY;
         owes_responses && !self.downstream.context.memory.has_room_for_requests()
     }
 
--- a/src/net/resp/downstream/connection/tests.rs
+++ b/src/net/resp/downstream/connection/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of a connection whose client sends many commands at once, while other tasks share the thread.
 
 use super::*;
-use crate::api::{HostEntry, HostId, HostState, Outcome, RequestId};
+use crate::api::{Event, HostEntry, HostId, HostState, Outcome, RequestId};
 use crate::net::engine::tests::attempt_order;
 use crate::net::engine::EngineDriver;
 use crate::net::resp::upstream::UpstreamConnection;
@@ -202,7 +202,8 @@
     });
 }
 
-/// A long command that waits for memory is read to its end once the memory is free, and takes its memory along.
+/// A long command that waits for memory is read to its end once the memory is free, and takes its memory along. Its
+/// client may have written it before the wait, which its request's time is shortened by.
 #[test]
 fn command_that_waited_for_memory_becomes_a_request() {
     with_limiter(&[], |limiter| async move {
@@ -217,10 +218,21 @@
             yield_now().await;
         }
         assert_eq!(limiter.engine().open_request_count(), 0);
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(20) {
+            yield_now().await;
+        }
+        let waited = began.elapsed();
         drop(holder);
         while limiter.engine().open_request_count() == 0 {
             yield_now().await;
         }
+        let event = limiter.engine().take_event();
+        let Some(Event::Request { budget, .. }) = event else {
+            panic!("{event:?}");
+        };
+        let client_wait = Duration::from_secs(4);
+        assert!(Duration::from_nanos(budget) + waited <= client_wait);
         let _peer = written.join().expect("it ends").expect("it is read");
         assert_eq!(memory.reserved(Owner::Commands), 0);
         let reserved = memory.reserved(Owner::Requests);
@@ -266,3 +278,42 @@
         assert!(received.ends_with(PONG));
     });
 }
+
+/// A long argument in the middle of a command leaves the command's end unknown, wherever the received bytes end.
+#[test]
+fn command_with_a_long_middle_argument_is_received_byte_by_byte() {
+    with_limiter(&[], |limiter| async move {
+        let downstream = downstream(&limiter);
+        let parameters = "c=bed-check,t=operator,d=900,units=1,spread=1,first=0,unknown=";
+        let parameters = format!("{parameters}{}", "x".repeat(5_000));
+        let arguments = [
+            &b"Q.ASK"[..],
+            b"000000000000004d",
+            b"0000000000000001",
+            parameters.as_bytes(),
+            &[b'b'; 10_000],
+        ];
+        let mut command = Vec::new();
+        codec::write_command(&arguments, &mut command);
+        let Client { mut peer, stream } = Client::connect_idle().await;
+        peer.set_nodelay(true).expect("a socket option");
+        spawn(async move { serve(&downstream, stream, Admission::Served).await });
+        for byte in command.chunks(1) {
+            peer.write_all(byte).expect("the socket takes it");
+            yield_now().await;
+        }
+        while limiter.engine().open_request_count() == 0 {
+            yield_now().await;
+        }
+        // A further command on the same connection begins where this one ends.
+        peer.write_all(b"*1\r\n$4\r\nNOPE\r\n").expect("it is open");
+        complete::answer(limiter.pipeline(), RequestId(1), Answer::Failed);
+        let answers = tokio::task::spawn_blocking(move || {
+            let expected = "-ERR failed\r\n-ERR unknown command\r\n";
+            let mut answers = vec![0; expected.len()];
+            peer.read_exact(&mut answers).map(|()| answers)
+        });
+        let answers = answers.await.expect("it ends").expect("two answers");
+        assert!(answers.starts_with(b"-ERR failed\r\n-ERR "), "{answers:?}");
+    });
+}
--- a/src/net/resp/downstream/input.rs
+++ b/src/net/resp/downstream/input.rs
@@ -67,6 +67,8 @@
     pub(super) bytes: Vec<u8>,
     /// The memory that a long command takes; `None` for a short one.
     pub(super) reservation: Option<Reservation>,
+    /// Time for which the command may have been complete and unread, because it waited for memory.
+    pub(super) waited: Duration,
 }
 
 /// The input buffer of a client connection.
@@ -152,11 +154,17 @@
     /// Removes the first `length` unparsed bytes, a complete command, and returns them. The bytes of a long command are
     /// not copied.
     pub(super) fn take_command(&mut self, length: usize) -> CommandBytes {
-        if let LongCommand::Reading { reservation, .. } = std::mem::take(&mut self.long_command) {
+        if let LongCommand::Reading {
+            reservation,
+            waited,
+            ..
+        } = std::mem::take(&mut self.long_command)
+        {
             // The buffer contains the command and nothing else.
             return CommandBytes {
                 bytes: std::mem::take(&mut self.bytes),
                 reservation: Some(reservation),
+                waited,
             };
         }
         let bytes = self.unparsed()[..length].to_vec();
@@ -164,6 +172,7 @@
         CommandBytes {
             bytes,
             reservation: None,
+            waited: Duration::ZERO,
         }
     }
 
@@ -215,6 +224,7 @@
             reservation: self.memory.request(Owner::Commands, bytes),
             bytes,
             min_bytes,
+            since: Instant::now(),
             until: Instant::now() + max_wait,
         };
         self.use_granted_memory();
@@ -226,6 +236,7 @@
             reservation,
             bytes,
             min_bytes,
+            since,
             ..
         } = &self.long_command
         else {
@@ -237,11 +248,13 @@
         let mut buffer = Vec::with_capacity(*bytes);
         buffer.extend_from_slice(self.unparsed());
         let min_bytes = *min_bytes;
+        let waited = since.elapsed();
         self.bytes = buffer;
         self.parsed = 0;
         self.long_command = LongCommand::Reading {
             reservation: granted,
             min_bytes,
+            waited,
         };
     }
 
@@ -261,7 +274,7 @@
         let mut received = [0; READ_BUFFER_BYTES];
         let limit = match self.long_command {
             LongCommand::None => READ_BUFFER_BYTES,
-            LongCommand::Reading { min_bytes, .. } => min_bytes - self.bytes.len(),
+            LongCommand::Reading { min_bytes, .. } => self.missing_bytes(min_bytes),
             LongCommand::Rejected { remaining_bytes } => remaining_bytes,
             LongCommand::AwaitsMemory { .. } => {
                 return close::peek_now(self.reader.stream());
@@ -278,6 +291,12 @@
         state
     }
 
+    /// Returns how many bytes of an incomplete command with at least `min_bytes` can be received, and none behind it. A part
+    /// of a header may be longer than what `min_bytes` counts for it.
+    fn missing_bytes(&self, min_bytes: usize) -> usize {
+        min_bytes.saturating_sub(self.bytes.len()).max(1)
+    }
+
     /// Adds received bytes to the buffer, or discards them if they belong to a rejected command.
     fn add(&mut self, received: &[u8]) {
         match &mut self.long_command {
@@ -354,7 +373,7 @@
         let LongCommand::Reading { min_bytes, .. } = self.long_command else {
             return ReceiveOutcome::Received;
         };
-        let missing = min_bytes.saturating_sub(self.bytes.len());
+        let missing = self.missing_bytes(min_bytes);
         let mut rest = (&mut self.reader).take(missing as u64);
         match codec::read_more(&mut rest, &mut self.bytes, missing).await {
             Ok(()) => ReceiveOutcome::Received,
--- a/src/net/resp/downstream/long_command.rs
+++ b/src/net/resp/downstream/long_command.rs
@@ -1,6 +1,7 @@
 //! The memory of a command that does not fit into the buffer that each connection has.
 
 use crate::net::memory::{PendingReservation, Reservation};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// The command at the start of the input, if it is long. Its memory is reserved as a whole before its rest is read.
@@ -17,6 +18,8 @@
         bytes: usize,
         /// The number of bytes that the command has at least.
         min_bytes: usize,
+        /// When the reservation was requested.
+        since: Instant,
         /// When the command is rejected for lack of memory.
         until: Instant,
     },
@@ -26,6 +29,8 @@
         reservation: Reservation,
         /// The number of bytes that the command has at least, up to which it is read.
         min_bytes: usize,
+        /// Time for which the rest of the command was left unread. Its client may have written all of it before that.
+        waited: Duration,
     },
     /// The command is rejected for lack of memory: its rest is discarded.
     Rejected {
