--- a/src/net/limiter/tests.rs
+++ b/src/net/limiter/tests.rs
@@ -1,7 +1,7 @@
 //! Test harness for all modules of the limiter: a limiter on the test's thread, and access to its components.
 
 use super::*;
-use crate::api::Event;
+use crate::api::{Event, HostEntry, HostId, HostState};
 use crate::net::config;
 use std::future::Future;
 
@@ -71,6 +71,20 @@
     });
 }
 
+/// Adds a host to the limiter's pool as ready, and returns its listener.
+pub(crate) async fn listening_host(limiter: &Limiter, host: HostId) -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("a local address");
+    let entry = HostEntry {
+        host,
+        state: HostState::Ready,
+        ..HostEntry::default()
+    };
+    limiter.upstream().update_host(&entry, address);
+    listener
+}
+
 /// A service of the limiter that listens on a free port before the limiter is configured with its address.
 pub(crate) struct BoundService {
     listener: std::net::TcpListener,
--- a/src/net/resp/downstream/connection/tests.rs
+++ b/src/net/resp/downstream/connection/tests.rs
@@ -1,9 +1,12 @@
 //! Tests of a connection whose client sends many commands at once, while other tasks share the thread.
 
+use super::commands::PONG;
 use super::*;
 use crate::api::{Event, HostEntry, HostId, HostState, Outcome, RequestId};
 use crate::net::engine::tests::attempt_order;
-use crate::net::engine::EngineDriver;
+use crate::net::engine::{Answer, EngineDriver};
+use crate::net::memory::Owner;
+use crate::net::resp::codec;
 use crate::net::resp::upstream::UpstreamConnection;
 use crate::net::stages::{attempt, complete};
 use crate::net::task::spawn;
@@ -12,6 +15,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream as BlockingStream};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 /// Number of requests that the client sends at once.
 const REQUESTS: usize = 256;
--- a/src/net/stages/attempt/tests.rs
+++ b/src/net/stages/attempt/tests.rs
@@ -1,13 +1,13 @@
 //! Tests of malformed, repeated and truncated answers.
 
 use super::*;
-use crate::api::{HostEntry, HostId, HostState};
+use crate::api::HostId;
 use crate::net::engine::tests::{attempt_order, no_reply, request};
-use crate::net::tests::with_limiter;
+use crate::net::tests::{listening_host, with_limiter};
 use crate::net::Limiter;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::{spawn_local, yield_now};
 
 /// A malformed or truncated answer fails the call well before the request's deadline. Its connection, and one with
@@ -15,17 +15,9 @@
 #[test]
 fn malformed_answer_ends_the_call_before_its_deadline() {
     with_limiter(&[], |limiter| async move {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
+        let host = HOST;
+        let listener = listening_host(&limiter, host).await;
         let address = listener.local_addr().expect("a local address");
-        let host = HostId(5);
-        let entry = HostEntry {
-            host,
-            state: HostState::Ready,
-            ..HostEntry::default()
-        };
-        limiter.upstream().update_host(&entry, address);
         let good = "*3\r\n$3\r\nbed\r\n$-1\r\n$-1\r\n";
         for (id, answer, expected) in [
             (1, good.to_owned(), (Outcome::Good, true)),
@@ -73,15 +65,8 @@
 }
 
 async fn open_call(limiter: &Rc<Limiter>) -> OpenCall {
-    let listener = TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("a port is free");
+    let listener = listening_host(limiter, HOST).await;
     let address = listener.local_addr().expect("a local address");
-    let entry = HostEntry {
-        host: HOST,
-        state: HostState::Ready,
-        ..HostEntry::default()
-    };
-    limiter.upstream().update_host(&entry, address);
     let now = Instant::now();
     let requests = limiter.engine().requests();
     requests.borrow_mut().open(no_reply(), &mut request(1), now);
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -6,7 +6,7 @@
 use crate::net::engine::tests::{attempt_order, no_reply, reply_to, request, RecordingFrontend};
 use crate::net::engine::{Answer, AttemptOrder, HostCommand, Payload};
 use crate::net::resp::upstream::UpstreamConnection;
-use crate::net::tests::{next_event, with_limiter};
+use crate::net::tests::{listening_host, next_event, with_limiter};
 use crate::net::Limiter;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -164,16 +164,8 @@
 #[test]
 fn late_attempt_is_not_written_to_an_open_connection() {
     with_limiter(&[], |limiter| async move {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
+        let listener = listening_host(&limiter, HOST).await;
         let address = listener.local_addr().expect("a local address");
-        let entry = HostEntry {
-            host: HOST,
-            state: HostState::Ready,
-            ..HostEntry::default()
-        };
-        limiter.upstream().update_host(&entry, address);
         let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
         let (mut connection, (mut peer, _)) = (
             UpstreamConnection::new(stream.expect("the connection is established"), address),
@@ -215,15 +207,7 @@
 #[test]
 fn idle_connection_does_not_keep_the_arguments_of_its_last_request() {
     with_limiter(&[], |limiter| async move {
-        let listener = TcpListener::bind("127.0.0.1:0").await;
-        let listener = listener.expect("a port is free");
-        let address = listener.local_addr().expect("a local address");
-        let entry = HostEntry {
-            host: HOST,
-            state: HostState::Ready,
-            ..HostEntry::default()
-        };
-        limiter.upstream().update_host(&entry, address);
+        let listener = listening_host(&limiter, HOST).await;
         let requests = limiter.engine().requests();
         let now = Instant::now();
         requests.borrow_mut().open(no_reply(), &mut request(1), now);
