The engine learns the time that remains of a request, and its timers count from the event

What callers saw: -ERR failed instead of -BUSY at the deadline, when the process was held up for 2 ms or more between the arrival of a request and its first decision.

Cause: the engine got the client's whole time and set its last timer, 4 ms before the end of that, from a later moment than the arrival from which the limiter's own timer, 2 ms before the deadline, counts.

Change: the engine gets the time until the deadline, and a timer is due at the time of its event and its delay.

The unit test fails without the change.

--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -44,6 +44,8 @@
     requests: RefCell<OpenRequests>,
     metrics: Option<SharedMetrics>,
     executor: OnceCell<Weak<dyn ActionExecutor>>,
+    /// The time of the latest event, from which the times in its actions count.
+    event_time: Cell<Instant>,
     /// Whether a caller further up the stack is already handling events.
     is_running: Cell<bool>,
     /// Buffer for the actions of one event, kept between events to reuse its allocation.
@@ -67,6 +69,7 @@
             requests: RefCell::new(OpenRequests::new(limits)),
             metrics,
             executor: OnceCell::new(),
+            event_time: Cell::new(Instant::now()),
             is_running: Cell::default(),
             actions: Cell::default(),
         }
@@ -122,7 +125,8 @@
             // Looked up only now, since a preceding event may have closed the request.
             *is_request_finished |= !self.requests.borrow().is_open(*id);
         }
-        let now = self.clock.at(Instant::now());
+        self.event_time.set(Instant::now());
+        let now = self.clock.at(self.event_time.get());
         let engine = &mut *self.engine.borrow_mut();
         // A panic on one event must not abort all open requests. A request that the engine never answers is failed
         // shortly before its deadline.
@@ -137,6 +141,11 @@
         self.requests.borrow_mut().apply_limits(limits);
     }
 
+    /// Returns the time of the event whose actions are being executed.
+    pub fn event_time(&self) -> Instant {
+        self.event_time.get()
+    }
+
     /// Returns the current time of the engine's clock.
     pub fn now(&self) -> Nanos {
         self.clock.at(Instant::now())
--- a/src/net/stages/admit.rs
+++ b/src/net/stages/admit.rs
@@ -11,12 +11,14 @@
 /// Passes a request to the engine, and fails it shortly before its deadline if it has no answer by then.
 pub fn admit(pipeline: &Rc<Pipeline>, request: &Request, deadline: Instant) {
     let id = request.id;
+    // The process may have been held up since the request arrived.
+    let remaining = deadline.saturating_duration_since(Instant::now());
     pipeline.engine.handle(Event::Request {
         id,
         class: request.class,
         plan: request.plan,
         customer: request.customer,
-        budget: request.wait.as_nanos() as u64,
+        budget: remaining.as_nanos() as u64,
         units: request.units,
         spread: request.spread,
         first_limiter: request.first_limiter,
--- a/src/net/stages/route.rs
+++ b/src/net/stages/route.rs
@@ -7,7 +7,7 @@
 use crate::net::task::{spawn, BoundTask};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::sleep_until;
 
 /// Executes one action.
 pub fn execute(pipeline: &Rc<Pipeline>, action: Action) {
@@ -91,7 +91,7 @@
 }
 
 fn set_timer(pipeline: &Rc<Pipeline>, timer: Timer, after: Nanos) {
-    let fires_at = Instant::now() + Duration::from_nanos(after);
+    let fires_at = pipeline.engine.event_time() + Duration::from_nanos(after);
     let timer_pipeline = pipeline.clone();
     let firing = async move {
         sleep_until(fires_at).await;
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of races between the stages of a request, on real sockets.
 
 use super::complete::Delivery;
-use super::{attempt, complete, dispatch, route};
+use super::{admit, attempt, complete, dispatch, route};
 use crate::api::{Action, Event, HostEntry, HostId, HostState, Nanos, Outcome, RequestId, Timer};
 use crate::net::engine::tests::{attempt_order, no_reply, reply_to, request, RecordingFrontend};
 use crate::net::engine::{Answer, AttemptOrder, HostCommand, Payload};
@@ -260,3 +260,24 @@
         released.expect("long before the timers are due");
     });
 }
+
+/// A process that was held up between the arrival of a request and its first decision gave the engine the client's whole
+/// time. The engine's last answer then came too late, and the request failed instead.
+#[test]
+fn engine_gets_the_time_that_remains_of_a_request() {
+    const HELD_UP: Duration = Duration::from_millis(30);
+    with_limiter(&[], |limiter| async move {
+        let arrived = Instant::now().checked_sub(HELD_UP);
+        let arrived = arrived.expect("the clock has run for longer");
+        let mut request = request(1);
+        let deadline = limiter
+            .engine()
+            .open_request(no_reply(), &mut request, arrived);
+        admit::admit(limiter.pipeline(), &request, deadline);
+        let event = next_event(&limiter).await;
+        let Event::Request { budget, .. } = event else {
+            panic!("{event:?}");
+        };
+        assert!(Duration::from_nanos(budget) + HELD_UP <= request.wait);
+    });
+}
