--- a/review/parties.py
+++ b/review/parties.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import random
 import re
@@ -450,6 +451,8 @@
     temporary = tempfile.mkdtemp(prefix="quartzcleat-case-")
     started = []
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    # At its end the loop complains of the connections that are left open.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
 
     async def bounded():
         return await asyncio.wait_for(case(record, temporary, started), seconds)
