--- a/review/parties.py
+++ b/review/parties.py
@@ -463,7 +463,7 @@
         for fault in faults[:20]:
             record(f"FAULT {fault}")
         text = f"{'broken' if faults else 'held'}, {len(faults)} faults, TROUBLE={int(TROUBLE)}"
-    except (NotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # an error of the case itself is no verdict on the limiter
         verdict, text = NOT_RUN, f"not run: {error!r}"
     finally:
         for limiter in started:
