Hold a long value while further commands of its client wait behind it

Cause: such a value is passed on while it arrives, whatever waits behind it. Once a part of it is written, only the close of the client's connection tells that it is incomplete. Commands that came within the value were read and dropped with it, and a value that failed before its turn closed the connection as well.

Change: a value with commands behind it (handled, buffered or unread) is held until it is complete, within the memory budget, for 1 s at most. It fails like a short answer, and the engine retries as the class allows. Nothing is read behind a streamed value; the time that a command may have been unread is taken from its client's wait. A value that fails before its turn is answered with an error. A value alone is streamed as before.

--- a/crates/test-support/src/toy_platform.rs
+++ b/crates/test-support/src/toy_platform.rs
@@ -1,7 +1,8 @@
 //! A toy platform for tests of one limiter: discovery, the counter and hosts on loopback.
 //!
 //! A host answers a request with its id. Some bodies change that: `error` gets the error line, `cut` ends the connection,
-//! `silent` gets no answer, `long` a long value, `short` and `over` one that is shorter or longer than its head says.
+//! `silent` gets no answer, `long` a long value, `short` and `over` one that is shorter or longer than its head says, `half`
+//! half of one and then the end of the connection.
 
 use quartzcleat::net::config::Limits;
 use quartzcleat::net::resp::codec;
@@ -104,11 +105,11 @@
     }
 }
 
-/// Answers each command of a connection; `None` ends the connection.
+/// Answers each command of a connection; `None` ends the connection without an answer.
 async fn serve_commands(
     mut stream: TcpStream,
     limits: Limits,
-    answer: impl Fn(&[&str]) -> Option<Vec<u8>>,
+    answer: impl Fn(&[&str]) -> Option<ToyAnswer>,
 ) -> io::Result<()> {
     let mut input = Vec::new();
     loop {
@@ -122,10 +123,13 @@
                 .map(|argument| std::str::from_utf8(&input[argument.clone()]))
                 .collect();
             let arguments = arguments.map_err(io::Error::other)?;
-            let Some(bytes) = answer(&arguments) else {
+            let Some(answer) = answer(&arguments) else {
                 return Ok(());
             };
-            stream.write_all(&bytes).await?;
+            stream.write_all(&answer.bytes).await?;
+            if answer.ends_connection {
+                return Ok(());
+            }
             input.drain(..command.length);
         }
         if stream.read_buf(&mut input).await? == 0 {
@@ -134,7 +138,23 @@
     }
 }
 
-fn answer_as_host(arguments: &[&str]) -> Option<Vec<u8>> {
+/// The answer to a command.
+#[derive(Default)]
+struct ToyAnswer {
+    bytes: Vec<u8>,
+    ends_connection: bool,
+}
+
+impl From<Vec<u8>> for ToyAnswer {
+    fn from(bytes: Vec<u8>) -> Self {
+        ToyAnswer {
+            bytes,
+            ends_connection: false,
+        }
+    }
+}
+
+fn answer_as_host(arguments: &[&str]) -> Option<ToyAnswer> {
     let mut output = Vec::new();
     match arguments {
         [_, _, _, _, "cut"] => return None,
@@ -142,6 +162,14 @@
         [_, _, id, _, body @ ("long" | "short" | "over")] => {
             write_long_value(id, body, &mut output);
         }
+        [_, _, id, _, "half"] => {
+            write_long_value(id, "long", &mut output);
+            output.truncate(LONG_VALUE_BYTES / 2);
+            return Some(ToyAnswer {
+                bytes: output,
+                ends_connection: true,
+            });
+        }
         [_, _, _, _, "error"] => output.extend_from_slice(b"-ERR failed\r\n"),
         ["Q.ASK" | "Q.DO", _, id, ..] => {
             codec::write_head('*', 3, &mut output);
@@ -150,7 +178,7 @@
         }
         _ => output.extend_from_slice(b"-SYNTAX\r\n"),
     }
-    Some(output)
+    Some(output.into())
 }
 
 /// A long value as it should be, or shorter or longer than its head says.
@@ -172,7 +200,7 @@
 }
 
 /// Adds to a named total, which never expires.
-fn add_to_total(totals: &RefCell<HashMap<String, f64>>, arguments: &[&str]) -> Option<Vec<u8>> {
+fn add_to_total(totals: &RefCell<HashMap<String, f64>>, arguments: &[&str]) -> Option<ToyAnswer> {
     let mut output = Vec::new();
     match arguments {
         ["ADDGET", name, amount, _] => {
@@ -183,7 +211,7 @@
         }
         _ => output.extend_from_slice(b"-ERR no such call\r\n"),
     }
-    Some(output)
+    Some(output.into())
 }
 
 /// Answers calls for the full list at once, and calls for changes never.
--- a/src/net/config/limits/upstream.rs
+++ b/src/net/config/limits/upstream.rs
@@ -54,6 +54,11 @@
     pub min_window_bytes: usize,
     /// Maximum pause of a host within a value.
     pub stall_timeout: Duration,
+    /// Maximum time for which a value is buffered while further commands of its client wait behind it. Clients give up
+    /// a value whose rest is withheld for 2 s.
+    pub max_hold: Duration,
+    /// Time before the end of a call at which its value is held no longer.
+    pub hold_margin: Duration,
 }
 
 impl StreamingLimits {
@@ -63,6 +68,8 @@
             window_bytes: 32 << 10,
             min_window_bytes: 4 << 10,
             stall_timeout: Duration::from_secs(10),
+            max_hold: Duration::from_secs(1),
+            hold_margin: Duration::from_millis(100),
         }
     }
 }
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -229,4 +229,9 @@
     pub fn has_client(&self, id: RequestId) -> bool {
         self.requests.borrow().has_client(id)
     }
+
+    /// Returns whether a request is open and further commands of its client wait for its answer.
+    pub fn has_commands_behind(&self, id: RequestId) -> bool {
+        self.requests.borrow().has_commands_behind(id)
+    }
 }
--- a/src/net/engine/open_requests.rs
+++ b/src/net/engine/open_requests.rs
@@ -140,6 +140,14 @@
         open.is_some_and(|open| open.reply_to.frontend.is_client_connected())
     }
 
+    /// Returns whether a request is open and further commands of its client wait for its answer.
+    pub fn has_commands_behind(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|open| {
+            let ReplyTo { frontend, sequence } = &open.reply_to;
+            frontend.has_commands_behind(*sequence)
+        })
+    }
+
     /// Adds a request that arrived at `arrived`, takes its payload, and returns its deadline.
     pub fn open(&mut self, reply_to: ReplyTo, request: &mut Request, arrived: Instant) -> Instant {
         let payload = Rc::new(std::mem::take(&mut request.payload));
--- a/src/net/engine/request.rs
+++ b/src/net/engine/request.rs
@@ -18,6 +18,12 @@
     fn is_client_connected(&self) -> bool {
         true
     }
+
+    /// Whether further commands of the client wait for the answer to a request, read or unread. They are lost if the
+    /// connection has to be closed within that answer.
+    fn has_commands_behind(&self, _sequence: u64) -> bool {
+        false
+    }
 }
 
 /// The final answer to a request.
--- a/src/net/memory/mod.rs
+++ b/src/net/memory/mod.rs
@@ -103,7 +103,12 @@
     /// Makes a reservation that the caller can do without: only while half of the budget stays free.
     pub fn reserve_spare(self: &Rc<Self>, owner: Owner, bytes: usize) -> Option<Reservation> {
         let total = self.total_beside_connections() + bytes;
-        (total <= self.capacity_beside_connections() / 2).then(|| self.hold(owner, bytes))
+        (total <= self.spare_capacity()).then(|| self.hold(owner, bytes))
+    }
+
+    /// Returns the total past which [`reserve_spare`](Self::reserve_spare) makes no reservation.
+    pub fn spare_capacity(&self) -> usize {
+        self.capacity_beside_connections() / 2
     }
 
     fn queue(&self, owner: Owner) -> &WaitingQueue {
--- a/src/net/resp/downstream/closing.rs
+++ b/src/net/resp/downstream/closing.rs
@@ -47,7 +47,7 @@
 impl CloseReason {
     /// Whether the bytes that follow are no commands that the client could send again.
     pub(super) fn ends_reading(self) -> bool {
-        matches!(self, CloseReason::Malformed | CloseReason::BodyFailed)
+        self == CloseReason::Malformed
     }
 }
 
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -135,6 +135,10 @@
     fn step(&mut self) -> Step {
         self.handle_commands();
         let collected = self.output.collect(&self.responses);
+        if self.read_mode() == ReadMode::Commands {
+            // Before the client can receive the end of a streamed value, and send its next command.
+            self.input.end_pause();
+        }
         if self.output.write(&self.responses, self.limits()).is_err() {
             return Step::End(ConnectionEnd::Lost(LossReason::WriteFailed));
         }
@@ -236,14 +240,15 @@
         let has_unwritten = !self.output.is_empty();
         let stalled_at = self.output.stalled_at(limits);
         tokio::select! {
-            // Input is polled first, so that a connection is not closed while a command can be read from it.
+            // Responses are polled first, since no command is read behind a value that begins to be streamed. Input is
+            // polled next, so that a connection is not closed while a command can be read from it.
             biased;
+            () = self.responses.first_ready.notified() => CONTINUE,
             received = self.input.receive(read_mode, limits) => match received {
                 ReceiveOutcome::Received => CONTINUE,
                 ReceiveOutcome::ClientGone => lost(LossReason::ClientGone),
             },
             () = self.output.writable(), if has_unwritten => CONTINUE,
-            () = self.responses.first_ready.notified() => CONTINUE,
             () = wait_for_body(body.as_deref()), if self.output.is_empty() => CONTINUE,
             () = sleep_until(stalled_at), if has_unwritten => lost(LossReason::WriteStalled),
             _ = self.phase.changed(), if !is_closing => CONTINUE,
--- a/src/net/resp/downstream/connection/commands.rs
+++ b/src/net/resp/downstream/connection/commands.rs
@@ -48,6 +48,8 @@
             }
         }
         self.input.remove_parsed();
+        let has_unhandled_input = self.input.state() == InputState::PartialCommand;
+        self.responses.set_unhandled_input(has_unhandled_input);
     }
 
     /// Responds with an error to bytes after which nothing can be parsed.
@@ -97,7 +99,7 @@
                 request.payload.reservation =
                     Some(self.reserve_request(command.reservation, &command.bytes));
                 request.payload.bytes = command.bytes;
-                // The client's time counts from its last byte, which may have been unread since the wait began.
+                // The client's time counts from its last byte, which may have been unread for as long.
                 request.wait = request.wait.saturating_sub(command.waited);
                 self.handle_request(*request);
             }
@@ -157,7 +159,10 @@
     pub(super) fn read_mode(&self) -> ReadMode {
         if self.input.state() == InputState::Malformed {
             ReadMode::Discard
-        } else if self.output.is_full(self.limits()) || self.owes_responses_without_memory() {
+        } else if self.output.is_full(self.limits())
+            || self.responses.is_streaming()
+            || self.owes_responses_without_memory()
+        {
             ReadMode::Paused
         } else {
             ReadMode::Commands
--- a/src/net/resp/downstream/connection/tests.rs
+++ b/src/net/resp/downstream/connection/tests.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+mod streamed_values;
+
 /// Number of requests that the client sends at once.
 const REQUESTS: usize = 256;
 
--- a/src/net/resp/downstream/input.rs
+++ b/src/net/resp/downstream/input.rs
@@ -5,6 +5,7 @@
 //! command whose memory is not free in time is rejected, and its bytes are discarded as they arrive.
 
 use super::long_command::LongCommand;
+use super::read_pause::ReadPause;
 use crate::net::config::Limits;
 use crate::net::memory::{MemoryBudget, Owner, Reservation};
 use crate::net::resp::close::{self, SocketState};
@@ -26,7 +27,9 @@
     Commands,
     /// They are discarded, since they follow malformed bytes.
     Discard,
-    /// They are left unread, since too many bytes are unsent. The end of the stream is still noticed.
+    /// They are left unread, since too many bytes are unsent, or a value is streamed: if its host breaks off within it,
+    /// the connection is closed, and the client can send again only what the limiter has not read. The end of the stream is
+    /// still noticed.
     Paused,
 }
 
@@ -35,7 +38,7 @@
 pub(super) enum InputState {
     /// There are none.
     Empty,
-    /// They are the start of a command, or commands that are not handled until fewer bytes are unsent.
+    /// They are the start of a command, or commands that are not handled while reading is paused.
     PartialCommand,
     /// They are malformed, or follow malformed bytes.
     Malformed,
@@ -67,7 +70,7 @@
     pub(super) bytes: Vec<u8>,
     /// The memory that a long command takes; `None` for a short one.
     pub(super) reservation: Option<Reservation>,
-    /// Time for which the command may have been complete and unread, because it waited for memory.
+    /// Time for which the command may have been complete and unread, because it waited for memory or reading was paused.
     pub(super) waited: Duration,
 }
 
@@ -83,6 +86,7 @@
     long_command: LongCommand,
     /// Whether malformed bytes were received, after which nothing can be parsed.
     is_malformed: bool,
+    pause: ReadPause,
 }
 
 impl<'a> Input<'a> {
@@ -95,6 +99,7 @@
             parsed: 0,
             long_command: LongCommand::None,
             is_malformed: false,
+            pause: ReadPause::None,
         }
     }
 
@@ -164,7 +169,7 @@
             return CommandBytes {
                 bytes: std::mem::take(&mut self.bytes),
                 reservation: Some(reservation),
-                waited,
+                waited: waited + self.pause.duration(),
             };
         }
         let bytes = self.unparsed()[..length].to_vec();
@@ -172,7 +177,7 @@
         CommandBytes {
             bytes,
             reservation: None,
-            waited: Duration::ZERO,
+            waited: self.pause.duration(),
         }
     }
 
@@ -309,12 +314,23 @@
     /// that no request is forwarded long after its client has left.
     pub(super) async fn receive(&mut self, mode: ReadMode, limits: &Limits) -> ReceiveOutcome {
         match mode {
-            ReadMode::Commands => self.receive_commands(limits).await,
+            ReadMode::Commands => {
+                self.end_pause();
+                self.receive_commands(limits).await
+            }
             ReadMode::Discard => self.discard_to_end().await,
-            ReadMode::Paused => self.wait_for_end(limits).await,
+            ReadMode::Paused => {
+                self.pause.begin();
+                self.wait_for_end(limits).await
+            }
         }
     }
 
+    /// Ends a pause of reading. What the client sends from now on has not waited for it.
+    pub(super) fn end_pause(&mut self) {
+        self.pause.end(self.reader.stream());
+    }
+
     /// Returns whether the client is known to have closed the connection, even behind bytes that are not read yet. Does
     /// not wait.
     pub(super) async fn has_client_gone(&self) -> bool {
--- a/src/net/resp/downstream/mod.rs
+++ b/src/net/resp/downstream/mod.rs
@@ -11,6 +11,7 @@
 mod long_command;
 mod output;
 mod output_buffer;
+mod read_pause;
 mod request_catalog;
 mod request_parameters;
 mod request_parser;
--- a/src/net/resp/downstream/response_queue.rs
+++ b/src/net/resp/downstream/response_queue.rs
@@ -5,7 +5,7 @@
 use crate::net::engine::{Answer, Frontend, Value};
 use crate::net::frontend::RequestHandler;
 use crate::net::memory::{MemoryBudget, Owner, Reservation};
-use crate::net::resp::close;
+use crate::net::resp::close::{self, SocketState};
 use crate::net::resp::codec;
 use crate::net::streaming_body::{ReadOutcome, StreamingBody};
 use std::cell::{Cell, RefCell};
@@ -64,10 +64,14 @@
     responses: RefCell<VecDeque<Response>>,
     /// The place of the first response: the number of responses of this connection that have been collected completely.
     first_place: Cell<u64>,
-    /// Notified when the first response is ready.
+    /// Notified when the first response is ready, or a value begins to be streamed.
     pub first_ready: Notify,
     /// The memory of the responses that the client has not taken, without that of long values.
     reservation: RefCell<Reservation>,
+    /// Number of responses whose body is streamed.
+    streaming_count: Cell<usize>,
+    /// Whether the connection has read bytes that it has not handled as commands.
+    has_unhandled_input: Cell<bool>,
     /// The client's connection, which its task owns.
     stream: Weak<TcpStream>,
 }
@@ -78,6 +82,11 @@
         stream.is_some_and(|stream| close::is_peer_connected(&stream))
     }
 
+    fn has_commands_behind(&self, place: u64) -> bool {
+        let next_place = self.first_place.get() + self.len() as u64;
+        place + 1 < next_place || self.has_unhandled_input.get() || self.has_unread_bytes()
+    }
+
     fn answer(&self, place: u64, answer: Answer) {
         let head = encode(&answer);
         let response = match answer {
@@ -92,6 +101,12 @@
     }
 }
 
+/// Returns whether a streamed value has failed before any of it was collected, so that the client can still get an error
+/// instead.
+fn is_unsent_failure(head: &[u8], body: &StreamingBody) -> bool {
+    !head.is_empty() && body.has_failed()
+}
+
 /// Returns the memory that a short response takes.
 fn reserved_bytes(bytes: &[u8]) -> usize {
     bytes.len() + size_of::<Response>()
@@ -126,18 +141,36 @@
             first_place: Cell::default(),
             first_ready: Notify::new(),
             reservation: RefCell::new(memory.hold(Owner::Responses, 0)),
+            streaming_count: Cell::default(),
+            has_unhandled_input: Cell::default(),
             stream: Rc::downgrade(stream),
         }
     }
 
+    /// Records whether the connection has read bytes that it has not handled as commands.
+    pub(super) fn set_unhandled_input(&self, has_unhandled_input: bool) {
+        self.has_unhandled_input.set(has_unhandled_input);
+    }
+
+    /// Returns whether the kernel has received bytes from the client that the connection has not read.
+    fn has_unread_bytes(&self) -> bool {
+        let stream = self.stream.upgrade();
+        let state = stream.map(|stream| close::peek_now(&stream));
+        matches!(state, Some(SocketState::Read(_)))
+    }
+
     /// Sets the response at a place, unless the queue has been abandoned.
     fn set(&self, place: u64, response: Response) {
         let index = (place - self.first_place.get()) as usize;
+        let is_streaming = matches!(response, Response::Streaming { .. });
         if let Some(slot) = self.responses.borrow_mut().get_mut(index) {
             self.count(&response);
+            if is_streaming {
+                self.streaming_count.set(self.streaming_count.get() + 1);
+            }
             *slot = response;
         }
-        if index == 0 {
+        if index == 0 || is_streaming {
             self.first_ready.notify_one();
         }
     }
@@ -182,6 +215,10 @@
                     buffered_bytes += reserved_bytes(bytes);
                 }
                 Some(Response::Value { head, .. }) => output.bytes_mut().append(head),
+                Some(Response::Streaming { head, body }) if is_unsent_failure(head, body) => {
+                    let bytes = output.bytes_mut();
+                    bytes.append(&mut encode(&Answer::Failed));
+                }
                 Some(Response::Streaming { head, body }) => {
                     let bytes = output.bytes_mut();
                     bytes.append(head);
@@ -193,8 +230,12 @@
                 }
                 Some(Response::Pending(_)) | None => break CollectOutcome::Pending,
             }
-            if let Some(Response::Value { value, .. }) = responses.pop_front() {
-                output.push_value(value);
+            match responses.pop_front() {
+                Some(Response::Value { value, .. }) => output.push_value(value),
+                Some(Response::Streaming { .. }) => {
+                    self.streaming_count.set(self.streaming_count.get() - 1);
+                }
+                Some(Response::Pending(_) | Response::Ready(_)) | None => {}
             }
             self.first_place.set(self.first_place.get() + 1);
         };
@@ -207,6 +248,11 @@
         }
     }
 
+    /// Returns whether a value that is not collected completely is streamed.
+    pub(super) fn is_streaming(&self) -> bool {
+        self.streaming_count.get() > 0
+    }
+
     /// Returns the body of the streamed value at the front of the queue; `None` if the first response is not streamed.
     pub(super) fn current_body(&self) -> Option<Rc<StreamingBody>> {
         match self.responses.borrow().front() {
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -3,7 +3,7 @@
 use super::call_end::CallEnd;
 use super::complete;
 use super::pipeline::Pipeline;
-use super::stream_value::{reserve_window, stream_value, LongValue};
+use super::stream_value::{receive_value, stream_value, LongValue};
 use crate::api::Outcome;
 use crate::net::config::Limits;
 use crate::net::engine::{HostCall, HostCommand};
@@ -25,7 +25,7 @@
 enum Exchange {
     /// The call has ended.
     Ended(CallEnd),
-    /// The head of a long value was received; the value itself remains to be streamed.
+    /// The head of a long value was received; the rest of the value remains to be streamed.
     LongValue(LongValue),
 }
 
@@ -169,8 +169,10 @@
 ) -> Exchange {
     loop {
         if let Some(head) = long_value_head(pipeline, connection) {
-            let window = reserve_window(pipeline).await;
-            return Exchange::LongValue(LongValue { head, window });
+            return match receive_value(pipeline, connection, call, head).await {
+                Ok(value) => Exchange::LongValue(value),
+                Err(outcome) => outcome.into(),
+            };
         }
         if let Some(end) = parse_answer(pipeline, connection, call) {
             return Exchange::Ended(end);
--- a/src/net/stages/stream_value.rs
+++ b/src/net/stages/stream_value.rs
@@ -10,8 +10,14 @@
 use crate::net::resp::codec::{self, ParsedReply, ValueHead};
 use crate::net::resp::upstream::{self, UpstreamConnection};
 use crate::net::streaming_body::StreamingBody;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::timeout;
 
+mod hold;
+#[cfg(test)]
+mod tests;
+
 /// The bytes that terminate a value.
 const LINE_END: &[u8] = b"\r\n";
 
@@ -24,33 +30,63 @@
 
 /// A long value whose header has been received.
 pub(super) struct LongValue {
-    /// The header.
-    pub(super) head: ValueHead,
-    /// The memory of its buffers.
-    pub(super) window: Reservation,
+    /// The bytes that have been received and not taken by the client.
+    body: Rc<StreamingBody>,
+    /// Number of bytes of the value that have not been moved into the body.
+    remaining: usize,
 }
 
-/// Streams a long value to the client, without a deadline. The last byte is withheld until the host has terminated the
-/// value correctly, so that no client takes a malformed value for a complete one.
-pub(super) async fn stream_value(
+/// Receives as much of a long value as its client must not see yet: all of it while further commands of the client wait
+/// behind the value, as long as [`hold`] allows, and otherwise nothing.
+///
+/// # Errors
+/// The host has not sent the value as announced. The client has seen nothing of it, so that the request may be retried.
+pub(super) async fn receive_value(
     pipeline: &Pipeline,
     connection: &mut UpstreamConnection,
     call: &HostCall,
-    LongValue { head, window }: LongValue,
-) -> CallEnd {
+    head: ValueHead,
+) -> Result<LongValue, Outcome> {
     let limits = &pipeline.limits;
     codec::consume(
         &mut connection.input,
         head.head_bytes,
         limits.streaming.window_bytes,
     );
-    let capacity = window.bytes() / BUFFERS_PER_VALUE;
-    let body = StreamingBody::new(head.value_bytes, capacity, window);
+    let value = |body| LongValue {
+        body,
+        remaining: head.value_bytes,
+    };
+    let hold_until = hold::deadline(call, &limits.streaming);
+    if let Some(body) = hold::reserve(pipeline, call, head.value_bytes, hold_until).await {
+        let mut value = value(body);
+        hold::receive(connection, &mut value, hold_until, limits).await?;
+        return Ok(value);
+    }
+    let window = reserve_window(pipeline).await;
+    let window_bytes = window.bytes() / BUFFERS_PER_VALUE;
+    Ok(value(StreamingBody::new(
+        head.value_bytes,
+        window_bytes,
+        window,
+    )))
+}
+
+/// Streams the rest of a long value to the client, without a deadline. The last byte is withheld until the host has
+/// terminated the value correctly, so that no client takes a malformed value for a complete one.
+pub(super) async fn stream_value(
+    pipeline: &Pipeline,
+    connection: &mut UpstreamConnection,
+    call: &HostCall,
+    mut value: LongValue,
+) -> CallEnd {
+    let limits = &pipeline.limits;
+    let body = value.body.clone();
     if complete::begin_streaming(pipeline, call, &body) == Delivery::RequestClosed {
         return Outcome::Cancelled.into();
     }
-    let streamed = forward_value(connection, &body, limits).await;
-    match streamed {
+    let stall_timeout = limits.streaming.stall_timeout;
+    match forward_value(connection, &mut value, stall_timeout, limits).await {
         Ok(()) => {
             body.complete();
             read_trailer(connection, call, limits).await
@@ -64,7 +100,7 @@
 
 /// Reserves memory for the window of a value: for the largest one for which there is spare memory, or for the smallest one
 /// as soon as there is memory for it.
-pub(super) async fn reserve_window(pipeline: &Pipeline) -> Reservation {
+async fn reserve_window(pipeline: &Pipeline) -> Reservation {
     let limits = &pipeline.limits.streaming;
     let memory = &pipeline.memory;
     let mut window_bytes = limits.window_bytes;
@@ -126,29 +162,32 @@
     }
 }
 
-/// Forwards a value from its host into the body until the value is complete.
+/// Forwards the rest of a value from its host into the body until the value is complete. Cancel-safe: a call after a
+/// cancelled one goes on where that one ended. `stall_timeout` is the longest pause that the host may make.
 async fn forward_value(
     connection: &mut UpstreamConnection,
-    body: &StreamingBody,
+    value: &mut LongValue,
+    stall_timeout: Duration,
     limits: &Limits,
 ) -> Result<(), Outcome> {
-    let mut remaining = body.length();
-    loop {
+    let body = value.body.clone();
+    while value.remaining > 0 {
         if body.is_abandoned() {
             return Err(Outcome::Cancelled);
         }
         // The last byte is withheld until the line end after it has been received.
-        remaining -= forward_received(connection, body, remaining - 1);
+        value.remaining -= forward_received(connection, &body, value.remaining - 1);
         let is_end_received = connection.input.len() >= VALUE_END_BYTES;
-        if remaining == 1 && is_end_received && body.free_capacity() > 0 {
-            return forward_last_byte(connection, body, limits);
-        }
-        if body.free_capacity() == 0 {
+        if value.remaining == 1 && is_end_received && body.free_capacity() > 0 {
+            forward_last_byte(connection, &body, limits)?;
+            value.remaining = 0;
+        } else if body.free_capacity() == 0 {
             body.drained().await;
         } else {
-            receive_more(connection, body, limits).await?;
+            receive_more(connection, &body, stall_timeout).await?;
         }
     }
+    Ok(())
 }
 
 /// Moves up to `max_count` received bytes into the body, as far as it has capacity, and returns their number.
@@ -172,15 +211,15 @@
 async fn receive_more(
     connection: &mut UpstreamConnection,
     body: &StreamingBody,
-    limits: &Limits,
+    stall_timeout: Duration,
 ) -> Result<(), Outcome> {
     let more = codec::read_more(
         &mut connection.stream,
         &mut connection.input,
-        body.capacity() / 2,
+        body.window_bytes() / 2,
     );
     tokio::select! {
-        received = timeout(limits.streaming.stall_timeout, more) => match received {
+        received = timeout(stall_timeout, more) => match received {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(Outcome::Reset),
         },
--- a/src/net/streaming_body.rs
+++ b/src/net/streaming_body.rs
@@ -1,9 +1,11 @@
 //! The body of a long value that is streamed from a host to a client: a bounded buffer between two tasks.
 //!
-//! The writer waits while the buffer is full, the reader while it is empty; each is notified when the other ends.
+//! The writer waits while the buffer is full, the reader while it is empty; each is notified when the other ends. The
+//! buffer holds a small window of the value, or the whole value.
 
 use super::memory::Reservation;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -39,7 +41,9 @@
     length: usize,
     /// Maximum number of bytes in the buffer.
     capacity: usize,
-    bytes: RefCell<Vec<u8>>,
+    /// Maximum length of the reader's output.
+    window_bytes: usize,
+    bytes: RefCell<VecDeque<u8>>,
     writer_state: Cell<WriterState>,
     /// Whether the client has disconnected.
     is_abandoned: Cell<bool>,
@@ -52,13 +56,29 @@
 }
 
 impl StreamingBody {
-    /// Creates the body of a value of `length` bytes, of which at most `capacity` are buffered. It keeps the reservation
-    /// of its memory.
-    pub fn new(length: usize, capacity: usize, reservation: Reservation) -> Rc<Self> {
+    /// Creates the body of a value of `length` bytes, of which at most `window_bytes` are buffered. It keeps the
+    /// reservation of its memory.
+    pub fn new(length: usize, window_bytes: usize, reservation: Reservation) -> Rc<Self> {
+        StreamingBody::with_capacity(length, window_bytes, window_bytes, reservation)
+    }
+
+    /// Creates the body of a value of `length` bytes, which can buffer all of them. The reader takes at most `window_bytes`
+    /// at a time.
+    pub fn whole(length: usize, window_bytes: usize, reservation: Reservation) -> Rc<Self> {
+        StreamingBody::with_capacity(length, length, window_bytes, reservation)
+    }
+
+    fn with_capacity(
+        length: usize,
+        capacity: usize,
+        window_bytes: usize,
+        reservation: Reservation,
+    ) -> Rc<Self> {
         Rc::new(StreamingBody {
             length,
             capacity,
-            bytes: RefCell::new(Vec::with_capacity(capacity)),
+            window_bytes,
+            bytes: RefCell::new(VecDeque::with_capacity(capacity)),
             writer_state: Cell::new(WriterState::Writing),
             is_abandoned: Cell::default(),
             filled: Notify::new(),
@@ -72,9 +92,9 @@
         self.length
     }
 
-    /// Returns the maximum number of bytes in the buffer.
-    pub fn capacity(&self) -> usize {
-        self.capacity
+    /// Returns the maximum number of bytes that the reader takes at a time.
+    pub fn window_bytes(&self) -> usize {
+        self.window_bytes
     }
 
     /// Returns the number of bytes that may be written now.
@@ -84,7 +104,7 @@
 
     /// Appends bytes to the buffer. The writer must not exceed [`free_capacity`](Self::free_capacity).
     pub fn write(&self, bytes: &[u8]) {
-        self.bytes.borrow_mut().extend_from_slice(bytes);
+        self.bytes.borrow_mut().extend(bytes);
         self.filled.notify_one();
     }
 
@@ -112,6 +132,11 @@
         self.drained.notify_one();
     }
 
+    /// Returns whether the remaining bytes of the value will never be written.
+    pub fn has_failed(&self) -> bool {
+        self.writer_state.get() == WriterState::Failed
+    }
+
     /// Returns whether the client has disconnected.
     pub fn is_abandoned(&self) -> bool {
         self.is_abandoned.get()
@@ -130,12 +155,17 @@
         }
     }
 
-    /// Moves bytes from the buffer to the end of `output`, up to a length of `output` equal to the buffer's capacity.
+    /// Moves bytes from the buffer to the end of `output`, up to a length of `output` of
+    /// [`window_bytes`](Self::window_bytes).
     pub fn read(&self, output: &mut Vec<u8>) -> ReadOutcome {
         let mut bytes = self.bytes.borrow_mut();
-        let count = bytes.len().min(self.capacity.saturating_sub(output.len()));
+        let free = self.window_bytes.saturating_sub(output.len());
+        let count = bytes.len().min(free);
         if count > 0 {
-            output.extend_from_slice(&bytes[..count]);
+            let (first, second) = bytes.as_slices();
+            let first = &first[..count.min(first.len())];
+            output.extend_from_slice(first);
+            output.extend_from_slice(&second[..count - first.len()]);
             bytes.drain(..count);
             self.drained.notify_one();
         }
--- a/tests/operations/long_values.rs
+++ b/tests/operations/long_values.rs
@@ -1,7 +1,9 @@
 //! Tests of values that are streamed.
 
 use crate::limiter_setup;
-use quartzcleat_test_support::commands::{request, send, served, CHEAP_FACTS, CHECK_FACTS};
+use quartzcleat_test_support::commands::{
+    request, send, served, CHEAP_FACTS, CHECK_FACTS, HOLD_FACTS,
+};
 use quartzcleat_test_support::config::replace;
 use quartzcleat_test_support::process::peak_resident_kibibytes;
 use quartzcleat_test_support::toy_platform::LONG_VALUE_BYTES;
@@ -66,6 +68,44 @@
     assert_eq!(answer, served(99));
 }
 
+/// Requests behind a long value were lost when its host broke off within the value (incident
+/// requests-behind-a-cut-value).
+#[test]
+fn requests_behind_a_value_whose_host_breaks_off_are_answered() {
+    let limiter = limiter_setup(27).start();
+    let mut client = limiter.connect();
+    let commands = [
+        request("Q.ASK", 1, CHEAP_FACTS, "half"),
+        request("Q.DO", 2, HOLD_FACTS, ""),
+        request("Q.ASK", 3, CHEAP_FACTS, ""),
+    ];
+    let answers = send(&mut client, &commands.concat(), 3);
+    let expected_end = served(2) + &served(3);
+    // Every attempt of the first request is cut off.
+    assert!(answers.starts_with('-'), "{answers}");
+    assert!(answers.ends_with(&expected_end), "{answers}");
+    let answer = send(&mut client, &request("Q.ASK", 4, CHEAP_FACTS, ""), 1);
+    assert_eq!(answer, served(4), "the connection stays usable");
+}
+
+/// A long value before other commands is held until it is complete, and passed on unchanged.
+#[test]
+fn long_value_before_other_commands_arrives_complete() {
+    let limiter = limiter_setup(28).start();
+    let mut client = limiter.connect();
+    let commands = request("Q.ASK", 1, CHEAP_FACTS, "long") + &request("Q.ASK", 2, CHEAP_FACTS, "");
+    client
+        .write_all(commands.as_bytes())
+        .expect("the limiter reads");
+    assert_eq!(announced_length(&mut client), LONG_VALUE_BYTES);
+    let mut value = vec![0; LONG_VALUE_BYTES + 2];
+    client
+        .read_exact(&mut value)
+        .expect("the value is complete");
+    assert!(value == long_value(1));
+    assert_eq!(send(&mut client, "", 1), served(2));
+}
+
 /// A value that is shorter or longer than its head announces must never look complete to the client.
 #[test]
 fn malformed_long_value_ends_before_its_announced_length() {
