Check discovery's list at times that an unanswered request does not delay

Cause: the check of the full list slept for 1 s behind the end of each request, and a request that a silent discovery leaves unanswered ends by its timeout of 0.5 s. On a related path, the first request of a watch that had no answer within its wait was followed by the backoff, up to 4 s, where 2 s behind the wait are allowed.

Change: the next check begins 0.8 s after the start of an answered one and 0.5 s after the start of a failed one. A watch whose request timed out is reopened at once.

--- a/src/net/config/limits/services.rs
+++ b/src/net/config/limits/services.rs
@@ -70,9 +70,11 @@
     /// Time after `watch_timeout` within which the answer must arrive. Hosts that a stale watch missed are found within
     /// 2 s of its end.
     pub watch_grace: Duration,
-    /// Interval at which the complete list is requested in addition to the watch, where discovery is not polled.
+    /// Time from one request for the complete list to the next one, in addition to the watch, where discovery is not
+    /// polled. Hosts that begin to drain get no request from 1 s after discovery can tell it, and the process may be held
+    /// up for 0.15 s.
     pub full_list_interval: Duration,
-    /// Timeout of the request for the complete list.
+    /// Timeout of the request for the complete list, and the time to the next one after a request that failed.
     pub full_list_timeout: Duration,
     /// Maximum pause before a failed call is retried. Together with the call itself (connect and answer) it stays below
     /// the 6 s after which a change counts as known to all limiters.
@@ -92,7 +94,7 @@
                 MAX_WATCH
             },
             watch_grace: Duration::from_millis(1_500),
-            full_list_interval: Duration::from_secs(1),
+            full_list_interval: Duration::from_millis(800),
             full_list_timeout: Duration::from_millis(500),
             max_backoff: Duration::from_secs(4),
         }
--- a/src/net/discovery/race_tests.rs
+++ b/src/net/discovery/race_tests.rs
@@ -17,6 +17,12 @@
 /// The time after which a change counts as known to all limiters.
 const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
 
+/// The time after which a drain must be known: 1 s, less the time for which the process may be held up.
+const DRAIN_NOTIFIED_WITHIN: Duration = Duration::from_millis(850);
+
+/// Time that a call to discovery may take on a busy machine.
+const CALL_TOLERANCE: Duration = Duration::from_millis(200);
+
 /// The address of discovery in the example configuration.
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7001";
 
@@ -40,12 +46,23 @@
 fn with_discovery<F: Future<Output = ()>>(
     mode: Mode,
     test: impl FnOnce(Rc<Limiter>, ScriptedDiscovery) -> F,
+) {
+    with_discovery_of_fleet(1, mode, test);
+}
+
+/// The same for one of several limiters.
+fn with_discovery_of_fleet<F: Future<Output = ()>>(
+    limiters: u32,
+    mode: Mode,
+    test: impl FnOnce(Rc<Limiter>, ScriptedDiscovery) -> F,
 ) {
     let service = BoundService::bind();
     let address = service.address();
+    let limiter_count = format!("\"balancers\": {limiters}");
     let changes = [
         (EXAMPLE_ADDRESS, address.as_str()),
         (Mode::Pushed.setting(), mode.setting()),
+        ("\"balancers\": 1", limiter_count.as_str()),
     ];
     with_limiter(&changes, |limiter| async move {
         let discovery = ScriptedDiscovery {
@@ -259,6 +276,69 @@
     });
 }
 
+/// After discovery's return, hosts got requests for up to 1.5 s after they had begun to drain: the check waited for a call
+/// that discovery had left unanswered, and then for its whole interval (incident drains-after-an-outage).
+#[test]
+fn drain_is_known_in_time_after_a_check_that_discovery_left_unanswered() {
+    with_discovery(Mode::Pushed, |limiter, discovery| async move {
+        let first = discovery.accept().await;
+        let watch = first.answer_and_wait(full_list(4, "SERVING")).await;
+        assert_eq!(next_list(&limiter).await, applied(4, HostState::Ready));
+        let unanswered = discovery.accept().await;
+        assert!(!unanswered.is_watch());
+        // Discovery returns just after the check.
+        let returned = Instant::now();
+        let check = discovery.accept().await;
+        assert!(!check.is_watch());
+        drop(check.answer(full_list(5, "DRAINING")).await);
+        assert_eq!(next_list(&limiter).await, applied(5, HostState::Draining));
+        let elapsed = returned.elapsed();
+        assert!(elapsed < DRAIN_NOTIFIED_WITHIN, "after {elapsed:?}");
+        drop((watch, unanswered));
+    });
+}
+
+/// The same if a host begins to drain just after a check, and the watch is silent.
+#[test]
+fn drain_behind_a_silent_watch_is_known_in_time() {
+    with_discovery(Mode::Pushed, |limiter, discovery| async move {
+        let first = discovery.accept().await;
+        let watch = first.answer_and_wait(full_list(4, "SERVING")).await;
+        assert_eq!(next_list(&limiter).await, applied(4, HostState::Ready));
+        let check = discovery.accept().await;
+        drop(check.answer(full_list(4, "SERVING")).await);
+        let drained = Instant::now();
+        let mut state = HostState::Ready;
+        while state != HostState::Draining {
+            let check = discovery.accept().await;
+            drop(check.answer(full_list(5, "DRAINING")).await);
+            state = next_list(&limiter).await.state;
+        }
+        let elapsed = drained.elapsed();
+        assert!(elapsed < DRAIN_NOTIFIED_WITHIN, "after {elapsed:?}");
+        drop(watch);
+    });
+}
+
+/// A watch that discovery left unanswered from the start was reopened only after the backoff, up to 4 s behind the timeout
+/// (incident drains-after-an-outage).
+#[test]
+fn watch_without_a_first_answer_is_reopened_at_the_end_of_its_wait() {
+    const LIMITERS: u32 = 25;
+    with_discovery_of_fleet(LIMITERS, Mode::Polled, |limiter, discovery| async move {
+        let silent = discovery.accept().await;
+        let began = Instant::now();
+        let reopened = discovery.accept().await;
+        let elapsed = began.elapsed();
+        assert!(reopened.is_watch());
+        let limits = &limiter.limits().discovery;
+        assert_eq!(limits.watch_timeout, Duration::from_secs(4));
+        let longest = limits.watch_timeout + limits.watch_grace + CALL_TOLERANCE;
+        assert!(elapsed < longest, "after {elapsed:?}");
+        drop(silent);
+    });
+}
+
 /// With polled changes, a watch stays silent on an open connection: at the end of its wait it is reopened without a
 /// delay, and requests the changes since the current list.
 #[test]
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -7,7 +7,7 @@
 use super::received_list::ReceivedList;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// Follows discovery and never returns. Each request is sent as soon as the previous response has arrived; the watch is
 /// reopened after a failure and when the address of discovery changes.
@@ -42,8 +42,8 @@
 /// The reason why a watch ended.
 struct WatchFailure {
     error: DiscoveryError,
-    /// Whether the watch may be reopened without a delay: discovery had been answering for a while, so only the
-    /// connection is known to have failed.
+    /// Whether the watch may be reopened without a delay: the timeout of its request was a delay already, or discovery had
+    /// been answering for a while, so that only the connection is known to have failed.
     reopen_immediately: bool,
 }
 
@@ -75,9 +75,12 @@
         let lists_received = client.lists_received();
         let response = connection.get(&request, limits).await.map_err(|error| {
             // A connection lost soon after it was opened is reopened after a delay, even if it was answered.
-            let reopen_immediately = has_answered
-                && opened_at.elapsed() >= limits.discovery.full_list_interval
-                && error.is_connection_error();
+            let has_answered_for_a_while =
+                has_answered && opened_at.elapsed() >= limits.discovery.full_list_interval;
+            let reopen_immediately = match error {
+                DiscoveryError::ResponseTimeout => true,
+                _ => has_answered_for_a_while && error.is_connection_error(),
+            };
             WatchFailure {
                 error,
                 reopen_immediately,
@@ -142,34 +145,55 @@
 /// Requests the full list at intervals, independently of the watch, and never returns.
 ///
 /// A watch whose response is lost cannot be told from one without changes until its wait is over, and changes of hosts
-/// are missed meanwhile. A watch that is found to be behind is reopened.
+/// are missed meanwhile. A watch that is found to be behind is reopened. The time to the next request counts from the start
+/// of a request: discovery may have returned right after a request that it leaves unanswered.
 pub async fn check(client: Rc<DiscoveryClient>) {
+    let limits = &client.limits().discovery;
+    let mut next_at = Instant::now() + limits.full_list_interval;
     loop {
-        sleep(client.limits().discovery.full_list_interval).await;
-        check_once(&client).await;
+        sleep_until(next_at).await;
+        let started_at = Instant::now();
+        next_at = started_at
+            + match check_once(&client).await {
+                CheckOutcome::Answered => limits.full_list_interval,
+                CheckOutcome::Failed => limits.full_list_timeout,
+            };
     }
 }
 
-async fn check_once(client: &DiscoveryClient) {
+/// The outcome of a request for the full list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CheckOutcome {
+    /// Discovery has sent a list.
+    Answered,
+    /// Discovery has sent no list in time.
+    Failed,
+}
+
+async fn check_once(client: &DiscoveryClient) -> CheckOutcome {
     let address = client.address();
     let lists_received = client.lists_received();
-    // A failure is ignored here: the watch fails for the same reason, and reports it.
-    let Ok(Ok(list)) = timeout(
+    let answer = timeout(
         client.limits().discovery.full_list_timeout,
         full_list(client, address),
-    )
-    .await
-    else {
-        return;
+    );
+    // A failure is not logged here: the watch fails for the same reason, and reports it.
+    let Ok(Ok(list)) = answer.await else {
+        return CheckOutcome::Failed;
     };
-    if client.address() != address || !list.is_full {
-        return;
+    if client.address() == address && list.is_full {
+        apply_if_newer(client, &list, lists_received);
     }
+    CheckOutcome::Answered
+}
+
+/// Applies a full list that the watch has missed.
+fn apply_if_newer(client: &DiscoveryClient, list: &ReceivedList, lists_received: u64) {
     let held = client.version();
-    let comparison = client.compare(&list, lists_received);
+    let comparison = client.compare(list, lists_received);
     if comparison == ListComparison::Supersedes && list.version != held {
         tracing::info!(held, version = list.version, "discovery watch is behind");
-        client.apply(&list);
+        client.apply(list);
         client.reopen_watch();
     }
 }
