A shutdown waits for responses that hosts or clients still move

Cause: the end of a shutdown waited for connections until a fixed time, the longest deadline and 0.6 s, however much moved on them. A long value has no deadline once it has begun.

Change: connections count the responses in progress (streamed values, unsent bytes). Past that time the process waits for these and nothing else; each ends by the timer of its own peer (host 10 s, client 20 s without a byte). While bytes are unsent then, no further command is read.

--- a/crates/test-support/src/toy_platform.rs
+++ b/crates/test-support/src/toy_platform.rs
@@ -2,7 +2,8 @@
 //!
 //! A host answers a request with its id. Some bodies change that: `error` gets the error line, `cut` ends the connection,
 //! `silent` gets no answer, `long` a long value, `short` and `over` one that is shorter or longer than its head says, `half`
-//! half of one and then the end of the connection.
+//! half of one and then the end of the connection, `stalled` half of one and then nothing, `slow` a long value in pieces over
+//! [`SLOW_VALUE_TIME`].
 
 use quartzcleat::net::config::Limits;
 use quartzcleat::net::resp::codec;
@@ -11,9 +12,11 @@
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
 
 /// The length of a long value, in bytes.
 pub const LONG_VALUE_BYTES: usize = 4 << 20;
@@ -22,6 +25,13 @@
 /// The length that the head of a value that is `over` states; a long value follows.
 const OVER_ANNOUNCED_BYTES: usize = LONG_VALUE_BYTES - 99;
 
+/// The length of a piece of a slow value, in bytes.
+const PIECE_BYTES: usize = 128 << 10;
+/// The pause behind each piece of a slow value.
+const PIECE_PAUSE: Duration = Duration::from_millis(200);
+/// The time that a slow value takes at least.
+pub const SLOW_VALUE_TIME: Duration = Duration::from_millis(6_400);
+
 /// The listeners of the platform.
 pub struct ToyPlatform {
     /// Discovery's.
@@ -126,8 +136,8 @@
             let Some(answer) = answer(&arguments) else {
                 return Ok(());
             };
-            stream.write_all(&answer.bytes).await?;
-            if answer.ends_connection {
+            write_answer(&mut stream, &answer).await?;
+            if answer.delivery == Delivery::ThenClose {
                 return Ok(());
             }
             input.drain(..command.length);
@@ -138,18 +148,39 @@
     }
 }
 
+async fn write_answer(stream: &mut TcpStream, answer: &ToyAnswer) -> io::Result<()> {
+    if answer.delivery != Delivery::Slow {
+        return stream.write_all(&answer.bytes).await;
+    }
+    for piece in answer.bytes.chunks(PIECE_BYTES) {
+        stream.write_all(piece).await?;
+        sleep(PIECE_PAUSE).await;
+    }
+    Ok(())
+}
+
+/// How an answer is sent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Delivery {
+    /// At once.
+    AtOnce,
+    /// At once, and then the connection ends.
+    ThenClose,
+    /// In pieces with pauses between them.
+    Slow,
+}
+
 /// The answer to a command.
-#[derive(Default)]
 struct ToyAnswer {
     bytes: Vec<u8>,
-    ends_connection: bool,
+    delivery: Delivery,
 }
 
 impl From<Vec<u8>> for ToyAnswer {
     fn from(bytes: Vec<u8>) -> Self {
         ToyAnswer {
             bytes,
-            ends_connection: false,
+            delivery: Delivery::AtOnce,
         }
     }
 }
@@ -162,13 +193,9 @@
         [_, _, id, _, body @ ("long" | "short" | "over")] => {
             write_long_value(id, body, &mut output);
         }
-        [_, _, id, _, "half"] => {
+        [_, _, id, _, body @ ("half" | "stalled" | "slow")] => {
             write_long_value(id, "long", &mut output);
-            output.truncate(LONG_VALUE_BYTES / 2);
-            return Some(ToyAnswer {
-                bytes: output,
-                ends_connection: true,
-            });
+            return Some(interrupted_or_slow(body, output));
         }
         [_, _, _, _, "error"] => output.extend_from_slice(b"-ERR failed\r\n"),
         ["Q.ASK" | "Q.DO", _, id, ..] => {
@@ -181,6 +208,19 @@
     Some(output.into())
 }
 
+/// An answer with a long value of which only a half is sent, or which is sent slowly.
+fn interrupted_or_slow(body: &str, mut bytes: Vec<u8>) -> ToyAnswer {
+    if body != "slow" {
+        bytes.truncate(LONG_VALUE_BYTES / 2);
+    }
+    let delivery = match body {
+        "half" => Delivery::ThenClose,
+        "slow" => Delivery::Slow,
+        _ => Delivery::AtOnce,
+    };
+    ToyAnswer { bytes, delivery }
+}
+
 /// A long value as it should be, or shorter or longer than its head says.
 fn write_long_value(id: &str, body: &str, output: &mut Vec<u8>) {
     let announced = match body {
--- a/src/net/config/limits/process.rs
+++ b/src/net/config/limits/process.rs
@@ -79,7 +79,7 @@
     pub reject_after: Duration,
     /// Time after which no request is left open, so that all answers are written before the earliest SIGKILL.
     pub answer_timeout: Cell<Duration>,
-    /// Time after which the process exits, even if responses are not written completely. SIGKILL may come earlier.
+    /// Time after which the process exits once no response is in progress. SIGKILL may come earlier.
     pub exit_timeout: Cell<Duration>,
 }
 
--- a/src/net/limiter.rs
+++ b/src/net/limiter.rs
@@ -213,6 +213,7 @@
             complete::fail_if_open(&self.pipeline, *id);
         }
         self.await_connections(deadlines.exit).await;
+        self.await_responses().await;
         tracing::info!(
             failed_requests = unanswered.len(),
             open_connections = self.shutdown.connections(),
@@ -229,6 +230,21 @@
         }
     }
 
+    /// Waits for the responses in progress, each of which ends when its host or its client makes no progress any more, and
+    /// then for their connections to close.
+    async fn await_responses(&self) {
+        let in_progress = self.shutdown.responses();
+        if in_progress == 0 {
+            return;
+        }
+        tracing::info!(in_progress, "shutdown waits for responses");
+        let mut responses = self.shutdown.subscribe_responses();
+        // An error is impossible: the sender lives as long as the limiter.
+        let _ = responses.wait_for(|count| *count == 0).await;
+        self.await_connections(Instant::now() + self.limits.downstream.linger_timeout)
+            .await;
+    }
+
     /// Waits until every connection is closed, until `deadline` at the latest.
     async fn await_connections(&self, deadline: Instant) {
         let mut connections = self.shutdown.subscribe_connections();
--- a/src/net/resp/downstream/connection.rs
+++ b/src/net/resp/downstream/connection.rs
@@ -10,7 +10,7 @@
 use super::Downstream;
 use crate::net::config::Limits;
 use crate::net::resp::close::{self, SocketState, UnreadBytes};
-use crate::net::shutdown::Phase;
+use crate::net::shutdown::{CountGuard, Phase};
 use crate::net::streaming_body::StreamingBody;
 use std::ops::ControlFlow;
 use std::rc::Rc;
@@ -86,6 +86,8 @@
     idle_timer: IdleTimer,
     phase: watch::Receiver<Phase>,
     close_policy: ClosePolicy,
+    /// Counts the connection while a response is in progress, so that a shutdown waits for it.
+    response_guard: Option<CountGuard>,
     /// Number of commands handled since other tasks were last let run.
     commands_in_turn: usize,
     /// Whether the input contains no complete command.
@@ -108,6 +110,7 @@
             idle_timer: IdleTimer::new(downstream.idle_connections.clone()),
             phase: shutdown.subscribe_phase(),
             close_policy: ClosePolicy::new(admission, shutdown.phase()),
+            response_guard: None,
             commands_in_turn: 0,
             is_input_handled: true,
         }
@@ -142,6 +145,7 @@
         if self.output.write(&self.responses, self.limits()).is_err() {
             return Step::End(ConnectionEnd::Lost(LossReason::WriteFailed));
         }
+        self.update_response_guard();
         let phase = *self.phase.borrow_and_update();
         let progress = self.progress(collected);
         match self.close_policy.decide(progress, phase) {
@@ -166,6 +170,16 @@
         }
     }
 
+    fn update_response_guard(&mut self) {
+        let is_in_progress = !self.output.is_empty() || self.responses.is_streaming();
+        if !is_in_progress {
+            self.response_guard = None;
+        } else if self.response_guard.is_none() {
+            let shutdown = &self.downstream.context.shutdown;
+            self.response_guard = Some(shutdown.count_response());
+        }
+    }
+
     fn progress(&self, collected: CollectOutcome) -> Progress {
         Progress {
             input: self.input.state(),
--- a/src/net/resp/downstream/connection/commands.rs
+++ b/src/net/resp/downstream/connection/commands.rs
@@ -162,6 +162,7 @@
         } else if self.output.is_full(self.limits())
             || self.responses.is_streaming()
             || self.owes_responses_without_memory()
+            || self.is_ending_with_unsent_bytes()
         {
             ReadMode::Paused
         } else {
@@ -169,6 +170,11 @@
         }
     }
 
+    /// Returns whether bytes are unsent, and the process ends as soon as they are sent.
+    fn is_ending_with_unsent_bytes(&self) -> bool {
+        !self.output.is_empty() && self.downstream.context.shutdown.is_past_exit()
+    }
+
     /// Returns whether responses are unsent, or many are pending, while the process has no memory for further requests.
     /// The next response wakes the connection.
     fn owes_responses_without_memory(&self) -> bool {
--- a/src/net/resp/downstream/connection/tests/streamed_values.rs
+++ b/src/net/resp/downstream/connection/tests/streamed_values.rs
@@ -158,3 +158,30 @@
         assert_eq!(received, expected);
     });
 }
+
+/// A shutdown waits for a response that the client has not read to its end, although the host has sent all of it.
+#[test]
+fn response_is_in_progress_until_its_client_has_read_it() {
+    // More than the sockets can buffer.
+    const BYTES: usize = 32 << 20;
+    with_limiter(&[], |limiter| async move {
+        let Client { mut peer, stream } = Client::connect_idle().await;
+        let served_downstream = downstream(&limiter);
+        spawn(async move { serve(&served_downstream, stream, Admission::Served).await });
+        peer.write_all(&request(0)).expect("the socket takes it");
+        wait_for_requests(&limiter, 1).await;
+        assert_eq!(limiter.shutdown().responses(), 0);
+        let value = vec![b'v'; BYTES];
+        complete::answer(
+            limiter.pipeline(),
+            RequestId(0),
+            Answer::Served(value.into()),
+        );
+        let_connections_run().await;
+        assert_eq!(limiter.shutdown().responses(), 1);
+        let length = format!("${BYTES}\r\n").len() + BYTES + 2;
+        let (_peer, _) = read_exact(peer, length).await;
+        let_connections_run().await;
+        assert_eq!(limiter.shutdown().responses(), 0);
+    });
+}
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -33,7 +33,7 @@
 pub struct ShutdownDeadlines {
     /// Time at which requests that are still open are failed. Later requests are rejected.
     pub answers: Instant,
-    /// Time at which the process exits, even if responses are not written completely.
+    /// Time from which the process waits for nothing but responses that are in progress.
     pub exit: Instant,
 }
 
@@ -52,7 +52,9 @@
     /// Deadlines of the shutdown; `None` before SIGTERM.
     deadlines: Cell<Option<ShutdownDeadlines>>,
     /// Number of client connections.
-    connections: watch::Sender<usize>,
+    connections: Rc<watch::Sender<usize>>,
+    /// Number of client connections with a response in progress.
+    responses: Rc<watch::Sender<usize>>,
 }
 
 impl Shutdown {
@@ -70,7 +72,8 @@
             phase: watch::Sender::default(),
             is_closing: watch::Sender::default(),
             deadlines: Cell::default(),
-            connections: watch::Sender::default(),
+            connections: Rc::default(),
+            responses: Rc::default(),
         }
     }
 
@@ -202,12 +205,21 @@
         }));
     }
 
+    /// Returns whether the process waits for nothing but responses that are in progress.
+    pub fn is_past_exit(&self) -> bool {
+        self.deadlines()
+            .is_some_and(|deadlines| Instant::now() >= deadlines.exit)
+    }
+
     /// Counts a client connection until the returned guard is dropped.
-    pub fn count_connection(self: &Rc<Self>) -> CountedConnection {
-        self.connections.send_modify(|count| *count += 1);
-        CountedConnection {
-            shutdown: self.clone(),
-        }
+    pub fn count_connection(&self) -> CountGuard {
+        CountGuard::new(&self.connections)
+    }
+
+    /// Counts a response that is written to a client, or received from a host for a client that has received a part of it,
+    /// until the returned guard is dropped.
+    pub fn count_response(&self) -> CountGuard {
+        CountGuard::new(&self.responses)
     }
 
     /// Returns the number of client connections.
@@ -219,16 +231,35 @@
     pub fn subscribe_connections(&self) -> watch::Receiver<usize> {
         self.connections.subscribe()
     }
+
+    /// Returns the number of client connections with a response in progress.
+    pub fn responses(&self) -> usize {
+        *self.responses.borrow()
+    }
+
+    /// Returns a receiver that follows the number of client connections with a response in progress.
+    pub fn subscribe_responses(&self) -> watch::Receiver<usize> {
+        self.responses.subscribe()
+    }
+}
+
+/// Guard of a counted client connection or response; dropping it ends the count.
+pub struct CountGuard {
+    count: Rc<watch::Sender<usize>>,
 }
 
-/// Guard of a counted client connection; dropping it ends the count.
-pub struct CountedConnection {
-    shutdown: Rc<Shutdown>,
+impl CountGuard {
+    fn new(count: &Rc<watch::Sender<usize>>) -> Self {
+        count.send_modify(|count| *count += 1);
+        CountGuard {
+            count: count.clone(),
+        }
+    }
 }
 
-impl Drop for CountedConnection {
+impl Drop for CountGuard {
     fn drop(&mut self) {
-        self.shutdown.connections.send_modify(|count| *count -= 1);
+        self.count.send_modify(|count| *count -= 1);
     }
 }
 
--- a/tests/operations/long_values.rs
+++ b/tests/operations/long_values.rs
@@ -5,35 +5,20 @@
     request, send, served, CHEAP_FACTS, CHECK_FACTS, HOLD_FACTS,
 };
 use quartzcleat_test_support::config::replace;
+use quartzcleat_test_support::limiter::{terminate, Limiter};
+use quartzcleat_test_support::long_values::{announced_length, long_value};
 use quartzcleat_test_support::process::peak_resident_kibibytes;
 use quartzcleat_test_support::toy_platform::LONG_VALUE_BYTES;
+use quartzcleat_test_support::toy_platform::SLOW_VALUE_TIME;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
-/// Reads the head of an answer; returns the length of the value that it announces, in bytes.
-fn announced_length(client: &mut TcpStream) -> usize {
-    let mut head = String::new();
-    let mut byte = [0];
-    while !head.ends_with("\r\n") {
-        client.read_exact(&mut byte).expect("the head arrives");
-        head.push(char::from(byte[0]));
-    }
-    head.trim_end()
-        .strip_prefix('$')
-        .and_then(|digits| digits.parse().ok())
-        .unwrap_or_else(|| panic!("{head}"))
-}
-
-/// Returns the long value that the host sends for a request, with the line end after it.
-fn long_value(id: u64) -> Vec<u8> {
-    let mut value: Vec<u8> = format!("{id:016x}")
-        .bytes()
-        .cycle()
-        .take(LONG_VALUE_BYTES)
-        .collect();
-    value.extend_from_slice(b"\r\n");
-    value
-}
+/// Time after SIGTERM from which the process waits for nothing but responses in progress, with the deadlines of
+/// [`limiter_with_short_deadlines`].
+const EXIT_TIMEOUT: Duration = Duration::from_millis(3_600);
+/// Time without a byte after which a host's value has failed.
+const HOST_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Forty values of 4 MiB each are streamed at once; all have begun before the first is read to its end. All arrive
 /// complete, the limiter's resident set stays below 32 MiB of its 48 MB, and the connections remain usable.
@@ -125,3 +110,83 @@
         );
     }
 }
+
+/// Starts a limiter whose requests end 1.5 s after their arrival.
+fn limiter_with_short_deadlines(number: u8) -> Limiter {
+    limiter_setup(number)
+        .with_config(|text| {
+            let text = replace(
+                text,
+                "\"hardLimitNs\": 7500000000",
+                "\"hardLimitNs\": 1500000000",
+            );
+            replace(
+                &text,
+                "\"hardLimitNs\": 4000000000",
+                "\"hardLimitNs\": 1500000000",
+            )
+        })
+        .start()
+}
+
+/// Requests a value that takes longer than a shutdown, and reads its head.
+fn begin_value(limiter: &Limiter, id: u64, body: &str) -> TcpStream {
+    assert!(SLOW_VALUE_TIME > EXIT_TIMEOUT + Duration::from_secs(2));
+    let mut client = limiter.connect();
+    let command = request("Q.ASK", id, CHEAP_FACTS, body);
+    client
+        .write_all(command.as_bytes())
+        .expect("the limiter reads");
+    assert_eq!(announced_length(&mut client), LONG_VALUE_BYTES);
+    client
+}
+
+fn check_value(mut client: TcpStream, id: u64) {
+    let mut value = vec![0; LONG_VALUE_BYTES + 2];
+    let read = client.read_exact(&mut value);
+    read.expect("the value is complete");
+    assert!(value == long_value(id));
+}
+
+/// A shutdown ended by the clock, and cut values that hosts were still sending (incident values-cut-by-a-shutdown).
+#[test]
+fn shutdown_waits_for_a_value_that_its_host_is_still_sending() {
+    let mut limiter = limiter_with_short_deadlines(29);
+    let client = begin_value(&limiter, 1, "slow");
+    terminate(&limiter.child);
+    check_value(client, 1);
+    assert!(limiter.child.wait().expect("the limiter ends").success());
+}
+
+/// The same for a process that a new version replaces.
+#[test]
+fn replaced_process_waits_for_a_value_that_its_host_is_still_sending() {
+    let mut limiter = limiter_with_short_deadlines(30);
+    let client = begin_value(&limiter, 1, "slow");
+    let mut replaced = limiter.upgrade(2);
+    terminate(&replaced);
+    check_value(client, 1);
+    assert!(replaced.wait().expect("the process ends").success());
+    assert_eq!(
+        limiter.answer(&request("Q.ASK", 2, CHEAP_FACTS, "")),
+        served(2)
+    );
+}
+
+/// A host that sends no more does not keep the process from its end.
+#[test]
+fn shutdown_does_not_wait_longer_than_a_host_may_stall() {
+    let mut limiter = limiter_with_short_deadlines(31);
+    let mut client = begin_value(&limiter, 1, "stalled");
+    let began = Instant::now();
+    terminate(&limiter.child);
+    let mut value = Vec::new();
+    client.read_to_end(&mut value).expect("the connection ends");
+    assert!(value.len() < LONG_VALUE_BYTES);
+    assert!(limiter.child.wait().expect("the limiter ends").success());
+    let elapsed = began.elapsed();
+    assert!(
+        elapsed < HOST_STALL_TIMEOUT + Duration::from_secs(3),
+        "after {elapsed:?}"
+    );
+}
