Limit the memory of customers' records apart from that of requests

Cause: records of customers, kept for two windows, shared the memory in which requests are admitted. For 32 MB 21,800 customers filled it within a second, and every request was rejected on arrival.

Change: records take half of the memory for requests at most. An unknown customer takes the place of one that has not sent again (clock algorithm), decided by the engine; with all known ones in progress it is rejected.

--- a/crates/decision/src/engine.rs
+++ b/crates/decision/src/engine.rs
@@ -177,6 +177,12 @@
             .restore(snapshot, &self.settings.classes, now);
     }
 
+    /// Limits the number of customers that the engine keeps records of. Requests of further customers are rejected while no
+    /// record can be removed.
+    pub fn limit_customers(&mut self, max_customers: usize) {
+        self.lifecycle.quotas_mut().limit_customers(max_customers);
+    }
+
     /// Returns the number of customers that the engine keeps records of.
     #[must_use]
     pub fn customer_count(&self) -> usize {
--- a/crates/decision/src/lifecycle/arrival.rs
+++ b/crates/decision/src/lifecycle/arrival.rs
@@ -9,7 +9,8 @@
 use crate::context::Context;
 use crate::hosts::HostRequirements;
 use crate::quota::{
-    time_to_next_window, Correction, CounterReply, DecisionBasis, QuotaClaim, QuotaDecision,
+    time_to_next_window, Correction, CounterReply, CustomerAdmission, DecisionBasis, QuotaClaim,
+    QuotaDecision,
 };
 
 /// Maximum wait for the counter, as a fraction of the time to the request's latency objective.
@@ -80,7 +81,8 @@
         let claim = request.claim;
         self.requests.insert(id, request);
         self.shedder.record_arrival(weight_rate);
-        if self.is_shed(weight_rate, context) {
+        let is_full = self.quotas.admit_customer(arrival.customer) == CustomerAdmission::Full;
+        if is_full || self.is_shed(weight_rate, context) {
             self.finish(id, context);
             return;
         }
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -5,6 +5,7 @@
 mod claim;
 mod counter_calls;
 mod counts;
+mod customer_table;
 mod decision;
 mod limits;
 mod record;
@@ -13,4 +14,5 @@
 
 pub(crate) use claim::{Correction, DecisionBasis, QuotaClaim, QuotaDecision};
 pub(crate) use counter_calls::CounterReply;
+pub(crate) use customer_table::CustomerAdmission;
 pub(crate) use tracker::{time_to_next_window, QuotaTracker};
--- a/crates/decision/src/quota/counts.rs
+++ b/crates/decision/src/quota/counts.rs
@@ -9,6 +9,9 @@
 /// Fraction of the confirmed amount by which a total may fall short before counts are considered lost.
 const LOST_TOLERANCE: f64 = 0.01;
 
+/// Rounding error of the pending amount, in units.
+const PENDING_TOLERANCE: f64 = 1e-6;
+
 /// Amounts of one customer in the current window: the counter's total and this limiter's own contribution.
 /// Invariant: `confirmed - refunded` is the minimum that the counter must report, because this limiter added
 /// it. A lower total proves that the counter lost counts.
@@ -38,6 +41,11 @@
         self.total + self.pending + self.unsent
     }
 
+    /// Returns whether a call has no reply yet. Sums of amounts may leave a rounding error.
+    pub(super) fn has_pending_call(&self) -> bool {
+        self.pending.abs() > PENDING_TOLERANCE
+    }
+
     /// Resets the unsent amount to zero and returns it. The next call must include the returned amount.
     pub(super) fn reset_unsent(&mut self) -> f64 {
         std::mem::take(&mut self.unsent)
--- a/crates/decision/src/quota/record.rs
+++ b/crates/decision/src/quota/record.rs
@@ -44,6 +44,8 @@
     pub(super) recent_units: f64,
     /// Time of the last request.
     pub(super) last_seen: Nanos,
+    /// Whether a request arrived since the record was created or last considered for removal.
+    pub(super) has_sent_again: bool,
 }
 
 impl CustomerRecord {
@@ -140,6 +142,13 @@
         self.attempts_in_flight = self.attempts_in_flight.saturating_sub(1);
     }
 
+    /// Returns whether an attempt, a counter call or a decision of the customer is pending.
+    pub(super) fn has_request_in_progress(&self) -> bool {
+        self.attempts_in_flight > 0
+            || self.current.has_pending_call()
+            || !self.previous.awaiting_read.is_empty()
+    }
+
     /// Returns whether the record is still needed: attempts are in flight, or a request arrived since `oldest`.
     pub(super) fn is_in_use(&self, oldest: Nanos) -> bool {
         self.attempts_in_flight > 0 || self.last_seen >= oldest
--- a/crates/decision/src/quota/tracker.rs
+++ b/crates/decision/src/quota/tracker.rs
@@ -3,6 +3,7 @@
 use super::call_sampler::{CallSampler, CustomerFrequency};
 use super::claim::{Correction, DecisionBasis, QuotaClaim, ReadyForDecision};
 use super::counter_calls::{CounterCall, CounterReply, PendingCalls, WindowKey};
+use super::customer_table::{CustomerAdmission, CustomerTable};
 use super::record::CustomerRecord;
 use super::window::Window;
 use crate::api::{Action, CustomerId, Nanos, Plan, PlanIndex, RequestId, Settings};
@@ -10,7 +11,6 @@
 use crate::snapshot::{CounterCallsSnapshot, CustomerSnapshot};
 use crate::time::{to_nanos, SECOND};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
 
 /// Maximum number of customers in a snapshot, which contains those seen most recently.
 const MAX_SNAPSHOT_CUSTOMERS: usize = 4096;
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct QuotaTracker {
     started_at: Nanos,
-    customers: BTreeMap<CustomerId, CustomerRecord>,
+    customers: CustomerTable,
     pending_calls: PendingCalls,
     pub(super) sampler: CallSampler,
 }
@@ -28,7 +28,7 @@
     pub(crate) fn new(now: Nanos) -> Self {
         QuotaTracker {
             started_at: now,
-            customers: BTreeMap::new(),
+            customers: CustomerTable::new(),
             pending_calls: PendingCalls::default(),
             sampler: CallSampler::new(),
         }
@@ -41,7 +41,7 @@
 
     /// Returns the record of a customer without rolling it over. `None` if the customer is unknown.
     pub(super) fn known_customer(&self, customer: CustomerId) -> Option<&CustomerRecord> {
-        self.customers.get(&customer)
+        self.customers.get(customer)
     }
 
     /// Returns the mutable record of a customer without rolling it over. `None` if the customer is unknown.
@@ -49,15 +49,14 @@
         &mut self,
         customer: CustomerId,
     ) -> Option<&mut CustomerRecord> {
-        self.customers.get_mut(&customer)
+        self.customers.get_mut(customer)
     }
 
     /// Returns the record of a customer without rolling it over, and creates it for an unknown customer.
     pub(super) fn customer(&mut self, customer: CustomerId) -> &mut CustomerRecord {
         let started_at = self.started_at;
         self.customers
-            .entry(customer)
-            .or_insert_with(|| CustomerRecord::new(started_at))
+            .get_or_insert_with(customer, || CustomerRecord::new(started_at))
     }
 
     /// Returns the record of a customer rolled over to the current window, and creates it for an unknown
@@ -165,6 +164,16 @@
         })
     }
 
+    /// Limits the number of customers with a record.
+    pub(crate) fn limit_customers(&mut self, max_customers: usize) {
+        self.customers.set_max_records(max_customers);
+    }
+
+    /// Makes a place for the record of a customer.
+    pub(crate) fn admit_customer(&mut self, customer: CustomerId) -> CustomerAdmission {
+        self.customers.admit(customer)
+    }
+
     /// Returns the number of customers with a record.
     pub(crate) fn customer_count(&self) -> usize {
         self.customers.len()
@@ -174,7 +183,7 @@
     /// customers that send a single request would accumulate.
     pub(crate) fn remove_unused(&mut self, context: &Context) {
         let oldest = context.now().saturating_sub(record_lifetime(context));
-        self.customers.retain(|_, record| record.is_in_use(oldest));
+        self.customers.retain(|record| record.is_in_use(oldest));
         self.pending_calls.remove_unused();
     }
 
@@ -187,7 +196,7 @@
         let mut customers: Vec<_> = self.customers.iter().collect();
         customers.sort_by_key(|(_, record)| Reverse(record.last_seen));
         let latest = customers.into_iter().take(MAX_SNAPSHOT_CUSTOMERS);
-        latest.map(|(id, record)| record.snapshot(*id)).collect()
+        latest.map(|(id, record)| record.snapshot(id)).collect()
     }
 
     /// Restores the state from a predecessor's snapshot. Records of customers that are already known are kept.
@@ -200,9 +209,8 @@
         self.sampler.restore(counter_calls);
         for customer in customers {
             let record = CustomerRecord::from_snapshot(customer, self.started_at, now);
-            self.customers
-                .entry(CustomerId(customer.customer))
-                .or_insert(record);
+            let id = CustomerId(customer.customer);
+            self.customers.get_or_insert_with(id, || record);
         }
     }
 }
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -156,6 +156,11 @@
         self.engine.borrow().status()
     }
 
+    /// Limits the number of customers that the engine keeps counts of.
+    pub fn limit_customers(&self, max_customers: usize) {
+        self.engine.borrow_mut().limit_customers(max_customers);
+    }
+
     /// Returns the number of customers that the engine keeps counts of.
     pub fn customer_count(&self) -> usize {
         self.engine.borrow().customer_count()
--- a/src/net/memory/mod.rs
+++ b/src/net/memory/mod.rs
@@ -6,7 +6,7 @@
 //! more of the budget than the one before it in this order:
 //!
 //! 1. commands that are not complete: half of the budget, and only while five eighths are not exceeded altogether;
-//! 2. new requests: three quarters;
+//! 2. new requests: three quarters, of which the records of customers take at most half;
 //! 3. answers to requests that were forwarded: all of it.
 //!
 //! The fixed costs of connections are taken from the budget first, up to half of it, so that no number of connections keeps
@@ -133,6 +133,11 @@
         self.capacity_beside_connections() / 4 * 3
     }
 
+    /// Returns how many bytes the customers may take that the decision engine knows.
+    pub fn customer_capacity(&self) -> usize {
+        self.request_capacity() / 2
+    }
+
     fn command_capacity(&self) -> usize {
         self.capacity_beside_connections() / 2
     }
--- a/src/net/stages/pipeline.rs
+++ b/src/net/stages/pipeline.rs
@@ -79,10 +79,13 @@
         &self.memory
     }
 
-    /// Returns whether the memory allows another request, with the customers that the engine knows by now.
+    /// Returns whether the memory allows another request, with the customers that the engine knows by now. Customers have a
+    /// limit of their own: however many of them come once, there is room for the requests of the others.
     pub(super) fn has_room_for_requests(&self) -> bool {
-        let customers = self.engine.customer_count();
-        let bytes = customers * self.limits.memory.customer_bytes;
+        let customer_bytes = self.limits.memory.customer_bytes;
+        self.engine
+            .limit_customers(self.memory.customer_capacity() / customer_bytes);
+        let bytes = self.engine.customer_count() * customer_bytes;
         self.customers.borrow_mut().resize(bytes);
         self.memory.has_room_for_requests()
     }
--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -5,6 +5,7 @@
 
 mod call_sampling;
 mod counting;
+mod customers;
 mod degraded_counter;
 
 use quartzcleat::api::{Nanos, Outcome};
