Fail a request that may have run and comes again after its client has left

Cause: an id is in use while its request is open or an attempt is in flight. The client's leaving forgets the request, and nothing remembers that an attempt may have run.

--- a/crates/decision/src/lifecycle.rs
+++ b/crates/decision/src/lifecycle.rs
@@ -2,6 +2,7 @@
 //! `admission`, `quota` and `hosts`, which depend neither on it nor on each other. Uses neither sockets nor
 //! clocks.
 
+mod abandoned_runs;
 mod arrival;
 mod attempt;
 mod completion;
@@ -21,6 +22,7 @@
 use crate::context::Context;
 use crate::hosts::HostPool;
 use crate::quota::QuotaTracker;
+use abandoned_runs::AbandonedRuns;
 use attempt::InFlightAttempt;
 use queue::DispatchQueue;
 use request::RequestTable;
@@ -32,6 +34,7 @@
 pub(crate) struct RequestLifecycle {
     requests: RequestTable,
     attempts: BTreeMap<AttemptKey, InFlightAttempt>,
+    abandoned_runs: AbandonedRuns,
     queue: DispatchQueue,
     retry_budget: RetryBudget,
     shedder: LoadShedder,
@@ -44,6 +47,7 @@
         RequestLifecycle {
             requests: RequestTable::default(),
             attempts: BTreeMap::new(),
+            abandoned_runs: AbandonedRuns::default(),
             queue: DispatchQueue::default(),
             retry_budget: RetryBudget::new(),
             shedder: LoadShedder::new(now),
@@ -52,8 +56,9 @@
         }
     }
 
-    /// Removes records of customers and hosts that are no longer in use.
+    /// Removes records of customers, hosts and abandoned requests that are no longer in use.
     pub(crate) fn remove_unused(&mut self, context: &Context) {
+        self.abandoned_runs.remove_expired(context.now());
         self.quotas.remove_unused(context);
         self.hosts.remove_unused();
     }
--- a/crates/decision/src/lifecycle/arrival.rs
+++ b/crates/decision/src/lifecycle/arrival.rs
@@ -74,6 +74,10 @@
     /// Handles an arriving request: sets its timers, applies load shedding and obtains the first quota decision.
     pub(crate) fn on_arrival(&mut self, arrival: Arrival, context: &mut Context) {
         let id = arrival.id;
+        if self.abandoned_runs.contains(id) {
+            context.push(Action::Fail { id });
+            return;
+        }
         let request = arrival.into_request(context);
         let time_to_objective = request.objective_deadline(context) - context.now();
         set_request_timers(&arrival, time_to_objective, context);
--- a/crates/decision/src/lifecycle/completion.rs
+++ b/crates/decision/src/lifecycle/completion.rs
@@ -54,6 +54,7 @@
         }
         if outcome.never_ran() {
             self.clear_first_run(key);
+            self.abandoned_runs.record_never_ran(key);
         }
         self.settle_units(key.request, &end, context);
         if end.is_request_finished {
@@ -145,9 +146,22 @@
         });
     }
 
-    /// Handles a request whose client closed its connection: the request is removed without an answer.
+    /// Handles a request whose client closed its connection: the request is removed without an answer. It is remembered if it
+    /// may have run and must not run again, since its client may send it once more.
     pub(crate) fn on_abandoned(&mut self, id: RequestId, context: &mut Context) {
-        self.remove_and_refund(id, context);
+        let Some(request) = self.remove_and_refund(id, context) else {
+            return;
+        };
+        if is_retry_safe(&request, context.class(request.class())) {
+            return;
+        }
+        if let Some(run) = request.first_run {
+            let key = AttemptKey {
+                request: id,
+                attempt: run.attempt,
+            };
+            self.abandoned_runs.remember(key, context.now());
+        }
     }
 
     /// Removes a request. Refunds its units if it never ran, whether the limiter or the client ended it.
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -5,6 +5,7 @@
 mod load_shedding;
 mod queueing;
 mod retries;
+mod returning_clients;
 mod robustness;
 mod settlement;
 mod slow_start;
