Bind calls and kept connections to the process of a host, not to its address

A call decided for one process was written to another one that came up at its address while the connection was being established, and a connection to an earlier process was kept for calls to the new one.

Change: HostProcess (address and start) is compared instead. A call that was decided for another process is not written and counts as never run; a gone host is closed to calls once a ready host is listed at its address.

Measured: attempt_for_an_earlier_process_of_a_host_is_not_written failed before (it was written) and passes.

--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -279,6 +279,7 @@
         if mode != ListMode::Update {
             self.upstream.retain_listed(&entries);
         }
+        self.upstream.close_replaced_hosts();
         self.engine.handle(Event::Hosts {
             version,
             mode,
--- a/src/net/resp/downstream/connection/tests.rs
+++ b/src/net/resp/downstream/connection/tests.rs
@@ -7,6 +7,7 @@
 use crate::net::engine::{Answer, EngineDriver};
 use crate::net::memory::Owner;
 use crate::net::resp::codec;
+use crate::net::resp::upstream::tests::process_at;
 use crate::net::resp::upstream::UpstreamConnection;
 use crate::net::stages::{attempt, complete};
 use crate::net::task::spawn;
@@ -144,7 +145,7 @@
     limiter.upstream().update_host(&entry, address);
     let order = attempt_order(0, entry.host);
     let call = limiter.engine().begin_attempt(order).expect("it is open");
-    let mut connection = UpstreamConnection::new(stream, address);
+    let mut connection = UpstreamConnection::new(stream, process_at(address));
     leave(peer);
     let attempt = attempt::run(limiter.pipeline(), &mut connection, &call).await;
     drop(connection);
--- a/src/net/resp/tests.rs
+++ b/src/net/resp/tests.rs
@@ -3,6 +3,7 @@
 use super::close::{close_between_requests, close_discarding, read_now, SocketState, UnreadBytes};
 use super::shared_reader::SharedReader;
 use super::upstream::UpstreamConnection;
+use crate::net::resp::upstream::tests::process_at;
 use std::future::poll_fn;
 use std::io::{Read, Write};
 use std::mem::MaybeUninit;
@@ -79,7 +80,7 @@
     run(async {
         let ConnectedPair { stream, peer } = connected_pair().await;
         let address = stream.peer_addr().expect("an address");
-        let connection = UpstreamConnection::new(stream, address);
+        let connection = UpstreamConnection::new(stream, process_at(address));
         assert!(connection.is_quiet());
         drop(peer);
         wait_for_kernel(&connection.stream);
--- a/src/net/resp/upstream/connection.rs
+++ b/src/net/resp/upstream/connection.rs
@@ -1,12 +1,12 @@
 //! A connection to a host, and its buffers.
 
+use super::host::HostProcess;
 use crate::net::config::Limits;
 use crate::net::engine::Value;
 use crate::net::memory::Reservation;
 use crate::net::resp::close::{self, SocketState};
 use crate::net::resp::codec;
 use std::io;
-use std::net::SocketAddr;
 use std::ops::Range;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -16,8 +16,8 @@
 pub struct UpstreamConnection {
     /// The socket.
     pub stream: TcpStream,
-    /// The address that the connection was established to.
-    pub peer: SocketAddr,
+    /// The process that the connection was established to.
+    pub peer: HostProcess,
     /// Bytes received and not parsed yet.
     pub input: Vec<u8>,
     /// The memory of a long answer in `input`; `None` for a short one.
@@ -30,7 +30,7 @@
 
 impl UpstreamConnection {
     /// Creates a connection with empty buffers.
-    pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
+    pub fn new(stream: TcpStream, peer: HostProcess) -> Self {
         UpstreamConnection {
             stream,
             peer,
--- a/src/net/resp/upstream/host.rs
+++ b/src/net/resp/upstream/host.rs
@@ -21,11 +21,20 @@
     pub next_call: oneshot::Receiver<HostCall>,
 }
 
+/// The process of a host. Another process may listen on the address of one that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostProcess {
+    /// The address that it listens on.
+    pub address: SocketAddr,
+    /// Start of the process, in nanoseconds since the Unix epoch; 0 if it is unknown.
+    pub started: u64,
+}
+
 /// A host as it last appeared on the endpoint list.
 pub(super) struct Host {
-    address: SocketAddr,
-    /// Start time of its process, in nanoseconds since the Unix epoch.
-    started: u64,
+    process: HostProcess,
+    /// Whether another host listens on its address by now.
+    is_replaced: bool,
     /// When it was first found to be draining or gone; `None` while it is ready.
     unready_since: Option<Instant>,
     /// Whether it is no longer on the endpoint list.
@@ -36,25 +45,34 @@
 
 impl Host {
     /// Creates a host that is ready and has no connections.
-    pub(super) fn new(address: SocketAddr, started: u64) -> Self {
+    pub(super) fn new(process: HostProcess) -> Self {
         Host {
-            address,
-            started,
+            process,
+            is_replaced: false,
             unready_since: None,
             is_gone: false,
             idle: Vec::new(),
         }
     }
 
-    /// Returns the address that the host listens on.
-    pub(super) fn address(&self) -> SocketAddr {
-        self.address
+    /// Returns the process of the host.
+    pub(super) fn process(&self) -> HostProcess {
+        self.process
+    }
+
+    /// Returns whether the host is on the endpoint list and does not drain.
+    pub(super) fn is_ready(&self) -> bool {
+        self.unready_since.is_none()
+    }
+
+    /// Records whether another host listens on its address by now.
+    pub(super) fn set_replaced(&mut self, is_replaced: bool) {
+        self.is_replaced = is_replaced;
     }
 
-    /// Returns whether this is the process that listens on `address` and started at `started` (nanoseconds since the
-    /// Unix epoch).
-    pub(super) fn is_same_process(&self, address: SocketAddr, started: u64) -> bool {
-        self.address == address && self.started == started
+    /// Returns whether no call may be sent to the host any more, not even one that was decided before.
+    pub(super) fn is_closed_to_calls(&self, limits: &Limits) -> bool {
+        self.is_replaced || self.is_drain_grace_over(limits)
     }
 
     /// Records that the host is ready.
@@ -78,7 +96,7 @@
 
     /// Returns whether the drain grace has passed, so that even calls decided before the host stopped being ready may
     /// no longer be sent to it.
-    pub(super) fn is_drain_grace_over(&self, limits: &Limits) -> bool {
+    fn is_drain_grace_over(&self, limits: &Limits) -> bool {
         self.unready_since
             .is_some_and(|since| since.elapsed() >= limits.upstream.drain_grace.get())
     }
@@ -88,9 +106,9 @@
         self.is_gone && self.is_drain_grace_over(limits)
     }
 
-    /// Returns whether an idle connection to `peer` is kept for another call: the host is ready and listens there.
-    pub(super) fn keeps_connections_to(&self, peer: SocketAddr) -> bool {
-        self.unready_since.is_none() && self.address == peer
+    /// Returns whether an idle connection to `peer` is kept for another call: the host is ready, and its process is that one.
+    pub(super) fn keeps_connections_to(&self, peer: HostProcess) -> bool {
+        self.is_ready() && self.process == peer
     }
 
     /// Registers an idle connection.
--- a/src/net/resp/upstream/mod.rs
+++ b/src/net/resp/upstream/mod.rs
@@ -7,10 +7,10 @@
 mod pool;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use call_codec::{interpret, may_become_reply, usage_figures, write_command, Interpretation};
 pub use connection::UpstreamConnection;
-pub use host::IdleSlot;
+pub use host::{HostProcess, IdleSlot};
 pub use permits::ConnectionPermit;
 pub use pool::UpstreamPool;
--- a/src/net/resp/upstream/pool.rs
+++ b/src/net/resp/upstream/pool.rs
@@ -1,6 +1,6 @@
 //! The pool of hosts and of the connections to them.
 
-use super::host::{Host, IdleSlot};
+use super::host::{Host, HostProcess, IdleSlot};
 use super::permits::{ConnectionCounts, ConnectionPermit};
 use crate::api::{HostEntry, HostId, HostState, ReportSource};
 use crate::net::config::Limits;
@@ -8,7 +8,7 @@
 use crate::net::metrics::SharedMetrics;
 use crate::net::resp::eviction::Eviction;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// The known hosts and the connections to them.
@@ -46,12 +46,16 @@
     /// Records the state and address of a host from the endpoint list. A host with a new address or start time replaces
     /// the known one.
     pub fn update_host(&self, entry: &HostEntry, address: SocketAddr) {
+        let process = HostProcess {
+            address,
+            started: entry.started,
+        };
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts
             .entry(entry.host)
-            .or_insert_with(|| Host::new(address, entry.started));
-        if !host.is_same_process(address, entry.started) {
-            *host = Host::new(address, entry.started);
+            .or_insert_with(|| Host::new(process));
+        if host.process() != process {
+            *host = Host::new(process);
         }
         match entry.state {
             HostState::Ready => host.set_ready(),
@@ -84,12 +88,28 @@
         }
     }
 
-    /// Returns the address that a host listens on; `None` if the host is unknown or its drain grace has passed. The
-    /// connection for a call that was decided before the host began to drain may be established long after that.
-    pub fn address(&self, id: HostId, limits: &Limits) -> Option<SocketAddr> {
+    /// Closes hosts to calls that drain or are gone, and on whose address a ready host listens by now: a call that was
+    /// decided for the former would run at the latter.
+    pub fn close_replaced_hosts(&self) {
+        let mut hosts = self.hosts.borrow_mut();
+        if hosts.values().all(Host::is_ready) {
+            return;
+        }
+        let ready = hosts.values().filter(|host| host.is_ready());
+        let ready: HashSet<SocketAddr> = ready.map(|host| host.process().address).collect();
+        for host in hosts.values_mut() {
+            let is_taken = ready.contains(&host.process().address);
+            host.set_replaced(is_taken && !host.is_ready());
+        }
+    }
+
+    /// Returns the process of a host; `None` if the host is unknown, its drain grace has passed, or another host listens on
+    /// its address. The connection for a call that was decided before the host began to drain may be established long after
+    /// that.
+    pub fn process(&self, id: HostId, limits: &Limits) -> Option<HostProcess> {
         let hosts = self.hosts.borrow();
         let host = hosts.get(&id)?;
-        (!host.is_drain_grace_over(limits)).then_some(host.address())
+        (!host.is_closed_to_calls(limits)).then_some(host.process())
     }
 
     /// Hands a call to the most recently used idle connection of its host.
@@ -103,8 +123,8 @@
         }
     }
 
-    /// Registers an idle connection. Returns `None` if its host is no longer ready at the same address.
-    pub fn add_idle(&self, id: HostId, peer: SocketAddr) -> Option<IdleSlot> {
+    /// Registers an idle connection. Returns `None` if its host is no longer ready, or has another process by now.
+    pub fn add_idle(&self, id: HostId, peer: HostProcess) -> Option<IdleSlot> {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.get_mut(&id)?;
         if !host.keeps_connections_to(peer) {
--- a/src/net/resp/upstream/tests.rs
+++ b/src/net/resp/upstream/tests.rs
@@ -10,9 +10,18 @@
 use crate::net::engine::{AttemptOrder, Charge, HostCommand};
 use crate::net::resp::codec;
 use crate::net::tests::with_limiter;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// Returns the process at an address whose start is unknown, as hosts of tests are listed.
+pub(crate) fn process_at(address: SocketAddr) -> HostProcess {
+    HostProcess {
+        address,
+        started: 0,
+    }
+}
+
 fn limits_without_drain_grace(limits: &Limits) -> Limits {
     let limits = limits.clone();
     limits.upstream.drain_grace.set(std::time::Duration::ZERO);
@@ -212,7 +221,7 @@
             .borrow_mut()
             .begin_attempt(attempt_order(1, HostId(5)), now);
         let mut next_call = upstream
-            .add_idle(HostId(5), address)
+            .add_idle(HostId(5), process_at(address))
             .expect("the host is ready")
             .next_call;
         let returned = upstream.send_on_idle(call.expect("within the cap"), limiter.limits());
@@ -236,18 +245,27 @@
         };
         let drained = limits_without_drain_grace(limiter.limits());
         upstream.update_host(&entry(HostState::Ready), address);
-        assert_eq!(upstream.address(HostId(5), &drained), Some(address));
+        assert_eq!(
+            upstream.process(HostId(5), &drained),
+            Some(process_at(address))
+        );
         let idle = upstream
-            .add_idle(HostId(5), address)
+            .add_idle(HostId(5), process_at(address))
             .expect("the host is ready");
         upstream.retain_listed(&[]);
-        assert_eq!(upstream.address(HostId(5), limiter.limits()), Some(address));
-        assert_eq!(upstream.address(HostId(5), &drained), None);
+        assert_eq!(
+            upstream.process(HostId(5), limiter.limits()),
+            Some(process_at(address))
+        );
+        assert_eq!(upstream.process(HostId(5), &drained), None);
         // Its idle connections are closed, and no new ones are kept.
         assert!(idle.next_call.await.is_err());
-        assert!(upstream.add_idle(HostId(5), address).is_none());
+        assert!(upstream.add_idle(HostId(5), process_at(address)).is_none());
         upstream.update_host(&entry(HostState::Ready), address);
-        assert_eq!(upstream.address(HostId(5), &drained), Some(address));
+        assert_eq!(
+            upstream.process(HostId(5), &drained),
+            Some(process_at(address))
+        );
     });
 }
 
@@ -284,3 +302,55 @@
         );
     });
 }
+
+/// Another host listens on the address of one that is gone: a call that was decided for the latter ran at the former
+/// (incident work-at-a-replaced-process).
+#[test]
+fn host_whose_address_another_one_has_taken_gets_no_calls() {
+    with_limiter(&[], |limiter| async move {
+        let upstream = limiter.upstream();
+        let limits = limiter.limits();
+        let address = "127.0.0.1:9".parse().expect("an address");
+        let entry = |id, state| HostEntry {
+            host: HostId(id),
+            state,
+            ..HostEntry::default()
+        };
+        upstream.update_host(&entry(1, HostState::Ready), address);
+        upstream.update_host(&entry(1, HostState::Gone), address);
+        upstream.close_replaced_hosts();
+        let process = Some(process_at(address));
+        assert_eq!(upstream.process(HostId(1), limits), process, "in its grace");
+        upstream.update_host(&entry(2, HostState::Ready), address);
+        upstream.close_replaced_hosts();
+        assert_eq!(upstream.process(HostId(1), limits), None);
+        assert_eq!(upstream.process(HostId(2), limits), process);
+        // The first host is back, and the second one has left.
+        upstream.update_host(&entry(1, HostState::Ready), address);
+        upstream.update_host(&entry(2, HostState::Gone), address);
+        upstream.close_replaced_hosts();
+        assert_eq!(upstream.process(HostId(1), limits), process);
+    });
+}
+
+/// A connection to a process that was restarted since is not kept for the new one (incident work-at-a-replaced-process).
+#[test]
+fn connection_to_an_earlier_process_of_a_host_is_not_kept() {
+    with_limiter(&[], |limiter| async move {
+        let upstream = limiter.upstream();
+        let address = "127.0.0.1:9".parse().expect("an address");
+        let restarted = HostEntry {
+            host: HostId(5),
+            state: HostState::Ready,
+            started: 1,
+            ..HostEntry::default()
+        };
+        upstream.update_host(&restarted, address);
+        assert!(upstream.add_idle(HostId(5), process_at(address)).is_none());
+        let process = HostProcess {
+            address,
+            started: 1,
+        };
+        assert!(upstream.add_idle(HostId(5), process).is_some());
+    });
+}
--- a/src/net/stages/attempt.rs
+++ b/src/net/stages/attempt.rs
@@ -83,11 +83,8 @@
     connection: &mut UpstreamConnection,
     call: &HostCall,
 ) -> Exchange {
-    if pipeline
-        .upstream
-        .address(call.host, &pipeline.limits)
-        .is_none()
-    {
+    let process = pipeline.upstream.process(call.host, &pipeline.limits);
+    if process != Some(connection.peer) {
         return Outcome::ConnectFailed.into();
     }
     match write_command(pipeline, connection, call).await {
--- a/src/net/stages/attempt/tests.rs
+++ b/src/net/stages/attempt/tests.rs
@@ -1,8 +1,9 @@
 //! Tests of malformed, repeated and truncated answers.
 
 use super::*;
-use crate::api::HostId;
+use crate::api::{HostEntry, HostId, HostState};
 use crate::net::engine::tests::{attempt_order, no_reply, request};
+use crate::net::resp::upstream::tests::process_at;
 use crate::net::tests::{listening_host, with_limiter};
 use crate::net::Limiter;
 use std::rc::Rc;
@@ -44,7 +45,7 @@
             peer.write_all(answer.as_bytes())
                 .await
                 .expect("the answer is sent");
-            let mut connection = UpstreamConnection::new(stream, address);
+            let mut connection = UpstreamConnection::new(stream, process_at(address));
             let end = run(limiter.pipeline(), &mut connection, &call).await;
             assert_eq!((end.result.outcome, end.reusable), expected, "{answer:?}");
             assert!(Instant::now() < call.deadline);
@@ -76,7 +77,7 @@
     let connected = tokio::try_join!(TcpStream::connect(address), listener.accept());
     let (stream, (host, _)) = connected.expect("the connection is established");
     OpenCall {
-        connection: UpstreamConnection::new(stream, address),
+        connection: UpstreamConnection::new(stream, process_at(address)),
         call: begun.expect("within the limit on attempts"),
         host,
     }
@@ -142,3 +143,29 @@
         assert_eq!(memory.waiting(), 0);
     });
 }
+
+/// A host was restarted at its address while the connection for an attempt was being established: the attempt, which was
+/// decided for the earlier process, ran at the new one (incident work-at-a-replaced-process).
+#[test]
+fn attempt_for_an_earlier_process_of_a_host_is_not_written() {
+    with_limiter(&[], |limiter| async move {
+        let OpenCall {
+            mut connection,
+            call,
+            mut host,
+        } = open_call(&limiter).await;
+        let restarted = HostEntry {
+            host: HOST,
+            state: HostState::Ready,
+            started: 1,
+            ..HostEntry::default()
+        };
+        let address = connection.peer.address;
+        limiter.upstream().update_host(&restarted, address);
+        let end = run(limiter.pipeline(), &mut connection, &call).await;
+        assert_eq!(end.result.outcome, Outcome::ConnectFailed);
+        drop(connection);
+        let received = host.read(&mut [0]).await;
+        assert_eq!(received.expect("the connection ends"), 0);
+    });
+}
--- a/src/net/stages/dispatch.rs
+++ b/src/net/stages/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::api::{HostId, Outcome};
 use crate::net::engine::{Cancellation, HostCall, HostCommand};
 use crate::net::memory::Owner;
-use crate::net::resp::upstream::{IdleSlot, UpstreamConnection};
+use crate::net::resp::upstream::{HostProcess, IdleSlot, UpstreamConnection};
 use crate::net::task::spawn;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -16,7 +16,9 @@
 /// Sends a call on an idle connection to its host, or on a new one if there is none.
 pub fn send(pipeline: &Rc<Pipeline>, call: HostCall) {
     if let Err(call) = pipeline.upstream.send_on_idle(call, &pipeline.limits) {
-        spawn(run_connection(pipeline.clone(), call));
+        // The process that the call was decided for: another one may listen on its address once a connection is open.
+        let process = pipeline.upstream.process(call.host, &pipeline.limits);
+        spawn(run_connection(pipeline.clone(), call, process));
     }
 }
 
@@ -36,7 +38,10 @@
 }
 
 /// Opens a connection for a call, and runs this and subsequent calls on it for as long as it is usable.
-async fn run_connection(pipeline: Rc<Pipeline>, call: HostCall) {
+async fn run_connection(pipeline: Rc<Pipeline>, call: HostCall, process: Option<HostProcess>) {
+    let Some(process) = process else {
+        return complete::complete(&pipeline, &call, Outcome::ConnectFailed.into());
+    };
     let Some(_permit) = pipeline
         .upstream
         .acquire_permit(call.host, &pipeline.limits)
@@ -45,7 +50,7 @@
     };
     let connection_bytes = pipeline.limits.memory.host_connection_bytes;
     let _reservation = pipeline.memory.hold(Owner::Connections, connection_bytes);
-    match connect(&pipeline, &call).await {
+    match connect(&pipeline, &call, process).await {
         Ok(connection) => {
             pipeline.upstream.record_connect(call.host);
             run_calls(&pipeline, connection, call).await;
@@ -90,21 +95,21 @@
     }
 }
 
-async fn connect(pipeline: &Pipeline, call: &HostCall) -> Result<UpstreamConnection, Outcome> {
-    let address = pipeline
-        .upstream
-        .address(call.host, &pipeline.limits)
-        .ok_or(Outcome::ConnectFailed)?;
+async fn connect(
+    pipeline: &Pipeline,
+    call: &HostCall,
+    process: HostProcess,
+) -> Result<UpstreamConnection, Outcome> {
     let connect_timeout = Instant::now() + pipeline.limits.connect_timeout.get();
     let connect_by = call.send_by.min(connect_timeout);
     tokio::select! {
         biased;
         () = call.cancellation.requested.notified() => Err(Outcome::Cancelled),
-        connected = timeout_at(connect_by, TcpStream::connect(address)) => match connected {
+        connected = timeout_at(connect_by, TcpStream::connect(process.address)) => match connected {
             Ok(Ok(stream)) => {
                 // Without TCP_NODELAY, latency is slightly higher, but the connection still works.
                 let _ = stream.set_nodelay(true);
-                Ok(UpstreamConnection::new(stream, address))
+                Ok(UpstreamConnection::new(stream, process))
             }
             _ => Err(Outcome::ConnectFailed),
         },
--- a/src/net/stages/stream_value/tests.rs
+++ b/src/net/stages/stream_value/tests.rs
@@ -4,6 +4,7 @@
 use crate::api::HostId;
 use crate::net::engine::tests::{attempt_order, request};
 use crate::net::engine::{Answer, Frontend, ReplyTo};
+use crate::net::resp::upstream::tests::process_at;
 use crate::net::stages::attempt;
 use crate::net::tests::{listening_host, with_limiter};
 use crate::net::Limiter;
@@ -60,7 +61,7 @@
     let (stream, (host, _)) = connected.expect("the connection is established");
     OpenCall {
         frontend,
-        connection: UpstreamConnection::new(stream, address),
+        connection: UpstreamConnection::new(stream, process_at(address)),
         call: begun.expect("within the limit on attempts"),
         host,
     }
--- a/src/net/stages/tests.rs
+++ b/src/net/stages/tests.rs
@@ -5,6 +5,7 @@
 use crate::api::{Action, Event, HostEntry, HostId, HostState, Nanos, Outcome, RequestId, Timer};
 use crate::net::engine::tests::{attempt_order, no_reply, reply_to, request, RecordingFrontend};
 use crate::net::engine::{Answer, AttemptOrder, HostCommand, Payload};
+use crate::net::resp::upstream::tests::process_at;
 use crate::net::resp::upstream::UpstreamConnection;
 use crate::net::tests::{listening_host, next_event, with_limiter};
 use crate::net::Limiter;
@@ -168,7 +169,10 @@
         let address = listener.local_addr().expect("a local address");
         let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
         let (mut connection, (mut peer, _)) = (
-            UpstreamConnection::new(stream.expect("the connection is established"), address),
+            UpstreamConnection::new(
+                stream.expect("the connection is established"),
+                process_at(address),
+            ),
             accepted.expect("the connection is accepted"),
         );
         let now = Instant::now();
