Check discovery's list every 0.7 s, so that a held-up process still meets the drain grace

With 0.8 s, a drain that a silent watch misses was known 0.2 s before the grace of 1 s is over, of which a process may be held up for 0.15 s: 0.05 s were left for the answer, its parsing and the test of it beside load.

--- a/src/net/config/limits/services.rs
+++ b/src/net/config/limits/services.rs
@@ -94,7 +94,7 @@
                 MAX_WATCH
             },
             watch_grace: Duration::from_millis(1_500),
-            full_list_interval: Duration::from_millis(800),
+            full_list_interval: Duration::from_millis(700),
             full_list_timeout: Duration::from_millis(500),
             max_backoff: Duration::from_secs(4),
         }
