--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Starts a limiter with room for 768 customers beside nothing else.
+/// Starts a limiter with room for 384 records of customers.
 fn start_limiter(number: u8) -> Limiter {
     LimiterSetup::new(env!("CARGO_BIN_EXE_quartzcleat"), number)
         .with_config(|text| replace(text, "\"memory_mb\": 192", "\"memory_mb\": 4"))
